--- a/core/logger/src/createLogger.ts
+++ b/core/logger/src/createLogger.ts
@@ -1,4 +1,4 @@
-import { createLogger as createRoarr, ROARR, type RoarrGlobalState } from 'roarr'
+import { ROARR, Roarr } from 'roarr'
 import type { LogEventName, LogEvents } from './logEvents'
 
 /** How urgent a line is. */
@@ -27,8 +27,8 @@
 /** Creates a logger that writes one JSON line an event. */
 export function createLogger(options: CreateLoggerOptions): Logger {
   const write = options.write ?? ((line: string) => void process.stdout.write(`${line}\n`))
-  ;(ROARR as RoarrGlobalState).write = write
-  const roarr = createRoarr({ ...options.context })
+  ROARR.write = write
+  const roarr = Roarr.child({ ...options.context })
   const least = LEVELS.indexOf(options.level)
   const at = (level: LogLevel) => {
     if (LEVELS.indexOf(level) < least) return () => undefined
--- /dev/null
+++ b/engine/client/src/engineClient.ts
@@ -0,0 +1,223 @@
+import { Agent, request as httpRequest, type Dispatcher } from 'undici'
+import type { Clock } from '@forkstage/clock'
+import type { EndpointName, Millis } from '@forkstage/types'
+import { EndpointError, NOT_RUN_HEADER, NOT_RUN_VALUE } from './engineErrors'
+import type {
+  AttemptId,
+  CacheEvent,
+  DecodeOrder,
+  EngineHold,
+  EngineLine,
+  EngineOrder,
+  EnginePrompt,
+  EngineReport,
+  PrefillResult,
+} from './engineTypes'
+import { readLines } from './readLines'
+
+/** An engine to talk to. */
+export interface EngineAddress {
+  endpoint: EndpointName
+  address: string
+}
+
+/** Options of {@link EngineClient}. */
+export interface EngineClientOptions {
+  clock: Clock
+  /** How long a call that does no model work may take. */
+  callMs: Millis
+}
+
+/** An open decode stream. */
+export interface DecodeStream {
+  /** Ends the connection; the engine keeps the stream for a while. */
+  close(): void
+}
+
+/** Receives a decode stream. */
+export interface DecodeListener {
+  onLine(line: EngineLine): void
+  /** The connection has ended, for whatever reason; says nothing about whether the answer is whole. */
+  onClose(error?: EndpointError): void
+}
+
+/** The first error codes of a connection that never came about: nothing can have reached the endpoint. */
+const NEVER_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** The published protocol of the engines (docs/endpoints.md); another protocol is another class. */
+export class EngineClient {
+  private readonly agent = new Agent({
+    connections: 256,
+    pipelining: 1,
+    connect: { timeout: 1_000 },
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  })
+
+  constructor(private readonly options: EngineClientOptions) {}
+
+  report(engine: EngineAddress): Promise<EngineReport> {
+    return this.json(engine, 'GET', '/v1/report', undefined, 'report', this.options.callMs)
+  }
+
+  holds(engine: EngineAddress): Promise<EngineHold[]> {
+    return this.json(engine, 'GET', '/v1/holds', undefined, 'holds', this.options.callMs)
+  }
+
+  cacheEvents(engine: EngineAddress, after: number): Promise<CacheEvent[]> {
+    return this.json(
+      engine,
+      'GET',
+      `/v1/cache-events?after=${after}`,
+      undefined,
+      'cache events',
+      this.options.callMs,
+    )
+  }
+
+  /** Reserves decode memory; runs nothing. */
+  async reserve(engine: EngineAddress, attempt: AttemptId, tokens: number, leaseMs: Millis): Promise<void> {
+    await this.json(
+      engine,
+      'POST',
+      '/v1/slots',
+      { ...attempt, tokens, leaseMs },
+      'reserve',
+      this.options.callMs,
+    )
+  }
+
+  prefill(
+    engine: EngineAddress,
+    attempt: AttemptId,
+    prompt: EnginePrompt,
+    deadline: Millis,
+  ): Promise<PrefillResult> {
+    return this.json(engine, 'POST', '/v1/prefills', { ...attempt, prompt }, 'prefill', deadline)
+  }
+
+  /** Starts decoding; the lines come to the listener. */
+  decode(
+    engine: EngineAddress,
+    attempt: AttemptId,
+    order: DecodeOrder,
+    listener: DecodeListener,
+  ): DecodeStream {
+    return this.stream(engine, 'POST', '/v1/streams', { ...attempt, ...order }, 'decode', listener)
+  }
+
+  /** Goes on with a stream from a token's number, under this epoch. */
+  resume(engine: EngineAddress, attempt: AttemptId, from: number, listener: DecodeListener): DecodeStream {
+    const path = `/v1/streams/${encodeURIComponent(attempt.request)}?epoch=${attempt.epoch}&from=${from}`
+    return this.stream(engine, 'GET', path, undefined, 'resume', listener)
+  }
+
+  /** Releases everything held for a request up to this epoch; returns once the engine confirms. */
+  async release(engine: EngineAddress, attempt: AttemptId): Promise<void> {
+    const path = `/v1/requests/${encodeURIComponent(attempt.request)}?epoch=${attempt.epoch}`
+    await this.json(engine, 'DELETE', path, undefined, 'release', this.options.callMs)
+  }
+
+  async order(engine: EngineAddress, order: EngineOrder, deadline: Millis): Promise<void> {
+    await this.json(engine, 'POST', '/v1/orders', order, 'order', deadline)
+  }
+
+  close(): Promise<void> {
+    return this.agent.destroy()
+  }
+
+  private async json<Answer>(
+    engine: EngineAddress,
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body: unknown,
+    step: string,
+    deadline: Millis,
+  ): Promise<Answer> {
+    const abort = new AbortController()
+    const cancel = this.options.clock.after(deadline, () =>
+      abort.abort(new Error(`no answer within ${deadline} ms`)),
+    )
+    try {
+      const response = await this.send(engine, method, path, body, abort.signal)
+      const text = await response.body.text()
+      if (response.statusCode >= 300) throw refusal(engine, step, response, text)
+      return (text === '' ? undefined : JSON.parse(text)) as Answer
+    } catch (error) {
+      throw toEndpointError(engine, step, error)
+    } finally {
+      cancel()
+    }
+  }
+
+  private stream(
+    engine: EngineAddress,
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body: unknown,
+    step: string,
+    listener: DecodeListener,
+  ): DecodeStream {
+    const abort = new AbortController()
+    this.pump(engine, method, path, body, step, listener, abort.signal).then(
+      () => listener.onClose(),
+      (error: unknown) => listener.onClose(toEndpointError(engine, step, error)),
+    )
+    return { close: () => abort.abort(new Error('closed')) }
+  }
+
+  private async pump(
+    engine: EngineAddress,
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body: unknown,
+    step: string,
+    listener: DecodeListener,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const response = await this.send(engine, method, path, body, signal)
+    if (response.statusCode >= 300) throw refusal(engine, step, response, await response.body.text())
+    await readLines(response.body, (line) => listener.onLine(JSON.parse(line) as EngineLine))
+  }
+
+  private send(
+    engine: EngineAddress,
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body: unknown,
+    signal: AbortSignal,
+  ) {
+    return httpRequest(`http://${engine.address}${path}`, {
+      method,
+      dispatcher: this.agent,
+      signal,
+      headers: body === undefined ? {} : { 'content-type': 'application/json' },
+      body: body === undefined ? undefined : JSON.stringify(body),
+    })
+  }
+}
+
+function refusal(
+  engine: EngineAddress,
+  step: string,
+  response: Dispatcher.ResponseData,
+  text: string,
+): EndpointError {
+  const notRun = response.headers[NOT_RUN_HEADER] === NOT_RUN_VALUE
+  return new EndpointError(engine.endpoint, step, reasonIn(text) ?? `status ${response.statusCode}`, notRun)
+}
+
+function reasonIn(text: string): string | undefined {
+  try {
+    return (JSON.parse(text) as { code?: string }).code
+  } catch {
+    return undefined
+  }
+}
+
+function toEndpointError(engine: EngineAddress, step: string, error: unknown): EndpointError {
+  if (error instanceof EndpointError) return error
+  const code = (error as { code?: string }).code ?? ''
+  const message = error instanceof Error ? error.message : String(error)
+  return new EndpointError(engine.endpoint, step, message, NEVER_CONNECTED.has(code), error)
+}
--- /dev/null
+++ b/engine/client/src/engineErrors.ts
@@ -0,0 +1,29 @@
+import { ForkstageError } from '@forkstage/error'
+
+/** The header by which an endpoint proves that it did not run a request it refuses. */
+export const NOT_RUN_HEADER = 'x-endpoint-ran'
+/** The header's value that is the proof. */
+export const NOT_RUN_VALUE = 'no'
+
+/** Raised when an endpoint did not do what it was asked. */
+export class EndpointError extends ForkstageError {
+  /** Whether it is proved that the endpoint ran nothing of it. */
+  readonly notRun: boolean
+  /** The endpoint's own code, where it answered. */
+  readonly reason: string
+
+  constructor(peer: string, step: string, reason: string, notRun: boolean, cause?: unknown) {
+    super(
+      'FORKSTAGE_ENDPOINT',
+      `${peer} failed at ${step}: ${reason}`,
+      'See the endpoint itself; forkstage tries another where it may.',
+      {
+        step,
+        peer,
+        cause,
+      },
+    )
+    this.reason = reason
+    this.notRun = notRun
+  }
+}
--- /dev/null
+++ b/engine/client/src/index.ts
@@ -0,0 +1,6 @@
+/** The engines' protocol. */
+export { EngineClient } from './engineClient'
+export type { DecodeListener, DecodeStream, EngineAddress, EngineClientOptions } from './engineClient'
+export { EndpointError, NOT_RUN_HEADER, NOT_RUN_VALUE } from './engineErrors'
+export { readLines } from './readLines'
+export type * from './engineTypes'
--- /dev/null
+++ b/engine/fakes/src/index.ts
@@ -0,0 +1,12 @@
+/** Stand-ins for what the system meets. */
+export { startEngine } from './startEngine'
+export type { RunningEngine, StartEngineOptions } from './startEngine'
+export { startPlainService } from './startPlainService'
+export type { PlainCall, PlainFaults } from './startPlainService'
+export { startPlatformList } from './startPlatformList'
+export { DEFAULT_PROFILE } from './engineProfile'
+export type { EngineProfile } from './engineProfile'
+export { NO_FAULTS } from './faults'
+export type { EngineFaults } from './faults'
+export type { EngineRecord } from './engineState'
+export type { RunningFake } from './listenOn'
--- /dev/null
+++ b/journal/claims/src/index.ts
@@ -0,0 +1,6 @@
+/** Claims and outcomes of request keys. */
+export { JournalMachine } from './journalMachine'
+export { groupOfKey, JournalClient } from './journalClient'
+export type { JournalClientOptions } from './journalClient'
+export { startJournalTicker } from './journalTicker'
+export type * from './claimTypes'
--- /dev/null
+++ b/journal/claims/src/journalTicker.ts
@@ -0,0 +1,24 @@
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import type { GroupHost } from '@forkstage/group'
+import type { Millis } from '@forkstage/types'
+import type { JournalCommand, JournalResult } from './claimTypes'
+
+const TICK_MS = 2_000
+/** A frozen leader may count at most this much at once: time may only be lost, never invented. */
+const MOST_AT_ONCE_MS = 10_000
+
+/** Lets journal time pass while this box leads the group. */
+export function startJournalTicker(
+  host: GroupHost<JournalCommand, JournalResult>,
+  clock: Clock,
+): CancelTimer {
+  let last: Millis | undefined
+  return every(clock, TICK_MS, () => {
+    const { replica } = host
+    if (replica === undefined || !replica.leads) return void (last = undefined)
+    const now = clock.now()
+    const elapsed = last === undefined ? 0 : Math.min(now - last, MOST_AT_ONCE_MS)
+    last = now
+    if (elapsed > 0) replica.propose({ type: 'tick', elapsed }).catch(() => undefined)
+  })
+}
--- /dev/null
+++ b/membership/control/src/controlMachine.ts
@@ -0,0 +1,134 @@
+import { pack, unpack } from 'msgpackr'
+import { assertInvariant } from '@forkstage/error'
+import type { StateMachine } from '@forkstage/group'
+import { applyDelta, digestTable } from '@forkstage/table'
+import type { Table, VersionedTable } from '@forkstage/types'
+import type {
+  ConfirmCommand,
+  ConfirmResult,
+  ControlCommand,
+  ControlResult,
+  FenceResult,
+  HistoryEntry,
+  TableUpdate,
+} from './controlCommands'
+import { VersionMarks } from './versionMarks'
+
+/** Versions whose changes are kept in full, for the history and to bring boxes up to date. */
+const RECENT_VERSIONS = 1_000
+/** Fence nonces remembered; an order is resent within seconds. */
+const RECENT_FENCES = 256
+
+interface StoredControl {
+  table: VersionedTable
+  recent: HistoryEntry[]
+  marks: Uint8Array
+  fence: number
+  fences: [string, number][]
+}
+
+/** The control group's state: the accepted table, its history, and the order fence. */
+export class ControlMachine implements StateMachine<ControlCommand, ControlResult> {
+  private current: VersionedTable = emptyTable()
+  private recent: HistoryEntry[] = []
+  private marks = new VersionMarks()
+  private fence = 0
+  private fences = new Map<string, number>()
+
+  get table(): VersionedTable {
+    return this.current
+  }
+
+  get history(): readonly HistoryEntry[] {
+    return this.recent
+  }
+
+  apply(command: ControlCommand): ControlResult {
+    return command.type === 'confirm' ? this.confirm(command) : this.takeFence(command.nonce)
+  }
+
+  /** What a box at a version needs to reach the newest one; undefined where it has it. */
+  updateFrom(version: number): TableUpdate | undefined {
+    if (version >= this.current.version) return undefined
+    const steps = this.recent.filter((entry) => entry.version > version)
+    const reachesBack = steps[0]?.version === version + 1
+    if (version > 0 && reachesBack)
+      return { type: 'steps', steps: steps.map(({ version, digest, delta }) => ({ version, digest, delta })) }
+    return { type: 'full', ...this.current }
+  }
+
+  snapshot(): Uint8Array {
+    const stored: StoredControl = {
+      table: this.current,
+      recent: this.recent,
+      marks: this.marks.toBytes(),
+      fence: this.fence,
+      fences: [...this.fences],
+    }
+    return pack(stored)
+  }
+
+  restore(data: Uint8Array): void {
+    const stored = unpack(data) as StoredControl
+    assertInvariant(
+      stored.table.version >= this.current.version,
+      'the accepted table never reverts',
+      () => `${stored.table.version}`,
+    )
+    this.current = stored.table
+    this.recent = stored.recent
+    this.marks = VersionMarks.fromBytes(stored.marks)
+    this.fence = stored.fence
+    this.fences = new Map(stored.fences)
+  }
+
+  private confirm(command: ConfirmCommand): ConfirmResult {
+    const version = command.base + 1
+    if (this.marks.matches(version, command.confirmId, command.digest)) {
+      return { outcome: 'accepted', version, digest: command.digest }
+    }
+    if (command.base !== this.current.version) return this.conflict(command, version)
+    const table = applyDelta(this.current.table, command.delta)
+    if (digestTable(table) !== command.digest) {
+      return { ...this.refusal(), reason: 'the changes do not lead to the digest that was confirmed' }
+    }
+    return this.accept(command, version, table)
+  }
+
+  private conflict(command: ConfirmCommand, version: number): ConfirmResult {
+    const reused = this.marks.madeBy(version, command.confirmId)
+    const reason = reused
+      ? `confirm id ${command.confirmId} has accepted another table as version ${version}`
+      : `the table was made from version ${command.base}; the newest is ${this.current.version}`
+    return { ...this.refusal(), reason }
+  }
+
+  private refusal() {
+    const { version, digest } = this.current
+    return { outcome: 'conflict' as const, version, digest }
+  }
+
+  private accept(command: ConfirmCommand, version: number, table: Table): ConfirmResult {
+    assertInvariant(version === this.current.version + 1, 'versions rise by one', () => `${version}`)
+    const { digest, confirmId, who, at, delta } = command
+    this.current = { version, digest, table }
+    this.marks.append(confirmId, digest)
+    this.recent.push({ version, digest, confirmId, who, at, delta })
+    if (this.recent.length > RECENT_VERSIONS) this.recent.shift()
+    return { outcome: 'accepted', version, digest }
+  }
+
+  private takeFence(nonce: string): FenceResult {
+    const known = this.fences.get(nonce)
+    if (known !== undefined) return { outcome: 'fence', fence: known }
+    this.fence += 1
+    this.fences.set(nonce, this.fence)
+    if (this.fences.size > RECENT_FENCES) this.fences.delete(this.fences.keys().next().value!)
+    return { outcome: 'fence', fence: this.fence }
+  }
+}
+
+function emptyTable(): VersionedTable {
+  const table: Table = { endpoints: [], links: [] }
+  return { version: 0, digest: digestTable(table), table }
+}
--- /dev/null
+++ b/membership/control/src/controlService.ts
@@ -0,0 +1,90 @@
+import type { Clock } from '@forkstage/clock'
+import { ForkstageError } from '@forkstage/error'
+import type { GroupHost } from '@forkstage/group'
+import type { PeerMethod } from '@forkstage/peer-rpc'
+import type { Millis } from '@forkstage/types'
+import type { AskAnswer, AskQuestion, ControlStatus, Members } from './askTypes'
+import type { BoxRegistry } from './boxRegistry'
+import type { ControlCommand, ControlResult, HistoryEntry } from './controlCommands'
+import type { ControlMachine } from './controlMachine'
+
+/** Options of {@link createControlMethods}. */
+export interface ControlServiceOptions {
+  host: GroupHost<ControlCommand, ControlResult>
+  machine: ControlMachine
+  registry: BoxRegistry
+  clock: Clock
+  /** How long a new leader waits before it publishes who is live. */
+  goneAfter: Millis
+  tableLease: Millis
+}
+
+/** Raised where a question needs the leader and this replica cannot be sure that it leads. */
+export class NoLeaseError extends ForkstageError {
+  constructor() {
+    super(
+      'FORKSTAGE_NOT_LEADER',
+      'This control replica cannot be sure that it leads.',
+      'Ask again in a moment.',
+      {
+        step: 'control question',
+      },
+    )
+  }
+}
+
+/** The methods through which boxes talk to a control replica, besides those of its group. */
+export function createControlMethods(options: ControlServiceOptions): Record<string, PeerMethod> {
+  return {
+    'control.ask': (question: AskQuestion) => answerQuestion(question, options),
+    'control.boxes': () => describeBoxes(options),
+    'control.history': (params: { limit: number }) => readHistory(params.limit, options),
+  }
+}
+
+function answerQuestion(question: AskQuestion, options: ControlServiceOptions): AskAnswer {
+  const { host, machine, registry } = options
+  const replica = host.require()
+  registry.note(question)
+  const pending = replica.uncommitted.filter(
+    (entry) => (entry.data as ControlCommand | null)?.type === 'confirm',
+  )
+  const { holdsLease } = replica
+  const sendsUpdate = holdsLease || question.wantUpdate
+  return {
+    replica: replica.status().replica,
+    holdsLease,
+    newestVersion: machine.table.version + pending.length,
+    acceptedVersion: machine.table.version,
+    newestConfigIndex: replica.configIndex,
+    config: replica.configIndex > question.configIndex ? replica.config : undefined,
+    update: sendsUpdate ? machine.updateFrom(question.version) : undefined,
+    members: holdsLease ? newerMembers(question.membersVersion, options) : undefined,
+  }
+}
+
+function newerMembers(known: [number, number], options: ControlServiceOptions): Members | undefined {
+  const replica = options.host.require()
+  // A new leader has not heard from everyone yet; a list made now would drop live boxes.
+  if (options.clock.now() - replica.leaderSince < options.goneAfter) return undefined
+  const members = options.registry.members(replica.term)
+  const [term, count] = members.version
+  const newer = term > known[0] || (term === known[0] && count > known[1])
+  return newer ? members : undefined
+}
+
+function describeBoxes(options: ControlServiceOptions): ControlStatus {
+  const { host, machine, registry, clock, tableLease } = options
+  const replica = host.require()
+  if (!replica.holdsLease) throw new NoLeaseError()
+  const { version, digest } = machine.table
+  // A box that this leader has not heard yet may act on an older table until its lease has run out.
+  const settled = clock.now() - replica.leaderSince >= tableLease
+  return { version, digest, boxes: registry.status(), settled }
+}
+
+function readHistory(limit: number, options: ControlServiceOptions): Omit<HistoryEntry, 'delta'>[] {
+  if (!options.host.require().holdsLease) throw new NoLeaseError()
+  const newest = options.machine.history.slice(-limit).reverse()
+  return newest.map(({ version, digest, confirmId, who, at }) => ({ version, digest, confirmId, who, at }))
+}
--- /dev/null
+++ b/membership/lease/src/index.ts
@@ -0,0 +1,5 @@
+/** An entry's lease on its table. */
+export { TableFollower } from './tableFollower'
+export type { TableFollowerOptions } from './tableFollower'
+export { createLeaseState, knownNewestSince, noteAnswer } from './leaseState'
+export type { LeaseChange, LeaseState } from './leaseState'
--- /dev/null
+++ b/membership/lease/src/tableFollower.ts
@@ -0,0 +1,123 @@
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import type { AskAnswer, AskQuestion, BoxInfo, Members } from '@forkstage/control'
+import type { Logger } from '@forkstage/logger'
+import type { PeerCaller } from '@forkstage/peer-rpc'
+import { digestTable } from '@forkstage/table'
+import type { Address, Millis, VersionedTable } from '@forkstage/types'
+import { createLeaseState, knownNewestSince, noteAnswer, type LeaseState } from './leaseState'
+
+/** Options of {@link TableFollower}. */
+export interface TableFollowerOptions {
+  /** How this box presents itself; read for every question. */
+  self: () => BoxInfo
+  /** The boxes of the first control replicas. */
+  firstReplicas: Address[]
+  peers: PeerCaller
+  clock: Clock
+  logger: Logger
+  tableLease: Millis
+  askEvery: Millis
+  onTable: (table: VersionedTable) => void
+  onMembers: (members: Members) => void
+}
+
+/** Keeps this box's table and lease up to date by asking every control replica. */
+export class TableFollower {
+  private readonly state: LeaseState
+  private cancel: CancelTimer = () => undefined
+  private heldLease = false
+  /** When a leader last answered; without one, the table is asked for from every replica. */
+  private leaderHeardAt = -Infinity
+
+  constructor(private readonly options: TableFollowerOptions) {
+    const table = { endpoints: [], links: [] }
+    this.state = createLeaseState({ version: 0, digest: digestTable(table), table })
+  }
+
+  get table(): VersionedTable {
+    return this.state.table
+  }
+
+  get members(): Members {
+    return this.state.members
+  }
+
+  /** The control replicas' addresses: those of the newest configuration, or the first ones. */
+  get replicas(): Address[] {
+    const voters = this.state.config?.voters.map((voter) => voter.address) ?? []
+    return [...new Set([...voters, ...this.options.firstReplicas])]
+  }
+
+  /** Until when new work may be taken on the present table. */
+  get leaseUntil(): Millis {
+    return knownNewestSince(this.state) + this.options.tableLease
+  }
+
+  /** Whether new work may be taken now. */
+  holdsLease(): boolean {
+    return this.state.table.version > 0 && this.options.clock.now() < this.leaseUntil
+  }
+
+  start(): void {
+    this.ask()
+    this.cancel = every(this.options.clock, this.options.askEvery, () => this.ask())
+  }
+
+  stop(): void {
+    this.cancel()
+  }
+
+  private ask(): void {
+    this.noteLease()
+    for (const address of this.replicas) void this.askOne(address)
+  }
+
+  private async askOne(address: Address): Promise<void> {
+    const { peers, clock, tableLease } = this.options
+    const sentAt = clock.now()
+    try {
+      const answer = await peers.call<AskAnswer>(address, 'control.ask', this.question(sentAt), {
+        deadline: tableLease,
+        step: 'renew table lease',
+      })
+      this.take(answer, sentAt)
+    } catch {
+      // A replica that does not answer is asked again; the lease says what that means.
+    }
+  }
+
+  private question(now: Millis): AskQuestion {
+    const { table, configIndex, members } = this.state
+    return {
+      box: this.options.self(),
+      version: table.version,
+      configIndex,
+      membersVersion: members.version,
+      leaseLeft: Math.max(0, this.leaseUntil - now),
+      wantUpdate: now - this.leaderHeardAt > this.options.askEvery * 2,
+    }
+  }
+
+  private take(answer: AskAnswer, sentAt: Millis): void {
+    const { clock, logger, onTable, onMembers } = this.options
+    if (answer.holdsLease) this.leaderHeardAt = clock.now()
+    const change = noteAnswer(this.state, answer, sentAt)
+    const { version, digest, table } = this.state.table
+    if (change.installed) {
+      logger.info('table.installed', { version, digest, rows: table.endpoints.length })
+      onTable(this.state.table)
+    }
+    if (change.members) onMembers(this.state.members)
+    this.noteLease()
+  }
+
+  private noteLease(): void {
+    const holds = this.holdsLease()
+    if (holds === this.heldLease) return
+    this.heldLease = holds
+    const { logger, clock } = this.options
+    const { version } = this.state.table
+    if (holds) logger.info('lease.won', { version, untilMs: Math.round(this.leaseUntil - clock.now()) })
+    else logger.warn('lease.lost', { version, reason: 'no majority of control replicas has answered' })
+  }
+}
--- /dev/null
+++ b/membership/owners/src/index.ts
@@ -0,0 +1,3 @@
+/** Endpoint owners. */
+export { OwnerMap } from './ownerMap'
+export type { Ownership } from './ownerMap'
--- /dev/null
+++ b/membership/owners/src/ownerMap.ts
@@ -0,0 +1,69 @@
+import { createHash } from 'node:crypto'
+import type { BoxInfo, Members } from '@forkstage/control'
+import type { BoxId, EndpointName } from '@forkstage/types'
+
+/** The owner of an endpoint, fenced by the version of the box list that made it so. */
+export interface Ownership {
+  owner: BoxInfo
+  epoch: [term: number, count: number]
+}
+
+interface Best {
+  box: BoxId
+  score: bigint
+}
+
+/**
+ * Chooses an owner for every endpoint by rendezvous hash over the live boxes. A box that comes or
+ * goes moves only the endpoints that it wins or had; each change costs one hash an endpoint.
+ */
+export class OwnerMap {
+  private boxes = new Map<BoxId, BoxInfo>()
+  private epoch: [number, number] = [0, 0]
+  private readonly best = new Map<EndpointName, Best>()
+
+  /** Takes a new list of live boxes. Boxes that are leaving own nothing. */
+  update(members: Members): void {
+    const live = members.boxes.filter((box) => box.state === 'serving')
+    const next = new Map(live.map((box) => [box.box, box]))
+    const gone = [...this.boxes.keys()].filter((box) => !next.has(box))
+    const come = live.filter((box) => !this.boxes.has(box.box))
+    this.boxes = next
+    this.epoch = members.version
+    for (const [endpoint, best] of this.best) this.adjust(endpoint, best, gone, come)
+  }
+
+  /** The owner of an endpoint, or undefined while no box is known to be live. */
+  ownerOf(endpoint: EndpointName): Ownership | undefined {
+    const best = this.best.get(endpoint) ?? this.choose(endpoint)
+    const owner = best === undefined ? undefined : this.boxes.get(best.box)
+    return owner === undefined ? undefined : { owner, epoch: this.epoch }
+  }
+
+  private adjust(endpoint: EndpointName, best: Best, gone: BoxId[], come: BoxInfo[]): void {
+    if (gone.includes(best.box)) {
+      this.choose(endpoint)
+      return
+    }
+    for (const box of come) {
+      const score = scoreOf(endpoint, box.box)
+      const held = this.best.get(endpoint)!
+      if (score > held.score) this.best.set(endpoint, { box: box.box, score })
+    }
+  }
+
+  private choose(endpoint: EndpointName): Best | undefined {
+    let best: Best | undefined
+    for (const box of this.boxes.keys()) {
+      const score = scoreOf(endpoint, box)
+      if (best === undefined || score > best.score) best = { box, score }
+    }
+    if (best === undefined) this.best.delete(endpoint)
+    else this.best.set(endpoint, best)
+    return best
+  }
+}
+
+function scoreOf(endpoint: EndpointName, box: BoxId): bigint {
+  return createHash('sha1').update(`${endpoint}\n${box}`).digest().readBigUInt64BE(0)
+}
--- /dev/null
+++ b/peer/rpc/src/index.ts
@@ -0,0 +1,10 @@
+/** JSON-RPC 2.0 between boxes. */
+export { startPeerServer } from './startPeerServer'
+export type { PeerContext, PeerMethod, PeerServer, PeerServerOptions } from './startPeerServer'
+export { PeerClient } from './peerClient'
+export type { PeerCaller, PeerCallOptions, PeerClientOptions } from './peerClient'
+export type { PeerCredentials } from './peerConnection'
+export { PeerAnswerError, PeerProofError, PeerUnreachableError } from './peerErrors'
+export { parseAddress } from './parseAddress'
+export { readTlsFiles } from './tlsFiles'
+export type { TlsFiles, TlsMaterial } from './tlsFiles'
--- /dev/null
+++ b/peer/rpc/src/lineChannel.ts
@@ -0,0 +1,58 @@
+import type { Socket } from 'node:net'
+
+/** The longest line taken from a peer; a snapshot travels as one line. */
+const MAX_LINE_BYTES = 256 * 1024 * 1024
+/** How much may wait to be sent before the peer is taken for stuck. */
+const MAX_QUEUED_BYTES = 64 * 1024 * 1024
+
+/** Options of {@link openLineChannel}. */
+export interface LineChannelOptions {
+  onLine: (line: string) => void
+  onClose: (reason: string) => void
+}
+
+/** A connection that carries one JSON text a line. */
+export interface LineChannel {
+  send(line: string): void
+  close(reason: string): void
+}
+
+/** Frames a socket into lines, bounded in both directions. */
+export function openLineChannel(socket: Socket, options: LineChannelOptions): LineChannel {
+  let parts: string[] = []
+  let pending = 0
+  let closed = false
+  const close = (reason: string) => {
+    if (closed) return
+    closed = true
+    socket.destroy()
+    options.onClose(reason)
+  }
+  const takeLine = (line: string) => {
+    if (!closed && line !== '') options.onLine(line)
+  }
+  const take = (chunk: string) => {
+    const lines = chunk.split('\n')
+    parts.push(lines[0]!)
+    pending += lines[0]!.length
+    if (pending > MAX_LINE_BYTES) return close('a line is too long')
+    if (lines.length === 1) return
+    takeLine(parts.join(''))
+    for (const line of lines.slice(1, -1)) takeLine(line)
+    parts = [lines.at(-1)!]
+    pending = parts[0]!.length
+  }
+  socket.setNoDelay(true)
+  socket.setEncoding('utf8')
+  socket.on('data', take as (chunk: unknown) => void)
+  socket.on('error', (error) => close(error.message))
+  socket.on('close', () => close('connection closed'))
+  return {
+    send(line) {
+      if (closed) return
+      socket.write(`${line}\n`)
+      if (socket.writableLength > MAX_QUEUED_BYTES) close('the peer does not read')
+    },
+    close,
+  }
+}
--- /dev/null
+++ b/peer/rpc/src/peerClient.ts
@@ -0,0 +1,113 @@
+import type { Clock } from '@forkstage/clock'
+import type { Logger } from '@forkstage/logger'
+import type { Address, Millis } from '@forkstage/types'
+import { PeerUnreachableError } from './peerErrors'
+import { openPeerConnection, type PeerConnection, type PeerCredentials } from './peerConnection'
+
+/** Options of {@link PeerClient}. */
+export interface PeerClientOptions {
+  credentials: PeerCredentials
+  clock: Clock
+  logger: Logger
+}
+
+/** Options of one call. */
+export interface PeerCallOptions {
+  /** How long to wait for the answer. */
+  deadline: Millis
+  /** The step of the work, for errors. */
+  step: string
+}
+
+/** Calls other boxes. What needs peers takes this, so that tests can put a fake in its place. */
+export interface PeerCaller {
+  call<Result>(address: Address, method: string, params: unknown, options: PeerCallOptions): Promise<Result>
+  /** Sends without waiting for an answer; lost when there is no connection. */
+  notify(address: Address, method: string, params: unknown): void
+}
+
+interface Link {
+  connection?: PeerConnection
+  opening?: Promise<PeerConnection>
+  failures: number
+  retryAt: Millis
+}
+
+const FIRST_RETRY_MS = 50
+const LONGEST_RETRY_MS = 1_000
+
+/** Long-lived connections to other boxes, opened when first needed and again after a loss. */
+export class PeerClient implements PeerCaller {
+  private readonly links = new Map<Address, Link>()
+  private closed = false
+
+  constructor(private readonly options: PeerClientOptions) {}
+
+  async call<Result>(
+    address: Address,
+    method: string,
+    params: unknown,
+    options: PeerCallOptions,
+  ): Promise<Result> {
+    const connection = await this.connect(address, options.step)
+    return (await connection.call(method, params, options.deadline, options.step)) as Result
+  }
+
+  notify(address: Address, method: string, params: unknown): void {
+    const { connection } = this.linkTo(address)
+    if (connection !== undefined) return connection.notify(method, params)
+    // Opens the connection for the next message; the protocols above repeat what matters.
+    this.connect(address, method).then(
+      (opened) => opened.notify(method, params),
+      () => undefined,
+    )
+  }
+
+  close(): void {
+    this.closed = true
+    for (const link of this.links.values()) link.connection?.close()
+  }
+
+  private linkTo(address: Address): Link {
+    const known = this.links.get(address)
+    if (known !== undefined) return known
+    const fresh: Link = { failures: 0, retryAt: 0 }
+    this.links.set(address, fresh)
+    return fresh
+  }
+
+  private connect(address: Address, step: string): Promise<PeerConnection> {
+    const link = this.linkTo(address)
+    if (this.closed) return Promise.reject(new PeerUnreachableError(address, step, 'this box is stopping'))
+    if (link.connection !== undefined) return Promise.resolve(link.connection)
+    if (link.opening !== undefined) return link.opening
+    if (this.options.clock.now() < link.retryAt) {
+      return Promise.reject(
+        new PeerUnreachableError(address, step, 'the last try to connect has just failed'),
+      )
+    }
+    link.opening = this.open(address, link)
+    return link.opening
+  }
+
+  private async open(address: Address, link: Link): Promise<PeerConnection> {
+    const { credentials, clock, logger } = this.options
+    const onClose = (reason: string) => {
+      if (link.connection === undefined) return
+      link.connection = undefined
+      if (!this.closed) logger.debug('peer.lost', { peer: address, reason })
+    }
+    try {
+      const connection = await openPeerConnection(address, { credentials, clock, onClose })
+      link.connection = connection
+      link.failures = 0
+      return connection
+    } catch (error) {
+      link.failures += 1
+      link.retryAt = clock.now() + Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** link.failures)
+      throw error
+    } finally {
+      link.opening = undefined
+    }
+  }
+}
--- /dev/null
+++ b/peer/rpc/src/peerConnection.ts
@@ -0,0 +1,132 @@
+import { connect as connectTcp, type Socket } from 'node:net'
+import { connect as connectTls } from 'node:tls'
+import { JSONRPCClient, JSONRPCErrorException } from 'json-rpc-2.0'
+import type { Clock } from '@forkstage/clock'
+import type { ErrorBody } from '@forkstage/error'
+import type { Address, BoxId, Millis } from '@forkstage/types'
+import { openLineChannel } from './lineChannel'
+import { parseAddress } from './parseAddress'
+import { PeerAnswerError, PeerProofError, PeerUnreachableError } from './peerErrors'
+import { createNonce, createProof, proofsMatch } from './proof'
+import { readTlsFiles, type TlsFiles } from './tlsFiles'
+
+/** How a box presents itself to others. */
+export interface PeerCredentials {
+  box: BoxId
+  sharedKey: string
+  tls?: TlsFiles
+}
+
+/** An open connection to one box. */
+export interface PeerConnection {
+  call(method: string, params: unknown, deadline: Millis, step: string): Promise<unknown>
+  notify(method: string, params: unknown): void
+  close(): void
+}
+
+/** Options of {@link openPeerConnection}. */
+export interface OpenPeerConnectionOptions {
+  credentials: PeerCredentials
+  clock: Clock
+  onClose: (reason: string) => void
+}
+
+const HANDSHAKE_MS = 2_000
+
+/** Connects to a box; both sides prove that they know the shared key. */
+export async function openPeerConnection(
+  address: Address,
+  options: OpenPeerConnectionOptions,
+): Promise<PeerConnection> {
+  const { credentials } = options
+  const socket = await connectSocket(address, credentials)
+  let rejectAll: (reason: string) => void = () => undefined
+  const channel = openLineChannel(socket, {
+    onLine: (line) => client.receive(JSON.parse(line)),
+    onClose: (reason) => {
+      rejectAll(reason)
+      options.onClose(reason)
+    },
+  })
+  const client = new JSONRPCClient((request) => channel.send(JSON.stringify(request)))
+  rejectAll = (reason) => client.rejectAllPendingRequests(reason)
+  const connection: PeerConnection = {
+    call: (method, params, deadline, step) =>
+      callWithDeadline(client, { address, method, params, deadline, step, clock: options.clock }),
+    notify: (method, params) => client.notify(method, params as never),
+    close: () => channel.close('closed'),
+  }
+  try {
+    await shakeHands(connection, address, credentials)
+  } catch (error) {
+    connection.close()
+    throw error
+  }
+  return connection
+}
+
+function connectSocket(address: Address, credentials: PeerCredentials): Promise<Socket> {
+  const { host, port } = parseAddress(address)
+  return new Promise((resolve, reject) => {
+    const socket =
+      credentials.tls === undefined
+        ? connectTcp({ host, port }, () => resolve(socket))
+        : connectTls({ host, port, ...readTlsFiles(credentials.tls) }, () => resolve(socket))
+    socket.setTimeout(HANDSHAKE_MS, () => socket.destroy(new Error('no connection in time')))
+    socket.once('connect', () => socket.setTimeout(0))
+    socket.once('error', (error) =>
+      reject(new PeerUnreachableError(address, 'connect', error.message, error)),
+    )
+  })
+}
+
+async function shakeHands(
+  connection: PeerConnection,
+  address: Address,
+  credentials: PeerCredentials,
+): Promise<void> {
+  const nonce = createNonce()
+  const hello = (await connection.call('hello', { nonce }, HANDSHAKE_MS, 'handshake')) as {
+    nonce: string
+    proof: string
+  }
+  const nonces: [string, string] = [nonce, hello.nonce]
+  if (!proofsMatch(createProof(credentials.sharedKey, 'server', nonces), hello.proof))
+    throw new PeerProofError(address)
+  const proof = createProof(credentials.sharedKey, 'client', nonces)
+  await connection.call('prove', { box: credentials.box, proof }, HANDSHAKE_MS, 'handshake')
+}
+
+interface CallOptions {
+  address: Address
+  method: string
+  params: unknown
+  deadline: Millis
+  step: string
+  clock: Clock
+}
+
+async function callWithDeadline(client: JSONRPCClient, options: CallOptions): Promise<unknown> {
+  const { address, method, params, deadline, step, clock } = options
+  let cancel = () => undefined as void
+  const timeout = new Promise<never>((_, reject) => {
+    cancel = clock.after(deadline, () =>
+      reject(new PeerUnreachableError(address, step, `no answer within ${deadline} ms`)),
+    )
+  })
+  try {
+    return await Promise.race([client.request(method, params as never), timeout])
+  } catch (error) {
+    if (error instanceof PeerUnreachableError) throw error
+    const body = error instanceof JSONRPCErrorException ? (error.data as ErrorBody | undefined) : undefined
+    if (body?.code !== undefined) throw new PeerAnswerError(address, step, body)
+    throw new PeerUnreachableError(
+      address,
+      step,
+      error instanceof Error ? error.message : String(error),
+      error,
+    )
+  } finally {
+    cancel()
+  }
+}
--- /dev/null
+++ b/peer/rpc/src/startPeerServer.ts
@@ -0,0 +1,116 @@
+import { createServer as createTcpServer, type Server, type Socket } from 'node:net'
+import { createServer as createTlsServer } from 'node:tls'
+import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0'
+import { toErrorBody } from '@forkstage/error'
+import type { Logger } from '@forkstage/logger'
+import type { Address, BoxId } from '@forkstage/types'
+import { parseAddress } from './parseAddress'
+import { openLineChannel, type LineChannel } from './lineChannel'
+import { createNonce, createProof, proofsMatch } from './proof'
+import { readTlsFiles, type TlsFiles } from './tlsFiles'
+
+/** Who calls: the box at the other end, proved by the shared key. */
+export interface PeerContext {
+  box: BoxId
+}
+
+/** One method that other boxes may call. */
+export type PeerMethod = (params: never, context: PeerContext) => unknown
+
+/** Options of {@link startPeerServer}. */
+export interface PeerServerOptions {
+  address: Address
+  sharedKey: string
+  tls?: TlsFiles
+  methods: Record<string, PeerMethod>
+  logger: Logger
+}
+
+/** A listener for other boxes. */
+export interface PeerServer {
+  close(): Promise<void>
+}
+
+/** The JSON-RPC error code under which the project's own errors travel; the body is in `data`. */
+export const APPLICATION_ERROR = -32000
+
+/** Listens for other boxes and answers those that prove they know the shared key. */
+export async function startPeerServer(options: PeerServerOptions): Promise<PeerServer> {
+  const sockets = new Set<Socket>()
+  const accept = (socket: Socket) => {
+    sockets.add(socket)
+    socket.on('close', () => sockets.delete(socket))
+    serveConnection(socket, options)
+  }
+  const server =
+    options.tls === undefined ? createTcpServer(accept) : createTlsServer(readTlsFiles(options.tls), accept)
+  await listen(server, options.address)
+  const close = () =>
+    new Promise<void>((resolve) => {
+      server.close(() => resolve())
+      sockets.forEach((socket) => socket.destroy())
+    })
+  return { close }
+}
+
+function listen(server: Server, address: Address): Promise<void> {
+  const { host, port } = parseAddress(address)
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => resolve())
+  })
+}
+
+function serveConnection(socket: Socket, options: PeerServerOptions): void {
+  const rpc = new JSONRPCServer<PeerContext>({ errorListener: () => undefined })
+  const peer = `${socket.remoteAddress}:${socket.remotePort}`
+  let context: PeerContext | undefined
+  const serverNonce = createNonce()
+  const channel = openLineChannel(socket, {
+    onLine: (line) => void handleLine(line),
+    onClose: () => undefined,
+  })
+  const handleLine = async (line: string) => {
+    const request = parseJson(line)
+    if (request === undefined) return channel.close('not JSON')
+    const response = await rpc.receive(request as never, context as PeerContext)
+    if (response !== null) channel.send(JSON.stringify(response))
+  }
+  let clientNonce = ''
+  rpc.addMethod('hello', (params: { nonce: string }) => {
+    clientNonce = String(params.nonce)
+    return { nonce: serverNonce, proof: createProof(options.sharedKey, 'server', [clientNonce, serverNonce]) }
+  })
+  rpc.addMethod('prove', (params: { box: BoxId; proof: string }) => {
+    const expected = createProof(options.sharedKey, 'client', [clientNonce, serverNonce])
+    if (!proofsMatch(expected, params.proof)) return refuse(channel, peer, options.logger)
+    context = { box: params.box }
+    for (const [name, method] of Object.entries(options.methods)) addMethod(rpc, name, method)
+    return {}
+  })
+}
+
+function refuse(channel: LineChannel, peer: string, logger: Logger): never {
+  logger.warn('peer.refused', { peer, reason: 'the shared key does not match' })
+  setImmediate(() => channel.close('refused'))
+  throw new JSONRPCErrorException('the shared key does not match', APPLICATION_ERROR)
+}
+
+function addMethod(rpc: JSONRPCServer<PeerContext>, name: string, method: PeerMethod): void {
+  rpc.addMethod(name, async (params, context) => {
+    try {
+      return (await method(params as never, context)) ?? null
+    } catch (error) {
+      const body = toErrorBody(error)
+      throw new JSONRPCErrorException(body.message, APPLICATION_ERROR, body)
+    }
+  })
+}
+
+function parseJson(line: string): unknown {
+  try {
+    return JSON.parse(line)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/placement/load/src/endpointBook.ts
@@ -0,0 +1,261 @@
+import type { Clock, Random } from '@forkstage/clock'
+import type { CacheEvent, EngineReport } from '@forkstage/engine-client'
+import type { Logger } from '@forkstage/logger'
+import type { ClosedReason, EndpointView, LinkView, PlacementView } from '@forkstage/place'
+import type { EndpointName, EndpointRow, Millis, RequestId, Table } from '@forkstage/types'
+import { Ejection, type EjectionChange } from './ejection'
+import { PrefixIndex } from './prefixIndex'
+import { BLOCK_TOKENS } from './promptBlocks'
+import { ShareCounter } from './shareCounter'
+
+/** Work that this box has sent to an endpoint and that has not ended. */
+export interface SentWork {
+  at: Millis
+  promptTokens: number
+  /** Tokens still to be prefilled there; 0 for decode work. */
+  prefillTokens: number
+  /** KV memory it takes there. */
+  kvTokens: number
+}
+
+/** What an owner says of an endpoint, with this box's share of its limits. */
+export interface EndpointNews {
+  /** Absent while the owner has no report. */
+  report?: EngineReport
+  share: number
+  leaseMs: Millis
+  /** Prompt tokens a second for this box; Infinity without a limit. */
+  promptTokensPerSecond: number
+  cacheEvents: CacheEvent[]
+}
+
+interface Entry {
+  row: EndpointRow
+  report?: EngineReport
+  reportTakenAt: Millis
+  share: number
+  shareUntil: Millis
+  promptRate: number
+  promptBudget: number
+  promptBudgetAt: Millis
+  sent: Map<RequestId, SentWork>
+  prefixes: PrefixIndex
+  ejection: Ejection
+}
+
+/** Options of {@link EndpointBook}. */
+export interface EndpointBookOptions {
+  clock: Clock
+  random: Random
+  logger: Logger
+}
+
+/** Before the first report an engine is taken for one of this speed. */
+const ASSUMED_TOKENS_PER_SECOND = 10_000
+const ASSUMED_STEP_MS = 20
+/** Prompt budgets may save up this much. */
+const BUDGET_SECONDS = 1
+
+/** All that this box knows about the endpoints it uses. */
+export class EndpointBook {
+  private readonly entries = new Map<EndpointName, Entry>()
+  private readonly shares = new ShareCounter()
+  private readonly linkRates = new Map<string, number>()
+  private readonly linkQueues = new Map<string, Map<RequestId, number>>()
+  private leaving = new Set<string>()
+
+  constructor(private readonly options: EndpointBookOptions) {}
+
+  setTable(table: Table): void {
+    const names = new Set(table.endpoints.map((row) => row.endpoint))
+    for (const name of this.entries.keys()) if (!names.has(name)) this.entries.delete(name)
+    for (const row of table.endpoints) {
+      const known = this.entries.get(row.endpoint)
+      if (known?.row.address === row.address) known.row = row
+      else this.entries.set(row.endpoint, this.createEntry(row))
+    }
+    this.linkRates.clear()
+    for (const link of table.links)
+      this.linkRates.set(`${link.from}>${link.to}`, (link.megabitsPerSecond * 125_000) / 1_000)
+  }
+
+  /** Takes what the platform lists as leaving. */
+  setLeaving(names: string[]): void {
+    this.leaving = new Set(names)
+  }
+
+  get rows(): EndpointRow[] {
+    return [...this.entries.values()].map((entry) => entry.row)
+  }
+
+  row(endpoint: EndpointName): EndpointRow | undefined {
+    return this.entries.get(endpoint)?.row
+  }
+
+  noteNews(endpoint: EndpointName, news: EndpointNews): void {
+    const entry = this.entries.get(endpoint)
+    if (entry === undefined) return
+    const now = this.options.clock.now()
+    if (news.report !== undefined) {
+      entry.report = news.report
+      entry.reportTakenAt = now - news.report.ageMs
+    }
+    entry.share = news.share
+    entry.shareUntil = now + news.leaseMs
+    entry.promptRate = news.promptTokensPerSecond
+    entry.prefixes.noteEvents(news.cacheEvents)
+  }
+
+  noteSent(endpoint: EndpointName, request: RequestId, work: Omit<SentWork, 'at'>, blocks: string[]): void {
+    const entry = this.entries.get(endpoint)
+    if (entry === undefined) return
+    const now = this.options.clock.now()
+    entry.sent.set(request, { ...work, at: now })
+    entry.prefixes.noteSent(blocks)
+    entry.ejection.noteSent(now)
+    entry.promptBudget = this.promptBudget(entry, now) - work.promptTokens
+    entry.promptBudgetAt = now
+    this.shares.add(endpoint, 1, now)
+  }
+
+  /** The prefill part of some work is done; its memory is still held. */
+  notePrefilled(endpoint: EndpointName, request: RequestId): void {
+    const work = this.entries.get(endpoint)?.sent.get(request)
+    if (work !== undefined) work.prefillTokens = 0
+  }
+
+  noteEnded(endpoint: EndpointName, request: RequestId): void {
+    this.entries.get(endpoint)?.sent.delete(request)
+  }
+
+  noteTransfer(link: string, request: RequestId, bytes: number): void {
+    const queue = this.linkQueues.get(link) ?? new Map<RequestId, number>()
+    this.linkQueues.set(link, queue)
+    if (bytes > 0) queue.set(request, bytes)
+    else queue.delete(request)
+  }
+
+  noteResult(endpoint: EndpointName, failed: string | undefined): void {
+    const entry = this.entries.get(endpoint)
+    if (entry === undefined) return
+    const { clock, random } = this.options
+    const change =
+      failed === undefined ? entry.ejection.noteSuccess() : entry.ejection.noteFailure(clock.now(), random)
+    this.logChange(endpoint, change, failed)
+  }
+
+  inFlight(endpoint: EndpointName): number {
+    return this.entries.get(endpoint)?.sent.size ?? 0
+  }
+
+  /** Why an endpoint takes no new work from this box; undefined where it does. */
+  closedReason(endpoint: EndpointName): ClosedReason | undefined {
+    const entry = this.entries.get(endpoint)
+    return entry === undefined ? 'state' : this.closed(entry, this.options.clock.now())
+  }
+
+  /** The view for one request with these prefix blocks. */
+  view(blocks: string[]): PlacementView {
+    const now = this.options.clock.now()
+    const ratios = this.poolRatios(now)
+    const endpoints = [...this.entries.values()].map((entry) => this.viewOf(entry, blocks, ratios, now))
+    return { endpoints, links: this.linkViews() }
+  }
+
+  private viewOf(
+    entry: Entry,
+    blocks: string[],
+    ratios: Map<EndpointName, number>,
+    now: Millis,
+  ): EndpointView {
+    const { row, report } = entry
+    const since = this.sentSinceReport(entry)
+    const lived = report === undefined ? 0 : Math.max(0, now - entry.reportTakenAt)
+    const rate = (report?.prefillTokensPerSecond ?? ASSUMED_TOKENS_PER_SECOND) / 1_000
+    const drained = lived * rate
+    return {
+      row,
+      closed: this.closed(entry, now),
+      queuedPrefillTokens: Math.max(0, (report?.queuedPrefillTokens ?? 0) - drained) + since.prefillTokens,
+      prefillTokensPerMs: rate,
+      runningStreams: (report?.runningStreams ?? 0) + since.streams,
+      kvTokensUsed: (report?.kvTokensUsed ?? 0) + since.kvTokens,
+      stepMs: (report?.stepMs || ASSUMED_STEP_MS) * (1 + 0.02 * since.streams),
+      cachedTokens: entry.prefixes.match(blocks) * BLOCK_TOKENS,
+      shareRatio: ratios.get(row.endpoint) ?? 1,
+      inFlight: entry.sent.size,
+    }
+  }
+
+  /** What this box has sent that the last report cannot show yet. */
+  private sentSinceReport(entry: Entry) {
+    const sums = { prefillTokens: 0, kvTokens: 0, streams: 0 }
+    for (const work of entry.sent.values()) {
+      if (entry.report !== undefined && work.at < entry.reportTakenAt) continue
+      sums.prefillTokens += work.prefillTokens
+      sums.kvTokens += work.kvTokens
+      sums.streams += work.prefillTokens > 0 ? 0 : 1
+    }
+    return sums
+  }
+
+  private closed(entry: Entry, now: Millis): ClosedReason | undefined {
+    const { row } = entry
+    if (row.state !== 'serve') return 'state'
+    if (row.weight <= 0) return 'weight'
+    if (entry.report?.leaving || this.leaving.has(row.endpoint)) return 'leaving'
+    if (!entry.ejection.isOpen(now)) return 'ejected'
+    if (now >= entry.shareUntil || entry.sent.size >= entry.share) return 'no-credit'
+    if (this.promptBudget(entry, now) <= 0) return 'rate-limit'
+    return undefined
+  }
+
+  private promptBudget(entry: Entry, now: Millis): number {
+    if (!Number.isFinite(entry.promptRate)) return Infinity
+    const earned = ((now - entry.promptBudgetAt) / 1_000) * entry.promptRate
+    return Math.min(entry.promptRate * BUDGET_SECONDS, entry.promptBudget + earned)
+  }
+
+  private poolRatios(now: Millis): Map<EndpointName, number> {
+    const pools = new Map<string, EndpointRow[]>()
+    for (const { row, ejection, report } of this.entries.values()) {
+      const takesWork = row.state === 'serve' && row.weight > 0 && !report?.leaving && ejection.isOpen(now)
+      if (!takesWork) continue
+      const name = `${row.service}/${row.pool}`
+      pools.set(name, [...(pools.get(name) ?? []), row])
+    }
+    return new Map([...pools.values()].flatMap((pool) => [...this.shares.ratios(pool, now)]))
+  }
+
+  private linkViews(): Map<string, LinkView> {
+    const views = new Map<string, LinkView>()
+    for (const [link, bytesPerMs] of this.linkRates) {
+      const queue = this.linkQueues.get(link)
+      const queuedBytes = queue === undefined ? 0 : [...queue.values()].reduce((sum, bytes) => sum + bytes, 0)
+      views.set(link, { bytesPerMs, queuedBytes })
+    }
+    return views
+  }
+
+  private logChange(endpoint: EndpointName, change: EjectionChange, failed: string | undefined): void {
+    const { logger } = this.options
+    if (change?.type === 'ejected')
+      logger.warn('endpoint.ejected', { endpoint, reason: failed ?? '', forMs: Math.round(change.forMs) })
+    if (change?.type === 'restored') logger.info('endpoint.restored', { endpoint })
+  }
+
+  private createEntry(row: EndpointRow): Entry {
+    return {
+      row,
+      reportTakenAt: -Infinity,
+      share: 0,
+      shareUntil: -Infinity,
+      promptRate: Infinity,
+      promptBudget: 0,
+      promptBudgetAt: this.options.clock.now(),
+      sent: new Map(),
+      prefixes: new PrefixIndex(),
+      ejection: new Ejection(),
+    }
+  }
+}
--- /dev/null
+++ b/placement/load/src/index.ts
@@ -0,0 +1,12 @@
+/** What a box knows of the endpoints it uses, and its share of their limits. */
+export { EndpointBook } from './endpointBook'
+export type { EndpointBookOptions, EndpointNews, SentWork } from './endpointBook'
+export { shareFor, targetShares } from './shareCredits'
+export type { Demand, Grant } from './shareCredits'
+export { OutputForecast } from './outputForecast'
+export { RetryBudget } from './retryBudget'
+export { DEFAULT_EJECTION, Ejection } from './ejection'
+export type { EjectionChange, EjectionOptions } from './ejection'
+export { PrefixIndex } from './prefixIndex'
+export { BLOCK_TOKENS, CHARS_PER_TOKEN, estimateTokens, promptBlocks } from './promptBlocks'
+export { ShareCounter } from './shareCounter'
--- /dev/null
+++ b/placement/load/src/prefixIndex.ts
@@ -0,0 +1,38 @@
+import type { CacheEvent } from '@forkstage/engine-client'
+
+/** Blocks remembered an endpoint; the oldest go first, as in the engine itself. */
+const MAX_BLOCKS = 2_048
+
+/** What an endpoint's prefix cache probably holds: late events joined with what was sent there. */
+export class PrefixIndex {
+  private readonly blocks = new Map<string, true>()
+
+  /** Notes blocks that this box has sent there. */
+  noteSent(blocks: string[]): void {
+    for (const block of blocks) this.add(block)
+  }
+
+  noteEvents(events: CacheEvent[]): void {
+    for (const event of events) {
+      if (event.type === 'added') this.add(event.block)
+      else this.blocks.delete(event.block)
+    }
+  }
+
+  /** How many of the leading blocks are held. */
+  match(blocks: string[]): number {
+    const firstMissing = blocks.findIndex((block) => !this.blocks.has(block))
+    return firstMissing < 0 ? blocks.length : firstMissing
+  }
+
+  /** Forgets everything, after the endpoint restarted. */
+  clear(): void {
+    this.blocks.clear()
+  }
+
+  private add(block: string): void {
+    this.blocks.delete(block)
+    this.blocks.set(block, true)
+    if (this.blocks.size > MAX_BLOCKS) this.blocks.delete(this.blocks.keys().next().value!)
+  }
+}
--- /dev/null
+++ b/placement/load/src/shareCounter.ts
@@ -0,0 +1,39 @@
+import type { EndpointName, Millis } from '@forkstage/types'
+
+/** Work counts half after this long: weights are followed over about a minute. */
+const HALF_LIFE_MS = 20_000
+/** Below this much work in a pool there is no share to speak of. */
+const LEAST_WORK = 4
+
+interface Count {
+  work: number
+  at: Millis
+}
+
+/** Counts the work each endpoint got lately, to compare it with its weight. */
+export class ShareCounter {
+  private readonly counts = new Map<EndpointName, Count>()
+
+  add(endpoint: EndpointName, work: number, now: Millis): void {
+    this.counts.set(endpoint, { work: this.workOf(endpoint, now) + work, at: now })
+  }
+
+  /** The share of each endpoint over the share that its weight asks for, within one pool. */
+  ratios(pool: { endpoint: EndpointName; weight: number }[], now: Millis): Map<EndpointName, number> {
+    const works = pool.map((each) => this.workOf(each.endpoint, now))
+    const totalWork = works.reduce((sum, work) => sum + work, 0)
+    const totalWeight = pool.reduce((sum, each) => sum + each.weight, 0)
+    const enough = totalWork >= LEAST_WORK && totalWeight > 0
+    return new Map(
+      pool.map((each, position) => {
+        const asked = each.weight / totalWeight
+        return [each.endpoint, enough && asked > 0 ? works[position]! / totalWork / asked : 1]
+      }),
+    )
+  }
+
+  private workOf(endpoint: EndpointName, now: Millis): number {
+    const count = this.counts.get(endpoint)
+    return count === undefined ? 0 : count.work * 0.5 ** ((now - count.at) / HALF_LIFE_MS)
+  }
+}
--- /dev/null
+++ b/placement/place/src/costModel.ts
@@ -0,0 +1,125 @@
+import type { CandidateFigures, EndpointView, PlacementView, PlacePolicy, PlaceRequest } from './placeTypes'
+
+/** What one more stream adds to a decode step, as a share of the step. */
+const STEP_GROWTH_PER_STREAM = 0.02
+/** A decode engine that prefills slows its own streams about this much. */
+const LOCAL_PREFILL_STEP_FACTOR = 1.8
+/** How strongly a share above the weight's is held against an engine. */
+const WEIGHT_PULL = 0.6
+/** How strongly the wait for the first token counts against the targets. */
+const LATE_PENALTY = 4
+
+export function linkName(prefill: EndpointView, decode: EndpointView): string {
+  return `${prefill.row.domain}>${decode.row.domain}`
+}
+
+/** Tokens that a prefill engine must still compute. */
+export function freshTokens(request: PlaceRequest, prefill: EndpointView, policy: PlacePolicy): number {
+  const cached = policy.parts.prefixCache ? Math.min(prefill.cachedTokens, request.promptTokens) : 0
+  return request.promptTokens - cached
+}
+
+/** Time until the prefill is done, and the part of it spent waiting. */
+export function prefillTimes(request: PlaceRequest, prefill: EndpointView, policy: PlacePolicy) {
+  const waitMs = prefill.queuedPrefillTokens / prefill.prefillTokensPerMs
+  const prefillMs = freshTokens(request, prefill, policy) / prefill.prefillTokensPerMs
+  return { waitMs, prefillMs }
+}
+
+/** The step time with one more stream. */
+export function stepWithOneMore(decode: EndpointView): number {
+  return decode.stepMs * (1 + STEP_GROWTH_PER_STREAM)
+}
+
+/** Bytes to move: what the decode engine does not hold already. */
+export function transferBytes(
+  request: PlaceRequest,
+  prefill: EndpointView,
+  decode: EndpointView,
+  policy: PlacePolicy,
+): number {
+  if (prefill === decode) return 0
+  const known = policy.parts.prefixCache ? Math.min(decode.cachedTokens, request.promptTokens) : 0
+  return (request.promptTokens - known) * request.kvBytesPerToken
+}
+
+/** The figures of one pair. */
+export function weigh(
+  request: PlaceRequest,
+  prefill: EndpointView,
+  decode: EndpointView,
+  view: PlacementView,
+  policy: PlacePolicy,
+): CandidateFigures {
+  const { waitMs, prefillMs } = prefillTimes(request, prefill, policy)
+  const transferMs = transferTime(request, prefill, decode, view, policy)
+  const local = prefill === decode
+  const tbtMs = stepWithOneMore(decode)
+  const ttftMs = request.waited + waitMs + prefillMs + transferMs + tbtMs
+  const cost = costOf(
+    {
+      ttftMs,
+      tbtMs,
+      local,
+      freshShare: freshTokens(request, prefill, policy) / Math.max(1, request.promptTokens),
+    },
+    prefill,
+    decode,
+    policy,
+  )
+  return {
+    prefill: prefill.row.endpoint,
+    decode: decode.row.endpoint,
+    waitMs,
+    prefillMs,
+    transferMs,
+    ttftMs,
+    tbtMs,
+    cost,
+  }
+}
+
+function transferTime(
+  request: PlaceRequest,
+  prefill: EndpointView,
+  decode: EndpointView,
+  view: PlacementView,
+  policy: PlacePolicy,
+): number {
+  if (prefill === decode || !policy.parts.links) return 0
+  const link = view.links.get(linkName(prefill, decode))
+  const rate = link?.bytesPerMs ?? policy.defaultBytesPerMs
+  const queued = link?.queuedBytes ?? 0
+  return (queued + transferBytes(request, prefill, decode, policy)) / rate
+}
+
+interface CostInputs {
+  ttftMs: number
+  tbtMs: number
+  local: boolean
+  freshShare: number
+}
+
+/** One number to compare pairs by: lower is better. */
+function costOf(
+  inputs: CostInputs,
+  prefill: EndpointView,
+  decode: EndpointView,
+  policy: PlacePolicy,
+): number {
+  const { goodputWeight, wastedPrefillWeight, ttftTarget, tbtTarget, parts } = policy
+  const tbtMs = inputs.local ? inputs.tbtMs * LOCAL_PREFILL_STEP_FACTOR : inputs.tbtMs
+  const first = inputs.ttftMs / ttftTarget
+  const between = parts.decodeLoad ? tbtMs / tbtTarget : 0
+  const late = LATE_PENALTY * (Math.max(0, first - 1) + Math.max(0, between - 1))
+  const memory = decode.kvTokensUsed / Math.max(1, decode.row.kvTokens)
+  // A prefill is thrown away most often where decode memory is nearly full, and costs what was not cached.
+  const wasteRisk = inputs.freshShare * memory ** 4
+  const weights = parts.weights ? WEIGHT_PULL * (overShare(prefill) + overShare(decode)) : 0
+  return goodputWeight * (first + between + late) + wastedPrefillWeight * wasteRisk + weights
+}
+
+/** How far an endpoint is above the share that its weight asks for; below it, negative. */
+function overShare(endpoint: EndpointView): number {
+  return Math.max(-1, Math.min(4, endpoint.shareRatio - 1))
+}
--- /dev/null
+++ b/placement/place/src/place.ts
@@ -0,0 +1,194 @@
+import type { Random } from '@forkstage/clock'
+import { linkName, prefillTimes, stepWithOneMore, transferBytes, weigh } from './costModel'
+import type {
+  CandidateFigures,
+  EndpointView,
+  Placement,
+  PlacementView,
+  PlacePolicy,
+  PlaceRequest,
+  PlaceResult,
+  Refusal,
+  RefusalReason,
+} from './placeTypes'
+
+/** How many engines of each pool are weighed as pairs; the rest are ruled out one by one first. */
+const SHORTLIST = 4
+/** Pairs within this much of the best are as good; one of them is drawn, so that boxes do not herd. */
+const NEAR_EQUAL = 0.08
+/** Part of the KV memory kept free for answers that grow beyond the forecast. */
+const MEMORY_HEADROOM = 0.03
+/** A first token may be foreseen this much later than the target before the request is refused. */
+const LATE_TOLERANCE = 1.0
+const SHORTEST_RETRY_MS = 100
+
+/** Options of {@link place}. */
+export interface PlaceOptions {
+  policy: PlacePolicy
+  random: Random
+}
+
+interface Weighed {
+  figures: CandidateFigures
+  prefill: EndpointView
+  decode: EndpointView
+}
+
+/**
+ * Chooses prefill engine, decode engine and link together, or refuses with the reason.
+ * A pure function of its arguments; the figures of all weighed pairs come back as data.
+ */
+export function place(request: PlaceRequest, view: PlacementView, options: PlaceOptions): PlaceResult {
+  const { policy, random } = options
+  const engines = view.endpoints.filter((each) => serves(each, request))
+  const open = engines.filter(
+    (each) => each.closed === undefined && !request.avoid.includes(each.row.endpoint),
+  )
+  const prefills = open.filter((each) => each.row.pool === 'prefill')
+  const decodes = open.filter((each) => each.row.pool === 'decode')
+  const roomy = decodes.filter((each) => hasMemory(request, each) && isFastEnough(each, policy))
+  if (roomy.length === 0 || (prefills.length === 0 && !policy.parts.localPrefill)) {
+    return refuseWithout(request, engines, { prefills, decodes, roomy })
+  }
+  const weighed = weighPairs(request, prefills, roomy, view, policy)
+  return choose(request, weighed, view, policy, random)
+}
+
+function serves(endpoint: EndpointView, request: PlaceRequest): boolean {
+  return endpoint.row.service === request.service && endpoint.row.models.includes(request.model)
+}
+
+/** KV memory for the prompt and the answer that is expected. */
+export function reserveTokens(request: PlaceRequest): number {
+  return request.promptTokens + Math.ceil(request.expectedOutput)
+}
+
+function hasMemory(request: PlaceRequest, decode: EndpointView): boolean {
+  const room = decode.row.kvTokens * (1 - MEMORY_HEADROOM) - decode.kvTokensUsed
+  return room >= reserveTokens(request)
+}
+
+function isFastEnough(decode: EndpointView, policy: PlacePolicy): boolean {
+  return !policy.parts.decodeLoad || stepWithOneMore(decode) <= policy.tbtTarget
+}
+
+function weighPairs(
+  request: PlaceRequest,
+  prefills: EndpointView[],
+  decodes: EndpointView[],
+  view: PlacementView,
+  policy: PlacePolicy,
+): Weighed[] {
+  const bestPrefills = shortlist(prefills, (each) => {
+    const { waitMs, prefillMs } = prefillTimes(request, each, policy)
+    return waitMs + prefillMs + pullOf(each, policy)
+  })
+  const bestDecodes = shortlist(decodes, (each) => decodeScore(each, policy))
+  const pairs = bestPrefills.flatMap((prefill) => bestDecodes.map((decode) => [prefill, decode] as const))
+  const local = policy.parts.localPrefill ? bestDecodes.map((decode) => [decode, decode] as const) : []
+  return [...pairs, ...local].map(([prefill, decode]) => ({
+    prefill,
+    decode,
+    figures: weigh(request, prefill, decode, view, policy),
+  }))
+}
+
+/** The best few by a score, found in one pass. */
+function shortlist(endpoints: EndpointView[], score: (endpoint: EndpointView) => number): EndpointView[] {
+  const best: { endpoint: EndpointView; score: number }[] = []
+  for (const endpoint of endpoints) {
+    const entry = { endpoint, score: score(endpoint) }
+    const position = best.findIndex((other) => entry.score < other.score)
+    if (position >= 0) best.splice(position, 0, entry)
+    else if (best.length < SHORTLIST) best.push(entry)
+    if (best.length > SHORTLIST) best.pop()
+  }
+  return best.map((entry) => entry.endpoint)
+}
+
+function decodeScore(decode: EndpointView, policy: PlacePolicy): number {
+  const memory = decode.kvTokensUsed / Math.max(1, decode.row.kvTokens)
+  return decode.stepMs + memory * policy.tbtTarget + pullOf(decode, policy)
+}
+
+function pullOf(endpoint: EndpointView, policy: PlacePolicy): number {
+  return policy.parts.weights ? (endpoint.shareRatio - 1) * policy.tbtTarget : 0
+}
+
+function choose(
+  request: PlaceRequest,
+  weighed: Weighed[],
+  view: PlacementView,
+  policy: PlacePolicy,
+  random: Random,
+): PlaceResult {
+  const best = weighed.reduce((least, each) => (each.figures.cost < least.figures.cost ? each : least))
+  const candidates = weighed.map((each) => each.figures)
+  const late = best.figures.ttftMs > policy.ttftTarget * LATE_TOLERANCE
+  const soonest = weighed.reduce((least, each) => (each.figures.ttftMs < least.figures.ttftMs ? each : least))
+  if (late && policy.parts.refuseLate && soonest.figures.ttftMs > policy.ttftTarget * LATE_TOLERANCE) {
+    const retryAfter = Math.max(SHORTEST_RETRY_MS, soonest.figures.ttftMs - policy.ttftTarget)
+    return { type: 'refused', reason: 'too-late', retryAfter, mayWait: false, candidates, closed: [] }
+  }
+  const pick = late ? soonest : draw(weighed, best, policy, random)
+  return toPlacement(request, pick, view, policy, candidates)
+}
+
+function draw(weighed: Weighed[], best: Weighed, policy: PlacePolicy, random: Random): Weighed {
+  if (!policy.parts.spread) return best
+  const limit = best.figures.cost + Math.abs(best.figures.cost) * NEAR_EQUAL
+  const near = weighed.filter((each) => each.figures.cost <= limit)
+  return near[Math.floor(random() * near.length)] ?? best
+}
+
+export function toPlacement(
+  request: PlaceRequest,
+  pick: Weighed,
+  view: PlacementView,
+  policy: PlacePolicy,
+  candidates: CandidateFigures[],
+): Placement {
+  const { prefill, decode, figures } = pick
+  const link = linkName(prefill, decode)
+  return {
+    type: 'placed',
+    prefill: prefill.row.endpoint,
+    decode: decode.row.endpoint,
+    link,
+    linkBytesPerMs: view.links.get(link)?.bytesPerMs ?? policy.defaultBytesPerMs,
+    reserveTokens: reserveTokens(request),
+    kvBytes: transferBytes(request, prefill, decode, policy),
+    figures,
+    candidates,
+  }
+}
+
+interface Narrowed {
+  prefills: EndpointView[]
+  decodes: EndpointView[]
+  roomy: EndpointView[]
+}
+
+/** Says why there is nothing to place on, and whether waiting may change that. */
+function refuseWithout(request: PlaceRequest, engines: EndpointView[], narrowed: Narrowed): Refusal {
+  const closed = engines.flatMap((each) =>
+    each.closed === undefined ? [] : [{ endpoint: each.row.endpoint, reason: each.closed }],
+  )
+  const reason = reasonWithout(engines, narrowed)
+  const soonest = Math.min(
+    ...engines.filter((each) => each.row.pool === 'decode').map((each) => each.stepMs),
+    1_000,
+  )
+  const retryAfter = Math.max(SHORTEST_RETRY_MS, soonest * Math.max(1, request.expectedOutput))
+  const mayWait = reason === 'no-memory' || reason === 'no-credit'
+  return { type: 'refused', reason, retryAfter, mayWait, candidates: [], closed }
+}
+
+function reasonWithout(engines: EndpointView[], narrowed: Narrowed): RefusalReason {
+  if (engines.length === 0) return 'no-endpoint'
+  const starved = (pool: string) =>
+    engines.some((each) => each.row.pool === pool && each.closed === 'no-credit')
+  if (narrowed.decodes.length > 0 && narrowed.roomy.length === 0) return 'no-memory'
+  if (narrowed.decodes.length === 0) return starved('decode') ? 'no-credit' : 'no-decode'
+  return starved('prefill') ? 'no-credit' : 'no-prefill'
+}
--- /dev/null
+++ b/replication/group/src/groupClient.ts
@@ -0,0 +1,84 @@
+import { delay, type Clock } from '@forkstage/clock'
+import type { PeerCaller } from '@forkstage/peer-rpc'
+import type { Address, Millis } from '@forkstage/types'
+import { GroupUnavailableError } from './groupErrors'
+
+/** Options of {@link GroupClient}. */
+export interface GroupClientOptions {
+  group: string
+  /** Where replicas of the group may be found. */
+  replicas: () => Address[]
+  peers: PeerCaller
+  clock: Clock
+}
+
+/** Options of one proposal. */
+export interface ProposeOptions {
+  /** How long to go on trying, over changes of leader. */
+  deadline: Millis
+  step: string
+}
+
+const CALL_DEADLINE_MS = 1_500
+const PAUSE_MS = 40
+const NOT_LEADER = 'FORKSTAGE_NOT_LEADER'
+/** Codes after which the same command is sent again, to the same or another replica. */
+const RETRIED = new Set([
+  NOT_LEADER,
+  'FORKSTAGE_OUTCOME_UNKNOWN',
+  'FORKSTAGE_PEER_UNREACHABLE',
+  'FORKSTAGE_REPLICA_NOT_RUNNING',
+  'FORKSTAGE_UNEXPECTED',
+])
+
+/**
+ * Finds the leader of a group and sends it commands and questions.
+ * A command whose answer was lost is sent again, so every command must be safe to apply twice.
+ */
+export class GroupClient<Command, Result> {
+  private leader: Address | undefined
+  private position = 0
+
+  constructor(private readonly options: GroupClientOptions) {}
+
+  propose(command: Command, options: ProposeOptions): Promise<Result> {
+    return this.callLeader<Result>('propose', { command }, options)
+  }
+
+  /** Calls a method that only the leader answers. */
+  async callLeader<Answer>(method: string, params: unknown, options: ProposeOptions): Promise<Answer> {
+    const { clock, peers, group } = this.options
+    const end = clock.now() + options.deadline
+    let lastError: unknown
+    while (clock.now() < end) {
+      const address = this.leader ?? this.nextReplica()
+      if (address === undefined) break
+      const deadline = Math.min(CALL_DEADLINE_MS, end - clock.now())
+      try {
+        const answer = await peers.call<Answer>(address, `${group}.${method}`, params, {
+          deadline,
+          step: options.step,
+        })
+        this.leader = address
+        return answer
+      } catch (error) {
+        lastError = error
+        if (!RETRIED.has((error as { code?: string }).code ?? '')) throw error
+        this.leader = leaderNamedBy(error, address)
+        if (this.leader === undefined) await delay(clock, PAUSE_MS)
+      }
+    }
+    throw new GroupUnavailableError(group, lastError)
+  }
+
+  private nextReplica(): Address | undefined {
+    const replicas = this.options.replicas()
+    this.position = (this.position + 1) % Math.max(1, replicas.length)
+    return replicas[this.position]
+  }
+}
+
+function leaderNamedBy(error: unknown, asked: Address): Address | undefined {
+  const { code, peer } = error as { code?: string; peer?: Address }
+  return code === NOT_LEADER && peer !== asked ? peer : undefined
+}
--- /dev/null
+++ b/replication/group/src/groupHost.ts
@@ -0,0 +1,174 @@
+import { delay, type Clock, type Random } from '@forkstage/clock'
+import { ForkstageError, toErrorBody } from '@forkstage/error'
+import type { Logger } from '@forkstage/logger'
+import type { PeerCaller, PeerMethod } from '@forkstage/peer-rpc'
+import type { ConfigChange, GroupConfig, Member } from '@forkstage/raft'
+import {
+  openReplicaStorage,
+  type FileSystem,
+  type ReplicaStorage,
+  type StoredReplica,
+} from '@forkstage/storage'
+import type { Address, BoxId, Millis } from '@forkstage/types'
+import { decideFounding, type IdentityAnswer } from './founding'
+import { GroupReplica } from './groupReplica'
+import { decodeMessage, encodeMessage } from './messageCodec'
+import type { StateMachine } from './stateMachine'
+
+/** Options of {@link GroupHost}. */
+export interface GroupHostOptions<Command, Result> {
+  group: string
+  box: BoxId
+  address: Address
+  folder: string
+  /** The boxes of the first replicas; used only to found the group or to find it. */
+  firstReplicas: { box: BoxId; address: Address }[]
+  machine: StateMachine<Command, Result>
+  peers: PeerCaller
+  clock: Clock
+  random: Random
+  logger: Logger
+  electionTimeout: Millis
+  heartbeat: Millis
+  snapshotEvery: number
+  fileSystem?: FileSystem
+}
+
+const ASK_AGAIN_MS = 150
+const ASK_DEADLINE_MS = 1_000
+
+/** Raised where this box has no working replica of the group. */
+export class ReplicaNotRunningError extends ForkstageError {
+  constructor(group: string) {
+    super(
+      'FORKSTAGE_REPLICA_NOT_RUNNING',
+      `This box has no running replica of ${group}.`,
+      'See "forkstage status" for its state.',
+      {
+        step: 'find replica',
+      },
+    )
+  }
+}
+
+/** Brings up this box's replica of a group: opens the disk, founds or joins the group, answers its peers. */
+export class GroupHost<Command, Result> {
+  private replicaOrNone: GroupReplica<Command, Result> | undefined
+  private opened: { storage: ReplicaStorage; stored: StoredReplica } | undefined
+  private stopped = false
+  /** Why the replica takes no part, once it has failed. */
+  failure: unknown
+
+  constructor(private readonly options: GroupHostOptions<Command, Result>) {}
+
+  get replica(): GroupReplica<Command, Result> | undefined {
+    return this.replicaOrNone
+  }
+
+  /** The running replica. @throws ReplicaNotRunningError where there is none. */
+  require(): GroupReplica<Command, Result> {
+    if (this.replicaOrNone === undefined) throw new ReplicaNotRunningError(this.options.group)
+    return this.replicaOrNone
+  }
+
+  /** The methods that other boxes call, all under the group's name. */
+  methods(): Record<string, PeerMethod> {
+    const { group } = this.options
+    return {
+      [`${group}.message`]: (params: { from: Member; message: unknown }) =>
+        this.replicaOrNone?.receive(params.from, decodeMessage(params.message)),
+      [`${group}.identity`]: () => this.identity(),
+      [`${group}.propose`]: (params: { command: Command }) => this.require().propose(params.command),
+      [`${group}.reconfigure`]: (params: { change: ConfigChange }) =>
+        this.require().reconfigure(params.change),
+      [`${group}.status`]: () => this.require().status(),
+    }
+  }
+
+  /** Opens the disk and starts the replica in the background; failures are logged and kept in `failure`. */
+  async start(): Promise<void> {
+    const { group, folder, fileSystem, logger } = this.options
+    try {
+      this.opened = await openReplicaStorage(folder, { fileSystem })
+      if (this.opened.stored.snapshot === undefined) await this.begin(this.opened.stored)
+      if (!this.stopped) this.run()
+    } catch (error) {
+      this.failure = error
+      logger.error('replica.refused', { group, reason: 'the replica cannot start', ...toErrorBody(error) })
+    }
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true
+    await this.replicaOrNone?.stop()
+  }
+
+  private identity(): IdentityAnswer {
+    if (this.opened === undefined) throw new ReplicaNotRunningError(this.options.group)
+    const { replica, box, address } = this.self()
+    const started = this.opened.stored.snapshot
+    return { replica, box, address, founding: started?.meta.config, config: this.replicaOrNone?.config }
+  }
+
+  private self(): Member {
+    const { box, address } = this.options
+    return { replica: this.opened!.stored.identity.replica, box, address }
+  }
+
+  /** Waits until the group is founded with this replica, or exists without it. */
+  private async begin(stored: StoredReplica): Promise<void> {
+    while (!this.stopped) {
+      const decision = decideFounding(this.self(), await this.askIdentities())
+      if (decision.type === 'found') return this.saveFounding(stored, decision.config)
+      if (decision.type === 'join') return this.saveFounding(stored, { voters: [], learners: [] })
+      await delay(this.options.clock, ASK_AGAIN_MS)
+    }
+  }
+
+  private askIdentities(): Promise<(IdentityAnswer | undefined)[]> {
+    const { group, firstReplicas, box, peers } = this.options
+    const asked = firstReplicas.map((first) => {
+      if (first.box === box) return Promise.resolve(this.identity())
+      const answer = peers.call<IdentityAnswer>(
+        first.address,
+        `${group}.identity`,
+        {},
+        { deadline: ASK_DEADLINE_MS, step: 'found group' },
+      )
+      return answer.catch(() => undefined)
+    })
+    return Promise.all(asked)
+  }
+
+  private async saveFounding(stored: StoredReplica, config: GroupConfig): Promise<void> {
+    const { group, machine, logger } = this.options
+    const snapshot = { meta: { index: 0, term: 0, config, configIndex: 0 }, data: machine.snapshot() }
+    await this.opened!.storage.saveSnapshot(snapshot, stored.hardState, [])
+    stored.snapshot = snapshot
+    const voters = config.voters.map((voter) => voter.box)
+    logger.info('replica.founded', { group, replica: stored.identity.replica, voters })
+  }
+
+  private run(): void {
+    const { group, peers } = this.options
+    const self = this.self()
+    this.replicaOrNone = new GroupReplica({
+      ...this.options,
+      ...this.opened!,
+      self,
+      send: (to, message) =>
+        peers.notify(to.address, `${group}.message`, { from: self, message: encodeMessage(message) }),
+      onFailure: (error) => this.fail(error),
+    })
+  }
+
+  private fail(error: unknown): void {
+    this.failure = error
+    this.replicaOrNone = undefined
+    this.options.logger.error('replica.refused', {
+      group: this.options.group,
+      reason: 'the replica has stopped',
+      ...toErrorBody(error),
+    })
+  }
+}
--- /dev/null
+++ b/replication/group/src/index.ts
@@ -0,0 +1,11 @@
+/** One process's replica of a group, and the way to a group's leader. */
+export { GroupHost, ReplicaNotRunningError } from './groupHost'
+export type { GroupHostOptions } from './groupHost'
+export { GroupReplica } from './groupReplica'
+export type { GroupReplicaOptions, ReplicaStatus } from './groupReplica'
+export { GroupClient } from './groupClient'
+export type { GroupClientOptions, ProposeOptions } from './groupClient'
+export { decideFounding } from './founding'
+export type { FoundingDecision, IdentityAnswer } from './founding'
+export { GroupUnavailableError, NotLeaderError, OutcomeUnknownError } from './groupErrors'
+export type { StateMachine } from './stateMachine'
--- /dev/null
+++ b/replication/storage/src/replicaStorage.ts
@@ -0,0 +1,138 @@
+import { randomUUID } from 'node:crypto'
+import type { HardState, LogEntry, ReplicaId, Snapshot } from '@forkstage/raft'
+import { createFileSystem, type AppendFile, type FileSystem } from './fileSystem'
+import { decodeRecords, decodeSingle, encodeRecord, type LogRecord } from './records'
+import { DiskError } from './storageErrors'
+
+/** Who this disk is. Made once, at random, and lost with the disk. */
+export interface ReplicaIdentity {
+  replica: ReplicaId
+  /** How often the replica has been opened. */
+  boots: number
+}
+
+/** What the disk held when it was opened. */
+export interface StoredReplica {
+  identity: ReplicaIdentity
+  hardState: HardState
+  /** Absent until the replica has been founded or has joined. */
+  snapshot?: Snapshot
+  entries: LogEntry[]
+}
+
+/** Options of {@link openReplicaStorage}. */
+export interface OpenReplicaStorageOptions {
+  fileSystem?: FileSystem
+  /** Makes the identity of a new disk. */
+  createId?: () => ReplicaId
+}
+
+const IDENTITY = 'replica.json'
+const LOG = 'log'
+const SNAPSHOT = 'snapshot'
+
+/** Opens, or makes, the folder of one replica of one group. */
+export async function openReplicaStorage(
+  folder: string,
+  options: OpenReplicaStorageOptions = {},
+): Promise<{ storage: ReplicaStorage; stored: StoredReplica }> {
+  const files = options.fileSystem ?? createFileSystem()
+  const createId = options.createId ?? (() => randomUUID())
+  await files.makeFolder(folder)
+  const names = await files.list(folder)
+  const identity = await openIdentity(files, folder, names, createId)
+  const snapshot = names.includes(SNAPSHOT)
+    ? decodeSingle<Snapshot>(await files.read(`${folder}/${SNAPSHOT}`), `${folder}/${SNAPSHOT}`)
+    : undefined
+  const records = names.includes(LOG) ? await readLog(files, `${folder}/${LOG}`) : []
+  const { hardState, entries } = replay(records, snapshot)
+  const log = await files.openAppend(`${folder}/${LOG}`)
+  return {
+    storage: new ReplicaStorage(files, folder, log),
+    stored: { identity, hardState, snapshot, entries },
+  }
+}
+
+async function openIdentity(
+  files: FileSystem,
+  folder: string,
+  names: string[],
+  createId: () => ReplicaId,
+): Promise<ReplicaIdentity> {
+  const path = `${folder}/${IDENTITY}`
+  const known = names.includes(IDENTITY)
+  const old = known ? (JSON.parse((await files.read(path)).toString()) as ReplicaIdentity) : undefined
+  const identity = { replica: old?.replica ?? createId(), boots: (old?.boots ?? 0) + 1 }
+  await files.replace(path, Buffer.from(JSON.stringify(identity)))
+  return identity
+}
+
+async function readLog(files: FileSystem, path: string): Promise<LogRecord[]> {
+  const bytes = await files.read(path)
+  const { records, validLength } = decodeRecords(bytes, path)
+  if (validLength < bytes.length) await files.truncate(path, validLength)
+  return records
+}
+
+function replay(
+  records: LogRecord[],
+  snapshot: Snapshot | undefined,
+): { hardState: HardState; entries: LogEntry[] } {
+  let hardState: HardState = { term: 0, votedFor: null }
+  let entries: LogEntry[] = []
+  for (const record of records) {
+    if (record.type === 'hardState') hardState = record.hardState
+    else if (record.type === 'truncate') entries = entries.filter((entry) => entry.index < record.from)
+    else entries.push(record.entry)
+  }
+  if (snapshot === undefined) return { hardState, entries }
+  const { index, term } = snapshot.meta
+  const covered = entries.find((entry) => entry.index === index)
+  // Entries after a snapshot that contradicts the log belong to a history that the snapshot replaced.
+  const contradicts = covered !== undefined && covered.term !== term
+  return { hardState, entries: contradicts ? [] : entries.filter((entry) => entry.index > index) }
+}
+
+/** The open folder of one replica. Calls must not overlap; the group's shell sees to that. */
+export class ReplicaStorage {
+  constructor(
+    private readonly files: FileSystem,
+    private readonly folder: string,
+    private log: AppendFile,
+  ) {}
+
+  /** Appends records and returns once they are synced. */
+  async append(records: LogRecord[]): Promise<void> {
+    try {
+      await this.log.append(Buffer.concat(records.map(encodeRecord)))
+      await this.log.sync()
+    } catch (error) {
+      throw new DiskError('append to the log', error)
+    }
+  }
+
+  /**
+   * Saves a snapshot and trims the log to what follows it.
+   * @returns the size of the snapshot file in bytes.
+   */
+  async saveSnapshot(snapshot: Snapshot, hardState: HardState, rest: LogEntry[]): Promise<number> {
+    const records: LogRecord[] = [
+      { type: 'hardState', hardState },
+      ...rest.map((entry) => ({ type: 'entry' as const, entry })),
+    ]
+    const bytes = encodeRecord(snapshot)
+    try {
+      await this.files.replace(`${this.folder}/${SNAPSHOT}`, bytes)
+      await this.log.close()
+      await this.files.replace(`${this.folder}/${LOG}`, Buffer.concat(records.map(encodeRecord)))
+      this.log = await this.files.openAppend(`${this.folder}/${LOG}`)
+    } catch (error) {
+      throw new DiskError('save a snapshot', error)
+    }
+    return bytes.length
+  }
+
+  close(): Promise<void> {
+    return this.log.close()
+  }
+}
