feat(machine,relay): one request's life as a state machine without I/O

Cause: the caller's promises (whole answers, "not run" only where proved, nothing left held) must hold whatever answers come late, twice or never, so they are asserted inside a pure machine and a random world is played around it.

--- /dev/null
+++ b/request/machine/src/index.ts
@@ -0,0 +1,5 @@
+/** The life of one model request. */
+export { createRequest, engineEpoch } from './requestState'
+export type { KeptPrefill, RequestState } from './requestState'
+export { stepRequest } from './stepRequest'
+export type * from './requestTypes'
--- /dev/null
+++ b/request/relay/src/frameOrder.ts
@@ -0,0 +1,90 @@
+import { assertInvariant } from '@forkstage/error'
+
+/** How far ahead of the next token a frame may arrive and still be kept. */
+const MOST_AHEAD = 1_024
+
+/** One token of an answer. */
+export interface TokenFrame {
+  epoch: number
+  seq: number
+  text: string
+}
+
+/** What became of a frame. */
+export type FrameVerdict = 'taken' | 'held' | 'double' | 'fenced' | 'too-far'
+
+/**
+ * Puts the tokens of one answer in order: drops doubles and what a fenced attempt sends late, holds
+ * what comes too early, and says when the answer is whole.
+ */
+export class FrameOrder {
+  private readonly tokens: string[] = []
+  private readonly early = new Map<number, string>()
+  private epoch = 0
+  private length: number | undefined
+  readonly counts: Record<FrameVerdict, number> = { taken: 0, held: 0, double: 0, fenced: 0, 'too-far': 0 }
+
+  /** The number of the next token that is missing. */
+  get next(): number {
+    return this.tokens.length
+  }
+
+  /** Whether every token up to the announced end is there. */
+  get whole(): boolean {
+    return this.length !== undefined && this.tokens.length === this.length
+  }
+
+  /** Whether a token is missing although later ones, or the end, have arrived. */
+  get hasGap(): boolean {
+    return this.early.size > 0 || (this.length !== undefined && this.tokens.length < this.length)
+  }
+
+  /** The tokens from a number on, in order and without gaps. */
+  from(seq: number): string[] {
+    return this.tokens.slice(seq)
+  }
+
+  /** From now on only frames of this epoch count. */
+  fence(epoch: number): void {
+    assertInvariant(epoch >= this.epoch, 'epochs never fall', () => `${epoch} after ${this.epoch}`)
+    if (epoch === this.epoch) return
+    this.epoch = epoch
+    this.early.clear()
+    this.length = undefined
+  }
+
+  take(frame: TokenFrame): FrameVerdict {
+    const verdict = this.judge(frame)
+    this.counts[verdict] += 1
+    if (verdict === 'held') this.early.set(frame.seq, frame.text)
+    if (verdict === 'taken') this.append(frame.text)
+    return verdict
+  }
+
+  /** Notes the announced length. @returns false where the announcement is fenced. */
+  takeEnd(epoch: number, length: number): boolean {
+    if (epoch !== this.epoch) return false
+    assertInvariant(
+      length >= this.tokens.length,
+      'an answer does not shrink',
+      () => `${length} after ${this.tokens.length}`,
+    )
+    this.length = length
+    return true
+  }
+
+  private judge(frame: TokenFrame): FrameVerdict {
+    if (frame.epoch !== this.epoch) return 'fenced'
+    if (frame.seq < this.tokens.length || this.early.has(frame.seq)) return 'double'
+    if (frame.seq === this.tokens.length) return 'taken'
+    return frame.seq > this.tokens.length + MOST_AHEAD ? 'too-far' : 'held'
+  }
+
+  private append(text: string): void {
+    this.tokens.push(text)
+    for (let next = this.early.get(this.next); next !== undefined; next = this.early.get(this.next)) {
+      this.early.delete(this.next)
+      this.tokens.push(next)
+    }
+  }
+}
