--- /dev/null
+++ b/api/caller/src/callerErrors.ts
@@ -0,0 +1,48 @@
+import type { Response } from 'express'
+import { ForkstageError, toErrorBody } from '@forkstage/error'
+import { AnswerError } from '@forkstage/runner'
+import type { Execution } from '@forkstage/types'
+
+/** A request that is wrong in itself: refused before anything is dispatched. */
+export class BadRequestError extends AnswerError {
+  constructor(code: `FORKSTAGE_${string}`, message: string, hint: string, status = 400) {
+    super(code, message, hint, status, 'not-run', undefined, { step: 'read request' })
+  }
+}
+
+/** The body of every error answer. */
+export interface CallerErrorBody {
+  error: {
+    code: string
+    message: string
+    hint: string
+    execution: Execution
+    request?: string
+    step?: string
+    peer?: string
+  }
+}
+
+/** Answers with an error: code, message, hint, and what is promised about execution. */
+export function sendError(response: Response, error: unknown, request?: string): void {
+  const { status, execution, retryAfterMs } = describe(error)
+  if (response.headersSent) return void response.end()
+  response.setHeader('x-forkstage-execution', execution)
+  if (request !== undefined) response.setHeader('x-forkstage-request', request)
+  if (retryAfterMs !== undefined) {
+    response.setHeader('retry-after', String(Math.ceil(retryAfterMs / 1_000)))
+    response.setHeader('x-forkstage-retry-after-ms', String(Math.round(retryAfterMs)))
+  }
+  response.status(status).json(errorBody(error, execution, request))
+}
+
+export function errorBody(error: unknown, execution: Execution, request?: string): CallerErrorBody {
+  return { error: { ...toErrorBody(error), execution, request } }
+}
+
+/** What is known of the execution of a request that ended with this error. */
+export function describe(error: unknown): { status: number; execution: Execution; retryAfterMs?: number } {
+  if (error instanceof AnswerError) return error
+  const unavailable = error instanceof ForkstageError && error.code === 'FORKSTAGE_GROUP_UNAVAILABLE'
+  return { status: unavailable ? 503 : 500, execution: 'may-have-run' }
+}
--- /dev/null
+++ b/api/caller/src/readHeaders.ts
@@ -0,0 +1,74 @@
+import type { Request } from 'express'
+import type { Settings } from '@forkstage/settings'
+import type { Millis } from '@forkstage/types'
+import { BadRequestError } from './callerErrors'
+
+/** What a caller says about its request in headers (docs/callers.md). */
+export interface CallerHeaders {
+  /** The key the caller chose, if any. */
+  key?: string
+  className: string
+  workspace: string
+  /** Whether the caller says that the request may be repeated; undefined leaves it to the table. */
+  repeatable?: boolean
+  deadlineMs: Millis
+  ttftMs: Millis
+  priority: number
+  /** Tokens the caller has already, from the last event it saw. */
+  lastEventId: number
+}
+
+const MAX_KEY_CHARS = 200
+const DEFAULT_PRIORITY = 5
+
+/** Reads and checks the headers. @throws BadRequestError naming the first header that is wrong. */
+export function readHeaders(request: Request, caller: string, settings: Settings): CallerHeaders {
+  const { key_header: keyHeader, deadline_ms: longest } = settings.request
+  const key = request.get(keyHeader)
+  if (key !== undefined && (key.length === 0 || key.length > MAX_KEY_CHARS)) {
+    throw wrongHeader(keyHeader, `must have 1 to ${MAX_KEY_CHARS} characters`)
+  }
+  const lastEventId = readNumber(request, 'last-event-id', 0, 0, 1_000_000)
+  if (lastEventId > 0 && key === undefined)
+    throw wrongHeader('last-event-id', `needs the ${keyHeader} of the request it goes on with`)
+  const deadlineMs = readNumber(request, 'x-forkstage-deadline-ms', longest, 1, longest)
+  const ttftMs = readNumber(request, 'x-forkstage-ttft-ms', settings.policy.ttft_target_ms, 1, longest)
+  if (request.get('x-forkstage-ttft-ms') !== undefined && ttftMs > deadlineMs) {
+    throw wrongHeader('x-forkstage-ttft-ms', 'is later than the deadline')
+  }
+  return {
+    key,
+    className: request.get('x-forkstage-class') ?? 'default',
+    workspace: request.get('x-forkstage-workspace') ?? caller,
+    repeatable: readYesNo(request, 'x-forkstage-repeatable'),
+    deadlineMs,
+    ttftMs,
+    priority: readNumber(request, 'x-forkstage-priority', DEFAULT_PRIORITY, 0, 9),
+    lastEventId,
+  }
+}
+
+function readNumber(request: Request, name: string, fallback: number, least: number, most: number): number {
+  const text = request.get(name)
+  if (text === undefined) return fallback
+  const value = Number(text)
+  if (!Number.isInteger(value) || value < least || value > most) {
+    throw wrongHeader(name, `"${text}" is not a whole number from ${least} to ${most}`)
+  }
+  return value
+}
+
+function readYesNo(request: Request, name: string): boolean | undefined {
+  const text = request.get(name)
+  if (text === undefined) return undefined
+  if (text !== 'yes' && text !== 'no') throw wrongHeader(name, `"${text}" is neither yes nor no`)
+  return text === 'yes'
+}
+
+function wrongHeader(name: string, fault: string): BadRequestError {
+  return new BadRequestError(
+    'FORKSTAGE_BAD_HEADER',
+    `Header ${name} ${fault}.`,
+    'See docs/callers.md for the headers.',
+  )
+}
--- /dev/null
+++ b/api/caller/src/writeAnswer.ts
@@ -0,0 +1,145 @@
+import { once } from 'node:events'
+import type { Response } from 'express'
+import type { RequestEnd } from '@forkstage/machine'
+import { AnswerError, type AnswerSource } from '@forkstage/runner'
+import { errorBody, sendError } from './callerErrors'
+
+/** What the answer's frame says besides its text. */
+export interface AnswerFrame {
+  model: string
+  promptTokens: number
+  /** Seconds since 1970. */
+  created: number
+}
+
+/** Writes an answer as one JSON body, once it is whole. */
+export async function writeWhole(
+  response: Response,
+  source: AnswerSource,
+  frame: AnswerFrame,
+): Promise<void> {
+  const tokens: string[] = []
+  for (;;) {
+    const part = await source.next(tokens.length)
+    tokens.push(...part.tokens)
+    if (part.end === undefined || (part.end.type === 'answered' && tokens.length < part.end.tokens)) continue
+    if (part.end.type !== 'answered') throw toAnswerError(part.end)
+    setAnswerHeaders(response, source.request)
+    return void response.json(wholeBody(source.request, frame, tokens, part.end.finish))
+  }
+}
+
+/** Writes an answer as server-sent events, a token an event; the event's id counts the tokens so far. */
+export async function writeEvents(
+  response: Response,
+  source: AnswerSource,
+  frame: AnswerFrame,
+  from: number,
+): Promise<void> {
+  let sent = from
+  const chunk = createChunkWriter(source, frame)
+  for (;;) {
+    const part = await source.next(sent)
+    if (part.end !== undefined && part.end.type !== 'answered' && !response.headersSent)
+      throw toAnswerError(part.end)
+    startEvents(response, source.request)
+    for (const token of part.tokens) response.write(chunk(++sent, token))
+    if (response.closed) return
+    if (response.writableNeedDrain) await Promise.race([once(response, 'drain'), once(response, 'close')])
+    if (part.end === undefined) continue
+    if (part.end.type !== 'answered') return endWithError(response, part.end, source.request)
+    if (sent < part.end.tokens) continue
+    response.write(chunk(sent, undefined, part.end.finish))
+    return void response.end('data: [DONE]\n\n')
+  }
+}
+
+function startEvents(response: Response, request: string): void {
+  if (response.headersSent) return
+  setAnswerHeaders(response, request)
+  response.setHeader('content-type', 'text/event-stream; charset=utf-8')
+  response.setHeader('cache-control', 'no-store')
+  response.flushHeaders()
+}
+
+function setAnswerHeaders(response: Response, request: string): void {
+  response.setHeader('x-forkstage-execution', 'ran')
+  response.setHeader('x-forkstage-request', request)
+}
+
+/** Prepares all of a chunk that stays the same from token to token. */
+function createChunkWriter(source: AnswerSource, frame: AnswerFrame) {
+  const head = JSON.stringify({
+    id: source.request,
+    object: 'chat.completion.chunk',
+    created: frame.created,
+    model: frame.model,
+  })
+  const open = `${head.slice(0, -1)},"choices":[{"index":0,"delta":`
+  return (count: number, token: string | undefined, finish: string | null = null): string => {
+    const delta = token === undefined ? '{}' : `{"content":${JSON.stringify(token)}}`
+    return `id: ${count}\ndata: ${open}${delta},"finish_reason":${JSON.stringify(finish)}}]}\n\n`
+  }
+}
+
+function wholeBody(request: string, frame: AnswerFrame, tokens: string[], finish: string) {
+  const { model, promptTokens, created } = frame
+  const message = { role: 'assistant', content: tokens.join('') }
+  const usage = {
+    prompt_tokens: promptTokens,
+    completion_tokens: tokens.length,
+    total_tokens: promptTokens + tokens.length,
+  }
+  return {
+    id: request,
+    object: 'chat.completion',
+    created,
+    model,
+    choices: [{ index: 0, message, finish_reason: finish }],
+    usage,
+  }
+}
+
+/** An answer that cannot be made whole ends with an error event, never silently short. */
+function endWithError(response: Response, end: RequestEnd, request: string): void {
+  const error = toAnswerError(end)
+  response.end(`event: error\ndata: ${JSON.stringify(errorBody(error, error.execution, request))}\n\n`)
+}
+
+/** The error that a request's end means for its caller. */
+export function toAnswerError(end: RequestEnd): AnswerError {
+  if (end.type === 'refused') {
+    const message = `The request was not run: ${end.reason}.`
+    const hint = `Send it again in about ${Math.ceil(end.retryAfter)} ms.`
+    return new AnswerError('FORKSTAGE_REFUSED', message, hint, 503, 'not-run', end.retryAfter, {
+      step: 'place',
+    })
+  }
+  if (end.type === 'failed') {
+    const { reason, step, peer, execution } = end
+    return new AnswerError(
+      'FORKSTAGE_FAILED',
+      `The request failed at ${step}: ${reason}.`,
+      'Send it again.',
+      502,
+      execution,
+      500,
+      { step, peer },
+    )
+  }
+  return new AnswerError(
+    'FORKSTAGE_CANCELLED',
+    'The request was cancelled.',
+    'Send it again.',
+    499,
+    'may-have-run',
+    undefined,
+    { step: 'relay' },
+  )
+}
+
+/** Answers a caller with an error, in the form that its answer has taken so far. */
+export function endAnswer(response: Response, error: unknown, request: string | undefined): void {
+  if (!response.headersSent) return sendError(response, error, request)
+  response.end(`event: error\ndata: ${JSON.stringify(errorBody(error, 'may-have-run', request))}\n\n`)
+}
--- /dev/null
+++ b/api/operator/src/index.ts
@@ -0,0 +1,4 @@
+/** The listener for operators. */
+export { createOperatorApp } from './createOperatorApp'
+export type { OperatorAppOptions } from './createOperatorApp'
+export type * from './operatorService'
--- /dev/null
+++ b/cli/forkstage/src/commands/run.ts
@@ -0,0 +1,36 @@
+import { readFile } from 'node:fs/promises'
+import type { Argv } from 'yargs'
+import { BoxDaemon } from '@forkstage/daemon'
+import { parseSettings } from '@forkstage/settings'
+import { EXIT, type Command } from '../cliTypes'
+
+interface RunArguments {
+  settings: string
+}
+
+/** `forkstage run`: the daemon of one box. */
+export const runCommand: Command<RunArguments> = {
+  command: 'run',
+  help: 'Run the daemon of this box until it is told to stop',
+  options: (argv: Argv) =>
+    argv
+      .option('settings', { type: 'string', demandOption: true, describe: 'the settings of this box (TOML)' })
+      .example(
+        '$0 run --settings box.toml',
+        'start the box; SIGTERM stops it as planned, a second one cuts short',
+      ),
+  handler: runBox,
+}
+
+async function runBox({ settings: path }: RunArguments): Promise<number> {
+  const settings = parseSettings(await readFile(path, 'utf8'), { source: path })
+  const daemon = new BoxDaemon(settings)
+  await daemon.start()
+  const cut = await new Promise<number>((resolve) => {
+    const stop = (signal: string) => void daemon.stop(signal).then(resolve)
+    process.on('SIGTERM', stop)
+    process.on('SIGINT', stop)
+    void daemon.stopped.then(resolve)
+  })
+  return cut > 0 ? EXIT.cut : EXIT.ok
+}
--- /dev/null
+++ b/cli/forkstage/src/index.ts
@@ -0,0 +1,3 @@
+/** The command line. */
+export { EXIT } from './cliTypes'
+export type { BoxArguments, Command } from './cliTypes'
--- /dev/null
+++ b/cli/forkstage/src/main.ts
@@ -0,0 +1,90 @@
+import yargs, { type Argv } from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { SettingsError } from '@forkstage/settings'
+import { TableError } from '@forkstage/table'
+import { EXIT, type Command } from './cliTypes'
+import {
+  controlReplaceCommand,
+  explainCommand,
+  orderCommand,
+  statusCommand,
+  stopCommand,
+  versionCommand,
+} from './commands/fleetCommands'
+import { runCommand } from './commands/run'
+import { settingsCheckCommand } from './commands/settingsCheck'
+import {
+  tableCheckCommand,
+  tableDiffCommand,
+  tableExportCommand,
+  tableHistoryCommand,
+  tableShowCommand,
+} from './commands/tableCommands'
+import { tableConfirmCommand } from './commands/tableConfirm'
+import { printError } from './print'
+
+/** Commands under a common first word, as `table show`. */
+interface CommandGroup {
+  word: string
+  help: string
+  commands: Command<never>[]
+}
+
+const SINGLE: Command<never>[] = [
+  runCommand,
+  statusCommand,
+  explainCommand,
+  orderCommand,
+  stopCommand,
+  versionCommand,
+]
+const GROUPS: CommandGroup[] = [
+  { word: 'settings', help: 'Settings of a box', commands: [settingsCheckCommand] },
+  {
+    word: 'table',
+    help: 'The table of endpoints and links',
+    commands: [
+      tableShowCommand,
+      tableExportCommand,
+      tableCheckCommand,
+      tableDiffCommand,
+      tableConfirmCommand,
+      tableHistoryCommand,
+    ],
+  },
+  { word: 'control', help: 'The control replicas', commands: [controlReplaceCommand] },
+]
+
+async function main(): Promise<void> {
+  const parser = yargs(hideBin(process.argv)).scriptName('forkstage').version(false).strict().demandCommand(1)
+  SINGLE.forEach((command) => addCommand(parser, command, command.command))
+  for (const { word, help, commands } of GROUPS) {
+    parser.command(word, help, (group) => {
+      commands.forEach((command) => addCommand(group, command, command.command.slice(word.length + 1)))
+      return group.demandCommand(1)
+    })
+  }
+  parser.fail((message, error, self) => {
+    if (error !== undefined) throw error
+    process.stderr.write(`${message}\n\n`)
+    self.showHelp('error')
+    process.exit(EXIT.usage)
+  })
+  await parser.parseAsync()
+}
+
+function addCommand(parser: Argv, command: Command<never>, words: string): void {
+  parser.command(words, command.help, command.options, async (args) => {
+    process.exitCode = await command.handler(args as never).catch((error: unknown) => {
+      printError(error)
+      return error instanceof SettingsError || error instanceof TableError ? EXIT.usage : EXIT.failed
+    })
+    // Open connections to other processes must not keep a finished command alive.
+    process.exit()
+  })
+}
+
+main().catch((error: unknown) => {
+  printError(error)
+  process.exit(EXIT.failed)
+})
--- /dev/null
+++ b/daemon/daemon/src/fleetService.ts
@@ -0,0 +1,256 @@
+import type { Container } from 'inversify'
+import type {
+  ConfirmAnswer,
+  ConfirmRequest,
+  BoxReport,
+  Explanation,
+  FleetStatus,
+  OperatorService,
+} from '@forkstage/operator-api'
+import type {
+  ControlCommand,
+  ControlResult,
+  ControlStatus,
+  ConfirmResult,
+  HistoryEntry,
+} from '@forkstage/control'
+import { delay } from '@forkstage/clock'
+import { toErrorBody } from '@forkstage/error'
+import { GroupClient } from '@forkstage/group'
+import type { OrderRequest } from '@forkstage/orders'
+import type { PeerMethod } from '@forkstage/peer-rpc'
+import { replaceReplica } from '@forkstage/repair'
+import type { StoryLine } from '@forkstage/runner'
+import { checkTable, diffTables, digestTable, formatDiff, TableError } from '@forkstage/table'
+import type { Table, VersionedTable } from '@forkstage/types'
+import { CONTROL_GROUP, journalGroup } from './boxGroups'
+import { PARTS } from './parts'
+import { VERSION } from './version'
+
+const CONFIRM_DEADLINE_MS = 10_000
+const ASK_DEADLINE_MS = 1_500
+const ORDER_DEADLINE_MS = 20_000
+const REPLACE_DEADLINE_MS = 60_000
+/** How long a box that is behind waits for the table that a confirm was made from. */
+const CATCH_UP_MS = 2_000
+const PAUSE_MS = 50
+
+const EMPTY_DELTA = { upsertEndpoints: [], removeEndpoints: [], upsertLinks: [], removeLinks: [] }
+
+/** What operators ask of a box, answered from its parts and from other boxes. */
+export class FleetService implements OperatorService {
+  private readonly controlGroup: GroupClient<ControlCommand, ControlResult>
+
+  constructor(
+    private readonly parts: Container,
+    private readonly requestStop: () => void,
+  ) {
+    this.controlGroup = this.createClient(CONTROL_GROUP) as GroupClient<ControlCommand, ControlResult>
+  }
+
+  /** What other boxes may ask about this one. */
+  methods(): Record<string, PeerMethod> {
+    return {
+      'box.report': () => this.report(),
+      'box.story': (params: { request: string }) => this.parts.get(PARTS.stories).read(params.request),
+    }
+  }
+
+  table(): VersionedTable {
+    return this.parts.get(PARTS.follower).table
+  }
+
+  async confirm(request: ConfirmRequest, who: string): Promise<ConfirmAnswer> {
+    this.assertSound(request.table)
+    await this.catchUp(request.base)
+    const { version, table } = this.table()
+    const digest = digestTable(request.table)
+    const { base, confirmId } = request
+    // A base that is not the newest leads to a conflict, or to the first answer of a resend: no changes needed.
+    const delta = version === base ? diffTables(table, request.table) : EMPTY_DELTA
+    const command: ControlCommand = {
+      type: 'confirm',
+      base,
+      digest,
+      confirmId,
+      delta,
+      who,
+      at: this.parts.get(PARTS.clock).wallNow(),
+    }
+    const result = (await this.controlGroup.propose(command, {
+      deadline: CONFIRM_DEADLINE_MS,
+      step: 'confirm table',
+    })) as ConfirmResult
+    this.parts
+      .get(PARTS.logger)
+      .info('table.confirm', { version: result.version, outcome: result.outcome, who, confirmId })
+    if (result.outcome === 'accepted') return result
+    await this.catchUp(result.version)
+    return { ...result, differences: formatDiff(this.table().table, request.table) }
+  }
+
+  history(limit: number): Promise<Omit<HistoryEntry, 'delta'>[]> {
+    return this.askControl('history', { limit })
+  }
+
+  /** The control leader's view of all boxes. */
+  control(): Promise<ControlStatus> {
+    return this.askControl('boxes', {})
+  }
+
+  async status(): Promise<FleetStatus> {
+    const control = await this.control().catch((error: unknown) => toErrorBody(error).message)
+    const boxes = await this.askBoxes<BoxReport>('box.report', {})
+    return {
+      control: typeof control === 'string' ? undefined : control,
+      controlFailure: typeof control === 'string' ? control : undefined,
+      boxes: boxes.map(({ box, answer, failure }) => answer ?? { box, failure: failure ?? '' }),
+    }
+  }
+
+  async explain(request: string): Promise<Explanation> {
+    const [stories, claim] = await Promise.all([
+      this.askBoxes<StoryLine[]>('box.story', { request }),
+      this.parts.get(PARTS.journal).findRequest(request),
+    ])
+    const lines = stories.flatMap(({ answer }) => answer ?? [])
+    const story = lines.sort((left, right) => left.at - right.at)
+    const missing = stories.filter(({ answer }) => answer === undefined).map(({ box }) => box)
+    return { request, claim, story, missing }
+  }
+
+  decisions(limit: number) {
+    const stories = this.parts.get(PARTS.stories)
+    return stories.latest(limit).map((request) => ({ request, story: stories.read(request) }))
+  }
+
+  async replace(lost: string, withAddress: string): Promise<unknown> {
+    const { journal } = this.parts.get(PARTS.settings)
+    const groups = [
+      CONTROL_GROUP,
+      ...Array.from({ length: journal.groups }, (_, index) => journalGroup(index)),
+    ]
+    const replaced: Record<string, unknown> = {}
+    for (const group of groups) {
+      const [peers, clock] = [this.parts.get(PARTS.peers), this.parts.get(PARTS.clock)]
+      const client = this.createClient(group)
+      replaced[group] = await replaceReplica({
+        group,
+        client,
+        peers,
+        clock,
+        lost,
+        withAddress,
+        deadline: REPLACE_DEADLINE_MS,
+      })
+    }
+    return replaced
+  }
+
+  order(order: OrderRequest): Promise<{ fence: number }> {
+    return this.controlGroup.callLeader(
+      'order',
+      { order },
+      { deadline: ORDER_DEADLINE_MS, step: 'order', callDeadline: ORDER_DEADLINE_MS },
+    )
+  }
+
+  stop(): void {
+    this.requestStop()
+  }
+
+  isReady(): boolean {
+    const serving = this.parts.get(PARTS.state).phase === 'serving'
+    return serving && this.refusesWork() === undefined && this.parts.get(PARTS.book).hasShares
+  }
+
+  /** Why this box may take no new work now; undefined while it may. */
+  refusesWork(): string | undefined {
+    const { refusal } = this.parts.get(PARTS.state)
+    if (refusal !== undefined) return refusal
+    const follower = this.parts.get(PARTS.follower)
+    if (follower.table.version === 0) return 'no table has been accepted yet'
+    if (follower.members.version[0] === 0) return 'the list of live boxes has not come yet'
+    return follower.holdsLease() ? undefined : 'it cannot be sure that its table is the newest'
+  }
+
+  async metrics(): Promise<string> {
+    const meters = this.parts.get(PARTS.meters)
+    meters.running.set(this.parts.get(PARTS.runs).running)
+    meters.queued.set(this.parts.get(PARTS.placer).waiting)
+    meters.releasesPending.set(this.parts.get(PARTS.releases).pending)
+    meters.leaseHeld.set(this.parts.get(PARTS.follower).holdsLease() ? 1 : 0)
+    return this.parts.get(PARTS.registry).metrics()
+  }
+
+  private report(): BoxReport {
+    const book = this.parts.get(PARTS.book)
+    const busy = book.rows
+      .map((row) => [row.endpoint, book.inFlight(row.endpoint)] as const)
+      .filter(([, count]) => count > 0)
+    return {
+      box: this.parts.get(PARTS.settings).box.name,
+      version: VERSION,
+      ready: this.isReady(),
+      refuses: this.refusesWork(),
+      tableVersion: this.table().version,
+      running: this.parts.get(PARTS.runs).running + this.parts.get(PARTS.plain).running,
+      queued: this.parts.get(PARTS.placer).waiting,
+      releasesPending: this.parts.get(PARTS.releases).pending,
+      owns: this.parts.get(PARTS.ownerService).endpoints,
+      inFlight: Object.fromEntries(busy),
+      replicas: this.parts.get(PARTS.groups).status(),
+    }
+  }
+
+  private async askBoxes<Answer>(
+    method: string,
+    params: unknown,
+  ): Promise<{ box: string; answer?: Answer; failure?: string }[]> {
+    const { boxes } = this.parts.get(PARTS.follower).members
+    const peers = this.parts.get(PARTS.peers)
+    return Promise.all(
+      boxes.map(async ({ box, address }) => {
+        try {
+          return {
+            box,
+            answer: await peers.call<Answer>(address, method, params, {
+              deadline: ASK_DEADLINE_MS,
+              step: method,
+            }),
+          }
+        } catch (error) {
+          return { box, failure: toErrorBody(error).message }
+        }
+      }),
+    )
+  }
+
+  private askControl<Answer>(method: string, params: unknown): Promise<Answer> {
+    return this.controlGroup.callLeader<Answer>(method, params, {
+      deadline: CONFIRM_DEADLINE_MS,
+      step: `control ${method}`,
+    })
+  }
+
+  private assertSound(table: Table): void {
+    const services = new Map(
+      this.parts.get(PARTS.settings).models.map((model) => [model.name, model.service]),
+    )
+    const faults = checkTable(table, { services })
+    if (faults.length > 0) throw new TableError(faults)
+  }
+
+  /** Waits a moment for a version that was accepted elsewhere to arrive here. */
+  private async catchUp(version: number): Promise<void> {
+    const clock = this.parts.get(PARTS.clock)
+    const end = clock.now() + CATCH_UP_MS
+    while (this.table().version < version && clock.now() < end) await delay(clock, PAUSE_MS)
+  }
+
+  private createClient(group: string): GroupClient<unknown, unknown> {
+    const follower = this.parts.get(PARTS.follower)
+    const [peers, clock] = [this.parts.get(PARTS.peers), this.parts.get(PARTS.clock)]
+    return new GroupClient({ group, replicas: () => follower.replicas, peers, clock })
+  }
+}
--- /dev/null
+++ b/daemon/daemon/src/index.ts
@@ -0,0 +1,3 @@
+/** One box. */
+export { BoxDaemon } from './boxDaemon'
+export { VERSION } from './version'
--- /dev/null
+++ b/daemon/daemon/src/listenHttp.ts
@@ -0,0 +1,26 @@
+import { createServer, type RequestListener, type Server } from 'node:http'
+import { ForkstageError } from '@forkstage/error'
+import { parseAddress } from '@forkstage/peer-rpc'
+import type { Address } from '@forkstage/types'
+
+/** Raised where a listener cannot be opened. */
+export class ListenError extends ForkstageError {
+  constructor(address: Address, cause: Error) {
+    super(
+      'FORKSTAGE_LISTEN',
+      `Cannot listen on ${address}: ${cause.message}`,
+      "Check that the address is this box's and that the port is free.",
+      { step: 'listen', cause },
+    )
+  }
+}
+
+/** Listens for HTTP on an address. */
+export function listenHttp(handler: RequestListener, address: Address): Promise<Server> {
+  const { host, port } = parseAddress(address)
+  const server = createServer(handler)
+  return new Promise((resolve, reject) => {
+    server.once('error', (error) => reject(new ListenError(address, error)))
+    server.listen(port, host, () => resolve(server))
+  })
+}
--- /dev/null
+++ b/daemon/daemon/src/version.ts
@@ -0,0 +1,2 @@
+/** The version of this program. */
+export const VERSION = '0.1.0'
--- a/journal/claims/src/index.ts
+++ b/journal/claims/src/index.ts
@@ -2,5 +2,5 @@
 export { JournalMachine } from './journalMachine'
 export { groupOfKey, JournalClient } from './journalClient'
 export type { JournalClientOptions } from './journalClient'
-export { startJournalTicker } from './journalTicker'
+export { createJournalMethods, startJournalTicker } from './journalTicker'
 export type * from './claimTypes'
--- a/journal/claims/src/journalClient.ts
+++ b/journal/claims/src/journalClient.ts
@@ -43,6 +43,14 @@
     return this.send(key, { type: 'forget', key, epoch }, 'forget claim')
   }
 
+  /** The claim of a key as the journal has it, changing nothing; undefined where there is none. */
+  async find(key: string): Promise<Claim | undefined> {
+    const { groups, deadline } = this.options
+    const group = groups[groupOfKey(key, groups.length)]!
+    const claim = await group.callLeader<Claim | null>('find', { key }, { deadline, step: 'find claim' })
+    return claim ?? undefined
+  }
+
   /** The claim of a request id, asked of every group; for `explain`. */
   async findRequest(request: RequestId): Promise<Claim | undefined> {
     const { groups, deadline } = this.options
--- a/journal/claims/src/journalTicker.ts
+++ b/journal/claims/src/journalTicker.ts
@@ -1,7 +1,9 @@
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
-import type { GroupHost } from '@forkstage/group'
+import { NotLeaderError, type GroupHost } from '@forkstage/group'
 import type { Millis } from '@forkstage/types'
-import type { JournalCommand, JournalResult } from './claimTypes'
+import type { PeerMethod } from '@forkstage/peer-rpc'
+import type { Claim, JournalCommand, JournalResult } from './claimTypes'
+import type { JournalMachine } from './journalMachine'
 
 const TICK_MS = 2_000
 /** A frozen leader may count at most this much at once: time may only be lost, never invented. */
@@ -22,3 +24,19 @@
     if (elapsed > 0) replica.propose({ type: 'tick', elapsed }).catch(() => undefined)
   })
 }
+
+/** The questions that the leader of a journal group answers, besides its group's own methods. */
+export function createJournalMethods(
+  group: string,
+  host: GroupHost<JournalCommand, JournalResult>,
+  machine: JournalMachine,
+): Record<string, PeerMethod> {
+  const find = (params: { key?: string; request?: string }): Claim | null => {
+    const replica = host.require()
+    if (!replica.holdsLease) throw new NotLeaderError(group, replica.leaderAddress)
+    const claim =
+      params.key !== undefined ? machine.find(params.key) : machine.findRequest(params.request ?? '')
+    return claim ?? null
+  }
+  return { [`${group}.find`]: find }
+}
--- /dev/null
+++ b/membership/orders/src/index.ts
@@ -0,0 +1,3 @@
+/** Orders to engines. */
+export { OrderSender, UnknownEndpointError } from './orderSender'
+export type { OrderRequest, OrderSenderOptions } from './orderSender'
--- /dev/null
+++ b/membership/orders/src/orderSender.ts
@@ -0,0 +1,94 @@
+import { randomUUID } from 'node:crypto'
+import { delay, type Clock } from '@forkstage/clock'
+import { NoLeaseError, type ControlCommand, type ControlResult, type FenceResult } from '@forkstage/control'
+import { type EngineClient, type EngineOrder } from '@forkstage/engine-client'
+import { ForkstageError } from '@forkstage/error'
+import type { GroupReplica } from '@forkstage/group'
+import type { Logger } from '@forkstage/logger'
+import type { EndpointName, EndpointRow, Millis } from '@forkstage/types'
+
+/** An order as an operator gives it. */
+export interface OrderRequest {
+  endpoint: EndpointName
+  action: EngineOrder['action']
+  argument: string
+}
+
+/** Options of {@link OrderSender}. */
+export interface OrderSenderOptions {
+  replica: () => GroupReplica<ControlCommand, ControlResult>
+  row: (endpoint: EndpointName) => EndpointRow | undefined
+  engines: Pick<EngineClient, 'order'>
+  clock: Clock
+  logger: Logger
+  /** No earlier leader acts for longer than this after it was last heard. */
+  leaderLease: Millis
+  /** How long an order may be on its way. */
+  orderTimeout: Millis
+}
+
+const ASK_AGAIN_MS = 50
+
+/** Raised where an order names an endpoint that is not in the table. */
+export class UnknownEndpointError extends ForkstageError {
+  constructor(endpoint: EndpointName) {
+    super(
+      'FORKSTAGE_UNKNOWN_ENDPOINT',
+      `There is no endpoint "${endpoint}" in the table.`,
+      'See "forkstage table show".',
+      { step: 'order', peer: endpoint },
+    )
+  }
+}
+
+/** Sends orders to engines while this box leads the control group. */
+export class OrderSender {
+  constructor(private readonly options: OrderSenderOptions) {}
+
+  /**
+   * Takes a fence from the control group and sends the order under it.
+   * An endpoint that does not check fences gets it only once every order of an earlier leader has
+   * arrived or timed out.
+   */
+  async send(order: OrderRequest): Promise<{ fence: number }> {
+    const row = this.options.row(order.endpoint)
+    if (row === undefined) throw new UnknownEndpointError(order.endpoint)
+    const fence = await this.takeFence()
+    if (!row.checksFences) await this.waitOutEarlierLeaders()
+    await this.dispatch(row, order, fence)
+    return { fence }
+  }
+
+  private async takeFence(): Promise<number> {
+    const result = await this.leading().propose({ type: 'fence', nonce: randomUUID() })
+    return (result as FenceResult).fence
+  }
+
+  private leading(): GroupReplica<ControlCommand, ControlResult> {
+    const replica = this.options.replica()
+    if (!replica.holdsLease) throw new NoLeaseError()
+    return replica
+  }
+
+  private async waitOutEarlierLeaders(): Promise<void> {
+    const { clock, leaderLease, orderTimeout } = this.options
+    const { term } = this.leading()
+    while (clock.now() - this.leading().leaderSince < leaderLease + orderTimeout)
+      await delay(clock, ASK_AGAIN_MS)
+    if (this.leading().term !== term) throw new NoLeaseError()
+  }
+
+  private async dispatch(row: EndpointRow, order: OrderRequest, fence: number): Promise<void> {
+    const { engines, logger, orderTimeout } = this.options
+    const { endpoint, action, argument } = order
+    // Without a lease at this moment another leader may be giving orders already.
+    this.leading()
+    try {
+      await engines.order(row, { fence, action, argument }, orderTimeout)
+      logger.info('order.sent', { endpoint, action, fence, outcome: 'taken' })
+    } catch (error) {
+      logger.warn('order.sent', { endpoint, action, fence, outcome: (error as Error).message })
+      throw error
+    }
+  }
+}
--- /dev/null
+++ b/membership/platform/src/index.ts
@@ -0,0 +1,3 @@
+/** The platform's list. */
+export { startPlatformWatcher } from './platformWatcher'
+export type { PlatformWatcherOptions } from './platformWatcher'
--- /dev/null
+++ b/membership/repair/src/index.ts
@@ -0,0 +1,3 @@
+/** Repair of groups. */
+export { ReplaceError, replaceReplica } from './replaceReplica'
+export type { ReplaceReplicaOptions } from './replaceReplica'
--- a/peer/rpc/src/peerConnection.ts
+++ b/peer/rpc/src/peerConnection.ts
@@ -15,6 +15,8 @@
   box: BoxId
   sharedKey: string
   tls?: TlsFiles
+  /** The IP number that connections come from: this box's own. */
+  localAddress?: string
 }
 
 /** An open connection to one box. */
@@ -67,11 +69,12 @@
 
 function connectSocket(address: Address, credentials: PeerCredentials): Promise<Socket> {
   const { host, port } = parseAddress(address)
+  const target = { host, port, localAddress: credentials.localAddress }
   return new Promise((resolve, reject) => {
     const socket =
       credentials.tls === undefined
-        ? connectTcp({ host, port }, () => resolve(socket))
-        : connectTls({ host, port, ...readTlsFiles(credentials.tls) }, () => resolve(socket))
+        ? connectTcp(target, () => resolve(socket))
+        : connectTls({ ...target, ...readTlsFiles(credentials.tls) }, () => resolve(socket))
     socket.setTimeout(HANDSHAKE_MS, () => socket.destroy(new Error('no connection in time')))
     socket.once('connect', () => socket.setTimeout(0))
     socket.once('error', (error) =>
--- a/placement/load/src/endpointBook.ts
+++ b/placement/load/src/endpointBook.ts
@@ -84,6 +84,12 @@
     this.leaving = new Set(names)
   }
 
+  /** Whether any endpoint's owner has leased this box a share. */
+  get hasShares(): boolean {
+    const now = this.options.clock.now()
+    return [...this.entries.values()].some((entry) => entry.share > 0 && entry.shareUntil > now)
+  }
+
   get rows(): EndpointRow[] {
     return [...this.entries.values()].map((entry) => entry.row)
   }
@@ -148,6 +154,16 @@
     return this.entries.get(endpoint)?.sent.size ?? 0
   }
 
+  /** Leading tokens of a prompt that an endpoint's prefix cache probably holds. */
+  cachedTokens(endpoint: EndpointName, blocks: string[]): number {
+    return (this.entries.get(endpoint)?.prefixes.match(blocks) ?? 0) * BLOCK_TOKENS
+  }
+
+  /** Whether an endpoint can make an answer again from its seed, as far as its reports say. */
+  isDeterministic(endpoint: EndpointName): boolean {
+    return this.entries.get(endpoint)?.report?.deterministic ?? false
+  }
+
   /** Why an endpoint takes no new work from this box; undefined where it does. */
   closedReason(endpoint: EndpointName): ClosedReason | undefined {
     const entry = this.entries.get(endpoint)
--- /dev/null
+++ b/placement/owner/src/creditClient.ts
@@ -0,0 +1,101 @@
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import type { EndpointBook } from '@forkstage/load'
+import type { OwnerMap } from '@forkstage/owners'
+import type { PeerCaller } from '@forkstage/peer-rpc'
+import type { Address, BoxId, EndpointName, Millis } from '@forkstage/types'
+import type { CreditAnswer, CreditQuestion } from './ownerTypes'
+
+/** Options of {@link CreditClient}. */
+export interface CreditClientOptions {
+  box: BoxId
+  owners: OwnerMap
+  book: EndpointBook
+  peers: PeerCaller
+  clock: Clock
+  renewEvery: Millis
+  /** How many requests wait for an endpoint's pool. */
+  waitingFor: (endpoint: EndpointName) => number
+  /** Called when new shares have come. */
+  onNews: () => void
+}
+
+const DEADLINE_MS = 1_000
+const SOONEST_RENEWAL_MS = 20
+
+/** Renews this box's shares of the endpoints it uses: one call an owner, for all its endpoints. */
+export class CreditClient {
+  private readonly epochs = new Map<EndpointName, [number, number]>()
+  private readonly cacheSeqs = new Map<EndpointName, number>()
+  private cancel: CancelTimer = () => undefined
+  private renewedAt: Millis = -Infinity
+
+  constructor(private readonly options: CreditClientOptions) {}
+
+  start(): void {
+    this.cancel = every(this.options.clock, this.options.renewEvery, () => this.renew())
+  }
+
+  stop(): void {
+    this.cancel()
+  }
+
+  /** Asks every owner at once, but not again and again: for when a request finds no share left. */
+  renewSoon(): void {
+    const { clock } = this.options
+    if (clock.now() - this.renewedAt >= SOONEST_RENEWAL_MS) this.renew()
+  }
+
+  /** Asks every owner now. */
+  renew(): void {
+    this.renewedAt = this.options.clock.now()
+    for (const [address, endpoints] of this.endpointsByOwner()) void this.ask(address, endpoints)
+  }
+
+  private endpointsByOwner(): Map<Address, EndpointName[]> {
+    const { book, owners } = this.options
+    const byOwner = new Map<Address, EndpointName[]>()
+    for (const { endpoint } of book.rows) {
+      const owner = owners.ownerOf(endpoint)?.owner
+      if (owner !== undefined) byOwner.set(owner.address, [...(byOwner.get(owner.address) ?? []), endpoint])
+    }
+    return byOwner
+  }
+
+  private async ask(address: Address, endpoints: EndpointName[]): Promise<void> {
+    const { box, book, peers, waitingFor, onNews } = this.options
+    const question: CreditQuestion = {
+      box,
+      endpoints: endpoints.map((endpoint) => ({
+        endpoint,
+        inFlight: book.inFlight(endpoint),
+        waiting: waitingFor(endpoint),
+        cacheAfter: this.cacheSeqs.get(endpoint) ?? 0,
+      })),
+    }
+    try {
+      const answers = await peers.call<CreditAnswer[]>(address, 'owner.credits', question, {
+        deadline: DEADLINE_MS,
+        step: 'renew credits',
+      })
+      answers.forEach((answer) => this.take(answer))
+      onNews()
+    } catch {
+      // The owner is gone or has changed: the shares run out, and the next renewal asks whoever owns it then.
+    }
+  }
+
+  private take(answer: CreditAnswer): void {
+    const known = this.epochs.get(answer.endpoint) ?? [0, 0]
+    const isOld = answer.epoch[0] < known[0] || (answer.epoch[0] === known[0] && answer.epoch[1] < known[1])
+    if (isOld) return
+    this.epochs.set(answer.endpoint, answer.epoch)
+    this.cacheSeqs.set(answer.endpoint, answer.cacheSeq)
+    this.options.book.noteNews(answer.endpoint, {
+      report: answer.report,
+      share: answer.share,
+      leaseMs: answer.leaseMs,
+      promptTokensPerSecond: answer.promptTokensPerSecond ?? Infinity,
+      cacheEvents: answer.cacheEvents,
+    })
+  }
+}
--- /dev/null
+++ b/placement/owner/src/holdSweep.ts
@@ -0,0 +1,38 @@
+import type { BoxInfo, Members } from '@forkstage/control'
+import type { EngineHold } from '@forkstage/engine-client'
+import type { Millis } from '@forkstage/types'
+import { originOf } from './requestIds'
+
+/** What to do about one hold. */
+export type HoldVerdict =
+  | { type: 'keep' }
+  /** Ask these boxes; release if none of them runs it. */
+  | { type: 'ask'; boxes: BoxInfo[] }
+
+/** Options of {@link judgeHold}. */
+export interface JudgeHoldOptions {
+  members: Members
+  /** Younger holds may not be known everywhere yet: the grace exceeds the lag of reports. */
+  graceMs: Millis
+  /** The holds of a box that is not live are left alone this long: it may be cut off, with streams running. */
+  goneGraceMs: Millis
+  /** How long each box has not been in the list. */
+  goneFor: (box: string, incarnation: string) => Millis
+}
+
+/**
+ * Decides about a hold that an engine reports. While its box is live, that box knows. Once the box is
+ * gone, any live box may have taken the request over, so all of them are asked.
+ */
+export function judgeHold(hold: EngineHold, options: JudgeHoldOptions): HoldVerdict {
+  const origin = originOf(hold.request)
+  if (origin === undefined || hold.ageMs < options.graceMs) return { type: 'keep' }
+  const { boxes } = options.members
+  if (boxes.length === 0) return { type: 'keep' }
+  const home = boxes.find((box) => box.box === origin.box && box.incarnation === origin.incarnation)
+  if (home !== undefined) return { type: 'ask', boxes: [home] }
+  const replaced = boxes.some((box) => box.box === origin.box)
+  const longGone = options.goneFor(origin.box, origin.incarnation) >= options.goneGraceMs
+  // A box that came back under a new incarnation runs nothing of its earlier life.
+  return replaced || longGone ? { type: 'ask', boxes } : { type: 'keep' }
+}
--- /dev/null
+++ b/placement/owner/src/index.ts
@@ -0,0 +1,11 @@
+/** Endpoint owners and their credits. */
+export { OwnerService, NotOwnerError, boxOf } from './ownerService'
+export type { OwnerServiceOptions } from './ownerService'
+export { CreditClient } from './creditClient'
+export type { CreditClientOptions } from './creditClient'
+export { CREDIT_LEASE_MS, OwnedEndpoint } from './ownedEndpoint'
+export { judgeHold } from './holdSweep'
+export type { HoldVerdict, JudgeHoldOptions } from './holdSweep'
+export { formatRequestId, originOf } from './requestIds'
+export type { RequestOrigin } from './requestIds'
+export type * from './ownerTypes'
--- /dev/null
+++ b/placement/owner/src/ownedEndpoint.ts
@@ -0,0 +1,72 @@
+import type { Clock } from '@forkstage/clock'
+import type { CacheEvent, EngineReport } from '@forkstage/engine-client'
+import { shareFor, type Demand, type Grant } from '@forkstage/load'
+import type { BoxId, EndpointRow, Millis } from '@forkstage/types'
+import type { CreditAnswer } from './ownerTypes'
+
+/** How long a share is leased. */
+export const CREDIT_LEASE_MS = 1_500
+/** Cache events kept for boxes that ask; they also learn from what they send. */
+const MAX_CACHE_EVENTS = 1_024
+/** Events a single answer carries at most. */
+const EVENTS_PER_ANSWER = 128
+
+/** What the owner of one endpoint knows and has leased out. Soft state. */
+export class OwnedEndpoint {
+  report?: EngineReport
+  private reportAt: Millis = 0
+  private readonly demands = new Map<BoxId, Demand & { at: Millis }>()
+  private readonly grants = new Map<BoxId, Grant>()
+  private events: CacheEvent[] = []
+
+  constructor(
+    public row: EndpointRow,
+    private readonly clock: Clock,
+  ) {}
+
+  get cacheSeq(): number {
+    return this.events.at(-1)?.seq ?? 0
+  }
+
+  noteReport(report: EngineReport): void {
+    this.report = report
+    this.reportAt = this.clock.now()
+  }
+
+  noteEvents(events: CacheEvent[]): void {
+    this.events = [...this.events, ...events].slice(-MAX_CACHE_EVENTS)
+  }
+
+  /** Leases a share to a box, for what it asks. */
+  grant(box: BoxId, demand: Demand, cacheAfter: number, epoch: [number, number]): CreditAnswer {
+    const now = this.clock.now()
+    this.demands.set(box, { ...demand, at: now })
+    for (const [other, known] of this.demands)
+      if (now - known.at > CREDIT_LEASE_MS * 2) this.demands.delete(other)
+    const share = shareFor(box, this.row.maxInFlight, this.demands, this.grants, now)
+    this.grants.set(box, { share, until: now + CREDIT_LEASE_MS })
+    const events = this.events.filter((event) => event.seq > cacheAfter).slice(0, EVENTS_PER_ANSWER)
+    return {
+      endpoint: this.row.endpoint,
+      epoch,
+      share,
+      leaseMs: CREDIT_LEASE_MS,
+      promptTokensPerSecond: this.promptRate(share),
+      report: this.agedReport(now),
+      cacheEvents: events,
+      cacheSeq: events.at(-1)?.seq ?? Math.max(cacheAfter, this.cacheSeq),
+    }
+  }
+
+  /** The limit on prompt tokens is shared out in the proportion of the requests. */
+  private promptRate(share: number): number | null {
+    const { promptTokensPerSecond, maxInFlight } = this.row
+    return promptTokensPerSecond === 0 ? null : (promptTokensPerSecond * share) / Math.max(1, maxInFlight)
+  }
+
+  private agedReport(now: Millis): EngineReport | undefined {
+    return this.report === undefined
+      ? undefined
+      : { ...this.report, ageMs: this.report.ageMs + (now - this.reportAt) }
+  }
+}
--- /dev/null
+++ b/placement/owner/src/ownerService.ts
@@ -0,0 +1,182 @@
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import type { BoxInfo, Members } from '@forkstage/control'
+import type { EngineClient, EngineHold } from '@forkstage/engine-client'
+import type { Logger } from '@forkstage/logger'
+import type { OwnerMap } from '@forkstage/owners'
+import type { PeerCaller, PeerMethod } from '@forkstage/peer-rpc'
+import { ForkstageError } from '@forkstage/error'
+import type { BoxId, EndpointName, EndpointRow, Millis } from '@forkstage/types'
+import { judgeHold } from './holdSweep'
+import { OwnedEndpoint } from './ownedEndpoint'
+import { originOf } from './requestIds'
+import type { CreditAnswer, CreditQuestion, LiveAnswer } from './ownerTypes'
+
+/** Options of {@link OwnerService}. */
+export interface OwnerServiceOptions {
+  box: BoxId
+  owners: OwnerMap
+  members: () => Members
+  rows: () => EndpointRow[]
+  /** Whether this box may act on its table at all. */
+  holdsLease: () => boolean
+  engines: EngineClient
+  peers: PeerCaller
+  clock: Clock
+  logger: Logger
+  reportEvery: Millis
+  sweepEvery: Millis
+  graceMs: Millis
+  goneGraceMs: Millis
+}
+
+/** Raised where a box asks for credits of an endpoint that this box does not own. */
+export class NotOwnerError extends ForkstageError {
+  constructor(endpoint: EndpointName) {
+    super(
+      'FORKSTAGE_NOT_OWNER',
+      `This box does not own ${endpoint}.`,
+      'The list of live boxes has changed; ask again.',
+      { step: 'credits' },
+    )
+  }
+}
+
+const ASK_DEADLINE_MS = 1_000
+
+/** Looks after the endpoints that this box owns. */
+export class OwnerService {
+  private readonly owned = new Map<EndpointName, OwnedEndpoint>()
+  private readonly lastSeen = new Map<string, Millis>()
+  private readonly sweeping = new Set<EndpointName>()
+  private timers: CancelTimer[] = []
+
+  constructor(private readonly options: OwnerServiceOptions) {}
+
+  methods(): Record<string, PeerMethod> {
+    return { 'owner.credits': (question: CreditQuestion) => this.answerCredits(question) }
+  }
+
+  start(): void {
+    const { clock, reportEvery, sweepEvery } = this.options
+    this.timers = [
+      every(clock, reportEvery, () => this.readReports()),
+      every(clock, sweepEvery, () => this.sweep()),
+    ]
+  }
+
+  stop(): void {
+    this.timers.forEach((cancel) => cancel())
+  }
+
+  /** The endpoints this box owns now. */
+  get endpoints(): EndpointName[] {
+    return [...this.owned.keys()]
+  }
+
+  /** Takes note of a new table or a new list of boxes. */
+  refresh(): void {
+    const { rows, owners, box, clock, logger } = this.options
+    const mine = new Map<EndpointName, EndpointRow>()
+    for (const row of rows()) if (owners.ownerOf(row.endpoint)?.owner.box === box) mine.set(row.endpoint, row)
+    for (const endpoint of this.owned.keys()) if (!mine.has(endpoint)) this.owned.delete(endpoint)
+    for (const [endpoint, row] of mine) {
+      const known = this.owned.get(endpoint)
+      if (known?.row.address === row.address) known.row = row
+      else this.owned.set(endpoint, new OwnedEndpoint(row, clock))
+      if (known === undefined)
+        logger.info('owner.changed', { endpoint, owner: box, epoch: String(owners.ownerOf(endpoint)?.epoch) })
+    }
+  }
+
+  private answerCredits(question: CreditQuestion): CreditAnswer[] {
+    return question.endpoints.map(({ endpoint, cacheAfter, inFlight, waiting }) => {
+      const owned = this.owned.get(endpoint)
+      const ownership = this.options.owners.ownerOf(endpoint)
+      if (owned === undefined || ownership === undefined || !this.options.holdsLease())
+        throw new NotOwnerError(endpoint)
+      return owned.grant(question.box, { inFlight, waiting }, cacheAfter, ownership.epoch)
+    })
+  }
+
+  private readReports(): void {
+    this.noteSeen()
+    for (const owned of this.owned.values()) if (owned.row.pool !== 'plain') void this.readReport(owned)
+  }
+
+  private async readReport(owned: OwnedEndpoint): Promise<void> {
+    const { engines } = this.options
+    try {
+      owned.noteReport(await engines.report(owned.row))
+      owned.noteEvents(await engines.cacheEvents(owned.row, owned.cacheSeq))
+    } catch {
+      // Reports get lost; placement works from the last one and from what was sent since.
+    }
+  }
+
+  private noteSeen(): void {
+    const now = this.options.clock.now()
+    for (const box of this.options.members().boxes) this.lastSeen.set(`${box.box}/${box.incarnation}`, now)
+  }
+
+  private sweep(): void {
+    if (!this.options.holdsLease()) return
+    for (const owned of this.owned.values())
+      if (owned.row.pool !== 'plain') void this.sweepEndpoint(owned.row)
+  }
+
+  /** Compares what an engine holds with what the boxes run, and releases what belongs to nobody. */
+  private async sweepEndpoint(row: EndpointRow): Promise<void> {
+    if (this.sweeping.has(row.endpoint)) return
+    this.sweeping.add(row.endpoint)
+    try {
+      const holds = await this.options.engines.holds(row)
+      for (const hold of holds) await this.sweepHold(row, hold)
+    } catch {
+      // The engine does not answer; the next sweep asks again.
+    } finally {
+      this.sweeping.delete(row.endpoint)
+    }
+  }
+
+  private async sweepHold(row: EndpointRow, hold: EngineHold): Promise<void> {
+    const { members, graceMs, goneGraceMs, engines, logger } = this.options
+    const verdict = judgeHold(hold, {
+      members: members(),
+      graceMs,
+      goneGraceMs,
+      goneFor: (box, incarnation) => this.goneFor(`${box}/${incarnation}`),
+    })
+    if (verdict.type === 'keep' || (await this.runsAnywhere(hold, verdict.boxes))) return
+    await engines.release(row, { request: hold.request, epoch: hold.epoch })
+    const { request, kind, ageMs } = hold
+    logger.warn('owner.released', { endpoint: row.endpoint, request, kind, ageMs: Math.round(ageMs) })
+  }
+
+  /** A box that does not answer may run it: the hold stays until the next sweep. */
+  private async runsAnywhere(hold: EngineHold, boxes: BoxInfo[]): Promise<boolean> {
+    const { peers } = this.options
+    const asked = boxes.map((box) =>
+      peers.call<LiveAnswer>(
+        box.address,
+        'requests.live',
+        { requests: [hold.request] },
+        { deadline: ASK_DEADLINE_MS, step: 'compare holds' },
+      ),
+    )
+    const answers = await Promise.allSettled(asked)
+    return answers.some((answer) => answer.status === 'rejected' || answer.value.live.length > 0)
+  }
+
+  private goneFor(boxAndIncarnation: string): Millis {
+    const now = this.options.clock.now()
+    const seen = this.lastSeen.get(boxAndIncarnation)
+    // A box that this process has never seen counts as gone from the first time it is asked about.
+    if (seen === undefined) this.lastSeen.set(boxAndIncarnation, now)
+    return now - (seen ?? now)
+  }
+}
+
+/** The box a hold came from, for messages. */
+export function boxOf(hold: EngineHold): BoxId | undefined {
+  return originOf(hold.request)?.box
+}
--- /dev/null
+++ b/placement/queue/src/index.ts
@@ -0,0 +1,3 @@
+/** The queue of requests that wait for room. */
+export { FairQueue } from './fairQueue'
+export type { QueueItem } from './fairQueue'
--- a/replication/group/src/groupClient.ts
+++ b/replication/group/src/groupClient.ts
@@ -17,6 +17,8 @@
   /** How long to go on trying, over changes of leader. */
   deadline: Millis
   step: string
+  /** How long one replica may take to answer; for calls that do more than write to the log. */
+  callDeadline?: Millis
 }
 
 const CALL_DEADLINE_MS = 1_500
@@ -53,7 +55,7 @@
     while (clock.now() < end) {
       const address = this.leader ?? this.nextReplica()
       if (address === undefined) break
-      const deadline = Math.min(CALL_DEADLINE_MS, end - clock.now())
+      const deadline = Math.min(options.callDeadline ?? CALL_DEADLINE_MS, end - clock.now())
       try {
         const answer = await peers.call<Answer>(address, `${group}.${method}`, params, {
           deadline,
--- /dev/null
+++ b/request/runner/src/placer.ts
@@ -0,0 +1,223 @@
+import type { Clock, Random } from '@forkstage/clock'
+import type { EndpointBook, OutputForecast, RetryBudget } from '@forkstage/load'
+import type { Logger } from '@forkstage/logger'
+import {
+  createBaselineState,
+  place,
+  placeByBaseline,
+  type BaselineName,
+  type PlacePolicy,
+  type PlaceRequest,
+  type PlaceResult,
+} from '@forkstage/place'
+import { FairQueue, type QueueItem } from '@forkstage/queue'
+import type { EndpointName, Millis, RequestId } from '@forkstage/types'
+import type { ModelRequest } from './modelRequest'
+import type { RequestMeters } from './requestMeters'
+
+/** What a run asks of placement. */
+export interface PlaceQuestion {
+  request: RequestId
+  model: ModelRequest
+  attempt: number
+  avoid: EndpointName[]
+  waited: Millis
+  keepPrefill?: EndpointName
+  answer: (result: PlaceResult | 'retry-budget') => void
+}
+
+interface Waiting extends QueueItem {
+  question: PlaceQuestion
+  since: Millis
+}
+
+/** Options of {@link Placer}. */
+export interface PlacerOptions {
+  book: EndpointBook
+  policyName: 'forkstage' | BaselineName
+  policy: PlacePolicy
+  forecast: OutputForecast
+  budget: RetryBudget
+  clock: Clock
+  random: Random
+  logger: Logger
+  meters: RequestMeters
+  /** Asks for more credits at once. */
+  wantCredits: () => void
+}
+
+/** Requests that may wait here at most; beyond, they are refused at once. */
+const MAX_WAITING = 512
+
+/** Places requests, and keeps those that must wait for room in a fair queue. */
+export class Placer {
+  private readonly queue = new FairQueue<Waiting>()
+  private readonly baseline = createBaselineState()
+  private draining = false
+
+  constructor(private readonly options: PlacerOptions) {}
+
+  get waiting(): number {
+    return this.queue.length
+  }
+
+  /** Answers by the question's own callback: at once, or when there is room, or when it is too late. */
+  ask(question: PlaceQuestion): void {
+    if (question.attempt > 0 && !this.takeRetry()) return question.answer('retry-budget')
+    if (question.attempt === 0) this.options.budget.noteFirstTry()
+    // Whoever waits already goes first, unless this request goes on with a prefill that is kept.
+    const mustQueue = this.queue.length > 0 && question.keepPrefill === undefined
+    if (mustQueue) return this.enqueue(question)
+    this.decide(question, () => this.enqueue(question))
+  }
+
+  /** Drops a question whose request has ended. */
+  forget(request: RequestId): void {
+    for (const item of this.queue.items())
+      if (item.question.request === request) this.queue.remove(item, false)
+  }
+
+  /** Tries those that wait again, in fair order, until one finds no room. */
+  drain(): void {
+    if (this.draining) return
+    this.draining = true
+    this.refuseLate()
+    for (let item = this.queue.peek(); item !== undefined; item = this.queue.peek()) {
+      let stuck = false
+      const { question, since } = item
+      const waited = question.waited + this.options.clock.now() - since
+      this.decide(
+        { ...question, waited, answer: (result) => this.answerWaiting(item!, result) },
+        () => void (stuck = true),
+      )
+      if (stuck) break
+    }
+    this.draining = false
+  }
+
+  private answerWaiting(item: Waiting, result: PlaceResult | 'retry-budget'): void {
+    this.queue.remove(item, result !== 'retry-budget' && result.type === 'placed')
+    item.question.answer(result)
+  }
+
+  private decide(question: PlaceQuestion, wait: () => void): void {
+    const result = this.place(question)
+    if (result.type === 'refused' && result.reason === 'no-credit') this.options.wantCredits()
+    const mayWait = result.type === 'refused' && result.mayWait && question.waited < question.model.ttftMs
+    if (mayWait) return wait()
+    this.log(question, result)
+    question.answer(result)
+  }
+
+  private enqueue(question: PlaceQuestion): void {
+    const { clock } = this.options
+    if (this.queue.length >= MAX_WAITING) {
+      const result: PlaceResult = {
+        type: 'refused',
+        reason: 'too-late',
+        retryAfter: question.model.ttftMs,
+        mayWait: false,
+        candidates: [],
+        closed: [],
+      }
+      this.log(question, result)
+      return question.answer(result)
+    }
+    const { workspace, priority, promptTokens } = question.model
+    this.queue.push({ workspace, priority, cost: promptTokens, question, since: clock.now() })
+    if (this.queue.length > 1) this.drain()
+  }
+
+  /** Gives up on those that could not meet their target even if there were room now. */
+  private refuseLate(): void {
+    const now = this.options.clock.now()
+    for (const item of this.queue.items()) {
+      const { question, since } = item
+      const waited = question.waited + now - since
+      if (waited < question.model.ttftMs) continue
+      const result: PlaceResult = {
+        type: 'refused',
+        reason: 'too-late',
+        retryAfter: question.model.ttftMs,
+        mayWait: false,
+        candidates: [],
+        closed: [],
+      }
+      this.log(question, result)
+      this.answerWaiting(item, result)
+    }
+  }
+
+  private place(question: PlaceQuestion): PlaceResult {
+    const { book, policyName, policy, random } = this.options
+    const request = this.toPlaceRequest(question)
+    const view = book.view(question.model.blocks)
+    const { keepPrefill } = question
+    if (keepPrefill !== undefined)
+      view.endpoints = view.endpoints
+        .map((each) => reopenKept(each, keepPrefill))
+        .filter((each) => each.row.pool !== 'prefill' || each.row.endpoint === keepPrefill)
+    const targeted = { ...policy, ttftTarget: question.model.ttftMs }
+    if (policyName !== 'forkstage') return placeByBaseline(policyName, request, view, targeted, this.baseline)
+    // A retry has spent its time already: it goes ahead late rather than throwing away what was done.
+    const parts = question.attempt > 0 ? { ...policy.parts, refuseLate: false } : policy.parts
+    return place(request, view, { policy: { ...targeted, parts }, random })
+  }
+
+  private toPlaceRequest(question: PlaceQuestion): PlaceRequest {
+    const { model, request, waited, avoid } = question
+    const expectedOutput = this.options.forecast.expect(
+      `${model.service}/${model.className}`,
+      model.maxTokens,
+    )
+    const { service, promptTokens, kvBytesPerToken } = model
+    return {
+      request,
+      service,
+      model: model.model,
+      promptTokens,
+      expectedOutput,
+      kvBytesPerToken,
+      waited,
+      avoid,
+    }
+  }
+
+  private takeRetry(): boolean {
+    const granted = this.options.budget.take()
+    this.options.meters.noteRetry(granted)
+    return granted
+  }
+
+  private log(question: PlaceQuestion, result: PlaceResult): void {
+    const { request, model } = question
+    const placed = result.type === 'placed'
+    this.options.logger.info('placement.decided', {
+      request,
+      caller: model.caller,
+      service: model.service,
+      outcome: result.type,
+      reason: placed ? 'lowest cost' : result.reason,
+      choice: placed
+        ? rounded(result.figures)
+        : { retryAfter: Math.round(result.retryAfter), closed: result.closed },
+      candidates: result.candidates.map(rounded),
+    })
+  }
+}
+
+/** The engine that keeps this request's result needs no credit for handing it over. */
+function reopenKept<
+  View extends { row: { endpoint: EndpointName }; closed?: unknown; queuedPrefillTokens: number },
+>(view: View, kept: EndpointName): View {
+  return view.row.endpoint === kept ? { ...view, closed: undefined, queuedPrefillTokens: 0 } : view
+}
+
+/** Figures as a log line shows them. */
+export function rounded(figures: object): Record<string, unknown> {
+  const entries = Object.entries(figures).map(([name, value]) => [
+    name,
+    typeof value === 'number' ? Math.round(value * 100) / 100 : value,
+  ])
+  return Object.fromEntries(entries) as Record<string, unknown>
+}
--- /dev/null
+++ b/request/runner/src/plainCall.ts
@@ -0,0 +1,344 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { pipeline } from 'node:stream/promises'
+import { PassThrough, type Readable } from 'node:stream'
+import { Agent, request as httpRequest, type Dispatcher } from 'undici'
+import type { JournalClient, JournalResult, Outcome } from '@forkstage/claims'
+import type { Clock } from '@forkstage/clock'
+import { NOT_RUN_HEADER, NOT_RUN_VALUE } from '@forkstage/engine-client'
+import type { EndpointBook } from '@forkstage/load'
+import type { Logger } from '@forkstage/logger'
+import type { EndpointRow, Millis, RequestId, RequestKey } from '@forkstage/types'
+import { AnswerError, KeyReusedError, MayHaveRunError, OutcomeNotKeptError } from './answerErrors'
+import { createOutcome } from './outcome'
+import { choosePlainEndpoint } from './choosePlainEndpoint'
+import type { StoryBook } from './storyBook'
+
+/** A call to a plain service that has been read and checked. */
+export interface PlainRequest {
+  request: RequestId
+  caller: string
+  service: string
+  /** Absent where the call may be repeated and the caller gave no key: nothing is remembered of it then. */
+  key?: RequestKey
+  bodyDigest: string
+  repeatable: boolean
+  method: string
+  /** Path and query, as the service sees them. */
+  path: string
+  headers: Record<string, string | string[]>
+  /** The body: whole where it had to be hashed for its key, else as it comes. */
+  body: Buffer | Readable | undefined
+  deadlineMs: Millis
+}
+
+/** What plain calls need from their box. */
+export interface PlainParts {
+  journal: JournalClient
+  book: EndpointBook
+  stories: StoryBook
+  clock: Clock
+  logger: Logger
+  outcomeBytes: number
+  random: () => number
+}
+
+/** Headers that belong to one connection and are not passed on. */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+])
+/** Headers that are the router's own business. */
+const NOT_FORWARDED = new Set(['authorization', 'host', 'content-length', 'expect'])
+const NEVER_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+/** Endpoints tried for a call that may be repeated. */
+const MOST_TRIES = 3
+
+/** Sends plain calls: at most once where they may not be repeated. */
+export class PlainCalls {
+  private readonly agent = new Agent({
+    connections: 128,
+    pipelining: 1,
+    connect: { timeout: 1_000 },
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  })
+  private active = 0
+
+  constructor(private readonly parts: PlainParts) {}
+
+  /** Calls that are under way. */
+  get running(): number {
+    return this.active
+  }
+
+  /** Serves a call. @throws AnswerError where no answer of the service can be given. */
+  async serve(call: PlainRequest, response: ServerResponse): Promise<void> {
+    this.active += 1
+    try {
+      const epoch = call.key === undefined ? undefined : await this.claim(call.key, call, response)
+      if (epoch === 'replayed') return
+      await this.run(call, response, epoch)
+    } finally {
+      this.active -= 1
+    }
+  }
+
+  close(): Promise<void> {
+    return this.agent.destroy()
+  }
+
+  /** Claims the key before anything is sent. The claim is synced on a majority when this returns. */
+  private async claim(
+    key: RequestKey,
+    call: PlainRequest,
+    response: ServerResponse,
+  ): Promise<number | 'replayed'> {
+    const result = await this.parts.journal
+      .claim(key, call.bodyDigest, call.request, call.repeatable)
+      .catch((error: unknown) => {
+        throw notRun('FORKSTAGE_JOURNAL_UNAVAILABLE', 'The request could not be claimed.', 503, error)
+      })
+    this.parts.stories.tell(call.request, 'claim', { outcome: result.type })
+    return this.takeClaim(result, call, response)
+  }
+
+  private async takeClaim(
+    result: JournalResult,
+    call: PlainRequest,
+    response: ServerResponse,
+  ): Promise<number | 'replayed'> {
+    switch (result.type) {
+      case 'new':
+        return result.epoch
+      case 'done':
+        replay(result.claim.request, result.claim.outcome!, response)
+        return 'replayed'
+      case 'running':
+        if (!result.claim.repeatable) throw new MayHaveRunError(result.claim.request)
+        return this.takeOver(call, result.claim.epoch, response)
+      case 'mismatch':
+        throw new KeyReusedError(call.key ?? '')
+      default:
+        throw notRun('FORKSTAGE_JOURNAL_FULL', 'The journal takes no more keys now.', 503)
+    }
+  }
+
+  private async takeOver(
+    call: PlainRequest,
+    epoch: number,
+    response: ServerResponse,
+  ): Promise<number | 'replayed'> {
+    return this.takeClaim(await this.parts.journal.takeOver(call.key!, epoch), call, response)
+  }
+
+  private async run(call: PlainRequest, response: ServerResponse, epoch: number | undefined): Promise<void> {
+    const tried: EndpointRow[] = []
+    for (;;) {
+      const row = choosePlainEndpoint(call, this.parts, tried)
+      if (row === undefined) {
+        await this.forget(call, epoch)
+        throw notRun('FORKSTAGE_NO_ENDPOINT', `No endpoint of ${call.service} takes calls now.`, 503)
+      }
+      tried.push(row)
+      const failure = await this.dispatch(call, row, response, epoch)
+      if (failure === undefined) return
+      const mayRetry = call.repeatable && isReplayable(call.body) && tried.length < MOST_TRIES
+      if (!mayRetry) throw await this.failed(call, row, failure, epoch)
+    }
+  }
+
+  /** One dispatch. Returns why it failed, or undefined once the answer has been relayed. */
+  private async dispatch(
+    call: PlainRequest,
+    row: EndpointRow,
+    response: ServerResponse,
+    epoch: number | undefined,
+  ): Promise<DispatchFailure | undefined> {
+    const { book, stories } = this.parts
+    book.noteSent(row.endpoint, call.request, { promptTokens: 0, prefillTokens: 0, kvTokens: 0 }, [])
+    stories.tell(call.request, 'dispatch', { endpoint: row.endpoint, method: call.method, path: call.path })
+    try {
+      const answer = await this.send(call, row)
+      const refused = answer.headers[NOT_RUN_HEADER] === NOT_RUN_VALUE && answer.statusCode >= 400
+      if (refused) {
+        await answer.body.dump()
+        book.noteResult(row.endpoint, 'refused')
+        return { notRun: true, reason: `refused with status ${answer.statusCode}` }
+      }
+      await this.relay(call, answer, response, epoch)
+      book.noteResult(row.endpoint, undefined)
+      return undefined
+    } catch (error) {
+      if (response.headersSent) throw error
+      const code = (error as { code?: string }).code ?? ''
+      const reason = error instanceof Error ? error.message : String(error)
+      book.noteResult(row.endpoint, reason)
+      return { notRun: NEVER_CONNECTED.has(code), reason, cause: error }
+    } finally {
+      book.noteEnded(row.endpoint, call.request)
+    }
+  }
+
+  private async send(call: PlainRequest, row: EndpointRow): Promise<Dispatcher.ResponseData> {
+    const headers = { ...forwardable(call.headers), 'x-forkstage-request': call.request }
+    const abort = new AbortController()
+    const cancel = this.parts.clock.after(call.deadlineMs, () => abort.abort(new Error('deadline')))
+    try {
+      return await httpRequest(`http://${row.address}${call.path}`, {
+        method: call.method as Dispatcher.HttpMethod,
+        headers,
+        body: call.body,
+        dispatcher: this.agent,
+        signal: abort.signal,
+      })
+    } finally {
+      cancel()
+    }
+  }
+
+  /** Passes the answer on. With a key, the outcome is synced in the journal before the first byte leaves. */
+  private async relay(
+    call: PlainRequest,
+    answer: Dispatcher.ResponseData,
+    response: ServerResponse,
+    epoch: number | undefined,
+  ): Promise<void> {
+    const headers = forwardable(answer.headers as Record<string, string | string[]>)
+    if (call.key === undefined || epoch === undefined) {
+      writeHead(response, answer.statusCode, headers, call.request)
+      return pipeline(answer.body, response)
+    }
+    const body = Buffer.from(await answer.body.arrayBuffer())
+    const outcome = createOutcome(body, {
+      status: answer.statusCode,
+      headers: singleValued(headers),
+      keepBytes: this.parts.outcomeBytes,
+    })
+    const result = await this.parts.journal.settle(call.key, epoch, outcome).catch(() => undefined)
+    if (result?.type === 'fenced') throw new MayHaveRunError(call.request)
+    this.parts.stories.tell(call.request, 'ended', {
+      status: answer.statusCode,
+      bytes: body.length,
+      settled: result?.type ?? 'unknown',
+    })
+    writeHead(response, answer.statusCode, headers, call.request)
+    response.end(body)
+  }
+
+  private async failed(
+    call: PlainRequest,
+    row: EndpointRow,
+    failure: DispatchFailure,
+    epoch: number | undefined,
+  ): Promise<AnswerError> {
+    this.parts.stories.tell(call.request, 'ended', {
+      endpoint: row.endpoint,
+      reason: failure.reason,
+      notRun: failure.notRun,
+    })
+    const origin = { step: 'dispatch', peer: row.endpoint, cause: failure.cause }
+    if (failure.notRun || call.repeatable) await this.forget(call, epoch)
+    const message = `${row.endpoint} gave no answer: ${failure.reason}`
+    if (failure.notRun)
+      return new AnswerError('FORKSTAGE_ENDPOINT', message, 'Send it again.', 503, 'not-run', 500, origin)
+    const hint = call.repeatable
+      ? 'Send it again.'
+      : 'It is not run again. Send the same key later to ask for its outcome.'
+    return new AnswerError('FORKSTAGE_MAY_HAVE_RUN', message, hint, 502, 'may-have-run', 1_000, origin)
+  }
+
+  private async forget(call: PlainRequest, epoch: number | undefined): Promise<void> {
+    if (call.key === undefined || epoch === undefined) return
+    await this.parts.journal.forget(call.key, epoch).catch(() => undefined)
+  }
+}
+
+interface DispatchFailure {
+  /** Whether it is proved that nothing ran. */
+  notRun: boolean
+  reason: string
+  cause?: unknown
+}
+
+function isReplayable(body: PlainRequest['body']): boolean {
+  return body === undefined || Buffer.isBuffer(body)
+}
+
+function notRun(code: `FORKSTAGE_${string}`, message: string, status: number, cause?: unknown): AnswerError {
+  return new AnswerError(
+    code,
+    message,
+    'Nothing was run; send it again a little later.',
+    status,
+    'not-run',
+    500,
+    { step: 'dispatch', cause },
+  )
+}
+
+function forwardable(
+  headers: Record<string, string | string[] | undefined>,
+): Record<string, string | string[]> {
+  const named = String(headers.connection ?? '')
+    .split(',')
+    .map((name) => name.trim().toLowerCase())
+  const kept = Object.entries(headers).filter(([name, value]) => {
+    const lower = name.toLowerCase()
+    return (
+      value !== undefined && !HOP_BY_HOP.has(lower) && !NOT_FORWARDED.has(lower) && !named.includes(lower)
+    )
+  })
+  return Object.fromEntries(kept) as Record<string, string | string[]>
+}
+
+function singleValued(headers: Record<string, string | string[]>): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value]),
+  )
+}
+
+function writeHead(
+  response: ServerResponse,
+  status: number,
+  headers: Record<string, string | string[]>,
+  request: RequestId,
+): void {
+  response.writeHead(status, { ...headers, 'x-forkstage-execution': 'ran', 'x-forkstage-request': request })
+}
+
+function replay(request: RequestId, outcome: Outcome, response: ServerResponse): void {
+  if (outcome.body === undefined) throw new OutcomeNotKeptError(request, outcome.digest)
+  writeHead(response, outcome.status, { ...outcome.headers, 'x-forkstage-replayed': 'true' }, request)
+  response.end(Buffer.from(outcome.body, 'base64'))
+}
+
+/** Reads a body whole, up to a limit; undefined where it is larger. */
+export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of request) {
+    bytes += (chunk as Buffer).length
+    if (bytes > maxBytes) return undefined
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks)
+}
+
+/** A body that fails as soon as it grows beyond a limit. */
+export function limitBody(request: IncomingMessage, maxBytes: number): Readable {
+  const limited = new PassThrough()
+  let bytes = 0
+  request.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (bytes > maxBytes) limited.destroy(new Error(`the body is larger than ${maxBytes} bytes`))
+  })
+  request.on('aborted', () => limited.destroy(new Error('the caller is gone')))
+  request.pipe(limited)
+  return limited
+}
--- /dev/null
+++ b/request/runner/src/releaseKeeper.ts
@@ -0,0 +1,65 @@
+import type { Clock } from '@forkstage/clock'
+import { EndpointError, type AttemptId, type EngineClient } from '@forkstage/engine-client'
+import type { Logger } from '@forkstage/logger'
+import type { EndpointName, EndpointRow, Millis } from '@forkstage/types'
+
+/** Options of {@link ReleaseKeeper}. */
+export interface ReleaseKeeperOptions {
+  engines: EngineClient
+  row: (endpoint: EndpointName) => EndpointRow | undefined
+  clock: Clock
+  logger: Logger
+}
+
+const FIRST_RETRY_MS = 100
+const LONGEST_RETRY_MS = 2_000
+/** Given up after this long: by then the engine has restarted, or its owner's comparison releases the hold. */
+const GIVE_UP_MS = 60_000
+
+/** Releases what engines hold for requests that have ended, and tries again until the engine confirms. */
+export class ReleaseKeeper {
+  private open = 0
+
+  constructor(private readonly options: ReleaseKeeperOptions) {}
+
+  /** Releases that have not been confirmed yet. */
+  get pending(): number {
+    return this.open
+  }
+
+  release(endpoint: EndpointName, attempt: AttemptId): void {
+    this.open += 1
+    this.tryRelease(endpoint, attempt, FIRST_RETRY_MS, this.options.clock.now() + GIVE_UP_MS)
+  }
+
+  private tryRelease(endpoint: EndpointName, attempt: AttemptId, pause: Millis, end: Millis): void {
+    const row = this.options.row(endpoint)
+    if (row === undefined || this.options.clock.now() > end) return this.settle(endpoint, attempt, false)
+    this.options.engines.release(row, attempt).then(
+      () => this.settle(endpoint, attempt, true),
+      (error: EndpointError) => this.retry(endpoint, attempt, pause, end, error),
+    )
+  }
+
+  private retry(
+    endpoint: EndpointName,
+    attempt: AttemptId,
+    pause: Millis,
+    end: Millis,
+    error: EndpointError,
+  ): void {
+    const { logger, clock } = this.options
+    logger.debug('request.step', {
+      request: attempt.request,
+      step: 'release',
+      peer: endpoint,
+      detail: error.reason,
+    })
+    clock.after(pause, () => this.tryRelease(endpoint, attempt, Math.min(LONGEST_RETRY_MS, pause * 2), end))
+  }
+
+  private settle(endpoint: EndpointName, attempt: AttemptId, confirmed: boolean): void {
+    this.open -= 1
+    this.options.logger.debug('request.released', { request: attempt.request, endpoint, confirmed })
+  }
+}
--- /dev/null
+++ b/request/runner/src/runRegistry.ts
@@ -0,0 +1,231 @@
+import type { Clock } from '@forkstage/clock'
+import type { Claim, JournalClient, JournalResult } from '@forkstage/claims'
+import type { Members } from '@forkstage/control'
+import { formatRequestId, type LiveAnswer, type LiveQuestion, type RequestOrigin } from '@forkstage/owner'
+import type { PeerCaller, PeerMethod } from '@forkstage/peer-rpc'
+import type { Millis, RequestId, RequestKey } from '@forkstage/types'
+import { followRun, replayAnswer, type AnswerPart, type AnswerSource } from './answerSource'
+import { MayHaveRunError, KeyReusedError, OutcomeNotKeptError } from './answerErrors'
+import { ModelRun, type RunParts, type Takeover } from './modelRun'
+import type { ModelRequest } from './modelRequest'
+
+/** Options of {@link RunRegistry}. */
+export interface RunRegistryOptions {
+  parts: RunParts
+  journal: JournalClient
+  origin: RequestOrigin
+  members: () => Members
+  peers: PeerCaller
+  clock: Clock
+  /** How long a run whose caller is gone waits for it to come back, where it chose the key. */
+  reconnectMs: Millis
+}
+
+/** A box's answer to another that follows one of its runs. */
+type ReadAnswer = AnswerPart | { unknown: true }
+
+/** Ended runs stay readable this long, for callers that follow from other boxes. */
+const KEEP_ENDED_MS = 3_000
+const READ_WAIT_MS = 800
+const READ_DEADLINE_MS = 2_500
+const PAUSE_MS = 150
+
+/** All model requests that this box runs, and the way to those that other boxes run. */
+export class RunRegistry {
+  private readonly byKey = new Map<RequestKey, ModelRun>()
+  private readonly byId = new Map<RequestId, ModelRun>()
+  private count = 0
+
+  constructor(private readonly options: RunRegistryOptions) {}
+
+  /** Runs that have not ended. */
+  get running(): number {
+    return [...this.byId.values()].filter((run) => run.end === undefined).length
+  }
+
+  methods(): Record<string, PeerMethod> {
+    return {
+      'requests.live': (question: LiveQuestion): LiveAnswer => ({
+        live: question.requests.filter((id) => this.byId.get(id)?.end === undefined && this.byId.has(id)),
+      }),
+      'requests.read': (params: { request: RequestId; from: number }) =>
+        this.read(params.request, params.from),
+    }
+  }
+
+  createId(): RequestId {
+    this.count += 1
+    return formatRequestId(this.options.origin, this.count)
+  }
+
+  /**
+   * Finds or makes the run for a request and returns where its answer comes from.
+   * `from` is the number of tokens the caller has already.
+   */
+  async open(model: ModelRequest, from: number): Promise<AnswerSource> {
+    const known = this.byKey.get(model.key)
+    const joins = known !== undefined && known.end === undefined
+    if (joins && known.model.bodyDigest !== model.bodyDigest) throw new KeyReusedError(model.key)
+    if (joins) return this.follow(known)
+    const run = new ModelRun(this.createId(), model, this.options.parts)
+    this.add(run)
+    run.start()
+    return this.followOrElse(run, model, from)
+  }
+
+  /** Cuts every run short; returns how many. */
+  cutAll(): number {
+    const running = [...this.byId.values()].filter((run) => run.end === undefined)
+    running.forEach((run) => run.cancel())
+    return running.length
+  }
+
+  private add(run: ModelRun): void {
+    this.byKey.set(run.model.key, run)
+    this.byId.set(run.id, run)
+    run.listen(() => {
+      if (run.end === undefined) return
+      if (this.byKey.get(run.model.key) === run) this.byKey.delete(run.model.key)
+      this.options.clock.after(KEEP_ENDED_MS, () => this.byId.delete(run.id))
+    })
+  }
+
+  private follow(run: ModelRun): AnswerSource {
+    return followRun(run, () => this.noteLeft(run))
+  }
+
+  /** The caller is gone: without another one the run ends, at once or after the time to reconnect. */
+  private noteLeft(run: ModelRun): void {
+    const end = () => {
+      // One listener is the registry's own.
+      if (run.followers <= 1 && run.end === undefined) run.cancel()
+    }
+    if (run.model.resumable) this.options.clock.after(this.options.reconnectMs, end)
+    else end()
+  }
+
+  /** Follows a run; where the claim turns out to be another box's, goes on from there. */
+  private followOrElse(run: ModelRun, model: ModelRequest, from: number): AnswerSource {
+    let source = this.follow(run)
+    return {
+      get request() {
+        return source.request
+      },
+      next: async (seq) => {
+        const part = await source.next(seq)
+        if (part.end?.type !== 'superseded') return part
+        source = await this.openElsewhere(run, model, Math.max(seq, from))
+        return source.next(seq)
+      },
+      leave: () => source.leave(),
+    }
+  }
+
+  private async openElsewhere(run: ModelRun, model: ModelRequest, from: number): Promise<AnswerSource> {
+    const { superseded } = run
+    if (superseded?.type === 'running') return this.openClaim(superseded.claim, model, from)
+    if (superseded?.type === 'done') return replayClaim(superseded.claim)
+    throw new KeyReusedError(model.key)
+  }
+
+  /** Follows the box that holds the claim, or takes it over where that box is gone. */
+  private async openClaim(claim: Claim, model: ModelRequest, from: number): Promise<AnswerSource> {
+    if (!claim.repeatable) throw new MayHaveRunError(claim.request)
+    if (!this.ownerIsLive(claim)) return this.takeOver(claim, model, from)
+    return this.followRemote(claim, model)
+  }
+
+  private ownerIsLive(claim: Claim): boolean {
+    const { boxes, version } = this.options.members()
+    // Without a list of live boxes nobody may be taken for gone.
+    if (version[0] === 0) return true
+    return boxes.some((box) => box.box === claim.owner.box && box.incarnation === claim.owner.incarnation)
+  }
+
+  private async takeOver(claim: Claim, model: ModelRequest, from: number): Promise<AnswerSource> {
+    const result = await this.options.journal.takeOver(claim.key, claim.epoch)
+    if (result.type !== 'new') return this.openResult(result, model, from)
+    const takeover: Takeover = { epoch: result.epoch, claim, deliveredBefore: from }
+    const run = new ModelRun(claim.request, model, this.options.parts, takeover)
+    this.add(run)
+    run.start()
+    return this.follow(run)
+  }
+
+  private async openResult(result: JournalResult, model: ModelRequest, from: number): Promise<AnswerSource> {
+    if (result.type === 'done') return replayClaim(result.claim)
+    if (result.type === 'running') return this.openClaim(result.claim, model, from)
+    if (result.type === 'mismatch') throw new KeyReusedError(model.key)
+    return this.open(model, from)
+  }
+
+  /** Reads a run of another box; when that box is lost or knows nothing of it, asks the journal again. */
+  private followRemote(claim: Claim, model: ModelRequest): AnswerSource {
+    const { peers, clock } = this.options
+    let moved: AnswerSource | undefined
+    let left = false
+    const params = (from: number) => ({ request: claim.request, from })
+    const next = async (from: number): Promise<AnswerPart> => {
+      while (!left) {
+        if (moved !== undefined) return moved.next(from)
+        const options = { deadline: READ_DEADLINE_MS, step: 'follow run' }
+        const answer = await peers
+          .call<ReadAnswer>(claim.owner.address, 'requests.read', params(from), options)
+          .catch(() => undefined)
+        if (answer !== undefined && !('unknown' in answer)) {
+          if (answer.tokens.length > 0 || answer.end !== undefined) return answer
+          continue
+        }
+        await new Promise<void>((resolve) => void clock.after(PAUSE_MS, resolve))
+        moved = await this.reopen(claim, model, from)
+      }
+      return { tokens: [], end: { type: 'cancelled' } }
+    }
+    const leave = () => {
+      left = true
+      moved?.leave()
+    }
+    return { request: claim.request, next, leave }
+  }
+
+  /** After a box was lost: the journal says whether its run has ended, goes on, or must be taken over. */
+  private async reopen(claim: Claim, model: ModelRequest, from: number): Promise<AnswerSource | undefined> {
+    const known = await this.options.journal.find(claim.key)
+    if (known === undefined) return this.open(model, from)
+    if (known.outcome !== undefined) return replayClaim(known)
+    const sameOwner = known.epoch === claim.epoch
+    return sameOwner && this.ownerIsLive(known) ? undefined : this.openClaim(known, model, from)
+  }
+
+  private async read(request: RequestId, from: number): Promise<ReadAnswer> {
+    const run = this.byId.get(request)
+    if (run === undefined || run.end?.type === 'superseded') return { unknown: true }
+    const now = (): AnswerPart => ({ tokens: run.tokensFrom(from), end: run.end })
+    const ready = () => now().tokens.length > 0 || run.end !== undefined
+    if (!ready()) await this.waitFor(run)
+    return now()
+  }
+
+  /** Waits for news of a run, but not for ever; meanwhile the reader counts as its follower. */
+  private waitFor(run: ModelRun): Promise<void> {
+    return new Promise((resolve) => {
+      const done = () => {
+        cancel()
+        unlisten()
+        resolve()
+      }
+      const unlisten = run.listen(done)
+      const cancel = this.options.clock.after(READ_WAIT_MS, done)
+    })
+  }
+}
+
+function replayClaim(claim: Claim): AnswerSource {
+  const { outcome } = claim
+  if (outcome?.body === undefined) throw new OutcomeNotKeptError(claim.request, outcome?.digest ?? '')
+  const stored = JSON.parse(Buffer.from(outcome.body, 'base64').toString()) as {
+    tokens: string[]
+    finish: string
+  }
+  return replayAnswer(claim.request, stored.tokens, stored.finish)
+}
--- a/settings/settings/src/schema.ts
+++ b/settings/settings/src/schema.ts
@@ -2,6 +2,17 @@
 
 const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/
 
+/** The parts of the placement policy that can be switched off for an experiment. */
+const POLICY_PARTS = [
+  'refuseLate',
+  'prefixCache',
+  'links',
+  'decodeLoad',
+  'localPrefill',
+  'weights',
+  'spread',
+] as const
+
 const address = z.string().regex(ADDRESS, 'an IP number and a port, as 127.0.0.1:7000')
 const duration = (fallback: number) => z.number().int().min(1).max(3_600_000).default(fallback)
 const credential = z.strictObject({
@@ -21,7 +32,12 @@
   data_folder: z.string().optional(),
 })
 
-const listenSection = z.strictObject({ callers: address, operators: address, peers: address })
+const listenSection = z.strictObject({
+  callers: address,
+  operators: address,
+  peers: address,
+  peers_advertise: address.optional(),
+})
 
 const controlSection = z.strictObject({
   replicas: z.array(z.strictObject({ box: z.string().min(1), address })).min(1),
@@ -43,6 +59,7 @@
     groups: z.number().int().min(1).max(256).default(1),
     retain_ms: z.number().int().min(10_000).max(86_400_000).default(600_000),
     max_claims: z.number().int().min(100).max(10_000_000).default(200_000),
+    max_outcome_total_bytes: z.number().int().min(0).max(4_294_967_296).default(67_108_864),
     outcome_bytes: z.number().int().min(0).max(1_048_576).default(16_384),
   })
   .prefault({})
@@ -54,6 +71,7 @@
     wasted_prefill_weight: z.number().min(0).max(10).default(1),
     ttft_target_ms: duration(770),
     tbt_target_ms: duration(61),
+    switched_off: z.array(z.enum(POLICY_PARTS)).default([]),
     retry_share: z.number().min(0).max(1).default(0.1),
   })
   .prefault({})
@@ -68,6 +86,7 @@
     deadline_ms: duration(60_000),
     engine_step_ms: duration(5_000),
     stall_ms: duration(1_500),
+    reconnect_ms: duration(1_500),
   })
   .prefault({})
 
--- /dev/null
+++ b/tools/deployment/src/deployment.ts
@@ -0,0 +1,263 @@
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import got from 'got'
+import type { ConfirmAnswer } from '@forkstage/operator-api'
+import type { ControlStatus } from '@forkstage/control'
+import { startCutProxy, type CutProxy } from './cutProxy'
+import { createTable, type Site, type SitePorts } from './sites'
+import { startProcess, waitForLine, type RunningProcess } from './startProcess'
+import { formatSettings, type SettingsOverrides } from './formatSettings'
+import { waitUntil } from './waitUntil'
+import type { Table, VersionedTable } from '@forkstage/types'
+
+/** Options of {@link Deployment}. */
+export interface DeploymentOptions {
+  site: Site
+  /** Settings, data folders and logs go here. */
+  folder: string
+  /** The first of about a hundred ports. */
+  portBase: number
+  /** How the daemon is started; the bundle where not given. */
+  command?: string[]
+  fakesCommand?: string[]
+  settings?: SettingsOverrides
+  /** Profile of the stand-in engines. */
+  engineProfile?: Record<string, unknown>
+  /** Only so many of the site's boxes. */
+  boxes?: number
+  /** Put a cutting proxy before every box's peer listener. */
+  cutProxies?: boolean
+  /** Start the platform's list too. */
+  platform?: boolean
+}
+
+/** One box of a deployment. */
+export interface BoxHandle {
+  name: string
+  control: boolean
+  callers: string
+  operators: string
+  /** The IP number that the box's own calls come from. */
+  host: string
+  settingsFile: string
+  dataFolder: string
+  proxy?: CutProxy
+  process?: RunningProcess
+}
+
+export const CALLER_TOKEN = 'caller-token-of-a-deployment'
+export const OPERATOR_TOKEN = 'operator-token-of-a-deployment'
+const SHARED_KEY = 'the shared key of a deployment'
+const PORTS_A_KIND = 10
+
+/** A whole site on loopback, each box and each kind of stand-in a process of its own. */
+export class Deployment {
+  readonly boxes: BoxHandle[]
+  readonly ports: SitePorts
+  readonly platformPort: number
+  private fakes: RunningProcess[] = []
+
+  constructor(readonly options: DeploymentOptions) {
+    const { portBase, site, boxes = site.boxes.length } = options
+    const three = (offset: number) => [0, 1, 2].map((index) => portBase + offset + index)
+    this.ports = { prefill: three(0), decode: three(PORTS_A_KIND), plain: three(2 * PORTS_A_KIND) }
+    this.platformPort = portBase + 29
+    this.boxes = site.boxes.slice(0, boxes).map((box, index) => this.describeBox(box, index))
+  }
+
+  get table(): Table {
+    return createTable(this.options.site, this.ports)
+  }
+
+  async start(): Promise<void> {
+    mkdirSync(this.options.folder, { recursive: true })
+    await this.startFakes()
+    if (this.options.cutProxies) await this.startProxies()
+    this.boxes.forEach((box) => this.writeSettings(box))
+    this.boxes.forEach((box) => this.startBox(box))
+    await Promise.all(this.boxes.map((box) => this.waitForOperators(box)))
+  }
+
+  startBox(box: BoxHandle): void {
+    const { command = ['node', 'dist/forkstage.cjs'], folder } = this.options
+    box.process = startProcess([...command, 'run', '--settings', box.settingsFile], {
+      logFile: join(folder, `${box.name}.log`),
+    })
+  }
+
+  async waitForOperators(box: BoxHandle): Promise<void> {
+    const alive = async () =>
+      (await got(`http://${box.operators}/healthz`, { retry: { limit: 0 }, timeout: { request: 1_000 } }))
+        .statusCode === 200
+    await waitUntil(alive, { what: `${box.name} to listen` })
+  }
+
+  async waitReady(boxes = this.boxes): Promise<void> {
+    const ready = async (box: BoxHandle) =>
+      (
+        await got(`http://${box.operators}/readyz`, {
+          throwHttpErrors: false,
+          retry: { limit: 0 },
+          timeout: { request: 1_000 },
+        })
+      ).statusCode === 200
+    await Promise.all(boxes.map((box) => waitUntil(() => ready(box), { what: `${box.name} to be ready` })))
+  }
+
+  /** Confirms a table through a box; retried under the same id until there is an answer. */
+  async confirm(
+    table: Table,
+    options: { box?: BoxHandle; base?: number; confirmId?: string } = {},
+  ): Promise<ConfirmAnswer> {
+    const { box = this.boxes[0]! } = options
+    const base = options.base ?? (await this.operator<VersionedTable>(box, 'GET', '/v1/table')).version
+    const confirmId = options.confirmId ?? `confirm-${Math.random()}`
+    let answer: ConfirmAnswer | undefined
+    const send = async () => {
+      answer = await this.operator<ConfirmAnswer>(box, 'POST', '/v1/table/confirm', {
+        base,
+        confirmId,
+        table,
+      })
+      return true
+    }
+    await waitUntil(send, { what: 'a confirm to be answered' })
+    return answer!
+  }
+
+  /** Waits until a version is in force on all boxes that run. */
+  async waitInForce(version: number, boxes = this.boxes): Promise<void> {
+    const inForce = async (box: BoxHandle) =>
+      (await this.operator<VersionedTable>(box, 'GET', '/v1/table')).version >= version
+    await Promise.all(
+      boxes.map((box) => waitUntil(() => inForce(box), { what: `version ${version} on ${box.name}` })),
+    )
+  }
+
+  control(box = this.boxes[0]!): Promise<ControlStatus> {
+    return this.operator(box, 'GET', '/v1/control')
+  }
+
+  operator<Answer>(box: BoxHandle, method: 'GET' | 'POST', path: string, json?: unknown): Promise<Answer> {
+    const headers = { authorization: `Bearer ${OPERATOR_TOKEN}` }
+    return got(`http://${box.operators}${path}`, {
+      method,
+      json,
+      headers,
+      retry: { limit: 0 },
+      timeout: { request: 20_000 },
+    }).json<Answer>()
+  }
+
+  /** Ends a box at once, as a power cut would. */
+  async kill(box: BoxHandle): Promise<void> {
+    box.process?.kill('SIGKILL')
+    await box.process?.exited
+  }
+
+  freeze(box: BoxHandle): void {
+    box.process?.kill('SIGSTOP')
+  }
+
+  thaw(box: BoxHandle): void {
+    box.process?.kill('SIGCONT')
+  }
+
+  /** Swallows all traffic between one box and the others, both ways. */
+  cutOff(box: BoxHandle, cut: boolean): void {
+    box.proxy?.cutAll(cut)
+    for (const other of this.boxes) if (other !== box) other.proxy?.cut(cut ? [box.host] : [])
+  }
+
+  /** Stops everything; returns the boxes' exit codes, null for those ended by a signal. */
+  async stop(signal: NodeJS.Signals = 'SIGTERM'): Promise<Record<string, number | null>> {
+    const codes: Record<string, number | null> = {}
+    const stopBox = async (box: BoxHandle) => {
+      box.process?.kill('SIGCONT')
+      box.process?.kill(signal)
+      if (box.process !== undefined) codes[box.name] = await box.process.exited
+    }
+    await Promise.all(this.boxes.map(stopBox))
+    for (const fake of this.fakes) fake.kill('SIGTERM')
+    await Promise.all([
+      ...this.fakes.map((fake) => fake.exited),
+      ...this.boxes.map((box) => box.proxy?.close()),
+    ])
+    return codes
+  }
+
+  private describeBox(box: Site['boxes'][number], index: number): BoxHandle {
+    const { folder, portBase } = this.options
+    return {
+      name: box.name,
+      control: box.control,
+      callers: `127.0.0.1:${portBase + 30 + index}`,
+      operators: `127.0.0.1:${portBase + 50 + index}`,
+      host: `127.0.1.${index + 1}`,
+      settingsFile: join(folder, `${box.name}.toml`),
+      dataFolder: join(folder, 'data', box.name),
+    }
+  }
+
+  private peerPort(index: number): number {
+    return this.options.portBase + 70 + index
+  }
+
+  private peerAddress(index: number): string {
+    const host = this.options.cutProxies ? `127.0.2.${index + 1}` : `127.0.1.${index + 1}`
+    return `${host}:${this.peerPort(index)}`
+  }
+
+  private writeSettings(box: BoxHandle): void {
+    const { site, settings, platform } = this.options
+    const index = this.boxes.indexOf(box)
+    const replicas = this.boxes.flatMap((each, position) =>
+      each.control ? [{ box: each.name, address: this.peerAddress(position) }] : [],
+    )
+    const text = formatSettings({
+      site,
+      box: {
+        name: box.name,
+        domain: site.boxes[index]!.domain,
+        control: box.control,
+        dataFolder: box.dataFolder,
+      },
+      listen: {
+        callers: box.callers,
+        operators: box.operators,
+        peers: `${box.host}:${this.peerPort(index)}`,
+        advertise: this.peerAddress(index),
+      },
+      replicas,
+      sharedKey: SHARED_KEY,
+      callerToken: CALLER_TOKEN,
+      operatorToken: OPERATOR_TOKEN,
+      platform: platform ? `http://127.0.0.1:${this.platformPort}/members` : undefined,
+      overrides: settings ?? {},
+    })
+    writeFileSync(box.settingsFile, text)
+  }
+
+  private async startFakes(): Promise<void> {
+    const { fakesCommand = ['node', 'dist/fakes.cjs'], engineProfile = {}, platform } = this.options
+    const engines = [...this.ports.prefill, ...this.ports.decode].join(',')
+    const start = (kind: string, ports: string, extra: string[] = []) =>
+      startProcess([...fakesCommand, kind, '--port', ports, ...extra])
+    this.fakes = [
+      start('engine', engines, ['--profile', JSON.stringify(engineProfile)]),
+      start('plain', this.ports.plain.join(',')),
+    ]
+    if (platform) this.fakes.push(start('platform', String(this.platformPort)))
+    await Promise.all(this.fakes.map((fake) => waitForLine(fake, 'ready')))
+  }
+
+  private async startProxies(): Promise<void> {
+    for (const [index, box] of this.boxes.entries()) {
+      const port = this.peerPort(index)
+      box.proxy = await startCutProxy({
+        listen: { host: `127.0.2.${index + 1}`, port },
+        target: { host: box.host, port },
+      })
+    }
+  }
+}
--- /dev/null
+++ b/tools/deployment/src/index.ts
@@ -0,0 +1,13 @@
+/** Whole deployments on loopback. */
+export { CALLER_TOKEN, Deployment, OPERATOR_TOKEN } from './deployment'
+export type { BoxHandle, DeploymentOptions } from './deployment'
+export { sendChat, sendPlain } from './caller'
+export type { ChatAnswer, ChatOptions } from './caller'
+export { ADDIS, COLOMBO, createTable } from './sites'
+export type { Site, SitePorts } from './sites'
+export { startCutProxy } from './cutProxy'
+export type { CutProxy } from './cutProxy'
+export { startProcess, waitForLine } from './startProcess'
+export type { RunningProcess } from './startProcess'
+export { waitUntil } from './waitUntil'
+export type { SettingsOverrides } from './formatSettings'
--- /dev/null
+++ b/tools/soak/src/main.ts
@@ -0,0 +1,2 @@
+process.exit(0)
+export {}
