fix(logger): log lines are written

Cause: roarr writes nothing unless ROARR_LOG is set before it loads, so no box wrote a line and the demo found no decision lines. Ruled out: the level filter and the bundler.

--- a/core/logger/src/createLogger.ts
+++ b/core/logger/src/createLogger.ts
@@ -1,3 +1,4 @@
+import './enableRoarr'
 import { ROARR, Roarr } from 'roarr'
 import type { LogEventName, LogEvents } from './logEvents'
 
--- /dev/null
+++ b/request/runner/src/engineSteps.ts
@@ -0,0 +1,164 @@
+import { toErrorBody } from '@forkstage/error'
+import type { DecodeListener, DecodeStream, EndpointError, EnginePrompt } from '@forkstage/engine-client'
+import type { RequestEffect, RequestEvent, RequestState } from '@forkstage/machine'
+import type { EndpointName, EndpointRow, RequestId } from '@forkstage/types'
+import type { ModelRequest } from './modelRequest'
+import type { RunParts } from './modelRun'
+
+type Effect<Type extends RequestEffect['type']> = Extract<RequestEffect, { type: Type }>
+
+/** Options of {@link EngineSteps}. */
+export interface EngineStepsOptions {
+  id: RequestId
+  model: ModelRequest
+  state: RequestState
+  parts: RunParts
+  /** Takes what the engines answered. */
+  emit: (event: RequestEvent) => void
+}
+
+/** Carries out what a request asks of engines, and tells the book and the story of it. */
+export class EngineSteps {
+  private stream: DecodeStream | undefined
+  /** When the newest token came. */
+  lastTokenAt = 0
+
+  constructor(private readonly options: EngineStepsOptions) {}
+
+  async reserve(effect: Effect<'reserve'>): Promise<void> {
+    const { attempt, epoch, endpoint, tokens, leaseMs } = effect
+    const { id, emit } = this.options
+    const { book, engines } = this.options.parts
+    const row = this.findRow(endpoint, attempt, 'reserve')
+    if (row === undefined) return
+    book.noteSent(endpoint, id, { promptTokens: 0, prefillTokens: 0, kvTokens: tokens }, [])
+    try {
+      await engines.reserve(row, { request: id, epoch }, tokens, leaseMs)
+      emit({ type: 'reserved', attempt })
+    } catch (error) {
+      this.failStep(endpoint, attempt, 'reserve', error as EndpointError)
+    }
+  }
+
+  async prefill(effect: Effect<'prefill'>): Promise<void> {
+    const { attempt, epoch, endpoint } = effect
+    const { id, model, state, emit, parts } = this.options
+    const { book, engines, meters, stories, engineStepMs } = parts
+    const row = this.findRow(endpoint, attempt, 'prefill')
+    if (row === undefined) return
+    const { promptTokens, blocks } = model
+    const isLocal = endpoint === state.placement!.decode
+    const kvTokens = isLocal ? state.placement!.reserveTokens : promptTokens
+    const prefillTokens = Math.max(1, promptTokens - book.cachedTokens(endpoint, blocks))
+    book.noteSent(endpoint, id, { promptTokens, prefillTokens, kvTokens }, blocks)
+    try {
+      const result = await engines.prefill(row, { request: id, epoch }, this.enginePrompt(), engineStepMs)
+      const freshTokens = promptTokens - result.cachedTokens
+      meters.notePrefilled(freshTokens)
+      book.notePrefilled(endpoint, id)
+      book.noteResult(endpoint, undefined)
+      stories.tell(id, 'prefilled', { endpoint, freshTokens, cachedTokens: result.cachedTokens })
+      emit({ type: 'prefilled', attempt, freshTokens, keepMs: result.keepMs })
+    } catch (error) {
+      this.failStep(endpoint, attempt, 'prefill', error as EndpointError)
+    }
+  }
+
+  decode(effect: Effect<'decode'>): void {
+    const { attempt, epoch, placement } = effect
+    const { id, model, parts, emit } = this.options
+    const { book, engines } = parts
+    const row = book.row(placement.decode)
+    if (row === undefined)
+      return emit({ type: 'streamClosed', attempt, reason: 'the endpoint left the table', notRun: true })
+    const prefillRow = book.row(placement.prefill)
+    const isLocal = placement.prefill === placement.decode
+    const source =
+      isLocal || prefillRow === undefined
+        ? undefined
+        : { endpoint: placement.prefill, address: prefillRow.address, link: placement.link }
+    if (!isLocal) book.noteTransfer(placement.link, id, placement.kvBytes)
+    const { maxTokens, seed } = model
+    const { kvBytes, linkBytesPerMs } = placement
+    const order = { prompt: this.enginePrompt(), maxTokens, seed, source, kvBytes, linkBytesPerMs }
+    this.close()
+    this.stream = engines.decode(row, { request: id, epoch }, order, this.listener(attempt))
+  }
+
+  resume(effect: Effect<'resume'>): void {
+    const { attempt, epoch, endpoint, from } = effect
+    const { id, parts, emit } = this.options
+    const row = parts.book.row(endpoint)
+    if (row === undefined)
+      return emit({ type: 'streamClosed', attempt, reason: 'the endpoint left the table', notRun: false })
+    parts.stories.tell(id, 'resume', { endpoint, from })
+    this.close()
+    this.stream = parts.engines.resume(row, { request: id, epoch }, from, this.listener(attempt))
+  }
+
+  release({ endpoint, epoch }: Effect<'release'>): void {
+    const { id, parts } = this.options
+    parts.stories.tell(id, 'release', { endpoint })
+    parts.book.noteEnded(endpoint, id)
+    parts.releases.release(endpoint, { request: id, epoch })
+  }
+
+  /** Ends the connection of the present stream. */
+  close(): void {
+    this.stream?.close()
+  }
+
+  private listener(attempt: number): DecodeListener {
+    const { emit } = this.options
+    return {
+      onLine: (line) => {
+        if (line.type === 'token') this.noteToken()
+        emit({ type: 'line', attempt, line })
+      },
+      onClose: (error) => {
+        const reason = error?.reason ?? 'the stream ended early'
+        emit({ type: 'streamClosed', attempt, reason, notRun: error?.notRun ?? false })
+      },
+    }
+  }
+
+  private noteToken(): void {
+    const { id, state, parts } = this.options
+    this.lastTokenAt = parts.clock.now()
+    const { placement } = state
+    if (state.firstTokenAt !== undefined || placement === undefined) return
+    parts.book.noteTransfer(placement.link, id, 0)
+    if (placement.prefill !== placement.decode) parts.book.noteEnded(placement.prefill, id)
+  }
+
+  private findRow(
+    endpoint: EndpointName,
+    attempt: number,
+    step: 'reserve' | 'prefill',
+  ): EndpointRow | undefined {
+    const row = this.options.parts.book.row(endpoint)
+    const reason = 'the endpoint left the table'
+    if (row === undefined)
+      this.options.emit({ type: 'stepFailed', step, attempt, endpoint, reason, notRun: true })
+    return row
+  }
+
+  private failStep(
+    endpoint: EndpointName,
+    attempt: number,
+    step: 'reserve' | 'prefill',
+    error: EndpointError,
+  ): void {
+    const { id, parts, emit } = this.options
+    const { reason, notRun } = error
+    parts.book.noteResult(endpoint, reason)
+    parts.stories.tell(id, 'failed', { step, endpoint, reason, notRun })
+    parts.logger.warn('request.failed', { request: id, attempt, ...toErrorBody(error) })
+    emit({ type: 'stepFailed', step, attempt, endpoint, reason, notRun })
+  }
+
+  private enginePrompt(): EnginePrompt {
+    const { model, body, promptTokens, blocks, priority } = this.options.model
+    return { model, body, tokens: promptTokens, blocks, priority }
+  }
+}
--- /dev/null
+++ b/request/runner/src/measureRun.ts
@@ -0,0 +1,54 @@
+import type { RequestEnd, RequestState } from '@forkstage/machine'
+import type { Millis } from '@forkstage/types'
+import type { ModelRequest } from './modelRequest'
+import type { RunParts } from './modelRun'
+
+/** What one run gave, as metrics, a log line and the last line of its story. */
+export function measureRun(
+  state: RequestState,
+  model: ModelRequest,
+  end: RequestEnd,
+  lastTokenAt: Millis,
+  parts: RunParts,
+): void {
+  const { meters, forecast, logger, stories } = parts
+  const { service, className } = model
+  const tokens = state.order.next
+  const ttftMs = state.firstTokenAt === undefined ? undefined : state.firstTokenAt - state.startedAt
+  const tbtMs = meanGap(state, lastTokenAt)
+  const good = end.type === 'answered' && meetsTargets(ttftMs, tbtMs, model, parts)
+  meters.noteEnd({ service, className, end: end.type, ttftMs, tbtMs, tokens, good })
+  meters.noteFrames(state.order.counts)
+  if (end.type === 'answered') forecast.learn(`${service}/${className}`, tokens)
+  const figures = { tokens, ttftMs: round(ttftMs), tbtMs: round(tbtMs) }
+  const execution = 'execution' in end ? end.execution : end.type === 'answered' ? 'ran' : 'may-have-run'
+  const status = end.type === 'answered' ? 200 : 503
+  logger.info('request.settled', {
+    request: state.request,
+    execution,
+    status,
+    tokens,
+    ttftMs: figures.ttftMs,
+  })
+  stories.tell(state.request, 'ended', { ...end, ...figures })
+}
+
+function meanGap(state: RequestState, lastTokenAt: Millis): Millis | undefined {
+  const tokens = state.order.next
+  if (state.firstTokenAt === undefined || tokens < 2) return undefined
+  return (lastTokenAt - state.firstTokenAt) / (tokens - 1)
+}
+
+function meetsTargets(
+  ttftMs: Millis | undefined,
+  tbtMs: Millis | undefined,
+  model: ModelRequest,
+  parts: RunParts,
+): boolean {
+  const ttftTarget = Math.min(parts.ttftTarget, model.ttftMs)
+  return ttftMs !== undefined && ttftMs <= ttftTarget && (tbtMs ?? 0) <= parts.tbtTarget
+}
+
+function round(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value)
+}
