--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -9,6 +9,15 @@
   soak: 'tools/soak/src/main.ts',
 }
 
+/** An optional native part of msgpackr: its absence is handled there, and natives cannot be embedded. */
+const withoutNativeParts = {
+  name: 'without-native-parts',
+  setup({ onResolve, onLoad }) {
+    onResolve({ filter: /^msgpackr-extract$/ }, ({ path }) => ({ path, namespace: 'absent' }))
+    onLoad({ filter: /.*/, namespace: 'absent' }, () => ({ contents: "throw new Error('not bundled')" }))
+  },
+}
+
 await build({
   entryPoints: programs,
   outdir: 'dist',
@@ -20,6 +29,6 @@
   // Several libraries are ES modules that read import.meta.url, which CommonJS does not have.
   define: { 'import.meta.url': 'importMetaUrl' },
   banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href" },
-  external: ['msgpackr-extract'],
+  plugins: [withoutNativeParts],
   logLevel: 'warning',
 })
