fix(repair): the replacement asks the leader, not any replica

Cause: the steps of a replacement read the status of whichever replica answered first, often the newcomer itself, which knows no configuration; so a step never counted as done. Ruled out: catching up (the learner was never added). Status and reconfiguration are now answered by the leader only; others name it.

--- a/membership/repair/src/replaceReplica.ts
+++ b/membership/repair/src/replaceReplica.ts
@@ -51,7 +51,7 @@
   )
   const newcomer: Member = { replica: identity.replica, box: identity.box, address: identity.address }
   const status = () =>
-    client.callLeader<ReplicaStatus>('status', {}, { deadline: CALL_MS, step: 'replace replica' })
+    client.callLeader<ReplicaStatus>('leaderStatus', {}, { deadline: CALL_MS, step: 'replace replica' })
   const has = (members: Member[]) => members.some((member) => member.replica === newcomer.replica)
   const change = (step: string, wanted: ConfigChange, isDone: (now: ReplicaStatus) => boolean) =>
     repeatUntil({
--- a/replication/group/src/groupHost.ts
+++ b/replication/group/src/groupHost.ts
@@ -11,6 +11,7 @@
 } from '@forkstage/storage'
 import type { Address, BoxId, Millis } from '@forkstage/types'
 import { decideFounding, type IdentityAnswer } from './founding'
+import { NotLeaderError } from './groupErrors'
 import { GroupReplica } from './groupReplica'
 import { decodeMessage, encodeMessage } from './messageCodec'
 import type { StateMachine } from './stateMachine'
@@ -71,6 +72,13 @@
     return this.replicaOrNone
   }
 
+  /** The running replica, if it leads. @throws NotLeaderError naming who does, where that is known. */
+  private requireLeader(): GroupReplica<Command, Result> {
+    const replica = this.require()
+    if (!replica.leads) throw new NotLeaderError(this.options.group, replica.leaderAddress)
+    return replica
+  }
+
   /** The methods that other boxes call, all under the group's name. */
   methods(): Record<string, PeerMethod> {
     const { group } = this.options
@@ -80,8 +88,8 @@
       [`${group}.identity`]: () => this.identity(),
       [`${group}.propose`]: (params: { command: Command }) => this.require().propose(params.command),
       [`${group}.reconfigure`]: (params: { change: ConfigChange }) =>
-        this.require().reconfigure(params.change),
-      [`${group}.status`]: () => this.require().status(),
+        this.requireLeader().reconfigure(params.change),
+      [`${group}.leaderStatus`]: () => this.requireLeader().status(),
     }
   }
 
--- a/tools/deployment/test/table.test.ts
+++ b/tools/deployment/test/table.test.ts
@@ -149,7 +149,7 @@
     await waitUntil(async () => {
       await deployment.operator(deployment.boxes[3]!, 'POST', '/v1/control/replace', { lost: 'kality-1', withAddress })
       return true
-    }, { what: 'the replacement', timeoutMs: 60_000 })
+    }, { what: 'the replacement', timeoutMs: 25_000 })
     const second = boxNamed('arada-1')
     await deployment.kill(second)
     const { table } = await tableOn(deployment.boxes[3]!)
