--- a/api/operator/src/operatorService.ts
+++ b/api/operator/src/operatorService.ts
@@ -31,6 +31,8 @@
   releasesPending: number
   owns: EndpointName[]
   inFlight: Record<EndpointName, number>
+  /** Endpoints that take no new work from this box now, with the reason. */
+  closed: Record<EndpointName, string>
   replicas: (ReplicaStatus | { group: string; failure: string })[]
 }
 
--- a/daemon/daemon/src/boxGroups.ts
+++ b/daemon/daemon/src/boxGroups.ts
@@ -121,7 +121,8 @@
   /** Tells every box that there is a newer table; whoever misses it learns at its next question. */
   private announce(version: number): void {
     if (this.control?.replica?.leads !== true) return
-    for (const address of this.registry.addresses()) this.options.peers.notify(address, TABLE_CHANGED, { version })
+    for (const address of this.registry.addresses())
+      this.options.peers.notify(address, TABLE_CHANGED, { version })
   }
 
   private hosts(): AnyHost[] {
--- a/daemon/daemon/src/fleetService.ts
+++ b/daemon/daemon/src/fleetService.ts
@@ -188,6 +188,10 @@
     const busy = book.rows
       .map((row) => [row.endpoint, book.inFlight(row.endpoint)] as const)
       .filter(([, count]) => count > 0)
+    const closed = book.rows.flatMap((row) => {
+      const reason = book.closedReason(row.endpoint)
+      return reason === undefined ? [] : [[row.endpoint, reason] as const]
+    })
     return {
       box: this.parts.get(PARTS.settings).box.name,
       version: VERSION,
@@ -199,6 +203,7 @@
       releasesPending: this.parts.get(PARTS.releases).pending,
       owns: this.parts.get(PARTS.ownerService).endpoints,
       inFlight: Object.fromEntries(busy),
+      closed: Object.fromEntries(closed),
       replicas: this.parts.get(PARTS.groups).status(),
     }
   }
--- a/tools/deployment/test/harness.ts
+++ b/tools/deployment/test/harness.ts
@@ -7,7 +7,9 @@
 import { ADDIS, Deployment, waitUntil, type DeploymentOptions } from '../src'
 
 /** Starts a deployment in a folder of its own; with the first table confirmed and every box ready. */
-export async function startDeployment(options: Partial<DeploymentOptions> & { portBase: number }): Promise<Deployment> {
+export async function startDeployment(
+  options: Partial<DeploymentOptions> & { portBase: number },
+): Promise<Deployment> {
   const folder = mkdtempSync(join(tmpdir(), 'forkstage-test-'))
   const deployment = new Deployment({ site: ADDIS, folder, ...options })
   await deployment.start()
@@ -19,16 +21,29 @@
 
 export async function stopDeployment(deployment: Deployment | undefined): Promise<void> {
   await deployment?.stop('SIGKILL')
-  if (deployment !== undefined && process.env.KEEP === undefined) rmSync(deployment.options.folder, { recursive: true, force: true })
+  if (deployment !== undefined && process.env.KEEP === undefined)
+    rmSync(deployment.options.folder, { recursive: true, force: true })
 }
 
-async function readJson<Body>(port: number, path: string, method: 'GET' | 'POST' = 'GET', body?: unknown): Promise<Body> {
+async function readJson<Body>(
+  port: number,
+  path: string,
+  method: 'GET' | 'POST' = 'GET',
+  body?: unknown,
+): Promise<Body> {
   const headers = body === undefined ? {} : { 'content-type': 'application/json' }
-  const response = await httpRequest(`http://127.0.0.1:${port}${path}`, { method, headers, body: body === undefined ? undefined : JSON.stringify(body) })
+  const response = await httpRequest(`http://127.0.0.1:${port}${path}`, {
+    method,
+    headers,
+    body: body === undefined ? undefined : JSON.stringify(body),
+  })
   return (await response.body.json()) as Body
 }
 
-export const enginePorts = (deployment: Deployment) => [...deployment.ports.prefill, ...deployment.ports.decode]
+export const enginePorts = (deployment: Deployment) => [
+  ...deployment.ports.prefill,
+  ...deployment.ports.decode,
+]
 
 /** Switches faults on at engines; an empty object switches all off. */
 export async function setFaults(ports: number[], faults: object): Promise<void> {
@@ -45,7 +60,10 @@
 
 /** Waits until no engine holds anything. */
 export async function waitNothingHeld(deployment: Deployment, timeoutMs = 30_000): Promise<void> {
-  await waitUntil(async () => (await readHolds(deployment)).length === 0, { what: 'every hold to be released', timeoutMs })
+  await waitUntil(async () => (await readHolds(deployment)).length === 0, {
+    what: 'every hold to be released',
+    timeoutMs,
+  })
 }
 
 /** How often each request was decoded to its end, over all engines. */
@@ -53,7 +71,8 @@
   const answered = new Map<string, number>()
   for (const port of deployment.ports.decode) {
     const record = await readRecord(port)
-    for (const [request, count] of Object.entries(record.answered)) answered.set(request, (answered.get(request) ?? 0) + count)
+    for (const [request, count] of Object.entries(record.answered))
+      answered.set(request, (answered.get(request) ?? 0) + count)
   }
   return answered
 }
--- a/tools/deployment/test/requests.test.ts
+++ b/tools/deployment/test/requests.test.ts
@@ -1,7 +1,16 @@
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest'
 import type { ClaimOwner } from '@forkstage/claims'
 import { ADDIS, sendChat, sendPlain, waitUntil, type Deployment } from '../src'
-import { enginePorts, readAnswered, readCalls, readHolds, setFaults, startDeployment, stopDeployment, waitNothingHeld } from './harness'
+import {
+  enginePorts,
+  readAnswered,
+  readCalls,
+  readHolds,
+  setFaults,
+  startDeployment,
+  stopDeployment,
+  waitNothingHeld,
+} from './harness'
 
 let deployment: Deployment
 beforeAll(async () => void (deployment = await startDeployment({ portBase: 22_000 })))
@@ -9,7 +18,8 @@
 beforeEach(async () => {
   await setFaults([...enginePorts(deployment), ...deployment.ports.plain], {})
   for (const box of deployment.boxes) {
-    if (box.process?.child.exitCode !== null || box.process.child.signalCode !== null) deployment.startBox(box)
+    if (box.process?.child.exitCode !== null || box.process.child.signalCode !== null)
+      deployment.startBox(box)
   }
   await deployment.waitReady()
 })
@@ -21,12 +31,18 @@
   maxTokens: 400,
   headers: { 'idempotency-key': key },
 })
-const [first, second, third, , , , last] = [0, 1, 2, 3, 4, 5, 6].map((index) => () => deployment.boxes[index]!) as (() => Deployment['boxes'][number])[]
+const [first, second, third, , , , last] = [0, 1, 2, 3, 4, 5, 6].map(
+  (index) => () => deployment.boxes[index]!,
+) as (() => Deployment['boxes'][number])[]
 
 describe('requests through real processes', () => {
   it('refuses bad input before any dispatch, with code, message and hint', async () => {
-    const chat = (body: string, headers = {}) => sendPlain(first!(), '/v1/chat/completions', { method: 'POST', body, headers })
-    const long = JSON.stringify({ model: ADDIS.model, messages: [{ role: 'user', content: 'x'.repeat(140_000) }] })
+    const chat = (body: string, headers = {}) =>
+      sendPlain(first!(), '/v1/chat/completions', { method: 'POST', body, headers })
+    const long = JSON.stringify({
+      model: ADDIS.model,
+      messages: [{ role: 'user', content: 'x'.repeat(140_000) }],
+    })
     const good = JSON.stringify({ model: ADDIS.model, messages: [{ role: 'user', content: 'hi' }] })
     const answers = await Promise.all([
       chat('{'),
@@ -41,11 +57,15 @@
     ])
     expect(answers.map(({ status }) => status)).toEqual([400, 400, 404, 413, 413, 400, 400, 401, 404])
     expect(answers.map(({ execution }) => execution)).toEqual(answers.map(() => 'not-run'))
-    for (const { body } of answers) expect(JSON.parse(body.toString()).error).toMatchObject({ code: /^FORKSTAGE_/, hint: /./ })
+    for (const { body } of answers)
+      expect(JSON.parse(body.toString()).error).toMatchObject({ code: /^FORKSTAGE_/, hint: /./ })
   })
 
   it('gives one answer to the same key at two boxes at once, from one decode', async () => {
-    const [left, right] = await Promise.all([sendChat(first!(), ask('both', 20)), sendChat(second!(), ask('both', 20))])
+    const [left, right] = await Promise.all([
+      sendChat(first!(), ask('both', 20)),
+      sendChat(second!(), ask('both', 20)),
+    ])
     expect([left.whole, right.whole]).toEqual([true, true])
     expect(left.text).toBe(right.text)
     expect(left.request).toBe(right.request)
@@ -60,7 +80,11 @@
   it('refuses a key that stands for another request', async () => {
     await sendChat(first!(), ask('reused', 3))
     const other = await sendChat(second!(), { ...ask('reused', 3), prompt: 'something else' })
-    expect([other.status, other.execution, other.error?.code]).toEqual([422, 'not-run', 'FORKSTAGE_KEY_REUSED'])
+    expect([other.status, other.execution, other.error?.code]).toEqual([
+      422,
+      'not-run',
+      'FORKSTAGE_KEY_REUSED',
+    ])
   })
 
   it('goes on at another box after the entry died in the middle of a stream: nothing doubled, nothing missing', async () => {
@@ -68,11 +92,14 @@
     const doomed = last!()
     let tokens = ''
     let lastId = 0
-    const cut = sendChat(doomed, { ...ask('resumed', 120), onToken: (text, id) => {
-      tokens += text
-      lastId = id
-      if (id === 20) doomed.process?.kill('SIGKILL')
-    } })
+    const cut = sendChat(doomed, {
+      ...ask('resumed', 120),
+      onToken: (text, id) => {
+        tokens += text
+        lastId = id
+        if (id === 20) doomed.process?.kill('SIGKILL')
+      },
+    })
     await cut.catch(() => undefined)
     expect(lastId).toBeGreaterThanOrEqual(20)
     expect(lastId).toBeLessThan(120)
@@ -88,11 +115,20 @@
   it('holds nothing for a caller that is gone, at whatever step it left', async () => {
     for (const afterTokens of [0, 1, 5]) {
       const abort = new AbortController()
-      const gone = sendChat(first!(), { model: ADDIS.model, prompt: handbook, maxTokens: 300, signal: abort.signal, headers: {}, onToken: (_, id) => {
-        if (id === afterTokens) abort.abort()
-      } })
+      const gone = sendChat(first!(), {
+        model: ADDIS.model,
+        prompt: handbook,
+        maxTokens: 300,
+        signal: abort.signal,
+        headers: {},
+        onToken: (_, id) => {
+          if (id === afterTokens) abort.abort()
+        },
+      })
       if (afterTokens === 0) {
-        await waitUntil(async () => (await readHolds(deployment)).length > 0, { what: 'the request to hold something' })
+        await waitUntil(async () => (await readHolds(deployment)).length > 0, {
+          what: 'the request to hold something',
+        })
         abort.abort()
       }
       await gone.catch(() => undefined)
@@ -104,7 +140,9 @@
     await setFaults(deployment.ports.prefill, { hangPrefills: true })
     const doomed = last!()
     const lost = sendChat(doomed, ask('dies-in-prefill', 10)).catch(() => undefined)
-    await waitUntil(async () => (await readHolds(deployment)).some((hold) => hold.kind === 'prefill'), { what: 'a prefill' })
+    await waitUntil(async () => (await readHolds(deployment)).some((hold) => hold.kind === 'prefill'), {
+      what: 'a prefill',
+    })
     await deployment.kill(doomed)
     await lost
     await setFaults(deployment.ports.prefill, {})
@@ -134,14 +172,21 @@
     expect([refused.whole, refused.execution]).toEqual([false, 'not-run'])
     expect(refused.retryAfterMs).toBeGreaterThan(0)
     await setFaults(enginePorts(deployment), {})
-    await waitUntil(async () => (await sendChat(second!(), ask('refused', 5))).whole, { what: 'the same key to be served' })
+    await waitUntil(async () => (await sendChat(second!(), ask('refused', 5))).whole, {
+      what: 'the same key to be served',
+    })
   })
 })
 
 describe('calls that may not be repeated', () => {
   const save = (box: Deployment['boxes'][number], key: string) =>
-    sendPlain(box, `/${ADDIS.plainService}/saves/1?card=2`, { method: 'POST', body: 'known', headers: { 'idempotency-key': key } })
-  const timesRun = async (key: string) => (await readCalls(deployment)).filter((call) => call.key === key).length
+    sendPlain(box, `/${ADDIS.plainService}/saves/1?card=2`, {
+      method: 'POST',
+      body: 'known',
+      headers: { 'idempotency-key': key },
+    })
+  const timesRun = async (key: string) =>
+    (await readCalls(deployment)).filter((call) => call.key === key).length
 
   it('run once, and a resend at any box gets the first answer', async () => {
     const answers = await Promise.all([first!(), second!(), third!()].map((box) => save(box, 'save-1')))
@@ -179,15 +224,25 @@
     const refused = await save(first!(), 'save-4')
     await setFaults(deployment.ports.plain, {})
     expect([refused.execution, await timesRun('save-4')]).toEqual(['not-run', 0])
-    await waitUntil(async () => (await save(second!(), 'save-4')).execution === 'ran', { what: 'the save to run' })
+    await waitUntil(async () => (await save(second!(), 'save-4')).execution === 'ran', {
+      what: 'the save to run',
+    })
     expect(await timesRun('save-4')).toBe(1)
   })
 
   it('keep method, query, headers and bytes', async () => {
     const bytes = Buffer.from([0, 255, 13, 10, 128])
-    const answer = await sendPlain(first!(), `/${ADDIS.plainService}/decks/a%20b?x=1&x=2`, { method: 'PUT', body: bytes, headers: { 'content-type': 'application/octet-stream' } })
+    const answer = await sendPlain(first!(), `/${ADDIS.plainService}/decks/a%20b?x=1&x=2`, {
+      method: 'PUT',
+      body: bytes,
+      headers: { 'content-type': 'application/octet-stream' },
+    })
     expect(answer.body.equals(bytes)).toBe(true)
-    expect((await readCalls(deployment)).some((call) => call.method === 'PUT' && call.url === '/decks/a%20b?x=1&x=2' && call.bytes === 5)).toBe(true)
+    expect(
+      (await readCalls(deployment)).some(
+        (call) => call.method === 'PUT' && call.url === '/decks/a%20b?x=1&x=2' && call.bytes === 5,
+      ),
+    ).toBe(true)
   })
 })
 
@@ -195,7 +250,9 @@
   it('an open claim is served again, and a settled one gets its answer', async () => {
     const settled = await sendChat(first!(), ask('settled', 6))
     const open = sendChat(second!(), ask('open', 300)).catch(() => undefined)
-    await waitUntil(async () => (await readHolds(deployment)).some((hold) => hold.kind === 'stream'), { what: 'the stream' })
+    await waitUntil(async () => (await readHolds(deployment)).some((hold) => hold.kind === 'stream'), {
+      what: 'the stream',
+    })
     await Promise.all(deployment.boxes.map((box) => deployment.kill(box)))
     await open
     deployment.boxes.forEach((box) => deployment.startBox(box))
@@ -205,7 +262,11 @@
     const reopened = await sendChat(first!(), ask('open', 300))
     expect([reopened.whole, reopened.tokens]).toEqual([true, 300])
     await waitNothingHeld(deployment)
-    const explained = await deployment.operator<{ claim?: { owner: ClaimOwner; outcome?: object } }>(first!(), 'GET', `/v1/explain/${encodeURIComponent(reopened.request)}`)
+    const explained = await deployment.operator<{ claim?: { owner: ClaimOwner; outcome?: object } }>(
+      first!(),
+      'GET',
+      `/v1/explain/${encodeURIComponent(reopened.request)}`,
+    )
     expect(explained.claim?.outcome).toBeDefined()
   })
 })
