--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -1,2 +1,42 @@
-process.exit(0)
-export {}
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { runPolicyExperiment, type FaultName } from './policyExperiment'
+
+const list = (text: string) => text.split(',').filter((part) => part !== '')
+
+async function main(): Promise<void> {
+  await yargs(hideBin(process.argv))
+    .scriptName('npm run bench --')
+    .command(
+      'policy',
+      'goodput and wasted prefill against the baselines',
+      (argv) =>
+        argv
+          .option('mix', { choices: ['addis', 'colombo'] as const, default: 'addis' as const })
+          .option('policies', { type: 'string', default: 'forkstage,round-robin,least-in-flight,prefix-affinity' })
+          .option('loads', { type: 'string', default: '0.3,0.6,0.8,1,1.3,1.6,2' })
+          .option('faults', { type: 'string', default: 'none' })
+          .option('without', { type: 'string', default: '', describe: 'policy parts to switch off, one run each' })
+          .option('seconds', { type: 'number', default: 15 })
+          .option('seed', { type: 'number', default: 1 })
+          .option('name', { type: 'string', default: 'policy', describe: 'name of the JSON and SVG files' }),
+      async (args) => {
+        await runPolicyExperiment({
+          mix: args.mix,
+          policies: list(args.policies),
+          loads: list(args.loads).map(Number),
+          faults: list(args.faults) as FaultName[],
+          withoutParts: list(args.without),
+          seconds: args.seconds,
+          seed: args.seed,
+          name: args.name,
+        })
+      },
+    )
+    .demandCommand(1)
+    .strict()
+    .parseAsync()
+  process.exit(0)
+}
+
+void main()
--- /dev/null
+++ b/tools/bench/src/report.ts
@@ -0,0 +1,53 @@
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { compile, type TopLevelSpec } from 'vega-lite'
+import { parse, View } from 'vega'
+
+/** Where measurements go. */
+export const MEASUREMENTS = 'docs/measurements'
+
+export function print(text: string): void {
+  process.stdout.write(`${text}\n`)
+}
+
+/** Prints rows in columns. */
+export function printRows(header: string[], rows: (string | number)[][]): void {
+  const lines = [header, ...rows.map((row) => row.map(String))]
+  const widths = header.map((_, column) => Math.max(...lines.map((line) => (line[column] ?? '').length)))
+  for (const line of lines) print(line.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd())
+}
+
+/** Writes a measurement as JSON. */
+export function writeJson(name: string, value: unknown): void {
+  mkdirSync(MEASUREMENTS, { recursive: true })
+  writeFileSync(join(MEASUREMENTS, `${name}.json`), `${JSON.stringify(value, null, 1)}\n`)
+}
+
+/** One line chart: a value of each series over x. */
+export interface Chart {
+  title: string
+  x: string
+  y: string
+  rows: { x: number; y: number; series: string }[]
+}
+
+/** Draws a chart as SVG. */
+export async function writeChart(name: string, chart: Chart): Promise<void> {
+  const spec: TopLevelSpec = {
+    $schema: 'https://vega.github.io/schema/vega-lite/v5.json',
+    title: chart.title,
+    width: 560,
+    height: 300,
+    background: 'white',
+    data: { values: chart.rows },
+    mark: { type: 'line', point: true },
+    encoding: {
+      x: { field: 'x', type: 'quantitative', title: chart.x },
+      y: { field: 'y', type: 'quantitative', title: chart.y },
+      color: { field: 'series', type: 'nominal', title: '' },
+    },
+  }
+  const view = new View(parse(compile(spec).spec), { renderer: 'none' })
+  mkdirSync(MEASUREMENTS, { recursive: true })
+  writeFileSync(join(MEASUREMENTS, `${name}.svg`), await view.toSVG())
+}
