--- a/placement/owner/src/creditClient.ts
+++ b/placement/owner/src/creditClient.ts
@@ -54,7 +54,8 @@
   private endpointsByOwner(): Map<Address, EndpointName[]> {
     const { book, owners } = this.options
     const byOwner = new Map<Address, EndpointName[]>()
-    for (const { endpoint } of book.rows) {
+    for (const { endpoint, state } of book.rows) {
+      if (state === 'out') continue
       const owner = owners.ownerOf(endpoint)?.owner
       if (owner !== undefined) byOwner.set(owner.address, [...(byOwner.get(owner.address) ?? []), endpoint])
     }
--- a/placement/owner/src/ownerService.ts
+++ b/placement/owner/src/ownerService.ts
@@ -8,7 +8,6 @@
 import type { BoxId, EndpointName, EndpointRow, Millis } from '@forkstage/types'
 import { judgeHold } from './holdSweep'
 import { OwnedEndpoint } from './ownedEndpoint'
-import { originOf } from './requestIds'
 import type { CreditAnswer, CreditQuestion, LiveAnswer } from './ownerTypes'
 
 /** Options of {@link OwnerService}. */
@@ -100,7 +99,7 @@
 
   private readReports(): void {
     this.noteSeen()
-    for (const owned of this.owned.values()) if (owned.row.pool !== 'plain') void this.readReport(owned)
+    for (const owned of this.owned.values()) if (reports(owned.row)) void this.readReport(owned)
   }
 
   private async readReport(owned: OwnedEndpoint): Promise<void> {
@@ -176,7 +175,7 @@
   }
 }
 
-/** The box a hold came from, for messages. */
-export function boxOf(hold: EngineHold): BoxId | undefined {
-  return originOf(hold.request)?.box
+/** Whether an endpoint is an engine that is in use, and so has reports and holds to be read. */
+function reports(row: EndpointRow): boolean {
+  return row.pool !== 'plain' && row.state !== 'out'
 }
--- a/tools/bench/src/benchDeployment.ts
+++ b/tools/bench/src/benchDeployment.ts
@@ -24,11 +24,16 @@
   }
 }
 
-export const enginePorts = (deployment: Deployment) => [...deployment.ports.prefill, ...deployment.ports.decode]
+export const enginePorts = (deployment: Deployment) => [
+  ...deployment.ports.prefill,
+  ...deployment.ports.decode,
+]
 
 /** What the engines say they did. */
 export function readRecords(deployment: Deployment): Promise<EngineRecord[]> {
-  return Promise.all(enginePorts(deployment).map((port) => got(`http://127.0.0.1:${port}/record`).json<EngineRecord>()))
+  return Promise.all(
+    enginePorts(deployment).map((port) => got(`http://127.0.0.1:${port}/record`).json<EngineRecord>()),
+  )
 }
 
 /** Switches faults on at one engine. */
--- a/tools/bench/src/loadGenerator.ts
+++ b/tools/bench/src/loadGenerator.ts
@@ -33,12 +33,22 @@
   return Promise.all(sending)
 }
 
-async function sendOne(planned: PlannedRequest, box: Pick<BoxHandle, 'callers'>, model: string): Promise<Sample> {
+async function sendOne(
+  planned: PlannedRequest,
+  box: Pick<BoxHandle, 'callers'>,
+  model: string,
+): Promise<Sample> {
   const abort = new AbortController()
   const timer = setTimeout(() => abort.abort(), CLIENT_TIMEOUT_MS)
   const headers = { 'x-forkstage-class': planned.className, 'x-forkstage-workspace': planned.workspace }
   try {
-    const answer = await sendChat(box, { model, prompt: planned.prompt, maxTokens: planned.answerTokens + 1, headers, signal: abort.signal })
+    const answer = await sendChat(box, {
+      model,
+      prompt: planned.prompt,
+      maxTokens: planned.answerTokens + 1,
+      headers,
+      signal: abort.signal,
+    })
     return toSample(planned, answer)
   } catch {
     return { ...planned, prompt: '', status: 0, whole: false, execution: 'unknown', tokens: 0 }
--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -1,6 +1,11 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { runJournalExperiment } from './journalExperiment'
+import { runPlaceExperiment } from './placeExperiment'
 import { runPolicyExperiment, type FaultName } from './policyExperiment'
+import { runRelayExperiment } from './relayExperiment'
+import { runSlopesExperiment } from './slopesExperiment'
+import { runTableExperiment } from './tableExperiment'
 
 const list = (text: string) => text.split(',').filter((part) => part !== '')
 
@@ -13,10 +18,17 @@
       (argv) =>
         argv
           .option('mix', { choices: ['addis', 'colombo'] as const, default: 'addis' as const })
-          .option('policies', { type: 'string', default: 'forkstage,round-robin,least-in-flight,prefix-affinity' })
+          .option('policies', {
+            type: 'string',
+            default: 'forkstage,round-robin,least-in-flight,prefix-affinity',
+          })
           .option('loads', { type: 'string', default: '0.3,0.6,0.8,1,1.3,1.6,2' })
           .option('faults', { type: 'string', default: 'none' })
-          .option('without', { type: 'string', default: '', describe: 'policy parts to switch off, one run each' })
+          .option('without', {
+            type: 'string',
+            default: '',
+            describe: 'policy parts to switch off, one run each',
+          })
           .option('seconds', { type: 'number', default: 15 })
           .option('seed', { type: 'number', default: 1 })
           .option('name', { type: 'string', default: 'policy', describe: 'name of the JSON and SVG files' }),
@@ -33,6 +45,18 @@
         })
       },
     )
+    .command('place', 'the placement decision alone', {}, () => runPlaceExperiment())
+    .command('relay', "the relay's cost a token, direct against through a box", {}, () =>
+      runRelayExperiment(),
+    )
+    .command(
+      'journal',
+      'claims a second with real syncs',
+      { seconds: { type: 'number', default: 5 } },
+      (args) => runJournalExperiment({ seconds: args.seconds }),
+    )
+    .command('table', 'accepted to in force, change of leader, restart', {}, () => runTableExperiment())
+    .command('slopes', 'what docs/CAPACITY.md is worked out from', {}, () => runSlopesExperiment())
     .demandCommand(1)
     .strict()
     .parseAsync()
--- a/tools/bench/src/mixes.ts
+++ b/tools/bench/src/mixes.ts
@@ -42,16 +42,30 @@
   return unit.repeat(Math.ceil((tokens * CHARS_PER_TOKEN) / unit.length)).slice(0, tokens * CHARS_PER_TOKEN)
 }
 
-function toRequest(at: number, className: string, workspace: string, shared: string, own: string, answerTokens: number): PlannedRequest {
+function toRequest(
+  at: number,
+  className: string,
+  workspace: string,
+  shared: string,
+  own: string,
+  answerTokens: number,
+): PlannedRequest {
   const prompt = `${shared}${own} [[answer=${answerTokens}]]`
-  return { at, className, workspace, prompt, promptTokens: Math.ceil(prompt.length / CHARS_PER_TOKEN), answerTokens }
+  return {
+    at,
+    className,
+    workspace,
+    prompt,
+    promptTokens: Math.ceil(prompt.length / CHARS_PER_TOKEN),
+    answerTokens,
+  }
 }
 
 /** Arrival times of a Poisson process whose rate goes up and down in bursts. */
 function arrivals({ rate, durationMs, random }: PlanOptions, bursty: boolean): number[] {
   const times: number[] = []
   const gap = randomExponential.source(random)
-  for (let at = 0; at < durationMs; ) {
+  for (let at = 0; at < durationMs;) {
     const inBurst = at % BURST_PERIOD_MS < BURST_PERIOD_MS / 2
     const factor = !bursty ? 1 : inBurst ? BURST_FACTOR : 2 - BURST_FACTOR
     at += gap((rate * factor) / 1_000)()
@@ -89,7 +103,14 @@
       const workspace = `trader-${Math.floor(random() * WORKSPACES)}`
       if (random() < 0.5) {
         const tokens = Math.round(Math.max(800, Math.min(12_000, receipts())))
-        return toRequest(at, 'expense', workspace, '', textOf(`receipt ${index} ${random()}`, tokens), between(random, 1, 4))
+        return toRequest(
+          at,
+          'expense',
+          workspace,
+          '',
+          textOf(`receipt ${index} ${random()}`, tokens),
+          between(random, 1, 4),
+        )
       }
       const system = textOf('assistant of the ledger', 300)
       const own = textOf(`chat ${index} ${random()}`, between(random, 200, 1_200))
--- a/tools/bench/src/report.ts
+++ b/tools/bench/src/report.ts
@@ -14,7 +14,13 @@
 export function printRows(header: string[], rows: (string | number)[][]): void {
   const lines = [header, ...rows.map((row) => row.map(String))]
   const widths = header.map((_, column) => Math.max(...lines.map((line) => (line[column] ?? '').length)))
-  for (const line of lines) print(line.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd())
+  for (const line of lines)
+    print(
+      line
+        .map((cell, column) => cell.padEnd(widths[column]!))
+        .join('  ')
+        .trimEnd(),
+    )
 }
 
 /** Writes a measurement as JSON. */
--- /dev/null
+++ b/tools/bench/src/slopeFit.ts
@@ -0,0 +1,39 @@
+import { linearRegression, linearRegressionLine, rSquared } from 'simple-statistics'
+import { round } from './summarise'
+
+/** A straight line through measured points, with the range over which it was seen. */
+export interface Slope {
+  what: string
+  /** What x counts. */
+  per: string
+  unit: string
+  slope: number
+  intercept: number
+  /** 1 is a perfect line. */
+  rSquared: number
+  from: number
+  to: number
+  points: [number, number][]
+}
+
+/** Fits a line to points by least squares. */
+export function fitSlope(what: string, per: string, unit: string, points: [number, number][]): Slope {
+  const line = linearRegression(points)
+  const xs = points.map(([x]) => x)
+  return {
+    what,
+    per,
+    unit,
+    slope: significant(line.m),
+    intercept: significant(line.b),
+    rSquared: round(rSquared(points, linearRegressionLine(line)), 3),
+    from: Math.min(...xs),
+    to: Math.max(...xs),
+    points: points.map(([x, y]) => [x, significant(y)]),
+  }
+}
+
+/** Four digits that count. */
+function significant(value: number): number {
+  return Number(value.toPrecision(4))
+}
--- /dev/null
+++ b/tools/bench/src/stateSlopes.ts
@@ -0,0 +1,208 @@
+import { ControlMachine } from '@forkstage/control'
+import { JournalMachine, type JournalCommand } from '@forkstage/claims'
+import { PrefixIndex, promptBlocks } from '@forkstage/load'
+import { OwnerMap } from '@forkstage/owners'
+import { checkTable, diffTables, digestTable } from '@forkstage/table'
+import type { EndpointRow, Table } from '@forkstage/types'
+import { fitSlope, type Slope } from './slopeFit'
+
+const ROW_COUNTS = [12, 1_000, 3_000, 6_000, 11_000]
+const CLAIM_COUNTS = [10_000, 50_000, 100_000, 200_000]
+const CHANGE_COUNTS = [250, 500, 1_000]
+const BOX_COUNTS = [8, 50, 150, 420]
+const EVENT_COUNTS = [1_000, 10_000, 50_000]
+
+/** Slopes of state and of processor time that need no second process. Run with --expose-gc for memory. */
+export function measureStateSlopes(): Slope[] {
+  return [...rowSlopes(), ...changeSlopes(), ...claimSlopes(), ownerSlope(), eventSlope(), promptSlope()]
+}
+
+/** A table of so many rows, all out of service, in the target's proportions. */
+export function createWideTable(rows: number, base?: Table): Table {
+  const created = Array.from({ length: rows }, (_, index): EndpointRow => ({
+    endpoint: `worker-${index}`,
+    address: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:9000`,
+    domain: `domain-${index % 12}`,
+    service: 'wide-llm',
+    pool: index % 2 === 0 ? 'prefill' : 'decode',
+    models: [`model-${index % 11}`],
+    weight: 1,
+    maxInFlight: 48,
+    kvTokens: 160_000,
+    promptTokensPerSecond: 0,
+    state: 'out',
+    checksFences: true,
+    repeatable: true,
+  }))
+  return { endpoints: [...(base?.endpoints ?? []), ...created], links: base?.links ?? [] }
+}
+
+function rowSlopes(): Slope[] {
+  const points = ROW_COUNTS.map((count) => {
+    const table = createWideTable(count)
+    const next = {
+      ...table,
+      endpoints: table.endpoints.map((row, index) => (index === 0 ? { ...row, weight: 2 } : row)),
+    }
+    const machine = new ControlMachine()
+    machine.apply(confirm(0, { endpoints: [], links: [] }, table))
+    const change = confirm(1, table, next)
+    return {
+      count,
+      check: timed(() => checkTable(table, { services: new Map() })),
+      apply: timed(() => void machine.apply(change), 1),
+      snapshot: machine.snapshot().length,
+      heap: heapOf(() => createWideTable(count)),
+    }
+  })
+  const pick = (key: 'check' | 'apply' | 'snapshot' | 'heap') =>
+    points.map((point): [number, number] => [point.count, point[key]])
+  return [
+    fitSlope('check of a whole table', 'row', 'ms', pick('check')),
+    fitSlope('applying one changed row at a control replica', 'row of the table', 'ms', pick('apply')),
+    fitSlope('snapshot of the control group', 'row', 'bytes', pick('snapshot')),
+    fitSlope('memory of the table', 'row', 'bytes', pick('heap')),
+  ]
+}
+
+function confirm(base: number, from: Table, to: Table) {
+  return {
+    type: 'confirm' as const,
+    base,
+    digest: digestTable(to),
+    confirmId: `c-${base}`,
+    delta: diffTables(from, to),
+    who: 'bench',
+    at: 0,
+  }
+}
+
+function changeSlopes(): Slope[] {
+  const points = CHANGE_COUNTS.map((count): [number, number] => {
+    const machine = new ControlMachine()
+    let table = createWideTable(12)
+    machine.apply(confirm(0, { endpoints: [], links: [] }, table))
+    const empty = machine.snapshot().length
+    for (let step = 1; step <= count; step += 1) {
+      const next = {
+        ...table,
+        endpoints: table.endpoints.map((row, index) =>
+          index === step % 12 ? { ...row, weight: step } : row,
+        ),
+      }
+      machine.apply(confirm(step, table, next))
+      table = next
+    }
+    return [count, machine.snapshot().length - empty]
+  })
+  return [
+    fitSlope(
+      'state of an accepted change while its details are kept (1,000 changes)',
+      'change',
+      'bytes',
+      points,
+    ),
+  ]
+}
+
+function claimSlopes(): Slope[] {
+  const owner = { box: 'bole-1', incarnation: '0123456789', address: '127.0.0.1:7201' }
+  const points = CLAIM_COUNTS.map((count) => {
+    const limits = { retainMs: 600_000, openMs: 60_000, maxClaims: 1e9, maxOutcomeBytes: 1e9 }
+    const fill = () => {
+      const machine = new JournalMachine(limits)
+      for (let n = 0; n < count; n += 1) machine.apply(claimCommand(n, owner))
+      return machine
+    }
+    const heap = heapOf(fill)
+    const machine = fill()
+    const snapshotMs = timed(() => machine.snapshot(), 1)
+    const tickMs = timed(() => machine.apply({ type: 'tick', elapsed: 1 }), 3)
+    return { count, heap, snapshotMs, tickMs, bytes: machine.snapshot().length }
+  })
+  const pick = (key: 'heap' | 'snapshotMs' | 'tickMs' | 'bytes') =>
+    points.map((point): [number, number] => [point.count, point[key]])
+  return [
+    fitSlope('memory of an open claim', 'claim', 'bytes', pick('heap')),
+    fitSlope('snapshot of a journal group', 'claim', 'bytes', pick('bytes')),
+    fitSlope('time of a snapshot of a journal group', 'claim', 'ms', pick('snapshotMs')),
+    fitSlope('time of an expiry tick of a journal group', 'claim', 'ms', pick('tickMs')),
+  ]
+}
+
+function claimCommand(
+  n: number,
+  owner: { box: string; incarnation: string; address: string },
+): JournalCommand {
+  return {
+    type: 'claim',
+    key: `card-app/3f2a9c1e-${n}`,
+    bodyDigest: `${n}`.padStart(64, 'a'),
+    request: `bole-1~0123456789~${n.toString(36)}`,
+    owner: { ...owner },
+    repeatable: true,
+  }
+}
+
+/** Owners of 11,000 endpoints recomputed when one box comes. */
+function ownerSlope(): Slope {
+  const points = BOX_COUNTS.map((count): [number, number] => {
+    const owners = new OwnerMap()
+    const boxes = Array.from({ length: count }, (_, index) => ({
+      box: `box-${index}`,
+      incarnation: 'i',
+      address: '',
+      domain: 'd',
+      state: 'serving' as const,
+    }))
+    owners.update({ version: [1, 1], boxes, leaving: [] })
+    for (let index = 0; index < 11_000; index += 1) owners.ownerOf(`worker-${index}`)
+    const joined = [...boxes, { ...boxes[0]!, box: 'joined' }]
+    return [count, timed(() => owners.update({ version: [1, 2], boxes: joined, leaving: [] }), 1)]
+  })
+  return fitSlope('owners of 11,000 endpoints after one box came', 'live box', 'ms', points)
+}
+
+function eventSlope(): Slope {
+  const points = EVENT_COUNTS.map((count): [number, number] => {
+    const events = Array.from({ length: count }, (_, seq) => ({
+      seq,
+      type: 'added' as const,
+      block: `${seq}`.padStart(16, '0'),
+    }))
+    return [count, timed(() => new PrefixIndex().noteEvents(events), 3)]
+  })
+  return fitSlope('taking cache events', 'event', 'ms', points)
+}
+
+function promptSlope(): Slope {
+  const points = [250, 1_000, 4_000, 16_000, 32_000].map((tokens): [number, number] => {
+    const text = 'valve '.repeat(tokens)
+    return [tokens, timed(() => promptBlocks(text.slice(0, tokens * 4)), 20)]
+  })
+  return fitSlope('hashing a prompt into prefix blocks', 'token', 'ms', points)
+}
+
+/** Milliseconds of a call, the least of several. */
+function timed(run: () => unknown, repeats = 5): number {
+  let least = Infinity
+  for (let n = 0; n < repeats; n += 1) {
+    const started = performance.now()
+    run()
+    least = Math.min(least, performance.now() - started)
+  }
+  return least
+}
+
+/** Heap bytes that what a function returns takes up. */
+function heapOf(create: () => unknown): number {
+  const collect = (globalThis as { gc?: () => void }).gc
+  if (collect === undefined) throw new Error('run node with --expose-gc')
+  collect()
+  const before = process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers
+  const kept = create()
+  collect()
+  const after = process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers
+  if (kept === undefined) throw new Error('nothing to measure')
+  return after - before
+}
--- a/tools/bench/src/summarise.ts
+++ b/tools/bench/src/summarise.ts
@@ -63,8 +63,12 @@
     goodShare: share(good),
     refusedShare: share(refused),
     failedShare: share(failed),
-    ttft: percentiles(samples.flatMap((sample) => (sample.whole && sample.ttftMs !== undefined ? [sample.ttftMs] : []))),
-    tbt: percentiles(samples.flatMap((sample) => (sample.whole && sample.tbtMs !== undefined ? [sample.tbtMs] : []))),
+    ttft: percentiles(
+      samples.flatMap((sample) => (sample.whole && sample.ttftMs !== undefined ? [sample.ttftMs] : [])),
+    ),
+    tbt: percentiles(
+      samples.flatMap((sample) => (sample.whole && sample.tbtMs !== undefined ? [sample.tbtMs] : [])),
+    ),
     wastedShare: round(wasted / Math.max(1, prefilled), 4),
     fairness: fairnessOf(samples),
   }
@@ -72,7 +76,8 @@
 
 function fairnessOf(samples: Sample[]): number {
   const workspaces = new Map<string, Sample[]>()
-  for (const sample of samples) workspaces.set(sample.workspace, [...(workspaces.get(sample.workspace) ?? []), sample])
+  for (const sample of samples)
+    workspaces.set(sample.workspace, [...(workspaces.get(sample.workspace) ?? []), sample])
   const shares = [...workspaces.values()].map((own) => own.filter(isGood).length / own.length)
   const mean = sum(shares) / Math.max(1, shares.length)
   return mean === 0 ? 0 : round(Math.min(...shares) / mean, 3)
--- a/tools/deployment/src/cutProxy.ts
+++ b/tools/deployment/src/cutProxy.ts
@@ -21,20 +21,41 @@
   cut(hosts: string[]): void
   /** Swallows everything from and to this box. */
   cutAll(cut: boolean): void
+  /** Bytes that have passed since the start, by the caller's IP number. */
+  traffic(): Map<string, Traffic>
   close(): Promise<void>
 }
 
+/** Bytes between one caller and the box behind the proxy. */
+export interface Traffic {
+  toBox: number
+  fromBox: number
+}
+
 export async function startCutProxy({ listen, target }: CutProxyOptions): Promise<CutProxy> {
   const pairs = new Set<Pair>()
   let cutHosts: string[] = []
   let isCutOff = false
+  const counted = new Map<string, Traffic>()
+  const countsOf = (host: string): Traffic => {
+    const counts = counted.get(host) ?? { toBox: 0, fromBox: 0 }
+    counted.set(host, counts)
+    return counts
+  }
   const isCut = (socket: Socket) => isCutOff || cutHosts.includes(socket.remoteAddress ?? '')
   const server: Server = createServer((inbound) => {
     const outbound = connect(target)
     const pair = { inbound, outbound }
     pairs.add(pair)
-    inbound.on('data', (chunk) => void (isCut(inbound) || outbound.write(chunk)))
-    outbound.on('data', (chunk) => void (isCut(inbound) || inbound.write(chunk)))
+    const counts = countsOf(inbound.remoteAddress ?? '')
+    inbound.on('data', (chunk) => {
+      counts.toBox += chunk.length
+      if (!isCut(inbound)) outbound.write(chunk)
+    })
+    outbound.on('data', (chunk) => {
+      counts.fromBox += chunk.length
+      if (!isCut(inbound)) inbound.write(chunk)
+    })
     const close = () => {
       pairs.delete(pair)
       inbound.destroy()
@@ -56,6 +77,7 @@
       if (!cut) dropCutPairs()
       isCutOff = cut
     },
+    traffic: () => counted,
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve())
--- a/tools/deployment/src/deployment.ts
+++ b/tools/deployment/src/deployment.ts
@@ -15,7 +15,7 @@
   site: Site
   /** Settings, data folders and logs go here. */
   folder: string
-  /** The first of about a hundred ports. */
+  /** The first of about 600 ports. */
   portBase: number
   /** How the daemon is started; the bundle where not given. */
   command?: string[]
@@ -25,6 +25,8 @@
   engineProfile?: Record<string, unknown>
   /** Only so many of the site's boxes. */
   boxes?: number
+  /** Engines in each pool; three where not given. */
+  engines?: number
   /** Put a cutting proxy before every box's peer listener. */
   cutProxies?: boolean
   /** Start the platform's list too. */
@@ -37,6 +39,8 @@
   control: boolean
   callers: string
   operators: string
+  /** Where other boxes reach it. */
+  peers: string
   /** The IP number that the box's own calls come from. */
   host: string
   settingsFile: string
@@ -47,8 +51,9 @@
 
 export const CALLER_TOKEN = 'caller-token-of-a-deployment'
 export const OPERATOR_TOKEN = 'operator-token-of-a-deployment'
-const SHARED_KEY = 'the shared key of a deployment'
-const PORTS_A_KIND = 10
+export const SHARED_KEY = 'the shared key of a deployment'
+/** Ports kept for each kind of listener. */
+const PORTS_A_KIND = 100
 
 /** A whole site on loopback, each box and each kind of stand-in a process of its own. */
 export class Deployment {
@@ -59,9 +64,11 @@
 
   constructor(readonly options: DeploymentOptions) {
     const { portBase, site, boxes = site.boxes.length } = options
-    const three = (offset: number) => [0, 1, 2].map((index) => portBase + offset + index)
-    this.ports = { prefill: three(0), decode: three(PORTS_A_KIND), plain: three(2 * PORTS_A_KIND) }
-    this.platformPort = portBase + 29
+    const ports = (kind: number, count: number) =>
+      Array.from({ length: count }, (_, index) => portBase + kind * PORTS_A_KIND + index)
+    const { engines = 3 } = options
+    this.ports = { prefill: ports(0, engines), decode: ports(1, engines), plain: ports(2, 3) }
+    this.platformPort = portBase + 3 * PORTS_A_KIND - 1
     this.boxes = site.boxes.slice(0, boxes).map((box, index) => this.describeBox(box, index))
   }
 
@@ -191,8 +198,9 @@
     return {
       name: box.name,
       control: box.control,
-      callers: `127.0.0.1:${portBase + 30 + index}`,
-      operators: `127.0.0.1:${portBase + 50 + index}`,
+      callers: `127.0.0.1:${portBase + 3 * PORTS_A_KIND + index}`,
+      operators: `127.0.0.1:${portBase + 4 * PORTS_A_KIND + index}`,
+      peers: this.peerAddress(index),
       host: `127.0.1.${index + 1}`,
       settingsFile: join(folder, `${box.name}.toml`),
       dataFolder: join(folder, 'data', box.name),
@@ -200,7 +208,7 @@
   }
 
   private peerPort(index: number): number {
-    return this.options.portBase + 70 + index
+    return this.options.portBase + 5 * PORTS_A_KIND + index
   }
 
   private peerAddress(index: number): string {
--- a/tools/deployment/src/sites.ts
+++ b/tools/deployment/src/sites.ts
@@ -52,6 +52,19 @@
   wastedPrefillWeight: 2,
 })
 
+/** The same site with another number of boxes, spread over its failure domains in turn. */
+export function scaleSite(site: Site, count: number): Site {
+  const boxes = Array.from({ length: count }, (_, index) => {
+    const known = site.boxes[index % site.domains.length]!
+    return {
+      name: `${known.domain}-${index + 1}`,
+      domain: known.domain,
+      control: index < site.domains.length,
+    }
+  })
+  return { ...site, boxes }
+}
+
 /** Ports of a site's stand-ins. */
 export interface SitePorts {
   prefill: number[]
--- a/tools/deployment/test/table.test.ts
+++ b/tools/deployment/test/table.test.ts
@@ -9,7 +9,7 @@
 let deployment: Deployment
 beforeAll(
   async () =>
-    void (deployment = await startDeployment({ portBase: 22_200, cutProxies: true, platform: true })),
+    void (deployment = await startDeployment({ portBase: 22_700, cutProxies: true, platform: true })),
 )
 afterAll(() => stopDeployment(deployment))
 
@@ -174,7 +174,7 @@
     deployment.startBox(lost)
     await deployment.waitForOperators(lost)
     const { version } = await tableOn(deployment.boxes[3]!)
-    const withAddress = `127.0.2.${deployment.boxes.indexOf(lost) + 1}:${22_270 + deployment.boxes.indexOf(lost)}`
+    const withAddress = lost.peers
     await waitUntil(
       async () => {
         await deployment.operator(deployment.boxes[3]!, 'POST', '/v1/control/replace', {
