--- /dev/null
+++ b/cli/forkstage/src/commands/status.ts
@@ -0,0 +1,60 @@
+import type { BoxReport, FleetStatus } from '@forkstage/operator-api'
+import { EXIT, type BoxArguments, type Command } from '../cliTypes'
+import { callBox, withBox } from '../operatorClient'
+import { print, printTable } from '../print'
+
+/** `forkstage status`. */
+export const statusCommand: Command<BoxArguments> = {
+  command: 'status',
+  help: 'Show every box: the version in force and since when, readiness, requests, replicas',
+  options: (argv) =>
+    withBox(argv).example('$0 status', 'boxes that are cut off show until when they may act'),
+  async handler(args) {
+    const status = await callBox<FleetStatus>(args, '/v1/status')
+    if (args.json) print(JSON.stringify(status, null, 2))
+    else printStatus(status)
+    return EXIT.ok
+  },
+}
+
+function printStatus(status: FleetStatus): void {
+  if (status.control === undefined) print(`no account from the control leader: ${status.controlFailure}`)
+  else print(`table version ${status.control.version}  digest ${status.control.digest.slice(0, 12)}`)
+  const reports = new Map(status.boxes.map((box) => [box.box, box]))
+  const rows = (status.control?.boxes ?? []).map((box) => {
+    const report = reports.get(box.box)
+    const known = report !== undefined && 'ready' in report ? report : undefined
+    return [
+      box.box,
+      box.domain,
+      box.state,
+      box.version,
+      `${box.versionForMs} ms`,
+      `${box.heardAgoMs} ms`,
+      `${box.leaseLeftMs} ms`,
+      readiness(known),
+      known?.running ?? '-',
+      known?.queued ?? '-',
+    ]
+  })
+  printTable(
+    ['box', 'domain', 'state', 'version', 'for', 'heard ago', 'may act for', 'ready', 'running', 'queued'],
+    rows,
+  )
+  for (const report of reports.values()) if ('replicas' in report) printReplicas(report)
+}
+
+function readiness(report: BoxReport | undefined): string {
+  if (report === undefined) return '-'
+  return report.ready ? 'yes' : `no: ${report.refuses ?? 'leaving'}`
+}
+
+function printReplicas(report: BoxReport): void {
+  for (const replica of report.replicas) {
+    const state =
+      'failure' in replica
+        ? `takes no part: ${replica.failure}`
+        : `${replica.role}, term ${replica.term}, ${replica.commitIndex} of ${replica.lastIndex} committed, ${replica.config.voters.length} voters`
+    print(`${report.box} ${replica.group}: ${state}`)
+  }
+}
--- a/cli/forkstage/src/main.ts
+++ b/cli/forkstage/src/main.ts
@@ -3,24 +3,20 @@
 import { SettingsError } from '@forkstage/settings'
 import { TableError } from '@forkstage/table'
 import { EXIT, type Command } from './cliTypes'
-import {
-  controlReplaceCommand,
-  explainCommand,
-  orderCommand,
-  statusCommand,
-  stopCommand,
-  versionCommand,
-} from './commands/fleetCommands'
+import { controlReplaceCommand } from './commands/controlReplace'
+import { explainCommand } from './commands/explain'
+import { orderCommand } from './commands/order'
 import { runCommand } from './commands/run'
 import { settingsCheckCommand } from './commands/settingsCheck'
-import {
-  tableCheckCommand,
-  tableDiffCommand,
-  tableExportCommand,
-  tableHistoryCommand,
-  tableShowCommand,
-} from './commands/tableCommands'
+import { statusCommand } from './commands/status'
+import { stopCommand } from './commands/stop'
+import { tableCheckCommand } from './commands/tableCheck'
 import { tableConfirmCommand } from './commands/tableConfirm'
+import { tableDiffCommand } from './commands/tableDiff'
+import { tableExportCommand } from './commands/tableExport'
+import { tableHistoryCommand } from './commands/tableHistory'
+import { tableShowCommand } from './commands/tableShow'
+import { versionCommand } from './commands/version'
 import { printError } from './print'
 
 /** Commands under a common first word, as `table show`. */
--- a/daemon/daemon/src/buildContainer.ts
+++ b/daemon/daemon/src/buildContainer.ts
@@ -23,6 +23,7 @@
 const REPORT_EVERY_MS = 200
 const SWEEP_EVERY_MS = 1_000
 const RENEW_CREDITS_EVERY_MS = 250
+const RENEW_CREDITS_IDLE_MS = 1_000
 /** Exceeds the lag of reports and the time a step may be on its way. */
 const HOLD_GRACE_MS = 3_000
 const BOX_GONE_GRACE_MS = 8_000
@@ -164,6 +165,7 @@
       peers: context.get(PARTS.peers),
       clock: context.get(PARTS.clock),
       renewEvery: RENEW_CREDITS_EVERY_MS,
+      renewIdleEvery: RENEW_CREDITS_IDLE_MS,
       waitingFor: () => container.get(PARTS.placer).waiting,
       onNews: () => container.get(PARTS.placer).drain(),
     })
--- a/engine/fakes/src/engineState.ts
+++ b/engine/fakes/src/engineState.ts
@@ -54,6 +54,8 @@
   orders: { fence: number; action: string; argument: string }[]
   /** Requests whose decode ran to its end, each with how often. */
   answered: Record<string, number>
+  /** Requests of which a prefill was begun, each with how often. */
+  begun: Record<string, number>
 }
 
 /** All that a stand-in engine holds. */
@@ -76,6 +78,7 @@
     released: 0,
     orders: [],
     answered: {},
+    begun: {},
   }
 
   constructor(readonly profile: EngineProfile) {
--- a/engine/fakes/src/engineWork.ts
+++ b/engine/fakes/src/engineWork.ts
@@ -136,6 +136,7 @@
     const { state } = this
     const { profile, cache, record, faults } = state
     job.state = 'running'
+    record.begun[job.request] = (record.begun[job.request] ?? 0) + 1
     const cached = Math.min(cache.match(job.prompt.blocks) * profile.blockTokens, job.prompt.tokens)
     const fresh = job.prompt.tokens - cached
     await wait((profile.prefillBaseMs + (fresh * 1_000) / profile.prefillTokensPerSecond) * faults.slowFactor)
--- a/placement/load/src/endpointBook.ts
+++ b/placement/load/src/endpointBook.ts
@@ -90,6 +90,11 @@
     return [...this.entries.values()].some((entry) => entry.share > 0 && entry.shareUntil > now)
   }
 
+  /** Whether this box has anything in flight. */
+  get hasWork(): boolean {
+    return [...this.entries.values()].some((entry) => entry.sent.size > 0)
+  }
+
   get rows(): EndpointRow[] {
     return [...this.entries.values()].map((entry) => entry.row)
   }
--- a/placement/owner/src/creditClient.ts
+++ b/placement/owner/src/creditClient.ts
@@ -4,6 +4,7 @@
 import type { PeerCaller } from '@forkstage/peer-rpc'
 import type { Address, BoxId, EndpointName, Millis } from '@forkstage/types'
 import type { CreditAnswer, CreditQuestion } from './ownerTypes'
+import { unpackReport } from './reportCodec'
 
 /** Options of {@link CreditClient}. */
 export interface CreditClientOptions {
@@ -12,7 +13,10 @@
   book: EndpointBook
   peers: PeerCaller
   clock: Clock
+  /** How often shares are renewed while this box has work. */
   renewEvery: Millis
+  /** How often while it has none; shorter than the lease of a share. */
+  renewIdleEvery: Millis
   /** How many requests wait for an endpoint's pool. */
   waitingFor: (endpoint: EndpointName) => number
   /** Called when new shares have come. */
@@ -32,7 +36,7 @@
   constructor(private readonly options: CreditClientOptions) {}
 
   start(): void {
-    this.cancel = every(this.options.clock, this.options.renewEvery, () => this.renew())
+    this.cancel = every(this.options.clock, this.options.renewEvery, () => this.renewIfDue())
   }
 
   stop(): void {
@@ -45,6 +49,12 @@
     if (clock.now() - this.renewedAt >= SOONEST_RENEWAL_MS) this.renew()
   }
 
+  private renewIfDue(): void {
+    const { clock, renewIdleEvery, book } = this.options
+    const idleFor = clock.now() - this.renewedAt
+    if (book.hasWork || idleFor >= renewIdleEvery) this.renew()
+  }
+
   /** Asks every owner now. */
   renew(): void {
     this.renewedAt = this.options.clock.now()
@@ -92,11 +102,11 @@
     this.epochs.set(answer.endpoint, answer.epoch)
     this.cacheSeqs.set(answer.endpoint, answer.cacheSeq)
     this.options.book.noteNews(answer.endpoint, {
-      report: answer.report,
+      report: answer.report === undefined ? undefined : unpackReport(answer.report),
       share: answer.share,
       leaseMs: answer.leaseMs,
       promptTokensPerSecond: answer.promptTokensPerSecond ?? Infinity,
-      cacheEvents: answer.cacheEvents,
+      cacheEvents: answer.cacheEvents ?? [],
     })
   }
 }
--- a/placement/owner/src/ownedEndpoint.ts
+++ b/placement/owner/src/ownedEndpoint.ts
@@ -3,9 +3,10 @@
 import { shareFor, type Demand, type Grant } from '@forkstage/load'
 import type { BoxId, EndpointRow, Millis } from '@forkstage/types'
 import type { CreditAnswer } from './ownerTypes'
+import { packReport, type PackedReport } from './reportCodec'
 
 /** How long a share is leased. */
-export const CREDIT_LEASE_MS = 1_500
+export const CREDIT_LEASE_MS = 2_500
 /** Cache events kept for boxes that ask; they also learn from what they send. */
 const MAX_CACHE_EVENTS = 1_024
 /** Events a single answer carries at most. */
@@ -53,7 +54,7 @@
       leaseMs: CREDIT_LEASE_MS,
       promptTokensPerSecond: this.promptRate(share),
       report: this.agedReport(now),
-      cacheEvents: events,
+      cacheEvents: events.length > 0 ? events : undefined,
       cacheSeq: events.at(-1)?.seq ?? Math.max(cacheAfter, this.cacheSeq),
     }
   }
@@ -64,9 +65,8 @@
     return promptTokensPerSecond === 0 ? null : (promptTokensPerSecond * share) / Math.max(1, maxInFlight)
   }
 
-  private agedReport(now: Millis): EngineReport | undefined {
-    return this.report === undefined
-      ? undefined
-      : { ...this.report, ageMs: this.report.ageMs + (now - this.reportAt) }
+  private agedReport(now: Millis): PackedReport | undefined {
+    if (this.report === undefined) return undefined
+    return packReport({ ...this.report, ageMs: this.report.ageMs + (now - this.reportAt) })
   }
 }
--- a/placement/owner/src/ownerTypes.ts
+++ b/placement/owner/src/ownerTypes.ts
@@ -1,6 +1,7 @@
-import type { CacheEvent, EngineReport } from '@forkstage/engine-client'
+import type { CacheEvent } from '@forkstage/engine-client'
 import type { Demand } from '@forkstage/load'
 import type { BoxId, EndpointName, Millis } from '@forkstage/types'
+import type { PackedReport } from './reportCodec'
 
 /** A box asks the owner for its shares of several endpoints at once. */
 export interface CreditQuestion {
@@ -17,8 +18,9 @@
   leaseMs: Millis
   /** Prompt tokens a second for this box; null without a limit. */
   promptTokensPerSecond: number | null
-  report?: EngineReport
-  cacheEvents: CacheEvent[]
+  report?: PackedReport
+  /** Absent where there are none. */
+  cacheEvents?: CacheEvent[]
   /** The last cache event there is, to ask from next time. */
   cacheSeq: number
 }
--- a/settings/settings/src/schema.ts
+++ b/settings/settings/src/schema.ts
@@ -49,8 +49,8 @@
 const leaseSection = z
   .strictObject({
     table_ms: duration(3_000),
-    ask_every_ms: duration(400),
-    box_gone_after_ms: duration(2_500),
+    ask_every_ms: duration(1_000),
+    box_gone_after_ms: duration(3_500),
   })
   .prefault({})
 
--- /dev/null
+++ b/tools/soak/src/checkPromises.ts
@@ -0,0 +1,93 @@
+import got from 'got'
+import { waitUntil, type Deployment } from '@forkstage/deployment'
+import type { EngineHold } from '@forkstage/engine-client'
+import type { EngineRecord, PlainCall } from '@forkstage/fakes'
+import type { VersionedTable } from '@forkstage/types'
+import type { KeyRecord, SoakCallers } from './soakCallers'
+import type { SoakOperators } from './soakOperators'
+
+/** Checks the brief's promises from the stand-ins' own records; returns what does not hold. */
+export async function checkPromises(
+  deployment: Deployment,
+  callers: SoakCallers,
+  operators: SoakOperators,
+): Promise<string[]> {
+  const engines = [...deployment.ports.prefill, ...deployment.ports.decode]
+  const records = await Promise.all(engines.map((port) => read<EngineRecord>(port, '/record')))
+  const calls = (
+    await Promise.all(deployment.ports.plain.map((port) => read<PlainCall[]>(port, '/record')))
+  ).flat()
+  return [
+    ...(await checkNothingHeld(engines)),
+    ...callers.chats.flatMap((chat) => checkChat(chat, records)),
+    ...callers.saves.flatMap((save) => checkSave(save, calls)),
+    ...operators.faults,
+    ...(await checkTables(deployment, operators)),
+    ...checkLogs(deployment),
+  ]
+}
+
+async function checkNothingHeld(engines: number[]): Promise<string[]> {
+  const held = async () =>
+    (await Promise.all(engines.map((port) => read<EngineHold[]>(port, '/v1/holds')))).flat()
+  try {
+    await waitUntil(async () => (await held()).length === 0, {
+      what: 'every hold to be released',
+      timeoutMs: 30_000,
+    })
+    return []
+  } catch {
+    return (await held()).map(
+      (hold) => `${hold.kind} of ${hold.request} is still held after ${Math.round(hold.ageMs)} ms`,
+    )
+  }
+}
+
+function checkChat(chat: KeyRecord, records: EngineRecord[]): string[] {
+  const faults: string[] = []
+  if (!chat.answered) faults.push(`${chat.key} got no answer: ${chat.executions.join(', ')}`)
+  if (new Set(chat.answers).size > 1) faults.push(`${chat.key} got different answers`)
+  faults.push(
+    ...chat.executions
+      .filter((each) => each.startsWith('event'))
+      .map((gap) => `${chat.key} had a gap or a double: ${gap}`),
+  )
+  for (const request of chat.notRun) {
+    const began = records.some((record) => record.begun[request] !== undefined)
+    if (began) faults.push(`${request} was called not run and had been begun`)
+  }
+  return faults
+}
+
+function checkSave(save: KeyRecord, calls: PlainCall[]): string[] {
+  const times = calls.filter((call) => call.key === save.key).length
+  const faults: string[] = []
+  if (times > 1) faults.push(`${save.key} ran ${times} times`)
+  if (save.answered && times !== 1) faults.push(`${save.key} was answered and ran ${times} times`)
+  const onlyNotRun = save.executions.every((each) => each === 'not-run')
+  if (onlyNotRun && times > 0) faults.push(`${save.key} was called not run and ran`)
+  return faults
+}
+
+async function checkTables(deployment: Deployment, operators: SoakOperators): Promise<string[]> {
+  const newest = Math.max(0, ...operators.accepted.map((each) => each.version))
+  const faults: string[] = []
+  for (const box of deployment.boxes) {
+    const { version } = await deployment.operator<VersionedTable>(box, 'GET', '/v1/table')
+    if (version < newest) faults.push(`${box.name} is on version ${version}, but ${newest} was accepted`)
+  }
+  return faults
+}
+
+/** Invariants are asserted inside the program too: none may have been broken. */
+function checkLogs(deployment: Deployment): string[] {
+  return deployment.boxes.flatMap((box) =>
+    (box.process?.lines ?? [])
+      .filter((line) => line.includes('invariant'))
+      .map((line) => `${box.name}: ${line.slice(0, 300)}`),
+  )
+}
+
+function read<Body>(port: number, path: string): Promise<Body> {
+  return got(`http://127.0.0.1:${port}${path}`).json<Body>()
+}
