test(peer-rpc): TLS with both sides checked; baselines as plain balancers

Certificates are made in the test (node-forge). A client without a certificate of our authority, or trusting another one, is refused on both sides.

They now honour state, weight and ejection only; engines refuse what does not fit.

--- a/peer/rpc/test/peerClient.test.ts
+++ b/peer/rpc/test/peerClient.test.ts
@@ -2,7 +2,8 @@
 import { createSystemClock } from '@forkstage/clock'
 import { ForkstageError } from '@forkstage/error'
 import { createSilentLogger } from '@forkstage/logger'
-import { PeerClient, startPeerServer, type PeerMethod, type PeerServer } from '../src'
+import { makeCertificates } from './makeCertificates'
+import { PeerClient, startPeerServer, type PeerMethod, type PeerServer, type TlsFiles } from '../src'
 
 const ADDRESS = '127.0.0.1:17931'
 const logger = createSilentLogger()
@@ -10,19 +11,20 @@
 const open: { close(): unknown }[] = []
 afterEach(async () => void (await Promise.all(open.splice(0).map((each) => each.close()))))
 
-async function serve(methods: Record<string, PeerMethod>): Promise<PeerServer> {
+async function serve(methods: Record<string, PeerMethod>, tls?: TlsFiles): Promise<PeerServer> {
   const server = await startPeerServer({
     address: ADDRESS,
     sharedKey: 'the right shared key',
     methods,
     logger,
+    tls,
   })
   open.push(server)
   return server
 }
 
-function client(sharedKey = 'the right shared key'): PeerClient {
-  const peers = new PeerClient({ credentials: { box: 'bole-1', sharedKey }, clock, logger })
+function client(sharedKey = 'the right shared key', tls?: TlsFiles): PeerClient {
+  const peers = new PeerClient({ credentials: { box: 'bole-1', sharedKey, tls }, clock, logger })
   open.push(peers)
   return peers
 }
@@ -69,4 +71,18 @@
     await server.close()
     await expect(pending).rejects.toMatchObject({ code: 'FORKSTAGE_PEER_UNREACHABLE' })
   })
+
+  it('checks the certificates of both sides where the settings name them', async () => {
+    const [ours, theirs] = [makeCertificates('ours'), makeCertificates('theirs')]
+    await serve({ greet: () => 'hello' }, ours)
+    expect(await client(undefined, ours).call(ADDRESS, 'greet', {}, options)).toBe('hello')
+    await expect(client(undefined, theirs).call(ADDRESS, 'greet', {}, options)).rejects.toThrow(
+      ForkstageError,
+    )
+    const trustsUs = { ...theirs, authority: ours.authority }
+    await expect(client(undefined, trustsUs).call(ADDRESS, 'greet', {}, options)).rejects.toThrow(
+      ForkstageError,
+    )
+    await expect(client().call(ADDRESS, 'greet', {}, options)).rejects.toThrow(ForkstageError)
+  })
 })
--- a/placement/place/src/baselines.ts
+++ b/placement/place/src/baselines.ts
@@ -1,4 +1,4 @@
-import { reserveTokens, toPlacement } from './place'
+import { toPlacement } from './place'
 import { weigh } from './costModel'
 import type { EndpointView, PlacementView, PlacePolicy, PlaceRequest, PlaceResult } from './placeTypes'
 
@@ -14,7 +14,11 @@
   return { turns: new Map() }
 }
 
-/** Places by a baseline. Endpoints that are closed, or lack memory for the request, are passed over. */
+/**
+ * Places as a balancer in front of two pools does: it honours the row's state, weight above 0 and
+ * ejection, and knows neither shares, memory, links nor targets. An engine without memory refuses by
+ * itself, and the request is tried elsewhere.
+ */
 export function placeByBaseline(
   name: BaselineName,
   request: PlaceRequest,
@@ -22,31 +26,36 @@
   policy: PlacePolicy,
   state: BaselineState,
 ): PlaceResult {
-  const open = view.endpoints.filter(
-    (each) =>
-      each.closed === undefined &&
-      each.row.service === request.service &&
-      each.row.models.includes(request.model) &&
-      !request.avoid.includes(each.row.endpoint),
-  )
+  const open = view.endpoints.filter((each) => isOpen(each, request))
   const prefill = pick(
     name,
     'prefill',
     open.filter((each) => each.row.pool === 'prefill'),
     state,
   )
-  const roomy = open.filter(
-    (each) => each.row.pool === 'decode' && each.row.kvTokens - each.kvTokensUsed >= reserveTokens(request),
+  const decode = pick(
+    name,
+    'decode',
+    open.filter((each) => each.row.pool === 'decode'),
+    state,
   )
-  const decode = pick(name, 'decode', roomy, state)
   if (prefill === undefined || decode === undefined) {
-    const reason = prefill === undefined ? 'no-prefill' : 'no-memory'
-    return { type: 'refused', reason, retryAfter: 500, mayWait: true, candidates: [], closed: [] }
+    const reason = prefill === undefined ? 'no-prefill' : 'no-decode'
+    return { type: 'refused', reason, retryAfter: RETRY_AFTER_MS, mayWait: false, candidates: [], closed: [] }
   }
   const figures = weigh(request, prefill, decode, view, policy)
   return toPlacement(request, { prefill, decode, figures }, view, policy, [figures])
 }
 
+const RETRY_AFTER_MS = 500
+
+function isOpen(endpoint: EndpointView, request: PlaceRequest): boolean {
+  const { row, closed } = endpoint
+  const takesWork = closed === undefined || closed === 'no-credit'
+  const serves = row.service === request.service && row.models.includes(request.model)
+  return takesWork && serves && !request.avoid.includes(row.endpoint)
+}
+
 function pick(
   name: BaselineName,
   pool: string,
--- a/request/runner/src/placer.ts
+++ b/request/runner/src/placer.ts
@@ -112,14 +112,7 @@
   private enqueue(question: PlaceQuestion): void {
     const { clock } = this.options
     if (this.queue.length >= MAX_WAITING) {
-      const result: PlaceResult = {
-        type: 'refused',
-        reason: 'too-late',
-        retryAfter: question.model.ttftMs,
-        mayWait: false,
-        candidates: [],
-        closed: [],
-      }
+      const result = refuseTooLate(question)
       this.log(question, result)
       return question.answer(result)
     }
@@ -135,14 +128,7 @@
       const { question, since } = item
       const waited = question.waited + now - since
       if (waited < question.model.ttftMs) continue
-      const result: PlaceResult = {
-        type: 'refused',
-        reason: 'too-late',
-        retryAfter: question.model.ttftMs,
-        mayWait: false,
-        candidates: [],
-        closed: [],
-      }
+      const result = refuseTooLate(question)
       this.log(question, result)
       this.answerWaiting(item, result)
     }
@@ -206,6 +192,12 @@
   }
 }
 
+/** No room within the caller's target. */
+function refuseTooLate(question: PlaceQuestion): PlaceResult {
+  const retryAfter = question.model.ttftMs
+  return { type: 'refused', reason: 'too-late', retryAfter, mayWait: false, candidates: [], closed: [] }
+}
+
 /** The engine that keeps this request's result needs no credit for handing it over. */
 function reopenKept<
   View extends { row: { endpoint: EndpointName }; closed?: unknown; queuedPrefillTokens: number },
--- a/tools/bench/src/mixes.ts
+++ b/tools/bench/src/mixes.ts
@@ -79,7 +79,7 @@
 /** Addis: a long handbook excerpt that many share, short answers, bursts between rounds. */
 const addis: Mix = {
   site: ADDIS,
-  baseRate: 50,
+  baseRate: 70,
   plan: (options) =>
     arrivals(options, true).map((at, index) => {
       const { random } = options
