feat(owners): a box follows only a subset of a large pool

Cause: the book's view is walked for every placement and refreshed by credits, so at 11,000 endpoints each decision would cost milliseconds and the credits far more than 3 KB a second. A box now follows policy.follow_per_pool (64) endpoints of each pool, by rendezvous hash; owners look at the whole table. Weighed: following by failure domain (a lost domain leaves boxes with nothing).

--- a/daemon/daemon/src/boxDaemon.ts
+++ b/daemon/daemon/src/boxDaemon.ts
@@ -91,10 +91,10 @@
     const { parts, settings } = this
     const { control } = parts.get(PARTS.groups)
     if (control === undefined) return {}
-    const book = parts.get(PARTS.book)
+    const follower = parts.get(PARTS.follower)
     const sender = new OrderSender({
       replica: () => control.require(),
-      row: (endpoint) => book.row(endpoint),
+      row: (endpoint) => follower.table.table.endpoints.find((row) => row.endpoint === endpoint),
       engines: parts.get(PARTS.engines),
       clock: parts.get(PARTS.clock),
       logger: parts.get(PARTS.logger),
@@ -111,7 +111,7 @@
       settings,
       runs: parts.get(PARTS.runs),
       plain: parts.get(PARTS.plain),
-      rows: () => parts.get(PARTS.book).rows,
+      rows: () => parts.get(PARTS.follower).table.table.endpoints,
       refusesWork: () => fleet.refusesWork(),
       isReady: () => fleet.isReady(),
       logger: parts.get(PARTS.logger),
--- a/daemon/daemon/src/buildContainer.ts
+++ b/daemon/daemon/src/buildContainer.ts
@@ -10,7 +10,7 @@
 import { EndpointBook, OutputForecast, RetryBudget } from '@forkstage/load'
 import { createLogger } from '@forkstage/logger'
 import { CreditClient, OwnerService } from '@forkstage/owner'
-import { OwnerMap } from '@forkstage/owners'
+import { EndpointSubset, OwnerMap } from '@forkstage/owners'
 import { parseAddress, PeerClient } from '@forkstage/peer-rpc'
 import type { PlacePolicy } from '@forkstage/place'
 import { Placer, PlainCalls, ReleaseKeeper, RequestMeters, RunRegistry, StoryBook } from '@forkstage/runner'
@@ -98,6 +98,7 @@
     const { incarnation } = context.get(PARTS.origin)
     const state = context.get(PARTS.state)
     const refreshOwners = () => container.get(PARTS.ownerService).refresh()
+    const subset = new EndpointSubset(box.name, settings.policy.follow_per_pool)
     return new TableFollower({
       self: () => ({
         box: box.name,
@@ -113,7 +114,7 @@
       tableLease: lease.table_ms,
       askEvery: lease.ask_every_ms,
       onTable: ({ table, version }) => {
-        container.get(PARTS.book).setTable(table)
+        container.get(PARTS.book).setTable(subset.choose(table))
         container.get(PARTS.meters).tableVersion.set(version)
         refreshOwners()
         container.get(PARTS.credits).renew()
@@ -145,7 +146,7 @@
       box: box.name,
       owners: context.get(PARTS.owners),
       members: () => follower.members,
-      rows: () => context.get(PARTS.book).rows,
+      rows: () => follower.table.table.endpoints,
       holdsLease: () => follower.holdsLease(),
       engines: context.get(PARTS.engines),
       peers: context.get(PARTS.peers),
--- a/membership/owners/src/ownerMap.ts
+++ b/membership/owners/src/ownerMap.ts
@@ -1,6 +1,6 @@
-import { createHash } from 'node:crypto'
 import type { BoxInfo, Members } from '@forkstage/control'
 import type { BoxId, EndpointName } from '@forkstage/types'
+import { scoreOf } from './scoreOf'
 
 /** The owner of an endpoint, fenced by the version of the box list that made it so. */
 export interface Ownership {
@@ -63,7 +63,3 @@
     return best
   }
 }
-
-function scoreOf(endpoint: EndpointName, box: BoxId): bigint {
-  return createHash('sha1').update(`${endpoint}\n${box}`).digest().readBigUInt64BE(0)
-}
--- a/settings/settings/src/schema.ts
+++ b/settings/settings/src/schema.ts
@@ -72,6 +72,7 @@
     ttft_target_ms: duration(770),
     tbt_target_ms: duration(61),
     switched_off: z.array(z.enum(POLICY_PARTS)).default([]),
+    follow_per_pool: z.number().int().min(1).max(10_000).default(64),
     retry_share: z.number().min(0).max(1).default(0.1),
   })
   .prefault({})
