perf(owners,lease): credits by position, one question a changed table

Cause, from the slopes: an idle entry spent 390 bytes/s for each endpoint it follows (9 to 99 endpoints, r² 1), and 6.8 KB for one changed row, because a newer table made it ask every control replica and renew all credits. Ruled out: the delta itself (about 400 bytes) and the number of rows (slope -0.26 bytes a row). Demands, credits and reports now travel by position; a box that hears of a newer table asks the leader alone; credits are renewed at once only where the table has new endpoints.

--- a/daemon/daemon/src/buildContainer.ts
+++ b/daemon/daemon/src/buildContainer.ts
@@ -114,10 +114,10 @@
       tableLease: lease.table_ms,
       askEvery: lease.ask_every_ms,
       onTable: ({ table, version }) => {
-        container.get(PARTS.book).setTable(subset.choose(table))
+        const hasNew = container.get(PARTS.book).setTable(subset.choose(table))
         container.get(PARTS.meters).tableVersion.set(version)
         refreshOwners()
-        container.get(PARTS.credits).renew()
+        if (hasNew) container.get(PARTS.credits).renew()
       },
       onMembers: (members) => {
         container.get(PARTS.owners).update(members)
--- a/membership/lease/src/tableFollower.ts
+++ b/membership/lease/src/tableFollower.ts
@@ -28,6 +28,7 @@
   private heldLease = false
   /** When a leader last answered; without one, the table is asked for from every replica. */
   private leaderHeardAt = -Infinity
+  private leaderAddress: Address | undefined
 
   constructor(private readonly options: TableFollowerOptions) {
     const table = { endpoints: [], links: [] }
@@ -69,7 +70,10 @@
 
   /** Asks at once where a newer version has been heard of. */
   noteNewer(version: number): void {
-    if (version > this.state.table.version) this.ask()
+    if (version <= this.state.table.version) return
+    // The leader alone has it for certain, and its word alone renews the lease.
+    if (this.leaderAddress === undefined) this.ask()
+    else void this.askOne(this.leaderAddress)
   }
 
   private ask(): void {
@@ -85,8 +89,10 @@
         deadline: tableLease,
         step: 'renew table lease',
       })
+      if (answer.holdsLease) this.leaderAddress = address
       this.take(answer, sentAt)
     } catch {
+      if (this.leaderAddress === address) this.leaderAddress = undefined
       // A replica that does not answer is asked again; the lease says what that means.
     }
   }
--- a/membership/owners/src/ownerMap.ts
+++ b/membership/owners/src/ownerMap.ts
@@ -22,6 +22,11 @@
   private epoch: [number, number] = [0, 0]
   private readonly best = new Map<EndpointName, Best>()
 
+  /** The version of the box list that the present owners come from. */
+  get currentEpoch(): [number, number] {
+    return this.epoch
+  }
+
   /** Takes a new list of live boxes. Boxes that are leaving own nothing. */
   update(members: Members): void {
     const live = members.boxes.filter((box) => box.state === 'serving')
--- a/placement/load/src/endpointBook.ts
+++ b/placement/load/src/endpointBook.ts
@@ -53,6 +53,8 @@
 /** Before the first report an engine is taken for one of this speed. */
 const ASSUMED_TOKENS_PER_SECOND = 10_000
 const ASSUMED_STEP_MS = 20
+/** A link of 1 Mbit/s carries so many bytes a millisecond. */
+const BYTES_PER_MS_A_MEGABIT = 125
 /** Prompt budgets may save up this much. */
 const BUDGET_SECONDS = 1
 
@@ -66,17 +68,24 @@
 
   constructor(private readonly options: EndpointBookOptions) {}
 
-  setTable(table: Table): void {
+  /** Takes a new table. @returns whether it has endpoints that were not there before. */
+  setTable(table: Table): boolean {
+    let hasNew = false
     const names = new Set(table.endpoints.map((row) => row.endpoint))
     for (const name of this.entries.keys()) if (!names.has(name)) this.entries.delete(name)
     for (const row of table.endpoints) {
       const known = this.entries.get(row.endpoint)
       if (known?.row.address === row.address) known.row = row
-      else this.entries.set(row.endpoint, this.createEntry(row))
+      else {
+        this.entries.set(row.endpoint, this.createEntry(row))
+        hasNew = true
+      }
     }
     this.linkRates.clear()
-    for (const link of table.links)
-      this.linkRates.set(`${link.from}>${link.to}`, (link.megabitsPerSecond * 125_000) / 1_000)
+    for (const { from, to, megabitsPerSecond } of table.links) {
+      this.linkRates.set(`${from}>${to}`, megabitsPerSecond * BYTES_PER_MS_A_MEGABIT)
+    }
+    return hasNew
   }
 
   /** Takes what the platform lists as leaving. */
--- a/placement/owner/src/creditClient.ts
+++ b/placement/owner/src/creditClient.ts
@@ -3,7 +3,7 @@
 import type { OwnerMap } from '@forkstage/owners'
 import type { PeerCaller } from '@forkstage/peer-rpc'
 import type { Address, BoxId, EndpointName, Millis } from '@forkstage/types'
-import type { CreditAnswer, CreditQuestion } from './ownerTypes'
+import type { CreditAnswer, CreditQuestion, PackedCredit, PackedDemand } from './ownerTypes'
 import { unpackReport } from './reportCodec'
 
 /** Options of {@link CreditClient}. */
@@ -74,39 +74,34 @@
 
   private async ask(address: Address, endpoints: EndpointName[]): Promise<void> {
     const { box, book, peers, waitingFor, onNews } = this.options
-    const question: CreditQuestion = {
-      box,
-      endpoints: endpoints.map((endpoint) => ({
-        endpoint,
-        inFlight: book.inFlight(endpoint),
-        waiting: waitingFor(endpoint),
-        cacheAfter: this.cacheSeqs.get(endpoint) ?? 0,
-      })),
-    }
+    const demands = endpoints.map((endpoint): PackedDemand => {
+      return [endpoint, book.inFlight(endpoint), waitingFor(endpoint), this.cacheSeqs.get(endpoint) ?? 0]
+    })
+    const question: CreditQuestion = { box, endpoints: demands }
+    const options = { deadline: DEADLINE_MS, step: 'renew credits' }
     try {
-      const answers = await peers.call<CreditAnswer[]>(address, 'owner.credits', question, {
-        deadline: DEADLINE_MS,
-        step: 'renew credits',
-      })
-      answers.forEach((answer) => this.take(answer))
+      const answer = await peers.call<CreditAnswer>(address, 'owner.credits', question, options)
+      endpoints.forEach((endpoint, position) => this.take(endpoint, answer, answer.credits[position] ?? null))
       onNews()
     } catch {
       // The owner is gone or has changed: the shares run out, and the next renewal asks whoever owns it then.
     }
   }
 
-  private take(answer: CreditAnswer): void {
-    const known = this.epochs.get(answer.endpoint) ?? [0, 0]
-    const isOld = answer.epoch[0] < known[0] || (answer.epoch[0] === known[0] && answer.epoch[1] < known[1])
-    if (isOld) return
-    this.epochs.set(answer.endpoint, answer.epoch)
-    this.cacheSeqs.set(answer.endpoint, answer.cacheSeq)
-    this.options.book.noteNews(answer.endpoint, {
-      report: answer.report === undefined ? undefined : unpackReport(answer.report),
-      share: answer.share,
-      leaseMs: answer.leaseMs,
-      promptTokensPerSecond: answer.promptTokensPerSecond ?? Infinity,
-      cacheEvents: answer.cacheEvents ?? [],
+  private take(endpoint: EndpointName, answer: CreditAnswer, credit: PackedCredit | null): void {
+    const known = this.epochs.get(endpoint) ?? [0, 0]
+    const { epoch, leaseMs } = answer
+    const isOld = epoch[0] < known[0] || (epoch[0] === known[0] && epoch[1] < known[1])
+    if (isOld || credit === null) return
+    const [share, promptTokensPerSecond, cacheSeq, report, cacheEvents = []] = credit
+    this.epochs.set(endpoint, epoch)
+    this.cacheSeqs.set(endpoint, cacheSeq)
+    this.options.book.noteNews(endpoint, {
+      report: report === null ? undefined : unpackReport(report),
+      share,
+      leaseMs,
+      promptTokensPerSecond: promptTokensPerSecond ?? Infinity,
+      cacheEvents,
     })
   }
 }
--- a/placement/owner/src/index.ts
+++ b/placement/owner/src/index.ts
@@ -1,5 +1,5 @@
 /** Endpoint owners and their credits. */
-export { OwnerService, NotOwnerError } from './ownerService'
+export { OwnerService } from './ownerService'
 export type { OwnerServiceOptions } from './ownerService'
 export { CreditClient } from './creditClient'
 export type { CreditClientOptions } from './creditClient'
--- a/placement/owner/src/ownedEndpoint.ts
+++ b/placement/owner/src/ownedEndpoint.ts
@@ -2,7 +2,7 @@
 import type { CacheEvent, EngineReport } from '@forkstage/engine-client'
 import { shareFor, type Demand, type Grant } from '@forkstage/load'
 import type { BoxId, EndpointRow, Millis } from '@forkstage/types'
-import type { CreditAnswer } from './ownerTypes'
+import type { PackedCredit } from './ownerTypes'
 import { packReport, type PackedReport } from './reportCodec'
 
 /** How long a share is leased. */
@@ -39,23 +39,22 @@
   }
 
   /** Leases a share to a box, for what it asks. */
-  grant(box: BoxId, demand: Demand, cacheAfter: number, epoch: [number, number]): CreditAnswer {
+  grant(box: BoxId, demand: Demand, cacheAfter: number): PackedCredit {
     const now = this.clock.now()
-    this.demands.set(box, { ...demand, at: now })
-    for (const [other, known] of this.demands)
-      if (now - known.at > CREDIT_LEASE_MS * 2) this.demands.delete(other)
+    this.noteDemand(box, demand, now)
     const share = shareFor(box, this.row.maxInFlight, this.demands, this.grants, now)
     this.grants.set(box, { share, until: now + CREDIT_LEASE_MS })
     const events = this.events.filter((event) => event.seq > cacheAfter).slice(0, EVENTS_PER_ANSWER)
-    return {
-      endpoint: this.row.endpoint,
-      epoch,
-      share,
-      leaseMs: CREDIT_LEASE_MS,
-      promptTokensPerSecond: this.promptRate(share),
-      report: this.agedReport(now),
-      cacheEvents: events.length > 0 ? events : undefined,
-      cacheSeq: events.at(-1)?.seq ?? Math.max(cacheAfter, this.cacheSeq),
+    const cacheSeq = events.at(-1)?.seq ?? Math.max(cacheAfter, this.cacheSeq)
+    const credit: PackedCredit = [share, this.promptRate(share), cacheSeq, this.agedReport(now)]
+    if (events.length > 0) credit.push(events)
+    return credit
+  }
+
+  private noteDemand(box: BoxId, demand: Demand, now: Millis): void {
+    this.demands.set(box, { ...demand, at: now })
+    for (const [other, known] of this.demands) {
+      if (now - known.at > CREDIT_LEASE_MS * 2) this.demands.delete(other)
     }
   }
 
@@ -65,8 +64,8 @@
     return promptTokensPerSecond === 0 ? null : (promptTokensPerSecond * share) / Math.max(1, maxInFlight)
   }
 
-  private agedReport(now: Millis): PackedReport | undefined {
-    if (this.report === undefined) return undefined
+  private agedReport(now: Millis): PackedReport | null {
+    if (this.report === undefined) return null
     return packReport({ ...this.report, ageMs: this.report.ageMs + (now - this.reportAt) })
   }
 }
--- a/placement/owner/src/ownerService.ts
+++ b/placement/owner/src/ownerService.ts
@@ -4,10 +4,9 @@
 import type { Logger } from '@forkstage/logger'
 import type { OwnerMap } from '@forkstage/owners'
 import type { PeerCaller, PeerMethod } from '@forkstage/peer-rpc'
-import { ForkstageError } from '@forkstage/error'
 import type { BoxId, EndpointName, EndpointRow, Millis } from '@forkstage/types'
 import { judgeHold } from './holdSweep'
-import { OwnedEndpoint } from './ownedEndpoint'
+import { CREDIT_LEASE_MS, OwnedEndpoint } from './ownedEndpoint'
 import type { CreditAnswer, CreditQuestion, LiveAnswer } from './ownerTypes'
 
 /** Options of {@link OwnerService}. */
@@ -28,18 +27,6 @@
   goneGraceMs: Millis
 }
 
-/** Raised where a box asks for credits of an endpoint that this box does not own. */
-export class NotOwnerError extends ForkstageError {
-  constructor(endpoint: EndpointName) {
-    super(
-      'FORKSTAGE_NOT_OWNER',
-      `This box does not own ${endpoint}.`,
-      'The list of live boxes has changed; ask again.',
-      { step: 'credits' },
-    )
-  }
-}
-
 const ASK_DEADLINE_MS = 1_000
 
 /** Looks after the endpoints that this box owns. */
@@ -87,14 +74,13 @@
     }
   }
 
-  private answerCredits(question: CreditQuestion): CreditAnswer[] {
-    return question.endpoints.map(({ endpoint, cacheAfter, inFlight, waiting }) => {
-      const owned = this.owned.get(endpoint)
-      const ownership = this.options.owners.ownerOf(endpoint)
-      if (owned === undefined || ownership === undefined || !this.options.holdsLease())
-        throw new NotOwnerError(endpoint)
-      return owned.grant(question.box, { inFlight, waiting }, cacheAfter, ownership.epoch)
+  private answerCredits(question: CreditQuestion): CreditAnswer {
+    const { owners, holdsLease } = this.options
+    const credits = question.endpoints.map(([endpoint, inFlight, waiting, cacheAfter]) => {
+      const owned = holdsLease() ? this.owned.get(endpoint) : undefined
+      return owned?.grant(question.box, { inFlight, waiting }, cacheAfter) ?? null
     })
+    return { epoch: owners.currentEpoch, leaseMs: CREDIT_LEASE_MS, credits }
   }
 
   private readReports(): void {
--- a/placement/owner/src/ownerTypes.ts
+++ b/placement/owner/src/ownerTypes.ts
@@ -1,28 +1,35 @@
 import type { CacheEvent } from '@forkstage/engine-client'
-import type { Demand } from '@forkstage/load'
 import type { BoxId, EndpointName, Millis } from '@forkstage/types'
 import type { PackedReport } from './reportCodec'
 
+/** What a box asks for at one endpoint, by position, since it asks for many several times a second. */
+export type PackedDemand = [endpoint: EndpointName, inFlight: number, waiting: number, cacheAfter: number]
+
 /** A box asks the owner for its shares of several endpoints at once. */
 export interface CreditQuestion {
   box: BoxId
-  endpoints: (Demand & { endpoint: EndpointName; cacheAfter: number })[]
+  endpoints: PackedDemand[]
 }
 
-/** The owner's answer for one endpoint. */
+/** One endpoint's share with its news, by position. */
+export type PackedCredit = [
+  share: number,
+  /** Prompt tokens a second for this box; null without a limit. */
+  promptTokensPerSecond: number | null,
+  /** The last cache event there is, to ask from next time. */
+  cacheSeq: number,
+  /** Null while the owner has none. */
+  report: PackedReport | null,
+  /** Left out where there are none. */
+  cacheEvents?: CacheEvent[],
+]
+
+/** The owner's answer: a credit for each endpoint asked for, in that order; null where it is not the owner. */
 export interface CreditAnswer {
-  endpoint: EndpointName
   /** The owner's epoch; a lower one than was seen before comes from an owner of the past. */
   epoch: [number, number]
-  share: number
   leaseMs: Millis
-  /** Prompt tokens a second for this box; null without a limit. */
-  promptTokensPerSecond: number | null
-  report?: PackedReport
-  /** Absent where there are none. */
-  cacheEvents?: CacheEvent[]
-  /** The last cache event there is, to ask from next time. */
-  cacheSeq: number
+  credits: (PackedCredit | null)[]
 }
 
 /** Asks a box which of these requests it runs. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -20,7 +20,7 @@
 
 await build({
   entryPoints: programs,
-  outdir: 'dist',
+  outdir: process.env.FORKSTAGE_DIST ?? 'dist',
   outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
--- a/tools/deployment/src/deployment.ts
+++ b/tools/deployment/src/deployment.ts
@@ -52,6 +52,8 @@
 export const CALLER_TOKEN = 'caller-token-of-a-deployment'
 export const OPERATOR_TOKEN = 'operator-token-of-a-deployment'
 export const SHARED_KEY = 'the shared key of a deployment'
+/** Where the bundled programs are. */
+const DIST = process.env.FORKSTAGE_DIST ?? 'dist'
 /** Ports kept for each kind of listener. */
 const PORTS_A_KIND = 100
 
@@ -86,7 +88,7 @@
   }
 
   startBox(box: BoxHandle): void {
-    const { command = ['node', 'dist/forkstage.cjs'], folder } = this.options
+    const { command = ['node', `${DIST}/forkstage.cjs`], folder } = this.options
     box.process = startProcess([...command, 'run', '--settings', box.settingsFile], {
       logFile: join(folder, `${box.name}.log`),
     })
@@ -247,7 +249,7 @@
   }
 
   private async startFakes(): Promise<void> {
-    const { fakesCommand = ['node', 'dist/fakes.cjs'], engineProfile = {}, platform } = this.options
+    const { fakesCommand = ['node', `${DIST}/fakes.cjs`], engineProfile = {}, platform } = this.options
     const engines = [...this.ports.prefill, ...this.ports.decode].join(',')
     const start = (kind: string, ports: string, extra: string[] = []) =>
       startProcess([...fakesCommand, kind, '--port', ports, ...extra])
