--- a/journal/claims/src/journalMachine.ts
+++ b/journal/claims/src/journalMachine.ts
@@ -6,8 +6,9 @@
 interface StoredJournal {
   time: number
   open: Claim[]
-  /** Settled claims, each packed by itself, oldest outcome first. */
-  settled: Uint8Array[]
+  /** Settled claims, packed one after the other, oldest outcome first; and the length of each. */
+  settled: Uint8Array
+  lengths: number[]
 }
 
 /** A settled claim: packed once, since it does not change any more and most claims are settled ones. */
@@ -76,7 +77,14 @@
 
   snapshot(): Uint8Array {
     const settled = [...this.settled.values()].map((claim) => claim.packed)
-    const stored: StoredJournal = { time: this.time, open: [...this.open.values()], settled }
+    const lengths = settled.map((packed) => packed.length)
+    // One run of bytes: packing each claim as a value of its own took longer than an election waits.
+    const stored: StoredJournal = {
+      time: this.time,
+      open: [...this.open.values()],
+      settled: Buffer.concat(settled),
+      lengths,
+    }
     return pack(stored)
   }
 
@@ -86,7 +94,12 @@
     this.open = new Map(stored.open.map((claim) => [claim.key, claim]))
     this.settled = new Map()
     this.outcomeBytes = 0
-    for (const packed of stored.settled) this.keepSettled(unpack(packed) as Claim, packed)
+    let offset = 0
+    for (const length of stored.lengths) {
+      const packed = Uint8Array.from(stored.settled.subarray(offset, offset + length))
+      this.keepSettled(unpack(packed) as Claim, packed)
+      offset += length
+    }
   }
 
   private claim(command: ClaimCommand): JournalResult {
--- a/settings/settings/src/schema.ts
+++ b/settings/settings/src/schema.ts
@@ -58,7 +58,7 @@
   .strictObject({
     groups: z.number().int().min(1).max(256).default(1),
     retain_ms: z.number().int().min(10_000).max(86_400_000).default(600_000),
-    max_claims: z.number().int().min(100).max(10_000_000).default(200_000),
+    max_claims: z.number().int().min(100).max(10_000_000).default(100_000),
     max_outcome_total_bytes: z.number().int().min(0).max(4_294_967_296).default(67_108_864),
     outcome_bytes: z.number().int().min(0).max(1_048_576).default(16_384),
   })
