--- a/cli/forkstage/src/index.ts
+++ b/cli/forkstage/src/index.ts
@@ -1,3 +1,4 @@
 /** The command line. */
 export { EXIT } from './cliTypes'
 export type { BoxArguments, Command } from './cliTypes'
+export { print, printTable } from './print'
--- a/daemon/daemon/src/buildContainer.ts
+++ b/daemon/daemon/src/buildContainer.ts
@@ -12,7 +12,7 @@
 import { CreditClient, OwnerService } from '@forkstage/owner'
 import { EndpointSubset, OwnerMap } from '@forkstage/owners'
 import { parseAddress, PeerClient } from '@forkstage/peer-rpc'
-import type { PlacePolicy } from '@forkstage/place'
+import { ALL_PARTS, type PlacePolicy } from '@forkstage/place'
 import { Placer, PlainCalls, ReleaseKeeper, RequestMeters, RunRegistry, StoryBook } from '@forkstage/runner'
 import { advertisedAddress, type Settings } from '@forkstage/settings'
 import { BoxGroups, journalGroup } from './boxGroups'
@@ -30,16 +30,6 @@
 const JOURNAL_DEADLINE_MS = 5_000
 /** Between failure domains without a row in the link sheet: 10 Gbit/s. */
 const DEFAULT_LINK_BYTES_PER_MS = 1_250_000
-/** The parts of the policy that the settings may switch off, for experiments. */
-const ALL_PARTS = {
-  refuseLate: true,
-  prefixCache: true,
-  links: true,
-  decodeLoad: true,
-  localPrefill: true,
-  weights: true,
-  spread: true,
-}
 
 /** Puts the parts of a box together. Nothing runs until {@link BoxDaemon} starts it. */
 export function buildContainer(settings: Settings, stop: () => void): Container {
--- a/placement/place/src/placeTypes.ts
+++ b/placement/place/src/placeTypes.ts
@@ -70,6 +70,17 @@
   spread: boolean
 }
 
+/** Every part switched on: the policy as it is meant. */
+export const ALL_PARTS: PolicyParts = {
+  refuseLate: true,
+  prefixCache: true,
+  links: true,
+  decodeLoad: true,
+  localPrefill: true,
+  weights: true,
+  spread: true,
+}
+
 /** What the operators weigh, and the targets. */
 export interface PlacePolicy {
   goodputWeight: number
--- a/request/machine/test/sessions.test.ts
+++ b/request/machine/test/sessions.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { createSeededRandom } from '@forkstage/clock'
 import {
+  ALL_PARTS,
   place,
   type EndpointView,
   type PlacementView,
@@ -66,15 +67,7 @@
   ttftTarget: 770,
   tbtTarget: 61,
   defaultBytesPerMs: 1_250_000,
-  parts: {
-    refuseLate: true,
-    prefixCache: true,
-    links: true,
-    decodeLoad: true,
-    localPrefill: false,
-    weights: true,
-    spread: true,
-  },
+  parts: { ...ALL_PARTS, localPrefill: false },
 }
 
 const engine = (pool: 'prefill' | 'decode', patch: Partial<EndpointView> = {}): EndpointView => ({
--- a/tools/bench/src/journalExperiment.ts
+++ b/tools/bench/src/journalExperiment.ts
@@ -6,7 +6,8 @@
 import { PeerClient } from '@forkstage/peer-rpc'
 import { withDeployment } from './benchDeployment'
 import { readProcess } from './processFigures'
-import { printRows, writeJson } from './report'
+import { printTable } from '@forkstage/cli'
+import { writeJson } from './report'
 import { percentiles, round } from './summarise'
 
 const PORT_BASE = 25_600
@@ -28,7 +29,7 @@
       return measured
     },
   )
-  printRows(
+  printTable(
     ['in flight', 'claims/s', 'p50 ms', 'p99 ms', 'leader CPU share', 'CPU µs a claim'],
     rows.map((row) => [row.concurrency, row.claimsASecond, row.p50, row.p99, row.leaderCpu, row.cpuUsAClaim]),
   )
--- a/tools/bench/src/placeExperiment.ts
+++ b/tools/bench/src/placeExperiment.ts
@@ -1,12 +1,14 @@
 import { createSeededRandom } from '@forkstage/clock'
 import {
+  ALL_PARTS,
   place,
   type EndpointView,
   type PlacementView,
   type PlacePolicy,
   type PlaceRequest,
 } from '@forkstage/place'
-import { printRows, writeJson } from './report'
+import { printTable } from '@forkstage/cli'
+import { writeJson } from './report'
 import { percentiles, round } from './summarise'
 
 const COUNTS = [3, 16, 64, 128]
@@ -19,15 +21,7 @@
   ttftTarget: 770,
   tbtTarget: 61,
   defaultBytesPerMs: 1_250_000,
-  parts: {
-    refuseLate: true,
-    prefixCache: true,
-    links: true,
-    decodeLoad: true,
-    localPrefill: true,
-    weights: true,
-    spread: true,
-  },
+  parts: ALL_PARTS,
 }
 
 const request: PlaceRequest = {
@@ -63,7 +57,7 @@
       meanUs: round(mean, 2),
     }
   })
-  printRows(
+  printTable(
     ['engines a pool', 'p50 µs', 'p99 µs', 'decisions/s'],
     rows.map((row) => [row.enginesAPool, row.p50us, row.p99us, row.decisionsASecond]),
   )
--- a/tools/bench/src/policyExperiment.ts
+++ b/tools/bench/src/policyExperiment.ts
@@ -3,7 +3,8 @@
 import { enginePorts, readRecords, setFaults, withDeployment } from './benchDeployment'
 import { sendPlanned } from './loadGenerator'
 import { MIXES } from './mixes'
-import { print, printRows, writeChart, writeJson } from './report'
+import { print, printTable } from '@forkstage/cli'
+import { writeChart, writeJson } from './report'
 import { summarise, type Summary } from './summarise'
 
 /** What goes wrong during a run. */
@@ -156,7 +157,7 @@
       fairness,
     ]
   })
-  printRows(header, rows)
+  printTable(header, rows)
 }
 
 async function drawGoodput(name: string, runs: PolicyRun[]): Promise<void> {
--- a/tools/bench/src/relayExperiment.ts
+++ b/tools/bench/src/relayExperiment.ts
@@ -3,7 +3,8 @@
 import { EngineClient } from '@forkstage/engine-client'
 import { withDeployment } from './benchDeployment'
 import { readProcess } from './processFigures'
-import { printRows, writeJson } from './report'
+import { printTable } from '@forkstage/cli'
+import { writeJson } from './report'
 import { percentiles, round, type Percentiles } from './summarise'
 
 const PORT_BASE = 26_200
@@ -25,7 +26,7 @@
     { site: ADDIS, portBase: PORT_BASE, settings, boxes: 4, engineProfile: PROFILE },
     measure,
   )
-  printRows(Object.keys(row), [
+  printTable(Object.keys(row), [
     Object.values(row).map((value) => (typeof value === 'object' ? Object.values(value).join('/') : value)),
   ])
   writeJson('relay', row)
--- a/tools/bench/src/report.ts
+++ b/tools/bench/src/report.ts
@@ -6,23 +6,6 @@
 /** Where measurements go. */
 export const MEASUREMENTS = 'docs/measurements'
 
-export function print(text: string): void {
-  process.stdout.write(`${text}\n`)
-}
-
-/** Prints rows in columns. */
-export function printRows(header: string[], rows: (string | number)[][]): void {
-  const lines = [header, ...rows.map((row) => row.map(String))]
-  const widths = header.map((_, column) => Math.max(...lines.map((line) => (line[column] ?? '').length)))
-  for (const line of lines)
-    print(
-      line
-        .map((cell, column) => cell.padEnd(widths[column]!))
-        .join('  ')
-        .trimEnd(),
-    )
-}
-
 /** Writes a measurement as JSON. */
 export function writeJson(name: string, value: unknown): void {
   mkdirSync(MEASUREMENTS, { recursive: true })
--- a/tools/bench/src/slopesExperiment.ts
+++ b/tools/bench/src/slopesExperiment.ts
@@ -1,5 +1,6 @@
 import { boxSlopes, changeSlopes, endpointSlopes, requestSlopes } from './fleetSlopes'
-import { printRows, writeJson } from './report'
+import { printTable } from '@forkstage/cli'
+import { writeJson } from './report'
 import type { Slope } from './slopeFit'
 import { measureStateSlopes } from './stateSlopes'
 
@@ -18,7 +19,7 @@
 export async function runSlopesExperiment(parts: string[]): Promise<void> {
   for (const part of parts) {
     const slopes = await PARTS[part]!()
-    printRows(
+    printTable(
       ['what', 'slope', 'unit', 'per', 'at zero', 'from', 'to', 'r²'],
       slopes.map((each) => [
         each.what,
--- a/tools/bench/src/tableExperiment.ts
+++ b/tools/bench/src/tableExperiment.ts
@@ -2,7 +2,8 @@
 import type { EndpointRow, Table, VersionedTable } from '@forkstage/types'
 import { withDeployment } from './benchDeployment'
 import { wait } from './processFigures'
-import { printRows, writeJson } from './report'
+import { printTable } from '@forkstage/cli'
+import { writeJson } from './report'
 import { percentiles } from './summarise'
 
 const PORT_BASE = 26_800
@@ -30,7 +31,7 @@
       return measured
     },
   )
-  printRows(
+  printTable(
     ['what', 'p50', 'p95', 'p99', 'unit', 'count'],
     rows.map((row) => [row.what, row.p50, row.p95, row.p99, row.unit, row.count]),
   )
