--- /dev/null
+++ b/membership/lease/test/leaseState.test.ts
@@ -0,0 +1,111 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import type { AskAnswer, TableUpdate } from '@forkstage/control'
+import type { GroupConfig } from '@forkstage/raft'
+import { createLeaseState, knownNewestSince, noteAnswer } from '../src'
+
+const member = (replica: string) => ({ replica, box: replica, address: '127.0.0.1:1' })
+const config: GroupConfig = { voters: ['a', 'b', 'c'].map(member), learners: [] }
+const empty = { version: 0, digest: '', table: { endpoints: [], links: [] } }
+
+const answer = (replica: string, newestVersion: number, patch: Partial<AskAnswer> = {}): AskAnswer => ({
+  replica,
+  holdsLease: false,
+  newestVersion,
+  acceptedVersion: newestVersion,
+  newestConfigIndex: 0,
+  config,
+  ...patch,
+})
+const full = (version: number): TableUpdate => ({
+  type: 'full',
+  version,
+  digest: `${version}`,
+  table: { endpoints: [], links: [] },
+})
+
+describe('leaseState', () => {
+  it('needs a majority that holds nothing newer, and counts from the sending', () => {
+    const state = createLeaseState(empty)
+    noteAnswer(state, answer('a', 1, { update: full(1) }), 100)
+    expect(knownNewestSince(state)).toBe(-Infinity)
+    noteAnswer(state, answer('b', 1), 90)
+    expect(knownNewestSince(state)).toBe(90)
+    noteAnswer(state, answer('c', 2), 200)
+    noteAnswer(state, answer('b', 2), 210)
+    expect(knownNewestSince(state)).toBe(-Infinity)
+  })
+
+  it('takes the leader at its word while a confirm is under way', () => {
+    const state = createLeaseState(empty)
+    noteAnswer(state, answer('a', 2, { holdsLease: true, acceptedVersion: 1, update: full(1) }), 100)
+    expect(knownNewestSince(state)).toBe(100)
+  })
+
+  it('does not count answers that know of a newer configuration of the group', () => {
+    const state = createLeaseState(empty)
+    noteAnswer(state, answer('a', 1, { update: full(1) }), 100)
+    noteAnswer(state, answer('b', 1, { newestConfigIndex: 7, config: undefined }), 100)
+    expect(knownNewestSince(state)).toBe(-Infinity)
+  })
+
+  it('never installs a lower version, however late it comes', () => {
+    const state = createLeaseState(empty)
+    noteAnswer(state, answer('a', 5, { update: full(5) }), 100)
+    noteAnswer(state, answer('b', 3, { update: full(3) }), 50)
+    const skipping: TableUpdate = {
+      type: 'steps',
+      steps: [
+        {
+          version: 7,
+          digest: '7',
+          delta: { upsertEndpoints: [], removeEndpoints: [], upsertLinks: [], removeLinks: [] },
+        },
+      ],
+    }
+    noteAnswer(state, answer('c', 7, { update: skipping }), 120)
+    expect(state.table.version).toBe(5)
+  })
+
+  it('vouches for no moment at which a newer table had been accepted, in whatever order answers come', () => {
+    const action = fc.record({
+      kind: fc.constantFrom('append', 'ask', 'deliver'),
+      replica: fc.nat(2),
+      pick: fc.nat(50),
+      wait: fc.nat(5),
+    })
+    fc.assert(
+      fc.property(fc.array(action, { maxLength: 120 }), (actions) => {
+        const state = createLeaseState(empty)
+        const logs = [0, 0, 0]
+        const acceptedAt = new Map<number, number>()
+        const onTheWay: { answer: AskAnswer; sentAt: number }[] = []
+        let now = 0
+        for (const { kind, replica, pick, wait } of actions) {
+          now += wait
+          // Entries go to replicas one at a time, in order; a version counts once two of three have it.
+          if (kind === 'append')
+            logs[replica] = Math.max(logs[replica]!, Math.min(logs[replica]! + 1, Math.max(...logs) + 1))
+          const accepted = [...logs].sort((left, right) => right - left)[1]!
+          for (let version = 1; version <= accepted; version += 1)
+            if (!acceptedAt.has(version)) acceptedAt.set(version, now)
+          // The answer is what the replica holds now; it was asked a little earlier.
+          if (kind === 'ask')
+            onTheWay.push({
+              sentAt: now - (pick % 4),
+              answer: answer('abc'[replica]!, logs[replica]!, {
+                update: accepted > 0 ? full(accepted) : undefined,
+              }),
+            })
+          const delivered =
+            kind === 'deliver' ? onTheWay.splice(pick % Math.max(1, onTheWay.length), 1)[0] : undefined
+          if (delivered !== undefined) noteAnswer(state, delivered.answer, delivered.sentAt)
+          const since = knownNewestSince(state)
+          for (const [version, at] of acceptedAt)
+            if (version > state.table.version) expect(at).toBeGreaterThan(since)
+        }
+      }),
+      { seed: 13, numRuns: 2_000 },
+    )
+  })
+})
--- /dev/null
+++ b/placement/load/test/endpointBook.test.ts
@@ -0,0 +1,154 @@
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { createSilentLogger } from '@forkstage/logger'
+import type { EndpointRow } from '@forkstage/types'
+import { Ejection, EndpointBook, OutputForecast, RetryBudget, ShareCounter } from '../src'
+
+const row = (patch: Partial<EndpointRow> = {}): EndpointRow => ({
+  endpoint: 'd',
+  address: '127.0.0.1:1',
+  domain: 'x',
+  service: 's',
+  pool: 'decode',
+  models: ['m'],
+  weight: 1,
+  maxInFlight: 4,
+  kvTokens: 1_000,
+  promptTokensPerSecond: 0,
+  state: 'serve',
+  checksFences: true,
+  repeatable: true,
+  ...patch,
+})
+const report = {
+  ageMs: 0,
+  queuedPrefillTokens: 100,
+  prefillTokensPerSecond: 1_000,
+  runningStreams: 1,
+  kvTokensUsed: 200,
+  kvTokensTotal: 1_000,
+  stepMs: 20,
+  leaving: false,
+  deterministic: true,
+}
+const news = { report, share: 2, leaseMs: 1_000, promptTokensPerSecond: Infinity, cacheEvents: [] }
+
+function createBook(patch: Partial<EndpointRow> = {}) {
+  const clock = new ManualClock(1_000)
+  const book = new EndpointBook({ clock, random: () => 0.5, logger: createSilentLogger() })
+  book.setTable({ endpoints: [row(patch)], links: [] })
+  return { clock, book }
+}
+
+describe('endpointBook', () => {
+  it('sends nothing without a share, beyond it, or after its lease', () => {
+    const { clock, book } = createBook()
+    expect(book.closedReason('d')).toBe('no-credit')
+    book.noteNews('d', news)
+    expect(book.closedReason('d')).toBeUndefined()
+    for (const request of ['r1', 'r2'])
+      book.noteSent('d', request, { promptTokens: 1, prefillTokens: 0, kvTokens: 1 }, [])
+    expect(book.closedReason('d')).toBe('no-credit')
+    book.noteEnded('d', 'r1')
+    expect(book.closedReason('d')).toBeUndefined()
+    clock.advance(1_001)
+    expect(book.closedReason('d')).toBe('no-credit')
+  })
+
+  it.each([
+    [{ state: 'drain' as const }, 'state'],
+    [{ weight: 0 }, 'weight'],
+  ])('closes a row with %j', (patch, reason) => {
+    const { book } = createBook(patch)
+    book.noteNews('d', news)
+    expect(book.closedReason('d')).toBe(reason)
+  })
+
+  it('closes what leaves, by its own word or by the platform’s', () => {
+    const { book } = createBook()
+    book.noteNews('d', { ...news, report: { ...report, leaving: true } })
+    expect(book.closedReason('d')).toBe('leaving')
+    book.noteNews('d', news)
+    book.setLeaving(['d'])
+    expect(book.closedReason('d')).toBe('leaving')
+  })
+
+  it('joins a lagging report with what was sent since, and with what has drained', () => {
+    const { clock, book } = createBook()
+    book.noteNews('d', news)
+    clock.advance(50)
+    book.noteSent('d', 'r', { promptTokens: 300, prefillTokens: 300, kvTokens: 300 }, [])
+    const view = book.view([]).endpoints[0]!
+    expect([view.queuedPrefillTokens, view.kvTokensUsed]).toEqual([350, 500])
+    clock.advance(10)
+    book.noteNews('d', { ...news, report: { ...report, kvTokensUsed: 500, queuedPrefillTokens: 340 } })
+    expect(book.view([]).endpoints[0]!.kvTokensUsed).toBe(500)
+  })
+
+  it('holds to the row’s prompt tokens a second', () => {
+    const { clock, book } = createBook({ promptTokensPerSecond: 100 })
+    book.noteNews('d', { ...news, promptTokensPerSecond: 100 })
+    clock.advance(1_000)
+    expect(book.closedReason('d')).not.toBe('rate-limit')
+    book.noteNews('d', { ...news, promptTokensPerSecond: 100 })
+    book.noteSent('d', 'r', { promptTokens: 250, prefillTokens: 0, kvTokens: 0 }, [])
+    expect(book.closedReason('d')).toBe('rate-limit')
+    clock.advance(900)
+    expect(book.closedReason('d')).toBe('rate-limit')
+    clock.advance(99)
+    clock.advance(700)
+    book.noteNews('d', { ...news, promptTokensPerSecond: 100 })
+    expect(book.closedReason('d')).toBeUndefined()
+  })
+})
+
+describe('ejection', () => {
+  it('ejects after failures in a row, lets one probe through, and doubles the next ejection', () => {
+    const ejection = new Ejection({ failures: 2, firstMs: 100, longestMs: 1_000 })
+    const random = () => 0.5
+    expect(ejection.noteFailure(0, random)).toBeUndefined()
+    expect(ejection.noteFailure(0, random)).toEqual({ type: 'ejected', forMs: 100 })
+    expect([ejection.isOpen(99), ejection.isOpen(100)]).toEqual([false, true])
+    ejection.noteSent(100)
+    expect(ejection.isOpen(100)).toBe(false)
+    expect(ejection.noteFailure(101, random)).toEqual({ type: 'ejected', forMs: 200 })
+    ejection.noteSent(301)
+    expect(ejection.noteSuccess()).toEqual({ type: 'restored' })
+    expect(ejection.isOpen(302)).toBe(true)
+  })
+})
+
+describe('what is learned and saved up', () => {
+  it('lets retries through as a share of first tries', () => {
+    const budget = new RetryBudget(0.1)
+    while (budget.take());
+    for (let n = 0; n < 100; n += 1) budget.noteFirstTry()
+    let taken = 0
+    while (budget.take()) taken += 1
+    expect(taken).toBeGreaterThanOrEqual(9)
+    expect(taken).toBeLessThanOrEqual(11)
+    expect(new RetryBudget(0).take()).toBe(false)
+  })
+
+  it('forecasts a high quantile of answer lengths, never beyond the caller’s limit', () => {
+    const forecast = new OutputForecast()
+    for (let n = 0; n < 3_000; n += 1) forecast.learn('check', 10 + (n % 100))
+    expect(forecast.expect('check', 1_000)).toBeGreaterThan(80)
+    expect(forecast.expect('check', 1_000)).toBeLessThan(111)
+    expect(forecast.expect('check', 5)).toBe(5)
+  })
+
+  it('compares shares with weights over about a minute', () => {
+    const shares = new ShareCounter()
+    for (let n = 0; n < 30; n += 1) shares.add(n % 3 === 0 ? 'a' : 'b', 1, n)
+    const ratios = shares.ratios(
+      [
+        { endpoint: 'a', weight: 1 },
+        { endpoint: 'b', weight: 1 },
+      ],
+      30,
+    )
+    expect(ratios.get('a')).toBeCloseTo(2 / 3, 1)
+    expect(ratios.get('b')).toBeCloseTo(4 / 3, 1)
+  })
+})
--- a/request/machine/test/stepRequest.test.ts
+++ b/request/machine/test/stepRequest.test.ts
@@ -35,6 +35,8 @@
   readonly state: RequestState = create()
   /** Events on their way; any of them may come next, or never. */
   waiting: RequestEvent[] = []
+  /** The claim's answer takes its own time: it often comes after the first tokens. */
+  claimAsked = false
   held = new Map<string, number>()
   ran = new Set<number>()
   ends: RequestEffect[] = []
@@ -62,7 +64,7 @@
       reason: 'x',
       notRun,
     })
-    if (effect.type === 'claim') this.waiting.push({ type: 'claimed', epoch: 1 })
+    if (effect.type === 'claim') this.claimAsked = true
     if (effect.type === 'place') {
       this.waiting.push({
         type: 'placed',
@@ -127,6 +129,7 @@
           else if (kind === 1) world.step({ type: 'claimLost' })
           else if (kind === 2) world.step({ type: 'claimFailed', reason: 'x' })
           else if (kind < 8) world.step({ type: 'tick' })
+          else if (kind < 13 && world.claimAsked) world.step({ type: 'claimed', epoch: 1 })
           else if (world.waiting.length > 0) {
             // Two in three in order of arrival, the others out of order; some come twice.
             const index = kind % 3 === 0 ? pick % world.waiting.length : 0
