perf(placement): boxes tell the owner what they sent for prefill

Cause: at Colombo load 1.6 and 2 nothing was refused and the first token came late (p95 1.4 and 1.6 s): the backlog was taken from engine reports up to 600 ms old, less what should have drained, while seven other boxes went on sending. Ruled out: links (17 ms for a median receipt) and decode (p95 45 ms a step). Every renewal now carries the box's own tokens that wait for prefill, and brings back the others'; the larger of this and the report counts. What is left: within 250 ms several boxes still choose the same engine.

--- a/placement/load/src/endpointBook.ts
+++ b/placement/load/src/endpointBook.ts
@@ -26,6 +26,8 @@
   leaseMs: Millis
   /** Prompt tokens a second for this box; Infinity without a limit. */
   promptTokensPerSecond: number
+  /** Prompt tokens that other boxes have sent there and that are not prefilled yet. */
+  othersPrefillTokens: number
   cacheEvents: CacheEvent[]
 }
 
@@ -35,6 +37,7 @@
   reportTakenAt: Millis
   share: number
   shareUntil: Millis
+  othersPrefillTokens: number
   promptRate: number
   promptBudget: number
   promptBudgetAt: Millis
@@ -99,6 +102,12 @@
     return [...this.entries.values()].some((entry) => entry.share > 0 && entry.shareUntil > now)
   }
 
+  /** Prompt tokens that this box has sent to an endpoint and that are not prefilled yet. */
+  prefillTokens(endpoint: EndpointName): number {
+    const entry = this.entries.get(endpoint)
+    return entry === undefined ? 0 : outstandingPrefill(entry)
+  }
+
   /** Whether this box has anything in flight. */
   get hasWork(): boolean {
     return [...this.entries.values()].some((entry) => entry.sent.size > 0)
@@ -123,6 +132,7 @@
     entry.share = news.share
     entry.shareUntil = now + news.leaseMs
     entry.promptRate = news.promptTokensPerSecond
+    entry.othersPrefillTokens = news.othersPrefillTokens
     entry.prefixes.noteEvents(news.cacheEvents)
   }
 
@@ -202,11 +212,11 @@
     const since = this.sentSinceReport(entry)
     const lived = report === undefined ? 0 : Math.max(0, now - entry.reportTakenAt)
     const rate = (report?.prefillTokensPerSecond ?? ASSUMED_TOKENS_PER_SECOND) / 1_000
-    const drained = lived * rate
+    const reported = Math.max(0, (report?.queuedPrefillTokens ?? 0) - lived * rate) + since.prefillTokens
     return {
       row,
       closed: this.closed(entry, now),
-      queuedPrefillTokens: Math.max(0, (report?.queuedPrefillTokens ?? 0) - drained) + since.prefillTokens,
+      queuedPrefillTokens: Math.max(reported, entry.othersPrefillTokens + outstandingPrefill(entry)),
       prefillTokensPerMs: rate,
       runningStreams: (report?.runningStreams ?? 0) + since.streams,
       kvTokensUsed: (report?.kvTokensUsed ?? 0) + since.kvTokens,
@@ -280,6 +290,7 @@
       reportTakenAt: -Infinity,
       share: 0,
       shareUntil: -Infinity,
+      othersPrefillTokens: 0,
       promptRate: Infinity,
       promptBudget: 0,
       promptBudgetAt: this.options.clock.now(),
@@ -289,3 +300,9 @@
     }
   }
 }
+
+function outstandingPrefill(entry: Entry): number {
+  let tokens = 0
+  for (const work of entry.sent.values()) tokens += work.prefillTokens
+  return tokens
+}
--- a/placement/load/test/endpointBook.test.ts
+++ b/placement/load/test/endpointBook.test.ts
@@ -31,7 +31,14 @@
   leaving: false,
   deterministic: true,
 }
-const news = { report, share: 2, leaseMs: 1_000, promptTokensPerSecond: Infinity, cacheEvents: [] }
+const news = {
+  report,
+  share: 2,
+  leaseMs: 1_000,
+  promptTokensPerSecond: Infinity,
+  othersPrefillTokens: 0,
+  cacheEvents: [],
+}
 
 function createBook(patch: Partial<EndpointRow> = {}) {
   const clock = new ManualClock(1_000)
@@ -85,6 +92,15 @@
     expect(book.view([]).endpoints[0]!.kvTokensUsed).toBe(500)
   })
 
+  it('believes the other boxes’ word on what they sent over an older report', () => {
+    const { book } = createBook()
+    book.noteNews('d', { ...news, othersPrefillTokens: 5_000 })
+    book.noteSent('d', 'r', { promptTokens: 300, prefillTokens: 300, kvTokens: 300 }, [])
+    expect(book.view([]).endpoints[0]!.queuedPrefillTokens).toBe(5_300)
+    book.notePrefilled('d', 'r')
+    expect(book.prefillTokens('d')).toBe(0)
+  })
+
   it('holds to the row’s prompt tokens a second', () => {
     const { clock, book } = createBook({ promptTokensPerSecond: 100 })
     book.noteNews('d', { ...news, promptTokensPerSecond: 100 })
--- a/placement/owner/src/creditClient.ts
+++ b/placement/owner/src/creditClient.ts
@@ -75,7 +75,14 @@
   private async ask(address: Address, endpoints: EndpointName[]): Promise<void> {
     const { box, book, peers, waitingFor, onNews } = this.options
     const demands = endpoints.map((endpoint): PackedDemand => {
-      return [endpoint, book.inFlight(endpoint), waitingFor(endpoint), this.cacheSeqs.get(endpoint) ?? 0]
+      const cacheAfter = this.cacheSeqs.get(endpoint) ?? 0
+      return [
+        endpoint,
+        book.inFlight(endpoint),
+        waitingFor(endpoint),
+        cacheAfter,
+        book.prefillTokens(endpoint),
+      ]
     })
     const question: CreditQuestion = { box, endpoints: demands }
     const options = { deadline: DEADLINE_MS, step: 'renew credits' }
@@ -93,7 +100,7 @@
     const { epoch, leaseMs } = answer
     const isOld = epoch[0] < known[0] || (epoch[0] === known[0] && epoch[1] < known[1])
     if (isOld || credit === null) return
-    const [share, promptTokensPerSecond, cacheSeq, report, cacheEvents = []] = credit
+    const [share, promptTokensPerSecond, cacheSeq, report, othersPrefillTokens, cacheEvents = []] = credit
     this.epochs.set(endpoint, epoch)
     this.cacheSeqs.set(endpoint, cacheSeq)
     this.options.book.noteNews(endpoint, {
@@ -101,6 +108,7 @@
       share,
       leaseMs,
       promptTokensPerSecond: promptTokensPerSecond ?? Infinity,
+      othersPrefillTokens,
       cacheEvents,
     })
   }
--- a/placement/owner/src/ownedEndpoint.ts
+++ b/placement/owner/src/ownedEndpoint.ts
@@ -12,11 +12,16 @@
 /** Events a single answer carries at most. */
 const EVENTS_PER_ANSWER = 128
 
+/** What a box asks for, with what it has sent that waits for prefill. */
+export interface BoxDemand extends Demand {
+  prefillTokens: number
+}
+
 /** What the owner of one endpoint knows and has leased out. Soft state. */
 export class OwnedEndpoint {
   report?: EngineReport
   private reportAt: Millis = 0
-  private readonly demands = new Map<BoxId, Demand & { at: Millis }>()
+  private readonly demands = new Map<BoxId, BoxDemand & { at: Millis }>()
   private readonly grants = new Map<BoxId, Grant>()
   private events: CacheEvent[] = []
 
@@ -39,19 +44,27 @@
   }
 
   /** Leases a share to a box, for what it asks. */
-  grant(box: BoxId, demand: Demand, cacheAfter: number): PackedCredit {
+  grant(box: BoxId, demand: BoxDemand, cacheAfter: number): PackedCredit {
     const now = this.clock.now()
     this.noteDemand(box, demand, now)
     const share = shareFor(box, this.row.maxInFlight, this.demands, this.grants, now)
     this.grants.set(box, { share, until: now + CREDIT_LEASE_MS })
     const events = this.events.filter((event) => event.seq > cacheAfter).slice(0, EVENTS_PER_ANSWER)
     const cacheSeq = events.at(-1)?.seq ?? Math.max(cacheAfter, this.cacheSeq)
-    const credit: PackedCredit = [share, this.promptRate(share), cacheSeq, this.agedReport(now)]
+    const others = this.prefillTokensOfOthers(box)
+    const credit: PackedCredit = [share, this.promptRate(share), cacheSeq, this.agedReport(now), others]
     if (events.length > 0) credit.push(events)
     return credit
   }
 
-  private noteDemand(box: BoxId, demand: Demand, now: Millis): void {
+  /** Fresher than the engine's own report: the boxes say what they sent with every renewal. */
+  private prefillTokensOfOthers(box: BoxId): number {
+    let tokens = 0
+    for (const [other, demand] of this.demands) if (other !== box) tokens += demand.prefillTokens
+    return tokens
+  }
+
+  private noteDemand(box: BoxId, demand: BoxDemand, now: Millis): void {
     this.demands.set(box, { ...demand, at: now })
     for (const [other, known] of this.demands) {
       if (now - known.at > CREDIT_LEASE_MS * 2) this.demands.delete(other)
--- a/placement/owner/src/ownerService.ts
+++ b/placement/owner/src/ownerService.ts
@@ -76,9 +76,9 @@
 
   private answerCredits(question: CreditQuestion): CreditAnswer {
     const { owners, holdsLease } = this.options
-    const credits = question.endpoints.map(([endpoint, inFlight, waiting, cacheAfter]) => {
+    const credits = question.endpoints.map(([endpoint, inFlight, waiting, cacheAfter, prefillTokens]) => {
       const owned = holdsLease() ? this.owned.get(endpoint) : undefined
-      return owned?.grant(question.box, { inFlight, waiting }, cacheAfter) ?? null
+      return owned?.grant(question.box, { inFlight, waiting, prefillTokens }, cacheAfter) ?? null
     })
     return { epoch: owners.currentEpoch, leaseMs: CREDIT_LEASE_MS, credits }
   }
--- a/placement/owner/src/ownerTypes.ts
+++ b/placement/owner/src/ownerTypes.ts
@@ -3,7 +3,14 @@
 import type { PackedReport } from './reportCodec'
 
 /** What a box asks for at one endpoint, by position, since it asks for many several times a second. */
-export type PackedDemand = [endpoint: EndpointName, inFlight: number, waiting: number, cacheAfter: number]
+export type PackedDemand = [
+  endpoint: EndpointName,
+  inFlight: number,
+  waiting: number,
+  cacheAfter: number,
+  /** Prompt tokens this box has sent there that are not prefilled yet. */
+  prefillTokens: number,
+]
 
 /** A box asks the owner for its shares of several endpoints at once. */
 export interface CreditQuestion {
@@ -20,6 +27,8 @@
   cacheSeq: number,
   /** Null while the owner has none. */
   report: PackedReport | null,
+  /** Prompt tokens that the other boxes have sent there and that are not prefilled yet. */
+  othersPrefillTokens: number,
   /** Left out where there are none. */
   cacheEvents?: CacheEvent[],
 ]
