--- a/daemon/daemon/src/boxGroups.ts
+++ b/daemon/daemon/src/boxGroups.ts
@@ -84,7 +84,8 @@
       machine: this.machine,
       registry: this.registry,
       clock,
-      goneAfter: settings.lease.box_gone_after_ms,
+      // Every live box has asked by then; waiting longer only keeps boxes unready after a restart of all.
+      publishAfter: settings.lease.ask_every_ms * 1.5,
       tableLease: settings.lease.table_ms,
     })
     const journals = this.journals.map(({ name, host, machine }) => ({
--- a/daemon/daemon/src/fleetService.ts
+++ b/daemon/daemon/src/fleetService.ts
@@ -161,7 +161,7 @@
 
   isReady(): boolean {
     const serving = this.parts.get(PARTS.state).phase === 'serving'
-    return serving && this.refusesWork() === undefined && this.parts.get(PARTS.book).hasShares
+    return serving && this.refusesWork() === undefined && this.parts.get(PARTS.book).knowsShares
   }
 
   /** Why this box may take no new work now; undefined while it may. */
--- a/membership/control/src/controlService.ts
+++ b/membership/control/src/controlService.ts
@@ -15,7 +15,7 @@
   registry: BoxRegistry
   clock: Clock
   /** How long a new leader waits before it publishes who is live. */
-  goneAfter: Millis
+  publishAfter: Millis
   tableLease: Millis
 }
 
@@ -66,7 +66,7 @@
 function newerMembers(known: [number, number], options: ControlServiceOptions): Members | undefined {
   const replica = options.host.require()
   // A new leader has not heard from everyone yet; a list made now would drop live boxes.
-  if (options.clock.now() - replica.leaderSince < options.goneAfter) return undefined
+  if (options.clock.now() - replica.leaderSince < options.publishAfter) return undefined
   const members = options.registry.members(replica.term)
   const [term, count] = members.version
   const newer = term > known[0] || (term === known[0] && count > known[1])
--- a/placement/load/src/endpointBook.ts
+++ b/placement/load/src/endpointBook.ts
@@ -96,10 +96,27 @@
     this.leaving = new Set(names)
   }
 
-  /** Whether any endpoint's owner has leased this box a share. */
-  get hasShares(): boolean {
-    const now = this.options.clock.now()
-    return [...this.entries.values()].some((entry) => entry.share > 0 && entry.shareUntil > now)
+  /** Whether the owner of an endpoint of every pool that takes work has told this box its share, be it none. */
+  get knowsShares(): boolean {
+    const pools = new Map<string, boolean>()
+    for (const entry of this.servingEntries()) {
+      const pool = `${entry.row.service}/${entry.row.pool}`
+      pools.set(pool, (pools.get(pool) ?? false) || this.knowsShare(entry))
+    }
+    return pools.size > 0 && [...pools.values()].every((covered) => covered)
+  }
+
+  /** Whether the owner of some endpoint that takes work has not told this box its share. */
+  get lacksShares(): boolean {
+    return this.servingEntries().some((entry) => !this.knowsShare(entry))
+  }
+
+  private servingEntries(): Entry[] {
+    return [...this.entries.values()].filter(({ row }) => row.state === 'serve' && row.weight > 0)
+  }
+
+  private knowsShare(entry: Entry): boolean {
+    return entry.shareUntil > this.options.clock.now()
   }
 
   /** Prompt tokens that this box has sent to an endpoint and that are not prefilled yet. */
--- a/placement/owner/src/creditClient.ts
+++ b/placement/owner/src/creditClient.ts
@@ -52,7 +52,7 @@
   private renewIfDue(): void {
     const { clock, renewIdleEvery, book } = this.options
     const idleFor = clock.now() - this.renewedAt
-    if (book.hasWork || idleFor >= renewIdleEvery) this.renew()
+    if (book.hasWork || book.lacksShares || idleFor >= renewIdleEvery) this.renew()
   }
 
   /** Asks every owner now. */
