refactor(runner): bodies and headers of plain calls in modules of their own

Read as a newcomer: plainCall.ts held four jobs in 344 lines. Nothing else is changed; an option of the request machine that nobody read is gone.

--- a/request/machine/src/requestTypes.ts
+++ b/request/machine/src/requestTypes.ts
@@ -30,7 +30,6 @@
 /** Options of {@link createRequest}. */
 export interface CreateRequestOptions {
   request: RequestId
-  promptTokens: number
   now: Millis
   deadline: Millis
   /** Without a sign of life from an engine for this long, its stream is resumed or left. */
--- a/request/machine/test/sessions.test.ts
+++ b/request/machine/test/sessions.test.ts
@@ -14,7 +14,6 @@
 class Session {
   readonly state: RequestState = createRequest({
     request: 'bole-1~i~1',
-    promptTokens: 2_600,
     now: 0,
     deadline: 60_000,
     stallMs: 1_500,
--- a/request/machine/test/stepRequest.test.ts
+++ b/request/machine/test/stepRequest.test.ts
@@ -21,7 +21,6 @@
 const create = (patch = {}) =>
   createRequest({
     request: 'r',
-    promptTokens: 10,
     now: 0,
     deadline: 1_000,
     stallMs: 50,
--- /dev/null
+++ b/request/runner/src/forwardHeaders.ts
@@ -0,0 +1,36 @@
+/** Headers that belong to one connection and are not passed on. */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+])
+/** Headers that are the router's own business. */
+const NOT_FORWARDED = new Set(['authorization', 'host', 'content-length', 'expect'])
+
+/** The headers that are passed on: none that belong to one connection, to the router, or that `connection` names. */
+export function forwardable(
+  headers: Record<string, string | string[] | undefined>,
+): Record<string, string | string[]> {
+  const named = String(headers.connection ?? '')
+    .split(',')
+    .map((name) => name.trim().toLowerCase())
+  const kept = Object.entries(headers).filter(([name, value]) => {
+    const lower = name.toLowerCase()
+    return (
+      value !== undefined && !HOP_BY_HOP.has(lower) && !NOT_FORWARDED.has(lower) && !named.includes(lower)
+    )
+  })
+  return Object.fromEntries(kept) as Record<string, string | string[]>
+}
+
+/** Headers with one value each, as the journal keeps them. */
+export function singleValued(headers: Record<string, string | string[]>): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value]),
+  )
+}
--- a/request/runner/src/modelRun.ts
+++ b/request/runner/src/modelRun.ts
@@ -77,7 +77,6 @@
     const now = parts.clock.now()
     this.state = createRequest({
       request: id,
-      promptTokens: model.promptTokens,
       now,
       deadline: now + model.deadlineMs,
       stallMs: parts.stallMs,
--- a/request/runner/src/plainCall.ts
+++ b/request/runner/src/plainCall.ts
@@ -1,6 +1,6 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ServerResponse } from 'node:http'
 import { pipeline } from 'node:stream/promises'
-import { PassThrough, type Readable } from 'node:stream'
+import type { Readable } from 'node:stream'
 import { Agent, request as httpRequest, type Dispatcher } from 'undici'
 import type { JournalClient, JournalResult, Outcome } from '@forkstage/claims'
 import type { Clock } from '@forkstage/clock'
@@ -11,6 +11,7 @@
 import { AnswerError, KeyReusedError, MayHaveRunError, OutcomeNotKeptError } from './answerErrors'
 import { createOutcome } from './outcome'
 import { choosePlainEndpoint } from './choosePlainEndpoint'
+import { forwardable, singleValued } from './forwardHeaders'
 import type { StoryBook } from './storyBook'
 
 /** A call to a plain service that has been read and checked. */
@@ -42,19 +43,6 @@
   random: () => number
 }
 
-/** Headers that belong to one connection and are not passed on. */
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-])
-/** Headers that are the router's own business. */
-const NOT_FORWARDED = new Set(['authorization', 'host', 'content-length', 'expect'])
 const NEVER_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 /** Endpoints tried for a call that may be repeated. */
 const MOST_TRIES = 3
@@ -282,27 +270,6 @@
   )
 }
 
-function forwardable(
-  headers: Record<string, string | string[] | undefined>,
-): Record<string, string | string[]> {
-  const named = String(headers.connection ?? '')
-    .split(',')
-    .map((name) => name.trim().toLowerCase())
-  const kept = Object.entries(headers).filter(([name, value]) => {
-    const lower = name.toLowerCase()
-    return (
-      value !== undefined && !HOP_BY_HOP.has(lower) && !NOT_FORWARDED.has(lower) && !named.includes(lower)
-    )
-  })
-  return Object.fromEntries(kept) as Record<string, string | string[]>
-}
-
-function singleValued(headers: Record<string, string | string[]>): Record<string, string> {
-  return Object.fromEntries(
-    Object.entries(headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value]),
-  )
-}
-
 function writeHead(
   response: ServerResponse,
   status: number,
@@ -317,28 +284,3 @@
   writeHead(response, outcome.status, { ...outcome.headers, 'x-forkstage-replayed': 'true' }, request)
   response.end(Buffer.from(outcome.body, 'base64'))
 }
-
-/** Reads a body whole, up to a limit; undefined where it is larger. */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of request) {
-    bytes += (chunk as Buffer).length
-    if (bytes > maxBytes) return undefined
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks)
-}
-
-/** A body that fails as soon as it grows beyond a limit. */
-export function limitBody(request: IncomingMessage, maxBytes: number): Readable {
-  const limited = new PassThrough()
-  let bytes = 0
-  request.on('data', (chunk: Buffer) => {
-    bytes += chunk.length
-    if (bytes > maxBytes) limited.destroy(new Error(`the body is larger than ${maxBytes} bytes`))
-  })
-  request.on('aborted', () => limited.destroy(new Error('the caller is gone')))
-  request.pipe(limited)
-  return limited
-}
--- /dev/null
+++ b/request/runner/src/requestBody.ts
@@ -0,0 +1,27 @@
+import type { IncomingMessage } from 'node:http'
+import { PassThrough, type Readable } from 'node:stream'
+
+/** Reads a body whole, up to a limit; undefined where it is larger. */
+export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of request) {
+    bytes += (chunk as Buffer).length
+    if (bytes > maxBytes) return undefined
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks)
+}
+
+/** A body that fails as soon as it grows beyond a limit. */
+export function limitBody(request: IncomingMessage, maxBytes: number): Readable {
+  const limited = new PassThrough()
+  let bytes = 0
+  request.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (bytes > maxBytes) limited.destroy(new Error(`the body is larger than ${maxBytes} bytes`))
+  })
+  request.on('aborted', () => limited.destroy(new Error('the caller is gone')))
+  request.pipe(limited)
+  return limited
+}
