--- a/engine/client/src/engineClient.ts
+++ b/engine/client/src/engineClient.ts
@@ -13,6 +13,7 @@
   EngineReport,
   PrefillResult,
 } from './engineTypes'
+import { neverConnected } from './neverConnected'
 import { readLines } from './readLines'
 
 /** An engine to talk to. */
@@ -41,9 +42,6 @@
   onClose(error?: EndpointError): void
 }
 
-/** The first error codes of a connection that never came about: nothing can have reached the endpoint. */
-const NEVER_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
-
 /** The published protocol of the engines (docs/endpoints.md); another protocol is another class. */
 export class EngineClient {
   private readonly agent = new Agent({
@@ -217,7 +215,6 @@
 
 function toEndpointError(engine: EngineAddress, step: string, error: unknown): EndpointError {
   if (error instanceof EndpointError) return error
-  const code = (error as { code?: string }).code ?? ''
   const message = error instanceof Error ? error.message : String(error)
-  return new EndpointError(engine.endpoint, step, message, NEVER_CONNECTED.has(code), error)
+  return new EndpointError(engine.endpoint, step, message, neverConnected(error), error)
 }
--- /dev/null
+++ b/engine/client/src/neverConnected.ts
@@ -0,0 +1,7 @@
+/** Error codes of a connection that never came about: nothing can have reached the endpoint. */
+const CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Whether an error proves that nothing was sent. */
+export function neverConnected(error: unknown): boolean {
+  return CODES.has((error as { code?: string }).code ?? '')
+}
--- a/request/runner/src/plainCall.ts
+++ b/request/runner/src/plainCall.ts
@@ -4,7 +4,7 @@
 import { Agent, request as httpRequest, type Dispatcher } from 'undici'
 import type { JournalClient, JournalResult, Outcome } from '@forkstage/claims'
 import type { Clock } from '@forkstage/clock'
-import { NOT_RUN_HEADER, NOT_RUN_VALUE } from '@forkstage/engine-client'
+import { neverConnected, NOT_RUN_HEADER, NOT_RUN_VALUE } from '@forkstage/engine-client'
 import type { EndpointBook } from '@forkstage/load'
 import type { Logger } from '@forkstage/logger'
 import type { EndpointRow, Millis, RequestId, RequestKey } from '@forkstage/types'
@@ -43,7 +43,6 @@
   random: () => number
 }
 
-const NEVER_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 /** Endpoints tried for a call that may be repeated. */
 const MOST_TRIES = 3
 
@@ -164,10 +163,9 @@
       return undefined
     } catch (error) {
       if (response.headersSent) throw error
-      const code = (error as { code?: string }).code ?? ''
       const reason = error instanceof Error ? error.message : String(error)
       book.noteResult(row.endpoint, reason)
-      return { notRun: NEVER_CONNECTED.has(code), reason, cause: error }
+      return { notRun: neverConnected(error), reason, cause: error }
     } finally {
       book.noteEnded(row.endpoint, call.request)
     }
