fix(runner): a claim whose live owner does not run the request is taken over

A resend then followed that owner until its caller gave up, for as long as the key is kept. Ruled out: the soak did not show it, since its cut boxes were restarted or served again in time. An owner that answers and knows nothing of the request is now taken over, under a higher epoch; one that does not answer is still waited for while it is live.

--- a/request/runner/src/runRegistry.ts
+++ b/request/runner/src/runRegistry.ts
@@ -177,7 +177,9 @@
           continue
         }
         await new Promise<void>((resolve) => void clock.after(PAUSE_MS, resolve))
-        moved = await this.reopen(claim, model, from)
+        // No answer: it may run there. An answer that knows nothing of it: it does not, though its claim stands.
+        const mayRun = answer === undefined
+        moved = await this.reopen(claim, model, from, mayRun)
       }
       return { tokens: [], end: { type: 'cancelled' } }
     }
@@ -189,12 +191,18 @@
   }
 
   /** After a box was lost: the journal says whether its run has ended, goes on, or must be taken over. */
-  private async reopen(claim: Claim, model: ModelRequest, from: number): Promise<AnswerSource | undefined> {
+  private async reopen(
+    claim: Claim,
+    model: ModelRequest,
+    from: number,
+    mayRun: boolean,
+  ): Promise<AnswerSource | undefined> {
     const known = await this.options.journal.find(claim.key)
     if (known === undefined) return this.open(model, from)
     if (known.outcome !== undefined) return replayClaim(known)
-    const sameOwner = known.epoch === claim.epoch
-    return sameOwner && this.ownerIsLive(known) ? undefined : this.openClaim(known, model, from)
+    if (known.epoch !== claim.epoch) return this.openClaim(known, model, from)
+    const mustWait = mayRun && this.ownerIsLive(known)
+    return mustWait ? undefined : this.takeOver(known, model, from)
   }
 
   private async read(request: RequestId, from: number): Promise<ReadAnswer> {
