--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -50,6 +50,18 @@
     sequence: number
   }
   'settings.reloaded': { changed: string[] }
+  'place.alone': { request: string; peer: string; reason: string }
+  'place.decided': {
+    request: string
+    entry: string
+    outcome: string
+    reason: string
+    promptTokens: number
+    targetMs: number
+    holds: number
+    waiting: number
+    term: number
+  }
   'request.answered': {
     request: string
     route: string
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -1,8 +1,10 @@
+import { AllocatorService } from '@forkstage/allocator'
 import { Directory } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import { GroupClient, GroupHost } from '@forkstage/group'
 import { MembershipKeeper } from '@forkstage/keeper'
 import { startPeerServer, type PeerMethod, type PeerServer } from '@forkstage/peer-rpc'
+import { RouteBook } from '@forkstage/routes'
 import { SheetMachine, type PutResult, type PutSheet, type SheetDocument } from '@forkstage/sheet'
 import type { Address } from '@forkstage/types'
 import { ControlFollower, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
@@ -29,9 +31,11 @@
   private readonly hub: WatchHub
   private readonly office: SheetOffice
   private readonly registrar: Registrar
+  private readonly allocator: AllocatorService
   private peerServer: PeerServer | undefined
   private listener: Listener | undefined
   private newest: SheetDocument | undefined
+  private readonly book = new RouteBook()
 
   constructor(
     private readonly basics: MachineBasics,
@@ -84,6 +88,14 @@
       client: new GroupClient({ group: GROUP, replicas: () => this.controlAddresses(), peers, clock }),
       logger,
     })
+    this.allocator = new AllocatorService({
+      clock,
+      logger,
+      endpoints: () => this.directory.list(),
+      engine: (service) => this.book.current?.service(service)?.engine,
+      isLeader: () => this.host.replica?.holdsLease === true,
+      term: () => this.host.replica?.term ?? 0,
+    })
     this.machine.onNewer = (document) => this.noteNewer(document)
   }
 
@@ -105,6 +117,7 @@
     void this.host.start()
     this.follower.start()
     this.keeper.start()
+    this.allocator.start()
   }
 
   /** Takes changed settings: new seeds to begin with. */
@@ -119,6 +132,7 @@
     this.host.replica?.transferLeadership()
     await new Promise<void>((resolve) => clock.after(LAST_ANSWERS_MS, resolve))
     this.keeper.stop()
+    this.allocator.stop()
     this.follower.stop()
     await this.host.stop().catch(() => undefined)
     this.listener?.close()
@@ -131,6 +145,7 @@
       ...this.host.methods(),
       ...this.keeper.methods(),
       ...this.office.methods(),
+      ...this.allocator.methods(),
       [WATCH]: (question: WatchQuestion) => this.hub.answer(question),
     }
   }
@@ -161,6 +176,7 @@
     if (document.version <= (this.newest?.version ?? -1)) return
     this.newest = document
     const sheet = this.wire.readSheet(document.text)
+    if (sheet !== undefined) this.book.install(sheet)
     this.basics.logger.info('sheet.installed', {
       version: document.version,
       routes: sheet?.routes.length ?? 0,
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,6 +1,13 @@
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
-import { EndpointPool, Ingress, LocalPlacer, RetryAllowance, type GatewayWire } from '@forkstage/gateway'
+import {
+  EndpointPool,
+  Ingress,
+  LocalPlacer,
+  RemotePlacer,
+  RetryAllowance,
+  type GatewayWire,
+} from '@forkstage/gateway'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { listenOn, type Listener } from './listenOn'
@@ -27,6 +34,7 @@
   private readonly directory = new Directory()
   private readonly pool: EndpointPool
   private readonly follower: ControlFollower
+  private readonly placer: RemotePlacer
   private readonly ingress: Ingress
   private listeners: Listener[] = []
   private leaving = false
@@ -48,18 +56,32 @@
       onSheet: (sheet) => this.install(sheet),
       onEndpoints: (records) => this.takeEndpoints(records),
     })
+    const entries = () => this.follower.entries() || ENTRIES_UNTIL_KNOWN
     const allowance = new RetryAllowance({
       clock,
       share: settings.retry.share,
       slack: settings.retry.slack,
       windowMs: settings.retry.window_s * SECOND_MS,
-      entries: () => this.follower.entries() || ENTRIES_UNTIL_KNOWN,
+      entries,
+    })
+    this.placer = new RemotePlacer({
+      entry: settings.machine.name,
+      pool: this.pool,
+      fallback: new LocalPlacer({
+        pool: this.pool,
+        kvTokens: (service) => this.book.current?.service(service)?.engine?.kvTokens ?? 0,
+        entries,
+      }),
+      leader: () => this.follower.leader(),
+      peers,
+      clock,
+      logger,
     })
     this.ingress = new Ingress({
       parts: {
         wire: wire.gateway,
         pool: this.pool,
-        placer: new LocalPlacer(this.pool),
+        placer: this.placer,
         allowance,
         clock,
         random,
@@ -83,6 +105,7 @@
     }, listen.readiness!)
     this.listeners = [readiness, await listenOn(this.ingress.server, listen.callers!)]
     this.follower.start()
+    this.placer.start()
   }
 
   /** Takes changed settings: new seeds to begin with. */
@@ -102,6 +125,7 @@
     while (this.ingress.running > 0 && clock.now() < endsAt) await this.wait(CHECK_IDLE_MS)
     this.ingress.closeAll()
     this.follower.stop()
+    this.placer.stop()
     this.listeners.forEach((listener) => listener.close())
     peers.close()
   }
--- /dev/null
+++ b/placement/allocator/src/allocatorService.ts
@@ -0,0 +1,153 @@
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import { ForkstageError } from '@forkstage/error'
+import type { Logger } from '@forkstage/logger'
+import type { PeerMethod } from '@forkstage/peer-rpc'
+import type { EnginePool } from '@forkstage/routes'
+import type { Millis } from '@forkstage/types'
+import { Allocator } from './allocator'
+import type { PlaceAsk, PlaceDecision, ReportedHold, UseOutcome } from './allocatorTypes'
+
+/** The methods that entries call at the machine that places. */
+export const PLACE = {
+  ask: 'place.ask',
+  withdraw: 'place.withdraw',
+  prefilled: 'place.prefilled',
+  note: 'place.note',
+  release: 'place.release',
+  report: 'place.report',
+} as const
+
+/** Raised where this machine does not place at the moment. */
+export class NotPlacingError extends ForkstageError {
+  constructor() {
+    super('FORKSTAGE_NOT_PLACING', 'This machine does not lead, so it places nothing.', 'Ask the leader.', {
+      step: 'place',
+    })
+  }
+}
+
+/** Options of {@link AllocatorService}. */
+export interface AllocatorServiceOptions {
+  clock: Clock
+  logger: Logger
+  endpoints: () => RegisteredEndpoint[]
+  engine: (service: string) => EnginePool | undefined
+  /** Whether this machine leads; only then it places. */
+  isLeader: () => boolean
+  /** Which term it leads in: a new one begins with what the entries report. */
+  term: () => number
+}
+
+const TICK_MS = 25
+/** A new leader places once the entries have had time to report what runs. */
+const LISTEN_FIRST_MS = 300
+const ENTRY_GONE_MS = 4_000
+
+/** Places for all entries while this machine leads; starts anew with what they report when it becomes leader. */
+export class AllocatorService {
+  private allocator: Allocator
+  private term = -1
+  private since: Millis = 0
+  private readonly heard = new Map<string, Millis>()
+  private cancelTick: CancelTimer = () => undefined
+
+  constructor(private readonly options: AllocatorServiceOptions) {
+    this.allocator = this.createAllocator()
+  }
+
+  methods(): Record<string, PeerMethod> {
+    const now = () => this.options.clock.now()
+    return {
+      [PLACE.ask]: (params: { ask: PlaceAsk }) => this.ask(params.ask),
+      [PLACE.withdraw]: (params: { request: string }) => this.allocator.withdraw(params.request, now()),
+      [PLACE.prefilled]: (params: { request: string; outcome: UseOutcome; tookMs: Millis }) =>
+        this.allocator.notePrefilled(params.request, params.outcome, params.tookMs, now()),
+      [PLACE.note]: (params: { endpoint: InstanceId; outcome: UseOutcome }) =>
+        this.allocator.noteUse(params.endpoint, params.outcome, now()),
+      [PLACE.release]: (params: { request: string; outcome: UseOutcome; madeTokens: number }) =>
+        this.allocator.release(params.request, params.outcome, params.madeTokens, now()),
+      [PLACE.report]: (params: { entry: string; holds: ReportedHold[] }) => this.takeReport(params),
+    }
+  }
+
+  start(): void {
+    this.cancelTick = every(this.options.clock, TICK_MS, () => this.tick())
+  }
+
+  stop(): void {
+    this.cancelTick()
+  }
+
+  private async ask(ask: PlaceAsk): Promise<PlaceDecision> {
+    this.renewTerm()
+    if (!this.mayPlace()) throw new NotPlacingError()
+    this.heard.set(ask.entry, this.options.clock.now())
+    const decision = await new Promise<PlaceDecision>((resolve) =>
+      this.allocator.ask(ask, this.options.clock.now(), resolve),
+    )
+    this.log(ask, decision)
+    return decision
+  }
+
+  private takeReport({ entry, holds }: { entry: string; holds: ReportedHold[] }): void {
+    this.renewTerm()
+    const now = this.options.clock.now()
+    this.heard.set(entry, now)
+    this.allocator.adopt(entry, holds, now)
+  }
+
+  private tick(): void {
+    const { clock, isLeader } = this.options
+    if (!isLeader()) return
+    this.renewTerm()
+    const now = clock.now()
+    for (const [entry, at] of this.heard) {
+      if (now - at < ENTRY_GONE_MS) continue
+      this.heard.delete(entry)
+      this.allocator.dropEntry(entry)
+    }
+    this.allocator.tick(now)
+  }
+
+  private mayPlace(): boolean {
+    const { clock, isLeader } = this.options
+    return isLeader() && clock.now() - this.since >= LISTEN_FIRST_MS
+  }
+
+  /** What was known in an earlier term is out of date: whoever led meanwhile has placed since. */
+  private renewTerm(): void {
+    const { term, clock } = this.options
+    if (term() === this.term) return
+    this.term = term()
+    this.since = clock.now()
+    this.allocator = this.createAllocator()
+  }
+
+  private createAllocator(): Allocator {
+    const { endpoints, engine, logger } = this.options
+    return new Allocator({
+      endpoints,
+      engine,
+      onEjected: (endpoint, reason, forMs) => logger.warn('endpoint.ejected', { endpoint, reason, forMs }),
+    })
+  }
+
+  private log(ask: PlaceAsk, decision: PlaceDecision): void {
+    const { allocator } = this
+    this.options.logger.info('place.decided', {
+      request: ask.request,
+      entry: ask.entry,
+      outcome: decision.type,
+      reason:
+        decision.type === 'refused'
+          ? decision.reason
+          : `prefill ${decision.prefill ?? 'none'}, decode ${decision.decode}`,
+      promptTokens: ask.promptTokens,
+      targetMs: Math.round(ask.targetMs),
+      holds: allocator.holdCount,
+      waiting: allocator.waitingCount,
+      term: this.term,
+    })
+  }
+}
--- /dev/null
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -0,0 +1,63 @@
+import type { InstanceId } from '@forkstage/directory'
+import type { Millis } from '@forkstage/types'
+
+/** A model request that wants a place. */
+export interface PlaceAsk {
+  request: string
+  /** The entry that relays it. */
+  entry: string
+  service: string
+  /** Requests of one class have answers of like length. */
+  className: string
+  promptTokens: number
+  mostTokens: number
+  hintTokens?: number
+  /** Rank of its route; 0 is the most urgent. */
+  priority: number
+  /** Time left until its first event should be there; below 0 for one that is late already. */
+  targetMs: Millis
+  /** The longest it may be held for a place. */
+  holdMs: Millis
+  except: InstanceId[]
+  isPrefilled: boolean
+}
+
+/** Where a request goes. */
+export interface Placed {
+  type: 'placed'
+  /** Absent where the decode engine reads the prompt itself. */
+  prefill?: InstanceId
+  decode: InstanceId
+}
+
+/** Why a request gets no place, and when to come back. */
+export interface Refused {
+  type: 'refused'
+  reason: string
+  retryAfterMs: Millis
+}
+
+/** What becomes of a request that asked. */
+export type PlaceDecision = Placed | Refused
+
+/** A place that is taken. */
+export interface Hold {
+  ask: PlaceAsk
+  prefill?: InstanceId
+  decode: InstanceId
+  placedAt: Millis
+  /** When decoding began; absent while the prompt is being read. */
+  decodingAt?: Millis
+}
+
+/** A place as an entry reports it, with times as ages so that clocks need not agree. */
+export interface ReportedHold {
+  ask: PlaceAsk
+  prefill?: InstanceId
+  decode: InstanceId
+  ageMs: Millis
+  decodingForMs?: Millis
+}
+
+/** How the use of an instance ended. */
+export type UseOutcome = 'ok' | 'failed' | 'unreachable' | 'other-instance' | 'full' | 'cancelled'
--- /dev/null
+++ b/placement/allocator/src/index.ts
@@ -0,0 +1,18 @@
+/** Places model requests for all entries. */
+export { Allocator } from './allocator'
+export type { AllocatorOptions, AllocatorTuning } from './allocator'
+export { AllocatorService, NotPlacingError, PLACE } from './allocatorService'
+export type { AllocatorServiceOptions } from './allocatorService'
+export type {
+  Hold,
+  PlaceAsk,
+  PlaceDecision,
+  Placed,
+  Refused,
+  ReportedHold,
+  UseOutcome,
+} from './allocatorTypes'
+export { LengthForecast, lengthQuantile } from './lengthForecast'
+export type { LengthPrior } from './lengthForecast'
+export { peakMemory } from './peakMemory'
+export type { Growing } from './peakMemory'
--- /dev/null
+++ b/placement/allocator/src/instanceHealth.ts
@@ -0,0 +1,65 @@
+import type { InstanceId } from '@forkstage/directory'
+import type { Millis } from '@forkstage/types'
+import type { UseOutcome } from './allocatorTypes'
+
+interface Health {
+  /** A moving share of failed uses. */
+  failing: number
+  /** Ejections since the last good use. */
+  ejections: number
+  ejectedUntil: Millis
+  isGone: boolean
+}
+
+const WEIGHT = 0.34
+const EJECT_ABOVE = 0.5
+const FIRST_EJECTION_MS = 1_500
+const LONGEST_EJECTION_MS = 8_000
+const AFTER_EJECTION = 0.3
+
+/** What is believed of instances from how their uses ended. */
+export class InstanceHealth {
+  private readonly known = new Map<InstanceId, Health>()
+
+  /** Notes how a use ended; returns how long the instance is out now, or 0. */
+  note(id: InstanceId, outcome: UseOutcome, now: Millis): Millis {
+    const health = this.known.get(id) ?? { failing: 0, ejections: 0, ejectedUntil: 0, isGone: false }
+    this.known.set(id, health)
+    if (outcome === 'other-instance') health.isGone = true
+    if (outcome === 'ok') return this.noteGood(health)
+    if (outcome === 'failed' || outcome === 'unreachable') return this.noteBad(health, outcome, now)
+    return 0
+  }
+
+  /** Whether an instance should get work. */
+  isSound(id: InstanceId, now: Millis): boolean {
+    const health = this.known.get(id)
+    return health === undefined || (!health.isGone && health.ejectedUntil <= now)
+  }
+
+  isGone(id: InstanceId): boolean {
+    return this.known.get(id)?.isGone === true
+  }
+
+  /** Forgets instances that are not registered any more. */
+  keepOnly(ids: ReadonlySet<InstanceId>): void {
+    for (const id of this.known.keys()) if (!ids.has(id)) this.known.delete(id)
+  }
+
+  private noteGood(health: Health): 0 {
+    health.failing *= 1 - WEIGHT
+    health.ejections = 0
+    return 0
+  }
+
+  private noteBad(health: Health, outcome: UseOutcome, now: Millis): Millis {
+    health.failing += (1 - health.failing) * WEIGHT
+    if (health.ejectedUntil > now) return 0
+    if (outcome !== 'unreachable' && health.failing <= EJECT_ABOVE) return 0
+    const forMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** health.ejections)
+    health.ejections += 1
+    health.failing = AFTER_EJECTION
+    health.ejectedUntil = now + forMs
+    return forMs
+  }
+}
--- /dev/null
+++ b/placement/allocator/src/lengthForecast.ts
@@ -0,0 +1,96 @@
+import { normalCdf, normalQuantile } from './normalDistribution'
+
+/** What is known of one answer's length before it runs. */
+export interface LengthPrior {
+  /** Mean of the logarithm of the length in tokens. */
+  mu: number
+  /** Spread of the logarithm. */
+  sigma: number
+}
+
+/** Counts as this many answers seen, so that the first few do not decide alone. */
+const PRIOR_WEIGHT = 8
+const FIRST_SLOPE = 0.7
+const FIRST_SIGMA = 0.5
+const FIRST_SHARE_OF_MOST = 0.35
+const LEAST_SIGMA = 0.1
+/** Answers seen earlier count less: about the last two hundred decide. */
+const KEEP = 0.995
+
+/**
+ * Learns how an answer's length follows from the caller's guess: a line through the logarithms, with the
+ * spread around it, learned by class. A guess is right in the median and often far off, so the line lies
+ * between the guess and the class's own mean.
+ */
+export class LengthForecast {
+  private readonly classes = new Map<string, Sums>()
+
+  /** What to expect of an answer. */
+  expect(className: string, hint: number | undefined, most: number): LengthPrior {
+    const sums = this.classes.get(className)
+    if (sums === undefined) return firstExpectation(hint, most)
+    const { slope, meanX, meanY, sigma } = fit(sums)
+    if (hint === undefined) return { mu: meanY, sigma: spreadOf(sums) }
+    return { mu: meanY + slope * (Math.log(Math.max(1, hint)) - meanX), sigma }
+  }
+
+  /** Learns from a whole answer. */
+  learn(className: string, hint: number | undefined, tokens: number): void {
+    const y = Math.log(Math.max(1, tokens))
+    const x = hint === undefined ? y : Math.log(Math.max(1, hint))
+    const sums = this.classes.get(className) ?? { n: 0, x: 0, y: 0, xx: 0, xy: 0, yy: 0 }
+    this.classes.set(className, {
+      n: sums.n * KEEP + 1,
+      x: sums.x * KEEP + x,
+      y: sums.y * KEEP + y,
+      xx: sums.xx * KEEP + x * x,
+      xy: sums.xy * KEEP + x * y,
+      yy: sums.yy * KEEP + y * y,
+    })
+  }
+}
+
+interface Sums {
+  n: number
+  x: number
+  y: number
+  xx: number
+  xy: number
+  yy: number
+}
+
+function firstExpectation(hint: number | undefined, most: number): LengthPrior {
+  const guess = Math.log(Math.max(1, most * FIRST_SHARE_OF_MOST))
+  if (hint === undefined) return { mu: guess, sigma: 1 }
+  return { mu: guess + FIRST_SLOPE * (Math.log(Math.max(1, hint)) - guess), sigma: FIRST_SIGMA }
+}
+
+function fit(sums: Sums): { slope: number; meanX: number; meanY: number; sigma: number } {
+  const meanX = sums.x / sums.n
+  const meanY = sums.y / sums.n
+  const varianceX = Math.max(1e-6, sums.xx / sums.n - meanX ** 2)
+  const varianceY = Math.max(0, sums.yy / sums.n - meanY ** 2)
+  const covariance = sums.xy / sums.n - meanX * meanY
+  const weight = sums.n / (sums.n + PRIOR_WEIGHT)
+  const slope = weight * (covariance / varianceX) + (1 - weight) * FIRST_SLOPE
+  const residual = varianceY - 2 * slope * covariance + slope ** 2 * varianceX
+  const variance = weight * Math.max(0, residual) + (1 - weight) * FIRST_SIGMA ** 2
+  return { slope, meanX, meanY, sigma: Math.max(LEAST_SIGMA, Math.sqrt(variance)) }
+}
+
+function spreadOf(sums: Sums): number {
+  const meanY = sums.y / sums.n
+  return Math.max(LEAST_SIGMA, Math.sqrt(Math.max(0, sums.yy / sums.n - meanY ** 2)))
+}
+
+/**
+ * The length, in tokens, that an answer which has made `made` tokens already stays below with the given
+ * probability.
+ */
+export function lengthQuantile(prior: LengthPrior, made: number, most: number, probability: number): number {
+  const passed = made < 1 ? 0 : normalCdf((Math.log(made) - prior.mu) / prior.sigma)
+  const level = passed + (1 - passed) * probability
+  if (level >= 0.9999) return Math.min(most, made * 1.3 + 1)
+  const length = Math.exp(prior.mu + prior.sigma * normalQuantile(level))
+  return Math.min(most, Math.max(length, made + 1))
+}
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -53,6 +53,10 @@
     return [...this.pooled.values()].filter(takesWork).length
   }
 
+  get(id: string): PooledEndpoint | undefined {
+    return this.pooled.get(id)
+  }
+
   /** Instances of a service that take work now; those that are out only where there is no other. */
   candidates(service: string, stage?: Stage, except: ReadonlySet<string> = new Set()): PooledEndpoint[] {
     const now = this.options.clock.now()
--- /dev/null
+++ b/request/gateway/src/engineStream.ts
@@ -0,0 +1,75 @@
+import { EventSplitter, type StreamEvent } from './eventSplitter'
+import type { AnswerHead, ExchangeEnd } from './exchange'
+import type { SendOutcome } from './endpointPool'
+import type { Verdict } from './judgeAnswer'
+
+/** How one engine's stream ended. */
+export type Attempt =
+  | { type: 'done' }
+  | { type: 'passed'; status: number }
+  | { type: 'not-run'; arrived: boolean; reason: string }
+  /** It may have run; `begun` where events were passed on. */
+  | { type: 'lost'; reason: string }
+  | { type: 'over' }
+
+/** What the stream of one engine needs of its request. */
+export interface StreamOwner {
+  judge(head: AnswerHead): Verdict
+  noteMayHaveRun(): void
+  /** Passes on the events that the caller does not have yet. */
+  passEvents(head: AnswerHead, events: StreamEvent[]): void
+  /** Ends the caller's answer as whole. */
+  passEnd(head: AnswerHead, rest: Buffer): void
+  /** Sends an engine's own failure on; returns the status that the caller gets. */
+  passFailure(head: AnswerHead, body: Buffer): number
+}
+
+/** The stream of one engine. */
+export class EngineStream {
+  private head: AnswerHead | undefined
+  private verdict: Verdict = 'foreign'
+  private readonly splitter = new EventSplitter()
+  private readonly failure: Buffer[] = []
+  private isSuccess = false
+
+  constructor(private readonly run: StreamOwner) {}
+
+  takeHead(head: AnswerHead): void {
+    this.head = head
+    this.verdict = this.run.judge(head)
+    this.isSuccess = this.verdict === 'answer' && head.status >= 200 && head.status < 300
+  }
+
+  takeData(chunk: Buffer): void {
+    if (!this.isSuccess) return void this.failure.push(chunk)
+    const events = this.splitter.take(chunk)
+    if (events.length > 0) this.run.passEvents(this.head!, events)
+  }
+
+  /** What is believed of an engine whose stream was ended from here. */
+  noteIfOver(): SendOutcome {
+    return this.isSuccess ? 'ok' : 'cancelled'
+  }
+
+  end(end: ExchangeEnd): { attempt: Attempt; note: SendOutcome } {
+    if (!end.complete && !end.sent)
+      return { attempt: { type: 'not-run', arrived: false, reason: end.reason }, note: 'unreachable' }
+    if (this.head !== undefined && this.verdict === 'other-instance')
+      return {
+        attempt: { type: 'not-run', arrived: true, reason: 'another instance' },
+        note: 'other-instance',
+      }
+    if (this.head !== undefined && this.verdict === 'not-run')
+      return { attempt: { type: 'not-run', arrived: true, reason: 'the engine is full' }, note: 'full' }
+    this.run.noteMayHaveRun()
+    if (!end.complete) return { attempt: { type: 'lost', reason: end.reason }, note: 'failed' }
+    if (this.verdict === 'foreign')
+      return { attempt: { type: 'lost', reason: 'not an answer to this request' }, note: 'failed' }
+    if (!this.isSuccess) {
+      const status = this.run.passFailure(this.head!, Buffer.concat(this.failure))
+      return { attempt: { type: 'passed', status }, note: 'failed' }
+    }
+    this.run.passEnd(this.head!, this.splitter.unfinished)
+    return { attempt: { type: 'done' }, note: 'ok' }
+  }
+}
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -3,6 +3,7 @@
 import { chooseService, type CallerLimits, type Route, type RouteIndex } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import { readCallerRequest, type CallerRequest } from './callerRequest'
+import { FirstDeadlines } from './firstDeadlines'
 import { sendOwnAnswer } from './ownAnswer'
 import { relayPlain } from './plainRelay'
 import type { RelayParts, RelayResult } from './relayParts'
@@ -42,6 +43,7 @@
   readonly server: Server
   private readonly sockets = new Set<Socket>()
   private leaving = false
+  private readonly deadlines = new FirstDeadlines()
   /** Requests being served. */
   running = 0
 
@@ -129,7 +131,9 @@
     const service = index.service(name)!
     parts.allowance.noteRequest(name)
     const endsAt = request.arrivedAt + Math.min(request.deadlineMs, route.timeoutMs)
-    const job = { request, route, service, endsAt }
+    const targetAt =
+      request.arrivedAt + route.targetMs - this.deadlines.elapsed(route.name, request.deadlineMs)
+    const job = { request, route, service, endsAt, targetAt }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
     return isModel ? relayStream(parts, job) : relayPlain(parts, job)
   }
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -1,36 +1,64 @@
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { ModelPlace, ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
 
+/** Options of {@link LocalPlacer}. */
+export interface LocalPlacerOptions {
+  pool: EndpointPool
+  /** Tokens that one engine of a service can hold. */
+  kvTokens: (service: string) => number
+  /** How many entries place beside this one. */
+  entries: () => number
+}
+
 const NO_ENDPOINT_RETRY_MS = 500
+const NO_ROOM_RETRY_MS = 1_200
+const MOST_FILL = 0.9
 
-/** Places model requests by what this entry alone knows: the fewest of its own tokens at each engine. */
+/**
+ * Places model requests by what this entry alone knows, while nobody can be asked: the engine with the fewest
+ * of its own tokens, and no more than this entry's share of all engines' memory.
+ */
 export class LocalPlacer implements ModelPlacer {
-  constructor(private readonly pool: EndpointPool) {}
+  constructor(private readonly options: LocalPlacerOptions) {}
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
-    const decode = this.fewestTokens(work, 'decode')
+    const { pool } = this.options
+    const decoders = pool.candidates(work.service, 'decode', work.except)
+    const decode = pool.fewestTokens(decoders)
     if (decode === undefined)
       return { type: 'refused', reason: 'no decode engine is known', retryAfterMs: NO_ENDPOINT_RETRY_MS }
-    const prefill = work.isPrefilled ? undefined : this.fewestTokens(work, 'prefill')
+    if (!this.hasRoom(work, decoders))
+      return { type: 'refused', reason: "this entry's share is full", retryAfterMs: NO_ROOM_RETRY_MS }
+    const prefill = work.isPrefilled
+      ? undefined
+      : pool.fewestTokens(pool.candidates(work.service, 'prefill', work.except))
     return { type: 'place', place: this.take(work, decode, prefill) }
   }
 
-  private fewestTokens(work: ModelWork, stage: 'prefill' | 'decode'): PooledEndpoint | undefined {
-    const candidates = this.pool.candidates(work.service, stage, work.except)
-    return this.pool.fewestTokens(candidates)
+  private hasRoom(work: ModelWork, decoders: PooledEndpoint[]): boolean {
+    const { kvTokens, entries } = this.options
+    const all = kvTokens(work.service) * decoders.length * MOST_FILL
+    const own = decoders.reduce((sum, one) => sum + one.tokens, 0)
+    return own === 0 || own + tokensOf(work) <= all / Math.max(1, entries())
   }
 
   private take(work: ModelWork, decode: PooledEndpoint, prefill: PooledEndpoint | undefined): ModelPlace {
-    const tokens = work.promptTokens + (work.hintTokens ?? work.mostTokens)
-    this.pool.noteSent(decode, tokens)
-    if (prefill !== undefined) this.pool.noteSent(prefill, work.promptTokens)
+    const { pool } = this.options
+    const tokens = tokensOf(work)
+    pool.noteSent(decode, tokens)
+    if (prefill !== undefined) pool.noteSent(prefill, work.promptTokens)
     return {
       prefill,
       decode,
       notePrefilled: (outcome, tookMs) => {
-        if (prefill !== undefined) this.pool.noteEnd(prefill, outcome, tookMs, work.promptTokens)
+        if (prefill !== undefined) pool.noteEnd(prefill, outcome, tookMs, work.promptTokens)
       },
-      release: (outcome, tookMs) => this.pool.noteEnd(decode, outcome, tookMs, tokens),
+      noteStalled: () => undefined,
+      release: (outcome, tookMs) => pool.noteEnd(decode, outcome, tookMs, tokens),
     }
   }
 }
+
+function tokensOf(work: ModelWork): number {
+  return work.promptTokens + Math.min(work.mostTokens, work.hintTokens ?? work.mostTokens)
+}
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -1,5 +1,4 @@
 import type { Millis } from '@forkstage/types'
-import type { PromptPart } from './gatewayWire'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 
 /** A model request as the placement sees it. */
@@ -11,10 +10,13 @@
   mostTokens: number
   /** The caller's guess of the tokens that come out. */
   hintTokens?: number
-  parts: PromptPart[]
   priority: number
   /** Time left until the first event should be there. */
   targetMs: Millis
+  /** The longest it may wait for a place. */
+  holdMs: Millis
+  /** Requests of one class have answers of like length. */
+  className: string
   /** Instances that are not to be chosen again. */
   except: ReadonlySet<string>
   /** Whether the memory of a prefill step is at hand already. */
@@ -28,8 +30,10 @@
   decode: PooledEndpoint
   /** Says that the prompt has been read. */
   notePrefilled: (outcome: SendOutcome, tookMs: Millis) => void
-  /** Gives the place back. Called once. */
-  release: (outcome: SendOutcome, tookMs: Millis) => void
+  /** The decode engine is slower than it should be; it is not given up yet. */
+  noteStalled: () => void
+  /** Gives the place back, with the tokens made there. Called once. */
+  release: (outcome: SendOutcome, tookMs: Millis, madeTokens: number) => void
 }
 
 /** A place, or why there is none and when to come back. */
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -41,6 +41,8 @@
   service: RoutedService
   /** The last moment at which the caller or the operator wants an answer. */
   endsAt: Millis
+  /** When the first event, or the answer, should be there to count in full. */
+  targetAt: Millis
 }
 
 /** How long to wait for a connection to an endpoint. */
--- /dev/null
+++ b/request/gateway/src/remotePlacer.ts
@@ -0,0 +1,171 @@
+import {
+  PLACE,
+  type PlaceAsk,
+  type PlaceDecision,
+  type Placed,
+  type ReportedHold,
+  type UseOutcome,
+} from '@forkstage/allocator'
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import { toErrorBody } from '@forkstage/error'
+import type { Logger } from '@forkstage/logger'
+import type { PeerCaller } from '@forkstage/peer-rpc'
+import type { Address, Millis } from '@forkstage/types'
+import type { EndpointPool } from './endpointPool'
+import type { ModelPlace, ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
+
+/** Options of {@link RemotePlacer}. */
+export interface RemotePlacerOptions {
+  entry: string
+  pool: EndpointPool
+  /** Places while nobody can be asked. */
+  fallback: ModelPlacer
+  /** The control machine that leads, where one is known. */
+  leader: () => Address | undefined
+  peers: PeerCaller
+  clock: Clock
+  logger: Logger
+}
+
+interface Active {
+  ask: PlaceAsk
+  prefill?: string
+  decode: string
+  placedAt: Millis
+  decodingAt?: Millis
+}
+
+/** Added to the time a request may be held, for the way there and back. */
+const ANSWER_SLACK_MS = 200
+const REPORT_EVERY_MS = 1_000
+const LOOK_EVERY_MS = 200
+/** A leader that gave no answer is not asked for this long. */
+const SKIP_MS = 400
+
+/** Asks the leading control machine for places, and reports what runs so that the next leader knows. */
+export class RemotePlacer implements ModelPlacer {
+  private readonly active = new Map<string, Active>()
+  private reportedTo: Address | undefined
+  private reportedAt = -Infinity
+  private skipUntil = -Infinity
+  private cancelLook: CancelTimer = () => undefined
+
+  constructor(private readonly options: RemotePlacerOptions) {}
+
+  start(): void {
+    this.cancelLook = every(this.options.clock, LOOK_EVERY_MS, () => this.reportIfDue())
+  }
+
+  stop(): void {
+    this.cancelLook()
+  }
+
+  async place(work: ModelWork): Promise<PlaceAnswer> {
+    const ask = this.toAsk(work)
+    const decision = await this.ask(ask)
+    if (decision?.type === 'refused') return decision
+    if (decision !== undefined) {
+      const place = this.toPlace(ask, decision)
+      if (place !== undefined) return { type: 'place', place }
+    }
+    const answer = await this.options.fallback.place(work)
+    if (answer.type === 'refused') return answer
+    return { type: 'place', place: this.tracked(ask, answer.place) }
+  }
+
+  private async ask(ask: PlaceAsk): Promise<PlaceDecision | undefined> {
+    const { peers, clock, leader, logger } = this.options
+    const address = leader()
+    if (address === undefined || clock.now() < this.skipUntil) return undefined
+    try {
+      const options = { deadline: ask.holdMs + ANSWER_SLACK_MS, step: 'place' }
+      return await peers.call<PlaceDecision>(address, PLACE.ask, { ask }, options)
+    } catch (error) {
+      this.skipUntil = clock.now() + SKIP_MS
+      peers.notify(address, PLACE.withdraw, { request: ask.request })
+      logger.warn('place.alone', { request: ask.request, peer: address, reason: toErrorBody(error).message })
+      return undefined
+    }
+  }
+
+  private toAsk(work: ModelWork): PlaceAsk {
+    return { ...work, entry: this.options.entry, except: [...work.except] }
+  }
+
+  /** The place by its engines, or undefined where this entry does not know them yet. */
+  private toPlace(ask: PlaceAsk, placed: Placed): ModelPlace | undefined {
+    const { pool } = this.options
+    const decode = pool.get(placed.decode)
+    const prefill = placed.prefill === undefined ? undefined : pool.get(placed.prefill)
+    const isUnknown = decode === undefined || (placed.prefill !== undefined && prefill === undefined)
+    if (isUnknown) {
+      this.notify(PLACE.withdraw, { request: ask.request })
+      return undefined
+    }
+    const tokens = ask.promptTokens + Math.min(ask.mostTokens, ask.hintTokens ?? ask.mostTokens)
+    pool.noteSent(decode, tokens)
+    if (prefill !== undefined) pool.noteSent(prefill, ask.promptTokens)
+    return this.tracked(ask, {
+      prefill,
+      decode,
+      notePrefilled: (outcome, tookMs) => {
+        if (prefill !== undefined) pool.noteEnd(prefill, outcome, tookMs, ask.promptTokens)
+      },
+      noteStalled: () => undefined,
+      release: (outcome, tookMs) => pool.noteEnd(decode, outcome, tookMs, tokens),
+    })
+  }
+
+  /** A place whose course the leader is told. */
+  private tracked(ask: PlaceAsk, place: ModelPlace): ModelPlace {
+    const { clock } = this.options
+    const { request } = ask
+    const decode = place.decode.endpoint.id
+    const decodingAt = place.prefill === undefined ? clock.now() : undefined
+    const hold: Active = {
+      ask,
+      prefill: place.prefill?.endpoint.id,
+      decode,
+      placedAt: clock.now(),
+      decodingAt,
+    }
+    this.active.set(request, hold)
+    return {
+      prefill: place.prefill,
+      decode: place.decode,
+      notePrefilled: (outcome, tookMs) => {
+        hold.decodingAt = clock.now()
+        place.notePrefilled(outcome, tookMs)
+        this.notify(PLACE.prefilled, { request, outcome, tookMs: Math.round(tookMs) })
+      },
+      noteStalled: () =>
+        this.notify(PLACE.note, { endpoint: decode, outcome: 'failed' satisfies UseOutcome }),
+      release: (outcome, tookMs, madeTokens) => {
+        this.active.delete(request)
+        place.release(outcome, tookMs, madeTokens)
+        this.notify(PLACE.release, { request, outcome, madeTokens })
+      },
+    }
+  }
+
+  private notify(method: string, params: unknown): void {
+    const address = this.options.leader()
+    if (address !== undefined) this.options.peers.notify(address, method, params)
+  }
+
+  private reportIfDue(): void {
+    const { clock, entry, leader, peers } = this.options
+    const address = leader()
+    if (address === undefined) return
+    const isNew = address !== this.reportedTo
+    if (!isNew && clock.now() - this.reportedAt < REPORT_EVERY_MS) return
+    this.reportedTo = address
+    this.reportedAt = clock.now()
+    const holds: ReportedHold[] = [...this.active.values()].map(({ placedAt, decodingAt, ...hold }) => ({
+      ...hold,
+      ageMs: clock.now() - placedAt,
+      decodingForMs: decodingAt === undefined ? undefined : clock.now() - decodingAt,
+    }))
+    peers.notify(address, PLACE.report, { entry, holds })
+  }
+}
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,7 +1,8 @@
 import type { Millis } from '@forkstage/types'
 import { dropHeaders, single } from './callerRequest'
-import { EventSplitter, type StreamEvent } from './eventSplitter'
-import { openExchange, type AnswerHead, type Exchange, type ExchangeEnd } from './exchange'
+import { EngineStream, type Attempt, type StreamOwner } from './engineStream'
+import type { StreamEvent } from './eventSplitter'
+import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import { exchangeWhole } from './exchangeWhole'
 import { judgeAnswer } from './judgeAnswer'
@@ -23,6 +24,10 @@
 /** A handle is used for another engine only while it surely still stands. */
 const HANDLE_SHARE = 0.5
 const RELEASE_MS = 1_000
+/** The share of the time to the first event that may be spent waiting for a place. */
+const HOLD_SHARE = 0.7
+/** How long a request that is late already waits for a place. */
+const LATE_HOLD_MS = 2_500
 const PROMISES = new Set([408, 421, 429, 503])
 
 /** The memory that a prefill step left at an engine. */
@@ -32,21 +37,12 @@
   madeAt: Millis
 }
 
-/** How one engine's stream ended. */
-type Attempt =
-  | { type: 'done' }
-  | { type: 'passed'; status: number }
-  | { type: 'not-run'; arrived: boolean; reason: string }
-  /** It may have run; `begun` where events were passed on. */
-  | { type: 'lost'; reason: string }
-  | { type: 'over' }
-
 /** Relays a streaming request: a place, the prefill step, the stream, and another engine where allowed. */
 export async function relayStream(parts: RelayParts, job: RelayJob): Promise<RelayResult> {
   return new StreamRun(parts, job).relay()
 }
 
-class StreamRun {
+class StreamRun implements StreamOwner {
   private readonly sends: SendRecord[] = []
   private readonly except = new Set<string>()
   private exchange: Exchange | undefined
@@ -55,7 +51,8 @@
   private head: AnswerHead | undefined
   private lastEventId: number | undefined
   private prefilled: Prefilled | undefined
-  private prefillCalls = 0
+  /** Events of the engine at work now. */
+  private madeEvents = 0
 
   constructor(
     private readonly parts: RelayParts,
@@ -83,7 +80,7 @@
     for (let refusals = 0; ;) {
       const answer = await this.parts.placer.place(this.work())
       if (this.isOver) {
-        if (answer.type === 'place') answer.place.release('cancelled', 0)
+        if (answer.type === 'place') answer.place.release('cancelled', 0, 0)
         return this.overResult()
       }
       if (answer.type === 'refused') return this.answerWithout(answer.reason, answer.retryAfterMs)
@@ -100,6 +97,7 @@
     const { request, route, service } = this.job
     const { wire, clock } = this.parts
     const counts = wire.readTokenCounts(single(request.headers[wire.headers.tokenCounts]) ?? '')
+    const targetMs = this.job.targetAt - clock.now()
     const hint = Number(single(request.headers[wire.headers.lengthHint]))
     return {
       request: request.id,
@@ -107,9 +105,11 @@
       promptTokens: counts.prompt,
       mostTokens: counts.most,
       hintTokens: Number.isFinite(hint) && hint > 0 ? hint : undefined,
-      parts: wire.readPromptParts(single(request.headers[wire.headers.promptParts]) ?? ''),
       priority: route.priority,
-      targetMs: request.arrivedAt + route.targetMs - clock.now(),
+      targetMs,
+      holdMs:
+        targetMs > 0 ? targetMs * HOLD_SHARE : Math.min(LATE_HOLD_MS, (this.job.endsAt - clock.now()) / 4),
+      className: route.name,
       except: this.except,
       isPrefilled: this.usableHandle() !== undefined,
     }
@@ -119,12 +119,15 @@
     const startedAt = this.parts.clock.now()
     if (place.prefill !== undefined) await this.prefillAt(place)
     if (this.isOver) {
-      place.release('cancelled', 0)
+      place.release('cancelled', 0, 0)
       return { type: 'over' }
     }
+    this.madeEvents = 0
+    const cancelStall = this.watchStall(place)
     const { attempt, note } = await this.streamAt(place.decode)
+    cancelStall()
     const tookMs = this.parts.clock.now() - startedAt
-    place.release(this.isOver && note !== 'ok' ? 'cancelled' : note, tookMs)
+    place.release(this.isOver && note !== 'ok' ? 'cancelled' : note, tookMs, this.madeTokens())
     this.sends.push({
       to: place.decode.endpoint.id,
       step: 'decode',
@@ -134,6 +137,17 @@
     return attempt
   }
 
+  /** Tells the placement of an engine that has made nothing for too long. */
+  private watchStall(place: ModelPlace): () => void {
+    return this.parts.clock.after(this.job.route.targetMs, () => {
+      if (this.madeEvents === 0 && !this.isOver) place.noteStalled()
+    })
+  }
+
+  private madeTokens(): number {
+    return this.madeEvents * (this.job.service.engine?.tokensPerEvent ?? 1)
+  }
+
   private async prefillAt(place: ModelPlace): Promise<void> {
     const { parts, job } = this
     const at = place.prefill!
@@ -150,7 +164,6 @@
       onOpen: (exchange) => (this.exchange = exchange),
     })
     this.exchange = undefined
-    this.prefillCalls += 1
     const tookMs = parts.clock.now() - startedAt
     const answer = outcome.type === 'answer' && outcome.head.status === 200
     const read = answer ? parts.wire.readPrefillAnswer(outcome.body) : undefined
@@ -203,7 +216,6 @@
     })
   }
 
-  /** What the stream of one engine needs of its request. */
   judge(head: AnswerHead) {
     return judgeAnswer(head, this.job.request.id, this.parts.wire.headers)
   }
@@ -212,8 +224,8 @@
     this.mayHaveRun += 1
   }
 
-  /** Passes events on that the caller does not have yet; false where one is missing between. */
-  passEvents(head: AnswerHead, events: StreamEvent[]): boolean {
+  passEvents(head: AnswerHead, events: StreamEvent[]): void {
+    this.madeEvents += events.length
     const isFirst = this.head === undefined
     if (isFirst) this.begin(head)
     for (const event of events) {
@@ -223,17 +235,14 @@
       if (event.id !== undefined) this.lastEventId = event.id
       this.write(event.bytes)
     }
-    return true
   }
 
-  /** Ends the caller's answer as whole. */
   passEnd(head: AnswerHead, rest: Buffer): void {
     if (this.head === undefined) this.begin(head)
     if (rest.length > 0) this.write(rest)
     this.job.request.response.end()
   }
 
-  /** Sends an engine's own failure on. */
   passFailure(head: AnswerHead, body: Buffer): number {
     if (PROMISES.has(head.status)) {
       this.answerFailure(502, 'the engine gave a promise it cannot keep')
@@ -324,56 +333,6 @@
   }
 }
 
-/** The stream of one engine. */
-class EngineStream {
-  private head: AnswerHead | undefined
-  private verdict: ReturnType<typeof judgeAnswer> = 'foreign'
-  private readonly splitter = new EventSplitter()
-  private readonly failure: Buffer[] = []
-  private isSuccess = false
-
-  constructor(private readonly run: StreamRun) {}
-
-  takeHead(head: AnswerHead): void {
-    this.head = head
-    this.verdict = this.run.judge(head)
-    this.isSuccess = this.verdict === 'answer' && head.status >= 200 && head.status < 300
-  }
-
-  takeData(chunk: Buffer): void {
-    if (!this.isSuccess) return void this.failure.push(chunk)
-    const events = this.splitter.take(chunk)
-    if (events.length > 0) this.run.passEvents(this.head!, events)
-  }
-
-  /** What is believed of an engine whose stream was ended from here. */
-  noteIfOver(): SendOutcome {
-    return this.isSuccess ? 'ok' : 'cancelled'
-  }
-
-  end(end: ExchangeEnd): { attempt: Attempt; note: SendOutcome } {
-    if (!end.complete && !end.sent)
-      return { attempt: { type: 'not-run', arrived: false, reason: end.reason }, note: 'unreachable' }
-    if (this.head !== undefined && this.verdict === 'other-instance')
-      return {
-        attempt: { type: 'not-run', arrived: true, reason: 'another instance' },
-        note: 'other-instance',
-      }
-    if (this.head !== undefined && this.verdict === 'not-run')
-      return { attempt: { type: 'not-run', arrived: true, reason: 'the engine is full' }, note: 'full' }
-    this.run.noteMayHaveRun()
-    if (!end.complete) return { attempt: { type: 'lost', reason: end.reason }, note: 'failed' }
-    if (this.verdict === 'foreign')
-      return { attempt: { type: 'lost', reason: 'not an answer to this request' }, note: 'failed' }
-    if (!this.isSuccess) {
-      const status = this.run.passFailure(this.head!, Buffer.concat(this.failure))
-      return { attempt: { type: 'passed', status }, note: 'failed' }
-    }
-    this.run.passEnd(this.head!, this.splitter.unfinished)
-    return { attempt: { type: 'done' }, note: 'ok' }
-  }
-}
-
 function noteOfFailure(outcome: Awaited<ReturnType<typeof exchangeWhole>>): SendOutcome {
   if (outcome.type === 'failed') return outcome.sent ? 'failed' : 'unreachable'
   if (outcome.head.status === 421) return 'other-instance'
