--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -50,6 +50,7 @@
     sequence: number
   }
   'settings.reloaded': { changed: string[] }
+  'stage.ordered': { endpoint: string; stage: string; fence: number; outcome: string }
   'place.alone': { request: string; peer: string; reason: string }
   'place.decided': {
     request: string
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -14,6 +14,7 @@
 import type { MachineBasics } from './machineBasics'
 import { Registrar } from './registrar'
 import { SheetOffice } from './sheetOffice'
+import { StageOrders } from './stageOrders'
 
 const GROUP = 'sheet'
 /** How long a machine that has been told to stop goes on answering. */
@@ -32,6 +33,7 @@
   private readonly office: SheetOffice
   private readonly registrar: Registrar
   private readonly allocator: AllocatorService
+  private readonly orders: StageOrders
   private peerServer: PeerServer | undefined
   private listener: Listener | undefined
   private newest: SheetDocument | undefined
@@ -96,6 +98,17 @@
       isLeader: () => this.host.replica?.holdsLease === true,
       term: () => this.host.replica?.term ?? 0,
     })
+    this.orders = new StageOrders({
+      wire,
+      allocator: this.allocator,
+      sheet: () => this.book.current?.sheet,
+      endpoint: (id) => this.directory.get(id),
+      holder: settings.machine.name,
+      isLeader: () => this.host.replica?.holdsLease === true,
+      term: () => this.host.replica?.term ?? 0,
+      clock,
+      logger,
+    })
     this.machine.onNewer = (document) => this.noteNewer(document)
   }
 
@@ -118,6 +131,7 @@
     this.follower.start()
     this.keeper.start()
     this.allocator.start()
+    this.orders.start()
   }
 
   /** Takes changed settings: new seeds to begin with. */
@@ -133,6 +147,7 @@
     await new Promise<void>((resolve) => clock.after(LAST_ANSWERS_MS, resolve))
     this.keeper.stop()
     this.allocator.stop()
+    this.orders.stop()
     this.follower.stop()
     await this.host.stop().catch(() => undefined)
     this.listener?.close()
--- a/daemon/fleet/src/controlWire.ts
+++ b/daemon/fleet/src/controlWire.ts
@@ -1,7 +1,37 @@
-import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { RouteSheet } from '@forkstage/routes'
 import type { Address } from '@forkstage/types'
 
+/** What an engine says of itself when it is asked. */
+export interface EngineReport {
+  stage?: Stage
+  /** Orders it has taken since its start. */
+  ordersTaken: number
+  /** Whether an order is being carried out. */
+  isBusy: boolean
+}
+
+/** An order to an engine to change its part. */
+export interface StageOrder {
+  stage: Stage
+  /** The machine that orders. */
+  holder: string
+  /** Rises with each holder; an engine refuses one lower than it has seen. */
+  fence: number
+  /** Orders that the engine must have taken by now, no more and no fewer. */
+  expectedOrders: number
+  instance: string
+}
+
+/** A call to an endpoint, ready to be sent. */
+export interface EndpointCall {
+  method: string
+  path: string
+  /** Names and values by turns. */
+  rawHeaders: string[]
+  body: Buffer
+}
+
 /** What operators and endpoints of a deployment call at a control machine: paths and formats. */
 export interface ControlWire {
   /** Where a sheet is put and read. */
@@ -14,4 +44,8 @@
   readRegistration(id: string, text: string): RegisteredEndpoint | undefined
   /** The answer to a registration; `nextAddress` where later ones should go. */
   registrationAnswer(nextAddress: Address | undefined): unknown
+  reportCall(): EndpointCall
+  /** @returns undefined where the body is no report. */
+  readReport(body: Buffer): EngineReport | undefined
+  stageOrderCall(order: StageOrder): EndpointCall
 }
--- /dev/null
+++ b/daemon/fleet/src/stageOrders.ts
@@ -0,0 +1,115 @@
+import type { AllocatorService, StageChange } from '@forkstage/allocator'
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { exchangeWhole, type WholeOutcome } from '@forkstage/gateway'
+import type { Logger } from '@forkstage/logger'
+import type { RouteSheet } from '@forkstage/routes'
+import type { Millis } from '@forkstage/types'
+import type { ControlWire, EndpointCall } from './controlWire'
+
+/** Options of {@link StageOrders}. */
+export interface StageOrdersOptions {
+  wire: ControlWire
+  allocator: AllocatorService
+  sheet: () => RouteSheet | undefined
+  endpoint: (id: string) => RegisteredEndpoint | undefined
+  /** The machine's name: who orders. */
+  holder: string
+  /** Whether this machine leads. */
+  isLeader: () => boolean
+  /** The term it leads in; no two machines lead in one, so that it fences orders. */
+  term: () => number
+  clock: Clock
+  logger: Logger
+}
+
+const LOOK_EVERY_MS = 500
+/** An earlier leader may have ordered until its own lease ended: a new one waits this long. */
+const LEAD_FIRST_MS = 6_000
+const CONNECT_MS = 400
+const MAX_ANSWER_BYTES = 64 * 1024
+const TAKEN = 202
+const HOLDS_ALREADY = 200
+/** Added to the time that an engine is away. */
+const CHANGE_SLACK_MS = 700
+/** An order without an answer may be carried out this much later. */
+const UNANSWERED_MS = 14_000
+const REFUSED_MS = 4_000
+
+/** Orders engines to change their part while this machine leads, one at a time. */
+export class StageOrders {
+  private leadsSince: Millis | undefined
+  private ledTerm = -1
+  private busy = false
+  private cancelLook: CancelTimer = () => undefined
+
+  constructor(private readonly options: StageOrdersOptions) {}
+
+  start(): void {
+    this.cancelLook = every(this.options.clock, LOOK_EVERY_MS, () => void this.look())
+  }
+
+  stop(): void {
+    this.cancelLook()
+  }
+
+  private async look(): Promise<void> {
+    if (!this.mayOrder() || this.busy) return
+    for (const service of this.options.sheet()?.services ?? []) {
+      if (service.engine === undefined) continue
+      const change = this.options.allocator.planStage(service.name)
+      if (change === undefined) continue
+      this.busy = true
+      await this.order(change, service.engine.stageChangeMs)
+      this.busy = false
+    }
+  }
+
+  private mayOrder(): boolean {
+    const { clock, isLeader, term } = this.options
+    const isSame = isLeader() && term() === this.ledTerm
+    if (!isSame) this.leadsSince = isLeader() ? clock.now() : undefined
+    this.ledTerm = term()
+    return this.leadsSince !== undefined && clock.now() - this.leadsSince >= LEAD_FIRST_MS
+  }
+
+  private async order(change: StageChange, changeMs: Millis): Promise<void> {
+    const { wire, endpoint, holder, isLeader, term, allocator, logger } = this.options
+    const to = endpoint(change.id)
+    if (to === undefined) return
+    const asked = await this.call(to, wire.reportCall())
+    const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
+    if (report === undefined || report.isBusy || !isLeader())
+      return allocator.noteChanging(change.id, REFUSED_MS)
+    const fence = term()
+    const { stage } = change
+    const order = { stage, holder, fence, expectedOrders: report.ordersTaken, instance: change.id }
+    const outcome = await this.call(to, wire.stageOrderCall(order))
+    const status = outcome.type === 'answer' ? outcome.head.status : undefined
+    logger.info('stage.ordered', {
+      endpoint: change.id,
+      stage,
+      fence,
+      outcome: String(status ?? 'no answer'),
+    })
+    allocator.noteChanging(change.id, pauseAfter(status, changeMs))
+  }
+
+  private call(to: RegisteredEndpoint, call: EndpointCall): Promise<WholeOutcome> {
+    return exchangeWhole({
+      address: to.address,
+      ...call,
+      rawHeaders: [...call.rawHeaders, 'Content-Length', String(call.body.length), 'Connection', 'close'],
+      connectMs: CONNECT_MS,
+      clock: this.options.clock,
+      maxBytes: MAX_ANSWER_BYTES,
+    })
+  }
+}
+
+/** How long an engine gets no work and no other order after an order. */
+function pauseAfter(status: number | undefined, changeMs: Millis): Millis {
+  if (status === undefined) return UNANSWERED_MS
+  if (status === TAKEN) return changeMs + CHANGE_SLACK_MS
+  return status === HOLDS_ALREADY ? CHANGE_SLACK_MS : REFUSED_MS
+}
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -2,9 +2,11 @@
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import type { Hold, PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
+import { DemandMeter } from './demandMeter'
 import { InstanceHealth } from './instanceHealth'
 import { LengthForecast, lengthQuantile } from './lengthForecast'
 import { peakMemory, type Growing } from './peakMemory'
+import { planStages, type StageChange } from './planStages'
 
 /** Options of {@link Allocator}. */
 export interface AllocatorOptions {
@@ -60,6 +62,9 @@
   private readonly tuning: AllocatorTuning
   private waiting: Waiting[] = []
   private readonly msPerToken = new Map<InstanceId, number>()
+  private readonly demand = new Map<string, DemandMeter>()
+  /** Engines that change their part, until when they are left alone. */
+  private readonly changing = new Map<InstanceId, Millis>()
   private promptTokensPerMs = FIRST_PROMPT_TOKENS_PER_MS
 
   constructor(private readonly options: AllocatorOptions) {
@@ -76,6 +81,7 @@
 
   /** Asks for a place; the answer comes at once or when there is room, at the latest after the hold time. */
   ask(ask: PlaceAsk, now: Millis, resolve: (decision: PlaceDecision) => void): void {
+    if (!ask.isPrefilled) this.noteDemand(ask, now)
     const refusal = this.refuseAtOnce(ask, now)
     if (refusal !== undefined) return resolve(refusal)
     this.waiting.push({ ask, since: now, resolve })
@@ -150,6 +156,44 @@
     for (const one of overdue) one.resolve(refused('no room in time', BUSY_RETRY_MS))
   }
 
+  /** The engine of a service that should change its part now, where one should. */
+  planStage(service: string, now: Millis): StageChange | undefined {
+    const engine = this.options.engine(service)
+    const meter = this.demand.get(service)
+    if (engine === undefined || meter?.isSure(now) !== true) return undefined
+    if ([...this.changing.values()].some((until) => until > now)) return undefined
+    const staged = this.options
+      .endpoints()
+      .filter((one) => one.service === service && one.state === 'ready' && one.stage !== undefined)
+      .filter((one) => this.health.isSound(one.id, now))
+      .map(({ id, stage }) => ({ id, stage: stage!, uses: this.usesOf(id) }))
+    return planStages(staged, meter.need(engine.kvTokens, now))
+  }
+
+  /** Gives an engine no work while it changes its part. */
+  noteChanging(id: InstanceId, forMs: Millis, now: Millis): void {
+    this.changing.set(id, now + forMs)
+  }
+
+  private usesOf(id: InstanceId): number {
+    return [...this.holds.values()].filter((hold) => hold.decode === id || hold.prefill === id).length
+  }
+
+  private noteDemand(ask: PlaceAsk, now: Millis): void {
+    const meter = this.demand.get(ask.service) ?? new DemandMeter()
+    this.demand.set(ask.service, meter)
+    const prior = this.forecast.expect(ask.className, ask.hintTokens, ask.mostTokens)
+    const length = Math.min(ask.mostTokens, Math.exp(prior.mu + prior.sigma ** 2 / 2))
+    const tokenMs = (ask.promptTokens + length / 2) * length * this.meanMsPerToken()
+    meter.note(ask.promptTokens / this.promptTokensPerMs, tokenMs, now)
+  }
+
+  private meanMsPerToken(): Millis {
+    const rates = [...this.msPerToken.values()]
+    if (rates.length === 0) return FIRST_MS_PER_TOKEN
+    return rates.reduce((sum, rate) => sum + rate, 0) / rates.length
+  }
+
   private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
     if (this.options.engine(ask.service) === undefined)
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
@@ -215,6 +259,7 @@
           endpoint.stage === stage &&
           endpoint.state === 'ready' &&
           !this.health.isGone(endpoint.id) &&
+          !((this.changing.get(endpoint.id) ?? 0) > now) &&
           !ask.except.includes(endpoint.id),
       )
     const sound = fitting.filter((endpoint) => this.health.isSound(endpoint.id, now))
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -7,6 +7,7 @@
 import type { Millis } from '@forkstage/types'
 import { Allocator } from './allocator'
 import type { PlaceAsk, PlaceDecision, ReportedHold, UseOutcome } from './allocatorTypes'
+import type { StageChange } from './planStages'
 
 /** The methods that entries call at the machine that places. */
 export const PLACE = {
@@ -71,6 +72,16 @@
     }
   }
 
+  /** The engine of a service that should change its part, while this machine may say so. */
+  planStage(service: string): StageChange | undefined {
+    return this.mayPlace() ? this.allocator.planStage(service, this.options.clock.now()) : undefined
+  }
+
+  /** Gives an engine no work while it changes its part. */
+  noteChanging(id: InstanceId, forMs: Millis): void {
+    this.allocator.noteChanging(id, forMs, this.options.clock.now())
+  }
+
   start(): void {
     this.cancelTick = every(this.options.clock, TICK_MS, () => this.tick())
   }
--- /dev/null
+++ b/placement/allocator/src/planStages.ts
@@ -0,0 +1,50 @@
+import type { InstanceId, Stage } from '@forkstage/directory'
+
+/** An engine as the planner sees it. */
+export interface StagedEngine {
+  id: InstanceId
+  stage: Stage
+  /** Requests that run or are read there. */
+  uses: number
+}
+
+/** What a service's engines have to carry, in engines: how many each half would keep busy. */
+export interface StageNeed {
+  prefill: number
+  decode: number
+}
+
+/** One engine that should change its part. */
+export interface StageChange {
+  id: InstanceId
+  stage: Stage
+}
+
+/** The fuller half must be at least this full before an engine changes its part. */
+const FULL = 0.85
+/** A change must bring the fuller half down by this share at least, since it costs seconds of an engine. */
+const WORTHWHILE = 0.8
+
+/**
+ * Decides whether an engine should change its part: when one half is full, and its fill and that of the other
+ * would both be clearly lower than the fullest now.
+ */
+export function planStages(engines: StagedEngine[], need: StageNeed): StageChange | undefined {
+  const prefill = engines.filter((engine) => engine.stage === 'prefill')
+  const decode = engines.filter((engine) => engine.stage === 'decode')
+  const now = fullest(need, prefill.length, decode.length)
+  if (now < FULL) return undefined
+  const toDecode = prefill.length > 1 ? fullest(need, prefill.length - 1, decode.length + 1) : Infinity
+  const toPrefill = decode.length > 1 ? fullest(need, prefill.length + 1, decode.length - 1) : Infinity
+  if (Math.min(toDecode, toPrefill) > now * WORTHWHILE) return undefined
+  const from = toDecode <= toPrefill ? prefill : decode
+  const freest = [...from].sort((left, right) => left.uses - right.uses)[0]!
+  return { id: freest.id, stage: toDecode <= toPrefill ? 'decode' : 'prefill' }
+}
+
+function fullest(need: StageNeed, prefill: number, decode: number): number {
+  // Without a prefill engine the decode engines read prompts themselves, at a price that no plan should seek.
+  const prefillFill = prefill === 0 ? Infinity : need.prefill / prefill
+  const decodeFill = decode === 0 ? Infinity : need.decode / decode
+  return Math.max(prefillFill, decodeFill)
+}
--- a/request/gateway/src/callerRequest.ts
+++ b/request/gateway/src/callerRequest.ts
@@ -88,6 +88,13 @@
   return kept
 }
 
+/** Drops a header that the caller sent where the system sends its own after it. */
+export function withoutFirst(rawHeaders: string[], name: string): string[] {
+  const first = rawHeaders.findIndex((each, index) => index % 2 === 0 && each.toLowerCase() === name)
+  const last = rawHeaders.findLastIndex((each, index) => index % 2 === 0 && each.toLowerCase() === name)
+  return first === last ? rawHeaders : rawHeaders.filter((_, index) => index !== first && index !== first + 1)
+}
+
 /** The value of a header that may stand once only. */
 export function single(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -14,7 +14,7 @@
 
 /** What the stream of one engine needs of its request. */
 export interface StreamOwner {
-  judge(head: AnswerHead): Verdict
+  judge(head: AnswerHead, instance: string): Verdict
   noteMayHaveRun(): void
   /** Passes on the events that the caller does not have yet. */
   passEvents(head: AnswerHead, events: StreamEvent[]): void
@@ -32,11 +32,14 @@
   private readonly failure: Buffer[] = []
   private isSuccess = false
 
-  constructor(private readonly run: StreamOwner) {}
+  constructor(
+    private readonly run: StreamOwner,
+    private readonly instance: string,
+  ) {}
 
   takeHead(head: AnswerHead): void {
     this.head = head
-    this.verdict = this.run.judge(head)
+    this.verdict = this.run.judge(head, this.instance)
     this.isSuccess = this.verdict === 'answer' && head.status >= 200 && head.status < 300
   }
 
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -9,6 +9,8 @@
   rawHeaders: string[]
   /** Values by name in lower case. */
   headers: Record<string, string | string[] | undefined>
+  /** Whether the answer says itself where it ends; otherwise its connection does. */
+  isFramed: boolean
 }
 
 /** How an exchange ended. */
@@ -116,5 +118,7 @@
     status: incoming.statusCode ?? 0,
     rawHeaders: incoming.rawHeaders,
     headers: incoming.headers,
+    isFramed:
+      incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined,
   })
 }
--- a/request/gateway/src/judgeAnswer.ts
+++ b/request/gateway/src/judgeAnswer.ts
@@ -15,11 +15,16 @@
 const MISDIRECTED = 421
 
 /** Reads from an answer's head whose it is and whether the request ran. */
-export function judgeAnswer(head: AnswerHead, requestId: string, names: HeaderNames): Verdict {
-  const isOther = head.status === MISDIRECTED
-  if (head.headers[names.notExecuted] !== undefined) return isOther ? 'other-instance' : 'not-run'
-  if (isOther) return 'other-instance'
-  if (head.headers[names.requestId] !== requestId) return 'foreign'
+export function judgeAnswer(
+  head: AnswerHead,
+  request: { id: string; instance: string },
+  names: HeaderNames,
+): Verdict {
+  // The same instance says this of work that it does not do at the moment.
+  const isSame = head.headers[names.instance] === request.instance
+  if (head.status === MISDIRECTED) return isSame ? 'not-run' : 'other-instance'
+  if (head.headers[names.notExecuted] !== undefined) return 'not-run'
+  if (head.headers[names.requestId] !== request.id) return 'foreign'
   const isSuccess = head.status >= 200 && head.status < 300
   if (isSuccess && head.headers[names.stamp] === undefined) return 'foreign'
   return 'answer'
--- a/request/gateway/src/ownAnswer.ts
+++ b/request/gateway/src/ownAnswer.ts
@@ -28,10 +28,30 @@
 /** Sends an endpoint's whole answer on, unchanged. */
 export function sendEndpointAnswer(
   response: ServerResponse,
-  answer: { status: number; rawHeaders: string[]; body: Buffer },
+  answer: { status: number; rawHeaders: string[]; body: Buffer; isFramed: boolean },
 ): void {
   if (response.headersSent || response.destroyed) return
+  if (!answer.isFramed) return sendUnframed(response, answer)
   const headers = [...answer.rawHeaders, 'Content-Length', String(answer.body.length)]
   response.writeHead(answer.status, headers)
   response.end(answer.body)
 }
+
+/**
+ * An answer that named no length ends with its connection here too: nobody can tell whether the endpoint had
+ * said all, so it must not look as if somebody could.
+ */
+function sendUnframed(
+  response: ServerResponse,
+  answer: { status: number; rawHeaders: string[]; body: Buffer },
+): void {
+  endWithConnection(response)
+  response.writeHead(answer.status, answer.rawHeaders)
+  response.end(answer.body)
+}
+
+/** Makes an answer without a length end with its connection instead of in chunks. */
+export function endWithConnection(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false
+  response.shouldKeepAlive = false
+}
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -94,14 +94,14 @@
       maxBytes: MAX_ANSWER_BYTES,
       onOpen: (exchange) => (this.exchange = exchange),
     })
-    const { sending, note } = this.read(outcome)
+    const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
     parts.pool.noteEnd(to, this.isOver ? 'cancelled' : note, tookMs)
     this.sends.push({ to: to.endpoint.id, step: 'plain', outcome: note, tookMs: Math.round(tookMs) })
     return sending
   }
 
-  private read(outcome: WholeOutcome): { sending: Sending; note: SendOutcome } {
+  private read(outcome: WholeOutcome, to: PooledEndpoint): { sending: Sending; note: SendOutcome } {
     const { wire } = this.parts
     if (outcome.type === 'failed') {
       if (!outcome.sent) return { sending: { type: 'not-run', arrived: false }, note: 'unreachable' }
@@ -109,7 +109,11 @@
       return { sending: { type: 'unknown', reason: outcome.reason }, note: 'failed' }
     }
     this.arrivals += 1
-    const verdict = judgeAnswer(outcome.head, this.job.request.id, wire.headers)
+    const verdict = judgeAnswer(
+      outcome.head,
+      { id: this.job.request.id, instance: to.endpoint.id },
+      wire.headers,
+    )
     if (verdict === 'other-instance')
       return { sending: { type: 'not-run', arrived: true }, note: 'other-instance' }
     if (verdict === 'not-run') return { sending: { type: 'not-run', arrived: true }, note: 'full' }
@@ -146,7 +150,12 @@
     if (PROMISES.has(head.status))
       return this.answerFailure(502, 'the endpoint gave a promise it cannot keep')
     const rawHeaders = dropHeaders(head.rawHeaders, ['content-length'])
-    sendEndpointAnswer(this.job.request.response, { status: head.status, rawHeaders, body })
+    sendEndpointAnswer(this.job.request.response, {
+      status: head.status,
+      rawHeaders,
+      body,
+      isFramed: head.isFramed,
+    })
     return { status: head.status, outcome: 'answered' }
   }
 
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,13 +1,13 @@
 import type { Millis } from '@forkstage/types'
-import { dropHeaders, single } from './callerRequest'
+import { dropHeaders, single, withoutFirst } from './callerRequest'
 import { EngineStream, type Attempt, type StreamOwner } from './engineStream'
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
-import { exchangeWhole } from './exchangeWhole'
+import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
-import { sendEndpointAnswer, sendOwnAnswer } from './ownAnswer'
+import { endWithConnection, sendEndpointAnswer, sendOwnAnswer } from './ownAnswer'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -168,12 +168,19 @@
     const answer = outcome.type === 'answer' && outcome.head.status === 200
     const read = answer ? parts.wire.readPrefillAnswer(outcome.body) : undefined
     if (read !== undefined) this.prefilled = { at, handle: read.handle, madeAt: parts.clock.now() }
-    const note = read === undefined ? noteOfFailure(outcome) : 'ok'
+    const note = read === undefined ? this.noteOfFailure(outcome, at) : 'ok'
     place.notePrefilled(this.isOver ? 'cancelled' : note, tookMs)
     this.sends.push({ to: at.endpoint.id, step: 'prefill', outcome: note, tookMs: Math.round(tookMs) })
     if (read === undefined && !this.isOver) this.except.add(at.endpoint.id)
   }
 
+  private noteOfFailure(outcome: WholeOutcome, at: PooledEndpoint): SendOutcome {
+    if (outcome.type === 'failed') return outcome.sent ? 'failed' : 'unreachable'
+    const verdict = this.judge(outcome.head, at.endpoint.id)
+    if (verdict === 'other-instance') return verdict
+    return verdict === 'not-run' ? 'full' : 'failed'
+  }
+
   /** The handle, while it may still be fetched and no engine has taken it. */
   private usableHandle(): Prefilled | undefined {
     const { prefilled, parts, job } = this
@@ -191,7 +198,7 @@
     if (this.head !== undefined && this.lastEventId !== undefined)
       extra.push(headers.lastEventId, String(this.lastEventId))
     const rawHeaders = headersFor(parts, job, to, extra)
-    const stream = new EngineStream(this)
+    const stream = new EngineStream(this, to.endpoint.id)
     return new Promise((resolve) => {
       this.exchange = openExchange({
         address: to.endpoint.address,
@@ -216,8 +223,8 @@
     })
   }
 
-  judge(head: AnswerHead) {
-    return judgeAnswer(head, this.job.request.id, this.parts.wire.headers)
+  judge(head: AnswerHead, instance: string) {
+    return judgeAnswer(head, { id: this.job.request.id, instance }, this.parts.wire.headers)
   }
 
   noteMayHaveRun(): void {
@@ -249,7 +256,12 @@
       return 502
     }
     const rawHeaders = dropHeaders(head.rawHeaders, ['content-length'])
-    sendEndpointAnswer(this.job.request.response, { status: head.status, rawHeaders, body })
+    sendEndpointAnswer(this.job.request.response, {
+      status: head.status,
+      rawHeaders,
+      body,
+      isFramed: head.isFramed,
+    })
     return head.status
   }
 
@@ -257,6 +269,7 @@
     this.head = head
     const { response } = this.job.request
     response.on('drain', () => this.exchange?.resume())
+    if (!head.isFramed) endWithConnection(response)
     response.writeHead(head.status, dropHeaders(head.rawHeaders, []))
   }
 
@@ -332,16 +345,3 @@
     })
   }
 }
-
-function noteOfFailure(outcome: Awaited<ReturnType<typeof exchangeWhole>>): SendOutcome {
-  if (outcome.type === 'failed') return outcome.sent ? 'failed' : 'unreachable'
-  if (outcome.head.status === 421) return 'other-instance'
-  return outcome.head.status === 503 ? 'full' : 'failed'
-}
-
-/** Drops a header that the caller sent where the system sends its own after it. */
-function withoutFirst(rawHeaders: string[], name: string): string[] {
-  const first = rawHeaders.findIndex((each, index) => index % 2 === 0 && each.toLowerCase() === name)
-  const last = rawHeaders.findLastIndex((each, index) => index % 2 === 0 && each.toLowerCase() === name)
-  return first === last ? rawHeaders : rawHeaders.filter((_, index) => index !== first && index !== first + 1)
-}
--- a/table/routes/src/routeTypes.ts
+++ b/table/routes/src/routeTypes.ts
@@ -39,6 +39,8 @@
   tokensPerEvent: number
   /** How long an engine keeps what a prefill step left there, in milliseconds. */
   handleMs: number
+  /** How long an engine is away while it changes its part, in milliseconds. */
+  stageChangeMs: number
 }
 
 /** A service that routes name. */
