--- a/daemon/fleet/src/stageOrders.ts
+++ b/daemon/fleet/src/stageOrders.ts
@@ -1,6 +1,6 @@
 import type { AllocatorService, StageChange } from '@forkstage/allocator'
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
-import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
 import { exchangeWhole, type WholeOutcome } from '@forkstage/gateway'
 import type { Logger } from '@forkstage/logger'
 import type { RouteSheet } from '@forkstage/routes'
@@ -30,8 +30,10 @@
 const MAX_ANSWER_BYTES = 64 * 1024
 const TAKEN = 202
 const HOLDS_ALREADY = 200
-/** Added to the time that an engine is away. */
-const CHANGE_SLACK_MS = 700
+const ASK_AGAIN_MS = 1_000
+/** The longest that an engine may take to end what runs before it changes. */
+const ENDS_WITHIN_MS = 15_000
+const HOLDS_PAUSE_MS = 700
 /** An order without an answer may be carried out this much later. */
 const UNANSWERED_MS = 14_000
 const REFUSED_MS = 4_000
@@ -93,6 +95,21 @@
       outcome: String(status ?? 'no answer'),
     })
     allocator.noteChanging(change.id, pauseAfter(status, changeMs))
+    if (status === TAKEN) this.awaitChange(to, stage, changeMs)
+  }
+
+  /** An engine first ends what runs there, so that only its own report tells when it is back. */
+  private awaitChange(to: RegisteredEndpoint, stage: Stage, inMs: Millis): void {
+    const { clock, wire, allocator } = this.options
+    clock.after(inMs, () => {
+      void this.call(to, wire.reportCall()).then((asked) => {
+        const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
+        const isDone = report?.stage === stage && !report.isBusy
+        if (isDone) allocator.noteChanging(to.id, 0)
+        else if (this.options.isLeader() && allocator.isChanging(to.id))
+          this.awaitChange(to, stage, ASK_AGAIN_MS)
+      })
+    })
   }
 
   private call(to: RegisteredEndpoint, call: EndpointCall): Promise<WholeOutcome> {
@@ -110,6 +127,6 @@
 /** How long an engine gets no work and no other order after an order. */
 function pauseAfter(status: number | undefined, changeMs: Millis): Millis {
   if (status === undefined) return UNANSWERED_MS
-  if (status === TAKEN) return changeMs + CHANGE_SLACK_MS
-  return status === HOLDS_ALREADY ? CHANGE_SLACK_MS : REFUSED_MS
+  if (status === TAKEN) return changeMs + ENDS_WITHIN_MS
+  return status === HOLDS_ALREADY ? HOLDS_PAUSE_MS : REFUSED_MS
 }
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -1,4 +1,4 @@
-import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import type { Hold, PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
@@ -45,9 +45,12 @@
 /** A prefill engine of another zone must be this much sooner. */
 const OTHER_ZONE_MS = 30
 const BUSY_RETRY_MS = 2_500
+/** Each request that waits puts off those that are sent away by this much, up to a longest time. */
+const RETRY_STEP_MS = 200
+const LONGEST_RETRY_MS = 4_500
 const NO_ENGINE_RETRY_MS = 700
 /** In time waiting requests for each decode engine; more would wait in vain. */
-const WAITING_PER_ENGINE = 1.5
+const WAITING_PER_ENGINE = 4
 /** A hold that its entry does not name any more is dropped once it is this old. */
 const UNNAMED_HOLD_MS = 1_000
 
@@ -82,7 +85,7 @@
   /** Asks for a place; the answer comes at once or when there is room, at the latest after the hold time. */
   ask(ask: PlaceAsk, now: Millis, resolve: (decision: PlaceDecision) => void): void {
     if (!ask.isPrefilled) this.noteDemand(ask, now)
-    const refusal = this.refuseAtOnce(ask, now)
+    const refusal = this.refuseAtOnce(ask)
     if (refusal !== undefined) return resolve(refusal)
     this.waiting.push({ ask, since: now, resolve })
     this.waiting.sort(moreUrgent)
@@ -153,7 +156,7 @@
     this.placeWaiting(now)
     const overdue = this.waiting.filter((one) => now - one.since >= one.ask.holdMs)
     this.waiting = this.waiting.filter((one) => !overdue.includes(one))
-    for (const one of overdue) one.resolve(refused('no room in time', BUSY_RETRY_MS))
+    for (const one of overdue) one.resolve(refused('no room in time', this.busyRetryMs()))
   }
 
   /** The engine of a service that should change its part now, where one should. */
@@ -175,6 +178,10 @@
     this.changing.set(id, now + forMs)
   }
 
+  isChanging(id: InstanceId, now: Millis): boolean {
+    return (this.changing.get(id) ?? 0) > now
+  }
+
   private usesOf(id: InstanceId): number {
     return [...this.holds.values()].filter((hold) => hold.decode === id || hold.prefill === id).length
   }
@@ -194,14 +201,18 @@
     return rates.reduce((sum, rate) => sum + rate, 0) / rates.length
   }
 
-  private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
+  private refuseAtOnce(ask: PlaceAsk): PlaceDecision | undefined {
     if (this.options.engine(ask.service) === undefined)
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
-    const decoders = this.engines(ask, 'decode', now).length
+    const decoders = this.registered(ask.service, 'decode').length
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
     const inTime = this.waiting.filter((one) => one.ask.service === ask.service && isInTime(one.ask)).length
     const isFull = isInTime(ask) && !ask.isPrefilled && inTime >= decoders * WAITING_PER_ENGINE
-    return isFull ? refused('too many wait already', BUSY_RETRY_MS) : undefined
+    return isFull ? refused('too many wait already', this.busyRetryMs()) : undefined
+  }
+
+  private busyRetryMs(): Millis {
+    return Math.min(LONGEST_RETRY_MS, BUSY_RETRY_MS + this.waiting.length * RETRY_STEP_MS)
   }
 
   private placeWaiting(now: Millis): void {
@@ -220,7 +231,10 @@
     if (engine === undefined) return undefined
     const decode = this.chooseDecode(ask, engine, now)
     if (decode === undefined) return undefined
-    const prefill = ask.isPrefilled ? undefined : this.choosePrefill(ask, decode.zone, now)
+    const readers = ask.isPrefilled ? [] : this.engines(ask, 'prefill', now)
+    const free = readers.filter((endpoint) => !this.health.isFull(endpoint.id, now))
+    if (readers.length > 0 && free.length === 0) return undefined
+    const prefill = this.soonest(free, decode.zone)
     const decodingAt = ask.isPrefilled ? now : undefined
     this.holds.set(ask.request, { ask, prefill: prefill?.id, decode: decode.id, placedAt: now, decodingAt })
     return { type: 'placed', prefill: prefill?.id, decode: decode.id }
@@ -231,6 +245,7 @@
     const { memoryShare, lateMemoryShare } = this.tuning
     const share = isInTime(ask) || ask.isPrefilled ? memoryShare : lateMemoryShare
     const fitting = this.engines(ask, 'decode', now)
+      .filter((endpoint) => !this.health.isFull(endpoint.id, now))
       .map((endpoint) => ({
         endpoint,
         peak: this.peakWith(ask, endpoint.id, now),
@@ -241,8 +256,9 @@
     return fitting[0]?.endpoint
   }
 
-  private choosePrefill(ask: PlaceAsk, zone: string, now: Millis): RegisteredEndpoint | undefined {
-    const waits = this.engines(ask, 'prefill', now).map((endpoint) => {
+  /** The prefill engine that has read a prompt first, where its memory is near. */
+  private soonest(readers: RegisteredEndpoint[], zone: string): RegisteredEndpoint | undefined {
+    const waits = readers.map((endpoint) => {
       const away = endpoint.zone === zone ? 0 : OTHER_ZONE_MS
       return { endpoint, wait: this.prefillWait(endpoint.id) + away }
     })
@@ -250,19 +266,19 @@
     return waits[0]?.endpoint
   }
 
-  private engines(ask: PlaceAsk, stage: 'prefill' | 'decode', now: Millis): RegisteredEndpoint[] {
-    const fitting = this.options
+  private registered(service: string, stage: Stage): RegisteredEndpoint[] {
+    return this.options
       .endpoints()
-      .filter(
-        (endpoint) =>
-          endpoint.service === ask.service &&
-          endpoint.stage === stage &&
-          endpoint.state === 'ready' &&
-          !this.health.isGone(endpoint.id) &&
-          !((this.changing.get(endpoint.id) ?? 0) > now) &&
-          !ask.except.includes(endpoint.id),
-      )
-    const sound = fitting.filter((endpoint) => this.health.isSound(endpoint.id, now))
+      .filter((one) => one.service === service && one.stage === stage && one.state === 'ready')
+      .filter((one) => !this.health.isGone(one.id))
+  }
+
+  /** Engines that may get the request now or in a moment; unsound ones only where no other decodes. */
+  private engines(ask: PlaceAsk, stage: Stage, now: Millis): RegisteredEndpoint[] {
+    const fitting = this.registered(ask.service, stage).filter(
+      (one) => !this.isChanging(one.id, now) && !ask.except.includes(one.id),
+    )
+    const sound = fitting.filter((one) => this.health.isSound(one.id, now))
     return sound.length > 0 || stage === 'prefill' ? sound : fitting
   }
 
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -82,6 +82,10 @@
     this.allocator.noteChanging(id, forMs, this.options.clock.now())
   }
 
+  isChanging(id: InstanceId): boolean {
+    return this.allocator.isChanging(id, this.options.clock.now())
+  }
+
   start(): void {
     this.cancelTick = every(this.options.clock, TICK_MS, () => this.tick())
   }
--- a/placement/allocator/src/instanceHealth.ts
+++ b/placement/allocator/src/instanceHealth.ts
@@ -9,8 +9,14 @@
   ejections: number
   ejectedUntil: Millis
   isGone: boolean
+  /** Refusals in a row for want of room. */
+  fulls: number
+  /** Gets no work before this time, since it said that it has no room. */
+  fullUntil: Millis
 }
 
+const FIRST_FULL_MS = 200
+const LONGEST_FULL_MS = 1_600
 const WEIGHT = 0.34
 const EJECT_ABOVE = 0.5
 const FIRST_EJECTION_MS = 1_500
@@ -23,9 +29,17 @@
 
   /** Notes how a use ended; returns how long the instance is out now, or 0. */
   note(id: InstanceId, outcome: UseOutcome, now: Millis): Millis {
-    const health = this.known.get(id) ?? { failing: 0, ejections: 0, ejectedUntil: 0, isGone: false }
+    const health = this.known.get(id) ?? {
+      failing: 0,
+      ejections: 0,
+      ejectedUntil: 0,
+      isGone: false,
+      fulls: 0,
+      fullUntil: 0,
+    }
     this.known.set(id, health)
     if (outcome === 'other-instance') health.isGone = true
+    if (outcome === 'full') noteFull(health, now)
     if (outcome === 'ok') return this.noteGood(health)
     if (outcome === 'failed' || outcome === 'unreachable') return this.noteBad(health, outcome, now)
     return 0
@@ -37,6 +51,11 @@
     return health === undefined || (!health.isGone && health.ejectedUntil <= now)
   }
 
+  /** Whether an instance said a moment ago that it has no room, whatever is believed of it here. */
+  isFull(id: InstanceId, now: Millis): boolean {
+    return (this.known.get(id)?.fullUntil ?? 0) > now
+  }
+
   isGone(id: InstanceId): boolean {
     return this.known.get(id)?.isGone === true
   }
@@ -49,6 +68,7 @@
   private noteGood(health: Health): 0 {
     health.failing *= 1 - WEIGHT
     health.ejections = 0
+    health.fulls = 0
     return 0
   }
 
@@ -63,3 +83,9 @@
     return forMs
   }
 }
+
+/** What is believed of its memory is wrong: waits longer with each refusal in a row. */
+function noteFull(health: Health, now: Millis): void {
+  health.fullUntil = now + Math.min(LONGEST_FULL_MS, FIRST_FULL_MS * 2 ** health.fulls)
+  health.fulls += 1
+}
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -5,6 +5,7 @@
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
+import { holdTime } from './holdTime'
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { endWithConnection, sendEndpointAnswer, sendOwnAnswer } from './ownAnswer'
@@ -24,10 +25,6 @@
 /** A handle is used for another engine only while it surely still stands. */
 const HANDLE_SHARE = 0.5
 const RELEASE_MS = 1_000
-/** The share of the time to the first event that may be spent waiting for a place. */
-const HOLD_SHARE = 0.7
-/** How long a request that is late already waits for a place. */
-const LATE_HOLD_MS = 2_500
 const PROMISES = new Set([408, 421, 429, 503])
 
 /** The memory that a prefill step left at an engine. */
@@ -107,8 +104,7 @@
       hintTokens: Number.isFinite(hint) && hint > 0 ? hint : undefined,
       priority: route.priority,
       targetMs,
-      holdMs:
-        targetMs > 0 ? targetMs * HOLD_SHARE : Math.min(LATE_HOLD_MS, (this.job.endsAt - clock.now()) / 4),
+      holdMs: holdTime(route, targetMs, this.job.endsAt - clock.now()),
       className: route.name,
       except: this.except,
       isPrefilled: this.usableHandle() !== undefined,
