--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -21,7 +21,7 @@
 }
 
 /** The fuller half must be at least this full before an engine changes its part. */
-const FULL = 0.85
+const FULL = 0.7
 /** A change must bring the fuller half down by this share at least, since it costs seconds of an engine. */
 const WORTHWHILE = 0.8
 
--- /dev/null
+++ b/placement/allocator/test/allocator.test.ts
@@ -0,0 +1,192 @@
+import { describe, expect, it } from 'vitest'
+import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
+import { Allocator, type PlaceAsk, type PlaceDecision } from '../src'
+
+const ENGINE = {
+  slots: 64,
+  kvTokens: 10_000,
+  kvBytesPerToken: 1,
+  linkMbps: 1,
+  tokensPerEvent: 10,
+  handleMs: 500,
+  stageChangeMs: 6_000,
+}
+
+function engine(id: string, stage: Stage, fields: Partial<RegisteredEndpoint> = {}): RegisteredEndpoint {
+  const base = { service: 's', address: '10.0.0.1:1', zone: 'z1', slots: 64, models: ['m'], sequence: 1 }
+  return { id, stage, state: 'ready', ...base, ...fields }
+}
+
+function ask(request: string, fields: Partial<PlaceAsk> = {}): PlaceAsk {
+  return {
+    request,
+    entry: 'e1',
+    service: 's',
+    className: 'c',
+    promptTokens: 3_000,
+    mostTokens: 2_000,
+    hintTokens: 1_000,
+    priority: 1,
+    targetMs: 900,
+    holdMs: 600,
+    except: [],
+    isPrefilled: false,
+    ...fields,
+  }
+}
+
+/** An allocator over some engines, and the decisions it has given. */
+function world(endpoints: RegisteredEndpoint[]) {
+  const allocator = new Allocator({ endpoints: () => endpoints, engine: () => ENGINE })
+  const decisions = new Map<string, PlaceDecision>()
+  const place = (asked: PlaceAsk, now = 0) =>
+    allocator.ask(asked, now, (decision) => decisions.set(asked.request, decision))
+  return { allocator, decisions, place, decodeOf: (request: string) => decodeOf(decisions.get(request)) }
+}
+
+function decodeOf(decision: PlaceDecision | undefined): string | undefined {
+  return decision?.type === 'placed' ? decision.decode : decision?.type
+}
+
+const TWO = [engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')]
+
+describe('Allocator', () => {
+  it('spreads requests over decode engines by the memory they will come to need', () => {
+    const { place, decodeOf: decode } = world(TWO)
+    place(ask('big', { promptTokens: 6_000 }))
+    place(ask('small', { promptTokens: 500 }))
+    place(ask('next', { promptTokens: 500 }))
+    expect(decode('small')).not.toBe(decode('big'))
+    expect(decode('next')).toBe(decode('small'))
+  })
+
+  it('lets a request wait where memory to come would not suffice, and places it once another ends', () => {
+    const {
+      allocator,
+      place,
+      decisions,
+      decodeOf: decode,
+    } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    place(ask('one', { promptTokens: 5_000 }))
+    place(ask('two', { promptTokens: 5_000 }))
+    expect(decisions.has('two')).toBe(false)
+    allocator.release('one', 'ok', 800, 300)
+    expect(decode('two')).toBe('d1')
+  })
+
+  it('refuses what has waited as long as it may, with a time to come back', () => {
+    const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    place(ask('one', { promptTokens: 7_000 }))
+    place(ask('two', { promptTokens: 7_000 }))
+    allocator.tick(599)
+    expect(decisions.has('two')).toBe(false)
+    allocator.tick(600)
+    expect(decisions.get('two')).toMatchObject({ type: 'refused', retryAfterMs: expect.any(Number) })
+  })
+
+  it('places one larger than any forecast alone on an empty engine', () => {
+    const { place, decodeOf: decode } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    place(ask('huge', { promptTokens: 9_990 }))
+    expect(decode('huge')).toBe('d1')
+  })
+
+  it('prefers requests that can still be in time to those that are late', () => {
+    const {
+      allocator,
+      place,
+      decisions,
+      decodeOf: decode,
+    } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    place(ask('one', { promptTokens: 7_000 }))
+    place(ask('late', { promptTokens: 4_000, targetMs: -500, holdMs: 3_000 }), 10)
+    place(ask('fresh', { promptTokens: 7_000 }), 20)
+    allocator.release('one', 'ok', 900, 200)
+    expect(decode('fresh')).toBe('d1')
+    expect(decisions.has('late')).toBe(false)
+  })
+
+  it('gives no work to engines that drain, that are excepted, or that are gone', () => {
+    const endpoints = [
+      engine('p1', 'prefill'),
+      engine('d1', 'decode', { state: 'draining' }),
+      engine('d2', 'decode'),
+      engine('d3', 'decode'),
+    ]
+    const { allocator, place, decodeOf: decode } = world(endpoints)
+    allocator.noteUse('d2', 'other-instance', 0)
+    place(ask('one'))
+    expect(decode('one')).toBe('d3')
+    place(ask('two', { except: ['d3'] }))
+    allocator.tick(600)
+    expect(decode('two')).toBe('refused')
+  })
+
+  it('waits for a moment where the only prefill engine has just refused, rather than read at the decode engine', () => {
+    const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    allocator.noteUse('p1', 'full', 0)
+    place(ask('one'), 10)
+    expect(decisions.has('one')).toBe(false)
+    allocator.tick(400)
+    expect(decisions.get('one')).toMatchObject({ type: 'placed', prefill: 'p1' })
+  })
+
+  it('lets the decode engine read the prompt where no prefill engine is sound', () => {
+    const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    allocator.noteUse('p1', 'unreachable', 0)
+    place(ask('one'), 10)
+    expect(decisions.get('one')).toEqual({ type: 'placed', prefill: undefined, decode: 'd1' })
+  })
+
+  it('chooses the prefill engine near the memory that the prompt goes to', () => {
+    const endpoints = [
+      engine('p1', 'prefill', { zone: 'z1' }),
+      engine('p2', 'prefill', { zone: 'z2' }),
+      engine('d2', 'decode', { zone: 'z2' }),
+    ]
+    const { place, decisions } = world(endpoints)
+    place(ask('one', { promptTokens: 500 }))
+    expect(decisions.get('one')).toMatchObject({ prefill: 'p2', decode: 'd2' })
+  })
+
+  it('adopts what entries report, and drops what they name no more', () => {
+    const {
+      allocator,
+      place,
+      decisions,
+      decodeOf: decode,
+    } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    const held = ask('before', { promptTokens: 7_000 })
+    allocator.adopt('e1', [{ ask: held, decode: 'd1', ageMs: 100, decodingForMs: 50 }], 1_000)
+    place(ask('after', { promptTokens: 7_000, holdMs: 9_000 }), 1_000)
+    expect(decisions.has('after')).toBe(false)
+    allocator.adopt('e1', [], 2_500)
+    allocator.tick(2_500)
+    expect(decode('after')).toBe('d1')
+  })
+
+  it('forgets what an entry held that is gone', () => {
+    const { allocator, place } = world(TWO)
+    place(ask('one'))
+    place(ask('two', { entry: 'e2' }))
+    allocator.dropEntry('e1')
+    expect(allocator.holdCount).toBe(1)
+  })
+
+  it('changes the part of an engine only once it has seen enough, and one at a time', () => {
+    const endpoints = [engine('p1', 'prefill'), engine('p2', 'prefill'), engine('d1', 'decode')]
+    const { allocator, place } = world(endpoints)
+    for (let index = 0; index < 40; index += 1) {
+      place(ask(`r${index}`), index * 200)
+      allocator.release(`r${index}`, 'ok', 1_000, index * 200 + 150)
+    }
+    expect(
+      new Allocator({ endpoints: () => endpoints, engine: () => ENGINE }).planStage('s', 0),
+    ).toBeUndefined()
+    for (let index = 40; index < 240; index += 1) place(ask(`r${index}`, { holdMs: 1 }), 8_000 + index)
+    const change = allocator.planStage('s', 8_300)
+    expect(change?.stage).toBe('decode')
+    allocator.noteChanging(change!.id, 6_000, 8_300)
+    expect(allocator.planStage('s', 8_400)).toBeUndefined()
+    expect(allocator.isChanging(change!.id, 8_400)).toBe(true)
+  })
+})
--- /dev/null
+++ b/placement/allocator/test/forecast.test.ts
@@ -0,0 +1,102 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { createSeededRandom } from '@forkstage/clock'
+import { LengthForecast, lengthQuantile, peakMemory, planStages, type Growing } from '../src'
+
+/** The peak by playing every step. */
+function playedPeak(answers: Growing[]): number {
+  let peak = 0
+  const last = Math.max(0, ...answers.map((answer) => answer.toCome))
+  for (let step = 0; step <= last; step += 1) {
+    const running = answers.filter((answer) => answer.toCome >= step)
+    peak = Math.max(
+      peak,
+      running.reduce((sum, answer) => sum + answer.held + step, 0),
+    )
+  }
+  return peak
+}
+
+describe('peakMemory', () => {
+  it('is what playing every step gives', () => {
+    const answers = fc.array(fc.record({ held: fc.nat(500), toCome: fc.nat(60) }), {
+      minLength: 1,
+      maxLength: 8,
+    })
+    fc.assert(
+      fc.property(answers, (set) => {
+        expect(peakMemory(set)).toBe(playedPeak(set))
+      }),
+    )
+  })
+})
+
+describe('lengthQuantile', () => {
+  const prior = { mu: Math.log(1_000), sigma: 0.5 }
+
+  it('is the median for a probability of one half, and rises with the probability', () => {
+    expect(lengthQuantile(prior, 0, 10_000, 0.5)).toBeCloseTo(1_000, -1)
+    expect(lengthQuantile(prior, 0, 10_000, 0.9)).toBeGreaterThan(lengthQuantile(prior, 0, 10_000, 0.6))
+  })
+
+  it('is always more than what was made, and never more than the most', () => {
+    const made = fc.integer({ min: 0, max: 20_000 })
+    fc.assert(
+      fc.property(made, fc.double({ min: 0.05, max: 0.95, noNaN: true }), (tokens, probability) => {
+        const length = lengthQuantile(prior, tokens, 8_000, probability)
+        expect(length).toBeLessThanOrEqual(8_000)
+        if (tokens < 7_000) expect(length).toBeGreaterThan(tokens)
+      }),
+    )
+  })
+})
+
+describe('LengthForecast', () => {
+  it('learns how far guesses are off, and comes nearer than the guess itself', () => {
+    const random = createSeededRandom(7)
+    const normal = () => Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random())
+    const forecast = new LengthForecast()
+    let [guessError, forecastError] = [0, 0]
+    for (let index = 0; index < 600; index += 1) {
+      const length = Math.exp(Math.log(3_000) + 0.7 * normal())
+      const hint = length * Math.exp(0.5 * normal())
+      if (index > 200) {
+        guessError += Math.abs(Math.log(hint / length))
+        forecastError += Math.abs(forecast.expect('c', hint, 20_000).mu - Math.log(length))
+      }
+      forecast.learn('c', hint, length)
+    }
+    expect(forecastError).toBeLessThan(guessError * 0.95)
+    expect(forecast.expect('c', 3_000, 20_000).sigma).toBeGreaterThan(0.3)
+    expect(forecast.expect('c', 3_000, 20_000).sigma).toBeLessThan(0.55)
+  })
+})
+
+describe('planStages', () => {
+  const engines = (prefill: number, decode: number) => [
+    ...Array.from({ length: prefill }, (_, index) => ({
+      id: `p${index}`,
+      stage: 'prefill' as const,
+      uses: index,
+    })),
+    ...Array.from({ length: decode }, (_, index) => ({
+      id: `d${index}`,
+      stage: 'decode' as const,
+      uses: index,
+    })),
+  ]
+
+  it('leaves engines alone while neither half is full', () => {
+    expect(planStages(engines(2, 4), { prefill: 0.7, decode: 2.5 })).toBeUndefined()
+  })
+
+  it('moves the least used engine from the emptier to the fuller half', () => {
+    expect(planStages(engines(2, 2), { prefill: 0.6, decode: 2.2 })).toEqual({ id: 'p0', stage: 'decode' })
+    expect(planStages(engines(1, 5), { prefill: 1.5, decode: 2 })).toEqual({ id: 'd0', stage: 'prefill' })
+  })
+
+  it('changes nothing where both halves are full, and never empties one', () => {
+    expect(planStages(engines(2, 4), { prefill: 1.9, decode: 4.2 })).toBeUndefined()
+    expect(planStages(engines(1, 1), { prefill: 0.1, decode: 5 })).toBeUndefined()
+  })
+})
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -1,4 +1,5 @@
 import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
+import { connect, type Socket } from 'node:net'
 import type { Clock } from '@forkstage/clock'
 import type { Address, Millis } from '@forkstage/types'
 
@@ -69,7 +70,9 @@
     port: Number(address.slice(colon + 1)),
     method,
     path,
-    agent: false,
+    // Open in our direction after the endpoint has ended its own, see endedBySaying.
+    createConnection: (target) =>
+      connect({ host: target.host!, port: Number(target.port), allowHalfOpen: true, noDelay: true }),
     setHost: false,
     headers: rawHeaders,
   })
@@ -77,7 +80,6 @@
     if (!sent) fail('no connection in time')
   })
   request.on('socket', (socket) => {
-    socket.setNoDelay(true)
     socket.once('connect', () => (sent = true))
   })
   request.on('error', (error) => fail(error.message))
@@ -108,17 +110,39 @@
   incoming.on('data', (chunk: Buffer) => {
     if (!reader.isOver()) options.onData(chunk)
   })
+  const isFramed =
+    incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
+  const isWhole = isFramed ? Promise.resolve(true) : endedBySaying(incoming.socket)
   incoming.on('end', () => {
-    if (incoming.complete) reader.end({ complete: true })
-    else reader.fail('the answer broke off')
+    if (!incoming.complete) return reader.fail('the answer broke off')
+    if (isFramed) return reader.end({ complete: true })
+    void isWhole.then((whole) =>
+      whole ? reader.end({ complete: true }) : reader.fail('the answer was reset'),
+    )
+  })
+  incoming.on('close', () => {
+    if (!incoming.readableEnded) reader.fail('the answer broke off')
   })
-  incoming.on('close', () => reader.fail('the answer broke off'))
   if (reader.isOver()) return
   options.onHead({
     status: incoming.statusCode ?? 0,
     rawHeaders: incoming.rawHeaders,
     headers: incoming.headers,
-    isFramed:
-      incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined,
+    isFramed,
+  })
+}
+
+/** An empty line: what HTTP lets precede a request, to an endpoint that has ended anyway. */
+const EMPTY_LINE = '\r\n'
+
+/**
+ * Whether an answer without a length ended because its endpoint said so. A reset that follows the last bytes
+ * closely is reported to the program as an ordinary end; only a write then tells them apart: it fails on a
+ * connection that was reset.
+ */
+function endedBySaying(socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.prependListener('end', () => socket.write(EMPTY_LINE, (error) => resolve(error == null)))
+    socket.on('close', () => resolve(false))
   })
 }
--- /dev/null
+++ b/request/gateway/test/gatewayWorld.ts
@@ -0,0 +1,196 @@
+import { createServer as createTcp, connect } from 'node:net'
+import { request as httpRequest } from 'node:http'
+import { createSeededRandom, createSystemClock } from '@forkstage/clock'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { createSilentLogger } from '@forkstage/logger'
+import { RouteBook, type Route } from '@forkstage/routes'
+import {
+  EndpointPool,
+  Ingress,
+  LocalPlacer,
+  RetryAllowance,
+  type GatewayWire,
+  type RequestReport,
+} from '../src'
+
+/** Names of no deployment at all, so that nothing depends on one. */
+export const TEST_WIRE: GatewayWire = {
+  headers: {
+    requestId: 'x-id',
+    deadlineMs: 'x-deadline',
+    lastEventId: 'last-event-id',
+    model: 'x-model',
+    tokenCounts: 'x-tokens',
+    promptParts: 'x-parts',
+    lengthHint: 'x-hint',
+    notExecuted: 'x-not-run',
+    stamp: 'x-stamp',
+    instance: 'x-instance',
+    expectInstance: 'x-expect',
+    stage: 'x-stage',
+    kvSource: 'x-kv-from',
+  },
+  reserved: ['x-expect', 'x-stage', 'x-kv-from'],
+  prefillStage: 'read',
+  readinessPath: '/ready',
+  readTokenCounts: (value) => ({
+    prompt: Number(value.split(',')[0]) || 0,
+    most: Number(value.split(',')[1]) || 0,
+  }),
+  readPromptParts: () => [],
+  readPrefillAnswer: (body) => (body.length > 0 ? { handle: body.toString(), tokens: 1 } : undefined),
+  kvSource: (address, handle) => `${address}#${handle}`,
+  releaseCall: (handle) => ({ method: 'DELETE', path: `/free/${handle}` }),
+}
+
+/** An answer as a caller got it. */
+export interface GotAnswer {
+  status: number
+  headers: Record<string, string | string[] | undefined>
+  body: string
+  /** Whether the answer ended as a whole one. */
+  isWhole: boolean
+}
+
+const ENGINE = {
+  slots: 8,
+  kvTokens: 100_000,
+  kvBytesPerToken: 1,
+  linkMbps: 1,
+  tokensPerEvent: 1,
+  handleMs: 5_000,
+  stageChangeMs: 1,
+}
+
+/** An entry over endpoints at given addresses, with one route of each kind. */
+export class GatewayWorld {
+  readonly reports: RequestReport[] = []
+  private constructor(
+    readonly ingress: Ingress,
+    readonly pool: EndpointPool,
+    readonly port: number,
+  ) {}
+
+  static async start(
+    endpoints: Partial<RegisteredEndpoint>[],
+    routes: Partial<Route>[],
+  ): Promise<GatewayWorld> {
+    const clock = createSystemClock()
+    const logger = createSilentLogger()
+    const pool = new EndpointPool({ zone: 'z', clock, random: () => 0, logger })
+    pool.update(endpoints.map((endpoint, index) => fullEndpoint(endpoint, index)))
+    const book = new RouteBook()
+    book.install({
+      version: 1,
+      routes: routes.map(fullRoute),
+      services: [
+        { name: 'plain', maxConnections: 10 },
+        { name: 'model', maxConnections: 10, engine: ENGINE },
+      ],
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
+    })
+    const ingress = new Ingress({
+      parts: {
+        wire: TEST_WIRE,
+        pool,
+        placer: new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1 }),
+        allowance: new RetryAllowance({ clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 1 }),
+        clock,
+        random: createSeededRandom(1),
+        logger,
+      },
+      routes: () => book.current,
+      onResult: (report) => world.reports.push(report),
+    })
+    await new Promise<void>((resolve) => ingress.server.listen(0, '127.0.0.1', resolve))
+    const { port } = ingress.server.address() as { port: number }
+    const world = new GatewayWorld(ingress, pool, port)
+    return world
+  }
+
+  stop(): void {
+    this.ingress.closeAll()
+  }
+
+  /** Sends a request and gathers its answer, also one that breaks off. */
+  send(
+    path: string,
+    options: { headers?: Record<string, string>; body?: string; method?: string } = {},
+  ): Promise<GotAnswer> {
+    const { request, answer } = this.open(path, options)
+    request.end(options.body)
+    return answer
+  }
+
+  /** Opens a request without ending it. */
+  open(path: string, options: { headers?: Record<string, string>; body?: string; method?: string } = {}) {
+    const request = httpRequest({
+      host: '127.0.0.1',
+      port: this.port,
+      path,
+      method: options.method ?? (options.body === undefined ? 'GET' : 'POST'),
+      agent: false,
+      headers: { host: 'h.example', 'x-id': 'r1', 'x-deadline': '4000', ...options.headers },
+    })
+    const answer = new Promise<GotAnswer>((resolve, reject) => {
+      request.on('error', reject)
+      request.on('response', (response) => {
+        let body = ''
+        response.on('data', (bytes: Buffer) => (body += bytes.toString()))
+        const done = () =>
+          resolve({
+            status: response.statusCode!,
+            headers: response.headers,
+            body,
+            isWhole: response.complete,
+          })
+        response.on('end', done)
+        response.on('error', done)
+      })
+    })
+    return { request, answer }
+  }
+}
+
+function fullEndpoint(fields: Partial<RegisteredEndpoint>, index: number): RegisteredEndpoint {
+  const base = {
+    id: `i-${index}`,
+    service: 'plain',
+    address: '',
+    zone: 'z',
+    slots: 4,
+    models: [],
+    sequence: 1,
+  }
+  return { ...base, state: 'ready', ...fields }
+}
+
+function fullRoute(fields: Partial<Route>): Route {
+  return {
+    name: 'r',
+    host: 'h.example',
+    prefix: '/p/',
+    kind: 'safe',
+    timeoutMs: 4_000,
+    targetMs: 1_000,
+    attempts: 2,
+    priority: 1,
+    shares: [{ service: 'plain', weight: 1 }],
+    resumable: false,
+    ...fields,
+  }
+}
+
+/** An address where nobody listens. */
+export async function deadAddress(): Promise<string> {
+  const server = createTcp()
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as { port: number }
+  await new Promise<void>((resolve) => server.close(() => resolve()))
+  return `127.0.0.1:${port}`
+}
+
+/** Opens a bare connection to the entry. */
+export function openSocket(port: number) {
+  return connect({ host: '127.0.0.1', port })
+}
--- /dev/null
+++ b/request/gateway/test/parts.test.ts
@@ -0,0 +1,136 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { createSilentLogger } from '@forkstage/logger'
+import { EndpointPool, EventSplitter, judgeAnswer, RetryAllowance } from '../src'
+import { TEST_WIRE } from './gatewayWorld'
+
+describe('EventSplitter', () => {
+  it('gives the same events however the bytes are cut, and keeps what is not ended', () => {
+    const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c'
+    const cuts = fc.array(fc.integer({ min: 1, max: text.length - 1 }), { maxLength: 10 })
+    fc.assert(
+      fc.property(cuts, (places) => {
+        const splitter = new EventSplitter()
+        const sorted = [0, ...[...places].sort((left, right) => left - right), text.length]
+        const events = sorted
+          .slice(1)
+          .flatMap((end, index) => splitter.take(Buffer.from(text.slice(sorted[index], end))))
+        expect(events.map((event) => event.id)).toEqual([1, 2, undefined])
+        expect(Buffer.concat([...events.map((event) => event.bytes), splitter.unfinished]).toString()).toBe(
+          text,
+        )
+        expect(splitter.unfinished.toString()).toBe('id: 3\ndata: c')
+      }),
+    )
+  })
+})
+
+describe('judgeAnswer', () => {
+  const judge = (status: number, headers: Record<string, string>) =>
+    judgeAnswer(
+      { status, headers, rawHeaders: [], isFramed: true },
+      { id: 'r1', instance: 'i-1' },
+      TEST_WIRE.headers,
+    )
+
+  it.each([
+    [200, { 'x-id': 'r1', 'x-stamp': 's' }, 'answer'],
+    [200, { 'x-id': 'r1' }, 'foreign'],
+    [200, { 'x-id': 'r2', 'x-stamp': 's' }, 'foreign'],
+    [500, { 'x-id': 'r1', 'x-stamp': 's' }, 'answer'],
+    [503, { 'x-not-run': '1' }, 'not-run'],
+    [503, { 'x-id': 'r1', 'x-stamp': 's' }, 'answer'],
+    [400, {}, 'foreign'],
+    [421, { 'x-instance': 'i-2' }, 'other-instance'],
+    [421, {}, 'other-instance'],
+    [421, { 'x-instance': 'i-1' }, 'not-run'],
+  ] as const)('%i with %o is %s', (status, headers, verdict) => {
+    expect(judge(status, headers)).toBe(verdict)
+  })
+})
+
+describe('RetryAllowance', () => {
+  it('never lets entries together exceed share and slack in any window', () => {
+    const gaps = fc.array(fc.integer({ min: 0, max: 900 }), { minLength: 50, maxLength: 200 })
+    fc.assert(
+      fc.property(gaps, (steps) => {
+        const clock = new ManualClock()
+        const options = { clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 4 }
+        const entries = Array.from({ length: 4 }, () => new RetryAllowance(options))
+        const requests: number[] = []
+        const extras: number[] = []
+        steps.forEach((gap, index) => {
+          clock.advance(gap)
+          const entry = entries[index % 4]!
+          entry.noteRequest('s')
+          requests.push(clock.now())
+          while (entry.take('s')) extras.push(clock.now())
+        })
+        for (const end of extras) {
+          const inWindow = (times: number[]) =>
+            times.filter((time) => time > end - 10_000 && time <= end).length
+          expect(inWindow(extras)).toBeLessThanOrEqual(0.2 * inWindow(requests) + 20)
+        }
+      }),
+      { numRuns: 30 },
+    )
+  })
+
+  it('gives a new entry no more than its part of the slack', () => {
+    const clock = new ManualClock()
+    const allowance = new RetryAllowance({
+      clock,
+      share: 0.2,
+      slack: 40,
+      windowMs: 10_000,
+      entries: () => 10,
+    })
+    expect([1, 2, 3].map(() => allowance.take('s'))).toEqual([true, true, false])
+  })
+})
+
+describe('EndpointPool', () => {
+  const base = { address: 'a:1', service: 's', zone: 'z', slots: 4, models: [], sequence: 1 }
+
+  function pool() {
+    const clock = new ManualClock()
+    const made = new EndpointPool({ zone: 'z', clock, random: () => 0, logger: createSilentLogger() })
+    made.update([
+      { ...base, id: 'i-1', state: 'ready' },
+      { ...base, id: 'i-2', state: 'ready' },
+    ])
+    return { clock, pool: made, ids: () => made.candidates('s').map((one) => one.endpoint.id) }
+  }
+
+  it('takes one out that cannot be reached, for longer each time, and back after a while', () => {
+    const { clock, pool: made, ids } = pool()
+    const one = made.get('i-1')!
+    made.noteSent(one)
+    made.noteEnd(one, 'unreachable', 5)
+    expect(ids()).toEqual(['i-2'])
+    clock.advance(1_000)
+    expect(ids()).toEqual(['i-1', 'i-2'])
+    made.noteSent(one)
+    made.noteEnd(one, 'unreachable', 5)
+    clock.advance(1_000)
+    expect(ids()).toEqual(['i-2'])
+  })
+
+  it('uses those that are out where there is no other', () => {
+    const { pool: made, ids } = pool()
+    for (const id of ['i-1', 'i-2']) {
+      made.noteSent(made.get(id)!)
+      made.noteEnd(made.get(id)!, 'unreachable', 5)
+    }
+    expect(ids()).toEqual(['i-1', 'i-2'])
+  })
+
+  it('gives no work to one that drains or whose address another process has', () => {
+    const { pool: made, ids } = pool()
+    made.update([{ ...base, id: 'i-1', state: 'draining', sequence: 2 }])
+    made.noteSent(made.get('i-2')!)
+    made.noteEnd(made.get('i-2')!, 'other-instance', 5)
+    expect(ids()).toEqual([])
+  })
+})
--- /dev/null
+++ b/request/gateway/test/plainRelay.test.ts
@@ -0,0 +1,170 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import type { Route } from '@forkstage/routes'
+import { FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
+import { deadAddress, GatewayWorld } from './gatewayWorld'
+
+type Answerer = (request: SeenRequest) => void
+
+const open: { stop(): unknown }[] = []
+afterEach(async () => void (await Promise.all(open.splice(0).map((each) => each.stop()))))
+
+/** An entry before workers that answer as given; each worker is an instance `i-0`, `i-1` and so on. */
+async function start(answerers: Answerer[], route: Partial<Route> = {}) {
+  const workers = await Promise.all(answerers.map((answer) => FakeWorker.start(answer)))
+  const world = await GatewayWorld.start(
+    workers.map(({ address }) => ({ address })),
+    [route],
+  )
+  open.push(world, ...workers)
+  return { world, workers, runs: () => workers.reduce((sum, worker) => sum + worker.seen.length, 0) }
+}
+
+const say =
+  (text: string): Answerer =>
+  (request) =>
+    void request.socket.end(text)
+const good: Answerer = (request) => void request.socket.end(goodAnswer(request, 'hello'))
+const reset: Answerer = (request) => void request.socket.resetAndDestroy()
+const notRun = say('HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n')
+const ownFailure: Answerer = (request) =>
+  void request.socket.end(
+    `HTTP/1.1 500 No\r\nx-id: ${request.headers['x-id']}\r\nx-stamp: s\r\nContent-Length: 2\r\n\r\nno`,
+  )
+
+describe('plain requests', () => {
+  it('travel unchanged, with the instance and what is left of the time, without what only the system sets', async () => {
+    const { world, workers } = await start([good])
+    const headers = { 'x-other': 'kept', 'x-expect': 'forged', 'x-stage': 'forged', 'x-deadline': '4000' }
+    const answer = await world.send('/p/a?b=c', { headers, body: 'the body' })
+    expect(answer).toMatchObject({ status: 200, body: 'hello', isWhole: true })
+    expect(answer.headers['x-stamp']).toBe('signed')
+    const seen = workers[0]!.seen[0]!
+    expect(seen.line).toBe('POST /p/a?b=c HTTP/1.1')
+    expect(seen).toMatchObject({
+      body: 'the body',
+      headers: { 'x-id': 'r1', 'x-other': 'kept', 'x-expect': 'i-0' },
+    })
+    expect(seen.headers['x-stage']).toBeUndefined()
+    expect(Number(seen.headers['x-deadline'])).toBeGreaterThan(3_000)
+    expect(Number(seen.headers['x-deadline'])).toBeLessThanOrEqual(4_000)
+  })
+
+  it('are answered 404 without a route, 400 without an id, 413 above the limit', async () => {
+    const { world, runs } = await start([good])
+    expect((await world.send('/none/')).status).toBe(404)
+    expect((await world.send('/p/', { headers: { 'x-id': '' } })).status).toBe(400)
+    expect((await world.send('/p/', { body: 'x'.repeat(2_000) })).status).toBe(413)
+    expect(runs()).toBe(0)
+  })
+
+  it('that may run once are not sent again after a reset, and get no promise that they did not run', async () => {
+    const { world, runs } = await start([reset, reset], { kind: 'unsafe' })
+    const answer = await world.send('/p/')
+    expect(answer.status).toBe(502)
+    expect(answer.headers['retry-after']).toBeUndefined()
+    expect(runs()).toBe(1)
+  })
+
+  it('that may run once go to another worker after proof that the first did not run them', async () => {
+    const { world, runs } = await start([notRun, good], { kind: 'unsafe' })
+    expect(await world.send('/p/')).toMatchObject({ status: 200, body: 'hello' })
+    expect(runs()).toBe(2)
+  })
+
+  it('that no worker ran get 503 with a time to come back', async () => {
+    const { world } = await start([notRun], { kind: 'unsafe' })
+    const answer = await world.send('/p/')
+    expect(answer.status).toBe(503)
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0)
+  })
+
+  it('go on where nobody listens at an address', async () => {
+    const worker = await FakeWorker.start(good)
+    const world = await GatewayWorld.start(
+      [{ address: await deadAddress() }, { address: worker.address }],
+      [{ kind: 'unsafe' }],
+    )
+    open.push(world, worker)
+    expect(await world.send('/p/')).toMatchObject({ status: 200 })
+  })
+
+  it('that may be repeated are sent again after a failure, up to the attempts of the route', async () => {
+    const { world, runs } = await start([ownFailure, ownFailure, ownFailure])
+    expect(await world.send('/p/')).toMatchObject({ status: 500, body: 'no' })
+    expect(runs()).toBe(2)
+  })
+
+  it.each([
+    [
+      "another request's answer",
+      say('HTTP/1.1 200 OK\r\nx-id: other\r\nx-stamp: s\r\nContent-Length: 2\r\n\r\nno'),
+    ],
+    ['a success without a signature', say('HTTP/1.1 200 OK\r\nx-id: r1\r\nContent-Length: 2\r\n\r\nno')],
+    ['bytes that are no answer', say('what is this\r\n\r\n')],
+    [
+      'an answer shorter than it says',
+      say('HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\nContent-Length: 9\r\n\r\nno'),
+    ],
+  ])('never pass on %s', async (_what, bad) => {
+    const { world } = await start([bad], { kind: 'unsafe' })
+    const answer = await world.send('/p/')
+    expect(answer).toMatchObject({ status: 502 })
+    expect(answer.body).not.toContain('no"')
+    expect(answer.headers['x-stamp']).toBeUndefined()
+  })
+
+  it('take a whole answer though more bytes follow it', async () => {
+    const { world } = await start([
+      (request) => void request.socket.end(`${goodAnswer(request, 'hello')}HTTP/1.1 200 OK\r\n\r\nmore`),
+    ])
+    expect(await world.send('/p/')).toMatchObject({ status: 200, body: 'hello', isWhole: true })
+  })
+
+  it('pass an answer without a length on without one: it must not look whole when it was cut', async () => {
+    const { world } = await start([
+      (request) => void request.socket.end(goodAnswer(request, 'half', ['Connection: close'])),
+    ])
+    const answer = await world.send('/p/')
+    expect(answer.body).toBe('half')
+    expect(answer.headers['content-length']).toBeUndefined()
+    expect(answer.headers['transfer-encoding']).toBeUndefined()
+  })
+
+  it('do not pass on an answer without a length whose connection was reset', async () => {
+    const { world } = await start(
+      [
+        (request) => {
+          request.socket.write(goodAnswer(request, 'half', ['Connection: close']), () =>
+            setImmediate(() => request.socket.resetAndDestroy()),
+          )
+        },
+      ],
+      { kind: 'unsafe' },
+    )
+    expect((await world.send('/p/')).status).toBe(502)
+  })
+
+  it('find another worker where the address has another process now, and never ask there again', async () => {
+    const other = say('HTTP/1.1 421 Other\r\nx-instance: i-9\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n')
+    const { world, workers } = await start([other, good], { kind: 'unsafe' })
+    for (let index = 0; index < 4; index += 1)
+      expect((await world.send('/p/', { headers: { 'x-id': `r${index}` } })).status).toBe(200)
+    expect(workers[0]!.seen.length).toBeLessThanOrEqual(1)
+  })
+
+  it('answer 504 when the time of the route is up, and stop the worker', async () => {
+    const { world, workers } = await start([() => undefined], { timeoutMs: 150 })
+    expect((await world.send('/p/')).status).toBe(504)
+    await workers[0]!.seen[0]!.closed
+  })
+
+  it('stop the worker when the caller leaves', async () => {
+    const { world, workers } = await start([() => undefined])
+    const { request, answer } = world.open('/p/')
+    request.end()
+    await workers[0]!.sees(1)
+    request.destroy()
+    await expect(answer).rejects.toThrow()
+    await workers[0]!.seen[0]!.closed
+  })
+})
--- /dev/null
+++ b/request/gateway/test/streamRelay.test.ts
@@ -0,0 +1,212 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import type { Stage } from '@forkstage/directory'
+import type { Route } from '@forkstage/routes'
+import { chunk, event, FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
+import { GatewayWorld } from './gatewayWorld'
+
+type Answerer = (request: SeenRequest) => void
+
+const open: { stop(): unknown }[] = []
+afterEach(async () => void (await Promise.all(open.splice(0).map((each) => each.stop()))))
+
+/** An entry before engines of given stages. */
+async function start(engines: [Stage, Answerer][], route: Partial<Route> = {}) {
+  const workers = await Promise.all(engines.map(([, answer]) => FakeWorker.start(answer)))
+  const endpoints = workers.map(({ address }, index) => ({
+    address,
+    service: 'model',
+    stage: engines[index]![0],
+  }))
+  const shares = [{ service: 'model', weight: 1 }]
+  const world = await GatewayWorld.start(endpoints, [{ kind: 'streaming', shares, attempts: 1, ...route }])
+  open.push(world, ...workers)
+  return { world, workers }
+}
+
+const reads: Answerer = (request) => {
+  const isRelease = request.line.startsWith('DELETE')
+  request.socket.end(
+    isRelease ? 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n' : goodAnswer(request, 'handle7'),
+  )
+}
+
+/** Begins a stream in chunks with some events. */
+function stream(request: SeenRequest, ids: number[]): void {
+  request.socket.write(
+    goodAnswer(request, '', ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']),
+  )
+  for (const id of ids) request.socket.write(chunk(event(id)))
+}
+
+const streams =
+  (ids: number[]): Answerer =>
+  (request) => {
+    stream(request, ids)
+    request.socket.end('0\r\n\r\n')
+  }
+const breaksAfter =
+  (ids: number[], rest = ''): Answerer =>
+  (request) => {
+    stream(request, ids)
+    if (rest !== '') request.socket.write(chunk(rest))
+    setImmediate(() => request.socket.destroy())
+  }
+const notRun: Answerer = (request) =>
+  void request.socket.end('HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n')
+const events = (...ids: number[]) => ids.map(event).join('')
+
+describe('streams', () => {
+  it('are read at one engine and made at another, which is told where the memory is', async () => {
+    const { world, workers } = await start([
+      ['prefill', reads],
+      ['decode', streams([1, 2, 3])],
+    ])
+    const answer = await world.send('/p/x', { body: 'prompt' })
+    expect(answer).toMatchObject({ status: 200, body: events(1, 2, 3), isWhole: true })
+    const [prefill, decode] = workers.map((worker) => worker.seen)
+    expect(prefill![0]).toMatchObject({ body: 'prompt', headers: { 'x-stage': 'read' } })
+    expect(decode![0]!.headers['x-kv-from']).toBe(`${workers[0]!.address}#handle7`)
+    expect(prefill).toHaveLength(1)
+  })
+
+  it('are made whole by the decode engine where no prefill engine answers', async () => {
+    const { world, workers } = await start([
+      ['prefill', (request) => void request.socket.destroy()],
+      ['decode', streams([1, 2])],
+    ])
+    expect(await world.send('/p/')).toMatchObject({ status: 200, body: events(1, 2) })
+    expect(workers[1]!.seen[0]!.headers['x-kv-from']).toBeUndefined()
+  })
+
+  it('free the memory that no engine took', async () => {
+    const { world, workers } = await start([
+      ['prefill', reads],
+      ['decode', notRun],
+    ])
+    expect((await world.send('/p/')).status).toBe(503)
+    await workers[0]!.sees(2)
+    expect(workers[0]!.seen[1]!.line).toBe('DELETE /free/handle7 HTTP/1.1')
+  })
+
+  it('that break off must look cut, and are not begun anew where the route forbids it', async () => {
+    const { world, workers } = await start([
+      ['decode', breaksAfter([1, 2])],
+      ['decode', streams([1, 2, 3])],
+    ])
+    const answer = await world.send('/p/')
+    expect(answer.isWhole).toBe(false)
+    expect(answer.body).toBe(events(1, 2))
+    expect(workers[0]!.seen.length + workers[1]!.seen.length).toBe(1)
+  })
+
+  it('that break off before the first event are answered as a failure that promises nothing', async () => {
+    const { world } = await start([['decode', breaksAfter([])]])
+    const answer = await world.send('/p/')
+    expect(answer.status).toBe(502)
+    expect(answer.headers['retry-after']).toBeUndefined()
+  })
+
+  it('go on at another engine where the route allows it: no event is missing, doubled or cut', async () => {
+    const continues: Answerer = (request) => {
+      const last = Number(request.headers['last-event-id'] ?? 0)
+      streams([1, 2, 3, 4, 5].filter((id) => id > last))(request)
+    }
+    const half = 'id: 3\ndata: to'
+    const { world, workers } = await start(
+      [
+        [
+          'decode',
+          (request) =>
+            (request.headers['last-event-id'] === undefined ? breaksAfter([1, 2], half) : continues)(request),
+        ],
+        [
+          'decode',
+          (request) =>
+            (request.headers['last-event-id'] === undefined ? breaksAfter([1, 2], half) : continues)(request),
+        ],
+      ],
+      { resumable: true, attempts: 2 },
+    )
+    expect(await world.send('/p/')).toMatchObject({ status: 200, body: events(1, 2, 3, 4, 5), isWhole: true })
+    const all = workers.flatMap((worker) => worker.seen)
+    expect(all.map((request) => request.headers['last-event-id'])).toEqual(
+      expect.arrayContaining([undefined, '2']),
+    )
+    expect(all).toHaveLength(2)
+  })
+
+  it('do not repeat events that an engine sends again', async () => {
+    const { world } = await start(
+      [
+        [
+          'decode',
+          (request) =>
+            (request.headers['last-event-id'] === undefined ? breaksAfter([1, 2]) : streams([1, 2, 3]))(
+              request,
+            ),
+        ],
+        [
+          'decode',
+          (request) =>
+            (request.headers['last-event-id'] === undefined ? breaksAfter([1, 2]) : streams([1, 2, 3]))(
+              request,
+            ),
+        ],
+      ],
+      { resumable: true, attempts: 2 },
+    )
+    expect((await world.send('/p/')).body).toBe(events(1, 2, 3))
+  })
+
+  it('pass each event on as it comes', async () => {
+    let finish: () => void = () => undefined
+    const { world } = await start([
+      [
+        'decode',
+        (request) => {
+          stream(request, [1])
+          finish = () => void request.socket.end(`${chunk(event(2))}0\r\n\r\n`)
+        },
+      ],
+    ])
+    const { request, answer } = world.open('/p/')
+    const first = new Promise<string>((resolve) =>
+      request.on('response', (response) =>
+        response.once('data', (bytes: Buffer) => resolve(bytes.toString())),
+      ),
+    )
+    request.end()
+    expect(await first).toBe(event(1))
+    finish()
+    expect((await answer).isWhole).toBe(true)
+  })
+
+  it('stop the engine when the caller leaves', async () => {
+    const { world, workers } = await start([['decode', (request) => stream(request, [1])]])
+    const { request } = world.open('/p/')
+    const begun = new Promise((resolve) =>
+      request.on('response', (response) => response.once('data', resolve)),
+    )
+    request.on('error', () => undefined)
+    request.end()
+    await begun
+    request.destroy()
+    await workers[0]!.seen[0]!.closed
+  })
+
+  it('end with their connection where the engine named no length', async () => {
+    const { world } = await start([
+      ['decode', (request) => void request.socket.end(goodAnswer(request, event(1), ['Connection: close']))],
+    ])
+    const answer = await world.send('/p/')
+    expect(answer.body).toBe(event(1))
+    expect(answer.headers['transfer-encoding']).toBeUndefined()
+  })
+
+  it('are refused with a time to come back where no engine is known', async () => {
+    const { world } = await start([['prefill', reads]])
+    const answer = await world.send('/p/')
+    expect(answer.status).toBe(503)
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0)
+  })
+})
