--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -51,7 +51,7 @@
   }
   'settings.reloaded': { changed: string[] }
   'stage.ordered': { endpoint: string; stage: string; fence: number; outcome: string }
-  'place.alone': { request: string; peer: string; reason: string }
+  'place.alone': { request: string; reason: string }
   'place.decided': {
     request: string
     entry: string
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,13 +1,16 @@
+import { PLACE } from '@forkstage/allocator'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   EndpointPool,
   Ingress,
+  LeaderWay,
   LocalPlacer,
   RemotePlacer,
   RetryAllowance,
   type GatewayWire,
 } from '@forkstage/gateway'
+import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { listenOn, type Listener } from './listenOn'
@@ -35,6 +38,8 @@
   private readonly pool: EndpointPool
   private readonly follower: ControlFollower
   private readonly placer: RemotePlacer
+  private readonly way: LeaderWay
+  private peerServer: PeerServer | undefined
   private readonly ingress: Ingress
   private listeners: Listener[] = []
   private leaving = false
@@ -47,7 +52,7 @@
     this.pool = new EndpointPool({ zone: settings.machine.zone, clock, random, logger })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
-      entry: settings.machine.name,
+      entry: settings.listen.peers,
       peers,
       clock,
       logger,
@@ -64,6 +69,13 @@
       windowMs: settings.retry.window_s * SECOND_MS,
       entries,
     })
+    this.way = new LeaderWay({
+      leader: () => this.follower.leader(),
+      neighbours: () => this.follower.neighbours(),
+      peers,
+      clock,
+      forwarded: Object.values(PLACE),
+    })
     this.placer = new RemotePlacer({
       entry: settings.machine.name,
       pool: this.pool,
@@ -72,8 +84,7 @@
         kvTokens: (service) => this.book.current?.service(service)?.engine?.kvTokens ?? 0,
         entries,
       }),
-      leader: () => this.follower.leader(),
-      peers,
+      way: this.way,
       clock,
       logger,
     })
@@ -97,7 +108,14 @@
   }
 
   async start(): Promise<void> {
-    const { listen } = this.basics.settings
+    const { settings, logger } = this.basics
+    const { listen } = settings
+    this.peerServer = await startPeerServer({
+      address: listen.peers,
+      sharedKey: settings.peers.shared_key,
+      methods: this.way.methods(),
+      logger,
+    })
     const readiness = await listenOn((request, response) => {
       const isKnown = request.url === this.wire.gateway.readinessPath
       response.statusCode = isKnown && this.isReady ? READY : NOT_READY
@@ -127,6 +145,7 @@
     this.follower.stop()
     this.placer.stop()
     this.listeners.forEach((listener) => listener.close())
+    await this.peerServer?.close()
     peers.close()
   }
 
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -12,8 +12,8 @@
   seeds: () => Address[]
   /** This machine's own address, where it serves control itself. */
   self?: Address
-  /** This machine's name, where it is an entry. */
-  entry?: string
+  /** This machine's address for others, where it is an entry. */
+  entry?: Address
   peers: PeerCaller
   clock: Clock
   logger: Logger
@@ -37,6 +37,7 @@
   heardAt: Millis
   lost: boolean
   entries: number
+  neighbours: Address[]
 }
 
 /** Follows every control machine at once, so that news arrives from whichever hears it first. */
@@ -66,6 +67,7 @@
         heardAt: clock.now(),
         lost: false,
         entries: 0,
+        neighbours: [],
       })
       void this.follow(address)
     }
@@ -93,6 +95,11 @@
     return Math.max(0, ...[...this.followed.values()].map((one) => one.entries))
   }
 
+  /** Other entries, as far as control machines have named them. */
+  neighbours(): Address[] {
+    return [...new Set([...this.followed.values()].flatMap((one) => one.neighbours))]
+  }
+
   private async follow(address: Address): Promise<void> {
     while (!this.stopped && this.followed.has(address)) {
       const one = this.followed.get(address)!
@@ -135,6 +142,7 @@
       heardAt: clock.now(),
       lost: false,
       entries: answer.entries,
+      neighbours: answer.neighbours,
     })
     if (answer.endpoints.length > 0) onEndpoints(answer.endpoints)
     if (answer.sheet !== undefined) onSheet(answer.sheet)
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -16,12 +16,13 @@
 
 /** An entry that restarts or is cut off for a while still counts. */
 const ENTRY_COUNTS_MS = 15_000
+const NEIGHBOURS = 3
 
 /** Answers those who follow this control machine, at once when there is news. */
 export class WatchHub {
   private waiting = new Set<() => void>()
   private scheduled = false
-  private readonly entries = new Map<string, Millis>()
+  private readonly entries = new Map<Address, Millis>()
 
   constructor(private readonly options: WatchHubOptions) {}
 
@@ -73,9 +74,19 @@
       members: members(),
       leader: leader(),
       entries: this.countEntries(),
+      neighbours: this.neighboursOf(question.entry),
     }
   }
 
+  /** The entries that come after the asker in a ring, so that each is the neighbour of a few. */
+  private neighboursOf(entry: Address | undefined): Address[] {
+    if (entry === undefined) return []
+    const ring = [...this.entries.keys()].sort()
+    const next = ring.findIndex((address) => address > entry)
+    const turned = next < 0 ? ring : [...ring.slice(next), ...ring.slice(0, next)]
+    return turned.filter((address) => address !== entry).slice(0, NEIGHBOURS)
+  }
+
   private countEntries(): number {
     const since = this.options.clock.now() - ENTRY_COUNTS_MS
     for (const [entry, at] of this.entries) if (at < since) this.entries.delete(entry)
--- a/membership/watch/src/watchTypes.ts
+++ b/membership/watch/src/watchTypes.ts
@@ -12,8 +12,8 @@
 
 /** What the asker has, so that only news travels. */
 export interface WatchQuestion {
-  /** The name of the asker where it is an entry; entries are counted. */
-  entry?: string
+  /** The asker's address for other machines, where it is an entry; entries are counted. */
+  entry?: Address
   /** The life of the control process that gave `position`; empty at first. */
   epoch: string
   /** The place in that life's directory up to which the asker knows all. */
@@ -41,4 +41,6 @@
   leader?: Address
   /** How many entries have asked lately. */
   entries: number
+  /** A few other entries, for an entry that loses its way to the control machines. */
+  neighbours: Address[]
 }
--- /dev/null
+++ b/membership/watch/test/watch.test.ts
@@ -0,0 +1,166 @@
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
+import { createSilentLogger } from '@forkstage/logger'
+import type { PeerCaller } from '@forkstage/peer-rpc'
+import { ControlFollower, WatchHub, type WatchAnswer, type WatchedSheet, type WatchQuestion } from '../src'
+
+const CONTROL = '10.0.0.1:1'
+const OTHER = '10.0.0.2:1'
+
+function endpoint(id: string, sequence = 1): RegisteredEndpoint {
+  return { id, service: 's', address: 'a:1', zone: 'z', slots: 1, state: 'ready', models: [], sequence }
+}
+
+/** Lets everything that is due in this turn of the event loop happen. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 5; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+}
+
+function hubWorld() {
+  const clock = new ManualClock()
+  const directory = new Directory()
+  const state = { sheet: undefined as WatchedSheet | undefined, leader: undefined as string | undefined }
+  const hub = new WatchHub({
+    epoch: 'life-1',
+    directory,
+    sheet: () => state.sheet,
+    members: () => [CONTROL],
+    leader: () => state.leader,
+    clock,
+  })
+  const question = (fields: Partial<WatchQuestion> = {}): WatchQuestion => ({
+    epoch: 'life-1',
+    position: 0,
+    sheetVersion: -1,
+    members: [CONTROL],
+    holdMs: 1_000,
+    ...fields,
+  })
+  return { clock, directory, state, hub, question }
+}
+
+describe('WatchHub', () => {
+  it('holds a question while there is no news, and answers after the hold', async () => {
+    const { clock, hub, question } = hubWorld()
+    let answered = false
+    void hub.answer(question()).then(() => (answered = true))
+    clock.advance(999)
+    await settle()
+    expect(answered).toBe(false)
+    clock.advance(1)
+    await settle()
+    expect(answered).toBe(true)
+  })
+
+  it('answers at once when an endpoint, a newer sheet or another leader comes', async () => {
+    const { directory, state, hub, question } = hubWorld()
+    const endpoints = hub.answer(question())
+    directory.merge([endpoint('i-1')])
+    hub.noteChange()
+    expect(await endpoints).toMatchObject({ position: 1, endpoints: [{ id: 'i-1' }] })
+    const sheet = hub.answer(question({ position: 1, sheetVersion: 4 }))
+    state.sheet = { version: 5, text: 'five' }
+    hub.noteChange()
+    expect(await sheet).toMatchObject({ sheet: { version: 5, text: 'five' }, endpoints: [] })
+    state.leader = CONTROL
+    expect(await hub.answer(question({ position: 1, sheetVersion: 5 }))).toMatchObject({ leader: CONTROL })
+  })
+
+  it('sends no sheet that the asker has, and everything to one who knew another life', async () => {
+    const { directory, state, hub, question } = hubWorld()
+    directory.merge([endpoint('i-1'), endpoint('i-2')])
+    state.sheet = { version: 5, text: 'five' }
+    const answer = await hub.answer(question({ epoch: 'life-0', position: 99, sheetVersion: 5 }))
+    expect(answer.sheet).toBeUndefined()
+    expect(answer.endpoints.map(({ id }) => id)).toEqual(['i-1', 'i-2'])
+  })
+
+  it('counts the entries that asked lately and names each the next ones in the ring', async () => {
+    const { clock, hub, question } = hubWorld()
+    const ask = (entry: string) => hub.answer(question({ entry, epoch: 'other' }))
+    for (const entry of ['e1', 'e2', 'e3', 'e4', 'e5']) await ask(entry)
+    expect(await ask('e4')).toMatchObject({ entries: 5, neighbours: ['e5', 'e1', 'e2'] })
+    clock.advance(16_000)
+    expect(await ask('e1')).toMatchObject({ entries: 1, neighbours: [] })
+  })
+})
+
+function followerWorld() {
+  const clock = new ManualClock()
+  const asked: {
+    address: string
+    question: WatchQuestion
+    answer: (answer: Partial<WatchAnswer>) => void
+    fail: () => void
+  }[] = []
+  const peers: PeerCaller = {
+    call: (address, _method, params) =>
+      new Promise((resolve, reject) =>
+        asked.push({
+          address,
+          question: params as WatchQuestion,
+          answer: (fields) =>
+            resolve({
+              epoch: 'l',
+              position: 0,
+              endpoints: [],
+              members: [CONTROL],
+              entries: 1,
+              neighbours: [],
+              ...fields,
+            } as never),
+          fail: () => reject(new Error('unreachable')),
+        }),
+      ),
+    notify: () => undefined,
+  }
+  const sheets: number[] = []
+  const heard: string[] = []
+  const follower = new ControlFollower({
+    seeds: () => [CONTROL],
+    peers,
+    clock,
+    logger: createSilentLogger(),
+    holdMs: 1_000,
+    sheetVersion: () => sheets.at(-1) ?? -1,
+    onSheet: ({ version }) => sheets.push(version),
+    onEndpoints: (endpoints) => heard.push(...endpoints.map(({ id }) => id)),
+  })
+  follower.start()
+  const last = (address = CONTROL) => asked.filter((one) => one.address === address).at(-1)!
+  return { clock, asked, follower, sheets, heard, last }
+}
+
+describe('ControlFollower', () => {
+  it('asks on from where the last answer left it, and follows members that it learns of', async () => {
+    const { last, sheets, heard, follower } = followerWorld()
+    last().answer({
+      position: 7,
+      sheet: { version: 3, text: '' },
+      endpoints: [endpoint('i-1')],
+      members: [CONTROL, OTHER],
+    })
+    await settle()
+    expect(sheets).toEqual([3])
+    expect(heard).toEqual(['i-1'])
+    expect(last().question).toMatchObject({ epoch: 'l', position: 7, sheetVersion: 3 })
+    expect(follower.addresses()).toContain(OTHER)
+    expect(last(OTHER).question).toMatchObject({ epoch: '', position: 0 })
+  })
+
+  it('goes on asking after failures, and believes the leader that most name', async () => {
+    const { clock, last, asked, follower } = followerWorld()
+    last().answer({ leader: OTHER, members: [CONTROL, OTHER] })
+    await settle()
+    expect(follower.leader()).toBe(OTHER)
+    const before = asked.length
+    last(OTHER).fail()
+    await settle()
+    clock.advance(200)
+    await settle()
+    expect(asked.length).toBe(before + 1)
+    clock.advance(2_000)
+    expect(follower.leader()).toBeUndefined()
+  })
+})
--- /dev/null
+++ b/peer/rpc/test/watchSilence.test.ts
@@ -0,0 +1,55 @@
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { watchSilence } from '../src/watchSilence'
+
+function world(silentMs?: number) {
+  const clock = new ManualClock()
+  const seen: string[] = []
+  const watch = watchSilence({
+    clock,
+    silentMs,
+    probe: () => seen.push(`probe ${clock.now()}`),
+    onSilent: () => seen.push(`silent ${clock.now()}`),
+  })
+  return { clock, seen, watch }
+}
+
+describe('watchSilence', () => {
+  it('probes half a time-out after the first unanswered sending, and gives up after a whole one', () => {
+    const { clock, seen, watch } = world(1_000)
+    watch.noteSent()
+    clock.advance(300)
+    watch.noteSent()
+    clock.advance(700)
+    expect(seen).toEqual(['probe 500', 'silent 1000'])
+  })
+
+  it('is content with anything that comes back, and begins anew with the next sending', () => {
+    const { clock, seen, watch } = world(1_000)
+    watch.noteSent()
+    clock.advance(600)
+    watch.noteHeard()
+    clock.advance(5_000)
+    watch.noteSent()
+    clock.advance(500)
+    expect(seen).toEqual(['probe 500', 'probe 6100'])
+  })
+
+  it('does nothing to a connection that carries nothing, or where it is not asked for', () => {
+    const idle = world(1_000)
+    idle.clock.advance(60_000)
+    const off = world()
+    off.watch.noteSent()
+    off.clock.advance(60_000)
+    expect([...idle.seen, ...off.seen]).toEqual([])
+  })
+
+  it('ends with its connection', () => {
+    const { clock, seen, watch } = world(1_000)
+    watch.noteSent()
+    watch.stop()
+    watch.noteSent()
+    clock.advance(5_000)
+    expect(seen).toEqual([])
+  })
+})
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -28,7 +28,7 @@
   lateMemoryShare: number
 }
 
-const DEFAULT_TUNING: AllocatorTuning = { lengthCertainty: 0.7, memoryShare: 0.97, lateMemoryShare: 0.8 }
+const DEFAULT_TUNING: AllocatorTuning = { lengthCertainty: 0.6, memoryShare: 0.97, lateMemoryShare: 0.8 }
 
 /** A request that waits for a place. */
 interface Waiting {
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -142,7 +142,9 @@
  */
 function endedBySaying(socket: Socket): Promise<boolean> {
   return new Promise((resolve) => {
-    socket.prependListener('end', () => socket.write(EMPTY_LINE, (error) => resolve(error == null)))
+    socket.prependListener('end', () =>
+      socket.write(EMPTY_LINE, (error) => resolve(error === null || error === undefined)),
+    )
     socket.on('close', () => resolve(false))
   })
 }
--- /dev/null
+++ b/request/gateway/src/leaderWay.ts
@@ -0,0 +1,119 @@
+import type { Clock } from '@forkstage/clock'
+import { ForkstageError } from '@forkstage/error'
+import { PeerUnreachableError, type PeerCaller, type PeerMethod } from '@forkstage/peer-rpc'
+import type { Address, Millis } from '@forkstage/types'
+
+/** The method by which an entry calls the leader for another one that is cut off from it. */
+export const FORWARD = 'entry.forward'
+
+/** Options of {@link LeaderWay}. */
+export interface LeaderWayOptions {
+  /** The control machine that leads, as far as this entry hears of one. */
+  leader: () => Address | undefined
+  /** Other entries, which may reach it where this one does not. */
+  neighbours: () => Address[]
+  peers: PeerCaller
+  clock: Clock
+  /** Methods that may be forwarded for others. */
+  forwarded: readonly string[]
+}
+
+/** A call that is passed on. */
+interface Forwarded {
+  method: string
+  params: unknown
+  deadline: Millis
+}
+
+/** Raised where neither the leader nor a neighbour that reaches it is known. */
+export class NoWayError extends ForkstageError {
+  constructor(step: string) {
+    super('FORKSTAGE_NO_LEADER', 'No way to a leading control machine is known.', 'It is looked for.', {
+      step,
+    })
+  }
+}
+
+/** A leader that gave no answer is not asked directly for this long. */
+const SKIP_MS = 400
+/** Kept for the way between two entries. */
+const HOP_MS = 50
+
+/** Reaches the leader directly, or through another entry while this one is cut off from it. */
+export class LeaderWay {
+  private skipUntil = -Infinity
+  private neighbour: Address | undefined
+
+  constructor(private readonly options: LeaderWayOptions) {}
+
+  leader(): Address | undefined {
+    return this.options.leader()
+  }
+
+  /** Calls the leader. @throws NoWayError where nobody can be asked. */
+  async call<Answer>(method: string, params: unknown, deadline: Millis): Promise<Answer> {
+    const { peers, clock } = this.options
+    const leader = this.directLeader()
+    if (leader === undefined) return this.callThroughNeighbour<Answer>({ method, params, deadline })
+    try {
+      return await peers.call<Answer>(leader, method, params, { deadline, step: method })
+    } catch (error) {
+      this.skipUntil = clock.now() + SKIP_MS
+      throw error
+    }
+  }
+
+  /** Tells the leader something; may be lost. */
+  notify(method: string, params: unknown): void {
+    const { peers } = this.options
+    const leader = this.directLeader()
+    if (leader !== undefined) return peers.notify(leader, method, params)
+    const neighbour = this.neighbour ?? this.options.neighbours()[0]
+    if (neighbour !== undefined) peers.notify(neighbour, FORWARD, { method, params, deadline: SKIP_MS })
+  }
+
+  /** What other entries may call here. */
+  methods(): Record<string, PeerMethod> {
+    return { [FORWARD]: (call: Forwarded) => this.forward(call) }
+  }
+
+  private directLeader(): Address | undefined {
+    return this.options.clock.now() < this.skipUntil ? undefined : this.options.leader()
+  }
+
+  private async callThroughNeighbour<Answer>(call: Forwarded): Promise<Answer> {
+    const { peers, neighbours } = this.options
+    const known = neighbours()
+    const first = this.neighbour !== undefined && known.includes(this.neighbour) ? [this.neighbour] : []
+    for (const neighbour of [...first, ...known.filter((address) => address !== this.neighbour)]) {
+      try {
+        const options = { deadline: call.deadline, step: call.method }
+        const answer = await peers.call<Answer>(
+          neighbour,
+          FORWARD,
+          { ...call, deadline: call.deadline - HOP_MS },
+          options,
+        )
+        this.neighbour = neighbour
+        return answer
+      } catch (error) {
+        this.neighbour = undefined
+        // A neighbour that was reached has asked already; asking again elsewhere would take a second place.
+        if (!isUnasked(error)) throw error
+      }
+    }
+    throw new NoWayError(call.method)
+  }
+
+  private forward({ method, params, deadline }: Forwarded): Promise<unknown> {
+    const { peers, forwarded } = this.options
+    const leader = this.directLeader()
+    if (leader === undefined || !forwarded.includes(method)) throw new NoWayError(method)
+    return peers.call(leader, method, params, { deadline, step: method })
+  }
+}
+
+function isUnasked(error: unknown): boolean {
+  const { code } = error as { code?: string }
+  return code === 'FORKSTAGE_NO_LEADER' || (error instanceof PeerUnreachableError && error.step === 'connect')
+}
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -9,9 +9,9 @@
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
-import type { PeerCaller } from '@forkstage/peer-rpc'
 import type { Address, Millis } from '@forkstage/types'
 import type { EndpointPool } from './endpointPool'
+import type { LeaderWay } from './leaderWay'
 import type { ModelPlace, ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
 
 /** Options of {@link RemotePlacer}. */
@@ -20,9 +20,8 @@
   pool: EndpointPool
   /** Places while nobody can be asked. */
   fallback: ModelPlacer
-  /** The control machine that leads, where one is known. */
-  leader: () => Address | undefined
-  peers: PeerCaller
+  /** The way to the control machine that leads. */
+  way: LeaderWay
   clock: Clock
   logger: Logger
 }
@@ -39,15 +38,12 @@
 const ANSWER_SLACK_MS = 200
 const REPORT_EVERY_MS = 1_000
 const LOOK_EVERY_MS = 200
-/** A leader that gave no answer is not asked for this long. */
-const SKIP_MS = 400
 
 /** Asks the leading control machine for places, and reports what runs so that the next leader knows. */
 export class RemotePlacer implements ModelPlacer {
   private readonly active = new Map<string, Active>()
   private reportedTo: Address | undefined
   private reportedAt = -Infinity
-  private skipUntil = -Infinity
   private cancelLook: CancelTimer = () => undefined
 
   constructor(private readonly options: RemotePlacerOptions) {}
@@ -74,16 +70,12 @@
   }
 
   private async ask(ask: PlaceAsk): Promise<PlaceDecision | undefined> {
-    const { peers, clock, leader, logger } = this.options
-    const address = leader()
-    if (address === undefined || clock.now() < this.skipUntil) return undefined
+    const { way, logger } = this.options
     try {
-      const options = { deadline: ask.holdMs + ANSWER_SLACK_MS, step: 'place' }
-      return await peers.call<PlaceDecision>(address, PLACE.ask, { ask }, options)
+      return await way.call<PlaceDecision>(PLACE.ask, { ask }, ask.holdMs + ANSWER_SLACK_MS)
     } catch (error) {
-      this.skipUntil = clock.now() + SKIP_MS
-      peers.notify(address, PLACE.withdraw, { request: ask.request })
-      logger.warn('place.alone', { request: ask.request, peer: address, reason: toErrorBody(error).message })
+      way.notify(PLACE.withdraw, { request: ask.request })
+      logger.warn('place.alone', { request: ask.request, reason: toErrorBody(error).message })
       return undefined
     }
   }
@@ -99,7 +91,7 @@
     const prefill = placed.prefill === undefined ? undefined : pool.get(placed.prefill)
     const isUnknown = decode === undefined || (placed.prefill !== undefined && prefill === undefined)
     if (isUnknown) {
-      this.notify(PLACE.withdraw, { request: ask.request })
+      this.options.way.notify(PLACE.withdraw, { request: ask.request })
       return undefined
     }
     const tokens = ask.promptTokens + Math.min(ask.mostTokens, ask.hintTokens ?? ask.mostTokens)
@@ -136,36 +128,30 @@
       notePrefilled: (outcome, tookMs) => {
         hold.decodingAt = clock.now()
         place.notePrefilled(outcome, tookMs)
-        this.notify(PLACE.prefilled, { request, outcome, tookMs: Math.round(tookMs) })
+        this.options.way.notify(PLACE.prefilled, { request, outcome, tookMs: Math.round(tookMs) })
       },
       noteStalled: () =>
-        this.notify(PLACE.note, { endpoint: decode, outcome: 'failed' satisfies UseOutcome }),
+        this.options.way.notify(PLACE.note, { endpoint: decode, outcome: 'failed' satisfies UseOutcome }),
       release: (outcome, tookMs, madeTokens) => {
         this.active.delete(request)
         place.release(outcome, tookMs, madeTokens)
-        this.notify(PLACE.release, { request, outcome, madeTokens })
+        this.options.way.notify(PLACE.release, { request, outcome, madeTokens })
       },
     }
   }
 
-  private notify(method: string, params: unknown): void {
-    const address = this.options.leader()
-    if (address !== undefined) this.options.peers.notify(address, method, params)
-  }
-
   private reportIfDue(): void {
-    const { clock, entry, leader, peers } = this.options
-    const address = leader()
-    if (address === undefined) return
-    const isNew = address !== this.reportedTo
+    const { clock, entry, way } = this.options
+    const leader = way.leader()
+    const isNew = leader !== this.reportedTo
     if (!isNew && clock.now() - this.reportedAt < REPORT_EVERY_MS) return
-    this.reportedTo = address
+    this.reportedTo = leader
     this.reportedAt = clock.now()
     const holds: ReportedHold[] = [...this.active.values()].map(({ placedAt, decodingAt, ...hold }) => ({
       ...hold,
       ageMs: clock.now() - placedAt,
       decodingForMs: decodingAt === undefined ? undefined : clock.now() - decodingAt,
     }))
-    peers.notify(address, PLACE.report, { entry, holds })
+    way.notify(PLACE.report, { entry, holds })
   }
 }
--- /dev/null
+++ b/request/gateway/test/leaderWay.test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { PeerUnreachableError, type PeerCaller } from '@forkstage/peer-rpc'
+import { LeaderWay } from '../src'
+
+const LEADER = '10.0.0.1:1'
+
+/** A way to a leader; `cut` holds addresses that cannot be reached. */
+function world(cut: Set<string>, leader: () => string | undefined = () => LEADER) {
+  const calls: string[] = []
+  const clock = new ManualClock()
+  const peers: PeerCaller = {
+    call: async (address, method) => {
+      calls.push(`${address} ${method}`)
+      if (cut.has(address)) throw new PeerUnreachableError(address, 'connect', 'cut')
+      return 'answer' as never
+    },
+    notify: (address, method) => void calls.push(`${address} ${method}`),
+  }
+  const way = new LeaderWay({
+    leader,
+    neighbours: () => ['n1', 'n2'],
+    peers,
+    clock,
+    forwarded: ['place.ask'],
+  })
+  return { way, calls, clock }
+}
+
+describe('LeaderWay', () => {
+  it('calls the leader directly', async () => {
+    const { way, calls } = world(new Set())
+    expect(await way.call('place.ask', {}, 100)).toBe('answer')
+    expect(calls).toEqual([`${LEADER} place.ask`])
+  })
+
+  it('goes through a neighbour where no leader is heard, and stays with the one that answered', async () => {
+    const { way, calls } = world(new Set(['n1']), () => undefined)
+    await way.call('place.ask', {}, 100)
+    await way.call('place.ask', {}, 100)
+    way.notify('place.release', {})
+    expect(calls).toEqual(['n1 entry.forward', 'n2 entry.forward', 'n2 entry.forward', 'n2 entry.forward'])
+  })
+
+  it('does not ask a second neighbour once one may have asked the leader', async () => {
+    const { way, calls } = world(new Set(), () => undefined)
+    const late: PeerCaller['call'] = async (address) => {
+      calls.push(address)
+      throw new PeerUnreachableError(address, 'place.ask', 'no answer in time')
+    }
+    Object.assign((way as unknown as { options: { peers: PeerCaller } }).options.peers, { call: late })
+    await expect(way.call('place.ask', {}, 100)).rejects.toThrow('no answer in time')
+    expect(calls).toEqual(['n1'])
+  })
+
+  it('leaves a leader alone for a moment that gave no answer', async () => {
+    const { way, calls, clock } = world(new Set([LEADER]))
+    await expect(way.call('place.ask', {}, 100)).rejects.toThrow()
+    await way.call('place.ask', {}, 100)
+    clock.advance(400)
+    await expect(way.call('place.ask', {}, 100)).rejects.toThrow()
+    expect(calls).toEqual([`${LEADER} place.ask`, 'n1 entry.forward', `${LEADER} place.ask`])
+  })
+
+  it('forwards only what it is meant to, and never further than to the leader', async () => {
+    const { way, calls } = world(new Set())
+    const forward = way.methods()['entry.forward'] as unknown as (call: object) => Promise<unknown>
+    expect(await forward({ method: 'place.ask', params: {}, deadline: 50 })).toBe('answer')
+    expect(calls).toEqual([`${LEADER} place.ask`])
+    expect(() => forward({ method: 'sheet.propose', params: {}, deadline: 50 })).toThrow()
+    const cutOff = world(new Set(), () => undefined).way.methods()[
+      'entry.forward'
+    ] as unknown as typeof forward
+    expect(() => cutOff({ method: 'place.ask', params: {}, deadline: 50 })).toThrow()
+  })
+})
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -31,9 +31,9 @@
   found: z.boolean().default(false),
   /** Machines that may be lost at once, disks included. */
   losses: z.number().int().min(0).max(10).default(1),
-  election_timeout_ms: duration(600),
-  heartbeat_ms: duration(120),
-  snapshot_every: z.number().int().min(10).max(1_000_000).default(10),
+  election_timeout_ms: duration(450),
+  heartbeat_ms: duration(90),
+  snapshot_every: z.number().int().min(2).max(1_000_000).default(3),
   /** A voter silent this long makes room, where enough others remain. */
   silent_ms: duration(2_000),
 })
--- /dev/null
+++ b/settings/fleet/test/fleetSettings.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from 'vitest'
+import { SettingsError } from '@forkstage/settings'
+import { parseFleetSettings, seedAddresses } from '../src'
+
+const ENTRY = `
+[machine]
+name = "entry-1"
+role = "entry"
+zone = "z1"
+[listen]
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peers = "10.0.0.1:7000"
+[peers]
+shared_key = "a key of sixteen or more"
+[control]
+seeds = ["10.0.0.8:90", "10.0.0.9:90"]
+`
+
+const parse = (text: string) => parseFleetSettings(text, { source: 'test.toml' })
+
+function faultsOf(text: string): string[] {
+  try {
+    parse(text)
+    return []
+  } catch (error) {
+    return (error as SettingsError).faults.map((fault) => fault.key)
+  }
+}
+
+describe('parseFleetSettings', () => {
+  it('fills in defaults', () => {
+    expect(parse(ENTRY)).toMatchObject({ control: { found: false, losses: 1 }, stop: { grace_s: 8 } })
+  })
+
+  it('reaches seeds at the port for machines', () => {
+    expect(seedAddresses(parse(ENTRY))).toEqual(['10.0.0.8:7000', '10.0.0.9:7000'])
+  })
+
+  it('names everything that a role lacks', () => {
+    expect(faultsOf(ENTRY.replace('role = "entry"', 'role = "control"'))).toEqual([
+      'listen.operators',
+      'machine.data_folder',
+    ])
+    expect(faultsOf(ENTRY.replace(/callers.*\n.*readiness.*\n/, ''))).toEqual([
+      'listen.callers',
+      'listen.readiness',
+    ])
+  })
+
+  it('names every fault at once', () => {
+    const bad = ENTRY.replace('"z1"', '""')
+      .replace('"10.0.0.1:7000"', '"somewhere"')
+      .replace('[peers]', '[peers]\nspeed = 3')
+    expect(faultsOf(bad)).toEqual(['machine.zone', 'listen.peers', 'peers.speed'])
+  })
+
+  it('wants heartbeats well within the election time-out', () => {
+    expect(faultsOf(`${ENTRY}heartbeat_ms = 400\n`)).toEqual(['control.heartbeat_ms'])
+  })
+})
