--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -45,12 +45,20 @@
   'endpoint.registered': {
     endpoint: string
     state: string
+    stage?: string
     service: string
     address: string
     sequence: number
   }
   'settings.reloaded': { changed: string[] }
-  'stage.ordered': { endpoint: string; stage: string; fence: number; outcome: string }
+  'stage.ordered': {
+    endpoint: string
+    stage: string
+    fence: number
+    outcome: string
+    need: { prefill: number; decode: number }
+    have: { prefill: number; decode: number }
+  }
   'place.alone': { request: string; reason: string }
   'place.decided': {
     request: string
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -106,6 +106,7 @@
       holder: settings.machine.name,
       isLeader: () => this.host.replica?.holdsLease === true,
       term: () => this.host.replica?.term ?? 0,
+      leadFirstMs: settings.orders.lease_ms + settings.control.election_timeout_ms * 2,
       clock,
       logger,
     })
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -167,7 +167,14 @@
   private takeEndpoints(records: RegisteredEndpoint[]): void {
     const news = this.directory.merge(records)
     this.pool.update(news)
-    for (const { id, state, service, address, sequence } of news)
-      this.basics.logger.info('endpoint.registered', { endpoint: id, state, service, address, sequence })
+    for (const { id, state, stage, service, address, sequence } of news)
+      this.basics.logger.info('endpoint.registered', {
+        endpoint: id,
+        state,
+        stage,
+        service,
+        address,
+        sequence,
+      })
   }
 }
--- a/daemon/fleet/src/registrar.ts
+++ b/daemon/fleet/src/registrar.ts
@@ -38,8 +38,15 @@
 
   private note(news: RegisteredEndpoint[]): void {
     if (news.length === 0) return
-    for (const { id, state, service, address, sequence } of news)
-      this.options.logger.info('endpoint.registered', { endpoint: id, state, service, address, sequence })
+    for (const { id, state, stage, service, address, sequence } of news)
+      this.options.logger.info('endpoint.registered', {
+        endpoint: id,
+        state,
+        stage,
+        service,
+        address,
+        sequence,
+      })
     this.options.hub.noteChange()
   }
 }
--- a/daemon/fleet/src/stageOrders.ts
+++ b/daemon/fleet/src/stageOrders.ts
@@ -19,13 +19,13 @@
   isLeader: () => boolean
   /** The term it leads in; no two machines lead in one, so that it fences orders. */
   term: () => number
+  /** An earlier leader may have ordered until its own lease ended: a new one waits this long. */
+  leadFirstMs: Millis
   clock: Clock
   logger: Logger
 }
 
 const LOOK_EVERY_MS = 500
-/** An earlier leader may have ordered until its own lease ended: a new one waits this long. */
-const LEAD_FIRST_MS = 6_000
 const CONNECT_MS = 400
 const MAX_ANSWER_BYTES = 64 * 1024
 const TAKEN = 202
@@ -72,7 +72,7 @@
     const isSame = isLeader() && term() === this.ledTerm
     if (!isSame) this.leadsSince = isLeader() ? clock.now() : undefined
     this.ledTerm = term()
-    return this.leadsSince !== undefined && clock.now() - this.leadsSince >= LEAD_FIRST_MS
+    return this.leadsSince !== undefined && clock.now() - this.leadsSince >= this.options.leadFirstMs
   }
 
   private async order(change: StageChange, changeMs: Millis): Promise<void> {
@@ -82,9 +82,9 @@
     const asked = await this.call(to, wire.reportCall())
     const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
     if (report === undefined || report.isBusy || !isLeader())
-      return allocator.noteChanging(change.id, REFUSED_MS)
+      return allocator.noteChanging(change.id, to.stage!, REFUSED_MS)
     const fence = term()
-    const { stage } = change
+    const { stage, need, have } = change
     const order = { stage, holder, fence, expectedOrders: report.ordersTaken, instance: change.id }
     const outcome = await this.call(to, wire.stageOrderCall(order))
     const status = outcome.type === 'answer' ? outcome.head.status : undefined
@@ -93,8 +93,10 @@
       stage,
       fence,
       outcome: String(status ?? 'no answer'),
+      need,
+      have,
     })
-    allocator.noteChanging(change.id, pauseAfter(status, changeMs))
+    allocator.noteChanging(change.id, isTaken(status) ? stage : to.stage!, pauseAfter(status, changeMs))
     if (status === TAKEN) this.awaitChange(to, stage, changeMs)
   }
 
@@ -105,7 +107,7 @@
       void this.call(to, wire.reportCall()).then((asked) => {
         const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
         const isDone = report?.stage === stage && !report.isBusy
-        if (isDone) allocator.noteChanging(to.id, 0)
+        if (isDone) allocator.noteChanging(to.id, stage, 0)
         else if (this.options.isLeader() && allocator.isChanging(to.id))
           this.awaitChange(to, stage, ASK_AGAIN_MS)
       })
@@ -130,3 +132,8 @@
   if (status === TAKEN) return changeMs + ENDS_WITHIN_MS
   return status === HOLDS_ALREADY ? HOLDS_PAUSE_MS : REFUSED_MS
 }
+
+/** Whether an order is or may be being carried out. */
+function isTaken(status: number | undefined): boolean {
+  return status === undefined || status === TAKEN
+}
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -1,12 +1,12 @@
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
-import type { Hold, PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
+import type { PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
 import { DemandMeter } from './demandMeter'
+import { HoldBook } from './holdBook'
 import { InstanceHealth } from './instanceHealth'
-import { LengthForecast, lengthQuantile } from './lengthForecast'
-import { peakMemory, type Growing } from './peakMemory'
-import { planStages, type StageChange } from './planStages'
+import { planStages, type StageChange, type StagedEngine } from './planStages'
+import { isInTime, waitingOrder, type Waiting } from './waitingOrder'
 
 /** Options of {@link Allocator}. */
 export interface AllocatorOptions {
@@ -28,20 +28,18 @@
   lateMemoryShare: number
 }
 
-const DEFAULT_TUNING: AllocatorTuning = { lengthCertainty: 0.6, memoryShare: 0.97, lateMemoryShare: 0.8 }
+const DEFAULT_TUNING: AllocatorTuning = { lengthCertainty: 0.6, memoryShare: 0.97, lateMemoryShare: 0.85 }
 
-/** A request that waits for a place. */
-interface Waiting {
-  ask: PlaceAsk
-  since: Millis
-  resolve: (decision: PlaceDecision) => void
-}
+/** Who reads a prompt: a prefill engine, or the decode engine itself. */
+type Reader = RegisteredEndpoint | 'decode'
 
-const FIRST_MS_PER_TOKEN = 0.8
-const FIRST_PROMPT_TOKENS_PER_MS = 40
-const RATE_WEIGHT = 0.1
-/** A prefill queue longer than this is no place for a request that should still be in time. */
-const PREFILL_MARGIN_MS = 60
+/** From the end of reading to the first event, with what the network takes. */
+const START_MS = 60
+/** A late request waits for a prefill queue shorter than this, its own reading included. */
+const LATE_READING_MS = 500
+/** A decode engine reads at half the pace of a prefill engine. */
+const OWN_READING_FACTOR = 2
+const OWN_READING_PAUSE_MS = 700
 /** A prefill engine of another zone must be this much sooner. */
 const OTHER_ZONE_MS = 30
 const BUSY_RETRY_MS = 2_500
@@ -51,27 +49,24 @@
 const NO_ENGINE_RETRY_MS = 700
 /** In time waiting requests for each decode engine; more would wait in vain. */
 const WAITING_PER_ENGINE = 4
-/** A hold that its entry does not name any more is dropped once it is this old. */
-const UNNAMED_HOLD_MS = 1_000
-
 /**
  * Decides for all entries where model requests go. Knows what every running answer holds and forecasts what
  * it will come to hold; places a request only where the peak to come fits, and holds it a while otherwise.
  */
 export class Allocator {
-  private readonly holds = new Map<string, Hold>()
+  private readonly book: HoldBook
   private readonly health = new InstanceHealth()
-  private readonly forecast = new LengthForecast()
   private readonly tuning: AllocatorTuning
   private waiting: Waiting[] = []
-  private readonly msPerToken = new Map<InstanceId, number>()
   private readonly demand = new Map<string, DemandMeter>()
   /** Engines that change their part, until when they are left alone. */
-  private readonly changing = new Map<InstanceId, Millis>()
-  private promptTokensPerMs = FIRST_PROMPT_TOKENS_PER_MS
+  private readonly changing = new Map<InstanceId, { to: Stage; until: Millis }>()
+  /** When each decode engine last began to read a prompt itself. */
+  private readonly readsItself = new Map<InstanceId, Millis>()
 
   constructor(private readonly options: AllocatorOptions) {
     this.tuning = { ...DEFAULT_TUNING, ...options.tuning }
+    this.book = new HoldBook(this.tuning.lengthCertainty)
   }
 
   get waitingCount(): number {
@@ -79,16 +74,15 @@
   }
 
   get holdCount(): number {
-    return this.holds.size
+    return this.book.size
   }
 
   /** Asks for a place; the answer comes at once or when there is room, at the latest after the hold time. */
   ask(ask: PlaceAsk, now: Millis, resolve: (decision: PlaceDecision) => void): void {
-    if (!ask.isPrefilled) this.noteDemand(ask, now)
+    if (isInTime(ask) && !ask.isPrefilled) this.noteDemand(ask, now)
     const refusal = this.refuseAtOnce(ask)
     if (refusal !== undefined) return resolve(refusal)
     this.waiting.push({ ask, since: now, resolve })
-    this.waiting.sort(moreUrgent)
     this.placeWaiting(now)
   }
 
@@ -100,15 +94,12 @@
 
   /** The prompt has been read; decoding begins. */
   notePrefilled(request: string, outcome: UseOutcome, tookMs: Millis, now: Millis): void {
-    const hold = this.holds.get(request)
+    const hold = this.book.get(request)
     if (hold === undefined) return
     hold.decodingAt = now
     if (hold.prefill === undefined) return
     this.noteUse(hold.prefill, outcome, now)
-    if (outcome === 'ok' && tookMs > 0) {
-      const rate = hold.ask.promptTokens / tookMs
-      this.promptTokensPerMs += (rate - this.promptTokensPerMs) * RATE_WEIGHT
-    }
+    if (outcome === 'ok' && tookMs > 0) this.book.learnReading(hold.ask.promptTokens, tookMs)
     this.placeWaiting(now)
   }
 
@@ -120,33 +111,22 @@
 
   /** The request has ended at its decode engine, having made some tokens there. */
   release(request: string, outcome: UseOutcome, madeTokens: number, now: Millis): void {
-    const hold = this.holds.get(request)
+    const hold = this.book.get(request)
     if (hold === undefined) return
-    this.holds.delete(request)
+    this.book.remove(request)
     this.noteUse(hold.decode, outcome, now)
-    if (outcome === 'ok' && madeTokens > 0) this.learn(hold, madeTokens, now)
+    if (outcome === 'ok' && madeTokens > 0) this.book.learnAnswer(hold, madeTokens, now)
     this.placeWaiting(now)
   }
 
   /** Takes what an entry says it holds: adopts what is not known here, drops what it no longer names. */
   adopt(entry: string, reported: ReportedHold[], now: Millis): void {
-    const named = new Set(reported.map((one) => one.ask.request))
-    for (const [request, hold] of this.holds) {
-      const isDropped =
-        hold.ask.entry === entry && !named.has(request) && now - hold.placedAt > UNNAMED_HOLD_MS
-      if (isDropped) this.holds.delete(request)
-    }
-    for (const one of reported) {
-      if (this.holds.has(one.ask.request)) continue
-      const decodingAt = one.decodingForMs === undefined ? undefined : now - one.decodingForMs
-      const { ask, prefill, decode } = one
-      this.holds.set(ask.request, { ask, prefill, decode, placedAt: now - one.ageMs, decodingAt })
-    }
+    this.book.adopt(entry, reported, now)
   }
 
   /** Drops what an entry held that is gone. */
   dropEntry(entry: string): void {
-    for (const [request, hold] of this.holds) if (hold.ask.entry === entry) this.holds.delete(request)
+    this.book.dropEntry(entry)
     this.waiting = this.waiting.filter((one) => one.ask.entry !== entry)
   }
 
@@ -164,41 +144,33 @@
     const engine = this.options.engine(service)
     const meter = this.demand.get(service)
     if (engine === undefined || meter?.isSure(now) !== true) return undefined
-    if ([...this.changing.values()].some((until) => until > now)) return undefined
     const staged = this.options
       .endpoints()
       .filter((one) => one.service === service && one.state === 'ready' && one.stage !== undefined)
       .filter((one) => this.health.isSound(one.id, now))
-      .map(({ id, stage }) => ({ id, stage: stage!, uses: this.usesOf(id) }))
+      .map((one) => this.toStaged(one, now))
     return planStages(staged, meter.need(engine.kvTokens, now))
   }
 
-  /** Gives an engine no work while it changes its part. */
-  noteChanging(id: InstanceId, forMs: Millis, now: Millis): void {
-    this.changing.set(id, now + forMs)
+  /** Gives an engine no work while it changes its part, or is left alone after it refused to. */
+  noteChanging(id: InstanceId, to: Stage, forMs: Millis, now: Millis): void {
+    this.changing.set(id, { to, until: now + forMs })
   }
 
-  isChanging(id: InstanceId, now: Millis): boolean {
-    return (this.changing.get(id) ?? 0) > now
+  private toStaged(endpoint: RegisteredEndpoint, now: Millis): StagedEngine {
+    const isChanging = this.isChanging(endpoint.id, now)
+    const stage = isChanging ? this.changing.get(endpoint.id)!.to : endpoint.stage!
+    return { id: endpoint.id, stage, uses: this.book.usesOf(endpoint.id), isChanging }
   }
 
-  private usesOf(id: InstanceId): number {
-    return [...this.holds.values()].filter((hold) => hold.decode === id || hold.prefill === id).length
+  isChanging(id: InstanceId, now: Millis): boolean {
+    return (this.changing.get(id)?.until ?? 0) > now
   }
 
   private noteDemand(ask: PlaceAsk, now: Millis): void {
     const meter = this.demand.get(ask.service) ?? new DemandMeter()
     this.demand.set(ask.service, meter)
-    const prior = this.forecast.expect(ask.className, ask.hintTokens, ask.mostTokens)
-    const length = Math.min(ask.mostTokens, Math.exp(prior.mu + prior.sigma ** 2 / 2))
-    const tokenMs = (ask.promptTokens + length / 2) * length * this.meanMsPerToken()
-    meter.note(ask.promptTokens / this.promptTokensPerMs, tokenMs, now)
-  }
-
-  private meanMsPerToken(): Millis {
-    const rates = [...this.msPerToken.values()]
-    if (rates.length === 0) return FIRST_MS_PER_TOKEN
-    return rates.reduce((sum, rate) => sum + rate, 0) / rates.length
+    meter.note(this.book.readingMs(ask), this.book.tokenMs(ask), now)
   }
 
   private refuseAtOnce(ask: PlaceAsk): PlaceDecision | undefined {
@@ -218,26 +190,65 @@
   private placeWaiting(now: Millis): void {
     if (this.waiting.length === 0) return
     const left: Waiting[] = []
-    for (const one of this.waiting) {
-      const placed = this.tryPlace(one.ask, now)
+    for (const one of waitingOrder(this.waiting)) {
+      const placed = this.tryPlace(one, now)
       if (placed === undefined) left.push(one)
       else one.resolve(placed)
     }
     this.waiting = left
   }
 
-  private tryPlace(ask: PlaceAsk, now: Millis): Placed | undefined {
+  private tryPlace(waiting: Waiting, now: Millis): Placed | undefined {
+    const { ask } = waiting
     const engine = this.options.engine(ask.service)
     if (engine === undefined) return undefined
     const decode = this.chooseDecode(ask, engine, now)
     if (decode === undefined) return undefined
+    const reader = this.chooseReader(waiting, decode, now)
+    if (reader === undefined) return undefined
+    if (reader !== 'decode') return this.hold(ask, decode, now, reader)
+    if (ask.isPrefilled) return this.hold(ask, decode, now)
+    this.readsItself.set(decode.id, now)
+    return this.hold(ask, decode, now + this.book.readingMs(ask) * OWN_READING_FACTOR)
+  }
+
+  /** Takes a place; `decodesAt` lies ahead where the decode engine reads the prompt itself. */
+  private hold(
+    ask: PlaceAsk,
+    decode: RegisteredEndpoint,
+    decodesAt: Millis,
+    prefill?: RegisteredEndpoint,
+  ): Placed {
+    const decodingAt = prefill === undefined ? decodesAt : undefined
+    this.book.add({
+      ask,
+      prefill: prefill?.id,
+      decode: decode.id,
+      placedAt: decodesAt,
+      decodingAt,
+    })
+    return { type: 'placed', prefill: prefill?.id, decode: decode.id }
+  }
+
+  /** Who reads the prompt, so that the request is not late for it; undefined where it has to wait. */
+  private chooseReader(waiting: Waiting, decode: RegisteredEndpoint, now: Millis): Reader | undefined {
+    const { ask, since } = waiting
     const readers = ask.isPrefilled ? [] : this.engines(ask, 'prefill', now)
+    if (readers.length === 0) return 'decode'
     const free = readers.filter((endpoint) => !this.health.isFull(endpoint.id, now))
-    if (readers.length > 0 && free.length === 0) return undefined
-    const prefill = this.soonest(free, decode.zone)
-    const decodingAt = ask.isPrefilled ? now : undefined
-    this.holds.set(ask.request, { ask, prefill: prefill?.id, decode: decode.id, placedAt: now, decodingAt })
-    return { type: 'placed', prefill: prefill?.id, decode: decode.id }
+    const soonest = this.soonest(free, decode.zone)
+    // Engines that have just refused are back in a moment.
+    if (soonest === undefined) return undefined
+    const left = isInTime(ask) ? ask.targetMs - (now - since) : LATE_READING_MS
+    const readingMs = this.book.readingMs(ask)
+    if (soonest.wait + readingMs + START_MS <= left) return soonest.endpoint
+    const isTime = readingMs * OWN_READING_FACTOR + START_MS <= left
+    return isInTime(ask) && isTime && this.mayReadItself(decode.id, now) ? 'decode' : undefined
+  }
+
+  /** Reading at a decode engine holds up what it makes, so that it must not come too often. */
+  private mayReadItself(id: InstanceId, now: Millis): boolean {
+    return now - (this.readsItself.get(id) ?? -Infinity) >= OWN_READING_PAUSE_MS
   }
 
   /** The decode engine whose memory to come is the least filled with the request, where it fits at all. */
@@ -248,22 +259,22 @@
       .filter((endpoint) => !this.health.isFull(endpoint.id, now))
       .map((endpoint) => ({
         endpoint,
-        peak: this.peakWith(ask, endpoint.id, now),
-        count: this.countAt(endpoint.id),
+        peak: this.book.peakWith(ask, endpoint.id, now),
+        count: this.book.countAt(endpoint.id),
       }))
       .filter(({ peak, count }) => count < engine.slots && (peak <= engine.kvTokens * share || count === 0))
     fitting.sort((left, right) => left.peak - right.peak)
     return fitting[0]?.endpoint
   }
 
-  /** The prefill engine that has read a prompt first, where its memory is near. */
-  private soonest(readers: RegisteredEndpoint[], zone: string): RegisteredEndpoint | undefined {
+  /** The prefill engine that comes to a prompt first, where its memory is near. */
+  private soonest(readers: RegisteredEndpoint[], zone: string) {
     const waits = readers.map((endpoint) => {
       const away = endpoint.zone === zone ? 0 : OTHER_ZONE_MS
-      return { endpoint, wait: this.prefillWait(endpoint.id) + away }
+      return { endpoint, wait: this.book.prefillWait(endpoint.id) + away }
     })
     waits.sort((left, right) => left.wait - right.wait)
-    return waits[0]?.endpoint
+    return waits[0]
   }
 
   private registered(service: string, stage: Stage): RegisteredEndpoint[] {
@@ -281,61 +292,6 @@
     const sound = fitting.filter((one) => this.health.isSound(one.id, now))
     return sound.length > 0 || stage === 'prefill' ? sound : fitting
   }
-
-  private holdsAt(id: InstanceId): Hold[] {
-    return [...this.holds.values()].filter((hold) => hold.decode === id)
-  }
-
-  private countAt(id: InstanceId): number {
-    return this.holdsAt(id).length
-  }
-
-  private peakWith(ask: PlaceAsk, id: InstanceId, now: Millis): number {
-    const growing = this.holdsAt(id).map((hold) => this.forecastHold(hold, now))
-    growing.push(this.forecastAsk(ask, 0))
-    return peakMemory(growing)
-  }
-
-  private forecastHold(hold: Hold, now: Millis): Growing {
-    const rate = this.msPerToken.get(hold.decode) ?? FIRST_MS_PER_TOKEN
-    const made = hold.decodingAt === undefined ? 0 : Math.max(0, now - hold.decodingAt) / rate
-    return this.forecastAsk(hold.ask, made)
-  }
-
-  private forecastAsk(ask: PlaceAsk, madeUnbound: number): Growing {
-    const made = Math.min(madeUnbound, ask.mostTokens)
-    const prior = this.forecast.expect(ask.className, ask.hintTokens, ask.mostTokens)
-    const length = lengthQuantile(prior, made, ask.mostTokens, this.tuning.lengthCertainty)
-    return { held: ask.promptTokens + made, toCome: Math.max(0, length - made) }
-  }
-
-  /** How long a prompt waits at a prefill engine until it is read, in milliseconds. */
-  private prefillWait(id: InstanceId): Millis {
-    const ahead = [...this.holds.values()].filter(
-      (hold) => hold.prefill === id && hold.decodingAt === undefined,
-    )
-    const tokens = ahead.reduce((sum, hold) => sum + hold.ask.promptTokens, 0)
-    return tokens / this.promptTokensPerMs + PREFILL_MARGIN_MS
-  }
-
-  private learn(hold: Hold, madeTokens: number, now: Millis): void {
-    this.forecast.learn(hold.ask.className, hold.ask.hintTokens, madeTokens)
-    if (hold.decodingAt === undefined) return
-    const rate = (now - hold.decodingAt) / madeTokens
-    const old = this.msPerToken.get(hold.decode) ?? rate
-    this.msPerToken.set(hold.decode, old + (rate - old) * RATE_WEIGHT)
-  }
-}
-
-function isInTime(ask: PlaceAsk): boolean {
-  return ask.targetMs > 0
-}
-
-/** Those that can still be in time first, then by rank, then those that asked first. */
-function moreUrgent(left: Waiting, right: Waiting): number {
-  const late = Number(!isInTime(left.ask)) - Number(!isInTime(right.ask))
-  if (left.ask.isPrefilled !== right.ask.isPrefilled) return left.ask.isPrefilled ? -1 : 1
-  return late || left.ask.priority - right.ask.priority || left.since - right.since
 }
 
 function refused(reason: string, retryAfterMs: Millis): PlaceDecision {
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -1,5 +1,5 @@
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
-import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import { ForkstageError } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
@@ -78,8 +78,8 @@
   }
 
   /** Gives an engine no work while it changes its part. */
-  noteChanging(id: InstanceId, forMs: Millis): void {
-    this.allocator.noteChanging(id, forMs, this.options.clock.now())
+  noteChanging(id: InstanceId, to: Stage, forMs: Millis): void {
+    this.allocator.noteChanging(id, to, forMs, this.options.clock.now())
   }
 
   isChanging(id: InstanceId): boolean {
--- a/placement/allocator/src/demandMeter.ts
+++ b/placement/allocator/src/demandMeter.ts
@@ -4,7 +4,7 @@
 /** The time over which demand is averaged: longer than a change of an engine's part takes. */
 const MEMORY_MS = 8_000
 /** A few requests close together say nothing yet. */
-const SURE_AFTER_MS = 4_000
+const SURE_AFTER_MS = 2_000
 /** How full an engine's memory can be kept without putting requests back. */
 const USABLE_MEMORY = 0.8
 
--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -6,6 +6,8 @@
   stage: Stage
   /** Requests that run or are read there. */
   uses: number
+  /** Whether it is on its way to `stage` and does not work yet. */
+  isChanging: boolean
 }
 
 /** What a service's engines have to carry, in engines: how many each half would keep busy. */
@@ -18,6 +20,10 @@
 export interface StageChange {
   id: InstanceId
   stage: Stage
+  /** What decided it. */
+  need: StageNeed
+  /** Engines of each half before the change. */
+  have: StageNeed
 }
 
 /** The fuller half must be at least this full before an engine changes its part. */
@@ -38,8 +44,12 @@
   const toPrefill = decode.length > 1 ? fullest(need, prefill.length + 1, decode.length - 1) : Infinity
   if (Math.min(toDecode, toPrefill) > now * WORTHWHILE) return undefined
   const from = toDecode <= toPrefill ? prefill : decode
-  const freest = [...from].sort((left, right) => left.uses - right.uses)[0]!
-  return { id: freest.id, stage: toDecode <= toPrefill ? 'decode' : 'prefill' }
+  const working = from.filter((engine) => !engine.isChanging)
+  // What changes already counts where it goes; but a half is never left without an engine that works.
+  if (working.length < 2) return undefined
+  const freest = working.sort((left, right) => left.uses - right.uses)[0]!
+  const have = { prefill: prefill.length, decode: decode.length }
+  return { id: freest.id, stage: toDecode <= toPrefill ? 'decode' : 'prefill', need, have }
 }
 
 function fullest(need: StageNeed, prefill: number, decode: number): number {
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -137,6 +137,15 @@
     expect(decisions.get('one')).toEqual({ type: 'placed', prefill: undefined, decode: 'd1' })
   })
 
+  it('does not queue a prompt where it would be late: the decode engine reads one, the next waits', () => {
+    const { place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    for (const name of ['a', 'b', 'c', 'd', 'e'])
+      place(ask(name, { promptTokens: 1_000, targetMs: 150, hintTokens: 10 }))
+    expect(
+      [...decisions.values()].map((decision) => (decision.type === 'placed' ? decision.prefill : '')),
+    ).toEqual(['p1', 'p1', 'p1', undefined])
+  })
+
   it('chooses the prefill engine near the memory that the prompt goes to', () => {
     const endpoints = [
       engine('p1', 'prefill', { zone: 'z1' }),
@@ -157,7 +166,7 @@
     } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
     const held = ask('before', { promptTokens: 7_000 })
     allocator.adopt('e1', [{ ask: held, decode: 'd1', ageMs: 100, decodingForMs: 50 }], 1_000)
-    place(ask('after', { promptTokens: 7_000, holdMs: 9_000 }), 1_000)
+    place(ask('after', { promptTokens: 7_000, holdMs: 9_000, targetMs: 9_000 }), 1_000)
     expect(decisions.has('after')).toBe(false)
     allocator.adopt('e1', [], 2_500)
     allocator.tick(2_500)
@@ -185,7 +194,7 @@
     for (let index = 40; index < 240; index += 1) place(ask(`r${index}`, { holdMs: 1 }), 8_000 + index)
     const change = allocator.planStage('s', 8_300)
     expect(change?.stage).toBe('decode')
-    allocator.noteChanging(change!.id, 6_000, 8_300)
+    allocator.noteChanging(change!.id, change!.stage, 6_000, 8_300)
     expect(allocator.planStage('s', 8_400)).toBeUndefined()
     expect(allocator.isChanging(change!.id, 8_400)).toBe(true)
   })
--- a/placement/allocator/test/forecast.test.ts
+++ b/placement/allocator/test/forecast.test.ts
@@ -78,11 +78,13 @@
       id: `p${index}`,
       stage: 'prefill' as const,
       uses: index,
+      isChanging: false,
     })),
     ...Array.from({ length: decode }, (_, index) => ({
       id: `d${index}`,
       stage: 'decode' as const,
       uses: index,
+      isChanging: false,
     })),
   ]
 
@@ -91,8 +93,23 @@
   })
 
   it('moves the least used engine from the emptier to the fuller half', () => {
-    expect(planStages(engines(2, 2), { prefill: 0.6, decode: 2.2 })).toEqual({ id: 'p0', stage: 'decode' })
-    expect(planStages(engines(1, 5), { prefill: 1.5, decode: 2 })).toEqual({ id: 'd0', stage: 'prefill' })
+    expect(planStages(engines(2, 2), { prefill: 0.6, decode: 2.2 })).toMatchObject({
+      id: 'p0',
+      stage: 'decode',
+    })
+    expect(planStages(engines(1, 5), { prefill: 1.5, decode: 2 })).toMatchObject({
+      id: 'd0',
+      stage: 'prefill',
+    })
+  })
+
+  it('counts what changes already where it goes, and never leaves a half without an engine that works', () => {
+    const [first, ...rest] = engines(3, 1)
+    const onItsWay = [{ ...first!, stage: 'decode' as const, isChanging: true }, ...rest]
+    expect(planStages(onItsWay, { prefill: 0.6, decode: 3.3 })).toMatchObject({ id: 'p1', stage: 'decode' })
+    expect(planStages(onItsWay, { prefill: 0.9, decode: 1.2 })).toBeUndefined()
+    const back = [{ ...first!, isChanging: true }, ...rest.slice(1)]
+    expect(planStages(back, { prefill: 0.2, decode: 3.3 })).toBeUndefined()
   })
 
   it('changes nothing where both halves are full, and never empties one', () => {
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -49,6 +49,13 @@
   })
   .prefault({})
 
+const ordersSection = z
+  .strictObject({
+    /** How long after one machine's order another must not order, in milliseconds. */
+    lease_ms: duration(3_000),
+  })
+  .prefault({})
+
 const retrySection = z
   .strictObject({
     /** Second sendings allowed for each request, over all entries. */
@@ -72,6 +79,7 @@
   watch: watchSection,
   stop: stopSection,
   retry: retrySection,
+  orders: ordersSection,
   log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') }).prefault({}),
 })
 
