--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -1,7 +1,7 @@
 import { AllocatorService } from '@forkstage/allocator'
 import { Directory } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
-import { GroupClient, GroupHost } from '@forkstage/group'
+import { GroupClient, GroupHost, type ReplicaStatus } from '@forkstage/group'
 import { MembershipKeeper } from '@forkstage/keeper'
 import { startPeerServer, type PeerMethod, type PeerServer } from '@forkstage/peer-rpc'
 import { RouteBook } from '@forkstage/routes'
@@ -135,6 +135,11 @@
     this.orders.start()
   }
 
+  /** This machine's place in the group, once it has one. */
+  status(): ReplicaStatus | undefined {
+    return this.host.replica?.status()
+  }
+
   /** Takes changed settings: new seeds to begin with. */
   reload(settings: FleetSettings): void {
     this.basics.settings = settings
--- /dev/null
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -0,0 +1,220 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { createServer, type Server } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import got from 'got'
+import type { GatewayWire } from '@forkstage/gateway'
+import { parseFleetSettings } from '@forkstage/fleet-settings'
+import type { RouteSheet } from '@forkstage/routes'
+import { ControlMachine, createMachineBasics, EntryMachine, type ControlWire } from '../src'
+
+/** The formats of no deployment at all. */
+export const CONTROL_WIRE: ControlWire = {
+  sheetPath: '/sheet',
+  registrationPath: '/endpoints/:id',
+  readSheet: (text) => {
+    try {
+      return JSON.parse(text) as RouteSheet
+    } catch {
+      return undefined
+    }
+  },
+  readRegistration: (id, text) => ({ ...JSON.parse(text), id }),
+  registrationAnswer: () => ({}),
+  reportCall: () => ({ method: 'GET', path: '/report', rawHeaders: [], body: Buffer.alloc(0) }),
+  readReport: () => undefined,
+  stageOrderCall: () => ({ method: 'POST', path: '/order', rawHeaders: [], body: Buffer.alloc(0) }),
+}
+
+const GATEWAY_WIRE: GatewayWire = {
+  headers: {
+    requestId: 'x-id',
+    deadlineMs: 'x-deadline',
+    lastEventId: 'last-event-id',
+    model: 'x-model',
+    tokenCounts: 'x-tokens',
+    promptParts: 'x-parts',
+    lengthHint: 'x-hint',
+    notExecuted: 'x-not-run',
+    stamp: 'x-stamp',
+    instance: 'x-instance',
+    expectInstance: 'x-expect',
+    stage: 'x-stage',
+    kvSource: 'x-kv-from',
+  },
+  reserved: [],
+  prefillStage: 'read',
+  readinessPath: '/ready',
+  readTokenCounts: () => ({ prompt: 1, most: 1 }),
+  readPromptParts: () => [],
+  readPrefillAnswer: () => undefined,
+  kvSource: (address, handle) => `${address}#${handle}`,
+  releaseCall: () => ({ method: 'DELETE', path: '/' }),
+}
+
+/** A route sheet with one route to one plain service. */
+export function sheet(version: number, prefix = '/p/'): RouteSheet {
+  const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
+  const shares = [{ service: 'plain', weight: 1 }]
+  const times = { timeoutMs: 3_000, targetMs: 500, attempts: 1, priority: 1 }
+  const route = {
+    name: 'r',
+    host: 'h.example',
+    prefix,
+    kind: 'safe' as const,
+    shares,
+    resumable: false,
+    ...times,
+  }
+  return { version, routes: [route], services: [{ name: 'plain', maxConnections: 10 }], limits }
+}
+
+/** Waits until a condition holds. */
+export async function until(what: string, holds: () => Promise<boolean> | boolean): Promise<void> {
+  const end = Date.now() + 60_000
+  for (;;) {
+    if (await Promise.resolve(holds()).catch(() => false)) return
+    if (Date.now() > end) throw new Error(`this never came: ${what}`)
+    await new Promise((resolve) => setTimeout(resolve, 20))
+  }
+}
+
+const SEEDS = [1, 2, 3]
+
+/** Control machines at 127.0.0.1, .2 and so on, which share ports, and one entry at 127.0.0.100. */
+export class FleetWorld {
+  private readonly folder = mkdtempSync(join(tmpdir(), 'forkstage-fleet-'))
+  readonly control = new Map<number, ControlMachine>()
+  private entry: EntryMachine | undefined
+  private workers: Server[] = []
+
+  constructor(private readonly port: number) {}
+
+  folderOf(number: number): string {
+    return join(this.folder, String(number))
+  }
+
+  operators(number: number): string {
+    return `http://127.0.0.${number}:${this.port + 1}`
+  }
+
+  get callers(): string {
+    return `http://127.0.0.100:${this.port + 2}`
+  }
+
+  async startControl(number: number, found = true): Promise<ControlMachine> {
+    const machine = new ControlMachine(this.basics(number, 'control', found), CONTROL_WIRE)
+    await machine.start()
+    this.control.set(number, machine)
+    return machine
+  }
+
+  async startEntry(): Promise<EntryMachine> {
+    const wire = { gateway: GATEWAY_WIRE, readSheet: CONTROL_WIRE.readSheet }
+    this.entry = new EntryMachine(this.basics(100, 'entry', false), wire)
+    await this.entry.start()
+    return this.entry
+  }
+
+  async stopControl(number: number): Promise<void> {
+    await this.control.get(number)?.stop()
+    this.control.delete(number)
+  }
+
+  loseDisk(number: number): void {
+    rmSync(this.folderOf(number), { recursive: true, force: true })
+  }
+
+  /** A worker of the plain service that answers with its name. */
+  async startWorker(name: string): Promise<{ address: string; runs: () => number }> {
+    let runs = 0
+    const server = createServer((request, response) => {
+      runs += 1
+      response.writeHead(200, { 'x-id': String(request.headers['x-id']), 'x-stamp': 's' })
+      response.end(name)
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    this.workers.push(server)
+    return { address: `127.0.0.1:${(server.address() as { port: number }).port}`, runs: () => runs }
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.control.keys()].map((number) => this.stopControl(number)))
+    await this.entry?.stop()
+    this.workers.forEach((worker) => worker.close())
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  async put(number: number, text: string): Promise<number> {
+    const url = `${this.operators(number)}/sheet`
+    return (
+      await got.put(url, {
+        body: text,
+        throwHttpErrors: false,
+        retry: { limit: 0 },
+        timeout: { request: 4_000 },
+      })
+    ).statusCode
+  }
+
+  async read(number: number): Promise<{ status: number; text: string }> {
+    const url = `${this.operators(number)}/sheet`
+    const response = await got(url, {
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+      timeout: { request: 4_000 },
+    })
+    return { status: response.statusCode, text: response.body }
+  }
+
+  async register(number: number, id: string, fields: object): Promise<number> {
+    const json = { service: 'plain', zone: 'z', slots: 4, state: 'ready', models: [], sequence: 1, ...fields }
+    const url = `${this.operators(number)}/endpoints/${id}`
+    return (await got.put(url, { json, throwHttpErrors: false, retry: { limit: 0 } })).statusCode
+  }
+
+  async leave(number: number, id: string): Promise<number> {
+    const url = `${this.operators(number)}/endpoints/${id}`
+    return (await got.delete(url, { throwHttpErrors: false, retry: { limit: 0 } })).statusCode
+  }
+
+  async call(path: string): Promise<{ status: number; text: string }> {
+    const headers = { host: 'h.example', 'x-id': `r${Math.random()}`, 'x-deadline': '3000' }
+    const response = await got(`${this.callers}${path}`, {
+      headers,
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+    })
+    return { status: response.statusCode, text: response.body }
+  }
+
+  private basics(number: number, role: 'entry' | 'control', found: boolean) {
+    const ip = `127.0.0.${number}`
+    const listen =
+      role === 'control'
+        ? `operators = "${ip}:${this.port + 1}"`
+        : `callers = "${ip}:${this.port + 2}"\nreadiness = "${ip}:${this.port + 3}"`
+    const text = `
+[machine]
+name = "${role}-${number}"
+role = "${role}"
+zone = "z"
+${role === 'control' ? `data_folder = "${this.folderOf(number)}"` : ''}
+[listen]
+${listen}
+peers = "${ip}:${this.port}"
+[peers]
+shared_key = "a key for the tests of the fleet"
+[control]
+seeds = [${SEEDS.map((seed) => `"127.0.0.${seed}:1"`).join(', ')}]
+found = ${found}
+losses = 1
+[stop]
+grace_s = 1
+unready_ms = 1
+[log]
+level = "error"
+`
+    return createMachineBasics(parseFleetSettings(text, { source: 'test' }))
+  }
+}
--- a/replication/group/src/groupHost.ts
+++ b/replication/group/src/groupHost.ts
@@ -129,7 +129,8 @@
 
   async stop(): Promise<void> {
     this.stopped = true
-    await this.replicaOrNone?.stop()
+    if (this.replicaOrNone !== undefined) await this.replicaOrNone.stop()
+    else await this.opened?.storage.close().catch(() => undefined)
   }
 
   private identity(): IdentityAnswer {
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -12,6 +12,8 @@
   tokens: number
   /** A moving mean of how long answers take, in milliseconds. */
   meanMs: Millis
+  /** When an answer last came. */
+  answeredAt: Millis
   /** Failures in a row. */
   failures: number
   /** Gets no work before this time. */
@@ -28,6 +30,7 @@
 const FAILURES_TO_EJECT = 2
 const MEAN_WEIGHT = 0.2
 const FIRST_MEAN_MS = 50
+const MEAN_LASTS_MS = 2_000
 
 /** Options of {@link EndpointPool}. */
 export interface EndpointPoolOptions {
@@ -73,7 +76,8 @@
 
   /** The instance with the least expected wait, one of this zone among equals. */
   leastLoaded(candidates: PooledEndpoint[]): PooledEndpoint | undefined {
-    const scored = candidates.map((one) => ({ one, score: this.score(one) }))
+    const fastest = Math.min(...candidates.map((one) => one.meanMs))
+    const scored = candidates.map((one) => ({ one, score: this.score(one, fastest) }))
     scored.sort((left, right) => left.score - right.score)
     return scored[0]?.one
   }
@@ -98,6 +102,7 @@
     if (outcome === 'ok') {
       one.failures = 0
       one.meanMs += (tookMs - one.meanMs) * MEAN_WEIGHT
+      one.answeredAt = this.options.clock.now()
     }
     if (outcome === 'other-instance') one.isGone = true
     if (outcome === 'failed' || outcome === 'unreachable') this.noteFailure(one, outcome)
@@ -111,8 +116,11 @@
     this.options.logger.warn('endpoint.ejected', { endpoint: one.endpoint.id, reason, forMs })
   }
 
-  private score(one: PooledEndpoint): number {
-    const wait = ((one.inFlight + 1) * one.meanMs) / Math.max(1, one.endpoint.slots)
+  /** What was seen long ago says little: an endpoint that was not used lately is tried again. */
+  private score(one: PooledEndpoint, fastest: Millis): number {
+    const isOld = this.options.clock.now() - one.answeredAt > MEAN_LASTS_MS
+    const meanMs = isOld ? fastest : one.meanMs
+    const wait = ((one.inFlight + 1) * meanMs) / Math.max(1, one.endpoint.slots)
     const away = one.endpoint.zone === this.options.zone ? 1 : AWAY_FACTOR
     return wait * away * (1 + this.options.random() * DRAW)
   }
@@ -129,6 +137,7 @@
       inFlight: 0,
       tokens: 0,
       meanMs: FIRST_MEAN_MS,
+      answeredAt: -Infinity,
       failures: 0,
       ejectedUntil: 0,
       isGone: false,
