--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -37,12 +37,15 @@
 const IDLE_ROOM_MS = 2_000
 const CHECK_CONNECTIONS_MS = 1_000
 const NOT_YET_MS = 500
+const ELSEWHERE_MS = 50
 
 /** The listener for callers: finds the route of each request and has it relayed. */
 export class Ingress {
   readonly server: Server
   private readonly sockets = new Set<Socket>()
   private leaving = false
+  /** Takes no more requests, also not on connections that are still open. */
+  private isClosed = false
   private readonly deadlines = new FirstDeadlines()
   /** Requests being served. */
   running = 0
@@ -74,6 +77,7 @@
 
   /** Stops listening and closes what carries no request. */
   close(): void {
+    this.isClosed = true
     this.server.close()
     this.server.closeIdleConnections()
   }
@@ -93,6 +97,10 @@
     this.running += 1
     response.sendDate = false
     if (this.leaving) response.setHeader('Connection', 'close')
+    // An answer that began before said nothing of it, so that its caller would keep the connection.
+    response.on('finish', () => {
+      if (this.leaving) incoming.socket.destroySoon()
+    })
     try {
       await this.serveOne(incoming, response)
     } finally {
@@ -117,6 +125,7 @@
   }
 
   private async route(request: CallerRequest): Promise<RelayResult & { route: string }> {
+    if (this.isClosed) return { route: '', ...answerLeaving(request) }
     const index = this.options.routes()
     if (index === undefined) return { route: '', ...answerNotYet(request) }
     const route = index.find(request.host, request.path)
@@ -166,6 +175,17 @@
   return { status: 503, outcome: 'no sheet yet', sends: [] }
 }
 
+function answerLeaving(request: CallerRequest): RelayResult {
+  sendOwnAnswer(request.response, {
+    status: 503,
+    code: 'FORKSTAGE_LEAVING',
+    message: 'This entry is stopping; another one takes the request.',
+    retryAfterMs: ELSEWHERE_MS,
+    close: true,
+  })
+  return { status: 503, outcome: 'leaving', sends: [] }
+}
+
 function answerNoRoute(request: CallerRequest): RelayResult {
   sendOwnAnswer(request.response, {
     status: 404,
--- /dev/null
+++ b/request/gateway/test/leaving.test.ts
@@ -0,0 +1,81 @@
+import { Agent, request as httpRequest } from 'node:http'
+import { afterEach, describe, expect, it } from 'vitest'
+import { FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
+import { GatewayWorld } from './gatewayWorld'
+
+const open: { stop(): unknown }[] = []
+afterEach(async () => void (await Promise.all(open.splice(0).map((each) => each.stop()))))
+
+/** An entry before a worker whose answers wait until they are let go. */
+async function start() {
+  const waiting: SeenRequest[] = []
+  const worker = await FakeWorker.start((request) => waiting.push(request))
+  const world = await GatewayWorld.start([{ address: worker.address }], [{ kind: 'unsafe' }])
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  open.push(world, worker, { stop: () => agent.destroy() })
+  const send = (id: string) =>
+    new Promise<{ status: number; connection?: string; reused: boolean }>((resolve, reject) => {
+      const request = httpRequest({
+        host: '127.0.0.1',
+        port: world.port,
+        path: '/p/',
+        agent,
+        headers: { host: 'h.example', 'x-id': id, 'x-deadline': '4000' },
+      })
+      request.on('error', reject)
+      request.on('response', (response) => {
+        response.resume()
+        const { connection } = response.headers
+        response.on('end', () =>
+          resolve({ status: response.statusCode!, connection, reused: request.reusedSocket }),
+        )
+      })
+      request.end()
+    })
+  const answerAll = () =>
+    waiting.splice(0).forEach((request) => request.socket.end(goodAnswer(request, 'ok')))
+  return { world, worker, send, answerAll, agent }
+}
+
+describe('an entry that leaves', () => {
+  it('keeps connections for the next request until then', async () => {
+    const { worker, send, answerAll } = await start()
+    const first = send('r1')
+    await worker.sees(1)
+    answerAll()
+    await first
+    const second = send('r2')
+    await worker.sees(2)
+    answerAll()
+    expect(await second).toMatchObject({ status: 200, reused: true })
+  })
+
+  it('finishes what it has begun and then closes the connection, though the answer had promised to keep it', async () => {
+    const { world, worker, send, answerAll, agent } = await start()
+    const running = send('r1')
+    await worker.sees(1)
+    world.ingress.leave()
+    world.ingress.close()
+    const closed = new Promise((resolve) => Object.values(agent.sockets)[0]![0]!.on('close', resolve))
+    answerAll()
+    expect(await running).toMatchObject({ status: 200 })
+    await closed
+  })
+
+  it('runs nothing that still arrives once it has closed, and says that another one will', async () => {
+    const { world, worker } = await start()
+    const early = world.open('/p/')
+    early.request.flushHeaders()
+    early.request.on('error', () => undefined)
+    await new Promise((resolve) => early.request.on('socket', (socket) => socket.once('connect', resolve)))
+    const taken = new Promise((resolve) => world.ingress.server.once('request', resolve))
+    world.ingress.leave()
+    early.request.end()
+    await taken
+    world.ingress.close()
+    const late = await early.answer
+    expect(late.status).toBe(503)
+    expect(Number(late.headers['retry-after'])).toBeGreaterThan(0)
+    expect(worker.seen).toHaveLength(0)
+  })
+})
