--- a/core/logger/src/createLogger.ts
+++ b/core/logger/src/createLogger.ts
@@ -1,5 +1,6 @@
 import './enableRoarr'
 import { ROARR, Roarr } from 'roarr'
+import type { LogBudget } from './logBudget'
 import type { LogEventName, LogEvents } from './logEvents'
 
 /** How urgent a line is. */
@@ -21,6 +22,8 @@
   level: LogLevel
   /** Receives each line without its line end; standard output where not given. */
   write?: (line: string) => void
+  /** Decides which lines are written; all are where not given. */
+  budget?: LogBudget
 }
 
 const LEVELS: LogLevel[] = ['debug', 'info', 'warn', 'error']
@@ -34,6 +37,9 @@
   const at = (level: LogLevel) => {
     if (LEVELS.indexOf(level) < least) return () => undefined
     return <Name extends LogEventName>(event: Name, fields: LogEvents[Name]) => {
+      if (options.budget?.take(event, level) === false) return
+      const counts = options.budget?.takeOmitted()
+      if (counts !== undefined) roarr.warn({ event: 'log.omitted', counts } as never, 'log.omitted')
       roarr[level]({ event, ...(fields as object) } as never, event)
     }
   }
--- a/core/logger/src/index.ts
+++ b/core/logger/src/index.ts
@@ -2,3 +2,5 @@
 export { createLogger, createSilentLogger } from './createLogger'
 export type { CreateLoggerOptions, Logger, LogLevel } from './createLogger'
 export type { LogEventName, LogEvents } from './logEvents'
+export { LogBudget } from './logBudget'
+export type { LogBudgetOptions } from './logBudget'
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -37,6 +37,7 @@
   'request.settled': { request: string; execution: string; status: number; tokens: number; ttftMs?: number }
   'request.released': { request: string; endpoint: string; confirmed: boolean }
   'invariant.broken': ErrorBody
+  'log.omitted': { counts: Record<string, number> }
   'control.lost': { peer: string; reason: string }
   'control.regained': { peer: string }
   'sheet.installed': { version: number; routes: number; services: number }
@@ -77,6 +78,7 @@
     status: number
     outcome: string
     tookMs: number
+    firstEventMs?: number
     sends: unknown[]
   }
   'peer.connected': { peer: string; box: string }
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -10,9 +10,12 @@
 import { ControlFollower, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
 import { createControlApp } from './controlApp'
 import type { ControlWire } from './controlWire'
+import { countBy } from './countBy'
+import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
 import type { MachineBasics } from './machineBasics'
 import { Registrar } from './registrar'
+import { serveMetrics } from './serveMetrics'
 import { SheetOffice } from './sheetOffice'
 import { StageOrders } from './stageOrders'
 
@@ -35,7 +38,8 @@
   private readonly allocator: AllocatorService
   private readonly orders: StageOrders
   private peerServer: PeerServer | undefined
-  private listener: Listener | undefined
+  private listeners: Listener[] = []
+  private readonly meters: FleetMeters
   private newest: SheetDocument | undefined
   private readonly book = new RouteBook()
 
@@ -110,6 +114,7 @@
       clock,
       logger,
     })
+    this.meters = this.createMeters()
     this.machine.onNewer = (document) => this.noteNewer(document)
   }
 
@@ -127,7 +132,10 @@
       registrar: this.registrar,
       logger,
     })
-    this.listener = await listenOn(app, settings.listen.operators!)
+    this.listeners = [
+      await listenOn(app, settings.listen.operators!),
+      ...(await serveMetrics(this.meters, settings.listen.metrics)),
+    ]
     void this.host.start()
     this.follower.start()
     this.keeper.start()
@@ -156,11 +164,28 @@
     this.orders.stop()
     this.follower.stop()
     await this.host.stop().catch(() => undefined)
-    this.listener?.close()
+    this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
   }
 
+  private createMeters(): FleetMeters {
+    const { logBudget } = this.basics
+    return new FleetMeters({
+      sheet_version: () => this.newest?.version ?? -1,
+      endpoints: () =>
+        countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
+      leads: () => Number(this.host.replica?.leads === true),
+      leader_known: () => Number(this.leader() !== undefined),
+      term: () => this.host.replica?.term ?? -1,
+      voters: () => this.host.replica?.config.voters.length ?? 0,
+      entries: () => this.hub.countEntries(),
+      places_taken: () => this.allocator.holdCount,
+      places_waited_for: () => this.allocator.waitingCount,
+      log_lines_omitted: () => logBudget.omittedTotal,
+    })
+  }
+
   private methods(): Record<string, PeerMethod> {
     return {
       ...this.host.methods(),
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -13,8 +13,11 @@
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
+import { countBy } from './countBy'
+import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
 import type { MachineBasics } from './machineBasics'
+import { serveMetrics } from './serveMetrics'
 
 const SECOND_MS = 1_000
 const READY = 200
@@ -41,6 +44,7 @@
   private readonly way: LeaderWay
   private peerServer: PeerServer | undefined
   private readonly ingress: Ingress
+  private readonly meters: FleetMeters
   private listeners: Listener[] = []
   private leaving = false
 
@@ -99,6 +103,16 @@
         logger,
       },
       routes: () => this.book.current,
+      onResult: (report) => this.meters.noteRequest(report),
+    })
+    this.meters = new FleetMeters({
+      sheet_version: () => this.book.version,
+      endpoints: () =>
+        countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
+      requests_running: () => this.ingress.running,
+      entries_known: () => this.follower.entries(),
+      leader_known: () => Number(this.follower.leader() !== undefined),
+      log_lines_omitted: () => basics.logBudget.omittedTotal,
     })
   }
 
@@ -122,6 +136,7 @@
       response.end()
     }, listen.readiness!)
     this.listeners = [readiness, await listenOn(this.ingress.server, listen.callers!)]
+    this.listeners.push(...(await serveMetrics(this.meters, listen.metrics)))
     this.follower.start()
     this.placer.start()
   }
--- /dev/null
+++ b/daemon/fleet/src/fleetMeters.ts
@@ -0,0 +1,90 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { RequestReport } from '@forkstage/gateway'
+
+const SECOND_MS = 1_000
+const LATENCY_BUCKETS = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.9, 1.5, 3, 5, 10]
+
+/** Values read when the counters are. */
+export type GaugeReader = () => number | Record<string, number>
+
+/** Counters and histograms of one machine. */
+export class FleetMeters {
+  private readonly registry = new Registry()
+  private readonly requests = this.counter('requests_total', 'Requests by status and outcome.', [
+    'status',
+    'outcome',
+  ])
+  private readonly sends = this.counter('sends_total', 'Sendings to endpoints by step and outcome.', [
+    'step',
+    'outcome',
+  ])
+  private readonly latency = new Histogram({
+    name: 'forkstage_request_seconds',
+    help: 'From the head of a request to the end of its answer.',
+    labelNames: ['kind'],
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  })
+  private readonly firstEvent = new Histogram({
+    name: 'forkstage_first_event_seconds',
+    help: 'From the head of a request to the first event of its stream.',
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  })
+
+  constructor(readers: Record<string, GaugeReader>) {
+    for (const [name, read] of Object.entries(readers)) this.gauge(name, read)
+    this.gauge('process_resident_bytes', () => process.memoryUsage.rss())
+    this.gauge('process_cpu_seconds', () => {
+      const { user, system } = process.cpuUsage()
+      return (user + system) / 1e6
+    })
+  }
+
+  /** Counts a request that has ended. */
+  noteRequest(report: RequestReport): void {
+    this.requests.inc({ status: String(report.status), outcome: outcomeClass(report.outcome) })
+    const isModel = report.sends.some((send) => send.step !== 'plain')
+    this.latency.observe({ kind: isModel ? 'model' : 'plain' }, report.tookMs / SECOND_MS)
+    if (report.firstEventMs !== undefined) this.firstEvent.observe(report.firstEventMs / SECOND_MS)
+    for (const { step, outcome } of report.sends) this.sends.inc({ step, outcome })
+  }
+
+  /** All figures as text. */
+  text(): Promise<string> {
+    return this.registry.metrics()
+  }
+
+  private counter<Label extends string>(name: string, help: string, labelNames: Label[]): Counter<Label> {
+    return new Counter({ name: `forkstage_${name}`, help, labelNames, registers: [this.registry] })
+  }
+
+  private gauge(name: string, read: GaugeReader): void {
+    new Gauge({
+      name: `forkstage_${name}`,
+      help: name.replaceAll('_', ' '),
+      labelNames: ['of'],
+      registers: [this.registry],
+      collect() {
+        const value = read()
+        if (typeof value === 'number') return this.set(value)
+        this.reset()
+        for (const [of, each] of Object.entries(value)) this.set({ of }, each)
+      },
+    })
+  }
+}
+
+/** Outcomes carry reasons of their own; a counter must not have one series for each. */
+function outcomeClass(outcome: string): string {
+  const KNOWN = [
+    'answered',
+    'caller gone',
+    'the time is up',
+    'no route',
+    'no sheet yet',
+    'leaving',
+    'no room in time',
+  ]
+  return KNOWN.includes(outcome) ? outcome : 'other'
+}
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -87,7 +87,8 @@
     return turned.filter((address) => address !== entry).slice(0, NEIGHBOURS)
   }
 
-  private countEntries(): number {
+  /** How many entries have asked lately. */
+  countEntries(): number {
     const since = this.options.clock.now() - ENTRY_COUNTS_MS
     for (const [entry, at] of this.entries) if (at < since) this.entries.delete(entry)
     return this.entries.size
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -57,6 +57,14 @@
     this.allocator = this.createAllocator()
   }
 
+  get holdCount(): number {
+    return this.allocator.holdCount
+  }
+
+  get waitingCount(): number {
+    return this.allocator.waitingCount
+  }
+
   methods(): Record<string, PeerMethod> {
     const now = () => this.options.clock.now()
     return {
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -151,7 +151,10 @@
     const { parts, onResult } = this.options
     const tookMs = Math.round(parts.clock.now() - request.arrivedAt)
     const report = { request: request.id, tookMs, ...result }
-    parts.logger.info('request.answered', report)
+    // What explains a failure must be the last to be left out of the log.
+    const isGood = result.status >= 200 && result.status < 500
+    if (isGood) parts.logger.info('request.answered', report)
+    else parts.logger.warn('request.answered', report)
     onResult?.(report)
   }
 }
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -32,6 +32,8 @@
   status: number
   outcome: string
   sends: SendRecord[]
+  /** From the head of the request to the first event of its stream. */
+  firstEventMs?: Millis
 }
 
 /** One request on its way: what is common to plain calls and streams. */
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -50,6 +50,7 @@
   private prefilled: Prefilled | undefined
   /** Events of the engine at work now. */
   private madeEvents = 0
+  private firstEventMs: Millis | undefined
 
   constructor(
     private readonly parts: RelayParts,
@@ -70,7 +71,7 @@
     cancelLimit()
     this.isOver = true
     this.releaseHandle()
-    return { ...result, sends: this.sends }
+    return { ...result, sends: this.sends, firstEventMs: this.firstEventMs }
   }
 
   private async tryEngines(): Promise<Omit<RelayResult, 'sends'>> {
@@ -229,6 +230,7 @@
 
   passEvents(head: AnswerHead, events: StreamEvent[]): void {
     this.madeEvents += events.length
+    this.firstEventMs ??= Math.round(this.parts.clock.now() - this.job.request.arrivedAt)
     const isFirst = this.head === undefined
     if (isFirst) this.begin(head)
     for (const event of events) {
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -20,7 +20,7 @@
   /** Where endpoints register and operators call; control machines only. */
   operators: address.optional(),
   peers: address,
-  /** Where counters are read; the machine's own address with the port after `peers` where not given. */
+  /** Where counters are read, as /metrics; nowhere if not given. */
   metrics: address.optional(),
 })
 
@@ -56,6 +56,14 @@
   })
   .prefault({})
 
+const logSection = z
+  .strictObject({
+    level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+    /** Lines of one event a second, warnings apart; what is left out is counted. */
+    lines_per_second: z.number().int().min(1).max(100_000).default(200),
+  })
+  .prefault({})
+
 const retrySection = z
   .strictObject({
     /** Second sendings allowed for each request, over all entries. */
@@ -80,7 +88,7 @@
   stop: stopSection,
   retry: retrySection,
   orders: ordersSection,
-  log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') }).prefault({}),
+  log: logSection,
 })
 
 /** Checked settings with every default filled in. */
