--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -147,7 +147,8 @@
     const staged = this.options
       .endpoints()
       .filter((one) => one.service === service && one.state === 'ready' && one.stage !== undefined)
-      .filter((one) => this.health.isSound(one.id, now))
+      // An engine that is out for a moment will be back before another has changed its part.
+      .filter((one) => !this.health.isGone(one.id) && !this.health.isLost(one.id))
       .map((one) => this.toStaged(one, now))
     return planStages(staged, meter.need(engine.kvTokens, now))
   }
--- a/placement/allocator/src/instanceHealth.ts
+++ b/placement/allocator/src/instanceHealth.ts
@@ -22,6 +22,7 @@
 const FIRST_EJECTION_MS = 1_500
 const LONGEST_EJECTION_MS = 8_000
 const AFTER_EJECTION = 0.3
+const EJECTIONS_UNTIL_LOST = 3
 
 /** What is believed of instances from how their uses ended. */
 export class InstanceHealth {
@@ -56,6 +57,11 @@
     return (this.known.get(id)?.fullUntil ?? 0) > now
   }
 
+  /** Whether an instance was out again and again without a good use between: more than a moment's trouble. */
+  isLost(id: InstanceId): boolean {
+    return (this.known.get(id)?.ejections ?? 0) >= EJECTIONS_UNTIL_LOST
+  }
+
   isGone(id: InstanceId): boolean {
     return this.known.get(id)?.isGone === true
   }
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -181,6 +181,14 @@
     expect(allocator.holdCount).toBe(1)
   })
 
+  it('does not turn a decode engine into a prefill engine because the only one is out for a moment', () => {
+    const endpoints = [engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')]
+    const { allocator, place } = world(endpoints)
+    for (let index = 0; index < 200; index += 1) place(ask(`r${index}`, { holdMs: 1 }), index * 20)
+    allocator.noteUse('p1', 'unreachable', 4_000)
+    expect(allocator.planStage('s', 4_100)?.stage).not.toBe('prefill')
+  })
+
   it('changes the part of an engine only once it has seen enough, and one at a time', () => {
     const endpoints = [engine('p1', 'prefill'), engine('p2', 'prefill'), engine('d1', 'decode')]
     const { allocator, place } = world(endpoints)
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -56,7 +56,10 @@
 
   end(end: ExchangeEnd): { attempt: Attempt; note: SendOutcome } {
     if (!end.complete && !end.sent)
-      return { attempt: { type: 'not-run', arrived: false, reason: end.reason }, note: 'unreachable' }
+      return {
+        attempt: { type: 'not-run', arrived: false, reason: end.reason },
+        note: end.refused ? 'unreachable' : 'failed',
+      }
     if (this.head !== undefined && this.verdict === 'other-instance')
       return {
         attempt: { type: 'not-run', arrived: true, reason: 'another instance' },
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -17,8 +17,11 @@
 /** How an exchange ended. */
 export type ExchangeEnd =
   | { complete: true }
-  /** `sent`: a byte may have reached the endpoint, so it may have run the request. */
-  | { complete: false; sent: boolean; reason: string }
+  /**
+   * `sent`: a byte may have reached the endpoint, so it may have run the request.
+   * `refused`: nobody is there; otherwise it may only be slow, or packets were lost.
+   */
+  | { complete: false; sent: boolean; refused: boolean; reason: string }
 
 /** One request to one endpoint. */
 export interface ExchangeOptions {
@@ -45,6 +48,8 @@
   resume(): void
 }
 
+const REFUSED = 'ECONNREFUSED'
+
 /**
  * Sends one request over a connection of its own. Nothing left over from an earlier answer can arrive on it,
  * no endpoint can have forgotten it, and what comes after the answer belongs to nobody.
@@ -61,8 +66,8 @@
     cancelConnect()
     options.onEnd(result)
   }
-  const fail = (reason: string) => {
-    end({ complete: false, sent, reason })
+  const fail = (reason: string, code?: string) => {
+    end({ complete: false, sent, refused: !sent && code === REFUSED, reason })
     request.destroy()
   }
   const request: ClientRequest = httpRequest({
@@ -82,7 +87,7 @@
   request.on('socket', (socket) => {
     socket.once('connect', () => (sent = true))
   })
-  request.on('error', (error) => fail(error.message))
+  request.on('error', (error) => fail(error.message, (error as NodeJS.ErrnoException).code))
   request.on('response', (incoming) => {
     answer = incoming
     readAnswer(incoming, options, { end, fail, isOver: () => ended })
@@ -92,7 +97,7 @@
   })
   request.end(body)
   return {
-    cancel: fail,
+    cancel: (reason) => fail(reason),
     pause: () => answer?.pause(),
     resume: () => answer?.resume(),
   }
--- a/request/gateway/src/exchangeWhole.ts
+++ b/request/gateway/src/exchangeWhole.ts
@@ -4,7 +4,7 @@
 export type WholeOutcome =
   | { type: 'answer'; head: AnswerHead; body: Buffer }
   /** `sent`: the endpoint may have run the request. */
-  | { type: 'failed'; sent: boolean; reason: string }
+  | { type: 'failed'; sent: boolean; refused: boolean; reason: string }
 
 /** Options of {@link exchangeWhole}. */
 export interface WholeOptions extends Omit<ExchangeOptions, 'onHead' | 'onData' | 'onEnd'> {
@@ -30,8 +30,8 @@
       onEnd: (end) => {
         if (end.complete && head !== undefined)
           return resolve({ type: 'answer', head, body: Buffer.concat(chunks) })
-        const reason = end.complete ? 'no head' : end.reason
-        resolve({ type: 'failed', sent: end.complete || end.sent, reason })
+        if (end.complete) return resolve({ type: 'failed', sent: true, refused: false, reason: 'no head' })
+        resolve({ type: 'failed', sent: end.sent, refused: end.refused, reason: end.reason })
       },
     })
     options.onOpen?.(exchange)
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -104,7 +104,11 @@
   private read(outcome: WholeOutcome, to: PooledEndpoint): { sending: Sending; note: SendOutcome } {
     const { wire } = this.parts
     if (outcome.type === 'failed') {
-      if (!outcome.sent) return { sending: { type: 'not-run', arrived: false }, note: 'unreachable' }
+      if (!outcome.sent)
+        return {
+          sending: { type: 'not-run', arrived: false },
+          note: outcome.refused ? 'unreachable' : 'failed',
+        }
       this.countRun()
       return { sending: { type: 'unknown', reason: outcome.reason }, note: 'failed' }
     }
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -172,7 +172,7 @@
   }
 
   private noteOfFailure(outcome: WholeOutcome, at: PooledEndpoint): SendOutcome {
-    if (outcome.type === 'failed') return outcome.sent ? 'failed' : 'unreachable'
+    if (outcome.type === 'failed') return outcome.refused ? 'unreachable' : 'failed'
     const verdict = this.judge(outcome.head, at.endpoint.id)
     if (verdict === 'other-instance') return verdict
     return verdict === 'not-run' ? 'full' : 'failed'
