--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -2,6 +2,7 @@
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
 import type { Millis } from '@forkstage/types'
+import { ConcurrencyLimit } from './concurrencyLimit'
 
 /** What this entry has seen of one instance. */
 export interface PooledEndpoint {
@@ -18,6 +19,8 @@
   failures: number
   /** Gets no work before this time. */
   ejectedUntil: Millis
+  /** How many plain requests this entry keeps there at once. */
+  limit: ConcurrencyLimit
   /** Whether another process was found at its address. */
   isGone: boolean
 }
@@ -140,6 +143,7 @@
       answeredAt: -Infinity,
       failures: 0,
       ejectedUntil: 0,
+      limit: new ConcurrencyLimit(endpoint.slots),
       isGone: false,
     })
   }
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -8,6 +8,7 @@
 import { relayPlain } from './plainRelay'
 import type { RelayParts, RelayResult } from './relayParts'
 import { relayStream } from './streamRelay'
+import { waitFor } from './waitFor'
 
 /** Options of {@link Ingress}. */
 export interface IngressOptions {
@@ -37,6 +38,7 @@
 const IDLE_ROOM_MS = 2_000
 const CHECK_CONNECTIONS_MS = 1_000
 const NOT_YET_MS = 500
+const WAIT_FOR_ROUTES_MS = 250
 const ELSEWHERE_MS = 50
 
 /** The listener for callers: finds the route of each request and has it relayed. */
@@ -126,7 +128,9 @@
 
   private async route(request: CallerRequest): Promise<RelayResult & { route: string }> {
     if (this.isClosed) return { route: '', ...answerLeaving(request) }
-    const index = this.options.routes()
+    const { routes, parts } = this.options
+    // A machine that has just started learns its routes in a moment.
+    const index = await waitFor(parts.clock, WAIT_FOR_ROUTES_MS, routes)
     if (index === undefined) return { route: '', ...answerNotYet(request) }
     const route = index.find(request.host, request.path)
     if (route === undefined) return { route: '', ...answerNoRoute(request) }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -3,7 +3,8 @@
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { judgeAnswer } from './judgeAnswer'
-import { sendEndpointAnswer, sendOwnAnswer } from './ownAnswer'
+import { sendEndpointAnswer } from './ownAnswer'
+import { answerFailure, answerRefusal, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -13,10 +14,14 @@
   type RelayResult,
   type SendRecord,
 } from './relayParts'
+import { waitFor } from './waitFor'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 const MAX_REFUSALS = 3
 const COME_BACK_MS = 400
+/** The share of the time to the target that a request waits for an endpoint with room. */
+const WAIT_SHARE = 0.35
+const LEAST_WAIT_MS = 40
 /** Answers of an endpoint that promise that nothing ran; never sent on for a request that did. */
 const PROMISES = new Set([408, 421, 429, 503])
 
@@ -58,11 +63,12 @@
     return { ...result, sends: this.sends }
   }
 
-  private async tryEndpoints(): Promise<Omit<RelayResult, 'sends'>> {
+  private async tryEndpoints(): Promise<OwnResult> {
     let failed: Sending | undefined
     for (let refusals = 0; ;) {
-      const to = this.choose()
-      if (to === undefined) return this.answerWithout(failed, 'no endpoint')
+      const to = await this.choose()
+      if (this.isOver) return this.overResult()
+      if (to === undefined) return this.answerWithout(failed, this.whyNone())
       const sending = await this.send(to)
       if (this.isOver) return this.overResult()
       if (sending.type === 'answer' && !this.isWorthRepeating(sending)) return this.pass(sending)
@@ -72,10 +78,25 @@
     }
   }
 
-  private choose(): PooledEndpoint | undefined {
+  /** The endpoint to try next, once one has room; undefined where none has in time. */
+  private choose(): Promise<PooledEndpoint | undefined> {
+    const { clock } = this.parts
+    const left = this.job.targetAt - clock.now()
+    const limit = Math.max(LEAST_WAIT_MS, left * WAIT_SHARE)
+    return waitFor(clock, limit, () => (this.isOver ? undefined : this.roomiest()))
+  }
+
+  private roomiest(): PooledEndpoint | undefined {
     const { pool } = this.parts
+    const all = pool.candidates(this.job.service.name)
     const fresh = pool.candidates(this.job.service.name, undefined, this.tried)
-    return pool.leastLoaded(fresh.length > 0 ? fresh : pool.candidates(this.job.service.name))
+    const open = (fresh.length > 0 ? fresh : all).filter((one) => one.inFlight < one.limit.value)
+    return pool.leastLoaded(open)
+  }
+
+  private whyNone(): string {
+    const isKnown = this.parts.pool.candidates(this.job.service.name).length > 0
+    return isKnown ? 'no room in time' : 'no endpoint'
   }
 
   private async send(to: PooledEndpoint): Promise<Sending> {
@@ -96,6 +117,8 @@
     })
     const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
+    if (note === 'ok') to.limit.noteAnswer(tookMs, job.route.targetMs)
+    if (note === 'full') to.limit.noteFull()
     parts.pool.noteEnd(to, this.isOver ? 'cancelled' : note, tookMs)
     this.sends.push({ to: to.endpoint.id, step: 'plain', outcome: note, tookMs: Math.round(tookMs) })
     return sending
@@ -146,13 +169,19 @@
     if (sending.type === 'not-run' && !sending.arrived) return true
     if (sending.type !== 'not-run' && route.kind !== 'safe') return false
     if (this.mayHaveRun >= route.attempts) return false
+    // One that has just refused is not asked again for the same request where there is no other.
+    if (sending.type === 'not-run' && !this.hasUntried()) return false
     return allowance.take(service.name)
   }
 
-  private pass(sending: Extract<Sending, { type: 'answer' }>): Omit<RelayResult, 'sends'> {
+  private hasUntried(): boolean {
+    return this.parts.pool.candidates(this.job.service.name, undefined, this.tried).length > 0
+  }
+
+  private pass(sending: Extract<Sending, { type: 'answer' }>): OwnResult {
     const { head, body } = sending
     if (PROMISES.has(head.status))
-      return this.answerFailure(502, 'the endpoint gave a promise it cannot keep')
+      return answerFailure(this.job.request.response, 502, 'the endpoint gave a promise it cannot keep')
     const rawHeaders = dropHeaders(head.rawHeaders, ['content-length'])
     sendEndpointAnswer(this.job.request.response, {
       status: head.status,
@@ -164,35 +193,17 @@
   }
 
   /** Ends a request for which there is no good answer. */
-  private answerWithout(failed: Sending | undefined, reason: string): Omit<RelayResult, 'sends'> {
+  private answerWithout(failed: Sending | undefined, reason: string): OwnResult {
     if (failed?.type === 'answer') return this.pass(failed)
-    if (this.mayHaveRun > 0) return this.answerFailure(502, reason)
-    return this.answerRefusal(reason)
-  }
-
-  private answerFailure(status: number, reason: string): Omit<RelayResult, 'sends'> {
-    sendOwnAnswer(this.job.request.response, {
-      status,
-      code: 'FORKSTAGE_MAY_HAVE_RUN',
-      message: `No whole answer came back: ${reason}.`,
-    })
-    return { status, outcome: reason }
-  }
-
-  private answerRefusal(reason: string): Omit<RelayResult, 'sends'> {
-    sendOwnAnswer(this.job.request.response, {
-      status: 503,
-      code: 'FORKSTAGE_NOT_RUN',
-      message: `The request was not run: ${reason}.`,
-      retryAfterMs: COME_BACK_MS,
-    })
-    return { status: 503, outcome: reason }
+    if (this.mayHaveRun > 0) return answerFailure(this.job.request.response, 502, reason)
+    return answerRefusal(this.job.request.response, reason, COME_BACK_MS)
   }
 
   /** The time is up: what is under way may still run. */
   private answerLate(): void {
-    if (this.mayHaveRun > 0 || this.exchange !== undefined) this.answerFailure(504, 'the time is up')
-    else this.answerRefusal('the time is up')
+    if (this.mayHaveRun > 0 || this.exchange !== undefined)
+      answerFailure(this.job.request.response, 504, 'the time is up')
+    else answerRefusal(this.job.request.response, 'the time is up', COME_BACK_MS)
     this.finish()
   }
 
@@ -201,7 +212,7 @@
     this.exchange?.cancel('the request has ended')
   }
 
-  private overResult(): Omit<RelayResult, 'sends'> {
+  private overResult(): OwnResult {
     if (this.job.request.isGone()) return { status: 0, outcome: 'caller gone' }
     return { status: 504, outcome: 'the time is up' }
   }
--- /dev/null
+++ b/request/gateway/src/relayAnswers.ts
@@ -0,0 +1,21 @@
+import type { ServerResponse } from 'node:http'
+import type { Millis } from '@forkstage/types'
+import { sendOwnAnswer } from './ownAnswer'
+import type { RelayResult } from './relayParts'
+
+/** What an answer of this entry's own leaves in the log. */
+export type OwnResult = Omit<RelayResult, 'sends'>
+
+/** Answers that the request may have run: promises nothing. */
+export function answerFailure(response: ServerResponse, status: number, reason: string): OwnResult {
+  const message = `No whole answer came back: ${reason}.`
+  sendOwnAnswer(response, { status, code: 'FORKSTAGE_MAY_HAVE_RUN', message })
+  return { status, outcome: reason }
+}
+
+/** Answers that the request has not run and never will, with when to come back. */
+export function answerRefusal(response: ServerResponse, reason: string, retryAfterMs: Millis): OwnResult {
+  const message = `The request was not run: ${reason}.`
+  sendOwnAnswer(response, { status: 503, code: 'FORKSTAGE_NOT_RUN', message, retryAfterMs })
+  return { status: 503, outcome: reason }
+}
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -8,7 +8,9 @@
 import { holdTime } from './holdTime'
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
-import { endWithConnection, sendEndpointAnswer, sendOwnAnswer } from './ownAnswer'
+import { endWithConnection, sendEndpointAnswer } from './ownAnswer'
+import { releaseHandle } from './releaseHandle'
+import { answerFailure, answerRefusal, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -18,13 +20,14 @@
   type RelayResult,
   type SendRecord,
 } from './relayParts'
+import { waitFor } from './waitFor'
 
 const MAX_REFUSALS = 3
 const MAX_PREFILL_ANSWER_BYTES = 64 * 1024
 const COME_BACK_MS = 600
 /** A handle is used for another engine only while it surely still stands. */
 const HANDLE_SHARE = 0.5
-const RELEASE_MS = 1_000
+const WAIT_FOR_ENGINES_MS = 250
 const PROMISES = new Set([408, 421, 429, 503])
 
 /** The memory that a prefill step left at an engine. */
@@ -74,8 +77,9 @@
     return { ...result, sends: this.sends, firstEventMs: this.firstEventMs }
   }
 
-  private async tryEngines(): Promise<Omit<RelayResult, 'sends'>> {
+  private async tryEngines(): Promise<OwnResult> {
     for (let refusals = 0; ;) {
+      await this.untilEngineIsKnown()
       const answer = await this.parts.placer.place(this.work())
       if (this.isOver) {
         if (answer.type === 'place') answer.place.release('cancelled', 0, 0)
@@ -91,6 +95,13 @@
     }
   }
 
+  /** A machine that has just started learns its endpoints in a moment. */
+  private async untilEngineIsKnown(): Promise<void> {
+    const { pool, clock } = this.parts
+    const { name } = this.job.service
+    await waitFor(clock, WAIT_FOR_ENGINES_MS, () => pool.candidates(name, 'decode')[0])
+  }
+
   private work(): ModelWork {
     const { request, route, service } = this.job
     const { wire, clock } = this.parts
@@ -250,7 +261,7 @@
 
   passFailure(head: AnswerHead, body: Buffer): number {
     if (PROMISES.has(head.status)) {
-      this.answerFailure(502, 'the engine gave a promise it cannot keep')
+      answerFailure(this.job.request.response, 502, 'the engine gave a promise it cannot keep')
       return 502
     }
     const rawHeaders = dropHeaders(head.rawHeaders, ['content-length'])
@@ -285,34 +296,20 @@
     return allowance.take(service.name)
   }
 
-  private answerWithout(reason: string, retryAfterMs: Millis = COME_BACK_MS): Omit<RelayResult, 'sends'> {
+  private answerWithout(reason: string, retryAfterMs: Millis = COME_BACK_MS): OwnResult {
     const { response } = this.job.request
     if (this.head !== undefined) {
       response.destroy()
       return { status: this.head.status, outcome: `cut: ${reason}` }
     }
-    if (this.mayHaveRun > 0) return this.answerFailure(502, reason)
-    sendOwnAnswer(response, {
-      status: 503,
-      code: 'FORKSTAGE_NOT_RUN',
-      message: `The request was not run: ${reason}.`,
-      retryAfterMs,
-    })
-    return { status: 503, outcome: reason }
-  }
-
-  private answerFailure(status: number, reason: string): Omit<RelayResult, 'sends'> {
-    sendOwnAnswer(this.job.request.response, {
-      status,
-      code: 'FORKSTAGE_MAY_HAVE_RUN',
-      message: `No whole answer came back: ${reason}.`,
-    })
-    return { status, outcome: reason }
+    if (this.mayHaveRun > 0) return answerFailure(this.job.request.response, 502, reason)
+    return answerRefusal(response, reason, retryAfterMs)
   }
 
   private answerLate(): void {
     if (this.isOver) return
-    if (this.exchange !== undefined && this.head === undefined) this.answerFailure(504, 'the time is up')
+    if (this.exchange !== undefined && this.head === undefined)
+      answerFailure(this.job.request.response, 504, 'the time is up')
     else this.answerWithout('the time is up')
     this.finish('the time is up')
   }
@@ -322,7 +319,7 @@
     this.exchange?.cancel(reason)
   }
 
-  private overResult(): Omit<RelayResult, 'sends'> {
+  private overResult(): OwnResult {
     if (this.job.request.isGone()) return { status: this.head?.status ?? 0, outcome: 'caller gone' }
     return { status: this.head?.status ?? 504, outcome: 'the time is up' }
   }
@@ -330,16 +327,7 @@
   /** Frees what a prefill step left and nobody took. */
   private releaseHandle(): void {
     const { prefilled, parts } = this
-    if (prefilled === undefined) return
     this.prefilled = undefined
-    void exchangeWhole({
-      address: prefilled.at.endpoint.address,
-      ...parts.wire.releaseCall(prefilled.handle),
-      rawHeaders: ['Connection', 'close'],
-      body: Buffer.alloc(0),
-      connectMs: RELEASE_MS,
-      clock: parts.clock,
-      maxBytes: MAX_PREFILL_ANSWER_BYTES,
-    })
+    if (prefilled !== undefined) releaseHandle(parts, prefilled.at.endpoint.address, prefilled.handle)
   }
 }
