--- /dev/null
+++ b/cli/forkstage/src/commands/serve.ts
@@ -0,0 +1,25 @@
+import type { Argv } from 'yargs'
+import type { Command } from '../cliTypes'
+import { serveMachine } from '../serveMachine'
+
+interface ServeArguments {
+  settings: string
+}
+
+/** `forkstage serve`: one machine of a self-registering deployment. */
+export const serveCommand: Command<ServeArguments> = {
+  command: 'serve',
+  help: 'Run this machine, as an entry or for control, until it is told to stop',
+  options: (argv: Argv) =>
+    argv
+      .option('settings', {
+        type: 'string',
+        default: process.env.FORKSTAGE_CONFIG ?? 'machine.toml',
+        describe: 'the settings of this machine (TOML)',
+      })
+      .example(
+        '$0 serve --settings entry.toml',
+        'SIGTERM stops it as planned, SIGHUP reads the settings again',
+      ),
+  handler: ({ settings }) => serveMachine(settings),
+}
--- a/cli/forkstage/src/commands/settingsCheck.ts
+++ b/cli/forkstage/src/commands/settingsCheck.ts
@@ -1,6 +1,7 @@
 import { readFile } from 'node:fs/promises'
 import type { Argv } from 'yargs'
-import { parseSettings } from '@forkstage/settings'
+import { parseFleetSettings } from '@forkstage/fleet-settings'
+import { parseSettings, readToml } from '@forkstage/settings'
 import { EXIT, type Command } from '../cliTypes'
 import { print } from '../print'
 
@@ -19,7 +20,11 @@
       .option('json', { type: 'boolean', default: false, describe: 'print the checked settings as JSON' })
       .example('$0 settings check examples/addis-box.toml', 'exit code 2 when it has faults'),
   async handler({ file, json }) {
-    const settings = parseSettings(await readFile(file, 'utf8'), { source: file })
+    const text = await readFile(file, 'utf8')
+    const isFleet = 'machine' in (readToml(text, file) as object)
+    const settings = isFleet
+      ? parseFleetSettings(text, { source: file })
+      : parseSettings(text, { source: file })
     print(json ? JSON.stringify(settings, null, 2) : `${file}: no faults`)
     return EXIT.ok
   },
--- a/cli/forkstage/src/main.ts
+++ b/cli/forkstage/src/main.ts
@@ -7,6 +7,7 @@
 import { explainCommand } from './commands/explain'
 import { orderCommand } from './commands/order'
 import { runCommand } from './commands/run'
+import { serveCommand } from './commands/serve'
 import { settingsCheckCommand } from './commands/settingsCheck'
 import { statusCommand } from './commands/status'
 import { stopCommand } from './commands/stop'
@@ -16,6 +17,7 @@
 import { tableExportCommand } from './commands/tableExport'
 import { tableHistoryCommand } from './commands/tableHistory'
 import { tableShowCommand } from './commands/tableShow'
+import { traceCommand } from './commands/trace'
 import { versionCommand } from './commands/version'
 import { printError } from './print'
 
@@ -28,6 +30,8 @@
 
 const SINGLE: Command<never>[] = [
   runCommand,
+  serveCommand,
+  traceCommand,
   statusCommand,
   explainCommand,
   orderCommand,
--- /dev/null
+++ b/cli/forkstage/src/traceRequest.ts
@@ -0,0 +1,71 @@
+/** One line of a log as it is read back. */
+export interface LogLine {
+  /** Wall-clock milliseconds, as the machine that wrote it saw them. */
+  time: number
+  box: string
+  event: string
+  fields: Record<string, unknown>
+}
+
+/** How far around a request's own lines those of its endpoints and of the leader are shown, in milliseconds. */
+const AROUND_MS = 3_000
+/** Events that explain a decision though they name no request. */
+const BACKGROUND = new Set([
+  'endpoint.ejected',
+  'endpoint.registered',
+  'stage.ordered',
+  'replica.role',
+  'control.lost',
+  'control.regained',
+  'sheet.installed',
+  'box.started',
+  'box.stopping',
+  'log.omitted',
+])
+
+/** Reads the JSON lines of logs; lines of anything else are passed over. */
+export function readLogLines(text: string): LogLine[] {
+  return text.split('\n').flatMap((line) => {
+    const start = line.indexOf('{"context"')
+    if (start < 0) return []
+    try {
+      const { context, time } = JSON.parse(line.slice(start)) as {
+        context: Record<string, unknown>
+        time: number
+      }
+      const { box, event, ...fields } = context
+      delete fields.logLevel
+      return [{ time, box: String(box), event: String(event), fields }]
+    } catch {
+      return []
+    }
+  })
+}
+
+/**
+ * Gathers what explains one request: its own lines, and around them those about the endpoints it was sent to and
+ * about the machine that took it.
+ */
+export function traceRequest(lines: LogLine[], request: string): LogLine[] {
+  const own = lines.filter((line) => line.fields.request === request)
+  if (own.length === 0) return []
+  const times = own.map((line) => line.time)
+  const tookMs = Math.max(0, ...own.map((line) => Number(line.fields.tookMs ?? 0)))
+  const [from, to] = [Math.min(...times) - tookMs - AROUND_MS, Math.max(...times)]
+  const boxes = new Set(own.map((line) => line.box))
+  const endpoints = new Set(own.flatMap(endpointsOf))
+  const around = lines.filter((line) => {
+    if (!BACKGROUND.has(line.event) || line.time < from || line.time > to) return false
+    const { endpoint } = line.fields
+    return endpoint === undefined
+      ? boxes.has(line.box)
+      : endpoints.has(String(endpoint)) || line.event === 'stage.ordered'
+  })
+  return [...own, ...around].sort((left, right) => left.time - right.time)
+}
+
+function endpointsOf(line: LogLine): string[] {
+  const sends = (line.fields.sends ?? []) as { to: string }[]
+  const placed = String(line.fields.reason ?? '').match(/(?:prefill|decode) (\S+?)(?:,|$)/g) ?? []
+  return [...sends.map((send) => send.to), ...placed.map((word) => word.replace(/^\w+ |,$/g, ''))]
+}
