--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -74,7 +74,8 @@
       if (sending.type === 'answer' && !this.isWorthRepeating(sending)) return this.pass(sending)
       if (sending.type !== 'not-run') failed = sending
       else refusals += 1
-      if (refusals > MAX_REFUSALS || !this.mayRepeat(sending)) return this.answerWithout(failed, sending.type)
+      if (refusals > MAX_REFUSALS || !this.mayRepeat(sending))
+        return this.answerWithout(failed, reasonOf(sending))
     }
   }
 
@@ -217,3 +218,10 @@
     return { status: 504, outcome: 'the time is up' }
   }
 }
+
+/** Why a sending brought no good answer, for the log and the caller. */
+function reasonOf(sending: Sending): string {
+  if (sending.type === 'unknown') return sending.reason
+  if (sending.type === 'answer') return `the endpoint failed with ${sending.head.status}`
+  return sending.arrived ? 'the endpoint refused' : 'the endpoint was not reached'
+}
