--- a/daemon/fleet/src/stageOrders.ts
+++ b/daemon/fleet/src/stageOrders.ts
@@ -40,7 +40,7 @@
 
 /** Orders engines to change their part while this machine leads, one at a time. */
 export class StageOrders {
-  private leadsSince: Millis | undefined
+  private leadsSince: Millis = 0
   private ledTerm = -1
   private busy = false
   private cancelLook: CancelTimer = () => undefined
@@ -62,17 +62,19 @@
       const change = this.options.allocator.planStage(service.name)
       if (change === undefined) continue
       this.busy = true
-      await this.order(change, service.engine.stageChangeMs)
-      this.busy = false
+      await this.order(change, service.engine.stageChangeMs).finally(() => (this.busy = false))
     }
   }
 
+  /** In one term nobody else leads, so that a lease lost for a moment needs no new wait. */
   private mayOrder(): boolean {
-    const { clock, isLeader, term } = this.options
-    const isSame = isLeader() && term() === this.ledTerm
-    if (!isSame) this.leadsSince = isLeader() ? clock.now() : undefined
-    this.ledTerm = term()
-    return this.leadsSince !== undefined && clock.now() - this.leadsSince >= this.options.leadFirstMs
+    const { clock, isLeader, term, leadFirstMs } = this.options
+    if (!isLeader()) return false
+    if (term() !== this.ledTerm) {
+      this.ledTerm = term()
+      this.leadsSince = clock.now()
+    }
+    return clock.now() - this.leadsSince >= leadFirstMs
   }
 
   private async order(change: StageChange, changeMs: Millis): Promise<void> {
@@ -118,7 +120,15 @@
     return exchangeWhole({
       address: to.address,
       ...call,
-      rawHeaders: [...call.rawHeaders, 'Content-Length', String(call.body.length), 'Connection', 'close'],
+      rawHeaders: [
+        'Host',
+        to.address,
+        ...call.rawHeaders,
+        'Content-Length',
+        String(call.body.length),
+        'Connection',
+        'close',
+      ],
       connectMs: CONNECT_MS,
       clock: this.options.clock,
       maxBytes: MAX_ANSWER_BYTES,
--- /dev/null
+++ b/daemon/fleet/test/stageOrders.test.ts
@@ -0,0 +1,165 @@
+import { createServer, type Server } from 'node:http'
+import { afterEach, describe, expect, it } from 'vitest'
+import type { AllocatorService, StageChange } from '@forkstage/allocator'
+import { ManualClock } from '@forkstage/clock'
+import { createSilentLogger } from '@forkstage/logger'
+import type { RouteSheet } from '@forkstage/routes'
+import type { ControlWire, StageOrder } from '../src'
+import { StageOrders } from '../src/stageOrders'
+import { CONTROL_WIRE, sheet } from './fleetWorld'
+
+const LEAD_FIRST_MS = 3_900
+const servers: Server[] = []
+afterEach(() => servers.splice(0).forEach((server) => server.close()))
+
+/** An engine that answers reports and orders, and a leader that wants it to decode. */
+async function start(status = 202) {
+  const state = {
+    leads: true,
+    term: 4,
+    stage: 'prefill',
+    busy: false,
+    orders: [] as StageOrder[],
+    reports: 0,
+  }
+  let wake: () => void = () => undefined
+  const server = createServer((request, response) => {
+    let body = ''
+    request.on('data', (chunk: Buffer) => (body += chunk.toString()))
+    request.on('end', () => {
+      if (request.url === '/order') state.orders.push(JSON.parse(body) as StageOrder)
+      else state.reports += 1
+      response.statusCode = request.url === '/order' ? status : 200
+      response.end(JSON.stringify({ stage: state.stage, ordersTaken: 7, isBusy: state.busy }))
+      setImmediate(() => wake())
+    })
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  servers.push(server)
+  const address = `127.0.0.1:${(server.address() as { port: number }).port}`
+  const endpoint = {
+    id: 'i-1',
+    service: 'm',
+    address,
+    zone: 'z',
+    slots: 1,
+    state: 'ready' as const,
+    stage: 'prefill' as const,
+    models: [],
+    sequence: 1,
+  }
+  const changing: [string, string, number][] = []
+  let wanted: StageChange | undefined = {
+    id: 'i-1',
+    stage: 'decode',
+    need: { prefill: 0, decode: 2 },
+    have: { prefill: 2, decode: 1 },
+  }
+  const allocator = {
+    planStage: () => (changing.length > 0 ? undefined : wanted),
+    noteChanging: (id: string, to: string, forMs: number) => void changing.push([id, to, forMs]),
+    isChanging: () => changing.length > 0 && changing.at(-1)![2] > 0,
+  } as unknown as AllocatorService
+  const wire: ControlWire = {
+    ...CONTROL_WIRE,
+    readReport: (body) => JSON.parse(body.toString()),
+    stageOrderCall: (order) => ({
+      method: 'POST',
+      path: '/order',
+      rawHeaders: [],
+      body: Buffer.from(JSON.stringify(order)),
+    }),
+  }
+  const engine = {
+    slots: 1,
+    kvTokens: 1,
+    kvBytesPerToken: 1,
+    linkMbps: 1,
+    tokensPerEvent: 1,
+    handleMs: 1,
+    stageChangeMs: 6_000,
+  }
+  const routes: RouteSheet = { ...sheet(1), services: [{ name: 'm', maxConnections: 1, engine }] }
+  const clock = new ManualClock()
+  const orders = new StageOrders({
+    wire,
+    allocator,
+    sheet: () => routes,
+    endpoint: () => endpoint,
+    holder: 'control-1',
+    isLeader: () => state.leads,
+    term: () => state.term,
+    leadFirstMs: LEAD_FIRST_MS,
+    clock,
+    logger: createSilentLogger(),
+  })
+  orders.start()
+  const settled = async (holds: () => boolean) => {
+    while (!holds()) await new Promise<void>((resolve) => ((wake = resolve), setImmediate(resolve)))
+  }
+  return { state, clock, changing, settled, stop: () => orders.stop(), forget: () => (wanted = undefined) }
+}
+
+describe('StageOrders', () => {
+  it('orders only once an earlier leader cannot order any more, with its term as fence and what the engine has taken', async () => {
+    const { state, clock, changing, settled, stop } = await start()
+    clock.advance(LEAD_FIRST_MS)
+    expect(state.reports).toBe(0)
+    clock.advance(600)
+    await settled(() => changing.length === 1)
+    expect(state.orders).toEqual([
+      { stage: 'decode', holder: 'control-1', fence: 4, expectedOrders: 7, instance: 'i-1' },
+    ])
+    expect(changing[0]).toEqual(['i-1', 'decode', expect.any(Number)])
+    expect(changing[0]![2]).toBeGreaterThan(6_000)
+    stop()
+  })
+
+  it('waits anew in each term that it leads', async () => {
+    const { state, clock, stop } = await start()
+    clock.advance(LEAD_FIRST_MS - 500)
+    state.term = 6
+    clock.advance(LEAD_FIRST_MS)
+    expect(state.reports).toBe(0)
+    stop()
+  })
+
+  it('gives no order while it does not lead, nor to an engine that carries one out', async () => {
+    const { state, clock, changing, settled, stop } = await start()
+    state.leads = false
+    clock.advance(20_000)
+    expect(state.reports).toBe(0)
+    state.leads = true
+    state.busy = true
+    clock.advance(LEAD_FIRST_MS + 600)
+    await settled(() => changing.length === 1)
+    expect(state.orders).toEqual([])
+    expect(changing[0]![1]).toBe('prefill')
+    stop()
+  })
+
+  it('counts an engine back only when its own report says that it has changed', async () => {
+    const { state, clock, changing, settled, stop } = await start()
+    clock.advance(LEAD_FIRST_MS + 600)
+    await settled(() => changing.length === 1)
+    clock.advance(6_000)
+    await settled(() => state.reports === 2)
+    expect(changing).toHaveLength(1)
+    state.stage = 'decode'
+    await new Promise((resolve) => setImmediate(resolve))
+    while (changing.length < 2) {
+      clock.advance(1_000)
+      await new Promise((resolve) => setTimeout(resolve, 5))
+    }
+    expect(changing[1]).toEqual(['i-1', 'decode', 0])
+    stop()
+  })
+
+  it('leaves an engine alone for a while that refused, in the part that it has', async () => {
+    const { clock, changing, settled, stop } = await start(412)
+    clock.advance(LEAD_FIRST_MS + 600)
+    await settled(() => changing.length === 1)
+    expect(changing[0]).toEqual(['i-1', 'prefill', 4_000])
+    stop()
+  })
+})
--- a/request/gateway/src/releaseHandle.ts
+++ b/request/gateway/src/releaseHandle.ts
@@ -10,7 +10,7 @@
   void exchangeWhole({
     address,
     ...parts.wire.releaseCall(handle),
-    rawHeaders: ['Connection', 'close'],
+    rawHeaders: ['Host', address, 'Connection', 'close'],
     body: Buffer.alloc(0),
     connectMs: CONNECT_MS,
     clock: parts.clock,
--- a/request/gateway/test/streamRelay.test.ts
+++ b/request/gateway/test/streamRelay.test.ts
@@ -86,6 +86,7 @@
     expect((await world.send('/p/')).status).toBe(503)
     await workers[0]!.sees(2)
     expect(workers[0]!.seen[1]!.line).toBe('DELETE /free/handle7 HTTP/1.1')
+    expect(workers[0]!.seen[1]!.headers.host).toBe(workers[0]!.address)
   })
 
   it('that break off must look cut, and are not begun anew where the route forbids it', async () => {
