--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -7,7 +7,7 @@
 import { RouteBook } from '@forkstage/routes'
 import { SheetMachine, type PutResult, type PutSheet, type SheetDocument } from '@forkstage/sheet'
 import type { Address } from '@forkstage/types'
-import { ControlFollower, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
+import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
 import { createControlApp } from './controlApp'
 import type { ControlWire } from './controlWire'
 import { countBy } from './countBy'
@@ -57,9 +57,6 @@
       clock,
       logger,
       holdMs: settings.watch.hold_ms,
-      // The sheet comes by the replicated log only.
-      sheetVersion: () => Number.MAX_SAFE_INTEGER,
-      onSheet: () => undefined,
       onEndpoints: (records) => this.registrar.take(records),
     })
     this.keeper = new MembershipKeeper({
@@ -193,6 +190,7 @@
       ...this.office.methods(),
       ...this.allocator.methods(),
       [WATCH]: (question: WatchQuestion) => this.hub.answer(question),
+      [SHEET]: () => this.hub.newestSheet(),
     }
   }
 
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '@forkstage/logger'
 import type { PeerCaller } from '@forkstage/peer-rpc'
 import type { Address, Millis } from '@forkstage/types'
+import { SheetFetcher } from './sheetFetcher'
 import { WATCH, type WatchAnswer, type WatchedSheet, type WatchQuestion } from './watchTypes'
 
 /** Options of {@link ControlFollower}. */
@@ -18,8 +19,9 @@
   clock: Clock
   logger: Logger
   holdMs: Millis
-  sheetVersion: () => number
-  onSheet: (sheet: WatchedSheet) => void
+  /** The version of the sheet in force here; left out by machines that get it in another way. */
+  sheetVersion?: () => number
+  onSheet?: (sheet: WatchedSheet) => void
   onEndpoints: (endpoints: RegisteredEndpoint[]) => void
 }
 
@@ -33,6 +35,7 @@
   position: number
   leader?: Address
   members: Address[]
+  sheetVersion: number
   /** When it last answered. */
   heardAt: Millis
   lost: boolean
@@ -43,9 +46,19 @@
 /** Follows every control machine at once, so that news arrives from whichever hears it first. */
 export class ControlFollower {
   private readonly followed = new Map<Address, Followed>()
+  private readonly fetcher: SheetFetcher
   private stopped = false
 
-  constructor(private readonly options: ControlFollowerOptions) {}
+  constructor(private readonly options: ControlFollowerOptions) {
+    const { peers, clock, sheetVersion, onSheet } = options
+    this.fetcher = new SheetFetcher({
+      peers,
+      clock,
+      held: sheetVersion ?? (() => Infinity),
+      sources: (version) => this.addresses().filter((address) => this.knows(address, version)),
+      onSheet: (sheet) => onSheet?.(sheet),
+    })
+  }
 
   start(): void {
     this.followNew(this.options.seeds())
@@ -64,6 +77,7 @@
         epoch: '',
         position: 0,
         members: [],
+        sheetVersion: -1,
         heardAt: clock.now(),
         lost: false,
         entries: 0,
@@ -115,6 +129,7 @@
 
   private ask(address: Address, one: Followed): Promise<WatchAnswer> {
     const { peers, holdMs, sheetVersion, entry } = this.options
+    const heardOf = Math.max(this.fetcher.heardOf, sheetVersion?.() ?? Number.MAX_SAFE_INTEGER)
     const { epoch, position, leader, members } = one
     const question: WatchQuestion = {
       entry,
@@ -122,7 +137,7 @@
       position,
       leader,
       members,
-      sheetVersion: sheetVersion(),
+      sheetVersion: heardOf,
       holdMs,
     }
     return peers.call<WatchAnswer>(address, WATCH, question, {
@@ -132,23 +147,29 @@
   }
 
   private take(address: Address, one: Followed, answer: WatchAnswer): void {
-    const { clock, logger, onEndpoints, onSheet } = this.options
+    const { clock, logger, onEndpoints } = this.options
     if (one.lost) logger.info('control.regained', { peer: address })
     Object.assign(one, {
       epoch: answer.epoch,
       position: answer.position,
       leader: answer.leader,
       members: answer.members,
+      sheetVersion: answer.sheetVersion,
       heardAt: clock.now(),
       lost: false,
       entries: answer.entries,
       neighbours: answer.neighbours,
     })
     if (answer.endpoints.length > 0) onEndpoints(answer.endpoints)
-    if (answer.sheet !== undefined) onSheet(answer.sheet)
+    this.fetcher.want(answer.sheetVersion)
     this.followNew(answer.members)
   }
 
+  private knows(address: Address, version: number): boolean {
+    const one = this.followed.get(address)!
+    return !one.lost && one.sheetVersion >= version
+  }
+
   private noteLost(address: Address, one: Followed, error: unknown): void {
     if (one.lost) return
     one.lost = true
--- /dev/null
+++ b/membership/watch/src/packSheet.ts
@@ -0,0 +1,12 @@
+import { gunzipSync, gzipSync } from 'node:zlib'
+import type { PackedSheet, WatchedSheet } from './watchTypes'
+
+/** Packs a sheet for its way to an entry. */
+export function packSheet(sheet: WatchedSheet): PackedSheet {
+  return { version: sheet.version, packed: gzipSync(sheet.text).toString('base64') }
+}
+
+/** The reverse of {@link packSheet}. */
+export function unpackSheet(sheet: PackedSheet): WatchedSheet {
+  return { version: sheet.version, text: gunzipSync(Buffer.from(sheet.packed, 'base64')).toString() }
+}
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@forkstage/clock'
 import type { Directory } from '@forkstage/directory'
 import type { Address, Millis } from '@forkstage/types'
-import type { WatchAnswer, WatchedSheet, WatchQuestion } from './watchTypes'
+import { packSheet } from './packSheet'
+import type { PackedSheet, WatchAnswer, WatchedSheet, WatchQuestion } from './watchTypes'
 
 /** Options of {@link WatchHub}. */
 export interface WatchHubOptions {
@@ -22,6 +23,7 @@
 export class WatchHub {
   private waiting = new Set<() => void>()
   private scheduled = false
+  private packed: PackedSheet | undefined
   private readonly entries = new Map<Address, Millis>()
 
   constructor(private readonly options: WatchHubOptions) {}
@@ -46,6 +48,14 @@
     return this.compose(question)
   }
 
+  /** The newest sheet, packed once for all who ask. */
+  newestSheet(): PackedSheet | null {
+    const newest = this.options.sheet()
+    if (newest === undefined) return null
+    if (this.packed?.version !== newest.version) this.packed = packSheet(newest)
+    return this.packed
+  }
+
   private untilChangeOr(question: WatchQuestion): Promise<void> {
     return new Promise((resolve) => {
       const finish = () => {
@@ -64,12 +74,10 @@
   private compose(question: WatchQuestion): WatchAnswer {
     const { epoch, directory, sheet, members, leader } = this.options
     const known = question.epoch === epoch ? question.position : 0
-    const newest = sheet()
-    const isNewer = newest !== undefined && newest.version > question.sheetVersion
     return {
       epoch,
       position: directory.position,
-      sheet: isNewer ? newest : undefined,
+      sheetVersion: sheet()?.version ?? -1,
       endpoints: directory.since(known),
       members: members(),
       leader: leader(),
@@ -97,6 +105,6 @@
 
 function hasNews(question: WatchQuestion, answer: WatchAnswer): boolean {
   if (answer.epoch !== question.epoch || answer.position !== question.position) return true
-  if (answer.sheet !== undefined || answer.leader !== question.leader) return true
+  if (answer.sheetVersion > question.sheetVersion || answer.leader !== question.leader) return true
   return answer.members.join() !== question.members.join()
 }
--- a/membership/watch/src/watchTypes.ts
+++ b/membership/watch/src/watchTypes.ts
@@ -4,6 +4,9 @@
 /** The method of control machines that holds a call until something changes. */
 export const WATCH = 'control.watch'
 
+/** The method that gives the newest sheet a control machine knows. */
+export const SHEET = 'control.sheet'
+
 /** A route sheet as it was handed in. */
 export interface WatchedSheet {
   version: number
@@ -18,7 +21,7 @@
   epoch: string
   /** The place in that life's directory up to which the asker knows all. */
   position: number
-  /** The version of the sheet the asker holds; -1 without one. */
+  /** The newest version of the sheet that the asker has heard of; -1 without one. */
   sheetVersion: number
   /** The leader the asker believes in. */
   leader?: Address
@@ -32,8 +35,8 @@
 export interface WatchAnswer {
   epoch: string
   position: number
-  /** Present where it is newer than the asker's. */
-  sheet?: WatchedSheet
+  /** The version of the newest sheet known here; -1 without one. Its text is asked for at one machine only. */
+  sheetVersion: number
   endpoints: RegisteredEndpoint[]
   /** The control machines by the addresses that other machines reach them at. */
   members: Address[]
@@ -44,3 +47,9 @@
   /** A few other entries, for an entry that loses its way to the control machines. */
   neighbours: Address[]
 }
+
+/** A sheet on its way: its text is packed (gzip, base64), since a thousand routes are long and alike. */
+export interface PackedSheet {
+  version: number
+  packed: string
+}
--- a/table/routes/src/routeIndex.ts
+++ b/table/routes/src/routeIndex.ts
@@ -10,7 +10,9 @@
     this.services = new Map(sheet.services.map((service) => [service.name, service]))
     for (const route of sheet.routes) {
       const host = route.host.toLowerCase()
-      this.byHost.set(host, [...(this.byHost.get(host) ?? []), route])
+      const known = this.byHost.get(host)
+      if (known === undefined) this.byHost.set(host, [route])
+      else known.push(route)
     }
     for (const routes of this.byHost.values())
       routes.sort((left, right) => right.prefix.length - left.prefix.length)
