--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -16,6 +16,7 @@
 import { countBy } from './countBy'
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
+import { logEndpoints } from './logEndpoints'
 import type { MachineBasics } from './machineBasics'
 import { serveMetrics } from './serveMetrics'
 
@@ -28,7 +29,7 @@
 /** Entries assumed to share the allowance until a control machine has counted them. */
 const ENTRIES_UNTIL_KNOWN = 64
 
-/** Options of {@link EntryMachine}. */
+/** What a deployment speaks, as an entry needs it. */
 export interface EntryWire {
   gateway: GatewayWire
   readSheet: (text: string) => RouteSheet | undefined
@@ -182,14 +183,6 @@
   private takeEndpoints(records: RegisteredEndpoint[]): void {
     const news = this.directory.merge(records)
     this.pool.update(news)
-    for (const { id, state, stage, service, address, sequence } of news)
-      this.basics.logger.info('endpoint.registered', {
-        endpoint: id,
-        state,
-        stage,
-        service,
-        address,
-        sequence,
-      })
+    logEndpoints(this.basics.logger, news)
   }
 }
--- a/daemon/fleet/src/registrar.ts
+++ b/daemon/fleet/src/registrar.ts
@@ -1,6 +1,7 @@
 import type { Directory, RegisteredEndpoint } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
 import type { WatchHub } from '@forkstage/watch'
+import { logEndpoints } from './logEndpoints'
 
 /** Options of {@link Registrar}. */
 export interface RegistrarOptions {
@@ -38,15 +39,7 @@
 
   private note(news: RegisteredEndpoint[]): void {
     if (news.length === 0) return
-    for (const { id, state, stage, service, address, sequence } of news)
-      this.options.logger.info('endpoint.registered', {
-        endpoint: id,
-        state,
-        stage,
-        service,
-        address,
-        sequence,
-      })
+    logEndpoints(this.options.logger, news)
     this.options.hub.noteChange()
   }
 }
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -3,9 +3,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import got from 'got'
-import type { GatewayWire } from '@forkstage/gateway'
 import { parseFleetSettings } from '@forkstage/fleet-settings'
 import type { RouteSheet } from '@forkstage/routes'
+import { TEST_WIRE } from '../../../request/gateway/test/gatewayWorld'
 import { ControlMachine, createMachineBasics, EntryMachine, type ControlWire } from '../src'
 
 /** The formats of no deployment at all. */
@@ -26,32 +26,6 @@
   stageOrderCall: () => ({ method: 'POST', path: '/order', rawHeaders: [], body: Buffer.alloc(0) }),
 }
 
-const GATEWAY_WIRE: GatewayWire = {
-  headers: {
-    requestId: 'x-id',
-    deadlineMs: 'x-deadline',
-    lastEventId: 'last-event-id',
-    model: 'x-model',
-    tokenCounts: 'x-tokens',
-    promptParts: 'x-parts',
-    lengthHint: 'x-hint',
-    notExecuted: 'x-not-run',
-    stamp: 'x-stamp',
-    instance: 'x-instance',
-    expectInstance: 'x-expect',
-    stage: 'x-stage',
-    kvSource: 'x-kv-from',
-  },
-  reserved: [],
-  prefillStage: 'read',
-  readinessPath: '/ready',
-  readTokenCounts: () => ({ prompt: 1, most: 1 }),
-  readPromptParts: () => [],
-  readPrefillAnswer: () => undefined,
-  kvSource: (address, handle) => `${address}#${handle}`,
-  releaseCall: () => ({ method: 'DELETE', path: '/' }),
-}
-
 /** A route sheet with one route to one plain service. */
 export function sheet(version: number, prefix = '/p/'): RouteSheet {
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
@@ -110,7 +84,7 @@
   }
 
   async startEntry(): Promise<EntryMachine> {
-    const wire = { gateway: GATEWAY_WIRE, readSheet: CONTROL_WIRE.readSheet }
+    const wire = { gateway: TEST_WIRE, readSheet: CONTROL_WIRE.readSheet }
     this.entry = new EntryMachine(this.basics(100, 'entry', false), wire)
     await this.entry.start()
     return this.entry
--- a/request/gateway/src/gatewayWire.ts
+++ b/request/gateway/src/gatewayWire.ts
@@ -3,9 +3,7 @@
   requestId: string
   deadlineMs: string
   lastEventId: string
-  model: string
   tokenCounts: string
-  promptParts: string
   lengthHint: string
   /** Set by an endpoint that did not run the request. */
   notExecuted: string
@@ -21,12 +19,6 @@
   kvSource: string
 }
 
-/** A part of a prompt that other requests may share. */
-export interface PromptPart {
-  id: string
-  tokens: number
-}
-
 /** What an engine answers to a prefill step. */
 export interface PrefillAnswer {
   handle: string
@@ -43,7 +35,6 @@
   /** The path at which the balancer asks whether this entry takes callers. */
   readinessPath: string
   readTokenCounts(value: string): { prompt: number; most: number }
-  readPromptParts(value: string): PromptPart[]
   /** @returns undefined where the body is no such answer. */
   readPrefillAnswer(body: Buffer): PrefillAnswer | undefined
   kvSource(address: string, handle: string): string
--- a/request/gateway/src/index.ts
+++ b/request/gateway/src/index.ts
@@ -13,7 +13,7 @@
 export { RetryAllowance } from './retryAllowance'
 export type { RetryAllowanceOptions } from './retryAllowance'
 export type { RelayParts, RelayResult, SendRecord } from './relayParts'
-export type { GatewayWire, HeaderNames, PrefillAnswer, PromptPart } from './gatewayWire'
+export type { GatewayWire, HeaderNames, PrefillAnswer } from './gatewayWire'
 export { EventSplitter } from './eventSplitter'
 export type { StreamEvent } from './eventSplitter'
 export { judgeAnswer } from './judgeAnswer'
