--- a/tools/deployment/test/requests.test.ts
+++ b/tools/deployment/test/requests.test.ts
@@ -262,11 +262,16 @@
     const reopened = await sendChat(first!(), ask('open', 300))
     expect([reopened.whole, reopened.tokens]).toEqual([true, 300])
     await waitNothingHeld(deployment)
-    const explained = await deployment.operator<{ claim?: { owner: ClaimOwner; outcome?: object } }>(
-      first!(),
-      'GET',
-      `/v1/explain/${encodeURIComponent(reopened.request)}`,
-    )
-    expect(explained.claim?.outcome).toBeDefined()
+    // The outcome is settled after the last byte has left, see docs/PROMISES.md.
+    const isSettled = async () => {
+      const path = `/v1/explain/${encodeURIComponent(reopened.request)}`
+      const explained = await deployment.operator<{ claim?: { owner: ClaimOwner; outcome?: object } }>(
+        first!(),
+        'GET',
+        path,
+      )
+      return explained.claim?.outcome !== undefined
+    }
+    await waitUntil(isSettled, { what: 'the settled outcome' })
   })
 })
