feat(allocator): refuse in good time where no place is in sight; engines work on while an order is unanswered

An engine whose order got no answer was given no work for 14 s. A second reader was ordered away from a full decode half.

Change: a request hears within 0.17 of its target whether its place in the queue, by the pace at which uses end, is in sight; callers that came back have a target anew; times to come back are spread over 0.24 to 0.32 of the time left. Who waits at a leader that leads no more is told at once. Without a leader an entry waits a moment for one. A prefill engine that refused three times in a row is no reader and counts as gone in the plan. Only reading without a queue teaches the pace. A second reader must nearly halve the fill.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -68,6 +68,9 @@
     reason: string
     promptTokens: number
     targetMs: number
+    /** Whether its caller had been sent away before. */
+    isReturn: boolean
+    waitedMs: number
     holds: number
     waiting: number
     term: number
--- a/daemon/fleet/src/stageOrders.ts
+++ b/daemon/fleet/src/stageOrders.ts
@@ -30,6 +30,7 @@
 const MAX_ANSWER_BYTES = 64 * 1024
 const TAKEN = 202
 const HOLDS_ALREADY = 200
+const OTHER_INSTANCE = 421
 const ASK_AGAIN_MS = 1_000
 /** The longest that an engine may take to end what runs before it changes. */
 const ENDS_WITHIN_MS = 15_000
@@ -83,8 +84,9 @@
     if (to === undefined) return
     const asked = await this.call(to, wire.reportCall())
     const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
-    if (report === undefined || report.isBusy || !isLeader())
-      return allocator.noteChanging(change.id, to.stage!, REFUSED_MS)
+    // An order that this machine did not give, or that came late, is under way.
+    if (report?.isBusy === true) return allocator.noteChanging(change.id, otherStage(to.stage!), REFUSED_MS)
+    if (report === undefined || !isLeader()) return allocator.noteOrdered(change.id, to.stage!, REFUSED_MS)
     const fence = term()
     const { stage, need, have } = change
     const order = { stage, holder, fence, expectedOrders: report.ordersTaken, instance: change.id }
@@ -98,8 +100,13 @@
       need,
       have,
     })
-    allocator.noteChanging(change.id, isTaken(status) ? stage : to.stage!, pauseAfter(status, changeMs))
-    if (status === TAKEN) this.awaitChange(to, stage, changeMs)
+    if (status === OTHER_INSTANCE) allocator.noteUse(change.id, 'other-instance')
+    if (status !== TAKEN) {
+      const becomes = status === undefined ? stage : to.stage!
+      return allocator.noteOrdered(change.id, becomes, pauseAfter(status))
+    }
+    allocator.noteChanging(change.id, stage, changeMs + ENDS_WITHIN_MS)
+    this.awaitChange(to, stage, changeMs)
   }
 
   /** An engine first ends what runs there, so that only its own report tells when it is back. */
@@ -136,14 +143,12 @@
   }
 }
 
-/** How long an engine gets no work and no other order after an order. */
-function pauseAfter(status: number | undefined, changeMs: Millis): Millis {
-  if (status === undefined) return UNANSWERED_MS
-  if (status === TAKEN) return changeMs + ENDS_WITHIN_MS
-  return status === HOLDS_ALREADY ? HOLDS_PAUSE_MS : REFUSED_MS
+function otherStage(stage: Stage): Stage {
+  return stage === 'prefill' ? 'decode' : 'prefill'
 }
 
-/** Whether an order is or may be being carried out. */
-function isTaken(status: number | undefined): boolean {
-  return status === undefined || status === TAKEN
+/** How long an engine gets no other order after one that it has not taken, as far as is known. */
+function pauseAfter(status: number | undefined): Millis {
+  if (status === undefined) return UNANSWERED_MS
+  return status === HOLDS_ALREADY ? HOLDS_PAUSE_MS : REFUSED_MS
 }
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -6,7 +6,7 @@
 import { HoldBook } from './holdBook'
 import { InstanceHealth } from './instanceHealth'
 import { planStages, type StageChange, type StagedEngine } from './planStages'
-import { isInTime, waitingOrder, type Waiting } from './waitingOrder'
+import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
 
 /** Options of {@link Allocator}. */
 export interface AllocatorOptions {
@@ -26,9 +26,16 @@
   memoryShare: number
   /** The share that late requests may fill, so that those still in time find room. */
   lateMemoryShare: number
+  /** Which go first: callers that came back, or those that come first; or by age alone. */
+  order: WaitingOrder
 }
 
-const DEFAULT_TUNING: AllocatorTuning = { lengthCertainty: 0.6, memoryShare: 0.97, lateMemoryShare: 0.85 }
+const DEFAULT_TUNING: AllocatorTuning = {
+  lengthCertainty: 0.6,
+  memoryShare: 0.97,
+  lateMemoryShare: 0.85,
+  order: 'returns-last',
+}
 
 /** Who reads a prompt: a prefill engine, or the decode engine itself. */
 type Reader = RegisteredEndpoint | 'decode'
@@ -42,10 +49,11 @@
 const OWN_READING_PAUSE_MS = 700
 /** A prefill engine of another zone must be this much sooner. */
 const OTHER_ZONE_MS = 30
-const BUSY_RETRY_MS = 2_500
-/** Each request that waits puts off those that are sent away by this much, up to a longest time. */
-const RETRY_STEP_MS = 200
-const LONGEST_RETRY_MS = 4_500
+/** Who is sent away for want of room comes back after these shares of its time left, spread evenly. */
+const LEAST_RETRY_SHARE = 0.24
+const MOST_RETRY_SHARE = 0.32
+/** A step that spreads any number of requests evenly between 0 and 1. */
+const GOLDEN_STEP = 0.618
 const NO_ENGINE_RETRY_MS = 700
 /** In time waiting requests for each decode engine; more would wait in vain. */
 const WAITING_PER_ENGINE = 4
@@ -57,20 +65,24 @@
   private readonly book: HoldBook
   private readonly health = new InstanceHealth()
   private readonly tuning: AllocatorTuning
-  private waiting: Waiting[] = []
+  private readonly room: WaitingRoom
+  private sentAway = 0
   private readonly demand = new Map<string, DemandMeter>()
   /** Engines that change their part, until when they are left alone. */
   private readonly changing = new Map<InstanceId, { to: Stage; until: Millis }>()
+  /** Engines that may still carry out an order, or refused one: they work on, but get no other order. */
+  private readonly ordered = new Map<InstanceId, { to: Stage; until: Millis }>()
   /** When each decode engine last began to read a prompt itself. */
   private readonly readsItself = new Map<InstanceId, Millis>()
 
   constructor(private readonly options: AllocatorOptions) {
     this.tuning = { ...DEFAULT_TUNING, ...options.tuning }
     this.book = new HoldBook(this.tuning.lengthCertainty)
+    this.room = new WaitingRoom((one, now) => this.slackOf(one, now), this.tuning.order)
   }
 
   get waitingCount(): number {
-    return this.waiting.length
+    return this.room.size
   }
 
   get holdCount(): number {
@@ -79,16 +91,16 @@
 
   /** Asks for a place; the answer comes at once or when there is room, at the latest after the hold time. */
   ask(ask: PlaceAsk, now: Millis, resolve: (decision: PlaceDecision) => void): void {
-    if (isInTime(ask) && !ask.isPrefilled) this.noteDemand(ask, now)
+    if (!ask.isReturn && !ask.isPrefilled) this.noteDemand(ask, now)
     const refusal = this.refuseAtOnce(ask)
     if (refusal !== undefined) return resolve(refusal)
-    this.waiting.push({ ask, since: now, resolve })
+    this.room.add({ ask, since: now, isKept: false, resolve })
     this.placeWaiting(now)
   }
 
   /** Gives up waiting; a place that was given meanwhile is free again. */
   withdraw(request: string, now: Millis): void {
-    this.waiting = this.waiting.filter((one) => one.ask.request !== request)
+    this.room.takeWhere((one) => one.ask.request === request)
     this.release(request, 'cancelled', 0, now)
   }
 
@@ -99,7 +111,8 @@
     hold.decodingAt = now
     if (hold.prefill === undefined) return
     this.noteUse(hold.prefill, outcome, now)
-    if (outcome === 'ok' && tookMs > 0) this.book.learnReading(hold.ask.promptTokens, tookMs)
+    if (outcome === 'ok' && tookMs > 0 && hold.isReadAlone === true)
+      this.book.learnReading(hold.ask.promptTokens, tookMs)
     this.placeWaiting(now)
   }
 
@@ -115,6 +128,7 @@
     if (hold === undefined) return
     this.book.remove(request)
     this.noteUse(hold.decode, outcome, now)
+    this.room.noteEnd(hold.ask.service, now)
     if (outcome === 'ok' && madeTokens > 0) this.book.learnAnswer(hold, madeTokens, now)
     this.placeWaiting(now)
   }
@@ -127,16 +141,17 @@
   /** Drops what an entry held that is gone. */
   dropEntry(entry: string): void {
     this.book.dropEntry(entry)
-    this.waiting = this.waiting.filter((one) => one.ask.entry !== entry)
+    this.room.takeWhere((one) => one.ask.entry === entry)
   }
 
-  /** Places what fits by now and refuses what has waited too long. Called again and again. */
+  /** Places what fits by now and refuses what has no hope or has waited too long. Called again and again. */
   tick(now: Millis): void {
     this.health.keepOnly(new Set(this.options.endpoints().map((endpoint) => endpoint.id)))
     this.placeWaiting(now)
-    const overdue = this.waiting.filter((one) => now - one.since >= one.ask.holdMs)
-    this.waiting = this.waiting.filter((one) => !overdue.includes(one))
-    for (const one of overdue) one.resolve(refused('no room in time', this.busyRetryMs()))
+    const hopeless = this.room.takeHopeless(now)
+    const overdue = this.room.takeWhere((one) => now - one.since >= one.ask.holdMs)
+    for (const { ask, resolve } of hopeless) resolve(this.refusedForRoom('no room in sight', ask))
+    for (const { ask, resolve } of overdue) resolve(this.refusedForRoom('no room in time', ask))
   }
 
   /** The engine of a service that should change its part now, where one should. */
@@ -149,19 +164,28 @@
       .filter((one) => one.service === service && one.state === 'ready' && one.stage !== undefined)
       // An engine that is out for a moment will be back before another has changed its part.
       .filter((one) => !this.health.isGone(one.id) && !this.health.isLost(one.id))
+      // A prefill engine that refuses whatever comes is carrying out an order that nobody here knows of.
+      .filter((one) => one.stage !== 'prefill' || !this.health.isBusy(one.id))
       .map((one) => this.toStaged(one, now))
     return planStages(staged, meter.need(engine.kvTokens, now))
   }
 
-  /** Gives an engine no work while it changes its part, or is left alone after it refused to. */
+  /** Gives an engine no work while it changes its part. */
   noteChanging(id: InstanceId, to: Stage, forMs: Millis, now: Millis): void {
     this.changing.set(id, { to, until: now + forMs })
   }
 
+  /** Lets an engine work on, without another order, while it is not known what becomes of the last one. */
+  noteOrdered(id: InstanceId, to: Stage, forMs: Millis, now: Millis): void {
+    this.ordered.set(id, { to, until: now + forMs })
+  }
+
   private toStaged(endpoint: RegisteredEndpoint, now: Millis): StagedEngine {
-    const isChanging = this.isChanging(endpoint.id, now)
-    const stage = isChanging ? this.changing.get(endpoint.id)!.to : endpoint.stage!
-    return { id: endpoint.id, stage, uses: this.book.usesOf(endpoint.id), isChanging }
+    const order = [this.changing, this.ordered]
+      .map((orders) => orders.get(endpoint.id))
+      .find((one) => one !== undefined && one.until > now)
+    const stage = order?.to ?? endpoint.stage!
+    return { id: endpoint.id, stage, uses: this.book.usesOf(endpoint.id), isChanging: order !== undefined }
   }
 
   isChanging(id: InstanceId, now: Millis): boolean {
@@ -179,31 +203,39 @@
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
     const decoders = this.registered(ask.service, 'decode').length
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
-    const inTime = this.waiting.filter((one) => one.ask.service === ask.service && isInTime(one.ask)).length
-    const isFull = isInTime(ask) && !ask.isPrefilled && inTime >= decoders * WAITING_PER_ENGINE
-    return isFull ? refused('too many wait already', this.busyRetryMs()) : undefined
+    const isFull = ask.promptMs > 0 && this.room.count(ask.service) >= decoders * WAITING_PER_ENGINE
+    return isFull ? this.refusedForRoom('too many wait already', ask) : undefined
   }
 
-  private busyRetryMs(): Millis {
-    return Math.min(LONGEST_RETRY_MS, BUSY_RETRY_MS + this.waiting.length * RETRY_STEP_MS)
+  /** Callers that come back do so one after the other, late enough for a short peak to have passed. */
+  private refusedForRoom(reason: string, ask: PlaceAsk): PlaceDecision {
+    this.sentAway += 1
+    const spread = (this.sentAway * GOLDEN_STEP) % 1
+    const share = LEAST_RETRY_SHARE + (MOST_RETRY_SHARE - LEAST_RETRY_SHARE) * spread
+    return refused(reason, ask.leftMs * share)
   }
 
   private placeWaiting(now: Millis): void {
-    if (this.waiting.length === 0) return
-    const left: Waiting[] = []
-    for (const one of waitingOrder(this.waiting)) {
+    if (this.room.size === 0) return
+    for (const one of this.room.inOrder(now)) {
       const placed = this.tryPlace(one, now)
-      if (placed === undefined) left.push(one)
-      else one.resolve(placed)
+      if (placed === undefined) continue
+      this.room.takeWhere((other) => other === one)
+      one.resolve(placed)
     }
-    this.waiting = left
+  }
+
+  /** How long a request may still wait so that its first event is there in time. */
+  private slackOf({ ask, since }: Waiting, now: Millis): Millis {
+    const readingMs = ask.isPrefilled ? 0 : this.book.readingMs(ask)
+    return ask.targetMs - (now - since) - readingMs - START_MS
   }
 
   private tryPlace(waiting: Waiting, now: Millis): Placed | undefined {
     const { ask } = waiting
     const engine = this.options.engine(ask.service)
     if (engine === undefined) return undefined
-    const decode = this.chooseDecode(ask, engine, now)
+    const decode = this.chooseDecode(waiting, engine, now)
     if (decode === undefined) return undefined
     const reader = this.chooseReader(waiting, decode, now)
     if (reader === undefined) return undefined
@@ -226,6 +258,7 @@
       prefill: prefill?.id,
       decode: decode.id,
       placedAt: decodesAt,
+      isReadAlone: prefill !== undefined && this.book.prefillWait(prefill.id) === 0,
       decodingAt,
     })
     return { type: 'placed', prefill: prefill?.id, decode: decode.id }
@@ -238,13 +271,16 @@
     if (readers.length === 0) return 'decode'
     const free = readers.filter((endpoint) => !this.health.isFull(endpoint.id, now))
     const soonest = this.soonest(free, decode.zone)
-    // Engines that have just refused are back in a moment.
-    if (soonest === undefined) return undefined
-    const left = isInTime(ask) ? ask.targetMs - (now - since) : LATE_READING_MS
+    if (soonest === undefined) {
+      // Engines that have just refused are back in a moment, unless they do nothing else.
+      return readers.every((endpoint) => this.health.isBusy(endpoint.id)) ? 'decode' : undefined
+    }
+    const isInTime = this.room.isInTime(waiting, now)
+    const left = isInTime ? ask.targetMs - (now - since) : LATE_READING_MS
     const readingMs = this.book.readingMs(ask)
     if (soonest.wait + readingMs + START_MS <= left) return soonest.endpoint
     const isTime = readingMs * OWN_READING_FACTOR + START_MS <= left
-    return isInTime(ask) && isTime && this.mayReadItself(decode.id, now) ? 'decode' : undefined
+    return isInTime && isTime && this.mayReadItself(decode.id, now) ? 'decode' : undefined
   }
 
   /** Reading at a decode engine holds up what it makes, so that it must not come too often. */
@@ -253,9 +289,10 @@
   }
 
   /** The decode engine whose memory to come is the least filled with the request, where it fits at all. */
-  private chooseDecode(ask: PlaceAsk, engine: EnginePool, now: Millis): RegisteredEndpoint | undefined {
+  private chooseDecode(waiting: Waiting, engine: EnginePool, now: Millis): RegisteredEndpoint | undefined {
+    const { ask } = waiting
     const { memoryShare, lateMemoryShare } = this.tuning
-    const share = isInTime(ask) || ask.isPrefilled ? memoryShare : lateMemoryShare
+    const share = this.room.isInTime(waiting, now) || ask.isPrefilled ? memoryShare : lateMemoryShare
     const fitting = this.engines(ask, 'decode', now)
       .filter((endpoint) => !this.health.isFull(endpoint.id, now))
       .map((endpoint) => ({
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -1,4 +1,4 @@
-import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import { delay, every, type CancelTimer, type Clock } from '@forkstage/clock'
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import { ForkstageError } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
@@ -51,6 +51,8 @@
   private term = -1
   private since: Millis = 0
   private readonly heard = new Map<string, Millis>()
+  /** Requests that wait for a decision of this machine, with what tells them that it places no more. */
+  private readonly undecided = new Map<string, (error: Error) => void>()
   private cancelTick: CancelTimer = () => undefined
 
   constructor(private readonly options: AllocatorServiceOptions) {
@@ -69,7 +71,7 @@
     const now = () => this.options.clock.now()
     return {
       [PLACE.ask]: (params: { ask: PlaceAsk }) => this.ask(params.ask),
-      [PLACE.withdraw]: (params: { request: string }) => this.allocator.withdraw(params.request, now()),
+      [PLACE.withdraw]: (params: { request: string }) => this.withdraw(params.request),
       [PLACE.prefilled]: (params: { request: string; outcome: UseOutcome; tookMs: Millis }) =>
         this.allocator.notePrefilled(params.request, params.outcome, params.tookMs, now()),
       [PLACE.note]: (params: { endpoint: InstanceId; outcome: UseOutcome }) =>
@@ -85,11 +87,21 @@
     return this.mayPlace() ? this.allocator.planStage(service, this.options.clock.now()) : undefined
   }
 
+  /** Notes how a use of an engine ended that belongs to no request. */
+  noteUse(id: InstanceId, outcome: UseOutcome): void {
+    this.allocator.noteUse(id, outcome, this.options.clock.now())
+  }
+
   /** Gives an engine no work while it changes its part. */
   noteChanging(id: InstanceId, to: Stage, forMs: Millis): void {
     this.allocator.noteChanging(id, to, forMs, this.options.clock.now())
   }
 
+  /** Lets an engine work on, without another order, while it is not known what becomes of the last one. */
+  noteOrdered(id: InstanceId, to: Stage, forMs: Millis): void {
+    this.allocator.noteOrdered(id, to, forMs, this.options.clock.now())
+  }
+
   isChanging(id: InstanceId): boolean {
     return this.allocator.isChanging(id, this.options.clock.now())
   }
@@ -104,15 +116,45 @@
 
   private async ask(ask: PlaceAsk): Promise<PlaceDecision> {
     this.renewTerm()
+    await this.untilListened()
     if (!this.mayPlace()) throw new NotPlacingError()
     this.heard.set(ask.entry, this.options.clock.now())
-    const decision = await new Promise<PlaceDecision>((resolve) =>
-      this.allocator.ask(ask, this.options.clock.now(), resolve),
-    )
-    this.log(ask, decision)
+    const askedAt = this.options.clock.now()
+    const decision = await this.decide(ask)
+    this.log(ask, decision, this.options.clock.now() - askedAt)
     return decision
   }
 
+  /** A new leader lets requests wait while it hears what runs. */
+  private async untilListened(): Promise<void> {
+    const { clock, isLeader } = this.options
+    const listensFor = this.since + LISTEN_FIRST_MS - clock.now()
+    if (isLeader() && listensFor > 0) await delay(clock, listensFor)
+  }
+
+  private decide(ask: PlaceAsk): Promise<PlaceDecision> {
+    const { request } = ask
+    return new Promise<PlaceDecision>((resolve, reject) => {
+      this.undecided.set(request, reject)
+      this.allocator.ask(ask, this.options.clock.now(), (decision) => {
+        this.undecided.delete(request)
+        resolve(decision)
+      })
+    })
+  }
+
+  /** Tells those that wait that another machine places now, or none. */
+  private dismissUndecided(): void {
+    const rejects = [...this.undecided.values()]
+    this.undecided.clear()
+    rejects.forEach((reject) => reject(new NotPlacingError()))
+  }
+
+  private withdraw(request: string): void {
+    this.undecided.delete(request)
+    this.allocator.withdraw(request, this.options.clock.now())
+  }
+
   private takeReport({ entry, holds }: { entry: string; holds: ReportedHold[] }): void {
     this.renewTerm()
     const now = this.options.clock.now()
@@ -122,7 +164,7 @@
 
   private tick(): void {
     const { clock, isLeader } = this.options
-    if (!isLeader()) return
+    if (!isLeader()) return this.dismissUndecided()
     this.renewTerm()
     const now = clock.now()
     for (const [entry, at] of this.heard) {
@@ -144,6 +186,7 @@
     if (term() === this.term) return
     this.term = term()
     this.since = clock.now()
+    this.dismissUndecided()
     this.allocator = this.createAllocator()
   }
 
@@ -156,7 +199,7 @@
     })
   }
 
-  private log(ask: PlaceAsk, decision: PlaceDecision): void {
+  private log(ask: PlaceAsk, decision: PlaceDecision, waitedMs: Millis): void {
     const { allocator } = this
     this.options.logger.info('place.decided', {
       request: ask.request,
@@ -168,6 +211,8 @@
           : `prefill ${decision.prefill ?? 'none'}, decode ${decision.decode}`,
       promptTokens: ask.promptTokens,
       targetMs: Math.round(ask.targetMs),
+      isReturn: ask.isReturn,
+      waitedMs: Math.round(waitedMs),
       holds: allocator.holdCount,
       waiting: allocator.waitingCount,
       term: this.term,
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -16,8 +16,14 @@
   priority: number
   /** Time left until its first event should be there; below 0 for one that is late already. */
   targetMs: Millis
+  /** Whether its caller has come back after a refusal or a failure. */
+  isReturn: boolean
+  /** By when it should hear that no place is in sight; 0 or less where it is too late for that. */
+  promptMs: Millis
   /** The longest it may be held for a place. */
   holdMs: Millis
+  /** Time left until its caller gives up. */
+  leftMs: Millis
   except: InstanceId[]
   isPrefilled: boolean
 }
@@ -46,6 +52,8 @@
   prefill?: InstanceId
   decode: InstanceId
   placedAt: Millis
+  /** Whether its prompt is read without waiting for another, so that the time it takes tells the pace. */
+  isReadAlone?: boolean
   /** When decoding began; absent while the prompt is being read. */
   decodingAt?: Millis
 }
--- /dev/null
+++ b/placement/allocator/src/fadingSum.ts
@@ -0,0 +1,34 @@
+import type { Millis } from '@forkstage/types'
+
+/** A sum in which what was added earlier counts less and less: the base of moving rates. */
+export class FadingSum {
+  private sum = 0
+  private startedAt: Millis | undefined
+  private updatedAt: Millis = 0
+
+  /** @param memoryMs after this time an amount counts for a third. */
+  constructor(private readonly memoryMs: Millis) {}
+
+  add(amount: number, now: Millis): void {
+    this.startedAt ??= now
+    this.fade(now)
+    this.sum += amount
+  }
+
+  /** How long amounts have been added, in milliseconds. */
+  seenFor(now: Millis): Millis {
+    return this.startedAt === undefined ? 0 : now - this.startedAt
+  }
+
+  /** The mean amount in a millisecond. */
+  perMs(now: Millis): number {
+    this.fade(now)
+    const seen = Math.max(1, this.seenFor(now))
+    return this.sum / (this.memoryMs * (1 - Math.exp(-seen / this.memoryMs)))
+  }
+
+  private fade(now: Millis): void {
+    this.sum *= Math.exp(-(now - this.updatedAt) / this.memoryMs)
+    this.updatedAt = now
+  }
+}
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -7,8 +7,7 @@
 const FIRST_MS_PER_TOKEN = 0.8
 const FIRST_PROMPT_TOKENS_PER_MS = 40
 const RATE_WEIGHT = 0.1
-const FASTER_WEIGHT = 0.3
-const SLOWER_WEIGHT = 0.02
+const READING_WEIGHT = 0.1
 /** A hold that its entry does not name any more is dropped once it is this old. */
 const UNNAMED_HOLD_MS = 1_000
 
@@ -94,10 +93,7 @@
   }
 
   learnReading(promptTokens: number, tookMs: Millis): void {
-    const rate = promptTokens / tookMs
-    // What waited in a queue looks slow: the pace is what the fast ones show.
-    const weight = rate > this.promptTokensPerMs ? FASTER_WEIGHT : SLOWER_WEIGHT
-    this.promptTokensPerMs += (rate - this.promptTokensPerMs) * weight
+    this.promptTokensPerMs += (promptTokens / tookMs - this.promptTokensPerMs) * READING_WEIGHT
   }
 
   learnAnswer(hold: Hold, madeTokens: number, now: Millis): void {
--- a/placement/allocator/src/instanceHealth.ts
+++ b/placement/allocator/src/instanceHealth.ts
@@ -23,6 +23,8 @@
 const LONGEST_EJECTION_MS = 8_000
 const AFTER_EJECTION = 0.3
 const EJECTIONS_UNTIL_LOST = 3
+/** An instance that refused this often in a row is busy with something else than a moment's load. */
+const REFUSALS_UNTIL_BUSY = 3
 
 /** What is believed of instances from how their uses ended. */
 export class InstanceHealth {
@@ -57,6 +59,11 @@
     return (this.known.get(id)?.fullUntil ?? 0) > now
   }
 
+  /** Whether an instance has refused again and again with no good use between. */
+  isBusy(id: InstanceId): boolean {
+    return (this.known.get(id)?.fulls ?? 0) >= REFUSALS_UNTIL_BUSY
+  }
+
   /** Whether an instance was out again and again without a good use between: more than a moment's trouble. */
   isLost(id: InstanceId): boolean {
     return (this.known.get(id)?.ejections ?? 0) >= EJECTIONS_UNTIL_LOST
--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -28,8 +28,13 @@
 
 /** The fuller half must be at least this full before an engine changes its part. */
 const FULL = 0.7
-/** A change must bring the fuller half down by this share at least, since it costs seconds of an engine. */
+/** A change must bring the fuller half down to this share at most, since it costs seconds of an engine. */
 const WORTHWHILE = 0.8
+/**
+ * The same for a decode engine that is to read prompts beside another: it first has to end what runs there, and
+ * decode engines can read what one reader does not.
+ */
+const WORTHWHILE_SECOND_READER = 0.55
 
 /**
  * Decides whether an engine should change its part: when one half is full, and its fill and that of the other
@@ -42,14 +47,16 @@
   if (now < FULL) return undefined
   const toDecode = prefill.length > 1 ? fullest(need, prefill.length - 1, decode.length + 1) : Infinity
   const toPrefill = decode.length > 1 ? fullest(need, prefill.length + 1, decode.length - 1) : Infinity
-  if (Math.min(toDecode, toPrefill) > now * WORTHWHILE) return undefined
-  const from = toDecode <= toPrefill ? prefill : decode
+  const isReader = toPrefill < toDecode
+  const enough = isReader && prefill.length > 0 ? WORTHWHILE_SECOND_READER : WORTHWHILE
+  if (Math.min(toDecode, toPrefill) > now * enough) return undefined
+  const from = isReader ? decode : prefill
   const working = from.filter((engine) => !engine.isChanging)
   // What changes already counts where it goes; but a half is never left without an engine that works.
   if (working.length < 2) return undefined
   const freest = working.sort((left, right) => left.uses - right.uses)[0]!
   const have = { prefill: prefill.length, decode: decode.length }
-  return { id: freest.id, stage: toDecode <= toPrefill ? 'decode' : 'prefill', need, have }
+  return { id: freest.id, stage: isReader ? 'prefill' : 'decode', need, have }
 }
 
 function fullest(need: StageNeed, prefill: number, decode: number): number {
--- /dev/null
+++ b/placement/allocator/src/waitingRoom.ts
@@ -0,0 +1,108 @@
+import type { Millis } from '@forkstage/types'
+import type { PlaceAsk, PlaceDecision } from './allocatorTypes'
+import { FadingSum } from './fadingSum'
+
+/** A request that waits for a place. */
+export interface Waiting {
+  ask: PlaceAsk
+  since: Millis
+  /** Whether it has been decided that waiting on is worth it. */
+  isKept: boolean
+  resolve: (decision: PlaceDecision) => void
+}
+
+/** Which go first of those that can be in time. */
+export type WaitingOrder = 'returns-first' | 'by-age' | 'returns-last'
+
+/** Groups of one order: callers that came back, and those that come first. */
+const GROUPS = {
+  'returns-first': { back: 1, first: 2 },
+  'by-age': { back: 1, first: 1 },
+  'returns-last': { back: 2, first: 1 },
+} as const
+
+/** The time over which ends of uses are averaged. */
+const PACE_MEMORY_MS = 2_000
+/** An expected wait is taken this much longer: some ends do not make room enough for the next request. */
+const WAIT_FACTOR = 2
+
+/** Requests that wait for a place, in the order in which they get one, and what they may hope for. */
+export class WaitingRoom {
+  private waiting: Waiting[] = []
+  /** Ends of uses by service: each makes room for about one request. */
+  private readonly ends = new Map<string, FadingSum>()
+
+  /** @param slackOf time that a request may still wait and be in time, in milliseconds. */
+  constructor(
+    private readonly slackOf: (one: Waiting, now: Millis) => Millis,
+    private readonly order: WaitingOrder,
+  ) {}
+
+  get size(): number {
+    return this.waiting.length
+  }
+
+  add(one: Waiting): void {
+    this.waiting.push(one)
+  }
+
+  /** How many wait for a service. */
+  count(service: string): number {
+    return this.waiting.filter((one) => one.ask.service === service).length
+  }
+
+  /** Takes out what fits and returns it. */
+  takeWhere(isTaken: (one: Waiting) => boolean): Waiting[] {
+    const taken = this.waiting.filter(isTaken)
+    if (taken.length > 0) this.waiting = this.waiting.filter((one) => !taken.includes(one))
+    return taken
+  }
+
+  isInTime(one: Waiting, now: Millis): boolean {
+    return this.slackOf(one, now) > 0
+  }
+
+  /**
+   * The order in which requests get places: those whose prompt is read already; callers that came back, who
+   * would be lost when sent away again; those that can still be in time; late ones. Then by rank and age.
+   */
+  inOrder(now: Millis): Waiting[] {
+    const groups = new Map(this.waiting.map((one) => [one, this.groupOf(one, now)]))
+    return [...this.waiting].sort(
+      (left, right) =>
+        groups.get(left)! - groups.get(right)! ||
+        left.ask.priority - right.ask.priority ||
+        left.since - right.since,
+    )
+  }
+
+  /** Notes that a use of a service's engines has ended. */
+  noteEnd(service: string, now: Millis): void {
+    const ends = this.ends.get(service) ?? new FadingSum(PACE_MEMORY_MS)
+    this.ends.set(service, ends)
+    ends.add(1, now)
+  }
+
+  /** Requests that must hear now whether to go on waiting, and for which no place is in sight in time. */
+  takeHopeless(now: Millis): Waiting[] {
+    const due = this.waiting.filter(
+      (one) => !one.isKept && one.ask.promptMs > 0 && now - one.since >= one.ask.promptMs,
+    )
+    if (due.length === 0) return []
+    const order = this.inOrder(now)
+    due.forEach((one) => (one.isKept = this.expectedWait(one, order, now) <= this.slackOf(one, now)))
+    return this.takeWhere((one) => due.includes(one) && !one.isKept)
+  }
+
+  private expectedWait(one: Waiting, order: Waiting[], now: Millis): Millis {
+    const queue = order.filter((other) => other.ask.service === one.ask.service)
+    const pace = this.ends.get(one.ask.service)?.perMs(now) ?? 0
+    return ((queue.indexOf(one) + 1) * WAIT_FACTOR) / pace
+  }
+
+  private groupOf(one: Waiting, now: Millis): number {
+    if (one.ask.isPrefilled) return 0
+    if (!this.isInTime(one, now)) return 3
+    return one.ask.isReturn ? GROUPS[this.order].back : GROUPS[this.order].first
+  }
+}
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import { Allocator, type PlaceAsk, type PlaceDecision } from '../src'
+import { Allocator, type PlaceAsk, type PlaceDecision, type Refused } from '../src'
 
 const ENGINE = {
   slots: 64,
@@ -28,6 +28,9 @@
     hintTokens: 1_000,
     priority: 1,
     targetMs: 900,
+    isReturn: false,
+    promptMs: 150,
+    leftMs: 10_000,
     holdMs: 600,
     except: [],
     isPrefilled: false,
@@ -77,7 +80,7 @@
   it('refuses what has waited as long as it may, with a time to come back', () => {
     const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
     place(ask('one', { promptTokens: 7_000 }))
-    place(ask('two', { promptTokens: 7_000 }))
+    place(ask('two', { promptTokens: 7_000, promptMs: 0 }))
     allocator.tick(599)
     expect(decisions.has('two')).toBe(false)
     allocator.tick(600)
@@ -105,6 +108,52 @@
     expect(decisions.has('late')).toBe(false)
   })
 
+  it('refuses in good time where no place is in sight, and lets what has one in sight wait', () => {
+    const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    place(ask('one', { promptTokens: 7_000 }))
+    place(ask('two', { promptTokens: 7_000 }))
+    allocator.tick(149)
+    expect(decisions.has('two')).toBe(false)
+    allocator.tick(150)
+    expect(decisions.get('two')).toMatchObject({ type: 'refused', reason: 'no room in sight' })
+    for (let index = 0; index < 20; index += 1) {
+      place(ask(`r${index}`, { promptTokens: 100, hintTokens: 100 }), 200 + index * 50)
+      allocator.release(`r${index}`, 'cancelled', 0, 230 + index * 50)
+    }
+    place(ask('three', { promptTokens: 7_000 }), 1_300)
+    allocator.tick(1_450)
+    expect(decisions.has('three')).toBe(false)
+  })
+
+  it('places callers that came back after those who come first, and before late ones, in a target of their own', () => {
+    const {
+      allocator,
+      place,
+      decisions,
+      decodeOf: decode,
+    } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    place(ask('one', { promptTokens: 7_000 }))
+    place(ask('late', { promptTokens: 7_000, targetMs: 100, promptMs: 0 }), 5)
+    place(ask('back', { promptTokens: 7_000, isReturn: true, promptMs: 0 }), 10)
+    place(ask('fresh', { promptTokens: 7_000 }), 20)
+    allocator.release('one', 'ok', 900, 100)
+    expect(decode('fresh')).toBe('d1')
+    allocator.release('fresh', 'ok', 900, 200)
+    expect(decode('back')).toBe('d1')
+    expect(decisions.has('late')).toBe(false)
+  })
+
+  it('spreads the times at which callers come back over a share of the time they have', () => {
+    const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    place(ask('one', { promptTokens: 7_000 }))
+    const names = ['a', 'b', 'c', 'd']
+    names.forEach((name) => place(ask(name, { promptTokens: 7_000 })))
+    allocator.tick(150)
+    const waits = names.map((name) => decisions.get(name)).map((one) => (one as Refused).retryAfterMs)
+    expect(new Set(waits.map((wait) => Math.round(wait))).size).toBe(4)
+    waits.forEach((wait) => expect(wait >= 2_400 && wait <= 3_200).toBe(true))
+  })
+
   it('gives no work to engines that drain, that are excepted, or that are gone', () => {
     const endpoints = [
       engine('p1', 'prefill'),
@@ -130,6 +179,26 @@
     expect(decisions.get('one')).toMatchObject({ type: 'placed', prefill: 'p1' })
   })
 
+  it('lets the decode engine read where the only prefill engine refuses whatever comes, and plans another', () => {
+    const endpoints = [engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')]
+    const { allocator, place, decisions } = world(endpoints)
+    for (let index = 0; index < 30; index += 1) place(ask(`r${index}`, { holdMs: 1 }), index * 100)
+    expect(allocator.planStage('s', 3_000)?.stage).not.toBe('prefill')
+    for (let index = 0; index < 3; index += 1) allocator.noteUse('p1', 'full', 3_000)
+    allocator.dropEntry('e1')
+    place(ask('one'), 3_010)
+    expect(decisions.get('one')).toMatchObject({ type: 'placed', prefill: undefined })
+    expect(allocator.planStage('s', 3_020)?.stage).toBe('prefill')
+  })
+
+  it('gives work, but no other order, to an engine of which it is not known what became of its order', () => {
+    const endpoints = [engine('p1', 'prefill'), engine('d1', 'decode')]
+    const { allocator, place, decisions } = world(endpoints)
+    allocator.noteOrdered('p1', 'decode', 14_000, 0)
+    place(ask('one'), 10)
+    expect(decisions.get('one')).toMatchObject({ prefill: 'p1', decode: 'd1' })
+  })
+
   it('lets the decode engine read the prompt where no prefill engine is sound', () => {
     const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
     allocator.noteUse('p1', 'unreachable', 0)
--- a/placement/allocator/test/forecast.test.ts
+++ b/placement/allocator/test/forecast.test.ts
@@ -112,6 +112,11 @@
     expect(planStages(back, { prefill: 0.2, decode: 3.3 })).toBeUndefined()
   })
 
+  it('takes a second reader from the decode engines only where reading holds up far more than they could read', () => {
+    expect(planStages(engines(1, 5), { prefill: 1.2, decode: 3.6 })).toBeUndefined()
+    expect(planStages(engines(0, 5), { prefill: 0.4, decode: 3.6 })).toMatchObject({ stage: 'prefill' })
+  })
+
   it('changes nothing where both halves are full, and never empties one', () => {
     expect(planStages(engines(2, 4), { prefill: 1.9, decode: 4.2 })).toBeUndefined()
     expect(planStages(engines(1, 1), { prefill: 0.1, decode: 5 })).toBeUndefined()
--- /dev/null
+++ b/placement/allocator/test/waitingRoom.test.ts
@@ -0,0 +1,65 @@
+import { describe, expect, it } from 'vitest'
+import type { PlaceAsk } from '../src'
+import { WaitingRoom } from '../src/waitingRoom'
+
+const ASK: PlaceAsk = {
+  request: 'r',
+  entry: 'e',
+  service: 's',
+  className: 'c',
+  promptTokens: 1,
+  mostTokens: 1,
+  priority: 1,
+  targetMs: 900,
+  isReturn: false,
+  promptMs: 150,
+  holdMs: 3_000,
+  leftMs: 10_000,
+  except: [],
+  isPrefilled: false,
+}
+
+/** A room with requests that all asked at time 0, and ends of uses at an even pace before. */
+function room(names: string[], endsEveryMs: number) {
+  const waiting = new WaitingRoom(({ ask, since }, now) => ask.targetMs - (now - since), 'returns-last')
+  for (let at = -2_000; at <= 0; at += endsEveryMs) waiting.noteEnd('s', at)
+  for (const request of names)
+    waiting.add({ ask: { ...ASK, request }, since: 0, isKept: false, resolve: () => undefined })
+  return waiting
+}
+
+describe('WaitingRoom', () => {
+  it('asks nobody to leave before the time at which they must hear', () => {
+    expect(room(['a', 'b'], 10_000).takeHopeless(149)).toEqual([])
+  })
+
+  it('lets only as many wait as have a place in sight, the first first', () => {
+    const waiting = room(['a', 'b', 'c', 'd', 'e', 'f'], 200)
+    const sent = waiting.takeHopeless(150).map((one) => one.ask.request)
+    expect(sent.length).toBeGreaterThan(0)
+    expect(sent.length).toBeLessThan(6)
+    expect(sent).toEqual(['a', 'b', 'c', 'd', 'e', 'f'].slice(-sent.length))
+  })
+
+  it('judges each once: who was told to wait is not sent away later', () => {
+    const waiting = room(['a'], 100)
+    expect(waiting.takeHopeless(150)).toEqual([])
+    expect(waiting.takeHopeless(880)).toEqual([])
+    expect(waiting.size).toBe(1)
+  })
+
+  it('counts only the queue of the same service', () => {
+    const waiting = room([], 100)
+    for (const request of ['x', 'y', 'z', 'u', 'v', 'w'])
+      waiting.add({
+        ask: { ...ASK, request, service: 'other' },
+        since: 0,
+        isKept: false,
+        resolve: () => undefined,
+      })
+    waiting.add({ ask: { ...ASK, request: 'a' }, since: 10, isKept: false, resolve: () => undefined })
+    const sent = waiting.takeHopeless(170).map((one) => one.ask.request)
+    expect(sent).not.toContain('a')
+    expect(sent).toContain('x')
+  })
+})
--- a/request/gateway/src/holdTime.ts
+++ b/request/gateway/src/holdTime.ts
@@ -1,19 +1,15 @@
-import type { Route } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 
-/** The share of the time to the first event that may be spent waiting for a place. */
-const SHARE_OF_TARGET = 0.7
-/** How long a request that is late already waits, in targets: callers give a silent stream up at four. */
-const TARGETS_WHEN_LATE = 3.4
-/** The share of the time left that it may wait then. */
-const SHARE_WHEN_LATE = 0.4
+/** The longest wait for a place, in targets: callers give a silent stream up at four. */
+const LONGEST_HOLD_IN_TARGETS = 3.4
+/** The share of the time left that a request may wait. */
+const SHARE_OF_LEFT = 0.4
 
 /**
- * How long a model request may wait for a place.
- * @param targetMs time left until its first event should be there; below 0 for one that is late already.
+ * The longest that a model request may wait for a place.
+ * @param targetMs the route's time to the first event.
  * @param leftMs time left until its caller gives up.
  */
-export function holdTime(route: Route, targetMs: Millis, leftMs: Millis): Millis {
-  if (targetMs > 0) return targetMs * SHARE_OF_TARGET
-  return Math.max(0, Math.min(route.targetMs * TARGETS_WHEN_LATE, leftMs * SHARE_WHEN_LATE))
+export function holdTime(targetMs: Millis, leftMs: Millis): Millis {
+  return Math.max(0, Math.min(targetMs * LONGEST_HOLD_IN_TARGETS, leftMs * SHARE_OF_LEFT))
 }
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -40,6 +40,8 @@
 const NOT_YET_MS = 500
 const WAIT_FOR_ROUTES_MS = 250
 const ELSEWHERE_MS = 50
+/** A caller whose first try lies longer ago than this share of the target has come back. */
+const RETURN_SHARE = 0.3
 
 /** The listener for callers: finds the route of each request and has it relayed. */
 export class Ingress {
@@ -144,9 +146,11 @@
     const service = index.service(name)!
     parts.allowance.noteRequest(name)
     const endsAt = request.arrivedAt + Math.min(request.deadlineMs, route.timeoutMs)
-    const targetAt =
-      request.arrivedAt + route.targetMs - this.deadlines.elapsed(route.name, request.deadlineMs)
-    const job = { request, route, service, endsAt, targetAt }
+    const elapsed = this.deadlines.elapsed(route.name, request.deadlineMs)
+    const isReturn = elapsed > route.targetMs * RETURN_SHARE
+    // Who was sent away in good time and came back has a target of its own again.
+    const targetAt = request.arrivedAt + route.targetMs - (isReturn ? 0 : elapsed)
+    const job = { request, route, service, endsAt, targetAt, isReturn }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
     return isModel ? relayStream(parts, job) : relayPlain(parts, job)
   }
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -13,6 +13,8 @@
 const NO_ENDPOINT_RETRY_MS = 500
 const NO_ROOM_RETRY_MS = 1_200
 const MOST_FILL = 0.9
+/** Callers are spread unevenly over entries, and few entries have to place alone at once. */
+const UNEVEN_FACTOR = 2
 
 /**
  * Places model requests by what this entry alone knows, while nobody can be asked: the engine with the fewest
@@ -39,7 +41,7 @@
     const { kvTokens, entries } = this.options
     const all = kvTokens(work.service) * decoders.length * MOST_FILL
     const own = decoders.reduce((sum, one) => sum + one.tokens, 0)
-    return own === 0 || own + tokensOf(work) <= all / Math.max(1, entries())
+    return own === 0 || own + tokensOf(work) <= (all * UNEVEN_FACTOR) / Math.max(1, entries())
   }
 
   private take(work: ModelWork, decode: PooledEndpoint, prefill: PooledEndpoint | undefined): ModelPlace {
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -13,8 +13,14 @@
   priority: number
   /** Time left until the first event should be there. */
   targetMs: Millis
+  /** Whether its caller has come back after a refusal or a failure. */
+  isReturn: boolean
+  /** By when it should hear that no place is in sight; 0 or less where it is too late for that. */
+  promptMs: Millis
   /** The longest it may wait for a place. */
   holdMs: Millis
+  /** Time left until its caller gives up. */
+  leftMs: Millis
   /** Requests of one class have answers of like length. */
   className: string
   /** Instances that are not to be chosen again. */
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -8,6 +8,7 @@
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
+  PROMPT_SHARE,
   headersFor,
   type RelayJob,
   type RelayParts,
@@ -19,9 +20,8 @@
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 const MAX_REFUSALS = 3
 const COME_BACK_MS = 400
-/** The share of the time to the target that a request waits for an endpoint with room. */
-const WAIT_SHARE = 0.35
-const LEAST_WAIT_MS = 40
+/** The share of the time to the target that a caller that came back waits for an endpoint with room. */
+const RETURN_WAIT_SHARE = 0.5
 /** Answers of an endpoint that promise that nothing ran; never sent on for a request that did. */
 const PROMISES = new Set([408, 421, 429, 503])
 
@@ -82,9 +82,10 @@
   /** The endpoint to try next, once one has room; undefined where none has in time. */
   private choose(): Promise<PooledEndpoint | undefined> {
     const { clock } = this.parts
-    const left = this.job.targetAt - clock.now()
-    const limit = Math.max(LEAST_WAIT_MS, left * WAIT_SHARE)
-    return waitFor(clock, limit, () => (this.isOver ? undefined : this.roomiest()))
+    const { request, route, isReturn } = this.job
+    const share = isReturn ? RETURN_WAIT_SHARE : PROMPT_SHARE
+    const left = request.arrivedAt + route.targetMs * share - clock.now()
+    return waitFor(clock, Math.max(0, left), () => (this.isOver ? undefined : this.roomiest()))
   }
 
   private roomiest(): PooledEndpoint | undefined {
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -43,8 +43,10 @@
   service: RoutedService
   /** The last moment at which the caller or the operator wants an answer. */
   endsAt: Millis
-  /** When the first event, or the answer, should be there to count in full. */
+  /** When the first event, or the answer, should be there; counted anew for a caller that came back. */
   targetAt: Millis
+  /** Whether the caller has come back after a refusal or a failure. */
+  isReturn: boolean
 }
 
 /** How long to wait for a connection to an endpoint. */
@@ -52,6 +54,9 @@
 /** Kept between an answer of this entry's own and the end of a request. */
 export const ANSWER_MARGIN_MS = 25
 
+/** The share of a route's target within which a request hears that there is no room for it. */
+export const PROMPT_SHARE = 0.17
+
 /** The headers and the limit with which a request goes to an endpoint. */
 export function headersFor(
   parts: RelayParts,
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -12,6 +12,7 @@
 import type { Address, Millis } from '@forkstage/types'
 import type { EndpointPool } from './endpointPool'
 import type { LeaderWay } from './leaderWay'
+import { waitFor } from './waitFor'
 import type { ModelPlace, ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
 
 /** Options of {@link RemotePlacer}. */
@@ -34,6 +35,8 @@
   decodingAt?: Millis
 }
 
+/** Without a leader, one is waited for this share of the time in which a request hears of a refusal. */
+const WAIT_FOR_LEADER_SHARE = 0.7
 /** Added to the time a request may be held, for the way there and back. */
 const ANSWER_SLACK_MS = 200
 const REPORT_EVERY_MS = 1_000
@@ -70,7 +73,9 @@
   }
 
   private async ask(ask: PlaceAsk): Promise<PlaceDecision | undefined> {
-    const { way, logger } = this.options
+    const { way, logger, clock } = this.options
+    // While a leader is being elected one comes in a moment.
+    await waitFor(clock, Math.max(0, ask.promptMs) * WAIT_FOR_LEADER_SHARE, () => way.leader())
     try {
       return await way.call<PlaceDecision>(PLACE.ask, { ask }, ask.holdMs + ANSWER_SLACK_MS)
     } catch (error) {
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -14,6 +14,7 @@
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
+  PROMPT_SHARE,
   headersFor,
   type RelayJob,
   type RelayParts,
@@ -106,7 +107,9 @@
     const { request, route, service } = this.job
     const { wire, clock } = this.parts
     const counts = wire.readTokenCounts(single(request.headers[wire.headers.tokenCounts]) ?? '')
-    const targetMs = this.job.targetAt - clock.now()
+    const now = clock.now()
+    const leftMs = this.job.endsAt - now
+    const promptAt = request.arrivedAt + route.targetMs * PROMPT_SHARE
     const hint = Number(single(request.headers[wire.headers.lengthHint]))
     return {
       request: request.id,
@@ -115,8 +118,11 @@
       mostTokens: counts.most,
       hintTokens: Number.isFinite(hint) && hint > 0 ? hint : undefined,
       priority: route.priority,
-      targetMs,
-      holdMs: holdTime(route, targetMs, this.job.endsAt - clock.now()),
+      targetMs: this.job.targetAt - now,
+      isReturn: this.job.isReturn,
+      promptMs: this.job.isReturn ? 0 : promptAt - now,
+      holdMs: holdTime(route.targetMs, leftMs),
+      leftMs,
       className: route.name,
       except: this.except,
       isPrefilled: this.usableHandle() !== undefined,
--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -1,6 +1,7 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { runJournalExperiment } from './journalExperiment'
+import { runMemoryExperiment } from './memoryExperiment'
 import { runPlaceExperiment } from './placeExperiment'
 import { runPolicyExperiment, type FaultName } from './policyExperiment'
 import { runRelayExperiment } from './relayExperiment'
@@ -45,6 +46,25 @@
         })
       },
     )
+    .command(
+      'memory',
+      'long answers on scarce memory: variants of the allocator',
+      (argv) =>
+        argv
+          .option('rates', { type: 'string', default: '8,11,13' })
+          .option('decode', { type: 'number', default: 4 })
+          .option('prefill', { type: 'number', default: 1 })
+          .option('seeds', { type: 'number', default: 10 })
+          .option('variants', { type: 'string', default: '', describe: 'names of variants, or all' }),
+      ({ rates, decode, prefill, seeds, variants }) =>
+        runMemoryExperiment({
+          rates: list(rates).map(Number),
+          decode,
+          prefill,
+          seeds,
+          variants: list(variants),
+        }),
+    )
     .command('place', 'the placement decision alone', {}, () => runPlaceExperiment())
     .command('relay', "the relay's cost a token, direct against through a box", {}, () =>
       runRelayExperiment(),
