test(fleet-soak): a randomised soak of entries and control machines over real processes

Ruled out: growing the soak of boxes, which knows tables, claims and owners that these machines do not have.

`npm run soak:fleet` starts five control machines and four entries on loopback addresses, stand-ins that register, and draws faults from a seed; at the end it checks runs, promises, answers, streams, drains, versions shown and what ended by itself. The checks have tests of their own: one found that an empty stream passed for a whole one.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,6 +7,7 @@
   demo: 'tools/demo/src/main.ts',
   bench: 'tools/bench/src/main.ts',
   soak: 'tools/soak/src/main.ts',
+  fleetSoak: 'tools/fleet-soak/src/main.ts',
   serve: 'cli/forkstage/src/serve.ts',
 }
 /** Programs named on the command line, or all. */
--- /dev/null
+++ b/tools/fleet-soak/src/checkFleet.ts
@@ -0,0 +1,36 @@
+import type { CallRecord } from './soakCallers'
+
+/** Statuses that promise that the request has not run and never will. */
+const PROMISES = new Set([408, 421, 429, 503])
+
+/** What does not hold of the calls, given how often each request ran. */
+export function checkCalls(calls: CallRecord[], runs: ReadonlyMap<string, number>): string[] {
+  return calls.flatMap((call) => [...checkRuns(call, runs.get(call.id) ?? 0), ...checkAnswer(call)])
+}
+
+function checkRuns(call: CallRecord, runs: number): string[] {
+  if (call.kind === 'safe') return []
+  const broken: string[] = []
+  if (runs > 1) broken.push(`${call.id} (${call.kind}) ran ${runs} times`)
+  if (PROMISES.has(call.status) && runs > 0)
+    broken.push(`${call.id} (${call.kind}) was answered ${call.status} and ran`)
+  return broken
+}
+
+function checkAnswer(call: CallRecord): string[] {
+  if (call.status !== 200 || !call.isWhole) return []
+  if (call.stamp !== `stamp-${call.id}`) return [`${call.id} got the stamp ${call.stamp}`]
+  const expected = call.kind === 'stream' ? wholeStream(call.id, call.body) : `answer to ${call.id}`
+  return call.body !== '' && call.body === expected
+    ? []
+    : [`${call.id} (${call.kind}) got a body that is not its own and whole`]
+}
+
+/** The stream that an answer must be, by the number of events that its own last event names. */
+function wholeStream(id: string, body: string): string {
+  const count = Number(/ of (\d+)\n\n$/.exec(body)?.[1] ?? 0)
+  return Array.from(
+    { length: count },
+    (_, index) => `id: ${index + 1}\ndata: ${id} ${index + 1} of ${count}\n\n`,
+  ).join('')
+}
--- /dev/null
+++ b/tools/fleet-soak/src/fleetFaults.ts
@@ -0,0 +1,133 @@
+import type { Random } from '@forkstage/clock'
+import type { SoakFleet } from './soakFleet'
+import type { SoakMachine } from './machineSettings'
+import { pause, type EndpointFault, type StandInEndpoint } from './standInEndpoint'
+
+const KINDS = [
+  'kill-entry',
+  'freeze-entry',
+  'stop-entry',
+  'kill-control',
+  'freeze-control',
+  'stop-control',
+  'lose-disk',
+  'kill-all-control',
+  'crash-endpoint',
+  'drain-endpoint',
+  'refuse',
+  'lose-answers',
+  'fail',
+  'cut-streams',
+] as const
+
+/** Something that goes wrong, and for how long. */
+export interface FleetFault {
+  /** Milliseconds after the start. */
+  at: number
+  forMs: number
+  kind: (typeof KINDS)[number]
+  /** Which machine or endpoint, as a share of their number. */
+  target: number
+}
+
+const LEAST_GAP_MS = 700
+const MOST_GAP_MS = 3_500
+const LONGEST_MS = 3_000
+/** Faults end this long before the run does. */
+const QUIET_END_MS = 8_000
+/** A machine counts as lost until this long after it is back. */
+const CATCH_UP_MS = 4_000
+/** How many control machines may be lost at once while everything holds. */
+const LOSSES = 2
+
+/** Faults drawn from a seed, some of them overlapping. */
+export function planFleetFaults(durationMs: number, random: Random): FleetFault[] {
+  const faults: FleetFault[] = []
+  const gap = () => LEAST_GAP_MS + random() * (MOST_GAP_MS - LEAST_GAP_MS)
+  for (let at = gap(); at < durationMs - QUIET_END_MS; at += gap()) {
+    const kind = KINDS[Math.floor(random() * KINDS.length)]!
+    faults.push({ at, forMs: 300 + random() * LONGEST_MS, kind, target: random() })
+  }
+  return faults
+}
+
+/** Brings faults about and ends them; never more control machines at once than the fleet has to bear. */
+export class FleetFaultInjector {
+  private readonly busy = new Set<string>()
+  readonly done: string[] = []
+
+  constructor(
+    private readonly fleet: SoakFleet,
+    private readonly endpoints: StandInEndpoint[],
+  ) {}
+
+  async inject(fault: FleetFault): Promise<void> {
+    const [what, where] = fault.kind.split('-') as [string, string | undefined]
+    if (fault.kind === 'kill-all-control') return this.killAllControl(fault)
+    if (fault.kind === 'lose-disk') return this.atMachine(fault, this.fleet.control, 'lose')
+    if (where === 'entry') return this.atMachine(fault, this.fleet.entries, what)
+    if (where === 'control') return this.atMachine(fault, this.fleet.control, what)
+    return this.atEndpoint(fault)
+  }
+
+  private async killAllControl(fault: FleetFault): Promise<void> {
+    if (this.busyControl() > 0) return
+    const { control } = this.fleet
+    control.forEach((machine) => this.busy.add(machine.name))
+    this.note(fault, 'control')
+    await Promise.all(control.map((machine) => this.fleet.end(machine, 'SIGKILL')))
+    control.forEach((machine) => this.fleet.start(machine))
+    await pause(CATCH_UP_MS)
+    control.forEach((machine) => this.busy.delete(machine.name))
+  }
+
+  private async atMachine(fault: FleetFault, machines: SoakMachine[], what: string): Promise<void> {
+    const machine = machines[Math.floor(fault.target * machines.length)]!
+    const isControl = machine.role === 'control'
+    if (this.busy.has(machine.name) || (isControl && this.busyControl() >= LOSSES)) return
+    this.busy.add(machine.name)
+    this.note(fault, machine.name)
+    await this.disturb(machine, what, fault.forMs)
+    if (isControl) await pause(CATCH_UP_MS)
+    this.busy.delete(machine.name)
+  }
+
+  private async disturb(machine: SoakMachine, what: string, forMs: number): Promise<void> {
+    if (what === 'freeze') {
+      this.fleet.signal(machine, 'SIGSTOP')
+      await pause(forMs)
+      return this.fleet.signal(machine, 'SIGCONT')
+    }
+    await this.fleet.end(machine, what === 'stop' ? 'SIGTERM' : 'SIGKILL')
+    if (what === 'lose') this.fleet.loseDisk(machine)
+    await pause(forMs)
+    this.fleet.start(machine)
+  }
+
+  private async atEndpoint(fault: FleetFault): Promise<void> {
+    const index = Math.floor(fault.target * this.endpoints.length)
+    const endpoint = this.endpoints[index]!
+    const name = `endpoint ${index}`
+    if (this.busy.has(name)) return
+    this.busy.add(name)
+    this.note(fault, name)
+    if (fault.kind === 'crash-endpoint') await endpoint.crash()
+    else if (fault.kind === 'drain-endpoint') await endpoint.drain()
+    else await this.spoil(endpoint, fault.kind as EndpointFault, fault.forMs)
+    this.busy.delete(name)
+  }
+
+  private async spoil(endpoint: StandInEndpoint, fault: EndpointFault, forMs: number): Promise<void> {
+    endpoint.fault = fault
+    await pause(forMs)
+    endpoint.fault = 'none'
+  }
+
+  private busyControl(): number {
+    return this.fleet.control.filter((machine) => this.busy.has(machine.name)).length
+  }
+
+  private note(fault: FleetFault, where: string): void {
+    this.done.push(`${(fault.at / 1_000).toFixed(1)} s ${fault.kind} ${where}, ${Math.round(fault.forMs)} ms`)
+  }
+}
--- /dev/null
+++ b/tools/fleet-soak/src/machineSettings.ts
@@ -0,0 +1,49 @@
+/** One machine of the soak. */
+export interface SoakMachine {
+  name: string
+  role: 'entry' | 'control'
+  /** Its own loopback address, since every machine uses the same ports. */
+  ip: string
+}
+
+/** The ports that every machine uses. */
+export const PORTS = { callers: 8_144, readiness: 8_140, operators: 8_146, peers: 7_660 } as const
+
+const LOSSES = 2
+const GRACE_S = 4
+
+/** The settings file of a machine. */
+export function machineSettings(
+  machine: SoakMachine,
+  seeds: string[],
+  folder: string,
+  found: boolean,
+): string {
+  const at = (port: number) => `"${machine.ip}:${port}"`
+  const control = machine.role === 'control'
+  return [
+    '[machine]',
+    `name = "${machine.name}"`,
+    `role = "${machine.role}"`,
+    'zone = "z"',
+    ...(control ? [`data_folder = "${folder}/${machine.name}"`] : []),
+    '[listen]',
+    ...(control
+      ? [`operators = ${at(PORTS.operators)}`]
+      : [`callers = ${at(PORTS.callers)}`, `readiness = ${at(PORTS.readiness)}`]),
+    `peers = ${at(PORTS.peers)}`,
+    '[peers]',
+    'shared_key = "a soak on loopback only"',
+    '[control]',
+    `seeds = [${seeds.map((ip) => `"${ip}:${PORTS.peers}"`).join(', ')}]`,
+    `found = ${found}`,
+    `losses = ${LOSSES}`,
+    '[stop]',
+    `grace_s = ${GRACE_S}`,
+    'unready_ms = 500',
+    '[retry]',
+    'share = 0.2',
+    'slack = 50',
+    '',
+  ].join('\n')
+}
--- /dev/null
+++ b/tools/fleet-soak/src/main.ts
@@ -0,0 +1,29 @@
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { runFleetSoak } from './runFleetSoak'
+
+async function main(): Promise<void> {
+  const args = await yargs(hideBin(process.argv))
+    .scriptName('npm run soak:fleet --')
+    .option('minutes', { type: 'number', default: 2 })
+    .option('seed', { type: 'number', default: 1 })
+    .option('network', { type: 'string', default: '127.0.7', describe: 'loopback addresses to use' })
+    .option('keep', { type: 'boolean', default: false, describe: 'keep settings, data and logs' })
+    .strict()
+    .parse()
+  const report = await runFleetSoak(args)
+  const write = (text: string) => process.stdout.write(`${text}\n`)
+  report.faults.forEach((fault) => write(`fault: ${fault}`))
+  write(
+    `seed ${report.seed}: ${report.answered} of ${report.calls} calls answered, ${report.acknowledged} sheets acknowledged`,
+  )
+  if (args.keep) write(`kept in ${report.folder}`)
+  report.broken.forEach((fault) => write(`BROKEN: ${fault}`))
+  write(report.broken.length === 0 ? 'verdict: every rule held' : `verdict: ${report.broken.length} broken`)
+  process.exit(report.broken.length === 0 ? 0 : 1)
+}
+
+main().catch((error: unknown) => {
+  process.stderr.write(`failed: ${error instanceof Error ? error.message : String(error)}\n`)
+  process.exit(1)
+})
--- /dev/null
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -0,0 +1,141 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createSeededRandom } from '@forkstage/clock'
+import { waitUntil } from '@forkstage/deployment'
+import { checkCalls } from './checkFleet'
+import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
+import { SoakCallers } from './soakCallers'
+import { SoakFleet } from './soakFleet'
+import { SoakOperator } from './soakOperator'
+import { pause, StandInEndpoint } from './standInEndpoint'
+
+/** Options of {@link runFleetSoak}. */
+export interface FleetSoakOptions {
+  minutes: number
+  seed: number
+  /** The first three numbers of the loopback addresses. */
+  network: string
+  /** Keep settings, data and logs for reading. */
+  keep: boolean
+}
+
+/** What a soak did and found. */
+export interface FleetSoakReport {
+  seed: number
+  folder: string
+  faults: string[]
+  calls: number
+  answered: number
+  acknowledged: number
+  /** What did not hold; empty is the verdict "held". */
+  broken: string[]
+}
+
+const CALL_EVERY_MS = 25
+const CHANGE_EVERY_MS = 700
+const READ_EVERY_MS = 150
+const RECOVERY_MS = 12_000
+const ENDPOINTS = [
+  { service: 'plain' },
+  { service: 'plain' },
+  { service: 'model', stage: 'prefill' },
+  { service: 'model', stage: 'prefill' },
+  { service: 'model', stage: 'decode' },
+  { service: 'model', stage: 'decode' },
+] as const
+
+/** Runs entries and control machines under load and seeded faults, then checks what must hold. */
+export async function runFleetSoak(options: FleetSoakOptions): Promise<FleetSoakReport> {
+  const folder = mkdtempSync(join(tmpdir(), 'forkstage-fleet-soak-'))
+  const fleet = new SoakFleet(folder, options.network)
+  const handles = new Set<string>()
+  const runs = new Map<string, number>()
+  const endpoints = ENDPOINTS.map(
+    (one, index) =>
+      new StandInEndpoint({
+        ...one,
+        name: `i-${index}`,
+        control: () => fleet.control.map((machine) => fleet.operators(machine)),
+        random: createSeededRandom(options.seed * 100 + index),
+        handles,
+        runs,
+      }),
+  )
+  try {
+    fleet.startAll()
+    await Promise.all(endpoints.map((endpoint) => endpoint.start()))
+    return await soak(options, folder, fleet, endpoints, runs)
+  } finally {
+    endpoints.forEach((endpoint) => endpoint.end())
+    await fleet.stopAll()
+    if (!options.keep) rmSync(folder, { recursive: true, force: true })
+  }
+}
+
+async function soak(
+  { minutes, seed }: FleetSoakOptions,
+  folder: string,
+  fleet: SoakFleet,
+  endpoints: StandInEndpoint[],
+  runs: ReadonlyMap<string, number>,
+): Promise<FleetSoakReport> {
+  const operator = new SoakOperator(fleet, createSeededRandom(seed + 1))
+  const callers = new SoakCallers(fleet, createSeededRandom(seed + 2))
+  const injector = new FleetFaultInjector(fleet, endpoints)
+  while (operator.newest === 0) {
+    await operator.change()
+    await pause(READ_EVERY_MS)
+  }
+  await fleet.waitReady()
+  const durationMs = minutes * 60_000
+  const end = Date.now() + durationMs
+  const work: Promise<unknown>[] = []
+  const repeat = async (everyMs: number, run: () => Promise<unknown>) => {
+    for (; Date.now() < end; await pause(everyMs)) work.push(run())
+  }
+  const faults = planFleetFaults(durationMs, createSeededRandom(seed)).map(async (fault) => {
+    await pause(fault.at)
+    await injector.inject(fault)
+  })
+  await Promise.all([
+    repeat(CALL_EVERY_MS, () => callers.call()),
+    repeat(CHANGE_EVERY_MS, () => operator.change()),
+    repeat(READ_EVERY_MS, () => operator.read()),
+    ...faults,
+  ])
+  await Promise.all(work)
+  const broken = [
+    ...checkCalls(callers.calls, runs),
+    ...endpoints.flatMap((endpoint) => endpoint.broken),
+    ...(await checkEnd(fleet, operator)),
+    ...operator.broken,
+  ]
+  return {
+    seed,
+    folder,
+    faults: injector.done,
+    calls: callers.calls.length,
+    answered: callers.calls.filter((call) => call.status === 200 && call.isWhole).length,
+    acknowledged: new Set(operator.acknowledged.map((one) => one.version)).size,
+    broken,
+  }
+}
+
+/** Everything is back: every entry is ready, every control machine shows the newest sheet that was acknowledged. */
+async function checkEnd(fleet: SoakFleet, operator: SoakOperator): Promise<string[]> {
+  const broken: string[] = []
+  for (const entry of fleet.entries) {
+    const what = `${entry.name} to be ready at the end`
+    await waitUntil(() => fleet.isReady(entry), { what, timeoutMs: RECOVERY_MS }).catch(() =>
+      broken.push(what),
+    )
+  }
+  for (const machine of fleet.control) {
+    const what = `${machine.name} to show version ${operator.newest} or a later one at the end`
+    const isNewest = async () => ((await operator.read(machine)) ?? -1) >= operator.newest
+    await waitUntil(isNewest, { what, timeoutMs: RECOVERY_MS }).catch(() => broken.push(what))
+  }
+  const ended = fleet.machines.filter((machine) => fleet.hasEnded(machine))
+  return [...broken, ...ended.map((machine) => `${machine.name} ended by itself`)]
+}
--- /dev/null
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -0,0 +1,81 @@
+import { request as httpRequest } from 'node:http'
+import type { Random } from '@forkstage/clock'
+import type { SoakFleet } from './soakFleet'
+
+/** The paths of the soak's routes. */
+export const PATHS = { unsafe: '/unsafe/', safe: '/safe/', stream: '/stream/' } as const
+
+/** One request of a caller and what came back. */
+export interface CallRecord {
+  id: string
+  kind: keyof typeof PATHS
+  /** 0 where no answer began. */
+  status: number
+  body: string
+  /** Whether the answer ended as a whole one. */
+  isWhole: boolean
+  stamp: string
+}
+
+const DEADLINE_MS = 3_000
+const HOST = 'soak.example'
+
+/** Callers that send requests to any entry that takes them, each with an id of its own. */
+export class SoakCallers {
+  readonly calls: CallRecord[] = []
+  private count = 0
+
+  constructor(
+    private readonly fleet: SoakFleet,
+    private readonly random: Random,
+  ) {}
+
+  /** Sends one request of a drawn kind to a drawn entry. */
+  async call(): Promise<void> {
+    const kinds = Object.keys(PATHS) as (keyof typeof PATHS)[]
+    const kind = kinds[Math.floor(this.random() * kinds.length)]!
+    const entry = this.fleet.entries[Math.floor(this.random() * this.fleet.entries.length)]!
+    this.count += 1
+    const record: CallRecord = {
+      id: `r${this.count}`,
+      kind,
+      status: 0,
+      body: '',
+      isWhole: false,
+      stamp: '',
+    }
+    this.calls.push(record)
+    await this.send(entry.ip, this.fleet.callers(entry), record)
+  }
+
+  private send(host: string, url: string, record: CallRecord): Promise<void> {
+    return new Promise((resolve) => {
+      const request = httpRequest(`${url}${PATHS[record.kind]}x`, {
+        method: record.kind === 'safe' ? 'GET' : 'POST',
+        agent: false,
+        headers: {
+          host: HOST,
+          'X-Forkstage-Request-Id': record.id,
+          'X-Forkstage-Deadline-Ms': String(DEADLINE_MS),
+          'X-Forkstage-Token-Counts': '100,100',
+          'X-Forkstage-Model': 'm',
+        },
+      })
+      const limit = setTimeout(() => request.destroy(), DEADLINE_MS + 1_000)
+      const finish = () => {
+        clearTimeout(limit)
+        resolve()
+      }
+      request.on('error', finish)
+      request.on('close', finish)
+      request.on('response', (response) => {
+        record.status = response.statusCode ?? 0
+        record.stamp = String(response.headers['x-forkstage-response-stamp'] ?? '')
+        response.on('error', () => undefined)
+        response.on('data', (bytes: Buffer) => (record.body += bytes.toString()))
+        response.on('end', () => (record.isWhole = response.complete))
+      })
+      request.end()
+    })
+  }
+}
--- /dev/null
+++ b/tools/fleet-soak/src/soakOperator.ts
@@ -0,0 +1,135 @@
+import got from 'got'
+import type { Random } from '@forkstage/clock'
+import { PATHS } from './soakCallers'
+import type { SoakFleet } from './soakFleet'
+import type { SoakMachine } from './machineSettings'
+
+interface Acknowledged {
+  version: number
+  at: number
+}
+
+const IN_FORCE_MS = 2_000
+const ASK_MS = 1_500
+const RACE_SHARE = 0.3
+const BAD_SHARE = 0.1
+
+/** Operators that send sheets to any control machine, race each other, send bad ones, and read back. */
+export class SoakOperator {
+  readonly acknowledged: Acknowledged[] = []
+  readonly broken: string[] = []
+  /** Every content that was sent under a version. */
+  private readonly sent = new Map<number, Set<string>>()
+  /** The content that was read under a version: there must be one only. */
+  private readonly seen = new Map<number, string>()
+  private version = 0
+
+  constructor(
+    private readonly fleet: SoakFleet,
+    private readonly random: Random,
+  ) {}
+
+  get newest(): number {
+    return Math.max(0, ...this.acknowledged.map((one) => one.version))
+  }
+
+  /** Sends the next sheet, at times two contents under one version, at times a bad one. */
+  async change(): Promise<void> {
+    this.version += 1
+    const { version } = this
+    if (this.random() < BAD_SHARE) return this.sendBad(version)
+    const marks = this.random() < RACE_SHARE ? ['a', 'b'] : ['a']
+    await Promise.all(marks.map((mark) => this.send(version, sheetText(version, mark))))
+  }
+
+  /** Reads the sheet at a drawn machine and checks it against what was acknowledged before. */
+  async read(machine: SoakMachine = this.drawn()): Promise<number | undefined> {
+    const since = Date.now() - IN_FORCE_MS
+    const least = Math.max(0, ...this.acknowledged.filter((one) => one.at <= since).map((one) => one.version))
+    const answer = await this.ask(machine, 'GET')
+    if (answer?.status !== 200) return undefined
+    const { version } = JSON.parse(answer.body) as { version: number }
+    if (version < least)
+      this.broken.push(`${machine.name} showed version ${version} when ${least} was in force`)
+    if (this.sent.get(version)?.has(answer.body) !== true)
+      this.broken.push(`${machine.name} showed a content of version ${version} that nobody sent`)
+    const before = this.seen.get(version)
+    if (before !== undefined && before !== answer.body)
+      this.broken.push(`two contents of version ${version} were shown`)
+    this.seen.set(version, answer.body)
+    return version
+  }
+
+  private async send(version: number, text: string): Promise<void> {
+    const all = this.sent.get(version) ?? new Set<string>()
+    this.sent.set(version, all.add(text))
+    const answer = await this.ask(this.drawn(), 'PUT', text)
+    if (answer?.status === 200) this.acknowledged.push({ version, at: Date.now() })
+  }
+
+  private async sendBad(version: number): Promise<void> {
+    const text = JSON.stringify({ ...JSON.parse(sheetText(version, 'bad')), services: [] })
+    const answer = await this.ask(this.drawn(), 'PUT', text)
+    if (answer?.status === 200) this.broken.push(`a sheet without services was taken as version ${version}`)
+  }
+
+  private drawn(): SoakMachine {
+    return this.fleet.control[Math.floor(this.random() * this.fleet.control.length)]!
+  }
+
+  private async ask(machine: SoakMachine, method: 'GET' | 'PUT', body?: string) {
+    const answer = await got(`${this.fleet.operators(machine)}/config`, {
+      method,
+      body,
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+      timeout: { request: ASK_MS },
+    }).catch(() => undefined)
+    return answer === undefined ? undefined : { status: answer.statusCode, body: answer.body }
+  }
+}
+
+/** A sheet with the soak's three routes; `mark` tells contents of one version apart. */
+export function sheetText(version: number, mark: string): string {
+  const common = { host: 'soak.example', timeout_ms: 3_000, target_latency_ms: 800, priority: 1 }
+  const plain = { ...common, service: 'plain', max_attempts: 2, sticky: false, resumable: false }
+  const engine = {
+    slots: 8,
+    kv_tokens: 10_000,
+    kv_token_bytes: 1,
+    link_mbps: 1_000,
+    stride: 1,
+    handle_ttl_s: 0.5,
+    stage_switch_s: 1,
+    models: [{ name: 'm' }],
+  }
+  const service = { health_path: '/health', max_connections: 100, protocol: 'h1', tls: false }
+  return JSON.stringify({
+    version,
+    routes: [
+      { ...plain, name: `unsafe-${mark}`, path_prefix: PATHS.unsafe, kind: 'unsafe' },
+      { ...plain, name: 'safe', path_prefix: PATHS.safe, kind: 'safe' },
+      {
+        ...common,
+        name: 'stream',
+        path_prefix: PATHS.stream,
+        kind: 'streaming',
+        service: 'model',
+        max_attempts: 2,
+        sticky: true,
+        resumable: false,
+        gap_aim_ms: 300,
+      },
+    ],
+    services: [
+      { ...service, name: 'plain' },
+      { ...service, name: 'model', engine },
+    ],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 65_536,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+  })
+}
--- /dev/null
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -0,0 +1,203 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import got from 'got'
+import type { Random } from '@forkstage/clock'
+
+/** What a stand-in does wrong. */
+export type EndpointFault = 'none' | 'refuse' | 'lose-answers' | 'fail' | 'cut-streams'
+
+/** Options of {@link StandInEndpoint}. */
+export interface StandInOptions {
+  name: string
+  service: string
+  stage?: 'prefill' | 'decode'
+  /** Control machines to register with. */
+  control: () => string[]
+  random: Random
+  /** Handles of all prefill stand-ins, since a decode stand-in fetches from them. */
+  handles: Set<string>
+  /** Runs by request id, over all stand-ins. */
+  runs: Map<string, number>
+}
+
+const BEAT_MS = 800
+const HANDLE_MS = 500
+const EVENTS = 12
+const EVENT_MS = 15
+const WORK_MS = 30
+const DRAIN_MS = 2_000
+/** Kept for a call that was on its way when the time was over. */
+const DRAIN_SLACK_MS = 300
+
+/** An endpoint that speaks what the platform's workers speak, as far as the soak needs. */
+export class StandInEndpoint {
+  private id = ''
+  private lives = 0
+  private beats = 0
+  private server: Server | undefined
+  private address = ''
+  private state: 'ready' | 'draining' = 'ready'
+  private drainedAt = Infinity
+  private timer: NodeJS.Timeout | undefined
+  fault: EndpointFault = 'none'
+  /** What must not have happened. */
+  readonly broken: string[] = []
+
+  constructor(private readonly options: StandInOptions) {}
+
+  async start(): Promise<void> {
+    this.lives += 1
+    this.id = `${this.options.name}-${this.lives}`
+    this.state = 'ready'
+    this.drainedAt = Infinity
+    this.server = createServer((request, response) => this.serve(request, response))
+    await new Promise<void>((resolve) => this.server!.listen(0, '127.0.0.1', resolve))
+    this.address = `127.0.0.1:${(this.server.address() as { port: number }).port}`
+    this.timer = setInterval(() => void this.beat(), BEAT_MS)
+    await this.beat()
+  }
+
+  /** Ends without a word, and starts again under another id and address. */
+  async crash(): Promise<void> {
+    this.end()
+    await this.start()
+  }
+
+  /** Says that it leaves, serves on for a while, leaves, and starts again under another id. */
+  async drain(): Promise<void> {
+    this.state = 'draining'
+    while (!(await this.beat())) await pause(BEAT_MS)
+    this.drainedAt = Date.now()
+    await pause(DRAIN_MS + DRAIN_SLACK_MS * 2)
+    await this.tell('DELETE')
+    await this.crash()
+  }
+
+  end(): void {
+    clearInterval(this.timer)
+    this.server?.close()
+    this.server?.closeAllConnections()
+  }
+
+  private beat(): Promise<boolean> {
+    this.beats += 1
+    return this.tell('PUT')
+  }
+
+  private async tell(method: 'PUT' | 'DELETE'): Promise<boolean> {
+    const control = [...this.options.control()].sort(() => this.options.random() - 0.5)
+    for (const url of control) {
+      const answer = await got(`${url}/instances/${this.id}`, {
+        method,
+        json: method === 'PUT' ? this.registration() : undefined,
+        throwHttpErrors: false,
+        retry: { limit: 0 },
+        timeout: { request: 1_000 },
+      }).catch(() => undefined)
+      if (answer?.statusCode === 200) return true
+    }
+    return false
+  }
+
+  private registration(): object {
+    const { service, stage } = this.options
+    return {
+      service,
+      address: this.address,
+      zone: 'z',
+      version: 'v1',
+      slots: 8,
+      state: this.state,
+      cold_remaining_ms: 0,
+      call_seq: this.beats,
+      ...(stage === undefined ? {} : { stage, models: [{ name: 'm', version: 1, adapters: [] }] }),
+    }
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    request.resume()
+    request.on('end', () => this.answer(request, response))
+  }
+
+  private answer(request: IncomingMessage, response: ServerResponse): void {
+    const { handles } = this.options
+    const path = request.url ?? ''
+    if (path.startsWith('/kv-handle/')) {
+      handles.delete(path.slice('/kv-handle/'.length))
+      return void response.writeHead(200).end()
+    }
+    const expected = request.headers['x-forkstage-expect-instance']
+    if (expected !== undefined && expected !== this.id) return void response.writeHead(421).end()
+    if (path === '/report') return void response.writeHead(200).end(JSON.stringify(this.report()))
+    if (path === '/order') return void response.writeHead(409).end()
+    this.checkDrained(request)
+    if (this.fault === 'refuse') return this.refuse(response)
+    if (request.headers['x-forkstage-stage'] === 'prefill') return this.prefill(response)
+    if (this.options.stage === undefined) return this.work(request, response)
+    this.stream(request, response)
+  }
+
+  private report(): object {
+    return { stage: this.options.stage, models: [], busy: false, call_seq: 0 }
+  }
+
+  private checkDrained(request: IncomingMessage): void {
+    if (Date.now() < this.drainedAt + DRAIN_MS + DRAIN_SLACK_MS) return
+    this.broken.push(`${this.id} got ${idOf(request)} long after it had said that it leaves`)
+  }
+
+  private refuse(response: ServerResponse): void {
+    response.writeHead(503, { 'X-Forkstage-Not-Executed': '1' }).end()
+  }
+
+  private prefill(response: ServerResponse): void {
+    const handle = Math.floor(this.options.random() * 1e12).toString(16)
+    this.options.handles.add(handle)
+    setTimeout(() => this.options.handles.delete(handle), HANDLE_MS)
+    response.writeHead(200, { 'Content-Type': 'application/json' })
+    response.end(JSON.stringify({ kv_handle: handle, tokens: 10, version: 1 }))
+  }
+
+  private noteRun(request: IncomingMessage): void {
+    const { runs } = this.options
+    runs.set(idOf(request), (runs.get(idOf(request)) ?? 0) + 1)
+  }
+
+  private headersOf(request: IncomingMessage): Record<string, string> {
+    return { 'X-Forkstage-Request-Id': idOf(request), 'X-Forkstage-Response-Stamp': `stamp-${idOf(request)}` }
+  }
+
+  private work(request: IncomingMessage, response: ServerResponse): void {
+    this.noteRun(request)
+    setTimeout(() => {
+      if (this.fault === 'lose-answers') return void response.destroy()
+      const status = this.fault === 'fail' ? 500 : 200
+      response.writeHead(status, this.headersOf(request)).end(`answer to ${idOf(request)}`)
+    }, WORK_MS)
+  }
+
+  private stream(request: IncomingMessage, response: ServerResponse): void {
+    const source = request.headers['x-forkstage-kv-source']
+    if (source !== undefined && !this.options.handles.delete(String(source).split('/')[1] ?? ''))
+      return this.refuse(response)
+    this.noteRun(request)
+    response.writeHead(200, { ...this.headersOf(request), 'Content-Type': 'text/event-stream' })
+    let made = 0
+    const timer = setInterval(() => {
+      made += 1
+      response.write(`id: ${made}\ndata: ${idOf(request)} ${made} of ${EVENTS}\n\n`)
+      if (this.fault === 'cut-streams' && made === EVENTS / 2) response.destroy()
+      if (made === EVENTS) response.end()
+      if (made === EVENTS || response.destroyed) clearInterval(timer)
+    }, EVENT_MS)
+    response.on('close', () => clearInterval(timer))
+  }
+}
+
+function idOf(request: IncomingMessage): string {
+  return String(request.headers['x-forkstage-request-id'])
+}
+
+/** Waits. */
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds))
+}
--- /dev/null
+++ b/tools/fleet-soak/test/checkFleet.test.ts
@@ -0,0 +1,69 @@
+import { describe, expect, it } from 'vitest'
+import { createSeededRandom } from '@forkstage/clock'
+import { platformControl } from '@forkstage/platform-system'
+import { checkRouteSheet } from '@forkstage/routes'
+import { checkCalls } from '../src/checkFleet'
+import { planFleetFaults } from '../src'
+import { sheetText } from '../src/soakOperator'
+import type { CallRecord } from '../src/soakCallers'
+
+function call(fields: Partial<CallRecord>): CallRecord {
+  return {
+    id: 'r1',
+    kind: 'unsafe',
+    status: 200,
+    body: 'answer to r1',
+    isWhole: true,
+    stamp: 'stamp-r1',
+    ...fields,
+  }
+}
+
+const ONCE = new Map([['r1', 1]])
+const STREAM = 'id: 1\ndata: r1 1 of 2\n\nid: 2\ndata: r1 2 of 2\n\n'
+
+describe('checkCalls', () => {
+  it('finds nothing in whole answers of requests that ran once', () => {
+    expect(checkCalls([call({}), call({ kind: 'stream', body: STREAM })], ONCE)).toEqual([])
+  })
+
+  it('finds what ran twice, unless it may be repeated', () => {
+    const twice = new Map([['r1', 2]])
+    expect(checkCalls([call({})], twice)).toHaveLength(1)
+    expect(checkCalls([call({ kind: 'safe' })], twice)).toEqual([])
+  })
+
+  it('finds a promise that was not kept', () => {
+    const refused = call({ status: 503, body: '', stamp: '' })
+    expect(checkCalls([refused], ONCE)).toHaveLength(1)
+    expect(checkCalls([refused], new Map())).toEqual([])
+    expect(checkCalls([call({ status: 502, body: '', stamp: '' })], ONCE)).toEqual([])
+  })
+
+  it("finds another request's answer", () => {
+    expect(checkCalls([call({ stamp: 'stamp-r2' })], ONCE)).toHaveLength(1)
+    expect(checkCalls([call({ body: 'answer to r2' })], ONCE)).toHaveLength(1)
+  })
+
+  it('finds a stream that looks whole and is not, in whatever way', () => {
+    const [first, second] = STREAM.split(/(?<=\n\n)/) as [string, string]
+    for (const body of [first, second, first + first + second, second + first, ''])
+      expect(checkCalls([call({ kind: 'stream', body })], ONCE)).toHaveLength(1)
+    expect(checkCalls([call({ kind: 'stream', body: first, isWhole: false })], ONCE)).toEqual([])
+  })
+})
+
+describe('the soak', () => {
+  it('draws the same faults from the same seed, and others from another', () => {
+    const draw = (seed: number) => planFleetFaults(60_000, createSeededRandom(seed))
+    expect(draw(1)).toEqual(draw(1))
+    expect(draw(1)).not.toEqual(draw(2))
+    expect(Math.max(...draw(1).map((fault) => fault.at))).toBeLessThan(52_000)
+  })
+
+  it('sends sheets that are valid', () => {
+    const sheet = platformControl.readSheet(sheetText(3, 'a'))
+    expect(sheet?.version).toBe(3)
+    expect(checkRouteSheet(sheet!)).toEqual([])
+  })
+})
