fix(ingress): headers may be as long as the sheet in force allows; one place for the default limits

Cause: the listener's bound was twice the default limit of 16 KiB whatever the sheet said, so that a deployment with a larger limit would have had its proper requests answered 431. Ruled out: a listener anew with each sheet, which would close connections.

The listener takes up to 256 KiB; above twice the sheet's limit the answer is 431 and closes. The defaults stand once, beside the sheet's types. Test: 55,000 bytes under a limit of 60,000 failed with 431 before; 150,000 are refused.

--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -1,6 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { chooseService, type CallerLimits, type Route, type RouteIndex } from '@forkstage/routes'
+import {
+  chooseService,
+  DEFAULT_CALLER_LIMITS,
+  type CallerLimits,
+  type Route,
+  type RouteIndex,
+} from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import { readCallerRequest, type CallerRequest } from './callerRequest'
 import { FirstDeadlines } from './firstDeadlines'
@@ -26,13 +32,8 @@
   tookMs: Millis
 }
 
-/** What callers may send before a sheet says so. */
-const FIRST_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-}
+/** The server cannot change this while it runs, so that it lies above what any sheet is likely to allow. */
+const MOST_HEADER_BYTES = 262_144
 /** Room above the sheet's limit, so that what is just inside it is never refused. */
 const HEADER_ROOM = 2
 const IDLE_ROOM_MS = 2_000
@@ -57,7 +58,7 @@
   constructor(private readonly options: IngressOptions) {
     this.server = createServer(
       {
-        maxHeaderSize: FIRST_LIMITS.maxHeaderBytes * HEADER_ROOM,
+        maxHeaderSize: MOST_HEADER_BYTES,
         connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
         requestTimeout: 0,
         noDelay: true,
@@ -65,7 +66,7 @@
       (incoming, response) => void this.serve(incoming, response),
     )
     this.server.on('connection', (socket) => this.track(socket))
-    this.setLimits(FIRST_LIMITS)
+    this.setLimits(DEFAULT_CALLER_LIMITS)
   }
 
   /** Takes the limits of a newer sheet. */
@@ -114,7 +115,7 @@
 
   private async serveOne(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const { parts, routes } = this.options
-    const limits = routes()?.sheet.limits ?? FIRST_LIMITS
+    const limits = routes()?.sheet.limits ?? DEFAULT_CALLER_LIMITS
     const { wire, clock } = parts
     const request = await readCallerRequest(incoming, response, {
       wire,
@@ -122,6 +123,7 @@
       maxBodyBytes: limits.maxBodyBytes,
     })
     if (request === 'gone') return
+    if (headerBytes(incoming) > limits.maxHeaderBytes * HEADER_ROOM) return refuseLongHeaders(response)
     if (request === 'too-large') return refuseTooLarge(response)
     if (this.leaving && !response.headersSent) response.setHeader('Connection', 'close')
     const result = await this.route(request)
@@ -167,6 +169,19 @@
   }
 }
 
+function headerBytes({ rawHeaders }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, 0)
+}
+
+function refuseLongHeaders(response: ServerResponse): void {
+  sendOwnAnswer(response, {
+    status: 431,
+    code: 'FORKSTAGE_HEADERS_TOO_LONG',
+    message: 'The headers are longer than the sheet allows.',
+    close: true,
+  })
+}
+
 function refuseTooLarge(response: ServerResponse): void {
   sendOwnAnswer(response, {
     status: 413,
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -3,7 +3,7 @@
 import { createSeededRandom, createSystemClock } from '@forkstage/clock'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { createSilentLogger } from '@forkstage/logger'
-import { RouteBook, type Route } from '@forkstage/routes'
+import { RouteBook, type CallerLimits, type Route } from '@forkstage/routes'
 import {
   EndpointPool,
   Ingress,
@@ -49,6 +49,8 @@
   isWhole: boolean
 }
 
+const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
+
 const ENGINE = {
   slots: 8,
   kvTokens: 100_000,
@@ -71,6 +73,7 @@
   static async start(
     endpoints: Partial<RegisteredEndpoint>[],
     routes: Partial<Route>[],
+    limits: Partial<CallerLimits> = {},
   ): Promise<GatewayWorld> {
     const clock = createSystemClock()
     const logger = createSilentLogger()
@@ -84,7 +87,7 @@
         { name: 'plain', maxConnections: 10 },
         { name: 'model', maxConnections: 10, engine: ENGINE },
       ],
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
+      limits: { ...LIMITS, ...limits },
     })
     const ingress = new Ingress({
       parts: {
--- a/request/gateway/test/plainRelay.test.ts
+++ b/request/gateway/test/plainRelay.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import type { Route } from '@forkstage/routes'
+import type { CallerLimits, Route } from '@forkstage/routes'
 import { FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
 import { deadAddress, GatewayWorld } from './gatewayWorld'
 
@@ -9,11 +9,12 @@
 afterEach(async () => void (await Promise.all(open.splice(0).map((each) => each.stop()))))
 
 /** An entry before workers that answer as given; each worker is an instance `i-0`, `i-1` and so on. */
-async function start(answerers: Answerer[], route: Partial<Route> = {}) {
+async function start(answerers: Answerer[], route: Partial<Route> = {}, limits: Partial<CallerLimits> = {}) {
   const workers = await Promise.all(answerers.map((answer) => FakeWorker.start(answer)))
   const world = await GatewayWorld.start(
     workers.map(({ address }) => ({ address })),
     [route],
+    limits,
   )
   open.push(world, ...workers)
   return { world, workers, runs: () => workers.reduce((sum, worker) => sum + worker.seen.length, 0) }
@@ -57,6 +58,13 @@
     expect(runs()).toBe(0)
   })
 
+  it('may have headers as long as the sheet in force allows, and are answered 431 far above it', async () => {
+    const { world, runs } = await start([good], {}, { maxHeaderBytes: 60_000 })
+    expect((await world.send('/p/', { headers: { 'x-long': 'x'.repeat(55_000) } })).status).toBe(200)
+    expect((await world.send('/p/', { headers: { 'x-long': 'x'.repeat(150_000) } })).status).toBe(431)
+    expect(runs()).toBe(1)
+  })
+
   it('that may run once are not sent again after a reset, and get no promise that they did not run', async () => {
     const { world, runs } = await start([reset, reset], { kind: 'unsafe' })
     const answer = await world.send('/p/')
--- a/table/routes/src/index.ts
+++ b/table/routes/src/index.ts
@@ -8,6 +8,7 @@
   RouteSheet,
   ServiceShare,
 } from './routeTypes'
+export { DEFAULT_CALLER_LIMITS } from './routeTypes'
 export { checkRouteSheet, RouteSheetError } from './checkRouteSheet'
 export { RouteIndex } from './routeIndex'
 export { RouteBook } from './routeBook'
--- a/table/routes/src/routeTypes.ts
+++ b/table/routes/src/routeTypes.ts
@@ -60,6 +60,14 @@
   idleTimeoutMs: number
 }
 
+/** What callers may send where a sheet does not say so. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+}
+
 /** The whole sheet under one version. */
 export interface RouteSheet {
   version: number
