fix(allocator): a queue of late ones and returns refuses nobody who comes first

From 10 s on first tries were refused "too many wait already" while returns took the places, whatever the order said. Ruled out: the parts of the engines (one reader, two decoders were right) and the pace.

The bound counts first tries that can still be in time. An entry alone may have thrice its even share: after a loss of power 14 of 27 requests were refused while engines were empty, since callers came to the entries that were up first.

--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -92,7 +92,7 @@
   /** Asks for a place; the answer comes at once or when there is room, at the latest after the hold time. */
   ask(ask: PlaceAsk, now: Millis, resolve: (decision: PlaceDecision) => void): void {
     if (!ask.isReturn && !ask.isPrefilled) this.noteDemand(ask, now)
-    const refusal = this.refuseAtOnce(ask)
+    const refusal = this.refuseAtOnce(ask, now)
     if (refusal !== undefined) return resolve(refusal)
     this.room.add({ ask, since: now, isKept: false, resolve })
     this.placeWaiting(now)
@@ -198,12 +198,12 @@
     meter.note(this.book.readingMs(ask), this.book.tokenMs(ask), now)
   }
 
-  private refuseAtOnce(ask: PlaceAsk): PlaceDecision | undefined {
+  private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
     if (this.options.engine(ask.service) === undefined)
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
     const decoders = this.registered(ask.service, 'decode').length
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
-    const isFull = ask.promptMs > 0 && this.room.count(ask.service) >= decoders * WAITING_PER_ENGINE
+    const isFull = ask.promptMs > 0 && this.room.countFirst(ask.service, now) >= decoders * WAITING_PER_ENGINE
     return isFull ? this.refusedForRoom('too many wait already', ask) : undefined
   }
 
--- a/placement/allocator/src/waitingRoom.ts
+++ b/placement/allocator/src/waitingRoom.ts
@@ -46,9 +46,10 @@
     this.waiting.push(one)
   }
 
-  /** How many wait for a service. */
-  count(service: string): number {
-    return this.waiting.filter((one) => one.ask.service === service).length
+  /** How many wait for a service that came for the first time and can still be in time. */
+  countFirst(service: string, now: Millis): number {
+    const isFirst = ({ ask }: Waiting) => ask.service === service && !ask.isReturn
+    return this.waiting.filter((one) => isFirst(one) && this.isInTime(one, now)).length
   }
 
   /** Takes out what fits and returns it. */
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -143,6 +143,15 @@
     expect(decisions.has('late')).toBe(false)
   })
 
+  it('lets a request wait that comes first, however many late ones and returns wait', () => {
+    const { place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    place(ask('one', { promptTokens: 7_000 }))
+    for (let index = 0; index < 10; index += 1)
+      place(ask(`b${index}`, { promptTokens: 7_000, isReturn: true, promptMs: 0 }), 10)
+    place(ask('fresh', { promptTokens: 7_000 }), 20)
+    expect(decisions.has('fresh')).toBe(false)
+  })
+
   it('spreads the times at which callers come back over a share of the time they have', () => {
     const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
     place(ask('one', { promptTokens: 7_000 }))
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -14,7 +14,7 @@
 const NO_ROOM_RETRY_MS = 1_200
 const MOST_FILL = 0.9
 /** Callers are spread unevenly over entries, and few entries have to place alone at once. */
-const UNEVEN_FACTOR = 2
+const UNEVEN_FACTOR = 3
 
 /**
  * Places model requests by what this entry alone knows, while nobody can be asked: the engine with the fewest
