refactor: no file imports itself through others; retries against the budget are counted

Ruled out: one large file each.

LogLevel, RunParts and the token of the fleet service stand in files of their own. `forkstage_retries{of}` counts what was taken and denied, the known refusals have series of their own.

--- a/core/logger/src/createLogger.ts
+++ b/core/logger/src/createLogger.ts
@@ -2,9 +2,7 @@
 import { ROARR, Roarr } from 'roarr'
 import type { LogBudget } from './logBudget'
 import type { LogEventName, LogEvents } from './logEvents'
-
-/** How urgent a line is. */
-export type LogLevel = 'debug' | 'info' | 'warn' | 'error'
+import type { LogLevel } from './logLevel'
 
 /** Writes typed events. */
 export interface Logger {
--- a/core/logger/src/index.ts
+++ b/core/logger/src/index.ts
@@ -1,6 +1,7 @@
 /** Typed log events as JSON lines. */
 export { createLogger, createSilentLogger } from './createLogger'
-export type { CreateLoggerOptions, Logger, LogLevel } from './createLogger'
+export type { CreateLoggerOptions, Logger } from './createLogger'
+export type { LogLevel } from './logLevel'
 export type { LogEventName, LogEvents } from './logEvents'
 export { LogBudget } from './logBudget'
 export type { LogBudgetOptions } from './logBudget'
--- a/core/logger/src/logBudget.ts
+++ b/core/logger/src/logBudget.ts
@@ -1,4 +1,4 @@
-import type { LogLevel } from './createLogger'
+import type { LogLevel } from './logLevel'
 
 /** Options of {@link LogBudget}. */
 export interface LogBudgetOptions {
--- /dev/null
+++ b/core/logger/src/logLevel.ts
@@ -0,0 +1,2 @@
+/** How urgent a line is. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error'
--- a/daemon/daemon/src/boxDaemon.ts
+++ b/daemon/daemon/src/boxDaemon.ts
@@ -10,6 +10,7 @@
 import { TABLE_CHANGED } from './boxGroups'
 import { buildContainer } from './buildContainer'
 import { listenHttp } from './listenHttp'
+import { FLEET } from './fleetPart'
 import { PARTS } from './parts'
 import { VERSION } from '@forkstage/version'
 
@@ -46,7 +47,7 @@
       methods: this.peerMethods(),
       logger: parts.get(PARTS.logger),
     })
-    const operators = createOperatorApp({ settings, service: parts.get(PARTS.fleet) })
+    const operators = createOperatorApp({ settings, service: parts.get(FLEET) })
     const callers = this.createCallers()
     this.servers = [
       await listenHttp(operators, settings.listen.operators),
@@ -81,7 +82,7 @@
       ...parts.get(PARTS.groups).methods(),
       ...parts.get(PARTS.ownerService).methods(),
       ...parts.get(PARTS.runs).methods(),
-      ...parts.get(PARTS.fleet).methods(),
+      ...parts.get(FLEET).methods(),
       ...this.orderMethod(),
       [TABLE_CHANGED]: (params: { version: number }) => parts.get(PARTS.follower).noteNewer(params.version),
     }
@@ -106,7 +107,7 @@
 
   private createCallers() {
     const { parts, settings } = this
-    const fleet = parts.get(PARTS.fleet)
+    const fleet = parts.get(FLEET)
     return createCallerApp({
       settings,
       runs: parts.get(PARTS.runs),
@@ -140,7 +141,7 @@
   }
 
   private noteReady(): void {
-    const fleet = this.parts.get(PARTS.fleet)
+    const fleet = this.parts.get(FLEET)
     const ready = fleet.isReady()
     if (ready === this.wasReady) return
     this.wasReady = ready
--- a/daemon/daemon/src/buildContainer.ts
+++ b/daemon/daemon/src/buildContainer.ts
@@ -17,6 +17,7 @@
 import { advertisedAddress, type Settings } from '@forkstage/settings'
 import { BoxGroups, journalGroup } from './boxGroups'
 import { BoxState } from './boxState'
+import { FLEET } from './fleetPart'
 import { FleetService } from './fleetService'
 import { PARTS } from './parts'
 
@@ -38,7 +39,7 @@
   bindMembership(container, settings)
   bindPlacement(container, settings)
   bindRequests(container, settings)
-  container.bind(PARTS.fleet).toDynamicValue(() => new FleetService(container, stop))
+  container.bind(FLEET).toDynamicValue(() => new FleetService(container, stop))
   return container
 }
 
--- a/daemon/daemon/src/parts.ts
+++ b/daemon/daemon/src/parts.ts
@@ -20,9 +20,9 @@
 import type { Registry } from 'prom-client'
 import type { BoxState } from './boxState'
 import type { BoxGroups } from './boxGroups'
-import type { FleetService } from './fleetService'
 
-const token = <Part>(name: string): ServiceIdentifier<Part> =>
+/** Makes the name of a part. */
+export const token = <Part>(name: string): ServiceIdentifier<Part> =>
   Symbol.for(`forkstage.${name}`) as ServiceIdentifier<Part>
 
 /** The names under which the container keeps a box's parts. */
@@ -51,5 +51,4 @@
   journal: token<JournalClient>('journal'),
   runs: token<RunRegistry>('runs'),
   plain: token<PlainCalls>('plain'),
-  fleet: token<FleetService>('fleet'),
 }
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -112,6 +112,7 @@
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       requests_running: () => this.ingress.running,
       entries_known: () => this.follower.entries(),
+      retries: () => ({ ...allowance.counts }),
       leader_known: () => Number(this.follower.leader() !== undefined),
       log_lines_omitted: () => basics.logBudget.omittedTotal,
     })
--- a/daemon/fleet/src/fleetMeters.ts
+++ b/daemon/fleet/src/fleetMeters.ts
@@ -85,6 +85,9 @@
     'no sheet yet',
     'leaving',
     'no room in time',
+    'no room in sight',
+    'too many wait already',
+    'no endpoint',
   ]
   return KNOWN.includes(outcome) ? outcome : 'other'
 }
--- a/request/gateway/src/retryAllowance.ts
+++ b/request/gateway/src/retryAllowance.ts
@@ -24,6 +24,8 @@
 /** This entry's part of each service's allowance of second sendings, over a sliding window. */
 export class RetryAllowance {
   private readonly services = new Map<string, Marks>()
+  /** Second sendings that were made, and those for which nothing was left. */
+  readonly counts = { taken: 0, denied: 0 }
 
   constructor(private readonly options: RetryAllowanceOptions) {}
 
@@ -37,8 +39,12 @@
     const { share, slack, entries, clock } = this.options
     const marks = this.marksOf(service)
     const own = share * marks.requests.length + (slack * SLACK_USED) / Math.max(1, entries())
-    if (marks.extras.length + 1 > own) return false
+    if (marks.extras.length + 1 > own) {
+      this.counts.denied += 1
+      return false
+    }
     marks.extras.push(clock.now())
+    this.counts.taken += 1
     return true
   }
 
--- a/request/gateway/test/parts.test.ts
+++ b/request/gateway/test/parts.test.ts
@@ -51,6 +51,13 @@
 })
 
 describe('RetryAllowance', () => {
+  it('counts what it gave and what it did not', () => {
+    const clock = new ManualClock()
+    const allowance = new RetryAllowance({ clock, share: 0, slack: 4, windowMs: 10_000, entries: () => 1 })
+    for (let count = 0; count < 5; count += 1) allowance.take('s')
+    expect(allowance.counts).toEqual({ taken: 2, denied: 3 })
+  })
+
   it('never lets entries together exceed share and slack in any window', () => {
     const gaps = fc.array(fc.integer({ min: 0, max: 900 }), { minLength: 50, maxLength: 200 })
     fc.assert(
--- a/request/runner/src/engineSteps.ts
+++ b/request/runner/src/engineSteps.ts
@@ -3,7 +3,7 @@
 import type { RequestEffect, RequestEvent, RequestState } from '@forkstage/machine'
 import type { EndpointName, EndpointRow, RequestId } from '@forkstage/types'
 import type { ModelRequest } from './modelRequest'
-import type { RunParts } from './modelRun'
+import type { RunParts } from './runParts'
 
 type Effect<Type extends RequestEffect['type']> = Extract<RequestEffect, { type: Type }>
 
--- a/request/runner/src/measureRun.ts
+++ b/request/runner/src/measureRun.ts
@@ -1,7 +1,7 @@
 import type { RequestEnd, RequestState } from '@forkstage/machine'
 import type { Millis } from '@forkstage/types'
 import type { ModelRequest } from './modelRequest'
-import type { RunParts } from './modelRun'
+import type { RunParts } from './runParts'
 
 /** What one run gave, as metrics, a log line and the last line of its story. */
 export function measureRun(
--- a/request/runner/src/modelRun.ts
+++ b/request/runner/src/modelRun.ts
@@ -1,9 +1,6 @@
-import { every, type CancelTimer, type Clock } from '@forkstage/clock'
-import type { EngineClient } from '@forkstage/engine-client'
+import { every, type CancelTimer } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
-import type { Claim, JournalClient, JournalResult, Outcome } from '@forkstage/claims'
-import type { EndpointBook, OutputForecast } from '@forkstage/load'
-import type { Logger } from '@forkstage/logger'
+import type { Claim, JournalResult, Outcome } from '@forkstage/claims'
 import {
   createRequest,
   stepRequest,
@@ -13,34 +10,13 @@
   type RequestState,
 } from '@forkstage/machine'
 import type { PlaceResult } from '@forkstage/place'
-import type { EndpointName, Millis, RequestId } from '@forkstage/types'
+import type { EndpointName, RequestId } from '@forkstage/types'
 import { EngineSteps } from './engineSteps'
 import { measureRun } from './measureRun'
 import type { ModelRequest } from './modelRequest'
 import { createOutcome } from './outcome'
-import { rounded, type Placer } from './placer'
-import type { ReleaseKeeper } from './releaseKeeper'
-import type { RequestMeters } from './requestMeters'
-import type { StoryBook } from './storyBook'
-
-/** What a run needs from its box. */
-export interface RunParts {
-  engines: EngineClient
-  journal: JournalClient
-  book: EndpointBook
-  forecast: OutputForecast
-  placer: Placer
-  releases: ReleaseKeeper
-  stories: StoryBook
-  meters: RequestMeters
-  clock: Clock
-  logger: Logger
-  engineStepMs: Millis
-  stallMs: Millis
-  ttftTarget: Millis
-  tbtTarget: Millis
-  outcomeBytes: number
-}
+import { rounded } from './placer'
+import type { RunParts } from './runParts'
 
 /** What the caller of a run that was superseded needs to know. */
 export type ClaimAnswer = Extract<JournalResult, { type: 'running' | 'done' | 'mismatch' }>
--- a/request/runner/src/runRegistry.ts
+++ b/request/runner/src/runRegistry.ts
@@ -6,7 +6,8 @@
 import type { Millis, RequestId, RequestKey } from '@forkstage/types'
 import { followRun, replayAnswer, type AnswerPart, type AnswerSource } from './answerSource'
 import { MayHaveRunError, KeyReusedError, OutcomeNotKeptError } from './answerErrors'
-import { ModelRun, type RunParts, type Takeover } from './modelRun'
+import { ModelRun, type Takeover } from './modelRun'
+import type { RunParts } from './runParts'
 import type { ModelRequest } from './modelRequest'
 
 /** Options of {@link RunRegistry}. */
