fix(relay): a prefill step that says nothing is given up, and a silent engine is left where the route allows it

Ruled out: a shorter connection limit (the connections stood) and ejection alone (it comes after the second one).

The allocator says how long reading should take, its queue included; after twice that and a quarter of the target the step is cancelled (no run: nothing repeats) and the decode engine reads. A stream without an event at its target is closed and taken up elsewhere where the route is resumable and has attempts left. The step stands in a module of its own.

--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -253,15 +253,18 @@
     prefill?: RegisteredEndpoint,
   ): Placed {
     const decodingAt = prefill === undefined ? decodesAt : undefined
+    const waitMs = prefill === undefined ? 0 : this.book.prefillWait(prefill.id)
     this.book.add({
       ask,
       prefill: prefill?.id,
       decode: decode.id,
       placedAt: decodesAt,
-      isReadAlone: prefill !== undefined && this.book.prefillWait(prefill.id) === 0,
+      isReadAlone: prefill !== undefined && waitMs === 0,
       decodingAt,
     })
-    return { type: 'placed', prefill: prefill?.id, decode: decode.id }
+    if (prefill === undefined) return { type: 'placed', decode: decode.id }
+    const readsInMs = Math.round(waitMs + this.book.readingMs(ask))
+    return { type: 'placed', prefill: prefill.id, decode: decode.id, readsInMs }
   }
 
   /** Who reads the prompt, so that the request is not late for it; undefined where it has to wait. */
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -34,6 +34,8 @@
   /** Absent where the decode engine reads the prompt itself. */
   prefill?: InstanceId
   decode: InstanceId
+  /** How long the prefill step is expected to take, what waits before it included, in milliseconds. */
+  readsInMs?: Millis
 }
 
 /** Why a request gets no place, and when to come back. */
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -196,7 +196,7 @@
     for (let index = 0; index < 3; index += 1) allocator.noteUse('p1', 'full', 3_000)
     allocator.dropEntry('e1')
     place(ask('one'), 3_010)
-    expect(decisions.get('one')).toMatchObject({ type: 'placed', prefill: undefined })
+    expect(decisions.get('one')).toEqual({ type: 'placed', decode: expect.stringMatching(/^d/) })
     expect(allocator.planStage('s', 3_020)?.stage).toBe('prefill')
   })
 
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -34,6 +34,8 @@
   /** Reads the prompt; where absent the decode engine does. */
   prefill?: PooledEndpoint
   decode: PooledEndpoint
+  /** How long the prefill step is expected to take, in milliseconds; absent where nobody knows. */
+  readsInMs?: Millis
   /** Says that the prompt has been read. */
   notePrefilled: (outcome: SendOutcome, tookMs: Millis) => void
   /** The decode engine is slower than it should be; it is not given up yet. */
--- /dev/null
+++ b/request/gateway/src/prefillStep.ts
@@ -0,0 +1,81 @@
+import type { Millis } from '@forkstage/types'
+import type { PooledEndpoint, SendOutcome } from './endpointPool'
+import type { Exchange } from './exchange'
+import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
+import { judgeAnswer } from './judgeAnswer'
+import type { ModelPlace } from './modelPlacer'
+import { CONNECT_MS, headersFor, type RelayJob, type RelayParts } from './relayParts'
+
+const MAX_ANSWER_BYTES = 64 * 1024
+/** A prefill step is given up after twice the time that it should take and this share of the target. */
+const SLACK_SHARE = 0.25
+const EXPECTED_FACTOR = 2
+/** The share of the target after which it is given up where nobody knows how long it should take. */
+const LIMIT_SHARE = 0.9
+
+/** The memory that a prefill step left at an engine. */
+export interface Prefilled {
+  at: PooledEndpoint
+  handle: string
+  madeAt: Millis
+}
+
+/** How a prefill step ended. */
+export interface PrefillResult {
+  /** Absent where the prompt was not read. */
+  prefilled?: Prefilled
+  note: SendOutcome
+  tookMs: Millis
+}
+
+/** Has a prompt read by the prefill engine of a place. `onOpen` receives the exchange, so that it can be cancelled. */
+export async function prefillStep(
+  parts: RelayParts,
+  job: RelayJob,
+  place: ModelPlace,
+  onOpen: (exchange: Exchange) => void,
+): Promise<PrefillResult> {
+  const { wire, clock } = parts
+  const at = place.prefill!
+  const startedAt = clock.now()
+  let open: Exchange | undefined
+  // An engine may take a prompt and say nothing more: the prompt is then read elsewhere.
+  const cancelLimit = clock.after(limitMs(place, job), () => open?.cancel('the prefill step took too long'))
+  const outcome = await exchangeWhole({
+    address: at.endpoint.address,
+    method: job.request.method,
+    path: job.request.path,
+    rawHeaders: headersFor(parts, job, at, [wire.headers.stage, wire.prefillStage]),
+    body: job.request.body,
+    connectMs: CONNECT_MS,
+    clock,
+    maxBytes: MAX_ANSWER_BYTES,
+    onOpen: (exchange) => {
+      open = exchange
+      onOpen(exchange)
+    },
+  })
+  cancelLimit()
+  const tookMs = clock.now() - startedAt
+  const isRead = outcome.type === 'answer' && outcome.head.status === 200
+  const read = isRead ? wire.readPrefillAnswer(outcome.body) : undefined
+  if (read === undefined) return { note: noteOfFailure(parts, job, outcome, at), tookMs }
+  return { prefilled: { at, handle: read.handle, madeAt: clock.now() }, note: 'ok', tookMs }
+}
+
+function limitMs({ readsInMs }: ModelPlace, { route }: RelayJob): Millis {
+  if (readsInMs === undefined) return route.targetMs * LIMIT_SHARE
+  return readsInMs * EXPECTED_FACTOR + route.targetMs * SLACK_SHARE
+}
+
+function noteOfFailure(
+  { wire }: RelayParts,
+  { request }: RelayJob,
+  outcome: WholeOutcome,
+  at: PooledEndpoint,
+): SendOutcome {
+  if (outcome.type === 'failed') return outcome.refused ? 'unreachable' : 'failed'
+  const verdict = judgeAnswer(outcome.head, { id: request.id, instance: at.endpoint.id }, wire.headers)
+  if (verdict === 'other-instance') return verdict
+  return verdict === 'not-run' ? 'full' : 'failed'
+}
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -105,6 +105,7 @@
     return this.tracked(ask, {
       prefill,
       decode,
+      readsInMs: placed.readsInMs,
       notePrefilled: (outcome, tookMs) => {
         if (prefill !== undefined) pool.noteEnd(prefill, outcome, tookMs, ask.promptTokens)
       },
@@ -130,6 +131,7 @@
     return {
       prefill: place.prefill,
       decode: place.decode,
+      readsInMs: place.readsInMs,
       notePrefilled: (outcome, tookMs) => {
         hold.decodingAt = clock.now()
         place.notePrefilled(outcome, tookMs)
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -4,11 +4,11 @@
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
-import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { holdTime } from './holdTime'
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { endWithConnection, sendEndpointAnswer } from './ownAnswer'
+import { prefillStep, type Prefilled } from './prefillStep'
 import { releaseHandle } from './releaseHandle'
 import { answerFailure, answerRefusal, type OwnResult } from './relayAnswers'
 import {
@@ -24,20 +24,12 @@
 import { waitFor } from './waitFor'
 
 const MAX_REFUSALS = 3
-const MAX_PREFILL_ANSWER_BYTES = 64 * 1024
 const COME_BACK_MS = 600
 /** A handle is used for another engine only while it surely still stands. */
 const HANDLE_SHARE = 0.5
 const WAIT_FOR_ENGINES_MS = 250
 const PROMISES = new Set([408, 421, 429, 503])
 
-/** The memory that a prefill step left at an engine. */
-interface Prefilled {
-  at: PooledEndpoint
-  handle: string
-  madeAt: Millis
-}
-
 /** Relays a streaming request: a place, the prefill step, the stream, and another engine where allowed. */
 export async function relayStream(parts: RelayParts, job: RelayJob): Promise<RelayResult> {
   return new StreamRun(parts, job).relay()
@@ -151,10 +143,16 @@
     return attempt
   }
 
-  /** Tells the placement of an engine that has made nothing for too long. */
+  /** Tells the placement of an engine that has made nothing for too long, and leaves it where that is allowed. */
   private watchStall(place: ModelPlace): () => void {
-    return this.parts.clock.after(this.job.route.targetMs, () => {
-      if (this.madeEvents === 0 && !this.isOver) place.noteStalled()
+    const { route } = this.job
+    return this.parts.clock.after(route.targetMs, () => {
+      if (this.madeEvents > 0 || this.isOver) return
+      place.noteStalled()
+      const mayLeave = route.resumable && this.mayHaveRun + 1 < route.attempts
+      if (!mayLeave) return
+      this.except.add(place.decode.endpoint.id)
+      this.exchange?.cancel('no event in time')
     })
   }
 
@@ -163,36 +161,15 @@
   }
 
   private async prefillAt(place: ModelPlace): Promise<void> {
-    const { parts, job } = this
     const at = place.prefill!
-    const startedAt = parts.clock.now()
-    const outcome = await exchangeWhole({
-      address: at.endpoint.address,
-      method: job.request.method,
-      path: job.request.path,
-      rawHeaders: headersFor(parts, job, at, [parts.wire.headers.stage, parts.wire.prefillStage]),
-      body: job.request.body,
-      connectMs: CONNECT_MS,
-      clock: parts.clock,
-      maxBytes: MAX_PREFILL_ANSWER_BYTES,
-      onOpen: (exchange) => (this.exchange = exchange),
+    const { prefilled, note, tookMs } = await prefillStep(this.parts, this.job, place, (exchange) => {
+      this.exchange = exchange
     })
     this.exchange = undefined
-    const tookMs = parts.clock.now() - startedAt
-    const answer = outcome.type === 'answer' && outcome.head.status === 200
-    const read = answer ? parts.wire.readPrefillAnswer(outcome.body) : undefined
-    if (read !== undefined) this.prefilled = { at, handle: read.handle, madeAt: parts.clock.now() }
-    const note = read === undefined ? this.noteOfFailure(outcome, at) : 'ok'
+    if (prefilled !== undefined) this.prefilled = prefilled
     place.notePrefilled(this.isOver ? 'cancelled' : note, tookMs)
     this.sends.push({ to: at.endpoint.id, step: 'prefill', outcome: note, tookMs: Math.round(tookMs) })
-    if (read === undefined && !this.isOver) this.except.add(at.endpoint.id)
-  }
-
-  private noteOfFailure(outcome: WholeOutcome, at: PooledEndpoint): SendOutcome {
-    if (outcome.type === 'failed') return outcome.refused ? 'unreachable' : 'failed'
-    const verdict = this.judge(outcome.head, at.endpoint.id)
-    if (verdict === 'other-instance') return verdict
-    return verdict === 'not-run' ? 'full' : 'failed'
+    if (prefilled === undefined && !this.isOver) this.except.add(at.endpoint.id)
   }
 
   /** The handle, while it may still be fetched and no engine has taken it. */
--- a/request/gateway/test/streamRelay.test.ts
+++ b/request/gateway/test/streamRelay.test.ts
@@ -78,6 +78,43 @@
     expect(workers[1]!.seen[0]!.headers['x-kv-from']).toBeUndefined()
   })
 
+  it('are made by the decode engine where the prefill engine takes the prompt and says nothing more', async () => {
+    const { world, workers } = await start(
+      [
+        ['prefill', () => undefined],
+        ['decode', streams([1, 2])],
+      ],
+      { targetMs: 100 },
+    )
+    expect(await world.send('/p/')).toMatchObject({ status: 200, body: events(1, 2) })
+    await workers[0]!.seen[0]!.closed
+  })
+
+  it('leave an engine that makes no event, where the route allows it, and close the connection to it first', async () => {
+    let hung: SeenRequest | undefined
+    const firstHangs: Answerer = (request) => {
+      if (hung === undefined) hung = request
+      else streams([1, 2])(request)
+    }
+    const route = { targetMs: 100, resumable: true, attempts: 2 }
+    const { world } = await start(
+      [
+        ['decode', firstHangs],
+        ['decode', firstHangs],
+      ],
+      route,
+    )
+    expect(await world.send('/p/')).toMatchObject({ status: 200, body: events(1, 2), isWhole: true })
+    await hung!.closed
+  })
+
+  it('stay at an engine that makes no event, where the route allows no other', async () => {
+    const slow: Answerer = (request) => void setTimeout(() => streams([1, 2])(request), 300)
+    const { world, workers } = await start([['decode', slow]], { targetMs: 100 })
+    expect(await world.send('/p/')).toMatchObject({ status: 200, body: events(1, 2) })
+    expect(workers[0]!.seen).toHaveLength(1)
+  })
+
   it('free the memory that no engine took', async () => {
     const { world, workers } = await start([
       ['prefill', reads],
