test(deployment): a cut entry is asked once its lease is over, not once it is unready

Cause of one failure seen beside seven busy processes (502 may-have-run where 503 not-run was expected; three tests after it failed because the entry stayed cut): the test waited for "unready", which a cut entry is as soon as the owners' shares lapse, and then sent a chat within the table lease. Shown by a run that printed `forkstage_table_lease_held 1` at that moment. Such a chat mostly waits until the lease is over; on a busy machine it can be placed at an engine that the entry owns itself, and then ends as "may have run", truthfully. Ruled out: a lease that ends late, a wrong "not run".

--- a/tools/deployment/test/table.test.ts
+++ b/tools/deployment/test/table.test.ts
@@ -21,6 +21,10 @@
   endpoints: table.endpoints.map((row) => (row.pool === 'plain' ? { ...row, weight } : row)),
 })
 const isReady = async (box: BoxHandle) => (await fetch(`http://${box.operators}/readyz`)).status === 200
+const holdsLease = async (box: BoxHandle) => {
+  const metrics = await (await fetch(`http://${box.operators}/metrics`)).text()
+  return !metrics.includes('forkstage_table_lease_held 0')
+}
 const ask = { model: ADDIS.model, prompt: 'is the seal intact? [[answer=3]]', maxTokens: 10 }
 
 async function leader(): Promise<BoxHandle> {
@@ -103,7 +107,9 @@
   it('an entry that is cut off takes no new work once its lease is over, and comes back with the newest table', async () => {
     const entry = deployment.boxes[5]!
     deployment.cutOff(entry, true)
-    await waitUntil(async () => !(await isReady(entry)), { what: 'the cut box to turn unready' })
+    // It turns unready before that, once the owners' shares have lapsed; until then it may still begin work.
+    await waitUntil(async () => !(await holdsLease(entry)), { what: "the cut box's lease to end" })
+    expect(await isReady(entry)).toBe(false)
     const refused = await sendChat(entry, ask)
     expect([refused.status, refused.execution]).toEqual([503, 'not-run'])
     const version = await confirmMany(3, deployment.boxes[3]!)
