--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -31,7 +31,7 @@
 }
 
 const DEFAULT_TUNING: AllocatorTuning = {
-  lengthCertainty: 0.6,
+  lengthCertainty: 0.7,
   memoryShare: 0.97,
   lateMemoryShare: 0.85,
   order: 'returns-last',
