--- a/placement/allocator/test/waitingRoom.test.ts
+++ b/placement/allocator/test/waitingRoom.test.ts
@@ -1,30 +1,13 @@
 import { describe, expect, it } from 'vitest'
-import type { PlaceAsk } from '../src'
 import { WaitingRoom } from '../src/waitingRoom'
-
-const ASK: PlaceAsk = {
-  request: 'r',
-  entry: 'e',
-  service: 's',
-  className: 'c',
-  promptTokens: 1,
-  mostTokens: 1,
-  priority: 1,
-  targetMs: 900,
-  isReturn: false,
-  promptMs: 150,
-  holdMs: 3_000,
-  leftMs: 10_000,
-  except: [],
-  isPrefilled: false,
-}
+import { ask } from './fixtures'
 
 /** A room with requests that all asked at time 0, and ends of uses at an even pace before. */
 function room(names: string[], endsEveryMs: number) {
-  const waiting = new WaitingRoom(({ ask, since }, now) => ask.targetMs - (now - since), 'returns-last')
+  const waiting = new WaitingRoom((one, now) => one.ask.targetMs - (now - one.since), 'returns-last')
   for (let at = -2_000; at <= 0; at += endsEveryMs) waiting.noteEnd('s', at)
   for (const request of names)
-    waiting.add({ ask: { ...ASK, request }, since: 0, isKept: false, resolve: () => undefined })
+    waiting.add({ ask: ask(request), since: 0, isKept: false, resolve: () => undefined })
   return waiting
 }
 
@@ -52,12 +35,12 @@
     const waiting = room([], 100)
     for (const request of ['x', 'y', 'z', 'u', 'v', 'w'])
       waiting.add({
-        ask: { ...ASK, request, service: 'other' },
+        ask: ask(request, { service: 'other' }),
         since: 0,
         isKept: false,
         resolve: () => undefined,
       })
-    waiting.add({ ask: { ...ASK, request: 'a' }, since: 10, isKept: false, resolve: () => undefined })
+    waiting.add({ ask: ask('a'), since: 10, isKept: false, resolve: () => undefined })
     const sent = waiting.takeHopeless(170).map((one) => one.ask.request)
     expect(sent).not.toContain('a')
     expect(sent).toContain('x')
