--- a/daemon/daemon/src/buildContainer.ts
+++ b/daemon/daemon/src/buildContainer.ts
@@ -158,7 +158,10 @@
       clock: context.get(PARTS.clock),
       renewEvery: RENEW_CREDITS_EVERY_MS,
       renewIdleEvery: RENEW_CREDITS_IDLE_MS,
-      waitingFor: () => container.get(PARTS.placer).waiting,
+      waitingFor: (endpoint) => {
+        const isPlain = container.get(PARTS.book).row(endpoint)?.pool === 'plain'
+        return isPlain ? container.get(PARTS.plain).waiting : container.get(PARTS.placer).waiting
+      },
       onNews: () => container.get(PARTS.placer).drain(),
     })
   })
@@ -261,6 +264,7 @@
       logger: context.get(PARTS.logger),
       outcomeBytes: journal.outcome_bytes,
       random: context.get(PARTS.random),
+      wantCredits: () => container.get(PARTS.credits).renewSoon(),
     })
   })
 }
--- a/request/runner/src/plainCall.ts
+++ b/request/runner/src/plainCall.ts
@@ -3,7 +3,7 @@
 import type { Readable } from 'node:stream'
 import { Agent, request as httpRequest, type Dispatcher } from 'undici'
 import type { JournalClient, JournalResult, Outcome } from '@forkstage/claims'
-import type { Clock } from '@forkstage/clock'
+import { delay, type Clock } from '@forkstage/clock'
 import { neverConnected, NOT_RUN_HEADER, NOT_RUN_VALUE } from '@forkstage/engine-client'
 import type { EndpointBook } from '@forkstage/load'
 import type { Logger } from '@forkstage/logger'
@@ -41,10 +41,18 @@
   logger: Logger
   outcomeBytes: number
   random: () => number
+  /** Asks the owners of endpoints for more shares at once. */
+  wantCredits: () => void
 }
 
 /** Endpoints tried for a call that may be repeated. */
 const MOST_TRIES = 3
+/**
+ * The longest wait for a share of an endpoint: other boxes give back what they do not use when they renew, which those
+ * without work do each second.
+ */
+const SHARE_WAIT_MS = 1_500
+const SHARE_LOOK_MS = 10
 
 /** Sends plain calls: at most once where they may not be repeated. */
 export class PlainCalls {
@@ -56,6 +64,7 @@
     headersTimeout: 0,
   })
   private active = 0
+  private waitingForShare = 0
 
   constructor(private readonly parts: PlainParts) {}
 
@@ -64,6 +73,11 @@
     return this.active
   }
 
+  /** Calls that wait for a share of an endpoint of their service. */
+  get waiting(): number {
+    return this.waitingForShare
+  }
+
   /** Serves a call. @throws AnswerError where no answer of the service can be given. */
   async serve(call: PlainRequest, response: ServerResponse): Promise<void> {
     this.active += 1
@@ -127,6 +141,7 @@
   private async run(call: PlainRequest, response: ServerResponse, epoch: number | undefined): Promise<void> {
     const tried: EndpointRow[] = []
     for (;;) {
+      await this.untilShare(call, tried)
       const row = choosePlainEndpoint(call, this.parts, tried)
       if (row === undefined) {
         await this.forget(call, epoch)
@@ -140,6 +155,31 @@
     }
   }
 
+  /**
+   * Waits where endpoints would take the call but this box has no share of any: a box that has just started, or has
+   * been idle, may hold none of a small pool.
+   */
+  private async untilShare(call: PlainRequest, tried: EndpointRow[]): Promise<void> {
+    const { clock, wantCredits } = this.parts
+    const end = clock.now() + Math.min(SHARE_WAIT_MS, call.deadlineMs / 2)
+    const lacksShare = () => this.lacksOnlyShare(call, tried)
+    if (!lacksShare()) return
+    this.waitingForShare += 1
+    try {
+      for (; lacksShare() && clock.now() < end; await delay(clock, SHARE_LOOK_MS)) wantCredits()
+    } finally {
+      this.waitingForShare -= 1
+    }
+  }
+
+  private lacksOnlyShare(call: PlainRequest, tried: EndpointRow[]): boolean {
+    const { book } = this.parts
+    const closed = book.rows
+      .filter((row) => row.service === call.service && row.pool === 'plain' && !tried.includes(row))
+      .map((row) => book.closedReason(row.endpoint))
+    return !closed.includes(undefined) && closed.includes('no-credit')
+  }
+
   /** One dispatch. Returns why it failed, or undefined once the answer has been relayed. */
   private async dispatch(
     call: PlainRequest,
--- /dev/null
+++ b/request/runner/test/plainCall.test.ts
@@ -0,0 +1,111 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { afterEach, describe, expect, it } from 'vitest'
+import type { JournalClient } from '@forkstage/claims'
+import { ManualClock } from '@forkstage/clock'
+import { EndpointBook, targetShares } from '@forkstage/load'
+import { createSilentLogger } from '@forkstage/logger'
+import { PlainCalls, StoryBook, type PlainRequest } from '../src'
+
+const servers: Server[] = []
+afterEach(() => servers.splice(0).forEach((server) => server.close()))
+
+async function listen(serve: (request: IncomingMessage, response: ServerResponse) => void): Promise<string> {
+  const server = createServer(serve)
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  servers.push(server)
+  return `127.0.0.1:${(server.address() as { port: number }).port}`
+}
+
+/** A box without a share of the only endpoint; its owner grants one once it has been wanted so often. */
+async function world(grantAfter: number) {
+  const clock = new ManualClock(1_000)
+  const logger = createSilentLogger()
+  const book = new EndpointBook({ clock, random: () => 0.5, logger })
+  const address = await listen((_request, response) => response.end('saved'))
+  const row = {
+    endpoint: 'p',
+    address,
+    domain: 'x',
+    service: 's',
+    pool: 'plain' as const,
+    models: [],
+    weight: 1,
+    maxInFlight: 6,
+    kvTokens: 0,
+    promptTokensPerSecond: 0,
+    state: 'serve' as const,
+    checksFences: false,
+    repeatable: false,
+  }
+  book.setTable({ endpoints: [row], links: [] })
+  const news = { leaseMs: 60_000, promptTokensPerSecond: Infinity, othersPrefillTokens: 0, cacheEvents: [] }
+  book.noteNews('p', { ...news, share: 0 })
+  const seen = { wanted: 0, waiting: [] as number[] }
+  const calls = new PlainCalls({
+    journal: {} as JournalClient,
+    book,
+    stories: new StoryBook('box', clock),
+    clock,
+    logger,
+    outcomeBytes: 1_000,
+    random: () => 0,
+    wantCredits: () => {
+      seen.wanted += 1
+      seen.waiting.push(calls.waiting)
+      if (seen.wanted >= grantAfter) book.noteNews('p', { ...news, share: 1 })
+    },
+  })
+  return { clock, calls, seen }
+}
+
+const CALL: PlainRequest = {
+  request: 'r1',
+  caller: 'c',
+  service: 's',
+  bodyDigest: '',
+  repeatable: true,
+  method: 'POST',
+  path: '/saves/1',
+  headers: {},
+  body: Buffer.from('x'),
+  deadlineMs: 10_000,
+}
+
+/** Serves one call and gives what became of it, while the clock goes on. */
+async function serve(calls: PlainCalls, clock: ManualClock): Promise<string> {
+  let outcome: string | undefined
+  const address = await listen((_request, response) => {
+    calls.serve(CALL, response).then(
+      () => (outcome = 'served'),
+      (error: { code: string }) => {
+        outcome = error.code
+        response.end()
+      },
+    )
+  })
+  const answer = fetch(`http://${address}/`)
+  while (outcome === undefined) {
+    clock.advance(10)
+    await new Promise((resolve) => setImmediate(resolve))
+  }
+  await answer
+  return outcome
+}
+
+describe('PlainCalls', () => {
+  it('wait for a share of an endpoint, and ask its owner for one, rather than be refused', async () => {
+    // Six places among seven boxes leave one box without any.
+    const idle = new Map(['1', '2', '3', '4', '5', '6', '7'].map((box) => [box, { inFlight: 0, waiting: 0 }]))
+    expect([...targetShares(6, idle).values()]).toContain(0)
+    const { calls, clock, seen } = await world(3)
+    expect(await serve(calls, clock)).toBe('served')
+    expect(seen.waiting).toEqual([1, 1, 1])
+    expect(calls.waiting).toBe(0)
+  })
+
+  it('are refused as not run where no share comes', async () => {
+    const { calls, clock } = await world(Infinity)
+    expect(await serve(calls, clock)).toBe('FORKSTAGE_NO_ENDPOINT')
+    expect(calls.waiting).toBe(0)
+  })
+})
