--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -51,7 +51,11 @@
     address: string
     sequence: number
   }
+  'endpoint.recalled': { endpoint: string; outcome: string }
+  'endpoints.not-recalled': { reason: string }
+  'endpoints.not-kept': { reason: string }
   'settings.reloaded': { changed: string[] }
+  'stage.abandoned': { endpoint: string; stage: string; reason: string }
   'stage.ordered': {
     endpoint: string
     stage: string
@@ -73,6 +77,15 @@
     waitedMs: number
     holds: number
     waiting: number
+    /** What was believed of the engines: how many work, the one with the most room, the shortest reading queue. */
+    engines: {
+      decoders: number
+      readers: number
+      roomiest?: { endpoint: string; peak: number; running: number }
+      soonest?: { endpoint: string; queuedMs: number }
+    }
+    /** Tokens that one engine can hold. */
+    memory: number
     term: number
   }
   'request.answered': {
--- /dev/null
+++ b/daemon/fleet/src/callEndpoint.ts
@@ -0,0 +1,31 @@
+import type { Clock } from '@forkstage/clock'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { exchangeWhole, type WholeOutcome } from '@forkstage/gateway'
+import type { EndpointCall } from './controlWire'
+
+const CONNECT_MS = 400
+const MAX_ANSWER_BYTES = 64 * 1024
+
+/** Calls an endpoint on behalf of a control machine. Never rejects. */
+export function callEndpoint(
+  to: RegisteredEndpoint,
+  call: EndpointCall,
+  clock: Clock,
+): Promise<WholeOutcome> {
+  return exchangeWhole({
+    address: to.address,
+    ...call,
+    rawHeaders: [
+      'Host',
+      to.address,
+      ...call.rawHeaders,
+      'Content-Length',
+      String(call.body.length),
+      'Connection',
+      'close',
+    ],
+    connectMs: CONNECT_MS,
+    clock,
+    maxBytes: MAX_ANSWER_BYTES,
+  })
+}
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -1,10 +1,12 @@
 import { AllocatorService } from '@forkstage/allocator'
+import { every, type CancelTimer } from '@forkstage/clock'
 import { Directory } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import { GroupClient, GroupHost, type ReplicaStatus } from '@forkstage/group'
 import { MembershipKeeper } from '@forkstage/keeper'
 import { startPeerServer, type PeerMethod, type PeerServer } from '@forkstage/peer-rpc'
 import { RouteBook } from '@forkstage/routes'
+import { createFileSystem } from '@forkstage/storage'
 import { SheetMachine, type PutResult, type PutSheet, type SheetDocument } from '@forkstage/sheet'
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
@@ -16,6 +18,8 @@
 import type { MachineBasics } from './machineBasics'
 import { Registrar } from './registrar'
 import { serveMetrics } from './serveMetrics'
+import { EndpointMemory } from './endpointMemory'
+import { recallEndpoints } from './endpointRecall'
 import { SheetOffice } from './sheetOffice'
 import { StageOrders } from './stageOrders'
 
@@ -24,6 +28,8 @@
 const LAST_ANSWERS_MS = 400
 const REOPEN_AFTER_MS = 400
 const ASKING_MS = 1_000
+/** How often a machine looks who leads: short beside an election, which takes some hundred milliseconds. */
+const LOOK_AT_LEADER_MS = 20
 
 /** A control machine: one replica of the route sheet, the directory of endpoints, operators' calls. */
 export class ControlMachine {
@@ -37,11 +43,14 @@
   private readonly registrar: Registrar
   private readonly allocator: AllocatorService
   private readonly orders: StageOrders
+  private readonly memory: EndpointMemory
   private peerServer: PeerServer | undefined
   private listeners: Listener[] = []
   private readonly meters: FleetMeters
   private newest: SheetDocument | undefined
   private readonly book = new RouteBook()
+  private toldLeader: Address | undefined
+  private cancelLook: CancelTimer = () => undefined
 
   constructor(
     private readonly basics: MachineBasics,
@@ -78,11 +87,19 @@
       leader: () => this.leader(),
       clock,
     })
+    this.memory = new EndpointMemory({
+      folder: settings.machine.data_folder!,
+      files: createFileSystem(),
+      endpoints: () => this.directory.list(),
+      clock,
+      logger,
+    })
     this.registrar = new Registrar({
       directory: this.directory,
       hub: this.hub,
       logger,
       isConnected: () => this.leader() !== undefined,
+      onChange: () => this.memory.noteChange(),
     })
     this.office = new SheetOffice({
       group: GROUP,
@@ -98,6 +115,7 @@
       engine: (service) => this.book.current?.service(service)?.engine,
       isLeader: () => this.host.replica?.holdsLease === true,
       term: () => this.host.replica?.term ?? 0,
+      entries: () => this.hub.countEntries(),
     })
     this.orders = new StageOrders({
       wire,
@@ -134,10 +152,12 @@
       ...(await serveMetrics(this.meters, settings.listen.metrics)),
     ]
     void this.host.start()
+    void this.recall()
     this.follower.start()
     this.keeper.start()
     this.allocator.start()
     this.orders.start()
+    this.cancelLook = every(this.basics.clock, LOOK_AT_LEADER_MS, () => this.tellOfLeader())
   }
 
   /** This machine's place in the group, once it has one. */
@@ -156,7 +176,9 @@
     const { clock, peers } = this.basics
     this.host.replica?.transferLeadership()
     await new Promise<void>((resolve) => clock.after(LAST_ANSWERS_MS, resolve))
+    this.cancelLook()
     this.keeper.stop()
+    this.memory.stop()
     this.allocator.stop()
     this.orders.stop()
     this.follower.stop()
@@ -166,6 +188,19 @@
     peers.close()
   }
 
+  /** Finds the endpoints of the time before this start. */
+  private async recall(): Promise<void> {
+    const { clock, logger } = this.basics
+    await recallEndpoints(await this.memory.recall(), {
+      wire: this.wire,
+      service: (name) => this.book.current?.service(name),
+      isKnown: (id) => this.directory.get(id) !== undefined,
+      onReady: (endpoint) => this.registrar.take([endpoint]),
+      clock,
+      logger,
+    })
+  }
+
   private createMeters(): FleetMeters {
     const { logBudget } = this.basics
     return new FleetMeters({
@@ -241,6 +276,14 @@
     return [...new Set(all)]
   }
 
+  /** Entries that wait for news hear of another leader at once: until then they ask one that places no more. */
+  private tellOfLeader(): void {
+    const leader = this.leader()
+    if (leader === this.toldLeader) return
+    this.toldLeader = leader
+    this.hub.noteChange()
+  }
+
   /** The leader, while this machine leads with its lease or hears who does. */
   private leader(): Address | undefined {
     const { clock, settings } = this.basics
--- a/daemon/fleet/src/controlWire.ts
+++ b/daemon/fleet/src/controlWire.ts
@@ -1,5 +1,6 @@
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import type { RouteSheet } from '@forkstage/routes'
+import type { WholeOutcome } from '@forkstage/gateway'
+import type { RoutedService, RouteSheet } from '@forkstage/routes'
 import type { Address } from '@forkstage/types'
 
 /** What an engine says of itself when it is asked. */
@@ -48,4 +49,14 @@
   /** @returns undefined where the body is no report. */
   readReport(body: Buffer): EngineReport | undefined
   stageOrderCall(order: StageOrder): EndpointCall
+  /** Asks an endpoint that was known before this machine's start whether it takes work. */
+  recallCall(endpoint: RegisteredEndpoint, service: RoutedService): EndpointCall
+  /**
+   * The endpoint as its answer to {@link recallCall} tells it.
+   * @returns undefined where it takes no work, or another one answered.
+   */
+  readRecall(
+    endpoint: RegisteredEndpoint,
+    answer: Extract<WholeOutcome, { type: 'answer' }>,
+  ): RegisteredEndpoint | undefined
 }
--- a/daemon/fleet/src/registrar.ts
+++ b/daemon/fleet/src/registrar.ts
@@ -10,6 +10,8 @@
   logger: Logger
   /** Whether this machine is connected to a majority of the control machines. */
   isConnected: () => boolean
+  /** Called after endpoints have changed. */
+  onChange?: () => void
 }
 
 /** Takes what endpoints say of themselves and passes it on at once. */
@@ -41,5 +43,6 @@
     if (news.length === 0) return
     logEndpoints(this.options.logger, news)
     this.options.hub.noteChange()
+    this.options.onChange?.()
   }
 }
--- a/daemon/fleet/src/stageOrders.ts
+++ b/daemon/fleet/src/stageOrders.ts
@@ -1,10 +1,11 @@
 import type { AllocatorService, StageChange } from '@forkstage/allocator'
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import { exchangeWhole, type WholeOutcome } from '@forkstage/gateway'
+import type { WholeOutcome } from '@forkstage/gateway'
 import type { Logger } from '@forkstage/logger'
 import type { RouteSheet } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
+import { callEndpoint } from './callEndpoint'
 import type { ControlWire, EndpointCall } from './controlWire'
 
 /** Options of {@link StageOrders}. */
@@ -26,12 +27,12 @@
 }
 
 const LOOK_EVERY_MS = 500
-const CONNECT_MS = 400
-const MAX_ANSWER_BYTES = 64 * 1024
 const TAKEN = 202
 const HOLDS_ALREADY = 200
 const OTHER_INSTANCE = 421
 const ASK_AGAIN_MS = 1_000
+/** An engine that changes its part and cannot be reached this often in a row has crashed. */
+const MISSES_UNTIL_GONE = 2
 /** The longest that an engine may take to end what runs before it changes. */
 const ENDS_WITHIN_MS = 15_000
 const HOLDS_PAUSE_MS = 700
@@ -106,40 +107,33 @@
       return allocator.noteOrdered(change.id, becomes, pauseAfter(status))
     }
     allocator.noteChanging(change.id, stage, changeMs + ENDS_WITHIN_MS)
-    this.awaitChange(to, stage, changeMs)
+    this.awaitChange(to, stage)
   }
 
-  /** An engine first ends what runs there, so that only its own report tells when it is back. */
-  private awaitChange(to: RegisteredEndpoint, stage: Stage, inMs: Millis): void {
-    const { clock, wire, allocator } = this.options
-    clock.after(inMs, () => {
+  /**
+   * An engine first ends what runs there, so that only its own report tells when it is back. It gets no work
+   * meanwhile, so that only this question tells that it has crashed.
+   */
+  private awaitChange(to: RegisteredEndpoint, stage: Stage, missed = 0): void {
+    const { clock, wire, allocator, isLeader, logger } = this.options
+    clock.after(ASK_AGAIN_MS, () => {
       void this.call(to, wire.reportCall()).then((asked) => {
         const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
         const isDone = report?.stage === stage && !report.isBusy
-        if (isDone) allocator.noteChanging(to.id, stage, 0)
-        else if (this.options.isLeader() && allocator.isChanging(to.id))
-          this.awaitChange(to, stage, ASK_AGAIN_MS)
+        if (isDone) return allocator.noteChanging(to.id, stage, 0)
+        if (!isLeader() || !allocator.isChanging(to.id)) return
+        const isUnreached = asked.type === 'failed' && !asked.sent
+        if (isUnreached) allocator.noteUse(to.id, 'unreachable')
+        if (!isUnreached || missed + 1 < MISSES_UNTIL_GONE)
+          return this.awaitChange(to, stage, isUnreached ? missed + 1 : 0)
+        allocator.noteChanging(to.id, stage, 0)
+        logger.warn('stage.abandoned', { endpoint: to.id, stage, reason: asked.reason })
       })
     })
   }
 
   private call(to: RegisteredEndpoint, call: EndpointCall): Promise<WholeOutcome> {
-    return exchangeWhole({
-      address: to.address,
-      ...call,
-      rawHeaders: [
-        'Host',
-        to.address,
-        ...call.rawHeaders,
-        'Content-Length',
-        String(call.body.length),
-        'Connection',
-        'close',
-      ],
-      connectMs: CONNECT_MS,
-      clock: this.options.clock,
-      maxBytes: MAX_ANSWER_BYTES,
-    })
+    return callEndpoint(to, call, this.options.clock)
   }
 }
 
--- /dev/null
+++ b/daemon/fleet/test/endpointRecall.test.ts
@@ -0,0 +1,86 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer, type Server } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, describe, expect, it } from 'vitest'
+import { createSystemClock, ManualClock } from '@forkstage/clock'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { createSilentLogger } from '@forkstage/logger'
+import { createFileSystem } from '@forkstage/storage'
+import { EndpointMemory } from '../src/endpointMemory'
+import { recallEndpoints } from '../src/endpointRecall'
+import { CONTROL_WIRE, until } from './fleetWorld'
+
+const servers: Server[] = []
+const folders: string[] = []
+afterEach(() => {
+  servers.splice(0).forEach((server) => server.close())
+  folders.splice(0).forEach((folder) => rmSync(folder, { recursive: true, force: true }))
+})
+
+function endpoint(
+  id: string,
+  address = 'a:1',
+  state: RegisteredEndpoint['state'] = 'ready',
+): RegisteredEndpoint {
+  return { id, service: 's', address, zone: 'z', slots: 1, state, models: [], sequence: 3 }
+}
+
+/** A process at an address that calls itself by a name while it takes work. */
+async function process(name: string): Promise<string> {
+  const server = createServer((_request, response) => void response.setHeader('x-sound', name).end())
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  servers.push(server)
+  return `127.0.0.1:${(server.address() as { port: number }).port}`
+}
+
+function newFolder(): string {
+  const folder = mkdtempSync(join(tmpdir(), 'forkstage-recall-'))
+  folders.push(folder)
+  return folder
+}
+
+describe('recallEndpoints', () => {
+  it('takes an endpoint back only when it says itself that it takes work', async () => {
+    const sound = endpoint('i-1', await process('i-1'))
+    const replaced = endpoint('i-2', await process('i-9'))
+    const gone = endpoint('i-3', '127.0.0.1:9')
+    const known = endpoint('i-4', await process('i-4'))
+    const ready: string[] = []
+    await recallEndpoints([sound, replaced, gone, known], {
+      wire: CONTROL_WIRE,
+      service: () => ({ name: 's', maxConnections: 1 }),
+      isKnown: (id) => id === 'i-4',
+      onReady: ({ id }) => void ready.push(id),
+      clock: createSystemClock(),
+      logger: createSilentLogger(),
+    })
+    expect(ready).toEqual(['i-1'])
+  })
+})
+
+describe('EndpointMemory', () => {
+  function memory(folder: string, endpoints: RegisteredEndpoint[]) {
+    const clock = new ManualClock()
+    const options = { folder, files: createFileSystem(), clock, logger: createSilentLogger() }
+    return { clock, memory: new EndpointMemory({ ...options, endpoints: () => endpoints }) }
+  }
+
+  it('keeps those that take work, over a start', async () => {
+    const folder = newFolder()
+    const endpoints = [endpoint('i-1'), endpoint('i-2', 'b:1', 'draining')]
+    const { clock, memory: first } = memory(folder, endpoints)
+    first.noteChange()
+    clock.advance(1_000)
+    await until('the file to be written', async () => (await memory(folder, []).memory.recall()).length > 0)
+    expect(await memory(folder, []).memory.recall()).toEqual([endpoint('i-1')])
+  })
+
+  it('recalls nobody from an empty disk or a torn file', async () => {
+    const folder = newFolder()
+    expect(await memory(folder, []).memory.recall()).toEqual([])
+    writeFileSync(join(folder, 'endpoints.json'), '{"endpoints":[{"id"')
+    expect(await memory(folder, []).memory.recall()).toEqual([])
+    expect(await memory(join(folder, 'absent'), []).memory.recall()).toEqual([])
+  })
+})
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -24,6 +24,8 @@
   reportCall: () => ({ method: 'GET', path: '/report', rawHeaders: [], body: Buffer.alloc(0) }),
   readReport: () => undefined,
   stageOrderCall: () => ({ method: 'POST', path: '/order', rawHeaders: [], body: Buffer.alloc(0) }),
+  recallCall: ({ id }) => ({ method: 'GET', path: `/sound/${id}`, rawHeaders: [], body: Buffer.alloc(0) }),
+  readRecall: (endpoint, { head }) => (head.headers['x-sound'] === endpoint.id ? endpoint : undefined),
 }
 
 /** A route sheet with one route to one plain service. */
--- a/daemon/fleet/test/stageOrders.test.ts
+++ b/daemon/fleet/test/stageOrders.test.ts
@@ -51,6 +51,7 @@
   }
   const changing: [string, string, number][] = []
   const ordered: [string, string, number][] = []
+  const used: [string, string][] = []
   let wanted: StageChange | undefined = {
     id: 'i-1',
     stage: 'decode',
@@ -61,6 +62,7 @@
     planStage: () => (changing.length + ordered.length > 0 ? undefined : wanted),
     noteOrdered: (id: string, to: string, forMs: number) => void ordered.push([id, to, forMs]),
     noteChanging: (id: string, to: string, forMs: number) => void changing.push([id, to, forMs]),
+    noteUse: (id: string, outcome: string) => void used.push([id, outcome]),
     isChanging: () => changing.length > 0 && changing.at(-1)![2] > 0,
   } as unknown as AllocatorService
   const wire: ControlWire = {
@@ -105,7 +107,15 @@
     clock,
     changing,
     ordered,
+    used,
     settled,
+    /** The next question after a second of the clock has been answered. */
+    asked: async (count: number) => {
+      clock.advance(1_000)
+      await settled(() => state.reports >= count)
+      for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    },
+    crash: () => new Promise((resolve) => server.close(resolve)),
     stop: () => orders.stop(),
     forget: () => (wanted = undefined),
   }
@@ -151,22 +161,41 @@
   })
 
   it('counts an engine back only when its own report says that it has changed', async () => {
-    const { state, clock, changing, settled, stop } = await start()
+    const { state, clock, changing, asked, settled, stop } = await start()
     clock.advance(LEAD_FIRST_MS + 600)
     await settled(() => changing.length === 1)
-    clock.advance(6_000)
-    await settled(() => state.reports === 2)
+    await asked(2)
+    await asked(3)
     expect(changing).toHaveLength(1)
     state.stage = 'decode'
-    await new Promise((resolve) => setImmediate(resolve))
-    while (changing.length < 2) {
-      clock.advance(1_000)
-      await new Promise((resolve) => setTimeout(resolve, 5))
-    }
+    state.busy = true
+    await asked(4)
+    expect(changing).toHaveLength(1)
+    state.busy = false
+    await asked(5)
+    await settled(() => changing.length === 2)
     expect(changing[1]).toEqual(['i-1', 'decode', 0])
     stop()
   })
 
+  it('does not wait for an engine that has crashed on its way: two questions that reach nobody end it', async () => {
+    const { clock, changing, used, settled, crash, stop } = await start()
+    clock.advance(LEAD_FIRST_MS + 600)
+    await settled(() => changing.length === 1)
+    await crash()
+    clock.advance(1_000)
+    await settled(() => used.length === 1)
+    expect(changing).toHaveLength(1)
+    clock.advance(1_000)
+    await settled(() => changing.length === 2)
+    expect(changing[1]).toEqual(['i-1', 'decode', 0])
+    expect(used).toEqual([
+      ['i-1', 'unreachable'],
+      ['i-1', 'unreachable'],
+    ])
+    stop()
+  })
+
   it('leaves an engine alone for a while that refused, in the part that it has', async () => {
     const { clock, changing, ordered, settled, stop } = await start(412)
     clock.advance(LEAD_FIRST_MS + 600)
--- a/membership/directory/test/directory.test.ts
+++ b/membership/directory/test/directory.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { Directory, type RegisteredEndpoint } from '../src'
+import { Directory, newestPerAddress, type RegisteredEndpoint } from '../src'
 
 const STATES = ['ready', 'draining', 'left'] as const
 
@@ -81,3 +81,12 @@
     expect(directory.since(position).map(({ id }) => id)).toEqual(['i-2'])
   })
 })
+
+describe('newestPerAddress', () => {
+  it('leaves out whom another instance has followed at its address', () => {
+    const directory = new Directory()
+    directory.merge([endpoint({ id: 'old' }), endpoint({ id: 'other', address: '10.0.0.2:80' })])
+    directory.merge([endpoint({ id: 'new' })])
+    expect(newestPerAddress(directory.list()).map(({ id }) => id)).toEqual(['other', 'new'])
+  })
+})
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -93,15 +93,16 @@
     return known.map(([address]) => address)
   }
 
-  /** The leader named by whoever answered last and knows one. */
+  /** The leader that half or more of those name that answered lately: one that has just died names only itself. */
   leader(): Address | undefined {
     const { clock, holdMs } = this.options
-    const fresh = this.addresses()
-      .map((address) => this.followed.get(address)!)
-      .filter((one) => one.leader !== undefined && clock.now() - one.heardAt < holdMs + ANSWER_SLACK_MS)
+    const fresh = [...this.followed.values()].filter(
+      (one) => one.epoch !== '' && clock.now() - one.heardAt < holdMs + ANSWER_SLACK_MS,
+    )
     const votes = new Map<Address, number>()
-    for (const { leader } of fresh) votes.set(leader!, (votes.get(leader!) ?? 0) + 1)
-    return [...votes].sort((left, right) => right[1] - left[1])[0]?.[0]
+    for (const { leader } of fresh) if (leader !== undefined) votes.set(leader, (votes.get(leader) ?? 0) + 1)
+    const first = [...votes].sort((left, right) => right[1] - left[1])[0]
+    return first !== undefined && first[1] * 2 >= fresh.length ? first[0] : undefined
   }
 
   /** How many entries there are, by the control machine that counts the most. */
--- a/membership/watch/test/watch.test.ts
+++ b/membership/watch/test/watch.test.ts
@@ -203,4 +203,24 @@
     clock.advance(2_000)
     expect(follower.leader()).toBeUndefined()
   })
+
+  it('believes no leader that only itself names, as one that has just died', async () => {
+    const third = '10.0.0.3:1'
+    const { last, follower } = followerWorld()
+    const members = [CONTROL, OTHER, third]
+    last().answer({ leader: CONTROL, members })
+    await settle()
+    expect(follower.leader()).toBe(CONTROL)
+    last(OTHER).answer({ leader: CONTROL, members })
+    last(third).answer({ members })
+    await settle()
+    expect(follower.leader()).toBe(CONTROL)
+    last(OTHER).answer({ members })
+    await settle()
+    expect(follower.leader()).toBeUndefined()
+    last(OTHER).answer({ leader: third, members })
+    last(third).answer({ leader: third, members })
+    await settle()
+    expect(follower.leader()).toBe(third)
+  })
 })
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -1,13 +1,22 @@
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
-import type { PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
+import type { Hold, PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
 import { DemandMeter } from './demandMeter'
+import { EngineChoice, START_MS, type EngineOutlook, type EnginePick } from './engineChoice'
+import { EnginePace } from './enginePace'
 import { HoldBook } from './holdBook'
 import { InstanceHealth } from './instanceHealth'
+import { LengthForecast } from './lengthForecast'
 import { planStages, type StageChange, type StagedEngine } from './planStages'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
 
+/** What engines and callers have shown so far; it outlives a term, in which places are counted anew. */
+export interface Learned {
+  pace: EnginePace
+  forecast: LengthForecast
+}
+
 /** Options of {@link Allocator}. */
 export interface AllocatorOptions {
   endpoints: () => RegisteredEndpoint[]
@@ -16,6 +25,8 @@
   /** Called when an instance is out for a while. */
   onEjected?: (id: InstanceId, outcome: UseOutcome, forMs: Millis) => void
   tuning?: Partial<AllocatorTuning>
+  /** What was learned before; nothing where left out. */
+  learned?: Learned
 }
 
 /** What may be set for an experiment. */
@@ -37,18 +48,6 @@
   order: 'returns-last',
 }
 
-/** Who reads a prompt: a prefill engine, or the decode engine itself. */
-type Reader = RegisteredEndpoint | 'decode'
-
-/** From the end of reading to the first event, with what the network takes. */
-const START_MS = 60
-/** A late request waits for a prefill queue shorter than this, its own reading included. */
-const LATE_READING_MS = 500
-/** A decode engine reads at half the pace of a prefill engine. */
-const OWN_READING_FACTOR = 2
-const OWN_READING_PAUSE_MS = 700
-/** A prefill engine of another zone must be this much sooner. */
-const OTHER_ZONE_MS = 30
 /** Who is sent away for want of room comes back after these shares of its time left, spread evenly. */
 const LEAST_RETRY_SHARE = 0.24
 const MOST_RETRY_SHARE = 0.32
@@ -72,12 +71,21 @@
   private readonly changing = new Map<InstanceId, { to: Stage; until: Millis }>()
   /** Engines that may still carry out an order, or refused one: they work on, but get no other order. */
   private readonly ordered = new Map<InstanceId, { to: Stage; until: Millis }>()
-  /** When each decode engine last began to read a prompt itself. */
-  private readonly readsItself = new Map<InstanceId, Millis>()
+  private readonly learned: Learned
+  private readonly choice: EngineChoice
 
   constructor(private readonly options: AllocatorOptions) {
     this.tuning = { ...DEFAULT_TUNING, ...options.tuning }
-    this.book = new HoldBook(this.tuning.lengthCertainty)
+    this.learned = options.learned ?? { pace: new EnginePace(), forecast: new LengthForecast() }
+    const { lengthCertainty } = this.tuning
+    this.book = new HoldBook({ lengthCertainty, ...this.learned })
+    this.choice = new EngineChoice({
+      endpoints: options.endpoints,
+      book: this.book,
+      health: this.health,
+      pace: this.learned.pace,
+      isChanging: (id, now) => this.isChanging(id, now),
+    })
     this.room = new WaitingRoom((one, now) => this.slackOf(one, now), this.tuning.order)
   }
 
@@ -108,17 +116,23 @@
   notePrefilled(request: string, outcome: UseOutcome, tookMs: Millis, now: Millis): void {
     const hold = this.book.get(request)
     if (hold === undefined) return
-    hold.decodingAt = now
+    const isRead = outcome === 'ok'
+    // What no prefill engine has read the decode engine reads itself.
+    this.book.noteDecoding(hold, isRead ? now : now + this.choice.ownReadingMs(hold.ask))
     if (hold.prefill === undefined) return
-    this.noteUse(hold.prefill, outcome, now)
-    if (outcome === 'ok' && tookMs > 0 && hold.isReadAlone === true)
-      this.book.learnReading(hold.ask.promptTokens, tookMs)
+    if (!isOwnQueue(hold, outcome)) this.noteUse(hold.prefill, outcome, now, tookMs)
+    if (isRead && tookMs > 0 && hold.isReadAlone === true)
+      this.learned.pace.learnReading(hold.ask.promptTokens, tookMs)
     this.placeWaiting(now)
   }
 
-  /** Notes how a use of an instance ended or goes, apart from any hold. */
-  noteUse(id: InstanceId, outcome: UseOutcome, now: Millis): void {
-    const forMs = this.health.note(id, outcome, now)
+  /**
+   * Notes how a use of an instance ended or goes, apart from any hold.
+   * @param tookMs how long the use took, or has taken so far.
+   */
+  noteUse(id: InstanceId, outcome: UseOutcome, now: Millis, tookMs: Millis = 0): void {
+    const forMs = this.health.note(id, outcome, now, tookMs)
+    this.choice.refresh()
     if (forMs > 0) this.options.onEjected?.(id, outcome, forMs)
   }
 
@@ -127,7 +141,7 @@
     const hold = this.book.get(request)
     if (hold === undefined) return
     this.book.remove(request)
-    this.noteUse(hold.decode, outcome, now)
+    if (!isOwnQueue(hold, outcome)) this.noteUse(hold.decode, outcome, now)
     this.room.noteEnd(hold.ask.service, now)
     if (outcome === 'ok' && madeTokens > 0) this.book.learnAnswer(hold, madeTokens, now)
     this.placeWaiting(now)
@@ -146,7 +160,10 @@
 
   /** Places what fits by now and refuses what has no hope or has waited too long. Called again and again. */
   tick(now: Millis): void {
-    this.health.keepOnly(new Set(this.options.endpoints().map((endpoint) => endpoint.id)))
+    const known = new Set(this.options.endpoints().map((endpoint) => endpoint.id))
+    this.health.keepOnly(known)
+    this.learned.pace.keepOnly(known)
+    this.choice.refresh()
     this.placeWaiting(now)
     const hopeless = this.room.takeHopeless(now)
     const overdue = this.room.takeWhere((one) => now - one.since >= one.ask.holdMs)
@@ -159,11 +176,10 @@
     const engine = this.options.engine(service)
     const meter = this.demand.get(service)
     if (engine === undefined || meter?.isSure(now) !== true) return undefined
-    const staged = this.options
-      .endpoints()
-      .filter((one) => one.service === service && one.state === 'ready' && one.stage !== undefined)
+    const staged = (['prefill', 'decode'] as const)
+      .flatMap((stage) => this.choice.registered(service, stage))
       // An engine that is out for a moment will be back before another has changed its part.
-      .filter((one) => !this.health.isGone(one.id) && !this.health.isLost(one.id))
+      .filter((one) => !this.health.isLost(one.id, now, engine.stageChangeMs))
       // A prefill engine that refuses whatever comes is carrying out an order that nobody here knows of.
       .filter((one) => one.stage !== 'prefill' || !this.health.isBusy(one.id))
       .map((one) => this.toStaged(one, now))
@@ -173,6 +189,7 @@
   /** Gives an engine no work while it changes its part. */
   noteChanging(id: InstanceId, to: Stage, forMs: Millis, now: Millis): void {
     this.changing.set(id, { to, until: now + forMs })
+    this.choice.refresh()
   }
 
   /** Lets an engine work on, without another order, while it is not known what becomes of the last one. */
@@ -188,6 +205,11 @@
     return { id: endpoint.id, stage, uses: this.book.usesOf(endpoint.id), isChanging: order !== undefined }
   }
 
+  /** What is believed of the engines that a request could use. */
+  outlook(ask: PlaceAsk, now: Millis): EngineOutlook {
+    return this.choice.outlook(ask, now)
+  }
+
   isChanging(id: InstanceId, now: Millis): boolean {
     return (this.changing.get(id)?.until ?? 0) > now
   }
@@ -195,13 +217,13 @@
   private noteDemand(ask: PlaceAsk, now: Millis): void {
     const meter = this.demand.get(ask.service) ?? new DemandMeter()
     this.demand.set(ask.service, meter)
-    meter.note(this.book.readingMs(ask), this.book.tokenMs(ask), now)
+    meter.note(this.learned.pace.readingMs(ask.promptTokens), this.book.tokenMs(ask), now)
   }
 
   private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
     if (this.options.engine(ask.service) === undefined)
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
-    const decoders = this.registered(ask.service, 'decode').length
+    const decoders = this.choice.registered(ask.service, 'decode').length
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
     const isFull = ask.promptMs > 0 && this.room.countFirst(ask.service, now) >= decoders * WAITING_PER_ENGINE
     return isFull ? this.refusedForRoom('too many wait already', ask) : undefined
@@ -227,112 +249,43 @@
 
   /** How long a request may still wait so that its first event is there in time. */
   private slackOf({ ask, since }: Waiting, now: Millis): Millis {
-    const readingMs = ask.isPrefilled ? 0 : this.book.readingMs(ask)
+    const readingMs = ask.isPrefilled ? 0 : this.learned.pace.readingMs(ask.promptTokens)
     return ask.targetMs - (now - since) - readingMs - START_MS
   }
 
   private tryPlace(waiting: Waiting, now: Millis): Placed | undefined {
-    const { ask } = waiting
+    const { ask, since } = waiting
     const engine = this.options.engine(ask.service)
     if (engine === undefined) return undefined
-    const decode = this.chooseDecode(waiting, engine, now)
-    if (decode === undefined) return undefined
-    const reader = this.chooseReader(waiting, decode, now)
-    if (reader === undefined) return undefined
-    if (reader !== 'decode') return this.hold(ask, decode, now, reader)
-    if (ask.isPrefilled) return this.hold(ask, decode, now)
-    this.readsItself.set(decode.id, now)
-    return this.hold(ask, decode, now + this.book.readingMs(ask) * OWN_READING_FACTOR)
-  }
-
-  /** Takes a place; `decodesAt` lies ahead where the decode engine reads the prompt itself. */
-  private hold(
-    ask: PlaceAsk,
-    decode: RegisteredEndpoint,
-    decodesAt: Millis,
-    prefill?: RegisteredEndpoint,
-  ): Placed {
-    const decodingAt = prefill === undefined ? decodesAt : undefined
-    const waitMs = prefill === undefined ? 0 : this.book.prefillWait(prefill.id)
-    this.book.add({
-      ask,
-      prefill: prefill?.id,
-      decode: decode.id,
-      placedAt: decodesAt,
-      isReadAlone: prefill !== undefined && waitMs === 0,
-      decodingAt,
-    })
-    if (prefill === undefined) return { type: 'placed', decode: decode.id }
-    const readsInMs = Math.round(waitMs + this.book.readingMs(ask))
-    return { type: 'placed', prefill: prefill.id, decode: decode.id, readsInMs }
-  }
-
-  /** Who reads the prompt, so that the request is not late for it; undefined where it has to wait. */
-  private chooseReader(waiting: Waiting, decode: RegisteredEndpoint, now: Millis): Reader | undefined {
-    const { ask, since } = waiting
-    const readers = ask.isPrefilled ? [] : this.engines(ask, 'prefill', now)
-    if (readers.length === 0) return 'decode'
-    const free = readers.filter((endpoint) => !this.health.isFull(endpoint.id, now))
-    const soonest = this.soonest(free, decode.zone)
-    if (soonest === undefined) {
-      // Engines that have just refused are back in a moment, unless they do nothing else.
-      return readers.every((endpoint) => this.health.isBusy(endpoint.id)) ? 'decode' : undefined
-    }
     const isInTime = this.room.isInTime(waiting, now)
-    const left = isInTime ? ask.targetMs - (now - since) : LATE_READING_MS
-    const readingMs = this.book.readingMs(ask)
-    if (soonest.wait + readingMs + START_MS <= left) return soonest.endpoint
-    const isTime = readingMs * OWN_READING_FACTOR + START_MS <= left
-    return isInTime && isTime && this.mayReadItself(decode.id, now) ? 'decode' : undefined
-  }
-
-  /** Reading at a decode engine holds up what it makes, so that it must not come too often. */
-  private mayReadItself(id: InstanceId, now: Millis): boolean {
-    return now - (this.readsItself.get(id) ?? -Infinity) >= OWN_READING_PAUSE_MS
-  }
-
-  /** The decode engine whose memory to come is the least filled with the request, where it fits at all. */
-  private chooseDecode(waiting: Waiting, engine: EnginePool, now: Millis): RegisteredEndpoint | undefined {
-    const { ask } = waiting
     const { memoryShare, lateMemoryShare } = this.tuning
-    const share = this.room.isInTime(waiting, now) || ask.isPrefilled ? memoryShare : lateMemoryShare
-    const fitting = this.engines(ask, 'decode', now)
-      .filter((endpoint) => !this.health.isFull(endpoint.id, now))
-      .map((endpoint) => ({
-        endpoint,
-        peak: this.book.peakWith(ask, endpoint.id, now),
-        count: this.book.countAt(endpoint.id),
-      }))
-      .filter(({ peak, count }) => count < engine.slots && (peak <= engine.kvTokens * share || count === 0))
-    fitting.sort((left, right) => left.peak - right.peak)
-    return fitting[0]?.endpoint
-  }
-
-  /** The prefill engine that comes to a prompt first, where its memory is near. */
-  private soonest(readers: RegisteredEndpoint[], zone: string) {
-    const waits = readers.map((endpoint) => {
-      const away = endpoint.zone === zone ? 0 : OTHER_ZONE_MS
-      return { endpoint, wait: this.book.prefillWait(endpoint.id) + away }
-    })
-    waits.sort((left, right) => left.wait - right.wait)
-    return waits[0]
+    const pick = this.choice.choose(
+      {
+        ask,
+        engine,
+        isInTime,
+        leftMs: ask.targetMs - (now - since),
+        memoryShare: isInTime || ask.isPrefilled ? memoryShare : lateMemoryShare,
+      },
+      now,
+    )
+    return pick === undefined ? undefined : this.hold(ask, pick, now)
   }
 
-  private registered(service: string, stage: Stage): RegisteredEndpoint[] {
-    return this.options
-      .endpoints()
-      .filter((one) => one.service === service && one.stage === stage && one.state === 'ready')
-      .filter((one) => !this.health.isGone(one.id))
+  private hold(ask: PlaceAsk, pick: EnginePick, now: Millis): Placed {
+    const { decode, prefill, readsInMs, queuedMs } = pick
+    if (prefill === undefined && !ask.isPrefilled) this.choice.noteReadsItself(decode.id, now)
+    const decodingAt = prefill === undefined ? now + readsInMs : undefined
+    const isReadAlone = prefill !== undefined && queuedMs === 0
+    this.book.add({ ask, prefill: prefill?.id, decode: decode.id, placedAt: now, isReadAlone, decodingAt })
+    if (prefill === undefined) return { type: 'placed', decode: decode.id }
+    return { type: 'placed', prefill: prefill.id, decode: decode.id, readsInMs: Math.round(readsInMs) }
   }
+}
 
-  /** Engines that may get the request now or in a moment; unsound ones only where no other decodes. */
-  private engines(ask: PlaceAsk, stage: Stage, now: Millis): RegisteredEndpoint[] {
-    const fitting = this.registered(ask.service, stage).filter(
-      (one) => !this.isChanging(one.id, now) && !ask.except.includes(one.id),
-    )
-    const sound = fitting.filter((one) => this.health.isSound(one.id, now))
-    return sound.length > 0 || stage === 'prefill' ? sound : fitting
-  }
+/** Entries that place alone, or an earlier leader, may have queued more at an engine than it could do in time. */
+function isOwnQueue(hold: Hold, outcome: UseOutcome): boolean {
+  return outcome === 'silent' && hold.isAdopted === true
 }
 
 function refused(reason: string, retryAfterMs: Millis): PlaceDecision {
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -5,8 +5,10 @@
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
-import { Allocator } from './allocator'
+import { Allocator, type Learned } from './allocator'
 import type { PlaceAsk, PlaceDecision, ReportedHold, UseOutcome } from './allocatorTypes'
+import { EnginePace } from './enginePace'
+import { LengthForecast } from './lengthForecast'
 import type { StageChange } from './planStages'
 
 /** The methods that entries call at the machine that places. */
@@ -38,19 +40,25 @@
   isLeader: () => boolean
   /** Which term it leads in: a new one begins with what the entries report. */
   term: () => number
+  /** How many entries place through this machine, as far as it has counted them. */
+  entries: () => number
 }
 
 const TICK_MS = 25
-/** A new leader places once the entries have had time to report what runs. */
+/** A new leader places once every entry has reported what runs, or after this time: an entry may be down. */
 const LISTEN_FIRST_MS = 300
+const LISTEN_LOOK_MS = 10
 const ENTRY_GONE_MS = 4_000
 
 /** Places for all entries while this machine leads; starts anew with what they report when it becomes leader. */
 export class AllocatorService {
   private allocator: Allocator
+  private readonly learned: Learned = { pace: new EnginePace(), forecast: new LengthForecast() }
   private term = -1
   private since: Millis = 0
   private readonly heard = new Map<string, Millis>()
+  /** Entries that have reported in this term. */
+  private readonly reported = new Set<string>()
   /** Requests that wait for a decision of this machine, with what tells them that it places no more. */
   private readonly undecided = new Map<string, (error: Error) => void>()
   private cancelTick: CancelTimer = () => undefined
@@ -74,8 +82,8 @@
       [PLACE.withdraw]: (params: { request: string }) => this.withdraw(params.request),
       [PLACE.prefilled]: (params: { request: string; outcome: UseOutcome; tookMs: Millis }) =>
         this.allocator.notePrefilled(params.request, params.outcome, params.tookMs, now()),
-      [PLACE.note]: (params: { endpoint: InstanceId; outcome: UseOutcome }) =>
-        this.allocator.noteUse(params.endpoint, params.outcome, now()),
+      [PLACE.note]: (params: { endpoint: InstanceId; outcome: UseOutcome; tookMs?: Millis }) =>
+        this.allocator.noteUse(params.endpoint, params.outcome, now(), params.tookMs),
       [PLACE.release]: (params: { request: string; outcome: UseOutcome; madeTokens: number }) =>
         this.allocator.release(params.request, params.outcome, params.madeTokens, now()),
       [PLACE.report]: (params: { entry: string; holds: ReportedHold[] }) => this.takeReport(params),
@@ -128,8 +136,14 @@
   /** A new leader lets requests wait while it hears what runs. */
   private async untilListened(): Promise<void> {
     const { clock, isLeader } = this.options
-    const listensFor = this.since + LISTEN_FIRST_MS - clock.now()
-    if (isLeader() && listensFor > 0) await delay(clock, listensFor)
+    while (isLeader() && !this.hasListened()) await delay(clock, LISTEN_LOOK_MS)
+  }
+
+  private hasListened(): boolean {
+    const { clock, entries } = this.options
+    const known = entries()
+    const isHeard = known > 0 && this.reported.size >= known
+    return isHeard || clock.now() - this.since >= LISTEN_FIRST_MS
   }
 
   private decide(ask: PlaceAsk): Promise<PlaceDecision> {
@@ -159,6 +173,7 @@
     this.renewTerm()
     const now = this.options.clock.now()
     this.heard.set(entry, now)
+    this.reported.add(entry)
     this.allocator.adopt(entry, holds, now)
   }
 
@@ -176,8 +191,7 @@
   }
 
   private mayPlace(): boolean {
-    const { clock, isLeader } = this.options
-    return isLeader() && clock.now() - this.since >= LISTEN_FIRST_MS
+    return this.options.isLeader() && this.hasListened()
   }
 
   /** What was known in an earlier term is out of date: whoever led meanwhile has placed since. */
@@ -186,6 +200,7 @@
     if (term() === this.term) return
     this.term = term()
     this.since = clock.now()
+    this.reported.clear()
     this.dismissUndecided()
     this.allocator = this.createAllocator()
   }
@@ -195,6 +210,7 @@
     return new Allocator({
       endpoints,
       engine,
+      learned: this.learned,
       onEjected: (endpoint, reason, forMs) => logger.warn('endpoint.ejected', { endpoint, reason, forMs }),
     })
   }
@@ -215,6 +231,9 @@
       waitedMs: Math.round(waitedMs),
       holds: allocator.holdCount,
       waiting: allocator.waitingCount,
+      // As the engines stand right after the decision.
+      engines: allocator.outlook(ask, this.options.clock.now()),
+      memory: this.options.engine(ask.service)?.kvTokens ?? 0,
       term: this.term,
     })
   }
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -56,8 +56,12 @@
   placedAt: Millis
   /** Whether its prompt is read without waiting for another, so that the time it takes tells the pace. */
   isReadAlone?: boolean
-  /** When decoding began; absent while the prompt is being read. */
+  /** When decoding began, or will begin where the decode engine reads; absent while a prefill engine reads. */
   decodingAt?: Millis
+  /** Tokens made so far, as the entry said last. */
+  made?: { tokens: number; at: Millis }
+  /** Whether another one placed it, with another view of what waits at engines. */
+  isAdopted?: boolean
 }
 
 /** A place as an entry reports it, with times as ages so that clocks need not agree. */
@@ -67,7 +71,12 @@
   decode: InstanceId
   ageMs: Millis
   decodingForMs?: Millis
+  /** Tokens made so far; absent before the first. */
+  madeTokens?: number
 }
 
-/** How the use of an instance ended. */
-export type UseOutcome = 'ok' | 'failed' | 'unreachable' | 'other-instance' | 'full' | 'cancelled'
+/**
+ * How the use of an instance ended. `silent`: it was given up here for want of an answer in time, which may as well
+ * be the fault of a queue that was built here.
+ */
+export type UseOutcome = 'ok' | 'failed' | 'silent' | 'unreachable' | 'other-instance' | 'full' | 'cancelled'
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -1,5 +1,6 @@
 /** Places model requests for all entries. */
 export { Allocator } from './allocator'
+export { EnginePace } from './enginePace'
 export type { AllocatorOptions, AllocatorTuning } from './allocator'
 export { AllocatorService, NotPlacingError, PLACE } from './allocatorService'
 export type { AllocatorServiceOptions } from './allocatorService'
--- a/placement/allocator/src/instanceHealth.ts
+++ b/placement/allocator/src/instanceHealth.ts
@@ -8,6 +8,12 @@
   /** Ejections since the last good use. */
   ejections: number
   ejectedUntil: Millis
+  /** When a use last ended well. */
+  goodAt: Millis
+  /** Refused connections since the last good use. */
+  unreachables: number
+  /** When the first of them was. */
+  unreachableSince: Millis
   isGone: boolean
   /** Refusals in a row for want of room. */
   fulls: number
@@ -23,6 +29,8 @@
 const LONGEST_EJECTION_MS = 8_000
 const AFTER_EJECTION = 0.3
 const EJECTIONS_UNTIL_LOST = 3
+/** Where nobody listens the process has ended; a second refusal of the connection rules out a slip of the network. */
+const UNREACHABLES_UNTIL_LOST = 2
 /** An instance that refused this often in a row is busy with something else than a moment's load. */
 const REFUSALS_UNTIL_BUSY = 3
 
@@ -30,22 +38,19 @@
 export class InstanceHealth {
   private readonly known = new Map<InstanceId, Health>()
 
-  /** Notes how a use ended; returns how long the instance is out now, or 0. */
-  note(id: InstanceId, outcome: UseOutcome, now: Millis): Millis {
-    const health = this.known.get(id) ?? {
-      failing: 0,
-      ejections: 0,
-      ejectedUntil: 0,
-      isGone: false,
-      fulls: 0,
-      fullUntil: 0,
-    }
+  /**
+   * Notes how a use ended; returns how long the instance is out now, or 0.
+   * @param tookMs how long the use took: an instance that answered another meanwhile was not silent but busy.
+   */
+  note(id: InstanceId, outcome: UseOutcome, now: Millis, tookMs: Millis = 0): Millis {
+    const health = this.known.get(id) ?? newHealth()
     this.known.set(id, health)
     if (outcome === 'other-instance') health.isGone = true
     if (outcome === 'full') noteFull(health, now)
-    if (outcome === 'ok') return this.noteGood(health)
-    if (outcome === 'failed' || outcome === 'unreachable') return this.noteBad(health, outcome, now)
-    return 0
+    if (outcome === 'ok') return this.noteGood(health, now)
+    if (outcome === 'silent' && health.goodAt >= now - tookMs) return 0
+    const isBad = outcome === 'failed' || outcome === 'silent' || outcome === 'unreachable'
+    return isBad ? this.noteBad(health, outcome, now) : 0
   }
 
   /** Whether an instance should get work. */
@@ -64,9 +69,16 @@
     return (this.known.get(id)?.fulls ?? 0) >= REFUSALS_UNTIL_BUSY
   }
 
-  /** Whether an instance was out again and again without a good use between: more than a moment's trouble. */
-  isLost(id: InstanceId): boolean {
-    return (this.known.get(id)?.ejections ?? 0) >= EJECTIONS_UNTIL_LOST
+  /**
+   * Whether an instance was out again and again without a good use between: more than a moment's trouble.
+   * @param returnMs how long one whose process has ended may take to be back, so that nobody need take its part.
+   */
+  isLost(id: InstanceId, now: Millis, returnMs: Millis): boolean {
+    const health = this.known.get(id)
+    if (health === undefined) return false
+    const hasEnded = health.unreachables >= UNREACHABLES_UNTIL_LOST
+    if (hasEnded) return now - health.unreachableSince >= returnMs
+    return health.ejections >= EJECTIONS_UNTIL_LOST
   }
 
   isGone(id: InstanceId): boolean {
@@ -78,18 +90,23 @@
     for (const id of this.known.keys()) if (!ids.has(id)) this.known.delete(id)
   }
 
-  private noteGood(health: Health): 0 {
+  private noteGood(health: Health, now: Millis): 0 {
     health.failing *= 1 - WEIGHT
+    health.goodAt = now
     health.ejections = 0
+    health.unreachables = 0
     health.fulls = 0
     return 0
   }
 
   private noteBad(health: Health, outcome: UseOutcome, now: Millis): Millis {
     health.failing += (1 - health.failing) * WEIGHT
+    if (outcome === 'unreachable') noteUnreachable(health, now)
     if (health.ejectedUntil > now) return 0
     if (outcome !== 'unreachable' && health.failing <= EJECT_ABOVE) return 0
-    const forMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** health.ejections)
+    const grown = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** health.ejections)
+    // Each further try costs a request whose prompt has been read.
+    const forMs = health.unreachables >= UNREACHABLES_UNTIL_LOST ? LONGEST_EJECTION_MS : grown
     health.ejections += 1
     health.failing = AFTER_EJECTION
     health.ejectedUntil = now + forMs
@@ -97,6 +114,25 @@
   }
 }
 
+function newHealth(): Health {
+  return {
+    failing: 0,
+    ejections: 0,
+    ejectedUntil: 0,
+    goodAt: -Infinity,
+    unreachables: 0,
+    unreachableSince: 0,
+    isGone: false,
+    fulls: 0,
+    fullUntil: 0,
+  }
+}
+
+function noteUnreachable(health: Health, now: Millis): void {
+  if (health.unreachables === 0) health.unreachableSince = now
+  health.unreachables += 1
+}
+
 /** What is believed of its memory is wrong: waits longer with each refusal in a row. */
 function noteFull(health: Health, now: Millis): void {
   health.fullUntil = now + Math.min(LONGEST_FULL_MS, FIRST_FULL_MS * 2 ** health.fulls)
--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -27,41 +27,57 @@
 }
 
 /** The fuller half must be at least this full before an engine changes its part. */
-const FULL = 0.7
-/** A change must bring the fuller half down to this share at most, since it costs seconds of an engine. */
+const FULL = 0.6
+/**
+ * The half that gives an engine away must stay this much emptier than the fuller half was, since a change costs
+ * seconds of an engine and demand moves.
+ */
 const WORTHWHILE = 0.8
 /**
- * The same for a decode engine that is to read prompts beside another: it first has to end what runs there, and
- * decode engines can read what one reader does not.
+ * A second reader beside a single one must bring the fuller half down to this share: a decode engine first has to
+ * end what runs there, and decode engines can read what one reader does not.
  */
 const WORTHWHILE_SECOND_READER = 0.55
 
+/** Engines of each half. */
+interface Halves {
+  prefill: number
+  decode: number
+}
+
 /**
- * Decides whether an engine should change its part: when one half is full, and its fill and that of the other
- * would both be clearly lower than the fullest now.
+ * Decides whether an engine should change its part: when one half is full, and the other stays clearly emptier
+ * without it. In a large pool one engine after the other moves until the halves are about equally full.
  */
 export function planStages(engines: StagedEngine[], need: StageNeed): StageChange | undefined {
   const prefill = engines.filter((engine) => engine.stage === 'prefill')
   const decode = engines.filter((engine) => engine.stage === 'decode')
-  const now = fullest(need, prefill.length, decode.length)
-  if (now < FULL) return undefined
-  const toDecode = prefill.length > 1 ? fullest(need, prefill.length - 1, decode.length + 1) : Infinity
-  const toPrefill = decode.length > 1 ? fullest(need, prefill.length + 1, decode.length - 1) : Infinity
-  const isReader = toPrefill < toDecode
-  const enough = isReader && prefill.length > 0 ? WORTHWHILE_SECOND_READER : WORTHWHILE
-  if (Math.min(toDecode, toPrefill) > now * enough) return undefined
-  const from = isReader ? decode : prefill
-  const working = from.filter((engine) => !engine.isChanging)
+  const have = { prefill: prefill.length, decode: decode.length }
+  const fill = fillOf(need, have)
+  const stage = fill.prefill > fill.decode ? 'prefill' : 'decode'
+  if (fill[stage] < FULL || !isWorthwhile(need, have, stage)) return undefined
+  const working = (stage === 'prefill' ? decode : prefill).filter((engine) => !engine.isChanging)
   // What changes already counts where it goes; but a half is never left without an engine that works.
   if (working.length < 2) return undefined
   const freest = working.sort((left, right) => left.uses - right.uses)[0]!
-  const have = { prefill: prefill.length, decode: decode.length }
-  return { id: freest.id, stage: isReader ? 'prefill' : 'decode', need, have }
+  return { id: freest.id, stage, need, have }
+}
+
+/** Whether one engine more in a half is worth what the other half loses. */
+function isWorthwhile(need: StageNeed, have: Halves, stage: Stage): boolean {
+  const giver = stage === 'prefill' ? 'decode' : 'prefill'
+  if (have[giver] < 2) return false
+  const now = fillOf(need, have)[stage]
+  const after = fillOf(need, { ...have, [giver]: have[giver] - 1, [stage]: have[stage] + 1 })
+  const isSecondReader = stage === 'prefill' && have.prefill === 1
+  if (isSecondReader) return Math.max(after.prefill, after.decode) <= now * WORTHWHILE_SECOND_READER
+  return after[giver] <= now * WORTHWHILE
 }
 
-function fullest(need: StageNeed, prefill: number, decode: number): number {
-  // Without a prefill engine the decode engines read prompts themselves, at a price that no plan should seek.
-  const prefillFill = prefill === 0 ? Infinity : need.prefill / prefill
-  const decodeFill = decode === 0 ? Infinity : need.decode / decode
-  return Math.max(prefillFill, decodeFill)
+/** How full each half is; without a prefill engine the decode engines read themselves, which no plan should seek. */
+function fillOf(need: StageNeed, { prefill, decode }: Halves): StageNeed {
+  return {
+    prefill: prefill === 0 ? Infinity : need.prefill / prefill,
+    decode: decode === 0 ? Infinity : need.decode / decode,
+  }
 }
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -1,6 +1,13 @@
 import { describe, expect, it } from 'vitest'
 import type { RegisteredEndpoint } from '@forkstage/directory'
-import { Allocator, type PlaceAsk, type PlaceDecision, type Refused } from '../src'
+import {
+  Allocator,
+  EnginePace,
+  LengthForecast,
+  type PlaceAsk,
+  type PlaceDecision,
+  type Refused,
+} from '../src'
 import { ask, engine, ENGINE } from './fixtures'
 
 /** An allocator over some engines, and the decisions it has given. */
@@ -249,4 +256,54 @@
     expect(allocator.planStage('s', 8_400)).toBeUndefined()
     expect(allocator.isChanging(change!.id, 8_400)).toBe(true)
   })
+
+  it('does not let decode engines read whatever comes where no prefill engine is sound: who would be late waits', () => {
+    const endpoints = [engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')]
+    const { allocator, place, decisions } = world(endpoints)
+    allocator.noteUse('p1', 'unreachable', 0)
+    // At 40 tokens a millisecond and half that pace, each prompt takes 100 ms at a decode engine.
+    for (let index = 0; index < 12; index += 1)
+      place(ask(`r${index}`, { promptTokens: 2_000 - index, targetMs: 370, hintTokens: 10 }), 1)
+    const placed = [...decisions.values()].filter((decision) => decision.type === 'placed')
+    expect(placed.map(({ prefill }) => prefill)).toEqual(Array(6).fill(undefined))
+    expect(placed.filter(({ decode }) => decode === 'd1')).toHaveLength(3)
+  })
+
+  it('holds a prefill step that was given up against no engine whose queue others have made', () => {
+    const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')])
+    const held = ['a', 'b', 'c'].map((name) => ({
+      ask: ask(name, { promptTokens: 500 }),
+      prefill: 'p1',
+      decode: 'd1',
+      ageMs: 500,
+    }))
+    allocator.adopt('e1', held, 1_000)
+    for (const { ask: asked } of held) allocator.notePrefilled(asked.request, 'silent', 800, 1_300)
+    place(ask('next', { promptTokens: 500 }), 1_301)
+    expect(decisions.get('next')).toMatchObject({ prefill: 'p1' })
+  })
+
+  it('sends nothing to an instance at whose address another one has registered since', () => {
+    const endpoints = [
+      engine('p1', 'prefill'),
+      engine('old', 'decode', { address: 'a:1' }),
+      engine('new', 'decode', { address: 'a:1' }),
+    ]
+    const { place, decodeOf: decode } = world(endpoints)
+    for (const name of ['a', 'b']) place(ask(name, { promptTokens: 500 }))
+    expect([decode('a'), decode('b')]).toEqual(['new', 'new'])
+  })
+
+  it('learns from reports how fast engines are, so that a new leader need not wait for the first ends', () => {
+    const pace = new EnginePace()
+    const allocator = new Allocator({
+      endpoints: () => [engine('d1', 'decode')],
+      engine: () => ENGINE,
+      learned: { pace, forecast: new LengthForecast() },
+    })
+    const running = { ask: ask('a'), decode: 'd1', ageMs: 1_200, decodingForMs: 1_000, madeTokens: 100 }
+    allocator.adopt('e1', [running], 2_000)
+    expect(pace.decodingMs('d1')).toBe(10)
+    expect(pace.decodingMs('another')).toBe(10)
+  })
 })
--- a/placement/allocator/test/allocatorService.test.ts
+++ b/placement/allocator/test/allocatorService.test.ts
@@ -15,7 +15,7 @@
 /** A service on a machine that leads until told otherwise. */
 function world() {
   const clock = new ManualClock()
-  const lead = { leads: true, term: 1 }
+  const lead = { leads: true, term: 1, entries: 0 }
   const service = new AllocatorService({
     clock,
     logger: createSilentLogger(),
@@ -23,6 +23,7 @@
     engine: () => ENGINE,
     isLeader: () => lead.leads,
     term: () => lead.term,
+    entries: () => lead.entries,
   })
   service.start()
   const place = (request: string) =>
@@ -63,4 +64,21 @@
     await advance(clock, 50)
     expect(await second).toBeInstanceOf(NotPlacingError)
   })
+
+  it('places as soon as every entry has reported, and not before while one may still run requests', async () => {
+    const { clock, lead, service, place } = world()
+    lead.entries = 2
+    const answer = place('r1')
+    let placedAt: number | undefined
+    void answer.then(() => (placedAt = clock.now()))
+    const report = (entry: string) =>
+      service.methods()[PLACE.report]!({ entry, holds: [] } as never, {} as never)
+    await advance(clock, 50)
+    report('e1')
+    await advance(clock, 100)
+    expect(placedAt).toBeUndefined()
+    report('e2')
+    await advance(clock, 50)
+    expect(placedAt).toBeLessThanOrEqual(200)
+  })
 })
--- a/placement/allocator/test/fixtures.ts
+++ b/placement/allocator/test/fixtures.ts
@@ -18,7 +18,7 @@
   stage: Stage,
   fields: Partial<RegisteredEndpoint> = {},
 ): RegisteredEndpoint {
-  const base = { service: 's', address: '10.0.0.1:1', zone: 'z1', slots: 64, models: ['m'], sequence: 1 }
+  const base = { service: 's', address: `${id}:1`, zone: 'z1', slots: 64, models: ['m'], sequence: 1 }
   return { id, stage, state: 'ready', ...base, ...fields }
 }
 
--- a/placement/allocator/test/forecast.test.ts
+++ b/placement/allocator/test/forecast.test.ts
@@ -117,6 +117,21 @@
     expect(planStages(engines(0, 5), { prefill: 0.4, decode: 3.6 })).toMatchObject({ stage: 'prefill' })
   })
 
+  it('moves one engine after the other in a large pool until the halves are about equally full', () => {
+    const need = { prefill: 5.8, decode: 31 }
+    const pool = engines(23, 40)
+    const moved: string[] = []
+    for (let change = planStages(pool, need); change !== undefined; change = planStages(pool, need)) {
+      const engine = pool.find((one) => one.id === change!.id)!
+      Object.assign(engine, { stage: change.stage, isChanging: true })
+      moved.push(change.stage)
+    }
+    expect(new Set(moved)).toEqual(new Set(['decode']))
+    const prefill = pool.filter((one) => one.stage === 'prefill').length
+    expect(5.8 / prefill).toBeGreaterThan(0.4)
+    expect(5.8 / prefill).toBeLessThanOrEqual(0.8 * (31 / (63 - prefill)) + 0.01)
+  })
+
   it('changes nothing where both halves are full, and never empties one', () => {
     expect(planStages(engines(2, 4), { prefill: 1.9, decode: 4.2 })).toBeUndefined()
     expect(planStages(engines(1, 1), { prefill: 0.1, decode: 5 })).toBeUndefined()
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from '@forkstage/clock'
-import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
+import { newestPerAddress, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
 import type { Millis } from '@forkstage/types'
 import { ConcurrencyLimit } from './concurrencyLimit'
@@ -25,8 +25,11 @@
   isGone: boolean
 }
 
-/** How a sending ended, for what this entry believes of the instance. */
-export type SendOutcome = 'ok' | 'failed' | 'unreachable' | 'other-instance' | 'full' | 'cancelled'
+/**
+ * How a sending ended, for what this entry believes of the instance. `silent`: it was given up here for want of an
+ * answer in time.
+ */
+export type SendOutcome = 'ok' | 'failed' | 'silent' | 'unreachable' | 'other-instance' | 'full' | 'cancelled'
 
 const FIRST_EJECTION_MS = 1_000
 const LONGEST_EJECTION_MS = 8_000
@@ -66,9 +69,11 @@
   /** Instances of a service that take work now; those that are out only where there is no other. */
   candidates(service: string, stage?: Stage, except: ReadonlySet<string> = new Set()): PooledEndpoint[] {
     const now = this.options.clock.now()
-    const fitting = [...this.pooled.values()].filter(
+    const there = [...this.pooled.values()].filter((one) => one.endpoint.service === service && !one.isGone)
+    const newest = new Set(newestPerAddress(there.map((one) => one.endpoint)))
+    const fitting = there.filter(
       (one) =>
-        one.endpoint.service === service &&
+        newest.has(one.endpoint) &&
         (stage === undefined || one.endpoint.stage === stage) &&
         takesWork(one) &&
         !except.has(one.endpoint.id),
@@ -108,6 +113,9 @@
       one.answeredAt = this.options.clock.now()
     }
     if (outcome === 'other-instance') one.isGone = true
+    // One that answered another request meanwhile was not silent but busy.
+    if (outcome === 'silent' && one.answeredAt < this.options.clock.now() - tookMs)
+      this.noteFailure(one, outcome)
     if (outcome === 'failed' || outcome === 'unreachable') this.noteFailure(one, outcome)
   }
 
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -10,6 +10,8 @@
   | { type: 'not-run'; arrived: boolean; reason: string }
   /** It may have run; `begun` where events were passed on. */
   | { type: 'lost'; reason: string }
+  /** Nothing was sent: the allowance of repeated sendings is used up. */
+  | { type: 'denied' }
   | { type: 'over' }
 
 /** What the stream of one engine needs of its request. */
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -13,6 +13,12 @@
 const NO_ENDPOINT_RETRY_MS = 500
 const NO_ROOM_RETRY_MS = 1_200
 const MOST_FILL = 0.9
+/** How fast a prefill engine reads, as far as an entry needs to know it while it is alone: large models, 33 to 55. */
+const PROMPT_TOKENS_PER_MS = 33
+/** From the end of reading to the first event. */
+const START_MS = 60
+/** A late request may queue this long to be read. */
+const LATE_READING_MS = 500
 /** Callers are spread unevenly over entries, and few entries have to place alone at once. */
 const UNEVEN_FACTOR = 3
 
@@ -31,10 +37,20 @@
       return { type: 'refused', reason: 'no decode engine is known', retryAfterMs: NO_ENDPOINT_RETRY_MS }
     if (!this.hasRoom(work, decoders))
       return { type: 'refused', reason: "this entry's share is full", retryAfterMs: NO_ROOM_RETRY_MS }
-    const prefill = work.isPrefilled
-      ? undefined
-      : pool.fewestTokens(pool.candidates(work.service, 'prefill', work.except))
-    return { type: 'place', place: this.take(work, decode, prefill) }
+    return { type: 'place', place: this.take(work, decode, this.chooseReader(work)) }
+  }
+
+  /** The prefill engine with the fewest prompts, where it comes to this one in time; else the decode engine reads. */
+  private chooseReader(work: ModelWork): PooledEndpoint | undefined {
+    const { pool, entries } = this.options
+    if (work.isPrefilled) return undefined
+    const prefill = pool.fewestTokens(pool.candidates(work.service, 'prefill', work.except))
+    if (prefill === undefined) return undefined
+    // Others that place alone queue as much there.
+    const queued = prefill.tokens * Math.max(1, entries()) + work.promptTokens
+    return queued / PROMPT_TOKENS_PER_MS + START_MS <= Math.max(work.targetMs, LATE_READING_MS)
+      ? prefill
+      : undefined
   }
 
   private hasRoom(work: ModelWork, decoders: PooledEndpoint[]): boolean {
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -38,8 +38,10 @@
   readsInMs?: Millis
   /** Says that the prompt has been read. */
   notePrefilled: (outcome: SendOutcome, tookMs: Millis) => void
-  /** The decode engine is slower than it should be; it is not given up yet. */
-  noteStalled: () => void
+  /** The decode engine has made nothing for so long; it is not given up yet. */
+  noteStalled: (forMs: Millis) => void
+  /** Tells how many tokens have been made there so far; set by whoever runs the request. */
+  madeTokens?: () => number
   /** Gives the place back, with the tokens made there. Called once. */
   release: (outcome: SendOutcome, tookMs: Millis, madeTokens: number) => void
 }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -15,6 +15,7 @@
   type RelayResult,
   type SendRecord,
 } from './relayParts'
+import { SendCount } from './sendCount'
 import { waitFor } from './waitFor'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -44,12 +45,14 @@
   private isOver = false
   /** Endpoints that may have run the request. */
   private mayHaveRun = 0
-  private arrivals = 0
+  private readonly count: SendCount
 
   constructor(
     private readonly parts: RelayParts,
     private readonly job: RelayJob,
-  ) {}
+  ) {
+    this.count = new SendCount(parts.allowance, job.service.name)
+  }
 
   async relay(): Promise<RelayResult> {
     const { clock } = this.parts
@@ -70,6 +73,7 @@
       if (this.isOver) return this.overResult()
       if (to === undefined) return this.answerWithout(failed, this.whyNone())
       const sending = await this.send(to)
+      if (sending === undefined) return this.answerWithout(failed, 'no repeated sending is left')
       if (this.isOver) return this.overResult()
       if (sending.type === 'answer' && !this.isWorthRepeating(sending)) return this.pass(sending)
       if (sending.type !== 'not-run') failed = sending
@@ -101,8 +105,11 @@
     return isKnown ? 'no room in time' : 'no endpoint'
   }
 
-  private async send(to: PooledEndpoint): Promise<Sending> {
+  /** Sends the request to one endpoint; undefined where no repeated sending is left. */
+  private async send(to: PooledEndpoint): Promise<Sending | undefined> {
     const { parts, job } = this
+    const counted = this.count.open('plain')
+    if (counted === undefined) return undefined
     const startedAt = parts.clock.now()
     this.tried.add(to.endpoint.id)
     parts.pool.noteSent(to)
@@ -117,6 +124,7 @@
       maxBytes: MAX_ANSWER_BYTES,
       onOpen: (exchange) => (this.exchange = exchange),
     })
+    counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
     const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
     if (note === 'ok') to.limit.noteAnswer(tookMs, job.route.targetMs)
@@ -134,10 +142,9 @@
           sending: { type: 'not-run', arrived: false },
           note: outcome.refused ? 'unreachable' : 'failed',
         }
-      this.countRun()
+      this.mayHaveRun += 1
       return { sending: { type: 'unknown', reason: outcome.reason }, note: 'failed' }
     }
-    this.arrivals += 1
     const verdict = judgeAnswer(
       outcome.head,
       { id: this.job.request.id, instance: to.endpoint.id },
@@ -153,11 +160,6 @@
     return { sending: { type: 'answer', head, body }, note: head.status >= 500 ? 'failed' : 'ok' }
   }
 
-  private countRun(): void {
-    this.arrivals += 1
-    this.mayHaveRun += 1
-  }
-
   /** An endpoint's own failure of a request that may run again. */
   private isWorthRepeating(sending: Extract<Sending, { type: 'answer' }>): boolean {
     if (sending.head.status < 500) return false
@@ -165,15 +167,14 @@
   }
 
   private mayRepeat(sending: Sending): boolean {
-    const { route, service, endsAt } = this.job
-    const { clock, allowance } = this.parts
-    if (endsAt - clock.now() < ANSWER_MARGIN_MS * 2) return false
+    const { route, endsAt } = this.job
+    if (endsAt - this.parts.clock.now() < ANSWER_MARGIN_MS * 2) return false
     if (sending.type === 'not-run' && !sending.arrived) return true
     if (sending.type !== 'not-run' && route.kind !== 'safe') return false
     if (this.mayHaveRun >= route.attempts) return false
     // One that has just refused is not asked again for the same request where there is no other.
     if (sending.type === 'not-run' && !this.hasUntried()) return false
-    return allowance.take(service.name)
+    return this.count.isLeft()
   }
 
   private hasUntried(): boolean {
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -5,6 +5,7 @@
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace } from './modelPlacer'
 import { CONNECT_MS, headersFor, type RelayJob, type RelayParts } from './relayParts'
+import type { Arrival } from './sendCount'
 
 const MAX_ANSWER_BYTES = 64 * 1024
 /** A prefill step is given up after twice the time that it should take and this share of the target. */
@@ -25,6 +26,8 @@
   /** Absent where the prompt was not read. */
   prefilled?: Prefilled
   note: SendOutcome
+  /** Whether an engine took it, as the allowance of repeated sendings counts it. */
+  arrival: Arrival
   tookMs: Millis
 }
 
@@ -39,8 +42,12 @@
   const at = place.prefill!
   const startedAt = clock.now()
   let open: Exchange | undefined
+  let isGivenUp = false
   // An engine may take a prompt and say nothing more: the prompt is then read elsewhere.
-  const cancelLimit = clock.after(limitMs(place, job), () => open?.cancel('the prefill step took too long'))
+  const cancelLimit = clock.after(limitMs(place, job), () => {
+    isGivenUp = true
+    open?.cancel('the prefill step took too long')
+  })
   const outcome = await exchangeWhole({
     address: at.endpoint.address,
     method: job.request.method,
@@ -59,8 +66,10 @@
   const tookMs = clock.now() - startedAt
   const isRead = outcome.type === 'answer' && outcome.head.status === 200
   const read = isRead ? wire.readPrefillAnswer(outcome.body) : undefined
-  if (read === undefined) return { note: noteOfFailure(parts, job, outcome, at), tookMs }
-  return { prefilled: { at, handle: read.handle, madeAt: clock.now() }, note: 'ok', tookMs }
+  const arrival = arrivalOf(outcome)
+  if (isGivenUp && outcome.type === 'failed') return { note: 'silent', arrival, tookMs }
+  if (read === undefined) return { note: noteOfFailure(parts, job, outcome, at), arrival, tookMs }
+  return { prefilled: { at, handle: read.handle, madeAt: clock.now() }, note: 'ok', arrival, tookMs }
 }
 
 function limitMs({ readsInMs }: ModelPlace, { route }: RelayJob): Millis {
@@ -68,6 +77,11 @@
   return readsInMs * EXPECTED_FACTOR + route.targetMs * SLACK_SHARE
 }
 
+function arrivalOf(outcome: WholeOutcome): Arrival {
+  if (outcome.type === 'failed') return outcome.sent ? 'rejected' : 'not-arrived'
+  return outcome.head.status === 200 ? 'taken' : 'rejected'
+}
+
 function noteOfFailure(
   { wire }: RelayParts,
   { request }: RelayJob,
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -33,6 +33,8 @@
   decode: string
   placedAt: Millis
   decodingAt?: Millis
+  /** The place as whoever runs the request has it. */
+  place: ModelPlace
 }
 
 /** Without a leader, one is waited for this share of the time in which a request hears of a refusal. */
@@ -40,7 +42,11 @@
 /** Added to the time a request may be held, for the way there and back. */
 const ANSWER_SLACK_MS = 200
 const REPORT_EVERY_MS = 1_000
-const LOOK_EVERY_MS = 200
+/** A new leader places once it has heard from the entries. */
+const LOOK_EVERY_MS = 40
+const LEADER_LOOK_MS = 20
+/** So many leaders are asked for one request, one after the other; then this entry places it. */
+const MOST_LEADERS = 3
 
 /** Asks the leading control machine for places, and reports what runs so that the next leader knows. */
 export class RemotePlacer implements ModelPlacer {
@@ -60,8 +66,16 @@
   }
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
-    const ask = this.toAsk(work)
-    const decision = await this.ask(ask)
+    const { clock } = this.options
+    const first = this.toAsk(work)
+    const askedAt = clock.now()
+    let ask = first
+    let decision = await this.ask(ask)
+    for (let tries = 1; decision === 'another leads' && tries < MOST_LEADERS; tries += 1) {
+      ask = laterBy(first, clock.now() - askedAt)
+      decision = await this.ask(ask)
+    }
+    if (decision === 'another leads') decision = undefined
     if (decision?.type === 'refused') return decision
     if (decision !== undefined) {
       const place = this.toPlace(ask, decision)
@@ -72,19 +86,40 @@
     return { type: 'place', place: this.tracked(ask, answer.place) }
   }
 
-  private async ask(ask: PlaceAsk): Promise<PlaceDecision | undefined> {
+  private async ask(ask: PlaceAsk): Promise<PlaceDecision | 'another leads' | undefined> {
     const { way, logger, clock } = this.options
     // While a leader is being elected one comes in a moment.
-    await waitFor(clock, Math.max(0, ask.promptMs) * WAIT_FOR_LEADER_SHARE, () => way.leader())
+    const leader = await waitFor(clock, Math.max(0, ask.promptMs) * WAIT_FOR_LEADER_SHARE, () => way.leader())
+    const watch = this.watchLeader(leader)
     try {
-      return await way.call<PlaceDecision>(PLACE.ask, { ask }, ask.holdMs + ANSWER_SLACK_MS)
+      const call = way.call<PlaceDecision>(PLACE.ask, { ask }, ask.holdMs + ANSWER_SLACK_MS)
+      return await Promise.race([call, watch.changed])
     } catch (error) {
       way.notify(PLACE.withdraw, { request: ask.request })
       logger.warn('place.alone', { request: ask.request, reason: toErrorBody(error).message })
       return undefined
+    } finally {
+      watch.cancel()
     }
   }
 
+  /** Tells when another machine than `leader` leads, or none: what was asked there waits for nothing. */
+  private watchLeader(leader: Address | undefined): {
+    changed: Promise<'another leads'>
+    cancel: () => void
+  } {
+    const { way, clock } = this.options
+    let cancel: CancelTimer = () => undefined
+    const changed = new Promise<'another leads'>((resolve) => {
+      // Asked through a neighbour, which knows better than this entry who leads.
+      if (leader === undefined) return
+      cancel = every(clock, LEADER_LOOK_MS, () => {
+        if (way.leader() !== leader) resolve('another leads')
+      })
+    })
+    return { changed, cancel: () => cancel() }
+  }
+
   private toAsk(work: ModelWork): PlaceAsk {
     return { ...work, entry: this.options.entry, except: [...work.except] }
   }
@@ -120,15 +155,7 @@
     const { request } = ask
     const decode = place.decode.endpoint.id
     const decodingAt = place.prefill === undefined ? clock.now() : undefined
-    const hold: Active = {
-      ask,
-      prefill: place.prefill?.endpoint.id,
-      decode,
-      placedAt: clock.now(),
-      decodingAt,
-    }
-    this.active.set(request, hold)
-    return {
+    const tracked: ModelPlace = {
       prefill: place.prefill,
       decode: place.decode,
       readsInMs: place.readsInMs,
@@ -137,14 +164,22 @@
         place.notePrefilled(outcome, tookMs)
         this.options.way.notify(PLACE.prefilled, { request, outcome, tookMs: Math.round(tookMs) })
       },
-      noteStalled: () =>
-        this.options.way.notify(PLACE.note, { endpoint: decode, outcome: 'failed' satisfies UseOutcome }),
+      noteStalled: (forMs) => this.noteSilent(decode, forMs),
       release: (outcome, tookMs, madeTokens) => {
         this.active.delete(request)
         place.release(outcome, tookMs, madeTokens)
         this.options.way.notify(PLACE.release, { request, outcome, madeTokens })
       },
     }
+    const prefill = place.prefill?.endpoint.id
+    const hold: Active = { ask, prefill, decode, placedAt: clock.now(), decodingAt, place: tracked }
+    this.active.set(request, hold)
+    return tracked
+  }
+
+  private noteSilent(endpoint: string, forMs: Millis): void {
+    const outcome: UseOutcome = 'silent'
+    this.options.way.notify(PLACE.note, { endpoint, outcome, tookMs: Math.round(forMs) })
   }
 
   private reportIfDue(): void {
@@ -154,11 +189,33 @@
     if (!isNew && clock.now() - this.reportedAt < REPORT_EVERY_MS) return
     this.reportedTo = leader
     this.reportedAt = clock.now()
-    const holds: ReportedHold[] = [...this.active.values()].map(({ placedAt, decodingAt, ...hold }) => ({
-      ...hold,
-      ageMs: clock.now() - placedAt,
-      decodingForMs: decodingAt === undefined ? undefined : clock.now() - decodingAt,
-    }))
+    const holds = [...this.active.values()].map((one) => toReported(one, clock.now()))
     way.notify(PLACE.report, { entry, holds })
   }
 }
+
+/** A request that asks again, with the times that it has left. */
+function laterBy(ask: PlaceAsk, passedMs: Millis): PlaceAsk {
+  return {
+    ...ask,
+    targetMs: ask.targetMs - passedMs,
+    promptMs: ask.promptMs - passedMs,
+    leftMs: ask.leftMs - passedMs,
+    holdMs: Math.max(0, ask.holdMs - passedMs),
+  }
+}
+
+function toReported(
+  { ask, prefill, decode, placedAt, decodingAt, place }: Active,
+  now: Millis,
+): ReportedHold {
+  const madeTokens = place.madeTokens?.() ?? 0
+  return {
+    ask,
+    prefill,
+    decode,
+    ageMs: now - placedAt,
+    decodingForMs: decodingAt === undefined ? undefined : now - decodingAt,
+    madeTokens: madeTokens > 0 ? madeTokens : undefined,
+  }
+}
--- a/request/gateway/src/retryAllowance.ts
+++ b/request/gateway/src/retryAllowance.ts
@@ -34,20 +34,30 @@
     this.marksOf(service).requests.push(this.options.clock.now())
   }
 
-  /** Takes one second sending, where one is left. */
-  take(service: string): boolean {
-    const { share, slack, entries, clock } = this.options
+  /** Whether a second sending is left; counts as denied where none is. */
+  isLeft(service: string): boolean {
+    const { share, slack, entries } = this.options
     const marks = this.marksOf(service)
     const own = share * marks.requests.length + (slack * SLACK_USED) / Math.max(1, entries())
-    if (marks.extras.length + 1 > own) {
-      this.counts.denied += 1
-      return false
-    }
-    marks.extras.push(clock.now())
+    const isLeft = marks.extras.length + 1 <= own
+    if (!isLeft) this.counts.denied += 1
+    return isLeft
+  }
+
+  /** Takes one second sending, where one is left. */
+  take(service: string): boolean {
+    if (!this.isLeft(service)) return false
+    this.marksOf(service).extras.push(this.options.clock.now())
     this.counts.taken += 1
     return true
   }
 
+  /** Gives back a second sending that turned out to be none. */
+  giveBack(service: string): void {
+    if (this.marksOf(service).extras.pop() === undefined) return
+    this.counts.taken -= 1
+  }
+
   private marksOf(service: string): Marks {
     const marks = this.services.get(service) ?? { requests: [], extras: [] }
     this.services.set(service, marks)
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -21,6 +21,7 @@
   type RelayResult,
   type SendRecord,
 } from './relayParts'
+import { SendCount, type CountedSending } from './sendCount'
 import { waitFor } from './waitFor'
 
 const MAX_REFUSALS = 3
@@ -47,11 +48,13 @@
   /** Events of the engine at work now. */
   private madeEvents = 0
   private firstEventMs: Millis | undefined
+  private readonly count: SendCount
 
   constructor(
     private readonly parts: RelayParts,
     private readonly job: RelayJob,
   ) {
+    this.count = new SendCount(parts.allowance, job.service.name)
     const sent = single(job.request.headers[parts.wire.headers.lastEventId])
     if (sent !== undefined && /^\d+$/.test(sent)) this.lastEventId = Number(sent)
   }
@@ -83,6 +86,7 @@
       if (attempt.type === 'over' || this.isOver) return this.overResult()
       if (attempt.type === 'done') return { status: 200, outcome: 'answered' }
       if (attempt.type === 'passed') return { status: attempt.status, outcome: 'answered' }
+      if (attempt.type === 'denied') return this.answerWithout('no repeated sending is left')
       if (attempt.type === 'not-run') refusals += 1
       if (refusals > MAX_REFUSALS || !this.mayRepeat(attempt)) return this.answerWithout(attempt.reason)
     }
@@ -129,11 +133,18 @@
       return { type: 'over' }
     }
     this.madeEvents = 0
-    const cancelStall = this.watchStall(place)
-    const { attempt, note } = await this.streamAt(place.decode)
-    cancelStall()
+    const sending = this.count.open('decode')
+    if (sending === undefined) {
+      place.release('cancelled', 0, 0)
+      return { type: 'denied' }
+    }
+    place.madeTokens = () => this.madeTokens()
+    const stall = this.watchStall(place)
+    const { attempt, note } = await this.streamAt(place.decode, sending)
+    stall.cancel()
     const tookMs = this.parts.clock.now() - startedAt
-    place.release(this.isOver && note !== 'ok' ? 'cancelled' : note, tookMs, this.madeTokens())
+    const used: SendOutcome = stall.hasLeft() ? 'silent' : note
+    place.release(this.isOver && used !== 'ok' ? 'cancelled' : used, tookMs, this.madeTokens())
     this.sends.push({
       to: place.decode.endpoint.id,
       step: 'decode',
@@ -144,16 +155,18 @@
   }
 
   /** Tells the placement of an engine that has made nothing for too long, and leaves it where that is allowed. */
-  private watchStall(place: ModelPlace): () => void {
+  private watchStall(place: ModelPlace): { cancel: () => void; hasLeft: () => boolean } {
     const { route } = this.job
-    return this.parts.clock.after(route.targetMs, () => {
+    let hasLeft = false
+    const cancel = this.parts.clock.after(route.targetMs, () => {
       if (this.madeEvents > 0 || this.isOver) return
-      place.noteStalled()
-      const mayLeave = route.resumable && this.mayHaveRun + 1 < route.attempts
-      if (!mayLeave) return
+      place.noteStalled(route.targetMs)
+      hasLeft = route.resumable && this.mayHaveRun + 1 < route.attempts
+      if (!hasLeft) return
       this.except.add(place.decode.endpoint.id)
       this.exchange?.cancel('no event in time')
     })
+    return { cancel, hasLeft: () => hasLeft }
   }
 
   private madeTokens(): number {
@@ -162,10 +175,19 @@
 
   private async prefillAt(place: ModelPlace): Promise<void> {
     const at = place.prefill!
-    const { prefilled, note, tookMs } = await prefillStep(this.parts, this.job, place, (exchange) => {
-      this.exchange = exchange
-    })
+    const sending = this.count.open('prefill')
+    // Without one the decode engine reads the prompt, which no other sending has to precede.
+    if (sending === undefined) return place.notePrefilled('cancelled', 0)
+    const { prefilled, note, arrival, tookMs } = await prefillStep(
+      this.parts,
+      this.job,
+      place,
+      (exchange) => {
+        this.exchange = exchange
+      },
+    )
     this.exchange = undefined
+    sending.close(arrival)
     if (prefilled !== undefined) this.prefilled = prefilled
     place.notePrefilled(this.isOver ? 'cancelled' : note, tookMs)
     this.sends.push({ to: at.endpoint.id, step: 'prefill', outcome: note, tookMs: Math.round(tookMs) })
@@ -179,7 +201,10 @@
     return prefilled !== undefined && parts.clock.now() - prefilled.madeAt < lasts ? prefilled : undefined
   }
 
-  private streamAt(to: PooledEndpoint): Promise<{ attempt: Attempt; note: SendOutcome }> {
+  private streamAt(
+    to: PooledEndpoint,
+    sending: CountedSending,
+  ): Promise<{ attempt: Attempt; note: SendOutcome }> {
     const { parts, job } = this
     const { headers } = parts.wire
     const source = this.prefilled
@@ -203,6 +228,7 @@
         onData: (chunk) => stream.takeData(chunk),
         onEnd: (end) => {
           this.exchange = undefined
+          sending.close(end.complete || end.sent ? 'taken' : 'not-arrived')
           const result = this.isOver
             ? { attempt: { type: 'over' as const }, note: stream.noteIfOver() }
             : stream.end(end)
@@ -270,13 +296,12 @@
   }
 
   private mayRepeat(attempt: Extract<Attempt, { type: 'not-run' | 'lost' }>): boolean {
-    const { route, service, endsAt } = this.job
-    const { clock, allowance } = this.parts
-    if (endsAt - clock.now() < ANSWER_MARGIN_MS * 2) return false
+    const { route, endsAt } = this.job
+    if (endsAt - this.parts.clock.now() < ANSWER_MARGIN_MS * 2) return false
     if (attempt.type === 'not-run' && !attempt.arrived) return true
     if (attempt.type === 'lost' && !route.resumable) return false
     if (this.mayHaveRun >= route.attempts) return false
-    return allowance.take(service.name)
+    return this.count.isLeft()
   }
 
   private answerWithout(reason: string, retryAfterMs: Millis = COME_BACK_MS): OwnResult {
--- a/request/gateway/test/parts.test.ts
+++ b/request/gateway/test/parts.test.ts
@@ -105,7 +105,7 @@
     const made = new EndpointPool({ zone: 'z', clock, random: () => 0, logger: createSilentLogger() })
     made.update([
       { ...base, id: 'i-1', state: 'ready' },
-      { ...base, id: 'i-2', state: 'ready' },
+      { ...base, id: 'i-2', address: 'b:1', state: 'ready' },
     ])
     return { clock, pool: made, ids: () => made.candidates('s').map((one) => one.endpoint.id) }
   }
--- a/request/gateway/test/remotePlacer.test.ts
+++ b/request/gateway/test/remotePlacer.test.ts
@@ -19,38 +19,40 @@
   isPrefilled: false,
 }
 
+const ENGINE_OF_TEST = {
+  id: 'd1',
+  service: 's',
+  address: '10.0.0.1:1',
+  zone: 'z',
+  slots: 8,
+  state: 'ready' as const,
+  stage: 'decode' as const,
+  models: [],
+  sequence: 1,
+}
+
 /** A placer whose leader is known when it is told so, and whose engine is free. */
-function world(entries = 1) {
+function world(entries = 1, kvTokens = 10_000) {
   const clock = new ManualClock()
   const logger = createSilentLogger()
   const pool = new EndpointPool({ zone: 'z', clock, random: () => 0, logger })
-  pool.update([
-    {
-      id: 'd1',
-      service: 's',
-      address: '10.0.0.1:1',
-      zone: 'z',
-      slots: 8,
-      state: 'ready',
-      stage: 'decode',
-      models: [],
-      sequence: 1,
-    },
-  ])
+  pool.update([ENGINE_OF_TEST])
+  const silent = new Set<string>()
   const asked: string[] = []
   const told = { leader: undefined as string | undefined }
   const peers = {
     call: async <Result>(address: string) => {
       asked.push(address)
+      if (silent.has(address)) await new Promise(() => undefined)
       return { type: 'placed', decode: 'd1' } as Result
     },
     notify: () => undefined,
   }
   const options = { neighbours: () => [], peers, clock, forwarded: [] }
   const way = new LeaderWay({ leader: () => told.leader, ...options })
-  const fallback = new LocalPlacer({ pool, kvTokens: () => 10_000, entries: () => entries })
+  const fallback = new LocalPlacer({ pool, kvTokens: () => kvTokens, entries: () => entries })
   const placer = new RemotePlacer({ entry: 'e', pool, fallback, way, clock, logger })
-  return { clock, placer, fallback, told, asked }
+  return { clock, placer, fallback, pool, told, asked, hang: (address: string) => silent.add(address) }
 }
 
 /** Moves time on in steps, so that what waits for one timer can set the next. */
@@ -89,4 +91,45 @@
     for (let count = 0; count < 6; count += 1) answers.push((await fallback.place(small)).type)
     expect(answers).toEqual(['place', 'place', 'place', 'place', 'place', 'refused'])
   })
+
+  it('asks the next leader where the one it asked leads no more before it has answered', async () => {
+    const { clock, placer, told, asked, hang } = world()
+    hang('10.0.0.9:1')
+    told.leader = '10.0.0.9:1'
+    const answer = placer.place(WORK)
+    await advance(clock, 300)
+    told.leader = '10.0.0.8:1'
+    await advance(clock, 50)
+    expect(await answer).toMatchObject({ type: 'place' })
+    expect(asked).toEqual(['10.0.0.9:1', '10.0.0.8:1'])
+  })
+
+  it('places alone where the leader that it asked is gone and none follows', async () => {
+    const { clock, placer, told, asked, hang } = world()
+    hang('10.0.0.9:1')
+    told.leader = '10.0.0.9:1'
+    const answer = placer.place(WORK)
+    await advance(clock, 300)
+    told.leader = undefined
+    await advance(clock, 50)
+    expect(await answer).toMatchObject({ type: 'place' })
+    expect(asked).toEqual(['10.0.0.9:1'])
+  })
+
+  it('lets the decode engine read where the prefill queue that entries make alone would be too long', async () => {
+    const { fallback, pool } = world(7, 100_000)
+    pool.update([{ ...ENGINE_OF_TEST, id: 'p1', address: '10.0.0.2:1', stage: 'prefill' }])
+    const readers = []
+    for (const request of ['a', 'b', 'c']) {
+      const answer = await fallback.place({
+        ...WORK,
+        request,
+        promptTokens: 1_400,
+        mostTokens: 10,
+        targetMs: 410,
+      })
+      readers.push(answer.type === 'place' ? answer.place.prefill?.endpoint.id : answer.reason)
+    }
+    expect(readers).toEqual(['p1', 'p1', undefined])
+  })
 })
--- /dev/null
+++ b/request/gateway/test/sendCount.test.ts
@@ -0,0 +1,71 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { RetryAllowance } from '../src'
+import { SendCount, type Arrival, type SendStep } from '../src/sendCount'
+
+/** An allowance of so many repeated sendings, whatever the number of requests. */
+function allowanceOf(extras: number): RetryAllowance {
+  const clock = new ManualClock()
+  // Half of the slack is planned with.
+  return new RetryAllowance({ clock, share: 0, slack: extras * 2, windowMs: 10_000, entries: () => 1 })
+}
+
+function send(count: SendCount, step: SendStep, arrival: Arrival): boolean {
+  const sending = count.open(step)
+  sending?.close(arrival)
+  return sending !== undefined
+}
+
+const taken = { step: 'prefill', arrival: 'taken' } as const
+const rejected = { step: 'prefill', arrival: 'rejected' } as const
+const decoded = { step: 'decode', arrival: 'taken' } as const
+const full = { step: 'decode', arrival: 'rejected' } as const
+
+describe('SendCount', () => {
+  it.each([
+    ['reading apart and one run', [taken, decoded], 0],
+    ['a run at once', [decoded], 0],
+    ['one that reached nobody first', [{ step: 'decode', arrival: 'not-arrived' }, decoded], 0],
+    ['a prefill step that was rejected', [rejected, decoded], 1],
+    ['engine after engine that has no room', [taken, full, full, full], 2],
+    ['reading twice', [taken, full, taken, decoded], 2],
+    ['rejected, then read', [rejected, taken, decoded], 1],
+  ] as const)('draws for %s', (_name, sendings, drawn) => {
+    const allowance = allowanceOf(10)
+    const count = new SendCount(allowance, 's')
+    for (const { step, arrival } of sendings) expect(send(count, step, arrival)).toBe(true)
+    expect(allowance.counts.taken).toBe(drawn)
+  })
+
+  it('lets nothing more leave once the allowance is used up, but each request has its first run', () => {
+    const allowance = allowanceOf(1)
+    const first = new SendCount(allowance, 's')
+    expect(send(first, 'decode', 'rejected')).toBe(true)
+    expect(send(first, 'decode', 'rejected')).toBe(true)
+    expect(first.isLeft()).toBe(false)
+    expect(send(first, 'decode', 'taken')).toBe(false)
+    const second = new SendCount(allowance, 's')
+    expect(send(second, 'prefill', 'taken')).toBe(true)
+    expect(send(second, 'decode', 'taken')).toBe(true)
+  })
+
+  it('never lets more arrive beyond the first of each request and its first reading than it has drawn', () => {
+    const step = fc.constantFrom<SendStep>('prefill', 'decode')
+    const arrival = fc.constantFrom<Arrival>('taken', 'rejected', 'not-arrived')
+    const requests = fc.array(fc.array(fc.tuple(step, arrival), { maxLength: 8 }), { maxLength: 12 })
+    fc.assert(
+      fc.property(requests, fc.nat(6), (all, extras) => {
+        const allowance = allowanceOf(extras)
+        let beyond = 0
+        for (const sendings of all) {
+          const count = new SendCount(allowance, 's')
+          const arrived = sendings.filter(([kind, end]) => send(count, kind, end) && end !== 'not-arrived')
+          const hasRead = arrived.some(([kind, end]) => kind === 'prefill' && end === 'taken')
+          beyond += Math.max(0, arrived.length - 1 - Number(hasRead))
+        }
+        expect(beyond).toBeLessThanOrEqual(extras)
+      }),
+    )
+  })
+})
--- a/table/routes/src/routeTypes.ts
+++ b/table/routes/src/routeTypes.ts
@@ -48,6 +48,8 @@
   name: string
   /** Connections that one endpoint takes from all callers together. */
   maxConnections: number
+  /** Where an endpoint says whether it takes work; absent where there is no such question. */
+  healthPath?: string
   /** Present where the endpoints are engines with prefill and decode apart. */
   engine?: EnginePool
 }
--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -1,6 +1,7 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { runJournalExperiment } from './journalExperiment'
+import { SHAPES } from './memoryCalls'
 import { runMemoryExperiment } from './memoryExperiment'
 import { runPlaceExperiment } from './placeExperiment'
 import { runPolicyExperiment, type FaultName } from './policyExperiment'
@@ -55,13 +56,15 @@
           .option('decode', { type: 'number', default: 4 })
           .option('prefill', { type: 'number', default: 1 })
           .option('seeds', { type: 'number', default: 10 })
+          .option('shape', { choices: Object.keys(SHAPES), default: 'small' })
           .option('variants', { type: 'string', default: '', describe: 'names of variants, or all' }),
-      ({ rates, decode, prefill, seeds, variants }) =>
+      ({ rates, decode, prefill, seeds, shape, variants }) =>
         runMemoryExperiment({
           rates: list(rates).map(Number),
           decode,
           prefill,
           seeds,
+          shape,
           variants: list(variants),
         }),
     )
--- a/tools/bench/src/memoryCalls.ts
+++ b/tools/bench/src/memoryCalls.ts
@@ -1,17 +1,38 @@
 import { randomLogNormal, randomNormal } from 'd3-random'
 import type { Random } from '@forkstage/clock'
+import type { EngineModelOptions } from './engineModel'
 
-const MEAN_PROMPT = 5_000
-const MOST_PROMPT = 11_000
-const MEAN_EVENTS = 70
 const HINT_SPREAD = 0.5
 const LATE_WORTH = 0.2
 const AGAIN_WORTH = 0.6
 const LONGEST_PAUSE_MS = 300
+const MEAN_EVENTS = 70
 export const MOST_EVENTS = 170
-export const TOKENS_PER_EVENT = 63
 export const TARGET_MS = 900
-const MEAN_SIZE = 5_000 + 10 * 63 * 66
+
+/** What callers ask, and of which engines. */
+export interface CallShape {
+  meanPrompt: number
+  mostPrompt: number
+  tokensPerEvent: number
+  engine: EngineModelOptions
+}
+
+/** A small model with very long answers, and a large one whose memory holds few prompts and whose steps are slow. */
+export const SHAPES: Record<string, CallShape> = {
+  small: {
+    meanPrompt: 5_000,
+    mostPrompt: 11_000,
+    tokensPerEvent: 63,
+    engine: { kvTokens: 89_000, stepMs: 0.632, stepMsPerAnswer: 0.0149, readsPerMs: 55 },
+  },
+  large: {
+    meanPrompt: 3_000,
+    mostPrompt: 6_600,
+    tokensPerEvent: 9,
+    engine: { kvTokens: 41_191, stepMs: 5.09, stepMsPerAnswer: 0.0303, readsPerMs: 33 },
+  },
+}
 
 /** One caller's request, with its second try. */
 export interface Call {
@@ -30,9 +51,10 @@
 }
 
 /** Draws a caller's request: a long prompt, a long answer, and a guess of it that is often far off. */
-export function drawCall(random: Random, id: number, now: number): Call {
-  const output = logNormal(random, MEAN_EVENTS, 0.7, MOST_EVENTS) * TOKENS_PER_EVENT
-  const prompt = 200 + logNormal(random, MEAN_PROMPT, 0.5, MOST_PROMPT)
+export function drawCall(random: Random, shape: CallShape, id: number, now: number): Call {
+  const output = logNormal(random, MEAN_EVENTS, 0.7, MOST_EVENTS) * shape.tokensPerEvent
+  const prompt = 200 + logNormal(random, shape.meanPrompt, 0.5, shape.mostPrompt)
+  const meanSize = shape.meanPrompt + 10 * shape.tokensPerEvent * 66
   return {
     id,
     prompt,
@@ -44,7 +66,7 @@
     wasPrompt: false,
     worth: 0,
     isInAim: false,
-    weight: 0.3 + (0.7 * (prompt + 10 * output)) / MEAN_SIZE,
+    weight: 0.3 + (0.7 * (prompt + 10 * output)) / meanSize,
   }
 }
 
--- a/tools/bench/src/memoryExperiment.ts
+++ b/tools/bench/src/memoryExperiment.ts
@@ -3,7 +3,7 @@
 import { createSeededRandom, type Random } from '@forkstage/clock'
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
 import { EngineModel } from './engineModel'
-import { drawCall, MOST_EVENTS, TARGET_MS, TOKENS_PER_EVENT, worthOf, type Call } from './memoryCalls'
+import { drawCall, MOST_EVENTS, SHAPES, TARGET_MS, worthOf, type Call, type CallShape } from './memoryCalls'
 import { writeJson } from './report'
 import { round } from './summarise'
 
@@ -15,6 +15,8 @@
   /** Requests a second outside the peaks, one series each. */
   rates: number[]
   seeds: number
+  /** The name of the callers' and engines' shape. */
+  shape: string
   /** Names of the variants to compare; all where empty. */
   variants: string[]
 }
@@ -56,7 +58,6 @@
 /** What a thousand tokens read for nothing cost, in requests. */
 const WASTE_COST = 0.16
 const WINDOW_MS = 2_000
-const ENGINE = { kvTokens: 89_000, stepMs: 0.632, stepMsPerAnswer: 0.0149, readsPerMs: 55 }
 
 /** What one run of one variant gave. */
 interface RunFigures {
@@ -115,6 +116,7 @@
   private readonly calls: Call[] = []
   private now = 0
   private requests = 0
+  private readonly shape: CallShape
 
   constructor(
     options: MemoryExperimentOptions,
@@ -123,19 +125,20 @@
     seed: number,
   ) {
     this.random = createSeededRandom(seed)
+    this.shape = SHAPES[options.shape]!
     const names = (stage: Stage, count: number) =>
       Array.from({ length: count }, (_, index) => endpoint(`${stage}-${index}`, stage))
     const endpoints = [...names('prefill', options.prefill), ...names('decode', options.decode)]
     for (const one of endpoints) {
-      if (one.stage === 'decode') this.engines.set(one.id, new EngineModel(ENGINE))
+      if (one.stage === 'decode') this.engines.set(one.id, new EngineModel(this.shape.engine))
       else this.readers.set(one.id, 0)
     }
     const engine = {
       slots: 64,
-      kvTokens: ENGINE.kvTokens,
+      kvTokens: this.shape.engine.kvTokens,
       kvBytesPerToken: 18_432,
       linkMbps: 700_000,
-      tokensPerEvent: TOKENS_PER_EVENT,
+      tokensPerEvent: this.shape.tokensPerEvent,
       handleMs: 500,
       stageChangeMs: 6_000,
     }
@@ -161,7 +164,7 @@
     const isPeak = this.now % PEAK_EVERY_MS >= PEAK_FROM_MS
     const rate = this.rate * (isPeak ? PEAK : 1)
     if (this.random() >= (rate * STEP_MS) / 1_000) return
-    const call = drawCall(this.random, this.calls.length, this.now)
+    const call = drawCall(this.random, this.shape, this.calls.length, this.now)
     this.calls.push(call)
     this.ask(call)
   }
@@ -177,7 +180,7 @@
       service: SERVICE,
       className: 'c',
       promptTokens: Math.round(call.prompt),
-      mostTokens: MOST_EVENTS * TOKENS_PER_EVENT,
+      mostTokens: MOST_EVENTS * this.shape.tokensPerEvent,
       hintTokens: Math.round(call.hint),
       priority: 1,
       targetMs: TARGET_MS - (isReturn ? 0 : elapsed) - TRANSIT_MS,
@@ -198,7 +201,7 @@
       return this.at(readAt, () => this.decode(call, request, decision.decode))
     }
     const prefill = decision.prefill
-    const tookMs = call.prompt / ENGINE.readsPerMs
+    const tookMs = call.prompt / this.shape.engine.readsPerMs
     const readAt = Math.max(this.now, this.readers.get(prefill)!) + tookMs
     this.readers.set(prefill, readAt)
     this.at(readAt + TRANSIT_MS, () => {
@@ -278,7 +281,7 @@
       largest: this.servedOfLargest(),
       refused: share((call) => call.worth < 0),
       wastedTokens,
-      fill: heldTokenMs / (engines.length * ENGINE.kvTokens * lengthMs),
+      fill: heldTokenMs / (engines.length * this.shape.engine.kvTokens * lengthMs),
     }
   }
 }
