--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -249,7 +249,8 @@
 
   /** How long a request may still wait so that its first event is there in time. */
   private slackOf({ ask, since }: Waiting, now: Millis): Millis {
-    const readingMs = ask.isPrefilled ? 0 : this.learned.pace.readingMs(ask.promptTokens)
+    const { pace } = this.learned
+    const readingMs = ask.isPrefilled ? 0 : pace.readingMs(ask.promptTokens) + pace.readingLatencyMs()
     return ask.targetMs - (now - since) - readingMs - START_MS
   }
 
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -178,7 +178,7 @@
     waits.sort((left, right) => costOf(left) - costOf(right))
     const soonest = waits[0]
     if (soonest === undefined) return undefined
-    const readsInMs = soonest.queuedMs + readingMs
+    const readsInMs = soonest.queuedMs + readingMs + pace.readingLatencyMs()
     return readsInMs <= this.readingLimit(quest) ? { decode, ...soonest, readsInMs } : undefined
   }
 
@@ -206,7 +206,9 @@
 
   /** By when the prompt must have been read. */
   private readingLimit({ ask, isInTime, leftMs }: EngineQuest): Millis {
-    return isInTime ? leftMs - START_MS : this.options.pace.readingMs(ask.promptTokens) * LATE_READINGS
+    const { pace } = this.options
+    if (isInTime) return leftMs - START_MS
+    return pace.readingMs(ask.promptTokens) * LATE_READINGS + pace.readingLatencyMs()
   }
 
   private mayReadItself(id: InstanceId, ownMs: Millis, now: Millis): boolean {
--- a/placement/allocator/src/enginePace.ts
+++ b/placement/allocator/src/enginePace.ts
@@ -3,19 +3,32 @@
 
 /** Believed until the first answer or report has told better; a step of a model takes some milliseconds. */
 const FIRST_MS_PER_TOKEN = 3
-/** Believed until the first prompt has been read alone. */
-const FIRST_PROMPT_TOKENS_PER_MS = 40
-/** What one more observation counts against those before it: the last ten or so decide. */
+/** Believed until prompts of different lengths have been read alone; large and small models read 33 to 55. */
+const FIRST_READING_MS_PER_TOKEN = 1 / 40
+/** What one more answer counts against those before it: the last ten or so decide. */
 const WEIGHT = 0.1
+/** Prompts read earlier count less: about the last fifty decide. */
+const KEEP = 0.98
+/** The belief of the beginning counts as so many prompts of a length that differs by so much from the mean. */
+const PRIOR_PROMPTS = 3
+const PRIOR_SPREAD_TOKENS = 1_000
+/** Engines are believed to be so much faster than the belief of the beginning at most. */
+const MOST_UNLIKE = 10
 
 /** How fast engines read and make tokens, learned from what they do. Outlives a term, unlike places. */
 export class EnginePace {
   private readonly msPerToken = new Map<InstanceId, Millis>()
-  private promptTokensPerMs = FIRST_PROMPT_TOKENS_PER_MS
+  private readonly read = { n: 0, x: 0, y: 0, xx: 0, xy: 0 }
 
-  /** How long a prefill engine reads a prompt, in milliseconds. */
+  /** How long a prefill engine is busy with a prompt, in milliseconds: the next one begins then. */
   readingMs(promptTokens: number): Millis {
-    return promptTokens / this.promptTokensPerMs
+    return promptTokens * this.readingMsPerToken()
+  }
+
+  /** How much longer it takes until the entry hears of it, whatever the length: the engine reads on meanwhile. */
+  readingLatencyMs(): Millis {
+    const { n, x, y } = this.read
+    return n === 0 ? 0 : Math.max(0, y / n - (this.readingMsPerToken() * x) / n)
   }
 
   /** How long an engine takes for one token of an answer; of one that has shown nothing yet, the mean of the others. */
@@ -31,7 +44,13 @@
 
   /** Learns from a prompt that was read without waiting for another. */
   learnReading(promptTokens: number, tookMs: Millis): void {
-    this.promptTokensPerMs += (promptTokens / tookMs - this.promptTokensPerMs) * WEIGHT
+    const { read } = this
+    for (const key of Object.keys(read) as (keyof typeof read)[]) read[key] *= KEEP
+    read.n += 1
+    read.x += promptTokens
+    read.y += tookMs
+    read.xx += promptTokens ** 2
+    read.xy += promptTokens * tookMs
   }
 
   /** Learns from tokens that an engine made in a time. */
@@ -42,6 +61,17 @@
     this.msPerToken.set(engine, old + (rate - old) * WEIGHT)
   }
 
+  /** The slope of the line through what was read, drawn to the belief of the beginning while little was seen. */
+  private readingMsPerToken(): Millis {
+    const { n, x, y, xx, xy } = this.read
+    const prior = PRIOR_PROMPTS * PRIOR_SPREAD_TOKENS ** 2
+    if (n === 0) return FIRST_READING_MS_PER_TOKEN
+    const spread = Math.max(0, xx - x ** 2 / n)
+    const slope = (xy - (x * y) / n + prior * FIRST_READING_MS_PER_TOKEN) / (spread + prior)
+    // No line may fall, nor say that reading takes longer than it was seen to take.
+    return Math.min(Math.max(slope, FIRST_READING_MS_PER_TOKEN / MOST_UNLIKE), y / x)
+  }
+
   /** Forgets engines that are not registered any more. */
   keepOnly(ids: ReadonlySet<InstanceId>): void {
     for (const id of this.msPerToken.keys()) if (!ids.has(id)) this.msPerToken.delete(id)
