--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -175,7 +175,8 @@
   planStage(service: string, now: Millis): StageChange | undefined {
     const engine = this.options.engine(service)
     const meter = this.demand.get(service)
-    if (engine === undefined || meter?.isSure(now) !== true) return undefined
+    const { pace } = this.learned
+    if (engine === undefined || meter?.isSure(now) !== true || !pace.isKnown) return undefined
     const staged = (['prefill', 'decode'] as const)
       .flatMap((stage) => this.choice.registered(service, stage))
       // An engine that is out for a moment will be back before another has changed its part.
@@ -183,7 +184,7 @@
       // A prefill engine that refuses whatever comes is carrying out an order that nobody here knows of.
       .filter((one) => one.stage !== 'prefill' || !this.health.isBusy(one.id))
       .map((one) => this.toStaged(one, now))
-    return planStages(staged, meter.need(engine.kvTokens, now))
+    return planStages(staged, meter.need(engine.kvTokens, pace, now))
   }
 
   /** Gives an engine no work while it changes its part. */
@@ -217,7 +218,7 @@
   private noteDemand(ask: PlaceAsk, now: Millis): void {
     const meter = this.demand.get(ask.service) ?? new DemandMeter()
     this.demand.set(ask.service, meter)
-    meter.note(this.learned.pace.readingMs(ask.promptTokens), this.book.tokenMs(ask), now)
+    meter.note(ask.promptTokens, this.book.heldTokens(ask), now)
   }
 
   private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
--- a/placement/allocator/src/demandMeter.ts
+++ b/placement/allocator/src/demandMeter.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '@forkstage/types'
+import type { EnginePace } from './enginePace'
 import { FadingSum } from './fadingSum'
 import type { StageNeed } from './planStages'
 
@@ -9,31 +10,31 @@
 /** How full an engine's memory can be kept without putting requests back. */
 const USABLE_MEMORY = 0.8
 
-/** Averages what callers ask of one service's engines. */
+/** Averages what callers ask of one service's engines, whatever the engines' pace. */
 export class DemandMeter {
-  private readonly prefillMs = new FadingSum(MEMORY_MS)
-  private readonly tokenMs = new FadingSum(MEMORY_MS)
+  private readonly promptTokens = new FadingSum(MEMORY_MS)
+  private readonly heldTokens = new FadingSum(MEMORY_MS)
 
   /**
    * Notes a request that was asked for the first time.
-   * @param prefillMs how long an engine reads its prompt.
-   * @param tokenMs the memory it will hold, over the time that it holds it.
+   * @param promptTokens what an engine reads.
+   * @param heldTokens the memory it will hold, over the tokens that it makes meanwhile: tokens times tokens.
    */
-  note(prefillMs: Millis, tokenMs: number, now: Millis): void {
-    this.prefillMs.add(prefillMs, now)
-    this.tokenMs.add(tokenMs, now)
+  note(promptTokens: number, heldTokens: number, now: Millis): void {
+    this.promptTokens.add(promptTokens, now)
+    this.heldTokens.add(heldTokens, now)
   }
 
   /** Whether it has averaged long enough to be acted on. */
   isSure(now: Millis): boolean {
-    return this.prefillMs.seenFor(now) >= SURE_AFTER_MS
+    return this.promptTokens.seenFor(now) >= SURE_AFTER_MS
   }
 
-  /** How many engines each half would keep busy, for engines with this much memory. */
-  need(kvTokens: number, now: Millis): StageNeed {
+  /** How many engines each half would keep busy, for engines with this much memory and this pace. */
+  need(kvTokens: number, pace: EnginePace, now: Millis): StageNeed {
     return {
-      prefill: this.prefillMs.perMs(now),
-      decode: this.tokenMs.perMs(now) / (kvTokens * USABLE_MEMORY),
+      prefill: pace.readingMs(this.promptTokens.perMs(now)),
+      decode: (this.heldTokens.perMs(now) * pace.meanDecodingMs()) / (kvTokens * USABLE_MEMORY),
     }
   }
 }
--- a/placement/allocator/src/enginePace.ts
+++ b/placement/allocator/src/enginePace.ts
@@ -20,6 +20,11 @@
   private readonly msPerToken = new Map<InstanceId, Millis>()
   private readonly read = { n: 0, x: 0, y: 0, xx: 0, xy: 0 }
 
+  /** Whether engines have shown how fast they make tokens; what is believed before may be far off. */
+  get isKnown(): boolean {
+    return this.msPerToken.size > 0
+  }
+
   /** How long a prefill engine is busy with a prompt, in milliseconds: the next one begins then. */
   readingMs(promptTokens: number): Millis {
     return promptTokens * this.readingMsPerToken()
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -118,12 +118,12 @@
     return until - now
   }
 
-  /** The memory that a request will hold, over the time that it holds it: tokens times milliseconds. */
-  tokenMs(ask: PlaceAsk): number {
-    const { forecast, pace } = this.options
+  /** The memory that a request will hold, over the tokens that it makes meanwhile: tokens times tokens. */
+  heldTokens(ask: PlaceAsk): number {
+    const { forecast } = this.options
     const prior = forecast.expect(ask.className, ask.hintTokens, ask.mostTokens)
     const length = Math.min(ask.mostTokens, Math.exp(prior.mu + prior.sigma ** 2 / 2))
-    return (ask.promptTokens + length / 2) * length * pace.meanDecodingMs()
+    return (ask.promptTokens + length / 2) * length
   }
 
   /** Learns from a whole answer. */
--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -38,6 +38,11 @@
  * end what runs there, and decode engines can read what one reader does not.
  */
 const WORTHWHILE_SECOND_READER = 0.55
+/**
+ * From here on requests are lost for want of decode engines. Only then does the last reader but one change its part:
+ * without any reader every decode engine reads at half the pace, and a new one takes the time of its answers and more.
+ */
+const OVERFULL = 1
 
 /** Engines of each half. */
 interface Halves {
@@ -71,6 +76,8 @@
   const after = fillOf(need, { ...have, [giver]: have[giver] - 1, [stage]: have[stage] + 1 })
   const isSecondReader = stage === 'prefill' && have.prefill === 1
   if (isSecondReader) return Math.max(after.prefill, after.decode) <= now * WORTHWHILE_SECOND_READER
+  const isLastReader = giver === 'prefill' && have.prefill === 2
+  if (isLastReader && now < OVERFULL) return false
   return after[giver] <= now * WORTHWHILE
 }
 
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -23,6 +23,13 @@
   return decision?.type === 'placed' ? decision.decode : decision?.type
 }
 
+/** Shows how fast an engine makes tokens: before that no engine is told to change its part. */
+function showPace(allocator: Allocator, decode: string, now: number): void {
+  const running = { ask: ask('seen'), decode, ageMs: 900, decodingForMs: 800, madeTokens: 1_000 }
+  allocator.adopt('e9', [running], now)
+  allocator.dropEntry('e9')
+}
+
 const TWO = [engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')]
 
 describe('Allocator', () => {
@@ -163,6 +170,7 @@
   it('lets the decode engine read where the only prefill engine refuses whatever comes, and plans another', () => {
     const endpoints = [engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')]
     const { allocator, place, decisions } = world(endpoints)
+    showPace(allocator, 'd1', 0)
     for (let index = 0; index < 30; index += 1) place(ask(`r${index}`, { holdMs: 1 }), index * 100)
     expect(allocator.planStage('s', 3_000)?.stage).not.toBe('prefill')
     for (let index = 0; index < 3; index += 1) allocator.noteUse('p1', 'full', 3_000)
@@ -250,6 +258,8 @@
       new Allocator({ endpoints: () => endpoints, engine: () => ENGINE }).planStage('s', 0),
     ).toBeUndefined()
     for (let index = 40; index < 240; index += 1) place(ask(`r${index}`, { holdMs: 1 }), 8_000 + index)
+    expect(allocator.planStage('s', 8_300)).toBeUndefined()
+    showPace(allocator, 'd1', 8_300)
     const change = allocator.planStage('s', 8_300)
     expect(change?.stage).toBe('decode')
     allocator.noteChanging(change!.id, change!.stage, 6_000, 8_300)
--- a/placement/allocator/test/forecast.test.ts
+++ b/placement/allocator/test/forecast.test.ts
@@ -117,6 +117,12 @@
     expect(planStages(engines(0, 5), { prefill: 0.4, decode: 3.6 })).toMatchObject({ stage: 'prefill' })
   })
 
+  it('leaves two readers where decode engines are full but not overfull, since one may drain or crash', () => {
+    expect(planStages(engines(2, 4), { prefill: 0.64, decode: 3.86 })).toBeUndefined()
+    expect(planStages(engines(2, 4), { prefill: 0.64, decode: 4.1 })).toMatchObject({ stage: 'decode' })
+    expect(planStages(engines(3, 3), { prefill: 0.62, decode: 2.9 })).toMatchObject({ stage: 'decode' })
+  })
+
   it('moves one engine after the other in a large pool until the halves are about equally full', () => {
     const need = { prefill: 5.8, decode: 31 }
     const pool = engines(23, 40)
