--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -203,7 +203,12 @@
       .map((orders) => orders.get(endpoint.id))
       .find((one) => one !== undefined && one.until > now)
     const stage = order?.to ?? endpoint.stage!
-    return { id: endpoint.id, stage, uses: this.book.usesOf(endpoint.id), isChanging: order !== undefined }
+    return {
+      id: endpoint.id,
+      stage,
+      freeInMs: this.book.freeInMs(endpoint.id, now),
+      isChanging: order !== undefined,
+    }
   }
 
   /** What is believed of the engines that a request could use. */
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -86,9 +86,12 @@
     return this.holdsAt(decode).size
   }
 
-  /** Requests that run or are read at an engine. */
-  usesOf(id: InstanceId): number {
-    return this.holdsAt(id).size + (this.byPrefill.get(id)?.size ?? 0)
+  /** How long an engine is forecast to be busy with what it has, in milliseconds. */
+  freeInMs(id: InstanceId, now: Millis): Millis {
+    const perToken = this.options.pace.decodingMs(id)
+    const { growing } = this.outlookOf(id, now)
+    const decodingMs = growing.reduce((longest, { toCome }) => Math.max(longest, toCome * perToken), 0)
+    return Math.max(decodingMs, this.prefillWait(id))
   }
 
   /**
--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -1,11 +1,12 @@
 import type { InstanceId, Stage } from '@forkstage/directory'
+import type { Millis } from '@forkstage/types'
 
 /** An engine as the planner sees it. */
 export interface StagedEngine {
   id: InstanceId
   stage: Stage
-  /** Requests that run or are read there. */
-  uses: number
+  /** How long what runs or is read there is forecast to take: an engine ends it before it changes, in milliseconds. */
+  freeInMs: Millis
   /** Whether it is on its way to `stage` and does not work yet. */
   isChanging: boolean
 }
@@ -64,8 +65,8 @@
   const working = (stage === 'prefill' ? decode : prefill).filter((engine) => !engine.isChanging)
   // What changes already counts where it goes; but a half is never left without an engine that works.
   if (working.length < 2) return undefined
-  const freest = working.sort((left, right) => left.uses - right.uses)[0]!
-  return { id: freest.id, stage, need, have }
+  const soonest = working.sort((left, right) => left.freeInMs - right.freeInMs)[0]!
+  return { id: soonest.id, stage, need, have }
 }
 
 /** Whether one engine more in a half is worth what the other half loses. */
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -316,4 +316,24 @@
     expect(pace.decodingMs('d1')).toBe(10)
     expect(pace.decodingMs('another')).toBe(10)
   })
+
+  it('changes the part of the engine whose answers end first, not of the one with the fewest', () => {
+    const endpoints = [engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')]
+    const { allocator, place } = world(endpoints)
+    const running = (name: string, decode: string, madeTokens: number) => ({
+      ask: ask(name, { promptTokens: 500, mostTokens: 2_000 }),
+      decode,
+      ageMs: 2_000,
+      decodingForMs: 1_900,
+      madeTokens,
+    })
+    const held = [running('new', 'd1', 100), running('old', 'd2', 1_950), running('older', 'd2', 1_960)]
+    allocator.adopt('e1', held, 0)
+    for (let index = 0; index < 30; index += 1)
+      place(ask(`r${index}`, { entry: 'e2', holdMs: 1 }), index * 100)
+    for (let index = 0; index < 3; index += 1) allocator.noteUse('p1', 'full', 3_000)
+    allocator.dropEntry('e2')
+    allocator.adopt('e1', held, 3_000)
+    expect(allocator.planStage('s', 3_010)).toMatchObject({ id: 'd2', stage: 'prefill' })
+  })
 })
--- a/placement/allocator/test/forecast.test.ts
+++ b/placement/allocator/test/forecast.test.ts
@@ -77,13 +77,13 @@
     ...Array.from({ length: prefill }, (_, index) => ({
       id: `p${index}`,
       stage: 'prefill' as const,
-      uses: index,
+      freeInMs: index * 100,
       isChanging: false,
     })),
     ...Array.from({ length: decode }, (_, index) => ({
       id: `d${index}`,
       stage: 'decode' as const,
-      uses: index,
+      freeInMs: index * 100,
       isChanging: false,
     })),
   ]
@@ -92,7 +92,7 @@
     expect(planStages(engines(2, 4), { prefill: 0.7, decode: 2.5 })).toBeUndefined()
   })
 
-  it('moves the least used engine from the emptier to the fuller half', () => {
+  it('moves the engine that is free first from the emptier to the fuller half', () => {
     expect(planStages(engines(2, 2), { prefill: 0.6, decode: 2.2 })).toMatchObject({
       id: 'p0',
       stage: 'decode',
