--- a/cli/forkstage/src/main.ts
+++ b/cli/forkstage/src/main.ts
@@ -5,6 +5,7 @@
 import { EXIT, type Command } from './cliTypes'
 import { controlReplaceCommand } from './commands/controlReplace'
 import { explainCommand } from './commands/explain'
+import { lossesCommand } from './commands/losses'
 import { orderCommand } from './commands/order'
 import { runCommand } from './commands/run'
 import { serveCommand } from './commands/serve'
@@ -32,6 +33,7 @@
   runCommand,
   serveCommand,
   traceCommand,
+  lossesCommand,
   statusCommand,
   explainCommand,
   orderCommand,
