--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -149,7 +149,7 @@
 
   /** Takes what an entry says it holds: adopts what is not known here, drops what it no longer names. */
   adopt(entry: string, reported: ReportedHold[], now: Millis): void {
-    this.book.adopt(entry, reported, now)
+    for (const id of this.book.adopt(entry, reported, now)) this.health.noteProgress(id, now)
   }
 
   /** Drops what an entry held that is gone. */
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -67,14 +67,17 @@
     this.outlooks.delete(hold.decode)
   }
 
-  /** Takes what an entry says it holds: adopts what is not known here, drops what it no longer names. */
-  adopt(entry: string, reported: ReportedHold[], now: Millis): void {
+  /**
+   * Takes what an entry says it holds: adopts what is not known here, drops what it no longer names.
+   * @returns decode engines that have made tokens since the last report.
+   */
+  adopt(entry: string, reported: ReportedHold[], now: Millis): InstanceId[] {
     const named = new Set(reported.map((one) => one.ask.request))
     this.removeWhere(
       ({ ask, placedAt }) =>
         ask.entry === entry && !named.has(ask.request) && now - placedAt > UNNAMED_HOLD_MS,
     )
-    for (const one of reported) this.take(one, now)
+    return reported.filter((one) => this.take(one, now)).map(({ decode }) => decode)
   }
 
   /** Drops what an entry held that is gone. */
@@ -136,16 +139,19 @@
     if (hold.decodingAt !== undefined) pace.learnDecoding(hold.decode, madeTokens, now - hold.decodingAt)
   }
 
-  private take(reported: ReportedHold, now: Millis): void {
+  /** Takes what is said of one request; says whether tokens have been made since the last time. */
+  private take(reported: ReportedHold, now: Millis): boolean {
     const { ask, prefill, decode, ageMs, decodingForMs, madeTokens } = reported
     const decodingAt = decodingForMs === undefined ? undefined : now - decodingForMs
     if (!this.holds.has(ask.request))
       this.add({ ask, prefill, decode, placedAt: now - ageMs, decodingAt, isAdopted: true })
-    if (madeTokens === undefined || decodingForMs === undefined) return
+    if (madeTokens === undefined || decodingForMs === undefined) return false
     const hold = this.holds.get(ask.request)!
+    const hasMade = madeTokens > (hold.made?.tokens ?? 0)
     hold.made = { tokens: madeTokens, at: now }
     this.outlooks.delete(hold.decode)
     this.options.pace.learnDecoding(hold.decode, madeTokens, decodingForMs)
+    return hasMade
   }
 
   private holdsAt(decode: InstanceId): ReadonlySet<Hold> {
--- a/placement/allocator/src/instanceHealth.ts
+++ b/placement/allocator/src/instanceHealth.ts
@@ -8,7 +8,7 @@
   /** Ejections since the last good use. */
   ejections: number
   ejectedUntil: Millis
-  /** When a use last ended well. */
+  /** When a use last ended well, or went on well. */
   goodAt: Millis
   /** Refused connections since the last good use. */
   unreachables: number
@@ -53,6 +53,13 @@
     return isBad ? this.noteBad(health, outcome, now) : 0
   }
 
+  /** Notes that answers go on there: their ends are seconds apart, and one that makes them is not silent. */
+  noteProgress(id: InstanceId, now: Millis): void {
+    const health = this.known.get(id) ?? newHealth()
+    this.known.set(id, health)
+    health.goodAt = now
+  }
+
   /** Whether an instance should get work. */
   isSound(id: InstanceId, now: Millis): boolean {
     const health = this.known.get(id)
--- a/placement/allocator/test/allocator.test.ts
+++ b/placement/allocator/test/allocator.test.ts
@@ -336,4 +336,24 @@
     allocator.adopt('e1', held, 3_000)
     expect(allocator.planStage('s', 3_010)).toMatchObject({ id: 'd2', stage: 'prefill' })
   })
+
+  it('does not call an engine silent whose answers go on, though none has ended meanwhile', () => {
+    const endpoints = [engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')]
+    const { allocator, place, decisions } = world(endpoints)
+    const running = (madeTokens: number) => [
+      { ask: ask('a', { promptTokens: 500 }), decode: 'd1', ageMs: 2_000, decodingForMs: 1_900, madeTokens },
+    ]
+    const fuller = [{ ask: ask('b', { entry: 'e2', promptTokens: 4_000 }), decode: 'd2', ageMs: 100 }]
+    allocator.adopt('e2', fuller, 900)
+    allocator.adopt('e1', running(100), 1_000)
+    allocator.adopt('e1', running(300), 2_000)
+    for (const now of [2_100, 2_200, 2_300]) allocator.noteUse('d1', 'silent', now, 900)
+    place(ask('next', { promptTokens: 500 }), 2_400)
+    expect(decisions.get('next')).toMatchObject({ decode: 'd1' })
+    // The same answers without a token since are no progress.
+    allocator.adopt('e1', running(300), 4_000)
+    for (const now of [4_100, 4_200]) allocator.noteUse('d1', 'silent', now, 900)
+    place(ask('after', { promptTokens: 500 }), 4_300)
+    expect(decisions.get('after')).toMatchObject({ decode: 'd2' })
+  })
 })
