--- a/placement/allocator/test/fixtures.ts
+++ b/placement/allocator/test/fixtures.ts
@@ -1,5 +1,5 @@
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import type { PlaceAsk } from '../src'
+import { Allocator, type PlaceAsk, type PlaceDecision } from '../src'
 
 /** An engine pool whose memory a few requests fill. */
 export const ENGINE = {
@@ -43,3 +43,16 @@
     ...fields,
   }
 }
+
+/** An allocator over some engines, and the decisions it has given. */
+export function world(endpoints: RegisteredEndpoint[]) {
+  const allocator = new Allocator({ endpoints: () => endpoints, engine: () => ENGINE })
+  const decisions = new Map<string, PlaceDecision>()
+  const place = (asked: PlaceAsk, now = 0) =>
+    allocator.ask(asked, now, (decision) => decisions.set(asked.request, decision))
+  return { allocator, decisions, place, decodeOf: (request: string) => decodeOf(decisions.get(request)) }
+}
+
+function decodeOf(decision: PlaceDecision | undefined): string | undefined {
+  return decision?.type === 'placed' ? decision.decode : decision?.type
+}
