--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -64,6 +64,18 @@
     need: { prefill: number; decode: number }
     have: { prefill: number; decode: number }
   }
+  /** An engine has turned slow beside its peers, or is well again. */
+  'engine.pace': {
+    endpoint: string
+    stage: string
+    outcome: 'slow' | 'well'
+    /** Milliseconds for a token made, or for each millisecond that reading should take. */
+    pace: number
+    peers: number
+    slowness: number
+    ageMs: number
+    term: number
+  }
   'place.alone': { request: string; reason: string }
   'place.decided': {
     request: string
@@ -95,6 +107,8 @@
     outcome: string
     tookMs: number
     firstEventMs?: number
+    /** The longest time between two events of a stream. */
+    longestPauseMs?: number
     sends: unknown[]
   }
   'peer.connected': { peer: string; box: string }
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -8,7 +8,8 @@
 import { HoldBook } from './holdBook'
 import { InstanceHealth } from './instanceHealth'
 import { LengthForecast } from './lengthForecast'
-import { planStages, type StageChange, type StagedEngine } from './planStages'
+import { planStages, type StageChange, type StageNeed, type StagedEngine } from './planStages'
+import { SupplyMeter } from './supplyMeter'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
 
 /** What engines and callers have shown so far; it outlives a term, in which places are counted anew. */
@@ -71,6 +72,7 @@
   private readonly changing = new Map<InstanceId, { to: Stage; until: Millis }>()
   /** Engines that may still carry out an order, or refused one: they work on, but get no other order. */
   private readonly ordered = new Map<InstanceId, { to: Stage; until: Millis }>()
+  private readonly supply = new SupplyMeter()
   private readonly learned: Learned
   private readonly choice: EngineChoice
 
@@ -121,8 +123,8 @@
     this.book.noteDecoding(hold, isRead ? now : now + this.choice.ownReadingMs(hold.ask))
     if (hold.prefill === undefined) return
     if (!isOwnQueue(hold, outcome)) this.noteUse(hold.prefill, outcome, now, tookMs)
-    if (isRead && tookMs > 0 && hold.isReadAlone === true)
-      this.learned.pace.learnReading(hold.ask.promptTokens, tookMs)
+    const isGivenUp = outcome === 'silent'
+    if (isRead || isGivenUp) this.book.noteRead(hold, tookMs, isGivenUp, now)
     this.placeWaiting(now)
   }
 
@@ -163,6 +165,8 @@
     const known = new Set(this.options.endpoints().map((endpoint) => endpoint.id))
     this.health.keepOnly(known)
     this.learned.pace.keepOnly(known)
+    this.book.keepOnly(known)
+    this.supply.keepOnly(known)
     this.choice.refresh()
     this.placeWaiting(now)
     const hopeless = this.room.takeHopeless(now)
@@ -171,12 +175,20 @@
     for (const { ask, resolve } of overdue) resolve(this.refusedForRoom('no room in time', ask))
   }
 
-  /** The engine of a service that should change its part now, where one should. */
-  planStage(service: string, now: Millis): StageChange | undefined {
+  /** What a service's callers keep busy, in engines that are well; undefined where that is not known yet. */
+  needOf(service: string, now: Millis): StageNeed | undefined {
     const engine = this.options.engine(service)
     const meter = this.demand.get(service)
     const { pace } = this.learned
     if (engine === undefined || meter?.isSure(now) !== true || !pace.isKnown) return undefined
+    return meter.need(engine.kvTokens, pace, now)
+  }
+
+  /** The engine of a service that should change its part now, where one should. */
+  planStage(service: string, now: Millis): StageChange | undefined {
+    const engine = this.options.engine(service)
+    const need = this.needOf(service, now)
+    if (engine === undefined || need === undefined) return undefined
     const staged = (['prefill', 'decode'] as const)
       .flatMap((stage) => this.choice.registered(service, stage))
       // An engine that is out for a moment will be back before another has changed its part.
@@ -184,7 +196,7 @@
       // A prefill engine that refuses whatever comes is carrying out an order that nobody here knows of.
       .filter((one) => one.stage !== 'prefill' || !this.health.isBusy(one.id))
       .map((one) => this.toStaged(one, now))
-    return planStages(staged, meter.need(engine.kvTokens, pace, now))
+    return planStages(staged, need)
   }
 
   /** Gives an engine no work while it changes its part. */
@@ -203,11 +215,13 @@
       .map((orders) => orders.get(endpoint.id))
       .find((one) => one !== undefined && one.until > now)
     const stage = order?.to ?? endpoint.stage!
+    const { slowness } = this.learned.pace.view(endpoint.id, endpoint.stage!, now)
     return {
       id: endpoint.id,
       stage,
       freeInMs: this.book.freeInMs(endpoint.id, now),
       isChanging: order !== undefined,
+      supply: this.supply.note(endpoint.id, slowness, now),
     }
   }
 
@@ -286,7 +300,13 @@
     const isReadAlone = prefill !== undefined && queuedMs === 0
     this.book.add({ ask, prefill: prefill?.id, decode: decode.id, placedAt: now, isReadAlone, decodingAt })
     if (prefill === undefined) return { type: 'placed', decode: decode.id }
-    return { type: 'placed', prefill: prefill.id, decode: decode.id, readsInMs: Math.round(readsInMs) }
+    return {
+      type: 'placed',
+      prefill: prefill.id,
+      decode: decode.id,
+      readsInMs: Math.round(readsInMs),
+      readElsewhereInMs: pick.readElsewhereInMs,
+    }
   }
 }
 
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -9,6 +9,7 @@
 import type { PlaceAsk, PlaceDecision, ReportedHold, UseOutcome } from './allocatorTypes'
 import { EnginePace } from './enginePace'
 import { LengthForecast } from './lengthForecast'
+import type { PaceView } from './peerPace'
 import type { StageChange } from './planStages'
 
 /** The methods that entries call at the machine that places. */
@@ -53,7 +54,10 @@
 /** Places for all entries while this machine leads; starts anew with what they report when it becomes leader. */
 export class AllocatorService {
   private allocator: Allocator
-  private readonly learned: Learned = { pace: new EnginePace(), forecast: new LengthForecast() }
+  private readonly learned: Learned = {
+    pace: new EnginePace((id, stage, isSlow, view) => this.logPace(id, stage, isSlow, view)),
+    forecast: new LengthForecast(),
+  }
   private term = -1
   private since: Millis = 0
   private readonly heard = new Map<string, Millis>()
@@ -215,6 +219,19 @@
     })
   }
 
+  private logPace(endpoint: InstanceId, stage: Stage, isSlow: boolean, view: PaceView): void {
+    this.options.logger.info('engine.pace', {
+      endpoint,
+      stage,
+      outcome: isSlow ? 'slow' : 'well',
+      pace: toHundredths(view.ms),
+      peers: toHundredths(view.peersMs),
+      slowness: toHundredths(view.slowness),
+      ageMs: Math.round(view.ageMs),
+      term: this.term,
+    })
+  }
+
   private log(ask: PlaceAsk, decision: PlaceDecision, waitedMs: Millis): void {
     const { allocator } = this
     this.options.logger.info('place.decided', {
@@ -238,3 +255,7 @@
     })
   }
 }
+
+function toHundredths(value: number): number {
+  return Math.round(value * 100) / 100
+}
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -24,6 +24,8 @@
   holdMs: Millis
   /** Time left until its caller gives up. */
   leftMs: Millis
+  /** The longest pause between events that still counts as in time; absent where none is set. */
+  pauseMs?: Millis
   except: InstanceId[]
   isPrefilled: boolean
 }
@@ -36,6 +38,11 @@
   decode: InstanceId
   /** How long the prefill step is expected to take, what waits before it included, in milliseconds. */
   readsInMs?: Millis
+  /**
+   * After how long the prefill step should be given up, so that another engine can still read the prompt in time;
+   * absent where that is not possible anyway.
+   */
+  readElsewhereInMs?: Millis
 }
 
 /** Why a request gets no place, and when to come back. */
@@ -58,8 +65,8 @@
   isReadAlone?: boolean
   /** When decoding began, or will begin where the decode engine reads; absent while a prefill engine reads. */
   decodingAt?: Millis
-  /** Tokens made so far, as the entry said last. */
-  made?: { tokens: number; at: Millis }
+  /** Tokens made so far, as the entry said last: when that was heard, and how long decoding had gone on by its clock. */
+  made?: { tokens: number; at: Millis; forMs: Millis }
   /** Whether another one placed it, with another view of what waits at engines. */
   isAdopted?: boolean
 }
--- a/placement/allocator/src/demandMeter.ts
+++ b/placement/allocator/src/demandMeter.ts
@@ -30,11 +30,11 @@
     return this.promptTokens.seenFor(now) >= SURE_AFTER_MS
   }
 
-  /** How many engines each half would keep busy, for engines with this much memory and this pace. */
+  /** How many engines that are well each half would keep busy: slow ones are less supply, not more demand. */
   need(kvTokens: number, pace: EnginePace, now: Millis): StageNeed {
     return {
       prefill: pace.readingMs(this.promptTokens.perMs(now)),
-      decode: (this.heldTokens.perMs(now) * pace.meanDecodingMs()) / (kvTokens * USABLE_MEMORY),
+      decode: (this.heldTokens.perMs(now) * pace.typicalDecodingMs(now)) / (kvTokens * USABLE_MEMORY),
     }
   }
 }
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -5,6 +5,7 @@
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
 import type { InstanceHealth } from './instanceHealth'
+import { SLOW_FROM } from './peerPace'
 
 /** Where a request would go, and when its prompt would have been read. */
 export interface EnginePick {
@@ -15,6 +16,8 @@
   readsInMs: Millis
   /** How long it waits behind other prompts of that. */
   queuedMs: Millis
+  /** How long the prefill engine may take at most so that another can still read it in time. */
+  readElsewhereInMs?: Millis
 }
 
 /** A request that looks for a place, and what it may still wait for. */
@@ -38,6 +41,8 @@
   roomiest?: { endpoint: InstanceId; peak: number; running: number }
   /** The prefill engine with the shortest queue. */
   soonest?: { endpoint: InstanceId; queuedMs: Millis }
+  /** Engines that are slower than their peers: how many times, and how old that evidence is. */
+  slow: { endpoint: InstanceId; stage: Stage; slowness: number; ageMs: Millis }[]
 }
 
 /** Options of {@link EngineChoice}. */
@@ -60,6 +65,26 @@
 /** A prefill engine of another zone must be sooner by this share of the reading, since moves cost more: 30 of 95 ms. */
 const OTHER_ZONE_SHARE = 0.3
 
+/** A prompt that takes this many times what it should, and is not read yet, says that its engine is slow now. */
+const OVERDUE_FROM = 2
+/** Reading is late from so many times the time it should take: it varies with what else the way carries. */
+const LATE_FROM = 1.5
+/** An answer's pauses vary around their mean: the mean must leave this share of the longest that is in time. */
+const PAUSE_SHARE = 0.6
+/** A single pause that is foreseen must leave this share of the longest that is in time. */
+const LONGEST_PAUSE_SHARE = 0.9
+/** The share of the time left within which an answer must be forecast to end. */
+const END_SHARE = 0.8
+/** Engines that differ less than this do the same: how many answers run there makes so much. */
+const SAME_PACE = 1.3
+/** More than any peak: an engine whose answers come late is taken only where no other has room. */
+const POOR_COST = 1e12
+/** At most so many slow engines are named in a line. */
+const MOST_NAMED = 6
+
+/** What an engine's pace means for a request there. */
+type Fitness = 'good' | 'poor' | 'slow'
+
 /** Engines that take part and do not change, by part and service, as read at one time for all waiting requests. */
 interface Works {
   at: Millis
@@ -93,7 +118,12 @@
     if (first === undefined) return undefined
     if (quest.ask.isPrefilled) return { decode: first, readsInMs: 0, queuedMs: 0 }
     const readers = this.engines(quest.ask, 'prefill', now)
-    return this.readApart(quest, first, readers, now) ?? this.readAtDecode(quest, fitting, readers, now)
+    const apart = this.readApart(quest, first, readers, now)
+    if (apart !== undefined && !this.isSlowReader(apart.prefill!.id, now)) return apart
+    // A slow reader is used where no decode engine is sooner.
+    const own = this.readAtDecode(quest, fitting, readers, now)
+    if (apart === undefined || own === undefined) return apart ?? own
+    return own.readsInMs < apart.readsInMs ? own : apart
   }
 
   /** What is believed of the engines that a request could use. */
@@ -106,15 +136,40 @@
       peak: Math.round(book.peakWith(ask, id, Infinity, now)),
       running: book.countAt(id),
     }))
-    const queues = readers.map(({ id }) => ({ endpoint: id, queuedMs: Math.round(book.prefillWait(id)) }))
+    const queues = readers.map(({ id }) => ({
+      endpoint: id,
+      queuedMs: Math.round(book.prefillWait(id, now)),
+    }))
     return {
       decoders: decoders.length,
       readers: readers.length,
       roomiest: peaks.sort((left, right) => left.peak - right.peak)[0],
       soonest: queues.sort((left, right) => left.queuedMs - right.queuedMs)[0],
+      slow: [...this.slowOf(decoders, 'decode', now), ...this.slowOf(readers, 'prefill', now)].slice(
+        0,
+        MOST_NAMED,
+      ),
     }
   }
 
+  /** Whether a prefill engine takes far longer than reading should take, by what it has read or is late with now. */
+  isSlowReader(id: InstanceId, now: Millis): boolean {
+    const { book, pace } = this.options
+    return pace.view(id, 'prefill', now).ms >= SLOW_FROM || book.overdue(id, now) >= OVERDUE_FROM
+  }
+
+  private slowOf(engines: RegisteredEndpoint[], stage: Stage, now: Millis): EngineOutlook['slow'] {
+    const views = engines.map(({ id }) => ({ id, view: this.options.pace.view(id, stage, now) }))
+    return views
+      .filter(({ view }) => view.slowness >= SLOW_FROM)
+      .map(({ id, view }) => ({
+        endpoint: id,
+        stage,
+        slowness: Math.round(view.slowness * 10) / 10,
+        ageMs: Math.round(view.ageMs),
+      }))
+  }
+
   /** Notes that a decode engine begins to read a prompt itself. */
   noteReadsItself(id: InstanceId, now: Millis): void {
     this.readsItself.set(id, now)
@@ -143,24 +198,57 @@
     return working
   }
 
-  /** Decode engines into whose memory to come the request fits, the least filled first. */
+  /** Decode engines into whose memory to come the request fits, the least filled for their pace first. */
   private fitting(quest: EngineQuest, now: Millis): RegisteredEndpoint[] {
     const { book, health } = this.options
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
-    const fits = this.engines(ask, 'decode', now)
-      .filter((endpoint) => !health.isFull(endpoint.id, now))
+    const engines = this.engines(ask, 'decode', now)
+    const isSlow = (id: InstanceId) => this.fitnessOf(quest, id, now) === 'slow'
+    // One that can be in time rather waits for an engine that is well, and is late for certain at a slow one.
+    const waitsForOthers = quest.isInTime && !ask.isPrefilled && engines.some(({ id }) => !isSlow(id))
+    const fits = engines
+      .filter(({ id }) => !health.isFull(id, now) && !(waitsForOthers && isSlow(id)))
       .map((endpoint) => ({ endpoint, count: book.countAt(endpoint.id) }))
-      .filter(({ count }) => count < engine.slots)
-      .map(({ endpoint, count }) => ({
+      .filter(({ endpoint, count }) => count < this.mostAt(endpoint.id, engine, now))
+      .map(({ endpoint: { id }, endpoint, count }) => ({
         endpoint,
-        peak: count === 0 ? 0 : book.peakWith(ask, endpoint.id, limit, now),
+        peak: count === 0 ? 0 : book.peakWith(ask, id, limit, now),
+        isGood: this.fitnessOf(quest, id, now) === 'good',
       }))
       .filter(({ peak }) => peak <= limit)
-    fits.sort((left, right) => left.peak - right.peak)
+    const costOf = ({ endpoint, peak, isGood }: (typeof fits)[number]) =>
+      (isGood ? 0 : POOR_COST) + peak * this.slownessOf(endpoint.id, now)
+    fits.sort((left, right) => costOf(left) - costOf(right))
     return fits.map(({ endpoint }) => endpoint)
   }
 
+  /** How many answers may run at a decode engine: one that was slow shows with a single one whether it is well. */
+  private mostAt(decode: InstanceId, engine: EnginePool, now: Millis): number {
+    return this.options.pace.isUnproven(decode, 'decode', now) ? 1 : engine.slots
+  }
+
+  private slownessOf(decode: InstanceId, now: Millis): number {
+    const { slowness } = this.options.pace.view(decode, 'decode', now)
+    return slowness < SAME_PACE ? 1 : slowness
+  }
+
+  /**
+   * Whether an answer at a decode engine's pace has its events in time and ends in time; `slow` where it has not and
+   * the engine is slower than its peers, so that another does better.
+   */
+  private fitnessOf({ ask, engine, leftMs }: EngineQuest, decode: InstanceId, now: Millis): Fitness {
+    const { pace, book } = this.options
+    const { ms, slowness } = pace.view(decode, 'decode', now)
+    const pauseMs = ms * engine.tokensPerEvent
+    const isPaused = ask.pauseMs !== undefined && pauseMs > ask.pauseMs * PAUSE_SHARE
+    const endsInMs = book.lengthOf(ask) * ms
+    const leftUntilEnd = ask.leftMs - (ask.targetMs - leftMs)
+    const endsLate = endsInMs > leftUntilEnd * END_SHARE
+    if (!isPaused && !endsLate) return 'good'
+    return slowness >= SLOW_FROM ? 'slow' : 'poor'
+  }
+
   /** The prefill engine that comes to the prompt first, where that is soon enough. */
   private readApart(
     quest: EngineQuest,
@@ -169,17 +257,39 @@
     now: Millis,
   ): EnginePick | undefined {
     const { book, health, pace } = this.options
-    const readingMs = pace.readingMs(quest.ask.promptTokens)
+    const { promptTokens } = quest.ask
     const waits = readers
       .filter((endpoint) => !health.isFull(endpoint.id, now))
-      .map((prefill) => ({ prefill, queuedMs: book.prefillWait(prefill.id) }))
-    const costOf = ({ prefill, queuedMs }: (typeof waits)[number]) =>
-      queuedMs + (prefill.zone === decode.zone ? 0 : readingMs * OTHER_ZONE_SHARE)
+      .map((prefill) => ({
+        prefill,
+        queuedMs: book.prefillWait(prefill.id, now),
+        readingMs: pace.readingMsAt(prefill.id, promptTokens, now),
+      }))
+      .filter(({ prefill, queuedMs }) => queuedMs === 0 || !this.mayNotQueue(prefill.id, now))
+    const costOf = ({ prefill, queuedMs, readingMs }: (typeof waits)[number]) =>
+      queuedMs +
+      readingMs +
+      (prefill.zone === decode.zone ? 0 : pace.readingMs(promptTokens) * OTHER_ZONE_SHARE)
     waits.sort((left, right) => costOf(left) - costOf(right))
     const soonest = waits[0]
     if (soonest === undefined) return undefined
-    const readsInMs = soonest.queuedMs + readingMs + pace.readingLatencyMs()
-    return readsInMs <= this.readingLimit(quest) ? { decode, ...soonest, readsInMs } : undefined
+    const { prefill, queuedMs, readingMs } = soonest
+    const readsInMs = queuedMs + readingMs + pace.readingLatencyMs()
+    if (readsInMs > this.readingLimit(quest)) return undefined
+    return { decode, prefill, queuedMs, readsInMs, readElsewhereInMs: this.readElsewhereIn(quest, readsInMs) }
+  }
+
+  /** Until when another engine could still read it in time; absent where this one, being well, may need longer. */
+  private readElsewhereIn({ ask, leftMs }: EngineQuest, readsInMs: Millis): Millis | undefined {
+    const { pace } = this.options
+    const untilMs = Math.floor(leftMs - START_MS - pace.readingMs(ask.promptTokens) - pace.readingLatencyMs())
+    return untilMs >= readsInMs * LATE_FROM ? untilMs : undefined
+  }
+
+  /** Nothing waits behind a prompt that shows whether an engine is well, or that is late at one. */
+  private mayNotQueue(prefill: InstanceId, now: Millis): boolean {
+    const { book, pace } = this.options
+    return pace.isUnproven(prefill, 'prefill', now) || book.overdue(prefill, now) >= OVERDUE_FROM
   }
 
   /** The decode engine that reads the prompt itself, where it comes to it soon enough. */
@@ -191,7 +301,7 @@
   ): EnginePick | undefined {
     const { book, health } = this.options
     // Engines that have just refused are back in a moment, unless they do nothing else.
-    const isAlone = readers.every((endpoint) => health.isBusy(endpoint.id))
+    const isAlone = readers.every(({ id }) => health.isBusy(id) || this.isSlowReader(id, now))
     if (!isAlone && (!quest.isInTime || readers.every((endpoint) => health.isFull(endpoint.id, now))))
       return undefined
     const ownMs = this.ownReadingMs(quest.ask)
@@ -199,11 +309,24 @@
       .filter((endpoint) => isAlone || this.mayReadItself(endpoint.id, ownMs, now))
       .map((decode) => ({ decode, queuedMs: book.ownReadingWait(decode.id, now) }))
       .filter(({ queuedMs }) => queuedMs + ownMs <= this.readingLimit(quest))
+      .filter(({ decode, queuedMs }) => !this.holdsUpAnswers(quest, decode.id, queuedMs + ownMs, now))
     picks.sort((left, right) => left.queuedMs - right.queuedMs)
     const soonest = picks[0]
     return soonest === undefined ? undefined : { ...soonest, readsInMs: soonest.queuedMs + ownMs }
   }
 
+  /**
+   * Whether the answers that run at a decode engine would pause too long while it reads for so long: it makes one
+   * token of each for a piece of the prompt, and an event takes several.
+   */
+  private holdsUpAnswers(quest: EngineQuest, decode: InstanceId, readsForMs: Millis, now: Millis): boolean {
+    const { book, pace } = this.options
+    const { ask, engine } = quest
+    if (ask.pauseMs === undefined || book.countAt(decode) === 0) return false
+    const eventMs = pace.decodingMs(decode, now) * engine.tokensPerEvent
+    return readsForMs + eventMs > ask.pauseMs * LONGEST_PAUSE_SHARE
+  }
+
   /** By when the prompt must have been read. */
   private readingLimit({ ask, isInTime, leftMs }: EngineQuest): Millis {
     const { pace } = this.options
--- a/placement/allocator/src/enginePace.ts
+++ b/placement/allocator/src/enginePace.ts
@@ -1,84 +1,108 @@
-import type { InstanceId } from '@forkstage/directory'
+import type { InstanceId, Stage } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
+import { PeerPace, SLOW_FROM, type PaceView } from './peerPace'
+import { ReadingLine } from './readingLine'
 
 /** Believed until the first answer or report has told better; a step of a model takes some milliseconds. */
 const FIRST_MS_PER_TOKEN = 3
-/** Believed until prompts of different lengths have been read alone; large and small models read 33 to 55. */
-const FIRST_READING_MS_PER_TOKEN = 1 / 40
-/** What one more answer counts against those before it: the last ten or so decide. */
-const WEIGHT = 0.1
-/** Prompts read earlier count less: about the last fifty decide. */
-const KEEP = 0.98
-/** The belief of the beginning counts as so many prompts of a length that differs by so much from the mean. */
-const PRIOR_PROMPTS = 3
-const PRIOR_SPREAD_TOKENS = 1_000
-/** Engines are believed to be so much faster than the belief of the beginning at most. */
-const MOST_UNLIKE = 10
+/** A prompt ends each few hundred milliseconds at a reader that has work: a few of them decide. */
+const READING_MEMORY_MS = 1_000
+/** Entries report each answer's progress each 400 ms: an engine turns slow within a moment, and well again. */
+const DECODING_MEMORY_MS = 500
+
+/** Tells when an engine has turned slow at its part, or is well again. */
+export type OnEnginePaceChange = (id: InstanceId, stage: Stage, isSlow: boolean, view: PaceView) => void
+
+/** A prompt that was read, or was given up. */
+export interface ReadPrompt {
+  promptTokens: number
+  /** From when the engine was free for it, or from its sending where it waited for no other. */
+  tookMs: Millis
+  /** Whether it waited for no other, so that the time holds the way there and back. */
+  isAlone: boolean
+  /** Whether it was not read in that time: the engine takes longer still. */
+  isGivenUp: boolean
+}
 
 /** How fast engines read and make tokens, learned from what they do. Outlives a term, unlike places. */
 export class EnginePace {
-  private readonly msPerToken = new Map<InstanceId, Millis>()
-  private readonly read = { n: 0, x: 0, y: 0, xx: 0, xy: 0 }
+  private readonly line = new ReadingLine()
+  /** Time for each millisecond that the line foretells. */
+  private readonly readers: PeerPace
+  /** Time for each token of one answer. */
+  private readonly decoders: PeerPace
+
+  constructor(onChange: OnEnginePaceChange = () => undefined) {
+    this.readers = new PeerPace(1, READING_MEMORY_MS, (id, isSlow, view) =>
+      onChange(id, 'prefill', isSlow, view),
+    )
+    this.decoders = new PeerPace(FIRST_MS_PER_TOKEN, DECODING_MEMORY_MS, (id, isSlow, view) =>
+      onChange(id, 'decode', isSlow, view),
+    )
+  }
 
   /** Whether engines have shown how fast they make tokens; what is believed before may be far off. */
   get isKnown(): boolean {
-    return this.msPerToken.size > 0
+    return this.decoders.isKnown
   }
 
-  /** How long a prefill engine is busy with a prompt, in milliseconds: the next one begins then. */
+  /** How long a prefill engine that is well is busy with a prompt, in milliseconds: the next one begins then. */
   readingMs(promptTokens: number): Millis {
-    return promptTokens * this.readingMsPerToken()
+    return this.line.busyMs(promptTokens)
+  }
+
+  /** The same of one engine, by its own pace. */
+  readingMsAt(engine: InstanceId, promptTokens: number, now: Millis): Millis {
+    return this.line.busyMs(promptTokens) * this.readers.view(engine, now).ms
   }
 
   /** How much longer it takes until the entry hears of it, whatever the length: the engine reads on meanwhile. */
   readingLatencyMs(): Millis {
-    const { n, x, y } = this.read
-    return n === 0 ? 0 : Math.max(0, y / n - (this.readingMsPerToken() * x) / n)
+    return this.line.latencyMs()
+  }
+
+  /** How long an engine takes for one token of an answer; of one that has shown nothing yet, as its peers. */
+  decodingMs(engine: InstanceId, now: Millis): Millis {
+    return this.decoders.view(engine, now).ms
   }
 
-  /** How long an engine takes for one token of an answer; of one that has shown nothing yet, the mean of the others. */
-  decodingMs(engine: InstanceId): Millis {
-    return this.msPerToken.get(engine) ?? this.meanDecodingMs()
+  /** The same of engines that are well. */
+  typicalDecodingMs(now: Millis): Millis {
+    return this.decoders.typicalMs(now)
   }
 
-  meanDecodingMs(): Millis {
-    const known = [...this.msPerToken.values()]
-    if (known.length === 0) return FIRST_MS_PER_TOKEN
-    return known.reduce((sum, rate) => sum + rate, 0) / known.length
+  /** An engine's pace at one part beside its peers'. */
+  view(engine: InstanceId, stage: Stage, now: Millis): PaceView {
+    return this.at(stage).view(engine, now)
   }
 
-  /** Learns from a prompt that was read without waiting for another. */
-  learnReading(promptTokens: number, tookMs: Millis): void {
-    const { read } = this
-    for (const key of Object.keys(read) as (keyof typeof read)[]) read[key] *= KEEP
-    read.n += 1
-    read.x += promptTokens
-    read.y += tookMs
-    read.xx += promptTokens ** 2
-    read.xy += promptTokens * tookMs
+  /** Whether an engine was slow when last seen at a part, so long ago that it may be well again. */
+  isUnproven(engine: InstanceId, stage: Stage, now: Millis): boolean {
+    return this.at(stage).isUnproven(engine, now)
   }
 
-  /** Learns from tokens that an engine made in a time. */
-  learnDecoding(engine: InstanceId, tokens: number, tookMs: Millis): void {
-    if (tokens <= 0 || tookMs <= 0) return
-    const rate = tookMs / tokens
-    const old = this.msPerToken.get(engine) ?? rate
-    this.msPerToken.set(engine, old + (rate - old) * WEIGHT)
+  /** Learns from a prompt that an engine has read, or has not read in the time it was given. */
+  learnReading(engine: InstanceId, read: ReadPrompt, now: Millis): void {
+    const { promptTokens, tookMs, isAlone, isGivenUp } = read
+    const expectedMs = this.line.busyMs(promptTokens) + (isAlone ? this.line.latencyMs() : 0)
+    this.readers.learn(engine, expectedMs, tookMs, now)
+    if (!isAlone || isGivenUp) return
+    // The line says what engines do that are well; when all are slow alike it follows.
+    if (this.readers.view(engine, now).slowness < SLOW_FROM) this.line.learn(promptTokens, tookMs)
   }
 
-  /** The slope of the line through what was read, drawn to the belief of the beginning while little was seen. */
-  private readingMsPerToken(): Millis {
-    const { n, x, y, xx, xy } = this.read
-    const prior = PRIOR_PROMPTS * PRIOR_SPREAD_TOKENS ** 2
-    if (n === 0) return FIRST_READING_MS_PER_TOKEN
-    const spread = Math.max(0, xx - x ** 2 / n)
-    const slope = (xy - (x * y) / n + prior * FIRST_READING_MS_PER_TOKEN) / (spread + prior)
-    // No line may fall, nor say that reading takes longer than it was seen to take.
-    return Math.min(Math.max(slope, FIRST_READING_MS_PER_TOKEN / MOST_UNLIKE), y / x)
+  /** Learns from tokens of one answer that an engine made in a time, or from their lack. */
+  learnDecoding(engine: InstanceId, tokens: number, tookMs: Millis, now: Millis): void {
+    this.decoders.learn(engine, tokens, tookMs, now)
   }
 
   /** Forgets engines that are not registered any more. */
   keepOnly(ids: ReadonlySet<InstanceId>): void {
-    for (const id of this.msPerToken.keys()) if (!ids.has(id)) this.msPerToken.delete(id)
+    this.readers.keepOnly(ids)
+    this.decoders.keepOnly(ids)
+  }
+
+  private at(stage: Stage): PeerPace {
+    return stage === 'prefill' ? this.readers : this.decoders
   }
 }
--- a/placement/allocator/src/fadingSum.ts
+++ b/placement/allocator/src/fadingSum.ts
@@ -15,6 +15,12 @@
     this.sum += amount
   }
 
+  /** What is left of all amounts. */
+  total(now: Millis): number {
+    this.fade(now)
+    return this.sum
+  }
+
   /** How long amounts have been added, in milliseconds. */
   seenFor(now: Millis): Millis {
     return this.startedAt === undefined ? 0 : now - this.startedAt
@@ -28,6 +34,7 @@
   }
 
   private fade(now: Millis): void {
+    if (now <= this.updatedAt) return
     this.sum *= Math.exp(-(now - this.updatedAt) / this.memoryMs)
     this.updatedAt = now
   }
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -7,6 +7,12 @@
 
 /** A hold that its entry does not name is dropped once it is this old: before that its place may be on its way. */
 const UNNAMED_HOLD_MS = 1_000
+/** What an answer made before it was first heard of counts as so much time. */
+const BEGINNING_MS = 1_000
+/** Of a shorter time the way to the engine and the first event are too large a part. */
+const SHORTEST_BEGINNING_MS = 200
+/** An engine that reads a prompt itself still makes some tokens between its pieces; they count at least so much time. */
+const LEAST_DECODING_SHARE = 0.2
 const NO_HOLDS: ReadonlySet<Hold> = new Set()
 
 /** Options of {@link HoldBook}. */
@@ -34,6 +40,9 @@
   private readonly outlooks = new Map<InstanceId, Outlook>()
   private readonly asked = new WeakMap<PlaceAsk, { at: Millis; growing: Growing }>()
 
+  /** When each prefill engine last ended a prompt. */
+  private readonly readAt = new Map<InstanceId, Millis>()
+
   constructor(private readonly options: HoldBookOptions) {}
 
   get size(): number {
@@ -85,16 +94,21 @@
     this.removeWhere(({ ask }) => ask.entry === entry)
   }
 
+  /** Forgets engines that are not registered any more. */
+  keepOnly(ids: ReadonlySet<InstanceId>): void {
+    for (const id of this.readAt.keys()) if (!ids.has(id)) this.readAt.delete(id)
+  }
+
   countAt(decode: InstanceId): number {
     return this.holdsAt(decode).size
   }
 
   /** How long an engine is forecast to be busy with what it has, in milliseconds. */
   freeInMs(id: InstanceId, now: Millis): Millis {
-    const perToken = this.options.pace.decodingMs(id)
+    const perToken = this.options.pace.decodingMs(id, now)
     const { growing } = this.outlookOf(id, now)
     const decodingMs = growing.reduce((longest, { toCome }) => Math.max(longest, toCome * perToken), 0)
-    return Math.max(decodingMs, this.prefillWait(id))
+    return Math.max(decodingMs, this.prefillWait(id, now))
   }
 
   /**
@@ -109,13 +123,46 @@
   }
 
   /** How long a prompt waits at a prefill engine until it is its turn, in milliseconds. */
-  prefillWait(prefill: InstanceId): Millis {
+  prefillWait(prefill: InstanceId, now: Millis): Millis {
+    const { pace } = this.options
     let sum = 0
-    for (const hold of this.byPrefill.get(prefill) ?? NO_HOLDS)
-      if (hold.decodingAt === undefined) sum += this.options.pace.readingMs(hold.ask.promptTokens)
+    for (const hold of this.readingAt(prefill)) sum += pace.readingMsAt(prefill, hold.ask.promptTokens, now)
     return sum
   }
 
+  /**
+   * How many times longer than it should the prompt that a prefill engine reads now has taken already; 0 where it
+   * reads none. What is under way and late is the earliest sign of an engine that has turned slow.
+   */
+  overdue(prefill: InstanceId, now: Millis): number {
+    const { pace } = this.options
+    const first = this.readingAt(prefill).sort((left, right) => left.placedAt - right.placedAt)[0]
+    // What another one placed may have waited behind what this one does not know.
+    if (first === undefined || first.isAdopted === true) return 0
+    const since = Math.max(first.placedAt, this.readAt.get(prefill) ?? -Infinity)
+    return (now - since) / (pace.readingMs(first.ask.promptTokens) + pace.readingLatencyMs())
+  }
+
+  /**
+   * Notes that a prompt's step at its prefill engine has ended, and learns the engine's pace from it.
+   * @param tookMs from the sending of the prompt.
+   * @param isGivenUp whether it was not read in that time.
+   */
+  noteRead(hold: Hold, tookMs: Millis, isGivenUp: boolean, now: Millis): void {
+    const { prefill, isAdopted, ask } = hold
+    if (prefill === undefined) return
+    const freeForMs = now - (this.readAt.get(prefill) ?? -Infinity)
+    this.readAt.set(prefill, now)
+    if (isAdopted === true) return
+    const isAlone = hold.isReadAlone === true
+    const read = { promptTokens: ask.promptTokens, isAlone, isGivenUp }
+    this.options.pace.learnReading(
+      prefill,
+      { ...read, tookMs: isAlone ? tookMs : Math.min(tookMs, freeForMs) },
+      now,
+    )
+  }
+
   /** How long a decode engine is still busy with prompts that it reads itself, in milliseconds. */
   ownReadingWait(decode: InstanceId, now: Millis): Millis {
     let until = now
@@ -124,6 +171,13 @@
     return until - now
   }
 
+  /** How many tokens an answer is forecast to have, as surely as forecasts must be. */
+  lengthOf(ask: PlaceAsk): number {
+    const { forecast, lengthCertainty } = this.options
+    const prior = forecast.expect(ask.className, ask.hintTokens, ask.mostTokens)
+    return lengthQuantile(prior, 0, ask.mostTokens, lengthCertainty)
+  }
+
   /** The memory that a request will hold, over the tokens that it makes meanwhile: tokens times tokens. */
   heldTokens(ask: PlaceAsk): number {
     const { forecast } = this.options
@@ -134,9 +188,9 @@
 
   /** Learns from a whole answer. */
   learnAnswer(hold: Hold, madeTokens: number, now: Millis): void {
-    const { forecast, pace } = this.options
-    forecast.learn(hold.ask.className, hold.ask.hintTokens, madeTokens)
-    if (hold.decodingAt !== undefined) pace.learnDecoding(hold.decode, madeTokens, now - hold.decodingAt)
+    this.options.forecast.learn(hold.ask.className, hold.ask.hintTokens, madeTokens)
+    if (hold.made !== undefined) return this.learnProgress(hold, madeTokens, now - hold.made.at, now)
+    if (hold.decodingAt !== undefined) this.learnProgress(hold, madeTokens, now - hold.decodingAt, now)
   }
 
   /** Takes what is said of one request; says whether tokens have been made since the last time. */
@@ -147,13 +201,49 @@
       this.add({ ask, prefill, decode, placedAt: now - ageMs, decodingAt, isAdopted: true })
     if (madeTokens === undefined || decodingForMs === undefined) return false
     const hold = this.holds.get(ask.request)!
-    const hasMade = madeTokens > (hold.made?.tokens ?? 0)
-    hold.made = { tokens: madeTokens, at: now }
+    const { made } = hold
+    const hasMade = madeTokens > (made?.tokens ?? 0)
+    // The entry's own clock says what passed between its reports, however late they come.
+    if (made !== undefined) this.learnProgress(hold, madeTokens, decodingForMs - made.forMs, now)
+    else this.learnBeginning(hold, madeTokens, decodingForMs, now)
+    hold.made = { tokens: madeTokens, at: now, forMs: decodingForMs }
     this.outlooks.delete(hold.decode)
-    this.options.pace.learnDecoding(hold.decode, madeTokens, decodingForMs)
     return hasMade
   }
 
+  /** Learns from what an answer has made since it was last heard of. */
+  private learnProgress(hold: Hold, madeTokens: number, passedMs: Millis, now: Millis): void {
+    const tokens = Math.max(0, madeTokens - (hold.made?.tokens ?? 0))
+    const decodedMs = passedMs - this.ownReadingWithin(hold.decode, now - passedMs, now)
+    this.options.pace.learnDecoding(
+      hold.decode,
+      tokens,
+      Math.max(decodedMs, passedMs * LEAST_DECODING_SHARE),
+      now,
+    )
+  }
+
+  /** Of an answer that was not heard of before, its whole course counts as much as one report. */
+  private learnBeginning(hold: Hold, madeTokens: number, decodingForMs: Millis, now: Millis): void {
+    if (decodingForMs < SHORTEST_BEGINNING_MS) return
+    const share = Math.min(1, BEGINNING_MS / decodingForMs)
+    this.options.pace.learnDecoding(hold.decode, madeTokens * share, decodingForMs * share, now)
+  }
+
+  /** How long a decode engine was busy reading prompts itself, in a span of time. */
+  private ownReadingWithin(decode: InstanceId, from: Millis, until: Millis): Millis {
+    let sum = 0
+    for (const { prefill, ask, decodingAt, placedAt } of this.holdsAt(decode)) {
+      if (prefill !== undefined || ask.isPrefilled || decodingAt === undefined) continue
+      sum += Math.max(0, Math.min(decodingAt, until) - Math.max(placedAt, from))
+    }
+    return Math.min(sum, until - from)
+  }
+
+  private readingAt(prefill: InstanceId): Hold[] {
+    return [...(this.byPrefill.get(prefill) ?? NO_HOLDS)].filter((hold) => hold.decodingAt === undefined)
+  }
+
   private holdsAt(decode: InstanceId): ReadonlySet<Hold> {
     return this.byDecode.get(decode) ?? NO_HOLDS
   }
@@ -186,7 +276,7 @@
 
   /** Tokens that an answer has made: as its entry said last, and since then by its engine's pace. */
   private madeBy(hold: Hold, now: Millis): number {
-    const rate = this.options.pace.decodingMs(hold.decode)
+    const rate = this.options.pace.decodingMs(hold.decode, now)
     if (hold.made !== undefined) return hold.made.tokens + (now - hold.made.at) / rate
     return hold.decodingAt === undefined ? 0 : Math.max(0, now - hold.decodingAt) / rate
   }
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -1,6 +1,8 @@
 /** Places model requests for all entries. */
 export { Allocator } from './allocator'
 export { EnginePace } from './enginePace'
+export type { OnEnginePaceChange, ReadPrompt } from './enginePace'
+export type { PaceView } from './peerPace'
 export type { AllocatorOptions, AllocatorTuning } from './allocator'
 export { AllocatorService, NotPlacingError, PLACE } from './allocatorService'
 export type { AllocatorServiceOptions } from './allocatorService'
--- /dev/null
+++ b/placement/allocator/src/peerPace.ts
@@ -0,0 +1,136 @@
+import type { InstanceId } from '@forkstage/directory'
+import type { Millis } from '@forkstage/types'
+import { WorkPace } from './workPace'
+
+/**
+ * From so many times the time of its peers on an engine is slow. Engines that are well differ by a third at most, by
+ * how many answers run there (0.58 to 0.77 ms a token were seen).
+ */
+export const SLOW_FROM = 1.8
+/** Below so many times the time of its peers a slow engine is well again. */
+const WELL_BELOW = 1.4
+/** So long after something was last seen of a slow engine it is tried again: each try may be an answer that is late. */
+const TRY_AFTER_MS = 3_000
+/** The time in which the peers' pace comes two thirds of the way to a slower one: longer than a passing peak of work. */
+const RISE_MS = 3_000
+
+/** One engine's pace beside that of its peers. */
+export interface PaceView {
+  /** Milliseconds for a unit of work. */
+  ms: Millis
+  /** The same of its peers: their lower median. */
+  peersMs: Millis
+  /** How many times slower than its peers it is. */
+  slowness: number
+  /** How long ago something was last seen of it; Infinity where nothing was. */
+  ageMs: Millis
+}
+
+interface Known {
+  pace: WorkPace
+  /** Whether it was slow when something was last seen of it. */
+  isSlow: boolean
+  /** Its pace when something was last seen of it. */
+  lastMs: Millis
+}
+
+/** Tells when an engine has turned slow, or is well again. */
+export type OnPaceChange = (id: InstanceId, isSlow: boolean, view: PaceView) => void
+
+/**
+ * The pace of engines that do the same work. An engine is slow in comparison with its peers only: when all are slow
+ * alike, the work has changed, or there is too much of it.
+ */
+export class PeerPace {
+  private readonly known = new Map<InstanceId, Known>()
+  /** The peers' pace when it was last known. */
+  private peersMs: Millis
+  private peersAt: Millis = -Infinity
+  private hasSeen = false
+
+  /**
+   * @param firstMs milliseconds for a unit of work, believed before anything was seen.
+   * @param memoryMs after this time what was seen counts for a third.
+   */
+  constructor(
+    firstMs: Millis,
+    private readonly memoryMs: Millis,
+    private readonly onChange: OnPaceChange = () => undefined,
+  ) {
+    this.peersMs = firstMs
+  }
+
+  /** Whether any engine has shown its pace. */
+  get isKnown(): boolean {
+    return this.hasSeen
+  }
+
+  /** Takes work that an engine did in a time, or the lack of it. */
+  learn(id: InstanceId, work: number, tookMs: Millis, now: Millis): void {
+    if (!(tookMs > 0) || !(work >= 0)) return
+    const one = this.known.get(id) ?? {
+      pace: new WorkPace(this.memoryMs),
+      isSlow: false,
+      lastMs: this.peersMs,
+    }
+    this.known.set(id, one)
+    // The first evidence takes the place of the belief before anything was seen.
+    if (!this.hasSeen && work > 0) this.begin(tookMs / work, now)
+    this.hasSeen ||= work > 0
+    one.pace.add(work, tookMs, now)
+    one.lastMs = one.pace.msPerUnit(this.peersMs, now)
+    this.judge(id, one, now)
+  }
+
+  /** One engine's pace, as far as it is known. */
+  view(id: InstanceId, now: Millis): PaceView {
+    const peersMs = this.typicalMs(now)
+    const one = this.known.get(id)
+    if (one === undefined) return { ms: peersMs, peersMs, slowness: 1, ageMs: Infinity }
+    const ageMs = now - one.pace.seenAt
+    const drawnMs = one.pace.msPerUnit(peersMs, now)
+    const ms = one.isSlow && ageMs < TRY_AFTER_MS ? Math.max(one.lastMs, drawnMs) : drawnMs
+    return { ms, peersMs, slowness: ms / peersMs, ageMs }
+  }
+
+  /** Whether an engine was slow when last seen, so long ago that it may be well again. */
+  isUnproven(id: InstanceId, now: Millis): boolean {
+    const one = this.known.get(id)
+    return one?.isSlow === true && now - one.pace.seenAt >= TRY_AFTER_MS
+  }
+
+  /**
+   * The pace of engines that are well: the lower median, so that of two the faster one counts. One that was not seen
+   * lately counts as it was believed. It rises by and by, since a single engine that is known, or the only one at
+   * work, may be the slow one.
+   */
+  typicalMs(now: Millis): Millis {
+    const rates = [...this.known.values()].map(({ pace }) => pace.msPerUnit(this.peersMs, now))
+    rates.sort((left, right) => left - right)
+    const median = rates[(rates.length - 1) >> 1] ?? this.peersMs
+    const passedMs = Math.max(0, now - this.peersAt)
+    const share = median < this.peersMs ? 1 : 1 - Math.exp(-passedMs / RISE_MS)
+    this.peersMs += (median - this.peersMs) * share
+    this.peersAt = Math.max(this.peersAt, now)
+    return this.peersMs
+  }
+
+  /** Forgets engines that are not registered any more. */
+  keepOnly(ids: ReadonlySet<InstanceId>): void {
+    for (const id of this.known.keys()) if (!ids.has(id)) this.known.delete(id)
+  }
+
+  private begin(peersMs: Millis, now: Millis): void {
+    this.peersMs = peersMs
+    this.peersAt = now
+  }
+
+  private judge(id: InstanceId, one: Known, now: Millis): void {
+    if (!one.pace.isSure(now)) return
+    const view = this.view(id, now)
+    const isSlow = view.slowness >= (one.isSlow ? WELL_BELOW : SLOW_FROM)
+    if (isSlow === one.isSlow) return
+    one.isSlow = isSlow
+    this.onChange(id, isSlow, view)
+  }
+}
--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -9,6 +9,8 @@
   freeInMs: Millis
   /** Whether it is on its way to `stage` and does not work yet. */
   isChanging: boolean
+  /** What it does of the work of an engine that is well, from 0 to 1. */
+  supply: number
 }
 
 /** What a service's engines have to carry, in engines: how many each half would keep busy. */
@@ -23,7 +25,7 @@
   stage: Stage
   /** What decided it. */
   need: StageNeed
-  /** Engines of each half before the change. */
+  /** What the engines of each half do before the change, in engines that are well. */
   have: StageNeed
 }
 
@@ -45,47 +47,69 @@
  */
 const OVERFULL = 1
 
-/** Engines of each half. */
+/** Engines of each half, and what they do together in engines that are well. */
 interface Halves {
-  prefill: number
-  decode: number
+  count: Record<Stage, number>
+  supply: StageNeed
 }
 
 /**
  * Decides whether an engine should change its part: when one half is full, and the other stays clearly emptier
- * without it. In a large pool one engine after the other moves until the halves are about equally full.
+ * without it. In a large pool one engine after the other moves until the halves are about equally full. A slow engine
+ * is less supply where it works, and costs the half that it leaves less.
  */
 export function planStages(engines: StagedEngine[], need: StageNeed): StageChange | undefined {
-  const prefill = engines.filter((engine) => engine.stage === 'prefill')
-  const decode = engines.filter((engine) => engine.stage === 'decode')
-  const have = { prefill: prefill.length, decode: decode.length }
+  const have = halvesOf(engines)
   const fill = fillOf(need, have)
   const stage = fill.prefill > fill.decode ? 'prefill' : 'decode'
-  if (fill[stage] < FULL || !isWorthwhile(need, have, stage)) return undefined
-  const working = (stage === 'prefill' ? decode : prefill).filter((engine) => !engine.isChanging)
+  if (fill[stage] < FULL) return undefined
+  const giver = stage === 'prefill' ? 'decode' : 'prefill'
+  const working = engines.filter((engine) => engine.stage === giver && !engine.isChanging)
   // What changes already counts where it goes; but a half is never left without an engine that works.
   if (working.length < 2) return undefined
-  const soonest = working.sort((left, right) => left.freeInMs - right.freeInMs)[0]!
-  return { id: soonest.id, stage, need, have }
+  const worthwhile = working
+    .map((engine) => ({ engine, after: fillOf(need, halvesOf(engines, engine.id)) }))
+    .filter(({ after }) => isWorthwhile(fill, after, have, stage))
+  const fullestOf = (after: StageNeed) => Math.max(after.prefill, after.decode)
+  worthwhile.sort(
+    (left, right) =>
+      fullestOf(left.after) - fullestOf(right.after) || left.engine.freeInMs - right.engine.freeInMs,
+  )
+  const best = worthwhile[0]
+  return best === undefined ? undefined : { id: best.engine.id, stage, need, have: have.supply }
 }
 
 /** Whether one engine more in a half is worth what the other half loses. */
-function isWorthwhile(need: StageNeed, have: Halves, stage: Stage): boolean {
+function isWorthwhile(fill: StageNeed, after: StageNeed, have: Halves, stage: Stage): boolean {
   const giver = stage === 'prefill' ? 'decode' : 'prefill'
-  if (have[giver] < 2) return false
-  const now = fillOf(need, have)[stage]
-  const after = fillOf(need, { ...have, [giver]: have[giver] - 1, [stage]: have[stage] + 1 })
-  const isSecondReader = stage === 'prefill' && have.prefill === 1
+  if (have.count[giver] < 2) return false
+  const now = fill[stage]
+  const isSecondReader = stage === 'prefill' && have.count.prefill === 1
   if (isSecondReader) return Math.max(after.prefill, after.decode) <= now * WORTHWHILE_SECOND_READER
-  const isLastReader = giver === 'prefill' && have.prefill === 2
+  const isLastReader = giver === 'prefill' && have.count.prefill === 2
   if (isLastReader && now < OVERFULL) return false
   return after[giver] <= now * WORTHWHILE
 }
 
+/** Both halves, as they stand or after one engine has changed its part. */
+function halvesOf(engines: StagedEngine[], changed?: InstanceId): Halves {
+  const halves: Halves = { count: { prefill: 0, decode: 0 }, supply: { prefill: 0, decode: 0 } }
+  for (const { id, stage, supply } of engines) {
+    const at = id === changed ? otherStage(stage) : stage
+    halves.count[at] += 1
+    halves.supply[at] += supply
+  }
+  return halves
+}
+
 /** How full each half is; without a prefill engine the decode engines read themselves, which no plan should seek. */
-function fillOf(need: StageNeed, { prefill, decode }: Halves): StageNeed {
+function fillOf(need: StageNeed, { supply }: Halves): StageNeed {
   return {
-    prefill: prefill === 0 ? Infinity : need.prefill / prefill,
-    decode: decode === 0 ? Infinity : need.decode / decode,
+    prefill: supply.prefill === 0 ? Infinity : need.prefill / supply.prefill,
+    decode: supply.decode === 0 ? Infinity : need.decode / supply.decode,
   }
 }
+
+function otherStage(stage: Stage): Stage {
+  return stage === 'prefill' ? 'decode' : 'prefill'
+}
--- a/placement/allocator/test/forecast.test.ts
+++ b/placement/allocator/test/forecast.test.ts
@@ -79,12 +79,14 @@
       stage: 'prefill' as const,
       freeInMs: index * 100,
       isChanging: false,
+      supply: 1,
     })),
     ...Array.from({ length: decode }, (_, index) => ({
       id: `d${index}`,
       stage: 'decode' as const,
       freeInMs: index * 100,
       isChanging: false,
+      supply: 1,
     })),
   ]
 
--- /dev/null
+++ b/placement/allocator/test/slowEngines.test.ts
@@ -0,0 +1,164 @@
+import { describe, expect, it } from 'vitest'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { ask, engine, world } from './fixtures'
+
+type World = ReturnType<typeof world>
+
+/** Answers that run one at each engine, reported each 400 ms at a pace of its own. */
+function runAnswers(
+  { allocator }: World,
+  msPerToken: Record<string, number>,
+  span: { from: number; until: number },
+): void {
+  const made: Record<string, number> = {}
+  for (let now = span.from; now <= span.until; now += 400) {
+    const holds = Object.entries(msPerToken).map(([decode, ms]) => {
+      made[decode] = (made[decode] ?? 1_000 / ms) + 400 / ms
+      return {
+        ask: ask(`running-${decode}-${span.from}`, {
+          entry: 'runner',
+          promptTokens: 500,
+          mostTokens: 100_000,
+        }),
+        decode,
+        ageMs: now - span.from + 1_500,
+        decodingForMs: now - span.from + 1_400,
+        madeTokens: Math.round(made[decode]),
+      }
+    })
+    allocator.adopt('runner', holds, now)
+  }
+}
+
+/** Has an engine read prompts one after the other, each in the given time. */
+function readPrompts(
+  { allocator, place, decisions }: World,
+  tookMs: Record<string, number>,
+  span: { from: number; times: number },
+): void {
+  for (let index = 0; index < span.times; index += 1) {
+    const now = span.from + index * 1_000
+    const name = `read-${now}`
+    place(ask(name, { entry: 'reader', promptTokens: 2_000 }), now)
+    const decision = decisions.get(name)
+    if (decision?.type !== 'placed' || decision.prefill === undefined) continue
+    const took = tookMs[decision.prefill]!
+    allocator.notePrefilled(name, 'ok', took, now + took)
+    allocator.release(name, 'ok', 300, now + took + 50)
+  }
+}
+
+function pool(prefill: number, decode: number): RegisteredEndpoint[] {
+  return [
+    ...Array.from({ length: prefill }, (_, index) => engine(`p${index}`, 'prefill')),
+    ...Array.from({ length: decode }, (_, index) => engine(`d${index}`, 'decode')),
+  ]
+}
+
+/** What a request asks for whose pauses count. */
+const PAUSED = { promptTokens: 500, pauseMs: 300, hintTokens: 300, mostTokens: 1_000 }
+
+describe('Allocator, when engines turn slow', () => {
+  it('sends no request that can be in time to a decode engine whose pauses would be too long', () => {
+    const one = world(pool(1, 3))
+    runAnswers(one, { d0: 4, d1: 4, d2: 4 }, { from: 0, until: 2_000 })
+    runAnswers(one, { d0: 25, d1: 4, d2: 4 }, { from: 2_400, until: 4_400 })
+    for (const name of ['a', 'b', 'c', 'd']) one.place(ask(name, PAUSED), 4_410)
+    expect(['a', 'b', 'c', 'd'].map(one.decodeOf)).not.toContain('d0')
+  })
+
+  it('notices it within a second', () => {
+    const one = world(pool(1, 3))
+    runAnswers(one, { d0: 4, d1: 4, d2: 4 }, { from: 0, until: 2_000 })
+    runAnswers(one, { d0: 25, d1: 4, d2: 4 }, { from: 2_400, until: 3_200 })
+    for (const name of ['a', 'b', 'c']) one.place(ask(name, PAUSED), 3_210)
+    expect(['a', 'b', 'c'].map(one.decodeOf)).not.toContain('d0')
+  })
+
+  it('places requests on while all are slow alike', () => {
+    const one = world(pool(1, 3))
+    runAnswers(one, { d0: 4, d1: 4, d2: 4 }, { from: 0, until: 2_000 })
+    runAnswers(one, { d0: 25, d1: 26, d2: 24 }, { from: 2_400, until: 6_400 })
+    for (const name of ['a', 'b', 'c']) one.place(ask(name, PAUSED), 6_410)
+    expect(['a', 'b', 'c'].map(one.decodeOf)).toEqual(Array(3).fill(expect.stringMatching(/^d/)))
+  })
+
+  it('gives a slow engine that is well again its part of the work back', () => {
+    const one = world(pool(1, 2))
+    runAnswers(one, { d0: 4, d1: 4 }, { from: 0, until: 2_000 })
+    runAnswers(one, { d0: 25, d1: 4 }, { from: 2_400, until: 4_400 })
+    runAnswers(one, { d0: 4, d1: 4 }, { from: 4_800, until: 8_400 })
+    for (const name of ['a', 'b', 'c', 'd']) one.place(ask(name, PAUSED), 8_410)
+    expect(['a', 'b', 'c', 'd'].map(one.decodeOf).filter((id) => id === 'd0')).toHaveLength(2)
+  })
+
+  it('tries a slow engine with a single request once nothing has been seen of it for a while', () => {
+    const one = world(pool(1, 2))
+    runAnswers(one, { d0: 4, d1: 4 }, { from: 0, until: 2_000 })
+    runAnswers(one, { d0: 25, d1: 4 }, { from: 2_400, until: 4_400 })
+    runAnswers(one, { d1: 4 }, { from: 4_800, until: 12_000 })
+    for (const name of ['a', 'b', 'c', 'd']) one.place(ask(name, PAUSED), 12_010)
+    expect(['a', 'b', 'c', 'd'].map(one.decodeOf).filter((id) => id === 'd0')).toHaveLength(1)
+  })
+
+  it('sends prompts past a reader that takes longer than its peers', () => {
+    const one = world(pool(2, 2))
+    readPrompts(one, { p0: 90, p1: 90 }, { from: 0, times: 8 })
+    // Whichever reads first shows that it is slow; the other is as quick as before.
+    readPrompts(one, { p0: 500, p1: 90 }, { from: 8_000, times: 2 })
+    one.place(ask('next', { promptTokens: 2_000 }), 9_600)
+    one.place(ask('after', { promptTokens: 2_000 }), 9_601)
+    const readers = ['next', 'after'].map((name) => (one.decisions.get(name) as { prefill?: string }).prefill)
+    expect(readers[0]).toBe('p1')
+    expect(readers[1]).not.toBe('p0')
+  })
+
+  it('lets nothing wait behind a prompt that is late already', () => {
+    const one = world(pool(2, 2))
+    readPrompts(one, { p0: 90, p1: 90 }, { from: 0, times: 8 })
+    one.place(ask('stuck', { promptTokens: 2_000 }), 10_000)
+    const stuck = one.decisions.get('stuck') as { prefill?: string }
+    for (const name of ['a', 'b', 'c']) one.place(ask(name, { promptTokens: 500 }), 10_400)
+    const readers = ['a', 'b', 'c'].map((name) => (one.decisions.get(name) as { prefill?: string }).prefill)
+    expect(readers).not.toContain(stuck.prefill)
+  })
+
+  it('lets a decode engine read where the only reader is slow and would be later', () => {
+    const one = world(pool(1, 3))
+    readPrompts(one, { p0: 90 }, { from: 0, times: 8 })
+    readPrompts(one, { p0: 700 }, { from: 8_000, times: 3 })
+    one.place(ask('next', { promptTokens: 2_000 }), 11_000)
+    expect(one.decisions.get('next')).toEqual({ type: 'placed', decode: expect.stringMatching(/^d/) })
+  })
+
+  it('takes slow tokens for less supply, not for more demand', () => {
+    const one = world(pool(2, 4))
+    const demand = (from: number, until: number) => {
+      for (let now = from; now < until; now += 100)
+        one.place(ask(`r${now}`, { entry: 'caller', promptTokens: 500, holdMs: 1 }), now)
+    }
+    runAnswers(one, { d0: 4, d1: 4, d2: 4, d3: 4 }, { from: 0, until: 3_000 })
+    demand(0, 3_000)
+    const before = one.allocator.needOf('s', 3_000)!
+    runAnswers(one, { d0: 20, d1: 20, d2: 4, d3: 4 }, { from: 3_400, until: 6_000 })
+    demand(3_000, 6_000)
+    const after = one.allocator.needOf('s', 6_000)!
+    expect(after.decode / before.decode).toBeLessThan(1.3)
+  })
+
+  it('does not let a decode engine read where its answers would pause too long', () => {
+    const one = world(pool(1, 2))
+    runAnswers(one, { d0: 4, d1: 4 }, { from: 0, until: 2_000 })
+    for (let index = 0; index < 3; index += 1) one.allocator.noteUse('p0', 'full', 2_000)
+    one.place(ask('long', { ...PAUSED, promptTokens: 6_000 }), 2_010)
+    one.place(ask('short', { ...PAUSED, promptTokens: 2_000 }), 2_020)
+    expect(['long', 'short'].map(one.decodeOf)).toEqual([undefined, expect.stringMatching(/^d/)])
+  })
+
+  it('says until when another engine could still read the prompt in time', () => {
+    const one = world(pool(2, 2))
+    readPrompts(one, { p0: 90, p1: 90 }, { from: 0, times: 8 })
+    one.place(ask('next', { promptTokens: 2_000 }), 9_000)
+    expect(one.decisions.get('next')).toMatchObject({ readElsewhereInMs: 750 })
+  })
+})
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -21,6 +21,8 @@
   holdMs: Millis
   /** Time left until its caller gives up. */
   leftMs: Millis
+  /** The longest pause between events that still counts as in time; absent where none is set. */
+  pauseMs?: Millis
   /** Requests of one class have answers of like length. */
   className: string
   /** Instances that are not to be chosen again. */
@@ -36,6 +38,8 @@
   decode: PooledEndpoint
   /** How long the prefill step is expected to take, in milliseconds; absent where nobody knows. */
   readsInMs?: Millis
+  /** After how long another engine should read the prompt instead, while that is still in time. */
+  readElsewhereInMs?: Millis
   /** Says that the prompt has been read. */
   notePrefilled: (outcome: SendOutcome, tookMs: Millis) => void
   /** The decode engine has made nothing for so long; it is not given up yet. */
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -72,9 +72,9 @@
   return { prefilled: { at, handle: read.handle, madeAt: clock.now() }, note: 'ok', arrival, tookMs }
 }
 
-function limitMs({ readsInMs }: ModelPlace, { route }: RelayJob): Millis {
+function limitMs({ readsInMs, readElsewhereInMs }: ModelPlace, { route }: RelayJob): Millis {
   if (readsInMs === undefined) return route.targetMs * LIMIT_SHARE
-  return readsInMs * EXPECTED_FACTOR + route.targetMs * SLACK_SHARE
+  return Math.min(readsInMs * EXPECTED_FACTOR + route.targetMs * SLACK_SHARE, readElsewhereInMs ?? Infinity)
 }
 
 function arrivalOf(outcome: WholeOutcome): Arrival {
--- /dev/null
+++ b/request/gateway/src/promptReading.ts
@@ -0,0 +1,77 @@
+import type { Exchange } from './exchange'
+import type { ModelPlace } from './modelPlacer'
+import { prefillStep, type Prefilled } from './prefillStep'
+import { releaseHandle } from './releaseHandle'
+import type { RelayJob, RelayParts, SendRecord } from './relayParts'
+import type { SendCount } from './sendCount'
+
+/** A handle is used for another engine only while it surely still stands. */
+const HANDLE_SHARE = 0.5
+
+/** What the reading of a prompt needs of its request. */
+export interface PromptReader {
+  readonly isOver: boolean
+  readonly sends: SendRecord[]
+  /** Instances that are not to be chosen again. */
+  readonly except: Set<string>
+  /** The exchange that is under way, so that it can be cancelled. */
+  exchange: Exchange | undefined
+}
+
+/** The prompt of one request: read by a prefill engine, kept there, taken by a decode engine or freed. */
+export class PromptReading {
+  private prefilled: Prefilled | undefined
+
+  constructor(
+    private readonly parts: RelayParts,
+    private readonly job: RelayJob,
+    private readonly count: SendCount,
+    private readonly run: PromptReader,
+  ) {}
+
+  /** Has the prompt read at a place; `none` where its decode engine is to read it. */
+  async readAt(place: ModelPlace): Promise<'read' | 'not-read' | 'none'> {
+    const { parts, job, run } = this
+    const at = place.prefill
+    if (at === undefined) return 'none'
+    const sending = this.count.open('prefill')
+    // Without one the decode engine reads the prompt, which no other sending has to precede.
+    if (sending === undefined) {
+      place.notePrefilled('cancelled', 0)
+      return 'none'
+    }
+    const onOpen = (exchange: Exchange) => void (run.exchange = exchange)
+    const { prefilled, note, arrival, tookMs } = await prefillStep(parts, job, place, onOpen)
+    run.exchange = undefined
+    sending.close(arrival)
+    if (prefilled !== undefined) this.prefilled = prefilled
+    place.notePrefilled(run.isOver ? 'cancelled' : note, tookMs)
+    run.sends.push({ to: at.endpoint.id, step: 'prefill', outcome: note, tookMs: Math.round(tookMs) })
+    if (prefilled !== undefined) return 'read'
+    if (!run.isOver) run.except.add(at.endpoint.id)
+    return 'not-read'
+  }
+
+  /** Where the memory of the prompt is; undefined where nothing was read or a decode engine has taken it. */
+  get held(): Prefilled | undefined {
+    return this.prefilled
+  }
+
+  /** Whether the memory may still be fetched by another engine. */
+  isUsable(): boolean {
+    const lasts = (this.job.service.engine?.handleMs ?? 0) * HANDLE_SHARE
+    return this.prefilled !== undefined && this.parts.clock.now() - this.prefilled.madeAt < lasts
+  }
+
+  /** Notes that a decode engine has taken the memory. */
+  noteTaken(): void {
+    this.prefilled = undefined
+  }
+
+  /** Frees what nobody took. */
+  release(): void {
+    const { prefilled, parts } = this
+    this.prefilled = undefined
+    if (prefilled !== undefined) releaseHandle(parts, prefilled.at.endpoint.address, prefilled.handle)
+  }
+}
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -34,6 +34,8 @@
   sends: SendRecord[]
   /** From the head of the request to the first event of its stream. */
   firstEventMs?: Millis
+  /** The longest time between two events of its stream. */
+  longestPauseMs?: Millis
 }
 
 /** One request on its way: what is common to plain calls and streams. */
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -41,7 +41,10 @@
 const WAIT_FOR_LEADER_SHARE = 0.7
 /** Added to the time a request may be held, for the way there and back. */
 const ANSWER_SLACK_MS = 200
-const REPORT_EVERY_MS = 1_000
+/** An entry that has nothing under way only shows that it is there. */
+const REPORT_IDLE_MS = 1_000
+/** While answers run, their progress tells the leader within a second when an engine has turned slow. */
+const REPORT_ACTIVE_MS = 400
 /** A new leader places once it has heard from the entries. */
 const LOOK_EVERY_MS = 40
 const LEADER_LOOK_MS = 20
@@ -141,6 +144,7 @@
       prefill,
       decode,
       readsInMs: placed.readsInMs,
+      readElsewhereInMs: placed.readElsewhereInMs,
       notePrefilled: (outcome, tookMs) => {
         if (prefill !== undefined) pool.noteEnd(prefill, outcome, tookMs, ask.promptTokens)
       },
@@ -159,6 +163,7 @@
       prefill: place.prefill,
       decode: place.decode,
       readsInMs: place.readsInMs,
+      readElsewhereInMs: place.readElsewhereInMs,
       notePrefilled: (outcome, tookMs) => {
         hold.decodingAt = clock.now()
         place.notePrefilled(outcome, tookMs)
@@ -186,7 +191,8 @@
     const { clock, entry, way } = this.options
     const leader = way.leader()
     const isNew = leader !== this.reportedTo
-    if (!isNew && clock.now() - this.reportedAt < REPORT_EVERY_MS) return
+    const everyMs = this.active.size > 0 ? REPORT_ACTIVE_MS : REPORT_IDLE_MS
+    if (!isNew && clock.now() - this.reportedAt < everyMs) return
     this.reportedTo = leader
     this.reportedAt = clock.now()
     const holds = [...this.active.values()].map((one) => toReported(one, clock.now()))
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '@forkstage/types'
 import { dropHeaders, single, withoutFirst } from './callerRequest'
+import { EventPauses } from './eventPauses'
 import { EngineStream, type Attempt, type StreamOwner } from './engineStream'
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
@@ -8,8 +9,7 @@
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { endWithConnection, sendEndpointAnswer } from './ownAnswer'
-import { prefillStep, type Prefilled } from './prefillStep'
-import { releaseHandle } from './releaseHandle'
+import { PromptReading, type PromptReader } from './promptReading'
 import { answerFailure, answerRefusal, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
@@ -26,8 +26,6 @@
 
 const MAX_REFUSALS = 3
 const COME_BACK_MS = 600
-/** A handle is used for another engine only while it surely still stands. */
-const HANDLE_SHARE = 0.5
 const WAIT_FOR_ENGINES_MS = 250
 const PROMISES = new Set([408, 421, 429, 503])
 
@@ -36,25 +34,27 @@
   return new StreamRun(parts, job).relay()
 }
 
-class StreamRun implements StreamOwner {
-  private readonly sends: SendRecord[] = []
-  private readonly except = new Set<string>()
-  private exchange: Exchange | undefined
-  private isOver = false
+class StreamRun implements StreamOwner, PromptReader {
+  readonly sends: SendRecord[] = []
+  readonly except = new Set<string>()
+  exchange: Exchange | undefined
+  isOver = false
   private mayHaveRun = 0
   private head: AnswerHead | undefined
   private lastEventId: number | undefined
-  private prefilled: Prefilled | undefined
   /** Events of the engine at work now. */
   private madeEvents = 0
-  private firstEventMs: Millis | undefined
+  private readonly pauses: EventPauses
   private readonly count: SendCount
+  private readonly prompt: PromptReading
 
   constructor(
     private readonly parts: RelayParts,
     private readonly job: RelayJob,
   ) {
     this.count = new SendCount(parts.allowance, job.service.name)
+    this.prompt = new PromptReading(parts, job, this.count, this)
+    this.pauses = new EventPauses(job.request.arrivedAt)
     const sent = single(job.request.headers[parts.wire.headers.lastEventId])
     if (sent !== undefined && /^\d+$/.test(sent)) this.lastEventId = Number(sent)
   }
@@ -69,8 +69,9 @@
     const result = await this.tryEngines()
     cancelLimit()
     this.isOver = true
-    this.releaseHandle()
-    return { ...result, sends: this.sends, firstEventMs: this.firstEventMs }
+    this.prompt.release()
+    const { firstMs, longestMs } = this.pauses
+    return { ...result, sends: this.sends, firstEventMs: firstMs, longestPauseMs: longestMs }
   }
 
   private async tryEngines(): Promise<OwnResult> {
@@ -119,19 +120,25 @@
       promptMs: this.job.isReturn ? 0 : promptAt - now,
       holdMs: holdTime(route.targetMs, leftMs),
       leftMs,
+      pauseMs: route.pauseMs,
       className: route.name,
       except: this.except,
-      isPrefilled: this.usableHandle() !== undefined,
+      isPrefilled: this.prompt.isUsable(),
     }
   }
 
   private async runAt(place: ModelPlace): Promise<Attempt> {
     const startedAt = this.parts.clock.now()
-    if (place.prefill !== undefined) await this.prefillAt(place)
+    const step = await this.prompt.readAt(place)
     if (this.isOver) {
       place.release('cancelled', 0, 0)
       return { type: 'over' }
     }
+    if (step === 'not-read') {
+      // Whoever places knows whether another engine reads it, or whether the decode engine can do so itself.
+      place.release('cancelled', 0, 0)
+      return { type: 'not-run', arrived: false, reason: 'the prompt was not read' }
+    }
     this.madeEvents = 0
     const sending = this.count.open('decode')
     if (sending === undefined) {
@@ -173,41 +180,13 @@
     return this.madeEvents * (this.job.service.engine?.tokensPerEvent ?? 1)
   }
 
-  private async prefillAt(place: ModelPlace): Promise<void> {
-    const at = place.prefill!
-    const sending = this.count.open('prefill')
-    // Without one the decode engine reads the prompt, which no other sending has to precede.
-    if (sending === undefined) return place.notePrefilled('cancelled', 0)
-    const { prefilled, note, arrival, tookMs } = await prefillStep(
-      this.parts,
-      this.job,
-      place,
-      (exchange) => {
-        this.exchange = exchange
-      },
-    )
-    this.exchange = undefined
-    sending.close(arrival)
-    if (prefilled !== undefined) this.prefilled = prefilled
-    place.notePrefilled(this.isOver ? 'cancelled' : note, tookMs)
-    this.sends.push({ to: at.endpoint.id, step: 'prefill', outcome: note, tookMs: Math.round(tookMs) })
-    if (prefilled === undefined && !this.isOver) this.except.add(at.endpoint.id)
-  }
-
-  /** The handle, while it may still be fetched and no engine has taken it. */
-  private usableHandle(): Prefilled | undefined {
-    const { prefilled, parts, job } = this
-    const lasts = (job.service.engine?.handleMs ?? 0) * HANDLE_SHARE
-    return prefilled !== undefined && parts.clock.now() - prefilled.madeAt < lasts ? prefilled : undefined
-  }
-
   private streamAt(
     to: PooledEndpoint,
     sending: CountedSending,
   ): Promise<{ attempt: Attempt; note: SendOutcome }> {
     const { parts, job } = this
     const { headers } = parts.wire
-    const source = this.prefilled
+    const source = this.prompt.held
     const extra: string[] = []
     if (source !== undefined)
       extra.push(headers.kvSource, parts.wire.kvSource(source.at.endpoint.address, source.handle))
@@ -233,7 +212,7 @@
             ? { attempt: { type: 'over' as const }, note: stream.noteIfOver() }
             : stream.end(end)
           if (result.attempt.type === 'not-run') this.except.add(to.endpoint.id)
-          else this.prefilled = undefined
+          else this.prompt.noteTaken()
           resolve(result)
         },
       })
@@ -250,7 +229,7 @@
 
   passEvents(head: AnswerHead, events: StreamEvent[]): void {
     this.madeEvents += events.length
-    this.firstEventMs ??= Math.round(this.parts.clock.now() - this.job.request.arrivedAt)
+    this.pauses.note(this.parts.clock.now())
     const isFirst = this.head === undefined
     if (isFirst) this.begin(head)
     for (const event of events) {
@@ -331,11 +310,4 @@
     if (this.job.request.isGone()) return { status: this.head?.status ?? 0, outcome: 'caller gone' }
     return { status: this.head?.status ?? 504, outcome: 'the time is up' }
   }
-
-  /** Frees what a prefill step left and nobody took. */
-  private releaseHandle(): void {
-    const { prefilled, parts } = this
-    this.prefilled = undefined
-    if (prefilled !== undefined) releaseHandle(parts, prefilled.at.endpoint.address, prefilled.handle)
-  }
 }
--- a/request/gateway/test/streamRelay.test.ts
+++ b/request/gateway/test/streamRelay.test.ts
@@ -69,6 +69,19 @@
     expect(prefill).toHaveLength(1)
   })
 
+  it('are read by another prefill engine where the first does not read them', async () => {
+    const { world, workers } = await start([
+      ['prefill', (request) => void request.socket.destroy()],
+      ['prefill', reads],
+      ['decode', streams([1, 2])],
+    ])
+    // Which of the two is asked first is drawn.
+    for (let times = 0; times < 4; times += 1)
+      expect(await world.send('/p/')).toMatchObject({ status: 200, body: events(1, 2) })
+    const sources = workers[2]!.seen.map(({ headers }) => headers['x-kv-from'])
+    expect(sources).toEqual(Array(4).fill(`${workers[1]!.address}#handle7`))
+  })
+
   it('are made whole by the decode engine where no prefill engine answers', async () => {
     const { world, workers } = await start([
       ['prefill', (request) => void request.socket.destroy()],
