feat(gateway): running answers go on at another engine when theirs turns slow or leaves

Ruled out: resuming elsewhere (nine in ten answers here may not be made twice), leaving them (they earn a fifth). Change: MovePlanner at the leader (slow for what is to come, or leaving; only to engines that are well and have room), told in the answer to an entry's report; RunMove and RunMoves at the entry: copy while it runs, draw a sending, stop, go on with the memory by the same head. A run whose memory cannot be fetched is cut, never made anew unless its route allows it.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -76,6 +76,10 @@
     ageMs: number
     term: number
   }
+  /** A running answer should go on at another engine, since its own turned slow or leaves. */
+  'answer.moves': { request: string; entry: string; endpoint: string }
+  /** How that ended at its entry. */
+  'answer.moved': { request: string; from: string; to: string; outcome: string; tookMs: number }
   'place.alone': { request: string; reason: string }
   'place.decided': {
     request: string
--- a/daemon/fleet/test/stageOrders.test.ts
+++ b/daemon/fleet/test/stageOrders.test.ts
@@ -83,6 +83,7 @@
     tokensPerEvent: 1,
     handleMs: 1,
     stageChangeMs: 6_000,
+    canMove: true,
   }
   const routes: RouteSheet = { ...sheet(1), services: [{ name: 'm', maxConnections: 1, engine }] }
   const clock = new ManualClock()
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -1,13 +1,22 @@
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
-import type { Hold, PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
+import type {
+  AnswerMove,
+  Hold,
+  PlaceAsk,
+  PlaceDecision,
+  Placed,
+  ReportedHold,
+  UseOutcome,
+} from './allocatorTypes'
 import { DemandMeter } from './demandMeter'
 import { EngineChoice, START_MS, type EngineOutlook, type EnginePick } from './engineChoice'
 import { EnginePace } from './enginePace'
 import { HoldBook } from './holdBook'
 import { InstanceHealth } from './instanceHealth'
 import { LengthForecast } from './lengthForecast'
+import { MovePlanner } from './movePlanner'
 import { planStages, type StageChange, type StageNeed, type StagedEngine } from './planStages'
 import { SupplyMeter } from './supplyMeter'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
@@ -75,6 +84,7 @@
   private readonly supply = new SupplyMeter()
   private readonly learned: Learned
   private readonly choice: EngineChoice
+  private readonly moves: MovePlanner
 
   constructor(private readonly options: AllocatorOptions) {
     this.tuning = { ...DEFAULT_TUNING, ...options.tuning }
@@ -88,6 +98,13 @@
       pace: this.learned.pace,
       isChanging: (id, now) => this.isChanging(id, now),
     })
+    this.moves = new MovePlanner({
+      book: this.book,
+      choice: this.choice,
+      engine: options.engine,
+      endpoints: options.endpoints,
+      memoryShare: this.tuning.memoryShare,
+    })
     this.room = new WaitingRoom((one, now) => this.slackOf(one, now), this.tuning.order)
   }
 
@@ -138,14 +155,24 @@
     if (forMs > 0) this.options.onEjected?.(id, outcome, forMs)
   }
 
-  /** The request has ended at its decode engine, having made some tokens there. */
-  release(request: string, outcome: UseOutcome, madeTokens: number, now: Millis): void {
+  /** Answers of an entry that should go on at another engine from now on; what they hold counts there. */
+  planMoves(entry: string, now: Millis): AnswerMove[] {
+    return this.moves.plan(this.book.runningOf(entry), now)
+  }
+
+  /**
+   * The request has ended at its decode engine, having made some tokens there.
+   * @param at the engine where it ended, which is another than it was placed at where it was moved.
+   */
+  release(request: string, outcome: UseOutcome, madeTokens: number, now: Millis, at?: InstanceId): void {
     const hold = this.book.get(request)
     if (hold === undefined) return
     this.book.remove(request)
-    if (!isOwnQueue(hold, outcome)) this.noteUse(hold.decode, outcome, now)
+    if (!isOwnQueue(hold, outcome)) this.noteUse(at ?? hold.decode, outcome, now)
     this.room.noteEnd(hold.ask.service, now)
-    if (outcome === 'ok' && madeTokens > 0) this.book.learnAnswer(hold, madeTokens, now)
+    // What a moved answer made since it was last heard of may have been made at two engines.
+    if (outcome === 'ok' && madeTokens > 0 && hold.leaves === undefined)
+      this.book.learnAnswer(hold, madeTokens, now)
     this.placeWaiting(now)
   }
 
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -6,7 +6,7 @@
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import { Allocator, type Learned } from './allocator'
-import type { PlaceAsk, PlaceDecision, ReportedHold, UseOutcome } from './allocatorTypes'
+import type { PlaceAsk, PlaceDecision, ReportAnswer, ReportedHold, UseOutcome } from './allocatorTypes'
 import { EnginePace } from './enginePace'
 import { LengthForecast } from './lengthForecast'
 import type { PaceView } from './peerPace'
@@ -88,8 +88,12 @@
         this.allocator.notePrefilled(params.request, params.outcome, params.tookMs, now()),
       [PLACE.note]: (params: { endpoint: InstanceId; outcome: UseOutcome; tookMs?: Millis }) =>
         this.allocator.noteUse(params.endpoint, params.outcome, now(), params.tookMs),
-      [PLACE.release]: (params: { request: string; outcome: UseOutcome; madeTokens: number }) =>
-        this.allocator.release(params.request, params.outcome, params.madeTokens, now()),
+      [PLACE.release]: (params: {
+        request: string
+        decode?: InstanceId
+        outcome: UseOutcome
+        madeTokens: number
+      }) => this.allocator.release(params.request, params.outcome, params.madeTokens, now(), params.decode),
       [PLACE.report]: (params: { entry: string; holds: ReportedHold[] }) => this.takeReport(params),
     }
   }
@@ -173,12 +177,16 @@
     this.allocator.withdraw(request, this.options.clock.now())
   }
 
-  private takeReport({ entry, holds }: { entry: string; holds: ReportedHold[] }): void {
+  private takeReport({ entry, holds }: { entry: string; holds: ReportedHold[] }): ReportAnswer {
     this.renewTerm()
     const now = this.options.clock.now()
     this.heard.set(entry, now)
     this.reported.add(entry)
     this.allocator.adopt(entry, holds, now)
+    const moves = this.mayPlace() ? this.allocator.planMoves(entry, now) : []
+    for (const { request, to } of moves)
+      this.options.logger.info('answer.moves', { request, entry, endpoint: to })
+    return { moves }
   }
 
   private tick(): void {
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -69,6 +69,19 @@
   made?: { tokens: number; at: Millis; forMs: Millis }
   /** Whether another one placed it, with another view of what waits at engines. */
   isAdopted?: boolean
+  /** The engine that it is to leave for `decode`, until its entry reports it there. */
+  leaves?: { from: InstanceId; since: Millis }
+}
+
+/** A running answer that should go on at another engine. */
+export interface AnswerMove {
+  request: string
+  to: InstanceId
+}
+
+/** What the leader answers to a report. */
+export interface ReportAnswer {
+  moves: AnswerMove[]
 }
 
 /** A place as an entry reports it, with times as ages so that clocks need not agree. */
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -2,6 +2,7 @@
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
+import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
 import type { InstanceHealth } from './instanceHealth'
@@ -42,7 +43,7 @@
   /** The prefill engine with the shortest queue. */
   soonest?: { endpoint: InstanceId; queuedMs: Millis }
   /** Engines that are slower than their peers: how many times, and how old that evidence is. */
-  slow: { endpoint: InstanceId; stage: Stage; slowness: number; ageMs: Millis }[]
+  slow: SlowEngine[]
 }
 
 /** Options of {@link EngineChoice}. */
@@ -65,25 +66,12 @@
 /** A prefill engine of another zone must be sooner by this share of the reading, since moves cost more: 30 of 95 ms. */
 const OTHER_ZONE_SHARE = 0.3
 
-/** A prompt that takes this many times what it should, and is not read yet, says that its engine is slow now. */
-const OVERDUE_FROM = 2
 /** Reading is late from so many times the time it should take: it varies with what else the way carries. */
 const LATE_FROM = 1.5
-/** An answer's pauses vary around their mean: the mean must leave this share of the longest that is in time. */
-const PAUSE_SHARE = 0.6
 /** A single pause that is foreseen must leave this share of the longest that is in time. */
 const LONGEST_PAUSE_SHARE = 0.9
-/** The share of the time left within which an answer must be forecast to end. */
-const END_SHARE = 0.8
-/** Engines that differ less than this do the same: how many answers run there makes so much. */
-const SAME_PACE = 1.3
 /** More than any peak: an engine whose answers come late is taken only where no other has room. */
 const POOR_COST = 1e12
-/** At most so many slow engines are named in a line. */
-const MOST_NAMED = 6
-
-/** What an engine's pace means for a request there. */
-type Fitness = 'good' | 'poor' | 'slow'
 
 /** Engines that take part and do not change, by part and service, as read at one time for all waiting requests. */
 interface Works {
@@ -96,8 +84,12 @@
   /** When each decode engine last began to read a prompt itself. */
   private readonly readsItself = new Map<InstanceId, Millis>()
   private works: Works = { at: -Infinity, engines: new Map() }
+  /** What engines' paces mean for requests. */
+  readonly fitness: EngineFitness
 
-  constructor(private readonly options: EngineChoiceOptions) {}
+  constructor(private readonly options: EngineChoiceOptions) {
+    this.fitness = new EngineFitness(options)
+  }
 
   /** Engines of a service that take part, whether they are sound or not. */
   registered(service: string, stage: Stage): RegisteredEndpoint[] {
@@ -119,7 +111,7 @@
     if (quest.ask.isPrefilled) return { decode: first, readsInMs: 0, queuedMs: 0 }
     const readers = this.engines(quest.ask, 'prefill', now)
     const apart = this.readApart(quest, first, readers, now)
-    if (apart !== undefined && !this.isSlowReader(apart.prefill!.id, now)) return apart
+    if (apart !== undefined && !this.fitness.isSlowReader(apart.prefill!.id, now)) return apart
     // A slow reader is used where no decode engine is sooner.
     const own = this.readAtDecode(quest, fitting, readers, now)
     if (apart === undefined || own === undefined) return apart ?? own
@@ -145,31 +137,10 @@
       readers: readers.length,
       roomiest: peaks.sort((left, right) => left.peak - right.peak)[0],
       soonest: queues.sort((left, right) => left.queuedMs - right.queuedMs)[0],
-      slow: [...this.slowOf(decoders, 'decode', now), ...this.slowOf(readers, 'prefill', now)].slice(
-        0,
-        MOST_NAMED,
-      ),
+      slow: this.fitness.slowOf({ decode: decoders, prefill: readers }, now),
     }
   }
 
-  /** Whether a prefill engine takes far longer than reading should take, by what it has read or is late with now. */
-  isSlowReader(id: InstanceId, now: Millis): boolean {
-    const { book, pace } = this.options
-    return pace.view(id, 'prefill', now).ms >= SLOW_FROM || book.overdue(id, now) >= OVERDUE_FROM
-  }
-
-  private slowOf(engines: RegisteredEndpoint[], stage: Stage, now: Millis): EngineOutlook['slow'] {
-    const views = engines.map(({ id }) => ({ id, view: this.options.pace.view(id, stage, now) }))
-    return views
-      .filter(({ view }) => view.slowness >= SLOW_FROM)
-      .map(({ id, view }) => ({
-        endpoint: id,
-        stage,
-        slowness: Math.round(view.slowness * 10) / 10,
-        ageMs: Math.round(view.ageMs),
-      }))
-  }
-
   /** Notes that a decode engine begins to read a prompt itself. */
   noteReadsItself(id: InstanceId, now: Millis): void {
     this.readsItself.set(id, now)
@@ -210,7 +181,7 @@
     const fits = engines
       .filter(({ id }) => !health.isFull(id, now) && !(waitsForOthers && isSlow(id)))
       .map((endpoint) => ({ endpoint, count: book.countAt(endpoint.id) }))
-      .filter(({ endpoint, count }) => count < this.mostAt(endpoint.id, engine, now))
+      .filter(({ endpoint, count }) => count < this.fitness.mostAt(endpoint.id, engine, now))
       .map(({ endpoint: { id }, endpoint, count }) => ({
         endpoint,
         peak: count === 0 ? 0 : book.peakWith(ask, id, limit, now),
@@ -218,35 +189,38 @@
       }))
       .filter(({ peak }) => peak <= limit)
     const costOf = ({ endpoint, peak, isGood }: (typeof fits)[number]) =>
-      (isGood ? 0 : POOR_COST) + peak * this.slownessOf(endpoint.id, now)
+      (isGood ? 0 : POOR_COST) + peak * this.fitness.slowness(endpoint.id, now)
     fits.sort((left, right) => costOf(left) - costOf(right))
     return fits.map(({ endpoint }) => endpoint)
   }
 
-  /** How many answers may run at a decode engine: one that was slow shows with a single one whether it is well. */
-  private mostAt(decode: InstanceId, engine: EnginePool, now: Millis): number {
-    return this.options.pace.isUnproven(decode, 'decode', now) ? 1 : engine.slots
-  }
-
-  private slownessOf(decode: InstanceId, now: Millis): number {
-    const { slowness } = this.options.pace.view(decode, 'decode', now)
-    return slowness < SAME_PACE ? 1 : slowness
-  }
-
   /**
    * Whether an answer at a decode engine's pace has its events in time and ends in time; `slow` where it has not and
    * the engine is slower than its peers, so that another does better.
    */
   private fitnessOf({ ask, engine, leftMs }: EngineQuest, decode: InstanceId, now: Millis): Fitness {
-    const { pace, book } = this.options
-    const { ms, slowness } = pace.view(decode, 'decode', now)
-    const pauseMs = ms * engine.tokensPerEvent
-    const isPaused = ask.pauseMs !== undefined && pauseMs > ask.pauseMs * PAUSE_SHARE
-    const endsInMs = book.lengthOf(ask) * ms
-    const leftUntilEnd = ask.leftMs - (ask.targetMs - leftMs)
-    const endsLate = endsInMs > leftUntilEnd * END_SHARE
-    if (!isPaused && !endsLate) return 'good'
-    return slowness >= SLOW_FROM ? 'slow' : 'poor'
+    const { pauseMs } = ask
+    const endsWithinMs = ask.leftMs - (ask.targetMs - leftMs)
+    const answer = { tokens: this.options.book.lengthOf(ask), endsWithinMs, pauseMs }
+    return this.fitness.of(answer, engine, decode, now)
+  }
+
+  /** Engines that could go on with an answer that runs at another one: those that surely do well. */
+  takers(ask: PlaceAsk, engine: EnginePool, now: Millis): RegisteredEndpoint[] {
+    const { book, health, pace } = this.options
+    return this.engines(ask, 'decode', now).filter(
+      ({ id }) =>
+        health.isSound(id, now) &&
+        !health.isFull(id, now) &&
+        !pace.isUnproven(id, 'decode', now) &&
+        pace.view(id, 'decode', now).slowness < SLOW_FROM &&
+        book.countAt(id) < engine.slots,
+    )
+  }
+
+  /** How long an engine needs for some tokens of one answer. */
+  decodingMs(tokens: number, decode: InstanceId, now: Millis): Millis {
+    return tokens * this.options.pace.decodingMs(decode, now)
   }
 
   /** The prefill engine that comes to the prompt first, where that is soon enough. */
@@ -265,7 +239,7 @@
         queuedMs: book.prefillWait(prefill.id, now),
         readingMs: pace.readingMsAt(prefill.id, promptTokens, now),
       }))
-      .filter(({ prefill, queuedMs }) => queuedMs === 0 || !this.mayNotQueue(prefill.id, now))
+      .filter(({ prefill, queuedMs }) => queuedMs === 0 || !this.fitness.mayNotQueue(prefill.id, now))
     const costOf = ({ prefill, queuedMs, readingMs }: (typeof waits)[number]) =>
       queuedMs +
       readingMs +
@@ -286,12 +260,6 @@
     return untilMs >= readsInMs * LATE_FROM ? untilMs : undefined
   }
 
-  /** Nothing waits behind a prompt that shows whether an engine is well, or that is late at one. */
-  private mayNotQueue(prefill: InstanceId, now: Millis): boolean {
-    const { book, pace } = this.options
-    return pace.isUnproven(prefill, 'prefill', now) || book.overdue(prefill, now) >= OVERDUE_FROM
-  }
-
   /** The decode engine that reads the prompt itself, where it comes to it soon enough. */
   private readAtDecode(
     quest: EngineQuest,
@@ -301,7 +269,7 @@
   ): EnginePick | undefined {
     const { book, health } = this.options
     // Engines that have just refused are back in a moment, unless they do nothing else.
-    const isAlone = readers.every(({ id }) => health.isBusy(id) || this.isSlowReader(id, now))
+    const isAlone = readers.every(({ id }) => health.isBusy(id) || this.fitness.isSlowReader(id, now))
     if (!isAlone && (!quest.isInTime || readers.every((endpoint) => health.isFull(endpoint.id, now))))
       return undefined
     const ownMs = this.ownReadingMs(quest.ask)
--- /dev/null
+++ b/placement/allocator/src/engineFitness.ts
@@ -0,0 +1,95 @@
+import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
+import type { EnginePool } from '@forkstage/routes'
+import type { Millis } from '@forkstage/types'
+import type { EnginePace } from './enginePace'
+import type { HoldBook } from './holdBook'
+import { SLOW_FROM } from './peerPace'
+
+/** What an engine's pace means for a request there. */
+export type Fitness = 'good' | 'poor' | 'slow'
+
+/** An engine that is slower than its peers: how many times, and how old that evidence is. */
+export interface SlowEngine {
+  endpoint: InstanceId
+  stage: Stage
+  slowness: number
+  ageMs: Millis
+}
+
+/** What is still to come of an answer. */
+export interface AnswerToCome {
+  tokens: number
+  /** Within how long it must end, in milliseconds. */
+  endsWithinMs: Millis
+  /** The longest pause between events that still counts as in time; absent where none is set. */
+  pauseMs?: Millis
+}
+
+/** Options of {@link EngineFitness}. */
+export interface EngineFitnessOptions {
+  book: HoldBook
+  pace: EnginePace
+}
+
+/** A prompt that takes this many times what it should, and is not read yet, says that its engine is slow now. */
+const OVERDUE_FROM = 2
+/** An answer's pauses vary around their mean: the mean must leave this share of the longest that is in time. */
+const PAUSE_SHARE = 0.6
+/** The share of the time left within which an answer must be forecast to end. */
+const END_SHARE = 0.8
+/** Engines that differ less than this do the same: how many answers run there makes so much. */
+const SAME_PACE = 1.3
+/** At most so many slow engines are named in a line. */
+const MOST_NAMED = 6
+
+/** What engines' paces mean for the requests that they have or could get. */
+export class EngineFitness {
+  constructor(private readonly options: EngineFitnessOptions) {}
+
+  /** What a decode engine's pace means for what is to come of an answer. */
+  of(answer: AnswerToCome, engine: EnginePool, decode: InstanceId, now: Millis): Fitness {
+    const { ms, slowness } = this.options.pace.view(decode, 'decode', now)
+    const { tokens, endsWithinMs, pauseMs = Infinity } = answer
+    const isPaused = ms * engine.tokensPerEvent > pauseMs * PAUSE_SHARE
+    const endsLate = tokens * ms > endsWithinMs * END_SHARE
+    if (!isPaused && !endsLate) return 'good'
+    return slowness >= SLOW_FROM ? 'slow' : 'poor'
+  }
+
+  /** How many times slower than its peers a decode engine is, as far as that is more than a matter of its load. */
+  slowness(decode: InstanceId, now: Millis): number {
+    const { slowness } = this.options.pace.view(decode, 'decode', now)
+    return slowness < SAME_PACE ? 1 : slowness
+  }
+
+  /** How many answers may run at a decode engine: one that was slow shows with a single one whether it is well. */
+  mostAt(decode: InstanceId, engine: EnginePool, now: Millis): number {
+    return this.options.pace.isUnproven(decode, 'decode', now) ? 1 : engine.slots
+  }
+
+  /** Whether a prefill engine takes far longer than reading should take, by what it has read or is late with now. */
+  isSlowReader(id: InstanceId, now: Millis): boolean {
+    const { book, pace } = this.options
+    return pace.view(id, 'prefill', now).ms >= SLOW_FROM || book.overdue(id, now) >= OVERDUE_FROM
+  }
+
+  /** Nothing waits behind a prompt that shows whether an engine is well, or that is late at one. */
+  mayNotQueue(prefill: InstanceId, now: Millis): boolean {
+    const { book, pace } = this.options
+    return pace.isUnproven(prefill, 'prefill', now) || book.overdue(prefill, now) >= OVERDUE_FROM
+  }
+
+  /** The engines that are slower than their peers, a few of them. */
+  slowOf(engines: Record<Stage, RegisteredEndpoint[]>, now: Millis): SlowEngine[] {
+    const views = (['decode', 'prefill'] as const).flatMap((stage) =>
+      engines[stage].map(({ id }) => ({ id, stage, view: this.options.pace.view(id, stage, now) })),
+    )
+    const slow = views.filter(({ view }) => view.slowness >= SLOW_FROM).slice(0, MOST_NAMED)
+    return slow.map(({ id, stage, view }) => ({
+      endpoint: id,
+      stage,
+      slowness: Math.round(view.slowness * 10) / 10,
+      ageMs: Math.round(view.ageMs),
+    }))
+  }
+}
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@forkstage/types'
 import type { Hold, PlaceAsk, ReportedHold } from './allocatorTypes'
 import type { EnginePace } from './enginePace'
+import { addTo, removeFrom, type HoldIndex } from './holdIndex'
 import { lengthQuantile, type LengthForecast } from './lengthForecast'
 import { peakMemory, type Growing } from './peakMemory'
 
@@ -13,6 +14,8 @@
 const SHORTEST_BEGINNING_MS = 200
 /** An engine that reads a prompt itself still makes some tokens between its pieces; they count at least so much time. */
 const LEAST_DECODING_SHARE = 0.2
+/** An answer whose entry still reports it where it was so long after it should have left has stayed there. */
+const MOVES_WITHIN_MS = 3_000
 const NO_HOLDS: ReadonlySet<Hold> = new Set()
 
 /** Options of {@link HoldBook}. */
@@ -34,8 +37,8 @@
 /** The places that are taken, and what they hold and will come to hold. */
 export class HoldBook {
   private readonly holds = new Map<string, Hold>()
-  private readonly byDecode = new Map<InstanceId, Set<Hold>>()
-  private readonly byPrefill = new Map<InstanceId, Set<Hold>>()
+  private readonly byDecode: HoldIndex = new Map()
+  private readonly byPrefill: HoldIndex = new Map()
   /** Forecasts are worked out once for all requests that look for a place at one time. */
   private readonly outlooks = new Map<InstanceId, Outlook>()
   private readonly asked = new WeakMap<PlaceAsk, { at: Millis; growing: Growing }>()
@@ -201,6 +204,7 @@
       this.add({ ask, prefill, decode, placedAt: now - ageMs, decodingAt, isAdopted: true })
     if (madeTokens === undefined || decodingForMs === undefined) return false
     const hold = this.holds.get(ask.request)!
+    if (!this.isWhereReported(hold, decode, now)) return false
     const { made } = hold
     const hasMade = madeTokens > (made?.tokens ?? 0)
     // The entry's own clock says what passed between its reports, however late they come.
@@ -211,6 +215,52 @@
     return hasMade
   }
 
+  /** Whether an answer is where this book has it, so that its progress says something of the engine there. */
+  private isWhereReported(hold: Hold, decode: InstanceId, now: Millis): boolean {
+    const { leaves } = hold
+    if (hold.decode === decode && leaves === undefined) return true
+    if (hold.decode === decode) {
+      // What it made since the last report was made at two engines.
+      hold.leaves = undefined
+      hold.made = undefined
+      return false
+    }
+    if (leaves?.from === decode && now - leaves.since < MOVES_WITHIN_MS) return false
+    this.rebook(hold, decode)
+    hold.leaves = undefined
+    hold.made = undefined
+    return false
+  }
+
+  /** Notes that an answer is to go on at another engine: what it holds counts there from now on. */
+  move(hold: Hold, to: InstanceId, now: Millis): void {
+    hold.leaves = { from: hold.decode, since: now }
+    this.rebook(hold, to)
+  }
+
+  private rebook(hold: Hold, decode: InstanceId): void {
+    removeFrom(this.byDecode, hold.decode, hold)
+    this.outlooks.delete(hold.decode)
+    hold.decode = decode
+    addTo(this.byDecode, decode, hold)
+    this.outlooks.delete(decode)
+  }
+
+  /** The running answers of an entry's requests. */
+  runningOf(entry: string): Hold[] {
+    return [...this.holds.values()].filter(({ ask, made }) => ask.entry === entry && made !== undefined)
+  }
+
+  /** How many tokens an answer is forecast to make yet. */
+  tokensToCome(hold: Hold, now: Millis): number {
+    return this.forecastHold(hold, now).toCome
+  }
+
+  /** The most memory, in tokens, that an engine comes to hold with an answer that runs elsewhere. */
+  peakWithMoved(hold: Hold, decode: InstanceId, now: Millis): number {
+    return peakMemory([...this.outlookOf(decode, now).growing, this.forecastHold(hold, now)])
+  }
+
   /** Learns from what an answer has made since it was last heard of. */
   private learnProgress(hold: Hold, madeTokens: number, passedMs: Millis, now: Millis): void {
     const tokens = Math.max(0, madeTokens - (hold.made?.tokens ?? 0))
@@ -289,15 +339,3 @@
     return { held: ask.promptTokens + made, toCome: Math.max(0, length - made) }
   }
 }
-
-function addTo(index: Map<InstanceId, Set<Hold>>, id: InstanceId, hold: Hold): void {
-  const holds = index.get(id) ?? new Set()
-  index.set(id, holds)
-  holds.add(hold)
-}
-
-function removeFrom(index: Map<InstanceId, Set<Hold>>, id: InstanceId, hold: Hold): void {
-  const holds = index.get(id)
-  holds?.delete(hold)
-  if (holds?.size === 0) index.delete(id)
-}
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -7,11 +7,13 @@
 export { AllocatorService, NotPlacingError, PLACE } from './allocatorService'
 export type { AllocatorServiceOptions } from './allocatorService'
 export type {
+  AnswerMove,
   Hold,
   PlaceAsk,
   PlaceDecision,
   Placed,
   Refused,
+  ReportAnswer,
   ReportedHold,
   UseOutcome,
 } from './allocatorTypes'
--- /dev/null
+++ b/placement/allocator/src/movePlanner.ts
@@ -0,0 +1,62 @@
+import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import type { EnginePool } from '@forkstage/routes'
+import type { Millis } from '@forkstage/types'
+import type { AnswerMove, Hold } from './allocatorTypes'
+import type { EngineChoice } from './engineChoice'
+import type { HoldBook } from './holdBook'
+
+/** Options of {@link MovePlanner}. */
+export interface MovePlannerOptions {
+  book: HoldBook
+  choice: EngineChoice
+  engine: (service: string) => EnginePool | undefined
+  endpoints: () => RegisteredEndpoint[]
+  /** The share of an engine's memory that forecasts may fill. */
+  memoryShare: number
+}
+
+/** An answer that ends within this time is not worth a move, which takes two calls and a copy. */
+const WORTHWHILE_MS = 800
+
+/**
+ * Decides which running answers should go on at another engine: those whose engine has turned too slow for them, or
+ * leaves before they end. An answer that is cut has been read and made in vain.
+ */
+export class MovePlanner {
+  constructor(private readonly options: MovePlannerOptions) {}
+
+  /** Plans moves of some answers and counts what they hold where they go. */
+  plan(holds: Hold[], now: Millis): AnswerMove[] {
+    const states = new Map(this.options.endpoints().map(({ id, state }) => [id, state]))
+    const moves: AnswerMove[] = []
+    for (const hold of holds) {
+      const to = this.targetOf(hold, states, now)
+      if (to === undefined) continue
+      this.options.book.move(hold, to, now)
+      moves.push({ request: hold.ask.request, to })
+    }
+    return moves
+  }
+
+  private targetOf(
+    hold: Hold,
+    states: ReadonlyMap<InstanceId, RegisteredEndpoint['state']>,
+    now: Millis,
+  ): InstanceId | undefined {
+    const { book, choice, memoryShare } = this.options
+    const engine = this.options.engine(hold.ask.service)
+    if (engine?.canMove !== true || hold.leaves !== undefined) return undefined
+    const tokens = book.tokensToCome(hold, now)
+    if (choice.decodingMs(tokens, hold.decode, now) < WORTHWHILE_MS) return undefined
+    const { ask, placedAt, decode } = hold
+    const answer = { tokens, endsWithinMs: ask.leftMs - (now - placedAt), pauseMs: ask.pauseMs }
+    const isLeaving = states.get(decode) !== 'ready'
+    if (!isLeaving && choice.fitness.of(answer, engine, decode, now) !== 'slow') return undefined
+    const takers = choice
+      .takers(ask, engine, now)
+      .filter(({ id }) => id !== decode && choice.fitness.of(answer, engine, id, now) === 'good')
+      .map(({ id }) => ({ id, peak: book.peakWithMoved(hold, id, now) }))
+      .filter(({ peak }) => peak <= engine.kvTokens * memoryShare)
+    return takers.sort((left, right) => left.peak - right.peak)[0]?.id
+  }
+}
--- a/placement/allocator/test/fixtures.ts
+++ b/placement/allocator/test/fixtures.ts
@@ -10,6 +10,7 @@
   tokensPerEvent: 10,
   handleMs: 500,
   stageChangeMs: 6_000,
+  canMove: true,
 }
 
 /** A registered engine. */
--- /dev/null
+++ b/placement/allocator/test/moves.test.ts
@@ -0,0 +1,83 @@
+import { describe, expect, it } from 'vitest'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { ask, engine, world } from './fixtures'
+
+const PAUSED = { promptTokens: 500, pauseMs: 300, hintTokens: 1_000, mostTokens: 2_000, leftMs: 20_000 }
+
+/** Reports answers of one entry, one at each engine named, at a pace of its own. */
+function run(
+  { allocator }: ReturnType<typeof world>,
+  msPerToken: Record<string, number>,
+  span: { from: number; until: number },
+): void {
+  for (let now = span.from; now <= span.until; now += 400) {
+    const forMs = now - span.from + 800
+    const holds = Object.entries(msPerToken).map(([decode, ms]) => ({
+      ask: ask(`at-${decode}`, { ...PAUSED, entry: 'runner' }),
+      decode,
+      ageMs: forMs + 100,
+      decodingForMs: forMs,
+      madeTokens: Math.round(forMs / ms),
+    }))
+    allocator.adopt('runner', holds, now)
+  }
+}
+
+const three = () => ['d0', 'd1', 'd2'].map((id) => engine(id, 'decode'))
+const PEERS = { d0: 4, d1: 4, d2: 4 }
+
+describe('Allocator, for answers that run', () => {
+  it('lets those at an engine that has turned too slow for them go on elsewhere, once', () => {
+    const one = world(three())
+    run(one, { ...PEERS, d0: 25 }, { from: 0, until: 1_200 })
+    expect(one.allocator.planMoves('runner', 1_210)).toEqual([
+      { request: 'at-d0', to: expect.stringMatching(/^d[12]$/) },
+    ])
+    expect(one.allocator.planMoves('runner', 1_220)).toEqual([])
+  })
+
+  it('leaves them where all are slow alike, or where they end in a moment', () => {
+    const alike = world(three())
+    run(alike, { d0: 25, d1: 25, d2: 25 }, { from: 0, until: 1_200 })
+    expect(alike.allocator.planMoves('runner', 1_210)).toEqual([])
+    const ending = world(three())
+    run(ending, PEERS, { from: 0, until: 7_600 })
+    expect(ending.allocator.planMoves('runner', 7_610)).toEqual([])
+  })
+
+  it('lets those go on elsewhere whose engine leaves before they end', () => {
+    const endpoints: RegisteredEndpoint[] = three()
+    const one = world(endpoints)
+    run(one, PEERS, { from: 0, until: 800 })
+    expect(one.allocator.planMoves('runner', 810)).toEqual([])
+    endpoints[0] = engine('d0', 'decode', { state: 'draining' })
+    one.allocator.tick(820)
+    expect(one.allocator.planMoves('runner', 830)).toMatchObject([{ request: 'at-d0' }])
+  })
+
+  it('counts what they hold where they go, and moves none that does not fit', () => {
+    const endpoints: RegisteredEndpoint[] = [engine('d0', 'decode'), engine('d1', 'decode')]
+    const one = world(endpoints)
+    run(one, { d0: 4, d1: 4 }, { from: 0, until: 400 })
+    one.place(ask('large', { promptTokens: 6_500 }), 410)
+    endpoints[0] = engine('d0', 'decode', { state: 'draining' })
+    one.allocator.tick(420)
+    const moves = one.allocator.planMoves('runner', 430)
+    expect(moves).toHaveLength(one.decodeOf('large') === 'd1' ? 0 : 1)
+    one.place(ask('next', { promptTokens: 6_500 }), 440)
+    expect(one.decodeOf('next')).toBeUndefined()
+  })
+
+  it('learns no pace from the time in which an answer moved, and takes it back where it stays', () => {
+    const one = world(three())
+    run(one, { ...PEERS, d0: 25 }, { from: 0, until: 1_200 })
+    const [move] = one.allocator.planMoves('runner', 1_210)
+    // It goes on being reported where it was: the move has failed.
+    run(one, { ...PEERS, d0: 25 }, { from: 1_600, until: 4_800 })
+    expect(one.allocator.planMoves('runner', 4_810)).toMatchObject([{ request: move!.request }])
+    const views = ['d1', 'd2'].map((id) =>
+      one.allocator.outlook(ask('x'), 4_810).slow.some((s) => s.endpoint === id),
+    )
+    expect(views).toEqual([false, false])
+  })
+})
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -103,6 +103,12 @@
     one.tokens += tokens
   }
 
+  /** Notes that what one instance did goes on at another. */
+  noteMoved(from: PooledEndpoint, to: PooledEndpoint, tokens: number): void {
+    this.noteEnd(from, 'cancelled', 0, tokens)
+    this.noteSent(to, tokens)
+  }
+
   /** Notes how a sending ended. */
   noteEnd(one: PooledEndpoint, outcome: SendOutcome, tookMs: Millis, tokens = 0): void {
     one.inFlight -= 1
--- a/request/gateway/src/gatewayWire.ts
+++ b/request/gateway/src/gatewayWire.ts
@@ -1,3 +1,5 @@
+import type { Address } from '@forkstage/types'
+
 /** The names under which a deployment's callers and endpoints pass facts in headers, all in lower case. */
 export interface HeaderNames {
   requestId: string
@@ -25,6 +27,12 @@
   tokens: number
 }
 
+/** A copy of a running answer's memory. */
+export interface MoveAnswer {
+  /** Names the copy at the engine that was asked. */
+  handle: string
+}
+
 /** What callers and endpoints of a deployment speak: names, formats and calls; decisions are elsewhere. */
 export interface GatewayWire {
   headers: HeaderNames
@@ -39,4 +47,11 @@
   readPrefillAnswer(body: Buffer): PrefillAnswer | undefined
   kvSource(address: string, handle: string): string
   releaseCall(handle: string): { method: string; path: string }
+  /**
+   * Asks an engine to copy what a running request holds to the engine at another address.
+   * @param isLast whether the run stops there, so that it goes on elsewhere.
+   */
+  moveCall(request: string, to: Address, isLast: boolean): { method: string; path: string; body: Buffer }
+  /** @returns undefined where the body names no copy. */
+  readMoveAnswer(body: Buffer): MoveAnswer | undefined
 }
--- a/request/gateway/src/leaderWay.ts
+++ b/request/gateway/src/leaderWay.ts
@@ -72,6 +72,20 @@
     if (neighbour !== undefined) peers.notify(neighbour, FORWARD, { method, params, deadline: SKIP_MS })
   }
 
+  /**
+   * Tells the leader something to which it may answer; undefined where it does not in time. Through a neighbour it is
+   * only told. Unlike {@link call} this says nothing of the leader: what it answers is of use, but not needed.
+   */
+  async askLeader<Answer>(method: string, params: unknown, deadline: Millis): Promise<Answer | undefined> {
+    const leader = this.directLeader()
+    if (leader === undefined) return void this.notify(method, params)
+    try {
+      return await this.options.peers.call<Answer>(leader, method, params, { deadline, step: method })
+    } catch {
+      return undefined
+    }
+  }
+
   /** What other entries may call here. */
   methods(): Record<string, PeerMethod> {
     return { [FORWARD]: (call: Forwarded) => this.forward(call) }
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -1,5 +1,6 @@
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
-import type { ModelPlace, ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
+import type { ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
+import { poolPlace } from './poolPlace'
 
 /** Options of {@link LocalPlacer}. */
 export interface LocalPlacerOptions {
@@ -37,7 +38,12 @@
       return { type: 'refused', reason: 'no decode engine is known', retryAfterMs: NO_ENDPOINT_RETRY_MS }
     if (!this.hasRoom(work, decoders))
       return { type: 'refused', reason: "this entry's share is full", retryAfterMs: NO_ROOM_RETRY_MS }
-    return { type: 'place', place: this.take(work, decode, this.chooseReader(work)) }
+    const prefill = this.chooseReader(work)
+    const { promptTokens } = work
+    return {
+      type: 'place',
+      place: poolPlace({ pool, prefill, decode, promptTokens, tokens: tokensOf(work) }),
+    }
   }
 
   /** The prefill engine with the fewest prompts, where it comes to this one in time; else the decode engine reads. */
@@ -59,22 +65,6 @@
     const own = decoders.reduce((sum, one) => sum + one.tokens, 0)
     return own === 0 || own + tokensOf(work) <= (all * UNEVEN_FACTOR) / Math.max(1, entries())
   }
-
-  private take(work: ModelWork, decode: PooledEndpoint, prefill: PooledEndpoint | undefined): ModelPlace {
-    const { pool } = this.options
-    const tokens = tokensOf(work)
-    pool.noteSent(decode, tokens)
-    if (prefill !== undefined) pool.noteSent(prefill, work.promptTokens)
-    return {
-      prefill,
-      decode,
-      notePrefilled: (outcome, tookMs) => {
-        if (prefill !== undefined) pool.noteEnd(prefill, outcome, tookMs, work.promptTokens)
-      },
-      noteStalled: () => undefined,
-      release: (outcome, tookMs) => pool.noteEnd(decode, outcome, tookMs, tokens),
-    }
-  }
 }
 
 function tokensOf(work: ModelWork): number {
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -46,6 +46,10 @@
   noteStalled: (forMs: Millis) => void
   /** Tells how many tokens have been made there so far; set by whoever runs the request. */
   madeTokens?: () => number
+  /** Lets the answer go on at another engine, where that is possible; set by whoever runs the request. */
+  moveTo?: (to: PooledEndpoint) => void
+  /** Says that the answer goes on at another engine; `decode` is that one then. */
+  noteMoved: (to: PooledEndpoint) => void
   /** Gives the place back, with the tokens made there. Called once. */
   release: (outcome: SendOutcome, tookMs: Millis, madeTokens: number) => void
 }
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -1,8 +1,10 @@
 import {
   PLACE,
+  type AnswerMove,
   type PlaceAsk,
   type PlaceDecision,
   type Placed,
+  type ReportAnswer,
   type ReportedHold,
   type UseOutcome,
 } from '@forkstage/allocator'
@@ -14,6 +16,7 @@
 import type { LeaderWay } from './leaderWay'
 import { waitFor } from './waitFor'
 import type { ModelPlace, ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
+import { poolPlace } from './poolPlace'
 
 /** Options of {@link RemotePlacer}. */
 export interface RemotePlacerOptions {
@@ -137,27 +140,17 @@
       this.options.way.notify(PLACE.withdraw, { request: ask.request })
       return undefined
     }
-    const tokens = ask.promptTokens + Math.min(ask.mostTokens, ask.hintTokens ?? ask.mostTokens)
-    pool.noteSent(decode, tokens)
-    if (prefill !== undefined) pool.noteSent(prefill, ask.promptTokens)
-    return this.tracked(ask, {
-      prefill,
-      decode,
-      readsInMs: placed.readsInMs,
-      readElsewhereInMs: placed.readElsewhereInMs,
-      notePrefilled: (outcome, tookMs) => {
-        if (prefill !== undefined) pool.noteEnd(prefill, outcome, tookMs, ask.promptTokens)
-      },
-      noteStalled: () => undefined,
-      release: (outcome, tookMs) => pool.noteEnd(decode, outcome, tookMs, tokens),
-    })
+    const { promptTokens, mostTokens, hintTokens } = ask
+    const tokens = promptTokens + Math.min(mostTokens, hintTokens ?? mostTokens)
+    const { readsInMs, readElsewhereInMs } = placed
+    const place = poolPlace({ pool, prefill, decode, promptTokens, tokens })
+    return this.tracked(ask, { ...place, readsInMs, readElsewhereInMs })
   }
 
   /** A place whose course the leader is told. */
   private tracked(ask: PlaceAsk, place: ModelPlace): ModelPlace {
     const { clock } = this.options
     const { request } = ask
-    const decode = place.decode.endpoint.id
     const decodingAt = place.prefill === undefined ? clock.now() : undefined
     const tracked: ModelPlace = {
       prefill: place.prefill,
@@ -169,14 +162,20 @@
         place.notePrefilled(outcome, tookMs)
         this.options.way.notify(PLACE.prefilled, { request, outcome, tookMs: Math.round(tookMs) })
       },
-      noteStalled: (forMs) => this.noteSilent(decode, forMs),
+      noteStalled: (forMs) => this.noteSilent(hold.decode, forMs),
+      noteMoved: (to) => {
+        place.noteMoved(to)
+        tracked.decode = to
+        hold.decode = to.endpoint.id
+      },
       release: (outcome, tookMs, madeTokens) => {
         this.active.delete(request)
         place.release(outcome, tookMs, madeTokens)
-        this.options.way.notify(PLACE.release, { request, outcome, madeTokens })
+        this.options.way.notify(PLACE.release, { request, decode: hold.decode, outcome, madeTokens })
       },
     }
     const prefill = place.prefill?.endpoint.id
+    const decode = place.decode.endpoint.id
     const hold: Active = { ask, prefill, decode, placedAt: clock.now(), decodingAt, place: tracked }
     this.active.set(request, hold)
     return tracked
@@ -196,7 +195,18 @@
     this.reportedTo = leader
     this.reportedAt = clock.now()
     const holds = [...this.active.values()].map((one) => toReported(one, clock.now()))
-    way.notify(PLACE.report, { entry, holds })
+    if (holds.length === 0) return way.notify(PLACE.report, { entry, holds })
+    void way
+      .askLeader<ReportAnswer | undefined>(PLACE.report, { entry, holds }, REPORT_ACTIVE_MS * 2)
+      .then((answer) => this.move(answer?.moves ?? []))
+  }
+
+  /** Lets answers go on at other engines, as the leader wants. */
+  private move(moves: AnswerMove[]): void {
+    for (const { request, to } of moves) {
+      const endpoint = this.options.pool.get(to)
+      if (endpoint !== undefined) this.active.get(request)?.place.moveTo?.(endpoint)
+    }
   }
 }
 
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -21,6 +21,7 @@
   type RelayResult,
   type SendRecord,
 } from './relayParts'
+import { RunMoves, type MovingRun } from './runMoves'
 import { SendCount, type CountedSending } from './sendCount'
 import { waitFor } from './waitFor'
 
@@ -34,19 +35,32 @@
   return new StreamRun(parts, job).relay()
 }
 
-class StreamRun implements StreamOwner, PromptReader {
+/** How one engine's stream ended, and what it says of the engine. */
+interface StreamResult {
+  attempt: Attempt
+  note: SendOutcome
+}
+
+/** Where an engine finds the memory that a request goes on from. */
+interface KvSource {
+  at: PooledEndpoint
+  handle: string
+}
+
+class StreamRun implements StreamOwner, PromptReader, MovingRun {
   readonly sends: SendRecord[] = []
   readonly except = new Set<string>()
   exchange: Exchange | undefined
   isOver = false
   private mayHaveRun = 0
-  private head: AnswerHead | undefined
+  head: AnswerHead | undefined
   private lastEventId: number | undefined
   /** Events of the engine at work now. */
   private madeEvents = 0
   private readonly pauses: EventPauses
   private readonly count: SendCount
   private readonly prompt: PromptReading
+  private readonly moves: RunMoves
 
   constructor(
     private readonly parts: RelayParts,
@@ -54,6 +68,7 @@
   ) {
     this.count = new SendCount(parts.allowance, job.service.name)
     this.prompt = new PromptReading(parts, job, this.count, this)
+    this.moves = new RunMoves(parts, job, this.count, this)
     this.pauses = new EventPauses(job.request.arrivedAt)
     const sent = single(job.request.headers[parts.wire.headers.lastEventId])
     if (sent !== undefined && /^\d+$/.test(sent)) this.lastEventId = Number(sent)
@@ -146,8 +161,11 @@
       return { type: 'denied' }
     }
     place.madeTokens = () => this.madeTokens()
+    place.moveTo = (to) => void this.moves.begin(place, to)
     const stall = this.watchStall(place)
-    const { attempt, note } = await this.streamAt(place.decode, sending)
+    const held = this.prompt.held
+    const source = held && { at: held.at, handle: held.handle }
+    const { attempt, note } = await this.streamOn(place, await this.streamAt(place.decode, sending, source))
     stall.cancel()
     const tookMs = this.parts.clock.now() - startedAt
     const used: SendOutcome = stall.hasLeft() ? 'silent' : note
@@ -161,6 +179,19 @@
     return attempt
   }
 
+  /** Goes on at other engines for as long as the run is moved. */
+  private async streamOn(place: ModelPlace, ended: StreamResult): Promise<StreamResult> {
+    const next = await this.moves.next(ended.attempt)
+    if (next === undefined) return ended
+    const from = place.decode
+    this.sends.push({ to: from.endpoint.id, step: 'decode', outcome: 'moved', tookMs: 0 })
+    // It is the same run that goes on.
+    this.mayHaveRun -= 1
+    if (next.at !== from) place.noteMoved(next.at)
+    const { at, sending, source, handle } = next
+    return this.streamOn(place, await this.streamAt(at, sending, { at: source, handle }))
+  }
+
   /** Tells the placement of an engine that has made nothing for too long, and leaves it where that is allowed. */
   private watchStall(place: ModelPlace): { cancel: () => void; hasLeft: () => boolean } {
     const { route } = this.job
@@ -180,13 +211,9 @@
     return this.madeEvents * (this.job.service.engine?.tokensPerEvent ?? 1)
   }
 
-  private streamAt(
-    to: PooledEndpoint,
-    sending: CountedSending,
-  ): Promise<{ attempt: Attempt; note: SendOutcome }> {
+  private streamAt(to: PooledEndpoint, sending: CountedSending, source?: KvSource): Promise<StreamResult> {
     const { parts, job } = this
     const { headers } = parts.wire
-    const source = this.prompt.held
     const extra: string[] = []
     if (source !== undefined)
       extra.push(headers.kvSource, parts.wire.kvSource(source.at.endpoint.address, source.handle))
@@ -277,6 +304,8 @@
   private mayRepeat(attempt: Extract<Attempt, { type: 'not-run' | 'lost' }>): boolean {
     const { route, endsAt } = this.job
     if (endsAt - this.parts.clock.now() < ANSWER_MARGIN_MS * 2) return false
+    // What an engine has begun goes on elsewhere only with its memory, or where the route lets it be made anew.
+    if (this.head !== undefined && !route.resumable) return false
     if (attempt.type === 'not-run' && !attempt.arrived) return true
     if (attempt.type === 'lost' && !route.resumable) return false
     if (this.mayHaveRun >= route.attempts) return false
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -10,6 +10,7 @@
   LocalPlacer,
   RetryAllowance,
   type GatewayWire,
+  type ModelPlace,
   type RequestReport,
 } from '../src'
 
@@ -38,6 +39,12 @@
   readPrefillAnswer: (body) => (body.length > 0 ? { handle: body.toString(), tokens: 1 } : undefined),
   kvSource: (address, handle) => `${address}#${handle}`,
   releaseCall: (handle) => ({ method: 'DELETE', path: `/free/${handle}` }),
+  moveCall: (request, to, isLast) => ({
+    method: 'POST',
+    path: isLast ? '/move-last' : '/move',
+    body: Buffer.from(`${request}>${to}`),
+  }),
+  readMoveAnswer: (body) => (body.length > 0 ? { handle: body.toString() } : undefined),
 }
 
 /** An answer as a caller got it. */
@@ -59,11 +66,14 @@
   tokensPerEvent: 1,
   handleMs: 5_000,
   stageChangeMs: 1,
+  canMove: true,
 }
 
 /** An entry over endpoints at given addresses, with one route of each kind. */
 export class GatewayWorld {
   readonly reports: RequestReport[] = []
+  /** Places that were given, the newest last. */
+  readonly places: ModelPlace[] = []
   private constructor(
     readonly ingress: Ingress,
     readonly pool: EndpointPool,
@@ -89,11 +99,18 @@
       ],
       limits: { ...LIMITS, ...limits },
     })
+    const local = new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1 })
     const ingress = new Ingress({
       parts: {
         wire: TEST_WIRE,
         pool,
-        placer: new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1 }),
+        placer: {
+          place: async (work) => {
+            const answer = await local.place(work)
+            if (answer.type === 'place') world.places.push(answer.place)
+            return answer
+          },
+        },
         allowance: new RetryAllowance({ clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 1 }),
         clock,
         random: createSeededRandom(1),
--- a/table/routes/src/routeTypes.ts
+++ b/table/routes/src/routeTypes.ts
@@ -41,6 +41,8 @@
   handleMs: number
   /** How long an engine is away while it changes its part, in milliseconds. */
   stageChangeMs: number
+  /** Whether a running answer's memory may be copied to another engine, which then goes on with it. */
+  canMove: boolean
 }
 
 /** A service that routes name. */
--- a/tools/bench/src/memoryExperiment.ts
+++ b/tools/bench/src/memoryExperiment.ts
@@ -141,6 +141,7 @@
       tokensPerEvent: this.shape.tokensPerEvent,
       handleMs: 500,
       stageChangeMs: 6_000,
+      canMove: false,
     }
     this.allocator = new Allocator({
       endpoints: () => endpoints,
