fix(allocator): a prompt that an engine had kept says nothing of its pace

Change: a prompt tried elsewhere before teaches nothing, a faster reading than 0.8 of the foreseen counts as 0.8, and the belief that the line holds is not replaced by the first evidence.

--- a/placement/allocator/src/enginePace.ts
+++ b/placement/allocator/src/enginePace.ts
@@ -5,6 +5,8 @@
 
 /** Believed until the first answer or report has told better; a step of a model takes some milliseconds. */
 const FIRST_MS_PER_TOKEN = 3
+/** A prompt that was read in less than this share of the time foreseen was partly kept. */
+const LEAST_READING_SHARE = 0.8
 /** A prompt ends each few hundred milliseconds at a reader that has work: a few of them decide. */
 const READING_MEMORY_MS = 1_000
 /** Entries report each answer's progress each 400 ms: an engine turns slow within a moment, and well again. */
@@ -33,11 +35,13 @@
   private readonly decoders: PeerPace
 
   constructor(onChange: OnEnginePaceChange = () => undefined) {
-    this.readers = new PeerPace(1, READING_MEMORY_MS, (id, isSlow, view) =>
+    this.readers = new PeerPace({ ms: 1, isGuess: false }, READING_MEMORY_MS, (id, isSlow, view) =>
       onChange(id, 'prefill', isSlow, view),
     )
-    this.decoders = new PeerPace(FIRST_MS_PER_TOKEN, DECODING_MEMORY_MS, (id, isSlow, view) =>
-      onChange(id, 'decode', isSlow, view),
+    this.decoders = new PeerPace(
+      { ms: FIRST_MS_PER_TOKEN, isGuess: true },
+      DECODING_MEMORY_MS,
+      (id, isSlow, view) => onChange(id, 'decode', isSlow, view),
     )
   }
 
@@ -85,7 +89,8 @@
   learnReading(engine: InstanceId, read: ReadPrompt, now: Millis): void {
     const { promptTokens, tookMs, isAlone, isGivenUp } = read
     const expectedMs = this.line.busyMs(promptTokens) + (isAlone ? this.line.latencyMs() : 0)
-    this.readers.learn(engine, expectedMs, tookMs, now)
+    // What an engine had kept of a prompt it need not read: that says nothing of its pace.
+    this.readers.learn(engine, expectedMs, Math.max(tookMs, expectedMs * LEAST_READING_SHARE), now)
     if (!isAlone || isGivenUp) return
     // The line says what engines do that are well; when all are slow alike it follows.
     if (this.readers.view(engine, now).slowness < SLOW_FROM) this.line.learn(promptTokens, tookMs)
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -156,7 +156,8 @@
     if (prefill === undefined) return
     const freeForMs = now - (this.readAt.get(prefill) ?? -Infinity)
     this.readAt.set(prefill, now)
-    if (isAdopted === true) return
+    // Another engine may have read it before this one, or this one itself: what it kept is not read again.
+    if (isAdopted === true || ask.except.length > 0) return
     const isAlone = hold.isReadAlone === true
     const read = { promptTokens: ask.promptTokens, isAlone, isGivenUp }
     this.options.pace.learnReading(
--- a/placement/allocator/src/peerPace.ts
+++ b/placement/allocator/src/peerPace.ts
@@ -47,17 +47,20 @@
   private peersMs: Millis
   private peersAt: Millis = -Infinity
   private hasSeen = false
+  private readonly mayBegin: boolean
 
   /**
-   * @param firstMs milliseconds for a unit of work, believed before anything was seen.
+   * @param first what is believed of a unit of work before anything was seen; `isGuess` where the first evidence is
+   *   better than that.
    * @param memoryMs after this time what was seen counts for a third.
    */
   constructor(
-    firstMs: Millis,
+    first: { ms: Millis; isGuess: boolean },
     private readonly memoryMs: Millis,
     private readonly onChange: OnPaceChange = () => undefined,
   ) {
-    this.peersMs = firstMs
+    this.peersMs = first.ms
+    this.mayBegin = first.isGuess
   }
 
   /** Whether any engine has shown its pace. */
@@ -74,7 +77,6 @@
       lastMs: this.peersMs,
     }
     this.known.set(id, one)
-    // The first evidence takes the place of the belief before anything was seen.
     if (!this.hasSeen && work > 0) this.begin(tookMs / work, now)
     this.hasSeen ||= work > 0
     one.pace.add(work, tookMs, now)
@@ -120,8 +122,9 @@
     for (const id of this.known.keys()) if (!ids.has(id)) this.known.delete(id)
   }
 
-  private begin(peersMs: Millis, now: Millis): void {
-    this.peersMs = peersMs
+  /** The first evidence takes the place of a guess. */
+  private begin(ms: Millis, now: Millis): void {
+    if (this.mayBegin) this.peersMs = ms
     this.peersAt = now
   }
 
--- a/placement/allocator/test/enginePace.test.ts
+++ b/placement/allocator/test/enginePace.test.ts
@@ -43,3 +43,16 @@
     expect(pace.decodingMs('new', 20_000)).toBeCloseTo(40, 0)
   })
 })
+
+describe('EnginePace, of a reader', () => {
+  it('does not take a prompt that was kept for the pace of engines that are well', () => {
+    const pace = new EnginePace()
+    pace.learnReading('a', alone(4_000, 6), 0)
+    for (let index = 1; index < 6; index += 1) {
+      pace.learnReading('a', alone(4_000, 100), index * 300)
+      pace.learnReading('b', alone(4_000, 100), index * 300)
+    }
+    expect(pace.view('a', 'prefill', 1_600).slowness).toBeLessThan(1.4)
+    expect(pace.view('b', 'prefill', 1_600).slowness).toBeLessThan(1.4)
+  })
+})
--- a/placement/allocator/test/slowEngines.test.ts
+++ b/placement/allocator/test/slowEngines.test.ts
@@ -104,13 +104,13 @@
   it('sends prompts past a reader that takes longer than its peers', () => {
     const one = world(pool(2, 2))
     readPrompts(one, { p0: 90, p1: 90 }, { from: 0, times: 8 })
-    // Whichever reads first shows that it is slow; the other is as quick as before.
-    readPrompts(one, { p0: 500, p1: 90 }, { from: 8_000, times: 2 })
-    one.place(ask('next', { promptTokens: 2_000 }), 9_600)
-    one.place(ask('after', { promptTokens: 2_000 }), 9_601)
-    const readers = ['next', 'after'].map((name) => (one.decisions.get(name) as { prefill?: string }).prefill)
-    expect(readers[0]).toBe('p1')
-    expect(readers[1]).not.toBe('p0')
+    const readerOf = (name: string) => (one.decisions.get(name) as { prefill?: string }).prefill
+    one.place(ask('first', { promptTokens: 2_000 }), 9_000)
+    const slow = readerOf('first')
+    one.allocator.notePrefilled('first', 'ok', 500, 9_500)
+    for (const name of ['next', 'after']) one.place(ask(name, { promptTokens: 2_000 }), 9_600)
+    expect(readerOf('next')).toMatch(/^p/)
+    expect(['next', 'after'].map(readerOf)).not.toContain(slow)
   })
 
   it('lets nothing wait behind a prompt that is late already', () => {
