fix(allocator): own readings keep a distance; engines that change their part are emptied by moves

Change: OwnReadings (an event's time and a quarter of the reading between two), a beginning shorter than 0.8 s teaches nothing, MovePlanner empties engines that change their part.

--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -103,6 +103,7 @@
       choice: this.choice,
       engine: options.engine,
       endpoints: options.endpoints,
+      isChanging: (id, now) => this.isChanging(id, now),
       memoryShare: this.tuning.memoryShare,
     })
     this.room = new WaitingRoom((one, now) => this.slackOf(one, now), this.tuning.order)
@@ -136,8 +137,9 @@
     const hold = this.book.get(request)
     if (hold === undefined) return
     const isRead = outcome === 'ok'
-    // What no prefill engine has read the decode engine reads itself.
-    this.book.noteDecoding(hold, isRead ? now : now + this.choice.ownReadingMs(hold.ask))
+    // Without a sending that is left the decode engine reads it; otherwise the entry asks for another place.
+    const isReadThere = outcome === 'cancelled'
+    this.book.noteDecoding(hold, isRead ? now : now + this.choice.ownReadingMs(hold.ask), isReadThere)
     if (hold.prefill === undefined) return
     if (!isOwnQueue(hold, outcome)) this.noteUse(hold.prefill, outcome, now, tookMs)
     const isGivenUp = outcome === 'silent'
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -68,6 +68,8 @@
 
 /** Reading is late from so many times the time it should take: it varies with what else the way carries. */
 const LATE_FROM = 1.5
+/** The end of a reading is foreseen only within this share of its time. */
+const READING_VARIES = 0.25
 /** A single pause that is foreseen must leave this share of the longest that is in time. */
 const LONGEST_PAUSE_SHARE = 0.9
 /** More than any peak: an engine whose answers come late is taken only where no other has room. */
@@ -275,7 +277,7 @@
     const ownMs = this.ownReadingMs(quest.ask)
     const picks = fitting
       .filter((endpoint) => isAlone || this.mayReadItself(endpoint.id, ownMs, now))
-      .map((decode) => ({ decode, queuedMs: book.ownReadingWait(decode.id, now) }))
+      .map((decode) => ({ decode, queuedMs: book.ownReadings.wait(decode.id, now) }))
       .filter(({ queuedMs }) => queuedMs + ownMs <= this.readingLimit(quest))
       .filter(({ decode, queuedMs }) => !this.holdsUpAnswers(quest, decode.id, queuedMs + ownMs, now))
     picks.sort((left, right) => left.queuedMs - right.queuedMs)
@@ -292,6 +294,9 @@
     const { ask, engine } = quest
     if (ask.pauseMs === undefined || book.countAt(decode) === 0) return false
     const eventMs = pace.decodingMs(decode, now) * engine.tokensPerEvent
+    // Answers have had no event since the last prompt that was read there, unless enough time has passed.
+    const sinceLastMs = book.ownReadings.since(decode, now)
+    if (sinceLastMs < eventMs + this.ownReadingMs(ask) * READING_VARIES) return true
     return readsForMs + eventMs > ask.pauseMs * LONGEST_PAUSE_SHARE
   }
 
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -4,6 +4,7 @@
 import type { EnginePace } from './enginePace'
 import { addTo, removeFrom, type HoldIndex } from './holdIndex'
 import { lengthQuantile, type LengthForecast } from './lengthForecast'
+import { OwnReadings } from './ownReadings'
 import { peakMemory, type Growing } from './peakMemory'
 
 /** A hold that its entry does not name is dropped once it is this old: before that its place may be on its way. */
@@ -11,7 +12,7 @@
 /** What an answer made before it was first heard of counts as so much time. */
 const BEGINNING_MS = 1_000
 /** Of a shorter time the way to the engine and the first event are too large a part. */
-const SHORTEST_BEGINNING_MS = 200
+const SHORTEST_BEGINNING_MS = 800
 /** An engine that reads a prompt itself still makes some tokens between its pieces; they count at least so much time. */
 const LEAST_DECODING_SHARE = 0.2
 /** An answer whose entry still reports it where it was so long after it should have left has stayed there. */
@@ -43,6 +44,8 @@
   private readonly outlooks = new Map<InstanceId, Outlook>()
   private readonly asked = new WeakMap<PlaceAsk, { at: Millis; growing: Growing }>()
 
+  /** What decode engines read themselves. */
+  readonly ownReadings = new OwnReadings()
   /** When each prefill engine last ended a prompt. */
   private readonly readAt = new Map<InstanceId, Millis>()
 
@@ -61,6 +64,8 @@
     this.holds.set(hold.ask.request, hold)
     addTo(this.byDecode, hold.decode, hold)
     if (hold.prefill !== undefined) addTo(this.byPrefill, hold.prefill, hold)
+    else if (!hold.ask.isPrefilled && hold.decodingAt !== undefined)
+      this.ownReadings.note(hold.decode, hold.decodingAt)
     this.outlooks.delete(hold.decode)
   }
 
@@ -73,9 +78,10 @@
     this.outlooks.delete(hold.decode)
   }
 
-  /** Notes that a request's prompt has been read. */
-  noteDecoding(hold: Hold, now: Millis): void {
-    hold.decodingAt = now
+  /** Notes that a request's prompt has been read, or when its decode engine will have read it. */
+  noteDecoding(hold: Hold, at: Millis, isReadThere: boolean): void {
+    hold.decodingAt = at
+    if (isReadThere) this.ownReadings.note(hold.decode, at)
     this.outlooks.delete(hold.decode)
   }
 
@@ -100,6 +106,7 @@
   /** Forgets engines that are not registered any more. */
   keepOnly(ids: ReadonlySet<InstanceId>): void {
     for (const id of this.readAt.keys()) if (!ids.has(id)) this.readAt.delete(id)
+    this.ownReadings.keepOnly(ids)
   }
 
   countAt(decode: InstanceId): number {
@@ -167,14 +174,6 @@
     )
   }
 
-  /** How long a decode engine is still busy with prompts that it reads itself, in milliseconds. */
-  ownReadingWait(decode: InstanceId, now: Millis): Millis {
-    let until = now
-    for (const hold of this.holdsAt(decode))
-      if (hold.prefill === undefined) until = Math.max(until, hold.decodingAt ?? now)
-    return until - now
-  }
-
   /** How many tokens an answer is forecast to have, as surely as forecasts must be. */
   lengthOf(ask: PlaceAsk): number {
     const { forecast, lengthCertainty } = this.options
--- a/placement/allocator/src/movePlanner.ts
+++ b/placement/allocator/src/movePlanner.ts
@@ -11,6 +11,8 @@
   choice: EngineChoice
   engine: (service: string) => EnginePool | undefined
   endpoints: () => RegisteredEndpoint[]
+  /** Whether an engine changes its part: it first ends what runs there. */
+  isChanging: (id: InstanceId, now: Millis) => boolean
   /** The share of an engine's memory that forecasts may fill. */
   memoryShare: number
 }
@@ -19,8 +21,9 @@
 const WORTHWHILE_MS = 800
 
 /**
- * Decides which running answers should go on at another engine: those whose engine has turned too slow for them, or
- * leaves before they end. An answer that is cut has been read and made in vain.
+ * Decides which running answers should go on at another engine: those whose engine has turned too slow for them,
+ * leaves before they end, or changes its part as soon as they have ended. An answer that is cut has been read and made in
+ * vain, and an engine that waits for answers to end does nothing else.
  */
 export class MovePlanner {
   constructor(private readonly options: MovePlannerOptions) {}
@@ -43,14 +46,14 @@
     states: ReadonlyMap<InstanceId, RegisteredEndpoint['state']>,
     now: Millis,
   ): InstanceId | undefined {
-    const { book, choice, memoryShare } = this.options
+    const { book, choice, memoryShare, isChanging } = this.options
     const engine = this.options.engine(hold.ask.service)
     if (engine?.canMove !== true || hold.leaves !== undefined) return undefined
     const tokens = book.tokensToCome(hold, now)
     if (choice.decodingMs(tokens, hold.decode, now) < WORTHWHILE_MS) return undefined
     const { ask, placedAt, decode } = hold
     const answer = { tokens, endsWithinMs: ask.leftMs - (now - placedAt), pauseMs: ask.pauseMs }
-    const isLeaving = states.get(decode) !== 'ready'
+    const isLeaving = states.get(decode) !== 'ready' || isChanging(decode, now)
     if (!isLeaving && choice.fitness.of(answer, engine, decode, now) !== 'slow') return undefined
     const takers = choice
       .takers(ask, engine, now)
--- a/placement/allocator/test/moves.test.ts
+++ b/placement/allocator/test/moves.test.ts
@@ -55,6 +55,13 @@
     expect(one.allocator.planMoves('runner', 830)).toMatchObject([{ request: 'at-d0' }])
   })
 
+  it('lets those go on elsewhere whose engine is to change its part, which it does once it is empty', () => {
+    const one = world(three())
+    run(one, PEERS, { from: 0, until: 800 })
+    one.allocator.noteChanging('d1', 'prefill', 20_000, 810)
+    expect(one.allocator.planMoves('runner', 820)).toMatchObject([{ request: 'at-d1' }])
+  })
+
   it('counts what they hold where they go, and moves none that does not fit', () => {
     const endpoints: RegisteredEndpoint[] = [engine('d0', 'decode'), engine('d1', 'decode')]
     const one = world(endpoints)
