fix(allocator): reports that cannot be teach nothing; calls to endpoints are bounded; what changes while it is kept is kept

Change: WholeOptions.withinMs (one limit for prefill steps, copies and calls of control machines), EndpointMemory writes again, PartOrders, whyNoReport, own reading as slow as readers are now when all are slow alike.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -80,6 +80,8 @@
   'answer.moves': { request: string; entry: string; endpoint: string }
   /** How that ended at its entry. */
   'answer.moved': { request: string; from: string; to: string; outcome: string; tookMs: number }
+  /** What an entry says of a running request cannot be. */
+  'place.report-refused': { entry: string; request: string; reason: string }
   'place.alone': { request: string; reason: string }
   'place.decided': {
     request: string
--- a/daemon/fleet/src/callEndpoint.ts
+++ b/daemon/fleet/src/callEndpoint.ts
@@ -4,6 +4,8 @@
 import type { EndpointCall } from './controlWire'
 
 const CONNECT_MS = 400
+/** An endpoint that takes a call and says nothing must not keep the caller from its other work. */
+const ANSWER_WITHIN_MS = 2_000
 const MAX_ANSWER_BYTES = 64 * 1024
 
 /** Calls an endpoint on behalf of a control machine. Never rejects. */
@@ -25,6 +27,7 @@
       'close',
     ],
     connectMs: CONNECT_MS,
+    withinMs: ANSWER_WITHIN_MS,
     clock,
     maxBytes: MAX_ANSWER_BYTES,
   })
--- a/daemon/fleet/src/endpointMemory.ts
+++ b/daemon/fleet/src/endpointMemory.ts
@@ -27,6 +27,8 @@
 export class EndpointMemory {
   private cancelWrite: CancelTimer | undefined
   private stopped = false
+  /** Whether endpoints have changed since the write that is under way began. */
+  private hasChanged = false
 
   constructor(private readonly options: EndpointMemoryOptions) {}
 
@@ -46,9 +48,14 @@
 
   /** Notes that endpoints have changed; they are written a moment later. */
   noteChange(): void {
+    this.hasChanged = true
     if (this.stopped || this.cancelWrite !== undefined) return
     this.cancelWrite = this.options.clock.after(WRITE_AFTER_MS, () => {
-      void this.write().finally(() => (this.cancelWrite = undefined))
+      this.hasChanged = false
+      void this.write().finally(() => {
+        this.cancelWrite = undefined
+        if (this.hasChanged) this.noteChange()
+      })
     })
   }
 
--- a/daemon/fleet/test/endpointRecall.test.ts
+++ b/daemon/fleet/test/endpointRecall.test.ts
@@ -6,7 +6,8 @@
 import { createSystemClock, ManualClock } from '@forkstage/clock'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { createSilentLogger } from '@forkstage/logger'
-import { createFileSystem } from '@forkstage/storage'
+import { createFileSystem, type FileSystem } from '@forkstage/storage'
+import { callEndpoint } from '../src/callEndpoint'
 import { EndpointMemory } from '../src/endpointMemory'
 import { recallEndpoints } from '../src/endpointRecall'
 import { CONTROL_WIRE, until } from './fleetWorld'
@@ -59,6 +60,23 @@
   })
 })
 
+describe('callEndpoint', () => {
+  it('gives up an endpoint that takes the call and says nothing', async () => {
+    const clock = new ManualClock()
+    let asked: () => void = () => undefined
+    const isAsked = new Promise<void>((resolve) => (asked = resolve))
+    const server = createServer(() => asked())
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    servers.push(server)
+    const address = `127.0.0.1:${(server.address() as { port: number }).port}`
+    const call = { method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0) }
+    const answer = callEndpoint(endpoint('i-1', address), call, clock)
+    await isAsked
+    clock.advance(2_000)
+    expect(await answer).toMatchObject({ type: 'failed', sent: true, isGivenUp: true })
+  })
+})
+
 describe('EndpointMemory', () => {
   function memory(folder: string, endpoints: RegisteredEndpoint[]) {
     const clock = new ManualClock()
@@ -76,6 +94,34 @@
     expect(await memory(folder, []).memory.recall()).toEqual([endpoint('i-1')])
   })
 
+  it('keeps what changes while it writes, though nothing changes after', async () => {
+    const clock = new ManualClock()
+    const endpoints = [endpoint('i-1')]
+    const written: string[] = []
+    let finish: () => void = () => undefined
+    const files: FileSystem = {
+      ...createFileSystem(),
+      makeFolder: async () => undefined,
+      replace: (_path, bytes) => {
+        written.push(bytes.toString())
+        return new Promise<void>((resolve) => (finish = resolve))
+      },
+    }
+    const options = { folder: 'f', files, clock, logger: createSilentLogger() }
+    const kept = new EndpointMemory({ ...options, endpoints: () => endpoints })
+    kept.noteChange()
+    clock.advance(1_000)
+    await until('the write to begin', async () => written.length === 1)
+    endpoints.push(endpoint('i-2', 'b:1'))
+    kept.noteChange()
+    finish()
+    await until('the next write to begin', async () => {
+      clock.advance(100)
+      return written.length === 2
+    })
+    expect(written[1]).toContain('i-2')
+  })
+
   it('recalls nobody from an empty disk or a torn file', async () => {
     const folder = newFolder()
     expect(await memory(folder, []).memory.recall()).toEqual([])
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -17,6 +17,7 @@
 import { InstanceHealth } from './instanceHealth'
 import { LengthForecast } from './lengthForecast'
 import { MovePlanner } from './movePlanner'
+import { PartOrders } from './partOrders'
 import { planStages, type StageChange, type StageNeed, type StagedEngine } from './planStages'
 import { SupplyMeter } from './supplyMeter'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
@@ -77,10 +78,7 @@
   private readonly room: WaitingRoom
   private sentAway = 0
   private readonly demand = new Map<string, DemandMeter>()
-  /** Engines that change their part, until when they are left alone. */
-  private readonly changing = new Map<InstanceId, { to: Stage; until: Millis }>()
-  /** Engines that may still carry out an order, or refused one: they work on, but get no other order. */
-  private readonly ordered = new Map<InstanceId, { to: Stage; until: Millis }>()
+  private readonly orders = new PartOrders()
   private readonly supply = new SupplyMeter()
   private readonly learned: Learned
   private readonly choice: EngineChoice
@@ -139,7 +137,7 @@
     const isRead = outcome === 'ok'
     // Without a sending that is left the decode engine reads it; otherwise the entry asks for another place.
     const isReadThere = outcome === 'cancelled'
-    this.book.noteDecoding(hold, isRead ? now : now + this.choice.ownReadingMs(hold.ask), isReadThere)
+    this.book.noteDecoding(hold, isRead ? now : now + this.choice.ownReadingMs(hold.ask, now), isReadThere)
     if (hold.prefill === undefined) return
     if (!isOwnQueue(hold, outcome)) this.noteUse(hold.prefill, outcome, now, tookMs)
     const isGivenUp = outcome === 'silent'
@@ -196,6 +194,8 @@
     this.learned.pace.keepOnly(known)
     this.book.keepOnly(known)
     this.supply.keepOnly(known)
+    this.choice.keepOnly(known)
+    this.orders.keepOnly(known)
     this.choice.refresh()
     this.placeWaiting(now)
     const hopeless = this.room.takeHopeless(now)
@@ -230,26 +230,23 @@
 
   /** Gives an engine no work while it changes its part. */
   noteChanging(id: InstanceId, to: Stage, forMs: Millis, now: Millis): void {
-    this.changing.set(id, { to, until: now + forMs })
+    this.orders.noteChanging(id, to, forMs, now)
     this.choice.refresh()
   }
 
   /** Lets an engine work on, without another order, while it is not known what becomes of the last one. */
   noteOrdered(id: InstanceId, to: Stage, forMs: Millis, now: Millis): void {
-    this.ordered.set(id, { to, until: now + forMs })
+    this.orders.noteOrdered(id, to, forMs, now)
   }
 
   private toStaged(endpoint: RegisteredEndpoint, now: Millis): StagedEngine {
-    const order = [this.changing, this.ordered]
-      .map((orders) => orders.get(endpoint.id))
-      .find((one) => one !== undefined && one.until > now)
-    const stage = order?.to ?? endpoint.stage!
+    const part = this.orders.partOf(endpoint.id, now)
     const { slowness } = this.learned.pace.view(endpoint.id, endpoint.stage!, now)
     return {
       id: endpoint.id,
-      stage,
+      stage: part ?? endpoint.stage!,
       freeInMs: this.book.freeInMs(endpoint.id, now),
-      isChanging: order !== undefined,
+      isChanging: part !== undefined,
       supply: this.supply.note(endpoint.id, slowness, now),
     }
   }
@@ -260,7 +257,7 @@
   }
 
   isChanging(id: InstanceId, now: Millis): boolean {
-    return (this.changing.get(id)?.until ?? 0) > now
+    return this.orders.isChanging(id, now)
   }
 
   private noteDemand(ask: PlaceAsk, now: Millis): void {
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -6,6 +6,7 @@
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import { Allocator, type Learned } from './allocator'
+import { whyNoReport } from './checkReport'
 import type { PlaceAsk, PlaceDecision, ReportAnswer, ReportedHold, UseOutcome } from './allocatorTypes'
 import { EnginePace } from './enginePace'
 import { LengthForecast } from './lengthForecast'
@@ -182,13 +183,26 @@
     const now = this.options.clock.now()
     this.heard.set(entry, now)
     this.reported.add(entry)
-    this.allocator.adopt(entry, holds, now)
+    this.allocator.adopt(
+      entry,
+      holds.map((one) => this.credible(entry, one)),
+      now,
+    )
     const moves = this.mayPlace() ? this.allocator.planMoves(entry, now) : []
     for (const { request, to } of moves)
       this.options.logger.info('answer.moves', { request, entry, endpoint: to })
     return { moves }
   }
 
+  /** Of what cannot be only the place itself is taken: it goes on being held, and says nothing of its engine. */
+  private credible(entry: string, hold: ReportedHold): ReportedHold {
+    const reason = whyNoReport(hold)
+    if (reason === undefined) return hold
+    const { ask, prefill, decode } = hold
+    this.options.logger.warn('place.report-refused', { entry, request: ask.request, reason })
+    return { ask, prefill, decode, ageMs: 0 }
+  }
+
   private tick(): void {
     const { clock, isLeader } = this.options
     if (!isLeader()) return this.dismissUndecided()
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -148,9 +148,14 @@
     this.readsItself.set(id, now)
   }
 
+  /** Forgets engines that are not registered any more. */
+  keepOnly(ids: ReadonlySet<InstanceId>): void {
+    for (const id of this.readsItself.keys()) if (!ids.has(id)) this.readsItself.delete(id)
+  }
+
   /** How long a decode engine takes to read a prompt, in milliseconds. */
-  ownReadingMs(ask: PlaceAsk): Millis {
-    return this.options.pace.readingMs(ask.promptTokens) * OWN_READING_FACTOR
+  ownReadingMs(ask: PlaceAsk, now: Millis): Millis {
+    return this.options.pace.typicalReadingMs(ask.promptTokens, now) * OWN_READING_FACTOR
   }
 
   /** Engines that may get the request now or in a moment; unsound ones only where no other decodes. */
@@ -274,7 +279,7 @@
     const isAlone = readers.every(({ id }) => health.isBusy(id) || this.fitness.isSlowReader(id, now))
     if (!isAlone && (!quest.isInTime || readers.every((endpoint) => health.isFull(endpoint.id, now))))
       return undefined
-    const ownMs = this.ownReadingMs(quest.ask)
+    const ownMs = this.ownReadingMs(quest.ask, now)
     const picks = fitting
       .filter((endpoint) => isAlone || this.mayReadItself(endpoint.id, ownMs, now))
       .map((decode) => ({ decode, queuedMs: book.ownReadings.wait(decode.id, now) }))
@@ -296,7 +301,7 @@
     const eventMs = pace.decodingMs(decode, now) * engine.tokensPerEvent
     // Answers have had no event since the last prompt that was read there, unless enough time has passed.
     const sinceLastMs = book.ownReadings.since(decode, now)
-    if (sinceLastMs < eventMs + this.ownReadingMs(ask) * READING_VARIES) return true
+    if (sinceLastMs < eventMs + this.ownReadingMs(ask, now) * READING_VARIES) return true
     return readsForMs + eventMs > ask.pauseMs * LONGEST_PAUSE_SHARE
   }
 
--- a/placement/allocator/src/enginePace.ts
+++ b/placement/allocator/src/enginePace.ts
@@ -55,6 +55,13 @@
     return this.line.busyMs(promptTokens)
   }
 
+  /** The same of engines as they are now: when all are slow alike, the line follows by and by only. */
+  typicalReadingMs(promptTokens: number, now: Millis): Millis {
+    // A single reader that is slow says nothing of the others.
+    const factor = this.readers.count < 2 ? 1 : Math.max(1, this.readers.typicalMs(now))
+    return this.line.busyMs(promptTokens) * factor
+  }
+
   /** The same of one engine, by its own pace. */
   readingMsAt(engine: InstanceId, promptTokens: number, now: Millis): Millis {
     return this.line.busyMs(promptTokens) * this.readers.view(engine, now).ms
--- a/placement/allocator/src/peerPace.ts
+++ b/placement/allocator/src/peerPace.ts
@@ -68,6 +68,11 @@
     return this.hasSeen
   }
 
+  /** How many engines have shown something. */
+  get count(): number {
+    return this.known.size
+  }
+
   /** Takes work that an engine did in a time, or the lack of it. */
   learn(id: InstanceId, work: number, tookMs: Millis, now: Millis): void {
     if (!(tookMs > 0) || !(work >= 0)) return
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -41,13 +41,6 @@
   const { wire, clock } = parts
   const at = place.prefill!
   const startedAt = clock.now()
-  let open: Exchange | undefined
-  let isGivenUp = false
-  // An engine may take a prompt and say nothing more: the prompt is then read elsewhere.
-  const cancelLimit = clock.after(limitMs(place, job), () => {
-    isGivenUp = true
-    open?.cancel('the prefill step took too long')
-  })
   const outcome = await exchangeWhole({
     address: at.endpoint.address,
     method: job.request.method,
@@ -57,17 +50,15 @@
     connectMs: CONNECT_MS,
     clock,
     maxBytes: MAX_ANSWER_BYTES,
-    onOpen: (exchange) => {
-      open = exchange
-      onOpen(exchange)
-    },
+    // An engine may take a prompt and say nothing more: the prompt is then read elsewhere.
+    withinMs: limitMs(place, job),
+    onOpen,
   })
-  cancelLimit()
   const tookMs = clock.now() - startedAt
   const isRead = outcome.type === 'answer' && outcome.head.status === 200
   const read = isRead ? wire.readPrefillAnswer(outcome.body) : undefined
   const arrival = arrivalOf(outcome)
-  if (isGivenUp && outcome.type === 'failed') return { note: 'silent', arrival, tookMs }
+  if (outcome.type === 'failed' && outcome.isGivenUp === true) return { note: 'silent', arrival, tookMs }
   if (read === undefined) return { note: noteOfFailure(parts, job, outcome, at), arrival, tookMs }
   return { prefilled: { at, handle: read.handle, madeAt: clock.now() }, note: 'ok', arrival, tookMs }
 }
--- a/request/gateway/src/runMove.ts
+++ b/request/gateway/src/runMove.ts
@@ -1,6 +1,5 @@
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint } from './endpointPool'
-import type { Exchange } from './exchange'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { releaseHandle } from './releaseHandle'
 import type { RelayParts } from './relayParts'
@@ -82,8 +81,6 @@
     const { address } = this.source.endpoint
     const { method, path, body } = wire.moveCall(this.request, this.to.endpoint.address, isLast)
     const rawHeaders = ['Host', address, 'Content-Type', 'application/json']
-    let open: Exchange | undefined
-    const cancelLimit = clock.after(COPY_WITHIN_MS, () => open?.cancel('the copy took too long'))
     const outcome = await exchangeWhole({
       address,
       method,
@@ -93,9 +90,8 @@
       connectMs: CONNECT_MS,
       clock,
       maxBytes: MAX_ANSWER_BYTES,
-      onOpen: (exchange) => (open = exchange),
+      withinMs: COPY_WITHIN_MS,
     })
-    cancelLimit()
     const handle = outcome.type === 'answer' ? wire.readMoveAnswer(outcome.body)?.handle : undefined
     return { outcome, handle }
   }
