perf(allocator): the peers' pace is worked out once in 25 ms, an answer's fitness once a request

The pace of the peers was sorted anew for each engine of each request that looked for a place, which grows with the square of the engines; the leader's processor was full, it lost its lease, and entries placed alone until engines were full. Ruled out: memory forecasts (0 moves failed, peaks as before), moves (8). Change: PeerPace keeps its typical pace for 25 ms; EngineChoice works fitness out once a request.

--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -182,7 +182,8 @@
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
     const engines = this.engines(ask, 'decode', now)
-    const isSlow = (id: InstanceId) => this.fitnessOf(quest, id, now) === 'slow'
+    const fitness = this.fitnessOfAll(quest, engines, now)
+    const isSlow = (id: InstanceId) => fitness.get(id) === 'slow'
     // One that can be in time rather waits for an engine that is well, and is late for certain at a slow one.
     const waitsForOthers = quest.isInTime && !ask.isPrefilled && engines.some(({ id }) => !isSlow(id))
     const fits = engines
@@ -192,24 +193,29 @@
       .map(({ endpoint: { id }, endpoint, count }) => ({
         endpoint,
         peak: count === 0 ? 0 : book.peakWith(ask, id, limit, now),
-        isGood: this.fitnessOf(quest, id, now) === 'good',
+        isGood: fitness.get(id) === 'good',
+        slowness: this.fitness.slowness(id, now),
       }))
       .filter(({ peak }) => peak <= limit)
-    const costOf = ({ endpoint, peak, isGood }: (typeof fits)[number]) =>
-      (isGood ? 0 : POOR_COST) + peak * this.fitness.slowness(endpoint.id, now)
+    const costOf = ({ peak, isGood, slowness }: (typeof fits)[number]) =>
+      (isGood ? 0 : POOR_COST) + peak * slowness
     fits.sort((left, right) => costOf(left) - costOf(right))
     return fits.map(({ endpoint }) => endpoint)
   }
 
   /**
-   * Whether an answer at a decode engine's pace has its events in time and ends in time; `slow` where it has not and
+   * Whether an answer at each decode engine's pace has its events in time and ends in time; `slow` where it has not and
    * the engine is slower than its peers, so that another does better.
    */
-  private fitnessOf({ ask, engine, leftMs }: EngineQuest, decode: InstanceId, now: Millis): Fitness {
+  private fitnessOfAll(
+    { ask, engine, leftMs }: EngineQuest,
+    engines: RegisteredEndpoint[],
+    now: Millis,
+  ): Map<InstanceId, Fitness> {
     const { pauseMs } = ask
     const endsWithinMs = ask.leftMs - (ask.targetMs - leftMs)
     const answer = { tokens: this.options.book.lengthOf(ask), endsWithinMs, pauseMs }
-    return this.fitness.of(answer, engine, decode, now)
+    return new Map(engines.map(({ id }) => [id, this.fitness.of(answer, engine, id, now)]))
   }
 
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
--- a/placement/allocator/src/peerPace.ts
+++ b/placement/allocator/src/peerPace.ts
@@ -11,6 +11,8 @@
 const WELL_BELOW = 1.4
 /** So long after something was last seen of a slow engine it is tried again: each try may be an answer that is late. */
 const TRY_AFTER_MS = 3_000
+/** The peers' pace is worked out anew after this time: as often as whoever places looks at what waits. */
+const TYPICAL_EACH_MS = 25
 /** The time in which the peers' pace comes two thirds of the way to a slower one: longer than a passing peak of work. */
 const RISE_MS = 3_000
 
@@ -112,6 +114,8 @@
    * work, may be the slow one.
    */
   typicalMs(now: Millis): Millis {
+    // Asked for each engine and each request that looks for a place: worked out once in a while for all of them.
+    if (now - this.peersAt < TYPICAL_EACH_MS) return this.peersMs
     const rates = [...this.known.values()].map(({ pace }) => pace.msPerUnit(this.peersMs, now))
     rates.sort((left, right) => left - right)
     const median = rates[(rates.length - 1) >> 1] ?? this.peersMs
