--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -51,6 +51,8 @@
     address: string
     sequence: number
   }
+  /** Many endpoints of which something is new, as after a start. */
+  'endpoints.changed': { count: number; states: Record<string, number>; endpoints: string[] }
   'endpoint.recalled': { endpoint: string; outcome: string }
   'endpoints.not-recalled': { reason: string }
   'endpoints.not-kept': { reason: string }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -8,6 +8,7 @@
   bench: 'tools/bench/src/main.ts',
   soak: 'tools/soak/src/main.ts',
   fleetSoak: 'tools/fleet-soak/src/main.ts',
+  days: 'tools/days/src/main.ts',
   serve: 'cli/forkstage/src/serve.ts',
 }
 /** Programs named on the command line, or all. */
