--- a/tools/bench/src/engineModel.ts
+++ b/tools/bench/src/engineModel.ts
@@ -6,6 +6,8 @@
   stepMsPerAnswer: number
   /** Prompt tokens that an engine reads in a millisecond; a decode engine reads at half the pace. */
   readsPerMs: number
+  /** Tokens in one event of an answer. */
+  tokensPerEvent: number
 }
 
 /** An answer that an engine makes. */
@@ -18,6 +20,8 @@
   /** Put back for want of memory; what it held has to be read again. */
   rereadsUntil: number
   longestPauseMs: number
+  /** When its last event came. */
+  eventAt: number
   onEnd: () => void
 }
 
@@ -30,6 +34,8 @@
   private putBack: RunningAnswer[] = []
   private readsUntil = 0
   rereadTokens = 0
+  /** How many times longer than it should everything takes here now. */
+  slowness = 1
   /** Memory in use over time, for its mean. */
   heldTokenMs = 0
 
@@ -39,9 +45,16 @@
     this.running.push(answer)
   }
 
+  /** Lets an answer go on elsewhere; undefined where it does not run here. */
+  take(request: string): RunningAnswer | undefined {
+    const answer = this.running.find((one) => one.request === request)
+    this.running = this.running.filter((one) => one !== answer)
+    return answer
+  }
+
   /** Reads a prompt here, between the tokens of others, which it holds up. */
   read(tokens: number, now: number): number {
-    this.readsUntil = Math.max(now, this.readsUntil) + (tokens * 2) / this.options.readsPerMs
+    this.readsUntil = Math.max(now, this.readsUntil) + (tokens * 2 * this.slowness) / this.options.readsPerMs
     return this.readsUntil
   }
 
@@ -49,7 +62,7 @@
   advance(now: number, stepMs: number): void {
     this.heldTokenMs += this.held() * stepMs
     this.resume(now)
-    if (now >= this.readsUntil) this.makeTokens(stepMs)
+    if (now >= this.readsUntil) this.makeTokens(stepMs, now)
     this.makeRoom(now)
     const ended = this.running.filter((one) => one.made >= one.outputTokens)
     this.running = this.running.filter((one) => one.made < one.outputTokens)
@@ -60,10 +73,14 @@
     return this.running.reduce((sum, one) => sum + one.promptTokens + one.made, 0)
   }
 
-  private makeTokens(passedMs: number): void {
-    const { stepMs, stepMsPerAnswer } = this.options
-    const made = passedMs / (stepMs + stepMsPerAnswer * this.running.length)
-    for (const one of this.running) one.made += made
+  private makeTokens(passedMs: number, now: number): void {
+    const { stepMs, stepMsPerAnswer, tokensPerEvent } = this.options
+    const made = passedMs / ((stepMs + stepMsPerAnswer * this.running.length) * this.slowness)
+    for (const one of this.running) {
+      const events = Math.floor(one.made / tokensPerEvent)
+      one.made += made
+      if (Math.floor(one.made / tokensPerEvent) > events) noteEvent(one, now)
+    }
   }
 
   private makeRoom(now: number): void {
@@ -87,3 +104,8 @@
     this.running.push(next)
   }
 }
+
+function noteEvent(answer: RunningAnswer, now: number): void {
+  answer.longestPauseMs = Math.max(answer.longestPauseMs, now - answer.eventAt)
+  answer.eventAt = now
+}
--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -57,8 +57,9 @@
           .option('prefill', { type: 'number', default: 1 })
           .option('seeds', { type: 'number', default: 10 })
           .option('shape', { choices: Object.keys(SHAPES), default: 'small' })
+          .option('slow', { type: 'string', default: '0x1', describe: 'SHARExTIMES of the engines' })
           .option('variants', { type: 'string', default: '', describe: 'names of variants, or all' }),
-      ({ rates, decode, prefill, seeds, shape, variants }) =>
+      ({ rates, decode, prefill, seeds, shape, variants, slow }) =>
         runMemoryExperiment({
           rates: list(rates).map(Number),
           decode,
@@ -66,6 +67,7 @@
           seeds,
           shape,
           variants: list(variants),
+          slow: { share: Number(slow.split('x')[0]), times: Number(slow.split('x')[1]) },
         }),
     )
     .command('place', 'the placement decision alone', {}, () => runPlaceExperiment())
--- a/tools/bench/src/memoryCalls.ts
+++ b/tools/bench/src/memoryCalls.ts
@@ -24,13 +24,13 @@
     meanPrompt: 5_000,
     mostPrompt: 11_000,
     tokensPerEvent: 63,
-    engine: { kvTokens: 89_000, stepMs: 0.632, stepMsPerAnswer: 0.0149, readsPerMs: 55 },
+    engine: { kvTokens: 89_000, stepMs: 0.632, stepMsPerAnswer: 0.0149, readsPerMs: 55, tokensPerEvent: 63 },
   },
   large: {
     meanPrompt: 3_000,
     mostPrompt: 6_600,
     tokensPerEvent: 9,
-    engine: { kvTokens: 41_191, stepMs: 5.09, stepMsPerAnswer: 0.0303, readsPerMs: 33 },
+    engine: { kvTokens: 41_191, stepMs: 5.09, stepMsPerAnswer: 0.0303, readsPerMs: 33, tokensPerEvent: 9 },
   },
 }
 
--- a/tools/bench/src/memoryExperiment.ts
+++ b/tools/bench/src/memoryExperiment.ts
@@ -1,26 +1,8 @@
-import { Allocator, type AllocatorTuning, type PlaceDecision } from '@forkstage/allocator'
 import { printTable } from '@forkstage/cli'
-import { createSeededRandom, type Random } from '@forkstage/clock'
-import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import { EngineModel } from './engineModel'
-import { drawCall, MOST_EVENTS, SHAPES, TARGET_MS, worthOf, type Call, type CallShape } from './memoryCalls'
+import { MemoryRun, type MemoryExperimentOptions, type RunFigures, type Variant } from './memoryRun'
 import { writeJson } from './report'
 import { round } from './summarise'
 
-/** Options of {@link runMemoryExperiment}. */
-export interface MemoryExperimentOptions {
-  /** How many of the engines read prompts, and how many decode. */
-  prefill: number
-  decode: number
-  /** Requests a second outside the peaks, one series each. */
-  rates: number[]
-  seeds: number
-  /** The name of the callers' and engines' shape. */
-  shape: string
-  /** Names of the variants to compare; all where empty. */
-  variants: string[]
-}
-
 /** What is compared: the allocator's defaults, and one thing changed. */
 const VARIANTS: Record<string, Variant> = {
   defaults: {},
@@ -32,43 +14,8 @@
   'memory-1.05': { tuning: { memoryShare: 1.05 } },
   'late-memory-0.97': { tuning: { lateMemoryShare: 0.97 } },
   'refused-late': { promptShare: 0.7 },
-}
-
-/** One thing changed. */
-interface Variant {
-  tuning?: Partial<AllocatorTuning>
-  /** The share of the target within which a request without hope is refused. */
-  promptShare?: number
-}
-
-const SECONDS = 60
-/** In each ten seconds, requests come at this multiple for the last four. */
-const PEAK = 1.9
-const PEAK_EVERY_MS = 10_000
-const PEAK_FROM_MS = 6_000
-const STEP_MS = 5
-const SERVICE = 'model'
-const DEADLINE_MS = 14_000
-const PROMPT_SHARE = 0.17
-const PROMPT_REFUSAL_MS = TARGET_MS / 4
-const RETURN_AFTER_MS = TARGET_MS * 0.3
-const TRANSIT_MS = 12
-const REFUSED_AGAIN_COST = 0.3
-const HELD_COST = 0.1
-/** What a thousand tokens read for nothing cost, in requests. */
-const WASTE_COST = 0.16
-const WINDOW_MS = 2_000
-
-/** What one run of one variant gave. */
-interface RunFigures {
-  worth: number
-  worstWindows: number
-  inAim: number
-  /** How often the largest tenth is served, as a share of all. */
-  largest: number
-  refused: number
-  wastedTokens: number
-  fill: number
+  'no-reports': { withoutReports: true },
+  'no-moves': { withoutMoves: true },
 }
 
 /**
@@ -85,12 +32,12 @@
     ['rate', 'variant', 'worth', 'worst windows', 'in aim', 'largest', 'refused', '1,000 wasted', 'fill'],
     rows.map((row) => Object.values(row)),
   )
-  writeJson('memory', { options, rows })
+  writeJson(options.slow.share > 0 ? 'memory-slow' : 'memory', { options, rows })
 }
 
 function playVariant(options: MemoryExperimentOptions, rate: number, name: string, variant: Variant) {
   const runs = Array.from({ length: options.seeds }, (_, seed) =>
-    new Run(options, rate, variant, seed + 1).play(),
+    new MemoryRun(options, rate, variant, seed + 1).play(),
   )
   const mean = (pick: (run: RunFigures) => number) =>
     round(runs.reduce((sum, run) => sum + pick(run), 0) / runs.length, 3)
@@ -106,197 +53,3 @@
     fill: mean((run) => run.fill),
   }
 }
-
-class Run {
-  private readonly random: Random
-  private readonly allocator: Allocator
-  private readonly engines = new Map<string, EngineModel>()
-  private readonly readers = new Map<string, number>()
-  private readonly later: { at: number; act: () => void }[] = []
-  private readonly calls: Call[] = []
-  private now = 0
-  private requests = 0
-  private readonly shape: CallShape
-
-  constructor(
-    options: MemoryExperimentOptions,
-    private readonly rate: number,
-    private readonly variant: Variant,
-    seed: number,
-  ) {
-    this.random = createSeededRandom(seed)
-    this.shape = SHAPES[options.shape]!
-    const names = (stage: Stage, count: number) =>
-      Array.from({ length: count }, (_, index) => endpoint(`${stage}-${index}`, stage))
-    const endpoints = [...names('prefill', options.prefill), ...names('decode', options.decode)]
-    for (const one of endpoints) {
-      if (one.stage === 'decode') this.engines.set(one.id, new EngineModel(this.shape.engine))
-      else this.readers.set(one.id, 0)
-    }
-    const engine = {
-      slots: 64,
-      kvTokens: this.shape.engine.kvTokens,
-      kvBytesPerToken: 18_432,
-      linkMbps: 700_000,
-      tokensPerEvent: this.shape.tokensPerEvent,
-      handleMs: 500,
-      stageChangeMs: 6_000,
-      canMove: false,
-    }
-    this.allocator = new Allocator({
-      endpoints: () => endpoints,
-      engine: () => engine,
-      tuning: variant.tuning,
-    })
-  }
-
-  play(): RunFigures {
-    const lengthMs = SECONDS * 1_000
-    for (this.now = 0; this.now < lengthMs + DEADLINE_MS; this.now += STEP_MS) {
-      if (this.now < lengthMs) this.arrive()
-      this.actDue()
-      for (const engine of this.engines.values()) engine.advance(this.now, STEP_MS)
-      if (this.now % 25 === 0) this.allocator.tick(this.now)
-    }
-    return this.figures(lengthMs)
-  }
-
-  private arrive(): void {
-    const isPeak = this.now % PEAK_EVERY_MS >= PEAK_FROM_MS
-    const rate = this.rate * (isPeak ? PEAK : 1)
-    if (this.random() >= (rate * STEP_MS) / 1_000) return
-    const call = drawCall(this.random, this.shape, this.calls.length, this.now)
-    this.calls.push(call)
-    this.ask(call)
-  }
-
-  private ask(call: Call): void {
-    const request = `r${(this.requests += 1)}`
-    const leftMs = call.firstAt + DEADLINE_MS - this.now
-    const elapsed = this.now - call.firstAt
-    const isReturn = elapsed > RETURN_AFTER_MS
-    const ask = {
-      request,
-      entry: 'e',
-      service: SERVICE,
-      className: 'c',
-      promptTokens: Math.round(call.prompt),
-      mostTokens: MOST_EVENTS * this.shape.tokensPerEvent,
-      hintTokens: Math.round(call.hint),
-      priority: 1,
-      targetMs: TARGET_MS - (isReturn ? 0 : elapsed) - TRANSIT_MS,
-      isReturn,
-      promptMs: isReturn ? 0 : TARGET_MS * (this.variant.promptShare ?? PROMPT_SHARE) - TRANSIT_MS,
-      holdMs: Math.min(TARGET_MS * 3.4, leftMs * 0.4),
-      leftMs,
-      except: [],
-      isPrefilled: false,
-    }
-    this.allocator.ask(ask, this.now, (decision) => this.decided(call, request, decision))
-  }
-
-  private decided(call: Call, request: string, decision: PlaceDecision): void {
-    if (decision.type === 'refused') return this.refused(call, decision.retryAfterMs)
-    if (decision.prefill === undefined) {
-      const readAt = this.engines.get(decision.decode)!.read(call.prompt, this.now)
-      return this.at(readAt, () => this.decode(call, request, decision.decode))
-    }
-    const prefill = decision.prefill
-    const tookMs = call.prompt / this.shape.engine.readsPerMs
-    const readAt = Math.max(this.now, this.readers.get(prefill)!) + tookMs
-    this.readers.set(prefill, readAt)
-    this.at(readAt + TRANSIT_MS, () => {
-      this.allocator.notePrefilled(request, 'ok', readAt - this.now + tookMs, this.now)
-      this.decode(call, request, decision.decode)
-    })
-  }
-
-  private refused(call: Call, retryAfterMs: number): void {
-    const heldMs = this.now - call.arrivedAt
-    if (call.isReturn) {
-      call.worth = -REFUSED_AGAIN_COST - (heldMs > PROMPT_REFUSAL_MS ? HELD_COST : 0)
-      return
-    }
-    call.wasPrompt = heldMs + TRANSIT_MS < PROMPT_REFUSAL_MS
-    call.isReturn = true
-    this.at(this.now + retryAfterMs, () => {
-      call.arrivedAt = this.now
-      this.ask(call)
-    })
-  }
-
-  private decode(call: Call, request: string, engine: string): void {
-    const firstAt = this.now + TRANSIT_MS
-    const answer = {
-      request,
-      promptTokens: call.prompt,
-      outputTokens: call.output,
-      made: 0,
-      startedAt: this.now,
-      rereadsUntil: 0,
-      longestPauseMs: 0,
-      onEnd: () => {
-        this.allocator.release(request, 'ok', Math.round(call.output), this.now)
-        if (this.now >= call.firstAt + DEADLINE_MS) return
-        call.worth = worthOf(call, firstAt, answer.longestPauseMs)
-        call.isInAim = call.worth === 1
-      },
-    }
-    this.engines.get(engine)!.add(answer)
-  }
-
-  private at(time: number, act: () => void): void {
-    this.later.push({ at: time, act })
-  }
-
-  private actDue(): void {
-    const due = this.later.filter((one) => one.at <= this.now).sort((left, right) => left.at - right.at)
-    if (due.length === 0) return
-    this.later.splice(0, this.later.length, ...this.later.filter((one) => one.at > this.now))
-    due.forEach((one) => one.act())
-  }
-
-  private servedOfLargest(): number {
-    const served = (calls: Call[]) => calls.filter((call) => call.worth > 0).length / calls.length
-    const bySize = [...this.calls].sort((left, right) => right.weight - left.weight)
-    return served(bySize.slice(0, Math.ceil(bySize.length / 10))) / served(bySize)
-  }
-
-  private figures(lengthMs: number): RunFigures {
-    const engines = [...this.engines.values()]
-    const wastedTokens = engines.reduce((sum, one) => sum + one.rereadTokens, 0)
-    const cost = (wastedTokens / 1_000) * WASTE_COST
-    const owed = this.calls.reduce((sum, call) => sum + call.weight, 0)
-    const worth = this.calls.reduce((sum, call) => sum + call.worth * call.weight, -cost) / owed
-    const windows = Array.from({ length: Math.floor(lengthMs / WINDOW_MS) }, (_, index) => {
-      const inside = this.calls.filter((call) => Math.floor(call.firstAt / WINDOW_MS) === index)
-      const earned = inside.reduce((sum, call) => sum + Math.max(0, call.worth) * call.weight, 0)
-      return inside.length === 0 ? 1 : earned / inside.reduce((sum, call) => sum + call.weight, 0)
-    }).sort((left, right) => left - right)
-    const share = (holds: (call: Call) => boolean) => this.calls.filter(holds).length / this.calls.length
-    const heldTokenMs = engines.reduce((sum, one) => sum + one.heldTokenMs, 0)
-    return {
-      worth,
-      worstWindows: (windows[0]! + windows[1]!) / 2,
-      inAim: share((call) => call.isInAim),
-      largest: this.servedOfLargest(),
-      refused: share((call) => call.worth < 0),
-      wastedTokens,
-      fill: heldTokenMs / (engines.length * this.shape.engine.kvTokens * lengthMs),
-    }
-  }
-}
-
-function endpoint(id: string, stage: Stage): RegisteredEndpoint {
-  return {
-    id,
-    stage,
-    service: SERVICE,
-    address: '127.0.0.1:1',
-    zone: 'z',
-    slots: 64,
-    models: ['m'],
-    state: 'ready',
-    sequence: 1,
-  }
-}
