--- a/placement/allocator/test/decisionCost.test.ts
+++ b/placement/allocator/test/decisionCost.test.ts
@@ -17,6 +17,7 @@
   }))
   one.allocator.adopt('runner', holds, 1_000)
   const looks = vi.spyOn(WorkPace.prototype, 'msPerUnit')
+  looks.mockClear()
   one.place(ask('next', { promptTokens: 100, pauseMs: 300 }), 1_100)
   expect(one.decodeOf('next')).toMatch(/^d/)
   return looks.mock.calls.length
