--- a/tools/days/src/index.ts
+++ b/tools/days/src/index.ts
@@ -1,3 +1,5 @@
 export { drawFaults, slowFaults } from './drawFaults'
 export type { Fault } from './drawFaults'
+export { variantOf } from './variantOf'
+export type { Variant } from './variantOf'
 export { dayOf } from './dayOf'
--- a/tools/days/src/main.ts
+++ b/tools/days/src/main.ts
@@ -4,6 +4,7 @@
 import { hideBin } from 'yargs/helpers'
 import { createSeededRandom } from '@forkstage/clock'
 import { dayOf, engineServiceOf } from './dayOf'
+import { variantOf } from './variantOf'
 import { drawFaults, slowFaults, type Fault } from './drawFaults'
 
 async function main(): Promise<void> {
@@ -13,6 +14,7 @@
     .option('out', { type: 'string', demandOption: true, describe: 'folder for the days' })
     .option('kinds', { type: 'string', default: '', describe: 'kinds of troubles, with commas' })
     .option('slow', { type: 'string', describe: 'SHARExFACTOR: engines that turn slow, and nothing else' })
+    .option('variant', { type: 'string', describe: 'ENGINES,MEMORY,TIME: factors of another deployment' })
     .option('count', { type: 'number', default: 1, describe: 'how many days' })
     .option('seed', { type: 'number', default: 1 })
     .demandCommand(1)
@@ -25,6 +27,12 @@
     writeFileSync(path, dayOf(deployment, name, faults))
     process.stdout.write(`${path}\n`)
   }
+  if (args.variant !== undefined) {
+    const [engines, memory, time] = args.variant.split(',').map(Number)
+    const path = join(args.out, `variant-${args.variant}.toml`)
+    writeFileSync(path, variantOf(deployment, { engines, memory, time }))
+    return void process.stdout.write(`${path}\n`)
+  }
   if (args.slow !== undefined) {
     const [share = 0, factor = 1] = args.slow.split('x').map(Number)
     return write(`slow-${args.slow}`, slowFaults(engineServiceOf(deployment), share, factor))
--- a/tools/days/test/days.test.ts
+++ b/tools/days/test/days.test.ts
@@ -1,7 +1,7 @@
 import { parse } from 'smol-toml'
 import { describe, expect, it } from 'vitest'
 import { createSeededRandom } from '@forkstage/clock'
-import { dayOf, drawFaults, slowFaults } from '../src'
+import { dayOf, drawFaults, slowFaults, variantOf } from '../src'
 
 const DEPLOYMENT = `
 [[day]]
@@ -29,6 +29,25 @@
     expect((day as { faults: unknown[] }).faults).toHaveLength(2)
   })
 
+  it('have variants with other engines, and the plain services as they are', () => {
+    const deployment = `
+[[services]]
+servers = [ { zone = "a", count = 2 }, { zone = "b", count = 1 } ]
+llm = { kv_tokens = 1000, step_ms = 0.5, prefill_tokens_per_ms = 50.0 }
+[[services]]
+servers = [ { zone = "a", count = 3 } ]
+`
+    expect(parse(variantOf(deployment, { engines: 0.5, memory: 1.3, time: 2 }))).toMatchObject({
+      services: [
+        {
+          servers: [{ count: 1 }, { count: 1 }],
+          llm: { kv_tokens: 1_300, step_ms: 1, prefill_tokens_per_ms: 25 },
+        },
+        { servers: [{ count: 3 }] },
+      ],
+    })
+  })
+
   it('are refused for a file without a day', () => {
     expect(() => dayOf('name = "x"', 'own', [])).toThrow('no day')
   })
