test(gateway): the leader's moves reach the place they are for, and no other

Cause: the way from a report's answer to the running request had a test at both ends only. Shown: the test passes on this code; with RemotePlacer.move taken out it cannot, since moveTo is called nowhere else.

--- a/request/gateway/test/remotePlacer.test.ts
+++ b/request/gateway/test/remotePlacer.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { PLACE, type AnswerMove } from '@forkstage/allocator'
 import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
 import { EndpointPool, LeaderWay, LocalPlacer, RemotePlacer, type ModelWork } from '../src'
@@ -39,11 +40,12 @@
   pool.update([ENGINE_OF_TEST])
   const silent = new Set<string>()
   const asked: string[] = []
-  const told = { leader: undefined as string | undefined }
+  const told = { leader: undefined as string | undefined, moves: [] as AnswerMove[] }
   const peers = {
-    call: async <Result>(address: string) => {
-      asked.push(address)
+    call: async <Result>(address: string, method: string) => {
+      if (method !== PLACE.report) asked.push(address)
       if (silent.has(address)) await new Promise(() => undefined)
+      if (method === PLACE.report) return { moves: told.moves.splice(0) } as Result
       return { type: 'placed', decode: 'd1' } as Result
     },
     notify: () => undefined,
@@ -132,4 +134,29 @@
     }
     expect(readers).toEqual(['p1', 'p1', undefined])
   })
+
+  it('lets an answer go on at another engine when the leader says so, and reports it there once it does', async () => {
+    const { clock, placer, pool, told } = world()
+    pool.update([{ ...ENGINE_OF_TEST, id: 'd2', address: '10.0.0.2:1' }])
+    told.leader = '10.0.0.9:1'
+    placer.start()
+    const answer = await placer.place(WORK)
+    const { place } = answer as Extract<typeof answer, { type: 'place' }>
+    const moved: string[] = []
+    place.moveTo = (to) => void moved.push(to.endpoint.id)
+    told.moves = [
+      { request: 'r', to: 'd2' },
+      { request: 'another', to: 'd2' },
+      { request: 'r', to: 'nobody' },
+    ]
+    await advance(clock, 500)
+    placer.stop()
+    expect(moved).toEqual(['d2'])
+    place.noteMoved(pool.get('d2')!)
+    expect([place.decode.endpoint.id, pool.get('d1')!.inFlight, pool.get('d2')!.inFlight]).toEqual([
+      'd2',
+      0,
+      1,
+    ])
+  })
 })
