test(allocator): a known red: after a move the new engine is taught the old one's pace

Cause, found by reading the diff: HoldBook.isWhereReported forgets what a moved answer had made, and learnBeginning then counts its whole course for the new engine. Ruled out: an engine with other answers, whose own evidence outweighs it (the test passed so).

--- a/placement/allocator/test/moves.test.ts
+++ b/placement/allocator/test/moves.test.ts
@@ -87,4 +87,31 @@
     )
     expect(views).toEqual([false, false])
   })
+
+  it('teaches the engine that an answer has moved to nothing of the one it left', () => {
+    const others = ['d1', 'd2', 'd3']
+    // The idle one has the most room, and no other answer there tells its pace.
+    const one = world(['d0', ...others, 'idle'].map((id) => engine(id, 'decode')))
+    const report = (decode: string, now: number, madeTokens: number) => ({
+      ask: ask('moved', { ...PAUSED, entry: 'runner', mostTokens: 4_000 }),
+      decode,
+      ageMs: now + 100,
+      decodingForMs: now,
+      madeTokens,
+    })
+    const peers = (now: number) =>
+      others.map((decode) => ({ ...report(decode, now, now / 4), ask: ask(`at-${decode}`, PAUSED) }))
+    for (let now = 800; now <= 2_000; now += 400) {
+      one.allocator.adopt('e1', peers(now), now)
+      one.allocator.adopt('runner', [report('d0', now, now / 25)], now)
+    }
+    const [move] = one.allocator.planMoves('runner', 2_010)
+    // From here on it makes a token each 4 ms at its new engine, as its peers do.
+    for (const now of [2_400, 2_800]) {
+      one.allocator.adopt('e1', peers(now), now)
+      one.allocator.adopt('runner', [report(move!.to, now, 80 + (now - 2_010) / 4)], now)
+    }
+    const slow = one.allocator.outlook(ask('x'), 2_810).slow.map(({ endpoint }) => endpoint)
+    expect(slow).not.toContain(move!.to)
+  })
 })
