--- a/membership/directory/src/directoryTypes.ts
+++ b/membership/directory/src/directoryTypes.ts
@@ -1,4 +1,4 @@
-import type { Address } from '@forkstage/types'
+import type { Address, Millis } from '@forkstage/types'
 
 /** One start of an endpoint's process, named by the endpoint itself. */
 export type InstanceId = string
@@ -19,6 +19,8 @@
   /** Present for engines. */
   stage?: Stage
   models: string[]
+  /** How much longer it was cold when it said so, in milliseconds; absent where it did not say, which is not zero. */
+  coldMs?: Millis
   /** Rises with each call of the instance; tells a late call from a new one. */
   sequence: number
 }
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -1,6 +1,13 @@
 import type { InstanceId } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
 
+/** A part of a prompt, which an engine that has read it may keep. */
+export interface PromptPart {
+  /** Names the part's content: the same id is the same text. */
+  id: string
+  tokens: number
+}
+
 /** A model request that wants a place. */
 export interface PlaceAsk {
   request: string
@@ -28,6 +35,10 @@
   pauseMs?: Millis
   except: InstanceId[]
   isPrefilled: boolean
+  /** The regions that it may be served in; absent where any will do. Empty where none will. */
+  regions?: string[]
+  /** The parts of its prompt in order; absent where its caller named none. */
+  parts?: PromptPart[]
 }
 
 /** Where a request goes. */
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -12,6 +12,7 @@
   PlaceAsk,
   PlaceDecision,
   Placed,
+  PromptPart,
   Refused,
   ReportAnswer,
   ReportedHold,
--- a/request/gateway/src/gatewayWire.ts
+++ b/request/gateway/src/gatewayWire.ts
@@ -1,3 +1,4 @@
+import type { PromptPart } from '@forkstage/allocator'
 import type { Address } from '@forkstage/types'
 
 /** The names under which a deployment's callers and endpoints pass facts in headers, all in lower case. */
@@ -7,6 +8,8 @@
   lastEventId: string
   tokenCounts: string
   lengthHint: string
+  /** The parts of a prompt, so that engines know what they keep of it. */
+  promptParts: string
   /** Set by an endpoint that did not run the request. */
   notExecuted: string
   /** An endpoint's signature under an answer. */
@@ -55,6 +58,8 @@
   readinessPath: string
   /** @returns undefined where the value is no such pair of counts. */
   readTokenCounts(value: string): TokenCounts | undefined
+  /** @returns undefined where the value names no parts. */
+  readPromptParts(value: string): PromptPart[] | undefined
   /** @returns undefined where the body is no such answer. */
   readPrefillAnswer(body: Buffer): PrefillAnswer | undefined
   kvSource(address: string, handle: string): string
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -1,3 +1,4 @@
+import type { PromptPart } from '@forkstage/allocator'
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 
@@ -29,6 +30,10 @@
   except: ReadonlySet<string>
   /** Whether the memory of a prefill step is at hand already. */
   isPrefilled: boolean
+  /** The regions that it may be served in; absent where any will do. Empty where none will. */
+  regions?: string[]
+  /** The parts of its prompt in order; absent where its caller named none. */
+  parts?: PromptPart[]
 }
 
 /** Where a model request goes. */
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -24,6 +24,7 @@
     lastEventId: 'last-event-id',
     tokenCounts: 'x-tokens',
     lengthHint: 'x-hint',
+    promptParts: 'x-parts',
     notExecuted: 'x-not-run',
     stamp: 'x-stamp',
     instance: 'x-instance',
@@ -40,6 +41,12 @@
     /^\d+,\d+$/.test(value)
       ? { prompt: Number(value.split(',')[0]), most: Number(value.split(',')[1]) }
       : undefined,
+  readPromptParts: (value) => {
+    const parts = value.split(',').map((part) => part.split(':'))
+    return parts.every((part) => part.length === 2)
+      ? parts.map(([id, tokens]) => ({ id: id!, tokens: Number(tokens) }))
+      : undefined
+  },
   readPrefillAnswer: (body) => (body.length > 0 ? { handle: body.toString(), tokens: 1 } : undefined),
   kvSource: (address, handle) => `${address}#${handle}`,
   releaseCall: (handle) => ({ method: 'DELETE', path: `/free/${handle}` }),
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -31,6 +31,8 @@
   found: z.boolean().default(false),
   /** Machines that may be lost at once, disks included. */
   losses: z.number().int().min(0).max(10).default(1),
+  /** Failure domains that may be lost at once, with all machines in them; 0 where that need not be borne. */
+  domain_losses: z.number().int().min(0).max(10).default(0),
   election_timeout_ms: duration(450),
   heartbeat_ms: duration(90),
   snapshot_every: z.number().int().min(2).max(1_000_000).default(3),
@@ -87,6 +89,18 @@
   })
   .prefault({})
 
+const coldSection = z
+  .strictObject({
+    /** How far entries together may exceed what a cold endpoint bears in a second, as a factor; from the deployment's sheet. */
+    over: z.number().min(1).max(100).default(1.5),
+    /** The same in requests, beside that factor. */
+    slack: z.number().min(0).max(100_000).default(0),
+  })
+  .prefault({})
+
+/** The region of each failure domain, by the domain's name. */
+const domainsSection = z.record(z.string().min(1), z.string().min(1)).default({})
+
 /** The settings of one machine of a self-registering deployment, as the TOML file spells them. */
 export const fleetSchema = z.strictObject({
   machine: machineSection,
@@ -102,6 +116,8 @@
   retry: retrySection,
   quota: quotaSection,
   orders: ordersSection,
+  cold: coldSection,
+  domains: domainsSection,
   log: logSection,
 })
 
--- a/table/routes/src/index.ts
+++ b/table/routes/src/index.ts
@@ -1,6 +1,7 @@
 /** The route sheet, its checks and its lookup. */
 export type {
   CallerLimits,
+  ColdLimit,
   EnginePool,
   QuotaUnit,
   Route,
--- a/table/routes/src/routeTypes.ts
+++ b/table/routes/src/routeTypes.ts
@@ -29,6 +29,8 @@
   pauseMs?: number
   /** Whether callers need no key, also where the sheet has workspaces. */
   isPublic?: boolean
+  /** The regions that its requests may be served and stored in; absent where any will do. */
+  regions?: string[]
 }
 
 /** What the tokens or requests of a workspace are counted in. */
@@ -54,6 +56,8 @@
   priority: number
   /** Absent where nothing is limited. */
   quota?: WorkspaceQuota
+  /** The regions that its requests may be served and stored in, beside what the route says; absent where any will do. */
+  regions?: string[]
 }
 
 /** What the engines of a service can hold and how fast they are. */
@@ -72,6 +76,14 @@
   canMove: boolean
 }
 
+/** What the endpoints of a service bear while they are cold. */
+export interface ColdLimit {
+  /** How long an endpoint is cold after a start, in milliseconds. */
+  forMs: number
+  /** Requests a second that a cold endpoint bears, over all entries. */
+  perSecond: number
+}
+
 /** A service that routes name. */
 export interface RoutedService {
   name: string
@@ -81,6 +93,8 @@
   healthPath?: string
   /** Present where the endpoints are engines with prefill and decode apart. */
   engine?: EnginePool
+  /** Present where endpoints are cold for a while after a start. */
+  cold?: ColdLimit
 }
 
 /** What a caller may send, and how slowly. */
