--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -108,6 +108,8 @@
     memory: number
     term: number
   }
+  /** A request was about to leave for an endpoint that must not get it now. */
+  'send.withheld': { request: string; endpoint: string; step: string; reason: string }
   /** A request showed no key that the sheet in force knows. */
   'key.refused': {
     request: string
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -16,6 +16,7 @@
   type SendRecord,
 } from './relayParts'
 import { SendCount } from './sendCount'
+import { whyNotSend } from './sendRules'
 import { waitFor } from './waitFor'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -108,10 +109,11 @@
   /** Sends the request to one endpoint; undefined where no repeated sending is left. */
   private async send(to: PooledEndpoint): Promise<Sending | undefined> {
     const { parts, job } = this
+    this.tried.add(to.endpoint.id)
+    if (whyNotSend(parts, job, to.endpoint, 'plain') !== undefined) return { type: 'not-run', arrived: false }
     const counted = this.count.open('plain')
     if (counted === undefined) return undefined
     const startedAt = parts.clock.now()
-    this.tried.add(to.endpoint.id)
     parts.pool.noteSent(to)
     const outcome = await exchangeWhole({
       address: to.endpoint.address,
--- a/request/gateway/src/promptReading.ts
+++ b/request/gateway/src/promptReading.ts
@@ -4,6 +4,7 @@
 import { releaseHandle } from './releaseHandle'
 import type { RelayJob, RelayParts, SendRecord } from './relayParts'
 import type { SendCount } from './sendCount'
+import { whyNotSend } from './sendRules'
 
 /** A handle is used for another engine only while it surely still stands. */
 const HANDLE_SHARE = 0.5
@@ -34,6 +35,11 @@
     const { parts, job, run } = this
     const at = place.prefill
     if (at === undefined) return 'none'
+    if (whyNotSend(parts, job, at.endpoint, 'prefill') !== undefined) {
+      place.notePrefilled('cancelled', 0)
+      run.except.add(at.endpoint.id)
+      return 'not-read'
+    }
     const sending = this.count.open('prefill')
     // Without one the decode engine reads the prompt, which no other sending has to precede.
     if (sending === undefined) {
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -7,6 +7,7 @@
 import type { GatewayWire, TokenCounts } from './gatewayWire'
 import type { ModelPlacer } from './modelPlacer'
 import type { RetryAllowance } from './retryAllowance'
+import type { SendRule } from './sendRules'
 
 /** What relays work with. */
 export interface RelayParts {
@@ -14,6 +15,8 @@
   pool: EndpointPool
   placer: ModelPlacer
   allowance: RetryAllowance
+  /** What each sending must obey, asked right before it leaves; nothing where left out. */
+  sendRules?: SendRule[]
   clock: Clock
   random: Random
   logger: Logger
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -6,6 +6,7 @@
 import type { RelayJob, RelayParts } from './relayParts'
 import { RunMove, type StoppedRun } from './runMove'
 import type { CountedSending, SendCount } from './sendCount'
+import { whyNotSend } from './sendRules'
 
 /** What the moves of an answer need of its request. */
 export interface MovingRun {
@@ -43,6 +44,7 @@
     // The end of an answer without a length could not be told from the stop.
     if (this.move !== undefined || !this.isRunning() || run.head?.isFramed !== true) return
     if (to === place.decode || to.endpoint.state !== 'ready') return
+    if (whyNotSend(parts, job, to.endpoint, 'decode') !== undefined) return
     const stream = run.exchange
     const move = new RunMove(parts, job.request.id, place.decode, to)
     this.move = move
--- /dev/null
+++ b/request/gateway/src/sendRules.ts
@@ -0,0 +1,25 @@
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { RelayJob, RelayParts } from './relayParts'
+import type { SendStep } from './sendCount'
+
+/**
+ * Says why a request must not leave for an endpoint now; undefined where it may. Asked right before each sending, after
+ * all choices, so that a place that was given a moment ago cannot break what has become known since.
+ */
+export type SendRule = (to: RegisteredEndpoint, job: RelayJob, step: SendStep) => string | undefined
+
+/** The first reason why a request must not leave for an endpoint now, with a log line; undefined where it may. */
+export function whyNotSend(
+  parts: RelayParts,
+  job: RelayJob,
+  to: RegisteredEndpoint,
+  step: SendStep,
+): string | undefined {
+  for (const rule of parts.sendRules ?? []) {
+    const reason = rule(to, job, step)
+    if (reason === undefined) continue
+    parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
+    return reason
+  }
+  return undefined
+}
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -23,6 +23,7 @@
 } from './relayParts'
 import { RunMoves, type MovingRun } from './runMoves'
 import { SendCount, type CountedSending } from './sendCount'
+import { whyNotSend } from './sendRules'
 import { waitFor } from './waitFor'
 
 const MAX_REFUSALS = 3
@@ -153,6 +154,12 @@
       place.release('cancelled', 0, 0)
       return { type: 'not-run', arrived: false, reason: 'the prompt was not read' }
     }
+    const withheld = whyNotSend(this.parts, this.job, place.decode.endpoint, 'decode')
+    if (withheld !== undefined) {
+      this.except.add(place.decode.endpoint.id)
+      place.release('cancelled', 0, 0)
+      return { type: 'not-run', arrived: false, reason: withheld }
+    }
     this.madeEvents = 0
     const sending = this.count.open('decode')
     if (sending === undefined) {
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -90,6 +90,8 @@
   readonly places: ModelPlace[] = []
   /** Whether the sheet here counts as the newest. */
   isCurrent = true
+  /** Why nothing may leave for an instance, by its id. */
+  readonly withheld = new Map<string, string>()
   private constructor(
     readonly ingress: Ingress,
     readonly pool: EndpointPool,
@@ -160,6 +162,7 @@
           },
         },
         allowance: new RetryAllowance({ clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 1 }),
+        sendRules: [({ id }) => world.withheld.get(id)],
         clock,
         random: createSeededRandom(1),
         logger,
