--- a/cli/forkstage/test/requireRole.test.ts
+++ b/cli/forkstage/test/requireRole.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import { requireRole, WrongRoleError } from '../src/requireRole'
 
-const machine: Machine = { start: async () => {}, stop: async () => {}, reload: () => {} }
+const machine: Machine = { start: async () => {}, stop: async () => 0, reload: () => {} }
 const basicsOf = (role: string) => ({ settings: { machine: { role } } }) as unknown as MachineBasics
 
 describe('the program of one role', () => {
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -7,6 +7,7 @@
   'box.ready': { ready: boolean; reason: string }
   'box.stopping': { reason: string; streams: number }
   'box.stopped': { cut: number }
+  'box.stop_cut_off': { reason: string }
   'replica.founded': { group: string; replica: string; voters: string[] }
   'replica.role': { group: string; replica: string; role: string; term: number }
   'replica.membership': { group: string; change: string; replica: string }
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -186,8 +186,8 @@
     this.follower.followNew(seedAddresses(settings))
   }
 
-  /** Hands leadership over and stops. */
-  async stop(): Promise<void> {
+  /** Hands leadership over and stops. Holds no requests that it could cut off. */
+  async stop(): Promise<number> {
     const { clock, peers } = this.basics
     this.host.replica?.transferLeadership()
     await new Promise<void>((resolve) => clock.after(LAST_ANSWERS_MS, resolve))
@@ -201,6 +201,7 @@
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
+    return 0
   }
 
   /** Finds the endpoints of the time before this start. */
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -162,8 +162,11 @@
     this.follower.followNew(seedAddresses(settings))
   }
 
-  /** Not ready at once; serves what still comes; ends when nothing runs or the time is up. */
-  async stop(): Promise<void> {
+  /**
+   * Not ready at once; serves what still comes; ends when nothing runs or the time is up.
+   * @returns how many requests were cut off.
+   */
+  async stop(): Promise<number> {
     const { clock, settings, peers } = this.basics
     const endsAt = clock.now() + settings.stop.grace_s * SECOND_MS - GRACE_MARGIN_MS
     this.leaving = true
@@ -171,6 +174,7 @@
     await this.wait(settings.stop.unready_ms)
     this.ingress.close()
     while (this.ingress.running > 0 && clock.now() < endsAt) await this.wait(CHECK_IDLE_MS)
+    const cut = this.ingress.running
     this.ingress.closeAll()
     this.follower.stop()
     this.placer.stop()
@@ -178,6 +182,7 @@
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
+    return cut
   }
 
   private createQuotas(entries: () => number): QuotaKeeper {
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -5,11 +5,10 @@
 import { parseFleetSettings, type FleetSettings } from '@forkstage/fleet-settings'
 import { logCodeCache } from './logCodeCache'
 import { createMachineBasics, type MachineBasics } from './machineBasics'
+import { runUntilStopped, type StoppableMachine } from './runUntilStopped'
 
-/** One of the two machines, as its process starts and ends it. */
-export interface Machine {
-  start(): Promise<void>
-  stop(): Promise<void>
+/** One of the two machines, as its process runs it. */
+export interface Machine extends StoppableMachine {
   reload(settings: FleetSettings): void
 }
 
@@ -25,6 +24,7 @@
 // node:fs/promises costs each start about 5 ms of processor time to load.
 const readFile = promisify(readFileWithCallback)
 
+const SECOND_MS = 1_000
 const LOOK_AT_SETTINGS_MS = 2_000
 
 /** Runs one machine of a self-registering deployment until it is told to stop. */
@@ -47,24 +47,21 @@
       logger.warn('fault.unexpected', toErrorBody(error))
     }
   }
-  const stopped = new Promise<void>((resolve) => {
-    const stop = (signal: string) => {
-      logger.info('box.stopping', { reason: signal, streams: 0 })
-      void machine.stop().then(resolve)
-    }
-    process.once('SIGTERM', stop)
-    process.once('SIGINT', stop)
-  })
   process.on('SIGHUP', () => void reload())
   process.on('unhandledRejection', (error) => logger.error('fault.unexpected', toErrorBody(error)))
   process.on('uncaughtException', (error) => logger.error('fault.unexpected', toErrorBody(error)))
-  await machine.start()
-  every(clock, LOOK_AT_SETTINGS_MS, () => void reload())
-  const addresses = settings.listen as Record<string, string>
-  logCodeCache(logger)
-  logger.info('box.started', { box: settings.machine.name, addresses, version })
-  await stopped
-  logger.info('box.stopped', { cut: 0 })
+  await runUntilStopped(machine, {
+    signals: process,
+    graceMs: () => basics.settings.stop.grace_s * SECOND_MS,
+    onStarted: () => {
+      every(clock, LOOK_AT_SETTINGS_MS, () => void reload())
+      logCodeCache(logger)
+      const addresses = settings.listen as Record<string, string>
+      logger.info('box.started', { box: settings.machine.name, addresses, version })
+    },
+    clock,
+    logger,
+  })
 }
 
 function changedSections(before: FleetSettings, after: FleetSettings): string[] {
