--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -8,6 +8,7 @@
 import { runQuotaExperiment } from './quotaExperiment'
 import { runRelayExperiment } from './relayExperiment'
 import { runSlopesExperiment, SLOPE_PARTS } from './slopesExperiment'
+import { runStartExperiment } from './startExperiment'
 import { runTableExperiment } from './tableExperiment'
 
 const list = (text: string) => text.split(',').filter((part) => part !== '')
@@ -84,6 +85,12 @@
       { seconds: { type: 'number', default: 5 } },
       (args) => runJournalExperiment({ seconds: args.seconds }),
     )
+    .command(
+      'start',
+      'processor time of the start of an entry',
+      { runs: { type: 'number', default: 11, describe: 'starts of each program' } },
+      ({ runs }) => runStartExperiment({ runs }),
+    )
     .command('table', 'accepted to in force, change of leader, restart', {}, () => runTableExperiment())
     .command(
       'slopes',
