--- a/peer/rpc/src/peerConnection.ts
+++ b/peer/rpc/src/peerConnection.ts
@@ -4,6 +4,7 @@
 import type { ErrorBody } from '@forkstage/error'
 import type { Address, BoxId, Millis } from '@forkstage/types'
 import { openLineChannel } from './lineChannel'
+import { openSocket } from './openSocket'
 import { parseAddress } from './parseAddress'
 import { PeerAnswerError, PeerProofError, PeerUnreachableError } from './peerErrors'
 import { createNonce, createProof, proofsMatch } from './proof'
@@ -48,7 +49,7 @@
   options: OpenPeerConnectionOptions,
 ): Promise<PeerConnection> {
   const { credentials } = options
-  const socket = await connectSocket(address, credentials)
+  const socket = await connectSocket(address, credentials, options.clock)
   let rejectAll: (reason: string) => void = () => undefined
   const channel = openLineChannel(socket, {
     onLine: (line) => {
@@ -87,24 +88,19 @@
   return connection
 }
 
-async function connectSocket(address: Address, credentials: PeerCredentials): Promise<Socket> {
+async function connectSocket(address: Address, credentials: PeerCredentials, clock: Clock): Promise<Socket> {
   const { host, port } = parseAddress(address)
   const target = { host, port, localAddress: credentials.localAddress }
   // Loaded only where it is used: it costs each start about 3 ms of processor time.
   const tls = credentials.tls && { files: readTlsFiles(credentials.tls), ...(await import('node:tls')) }
-  return new Promise((resolve, reject) => {
-    const socket =
-      tls === undefined
-        ? connectTcp(target, () => resolve(socket))
-        : tls.connect({ ...target, ...tls.files }, () => resolve(socket))
-    socket.setTimeout(credentials.connectMs ?? HANDSHAKE_MS, () =>
-      socket.destroy(new Error('no connection in time')),
-    )
-    socket.once('connect', () => socket.setTimeout(0))
-    socket.once('error', (error) =>
-      reject(new PeerUnreachableError(address, 'connect', error.message, error)),
-    )
-  })
+  const connect = (onOpen: () => void) =>
+    tls === undefined ? connectTcp(target, onOpen) : tls.connect({ ...target, ...tls.files }, onOpen)
+  try {
+    return await openSocket({ connect, limitMs: credentials.connectMs ?? HANDSHAKE_MS, clock })
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error)
+    throw new PeerUnreachableError(address, 'connect', reason, error)
+  }
 }
 
 async function shakeHands(
