--- a/cli/forkstage/test/roleBundles.test.ts
+++ b/cli/forkstage/test/roleBundles.test.ts
@@ -1,6 +1,6 @@
 import { build } from 'esbuild'
 import { describe, expect, it } from 'vitest'
-import { roleOptions, rolePrograms } from '../../../scripts/bundleOptions.mjs'
+import { programOptions, programs, roleOptions, rolePrograms } from '../../../scripts/bundleOptions.mjs'
 
 /** Files of which the bundle of a role holds something. */
 async function filesOf(role: 'entry' | 'control'): Promise<string[]> {
@@ -60,4 +60,14 @@
     const languages = (await filesOf('entry')).filter((path) => /zod\/.*\/locales\//.test(path))
     expect(languages.length).toBeLessThanOrEqual(1)
   })
+
+  it('imports nothing while it runs: neither a cached script nor the single binary can', async () => {
+    const { outputFiles } = await build({
+      ...programOptions,
+      entryPoints: { forkstage: programs.forkstage! },
+      outdir: 'unused',
+      write: false,
+    })
+    expect(outputFiles[0]!.text).not.toMatch(/await import\(/)
+  })
 })
--- a/scripts/bundleOptions.mjs
+++ b/scripts/bundleOptions.mjs
@@ -44,6 +44,8 @@
   // Several libraries are ES modules that read import.meta.url, which CommonJS does not have.
   define: { 'import.meta.url': 'importMetaUrl' },
   banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href" },
+  // A script started from V8's code cache or embedded in the binary cannot import; it requires instead.
+  supported: { 'dynamic-import': false },
   logLevel: 'warning',
 }
 
@@ -62,6 +64,4 @@
   // Names stay as they are, since stack traces and error classes show them.
   minifySyntax: true,
   minifyWhitespace: true,
-  // A script that is started from V8's code cache cannot import; it requires instead.
-  supported: { 'dynamic-import': false },
 }
