--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -138,6 +138,8 @@
   async start(): Promise<void> {
     const { settings, logger } = this.basics
     const { listen } = settings
+    // Connects and asks for routes while the listeners are set up.
+    this.follower.start()
     this.peerServer = await startPeerServer({
       address: listen.peers,
       sharedKey: settings.peers.shared_key,
@@ -151,7 +153,6 @@
     }, listen.readiness!)
     this.listeners = [readiness, await listenOn(this.ingress.server, listen.callers!)]
     this.listeners.push(...(await serveMetrics(this.meters, listen.metrics)))
-    this.follower.start()
     this.placer.start()
     this.quotas.start()
   }
