--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -53,8 +53,6 @@
 const ELSEWHERE_MS = 50
 /** A newer sheet that this entry has heard of is here in a moment. */
 const WAIT_FOR_NEWER_MS = 250
-/** A caller whose first try lies longer ago than this share of the target has come back. */
-const RETURN_SHARE = 0.3
 
 /** The listener for callers: finds the route of each request and has it relayed. */
 export class Ingress {
@@ -195,10 +193,9 @@
     const service = index.service(name)!
     parts.allowance.noteRequest(name)
     const endsAt = request.arrivedAt + Math.min(request.deadlineMs, route.timeoutMs)
-    const elapsed = this.deadlines.elapsed(route.name, request.deadlineMs)
-    const isReturn = elapsed > route.targetMs * RETURN_SHARE
+    const { isReturn, elapsedMs } = this.deadlines.judge(route.name, request.deadlineMs, route.targetMs)
     // Who was sent away in good time and came back has a target of its own again.
-    const targetAt = request.arrivedAt + route.targetMs - (isReturn ? 0 : elapsed)
+    const targetAt = request.arrivedAt + route.targetMs - (isReturn ? 0 : elapsedMs)
     const rank = rankOf(route, workspace)
     const job = { request, route, service, endsAt, targetAt, isReturn, tokens, rank }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
