--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -36,7 +36,7 @@
 /** A control machine: one replica of the route sheet, the directory of endpoints, operators' calls. */
 export class ControlMachine {
   private readonly machine = new SheetMachine()
-  private readonly directory = new Directory()
+  private readonly directory = new Directory(() => this.basics.clock.now())
   private readonly host: GroupHost<PutSheet, PutResult>
   private readonly keeper: MembershipKeeper<PutSheet, PutResult>
   private readonly follower: ControlFollower
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -40,7 +40,7 @@
 /** An entry: callers' listener, routing and relays. Keeps nothing on disk. */
 export class EntryMachine {
   private readonly book = new RouteBook()
-  private readonly directory = new Directory()
+  private readonly directory = new Directory(() => this.basics.clock.now())
   private readonly pool: EndpointPool
   private readonly follower: ControlFollower
   private readonly placer: RemotePlacer
--- a/daemon/fleet/test/endpointRecall.test.ts
+++ b/daemon/fleet/test/endpointRecall.test.ts
@@ -42,6 +42,19 @@
 }
 
 describe('recallEndpoints', () => {
+  it('does not know how long an endpoint is cold that does not say so again', async () => {
+    const told: (number | undefined)[] = []
+    await recallEndpoints([{ ...endpoint('i-1', await process('i-1')), coldMs: 0 }], {
+      wire: CONTROL_WIRE,
+      service: () => ({ name: 's', maxConnections: 1 }),
+      isKnown: () => false,
+      onReady: ({ coldMs }) => void told.push(coldMs),
+      clock: createSystemClock(),
+      logger: createSilentLogger(),
+    })
+    expect(told).toEqual([undefined])
+  })
+
   it('takes an endpoint back only when it says itself that it takes work', async () => {
     const sound = endpoint('i-1', await process('i-1'))
     const replaced = endpoint('i-2', await process('i-9'))
--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -1,12 +1,19 @@
+import type { Millis } from '@forkstage/types'
 import type { InstanceId, RegisteredEndpoint } from './directoryTypes'
 
 /** How many instances that have left are remembered. */
 const MAX_LEFT = 5_000
+/** Ends of a cold time that differ less are the same: heartbeats are some hundred milliseconds on their way at times. */
+const SAME_COLD_MS: Millis = 500
 
 interface Entry {
   endpoint: RegisteredEndpoint
   /** This directory's own count when the entry last changed. */
   changedAt: number
+  /** When this directory first heard of it, by its own clock. */
+  heardAt: Millis
+  /** Until when it said that it is cold, by this directory's clock; absent where it has never said. */
+  coldUntil?: Millis
 }
 
 /**
@@ -17,31 +24,46 @@
   private readonly entries = new Map<InstanceId, Entry>()
   private changes = 0
 
+  /** @param now a steady clock, by which what endpoints said of their cold time falls. */
+  constructor(private readonly now: () => Millis = () => performance.now()) {}
+
   /** Counts the changes of this directory; rises with each. */
   get position(): number {
     return this.changes
   }
 
   get(id: InstanceId): RegisteredEndpoint | undefined {
-    return this.entries.get(id)?.endpoint
+    const entry = this.entries.get(id)
+    return entry && this.view(entry)
+  }
+
+  /**
+   * How much longer an instance is cold; 0 where it is warm or not known.
+   * @param unknownMs how long one that has not said so counts as cold from when it was first heard of.
+   */
+  coldLeft(id: InstanceId, unknownMs: Millis): Millis {
+    const entry = this.entries.get(id)
+    if (entry === undefined) return 0
+    return Math.max(0, (entry.coldUntil ?? entry.heardAt + unknownMs) - this.now())
   }
 
   /** Every instance that has not left. */
   list(): RegisteredEndpoint[] {
-    return [...this.entries.values()].map((entry) => entry.endpoint).filter(({ state }) => state !== 'left')
+    return [...this.entries.values()].map((entry) => this.view(entry)).filter(({ state }) => state !== 'left')
   }
 
   /** What changed after a position, oldest first. */
   since(position: number): RegisteredEndpoint[] {
     const changed = [...this.entries.values()].filter((entry) => entry.changedAt > position)
     changed.sort((left, right) => left.changedAt - right.changedAt)
-    return changed.map((entry) => entry.endpoint)
+    return changed.map((entry) => this.view(entry))
   }
 
   /** Takes what another machine or the instance itself says; returns what was new. */
   merge(records: RegisteredEndpoint[]): RegisteredEndpoint[] {
-    const news = records.filter((record) => isNews(this.get(record.id), record))
+    const news = records.filter((record) => this.isNews(record))
     for (const record of news) this.set(record)
+    for (const record of records) this.noteSequence(record)
     if (news.length > 0) this.forgetOldest()
     return news
   }
@@ -64,9 +86,46 @@
 
   private set(endpoint: RegisteredEndpoint): void {
     this.changes += 1
+    const now = this.now()
+    const { id, coldMs } = endpoint
+    const known = this.entries.get(id)
+    const coldUntil = coldMs === undefined ? known?.coldUntil : now + coldMs
     // Set anew, so that the map stays in order of change.
-    this.entries.delete(endpoint.id)
-    this.entries.set(endpoint.id, { endpoint, changedAt: this.changes })
+    this.entries.delete(id)
+    this.entries.set(id, { endpoint, changedAt: this.changes, heardAt: known?.heardAt ?? now, coldUntil })
+  }
+
+  /** A record as it holds now: what it said of its cold time has fallen since, so that it can be passed on. */
+  private view(entry: Entry): RegisteredEndpoint {
+    const { endpoint, coldUntil } = entry
+    if (coldUntil === undefined || endpoint.coldMs === 0) return endpoint
+    const coldMs = Math.max(0, Math.round(coldUntil - this.now()))
+    if (coldMs === 0) entry.endpoint = { ...endpoint, coldMs }
+    return coldMs === 0 ? entry.endpoint : { ...endpoint, coldMs }
+  }
+
+  private isNews(record: RegisteredEndpoint): boolean {
+    const known = this.entries.get(record.id)
+    if (known === undefined) return true
+    if (known.endpoint.state === 'left') return false
+    if (record.state === 'left') return true
+    if (record.sequence <= known.endpoint.sequence) return false
+    return !sameStatement(known.endpoint, record) || this.hasOtherCold(known, record)
+  }
+
+  /** Whether a cold time ends elsewhere than was believed. One that has only fallen with time is no news. */
+  private hasOtherCold({ coldUntil }: Entry, { coldMs }: RegisteredEndpoint): boolean {
+    if (coldMs === undefined) return false
+    if (coldUntil === undefined) return true
+    const left = Math.max(0, coldUntil - this.now())
+    return Math.abs(left - coldMs) > SAME_COLD_MS
+  }
+
+  /** A call that says nothing new still tells late ones before it from newer ones. */
+  private noteSequence({ id, sequence }: RegisteredEndpoint): void {
+    const known = this.entries.get(id)
+    if (known === undefined || known.endpoint.sequence >= sequence) return
+    known.endpoint = { ...known.endpoint, sequence }
   }
 
   private forgetOldest(): void {
@@ -76,15 +135,11 @@
   }
 }
 
-function isNews(known: RegisteredEndpoint | undefined, record: RegisteredEndpoint): boolean {
-  if (known === undefined) return true
-  if (known.state === 'left') return false
-  if (record.state === 'left') return true
-  if (record.sequence <= known.sequence) return false
-  return !sameStatement(known, record)
+/** Whether two statements differ in nothing but their sequence and cold time. A draining instance stays so. */
+function sameStatement(known: RegisteredEndpoint, record: RegisteredEndpoint): boolean {
+  return JSON.stringify(withoutCold(known)) === JSON.stringify(withoutCold(record))
 }
 
-/** Whether two statements differ in nothing but their sequence. A draining instance stays so. */
-function sameStatement(known: RegisteredEndpoint, record: RegisteredEndpoint): boolean {
-  return JSON.stringify({ ...known, sequence: 0 }) === JSON.stringify({ ...record, sequence: 0 })
+function withoutCold(endpoint: RegisteredEndpoint): RegisteredEndpoint {
+  return { ...endpoint, sequence: 0, coldMs: undefined }
 }
--- a/membership/directory/test/directory.test.ts
+++ b/membership/directory/test/directory.test.ts
@@ -90,3 +90,75 @@
     expect(newestPerAddress(directory.list()).map(({ id }) => id)).toEqual(['other', 'new'])
   })
 })
+
+describe('cold endpoints', () => {
+  /** A directory whose clock the test moves. */
+  function timed(start = 1_000) {
+    const time = { now: start }
+    return { time, directory: new Directory(() => time.now) }
+  }
+
+  it('turn warm by themselves, also when they are never heard again', () => {
+    const { time, directory } = timed()
+    directory.merge([endpoint({ coldMs: 3_000 })])
+    time.now += 2_000
+    expect(directory.coldLeft('i-1', 9_000)).toBe(1_000)
+    time.now += 1_500
+    expect(directory.coldLeft('i-1', 9_000)).toBe(0)
+    expect(directory.list()[0]!.coldMs).toBe(0)
+  })
+
+  it('are cold for a while where they have not said how long, from when they were first heard of', () => {
+    const { time, directory } = timed()
+    directory.merge([endpoint()])
+    time.now += 1_000
+    directory.merge([endpoint({ sequence: 2, slots: 5 })])
+    expect(directory.coldLeft('i-1', 3_000)).toBe(2_000)
+    directory.merge([endpoint({ sequence: 3, slots: 5, coldMs: 0 })])
+    expect(directory.coldLeft('i-1', 3_000)).toBe(0)
+    directory.merge([endpoint({ sequence: 4, slots: 6 })])
+    expect(directory.coldLeft('i-1', 3_000)).toBe(0)
+  })
+
+  it('are passed on with what is left, and heard again from others they look no colder', () => {
+    const [first, second] = [timed(), timed(500_000)]
+    first.directory.merge([endpoint({ coldMs: 3_000 })])
+    first.time.now += 1_800
+    second.directory.merge(first.directory.since(0))
+    expect(second.directory.coldLeft('i-1', 0)).toBe(1_200)
+    for (let times = 0; times < 5; times += 1) {
+      first.time.now += 200
+      second.time.now += 200
+      second.directory.merge(first.directory.since(0))
+      first.directory.merge(second.directory.since(0))
+    }
+    expect(second.directory.coldLeft('i-1', 0)).toBe(200)
+    expect(first.directory.coldLeft('i-1', 0)).toBe(200)
+  })
+
+  it('are no news while their time falls as expected, and are when they turn cold again or are warm early', () => {
+    const { time, directory } = timed()
+    directory.merge([endpoint({ coldMs: 3_000 })])
+    const { position } = directory
+    for (let sequence = 2; sequence < 9; sequence += 1) {
+      time.now += 1_000
+      const late = sequence % 2 === 0 ? 0 : 300
+      const coldMs = Math.max(0, 3_000 - (sequence - 1) * 1_000 + late)
+      expect(directory.merge([endpoint({ sequence, coldMs })])).toEqual([])
+    }
+    expect(directory.position).toBe(position)
+    expect(directory.merge([endpoint({ sequence: 9, coldMs: 3_000 })])).toHaveLength(1)
+    expect(directory.coldLeft('i-1', 0)).toBe(3_000)
+    expect(directory.merge([endpoint({ sequence: 10, coldMs: 0 })])).toHaveLength(1)
+    expect(directory.coldLeft('i-1', 0)).toBe(0)
+  })
+
+  it('do not turn cold again by a call that was long on its way', () => {
+    const { time, directory } = timed()
+    directory.merge([endpoint({ coldMs: 3_000 })])
+    time.now += 4_000
+    directory.merge([endpoint({ sequence: 4, coldMs: 0 })])
+    expect(directory.merge([endpoint({ sequence: 2, coldMs: 2_000 })])).toEqual([])
+    expect(directory.coldLeft('i-1', 0)).toBe(0)
+  })
+})
