--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -55,6 +55,16 @@
   }
   /** Many endpoints of which something is new, as after a start. */
   'endpoints.changed': { count: number; states: Record<string, number>; endpoints: string[] }
+  /** Endpoints are believed cold, or warm again: many that change together in one line. */
+  'endpoints.cold': {
+    outcome: 'cold' | 'warm'
+    count: number
+    endpoints: string[]
+    /** How much longer the last of them is cold; 0 for warm ones. */
+    leftMs: number
+    /** How long the first of them had been believed cold; 0 for those that turn so. */
+    ageMs: number
+  }
   'endpoint.recalled': { endpoint: string; outcome: string }
   'endpoints.not-recalled': { reason: string }
   'endpoints.not-kept': { reason: string }
@@ -105,6 +115,8 @@
       readers: number
       roomiest?: { endpoint: string; peak: number; running: number }
       soonest?: { endpoint: string; queuedMs: number }
+      /** Cold engines, and those of them that get nothing now; absent where none is cold. */
+      cold?: { engines: number; withheld: number }
     }
     /** Tokens that one engine can hold. */
     memory: number
--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -38,13 +38,18 @@
   }
 
   /**
-   * How much longer an instance is cold; 0 where it is warm or not known.
+   * Until when an instance is cold, by this directory's clock; -Infinity where it is not known.
    * @param unknownMs how long one that has not said so counts as cold from when it was first heard of.
    */
-  coldLeft(id: InstanceId, unknownMs: Millis): Millis {
+  coldUntil(id: InstanceId, unknownMs: Millis): Millis {
     const entry = this.entries.get(id)
-    if (entry === undefined) return 0
-    return Math.max(0, (entry.coldUntil ?? entry.heardAt + unknownMs) - this.now())
+    if (entry === undefined) return -Infinity
+    return entry.coldUntil ?? entry.heardAt + unknownMs
+  }
+
+  /** How much longer it is cold; 0 where it is warm or not known. */
+  coldLeft(id: InstanceId, unknownMs: Millis): Millis {
+    return Math.max(0, this.coldUntil(id, unknownMs) - this.now())
   }
 
   /** Every instance that has not left. */
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -10,6 +10,7 @@
   ReportedHold,
   UseOutcome,
 } from './allocatorTypes'
+import { ColdBudget, type ColdPolicy } from './coldBudget'
 import { DemandMeter } from './demandMeter'
 import { EngineChoice, START_MS, type EngineOutlook, type EnginePick } from './engineChoice'
 import { EnginePace } from './enginePace'
@@ -19,6 +20,7 @@
 import { MovePlanner } from './movePlanner'
 import { PartOrders } from './partOrders'
 import { planStages, type StageChange, type StageNeed, type StagedEngine } from './planStages'
+import { COLD_REASON, refused, Refusals } from './refusals'
 import { SupplyMeter } from './supplyMeter'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
 
@@ -38,6 +40,8 @@
   tuning?: Partial<AllocatorTuning>
   /** What was learned before; nothing where left out. */
   learned?: Learned
+  /** Which engines are cold and what they bear; none is where left out. */
+  cold?: ColdPolicy
 }
 
 /** What may be set for an experiment. */
@@ -59,11 +63,6 @@
   order: 'returns-last',
 }
 
-/** Who is sent away for want of room comes back after these shares of its time left, spread evenly. */
-const LEAST_RETRY_SHARE = 0.24
-const MOST_RETRY_SHARE = 0.32
-/** A step that spreads any number of requests evenly between 0 and 1. */
-const GOLDEN_STEP = 0.618
 const NO_ENGINE_RETRY_MS = 700
 /** In time waiting requests for each decode engine; more would wait in vain. */
 const WAITING_PER_ENGINE = 4
@@ -76,20 +75,23 @@
   private readonly health = new InstanceHealth()
   private readonly tuning: AllocatorTuning
   private readonly room: WaitingRoom
-  private sentAway = 0
+  private readonly refusals = new Refusals()
   private readonly demand = new Map<string, DemandMeter>()
   private readonly orders = new PartOrders()
   private readonly supply = new SupplyMeter()
   private readonly learned: Learned
   private readonly choice: EngineChoice
   private readonly moves: MovePlanner
+  private readonly cold: ColdBudget
 
   constructor(private readonly options: AllocatorOptions) {
     this.tuning = { ...DEFAULT_TUNING, ...options.tuning }
     this.learned = options.learned ?? { pace: new EnginePace(), forecast: new LengthForecast() }
     const { lengthCertainty } = this.tuning
     this.book = new HoldBook({ lengthCertainty, ...this.learned })
+    this.cold = new ColdBudget(options.cold)
     this.choice = new EngineChoice({
+      cold: this.cold,
       endpoints: options.endpoints,
       book: this.book,
       health: this.health,
@@ -150,6 +152,8 @@
    * @param tookMs how long the use took, or has taken so far.
    */
   noteUse(id: InstanceId, outcome: UseOutcome, now: Millis, tookMs: Millis = 0): void {
+    // One that is cold is slow for a while, and no less well for that.
+    if (outcome === 'silent' && this.cold.isCold(id, now - tookMs)) return
     const forMs = this.health.note(id, outcome, now, tookMs)
     this.choice.refresh()
     if (forMs > 0) this.options.onEjected?.(id, outcome, forMs)
@@ -195,13 +199,14 @@
     this.book.keepOnly(known)
     this.supply.keepOnly(known)
     this.choice.keepOnly(known)
+    this.cold.keepOnly(known)
     this.orders.keepOnly(known)
     this.choice.refresh()
     this.placeWaiting(now)
     const hopeless = this.room.takeHopeless(now)
     const overdue = this.room.takeWhere((one) => now - one.since >= one.ask.holdMs)
-    for (const { ask, resolve } of hopeless) resolve(this.refusedForRoom('no room in sight', ask))
-    for (const { ask, resolve } of overdue) resolve(this.refusedForRoom('no room in time', ask))
+    for (const { ask, resolve } of hopeless) resolve(this.refuse('no room in sight', ask, now))
+    for (const { ask, resolve } of overdue) resolve(this.refuse('no room in time', ask, now))
   }
 
   /** What a service's callers keep busy, in engines that are well; undefined where that is not known yet. */
@@ -271,19 +276,18 @@
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
     const decoders = this.choice.registered(ask.service, 'decode').length
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
+    const patienceMs = ask.promptMs > 0 ? ask.promptMs : ask.holdMs
+    if ((this.choice.coldWait(ask, now) ?? 0) > patienceMs) return this.refuse(COLD_REASON, ask, now)
     const isFull = ask.promptMs > 0 && this.room.countFirst(ask.service, now) >= decoders * WAITING_PER_ENGINE
-    return isFull ? this.refusedForRoom('too many wait already', ask) : undefined
+    return isFull ? this.refuse('too many wait already', ask, now) : undefined
   }
 
-  /** Callers that come back do so one after the other, late enough for a short peak to have passed. */
-  private refusedForRoom(reason: string, ask: PlaceAsk): PlaceDecision {
-    this.sentAway += 1
-    const spread = (this.sentAway * GOLDEN_STEP) % 1
-    const share = LEAST_RETRY_SHARE + (MOST_RETRY_SHARE - LEAST_RETRY_SHARE) * spread
-    return refused(reason, ask.leftMs * share)
+  private refuse(reason: string, ask: PlaceAsk, now: Millis): PlaceDecision {
+    return this.refusals.forRoom(reason, ask, this.choice.coldWait(ask, now))
   }
 
   private placeWaiting(now: Millis): void {
+    this.cold.noteLeads(now)
     if (this.room.size === 0) return
     for (const one of this.room.inOrder(now)) {
       const placed = this.tryPlace(one, now)
@@ -316,22 +320,25 @@
       },
       now,
     )
-    return pick === undefined ? undefined : this.hold(ask, pick, now)
+    return pick === undefined ? undefined : this.hold(waiting, pick, now)
   }
 
-  private hold(ask: PlaceAsk, pick: EnginePick, now: Millis): Placed {
+  private hold(waiting: Waiting, pick: EnginePick, now: Millis): Placed {
+    const { ask } = waiting
     const { decode, prefill, readsInMs, queuedMs } = pick
     if (prefill === undefined && !ask.isPrefilled) this.choice.noteReadsItself(decode.id, now)
     const decodingAt = prefill === undefined ? now + readsInMs : undefined
     const isReadAlone = prefill !== undefined && queuedMs === 0
     this.book.add({ ask, prefill: prefill?.id, decode: decode.id, placedAt: now, isReadAlone, decodingAt })
-    if (prefill === undefined) return { type: 'placed', decode: decode.id }
+    const cold = this.cold.grant(pick, now - waiting.since, now)
+    if (prefill === undefined) return { type: 'placed', decode: decode.id, cold }
     return {
       type: 'placed',
       prefill: prefill.id,
       decode: decode.id,
       readsInMs: Math.round(readsInMs),
       readElsewhereInMs: pick.readElsewhereInMs,
+      cold,
     }
   }
 }
@@ -340,7 +347,3 @@
 function isOwnQueue(hold: Hold, outcome: UseOutcome): boolean {
   return outcome === 'silent' && hold.isAdopted === true
 }
-
-function refused(reason: string, retryAfterMs: Millis): PlaceDecision {
-  return { type: 'refused', reason, retryAfterMs }
-}
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -7,6 +7,7 @@
 import type { Millis } from '@forkstage/types'
 import { Allocator, type Learned } from './allocator'
 import { whyNoReport } from './checkReport'
+import type { ColdPolicy } from './coldBudget'
 import type { PlaceAsk, PlaceDecision, ReportAnswer, ReportedHold, UseOutcome } from './allocatorTypes'
 import { EnginePace } from './enginePace'
 import { LengthForecast } from './lengthForecast'
@@ -44,6 +45,8 @@
   term: () => number
   /** How many entries place through this machine, as far as it has counted them. */
   entries: () => number
+  /** Which engines are cold and what they bear; none is where left out. */
+  cold?: ColdPolicy
 }
 
 const TICK_MS = 25
@@ -56,7 +59,10 @@
 export class AllocatorService {
   private allocator: Allocator
   private readonly learned: Learned = {
-    pace: new EnginePace((id, stage, isSlow, view) => this.logPace(id, stage, isSlow, view)),
+    pace: new EnginePace(
+      (id, stage, isSlow, view) => this.logPace(id, stage, isSlow, view),
+      (id, at) => (this.options.cold?.leftMs(id, at) ?? 0) > 0,
+    ),
     forecast: new LengthForecast(),
   }
   private term = -1
@@ -109,6 +115,11 @@
     this.allocator.noteUse(id, outcome, this.options.clock.now())
   }
 
+  /** An engine has turned cold: it has started anew, so what it showed before says nothing of it. */
+  noteCold(id: InstanceId): void {
+    this.learned.pace.forget(id)
+  }
+
   /** Gives an engine no work while it changes its part. */
   noteChanging(id: InstanceId, to: Stage, forMs: Millis): void {
     this.allocator.noteChanging(id, to, forMs, this.options.clock.now())
@@ -232,10 +243,11 @@
   }
 
   private createAllocator(): Allocator {
-    const { endpoints, engine, logger } = this.options
+    const { endpoints, engine, logger, cold } = this.options
     return new Allocator({
       endpoints,
       engine,
+      cold,
       learned: this.learned,
       onEjected: (endpoint, reason, forMs) => logger.warn('endpoint.ejected', { endpoint, reason, forMs }),
     })
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -54,6 +54,17 @@
    * absent where that is not possible anyway.
    */
   readElsewhereInMs?: Millis
+  /** Present where an engine is cold: such a step was counted and may leave until then only. */
+  cold?: ColdGrant
+}
+
+/** Within how long of the decision steps to cold engines leave. Clocks need not agree. */
+export interface ColdGrant {
+  /** How long the request had waited at whoever decided, so that its entry knows when that was at the earliest. */
+  waitedMs: Millis
+  /** Absent where the engine is warm or there is no such step. */
+  prefillMs?: Millis
+  decodeMs?: Millis
 }
 
 /** Why a request gets no place, and when to come back. */
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -2,6 +2,7 @@
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
+import type { ColdBudget, ColdOutlook } from './coldBudget'
 import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
@@ -44,6 +45,8 @@
   soonest?: { endpoint: InstanceId; queuedMs: Millis }
   /** Engines that are slower than their peers: how many times, and how old that evidence is. */
   slow: SlowEngine[]
+  /** Absent where none is cold. */
+  cold?: ColdOutlook
 }
 
 /** Options of {@link EngineChoice}. */
@@ -53,6 +56,8 @@
   health: InstanceHealth
   pace: EnginePace
   isChanging: (id: InstanceId, now: Millis) => boolean
+  /** What cold engines may get. */
+  cold: ColdBudget
 }
 
 /** From the end of reading to the first event, with what the network takes: 23 to 46 ms seen (q10 to q90, two plays). */
@@ -72,6 +77,10 @@
 const READING_VARIES = 0.25
 /** A single pause that is foreseen must leave this share of the longest that is in time. */
 const LONGEST_PAUSE_SHARE = 0.9
+/** A cold engine is taken as if this share of its memory were held: warm ones bear the load until they hold as much more. */
+const COLD_PEAK_SHARE = 0.5
+/** A cold prefill engine must be sooner by this many readings. */
+const COLD_READINGS = 1
 /** More than any peak: an engine whose answers come late is taken only where no other has room. */
 const POOR_COST = 1e12
 
@@ -140,9 +149,15 @@
       roomiest: peaks.sort((left, right) => left.peak - right.peak)[0],
       soonest: queues.sort((left, right) => left.queuedMs - right.queuedMs)[0],
       slow: this.fitness.slowOf({ decode: decoders, prefill: readers }, now),
+      cold: this.options.cold.outlook([...decoders, ...readers], now),
     }
   }
 
+  /** Until a cold decode engine may take another request, where all are cold and none may now; else undefined. */
+  coldWait(ask: PlaceAsk, now: Millis): Millis | undefined {
+    return this.options.cold.waitFor(this.engines(ask, 'decode', now), ask, now)
+  }
+
   /** Notes that a decode engine begins to read a prompt itself. */
   noteReadsItself(id: InstanceId, now: Millis): void {
     this.readsItself.set(id, now)
@@ -178,7 +193,7 @@
 
   /** Decode engines into whose memory to come the request fits, the least filled for their pace first. */
   private fitting(quest: EngineQuest, now: Millis): RegisteredEndpoint[] {
-    const { book, health } = this.options
+    const { book, health, cold } = this.options
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
     const engines = this.engines(ask, 'decode', now)
@@ -188,6 +203,7 @@
     const waitsForOthers = quest.isInTime && !ask.isPrefilled && engines.some(({ id }) => !isSlow(id))
     const fits = engines
       .filter(({ id }) => !health.isFull(id, now) && !(waitsForOthers && isSlow(id)))
+      .filter((one) => cold.mayDecode(one, ask, now))
       .map((endpoint) => ({ endpoint, count: book.countAt(endpoint.id) }))
       .filter(({ endpoint, count }) => count < this.fitness.mostAt(endpoint.id, engine, now))
       .map(({ endpoint: { id }, endpoint, count }) => ({
@@ -195,10 +211,11 @@
         peak: count === 0 ? 0 : book.peakWith(ask, id, limit, now),
         isGood: fitness.get(id) === 'good',
         slowness: this.fitness.slowness(id, now),
+        isCold: cold.isCold(id, now),
       }))
       .filter(({ peak }) => peak <= limit)
-    const costOf = ({ peak, isGood, slowness }: (typeof fits)[number]) =>
-      (isGood ? 0 : POOR_COST) + peak * slowness
+    const costOf = ({ peak, isGood, slowness, isCold }: (typeof fits)[number]) =>
+      (isGood ? 0 : POOR_COST) + (isCold ? limit * COLD_PEAK_SHARE : 0) + peak * slowness
     fits.sort((left, right) => costOf(left) - costOf(right))
     return fits.map(({ endpoint }) => endpoint)
   }
@@ -220,10 +237,11 @@
 
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
   takers(ask: PlaceAsk, engine: EnginePool, now: Millis): RegisteredEndpoint[] {
-    const { book, health, pace } = this.options
+    const { book, health, pace, cold } = this.options
     return this.engines(ask, 'decode', now).filter(
       ({ id }) =>
         health.isSound(id, now) &&
+        !cold.isCold(id, now) &&
         !health.isFull(id, now) &&
         !pace.isUnproven(id, 'decode', now) &&
         pace.view(id, 'decode', now).slowness < SLOW_FROM &&
@@ -243,10 +261,10 @@
     readers: RegisteredEndpoint[],
     now: Millis,
   ): EnginePick | undefined {
-    const { book, health, pace } = this.options
+    const { book, health, pace, cold } = this.options
     const { promptTokens } = quest.ask
     const waits = readers
-      .filter((endpoint) => !health.isFull(endpoint.id, now))
+      .filter((endpoint) => !health.isFull(endpoint.id, now) && cold.mayRead(endpoint, now))
       .map((prefill) => ({
         prefill,
         queuedMs: book.prefillWait(prefill.id, now),
@@ -256,6 +274,7 @@
     const costOf = ({ prefill, queuedMs, readingMs }: (typeof waits)[number]) =>
       queuedMs +
       readingMs +
+      (cold.isCold(prefill.id, now) ? pace.readingMs(promptTokens) * COLD_READINGS : 0) +
       (prefill.zone === decode.zone ? 0 : pace.readingMs(promptTokens) * OTHER_ZONE_SHARE)
     waits.sort((left, right) => costOf(left) - costOf(right))
     const soonest = waits[0]
--- a/placement/allocator/src/enginePace.ts
+++ b/placement/allocator/src/enginePace.ts
@@ -34,7 +34,13 @@
   /** Time for each token of one answer. */
   private readonly decoders: PeerPace
 
-  constructor(onChange: OnEnginePaceChange = () => undefined) {
+  /**
+   * @param isCold whether an engine was cold at a time: what it does then says nothing of its pace.
+   */
+  constructor(
+    onChange: OnEnginePaceChange = () => undefined,
+    private readonly isCold: (engine: InstanceId, at: Millis) => boolean = () => false,
+  ) {
     this.readers = new PeerPace({ ms: 1, isGuess: false }, READING_MEMORY_MS, (id, isSlow, view) =>
       onChange(id, 'prefill', isSlow, view),
     )
@@ -95,6 +101,7 @@
   /** Learns from a prompt that an engine has read, or has not read in the time it was given. */
   learnReading(engine: InstanceId, read: ReadPrompt, now: Millis): void {
     const { promptTokens, tookMs, isAlone, isGivenUp } = read
+    if (this.isCold(engine, now - tookMs)) return
     const expectedMs = this.line.busyMs(promptTokens) + (isAlone ? this.line.latencyMs() : 0)
     // What an engine had kept of a prompt it need not read: that says nothing of its pace.
     this.readers.learn(engine, expectedMs, Math.max(tookMs, expectedMs * LEAST_READING_SHARE), now)
@@ -105,9 +112,16 @@
 
   /** Learns from tokens of one answer that an engine made in a time, or from their lack. */
   learnDecoding(engine: InstanceId, tokens: number, tookMs: Millis, now: Millis): void {
+    if (this.isCold(engine, now - tookMs)) return
     this.decoders.learn(engine, tokens, tookMs, now)
   }
 
+  /** Drops what an engine has shown: it has started anew, and its pace is learned again. */
+  forget(engine: InstanceId): void {
+    this.readers.forget(engine)
+    this.decoders.forget(engine)
+  }
+
   /** Forgets engines that are not registered any more. */
   keepOnly(ids: ReadonlySet<InstanceId>): void {
     this.readers.keepOnly(ids)
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -8,6 +8,7 @@
 export type { AllocatorServiceOptions } from './allocatorService'
 export type {
   AnswerMove,
+  ColdGrant,
   Hold,
   PlaceAsk,
   PlaceDecision,
@@ -18,6 +19,9 @@
   ReportedHold,
   UseOutcome,
 } from './allocatorTypes'
+export { ColdBudget } from './coldBudget'
+export type { ColdOutlook, ColdPolicy } from './coldBudget'
+export { COLD_REASON } from './refusals'
 export { LengthForecast, lengthQuantile } from './lengthForecast'
 export type { LengthPrior } from './lengthForecast'
 export { peakMemory } from './peakMemory'
--- a/placement/allocator/src/peerPace.ts
+++ b/placement/allocator/src/peerPace.ts
@@ -126,6 +126,11 @@
     return this.peersMs
   }
 
+  /** Forgets what one engine has shown. */
+  forget(id: InstanceId): void {
+    this.known.delete(id)
+  }
+
   /** Forgets engines that are not registered any more. */
   keepOnly(ids: ReadonlySet<InstanceId>): void {
     for (const id of this.known.keys()) if (!ids.has(id)) this.known.delete(id)
--- /dev/null
+++ b/placement/allocator/src/refusals.ts
@@ -0,0 +1,34 @@
+import type { Millis } from '@forkstage/types'
+import type { PlaceAsk, PlaceDecision } from './allocatorTypes'
+
+/** Who is sent away for want of room comes back after these shares of its time left, spread evenly. */
+const LEAST_RETRY_SHARE = 0.24
+const MOST_RETRY_SHARE = 0.32
+/** A step that spreads any number of requests evenly between 0 and 1. */
+const GOLDEN_STEP = 0.618
+/** What cold engines bear comes by the second: callers return spread over one. */
+const COLD_RETRY_SPREAD_MS = 1_000
+/** Why requests are refused where only cold engines are there, which may get no more now. */
+export const COLD_REASON = 'cold engines get no more now'
+
+/** A refusal, and after how long its caller should come back. */
+export function refused(reason: string, retryAfterMs: Millis): PlaceDecision {
+  return { type: 'refused', reason, retryAfterMs }
+}
+
+/** Tells callers that are sent away when to come back: one after the other. */
+export class Refusals {
+  private sentAway = 0
+
+  /**
+   * Refuses for want of room: callers come back late enough for a short peak to have passed, or, where only the budget
+   * of cold engines binds, from when there is some.
+   * @param coldMs until cold engines, which are all there are, may take another request; undefined where that is not so.
+   */
+  forRoom(reason: string, { leftMs }: PlaceAsk, coldMs: Millis | undefined): PlaceDecision {
+    this.sentAway += 1
+    const spread = (this.sentAway * GOLDEN_STEP) % 1
+    if (coldMs !== undefined) return refused(COLD_REASON, coldMs + spread * COLD_RETRY_SPREAD_MS)
+    return refused(reason, leftMs * (LEAST_RETRY_SHARE + (MOST_RETRY_SHARE - LEAST_RETRY_SHARE) * spread))
+  }
+}
--- a/placement/allocator/test/fixtures.ts
+++ b/placement/allocator/test/fixtures.ts
@@ -1,5 +1,5 @@
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import { Allocator, type PlaceAsk, type PlaceDecision } from '../src'
+import { Allocator, EnginePace, LengthForecast, type PlaceAsk, type PlaceDecision } from '../src'
 
 /** An engine pool whose memory a few requests fill. */
 export const ENGINE = {
@@ -54,6 +54,27 @@
   return { allocator, decisions, place, decodeOf: (request: string) => decodeOf(decisions.get(request)) }
 }
 
+/** An allocator that leads since time 0, over engines of which some are cold and get so many requests a second. */
+export function coldWorld(endpoints: RegisteredEndpoint[], coldIds: string[], perSecond: number) {
+  const cold = new Set(coldIds)
+  const policy = { leftMs: (id: string) => (cold.has(id) ? 60_000 : 0), perSecond: () => perSecond }
+  const pace = new EnginePace(undefined, (id) => cold.has(id))
+  const ejected: string[] = []
+  const allocator = new Allocator({
+    endpoints: () => endpoints,
+    engine: () => ENGINE,
+    cold: policy,
+    learned: { pace, forecast: new LengthForecast() },
+    onEjected: (id) => ejected.push(id),
+  })
+  allocator.tick(0)
+  const decisions = new Map<string, PlaceDecision>()
+  const place = (asked: PlaceAsk, now: number) =>
+    allocator.ask(asked, now, (decision) => decisions.set(asked.request, decision))
+  const decode = (request: string) => decodeOf(decisions.get(request))
+  return { allocator, decisions, place, pace, cold, ejected, decodeOf: decode }
+}
+
 function decodeOf(decision: PlaceDecision | undefined): string | undefined {
   return decision?.type === 'placed' ? decision.decode : decision?.type
 }
