--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -44,6 +44,8 @@
   clock: Clock
   random: Random
   logger: Logger
+  /** Whether an instance is cold: slow for a while, and no less well for that. */
+  isCold?: (id: string) => boolean
 }
 
 /** The registered endpoints as this entry sees them: load, failures, who is out for a while. */
@@ -109,18 +111,27 @@
     this.noteSent(to, tokens)
   }
 
+  /** An instance has turned cold: it has started anew, and its pace is learned again. */
+  noteCold(id: string): void {
+    const one = this.pooled.get(id)
+    if (one === undefined) return
+    one.meanMs = FIRST_MEAN_MS
+    one.limit = new ConcurrencyLimit(one.endpoint.slots)
+  }
+
   /** Notes how a sending ended. */
   noteEnd(one: PooledEndpoint, outcome: SendOutcome, tookMs: Millis, tokens = 0): void {
     one.inFlight -= 1
     one.tokens -= tokens
+    const isCold = this.options.isCold?.(one.endpoint.id) === true
     if (outcome === 'ok') {
       one.failures = 0
-      one.meanMs += (tookMs - one.meanMs) * MEAN_WEIGHT
+      if (!isCold) one.meanMs += (tookMs - one.meanMs) * MEAN_WEIGHT
       one.answeredAt = this.options.clock.now()
     }
     if (outcome === 'other-instance') one.isGone = true
     // One that answered another request meanwhile was not silent but busy.
-    if (outcome === 'silent' && one.answeredAt < this.options.clock.now() - tookMs)
+    if (outcome === 'silent' && !isCold && one.answeredAt < this.options.clock.now() - tookMs)
       this.noteFailure(one, outcome)
     if (outcome === 'failed' || outcome === 'unreachable') this.noteFailure(one, outcome)
   }
--- a/request/gateway/src/index.ts
+++ b/request/gateway/src/index.ts
@@ -1,6 +1,8 @@
 /** The entry's listener for callers and its relays. */
 export { Ingress } from './ingress'
 export type { IngressOptions, RequestReport } from './ingress'
+export { ColdGate } from './coldGate'
+export type { ColdGateOptions } from './coldGate'
 export { EndpointPool } from './endpointPool'
 export type { EndpointPoolOptions, PooledEndpoint, SendOutcome } from './endpointPool'
 export { LocalPlacer } from './localPlacer'
--- /dev/null
+++ b/request/gateway/src/largestLately.ts
@@ -0,0 +1,23 @@
+import type { Millis } from '@forkstage/types'
+
+/** The largest of the values that were noted within a span, or up to twice as long ago. */
+export class LargestLately {
+  private turnedAt: Millis = -Infinity
+  private before = 0
+  private current = 0
+
+  constructor(private readonly spanMs: Millis) {}
+
+  note(value: number, now: Millis): void {
+    if (now - this.turnedAt >= this.spanMs) {
+      this.before = now - this.turnedAt < this.spanMs * 2 ? this.current : 0
+      this.current = 0
+      this.turnedAt = now
+    }
+    this.current = Math.max(this.current, value)
+  }
+
+  get value(): number {
+    return Math.max(this.before, this.current)
+  }
+}
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -1,3 +1,4 @@
+import { COLD_REASON, type ColdGate } from './coldGate'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
 import { poolPlace } from './poolPlace'
@@ -9,6 +10,8 @@
   kvTokens: (service: string) => number
   /** How many entries place beside this one. */
   entries: () => number
+  /** What cold engines may get from here; none is cold where left out. */
+  cold?: ColdGate
 }
 
 const NO_ENDPOINT_RETRY_MS = 500
@@ -31,9 +34,11 @@
   constructor(private readonly options: LocalPlacerOptions) {}
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
-    const { pool } = this.options
+    const { pool, cold } = this.options
     const decoders = pool.candidates(work.service, 'decode', work.except)
-    const decode = pool.fewestTokens(decoders)
+    const decode = pool.fewestTokens(cold?.usable(decoders) ?? decoders)
+    const coldMs = decode === undefined ? cold?.freeIn(decoders) : undefined
+    if (coldMs !== undefined) return { type: 'refused', reason: COLD_REASON, retryAfterMs: coldMs }
     if (decode === undefined)
       return { type: 'refused', reason: 'no decode engine is known', retryAfterMs: NO_ENDPOINT_RETRY_MS }
     if (!this.hasRoom(work, decoders))
@@ -48,9 +53,10 @@
 
   /** The prefill engine with the fewest prompts, where it comes to this one in time; else the decode engine reads. */
   private chooseReader(work: ModelWork): PooledEndpoint | undefined {
-    const { pool, entries } = this.options
+    const { pool, entries, cold } = this.options
     if (work.isPrefilled) return undefined
-    const prefill = pool.fewestTokens(pool.candidates(work.service, 'prefill', work.except))
+    const readers = pool.candidates(work.service, 'prefill', work.except)
+    const prefill = pool.fewestTokens(cold?.usable(readers) ?? readers)
     if (prefill === undefined) return undefined
     // Others that place alone queue as much there.
     const queued = prefill.tokens * Math.max(1, entries()) + work.promptTokens
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,6 +1,8 @@
+import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
 import { dropHeaders } from './callerRequest'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
+import { COLD_REASON } from './coldGate'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { judgeAnswer } from './judgeAnswer'
 import { sendEndpointAnswer } from './ownAnswer'
@@ -94,18 +96,26 @@
   }
 
   private roomiest(): PooledEndpoint | undefined {
-    const { pool } = this.parts
+    const { pool, cold } = this.parts
     const all = pool.candidates(this.job.service.name)
     const fresh = pool.candidates(this.job.service.name, undefined, this.tried)
     const open = (fresh.length > 0 ? fresh : all).filter((one) => one.inFlight < one.limit.value)
-    return pool.leastLoaded(open)
+    return pool.leastLoaded(cold?.usable(open) ?? open)
   }
 
   private whyNone(): string {
+    if (this.coldWait() !== undefined) return COLD_REASON
     const isKnown = this.parts.pool.candidates(this.job.service.name).length > 0
     return isKnown ? 'no room in time' : 'no endpoint'
   }
 
+  /** Until this entry may use a cold endpoint again, where all are cold and none may get more; else undefined. */
+  private coldWait(): Millis | undefined {
+    const { pool, cold } = this.parts
+    const waitMs = cold?.freeIn(pool.candidates(this.job.service.name))
+    return waitMs !== undefined && waitMs > 0 ? waitMs : undefined
+  }
+
   /** Sends the request to one endpoint; undefined where no repeated sending is left. */
   private async send(to: PooledEndpoint): Promise<Sending | undefined> {
     const { parts, job } = this
@@ -129,7 +139,9 @@
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
     const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
-    if (note === 'ok') to.limit.noteAnswer(tookMs, job.route.targetMs)
+    // What a cold endpoint takes says nothing of what it bears later.
+    const isCold = parts.cold?.isCold(to.endpoint.id) === true
+    if (note === 'ok' && !isCold) to.limit.noteAnswer(tookMs, job.route.targetMs)
     if (note === 'full') to.limit.noteFull()
     parts.pool.noteEnd(to, this.isOver ? 'cancelled' : note, tookMs)
     this.sends.push({ to: to.endpoint.id, step: 'plain', outcome: note, tookMs: Math.round(tookMs) })
@@ -201,7 +213,7 @@
   private answerWithout(failed: Sending | undefined, reason: string): OwnResult {
     if (failed?.type === 'answer') return this.pass(failed)
     if (this.mayHaveRun > 0) return answerFailure(this.job.request.response, 502, reason)
-    return answerRefusal(this.job.request.response, reason, COME_BACK_MS)
+    return answerRefusal(this.job.request.response, reason, this.coldWait() ?? COME_BACK_MS)
   }
 
   /** The time is up: what is under way may still run. */
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -3,6 +3,7 @@
 import type { Route, RoutedService } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import type { CallerRequest } from './callerRequest'
+import type { ColdGate } from './coldGate'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { GatewayWire, TokenCounts } from './gatewayWire'
 import type { ModelPlacer } from './modelPlacer'
@@ -17,6 +18,8 @@
   allowance: RetryAllowance
   /** What each sending must obey, asked right before it leaves; nothing where left out. */
   sendRules?: SendRule[]
+  /** What cold endpoints may get from here; none is cold where left out. */
+  cold?: ColdGate
   clock: Clock
   random: Random
   logger: Logger
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -12,6 +12,7 @@
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { Address, Millis } from '@forkstage/types'
+import type { ColdGate } from './coldGate'
 import type { EndpointPool } from './endpointPool'
 import type { LeaderWay } from './leaderWay'
 import { waitFor } from './waitFor'
@@ -26,6 +27,8 @@
   fallback: ModelPlacer
   /** The way to the control machine that leads. */
   way: LeaderWay
+  /** Takes what the leader counted for places at cold engines. */
+  cold?: ColdGate
   clock: Clock
   logger: Logger
 }
@@ -97,9 +100,13 @@
     // While a leader is being elected one comes in a moment.
     const leader = await waitFor(clock, Math.max(0, ask.promptMs) * WAIT_FOR_LEADER_SHARE, () => way.leader())
     const watch = this.watchLeader(leader)
+    const askedAt = clock.now()
     try {
       const call = way.call<PlaceDecision>(PLACE.ask, { ask }, ask.holdMs + ANSWER_SLACK_MS)
-      return await Promise.race([call, watch.changed])
+      const decision = await Promise.race([call, watch.changed])
+      if (decision !== 'another leads' && decision.type === 'placed')
+        this.options.cold?.take(ask.request, decision, askedAt)
+      return decision
     } catch (error) {
       way.notify(PLACE.withdraw, { request: ask.request })
       logger.warn('place.alone', { request: ask.request, reason: toErrorBody(error).message })
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -15,7 +15,9 @@
   to: RegisteredEndpoint,
   step: SendStep,
 ): string | undefined {
-  for (const rule of parts.sendRules ?? []) {
+  // Counted where it may go on, so it is asked last.
+  const cold: SendRule = (endpoint, { request }, one) => parts.cold?.whyNot(endpoint, request.id, one)
+  for (const rule of [...(parts.sendRules ?? []), cold]) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
     parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
--- /dev/null
+++ b/request/gateway/test/coldGate.test.ts
@@ -0,0 +1,217 @@
+import fc from 'fast-check'
+import { createSeededRandom, ManualClock, type Random } from '@forkstage/clock'
+import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
+import { createSilentLogger } from '@forkstage/logger'
+import { describe, expect, it } from 'vitest'
+import { ColdGate, EndpointPool, LocalPlacer } from '../src'
+import { coldShare } from '../src/coldShare'
+
+const START_MS = 1_000
+/** Past the first seconds of an entry, in which it takes the entries to be many. */
+const SETTLED_MS = 11_000
+
+function endpoint(id: string, stage?: Stage): RegisteredEndpoint {
+  const base = { service: 's', address: `${id}:1`, zone: 'z', slots: 4, models: [], sequence: 1 }
+  return { id, stage, state: 'ready', ...base }
+}
+
+/** A gate to endpoints that are cold unless named, and the clock that it goes by. */
+function gate(fields: { perSecond?: number; entries?: number; random?: Random; clock?: ManualClock } = {}) {
+  const { perSecond = 20, entries = 1, random = () => 0.5, clock = new ManualClock() } = fields
+  const warm = new Set<string>()
+  const one = new ColdGate({
+    clock,
+    random,
+    leftMs: (id) => (warm.has(id) ? 0 : 3_000),
+    perSecond: () => perSecond,
+    entries: () => entries,
+  })
+  return { gate: one, clock, warm }
+}
+
+/** How many of some tries may leave by themselves. */
+function tries(one: ColdGate, to: RegisteredEndpoint, count: number): number {
+  const results = Array.from({ length: count }, (_, index) => one.whyNot(to, `r${index}`, 'plain'))
+  return results.filter((reason) => reason === undefined).length
+}
+
+describe('ColdGate', () => {
+  it('lets all pass to warm endpoints, and counts nothing there', () => {
+    const { gate: one, warm } = gate({ perSecond: 0 })
+    warm.add('w')
+    expect(tries(one, endpoint('w'), 100)).toBe(100)
+  })
+
+  it.each([
+    [1, 54.5],
+    [3, 54.5],
+    [81, 54.5],
+    [81, 20],
+    [81, 5],
+    [300, 54.5],
+    [5, 0.5],
+  ])(
+    'keeps %i entries that all send at once to %d in any second, whatever they draw',
+    (entries, perSecond) => {
+      fc.assert(
+        fc.property(fc.integer(), (seed) => {
+          const random = createSeededRandom(seed)
+          const clock = new ManualClock()
+          const gates = Array.from(
+            { length: entries },
+            () => gate({ perSecond, entries, random, clock }).gate,
+          )
+          clock.advance(SETTLED_MS)
+          // Each tries as often as it may, at the end of one second and the beginning of the next.
+          let sent = 0
+          for (let step = 0; step < 9; step += 1) {
+            sent += gates.reduce(
+              (sum, one) => sum + tries(one, endpoint('c'), Math.ceil(perSecond / entries) + 1),
+              0,
+            )
+            clock.advance(100)
+          }
+          expect(sent).toBeLessThanOrEqual(perSecond)
+        }),
+        { seed: 30, numRuns: 60 },
+      )
+    },
+  )
+
+  it('leaves callers more than half of the bound where 81 entries draw', () => {
+    expect(coldShare(54.5, 81) * 81).toBeGreaterThan(54.5 / 2)
+    expect(coldShare(54.5, 3) * 3).toBeGreaterThan(54.5 * 0.9)
+  })
+
+  it('gives hardly any entry no endpoint of several that are cold', () => {
+    const random = createSeededRandom(3)
+    const without = Array.from({ length: 200 }, () => {
+      const { gate: one, clock } = gate({ perSecond: 54.5, entries: 81, random })
+      clock.advance(SETTLED_MS)
+      return ['a', 'b', 'c', 'd'].every((id) => tries(one, endpoint(id), 1) === 0)
+    })
+    expect(without.filter(Boolean)).toHaveLength(0)
+  })
+
+  it('sends nothing by itself in its first second, since its process may have sent some before', () => {
+    const { gate: one, clock } = gate()
+    expect(tries(one, endpoint('c'), 5)).toBe(0)
+    expect(one.freeIn([{ endpoint: endpoint('c') }] as never)).toBe(START_MS)
+    clock.advance(SETTLED_MS)
+    expect(tries(one, endpoint('c'), 5)).toBe(5)
+  })
+
+  it('believes the largest count of entries that it heard lately: control machines that restart count from one', () => {
+    const clock = new ManualClock()
+    let entries = 81
+    const one = new ColdGate({
+      clock,
+      random: () => 0.999,
+      leftMs: () => 3_000,
+      perSecond: () => 54,
+      entries: () => entries,
+    })
+    clock.advance(SETTLED_MS)
+    one.look()
+    entries = 1
+    clock.advance(5_000)
+    expect(tries(one, endpoint('c'), 60)).toBe(0)
+  })
+
+  it('lets a step leave that the leader counted, once, at that engine, in time', () => {
+    const { gate: one, clock, warm } = gate({ perSecond: 0 })
+    warm.add('p')
+    const placed = {
+      type: 'placed' as const,
+      prefill: 'p',
+      decode: 'd',
+      cold: { waitedMs: 100, decodeMs: 1_000 },
+    }
+    one.take('r1', placed, 0)
+    one.take('r2', placed, 0)
+    clock.advance(1_100)
+    expect(one.whyNot(endpoint('p', 'prefill'), 'r1', 'prefill')).toBeUndefined()
+    expect(one.whyNot(endpoint('other', 'decode'), 'r1', 'decode')).toBeDefined()
+    expect(one.whyNot(endpoint('d', 'decode'), 'r1', 'decode')).toBeUndefined()
+    expect(one.whyNot(endpoint('d', 'decode'), 'r1', 'decode')).toBeDefined()
+    clock.advance(1)
+    expect(one.whyNot(endpoint('d', 'decode'), 'r2', 'decode')).toBeDefined()
+  })
+
+  it('leaves an engine that nobody placed at a fifth of the bound, over all entries', () => {
+    const { gate: one, clock } = gate({ perSecond: 100, entries: 1 })
+    clock.advance(SETTLED_MS)
+    expect(tries(one, endpoint('d', 'decode'), 200)).toBeLessThanOrEqual(20)
+  })
+})
+
+describe('what an entry chooses beside cold endpoints', () => {
+  const pooled = (gateOf: ReturnType<typeof gate>, endpoints: RegisteredEndpoint[]) => {
+    const pool = new EndpointPool({
+      zone: 'z',
+      clock: gateOf.clock,
+      random: () => 0,
+      logger: createSilentLogger(),
+      isCold: (id) => gateOf.gate.isCold(id),
+    })
+    pool.update(endpoints)
+    return pool
+  }
+  const WORK = {
+    request: 'r',
+    service: 's',
+    promptTokens: 100,
+    mostTokens: 100,
+    priority: 1,
+    targetMs: 900,
+    isReturn: false,
+    promptMs: 150,
+    holdMs: 600,
+    leftMs: 10_000,
+    className: 'c',
+    except: new Set<string>(),
+    isPrefilled: false,
+  }
+
+  it('is a warm engine where there is one, however busy; alone with cold ones its own share, then a true refusal', async () => {
+    const world = gate({ perSecond: 50, entries: 1 })
+    const engines = ['d1', 'd2'].map((id) => endpoint(id, 'decode'))
+    const pool = pooled(world, engines)
+    const placer = new LocalPlacer({ pool, kvTokens: () => 1_000_000, entries: () => 1, cold: world.gate })
+    world.clock.advance(SETTLED_MS)
+    world.warm.add('d1')
+    for (let times = 0; times < 20; times += 1)
+      expect(await placer.place(WORK)).toMatchObject({ place: { decode: { endpoint: { id: 'd1' } } } })
+    world.warm.delete('d1')
+    let left = 0
+    for (;;) {
+      const answer = await placer.place(WORK)
+      if (answer.type === 'refused') {
+        expect(answer).toMatchObject({ reason: 'cold endpoints get no more now', retryAfterMs: START_MS })
+        break
+      }
+      expect(world.gate.whyNot(answer.place.decode.endpoint, `r${left}`, 'decode')).toBeUndefined()
+      left += 1
+    }
+    expect(left).toBeGreaterThan(0)
+    expect(left).toBeLessThanOrEqual(20)
+  })
+
+  it('ejects no endpoint for its silence while it is cold, and learns no time from it', () => {
+    const world = gate()
+    const pool = pooled(world, [endpoint('c'), endpoint('w')])
+    world.warm.add('w')
+    for (const id of ['c', 'w']) {
+      for (let times = 0; times < 3; times += 1) {
+        pool.noteSent(pool.get(id)!)
+        world.clock.advance(10)
+        pool.noteEnd(pool.get(id)!, 'silent', 5)
+      }
+    }
+    expect(pool.candidates('s').map((one) => one.endpoint.id)).toEqual(['c'])
+    pool.noteSent(pool.get('c')!)
+    const before = pool.get('c')!.meanMs
+    pool.noteEnd(pool.get('c')!, 'ok', 5_000)
+    expect(pool.get('c')!.meanMs).toBe(before)
+  })
+})
