--- /dev/null
+++ b/daemon/fleet/src/coldEndpoints.ts
@@ -0,0 +1,106 @@
+import type { ColdPolicy } from '@forkstage/allocator'
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import type { Directory, InstanceId } from '@forkstage/directory'
+import type { Logger } from '@forkstage/logger'
+import type { RoutedService } from '@forkstage/routes'
+import type { Millis } from '@forkstage/types'
+
+/** Options of {@link ColdEndpoints}. */
+export interface ColdEndpointsOptions {
+  directory: Directory
+  /** A service of the sheet in force; undefined until there is one. */
+  service: (name: string) => RoutedService | undefined
+  /** How far entries together may exceed what a cold endpoint bears: a factor, and requests a second beside it. */
+  over: number
+  slack: number
+  /** Called when an endpoint turns cold, also when it was: what it kept is gone, and its pace is learned anew. */
+  onCold?: (id: InstanceId) => void
+  clock: Clock
+  logger: Logger
+}
+
+/** How often beliefs that change with time are looked at: a line in the log may be late by so much. */
+const LOOK_EVERY_MS: Millis = 250
+/** An end that moves by more is another start. */
+const SAME_END_MS: Millis = 500
+/** At most so many endpoints are named in a line. */
+const MOST_NAMED = 12
+
+interface Belief {
+  since: Millis
+  until: Millis
+}
+
+/** Which endpoints this machine believes cold, by the limits of the sheet in force; says when that changes. */
+export class ColdEndpoints implements ColdPolicy {
+  private readonly cold = new Map<InstanceId, Belief>()
+  private cancelLook: CancelTimer = () => undefined
+
+  constructor(private readonly options: ColdEndpointsOptions) {}
+
+  start(): void {
+    this.cancelLook = every(this.options.clock, LOOK_EVERY_MS, () => this.look())
+  }
+
+  stop(): void {
+    this.cancelLook()
+  }
+
+  /** How many endpoints are believed cold. */
+  get count(): number {
+    return this.cold.size
+  }
+
+  leftMs(id: InstanceId, at: Millis): Millis {
+    return Math.max(0, this.until(id) - at)
+  }
+
+  perSecond(service: string): number {
+    const { over, slack } = this.options
+    const limit = this.options.service(service)?.cold
+    return limit === undefined ? Infinity : limit.perSecond * over + slack
+  }
+
+  /** Takes note of endpoints that have turned cold or warm. Also called when endpoints have changed. */
+  look(): void {
+    const { directory, clock, onCold } = this.options
+    const now = clock.now()
+    const there = new Map(directory.list().map(({ id }) => [id, this.until(id)]))
+    const turned: InstanceId[] = []
+    for (const [id, until] of there) {
+      if (until <= now) continue
+      const known = this.cold.get(id)
+      const isNew = known === undefined || until > known.until + SAME_END_MS
+      this.cold.set(id, { since: isNew ? now : known.since, until })
+      if (isNew) turned.push(id)
+    }
+    turned.forEach((id) => onCold?.(id))
+    this.log('cold', turned, now)
+    const ended = [...this.cold.keys()].filter((id) => (there.get(id) ?? -Infinity) <= now)
+    // One that has left is not warm.
+    this.log(
+      'warm',
+      ended.filter((id) => there.has(id)),
+      now,
+    )
+    for (const id of ended) this.cold.delete(id)
+  }
+
+  private until(id: InstanceId): Millis {
+    const { directory, service } = this.options
+    const limit = service(directory.get(id)?.service ?? '')?.cold
+    return limit === undefined ? -Infinity : directory.coldUntil(id, limit.forMs)
+  }
+
+  private log(outcome: 'cold' | 'warm', ids: InstanceId[], now: Millis): void {
+    if (ids.length === 0) return
+    const beliefs = ids.map((id) => this.cold.get(id)!)
+    this.options.logger.info('endpoints.cold', {
+      outcome,
+      count: ids.length,
+      endpoints: ids.slice(0, MOST_NAMED),
+      leftMs: Math.round(Math.max(0, ...beliefs.map(({ until }) => until - now))),
+      ageMs: Math.round(Math.max(0, ...beliefs.map(({ since }) => now - since))),
+    })
+  }
+}
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -11,6 +11,7 @@
 import { SheetMachine, type PutResult, type PutSheet, type SheetDocument } from '@forkstage/sheet'
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
+import { ColdEndpoints } from './coldEndpoints'
 import { createControlApp } from './controlApp'
 import type { ControlWire } from './controlWire'
 import { countBy } from './countBy'
@@ -44,6 +45,7 @@
   private readonly office: SheetOffice
   private readonly registrar: Registrar
   private readonly allocator: AllocatorService
+  private readonly cold: ColdEndpoints
   private readonly quotas: QuotaLedger
   private readonly orders: StageOrders
   private readonly memory: EndpointMemory
@@ -102,7 +104,7 @@
       hub: this.hub,
       logger,
       isConnected: () => this.leader() !== undefined,
-      onChange: () => this.memory.noteChange(),
+      onChange: () => this.noteEndpoints(),
     })
     this.office = new SheetOffice({
       group: GROUP,
@@ -111,7 +113,16 @@
       client: new GroupClient({ group: GROUP, replicas: () => this.controlAddresses(), peers, clock }),
       logger,
     })
+    this.cold = new ColdEndpoints({
+      directory: this.directory,
+      service: (name) => this.book.current?.service(name),
+      ...settings.cold,
+      onCold: (id) => this.allocator.noteCold(id),
+      clock,
+      logger,
+    })
     this.allocator = new AllocatorService({
+      cold: this.cold,
       clock,
       logger,
       endpoints: () => this.directory.list(),
@@ -171,6 +182,7 @@
     this.follower.start()
     this.keeper.start()
     this.allocator.start()
+    this.cold.start()
     this.orders.start()
     this.cancelLook = every(this.basics.clock, LOOK_AT_LEADER_MS, () => this.tellOfLeader())
   }
@@ -195,6 +207,7 @@
     this.keeper.stop()
     this.memory.stop()
     this.allocator.stop()
+    this.cold.stop()
     this.orders.stop()
     this.follower.stop()
     await this.host.stop().catch(() => undefined)
@@ -217,12 +230,18 @@
     })
   }
 
+  private noteEndpoints(): void {
+    this.memory.noteChange()
+    this.cold.look()
+  }
+
   private createMeters(): FleetMeters {
     const { logBudget } = this.basics
     return new FleetMeters({
       sheet_version: () => this.newest?.version ?? -1,
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
+      endpoints_cold: () => this.cold.count,
       leads: () => Number(this.host.replica?.leads === true),
       leader_known: () => Number(this.leader() !== undefined),
       term: () => this.host.replica?.term ?? -1,
--- a/daemon/fleet/src/endpointRecall.ts
+++ b/daemon/fleet/src/endpointRecall.ts
@@ -42,7 +42,8 @@
   if (service === undefined || isKnown(endpoint.id)) return
   const answer = await callEndpoint(endpoint, wire.recallCall(endpoint, service), clock)
   // What it said of its cold time before is out of date: it says so again, or it is unknown.
-  const said = answer.type === 'answer' ? wire.readRecall({ ...endpoint, coldMs: undefined }, answer) : undefined
+  const said =
+    answer.type === 'answer' ? wire.readRecall({ ...endpoint, coldMs: undefined }, answer) : undefined
   logger.info('endpoint.recalled', {
     endpoint: endpoint.id,
     outcome: said !== undefined ? 'takes work' : answer.type === 'answer' ? 'takes none' : answer.reason,
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,7 +1,9 @@
 import { PLACE } from '@forkstage/allocator'
+import { every, type CancelTimer } from '@forkstage/clock'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
+  ColdGate,
   EndpointPool,
   Ingress,
   LeaderWay,
@@ -15,6 +17,7 @@
 import { QUOTA_REPORT, QuotaKeeper, type QuotaAnswer } from '@forkstage/quota'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
+import { ColdEndpoints } from './coldEndpoints'
 import { countBy } from './countBy'
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
@@ -23,6 +26,8 @@
 import { serveMetrics } from './serveMetrics'
 
 const SECOND_MS = 1_000
+/** How often the count of entries is looked at, which cold endpoints' shares go by. */
+const COUNT_EVERY_MS = 1_000
 const READY = 200
 const NOT_READY = 503
 const CHECK_IDLE_MS = 50
@@ -41,6 +46,8 @@
 export class EntryMachine {
   private readonly book = new RouteBook()
   private readonly directory = new Directory(() => this.basics.clock.now())
+  private readonly cold: ColdEndpoints
+  private readonly coldGate: ColdGate
   private readonly pool: EndpointPool
   private readonly follower: ControlFollower
   private readonly placer: RemotePlacer
@@ -51,13 +58,35 @@
   private readonly meters: FleetMeters
   private listeners: Listener[] = []
   private leaving = false
+  private cancelLook: CancelTimer = () => undefined
 
   constructor(
     private readonly basics: MachineBasics,
     private readonly wire: EntryWire,
   ) {
     const { settings, clock, random, logger, peers } = basics
-    this.pool = new EndpointPool({ zone: settings.machine.zone, clock, random, logger })
+    this.cold = new ColdEndpoints({
+      directory: this.directory,
+      service: (name) => this.book.current?.service(name),
+      ...settings.cold,
+      onCold: (id) => this.pool.noteCold(id),
+      clock,
+      logger,
+    })
+    this.coldGate = new ColdGate({
+      clock,
+      random,
+      leftMs: (id) => this.cold.leftMs(id, clock.now()),
+      perSecond: (service) => this.cold.perSecond(service),
+      entries: () => this.follower.entries(),
+    })
+    this.pool = new EndpointPool({
+      zone: settings.machine.zone,
+      isCold: (id) => this.coldGate.isCold(id),
+      clock,
+      random,
+      logger,
+    })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       entry: settings.listen.peers,
@@ -93,8 +122,10 @@
         pool: this.pool,
         kvTokens: (service) => this.book.current?.service(service)?.engine?.kvTokens ?? 0,
         entries,
+        cold: this.coldGate,
       }),
       way: this.way,
+      cold: this.coldGate,
       clock,
       logger,
     })
@@ -104,6 +135,7 @@
         pool: this.pool,
         placer: this.placer,
         allowance,
+        cold: this.coldGate,
         clock,
         random,
         logger,
@@ -122,6 +154,7 @@
       sheet_version: () => this.book.version,
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
+      endpoints_cold: () => this.cold.count,
       requests_running: () => this.ingress.running,
       entries_known: () => this.follower.entries(),
       retries: () => ({ ...allowance.counts }),
@@ -154,6 +187,8 @@
     this.listeners = [readiness, await listenOn(this.ingress.server, listen.callers!)]
     this.listeners.push(...(await serveMetrics(this.meters, listen.metrics)))
     this.placer.start()
+    this.cold.start()
+    this.cancelLook = every(this.basics.clock, COUNT_EVERY_MS, () => this.coldGate.look())
     this.quotas.start()
   }
 
@@ -179,6 +214,8 @@
     this.ingress.closeAll()
     this.follower.stop()
     this.placer.stop()
+    this.cold.stop()
+    this.cancelLook()
     this.quotas.stop()
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
@@ -219,6 +256,7 @@
   private takeEndpoints(records: RegisteredEndpoint[]): void {
     const news = this.directory.merge(records)
     this.pool.update(news)
+    if (news.length > 0) this.cold.look()
     logEndpoints(this.basics.logger, news)
   }
 }
--- a/daemon/fleet/src/fleetMeters.ts
+++ b/daemon/fleet/src/fleetMeters.ts
@@ -88,6 +88,8 @@
     'no room in sight',
     'too many wait already',
     'no endpoint',
+    'cold endpoints get no more now',
+    'cold engines get no more now',
     'no known key',
     'key of a newer sheet',
     'over quota',
--- /dev/null
+++ b/daemon/fleet/test/coldEndpoints.test.ts
@@ -0,0 +1,93 @@
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
+import type { Logger } from '@forkstage/logger'
+import { ColdEndpoints } from '../src/coldEndpoints'
+
+function endpoint(id: string, fields: Partial<RegisteredEndpoint> = {}): RegisteredEndpoint {
+  const base = { service: 's', address: `${id}:1`, zone: 'z', slots: 1, models: [], sequence: 1 }
+  return { id, state: 'ready', ...base, ...fields }
+}
+
+function world() {
+  const clock = new ManualClock(1_000)
+  const directory = new Directory(() => clock.now())
+  const lines: unknown[] = []
+  const turned: string[] = []
+  const cold = new ColdEndpoints({
+    directory,
+    service: (name) =>
+      name === 's' ? { name, maxConnections: 1, cold: { forMs: 3_000, perSecond: 33 } } : undefined,
+    over: 1.5,
+    slack: 5,
+    onCold: (id) => turned.push(id),
+    clock,
+    logger: { info: (_event: string, fields: unknown) => lines.push(fields) } as unknown as Logger,
+  })
+  cold.start()
+  const merge = (...records: RegisteredEndpoint[]) => {
+    directory.merge(records)
+    cold.look()
+  }
+  return { clock, cold, lines, turned, merge, directory }
+}
+
+describe('ColdEndpoints', () => {
+  it('says in one line which turn cold together and in one that they are warm again, with the age', () => {
+    const { clock, cold, lines, turned, merge } = world()
+    merge(...['a', 'b', 'c'].map((id) => endpoint(id, { coldMs: 3_000 })))
+    expect(turned).toEqual(['a', 'b', 'c'])
+    expect(cold.count).toBe(3)
+    expect(lines).toEqual([
+      { outcome: 'cold', count: 3, endpoints: ['a', 'b', 'c'], leftMs: 3_000, ageMs: 0 },
+    ])
+    clock.advance(3_250)
+    expect(cold.count).toBe(0)
+    expect(lines[1]).toMatchObject({ outcome: 'warm', count: 3, leftMs: 0, ageMs: 3_000 })
+    expect(lines).toHaveLength(2)
+  })
+
+  it('takes one that has not said how long for cold, and one of a service without a limit for warm', () => {
+    const { clock, cold, merge } = world()
+    merge(endpoint('a'), endpoint('b', { service: 'other', coldMs: 9_000 }))
+    expect(cold.leftMs('a', clock.now())).toBe(3_000)
+    expect(cold.leftMs('b', clock.now())).toBe(0)
+    expect(cold.leftMs('never heard of', clock.now())).toBe(0)
+    expect(cold.perSecond('s')).toBe(54.5)
+    expect(cold.perSecond('other')).toBe(Infinity)
+  })
+
+  it('tells of one that turns cold again under the same id, also while it is cold', () => {
+    const { clock, turned, merge } = world()
+    merge(endpoint('a', { coldMs: 3_000 }))
+    clock.advance(1_000)
+    merge(endpoint('a', { coldMs: 2_000, sequence: 2 }))
+    expect(turned).toEqual(['a'])
+    merge(endpoint('a', { coldMs: 3_000, sequence: 3 }))
+    expect(turned).toEqual(['a', 'a'])
+    clock.advance(5_000)
+    merge(endpoint('a', { coldMs: 1_000, sequence: 9 }))
+    expect(turned).toEqual(['a', 'a', 'a'])
+  })
+
+  it('does not call warm one that has left', () => {
+    const { cold, lines, merge } = world()
+    merge(endpoint('a', { coldMs: 3_000 }))
+    merge(endpoint('a', { state: 'left' }))
+    expect(cold.count).toBe(0)
+    expect(lines).toHaveLength(1)
+  })
+
+  it('counts no change for the heartbeats of a domain that is cold, so that nobody is told of them', () => {
+    const { clock, directory, merge } = world()
+    const domain = (sequence: number, coldMs: number) =>
+      Array.from({ length: 15 }, (_, index) => endpoint(`i-${index}`, { sequence, coldMs }))
+    merge(...domain(1, 3_000))
+    const { position } = directory
+    for (let sequence = 2; sequence < 6; sequence += 1) {
+      clock.advance(700)
+      merge(...domain(sequence, Math.max(0, 3_000 - 700 * (sequence - 1))))
+    }
+    expect(directory.position).toBe(position)
+  })
+})
