--- /dev/null
+++ b/request/gateway/test/coldFleet.test.ts
@@ -0,0 +1,317 @@
+import { describe, expect, it } from 'vitest'
+import { Allocator, type PlaceAsk, type PlaceDecision } from '@forkstage/allocator'
+import { createSeededRandom, every, ManualClock } from '@forkstage/clock'
+import { Directory, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
+import { createSilentLogger } from '@forkstage/logger'
+import { ColdGate, EndpointPool, LocalPlacer } from '../src'
+
+const ENTRIES = 81
+const COLD_MS = 3_000
+/** Requests a second that a cold engine bears, with its factor and slack: 10 x 1.5 + 5. */
+const BOUND = 20
+const READING_MS = 60
+const DECODING_MS = 300
+const ENGINE = {
+  slots: 16,
+  kvTokens: 72_923,
+  kvBytesPerToken: 1,
+  linkMbps: 1,
+  tokensPerEvent: 1,
+  handleMs: 500,
+  stageChangeMs: 6_000,
+  canMove: false,
+}
+
+interface Entry {
+  gate: ColdGate
+  placer: LocalPlacer
+  isAlone: boolean
+}
+
+function engine(id: string, stage: Stage, coldMs: number): RegisteredEndpoint {
+  const base = { service: 's', address: `${id}:1`, zone: id[0]!, slots: 16, models: [], sequence: 1 }
+  return { id, stage, state: 'ready', coldMs, ...base }
+}
+
+/** A domain or more of 5 readers and 10 decode engines each. */
+function domain(name: string, coldMs: number): RegisteredEndpoint[] {
+  const readers = Array.from({ length: 5 }, (_, index) => engine(`${name}p${index}`, 'prefill', coldMs))
+  const decoders = Array.from({ length: 10 }, (_, index) => engine(`${name}d${index}`, 'decode', coldMs))
+  return [...readers, ...decoders]
+}
+
+/** Entries, a leader and engines on one clock; ways between them take some milliseconds, some of them many. */
+class ColdFleet {
+  readonly clock = new ManualClock(1)
+  readonly arrivals = new Map<string, number[]>()
+  readonly results: string[] = []
+  /** Instances that have ended without a word: another process listens at their address. */
+  readonly ended = new Set<string>()
+  private readonly random = createSeededRandom(8)
+  private readonly directory = new Directory(() => this.clock.now())
+  private leader: Allocator | undefined
+  private count = 0
+  readonly entries: Entry[]
+
+  constructor(private readonly isBounded = true) {
+    this.elect()
+    every(this.clock, 25, () => this.leader?.tick(this.clock.now()))
+    this.entries = Array.from({ length: ENTRIES }, () => this.startEntry())
+  }
+
+  register(endpoints: RegisteredEndpoint[]): void {
+    this.directory.merge(endpoints)
+    for (const { pool } of this.pools) pool.update(endpoints)
+  }
+
+  leave(id: string): void {
+    this.directory.leave(id)
+    for (const { pool } of this.pools) pool.update([{ ...engine(id, 'decode', 0), state: 'left' }])
+  }
+
+  /** A new leader, which knows nothing of what the one before let go. */
+  elect(): void {
+    this.leader = new Allocator({
+      endpoints: () => this.directory.list(),
+      engine: () => ENGINE,
+      cold: this.isBounded ? { leftMs: (id, at) => this.leftMs(id, at), perSecond: () => BOUND } : undefined,
+    })
+  }
+
+  /** Callers come for a time, so many a second, at any entry. */
+  burst(perSecond: number, forMs: number): void {
+    const cancel = every(this.clock, 1_000 / perSecond, () => this.request())
+    this.clock.after(forMs, cancel)
+    this.clock.advance(forMs)
+  }
+
+  /** The most that any second held at an engine, the worst of all engines of a domain. */
+  worst(domainName: string): number {
+    const each = [...this.arrivals].filter(([id]) => id.startsWith(domainName)).map(([, times]) => times)
+    return Math.max(0, ...each.map(mostInSecond))
+  }
+
+  total(domainName: string): number {
+    const each = [...this.arrivals]
+      .filter(([id]) => id.startsWith(domainName))
+      .map(([, times]) => times.length)
+    return each.reduce((sum, one) => sum + one, 0)
+  }
+
+  shareOf(result: string): number {
+    return this.results.filter((one) => one.startsWith(result)).length / this.results.length
+  }
+
+  private readonly pools: { pool: EndpointPool }[] = []
+
+  private startEntry(): Entry {
+    const { clock, random } = this
+    const gate = new ColdGate({
+      clock,
+      random,
+      leftMs: (id) => (this.isBounded ? this.leftMs(id, clock.now()) : 0),
+      perSecond: () => BOUND,
+      entries: () => ENTRIES,
+    })
+    const pool = new EndpointPool({
+      zone: 'a',
+      clock,
+      random,
+      logger: createSilentLogger(),
+      isCold: (id) => gate.isCold(id),
+    })
+    pool.update(this.directory.list())
+    this.pools.push({ pool })
+    const placer = new LocalPlacer({
+      pool,
+      kvTokens: () => ENGINE.kvTokens,
+      entries: () => ENTRIES,
+      cold: gate,
+    })
+    return { gate, placer, isAlone: false }
+  }
+
+  private leftMs(id: string, at: number): number {
+    return Math.max(0, this.directory.coldUntil(id, COLD_MS) - at)
+  }
+
+  /** A way between two machines: short, and now and then long. */
+  private way(): number {
+    return this.random() < 0.02 ? 150 + this.random() * 200 : 1 + this.random() * 4
+  }
+
+  private request(): void {
+    this.count += 1
+    const request = `r${this.count}`
+    const entry = this.entries[Math.floor(this.random() * ENTRIES)]!
+    const ask = newAsk(request)
+    if (entry.isAlone) return void this.placeAlone(entry, ask)
+    const askedAt = this.clock.now()
+    const leader = this.leader!
+    this.clock.after(this.way(), () =>
+      leader.ask(ask, this.clock.now(), (decision) =>
+        this.clock.after(this.way(), () => this.run(entry, ask, decision, leader, askedAt)),
+      ),
+    )
+  }
+
+  private async placeAlone(entry: Entry, ask: PlaceAsk): Promise<void> {
+    const answer = await entry.placer.place({ ...ask, except: new Set() })
+    if (answer.type === 'refused') return void this.results.push(`refused: ${answer.reason}`)
+    const { decode, prefill } = answer.place
+    const engines = { prefill: prefill?.endpoint.id, decode: decode.endpoint.id }
+    this.steps(entry, ask.request, engines, () => answer.place.release('cancelled', 0, 0))
+  }
+
+  private run(
+    entry: Entry,
+    ask: PlaceAsk,
+    decision: PlaceDecision,
+    leader: Allocator,
+    askedAt: number,
+  ): void {
+    if (decision.type === 'refused') return void this.results.push(`refused: ${decision.reason}`)
+    const { request } = ask
+    entry.gate.take(request, decision, askedAt)
+    const onRead = () => leader.notePrefilled(request, 'ok', READING_MS, this.clock.now())
+    const onEnd = (made: number) => leader.release(request, 'ok', made, this.clock.now())
+    if (this.ended.has(decision.decode)) {
+      this.results.push('other instance')
+      return leader.release(request, 'other-instance', 0, this.clock.now())
+    }
+    this.steps(entry, request, decision, onEnd, onRead)
+  }
+
+  private steps(
+    entry: Entry,
+    request: string,
+    { prefill, decode }: { prefill?: string; decode: string },
+    onEnd: (made: number) => void,
+    onRead: () => void = () => undefined,
+  ): void {
+    if (prefill !== undefined && !this.send(entry, request, prefill, 'prefill')) return onEnd(0)
+    this.clock.after(prefill === undefined ? 0 : READING_MS + this.random() * 100, () => {
+      onRead()
+      if (!this.send(entry, request, decode, 'decode')) return onEnd(0)
+      this.clock.after(DECODING_MS, () => {
+        this.results.push('served')
+        onEnd(70)
+      })
+    })
+  }
+
+  private send(entry: Entry, request: string, to: string, step: Stage): boolean {
+    if (entry.gate.whyNot(this.directory.get(to)!, request, step) !== undefined) {
+      this.results.push('withheld')
+      return false
+    }
+    this.arrivals.set(to, [...(this.arrivals.get(to) ?? []), this.clock.now()])
+    return true
+  }
+}
+
+function newAsk(request: string): PlaceAsk {
+  const times = { targetMs: 900, promptMs: 150, holdMs: 600, leftMs: 10_000 }
+  const tokens = { promptTokens: 1_000, mostTokens: 100, hintTokens: 70 }
+  const rest = { priority: 1, isReturn: false, except: [], isPrefilled: false }
+  return { request, entry: 'e', service: 's', className: 'c', ...tokens, ...times, ...rest }
+}
+
+function mostInSecond(times: number[]): number {
+  return Math.max(...times.map((from) => times.filter((at) => at >= from && at < from + 1_000).length))
+}
+
+/** A fleet that has served for a while from two warm domains. */
+function settled(isBounded = true): ColdFleet {
+  const fleet = new ColdFleet(isBounded)
+  fleet.register([...domain('a', 0), ...domain('b', 0)])
+  fleet.burst(100, 12_000)
+  return fleet
+}
+
+describe('a failure domain that comes back cold in the middle of a burst, with 81 entries', () => {
+  it('gets no more than its bound in any second, while callers are served by the warm ones', () => {
+    const fleet = settled()
+    fleet.register(domain('c', COLD_MS))
+    fleet.burst(400, COLD_MS)
+    expect(fleet.worst('c')).toBeLessThanOrEqual(BOUND)
+    expect(fleet.total('c')).toBeGreaterThan(0)
+    expect(fleet.shareOf('served')).toBeGreaterThan(0.9)
+  })
+
+  it('would get more by the least load', () => {
+    const fleet = settled(false)
+    fleet.register(domain('c', COLD_MS))
+    fleet.burst(400, COLD_MS)
+    expect(fleet.worst('c')).toBeGreaterThan(BOUND)
+  })
+
+  it('keeps to its bound when leaders change while its places are out', () => {
+    const fleet = settled()
+    for (let id = 0; id < 9; id += 1) fleet.leave(`ad${id}`)
+    for (let id = 0; id < 9; id += 1) fleet.leave(`bd${id}`)
+    fleet.register(domain('c', COLD_MS * 2))
+    fleet.burst(400, 1_000)
+    fleet.elect()
+    fleet.burst(400, 500)
+    fleet.elect()
+    fleet.burst(400, 2_000)
+    expect(fleet.worst('cd')).toBeLessThanOrEqual(BOUND)
+    expect(fleet.worst('cd')).toBeGreaterThan(BOUND / 2)
+  })
+
+  it('keeps to its bound while some entries are cut off and place alone, or all of them', () => {
+    const fleet = settled()
+    fleet.register(domain('c', COLD_MS * 2))
+    fleet.entries.forEach((entry, index) => (entry.isAlone = index % 3 === 0))
+    fleet.burst(400, 2_000)
+    fleet.entries.forEach((entry) => (entry.isAlone = true))
+    fleet.burst(400, 2_000)
+    expect(fleet.worst('c')).toBeLessThanOrEqual(BOUND)
+    expect(fleet.shareOf('served')).toBeGreaterThan(0.8)
+  })
+
+  it('keeps to its bound where some place alone, some ask the leader, and cold engines are all there are', () => {
+    const fleet = new ColdFleet()
+    fleet.register(domain('a', 0))
+    fleet.burst(50, 12_000)
+    for (let id = 0; id < 10; id += 1) fleet.leave(`ad${id}`)
+    fleet.register(domain('c', COLD_MS * 2))
+    fleet.entries.forEach((entry, index) => (entry.isAlone = index % 2 === 0))
+    fleet.burst(800, 4_000)
+    expect(fleet.worst('c')).toBeLessThanOrEqual(BOUND)
+    expect(fleet.total('cd')).toBeGreaterThan(100)
+  })
+
+  it('takes an engine that has restarted unnoticed for cold under its new id, whatever it has said', () => {
+    const fleet = new ColdFleet()
+    fleet.register([...domain('a', 0).slice(0, 5), engine('cd0', 'decode', 0)])
+    fleet.burst(20, 11_000)
+    fleet.ended.add('cd0')
+    fleet.burst(100, 500)
+    expect(fleet.results.filter((one) => one === 'other instance').length).toBeGreaterThan(0)
+    fleet.register([{ ...engine('cd1', 'decode', 0), address: 'cd0:1', coldMs: undefined }])
+    fleet.burst(400, COLD_MS)
+    expect(fleet.total('cd1')).toBeGreaterThan(BOUND)
+    expect(fleet.worst('cd1')).toBeLessThanOrEqual(BOUND)
+  })
+
+  it('keeps to its bound when the last warm engine is lost; the rest hears early that it has not run', () => {
+    const fleet = new ColdFleet()
+    fleet.register([...domain('a', 0), ...domain('c', COLD_MS * 2)])
+    for (let id = 0; id < 10; id += 1) fleet.leave(`ad${id}`)
+    fleet.burst(400, 4_000)
+    expect(fleet.worst('c')).toBeLessThanOrEqual(BOUND)
+    expect(fleet.total('cd')).toBeGreaterThan(100)
+    expect(fleet.shareOf('refused: cold engines get no more now')).toBeGreaterThan(0.3)
+  })
+
+  it('gets all that it can bear once its time is over, although it is never heard again', () => {
+    const fleet = new ColdFleet()
+    fleet.register(domain('c', COLD_MS))
+    fleet.burst(10, COLD_MS)
+    const before = fleet.total('c')
+    fleet.burst(400, 1_000)
+    expect(fleet.total('c') - before).toBeGreaterThan(500)
+  })
+})
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -6,6 +6,7 @@
 import { QuotaKeeper, QuotaLedger, quotaLimit } from '@forkstage/quota'
 import { RouteBook, type CallerLimits, type Route, type Workspace } from '@forkstage/routes'
 import {
+  ColdGate,
   EndpointPool,
   Ingress,
   LocalPlacer,
@@ -71,6 +72,9 @@
 
 const QUOTA_WINDOW_MS = 8_000
 const LED_FOR_MS = 2_000
+const RUN_FOR_MS = 60_000
+/** What a cold endpoint may get from all entries. */
+export const COLD_PER_SECOND = 30
 
 const ENGINE = {
   slots: 8,
@@ -92,6 +96,8 @@
   isCurrent = true
   /** Why nothing may leave for an instance, by its id. */
   readonly withheld = new Map<string, string>()
+  /** Instances that are cold: how much longer, by their id. */
+  readonly cold = new Map<string, number>()
   private constructor(
     readonly ingress: Ingress,
     readonly pool: EndpointPool,
@@ -149,7 +155,17 @@
       windowMs: QUOTA_WINDOW_MS,
       reportEveryMs: 500,
     })
-    const local = new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1 })
+    // The only entry, which has run for a while.
+    let later = 0
+    const cold = new ColdGate({
+      clock: { ...clock, now: () => clock.now() + later },
+      random: () => 0.5,
+      leftMs: (id) => world.cold.get(id) ?? 0,
+      perSecond: () => COLD_PER_SECOND,
+      entries: () => 1,
+    })
+    later = RUN_FOR_MS
+    const local = new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1, cold })
     const ingress: Ingress = new Ingress({
       parts: {
         wire: TEST_WIRE,
@@ -163,6 +179,7 @@
         },
         allowance: new RetryAllowance({ clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 1 }),
         sendRules: [({ id }) => world.withheld.get(id)],
+        cold,
         clock,
         random: createSeededRandom(1),
         logger,
