--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -77,6 +77,7 @@
       clock,
       random,
       leftMs: (id) => this.cold.leftMs(id, clock.now()),
+      hasSaid: (id) => this.directory.hasSaidCold(id),
       perSecond: (service) => this.cold.perSecond(service),
       entries: () => this.follower.entries(),
     })
--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -47,6 +47,11 @@
     return entry.coldUntil ?? entry.heardAt + unknownMs
   }
 
+  /** Whether an instance has ever said how long it is cold, as far as this machine has heard. */
+  hasSaidCold(id: InstanceId): boolean {
+    return this.entries.get(id)?.coldUntil !== undefined
+  }
+
   /** How much longer it is cold; 0 where it is warm or not known. */
   coldLeft(id: InstanceId, unknownMs: Millis): Millis {
     return Math.max(0, this.coldUntil(id, unknownMs) - this.now())
@@ -121,16 +126,20 @@
   /** Whether a cold time ends elsewhere than was believed. One that has only fallen with time is no news. */
   private hasOtherCold({ coldUntil }: Entry, { coldMs }: RegisteredEndpoint): boolean {
     if (coldMs === undefined) return false
-    if (coldUntil === undefined) return true
+    // Unknown counts as cold: that one is warm is no news that others must hear at once, as all are after a restart.
+    if (coldUntil === undefined) return coldMs > 0
     const left = Math.max(0, coldUntil - this.now())
     return Math.abs(left - coldMs) > SAME_COLD_MS
   }
 
-  /** A call that says nothing new still tells late ones before it from newer ones. */
-  private noteSequence({ id, sequence }: RegisteredEndpoint): void {
+  /** A call that says nothing new still tells late ones before it from newer ones, and here what was unknown. */
+  private noteSequence({ id, sequence, coldMs }: RegisteredEndpoint): void {
     const known = this.entries.get(id)
     if (known === undefined || known.endpoint.sequence >= sequence) return
     known.endpoint = { ...known.endpoint, sequence }
+    if (coldMs === undefined || known.coldUntil !== undefined) return
+    known.endpoint.coldMs = coldMs
+    known.coldUntil = this.now() + coldMs
   }
 
   private forgetOldest(): void {
--- a/membership/directory/test/directory.test.ts
+++ b/membership/directory/test/directory.test.ts
@@ -153,6 +153,20 @@
     expect(directory.coldLeft('i-1', 0)).toBe(0)
   })
 
+  it('that say they are warm after they were unknown are so here, and no news for others', () => {
+    const { time, directory } = timed()
+    directory.merge([endpoint(), endpoint({ id: 'i-2' })])
+    const { position } = directory
+    expect(directory.hasSaidCold('i-1')).toBe(false)
+    expect(directory.merge([endpoint({ sequence: 2, coldMs: 0 })])).toEqual([])
+    expect(directory.hasSaidCold('i-1')).toBe(true)
+    expect(directory.coldLeft('i-1', 3_000)).toBe(0)
+    expect(directory.position).toBe(position)
+    expect(directory.merge([endpoint({ id: 'i-2', sequence: 2, coldMs: 2_000 })])).toHaveLength(1)
+    time.now += 500
+    expect(directory.coldLeft('i-2', 3_000)).toBe(1_500)
+  })
+
   it('do not turn cold again by a call that was long on its way', () => {
     const { time, directory } = timed()
     directory.merge([endpoint({ coldMs: 3_000 })])
--- a/request/gateway/src/coldGate.ts
+++ b/request/gateway/src/coldGate.ts
@@ -13,6 +13,8 @@
   random: Random
   /** How much longer an endpoint is cold; 0 where it is warm or not known. */
   leftMs: (id: InstanceId) => Millis
+  /** Whether an endpoint has said so, or is only taken for cold as long as it has not. */
+  hasSaid: (id: InstanceId) => boolean
   /** Requests that a cold endpoint of a service may get in any second from all entries together. */
   perSecond: (service: string) => number
   /** How many entries there are, as control machines count them now; 0 where none has said. */
@@ -33,12 +35,16 @@
 const ENTRIES_WHILE_NEW = 100
 /** A step that spreads any number of draws evenly between 0 and 1. */
 const GOLDEN_STEP = 0.618
+/** The leader's word that an engine is warm holds for a request as long as its steps may take to leave. */
+const WARM_WORD_MS: Millis = 5_000
 /** Grants that have run out are looked for when there are so many. */
 const MANY_GRANTS = 64
 
 interface Grant {
   endpoint: InstanceId
   untilMs: Millis
+  /** Whether the leader believes the engine warm: that holds where nothing is known of it here. */
+  isWarm: boolean
 }
 
 interface Own {
@@ -70,13 +76,15 @@
 
   /** Takes what the leader counted for a place. `askedAt` is when it was asked, by this entry's clock. */
   take(request: string, { prefill, decode, cold }: Placed, askedAt: Millis): void {
-    if (cold === undefined) return
     this.dropOld()
-    const decidedAt = askedAt + cold.waitedMs
-    const note = (step: SendStep, endpoint: InstanceId, withinMs: Millis) =>
-      this.grants.set(`${step} ${request}`, { endpoint, untilMs: decidedAt + withinMs })
-    if (prefill !== undefined && cold.prefillMs !== undefined) note('prefill', prefill, cold.prefillMs)
-    if (cold.decodeMs !== undefined) note('decode', decode, cold.decodeMs)
+    const decidedAt = askedAt + (cold?.waitedMs ?? 0)
+    const note = (step: SendStep, endpoint: InstanceId, withinMs: Millis | undefined) => {
+      if (!this.isCold(endpoint) && withinMs === undefined) return
+      const untilMs = decidedAt + (withinMs ?? WARM_WORD_MS)
+      this.grants.set(`${step} ${request}`, { endpoint, untilMs, isWarm: withinMs === undefined })
+    }
+    if (prefill !== undefined) note('prefill', prefill, cold?.prefillMs)
+    note('decode', decode, cold?.decodeMs)
   }
 
   /** Why a step of a request must not leave now; where it may, it counts. To be asked last, right before it leaves. */
@@ -112,6 +120,7 @@
     const grant = this.grants.get(key)
     if (grant?.endpoint !== id) return false
     this.grants.delete(key)
+    if (grant.isWarm && this.options.hasSaid(id)) return false
     return this.options.clock.now() <= grant.untilMs
   }
 
--- a/request/gateway/test/coldFleet.test.ts
+++ b/request/gateway/test/coldFleet.test.ts
@@ -115,6 +115,7 @@
       clock,
       random,
       leftMs: (id) => (this.isBounded ? this.leftMs(id, clock.now()) : 0),
+      hasSaid: (id) => this.directory.hasSaidCold(id),
       perSecond: () => BOUND,
       entries: () => ENTRIES,
     })
--- a/request/gateway/test/coldGate.test.ts
+++ b/request/gateway/test/coldGate.test.ts
@@ -19,14 +19,16 @@
 function gate(fields: { perSecond?: number; entries?: number; random?: Random; clock?: ManualClock } = {}) {
   const { perSecond = 20, entries = 1, random = () => 0.5, clock = new ManualClock() } = fields
   const warm = new Set<string>()
+  const silent = new Set<string>()
   const one = new ColdGate({
     clock,
     random,
     leftMs: (id) => (warm.has(id) ? 0 : 3_000),
+    hasSaid: (id) => !silent.has(id),
     perSecond: () => perSecond,
     entries: () => entries,
   })
-  return { gate: one, clock, warm }
+  return { gate: one, clock, warm, silent }
 }
 
 /** How many of some tries may leave by themselves. */
@@ -108,6 +110,7 @@
       clock,
       random: () => 0.999,
       leftMs: () => 3_000,
+      hasSaid: () => true,
       perSecond: () => 54,
       entries: () => entries,
     })
@@ -138,6 +141,16 @@
     expect(one.whyNot(endpoint('d', 'decode'), 'r2', 'decode')).toBeDefined()
   })
 
+  it('believes a leader that takes an engine for warm where that has said nothing here, and no other', () => {
+    const { gate: one, silent } = gate({ perSecond: 0 })
+    silent.add('d1')
+    one.take('r1', { type: 'placed', decode: 'd1' }, 0)
+    one.take('r2', { type: 'placed', decode: 'd2' }, 0)
+    expect(one.whyNot(endpoint('d1', 'decode'), 'r1', 'decode')).toBeUndefined()
+    expect(one.whyNot(endpoint('d2', 'decode'), 'r2', 'decode')).toBeDefined()
+    expect(one.whyNot(endpoint('d1', 'decode'), 'r3', 'decode')).toBeDefined()
+  })
+
   it('leaves an engine that nobody placed at a fifth of the bound, over all entries', () => {
     const { gate: one, clock } = gate({ perSecond: 100, entries: 1 })
     clock.advance(SETTLED_MS)
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -161,6 +161,7 @@
       clock: { ...clock, now: () => clock.now() + later },
       random: () => 0.5,
       leftMs: (id) => world.cold.get(id) ?? 0,
+      hasSaid: () => true,
       perSecond: () => COLD_PER_SECOND,
       entries: () => 1,
     })
