--- a/daemon/fleet/src/coldEndpoints.ts
+++ b/daemon/fleet/src/coldEndpoints.ts
@@ -61,6 +61,17 @@
     return limit === undefined ? Infinity : limit.perSecond * over + slack
   }
 
+  /**
+   * The endpoints of a failure domain may have turned cold, as after it was emptied and is taken back: they count as
+   * cold until each has said otherwise.
+   */
+  doubt(domain: string): void {
+    const { directory } = this.options
+    const there = directory.list().filter(({ zone }) => zone === domain)
+    directory.doubtWarm(there.map(({ id }) => id))
+    this.look()
+  }
+
   /** Takes note of endpoints that have turned cold or warm. Also called when endpoints have changed. */
   look(): void {
     const { directory, clock, onCold } = this.options
--- a/daemon/fleet/test/coldEndpoints.test.ts
+++ b/daemon/fleet/test/coldEndpoints.test.ts
@@ -70,6 +70,16 @@
     expect(turned).toEqual(['a', 'a', 'a'])
   })
 
+  it('doubts that a domain that is taken back is warm', () => {
+    const { cold, turned, merge } = world()
+    merge(endpoint('a', { zone: 'back', coldMs: 0 }), endpoint('b', { coldMs: 0 }))
+    cold.doubt('back')
+    expect(turned).toEqual(['a'])
+    expect(cold.count).toBe(1)
+    merge(endpoint('a', { zone: 'back', coldMs: 0, sequence: 2 }))
+    expect(cold.count).toBe(0)
+  })
+
   it('does not call warm one that has left', () => {
     const { cold, lines, merge } = world()
     merge(endpoint('a', { coldMs: 3_000 }))
--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -47,7 +47,22 @@
     return entry.coldUntil ?? entry.heardAt + unknownMs
   }
 
-  /** Whether an instance has ever said how long it is cold, as far as this machine has heard. */
+  /**
+   * Takes back that instances are warm: they may have turned cold since they said so. Until their next word they count as
+   * those that have never said; one that is believed cold stays so.
+   */
+  doubtWarm(ids: InstanceId[]): void {
+    const now = this.now()
+    for (const id of ids) {
+      const entry = this.entries.get(id)
+      if (entry === undefined || (entry.coldUntil ?? 0) > now) continue
+      entry.endpoint = { ...entry.endpoint, coldMs: undefined }
+      entry.coldUntil = undefined
+      entry.heardAt = now
+    }
+  }
+
+  /** Whether an instance has said how long it is cold, as far as this machine has heard and has not come to doubt it. */
   hasSaidCold(id: InstanceId): boolean {
     return this.entries.get(id)?.coldUntil !== undefined
   }
--- a/membership/directory/test/directory.test.ts
+++ b/membership/directory/test/directory.test.ts
@@ -167,6 +167,22 @@
     expect(directory.coldLeft('i-2', 3_000)).toBe(1_500)
   })
 
+  it('are in doubt where they may have turned cold, until their next word; those known to be cold stay so', () => {
+    const { time, directory } = timed()
+    directory.merge([endpoint({ coldMs: 0 }), endpoint({ id: 'i-2', coldMs: 4_000 })])
+    directory.doubtWarm(['i-1', 'i-2', 'never heard of'])
+    expect(directory.coldLeft('i-1', 3_000)).toBe(3_000)
+    expect(directory.get('i-1')!.coldMs).toBeUndefined()
+    expect(directory.coldLeft('i-2', 3_000)).toBe(4_000)
+    time.now += 500
+    expect(directory.merge([endpoint({ sequence: 2, coldMs: 2_500 })])).toHaveLength(1)
+    expect(directory.coldLeft('i-1', 3_000)).toBe(2_500)
+    time.now += 3_000
+    directory.doubtWarm(['i-1'])
+    directory.merge([endpoint({ sequence: 3, coldMs: 0 })])
+    expect(directory.coldLeft('i-1', 3_000)).toBe(0)
+  })
+
   it('do not turn cold again by a call that was long on its way', () => {
     const { time, directory } = timed()
     directory.merge([endpoint({ coldMs: 3_000 })])
--- a/placement/allocator/test/allocatorService.test.ts
+++ b/placement/allocator/test/allocatorService.test.ts
@@ -13,8 +13,9 @@
 }
 
 /** A service on a machine that leads until told otherwise. */
-function world() {
+function world(coldIds: string[] = []) {
   const clock = new ManualClock()
+  const cold = new Set(coldIds)
   const lead = { leads: true, term: 1, entries: 0 }
   const service = new AllocatorService({
     clock,
@@ -24,6 +25,7 @@
     isLeader: () => lead.leads,
     term: () => lead.term,
     entries: () => lead.entries,
+    cold: { leftMs: (id) => (cold.has(id) ? 5_000 : 0), perSecond: () => 50 },
   })
   service.start()
   const place = (request: string) =>
@@ -35,6 +37,12 @@
 }
 
 describe('AllocatorService', () => {
+  it('says with a place at a cold engine how long the request had waited and within how long it must leave', async () => {
+    const { clock, place } = world(['d1'])
+    await advance(clock, 400)
+    expect(await place('r1')).toMatchObject({ decode: 'd1', cold: { waitedMs: 0, decodeMs: 250 } })
+  })
+
   it('lets requests wait while a new leader hears what runs, then places them', async () => {
     const { clock, place } = world()
     const answer = place('r1')
