--- a/tools/fleet-soak/src/machineSettings.ts
+++ b/tools/fleet-soak/src/machineSettings.ts
@@ -12,6 +12,9 @@
 const LOSSES = 2
 const GRACE_S = 4
 
+/** How cold stand-ins are: what the sheet says, and what the settings let pass beside it. */
+export const COLD = { startS: 2, perS: 2, over: 1.5, slack: 3 } as const
+
 /** The settings file of a machine. */
 export function machineSettings(
   machine: SoakMachine,
@@ -44,6 +47,9 @@
     '[retry]',
     'share = 0.2',
     'slack = 50',
+    '[cold]',
+    `over = ${COLD.over}`,
+    `slack = ${COLD.slack}`,
     '',
   ].join('\n')
 }
--- a/tools/fleet-soak/src/soakOperator.ts
+++ b/tools/fleet-soak/src/soakOperator.ts
@@ -2,7 +2,7 @@
 import type { Random } from '@forkstage/clock'
 import { PATHS } from './soakCallers'
 import type { SoakFleet } from './soakFleet'
-import type { SoakMachine } from './machineSettings'
+import { COLD, type SoakMachine } from './machineSettings'
 import { soakTenants } from './soakWorkspaces'
 
 interface Acknowledged {
@@ -104,7 +104,14 @@
     stage_switch_s: 1,
     models: [{ name: 'm' }],
   }
-  const service = { health_path: '/health', max_connections: 100, protocol: 'h1', tls: false }
+  const service = {
+    health_path: '/health',
+    max_connections: 100,
+    protocol: 'h1',
+    tls: false,
+    cold_start_s: COLD.startS,
+    cold_per_s: COLD.perS,
+  }
   return JSON.stringify({
     version,
     routes: [
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import got from 'got'
 import type { Random } from '@forkstage/clock'
+import { COLD } from './machineSettings'
 import type { SeenRun } from './soakWorkspaces'
 
 /** What a stand-in does wrong. */
@@ -30,6 +31,9 @@
 const DRAIN_MS = 2_000
 /** Kept for a call that was on its way when the time was over. */
 const DRAIN_SLACK_MS = 300
+const SECOND_MS = 1_000
+/** What a cold stand-in may get in any second from all entries together. */
+const COLD_BOUND = COLD.perS * COLD.over + COLD.slack
 
 /** An endpoint that speaks what the platform's workers speak, as far as the soak needs. */
 export class StandInEndpoint {
@@ -40,6 +44,9 @@
   private address = ''
   private state: 'ready' | 'draining' = 'ready'
   private drainedAt = Infinity
+  private coldUntil = 0
+  /** When requests arrived while it was cold. */
+  private coldArrivals: number[] = []
   private timer: NodeJS.Timeout | undefined
   fault: EndpointFault = 'none'
   /** What must not have happened. */
@@ -52,6 +59,8 @@
     this.id = `${this.options.name}-${this.lives}`
     this.state = 'ready'
     this.drainedAt = Infinity
+    // At the first start there is no traffic yet.
+    this.coldUntil = this.lives === 1 ? 0 : Date.now() + COLD.startS * SECOND_MS
     this.server = createServer((request, response) => this.serve(request, response))
     await new Promise<void>((resolve) => this.server!.listen(0, '127.0.0.1', resolve))
     this.address = `127.0.0.1:${(this.server.address() as { port: number }).port}`
@@ -110,7 +119,7 @@
       version: 'v1',
       slots: 8,
       state: this.state,
-      cold_remaining_ms: 0,
+      cold_remaining_ms: this.coldLeft(),
       call_seq: this.beats,
       ...(stage === undefined ? {} : { stage, models: [{ name: 'm', version: 1, adapters: [] }] }),
     }
@@ -134,6 +143,7 @@
     if (path === '/health') return this.tellHealth(response)
     if (path === '/order') return void response.writeHead(409).end()
     this.checkDrained(request)
+    this.checkCold()
     if (this.fault === 'refuse') return this.refuse(response)
     if (request.headers['x-forkstage-stage'] === 'prefill') return this.prefill(response)
     if (this.options.stage === undefined) return this.work(request, response)
@@ -147,7 +157,20 @@
   /** Asked by control machines that knew this endpoint before they started; nothing runs for it. */
   private tellHealth(response: ServerResponse): void {
     const status = this.state === 'ready' ? 200 : 503
-    response.writeHead(status, { 'X-Forkstage-Instance-Id': this.id }).end()
+    const headers = { 'X-Forkstage-Instance-Id': this.id, 'X-Forkstage-Cold-Ms': this.coldLeft() }
+    response.writeHead(status, headers).end()
+  }
+
+  private coldLeft(): number {
+    return Math.max(0, this.coldUntil - Date.now())
+  }
+
+  private checkCold(): void {
+    const now = Date.now()
+    if (this.coldLeft() === 0) return
+    this.coldArrivals = [...this.coldArrivals.filter((at) => at > now - SECOND_MS), now]
+    const count = this.coldArrivals.length
+    if (count > COLD_BOUND) this.broken.push(`${this.id} got ${count} requests in a second while it was cold`)
   }
 
   private checkDrained(request: IncomingMessage): void {
