--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -45,6 +45,18 @@
   'sheet.installed': { version: number; routes: number; services: number }
   'sheet.refused': { reason: string }
   'sheet.put': { version: number; outcome: string; held: number }
+  /** An operator's order at the control machine that took it; `index` is the log index of the last change. */
+  'evacuation.taken': {
+    domain: string
+    action: 'begin' | 'withdraw'
+    index: number
+    outcome: 'changed' | 'held' | 'overtaken'
+  }
+  /** An order of which it is not known whether it was taken. */
+  'evacuation.unsure': { domain: string; action: 'begin' | 'withdraw'; reason: string }
+  'evacuation.refused': { reason: string }
+  /** What a machine believes has changed: nothing more leaves for endpoints of these domains. */
+  'evacuation.in-force': { index: number; count: number; domains: string[] }
   'endpoint.registered': {
     endpoint: string
     state: string
--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -1,8 +1,10 @@
 import express, { type Express, type Request, type Response } from 'express'
 import { toErrorBody } from '@forkstage/error'
+import { isDomainName, type EvacuationView } from '@forkstage/evacuation'
 import type { Logger } from '@forkstage/logger'
 import { checkRouteSheet } from '@forkstage/routes'
 import type { ControlWire } from './controlWire'
+import type { EvacuationOffice } from './evacuationOffice'
 import type { Registrar } from './registrar'
 import type { SheetOffice } from './sheetOffice'
 
@@ -10,6 +12,9 @@
 export interface ControlAppOptions {
   wire: ControlWire
   office: SheetOffice
+  evacuations: EvacuationOffice
+  /** What this machine believes of evacuations. */
+  evacuationView: EvacuationView
   registrar: Registrar
   logger: Logger
 }
@@ -27,6 +32,9 @@
   app.get(wire.sheetPath, (_request, response) => getSheet(options, response))
   app.put(wire.registrationPath, (request, response) => register(options, request, response))
   app.delete(wire.registrationPath, (request, response) => leave(options, request, response))
+  app.post(wire.evacuationPath, (request, response) => evacuate(options, request, response, true))
+  app.delete(wire.evacuationPath, (request, response) => evacuate(options, request, response, false))
+  app.get(wire.evacuationsPath, (_request, response) => void response.json(options.evacuationView.current))
   return app
 }
 
@@ -58,6 +66,25 @@
   }
 }
 
+async function evacuate(
+  { evacuations, logger }: ControlAppOptions,
+  request: Request,
+  response: Response,
+  isEvacuated: boolean,
+): Promise<void> {
+  const domain = String(request.params.domain)
+  if (!isDomainName(domain)) {
+    logger.warn('evacuation.refused', { reason: 'not the name of a failure domain' })
+    return void response.status(400).json({ code: 'FORKSTAGE_DOMAIN_NAME' })
+  }
+  try {
+    const isWaitedFor = () => !response.destroyed
+    response.status(200).json(await evacuations.set({ domain, isEvacuated, isWaitedFor }))
+  } catch (error) {
+    answerUnsure(response, error)
+  }
+}
+
 function register(options: ControlAppOptions, request: Request, response: Response): void {
   const { wire, registrar } = options
   const endpoint = wire.readRegistration(String(request.params.id), bodyOf(request))
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -8,13 +8,15 @@
 import { QUOTA_REPORT, QuotaLedger, quotaLimit, type QuotaAnswer, type QuotaReport } from '@forkstage/quota'
 import { RouteBook } from '@forkstage/routes'
 import { createFileSystem } from '@forkstage/storage'
-import { SheetMachine, type PutResult, type PutSheet, type SheetDocument } from '@forkstage/sheet'
+import { SheetMachine, type SheetCommand, type SheetDocument, type SheetResult } from '@forkstage/sheet'
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
 import { ColdEndpoints } from './coldEndpoints'
 import { createControlApp } from './controlApp'
 import type { ControlWire } from './controlWire'
 import { countBy } from './countBy'
+import { EvacuationBelief } from './evacuationBelief'
+import { EvacuationOffice } from './evacuationOffice'
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
 import type { MachineBasics } from './machineBasics'
@@ -38,11 +40,13 @@
 export class ControlMachine {
   private readonly machine = new SheetMachine()
   private readonly directory = new Directory(() => this.basics.clock.now())
-  private readonly host: GroupHost<PutSheet, PutResult>
-  private readonly keeper: MembershipKeeper<PutSheet, PutResult>
+  private readonly host: GroupHost<SheetCommand, SheetResult>
+  private readonly keeper: MembershipKeeper<SheetCommand, SheetResult>
   private readonly follower: ControlFollower
   private readonly hub: WatchHub
   private readonly office: SheetOffice
+  private readonly evacuations: EvacuationOffice
+  private readonly belief: EvacuationBelief
   private readonly registrar: Registrar
   private readonly allocator: AllocatorService
   private readonly cold: ColdEndpoints
@@ -64,6 +68,7 @@
     const { settings, clock, peers, logger, epoch } = basics
     const self = settings.listen.peers
     this.host = this.createHost()
+    this.belief = new EvacuationBelief({ logger, onChange: () => this.hub.noteChange() })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       self,
@@ -71,6 +76,10 @@
       clock,
       logger,
       holdMs: settings.watch.hold_ms,
+      evacuationIndex: () => this.belief.view.current.index,
+      onEvacuations: (set) => this.belief.take(set),
+      // Another that has just started knows no more than this one.
+      onSupposedEvacuations: () => undefined,
       onEndpoints: (records) => this.registrar.take(records),
     })
     this.keeper = new MembershipKeeper({
@@ -88,6 +97,8 @@
       epoch,
       directory: this.directory,
       sheet: () => this.newest,
+      evacuations: () => this.belief.view.current,
+      supposedEvacuations: () => this.evacuations.supposed(),
       members: () => this.memberAddresses(),
       leader: () => this.leader(),
       clock,
@@ -106,12 +117,11 @@
       isConnected: () => this.leader() !== undefined,
       onChange: () => this.noteEndpoints(),
     })
-    this.office = new SheetOffice({
+    const client = new GroupClient<SheetCommand, SheetResult>({
       group: GROUP,
-      host: this.host,
-      machine: this.machine,
-      client: new GroupClient({ group: GROUP, replicas: () => this.controlAddresses(), peers, clock }),
-      logger,
+      replicas: () => this.controlAddresses(),
+      peers,
+      clock,
     })
     this.cold = new ColdEndpoints({
       directory: this.directory,
@@ -121,6 +131,9 @@
       clock,
       logger,
     })
+    const replicated = { group: GROUP, host: this.host, machine: this.machine, client, logger }
+    this.office = new SheetOffice(replicated)
+    this.evacuations = new EvacuationOffice({ ...replicated, belief: this.belief, clock })
     this.allocator = new AllocatorService({
       cold: this.cold,
       clock,
@@ -157,6 +170,7 @@
     })
     this.meters = this.createMeters()
     this.machine.onNewer = (document) => this.noteNewer(document)
+    this.machine.onEvacuations = () => this.evacuations.takeCommitted()
   }
 
   async start(): Promise<void> {
@@ -170,6 +184,8 @@
     const app = createControlApp({
       wire: this.wire,
       office: this.office,
+      evacuations: this.evacuations,
+      evacuationView: this.belief.view,
       registrar: this.registrar,
       logger,
     })
@@ -243,6 +259,7 @@
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
       leads: () => Number(this.host.replica?.leads === true),
+      evacuated_domains: () => this.belief.view.current.domains.length,
       leader_known: () => Number(this.leader() !== undefined),
       term: () => this.host.replica?.term ?? -1,
       voters: () => this.host.replica?.config.voters.length ?? 0,
@@ -258,6 +275,7 @@
       ...this.host.methods(),
       ...this.keeper.methods(),
       ...this.office.methods(),
+      ...this.evacuations.methods(),
       ...this.allocator.methods(),
       [QUOTA_REPORT]: (report: QuotaReport) => this.takeQuotas(report),
       [WATCH]: (question: WatchQuestion) => this.hub.answer(question),
@@ -270,7 +288,7 @@
     return this.host.replica?.holdsLease === true ? this.quotas.take(report) : {}
   }
 
-  private createHost(): GroupHost<PutSheet, PutResult> {
+  private createHost(): GroupHost<SheetCommand, SheetResult> {
     const { settings, peers, clock, random, logger } = this.basics
     const { control, machine, listen } = settings
     return new GroupHost({
@@ -319,6 +337,7 @@
 
   /** Entries that wait for news hear of another leader at once: until then they ask one that places no more. */
   private tellOfLeader(): void {
+    if (!this.belief.view.isHeard) this.evacuations.takeCommitted()
     const leader = this.leader()
     if (leader === this.toldLeader) return
     this.toldLeader = leader
--- a/daemon/fleet/src/controlWire.ts
+++ b/daemon/fleet/src/controlWire.ts
@@ -39,6 +39,10 @@
   sheetPath: string
   /** Where an endpoint registers and leaves; `:id` stands for the instance. */
   registrationPath: string
+  /** Where an evacuation is begun (POST) and withdrawn (DELETE); `:domain` stands for the failure domain. */
+  evacuationPath: string
+  /** Where the evacuations that this machine knows are read. */
+  evacuationsPath: string
   /** @returns undefined where no one can read the text whole. */
   readSheet(text: string): RouteSheet | undefined
   /** @returns undefined where the text says nothing of an endpoint. */
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -19,6 +19,7 @@
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { ColdEndpoints } from './coldEndpoints'
 import { countBy } from './countBy'
+import { EvacuationBelief } from './evacuationBelief'
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
 import { logEndpoints } from './logEndpoints'
@@ -48,6 +49,7 @@
   private readonly directory = new Directory(() => this.basics.clock.now())
   private readonly cold: ColdEndpoints
   private readonly coldGate: ColdGate
+  private readonly belief: EvacuationBelief
   private readonly pool: EndpointPool
   private readonly follower: ControlFollower
   private readonly placer: RemotePlacer
@@ -88,6 +90,7 @@
       random,
       logger,
     })
+    this.belief = new EvacuationBelief({ logger })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       entry: settings.listen.peers,
@@ -97,6 +100,9 @@
       holdMs: settings.watch.hold_ms,
       sheetVersion: () => this.book.version,
       onSheet: (sheet) => this.install(sheet),
+      evacuationIndex: () => this.belief.view.current.index,
+      onEvacuations: (set) => this.belief.take(set),
+      onSupposedEvacuations: (domains) => this.belief.suppose(domains),
       onEndpoints: (records) => this.takeEndpoints(records),
     })
     const entries = () => this.follower.entries() || ENTRIES_UNTIL_KNOWN
@@ -156,6 +162,7 @@
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
+      evacuated_domains: () => this.belief.view.current.domains.length,
       requests_running: () => this.ingress.running,
       entries_known: () => this.follower.entries(),
       retries: () => ({ ...allowance.counts }),
--- /dev/null
+++ b/daemon/fleet/src/evacuationBelief.ts
@@ -0,0 +1,40 @@
+import { EvacuationView, type EvacuationSet } from '@forkstage/evacuation'
+import type { Logger } from '@forkstage/logger'
+import type { FailureDomain } from '@forkstage/types'
+
+/** Options of {@link EvacuationBelief}. */
+export interface EvacuationBeliefOptions {
+  logger: Logger
+  /** Called after the belief has changed. */
+  onChange?: () => void
+}
+
+/** At most so many domains are named in a line. */
+const MOST_NAMED = 12
+
+/** What this machine believes of evacuations, with a log line for each change. */
+export class EvacuationBelief {
+  readonly view = new EvacuationView()
+
+  constructor(private readonly options: EvacuationBeliefOptions) {}
+
+  /** Takes a set that is committed. */
+  take(set: EvacuationSet): void {
+    if (this.view.take(set)) this.noteChange()
+  }
+
+  /** Takes domains that may be evacuated, until a set is known. */
+  suppose(domains: FailureDomain[]): void {
+    if (this.view.suppose(domains)) this.noteChange()
+  }
+
+  private noteChange(): void {
+    const { index, domains } = this.view.current
+    this.options.logger.info('evacuation.in-force', {
+      index,
+      count: domains.length,
+      domains: domains.slice(0, MOST_NAMED),
+    })
+    this.options.onChange?.()
+  }
+}
--- a/daemon/fleet/src/sheetOffice.ts
+++ b/daemon/fleet/src/sheetOffice.ts
@@ -2,14 +2,21 @@
 import { NotLeaderError } from '@forkstage/group'
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
-import type { PutResult, PutSheet, SheetDocument, SheetMachine } from '@forkstage/sheet'
+import type {
+  PutResult,
+  PutSheet,
+  SheetCommand,
+  SheetDocument,
+  SheetMachine,
+  SheetResult,
+} from '@forkstage/sheet'
 
 /** Options of {@link SheetOffice}. */
 export interface SheetOfficeOptions {
   group: string
-  host: GroupHost<PutSheet, PutResult>
+  host: GroupHost<SheetCommand, SheetResult>
   machine: SheetMachine
-  client: GroupClient<PutSheet, PutResult>
+  client: GroupClient<SheetCommand, SheetResult>
   logger: Logger
 }
 
@@ -54,13 +61,17 @@
     return answer ?? undefined
   }
 
-  private propose(document: SheetDocument, client: GroupClient<PutSheet, PutResult>): Promise<PutResult> {
+  private async propose(
+    document: SheetDocument,
+    client: GroupClient<SheetCommand, SheetResult>,
+  ): Promise<PutResult> {
     const command: PutSheet = { type: 'putSheet', document }
-    return client.propose(command, {
+    const result = await client.propose(command, {
       deadline: PUT_DEADLINE_MS,
       callDeadline: PUT_CALL_MS,
       step: 'put sheet',
     })
+    return result as PutResult
   }
 
   /** A leader that is sure of the newest need not write what changes nothing. */
--- /dev/null
+++ b/daemon/fleet/test/evacuation.test.ts
@@ -0,0 +1,94 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { FleetWorld, until } from './fleetWorld'
+
+let world: FleetWorld
+afterEach(() => world.stop())
+
+async function startFleet(port: number, machines = [1, 2, 3]): Promise<FleetWorld> {
+  world = new FleetWorld(port)
+  await Promise.all(machines.map((number) => world.startControl(number)))
+  return world
+}
+
+const domainsAt = async (number: number) => (await world.evacuations(number)).domains.join()
+const isTaken = (number: number, domain: string, isEvacuated = true) =>
+  until('the order is taken', async () => (await world.evacuate(number, domain, isEvacuated)) === 200)
+
+describe('control machines', () => {
+  it('take orders at any machine, answer resends the same, and all hear of them', async () => {
+    await startFleet(18_300)
+    await isTaken(1, 'a')
+    const { index } = await world.evacuations(1)
+    for (const number of [2, 3, 1]) expect(await world.evacuate(number, 'a', true)).toBe(200)
+    await until('all know', async () =>
+      (await Promise.all([1, 2, 3].map(domainsAt))).every((one) => one === 'a'),
+    )
+    // Resends have written nothing.
+    expect((await world.evacuations(2)).index).toBe(index)
+    expect(await world.evacuate(3, 'nobody-bears-it', true)).toBe(200)
+    expect(await world.evacuate(2, 'a', false)).toBe(200)
+    const expected = 'nobody-bears-it'
+    await until('all know', async () =>
+      (await Promise.all([1, 2, 3].map(domainsAt))).every((one) => one === expected),
+    )
+  })
+
+  it('refuse a malformed name and are not sure of a well-formed one while no leader is there', async () => {
+    await startFleet(18_310, [1])
+    for (const name of ['%20', 'a%2Fb', '-a', '%E0%A4%A']) {
+      expect(await world.evacuate(1, name, true)).toBe(400)
+      expect(await world.evacuate(1, name, false)).toBe(400)
+    }
+    const began = Date.now()
+    expect(await world.evacuate(1, 'a', true)).toBe(503)
+    // Callers ask another machine after a second or so.
+    expect(Date.now() - began).toBeLessThan(2_000)
+  })
+
+  it('are not sure while they are cut off, also of what they had taken', async () => {
+    await startFleet(18_320)
+    await isTaken(1, 'a')
+    await Promise.all([2, 3].map((number) => world.stopControl(number)))
+    await until('it notices', async () => (await world.evacuate(1, 'a', true)) === 503)
+    expect(await world.evacuate(1, 'a', false)).toBe(503)
+    expect(await domainsAt(1)).toBe('a')
+  })
+
+  it('keep an order when the leader is lost right after its 2xx', async () => {
+    await startFleet(18_330)
+    await isTaken(1, 'a')
+    const leader = [1, 2, 3].find((number) => world.control.get(number)?.status()?.role === 'leader')!
+    await isTaken(leader === 1 ? 2 : 1, 'b')
+    await world.stopControl(leader)
+    const others = [1, 2, 3].filter((number) => number !== leader)
+    await until('another leads', async () => (await world.evacuate(others[0]!, 'b', true)) === 200)
+    expect(await world.evacuate(others[1]!, 'a', true)).toBe(200)
+    for (const number of others) await until('it knows both', async () => (await domainsAt(number)) === 'a,b')
+  })
+
+  it('keep orders when all lose power right after the 2xx', async () => {
+    await startFleet(18_340)
+    await isTaken(1, 'gone')
+    await isTaken(2, 'gone', false)
+    await isTaken(2, 'a')
+    await Promise.all([1, 2, 3].map((number) => world.stopControl(number)))
+    await Promise.all([1, 2, 3].map((number) => world.startControl(number, false)))
+    await until('all know again', async () =>
+      (await Promise.all([1, 2, 3].map(domainsAt))).every((known) => known === 'a'),
+    )
+  })
+
+  it('give two operators that cross one order that all share', async () => {
+    await startFleet(18_350)
+    await isTaken(1, 'a')
+    const orders = [1, 2, 3, 1, 2, 3].map((number, turn) => world.evacuate(number, 'b', turn % 2 === 0))
+    await Promise.all([...orders, world.evacuate(3, 'c', true), world.evacuate(2, 'a', false)])
+    await isTaken(1, 'c')
+    const known = await Promise.all([1, 2, 3].map(domainsAt))
+    await until('all know the same', async () => {
+      const sets = await Promise.all([1, 2, 3].map((number) => world.evacuations(number)))
+      return sets.every((set) => JSON.stringify(set) === JSON.stringify(sets[0]))
+    })
+    expect(known.every((one) => one.includes('c'))).toBe(true)
+  })
+})
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -12,6 +12,8 @@
 export const CONTROL_WIRE: ControlWire = {
   sheetPath: '/sheet',
   registrationPath: '/endpoints/:id',
+  evacuationPath: '/evacuations/:domain',
+  evacuationsPath: '/evacuations',
   readSheet: (text) => {
     try {
       return JSON.parse(text) as RouteSheet
@@ -133,6 +135,24 @@
     ).statusCode
   }
 
+  /** Begins or withdraws an evacuation; gives the status. */
+  async evacuate(number: number, domain: string, isEvacuated: boolean): Promise<number> {
+    const url = `${this.operators(number)}/evacuations/${domain}`
+    const method = isEvacuated ? 'POST' : 'DELETE'
+    const options = {
+      method,
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+      timeout: { request: 4_000 },
+    } as const
+    return (await got(url, options)).statusCode
+  }
+
+  /** What a control machine believes of evacuations. */
+  evacuations(number: number): Promise<{ index: number; domains: string[] }> {
+    return got(`${this.operators(number)}/evacuations`, { retry: { limit: 0 } }).json()
+  }
+
   async read(number: number): Promise<{ status: number; text: string }> {
     const url = `${this.operators(number)}/sheet`
     const response = await got(url, {
--- /dev/null
+++ b/membership/evacuation/src/index.ts
@@ -0,0 +1,6 @@
+/** Evacuation of failure domains. */
+export { EvacuationState } from './evacuationState'
+export { EvacuationView } from './evacuationView'
+export { isDomainName } from './isDomainName'
+export { NO_EVACUATIONS, UNHEARD_INDEX } from './evacuationTypes'
+export type { EvacuationResult, EvacuationSet, SetEvacuation } from './evacuationTypes'
--- a/membership/sheet/src/sheetMachine.ts
+++ b/membership/sheet/src/sheetMachine.ts
@@ -1,31 +1,60 @@
+import {
+  EvacuationState,
+  NO_EVACUATIONS,
+  type EvacuationResult,
+  type EvacuationSet,
+} from '@forkstage/evacuation'
 import type { StateMachine } from '@forkstage/group'
-import type { PutResult, PutSheet, SheetDocument } from './sheetTypes'
+import type { PutResult, PutSheet, SheetCommand, SheetDocument, SheetResult, SheetState } from './sheetTypes'
 
-/** The replicated state: the sheet with the highest version. The first content under a version stays. */
-export class SheetMachine implements StateMachine<PutSheet, PutResult> {
+/**
+ * The replicated state: the sheet with the highest version, of which the first content under a version stays, and the
+ * failure domains that are evacuated.
+ */
+export class SheetMachine implements StateMachine<SheetCommand, SheetResult> {
   private document: SheetDocument | undefined
+  private readonly evacuation = new EvacuationState()
   /** Called with each newer sheet once it is committed. */
   onNewer: (document: SheetDocument) => void = () => undefined
+  /** Called with each changed set of evacuated domains once it is committed. */
+  onEvacuations: (set: EvacuationSet) => void = () => undefined
 
   /** The newest committed sheet this replica knows. */
   get newest(): SheetDocument | undefined {
     return this.document
   }
 
-  apply(command: PutSheet): PutResult {
-    const taken = command.document.version > (this.document?.version ?? -1)
-    if (taken) this.take(command.document)
-    return { held: this.document!.version, taken }
+  /** The evacuated domains, as far as this replica knows. */
+  get evacuations(): EvacuationState {
+    return this.evacuation
+  }
+
+  apply(command: PutSheet, index: number): PutResult
+  apply(command: SheetCommand, index: number): SheetResult
+  apply(command: SheetCommand, index: number): SheetResult {
+    if (command.type === 'putSheet') return this.put(command.document)
+    const result: EvacuationResult = this.evacuation.apply(command, index)
+    if (result.outcome === 'changed') this.onEvacuations(this.evacuation.current)
+    return result
   }
 
   snapshot(): Uint8Array {
-    return Buffer.from(JSON.stringify(this.document ?? null))
+    const state: SheetState = { sheet: this.document ?? null, evacuations: this.evacuation.current }
+    return Buffer.from(JSON.stringify(state))
   }
 
   restore(data: Uint8Array): void {
-    const document = JSON.parse(Buffer.from(data).toString()) as SheetDocument | null
-    this.document = document ?? undefined
-    if (document !== null) this.onNewer(document)
+    const { sheet, evacuations } = readState(data)
+    this.document = sheet ?? undefined
+    this.evacuation.restore(evacuations)
+    this.onEvacuations(evacuations)
+    if (sheet !== null) this.onNewer(sheet)
+  }
+
+  private put(document: SheetDocument): PutResult {
+    const taken = document.version > (this.document?.version ?? -1)
+    if (taken) this.take(document)
+    return { held: this.document!.version, taken }
   }
 
   private take(document: SheetDocument): void {
@@ -33,3 +62,10 @@
     this.onNewer(document)
   }
 }
+
+/** Also reads snapshots of the time before evacuations: a document alone, or null. */
+function readState(data: Uint8Array): SheetState {
+  const read = JSON.parse(Buffer.from(data).toString()) as SheetState | SheetDocument | null
+  if (read !== null && 'evacuations' in read) return read
+  return { sheet: read, evacuations: NO_EVACUATIONS }
+}
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -1,9 +1,10 @@
 import { delay, type Clock } from '@forkstage/clock'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { toErrorBody } from '@forkstage/error'
+import type { EvacuationSet } from '@forkstage/evacuation'
 import type { Logger } from '@forkstage/logger'
 import type { PeerCaller } from '@forkstage/peer-rpc'
-import type { Address, Millis } from '@forkstage/types'
+import type { Address, FailureDomain, Millis } from '@forkstage/types'
 import { SheetFetcher } from './sheetFetcher'
 import { WATCH, type WatchAnswer, type WatchedSheet, type WatchQuestion } from './watchTypes'
 
@@ -22,6 +23,12 @@
   /** The version of the sheet in force here; left out by machines that get it in another way. */
   sheetVersion?: () => number
   onSheet?: (sheet: WatchedSheet) => void
+  /** The index of the newest set of evacuated domains that is known here. */
+  evacuationIndex: () => number
+  /** Called before `onEndpoints` of the same answer: what must not be used is known before what could be. */
+  onEvacuations: (set: EvacuationSet) => void
+  /** Called with domains that may be evacuated, until a set is known. */
+  onSupposedEvacuations: (domains: FailureDomain[]) => void
   onEndpoints: (endpoints: RegisteredEndpoint[]) => void
 }
 
@@ -138,7 +145,7 @@
   }
 
   private ask(address: Address, one: Followed): Promise<WatchAnswer> {
-    const { peers, holdMs, sheetVersion, entry } = this.options
+    const { peers, holdMs, sheetVersion, evacuationIndex, entry } = this.options
     const heardOf = Math.max(this.fetcher.heardOf, sheetVersion?.() ?? Number.MAX_SAFE_INTEGER)
     const { epoch, position, leader, members } = one
     const question: WatchQuestion = {
@@ -148,6 +155,7 @@
       leader,
       members,
       sheetVersion: heardOf,
+      evacuationIndex: evacuationIndex(),
       holdMs,
     }
     return peers.call<WatchAnswer>(address, WATCH, question, {
@@ -157,7 +165,7 @@
   }
 
   private take(address: Address, one: Followed, answer: WatchAnswer): void {
-    const { clock, logger, onEndpoints } = this.options
+    const { clock, logger, onEndpoints, onEvacuations, onSupposedEvacuations } = this.options
     if (one.lost) logger.info('control.regained', { peer: address })
     Object.assign(one, {
       epoch: answer.epoch,
@@ -170,6 +178,8 @@
       entries: answer.entries,
       neighbours: answer.neighbours,
     })
+    if (answer.evacuations !== undefined) onEvacuations(answer.evacuations)
+    if (answer.supposedEvacuations !== undefined) onSupposedEvacuations(answer.supposedEvacuations)
     if (answer.endpoints.length > 0) onEndpoints(answer.endpoints)
     this.fetcher.want(answer.sheetVersion)
     this.followNew(answer.members)
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@forkstage/clock'
 import type { Directory } from '@forkstage/directory'
-import type { Address, Millis } from '@forkstage/types'
+import { UNHEARD_INDEX, type EvacuationSet } from '@forkstage/evacuation'
+import type { Address, FailureDomain, Millis } from '@forkstage/types'
 import { packSheet } from './packSheet'
 import type { PackedSheet, WatchAnswer, WatchedSheet, WatchQuestion } from './watchTypes'
 
@@ -10,6 +11,9 @@
   epoch: string
   directory: Directory
   sheet: () => WatchedSheet | undefined
+  evacuations: () => EvacuationSet
+  /** The domains that may be evacuated, for as long as no set is known for certain. */
+  supposedEvacuations: () => FailureDomain[]
   members: () => Address[]
   leader: () => Address | undefined
   clock: Clock
@@ -79,6 +83,7 @@
       position: directory.position,
       sheetVersion: sheet()?.version ?? -1,
       endpoints: directory.since(known),
+      ...this.evacuationsFor(question),
       members: members(),
       leader: leader(),
       entries: this.countEntries(),
@@ -86,6 +91,14 @@
     }
   }
 
+  private evacuationsFor({ epoch, evacuationIndex = Infinity }: WatchQuestion): Partial<WatchAnswer> {
+    const evacuations = this.options.evacuations()
+    if (evacuations.index > evacuationIndex) return { evacuations }
+    // Once to each asker: it is no news that wakes those who wait.
+    const isFirst = epoch !== this.options.epoch && evacuationIndex === UNHEARD_INDEX
+    return isFirst ? { supposedEvacuations: this.options.supposedEvacuations() } : {}
+  }
+
   /** The entries that come after the asker in a ring, so that each is the neighbour of a few. */
   private neighboursOf(entry: Address | undefined): Address[] {
     if (entry === undefined) return []
@@ -105,6 +118,7 @@
 
 function hasNews(question: WatchQuestion, answer: WatchAnswer): boolean {
   if (answer.epoch !== question.epoch || answer.position !== question.position) return true
+  if (answer.evacuations !== undefined) return true
   if (answer.sheetVersion > question.sheetVersion || answer.leader !== question.leader) return true
   return answer.members.join() !== question.members.join()
 }
--- a/membership/watch/src/watchTypes.ts
+++ b/membership/watch/src/watchTypes.ts
@@ -1,5 +1,6 @@
 import type { RegisteredEndpoint } from '@forkstage/directory'
-import type { Address, Millis } from '@forkstage/types'
+import type { EvacuationSet } from '@forkstage/evacuation'
+import type { Address, FailureDomain, Millis } from '@forkstage/types'
 
 /** The method of control machines that holds a call until something changes. */
 export const WATCH = 'control.watch'
@@ -23,6 +24,8 @@
   position: number
   /** The newest version of the sheet that the asker has heard of; -1 without one. */
   sheetVersion: number
+  /** The index of the newest set of evacuated domains that the asker has heard; absent where it asks for none. */
+  evacuationIndex?: number
   /** The leader the asker believes in. */
   leader?: Address
   /** The control machines that the asker knows from this one. */
@@ -38,6 +41,10 @@
   /** The version of the newest sheet known here; -1 without one. Its text is asked for at one machine only. */
   sheetVersion: number
   endpoints: RegisteredEndpoint[]
+  /** The evacuated domains, where they are newer than those that the asker knows. */
+  evacuations?: EvacuationSet
+  /** Domains that may be evacuated; for askers that have heard no set, from a machine that knows none yet. */
+  supposedEvacuations?: FailureDomain[]
   /** The control machines by the addresses that other machines reach them at. */
   members: Address[]
   /** Present while the control machine hears a leader. */
--- a/membership/watch/test/watch.test.ts
+++ b/membership/watch/test/watch.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { ManualClock } from '@forkstage/clock'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
+import { EvacuationView, NO_EVACUATIONS, UNHEARD_INDEX } from '@forkstage/evacuation'
 import { createSilentLogger } from '@forkstage/logger'
 import type { PeerCaller } from '@forkstage/peer-rpc'
 import {
@@ -30,11 +31,18 @@
 function hubWorld() {
   const clock = new ManualClock()
   const directory = new Directory()
-  const state = { sheet: undefined as WatchedSheet | undefined, leader: undefined as string | undefined }
+  const state = {
+    sheet: undefined as WatchedSheet | undefined,
+    leader: undefined as string | undefined,
+    evacuations: NO_EVACUATIONS,
+    supposed: [] as string[],
+  }
   const hub = new WatchHub({
     epoch: 'life-1',
     directory,
     sheet: () => state.sheet,
+    evacuations: () => state.evacuations,
+    supposedEvacuations: () => state.supposed,
     members: () => [CONTROL],
     leader: () => state.leader,
     clock,
@@ -43,6 +51,7 @@
     epoch: 'life-1',
     position: 0,
     sheetVersion: -1,
+    evacuationIndex: -1,
     members: [CONTROL],
     holdMs: 1_000,
     ...fields,
@@ -78,6 +87,35 @@
     expect(await hub.answer(question({ position: 1, sheetVersion: 5 }))).toMatchObject({ leader: CONTROL })
   })
 
+  it('answers at once when other domains are evacuated, and names them to those only who know less', async () => {
+    const { clock, state, hub, question } = hubWorld()
+    const held = hub.answer(question({ evacuationIndex: 4 }))
+    state.evacuations = { index: 7, domains: ['a'] }
+    hub.noteChange()
+    expect((await held).evacuations).toEqual({ index: 7, domains: ['a'] })
+    // One of the time before evacuations asks for none.
+    const others = [7, 9, undefined].map((evacuationIndex) => hub.answer(question({ evacuationIndex })))
+    clock.advance(1_000)
+    for (const answer of await Promise.all(others)) expect(answer.evacuations).toBeUndefined()
+  })
+
+  it('says once what may be evacuated while it does not know, and wakes those who wait once it does', async () => {
+    const { clock, state, hub, question } = hubWorld()
+    const unheard = { evacuationIndex: UNHEARD_INDEX }
+    state.evacuations = { index: UNHEARD_INDEX, domains: [] }
+    state.supposed = ['a']
+    expect((await hub.answer(question({ ...unheard, epoch: 'life-0' }))).supposedEvacuations).toEqual(['a'])
+    expect((await hub.answer(question({ epoch: 'life-0' }))).supposedEvacuations).toBeUndefined()
+    let answered = false
+    const held = hub.answer(question(unheard)).finally(() => (answered = true))
+    clock.advance(900)
+    await settle()
+    expect(answered).toBe(false)
+    state.evacuations = { index: 4, domains: ['a'] }
+    hub.noteChange()
+    expect((await held).evacuations).toEqual({ index: 4, domains: ['a'] })
+  })
+
   it('sends everything to one who knew another life', async () => {
     const { directory, state, hub, question } = hubWorld()
     directory.merge([endpoint('i-1'), endpoint('i-2')])
@@ -132,6 +170,7 @@
   }
   const sheets: number[] = []
   const heard: string[] = []
+  const view = new EvacuationView()
   const follower = new ControlFollower({
     seeds: () => [CONTROL],
     peers,
@@ -140,6 +179,11 @@
     holdMs: 1_000,
     sheetVersion: () => sheets.at(-1) ?? -1,
     onSheet: ({ version }) => sheets.push(version),
+    evacuationIndex: () => view.current.index,
+    onEvacuations: (set) => {
+      if (view.take(set)) heard.push(`evacuated: ${set.domains.join()}`)
+    },
+    onSupposedEvacuations: (domains) => heard.push(`supposed: ${domains.join()}`),
     onEndpoints: (endpoints) => heard.push(...endpoints.map(({ id }) => id)),
   })
   follower.start()
@@ -168,6 +212,24 @@
     expect(last(OTHER).question).toMatchObject({ epoch: '', position: 0 })
   })
 
+  it('keeps the newest evacuations of whichever machine, also when an older one answers later', async () => {
+    const { last, heard } = followerWorld()
+    const members = [CONTROL, OTHER]
+    expect(last().question.evacuationIndex).toBe(UNHEARD_INDEX)
+    last().answer({ members, evacuations: { index: 7, domains: ['a'] }, endpoints: [endpoint('i-1')] })
+    await settle()
+    // What must not be used is known before what could be.
+    expect(heard).toEqual(['evacuated: a', 'i-1'])
+    expect(last().question.evacuationIndex).toBe(7)
+    last(OTHER).answer({ members, evacuations: { index: 3, domains: ['b'] } })
+    await settle()
+    expect(heard).toEqual(['evacuated: a', 'i-1'])
+    expect(last(OTHER).question.evacuationIndex).toBe(7)
+    last(OTHER).answer({ members, evacuations: { index: 9, domains: [] } })
+    await settle()
+    expect(heard.at(-1)).toBe('evacuated: ')
+  })
+
   it('fetches a newer sheet from one machine at a time, from another one when that fails', async () => {
     const { clock, last, sheets, fetches } = followerWorld()
     last().answer({ sheetVersion: 3, members: [CONTROL, OTHER] })
--- a/replication/group/src/groupReplica.ts
+++ b/replication/group/src/groupReplica.ts
@@ -71,6 +71,7 @@
   private readonly waiters = new Map<number, Waiter<Result>>()
   private proposals: { command: Command; waiter: Omit<Waiter<Result>, 'term'> }[] = []
   private cancelTicks: CancelTimer
+  private readonly startedAt: Millis
   private stopped = false
   private snapshotPending = false
 
@@ -79,13 +80,14 @@
     const snapshot = stored.snapshot
     if (snapshot === undefined) throw new InvariantError('a replica starts from a snapshot', options.group)
     options.machine.restore(snapshot.data)
+    this.startedAt = clock.now()
     this.state = createRaft({
       replica: self.replica,
       random,
       hardState: stored.hardState,
       snapshot,
       entries: stored.entries,
-      now: clock.now(),
+      now: this.startedAt,
       electionTimeout,
       heartbeat,
       maxEntriesPerMessage: MAX_ENTRIES_PER_MESSAGE,
@@ -131,6 +133,12 @@
     return this.leads && committedInTerm && leaseUntil(this.state) > this.options.clock.now()
   }
 
+  /** Whether all that was committed in earlier terms is known to be committed here, once a leader was heard. */
+  get knowsCommitted(): boolean {
+    const isHeard = this.leads || this.state.leaderContactAt > this.startedAt
+    return isHeard && this.state.log.termAt(this.state.commitIndex) === this.state.term
+  }
+
   /** Entries that are in the log and not known to be committed. */
   get uncommitted(): LogEntry[] {
     return this.state.log.slice(this.state.commitIndex + 1, this.state.log.lastIndex)
