--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -1,6 +1,6 @@
 import { AllocatorService } from '@forkstage/allocator'
 import { every, type CancelTimer } from '@forkstage/clock'
-import { Directory } from '@forkstage/directory'
+import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import { GroupClient, GroupHost, type ReplicaStatus } from '@forkstage/group'
 import { MembershipKeeper } from '@forkstage/keeper'
@@ -76,10 +76,9 @@
       clock,
       logger,
       holdMs: settings.watch.hold_ms,
-      evacuationIndex: () => this.belief.view.current.index,
+      evacuations: () => this.belief.view.current,
       onEvacuations: (set) => this.belief.take(set),
-      // Another that has just started knows no more than this one.
-      onSupposedEvacuations: () => undefined,
+      onSupposedEvacuations: (domains) => this.belief.suppose(domains),
       onEndpoints: (records) => this.registrar.take(records),
     })
     this.keeper = new MembershipKeeper({
@@ -134,12 +133,14 @@
     const replicated = { group: GROUP, host: this.host, machine: this.machine, client, logger }
     this.office = new SheetOffice(replicated)
     this.evacuations = new EvacuationOffice({ ...replicated, belief: this.belief, clock })
+    const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     this.allocator = new AllocatorService({
       cold: this.cold,
       clock,
       logger,
       endpoints: () => this.directory.list(),
       engine: (service) => this.book.current?.service(service)?.engine,
+      isBarred,
       isLeader: () => this.host.replica?.holdsLease === true,
       term: () => this.host.replica?.term ?? 0,
       entries: () => this.hub.countEntries(),
@@ -161,6 +162,7 @@
       allocator: this.allocator,
       sheet: () => this.book.current?.sheet,
       endpoint: (id) => this.directory.get(id),
+      isBarred,
       holder: settings.machine.name,
       isLeader: () => this.host.replica?.holdsLease === true,
       term: () => this.host.replica?.term ?? 0,
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -4,6 +4,7 @@
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   ColdGate,
+  EVACUATED,
   EndpointPool,
   Ingress,
   LeaderWay,
@@ -83,14 +84,16 @@
       perSecond: (service) => this.cold.perSecond(service),
       entries: () => this.follower.entries(),
     })
+    this.belief = new EvacuationBelief({ logger })
+    const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     this.pool = new EndpointPool({
       zone: settings.machine.zone,
+      isBarred,
       isCold: (id) => this.coldGate.isCold(id),
       clock,
       random,
       logger,
     })
-    this.belief = new EvacuationBelief({ logger })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       entry: settings.listen.peers,
@@ -100,7 +103,7 @@
       holdMs: settings.watch.hold_ms,
       sheetVersion: () => this.book.version,
       onSheet: (sheet) => this.install(sheet),
-      evacuationIndex: () => this.belief.view.current.index,
+      evacuations: () => this.belief.view.current,
       onEvacuations: (set) => this.belief.take(set),
       onSupposedEvacuations: (domains) => this.belief.suppose(domains),
       onEndpoints: (records) => this.takeEndpoints(records),
@@ -143,6 +146,7 @@
         placer: this.placer,
         allowance,
         cold: this.coldGate,
+        sendRules: [(to) => (isBarred(to) ? EVACUATED : undefined)],
         clock,
         random,
         logger,
--- a/daemon/fleet/src/evacuationOffice.ts
+++ b/daemon/fleet/src/evacuationOffice.ts
@@ -70,11 +70,12 @@
     belief.take(machine.evacuations.current)
   }
 
-  /** What the disk of a machine that has just started says: an order in its log may have been acknowledged. */
+  /** What the disks of machines that have just started say: an order in a log may have been acknowledged. */
   supposed(): FailureDomain[] {
-    const { host, machine } = this.options
+    const { host, machine, belief } = this.options
     const pending = (host.replica?.uncommitted ?? []).map(({ data }) => data as SheetCommand | undefined)
-    return machine.evacuations.domainsWith(pending.filter((command) => command?.type === 'setEvacuation'))
+    const orders = pending.filter((command) => command?.type === 'setEvacuation')
+    return [...new Set([...machine.evacuations.domainsWith(orders), ...belief.view.current.domains])]
   }
 
   private get method(): string {
--- a/daemon/fleet/src/fleetMeters.ts
+++ b/daemon/fleet/src/fleetMeters.ts
@@ -90,6 +90,7 @@
     'no endpoint',
     'cold endpoints get no more now',
     'cold engines get no more now',
+    'evacuated',
     'no known key',
     'key of a newer sheet',
     'over quota',
--- a/daemon/fleet/src/stageOrders.ts
+++ b/daemon/fleet/src/stageOrders.ts
@@ -14,6 +14,8 @@
   allocator: AllocatorService
   sheet: () => RouteSheet | undefined
   endpoint: (id: string) => RegisteredEndpoint | undefined
+  /** Whether an endpoint must get nothing now; asked again right before an order leaves. */
+  isBarred?: (endpoint: RegisteredEndpoint) => boolean
   /** The machine's name: who orders. */
   holder: string
   /** Whether this machine leads. */
@@ -82,12 +84,13 @@
   private async order(change: StageChange, changeMs: Millis): Promise<void> {
     const { wire, endpoint, holder, isLeader, term, allocator, logger } = this.options
     const to = endpoint(change.id)
-    if (to === undefined) return
+    if (to === undefined || this.options.isBarred?.(to)) return
     const asked = await this.call(to, wire.reportCall())
     const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
     // An order that this machine did not give, or that came late, is under way.
     if (report?.isBusy === true) return allocator.noteChanging(change.id, otherStage(to.stage!), REFUSED_MS)
     if (report === undefined || !isLeader()) return allocator.noteOrdered(change.id, to.stage!, REFUSED_MS)
+    if (this.options.isBarred?.(to)) return
     const fence = term()
     const { stage, need, have } = change
     const order = { stage, holder, fence, expectedOrders: report.ordersTaken, instance: change.id }
--- a/daemon/fleet/test/evacuation.test.ts
+++ b/daemon/fleet/test/evacuation.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import { FleetWorld, until } from './fleetWorld'
+import { FleetWorld, sheet, until } from './fleetWorld'
 
 let world: FleetWorld
 afterEach(() => world.stop())
@@ -92,3 +92,81 @@
     expect(known.every((one) => one.includes('c'))).toBe(true)
   })
 })
+
+describe('an entry', () => {
+  /** A fleet with one plain worker in each domain, which its entry uses. */
+  async function startServing(port: number) {
+    await startFleet(port)
+    const workers = { a: await world.startWorker('a'), b: await world.startWorker('b') }
+    await until('a sheet is taken', async () => (await world.put(2, JSON.stringify(sheet(1)))) === 200)
+    for (const [zone, { address }] of Object.entries(workers))
+      await world.register(1, `i-${zone}`, { address, zone })
+    await world.startEntry()
+    const callsUntil = (what: string, holds: () => boolean) =>
+      until(what, async () => {
+        await world.call('/p/')
+        return holds()
+      })
+    await callsUntil('both serve', () => workers.a.runs() > 0 && workers.b.runs() > 0)
+    return { workers, callsUntil }
+  }
+
+  /** Calls often and says how many of them each worker got. */
+  async function callOften(workers: Record<string, { runs: () => number }>) {
+    const counts = () => Object.values(workers).map((worker) => worker.runs())
+    const before = counts()
+    const answers = await Promise.all(Array.from({ length: 8 }, () => world.call('/p/')))
+    return {
+      statuses: answers.map(({ status }) => status),
+      ran: counts().map((count, at) => count - before[at]!),
+    }
+  }
+
+  it('sends nothing into a domain that is evacuated, and does so again once that is withdrawn', async () => {
+    const { workers, callsUntil } = await startServing(18_360)
+    await isTaken(3, 'a')
+    await until('it obeys', async () => (await callOften(workers)).ran[0] === 0)
+    const during = await callOften(workers)
+    expect(during.ran).toEqual([0, 8])
+    expect(during.statuses).toEqual(Array(8).fill(200))
+    await isTaken(2, 'b')
+    await until('it refuses all', async () => (await callOften(workers)).ran.join() === '0,0')
+    expect((await callOften(workers)).statuses).toEqual(Array(8).fill(503))
+    await isTaken(1, 'a', false)
+    const before = workers.a.runs()
+    await callsUntil('it serves there again', () => workers.a.runs() > before)
+    expect((await callOften(workers)).ran[1]).toBe(0)
+  })
+
+  it('goes on with what it believes while it is cut off, and takes what holds once it is back', async () => {
+    const { workers, callsUntil } = await startServing(18_370)
+    await isTaken(1, 'b')
+    await until('it obeys', async () => (await callOften(workers)).ran[1] === 0)
+    world.isEntryCut = true
+    await isTaken(1, 'b', false)
+    await isTaken(2, 'a')
+    await until('all control machines know', async () =>
+      (await Promise.all([1, 2, 3].map(domainsAt))).every((one) => one === 'a'),
+    )
+    // Alone it goes on with what it believes.
+    expect((await callOften(workers)).ran).toEqual([8, 0])
+    world.isEntryCut = false
+    const before = workers.b.runs()
+    await callsUntil('it hears them', () => workers.b.runs() > before)
+    expect((await callOften(workers)).ran).toEqual([0, 8])
+  })
+
+  it('begins with what control machines have on their disks, when all come back from a loss of power', async () => {
+    await startFleet(18_380)
+    const worker = await world.startWorker('one')
+    await until('a sheet is taken', async () => (await world.put(2, JSON.stringify(sheet(1)))) === 200)
+    await isTaken(2, 'a')
+    await Promise.all([1, 2, 3].map((number) => world.stopControl(number)))
+    await Promise.all([1, 2, 3].map((number) => world.startControl(number, false)))
+    await world.register(1, 'i-2', { address: worker.address, zone: 'a' })
+    await world.startEntry()
+    await until('it has the sheet', async () => (await world.call('/nowhere/')).status === 404)
+    expect((await world.call('/p/')).status).toBe(503)
+    expect(worker.runs()).toBe(0)
+  })
+})
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import got from 'got'
 import { parseFleetSettings } from '@forkstage/fleet-settings'
+import type { PeerClient } from '@forkstage/peer-rpc'
 import type { RouteSheet } from '@forkstage/routes'
 import { TEST_WIRE } from '../../../request/gateway/test/gatewayWorld'
 import { ControlMachine, createMachineBasics, EntryMachine, type ControlWire } from '../src'
@@ -65,6 +66,8 @@
   readonly control = new Map<number, ControlMachine>()
   private entry: EntryMachine | undefined
   private workers: Server[] = []
+  /** Whether the entry hears no control machine. */
+  isEntryCut = false
 
   constructor(private readonly port: number) {}
 
@@ -89,7 +92,9 @@
 
   async startEntry(): Promise<EntryMachine> {
     const wire = { gateway: TEST_WIRE, readSheet: CONTROL_WIRE.readSheet }
-    this.entry = new EntryMachine(this.basics(100, 'entry', false), wire)
+    const basics = this.basics(100, 'entry', false)
+    this.cutOnDemand(basics.peers)
+    this.entry = new EntryMachine(basics, wire)
     await this.entry.start()
     return this.entry
   }
@@ -185,6 +190,20 @@
     return { status: response.statusCode, text: response.body }
   }
 
+  /** What is under way when the entry is cut off does not arrive either. */
+  private cutOnDemand(peers: PeerClient): void {
+    const call = peers.call.bind(peers)
+    const check = () => {
+      if (this.isEntryCut) throw new Error('the entry is cut off')
+    }
+    peers.call = async <Answer>(...args: Parameters<PeerClient['call']>): Promise<Answer> => {
+      check()
+      const answer = await call<Answer>(...args)
+      check()
+      return answer
+    }
+  }
+
   private basics(number: number, role: 'entry' | 'control', found: boolean) {
     const ip = `127.0.0.${number}`
     const listen =
--- a/daemon/fleet/test/stageOrders.test.ts
+++ b/daemon/fleet/test/stageOrders.test.ts
@@ -19,6 +19,7 @@
     term: 4,
     stage: 'prefill',
     busy: false,
+    barred: false,
     orders: [] as StageOrder[],
     reports: 0,
   }
@@ -92,6 +93,7 @@
     allocator,
     sheet: () => routes,
     endpoint: () => endpoint,
+    isBarred: () => state.barred,
     holder: 'control-1',
     isLeader: () => state.leads,
     term: () => state.term,
@@ -122,6 +124,11 @@
   }
 }
 
+/** Lets all that is under way in this process go on. */
+async function turns(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+}
+
 describe('StageOrders', () => {
   it('orders only once an earlier leader cannot order any more, with its term as fence and what the engine has taken', async () => {
     const { state, clock, changing, settled, stop } = await start()
@@ -161,6 +168,22 @@
     stop()
   })
 
+  it('gives no order to an engine that must get nothing, also from one moment to the next', async () => {
+    const { state, clock, ordered, changing, settled, stop } = await start()
+    state.barred = true
+    clock.advance(LEAD_FIRST_MS + 600)
+    await turns()
+    expect(state.reports).toBe(0)
+    // It turns so while it is asked how it stands.
+    state.barred = false
+    clock.advance(500)
+    state.barred = true
+    await settled(() => state.reports === 1)
+    await turns()
+    expect([state.orders, ordered, changing]).toEqual([[], [], []])
+    stop()
+  })
+
   it('counts an engine back only when its own report says that it has changed', async () => {
     const { state, clock, changing, asked, settled, stop } = await start()
     clock.advance(LEAD_FIRST_MS + 600)
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -1,7 +1,7 @@
 import { delay, type Clock } from '@forkstage/clock'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { toErrorBody } from '@forkstage/error'
-import type { EvacuationSet } from '@forkstage/evacuation'
+import { UNHEARD_INDEX, type EvacuationSet } from '@forkstage/evacuation'
 import type { Logger } from '@forkstage/logger'
 import type { PeerCaller } from '@forkstage/peer-rpc'
 import type { Address, FailureDomain, Millis } from '@forkstage/types'
@@ -23,8 +23,8 @@
   /** The version of the sheet in force here; left out by machines that get it in another way. */
   sheetVersion?: () => number
   onSheet?: (sheet: WatchedSheet) => void
-  /** The index of the newest set of evacuated domains that is known here. */
-  evacuationIndex: () => number
+  /** What is believed here of evacuations. */
+  evacuations: () => EvacuationSet
   /** Called before `onEndpoints` of the same answer: what must not be used is known before what could be. */
   onEvacuations: (set: EvacuationSet) => void
   /** Called with domains that may be evacuated, until a set is known. */
@@ -145,9 +145,10 @@
   }
 
   private ask(address: Address, one: Followed): Promise<WatchAnswer> {
-    const { peers, holdMs, sheetVersion, evacuationIndex, entry } = this.options
+    const { peers, holdMs, sheetVersion, evacuations, entry } = this.options
     const heardOf = Math.max(this.fetcher.heardOf, sheetVersion?.() ?? Number.MAX_SAFE_INTEGER)
     const { epoch, position, leader, members } = one
+    const { index, domains } = evacuations()
     const question: WatchQuestion = {
       entry,
       epoch,
@@ -155,7 +156,8 @@
       leader,
       members,
       sheetVersion: heardOf,
-      evacuationIndex: evacuationIndex(),
+      evacuationIndex: index,
+      supposedEvacuations: index === UNHEARD_INDEX ? domains : undefined,
       holdMs,
     }
     return peers.call<WatchAnswer>(address, WATCH, question, {
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -91,12 +91,13 @@
     }
   }
 
-  private evacuationsFor({ epoch, evacuationIndex = Infinity }: WatchQuestion): Partial<WatchAnswer> {
+  private evacuationsFor(question: WatchQuestion): Partial<WatchAnswer> {
+    const { evacuationIndex = Infinity, supposedEvacuations: known = [] } = question
     const evacuations = this.options.evacuations()
     if (evacuations.index > evacuationIndex) return { evacuations }
-    // Once to each asker: it is no news that wakes those who wait.
-    const isFirst = epoch !== this.options.epoch && evacuationIndex === UNHEARD_INDEX
-    return isFirst ? { supposedEvacuations: this.options.supposedEvacuations() } : {}
+    if (evacuationIndex !== UNHEARD_INDEX) return {}
+    const supposed = this.options.supposedEvacuations().filter((domain) => !known.includes(domain))
+    return supposed.length > 0 ? { supposedEvacuations: supposed } : {}
   }
 
   /** The entries that come after the asker in a ring, so that each is the neighbour of a few. */
@@ -118,7 +119,7 @@
 
 function hasNews(question: WatchQuestion, answer: WatchAnswer): boolean {
   if (answer.epoch !== question.epoch || answer.position !== question.position) return true
-  if (answer.evacuations !== undefined) return true
+  if (answer.evacuations !== undefined || answer.supposedEvacuations !== undefined) return true
   if (answer.sheetVersion > question.sheetVersion || answer.leader !== question.leader) return true
   return answer.members.join() !== question.members.join()
 }
--- a/membership/watch/src/watchTypes.ts
+++ b/membership/watch/src/watchTypes.ts
@@ -26,6 +26,8 @@
   sheetVersion: number
   /** The index of the newest set of evacuated domains that the asker has heard; absent where it asks for none. */
   evacuationIndex?: number
+  /** The domains that it takes for evacuated while it has heard no set. */
+  supposedEvacuations?: FailureDomain[]
   /** The leader the asker believes in. */
   leader?: Address
   /** The control machines that the asker knows from this one. */
@@ -43,7 +45,7 @@
   endpoints: RegisteredEndpoint[]
   /** The evacuated domains, where they are newer than those that the asker knows. */
   evacuations?: EvacuationSet
-  /** Domains that may be evacuated; for askers that have heard no set, from a machine that knows none yet. */
+  /** Domains that may be evacuated, other than the asker's; from a machine that knows no set to one that has heard none. */
   supposedEvacuations?: FailureDomain[]
   /** The control machines by the addresses that other machines reach them at. */
   members: Address[]
--- a/membership/watch/test/watch.test.ts
+++ b/membership/watch/test/watch.test.ts
@@ -99,15 +99,19 @@
     for (const answer of await Promise.all(others)) expect(answer.evacuations).toBeUndefined()
   })
 
-  it('says once what may be evacuated while it does not know, and wakes those who wait once it does', async () => {
+  it('says what may be evacuated while it does not know, also to one that asked before it had read its disk', async () => {
     const { clock, state, hub, question } = hubWorld()
     const unheard = { evacuationIndex: UNHEARD_INDEX }
     state.evacuations = { index: UNHEARD_INDEX, domains: [] }
+    const early = hub.answer(question(unheard))
     state.supposed = ['a']
-    expect((await hub.answer(question({ ...unheard, epoch: 'life-0' }))).supposedEvacuations).toEqual(['a'])
+    hub.noteChange()
+    expect((await early).supposedEvacuations).toEqual(['a'])
+    // One that has heard a set knows better.
     expect((await hub.answer(question({ epoch: 'life-0' }))).supposedEvacuations).toBeUndefined()
     let answered = false
-    const held = hub.answer(question(unheard)).finally(() => (answered = true))
+    const held = hub.answer(question({ ...unheard, supposedEvacuations: ['a', 'b'] }))
+    void held.then(() => (answered = true))
     clock.advance(900)
     await settle()
     expect(answered).toBe(false)
@@ -179,11 +183,13 @@
     holdMs: 1_000,
     sheetVersion: () => sheets.at(-1) ?? -1,
     onSheet: ({ version }) => sheets.push(version),
-    evacuationIndex: () => view.current.index,
+    evacuations: () => view.current,
     onEvacuations: (set) => {
       if (view.take(set)) heard.push(`evacuated: ${set.domains.join()}`)
     },
-    onSupposedEvacuations: (domains) => heard.push(`supposed: ${domains.join()}`),
+    onSupposedEvacuations: (domains) => {
+      if (view.suppose(domains)) heard.push(`supposed: ${domains.join()}`)
+    },
     onEndpoints: (endpoints) => heard.push(...endpoints.map(({ id }) => id)),
   })
   follower.start()
@@ -230,6 +236,18 @@
     expect(heard.at(-1)).toBe('evacuated: ')
   })
 
+  it('names what it supposes until it has heard a set', async () => {
+    const { last, heard } = followerWorld()
+    last().answer({ supposedEvacuations: ['a'], endpoints: [endpoint('i-1')] })
+    await settle()
+    expect(heard).toEqual(['supposed: a', 'i-1'])
+    expect(last().question).toMatchObject({ evacuationIndex: UNHEARD_INDEX, supposedEvacuations: ['a'] })
+    last().answer({ evacuations: { index: 4, domains: [] } })
+    await settle()
+    expect(heard.at(-1)).toBe('evacuated: ')
+    expect(last().question.supposedEvacuations).toBeUndefined()
+  })
+
   it('fetches a newer sheet from one machine at a time, from another one when that fails', async () => {
     const { clock, last, sheets, fetches } = followerWorld()
     last().answer({ sheetVersion: 3, members: [CONTROL, OTHER] })
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -11,7 +11,7 @@
   UseOutcome,
 } from './allocatorTypes'
 import { ColdBudget, type ColdPolicy } from './coldBudget'
-import { DemandMeter } from './demandMeter'
+import { BarredEngines } from './barredEngines'
 import { EngineChoice, START_MS, type EngineOutlook, type EnginePick } from './engineChoice'
 import { EnginePace } from './enginePace'
 import { HoldBook } from './holdBook'
@@ -19,9 +19,9 @@
 import { LengthForecast } from './lengthForecast'
 import { MovePlanner } from './movePlanner'
 import { PartOrders } from './partOrders'
-import { planStages, type StageChange, type StageNeed, type StagedEngine } from './planStages'
 import { COLD_REASON, refused, Refusals } from './refusals'
-import { SupplyMeter } from './supplyMeter'
+import type { StageChange, StageNeed } from './planStages'
+import { StagePlanner } from './stagePlanner'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
 
 /** What engines and callers have shown so far; it outlives a term, in which places are counted anew. */
@@ -35,6 +35,8 @@
   endpoints: () => RegisteredEndpoint[]
   /** What the engines of a service hold; undefined for a service that is not known. */
   engine: (service: string) => EnginePool | undefined
+  /** Whether an instance must get nothing now, though it is registered; none where left out. */
+  isBarred?: (endpoint: RegisteredEndpoint) => boolean
   /** Called when an instance is out for a while. */
   onEjected?: (id: InstanceId, outcome: UseOutcome, forMs: Millis) => void
   tuning?: Partial<AllocatorTuning>
@@ -64,6 +66,8 @@
 }
 
 const NO_ENGINE_RETRY_MS = 700
+/** Why a request is refused where every decode engine of its service must get nothing. */
+const EVACUATED = 'evacuated'
 /** In time waiting requests for each decode engine; more would wait in vain. */
 const WAITING_PER_ENGINE = 4
 /**
@@ -76,13 +80,13 @@
   private readonly tuning: AllocatorTuning
   private readonly room: WaitingRoom
   private readonly refusals = new Refusals()
-  private readonly demand = new Map<string, DemandMeter>()
   private readonly orders = new PartOrders()
-  private readonly supply = new SupplyMeter()
   private readonly learned: Learned
   private readonly choice: EngineChoice
   private readonly moves: MovePlanner
   private readonly cold: ColdBudget
+  private readonly barred: BarredEngines
+  private readonly stages: StagePlanner
 
   constructor(private readonly options: AllocatorOptions) {
     this.tuning = { ...DEFAULT_TUNING, ...options.tuning }
@@ -90,9 +94,11 @@
     const { lengthCertainty } = this.tuning
     this.book = new HoldBook({ lengthCertainty, ...this.learned })
     this.cold = new ColdBudget(options.cold)
+    this.barred = new BarredEngines(options.isBarred)
     this.choice = new EngineChoice({
       cold: this.cold,
       endpoints: options.endpoints,
+      barred: this.barred,
       book: this.book,
       health: this.health,
       pace: this.learned.pace,
@@ -106,6 +112,15 @@
       isChanging: (id, now) => this.isChanging(id, now),
       memoryShare: this.tuning.memoryShare,
     })
+    this.stages = new StagePlanner({
+      choice: this.choice,
+      barred: this.barred,
+      book: this.book,
+      health: this.health,
+      pace: this.learned.pace,
+      orders: this.orders,
+      engine: options.engine,
+    })
     this.room = new WaitingRoom((one, now) => this.slackOf(one, now), this.tuning.order)
   }
 
@@ -119,7 +134,8 @@
 
   /** Asks for a place; the answer comes at once or when there is room, at the latest after the hold time. */
   ask(ask: PlaceAsk, now: Millis, resolve: (decision: PlaceDecision) => void): void {
-    if (!ask.isReturn && !ask.isPrefilled) this.noteDemand(ask, now)
+    if (!ask.isReturn && !ask.isPrefilled)
+      this.stages.noteDemand(ask.service, ask.promptTokens, this.book.heldTokens(ask), now)
     const refusal = this.refuseAtOnce(ask, now)
     if (refusal !== undefined) return resolve(refusal)
     this.room.add({ ask, since: now, isKept: false, resolve })
@@ -193,16 +209,20 @@
 
   /** Places what fits by now and refuses what has no hope or has waited too long. Called again and again. */
   tick(now: Millis): void {
-    const known = new Set(this.options.endpoints().map((endpoint) => endpoint.id))
+    const endpoints = this.options.endpoints()
+    const known = new Set(endpoints.map((endpoint) => endpoint.id))
+    this.barred.note(endpoints, now)
     this.health.keepOnly(known)
     this.learned.pace.keepOnly(known)
     this.book.keepOnly(known)
-    this.supply.keepOnly(known)
+    this.stages.keepOnly(known)
     this.choice.keepOnly(known)
     this.cold.keepOnly(known)
     this.orders.keepOnly(known)
     this.choice.refresh()
     this.placeWaiting(now)
+    const emptied = this.room.takeWhere((one) => this.choice.isEmptied(one.ask.service))
+    for (const { ask, resolve } of emptied) resolve(this.refuse(EVACUATED, ask, now))
     const hopeless = this.room.takeHopeless(now)
     const overdue = this.room.takeWhere((one) => now - one.since >= one.ask.holdMs)
     for (const { ask, resolve } of hopeless) resolve(this.refuse('no room in sight', ask, now))
@@ -211,26 +231,12 @@
 
   /** What a service's callers keep busy, in engines that are well; undefined where that is not known yet. */
   needOf(service: string, now: Millis): StageNeed | undefined {
-    const engine = this.options.engine(service)
-    const meter = this.demand.get(service)
-    const { pace } = this.learned
-    if (engine === undefined || meter?.isSure(now) !== true || !pace.isKnown) return undefined
-    return meter.need(engine.kvTokens, pace, now)
+    return this.stages.needOf(service, now)
   }
 
   /** The engine of a service that should change its part now, where one should. */
   planStage(service: string, now: Millis): StageChange | undefined {
-    const engine = this.options.engine(service)
-    const need = this.needOf(service, now)
-    if (engine === undefined || need === undefined) return undefined
-    const staged = (['prefill', 'decode'] as const)
-      .flatMap((stage) => this.choice.registered(service, stage))
-      // An engine that is out for a moment will be back before another has changed its part.
-      .filter((one) => !this.health.isLost(one.id, now, engine.stageChangeMs))
-      // A prefill engine that refuses whatever comes is carrying out an order that nobody here knows of.
-      .filter((one) => one.stage !== 'prefill' || !this.health.isBusy(one.id))
-      .map((one) => this.toStaged(one, now))
-    return planStages(staged, need)
+    return this.stages.plan(service, now)
   }
 
   /** Gives an engine no work while it changes its part. */
@@ -244,18 +250,6 @@
     this.orders.noteOrdered(id, to, forMs, now)
   }
 
-  private toStaged(endpoint: RegisteredEndpoint, now: Millis): StagedEngine {
-    const part = this.orders.partOf(endpoint.id, now)
-    const { slowness } = this.learned.pace.view(endpoint.id, endpoint.stage!, now)
-    return {
-      id: endpoint.id,
-      stage: part ?? endpoint.stage!,
-      freeInMs: this.book.freeInMs(endpoint.id, now),
-      isChanging: part !== undefined,
-      supply: this.supply.note(endpoint.id, slowness, now),
-    }
-  }
-
   /** What is believed of the engines that a request could use. */
   outlook(ask: PlaceAsk, now: Millis): EngineOutlook {
     return this.choice.outlook(ask, now)
@@ -265,16 +259,11 @@
     return this.orders.isChanging(id, now)
   }
 
-  private noteDemand(ask: PlaceAsk, now: Millis): void {
-    const meter = this.demand.get(ask.service) ?? new DemandMeter()
-    this.demand.set(ask.service, meter)
-    meter.note(ask.promptTokens, this.book.heldTokens(ask), now)
-  }
-
   private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
     if (this.options.engine(ask.service) === undefined)
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
     const decoders = this.choice.registered(ask.service, 'decode').length
+    if (this.choice.isEmptied(ask.service)) return this.refuse(EVACUATED, ask, now)
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
     const patienceMs = ask.promptMs > 0 ? ask.promptMs : ask.holdMs
     if ((this.choice.coldWait(ask, now) ?? 0) > patienceMs) return this.refuse(COLD_REASON, ask, now)
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -39,6 +39,8 @@
   logger: Logger
   endpoints: () => RegisteredEndpoint[]
   engine: (service: string) => EnginePool | undefined
+  /** Whether an instance must get nothing now, though it is registered. */
+  isBarred?: (endpoint: RegisteredEndpoint) => boolean
   /** Whether this machine leads; only then it places. */
   isLeader: () => boolean
   /** Which term it leads in: a new one begins with what the entries report. */
@@ -243,10 +245,11 @@
   }
 
   private createAllocator(): Allocator {
-    const { endpoints, engine, logger, cold } = this.options
+    const { endpoints, engine, isBarred, logger, cold } = this.options
     return new Allocator({
       endpoints,
       engine,
+      isBarred,
       cold,
       learned: this.learned,
       onEjected: (endpoint, reason, forMs) => logger.warn('endpoint.ejected', { endpoint, reason, forMs }),
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -4,6 +4,7 @@
 import type { PlaceAsk } from './allocatorTypes'
 import type { ColdBudget, ColdOutlook } from './coldBudget'
 import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
+import type { BarredEngines } from './barredEngines'
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
 import type { InstanceHealth } from './instanceHealth'
@@ -52,6 +53,7 @@
 /** Options of {@link EngineChoice}. */
 export interface EngineChoiceOptions {
   endpoints: () => RegisteredEndpoint[]
+  barred: BarredEngines
   book: HoldBook
   health: InstanceHealth
   pace: EnginePace
@@ -104,6 +106,17 @@
 
   /** Engines of a service that take part, whether they are sound or not. */
   registered(service: string, stage: Stage): RegisteredEndpoint[] {
+    return this.enrolled(service, stage).filter((one) => !this.options.barred.has(one))
+  }
+
+  /** Whether a service has decode engines and every one must get nothing now. */
+  isEmptied(service: string): boolean {
+    const decoders = this.enrolled(service, 'decode')
+    return decoders.length > 0 && decoders.every((one) => this.options.barred.has(one))
+  }
+
+  /** Engines of a service that take part, with those that must get nothing now. */
+  enrolled(service: string, stage: Stage): RegisteredEndpoint[] {
     const { endpoints, health } = this.options
     const there = endpoints().filter((one) => one.service === service && !health.isGone(one.id))
     return newestPerAddress(there).filter((one) => one.stage === stage && one.state === 'ready')
--- /dev/null
+++ b/placement/allocator/src/stagePlanner.ts
@@ -0,0 +1,84 @@
+import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
+import type { EnginePool } from '@forkstage/routes'
+import type { Millis } from '@forkstage/types'
+import type { BarredEngines } from './barredEngines'
+import { DemandMeter } from './demandMeter'
+import type { EngineChoice } from './engineChoice'
+import type { EnginePace } from './enginePace'
+import type { HoldBook } from './holdBook'
+import type { InstanceHealth } from './instanceHealth'
+import type { PartOrders } from './partOrders'
+import { planStages, type StageChange, type StageNeed, type StagedEngine } from './planStages'
+import { SupplyMeter } from './supplyMeter'
+
+/** Options of {@link StagePlanner}. */
+export interface StagePlannerOptions {
+  choice: EngineChoice
+  barred: BarredEngines
+  book: HoldBook
+  health: InstanceHealth
+  pace: EnginePace
+  orders: PartOrders
+  engine: (service: string) => EnginePool | undefined
+}
+
+/** Decides which engine should change its part, by what callers have asked for lately and what engines do. */
+export class StagePlanner {
+  private readonly demand = new Map<string, DemandMeter>()
+  private readonly supply = new SupplyMeter()
+
+  constructor(private readonly options: StagePlannerOptions) {}
+
+  /** Notes a request that came in for the first time. */
+  noteDemand(service: string, promptTokens: number, heldTokens: number, now: Millis): void {
+    const meter = this.demand.get(service) ?? new DemandMeter()
+    this.demand.set(service, meter)
+    meter.note(promptTokens, heldTokens, now)
+  }
+
+  /** What a service's callers keep busy, in engines that are well; undefined where that is not known yet. */
+  needOf(service: string, now: Millis): StageNeed | undefined {
+    const { pace } = this.options
+    const engine = this.options.engine(service)
+    const meter = this.demand.get(service)
+    if (engine === undefined || meter?.isSure(now) !== true || !pace.isKnown) return undefined
+    return meter.need(engine.kvTokens, pace, now)
+  }
+
+  /** The engine of a service that should change its part now, where one should. */
+  plan(service: string, now: Millis): StageChange | undefined {
+    const { choice, barred, health } = this.options
+    const engine = this.options.engine(service)
+    const need = this.needOf(service, now)
+    if (engine === undefined || need === undefined) return undefined
+    const { stageChangeMs } = engine
+    const staged = (['prefill', 'decode'] as const)
+      .flatMap((stage) => choice.enrolled(service, stage))
+      // One that gets nothing for a moment, like one that is out for a moment, is back before another has changed.
+      .filter((one) => !barred.isLong(one, stageChangeMs, now))
+      .filter((one) => !health.isLost(one.id, now, stageChangeMs))
+      // A prefill engine that refuses whatever comes is carrying out an order that nobody here knows of.
+      .filter((one) => one.stage !== 'prefill' || !health.isBusy(one.id))
+      .map((one) => this.toStaged(one, now))
+    return planStages(staged, need)
+  }
+
+  /** Forgets engines that are not registered any more. */
+  keepOnly(ids: ReadonlySet<InstanceId>): void {
+    this.supply.keepOnly(ids)
+  }
+
+  private toStaged(endpoint: RegisteredEndpoint, now: Millis): StagedEngine {
+    const { barred, book, orders, pace } = this.options
+    const part: Stage | undefined = orders.partOf(endpoint.id, now)
+    const { slowness } = pace.view(endpoint.id, endpoint.stage!, now)
+    return {
+      id: endpoint.id,
+      stage: part ?? endpoint.stage!,
+      freeInMs: book.freeInMs(endpoint.id, now),
+      // One that must get nothing gets no order either.
+      isChanging: part !== undefined || barred.has(endpoint),
+      supply: this.supply.note(endpoint.id, slowness, now),
+    }
+  }
+}
--- /dev/null
+++ b/placement/allocator/test/evacuated.test.ts
@@ -0,0 +1,136 @@
+import { describe, expect, it } from 'vitest'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { ask, engine, world } from './fixtures'
+
+const PAUSED = { promptTokens: 500, pauseMs: 300, hintTokens: 1_000, mostTokens: 2_000, leftMs: 20_000 }
+
+/** Engines of two domains, of which one is evacuated at will. */
+function domains(endpoints?: RegisteredEndpoint[]) {
+  const evacuated = new Set<string>()
+  const both = endpoints ?? [
+    engine('p1', 'prefill', { zone: 'a' }),
+    engine('p2', 'prefill', { zone: 'b' }),
+    engine('d1', 'decode', { zone: 'a' }),
+    engine('d2', 'decode', { zone: 'b' }),
+  ]
+  return { evacuated, ...world(both, { isBarred: ({ zone }) => evacuated.has(zone) }) }
+}
+
+describe('Allocator, while a domain is evacuated', () => {
+  it('places nothing there, reads nothing there, and does so again once it is withdrawn', () => {
+    const { evacuated, allocator, place, decisions } = domains()
+    evacuated.add('a')
+    allocator.tick(0)
+    for (const [turn, id] of ['r1', 'r2', 'r3'].entries()) place(ask(id, { promptTokens: 500 }), turn * 300)
+    for (const id of ['r1', 'r2', 'r3'])
+      expect(decisions.get(id)).toMatchObject({ type: 'placed', decode: 'd2' })
+    expect(JSON.stringify([...decisions.values()])).not.toContain('p1')
+    evacuated.clear()
+    allocator.tick(1_000)
+    place(ask('r4', { promptTokens: 500 }), 1_000)
+    expect(decisions.get('r4')).toMatchObject({ decode: 'd1' })
+  })
+
+  it('refuses by the capacity that is left', () => {
+    const { evacuated, allocator, place, decisions } = domains()
+    evacuated.add('a')
+    allocator.tick(0)
+    place(ask('fills', { promptTokens: 7_000 }))
+    place(ask('waits', { promptTokens: 7_000 }))
+    allocator.tick(150)
+    expect(decisions.get('waits')).toMatchObject({ type: 'refused', reason: 'no room in sight' })
+  })
+
+  it('refuses at once where every domain is evacuated, also what waits already', () => {
+    const { evacuated, allocator, place, decisions } = domains()
+    for (const id of ['one', 'two', 'three']) place(ask(id, { promptTokens: 7_000 }))
+    expect(decisions.has('three')).toBe(false)
+    evacuated.add('a').add('b')
+    allocator.tick(20)
+    expect(decisions.get('three')).toMatchObject({ type: 'refused', retryAfterMs: expect.any(Number) })
+    place(ask('four', { promptTokens: 500 }), 30)
+    expect(decisions.get('four')).toMatchObject({ type: 'refused', reason: 'evacuated' })
+  })
+
+  it('lets running answers end there, and moves none into it', () => {
+    const { evacuated, allocator } = domains([
+      engine('d0', 'decode', { zone: 'a' }),
+      engine('d1', 'decode', { zone: 'b' }),
+      engine('d2', 'decode', { zone: 'c' }),
+    ])
+    const report = (msPerToken: Record<string, number>, now: number) =>
+      allocator.adopt(
+        'runner',
+        Object.entries(msPerToken).map(([decode, ms]) => ({
+          ask: ask(`at-${decode}`, { ...PAUSED, entry: 'runner' }),
+          decode,
+          ageMs: now + 900,
+          decodingForMs: now + 800,
+          madeTokens: Math.round((now + 800) / ms),
+        })),
+        now,
+      )
+    for (let now = 0; now <= 1_200; now += 400) report({ d0: 4, d1: 4, d2: 4 }, now)
+    evacuated.add('a')
+    allocator.tick(1_210)
+    expect(allocator.planMoves('runner', 1_210)).toEqual([])
+    expect(allocator.holdCount).toBe(3)
+    for (let now = 1_600; now <= 2_800; now += 400) report({ d0: 4, d1: 25, d2: 4 }, now)
+    expect(allocator.planMoves('runner', 2_810)).toEqual([{ request: 'at-d1', to: 'd2' }])
+  })
+
+  it('keeps what was learned of engines there', () => {
+    const { evacuated, allocator, place, decisions } = domains()
+    const readAt = (request: string, now: number) => {
+      place(ask(request, { promptTokens: 500 }), now)
+      return (decisions.get(request) as { prefill: string }).prefill
+    }
+    const first = readAt('first', 0)
+    allocator.notePrefilled('first', 'ok', 800, 800)
+    expect(allocator.outlook(ask('other'), 810).slow.map((one) => one.endpoint)).toEqual([first])
+    evacuated.add(first === 'p1' ? 'a' : 'b')
+    allocator.tick(820)
+    evacuated.clear()
+    allocator.tick(830)
+    expect(allocator.outlook(ask('other'), 840).slow.map((one) => one.endpoint)).toEqual([first])
+  })
+})
+
+describe('Allocator, when engines should change their part while a domain is evacuated', () => {
+  const CHANGE_MS = 6_000
+
+  function planned() {
+    const one = domains([
+      engine('p1', 'prefill', { zone: 'a' }),
+      engine('d1', 'decode', { zone: 'b' }),
+      engine('d2', 'decode', { zone: 'b' }),
+      engine('d3', 'decode', { zone: 'a' }),
+    ])
+    const running = { ask: ask('seen'), decode: 'd1', ageMs: 900, decodingForMs: 800, madeTokens: 1_000 }
+    one.allocator.adopt('e9', [running], 0)
+    one.allocator.dropEntry('e9')
+    for (let index = 0; index < 200; index += 1) one.place(ask(`r${index}`, { holdMs: 1 }), index * 20)
+    one.allocator.dropEntry('e1')
+    return one
+  }
+
+  it('plans none for what is back before a change would be done, and then without its engines', () => {
+    const { evacuated, allocator } = planned()
+    expect(allocator.planStage('s', 4_000)?.stage).not.toBe('prefill')
+    evacuated.add('a')
+    allocator.tick(4_000)
+    expect(allocator.planStage('s', 4_000 + CHANGE_MS - 1)).toBeUndefined()
+    for (let now = 4_000; now <= 4_000 + CHANGE_MS; now += 25) allocator.tick(now)
+    expect(allocator.planStage('s', 4_000 + CHANGE_MS)).toMatchObject({
+      stage: 'prefill',
+      id: expect.stringMatching(/^d[12]$/),
+    })
+  })
+
+  it('orders none of its engines', () => {
+    const { evacuated, allocator } = planned()
+    evacuated.add('b')
+    allocator.tick(4_000)
+    expect(['d1', 'd2']).not.toContain(allocator.planStage('s', 4_100)?.id)
+  })
+})
--- a/placement/allocator/test/fixtures.ts
+++ b/placement/allocator/test/fixtures.ts
@@ -1,5 +1,12 @@
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import { Allocator, EnginePace, LengthForecast, type PlaceAsk, type PlaceDecision } from '../src'
+import {
+  Allocator,
+  EnginePace,
+  LengthForecast,
+  type AllocatorOptions,
+  type PlaceAsk,
+  type PlaceDecision,
+} from '../src'
 
 /** An engine pool whose memory a few requests fill. */
 export const ENGINE = {
@@ -46,8 +53,8 @@
 }
 
 /** An allocator over some engines, and the decisions it has given. */
-export function world(endpoints: RegisteredEndpoint[]) {
-  const allocator = new Allocator({ endpoints: () => endpoints, engine: () => ENGINE })
+export function world(endpoints: RegisteredEndpoint[], options: Partial<AllocatorOptions> = {}) {
+  const allocator = new Allocator({ endpoints: () => endpoints, engine: () => ENGINE, ...options })
   const decisions = new Map<string, PlaceDecision>()
   const place = (asked: PlaceAsk, now = 0) =>
     allocator.ask(asked, now, (decision) => decisions.set(asked.request, decision))
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -41,6 +41,8 @@
 /** Options of {@link EndpointPool}. */
 export interface EndpointPoolOptions {
   zone: string
+  /** Whether an endpoint must get nothing now, though it is registered; none where left out. */
+  isBarred?: (endpoint: RegisteredEndpoint) => boolean
   clock: Clock
   random: Random
   logger: Logger
@@ -78,12 +80,21 @@
         newest.has(one.endpoint) &&
         (stage === undefined || one.endpoint.stage === stage) &&
         takesWork(one) &&
+        !this.isBarred(one) &&
         !except.has(one.endpoint.id),
     )
     const sound = fitting.filter((one) => one.ejectedUntil <= now)
     return sound.length > 0 ? sound : fitting
   }
 
+  /** Whether a service has instances that take work and every one must get nothing now. */
+  isEmptied(service: string, stage?: Stage): boolean {
+    const there = [...this.pooled.values()].filter(
+      (one) => one.endpoint.service === service && takesWork(one) && (!stage || one.endpoint.stage === stage),
+    )
+    return there.length > 0 && there.every((one) => this.isBarred(one))
+  }
+
   /** The instance with the least expected wait, one of this zone among equals. */
   leastLoaded(candidates: PooledEndpoint[]): PooledEndpoint | undefined {
     const fastest = Math.min(...candidates.map((one) => one.meanMs))
@@ -136,6 +147,10 @@
     if (outcome === 'failed' || outcome === 'unreachable') this.noteFailure(one, outcome)
   }
 
+  private isBarred({ endpoint }: PooledEndpoint): boolean {
+    return this.options.isBarred?.(endpoint) === true
+  }
+
   private noteFailure(one: PooledEndpoint, reason: SendOutcome): void {
     one.failures += 1
     if (reason !== 'unreachable' && one.failures < FAILURES_TO_EJECT) return
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -2,6 +2,7 @@
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
 import { poolPlace } from './poolPlace'
+import { EVACUATED } from './sendRules'
 
 /** Options of {@link LocalPlacer}. */
 export interface LocalPlacerOptions {
@@ -36,6 +37,8 @@
   async place(work: ModelWork): Promise<PlaceAnswer> {
     const { pool, cold } = this.options
     const decoders = pool.candidates(work.service, 'decode', work.except)
+    if (pool.isEmptied(work.service, 'decode'))
+      return { type: 'refused', reason: EVACUATED, retryAfterMs: NO_ROOM_RETRY_MS }
     const decode = pool.fewestTokens(cold?.usable(decoders) ?? decoders)
     const coldMs = decode === undefined ? cold?.freeIn(decoders) : undefined
     if (coldMs !== undefined) return { type: 'refused', reason: COLD_REASON, retryAfterMs: coldMs }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -18,7 +18,7 @@
   type SendRecord,
 } from './relayParts'
 import { SendCount } from './sendCount'
-import { whyNotSend } from './sendRules'
+import { EVACUATED, whyNotSend } from './sendRules'
 import { waitFor } from './waitFor'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -92,7 +92,9 @@
     const { request, route, isReturn } = this.job
     const share = isReturn ? RETURN_WAIT_SHARE : PROMPT_SHARE
     const left = request.arrivedAt + route.targetMs * share - clock.now()
-    return waitFor(clock, Math.max(0, left), () => (this.isOver ? undefined : this.roomiest()))
+    // Nothing is worth waiting for where every endpoint must get nothing, for nobody knows how long.
+    const limit = this.parts.pool.isEmptied(this.job.service.name) ? 0 : Math.max(0, left)
+    return waitFor(clock, limit, () => (this.isOver ? undefined : this.roomiest()))
   }
 
   private roomiest(): PooledEndpoint | undefined {
@@ -104,6 +106,7 @@
   }
 
   private whyNone(): string {
+    if (this.parts.pool.isEmptied(this.job.service.name)) return EVACUATED
     if (this.coldWait() !== undefined) return COLD_REASON
     const isKnown = this.parts.pool.candidates(this.job.service.name).length > 0
     return isKnown ? 'no room in time' : 'no endpoint'
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -64,7 +64,7 @@
     this.move = undefined
     this.sending = undefined
     const stopped = await move.stopped()
-    const at = stopped === undefined ? undefined : (stopped.copiedTo ?? whereReady(stopped))
+    const at = stopped && this.whereOn(stopped)
     const goesOn = attempt.type === 'lost' && !this.run.isOver
     move.log(stopped === undefined ? 'not stopped' : goesOn ? 'moved' : 'not needed')
     if (stopped !== undefined && at !== undefined && goesOn)
@@ -74,6 +74,13 @@
     return undefined
   }
 
+  /** Where a stopped run can go on: what has become known since the copy began binds here too. */
+  private whereOn(stopped: StoppedRun): PooledEndpoint | undefined {
+    return [stopped.copiedTo, whereReady(stopped)].find(
+      (one) => one !== undefined && whyNotSend(this.parts, this.job, one.endpoint, 'decode') === undefined,
+    )
+  }
+
   private isRunning(): boolean {
     return !this.run.isOver && this.run.exchange !== undefined
   }
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -8,6 +8,9 @@
  */
 export type SendRule = (to: RegisteredEndpoint, job: RelayJob, step: SendStep) => string | undefined
 
+/** Why nothing is sent to an endpoint of an evacuated failure domain. */
+export const EVACUATED = 'evacuated'
+
 /** The first reason why a request must not leave for an endpoint now, with a log line; undefined where it may. */
 export function whyNotSend(
   parts: RelayParts,
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -113,7 +113,8 @@
   private async untilEngineIsKnown(): Promise<void> {
     const { pool, clock } = this.parts
     const { name } = this.job.service
-    await waitFor(clock, WAIT_FOR_ENGINES_MS, () => pool.candidates(name, 'decode')[0])
+    const limit = pool.isEmptied(name, 'decode') ? 0 : WAIT_FOR_ENGINES_MS
+    await waitFor(clock, limit, () => pool.candidates(name, 'decode')[0])
   }
 
   private work(): ModelWork {
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -104,6 +104,8 @@
     readonly port: number,
     /** Puts a newer sheet with these workspaces in force. */
     readonly setWorkspaces: (workspaces: Workspace[]) => void,
+    /** Failure domains that get nothing. */
+    readonly evacuated: Set<string>,
   ) {}
 
   static async start(
@@ -114,7 +116,9 @@
   ): Promise<GatewayWorld> {
     const clock = createSystemClock()
     const logger = createSilentLogger()
-    const pool = new EndpointPool({ zone: 'z', clock, random: () => 0, logger })
+    const evacuated = new Set<string>()
+    const isBarred = ({ zone }: RegisteredEndpoint) => evacuated.has(zone)
+    const pool = new EndpointPool({ zone: 'z', clock, random: () => 0, logger, isBarred })
     pool.update(endpoints.map((endpoint, index) => fullEndpoint(endpoint, index)))
     const book = new RouteBook()
     const sheet = {
@@ -179,7 +183,7 @@
           },
         },
         allowance: new RetryAllowance({ clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 1 }),
-        sendRules: [({ id }) => world.withheld.get(id)],
+        sendRules: [({ id }) => world.withheld.get(id), (to) => (isBarred(to) ? 'evacuated' : undefined)],
         cold,
         clock,
         random: createSeededRandom(1),
@@ -191,9 +195,9 @@
     })
     await new Promise<void>((resolve) => ingress.server.listen(0, '127.0.0.1', resolve))
     const { port } = ingress.server.address() as { port: number }
-    const world: GatewayWorld = new GatewayWorld(ingress, pool, port, (newer) =>
-      book.install({ ...sheet, version: book.version + 1, workspaces: newer }),
-    )
+    const install = (newer: Workspace[]) =>
+      void book.install({ ...sheet, version: book.version + 1, workspaces: newer })
+    const world: GatewayWorld = new GatewayWorld(ingress, pool, port, install, evacuated)
     return world
   }
 
--- a/request/gateway/test/parts.test.ts
+++ b/request/gateway/test/parts.test.ts
@@ -100,9 +100,15 @@
 describe('EndpointPool', () => {
   const base = { address: 'a:1', service: 's', zone: 'z', slots: 4, models: [], sequence: 1 }
 
-  function pool() {
+  function pool(barred: string[] = []) {
     const clock = new ManualClock()
-    const made = new EndpointPool({ zone: 'z', clock, random: () => 0, logger: createSilentLogger() })
+    const made = new EndpointPool({
+      zone: 'z',
+      isBarred: ({ id }) => barred.includes(id),
+      clock,
+      random: () => 0,
+      logger: createSilentLogger(),
+    })
     made.update([
       { ...base, id: 'i-1', state: 'ready' },
       { ...base, id: 'i-2', address: 'b:1', state: 'ready' },
@@ -124,6 +130,23 @@
     expect(ids()).toEqual(['i-2'])
   })
 
+  it('leaves out those that must get nothing, also where there is no other, and does not forget them', () => {
+    const barred = ['i-1']
+    const { pool: made, ids } = pool(barred)
+    made.noteSent(made.get('i-1')!)
+    expect(ids()).toEqual(['i-2'])
+    expect(made.isEmptied('s')).toBe(false)
+    made.noteSent(made.get('i-2')!)
+    made.noteEnd(made.get('i-2')!, 'unreachable', 5)
+    expect(ids()).toEqual(['i-2'])
+    barred.push('i-2')
+    expect(ids()).toEqual([])
+    expect([made.isEmptied('s'), made.isEmptied('other'), made.size]).toEqual([true, false, 2])
+    barred.length = 0
+    expect(ids()).toEqual(['i-1'])
+    expect(made.get('i-1')!.inFlight).toBe(1)
+  })
+
   it('uses those that are out where there is no other', () => {
     const { pool: made, ids } = pool()
     for (const id of ['i-1', 'i-2']) {
--- a/request/gateway/test/runMoves.test.ts
+++ b/request/gateway/test/runMoves.test.ts
@@ -147,6 +147,45 @@
     expect(workers[0]!.seen.filter(isStream)[1]!.headers['x-kv-from']).toBe(`${workers[0]!.address}#h2`)
   })
 
+  it('goes on at its own engine when the other one must not get it any more once it is copied', async () => {
+    let streams = 0
+    const one = await start([
+      {
+        stream: (request, engine) => {
+          streams += 1
+          if (streams === 1) runsWith(1)(request, engine)
+          else endsWith(2, 3)(request, engine)
+        },
+        copy: (request) => {
+          one.world.withheld.set('i-1', 'closed')
+          answers(200, 'h1')(request)
+        },
+        last: stopsWith(200, 'h2'),
+      },
+      { stream: endsWith(9) },
+    ])
+    one.move()
+    expect(await one.answer).toMatchObject({ body: events(1, 2, 3), isWhole: true })
+    expect(one.workers[1]!.seen).toHaveLength(0)
+  })
+
+  it('does not go back to its own engine when that must get nothing any more', async () => {
+    const one = await start([
+      {
+        stream: runsWith(1),
+        copy: (request) => {
+          one.world.withheld.set('i-0', 'closed')
+          answers(200, 'h1')(request)
+        },
+        last: stopsWith(503, 'h2'),
+      },
+      { stream: endsWith(9) },
+    ])
+    one.move()
+    expect(await one.answer).toMatchObject({ body: events(1), isWhole: false })
+    expect(one.workers.map(({ seen }) => seen.filter(isStream).length)).toEqual([1, 0])
+  })
+
   it('is cut, not made anew, when the other engine refuses it and its route lets nothing run twice', async () => {
     const refuses: Engine['stream'] = ({ socket }) =>
       void socket.end('HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n')
