--- a/cli/forkstage/src/commands/status.ts
+++ b/cli/forkstage/src/commands/status.ts
@@ -1,15 +1,19 @@
 import type { BoxReport, FleetStatus } from '@forkstage/operator-api'
 import { EXIT, type BoxArguments, type Command } from '../cliTypes'
+import { askEach, withControl, type ControlArguments } from '../controlClient'
 import { callBox, withBox } from '../operatorClient'
 import { print, printTable } from '../print'
 
 /** `forkstage status`. */
-export const statusCommand: Command<BoxArguments> = {
+export const statusCommand: Command<BoxArguments & ControlArguments> = {
   command: 'status',
   help: 'Show every box: the version in force and since when, readiness, requests, replicas',
   options: (argv) =>
-    withBox(argv).example('$0 status', 'boxes that are cut off show until when they may act'),
+    withControl(withBox(argv))
+      .example('$0 status', 'boxes that are cut off show until when they may act')
+      .example('$0 status --control 10.0.0.1:9001', 'what each of these control machines knows is evacuated'),
   async handler(args) {
+    if (args.control.length > 0) return printControl(args)
     const status = await callBox<FleetStatus>(args, '/v1/status')
     if (args.json) print(JSON.stringify(status, null, 2))
     else printStatus(status)
@@ -17,6 +21,21 @@
   },
 }
 
+async function printControl({ control, json }: ControlArguments): Promise<number> {
+  const answers = await askEach(control)
+  if (json) print(JSON.stringify(answers, null, 2))
+  else
+    printTable(
+      ['control', 'evacuated', 'since index'],
+      answers.map(({ address, known, reason }) =>
+        known === undefined
+          ? [address, `not known: ${reason}`, '-']
+          : [address, known.domains.join(', ') || 'none', known.index],
+      ),
+    )
+  return answers.some(({ known }) => known !== undefined) ? EXIT.ok : EXIT.failed
+}
+
 function printStatus(status: FleetStatus): void {
   if (status.control === undefined) print(`no account from the control leader: ${status.controlFailure}`)
   else print(`table version ${status.control.version}  digest ${status.control.digest.slice(0, 12)}`)
--- a/cli/forkstage/src/main.ts
+++ b/cli/forkstage/src/main.ts
@@ -4,6 +4,7 @@
 import { TableError } from '@forkstage/table'
 import { EXIT, type Command } from './cliTypes'
 import { controlReplaceCommand } from './commands/controlReplace'
+import { evacuateCommand } from './commands/evacuate'
 import { explainCommand } from './commands/explain'
 import { lossesCommand } from './commands/losses'
 import { orderCommand } from './commands/order'
@@ -37,6 +38,7 @@
   statusCommand,
   explainCommand,
   orderCommand,
+  evacuateCommand,
   stopCommand,
   versionCommand,
 ]
--- a/cli/forkstage/src/traceRequest.ts
+++ b/cli/forkstage/src/traceRequest.ts
@@ -61,7 +61,26 @@
       ? boxes.has(line.box)
       : endpoints.has(String(endpoint)) || line.event === 'stage.ordered'
   })
-  return [...own, ...around].sort((left, right) => left.time - right.time)
+  return [...own, ...around, ...evacuationsAt(lines, boxes, from, to)].sort(
+    (left, right) => left.time - right.time,
+  )
+}
+
+/** What the request's machines believed of evacuations, however old, and the orders that brought it about. */
+function evacuationsAt(lines: LogLine[], boxes: ReadonlySet<string>, from: number, to: number): LogLine[] {
+  const beliefs = [...boxes].flatMap((box) => {
+    const heard = lines.filter(
+      (line) => line.event === 'evacuation.in-force' && line.box === box && line.time <= to,
+    )
+    const last = heard.sort((left, right) => left.time - right.time).at(-1)
+    return last !== undefined && (Number(last.fields.count) > 0 || last.time >= from) ? [last] : []
+  })
+  const indexes = new Set(beliefs.map((line) => line.fields.index))
+  const orders = lines.filter(
+    ({ event, fields }) =>
+      event === 'evacuation.taken' && fields.outcome === 'changed' && indexes.has(fields.index),
+  )
+  return [...orders, ...beliefs]
 }
 
 function endpointsOf(line: LogLine): string[] {
--- /dev/null
+++ b/cli/forkstage/test/controlClient.test.ts
@@ -0,0 +1,50 @@
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, describe, expect, it } from 'vitest'
+import { askEach, orderEvacuation } from '../src/controlClient'
+
+const open: Server[] = []
+afterEach(() => open.splice(0).forEach((server) => server.close()))
+
+/** A control machine that answers with some statuses by turns. */
+async function control(...statuses: number[]) {
+  const calls: string[] = []
+  const server = createServer((request, response) => {
+    calls.push(`${request.method} ${request.url}`)
+    response.statusCode = statuses[Math.min(calls.length, statuses.length) - 1]!
+    response.end(JSON.stringify({ index: 7, outcome: 'changed', domains: ['a'] }))
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  open.push(server)
+  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, calls }
+}
+
+describe('orderEvacuation', () => {
+  it('asks one control machine after the other until one is sure', async () => {
+    const [unsure, sure] = [await control(503), await control(200)]
+    expect(await orderEvacuation([unsure.address, sure.address], 'ør-a', true)).toMatchObject({ index: 7 })
+    expect(unsure.calls).toEqual(['POST /evacuate/%C3%B8r-a'])
+    expect(sure.calls).toEqual(['POST /evacuate/%C3%B8r-a'])
+    await orderEvacuation([sure.address], 'a', false)
+    expect(sure.calls[1]).toBe('DELETE /evacuate/a')
+  })
+
+  it('ends at once where the name cannot be one, or no address is known', async () => {
+    const [refuses, other] = [await control(400), await control(200)]
+    await expect(orderEvacuation([refuses.address, other.address], '-', true)).rejects.toMatchObject({
+      code: 'FORKSTAGE_DOMAIN_NAME',
+      hint: expect.stringContaining('63'),
+    })
+    expect(other.calls).toEqual([])
+    await expect(orderEvacuation([], 'a', true)).rejects.toMatchObject({ code: 'FORKSTAGE_NO_ADDRESS' })
+  })
+})
+
+describe('askEach', () => {
+  it('says what each knows, and why one does not say', async () => {
+    const [one, broken] = [await control(200), await control(500)]
+    const answers = await askEach([one.address, broken.address])
+    expect(answers[0]).toMatchObject({ known: { index: 7, domains: ['a'] } })
+    expect(answers[1]).toMatchObject({ address: broken.address, reason: expect.stringContaining('500') })
+  })
+})
--- a/cli/forkstage/test/traceRequest.test.ts
+++ b/cli/forkstage/test/traceRequest.test.ts
@@ -24,6 +24,27 @@
 ].join('\n')
 
 describe('traceRequest', () => {
+  it('names the evacuation that its machine obeyed, however long ago it began, and the order behind it', () => {
+    const taken = { domain: 'a', action: 'begin', outcome: 'changed' }
+    const log = [
+      line(100, 'control-2', 'evacuation.taken', { ...taken, index: 7 }),
+      line(110, 'entry-1', 'evacuation.in-force', { index: 7, count: 1, domains: ['a'] }),
+      line(300, 'control-2', 'evacuation.taken', { ...taken, index: 9 }),
+      line(310, 'entry-1', 'evacuation.in-force', { index: 9, count: 2, domains: ['a', 'b'] }),
+      line(315, 'control-1', 'evacuation.taken', { ...taken, outcome: 'held', index: 9 }),
+      line(320, 'entry-2', 'evacuation.in-force', { index: 9, count: 2, domains: ['a', 'b'] }),
+      line(90_000, 'entry-1', 'request.answered', {
+        request: 'r1',
+        status: 503,
+        outcome: 'evacuated',
+        sends: [],
+      }),
+      line(95_000, 'entry-1', 'evacuation.in-force', { index: 12, count: 0, domains: [] }),
+    ].join('\n')
+    const events = traceRequest(readLogLines(log), 'r1').map(({ time, event }) => `${time} ${event}`)
+    expect(events).toEqual(['300 evacuation.taken', '310 evacuation.in-force', '90000 request.answered'])
+  })
+
   it('gathers the lines of a request, of its endpoints and of the machine that took it, in order of time', () => {
     const events = traceRequest(readLogLines(LOG), 'r1').map(({ time, event }) => `${time} ${event}`)
     expect(events).toEqual([
