--- a/cli/forkstage/src/controlClient.ts
+++ b/cli/forkstage/src/controlClient.ts
@@ -1,7 +1,7 @@
 import got, { RequestError } from 'got'
 import type { Argv } from 'yargs'
 import { ForkstageError, toErrorBody } from '@forkstage/error'
-import type { EvacuationResult, EvacuationSet } from '@forkstage/evacuation'
+import { isDomainName, type EvacuationResult, type EvacuationSet } from '@forkstage/evacuation'
 import { platformControl } from '@forkstage/platform-system'
 
 /** Options of commands that speak to control machines of machines that find each other. */
@@ -47,6 +47,7 @@
   isEvacuated: boolean,
 ): Promise<EvacuationResult> {
   if (control.length === 0) throw noAddress()
+  if (!isDomainName(domain)) throw notAName(domain)
   const path = platformControl.evacuationPath.replace(':domain', encodeURIComponent(domain))
   const end = Date.now() + TRY_FOR_MS
   let reason: unknown
@@ -59,7 +60,7 @@
         retry: { limit: 0 },
       }).json<EvacuationResult>()
     } catch (error) {
-      if (isFinal(error)) throw notAName(domain, address)
+      if (isRefused(error)) throw notAName(domain, address)
       reason = error
       await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
     }
@@ -82,7 +83,7 @@
   )
 }
 
-function isFinal(error: unknown): boolean {
+function isRefused(error: unknown): boolean {
   return error instanceof RequestError && error.response?.statusCode === 400
 }
 
@@ -93,9 +94,9 @@
   })
 }
 
-function notAName(domain: string, peer: string): ForkstageError {
+function notAName(domain: string, peer?: string): ForkstageError {
   const hint = 'Letters, digits, dots, underlines and hyphens, the first a letter or digit, at most 63.'
-  return new ForkstageError('FORKSTAGE_DOMAIN_NAME', `${domain} cannot be a failure domain's name.`, hint, {
+  return new ForkstageError('FORKSTAGE_DOMAIN_NAME', `"${domain}" cannot be a failure domain's name.`, hint, {
     step: 'evacuate',
     peer,
   })
--- a/cli/forkstage/test/controlClient.test.ts
+++ b/cli/forkstage/test/controlClient.test.ts
@@ -31,7 +31,10 @@
 
   it('ends at once where the name cannot be one, or no address is known', async () => {
     const [refuses, other] = [await control(400), await control(200)]
-    await expect(orderEvacuation([refuses.address, other.address], '-', true)).rejects.toMatchObject({
+    await expect(orderEvacuation([other.address], '', true)).rejects.toMatchObject({
+      code: 'FORKSTAGE_DOMAIN_NAME',
+    })
+    await expect(orderEvacuation([refuses.address, other.address], 'a', true)).rejects.toMatchObject({
       code: 'FORKSTAGE_DOMAIN_NAME',
       hint: expect.stringContaining('63'),
     })
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -11,6 +11,8 @@
 export interface StandInOptions {
   name: string
   service: string
+  /** Its failure domain; `z`, where every machine is, when left out. */
+  zone?: string
   stage?: 'prefill' | 'decode'
   /** Control machines to register with. */
   control: () => string[]
@@ -111,11 +113,11 @@
   }
 
   private registration(): object {
-    const { service, stage } = this.options
+    const { service, zone = 'z', stage } = this.options
     return {
       service,
       address: this.address,
-      zone: 'z',
+      zone,
       version: 'v1',
       slots: 8,
       state: this.state,
--- /dev/null
+++ b/tools/fleet-soak/test/evacuation.test.ts
@@ -0,0 +1,93 @@
+import { execFile } from 'node:child_process'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { promisify } from 'node:util'
+import got from 'got'
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { createSeededRandom } from '@forkstage/clock'
+import { waitUntil } from '@forkstage/deployment'
+import { SoakCallers } from '../src/soakCallers'
+import { SoakFleet } from '../src/soakFleet'
+import { sheetText } from '../src/soakOperator'
+import { turningKey, type SeenRun } from '../src/soakWorkspaces'
+import { StandInEndpoint } from '../src/standInEndpoint'
+
+const run = promisify(execFile)
+const folder = mkdtempSync(join(tmpdir(), 'forkstage-evacuation-'))
+const fleet = new SoakFleet(folder, '127.83.7')
+const seen: Record<string, SeenRun[]> = { a: [], b: [] }
+const endpoints = Object.entries(seen).map(
+  ([zone, runs], index) =>
+    new StandInEndpoint({
+      name: `i-${zone}`,
+      service: 'plain',
+      zone,
+      control: () => fleet.control.map((machine) => fleet.operators(machine)),
+      random: createSeededRandom(index + 1),
+      handles: new Set(),
+      runs: new Map(),
+      seen: runs,
+    }),
+)
+const callers = new SoakCallers(fleet, createSeededRandom(7), () => 1)
+
+/** Runs a command of the command line against the first three control machines. */
+async function forkstage(...words: string[]): Promise<string> {
+  const control = fleet.control.slice(0, 3).map((machine) => fleet.operators(machine).replace('http://', ''))
+  const env = { ...process.env, FORKSTAGE_CONTROL: control.join(',') }
+  return (await run(process.execPath, ['dist/forkstage.cjs', ...words], { env })).stdout
+}
+
+/** One call at each entry; says how many of them each domain got. */
+async function callAll() {
+  const counts = () => [seen.a!.length, seen.b!.length]
+  const before = counts()
+  const statuses = await Promise.all(fleet.entries.map((entry) => callers.statusWith(entry, turningKey(1))))
+  return { statuses, ran: counts().map((count, at) => count - before[at]!) }
+}
+
+beforeAll(async () => {
+  fleet.startAll()
+  await Promise.all(endpoints.map((endpoint) => endpoint.start()))
+  const put = () =>
+    got.put(`${fleet.operators(fleet.control[0]!)}/config`, {
+      body: sheetText(1, 'a'),
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+      timeout: { request: 2_000 },
+    })
+  await waitUntil(async () => (await put().catch(() => undefined))?.statusCode === 200, {
+    what: 'a sheet',
+    timeoutMs: 60_000,
+  })
+  await fleet.waitReady()
+})
+afterAll(async () => {
+  endpoints.forEach((endpoint) => endpoint.end())
+  await fleet.stopAll()
+  rmSync(folder, { recursive: true, force: true })
+})
+
+describe('an evacuation, with processes of their own', () => {
+  it('holds after every process was killed right after it was acknowledged, until it is withdrawn', async () => {
+    await waitUntil(async () => (await callAll()).ran[0]! > 0, { what: 'both domains', timeoutMs: 30_000 })
+    expect(await forkstage('evacuate', 'a')).toMatch(/^a is evacuated \(index \d+\)/)
+    await Promise.all(fleet.machines.map((machine) => fleet.end(machine, 'SIGKILL')))
+    const before = seen.a!.length
+    fleet.machines.forEach((machine) => fleet.start(machine))
+    const allServe = async () => (await callAll()).statuses.every((status) => status === 200)
+    await waitUntil(allServe, { what: 'all entries serve again', timeoutMs: 60_000 })
+    await waitUntil(async () => (await forkstage('status')).match(/ a +\d+/g)?.length === 3, {
+      what: 'all control machines know it',
+      timeoutMs: 60_000,
+    })
+    expect((await callAll()).ran).toEqual([0, fleet.entries.length])
+    // Neither did a process send there that had only just started.
+    expect(seen.a!.length).toBe(before)
+    expect(await forkstage('evacuate', 'a')).toContain('as before')
+    await forkstage('evacuate', 'a', '--withdraw')
+    await waitUntil(async () => (await callAll()).ran[0]! > 0, { what: 'work again', timeoutMs: 30_000 })
+    await expect(forkstage('evacuate', 'a b')).rejects.toThrow('FORKSTAGE_DOMAIN_NAME')
+  })
+})
