--- a/placement/allocator/src/coldBudget.ts
+++ b/placement/allocator/src/coldBudget.ts
@@ -27,9 +27,9 @@
 /** A decode step that follows a reading does so within this time; readings take 100 to 500 ms with their queue. */
 const LEAVES_AFTER_READING_MS: Millis = 1_000
 /** The leader's part of what a cold engine may get: beside it stand two new leaders' and that of entries without one. */
-const LEADER_SHARE = 0.6
+const LEADER_SHARE = 0.5
 /** The part of a leader that does not know yet what its predecessor let go. */
-const NEW_LEADER_SHARE = 0.1
+const NEW_LEADER_SHARE = 0.2
 /** What a predecessor allowed has left after its longest time to leave and one window, and the way. */
 const NEW_FOR_MS: Millis = LEAVES_AFTER_READING_MS + WINDOW_MS + LEAVES_AT_ONCE_MS
 
--- a/request/gateway/src/coldGate.ts
+++ b/request/gateway/src/coldGate.ts
@@ -27,7 +27,7 @@
 /** The bound holds for any span of this length. */
 const WINDOW_MS: Millis = 1_000
 /** Entries without a leader's word share this part of what a cold engine may get; whoever leads has the rest. */
-const ALONE_PART = 0.2
+const ALONE_PART = 0.1
 /** Control machines that restart count entries from one: what was counted before holds for so long. */
 const COUNT_LASTS_MS: Millis = 20_000
 /** An entry that has just started may be one of many that do, and are not counted yet. */
