--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -68,7 +68,11 @@
     const { settings, clock, peers, logger, epoch } = basics
     const self = settings.listen.peers
     this.host = this.createHost()
-    this.belief = new EvacuationBelief({ logger, onChange: () => this.hub.noteChange() })
+    this.belief = new EvacuationBelief({
+      logger,
+      onChange: () => this.hub.noteChange(),
+      onWithdrawn: (domain) => this.cold.doubt(domain),
+    })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       self,
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -84,7 +84,7 @@
       perSecond: (service) => this.cold.perSecond(service),
       entries: () => this.follower.entries(),
     })
-    this.belief = new EvacuationBelief({ logger })
+    this.belief = new EvacuationBelief({ logger, onWithdrawn: (domain) => this.cold.doubt(domain) })
     const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     this.pool = new EndpointPool({
       zone: settings.machine.zone,
--- a/daemon/fleet/src/evacuationBelief.ts
+++ b/daemon/fleet/src/evacuationBelief.ts
@@ -7,6 +7,8 @@
   logger: Logger
   /** Called after the belief has changed. */
   onChange?: () => void
+  /** Called for each domain that is evacuated no more: its endpoints may have turned cold unheard meanwhile. */
+  onWithdrawn?: (domain: FailureDomain) => void
 }
 
 /** At most so many domains are named in a line. */
@@ -20,7 +22,11 @@
 
   /** Takes a set that is committed. */
   take(set: EvacuationSet): void {
-    if (this.view.take(set)) this.noteChange()
+    const before = this.view.current.domains
+    if (!this.view.take(set)) return
+    this.noteChange()
+    const withdrawn = before.filter((domain) => !this.view.isEvacuated(domain))
+    withdrawn.forEach((domain) => this.options.onWithdrawn?.(domain))
   }
 
   /** Takes domains that may be evacuated, until a set is known. */
