--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -9,6 +9,8 @@
   'replica.founded': { group: string; replica: string; voters: string[] }
   'replica.role': { group: string; replica: string; role: string; term: number }
   'replica.membership': { group: string; change: string; replica: string }
+  /** Voters missing for a majority after the loss of so many failure domains (0 or less: borne), and live voters in each. */
+  'replica.domains': { group: string; losses: number; missing: number; voters: Record<string, number> }
   'replica.refused': { group: string; reason: string } & Partial<ErrorBody>
   'replica.snapshot': { group: string; index: number; bytes: number }
   'replica.invariant': { group: string } & ErrorBody
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -257,6 +257,7 @@
       group: GROUP,
       box: machine.name,
       address: listen.peers,
+      domain: machine.zone,
       folder: `${machine.data_folder}/${GROUP}`,
       firstReplicas: seedAddresses(settings).map((address) => ({ address })),
       mayFound: control.found,
@@ -317,6 +318,6 @@
 }
 
 function membershipRules(settings: FleetSettings) {
-  const { losses, silent_ms } = settings.control
-  return { enoughVoters: losses * 2 + 1, silentMs: silent_ms, askingMs: ASKING_MS }
+  const { losses, domain_losses: domainLosses, silent_ms } = settings.control
+  return { enoughVoters: losses * 2 + 1, domainLosses, silentMs: silent_ms, askingMs: ASKING_MS }
 }
--- a/replication/group/src/founding.ts
+++ b/replication/group/src/founding.ts
@@ -1,10 +1,13 @@
 import type { GroupConfig, Member, ReplicaId } from '@forkstage/raft'
+import type { FailureDomain } from '@forkstage/types'
 
 /** What a box answers when asked who its replica of a group is. */
 export interface IdentityAnswer {
   replica: ReplicaId
   box: string
   address: string
+  /** Absent from machines that do not tell it. */
+  domain?: FailureDomain
   /** The configuration it started from; absent while the replica is empty. */
   founding?: GroupConfig
   /** The newest configuration it knows of. */
@@ -32,7 +35,7 @@
     return included ? { type: 'found', config: founded.founding } : { type: 'join' }
   }
   if (known.length < answers.length) return { type: 'wait' }
-  const voters = known.map(({ replica, box, address }) => ({ replica, box, address }))
+  const voters = known.map(({ replica, box, address, domain }) => ({ replica, box, address, domain }))
   voters.sort((left, right) => (left.box < right.box ? -1 : 1))
   if (voters[0]?.replica !== self.replica) return { type: 'wait' }
   return { type: 'found', config: { voters, learners: [] } }
--- a/replication/group/src/groupHost.ts
+++ b/replication/group/src/groupHost.ts
@@ -10,7 +10,7 @@
   type ReplicaStorage,
   type StoredReplica,
 } from '@forkstage/storage'
-import type { Address, BoxId, Millis } from '@forkstage/types'
+import type { Address, BoxId, FailureDomain, Millis } from '@forkstage/types'
 import { decideFounding, type FoundingDecision, type IdentityAnswer } from './founding'
 import { NotLeaderError } from './groupErrors'
 import { GroupReplica } from './groupReplica'
@@ -22,6 +22,8 @@
   group: string
   box: BoxId
   address: Address
+  /** What is lost together with this machine; left out where the deployment names no failure domains. */
+  domain?: FailureDomain
   folder: string
   /** Where the first replicas are; used only to found the group or to find it. */
   firstReplicas: { address: Address }[]
@@ -135,14 +137,14 @@
 
   private identity(): IdentityAnswer {
     if (this.opened === undefined) throw new ReplicaNotRunningError(this.options.group)
-    const { replica, box, address } = this.self()
+    const self = this.self()
     const started = this.opened.stored.snapshot
-    return { replica, box, address, founding: started?.meta.config, config: this.replicaOrNone?.config }
+    return { ...self, founding: started?.meta.config, config: this.replicaOrNone?.config }
   }
 
   private self(): Member {
-    const { box, address } = this.options
-    return { replica: this.opened!.stored.identity.replica, box, address }
+    const { box, address, domain } = this.options
+    return { replica: this.opened!.stored.identity.replica, box, address, domain }
   }
 
   /** Waits until the group is founded with this replica, or exists without it. */
--- a/replication/keeper/src/membershipKeeper.ts
+++ b/replication/keeper/src/membershipKeeper.ts
@@ -5,7 +5,7 @@
 import type { ConfigChange, Member, ReplicaId } from '@forkstage/raft'
 import { ReconfigurationError } from '@forkstage/raft'
 import type { Address, Millis } from '@forkstage/types'
-import { planMembership, type MembershipRules } from './planMembership'
+import { domainOutlook, planMembership, type MembershipRules, type MembershipView } from './planMembership'
 
 /** Options of {@link MembershipKeeper}. */
 export interface MembershipKeeperOptions<Command, Result> {
@@ -29,6 +29,8 @@
 export class MembershipKeeper<Command, Result> {
   private readonly asking = new Map<ReplicaId, { member: Member; at: Millis }>()
   private timers: CancelTimer[] = []
+  /** What was last said of the loss of failure domains; it is said once, not at each look. */
+  private bearsDomainLoss: boolean | undefined
 
   constructor(private readonly options: MembershipKeeperOptions<Command, Result>) {}
 
@@ -52,15 +54,19 @@
     this.timers.forEach((cancel) => cancel())
   }
 
-  /** Tells every known control machine that this replica wants to belong, unless it hears a leader as a voter. */
+  /**
+   * Tells every known control machine that this replica wants to belong, unless it hears a leader as a voter. One whose
+   * failure domain the log does not tell goes on, so that its leader hears of it.
+   */
   private askToBelong(): void {
-    const { host, peers, group, addresses, selfAddress, clock, lonelyMs } = this.options
+    const { host, peers, group, addresses, selfAddress, clock, lonelyMs, rules } = this.options
     const { replica } = host
     const member = host.member
     if (replica === undefined || member === undefined) return
-    const isVoter = replica.config.voters.some((voter) => voter.replica === member.replica)
+    const own = replica.config.voters.find((voter) => voter.replica === member.replica)
+    const isKnown = own?.domain !== undefined || member.domain === undefined || !rules.domainLosses
     const hears = replica.leads || clock.now() - replica.leaderContactAt < lonelyMs
-    if (isVoter && hears) return
+    if (own !== undefined && isKnown && hears) return
     for (const address of addresses())
       if (address !== selfAddress) peers.notify(address, `${group}.join`, { member })
   }
@@ -69,23 +75,38 @@
     const { host, clock, rules } = this.options
     const { replica } = host
     const member = host.member
-    if (replica === undefined || member === undefined || !replica.holdsLease) return
+    if (replica === undefined || member === undefined || !replica.holdsLease) {
+      this.bearsDomainLoss = undefined
+      return
+    }
     if (replica.configIndex !== replica.committedConfigIndex) return
     const { config, lastIndex, matches } = replica.status()
-    const change = planMembership(
-      {
-        config,
-        self: member.replica,
-        lastIndex,
-        asking: [...this.asking.values()],
-        matches,
-        heardAt: replica.heardAt(),
-        leaderSince: replica.leaderSince,
-        now: clock.now(),
-      },
-      rules,
-    )
-    if (change !== undefined) this.change(change)
+    const view: MembershipView = {
+      config,
+      self: member.replica,
+      lastIndex,
+      asking: [...this.asking.values()],
+      matches,
+      heardAt: replica.heardAt(),
+      leaderSince: replica.leaderSince,
+      now: clock.now(),
+    }
+    const change = planMembership(view, rules)
+    if (change !== undefined) return this.change(change)
+    this.tellDomains(view)
+  }
+
+  /** Says where the loss of failure domains is not borne, and when it is again. */
+  private tellDomains(view: MembershipView): void {
+    const { group, logger, rules } = this.options
+    const outlook = domainOutlook(view, rules)
+    if (outlook === undefined) return
+    const isBorne = outlook.missing <= 0
+    if (isBorne === (this.bearsDomainLoss ?? true)) return
+    this.bearsDomainLoss = isBorne
+    const fields = { group, losses: rules.domainLosses ?? 0, ...outlook }
+    if (isBorne) logger.info('replica.domains', fields)
+    else logger.warn('replica.domains', fields)
   }
 
   private change(change: ConfigChange): void {
--- a/replication/keeper/src/planMembership.ts
+++ b/replication/keeper/src/planMembership.ts
@@ -1,5 +1,6 @@
 import type { ConfigChange, GroupConfig, Member, ReplicaId } from '@forkstage/raft'
-import type { Millis } from '@forkstage/types'
+import type { FailureDomain, Millis } from '@forkstage/types'
+import { countByDomain, missingAfterLoss, type SpreadRules } from './domainSpread'
 
 /** What the leader knows when it looks at its group. */
 export interface MembershipView {
@@ -21,36 +22,110 @@
 export interface MembershipRules {
   /** Voters that are enough to bear the losses that the deployment allows at once. */
   enoughVoters: number
+  /** Failure domains whose loss at once should leave a majority; 0 where left out. */
+  domainLosses?: number
   /** A voter that was silent this long may make room, where there are enough without it. */
   silentMs: Millis
   /** A question to belong is believed this long. */
   askingMs: Millis
 }
 
+/** How the group's voters lie over failure domains. */
+export interface DomainOutlook {
+  /** Live voters that are missing for a majority after the loss that should be borne; 0 or less where it is borne. */
+  missing: number
+  /** Live voters by failure domain; those whose domain is unknown are left out. */
+  voters: Record<FailureDomain, number>
+}
+
 /** Entries that a learner may be behind and still become a voter. */
 const CLOSE_ENOUGH = 16
 
 /**
  * Decides the next change of a group's membership, one replica at a time, or none.
  * Whoever asks becomes a voter; then whoever it replaced leaves. In this order every step keeps a majority
- * of replicas that hold what was acknowledged.
+ * of replicas that hold what was acknowledged. Where the loss of failure domains should be borne, a learner that would
+ * crowd one of them waits while there are enough voters, and a voter too many of a crowded one leaves.
  */
 export function planMembership(view: MembershipView, rules: MembershipRules): ConfigChange | undefined {
   return (
-    promoteLearner(view, rules) ?? removeReplaced(view) ?? addAsking(view, rules) ?? removeSilent(view, rules)
+    // First, so that a group is not filled with others of the same domain, from which one by one leads out no more.
+    removeCrowded(view, rules) ??
+    promoteLearner(view, rules) ??
+    removeReplaced(view) ??
+    addAsking(view, rules) ??
+    removeSilent(view, rules)
   )
 }
 
+/** Whether the group outlives the loss of failure domains; undefined where that need not be borne. */
+export function domainOutlook(view: MembershipView, rules: MembershipRules): DomainOutlook | undefined {
+  const spread = spreadRules(view, rules)
+  if (spread.domainLosses === 0) return undefined
+  const { voters } = view.config
+  const live = voters.filter(({ replica }) => spread.isLive(replica))
+  const counts = Object.fromEntries(countByDomain(live, spread.domainOf))
+  return { missing: missingAfterLoss(voters, spread), voters: counts }
+}
+
+function spreadRules(view: MembershipView, rules: MembershipRules): SpreadRules {
+  return {
+    domainLosses: rules.domainLosses ?? 0,
+    isLive: (replica) => !isSilent(view, rules, replica),
+    domainOf: (member) => domainOf(view, member),
+  }
+}
+
+/** A member of an older log may have said its domain since. */
+function domainOf(view: MembershipView, member: Member): FailureDomain | undefined {
+  if (member.domain !== undefined) return member.domain
+  return view.asking.find((one) => one.member.replica === member.replica)?.member.domain
+}
+
 function isAsking(view: MembershipView, rules: MembershipRules, replica: ReplicaId): boolean {
   return view.asking.some(({ member, at }) => member.replica === replica && view.now - at <= rules.askingMs)
 }
 
+function isSilent(view: MembershipView, rules: MembershipRules, replica: ReplicaId): boolean {
+  if (replica === view.self) return false
+  const heardAt = Math.max(view.heardAt[replica] ?? -Infinity, view.leaderSince)
+  return view.now - heardAt > rules.silentMs
+}
+
 function promoteLearner(view: MembershipView, rules: MembershipRules): ConfigChange | undefined {
-  const ready = view.config.learners.find((learner) => {
+  const ready = view.config.learners.filter((learner) => {
     const behind = view.lastIndex - (view.matches[learner.replica] ?? -Infinity)
-    return behind <= CLOSE_ENOUGH && isAsking(view, rules, learner.replica)
+    const isReady = behind <= CLOSE_ENOUGH && isAsking(view, rules, learner.replica)
+    return isReady && !shouldWait(view, rules, learner)
   })
-  return ready === undefined ? undefined : { type: 'promote', replica: ready.replica }
+  const best = (rules.domainLosses ?? 0) === 0 ? ready[0] : leastCrowded(view, ready)
+  return best === undefined ? undefined : { type: 'promote', replica: best.replica }
+}
+
+/** The member whose failure domain has the fewest voters; the first among equals. */
+function leastCrowded(view: MembershipView, members: Member[]): Member | undefined {
+  const counts = countByDomain(view.config.voters, (voter) => domainOf(view, voter))
+  const crowdOf = (member: Member) => {
+    const domain = domainOf(view, member)
+    return domain === undefined ? Infinity : (counts.get(domain) ?? 0)
+  }
+  return members.reduce<Member | undefined>(
+    (best, one) => (best === undefined || crowdOf(one) < crowdOf(best) ? one : best),
+    undefined,
+  )
+}
+
+/**
+ * Whether a learner would only bring the loss of its failure domain closer. Never where there are fewer live voters
+ * than enough, and never for one that takes the place of a voter whose disk is gone.
+ */
+function shouldWait(view: MembershipView, rules: MembershipRules, learner: Member): boolean {
+  const spread = spreadRules(view, rules)
+  const { voters } = view.config
+  const live = voters.filter(({ replica }) => spread.isLive(replica))
+  if (spread.domainLosses === 0 || live.length < rules.enoughVoters) return false
+  if (voters.some(({ address }) => address === learner.address)) return false
+  return missingAfterLoss([...voters, learner], spread) > missingAfterLoss(voters, spread)
 }
 
 /** A voter whose address another voter has now: its disk is gone, and with it the identity. */
@@ -71,21 +146,40 @@
 
 function addAsking(view: MembershipView, rules: MembershipRules): ConfigChange | undefined {
   const known = new Set([...view.config.voters, ...view.config.learners].map((member) => member.replica))
-  const fresh = view.asking.find(
-    ({ member, at }) => !known.has(member.replica) && view.now - at <= rules.askingMs,
-  )
-  return fresh === undefined ? undefined : { type: 'addLearner', member: fresh.member }
+  const fresh = view.asking
+    .filter(({ member, at }) => !known.has(member.replica) && view.now - at <= rules.askingMs)
+    .map(({ member }) => member)
+  const member = (rules.domainLosses ?? 0) === 0 ? fresh[0] : leastCrowded(view, fresh)
+  return member === undefined ? undefined : { type: 'addLearner', member }
 }
 
 function removeSilent(view: MembershipView, rules: MembershipRules): ConfigChange | undefined {
   const { voters, learners } = view.config
-  const isSilent = (member: Member) =>
-    member.replica !== view.self &&
-    view.now - Math.max(view.heardAt[member.replica] ?? -Infinity, view.leaderSince) > rules.silentMs
-  const silentLearner = learners.find(isSilent)
+  const silentLearner = learners.find(({ replica }) => isSilent(view, rules, replica))
   if (silentLearner !== undefined) return { type: 'remove', replica: silentLearner.replica }
-  const live = voters.filter((voter) => !isSilent(voter))
-  const silent = voters.find(isSilent)
+  const live = voters.filter(({ replica }) => !isSilent(view, rules, replica))
+  const silent = voters.find(({ replica }) => isSilent(view, rules, replica))
   if (silent === undefined || live.length < rules.enoughVoters) return undefined
   return { type: 'remove', replica: silent.replica }
 }
+
+/**
+ * A voter more than enough whose leaving brings the loss of failure domains closer to being borne. Only while all voters
+ * are heard: a sound one must not leave for one that may just have been lost.
+ */
+function removeCrowded(view: MembershipView, rules: MembershipRules): ConfigChange | undefined {
+  const spread = spreadRules(view, rules)
+  const { voters } = view.config
+  if (spread.domainLosses === 0 || voters.length <= rules.enoughVoters) return undefined
+  const isHeard = (replica: ReplicaId) => !isSilent(view, { ...rules, silentMs: rules.askingMs }, replica)
+  if (!voters.every(({ replica }) => isHeard(replica)) || removeReplaced(view) !== undefined) return undefined
+  const missing = missingAfterLoss(voters, spread)
+  if (missing <= 0) return undefined
+  const without = (member: Member) => voters.filter((other) => other !== member)
+  const better = voters
+    .filter((voter) => voter.replica !== view.self)
+    .map((voter) => ({ voter, missing: missingAfterLoss(without(voter), spread) }))
+    .filter((one) => one.missing < missing)
+    .sort((left, right) => left.missing - right.missing)
+  return better[0] === undefined ? undefined : { type: 'remove', replica: better[0].voter.replica }
+}
--- a/replication/keeper/test/repairWorld.ts
+++ b/replication/keeper/test/repairWorld.ts
@@ -1,30 +1,55 @@
 import { leaseUntil, ReconfigurationError, type Member } from '@forkstage/raft'
 import { Cluster, ELECTION_TIMEOUT } from '../../raft/test/cluster'
-import { planMembership } from '../src'
+import { domainOutlook, planMembership, type MembershipRules, type MembershipView } from '../src'
 
 const RULES = { enoughVoters: 5, silentMs: 4 * ELECTION_TIMEOUT, askingMs: ELECTION_TIMEOUT }
-const SLOTS = ['a', 'b', 'c', 'd', 'e']
+
+/** The machines of a world: failure domain by name; an empty text where nobody knows it. */
+export type Machines = Record<string, string>
+
+const FIVE: Machines = { a: '', b: '', c: '', d: '', e: '' }
+
+/** What a world may have that differs. */
+export interface RepairWorldOptions {
+  machines?: Machines
+  /** Machines that found the group; all where left out. */
+  founders?: string[]
+  domainLosses?: number
+}
 
 /**
- * A group of five on an unreliable network whose leader keeps the membership. A replica is called by the machine it
+ * A group, of five machines where nothing else is said, on an unreliable network whose leader keeps the membership. A replica is called by the machine it
  * is on and the number of disks that were lost there, as `a.0`.
  */
 export class RepairWorld extends Cluster {
-  private readonly disks = new Map(SLOTS.map((slot) => [slot, 0]))
+  private readonly disks: Map<string, number>
+  private readonly machines: Machines
+  private readonly rules: MembershipRules
 
-  constructor(seed: number) {
+  constructor(seed: number, { machines = FIVE, founders, domainLosses }: RepairWorldOptions = {}) {
     super(0, seed)
-    const voters = SLOTS.map((slot) => this.member(`${slot}.0`))
-    for (const voter of voters) this.add(voter, voters)
+    this.machines = machines
+    this.rules = { ...RULES, domainLosses }
+    const slots = Object.keys(machines)
+    this.disks = new Map(slots.map((slot) => [slot, 0]))
+    const voters = (founders ?? slots).map((slot) => this.member(`${slot}.0`))
+    for (const slot of slots)
+      this.add(this.member(`${slot}.0`), (founders ?? slots).includes(slot) ? voters : [])
   }
 
   override member(name: string): Member {
-    return { replica: name, box: name, address: name.split('.')[0]! }
+    const address = name.split('.')[0]!
+    return { replica: name, box: name, address, domain: this.machines[address] || undefined }
+  }
+
+  /** The replicas on machines of a failure domain. */
+  liveIn(domain: string): string[] {
+    return this.live().filter((name) => this.member(name).domain === domain)
   }
 
   /** The replicas whose disks are there. */
   live(): string[] {
-    return SLOTS.map((slot) => `${slot}.${this.disks.get(slot)}`)
+    return [...this.disks.keys()].map((slot) => `${slot}.${this.disks.get(slot)}`)
   }
 
   /** The machine of a replica loses its disk and comes back with an empty one, under a new identity. */
@@ -35,36 +60,52 @@
     this.add(this.member(`${slot}.${this.disks.get(slot)}`), [])
   }
 
-  /** What the leader's keeper does when it looks at its group. */
-  keep(): void {
+  /** What the leader's keeper sees; nothing where none leads with its lease. */
+  private view(): MembershipView | undefined {
     const name = this.leader()
     const state = name === undefined ? undefined : this.nodes.get(name)?.state
-    if (name === undefined || state === undefined || leaseUntil(state) <= this.now) return
+    if (name === undefined || state === undefined || leaseUntil(state) <= this.now) return undefined
     const { voters } = state.log.config
     const outside = this.live().filter((each) => !voters.some((voter) => voter.replica === each))
     const asking = outside.filter((each) => this.nodes.get(each)!.state !== undefined && !this.cut.has(each))
     const progress = [...state.progress]
-    const change = planMembership(
-      {
-        config: state.log.config,
-        self: name,
-        lastIndex: state.log.lastIndex,
-        asking: asking.map((each) => ({ member: this.member(each), at: this.now })),
-        matches: Object.fromEntries(progress.map(([replica, { match }]) => [replica, match])),
-        heardAt: Object.fromEntries(progress.map(([replica, { ackedSentAt }]) => [replica, ackedSentAt])),
-        leaderSince: state.leaderSince,
-        now: this.now,
-      },
-      RULES,
-    )
-    if (change === undefined) return
+    return {
+      config: state.log.config,
+      self: name,
+      lastIndex: state.log.lastIndex,
+      asking: asking.map((each) => ({ member: this.member(each), at: this.now })),
+      matches: Object.fromEntries(progress.map(([replica, { match }]) => [replica, match])),
+      heardAt: Object.fromEntries(progress.map(([replica, { ackedSentAt }]) => [replica, ackedSentAt])),
+      leaderSince: state.leaderSince,
+      now: this.now,
+    }
+  }
+
+  /** What the leader's keeper does when it looks at its group. */
+  keep(): void {
+    const view = this.view()
+    const change = view && planMembership(view, this.rules)
+    if (view === undefined || change === undefined) return
     try {
-      this.step(name, { type: 'reconfigure', change })
+      this.step(view.self, { type: 'reconfigure', change })
     } catch (error) {
       if (!(error instanceof ReconfigurationError)) throw error
     }
   }
 
+  /** Whether the group has enough voters, changes no more and outlives the loss of a failure domain. */
+  bearsDomainLoss(): boolean {
+    const view = this.view()
+    const state = view && this.nodes.get(view.self)!.state
+    if (view === undefined || state === undefined || state.log.configIndex > state.commitIndex) return false
+    if (planMembership(view, this.rules) !== undefined) return false
+    const live = view.config.voters.filter(({ replica }) => this.live().includes(replica))
+    return (
+      live.length >= RULES.enoughVoters &&
+      domainOutlook(view, { ...this.rules, domainLosses: 1 })!.missing <= 0
+    )
+  }
+
   /** Whether exactly the replicas whose disks are there vote, as far as the leader has committed. */
   isWhole(): boolean {
     const name = this.leader()
--- a/replication/raft/src/types.ts
+++ b/replication/raft/src/types.ts
@@ -1,4 +1,4 @@
-import type { Address, BoxId, Millis } from '@forkstage/types'
+import type { Address, BoxId, FailureDomain, Millis } from '@forkstage/types'
 
 /** The identity of a replica: random, written on its disk, never used again once the disk is lost. */
 export type ReplicaId = string
@@ -8,6 +8,8 @@
   replica: ReplicaId
   box: BoxId
   address: Address
+  /** What is lost together with it; absent where that is not known, as in logs that were written without it. */
+  domain?: FailureDomain
 }
 
 /** Who belongs to a group. Only voters count; learners receive the log. */
