--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -8,6 +8,7 @@
 import { QUOTA_REPORT, QuotaLedger, quotaLimit, type QuotaAnswer, type QuotaReport } from '@forkstage/quota'
 import { RouteBook } from '@forkstage/routes'
 import { createFileSystem } from '@forkstage/storage'
+import { Topology } from '@forkstage/topology'
 import { SheetMachine, type PutResult, type PutSheet, type SheetDocument } from '@forkstage/sheet'
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
@@ -119,6 +120,7 @@
       isLeader: () => this.host.replica?.holdsLease === true,
       term: () => this.host.replica?.term ?? 0,
       entries: () => this.hub.countEntries(),
+      topology: new Topology(settings.domains),
     })
     const windowMs = settings.quota.window_s * SECOND_MS
     this.quotas = new QuotaLedger({
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -3,6 +3,7 @@
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   EndpointPool,
+  homeRule,
   Ingress,
   LeaderWay,
   LocalPlacer,
@@ -14,6 +15,7 @@
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
 import { QUOTA_REPORT, QuotaKeeper, type QuotaAnswer } from '@forkstage/quota'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
+import { Topology } from '@forkstage/topology'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { countBy } from './countBy'
 import { FleetMeters } from './fleetMeters'
@@ -57,7 +59,8 @@
     private readonly wire: EntryWire,
   ) {
     const { settings, clock, random, logger, peers } = basics
-    this.pool = new EndpointPool({ zone: settings.machine.zone, clock, random, logger })
+    const topology = new Topology(settings.domains)
+    this.pool = new EndpointPool({ zone: settings.machine.zone, topology, clock, random, logger })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       entry: settings.listen.peers,
@@ -104,6 +107,7 @@
         pool: this.pool,
         placer: this.placer,
         allowance,
+        sendRules: [homeRule(topology)],
         clock,
         random,
         logger,
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -1,5 +1,6 @@
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
+import { Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type {
   AnswerMove,
@@ -19,6 +20,7 @@
 import { MovePlanner } from './movePlanner'
 import { PartOrders } from './partOrders'
 import { planStages, type StageChange, type StageNeed, type StagedEngine } from './planStages'
+import { NO_ENGINE_RETRY_MS, refused, refuseWithoutEngine } from './refusals'
 import { SupplyMeter } from './supplyMeter'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
 
@@ -33,6 +35,8 @@
   endpoints: () => RegisteredEndpoint[]
   /** What the engines of a service hold; undefined for a service that is not known. */
   engine: (service: string) => EnginePool | undefined
+  /** Which region each failure domain belongs to; no region is known where left out. */
+  topology?: Topology
   /** Called when an instance is out for a while. */
   onEjected?: (id: InstanceId, outcome: UseOutcome, forMs: Millis) => void
   tuning?: Partial<AllocatorTuning>
@@ -64,7 +68,6 @@
 const MOST_RETRY_SHARE = 0.32
 /** A step that spreads any number of requests evenly between 0 and 1. */
 const GOLDEN_STEP = 0.618
-const NO_ENGINE_RETRY_MS = 700
 /** In time waiting requests for each decode engine; more would wait in vain. */
 const WAITING_PER_ENGINE = 4
 /**
@@ -91,6 +94,7 @@
     this.book = new HoldBook({ lengthCertainty, ...this.learned })
     this.choice = new EngineChoice({
       endpoints: options.endpoints,
+      topology: options.topology ?? new Topology(),
       book: this.book,
       health: this.health,
       pace: this.learned.pace,
@@ -269,8 +273,9 @@
   private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
     if (this.options.engine(ask.service) === undefined)
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
+    const without = refuseWithoutEngine(this.choice, ask)
+    if (without !== undefined) return without
     const decoders = this.choice.registered(ask.service, 'decode').length
-    if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
     const isFull = ask.promptMs > 0 && this.room.countFirst(ask.service, now) >= decoders * WAITING_PER_ENGINE
     return isFull ? this.refusedForRoom('too many wait already', ask) : undefined
   }
@@ -340,7 +345,3 @@
 function isOwnQueue(hold: Hold, outcome: UseOutcome): boolean {
   return outcome === 'silent' && hold.isAdopted === true
 }
-
-function refused(reason: string, retryAfterMs: Millis): PlaceDecision {
-  return { type: 'refused', reason, retryAfterMs }
-}
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { EnginePool } from '@forkstage/routes'
+import type { Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { Allocator, type Learned } from './allocator'
 import { whyNoReport } from './checkReport'
@@ -42,6 +43,8 @@
   isLeader: () => boolean
   /** Which term it leads in: a new one begins with what the entries report. */
   term: () => number
+  /** Which region each failure domain belongs to; no region is known where left out. */
+  topology?: Topology
   /** How many entries place through this machine, as far as it has counted them. */
   entries: () => number
 }
@@ -232,8 +235,9 @@
   }
 
   private createAllocator(): Allocator {
-    const { endpoints, engine, logger } = this.options
+    const { endpoints, engine, logger, topology } = this.options
     return new Allocator({
+      topology,
       endpoints,
       engine,
       learned: this.learned,
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -1,4 +1,5 @@
 import type { InstanceId } from '@forkstage/directory'
+import type { Homes } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 
 /** A part of a prompt, which an engine that has read it may keep. */
@@ -36,7 +37,7 @@
   except: InstanceId[]
   isPrefilled: boolean
   /** The regions that it may be served in; absent where any will do. Empty where none will. */
-  regions?: string[]
+  regions?: Homes
   /** The parts of its prompt in order; absent where its caller named none. */
   parts?: PromptPart[]
 }
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -1,5 +1,6 @@
 import { newestPerAddress, type InstanceId, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
+import { withinHomes, type AtHome, type Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
 import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
@@ -10,9 +11,9 @@
 
 /** Where a request would go, and when its prompt would have been read. */
 export interface EnginePick {
-  decode: RegisteredEndpoint
+  decode: AtHome<RegisteredEndpoint>
   /** Absent where the decode engine reads the prompt itself, or where it has been read. */
-  prefill?: RegisteredEndpoint
+  prefill?: AtHome<RegisteredEndpoint>
   /** Until the prompt has been read, in milliseconds; 0 where it has been. */
   readsInMs: Millis
   /** How long it waits behind other prompts of that. */
@@ -49,6 +50,7 @@
 /** Options of {@link EngineChoice}. */
 export interface EngineChoiceOptions {
   endpoints: () => RegisteredEndpoint[]
+  topology: Topology
   book: HoldBook
   health: InstanceHealth
   pace: EnginePace
@@ -159,12 +161,23 @@
   }
 
   /** Engines that may get the request now or in a moment; unsound ones only where no other decodes. */
-  engines(ask: PlaceAsk, stage: Stage, now: Millis): RegisteredEndpoint[] {
-    const working = this.working(ask.service, stage, now).filter((one) => !ask.except.includes(one.id))
+  engines(ask: PlaceAsk, stage: Stage, now: Millis): AtHome<RegisteredEndpoint>[] {
+    const working = this.atHome(ask, this.working(ask.service, stage, now)).filter(
+      (one) => !ask.except.includes(one.id),
+    )
     const sound = working.filter((one) => this.options.health.isSound(one.id, now))
     return sound.length > 0 || stage === 'prefill' ? sound : working
   }
 
+  /** Whether some decode engine that takes part lies in the regions of a request. */
+  isServedAtHome(ask: PlaceAsk): boolean {
+    return this.atHome(ask, this.registered(ask.service, 'decode')).length > 0
+  }
+
+  private atHome(ask: PlaceAsk, engines: RegisteredEndpoint[]): AtHome<RegisteredEndpoint>[] {
+    return withinHomes(this.options.topology, engines, ({ zone }) => zone, ask.regions)
+  }
+
   /** Read once for all requests that look for a place at one time. */
   private working(service: string, stage: Stage, now: Millis): RegisteredEndpoint[] {
     if (this.works.at !== now) this.works = { at: now, engines: new Map() }
@@ -177,7 +190,7 @@
   }
 
   /** Decode engines into whose memory to come the request fits, the least filled for their pace first. */
-  private fitting(quest: EngineQuest, now: Millis): RegisteredEndpoint[] {
+  private fitting(quest: EngineQuest, now: Millis): AtHome<RegisteredEndpoint>[] {
     const { book, health } = this.options
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
@@ -219,7 +232,7 @@
   }
 
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
-  takers(ask: PlaceAsk, engine: EnginePool, now: Millis): RegisteredEndpoint[] {
+  takers(ask: PlaceAsk, engine: EnginePool, now: Millis): AtHome<RegisteredEndpoint>[] {
     const { book, health, pace } = this.options
     return this.engines(ask, 'decode', now).filter(
       ({ id }) =>
@@ -239,8 +252,8 @@
   /** The prefill engine that comes to the prompt first, where that is soon enough. */
   private readApart(
     quest: EngineQuest,
-    decode: RegisteredEndpoint,
-    readers: RegisteredEndpoint[],
+    decode: AtHome<RegisteredEndpoint>,
+    readers: AtHome<RegisteredEndpoint>[],
     now: Millis,
   ): EnginePick | undefined {
     const { book, health, pace } = this.options
@@ -276,8 +289,8 @@
   /** The decode engine that reads the prompt itself, where it comes to it soon enough. */
   private readAtDecode(
     quest: EngineQuest,
-    fitting: RegisteredEndpoint[],
-    readers: RegisteredEndpoint[],
+    fitting: AtHome<RegisteredEndpoint>[],
+    readers: AtHome<RegisteredEndpoint>[],
     now: Millis,
   ): EnginePick | undefined {
     const { book, health } = this.options
--- /dev/null
+++ b/placement/allocator/test/homes.test.ts
@@ -0,0 +1,122 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { isWithin, Topology, type Homes } from '@forkstage/topology'
+import { Allocator, type PlaceDecision } from '../src'
+import { ask, engine, ENGINE } from './fixtures'
+
+const TOPOLOGY = new Topology({ w1: 'west', w2: 'west', e1: 'east', e2: 'east', s1: 'south' })
+const DOMAINS = ['w1', 'w2', 'e1', 'e2', 's1', 'unnamed']
+
+function world(endpoints: RegisteredEndpoint[]) {
+  const allocator = new Allocator({ endpoints: () => endpoints, engine: () => ENGINE, topology: TOPOLOGY })
+  const decisions = new Map<string, PlaceDecision>()
+  const place = (request: string, regions: Homes, now = 0, fields = {}) =>
+    allocator.ask(ask(request, { regions, ...fields }), now, (decision) => decisions.set(request, decision))
+  return { allocator, decisions, place }
+}
+
+describe('the homes of a request', () => {
+  it('bind the engine that reads and the one that decodes', () => {
+    const { place, decisions } = world([
+      engine('pw', 'prefill', { zone: 'w1' }),
+      engine('dw', 'decode', { zone: 'w2' }),
+      engine('pe', 'prefill', { zone: 'e1' }),
+      engine('de', 'decode', { zone: 'e1' }),
+    ])
+    for (const request of ['a', 'b']) place(request, ['east'])
+    expect([...decisions.values()]).toMatchObject([
+      { prefill: 'pe', decode: 'de' },
+      { prefill: 'pe', decode: 'de' },
+    ])
+  })
+
+  it('leave the reading to the decode engine where no reader lies there', () => {
+    const { place, decisions } = world([
+      engine('pw', 'prefill', { zone: 'w1' }),
+      engine('de', 'decode', { zone: 'e1' }),
+    ])
+    place('a', ['east'])
+    expect(decisions.get('a')).toEqual({ type: 'placed', decode: 'de' })
+  })
+
+  it('refuse at once where no decode engine lies there', () => {
+    const { place, decisions } = world([engine('dw', 'decode', { zone: 'w1' })])
+    for (const [request, regions] of [
+      ['a', ['east']],
+      ['b', []],
+      ['c', ['nowhere']],
+    ] as const)
+      place(request, regions)
+    for (const decision of decisions.values()) expect(decision).toMatchObject({ type: 'refused' })
+    expect(decisions.size).toBe(3)
+  })
+
+  it('bind readers, decoders and moves in whatever happens', () => {
+    const endpoint = fc.record({
+      stage: fc.constantFrom('prefill', 'decode'),
+      zone: fc.constantFrom(...DOMAINS),
+    })
+    const homes = fc.option(fc.subarray(['west', 'east', 'south', 'nowhere']), { nil: undefined })
+    const request = fc.record({
+      homes,
+      promptTokens: fc.integer({ min: 1, max: 6_000 }),
+      isPrefilled: fc.boolean(),
+    })
+    const happening = fc.oneof(
+      fc.record({ type: fc.constant('fails'), index: fc.nat(20) }),
+      fc.record({ type: fc.constant('drains'), index: fc.nat(20) }),
+      fc.record({ type: fc.constant('ends'), index: fc.nat(20) }),
+    )
+    let placed = 0
+    let moved = 0
+    fc.assert(
+      fc.property(
+        fc.array(endpoint, { minLength: 2, maxLength: 14 }),
+        fc.array(fc.tuple(request, happening), { minLength: 1, maxLength: 20 }),
+        (fields, course) => {
+          const all = fields.map(({ stage, zone }, index) => engine(`i${index}`, stage, { zone }))
+          const zoneOf = (id: string) => all.find((one) => one.id === id)!.zone
+          const { allocator, decisions, place } = world(all)
+          const homesOf = new Map<string, Homes>()
+          const mustBeHome = (name: string, id: string | undefined) => {
+            if (id !== undefined) expect(isWithin(TOPOLOGY, zoneOf(id), homesOf.get(name))).toBe(true)
+          }
+          let now = 0
+          for (const [{ homes: regions, ...rest }, { type, index }] of course) {
+            now += 100
+            const name = `r${now}`
+            homesOf.set(name, regions)
+            place(name, regions, now, rest)
+            const one = all[index % all.length]!
+            if (type === 'fails') allocator.noteUse(one.id, 'unreachable', now)
+            if (type === 'drains') one.state = one.state === 'ready' ? 'draining' : 'ready'
+            if (type === 'ends') allocator.release(`r${(1 + (index % (now / 100))) * 100}`, 'ok', 50, now)
+            allocator.tick(now)
+            const running = [...decisions].flatMap(([request, decision]) =>
+              decision.type === 'placed' ? [{ request, decision }] : [],
+            )
+            placed += running.length
+            for (const { request, decision } of running) {
+              mustBeHome(request, decision.prefill)
+              mustBeHome(request, decision.decode)
+              const reported = {
+                ask: ask(request, { regions: homesOf.get(request) }),
+                decode: decision.decode,
+              }
+              allocator.adopt('e1', [{ ...reported, ageMs: 500, decodingForMs: 400, madeTokens: 20 }], now)
+              for (const move of allocator.planMoves('e1', now)) {
+                moved += 1
+                mustBeHome(move.request, move.to)
+              }
+            }
+          }
+        },
+      ),
+      { seed: 20261202, numRuns: 300 },
+    )
+    // Otherwise nothing has been looked at.
+    expect(placed).toBeGreaterThan(1_000)
+    expect(moved).toBeGreaterThan(20)
+  })
+})
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from '@forkstage/clock'
 import { newestPerAddress, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
+import { Topology, withinHomes, type AtHome, type Homes } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { ConcurrencyLimit } from './concurrencyLimit'
 
@@ -38,9 +39,20 @@
 const FIRST_MEAN_MS = 50
 const MEAN_LASTS_MS = 2_000
 
+/** Which instances of a service are looked for. */
+export interface CandidateQuery {
+  stage?: Stage
+  /** Instances that are not to be chosen. */
+  except?: ReadonlySet<string>
+  /** The regions that they may lie in; any where left out. */
+  regions?: Homes
+}
+
 /** Options of {@link EndpointPool}. */
 export interface EndpointPoolOptions {
   zone: string
+  /** Which region each failure domain belongs to; no region is known where left out. */
+  topology?: Topology
   clock: Clock
   random: Random
   logger: Logger
@@ -50,7 +62,11 @@
 export class EndpointPool {
   private readonly pooled = new Map<string, PooledEndpoint>()
 
-  constructor(private readonly options: EndpointPoolOptions) {}
+  private readonly topology: Topology
+
+  constructor(private readonly options: EndpointPoolOptions) {
+    this.topology = options.topology ?? new Topology()
+  }
 
   /** Takes what is new of registered endpoints. */
   update(endpoints: RegisteredEndpoint[]): void {
@@ -66,8 +82,19 @@
     return this.pooled.get(id)
   }
 
+  /** An instance by its id, where it lies in one of these regions. */
+  atHome(id: string, regions: Homes): AtHome<PooledEndpoint> | undefined {
+    const known = this.pooled.get(id)
+    return withinHomes(
+      this.topology,
+      known === undefined ? [] : [known],
+      ({ endpoint }) => endpoint.zone,
+      regions,
+    )[0]
+  }
+
   /** Instances of a service that take work now; those that are out only where there is no other. */
-  candidates(service: string, stage?: Stage, except: ReadonlySet<string> = new Set()): PooledEndpoint[] {
+  candidates(service: string, { stage, except, regions }: CandidateQuery = {}): AtHome<PooledEndpoint>[] {
     const now = this.options.clock.now()
     const there = [...this.pooled.values()].filter((one) => one.endpoint.service === service && !one.isGone)
     const newest = new Set(newestPerAddress(there.map((one) => one.endpoint)))
@@ -76,14 +103,15 @@
         newest.has(one.endpoint) &&
         (stage === undefined || one.endpoint.stage === stage) &&
         takesWork(one) &&
-        !except.has(one.endpoint.id),
+        except?.has(one.endpoint.id) !== true,
     )
-    const sound = fitting.filter((one) => one.ejectedUntil <= now)
-    return sound.length > 0 ? sound : fitting
+    const atHome = withinHomes(this.topology, fitting, ({ endpoint }) => endpoint.zone, regions)
+    const sound = atHome.filter((one) => one.ejectedUntil <= now)
+    return sound.length > 0 ? sound : atHome
   }
 
   /** The instance with the least expected wait, one of this zone among equals. */
-  leastLoaded(candidates: PooledEndpoint[]): PooledEndpoint | undefined {
+  leastLoaded<One extends PooledEndpoint>(candidates: One[]): One | undefined {
     const fastest = Math.min(...candidates.map((one) => one.meanMs))
     const scored = candidates.map((one) => ({ one, score: this.score(one, fastest) }))
     scored.sort((left, right) => left.score - right.score)
@@ -91,7 +119,7 @@
   }
 
   /** The engine where this entry's requests hold the fewest tokens. */
-  fewestTokens(candidates: PooledEndpoint[]): PooledEndpoint | undefined {
+  fewestTokens<One extends PooledEndpoint>(candidates: One[]): One | undefined {
     const scored = candidates.map((one) => ({ one, score: one.tokens + this.options.random() }))
     scored.sort((left, right) => left.score - right.score)
     return scored[0]?.one
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -1,8 +1,20 @@
 import { EventSplitter, type StreamEvent } from './eventSplitter'
 import type { AnswerHead, ExchangeEnd } from './exchange'
-import type { SendOutcome } from './endpointPool'
+import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import type { Verdict } from './judgeAnswer'
 
+/** How one engine's stream ended, and what it says of the engine. */
+export interface StreamResult {
+  attempt: Attempt
+  note: SendOutcome
+}
+
+/** Where an engine finds the memory that a request goes on from. */
+export interface KvSource {
+  at: PooledEndpoint
+  handle: string
+}
+
 /** How one engine's stream ended. */
 export type Attempt =
   | { type: 'done' }
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -10,6 +10,7 @@
 import type { Millis } from '@forkstage/types'
 import { readCallerRequest, type CallerRequest } from './callerRequest'
 import { FirstDeadlines } from './firstDeadlines'
+import { homesOf } from './homeRule'
 import { sendOwnAnswer } from './ownAnswer'
 import { relayPlain } from './plainRelay'
 import type { TokenCounts } from './gatewayWire'
@@ -185,12 +186,12 @@
   }
 
   private relay(
-    { request, workspace }: Entrant,
+    { request, workspace, owner }: Entrant,
     route: Route,
     index: RouteIndex,
     tokens: TokenCounts | undefined,
   ): Promise<RelayResult> {
-    const { parts } = this.options
+    const { parts, routes } = this.options
     const name = chooseService(route, parts.random())
     const service = index.service(name)!
     parts.allowance.noteRequest(name)
@@ -200,7 +201,9 @@
     // Who was sent away in good time and came back has a target of its own again.
     const targetAt = request.arrivedAt + route.targetMs - (isReturn ? 0 : elapsed)
     const rank = rankOf(route, workspace)
-    const job = { request, route, service, endsAt, targetAt, isReturn, tokens, rank }
+    // A newer sheet binds also what is on its way.
+    const homes = () => homesOf(routes() ?? index, { request, route, workspace: owner })
+    const job = { request, route, service, endsAt, targetAt, isReturn, tokens, rank, homes }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
     return isModel ? relayStream(parts, job) : relayPlain(parts, job)
   }
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -1,3 +1,4 @@
+import type { AtHome } from '@forkstage/topology'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
 import { poolPlace } from './poolPlace'
@@ -32,7 +33,11 @@
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
     const { pool } = this.options
-    const decoders = pool.candidates(work.service, 'decode', work.except)
+    const decoders = pool.candidates(work.service, {
+      stage: 'decode',
+      except: work.except,
+      regions: work.regions,
+    })
     const decode = pool.fewestTokens(decoders)
     if (decode === undefined)
       return { type: 'refused', reason: 'no decode engine is known', retryAfterMs: NO_ENDPOINT_RETRY_MS }
@@ -47,10 +52,12 @@
   }
 
   /** The prefill engine with the fewest prompts, where it comes to this one in time; else the decode engine reads. */
-  private chooseReader(work: ModelWork): PooledEndpoint | undefined {
+  private chooseReader(work: ModelWork): AtHome<PooledEndpoint> | undefined {
     const { pool, entries } = this.options
     if (work.isPrefilled) return undefined
-    const prefill = pool.fewestTokens(pool.candidates(work.service, 'prefill', work.except))
+    const prefill = pool.fewestTokens(
+      pool.candidates(work.service, { stage: 'prefill', except: work.except, regions: work.regions }),
+    )
     if (prefill === undefined) return undefined
     // Others that place alone queue as much there.
     const queued = prefill.tokens * Math.max(1, entries()) + work.promptTokens
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -1,4 +1,5 @@
 import type { PromptPart } from '@forkstage/allocator'
+import type { AtHome, Homes } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 
@@ -31,7 +32,7 @@
   /** Whether the memory of a prefill step is at hand already. */
   isPrefilled: boolean
   /** The regions that it may be served in; absent where any will do. Empty where none will. */
-  regions?: string[]
+  regions?: Homes
   /** The parts of its prompt in order; absent where its caller named none. */
   parts?: PromptPart[]
 }
@@ -39,8 +40,8 @@
 /** Where a model request goes. */
 export interface ModelPlace {
   /** Reads the prompt; where absent the decode engine does. */
-  prefill?: PooledEndpoint
-  decode: PooledEndpoint
+  prefill?: AtHome<PooledEndpoint>
+  decode: AtHome<PooledEndpoint>
   /** How long the prefill step is expected to take, in milliseconds; absent where nobody knows. */
   readsInMs?: Millis
   /** After how long another engine should read the prompt instead, while that is still in time. */
@@ -52,9 +53,9 @@
   /** Tells how many tokens have been made there so far; set by whoever runs the request. */
   madeTokens?: () => number
   /** Lets the answer go on at another engine, where that is possible; set by whoever runs the request. */
-  moveTo?: (to: PooledEndpoint) => void
+  moveTo?: (to: AtHome<PooledEndpoint>) => void
   /** Says that the answer goes on at another engine; `decode` is that one then. */
-  noteMoved: (to: PooledEndpoint) => void
+  noteMoved: (to: AtHome<PooledEndpoint>) => void
   /** Gives the place back, with the tokens made there. Called once. */
   release: (outcome: SendOutcome, tookMs: Millis, madeTokens: number) => void
 }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,3 +1,4 @@
+import type { AtHome } from '@forkstage/topology'
 import type { AnswerHead, Exchange } from './exchange'
 import { dropHeaders } from './callerRequest'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
@@ -17,6 +18,7 @@
 } from './relayParts'
 import { SendCount } from './sendCount'
 import { whyNotSend } from './sendRules'
+import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
 import { waitFor } from './waitFor'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -68,6 +70,8 @@
   }
 
   private async tryEndpoints(): Promise<OwnResult> {
+    if (isAwayOnly(this.parts.pool, this.job))
+      return answerRefusal(this.job.request.response, NOT_AT_HOME, AWAY_COME_BACK_MS)
     let failed: Sending | undefined
     for (let refusals = 0; ;) {
       const to = await this.choose()
@@ -85,7 +89,7 @@
   }
 
   /** The endpoint to try next, once one has room; undefined where none has in time. */
-  private choose(): Promise<PooledEndpoint | undefined> {
+  private choose(): Promise<AtHome<PooledEndpoint> | undefined> {
     const { clock } = this.parts
     const { request, route, isReturn } = this.job
     const share = isReturn ? RETURN_WAIT_SHARE : PROMPT_SHARE
@@ -93,21 +97,24 @@
     return waitFor(clock, Math.max(0, left), () => (this.isOver ? undefined : this.roomiest()))
   }
 
-  private roomiest(): PooledEndpoint | undefined {
+  private roomiest(): AtHome<PooledEndpoint> | undefined {
     const { pool } = this.parts
-    const all = pool.candidates(this.job.service.name)
-    const fresh = pool.candidates(this.job.service.name, undefined, this.tried)
+    const regions = this.job.homes()
+    const all = pool.candidates(this.job.service.name, { regions })
+    const fresh = pool.candidates(this.job.service.name, { except: this.tried, regions })
     const open = (fresh.length > 0 ? fresh : all).filter((one) => one.inFlight < one.limit.value)
     return pool.leastLoaded(open)
   }
 
   private whyNone(): string {
-    const isKnown = this.parts.pool.candidates(this.job.service.name).length > 0
-    return isKnown ? 'no room in time' : 'no endpoint'
+    const { pool } = this.parts
+    const { service, homes } = this.job
+    if (pool.candidates(service.name, { regions: homes() }).length > 0) return 'no room in time'
+    return pool.candidates(service.name).length > 0 ? NOT_AT_HOME : 'no endpoint'
   }
 
   /** Sends the request to one endpoint; undefined where no repeated sending is left. */
-  private async send(to: PooledEndpoint): Promise<Sending | undefined> {
+  private async send(to: AtHome<PooledEndpoint>): Promise<Sending | undefined> {
     const { parts, job } = this
     this.tried.add(to.endpoint.id)
     if (whyNotSend(parts, job, to.endpoint, 'plain') !== undefined) return { type: 'not-run', arrived: false }
@@ -180,7 +187,8 @@
   }
 
   private hasUntried(): boolean {
-    return this.parts.pool.candidates(this.job.service.name, undefined, this.tried).length > 0
+    const { service, homes } = this.job
+    return this.parts.pool.candidates(service.name, { except: this.tried, regions: homes() }).length > 0
   }
 
   private pass(sending: Extract<Sending, { type: 'answer' }>): OwnResult {
--- a/request/gateway/src/poolPlace.ts
+++ b/request/gateway/src/poolPlace.ts
@@ -1,11 +1,12 @@
+import type { AtHome } from '@forkstage/topology'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { ModelPlace } from './modelPlacer'
 
 /** What a place takes of the endpoints that this entry counts. */
 export interface PoolPlaceOptions {
   pool: EndpointPool
-  prefill?: PooledEndpoint
-  decode: PooledEndpoint
+  prefill?: AtHome<PooledEndpoint>
+  decode: AtHome<PooledEndpoint>
   /** Tokens that the prefill engine holds. */
   promptTokens: number
   /** Tokens that the decode engine may come to hold. */
--- a/request/gateway/src/promptReading.ts
+++ b/request/gateway/src/promptReading.ts
@@ -1,3 +1,4 @@
+import type { PooledEndpoint } from './endpointPool'
 import type { Exchange } from './exchange'
 import type { ModelPlace } from './modelPlacer'
 import { prefillStep, type Prefilled } from './prefillStep'
@@ -50,7 +51,11 @@
     const { prefilled, note, arrival, tookMs } = await prefillStep(parts, job, place, onOpen)
     run.exchange = undefined
     sending.close(arrival)
-    if (prefilled !== undefined) this.prefilled = prefilled
+    if (prefilled !== undefined) {
+      // What was read before and cannot be used any more is not kept until it lapses.
+      this.release()
+      this.prefilled = prefilled
+    }
     place.notePrefilled(run.isOver ? 'cancelled' : note, tookMs)
     run.sends.push({ to: at.endpoint.id, step: 'prefill', outcome: note, tookMs: Math.round(tookMs) })
     if (prefilled !== undefined) return 'read'
@@ -66,7 +71,28 @@
   /** Whether the memory may still be fetched by another engine. */
   isUsable(): boolean {
     const lasts = (this.job.service.engine?.handleMs ?? 0) * HANDLE_SHARE
-    return this.prefilled !== undefined && this.parts.clock.now() - this.prefilled.madeAt < lasts
+    return (
+      this.prefilled !== undefined &&
+      this.isAtHome(this.prefilled) &&
+      this.parts.clock.now() - this.prefilled.madeAt < lasts
+    )
+  }
+
+  /**
+   * Why a decode engine must not go on from what is held. Memory in a region that is no home any more is freed, so that
+   * the prompt is read anew.
+   */
+  whyNotDecode(at: PooledEndpoint): string | undefined {
+    const { parts, job, run } = this
+    const withheld = whyNotSend(parts, job, at.endpoint, 'decode')
+    if (withheld !== undefined) run.except.add(at.endpoint.id)
+    if (this.prefilled === undefined || this.isAtHome(this.prefilled)) return withheld
+    this.release()
+    return withheld ?? 'the prompt was read in a region that is no home any more'
+  }
+
+  private isAtHome({ at }: Prefilled): boolean {
+    return this.parts.pool.atHome(at.endpoint.id, this.job.homes()) !== undefined
   }
 
   /** Notes that a decode engine has taken the memory. */
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from '@forkstage/clock'
 import type { Logger } from '@forkstage/logger'
 import type { Route, RoutedService } from '@forkstage/routes'
+import type { Homes } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { CallerRequest } from './callerRequest'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
@@ -54,6 +55,8 @@
   targetAt: Millis
   /** Whether the caller has come back after a refusal or a failure. */
   isReturn: boolean
+  /** The regions that it may be served in by the sheet that is in force when this is asked. */
+  homes: () => Homes
   /** Tokens that the request declares; absent where it names none. */
   tokens?: TokenCounts
   /** The order in which requests get what is scarce; 0 is the most urgent. */
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -130,11 +130,11 @@
     return { ...work, entry: this.options.entry, except: [...work.except] }
   }
 
-  /** The place by its engines, or undefined where this entry does not know them yet. */
+  /** The place by its engines, or undefined where this entry does not know them yet, or not in the request's regions. */
   private toPlace(ask: PlaceAsk, placed: Placed): ModelPlace | undefined {
     const { pool } = this.options
-    const decode = pool.get(placed.decode)
-    const prefill = placed.prefill === undefined ? undefined : pool.get(placed.prefill)
+    const decode = pool.atHome(placed.decode, ask.regions)
+    const prefill = placed.prefill === undefined ? undefined : pool.atHome(placed.prefill, ask.regions)
     const isUnknown = decode === undefined || (placed.prefill !== undefined && prefill === undefined)
     if (isUnknown) {
       this.options.way.notify(PLACE.withdraw, { request: ask.request })
@@ -204,8 +204,9 @@
   /** Lets answers go on at other engines, as the leader wants. */
   private move(moves: AnswerMove[]): void {
     for (const { request, to } of moves) {
-      const endpoint = this.options.pool.get(to)
-      if (endpoint !== undefined) this.active.get(request)?.place.moveTo?.(endpoint)
+      const hold = this.active.get(request)
+      const endpoint = hold && this.options.pool.atHome(to, hold.ask.regions)
+      if (endpoint !== undefined) hold?.place.moveTo?.(endpoint)
     }
   }
 }
--- a/request/gateway/src/runMove.ts
+++ b/request/gateway/src/runMove.ts
@@ -1,3 +1,4 @@
+import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint } from './endpointPool'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
@@ -13,10 +14,10 @@
 /** Where a stopped run can go on. */
 export interface StoppedRun {
   /** The engine that keeps the memory, under this handle. */
-  source: PooledEndpoint
+  source: AtHome<PooledEndpoint>
   handle: string
   /** The engine that has a copy; absent where there is none. */
-  copiedTo?: PooledEndpoint
+  copiedTo?: AtHome<PooledEndpoint>
 }
 
 /** A run that moves from one engine to another: first what it holds is copied while it goes on, then it stops. */
@@ -28,8 +29,8 @@
   constructor(
     private readonly parts: RelayParts,
     private readonly request: string,
-    readonly source: PooledEndpoint,
-    readonly to: PooledEndpoint,
+    readonly source: AtHome<PooledEndpoint>,
+    readonly to: AtHome<PooledEndpoint>,
   ) {
     this.startedAt = parts.clock.now()
   }
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -1,3 +1,4 @@
+import type { AtHome } from '@forkstage/topology'
 import type { Attempt } from './engineStream'
 import type { PooledEndpoint } from './endpointPool'
 import type { AnswerHead, Exchange } from './exchange'
@@ -19,7 +20,7 @@
 
 /** Where a stopped run goes on, with the sending that is drawn for it. */
 export interface NextRun {
-  at: PooledEndpoint
+  at: AtHome<PooledEndpoint>
   /** The engine that has the memory, and its name there. */
   source: PooledEndpoint
   handle: string
@@ -39,7 +40,7 @@
   ) {}
 
   /** Copies what the run holds; once that is done, stops it and copies the rest. */
-  async begin(place: ModelPlace, to: PooledEndpoint): Promise<void> {
+  async begin(place: ModelPlace, to: AtHome<PooledEndpoint>): Promise<void> {
     const { run, parts, job } = this
     // The end of an answer without a length could not be told from the stop.
     if (this.move !== undefined || !this.isRunning() || run.head?.isFramed !== true) return
@@ -49,7 +50,9 @@
     const move = new RunMove(parts, job.request.id, place.decode, to)
     this.move = move
     const isCopied = await move.copy()
-    const isSame = this.isRunning() && run.exchange === stream
+    // Also the rest must not be copied where the request must not go any more.
+    const isAllowed = whyNotSend(parts, job, to.endpoint, 'decode') === undefined
+    const isSame = this.isRunning() && run.exchange === stream && isAllowed
     this.sending = isCopied && isSame ? this.count.open('decode') : undefined
     if (this.sending !== undefined) return move.stop()
     move.release()
@@ -64,7 +67,7 @@
     this.move = undefined
     this.sending = undefined
     const stopped = await move.stopped()
-    const at = stopped === undefined ? undefined : (stopped.copiedTo ?? whereReady(stopped))
+    const at = stopped === undefined ? undefined : this.whereAllowed(stopped.copiedTo ?? whereReady(stopped))
     const goesOn = attempt.type === 'lost' && !this.run.isOver
     move.log(stopped === undefined ? 'not stopped' : goesOn ? 'moved' : 'not needed')
     if (stopped !== undefined && at !== undefined && goesOn)
@@ -74,12 +77,17 @@
     return undefined
   }
 
+  private whereAllowed(at: AtHome<PooledEndpoint> | undefined): AtHome<PooledEndpoint> | undefined {
+    if (at === undefined) return undefined
+    return whyNotSend(this.parts, this.job, at.endpoint, 'decode') === undefined ? at : undefined
+  }
+
   private isRunning(): boolean {
     return !this.run.isOver && this.run.exchange !== undefined
   }
 }
 
 /** The engine where the run was, unless it takes no work any more. */
-function whereReady({ source }: StoppedRun): PooledEndpoint | undefined {
+function whereReady({ source }: StoppedRun): AtHome<PooledEndpoint> | undefined {
   return source.endpoint.state === 'ready' ? source : undefined
 }
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,7 +1,14 @@
+import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { dropHeaders, single, withoutFirst } from './callerRequest'
 import { EventPauses } from './eventPauses'
-import { EngineStream, type Attempt, type StreamOwner } from './engineStream'
+import {
+  EngineStream,
+  type Attempt,
+  type KvSource,
+  type StreamOwner,
+  type StreamResult,
+} from './engineStream'
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
@@ -23,7 +30,7 @@
 } from './relayParts'
 import { RunMoves, type MovingRun } from './runMoves'
 import { SendCount, type CountedSending } from './sendCount'
-import { whyNotSend } from './sendRules'
+import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
 import { waitFor } from './waitFor'
 
 const MAX_REFUSALS = 3
@@ -36,18 +43,6 @@
   return new StreamRun(parts, job).relay()
 }
 
-/** How one engine's stream ended, and what it says of the engine. */
-interface StreamResult {
-  attempt: Attempt
-  note: SendOutcome
-}
-
-/** Where an engine finds the memory that a request goes on from. */
-interface KvSource {
-  at: PooledEndpoint
-  handle: string
-}
-
 class StreamRun implements StreamOwner, PromptReader, MovingRun {
   readonly sends: SendRecord[] = []
   readonly except = new Set<string>()
@@ -93,6 +88,8 @@
   private async tryEngines(): Promise<OwnResult> {
     for (let refusals = 0; ;) {
       await this.untilEngineIsKnown()
+      if (isAwayOnly(this.parts.pool, this.job, 'decode'))
+        return this.answerWithout(NOT_AT_HOME, AWAY_COME_BACK_MS)
       const answer = await this.parts.placer.place(this.work())
       if (this.isOver) {
         if (answer.type === 'place') answer.place.release('cancelled', 0, 0)
@@ -113,7 +110,7 @@
   private async untilEngineIsKnown(): Promise<void> {
     const { pool, clock } = this.parts
     const { name } = this.job.service
-    await waitFor(clock, WAIT_FOR_ENGINES_MS, () => pool.candidates(name, 'decode')[0])
+    await waitFor(clock, WAIT_FOR_ENGINES_MS, () => pool.candidates(name, { stage: 'decode' })[0])
   }
 
   private work(): ModelWork {
@@ -139,6 +136,7 @@
       className: route.name,
       except: this.except,
       isPrefilled: this.prompt.isUsable(),
+      regions: this.job.homes(),
     }
   }
 
@@ -154,9 +152,8 @@
       place.release('cancelled', 0, 0)
       return { type: 'not-run', arrived: false, reason: 'the prompt was not read' }
     }
-    const withheld = whyNotSend(this.parts, this.job, place.decode.endpoint, 'decode')
+    const withheld = this.prompt.whyNotDecode(place.decode)
     if (withheld !== undefined) {
-      this.except.add(place.decode.endpoint.id)
       place.release('cancelled', 0, 0)
       return { type: 'not-run', arrived: false, reason: withheld }
     }
@@ -217,7 +214,11 @@
     return this.madeEvents * (this.job.service.engine?.tokensPerEvent ?? 1)
   }
 
-  private streamAt(to: PooledEndpoint, sending: CountedSending, source?: KvSource): Promise<StreamResult> {
+  private streamAt(
+    to: AtHome<PooledEndpoint>,
+    sending: CountedSending,
+    source?: KvSource,
+  ): Promise<StreamResult> {
     const { parts, job } = this
     const { headers } = parts.wire
     const extra: string[] = []
--- a/request/gateway/src/workspaceGate.ts
+++ b/request/gateway/src/workspaceGate.ts
@@ -24,6 +24,8 @@
   type: 'passed'
   request: CallerRequest
   workspace?: KnownWorkspace
+  /** The workspace whose key it showed, also on a public route: its regions bind. */
+  owner?: KnownWorkspace
   /** What it took of its workspace's quota. */
   spent?: Spent
 }
@@ -59,8 +61,8 @@
     if (index.keys === undefined) return { type: 'passed', request }
     const verdict = judgeKey(request, index.keys, wire)
     if (route.isPublic === true) {
-      const name = verdict.type === 'known' ? verdict.workspace.name : undefined
-      return { type: 'passed', request: withWorkspace(request, name, wire) }
+      const owner = verdict.type === 'known' ? verdict.workspace : undefined
+      return { type: 'passed', request: withWorkspace(request, owner?.name, wire), owner }
     }
     if (verdict.type === 'refused') return this.refuseKey(request, route, index, verdict)
     return this.spend(request, verdict.workspace, index, tokens)
@@ -77,6 +79,7 @@
       type: 'passed',
       request: withWorkspace(request, workspace.name, wire),
       workspace,
+      owner: workspace,
     }
     if (workspace.quota === undefined) return passed
     const units = unitsOf(workspace.quota, tokens)
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -5,8 +5,10 @@
 import { createSilentLogger } from '@forkstage/logger'
 import { QuotaKeeper, QuotaLedger, quotaLimit } from '@forkstage/quota'
 import { RouteBook, type CallerLimits, type Route, type Workspace } from '@forkstage/routes'
+import { Topology } from '@forkstage/topology'
 import {
   EndpointPool,
+  homeRule,
   Ingress,
   LocalPlacer,
   RetryAllowance,
@@ -69,6 +71,16 @@
 
 const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
 
+/** Two failure domains in each of three regions; `z` is the entry's own. */
+export const TOPOLOGY = new Topology({
+  z: 'west',
+  z2: 'west',
+  e1: 'east',
+  e2: 'east',
+  s1: 'south',
+  s2: 'south',
+})
+
 const QUOTA_WINDOW_MS = 8_000
 const LED_FOR_MS = 2_000
 
@@ -96,8 +108,8 @@
     readonly ingress: Ingress,
     readonly pool: EndpointPool,
     readonly port: number,
-    /** Puts a newer sheet with these workspaces in force. */
-    readonly setWorkspaces: (workspaces: Workspace[]) => void,
+    /** Puts a newer sheet with these workspaces, and these routes if given, in force. */
+    readonly setWorkspaces: (workspaces: Workspace[] | undefined, routes?: Partial<Route>[]) => void,
   ) {}
 
   static async start(
@@ -108,7 +120,7 @@
   ): Promise<GatewayWorld> {
     const clock = createSystemClock()
     const logger = createSilentLogger()
-    const pool = new EndpointPool({ zone: 'z', clock, random: () => 0, logger })
+    const pool = new EndpointPool({ zone: 'z', topology: TOPOLOGY, clock, random: () => 0, logger })
     pool.update(endpoints.map((endpoint, index) => fullEndpoint(endpoint, index)))
     const book = new RouteBook()
     const sheet = {
@@ -162,7 +174,7 @@
           },
         },
         allowance: new RetryAllowance({ clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 1 }),
-        sendRules: [({ id }) => world.withheld.get(id)],
+        sendRules: [({ id }) => world.withheld.get(id), homeRule(TOPOLOGY)],
         clock,
         random: createSeededRandom(1),
         logger,
@@ -173,8 +185,13 @@
     })
     await new Promise<void>((resolve) => ingress.server.listen(0, '127.0.0.1', resolve))
     const { port } = ingress.server.address() as { port: number }
-    const world: GatewayWorld = new GatewayWorld(ingress, pool, port, (newer) =>
-      book.install({ ...sheet, version: book.version + 1, workspaces: newer }),
+    const world: GatewayWorld = new GatewayWorld(ingress, pool, port, (newer, newRoutes = routes) =>
+      book.install({
+        ...sheet,
+        version: book.version + 1,
+        routes: newRoutes.map(fullRoute),
+        workspaces: newer,
+      }),
     )
     return world
   }
--- /dev/null
+++ b/request/gateway/test/homes.test.ts
@@ -0,0 +1,150 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { Route, Workspace } from '@forkstage/routes'
+import { chunk, event, FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
+import { GatewayWorld } from './gatewayWorld'
+
+const open: { stop(): unknown }[] = []
+afterEach(async () => void (await Promise.all(open.splice(0).map((each) => each.stop()))))
+
+type Answerer = (request: SeenRequest) => void
+type Endpoint = Partial<RegisteredEndpoint> & { answer: Answerer }
+
+const answers: Answerer = (request) => void request.socket.end(goodAnswer(request, 'hello'))
+const reads: Answerer = (request) =>
+  void request.socket.end(
+    request.line.startsWith('DELETE')
+      ? 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+      : goodAnswer(request, 'handle7'),
+  )
+const streams: Answerer = (request) => {
+  request.socket.write(
+    goodAnswer(request, '', ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']),
+  )
+  request.socket.end(`${chunk(event(1))}0\r\n\r\n`)
+}
+
+async function start(endpoints: Endpoint[], route: Partial<Route> = {}, workspaces?: Workspace[]) {
+  const workers = await Promise.all(endpoints.map(({ answer }) => FakeWorker.start(answer)))
+  const service = endpoints[0]?.stage === undefined ? 'plain' : 'model'
+  const kind = service === 'model' ? 'streaming' : 'safe'
+  const full: Partial<Route> = { kind, shares: [{ service, weight: 1 }], ...route }
+  const world = await GatewayWorld.start(
+    endpoints.map(({ answer: _, ...rest }, index) => ({
+      address: workers[index]!.address,
+      service,
+      ...rest,
+    })),
+    [full],
+    {},
+    workspaces,
+  )
+  open.push(world, ...workers)
+  const narrow = (regions: string[]) => world.setWorkspaces(workspaces, [{ ...full, regions }])
+  return { world, workers, narrow, seen: () => workers.map((worker) => worker.seen.length) }
+}
+
+const member = (regions?: string[]): Workspace => ({ name: 'w', keys: ['key-1'], priority: 0, regions })
+const WITH_KEY = { headers: { 'x-key': 'key-1' } }
+const TWO: Endpoint[] = [
+  { zone: 'z', answer: answers },
+  { zone: 'e1', answer: answers },
+]
+
+describe('a request with homes', () => {
+  it("goes to endpoints of its route's regions only, however near others are", async () => {
+    const { world, seen } = await start(TWO, { regions: ['east'] })
+    for (let times = 0; times < 4; times += 1) expect((await world.send('/p/')).status).toBe(200)
+    expect(seen()).toEqual([0, 4])
+  })
+
+  it('is bound by its route and by its workspace, both together', async () => {
+    const { world, seen } = await start(TWO, { regions: ['west', 'south'] }, [member(['west', 'east'])])
+    expect((await world.send('/p/', WITH_KEY)).status).toBe(200)
+    world.setWorkspaces([member(['east'])])
+    expect((await world.send('/p/', WITH_KEY)).status).toBe(503)
+    expect(seen()).toEqual([1, 0])
+  })
+
+  it('is bound by its workspace also on a public route', async () => {
+    const { world, seen } = await start(TWO, { isPublic: true }, [member(['east'])])
+    for (let times = 0; times < 4; times += 1) expect((await world.send('/p/', WITH_KEY)).status).toBe(200)
+    expect(seen()).toEqual([0, 4])
+  })
+
+  it.each([
+    ['an empty list', []],
+    ['a region that no failure domain bears', ['nowhere']],
+    ['a region without endpoints', ['south']],
+  ])('is refused at once as not run with %s', async (_, regions) => {
+    const { world, seen } = await start(TWO, { regions, targetMs: 60_000, timeoutMs: 60_000 })
+    const answer = await world.send('/p/', { headers: { 'x-deadline': '60000' } })
+    expect(answer.status).toBe(503)
+    expect(answer.headers['retry-after']).toBeDefined()
+    expect(answer.body).toContain('FORKSTAGE_NOT_RUN')
+    expect(seen()).toEqual([0, 0])
+  })
+
+  it('is refused as not run while its region is cut off, and served again after', async () => {
+    const { world, workers, seen } = await start(TWO, { regions: ['east'], targetMs: 300 })
+    const { address } = workers[1]!
+    const cutOff = { ...world.pool.get('i-1')!.endpoint, address: '127.0.0.1:1' }
+    world.pool.update([cutOff])
+    const refused = await world.send('/p/')
+    expect(refused.status).toBe(503)
+    expect(seen()).toEqual([0, 0])
+    world.pool.update([{ ...cutOff, address }])
+    expect((await world.send('/p/')).status).toBe(200)
+    expect(seen()).toEqual([0, 1])
+  })
+
+  it('may not lie in a failure domain that nobody has given a region', async () => {
+    const { world, seen } = await start([{ zone: 'unnamed', answer: answers }], { regions: ['west'] })
+    expect((await world.send('/p/')).status).toBe(503)
+    expect(seen()).toEqual([0])
+  })
+})
+
+describe('a newer sheet that narrows homes', () => {
+  it('binds a place that was handed out before', async () => {
+    const narrows: Answerer = (request) => {
+      narrow(['west'])
+      reads(request)
+    }
+    const { world, narrow, seen } = await start([
+      { zone: 'z', stage: 'prefill', answer: narrows },
+      { zone: 'e1', stage: 'decode', answer: streams },
+    ])
+    const answer = await world.send('/p/', { body: 'x' })
+    expect(answer.status).toBe(503)
+    expect(seen()[1]).toBe(0)
+  })
+
+  it('lets memory that waits in a region that is no home any more lie, and has the prompt read anew', async () => {
+    let reader = 0
+    const narrows: Answerer = (request) => {
+      if (request.line.startsWith('POST')) {
+        reader += 1
+        narrow(['west'])
+      }
+      reads(request)
+    }
+    const { world, workers, narrow } = await start([
+      { zone: 'e1', stage: 'prefill', answer: narrows },
+      { zone: 'z', stage: 'decode', answer: streams },
+    ])
+    const back = world.pool.get('i-0')!.endpoint
+    const atHome = await FakeWorker.start(reads)
+    open.push(atHome)
+    world.pool.update([{ ...back, id: 'i-2', address: atHome.address, zone: 'z', state: 'draining' }])
+    const answering = world.send('/p/', { body: 'x' })
+    await workers[0]!.sees(1)
+    world.pool.update([{ ...back, id: 'i-2', address: atHome.address, zone: 'z', sequence: 2 }])
+    expect(await answering).toMatchObject({ status: 200, isWhole: true })
+    expect(reader).toBe(1)
+    const source = workers[1]!.seen[0]!.headers['x-kv-from']
+    expect(source).toBe(`${atHome.address}#handle7`)
+    await workers[0]!.sees(2)
+    expect(workers[0]!.seen[1]!.line).toContain('DELETE /free/handle7')
+  })
+})
--- a/request/gateway/test/remotePlacer.test.ts
+++ b/request/gateway/test/remotePlacer.test.ts
@@ -2,8 +2,11 @@
 import { PLACE, type AnswerMove } from '@forkstage/allocator'
 import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
+import { Topology } from '@forkstage/topology'
 import { EndpointPool, LeaderWay, LocalPlacer, RemotePlacer, type ModelWork } from '../src'
 
+const TOPOLOGY = new Topology({ z: 'west', e: 'east' })
+
 const WORK: ModelWork = {
   request: 'r',
   service: 's',
@@ -36,7 +39,7 @@
 function world(entries = 1, kvTokens = 10_000) {
   const clock = new ManualClock()
   const logger = createSilentLogger()
-  const pool = new EndpointPool({ zone: 'z', clock, random: () => 0, logger })
+  const pool = new EndpointPool({ zone: 'z', topology: TOPOLOGY, clock, random: () => 0, logger })
   pool.update([ENGINE_OF_TEST])
   const silent = new Set<string>()
   const asked: string[] = []
@@ -85,6 +88,44 @@
   })
 })
 
+describe('the regions of a request', () => {
+  const away = { ...ENGINE_OF_TEST, id: 'd2', address: '10.0.0.2:1', zone: 'e' }
+
+  it('bind also where a leader that knows nothing of them, or has another map of them, places elsewhere', async () => {
+    const { clock, placer, pool, told } = world()
+    pool.update([away])
+    told.leader = '10.0.0.9:1'
+    const answer = placer.place({ ...WORK, regions: ['east'] })
+    await advance(clock, 50)
+    expect(await answer).toMatchObject({ type: 'place', place: { decode: { endpoint: { id: 'd2' } } } })
+    expect(pool.get('d1')).toMatchObject({ inFlight: 0, tokens: 0 })
+  })
+
+  it('bind the moves that a leader wants', async () => {
+    const { clock, placer, pool, told } = world()
+    pool.update([away, { ...away, id: 'd3', address: '10.0.0.3:1', zone: 'z' }])
+    told.leader = '10.0.0.9:1'
+    placer.start()
+    const asked = placer.place({ ...WORK, regions: ['west'] })
+    await advance(clock, 50)
+    const answer = await asked
+    const moved: string[] = []
+    if (answer.type === 'place') answer.place.moveTo = ({ endpoint }) => void moved.push(endpoint.id)
+    told.moves = [
+      { request: 'r', to: 'd2' },
+      { request: 'r', to: 'd3' },
+    ]
+    await advance(clock, 1_000)
+    placer.stop()
+    expect(moved).toEqual(['d3'])
+  })
+
+  it('leave an entry alone without a place where no engine lies there', async () => {
+    const { fallback } = world()
+    expect(await fallback.place({ ...WORK, regions: ['east'] })).toMatchObject({ type: 'refused' })
+  })
+})
+
 describe('LocalPlacer', () => {
   it('lets an entry have thrice its even share, since callers come unevenly, and no more', async () => {
     const { fallback } = world(5)
@@ -152,7 +193,7 @@
     await advance(clock, 500)
     placer.stop()
     expect(moved).toEqual(['d2'])
-    place.noteMoved(pool.get('d2')!)
+    place.noteMoved(pool.atHome('d2', undefined)!)
     expect([place.decode.endpoint.id, pool.get('d1')!.inFlight, pool.get('d2')!.inFlight]).toEqual([
       'd2',
       0,
--- a/request/gateway/test/runMoves.test.ts
+++ b/request/gateway/test/runMoves.test.ts
@@ -81,7 +81,7 @@
     request.on('response', (response) => response.once('data', () => resolve())),
   )
   await events
-  const move = () => world.places[0]!.moveTo!(world.pool.get('i-1')!)
+  const move = () => world.places[0]!.moveTo!(world.pool.atHome('i-1', undefined)!)
   return { world, workers, answer, request, move }
 }
 
--- a/table/routes/src/checkRouteSheet.ts
+++ b/table/routes/src/checkRouteSheet.ts
@@ -1,4 +1,5 @@
 import { ForkstageError } from '@forkstage/error'
+import { checkRegions } from './checkRegions'
 import { checkWorkspaces } from './checkWorkspaces'
 import type { Route, RouteSheet } from './routeTypes'
 
@@ -38,7 +39,7 @@
   const weight = route.shares.reduce((sum, share) => sum + share.weight, 0)
   if (!(weight > 0)) faults.push(`route ${route.name}: the weights add up to 0`)
   if (!(route.timeoutMs > 0)) faults.push(`route ${route.name}: the time-out is 0`)
-  return faults
+  return [...faults, ...checkRegions(`route ${route.name}`, route.regions)]
 }
 
 function findSharedPlaces(routes: Route[]): string[] {
--- a/table/routes/src/checkWorkspaces.ts
+++ b/table/routes/src/checkWorkspaces.ts
@@ -1,3 +1,4 @@
+import { checkRegions } from './checkRegions'
 import { shortKeyDigest } from './keyDigest'
 import type { Workspace, WorkspaceQuota } from './routeTypes'
 
@@ -28,6 +29,7 @@
   else if (!keys.every(isKey)) faults.push(`${label}: keys: each is a text of 1 to ${LONGEST_KEY} characters`)
   if (!Number.isSafeInteger(priority) || priority < 0)
     faults.push(`${label}: priority: a whole number from 0 is needed`)
+  faults.push(...checkRegions(label, workspace.regions))
   return quota === undefined ? faults : [...faults, ...checkQuota(label, quota)]
 }
 
--- a/table/routes/test/routes.test.ts
+++ b/table/routes/test/routes.test.ts
@@ -35,6 +35,22 @@
     expect(checkRouteSheet(sheet([bad]))).toEqual([expect.stringMatching(expected)])
   })
 
+  it.each<[string, unknown, RegExp]>([
+    ['a text', 'west', /route r: regions: a list/],
+    ['null', null, /route r: regions: a list/],
+    ['an empty name', ['west', ''], /route r: regions: each/],
+    ['a number', [7], /route r: regions: each/],
+  ])('finds regions that are %s', (_what, regions, expected) => {
+    expect(checkRouteSheet(sheet([route({ regions: regions as string[] })]))).toEqual([
+      expect.stringMatching(expected),
+    ])
+  })
+
+  it('takes an empty list of regions, and regions that no failure domain bears', () => {
+    expect(checkRouteSheet(sheet([route({ regions: [] })]))).toEqual([])
+    expect(checkRouteSheet(sheet([route({ regions: ['nowhere'] })]))).toEqual([])
+  })
+
   it('finds two routes at one place, whatever the case of the host', () => {
     const faults = checkRouteSheet(sheet([route(), route({ name: 'q', host: 'SHOP.example' })]))
     expect(faults).toEqual([expect.stringMatching(/route q: .* has a route already/)])
--- a/table/routes/test/workspaces.test.ts
+++ b/table/routes/test/workspaces.test.ts
@@ -50,6 +50,8 @@
     ['a key that is too long', { keys: ['k'.repeat(LONGEST_KEY + 1)] }, /workspace one: keys: each/],
     ['a priority below 0', { priority: -1 }, /workspace one: priority/],
     ['a broken priority', { priority: 0.5 }, /workspace one: priority/],
+    ['regions that are no list', { regions: 'west' }, /workspace one: regions: a list/],
+    ['a region that is no text', { regions: ['west', 7] }, /workspace one: regions: each/],
     ['a rate below 0', { quota: { ...QUOTA, perSecond: -1 } }, /workspace one: rate a second/],
     ['a rate that is no number', { quota: { ...QUOTA, perSecond: 'x' } }, /workspace one: rate a second/],
     ['a burst below 0', { quota: { ...QUOTA, burst: -1 } }, /workspace one: burst/],
