--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -91,6 +91,7 @@
     this.quotas = this.createQuotas(entries)
     this.placer = new RemotePlacer({
       entry: settings.machine.name,
+      domain: settings.machine.zone,
       pool: this.pool,
       fallback: new LocalPlacer({
         pool: this.pool,
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -1,6 +1,6 @@
 import type { InstanceId } from '@forkstage/directory'
 import type { Homes } from '@forkstage/topology'
-import type { Millis } from '@forkstage/types'
+import type { FailureDomain, Millis } from '@forkstage/types'
 
 /** A part of a prompt, which an engine that has read it may keep. */
 export interface PromptPart {
@@ -14,6 +14,8 @@
   request: string
   /** The entry that relays it. */
   entry: string
+  /** The failure domain of that entry; absent where the entry does not tell it. */
+  entryDomain?: FailureDomain
   service: string
   /** Requests of one class have answers of like length. */
   className: string
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -3,6 +3,7 @@
 import { withinHomes, type AtHome, type Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
+import { EngineDistance } from './engineDistance'
 import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
@@ -65,9 +66,6 @@
 const OWN_READING_FACTOR = 2
 /** The share of its time that a decode engine may read beside prefill engines: a prompt of 190 ms each 0.7 s, as was tuned. */
 const OWN_READING_SHARE = 0.27
-/** A prefill engine of another zone must be sooner by this share of the reading, since moves cost more: 30 of 95 ms. */
-const OTHER_ZONE_SHARE = 0.3
-
 /** Reading is late from so many times the time it should take: it varies with what else the way carries. */
 const LATE_FROM = 1.5
 /** The end of a reading is foreseen only within this share of its time. */
@@ -91,7 +89,11 @@
   /** What engines' paces mean for requests. */
   readonly fitness: EngineFitness
 
+  /** What ways between engines and entries count. */
+  readonly distance: EngineDistance
+
   constructor(private readonly options: EngineChoiceOptions) {
+    this.distance = new EngineDistance(options.topology)
     this.fitness = new EngineFitness(options)
   }
 
@@ -210,8 +212,8 @@
         slowness: this.fitness.slowness(id, now),
       }))
       .filter(({ peak }) => peak <= limit)
-    const costOf = ({ peak, isGood, slowness }: (typeof fits)[number]) =>
-      (isGood ? 0 : POOR_COST) + peak * slowness
+    const costOf = ({ endpoint, peak, isGood, slowness }: (typeof fits)[number]) =>
+      (isGood ? 0 : POOR_COST) + peak * slowness + this.distance.tokensToEntry(ask, engine, endpoint)
     fits.sort((left, right) => costOf(left) - costOf(right))
     return fits.map(({ endpoint }) => endpoint)
   }
@@ -258,6 +260,7 @@
   ): EnginePick | undefined {
     const { book, health, pace } = this.options
     const { promptTokens } = quest.ask
+    const way = { promptTokens, readingMs: pace.readingMs(promptTokens), engine: quest.engine }
     const waits = readers
       .filter((endpoint) => !health.isFull(endpoint.id, now))
       .map((prefill) => ({
@@ -267,9 +270,7 @@
       }))
       .filter(({ prefill, queuedMs }) => queuedMs === 0 || !this.fitness.mayNotQueue(prefill.id, now))
     const costOf = ({ prefill, queuedMs, readingMs }: (typeof waits)[number]) =>
-      queuedMs +
-      readingMs +
-      (prefill.zone === decode.zone ? 0 : pace.readingMs(promptTokens) * OTHER_ZONE_SHARE)
+      queuedMs + readingMs + this.distance.readingMs(prefill, decode, way)
     waits.sort((left, right) => costOf(left) - costOf(right))
     const soonest = waits[0]
     if (soonest === undefined) return undefined
--- a/placement/allocator/src/movePlanner.ts
+++ b/placement/allocator/src/movePlanner.ts
@@ -30,10 +30,10 @@
 
   /** Plans moves of some answers and counts what they hold where they go. */
   plan(holds: Hold[], now: Millis): AnswerMove[] {
-    const states = new Map(this.options.endpoints().map(({ id, state }) => [id, state]))
+    const known = new Map(this.options.endpoints().map((endpoint) => [endpoint.id, endpoint]))
     const moves: AnswerMove[] = []
     for (const hold of holds) {
-      const to = this.targetOf(hold, states, now)
+      const to = this.targetOf(hold, known, now)
       if (to === undefined) continue
       this.options.book.move(hold, to, now)
       moves.push({ request: hold.ask.request, to })
@@ -43,7 +43,7 @@
 
   private targetOf(
     hold: Hold,
-    states: ReadonlyMap<InstanceId, RegisteredEndpoint['state']>,
+    known: ReadonlyMap<InstanceId, RegisteredEndpoint>,
     now: Millis,
   ): InstanceId | undefined {
     const { book, choice, memoryShare, isChanging } = this.options
@@ -53,13 +53,17 @@
     if (choice.decodingMs(tokens, hold.decode, now) < WORTHWHILE_MS) return undefined
     const { ask, placedAt, decode } = hold
     const answer = { tokens, endsWithinMs: ask.leftMs - (now - placedAt), pauseMs: ask.pauseMs }
-    const isLeaving = states.get(decode) !== 'ready' || isChanging(decode, now)
+    const isLeaving = known.get(decode)?.state !== 'ready' || isChanging(decode, now)
     if (!isLeaving && choice.fitness.of(answer, engine, decode, now) !== 'slow') return undefined
     const takers = choice
       .takers(ask, engine, now)
       .filter(({ id }) => id !== decode && choice.fitness.of(answer, engine, id, now) === 'good')
-      .map(({ id }) => ({ id, peak: book.peakWithMoved(hold, id, now) }))
+      .map((taker) => ({
+        id: taker.id,
+        peak: book.peakWithMoved(hold, taker.id, now),
+        away: choice.distance.tokensToMove(ask, engine, known.get(decode)?.zone ?? taker.zone, taker),
+      }))
       .filter(({ peak }) => peak <= engine.kvTokens * memoryShare)
-    return takers.sort((left, right) => left.peak - right.peak)[0]?.id
+    return takers.sort((left, right) => left.peak + left.away - right.peak - right.away)[0]?.id
   }
 }
--- /dev/null
+++ b/placement/allocator/src/travelCost.ts
@@ -0,0 +1,69 @@
+import type { EnginePool } from '@forkstage/routes'
+import type { Distance } from '@forkstage/topology'
+import type { Millis } from '@forkstage/types'
+
+/** What a distance costs beyond work in one failure domain. */
+interface Travel {
+  /** One way over the network, in milliseconds. */
+  hopMs: Millis
+  /** How many times longer a copy of memory takes (the engines' protocol says so). */
+  copyFactor: number
+  /** What a copy of a prompt's memory is worth avoiding beside its time, as a share of the time to read the prompt. */
+  copyShare: number
+  /** What an answer made that far from its caller's entry is worth avoiding, as a share of an engine's memory. */
+  memoryShare: number
+}
+
+/**
+ * Hops: as operators state their links, 0.2 ms within a failure domain, 0.5 to 1.4 ms between two of a region, 8 ms between
+ * regions. `copyShare`: 30 of 95 ms between domains, as tuned before regions were known, of which the copy itself takes 1 to
+ * 2 ms: the rest is its price; copies between regions are priced up to one and a half times as high as those between
+ * domains. `memoryShare`: a prompt of 5,200 tokens is 0.07 of an engine that holds 73,000, so that a second answer goes to an
+ * engine nearby before an empty one of another region, and a third does not; 0 within a region.
+ */
+const TRAVEL: Record<Distance, Travel> = {
+  'same-domain': { hopMs: 0.2, copyFactor: 1, copyShare: 0, memoryShare: 0 },
+  'other-domain': { hopMs: 1, copyFactor: 2, copyShare: 0.3, memoryShare: 0 },
+  'other-region': { hopMs: 8, copyFactor: 10, copyShare: 0.45, memoryShare: 0.15 },
+}
+
+/** A connection that is opened anew and one question: there and back, twice. */
+const HOPS_OF_A_CALL = 4
+const BITS_PER_BYTE = 8
+/** A megabit a second is so many bits a millisecond. */
+const BITS_PER_MS = 1_000
+
+/** What a copy of some tokens' memory takes on the link of an engine, in milliseconds; 0 where a sheet gives no speed. */
+export function copyMs(tokens: number, engine: EnginePool, distance: Distance): Millis {
+  if (!(engine.linkMbps > 0) || !(engine.kvBytesPerToken > 0)) return 0
+  const bits = tokens * engine.kvBytesPerToken * BITS_PER_BYTE
+  return (bits / (engine.linkMbps * BITS_PER_MS)) * TRAVEL[distance].copyFactor
+}
+
+/**
+ * What it costs to read a prompt that far from the engine that decodes, in milliseconds that another reader may be later.
+ * Between domains of one region the share holds all of it.
+ * @param readingMs how long reading the prompt takes.
+ */
+export function readingAwayMs(
+  distance: Distance,
+  promptTokens: number,
+  readingMs: Millis,
+  engine: EnginePool,
+): Millis {
+  const priceMs = readingMs * TRAVEL[distance].copyShare
+  if (distance !== 'other-region') return priceMs
+  const longerMs = copyMs(promptTokens, engine, distance) - copyMs(promptTokens, engine, 'same-domain')
+  return priceMs + longerMs + callAwayMs(distance)
+}
+
+/** What a call to another region takes longer than one nearby, in milliseconds; 0 within a region. */
+export function callAwayMs(distance: Distance): Millis {
+  if (distance !== 'other-region') return 0
+  return (TRAVEL[distance].hopMs - TRAVEL['other-domain'].hopMs) * HOPS_OF_A_CALL
+}
+
+/** Tokens that an engine nearby may hold more than one that far, and still be taken. */
+export function decodingAwayTokens(distance: Distance, engine: EnginePool): number {
+  return engine.kvTokens * TRAVEL[distance].memoryShare
+}
--- a/replication/raft/test/cluster.ts
+++ b/replication/raft/test/cluster.ts
@@ -40,11 +40,15 @@
   readonly leaders = new Map<number, string>()
   lostMembers: string[] = []
   stale: string[] = []
-  private wire: { from: Member; to: Member; message: Message }[] = []
+  protected wire: { from: Member; to: Member; message: Message }[] = []
   readonly cut = new Set<string>()
   readonly random: Random
 
-  constructor(size: number, seed: number) {
+  constructor(
+    size: number,
+    seed: number,
+    protected readonly times = { electionTimeout: ELECTION_TIMEOUT, heartbeat: 20 },
+  ) {
     this.random = createSeededRandom(seed)
     const members = Array.from({ length: size }, (_, index) => this.member(`r${index}`))
     for (const member of members) this.add(member, members)
@@ -69,8 +73,7 @@
       replica: name,
       random: this.random,
       now: this.now,
-      electionTimeout: ELECTION_TIMEOUT,
-      heartbeat: 20,
+      ...this.times,
       maxEntriesPerMessage: 4,
       maxInFlight: 3,
       hardState: disk.hardState,
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -1,8 +1,9 @@
 import type { Clock, Random } from '@forkstage/clock'
+import { callAwayMs } from '@forkstage/allocator'
 import { newestPerAddress, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
 import { Topology, withinHomes, type AtHome, type Homes } from '@forkstage/topology'
-import type { Millis } from '@forkstage/types'
+import type { FailureDomain, Millis } from '@forkstage/types'
 import { ConcurrencyLimit } from './concurrencyLimit'
 
 /** What this entry has seen of one instance. */
@@ -110,7 +111,7 @@
     return sound.length > 0 ? sound : atHome
   }
 
-  /** The instance with the least expected wait, one of this zone among equals. */
+  /** The instance with the least expected wait, one of this zone among equals, and of another region where that is sooner all the same. */
   leastLoaded<One extends PooledEndpoint>(candidates: One[]): One | undefined {
     const fastest = Math.min(...candidates.map((one) => one.meanMs))
     const scored = candidates.map((one) => ({ one, score: this.score(one, fastest) }))
@@ -118,9 +119,18 @@
     return scored[0]?.one
   }
 
-  /** The engine where this entry's requests hold the fewest tokens. */
-  fewestTokens<One extends PooledEndpoint>(candidates: One[]): One | undefined {
-    const scored = candidates.map((one) => ({ one, score: one.tokens + this.options.random() }))
+  /**
+   * The engine where this entry's requests hold the fewest tokens.
+   * @param awayTokens what one in another region than `near` counts more.
+   */
+  fewestTokens<One extends PooledEndpoint>(
+    candidates: One[],
+    awayTokens = 0,
+    near: FailureDomain = this.options.zone,
+  ): One | undefined {
+    const awayOf = ({ endpoint }: PooledEndpoint) =>
+      this.topology.distance(near, endpoint.zone) === 'other-region' ? awayTokens : 0
+    const scored = candidates.map((one) => ({ one, score: one.tokens + awayOf(one) + this.options.random() }))
     scored.sort((left, right) => left.score - right.score)
     return scored[0]?.one
   }
@@ -166,8 +176,9 @@
     const isOld = this.options.clock.now() - one.answeredAt > MEAN_LASTS_MS
     const meanMs = isOld ? fastest : one.meanMs
     const wait = ((one.inFlight + 1) * meanMs) / Math.max(1, one.endpoint.slots)
-    const away = one.endpoint.zone === this.options.zone ? 1 : AWAY_FACTOR
-    return wait * away * (1 + this.options.random() * DRAW)
+    const distance = this.topology.distance(this.options.zone, one.endpoint.zone)
+    const away = distance === 'same-domain' ? 1 : AWAY_FACTOR
+    return wait * away * (1 + this.options.random() * DRAW) + callAwayMs(distance)
   }
 
   private updateOne(endpoint: RegisteredEndpoint): void {
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -38,12 +38,12 @@
       except: work.except,
       regions: work.regions,
     })
-    const decode = pool.fewestTokens(decoders)
+    const decode = pool.fewestTokens(decoders, tokensOf(work))
     if (decode === undefined)
       return { type: 'refused', reason: 'no decode engine is known', retryAfterMs: NO_ENDPOINT_RETRY_MS }
     if (!this.hasRoom(work, decoders))
       return { type: 'refused', reason: "this entry's share is full", retryAfterMs: NO_ROOM_RETRY_MS }
-    const prefill = this.chooseReader(work)
+    const prefill = this.chooseReader(work, decode)
     const { promptTokens } = work
     return {
       type: 'place',
@@ -52,12 +52,12 @@
   }
 
   /** The prefill engine with the fewest prompts, where it comes to this one in time; else the decode engine reads. */
-  private chooseReader(work: ModelWork): AtHome<PooledEndpoint> | undefined {
+  private chooseReader(work: ModelWork, decode: PooledEndpoint): AtHome<PooledEndpoint> | undefined {
     const { pool, entries } = this.options
     if (work.isPrefilled) return undefined
-    const prefill = pool.fewestTokens(
-      pool.candidates(work.service, { stage: 'prefill', except: work.except, regions: work.regions }),
-    )
+    const { service, except, regions, promptTokens } = work
+    const readers = pool.candidates(service, { stage: 'prefill', except, regions })
+    const prefill = pool.fewestTokens(readers, promptTokens, decode.endpoint.zone)
     if (prefill === undefined) return undefined
     // Others that place alone queue as much there.
     const queued = prefill.tokens * Math.max(1, entries()) + work.promptTokens
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -11,7 +11,7 @@
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
-import type { Address, Millis } from '@forkstage/types'
+import type { Address, FailureDomain, Millis } from '@forkstage/types'
 import type { EndpointPool } from './endpointPool'
 import type { LeaderWay } from './leaderWay'
 import { waitFor } from './waitFor'
@@ -21,6 +21,8 @@
 /** Options of {@link RemotePlacer}. */
 export interface RemotePlacerOptions {
   entry: string
+  /** The failure domain of this entry. */
+  domain?: FailureDomain
   pool: EndpointPool
   /** Places while nobody can be asked. */
   fallback: ModelPlacer
@@ -127,7 +129,8 @@
   }
 
   private toAsk(work: ModelWork): PlaceAsk {
-    return { ...work, entry: this.options.entry, except: [...work.except] }
+    const { entry, domain } = this.options
+    return { ...work, entry, entryDomain: domain, except: [...work.except] }
   }
 
   /** The place by its engines, or undefined where this entry does not know them yet, or not in the request's regions. */
--- a/request/gateway/test/parts.test.ts
+++ b/request/gateway/test/parts.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { ManualClock } from '@forkstage/clock'
+import { Topology } from '@forkstage/topology'
 import { createSilentLogger } from '@forkstage/logger'
 import { EndpointPool, EventSplitter, judgeAnswer, RetryAllowance } from '../src'
 import { TEST_WIRE } from './gatewayWorld'
@@ -124,6 +125,37 @@
     expect(ids()).toEqual(['i-2'])
   })
 
+  it('uses another region only where the wait nearby is longer than the way there', () => {
+    const topology = new Topology({ z: 'west', y: 'west', e: 'east' })
+    const options = { zone: 'z', clock: new ManualClock(), random: () => 0, logger: createSilentLogger() }
+    const made = new EndpointPool({ ...options, topology })
+    made.update([
+      { ...base, id: 'near', zone: 'y', state: 'ready' },
+      { ...base, id: 'far', address: 'b:1', zone: 'e', state: 'ready' },
+    ])
+    const order: string[] = []
+    for (let times = 0; times < 5; times += 1) {
+      const one = made.leastLoaded(made.candidates('s'))!
+      made.noteSent(one)
+      order.push(one.endpoint.id)
+    }
+    expect(order).toEqual(['near', 'near', 'far', 'near', 'far'])
+  })
+
+  it('takes an engine of another region alone only where one nearby holds a request more', () => {
+    const topology = new Topology({ z: 'west', y: 'west', e: 'east' })
+    const options = { zone: 'z', clock: new ManualClock(), random: () => 0, logger: createSilentLogger() }
+    const made = new EndpointPool({ ...options, topology })
+    made.update([
+      { ...base, id: 'near', zone: 'y', state: 'ready' },
+      { ...base, id: 'far', address: 'b:1', zone: 'e', state: 'ready' },
+    ])
+    const choose = (near?: string) => made.fewestTokens(made.candidates('s'), 1_000, near)!.endpoint.id
+    expect([choose(), choose('e')]).toEqual(['near', 'far'])
+    made.noteSent(made.get('near')!, 1_500)
+    expect(choose()).toBe('far')
+  })
+
   it('uses those that are out where there is no other', () => {
     const { pool: made, ids } = pool()
     for (const id of ['i-1', 'i-2']) {
