--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -93,6 +93,10 @@
     outcome: string
     reason: string
     promptTokens: number
+    /** The regions that bound it, as its entry had them; absent where any would do. */
+    regions?: readonly string[]
+    /** The failure domain of its entry. */
+    entryDomain?: string
     targetMs: number
     /** Whether its caller had been sent away before. */
     isReturn: boolean
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -269,6 +269,8 @@
           ? decision.reason
           : `prefill ${decision.prefill ?? 'none'}, decode ${decision.decode}`,
       promptTokens: ask.promptTokens,
+      regions: ask.regions,
+      entryDomain: ask.entryDomain,
       targetMs: Math.round(ask.targetMs),
       isReturn: ask.isReturn,
       waitedMs: Math.round(waitedMs),
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -111,11 +111,11 @@
 
   /** The engines for a request; undefined where it has to wait. */
   choose(quest: EngineQuest, now: Millis): EnginePick | undefined {
-    const fitting = this.fitting(quest, now)
+    const readers = quest.ask.isPrefilled ? [] : this.engines(quest.ask, 'prefill', now)
+    const fitting = this.fitting(quest, readers, now)
     const first = fitting[0]
     if (first === undefined) return undefined
     if (quest.ask.isPrefilled) return { decode: first, readsInMs: 0, queuedMs: 0 }
-    const readers = this.engines(quest.ask, 'prefill', now)
     const apart = this.readApart(quest, first, readers, now)
     if (apart !== undefined && !this.fitness.isSlowReader(apart.prefill!.id, now)) return apart
     // A slow reader is used where no decode engine is sooner.
@@ -192,7 +192,11 @@
   }
 
   /** Decode engines into whose memory to come the request fits, the least filled for their pace first. */
-  private fitting(quest: EngineQuest, now: Millis): AtHome<RegisteredEndpoint>[] {
+  private fitting(
+    quest: EngineQuest,
+    readers: RegisteredEndpoint[],
+    now: Millis,
+  ): AtHome<RegisteredEndpoint>[] {
     const { book, health } = this.options
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
@@ -213,7 +217,7 @@
       }))
       .filter(({ peak }) => peak <= limit)
     const costOf = ({ endpoint, peak, isGood, slowness }: (typeof fits)[number]) =>
-      (isGood ? 0 : POOR_COST) + peak * slowness + this.distance.tokensToEntry(ask, engine, endpoint)
+      (isGood ? 0 : POOR_COST) + peak * slowness + this.distance.tokensAround(ask, engine, endpoint, readers)
     fits.sort((left, right) => costOf(left) - costOf(right))
     return fits.map(({ endpoint }) => endpoint)
   }
--- a/placement/allocator/src/engineDistance.ts
+++ b/placement/allocator/src/engineDistance.ts
@@ -3,7 +3,7 @@
 import type { Topology } from '@forkstage/topology'
 import type { FailureDomain, Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
-import { decodingAwayTokens, readingAwayMs } from './travelCost'
+import { decodingAwayTokens, movingAwayTokens, readingAwayMs, readingAwayTokens } from './travelCost'
 
 /** Weighs how far engines are from each other and from the entries of their requests. */
 export class EngineDistance {
@@ -15,9 +15,22 @@
     return decodingAwayTokens(this.topology.distance(entryDomain, decode.zone), engine)
   }
 
+  /** The same with the way from the nearest of its readers, where there are any. */
+  tokensAround(
+    ask: PlaceAsk,
+    engine: EnginePool,
+    decode: RegisteredEndpoint,
+    readers: RegisteredEndpoint[],
+  ): number {
+    const ways = readers.map(({ zone }) =>
+      readingAwayTokens(this.topology.distance(zone, decode.zone), engine),
+    )
+    return this.tokensToEntry(ask, engine, decode) + (ways.length === 0 ? 0 : Math.min(...ways))
+  }
+
   /** The same for an answer that moves there with its memory. */
   tokensToMove(ask: PlaceAsk, engine: EnginePool, from: FailureDomain, to: RegisteredEndpoint): number {
-    const way = decodingAwayTokens(this.topology.distance(from, to.zone), engine)
+    const way = movingAwayTokens(this.topology.distance(from, to.zone), engine)
     return way + this.tokensToEntry(ask, engine, to)
   }
 
--- a/placement/allocator/src/travelCost.ts
+++ b/placement/allocator/src/travelCost.ts
@@ -11,6 +11,8 @@
   /** What a copy of a prompt's memory is worth avoiding beside its time, as a share of the time to read the prompt. */
   copyShare: number
   /** What an answer made that far from its caller's entry is worth avoiding, as a share of an engine's memory. */
+  answerShare: number
+  /** The same for one made that far from where its prompt is read, or from the engine that it leaves. */
   memoryShare: number
 }
 
@@ -18,13 +20,15 @@
  * Hops: as operators state their links, 0.2 ms within a failure domain, 0.5 to 1.4 ms between two of a region, 8 ms between
  * regions. `copyShare`: 30 of 95 ms between domains, as tuned before regions were known, of which the copy itself takes 1 to
  * 2 ms: the rest is its price; copies between regions are priced up to one and a half times as high as those between
- * domains. `memoryShare`: a prompt of 5,200 tokens is 0.07 of an engine that holds 73,000, so that a second answer goes to an
- * engine nearby before an empty one of another region, and a third does not; 0 within a region.
+ * domains. `answerShare`: a prompt of 5,200 tokens is 0.07 of an engine
+ * that holds 73,000, so that a second answer goes to an engine nearby before an empty one of another region, and a third does
+ * not. `memoryShare`: above it, since that prompt's memory is 96 MB and more and the events of its answer are some kilobytes;
+ * so an empty engine near the reader goes before one near the caller. Both 0 within a region.
  */
 const TRAVEL: Record<Distance, Travel> = {
-  'same-domain': { hopMs: 0.2, copyFactor: 1, copyShare: 0, memoryShare: 0 },
-  'other-domain': { hopMs: 1, copyFactor: 2, copyShare: 0.3, memoryShare: 0 },
-  'other-region': { hopMs: 8, copyFactor: 10, copyShare: 0.45, memoryShare: 0.15 },
+  'same-domain': { hopMs: 0.2, copyFactor: 1, copyShare: 0, answerShare: 0, memoryShare: 0 },
+  'other-domain': { hopMs: 1, copyFactor: 2, copyShare: 0.3, answerShare: 0, memoryShare: 0 },
+  'other-region': { hopMs: 8, copyFactor: 10, copyShare: 0.45, answerShare: 0.15, memoryShare: 0.2 },
 }
 
 /** A connection that is opened anew and one question: there and back, twice. */
@@ -65,5 +69,15 @@
 
 /** Tokens that an engine nearby may hold more than one that far, and still be taken. */
 export function decodingAwayTokens(distance: Distance, engine: EnginePool): number {
+  return engine.kvTokens * TRAVEL[distance].answerShare
+}
+
+/** The same for an engine that far from the nearest reader of the prompt. */
+export function readingAwayTokens(distance: Distance, engine: EnginePool): number {
+  return engine.kvTokens * TRAVEL[distance].memoryShare
+}
+
+/** The same for an engine that far from the one that an answer leaves with its memory. */
+export function movingAwayTokens(distance: Distance, engine: EnginePool): number {
   return engine.kvTokens * TRAVEL[distance].memoryShare
 }
--- a/placement/allocator/test/travelCost.test.ts
+++ b/placement/allocator/test/travelCost.test.ts
@@ -70,6 +70,12 @@
     expect(decodes()).toEqual(['dw', 'dw', 'de'])
   })
 
+  it('is decoded where it is read rather than where its caller is', () => {
+    const { place, decodes, reads } = world(engines.filter(({ id }) => id !== 'pw'))
+    place('a', 'w1')
+    expect([decodes(), reads()]).toEqual([['de'], ['pe']])
+  })
+
   it('is read in another region only where readers of its own come too late', () => {
     const { place, reads } = world(engines.filter(({ id }) => id !== 'de'))
     for (const request of ['a', 'b', 'c', 'd']) place(request, 'w1')
