--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -3,9 +3,11 @@
 /** Every log event of the program by name, with the fields its line carries. */
 export interface LogEvents {
   'box.started': { box: string; addresses: Record<string, string>; version: string }
+  'start.code_cache_unused': { reason: string }
   'box.ready': { ready: boolean; reason: string }
   'box.stopping': { reason: string; streams: number }
   'box.stopped': { cut: number }
+  'box.stop_cut_off': { reason: string }
   'replica.founded': { group: string; replica: string; voters: string[] }
   'replica.role': { group: string; replica: string; role: string; term: number }
   'replica.membership': { group: string; change: string; replica: string }
@@ -45,6 +47,18 @@
   'sheet.installed': { version: number; routes: number; services: number }
   'sheet.refused': { reason: string }
   'sheet.put': { version: number; outcome: string; held: number }
+  /** An operator's order at the control machine that took it; `index` is the log index of the last change. */
+  'evacuation.taken': {
+    domain: string
+    action: 'begin' | 'withdraw'
+    index: number
+    outcome: 'changed' | 'held' | 'overtaken'
+  }
+  /** An order of which it is not known whether it was taken. */
+  'evacuation.unsure': { domain: string; action: 'begin' | 'withdraw'; reason: string }
+  'evacuation.refused': { reason: string }
+  /** What a machine believes has changed: nothing more leaves for endpoints of these domains. */
+  'evacuation.in-force': { index: number; count: number; domains: string[] }
   'endpoint.registered': {
     endpoint: string
     state: string
@@ -55,6 +69,16 @@
   }
   /** Many endpoints of which something is new, as after a start. */
   'endpoints.changed': { count: number; states: Record<string, number>; endpoints: string[] }
+  /** Endpoints are believed cold, or warm again: many that change together in one line. */
+  'endpoints.cold': {
+    outcome: 'cold' | 'warm'
+    count: number
+    endpoints: string[]
+    /** How much longer the last of them is cold; 0 for warm ones. */
+    leftMs: number
+    /** How long the first of them had been believed cold; 0 for those that turn so. */
+    ageMs: number
+  }
   'endpoint.recalled': { endpoint: string; outcome: string }
   'endpoints.not-recalled': { reason: string }
   'endpoints.not-kept': { reason: string }
@@ -109,6 +133,8 @@
       readers: number
       roomiest?: { endpoint: string; peak: number; running: number }
       soonest?: { endpoint: string; queuedMs: number }
+      /** Cold engines, and those of them that get nothing now; absent where none is cold. */
+      cold?: { engines: number; withheld: number }
     }
     /** Tokens that one engine can hold. */
     memory: number
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -1,6 +1,6 @@
 import { AllocatorService } from '@forkstage/allocator'
 import { every, type CancelTimer } from '@forkstage/clock'
-import { Directory } from '@forkstage/directory'
+import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import { GroupClient, GroupHost, type ReplicaStatus } from '@forkstage/group'
 import { MembershipKeeper } from '@forkstage/keeper'
@@ -8,13 +8,16 @@
 import { QUOTA_REPORT, QuotaLedger, quotaLimit, type QuotaAnswer, type QuotaReport } from '@forkstage/quota'
 import { RouteBook } from '@forkstage/routes'
 import { createFileSystem } from '@forkstage/storage'
+import { SheetMachine, type SheetCommand, type SheetDocument, type SheetResult } from '@forkstage/sheet'
 import { Topology } from '@forkstage/topology'
-import { SheetMachine, type PutResult, type PutSheet, type SheetDocument } from '@forkstage/sheet'
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
+import { ColdEndpoints } from './coldEndpoints'
 import { createControlApp } from './controlApp'
 import type { ControlWire } from './controlWire'
 import { countBy } from './countBy'
+import { EvacuationBelief } from './evacuationBelief'
+import { EvacuationOffice } from './evacuationOffice'
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
 import type { MachineBasics } from './machineBasics'
@@ -37,14 +40,17 @@
 /** A control machine: one replica of the route sheet, the directory of endpoints, operators' calls. */
 export class ControlMachine {
   private readonly machine = new SheetMachine()
-  private readonly directory = new Directory()
-  private readonly host: GroupHost<PutSheet, PutResult>
-  private readonly keeper: MembershipKeeper<PutSheet, PutResult>
+  private readonly directory = new Directory(() => this.basics.clock.now())
+  private readonly host: GroupHost<SheetCommand, SheetResult>
+  private readonly keeper: MembershipKeeper<SheetCommand, SheetResult>
   private readonly follower: ControlFollower
   private readonly hub: WatchHub
   private readonly office: SheetOffice
+  private readonly evacuations: EvacuationOffice
+  private readonly belief: EvacuationBelief
   private readonly registrar: Registrar
   private readonly allocator: AllocatorService
+  private readonly cold: ColdEndpoints
   private readonly quotas: QuotaLedger
   private readonly orders: StageOrders
   private readonly memory: EndpointMemory
@@ -63,6 +69,7 @@
     const { settings, clock, peers, logger, epoch } = basics
     const self = settings.listen.peers
     this.host = this.createHost()
+    this.belief = new EvacuationBelief({ logger, onChange: () => this.hub.noteChange() })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       self,
@@ -70,6 +77,9 @@
       clock,
       logger,
       holdMs: settings.watch.hold_ms,
+      evacuations: () => this.belief.view.current,
+      onEvacuations: (set) => this.belief.take(set),
+      onSupposedEvacuations: (domains) => this.belief.suppose(domains),
       onEndpoints: (records) => this.registrar.take(records),
     })
     this.keeper = new MembershipKeeper({
@@ -87,6 +97,8 @@
       epoch,
       directory: this.directory,
       sheet: () => this.newest,
+      evacuations: () => this.belief.view.current,
+      supposedEvacuations: () => this.evacuations.supposed(),
       members: () => this.memberAddresses(),
       leader: () => this.leader(),
       clock,
@@ -103,20 +115,33 @@
       hub: this.hub,
       logger,
       isConnected: () => this.leader() !== undefined,
-      onChange: () => this.memory.noteChange(),
+      onChange: () => this.noteEndpoints(),
     })
-    this.office = new SheetOffice({
+    const client = new GroupClient<SheetCommand, SheetResult>({
       group: GROUP,
-      host: this.host,
-      machine: this.machine,
-      client: new GroupClient({ group: GROUP, replicas: () => this.controlAddresses(), peers, clock }),
+      replicas: () => this.controlAddresses(),
+      peers,
+      clock,
+    })
+    this.cold = new ColdEndpoints({
+      directory: this.directory,
+      service: (name) => this.book.current?.service(name),
+      ...settings.cold,
+      onCold: (id) => this.allocator.noteCold(id),
+      clock,
       logger,
     })
+    const replicated = { group: GROUP, host: this.host, machine: this.machine, client, logger }
+    this.office = new SheetOffice(replicated)
+    this.evacuations = new EvacuationOffice({ ...replicated, belief: this.belief, clock })
+    const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     this.allocator = new AllocatorService({
+      cold: this.cold,
       clock,
       logger,
       endpoints: () => this.directory.list(),
       engine: (service) => this.book.current?.service(service)?.engine,
+      isBarred,
       isLeader: () => this.host.replica?.holdsLease === true,
       term: () => this.host.replica?.term ?? 0,
       entries: () => this.hub.countEntries(),
@@ -139,6 +164,7 @@
       allocator: this.allocator,
       sheet: () => this.book.current?.sheet,
       endpoint: (id) => this.directory.get(id),
+      isBarred,
       holder: settings.machine.name,
       isLeader: () => this.host.replica?.holdsLease === true,
       term: () => this.host.replica?.term ?? 0,
@@ -148,6 +174,7 @@
     })
     this.meters = this.createMeters()
     this.machine.onNewer = (document) => this.noteNewer(document)
+    this.machine.onEvacuations = () => this.evacuations.takeCommitted()
   }
 
   async start(): Promise<void> {
@@ -161,6 +188,8 @@
     const app = createControlApp({
       wire: this.wire,
       office: this.office,
+      evacuations: this.evacuations,
+      evacuationView: this.belief.view,
       registrar: this.registrar,
       logger,
     })
@@ -173,6 +202,7 @@
     this.follower.start()
     this.keeper.start()
     this.allocator.start()
+    this.cold.start()
     this.orders.start()
     this.cancelLook = every(this.basics.clock, LOOK_AT_LEADER_MS, () => this.tellOfLeader())
   }
@@ -188,8 +218,8 @@
     this.follower.followNew(seedAddresses(settings))
   }
 
-  /** Hands leadership over and stops. */
-  async stop(): Promise<void> {
+  /** Hands leadership over and stops. Holds no requests that it could cut off. */
+  async stop(): Promise<number> {
     const { clock, peers } = this.basics
     this.host.replica?.transferLeadership()
     await new Promise<void>((resolve) => clock.after(LAST_ANSWERS_MS, resolve))
@@ -197,12 +227,14 @@
     this.keeper.stop()
     this.memory.stop()
     this.allocator.stop()
+    this.cold.stop()
     this.orders.stop()
     this.follower.stop()
     await this.host.stop().catch(() => undefined)
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
+    return 0
   }
 
   /** Finds the endpoints of the time before this start. */
@@ -218,13 +250,20 @@
     })
   }
 
+  private noteEndpoints(): void {
+    this.memory.noteChange()
+    this.cold.look()
+  }
+
   private createMeters(): FleetMeters {
     const { logBudget } = this.basics
     return new FleetMeters({
       sheet_version: () => this.newest?.version ?? -1,
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
+      endpoints_cold: () => this.cold.count,
       leads: () => Number(this.host.replica?.leads === true),
+      evacuated_domains: () => this.belief.view.current.domains.length,
       leader_known: () => Number(this.leader() !== undefined),
       term: () => this.host.replica?.term ?? -1,
       voters: () => this.host.replica?.config.voters.length ?? 0,
@@ -240,6 +279,7 @@
       ...this.host.methods(),
       ...this.keeper.methods(),
       ...this.office.methods(),
+      ...this.evacuations.methods(),
       ...this.allocator.methods(),
       [QUOTA_REPORT]: (report: QuotaReport) => this.takeQuotas(report),
       [WATCH]: (question: WatchQuestion) => this.hub.answer(question),
@@ -252,7 +292,7 @@
     return this.host.replica?.holdsLease === true ? this.quotas.take(report) : {}
   }
 
-  private createHost(): GroupHost<PutSheet, PutResult> {
+  private createHost(): GroupHost<SheetCommand, SheetResult> {
     const { settings, peers, clock, random, logger } = this.basics
     const { control, machine, listen } = settings
     return new GroupHost({
@@ -302,6 +342,7 @@
 
   /** Entries that wait for news hear of another leader at once: until then they ask one that places no more. */
   private tellOfLeader(): void {
+    if (!this.belief.view.isHeard) this.evacuations.takeCommitted()
     const leader = this.leader()
     if (leader === this.toldLeader) return
     this.toldLeader = leader
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,7 +1,10 @@
 import { PLACE } from '@forkstage/allocator'
+import { every, type CancelTimer } from '@forkstage/clock'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
+  ColdGate,
+  EVACUATED,
   EndpointPool,
   homeRule,
   Ingress,
@@ -17,7 +20,9 @@
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
 import { Topology } from '@forkstage/topology'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
+import { ColdEndpoints } from './coldEndpoints'
 import { countBy } from './countBy'
+import { EvacuationBelief } from './evacuationBelief'
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
 import { logEndpoints } from './logEndpoints'
@@ -25,6 +30,8 @@
 import { serveMetrics } from './serveMetrics'
 
 const SECOND_MS = 1_000
+/** How often the count of entries is looked at, which cold endpoints' shares go by. */
+const COUNT_EVERY_MS = 1_000
 const READY = 200
 const NOT_READY = 503
 const CHECK_IDLE_MS = 50
@@ -42,7 +49,10 @@
 /** An entry: callers' listener, routing and relays. Keeps nothing on disk. */
 export class EntryMachine {
   private readonly book = new RouteBook()
-  private readonly directory = new Directory()
+  private readonly directory = new Directory(() => this.basics.clock.now())
+  private readonly cold: ColdEndpoints
+  private readonly coldGate: ColdGate
+  private readonly belief: EvacuationBelief
   private readonly pool: EndpointPool
   private readonly follower: ControlFollower
   private readonly placer: RemotePlacer
@@ -53,14 +63,41 @@
   private readonly meters: FleetMeters
   private listeners: Listener[] = []
   private leaving = false
+  private cancelLook: CancelTimer = () => undefined
 
   constructor(
     private readonly basics: MachineBasics,
     private readonly wire: EntryWire,
   ) {
     const { settings, clock, random, logger, peers } = basics
+    this.cold = new ColdEndpoints({
+      directory: this.directory,
+      service: (name) => this.book.current?.service(name),
+      ...settings.cold,
+      onCold: (id) => this.pool.noteCold(id),
+      clock,
+      logger,
+    })
+    this.coldGate = new ColdGate({
+      clock,
+      random,
+      leftMs: (id) => this.cold.leftMs(id, clock.now()),
+      hasSaid: (id) => this.directory.hasSaidCold(id),
+      perSecond: (service) => this.cold.perSecond(service),
+      entries: () => this.follower.entries(),
+    })
+    this.belief = new EvacuationBelief({ logger })
+    const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     const topology = new Topology(settings.domains)
-    this.pool = new EndpointPool({ zone: settings.machine.zone, topology, clock, random, logger })
+    this.pool = new EndpointPool({
+      zone: settings.machine.zone,
+      topology,
+      isBarred,
+      isCold: (id) => this.coldGate.isCold(id),
+      clock,
+      random,
+      logger,
+    })
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       entry: settings.listen.peers,
@@ -70,6 +107,9 @@
       holdMs: settings.watch.hold_ms,
       sheetVersion: () => this.book.version,
       onSheet: (sheet) => this.install(sheet),
+      evacuations: () => this.belief.view.current,
+      onEvacuations: (set) => this.belief.take(set),
+      onSupposedEvacuations: (domains) => this.belief.suppose(domains),
       onEndpoints: (records) => this.takeEndpoints(records),
     })
     const entries = () => this.follower.entries() || ENTRIES_UNTIL_KNOWN
@@ -97,8 +137,10 @@
         pool: this.pool,
         kvTokens: (service) => this.book.current?.service(service)?.engine?.kvTokens ?? 0,
         entries,
+        cold: this.coldGate,
       }),
       way: this.way,
+      cold: this.coldGate,
       clock,
       logger,
     })
@@ -108,7 +150,8 @@
         pool: this.pool,
         placer: this.placer,
         allowance,
-        sendRules: [homeRule(topology)],
+        cold: this.coldGate,
+        sendRules: [(to) => (isBarred(to) ? EVACUATED : undefined), homeRule(topology)],
         clock,
         random,
         logger,
@@ -127,6 +170,8 @@
       sheet_version: () => this.book.version,
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
+      endpoints_cold: () => this.cold.count,
+      evacuated_domains: () => this.belief.view.current.domains.length,
       requests_running: () => this.ingress.running,
       entries_known: () => this.follower.entries(),
       retries: () => ({ ...allowance.counts }),
@@ -143,6 +188,8 @@
   async start(): Promise<void> {
     const { settings, logger } = this.basics
     const { listen } = settings
+    // Connects and asks for routes while the listeners are set up.
+    this.follower.start()
     this.peerServer = await startPeerServer({
       address: listen.peers,
       sharedKey: settings.peers.shared_key,
@@ -156,8 +203,9 @@
     }, listen.readiness!)
     this.listeners = [readiness, await listenOn(this.ingress.server, listen.callers!)]
     this.listeners.push(...(await serveMetrics(this.meters, listen.metrics)))
-    this.follower.start()
     this.placer.start()
+    this.cold.start()
+    this.cancelLook = every(this.basics.clock, COUNT_EVERY_MS, () => this.coldGate.look())
     this.quotas.start()
   }
 
@@ -167,8 +215,11 @@
     this.follower.followNew(seedAddresses(settings))
   }
 
-  /** Not ready at once; serves what still comes; ends when nothing runs or the time is up. */
-  async stop(): Promise<void> {
+  /**
+   * Not ready at once; serves what still comes; ends when nothing runs or the time is up.
+   * @returns how many requests were cut off.
+   */
+  async stop(): Promise<number> {
     const { clock, settings, peers } = this.basics
     const endsAt = clock.now() + settings.stop.grace_s * SECOND_MS - GRACE_MARGIN_MS
     this.leaving = true
@@ -176,13 +227,17 @@
     await this.wait(settings.stop.unready_ms)
     this.ingress.close()
     while (this.ingress.running > 0 && clock.now() < endsAt) await this.wait(CHECK_IDLE_MS)
+    const cut = this.ingress.running
     this.ingress.closeAll()
     this.follower.stop()
     this.placer.stop()
+    this.cold.stop()
+    this.cancelLook()
     this.quotas.stop()
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
+    return cut
   }
 
   private createQuotas(entries: () => number): QuotaKeeper {
@@ -218,6 +273,7 @@
   private takeEndpoints(records: RegisteredEndpoint[]): void {
     const news = this.directory.merge(records)
     this.pool.update(news)
+    if (news.length > 0) this.cold.look()
     logEndpoints(this.basics.logger, news)
   }
 }
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -11,7 +11,8 @@
   ReportedHold,
   UseOutcome,
 } from './allocatorTypes'
-import { DemandMeter } from './demandMeter'
+import { ColdBudget, type ColdPolicy } from './coldBudget'
+import { BarredEngines } from './barredEngines'
 import { EngineChoice, START_MS, type EngineOutlook, type EnginePick } from './engineChoice'
 import { EnginePace } from './enginePace'
 import { HoldBook } from './holdBook'
@@ -19,9 +20,9 @@
 import { LengthForecast } from './lengthForecast'
 import { MovePlanner } from './movePlanner'
 import { PartOrders } from './partOrders'
-import { planStages, type StageChange, type StageNeed, type StagedEngine } from './planStages'
-import { NO_ENGINE_RETRY_MS, refused, refuseWithoutEngine } from './refusals'
-import { SupplyMeter } from './supplyMeter'
+import { AWAY_REASON, AWAY_RETRY_MS, COLD_REASON, refused, Refusals } from './refusals'
+import type { StageChange, StageNeed } from './planStages'
+import { StagePlanner } from './stagePlanner'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
 
 /** What engines and callers have shown so far; it outlives a term, in which places are counted anew. */
@@ -37,11 +38,15 @@
   engine: (service: string) => EnginePool | undefined
   /** Which region each failure domain belongs to; no region is known where left out. */
   topology?: Topology
+  /** Whether an instance must get nothing now, though it is registered; none where left out. */
+  isBarred?: (endpoint: RegisteredEndpoint) => boolean
   /** Called when an instance is out for a while. */
   onEjected?: (id: InstanceId, outcome: UseOutcome, forMs: Millis) => void
   tuning?: Partial<AllocatorTuning>
   /** What was learned before; nothing where left out. */
   learned?: Learned
+  /** Which engines are cold and what they bear; none is where left out. */
+  cold?: ColdPolicy
 }
 
 /** What may be set for an experiment. */
@@ -63,11 +68,9 @@
   order: 'returns-last',
 }
 
-/** Who is sent away for want of room comes back after these shares of its time left, spread evenly. */
-const LEAST_RETRY_SHARE = 0.24
-const MOST_RETRY_SHARE = 0.32
-/** A step that spreads any number of requests evenly between 0 and 1. */
-const GOLDEN_STEP = 0.618
+const NO_ENGINE_RETRY_MS = 700
+/** Why a request is refused where every decode engine of its service must get nothing. */
+const EVACUATED = 'evacuated'
 /** In time waiting requests for each decode engine; more would wait in vain. */
 const WAITING_PER_ENGINE = 4
 /**
@@ -79,22 +82,27 @@
   private readonly health = new InstanceHealth()
   private readonly tuning: AllocatorTuning
   private readonly room: WaitingRoom
-  private sentAway = 0
-  private readonly demand = new Map<string, DemandMeter>()
+  private readonly refusals = new Refusals()
   private readonly orders = new PartOrders()
-  private readonly supply = new SupplyMeter()
   private readonly learned: Learned
   private readonly choice: EngineChoice
   private readonly moves: MovePlanner
+  private readonly cold: ColdBudget
+  private readonly barred: BarredEngines
+  private readonly stages: StagePlanner
 
   constructor(private readonly options: AllocatorOptions) {
     this.tuning = { ...DEFAULT_TUNING, ...options.tuning }
     this.learned = options.learned ?? { pace: new EnginePace(), forecast: new LengthForecast() }
     const { lengthCertainty } = this.tuning
     this.book = new HoldBook({ lengthCertainty, ...this.learned })
+    this.cold = new ColdBudget(options.cold)
+    this.barred = new BarredEngines(options.isBarred)
     this.choice = new EngineChoice({
+      cold: this.cold,
       endpoints: options.endpoints,
       topology: options.topology ?? new Topology(),
+      barred: this.barred,
       book: this.book,
       health: this.health,
       pace: this.learned.pace,
@@ -108,6 +116,15 @@
       isChanging: (id, now) => this.isChanging(id, now),
       memoryShare: this.tuning.memoryShare,
     })
+    this.stages = new StagePlanner({
+      choice: this.choice,
+      barred: this.barred,
+      book: this.book,
+      health: this.health,
+      pace: this.learned.pace,
+      orders: this.orders,
+      engine: options.engine,
+    })
     this.room = new WaitingRoom((one, now) => this.slackOf(one, now), this.tuning.order)
   }
 
@@ -121,7 +138,8 @@
 
   /** Asks for a place; the answer comes at once or when there is room, at the latest after the hold time. */
   ask(ask: PlaceAsk, now: Millis, resolve: (decision: PlaceDecision) => void): void {
-    if (!ask.isReturn && !ask.isPrefilled) this.noteDemand(ask, now)
+    if (!ask.isReturn && !ask.isPrefilled)
+      this.stages.noteDemand(ask.service, ask.promptTokens, this.book.heldTokens(ask), now)
     const refusal = this.refuseAtOnce(ask, now)
     if (refusal !== undefined) return resolve(refusal)
     this.room.add({ ask, since: now, isKept: false, resolve })
@@ -154,6 +172,8 @@
    * @param tookMs how long the use took, or has taken so far.
    */
   noteUse(id: InstanceId, outcome: UseOutcome, now: Millis, tookMs: Millis = 0): void {
+    // One that is cold is slow for a while, and no less well for that.
+    if (outcome === 'silent' && this.cold.isCold(id, now - tookMs)) return
     const forMs = this.health.note(id, outcome, now, tookMs)
     this.choice.refresh()
     if (forMs > 0) this.options.onEjected?.(id, outcome, forMs)
@@ -193,43 +213,34 @@
 
   /** Places what fits by now and refuses what has no hope or has waited too long. Called again and again. */
   tick(now: Millis): void {
-    const known = new Set(this.options.endpoints().map((endpoint) => endpoint.id))
+    const endpoints = this.options.endpoints()
+    const known = new Set(endpoints.map((endpoint) => endpoint.id))
+    this.barred.note(endpoints, now)
     this.health.keepOnly(known)
     this.learned.pace.keepOnly(known)
     this.book.keepOnly(known)
-    this.supply.keepOnly(known)
+    this.stages.keepOnly(known)
     this.choice.keepOnly(known)
+    this.cold.keepOnly(known)
     this.orders.keepOnly(known)
     this.choice.refresh()
     this.placeWaiting(now)
+    const emptied = this.room.takeWhere((one) => this.choice.isEmptied(one.ask.service))
+    for (const { ask, resolve } of emptied) resolve(this.refuse(EVACUATED, ask, now))
     const hopeless = this.room.takeHopeless(now)
     const overdue = this.room.takeWhere((one) => now - one.since >= one.ask.holdMs)
-    for (const { ask, resolve } of hopeless) resolve(this.refusedForRoom('no room in sight', ask))
-    for (const { ask, resolve } of overdue) resolve(this.refusedForRoom('no room in time', ask))
+    for (const { ask, resolve } of hopeless) resolve(this.refuse('no room in sight', ask, now))
+    for (const { ask, resolve } of overdue) resolve(this.refuse('no room in time', ask, now))
   }
 
   /** What a service's callers keep busy, in engines that are well; undefined where that is not known yet. */
   needOf(service: string, now: Millis): StageNeed | undefined {
-    const engine = this.options.engine(service)
-    const meter = this.demand.get(service)
-    const { pace } = this.learned
-    if (engine === undefined || meter?.isSure(now) !== true || !pace.isKnown) return undefined
-    return meter.need(engine.kvTokens, pace, now)
+    return this.stages.needOf(service, now)
   }
 
   /** The engine of a service that should change its part now, where one should. */
   planStage(service: string, now: Millis): StageChange | undefined {
-    const engine = this.options.engine(service)
-    const need = this.needOf(service, now)
-    if (engine === undefined || need === undefined) return undefined
-    const staged = (['prefill', 'decode'] as const)
-      .flatMap((stage) => this.choice.registered(service, stage))
-      // An engine that is out for a moment will be back before another has changed its part.
-      .filter((one) => !this.health.isLost(one.id, now, engine.stageChangeMs))
-      // A prefill engine that refuses whatever comes is carrying out an order that nobody here knows of.
-      .filter((one) => one.stage !== 'prefill' || !this.health.isBusy(one.id))
-      .map((one) => this.toStaged(one, now))
-    return planStages(staged, need)
+    return this.stages.plan(service, now)
   }
 
   /** Gives an engine no work while it changes its part. */
@@ -243,18 +254,6 @@
     this.orders.noteOrdered(id, to, forMs, now)
   }
 
-  private toStaged(endpoint: RegisteredEndpoint, now: Millis): StagedEngine {
-    const part = this.orders.partOf(endpoint.id, now)
-    const { slowness } = this.learned.pace.view(endpoint.id, endpoint.stage!, now)
-    return {
-      id: endpoint.id,
-      stage: part ?? endpoint.stage!,
-      freeInMs: this.book.freeInMs(endpoint.id, now),
-      isChanging: part !== undefined,
-      supply: this.supply.note(endpoint.id, slowness, now),
-    }
-  }
-
   /** What is believed of the engines that a request could use. */
   outlook(ask: PlaceAsk, now: Millis): EngineOutlook {
     return this.choice.outlook(ask, now)
@@ -264,31 +263,25 @@
     return this.orders.isChanging(id, now)
   }
 
-  private noteDemand(ask: PlaceAsk, now: Millis): void {
-    const meter = this.demand.get(ask.service) ?? new DemandMeter()
-    this.demand.set(ask.service, meter)
-    meter.note(ask.promptTokens, this.book.heldTokens(ask), now)
-  }
-
   private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
     if (this.options.engine(ask.service) === undefined)
       return refused('the service is not known', NO_ENGINE_RETRY_MS)
-    const without = refuseWithoutEngine(this.choice, ask)
-    if (without !== undefined) return without
     const decoders = this.choice.registered(ask.service, 'decode').length
+    if (this.choice.isEmptied(ask.service)) return this.refuse(EVACUATED, ask, now)
+    if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
+    if (!this.choice.isServedAtHome(ask)) return refused(AWAY_REASON, AWAY_RETRY_MS)
+    const patienceMs = ask.promptMs > 0 ? ask.promptMs : ask.holdMs
+    if ((this.choice.coldWait(ask, now) ?? 0) > patienceMs) return this.refuse(COLD_REASON, ask, now)
     const isFull = ask.promptMs > 0 && this.room.countFirst(ask.service, now) >= decoders * WAITING_PER_ENGINE
-    return isFull ? this.refusedForRoom('too many wait already', ask) : undefined
+    return isFull ? this.refuse('too many wait already', ask, now) : undefined
   }
 
-  /** Callers that come back do so one after the other, late enough for a short peak to have passed. */
-  private refusedForRoom(reason: string, ask: PlaceAsk): PlaceDecision {
-    this.sentAway += 1
-    const spread = (this.sentAway * GOLDEN_STEP) % 1
-    const share = LEAST_RETRY_SHARE + (MOST_RETRY_SHARE - LEAST_RETRY_SHARE) * spread
-    return refused(reason, ask.leftMs * share)
+  private refuse(reason: string, ask: PlaceAsk, now: Millis): PlaceDecision {
+    return this.refusals.forRoom(reason, ask, this.choice.coldWait(ask, now))
   }
 
   private placeWaiting(now: Millis): void {
+    this.cold.noteLeads(now)
     if (this.room.size === 0) return
     for (const one of this.room.inOrder(now)) {
       const placed = this.tryPlace(one, now)
@@ -321,22 +314,25 @@
       },
       now,
     )
-    return pick === undefined ? undefined : this.hold(ask, pick, now)
+    return pick === undefined ? undefined : this.hold(waiting, pick, now)
   }
 
-  private hold(ask: PlaceAsk, pick: EnginePick, now: Millis): Placed {
+  private hold(waiting: Waiting, pick: EnginePick, now: Millis): Placed {
+    const { ask } = waiting
     const { decode, prefill, readsInMs, queuedMs } = pick
     if (prefill === undefined && !ask.isPrefilled) this.choice.noteReadsItself(decode.id, now)
     const decodingAt = prefill === undefined ? now + readsInMs : undefined
     const isReadAlone = prefill !== undefined && queuedMs === 0
     this.book.add({ ask, prefill: prefill?.id, decode: decode.id, placedAt: now, isReadAlone, decodingAt })
-    if (prefill === undefined) return { type: 'placed', decode: decode.id }
+    const cold = this.cold.grant(pick, now - waiting.since, now)
+    if (prefill === undefined) return { type: 'placed', decode: decode.id, cold }
     return {
       type: 'placed',
       prefill: prefill.id,
       decode: decode.id,
       readsInMs: Math.round(readsInMs),
       readElsewhereInMs: pick.readElsewhereInMs,
+      cold,
     }
   }
 }
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -3,8 +3,10 @@
 import { withinHomes, type AtHome, type Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
+import type { ColdBudget, ColdOutlook } from './coldBudget'
 import { EngineDistance } from './engineDistance'
 import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
+import type { BarredEngines } from './barredEngines'
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
 import type { InstanceHealth } from './instanceHealth'
@@ -46,16 +48,21 @@
   soonest?: { endpoint: InstanceId; queuedMs: Millis }
   /** Engines that are slower than their peers: how many times, and how old that evidence is. */
   slow: SlowEngine[]
+  /** Absent where none is cold. */
+  cold?: ColdOutlook
 }
 
 /** Options of {@link EngineChoice}. */
 export interface EngineChoiceOptions {
   endpoints: () => RegisteredEndpoint[]
   topology: Topology
+  barred: BarredEngines
   book: HoldBook
   health: InstanceHealth
   pace: EnginePace
   isChanging: (id: InstanceId, now: Millis) => boolean
+  /** What cold engines may get. */
+  cold: ColdBudget
 }
 
 /** From the end of reading to the first event, with what the network takes: 23 to 46 ms seen (q10 to q90, two plays). */
@@ -72,6 +79,10 @@
 const READING_VARIES = 0.25
 /** A single pause that is foreseen must leave this share of the longest that is in time. */
 const LONGEST_PAUSE_SHARE = 0.9
+/** A cold engine is taken as if this share of its memory were held: warm ones bear the load until they hold as much more. */
+const COLD_PEAK_SHARE = 0.5
+/** A cold prefill engine must be sooner by this many readings. */
+const COLD_READINGS = 1
 /** More than any peak: an engine whose answers come late is taken only where no other has room. */
 const POOR_COST = 1e12
 
@@ -99,6 +110,17 @@
 
   /** Engines of a service that take part, whether they are sound or not. */
   registered(service: string, stage: Stage): RegisteredEndpoint[] {
+    return this.enrolled(service, stage).filter((one) => !this.options.barred.has(one))
+  }
+
+  /** Whether a service has decode engines and every one must get nothing now. */
+  isEmptied(service: string): boolean {
+    const decoders = this.enrolled(service, 'decode')
+    return decoders.length > 0 && decoders.every((one) => this.options.barred.has(one))
+  }
+
+  /** Engines of a service that take part, with those that must get nothing now. */
+  enrolled(service: string, stage: Stage): RegisteredEndpoint[] {
     const { endpoints, health } = this.options
     const there = endpoints().filter((one) => one.service === service && !health.isGone(one.id))
     return newestPerAddress(there).filter((one) => one.stage === stage && one.state === 'ready')
@@ -144,9 +166,15 @@
       roomiest: peaks.sort((left, right) => left.peak - right.peak)[0],
       soonest: queues.sort((left, right) => left.queuedMs - right.queuedMs)[0],
       slow: this.fitness.slowOf({ decode: decoders, prefill: readers }, now),
+      cold: this.options.cold.outlook([...decoders, ...readers], now),
     }
   }
 
+  /** Until a cold decode engine may take another request, where all are cold and none may now; else undefined. */
+  coldWait(ask: PlaceAsk, now: Millis): Millis | undefined {
+    return this.options.cold.waitFor(this.engines(ask, 'decode', now), ask, now)
+  }
+
   /** Notes that a decode engine begins to read a prompt itself. */
   noteReadsItself(id: InstanceId, now: Millis): void {
     this.readsItself.set(id, now)
@@ -197,7 +225,7 @@
     readers: RegisteredEndpoint[],
     now: Millis,
   ): AtHome<RegisteredEndpoint>[] {
-    const { book, health } = this.options
+    const { book, health, cold } = this.options
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
     const engines = this.engines(ask, 'decode', now)
@@ -207,6 +235,7 @@
     const waitsForOthers = quest.isInTime && !ask.isPrefilled && engines.some(({ id }) => !isSlow(id))
     const fits = engines
       .filter(({ id }) => !health.isFull(id, now) && !(waitsForOthers && isSlow(id)))
+      .filter((one) => cold.mayDecode(one, ask, now))
       .map((endpoint) => ({ endpoint, count: book.countAt(endpoint.id) }))
       .filter(({ endpoint, count }) => count < this.fitness.mostAt(endpoint.id, engine, now))
       .map(({ endpoint: { id }, endpoint, count }) => ({
@@ -214,10 +243,14 @@
         peak: count === 0 ? 0 : book.peakWith(ask, id, limit, now),
         isGood: fitness.get(id) === 'good',
         slowness: this.fitness.slowness(id, now),
+        isCold: cold.isCold(id, now),
       }))
       .filter(({ peak }) => peak <= limit)
-    const costOf = ({ endpoint, peak, isGood, slowness }: (typeof fits)[number]) =>
-      (isGood ? 0 : POOR_COST) + peak * slowness + this.distance.tokensAround(ask, engine, endpoint, readers)
+    const costOf = ({ endpoint, peak, isGood, slowness, isCold }: (typeof fits)[number]) =>
+      (isGood ? 0 : POOR_COST) +
+      (isCold ? limit * COLD_PEAK_SHARE : 0) +
+      peak * slowness +
+      this.distance.tokensAround(ask, engine, endpoint, readers)
     fits.sort((left, right) => costOf(left) - costOf(right))
     return fits.map(({ endpoint }) => endpoint)
   }
@@ -239,10 +272,11 @@
 
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
   takers(ask: PlaceAsk, engine: EnginePool, now: Millis): AtHome<RegisteredEndpoint>[] {
-    const { book, health, pace } = this.options
+    const { book, health, pace, cold } = this.options
     return this.engines(ask, 'decode', now).filter(
       ({ id }) =>
         health.isSound(id, now) &&
+        !cold.isCold(id, now) &&
         !health.isFull(id, now) &&
         !pace.isUnproven(id, 'decode', now) &&
         pace.view(id, 'decode', now).slowness < SLOW_FROM &&
@@ -262,11 +296,11 @@
     readers: AtHome<RegisteredEndpoint>[],
     now: Millis,
   ): EnginePick | undefined {
-    const { book, health, pace } = this.options
+    const { book, health, pace, cold } = this.options
     const { promptTokens } = quest.ask
     const way = { promptTokens, readingMs: pace.readingMs(promptTokens), engine: quest.engine }
     const waits = readers
-      .filter((endpoint) => !health.isFull(endpoint.id, now))
+      .filter((endpoint) => !health.isFull(endpoint.id, now) && cold.mayRead(endpoint, now))
       .map((prefill) => ({
         prefill,
         queuedMs: book.prefillWait(prefill.id, now),
@@ -274,7 +308,10 @@
       }))
       .filter(({ prefill, queuedMs }) => queuedMs === 0 || !this.fitness.mayNotQueue(prefill.id, now))
     const costOf = ({ prefill, queuedMs, readingMs }: (typeof waits)[number]) =>
-      queuedMs + readingMs + this.distance.readingMs(prefill, decode, way)
+      queuedMs +
+      readingMs +
+      (cold.isCold(prefill.id, now) ? pace.readingMs(promptTokens) * COLD_READINGS : 0) +
+      this.distance.readingMs(prefill, decode, way)
     waits.sort((left, right) => costOf(left) - costOf(right))
     const soonest = waits[0]
     if (soonest === undefined) return undefined
--- a/placement/allocator/src/refusals.ts
+++ b/placement/allocator/src/refusals.ts
@@ -1,19 +1,39 @@
 import type { Millis } from '@forkstage/types'
-import type { PlaceAsk, Refused } from './allocatorTypes'
-import type { EngineChoice } from './engineChoice'
+import type { PlaceAsk, PlaceDecision } from './allocatorTypes'
 
-export const NO_ENGINE_RETRY_MS = 700
-/** When to come back where no region of a request has an engine: one that was cut off is back within seconds at the earliest. */
-const AWAY_RETRY_MS = 2_000
+/** Who is sent away for want of room comes back after these shares of its time left, spread evenly. */
+const LEAST_RETRY_SHARE = 0.24
+const MOST_RETRY_SHARE = 0.32
+/** A step that spreads any number of requests evenly between 0 and 1. */
+const GOLDEN_STEP = 0.618
+/** What cold engines bear comes by the second: callers return spread over one. */
+const COLD_RETRY_SPREAD_MS = 1_000
+/** Why requests are refused where only cold engines are there, which may get no more now. */
+export const COLD_REASON = 'cold engines get no more now'
 
-/** That a request gets no place, and when to come back. */
-export function refused(reason: string, retryAfterMs: Millis): Refused {
+/** Why a request is refused whose regions have no decode engine, where others have. */
+export const AWAY_REASON = 'no decode engine in its regions'
+/** When to come back then: a region that was cut off is back within seconds at the earliest. */
+export const AWAY_RETRY_MS: Millis = 2_000
+
+/** A refusal, and after how long its caller should come back. */
+export function refused(reason: string, retryAfterMs: Millis): PlaceDecision {
   return { type: 'refused', reason, retryAfterMs }
 }
 
-/** The refusal of a request that no engine could decode at present; undefined where one could. */
-export function refuseWithoutEngine(choice: EngineChoice, ask: PlaceAsk): Refused | undefined {
-  if (choice.registered(ask.service, 'decode').length === 0)
-    return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
-  return choice.isServedAtHome(ask) ? undefined : refused('no decode engine in its regions', AWAY_RETRY_MS)
+/** Tells callers that are sent away when to come back: one after the other. */
+export class Refusals {
+  private sentAway = 0
+
+  /**
+   * Refuses for want of room: callers come back late enough for a short peak to have passed, or, where only the budget
+   * of cold engines binds, from when there is some.
+   * @param coldMs until cold engines, which are all there are, may take another request; undefined where that is not so.
+   */
+  forRoom(reason: string, { leftMs }: PlaceAsk, coldMs: Millis | undefined): PlaceDecision {
+    this.sentAway += 1
+    const spread = (this.sentAway * GOLDEN_STEP) % 1
+    if (coldMs !== undefined) return refused(COLD_REASON, coldMs + spread * COLD_RETRY_SPREAD_MS)
+    return refused(reason, leftMs * (LEAST_RETRY_SHARE + (MOST_RETRY_SHARE - LEAST_RETRY_SHARE) * spread))
+  }
 }
--- a/placement/allocator/test/fixtures.ts
+++ b/placement/allocator/test/fixtures.ts
@@ -1,5 +1,12 @@
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import { Allocator, type PlaceAsk, type PlaceDecision } from '../src'
+import {
+  Allocator,
+  EnginePace,
+  LengthForecast,
+  type AllocatorOptions,
+  type PlaceAsk,
+  type PlaceDecision,
+} from '../src'
 
 /** An engine pool whose memory a few requests fill. */
 export const ENGINE = {
@@ -46,14 +53,35 @@
 }
 
 /** An allocator over some engines, and the decisions it has given. */
-export function world(endpoints: RegisteredEndpoint[]) {
-  const allocator = new Allocator({ endpoints: () => endpoints, engine: () => ENGINE })
+export function world(endpoints: RegisteredEndpoint[], options: Partial<AllocatorOptions> = {}) {
+  const allocator = new Allocator({ endpoints: () => endpoints, engine: () => ENGINE, ...options })
   const decisions = new Map<string, PlaceDecision>()
   const place = (asked: PlaceAsk, now = 0) =>
     allocator.ask(asked, now, (decision) => decisions.set(asked.request, decision))
   return { allocator, decisions, place, decodeOf: (request: string) => decodeOf(decisions.get(request)) }
 }
 
+/** An allocator that leads since time 0, over engines of which some are cold and get so many requests a second. */
+export function coldWorld(endpoints: RegisteredEndpoint[], coldIds: string[], perSecond: number) {
+  const cold = new Set(coldIds)
+  const policy = { leftMs: (id: string) => (cold.has(id) ? 60_000 : 0), perSecond: () => perSecond }
+  const pace = new EnginePace(undefined, (id) => cold.has(id))
+  const ejected: string[] = []
+  const allocator = new Allocator({
+    endpoints: () => endpoints,
+    engine: () => ENGINE,
+    cold: policy,
+    learned: { pace, forecast: new LengthForecast() },
+    onEjected: (id) => ejected.push(id),
+  })
+  allocator.tick(0)
+  const decisions = new Map<string, PlaceDecision>()
+  const place = (asked: PlaceAsk, now: number) =>
+    allocator.ask(asked, now, (decision) => decisions.set(asked.request, decision))
+  const decode = (request: string) => decodeOf(decisions.get(request))
+  return { allocator, decisions, place, pace, cold, ejected, decodeOf: decode }
+}
+
 function decodeOf(decision: PlaceDecision | undefined): string | undefined {
   return decision?.type === 'placed' ? decision.decode : decision?.type
 }
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -54,9 +54,13 @@
   zone: string
   /** Which region each failure domain belongs to; no region is known where left out. */
   topology?: Topology
+  /** Whether an endpoint must get nothing now, though it is registered; none where left out. */
+  isBarred?: (endpoint: RegisteredEndpoint) => boolean
   clock: Clock
   random: Random
   logger: Logger
+  /** Whether an instance is cold: slow for a while, and no less well for that. */
+  isCold?: (id: string) => boolean
 }
 
 /** The registered endpoints as this entry sees them: load, failures, who is out for a while. */
@@ -104,6 +108,7 @@
         newest.has(one.endpoint) &&
         (stage === undefined || one.endpoint.stage === stage) &&
         takesWork(one) &&
+        !this.isBarred(one) &&
         except?.has(one.endpoint.id) !== true,
     )
     const atHome = withinHomes(this.topology, fitting, ({ endpoint }) => endpoint.zone, regions)
@@ -111,6 +116,14 @@
     return sound.length > 0 ? sound : atHome
   }
 
+  /** Whether a service has instances that take work and every one must get nothing now. */
+  isEmptied(service: string, stage?: Stage): boolean {
+    const there = [...this.pooled.values()].filter(
+      (one) => one.endpoint.service === service && takesWork(one) && (!stage || one.endpoint.stage === stage),
+    )
+    return there.length > 0 && there.every((one) => this.isBarred(one))
+  }
+
   /** The instance with the least expected wait, one of this zone among equals, and of another region where that is sooner all the same. */
   leastLoaded<One extends PooledEndpoint>(candidates: One[]): One | undefined {
     const fastest = Math.min(...candidates.map((one) => one.meanMs))
@@ -147,22 +160,35 @@
     this.noteSent(to, tokens)
   }
 
+  /** An instance has turned cold: it has started anew, and its pace is learned again. */
+  noteCold(id: string): void {
+    const one = this.pooled.get(id)
+    if (one === undefined) return
+    one.meanMs = FIRST_MEAN_MS
+    one.limit = new ConcurrencyLimit(one.endpoint.slots)
+  }
+
   /** Notes how a sending ended. */
   noteEnd(one: PooledEndpoint, outcome: SendOutcome, tookMs: Millis, tokens = 0): void {
     one.inFlight -= 1
     one.tokens -= tokens
+    const isCold = this.options.isCold?.(one.endpoint.id) === true
     if (outcome === 'ok') {
       one.failures = 0
-      one.meanMs += (tookMs - one.meanMs) * MEAN_WEIGHT
+      if (!isCold) one.meanMs += (tookMs - one.meanMs) * MEAN_WEIGHT
       one.answeredAt = this.options.clock.now()
     }
     if (outcome === 'other-instance') one.isGone = true
     // One that answered another request meanwhile was not silent but busy.
-    if (outcome === 'silent' && one.answeredAt < this.options.clock.now() - tookMs)
+    if (outcome === 'silent' && !isCold && one.answeredAt < this.options.clock.now() - tookMs)
       this.noteFailure(one, outcome)
     if (outcome === 'failed' || outcome === 'unreachable') this.noteFailure(one, outcome)
   }
 
+  private isBarred({ endpoint }: PooledEndpoint): boolean {
+    return this.options.isBarred?.(endpoint) === true
+  }
+
   private noteFailure(one: PooledEndpoint, reason: SendOutcome): void {
     one.failures += 1
     if (reason !== 'unreachable' && one.failures < FAILURES_TO_EJECT) return
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -1,7 +1,9 @@
 import type { AtHome } from '@forkstage/topology'
+import { COLD_REASON, type ColdGate } from './coldGate'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
 import { poolPlace } from './poolPlace'
+import { EVACUATED } from './sendRules'
 
 /** Options of {@link LocalPlacer}. */
 export interface LocalPlacerOptions {
@@ -10,6 +12,8 @@
   kvTokens: (service: string) => number
   /** How many entries place beside this one. */
   entries: () => number
+  /** What cold engines may get from here; none is cold where left out. */
+  cold?: ColdGate
 }
 
 const NO_ENDPOINT_RETRY_MS = 500
@@ -32,13 +36,14 @@
   constructor(private readonly options: LocalPlacerOptions) {}
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
-    const { pool } = this.options
-    const decoders = pool.candidates(work.service, {
-      stage: 'decode',
-      except: work.except,
-      regions: work.regions,
-    })
-    const decode = pool.fewestTokens(decoders, tokensOf(work))
+    const { pool, cold } = this.options
+    const { service, except, regions } = work
+    const decoders = pool.candidates(service, { stage: 'decode', except, regions })
+    if (pool.isEmptied(service, 'decode'))
+      return { type: 'refused', reason: EVACUATED, retryAfterMs: NO_ROOM_RETRY_MS }
+    const decode = pool.fewestTokens(cold?.usable(decoders) ?? decoders, tokensOf(work))
+    const coldMs = decode === undefined ? cold?.freeIn(decoders) : undefined
+    if (coldMs !== undefined) return { type: 'refused', reason: COLD_REASON, retryAfterMs: coldMs }
     if (decode === undefined)
       return { type: 'refused', reason: 'no decode engine is known', retryAfterMs: NO_ENDPOINT_RETRY_MS }
     if (!this.hasRoom(work, decoders))
@@ -53,11 +58,11 @@
 
   /** The prefill engine with the fewest prompts, where it comes to this one in time; else the decode engine reads. */
   private chooseReader(work: ModelWork, decode: PooledEndpoint): AtHome<PooledEndpoint> | undefined {
-    const { pool, entries } = this.options
+    const { pool, entries, cold } = this.options
     if (work.isPrefilled) return undefined
     const { service, except, regions, promptTokens } = work
     const readers = pool.candidates(service, { stage: 'prefill', except, regions })
-    const prefill = pool.fewestTokens(readers, promptTokens, decode.endpoint.zone)
+    const prefill = pool.fewestTokens(cold?.usable(readers) ?? readers, promptTokens, decode.endpoint.zone)
     if (prefill === undefined) return undefined
     // Others that place alone queue as much there.
     const queued = prefill.tokens * Math.max(1, entries()) + work.promptTokens
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,7 +1,9 @@
 import type { AtHome } from '@forkstage/topology'
+import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
 import { dropHeaders } from './callerRequest'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
+import { COLD_REASON } from './coldGate'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { judgeAnswer } from './judgeAnswer'
 import { sendEndpointAnswer } from './ownAnswer'
@@ -17,7 +19,7 @@
   type SendRecord,
 } from './relayParts'
 import { SendCount } from './sendCount'
-import { whyNotSend } from './sendRules'
+import { EVACUATED, whyNotSend } from './sendRules'
 import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
 import { waitFor } from './waitFor'
 
@@ -94,25 +96,36 @@
     const { request, route, isReturn } = this.job
     const share = isReturn ? RETURN_WAIT_SHARE : PROMPT_SHARE
     const left = request.arrivedAt + route.targetMs * share - clock.now()
-    return waitFor(clock, Math.max(0, left), () => (this.isOver ? undefined : this.roomiest()))
+    // Nothing is worth waiting for where every endpoint must get nothing, for nobody knows how long.
+    const limit = this.parts.pool.isEmptied(this.job.service.name) ? 0 : Math.max(0, left)
+    return waitFor(clock, limit, () => (this.isOver ? undefined : this.roomiest()))
   }
 
   private roomiest(): AtHome<PooledEndpoint> | undefined {
-    const { pool } = this.parts
+    const { pool, cold } = this.parts
     const regions = this.job.homes()
     const all = pool.candidates(this.job.service.name, { regions })
     const fresh = pool.candidates(this.job.service.name, { except: this.tried, regions })
     const open = (fresh.length > 0 ? fresh : all).filter((one) => one.inFlight < one.limit.value)
-    return pool.leastLoaded(open)
+    return pool.leastLoaded(cold?.usable(open) ?? open)
   }
 
   private whyNone(): string {
     const { pool } = this.parts
     const { service, homes } = this.job
+    if (pool.isEmptied(service.name)) return EVACUATED
+    if (this.coldWait() !== undefined) return COLD_REASON
     if (pool.candidates(service.name, { regions: homes() }).length > 0) return 'no room in time'
     return pool.candidates(service.name).length > 0 ? NOT_AT_HOME : 'no endpoint'
   }
 
+  /** Until this entry may use a cold endpoint again, where all are cold and none may get more; else undefined. */
+  private coldWait(): Millis | undefined {
+    const { pool, cold } = this.parts
+    const waitMs = cold?.freeIn(pool.candidates(this.job.service.name, { regions: this.job.homes() }))
+    return waitMs !== undefined && waitMs > 0 ? waitMs : undefined
+  }
+
   /** Sends the request to one endpoint; undefined where no repeated sending is left. */
   private async send(to: AtHome<PooledEndpoint>): Promise<Sending | undefined> {
     const { parts, job } = this
@@ -136,7 +149,9 @@
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
     const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
-    if (note === 'ok') to.limit.noteAnswer(tookMs, job.route.targetMs)
+    // What a cold endpoint takes says nothing of what it bears later.
+    const isCold = parts.cold?.isCold(to.endpoint.id) === true
+    if (note === 'ok' && !isCold) to.limit.noteAnswer(tookMs, job.route.targetMs)
     if (note === 'full') to.limit.noteFull()
     parts.pool.noteEnd(to, this.isOver ? 'cancelled' : note, tookMs)
     this.sends.push({ to: to.endpoint.id, step: 'plain', outcome: note, tookMs: Math.round(tookMs) })
@@ -209,7 +224,7 @@
   private answerWithout(failed: Sending | undefined, reason: string): OwnResult {
     if (failed?.type === 'answer') return this.pass(failed)
     if (this.mayHaveRun > 0) return answerFailure(this.job.request.response, 502, reason)
-    return answerRefusal(this.job.request.response, reason, COME_BACK_MS)
+    return answerRefusal(this.job.request.response, reason, this.coldWait() ?? COME_BACK_MS)
   }
 
   /** The time is up: what is under way may still run. */
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -51,7 +51,7 @@
     this.move = move
     const isCopied = await move.copy()
     // Also the rest must not be copied where the request must not go any more.
-    const isAllowed = whyNotSend(parts, job, to.endpoint, 'decode') === undefined
+    const isAllowed = parts.pool.atHome(to.endpoint.id, job.homes()) !== undefined
     const isSame = this.isRunning() && run.exchange === stream && isAllowed
     this.sending = isCopied && isSame ? this.count.open('decode') : undefined
     if (this.sending !== undefined) return move.stop()
@@ -67,7 +67,7 @@
     this.move = undefined
     this.sending = undefined
     const stopped = await move.stopped()
-    const at = stopped === undefined ? undefined : this.whereAllowed(stopped.copiedTo ?? whereReady(stopped))
+    const at = stopped && this.whereOn(stopped)
     const goesOn = attempt.type === 'lost' && !this.run.isOver
     move.log(stopped === undefined ? 'not stopped' : goesOn ? 'moved' : 'not needed')
     if (stopped !== undefined && at !== undefined && goesOn)
@@ -77,9 +77,11 @@
     return undefined
   }
 
-  private whereAllowed(at: AtHome<PooledEndpoint> | undefined): AtHome<PooledEndpoint> | undefined {
-    if (at === undefined) return undefined
-    return whyNotSend(this.parts, this.job, at.endpoint, 'decode') === undefined ? at : undefined
+  /** Where a stopped run can go on: what has become known since the copy began binds here too. */
+  private whereOn(stopped: StoppedRun): AtHome<PooledEndpoint> | undefined {
+    return [stopped.copiedTo, whereReady(stopped)].find(
+      (one) => one !== undefined && whyNotSend(this.parts, this.job, one.endpoint, 'decode') === undefined,
+    )
   }
 
   private isRunning(): boolean {
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -8,6 +8,9 @@
  */
 export type SendRule = (to: RegisteredEndpoint, job: RelayJob, step: SendStep) => string | undefined
 
+/** Why nothing is sent to an endpoint of an evacuated failure domain. */
+export const EVACUATED = 'evacuated'
+
 /** The first reason why a request must not leave for an endpoint now, with a log line; undefined where it may. */
 export function whyNotSend(
   parts: RelayParts,
@@ -15,7 +18,9 @@
   to: RegisteredEndpoint,
   step: SendStep,
 ): string | undefined {
-  for (const rule of parts.sendRules ?? []) {
+  // Counted where it may go on, so it is asked last.
+  const cold: SendRule = (endpoint, { request }, one) => parts.cold?.whyNot(endpoint, request.id, one)
+  for (const rule of [...(parts.sendRules ?? []), cold]) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
     parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -7,6 +7,7 @@
 import { RouteBook, type CallerLimits, type Route, type Workspace } from '@forkstage/routes'
 import { Topology } from '@forkstage/topology'
 import {
+  ColdGate,
   EndpointPool,
   homeRule,
   Ingress,
@@ -83,6 +84,9 @@
 
 const QUOTA_WINDOW_MS = 8_000
 const LED_FOR_MS = 2_000
+const RUN_FOR_MS = 60_000
+/** What a cold endpoint may get from all entries. */
+export const COLD_PER_SECOND = 30
 
 const ENGINE = {
   slots: 8,
@@ -104,12 +108,16 @@
   isCurrent = true
   /** Why nothing may leave for an instance, by its id. */
   readonly withheld = new Map<string, string>()
+  /** Instances that are cold: how much longer, by their id. */
+  readonly cold = new Map<string, number>()
   private constructor(
     readonly ingress: Ingress,
     readonly pool: EndpointPool,
     readonly port: number,
     /** Puts a newer sheet with these workspaces, and these routes if given, in force. */
     readonly setWorkspaces: (workspaces: Workspace[] | undefined, routes?: Partial<Route>[]) => void,
+    /** Failure domains that get nothing. */
+    readonly evacuated: Set<string>,
   ) {}
 
   static async start(
@@ -120,7 +128,9 @@
   ): Promise<GatewayWorld> {
     const clock = createSystemClock()
     const logger = createSilentLogger()
-    const pool = new EndpointPool({ zone: 'z', topology: TOPOLOGY, clock, random: () => 0, logger })
+    const evacuated = new Set<string>()
+    const isBarred = ({ zone }: RegisteredEndpoint) => evacuated.has(zone)
+    const pool = new EndpointPool({ zone: 'z', topology: TOPOLOGY, clock, random: () => 0, logger, isBarred })
     pool.update(endpoints.map((endpoint, index) => fullEndpoint(endpoint, index)))
     const book = new RouteBook()
     const sheet = {
@@ -161,7 +171,18 @@
       windowMs: QUOTA_WINDOW_MS,
       reportEveryMs: 500,
     })
-    const local = new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1 })
+    // The only entry, which has run for a while.
+    let later = 0
+    const cold = new ColdGate({
+      clock: { ...clock, now: () => clock.now() + later },
+      random: () => 0.5,
+      leftMs: (id) => world.cold.get(id) ?? 0,
+      hasSaid: () => true,
+      perSecond: () => COLD_PER_SECOND,
+      entries: () => 1,
+    })
+    later = RUN_FOR_MS
+    const local = new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1, cold })
     const ingress: Ingress = new Ingress({
       parts: {
         wire: TEST_WIRE,
@@ -174,7 +195,12 @@
           },
         },
         allowance: new RetryAllowance({ clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 1 }),
-        sendRules: [({ id }) => world.withheld.get(id), homeRule(TOPOLOGY)],
+        sendRules: [
+          ({ id }) => world.withheld.get(id),
+          (to) => (isBarred(to) ? 'evacuated' : undefined),
+          homeRule(TOPOLOGY),
+        ],
+        cold,
         clock,
         random: createSeededRandom(1),
         logger,
@@ -185,14 +211,14 @@
     })
     await new Promise<void>((resolve) => ingress.server.listen(0, '127.0.0.1', resolve))
     const { port } = ingress.server.address() as { port: number }
-    const world: GatewayWorld = new GatewayWorld(ingress, pool, port, (newer, newRoutes = routes) =>
-      book.install({
+    const install = (newer: Workspace[] | undefined, newRoutes: Partial<Route>[] = routes) =>
+      void book.install({
         ...sheet,
         version: book.version + 1,
         routes: newRoutes.map(fullRoute),
         workspaces: newer,
-      }),
-    )
+      })
+    const world: GatewayWorld = new GatewayWorld(ingress, pool, port, install, evacuated)
     return world
   }
 
