--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -9,6 +9,7 @@
 import { RouteBook } from '@forkstage/routes'
 import { createFileSystem } from '@forkstage/storage'
 import { SheetMachine, type SheetCommand, type SheetDocument, type SheetResult } from '@forkstage/sheet'
+import { Topology } from '@forkstage/topology'
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
 import { ColdEndpoints } from './coldEndpoints'
@@ -146,6 +147,7 @@
       isLeader: () => this.host.replica?.holdsLease === true,
       term,
       entries,
+      topology: new Topology(settings.domains),
     })
     this.quotas = createQuotaLedger(settings.quota, this.book, { clock, term, entries })
     this.orders = new StageOrders({
@@ -288,6 +290,7 @@
       group: GROUP,
       box: machine.name,
       address: listen.peers,
+      domain: machine.zone,
       folder: `${machine.data_folder}/${GROUP}`,
       firstReplicas: seedAddresses(settings).map((address) => ({ address })),
       mayFound: control.found,
@@ -349,6 +352,6 @@
 }
 
 function membershipRules(settings: FleetSettings) {
-  const { losses, silent_ms } = settings.control
-  return { enoughVoters: losses * 2 + 1, silentMs: silent_ms, askingMs: ASKING_MS }
+  const { losses, domain_losses: domainLosses, silent_ms } = settings.control
+  return { enoughVoters: losses * 2 + 1, domainLosses, silentMs: silent_ms, askingMs: ASKING_MS }
 }
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -6,6 +6,7 @@
   ColdGate,
   EVACUATED,
   EndpointPool,
+  homeRule,
   Ingress,
   LeaderWay,
   LocalPlacer,
@@ -17,6 +18,7 @@
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
 import { QUOTA_REPORT, QuotaKeeper, type QuotaAnswer } from '@forkstage/quota'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
+import { Topology } from '@forkstage/topology'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { ColdEndpoints } from './coldEndpoints'
 import { countBy } from './countBy'
@@ -86,8 +88,10 @@
     })
     this.belief = new EvacuationBelief({ logger, onWithdrawn: (domain) => this.cold.doubt(domain) })
     const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
+    const topology = new Topology(settings.domains)
     this.pool = new EndpointPool({
       zone: settings.machine.zone,
+      topology,
       isBarred,
       isCold: (id) => this.coldGate.isCold(id),
       clock,
@@ -127,6 +131,7 @@
     this.quotas = this.createQuotas(entries)
     this.placer = new RemotePlacer({
       entry: settings.machine.name,
+      domain: settings.machine.zone,
       pool: this.pool,
       fallback: new LocalPlacer({
         pool: this.pool,
@@ -146,7 +151,7 @@
         placer: this.placer,
         allowance,
         cold: this.coldGate,
-        sendRules: [(to) => (isBarred(to) ? EVACUATED : undefined)],
+        sendRules: [(to) => (isBarred(to) ? EVACUATED : undefined), homeRule(topology)],
         clock,
         random,
         logger,
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -1,5 +1,6 @@
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
+import { Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type {
   AnswerMove,
@@ -19,7 +20,7 @@
 import { LengthForecast } from './lengthForecast'
 import { MovePlanner } from './movePlanner'
 import { PartOrders } from './partOrders'
-import { COLD_REASON, refused, Refusals } from './refusals'
+import { AWAY_REASON, AWAY_RETRY_MS, COLD_REASON, refused, Refusals } from './refusals'
 import type { StageChange, StageNeed } from './planStages'
 import { StagePlanner } from './stagePlanner'
 import { WaitingRoom, type Waiting, type WaitingOrder } from './waitingRoom'
@@ -35,6 +36,8 @@
   endpoints: () => RegisteredEndpoint[]
   /** What the engines of a service hold; undefined for a service that is not known. */
   engine: (service: string) => EnginePool | undefined
+  /** Which region each failure domain belongs to; no region is known where left out. */
+  topology?: Topology
   /** Whether an instance must get nothing now, though it is registered; none where left out. */
   isBarred?: (endpoint: RegisteredEndpoint) => boolean
   /** Called when an instance is out for a while. */
@@ -98,6 +101,7 @@
     this.choice = new EngineChoice({
       cold: this.cold,
       endpoints: options.endpoints,
+      topology: options.topology ?? new Topology(),
       barred: this.barred,
       book: this.book,
       health: this.health,
@@ -265,6 +269,7 @@
     const decoders = this.choice.registered(ask.service, 'decode').length
     if (this.choice.isEmptied(ask.service)) return this.refuse(EVACUATED, ask, now)
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
+    if (!this.choice.isServedAtHome(ask)) return refused(AWAY_REASON, AWAY_RETRY_MS)
     const patienceMs = ask.promptMs > 0 ? ask.promptMs : ask.holdMs
     if ((this.choice.coldWait(ask, now) ?? 0) > patienceMs) return this.refuse(COLD_REASON, ask, now)
     const isFull = ask.promptMs > 0 && this.room.countFirst(ask.service, now) >= decoders * WAITING_PER_ENGINE
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { EnginePool } from '@forkstage/routes'
+import type { Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { Allocator, type Learned } from './allocator'
 import { whyNoReport } from './checkReport'
@@ -45,6 +46,8 @@
   isLeader: () => boolean
   /** Which term it leads in: a new one begins with what the entries report. */
   term: () => number
+  /** Which region each failure domain belongs to; no region is known where left out. */
+  topology?: Topology
   /** How many entries place through this machine, as far as it has counted them. */
   entries: () => number
   /** Which engines are cold and what they bear; none is where left out. */
@@ -245,8 +248,9 @@
   }
 
   private createAllocator(): Allocator {
-    const { endpoints, engine, isBarred, logger, cold } = this.options
+    const { endpoints, engine, isBarred, logger, cold, topology } = this.options
     return new Allocator({
+      topology,
       endpoints,
       engine,
       isBarred,
@@ -280,6 +284,8 @@
           ? decision.reason
           : `prefill ${decision.prefill ?? 'none'}, decode ${decision.decode}`,
       promptTokens: ask.promptTokens,
+      regions: ask.regions,
+      entryDomain: ask.entryDomain,
       targetMs: Math.round(ask.targetMs),
       isReturn: ask.isReturn,
       waitedMs: Math.round(waitedMs),
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -1,5 +1,6 @@
 import type { InstanceId } from '@forkstage/directory'
-import type { Millis } from '@forkstage/types'
+import type { Homes } from '@forkstage/topology'
+import type { FailureDomain, Millis } from '@forkstage/types'
 
 /** A part of a prompt, which an engine that has read it may keep. */
 export interface PromptPart {
@@ -13,6 +14,8 @@
   request: string
   /** The entry that relays it. */
   entry: string
+  /** The failure domain of that entry; absent where the entry does not tell it. */
+  entryDomain?: FailureDomain
   service: string
   /** Requests of one class have answers of like length. */
   className: string
@@ -36,7 +39,7 @@
   except: InstanceId[]
   isPrefilled: boolean
   /** The regions that it may be served in; absent where any will do. Empty where none will. */
-  regions?: string[]
+  regions?: Homes
   /** The parts of its prompt in order; absent where its caller named none. */
   parts?: PromptPart[]
 }
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -1,8 +1,10 @@
 import { newestPerAddress, type InstanceId, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
+import { withinHomes, type AtHome, type Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
 import type { ColdBudget, ColdOutlook } from './coldBudget'
+import { EngineDistance } from './engineDistance'
 import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
 import type { BarredEngines } from './barredEngines'
 import type { EnginePace } from './enginePace'
@@ -12,9 +14,9 @@
 
 /** Where a request would go, and when its prompt would have been read. */
 export interface EnginePick {
-  decode: RegisteredEndpoint
+  decode: AtHome<RegisteredEndpoint>
   /** Absent where the decode engine reads the prompt itself, or where it has been read. */
-  prefill?: RegisteredEndpoint
+  prefill?: AtHome<RegisteredEndpoint>
   /** Until the prompt has been read, in milliseconds; 0 where it has been. */
   readsInMs: Millis
   /** How long it waits behind other prompts of that. */
@@ -53,6 +55,7 @@
 /** Options of {@link EngineChoice}. */
 export interface EngineChoiceOptions {
   endpoints: () => RegisteredEndpoint[]
+  topology: Topology
   barred: BarredEngines
   book: HoldBook
   health: InstanceHealth
@@ -70,9 +73,6 @@
 const OWN_READING_FACTOR = 2
 /** The share of its time that a decode engine may read beside prefill engines: a prompt of 190 ms each 0.7 s, as was tuned. */
 const OWN_READING_SHARE = 0.27
-/** A prefill engine of another zone must be sooner by this share of the reading, since moves cost more: 30 of 95 ms. */
-const OTHER_ZONE_SHARE = 0.3
-
 /** Reading is late from so many times the time it should take: it varies with what else the way carries. */
 const LATE_FROM = 1.5
 /** The end of a reading is foreseen only within this share of its time. */
@@ -100,7 +100,11 @@
   /** What engines' paces mean for requests. */
   readonly fitness: EngineFitness
 
+  /** What ways between engines and entries count. */
+  readonly distance: EngineDistance
+
   constructor(private readonly options: EngineChoiceOptions) {
+    this.distance = new EngineDistance(options.topology)
     this.fitness = new EngineFitness(options)
   }
 
@@ -129,11 +133,11 @@
 
   /** The engines for a request; undefined where it has to wait. */
   choose(quest: EngineQuest, now: Millis): EnginePick | undefined {
-    const fitting = this.fitting(quest, now)
+    const readers = quest.ask.isPrefilled ? [] : this.engines(quest.ask, 'prefill', now)
+    const fitting = this.fitting(quest, readers, now)
     const first = fitting[0]
     if (first === undefined) return undefined
     if (quest.ask.isPrefilled) return { decode: first, readsInMs: 0, queuedMs: 0 }
-    const readers = this.engines(quest.ask, 'prefill', now)
     const apart = this.readApart(quest, first, readers, now)
     if (apart !== undefined && !this.fitness.isSlowReader(apart.prefill!.id, now)) return apart
     // A slow reader is used where no decode engine is sooner.
@@ -187,12 +191,23 @@
   }
 
   /** Engines that may get the request now or in a moment; unsound ones only where no other decodes. */
-  engines(ask: PlaceAsk, stage: Stage, now: Millis): RegisteredEndpoint[] {
-    const working = this.working(ask.service, stage, now).filter((one) => !ask.except.includes(one.id))
+  engines(ask: PlaceAsk, stage: Stage, now: Millis): AtHome<RegisteredEndpoint>[] {
+    const working = this.atHome(ask, this.working(ask.service, stage, now)).filter(
+      (one) => !ask.except.includes(one.id),
+    )
     const sound = working.filter((one) => this.options.health.isSound(one.id, now))
     return sound.length > 0 || stage === 'prefill' ? sound : working
   }
 
+  /** Whether some decode engine that takes part lies in the regions of a request. */
+  isServedAtHome(ask: PlaceAsk): boolean {
+    return this.atHome(ask, this.registered(ask.service, 'decode')).length > 0
+  }
+
+  private atHome(ask: PlaceAsk, engines: RegisteredEndpoint[]): AtHome<RegisteredEndpoint>[] {
+    return withinHomes(this.options.topology, engines, ({ zone }) => zone, ask.regions)
+  }
+
   /** Read once for all requests that look for a place at one time. */
   private working(service: string, stage: Stage, now: Millis): RegisteredEndpoint[] {
     if (this.works.at !== now) this.works = { at: now, engines: new Map() }
@@ -205,7 +220,11 @@
   }
 
   /** Decode engines into whose memory to come the request fits, the least filled for their pace first. */
-  private fitting(quest: EngineQuest, now: Millis): RegisteredEndpoint[] {
+  private fitting(
+    quest: EngineQuest,
+    readers: RegisteredEndpoint[],
+    now: Millis,
+  ): AtHome<RegisteredEndpoint>[] {
     const { book, health, cold } = this.options
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
@@ -227,8 +246,11 @@
         isCold: cold.isCold(id, now),
       }))
       .filter(({ peak }) => peak <= limit)
-    const costOf = ({ peak, isGood, slowness, isCold }: (typeof fits)[number]) =>
-      (isGood ? 0 : POOR_COST) + (isCold ? limit * COLD_PEAK_SHARE : 0) + peak * slowness
+    const costOf = ({ endpoint, peak, isGood, slowness, isCold }: (typeof fits)[number]) =>
+      (isGood ? 0 : POOR_COST) +
+      (isCold ? limit * COLD_PEAK_SHARE : 0) +
+      peak * slowness +
+      this.distance.tokensAround(ask, engine, endpoint, readers)
     fits.sort((left, right) => costOf(left) - costOf(right))
     return fits.map(({ endpoint }) => endpoint)
   }
@@ -249,7 +271,7 @@
   }
 
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
-  takers(ask: PlaceAsk, engine: EnginePool, now: Millis): RegisteredEndpoint[] {
+  takers(ask: PlaceAsk, engine: EnginePool, now: Millis): AtHome<RegisteredEndpoint>[] {
     const { book, health, pace, cold } = this.options
     return this.engines(ask, 'decode', now).filter(
       ({ id }) =>
@@ -270,12 +292,13 @@
   /** The prefill engine that comes to the prompt first, where that is soon enough. */
   private readApart(
     quest: EngineQuest,
-    decode: RegisteredEndpoint,
-    readers: RegisteredEndpoint[],
+    decode: AtHome<RegisteredEndpoint>,
+    readers: AtHome<RegisteredEndpoint>[],
     now: Millis,
   ): EnginePick | undefined {
     const { book, health, pace, cold } = this.options
     const { promptTokens } = quest.ask
+    const way = { promptTokens, readingMs: pace.readingMs(promptTokens), engine: quest.engine }
     const waits = readers
       .filter((endpoint) => !health.isFull(endpoint.id, now) && cold.mayRead(endpoint, now))
       .map((prefill) => ({
@@ -288,7 +311,7 @@
       queuedMs +
       readingMs +
       (cold.isCold(prefill.id, now) ? pace.readingMs(promptTokens) * COLD_READINGS : 0) +
-      (prefill.zone === decode.zone ? 0 : pace.readingMs(promptTokens) * OTHER_ZONE_SHARE)
+      this.distance.readingMs(prefill, decode, way)
     waits.sort((left, right) => costOf(left) - costOf(right))
     const soonest = waits[0]
     if (soonest === undefined) return undefined
@@ -308,8 +331,8 @@
   /** The decode engine that reads the prompt itself, where it comes to it soon enough. */
   private readAtDecode(
     quest: EngineQuest,
-    fitting: RegisteredEndpoint[],
-    readers: RegisteredEndpoint[],
+    fitting: AtHome<RegisteredEndpoint>[],
+    readers: AtHome<RegisteredEndpoint>[],
     now: Millis,
   ): EnginePick | undefined {
     const { book, health } = this.options
--- a/placement/allocator/src/refusals.ts
+++ b/placement/allocator/src/refusals.ts
@@ -11,6 +11,11 @@
 /** Why requests are refused where only cold engines are there, which may get no more now. */
 export const COLD_REASON = 'cold engines get no more now'
 
+/** Why a request is refused whose regions have no decode engine, where others have. */
+export const AWAY_REASON = 'no decode engine in its regions'
+/** When to come back then: a region that was cut off is back within seconds at the earliest. */
+export const AWAY_RETRY_MS: Millis = 2_000
+
 /** A refusal, and after how long its caller should come back. */
 export function refused(reason: string, retryAfterMs: Millis): PlaceDecision {
   return { type: 'refused', reason, retryAfterMs }
--- a/request/gateway/src/coldGate.ts
+++ b/request/gateway/src/coldGate.ts
@@ -97,7 +97,7 @@
   }
 
   /** Of some endpoints those to choose among: warm ones where there are any, else cold ones that this entry may use. */
-  usable(candidates: PooledEndpoint[]): PooledEndpoint[] {
+  usable<One extends PooledEndpoint>(candidates: One[]): One[] {
     const warm = candidates.filter(({ endpoint }) => !this.isCold(endpoint.id))
     return warm.length > 0 ? warm : candidates.filter(({ endpoint }) => this.mayTake(endpoint))
   }
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -1,7 +1,9 @@
 import type { Clock, Random } from '@forkstage/clock'
+import { callAwayMs } from '@forkstage/allocator'
 import { newestPerAddress, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
-import type { Millis } from '@forkstage/types'
+import { Topology, withinHomes, type AtHome, type Homes } from '@forkstage/topology'
+import type { FailureDomain, Millis } from '@forkstage/types'
 import { ConcurrencyLimit } from './concurrencyLimit'
 
 /** What this entry has seen of one instance. */
@@ -38,9 +40,20 @@
 const FIRST_MEAN_MS = 50
 const MEAN_LASTS_MS = 2_000
 
+/** Which instances of a service are looked for. */
+export interface CandidateQuery {
+  stage?: Stage
+  /** Instances that are not to be chosen. */
+  except?: ReadonlySet<string>
+  /** The regions that they may lie in; any where left out. */
+  regions?: Homes
+}
+
 /** Options of {@link EndpointPool}. */
 export interface EndpointPoolOptions {
   zone: string
+  /** Which region each failure domain belongs to; no region is known where left out. */
+  topology?: Topology
   /** Whether an endpoint must get nothing now, though it is registered; none where left out. */
   isBarred?: (endpoint: RegisteredEndpoint) => boolean
   clock: Clock
@@ -54,7 +67,11 @@
 export class EndpointPool {
   private readonly pooled = new Map<string, PooledEndpoint>()
 
-  constructor(private readonly options: EndpointPoolOptions) {}
+  private readonly topology: Topology
+
+  constructor(private readonly options: EndpointPoolOptions) {
+    this.topology = options.topology ?? new Topology()
+  }
 
   /** Takes what is new of registered endpoints. */
   update(endpoints: RegisteredEndpoint[]): void {
@@ -70,8 +87,19 @@
     return this.pooled.get(id)
   }
 
+  /** An instance by its id, where it lies in one of these regions. */
+  atHome(id: string, regions: Homes): AtHome<PooledEndpoint> | undefined {
+    const known = this.pooled.get(id)
+    return withinHomes(
+      this.topology,
+      known === undefined ? [] : [known],
+      ({ endpoint }) => endpoint.zone,
+      regions,
+    )[0]
+  }
+
   /** Instances of a service that take work now; those that are out only where there is no other. */
-  candidates(service: string, stage?: Stage, except: ReadonlySet<string> = new Set()): PooledEndpoint[] {
+  candidates(service: string, { stage, except, regions }: CandidateQuery = {}): AtHome<PooledEndpoint>[] {
     const now = this.options.clock.now()
     const there = [...this.pooled.values()].filter((one) => one.endpoint.service === service && !one.isGone)
     const newest = new Set(newestPerAddress(there.map((one) => one.endpoint)))
@@ -81,10 +109,11 @@
         (stage === undefined || one.endpoint.stage === stage) &&
         takesWork(one) &&
         !this.isBarred(one) &&
-        !except.has(one.endpoint.id),
+        except?.has(one.endpoint.id) !== true,
     )
-    const sound = fitting.filter((one) => one.ejectedUntil <= now)
-    return sound.length > 0 ? sound : fitting
+    const atHome = withinHomes(this.topology, fitting, ({ endpoint }) => endpoint.zone, regions)
+    const sound = atHome.filter((one) => one.ejectedUntil <= now)
+    return sound.length > 0 ? sound : atHome
   }
 
   /** Whether a service has instances that take work and every one must get nothing now. */
@@ -95,17 +124,26 @@
     return there.length > 0 && there.every((one) => this.isBarred(one))
   }
 
-  /** The instance with the least expected wait, one of this zone among equals. */
-  leastLoaded(candidates: PooledEndpoint[]): PooledEndpoint | undefined {
+  /** The instance with the least expected wait, one of this zone among equals, and of another region where that is sooner all the same. */
+  leastLoaded<One extends PooledEndpoint>(candidates: One[]): One | undefined {
     const fastest = Math.min(...candidates.map((one) => one.meanMs))
     const scored = candidates.map((one) => ({ one, score: this.score(one, fastest) }))
     scored.sort((left, right) => left.score - right.score)
     return scored[0]?.one
   }
 
-  /** The engine where this entry's requests hold the fewest tokens. */
-  fewestTokens(candidates: PooledEndpoint[]): PooledEndpoint | undefined {
-    const scored = candidates.map((one) => ({ one, score: one.tokens + this.options.random() }))
+  /**
+   * The engine where this entry's requests hold the fewest tokens.
+   * @param awayTokens what one in another region than `near` counts more.
+   */
+  fewestTokens<One extends PooledEndpoint>(
+    candidates: One[],
+    awayTokens = 0,
+    near: FailureDomain = this.options.zone,
+  ): One | undefined {
+    const awayOf = ({ endpoint }: PooledEndpoint) =>
+      this.topology.distance(near, endpoint.zone) === 'other-region' ? awayTokens : 0
+    const scored = candidates.map((one) => ({ one, score: one.tokens + awayOf(one) + this.options.random() }))
     scored.sort((left, right) => left.score - right.score)
     return scored[0]?.one
   }
@@ -164,8 +202,9 @@
     const isOld = this.options.clock.now() - one.answeredAt > MEAN_LASTS_MS
     const meanMs = isOld ? fastest : one.meanMs
     const wait = ((one.inFlight + 1) * meanMs) / Math.max(1, one.endpoint.slots)
-    const away = one.endpoint.zone === this.options.zone ? 1 : AWAY_FACTOR
-    return wait * away * (1 + this.options.random() * DRAW)
+    const distance = this.topology.distance(this.options.zone, one.endpoint.zone)
+    const away = distance === 'same-domain' ? 1 : AWAY_FACTOR
+    return wait * away * (1 + this.options.random() * DRAW) + callAwayMs(distance)
   }
 
   private updateOne(endpoint: RegisteredEndpoint): void {
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -1,3 +1,4 @@
+import type { AtHome } from '@forkstage/topology'
 import { COLD_REASON, type ColdGate } from './coldGate'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
@@ -36,17 +37,18 @@
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
     const { pool, cold } = this.options
-    const decoders = pool.candidates(work.service, 'decode', work.except)
-    if (pool.isEmptied(work.service, 'decode'))
+    const { service, except, regions } = work
+    const decoders = pool.candidates(service, { stage: 'decode', except, regions })
+    if (pool.isEmptied(service, 'decode'))
       return { type: 'refused', reason: EVACUATED, retryAfterMs: NO_ROOM_RETRY_MS }
-    const decode = pool.fewestTokens(cold?.usable(decoders) ?? decoders)
+    const decode = pool.fewestTokens(cold?.usable(decoders) ?? decoders, tokensOf(work))
     const coldMs = decode === undefined ? cold?.freeIn(decoders) : undefined
     if (coldMs !== undefined) return { type: 'refused', reason: COLD_REASON, retryAfterMs: coldMs }
     if (decode === undefined)
       return { type: 'refused', reason: 'no decode engine is known', retryAfterMs: NO_ENDPOINT_RETRY_MS }
     if (!this.hasRoom(work, decoders))
       return { type: 'refused', reason: "this entry's share is full", retryAfterMs: NO_ROOM_RETRY_MS }
-    const prefill = this.chooseReader(work)
+    const prefill = this.chooseReader(work, decode)
     const { promptTokens } = work
     return {
       type: 'place',
@@ -55,11 +57,12 @@
   }
 
   /** The prefill engine with the fewest prompts, where it comes to this one in time; else the decode engine reads. */
-  private chooseReader(work: ModelWork): PooledEndpoint | undefined {
+  private chooseReader(work: ModelWork, decode: PooledEndpoint): AtHome<PooledEndpoint> | undefined {
     const { pool, entries, cold } = this.options
     if (work.isPrefilled) return undefined
-    const readers = pool.candidates(work.service, 'prefill', work.except)
-    const prefill = pool.fewestTokens(cold?.usable(readers) ?? readers)
+    const { service, except, regions, promptTokens } = work
+    const readers = pool.candidates(service, { stage: 'prefill', except, regions })
+    const prefill = pool.fewestTokens(cold?.usable(readers) ?? readers, promptTokens, decode.endpoint.zone)
     if (prefill === undefined) return undefined
     // Others that place alone queue as much there.
     const queued = prefill.tokens * Math.max(1, entries()) + work.promptTokens
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,3 +1,4 @@
+import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
 import { dropHeaders } from './callerRequest'
@@ -19,6 +20,7 @@
 } from './relayParts'
 import { SendCount } from './sendCount'
 import { EVACUATED, whyNotSend } from './sendRules'
+import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
 import { waitFor } from './waitFor'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -70,6 +72,8 @@
   }
 
   private async tryEndpoints(): Promise<OwnResult> {
+    if (isAwayOnly(this.parts.pool, this.job))
+      return answerRefusal(this.job.request.response, NOT_AT_HOME, AWAY_COME_BACK_MS)
     let failed: Sending | undefined
     for (let refusals = 0; ;) {
       const to = await this.choose()
@@ -87,7 +91,7 @@
   }
 
   /** The endpoint to try next, once one has room; undefined where none has in time. */
-  private choose(): Promise<PooledEndpoint | undefined> {
+  private choose(): Promise<AtHome<PooledEndpoint> | undefined> {
     const { clock } = this.parts
     const { request, route, isReturn } = this.job
     const share = isReturn ? RETURN_WAIT_SHARE : PROMPT_SHARE
@@ -97,30 +101,33 @@
     return waitFor(clock, limit, () => (this.isOver ? undefined : this.roomiest()))
   }
 
-  private roomiest(): PooledEndpoint | undefined {
+  private roomiest(): AtHome<PooledEndpoint> | undefined {
     const { pool, cold } = this.parts
-    const all = pool.candidates(this.job.service.name)
-    const fresh = pool.candidates(this.job.service.name, undefined, this.tried)
+    const regions = this.job.homes()
+    const all = pool.candidates(this.job.service.name, { regions })
+    const fresh = pool.candidates(this.job.service.name, { except: this.tried, regions })
     const open = (fresh.length > 0 ? fresh : all).filter((one) => one.inFlight < one.limit.value)
     return pool.leastLoaded(cold?.usable(open) ?? open)
   }
 
   private whyNone(): string {
-    if (this.parts.pool.isEmptied(this.job.service.name)) return EVACUATED
+    const { pool } = this.parts
+    const { service, homes } = this.job
+    if (pool.isEmptied(service.name)) return EVACUATED
     if (this.coldWait() !== undefined) return COLD_REASON
-    const isKnown = this.parts.pool.candidates(this.job.service.name).length > 0
-    return isKnown ? 'no room in time' : 'no endpoint'
+    if (pool.candidates(service.name, { regions: homes() }).length > 0) return 'no room in time'
+    return pool.candidates(service.name).length > 0 ? NOT_AT_HOME : 'no endpoint'
   }
 
   /** Until this entry may use a cold endpoint again, where all are cold and none may get more; else undefined. */
   private coldWait(): Millis | undefined {
     const { pool, cold } = this.parts
-    const waitMs = cold?.freeIn(pool.candidates(this.job.service.name))
+    const waitMs = cold?.freeIn(pool.candidates(this.job.service.name, { regions: this.job.homes() }))
     return waitMs !== undefined && waitMs > 0 ? waitMs : undefined
   }
 
   /** Sends the request to one endpoint; undefined where no repeated sending is left. */
-  private async send(to: PooledEndpoint): Promise<Sending | undefined> {
+  private async send(to: AtHome<PooledEndpoint>): Promise<Sending | undefined> {
     const { parts, job } = this
     this.tried.add(to.endpoint.id)
     if (whyNotSend(parts, job, to.endpoint, 'plain') !== undefined) return { type: 'not-run', arrived: false }
@@ -195,7 +202,8 @@
   }
 
   private hasUntried(): boolean {
-    return this.parts.pool.candidates(this.job.service.name, undefined, this.tried).length > 0
+    const { service, homes } = this.job
+    return this.parts.pool.candidates(service.name, { except: this.tried, regions: homes() }).length > 0
   }
 
   private pass(sending: Extract<Sending, { type: 'answer' }>): OwnResult {
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -11,7 +11,7 @@
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
-import type { Address, Millis } from '@forkstage/types'
+import type { Address, FailureDomain, Millis } from '@forkstage/types'
 import type { ColdGate } from './coldGate'
 import type { EndpointPool } from './endpointPool'
 import type { LeaderWay } from './leaderWay'
@@ -22,6 +22,8 @@
 /** Options of {@link RemotePlacer}. */
 export interface RemotePlacerOptions {
   entry: string
+  /** The failure domain of this entry. */
+  domain?: FailureDomain
   pool: EndpointPool
   /** Places while nobody can be asked. */
   fallback: ModelPlacer
@@ -134,14 +136,15 @@
   }
 
   private toAsk(work: ModelWork): PlaceAsk {
-    return { ...work, entry: this.options.entry, except: [...work.except] }
+    const { entry, domain } = this.options
+    return { ...work, entry, entryDomain: domain, except: [...work.except] }
   }
 
-  /** The place by its engines, or undefined where this entry does not know them yet. */
+  /** The place by its engines, or undefined where this entry does not know them yet, or not in the request's regions. */
   private toPlace(ask: PlaceAsk, placed: Placed): ModelPlace | undefined {
     const { pool } = this.options
-    const decode = pool.get(placed.decode)
-    const prefill = placed.prefill === undefined ? undefined : pool.get(placed.prefill)
+    const decode = pool.atHome(placed.decode, ask.regions)
+    const prefill = placed.prefill === undefined ? undefined : pool.atHome(placed.prefill, ask.regions)
     const isUnknown = decode === undefined || (placed.prefill !== undefined && prefill === undefined)
     if (isUnknown) {
       this.options.way.notify(PLACE.withdraw, { request: ask.request })
@@ -211,8 +214,9 @@
   /** Lets answers go on at other engines, as the leader wants. */
   private move(moves: AnswerMove[]): void {
     for (const { request, to } of moves) {
-      const endpoint = this.options.pool.get(to)
-      if (endpoint !== undefined) this.active.get(request)?.place.moveTo?.(endpoint)
+      const hold = this.active.get(request)
+      const endpoint = hold && this.options.pool.atHome(to, hold.ask.regions)
+      if (endpoint !== undefined) hold?.place.moveTo?.(endpoint)
     }
   }
 }
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -1,3 +1,4 @@
+import type { AtHome } from '@forkstage/topology'
 import type { Attempt } from './engineStream'
 import type { PooledEndpoint } from './endpointPool'
 import type { AnswerHead, Exchange } from './exchange'
@@ -19,7 +20,7 @@
 
 /** Where a stopped run goes on, with the sending that is drawn for it. */
 export interface NextRun {
-  at: PooledEndpoint
+  at: AtHome<PooledEndpoint>
   /** The engine that has the memory, and its name there. */
   source: PooledEndpoint
   handle: string
@@ -39,7 +40,7 @@
   ) {}
 
   /** Copies what the run holds; once that is done, stops it and copies the rest. */
-  async begin(place: ModelPlace, to: PooledEndpoint): Promise<void> {
+  async begin(place: ModelPlace, to: AtHome<PooledEndpoint>): Promise<void> {
     const { run, parts, job } = this
     // The end of an answer without a length could not be told from the stop.
     if (this.move !== undefined || !this.isRunning() || run.head?.isFramed !== true) return
@@ -49,7 +50,9 @@
     const move = new RunMove(parts, job.request.id, place.decode, to)
     this.move = move
     const isCopied = await move.copy()
-    const isSame = this.isRunning() && run.exchange === stream
+    // Also the rest must not be copied where the request must not go any more.
+    const isAllowed = parts.pool.atHome(to.endpoint.id, job.homes()) !== undefined
+    const isSame = this.isRunning() && run.exchange === stream && isAllowed
     this.sending = isCopied && isSame ? this.count.open('decode') : undefined
     if (this.sending !== undefined) return move.stop()
     move.release()
@@ -75,7 +78,7 @@
   }
 
   /** Where a stopped run can go on: what has become known since the copy began binds here too. */
-  private whereOn(stopped: StoppedRun): PooledEndpoint | undefined {
+  private whereOn(stopped: StoppedRun): AtHome<PooledEndpoint> | undefined {
     return [stopped.copiedTo, whereReady(stopped)].find(
       (one) => one !== undefined && whyNotSend(this.parts, this.job, one.endpoint, 'decode') === undefined,
     )
@@ -87,6 +90,6 @@
 }
 
 /** The engine where the run was, unless it takes no work any more. */
-function whereReady({ source }: StoppedRun): PooledEndpoint | undefined {
+function whereReady({ source }: StoppedRun): AtHome<PooledEndpoint> | undefined {
   return source.endpoint.state === 'ready' ? source : undefined
 }
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -5,9 +5,11 @@
 import { createSilentLogger } from '@forkstage/logger'
 import { QuotaKeeper, QuotaLedger, quotaLimit } from '@forkstage/quota'
 import { RouteBook, type CallerLimits, type Route, type Workspace } from '@forkstage/routes'
+import { Topology } from '@forkstage/topology'
 import {
   ColdGate,
   EndpointPool,
+  homeRule,
   Ingress,
   LocalPlacer,
   RetryAllowance,
@@ -70,6 +72,16 @@
 
 const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
 
+/** Two failure domains in each of three regions; `z` is the entry's own. */
+export const TOPOLOGY = new Topology({
+  z: 'west',
+  z2: 'west',
+  e1: 'east',
+  e2: 'east',
+  s1: 'south',
+  s2: 'south',
+})
+
 const QUOTA_WINDOW_MS = 8_000
 const LED_FOR_MS = 2_000
 const RUN_FOR_MS = 60_000
@@ -102,8 +114,8 @@
     readonly ingress: Ingress,
     readonly pool: EndpointPool,
     readonly port: number,
-    /** Puts a newer sheet with these workspaces in force. */
-    readonly setWorkspaces: (workspaces: Workspace[]) => void,
+    /** Puts a newer sheet with these workspaces, and these routes if given, in force. */
+    readonly setWorkspaces: (workspaces: Workspace[] | undefined, routes?: Partial<Route>[]) => void,
     /** Failure domains that get nothing. */
     readonly evacuated: Set<string>,
   ) {}
@@ -118,7 +130,7 @@
     const logger = createSilentLogger()
     const evacuated = new Set<string>()
     const isBarred = ({ zone }: RegisteredEndpoint) => evacuated.has(zone)
-    const pool = new EndpointPool({ zone: 'z', clock, random: () => 0, logger, isBarred })
+    const pool = new EndpointPool({ zone: 'z', topology: TOPOLOGY, clock, random: () => 0, logger, isBarred })
     pool.update(endpoints.map((endpoint, index) => fullEndpoint(endpoint, index)))
     const book = new RouteBook()
     const sheet = {
@@ -185,7 +197,11 @@
           },
         },
         allowance: new RetryAllowance({ clock, share: 0.2, slack: 20, windowMs: 10_000, entries: () => 1 }),
-        sendRules: [({ id }) => world.withheld.get(id), (to) => (isBarred(to) ? 'evacuated' : undefined)],
+        sendRules: [
+          ({ id }) => world.withheld.get(id),
+          (to) => (isBarred(to) ? 'evacuated' : undefined),
+          homeRule(TOPOLOGY),
+        ],
         cold,
         clock,
         random: createSeededRandom(1),
@@ -197,8 +213,13 @@
     })
     await new Promise<void>((resolve) => ingress.server.listen(0, '127.0.0.1', resolve))
     const { port } = ingress.server.address() as { port: number }
-    const install = (newer: Workspace[]) =>
-      void book.install({ ...sheet, version: book.version + 1, workspaces: newer })
+    const install = (newer: Workspace[] | undefined, newRoutes: Partial<Route>[] = routes) =>
+      void book.install({
+        ...sheet,
+        version: book.version + 1,
+        routes: newRoutes.map(fullRoute),
+        workspaces: newer,
+      })
     const world: GatewayWorld = new GatewayWorld(ingress, pool, port, install, evacuated)
     return world
   }
