--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -115,6 +115,8 @@
     outcome: string
     reason: string
     promptTokens: number
+    /** Tokens of its prompt that its reader or its decode engine should keep; absent where there are none. */
+    keptTokens?: number
     targetMs: number
     /** Whether its caller had been sent away before. */
     isReturn: boolean
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -1,15 +1,7 @@
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
-import type {
-  AnswerMove,
-  Hold,
-  PlaceAsk,
-  PlaceDecision,
-  Placed,
-  ReportedHold,
-  UseOutcome,
-} from './allocatorTypes'
+import type { AnswerMove, PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
 import { ColdBudget, type ColdPolicy } from './coldBudget'
 import { BarredEngines } from './barredEngines'
 import { EngineChoice, START_MS, type EngineOutlook, type EnginePick } from './engineChoice'
@@ -19,6 +11,7 @@
 import { LengthForecast } from './lengthForecast'
 import { MovePlanner } from './movePlanner'
 import { PartOrders } from './partOrders'
+import { isOwnQueue } from './ownQueue'
 import { COLD_REASON, refused, Refusals } from './refusals'
 import type { StageChange, StageNeed } from './planStages'
 import { StagePlanner } from './stagePlanner'
@@ -99,6 +92,7 @@
       cold: this.cold,
       endpoints: options.endpoints,
       barred: this.barred,
+      engine: options.engine,
       book: this.book,
       health: this.health,
       pace: this.learned.pace,
@@ -157,6 +151,7 @@
     const isReadThere = outcome === 'cancelled'
     this.book.noteDecoding(hold, isRead ? now : now + this.choice.ownReadingMs(hold.ask, now), isReadThere)
     if (hold.prefill === undefined) return
+    this.choice.kept.noteStep(hold, outcome, tookMs)
     if (!isOwnQueue(hold, outcome)) this.noteUse(hold.prefill, outcome, now, tookMs)
     const isGivenUp = outcome === 'silent'
     if (isRead || isGivenUp) this.book.noteRead(hold, tookMs, isGivenUp, now)
@@ -171,6 +166,7 @@
     // One that is cold is slow for a while, and no less well for that.
     if (outcome === 'silent' && this.cold.isCold(id, now - tookMs)) return
     const forMs = this.health.note(id, outcome, now, tookMs)
+    this.choice.kept.noteUse(id, outcome)
     this.choice.refresh()
     if (forMs > 0) this.options.onEjected?.(id, outcome, forMs)
   }
@@ -188,7 +184,9 @@
     const hold = this.book.get(request)
     if (hold === undefined) return
     this.book.remove(request)
+    if (hold.decodingAt === undefined) this.choice.kept.noteStep(hold, 'cancelled', 0)
     if (!isOwnQueue(hold, outcome)) this.noteUse(at ?? hold.decode, outcome, now)
+    if (madeTokens > 0) this.choice.kept.noteMade(hold.ask, at ?? hold.decode)
     this.room.noteEnd(hold.ask.service, now)
     // What a moved answer made since it was last heard of may have been made at two engines.
     if (outcome === 'ok' && madeTokens > 0 && hold.leaves === undefined)
@@ -198,6 +196,7 @@
 
   /** Takes what an entry says it holds: adopts what is not known here, drops what it no longer names. */
   adopt(entry: string, reported: ReportedHold[], now: Millis): void {
+    this.choice.kept.noteReported(reported)
     for (const id of this.book.adopt(entry, reported, now)) this.health.noteProgress(id, now)
   }
 
@@ -218,6 +217,7 @@
     this.stages.keepOnly(known)
     this.choice.keepOnly(known)
     this.cold.keepOnly(known)
+    this.choice.kept.look(now)
     this.orders.keepOnly(known)
     this.choice.refresh()
     this.placeWaiting(now)
@@ -242,6 +242,7 @@
   /** Gives an engine no work while it changes its part. */
   noteChanging(id: InstanceId, to: Stage, forMs: Millis, now: Millis): void {
     this.orders.noteChanging(id, to, forMs, now)
+    this.choice.kept.forget(id)
     this.choice.refresh()
   }
 
@@ -314,25 +315,25 @@
 
   private hold(waiting: Waiting, pick: EnginePick, now: Millis): Placed {
     const { ask } = waiting
-    const { decode, prefill, readsInMs, queuedMs } = pick
-    if (prefill === undefined && !ask.isPrefilled) this.choice.noteReadsItself(decode.id, now)
+    const { decode, prefill, readsInMs, queuedMs, readTokens } = pick
+    if (prefill === undefined && !ask.isPrefilled && readTokens !== 0)
+      this.choice.noteReadsItself(decode.id, now)
     const decodingAt = prefill === undefined ? now + readsInMs : undefined
     const isReadAlone = prefill !== undefined && queuedMs === 0
-    this.book.add({ ask, prefill: prefill?.id, decode: decode.id, placedAt: now, isReadAlone, decodingAt })
+    if (prefill !== undefined) this.choice.kept.notePlaced(ask, prefill.id)
+    const place = { ask, prefill: prefill?.id, decode: decode.id, placedAt: now, readTokens }
+    this.book.add({ ...place, isReadAlone, decodingAt })
+    const keptTokens = ask.promptTokens - (readTokens ?? ask.promptTokens) || undefined
     const cold = this.cold.grant(pick, now - waiting.since, now)
-    if (prefill === undefined) return { type: 'placed', decode: decode.id, cold }
+    if (prefill === undefined) return { type: 'placed', decode: decode.id, keptTokens, cold }
     return {
       type: 'placed',
       prefill: prefill.id,
       decode: decode.id,
       readsInMs: Math.round(readsInMs),
       readElsewhereInMs: pick.readElsewhereInMs,
+      keptTokens,
       cold,
     }
   }
 }
-
-/** Entries that place alone, or an earlier leader, may have queued more at an engine than it could do in time. */
-function isOwnQueue(hold: Hold, outcome: UseOutcome): boolean {
-  return outcome === 'silent' && hold.isAdopted === true
-}
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -280,6 +280,7 @@
           ? decision.reason
           : `prefill ${decision.prefill ?? 'none'}, decode ${decision.decode}`,
       promptTokens: ask.promptTokens,
+      keptTokens: decision.type === 'placed' ? decision.keptTokens : undefined,
       targetMs: Math.round(ask.targetMs),
       isReturn: ask.isReturn,
       waitedMs: Math.round(waitedMs),
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -54,6 +54,8 @@
    * absent where that is not possible anyway.
    */
   readElsewhereInMs?: Millis
+  /** Tokens of its prompt that need not be read, as is believed; absent where there are none. */
+  keptTokens?: number
   /** Present where an engine is cold: such a step was counted and may leave until then only. */
   cold?: ColdGrant
 }
@@ -85,6 +87,8 @@
   placedAt: Millis
   /** Whether its prompt is read without waiting for another, so that the time it takes tells the pace. */
   isReadAlone?: boolean
+  /** Tokens of its prompt that have to be read where it is read, as is believed; absent where that is all of them. */
+  readTokens?: number
   /** When decoding began, or will begin where the decode engine reads; absent while a prefill engine reads. */
   decodingAt?: Millis
   /** Tokens made so far, as the entry said last: when that was heard, and how long decoding had gone on by its clock. */
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -3,11 +3,12 @@
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
 import type { ColdBudget, ColdOutlook } from './coldBudget'
-import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
+import { EngineFitness, type SlowEngine } from './engineFitness'
 import type { BarredEngines } from './barredEngines'
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
 import type { InstanceHealth } from './instanceHealth'
+import { KeptChoice } from './keptChoice'
 import { SLOW_FROM } from './peerPace'
 
 /** Where a request would go, and when its prompt would have been read. */
@@ -21,6 +22,8 @@
   queuedMs: Millis
   /** How long the prefill engine may take at most so that another can still read it in time. */
   readElsewhereInMs?: Millis
+  /** Tokens that have to be read, as is believed; absent where that is the whole prompt. */
+  readTokens?: number
 }
 
 /** A request that looks for a place, and what it may still wait for. */
@@ -54,6 +57,7 @@
 export interface EngineChoiceOptions {
   endpoints: () => RegisteredEndpoint[]
   barred: BarredEngines
+  engine: (service: string) => EnginePool | undefined
   book: HoldBook
   health: InstanceHealth
   pace: EnginePace
@@ -99,9 +103,12 @@
   private works: Works = { at: -Infinity, engines: new Map() }
   /** What engines' paces mean for requests. */
   readonly fitness: EngineFitness
+  /** What engines keep of prompts. */
+  readonly kept: KeptChoice
 
   constructor(private readonly options: EngineChoiceOptions) {
     this.fitness = new EngineFitness(options)
+    this.kept = new KeptChoice({ ...options, fitness: this.fitness })
   }
 
   /** Engines of a service that take part, whether they are sound or not. */
@@ -133,6 +140,8 @@
     const first = fitting[0]
     if (first === undefined) return undefined
     if (quest.ask.isPrefilled) return { decode: first, readsInMs: 0, queuedMs: 0 }
+    const keeper = this.kept.keeper(quest, fitting, now)
+    if (keeper !== undefined) return { decode: keeper, readsInMs: 0, queuedMs: 0, readTokens: 0 }
     const readers = this.engines(quest.ask, 'prefill', now)
     const apart = this.readApart(quest, first, readers, now)
     if (apart !== undefined && !this.fitness.isSlowReader(apart.prefill!.id, now)) return apart
@@ -210,7 +219,7 @@
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
     const engines = this.engines(ask, 'decode', now)
-    const fitness = this.fitnessOfAll(quest, engines, now)
+    const fitness = this.fitness.ofAll(quest, engines, now)
     const isSlow = (id: InstanceId) => fitness.get(id) === 'slow'
     // One that can be in time rather waits for an engine that is well, and is late for certain at a slow one.
     const waitsForOthers = quest.isInTime && !ask.isPrefilled && engines.some(({ id }) => !isSlow(id))
@@ -233,21 +242,6 @@
     return fits.map(({ endpoint }) => endpoint)
   }
 
-  /**
-   * Whether an answer at each decode engine's pace has its events in time and ends in time; `slow` where it has not and
-   * the engine is slower than its peers, so that another does better.
-   */
-  private fitnessOfAll(
-    { ask, engine, leftMs }: EngineQuest,
-    engines: RegisteredEndpoint[],
-    now: Millis,
-  ): Map<InstanceId, Fitness> {
-    const { pauseMs } = ask
-    const endsWithinMs = ask.leftMs - (ask.targetMs - leftMs)
-    const answer = { tokens: this.options.book.lengthOf(ask), endsWithinMs, pauseMs }
-    return new Map(engines.map(({ id }) => [id, this.fitness.of(answer, engine, id, now)]))
-  }
-
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
   takers(ask: PlaceAsk, engine: EnginePool, now: Millis): RegisteredEndpoint[] {
     const { book, health, pace, cold } = this.options
@@ -276,17 +270,20 @@
   ): EnginePick | undefined {
     const { book, health, pace, cold } = this.options
     const { promptTokens } = quest.ask
+    const unread = (reader: RegisteredEndpoint) => this.kept.unread(quest.ask, reader)
     const waits = readers
       .filter((endpoint) => !health.isFull(endpoint.id, now) && cold.mayRead(endpoint, now))
       .map((prefill) => ({
         prefill,
         queuedMs: book.prefillWait(prefill.id, now),
         readingMs: pace.readingMsAt(prefill.id, promptTokens, now),
+        keptMs: pace.readingMsAt(prefill.id, promptTokens - unread(prefill), now),
       }))
       .filter(({ prefill, queuedMs }) => queuedMs === 0 || !this.fitness.mayNotQueue(prefill.id, now))
-    const costOf = ({ prefill, queuedMs, readingMs }: (typeof waits)[number]) =>
+    const costOf = ({ prefill, queuedMs, readingMs, keptMs }: (typeof waits)[number]) =>
       queuedMs +
-      readingMs +
+      readingMs -
+      keptMs +
       (cold.isCold(prefill.id, now) ? pace.readingMs(promptTokens) * COLD_READINGS : 0) +
       (prefill.zone === decode.zone ? 0 : pace.readingMs(promptTokens) * OTHER_ZONE_SHARE)
     waits.sort((left, right) => costOf(left) - costOf(right))
@@ -295,7 +292,8 @@
     const { prefill, queuedMs, readingMs } = soonest
     const readsInMs = queuedMs + readingMs + pace.readingLatencyMs()
     if (readsInMs > this.readingLimit(quest)) return undefined
-    return { decode, prefill, queuedMs, readsInMs, readElsewhereInMs: this.readElsewhereIn(quest, readsInMs) }
+    const readElsewhereInMs = this.readElsewhereIn(quest, readsInMs)
+    return { decode, prefill, queuedMs, readsInMs, readElsewhereInMs, readTokens: unread(prefill) }
   }
 
   /** Until when another engine could still read it in time; absent where this one, being well, may need longer. */
--- a/placement/allocator/src/engineFitness.ts
+++ b/placement/allocator/src/engineFitness.ts
@@ -1,6 +1,7 @@
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
+import type { PlaceAsk } from './allocatorTypes'
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
 import { SLOW_FROM } from './peerPace'
@@ -25,6 +26,14 @@
   pauseMs?: Millis
 }
 
+/** A request whose answer is to be made at one of some engines. */
+export interface AnswerQuest {
+  ask: PlaceAsk
+  engine: EnginePool
+  /** Time left until its first event should be there, in milliseconds. */
+  leftMs: Millis
+}
+
 /** Options of {@link EngineFitness}. */
 export interface EngineFitnessOptions {
   book: HoldBook
@@ -56,6 +65,21 @@
     return slowness >= SLOW_FROM ? 'slow' : 'poor'
   }
 
+  /**
+   * Whether an answer at each decode engine's pace has its events in time and ends in time; `slow` where it has not and
+   * the engine is slower than its peers, so that another does better.
+   */
+  ofAll(
+    { ask, engine, leftMs }: AnswerQuest,
+    engines: RegisteredEndpoint[],
+    now: Millis,
+  ): Map<InstanceId, Fitness> {
+    const { pauseMs } = ask
+    const endsWithinMs = ask.leftMs - (ask.targetMs - leftMs)
+    const answer = { tokens: this.options.book.lengthOf(ask), endsWithinMs, pauseMs }
+    return new Map(engines.map(({ id }) => [id, this.of(answer, engine, id, now)]))
+  }
+
   /** How many times slower than its peers a decode engine is, as far as that is more than a matter of its load. */
   slowness(decode: InstanceId, now: Millis): number {
     const { slowness } = this.options.pace.view(decode, 'decode', now)
--- a/placement/allocator/src/enginePace.ts
+++ b/placement/allocator/src/enginePace.ts
@@ -7,6 +7,8 @@
 const FIRST_MS_PER_TOKEN = 3
 /** A prompt that was read in less than this share of the time foreseen was partly kept. */
 const LEAST_READING_SHARE = 0.8
+/** A prompt that took longer than this share of what was to be read of it was not kept as was believed. */
+const MOST_READING_SHARE = 1.25
 /** A prompt ends each few hundred milliseconds at a reader that has work: a few of them decide. */
 const READING_MEMORY_MS = 1_000
 /** Entries report each answer's progress each 400 ms: an engine turns slow within a moment, and well again. */
@@ -18,6 +20,8 @@
 /** A prompt that was read, or was given up. */
 export interface ReadPrompt {
   promptTokens: number
+  /** The tokens that it had to read of them, as was believed; all where absent. */
+  readTokens?: number
   /** From when the engine was free for it, or from its sending where it waited for no other. */
   tookMs: Millis
   /** Whether it waited for no other, so that the time holds the way there and back. */
@@ -100,14 +104,15 @@
 
   /** Learns from a prompt that an engine has read, or has not read in the time it was given. */
   learnReading(engine: InstanceId, read: ReadPrompt, now: Millis): void {
-    const { promptTokens, tookMs, isAlone, isGivenUp } = read
-    if (this.isCold(engine, now - tookMs)) return
-    const expectedMs = this.line.busyMs(promptTokens) + (isAlone ? this.line.latencyMs() : 0)
+    const { tookMs, isAlone, isGivenUp } = read
+    const tokens = this.tokensRead(read)
+    if (tokens === undefined || this.isCold(engine, now - tookMs)) return
+    const expectedMs = this.line.busyMs(tokens) + (isAlone ? this.line.latencyMs() : 0)
     // What an engine had kept of a prompt it need not read: that says nothing of its pace.
     this.readers.learn(engine, expectedMs, Math.max(tookMs, expectedMs * LEAST_READING_SHARE), now)
     if (!isAlone || isGivenUp) return
     // The line says what engines do that are well; when all are slow alike it follows.
-    if (this.readers.view(engine, now).slowness < SLOW_FROM) this.line.learn(promptTokens, tookMs)
+    if (this.readers.view(engine, now).slowness < SLOW_FROM) this.line.learn(tokens, tookMs)
   }
 
   /** Learns from tokens of one answer that an engine made in a time, or from their lack. */
@@ -128,6 +133,21 @@
     this.decoders.keepOnly(ids)
   }
 
+  /** How many tokens an engine has read in its time; undefined where it is not clear what it had kept. */
+  private tokensRead({
+    promptTokens,
+    readTokens = promptTokens,
+    tookMs,
+    isAlone,
+  }: ReadPrompt): number | undefined {
+    if (readTokens >= promptTokens) return promptTokens
+    const latencyMs = isAlone ? this.line.latencyMs() : 0
+    // Longer than the whole prompt should take: the engine is slow, whatever it had kept.
+    if (tookMs > this.line.busyMs(promptTokens) + latencyMs) return promptTokens
+    const mostMs = this.line.busyMs(readTokens) * MOST_READING_SHARE + latencyMs
+    return readTokens > 0 && tookMs <= mostMs ? readTokens : undefined
+  }
+
   private at(stage: Stage): PeerPace {
     return stage === 'prefill' ? this.readers : this.decoders
   }
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -64,7 +64,7 @@
     this.holds.set(hold.ask.request, hold)
     addTo(this.byDecode, hold.decode, hold)
     if (hold.prefill !== undefined) addTo(this.byPrefill, hold.prefill, hold)
-    else if (!hold.ask.isPrefilled && hold.decodingAt !== undefined)
+    else if (!hold.ask.isPrefilled && hold.decodingAt !== undefined && hold.readTokens !== 0)
       this.ownReadings.note(hold.decode, hold.decodingAt)
     this.outlooks.delete(hold.decode)
   }
@@ -136,7 +136,8 @@
   prefillWait(prefill: InstanceId, now: Millis): Millis {
     const { pace } = this.options
     let sum = 0
-    for (const hold of this.readingAt(prefill)) sum += pace.readingMsAt(prefill, hold.ask.promptTokens, now)
+    for (const { ask, readTokens = ask.promptTokens } of this.readingAt(prefill))
+      sum += pace.readingMsAt(prefill, readTokens, now)
     return sum
   }
 
@@ -166,7 +167,7 @@
     // Another engine may have read it before this one, or this one itself: what it kept is not read again.
     if (isAdopted === true || ask.except.length > 0) return
     const isAlone = hold.isReadAlone === true
-    const read = { promptTokens: ask.promptTokens, isAlone, isGivenUp }
+    const read = { promptTokens: ask.promptTokens, readTokens: hold.readTokens, isAlone, isGivenUp }
     this.options.pace.learnReading(
       prefill,
       { ...read, tookMs: isAlone ? tookMs : Math.min(tookMs, freeForMs) },
@@ -296,7 +297,8 @@
     return [...(this.byPrefill.get(prefill) ?? NO_HOLDS)].filter((hold) => hold.decodingAt === undefined)
   }
 
-  private holdsAt(decode: InstanceId): ReadonlySet<Hold> {
+  /** The places at a decode engine. */
+  holdsAt(decode: InstanceId): ReadonlySet<Hold> {
     return this.byDecode.get(decode) ?? NO_HOLDS
   }
 
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -22,6 +22,7 @@
 export { ColdBudget } from './coldBudget'
 export type { ColdOutlook, ColdPolicy } from './coldBudget'
 export { COLD_REASON } from './refusals'
+export { KeptPrompts } from './keptPrompts'
 export { LengthForecast, lengthQuantile } from './lengthForecast'
 export type { LengthPrior } from './lengthForecast'
 export { peakMemory } from './peakMemory'
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -9,6 +9,7 @@
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { endWithConnection, sendEndpointAnswer } from './ownAnswer'
+import { promptPartsOf } from './promptParts'
 import { PromptReading, type PromptReader } from './promptReading'
 import { answerFailure, answerRefusal, type OwnResult } from './relayAnswers'
 import {
@@ -140,6 +141,7 @@
       className: route.name,
       except: this.except,
       isPrefilled: this.prompt.isUsable(),
+      parts: promptPartsOf(request, wire, tokens),
     }
   }
 
