--- a/request/gateway/src/eventPauses.ts
+++ b/request/gateway/src/eventPauses.ts
@@ -11,6 +11,11 @@
   /** @param startedAt when the head of the request was there. */
   constructor(private readonly startedAt: Millis) {}
 
+  /** How long nothing has come. */
+  silentMs(now: Millis): Millis {
+    return now - (this.lastAt ?? this.startedAt)
+  }
+
   /** Notes that events have come. */
   note(now: Millis): void {
     this.firstMs ??= Math.round(now - this.startedAt)
--- a/request/gateway/src/holdTime.ts
+++ b/request/gateway/src/holdTime.ts
@@ -9,7 +9,8 @@
  * The longest that a model request may wait for a place.
  * @param targetMs the route's time to the first event.
  * @param leftMs time left until its caller gives up.
+ * @param silentMs how long its caller has heard nothing by now: a sending that failed has taken its time already.
  */
-export function holdTime(targetMs: Millis, leftMs: Millis): Millis {
-  return Math.max(0, Math.min(targetMs * LONGEST_HOLD_IN_TARGETS, leftMs * SHARE_OF_LEFT))
+export function holdTime(targetMs: Millis, leftMs: Millis, silentMs: Millis): Millis {
+  return Math.max(0, Math.min(targetMs * LONGEST_HOLD_IN_TARGETS - silentMs, leftMs * SHARE_OF_LEFT))
 }
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -135,7 +135,7 @@
       targetMs: this.job.targetAt - now,
       isReturn: this.job.isReturn,
       promptMs: this.job.isReturn ? 0 : promptAt - now,
-      holdMs: holdTime(route.targetMs, leftMs),
+      holdMs: holdTime(route.targetMs, leftMs, this.pauses.silentMs(now)),
       leftMs,
       pauseMs: route.pauseMs,
       className: route.name,
