--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -98,6 +98,9 @@
     /** Milliseconds for a token made, or for each millisecond that reading should take. */
     pace: number
     peers: number
+    /** How many times its peers' time it takes while it is well. */
+    build: number
+    /** How many times slower than its own past, beside its peers. */
     slowness: number
     ageMs: number
     term: number
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -263,6 +263,7 @@
       outcome: isSlow ? 'slow' : 'well',
       pace: toHundredths(view.ms),
       peers: toHundredths(view.peersMs),
+      build: toHundredths(view.build),
       slowness: toHundredths(view.slowness),
       ageMs: Math.round(view.ageMs),
       term: this.term,
--- a/placement/allocator/src/engineFitness.ts
+++ b/placement/allocator/src/engineFitness.ts
@@ -82,8 +82,8 @@
 
   /** How many times slower than its peers a decode engine is, as far as that is more than a matter of its load. */
   slowness(decode: InstanceId, now: Millis): number {
-    const { slowness } = this.options.pace.view(decode, 'decode', now)
-    return slowness < SAME_PACE ? 1 : slowness
+    const { ms, peersMs } = this.options.pace.view(decode, 'decode', now)
+    return ms / peersMs < SAME_PACE ? 1 : ms / peersMs
   }
 
   /** How many answers may run at a decode engine: one that was slow shows with a single one whether it is well. */
@@ -94,7 +94,8 @@
   /** Whether a prefill engine takes far longer than reading should take, by what it has read or is late with now. */
   isSlowReader(id: InstanceId, now: Millis): boolean {
     const { book, pace } = this.options
-    return pace.view(id, 'prefill', now).ms >= SLOW_FROM || book.overdue(id, now) >= OVERDUE_FROM
+    const { ms, build } = pace.view(id, 'prefill', now)
+    return ms / build >= SLOW_FROM || book.overdue(id, now) >= OVERDUE_FROM
   }
 
   /** Nothing waits behind a prompt that shows whether an engine is well, or that is late at one. */
--- a/placement/allocator/src/peerPace.ts
+++ b/placement/allocator/src/peerPace.ts
@@ -11,6 +11,12 @@
 const WELL_BELOW = 1.4
 /** So long after something was last seen of a slow engine it is tried again: each try may be an answer that is late. */
 const TRY_AFTER_MS = 3_000
+/** Engines of one model differ by build by this factor at most, either way; a fleet of 1.0 and 1.3 was seen. */
+const MOST_BUILD = 1.6
+/** The time in which the belief of an engine's build follows two thirds: longer than a fault or a peak of work lasts. */
+const BUILD_MEMORY_MS = 30_000
+/** What was seen at one time speaks for so much time at most: an engine may have rested before. */
+const BUILD_STEP_MS = 500
 /** The peers' pace is worked out anew after this time: as often as whoever places looks at what waits. */
 const TYPICAL_EACH_MS = 25
 /** The time in which the peers' pace comes two thirds of the way to a slower one: longer than a passing peak of work. */
@@ -22,7 +28,9 @@
   ms: Millis
   /** The same of its peers: their lower median. */
   peersMs: Millis
-  /** How many times slower than its peers it is. */
+  /** How many times its peers' time it takes while it is well. */
+  build: number
+  /** How many times slower than its own past, beside what its peers do now. */
   slowness: number
   /** How long ago something was last seen of it; Infinity where nothing was. */
   ageMs: Millis
@@ -34,14 +42,16 @@
   isSlow: boolean
   /** Its pace when something was last seen of it. */
   lastMs: Millis
+  /** How many times its peers' time it takes while it is well, as is believed. */
+  build: number
 }
 
 /** Tells when an engine has turned slow, or is well again. */
 export type OnPaceChange = (id: InstanceId, isSlow: boolean, view: PaceView) => void
 
 /**
- * The pace of engines that do the same work. An engine is slow in comparison with its peers only: when all are slow
- * alike, the work has changed, or there is too much of it.
+ * The pace of engines that do the same work. An engine is slow in comparison with its own past beside its peers only:
+ * when all are slow alike, the work has changed, or there is too much of it.
  */
 export class PeerPace {
   private readonly known = new Map<InstanceId, Known>()
@@ -82,24 +92,28 @@
       pace: new WorkPace(this.memoryMs),
       isSlow: false,
       lastMs: this.peersMs,
+      build: 1,
     }
     this.known.set(id, one)
     if (!this.hasSeen && work > 0) this.begin(tookMs / work, now)
     this.hasSeen ||= work > 0
+    const restedMs = now - one.pace.seenAt
     one.pace.add(work, tookMs, now)
     one.lastMs = one.pace.msPerUnit(this.peersMs, now)
     this.judge(id, one, now)
+    this.followBuild(one, Math.min(restedMs, BUILD_STEP_MS), now)
   }
 
   /** One engine's pace, as far as it is known. */
   view(id: InstanceId, now: Millis): PaceView {
     const peersMs = this.typicalMs(now)
     const one = this.known.get(id)
-    if (one === undefined) return { ms: peersMs, peersMs, slowness: 1, ageMs: Infinity }
+    if (one === undefined) return { ms: peersMs, peersMs, build: 1, slowness: 1, ageMs: Infinity }
     const ageMs = now - one.pace.seenAt
     const drawnMs = one.pace.msPerUnit(peersMs, now)
     const ms = one.isSlow && ageMs < TRY_AFTER_MS ? Math.max(one.lastMs, drawnMs) : drawnMs
-    return { ms, peersMs, slowness: ms / peersMs, ageMs }
+    const { build } = one
+    return { ms, peersMs, build, slowness: ms / (peersMs * build), ageMs }
   }
 
   /** Whether an engine was slow when last seen, so long ago that it may be well again. */
@@ -142,6 +156,14 @@
     this.peersAt = now
   }
 
+  /** An engine that is well shows by and by how it is built. */
+  private followBuild(one: Known, forMs: Millis, now: Millis): void {
+    if (one.isSlow || !one.pace.isSure(now)) return
+    const ratio = one.pace.msPerUnit(this.peersMs, now) / this.typicalMs(now)
+    const seen = Math.min(Math.max(ratio, 1 / MOST_BUILD), MOST_BUILD)
+    one.build += (seen - one.build) * (1 - Math.exp(-forMs / BUILD_MEMORY_MS))
+  }
+
   private judge(id: InstanceId, one: Known, now: Millis): void {
     if (!one.pace.isSure(now)) return
     const view = this.view(id, now)
--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -9,7 +9,7 @@
   freeInMs: Millis
   /** Whether it is on its way to `stage` and does not work yet. */
   isChanging: boolean
-  /** What it does of the work of an engine that is well, from 0 to 1. */
+  /** What it does of the work of an engine that is well, of the usual pace. */
   supply: number
 }
 
--- a/placement/allocator/src/stagePlanner.ts
+++ b/placement/allocator/src/stagePlanner.ts
@@ -71,14 +71,14 @@
   private toStaged(endpoint: RegisteredEndpoint, now: Millis): StagedEngine {
     const { barred, book, orders, pace } = this.options
     const part: Stage | undefined = orders.partOf(endpoint.id, now)
-    const { slowness } = pace.view(endpoint.id, endpoint.stage!, now)
+    const view = pace.view(endpoint.id, endpoint.stage!, now)
     return {
       id: endpoint.id,
       stage: part ?? endpoint.stage!,
       freeInMs: book.freeInMs(endpoint.id, now),
       // One that must get nothing gets no order either.
       isChanging: part !== undefined || barred.has(endpoint),
-      supply: this.supply.note(endpoint.id, slowness, now),
+      supply: this.supply.note(endpoint.id, view, now),
     }
   }
 }
--- a/placement/allocator/src/supplyMeter.ts
+++ b/placement/allocator/src/supplyMeter.ts
@@ -9,18 +9,26 @@
 /** Engines that do this share of what their peers do differ by how many answers run there, not by their pace. */
 const WELL_FROM = 0.7
 
+/** Builds that differ less than this count as the same: how many answers run at an engine makes as much. */
+const SAME_BUILD = 1.15
+
 /** Averages what each engine does of the work of one that is well. */
 export class SupplyMeter {
   private readonly known = new Map<InstanceId, { supply: number; at: Millis }>()
 
-  /** Notes how many times slower than its peers an engine is now; returns its average supply, from 0 to 1. */
-  note(id: InstanceId, slowness: number, now: Millis): number {
+  /**
+   * Notes how many times slower than it should be an engine is now.
+   * @param build how many times its peers' time it takes while it is well.
+   * @returns its average supply, in engines of the usual pace that are well.
+   */
+  note(id: InstanceId, { slowness, build }: { slowness: number; build: number }, now: Millis): number {
     const supply = Math.min(1, 1 / slowness)
     const before = this.known.get(id) ?? { supply: 1, at: now }
     const weight = 1 - Math.exp(-(now - before.at) / MEMORY_MS)
     const mean = before.supply + (supply - before.supply) * weight
     this.known.set(id, { supply: mean, at: now })
-    return mean >= WELL_FROM ? 1 : mean
+    const isUsual = Math.max(build, 1 / build) < SAME_BUILD
+    return (mean >= WELL_FROM ? 1 : mean) / (isUsual ? 1 : build)
   }
 
   /** Forgets engines that are not registered any more. */
