--- a/placement/allocator/src/waitingRoom.ts
+++ b/placement/allocator/src/waitingRoom.ts
@@ -64,8 +64,9 @@
   }
 
   /**
-   * The order in which requests get places: those whose prompt is read already; callers that came back, who
-   * would be lost when sent away again; those that can still be in time; late ones. Then by rank and age.
+   * The order in which requests get places: those whose prompt is read already; those that can still be in time, whose
+   * sending failed, then new ones, then callers that came back, as the order says; late ones, whose sending failed
+   * first: an engine has most likely read their prompt and keeps it, and was paid for it. Then by rank and age.
    */
   inOrder(now: Millis): Waiting[] {
     const groups = new Map(this.waiting.map((one) => [one, this.groupOf(one, now)]))
@@ -103,7 +104,9 @@
 
   private groupOf(one: Waiting, now: Millis): number {
     if (one.ask.isPrefilled) return 0
-    if (!this.isInTime(one, now)) return 3
+    const isSentBefore = one.ask.except.length > 0
+    if (!this.isInTime(one, now)) return isSentBefore ? 3 : 4
+    if (isSentBefore) return 0
     return one.ask.isReturn ? GROUPS[this.order].back : GROUPS[this.order].first
   }
 }
--- a/placement/allocator/test/waitingRoom.test.ts
+++ b/placement/allocator/test/waitingRoom.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import type { PlaceAsk } from '../src'
 import { WaitingRoom } from '../src/waitingRoom'
 import { ask } from './fixtures'
 
@@ -45,4 +46,17 @@
     expect(sent).not.toContain('a')
     expect(sent).toContain('x')
   })
+
+  it('lets those go first of their like whose sending failed: their prompt has most likely been read', () => {
+    const waiting = new WaitingRoom((one) => one.ask.targetMs, 'returns-last')
+    const add = (request: string, fields: Partial<PlaceAsk>, since: number) =>
+      waiting.add({ ask: ask(request, fields), since, isKept: false, resolve: () => undefined })
+    add('late', { targetMs: -100 }, 0)
+    add('new', {}, 1)
+    add('back', { isReturn: true }, 2)
+    add('late, failed', { targetMs: -100, except: ['d0'] }, 3)
+    add('failed', { except: ['d0'] }, 4)
+    const order = waiting.inOrder(5).map((one) => one.ask.request)
+    expect(order).toEqual(['failed', 'new', 'back', 'late, failed', 'late'])
+  })
 })
