--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -151,7 +151,7 @@
     const isReadThere = outcome === 'cancelled'
     this.book.noteDecoding(hold, isRead ? now : now + this.choice.ownReadingMs(hold.ask, now), isReadThere)
     if (hold.prefill === undefined) return
-    this.choice.kept.noteStep(hold, outcome, tookMs)
+    this.choice.kept.noteStep(hold, outcome, tookMs, now)
     if (!isOwnQueue(hold, outcome)) this.noteUse(hold.prefill, outcome, now, tookMs)
     const isGivenUp = outcome === 'silent'
     if (isRead || isGivenUp) this.book.noteRead(hold, tookMs, isGivenUp, now)
@@ -184,7 +184,7 @@
     const hold = this.book.get(request)
     if (hold === undefined) return
     this.book.remove(request)
-    if (hold.decodingAt === undefined) this.choice.kept.noteStep(hold, 'cancelled', 0)
+    if (hold.decodingAt === undefined) this.choice.kept.noteStep(hold, 'cancelled', 0, now)
     if (!isOwnQueue(hold, outcome)) this.noteUse(at ?? hold.decode, outcome, now)
     if (madeTokens > 0) this.choice.kept.noteMade(hold.ask, at ?? hold.decode)
     this.room.noteEnd(hold.ask.service, now)
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -197,7 +197,11 @@
 
   /** Engines that may get the request now or in a moment; unsound ones only where no other decodes. */
   engines(ask: PlaceAsk, stage: Stage, now: Millis): RegisteredEndpoint[] {
-    const working = this.working(ask.service, stage, now).filter((one) => !ask.except.includes(one.id))
+    // A reader whose answer was lost has read the prompt and keeps it: it answers at once.
+    const mayAgain = (one: RegisteredEndpoint) => stage === 'prefill' && this.kept.unread(ask, one) === 0
+    const working = this.working(ask.service, stage, now).filter(
+      (one) => !ask.except.includes(one.id) || mayAgain(one),
+    )
     const sound = working.filter((one) => this.options.health.isSound(one.id, now))
     return sound.length > 0 || stage === 'prefill' ? sound : working
   }
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -162,17 +162,19 @@
   noteRead(hold: Hold, tookMs: Millis, isGivenUp: boolean, now: Millis): void {
     const { prefill, isAdopted, ask } = hold
     if (prefill === undefined) return
-    const freeForMs = now - (this.readAt.get(prefill) ?? -Infinity)
+    const tookAloneMs = this.readingTime(hold, tookMs, now)
     this.readAt.set(prefill, now)
     // Another engine may have read it before this one, or this one itself: what it kept is not read again.
     if (isAdopted === true || ask.except.length > 0) return
     const isAlone = hold.isReadAlone === true
     const read = { promptTokens: ask.promptTokens, readTokens: hold.readTokens, isAlone, isGivenUp }
-    this.options.pace.learnReading(
-      prefill,
-      { ...read, tookMs: isAlone ? tookMs : Math.min(tookMs, freeForMs) },
-      now,
-    )
+    this.options.pace.learnReading(prefill, { ...read, tookMs: tookAloneMs }, now)
+  }
+
+  /** How long a prefill engine was busy with a prompt at most: since its sending, or since the one before it ended. */
+  readingTime({ prefill, isReadAlone }: Hold, tookMs: Millis, now: Millis): Millis {
+    const freeForMs = now - (this.readAt.get(prefill ?? '') ?? -Infinity)
+    return isReadAlone === true ? tookMs : Math.min(tookMs, freeForMs)
   }
 
   /** How many tokens an answer is forecast to have, as surely as forecasts must be. */
--- a/placement/allocator/src/keptChoice.ts
+++ b/placement/allocator/src/keptChoice.ts
@@ -63,13 +63,15 @@
   }
 
   /** A prefill step has ended, or failed; `cancelled` where it was given up here. */
-  noteStep({ ask, prefill, isReadAlone, readTokens }: Hold, outcome: UseOutcome, tookMs: Millis): void {
-    const { pace } = this.options
+  noteStep(hold: Hold, outcome: UseOutcome, tookMs: Millis, now: Millis): void {
+    const { pace, book } = this.options
+    const { ask, prefill, isReadAlone, readTokens } = hold
     if (prefill === undefined || ask.parts === undefined) return
     const wholeMs = pace.readingMs(ask.promptTokens)
-    const hasTakenAll = isReadAlone === true && tookMs >= wholeMs * READ_FROM_SHARE + pace.readingLatencyMs()
+    const latencyMs = isReadAlone === true ? pace.readingLatencyMs() : 0
+    const hasTakenAll = book.readingTime(hold, tookMs, now) >= wholeMs * READ_FROM_SHARE + latencyMs
     const wasKept = readTokens !== undefined && readTokens <= ask.promptTokens / 2
-    if (wasKept && hasTakenAll) this.prompts.forget(prefill)
+    if (wasKept && hasTakenAll && isReadAlone === true) this.prompts.forget(prefill)
     const isRead = outcome === 'ok' || (outcome === 'failed' && hasTakenAll)
     if (isRead) this.prompts.note(prefill, ask.parts)
     else if (!wasKept) this.prompts.drop(prefill, ask.parts)
--- a/placement/allocator/test/keptPrompts.test.ts
+++ b/placement/allocator/test/keptPrompts.test.ts
@@ -71,6 +71,21 @@
     expect(placedOf(one, 'retry')).toMatchObject({ prefill: first.prefill, keptTokens: 3_000 })
   })
 
+  it('asks the only reader again where its answer was lost after the reading, and not where it read nothing', () => {
+    const retriedAfter = (tookMs: number) => {
+      const one = world(pool(1, 2))
+      one.place(letter('before', 'b'), 0)
+      one.place(letter('first', 'a'), 1)
+      one.allocator.notePrefilled('before', 'ok', 75, 75)
+      one.allocator.notePrefilled('first', 'failed', tookMs, 1 + tookMs)
+      one.allocator.release('first', 'cancelled', 0, 1 + tookMs)
+      one.place(letter('first', 'a', { except: ['p0'] }), 2 + tookMs)
+      return placedOf(one, 'first')
+    }
+    expect(retriedAfter(155)).toMatchObject({ prefill: 'p0', keptTokens: 3_000 })
+    expect(retriedAfter(80)?.prefill).toBeUndefined()
+  })
+
   it('has a prompt that a decode engine keeps neither read nor moved', () => {
     const one = world(pool(2, 4))
     const first = serve(one, letter('first', 'a'), 0)
