--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -70,6 +70,8 @@
 export const START_MS = 60
 /** A late request waits for a reading queue of so many prompts like its own, itself included: 500 ms at 95 ms a prompt. */
 const LATE_READINGS = 5
+/** It waits no longer behind others, so that after it a new one is still in time: 900 ms less two long readings of 300. */
+const LATE_QUEUE_MS = 250
 /** A decode engine reads at half the pace of a prefill engine (the platform's protocol says so). */
 const OWN_READING_FACTOR = 2
 /** The share of its time that a decode engine may read beside prefill engines: a prompt of 190 ms each 0.7 s, as was tuned. */
@@ -197,11 +199,10 @@
 
   /** Engines that may get the request now or in a moment; unsound ones only where no other decodes. */
   engines(ask: PlaceAsk, stage: Stage, now: Millis): RegisteredEndpoint[] {
-    // A reader whose answer was lost has read the prompt and keeps it: it answers at once.
+    // A reader whose answer was lost keeps the prompt: it answers at once.
     const mayAgain = (one: RegisteredEndpoint) => stage === 'prefill' && this.kept.unread(ask, one) === 0
-    const working = this.working(ask.service, stage, now).filter(
-      (one) => !ask.except.includes(one.id) || mayAgain(one),
-    )
+    const mayUse = (one: RegisteredEndpoint) => !ask.except.includes(one.id) || mayAgain(one)
+    const working = this.working(ask.service, stage, now).filter(mayUse)
     const sound = working.filter((one) => this.options.health.isSound(one.id, now))
     return sound.length > 0 || stage === 'prefill' ? sound : working
   }
@@ -349,7 +350,11 @@
   private readingLimit({ ask, isInTime, leftMs }: EngineQuest): Millis {
     const { pace } = this.options
     if (isInTime) return leftMs - START_MS
-    return pace.readingMs(ask.promptTokens) * LATE_READINGS + pace.readingLatencyMs()
+    const ownMs = pace.readingMs(ask.promptTokens)
+    const lateMs = Math.min(ownMs * LATE_READINGS, ownMs + LATE_QUEUE_MS) + pace.readingLatencyMs()
+    // Whose caller leaves before the first event is read in vain, and holds up others meanwhile.
+    const patienceMs = (ask.patienceMs ?? Infinity) - (ask.targetMs - leftMs)
+    return Math.min(lateMs, (patienceMs - START_MS) / LATE_FROM)
   }
 
   private mayReadItself(id: InstanceId, ownMs: Millis, now: Millis): boolean {
--- /dev/null
+++ b/placement/allocator/test/impatientCallers.test.ts
@@ -0,0 +1,80 @@
+import { describe, expect, it } from 'vitest'
+import { Allocator, type PlaceDecision } from '../src'
+import { ask, engine, ENGINE, world } from './fixtures'
+
+const TARGET_MS = 900
+const PATIENCE_MS = 3_600
+
+/** What became of the requests of a load. */
+interface Outcome {
+  inTime: number
+  late: number
+  /** Prompts that were read for callers that had left when the first event was there. */
+  inVain: number
+}
+
+/** Long prompts, more than one reader can read, for six seconds; a caller leaves after four targets of silence. */
+function play(): Outcome {
+  const endpoints = [engine('p0', 'prefill'), ...['d0', 'd1', 'd2', 'd3'].map((id) => engine(id, 'decode'))]
+  const memory = { ...ENGINE, kvTokens: 80_000 }
+  const allocator = new Allocator({ endpoints: () => endpoints, engine: () => memory })
+  const events: { at: number; run: () => void }[] = []
+  const outcome: Outcome = { inTime: 0, late: 0, inVain: 0 }
+  let readerFreeAt = 0
+  let now = 0
+  const start = (request: string, arrivedAt: number, decision: PlaceDecision) => {
+    if (decision.type !== 'placed') return
+    const placedAt = now
+    const startsAt = decision.prefill === undefined ? now : Math.max(now, readerFreeAt)
+    const readAt = startsAt + (12_000 / 40) * (decision.prefill === undefined ? 2 : 1)
+    if (decision.prefill !== undefined) readerFreeAt = readAt
+    const firstAt = readAt + 60
+    const isGone = firstAt - arrivedAt > PATIENCE_MS
+    if (isGone) outcome.inVain += 1
+    else if (firstAt - arrivedAt > TARGET_MS) outcome.late += 1
+    else outcome.inTime += 1
+    if (decision.prefill !== undefined && !isGone)
+      events.push({ at: readAt, run: () => allocator.notePrefilled(request, 'ok', readAt - placedAt, now) })
+    const endsAt = isGone ? arrivedAt + PATIENCE_MS : readAt + 700
+    events.push({ at: endsAt, run: () => allocator.release(request, isGone ? 'cancelled' : 'ok', 200, now) })
+  }
+  for (now = 0; now < 8_000; now += 5) {
+    for (const event of events.filter(({ at }) => at <= now)) {
+      events.splice(events.indexOf(event), 1)
+      event.run()
+    }
+    allocator.tick(now)
+    if (now >= 6_000 || now % 100 !== 0) continue
+    const arrivedAt = now
+    const request = `r${now}`
+    const tokens = { promptTokens: 12_000, hintTokens: 200, mostTokens: 400 }
+    // Some have spent their time with a sending that failed.
+    const spentMs = now % 300 === 0 ? 0 : 700
+    const times = { targetMs: TARGET_MS - spentMs, promptMs: 0, holdMs: 3_060 - spentMs, pauseMs: 300 }
+    const patienceMs = PATIENCE_MS - spentMs
+    allocator.ask(ask(request, { ...tokens, ...times, patienceMs }), now, (decision) =>
+      start(request, arrivedAt - spentMs, decision),
+    )
+  }
+  return outcome
+}
+
+describe('Allocator, whose callers leave a stream that stays silent', () => {
+  it('reads no prompt for a caller that will have left, and keeps new ones in time beside late ones', () => {
+    const { inTime, late, inVain } = play()
+    expect(inVain).toBe(0)
+    expect(inTime).toBeGreaterThanOrEqual(18)
+    expect(inTime + late).toBeGreaterThanOrEqual(25)
+  })
+
+  it('places no late request whose caller leaves before the first event, and one that is just late enough', () => {
+    const placed = (patienceMs: number) => {
+      const one = world([engine('p0', 'prefill'), engine('d0', 'decode')])
+      one.place(ask('late', { promptTokens: 8_000, mostTokens: 300, targetMs: -1_000, patienceMs }), 0)
+      return one.decisions.get('late')?.type
+    }
+    // 200 ms of reading, and half of that for what varies.
+    expect(placed(340)).toBeUndefined()
+    expect(placed(380)).toBe('placed')
+  })
+})
--- a/request/gateway/src/holdTime.ts
+++ b/request/gateway/src/holdTime.ts
@@ -1,7 +1,12 @@
+import type { Route } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 
 /** The longest wait for a place, in targets: callers give a silent stream up at four. */
 const LONGEST_HOLD_IN_TARGETS = 3.4
+/** A caller gives up a stream that is silent for so many targets, so many of its longest pauses, or this time. */
+const PATIENCE_IN_TARGETS = 4
+const PATIENCE_IN_PAUSES = 8
+const LEAST_PATIENCE_MS = 2_000
 /** The share of the time left that a request may wait. */
 const SHARE_OF_LEFT = 0.4
 
@@ -14,3 +19,16 @@
 export function holdTime(targetMs: Millis, leftMs: Millis, silentMs: Millis): Millis {
   return Math.max(0, Math.min(targetMs * LONGEST_HOLD_IN_TARGETS - silentMs, leftMs * SHARE_OF_LEFT))
 }
+
+/** How long a model request may wait for a place, and until when its first event must be there to be of use. */
+export function waitTimes(
+  { targetMs, pauseMs = 0 }: Pick<Route, 'targetMs' | 'pauseMs'>,
+  leftMs: Millis,
+  silentMs: Millis,
+): { holdMs: Millis; patienceMs: Millis } {
+  const longestMs = Math.max(targetMs * PATIENCE_IN_TARGETS, pauseMs * PATIENCE_IN_PAUSES, LEAST_PATIENCE_MS)
+  return {
+    holdMs: holdTime(targetMs, leftMs, silentMs),
+    patienceMs: Math.min(longestMs - silentMs, leftMs),
+  }
+}
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -22,6 +22,8 @@
   holdMs: Millis
   /** Time left until its caller gives up. */
   leftMs: Millis
+  /** Time left until its caller gives up a stream that stays silent; absent where it waits on. */
+  patienceMs?: Millis
   /** The longest pause between events that still counts as in time; absent where none is set. */
   pauseMs?: Millis
   /** Requests of one class have answers of like length. */
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -224,6 +224,7 @@
     targetMs: ask.targetMs - passedMs,
     promptMs: ask.promptMs - passedMs,
     leftMs: ask.leftMs - passedMs,
+    patienceMs: ask.patienceMs === undefined ? undefined : ask.patienceMs - passedMs,
     holdMs: Math.max(0, ask.holdMs - passedMs),
   }
 }
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -5,7 +5,7 @@
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
-import { holdTime } from './holdTime'
+import { waitTimes } from './holdTime'
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { endWithConnection, sendEndpointAnswer } from './ownAnswer'
@@ -135,7 +135,7 @@
       targetMs: this.job.targetAt - now,
       isReturn: this.job.isReturn,
       promptMs: this.job.isReturn ? 0 : promptAt - now,
-      holdMs: holdTime(route.targetMs, leftMs, this.pauses.silentMs(now)),
+      ...waitTimes(route, leftMs, this.pauses.silentMs(now)),
       leftMs,
       pauseMs: route.pauseMs,
       className: route.name,
--- a/request/gateway/test/holdTime.test.ts
+++ b/request/gateway/test/holdTime.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { EventPauses } from '../src/eventPauses'
-import { holdTime } from '../src/holdTime'
+import { holdTime, waitTimes } from '../src/holdTime'
 
 describe('holdTime', () => {
   it('leaves a caller that has waited for a sending that failed no longer without a word than any other', () => {
@@ -19,3 +19,15 @@
     expect(holdTime(900, 13_000, pauses.silentMs(20_000))).toBe(0)
   })
 })
+
+describe('waitTimes', () => {
+  it('tells when a caller gives a silent stream up', () => {
+    expect(waitTimes({ targetMs: 900, pauseMs: 300 }, 14_000, 100)).toEqual({
+      holdMs: 2_960,
+      patienceMs: 3_500,
+    })
+    expect(waitTimes({ targetMs: 300, pauseMs: 300 }, 14_000, 0).patienceMs).toBe(2_400)
+    expect(waitTimes({ targetMs: 300 }, 14_000, 0).patienceMs).toBe(2_000)
+    expect(waitTimes({ targetMs: 900 }, 1_000, 0).patienceMs).toBe(1_000)
+  })
+})
