--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -2,56 +2,17 @@
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
-import type { ColdBudget, ColdOutlook } from './coldBudget'
-import { EngineFitness, type SlowEngine } from './engineFitness'
+import type { ColdBudget } from './coldBudget'
+import { EngineFitness } from './engineFitness'
 import type { BarredEngines } from './barredEngines'
 import type { EnginePace } from './enginePace'
+import type { EngineOutlook, EnginePick, EngineQuest } from './enginePick'
 import type { HoldBook } from './holdBook'
 import type { InstanceHealth } from './instanceHealth'
 import { KeptChoice } from './keptChoice'
 import { SLOW_FROM } from './peerPace'
 
-/** Where a request would go, and when its prompt would have been read. */
-export interface EnginePick {
-  decode: RegisteredEndpoint
-  /** Absent where the decode engine reads the prompt itself, or where it has been read. */
-  prefill?: RegisteredEndpoint
-  /** Until the prompt has been read, in milliseconds; 0 where it has been. */
-  readsInMs: Millis
-  /** How long it waits behind other prompts of that. */
-  queuedMs: Millis
-  /** How long the prefill engine may take at most so that another can still read it in time. */
-  readElsewhereInMs?: Millis
-  /** Tokens that have to be read, as is believed; absent where that is the whole prompt. */
-  readTokens?: number
-}
-
-/** A request that looks for a place, and what it may still wait for. */
-export interface EngineQuest {
-  ask: PlaceAsk
-  engine: EnginePool
-  /** Whether its first event can still be in time. */
-  isInTime: boolean
-  /** Time left until its first event should be there, in milliseconds; below 0 for one that is late. */
-  leftMs: Millis
-  /** The share of an engine's memory that it may fill. */
-  memoryShare: number
-}
-
-/** What stood behind a decision, for its log line. */
-export interface EngineOutlook {
-  /** Decode and prefill engines that take work. */
-  decoders: number
-  readers: number
-  /** The decode engine with the most room: tokens that it comes to hold with the request, and running answers. */
-  roomiest?: { endpoint: InstanceId; peak: number; running: number }
-  /** The prefill engine with the shortest queue. */
-  soonest?: { endpoint: InstanceId; queuedMs: Millis }
-  /** Engines that are slower than their peers: how many times, and how old that evidence is. */
-  slow: SlowEngine[]
-  /** Absent where none is cold. */
-  cold?: ColdOutlook
-}
+export type { EngineOutlook, EnginePick, EngineQuest } from './enginePick'
 
 /** Options of {@link EngineChoice}. */
 export interface EngineChoiceOptions {
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -123,7 +123,6 @@
     const { wire, clock } = this.parts
     const now = clock.now()
     const leftMs = this.job.endsAt - now
-    const promptAt = request.arrivedAt + route.targetMs * PROMPT_SHARE
     const hint = Number(single(request.headers[wire.headers.lengthHint]))
     return {
       request: request.id,
@@ -134,7 +133,7 @@
       priority: rank,
       targetMs: this.job.targetAt - now,
       isReturn: this.job.isReturn,
-      promptMs: this.job.isReturn ? 0 : promptAt - now,
+      promptMs: this.job.isReturn ? 0 : request.arrivedAt + route.targetMs * PROMPT_SHARE - now,
       ...waitTimes(route, leftMs, this.pauses.silentMs(now)),
       leftMs,
       pauseMs: route.pauseMs,
