--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -100,6 +100,9 @@
     /** Milliseconds for a token made, or for each millisecond that reading should take. */
     pace: number
     peers: number
+    /** How many times its peers' time it takes while it is well. */
+    build: number
+    /** How many times slower than its own past, beside its peers. */
     slowness: number
     ageMs: number
     term: number
@@ -121,6 +124,8 @@
     regions?: readonly string[]
     /** The failure domain of its entry. */
     entryDomain?: string
+    /** Tokens of its prompt that its reader or its decode engine should keep; absent where there are none. */
+    keptTokens?: number
     targetMs: number
     /** Whether its caller had been sent away before. */
     isReturn: boolean
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -22,6 +22,7 @@
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
 import type { MachineBasics } from './machineBasics'
+import { membershipRules } from './membershipRules'
 import { Registrar } from './registrar'
 import { serveMetrics } from './serveMetrics'
 import { EndpointMemory } from './endpointMemory'
@@ -33,7 +34,6 @@
 /** How long a machine that has been told to stop goes on answering. */
 const LAST_ANSWERS_MS = 400
 const REOPEN_AFTER_MS = 400
-const ASKING_MS = 1_000
 /** How often a machine looks who leads: short beside an election, which takes some hundred milliseconds. */
 const LOOK_AT_LEADER_MS = 20
 
@@ -86,10 +86,11 @@
       onSupposedEvacuations: (domains) => this.belief.suppose(domains),
       onEndpoints: (records) => this.registrar.take(records),
     })
+    const replicas = () => this.controlAddresses()
     this.keeper = new MembershipKeeper({
       group: GROUP,
       host: this.host,
-      addresses: () => this.controlAddresses(),
+      addresses: replicas,
       selfAddress: self,
       peers,
       clock,
@@ -107,13 +108,9 @@
       leader: () => this.leader(),
       clock,
     })
-    this.memory = new EndpointMemory({
-      folder: settings.machine.data_folder!,
-      files: createFileSystem(),
-      endpoints: () => this.directory.list(),
-      clock,
-      logger,
-    })
+    const endpoints = () => this.directory.list()
+    const folder = settings.machine.data_folder!
+    this.memory = new EndpointMemory({ folder, files: createFileSystem(), endpoints, clock, logger })
     this.registrar = new Registrar({
       directory: this.directory,
       hub: this.hub,
@@ -121,7 +118,6 @@
       isConnected: () => this.leader() !== undefined,
       onChange: () => this.noteEndpoints(),
     })
-    const replicas = () => this.controlAddresses()
     const client = new GroupClient<SheetCommand, SheetResult>({ group: GROUP, replicas, peers, clock })
     this.cold = new ColdEndpoints({
       directory: this.directory,
@@ -141,7 +137,7 @@
       cold: this.cold,
       clock,
       logger,
-      endpoints: () => this.directory.list(),
+      endpoints,
       engine: (service) => this.book.current?.service(service)?.engine,
       isBarred,
       isLeader: () => this.host.replica?.holdsLease === true,
@@ -350,8 +346,3 @@
     return isFresh ? replica.leaderAddress : undefined
   }
 }
-
-function membershipRules(settings: FleetSettings) {
-  const { losses, domain_losses: domainLosses, silent_ms } = settings.control
-  return { enoughVoters: losses * 2 + 1, domainLosses, silentMs: silent_ms, askingMs: ASKING_MS }
-}
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -3,60 +3,25 @@
 import { withinHomes, type AtHome, type Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
-import type { ColdBudget, ColdOutlook } from './coldBudget'
+import type { ColdBudget } from './coldBudget'
 import { EngineDistance } from './engineDistance'
-import { EngineFitness, type Fitness, type SlowEngine } from './engineFitness'
+import { EngineFitness } from './engineFitness'
 import type { BarredEngines } from './barredEngines'
 import type { EnginePace } from './enginePace'
+import type { EngineOutlook, EnginePick, EngineQuest } from './enginePick'
 import type { HoldBook } from './holdBook'
 import type { InstanceHealth } from './instanceHealth'
+import { KeptChoice } from './keptChoice'
 import { SLOW_FROM } from './peerPace'
 
-/** Where a request would go, and when its prompt would have been read. */
-export interface EnginePick {
-  decode: AtHome<RegisteredEndpoint>
-  /** Absent where the decode engine reads the prompt itself, or where it has been read. */
-  prefill?: AtHome<RegisteredEndpoint>
-  /** Until the prompt has been read, in milliseconds; 0 where it has been. */
-  readsInMs: Millis
-  /** How long it waits behind other prompts of that. */
-  queuedMs: Millis
-  /** How long the prefill engine may take at most so that another can still read it in time. */
-  readElsewhereInMs?: Millis
-}
-
-/** A request that looks for a place, and what it may still wait for. */
-export interface EngineQuest {
-  ask: PlaceAsk
-  engine: EnginePool
-  /** Whether its first event can still be in time. */
-  isInTime: boolean
-  /** Time left until its first event should be there, in milliseconds; below 0 for one that is late. */
-  leftMs: Millis
-  /** The share of an engine's memory that it may fill. */
-  memoryShare: number
-}
-
-/** What stood behind a decision, for its log line. */
-export interface EngineOutlook {
-  /** Decode and prefill engines that take work. */
-  decoders: number
-  readers: number
-  /** The decode engine with the most room: tokens that it comes to hold with the request, and running answers. */
-  roomiest?: { endpoint: InstanceId; peak: number; running: number }
-  /** The prefill engine with the shortest queue. */
-  soonest?: { endpoint: InstanceId; queuedMs: Millis }
-  /** Engines that are slower than their peers: how many times, and how old that evidence is. */
-  slow: SlowEngine[]
-  /** Absent where none is cold. */
-  cold?: ColdOutlook
-}
+export type { EngineOutlook, EnginePick, EngineQuest } from './enginePick'
 
 /** Options of {@link EngineChoice}. */
 export interface EngineChoiceOptions {
   endpoints: () => RegisteredEndpoint[]
   topology: Topology
   barred: BarredEngines
+  engine: (service: string) => EnginePool | undefined
   book: HoldBook
   health: InstanceHealth
   pace: EnginePace
@@ -69,6 +34,8 @@
 export const START_MS = 60
 /** A late request waits for a reading queue of so many prompts like its own, itself included: 500 ms at 95 ms a prompt. */
 const LATE_READINGS = 5
+/** It waits no longer behind others, so that after it a new one is still in time: 900 ms less two long readings of 300. */
+const LATE_QUEUE_MS = 250
 /** A decode engine reads at half the pace of a prefill engine (the platform's protocol says so). */
 const OWN_READING_FACTOR = 2
 /** The share of its time that a decode engine may read beside prefill engines: a prompt of 190 ms each 0.7 s, as was tuned. */
@@ -99,6 +66,8 @@
   private works: Works = { at: -Infinity, engines: new Map() }
   /** What engines' paces mean for requests. */
   readonly fitness: EngineFitness
+  /** What engines keep of prompts. */
+  readonly kept: KeptChoice
 
   /** What ways between engines and entries count. */
   readonly distance: EngineDistance
@@ -106,6 +75,7 @@
   constructor(private readonly options: EngineChoiceOptions) {
     this.distance = new EngineDistance(options.topology)
     this.fitness = new EngineFitness(options)
+    this.kept = new KeptChoice({ ...options, fitness: this.fitness })
   }
 
   /** Engines of a service that take part, whether they are sound or not. */
@@ -138,6 +108,8 @@
     const first = fitting[0]
     if (first === undefined) return undefined
     if (quest.ask.isPrefilled) return { decode: first, readsInMs: 0, queuedMs: 0 }
+    const keeper = this.kept.keeper(quest, fitting, now)
+    if (keeper !== undefined) return { decode: keeper, readsInMs: 0, queuedMs: 0, readTokens: 0 }
     const apart = this.readApart(quest, first, readers, now)
     if (apart !== undefined && !this.fitness.isSlowReader(apart.prefill!.id, now)) return apart
     // A slow reader is used where no decode engine is sooner.
@@ -192,9 +164,10 @@
 
   /** Engines that may get the request now or in a moment; unsound ones only where no other decodes. */
   engines(ask: PlaceAsk, stage: Stage, now: Millis): AtHome<RegisteredEndpoint>[] {
-    const working = this.atHome(ask, this.working(ask.service, stage, now)).filter(
-      (one) => !ask.except.includes(one.id),
-    )
+    // A reader whose answer was lost keeps the prompt: it answers at once.
+    const mayAgain = (one: RegisteredEndpoint) => stage === 'prefill' && this.kept.unread(ask, one) === 0
+    const mayUse = (one: RegisteredEndpoint) => !ask.except.includes(one.id) || mayAgain(one)
+    const working = this.atHome(ask, this.working(ask.service, stage, now)).filter(mayUse)
     const sound = working.filter((one) => this.options.health.isSound(one.id, now))
     return sound.length > 0 || stage === 'prefill' ? sound : working
   }
@@ -229,7 +202,7 @@
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
     const engines = this.engines(ask, 'decode', now)
-    const fitness = this.fitnessOfAll(quest, engines, now)
+    const fitness = this.fitness.ofAll(quest, engines, now)
     const isSlow = (id: InstanceId) => fitness.get(id) === 'slow'
     // One that can be in time rather waits for an engine that is well, and is late for certain at a slow one.
     const waitsForOthers = quest.isInTime && !ask.isPrefilled && engines.some(({ id }) => !isSlow(id))
@@ -255,21 +228,6 @@
     return fits.map(({ endpoint }) => endpoint)
   }
 
-  /**
-   * Whether an answer at each decode engine's pace has its events in time and ends in time; `slow` where it has not and
-   * the engine is slower than its peers, so that another does better.
-   */
-  private fitnessOfAll(
-    { ask, engine, leftMs }: EngineQuest,
-    engines: RegisteredEndpoint[],
-    now: Millis,
-  ): Map<InstanceId, Fitness> {
-    const { pauseMs } = ask
-    const endsWithinMs = ask.leftMs - (ask.targetMs - leftMs)
-    const answer = { tokens: this.options.book.lengthOf(ask), endsWithinMs, pauseMs }
-    return new Map(engines.map(({ id }) => [id, this.fitness.of(answer, engine, id, now)]))
-  }
-
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
   takers(ask: PlaceAsk, engine: EnginePool, now: Millis): AtHome<RegisteredEndpoint>[] {
     const { book, health, pace, cold } = this.options
@@ -299,17 +257,20 @@
     const { book, health, pace, cold } = this.options
     const { promptTokens } = quest.ask
     const way = { promptTokens, readingMs: pace.readingMs(promptTokens), engine: quest.engine }
+    const unread = (reader: RegisteredEndpoint) => this.kept.unread(quest.ask, reader)
     const waits = readers
       .filter((endpoint) => !health.isFull(endpoint.id, now) && cold.mayRead(endpoint, now))
       .map((prefill) => ({
         prefill,
         queuedMs: book.prefillWait(prefill.id, now),
         readingMs: pace.readingMsAt(prefill.id, promptTokens, now),
+        keptMs: pace.readingMsAt(prefill.id, promptTokens - unread(prefill), now),
       }))
       .filter(({ prefill, queuedMs }) => queuedMs === 0 || !this.fitness.mayNotQueue(prefill.id, now))
-    const costOf = ({ prefill, queuedMs, readingMs }: (typeof waits)[number]) =>
+    const costOf = ({ prefill, queuedMs, readingMs, keptMs }: (typeof waits)[number]) =>
       queuedMs +
-      readingMs +
+      readingMs -
+      keptMs +
       (cold.isCold(prefill.id, now) ? pace.readingMs(promptTokens) * COLD_READINGS : 0) +
       this.distance.readingMs(prefill, decode, way)
     waits.sort((left, right) => costOf(left) - costOf(right))
@@ -318,7 +279,8 @@
     const { prefill, queuedMs, readingMs } = soonest
     const readsInMs = queuedMs + readingMs + pace.readingLatencyMs()
     if (readsInMs > this.readingLimit(quest)) return undefined
-    return { decode, prefill, queuedMs, readsInMs, readElsewhereInMs: this.readElsewhereIn(quest, readsInMs) }
+    const readElsewhereInMs = this.readElsewhereIn(quest, readsInMs)
+    return { decode, prefill, queuedMs, readsInMs, readElsewhereInMs, readTokens: unread(prefill) }
   }
 
   /** Until when another engine could still read it in time; absent where this one, being well, may need longer. */
@@ -370,7 +332,11 @@
   private readingLimit({ ask, isInTime, leftMs }: EngineQuest): Millis {
     const { pace } = this.options
     if (isInTime) return leftMs - START_MS
-    return pace.readingMs(ask.promptTokens) * LATE_READINGS + pace.readingLatencyMs()
+    const ownMs = pace.readingMs(ask.promptTokens)
+    const lateMs = Math.min(ownMs * LATE_READINGS, ownMs + LATE_QUEUE_MS) + pace.readingLatencyMs()
+    // Whose caller leaves before the first event is read in vain, and holds up others meanwhile.
+    const patienceMs = (ask.patienceMs ?? Infinity) - (ask.targetMs - leftMs)
+    return Math.min(lateMs, (patienceMs - START_MS) / LATE_FROM)
   }
 
   private mayReadItself(id: InstanceId, ownMs: Millis, now: Millis): boolean {
--- a/placement/allocator/src/engineFitness.ts
+++ b/placement/allocator/src/engineFitness.ts
@@ -1,6 +1,7 @@
 import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
+import type { PlaceAsk } from './allocatorTypes'
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
 import { SLOW_FROM } from './peerPace'
@@ -25,6 +26,14 @@
   pauseMs?: Millis
 }
 
+/** A request whose answer is to be made at one of some engines. */
+export interface AnswerQuest {
+  ask: PlaceAsk
+  engine: EnginePool
+  /** Time left until its first event should be there, in milliseconds. */
+  leftMs: Millis
+}
+
 /** Options of {@link EngineFitness}. */
 export interface EngineFitnessOptions {
   book: HoldBook
@@ -56,10 +65,25 @@
     return slowness >= SLOW_FROM ? 'slow' : 'poor'
   }
 
+  /**
+   * Whether an answer at each decode engine's pace has its events in time and ends in time; `slow` where it has not and
+   * the engine is slower than its peers, so that another does better.
+   */
+  ofAll(
+    { ask, engine, leftMs }: AnswerQuest,
+    engines: RegisteredEndpoint[],
+    now: Millis,
+  ): Map<InstanceId, Fitness> {
+    const { pauseMs } = ask
+    const endsWithinMs = ask.leftMs - (ask.targetMs - leftMs)
+    const answer = { tokens: this.options.book.lengthOf(ask), endsWithinMs, pauseMs }
+    return new Map(engines.map(({ id }) => [id, this.of(answer, engine, id, now)]))
+  }
+
   /** How many times slower than its peers a decode engine is, as far as that is more than a matter of its load. */
   slowness(decode: InstanceId, now: Millis): number {
-    const { slowness } = this.options.pace.view(decode, 'decode', now)
-    return slowness < SAME_PACE ? 1 : slowness
+    const { ms, peersMs } = this.options.pace.view(decode, 'decode', now)
+    return ms / peersMs < SAME_PACE ? 1 : ms / peersMs
   }
 
   /** How many answers may run at a decode engine: one that was slow shows with a single one whether it is well. */
@@ -70,7 +94,8 @@
   /** Whether a prefill engine takes far longer than reading should take, by what it has read or is late with now. */
   isSlowReader(id: InstanceId, now: Millis): boolean {
     const { book, pace } = this.options
-    return pace.view(id, 'prefill', now).ms >= SLOW_FROM || book.overdue(id, now) >= OVERDUE_FROM
+    const { ms, build } = pace.view(id, 'prefill', now)
+    return ms / build >= SLOW_FROM || book.overdue(id, now) >= OVERDUE_FROM
   }
 
   /** Nothing waits behind a prompt that shows whether an engine is well, or that is late at one. */
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -64,7 +64,7 @@
     this.holds.set(hold.ask.request, hold)
     addTo(this.byDecode, hold.decode, hold)
     if (hold.prefill !== undefined) addTo(this.byPrefill, hold.prefill, hold)
-    else if (!hold.ask.isPrefilled && hold.decodingAt !== undefined)
+    else if (!hold.ask.isPrefilled && hold.decodingAt !== undefined && hold.readTokens !== 0)
       this.ownReadings.note(hold.decode, hold.decodingAt)
     this.outlooks.delete(hold.decode)
   }
@@ -136,7 +136,8 @@
   prefillWait(prefill: InstanceId, now: Millis): Millis {
     const { pace } = this.options
     let sum = 0
-    for (const hold of this.readingAt(prefill)) sum += pace.readingMsAt(prefill, hold.ask.promptTokens, now)
+    for (const { ask, readTokens = ask.promptTokens } of this.readingAt(prefill))
+      sum += pace.readingMsAt(prefill, readTokens, now)
     return sum
   }
 
@@ -161,17 +162,19 @@
   noteRead(hold: Hold, tookMs: Millis, isGivenUp: boolean, now: Millis): void {
     const { prefill, isAdopted, ask } = hold
     if (prefill === undefined) return
-    const freeForMs = now - (this.readAt.get(prefill) ?? -Infinity)
+    const tookAloneMs = this.readingTime(hold, tookMs, now)
     this.readAt.set(prefill, now)
     // Another engine may have read it before this one, or this one itself: what it kept is not read again.
     if (isAdopted === true || ask.except.length > 0) return
     const isAlone = hold.isReadAlone === true
-    const read = { promptTokens: ask.promptTokens, isAlone, isGivenUp }
-    this.options.pace.learnReading(
-      prefill,
-      { ...read, tookMs: isAlone ? tookMs : Math.min(tookMs, freeForMs) },
-      now,
-    )
+    const read = { promptTokens: ask.promptTokens, readTokens: hold.readTokens, isAlone, isGivenUp }
+    this.options.pace.learnReading(prefill, { ...read, tookMs: tookAloneMs }, now)
+  }
+
+  /** How long a prefill engine was busy with a prompt at most: since its sending, or since the one before it ended. */
+  readingTime({ prefill, isReadAlone }: Hold, tookMs: Millis, now: Millis): Millis {
+    const freeForMs = now - (this.readAt.get(prefill ?? '') ?? -Infinity)
+    return isReadAlone === true ? tookMs : Math.min(tookMs, freeForMs)
   }
 
   /** How many tokens an answer is forecast to have, as surely as forecasts must be. */
@@ -296,7 +299,8 @@
     return [...(this.byPrefill.get(prefill) ?? NO_HOLDS)].filter((hold) => hold.decodingAt === undefined)
   }
 
-  private holdsAt(decode: InstanceId): ReadonlySet<Hold> {
+  /** The places at a decode engine. */
+  holdsAt(decode: InstanceId): ReadonlySet<Hold> {
     return this.byDecode.get(decode) ?? NO_HOLDS
   }
 
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -7,7 +7,7 @@
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { judgeAnswer } from './judgeAnswer'
 import { sendEndpointAnswer } from './ownAnswer'
-import { answerFailure, answerRefusal, type OwnResult } from './relayAnswers'
+import { answerFailure, answerRefusal, PROMISES, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -28,8 +28,6 @@
 const COME_BACK_MS = 400
 /** The share of the time to the target that a caller that came back waits for an endpoint with room. */
 const RETURN_WAIT_SHARE = 0.5
-/** Answers of an endpoint that promise that nothing ran; never sent on for a request that did. */
-const PROMISES = new Set([408, 421, 429, 503])
 
 /** What one sending proved. */
 type Sending =
--- a/request/gateway/src/relayAnswers.ts
+++ b/request/gateway/src/relayAnswers.ts
@@ -3,6 +3,9 @@
 import { sendOwnAnswer } from './ownAnswer'
 import type { RelayResult } from './relayParts'
 
+/** Answers of an endpoint that promise that nothing ran; never sent on for a request that did. */
+export const PROMISES = new Set([408, 421, 429, 503])
+
 /** What an answer of this entry's own leaves in the log. */
 export type OwnResult = Omit<RelayResult, 'sends'>
 
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -12,12 +12,13 @@
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
-import { holdTime } from './holdTime'
+import { waitTimes } from './holdTime'
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { endWithConnection, sendEndpointAnswer } from './ownAnswer'
+import { promptPartsOf } from './promptParts'
 import { PromptReading, type PromptReader } from './promptReading'
-import { answerFailure, answerRefusal, type OwnResult } from './relayAnswers'
+import { answerFailure, answerRefusal, PROMISES, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -36,7 +37,6 @@
 const MAX_REFUSALS = 3
 const COME_BACK_MS = 600
 const WAIT_FOR_ENGINES_MS = 250
-const PROMISES = new Set([408, 421, 429, 503])
 
 /** Relays a streaming request: a place, the prefill step, the stream, and another engine where allowed. */
 export async function relayStream(parts: RelayParts, job: RelayJob): Promise<RelayResult> {
@@ -119,7 +119,6 @@
     const { wire, clock } = this.parts
     const now = clock.now()
     const leftMs = this.job.endsAt - now
-    const promptAt = request.arrivedAt + route.targetMs * PROMPT_SHARE
     const hint = Number(single(request.headers[wire.headers.lengthHint]))
     return {
       request: request.id,
@@ -130,14 +129,15 @@
       priority: rank,
       targetMs: this.job.targetAt - now,
       isReturn: this.job.isReturn,
-      promptMs: this.job.isReturn ? 0 : promptAt - now,
-      holdMs: holdTime(route.targetMs, leftMs),
+      promptMs: this.job.isReturn ? 0 : request.arrivedAt + route.targetMs * PROMPT_SHARE - now,
+      ...waitTimes(route, leftMs, this.pauses.silentMs(now)),
       leftMs,
       pauseMs: route.pauseMs,
       className: route.name,
       except: this.except,
       isPrefilled: this.prompt.isUsable(),
       regions: this.job.homes(),
+      parts: promptPartsOf(request, wire, tokens),
     }
   }
 
