--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -82,7 +82,7 @@
       logger,
       holdMs: settings.watch.hold_ms,
       evacuations: () => this.belief.view.current,
-      onEvacuations: (set) => this.belief.take(set),
+      onEvacuations: (set) => this.evacuations.takeHeard(set),
       onSupposedEvacuations: (domains) => this.belief.suppose(domains),
       onEndpoints: (records) => this.registrar.take(records),
     })
--- a/daemon/fleet/src/evacuationOffice.ts
+++ b/daemon/fleet/src/evacuationOffice.ts
@@ -1,6 +1,11 @@
 import type { Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
-import { NO_EVACUATIONS, type EvacuationResult, type SetEvacuation } from '@forkstage/evacuation'
+import {
+  NO_EVACUATIONS,
+  type EvacuationResult,
+  type EvacuationSet,
+  type SetEvacuation,
+} from '@forkstage/evacuation'
 import { GroupUnavailableError, NotLeaderError, type GroupClient, type GroupHost } from '@forkstage/group'
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
@@ -60,6 +65,15 @@
     }
   }
 
+  /**
+   * Takes what another control machine has told. What was read from the disk here before anything was heard is committed
+   * too, and may be newer than what that machine knew.
+   */
+  takeHeard(set: EvacuationSet): void {
+    this.options.belief.take(set)
+    this.takeCommitted()
+  }
+
   /**
    * Lets this machine believe what its replica has applied. What a replica restores at its start may be older than what
    * was acknowledged: it counts once the replica knows what is committed.
--- a/daemon/fleet/src/runUntilStopped.ts
+++ b/daemon/fleet/src/runUntilStopped.ts
@@ -12,7 +12,7 @@
 
 /** Where signals come from: the process. */
 export interface SignalSource {
-  once(signal: 'SIGTERM' | 'SIGINT', listener: (signal: string) => void): unknown
+  on(signal: 'SIGTERM' | 'SIGINT', listener: (signal: string) => void): unknown
 }
 
 /** Options of {@link runUntilStopped}. */
@@ -47,8 +47,9 @@
       logger.info('box.stopping', { reason: signal, streams: 0 })
       void stopInTime(machine, options).then(resolve)
     }
-    signals.once('SIGTERM', stop)
-    signals.once('SIGINT', stop)
+    // A second signal must not end the process while requests run, as it would without a listener.
+    signals.on('SIGTERM', stop)
+    signals.on('SIGINT', stop)
   })
   const started = machine.start().then(() => {
     if (!isStopping) onStarted()
--- a/daemon/fleet/test/evacuationOffice.test.ts
+++ b/daemon/fleet/test/evacuationOffice.test.ts
@@ -43,6 +43,18 @@
 const order = (isEvacuated: boolean, isWaitedFor = () => true) => ({ domain: 'a', isEvacuated, isWaitedFor })
 
 describe('EvacuationOffice', () => {
+  it('keeps an order that its own disk holds though another machine has told an older set first', () => {
+    const { world, machine } = officeWorld()
+    world.order('a', true)
+    const restarted = officeWorld()
+    // Read while nothing was heard and no leader was known, so that it was not believed yet.
+    restarted.machine.restore(machine.snapshot())
+    restarted.office.takeCommitted()
+    expect(restarted.belief.view.isEvacuated('a')).toBe(false)
+    restarted.office.takeHeard({ index: -1, domains: [] })
+    expect(restarted.belief.view.current).toEqual({ index: 11, domains: ['a'] })
+  })
+
   it('answers a resend the same where the leader was killed between the commit and its answer', async () => {
     const { world, machine, replica, office } = officeWorld()
     world.losesAnswers = true
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -225,7 +225,7 @@
     this.orders.keepOnly(known)
     this.choice.refresh()
     this.placeWaiting(now)
-    const emptied = this.room.takeWhere((one) => this.choice.isEmptied(one.ask.service))
+    const emptied = this.room.takeOfServices((service) => this.choice.isEmptied(service))
     for (const { ask, resolve } of emptied) resolve(this.refuse(EVACUATED, ask, now))
     const hopeless = this.room.takeHopeless(now)
     const overdue = this.room.takeWhere((one) => now - one.since >= one.ask.holdMs)
@@ -260,6 +260,11 @@
     return this.choice.outlook(ask, now)
   }
 
+  /** An engine has started anew: what it kept of prompts is gone. */
+  forgetKept(id: InstanceId): void {
+    this.choice.kept.forget(id)
+  }
+
   isChanging(id: InstanceId, now: Millis): boolean {
     return this.orders.isChanging(id, now)
   }
@@ -270,10 +275,11 @@
     const decoders = this.choice.registered(ask.service, 'decode').length
     if (this.choice.isEmptied(ask.service)) return this.refuse(EVACUATED, ask, now)
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
-    if (!this.choice.isServedAtHome(ask)) return refused(AWAY_REASON, AWAY_RETRY_MS)
+    const atHome = this.choice.countAtHome(ask)
+    if (atHome === 0) return refused(AWAY_REASON, AWAY_RETRY_MS)
     const patienceMs = ask.promptMs > 0 ? ask.promptMs : ask.holdMs
     if ((this.choice.coldWait(ask, now) ?? 0) > patienceMs) return this.refuse(COLD_REASON, ask, now)
-    const isFull = ask.promptMs > 0 && this.room.countFirst(ask.service, now) >= decoders * WAITING_PER_ENGINE
+    const isFull = ask.promptMs > 0 && this.room.countFirst(ask, now) >= atHome * WAITING_PER_ENGINE
     return isFull ? this.refuse('too many wait already', ask, now) : undefined
   }
 
@@ -320,11 +326,11 @@
 
   private hold(waiting: Waiting, pick: EnginePick, now: Millis): Placed {
     const { ask } = waiting
-    const { decode, prefill, readsInMs, queuedMs, readTokens } = pick
+    const { decode, prefill, readsInMs, readTokens } = pick
     if (prefill === undefined && !ask.isPrefilled && readTokens !== 0)
       this.choice.noteReadsItself(decode.id, now)
     const decodingAt = prefill === undefined ? now + readsInMs : undefined
-    const isReadAlone = prefill !== undefined && queuedMs === 0
+    const isReadAlone = prefill !== undefined && !this.book.isReading(prefill.id)
     if (prefill !== undefined) this.choice.kept.notePlaced(ask, prefill.id)
     const place = { ask, prefill: prefill?.id, decode: decode.id, placedAt: now, readTokens }
     this.book.add({ ...place, isReadAlone, decodingAt })
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -123,6 +123,7 @@
   /** An engine has turned cold: it has started anew, so what it showed before says nothing of it. */
   noteCold(id: InstanceId): void {
     this.learned.pace.forget(id)
+    this.allocator.forgetKept(id)
   }
 
   /** Gives an engine no work while it changes its part. */
@@ -148,6 +149,7 @@
   }
 
   private async ask(ask: PlaceAsk): Promise<PlaceDecision> {
+    const arrivedAt = this.options.clock.now()
     this.renewTerm()
     await this.untilListened()
     if (!this.mayPlace()) throw new NotPlacingError()
@@ -155,7 +157,10 @@
     const askedAt = this.options.clock.now()
     const decision = await this.decide(ask)
     this.log(ask, decision, this.options.clock.now() - askedAt)
-    return decision
+    if (decision.type !== 'placed' || decision.cold === undefined) return decision
+    // Entries count a grant's time from when they asked: what a new leader listens is waiting too.
+    const waitedMs = decision.cold.waitedMs + askedAt - arrivedAt
+    return { ...decision, cold: { ...decision.cold, waitedMs } }
   }
 
   /** A new leader lets requests wait while it hears what runs. */
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -172,9 +172,9 @@
     return sound.length > 0 || stage === 'prefill' ? sound : working
   }
 
-  /** Whether some decode engine that takes part lies in the regions of a request. */
-  isServedAtHome(ask: PlaceAsk): boolean {
-    return this.atHome(ask, this.registered(ask.service, 'decode')).length > 0
+  /** How many decode engines that take part lie in the regions of a request. */
+  countAtHome(ask: PlaceAsk): number {
+    return this.atHome(ask, this.registered(ask.service, 'decode')).length
   }
 
   private atHome(ask: PlaceAsk, engines: RegisteredEndpoint[]): AtHome<RegisteredEndpoint>[] {
@@ -224,8 +224,10 @@
       (isCold ? limit * COLD_PEAK_SHARE : 0) +
       peak * slowness +
       this.distance.tokensAround(ask, engine, endpoint, readers)
-    fits.sort((left, right) => costOf(left) - costOf(right))
-    return fits.map(({ endpoint }) => endpoint)
+    // Worked out once for each: the way to the nearest reader looks at all of them.
+    const costed = fits.map((one) => ({ endpoint: one.endpoint, cost: costOf(one) }))
+    costed.sort((left, right) => left.cost - right.cost)
+    return costed.map(({ endpoint }) => endpoint)
   }
 
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
@@ -266,7 +268,7 @@
         readingMs: pace.readingMsAt(prefill.id, promptTokens, now),
         keptMs: pace.readingMsAt(prefill.id, promptTokens - unread(prefill), now),
       }))
-      .filter(({ prefill, queuedMs }) => queuedMs === 0 || !this.fitness.mayNotQueue(prefill.id, now))
+      .filter(({ prefill }) => !book.isReading(prefill.id) || !this.fitness.mayNotQueue(prefill.id, now))
     const costOf = ({ prefill, queuedMs, readingMs, keptMs }: (typeof waits)[number]) =>
       queuedMs +
       readingMs -
@@ -306,7 +308,7 @@
     const picks = fitting
       .filter((endpoint) => isAlone || this.mayReadItself(endpoint.id, ownMs, now))
       .map((decode) => ({ decode, queuedMs: book.ownReadings.wait(decode.id, now) }))
-      .filter(({ queuedMs }) => queuedMs + ownMs <= this.readingLimit(quest))
+      .filter(({ queuedMs }) => queuedMs + ownMs <= this.readingLimit(quest, ownMs))
       .filter(({ decode, queuedMs }) => !this.holdsUpAnswers(quest, decode.id, queuedMs + ownMs, now))
     picks.sort((left, right) => left.queuedMs - right.queuedMs)
     const soonest = picks[0]
@@ -328,11 +330,14 @@
     return readsForMs + eventMs > ask.pauseMs * LONGEST_PAUSE_SHARE
   }
 
-  /** By when the prompt must have been read. */
-  private readingLimit({ ask, isInTime, leftMs }: EngineQuest): Millis {
+  /**
+   * By when the prompt must have been read.
+   * @param aloneMs how long that takes where nothing waits before it, where that is not a prefill engine's time.
+   */
+  private readingLimit({ ask, isInTime, leftMs }: EngineQuest, aloneMs?: Millis): Millis {
     const { pace } = this.options
     if (isInTime) return leftMs - START_MS
-    const ownMs = pace.readingMs(ask.promptTokens)
+    const ownMs = aloneMs ?? pace.readingMs(ask.promptTokens)
     const lateMs = Math.min(ownMs * LATE_READINGS, ownMs + LATE_QUEUE_MS) + pace.readingLatencyMs()
     // Whose caller leaves before the first event is read in vain, and holds up others meanwhile.
     const patienceMs = (ask.patienceMs ?? Infinity) - (ask.targetMs - leftMs)
--- a/placement/allocator/src/holdBook.ts
+++ b/placement/allocator/src/holdBook.ts
@@ -135,10 +135,8 @@
   /** How long a prompt waits at a prefill engine until it is its turn, in milliseconds. */
   prefillWait(prefill: InstanceId, now: Millis): Millis {
     const { pace } = this.options
-    let sum = 0
-    for (const { ask, readTokens = ask.promptTokens } of this.readingAt(prefill))
-      sum += pace.readingMsAt(prefill, readTokens, now)
-    return sum
+    const msOf = ({ ask, readTokens }: Hold) => pace.readingMsAt(prefill, readTokens ?? ask.promptTokens, now)
+    return this.readingAt(prefill).reduce((sum, hold) => sum + msOf(hold), 0)
   }
 
   /**
@@ -295,6 +293,11 @@
     return Math.min(sum, until - from)
   }
 
+  /** Whether a prompt is being read at a prefill engine. */
+  isReading(prefill: InstanceId): boolean {
+    return this.readingAt(prefill).length > 0
+  }
+
   private readingAt(prefill: InstanceId): Hold[] {
     return [...(this.byPrefill.get(prefill) ?? NO_HOLDS)].filter((hold) => hold.decodingAt === undefined)
   }
--- a/placement/allocator/src/keptChoice.ts
+++ b/placement/allocator/src/keptChoice.ts
@@ -6,6 +6,7 @@
 import type { EnginePace } from './enginePace'
 import type { HoldBook } from './holdBook'
 import { KeptPrompts } from './keptPrompts'
+import { SLOW_FROM } from './peerPace'
 
 /** Options of {@link KeptChoice}. */
 export interface KeptChoiceOptions {
@@ -50,15 +51,16 @@
     fitting: Engine[],
     now: Millis,
   ): Engine | undefined {
-    const { book, fitness } = this.options
+    const { book, fitness, pace } = this.options
     const { ask, engine } = quest
     if (ask.parts === undefined) return undefined
     const limit = engine.kvTokens * FILL_SHARE
     const keepers = fitting
       .filter((one) => this.unread(ask, one) === 0 && book.ownReadings.wait(one.id, now) === 0)
-      .filter(({ id }) => fitness.slowness(id, now) === 1 && book.peakWith(ask, id, limit, now) <= limit)
-    const pace = fitness.ofAll(quest, keepers, now)
-    return keepers.find(({ id }) => pace.get(id) === 'good')
+      .filter(({ id }) => pace.view(id, 'decode', now).slowness < SLOW_FROM)
+      .filter(({ id }) => book.peakWith(ask, id, limit, now) <= limit)
+    const does = fitness.ofAll(quest, keepers, now)
+    return keepers.find(({ id }) => does.get(id) === 'good')
   }
 
   /** A prompt waits at a prefill engine: whatever comes after it there finds it read. */
@@ -78,7 +80,7 @@
     if (wasKept && hasTakenAll && isReadAlone === true) this.prompts.forget(prefill)
     const isRead = outcome === 'ok' || (outcome === 'failed' && hasTakenAll)
     if (isRead) this.prompts.note(prefill, ask.parts)
-    else if (!wasKept) this.prompts.drop(prefill, ask.parts)
+    else if (!wasKept || outcome === 'failed') this.prompts.drop(prefill, ask.parts)
   }
 
   /** An answer has made tokens at an engine, which keeps its prompt. */
--- a/placement/allocator/src/waitingRoom.ts
+++ b/placement/allocator/src/waitingRoom.ts
@@ -46,9 +46,11 @@
     this.waiting.push(one)
   }
 
-  /** How many wait for a service that came for the first time and can still be in time. */
-  countFirst(service: string, now: Millis): number {
-    const isFirst = ({ ask }: Waiting) => ask.service === service && !ask.isReturn
+  /** How many wait for the engines that a request could use, came for the first time and can still be in time. */
+  countFirst({ service, regions }: PlaceAsk, now: Millis): number {
+    // Only those bound to the same regions surely wait for the same engines.
+    const isSame = ({ ask }: Waiting) => ask.service === service && String(ask.regions) === String(regions)
+    const isFirst = (one: Waiting) => isSame(one) && !one.ask.isReturn
     return this.waiting.filter((one) => isFirst(one) && this.isInTime(one, now)).length
   }
 
@@ -59,6 +61,13 @@
     return taken
   }
 
+  /** Takes out what waits for services that are told apart; each is asked for once. */
+  takeOfServices(isTaken: (service: string) => boolean): Waiting[] {
+    const services = new Set(this.waiting.map(({ ask }) => ask.service))
+    const taken = new Set([...services].filter(isTaken))
+    return this.takeWhere(({ ask }) => taken.has(ask.service))
+  }
+
   isInTime(one: Waiting, now: Millis): boolean {
     return this.slackOf(one, now) > 0
   }
--- a/request/gateway/src/firstDeadlines.ts
+++ b/request/gateway/src/firstDeadlines.ts
@@ -24,9 +24,14 @@
 /** The longest deadline of a route is known well enough after so many of its requests. */
 const KNOWN_AFTER = 10
 
+/** What the requests of one route have named. */
 interface KnownRoute {
-  longest: Millis
+  /** The longest deadline since the last but one judgement, and since the last: callers may come to name shorter ones. */
+  longest: [Millis, Millis]
   seen: number
+  /** Deadlines as shares of the longest, since the last judgement. */
+  shares: number[]
+  medians: number[]
 }
 
 /**
@@ -37,39 +42,38 @@
  */
 export class FirstDeadlines {
   private readonly routes = new Map<string, KnownRoute>()
-  /** Deadlines as shares of the longest of their routes, since the last judgement. */
-  private shares: number[] = []
-  private medians: number[] = []
 
   /** Judges the caller of a request by its deadline. */
   judge(route: string, deadlineMs: Millis, targetMs: Millis): CallerAge {
     if (!Number.isFinite(deadlineMs)) return { isReturn: false, elapsedMs: 0 }
-    const longest = this.note(route, deadlineMs)
+    const known = this.note(route, deadlineMs)
+    const longest = Math.max(...known.longest)
     const elapsedMs = longest - deadlineMs
-    const spreadMs = longest * this.spread
+    const spreadMs = longest * spreadOf(known)
     const isReturn = elapsedMs > Math.max(targetMs * RETURN_SHARE, spreadMs)
     return { isReturn, elapsedMs: isReturn || spreadMs === 0 ? elapsedMs : 0 }
   }
 
-  /** By how much first tries may differ, as a share of the longest deadline. */
-  private get spread(): number {
-    return this.medians.some((median) => median > ALIKE) ? 0 : MOST_SPREAD
-  }
-
-  private note(route: string, deadlineMs: Millis): Millis {
-    const known = this.routes.get(route) ?? { longest: 0, seen: 0 }
+  private note(route: string, deadlineMs: Millis): KnownRoute {
+    const known = this.routes.get(route) ?? { longest: [0, 0], seen: 0, shares: [], medians: [] }
     this.routes.set(route, known)
-    known.longest = Math.max(known.longest, deadlineMs)
+    known.longest[1] = Math.max(known.longest[1], deadlineMs)
     known.seen += 1
-    if (known.seen > KNOWN_AFTER) this.noteShare(deadlineMs / known.longest)
-    return known.longest
+    if (known.seen > KNOWN_AFTER) noteShare(known, deadlineMs / Math.max(...known.longest))
+    return known
   }
+}
 
-  private noteShare(share: number): void {
-    this.shares.push(share)
-    if (this.shares.length < WINDOW) return
-    this.medians.push(this.shares.sort((left, right) => left - right)[WINDOW >> 1]!)
-    if (this.medians.length > WINDOWS) this.medians.shift()
-    this.shares = []
-  }
+/** By how much first tries may differ, as a share of the longest deadline. */
+function spreadOf({ medians }: KnownRoute): number {
+  return medians.some((median) => median > ALIKE) ? 0 : MOST_SPREAD
+}
+
+function noteShare(known: KnownRoute, share: number): void {
+  known.shares.push(share)
+  if (known.shares.length < WINDOW) return
+  known.medians.push(known.shares.sort((left, right) => left - right)[WINDOW >> 1]!)
+  if (known.medians.length > WINDOWS) known.medians.shift()
+  known.shares = []
+  known.longest = [known.longest[1], 0]
 }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -95,7 +95,8 @@
     const share = isReturn ? RETURN_WAIT_SHARE : PROMPT_SHARE
     const left = request.arrivedAt + route.targetMs * share - clock.now()
     // Nothing is worth waiting for where every endpoint must get nothing, for nobody knows how long.
-    const limit = this.parts.pool.isEmptied(this.job.service.name) ? 0 : Math.max(0, left)
+    const isInVain = this.parts.pool.isEmptied(this.job.service.name) || (this.coldWait() ?? 0) > left
+    const limit = isInVain ? 0 : Math.max(0, left)
     return waitFor(clock, limit, () => (this.isOver ? undefined : this.roomiest()))
   }
 
--- a/request/gateway/src/promptReading.ts
+++ b/request/gateway/src/promptReading.ts
@@ -1,4 +1,5 @@
 import type { PooledEndpoint } from './endpointPool'
+import { COLD_REASON } from './coldGate'
 import type { Exchange } from './exchange'
 import type { ModelPlace } from './modelPlacer'
 import { prefillStep, type Prefilled } from './prefillStep'
@@ -36,9 +37,10 @@
     const { parts, job, run } = this
     const at = place.prefill
     if (at === undefined) return 'none'
-    if (whyNotSend(parts, job, at.endpoint, 'prefill') !== undefined) {
+    const withheld = whyNotSend(parts, job, at.endpoint, 'prefill')
+    if (withheld !== undefined) {
       place.notePrefilled('cancelled', 0)
-      run.except.add(at.endpoint.id)
+      this.avoid(at, withheld)
       return 'not-read'
     }
     const sending = this.count.open('prefill')
@@ -56,7 +58,9 @@
       this.release()
       this.prefilled = prefilled
     }
-    place.notePrefilled(run.isOver ? 'cancelled' : note, tookMs)
+    // What never arrived has taken none of the engine's time, however long it was waited for.
+    const busyMs = note === 'failed' && arrival === 'not-arrived' ? 0 : tookMs
+    place.notePrefilled(run.isOver ? 'cancelled' : note, busyMs)
     run.sends.push({ to: at.endpoint.id, step: 'prefill', outcome: note, tookMs: Math.round(tookMs) })
     if (prefilled !== undefined) return 'read'
     if (!run.isOver) run.except.add(at.endpoint.id)
@@ -83,14 +87,19 @@
    * the prompt is read anew.
    */
   whyNotDecode(at: PooledEndpoint): string | undefined {
-    const { parts, job, run } = this
+    const { parts, job } = this
     const withheld = whyNotSend(parts, job, at.endpoint, 'decode')
-    if (withheld !== undefined) run.except.add(at.endpoint.id)
+    if (withheld !== undefined) this.avoid(at, withheld)
     if (this.prefilled === undefined || this.isAtHome(this.prefilled)) return withheld
     this.release()
     return withheld ?? 'the prompt was read in a region that is no home any more'
   }
 
+  /** Another engine is asked for, unless a cold one has just no budget left: it may be the only one that gets some. */
+  private avoid(at: PooledEndpoint, withheld: string): void {
+    if (withheld !== COLD_REASON) this.run.except.add(at.endpoint.id)
+  }
+
   private isAtHome({ at }: Prefilled): boolean {
     return this.parts.pool.atHome(at.endpoint.id, this.job.homes()) !== undefined
   }
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -45,6 +45,8 @@
     // The end of an answer without a length could not be told from the stop.
     if (this.move !== undefined || !this.isRunning() || run.head?.isFramed !== true) return
     if (to === place.decode || to.endpoint.state !== 'ready') return
+    // A move of its own choice is not what a cold engine's budget is for.
+    if (parts.cold?.isCold(to.endpoint.id) === true) return
     if (whyNotSend(parts, job, to.endpoint, 'decode') !== undefined) return
     const stream = run.exchange
     const move = new RunMove(parts, job.request.id, place.decode, to)
@@ -67,8 +69,8 @@
     this.move = undefined
     this.sending = undefined
     const stopped = await move.stopped()
-    const at = stopped && this.whereOn(stopped)
     const goesOn = attempt.type === 'lost' && !this.run.isOver
+    const at = stopped && goesOn ? this.whereOn(stopped) : undefined
     move.log(stopped === undefined ? 'not stopped' : goesOn ? 'moved' : 'not needed')
     if (stopped !== undefined && at !== undefined && goesOn)
       return { at, source: stopped.source, handle: stopped.handle, sending }
--- a/request/gateway/test/firstDeadlines.test.ts
+++ b/request/gateway/test/firstDeadlines.test.ts
@@ -69,6 +69,23 @@
     expect(deadlines.judge('a', 3_000, TARGET).isReturn).toBe(true)
   })
 
+  it('is told for a route whose deadlines differ beside one where all name the same', () => {
+    const { deadline } = createCallers(0.15)
+    const deadlines = new FirstDeadlines()
+    for (let count = 0; count < 200; count += 1) {
+      deadlines.judge('same', 3_000, TARGET)
+      expect(deadlines.judge('differ', deadline(), TARGET).isReturn).toBe(false)
+    }
+  })
+
+  it('is told again after callers have come to name shorter deadlines', () => {
+    const deadlines = new FirstDeadlines()
+    deadlines.judge('r', 60_000, TARGET)
+    for (let count = 0; count < 100; count += 1) deadlines.judge('r', LONGEST, TARGET)
+    expect(deadlines.judge('r', LONGEST, TARGET)).toEqual({ isReturn: false, elapsedMs: 0 })
+    expect(deadlines.judge('r', LONGEST * 0.7, TARGET).isReturn).toBe(true)
+  })
+
   it('is nobody who names no deadline', () => {
     expect(new FirstDeadlines().judge('r', Infinity, TARGET)).toEqual({ isReturn: false, elapsedMs: 0 })
   })
--- a/tools/bench/src/memoryCalls.ts
+++ b/tools/bench/src/memoryCalls.ts
@@ -26,6 +26,12 @@
     tokensPerEvent: 63,
     engine: { kvTokens: 89_000, stepMs: 0.632, stepMsPerAnswer: 0.0149, readsPerMs: 55, tokensPerEvent: 63 },
   },
+  long: {
+    meanPrompt: 10_800,
+    mostPrompt: 20_000,
+    tokensPerEvent: 64,
+    engine: { kvTokens: 73_530, stepMs: 0.579, stepMsPerAnswer: 0.0191, readsPerMs: 55, tokensPerEvent: 64 },
+  },
   large: {
     meanPrompt: 3_000,
     mostPrompt: 6_600,
