--- a/placement/allocator/test/beliefs.test.ts
+++ b/placement/allocator/test/beliefs.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { ask, engine, world } from './fixtures'
+import { ask, engine, ENGINE, world } from './fixtures'
 
 const PARTS = [{ id: 'text', tokens: 3_000 }]
 
@@ -35,16 +35,7 @@
 describe('Allocator, without a prefill engine', () => {
   it('lets a decode engine read a long prompt for a late request', () => {
     const one = world([engine('d0', 'decode')], {
-      engine: () => ({
-        slots: 64,
-        kvTokens: 40_000,
-        kvBytesPerToken: 1,
-        linkMbps: 1,
-        tokensPerEvent: 10,
-        handleMs: 500,
-        stageChangeMs: 6_000,
-        canMove: true,
-      }),
+      engine: () => ({ ...ENGINE, kvTokens: 40_000 }),
     })
     const late = { targetMs: -1_000, isReturn: true, promptMs: 0, holdMs: 3_000 }
     one.place(ask('late', { ...late, promptTokens: 16_000, mostTokens: 400, hintTokens: 200 }), 0)
--- a/request/gateway/test/coldRelay.test.ts
+++ b/request/gateway/test/coldRelay.test.ts
@@ -1,30 +1,6 @@
-import { afterEach, describe, expect, it } from 'vitest'
-import type { Stage } from '@forkstage/directory'
-import { chunk, event, FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
-import { COLD_PER_SECOND, GatewayWorld, type GotAnswer } from './gatewayWorld'
-
-const open: { stop(): unknown }[] = []
-afterEach(async () => void (await Promise.all(open.splice(0).map((each) => each.stop()))))
-
-const reads = (request: SeenRequest) => void request.socket.end(goodAnswer(request, 'handle7'))
-const streams = (request: SeenRequest) => {
-  request.socket.write(
-    goodAnswer(request, '', ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']),
-  )
-  request.socket.end(`${chunk(event(1))}0\r\n\r\n`)
-}
-const answers = (request: SeenRequest) => void request.socket.end(goodAnswer(request, 'hello'))
-
-async function start(endpoints: [Stage | undefined, (request: SeenRequest) => void][]) {
-  const workers = await Promise.all(endpoints.map(([, answer]) => FakeWorker.start(answer)))
-  const service = endpoints[0]![0] !== undefined ? 'model' : 'plain'
-  const world = await GatewayWorld.start(
-    workers.map(({ address }, index) => ({ address, service, stage: endpoints[index]![0] })),
-    [{ kind: service === 'model' ? 'streaming' : 'unsafe', shares: [{ service, weight: 1 }], attempts: 1 }],
-  )
-  open.push(world, ...workers)
-  return { world, seen: () => workers.map((worker) => worker.seen.length) }
-}
+import { describe, expect, it } from 'vitest'
+import { COLD_PER_SECOND, type GatewayWorld, type GotAnswer } from './gatewayWorld'
+import { answers, reads, startRelay, streams } from './relayWorld'
 
 /** Sends so many requests at once, each with an id of its own. */
 function sendMany(world: GatewayWorld, count: number): Promise<GotAnswer[]> {
@@ -36,7 +12,7 @@
 
 describe('an entry beside cold endpoints', () => {
   it('sends plain requests to warm ones, though cold ones have the least load', async () => {
-    const { world, seen } = await start([
+    const { world, seen } = await startRelay([
       [undefined, answers],
       [undefined, answers],
     ])
@@ -47,7 +23,7 @@
   })
 
   it('keeps to what cold ones bear where there are no others; the rest hears that it has not run, and when to come', async () => {
-    const { world, seen } = await start([[undefined, answers]])
+    const { world, seen } = await startRelay([[undefined, answers]])
     world.cold.set('i-0', 3_000)
     const all = await sendMany(world, COLD_PER_SECOND * 2)
     const refused = all.filter(({ status }) => status === 503)
@@ -61,7 +37,7 @@
   })
 
   it('counts a prompt read and an answer made, each where it leaves', async () => {
-    const { world, seen } = await start([
+    const { world, seen } = await startRelay([
       ['prefill', reads],
       ['decode', streams],
     ])
