--- a/tools/fleet-soak/src/fleetFaults.ts
+++ b/tools/fleet-soak/src/fleetFaults.ts
@@ -1,4 +1,5 @@
 import type { Random } from '@forkstage/clock'
+import type { ControlOutage } from './checkEvacuations'
 import type { SoakFleet } from './soakFleet'
 import type { SoakMachine } from './machineSettings'
 import { pause, type EndpointFault, type StandInEndpoint } from './standInEndpoint'
@@ -55,6 +56,8 @@
 export class FleetFaultInjector {
   private readonly busy = new Set<string>()
   readonly done: string[] = []
+  /** When all control machines were away, with the time that they get to catch up. */
+  readonly outages: ControlOutage[] = []
 
   constructor(
     private readonly fleet: SoakFleet,
@@ -75,10 +78,19 @@
     const { control } = this.fleet
     control.forEach((machine) => this.busy.add(machine.name))
     this.note(fault, 'control')
+    await this.restartControl()
+    control.forEach((machine) => this.busy.delete(machine.name))
+  }
+
+  /** Kills all control machines at once and starts them again. */
+  async restartControl(): Promise<void> {
+    const { control } = this.fleet
+    const outage: ControlOutage = { from: Date.now(), to: Infinity }
+    this.outages.push(outage)
     await Promise.all(control.map((machine) => this.fleet.end(machine, 'SIGKILL')))
     control.forEach((machine) => this.fleet.start(machine))
     await pause(CATCH_UP_MS)
-    control.forEach((machine) => this.busy.delete(machine.name))
+    outage.to = Date.now()
   }
 
   private async atMachine(fault: FleetFault, machines: SoakMachine[], what: string): Promise<void> {
--- a/tools/fleet-soak/src/machineSettings.ts
+++ b/tools/fleet-soak/src/machineSettings.ts
@@ -4,8 +4,13 @@
   role: 'entry' | 'control'
   /** Its own loopback address, since every machine uses the same ports. */
   ip: string
+  /** Its failure domain. */
+  zone: string
 }
 
+/** The failure domains; an evacuation leaves one of them at least. */
+export const DOMAINS = ['z', 'y'] as const
+
 /** The ports that every machine uses. */
 export const PORTS = { callers: 8_144, readiness: 8_140, operators: 8_146, peers: 7_660 } as const
 
@@ -28,7 +33,7 @@
     '[machine]',
     `name = "${machine.name}"`,
     `role = "${machine.role}"`,
-    'zone = "z"',
+    `zone = "${machine.zone}"`,
     ...(control ? [`data_folder = "${folder}/${machine.name}"`] : []),
     '[listen]',
     ...(control
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -3,9 +3,12 @@
 import { join } from 'node:path'
 import { createSeededRandom } from '@forkstage/clock'
 import { waitUntil } from '@forkstage/deployment'
+import { checkEvacuations } from './checkEvacuations'
 import { checkCalls } from './checkFleet'
 import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
+import { DOMAINS } from './machineSettings'
 import { SoakCallers } from './soakCallers'
+import { planEvacuations, SoakEvacuations } from './soakEvacuations'
 import { SoakFleet } from './soakFleet'
 import { SoakOperator } from './soakOperator'
 import { checkWorkspaceRuns, turningKey, type SeenRun } from './soakWorkspaces'
@@ -29,6 +32,8 @@
   calls: number
   answered: number
   acknowledged: number
+  /** Evacuations that were acknowledged. */
+  evacuations: number
   /** What did not hold; empty is the verdict "held". */
   broken: string[]
 }
@@ -37,7 +42,10 @@
 const CHANGE_EVERY_MS = 700
 const READ_EVERY_MS = 150
 const RECOVERY_MS = 12_000
+const OK = 200
 const UNAUTHORIZED = 401
+/** At each entry, once all control machines are back. */
+const LAST_CALLS = 10
 const ENDPOINTS = [
   { service: 'plain' },
   { service: 'plain' },
@@ -59,6 +67,7 @@
       new StandInEndpoint({
         ...one,
         name: `i-${index}`,
+        zone: DOMAINS[index % DOMAINS.length],
         control: () => fleet.control.map((machine) => fleet.operators(machine)),
         random: createSeededRandom(options.seed * 100 + index),
         handles,
@@ -87,6 +96,7 @@
   const operator = new SoakOperator(fleet, createSeededRandom(seed + 1))
   const callers = new SoakCallers(fleet, createSeededRandom(seed + 2), () => operator.newest)
   const injector = new FleetFaultInjector(fleet, endpoints)
+  const evacuations = new SoakEvacuations(fleet, createSeededRandom(seed + 3))
   while (operator.newest === 0) {
     await operator.change()
     await pause(READ_EVERY_MS)
@@ -106,6 +116,7 @@
     repeat(CALL_EVERY_MS, () => callers.call()),
     repeat(CHANGE_EVERY_MS, () => operator.change()),
     repeat(READ_EVERY_MS, () => operator.read()),
+    evacuations.run(planEvacuations(durationMs, createSeededRandom(seed + 4))),
     ...faults,
   ])
   await Promise.all(work)
@@ -115,6 +126,7 @@
     ...checkWorkspaceRuns(seen, callers.keys),
     ...(await checkEnd(fleet, operator)),
     ...(await checkOldKeys(fleet, callers)),
+    ...(await checkEmptied(evacuations, injector, { fleet, callers, endpoints })),
     ...operator.broken,
   ]
   return {
@@ -124,10 +136,27 @@
     calls: callers.calls.length,
     answered: callers.calls.filter((call) => call.status === 200 && call.isWhole).length,
     acknowledged: new Set(operator.acknowledged.map((one) => one.version)).size,
+    evacuations: evacuations.seen.length,
     broken,
   }
 }
 
+/** The last evacuation outlives a kill of all control machines, by what they show and by where requests go. */
+async function checkEmptied(
+  evacuations: SoakEvacuations,
+  injector: FleetFaultInjector,
+  { fleet, callers, endpoints }: { fleet: SoakFleet; callers: SoakCallers; endpoints: StandInEndpoint[] },
+): Promise<string[]> {
+  await injector.restartControl()
+  await evacuations.checkKept()
+  const calls = Array.from({ length: LAST_CALLS }, () => fleet.entries).flat()
+  const statuses = await Promise.all(calls.map((entry) => callers.statusWith(entry, 'key-steady')))
+  if (!statuses.includes(OK)) evacuations.broken.push('nothing was served beside the evacuated domain')
+  await evacuations.withdrawKept()
+  const arrivals = endpoints.flatMap((endpoint) => endpoint.arrivals)
+  return [...evacuations.broken, ...checkEvacuations(evacuations.seen, arrivals, injector.outages)]
+}
+
 /** A key that versions took away long ago is refused by every entry. */
 async function checkOldKeys(fleet: SoakFleet, callers: SoakCallers): Promise<string[]> {
   const broken: string[] = []
--- a/tools/fleet-soak/src/soakFleet.ts
+++ b/tools/fleet-soak/src/soakFleet.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path'
 import got from 'got'
 import { startProcess, waitUntil, type RunningProcess } from '@forkstage/deployment'
-import { machineSettings, PORTS, type SoakMachine } from './machineSettings'
+import { DOMAINS, machineSettings, PORTS, type SoakMachine } from './machineSettings'
 
 const CONTROL = 5
 const ENTRIES = 4
@@ -25,6 +25,8 @@
         name: `${role}-${index + 1}`,
         role,
         ip: `${network}.${first + index}`,
+        // Entries of both domains, since each prefers its own; all control machines in one.
+        zone: DOMAINS[role === 'entry' ? index % DOMAINS.length : 0]!,
       }))
     this.control = machines('control', CONTROL, 11)
     this.entries = machines('entry', ENTRIES, 31)
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -1,7 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import got from 'got'
 import type { Random } from '@forkstage/clock'
-import { COLD } from './machineSettings'
+import type { Arrival } from './checkEvacuations'
+import { COLD, DOMAINS } from './machineSettings'
 import type { SeenRun } from './soakWorkspaces'
 
 /** What a stand-in does wrong. */
@@ -11,7 +12,7 @@
 export interface StandInOptions {
   name: string
   service: string
-  /** Its failure domain; `z`, where every machine is, when left out. */
+  /** Its failure domain; the control machines' when left out. */
   zone?: string
   stage?: 'prefill' | 'decode'
   /** Control machines to register with. */
@@ -53,6 +54,8 @@
   fault: EndpointFault = 'none'
   /** What must not have happened. */
   readonly broken: string[] = []
+  /** When requests arrived that it did not send back as another endpoint's. */
+  readonly arrivals: Arrival[] = []
 
   constructor(private readonly options: StandInOptions) {}
 
@@ -113,11 +116,11 @@
   }
 
   private registration(): object {
-    const { service, zone = 'z', stage } = this.options
+    const { service, stage } = this.options
     return {
       service,
       address: this.address,
-      zone,
+      zone: this.zone,
       version: 'v1',
       slots: 8,
       state: this.state,
@@ -144,6 +147,7 @@
     if (path === '/report') return void response.writeHead(200).end(JSON.stringify(this.report()))
     if (path === '/health') return this.tellHealth(response)
     if (path === '/order') return void response.writeHead(409).end()
+    this.arrivals.push({ request: idOf(request), domain: this.zone, at: Date.now() })
     this.checkDrained(request)
     this.checkCold()
     if (this.fault === 'refuse') return this.refuse(response)
@@ -152,6 +156,10 @@
     this.stream(request, response)
   }
 
+  private get zone(): string {
+    return this.options.zone ?? DOMAINS[0]
+  }
+
   private report(): object {
     return { stage: this.options.stage, models: [], busy: false, call_seq: 0 }
   }
--- /dev/null
+++ b/tools/fleet-soak/test/checkEvacuations.test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from 'vitest'
+import { createSeededRandom } from '@forkstage/clock'
+import { checkEvacuations, EVACUATED_WITHIN_MS, type Arrival } from '../src/checkEvacuations'
+import { planEvacuations } from '../src/soakEvacuations'
+
+const evacuation = { domain: 'z', acknowledgedAt: 1_000, withdrawnAt: 9_000 }
+const bound = evacuation.acknowledgedAt + EVACUATED_WITHIN_MS
+const arrival = (at: number, domain = 'z'): Arrival => ({ request: 'r1', domain, at })
+
+describe('checkEvacuations', () => {
+  it.each([
+    ['before the bound', arrival(bound)],
+    ['before the acknowledgement', arrival(0)],
+    ['once the withdrawal was sent', arrival(9_000)],
+    ['in another domain', arrival(bound + 1, 'y')],
+  ])('finds nothing in an arrival %s', (_when, one) => {
+    expect(checkEvacuations([evacuation], [one], [])).toEqual([])
+  })
+
+  it('finds an arrival after the bound and before the withdrawal', () => {
+    expect(checkEvacuations([evacuation], [arrival(bound + 1)], [])).toHaveLength(1)
+    expect(checkEvacuations([evacuation], [arrival(8_999)], [])).toHaveLength(1)
+    expect(checkEvacuations([{ ...evacuation, withdrawnAt: undefined }], [arrival(99_000)], [])).toHaveLength(
+      1,
+    )
+  })
+
+  it('stretches the bound by just the time without control after the acknowledgement', () => {
+    const outages = [{ from: 0, to: 2_000 }]
+    expect(checkEvacuations([evacuation], [arrival(bound + 1_000)], outages)).toEqual([])
+    expect(checkEvacuations([evacuation], [arrival(bound + 1_001)], outages)).toHaveLength(1)
+  })
+
+  it('finds an arrival without control where the bound was over before', () => {
+    const outages = [{ from: bound + 1, to: Infinity }]
+    expect(checkEvacuations([evacuation], [arrival(bound + 500)], outages)).toHaveLength(1)
+  })
+})
+
+describe('planEvacuations', () => {
+  const plan = (seed: number, durationMs = 60_000) => planEvacuations(durationMs, createSeededRandom(seed))
+
+  it('draws the same from the same seed, and others from another', () => {
+    expect(plan(1)).toEqual(plan(1))
+    expect(plan(1)).not.toEqual(plan(2))
+  })
+
+  it('has one that is withdrawn and one that is kept in the shortest run, never two at once', () => {
+    for (let seed = 1; seed <= 200; seed += 1) {
+      const all = plan(seed, 18_000)
+      expect(all.map(({ forMs }) => forMs === undefined)).toEqual([false, true])
+      expect(all[0]!.forMs).toBeGreaterThan(EVACUATED_WITHIN_MS)
+      expect(all[0]!.at + all[0]!.forMs!).toBeLessThan(all[1]!.at)
+      expect(18_000 - all[1]!.at).toBeGreaterThan(EVACUATED_WITHIN_MS)
+    }
+  })
+})
