feat(crashes): an entry tells an endpoint that has ended from one that lost an answer

Cause: the timeline of the incident had to be joined by the size of prompts: no log line says that two requests are the same, nor that an endpoint ended while they were at work there. Change: contentDigest names what a request asks for; CrashWatch looks, after an answer broke off, whether anybody still listens at the endpoint's address or another has registered there, and writes endpoint.ended with the requests and their digests. Nothing is decided by it yet.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -24,6 +24,16 @@
   'owner.released': { endpoint: string; request: string; kind: string; ageMs: number }
   'endpoint.ejected': { endpoint: string; reason: string; forMs: number }
   'endpoint.restored': { endpoint: string }
+  /** Its process has ended without having said so, while these requests were at work there; `contents` by their digests. */
+  'endpoint.ended': {
+    endpoint: string
+    service: string
+    evidence: 'refuses' | 'replaced'
+    /** Since its last answer was lost. */
+    ageMs: number
+    requests: string[]
+    contents: string[]
+  }
   'order.sent': { endpoint: string; action: string; fence: number; outcome: string }
   'placement.decided': {
     request: string
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,6 +1,7 @@
 import { PLACE } from '@forkstage/allocator'
 import { every, type CancelTimer } from '@forkstage/clock'
-import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
+import { CrashWatch, tryAddress } from '@forkstage/crashes'
+import { Directory, newestPerAddress, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   ColdGate,
@@ -54,6 +55,7 @@
   private readonly coldGate: ColdGate
   private readonly belief: EvacuationBelief
   private readonly pool: EndpointPool
+  private readonly crashWatch: CrashWatch
   private readonly follower: ControlFollower
   private readonly placer: RemotePlacer
   private readonly way: LeaderWay
@@ -98,6 +100,7 @@
       random,
       logger,
     })
+    this.crashWatch = this.createCrashWatch()
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       entry: settings.listen.peers,
@@ -151,6 +154,7 @@
         placer: this.placer,
         allowance,
         cold: this.coldGate,
+        crashes: this.crashWatch,
         sendRules: [(to) => (isBarred(to) ? EVACUATED : undefined), homeRule(topology)],
         clock,
         random,
@@ -240,6 +244,23 @@
     return cut
   }
 
+  private createCrashWatch(): CrashWatch {
+    const { clock, logger } = this.basics
+    return new CrashWatch({
+      clock,
+      logger,
+      tryAddress: (address) => tryAddress(address, clock),
+      current: (id) => this.directory.get(id),
+      isReplaced: (endpoint) => this.isReplaced(endpoint),
+      onEnded: () => undefined,
+    })
+  }
+
+  private isReplaced({ id, address }: RegisteredEndpoint): boolean {
+    const there = this.directory.list().filter((one) => one.address === address)
+    return newestPerAddress(there).some((newest) => newest.id !== id)
+  }
+
   private createQuotas(entries: () => number): QuotaKeeper {
     const { settings, clock, random, epoch } = this.basics
     return new QuotaKeeper({
@@ -274,6 +295,7 @@
     const news = this.directory.merge(records)
     this.pool.update(news)
     if (news.length > 0) this.cold.look()
+    if (news.length > 0) this.crashWatch.look()
     logEndpoints(this.basics.logger, news)
   }
 }
--- /dev/null
+++ b/request/crashes/src/crashWatch.ts
@@ -0,0 +1,134 @@
+import type { Clock } from '@forkstage/clock'
+import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import type { Logger } from '@forkstage/logger'
+import type { Address, Millis } from '@forkstage/types'
+import type { ContentDigest } from './contentDigest'
+
+/** What a bare connection to an address shows. */
+export type Listening = 'listens' | 'refused' | 'silent'
+
+/** A sending that ended without a whole answer. */
+export interface LostSending {
+  request: string
+  content: ContentDigest
+  endpoint: RegisteredEndpoint
+  /** Whether its connection broke; otherwise it was given up here, after a time without a sign. */
+  isBroken: boolean
+}
+
+/** Options of {@link CrashWatch}. */
+export interface CrashWatchOptions {
+  clock: Clock
+  logger: Logger
+  /** Tries whether a process listens at an address. Never rejects. */
+  tryAddress: (address: Address) => Promise<Listening>
+  /** What is known of an instance now; absent where it has left. */
+  current: (id: InstanceId) => RegisteredEndpoint | undefined
+  /** Whether another process has registered at an instance's address since. */
+  isReplaced: (endpoint: RegisteredEndpoint) => boolean
+  /** Called once for each instance that has ended, with what it had at work. */
+  onEnded: (instance: InstanceId, contents: ContentDigest[]) => void
+}
+
+interface Suspected {
+  endpoint: RegisteredEndpoint
+  /** What was lost there, with the requests' ids: the last so many. */
+  lost: Map<string, ContentDigest>
+  lastAt: Millis
+  triesLeft: number
+  isTrying: boolean
+}
+
+/** Long enough for a dying process to have closed its listener. */
+const TRY_AFTER_MS: Millis = 50
+/** A second look, for one that took its time. */
+const TRY_AGAIN_MS: Millis = 400
+const TRIES = 2
+/** A process that crashes is back within seconds; what registers later says nothing of an answer lost long ago. */
+const LAPSES_AFTER_MS: Millis = 15_000
+const LOOK_EVERY_MS: Millis = 1_000
+/** An engine runs some tens of requests at once; one line and one report hold them all. */
+const MOST_LOST = 128
+
+/**
+ * Tells an endpoint that has ended from one that only lost an answer: after a loss nobody listens at its address any
+ * more, or another process registers there. One that had said that it leaves has not crashed.
+ */
+export class CrashWatch {
+  private readonly suspected = new Map<InstanceId, Suspected>()
+  private isLooking = false
+
+  constructor(private readonly options: CrashWatchOptions) {}
+
+  /** Notes that an endpoint was left without a whole answer. */
+  noteLost({ request, content, endpoint, isBroken }: LostSending): void {
+    if (!this.isAtWork(endpoint.id)) return
+    const one = this.suspected.get(endpoint.id) ?? {
+      endpoint,
+      lost: new Map<string, ContentDigest>(),
+      lastAt: 0,
+      triesLeft: 0,
+      isTrying: false,
+    }
+    this.suspected.set(endpoint.id, one)
+    if (one.lost.size < MOST_LOST) one.lost.set(request, content)
+    one.lastAt = this.options.clock.now()
+    if (isBroken) this.tryLater(one)
+    this.lookLater()
+  }
+
+  /** Looks whether others have taken the place of endpoints where something was lost. Called when endpoints register. */
+  look(): void {
+    const now = this.options.clock.now()
+    for (const [id, one] of this.suspected) {
+      if (now - one.lastAt > LAPSES_AFTER_MS || !this.isAtWork(id)) this.suspected.delete(id)
+      else if (this.options.isReplaced(one.endpoint)) this.end(one, 'replaced')
+    }
+  }
+
+  private isAtWork(id: InstanceId): boolean {
+    return this.options.current(id)?.state === 'ready'
+  }
+
+  private tryLater(one: Suspected): void {
+    one.triesLeft = TRIES
+    if (one.isTrying) return
+    one.isTrying = true
+    this.options.clock.after(TRY_AFTER_MS, () => void this.tryNow(one))
+  }
+
+  private async tryNow(one: Suspected): Promise<void> {
+    one.triesLeft -= 1
+    const found = await this.options.tryAddress(one.endpoint.address)
+    const isOpen = this.suspected.get(one.endpoint.id) === one
+    if (found === 'refused' && isOpen && this.isAtWork(one.endpoint.id)) return this.end(one, 'refuses')
+    one.isTrying = isOpen && one.triesLeft > 0
+    if (one.isTrying) this.options.clock.after(TRY_AGAIN_MS, () => void this.tryNow(one))
+  }
+
+  private end(one: Suspected, evidence: 'refuses' | 'replaced'): void {
+    const { id, service } = one.endpoint
+    this.suspected.delete(id)
+    const contents = [...new Set(one.lost.values())]
+    this.options.logger.warn('endpoint.ended', {
+      endpoint: id,
+      service,
+      evidence,
+      ageMs: Math.round(this.options.clock.now() - one.lastAt),
+      requests: [...one.lost.keys()],
+      contents,
+    })
+    this.options.onEnded(id, contents)
+  }
+
+  /** What is never found out lapses also where nothing registers. */
+  private lookLater(): void {
+    if (this.isLooking) return
+    this.isLooking = true
+    this.options.clock.after(LOOK_EVERY_MS, () => {
+      this.isLooking = false
+      this.look()
+      if (this.suspected.size > 0) this.lookLater()
+    })
+  }
+}
--- /dev/null
+++ b/request/crashes/test/contentDigest.test.ts
@@ -0,0 +1,35 @@
+import fc from 'fast-check'
+import { expect, it } from 'vitest'
+import { contentDigest, type RequestContent } from '../src'
+
+const BASE: RequestContent = {
+  caller: 'address 127.0.0.1',
+  method: 'POST',
+  host: 'h.example',
+  path: '/p/1?page=2',
+  body: Buffer.from('a prompt'),
+}
+
+it('is the same for the same content, and differs where any part does', () => {
+  const others: Partial<RequestContent>[] = [
+    { caller: 'address 127.0.0.2' },
+    { method: 'PUT' },
+    { host: 'other.example' },
+    { path: '/p/1?page=3' },
+    { body: Buffer.from('a prompt.') },
+  ]
+  expect(contentDigest({ ...BASE, body: Buffer.from('a prompt') })).toBe(contentDigest(BASE))
+  for (const other of others) expect(contentDigest({ ...BASE, ...other })).not.toBe(contentDigest(BASE))
+})
+
+it('lets no part run into the next', () => {
+  const text = fc.string({ maxLength: 6 })
+  fc.assert(
+    fc.property(text, text, text, text, (caller, method, host, path) => {
+      const one = { caller, method, host, path, body: Buffer.alloc(0) }
+      const shifted = { ...one, caller: caller + method, method: '' }
+      if (method === '') return
+      expect(contentDigest(shifted)).not.toBe(contentDigest(one))
+    }),
+  )
+})
--- a/request/gateway/src/callerRequest.ts
+++ b/request/gateway/src/callerRequest.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from '@forkstage/clock'
+import { contentDigest, type ContentDigest } from '@forkstage/crashes'
 import type { Millis } from '@forkstage/types'
 import type { GatewayWire } from './gatewayWire'
 
@@ -29,6 +30,8 @@
   /** What travels on: names and values by turns, without those of one connection and those the system sets. */
   rawHeaders: string[]
   body: Buffer
+  /** Names what it asks for, whatever its id; worked out when first asked for. */
+  content: () => ContentDigest
   arrivedAt: Millis
   /** How long the caller waits, from `arrivedAt`; Infinity where it did not say. */
   deadlineMs: Millis
@@ -57,12 +60,19 @@
   const gone = watchGone(response)
   const body = await readBody(incoming, maxBodyBytes)
   if (typeof body === 'string') return body
+  const asked = {
+    caller: callerOf(incoming, wire),
+    method: incoming.method ?? 'GET',
+    host: incoming.headers.host ?? '',
+    path: incoming.url ?? '/',
+    body,
+  }
   const deadline = Number(single(incoming.headers[wire.headers.deadlineMs]))
   return {
     id: single(incoming.headers[wire.headers.requestId]) ?? '',
-    method: incoming.method ?? 'GET',
-    path: incoming.url ?? '/',
-    host: incoming.headers.host ?? '',
+    method: asked.method,
+    path: asked.path,
+    host: asked.host,
     headers: incoming.headers,
     rawHeaders: dropHeaders(incoming.rawHeaders, [
       ...wire.reserved,
@@ -70,6 +80,7 @@
       wire.headers.deadlineMs,
     ]),
     body,
+    content: once(() => contentDigest(asked)),
     arrivedAt,
     deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : Infinity,
     response,
@@ -100,6 +111,17 @@
   return Array.isArray(value) ? value[0] : value
 }
 
+/** Who asks, as far as an entry can tell: the holder of a key, else the machine that the connection comes from. */
+function callerOf({ headers, socket }: IncomingMessage, wire: GatewayWire): string {
+  const key = single(headers[wire.headers.key])
+  return key === undefined ? `address ${socket.remoteAddress ?? ''}` : `key ${key}`
+}
+
+function once<Value>(make: () => Value): () => Value {
+  let made: { value: Value } | undefined
+  return () => (made ??= { value: make() }).value
+}
+
 function watchGone(response: ServerResponse): Pick<CallerRequest, 'isGone' | 'onGone'> {
   const callbacks: (() => void)[] = []
   let gone = false
--- /dev/null
+++ b/request/gateway/src/modelWork.ts
@@ -0,0 +1,35 @@
+import { single } from './callerRequest'
+import type { EventPauses } from './eventPauses'
+import { waitTimes } from './holdTime'
+import type { ModelWork } from './modelPlacer'
+import { promptPartsOf } from './promptParts'
+import { PROMPT_SHARE, type RelayJob, type RelayParts } from './relayParts'
+
+/** What a place is asked for with, by the times that the request has left now; without what its run has found out. */
+export function modelWork(
+  { wire, clock }: RelayParts,
+  job: RelayJob,
+  pauses: EventPauses,
+): Omit<ModelWork, 'except' | 'isPrefilled'> {
+  const { request, route, service, tokens, rank } = job
+  const now = clock.now()
+  const leftMs = job.endsAt - now
+  const hint = Number(single(request.headers[wire.headers.lengthHint]))
+  return {
+    request: request.id,
+    service: service.name,
+    promptTokens: tokens?.prompt ?? 0,
+    mostTokens: tokens?.most ?? 0,
+    hintTokens: Number.isFinite(hint) && hint > 0 ? hint : undefined,
+    priority: rank,
+    targetMs: job.targetAt - now,
+    isReturn: job.isReturn,
+    promptMs: job.isReturn ? 0 : request.arrivedAt + route.targetMs * PROMPT_SHARE - now,
+    ...waitTimes(route, leftMs, pauses.silentMs(now)),
+    leftMs,
+    pauseMs: route.pauseMs,
+    className: route.name,
+    regions: job.homes(),
+    parts: promptPartsOf(request, wire, tokens),
+  }
+}
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -6,6 +6,7 @@
 import { COLD_REASON } from './coldGate'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { judgeAnswer } from './judgeAnswer'
+import { noteLost } from './noteLost'
 import { sendEndpointAnswer } from './ownAnswer'
 import { answerFailure, answerRefusal, PROMISES, type OwnResult } from './relayAnswers'
 import {
@@ -148,6 +149,7 @@
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
     const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
+    if (outcome.type === 'failed' && outcome.sent) noteLost(parts, job, to, this.isOver ? tookMs : undefined)
     // What a cold endpoint takes says nothing of what it bears later.
     const isCold = parts.cold?.isCold(to.endpoint.id) === true
     if (note === 'ok' && !isCold) to.limit.noteAnswer(tookMs, job.route.targetMs)
--- a/request/gateway/src/promptReading.ts
+++ b/request/gateway/src/promptReading.ts
@@ -2,6 +2,7 @@
 import { COLD_REASON } from './coldGate'
 import type { Exchange } from './exchange'
 import type { ModelPlace } from './modelPlacer'
+import { noteLost } from './noteLost'
 import { prefillStep, type Prefilled } from './prefillStep'
 import { releaseHandle } from './releaseHandle'
 import type { RelayJob, RelayParts, SendRecord } from './relayParts'
@@ -53,6 +54,9 @@
     const { prefilled, note, arrival, tookMs } = await prefillStep(parts, job, place, onOpen)
     run.exchange = undefined
     sending.close(arrival)
+    if (note === 'failed' && arrival !== 'not-arrived')
+      noteLost(parts, job, at, run.isOver ? tookMs : undefined)
+    if (note === 'silent') noteLost(parts, job, at, tookMs)
     if (prefilled !== undefined) {
       // What was read before and cannot be used any more is not kept until it lapses.
       this.release()
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -1,4 +1,5 @@
 import type { Clock, Random } from '@forkstage/clock'
+import type { LostSending } from '@forkstage/crashes'
 import type { Logger } from '@forkstage/logger'
 import type { Route, RoutedService } from '@forkstage/routes'
 import type { Homes } from '@forkstage/topology'
@@ -21,11 +22,18 @@
   sendRules?: SendRule[]
   /** What cold endpoints may get from here; none is cold where left out. */
   cold?: ColdGate
+  /** Is told of sendings that got no whole answer; nobody is where left out. */
+  crashes?: CrashNotes
   clock: Clock
   random: Random
   logger: Logger
 }
 
+/** Finds out which endpoints have ended, and under what. */
+export interface CrashNotes {
+  noteLost(sending: LostSending): void
+}
+
 /** One sending, for the log. */
 export interface SendRecord {
   to: string
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -12,17 +12,16 @@
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
-import { waitTimes } from './holdTime'
 import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
+import { modelWork } from './modelWork'
+import { noteLost } from './noteLost'
 import { endWithConnection, sendEndpointAnswer } from './ownAnswer'
-import { promptPartsOf } from './promptParts'
 import { PromptReading, type PromptReader } from './promptReading'
 import { answerFailure, answerRefusal, PROMISES, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
-  PROMPT_SHARE,
   headersFor,
   type RelayJob,
   type RelayParts,
@@ -53,6 +52,8 @@
   private lastEventId: number | undefined
   /** Events of the engine at work now. */
   private madeEvents = 0
+  /** When the request was sent to it. */
+  private sentAt: Millis = 0
   private readonly pauses: EventPauses
   private readonly count: SendCount
   private readonly prompt: PromptReading
@@ -115,29 +116,10 @@
   }
 
   private work(): ModelWork {
-    const { request, route, service, tokens, rank } = this.job
-    const { wire, clock } = this.parts
-    const now = clock.now()
-    const leftMs = this.job.endsAt - now
-    const hint = Number(single(request.headers[wire.headers.lengthHint]))
     return {
-      request: request.id,
-      service: service.name,
-      promptTokens: tokens?.prompt ?? 0,
-      mostTokens: tokens?.most ?? 0,
-      hintTokens: Number.isFinite(hint) && hint > 0 ? hint : undefined,
-      priority: rank,
-      targetMs: this.job.targetAt - now,
-      isReturn: this.job.isReturn,
-      promptMs: this.job.isReturn ? 0 : request.arrivedAt + route.targetMs * PROMPT_SHARE - now,
-      ...waitTimes(route, leftMs, this.pauses.silentMs(now)),
-      leftMs,
-      pauseMs: route.pauseMs,
-      className: route.name,
+      ...modelWork(this.parts, this.job, this.pauses),
       except: this.except,
       isPrefilled: this.prompt.isUsable(),
-      regions: this.job.homes(),
-      parts: promptPartsOf(request, wire, tokens),
     }
   }
 
@@ -186,7 +168,10 @@
   /** Goes on at other engines for as long as the run is moved. */
   private async streamOn(place: ModelPlace, ended: StreamResult): Promise<StreamResult> {
     const next = await this.moves.next(ended.attempt)
-    if (next === undefined) return ended
+    if (next === undefined) {
+      this.noteLoss(place.decode, ended)
+      return ended
+    }
     const from = place.decode
     this.sends.push({ to: from.endpoint.id, step: 'decode', outcome: 'moved', tookMs: 0 })
     // It is the same run that goes on.
@@ -196,6 +181,14 @@
     return this.streamOn(place, await this.streamAt(at, sending, { at: source, handle }))
   }
 
+  /** An engine that was told to stop a run that moves has lost nothing; any other that ended it early may have crashed. */
+  private noteLoss(at: PooledEndpoint, { attempt }: StreamResult): void {
+    const now = this.parts.clock.now()
+    if (attempt.type === 'lost') noteLost(this.parts, this.job, at)
+    if (attempt.type !== 'over') return
+    noteLost(this.parts, this.job, at, Math.min(now - this.sentAt, this.pauses.silentMs(now)))
+  }
+
   /** Tells the placement of an engine that has made nothing for too long, and leaves it where that is allowed. */
   private watchStall(place: ModelPlace): { cancel: () => void; hasLeft: () => boolean } {
     const { route } = this.job
@@ -229,6 +222,7 @@
       extra.push(headers.lastEventId, String(this.lastEventId))
     const rawHeaders = headersFor(parts, job, to, extra)
     const stream = new EngineStream(this, to.endpoint.id)
+    this.sentAt = parts.clock.now()
     return new Promise((resolve) => {
       this.exchange = openExchange({
         address: to.endpoint.address,
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -1,6 +1,7 @@
 import { createServer as createTcp, connect } from 'node:net'
 import { request as httpRequest } from 'node:http'
 import { createSeededRandom, createSystemClock } from '@forkstage/clock'
+import type { LostSending } from '@forkstage/crashes'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { createSilentLogger } from '@forkstage/logger'
 import { QuotaKeeper, QuotaLedger, quotaLimit } from '@forkstage/quota'
@@ -104,6 +105,8 @@
   readonly reports: RequestReport[] = []
   /** Places that were given, the newest last. */
   readonly places: ModelPlace[] = []
+  /** Sendings that got no whole answer. */
+  readonly lost: LostSending[] = []
   /** Whether the sheet here counts as the newest. */
   isCurrent = true
   /** How long each timer was set for that relays have begun, in milliseconds. */
@@ -205,6 +208,7 @@
           homeRule(TOPOLOGY),
         ],
         cold,
+        crashes: { noteLost: (sending) => void world.lost.push(sending) },
         clock: {
           ...clock,
           after: (ms, callback) => {
--- /dev/null
+++ b/request/gateway/test/lostSendings.test.ts
@@ -0,0 +1,36 @@
+import { describe, expect, it } from 'vitest'
+import { chunk, event, goodAnswer, type SeenRequest } from './fakeWorker'
+import { answers, startRelay, streams } from './relayWorld'
+
+/** Ends its connection in the middle of a stream. */
+const breaksOff = (request: SeenRequest) => {
+  request.socket.write(
+    goodAnswer(request, '', ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']),
+  )
+  request.socket.write(chunk(event(1)), () => request.socket.destroy())
+}
+const vanishes = (request: SeenRequest) => void request.socket.destroy()
+
+describe('an entry notes what was lost at an endpoint', () => {
+  it.each([
+    ['a plain request without an answer', undefined, vanishes, true],
+    ['a stream that breaks off', 'decode', breaksOff, true],
+    ['a whole plain answer', undefined, answers, false],
+    ['a whole stream', 'decode', streams, false],
+  ] as const)('%s', async (_name, stage, behaviour, isLost) => {
+    const { world } = await startRelay([[stage, behaviour]])
+    const sent = { body: 'the same', headers: { 'x-tokens': '5,5' } }
+    for (const id of ['r1', 'r2'])
+      await world.send('/p/a', { ...sent, headers: { ...sent.headers, 'x-id': id } }).catch(() => undefined)
+    const lost = world.lost.map(({ request, endpoint, isBroken }) => [request, endpoint.id, isBroken])
+    expect(lost).toEqual(
+      isLost
+        ? [
+            ['r1', 'i-0', true],
+            ['r2', 'i-0', true],
+          ]
+        : [],
+    )
+    expect(new Set(world.lost.map(({ content }) => content)).size).toBe(isLost ? 1 : 0)
+  })
+})
