test(crashes): a request that ends each endpoint that runs it reaches workers again and again

Ruled out: our own repeats (the route of the test allows one attempt, and every arrival is an attempt of the caller's).

--- /dev/null
+++ b/daemon/fleet/test/crashingWorker.ts
@@ -0,0 +1,55 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { FleetWorld } from './fleetWorld'
+
+const FATAL_BODY = 'fatal'
+const BACK_AFTER_MS = 120
+
+/** A plain worker that ends when it begins to run a fatal body, and is back a moment later under another id. */
+export class CrashingWorker {
+  private lives = 0
+  private port = 0
+  private server: Server | undefined
+  private isStopped = false
+  /** How often it has ended. */
+  ends = 0
+  /** Bodies in the order in which they arrived. */
+  readonly seen: string[] = []
+
+  constructor(
+    private readonly world: FleetWorld,
+    private readonly name: string,
+  ) {}
+
+  async start(): Promise<void> {
+    this.lives += 1
+    this.server = createServer((request, response) => void this.serve(request, response))
+    await new Promise<void>((resolve) => this.server!.listen(this.port, '127.0.0.1', resolve))
+    this.port = (this.server.address() as { port: number }).port
+    const address = `127.0.0.1:${this.port}`
+    await this.world.register(1, `${this.name}-${this.lives}`, { address })
+  }
+
+  stop(): void {
+    this.isStopped = true
+    this.server?.close()
+    this.server?.closeAllConnections()
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    let body = ''
+    for await (const chunk of request) body += String(chunk)
+    this.seen.push(body)
+    if (body === FATAL_BODY) return this.crash()
+    response.writeHead(200, { 'x-id': String(request.headers['x-id']), 'x-stamp': 's' })
+    response.end(this.name)
+  }
+
+  private crash(): void {
+    this.ends += 1
+    this.server?.close()
+    this.server?.closeAllConnections()
+    setTimeout(() => {
+      if (!this.isStopped) void this.start()
+    }, BACK_AFTER_MS)
+  }
+}
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -59,12 +59,13 @@
 }
 
 const SEEDS = [1, 2, 3]
+const FIRST_ENTRY = 100
 
-/** Control machines at 127.0.0.1, .2 and so on, which share ports, and one entry at 127.0.0.100. */
+/** Control machines at 127.0.0.1, .2 and so on, which share ports, and entries from 127.0.0.100 on. */
 export class FleetWorld {
   private readonly folder = mkdtempSync(join(tmpdir(), 'forkstage-fleet-'))
   readonly control = new Map<number, ControlMachine>()
-  private entry: EntryMachine | undefined
+  private readonly entries = new Map<number, EntryMachine>()
   private workers: Server[] = []
   /** Whether the entry hears no control machine. */
   isEntryCut = false
@@ -79,8 +80,8 @@
     return `http://127.0.0.${number}:${this.port + 1}`
   }
 
-  get callers(): string {
-    return `http://127.0.0.100:${this.port + 2}`
+  callers(entry: number): string {
+    return `http://127.0.0.${entry}:${this.port + 2}`
   }
 
   async startControl(number: number, found = true): Promise<ControlMachine> {
@@ -90,13 +91,19 @@
     return machine
   }
 
-  async startEntry(): Promise<EntryMachine> {
+  async startEntry(number = FIRST_ENTRY): Promise<EntryMachine> {
     const wire = { gateway: TEST_WIRE, readSheet: CONTROL_WIRE.readSheet }
-    const basics = this.basics(100, 'entry', false)
+    const basics = this.basics(number, 'entry', false)
     this.cutOnDemand(basics.peers)
-    this.entry = new EntryMachine(basics, wire)
-    await this.entry.start()
-    return this.entry
+    const entry = new EntryMachine(basics, wire)
+    this.entries.set(number, entry)
+    await entry.start()
+    return entry
+  }
+
+  async stopEntry(number: number): Promise<void> {
+    await this.entries.get(number)?.stop()
+    this.entries.delete(number)
   }
 
   async stopControl(number: number): Promise<void> {
@@ -123,7 +130,7 @@
 
   async stop(): Promise<void> {
     await Promise.all([...this.control.keys()].map((number) => this.stopControl(number)))
-    await this.entry?.stop()
+    await Promise.all([...this.entries.keys()].map((number) => this.stopEntry(number)))
     this.workers.forEach((worker) => worker.close())
     rmSync(this.folder, { recursive: true, force: true })
   }
@@ -179,11 +186,16 @@
     return (await got.delete(url, { throwHttpErrors: false, retry: { limit: 0 } })).statusCode
   }
 
-  async call(path: string, key?: string): Promise<{ status: number; text: string }> {
+  async call(
+    path: string,
+    { key, body, entry = FIRST_ENTRY }: { key?: string; body?: string; entry?: number } = {},
+  ): Promise<{ status: number; text: string }> {
     const own = key === undefined ? {} : { 'x-key': key }
     const headers = { host: 'h.example', 'x-id': `r${Math.random()}`, 'x-deadline': '3000', ...own }
-    const response = await got(`${this.callers}${path}`, {
+    const response = await got(`${this.callers(entry)}${path}`, {
       headers,
+      method: body === undefined ? 'GET' : 'POST',
+      body,
       throwHttpErrors: false,
       retry: { limit: 0 },
     })
--- a/daemon/fleet/test/workspaces.test.ts
+++ b/daemon/fleet/test/workspaces.test.ts
@@ -23,7 +23,7 @@
   const { address, runs } = await world.startWorker('w')
   await until('it is registered', async () => (await world.register(1, 'i-1', { address })) === 200)
   await world.startEntry()
-  const isServed = async () => (await world.call('/p/', workspaces[0]!.keys[0])).status === 200
+  const isServed = async () => (await world.call('/p/', { key: workspaces[0]!.keys[0] })).status === 200
   await until('a request with a key is served', isServed)
   return { runs }
 }
@@ -31,10 +31,10 @@
 describe('workspaces of a fleet', () => {
   it('have their keys in force once the sheet is, and lose them with it', async () => {
     await startFleet(PORT, [workspace('one', ['k1'])])
-    expect((await world.call('/p/', 'k2')).status).toBe(401)
+    expect((await world.call('/p/', { key: 'k2' })).status).toBe(401)
     expect(await world.put(2, text(2, [workspace('one', ['k2'])]))).toBe(200)
-    await until('the new key is served', async () => (await world.call('/p/', 'k2')).status === 200)
-    expect((await world.call('/p/', 'k1')).status).toBe(401)
+    await until('the new key is served', async () => (await world.call('/p/', { key: 'k2' })).status === 200)
+    expect((await world.call('/p/', { key: 'k1' })).status).toBe(401)
   })
 
   it('stay as they are where a sheet gives one key to two, and nothing of that sheet is in force', async () => {
@@ -43,14 +43,14 @@
     const shared = [workspace('one', ['k1', 'k3']), workspace('two', ['k1'])]
     for (const number of [1, 2, 3]) expect(await world.put(number, text(2, shared))).toBe(400)
     expect((await world.read(3)).text).toBe(text(1, first))
-    expect((await world.call('/p/', 'k3')).status).toBe(401)
-    expect((await world.call('/p/', 'k1')).status).toBe(200)
+    expect((await world.call('/p/', { key: 'k3' })).status).toBe(401)
+    expect((await world.call('/p/', { key: 'k1' })).status).toBe(200)
   })
 
   it('are held to their quota', async () => {
     const { runs } = await startFleet(PORT + 20, [{ ...workspace('one', ['k1']), quota: TOKENS }])
     const before = runs()
-    const answers = await Promise.all(Array.from({ length: 30 }, () => world.call('/p/', 'k1')))
+    const answers = await Promise.all(Array.from({ length: 30 }, () => world.call('/p/', { key: 'k1' })))
     const over = answers.filter(({ status }) => status === 429)
     // 1,000 tokens are 5 plain requests; a few more come back, or overdraw, while the answers are under way.
     expect(over.length).toBeGreaterThan(15)
