fix(crashes): a request that ends three endpoints reaches no further one, at any entry

Cause: what a request's content did to an endpoint ended with the attempt. The failure was put down to the endpoint, whose next life was taken for sound, and no entry heard of what the others had lost. Class: evidence kept under a name that does not last (an attempt's id, an endpoint's life) where the cause lies with something that comes again under another one. Ruled out: our own repeats (one decode sending an attempt in all eleven); ejecting engines for longer (their next life has another id, and the fault is not theirs). Change: CrashBook, sets that only grow, over all machines: an end is put down to the contents that were at most ends of all that were there, among equals to those that had just begun, so that answers that were lost beside it are not blamed; a whole answer clears a content. Entries report to the leader until it answers, and each new leader once more; control machines pass it on with the watch calls and keep it on disk. Three ends (settings crashes.ends) and the content is refused for an hour (crashes.keep_s): 503, not run, with when to come back; asked at the head of a request, before each choice and right before each sending.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -24,6 +24,17 @@
   'owner.released': { endpoint: string; request: string; kind: string; ageMs: number }
   'endpoint.ejected': { endpoint: string; reason: string; forMs: number }
   'endpoint.restored': { endpoint: string }
+  /** Requests of this content reach no endpoint any more. */
+  'content.refused': {
+    /** The digest of what such requests ask for. */
+    content: string
+    /** Lives of endpoints that it is blamed for. */
+    ends: number
+    ended: string[]
+    served: string[]
+    ageMs: number
+    leftMs: number
+  }
   /** Its process has ended without having said so, while these requests were at work there; `contents` by their digests. */
   'endpoint.ended': {
     endpoint: string
@@ -90,8 +101,9 @@
     ageMs: number
   }
   'endpoint.recalled': { endpoint: string; outcome: string }
-  'endpoints.not-recalled': { reason: string }
-  'endpoints.not-kept': { reason: string }
+  /** A file of what a machine knew before its start could not be read. */
+  'file.not-recalled': { file: string; reason: string }
+  'file.not-kept': { file: string; reason: string }
   'settings.reloaded': { changed: string[] }
   'stage.abandoned': { endpoint: string; stage: string; reason: string }
   'stage.ordered': {
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -2,7 +2,7 @@
 import { every, type CancelTimer } from '@forkstage/clock'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
-import { GroupClient, GroupHost, type ReplicaStatus } from '@forkstage/group'
+import { GroupClient, type GroupHost, type ReplicaStatus } from '@forkstage/group'
 import { MembershipKeeper } from '@forkstage/keeper'
 import { startPeerServer, type PeerMethod, type PeerServer } from '@forkstage/peer-rpc'
 import { QUOTA_REPORT, type QuotaAnswer, type QuotaLedger, type QuotaReport } from '@forkstage/quota'
@@ -13,7 +13,10 @@
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
 import { ColdEndpoints } from './coldEndpoints'
+import { ControlCrashes } from './controlCrashes'
 import { createControlApp } from './controlApp'
+import { createCrashBook } from './createCrashBook'
+import { createGroupHost } from './createGroupHost'
 import { createQuotaLedger } from './createQuotaLedger'
 import type { ControlWire } from './controlWire'
 import { countBy } from './countBy'
@@ -33,7 +36,6 @@
 const GROUP = 'sheet'
 /** How long a machine that has been told to stop goes on answering. */
 const LAST_ANSWERS_MS = 400
-const REOPEN_AFTER_MS = 400
 /** How often a machine looks who leads: short beside an election, which takes some hundred milliseconds. */
 const LOOK_AT_LEADER_MS = 20
 
@@ -54,6 +56,7 @@
   private readonly quotas: QuotaLedger
   private readonly orders: StageOrders
   private readonly memory: EndpointMemory
+  private readonly crashes: ControlCrashes
   private peerServer: PeerServer | undefined
   private listeners: Listener[] = []
   private readonly meters: FleetMeters
@@ -68,7 +71,7 @@
   ) {
     const { settings, clock, peers, logger, epoch } = basics
     const self = settings.listen.peers
-    this.host = this.createHost()
+    this.host = createGroupHost(GROUP, basics, this.machine)
     this.belief = new EvacuationBelief({
       logger,
       onChange: () => this.hub.noteChange(),
@@ -84,6 +87,7 @@
       evacuations: () => this.belief.view.current,
       onEvacuations: (set) => this.evacuations.takeHeard(set),
       onSupposedEvacuations: (domains) => this.belief.suppose(domains),
+      onCrashes: (records) => this.crashes.take(records),
       onEndpoints: (records) => this.registrar.take(records),
     })
     const replicas = () => this.controlAddresses()
@@ -98,7 +102,9 @@
       rules: membershipRules(settings),
       lonelyMs: settings.control.election_timeout_ms,
     })
+    const crashBook = createCrashBook(settings.crashes, clock)
     this.hub = new WatchHub({
+      crashes: crashBook,
       epoch,
       directory: this.directory,
       sheet: () => this.newest,
@@ -110,7 +116,10 @@
     })
     const endpoints = () => this.directory.list()
     const folder = settings.machine.data_folder!
-    this.memory = new EndpointMemory({ folder, files: createFileSystem(), endpoints, clock, logger })
+    const disk = { folder, files: createFileSystem(), clock, logger }
+    this.memory = new EndpointMemory({ ...disk, endpoints })
+    const onChange = () => this.hub.noteChange()
+    this.crashes = new ControlCrashes({ ...disk, book: crashBook, onChange })
     this.registrar = new Registrar({
       directory: this.directory,
       hub: this.hub,
@@ -186,6 +195,7 @@
     ]
     void this.host.start()
     void this.recall()
+    void this.crashes.recall()
     this.follower.start()
     this.keeper.start()
     this.allocator.start()
@@ -213,6 +223,7 @@
     this.cancelLook()
     this.keeper.stop()
     this.memory.stop()
+    this.crashes.stop()
     this.allocator.stop()
     this.cold.stop()
     this.orders.stop()
@@ -268,6 +279,7 @@
       ...this.office.methods(),
       ...this.evacuations.methods(),
       ...this.allocator.methods(),
+      ...this.crashes.methods(),
       [QUOTA_REPORT]: (report: QuotaReport) => this.takeQuotas(report),
       [WATCH]: (question: WatchQuestion) => this.hub.answer(question),
       [SHEET]: () => this.hub.newestSheet(),
@@ -279,29 +291,6 @@
     return this.host.replica?.holdsLease === true ? this.quotas.take(report) : {}
   }
 
-  private createHost(): GroupHost<SheetCommand, SheetResult> {
-    const { settings, peers, clock, random, logger } = this.basics
-    const { control, machine, listen } = settings
-    return new GroupHost({
-      group: GROUP,
-      box: machine.name,
-      address: listen.peers,
-      domain: machine.zone,
-      folder: `${machine.data_folder}/${GROUP}`,
-      firstReplicas: seedAddresses(settings).map((address) => ({ address })),
-      mayFound: control.found,
-      reopenAfter: REOPEN_AFTER_MS,
-      machine: this.machine,
-      peers,
-      clock,
-      random,
-      logger,
-      electionTimeout: control.election_timeout_ms,
-      heartbeat: control.heartbeat_ms,
-      snapshotEvery: control.snapshot_every,
-    })
-  }
-
   private noteNewer(document: SheetDocument): void {
     if (document.version <= (this.newest?.version ?? -1)) return
     this.newest = document
--- /dev/null
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -0,0 +1,91 @@
+import type { Clock } from '@forkstage/clock'
+import {
+  CRASH_REPORT,
+  CrashReporter,
+  CrashWatch,
+  tryAddress,
+  type ContentDigest,
+  type ContentRefusal,
+  type CrashBook,
+  type CrashRecord,
+  type LostSending,
+} from '@forkstage/crashes'
+import { newestPerAddress, type Directory, type RegisteredEndpoint } from '@forkstage/directory'
+import type { LeaderWay, RelayParts } from '@forkstage/gateway'
+import type { Logger } from '@forkstage/logger'
+import type { Millis } from '@forkstage/types'
+import { logCrashes } from './logCrashes'
+
+/** Options of {@link EntryCrashes}. */
+export interface EntryCrashesOptions {
+  book: CrashBook
+  directory: Directory
+  way: LeaderWay
+  clock: Clock
+  logger: Logger
+}
+
+const REPORT_WITHIN_MS: Millis = 500
+
+/** What an entry knows of requests that end their endpoints: what it sees itself and what the others have seen. */
+export class EntryCrashes implements NonNullable<RelayParts['crashes']> {
+  private readonly watch: CrashWatch
+  private readonly reporter: CrashReporter
+
+  constructor(private readonly options: EntryCrashesOptions) {
+    const { book, directory, way, clock, logger } = options
+    this.watch = new CrashWatch({
+      clock,
+      logger,
+      tryAddress: (address) => tryAddress(address, clock),
+      current: (id) => directory.get(id),
+      isReplaced: (endpoint) => this.isReplaced(endpoint),
+      onEnded: (life, under) => this.noteOwn(book.noteEnded(life, under)),
+    })
+    this.reporter = new CrashReporter({
+      clock,
+      book,
+      report: (records) => way.askThrough<true>(CRASH_REPORT, { records }, REPORT_WITHIN_MS),
+      leader: () => way.leader(),
+    })
+  }
+
+  noteLost(sending: LostSending): void {
+    this.watch.noteLost(sending)
+  }
+
+  noteServed(content: () => ContentDigest): void {
+    const { book } = this.options
+    if (book.size > 0) this.noteOwn(book.noteServed(content()))
+  }
+
+  refusal(content: () => ContentDigest): ContentRefusal | undefined {
+    const { book } = this.options
+    return book.size > 0 ? book.refusal(content()) : undefined
+  }
+
+  /** Takes what the control machines have heard from others. */
+  take(records: CrashRecord[]): void {
+    const { book, logger } = this.options
+    logCrashes(logger, book, book.merge(records))
+  }
+
+  /** Endpoints have registered. */
+  look(): void {
+    this.watch.look()
+  }
+
+  stop(): void {
+    this.reporter.stop()
+  }
+
+  private noteOwn(news: CrashRecord[]): void {
+    logCrashes(this.options.logger, this.options.book, news)
+    this.reporter.note(news)
+  }
+
+  private isReplaced({ id, address }: RegisteredEndpoint): boolean {
+    const there = this.options.directory.list().filter((one) => one.address === address)
+    return newestPerAddress(there).some((newest) => newest.id !== id)
+  }
+}
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,7 +1,7 @@
 import { PLACE } from '@forkstage/allocator'
 import { every, type CancelTimer } from '@forkstage/clock'
-import { CrashWatch, tryAddress } from '@forkstage/crashes'
-import { Directory, newestPerAddress, type RegisteredEndpoint } from '@forkstage/directory'
+import { CRASH_REPORT } from '@forkstage/crashes'
+import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   ColdGate,
@@ -23,6 +23,8 @@
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { ColdEndpoints } from './coldEndpoints'
 import { countBy } from './countBy'
+import { createCrashBook } from './createCrashBook'
+import { EntryCrashes } from './entryCrashes'
 import { EvacuationBelief } from './evacuationBelief'
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
@@ -55,7 +57,7 @@
   private readonly coldGate: ColdGate
   private readonly belief: EvacuationBelief
   private readonly pool: EndpointPool
-  private readonly crashWatch: CrashWatch
+  private readonly crashes: EntryCrashes
   private readonly follower: ControlFollower
   private readonly placer: RemotePlacer
   private readonly way: LeaderWay
@@ -100,7 +102,6 @@
       random,
       logger,
     })
-    this.crashWatch = this.createCrashWatch()
     this.follower = new ControlFollower({
       seeds: () => seedAddresses(basics.settings),
       entry: settings.listen.peers,
@@ -113,6 +114,7 @@
       evacuations: () => this.belief.view.current,
       onEvacuations: (set) => this.belief.take(set),
       onSupposedEvacuations: (domains) => this.belief.suppose(domains),
+      onCrashes: (records) => this.crashes.take(records),
       onEndpoints: (records) => this.takeEndpoints(records),
     })
     const entries = () => this.follower.entries() || ENTRIES_UNTIL_KNOWN
@@ -129,8 +131,11 @@
       peers,
       clock,
       logger,
-      forwarded: [...Object.values(PLACE), QUOTA_REPORT],
+      forwarded: [...Object.values(PLACE), QUOTA_REPORT, CRASH_REPORT],
     })
+    const crashBook = createCrashBook(settings.crashes, clock)
+    const { directory, way } = this
+    this.crashes = new EntryCrashes({ book: crashBook, directory, way, clock, logger })
     this.quotas = this.createQuotas(entries)
     this.placer = new RemotePlacer({
       entry: settings.machine.name,
@@ -154,7 +159,7 @@
         placer: this.placer,
         allowance,
         cold: this.coldGate,
-        crashes: this.crashWatch,
+        crashes: this.crashes,
         sendRules: [(to) => (isBarred(to) ? EVACUATED : undefined), homeRule(topology)],
         clock,
         random,
@@ -176,6 +181,7 @@
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
       evacuated_domains: () => this.belief.view.current.domains.length,
+      contents_refused: () => crashBook.countRefused(),
       requests_running: () => this.ingress.running,
       entries_known: () => this.follower.entries(),
       retries: () => ({ ...allowance.counts }),
@@ -238,29 +244,13 @@
     this.cold.stop()
     this.cancelLook()
     this.quotas.stop()
+    this.crashes.stop()
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
     return cut
   }
 
-  private createCrashWatch(): CrashWatch {
-    const { clock, logger } = this.basics
-    return new CrashWatch({
-      clock,
-      logger,
-      tryAddress: (address) => tryAddress(address, clock),
-      current: (id) => this.directory.get(id),
-      isReplaced: (endpoint) => this.isReplaced(endpoint),
-      onEnded: () => undefined,
-    })
-  }
-
-  private isReplaced({ id, address }: RegisteredEndpoint): boolean {
-    const there = this.directory.list().filter((one) => one.address === address)
-    return newestPerAddress(there).some((newest) => newest.id !== id)
-  }
-
   private createQuotas(entries: () => number): QuotaKeeper {
     const { settings, clock, random, epoch } = this.basics
     return new QuotaKeeper({
@@ -295,7 +285,7 @@
     const news = this.directory.merge(records)
     this.pool.update(news)
     if (news.length > 0) this.cold.look()
-    if (news.length > 0) this.crashWatch.look()
+    if (news.length > 0) this.crashes.look()
     logEndpoints(this.basics.logger, news)
   }
 }
--- a/daemon/fleet/src/fleetMeters.ts
+++ b/daemon/fleet/src/fleetMeters.ts
@@ -91,6 +91,7 @@
     'cold endpoints get no more now',
     'cold engines get no more now',
     'evacuated',
+    'ends its endpoints',
     'no known key',
     'key of a newer sheet',
     'over quota',
--- /dev/null
+++ b/daemon/fleet/src/logCrashes.ts
@@ -0,0 +1,12 @@
+import type { CrashBook, CrashRecord } from '@forkstage/crashes'
+import type { Logger } from '@forkstage/logger'
+
+/** One line for each content that is refused by what is new. */
+export function logCrashes(logger: Logger, book: CrashBook, news: CrashRecord[]): void {
+  for (const { content, ended, served, ageMs } of news) {
+    const refusal = book.refusal(content)
+    if (refusal === undefined) continue
+    const { ends, leftMs } = refusal
+    logger.warn('content.refused', { content, ends, ended, served, ageMs, leftMs: Math.round(leftMs) })
+  }
+}
--- a/daemon/fleet/test/crashes.test.ts
+++ b/daemon/fleet/test/crashes.test.ts
@@ -1,3 +1,4 @@
+import { existsSync } from 'node:fs'
 import { afterEach, describe, expect, it } from 'vitest'
 import { CrashingWorker } from './crashingWorker'
 import { FleetWorld, sheet, until } from './fleetWorld'
@@ -41,6 +42,22 @@
 const ends = () => workers.reduce((sum, worker) => sum + worker.ends, 0)
 const arrivals = (body: string) => workers.flatMap(({ seen }) => seen.filter((one) => one === body)).length
 
+/** Sends the fatal body until three workers have ended under it. */
+async function endThree(): Promise<void> {
+  for (let attempt = 0; ends() < ENDS_UNTIL_KNOWN; attempt += 1) {
+    await world.call('/p/a', { body: 'fatal', entry: ENTRIES[attempt % ENTRIES.length] })
+    await allServe()
+  }
+}
+
+async function isRefusedEverywhere(): Promise<void> {
+  for (const entry of ENTRIES)
+    await until(`entry ${entry} refuses it`, async () => {
+      const { status, text } = await world.call('/p/a', { body: 'fatal', entry })
+      return status === 503 && text.includes('ends its endpoints')
+    })
+}
+
 async function allServe(): Promise<void> {
   for (const entry of ENTRIES)
     await until(`entry ${entry} serves`, async () => (await world.call('/p/', { entry })).status === 200)
@@ -59,4 +76,35 @@
     expect(arrivals('fatal') - atThird!).toBeLessThanOrEqual(MOST_LATER)
     for (const entry of ENTRIES) expect((await world.call('/p/a', { body: 'good', entry })).status).toBe(200)
   })
+
+  it('stays refused when the machine that leads is lost, and at an entry that starts anew', async () => {
+    await startFleet(17_870)
+    await endThree()
+    await isRefusedEverywhere()
+    const leader = [...world.control].find(([, machine]) => machine.status()?.role === 'leader')![0]
+    await world.stopControl(leader)
+    await world.stopEntry(ENTRIES[1]!)
+    await world.startEntry(ENTRIES[1]!)
+    const before = arrivals('fatal')
+    await until('the new entry knows its routes', async () => {
+      const { text } = await world.call('/p/a', { body: 'fatal', entry: ENTRIES[1]! })
+      return !text.includes('FORKSTAGE_NO_SHEET') && !text.includes('no endpoint')
+    })
+    await isRefusedEverywhere()
+    expect(arrivals('fatal')).toBe(before)
+  })
+
+  it('stays refused after every machine has stopped at once', async () => {
+    await startFleet(17_880)
+    await endThree()
+    await isRefusedEverywhere()
+    await until('it is on a disk', () => existsSync(`${world.folderOf(1)}/crashes.json`))
+    await Promise.all(ENTRIES.map((number) => world.stopEntry(number)))
+    await Promise.all([1, 2, 3].map((number) => world.stopControl(number)))
+    await Promise.all([1, 2, 3].map((number) => world.startControl(number, false)))
+    await Promise.all(ENTRIES.map((number) => world.startEntry(number)))
+    for (const worker of workers) await until('a worker is known again', () => worker.beat())
+    await allServe()
+    await isRefusedEverywhere()
+  })
 })
--- a/daemon/fleet/test/crashingWorker.ts
+++ b/daemon/fleet/test/crashingWorker.ts
@@ -7,6 +7,7 @@
 /** A plain worker that ends when it begins to run a fatal body, and is back a moment later under another id. */
 export class CrashingWorker {
   private lives = 0
+  private beats = 0
   private port = 0
   private server: Server | undefined
   private isStopped = false
@@ -25,8 +26,14 @@
     this.server = createServer((request, response) => void this.serve(request, response))
     await new Promise<void>((resolve) => this.server!.listen(this.port, '127.0.0.1', resolve))
     this.port = (this.server.address() as { port: number }).port
-    const address = `127.0.0.1:${this.port}`
-    await this.world.register(1, `${this.name}-${this.lives}`, { address })
+    await this.beat()
+  }
+
+  /** Says of itself what it is; whether that was taken. */
+  async beat(): Promise<boolean> {
+    this.beats += 1
+    const fields = { address: `127.0.0.1:${this.port}`, sequence: this.beats }
+    return (await this.world.register(1, `${this.name}-${this.lives}`, fields)) === 200
   }
 
   stop(): void {
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -1,4 +1,5 @@
 import { delay, type Clock } from '@forkstage/clock'
+import type { CrashRecord } from '@forkstage/crashes'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { toErrorBody } from '@forkstage/error'
 import { UNHEARD_INDEX, type EvacuationSet } from '@forkstage/evacuation'
@@ -29,6 +30,8 @@
   onEvacuations: (set: EvacuationSet) => void
   /** Called with domains that may be evacuated, until a set is known. */
   onSupposedEvacuations: (domains: FailureDomain[]) => void
+  /** Called before `onEndpoints` too; nothing is asked for where left out. */
+  onCrashes?: (records: CrashRecord[]) => void
   onEndpoints: (endpoints: RegisteredEndpoint[]) => void
 }
 
@@ -40,6 +43,7 @@
 interface Followed {
   epoch: string
   position: number
+  crashPosition: number
   leader?: Address
   members: Address[]
   sheetVersion: number
@@ -83,6 +87,7 @@
       this.followed.set(address, {
         epoch: '',
         position: 0,
+        crashPosition: 0,
         members: [],
         sheetVersion: -1,
         heardAt: clock.now(),
@@ -145,7 +150,7 @@
   }
 
   private ask(address: Address, one: Followed): Promise<WatchAnswer> {
-    const { peers, holdMs, sheetVersion, evacuations, entry } = this.options
+    const { peers, holdMs, sheetVersion, evacuations, entry, onCrashes } = this.options
     const heardOf = Math.max(this.fetcher.heardOf, sheetVersion?.() ?? Number.MAX_SAFE_INTEGER)
     const { epoch, position, leader, members } = one
     const { index, domains } = evacuations()
@@ -153,6 +158,7 @@
       entry,
       epoch,
       position,
+      crashPosition: onCrashes === undefined ? undefined : one.crashPosition,
       leader,
       members,
       sheetVersion: heardOf,
@@ -167,11 +173,12 @@
   }
 
   private take(address: Address, one: Followed, answer: WatchAnswer): void {
-    const { clock, logger, onEndpoints, onEvacuations, onSupposedEvacuations } = this.options
+    const { clock, logger, onEndpoints, onEvacuations, onSupposedEvacuations, onCrashes } = this.options
     if (one.lost) logger.info('control.regained', { peer: address })
     Object.assign(one, {
       epoch: answer.epoch,
       position: answer.position,
+      crashPosition: answer.crashPosition ?? 0,
       leader: answer.leader,
       members: answer.members,
       sheetVersion: answer.sheetVersion,
@@ -182,6 +189,7 @@
     })
     if (answer.evacuations !== undefined) onEvacuations(answer.evacuations)
     if (answer.supposedEvacuations !== undefined) onSupposedEvacuations(answer.supposedEvacuations)
+    if (answer.crashes !== undefined && answer.crashes.length > 0) onCrashes?.(answer.crashes)
     if (answer.endpoints.length > 0) onEndpoints(answer.endpoints)
     this.fetcher.want(answer.sheetVersion)
     this.followNew(answer.members)
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@forkstage/clock'
+import type { CrashBook } from '@forkstage/crashes'
 import type { Directory } from '@forkstage/directory'
 import { UNHEARD_INDEX, type EvacuationSet } from '@forkstage/evacuation'
 import type { Address, FailureDomain, Millis } from '@forkstage/types'
@@ -14,6 +15,8 @@
   evacuations: () => EvacuationSet
   /** The domains that may be evacuated, for as long as no set is known for certain. */
   supposedEvacuations: () => FailureDomain[]
+  /** Contents that end their endpoints; none are passed on where left out. */
+  crashes?: CrashBook
   members: () => Address[]
   leader: () => Address | undefined
   clock: Clock
@@ -84,6 +87,7 @@
       sheetVersion: sheet()?.version ?? -1,
       endpoints: directory.since(known),
       ...this.evacuationsFor(question),
+      ...this.crashesFor(question),
       members: members(),
       leader: leader(),
       entries: this.countEntries(),
@@ -91,6 +95,13 @@
     }
   }
 
+  private crashesFor({ epoch, crashPosition }: WatchQuestion): Partial<WatchAnswer> {
+    const { crashes } = this.options
+    if (crashes === undefined || crashPosition === undefined) return {}
+    const known = epoch === this.options.epoch ? crashPosition : 0
+    return { crashPosition: crashes.position, crashes: crashes.since(known) }
+  }
+
   private evacuationsFor(question: WatchQuestion): Partial<WatchAnswer> {
     const { evacuationIndex = Infinity, supposedEvacuations: known = [] } = question
     const evacuations = this.options.evacuations()
@@ -119,6 +130,7 @@
 
 function hasNews(question: WatchQuestion, answer: WatchAnswer): boolean {
   if (answer.epoch !== question.epoch || answer.position !== question.position) return true
+  if (answer.crashPosition !== undefined && answer.crashPosition !== question.crashPosition) return true
   if (answer.evacuations !== undefined || answer.supposedEvacuations !== undefined) return true
   if (answer.sheetVersion > question.sheetVersion || answer.leader !== question.leader) return true
   return answer.members.join() !== question.members.join()
--- a/membership/watch/src/watchTypes.ts
+++ b/membership/watch/src/watchTypes.ts
@@ -1,3 +1,4 @@
+import type { CrashRecord } from '@forkstage/crashes'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import type { EvacuationSet } from '@forkstage/evacuation'
 import type { Address, FailureDomain, Millis } from '@forkstage/types'
@@ -22,6 +23,8 @@
   epoch: string
   /** The place in that life's directory up to which the asker knows all. */
   position: number
+  /** The same in that life's book of contents that end their endpoints; absent where the asker wants none. */
+  crashPosition?: number
   /** The newest version of the sheet that the asker has heard of; -1 without one. */
   sheetVersion: number
   /** The index of the newest set of evacuated domains that the asker has heard; absent where it asks for none. */
@@ -43,6 +46,9 @@
   /** The version of the newest sheet known here; -1 without one. Its text is asked for at one machine only. */
   sheetVersion: number
   endpoints: RegisteredEndpoint[]
+  /** Contents that end their endpoints, where there is news of them. */
+  crashes?: CrashRecord[]
+  crashPosition?: number
   /** The evacuated domains, where they are newer than those that the asker knows. */
   evacuations?: EvacuationSet
   /** Domains that may be evacuated, other than the asker's; from a machine that knows no set to one that has heard none. */
--- a/request/crashes/src/crashWatch.ts
+++ b/request/crashes/src/crashWatch.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@forkstage/logger'
 import type { Address, Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
+import type { EndedUnder, EndpointLife } from './crashTypes'
 
 /** What a bare connection to an address shows. */
 export type Listening = 'listens' | 'refused' | 'silent'
@@ -14,6 +15,8 @@
   endpoint: RegisteredEndpoint
   /** Whether its connection broke; otherwise it was given up here, after a time without a sign. */
   isBroken: boolean
+  /** How long it had been there. */
+  afterMs: Millis
 }
 
 /** Options of {@link CrashWatch}. */
@@ -27,13 +30,13 @@
   /** Whether another process has registered at an instance's address since. */
   isReplaced: (endpoint: RegisteredEndpoint) => boolean
   /** Called once for each instance that has ended, with what it had at work. */
-  onEnded: (instance: InstanceId, contents: ContentDigest[]) => void
+  onEnded: (life: EndpointLife, under: EndedUnder[]) => void
 }
 
 interface Suspected {
   endpoint: RegisteredEndpoint
   /** What was lost there, with the requests' ids: the last so many. */
-  lost: Map<string, ContentDigest>
+  lost: Map<string, EndedUnder>
   lastAt: Millis
   triesLeft: number
   isTrying: boolean
@@ -47,6 +50,11 @@
 /** A process that crashes is back within seconds; what registers later says nothing of an answer lost long ago. */
 const LAPSES_AFTER_MS: Millis = 15_000
 const LOOK_EVERY_MS: Millis = 1_000
+/**
+ * A request that ends its endpoint when it begins to run has been there for no longer, with what waits before it: 24 ends
+ * seen came within 16 to 605 ms.
+ */
+const EARLY_MS: Millis = 1_000
 /** An engine runs some tens of requests at once; one line and one report hold them all. */
 const MOST_LOST = 128
 
@@ -61,17 +69,18 @@
   constructor(private readonly options: CrashWatchOptions) {}
 
   /** Notes that an endpoint was left without a whole answer. */
-  noteLost({ request, content, endpoint, isBroken }: LostSending): void {
+  noteLost({ request, content, endpoint, isBroken, afterMs }: LostSending): void {
     if (!this.isAtWork(endpoint.id)) return
     const one = this.suspected.get(endpoint.id) ?? {
       endpoint,
-      lost: new Map<string, ContentDigest>(),
+      lost: new Map<string, EndedUnder>(),
       lastAt: 0,
       triesLeft: 0,
       isTrying: false,
     }
     this.suspected.set(endpoint.id, one)
-    if (one.lost.size < MOST_LOST) one.lost.set(request, content)
+    const isEarly = isBroken && afterMs <= EARLY_MS
+    if (one.lost.size < MOST_LOST) one.lost.set(request, { content, isEarly })
     one.lastAt = this.options.clock.now()
     if (isBroken) this.tryLater(one)
     this.lookLater()
@@ -109,16 +118,16 @@
   private end(one: Suspected, evidence: 'refuses' | 'replaced'): void {
     const { id, service } = one.endpoint
     this.suspected.delete(id)
-    const contents = [...new Set(one.lost.values())]
+    const under = [...one.lost.values()]
     this.options.logger.warn('endpoint.ended', {
       endpoint: id,
       service,
       evidence,
       ageMs: Math.round(this.options.clock.now() - one.lastAt),
       requests: [...one.lost.keys()],
-      contents,
+      contents: [...new Set(under.map(({ content }) => content))],
     })
-    this.options.onEnded(id, contents)
+    this.options.onEnded(id, under)
   }
 
   /** What is never found out lapses also where nothing registers. */
--- a/request/crashes/src/index.ts
+++ b/request/crashes/src/index.ts
@@ -1,6 +1,13 @@
 /** Requests that end the endpoints that run them. */
 export { contentDigest } from './contentDigest'
 export type { ContentDigest, RequestContent } from './contentDigest'
+export { CrashBook } from './crashBook'
+export type { CrashBookOptions } from './crashBook'
+export { CrashReporter } from './crashReporter'
+export type { CrashReporterOptions } from './crashReporter'
+export { CRASH_REPORT } from './crashTypes'
+export type { ContentRefusal, CrashRecord, EndedUnder, EndpointLife } from './crashTypes'
+export { readCrashRecords } from './readCrashRecords'
 export { CrashWatch } from './crashWatch'
 export type { CrashWatchOptions, Listening, LostSending } from './crashWatch'
 export { tryAddress } from './tryAddress'
--- a/request/crashes/test/crashWatch.test.ts
+++ b/request/crashes/test/crashWatch.test.ts
@@ -32,11 +32,15 @@
     },
     current: () => this.known,
     isReplaced: () => this.isReplaced,
-    onEnded: (instance, contents) => this.ended.push([instance, contents]),
+    onEnded: (life, under) =>
+      this.ended.push([
+        life,
+        under.map(({ content, isEarly }) => `${content} ${isEarly ? 'early' : 'late'}`),
+      ]),
   })
 
-  lose(request: string, content: string, isBroken = true): void {
-    this.watch.noteLost({ request, content, endpoint: ENDPOINT, isBroken })
+  lose(request: string, content: string, isBroken = true, afterMs = 100): void {
+    this.watch.noteLost({ request, content, endpoint: ENDPOINT, isBroken, afterMs })
   }
 
   /** Lets time pass in small steps, so that what a try finds is taken in between. */
@@ -55,9 +59,9 @@
     world.listening = 'refused'
     world.lose('r1', 'a')
     world.lose('r2', 'b')
-    world.lose('r3', 'a')
+    world.lose('r3', 'c', true, 1_200)
     await world.pass(1_000)
-    expect(world.ended).toEqual([['i-1', ['a', 'b']]])
+    expect(world.ended).toEqual([['i-1', ['a early', 'b early', 'c late']]])
     expect(world.tries).toBe(1)
   })
 
@@ -75,7 +79,7 @@
     await world.pass(200)
     world.listening = 'refused'
     await world.pass(500)
-    expect(world.ended).toEqual([['i-1', ['a']]])
+    expect(world.ended).toEqual([['i-1', ['a early']]])
   })
 
   it.each([true, false])('sees that another has registered at its address (broken: %s)', async (isBroken) => {
@@ -86,7 +90,7 @@
     expect(world.ended).toEqual([])
     world.isReplaced = true
     world.watch.look()
-    expect(world.ended).toEqual([['i-1', ['a']]])
+    expect(world.ended).toEqual([['i-1', [isBroken ? 'a early' : 'a late']]])
   })
 
   it('opens no connection for what was given up here', async () => {
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -52,6 +52,7 @@
 const NOT_YET_MS = 500
 const WAIT_FOR_ROUTES_MS = 250
 const ELSEWHERE_MS = 50
+const ANSWERED = 'answered'
 /** A newer sheet that this entry has heard of is here in a moment. */
 const WAIT_FOR_NEWER_MS = 250
 
@@ -179,6 +180,7 @@
     const entrant = await gate.admit(request, route, index, tokens)
     if (entrant.type === 'answered') return { route: route.name, ...entrant.result }
     const result = await this.relay(entrant, route, index, tokens)
+    if (isWhole(result)) parts.crashes?.noteServed(request.content)
     if (result.hasNotRun === true) entrant.spent?.giveBack()
     return { route: route.name, workspace: entrant.workspace?.name, ...result }
   }
@@ -217,6 +219,11 @@
   }
 }
 
+/** Whether an endpoint ran the request to its end. */
+function isWhole({ status, outcome, sends }: RelayResult): boolean {
+  return status >= 200 && status < 300 && outcome === ANSWERED && sends.length > 0
+}
+
 function headerBytes({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce((sum, text) => sum + text.length, 0)
 }
--- a/request/gateway/src/noteLost.ts
+++ b/request/gateway/src/noteLost.ts
@@ -7,15 +7,17 @@
 
 /**
  * Notes that an endpoint was left without a whole answer.
+ * @param afterMs how long after it was sent.
  * @param silentMs how long it had given no sign when it was given up here; absent where its connection broke.
  */
 export function noteLost(
   { crashes }: RelayParts,
   { request }: RelayJob,
   { endpoint }: PooledEndpoint,
+  afterMs: Millis,
   silentMs?: Millis,
 ): void {
   if (silentMs !== undefined && silentMs < SILENT_MS) return
   const isBroken = silentMs === undefined
-  crashes?.noteLost({ request: request.id, content: request.content(), endpoint, isBroken })
+  crashes?.noteLost({ request: request.id, content: request.content(), endpoint, isBroken, afterMs })
 }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -20,7 +20,7 @@
   type SendRecord,
 } from './relayParts'
 import { SendCount } from './sendCount'
-import { EVACUATED, whyNotSend } from './sendRules'
+import { ENDS_ENDPOINTS, EVACUATED, whyNotSend } from './sendRules'
 import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
 import { waitFor } from './waitFor'
 
@@ -75,6 +75,8 @@
       return answerRefusal(this.job.request.response, NOT_AT_HOME, AWAY_COME_BACK_MS)
     let failed: Sending | undefined
     for (let refusals = 0; ;) {
+      const refused = this.parts.crashes?.refusal(this.job.request.content)
+      if (refused !== undefined) return this.answerWithout(failed, ENDS_ENDPOINTS, refused.leftMs)
       const to = await this.choose()
       if (this.isOver) return this.overResult()
       if (to === undefined) return this.answerWithout(failed, this.whyNone())
@@ -149,7 +151,8 @@
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
     const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
-    if (outcome.type === 'failed' && outcome.sent) noteLost(parts, job, to, this.isOver ? tookMs : undefined)
+    if (outcome.type === 'failed' && outcome.sent)
+      noteLost(parts, job, to, tookMs, this.isOver ? tookMs : undefined)
     // What a cold endpoint takes says nothing of what it bears later.
     const isCold = parts.cold?.isCold(to.endpoint.id) === true
     if (note === 'ok' && !isCold) to.limit.noteAnswer(tookMs, job.route.targetMs)
@@ -222,10 +225,11 @@
   }
 
   /** Ends a request for which there is no good answer. */
-  private answerWithout(failed: Sending | undefined, reason: string): OwnResult {
+  private answerWithout(failed: Sending | undefined, reason: string, retryAfterMs?: Millis): OwnResult {
     if (failed?.type === 'answer') return this.pass(failed)
     if (this.mayHaveRun > 0) return answerFailure(this.job.request.response, 502, reason)
-    return answerRefusal(this.job.request.response, reason, this.coldWait() ?? COME_BACK_MS)
+    const comeBackMs = retryAfterMs ?? this.coldWait() ?? COME_BACK_MS
+    return answerRefusal(this.job.request.response, reason, comeBackMs)
   }
 
   /** The time is up: what is under way may still run. */
--- a/request/gateway/src/promptReading.ts
+++ b/request/gateway/src/promptReading.ts
@@ -55,8 +55,8 @@
     run.exchange = undefined
     sending.close(arrival)
     if (note === 'failed' && arrival !== 'not-arrived')
-      noteLost(parts, job, at, run.isOver ? tookMs : undefined)
-    if (note === 'silent') noteLost(parts, job, at, tookMs)
+      noteLost(parts, job, at, tookMs, run.isOver ? tookMs : undefined)
+    if (note === 'silent') noteLost(parts, job, at, tookMs, tookMs)
     if (prefilled !== undefined) {
       // What was read before and cannot be used any more is not kept until it lapses.
       this.release()
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from '@forkstage/clock'
-import type { LostSending } from '@forkstage/crashes'
+import type { ContentDigest, ContentRefusal, LostSending } from '@forkstage/crashes'
 import type { Logger } from '@forkstage/logger'
 import type { Route, RoutedService } from '@forkstage/routes'
 import type { Homes } from '@forkstage/topology'
@@ -22,16 +22,20 @@
   sendRules?: SendRule[]
   /** What cold endpoints may get from here; none is cold where left out. */
   cold?: ColdGate
-  /** Is told of sendings that got no whole answer; nobody is where left out. */
-  crashes?: CrashNotes
+  /** Knows which requests end the endpoints that run them; nothing is known where left out. */
+  crashes?: CrashKnowledge
   clock: Clock
   random: Random
   logger: Logger
 }
 
-/** Finds out which endpoints have ended, and under what. */
-export interface CrashNotes {
+/** What is known of requests that end the endpoints that run them. */
+export interface CrashKnowledge {
   noteLost(sending: LostSending): void
+  /** A request got a whole answer. `content` is asked for only where anything is known. */
+  noteServed(content: () => ContentDigest): void
+  /** Why a request must reach no endpoint; undefined where it may. */
+  refusal(content: () => ContentDigest): ContentRefusal | undefined
 }
 
 /** One sending, for the log. */
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -11,6 +11,9 @@
 /** Why nothing is sent to an endpoint of an evacuated failure domain. */
 export const EVACUATED = 'evacuated'
 
+/** Why nothing is sent of a request that has ended the endpoints that ran it. */
+export const ENDS_ENDPOINTS = 'ends its endpoints'
+
 /** The first reason why a request must not leave for an endpoint now, with a log line; undefined where it may. */
 export function whyNotSend(
   parts: RelayParts,
@@ -19,8 +22,10 @@
   step: SendStep,
 ): string | undefined {
   // Counted where it may go on, so it is asked last.
+  const ends: SendRule = (_to, { request }) =>
+    parts.crashes?.refusal(request.content) === undefined ? undefined : ENDS_ENDPOINTS
   const cold: SendRule = (endpoint, { request }, one) => parts.cold?.whyNot(endpoint, request.id, one)
-  for (const rule of [...(parts.sendRules ?? []), cold]) {
+  for (const rule of [...(parts.sendRules ?? []), ends, cold]) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
     parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -30,6 +30,7 @@
 } from './relayParts'
 import { RunMoves, type MovingRun } from './runMoves'
 import { SendCount, type CountedSending } from './sendCount'
+import { ENDS_ENDPOINTS } from './sendRules'
 import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
 import { waitFor } from './waitFor'
 
@@ -88,6 +89,8 @@
 
   private async tryEngines(): Promise<OwnResult> {
     for (let refusals = 0; ;) {
+      const refused = this.parts.crashes?.refusal(this.job.request.content)
+      if (refused !== undefined) return this.answerWithout(ENDS_ENDPOINTS, refused.leftMs)
       await this.untilEngineIsKnown()
       if (isAwayOnly(this.parts.pool, this.job, 'decode'))
         return this.answerWithout(NOT_AT_HOME, AWAY_COME_BACK_MS)
@@ -184,9 +187,10 @@
   /** An engine that was told to stop a run that moves has lost nothing; any other that ended it early may have crashed. */
   private noteLoss(at: PooledEndpoint, { attempt }: StreamResult): void {
     const now = this.parts.clock.now()
-    if (attempt.type === 'lost') noteLost(this.parts, this.job, at)
+    const afterMs = now - this.sentAt
+    if (attempt.type === 'lost') noteLost(this.parts, this.job, at, afterMs)
     if (attempt.type !== 'over') return
-    noteLost(this.parts, this.job, at, Math.min(now - this.sentAt, this.pauses.silentMs(now)))
+    noteLost(this.parts, this.job, at, afterMs, Math.min(afterMs, this.pauses.silentMs(now)))
   }
 
   /** Tells the placement of an engine that has made nothing for too long, and leaves it where that is allowed. */
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -107,6 +107,8 @@
   readonly places: ModelPlace[] = []
   /** Sendings that got no whole answer. */
   readonly lost: LostSending[] = []
+  /** Contents that are refused. */
+  readonly refused = new Set<string>()
   /** Whether the sheet here counts as the newest. */
   isCurrent = true
   /** How long each timer was set for that relays have begun, in milliseconds. */
@@ -208,7 +210,11 @@
           homeRule(TOPOLOGY),
         ],
         cold,
-        crashes: { noteLost: (sending) => void world.lost.push(sending) },
+        crashes: {
+          noteLost: (sending) => void world.lost.push(sending),
+          noteServed: () => undefined,
+          refusal: (content) => (world.refused.has(content()) ? { ends: 3, leftMs: 60_000 } : undefined),
+        },
         clock: {
           ...clock,
           after: (ms, callback) => {
--- /dev/null
+++ b/request/gateway/test/refusedContent.test.ts
@@ -0,0 +1,51 @@
+import { describe, expect, it } from 'vitest'
+import { contentDigest } from '@forkstage/crashes'
+import type { SeenRequest } from './fakeWorker'
+import type { GatewayWorld } from './gatewayWorld'
+import { answers, startRelay, streams } from './relayWorld'
+
+const BODY = 'ends engines'
+
+function digest(method = 'POST', body = BODY) {
+  const caller = 'address 127.0.0.1'
+  return contentDigest({ caller, method, host: 'h.example', path: '/p/a', body: Buffer.from(body) })
+}
+
+const send = (world: GatewayWorld, body = BODY) =>
+  world.send('/p/a', { body, headers: { 'x-tokens': '5,5', 'x-id': body } })
+
+describe('a request of a refused content', () => {
+  it.each([
+    ['plain', undefined, answers],
+    ['streaming', 'decode', streams],
+  ] as const)(
+    '%s reaches no endpoint, hears so at once and when to come back; others go on',
+    async (_kind, stage, behaviour) => {
+      const { world, seen } = await startRelay([[stage, behaviour]])
+      world.refused.add(digest())
+      const answer = await send(world)
+      expect(answer.status).toBe(503)
+      expect(answer.body).toContain('ends its endpoints')
+      expect(Number(answer.headers['retry-after'])).toBe(60)
+      expect(seen()).toEqual([0])
+      expect((await send(world, 'another')).status).toBe(200)
+    },
+  )
+
+  it('is not sent again by the attempt whose sending made it refused, which does not say that it has not run', async () => {
+    const vanishes = (request: SeenRequest) => {
+      relay.world.refused.add(digest())
+      request.socket.destroy()
+    }
+    const relay = await startRelay(
+      [
+        [undefined, vanishes],
+        [undefined, vanishes],
+      ],
+      { kind: 'safe', attempts: 2 },
+    )
+    const answer = await send(relay.world)
+    expect(answer.status).toBe(502)
+    expect(relay.seen().reduce((sum, count) => sum + count)).toBe(1)
+  })
+})
--- a/request/gateway/test/relayWorld.ts
+++ b/request/gateway/test/relayWorld.ts
@@ -1,5 +1,6 @@
 import { afterEach } from 'vitest'
 import type { Stage } from '@forkstage/directory'
+import type { Route } from '@forkstage/routes'
 import { chunk, event, FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
 import { GatewayWorld } from './gatewayWorld'
 
@@ -21,12 +22,22 @@
 export const answers = (request: SeenRequest) => void request.socket.end(goodAnswer(request, 'hello'))
 
 /** An entry with one route before endpoints that answer as given: engines where they have a stage, else plain ones. */
-export async function startRelay(endpoints: [Stage | undefined, (request: SeenRequest) => void][]) {
+export async function startRelay(
+  endpoints: [Stage | undefined, (request: SeenRequest) => void][],
+  route: Partial<Route> = {},
+) {
   const workers = await Promise.all(endpoints.map(([, answer]) => FakeWorker.start(answer)))
   const service = endpoints[0]![0] !== undefined ? 'model' : 'plain'
   const world = await GatewayWorld.start(
     workers.map(({ address }, index) => ({ address, service, stage: endpoints[index]![0] })),
-    [{ kind: service === 'model' ? 'streaming' : 'unsafe', shares: [{ service, weight: 1 }], attempts: 1 }],
+    [
+      {
+        kind: service === 'model' ? 'streaming' : 'unsafe',
+        shares: [{ service, weight: 1 }],
+        attempts: 1,
+        ...route,
+      },
+    ],
   )
   open.push(world, ...workers)
   return { world, seen: () => workers.map((worker) => worker.seen.length) }
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -99,6 +99,15 @@
   })
   .prefault({})
 
+const crashesSection = z
+  .strictObject({
+    /** Endpoints that must have ended under requests of one content until no more of them are sent. */
+    ends: z.number().int().min(1).max(1_000).default(3),
+    /** How long such requests are refused after the last of these ends: an hour outlasts a caller's tries by far. */
+    keep_s: z.number().min(0).max(86_400).default(3_600),
+  })
+  .prefault({})
+
 /** The region of each failure domain, by the domain's name. */
 const domainsSection = z.record(z.string().min(1), z.string().min(1)).default({})
 
@@ -118,6 +127,7 @@
   quota: quotaSection,
   orders: ordersSection,
   cold: coldSection,
+  crashes: crashesSection,
   domains: domainsSection,
   log: logSection,
 })
