fix(crashes): a content is named by what the endpoint gets, not by the address that it comes from

Change: the digest is of key, method, host, path and body; the fleet test sends from five addresses.

--- a/daemon/fleet/test/crashes.test.ts
+++ b/daemon/fleet/test/crashes.test.ts
@@ -21,6 +21,8 @@
 const ENDS_UNTIL_KNOWN = 3
 const MOST_LATER = 3
 const ATTEMPTS = 16
+/** Callers of one kind come from many addresses. */
+const CALLERS = 5
 
 let world: FleetWorld
 let workers: CrashingWorker[] = []
@@ -42,10 +44,16 @@
 const ends = () => workers.reduce((sum, worker) => sum + worker.ends, 0)
 const arrivals = (body: string) => workers.flatMap(({ seen }) => seen.filter((one) => one === body)).length
 
+/** The fatal body, from another address and to another entry each time. */
+function sendFatal(attempt: number): Promise<{ status: number; text: string }> {
+  const from = `127.0.1.${1 + (attempt % CALLERS)}`
+  return world.call('/p/a', { body: 'fatal', entry: ENTRIES[attempt % ENTRIES.length], from })
+}
+
 /** Sends the fatal body until three workers have ended under it. */
 async function endThree(): Promise<void> {
   for (let attempt = 0; ends() < ENDS_UNTIL_KNOWN; attempt += 1) {
-    await world.call('/p/a', { body: 'fatal', entry: ENTRIES[attempt % ENTRIES.length] })
+    await sendFatal(attempt)
     await allServe()
   }
 }
@@ -68,7 +76,7 @@
     await startFleet(17_860)
     let atThird: number | undefined
     for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
-      await world.call('/p/a', { body: 'fatal', entry: ENTRIES[attempt % ENTRIES.length] })
+      await sendFatal(attempt)
       await allServe()
       if (ends() >= ENDS_UNTIL_KNOWN) atThird ??= arrivals('fatal')
     }
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -188,7 +188,12 @@
 
   async call(
     path: string,
-    { key, body, entry = FIRST_ENTRY }: { key?: string; body?: string; entry?: number } = {},
+    {
+      key,
+      body,
+      entry = FIRST_ENTRY,
+      from,
+    }: { key?: string; body?: string; entry?: number; from?: string } = {},
   ): Promise<{ status: number; text: string }> {
     const own = key === undefined ? {} : { 'x-key': key }
     const headers = { host: 'h.example', 'x-id': `r${Math.random()}`, 'x-deadline': '3000', ...own }
@@ -196,6 +201,7 @@
       headers,
       method: body === undefined ? 'GET' : 'POST',
       body,
+      localAddress: from,
       throwHttpErrors: false,
       retry: { limit: 0 },
     })
--- a/request/crashes/test/contentDigest.test.ts
+++ b/request/crashes/test/contentDigest.test.ts
@@ -3,7 +3,7 @@
 import { contentDigest, type RequestContent } from '../src'
 
 const BASE: RequestContent = {
-  caller: 'address 127.0.0.1',
+  key: 'k1',
   method: 'POST',
   host: 'h.example',
   path: '/p/1?page=2',
@@ -12,7 +12,8 @@
 
 it('is the same for the same content, and differs where any part does', () => {
   const others: Partial<RequestContent>[] = [
-    { caller: 'address 127.0.0.2' },
+    { key: 'k2' },
+    { key: undefined },
     { method: 'PUT' },
     { host: 'other.example' },
     { path: '/p/1?page=3' },
@@ -25,9 +26,9 @@
 it('lets no part run into the next', () => {
   const text = fc.string({ maxLength: 6 })
   fc.assert(
-    fc.property(text, text, text, text, (caller, method, host, path) => {
-      const one = { caller, method, host, path, body: Buffer.alloc(0) }
-      const shifted = { ...one, caller: caller + method, method: '' }
+    fc.property(text, text, text, text, (key, method, host, path) => {
+      const one = { key, method, host, path, body: Buffer.alloc(0) }
+      const shifted = { ...one, key: key + method, method: '' }
       if (method === '') return
       expect(contentDigest(shifted)).not.toBe(contentDigest(one))
     }),
--- a/request/gateway/src/callerRequest.ts
+++ b/request/gateway/src/callerRequest.ts
@@ -61,7 +61,7 @@
   const body = await readBody(incoming, maxBodyBytes)
   if (typeof body === 'string') return body
   const asked = {
-    caller: callerOf(incoming, wire),
+    key: single(incoming.headers[wire.headers.key]),
     method: incoming.method ?? 'GET',
     host: incoming.headers.host ?? '',
     path: incoming.url ?? '/',
@@ -111,12 +111,6 @@
   return Array.isArray(value) ? value[0] : value
 }
 
-/** Who asks, as far as an entry can tell: the holder of a key, else the machine that the connection comes from. */
-function callerOf({ headers, socket }: IncomingMessage, wire: GatewayWire): string {
-  const key = single(headers[wire.headers.key])
-  return key === undefined ? `address ${socket.remoteAddress ?? ''}` : `key ${key}`
-}
-
 function once<Value>(make: () => Value): () => Value {
   let made: { value: Value } | undefined
   return () => (made ??= { value: make() }).value
--- a/request/gateway/test/refusedContent.test.ts
+++ b/request/gateway/test/refusedContent.test.ts
@@ -7,8 +7,7 @@
 const BODY = 'ends engines'
 
 function digest(method = 'POST', body = BODY) {
-  const caller = 'address 127.0.0.1'
-  return contentDigest({ caller, method, host: 'h.example', path: '/p/a', body: Buffer.from(body) })
+  return contentDigest({ method, host: 'h.example', path: '/p/a', body: Buffer.from(body) })
 }
 
 const send = (world: GatewayWorld, body = BODY) =>
