test(crashes): only a good answer clears a content; an endpoint's own failure says nothing

Cause: an endpoint that fails a request with a 500 of its own may not have begun it, so that it must not clear what ended others. Change: the comment says so; tests that a failure and a broken stream clear nothing, while whole answers do. Conclusion: no change of behaviour, pinned.

--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -219,7 +219,7 @@
   }
 }
 
-/** Whether an endpoint ran the request to its end. */
+/** Whether an endpoint ran the request to a good end; one that fails it may not have begun. */
 function isWhole({ status, outcome, sends }: RelayResult): boolean {
   return status >= 200 && status < 300 && outcome === ANSWERED && sends.length > 0
 }
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -107,6 +107,8 @@
   readonly places: ModelPlace[] = []
   /** Sendings that got no whole answer. */
   readonly lost: LostSending[] = []
+  /** Contents that got a whole answer. */
+  readonly served: string[] = []
   /** Contents that are refused. */
   readonly refused = new Set<string>()
   /** Whether the sheet here counts as the newest. */
@@ -212,7 +214,7 @@
         cold,
         crashes: {
           noteLost: (sending) => void world.lost.push(sending),
-          noteServed: () => undefined,
+          noteServed: (content) => void world.served.push(content()),
           refusal: (content) => (world.refused.has(content()) ? { ends: 3, leftMs: 60_000 } : undefined),
         },
         clock: {
--- a/request/gateway/test/lostSendings.test.ts
+++ b/request/gateway/test/lostSendings.test.ts
@@ -9,6 +9,8 @@
   )
   request.socket.write(chunk(event(1)), () => request.socket.destroy())
 }
+const fails = (request: SeenRequest) =>
+  void request.socket.end(goodAnswer(request, 'no').replace('200 OK', '500 Broken'))
 const vanishes = (request: SeenRequest) => void request.socket.destroy()
 
 describe('an entry notes what was lost at an endpoint', () => {
@@ -33,4 +35,15 @@
     )
     expect(new Set(world.lost.map(({ content }) => content)).size).toBe(isLost ? 1 : 0)
   })
+
+  it.each([
+    ['a whole plain answer', undefined, answers, 1],
+    ['a whole stream', 'decode', streams, 1],
+    ['a failure of its own', undefined, fails, 0],
+    ['a stream that breaks off', 'decode', breaksOff, 0],
+  ] as const)('and what was served: %s', async (_name, stage, behaviour, count) => {
+    const { world } = await startRelay([[stage, behaviour]])
+    await world.send('/p/a', { body: 'the same', headers: { 'x-tokens': '5,5' } })
+    expect(world.served).toHaveLength(count)
+  })
 })
