feat(directory): an endpoint that starts again under its id is another life; statements are checked where they enter

Cause: statements were ordered by their count alone, so that one that starts again (and counts from 1) was older than what was known, and one that had left was never taken again; all that is kept of an endpoint hung on its id. Fields were not checked: an unknown state was read as ready, a text for slots taken, models that are no list threw. Change: lifeId makes one identity of name and start at the wire's edge; Directory tells lives by the start, ends the earlier, ignores its late words from anywhere; what runs at an ended life is cut at once; orders go out only by the same life's report; recall takes no other life. Schemas for registrations, reports, farewells, other machines' lists and the file of known endpoints; 400, a log line, a counter. Crashes are noted by life. Stand-ins of the soak start again under their id half of the time and send broken statements.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -24,6 +24,10 @@
   'owner.released': { endpoint: string; request: string; kind: string; ageMs: number }
   'endpoint.ejected': { endpoint: string; reason: string; forMs: number }
   'endpoint.restored': { endpoint: string }
+  /** Endpoints in another machine's list that say nothing of one to use. */
+  'endpoints.refused': { peer: string; count: number }
+  /** A statement that says nothing of an endpoint to use. `endpoint` is what its sender calls it; `count`: since the start. */
+  'registration.refused': { endpoint: string; bytes: number; count: number }
   /** Requests of this content reach no endpoint any more. */
   'content.refused': {
     /** The digest of what such requests ask for. */
--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -87,13 +87,22 @@
 
 function register(options: ControlAppOptions, request: Request, response: Response): void {
   const { wire, registrar } = options
-  const endpoint = wire.readRegistration(String(request.params.id), bodyOf(request))
-  if (endpoint === undefined) return void response.status(400).json({ code: 'FORKSTAGE_REGISTRATION' })
+  const [name, text] = [String(request.params.id), bodyOf(request)]
+  const endpoint = wire.readRegistration(name, text)
+  if (endpoint === undefined) {
+    registrar.noteRefused(name, text.length)
+    const message = 'A field that is needed is missing or of another kind.'
+    return void response.status(400).json({ code: 'FORKSTAGE_REGISTRATION', message })
+  }
   answerRegistration(options, response, registrar.register(endpoint))
 }
 
 function leave(options: ControlAppOptions, request: Request, response: Response): void {
-  answerRegistration(options, response, options.registrar.leave(String(request.params.id)))
+  answerRegistration(
+    options,
+    response,
+    options.registrar.leave(String(request.params.id), options.wire.readStart(bodyOf(request))),
+  )
 }
 
 function answerRegistration({ wire }: ControlAppOptions, response: Response, taken: boolean): void {
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -260,6 +260,7 @@
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
+      registrations_refused: () => this.registrar.refused,
       leads: () => Number(this.host.replica?.leads === true),
       evacuated_domains: () => this.belief.view.current.domains.length,
       leader_known: () => Number(this.leader() !== undefined),
--- a/daemon/fleet/src/controlWire.ts
+++ b/daemon/fleet/src/controlWire.ts
@@ -10,6 +10,8 @@
   ordersTaken: number
   /** Whether an order is being carried out. */
   isBusy: boolean
+  /** When its process started, where it says so. */
+  born?: number
 }
 
 /** An order to an engine to change its part. */
@@ -21,6 +23,7 @@
   fence: number
   /** Orders that the engine must have taken by now, no more and no fewer. */
   expectedOrders: number
+  /** What the engine calls itself. */
   instance: string
 }
 
@@ -47,6 +50,8 @@
   readSheet(text: string): RouteSheet | undefined
   /** @returns undefined where the text says nothing of an endpoint. */
   readRegistration(id: string, text: string): RegisteredEndpoint | undefined
+  /** When the process started that sent a farewell, where it says so. */
+  readStart(text: string): number | undefined
   /** The answer to a registration; `nextAddress` where later ones should go. */
   registrationAnswer(nextAddress: Address | undefined): unknown
   reportCall(): EndpointCall
--- a/daemon/fleet/src/endpointMemory.ts
+++ b/daemon/fleet/src/endpointMemory.ts
@@ -1,4 +1,4 @@
-import type { RegisteredEndpoint } from '@forkstage/directory'
+import { readEndpoints, type RegisteredEndpoint } from '@forkstage/directory'
 import { KeptFile, type KeptFileOptions } from './keptFile'
 
 /** Options of {@link EndpointMemory}. */
@@ -23,8 +23,8 @@
 
   /** What was kept last; nothing where there is no file or it cannot be read. */
   async recall(): Promise<RegisteredEndpoint[]> {
-    const kept = (await this.file.recall()) as { endpoints?: RegisteredEndpoint[] } | undefined
-    return kept?.endpoints ?? []
+    const kept = (await this.file.recall()) as { endpoints?: unknown } | null | undefined
+    return readEndpoints(kept?.endpoints)
   }
 
   /** Notes that endpoints have changed; they are written a moment later. */
--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -85,6 +85,7 @@
   }
 
   private isReplaced({ id, address }: RegisteredEndpoint): boolean {
+    if (this.options.directory.get(id)?.state === 'ended') return true
     const there = this.options.directory.list().filter((one) => one.address === address)
     return newestPerAddress(there).some((newest) => newest.id !== id)
   }
--- a/daemon/fleet/src/registrar.ts
+++ b/daemon/fleet/src/registrar.ts
@@ -14,10 +14,26 @@
   onChange?: () => void
 }
 
+/** A name comes from whoever calls; a line of the log must not. */
+const MOST_NAME_CHARS = 64
+
 /** Takes what endpoints say of themselves and passes it on at once. */
 export class Registrar {
+  /** Statements that could not be taken, since the start. */
+  refused = 0
+
   constructor(private readonly options: RegistrarOptions) {}
 
+  /** Notes a statement that says nothing of an endpoint to use; what is known of it holds. */
+  noteRefused(name: string, bytes: number): void {
+    this.refused += 1
+    this.options.logger.warn('registration.refused', {
+      endpoint: name.slice(0, MOST_NAME_CHARS),
+      bytes,
+      count: this.refused,
+    })
+  }
+
   /**
    * Takes what an endpoint says of itself.
    * @returns whether it may be acknowledged: that an endpoint leaves is only acknowledged by a machine that
@@ -28,9 +44,12 @@
     return endpoint.state === 'ready' || this.options.isConnected()
   }
 
-  /** Notes that an instance has left; says whether that may be acknowledged. */
-  leave(id: string): boolean {
-    this.note(this.options.directory.leave(id))
+  /**
+   * Notes that an endpoint has left; says whether that may be acknowledged.
+   * @param born the start of the life that says so, where it does.
+   */
+  leave(name: string, born?: number): boolean {
+    this.note(this.options.directory.leave(name, born))
     return this.options.isConnected()
   }
 
--- a/daemon/fleet/src/stageOrders.ts
+++ b/daemon/fleet/src/stageOrders.ts
@@ -1,12 +1,12 @@
 import type { AllocatorService, StageChange } from '@forkstage/allocator'
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
-import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
+import { nameOf, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { WholeOutcome } from '@forkstage/gateway'
 import type { Logger } from '@forkstage/logger'
 import type { RouteSheet } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import { callEndpoint } from './callEndpoint'
-import type { ControlWire, EndpointCall } from './controlWire'
+import type { ControlWire, EndpointCall, EngineReport } from './controlWire'
 
 /** Options of {@link StageOrders}. */
 export interface StageOrdersOptions {
@@ -86,14 +86,14 @@
     const to = endpoint(change.id)
     if (to === undefined || this.options.isBarred?.(to)) return
     const asked = await this.call(to, wire.reportCall())
-    const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
+    const report = this.readReport(to, asked)
     // An order that this machine did not give, or that came late, is under way.
     if (report?.isBusy === true) return allocator.noteChanging(change.id, otherStage(to.stage!), REFUSED_MS)
     if (report === undefined || !isLeader()) return allocator.noteOrdered(change.id, to.stage!, REFUSED_MS)
-    if (this.options.isBarred?.(to)) return
+    if (this.options.isBarred?.(to) || endpoint(change.id)?.state === 'ended') return
     const fence = term()
     const { stage, need, have } = change
-    const order = { stage, holder, fence, expectedOrders: report.ordersTaken, instance: change.id }
+    const order = { stage, holder, fence, expectedOrders: report.ordersTaken, instance: nameOf(to) }
     const outcome = await this.call(to, wire.stageOrderCall(order))
     const status = outcome.type === 'answer' ? outcome.head.status : undefined
     logger.info('stage.ordered', {
@@ -118,13 +118,13 @@
    * meanwhile, so that only this question tells that it has crashed.
    */
   private awaitChange(to: RegisteredEndpoint, stage: Stage, missed = 0): void {
-    const { clock, wire, allocator, isLeader, logger } = this.options
+    const { clock, wire, allocator, isLeader, logger, endpoint } = this.options
     clock.after(ASK_AGAIN_MS, () => {
       void this.call(to, wire.reportCall()).then((asked) => {
-        const report = asked.type === 'answer' ? wire.readReport(asked.body) : undefined
+        const report = this.readReport(to, asked)
         const isDone = report?.stage === stage && !report.isBusy
         if (isDone) return allocator.noteChanging(to.id, stage, 0)
-        if (!isLeader() || !allocator.isChanging(to.id)) return
+        if (!isLeader() || !allocator.isChanging(to.id) || endpoint(to.id)?.state === 'ended') return
         const isUnreached = asked.type === 'failed' && !asked.sent
         if (isUnreached) allocator.noteUse(to.id, 'unreachable')
         if (!isUnreached || missed + 1 < MISSES_UNTIL_GONE)
@@ -135,6 +135,12 @@
     })
   }
 
+  /** What an engine says of itself; undefined where a later life of it answers, of which this one's says nothing. */
+  private readReport(to: RegisteredEndpoint, asked: WholeOutcome): EngineReport | undefined {
+    const report = asked.type === 'answer' ? this.options.wire.readReport(asked.body) : undefined
+    return report?.born === undefined || to.born === undefined || report.born === to.born ? report : undefined
+  }
+
   private call(to: RegisteredEndpoint, call: EndpointCall): Promise<WholeOutcome> {
     return callEndpoint(to, call, this.options.clock)
   }
--- a/daemon/fleet/test/endpointRecall.test.ts
+++ b/daemon/fleet/test/endpointRecall.test.ts
@@ -141,5 +141,21 @@
     writeFileSync(join(folder, 'endpoints.json'), '{"endpoints":[{"id"')
     expect(await memory(folder, []).memory.recall()).toEqual([])
     expect(await memory(join(folder, 'absent'), []).memory.recall()).toEqual([])
+    for (const text of ['null', '7', '{"endpoints":{"id":"i-1"}}']) {
+      writeFileSync(join(folder, 'endpoints.json'), text)
+      expect(await memory(folder, []).memory.recall()).toEqual([])
+    }
+  })
+
+  it('recalls those that another writer has left whole, and no other', async () => {
+    const folder = newFolder()
+    const odd = [
+      { ...endpoint('i-2'), slots: '4' },
+      { ...endpoint('i-3'), state: 'resting' },
+      { id: 'i-4' },
+      null,
+    ]
+    writeFileSync(join(folder, 'endpoints.json'), JSON.stringify({ endpoints: [endpoint('i-1'), ...odd] }))
+    expect(await memory(folder, []).memory.recall()).toEqual([endpoint('i-1')])
   })
 })
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import got from 'got'
+import { lifeId, type RegisteredEndpoint } from '@forkstage/directory'
 import { parseFleetSettings } from '@forkstage/fleet-settings'
 import type { PeerClient } from '@forkstage/peer-rpc'
 import type { RouteSheet } from '@forkstage/routes'
@@ -22,7 +23,8 @@
       return undefined
     }
   },
-  readRegistration: (id, text) => ({ ...JSON.parse(text), id }),
+  readRegistration: (name, text) => readEndpoint(name, text),
+  readStart: (text) => (text === '' ? undefined : (JSON.parse(text) as { born?: number }).born),
   registrationAnswer: () => ({}),
   reportCall: () => ({ method: 'GET', path: '/report', rawHeaders: [], body: Buffer.alloc(0) }),
   readReport: () => undefined,
@@ -31,6 +33,14 @@
   readRecall: (endpoint, { head }) => (head.headers['x-sound'] === endpoint.id ? endpoint : undefined),
 }
 
+/** A statement of an endpoint; undefined where it has no slots to speak of. */
+function readEndpoint(name: string, text: string): RegisteredEndpoint | undefined {
+  const said = JSON.parse(text) as RegisteredEndpoint
+  if (typeof said.slots !== 'number') return undefined
+  const own = said.born === undefined ? {} : { name }
+  return { ...said, ...own, id: lifeId(name, said.born) }
+}
+
 /** A route sheet with one route to one plain service. */
 export function sheet(version: number, prefix = '/p/'): RouteSheet {
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
--- a/daemon/fleet/test/stageOrders.test.ts
+++ b/daemon/fleet/test/stageOrders.test.ts
@@ -22,6 +22,8 @@
     barred: false,
     orders: [] as StageOrder[],
     reports: 0,
+    born: 100,
+    isEnded: false,
   }
   let wake: () => void = () => undefined
   const server = createServer((request, response) => {
@@ -32,7 +34,9 @@
       else state.reports += 1
       if (request.url === '/order' && status === 'no answer') return void request.socket.destroy()
       response.statusCode = request.url === '/order' ? Number(status) : 200
-      response.end(JSON.stringify({ stage: state.stage, ordersTaken: 7, isBusy: state.busy }))
+      response.end(
+        JSON.stringify({ stage: state.stage, ordersTaken: 7, isBusy: state.busy, born: state.born }),
+      )
       setImmediate(() => wake())
     })
   })
@@ -49,6 +53,7 @@
     stage: 'prefill' as const,
     models: [],
     sequence: 1,
+    born: 100,
   }
   const changing: [string, string, number][] = []
   const ordered: [string, string, number][] = []
@@ -92,7 +97,7 @@
     wire,
     allocator,
     sheet: () => routes,
-    endpoint: () => endpoint,
+    endpoint: () => ({ ...endpoint, state: state.isEnded ? ('ended' as const) : endpoint.state }),
     isBarred: () => state.barred,
     holder: 'control-1',
     isLeader: () => state.leads,
@@ -130,6 +135,22 @@
 }
 
 describe('StageOrders', () => {
+  it('orders nothing by the report of a later life of the engine, nor once a later life is known', async () => {
+    const later = await start()
+    later.state.born = 200
+    later.clock.advance(LEAD_FIRST_MS + 600)
+    await later.settled(() => later.ordered.length === 1)
+    expect(later.state.orders).toEqual([])
+    later.stop()
+    const ended = await start()
+    ended.state.isEnded = true
+    ended.clock.advance(LEAD_FIRST_MS + 600)
+    await ended.settled(() => ended.state.reports === 1)
+    await turns()
+    expect(ended.state.orders).toEqual([])
+    ended.stop()
+  })
+
   it('orders only once an earlier leader cannot order any more, with its term as fence and what the engine has taken', async () => {
     const { state, clock, changing, settled, stop } = await start()
     clock.advance(LEAD_FIRST_MS)
--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -1,8 +1,9 @@
 import type { Millis } from '@forkstage/types'
 import type { InstanceId, RegisteredEndpoint } from './directoryTypes'
+import { lifeId, nameOf } from './endpointLife'
 
-/** How many instances that have left are remembered. */
-const MAX_LEFT = 5_000
+/** How many lives that are over are remembered. */
+const MAX_OVER = 5_000
 /** Ends of a cold time that differ less are the same: heartbeats are some hundred milliseconds on their way at times. */
 const SAME_COLD_MS: Millis = 500
 
@@ -22,6 +23,8 @@
  */
 export class Directory {
   private readonly entries = new Map<InstanceId, Entry>()
+  /** The newest life of each name. */
+  private readonly newest = new Map<string, RegisteredEndpoint>()
   private changes = 0
 
   /** @param now a steady clock, by which what endpoints said of their cold time falls. */
@@ -72,9 +75,9 @@
     return Math.max(0, this.coldUntil(id, unknownMs) - this.now())
   }
 
-  /** Every instance that has not left. */
+  /** Every instance whose life is not over. */
   list(): RegisteredEndpoint[] {
-    return [...this.entries.values()].map((entry) => this.view(entry)).filter(({ state }) => state !== 'left')
+    return [...this.entries.values()].map((entry) => this.view(entry)).filter(isAlive)
   }
 
   /** What changed after a position, oldest first. */
@@ -86,18 +89,21 @@
 
   /** Takes what another machine or the instance itself says; returns what was new. */
   merge(records: RegisteredEndpoint[]): RegisteredEndpoint[] {
-    const news = records.filter((record) => this.isNews(record))
-    for (const record of news) this.set(record)
-    for (const record of records) this.noteSequence(record)
+    const news = records.flatMap((record) => this.take(record))
     if (news.length > 0) this.forgetOldest()
     return news
   }
 
-  /** Notes that an instance has left for good. */
-  leave(id: InstanceId): RegisteredEndpoint[] {
+  /**
+   * Notes that an endpoint has left for good.
+   * @param born the start of the life that says so; where it is left out, the newest life known is meant.
+   */
+  leave(name: string, born = this.newest.get(name)?.born): RegisteredEndpoint[] {
+    const id = lifeId(name, born)
     const known = this.get(id)
     const left: RegisteredEndpoint = known ?? {
       id,
+      ...(born === undefined ? {} : { name, born }),
       service: '',
       address: '',
       zone: '',
@@ -109,6 +115,28 @@
     return this.merge([{ ...left, state: 'left' }])
   }
 
+  /** Takes one record; gives what is new by it: also that an earlier life is over. */
+  private take(record: RegisteredEndpoint): RegisteredEndpoint[] {
+    const newest = this.newest.get(nameOf(record))
+    // Told by the start alone: a new life's counts begin anew, and a late word of an earlier one may come from anywhere.
+    if (newest !== undefined && isEarlier(record, newest)) return []
+    const ended = newest !== undefined && isEarlier(newest, record) ? this.end(newest.id) : []
+    this.newest.set(nameOf(record), record)
+    const isNews = this.isNews(record)
+    if (isNews) this.set(record)
+    this.noteSequence(record)
+    return isNews ? [...ended, record] : ended
+  }
+
+  /** A later life has its name. One that gave no start may be the same process, so that it is not taken for gone. */
+  private end(id: InstanceId): RegisteredEndpoint[] {
+    const known = this.get(id)
+    if (known === undefined || !isAlive(known)) return []
+    const over: RegisteredEndpoint = { ...known, state: known.born === undefined ? 'left' : 'ended' }
+    this.set(over)
+    return [over]
+  }
+
   private set(endpoint: RegisteredEndpoint): void {
     this.changes += 1
     const now = this.now()
@@ -132,8 +160,8 @@
   private isNews(record: RegisteredEndpoint): boolean {
     const known = this.entries.get(record.id)
     if (known === undefined) return true
-    if (known.endpoint.state === 'left') return false
-    if (record.state === 'left') return true
+    if (!isAlive(known.endpoint)) return false
+    if (!isAlive(record)) return true
     if (record.sequence <= known.endpoint.sequence) return false
     return !sameStatement(known.endpoint, record) || this.hasOtherCold(known, record)
   }
@@ -158,12 +186,23 @@
   }
 
   private forgetOldest(): void {
-    const left = [...this.entries.values()].filter(({ endpoint }) => endpoint.state === 'left')
-    for (const { endpoint } of left.slice(0, Math.max(0, left.length - MAX_LEFT)))
+    const over = [...this.entries.values()].filter(({ endpoint }) => !isAlive(endpoint))
+    for (const { endpoint } of over.slice(0, Math.max(0, over.length - MAX_OVER))) {
       this.entries.delete(endpoint.id)
+      if (this.newest.get(nameOf(endpoint))?.id === endpoint.id) this.newest.delete(nameOf(endpoint))
+    }
   }
 }
 
+function isAlive({ state }: RegisteredEndpoint): boolean {
+  return state !== 'left' && state !== 'ended'
+}
+
+/** Whether a life of the same name began earlier; one that gives no start counts as earlier than any that does. */
+function isEarlier(one: RegisteredEndpoint, other: RegisteredEndpoint): boolean {
+  return (one.born ?? -Infinity) < (other.born ?? -Infinity)
+}
+
 /** Whether two statements differ in nothing but their sequence and cold time. A draining instance stays so. */
 function sameStatement(known: RegisteredEndpoint, record: RegisteredEndpoint): boolean {
   return JSON.stringify(withoutCold(known)) === JSON.stringify(withoutCold(record))
--- a/membership/directory/src/directoryTypes.ts
+++ b/membership/directory/src/directoryTypes.ts
@@ -1,6 +1,6 @@
 import type { Address, Millis } from '@forkstage/types'
 
-/** One start of an endpoint's process, named by the endpoint itself. */
+/** One life of an endpoint: one start of its process. See {@link lifeId}. */
 export type InstanceId = string
 
 /** The half of a model request that an engine does. */
@@ -9,13 +9,20 @@
 /** What an endpoint says of itself. */
 export interface RegisteredEndpoint {
   id: InstanceId
+  /** What it calls itself, where its start is part of `id`. */
+  name?: string
+  /** When its process started, in Unix milliseconds by its own clock; absent where it does not say. */
+  born?: number
   service: string
   address: Address
   zone: string
   /** Requests worked on at once. */
   slots: number
-  /** `left` is final: an instance never comes back under the same id. */
-  state: 'ready' | 'draining' | 'left'
+  /**
+   * `left` and `ended` are final: a life never comes back. `ended`: a later life has its name, so that its process is gone
+   * without having said so.
+   */
+  state: 'ready' | 'draining' | 'left' | 'ended'
   /** Present for engines. */
   stage?: Stage
   models: string[]
--- /dev/null
+++ b/membership/directory/src/readEndpoints.ts
@@ -0,0 +1,28 @@
+import * as z from 'zod'
+import type { RegisteredEndpoint } from './directoryTypes'
+
+const text = z.string().max(400)
+const wholeNumber = z.number().int().min(0)
+const endpointSchema = z.object({
+  id: text.min(1),
+  name: text.min(1).optional(),
+  born: wholeNumber.optional(),
+  service: text,
+  address: text,
+  zone: text,
+  slots: wholeNumber,
+  state: z.enum(['ready', 'draining', 'left', 'ended']),
+  stage: z.enum(['prefill', 'decode']).optional(),
+  models: z.array(text),
+  coldMs: z.number().min(0).optional(),
+  sequence: wholeNumber,
+})
+
+/** The endpoints that another machine sent or a file holds; what is none is left out, and the others hold. */
+export function readEndpoints(raw: unknown): RegisteredEndpoint[] {
+  if (!Array.isArray(raw)) return []
+  return raw.flatMap((one) => {
+    const read = endpointSchema.safeParse(one, { jitless: true })
+    return read.success ? [read.data] : []
+  })
+}
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -1,6 +1,6 @@
 import { delay, type Clock } from '@forkstage/clock'
 import type { CrashRecord } from '@forkstage/crashes'
-import type { RegisteredEndpoint } from '@forkstage/directory'
+import { readEndpoints, type RegisteredEndpoint } from '@forkstage/directory'
 import { toErrorBody } from '@forkstage/error'
 import { UNHEARD_INDEX, type EvacuationSet } from '@forkstage/evacuation'
 import type { Logger } from '@forkstage/logger'
@@ -190,7 +190,10 @@
     if (answer.evacuations !== undefined) onEvacuations(answer.evacuations)
     if (answer.supposedEvacuations !== undefined) onSupposedEvacuations(answer.supposedEvacuations)
     if (answer.crashes !== undefined && answer.crashes.length > 0) onCrashes?.(answer.crashes)
-    if (answer.endpoints.length > 0) onEndpoints(answer.endpoints)
+    const endpoints = readEndpoints(answer.endpoints)
+    const unread = answer.endpoints.length - endpoints.length
+    if (unread > 0) logger.warn('endpoints.refused', { peer: address, count: unread })
+    if (endpoints.length > 0) onEndpoints(endpoints)
     this.fetcher.want(answer.sheetVersion)
     this.followNew(answer.members)
   }
--- a/request/crashes/src/crashWatch.ts
+++ b/request/crashes/src/crashWatch.ts
@@ -27,7 +27,7 @@
   tryAddress: (address: Address) => Promise<Listening>
   /** What is known of an instance now; absent where it has left. */
   current: (id: InstanceId) => RegisteredEndpoint | undefined
-  /** Whether another process has registered at an instance's address since. */
+  /** Whether a later life has its name, or another process has registered at its address. */
   isReplaced: (endpoint: RegisteredEndpoint) => boolean
   /** Called once for each instance that has ended, with what it had at work. */
   onEnded: (life: EndpointLife, under: EndedUnder[]) => void
@@ -70,7 +70,7 @@
 
   /** Notes that an endpoint was left without a whole answer. */
   noteLost({ request, content, endpoint, isBroken, afterMs }: LostSending): void {
-    if (!this.isAtWork(endpoint.id)) return
+    if (endpoint.state !== 'ready' || !this.isAtWork(endpoint.id)) return
     const one = this.suspected.get(endpoint.id) ?? {
       endpoint,
       lost: new Map<string, EndedUnder>(),
@@ -96,7 +96,8 @@
   }
 
   private isAtWork(id: InstanceId): boolean {
-    return this.options.current(id)?.state === 'ready'
+    const state = this.options.current(id)?.state
+    return state === 'ready' || state === 'ended'
   }
 
   private tryLater(one: Suspected): void {
@@ -107,6 +108,9 @@
   }
 
   private async tryNow(one: Suspected): Promise<void> {
+    if (this.suspected.get(one.endpoint.id) === one && this.options.isReplaced(one.endpoint))
+      this.end(one, 'replaced')
+    if (this.suspected.get(one.endpoint.id) !== one) return
     one.triesLeft -= 1
     const found = await this.options.tryAddress(one.endpoint.address)
     const isOpen = this.suspected.get(one.endpoint.id) === one
--- a/request/crashes/src/readCrashRecords.ts
+++ b/request/crashes/src/readCrashRecords.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import type { CrashRecord } from './crashTypes'
 
 const MOST_RECORDS = 4_000
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -25,6 +25,8 @@
   limit: ConcurrencyLimit
   /** Whether another process was found at its address. */
   isGone: boolean
+  /** What to call when its process turns out to have ended. */
+  watchers: Set<(reason: string) => void>
 }
 
 /**
@@ -168,6 +170,12 @@
     one.limit = new ConcurrencyLimit(one.endpoint.slots)
   }
 
+  /** Calls back when an instance's process turns out to have ended, unless the returned function is called before. */
+  onEnded(one: PooledEndpoint, callback: (reason: string) => void): () => void {
+    one.watchers.add(callback)
+    return () => void one.watchers.delete(callback)
+  }
+
   /** Notes how a sending ended. */
   noteEnd(one: PooledEndpoint, outcome: SendOutcome, tookMs: Millis, tokens = 0): void {
     one.inFlight -= 1
@@ -207,9 +215,18 @@
     return wait * away * (1 + this.options.random() * DRAW) + callAwayMs(distance)
   }
 
+  /** What runs there is lost: nobody need wait for an answer that no process can give. */
+  private end(id: string): void {
+    const known = this.pooled.get(id)
+    if (known === undefined) return
+    this.pooled.delete(id)
+    for (const watcher of [...known.watchers]) watcher(STARTED_ANEW)
+  }
+
   private updateOne(endpoint: RegisteredEndpoint): void {
     const known = this.pooled.get(endpoint.id)
     if (endpoint.state === 'left') return void this.pooled.delete(endpoint.id)
+    if (endpoint.state === 'ended') return this.end(endpoint.id)
     if (known !== undefined) {
       known.endpoint = endpoint
       return
@@ -224,11 +241,13 @@
       ejectedUntil: 0,
       limit: new ConcurrencyLimit(endpoint.slots),
       isGone: false,
+      watchers: new Set(),
     })
   }
 }
 
 const AWAY_FACTOR = 1.2
+const STARTED_ANEW = 'the endpoint has started anew'
 const DRAW = 0.2
 
 function takesWork(one: PooledEndpoint): boolean {
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,4 +1,5 @@
 import type { AtHome } from '@forkstage/topology'
+import { nameOf } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
 import { dropHeaders } from './callerRequest'
@@ -137,6 +138,7 @@
     if (counted === undefined) return undefined
     const startedAt = parts.clock.now()
     parts.pool.noteSent(to)
+    let unwatch = () => {}
     const outcome = await exchangeWhole({
       address: to.endpoint.address,
       method: job.request.method,
@@ -146,8 +148,12 @@
       connectMs: CONNECT_MS,
       clock: parts.clock,
       maxBytes: MAX_ANSWER_BYTES,
-      onOpen: (exchange) => (this.exchange = exchange),
+      onOpen: (exchange) => {
+        this.exchange = exchange
+        unwatch = parts.pool.onEnded(to, (reason) => exchange.cancel(reason))
+      },
     })
+    unwatch()
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
     const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
@@ -175,7 +181,7 @@
     }
     const verdict = judgeAnswer(
       outcome.head,
-      { id: this.job.request.id, instance: to.endpoint.id },
+      { id: this.job.request.id, instance: nameOf(to.endpoint) },
       wire.headers,
     )
     if (verdict === 'other-instance')
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -1,3 +1,4 @@
+import { nameOf } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import type { Exchange } from './exchange'
@@ -41,6 +42,7 @@
   const { wire, clock } = parts
   const at = place.prefill!
   const startedAt = clock.now()
+  let unwatch = () => {}
   const outcome = await exchangeWhole({
     address: at.endpoint.address,
     method: job.request.method,
@@ -52,8 +54,12 @@
     maxBytes: MAX_ANSWER_BYTES,
     // An engine may take a prompt and say nothing more: the prompt is then read elsewhere.
     withinMs: limitMs(place, job),
-    onOpen,
+    onOpen: (exchange) => {
+      onOpen(exchange)
+      unwatch = parts.pool.onEnded(at, (reason) => exchange.cancel(reason))
+    },
   })
+  unwatch()
   const tookMs = clock.now() - startedAt
   const isRead = outcome.type === 'answer' && outcome.head.status === 200
   const read = isRead ? wire.readPrefillAnswer(outcome.body) : undefined
@@ -80,7 +86,7 @@
   at: PooledEndpoint,
 ): SendOutcome {
   if (outcome.type === 'failed') return outcome.refused ? 'unreachable' : 'failed'
-  const verdict = judgeAnswer(outcome.head, { id: request.id, instance: at.endpoint.id }, wire.headers)
+  const verdict = judgeAnswer(outcome.head, { id: request.id, instance: nameOf(at.endpoint) }, wire.headers)
   if (verdict === 'other-instance') return verdict
   return verdict === 'not-run' ? 'full' : 'failed'
 }
--- a/request/gateway/src/relayAnswers.ts
+++ b/request/gateway/src/relayAnswers.ts
@@ -1,6 +1,8 @@
 import type { ServerResponse } from 'node:http'
 import type { Millis } from '@forkstage/types'
-import { sendOwnAnswer } from './ownAnswer'
+import { dropHeaders } from './callerRequest'
+import type { AnswerHead } from './exchange'
+import { sendEndpointAnswer, sendOwnAnswer } from './ownAnswer'
 import type { RelayResult } from './relayParts'
 
 /** Answers of an endpoint that promise that nothing ran; never sent on for a request that did. */
@@ -22,3 +24,14 @@
   sendOwnAnswer(response, { status: 503, code: 'FORKSTAGE_NOT_RUN', message, retryAfterMs })
   return { status: 503, outcome: reason, hasNotRun: true }
 }
+
+/** Sends an endpoint's whole failure on, unless it promises what cannot be kept; gives the status that the caller gets. */
+export function passFailure(response: ServerResponse, head: AnswerHead, body: Buffer): number {
+  if (PROMISES.has(head.status)) {
+    answerFailure(response, 502, 'the engine gave a promise it cannot keep')
+    return 502
+  }
+  const rawHeaders = dropHeaders(head.rawHeaders, ['content-length'])
+  sendEndpointAnswer(response, { status: head.status, rawHeaders, body, isFramed: head.isFramed })
+  return head.status
+}
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -1,5 +1,6 @@
 import type { Clock, Random } from '@forkstage/clock'
 import type { ContentDigest, ContentRefusal, LostSending } from '@forkstage/crashes'
+import { nameOf } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
 import type { Route, RoutedService } from '@forkstage/routes'
 import type { Homes } from '@forkstage/topology'
@@ -101,7 +102,7 @@
     wire.headers.deadlineMs,
     String(left),
     wire.headers.expectInstance,
-    to.endpoint.id,
+    nameOf(to.endpoint),
     ...(request.body.length > 0 || request.method === 'POST' || request.method === 'PUT'
       ? ['Content-Length', String(request.body.length)]
       : []),
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,3 +1,4 @@
+import { nameOf } from '@forkstage/directory'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { dropHeaders, single, withoutFirst } from './callerRequest'
@@ -16,9 +17,9 @@
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { modelWork } from './modelWork'
 import { noteLost } from './noteLost'
-import { endWithConnection, sendEndpointAnswer } from './ownAnswer'
+import { endWithConnection } from './ownAnswer'
 import { PromptReading, type PromptReader } from './promptReading'
-import { answerFailure, answerRefusal, PROMISES, type OwnResult } from './relayAnswers'
+import { answerFailure, answerRefusal, passFailure, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -152,9 +153,10 @@
     place.madeTokens = () => this.madeTokens()
     place.moveTo = (to) => void this.moves.begin(place, to)
     const stall = this.watchStall(place)
-    const held = this.prompt.held
-    const source = held && { at: held.at, handle: held.handle }
-    const { attempt, note } = await this.streamOn(place, await this.streamAt(place.decode, sending, source))
+    const { attempt, note } = await this.streamOn(
+      place,
+      await this.streamAt(place.decode, sending, this.prompt.held),
+    )
     stall.cancel()
     const tookMs = this.parts.clock.now() - startedAt
     const used: SendOutcome = stall.hasLeft() ? 'silent' : note
@@ -225,10 +227,10 @@
     if (this.head !== undefined && this.lastEventId !== undefined)
       extra.push(headers.lastEventId, String(this.lastEventId))
     const rawHeaders = headersFor(parts, job, to, extra)
-    const stream = new EngineStream(this, to.endpoint.id)
+    const stream = new EngineStream(this, nameOf(to.endpoint))
     this.sentAt = parts.clock.now()
     return new Promise((resolve) => {
-      this.exchange = openExchange({
+      const exchange = openExchange({
         address: to.endpoint.address,
         method: job.request.method,
         path: job.request.path,
@@ -240,6 +242,7 @@
         onData: (chunk) => stream.takeData(chunk),
         onEnd: (end) => {
           this.exchange = undefined
+          unwatch()
           sending.close(end.complete || end.sent ? 'taken' : 'not-arrived')
           const result = this.isOver
             ? { attempt: { type: 'over' as const }, note: stream.noteIfOver() }
@@ -249,6 +252,8 @@
           resolve(result)
         },
       })
+      this.exchange = exchange
+      const unwatch = parts.pool.onEnded(to, (reason) => exchange.cancel(reason))
     })
   }
 
@@ -281,18 +286,7 @@
   }
 
   passFailure(head: AnswerHead, body: Buffer): number {
-    if (PROMISES.has(head.status)) {
-      answerFailure(this.job.request.response, 502, 'the engine gave a promise it cannot keep')
-      return 502
-    }
-    const rawHeaders = dropHeaders(head.rawHeaders, ['content-length'])
-    sendEndpointAnswer(this.job.request.response, {
-      status: head.status,
-      rawHeaders,
-      body,
-      isFramed: head.isFramed,
-    })
-    return head.status
+    return passFailure(this.job.request.response, head, body)
   }
 
   private begin(head: AnswerHead): void {
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -27,6 +27,17 @@
 }
 
 const BEAT_MS = 800
+const SAME_ID_SHARE = 0.5
+/** Of heartbeats, this share is followed by one of another writer's that says nothing of an endpoint to use. */
+const BROKEN_SHARE = 0.1
+const BROKEN_FIELDS = [
+  { slots: 'many' },
+  { state: 'resting' },
+  { call_seq: null },
+  { models: 7 },
+  { born: '5' },
+]
+const NOT_TAKEN = 400
 const HANDLE_MS = 500
 const EVENTS = 12
 const EVENT_MS = 15
@@ -42,6 +53,8 @@
 export class StandInEndpoint {
   private id = ''
   private lives = 0
+  /** When this life started. */
+  private born = 0
   private beats = 0
   private server: Server | undefined
   private address = ''
@@ -61,7 +74,11 @@
 
   async start(): Promise<void> {
     this.lives += 1
-    this.id = `${this.options.name}-${this.lives}`
+    // Half of the time it starts again under the id that it had, so that only its start tells the lives apart.
+    const keepsId = this.lives > 1 && this.options.random() < SAME_ID_SHARE
+    if (!keepsId) this.id = `${this.options.name}-${this.lives}`
+    this.born = Math.max(this.born + 1, Date.now())
+    this.beats = 0
     this.state = 'ready'
     this.drainedAt = Infinity
     // At the first start there is no traffic yet.
@@ -73,7 +90,7 @@
     await this.beat()
   }
 
-  /** Ends without a word, and starts again under another id and address. */
+  /** Ends without a word, and starts again at another address, under its id or another. */
   async crash(): Promise<void> {
     this.end()
     await this.start()
@@ -95,9 +112,26 @@
     this.server?.closeAllConnections()
   }
 
-  private beat(): Promise<boolean> {
+  private async beat(): Promise<boolean> {
     this.beats += 1
-    return this.tell('PUT')
+    const isTaken = await this.tell('PUT')
+    if (this.options.random() < BROKEN_SHARE) await this.tellBroken()
+    return isTaken
+  }
+
+  /** A statement under this endpoint's id that must change nothing. */
+  private async tellBroken(): Promise<void> {
+    const [url] = this.options.control()
+    const field = BROKEN_FIELDS[Math.floor(this.options.random() * BROKEN_FIELDS.length)]
+    const answer = await got(`${url}/instances/${this.id}`, {
+      method: 'PUT',
+      json: { ...this.registration(), address: '127.0.0.1:9', ...field },
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+      timeout: { request: 1_000 },
+    }).catch(() => undefined)
+    if (answer !== undefined && answer.statusCode !== NOT_TAKEN)
+      this.broken.push(`a broken statement of ${this.id} got ${answer.statusCode}`)
   }
 
   private async tell(method: 'PUT' | 'DELETE'): Promise<boolean> {
@@ -105,7 +139,7 @@
     for (const url of control) {
       const answer = await got(`${url}/instances/${this.id}`, {
         method,
-        json: method === 'PUT' ? this.registration() : undefined,
+        json: method === 'PUT' ? this.registration() : { born: this.born },
         throwHttpErrors: false,
         retry: { limit: 0 },
         timeout: { request: 1_000 },
@@ -126,6 +160,7 @@
       state: this.state,
       cold_remaining_ms: this.coldLeft(),
       call_seq: this.beats,
+      born: this.born,
       ...(stage === undefined ? {} : { stage, models: [{ name: 'm', version: 1, adapters: [] }] }),
     }
   }
@@ -161,7 +196,7 @@
   }
 
   private report(): object {
-    return { stage: this.options.stage, models: [], busy: false, call_seq: 0 }
+    return { stage: this.options.stage, models: [], busy: false, call_seq: 0, born: this.born }
   }
 
   /** Asked by control machines that knew this endpoint before they started; nothing runs for it. */
