feat(clock): what others promised before this machine was suspended is asked for anew

Cause: all time is the steady clock, which stands still while a machine is suspended: after five seconds a leader still believed in its lease, an entry in its sheet, in places handed out, in grants. Change: SuspensionWatch notices that the time of day, or an uptime that has followed the steady clock, moved ahead of it by over 100 ms between two looks; Clock.suspendedAt is asked wherever a promise is looked at: lease, who leads, places before each sending, prompts read elsewhere, grants for cold endpoints and quota; an entry asks its control machines anew at once and lets new requests wait for the answer up to 0.25 s. What is waited out stays with the steady clock.

--- a/core/clock/src/clock.ts
+++ b/core/clock/src/clock.ts
@@ -1,4 +1,6 @@
+import { uptime } from 'node:os'
 import type { Millis } from '@forkstage/types'
+import { SuspensionWatch } from './suspensionWatch'
 
 /** Cancels a timer that has not fired yet. */
 export type CancelTimer = () => void
@@ -7,17 +9,28 @@
 export interface Clock {
   /** Monotonic milliseconds; never steps back, also when the wall clock is set. */
   now(): Millis
+  /**
+   * When this machine may last have been suspended: time passed that {@link now} does not count. What somebody promised
+   * before may not hold any more, and is to be asked for anew; -Infinity where nothing was noticed.
+   */
+  suspendedAt(): Millis
   /** Wall-clock milliseconds since 1970, for display and retention only. */
   wallNow(): number
   /** Calls back once after the delay. */
   after(delay: Millis, callback: () => void): CancelTimer
 }
 
+const SECOND_MS = 1_000
+
 /** The clock of the operating system. */
 export function createSystemClock(): Clock {
+  const steady = () => performance.now()
+  const wall = () => Date.now()
+  const watch = new SuspensionWatch({ steady, wall, uptime: () => uptime() * SECOND_MS })
   return {
-    now: () => performance.now(),
-    wallNow: () => Date.now(),
+    now: steady,
+    suspendedAt: () => watch.suspendedAt(),
+    wallNow: wall,
     after(delay, callback) {
       const timer = setTimeout(callback, delay)
       return () => clearTimeout(timer)
--- a/core/clock/src/manualClock.ts
+++ b/core/clock/src/manualClock.ts
@@ -10,6 +10,7 @@
 /** A clock that stands still until it is advanced; timers fire in the order they are due. */
 export class ManualClock implements Clock {
   private time: Millis
+  private suspended: Millis = -Infinity
   private order = 0
   private pending: Pending[] = []
 
@@ -21,6 +22,16 @@
     return this.time
   }
 
+  suspendedAt(): Millis {
+    return this.suspended
+  }
+
+  /** Lets time pass that this clock does not count: no timer falls due. */
+  suspend(): void {
+    this.time += 1
+    this.suspended = this.time
+  }
+
   wallNow(): number {
     return this.time
   }
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -69,6 +69,8 @@
   'log.omitted': { counts: Record<string, number> }
   'control.lost': { peer: string; reason: string }
   'control.regained': { peer: string }
+  /** Time may have passed that the steady clock does not count, or the time of day was set. */
+  'machine.suspended': { outcome: string }
   'sheet.installed': { version: number; routes: number; services: number }
   'sheet.refused': { reason: string }
   'sheet.put': { version: number; outcome: string; held: number }
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -36,6 +36,8 @@
 const GROUP = 'sheet'
 /** How long a machine that has been told to stop goes on answering. */
 const LAST_ANSWERS_MS = 400
+/** What was on its way before a suspension arrives right after it, and says nothing of now. */
+const LATE_ARRIVALS_MS = 100
 /** How often a machine looks who leads: short beside an election, which takes some hundred milliseconds. */
 const LOOK_AT_LEADER_MS = 20
 
@@ -332,7 +334,9 @@
     const { replica } = this.host
     if (replica === undefined) return undefined
     if (replica.leads) return replica.holdsLease ? settings.listen.peers : undefined
-    const isFresh = clock.now() - replica.leaderContactAt < settings.control.election_timeout_ms
+    const heardAt = replica.leaderContactAt
+    const isSince = heardAt >= clock.suspendedAt() + LATE_ARRIVALS_MS
+    const isFresh = isSince && clock.now() - heardAt < settings.control.election_timeout_ms
     return isFresh ? replica.leaderAddress : undefined
   }
 }
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -173,6 +173,7 @@
         logger,
       }),
       routes: () => this.book.current,
+      isViewSure: () => this.follower.hasHeardSince(),
       onResult: (report) => this.meters.noteRequest(report),
     })
     this.meters = new FleetMeters({
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -77,6 +77,10 @@
   readonly control = new Map<number, ControlMachine>()
   private readonly entries = new Map<number, EntryMachine>()
   private workers: Server[] = []
+  /** When machines were last suspended, by their numbers. */
+  readonly suspendedAt = new Map<number, number>()
+  /** Control machines whose calls to others do not arrive. */
+  readonly cutControl = new Set<number>()
   /** Whether the entry hears no control machine. */
   isEntryCut = false
 
@@ -95,7 +99,9 @@
   }
 
   async startControl(number: number, found = true): Promise<ControlMachine> {
-    const machine = new ControlMachine(this.basics(number, 'control', found), CONTROL_WIRE)
+    const basics = this.basics(number, 'control', found)
+    cutWhile(basics.peers, () => this.cutControl.has(number))
+    const machine = new ControlMachine(basics, CONTROL_WIRE)
     await machine.start()
     this.control.set(number, machine)
     return machine
@@ -104,7 +110,7 @@
   async startEntry(number = FIRST_ENTRY): Promise<EntryMachine> {
     const wire = { gateway: TEST_WIRE, readSheet: CONTROL_WIRE.readSheet }
     const basics = this.basics(number, 'entry', false)
-    this.cutOnDemand(basics.peers)
+    cutWhile(basics.peers, () => this.isEntryCut)
     const entry = new EntryMachine(basics, wire)
     this.entries.set(number, entry)
     await entry.start()
@@ -218,20 +224,6 @@
     return { status: response.statusCode, text: response.body }
   }
 
-  /** What is under way when the entry is cut off does not arrive either. */
-  private cutOnDemand(peers: PeerClient): void {
-    const call = peers.call.bind(peers)
-    const check = () => {
-      if (this.isEntryCut) throw new Error('the entry is cut off')
-    }
-    peers.call = async <Answer>(...args: Parameters<PeerClient['call']>): Promise<Answer> => {
-      check()
-      const answer = await call<Answer>(...args)
-      check()
-      return answer
-    }
-  }
-
   private basics(number: number, role: 'entry' | 'control', found: boolean) {
     const ip = `127.0.0.${number}`
     const listen =
@@ -259,6 +251,26 @@
 [log]
 level = "error"
 `
-    return createMachineBasics(parseFleetSettings(text, { source: 'test' }))
+    const basics = createMachineBasics(parseFleetSettings(text, { source: 'test' }))
+    const suspendedAt = () => this.suspendedAt.get(number) ?? -Infinity
+    return { ...basics, clock: { ...basics.clock, suspendedAt } }
+  }
+}
+
+/** What is under way when a machine is cut off does not arrive either. */
+function cutWhile(peers: PeerClient, isCut: () => boolean): void {
+  const call = peers.call.bind(peers)
+  const notify = peers.notify.bind(peers)
+  const check = () => {
+    if (isCut()) throw new Error('the machine is cut off')
+  }
+  peers.call = async <Answer>(...args: Parameters<PeerClient['call']>): Promise<Answer> => {
+    check()
+    const answer = await call<Answer>(...args)
+    check()
+    return answer
+  }
+  peers.notify = (...args) => {
+    if (!isCut()) notify(...args)
   }
 }
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -49,6 +49,8 @@
   sheetVersion: number
   /** When it last answered. */
   heardAt: Millis
+  /** When it was asked what it answered last. */
+  askedAt: Millis
   lost: boolean
   entries: number
   neighbours: Address[]
@@ -59,6 +61,8 @@
   private readonly followed = new Map<Address, Followed>()
   private readonly fetcher: SheetFetcher
   private stopped = false
+  /** The suspension after which every control machine was asked anew. */
+  private askedAnewFor: Millis = -Infinity
 
   constructor(private readonly options: ControlFollowerOptions) {
     const { peers, clock, sheetVersion, onSheet } = options
@@ -91,6 +95,7 @@
         members: [],
         sheetVersion: -1,
         heardAt: clock.now(),
+        askedAt: -Infinity,
         lost: false,
         entries: 0,
         neighbours: [],
@@ -107,10 +112,7 @@
 
   /** The leader that half or more of those name that answered lately: one that has just died names only itself. */
   leader(): Address | undefined {
-    const { clock, holdMs } = this.options
-    const fresh = [...this.followed.values()].filter(
-      (one) => one.epoch !== '' && clock.now() - one.heardAt < holdMs + ANSWER_SLACK_MS,
-    )
+    const fresh = this.fresh()
     const votes = new Map<Address, number>()
     for (const { leader } of fresh) if (leader !== undefined) votes.set(leader, (votes.get(leader) ?? 0) + 1)
     const first = [...votes].sort((left, right) => right[1] - left[1])[0]
@@ -119,13 +121,50 @@
 
   /** Whether a control machine was heard lately and none has named a newer sheet than the one in force here. */
   isCurrent(): boolean {
-    const { clock, holdMs, sheetVersion } = this.options
-    const isHeard = [...this.followed.values()].some(
-      (one) => one.epoch !== '' && !one.lost && clock.now() - one.heardAt < holdMs + ANSWER_SLACK_MS,
-    )
+    const { sheetVersion } = this.options
+    const isHeard = this.fresh().some((one) => !one.lost)
     return isHeard && this.fetcher.heardOf <= (sheetVersion?.() ?? Infinity)
   }
 
+  /** Whether a control machine has answered a question that was asked since this machine was last suspended, if ever. */
+  hasHeardSince(): boolean {
+    const suspendedAt = this.noticeSuspension()
+    return suspendedAt === -Infinity || [...this.followed.values()].some((one) => one.askedAt >= suspendedAt)
+  }
+
+  /** Those that answered lately. What was asked before a suspension may have been answered long ago. */
+  private fresh(): Followed[] {
+    const { clock, holdMs } = this.options
+    const suspendedAt = this.noticeSuspension()
+    return [...this.followed.values()].filter(
+      (one) =>
+        one.epoch !== '' &&
+        one.askedAt >= suspendedAt &&
+        clock.now() - one.heardAt < holdMs + ANSWER_SLACK_MS,
+    )
+  }
+
+  /** Asks everybody at once after a suspension: the questions under way are held for as long as there is no news. */
+  private noticeSuspension(): Millis {
+    const suspendedAt = this.options.clock.suspendedAt()
+    if (suspendedAt <= this.askedAnewFor || this.stopped) return suspendedAt
+    this.askedAnewFor = suspendedAt
+    this.options.logger.warn('machine.suspended', {
+      outcome: 'what others promised before is asked for anew',
+    })
+    for (const [address, one] of this.followed) void this.askAnew(address, one)
+    return suspendedAt
+  }
+
+  private async askAnew(address: Address, one: Followed): Promise<void> {
+    const askedAt = this.options.clock.now()
+    try {
+      this.take(address, one, await this.ask(address, one, 0), askedAt)
+    } catch (error) {
+      this.noteLost(address, one, error)
+    }
+  }
+
   /** How many entries there are, by the control machine that counts the most. */
   entries(): number {
     return Math.max(0, ...[...this.followed.values()].map((one) => one.entries))
@@ -140,7 +179,8 @@
     while (!this.stopped && this.followed.has(address)) {
       const one = this.followed.get(address)!
       try {
-        this.take(address, one, await this.ask(address, one))
+        const askedAt = this.options.clock.now()
+        this.take(address, one, await this.ask(address, one, this.options.holdMs), askedAt)
       } catch (error) {
         this.noteLost(address, one, error)
         if (this.isForgotten(address, one)) this.followed.delete(address)
@@ -149,8 +189,8 @@
     }
   }
 
-  private ask(address: Address, one: Followed): Promise<WatchAnswer> {
-    const { peers, holdMs, sheetVersion, evacuations, entry, onCrashes } = this.options
+  private ask(address: Address, one: Followed, holdMs: Millis): Promise<WatchAnswer> {
+    const { peers, sheetVersion, evacuations, entry, onCrashes } = this.options
     const heardOf = Math.max(this.fetcher.heardOf, sheetVersion?.() ?? Number.MAX_SAFE_INTEGER)
     const { epoch, position, leader, members } = one
     const { index, domains } = evacuations()
@@ -172,9 +212,18 @@
     })
   }
 
-  private take(address: Address, one: Followed, answer: WatchAnswer): void {
-    const { clock, logger, onEndpoints, onEvacuations, onSupposedEvacuations, onCrashes } = this.options
+  private take(address: Address, one: Followed, answer: WatchAnswer, askedAt: Millis): void {
+    const { logger } = this.options
     if (one.lost) logger.info('control.regained', { peer: address })
+    one.lost = false
+    // An answer that was held may come after a newer one; its news are news all the same.
+    if (askedAt >= one.askedAt) this.note(one, answer, askedAt)
+    this.passOn(address, answer)
+    this.fetcher.want(answer.sheetVersion)
+    this.followNew(answer.members)
+  }
+
+  private note(one: Followed, answer: WatchAnswer, askedAt: Millis): void {
     Object.assign(one, {
       epoch: answer.epoch,
       position: answer.position,
@@ -182,11 +231,15 @@
       leader: answer.leader,
       members: answer.members,
       sheetVersion: answer.sheetVersion,
-      heardAt: clock.now(),
-      lost: false,
+      heardAt: this.options.clock.now(),
+      askedAt,
       entries: answer.entries,
       neighbours: answer.neighbours,
     })
+  }
+
+  private passOn(address: Address, answer: WatchAnswer): void {
+    const { logger, onEndpoints, onEvacuations, onSupposedEvacuations, onCrashes } = this.options
     if (answer.evacuations !== undefined) onEvacuations(answer.evacuations)
     if (answer.supposedEvacuations !== undefined) onSupposedEvacuations(answer.supposedEvacuations)
     if (answer.crashes !== undefined && answer.crashes.length > 0) onCrashes?.(answer.crashes)
@@ -194,8 +247,6 @@
     const unread = answer.endpoints.length - endpoints.length
     if (unread > 0) logger.warn('endpoints.refused', { peer: address, count: unread })
     if (endpoints.length > 0) onEndpoints(endpoints)
-    this.fetcher.want(answer.sheetVersion)
-    this.followNew(answer.members)
   }
 
   private knows(address: Address, version: number): boolean {
--- /dev/null
+++ b/membership/watch/test/followerWorld.ts
@@ -0,0 +1,88 @@
+import { ManualClock } from '@forkstage/clock'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { EvacuationView } from '@forkstage/evacuation'
+import { createSilentLogger } from '@forkstage/logger'
+import type { PeerCaller } from '@forkstage/peer-rpc'
+import {
+  ControlFollower,
+  packSheet,
+  SHEET,
+  WATCH,
+  type WatchAnswer,
+  type WatchedSheet,
+  type WatchQuestion,
+} from '../src'
+
+export const CONTROL = '10.0.0.1:1'
+export const OTHER = '10.0.0.2:1'
+
+export function endpoint(id: string, sequence = 1): RegisteredEndpoint {
+  return { id, service: 's', address: 'a:1', zone: 'z', slots: 1, state: 'ready', models: [], sequence }
+}
+
+/** Lets everything that is due in this turn of the event loop happen. */
+export async function settle(): Promise<void> {
+  for (let turn = 0; turn < 5; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+}
+
+/** A follower of control machines whose answers the test gives. */
+export function followerWorld() {
+  const clock = new ManualClock()
+  type Asked = {
+    address: string
+    method: string
+    question: WatchQuestion
+    answer: (answer: Partial<WatchAnswer>) => void
+    sheet: (sheet: WatchedSheet) => void
+    fail: () => void
+  }
+  const asked: Asked[] = []
+  const base = {
+    epoch: 'l',
+    position: 0,
+    endpoints: [],
+    members: [CONTROL],
+    sheetVersion: -1,
+    entries: 1,
+    neighbours: [],
+  }
+  const peers: PeerCaller = {
+    call: (address, method, params) =>
+      new Promise((resolve, reject) =>
+        asked.push({
+          address,
+          method,
+          question: params as WatchQuestion,
+          answer: (fields) => resolve({ ...base, ...fields } as never),
+          sheet: (sheet) => resolve(packSheet(sheet) as never),
+          fail: () => reject(new Error('unreachable')),
+        }),
+      ),
+    notify: () => undefined,
+  }
+  const sheets: number[] = []
+  const heard: string[] = []
+  const view = new EvacuationView()
+  const follower = new ControlFollower({
+    seeds: () => [CONTROL],
+    peers,
+    clock,
+    logger: createSilentLogger(),
+    holdMs: 1_000,
+    sheetVersion: () => sheets.at(-1) ?? -1,
+    onSheet: ({ version }) => sheets.push(version),
+    evacuations: () => view.current,
+    onEvacuations: (set) => {
+      if (view.take(set)) heard.push(`evacuated: ${set.domains.join()}`)
+    },
+    onSupposedEvacuations: (domains) => {
+      if (view.suppose(domains)) heard.push(`supposed: ${domains.join()}`)
+    },
+    onEndpoints: (endpoints) => heard.push(...endpoints.map(({ id }) => id)),
+  })
+  follower.start()
+  const last = (address = CONTROL, method: string = WATCH) =>
+    asked.filter((one) => one.address === address && one.method === method).at(-1)!
+  const fetches = () => asked.filter((one) => one.method === SHEET).map((one) => one.address)
+  return { clock, asked, follower, sheets, heard, last, fetches }
+}
--- a/membership/watch/test/watch.test.ts
+++ b/membership/watch/test/watch.test.ts
@@ -1,32 +1,9 @@
 import { describe, expect, it } from 'vitest'
 import { ManualClock } from '@forkstage/clock'
-import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
-import { EvacuationView, NO_EVACUATIONS, UNHEARD_INDEX } from '@forkstage/evacuation'
-import { createSilentLogger } from '@forkstage/logger'
-import type { PeerCaller } from '@forkstage/peer-rpc'
-import {
-  ControlFollower,
-  packSheet,
-  SHEET,
-  unpackSheet,
-  WATCH,
-  WatchHub,
-  type WatchAnswer,
-  type WatchedSheet,
-  type WatchQuestion,
-} from '../src'
-
-const CONTROL = '10.0.0.1:1'
-const OTHER = '10.0.0.2:1'
-
-function endpoint(id: string, sequence = 1): RegisteredEndpoint {
-  return { id, service: 's', address: 'a:1', zone: 'z', slots: 1, state: 'ready', models: [], sequence }
-}
-
-/** Lets everything that is due in this turn of the event loop happen. */
-async function settle(): Promise<void> {
-  for (let turn = 0; turn < 5; turn += 1) await new Promise((resolve) => setImmediate(resolve))
-}
+import { Directory } from '@forkstage/directory'
+import { NO_EVACUATIONS, UNHEARD_INDEX } from '@forkstage/evacuation'
+import { SHEET, unpackSheet, WatchHub, type WatchedSheet, type WatchQuestion } from '../src'
+import { CONTROL, endpoint, followerWorld, OTHER, settle } from './followerWorld'
 
 function hubWorld() {
   const clock = new ManualClock()
@@ -138,67 +115,6 @@
   })
 })
 
-function followerWorld() {
-  const clock = new ManualClock()
-  type Asked = {
-    address: string
-    method: string
-    question: WatchQuestion
-    answer: (answer: Partial<WatchAnswer>) => void
-    sheet: (sheet: WatchedSheet) => void
-    fail: () => void
-  }
-  const asked: Asked[] = []
-  const base = {
-    epoch: 'l',
-    position: 0,
-    endpoints: [],
-    members: [CONTROL],
-    sheetVersion: -1,
-    entries: 1,
-    neighbours: [],
-  }
-  const peers: PeerCaller = {
-    call: (address, method, params) =>
-      new Promise((resolve, reject) =>
-        asked.push({
-          address,
-          method,
-          question: params as WatchQuestion,
-          answer: (fields) => resolve({ ...base, ...fields } as never),
-          sheet: (sheet) => resolve(packSheet(sheet) as never),
-          fail: () => reject(new Error('unreachable')),
-        }),
-      ),
-    notify: () => undefined,
-  }
-  const sheets: number[] = []
-  const heard: string[] = []
-  const view = new EvacuationView()
-  const follower = new ControlFollower({
-    seeds: () => [CONTROL],
-    peers,
-    clock,
-    logger: createSilentLogger(),
-    holdMs: 1_000,
-    sheetVersion: () => sheets.at(-1) ?? -1,
-    onSheet: ({ version }) => sheets.push(version),
-    evacuations: () => view.current,
-    onEvacuations: (set) => {
-      if (view.take(set)) heard.push(`evacuated: ${set.domains.join()}`)
-    },
-    onSupposedEvacuations: (domains) => {
-      if (view.suppose(domains)) heard.push(`supposed: ${domains.join()}`)
-    },
-    onEndpoints: (endpoints) => heard.push(...endpoints.map(({ id }) => id)),
-  })
-  follower.start()
-  const last = (address = CONTROL, method: string = WATCH) =>
-    asked.filter((one) => one.address === address && one.method === method).at(-1)!
-  const fetches = () => asked.filter((one) => one.method === SHEET).map((one) => one.address)
-  return { clock, asked, follower, sheets, heard, last, fetches }
-}
-
 describe('ControlFollower', () => {
   it('asks on from where the last answer left it, and follows members that it learns of', async () => {
     const { last, sheets, heard, follower } = followerWorld()
@@ -284,6 +200,29 @@
     expect(follower.leader()).toBeUndefined()
   })
 
+  it('believes nothing that it heard before a suspension until it has asked anew, which it does at once', async () => {
+    const { clock, last, heard, follower } = followerWorld()
+    last().answer({ leader: OTHER, sheetVersion: -1 })
+    await settle()
+    const held = last()
+    expect([follower.leader(), follower.isCurrent(), follower.hasHeardSince()]).toEqual([OTHER, true, true])
+    clock.suspend()
+    expect([follower.leader(), follower.isCurrent(), follower.hasHeardSince()]).toEqual([
+      undefined,
+      false,
+      false,
+    ])
+    const anew = last()
+    expect(anew.question.holdMs).toBe(0)
+    // What had been answered before arrives late: its news count, its word of who leads does not.
+    held.answer({ leader: OTHER, sheetVersion: -1, endpoints: [endpoint('i-1')] })
+    await settle()
+    expect([follower.leader(), follower.hasHeardSince(), heard]).toEqual([undefined, false, ['i-1']])
+    anew.answer({ leader: CONTROL, sheetVersion: -1 })
+    await settle()
+    expect([follower.leader(), follower.isCurrent(), follower.hasHeardSince()]).toEqual([CONTROL, true, true])
+  })
+
   it('is current while a control machine is heard and none has named a newer sheet than the one here', async () => {
     const { clock, last, follower } = followerWorld()
     expect(follower.isCurrent()).toBe(false)
--- a/replication/group/src/groupReplica.ts
+++ b/replication/group/src/groupReplica.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@forkstage/logger'
 import {
   createRaft,
+  leaseSince,
   leaseUntil,
   stepRaft,
   type ConfigChange,
@@ -129,8 +130,11 @@
 
   /** Whether no other replica can have become leader by now, so that what is committed here is the newest. */
   get holdsLease(): boolean {
+    const { clock } = this.options
     const committedInTerm = this.state.log.termAt(this.state.commitIndex) === this.state.term
-    return this.leads && committedInTerm && leaseUntil(this.state) > this.options.clock.now()
+    // A lease from before a suspension may have run out unseen: only what was sent since then renews it.
+    const isSeen = leaseSince(this.state) >= clock.suspendedAt()
+    return this.leads && committedInTerm && isSeen && leaseUntil(this.state) > clock.now()
   }
 
   /** Whether all that was committed in earlier terms is known to be committed here, once a leader was heard. */
--- a/replication/raft/src/replicate.ts
+++ b/replication/raft/src/replicate.ts
@@ -134,8 +134,8 @@
   state.effects.push({ type: 'apply', entries })
 }
 
-/** The time up to which no other replica can have become leader, or -Infinity without a lease. */
-export function leaseUntil(state: RaftState): Millis {
+/** When the message was sent that a majority has answered last, or -Infinity where this replica does not lead. */
+export function leaseSince(state: RaftState): Millis {
   if (state.role !== 'leader' || state.transferTo !== null) return -Infinity
   const heard = state.log.config.voters.map((voter) =>
     voter.replica === state.replica
@@ -143,9 +143,13 @@
       : (state.progress.get(voter.replica)?.ackedSentAt ?? -Infinity),
   )
   heard.sort((left, right) => right - left)
-  const since = heard[majority(state) - 1] ?? -Infinity
+  return heard[majority(state) - 1] ?? -Infinity
+}
+
+/** The time up to which no other replica can have become leader, or -Infinity without a lease. */
+export function leaseUntil(state: RaftState): Millis {
   // The margin covers clocks that run at slightly different rates.
-  return since + state.options.electionTimeout * LEASE_SHARE
+  return leaseSince(state) + state.options.electionTimeout * LEASE_SHARE
 }
 
 const LEASE_SHARE = 0.9
--- a/request/gateway/src/coldGate.ts
+++ b/request/gateway/src/coldGate.ts
@@ -42,6 +42,8 @@
 
 interface Grant {
   endpoint: InstanceId
+  /** When it was asked for. */
+  askedAt: Millis
   untilMs: Millis
   /** Whether the leader believes the engine warm: that holds where nothing is known of it here. */
   isWarm: boolean
@@ -81,7 +83,7 @@
     const note = (step: SendStep, endpoint: InstanceId, withinMs: Millis | undefined) => {
       if (!this.isCold(endpoint) && withinMs === undefined) return
       const untilMs = decidedAt + (withinMs ?? WARM_WORD_MS)
-      this.grants.set(`${step} ${request}`, { endpoint, untilMs, isWarm: withinMs === undefined })
+      this.grants.set(`${step} ${request}`, { endpoint, askedAt, untilMs, isWarm: withinMs === undefined })
     }
     if (prefill !== undefined) note('prefill', prefill, cold?.prefillMs)
     note('decode', decode, cold?.decodeMs)
@@ -121,7 +123,8 @@
     if (grant?.endpoint !== id) return false
     this.grants.delete(key)
     if (grant.isWarm && this.options.hasSaid(id)) return false
-    return this.options.clock.now() <= grant.untilMs
+    const { clock } = this.options
+    return clock.now() <= grant.untilMs && grant.askedAt >= clock.suspendedAt()
   }
 
   /** Whether this entry's own share has room for a request now. */
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -27,6 +27,8 @@
   gate: WorkspaceGate
   /** The route sheet in force; absent until one is known. */
   routes: () => RouteIndex | undefined
+  /** Whether what is known here of routes and endpoints was heard since this machine was last suspended. */
+  isViewSure?: () => boolean
   /** Called once for each request that ended. */
   onResult?: (result: RequestReport) => void
 }
@@ -52,6 +54,8 @@
 const NOT_YET_MS = 500
 const WAIT_FOR_ROUTES_MS = 250
 const ELSEWHERE_MS = 50
+/** A control machine that is there answers within some milliseconds. */
+const SURE_WITHIN_MS = 250
 const ANSWERED = 'answered'
 /** A newer sheet that this entry has heard of is here in a moment. */
 const WAIT_FOR_NEWER_MS = 250
@@ -146,6 +150,7 @@
     if (this.isClosed) return { route: '', ...answerLeaving(request) }
     const { routes, parts } = this.options
     // A machine that has just started learns its routes in a moment.
+    await this.untilViewIsSure()
     const index = await waitFor(parts.clock, WAIT_FOR_ROUTES_MS, routes)
     if (index === undefined) return { route: '', ...answerNotYet(request) }
     const route = index.find(request.host, request.path)
@@ -155,6 +160,15 @@
     return newer === undefined ? this.enter(request, route, index) : this.routeBy(request, newer)
   }
 
+  /** After a suspension the control machines are asked anew; one that nobody answers goes on with what it knows. */
+  private async untilViewIsSure(): Promise<void> {
+    const { parts, isViewSure } = this.options
+    if (isViewSure === undefined || isViewSure()) return
+    const { clock } = parts
+    const limit = clock.suspendedAt() + SURE_WITHIN_MS - clock.now()
+    await waitFor(clock, Math.max(0, limit), () => isViewSure() || undefined)
+  }
+
   /** Routes by a sheet that came while the request waited for it. */
   private async routeBy(request: CallerRequest, index: RouteIndex): Promise<Routed> {
     const route = index.find(request.host, request.path)
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -20,6 +20,8 @@
   at: PooledEndpoint
   handle: string
   madeAt: Millis
+  /** When it was asked for. */
+  askedAt: Millis
 }
 
 /** How a prefill step ended. */
@@ -66,7 +68,12 @@
   const arrival = arrivalOf(outcome)
   if (outcome.type === 'failed' && outcome.isGivenUp === true) return { note: 'silent', arrival, tookMs }
   if (read === undefined) return { note: noteOfFailure(parts, job, outcome, at), arrival, tookMs }
-  return { prefilled: { at, handle: read.handle, madeAt: clock.now() }, note: 'ok', arrival, tookMs }
+  return {
+    prefilled: { at, handle: read.handle, madeAt: clock.now(), askedAt: startedAt },
+    note: 'ok',
+    arrival,
+    tookMs,
+  }
 }
 
 function limitMs({ readsInMs, readElsewhereInMs }: ModelPlace, { route }: RelayJob): Millis {
--- a/request/gateway/src/promptReading.ts
+++ b/request/gateway/src/promptReading.ts
@@ -7,7 +7,7 @@
 import { releaseHandle } from './releaseHandle'
 import type { RelayJob, RelayParts, SendRecord } from './relayParts'
 import type { SendCount } from './sendCount'
-import { whyNotSend } from './sendRules'
+import { SUSPENDED, whyNotSend } from './sendRules'
 
 /** A handle is used for another engine only while it surely still stands. */
 const HANDLE_SHARE = 0.5
@@ -82,6 +82,7 @@
     return (
       this.prefilled !== undefined &&
       this.isAtHome(this.prefilled) &&
+      this.prefilled.askedAt >= this.parts.clock.suspendedAt() &&
       this.parts.clock.now() - this.prefilled.madeAt < lasts
     )
   }
@@ -101,7 +102,7 @@
 
   /** Another engine is asked for, unless a cold one has just no budget left: it may be the only one that gets some. */
   private avoid(at: PooledEndpoint, withheld: string): void {
-    if (withheld !== COLD_REASON) this.run.except.add(at.endpoint.id)
+    if (withheld !== COLD_REASON && withheld !== SUSPENDED) this.run.except.add(at.endpoint.id)
   }
 
   private isAtHome({ at }: Prefilled): boolean {
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -75,6 +75,8 @@
   homes: () => Homes
   /** Tokens that the request declares; absent where it names none. */
   tokens?: TokenCounts
+  /** When the place was asked for that a sending is about to use; absent where none is. */
+  placedAt?: Millis
   /** The order in which requests get what is scarce; 0 is the most urgent. */
   rank: number
 }
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -11,6 +11,9 @@
 /** Why nothing is sent to an endpoint of an evacuated failure domain. */
 export const EVACUATED = 'evacuated'
 
+/** Why a place is not used that was given before this machine was suspended. */
+export const SUSPENDED = 'placed before a suspension'
+
 /** Why nothing is sent of a request that has ended the endpoints that ran it. */
 export const ENDS_ENDPOINTS = 'ends its endpoints'
 
@@ -22,10 +25,13 @@
   step: SendStep,
 ): string | undefined {
   // Counted where it may go on, so it is asked last.
+  // Whoever placed may have given the place to another meanwhile.
+  const suspended: SendRule = (_to, { placedAt }) =>
+    placedAt !== undefined && placedAt < parts.clock.suspendedAt() ? SUSPENDED : undefined
   const ends: SendRule = (_to, { request }) =>
     parts.crashes?.refusal(request.content) === undefined ? undefined : ENDS_ENDPOINTS
   const cold: SendRule = (endpoint, { request }, one) => parts.cold?.whyNot(endpoint, request.id, one)
-  for (const rule of [...(parts.sendRules ?? []), ends, cold]) {
+  for (const rule of [suspended, ...(parts.sendRules ?? []), ends, cold]) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
     parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -95,6 +95,7 @@
       await this.untilEngineIsKnown()
       if (isAwayOnly(this.parts.pool, this.job, 'decode'))
         return this.answerWithout(NOT_AT_HOME, AWAY_COME_BACK_MS)
+      this.job.placedAt = this.parts.clock.now()
       const answer = await this.parts.placer.place(this.work())
       if (this.isOver) {
         if (answer.type === 'place') answer.place.release('cancelled', 0, 0)
@@ -150,6 +151,8 @@
       place.release('cancelled', 0, 0)
       return { type: 'denied' }
     }
+    // The place is used; what the run does later hangs on no promise of it.
+    this.job.placedAt = undefined
     place.madeTokens = () => this.madeTokens()
     place.moveTo = (to) => void this.moves.begin(place, to)
     const stall = this.watchStall(place)
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -105,6 +105,10 @@
   readonly reports: RequestReport[] = []
   /** Places that were given, the newest last. */
   readonly places: ModelPlace[] = []
+  /** When the machine was last suspended. */
+  suspendedAt = -Infinity
+  /** Called with each place that was given, before it is used. */
+  onPlace: () => void = () => undefined
   /** Sendings that got no whole answer. */
   readonly lost: LostSending[] = []
   /** Contents that got a whole answer. */
@@ -202,6 +206,7 @@
           place: async (work) => {
             const answer = await local.place(work)
             if (answer.type === 'place') world.places.push(answer.place)
+            if (answer.type === 'place') world.onPlace()
             return answer
           },
         },
@@ -219,6 +224,7 @@
         },
         clock: {
           ...clock,
+          suspendedAt: () => world.suspendedAt,
           after: (ms, callback) => {
             world.timers.push(ms)
             return clock.after(ms, callback)
--- a/request/quota/src/quotaAccount.ts
+++ b/request/quota/src/quotaAccount.ts
@@ -9,6 +9,8 @@
   life: string
   windowMs: Millis
   random: Random
+  /** When this machine was last suspended, if ever. */
+  suspendedAt: () => Millis
 }
 
 /** What is asked at the moment is averaged over about this time, one report; demand over several seconds. */
@@ -25,6 +27,8 @@
 /** What the leader granted last. */
 interface Granted extends QuotaGrant {
   at: Millis
+  /** When it was asked for. */
+  askedAt: Millis
   /** What this entry had spent in all, and within the window, when it reported. */
   ownTotal: number
   ownRecent: number
@@ -62,7 +66,9 @@
 
   /** Whether the leader has said lately what is left. */
   isFresh(now: Millis): boolean {
-    return this.granted !== undefined && now - this.granted.at < BELIEVED_MS
+    const { granted } = this
+    if (granted === undefined || now - granted.at >= BELIEVED_MS) return false
+    return granted.askedAt >= this.options.suspendedAt()
   }
 
   /** The age of what the leader said last; Infinity where it never did. */
@@ -107,8 +113,8 @@
   }
 
   /** Takes what the leader answered to a report. */
-  take(grant: QuotaGrant, { recent }: SpentReport, ownTotal: number, now: Millis): void {
-    this.granted = { ...grant, at: now, ownTotal, ownRecent: recent, draw: this.options.random() }
+  take(grant: QuotaGrant, { recent }: SpentReport, ownTotal: number, askedAt: Millis, now: Millis): void {
+    this.granted = { ...grant, at: now, askedAt, ownTotal, ownRecent: recent, draw: this.options.random() }
   }
 
   /**
--- a/request/quota/src/quotaKeeper.ts
+++ b/request/quota/src/quotaKeeper.ts
@@ -83,7 +83,8 @@
     const known = this.accounts.get(name)
     if (known !== undefined) return known
     const { life, windowMs, clock, random } = this.options
-    const account = new QuotaAccount({ life, windowMs, random }, clock.now())
+    const suspendedAt = () => clock.suspendedAt()
+    const account = new QuotaAccount({ life, windowMs, random, suspendedAt }, clock.now())
     this.accounts.set(name, account)
     return account
   }
@@ -129,7 +130,7 @@
     this.isUnheard = answer === undefined
     for (const { name, account, spent, ownTotal } of reported) {
       const grant = answer?.grants?.[name]
-      if (grant !== undefined) account.take(grant, spent, ownTotal, clock.now())
+      if (grant !== undefined) account.take(grant, spent, ownTotal, now, clock.now())
     }
   }
 }
--- /dev/null
+++ b/request/quota/test/quotaSuspended.test.ts
@@ -0,0 +1,21 @@
+import { expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { QuotaAccount } from '../src/quotaAccount'
+
+it('believes no grant that was asked for before a suspension, though it is answered after', () => {
+  const clock = new ManualClock()
+  const options = { life: 'l', windowMs: 8_000, random: () => 0.5, suspendedAt: () => clock.suspendedAt() }
+  const account = new QuotaAccount(options, 0)
+  account.setLimit(1_000)
+  const askedAt = clock.now()
+  const report = account.report(askedAt)
+  const grant = { units: 900, share: 1 }
+  account.take(grant, report, account.spentInAll, askedAt, clock.now())
+  expect(account.isFresh(clock.now())).toBe(true)
+  clock.suspend()
+  expect(account.isFresh(clock.now())).toBe(false)
+  account.take(grant, report, account.spentInAll, askedAt, clock.now())
+  expect(account.isFresh(clock.now())).toBe(false)
+  account.take(grant, report, account.spentInAll, clock.now(), clock.now())
+  expect(account.isFresh(clock.now())).toBe(true)
+})
