--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -5,6 +5,7 @@
 import { runMemoryExperiment } from './memoryExperiment'
 import { runPlaceExperiment } from './placeExperiment'
 import { runPolicyExperiment, type FaultName } from './policyExperiment'
+import { runCrashExperiment } from './crashExperiment'
 import { runQuotaExperiment } from './quotaExperiment'
 import { runRelayExperiment } from './relayExperiment'
 import { runSlopesExperiment, SLOPE_PARTS } from './slopesExperiment'
@@ -73,6 +74,7 @@
         }),
     )
     .command('place', 'the placement decision alone', {}, () => runPlaceExperiment())
+    .command('crashes', 'what the book of contents that end endpoints costs', {}, () => runCrashExperiment())
     .command('quota', "the leader's work for quotas, by entries and workspaces", {}, () =>
       runQuotaExperiment(),
     )
