test(fleet-soak): a request that ends each endpoint that runs it, sent all the while

Change: stand-ins end on one path, callers send it every 600 ms at drawn entries; later than 3 s after the third end at most three more may arrive.

--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -4,6 +4,7 @@
 import { createSeededRandom } from '@forkstage/clock'
 import { waitUntil } from '@forkstage/deployment'
 import { checkEvacuations } from './checkEvacuations'
+import { checkFatal, type FatalArrivals } from './checkFatal'
 import { checkCalls } from './checkFleet'
 import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
 import { DOMAINS } from './machineSettings'
@@ -34,12 +35,15 @@
   acknowledged: number
   /** Evacuations that were acknowledged. */
   evacuations: number
+  /** Endpoints that ended under the request that ends each one that runs it. */
+  ended: number
   /** What did not hold; empty is the verdict "held". */
   broken: string[]
 }
 
 const CALL_EVERY_MS = 25
 const CHANGE_EVERY_MS = 700
+const FATAL_EVERY_MS = 600
 const READ_EVERY_MS = 150
 const RECOVERY_MS = 12_000
 const OK = 200
@@ -62,6 +66,7 @@
   const handles = new Set<string>()
   const runs = new Map<string, number>()
   const seen: SeenRun[] = []
+  const fatal: FatalArrivals = { at: [] }
   const endpoints = ENDPOINTS.map(
     (one, index) =>
       new StandInEndpoint({
@@ -73,12 +78,13 @@
         handles,
         runs,
         seen,
+        fatal,
       }),
   )
   try {
     fleet.startAll()
     await Promise.all(endpoints.map((endpoint) => endpoint.start()))
-    return await soak(options, folder, fleet, endpoints, { runs, seen })
+    return await soak(options, folder, fleet, endpoints, { runs, seen, fatal })
   } finally {
     endpoints.forEach((endpoint) => endpoint.end())
     await fleet.stopAll()
@@ -91,7 +97,7 @@
   folder: string,
   fleet: SoakFleet,
   endpoints: StandInEndpoint[],
-  { runs, seen }: { runs: ReadonlyMap<string, number>; seen: SeenRun[] },
+  { runs, seen, fatal }: { runs: ReadonlyMap<string, number>; seen: SeenRun[]; fatal: FatalArrivals },
 ): Promise<FleetSoakReport> {
   const operator = new SoakOperator(fleet, createSeededRandom(seed + 1))
   const callers = new SoakCallers(fleet, createSeededRandom(seed + 2), () => operator.newest)
@@ -114,6 +120,7 @@
   })
   await Promise.all([
     repeat(CALL_EVERY_MS, () => callers.call()),
+    repeat(FATAL_EVERY_MS, () => callers.callFatal()),
     repeat(CHANGE_EVERY_MS, () => operator.change()),
     repeat(READ_EVERY_MS, () => operator.read()),
     evacuations.run(planEvacuations(durationMs, createSeededRandom(seed + 4))),
@@ -123,6 +130,7 @@
   const broken = [
     ...checkCalls(callers.calls, runs),
     ...endpoints.flatMap((endpoint) => endpoint.broken),
+    ...checkFatal(fatal),
     ...checkWorkspaceRuns(seen, callers.keys),
     ...(await checkEnd(fleet, operator)),
     ...(await checkOldKeys(fleet, callers)),
@@ -137,6 +145,7 @@
     answered: callers.calls.filter((call) => call.status === 200 && call.isWhole).length,
     acknowledged: new Set(operator.acknowledged.map((one) => one.version)).size,
     evacuations: evacuations.seen.length,
+    ended: fatal.at.length,
     broken,
   }
 }
--- a/tools/fleet-soak/src/soakCallers.ts
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -1,5 +1,6 @@
 import { request as httpRequest } from 'node:http'
 import type { Random } from '@forkstage/clock'
+import { FATAL } from './checkFatal'
 import type { SoakMachine } from './machineSettings'
 import type { SoakFleet } from './soakFleet'
 import { drawKey, type SoakKey } from './soakWorkspaces'
@@ -20,6 +21,7 @@
 }
 
 const DEADLINE_MS = 3_000
+const STEADY_KEY = 'key-steady'
 const HOST = 'soak.example'
 
 /** Callers that send requests to any entry that takes them, each with an id of its own. */
@@ -56,6 +58,21 @@
     await this.send(entry, record, shown)
   }
 
+  /** The request that ends each endpoint that runs it, under an id of its own, at a drawn entry. */
+  async callFatal(): Promise<void> {
+    const entry = this.fleet.entries[Math.floor(this.random() * this.fleet.entries.length)]!
+    this.count += 1
+    const record: CallRecord = {
+      id: `r${this.count}`,
+      kind: 'safe',
+      status: 0,
+      body: '',
+      isWhole: false,
+      stamp: '',
+    }
+    await this.send(entry, record, { key: STEADY_KEY }, FATAL)
+  }
+
   /** One request with a given key at an entry; its status, or 0 where no answer began. */
   async statusWith(entry: SoakMachine, key: string): Promise<number> {
     this.count += 1
@@ -72,10 +89,10 @@
     return record.status
   }
 
-  private send(entry: SoakMachine, record: CallRecord, { key }: SoakKey): Promise<void> {
+  private send(entry: SoakMachine, record: CallRecord, { key }: SoakKey, rest = 'x'): Promise<void> {
     const url = this.fleet.callers(entry)
     return new Promise((resolve) => {
-      const request = httpRequest(`${url}${PATHS[record.kind]}x`, {
+      const request = httpRequest(`${url}${PATHS[record.kind]}${rest}`, {
         method: record.kind === 'safe' ? 'GET' : 'POST',
         agent: false,
         headers: {
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -2,6 +2,7 @@
 import got from 'got'
 import type { Random } from '@forkstage/clock'
 import type { Arrival } from './checkEvacuations'
+import { FATAL, type FatalArrivals } from './checkFatal'
 import { COLD, DOMAINS } from './machineSettings'
 import type { SeenRun } from './soakWorkspaces'
 
@@ -24,6 +25,8 @@
   runs: Map<string, number>
   /** Every run, with what the endpoint was told of its caller. */
   seen: SeenRun[]
+  /** What has ended endpoints. */
+  fatal: FatalArrivals
 }
 
 const BEAT_MS = 800
@@ -183,6 +186,7 @@
     if (path === '/health') return this.tellHealth(response)
     if (path === '/order') return void response.writeHead(409).end()
     this.arrivals.push({ request: idOf(request), domain: this.zone, at: Date.now() })
+    if (path.endsWith(FATAL)) return this.endUnder()
     this.checkDrained(request)
     this.checkCold()
     if (this.fault === 'refuse') return this.refuse(response)
@@ -191,6 +195,14 @@
     this.stream(request, response)
   }
 
+  /** Begins to run what ends it. */
+  private endUnder(): void {
+    // A second one that had been taken in ends what has ended already.
+    if (this.server?.listening !== true) return
+    this.options.fatal.at.push(Date.now())
+    void this.crash()
+  }
+
   private get zone(): string {
     return this.options.zone ?? DOMAINS[0]
   }
--- a/tools/fleet-soak/test/evacuation.test.ts
+++ b/tools/fleet-soak/test/evacuation.test.ts
@@ -28,6 +28,7 @@
       handles: new Set(),
       runs: new Map(),
       seen: runs,
+      fatal: { at: [] },
     }),
 )
 const callers = new SoakCallers(fleet, createSeededRandom(7), () => 1)
