--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -69,9 +69,11 @@
 }
 
 const SEEDS = [1, 2, 3]
+/** A loopback network of this process's own, so that tests of two checkouts can run side by side. */
+const NETWORK = `127.${64 + ((process.pid >> 8) & 63)}.${process.pid & 255}`
 const FIRST_ENTRY = 100
 
-/** Control machines at 127.0.0.1, .2 and so on, which share ports, and entries from 127.0.0.100 on. */
+/** Control machines at .1, .2 and so on of a loopback network, which share ports, and entries from .100 on. */
 export class FleetWorld {
   private readonly folder = mkdtempSync(join(tmpdir(), 'forkstage-fleet-'))
   readonly control = new Map<number, ControlMachine>()
@@ -91,11 +93,11 @@
   }
 
   operators(number: number): string {
-    return `http://127.0.0.${number}:${this.port + 1}`
+    return `http://${NETWORK}.${number}:${this.port + 1}`
   }
 
   callers(entry: number): string {
-    return `http://127.0.0.${entry}:${this.port + 2}`
+    return `http://${NETWORK}.${entry}:${this.port + 2}`
   }
 
   async startControl(number: number, found = true): Promise<ControlMachine> {
@@ -225,7 +227,7 @@
   }
 
   private basics(number: number, role: 'entry' | 'control', found: boolean) {
-    const ip = `127.0.0.${number}`
+    const ip = `${NETWORK}.${number}`
     const listen =
       role === 'control'
         ? `operators = "${ip}:${this.port + 1}"`
@@ -242,7 +244,7 @@
 [peers]
 shared_key = "a key for the tests of the fleet"
 [control]
-seeds = [${SEEDS.map((seed) => `"127.0.0.${seed}:1"`).join(', ')}]
+seeds = [${SEEDS.map((seed) => `"${NETWORK}.${seed}:1"`).join(', ')}]
 found = ${found}
 losses = 1
 [stop]
