test(gateway): a place at a life that has ended, not used yet, is given again at the new life

Change: the test only; the sending to the old process is refused, and the request gets another place.

--- a/request/gateway/test/startedAnew.test.ts
+++ b/request/gateway/test/startedAnew.test.ts
@@ -87,4 +87,18 @@
     expect(other.seen).toHaveLength(resumable ? 1 : 0)
     await Promise.all([world.stop(), worker.stop(), other.stop()])
   })
+
+  it('gets a new place at the new life where the old one was given a place that was not used yet', async () => {
+    const { world, worker, startAnew } = await startWorld(streams, 'streaming')
+    let other: FakeWorker | undefined
+    world.onPlace = () => {
+      if (world.places.length > 1) return
+      void worker.stop()
+      void startAnew(streams).then((started) => (other = started))
+    }
+    const answer = await world.send('/p/a', sent)
+    expect(answer).toMatchObject({ status: 200, isWhole: true })
+    expect([worker.seen.length, other!.seen.length]).toEqual([0, 1])
+    await Promise.all([world.stop(), other!.stop()])
+  })
 })
