--- a/tools/fleet-soak/src/soakCallers.ts
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -43,15 +43,7 @@
     const kinds = Object.keys(PATHS) as (keyof typeof PATHS)[]
     const kind = kinds[Math.floor(this.random() * kinds.length)]!
     const entry = this.fleet.entries[Math.floor(this.random() * this.fleet.entries.length)]!
-    this.count += 1
-    const record: CallRecord = {
-      id: `r${this.count}`,
-      kind,
-      status: 0,
-      body: '',
-      isWhole: false,
-      stamp: '',
-    }
+    const record = this.newRecord(kind)
     this.calls.push(record)
     const shown = drawKey(this.random, this.version())
     this.keys.set(record.id, shown)
@@ -61,34 +53,23 @@
   /** The request that ends each endpoint that runs it, under an id of its own, at a drawn entry. */
   async callFatal(): Promise<void> {
     const entry = this.fleet.entries[Math.floor(this.random() * this.fleet.entries.length)]!
-    this.count += 1
-    const record: CallRecord = {
-      id: `r${this.count}`,
-      kind: 'safe',
-      status: 0,
-      body: '',
-      isWhole: false,
-      stamp: '',
-    }
+    const record = this.newRecord('safe')
     await this.send(entry, record, { key: STEADY_KEY }, FATAL)
   }
 
   /** One request with a given key at an entry; its status, or 0 where no answer began. */
   async statusWith(entry: SoakMachine, key: string): Promise<number> {
-    this.count += 1
-    const record: CallRecord = {
-      id: `r${this.count}`,
-      kind: 'safe',
-      status: 0,
-      body: '',
-      isWhole: false,
-      stamp: '',
-    }
+    const record = this.newRecord('safe')
     this.keys.set(record.id, { key })
     await this.send(entry, record, { key })
     return record.status
   }
 
+  private newRecord(kind: CallRecord['kind']): CallRecord {
+    this.count += 1
+    return { id: `r${this.count}`, kind, status: 0, body: '', isWhole: false, stamp: '' }
+  }
+
   private send(entry: SoakMachine, record: CallRecord, { key }: SoakKey, rest = 'x'): Promise<void> {
     const url = this.fleet.callers(entry)
     return new Promise((resolve) => {
