feat(gateway): the log tells who ended an answer, with how much time left

Cause: three ways in which a begun answer may end from this side could not be told apart. Whoever's connection was destroyed here was written as 'caller gone'; an answer that ended here and never left was written as 'answered'; a cut answer did not say how much time it had. Ruled out: a line of its own for each cut, since request.answered stands there already. Change: answer.unsent (request, bytes, by whom), 'cut: the entry has ended', cutWithLeftMs. No decision is changed.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -213,8 +213,12 @@
     firstEventMs?: number
     /** The longest time between two events of a stream. */
     longestPauseMs?: number
+    /** The time that was left when the entry cut an answer that had begun. */
+    cutWithLeftMs?: number
     sends: unknown[]
   }
+  /** An answer had ended here, and its connection was closed before its last bytes had left. */
+  'answer.unsent': { request: string; bytes: number; by: 'entry' | 'caller' }
   'peer.connected': { peer: string; box: string }
   'peer.lost': { peer: string; reason: string }
   'peer.refused': { peer: string; reason: string }
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -8,10 +8,11 @@
   type RouteIndex,
 } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
-import { readCallerRequest, type CallerRequest } from './callerRequest'
+import { readCallerRequest, single, type CallerRequest } from './callerRequest'
 import { FirstDeadlines } from './firstDeadlines'
 import { homesOf } from './homeRule'
 import { sendOwnAnswer } from './ownAnswer'
+import { CALLER_GONE } from './relayAnswers'
 import { relayPlain } from './plainRelay'
 import type { TokenCounts } from './gatewayWire'
 import type { RelayParts, RelayResult } from './relayParts'
@@ -57,6 +58,7 @@
 /** A control machine that is there answers within some milliseconds. */
 const SURE_WITHIN_MS = 250
 const ANSWERED = 'answered'
+const ENTRY_ENDED = 'cut: the entry has ended'
 /** A newer sheet that this entry has heard of is here in a moment. */
 const WAIT_FOR_NEWER_MS = 250
 
@@ -67,6 +69,8 @@
   private leaving = false
   /** Takes no more requests, also not on connections that are still open. */
   private isClosed = false
+  /** Has ended every connection: who is gone since then has not left by itself. */
+  private hasEndedAll = false
   private readonly deadlines = new FirstDeadlines()
   /** Requests being served. */
   running = 0
@@ -105,6 +109,7 @@
 
   /** Ends every connection at once. */
   closeAll(): void {
+    this.hasEndedAll = true
     this.server.close()
     this.sockets.forEach((socket) => socket.destroy())
   }
@@ -122,6 +127,7 @@
     response.on('finish', () => {
       if (this.leaving) incoming.socket.destroySoon()
     })
+    response.on('close', () => this.noteUnsent(incoming, response))
     try {
       await this.serveOne(incoming, response)
     } finally {
@@ -129,6 +135,17 @@
     }
   }
 
+  /** An answer that has ended here, and whose last bytes never left, is written down as answered. */
+  private noteUnsent(incoming: IncomingMessage, response: ServerResponse): void {
+    if (!response.writableEnded || response.writableFinished) return
+    const { wire, logger } = this.options.parts
+    logger.warn('answer.unsent', {
+      request: single(incoming.headers[wire.headers.requestId]) ?? '',
+      bytes: incoming.socket.writableLength,
+      by: this.hasEndedAll || this.isClosed ? 'entry' : 'caller',
+    })
+  }
+
   private async serveOne(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const { parts, routes } = this.options
     const limits = routes()?.sheet.limits ?? DEFAULT_CALLER_LIMITS
@@ -224,7 +241,9 @@
   private report(request: CallerRequest, { hasNotRun: _, ...result }: Routed): void {
     const { parts, onResult } = this.options
     const tookMs = Math.round(parts.clock.now() - request.arrivedAt)
-    const report = { request: request.id, tookMs, ...result }
+    const isEndedHere = this.hasEndedAll && result.outcome === CALLER_GONE
+    const outcome = isEndedHere ? ENTRY_ENDED : result.outcome
+    const report = { request: request.id, tookMs, ...result, outcome }
     // What explains a failure must be the last to be left out of the log.
     const isGood = result.status >= 200 && result.status < 500
     if (isGood) parts.logger.info('request.answered', report)
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -9,7 +9,7 @@
 import { judgeAnswer } from './judgeAnswer'
 import { noteLost } from './noteLost'
 import { sendEndpointAnswer } from './ownAnswer'
-import { answerFailure, answerRefusal, PROMISES, type OwnResult } from './relayAnswers'
+import { answerFailure, answerRefusal, CALLER_GONE, PROMISES, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -252,7 +252,7 @@
   }
 
   private overResult(): OwnResult {
-    if (this.job.request.isGone()) return { status: 0, outcome: 'caller gone' }
+    if (this.job.request.isGone()) return { status: 0, outcome: CALLER_GONE }
     return { status: 504, outcome: 'the time is up' }
   }
 }
--- a/request/gateway/src/relayAnswers.ts
+++ b/request/gateway/src/relayAnswers.ts
@@ -8,6 +8,9 @@
 /** Answers of an endpoint that promise that nothing ran; never sent on for a request that did. */
 export const PROMISES = new Set([408, 421, 429, 503])
 
+/** What became of a request whose caller closed its connection. */
+export const CALLER_GONE = 'caller gone'
+
 /** What an answer of this entry's own leaves in the log. */
 export type OwnResult = Omit<RelayResult, 'sends'>
 
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -56,6 +56,8 @@
   firstEventMs?: Millis
   /** The longest time between two events of its stream. */
   longestPauseMs?: Millis
+  /** The time that was left of the caller's and the route's when this entry cut an answer that had begun. */
+  cutWithLeftMs?: Millis
   /** Whether no endpoint has run it, and none will. */
   hasNotRun?: boolean
 }
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -19,7 +19,7 @@
 import { noteLost } from './noteLost'
 import { endWithConnection } from './ownAnswer'
 import { PromptReading, type PromptReader } from './promptReading'
-import { answerFailure, answerRefusal, passFailure, type OwnResult } from './relayAnswers'
+import { answerFailure, answerRefusal, CALLER_GONE, passFailure, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -319,7 +319,8 @@
     const { response } = this.job.request
     if (this.head !== undefined) {
       response.destroy()
-      return { status: this.head.status, outcome: `cut: ${reason}` }
+      const cutWithLeftMs = Math.round(this.job.endsAt - this.parts.clock.now())
+      return { status: this.head.status, outcome: `cut: ${reason}`, cutWithLeftMs }
     }
     if (this.mayHaveRun > 0) return answerFailure(this.job.request.response, 502, reason)
     return answerRefusal(response, reason, retryAfterMs)
@@ -339,7 +340,7 @@
   }
 
   private overResult(): OwnResult {
-    if (this.job.request.isGone()) return { status: this.head?.status ?? 0, outcome: 'caller gone' }
+    if (this.job.request.isGone()) return { status: this.head?.status ?? 0, outcome: CALLER_GONE }
     return { status: this.head?.status ?? 504, outcome: 'the time is up' }
   }
 }
