fix(gateway): a begun answer is owed until its time is up, its caller or its engine has gone

Beside it a list of endpoints was believed more than the bytes that still came from one, and a listener that stopped destroyed answers that had ended here and not left. Ruled out: the caller's or the route's time (6 to 11 of 14 s were left), a sheet that changes the time of what is under way (read once, at the start). Change: afterTry decides by whether the answer has begun, without I/O: a refusal never ends one while there is time, it asks again after 50 to 400 ms. KeptRun holds the memory of a stopped run: taker and source by turns; until it lapses where nothing may run twice. The last copy's answer lost: what was copied first is used. A stopped engine is no longer blamed with a failure. An engine's failure in the middle of an answer counts as a loss (the answer stayed open without an end). The sending of a repeat is drawn before its prompt is read. The leader lets begun answers go first (isBegun). cancelWhenEnded believes a list only once nothing comes for 400 ms. OpenAnswers counts answers until their bytes have left; entries and boxes wait for them.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -217,6 +217,8 @@
     cutWithLeftMs?: number
     sends: unknown[]
   }
+  /** An answer that has begun was turned away, and waits to go on; one line until its next event. */
+  'answer.waits': { request: string; reason: string; leftMs: number }
   /** An answer had ended here, and its connection was closed before its last bytes had left. */
   'answer.unsent': { request: string; bytes: number; by: 'entry' | 'caller' }
   'peer.connected': { peer: string; box: string }
--- a/daemon/daemon/src/boxDaemon.ts
+++ b/daemon/daemon/src/boxDaemon.ts
@@ -1,5 +1,6 @@
 import type { Server } from 'node:http'
 import type { Container } from 'inversify'
+import { OpenAnswers } from '@forkstage/answers'
 import { createCallerApp } from '@forkstage/caller-api'
 import { delay, every, type CancelTimer } from '@forkstage/clock'
 import { createOperatorApp } from '@forkstage/operator-api'
@@ -26,6 +27,8 @@
   private readonly parts: Container
   private readonly timers: CancelTimer[] = []
   private servers: Server[] = []
+  /** Answers to callers that have not left yet. */
+  private answers: OpenAnswers | undefined
   private peerServer: PeerServer | undefined
   private stopping: Promise<number> | undefined
   private markStopped: (cut: number) => void = () => undefined
@@ -49,10 +52,10 @@
     })
     const operators = createOperatorApp({ settings, service: parts.get(FLEET) })
     const callers = this.createCallers()
-    this.servers = [
-      await listenHttp(operators, settings.listen.operators),
-      await listenHttp(callers, settings.listen.callers),
-    ]
+    const forOperators = await listenHttp(operators, settings.listen.operators)
+    const forCallers = await listenHttp(callers, settings.listen.callers)
+    this.answers = new OpenAnswers(forCallers)
+    this.servers = [forOperators, forCallers]
     parts.get(PARTS.groups).start()
     parts.get(PARTS.follower).start()
     parts.get(PARTS.ownerService).start()
@@ -160,8 +163,11 @@
     parts.get(PARTS.groups).transferLeadership()
     await this.waitWhile(() => true, settings.stop.unready_ms)
     state.phase = 'draining'
+    const endsAt = clock.now() + settings.stop.drain_ms
     await this.waitWhile(() => this.running() > 0, settings.stop.drain_ms)
     const cut = parts.get(PARTS.runs).cutAll()
+    // What has ended may still lie here while its caller reads slowly.
+    await this.waitWhile(() => (this.answers?.count ?? 0) > 0, Math.max(SETTLE_MS, endsAt - clock.now()))
     await this.waitWhile(() => parts.get(PARTS.releases).pending > 0, SETTLE_MS * 4)
     await delay(clock, SETTLE_MS)
     state.phase = 'stopped'
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -132,7 +132,7 @@
 
   /** Asks for a place; the answer comes at once or when there is room, at the latest after the hold time. */
   ask(ask: PlaceAsk, now: Millis, resolve: (decision: PlaceDecision) => void): void {
-    if (!ask.isReturn && !ask.isPrefilled)
+    if (!ask.isReturn && !ask.isPrefilled && ask.isBegun !== true)
       this.stages.noteDemand(ask.service, ask.promptTokens, this.book.heldTokens(ask), now)
     const refusal = this.refuseAtOnce(ask, now)
     if (refusal !== undefined) return resolve(refusal)
@@ -317,7 +317,7 @@
         engine,
         isInTime,
         leftMs: ask.targetMs - (now - since),
-        memoryShare: isInTime || ask.isPrefilled ? memoryShare : lateMemoryShare,
+        memoryShare: isInTime || ask.isPrefilled || ask.isBegun === true ? memoryShare : lateMemoryShare,
       },
       now,
     )
--- a/placement/allocator/src/waitingRoom.ts
+++ b/placement/allocator/src/waitingRoom.ts
@@ -73,7 +73,8 @@
   }
 
   /**
-   * The order in which requests get places: those whose prompt is read already; those that can still be in time, whose
+   * The order in which requests get places: those whose answer has begun, which nobody else can end, and those whose
+   * prompt is read already; those that can still be in time, whose
    * sending failed, then new ones, then callers that came back, as the order says; late ones, whose sending failed
    * first: an engine has most likely read their prompt and keeps it, and was paid for it. Then by rank and age.
    */
@@ -112,6 +113,7 @@
   }
 
   private groupOf(one: Waiting, now: Millis): number {
+    if (one.ask.isBegun === true) return -1
     if (one.ask.isPrefilled) return 0
     const isSentBefore = one.ask.except.length > 0
     if (!this.isInTime(one, now)) return isSentBefore ? 3 : 4
--- a/placement/allocator/test/waitingRoom.test.ts
+++ b/placement/allocator/test/waitingRoom.test.ts
@@ -59,4 +59,15 @@
     const order = waiting.inOrder(5).map((one) => one.ask.request)
     expect(order).toEqual(['failed', 'new', 'back', 'late, failed', 'late'])
   })
+
+  it('lets those go first whose answer has begun, also late ones: nobody else can end it', () => {
+    const waiting = new WaitingRoom((one) => one.ask.targetMs, 'returns-last')
+    const add = (request: string, fields: Partial<PlaceAsk>, since: number) =>
+      waiting.add({ ask: ask(request, fields), since, isKept: false, resolve: () => undefined })
+    add('new', {}, 0)
+    add('read', { isPrefilled: true }, 1)
+    add('begun', { targetMs: -4_000, promptMs: 0, isBegun: true }, 2)
+    expect(waiting.inOrder(3).map((one) => one.ask.request)).toEqual(['begun', 'read', 'new'])
+    expect(waiting.takeHopeless(10_000).map((one) => one.ask.request)).not.toContain('begun')
+  })
 })
--- /dev/null
+++ b/request/gateway/src/afterTry.ts
@@ -0,0 +1,67 @@
+import type { Millis } from '@forkstage/types'
+import { ANSWER_MARGIN_MS } from './relayParts'
+
+/**
+ * How a try at an answer failed. `refused`: no place, no sending is left, or nothing there may be used now. `not-run`: an
+ * engine that was sent to proves that it did not run, `arrived` where it says so itself. `lost`: an engine has broken off.
+ */
+export type FailedTry = { type: 'refused' } | { type: 'not-run'; arrived: boolean } | { type: 'lost' }
+
+/** What is known when a try has failed. */
+export interface TryState {
+  /** Whether the caller has the head of its answer. */
+  hasBegun: boolean
+  /** Whether an answer that has begun may be made anew from where it is. */
+  isResumable: boolean
+  /** Until the caller's time or the route's is up. */
+  leftMs: Millis
+  /** Tries that ended as not run, this one included. */
+  refusals: number
+  /** Whether the route lets one more engine run it. */
+  hasEngineLeft: boolean
+  /** Whether the entries' allowance lets one more sending leave; asked only where that decides. */
+  hasSendingLeft: () => boolean
+  /** Waits in a row, without an event between them. */
+  waits: number
+}
+
+/** What follows a try that has failed. */
+export type AfterTry = { type: 'end' } | { type: 'again'; afterMs: Millis }
+
+/** Less time than this is not worth another try. */
+const LEAST_LEFT_MS: Millis = ANSWER_MARGIN_MS * 2
+const MOST_REFUSALS = 3
+/** An engine ends an answer every some ten milliseconds, so that one that was full a moment ago may have room. */
+const FIRST_WAIT_MS: Millis = 50
+/** While all turn it away, an answer that has begun asks so seldom that it costs whoever places less than reporting it does. */
+const LONGEST_WAIT_MS: Millis = 400
+
+const END: AfterTry = { type: 'end' }
+const AT_ONCE: AfterTry = { type: 'again', afterMs: 0 }
+
+/**
+ * Decides whether another try follows. A request that has not begun may be refused, and its caller comes back; one that
+ * has begun has nobody else to go to: no refusal ends it while there is time, as long as it may go on anywhere.
+ */
+export function afterTry(failed: FailedTry, state: TryState): AfterTry {
+  if (state.leftMs < LEAST_LEFT_MS) return END
+  return state.hasBegun ? afterBegun(failed, state) : afterUnbegun(failed, state)
+}
+
+function afterBegun(failed: FailedTry, { isResumable, hasEngineLeft, waits }: TryState): AfterTry {
+  if (!isResumable) return END
+  if (failed.type === 'lost') return hasEngineLeft ? AT_ONCE : END
+  return { type: 'again', afterMs: waitMs(waits) }
+}
+
+function afterUnbegun(failed: FailedTry, state: TryState): AfterTry {
+  if (failed.type === 'refused' || state.refusals > MOST_REFUSALS) return END
+  if (failed.type === 'not-run' && !failed.arrived) return AT_ONCE
+  if (failed.type === 'lost' && !state.isResumable) return END
+  return state.hasEngineLeft && state.hasSendingLeft() ? AT_ONCE : END
+}
+
+/** How long to wait after so many waits in a row. */
+export function waitMs(waits: number): Millis {
+  return Math.min(LONGEST_WAIT_MS, FIRST_WAIT_MS * 2 ** waits)
+}
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -25,6 +25,8 @@
   limit: ConcurrencyLimit
   /** Whether another process was found at its address. */
   isGone: boolean
+  /** When this entry heard that it leaves; absent until then. */
+  leavingSince?: Millis
   /** What to call when its process turns out to have ended. */
   watchers: Set<(reason: string) => void>
 }
@@ -228,6 +230,7 @@
     if (endpoint.state === 'left') return void this.pooled.delete(endpoint.id)
     if (endpoint.state === 'ended') return this.end(endpoint.id)
     if (known !== undefined) {
+      if (endpoint.state === 'draining') known.leavingSince ??= this.options.clock.now()
       known.endpoint = endpoint
       return
     }
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -19,7 +19,8 @@
 export type Attempt =
   | { type: 'done' }
   | { type: 'passed'; status: number }
-  | { type: 'not-run'; arrived: boolean; reason: string }
+  /** `isGone`: the engine that was meant is not there any more. */
+  | { type: 'not-run'; arrived: boolean; reason: string; isGone?: boolean }
   /** It may have run; `begun` where events were passed on. */
   | { type: 'lost'; reason: string }
   /** Nothing was sent: the allowance of repeated sendings is used up. */
@@ -28,6 +29,8 @@
 
 /** What the stream of one engine needs of its request. */
 export interface StreamOwner {
+  /** Whether the caller has a part of its answer. */
+  readonly hasBegun: boolean
   judge(head: AnswerHead, instance: string): Verdict
   noteMayHaveRun(): void
   /** Passes on the events that the caller does not have yet. */
@@ -71,12 +74,12 @@
   end(end: ExchangeEnd): { attempt: Attempt; note: SendOutcome } {
     if (!end.complete && !end.sent)
       return {
-        attempt: { type: 'not-run', arrived: false, reason: end.reason },
+        attempt: { type: 'not-run', arrived: false, reason: end.reason, isGone: end.refused },
         note: end.refused ? 'unreachable' : 'failed',
       }
     if (this.head !== undefined && this.verdict === 'other-instance')
       return {
-        attempt: { type: 'not-run', arrived: true, reason: 'another instance' },
+        attempt: { type: 'not-run', arrived: true, reason: 'another instance', isGone: true },
         note: 'other-instance',
       }
     if (this.head !== undefined && this.verdict === 'not-run')
@@ -85,6 +88,12 @@
     if (!end.complete) return { attempt: { type: 'lost', reason: end.reason }, note: 'failed' }
     if (this.verdict === 'foreign')
       return { attempt: { type: 'lost', reason: 'not an answer to this request' }, note: 'failed' }
+    // A failure cannot be passed on in the middle of an answer: it would stay open, without its end.
+    if (!this.isSuccess && this.run.hasBegun)
+      return {
+        attempt: { type: 'lost', reason: `the engine failed with ${this.head!.status}` },
+        note: 'failed',
+      }
     if (!this.isSuccess) {
       const status = this.run.passFailure(this.head!, Buffer.concat(this.failure))
       return { attempt: { type: 'passed', status }, note: 'failed' }
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -46,6 +46,11 @@
   cancel(reason: string): void
   pause(): void
   resume(): void
+  /**
+   * How long its endpoint has sent nothing; Infinity until its answer begins, and 0 while it is paused here, where nothing
+   * would be noticed.
+   */
+  silentMs(): Millis
 }
 
 const REFUSED = 'ECONNREFUSED'
@@ -60,6 +65,8 @@
   let answer: IncomingMessage | undefined
   let sent = false
   let ended = false
+  let isPaused = false
+  let heardAt = -Infinity
   const end = (result: ExchangeEnd) => {
     if (ended) return
     ended = true
@@ -90,6 +97,8 @@
   request.on('error', (error) => fail(error.message, (error as NodeJS.ErrnoException).code))
   request.on('response', (incoming) => {
     answer = incoming
+    heardAt = clock.now()
+    incoming.on('data', () => (heardAt = clock.now()))
     readAnswer(incoming, options, { end, fail, isOver: () => ended })
   })
   request.on('close', () => {
@@ -98,8 +107,16 @@
   request.end(body)
   return {
     cancel: (reason) => fail(reason),
-    pause: () => answer?.pause(),
-    resume: () => answer?.resume(),
+    pause: () => {
+      isPaused = true
+      answer?.pause()
+    },
+    resume: () => {
+      isPaused = false
+      heardAt = clock.now()
+      answer?.resume()
+    },
+    silentMs: () => (isPaused ? 0 : clock.now() - heardAt),
   }
 }
 
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { OpenAnswers } from '@forkstage/answers'
 import {
   chooseService,
   DEFAULT_CALLER_LIMITS,
@@ -65,15 +65,14 @@
 /** The listener for callers: finds the route of each request and has it relayed. */
 export class Ingress {
   readonly server: Server
-  private readonly sockets = new Set<Socket>()
+  private readonly answers: OpenAnswers
   private leaving = false
   /** Takes no more requests, also not on connections that are still open. */
   private isClosed = false
   /** Has ended every connection: who is gone since then has not left by itself. */
   private hasEndedAll = false
   private readonly deadlines = new FirstDeadlines()
-  /** Requests being served. */
-  running = 0
+  private served = 0
 
   constructor(private readonly options: IngressOptions) {
     this.server = createServer(
@@ -85,10 +84,15 @@
       },
       (incoming, response) => void this.serve(incoming, response),
     )
-    this.server.on('connection', (socket) => this.track(socket))
+    this.answers = new OpenAnswers(this.server)
     this.setLimits(DEFAULT_CALLER_LIMITS)
   }
 
+  /** Requests being served, and those whose answers have not left yet. */
+  get running(): number {
+    return Math.max(this.served, this.answers.count)
+  }
+
   /** Takes the limits of a newer sheet. */
   setLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs
@@ -103,35 +107,29 @@
   /** Stops listening and closes what carries no request. */
   close(): void {
     this.isClosed = true
-    this.server.close()
-    this.server.closeIdleConnections()
+    this.answers.close()
   }
 
   /** Ends every connection at once. */
   closeAll(): void {
     this.hasEndedAll = true
-    this.server.close()
-    this.sockets.forEach((socket) => socket.destroy())
-  }
-
-  private track(socket: Socket): void {
-    this.sockets.add(socket)
-    socket.on('close', () => this.sockets.delete(socket))
+    this.answers.closeAll()
   }
 
   private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.running += 1
+    this.served += 1
     response.sendDate = false
     if (this.leaving) response.setHeader('Connection', 'close')
     // An answer that began before said nothing of it, so that its caller would keep the connection.
     response.on('finish', () => {
-      if (this.leaving) incoming.socket.destroySoon()
+      const isLast = this.answers.countOn(incoming.socket) <= 1
+      if (this.leaving && isLast) incoming.socket.destroySoon()
     })
     response.on('close', () => this.noteUnsent(incoming, response))
     try {
       await this.serveOne(incoming, response)
     } finally {
-      this.running -= 1
+      this.served -= 1
     }
   }
 
--- /dev/null
+++ b/request/gateway/src/keptRun.ts
@@ -0,0 +1,83 @@
+import type { AtHome } from '@forkstage/topology'
+import type { Millis } from '@forkstage/types'
+import type { PooledEndpoint } from './endpointPool'
+import { releaseHandle } from './releaseHandle'
+import type { RelayJob, RelayParts } from './relayParts'
+import { whyNotSend } from './sendRules'
+
+/** Where a stopped run can go on. */
+export interface StoppedRun {
+  /** The engine that keeps the memory, under this handle. */
+  source: AtHome<PooledEndpoint>
+  handle: string
+  /** The engine that has a copy; absent where there is none. */
+  copiedTo?: AtHome<PooledEndpoint>
+}
+
+/** Engines keep the memory for a stated time and somewhat longer; a sending that comes too late is only turned away. */
+const LASTS_FACTOR = 2
+/** An engine that has just said that it leaves still takes what was copied there before. */
+const LEAVING_TAKES_MS: Millis = 500
+
+/** The memory of a run that was stopped from here: where the run may go on from it, and for how long. */
+export class KeptRun {
+  private readonly lapsesAt: Millis
+  private readonly gone = new Set<PooledEndpoint>()
+  private tried: PooledEndpoint[] = []
+  /** How often every engine that may take it has been tried. */
+  rounds = 0
+
+  constructor(
+    private readonly parts: RelayParts,
+    private readonly job: RelayJob,
+    readonly run: StoppedRun,
+  ) {
+    const keptMs = job.service.engine?.handleMs ?? 0
+    this.lapsesAt = parts.clock.now() + keptMs * LASTS_FACTOR
+  }
+
+  /** Whether nothing can go on from it any more. */
+  get isLost(): boolean {
+    return this.engines().length === 0 || this.parts.clock.now() >= this.lapsesAt
+  }
+
+  /** Begins another round of tries: who turned it away may take it now. */
+  startOver(): void {
+    this.rounds += 1
+    this.tried = []
+  }
+
+  /** The engine to try now; undefined where none may get it now. */
+  next(): AtHome<PooledEndpoint> | undefined {
+    const { parts, job } = this
+    const untried = this.usable().filter((one) => !this.tried.includes(one))
+    const at = untried.find((one) => whyNotSend(parts, job, one.endpoint, 'decode') === undefined)
+    if (at !== undefined) this.tried.push(at)
+    return at
+  }
+
+  /** An engine that has it is not there any more. */
+  noteGone(engine: PooledEndpoint): void {
+    this.gone.add(engine)
+  }
+
+  /** Frees what no engine took. */
+  release(): void {
+    releaseHandle(this.parts, this.run.source.endpoint.address, this.run.handle)
+  }
+
+  private usable(): AtHome<PooledEndpoint>[] {
+    return this.engines().filter((one) => this.takesWork(one))
+  }
+
+  private engines(): AtHome<PooledEndpoint>[] {
+    const { copiedTo, source } = this.run
+    return [copiedTo, source].filter((one) => one !== undefined).filter((one) => !this.gone.has(one))
+  }
+
+  private takesWork(one: PooledEndpoint): boolean {
+    const { pool, clock } = this.parts
+    if (pool.get(one.endpoint.id) !== one) return false
+    return one.endpoint.state === 'ready' || clock.now() < (one.leavingSince ?? -Infinity) + LEAVING_TAKES_MS
+  }
+}
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -33,6 +33,8 @@
   except: ReadonlySet<string>
   /** Whether the memory of a prefill step is at hand already. */
   isPrefilled: boolean
+  /** Whether its caller has a part of its answer, which goes on where it gets a place. */
+  isBegun?: boolean
   /** The regions that it may be served in; absent where any will do. Empty where none will. */
   regions?: Homes
   /** The parts of its prompt in order; absent where its caller named none. */
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -2,6 +2,7 @@
 import { nameOf } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
+import { cancelWhenEnded } from './cancelWhenEnded'
 import { dropHeaders } from './callerRequest'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import { COLD_REASON } from './coldGate'
@@ -150,7 +151,7 @@
       maxBytes: MAX_ANSWER_BYTES,
       onOpen: (exchange) => {
         this.exchange = exchange
-        unwatch = parts.pool.onEnded(to, (reason) => exchange.cancel(reason))
+        unwatch = cancelWhenEnded(parts, to, exchange)
       },
     })
     unwatch()
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -1,5 +1,6 @@
 import { nameOf } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
+import { cancelWhenEnded } from './cancelWhenEnded'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import type { Exchange } from './exchange'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
@@ -58,7 +59,7 @@
     withinMs: limitMs(place, job),
     onOpen: (exchange) => {
       onOpen(exchange)
-      unwatch = parts.pool.onEnded(at, (reason) => exchange.cancel(reason))
+      unwatch = cancelWhenEnded(parts, at, exchange)
     },
   })
   unwatch()
--- a/request/gateway/src/runMove.ts
+++ b/request/gateway/src/runMove.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint } from './endpointPool'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
+import type { StoppedRun } from './keptRun'
 import { releaseHandle } from './releaseHandle'
 import type { RelayParts } from './relayParts'
 
@@ -11,15 +12,6 @@
 const MAX_ANSWER_BYTES = 64 * 1024
 const OK = 200
 
-/** Where a stopped run can go on. */
-export interface StoppedRun {
-  /** The engine that keeps the memory, under this handle. */
-  source: AtHome<PooledEndpoint>
-  handle: string
-  /** The engine that has a copy; absent where there is none. */
-  copiedTo?: AtHome<PooledEndpoint>
-}
-
 /** A run that moves from one engine to another: first what it holds is copied while it goes on, then it stops. */
 export class RunMove {
   private handle: string | undefined
@@ -50,7 +42,8 @@
   /** Stops the run and copies what is new. */
   stop(): void {
     this.stopping ??= this.call(true).then(({ outcome, handle }) => {
-      if (handle === undefined) return undefined
+      // Where the answer is lost the engine may have stopped all the same: what was copied before is still there.
+      if (handle === undefined) return this.copied()
       const isCopied = outcome.type === 'answer' && outcome.head.status === OK
       return { source: this.source, handle, copiedTo: isCopied ? this.to : undefined }
     })
@@ -61,6 +54,11 @@
     return this.stopping ?? Promise.resolve(undefined)
   }
 
+  private copied(): StoppedRun | undefined {
+    const { source, to, handle } = this
+    return handle === undefined ? undefined : { source, handle, copiedTo: to }
+  }
+
   /** Frees a copy that nobody takes. */
   release(): void {
     if (this.handle !== undefined) releaseHandle(this.parts, this.source.endpoint.address, this.handle)
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -1,11 +1,13 @@
+import { delay } from '@forkstage/clock'
 import type { AtHome } from '@forkstage/topology'
+import { waitMs } from './afterTry'
 import type { Attempt } from './engineStream'
 import type { PooledEndpoint } from './endpointPool'
 import type { AnswerHead, Exchange } from './exchange'
+import { KeptRun } from './keptRun'
 import type { ModelPlace } from './modelPlacer'
-import { releaseHandle } from './releaseHandle'
 import type { RelayJob, RelayParts } from './relayParts'
-import { RunMove, type StoppedRun } from './runMove'
+import { RunMove } from './runMove'
 import type { CountedSending, SendCount } from './sendCount'
 import { whyNotSend } from './sendRules'
 
@@ -31,6 +33,8 @@
 export class RunMoves {
   private move: RunMove | undefined
   private sending: CountedSending | undefined
+  /** The memory of the run, from its stop until an engine has taken it. */
+  private kept: KeptRun | undefined
 
   constructor(
     private readonly parts: RelayParts,
@@ -62,36 +66,70 @@
     this.move = undefined
   }
 
-  /** Where the run goes on after its stream has ended; undefined where it does not. */
-  async next(attempt: Attempt): Promise<NextRun | undefined> {
-    const { move, sending } = this
-    if (move?.hasStopped !== true || sending === undefined) return undefined
-    this.move = undefined
+  /** Whether the run was stopped from here and nothing has gone on from its memory since. */
+  get isStopped(): boolean {
+    return this.kept !== undefined
+  }
+
+  /**
+   * Where the run goes on after its stream has ended, or after an engine has turned it away; waits where none that has its
+   * memory may get it now. Undefined where nothing goes on from its memory.
+   */
+  async next(at: PooledEndpoint, attempt: Attempt): Promise<NextRun | undefined> {
+    if (this.move?.hasStopped === true) await this.takeStop(this.move, attempt)
+    else if (attempt.type === 'not-run') this.noteRefused(at, attempt.isGone === true)
+    // Whatever else became of a sending, its engine has taken the memory.
+    else this.kept = undefined
+    return this.kept === undefined ? undefined : this.goOn(this.kept)
+  }
+
+  /** Ends what is left of a stopped run from whose memory nothing goes on. */
+  giveUp(): void {
+    this.kept?.release()
+    this.kept = undefined
+    this.sending?.close('not-arrived')
     this.sending = undefined
+  }
+
+  /** Takes what the stop of a move has left. */
+  private async takeStop(move: RunMove, attempt: Attempt): Promise<void> {
+    this.move = undefined
     const stopped = await move.stopped()
     const goesOn = attempt.type === 'lost' && !this.run.isOver
-    const at = stopped && goesOn ? this.whereOn(stopped) : undefined
     move.log(stopped === undefined ? 'not stopped' : goesOn ? 'moved' : 'not needed')
-    if (stopped !== undefined && at !== undefined && goesOn)
-      return { at, source: stopped.source, handle: stopped.handle, sending }
-    sending.close('not-arrived')
-    if (stopped !== undefined) releaseHandle(this.parts, stopped.source.endpoint.address, stopped.handle)
+    this.kept = stopped && new KeptRun(this.parts, this.job, stopped)
+    if (!goesOn || stopped === undefined) this.giveUp()
+  }
+
+  /**
+   * Draws one more sending for an engine that has the memory. Where the answer may be made anew, each of them is tried
+   * once only: another engine may have room now. Where it may not, they are asked until the memory has lapsed.
+   */
+  private async goOn(kept: KeptRun): Promise<NextRun | undefined> {
+    const { resumable } = this.job.route
+    for (let waits = 0; !this.run.isOver && !kept.isLost; waits += 1) {
+      const at = kept.next()
+      const sending = at && this.takeSending()
+      if (at !== undefined && sending !== undefined)
+        return { at, source: kept.run.source, handle: kept.run.handle, sending }
+      if (resumable) return undefined
+      await delay(this.parts.clock, waitMs(Math.max(waits, kept.rounds)))
+      kept.startOver()
+    }
     return undefined
   }
 
-  /** Where a stopped run can go on: what has become known since the copy began binds here too. */
-  private whereOn(stopped: StoppedRun): AtHome<PooledEndpoint> | undefined {
-    return [stopped.copiedTo, whereReady(stopped)].find(
-      (one) => one !== undefined && whyNotSend(this.parts, this.job, one.endpoint, 'decode') === undefined,
-    )
+  private noteRefused(at: PooledEndpoint, isGone: boolean): void {
+    if (isGone) this.kept?.noteGone(at)
+  }
+
+  private takeSending(): CountedSending | undefined {
+    const drawn = this.sending
+    this.sending = undefined
+    return drawn ?? this.count.open('decode')
   }
 
   private isRunning(): boolean {
     return !this.run.isOver && this.run.exchange !== undefined
   }
 }
-
-/** The engine where the run was, unless it takes no work any more. */
-function whereReady({ source }: StoppedRun): AtHome<PooledEndpoint> | undefined {
-  return source.endpoint.state === 'ready' ? source : undefined
-}
--- a/request/gateway/src/sendCount.ts
+++ b/request/gateway/src/sendCount.ts
@@ -30,6 +30,11 @@
     private readonly service: string,
   ) {}
 
+  /** Whether the next sending counts as repeated. */
+  get isRepeat(): boolean {
+    return this.arrivals > 0
+  }
+
   /** Whether one more sending may leave now. */
   isLeft(): boolean {
     return this.arrivals === 0 || this.allowance.isLeft(this.service)
@@ -37,7 +42,7 @@
 
   /** Opens a sending; undefined where the allowance is used up. */
   open(step: SendStep): CountedSending | undefined {
-    const isDrawn = this.arrivals > 0
+    const isDrawn = this.isRepeat
     if (isDrawn && !this.allowance.take(this.service)) return undefined
     return { close: (arrival) => this.close(step, arrival, isDrawn) }
   }
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,8 +1,11 @@
+import { delay } from '@forkstage/clock'
 import { nameOf } from '@forkstage/directory'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
-import { dropHeaders, single, withoutFirst } from './callerRequest'
-import { EventPauses } from './eventPauses'
+import { afterTry, type AfterTry } from './afterTry'
+import { cancelWhenEnded } from './cancelWhenEnded'
+import { withoutFirst } from './callerRequest'
+import { CallerStream } from './callerStream'
 import {
   EngineStream,
   type Attempt,
@@ -17,7 +20,6 @@
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { modelWork } from './modelWork'
 import { noteLost } from './noteLost'
-import { endWithConnection } from './ownAnswer'
 import { PromptReading, type PromptReader } from './promptReading'
 import { answerFailure, answerRefusal, CALLER_GONE, passFailure, type OwnResult } from './relayAnswers'
 import {
@@ -33,30 +35,33 @@
 import { SendCount, type CountedSending } from './sendCount'
 import { ENDS_ENDPOINTS } from './sendRules'
 import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
-import { waitFor } from './waitFor'
+import { comeBackMs, reasonOf, type Tried, type Unanswered } from './streamTry'
+import { untilEngineIsKnown } from './untilEngineIsKnown'
 
-const MAX_REFUSALS = 3
-const COME_BACK_MS = 600
-const WAIT_FOR_ENGINES_MS = 250
+const OK = 200
+const NOT_READ = 'the prompt was not read'
 
 /** Relays a streaming request: a place, the prefill step, the stream, and another engine where allowed. */
 export async function relayStream(parts: RelayParts, job: RelayJob): Promise<RelayResult> {
   return new StreamRun(parts, job).relay()
 }
 
+/** Why an answer does not go on that was stopped to go on elsewhere. */
+const STOPPED_IN_VAIN = 'nothing goes on from the memory of the stopped run'
+
 class StreamRun implements StreamOwner, PromptReader, MovingRun {
   readonly sends: SendRecord[] = []
   readonly except = new Set<string>()
   exchange: Exchange | undefined
   isOver = false
   private mayHaveRun = 0
-  head: AnswerHead | undefined
-  private lastEventId: number | undefined
+  private readonly caller: CallerStream
   /** Events of the engine at work now. */
   private madeEvents = 0
+  /** Waits in a row for a way to go on. */
+  private waits = 0
   /** When the request was sent to it. */
   private sentAt: Millis = 0
-  private readonly pauses: EventPauses
   private readonly count: SendCount
   private readonly prompt: PromptReading
   private readonly moves: RunMoves
@@ -68,9 +73,10 @@
     this.count = new SendCount(parts.allowance, job.service.name)
     this.prompt = new PromptReading(parts, job, this.count, this)
     this.moves = new RunMoves(parts, job, this.count, this)
-    this.pauses = new EventPauses(job.request.arrivedAt)
-    const sent = single(job.request.headers[parts.wire.headers.lastEventId])
-    if (sent !== undefined && /^\d+$/.test(sent)) this.lastEventId = Number(sent)
+    this.caller = new CallerStream(job, parts.clock, parts.wire, {
+      pause: () => this.exchange?.pause(),
+      resume: () => this.exchange?.resume(),
+    })
   }
 
   async relay(): Promise<RelayResult> {
@@ -84,73 +90,86 @@
     cancelLimit()
     this.isOver = true
     this.prompt.release()
-    const { firstMs, longestMs } = this.pauses
-    return { ...result, sends: this.sends, firstEventMs: firstMs, longestPauseMs: longestMs }
+    const { firstMs: firstEventMs, longestMs: longestPauseMs } = this.caller.pauses
+    return { ...result, sends: this.sends, firstEventMs, longestPauseMs }
   }
 
   private async tryEngines(): Promise<OwnResult> {
     for (let refusals = 0; ;) {
       const refused = this.parts.crashes?.refusal(this.job.request.content)
       if (refused !== undefined) return this.answerWithout(ENDS_ENDPOINTS, refused.leftMs)
-      await this.untilEngineIsKnown()
-      if (isAwayOnly(this.parts.pool, this.job, 'decode'))
-        return this.answerWithout(NOT_AT_HOME, AWAY_COME_BACK_MS)
-      this.job.placedAt = this.parts.clock.now()
-      const answer = await this.parts.placer.place(this.work())
-      if (this.isOver) {
-        if (answer.type === 'place') answer.place.release('cancelled', 0, 0)
-        return this.overResult()
-      }
-      if (answer.type === 'refused') return this.answerWithout(answer.reason, answer.retryAfterMs)
-      const attempt = await this.runAt(answer.place)
+      const attempt = await this.tryOnce()
       if (attempt.type === 'over' || this.isOver) return this.overResult()
-      if (attempt.type === 'done') return { status: 200, outcome: 'answered' }
-      if (attempt.type === 'passed') return { status: attempt.status, outcome: 'answered' }
-      if (attempt.type === 'denied') return this.answerWithout('no repeated sending is left')
+      if (attempt.type === 'done' || attempt.type === 'passed')
+        return { status: attempt.type === 'done' ? OK : attempt.status, outcome: 'answered' }
       if (attempt.type === 'not-run') refusals += 1
-      if (refusals > MAX_REFUSALS || !this.mayRepeat(attempt)) return this.answerWithout(attempt.reason)
+      const next = this.afterTry(attempt, refusals)
+      if (next.type === 'end') return this.answerWithout(reasonOf(attempt), comeBackMs(attempt))
+      if (next.afterMs > 0) await this.waitToGoOn(reasonOf(attempt), next.afterMs)
+      if (this.isOver) return this.overResult()
     }
   }
 
-  /** A machine that has just started learns its endpoints in a moment. */
-  private async untilEngineIsKnown(): Promise<void> {
-    const { pool, clock } = this.parts
-    const { name } = this.job.service
-    const limit = pool.isEmptied(name, 'decode') ? 0 : WAIT_FOR_ENGINES_MS
-    await waitFor(clock, limit, () => pool.candidates(name, { stage: 'decode' })[0])
+  /** Asks for a place and has the answer made there. */
+  private async tryOnce(): Promise<Tried> {
+    const { pool, placer, clock } = this.parts
+    await untilEngineIsKnown(this.parts, this.job)
+    if (isAwayOnly(pool, this.job, 'decode'))
+      return { type: 'refused', reason: NOT_AT_HOME, retryAfterMs: AWAY_COME_BACK_MS }
+    this.job.placedAt = clock.now()
+    const answer = await placer.place(this.work())
+    if (answer.type === 'refused') return answer
+    if (!this.isOver) return this.runAt(answer.place)
+    answer.place.release('cancelled', 0, 0)
+    return { type: 'over' }
+  }
+
+  private afterTry(attempt: Unanswered, refusals: number): AfterTry {
+    const { route, endsAt } = this.job
+    return afterTry(attempt.type === 'denied' ? { type: 'refused' } : attempt, {
+      hasBegun: this.hasBegun,
+      isResumable: route.resumable,
+      leftMs: endsAt - this.parts.clock.now(),
+      refusals,
+      hasEngineLeft: this.mayHaveRun < route.attempts,
+      hasSendingLeft: () => this.count.isLeft(),
+      waits: this.waits,
+    })
+  }
+
+  /** An answer that has begun was turned away: it is still owed. */
+  private async waitToGoOn(reason: string, afterMs: Millis): Promise<void> {
+    const { clock, logger } = this.parts
+    const leftMs = Math.round(this.job.endsAt - clock.now())
+    // One line a row of waits: the belief changes, not each try.
+    if (this.waits === 0) logger.info('answer.waits', { request: this.job.request.id, reason, leftMs })
+    this.waits += 1
+    // Whoever turned it away may take it next time, and there may be no other.
+    this.except.clear()
+    await delay(clock, afterMs)
   }
 
   private work(): ModelWork {
-    return {
-      ...modelWork(this.parts, this.job, this.pauses),
-      except: this.except,
-      isPrefilled: this.prompt.isUsable(),
-    }
+    const work = modelWork(this.parts, this.job, this.caller.pauses)
+    const found = { except: this.except, isPrefilled: this.prompt.isUsable() }
+    // One that has begun is not refused early: its caller has nobody else to go to.
+    return this.hasBegun ? { ...work, ...found, isBegun: true, promptMs: 0 } : { ...work, ...found }
   }
 
   private async runAt(place: ModelPlace): Promise<Attempt> {
     const startedAt = this.parts.clock.now()
+    // Drawn before the prompt is read, which would be in vain without it.
+    const drawn = this.count.isRepeat ? this.count.open('decode') : undefined
+    if (this.count.isRepeat && drawn === undefined) return this.unused(place, { type: 'denied' })
     const step = await this.prompt.readAt(place)
-    if (this.isOver) {
-      place.release('cancelled', 0, 0)
-      return { type: 'over' }
-    }
-    if (step === 'not-read') {
-      // Whoever places knows whether another engine reads it, or whether the decode engine can do so itself.
-      place.release('cancelled', 0, 0)
-      return { type: 'not-run', arrived: false, reason: 'the prompt was not read' }
-    }
-    const withheld = this.prompt.whyNotDecode(place.decode)
-    if (withheld !== undefined) {
-      place.release('cancelled', 0, 0)
-      return { type: 'not-run', arrived: false, reason: withheld }
-    }
+    if (this.isOver) return this.unused(place, { type: 'over' }, drawn)
+    // Whoever places knows whether another engine reads it, or whether the decode engine can do so itself.
+    const withheld = step === 'not-read' ? NOT_READ : this.prompt.whyNotDecode(place.decode)
+    if (withheld !== undefined)
+      return this.unused(place, { type: 'not-run', arrived: false, reason: withheld }, drawn)
     this.madeEvents = 0
-    const sending = this.count.open('decode')
-    if (sending === undefined) {
-      place.release('cancelled', 0, 0)
-      return { type: 'denied' }
-    }
+    const sending = drawn ?? this.count.open('decode')
+    if (sending === undefined) return this.unused(place, { type: 'denied' })
     // The place is used; what the run does later hangs on no promise of it.
     this.job.placedAt = undefined
     place.madeTokens = () => this.madeTokens()
@@ -173,29 +192,47 @@
     return attempt
   }
 
+  /** Gives a place back at which no engine was asked to make the answer. */
+  private unused(place: ModelPlace, attempt: Attempt, drawn?: CountedSending): Attempt {
+    place.release('cancelled', 0, 0)
+    drawn?.close('not-arrived')
+    return attempt
+  }
+
   /** Goes on at other engines for as long as the run is moved. */
   private async streamOn(place: ModelPlace, ended: StreamResult): Promise<StreamResult> {
-    const next = await this.moves.next(ended.attempt)
-    if (next === undefined) {
-      this.noteLoss(place.decode, ended)
-      return ended
-    }
+    const { attempt, note } = ended
+    const next = await this.moves.next(place.decode, attempt)
+    // An engine that was told to stop has not run it in vain, and goes on counting as the same run.
+    if (attempt.type === 'lost' && this.moves.isStopped) this.mayHaveRun -= 1
+    if (next === undefined) return this.endHere(place, ended)
     const from = place.decode
-    this.sends.push({ to: from.endpoint.id, step: 'decode', outcome: 'moved', tookMs: 0 })
-    // It is the same run that goes on.
-    this.mayHaveRun -= 1
+    const outcome = attempt.type === 'not-run' ? note : 'moved'
+    this.sends.push({ to: from.endpoint.id, step: 'decode', outcome, tookMs: 0 })
     if (next.at !== from) place.noteMoved(next.at)
     const { at, sending, source, handle } = next
     return this.streamOn(place, await this.streamAt(at, sending, { at: source, handle }))
   }
 
+  /** Nothing goes on from the memory of the run, if it was stopped. */
+  private endHere(place: ModelPlace, ended: StreamResult): StreamResult {
+    if (!this.moves.isStopped) {
+      this.noteLoss(place.decode, ended)
+      return ended
+    }
+    this.moves.giveUp()
+    if (ended.attempt.type !== 'lost') return ended
+    // The engine did as it was told: that is no failure of its own.
+    return { attempt: { type: 'not-run', arrived: true, reason: STOPPED_IN_VAIN }, note: 'cancelled' }
+  }
+
   /** An engine that was told to stop a run that moves has lost nothing; any other that ended it early may have crashed. */
   private noteLoss(at: PooledEndpoint, { attempt }: StreamResult): void {
     const now = this.parts.clock.now()
     const afterMs = now - this.sentAt
     if (attempt.type === 'lost') noteLost(this.parts, this.job, at, afterMs)
     if (attempt.type !== 'over') return
-    noteLost(this.parts, this.job, at, afterMs, Math.min(afterMs, this.pauses.silentMs(now)))
+    noteLost(this.parts, this.job, at, afterMs, Math.min(afterMs, this.caller.pauses.silentMs(now)))
   }
 
   /** Tells the placement of an engine that has made nothing for too long, and leaves it where that is allowed. */
@@ -227,8 +264,8 @@
     const extra: string[] = []
     if (source !== undefined)
       extra.push(headers.kvSource, parts.wire.kvSource(source.at.endpoint.address, source.handle))
-    if (this.head !== undefined && this.lastEventId !== undefined)
-      extra.push(headers.lastEventId, String(this.lastEventId))
+    const { lastEventId } = this.caller
+    if (this.hasBegun && lastEventId !== undefined) extra.push(headers.lastEventId, String(lastEventId))
     const rawHeaders = headersFor(parts, job, to, extra)
     const stream = new EngineStream(this, nameOf(to.endpoint))
     this.sentAt = parts.clock.now()
@@ -237,7 +274,7 @@
         address: to.endpoint.address,
         method: job.request.method,
         path: job.request.path,
-        rawHeaders: this.head === undefined ? rawHeaders : withoutFirst(rawHeaders, headers.lastEventId),
+        rawHeaders: this.hasBegun ? withoutFirst(rawHeaders, headers.lastEventId) : rawHeaders,
         body: job.request.body,
         connectMs: CONNECT_MS,
         clock: parts.clock,
@@ -256,7 +293,7 @@
         },
       })
       this.exchange = exchange
-      const unwatch = parts.pool.onEnded(to, (reason) => exchange.cancel(reason))
+      const unwatch = cancelWhenEnded(parts, to, exchange)
     })
   }
 
@@ -268,69 +305,36 @@
     this.mayHaveRun += 1
   }
 
-  passEvents(head: AnswerHead, events: StreamEvent[]): void {
-    this.madeEvents += events.length
-    this.pauses.note(this.parts.clock.now())
-    const isFirst = this.head === undefined
-    if (isFirst) this.begin(head)
-    for (const event of events) {
-      if (event.id !== undefined && this.lastEventId !== undefined && !isFirst) {
-        if (event.id <= this.lastEventId) continue
-      }
-      if (event.id !== undefined) this.lastEventId = event.id
-      this.write(event.bytes)
-    }
-  }
-
-  passEnd(head: AnswerHead, rest: Buffer): void {
-    if (this.head === undefined) this.begin(head)
-    if (rest.length > 0) this.write(rest)
-    this.job.request.response.end()
+  get hasBegun(): boolean {
+    return this.caller.hasBegun
   }
 
-  passFailure(head: AnswerHead, body: Buffer): number {
-    return passFailure(this.job.request.response, head, body)
+  get head() {
+    return this.caller.head
   }
 
-  private begin(head: AnswerHead): void {
-    this.head = head
-    const { response } = this.job.request
-    response.on('drain', () => this.exchange?.resume())
-    if (!head.isFramed) endWithConnection(response)
-    response.writeHead(head.status, dropHeaders(head.rawHeaders, []))
+  passEvents(head: AnswerHead, events: StreamEvent[]): void {
+    this.madeEvents += events.length
+    this.waits = 0
+    this.caller.passEvents(head, events)
   }
 
-  private write(bytes: Buffer): void {
-    if (!this.job.request.response.write(bytes)) this.exchange?.pause()
-  }
+  passEnd = (head: AnswerHead, rest: Buffer): void => this.caller.passEnd(head, rest)
 
-  private mayRepeat(attempt: Extract<Attempt, { type: 'not-run' | 'lost' }>): boolean {
-    const { route, endsAt } = this.job
-    if (endsAt - this.parts.clock.now() < ANSWER_MARGIN_MS * 2) return false
-    // What an engine has begun goes on elsewhere only with its memory, or where the route lets it be made anew.
-    if (this.head !== undefined && !route.resumable) return false
-    if (attempt.type === 'not-run' && !attempt.arrived) return true
-    if (attempt.type === 'lost' && !route.resumable) return false
-    if (this.mayHaveRun >= route.attempts) return false
-    return this.count.isLeft()
-  }
+  passFailure = (head: AnswerHead, body: Buffer): number => passFailure(this.job.request.response, head, body)
 
-  private answerWithout(reason: string, retryAfterMs: Millis = COME_BACK_MS): OwnResult {
+  private answerWithout(reason: string, retryAfterMs: Millis): OwnResult {
     const { response } = this.job.request
-    if (this.head !== undefined) {
-      response.destroy()
-      const cutWithLeftMs = Math.round(this.job.endsAt - this.parts.clock.now())
-      return { status: this.head.status, outcome: `cut: ${reason}`, cutWithLeftMs }
-    }
-    if (this.mayHaveRun > 0) return answerFailure(this.job.request.response, 502, reason)
+    if (this.head !== undefined) return this.caller.cut(this.head, reason)
+    if (this.mayHaveRun > 0) return answerFailure(response, 502, reason)
     return answerRefusal(response, reason, retryAfterMs)
   }
 
   private answerLate(): void {
     if (this.isOver) return
-    if (this.exchange !== undefined && this.head === undefined)
+    if (this.exchange !== undefined && !this.hasBegun)
       answerFailure(this.job.request.response, 504, 'the time is up')
-    else this.answerWithout('the time is up')
+    else this.answerWithout('the time is up', comeBackMs())
     this.finish('the time is up')
   }
 
--- /dev/null
+++ b/request/gateway/test/afterTry.test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, it } from 'vitest'
+import { afterTry, waitMs, type AfterTry, type FailedTry, type TryState } from '../src/afterTry'
+
+const state = (fields: Partial<TryState> = {}): TryState => ({
+  hasBegun: false,
+  isResumable: true,
+  leftMs: 5_000,
+  refusals: 0,
+  hasEngineLeft: true,
+  hasSendingLeft: () => true,
+  waits: 0,
+  ...fields,
+})
+const refused: FailedTry = { type: 'refused' }
+const full: FailedTry = { type: 'not-run', arrived: true }
+const unreached: FailedTry = { type: 'not-run', arrived: false }
+const lost: FailedTry = { type: 'lost' }
+const end: AfterTry = { type: 'end' }
+const atOnce: AfterTry = { type: 'again', afterMs: 0 }
+
+describe('afterTry, before an answer has begun', () => {
+  const cases: [string, FailedTry, Partial<TryState>, AfterTry][] = [
+    ['refused', refused, {}, end],
+    ['not reached', unreached, { hasSendingLeft: () => false, hasEngineLeft: false }, atOnce],
+    ['turned away', full, {}, atOnce],
+    ['turned away, without a sending', full, { hasSendingLeft: () => false }, end],
+    ['turned away too often', full, { refusals: 4 }, end],
+    ['lost where nothing may run twice', lost, { isResumable: false }, end],
+    ['lost', lost, {}, atOnce],
+    ['lost at the last engine', lost, { hasEngineLeft: false }, end],
+  ]
+  it.each(cases)('%s', (_name, failed, fields, next) => {
+    expect(afterTry(failed, state(fields))).toEqual(next)
+  })
+})
+
+describe('afterTry, once an answer has begun', () => {
+  const begun = (fields: Partial<TryState> = {}) =>
+    state({ hasBegun: true, refusals: 99, hasSendingLeft: () => false, ...fields })
+
+  it.each([
+    ['refused', refused],
+    ['turned away', full],
+    ['not reached', unreached],
+  ])('goes on asking when %s, however often, while there is time', (_name, failed) => {
+    for (const waits of [0, 1, 5, 100]) {
+      const next = afterTry(failed, begun({ waits, hasEngineLeft: false }))
+      expect(next).toEqual({ type: 'again', afterMs: waitMs(waits) })
+    }
+    expect(afterTry(failed, begun({ leftMs: 40 }))).toEqual(end)
+  })
+
+  it('goes on at once after a loss, as long as its route has an engine left', () => {
+    expect(afterTry(lost, begun())).toEqual(atOnce)
+    expect(afterTry(lost, begun({ hasEngineLeft: false }))).toEqual(end)
+  })
+
+  it('ends where it may not be made anew', () => {
+    for (const failed of [refused, full, unreached, lost])
+      expect(afterTry(failed, begun({ isResumable: false }))).toEqual(end)
+  })
+
+  it('asks soon at first, and then no more often than its progress is reported', () => {
+    expect([0, 1, 2, 3, 9].map(waitMs)).toEqual([50, 100, 200, 400, 400])
+  })
+})
