test(fleet-soak): answers of seconds, engines that copy, leave and turn away, slow callers; who broke off

Cause: no soak had answers longer than 0.2 s, engines that move them, or callers that read slowly, and a cut answer was never an offence; so the cuts of the incident could not be seen. Change: routes 'long' (may be made anew), 'once' (nothing twice) and 'large' (12 MB, read slowly); stand-in engines copy and stop runs, late, without room or without an answer; engines leave while all of them turn requests away for up to 0.6 s; checkBegun wants each begun answer whole unless its engine broke it off as often as its route allows, its time was up, its entry was killed, or its memory lapsed after it had been tried there twice. With it: a failure of the next engine in the middle of an answer, an engine that stopped as told (both tested), no prompt read again for a sending that may not leave (tested), and the placing of a begun answer keeps away from the engine that has just turned it away as long as there is another (found by the test of the blamed engine: the same full engine was asked until the time was up).

--- a/request/gateway/src/callerStream.ts
+++ b/request/gateway/src/callerStream.ts
@@ -5,9 +5,11 @@
 import type { AnswerHead } from './exchange'
 import type { GatewayWire } from './gatewayWire'
 import { endWithConnection } from './ownAnswer'
-import type { OwnResult } from './relayAnswers'
+import { CALLER_GONE, type OwnResult } from './relayAnswers'
 import type { RelayJob } from './relayParts'
 
+const TIME_UP = 504
+
 /** What holds an engine up while the caller is slow, and lets it go on. */
 export interface FlowControl {
   pause(): void
@@ -65,6 +67,13 @@
     return { status, outcome: `cut: ${reason}`, cutWithLeftMs }
   }
 
+  /** What became of a request that has ended before its answer was whole. */
+  overResult(): OwnResult {
+    const status = this.head?.status
+    if (this.job.request.isGone()) return { status: status ?? 0, outcome: CALLER_GONE }
+    return { status: status ?? TIME_UP, outcome: 'the time is up' }
+  }
+
   private begin(head: AnswerHead): void {
     this.head = head
     const { response } = this.job.request
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -21,7 +21,7 @@
 import { modelWork } from './modelWork'
 import { noteLost } from './noteLost'
 import { PromptReading, type PromptReader } from './promptReading'
-import { answerFailure, answerRefusal, CALLER_GONE, passFailure, type OwnResult } from './relayAnswers'
+import { answerFailure, answerRefusal, passFailure, type OwnResult } from './relayAnswers'
 import {
   ANSWER_MARGIN_MS,
   CONNECT_MS,
@@ -99,14 +99,14 @@
       const refused = this.parts.crashes?.refusal(this.job.request.content)
       if (refused !== undefined) return this.answerWithout(ENDS_ENDPOINTS, refused.leftMs)
       const attempt = await this.tryOnce()
-      if (attempt.type === 'over' || this.isOver) return this.overResult()
+      if (attempt.type === 'over' || this.isOver) return this.caller.overResult()
       if (attempt.type === 'done' || attempt.type === 'passed')
         return { status: attempt.type === 'done' ? OK : attempt.status, outcome: 'answered' }
       if (attempt.type === 'not-run') refusals += 1
       const next = this.afterTry(attempt, refusals)
       if (next.type === 'end') return this.answerWithout(reasonOf(attempt), comeBackMs(attempt))
-      if (next.afterMs > 0) await this.waitToGoOn(reasonOf(attempt), next.afterMs)
-      if (this.isOver) return this.overResult()
+      if (next.afterMs > 0) await this.waitToGoOn(attempt, next.afterMs)
+      if (this.isOver) return this.caller.overResult()
     }
   }
 
@@ -138,14 +138,15 @@
   }
 
   /** An answer that has begun was turned away: it is still owed. */
-  private async waitToGoOn(reason: string, afterMs: Millis): Promise<void> {
+  private async waitToGoOn(attempt: Unanswered, afterMs: Millis): Promise<void> {
     const { clock, logger } = this.parts
     const leftMs = Math.round(this.job.endsAt - clock.now())
+    const line = { request: this.job.request.id, reason: reasonOf(attempt), leftMs }
     // One line a row of waits: the belief changes, not each try.
-    if (this.waits === 0) logger.info('answer.waits', { request: this.job.request.id, reason, leftMs })
+    if (this.waits === 0) logger.info('answer.waits', line)
     this.waits += 1
-    // Whoever turned it away may take it next time, and there may be no other.
-    this.except.clear()
+    // Where there is no other left, those that turned it away may take it next time.
+    if (attempt.type === 'refused') this.except.clear()
     await delay(clock, afterMs)
   }
 
@@ -342,9 +343,4 @@
     this.isOver = true
     this.exchange?.cancel(reason)
   }
-
-  private overResult(): OwnResult {
-    if (this.job.request.isGone()) return { status: this.head?.status ?? 0, outcome: CALLER_GONE }
-    return { status: this.head?.status ?? 504, outcome: 'the time is up' }
-  }
 }
--- a/request/gateway/test/begunAnswers.test.ts
+++ b/request/gateway/test/begunAnswers.test.ts
@@ -131,6 +131,39 @@
   })
 })
 
+describe('an answer that goes on', () => {
+  const fails: Engine['stream'] = (request) => {
+    const rows = ['x-stamp: signed', `x-id: ${request.headers['x-id']}`, 'Content-Length: 4']
+    request.socket.end(`HTTP/1.1 500 X\r\n${rows.join('\r\n')}\r\n\r\nfail`)
+  }
+
+  it('ends as cut, not open for ever, when the next engine fails it', async () => {
+    let running: SeenRequest | undefined
+    const { answer, world } = await startMoving(
+      [{ stream: runsFirst(fails, (request) => (running = request)) }, { stream: fails }],
+      { resumable: true, attempts: 2 },
+      { 'x-deadline': '60000' },
+    )
+    running!.socket.destroy()
+    expect(await answer).toMatchObject({ status: 200, body: events(1), isWhole: false })
+    expect(world.reports[0]!.outcome).toBe('cut: the engine failed with 500')
+  })
+
+  it('is blamed on no engine that was told to stop', async () => {
+    const { answer, move, world } = await startMoving(
+      [
+        { stream: runsFirst(turnsAway), copy: answers(200, 'h1'), last: stopsWith(200, 'h2') },
+        { stream: turnsAwayFirst(1, 3) },
+      ],
+      { resumable: true, attempts: 1 },
+    )
+    move()
+    expect(await answer).toMatchObject({ body: events(1, 2, 3), isWhole: true })
+    expect(world.pool.get('i-0')).toMatchObject({ failures: 0, ejectedUntil: 0, inFlight: 0 })
+    expect(world.lost).toEqual([])
+  })
+})
+
 describe('an answer whose events still come', () => {
   it('goes on at an endpoint that a list says has ended', async () => {
     let running: SeenRequest | undefined
--- a/request/gateway/test/streamRelay.test.ts
+++ b/request/gateway/test/streamRelay.test.ts
@@ -186,6 +186,22 @@
     expect(all).toHaveLength(2)
   })
 
+  it('have no prompt read again for a sending that may not leave', async () => {
+    const { world, workers } = await start(
+      [
+        ['prefill', reads],
+        ['decode', breaksAfter([])],
+      ],
+      { resumable: true, attempts: 2 },
+    )
+    const reading = workers[0]!
+    const answer = world.send('/p/')
+    await reading.sees(1)
+    while (world.allowance.take('model'));
+    expect((await answer).status).toBe(502)
+    expect(reading.seen.filter(({ line }) => !line.startsWith('DELETE'))).toHaveLength(1)
+  })
+
   it('do not repeat events that an engine sends again', async () => {
     const { world } = await start(
       [
--- a/tools/fleet-soak/src/checkFleet.ts
+++ b/tools/fleet-soak/src/checkFleet.ts
@@ -3,13 +3,16 @@
 /** Statuses that promise that the request has not run and never will. */
 const PROMISES = new Set([408, 421, 429, 503])
 
+const MAY_RUN_AGAIN = new Set<CallRecord['kind']>(['safe', 'large', 'long'])
+const STREAMS = new Set<CallRecord['kind']>(['stream', 'long', 'once'])
+
 /** What does not hold of the calls, given how often each request ran. */
 export function checkCalls(calls: CallRecord[], runs: ReadonlyMap<string, number>): string[] {
   return calls.flatMap((call) => [...checkRuns(call, runs.get(call.id) ?? 0), ...checkAnswer(call)])
 }
 
 function checkRuns(call: CallRecord, runs: number): string[] {
-  if (call.kind === 'safe') return []
+  if (MAY_RUN_AGAIN.has(call.kind)) return []
   const broken: string[] = []
   if (runs > 1) broken.push(`${call.id} (${call.kind}) ran ${runs} times`)
   if (PROMISES.has(call.status) && runs > 0)
@@ -20,7 +23,7 @@
 function checkAnswer(call: CallRecord): string[] {
   if (call.status !== 200 || !call.isWhole) return []
   if (call.stamp !== `stamp-${call.id}`) return [`${call.id} got the stamp ${call.stamp}`]
-  const expected = call.kind === 'stream' ? wholeStream(call.id, call.body) : `answer to ${call.id}`
+  const expected = STREAMS.has(call.kind) ? wholeStream(call.id, call.body) : `answer to ${call.id}`
   return call.body !== '' && call.body === expected
     ? []
     : [`${call.id} (${call.kind}) got a body that is not its own and whole`]
--- a/tools/fleet-soak/src/fleetFaults.ts
+++ b/tools/fleet-soak/src/fleetFaults.ts
@@ -1,4 +1,5 @@
 import type { Random } from '@forkstage/clock'
+import type { Span } from './checkBegun'
 import type { ControlOutage } from './checkEvacuations'
 import type { SoakFleet } from './soakFleet'
 import type { SoakMachine } from './machineSettings'
@@ -38,6 +39,8 @@
 const QUIET_END_MS = 8_000
 /** A machine counts as lost until this long after it is back. */
 const CATCH_UP_MS = 4_000
+/** From the signal until an entry ends what still runs: its grace time, but for what it keeps for its own end. */
+const STOP_LASTS_MS = 3_500
 /** How many control machines may be lost at once while everything holds. */
 const LOSSES = 2
 
@@ -56,6 +59,8 @@
 export class FleetFaultInjector {
   private readonly busy = new Set<string>()
   readonly done: string[] = []
+  /** When entries were killed, frozen or at the end of their stop, by name. */
+  readonly entriesAway = new Map<string, Span[]>()
   /** When all control machines were away, with the time that they get to catch up. */
   readonly outages: ControlOutage[] = []
 
@@ -99,7 +104,11 @@
     if (this.busy.has(machine.name) || (isControl && this.busyControl() >= LOSSES)) return
     this.busy.add(machine.name)
     this.note(fault, machine.name)
+    // Until its grace time is nearly over, a stop entitles an entry to end nothing.
+    const away: Span = { from: Date.now() + (what === 'stop' ? STOP_LASTS_MS : 0), to: Infinity }
+    this.entriesAway.set(machine.name, [...(this.entriesAway.get(machine.name) ?? []), away])
     await this.disturb(machine, what, fault.forMs)
+    away.to = Date.now()
     if (isControl) await pause(CATCH_UP_MS)
     this.busy.delete(machine.name)
   }
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -3,17 +3,20 @@
 import { join } from 'node:path'
 import { createSeededRandom } from '@forkstage/clock'
 import { waitUntil } from '@forkstage/deployment'
+import { checkBegun } from './checkBegun'
 import { checkEvacuations } from './checkEvacuations'
 import { checkFatal, type FatalArrivals } from './checkFatal'
 import { checkCalls } from './checkFleet'
+import { planEngineFaults, runEngineFaults } from './engineFaults'
 import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
 import { DOMAINS } from './machineSettings'
-import { SoakCallers } from './soakCallers'
+import { SoakCallers, type CallRecord } from './soakCallers'
 import { planEvacuations, SoakEvacuations } from './soakEvacuations'
 import { SoakFleet } from './soakFleet'
 import { SoakOperator } from './soakOperator'
 import { checkWorkspaceRuns, turningKey, type SeenRun } from './soakWorkspaces'
 import { pause, StandInEndpoint } from './standInEndpoint'
+import { newBegunAnswers, type BegunAnswers } from './standInRuns'
 
 /** Options of {@link runFleetSoak}. */
 export interface FleetSoakOptions {
@@ -37,13 +40,21 @@
   evacuations: number
   /** Endpoints that ended under the request that ends each one that runs it. */
   ended: number
+  /** Answers of seconds that have begun, and those of them that ended whole. */
+  begunLong: number
+  wholeLong: number
   /** What did not hold; empty is the verdict "held". */
   broken: string[]
 }
 
 const CALL_EVERY_MS = 25
 const CHANGE_EVERY_MS = 700
+/** An evacuation is in force at some entries before its acknowledgement, and a while after its withdrawal. */
+const EVACUATION_SLACK_MS = 2_500
+const LARGE_EVERY_MS = 1_500
 const FATAL_EVERY_MS = 600
+/** Engines that make answers stand last among the endpoints. */
+const ENGINES = 2
 const READ_EVERY_MS = 150
 const RECOVERY_MS = 12_000
 const OK = 200
@@ -63,10 +74,10 @@
 export async function runFleetSoak(options: FleetSoakOptions): Promise<FleetSoakReport> {
   const folder = mkdtempSync(join(tmpdir(), 'forkstage-fleet-soak-'))
   const fleet = new SoakFleet(folder, options.network)
-  const handles = new Set<string>()
   const runs = new Map<string, number>()
   const seen: SeenRun[] = []
   const fatal: FatalArrivals = { at: [] }
+  const begun = newBegunAnswers(createSeededRandom(options.seed * 100 + ENDPOINTS.length))
   const endpoints = ENDPOINTS.map(
     (one, index) =>
       new StandInEndpoint({
@@ -75,7 +86,7 @@
         zone: DOMAINS[index % DOMAINS.length],
         control: () => fleet.control.map((machine) => fleet.operators(machine)),
         random: createSeededRandom(options.seed * 100 + index),
-        handles,
+        begun,
         runs,
         seen,
         fatal,
@@ -84,7 +95,7 @@
   try {
     fleet.startAll()
     await Promise.all(endpoints.map((endpoint) => endpoint.start()))
-    return await soak(options, folder, fleet, endpoints, { runs, seen, fatal })
+    return await soak(options, folder, fleet, endpoints, { runs, seen, fatal, begun })
   } finally {
     endpoints.forEach((endpoint) => endpoint.end())
     await fleet.stopAll()
@@ -92,12 +103,20 @@
   }
 }
 
+/** What the stand-ins saw. */
+interface Observed {
+  runs: ReadonlyMap<string, number>
+  seen: SeenRun[]
+  fatal: FatalArrivals
+  begun: BegunAnswers
+}
+
 async function soak(
   { minutes, seed }: FleetSoakOptions,
   folder: string,
   fleet: SoakFleet,
   endpoints: StandInEndpoint[],
-  { runs, seen, fatal }: { runs: ReadonlyMap<string, number>; seen: SeenRun[]; fatal: FatalArrivals },
+  { runs, seen, fatal, begun }: Observed,
 ): Promise<FleetSoakReport> {
   const operator = new SoakOperator(fleet, createSeededRandom(seed + 1))
   const callers = new SoakCallers(fleet, createSeededRandom(seed + 2), () => operator.newest)
@@ -120,7 +139,9 @@
   })
   await Promise.all([
     repeat(CALL_EVERY_MS, () => callers.call()),
+    repeat(LARGE_EVERY_MS, () => callers.callLarge()),
     repeat(FATAL_EVERY_MS, () => callers.callFatal()),
+    runEngineFaults(planEngineFaults(durationMs, createSeededRandom(seed + 5)), endpoints.slice(-ENGINES)),
     repeat(CHANGE_EVERY_MS, () => operator.change()),
     repeat(READ_EVERY_MS, () => operator.read()),
     evacuations.run(planEvacuations(durationMs, createSeededRandom(seed + 4))),
@@ -129,6 +150,14 @@
   await Promise.all(work)
   const broken = [
     ...checkCalls(callers.calls, runs),
+    ...checkBegun(callers.calls, {
+      ...begun,
+      entries: injector.entriesAway,
+      evacuations: evacuations.seen.map(({ acknowledgedAt, withdrawnAt }) => ({
+        from: acknowledgedAt - EVACUATION_SLACK_MS,
+        to: (withdrawnAt ?? Infinity) + EVACUATION_SLACK_MS,
+      })),
+    }),
     ...endpoints.flatMap((endpoint) => endpoint.broken),
     ...checkFatal(fatal),
     ...checkWorkspaceRuns(seen, callers.keys),
@@ -146,10 +175,16 @@
     acknowledged: new Set(operator.acknowledged.map((one) => one.version)).size,
     evacuations: evacuations.seen.length,
     ended: fatal.at.length,
+    begunLong: callers.calls.filter(({ kind, status }) => isLong(kind) && status === OK).length,
+    wholeLong: callers.calls.filter((call) => isLong(call.kind) && call.status === OK && call.isWhole).length,
     broken,
   }
 }
 
+function isLong(kind: CallRecord['kind']): boolean {
+  return kind === 'long' || kind === 'once'
+}
+
 /** The last evacuation outlives a kill of all control machines, by what they show and by where requests go. */
 async function checkEmptied(
   evacuations: SoakEvacuations,
--- a/tools/fleet-soak/src/soakCallers.ts
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -1,4 +1,4 @@
-import { request as httpRequest } from 'node:http'
+import { request as httpRequest, type IncomingMessage } from 'node:http'
 import type { Random } from '@forkstage/clock'
 import { FATAL } from './checkFatal'
 import type { SoakMachine } from './machineSettings'
@@ -6,7 +6,20 @@
 import { drawKey, type SoakKey } from './soakWorkspaces'
 
 /** The paths of the soak's routes. */
-export const PATHS = { unsafe: '/unsafe/', safe: '/safe/', stream: '/stream/' } as const
+export const PATHS = {
+  unsafe: '/unsafe/',
+  safe: '/safe/',
+  stream: '/stream/',
+  /** Answers of seconds that may be made anew from where they are. */
+  long: '/long/',
+  /** Answers of seconds of which nothing may be made twice. */
+  once: '/once/',
+  /** Answers that a slow caller takes a while to read. */
+  large: '/large/',
+} as const
+
+/** Kinds that are drawn all the while; large answers come more seldom. */
+const KINDS_AT_ONCE = ['unsafe', 'safe', 'stream', 'long', 'once'] as const
 
 /** One request of a caller and what came back. */
 export interface CallRecord {
@@ -18,9 +31,19 @@
   /** Whether the answer ended as a whole one. */
   isWhole: boolean
   stamp: string
+  /** The entry that it was sent to. */
+  entry: string
+  /** Unix milliseconds. */
+  startedAt: number
+  endedAt: number
+  deadlineMs: number
 }
 
 const DEADLINE_MS = 3_000
+const LONG_DEADLINE_MS = 8_000
+/** A slow caller reads nothing for so long in the middle of its answer. */
+const SLOW_MS = 700
+const SLOW_SHARE = 0.2
 const STEADY_KEY = 'key-steady'
 const HOST = 'soak.example'
 
@@ -40,8 +63,16 @@
 
   /** Sends one request of a drawn kind to a drawn entry. */
   async call(): Promise<void> {
-    const kinds = Object.keys(PATHS) as (keyof typeof PATHS)[]
-    const kind = kinds[Math.floor(this.random() * kinds.length)]!
+    const kinds = KINDS_AT_ONCE
+    await this.callOf(kinds[Math.floor(this.random() * kinds.length)]!)
+  }
+
+  /** Sends one request whose answer its caller reads slowly. */
+  callLarge(): Promise<void> {
+    return this.callOf('large')
+  }
+
+  private async callOf(kind: CallRecord['kind']): Promise<void> {
     const entry = this.fleet.entries[Math.floor(this.random() * this.fleet.entries.length)]!
     const record = this.newRecord(kind)
     this.calls.push(record)
@@ -67,19 +98,24 @@
 
   private newRecord(kind: CallRecord['kind']): CallRecord {
     this.count += 1
-    return { id: `r${this.count}`, kind, status: 0, body: '', isWhole: false, stamp: '' }
+    const deadlineMs = kind === 'long' || kind === 'once' ? LONG_DEADLINE_MS : DEADLINE_MS
+    const blank = { status: 0, body: '', isWhole: false, stamp: '', entry: '', startedAt: 0, endedAt: 0 }
+    return { id: `r${this.count}`, kind, deadlineMs, ...blank }
   }
 
   private send(entry: SoakMachine, record: CallRecord, { key }: SoakKey, rest = 'x'): Promise<void> {
     const url = this.fleet.callers(entry)
+    record.entry = entry.name
+    record.startedAt = Date.now()
+    const isSlow = record.kind === 'large' || this.random() < SLOW_SHARE
     return new Promise((resolve) => {
       const request = httpRequest(`${url}${PATHS[record.kind]}${rest}`, {
-        method: record.kind === 'safe' ? 'GET' : 'POST',
+        method: record.kind === 'safe' || record.kind === 'large' ? 'GET' : 'POST',
         agent: false,
         headers: {
           host: HOST,
           'X-Forkstage-Request-Id': record.id,
-          'X-Forkstage-Deadline-Ms': String(DEADLINE_MS),
+          'X-Forkstage-Deadline-Ms': String(record.deadlineMs),
           'X-Forkstage-Token-Counts': '100,100',
           'X-Forkstage-Model': 'm',
           // What only the system may set, as a caller that lies would.
@@ -87,9 +123,10 @@
           ...(key === undefined ? {} : { 'X-Api-Key': key }),
         },
       })
-      const limit = setTimeout(() => request.destroy(), DEADLINE_MS + 1_000)
+      const limit = setTimeout(() => request.destroy(), record.deadlineMs + 1_000)
       const finish = () => {
         clearTimeout(limit)
+        if (record.endedAt === 0) record.endedAt = Date.now()
         resolve()
       }
       request.on('error', finish)
@@ -99,9 +136,18 @@
         record.stamp = String(response.headers['x-forkstage-response-stamp'] ?? '')
         response.on('error', () => undefined)
         response.on('data', (bytes: Buffer) => (record.body += bytes.toString()))
-        response.on('end', () => (record.isWhole = response.complete))
+        response.on('end', () => {
+          record.isWhole = response.complete
+          if (record.kind === 'large') record.body = record.body.trimEnd()
+        })
+        if (isSlow) response.once('data', () => readLater(response))
       })
       request.end()
     })
   }
 }
+
+function readLater(response: IncomingMessage): void {
+  response.pause()
+  setTimeout(() => response.resume(), SLOW_MS)
+}
--- a/tools/fleet-soak/src/soakOperator.ts
+++ b/tools/fleet-soak/src/soakOperator.ts
@@ -13,6 +13,8 @@
 const IN_FORCE_MS = 2_000
 const ASK_MS = 1_500
 const RACE_SHARE = 0.3
+/** An engine answers so many requests at once, and a plain stand-in 8. */
+export const ENGINE_SLOTS = 64
 const BAD_SHARE = 0.1
 
 /** Operators that send sheets to any control machine, race each other, send bad ones, and read back. */
@@ -94,12 +96,22 @@
 export function sheetText(version: number, mark: string): string {
   const common = { host: 'soak.example', timeout_ms: 3_000, target_latency_ms: 800, priority: 1 }
   const plain = { ...common, service: 'plain', max_attempts: 2, sticky: false, resumable: false }
+  const stream = {
+    ...common,
+    kind: 'streaming',
+    service: 'model',
+    max_attempts: 2,
+    sticky: true,
+    gap_aim_ms: 300,
+  }
+  const long = { timeout_ms: 8_000 }
   const engine = {
-    slots: 8,
-    kv_tokens: 10_000,
+    slots: ENGINE_SLOTS,
+    kv_tokens: 20_000,
     kv_token_bytes: 1,
     link_mbps: 1_000,
     stride: 1,
+    moves: true,
     handle_ttl_s: 0.5,
     stage_switch_s: 1,
     models: [{ name: 'm' }],
@@ -117,17 +129,10 @@
     routes: [
       { ...plain, name: `unsafe-${mark}`, path_prefix: PATHS.unsafe, kind: 'unsafe' },
       { ...plain, name: 'safe', path_prefix: PATHS.safe, kind: 'safe' },
-      {
-        ...common,
-        name: 'stream',
-        path_prefix: PATHS.stream,
-        kind: 'streaming',
-        service: 'model',
-        max_attempts: 2,
-        sticky: true,
-        resumable: false,
-        gap_aim_ms: 300,
-      },
+      { ...plain, name: 'large', path_prefix: PATHS.large, kind: 'safe' },
+      { ...stream, name: 'stream', path_prefix: PATHS.stream, resumable: false },
+      { ...stream, ...long, name: 'long', path_prefix: PATHS.long, resumable: true },
+      { ...stream, ...long, name: 'once', path_prefix: PATHS.once, resumable: false },
     ],
     services: [
       { ...service, name: 'plain' },
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -4,7 +4,10 @@
 import type { Arrival } from './checkEvacuations'
 import { FATAL, type FatalArrivals } from './checkFatal'
 import { COLD, DOMAINS } from './machineSettings'
+import { PATHS } from './soakCallers'
+import { ENGINE_SLOTS } from './soakOperator'
 import type { SeenRun } from './soakWorkspaces'
+import { StandInRuns, type BegunAnswers } from './standInRuns'
 
 /** What a stand-in does wrong. */
 export type EndpointFault = 'none' | 'refuse' | 'lose-answers' | 'fail' | 'cut-streams'
@@ -19,8 +22,8 @@
   /** Control machines to register with. */
   control: () => string[]
   random: Random
-  /** Handles of all prefill stand-ins, since a decode stand-in fetches from them. */
-  handles: Set<string>
+  /** What became of begun answers, and the memories of all engines, since they fetch from each other. */
+  begun: BegunAnswers
   /** Runs by request id, over all stand-ins. */
   runs: Map<string, number>
   /** Every run, with what the endpoint was told of its caller. */
@@ -29,6 +32,7 @@
   fatal: FatalArrivals
 }
 
+const PLAIN_SLOTS = 8
 const BEAT_MS = 800
 const SAME_ID_SHARE = 0.5
 /** Of heartbeats, this share is followed by one of another writer's that says nothing of an endpoint to use. */
@@ -41,9 +45,13 @@
   { born: '5' },
 ]
 const NOT_TAKEN = 400
-const HANDLE_MS = 500
 const EVENTS = 12
 const EVENT_MS = 15
+/** Answers of some seconds. */
+const LONG_EVENTS = 50
+const LONG_SPREAD = 40
+const LONG_EVENT_MS = 25
+const LARGE_BYTES = 12 * 1024 * 1024
 const WORK_MS = 30
 const DRAIN_MS = 2_000
 /** Kept for a call that was on its way when the time was over. */
@@ -68,12 +76,17 @@
   private coldArrivals: number[] = []
   private timer: NodeJS.Timeout | undefined
   fault: EndpointFault = 'none'
+  /** Whether it turns all work away, beside its fault. */
+  turnsAway = false
+  private readonly runs: StandInRuns
   /** What must not have happened. */
   readonly broken: string[] = []
   /** When requests arrived that it did not send back as another endpoint's. */
   readonly arrivals: Arrival[] = []
 
-  constructor(private readonly options: StandInOptions) {}
+  constructor(private readonly options: StandInOptions) {
+    this.runs = new StandInRuns(options.begun, options.random)
+  }
 
   async start(): Promise<void> {
     this.lives += 1
@@ -101,16 +114,22 @@
 
   /** Says that it leaves, serves on for a while, leaves, and starts again under another id. */
   async drain(): Promise<void> {
+    if (this.state === 'draining') return
+    const life = this.lives
     this.state = 'draining'
     while (!(await this.beat())) await pause(BEAT_MS)
+    if (life !== this.lives) return
     this.drainedAt = Date.now()
     await pause(DRAIN_MS + DRAIN_SLACK_MS * 2)
+    // It has crashed meanwhile and is another life now.
+    if (life !== this.lives) return
     await this.tell('DELETE')
     await this.crash()
   }
 
   end(): void {
     clearInterval(this.timer)
+    this.runs.endAll()
     this.server?.close()
     this.server?.closeAllConnections()
   }
@@ -159,7 +178,7 @@
       address: this.address,
       zone: this.zone,
       version: 'v1',
-      slots: 8,
+      slots: stage === undefined ? PLAIN_SLOTS : ENGINE_SLOTS,
       state: this.state,
       cold_remaining_ms: this.coldLeft(),
       call_seq: this.beats,
@@ -169,27 +188,29 @@
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
-    request.resume()
-    request.on('end', () => this.answer(request, response))
+    let body = ''
+    request.on('data', (bytes: Buffer) => (body += bytes.toString()))
+    request.on('end', () => this.answer(request, response, body))
   }
 
-  private answer(request: IncomingMessage, response: ServerResponse): void {
-    const { handles } = this.options
+  private answer(request: IncomingMessage, response: ServerResponse, body: string): void {
+    const { memories } = this.options.begun
     const path = request.url ?? ''
     if (path.startsWith('/kv-handle/')) {
-      handles.delete(path.slice('/kv-handle/'.length))
+      memories.free(path.slice('/kv-handle/'.length))
       return void response.writeHead(200).end()
     }
     const expected = request.headers['x-forkstage-expect-instance']
     if (expected !== undefined && expected !== this.id) return void response.writeHead(421).end()
     if (path === '/report') return void response.writeHead(200).end(JSON.stringify(this.report()))
     if (path === '/health') return this.tellHealth(response)
+    if (path === '/kv-move') return this.runs.move(body, this.address, response)
     if (path === '/order') return void response.writeHead(409).end()
     this.arrivals.push({ request: idOf(request), domain: this.zone, at: Date.now() })
     if (path.endsWith(FATAL)) return this.endUnder()
     this.checkDrained(request)
     this.checkCold()
-    if (this.fault === 'refuse') return this.refuse(response)
+    if (this.fault === 'refuse' || this.turnsAway) return this.turnAway(request, response)
     if (request.headers['x-forkstage-stage'] === 'prefill') return this.prefill(response)
     if (this.options.stage === undefined) return this.work(request, response)
     this.stream(request, response)
@@ -235,14 +256,19 @@
     this.broken.push(`${this.id} got ${idOf(request)} long after it had said that it leaves`)
   }
 
+  private turnAway(request: IncomingMessage, response: ServerResponse): void {
+    const { turnedAway } = this.options.begun
+    const isStopped = request.headers['x-forkstage-kv-source'] !== undefined
+    if (isStopped) turnedAway.set(idOf(request), (turnedAway.get(idOf(request)) ?? 0) + 1)
+    this.refuse(response)
+  }
+
   private refuse(response: ServerResponse): void {
     response.writeHead(503, { 'X-Forkstage-Not-Executed': '1' }).end()
   }
 
   private prefill(response: ServerResponse): void {
-    const handle = Math.floor(this.options.random() * 1e12).toString(16)
-    this.options.handles.add(handle)
-    setTimeout(() => this.options.handles.delete(handle), HANDLE_MS)
+    const handle = this.options.begun.memories.keepPrompt()
     response.writeHead(200, { 'Content-Type': 'application/json' })
     response.end(JSON.stringify({ kv_handle: handle, tokens: 10, version: 1 }))
   }
@@ -268,25 +294,26 @@
     setTimeout(() => {
       if (this.fault === 'lose-answers') return void response.destroy()
       const status = this.fault === 'fail' ? 500 : 200
-      response.writeHead(status, this.headersOf(request)).end(`answer to ${idOf(request)}`)
+      const rest = request.url!.startsWith(PATHS.large) ? Buffer.alloc(LARGE_BYTES, ' ') : ''
+      response.writeHead(status, this.headersOf(request)).write(`answer to ${idOf(request)}`)
+      response.end(rest)
     }, WORK_MS)
   }
 
   private stream(request: IncomingMessage, response: ServerResponse): void {
     const source = request.headers['x-forkstage-kv-source']
-    if (source !== undefined && !this.options.handles.delete(String(source).split('/')[1] ?? ''))
-      return this.refuse(response)
-    this.noteRun(request)
+    const handle = String(source).split('/')[1] ?? ''
+    const from = source && this.options.begun.memories.take(handle, idOf(request), this.address)
+    if (source !== undefined && from === undefined) return this.turnAway(request, response)
+    // What goes on from its memory is the same run.
+    if (from !== 'run') this.noteRun(request)
     response.writeHead(200, { ...this.headersOf(request), 'Content-Type': 'text/event-stream' })
-    let made = 0
-    const timer = setInterval(() => {
-      made += 1
-      response.write(`id: ${made}\ndata: ${idOf(request)} ${made} of ${EVENTS}\n\n`)
-      if (this.fault === 'cut-streams' && made === EVENTS / 2) response.destroy()
-      if (made === EVENTS) response.end()
-      if (made === EVENTS || response.destroyed) clearInterval(timer)
-    }, EVENT_MS)
-    response.on('close', () => clearInterval(timer))
+    const isLong = !request.url!.startsWith(PATHS.stream)
+    const events = isLong ? LONG_EVENTS + (Number(idOf(request).slice(1)) % LONG_SPREAD) : EVENTS
+    const after = Number(request.headers['last-event-id'] ?? 0)
+    const breaksAfter = this.fault === 'cut-streams' ? Math.floor((after + events) / 2) : undefined
+    const everyMs = isLong ? LONG_EVENT_MS : EVENT_MS
+    this.runs.begin({ request: idOf(request), events, everyMs, after, breaksAfter }, response)
   }
 }
 
--- /dev/null
+++ b/tools/fleet-soak/test/checkBegun.test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from 'vitest'
+import { createSeededRandom } from '@forkstage/clock'
+import { checkBegun, type Entitlements } from '../src/checkBegun'
+import { planEngineFaults } from '../src/engineFaults'
+import type { CallRecord } from '../src/soakCallers'
+import { newBegunAnswers } from '../src/standInRuns'
+
+const call = (fields: Partial<CallRecord> = {}): CallRecord => ({
+  id: 'r1',
+  kind: 'long',
+  status: 200,
+  body: 'id: 1',
+  isWhole: false,
+  stamp: '',
+  entry: 'entry-1',
+  startedAt: 10_000,
+  endedAt: 11_000,
+  deadlineMs: 8_000,
+  ...fields,
+})
+const known = (fields: Partial<Entitlements> = {}): Entitlements => ({
+  ...newBegunAnswers(createSeededRandom(1)),
+  entries: new Map(),
+  evacuations: [],
+  ...fields,
+})
+const lapsed = (turnedAway: number) => {
+  const begun = newBegunAnswers(createSeededRandom(1))
+  begun.memories.lapsed.add('r1')
+  begun.turnedAway.set('r1', turnedAway)
+  return known(begun)
+}
+
+describe('checkBegun', () => {
+  it('finds an answer that was cut for nothing, of each kind', () => {
+    for (const kind of ['long', 'once', 'stream', 'large'] as const)
+      expect(checkBegun([call({ kind })], known())).toEqual([
+        expect.stringContaining('was cut after 1000 ms'),
+      ])
+  })
+
+  it.each([
+    ['is whole', call({ isWhole: true }), known()],
+    ['never began', call({ status: 0 }), known()],
+    ['had no time left', call({ endedAt: 17_000 }), known()],
+    ['lost its entry', call(), known({ entries: new Map([['entry-1', [{ from: 10_900, to: 12_000 }]]]) })],
+    ['was broken off twice', call(), known({ brokenOff: new Map([['r1', 2]]) })],
+    [
+      'was broken off and may not be made anew',
+      call({ kind: 'once' }),
+      known({ brokenOff: new Map([['r1', 1]]) }),
+    ],
+    ['was taken by no engine that had its memory', call({ kind: 'once' }), lapsed(2)],
+  ])('finds nothing in one that %s', (_what, one, entitled) => {
+    expect(checkBegun([one], entitled)).toEqual([])
+  })
+
+  it.each([
+    ['away before', call(), known({ entries: new Map([['entry-1', [{ from: 0, to: 9_999 }]]]) })],
+    ['another entry away', call(), known({ entries: new Map([['entry-2', [{ from: 0, to: Infinity }]]]) })],
+    ['one loss of two that it may have', call(), known({ brokenOff: new Map([['r1', 1]]) })],
+    ['tried once where its memory was', call({ kind: 'once' }), lapsed(1)],
+    ['a lapse, though it may be made anew', call(), lapsed(9)],
+  ])('is not content with %s', (_what, one, entitled) => {
+    expect(checkBegun([one], entitled)).toHaveLength(1)
+  })
+})
+
+describe('planEngineFaults', () => {
+  it('draws the same from the same seed, and both kinds', () => {
+    const plan = (seed: number) => planEngineFaults(60_000, createSeededRandom(seed))
+    expect(plan(1)).toEqual(plan(1))
+    expect(plan(1)).not.toEqual(plan(2))
+    expect(new Set(plan(1).map(({ kind }) => kind)).size).toBe(2)
+  })
+})
--- a/tools/fleet-soak/test/checkFleet.test.ts
+++ b/tools/fleet-soak/test/checkFleet.test.ts
@@ -16,6 +16,10 @@
     body: 'answer to r1',
     isWhole: true,
     stamp: 'stamp-r1',
+    entry: 'entry-1',
+    startedAt: 0,
+    endedAt: 100,
+    deadlineMs: 3_000,
     ...fields,
   }
 }
--- a/tools/fleet-soak/test/evacuation.test.ts
+++ b/tools/fleet-soak/test/evacuation.test.ts
@@ -12,6 +12,7 @@
 import { sheetText } from '../src/soakOperator'
 import { turningKey, type SeenRun } from '../src/soakWorkspaces'
 import { StandInEndpoint } from '../src/standInEndpoint'
+import { newBegunAnswers } from '../src/standInRuns'
 
 const run = promisify(execFile)
 const folder = mkdtempSync(join(tmpdir(), 'forkstage-evacuation-'))
@@ -25,7 +26,7 @@
       zone,
       control: () => fleet.control.map((machine) => fleet.operators(machine)),
       random: createSeededRandom(index + 1),
-      handles: new Set(),
+      begun: newBegunAnswers(createSeededRandom(9)),
       runs: new Map(),
       seen: runs,
       fatal: { at: [] },
