fix(crashes): a control machine answers a report once it is on its disk

Cause: the leader answered an entry's report of an end and wrote it up to a second later. Killed in between and leading again at the same address, it was told nothing more, since entries compare addresses: one end was missing from the count for good. Ruled out: comparing terms at the entries (they hear an address only, and the watch would have to carry the term to each of them). Change: KeptFile.keep writes at once, calls that come meanwhile share a write; the report is answered after it, and refused where the disk takes nothing, so that the entry tells again. A write that failed is tried again a second later and no longer waits for the next change.

--- a/daemon/fleet/src/controlCrashes.ts
+++ b/daemon/fleet/src/controlCrashes.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@forkstage/clock'
 import { CRASH_REPORT, readCrashRecords, type CrashBook, type CrashRecord } from '@forkstage/crashes'
+import { ForkstageError } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { FileSystem } from '@forkstage/storage'
@@ -20,6 +21,13 @@
 
 const FILE = 'crashes.json'
 
+/** Raised where what was reported is known here and not on disk: whoever reported it tells it again. */
+export class NotKeptError extends ForkstageError {
+  constructor() {
+    super('FORKSTAGE_NOT_KEPT', 'What was reported is not on disk.', 'Report it again.', { step: 'keep' })
+  }
+}
+
 /**
  * A control machine's part in what is known of requests that end their endpoints: takes what entries and other control
  * machines report, passes it on, and keeps it, since all machines may lose power at once while such a request comes again.
@@ -35,9 +43,11 @@
 
   methods(): Record<string, PeerMethod> {
     return {
-      [CRASH_REPORT]: ({ records }: { records: unknown }) => {
+      [CRASH_REPORT]: async ({ records }: { records: unknown }) => {
         this.take(records)
-        return true
+        // Entries tell again whoever has not answered: killed after the answer, this machine must still know it.
+        if (await this.file.keep()) return true
+        throw new NotKeptError()
       },
     }
   }
--- a/daemon/fleet/src/keptFile.ts
+++ b/daemon/fleet/src/keptFile.ts
@@ -25,6 +25,8 @@
   private stopped = false
   /** Whether anything has changed since the write that is under way began. */
   private hasChanged = false
+  private writing: Promise<unknown> = Promise.resolve()
+  private next: Promise<boolean> | undefined
 
   constructor(private readonly options: KeptFileOptions) {}
 
@@ -46,27 +48,41 @@
     this.hasChanged = true
     if (this.stopped || this.cancelWrite !== undefined) return
     this.cancelWrite = this.options.clock.after(WRITE_AFTER_MS, () => {
-      this.hasChanged = false
-      void this.write().finally(() => {
+      void this.keep().finally(() => {
         this.cancelWrite = undefined
         if (this.hasChanged) this.noteChange()
       })
     })
   }
 
+  /** Writes at once what was noted; says whether all of it is on disk. Calls that come meanwhile share the next write. */
+  keep(): Promise<boolean> {
+    this.next ??= this.writing.then(() => {
+      this.next = undefined
+      const written = this.hasChanged ? this.write() : Promise.resolve(true)
+      this.writing = written
+      return written
+    })
+    return this.next
+  }
+
   stop(): void {
     this.stopped = true
     this.cancelWrite?.()
   }
 
-  private async write(): Promise<void> {
+  private async write(): Promise<boolean> {
     const { files, folder, file, content, logger } = this.options
+    this.hasChanged = false
     try {
       await files.makeFolder(folder)
       await files.replace(`${folder}/${file}`, Buffer.from(JSON.stringify(content())))
+      return true
     } catch (error) {
-      // The next change is written anew; until then a restart knows what was known before.
+      // Tried again a moment later; until then a restart knows what was known before.
+      this.hasChanged = true
       logger.warn('file.not-kept', { file, reason: toErrorBody(error).message })
+      return false
     }
   }
 }
--- a/daemon/fleet/test/controlCrashes.test.ts
+++ b/daemon/fleet/test/controlCrashes.test.ts
@@ -60,6 +60,28 @@
   expect(later.book.refusal('bad')).toEqual({ ends: 3, leftMs: KEEP_MS - 1_000 - 21_000 })
 })
 
+/**
+ * A leader that is killed after its answer and leads again at the same address is told nothing more: its entries have its
+ * answer. What it had been told stood in memory for up to a second, so that an end was missing from the count for good.
+ */
+it('has on disk what it has answered for, also when it is killed right after', async () => {
+  const folder = newFolder()
+  const first = machine(folder)
+  const report = first.crashes.methods()[CRASH_REPORT] as (params: unknown) => unknown
+  expect(await report({ records: [BAD] })).toBe(true)
+  const again = machine(folder)
+  await again.crashes.recall()
+  expect(again.book.refusal('bad')).toMatchObject({ ends: 3 })
+})
+
+it('answers for nothing while its disk takes nothing, and takes it in all the same', async () => {
+  const { crashes, book } = machine('/dev/null/not-a-folder')
+  const report = crashes.methods()[CRASH_REPORT] as (params: unknown) => Promise<unknown>
+  await expect(report({ records: [BAD] })).rejects.toThrow('not on disk')
+  await expect(report({ records: [BAD] })).rejects.toThrow('not on disk')
+  expect(book.refusal('bad')).toMatchObject({ ends: 3 })
+})
+
 it.each(['', '{"savedAt":1', '[]', '{"savedAt":"x","records":[{"content":{}}]}', 'null'])(
   'knows nothing after a file that cannot be read (%j)',
   async (text) => {
