feat(control): asks for places and reports of quotas are checked where they enter

Cause: what one of our machines sends another was taken as it came at two places that the list of checked statements left open: place asks and reports, and quota reports. A field of another type would have been counted with. Change: readPlaceAsk, readPlaceReport, readQuotaReport. A malformed ask is answered with an error (its entry places by itself), a row of a report that is none is left out with a log line, a workspace of which nothing can be read too; an entry reports no other entry's places.

--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -5,7 +5,13 @@
 import { GroupClient, type GroupHost, type ReplicaStatus } from '@forkstage/group'
 import { MembershipKeeper } from '@forkstage/keeper'
 import { startPeerServer, type PeerMethod, type PeerServer } from '@forkstage/peer-rpc'
-import { QUOTA_REPORT, type QuotaAnswer, type QuotaLedger, type QuotaReport } from '@forkstage/quota'
+import {
+  QUOTA_REPORT,
+  readQuotaReport,
+  type QuotaAnswer,
+  type QuotaLedger,
+  type QuotaReport,
+} from '@forkstage/quota'
 import { RouteBook } from '@forkstage/routes'
 import { createFileSystem } from '@forkstage/storage'
 import { SheetMachine, type SheetCommand, type SheetDocument, type SheetResult } from '@forkstage/sheet'
@@ -283,14 +289,15 @@
       ...this.evacuations.methods(),
       ...this.allocator.methods(),
       ...this.crashes.methods(),
-      [QUOTA_REPORT]: (report: QuotaReport) => this.takeQuotas(report),
+      [QUOTA_REPORT]: (report: unknown) => this.takeQuotas(readQuotaReport(report)),
       [WATCH]: (question: WatchQuestion) => this.hub.answer(question),
       [SHEET]: () => this.hub.newestSheet(),
     }
   }
 
   /** Only a machine that leads with its lease says what is left: another may be saying so too. */
-  private takeQuotas(report: QuotaReport): QuotaAnswer {
+  private takeQuotas(report: QuotaReport | undefined): QuotaAnswer {
+    if (report === undefined) return {}
     return this.host.replica?.holdsLease === true ? this.quotas.take(report) : {}
   }
 
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -14,6 +14,7 @@
 import { LengthForecast } from './lengthForecast'
 import type { PaceView } from './peerPace'
 import type { StageChange } from './planStages'
+import { readPlaceAsk, readPlaceReport, type PlaceReport } from './readPlaceCalls'
 
 /** The methods that entries call at the machine that places. */
 export const PLACE = {
@@ -94,7 +95,7 @@
   methods(): Record<string, PeerMethod> {
     const now = () => this.options.clock.now()
     return {
-      [PLACE.ask]: (params: { ask: PlaceAsk }) => this.ask(params.ask),
+      [PLACE.ask]: (params: unknown) => this.ask(readPlaceAsk(params)),
       [PLACE.withdraw]: (params: { request: string }) => this.withdraw(params.request),
       [PLACE.prefilled]: (params: { request: string; outcome: UseOutcome; tookMs: Millis }) =>
         this.allocator.notePrefilled(params.request, params.outcome, params.tookMs, now()),
@@ -106,7 +107,7 @@
         outcome: UseOutcome
         madeTokens: number
       }) => this.allocator.release(params.request, params.outcome, params.madeTokens, now(), params.decode),
-      [PLACE.report]: (params: { entry: string; holds: ReportedHold[] }) => this.takeReport(params),
+      [PLACE.report]: (params: unknown) => this.takeReport(readPlaceReport(params)),
     }
   }
 
@@ -199,8 +200,10 @@
     this.allocator.withdraw(request, this.options.clock.now())
   }
 
-  private takeReport({ entry, holds }: { entry: string; holds: ReportedHold[] }): ReportAnswer {
+  private takeReport({ entry, holds, malformed }: PlaceReport): ReportAnswer {
     this.renewTerm()
+    const reason = `${malformed} of its rows are no places`
+    if (malformed > 0) this.options.logger.warn('place.report-refused', { entry, request: '', reason })
     const now = this.options.clock.now()
     this.heard.set(entry, now)
     this.reported.add(entry)
