fix(gateway): a begun answer goes on under the sheet that it came under

Cause: whoever places looks a service up in the newest sheet only, so that an answer that began under an older one and lost its engine found 'the service is not known' until its time was up; an entry alone counted its memory as none. Ruled out: sending the old sheet along (an entry has one sheet in force). Change: the memory of an engine travels with the request (kvTokens), and an entry places a begun answer by itself where the leader does not know its service any more. Requests that have not begun are refused as before.

--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -12,7 +12,7 @@
 import { LengthForecast } from './lengthForecast'
 import { MovePlanner } from './movePlanner'
 import { PartOrders } from './partOrders'
-import { AWAY_REASON, AWAY_RETRY_MS, COLD_REASON, refused, Refusals } from './refusals'
+import { AWAY_REASON, AWAY_RETRY_MS, COLD_REASON, refused, Refusals, UNKNOWN_SERVICE } from './refusals'
 import { isOwnQueue } from './ownQueue'
 import type { StageChange, StageNeed } from './planStages'
 import { StagePlanner } from './stagePlanner'
@@ -270,8 +270,7 @@
   }
 
   private refuseAtOnce(ask: PlaceAsk, now: Millis): PlaceDecision | undefined {
-    if (this.options.engine(ask.service) === undefined)
-      return refused('the service is not known', NO_ENGINE_RETRY_MS)
+    if (this.options.engine(ask.service) === undefined) return refused(UNKNOWN_SERVICE, NO_ENGINE_RETRY_MS)
     const decoders = this.choice.registered(ask.service, 'decode').length
     if (this.choice.isEmptied(ask.service)) return this.refuse(EVACUATED, ask, now)
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -21,7 +21,7 @@
 } from './allocatorTypes'
 export { ColdBudget } from './coldBudget'
 export type { ColdOutlook, ColdPolicy } from './coldBudget'
-export { COLD_REASON } from './refusals'
+export { COLD_REASON, UNKNOWN_SERVICE } from './refusals'
 export { KeptPrompts } from './keptPrompts'
 export { LengthForecast, lengthQuantile } from './lengthForecast'
 export type { LengthPrior } from './lengthForecast'
--- a/placement/allocator/src/refusals.ts
+++ b/placement/allocator/src/refusals.ts
@@ -11,6 +11,9 @@
 /** Why requests are refused where only cold engines are there, which may get no more now. */
 export const COLD_REASON = 'cold engines get no more now'
 
+/** Why a request is refused whose service the sheet in force does not have. */
+export const UNKNOWN_SERVICE = 'the service is not known'
+
 /** Why a request is refused whose regions have no decode engine, where others have. */
 export const AWAY_REASON = 'no decode engine in its regions'
 /** When to come back then: a region that was cut off is back within seconds at the earliest. */
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -73,7 +73,8 @@
 
   private hasRoom(work: ModelWork, decoders: PooledEndpoint[]): boolean {
     const { kvTokens, entries } = this.options
-    const all = kvTokens(work.service) * decoders.length * MOST_FILL
+    // A newer sheet may lack the service of what came before it.
+    const all = (work.kvTokens ?? kvTokens(work.service)) * decoders.length * MOST_FILL
     const own = decoders.reduce((sum, one) => sum + one.tokens, 0)
     return own === 0 || own + tokensOf(work) <= (all * UNEVEN_FACTOR) / Math.max(1, entries())
   }
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -33,6 +33,8 @@
   except: ReadonlySet<string>
   /** Whether the memory of a prefill step is at hand already. */
   isPrefilled: boolean
+  /** Tokens that one engine of its service holds, by the sheet that it came under; absent where that is not known. */
+  kvTokens?: number
   /** Whether its caller has a part of its answer, which goes on where it gets a place. */
   isBegun?: boolean
   /** The regions that it may be served in; absent where any will do. Empty where none will. */
--- a/request/gateway/src/modelWork.ts
+++ b/request/gateway/src/modelWork.ts
@@ -29,6 +29,7 @@
     leftMs,
     pauseMs: route.pauseMs,
     className: route.name,
+    kvTokens: service.engine?.kvTokens,
     regions: job.homes(),
     parts: promptPartsOf(request, wire, tokens),
   }
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -1,5 +1,6 @@
 import {
   PLACE,
+  UNKNOWN_SERVICE,
   type AnswerMove,
   type PlaceAsk,
   type PlaceDecision,
@@ -87,8 +88,8 @@
       decision = await this.ask(ask)
     }
     if (decision === 'another leads') decision = undefined
-    if (decision?.type === 'refused') return decision
-    if (decision !== undefined) {
+    if (decision?.type === 'refused' && !isOfOlderSheet(ask, decision)) return decision
+    if (decision?.type === 'placed') {
       const place = this.toPlace(ask, decision)
       if (place !== undefined) return { type: 'place', place }
     }
@@ -221,6 +222,11 @@
   }
 }
 
+/** An answer that has begun goes on under the sheet that it came under, though the newest has not its service any more. */
+function isOfOlderSheet({ isBegun }: PlaceAsk, { reason }: { reason: string }): boolean {
+  return isBegun === true && reason === UNKNOWN_SERVICE
+}
+
 /** A request that asks again, with the times that it has left. */
 function laterBy(ask: PlaceAsk, passedMs: Millis): PlaceAsk {
   return {
--- a/request/gateway/test/remotePlacer.test.ts
+++ b/request/gateway/test/remotePlacer.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { PLACE, type AnswerMove } from '@forkstage/allocator'
+import { PLACE, UNKNOWN_SERVICE, type AnswerMove } from '@forkstage/allocator'
 import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
 import { Topology } from '@forkstage/topology'
@@ -43,12 +43,18 @@
   pool.update([ENGINE_OF_TEST])
   const silent = new Set<string>()
   const asked: string[] = []
-  const told = { leader: undefined as string | undefined, moves: [] as AnswerMove[] }
+  const told = {
+    leader: undefined as string | undefined,
+    moves: [] as AnswerMove[],
+    refusal: undefined as string | undefined,
+  }
   const peers = {
     call: async <Result>(address: string, method: string) => {
       if (method !== PLACE.report) asked.push(address)
       if (silent.has(address)) await new Promise(() => undefined)
       if (method === PLACE.report) return { moves: told.moves.splice(0) } as Result
+      const { refusal } = told
+      if (refusal !== undefined) return { type: 'refused', reason: refusal, retryAfterMs: 700 } as Result
       return { type: 'placed', decode: 'd1' } as Result
     },
     notify: () => undefined,
@@ -69,6 +75,19 @@
 }
 
 describe('RemotePlacer', () => {
+  it('lets an answer that has begun go on though a newer sheet has not its service any more', async () => {
+    const { placer, told } = world(1, 0)
+    told.leader = '10.0.0.9:1'
+    told.refusal = UNKNOWN_SERVICE
+    expect(await placer.place(WORK)).toMatchObject({ type: 'refused', reason: UNKNOWN_SERVICE })
+    const begun = { ...WORK, isBegun: true, kvTokens: 10_000 }
+    const first = await placer.place({ ...begun, request: 'r1' })
+    const second = await placer.place({ ...begun, request: 'r2' })
+    expect([first.type, second.type]).toEqual(['place', 'place'])
+    told.refusal = 'no room in time'
+    expect(await placer.place(begun)).toMatchObject({ type: 'refused', reason: 'no room in time' })
+  })
+
   it('waits a moment for a leader that is being elected, and asks it', async () => {
     const { clock, placer, told, asked } = world()
     const answer = placer.place(WORK)
