fix(machine): a box asks again for a place for an answer that has begun

Cause: the same as at entries: a refused place ended a request alike whether its caller had a part of the answer or not. Ruled out: asking again where the engine cannot make the same answer again (nothing could follow what the caller has). Change: the request machine keeps such an answer in its phase and asks again after the refusal's time, 400 ms at most, while that lies before the deadline.

--- a/request/machine/src/requestState.ts
+++ b/request/machine/src/requestState.ts
@@ -32,6 +32,8 @@
   finish: string
   resumes: number
   lastLineAt: Millis
+  /** When an answer that has begun and was refused a place asks again. */
+  placeAgainAt?: Millis
   firstTokenAt?: Millis
   /** Why the last attempt failed, for the caller. */
   lastFailure?: { reason: string; step: string; peer?: string }
--- a/request/machine/src/stepRequest.ts
+++ b/request/machine/src/stepRequest.ts
@@ -10,6 +10,8 @@
 const MOST_ATTEMPTS = 4
 /** How often one stream is resumed before another engine is tried. */
 const MOST_RESUMES = 2
+/** While it is turned away, an answer that has begun asks for a place this often at least. */
+const LONGEST_WAIT_MS: Millis = 400
 /** A kept result that expires sooner than this is not worth another transfer. */
 const LEAST_KEEP_MS = 300
 
@@ -57,7 +59,7 @@
       state.deterministic = event.deterministic
       return handlePlaced(state, event.placement)
     case 'refused':
-      return refuseRequest(state, event.reason, event.retryAfter)
+      return handleRefused(state, event, now)
     case 'reserved':
       return handleReserved(state, now)
     case 'prefilled':
@@ -96,6 +98,25 @@
   state.effects.push({ type: 'place', attempt: state.attempt, avoid: state.avoid, waited, keepPrefill })
 }
 
+/** An answer that its caller has begun to get is owed until its time is up: a refused place is asked for again. */
+function handleRefused(
+  state: RequestState,
+  { reason, retryAfter }: Extract<RequestEvent, { type: 'refused' }>,
+  now: Millis,
+): void {
+  const mayGoOn = state.options.deliveredBefore > 0 || (state.delivered > 0 && state.deterministic)
+  const againAt = now + Math.min(retryAfter, LONGEST_WAIT_MS)
+  if (!mayGoOn || againAt >= state.options.deadline) return refuseRequest(state, reason, retryAfter)
+  state.placeAgainAt = againAt
+}
+
+function placeAgain(state: RequestState, now: Millis): void {
+  state.placeAgainAt = undefined
+  // Those that failed it may be all there are.
+  state.avoid = []
+  startAttempt(state, now)
+}
+
 function handlePlaced(state: RequestState, placement: Placement): void {
   const mustRepeat = state.options.deliveredBefore > 0 || state.delivered > 0
   if (mustRepeat && !state.deterministic)
@@ -283,6 +304,7 @@
     const { step = state.phase, peer } = state.lastFailure ?? {}
     return failRequest(state, 'deadline', step, peer)
   }
+  if (state.placeAgainAt !== undefined && now >= state.placeAgainAt) return placeAgain(state, now)
   const stalled = state.phase === 'decoding' && now - state.lastLineAt > state.options.stallMs
   if (stalled) handleBrokenStream(state, 'stalled', now)
 }
--- a/request/machine/test/stepRequest.test.ts
+++ b/request/machine/test/stepRequest.test.ts
@@ -1,7 +1,14 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { Placement } from '@forkstage/place'
-import { createRequest, stepRequest, type RequestEffect, type RequestEvent, type RequestState } from '../src'
+import {
+  createRequest,
+  engineEpoch,
+  stepRequest,
+  type RequestEffect,
+  type RequestEvent,
+  type RequestState,
+} from '../src'
 
 const RUNS = Number(process.env.RUNS ?? 400)
 const SEED = Number(process.env.SEED ?? 20261202)
@@ -185,6 +192,38 @@
     expect(step({ type: 'reserved', attempt: 1 }, 62)[0]).toMatchObject({ type: 'decode', attempt: 1 })
   })
 
+  /**
+   * A caller that had got a part of its answer lost the rest as soon as the next place was refused, with most of its time
+   * left: a refusal was carried out alike whether the answer had begun or not. Found by looking for the cause of begun
+   * answers that entries cut.
+   */
+  it.each([true, false])(
+    'asks again for a place for an answer that has begun (made the same again: %s)',
+    (same) => {
+      const state = create()
+      const step = (event: RequestEvent, now: number) => stepRequest(state, event, now)
+      step({ type: 'claimed', epoch: 1 }, 0)
+      step({ type: 'start' }, 0)
+      step({ type: 'placed', attempt: 0, placement: placement('p', 'd'), deterministic: same }, 0)
+      step({ type: 'reserved', attempt: 0 }, 0)
+      step({ type: 'prefilled', attempt: 0, freshTokens: 10, keepMs: 900 }, 0)
+      const epoch = engineEpoch(state)
+      step({ type: 'line', attempt: 0, line: { type: 'token', request: 'r', epoch, seq: 0, text: 'a' } }, 1)
+      expect(state.delivered).toBe(1)
+      for (let broken = 0; broken < 3; broken += 1)
+        step({ type: 'streamClosed', attempt: 0, reason: 'reset', notRun: false }, 2)
+      const refused = step({ type: 'refused', attempt: 1, reason: 'no-memory', retryAfter: 5_000 }, 10)
+      if (!same) return expect(refused.at(-1)).toMatchObject({ type: 'end', end: { type: 'failed' } })
+      expect(refused).toEqual([])
+      expect(step({ type: 'tick' }, 400)).toEqual([])
+      const again = step({ type: 'tick' }, 411)
+      expect(again).toEqual([expect.objectContaining({ type: 'place', attempt: 1, avoid: [] })])
+      // Too late for another wait: now it ends, as one that may have run.
+      const end = step({ type: 'refused', attempt: 1, reason: 'no-memory', retryAfter: 5_000 }, 700)
+      expect(end.at(-1)).toMatchObject({ type: 'end', end: { type: 'failed', execution: 'may-have-run' } })
+    },
+  )
+
   it('does not splice two answers where the engine cannot make the same one again', () => {
     const state = create({ deliveredBefore: 3 })
     const effects = [
