fix(orders): an order waits again where the lead was lost and won while its engine was asked

Cause: found by reading, for an open point (a leader that changes while an order is on its way): right before the order only 'does it lead' was asked, so that a term that began in between ordered without the wait for what an earlier leader may have ordered. With it two leftovers: one suspension was noticed twice where both clocks show it (one more renewal), and cut answers were counted as 'other'. Change: mayOrder is asked again right before the order; both clocks are looked at each time; forkstage_requests_total has the outcome 'cut'; the bound of contents says its reason.

--- a/core/clock/src/suspensionWatch.ts
+++ b/core/clock/src/suspensionWatch.ts
@@ -40,7 +40,10 @@
   /** When that was last noticed, by the steady clock; -Infinity where it never was. */
   suspendedAt(): Millis {
     const now = this.clocks.steady()
-    if (this.looksAtWall(now) || this.looksAtUptime(now)) this.at = now
+    // Both are looked at each time: what one shows now the other must not show once more a second later.
+    const byWall = this.looksAtWall(now)
+    const byUptime = this.looksAtUptime(now, byWall)
+    if (byWall || byUptime) this.at = now
     return this.at
   }
 
@@ -51,8 +54,8 @@
     return passed > UNSEEN_MS
   }
 
-  private looksAtUptime(now: Millis): boolean {
-    if (now - this.uptimeAt < UPTIME_EVERY_MS) return false
+  private looksAtUptime(now: Millis, isNoticed: boolean): boolean {
+    if (!isNoticed && now - this.uptimeAt < UPTIME_EVERY_MS) return false
     this.uptimeAt = now
     const ahead = this.clocks.uptime() - now
     const passed = ahead - this.uptimeAhead
--- a/core/clock/test/suspensionWatch.test.ts
+++ b/core/clock/test/suspensionWatch.test.ts
@@ -52,6 +52,16 @@
     expect(watch.suspendedAt()).toBeGreaterThanOrEqual(8_000)
   })
 
+  it('notices one suspension once, also where both clocks show it', () => {
+    const { time, watch, pass } = clocks()
+    pass(8_000)
+    time.wall += 5_000
+    time.uptime += 5_000
+    expect(watch.suspendedAt()).toBe(8_000)
+    pass(3_000)
+    expect(watch.suspendedAt()).toBe(8_000)
+  })
+
   it('takes a time of day that is set back for nothing', () => {
     const { time, watch, pass } = clocks()
     pass(1_000)
--- a/daemon/fleet/src/fleetMeters.ts
+++ b/daemon/fleet/src/fleetMeters.ts
@@ -4,6 +4,9 @@
 const SECOND_MS = 1_000
 const LATENCY_BUCKETS = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.9, 1.5, 3, 5, 10]
 
+/** How outcomes begin of answers that had begun and were ended here; the reason follows. */
+const CUT = 'cut: '
+
 /** Values read when the counters are. */
 export type GaugeReader = () => number | Record<string, number>
 
@@ -97,5 +100,6 @@
     'over quota',
     'malformed token counts',
   ]
+  if (outcome.startsWith(CUT)) return 'cut'
   return KNOWN.includes(outcome) ? outcome : 'other'
 }
--- a/daemon/fleet/src/stageOrders.ts
+++ b/daemon/fleet/src/stageOrders.ts
@@ -82,14 +82,16 @@
   }
 
   private async order(change: StageChange, changeMs: Millis): Promise<void> {
-    const { wire, endpoint, holder, isLeader, term, allocator, logger } = this.options
+    const { wire, endpoint, holder, term, allocator, logger } = this.options
     const to = endpoint(change.id)
     if (to === undefined || this.options.isBarred?.(to)) return
     const asked = await this.call(to, wire.reportCall())
     const report = this.readReport(to, asked)
     // An order that this machine did not give, or that came late, is under way.
     if (report?.isBusy === true) return allocator.noteChanging(change.id, otherStage(to.stage!), REFUSED_MS)
-    if (report === undefined || !isLeader()) return allocator.noteOrdered(change.id, to.stage!, REFUSED_MS)
+    // Whoever led while the engine was asked may have ordered: a term that is new by now waits like any other.
+    if (report === undefined || !this.mayOrder())
+      return allocator.noteOrdered(change.id, to.stage!, REFUSED_MS)
     if (this.options.isBarred?.(to) || endpoint(change.id)?.state === 'ended') return
     const fence = term()
     const { stage, need, have } = change
--- a/daemon/fleet/test/stageOrders.test.ts
+++ b/daemon/fleet/test/stageOrders.test.ts
@@ -174,6 +174,22 @@
     stop()
   })
 
+  /**
+   * Found by reading, for a leader that changes while an order is on its way: between the question and the order this machine
+   * loses its lead and wins it again. Whoever led in between may have given an order, which an engine that checks no
+   * fence would carry out beside this one.
+   */
+  it('gives no order in a term that began while the engine was asked how it stands', async () => {
+    const { state, clock, ordered, changing, settled, stop } = await start()
+    clock.advance(LEAD_FIRST_MS + 600)
+    state.term = 6
+    await settled(() => state.reports === 1)
+    await turns()
+    expect([state.orders, changing]).toEqual([[], []])
+    expect(ordered).toEqual([['i-1', 'prefill', 4_000]])
+    stop()
+  })
+
   it('gives no order while it does not lead, nor to an engine that carries one out', async () => {
     const { state, clock, changing, settled, stop } = await start()
     state.leads = false
--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -23,7 +23,11 @@
   changedAt: number
 }
 
-/** One engine's end may name a hundred contents; so many ends at once are no request's fault. */
+/**
+ * Bounds the memory: an engine's end may name a hundred contents, so that this holds the last twenty ends and more. Of those
+ * that are not refused the
+ * oldest are forgotten first.
+ */
 const MOST_CONTENTS = 2_000
 /** More prove no more. */
 const MOST_LIVES = 16
