--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -24,9 +24,8 @@
 }
 
 /**
- * Bounds the memory: an engine's end may name a hundred contents, so that this holds the last twenty ends and more. Of those
- * that are not refused the
- * oldest are forgotten first.
+ * Bounds the memory. An engine's end may name a hundred contents, so that this holds those of the last twenty ends; the
+ * oldest that are not refused are forgotten first.
  */
 const MOST_CONTENTS = 2_000
 /** More prove no more. */
