fix(gateway): what must not run twice goes on from a copy only once its engine has said that it stopped

Change: StoppedRun says whether the stop is proved; without proof only an answer that may be made anew goes on. The soak's stand-ins note stops that nobody was told of, and checkBegun lets such an answer of a route that runs once end.

--- a/request/gateway/src/keptRun.ts
+++ b/request/gateway/src/keptRun.ts
@@ -12,6 +12,8 @@
   handle: string
   /** The engine that has a copy; absent where there is none. */
   copiedTo?: AtHome<PooledEndpoint>
+  /** Whether its engine has said that the run has stopped. Otherwise it may still be at work on it. */
+  isProved: boolean
 }
 
 /** Engines keep the memory for a stated time and somewhat longer; a sending that comes too late is only turned away. */
--- a/request/gateway/src/runMove.ts
+++ b/request/gateway/src/runMove.ts
@@ -45,7 +45,7 @@
       // Where the answer is lost the engine may have stopped all the same: what was copied before is still there.
       if (handle === undefined) return this.copied()
       const isCopied = outcome.type === 'answer' && outcome.head.status === OK
-      return { source: this.source, handle, copiedTo: isCopied ? this.to : undefined }
+      return { source: this.source, handle, copiedTo: isCopied ? this.to : undefined, isProved: true }
     })
   }
 
@@ -56,7 +56,7 @@
 
   private copied(): StoppedRun | undefined {
     const { source, to, handle } = this
-    return handle === undefined ? undefined : { source, handle, copiedTo: to }
+    return handle === undefined ? undefined : { source, handle, copiedTo: to, isProved: false }
   }
 
   /** Frees a copy that nobody takes. */
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -95,8 +95,10 @@
   private async takeStop(move: RunMove, attempt: Attempt): Promise<void> {
     this.move = undefined
     const stopped = await move.stopped()
-    const goesOn = attempt.type === 'lost' && !this.run.isOver
-    move.log(stopped === undefined ? 'not stopped' : goesOn ? 'moved' : 'not needed')
+    // Without its engine's word the run may still be at work there: what must not run twice does not go on then.
+    const isStopped = stopped?.isProved === true || this.job.route.resumable
+    const goesOn = attempt.type === 'lost' && !this.run.isOver && isStopped
+    move.log(stopped?.isProved !== true ? 'not stopped' : goesOn ? 'moved' : 'not needed')
     this.kept = stopped && new KeptRun(this.parts, this.job, stopped)
     if (!goesOn || stopped === undefined) this.giveUp()
   }
--- a/request/gateway/test/runMoves.test.ts
+++ b/request/gateway/test/runMoves.test.ts
@@ -137,6 +137,28 @@
     expect(tries.every(({ headers }) => headers['x-kv-from'] === `${one.workers[0]!.address}#h2`)).toBe(true)
   })
 
+  it.each([
+    [false, [1, 0]],
+    [true, [1, 1]],
+  ])(
+    'goes on from what was copied before, without word of the stop, only where it is resumable (%s)',
+    async (resumable, streams) => {
+      const { workers, answer, move } = await startMoving(
+        [
+          { stream: runsWith(1), copy: answers(200, 'h1'), last: stopsWith(500, '') },
+          { stream: endsWith(2, 3) },
+        ],
+        { resumable, attempts: 1 },
+      )
+      move()
+      const whole = { body: events(1, 2, 3), isWhole: true }
+      expect(await answer).toMatchObject(resumable ? whole : { body: events(1), isWhole: false })
+      expect(workers.map(({ seen }) => seen.filter(isStream).length)).toEqual(streams)
+      const [sent] = workers[1]!.seen
+      if (resumable) expect(sent!.headers['x-kv-from']).toBe(`${workers[0]!.address}#h1`)
+    },
+  )
+
   it('goes back to its own engine when the other one refuses it', async () => {
     const refuses: Engine['stream'] = ({ socket }) =>
       void socket.end('HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n')
--- a/tools/fleet-soak/src/checkBegun.ts
+++ b/tools/fleet-soak/src/checkBegun.ts
@@ -37,7 +37,7 @@
   if ((known.entries.get(call.entry) ?? []).some((away) => overlap(away, span))) return true
   const brokenOff = known.brokenOff.get(call.id) ?? 0
   if (call.kind === 'long') return brokenOff >= ATTEMPTS
-  return brokenOff > 0 || hasLapsed(call, span, known)
+  return brokenOff > 0 || known.stoppedUnheard.has(call.id) || hasLapsed(call, span, known)
 }
 
 /** Where nothing may be made anew, a stopped run is lost with its memory: no engine that had it would take it. */
--- a/tools/fleet-soak/src/standInRuns.ts
+++ b/tools/fleet-soak/src/standInRuns.ts
@@ -20,12 +20,19 @@
   brokenOff: Map<string, number>
   /** How often an engine turned a stopped run away that came to go on. */
   turnedAway: Map<string, number>
+  /** Requests whose run stopped, and nobody was told so: without that word the run may still be going on. */
+  stoppedUnheard: Set<string>
   memories: EngineMemories
 }
 
 /** Nothing has been seen yet. */
 export function newBegunAnswers(random: Random): BegunAnswers {
-  return { brokenOff: new Map(), turnedAway: new Map(), memories: new EngineMemories(random) }
+  return {
+    brokenOff: new Map(),
+    turnedAway: new Map(),
+    stoppedUnheard: new Set(),
+    memories: new EngineMemories(random),
+  }
 }
 
 interface Run {
@@ -85,7 +92,7 @@
     const isLast = call.last === true
     if (isLast) this.stop(run)
     const draw = this.random()
-    if (draw < UNANSWERED_SHARE) return
+    if (draw < UNANSWERED_SHARE) return isLast ? void this.begun.stoppedUnheard.add(call.id) : undefined
     const hasRoom = draw >= UNANSWERED_SHARE + NO_ROOM_SHARE
     const isLate = draw >= 1 - LATE_SHARE
     setTimeout(() => this.answerMove(run, call, { own, hasRoom }, response), COPY_MS + (isLate ? LATE_MS : 0))
--- a/tools/fleet-soak/test/checkBegun.test.ts
+++ b/tools/fleet-soak/test/checkBegun.test.ts
@@ -50,6 +50,7 @@
       call({ kind: 'once' }),
       known({ brokenOff: new Map([['r1', 1]]) }),
     ],
+    ['was stopped without word', call({ kind: 'once' }), known({ stoppedUnheard: new Set(['r1']) })],
     ['was taken by no engine that had its memory', call({ kind: 'once' }), lapsed(2)],
   ])('finds nothing in one that %s', (_what, one, entitled) => {
     expect(checkBegun([one], entitled)).toEqual([])
@@ -60,6 +61,7 @@
     ['another entry away', call(), known({ entries: new Map([['entry-2', [{ from: 0, to: Infinity }]]]) })],
     ['one loss of two that it may have', call(), known({ brokenOff: new Map([['r1', 1]]) })],
     ['tried once where its memory was', call({ kind: 'once' }), lapsed(1)],
+    ['a stop without word, though it may be made anew', call(), known({ stoppedUnheard: new Set(['r1']) })],
     ['a lapse, though it may be made anew', call(), lapsed(9)],
   ])('is not content with %s', (_what, one, entitled) => {
     expect(checkBegun([one], entitled)).toHaveLength(1)
