fix(gateway): an answer that never left is written down, with who ended it

Cause: the line answer.unsent was never written: on a destroyed connection the server calls the answer finished, and detaches it, before 'close' comes. Change: 'finish' on a destroyed connection is what tells; only an entry that ends all its connections counts as the one who did. No decision is changed.

--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -122,10 +122,10 @@
     if (this.leaving) response.setHeader('Connection', 'close')
     // An answer that began before said nothing of it, so that its caller would keep the connection.
     response.on('finish', () => {
+      if (incoming.socket.destroyed) return this.noteUnsent(incoming)
       const isLast = this.answers.countOn(incoming.socket) <= 1
       if (this.leaving && isLast) incoming.socket.destroySoon()
     })
-    response.on('close', () => this.noteUnsent(incoming, response))
     try {
       await this.serveOne(incoming, response)
     } finally {
@@ -133,14 +133,16 @@
     }
   }
 
-  /** An answer that has ended here, and whose last bytes never left, is written down as answered. */
-  private noteUnsent(incoming: IncomingMessage, response: ServerResponse): void {
-    if (!response.writableEnded || response.writableFinished) return
+  /**
+   * An answer that has ended here, and whose last bytes never left, is written down as answered. The server calls it
+   * finished all the same when its connection is destroyed under it.
+   */
+  private noteUnsent(incoming: IncomingMessage): void {
     const { wire, logger } = this.options.parts
     logger.warn('answer.unsent', {
       request: single(incoming.headers[wire.headers.requestId]) ?? '',
       bytes: incoming.socket.writableLength,
-      by: this.hasEndedAll || this.isClosed ? 'entry' : 'caller',
+      by: this.hasEndedAll ? 'entry' : 'caller',
     })
   }
 
--- a/request/gateway/test/begunAnswers.test.ts
+++ b/request/gateway/test/begunAnswers.test.ts
@@ -202,4 +202,40 @@
     await stopped
     await worker.stop()
   })
+
+  /** An entry whose slow caller has got the head of a large answer that has ended here. */
+  async function startSlow() {
+    const body = 'x'.repeat(LARGE_BYTES)
+    const worker = await FakeWorker.start((request) => void request.socket.end(goodAnswer(request, body)))
+    const world = await GatewayWorld.start([{ address: worker.address }], [{ kind: 'safe' }])
+    const { request, answer } = world.open('/p/')
+    answer.catch(() => undefined)
+    request.end()
+    const [response] = (await once(request, 'response')) as [NodeJS.ReadableStream]
+    response.pause()
+    await eventually(() => world.reports.length === 1)
+    return { world, request, worker }
+  }
+
+  it.each(['entry', 'caller'] as const)(
+    'is written down as unsent where its %s ends the connection',
+    async (by) => {
+      const { world, request, worker } = await startSlow()
+      if (by === 'entry') world.stop()
+      else request.destroy()
+      await eventually(() => world.warnings.length === 1)
+      const bytes = expect.any(Number) as number
+      expect(world.warnings).toEqual([{ event: 'answer.unsent', request: 'r1', bytes, by }])
+      world.stop()
+      await worker.stop()
+    },
+  )
+
+  it('is told from one whose caller has gone, where the entry ends in the middle of it', async () => {
+    const { world, answer } = await startMoving([{ stream: runsWith(1) }])
+    answer.catch(() => undefined)
+    world.stop()
+    await eventually(() => world.reports.length === 1)
+    expect(world.reports[0]).toMatchObject({ status: 200, outcome: 'cut: the entry has ended' })
+  })
 })
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -112,6 +112,8 @@
   suspendedAt = -Infinity
   /** Called with each place that was given, before it is used. */
   onPlace: () => void = () => undefined
+  /** Warnings in the log, as their event and its fields. */
+  readonly warnings: object[] = []
   /** Sendings that got no whole answer. */
   readonly lost: LostSending[] = []
   /** Contents that got a whole answer. */
@@ -247,7 +249,7 @@
           },
         },
         random: createSeededRandom(1),
-        logger,
+        logger: { ...logger, warn: (event, fields) => void world.warnings.push({ event, ...fields }) },
       },
       gate: new WorkspaceGate({ wire: TEST_WIRE, quotas, isCurrent: () => world.isCurrent, clock, logger }),
       routes: () => book.current,
