feat(limits): machines read the rates that endpoints name, and log what they believe

Cause: the record of the incident cannot tell a rate that nobody heard from one that was heard and not kept; no line and no counter speaks of it. Ruled out as sight: logging the header of each answer (a line a request; what changes is the belief).

Change: RateBook holds the newest word of each endpoint and writes endpoint.rate when it changes, with its age and who said so; endpoints_limited counts them. Answers are judged and read at one place (readVerdict), for plain requests, readings and streams. A success without a word takes it back; a failure without one says nothing.

Nothing is decided by it yet.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -24,6 +24,18 @@
   'owner.released': { endpoint: string; request: string; kind: string; ageMs: number }
   'endpoint.ejected': { endpoint: string; reason: string; forMs: number }
   'endpoint.restored': { endpoint: string }
+  /** What is believed of the rate that an endpoint names, in requests a second from all machines together. */
+  'endpoint.rate': {
+    endpoint: string
+    outcome: 'named' | 'changed' | 'withdrawn' | 'forgotten'
+    /** Absent where it names none. */
+    perSecond?: number
+    before?: number
+    /** Whether an answer said so here, or another machine; absent where nobody has said anything for long. */
+    by?: 'answer' | 'machine'
+    /** Of the word. */
+    ageMs: number
+  }
   /** Endpoints in another machine's list that say nothing of one to use. */
   'endpoints.refused': { peer: string; count: number }
   /** A statement that says nothing of an endpoint to use. `endpoint` is what its sender calls it; `count`: since the start. */
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -16,6 +16,7 @@
   WorkspaceGate,
   type GatewayWire,
 } from '@forkstage/gateway'
+import { RateBook } from '@forkstage/limits'
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
 import { QUOTA_REPORT, QuotaKeeper, type QuotaAnswer } from '@forkstage/quota'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
@@ -55,6 +56,7 @@
   private readonly directory = new Directory(() => this.basics.clock.now())
   private readonly cold: ColdEndpoints
   private readonly coldGate: ColdGate
+  private readonly rates: RateBook
   private readonly belief: EvacuationBelief
   private readonly pool: EndpointPool
   private readonly crashes: EntryCrashes
@@ -90,6 +92,7 @@
       perSecond: (service) => this.cold.perSecond(service),
       entries: () => this.follower.entries(),
     })
+    this.rates = new RateBook({ clock, logger })
     this.belief = new EvacuationBelief({ logger, onWithdrawn: (domain) => this.cold.doubt(domain) })
     const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     const topology = new Topology(settings.domains)
@@ -159,6 +162,7 @@
         placer: this.placer,
         allowance,
         cold: this.coldGate,
+        rates: this.rates,
         crashes: this.crashes,
         sendRules: [(to) => (isBarred(to) ? EVACUATED : undefined), homeRule(topology)],
         clock,
@@ -181,6 +185,7 @@
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
+      endpoints_limited: () => this.rates.count,
       evacuated_domains: () => this.belief.view.current.domains.length,
       contents_refused: () => crashBook.countRefused(),
       requests_running: () => this.ingress.running,
@@ -216,7 +221,7 @@
     this.listeners.push(...(await serveMetrics(this.meters, listen.metrics)))
     this.placer.start()
     this.cold.start()
-    this.cancelLook = every(this.basics.clock, COUNT_EVERY_MS, () => this.coldGate.look())
+    this.cancelLook = every(this.basics.clock, COUNT_EVERY_MS, () => this.look())
     this.quotas.start()
   }
 
@@ -267,6 +272,11 @@
     })
   }
 
+  private look(): void {
+    this.coldGate.look()
+    this.rates.look()
+  }
+
   private wait(milliseconds: number): Promise<void> {
     return new Promise((resolve) => this.basics.clock.after(milliseconds, resolve))
   }
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -31,7 +31,7 @@
 export interface StreamOwner {
   /** Whether the caller has a part of its answer. */
   readonly hasBegun: boolean
-  judge(head: AnswerHead, instance: string): Verdict
+  judge(head: AnswerHead, at: PooledEndpoint): Verdict
   noteMayHaveRun(): void
   /** Passes on the events that the caller does not have yet. */
   passEvents(head: AnswerHead, events: StreamEvent[]): void
@@ -51,12 +51,12 @@
 
   constructor(
     private readonly run: StreamOwner,
-    private readonly instance: string,
+    private readonly at: PooledEndpoint,
   ) {}
 
   takeHead(head: AnswerHead): void {
     this.head = head
-    this.verdict = this.run.judge(head, this.instance)
+    this.verdict = this.run.judge(head, this.at)
     this.isSuccess = this.verdict === 'answer' && head.status >= 200 && head.status < 300
   }
 
--- a/request/gateway/src/gatewayWire.ts
+++ b/request/gateway/src/gatewayWire.ts
@@ -16,6 +16,8 @@
   stamp: string
   /** The instance that answered. */
   instance: string
+  /** Set by an endpoint in need: the requests a second that it takes from all machines together. */
+  rateLimit: string
   /** Set by the system: the only instance that may run the request. */
   expectInstance: string
   /** Set by the system: which half of a model request is asked for. */
@@ -58,6 +60,8 @@
   readinessPath: string
   /** @returns undefined where the value is no such pair of counts. */
   readTokenCounts(value: string): TokenCounts | undefined
+  /** Requests a second. @returns undefined where the value is no such rate. */
+  readRateLimit(value: string): number | undefined
   /** @returns undefined where the value names no parts. */
   readPromptParts(value: string): PromptPart[] | undefined
   /** @returns undefined where the body is no such answer. */
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,5 +1,4 @@
 import type { AtHome } from '@forkstage/topology'
-import { nameOf } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
 import { cancelWhenEnded } from './cancelWhenEnded'
@@ -7,8 +6,8 @@
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import { COLD_REASON } from './coldGate'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
-import { judgeAnswer } from './judgeAnswer'
 import { noteLost } from './noteLost'
+import { readVerdict } from './readVerdict'
 import { sendEndpointAnswer } from './ownAnswer'
 import { answerFailure, answerRefusal, CALLER_GONE, PROMISES, type OwnResult } from './relayAnswers'
 import {
@@ -170,7 +169,6 @@
   }
 
   private read(outcome: WholeOutcome, to: PooledEndpoint): { sending: Sending; note: SendOutcome } {
-    const { wire } = this.parts
     if (outcome.type === 'failed') {
       if (!outcome.sent)
         return {
@@ -180,11 +178,7 @@
       this.mayHaveRun += 1
       return { sending: { type: 'unknown', reason: outcome.reason }, note: 'failed' }
     }
-    const verdict = judgeAnswer(
-      outcome.head,
-      { id: this.job.request.id, instance: nameOf(to.endpoint) },
-      wire.headers,
-    )
+    const verdict = readVerdict(this.parts, this.job, to, outcome.head)
     if (verdict === 'other-instance')
       return { sending: { type: 'not-run', arrived: true }, note: 'other-instance' }
     if (verdict === 'not-run') return { sending: { type: 'not-run', arrived: true }, note: 'full' }
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -1,11 +1,11 @@
-import { nameOf } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
 import { cancelWhenEnded } from './cancelWhenEnded'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import type { Exchange } from './exchange'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
-import { judgeAnswer } from './judgeAnswer'
+import type { Verdict } from './judgeAnswer'
 import type { ModelPlace } from './modelPlacer'
+import { readVerdict } from './readVerdict'
 import { CONNECT_MS, headersFor, type RelayJob, type RelayParts } from './relayParts'
 import type { Arrival } from './sendCount'
 
@@ -64,11 +64,12 @@
   })
   unwatch()
   const tookMs = clock.now() - startedAt
+  const verdict = outcome.type === 'answer' ? readVerdict(parts, job, at, outcome.head) : undefined
   const isRead = outcome.type === 'answer' && outcome.head.status === 200
   const read = isRead ? wire.readPrefillAnswer(outcome.body) : undefined
   const arrival = arrivalOf(outcome)
   if (outcome.type === 'failed' && outcome.isGivenUp === true) return { note: 'silent', arrival, tookMs }
-  if (read === undefined) return { note: noteOfFailure(parts, job, outcome, at), arrival, tookMs }
+  if (read === undefined) return { note: noteOfFailure(outcome, verdict), arrival, tookMs }
   return {
     prefilled: { at, handle: read.handle, madeAt: clock.now(), askedAt: startedAt },
     note: 'ok',
@@ -87,14 +88,8 @@
   return outcome.head.status === 200 ? 'taken' : 'rejected'
 }
 
-function noteOfFailure(
-  { wire }: RelayParts,
-  { request }: RelayJob,
-  outcome: WholeOutcome,
-  at: PooledEndpoint,
-): SendOutcome {
+function noteOfFailure(outcome: WholeOutcome, verdict: Verdict | undefined): SendOutcome {
   if (outcome.type === 'failed') return outcome.refused ? 'unreachable' : 'failed'
-  const verdict = judgeAnswer(outcome.head, { id: request.id, instance: nameOf(at.endpoint) }, wire.headers)
   if (verdict === 'other-instance') return verdict
   return verdict === 'not-run' ? 'full' : 'failed'
 }
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from '@forkstage/clock'
 import type { ContentDigest, ContentRefusal, LostSending } from '@forkstage/crashes'
 import { nameOf } from '@forkstage/directory'
+import type { RateBook } from '@forkstage/limits'
 import type { Logger } from '@forkstage/logger'
 import type { Route, RoutedService } from '@forkstage/routes'
 import type { Homes } from '@forkstage/topology'
@@ -23,6 +24,8 @@
   sendRules?: SendRule[]
   /** What cold endpoints may get from here; none is cold where left out. */
   cold?: ColdGate
+  /** The rates that endpoints name; what they say is not read where left out. */
+  rates?: RateBook
   /** Knows which requests end the endpoints that run them; nothing is known where left out. */
   crashes?: CrashKnowledge
   clock: Clock
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,5 +1,4 @@
 import { delay } from '@forkstage/clock'
-import { nameOf } from '@forkstage/directory'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { afterTry, type AfterTry } from './afterTry'
@@ -16,7 +15,6 @@
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
-import { judgeAnswer } from './judgeAnswer'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { modelWork } from './modelWork'
 import { noteLost } from './noteLost'
@@ -32,6 +30,7 @@
   type SendRecord,
 } from './relayParts'
 import { RunMoves, type MovingRun } from './runMoves'
+import { readVerdict } from './readVerdict'
 import { SendCount, type CountedSending } from './sendCount'
 import { ENDS_ENDPOINTS } from './sendRules'
 import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
@@ -268,7 +267,7 @@
     const { lastEventId } = this.caller
     if (this.hasBegun && lastEventId !== undefined) extra.push(headers.lastEventId, String(lastEventId))
     const rawHeaders = headersFor(parts, job, to, extra)
-    const stream = new EngineStream(this, nameOf(to.endpoint))
+    const stream = new EngineStream(this, to)
     this.sentAt = parts.clock.now()
     return new Promise((resolve) => {
       const exchange = openExchange({
@@ -298,8 +297,8 @@
     })
   }
 
-  judge(head: AnswerHead, instance: string) {
-    return judgeAnswer(head, { id: this.job.request.id, instance }, this.parts.wire.headers)
+  judge(head: AnswerHead, at: PooledEndpoint) {
+    return readVerdict(this.parts, this.job, at, head)
   }
 
   noteMayHaveRun(): void {
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -3,6 +3,7 @@
 import { createSeededRandom, createSystemClock } from '@forkstage/clock'
 import type { LostSending } from '@forkstage/crashes'
 import type { RegisteredEndpoint } from '@forkstage/directory'
+import { RateBook } from '@forkstage/limits'
 import { createSilentLogger } from '@forkstage/logger'
 import { QuotaKeeper, QuotaLedger, quotaLimit } from '@forkstage/quota'
 import { RouteBook, type CallerLimits, type Route, type Workspace } from '@forkstage/routes'
@@ -33,6 +34,7 @@
     notExecuted: 'x-not-run',
     stamp: 'x-stamp',
     instance: 'x-instance',
+    rateLimit: 'x-takes',
     expectInstance: 'x-expect',
     stage: 'x-stage',
     kvSource: 'x-kv-from',
@@ -46,6 +48,7 @@
     /^\d+,\d+$/.test(value)
       ? { prompt: Number(value.split(',')[0]), most: Number(value.split(',')[1]) }
       : undefined,
+  readRateLimit: (value) => (/^\d+(\.\d+)?$/.test(value) ? Number(value) : undefined),
   readPromptParts: (value) => {
     const parts = value.split(',').map((part) => part.split(':'))
     return parts.every((part) => part.length === 2)
@@ -126,6 +129,8 @@
   readonly timers: number[] = []
   /** Why nothing may leave for an instance, by its id. */
   readonly withheld = new Map<string, string>()
+  /** The rates that endpoints name. */
+  readonly rates = new RateBook({ clock: createSystemClock(), logger: createSilentLogger() })
   /** Instances that are cold: how much longer, by their id. */
   readonly cold = new Map<string, number>()
   private constructor(
@@ -235,6 +240,10 @@
           homeRule(TOPOLOGY),
         ],
         cold,
+        // Read when a request comes: the world is not there yet.
+        get rates() {
+          return world.rates
+        },
         crashes: {
           noteLost: (sending) => void world.lost.push(sending),
           noteServed: (content) => void world.served.push(content()),
--- /dev/null
+++ b/request/limits/src/rateBook.ts
@@ -0,0 +1,119 @@
+import type { Clock } from '@forkstage/clock'
+import type { InstanceId } from '@forkstage/directory'
+import type { Logger } from '@forkstage/logger'
+import type { Millis } from '@forkstage/types'
+
+/** What an endpoint said last of the rate that it takes, with its age, so that no clocks are compared. */
+export interface RateWord {
+  /** Requests a second from all machines together; null where it names none any more. */
+  perSecond: number | null
+  ageMs: Millis
+}
+
+/** Options of {@link RateBook}. */
+export interface RateBookOptions {
+  clock: Clock
+  logger: Logger
+}
+
+/**
+ * An endpoint that nobody has heard for so long may be well again, and one that gets nothing cannot say so: it is tried.
+ * Long beside the second within which words go round, so that entries do not try one after the other.
+ */
+const LASTS_MS: Millis = 30_000
+/** Rates that move by less are no news in the log. */
+const NEWS_SHARE = 0.1
+
+/** What was said, by this machine's clock. */
+interface Said {
+  perSecond: number | null
+  at: Millis
+}
+
+/** The rates that endpoints name, as this machine believes them: the newest word counts, whoever heard it. */
+export class RateBook {
+  private readonly words = new Map<InstanceId, Said>()
+
+  constructor(private readonly options: RateBookOptions) {}
+
+  /** Takes what an answer that has just come says; undefined where it names no rate. */
+  note(id: InstanceId, perSecond: number | undefined): void {
+    // Nothing is kept of endpoints that never named one.
+    if (perSecond === undefined && !this.words.has(id)) return
+    this.put(id, { perSecond: perSecond ?? null, at: this.options.clock.now() }, 'answer')
+  }
+
+  /** Takes another machine's word, where it is the newer one. */
+  take(id: InstanceId, { perSecond, ageMs }: RateWord): void {
+    const at = this.options.clock.now() - ageMs
+    const known = this.words.get(id)
+    if (known !== undefined && known.at >= at) return
+    if (known === undefined && perSecond === null) return
+    this.put(id, { perSecond, at }, 'machine')
+  }
+
+  /** Requests a second that an endpoint takes from all machines; undefined where it names no rate. */
+  rateOf(id: InstanceId): number | undefined {
+    const said = this.words.get(id)
+    if (said === undefined || this.isOld(said)) return undefined
+    return said.perSecond ?? undefined
+  }
+
+  /** The newest word of each endpoint that has spoken of a rate lately, also of one that has taken it back. */
+  all(): Map<InstanceId, RateWord> {
+    const now = this.options.clock.now()
+    return new Map(
+      [...this.words]
+        .filter(([, said]) => !this.isOld(said))
+        .map(([id, { perSecond, at }]) => [id, { perSecond, ageMs: now - at }]),
+    )
+  }
+
+  /** How many endpoints name a rate. */
+  get count(): number {
+    return [...this.words.keys()].filter((id) => this.rateOf(id) !== undefined).length
+  }
+
+  /** Forgets what nobody has said for long. Called again and again. */
+  look(): void {
+    for (const [id, said] of this.words) {
+      if (!this.isOld(said)) continue
+      this.words.delete(id)
+      if (said.perSecond !== null) this.log(id, 'forgotten', said, said)
+    }
+  }
+
+  private put(id: InstanceId, said: Said, by: 'answer' | 'machine'): void {
+    const before = this.words.get(id)
+    this.words.set(id, said)
+    const outcome = outcomeOf(before?.perSecond ?? null, said.perSecond)
+    if (outcome !== undefined) this.log(id, outcome, said, before, by)
+  }
+
+  private isOld({ at }: Said): boolean {
+    return this.options.clock.now() - at >= LASTS_MS
+  }
+
+  private log(
+    endpoint: InstanceId,
+    outcome: 'named' | 'changed' | 'withdrawn' | 'forgotten',
+    { perSecond, at }: Said,
+    before?: Said,
+    by?: 'answer' | 'machine',
+  ): void {
+    this.options.logger.info('endpoint.rate', {
+      endpoint,
+      outcome,
+      perSecond: perSecond ?? undefined,
+      before: before?.perSecond ?? undefined,
+      by,
+      ageMs: Math.round(this.options.clock.now() - at),
+    })
+  }
+}
+
+function outcomeOf(before: number | null, now: number | null): 'named' | 'changed' | 'withdrawn' | undefined {
+  if (before === null) return now === null ? undefined : 'named'
+  if (now === null) return 'withdrawn'
+  return Math.abs(now - before) > before * NEWS_SHARE ? 'changed' : undefined
+}
--- /dev/null
+++ b/request/limits/test/rateBook.test.ts
@@ -0,0 +1,65 @@
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { createSilentLogger } from '@forkstage/logger'
+import { RateBook } from '../src'
+
+function book() {
+  const clock = new ManualClock(1_000)
+  const lines: { outcome: string }[] = []
+  const logger = {
+    ...createSilentLogger(),
+    info: (_: string, line: object) => void lines.push(line as never),
+  }
+  return { clock, book: new RateBook({ clock, logger }), outcomes: () => lines.map(({ outcome }) => outcome) }
+}
+
+describe('RateBook', () => {
+  it('believes what an endpoint named last, until an answer names none', () => {
+    const { book: one, outcomes } = book()
+    one.note('a', undefined)
+    expect(one.all().size).toBe(0)
+    one.note('a', 3.2)
+    one.note('a', 3.3)
+    one.note('a', 8)
+    expect(one.rateOf('a')).toBe(8)
+    one.note('a', undefined)
+    expect(one.rateOf('a')).toBeUndefined()
+    expect(outcomes()).toEqual(['named', 'changed', 'withdrawn'])
+  })
+
+  it('takes a rate of 0 for one', () => {
+    const { book: one } = book()
+    one.note('a', 0)
+    expect(one.rateOf('a')).toBe(0)
+  })
+
+  it('takes the newer of two words, whoever heard it', () => {
+    const { book: one, clock } = book()
+    one.note('a', 4)
+    clock.advance(500)
+    one.take('a', { perSecond: 9, ageMs: 600 })
+    expect(one.rateOf('a')).toBe(4)
+    one.take('a', { perSecond: 9, ageMs: 100 })
+    expect(one.rateOf('a')).toBe(9)
+    one.take('a', { perSecond: null, ageMs: 0 })
+    expect(one.rateOf('a')).toBeUndefined()
+    // That it was taken back is passed on, with its age.
+    clock.advance(200)
+    expect([...one.all()]).toEqual([['a', { perSecond: null, ageMs: 200 }]])
+  })
+
+  it('forgets what nobody has said for long: an endpoint that gets nothing cannot take it back', () => {
+    const { book: one, clock, outcomes } = book()
+    one.note('a', 0)
+    clock.advance(29_000)
+    expect(one.rateOf('a')).toBe(0)
+    one.take('a', { perSecond: 0, ageMs: 10 })
+    clock.advance(29_000)
+    expect(one.rateOf('a')).toBe(0)
+    clock.advance(1_000)
+    expect(one.rateOf('a')).toBeUndefined()
+    one.look()
+    expect(one.all().size).toBe(0)
+    expect(outcomes()).toEqual(['named', 'forgotten'])
+  })
+})
