--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -5,13 +5,7 @@
 import { GroupClient, type GroupHost, type ReplicaStatus } from '@forkstage/group'
 import { MembershipKeeper } from '@forkstage/keeper'
 import { startPeerServer, type PeerMethod, type PeerServer } from '@forkstage/peer-rpc'
-import {
-  QUOTA_REPORT,
-  readQuotaReport,
-  type QuotaAnswer,
-  type QuotaLedger,
-  type QuotaReport,
-} from '@forkstage/quota'
+import type { QuotaLedger } from '@forkstage/quota'
 import { RouteBook } from '@forkstage/routes'
 import { createFileSystem } from '@forkstage/storage'
 import { SheetMachine, type SheetCommand, type SheetDocument, type SheetResult } from '@forkstage/sheet'
@@ -20,6 +14,7 @@
 import { ControlFollower, SHEET, WATCH, WatchHub, type WatchQuestion } from '@forkstage/watch'
 import { ColdEndpoints } from './coldEndpoints'
 import { ControlCrashes } from './controlCrashes'
+import { ControlLimits } from './controlLimits'
 import { createControlApp } from './controlApp'
 import { createCrashBook } from './createCrashBook'
 import { createGroupHost } from './createGroupHost'
@@ -32,6 +27,7 @@
 import { listenOn, type Listener } from './listenOn'
 import type { MachineBasics } from './machineBasics'
 import { membershipRules } from './membershipRules'
+import { quotaMethods } from './quotaMethods'
 import { Registrar } from './registrar'
 import { serveMetrics } from './serveMetrics'
 import { EndpointMemory } from './endpointMemory'
@@ -62,6 +58,7 @@
   private readonly allocator: AllocatorService
   private readonly cold: ColdEndpoints
   private readonly quotas: QuotaLedger
+  private readonly limits: ControlLimits
   private readonly orders: StageOrders
   private readonly memory: EndpointMemory
   private readonly crashes: ControlCrashes
@@ -150,14 +147,17 @@
     const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     const term = () => this.host.replica?.term ?? 0
     const entries = () => this.hub.countEntries()
+    const isLeader = () => this.host.replica?.holdsLease === true
+    this.limits = new ControlLimits({ clock, logger, term, isLeader })
     this.allocator = new AllocatorService({
       cold: this.cold,
+      limits: this.limits.policy,
       clock,
       logger,
       endpoints,
       engine: (service) => this.book.current?.service(service)?.engine,
       isBarred,
-      isLeader: () => this.host.replica?.holdsLease === true,
+      isLeader,
       term,
       entries,
       topology: new Topology(settings.domains),
@@ -170,7 +170,7 @@
       endpoint: (id) => this.directory.get(id),
       isBarred,
       holder: settings.machine.name,
-      isLeader: () => this.host.replica?.holdsLease === true,
+      isLeader,
       term,
       leadFirstMs: settings.orders.lease_ms + settings.control.election_timeout_ms * 2,
       clock,
@@ -208,6 +208,7 @@
     this.keeper.start()
     this.allocator.start()
     this.cold.start()
+    this.limits.start()
     this.orders.start()
     this.cancelLook = every(this.basics.clock, LOOK_AT_LEADER_MS, () => this.tellOfLeader())
   }
@@ -234,6 +235,7 @@
     this.crashes.stop()
     this.allocator.stop()
     this.cold.stop()
+    this.limits.stop()
     this.orders.stop()
     this.follower.stop()
     await this.host.stop().catch(() => undefined)
@@ -268,6 +270,7 @@
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
+      endpoints_limited: () => this.limits.count,
       registrations_refused: () => this.registrar.refused,
       leads: () => Number(this.host.replica?.leads === true),
       evacuated_domains: () => this.belief.view.current.domains.length,
@@ -289,18 +292,13 @@
       ...this.evacuations.methods(),
       ...this.allocator.methods(),
       ...this.crashes.methods(),
-      [QUOTA_REPORT]: (report: unknown) => this.takeQuotas(readQuotaReport(report)),
+      ...this.limits.methods(),
+      ...quotaMethods(this.quotas, () => this.host.replica?.holdsLease === true),
       [WATCH]: (question: WatchQuestion) => this.hub.answer(question),
       [SHEET]: () => this.hub.newestSheet(),
     }
   }
 
-  /** Only a machine that leads with its lease says what is left: another may be saying so too. */
-  private takeQuotas(report: QuotaReport | undefined): QuotaAnswer {
-    if (report === undefined) return {}
-    return this.host.replica?.holdsLease === true ? this.quotas.take(report) : {}
-  }
-
   private noteNewer(document: SheetDocument): void {
     if (document.version <= (this.newest?.version ?? -1)) return
     this.newest = document
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -10,13 +10,14 @@
   homeRule,
   Ingress,
   LeaderWay,
+  LimitGate,
   LocalPlacer,
   RemotePlacer,
   RetryAllowance,
   WorkspaceGate,
   type GatewayWire,
 } from '@forkstage/gateway'
-import { RateBook } from '@forkstage/limits'
+import { LIMIT_REPORT, type LimitAnswer, LimitKeeper, RateBook } from '@forkstage/limits'
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
 import { QUOTA_REPORT, QuotaKeeper, type QuotaAnswer } from '@forkstage/quota'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
@@ -57,6 +58,8 @@
   private readonly cold: ColdEndpoints
   private readonly coldGate: ColdGate
   private readonly rates: RateBook
+  private readonly permits: LimitKeeper
+  private readonly limitGate: LimitGate
   private readonly belief: EvacuationBelief
   private readonly pool: EndpointPool
   private readonly crashes: EntryCrashes
@@ -134,12 +137,14 @@
       peers,
       clock,
       logger,
-      forwarded: [...Object.values(PLACE), QUOTA_REPORT, CRASH_REPORT],
+      forwarded: [...Object.values(PLACE), QUOTA_REPORT, LIMIT_REPORT, CRASH_REPORT],
     })
     const crashBook = createCrashBook(settings.crashes, clock)
     const { directory, way } = this
     this.crashes = new EntryCrashes({ book: crashBook, directory, way, clock, logger })
     this.quotas = this.createQuotas(entries)
+    this.permits = this.createPermits()
+    this.limitGate = this.createLimitGate()
     this.placer = new RemotePlacer({
       entry: settings.machine.name,
       domain: settings.machine.zone,
@@ -149,9 +154,11 @@
         kvTokens: (service) => this.book.current?.service(service)?.engine?.kvTokens ?? 0,
         entries,
         cold: this.coldGate,
+        limits: this.limitGate,
       }),
       way: this.way,
       cold: this.coldGate,
+      limits: this.limitGate,
       clock,
       logger,
     })
@@ -162,6 +169,7 @@
         placer: this.placer,
         allowance,
         cold: this.coldGate,
+        limits: this.limitGate,
         rates: this.rates,
         crashes: this.crashes,
         sendRules: [(to) => (isBarred(to) ? EVACUATED : undefined), homeRule(topology)],
@@ -223,6 +231,7 @@
     this.cold.start()
     this.cancelLook = every(this.basics.clock, COUNT_EVERY_MS, () => this.look())
     this.quotas.start()
+    this.permits.start()
   }
 
   /** Takes changed settings: new seeds to begin with. */
@@ -250,6 +259,7 @@
     this.cold.stop()
     this.cancelLook()
     this.quotas.stop()
+    this.permits.stop()
     this.crashes.stop()
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
@@ -272,9 +282,35 @@
     })
   }
 
+  private createPermits(): LimitKeeper {
+    const { settings, clock } = this.basics
+    const { report_ms: reportMs } = settings.limits
+    return new LimitKeeper({
+      entry: settings.machine.name,
+      clock,
+      book: this.rates,
+      report: (report) => this.way.askThrough<LimitAnswer>(LIMIT_REPORT, report, reportMs),
+      leader: () => this.follower.leader(),
+      reportEveryMs: reportMs,
+    })
+  }
+
+  private createLimitGate(): LimitGate {
+    const { settings, clock, random } = this.basics
+    const { window_s: windowS, over, slack } = settings.limits
+    return new LimitGate({
+      clock,
+      random,
+      book: this.rates,
+      keeper: this.permits,
+      tolerance: { windowMs: windowS * SECOND_MS, over, slack },
+      entries: () => this.follower.entries(),
+    })
+  }
+
   private look(): void {
     this.coldGate.look()
-    this.rates.look()
+    this.limitGate.look()
   }
 
   private wait(milliseconds: number): Promise<void> {
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -3,7 +3,8 @@
 import { Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { AnswerMove, PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
-import { ColdBudget, type ColdPolicy } from './coldBudget'
+import type { ColdPolicy } from './coldBudget'
+import { EngineBudgets, type LimitPolicy } from './engineBudgets'
 import { BarredEngines } from './barredEngines'
 import { EngineChoice, START_MS, type EngineOutlook, type EnginePick } from './engineChoice'
 import { EnginePace } from './enginePace'
@@ -40,6 +41,8 @@
   learned?: Learned
   /** Which engines are cold and what they bear; none is where left out. */
   cold?: ColdPolicy
+  /** Which engines name the rate that they take; none where left out. */
+  limits?: LimitPolicy
 }
 
 /** What may be set for an experiment. */
@@ -80,7 +83,7 @@
   private readonly learned: Learned
   private readonly choice: EngineChoice
   private readonly moves: MovePlanner
-  private readonly cold: ColdBudget
+  private readonly budgets: EngineBudgets
   private readonly barred: BarredEngines
   private readonly stages: StagePlanner
 
@@ -89,10 +92,10 @@
     this.learned = options.learned ?? { pace: new EnginePace(), forecast: new LengthForecast() }
     const { lengthCertainty } = this.tuning
     this.book = new HoldBook({ lengthCertainty, ...this.learned })
-    this.cold = new ColdBudget(options.cold)
+    this.budgets = new EngineBudgets(options.cold, options.limits)
     this.barred = new BarredEngines(options.isBarred)
     this.choice = new EngineChoice({
-      cold: this.cold,
+      budgets: this.budgets,
       endpoints: options.endpoints,
       topology: options.topology ?? new Topology(),
       barred: this.barred,
@@ -168,7 +171,7 @@
    */
   noteUse(id: InstanceId, outcome: UseOutcome, now: Millis, tookMs: Millis = 0): void {
     // One that is cold is slow for a while, and no less well for that.
-    if (outcome === 'silent' && this.cold.isCold(id, now - tookMs)) return
+    if (outcome === 'silent' && this.budgets.isCold(id, now - tookMs)) return
     const forMs = this.health.note(id, outcome, now, tookMs)
     this.choice.kept.noteUse(id, outcome)
     this.choice.refresh()
@@ -220,7 +223,7 @@
     this.book.keepOnly(known)
     this.stages.keepOnly(known)
     this.choice.keepOnly(known)
-    this.cold.keepOnly(known)
+    this.budgets.keepOnly(known)
     this.choice.kept.look(now)
     this.orders.keepOnly(known)
     this.choice.refresh()
@@ -287,7 +290,7 @@
   }
 
   private placeWaiting(now: Millis): void {
-    this.cold.noteLeads(now)
+    this.budgets.noteLeads(now)
     if (this.room.size === 0) return
     for (const one of this.room.inOrder(now)) {
       const placed = this.tryPlace(one, now)
@@ -334,16 +337,10 @@
     const place = { ask, prefill: prefill?.id, decode: decode.id, placedAt: now, readTokens }
     this.book.add({ ...place, isReadAlone, decodingAt })
     const keptTokens = ask.promptTokens - (readTokens ?? ask.promptTokens) || undefined
-    const cold = this.cold.grant(pick, now - waiting.since, now)
-    if (prefill === undefined) return { type: 'placed', decode: decode.id, keptTokens, cold }
-    return {
-      type: 'placed',
-      prefill: prefill.id,
-      decode: decode.id,
-      readsInMs: Math.round(readsInMs),
-      readElsewhereInMs: pick.readElsewhereInMs,
-      keptTokens,
-      cold,
-    }
+    const counted = this.budgets.grant(pick, now - waiting.since, now)
+    const placed: Placed = { type: 'placed', decode: decode.id, keptTokens, ...counted }
+    if (prefill === undefined) return placed
+    const { readElsewhereInMs } = pick
+    return { ...placed, prefill: prefill.id, readsInMs: Math.round(readsInMs), readElsewhereInMs }
   }
 }
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -9,7 +9,16 @@
 import { Allocator, type Learned } from './allocator'
 import { whyNoReport } from './checkReport'
 import type { ColdPolicy } from './coldBudget'
-import type { PlaceAsk, PlaceDecision, ReportAnswer, ReportedHold, UseOutcome } from './allocatorTypes'
+import type { LimitPolicy } from './engineBudgets'
+import type {
+  PlaceAsk,
+  PlaceDecision,
+  Placed,
+  ReportAnswer,
+  ReportedHold,
+  StepGrant,
+  UseOutcome,
+} from './allocatorTypes'
 import { EnginePace } from './enginePace'
 import { LengthForecast } from './lengthForecast'
 import type { PaceView } from './peerPace'
@@ -53,6 +62,8 @@
   entries: () => number
   /** Which engines are cold and what they bear; none is where left out. */
   cold?: ColdPolicy
+  /** Which engines name the rate that they take; none does where left out. */
+  limits?: LimitPolicy
 }
 
 const TICK_MS = 25
@@ -158,10 +169,7 @@
     const askedAt = this.options.clock.now()
     const decision = await this.decide(ask)
     this.log(ask, decision, this.options.clock.now() - askedAt)
-    if (decision.type !== 'placed' || decision.cold === undefined) return decision
-    // Entries count a grant's time from when they asked: what a new leader listens is waiting too.
-    const waitedMs = decision.cold.waitedMs + askedAt - arrivedAt
-    return { ...decision, cold: { ...decision.cold, waitedMs } }
+    return decision.type === 'placed' ? laterBy(decision, askedAt - arrivedAt) : decision
   }
 
   /** A new leader lets requests wait while it hears what runs. */
@@ -256,13 +264,14 @@
   }
 
   private createAllocator(): Allocator {
-    const { endpoints, engine, isBarred, logger, cold, topology } = this.options
+    const { endpoints, engine, isBarred, logger, cold, limits, topology } = this.options
     return new Allocator({
       topology,
       endpoints,
       engine,
       isBarred,
       cold,
+      limits,
       learned: this.learned,
       onEjected: (endpoint, reason, forMs) => logger.warn('endpoint.ejected', { endpoint, reason, forMs }),
     })
@@ -309,6 +318,12 @@
   }
 }
 
+/** Entries count a grant's time from when they asked: what a new leader listens is waiting too. */
+function laterBy(placed: Placed, ms: Millis): Placed {
+  const later = (grant: StepGrant | undefined) => grant && { ...grant, waitedMs: grant.waitedMs + ms }
+  return { ...placed, cold: later(placed.cold), limited: later(placed.limited) }
+}
+
 function toHundredths(value: number): number {
   return Math.round(value * 100) / 100
 }
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -64,14 +64,16 @@
   /** Tokens of its prompt that need not be read, as is believed; absent where there are none. */
   keptTokens?: number
   /** Present where an engine is cold: such a step was counted and may leave until then only. */
-  cold?: ColdGrant
+  cold?: StepGrant
+  /** Present where an engine names the rate that it takes: such a step was counted and may leave until then only. */
+  limited?: StepGrant
 }
 
-/** Within how long of the decision steps to cold engines leave. Clocks need not agree. */
-export interface ColdGrant {
+/** Within how long of the decision steps that were counted leave. Clocks need not agree. */
+export interface StepGrant {
   /** How long the request had waited at whoever decided, so that its entry knows when that was at the earliest. */
   waitedMs: Millis
-  /** Absent where the engine is warm or there is no such step. */
+  /** Absent where nothing binds the engine or there is no such step. */
   prefillMs?: Millis
   decodeMs?: Millis
 }
--- a/placement/allocator/src/coldBudget.ts
+++ b/placement/allocator/src/coldBudget.ts
@@ -1,6 +1,6 @@
 import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
-import type { ColdGrant, PlaceAsk } from './allocatorTypes'
+import type { PlaceAsk, StepGrant } from './allocatorTypes'
 
 /** What is known of cold endpoints and their limits. */
 export interface ColdPolicy {
@@ -23,9 +23,9 @@
 /** The bound holds for any span of this length. */
 const WINDOW_MS: Millis = 1_000
 /** A step that leaves at once does so within this time of the decision: the way to the entry, and a moment's work there. */
-const LEAVES_AT_ONCE_MS: Millis = 250
+export const LEAVES_AT_ONCE_MS: Millis = 250
 /** A decode step that follows a reading does so within this time; readings take 100 to 500 ms with their queue. */
-const LEAVES_AFTER_READING_MS: Millis = 1_000
+export const LEAVES_AFTER_READING_MS: Millis = 1_000
 /** The leader's part of what a cold engine may get: beside it stand two new leaders' and that of entries without one. */
 const LEADER_SHARE = 0.5
 /** The part of a leader that does not know yet what its predecessor let go. */
@@ -34,7 +34,7 @@
 const NEW_FOR_MS: Millis = LEAVES_AFTER_READING_MS + WINDOW_MS + LEAVES_AT_ONCE_MS
 
 /** The engines of a place. */
-interface Engines {
+export interface Engines {
   prefill?: RegisteredEndpoint
   decode: RegisteredEndpoint
 }
@@ -77,7 +77,7 @@
   }
 
   /** Counts the steps of a place that go to cold engines; undefined where there are none. */
-  grant({ prefill, decode }: Engines, waitedMs: Millis, now: Millis): ColdGrant | undefined {
+  grant({ prefill, decode }: Engines, waitedMs: Millis, now: Millis): StepGrant | undefined {
     const decodesInMs = prefill === undefined ? LEAVES_AT_ONCE_MS : LEAVES_AFTER_READING_MS
     const isReaderCold = prefill !== undefined && this.take(prefill, LEAVES_AT_ONCE_MS, now)
     const isDecoderCold = this.take(decode, decodesInMs, now)
--- /dev/null
+++ b/placement/allocator/src/engineBudgets.ts
@@ -0,0 +1,90 @@
+import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import type { Millis } from '@forkstage/types'
+import type { Placed, PlaceAsk, StepGrant } from './allocatorTypes'
+import {
+  ColdBudget,
+  LEAVES_AFTER_READING_MS,
+  LEAVES_AT_ONCE_MS,
+  type ColdOutlook,
+  type ColdPolicy,
+  type Engines,
+} from './coldBudget'
+
+/** What engines that name the rate that they take may get; requests that go there are counted where they are placed. */
+export interface LimitPolicy {
+  isLimited: (id: InstanceId) => boolean
+  /** Whether an engine may get a request now. */
+  mayTake: (id: InstanceId) => boolean
+  /** Counts a request; says whether its engine names a rate. */
+  spend: (id: InstanceId) => boolean
+}
+
+/** Where no engine names a rate. */
+const NO_LIMITS: LimitPolicy = { isLimited: () => false, mayTake: () => true, spend: () => false }
+
+/** Counts at the machine that places what engines get that bear only so much: cold ones, and those that name a rate. */
+export class EngineBudgets {
+  private readonly cold: ColdBudget
+
+  constructor(
+    cold?: ColdPolicy,
+    private readonly limits: LimitPolicy = NO_LIMITS,
+  ) {
+    this.cold = new ColdBudget(cold)
+  }
+
+  /** Notes that this machine places. Called again and again; the first call counts. */
+  noteLeads(now: Millis): void {
+    this.cold.noteLeads(now)
+  }
+
+  isCold(id: InstanceId, now: Millis): boolean {
+    return this.cold.isCold(id, now)
+  }
+
+  /** Whether an engine bears all that fits into it: only such ones are chosen where nothing must be. */
+  isFree(id: InstanceId, now: Millis): boolean {
+    return !this.isCold(id, now) && !this.limits.isLimited(id)
+  }
+
+  /** Whether an engine may read a prompt now. */
+  mayRead(engine: RegisteredEndpoint, now: Millis): boolean {
+    return this.limits.mayTake(engine.id) && this.cold.mayRead(engine, now)
+  }
+
+  /** Whether an engine may decode a request that is placed now. */
+  mayDecode(engine: RegisteredEndpoint, ask: PlaceAsk, now: Millis): boolean {
+    return this.limits.mayTake(engine.id) && this.cold.mayDecode(engine, ask, now)
+  }
+
+  /** Counts the steps of a place; says which of them were, and within how long they must leave. */
+  grant(engines: Engines, waitedMs: Millis, now: Millis): Pick<Placed, 'cold' | 'limited'> {
+    return { cold: this.cold.grant(engines, waitedMs, now), limited: this.spend(engines, waitedMs) }
+  }
+
+  /** Until one of some decode engines may take a request, where all are cold and none may now; else undefined. */
+  waitFor(engines: RegisteredEndpoint[], ask: PlaceAsk, now: Millis): Millis | undefined {
+    return this.cold.waitFor(engines, ask, now)
+  }
+
+  outlook(engines: RegisteredEndpoint[], now: Millis): ColdOutlook | undefined {
+    return this.cold.outlook(engines, now)
+  }
+
+  /** Forgets engines that are not registered any more. */
+  keepOnly(ids: ReadonlySet<InstanceId>): void {
+    this.cold.keepOnly(ids)
+  }
+
+  private spend({ prefill, decode }: Engines, waitedMs: Millis): StepGrant | undefined {
+    const isReaderLimited = prefill !== undefined && this.limits.spend(prefill.id)
+    const isDecoderLimited = this.limits.spend(decode.id)
+    if (!isReaderLimited && !isDecoderLimited) return undefined
+    const decodesInMs = prefill === undefined ? LEAVES_AT_ONCE_MS : LEAVES_AFTER_READING_MS
+    return {
+      waitedMs,
+      prefillMs: isReaderLimited ? LEAVES_AT_ONCE_MS : undefined,
+      decodeMs: isDecoderLimited ? decodesInMs : undefined,
+    }
+  }
+}
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -3,8 +3,8 @@
 import { withinHomes, type AtHome, type Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PlaceAsk } from './allocatorTypes'
-import type { ColdBudget } from './coldBudget'
 import { EngineDistance } from './engineDistance'
+import type { EngineBudgets } from './engineBudgets'
 import { EngineFitness } from './engineFitness'
 import type { BarredEngines } from './barredEngines'
 import type { EnginePace } from './enginePace'
@@ -26,8 +26,8 @@
   health: InstanceHealth
   pace: EnginePace
   isChanging: (id: InstanceId, now: Millis) => boolean
-  /** What cold engines may get. */
-  cold: ColdBudget
+  /** What engines may get that bear only so much. */
+  budgets: EngineBudgets
 }
 
 /** From the end of reading to the first event, with what the network takes: 23 to 46 ms seen (q10 to q90, two plays). */
@@ -138,13 +138,13 @@
       roomiest: peaks.sort((left, right) => left.peak - right.peak)[0],
       soonest: queues.sort((left, right) => left.queuedMs - right.queuedMs)[0],
       slow: this.fitness.slowOf({ decode: decoders, prefill: readers }, now),
-      cold: this.options.cold.outlook([...decoders, ...readers], now),
+      cold: this.options.budgets.outlook([...decoders, ...readers], now),
     }
   }
 
   /** Until a cold decode engine may take another request, where all are cold and none may now; else undefined. */
   coldWait(ask: PlaceAsk, now: Millis): Millis | undefined {
-    return this.options.cold.waitFor(this.engines(ask, 'decode', now), ask, now)
+    return this.options.budgets.waitFor(this.engines(ask, 'decode', now), ask, now)
   }
 
   /** Notes that a decode engine begins to read a prompt itself. */
@@ -198,7 +198,7 @@
     readers: RegisteredEndpoint[],
     now: Millis,
   ): AtHome<RegisteredEndpoint>[] {
-    const { book, health, cold } = this.options
+    const { book, health, budgets } = this.options
     const { ask, engine, memoryShare } = quest
     const limit = engine.kvTokens * memoryShare
     const engines = this.engines(ask, 'decode', now)
@@ -208,7 +208,7 @@
     const waitsForOthers = quest.isInTime && !ask.isPrefilled && engines.some(({ id }) => !isSlow(id))
     const fits = engines
       .filter(({ id }) => !health.isFull(id, now) && !(waitsForOthers && isSlow(id)))
-      .filter((one) => cold.mayDecode(one, ask, now))
+      .filter((one) => budgets.mayDecode(one, ask, now))
       .map((endpoint) => ({ endpoint, count: book.countAt(endpoint.id) }))
       .filter(({ endpoint, count }) => count < this.fitness.mostAt(endpoint.id, engine, now))
       .map(({ endpoint: { id }, endpoint, count }) => ({
@@ -216,7 +216,7 @@
         peak: count === 0 ? 0 : book.peakWith(ask, id, limit, now),
         isGood: fitness.get(id) === 'good',
         slowness: this.fitness.slowness(id, now),
-        isCold: cold.isCold(id, now),
+        isCold: budgets.isCold(id, now),
       }))
       .filter(({ peak }) => peak <= limit)
     const costOf = ({ endpoint, peak, isGood, slowness, isCold }: (typeof fits)[number]) =>
@@ -232,11 +232,11 @@
 
   /** Engines that could go on with an answer that runs at another one: those that surely do well. */
   takers(ask: PlaceAsk, engine: EnginePool, now: Millis): AtHome<RegisteredEndpoint>[] {
-    const { book, health, pace, cold } = this.options
+    const { book, health, pace, budgets } = this.options
     return this.engines(ask, 'decode', now).filter(
       ({ id }) =>
         health.isSound(id, now) &&
-        !cold.isCold(id, now) &&
+        budgets.isFree(id, now) &&
         !health.isFull(id, now) &&
         !pace.isUnproven(id, 'decode', now) &&
         pace.view(id, 'decode', now).slowness < SLOW_FROM &&
@@ -256,12 +256,12 @@
     readers: AtHome<RegisteredEndpoint>[],
     now: Millis,
   ): EnginePick | undefined {
-    const { book, health, pace, cold } = this.options
+    const { book, health, pace, budgets } = this.options
     const { promptTokens } = quest.ask
     const way = { promptTokens, readingMs: pace.readingMs(promptTokens), engine: quest.engine }
     const unread = (reader: RegisteredEndpoint) => this.kept.unread(quest.ask, reader)
     const waits = readers
-      .filter((endpoint) => !health.isFull(endpoint.id, now) && cold.mayRead(endpoint, now))
+      .filter((endpoint) => !health.isFull(endpoint.id, now) && budgets.mayRead(endpoint, now))
       .map((prefill) => ({
         prefill,
         queuedMs: book.prefillWait(prefill.id, now),
@@ -273,7 +273,7 @@
       queuedMs +
       readingMs -
       keptMs +
-      (cold.isCold(prefill.id, now) ? pace.readingMs(promptTokens) * COLD_READINGS : 0) +
+      (budgets.isCold(prefill.id, now) ? pace.readingMs(promptTokens) * COLD_READINGS : 0) +
       this.distance.readingMs(prefill, decode, way)
     waits.sort((left, right) => costOf(left) - costOf(right))
     const soonest = waits[0]
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -8,7 +8,6 @@
 export type { AllocatorServiceOptions } from './allocatorService'
 export type {
   AnswerMove,
-  ColdGrant,
   Hold,
   PlaceAsk,
   PlaceDecision,
@@ -20,6 +19,8 @@
   UseOutcome,
 } from './allocatorTypes'
 export { ColdBudget } from './coldBudget'
+export { EngineBudgets } from './engineBudgets'
+export type { LimitPolicy } from './engineBudgets'
 export type { ColdOutlook, ColdPolicy } from './coldBudget'
 export { COLD_REASON, UNKNOWN_SERVICE } from './refusals'
 export { KeptPrompts } from './keptPrompts'
--- a/request/gateway/src/coldShare.ts
+++ b/request/gateway/src/drawnShare.ts
@@ -8,7 +8,7 @@
  * draw by themselves: whole requests are sure, and the rest of one is drawn.
  * @param part requests of all entries together.
  */
-export function coldShare(part: number, entries: number): number {
+export function drawnShare(part: number, entries: number): number {
   const whole = Math.floor(part)
   const count = Math.max(1, entries)
   // The sum of draws deviates by the root of its variance, which is below its mean and below a quarter for each entry.
--- a/request/gateway/src/index.ts
+++ b/request/gateway/src/index.ts
@@ -2,6 +2,8 @@
 export { Ingress } from './ingress'
 export type { IngressOptions, RequestReport } from './ingress'
 export { ColdGate } from './coldGate'
+export { LimitGate } from './limitGate'
+export type { LimitGateOptions } from './limitGate'
 export type { ColdGateOptions } from './coldGate'
 export { EndpointPool } from './endpointPool'
 export type { CandidateQuery, EndpointPoolOptions, PooledEndpoint, SendOutcome } from './endpointPool'
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -1,6 +1,7 @@
 import type { AtHome } from '@forkstage/topology'
 import { COLD_REASON, type ColdGate } from './coldGate'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
+import { LIMIT_REASON, type LimitGate } from './limitGate'
 import type { ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
 import { poolPlace } from './poolPlace'
 import { EVACUATED } from './sendRules'
@@ -14,6 +15,8 @@
   entries: () => number
   /** What cold engines may get from here; none is cold where left out. */
   cold?: ColdGate
+  /** What engines that name rates may get from here; all where left out. */
+  limits?: LimitGate
 }
 
 const NO_ENDPOINT_RETRY_MS = 500
@@ -36,12 +39,14 @@
   constructor(private readonly options: LocalPlacerOptions) {}
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
-    const { pool, cold } = this.options
+    const { pool, limits, cold } = this.options
     const { service, except, regions } = work
     const decoders = pool.candidates(service, { stage: 'decode', except, regions })
     if (pool.isEmptied(service, 'decode'))
       return { type: 'refused', reason: EVACUATED, retryAfterMs: NO_ROOM_RETRY_MS }
-    const decode = pool.fewestTokens(cold?.usable(decoders) ?? decoders, tokensOf(work))
+    if (limits?.isUsedUp(decoders) === true)
+      return { type: 'refused', reason: LIMIT_REASON, retryAfterMs: NO_ROOM_RETRY_MS }
+    const decode = pool.fewestTokens(this.usable(decoders), tokensOf(work))
     const coldMs = decode === undefined ? cold?.freeIn(decoders) : undefined
     if (coldMs !== undefined) return { type: 'refused', reason: COLD_REASON, retryAfterMs: coldMs }
     if (decode === undefined)
@@ -58,11 +63,11 @@
 
   /** The prefill engine with the fewest prompts, where it comes to this one in time; else the decode engine reads. */
   private chooseReader(work: ModelWork, decode: PooledEndpoint): AtHome<PooledEndpoint> | undefined {
-    const { pool, entries, cold } = this.options
+    const { pool, entries } = this.options
     if (work.isPrefilled) return undefined
     const { service, except, regions, promptTokens } = work
     const readers = pool.candidates(service, { stage: 'prefill', except, regions })
-    const prefill = pool.fewestTokens(cold?.usable(readers) ?? readers, promptTokens, decode.endpoint.zone)
+    const prefill = pool.fewestTokens(this.usable(readers), promptTokens, decode.endpoint.zone)
     if (prefill === undefined) return undefined
     // Others that place alone queue as much there.
     const queued = prefill.tokens * Math.max(1, entries()) + work.promptTokens
@@ -71,6 +76,12 @@
       : undefined
   }
 
+  private usable(engines: AtHome<PooledEndpoint>[]): AtHome<PooledEndpoint>[] {
+    const { limits, cold } = this.options
+    const open = limits?.usable(engines) ?? engines
+    return cold?.usable(open) ?? open
+  }
+
   private hasRoom(work: ModelWork, decoders: PooledEndpoint[]): boolean {
     const { kvTokens, entries } = this.options
     // A newer sheet may lack the service of what came before it.
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -7,6 +7,7 @@
 import { COLD_REASON } from './coldGate'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { noteLost } from './noteLost'
+import { LIMIT_REASON } from './limitGate'
 import { readVerdict } from './readVerdict'
 import { sendEndpointAnswer } from './ownAnswer'
 import { answerFailure, answerRefusal, CALLER_GONE, PROMISES, type OwnResult } from './relayAnswers'
@@ -99,26 +100,39 @@
     const share = isReturn ? RETURN_WAIT_SHARE : PROMPT_SHARE
     const left = request.arrivedAt + route.targetMs * share - clock.now()
     // Nothing is worth waiting for where every endpoint must get nothing, for nobody knows how long.
-    const isInVain = this.parts.pool.isEmptied(this.job.service.name) || (this.coldWait() ?? 0) > left
+    const { pool, limits } = this.parts
+    const all = pool.candidates(this.job.service.name, { regions: this.job.homes() })
+    limits?.want(all)
+    const isInVain =
+      pool.isEmptied(this.job.service.name) ||
+      (this.coldWait() ?? 0) > left ||
+      limits?.takesNone(all) === true
     const limit = isInVain ? 0 : Math.max(0, left)
     return waitFor(clock, limit, () => (this.isOver ? undefined : this.roomiest()))
   }
 
   private roomiest(): AtHome<PooledEndpoint> | undefined {
     const { pool, cold } = this.parts
-    const regions = this.job.homes()
-    const all = pool.candidates(this.job.service.name, { regions })
-    const fresh = pool.candidates(this.job.service.name, { except: this.tried, regions })
-    const open = (fresh.length > 0 ? fresh : all).filter((one) => one.inFlight < one.limit.value)
+    const fresh = this.usable(this.tried)
+    const open = (fresh.length > 0 ? fresh : this.usable()).filter((one) => one.inFlight < one.limit.value)
     return pool.leastLoaded(cold?.usable(open) ?? open)
   }
 
+  /** Endpoints that may get the request, but for those named, as far as the rates that they name allow it now. */
+  private usable(except?: ReadonlySet<string>): AtHome<PooledEndpoint>[] {
+    const { pool, limits } = this.parts
+    const candidates = pool.candidates(this.job.service.name, { except, regions: this.job.homes() })
+    return limits?.usable(candidates) ?? candidates
+  }
+
   private whyNone(): string {
     const { pool } = this.parts
     const { service, homes } = this.job
     if (pool.isEmptied(service.name)) return EVACUATED
     if (this.coldWait() !== undefined) return COLD_REASON
-    if (pool.candidates(service.name, { regions: homes() }).length > 0) return 'no room in time'
+    const there = pool.candidates(service.name, { regions: homes() })
+    if (this.parts.limits?.isUsedUp(there) === true) return LIMIT_REASON
+    if (there.length > 0) return 'no room in time'
     return pool.candidates(service.name).length > 0 ? NOT_AT_HOME : 'no endpoint'
   }
 
@@ -207,8 +221,7 @@
   }
 
   private hasUntried(): boolean {
-    const { service, homes } = this.job
-    return this.parts.pool.candidates(service.name, { except: this.tried, regions: homes() }).length > 0
+    return this.usable(this.tried).length > 0
   }
 
   private pass(sending: Extract<Sending, { type: 'answer' }>): OwnResult {
--- a/request/gateway/src/promptReading.ts
+++ b/request/gateway/src/promptReading.ts
@@ -1,5 +1,6 @@
 import type { PooledEndpoint } from './endpointPool'
 import { COLD_REASON } from './coldGate'
+import { LIMIT_REASON } from './limitGate'
 import type { Exchange } from './exchange'
 import type { ModelPlace } from './modelPlacer'
 import { noteLost } from './noteLost'
@@ -12,6 +13,9 @@
 /** A handle is used for another engine only while it surely still stands. */
 const HANDLE_SHARE = 0.5
 
+/** Why an engine may get nothing at the moment, though it may in the next. */
+const FOR_A_MOMENT = new Set([COLD_REASON, LIMIT_REASON, SUSPENDED])
+
 /** What the reading of a prompt needs of its request. */
 export interface PromptReader {
   readonly isOver: boolean
@@ -100,9 +104,9 @@
     return withheld ?? 'the prompt was read in a region that is no home any more'
   }
 
-  /** Another engine is asked for, unless a cold one has just no budget left: it may be the only one that gets some. */
+  /** Another engine is asked for, unless this one may get none just now: it may be the only one that gets some. */
   private avoid(at: PooledEndpoint, withheld: string): void {
-    if (withheld !== COLD_REASON && withheld !== SUSPENDED) this.run.except.add(at.endpoint.id)
+    if (!FOR_A_MOMENT.has(withheld)) this.run.except.add(at.endpoint.id)
   }
 
   private isAtHome({ at }: Prefilled): boolean {
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -10,6 +10,7 @@
 import type { ColdGate } from './coldGate'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import type { GatewayWire, TokenCounts } from './gatewayWire'
+import type { LimitGate } from './limitGate'
 import type { ModelPlacer } from './modelPlacer'
 import type { RetryAllowance } from './retryAllowance'
 import type { SendRule } from './sendRules'
@@ -24,6 +25,8 @@
   sendRules?: SendRule[]
   /** What cold endpoints may get from here; none is cold where left out. */
   cold?: ColdGate
+  /** What endpoints that name rates may get from here; all where left out. */
+  limits?: LimitGate
   /** The rates that endpoints name; what they say is not read where left out. */
   rates?: RateBook
   /** Knows which requests end the endpoints that run them; nothing is known where left out. */
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -15,6 +15,7 @@
 import type { Address, FailureDomain, Millis } from '@forkstage/types'
 import type { ColdGate } from './coldGate'
 import type { EndpointPool } from './endpointPool'
+import type { LimitGate } from './limitGate'
 import type { LeaderWay } from './leaderWay'
 import { waitFor } from './waitFor'
 import type { ModelPlace, ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
@@ -32,6 +33,8 @@
   way: LeaderWay
   /** Takes what the leader counted for places at cold engines. */
   cold?: ColdGate
+  /** Takes what the leader counted for places at engines that name rates. */
+  limits?: LimitGate
   clock: Clock
   logger: Logger
 }
@@ -107,8 +110,7 @@
     try {
       const call = way.call<PlaceDecision>(PLACE.ask, { ask }, ask.holdMs + ANSWER_SLACK_MS)
       const decision = await Promise.race([call, watch.changed])
-      if (decision !== 'another leads' && decision.type === 'placed')
-        this.options.cold?.take(ask.request, decision, askedAt)
+      if (decision !== 'another leads' && decision.type === 'placed') this.takeCounted(ask, decision, askedAt)
       return decision
     } catch (error) {
       way.notify(PLACE.withdraw, { request: ask.request })
@@ -119,6 +121,12 @@
     }
   }
 
+  private takeCounted({ request }: PlaceAsk, placed: Placed, askedAt: Millis): void {
+    const { cold, limits } = this.options
+    cold?.take(request, placed, askedAt)
+    limits?.take(request, placed, askedAt)
+  }
+
   /** Tells when another machine than `leader` leads, or none: what was asked there waits for nothing. */
   private watchLeader(leader: Address | undefined): {
     changed: Promise<'another leads'>
--- a/request/gateway/src/runMoves.ts
+++ b/request/gateway/src/runMoves.ts
@@ -49,8 +49,9 @@
     // The end of an answer without a length could not be told from the stop.
     if (this.move !== undefined || !this.isRunning() || run.head?.isFramed !== true) return
     if (to === place.decode || to.endpoint.state !== 'ready') return
-    // A move of its own choice is not what a cold engine's budget is for.
-    if (parts.cold?.isCold(to.endpoint.id) === true) return
+    // A move of its own choice is not what a cold engine's budget, or the rate that one names, is for.
+    if (parts.cold?.isCold(to.endpoint.id) === true || parts.limits?.isLimited(to.endpoint.id) === true)
+      return
     if (whyNotSend(parts, job, to.endpoint, 'decode') !== undefined) return
     const stream = run.exchange
     const move = new RunMove(parts, job.request.id, place.decode, to)
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -24,14 +24,15 @@
   to: RegisteredEndpoint,
   step: SendStep,
 ): string | undefined {
-  // Counted where it may go on, so it is asked last.
+  // The last two count where it may go on.
   // Whoever placed may have given the place to another meanwhile.
   const suspended: SendRule = (_to, { placedAt }) =>
     placedAt !== undefined && placedAt < parts.clock.suspendedAt() ? SUSPENDED : undefined
   const ends: SendRule = (_to, { request }) =>
     parts.crashes?.refusal(request.content) === undefined ? undefined : ENDS_ENDPOINTS
   const cold: SendRule = (endpoint, { request }, one) => parts.cold?.whyNot(endpoint, request.id, one)
-  for (const rule of [suspended, ...(parts.sendRules ?? []), ends, cold]) {
+  const limited: SendRule = (endpoint, { request }, one) => parts.limits?.whyNot(endpoint, request.id, one)
+  for (const rule of [suspended, ...(parts.sendRules ?? []), ends, cold, limited]) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
     parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
--- a/request/gateway/test/coldGate.test.ts
+++ b/request/gateway/test/coldGate.test.ts
@@ -4,7 +4,7 @@
 import { createSilentLogger } from '@forkstage/logger'
 import { describe, expect, it } from 'vitest'
 import { ColdGate, EndpointPool, LocalPlacer } from '../src'
-import { coldShare } from '../src/coldShare'
+import { drawnShare } from '../src/drawnShare'
 
 const START_MS = 1_000
 /** Past the first seconds of an entry, in which it takes the entries to be many. */
@@ -81,10 +81,10 @@
   )
 
   it('leaves callers more than half of the bound where 81 entries draw', () => {
-    expect(coldShare(54.5, 81) * 81).toBeCloseTo(36)
-    expect(coldShare(54.5, 3) * 3).toBeCloseTo(50.5, 0)
+    expect(drawnShare(54.5, 81) * 81).toBeCloseTo(36)
+    expect(drawnShare(54.5, 3) * 3).toBeCloseTo(50.5, 0)
     // Without a leader, a tenth of that for engines.
-    expect(coldShare(5.45, 81) * 81).toBeCloseTo(1)
+    expect(drawnShare(5.45, 81) * 81).toBeCloseTo(1)
   })
 
   it('gives hardly any entry no endpoint of several that are cold', () => {
--- a/request/gateway/test/limitWorld.ts
+++ b/request/gateway/test/limitWorld.ts
@@ -1,11 +1,11 @@
 import { EventEmitter } from 'node:events'
 import type { ServerResponse } from 'node:http'
-import { createSeededRandom, ManualClock } from '@forkstage/clock'
+import { createSeededRandom, every, ManualClock } from '@forkstage/clock'
 import type { RegisteredEndpoint } from '@forkstage/directory'
-import { RateBook } from '@forkstage/limits'
+import { LimitKeeper, LimitLedger, RateBook, type LimitAnswer, type LimitReport } from '@forkstage/limits'
 import { createSilentLogger } from '@forkstage/logger'
 import type { Route } from '@forkstage/routes'
-import { EndpointPool, RetryAllowance, type RelayParts } from '../src'
+import { EndpointPool, LimitGate, RetryAllowance, type RelayParts } from '../src'
 import { relayPlain } from '../src/plainRelay'
 import type { RelayJob } from '../src/relayParts'
 import { FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
@@ -14,6 +14,11 @@
 
 const STEP_MS = 5
 const WORK_MS = 60
+const REPORT_MS = 500
+/** The longest way between two machines. */
+const WAY_MS = 10
+/** Past the first seconds of an entry, in which it takes the entries to be many. */
+const SETTLED_MS = 31_000
 const SLOTS = 6
 const DEADLINE_MS = 3_000
 const ROUTE = fullRoute({ kind: 'safe', targetMs: 300, timeoutMs: 1_500, attempts: 2 })
@@ -38,23 +43,47 @@
   /** Requests a second; undefined where it names none. */
   perSecond: number | undefined
   namedAt = Infinity
+  /** What it has named, the newest last. */
+  private readonly rates: { perSecond: number | undefined; from: number }[] = []
   readonly arrivals: Arrival[] = []
   /** Since when each entry has passed on an answer that names a rate. */
   readonly toldAt = new Map<number, number>()
 
   constructor(readonly worker: FakeWorker) {}
 
-  /** The most that it got in a window beyond what its rate allows, from entries that knew; 0 or less where it was kept. */
-  worstExcess(perSecond: number): number {
-    const allowed = Math.floor((perSecond * WINDOW_MS * MOST_SHARE) / 1_000 + MOST_SLACK)
+  /** Names a rate from now on; undefined takes it back. */
+  name(perSecond: number | undefined, now: number): void {
+    this.perSecond = perSecond
+    this.rates.push({ perSecond, from: now })
+    if (this.namedAt === Infinity) this.namedAt = now
+  }
+
+  /**
+   * The most that it got in a window beyond what the highest rate of that window allows, from entries that knew; 0 or
+   * less where it was kept.
+   */
+  worstExcess(): number {
     const from = this.namedAt + BINDS_AFTER_MS
     const told = this.arrivals.filter(
       ({ at, entry }) => at >= (this.toldAt.get(entry) ?? Infinity) + TOLD_AFTER_MS,
     )
-    const counts = told.map(
-      ({ at: end }) => told.filter(({ at }) => at <= end && at > end - WINDOW_MS && end >= from).length,
+    const excesses = told
+      .filter(({ at: end }) => end >= from)
+      .map(
+        ({ at: end }) =>
+          told.filter(({ at }) => at <= end && at > end - WINDOW_MS).length - this.allowed(end),
+      )
+    return Math.max(0, ...excesses)
+  }
+
+  private allowed(end: number): number {
+    const within = this.rates.filter(
+      (_, index) => (this.rates[index + 1]?.from ?? Infinity) > end - WINDOW_MS,
+    )
+    const highest = Math.max(
+      ...within.filter(({ from }) => from <= end).map((one) => one.perSecond ?? Infinity),
     )
-    return Math.max(0, ...counts) - allowed
+    return Math.floor((highest * WINDOW_MS * MOST_SHARE) / 1_000 + MOST_SLACK)
   }
 
   /** Arrivals a second within a span, from all entries. */
@@ -78,19 +107,30 @@
   readonly random = createSeededRandom(40)
   readonly outcomes: Outcome[] = []
   readonly entries: RelayParts[] = []
+  /** Entries that do not hear the leader. */
+  readonly cutOff = new Set<number>()
+  /** Undefined while none leads. */
+  leader: LimitLedger | undefined
+  private term = 0
   private held = 0
   private count = 0
   private running = 0
 
-  private constructor(readonly workers: LimitedWorker[]) {}
+  private constructor(
+    readonly workers: LimitedWorker[],
+    private readonly entryCount: number,
+  ) {
+    this.elect()
+  }
 
   static async start(entryCount: number, workerCount = 3): Promise<LimitWorld> {
-    const world: LimitWorld = new LimitWorld([])
+    const world: LimitWorld = new LimitWorld([], entryCount)
     for (let index = 0; index < workerCount; index += 1) {
       const worker = await FakeWorker.start((request) => world.work(index, request))
       world.workers.push(new LimitedWorker(worker))
     }
     for (let index = 0; index < entryCount; index += 1) world.entries.push(world.createEntry(index))
+    world.clock.advance(SETTLED_MS)
     return world
   }
 
@@ -100,9 +140,7 @@
 
   /** Lets an endpoint name a rate from now on; undefined takes it back. */
   name(index: number, perSecond: number | undefined): void {
-    const worker = this.workers[index]!
-    worker.perSecond = perSecond
-    if (worker.namedAt === Infinity) worker.namedAt = this.clock.now()
+    this.workers[index]!.name(perSecond, this.clock.now())
   }
 
   /** Callers come for a time, so many a second, each at any entry, or at those given. */
@@ -163,8 +201,40 @@
   }
 
   /** What holds an entry to the rates that endpoints name. */
-  private limitParts(_index: number, _rates: RateBook): Partial<RelayParts> {
-    return {}
+  private limitParts(index: number, book: RateBook): Partial<RelayParts> {
+    const { clock, random } = this
+    const keeper = new LimitKeeper({
+      entry: `e${index}`,
+      clock,
+      book,
+      report: (report) => this.report(index, report),
+      leader: () => 'leader',
+      reportEveryMs: REPORT_MS,
+    })
+    keeper.start()
+    const tolerance = { windowMs: WINDOW_MS, over: MOST_SHARE - 1, slack: MOST_SLACK }
+    const gate = new LimitGate({ clock, random, book, keeper, tolerance, entries: () => this.entryCount })
+    every(clock, 1_000, () => gate.look())
+    return { limits: gate }
+  }
+
+  /** A new leader, which knows nothing of what the one before permitted, nor of rates. */
+  elect(): void {
+    this.term += 1
+    const { clock, term } = this
+    const book = new RateBook({ clock, logger: createSilentLogger() })
+    this.leader = new LimitLedger({ clock, book, term: () => term })
+  }
+
+  /** The leader's answer, some milliseconds later; none from one that is gone, or to an entry that is cut off. */
+  private report(entry: number, report: LimitReport): Promise<LimitAnswer | undefined> {
+    const way = () => 1 + this.random() * WAY_MS
+    return new Promise((resolve) => {
+      this.clock.after(way(), () => {
+        const answer = this.cutOff.has(entry) ? undefined : this.leader?.take(report)
+        this.clock.after(answer === undefined ? REPORT_MS : way(), () => resolve(answer))
+      })
+    })
   }
 
   private endpoints(): RegisteredEndpoint[] {
--- a/request/limits/src/index.ts
+++ b/request/limits/src/index.ts
@@ -1,3 +1,12 @@
 /** Holds all entries together to the rates that endpoints name. */
+export { aloneShare } from './aloneShare'
+export type { LimitTolerance } from './aloneShare'
+export { LimitKeeper } from './limitKeeper'
+export type { LimitKeeperOptions } from './limitKeeper'
+export { LimitLedger } from './limitLedger'
+export type { LimitLedgerOptions } from './limitLedger'
+export { LIMIT_REPORT } from './limitTypes'
+export type { LimitAnswer, LimitReport } from './limitTypes'
 export { RateBook } from './rateBook'
 export type { RateBookOptions, RateWord } from './rateBook'
+export { readLimitReport } from './readLimitReport'
--- /dev/null
+++ b/request/limits/src/limitLedger.ts
@@ -0,0 +1,91 @@
+import type { Clock } from '@forkstage/clock'
+import type { InstanceId } from '@forkstage/directory'
+import type { Millis } from '@forkstage/types'
+import type { EndpointReport, LimitAnswer, LimitGrant, LimitReport } from './limitTypes'
+import type { RateBook, RateWord } from './rateBook'
+import { RateBucket } from './rateBucket'
+
+/** Options of {@link LimitLedger}. */
+export interface LimitLedgerOptions {
+  clock: Clock
+  /** The rates as this machine believes them; reports add to it. */
+  book: RateBook
+  /** Which term this machine leads in: a new one begins with empty buckets, beside what the leader before let go. */
+  term: () => number
+}
+
+/**
+ * Divides named rates between entries, at the machine that leads: a request counts when it is permitted, so that whatever
+ * becomes of an entry or a message no more can leave.
+ */
+export class LimitLedger {
+  private term = -1
+  private buckets = new Map<InstanceId, RateBucket>()
+
+  constructor(private readonly options: LimitLedgerOptions) {}
+
+  /** Takes what an entry has heard and could send, and answers what it may. */
+  take({ endpoints }: LimitReport): LimitAnswer {
+    const { book } = this.options
+    const reports = Object.entries(endpoints)
+    for (const [id, { word }] of reports) book.take(id, word)
+    const grants = reports.flatMap(([id, report]) => {
+      const word = book.wordOf(id)
+      return word === undefined ? [] : [[id, this.grant(id, report, word)] as const]
+    })
+    return { grants: Object.fromEntries(grants) }
+  }
+
+  /** Whether an endpoint names a rate. */
+  isLimited(id: InstanceId): boolean {
+    return this.options.book.rateOf(id) !== undefined
+  }
+
+  /** Whether a request that is placed here may go to an endpoint now. */
+  mayTake(id: InstanceId): boolean {
+    const perSecond = this.options.book.rateOf(id)
+    return perSecond === undefined || this.bucketOf(id).whole(perSecond, this.options.clock.now()) >= 1
+  }
+
+  /** Counts a request that is placed here; says whether its endpoint names a rate. */
+  spend(id: InstanceId): boolean {
+    if (!this.isLimited(id)) return false
+    this.bucketOf(id).take(1)
+    return true
+  }
+
+  /** Forgets endpoints that name no rate any more. Called again and again. */
+  look(): void {
+    this.options.book.look()
+    for (const id of this.buckets.keys()) if (!this.isLimited(id)) this.buckets.delete(id)
+  }
+
+  private grant(id: InstanceId, { wanted, returned }: EndpointReport, word: RateWord): LimitGrant {
+    if (word.perSecond === null) return { word, permits: 0 }
+    const bucket = this.bucketOf(id)
+    bucket.take(-returned)
+    const permits = Math.max(0, Math.min(wanted, bucket.whole(word.perSecond, this.now())))
+    bucket.take(permits)
+    return { word, permits }
+  }
+
+  private bucketOf(id: InstanceId): RateBucket {
+    this.renewTerm()
+    const known = this.buckets.get(id)
+    if (known !== undefined) return known
+    const bucket = new RateBucket(this.now())
+    this.buckets.set(id, bucket)
+    return bucket
+  }
+
+  private renewTerm(): void {
+    const term = this.options.term()
+    if (term === this.term) return
+    this.term = term
+    this.buckets = new Map()
+  }
+
+  private now(): Millis {
+    return this.options.clock.now()
+  }
+}
--- a/request/limits/src/rateBook.ts
+++ b/request/limits/src/rateBook.ts
@@ -54,19 +54,19 @@
 
   /** Requests a second that an endpoint takes from all machines; undefined where it names no rate. */
   rateOf(id: InstanceId): number | undefined {
+    return this.wordOf(id)?.perSecond ?? undefined
+  }
+
+  /** The newest word of an endpoint that has spoken of a rate lately, also of one that has taken it back. */
+  wordOf(id: InstanceId): RateWord | undefined {
     const said = this.words.get(id)
     if (said === undefined || this.isOld(said)) return undefined
-    return said.perSecond ?? undefined
+    return { perSecond: said.perSecond, ageMs: this.options.clock.now() - said.at }
   }
 
-  /** The newest word of each endpoint that has spoken of a rate lately, also of one that has taken it back. */
-  all(): Map<InstanceId, RateWord> {
-    const now = this.options.clock.now()
-    return new Map(
-      [...this.words]
-        .filter(([, said]) => !this.isOld(said))
-        .map(([id, { perSecond, at }]) => [id, { perSecond, ageMs: now - at }]),
-    )
+  /** The endpoints of which there is such a word. */
+  get spoken(): InstanceId[] {
+    return [...this.words].filter(([, said]) => !this.isOld(said)).map(([id]) => id)
   }
 
   /** How many endpoints name a rate. */
--- /dev/null
+++ b/request/limits/test/limitKeeper.test.ts
@@ -0,0 +1,93 @@
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { createSilentLogger } from '@forkstage/logger'
+import { LimitKeeper, RateBook, type LimitAnswer, type LimitReport } from '../src'
+
+/** A keeper that knows a rate of `a`, and what it has told the leader; the leader answers when it is told to. */
+function keeper() {
+  const clock = new ManualClock(10_000)
+  const book = new RateBook({ clock, logger: createSilentLogger() })
+  const reports: LimitReport[] = []
+  const waiting: ((answer: LimitAnswer | undefined) => void)[] = []
+  const one = new LimitKeeper({
+    entry: 'e',
+    clock,
+    book,
+    report: (report) => {
+      reports.push(report)
+      return new Promise((resolve) => waiting.push(resolve))
+    },
+    leader: () => 'leader',
+    reportEveryMs: 500,
+  })
+  one.start()
+  book.note('a', 4)
+  const answer = async (permits: number | undefined) => {
+    const word = { perSecond: 4, ageMs: 0 }
+    waiting.shift()!(permits === undefined ? undefined : { grants: { a: { word, permits } } })
+    for (let turn = 0; turn < 5; turn += 1) await Promise.resolve()
+  }
+  return { clock, one, reports, answer }
+}
+
+describe('LimitKeeper', () => {
+  it('asks at once for a request without a permit, and uses each permit once', async () => {
+    const { one, reports, answer } = keeper()
+    one.want('a')
+    expect(reports).toHaveLength(1)
+    expect(reports[0]!.endpoints['a']).toMatchObject({ wanted: 1, returned: 0 })
+    expect(one.isLed()).toBe(false)
+    await answer(1)
+    expect(one.isLed()).toBe(true)
+    expect(one.usePermit('a')).toBe(true)
+    expect(one.usePermit('a')).toBe(false)
+  })
+
+  it('gives back what ran out unused, counted from when it asked and not from when the answer came', async () => {
+    const { clock, one, reports, answer } = keeper()
+    one.want('a')
+    clock.advance(400)
+    await answer(1)
+    clock.advance(299)
+    expect(one.hasPermit('a')).toBe(true)
+    clock.advance(1)
+    expect(one.hasPermit('a')).toBe(false)
+    await answer(0)
+    clock.advance(600)
+    expect(reports.at(-1)!.endpoints['a']).toMatchObject({ wanted: 0, returned: 1 })
+  })
+
+  it('asks again only after a while where the leader had too few', async () => {
+    const { clock, one, reports, answer } = keeper()
+    one.want('a')
+    await answer(0)
+    one.want('a')
+    expect(reports).toHaveLength(1)
+    clock.advance(300)
+    expect(reports).toHaveLength(2)
+  })
+
+  it('is alone once the leader has been silent for two reports', async () => {
+    const { clock, one, answer } = keeper()
+    one.want('a')
+    await answer(1)
+    clock.advance(600)
+    await answer(undefined)
+    expect(one.isLed()).toBe(true)
+    clock.advance(400)
+    expect(one.isLed()).toBe(false)
+  })
+
+  it('takes nothing for permitted that was promised before a suspension', async () => {
+    const { clock, one, answer } = keeper()
+    one.want('a')
+    await answer(2)
+    clock.suspend()
+    expect(one.hasPermit('a')).toBe(false)
+    expect(one.isLed()).toBe(false)
+    clock.advance(600)
+    clock.suspend()
+    await answer(2)
+    expect(one.hasPermit('a')).toBe(false)
+  })
+})
--- a/request/limits/test/rateBook.test.ts
+++ b/request/limits/test/rateBook.test.ts
@@ -17,7 +17,7 @@
   it('believes what an endpoint named last, until an answer names none', () => {
     const { book: one, outcomes } = book()
     one.note('a', undefined)
-    expect(one.all().size).toBe(0)
+    expect(one.spoken).toEqual([])
     one.note('a', 3.2)
     one.note('a', 3.3)
     one.note('a', 8)
@@ -45,7 +45,8 @@
     expect(one.rateOf('a')).toBeUndefined()
     // That it was taken back is passed on, with its age.
     clock.advance(200)
-    expect([...one.all()]).toEqual([['a', { perSecond: null, ageMs: 200 }]])
+    expect(one.spoken).toEqual(['a'])
+    expect(one.wordOf('a')).toEqual({ perSecond: null, ageMs: 200 })
   })
 
   it('forgets what nobody has said for long: an endpoint that gets nothing cannot take it back', () => {
@@ -59,7 +60,7 @@
     clock.advance(1_000)
     expect(one.rateOf('a')).toBeUndefined()
     one.look()
-    expect(one.all().size).toBe(0)
+    expect(one.spoken).toEqual([])
     expect(outcomes()).toEqual(['named', 'forgotten'])
   })
 })
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -99,6 +99,19 @@
   })
   .prefault({})
 
+const limitsSection = z
+  .strictObject({
+    /** The window over which endpoints are held to the rates that they name; from the deployment's sheet. */
+    window_s: z.number().min(0.1).max(3_600).default(4),
+    /** How far entries together may exceed what a rate allows in a window, as a share of it; from the deployment's sheet. */
+    over: z.number().min(0).max(100).default(0.5),
+    /** The same in requests, beside that share. */
+    slack: z.number().min(0).max(100_000).default(5),
+    /** How often an entry tells the leader what it has heard and could send, while an endpoint names a rate. */
+    report_ms: duration(500),
+  })
+  .prefault({})
+
 const crashesSection = z
   .strictObject({
     /** Endpoints that must have ended under requests of one content until no more of them are sent. */
@@ -127,6 +140,7 @@
   quota: quotaSection,
   orders: ordersSection,
   cold: coldSection,
+  limits: limitsSection,
   crashes: crashesSection,
   domains: domainsSection,
   log: logSection,
