fix(gateway): entries together keep to the connections that an endpoint takes

What callers would see: in a burst an endpoint that takes so many connections from all callers resets the rest, and a request that may run once fails with it. Found by looking for the cause of the incident elsewhere: a statement that holds over all machines and that no machine keeps. The sheet's figure was read and used nowhere; every other such statement (quota, retries, cold endpoints, attempts) is kept.

Change: an entry keeps its even part of them at one endpoint, one at least, beside what it finds to go well by itself; and room is looked at once more right before a sending, since several requests that wait see the same room in one turn. Why it holds: the parts sum to no more, however entries are drawn. Not covered: control machines that restart count entries from one, and an entry that knows no count goes by what it finds.

--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -168,6 +168,7 @@
         pool: this.pool,
         placer: this.placer,
         allowance,
+        entries: () => this.follower.entries() || 1,
         cold: this.coldGate,
         limits: this.limitGate,
         rates: this.rates,
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
 import { cancelWhenEnded } from './cancelWhenEnded'
+import { connectionShare } from './connectionShare'
 import { dropHeaders } from './callerRequest'
 import type { PooledEndpoint, SendOutcome } from './endpointPool'
 import { COLD_REASON } from './coldGate'
@@ -82,6 +83,8 @@
       const to = await this.choose()
       if (this.isOver) return this.overResult()
       if (to === undefined) return this.answerWithout(failed, this.whyNone())
+      // Others that waited may have taken the room since it was seen.
+      if (!this.hasRoom(to)) continue
       const sending = await this.send(to)
       if (sending === undefined) return this.answerWithout(failed, 'no repeated sending is left')
       if (this.isOver) return this.overResult()
@@ -114,10 +117,18 @@
   private roomiest(): AtHome<PooledEndpoint> | undefined {
     const { pool, cold } = this.parts
     const fresh = this.usable(this.tried)
-    const open = (fresh.length > 0 ? fresh : this.usable()).filter((one) => one.inFlight < one.limit.value)
+    const open = (fresh.length > 0 ? fresh : this.usable()).filter((one) => this.hasRoom(one))
     return pool.leastLoaded(cold?.usable(open) ?? open)
   }
 
+  /** Whether an endpoint has room for one more request of this entry. */
+  private hasRoom({ inFlight, limit }: PooledEndpoint): boolean {
+    const { entries } = this.parts
+    const share =
+      entries === undefined ? Infinity : connectionShare(this.job.service.maxConnections, entries())
+    return inFlight < Math.min(limit.value, share)
+  }
+
   /** Endpoints that may get the request, but for those named, as far as the rates that they name allow it now. */
   private usable(except?: ReadonlySet<string>): AtHome<PooledEndpoint>[] {
     const { pool, limits } = this.parts
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -21,6 +21,8 @@
   pool: EndpointPool
   placer: ModelPlacer
   allowance: RetryAllowance
+  /** How many entries share what an endpoint takes; that is not looked at where left out. */
+  entries?: () => number
   /** What each sending must obey, asked right before it leaves; nothing where left out. */
   sendRules?: SendRule[]
   /** What cold endpoints may get from here; none is cold where left out. */
--- a/request/gateway/test/limitWorld.ts
+++ b/request/gateway/test/limitWorld.ts
@@ -4,7 +4,6 @@
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { LimitKeeper, LimitLedger, RateBook, type LimitAnswer, type LimitReport } from '@forkstage/limits'
 import { createSilentLogger } from '@forkstage/logger'
-import type { Route } from '@forkstage/routes'
 import { EndpointPool, LimitGate, RetryAllowance, type RelayParts } from '../src'
 import { relayPlain } from '../src/plainRelay'
 import type { RelayJob } from '../src/relayParts'
@@ -112,6 +111,10 @@
   /** Undefined while none leads. */
   leader: LimitLedger | undefined
   private term = 0
+  /** Connections that one endpoint takes from all entries. */
+  maxConnections = 100
+  /** The most requests that an endpoint held at once. */
+  mostHeld = 0
   private held = 0
   private count = 0
   private running = 0
@@ -192,6 +195,7 @@
       pool,
       placer,
       allowance,
+      entries: () => this.entryCount,
       rates,
       clock,
       random,
@@ -249,6 +253,7 @@
     const entry = Number(request.headers['x-id']!.split('-')[0])
     one.arrivals.push({ at: clock.now(), entry })
     this.held += 1
+    this.mostHeld = Math.max(this.mostHeld, this.held)
     clock.after(WORK_MS, () => {
       this.held -= 1
       if (one.perSecond !== undefined && !one.toldAt.has(entry)) one.toldAt.set(entry, clock.now())
@@ -265,13 +270,36 @@
     parts.allowance.noteRequest('plain')
     this.count += 1
     this.running += 1
-    void relayPlain(parts, toJob(ROUTE, `${entry}-${this.count}`, sentAt, response)).then(({ status }) => {
+    void relayPlain(parts, this.toJob(`${entry}-${this.count}`, sentAt, response)).then(({ status }) => {
       this.running -= 1
       const { retryAfter } = response
       this.outcomes.push({ sentAt, status, tookMs: clock.now() - sentAt, retryAfter })
     })
   }
 
+  private toJob(id: string, arrivedAt: number, response: TakenAnswer): RelayJob {
+    const request = {
+      id,
+      method: 'GET',
+      path: '/p/',
+      host: 'h.example',
+      headers: {},
+      rawHeaders: ['x-id', id],
+      body: Buffer.alloc(0),
+      content: () => 'c' as never,
+      arrivedAt,
+      deadlineMs: DEADLINE_MS,
+      response: response as unknown as ServerResponse,
+      isGone: () => false,
+      onGone: () => undefined,
+    }
+    const service = { name: 'plain', maxConnections: this.maxConnections }
+    const endsAt = arrivedAt + ROUTE.timeoutMs
+    const targetAt = arrivedAt + ROUTE.targetMs
+    const rest = { isReturn: false, rank: 1, homes: () => undefined }
+    return { request, route: ROUTE, service, endsAt, targetAt, ...rest }
+  }
+
   /** Lets the sockets carry on until all that was sent is held by endpoints, and nothing moves any more. */
   private async settle(): Promise<void> {
     for (let quiet = 0; quiet < QUIET_TURNS; quiet += 1) {
@@ -309,25 +337,3 @@
     this.headersSent = true
   }
 }
-
-function toJob(route: Route, id: string, arrivedAt: number, response: TakenAnswer): RelayJob {
-  const request = {
-    id,
-    method: 'GET',
-    path: '/p/',
-    host: 'h.example',
-    headers: {},
-    rawHeaders: ['x-id', id],
-    body: Buffer.alloc(0),
-    content: () => 'c' as never,
-    arrivedAt,
-    deadlineMs: DEADLINE_MS,
-    response: response as unknown as ServerResponse,
-    isGone: () => false,
-    onGone: () => undefined,
-  }
-  const service = { name: 'plain', maxConnections: 100 }
-  const endsAt = arrivedAt + route.timeoutMs
-  const targetAt = arrivedAt + route.targetMs
-  return { request, route, service, endsAt, targetAt, isReturn: false, rank: 1, homes: () => undefined }
-}
