--- /dev/null
+++ b/placement/allocator/test/limitedEngines.test.ts
@@ -0,0 +1,82 @@
+import { describe, expect, it } from 'vitest'
+import type { LimitPolicy, Placed } from '../src'
+import { ask, ENGINE, engine, world } from './fixtures'
+
+/** Engines that name a rate and may still get so many requests. */
+function limits(left: Record<string, number>): LimitPolicy {
+  return {
+    isLimited: (id) => id in left,
+    mayTake: (id) => (left[id] ?? 1) > 0,
+    spend: (id) => {
+      if (!(id in left)) return false
+      left[id]! -= 1
+      return true
+    },
+  }
+}
+
+const small = { promptTokens: 100, mostTokens: 200, hintTokens: 100 }
+
+describe('Allocator, with engines that name the rate that they take', () => {
+  it('counts each step at such an engine, and says within how long it must leave', () => {
+    const left = { p1: 1, d1: 1 }
+    const { place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')], {
+      limits: limits(left),
+    })
+    place(ask('r1', { ...small, promptTokens: 2_000 }))
+    expect(decisions.get('r1')).toMatchObject({
+      prefill: 'p1',
+      decode: 'd1',
+      limited: { waitedMs: 0, prefillMs: 250, decodeMs: 1_000 },
+    })
+    expect(left).toEqual({ p1: 0, d1: 0 })
+  })
+
+  it('says nothing of engines that name none', () => {
+    const { place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')], {
+      limits: limits({}),
+    })
+    place(ask('r1', small))
+    expect((decisions.get('r1') as Placed).limited).toBeUndefined()
+  })
+
+  it('places at others while one may get nothing, for reading and for decoding', () => {
+    const engines = ['p1', 'p2', 'd1', 'd2'].map((id) =>
+      engine(id, id.startsWith('p') ? 'prefill' : 'decode'),
+    )
+    const { place, decisions } = world(engines, { limits: limits({ p1: 0, d1: 0 }) })
+    for (let index = 0; index < 6; index += 1) place(ask(`r${index}`, small))
+    const placed = [...decisions.values()] as Placed[]
+    expect(placed.length).toBeGreaterThan(0)
+    expect(new Set(placed.map(({ decode }) => decode))).toEqual(new Set(['d2']))
+    expect(placed.some(({ prefill }) => prefill === 'p1')).toBe(false)
+  })
+
+  it('lets a request wait for what the rate allows, and refuses it within its time where that does not come', () => {
+    const left = { d1: 1 }
+    const { allocator, place, decisions } = world([engine('p1', 'prefill'), engine('d1', 'decode')], {
+      limits: limits(left),
+    })
+    const read = { ...small, isPrefilled: true }
+    for (const request of ['r1', 'r2', 'r3']) place(ask(request, read))
+    expect([...decisions.keys()]).toEqual(['r1'])
+    left.d1 = 1
+    allocator.tick(100)
+    expect([...decisions.keys()]).toEqual(['r1', 'r2'])
+    for (let now = 200; now <= 700; now += 25) allocator.tick(now)
+    expect(decisions.get('r3')).toMatchObject({ type: 'refused' })
+  })
+
+  it('moves no running answer to such an engine', () => {
+    const engines = [engine('d1', 'decode'), engine('d2', 'decode')]
+    const { allocator, place, decisions } = world(engines, {
+      limits: limits({ d2: 5 }),
+      engine: () => ENGINE,
+    })
+    place(ask('r1', { ...small, isPrefilled: true }))
+    expect(decisions.get('r1')).toMatchObject({ decode: 'd1' })
+    engines[0] = engine('d1', 'decode', { state: 'draining' })
+    allocator.tick(100)
+    expect(allocator.planMoves('e1', 100)).toEqual([])
+  })
+})
