--- /dev/null
+++ b/request/crashes/test/manyDeadly.test.ts
@@ -0,0 +1,41 @@
+// Story. Several contents at once each ended every endpoint that began to run them. Users saw endpoints go down again and again after each
+// of these contents had ended three: with ten kinds each ended five to seven, and a quarter of the other callers were not served.
+// Order: a deadly request and others are at work at an endpoint, which ends; all of them are sent anew; the next endpoint ends under two of
+// them. Cause: an end is put down to the content that was at most ends, so that of several guilty ones one is found after the other, and
+// nothing keeps two suspects apart. Evidence: the same arrivals with one kind, for which three ends are enough.
+import { describe, expect, it } from 'vitest'
+import { DeadlyWorld, type DeadlyOptions } from './deadlyWorld'
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]
+
+/** What became of deadly and of other contents over ten runs of 40 s. */
+function play(options: Omit<DeadlyOptions, 'seed'>) {
+  const worlds = SEEDS.map((seed) => new DeadlyWorld({ ...options, seed }))
+  worlds.forEach((world) => world.run(40_000))
+  const sum = (of: (world: DeadlyWorld) => number) => worlds.reduce((total, world) => total + of(world), 0)
+  return {
+    late: sum(({ late }) => late),
+    refused: sum(({ refusedInnocents }) => refusedInnocents.size),
+    innocents: sum(({ innocents }) => innocents),
+    servedShare: sum(({ served }) => served) / sum(({ innocents }) => innocents),
+  }
+}
+
+describe('many contents at once that end their endpoints', () => {
+  it.each([
+    ['two kinds', { kinds: 2 }],
+    ['ten kinds', { kinds: 10 }],
+    ['twenty kinds', { kinds: 20 }],
+    ['twenty kinds and a leader that is lost again and again', { kinds: 20, leaderLostEveryMs: 3_000 }],
+    ['twenty kinds, four times as often', { kinds: 20, deadlyPerSecond: 20 }],
+    ['ten kinds before three endpoints', { kinds: 10, endpoints: 3 }],
+  ])(
+    'reach none later than a second after their third end, and nobody else is refused: %s',
+    (_what, options) => {
+      const { late, refused, innocents } = play(options)
+      expect(late).toBe(0)
+      expect(refused).toBe(0)
+      expect(innocents).toBeGreaterThan(9_000)
+    },
+  )
+})
