--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -11,14 +11,13 @@
   KEPT_FREE,
   Ingress,
   LeaderWay,
-  LimitGate,
   LocalPlacer,
   RemotePlacer,
   RetryAllowance,
   WorkspaceGate,
   type GatewayWire,
 } from '@forkstage/gateway'
-import { LIMIT_REPORT, type LimitAnswer, LimitKeeper, RateBook } from '@forkstage/limits'
+import { LIMIT_REPORT } from '@forkstage/limits'
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
 import { QUOTA_REPORT, QuotaKeeper, type QuotaAnswer } from '@forkstage/quota'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
@@ -28,6 +27,7 @@
 import { countBy } from './countBy'
 import { createCrashBook } from './createCrashBook'
 import { EntryCrashes } from './entryCrashes'
+import { EntryLimits } from './entryLimits'
 import { EvacuationBelief } from './evacuationBelief'
 import { FleetMeters } from './fleetMeters'
 import { listenOn, type Listener } from './listenOn'
@@ -61,9 +61,7 @@
   private readonly directory = new Directory(() => this.basics.clock.now())
   private readonly cold: ColdEndpoints
   private readonly coldGate: ColdGate
-  private readonly rates: RateBook
-  private readonly permits: LimitKeeper
-  private readonly limitGate: LimitGate
+  private readonly limits: EntryLimits
   private readonly belief: EvacuationBelief
   private readonly pool: EndpointPool
   private readonly crashes: EntryCrashes
@@ -99,7 +97,6 @@
       perSecond: (service) => this.cold.perSecond(service),
       entries: () => this.follower.entries(),
     })
-    this.rates = new RateBook({ clock, logger })
     this.belief = new EvacuationBelief({ logger, onWithdrawn: (domain) => this.cold.doubt(domain) })
     const isEvacuated = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     const isKeptFree = ({ id }: RegisteredEndpoint) => this.follower.isKeptFree(id)
@@ -148,8 +145,7 @@
     const { directory, way } = this
     this.crashes = new EntryCrashes({ book: crashBook, directory, way, clock, logger })
     this.quotas = this.createQuotas(entries)
-    this.permits = this.createPermits()
-    this.limitGate = this.createLimitGate()
+    this.limits = new EntryLimits(basics, way, () => this.follower.entries())
     this.placer = new RemotePlacer({
       entry: settings.machine.name,
       domain: settings.machine.zone,
@@ -159,11 +155,11 @@
         kvTokens: (service) => this.book.current?.service(service)?.engine?.kvTokens ?? 0,
         entries,
         cold: this.coldGate,
-        limits: this.limitGate,
+        limits: this.limits.gate,
       }),
       way: this.way,
       cold: this.coldGate,
-      limits: this.limitGate,
+      limits: this.limits.gate,
       clock,
       logger,
     })
@@ -175,8 +171,8 @@
         allowance,
         entries: () => this.follower.entries() || 1,
         cold: this.coldGate,
-        limits: this.limitGate,
-        rates: this.rates,
+        limits: this.limits.gate,
+        rates: this.limits.book,
         crashes: this.crashes,
         sendRules: [
           (to) => (isEvacuated(to) ? EVACUATED : undefined),
@@ -203,7 +199,7 @@
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
-      endpoints_limited: () => this.rates.count,
+      endpoints_limited: () => this.limits.book.count,
       evacuated_domains: () => this.belief.view.current.domains.length,
       contents_refused: () => crashBook.countRefused(),
       contents_suspected: () => crashBook.countSuspects(),
@@ -242,7 +238,7 @@
     this.cold.start()
     this.cancelLook = every(this.basics.clock, COUNT_EVERY_MS, () => this.look())
     this.quotas.start()
-    this.permits.start()
+    this.limits.start()
   }
 
   /** Takes changed settings: new seeds to begin with. */
@@ -273,7 +269,7 @@
     this.cold.stop()
     this.cancelLook()
     this.quotas.stop()
-    this.permits.stop()
+    this.limits.stop()
     this.crashes.stop()
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
@@ -296,35 +292,9 @@
     })
   }
 
-  private createPermits(): LimitKeeper {
-    const { settings, clock } = this.basics
-    const { report_ms: reportMs } = settings.limits
-    return new LimitKeeper({
-      entry: settings.machine.name,
-      clock,
-      book: this.rates,
-      report: (report) => this.way.askThrough<LimitAnswer>(LIMIT_REPORT, report, reportMs),
-      leader: () => this.follower.leader(),
-      reportEveryMs: reportMs,
-    })
-  }
-
-  private createLimitGate(): LimitGate {
-    const { settings, clock, random } = this.basics
-    const { window_s: windowS, over, slack } = settings.limits
-    return new LimitGate({
-      clock,
-      random,
-      book: this.rates,
-      keeper: this.permits,
-      tolerance: { windowMs: windowS * SECOND_MS, over, slack },
-      entries: () => this.follower.entries(),
-    })
-  }
-
   private look(): void {
     this.coldGate.look()
-    this.limitGate.look()
+    this.limits.gate.look()
   }
 
   private wait(milliseconds: number): Promise<void> {
