fix(allocator): the last reader changes its part where no engine decodes any more

Cause: readers and then decode engines leave one after the other; the only one left is a decode engine that was told to read. A half is never left without an engine that works, which kept it there, though a decode half with none serves nobody and an engine that decodes reads too. Ruled out: a lost order (none was given), health (it was sound). Change: where no engine decodes or is on its way to, the last reader may go.

The test is red without the change (1 left), and one more keeps the last reader where another is on its way.

--- a/placement/allocator/src/planStages.ts
+++ b/placement/allocator/src/planStages.ts
@@ -65,8 +65,9 @@
   if (fill[stage] < FULL) return undefined
   const giver = stage === 'prefill' ? 'decode' : 'prefill'
   const working = engines.filter((engine) => engine.stage === giver && !engine.isChanging)
-  // What changes already counts where it goes; but a half is never left without an engine that works.
-  if (working.length < 2) return undefined
+  // What changes already counts where it goes; but a half is never left without an engine that works, unless nobody
+  // decodes: then all that read do so for nobody, and one that decodes reads too.
+  if (working.length < (isNobodyDecoding(have) ? 1 : 2)) return undefined
   const worthwhile = working
     .map((engine) => ({ engine, after: fillOf(need, halvesOf(engines, engine.id)) }))
     .filter(({ after }) => isWorthwhile(fill, after, have, stage))
@@ -81,6 +82,7 @@
 
 /** Whether one engine more in a half is worth what the other half loses. */
 function isWorthwhile(fill: StageNeed, after: StageNeed, have: Halves, stage: Stage): boolean {
+  if (isNobodyDecoding(have)) return stage === 'decode'
   const giver = stage === 'prefill' ? 'decode' : 'prefill'
   if (have.count[giver] < 2) return false
   const now = fill[stage]
@@ -91,6 +93,11 @@
   return after[giver] <= now * WORTHWHILE
 }
 
+/** Whether no engine decodes, nor is on its way to. */
+function isNobodyDecoding({ count }: Halves): boolean {
+  return count.decode === 0
+}
+
 /** Both halves, as they stand or after one engine has changed its part. */
 function halvesOf(engines: StagedEngine[], changed?: InstanceId): Halves {
   const halves: Halves = { count: { prefill: 0, decode: 0 }, supply: { prefill: 0, decode: 0 } }
--- a/placement/allocator/test/allocatorStages.test.ts
+++ b/placement/allocator/test/allocatorStages.test.ts
@@ -78,4 +78,36 @@
     allocator.adopt('e1', held, 3_000)
     expect(allocator.planStage('s', 3_010)).toMatchObject({ id: 'd2', stage: 'prefill' })
   })
+
+  /*
+   * Story. Callers of model requests were refused for the rest of a day ("no decode engine is known") while an engine stood idle. In order: both
+   * readers leave, so that one of three decode engines is told to read; the two others leave while it changes; the only engine
+   * that is left reads prompts for nobody. Cause: a half was never left without an engine, also where the other half had none. Evidence:
+   * 220 of 257 refusals with that reason, one engine registered as prefill, no order after the last decode engine had left.
+   */
+  it.each([1, 2])(
+    'tells a reader to decode where no engine decodes any more, also the last one (%i left)',
+    (count) => {
+      const readers = Array.from({ length: count }, (_, index) => engine(`p${index}`, 'prefill'))
+      const endpoints = [...readers, engine('d1', 'decode')]
+      const { allocator, place } = world(endpoints)
+      showPace(allocator, 'd1', 0)
+      for (let index = 0; index < 30; index += 1) place(ask(`r${index}`, { holdMs: 1 }), index * 100)
+      endpoints.pop()
+      place(ask('refused'), 3_010)
+      expect(allocator.planStage('s', 3_020)).toMatchObject({
+        id: expect.stringMatching(/^p/),
+        stage: 'decode',
+      })
+    },
+  )
+
+  it('leaves the last reader where an engine is on its way to decode', () => {
+    const endpoints = [engine('p1', 'prefill'), engine('d1', 'prefill')]
+    const { allocator, place } = world(endpoints)
+    showPace(allocator, 'd1', 0)
+    for (let index = 0; index < 30; index += 1) place(ask(`r${index}`, { holdMs: 1 }), index * 100)
+    allocator.noteChanging('d1', 'decode', 6_000, 3_000)
+    expect(allocator.planStage('s', 3_020)).toBeUndefined()
+  })
 })
