--- /dev/null
+++ b/tools/bench/src/limitExperiment.ts
@@ -0,0 +1,47 @@
+import { createSystemClock } from '@forkstage/clock'
+import { printTable } from '@forkstage/cli'
+import { LimitLedger, RateBook, readLimitReport } from '@forkstage/limits'
+import { createSilentLogger } from '@forkstage/logger'
+import { writeJson } from './report'
+import { round } from './summarise'
+
+/** Endpoints that name a rate at one time: a few, a service, a tenth of 11,000. */
+const LIMITED_COUNTS = [3, 30, 300, 1_100]
+const ENTRIES = 420
+const REPORTS = 2_000
+/** Each 500 ms, and each 250 ms for as long as the leader has fewer permits than are wanted. */
+const REPORTS_A_SECOND = 4
+const SECOND_MS = 1_000
+
+/** Times the leader's work for one report of named rates, checked and answered, and what passes between the machines. */
+export function runLimitExperiment(): void {
+  const rows = LIMITED_COUNTS.map(measure)
+  printTable(
+    ['endpoints', 'µs a report', 'leader, ms a second', 'bytes of a report', 'bytes of its answer'],
+    rows.map((row) => [row.endpoints, row.reportUs, row.leaderMs, row.reportBytes, row.answerBytes]),
+  )
+  writeJson('limits', { rows })
+}
+
+function measure(endpoints: number) {
+  const clock = createSystemClock()
+  const book = new RateBook({ clock, logger: createSilentLogger() })
+  const ledger = new LimitLedger({ clock, book, term: () => 1 })
+  const row = { word: { perSecond: 12.5, ageMs: 312.25 }, wanted: 3, returned: 0 }
+  const named = Object.fromEntries(
+    Array.from({ length: endpoints }, (_, index) => [`i-7f3a91c2${index}~mv47tb9k`, row]),
+  )
+  const text = JSON.stringify({ entry: 'front-bole-hall-1', endpoints: named })
+  const started = performance.now()
+  let answer = ''
+  for (let count = 0; count < REPORTS; count += 1)
+    answer = JSON.stringify(ledger.take(readLimitReport(JSON.parse(text))!))
+  const reportUs = ((performance.now() - started) * SECOND_MS) / REPORTS
+  return {
+    endpoints,
+    reportUs: round(reportUs, 1),
+    leaderMs: round((reportUs * ENTRIES * REPORTS_A_SECOND) / SECOND_MS, 1),
+    reportBytes: text.length,
+    answerBytes: answer.length,
+  }
+}
--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -7,6 +7,7 @@
 import { runPlaceExperiment } from './placeExperiment'
 import { runPolicyExperiment, type FaultName } from './policyExperiment'
 import { runCrashExperiment } from './crashExperiment'
+import { runLimitExperiment } from './limitExperiment'
 import { runQuotaExperiment } from './quotaExperiment'
 import { runRelayExperiment } from './relayExperiment'
 import { runSlopesExperiment, SLOPE_PARTS } from './slopesExperiment'
@@ -79,6 +80,7 @@
       runPlaceCallExperiment(),
     )
     .command('crashes', 'what the book of contents that end endpoints costs', {}, () => runCrashExperiment())
+    .command('limits', "the leader's work for rates that endpoints name", {}, () => runLimitExperiment())
     .command('quota', "the leader's work for quotas, by entries and workspaces", {}, () =>
       runQuotaExperiment(),
     )
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -6,6 +6,7 @@
 import { checkBegun } from './checkBegun'
 import { checkEvacuations } from './checkEvacuations'
 import { checkFatal, type FatalArrivals } from './checkFatal'
+import { checkRates, RATE } from './checkRates'
 import { checkCalls } from './checkFleet'
 import { planEngineFaults, runEngineFaults } from './engineFaults'
 import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
@@ -70,7 +71,10 @@
   { service: 'model', stage: 'decode' },
 ] as const
 /** Beside those that faults are planned for: with fewer than three plain ones none is kept free for what may end it. */
-const STEADY_ENDPOINTS = [{ service: 'plain' }, { service: 'plain' }] as const
+const STEADY_ENDPOINTS = [
+  { service: 'plain', rate: RATE },
+  { service: 'plain', rate: RATE },
+] as const
 
 /** Runs entries and control machines under load and seeded faults, then checks what must hold. */
 export async function runFleetSoak(options: FleetSoakOptions): Promise<FleetSoakReport> {
@@ -163,6 +167,11 @@
     }),
     ...endpoints.flatMap((endpoint) => endpoint.broken),
     ...[...fatal.values()].flatMap(checkFatal),
+    ...checkRates(
+      endpoints.flatMap((endpoint) => endpoint.limitedArrivals),
+      callers.calls,
+      injector.entriesAway,
+    ),
     ...checkWorkspaceRuns(seen, callers.keys),
     ...(await checkEnd(fleet, operator)),
     ...(await checkOldKeys(fleet, callers)),
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -3,6 +3,7 @@
 import type { Random } from '@forkstage/clock'
 import type { Arrival } from './checkEvacuations'
 import { FATAL, type FatalArrivals } from './checkFatal'
+import type { LimitedArrival } from './checkRates'
 import { COLD, DOMAINS } from './machineSettings'
 import { PATHS } from './soakCallers'
 import { ENGINE_SLOTS } from './soakOperator'
@@ -28,6 +29,8 @@
   runs: Map<string, number>
   /** Every run, with what the endpoint was told of its caller. */
   seen: SeenRun[]
+  /** Requests a second that it takes from all entries together, as its answers name; none where left out. */
+  rate?: number
   /** What has ended endpoints, by the last part of its path. */
   fatal: Map<string, FatalArrivals>
 }
@@ -83,6 +86,8 @@
   readonly broken: string[] = []
   /** When requests arrived that it did not send back as another endpoint's. */
   readonly arrivals: Arrival[] = []
+  /** The same by its lives, while it names a rate. */
+  readonly limitedArrivals: LimitedArrival[] = []
 
   constructor(private readonly options: StandInOptions) {
     this.runs = new StandInRuns(options.begun, options.random)
@@ -207,6 +212,8 @@
     if (path === '/kv-move') return this.runs.move(body, this.address, response)
     if (path === '/order') return void response.writeHead(409).end()
     this.arrivals.push({ request: idOf(request), domain: this.zone, at: Date.now() })
+    if (this.options.rate !== undefined)
+      this.limitedArrivals.push({ endpoint: this.id, request: idOf(request), at: Date.now() })
     const last = path.slice(path.lastIndexOf('/') + 1)
     if (last.startsWith(FATAL)) return this.endUnder(last)
     this.checkDrained(request)
@@ -288,7 +295,10 @@
   }
 
   private headersOf(request: IncomingMessage): Record<string, string> {
-    return { 'X-Forkstage-Request-Id': idOf(request), 'X-Forkstage-Response-Stamp': `stamp-${idOf(request)}` }
+    const id = idOf(request)
+    const rate: Record<string, string> =
+      this.options.rate === undefined ? {} : { 'Server-Limit': String(this.options.rate) }
+    return { 'X-Forkstage-Request-Id': id, 'X-Forkstage-Response-Stamp': `stamp-${id}`, ...rate }
   }
 
   private work(request: IncomingMessage, response: ServerResponse): void {
