refactor(platform): what an endpoint's answer after a start means is decided in the product

platform/ compared the instance, the part, the state and the start of an endpoint that was asked after a start of a control machine; it is to hold names, formats and calls only. It reads the answer's facts now (RecallAnswer), and recalledEndpoint decides. Ruled out: deciding by the wire per kind of endpoint, which would leave the choice there.

--- a/daemon/fleet/src/controlWire.ts
+++ b/daemon/fleet/src/controlWire.ts
@@ -1,3 +1,4 @@
+import type { RecallAnswer } from './recalledEndpoint'
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
 import type { WholeOutcome } from '@forkstage/gateway'
 import type { RoutedService, RouteSheet } from '@forkstage/routes'
@@ -60,12 +61,6 @@
   stageOrderCall(order: StageOrder): EndpointCall
   /** Asks an endpoint that was known before this machine's start whether it takes work. */
   recallCall(endpoint: RegisteredEndpoint, service: RoutedService): EndpointCall
-  /**
-   * The endpoint as its answer to {@link recallCall} tells it.
-   * @returns undefined where it takes no work, or another one answered.
-   */
-  readRecall(
-    endpoint: RegisteredEndpoint,
-    answer: Extract<WholeOutcome, { type: 'answer' }>,
-  ): RegisteredEndpoint | undefined
+  /** What the answer to {@link recallCall} says. */
+  readRecall(answer: Extract<WholeOutcome, { type: 'answer' }>): RecallAnswer
 }
--- a/daemon/fleet/src/endpointRecall.ts
+++ b/daemon/fleet/src/endpointRecall.ts
@@ -5,6 +5,7 @@
 import type { Millis } from '@forkstage/types'
 import { callEndpoint } from './callEndpoint'
 import type { ControlWire } from './controlWire'
+import { recalledEndpoint } from './recalledEndpoint'
 
 /** Options of {@link recallEndpoints}. */
 export interface RecallEndpointsOptions {
@@ -43,7 +44,9 @@
   const answer = await callEndpoint(endpoint, wire.recallCall(endpoint, service), clock)
   // What it said of its cold time before is out of date: it says so again, or it is unknown.
   const said =
-    answer.type === 'answer' ? wire.readRecall({ ...endpoint, coldMs: undefined }, answer) : undefined
+    answer.type === 'answer'
+      ? recalledEndpoint({ ...endpoint, coldMs: undefined }, wire.readRecall(answer))
+      : undefined
   logger.info('endpoint.recalled', {
     endpoint: endpoint.id,
     outcome: said !== undefined ? 'takes work' : answer.type === 'answer' ? 'takes none' : answer.reason,
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -30,7 +30,7 @@
   readReport: () => undefined,
   stageOrderCall: () => ({ method: 'POST', path: '/order', rawHeaders: [], body: Buffer.alloc(0) }),
   recallCall: ({ id }) => ({ method: 'GET', path: `/sound/${id}`, rawHeaders: [], body: Buffer.alloc(0) }),
-  readRecall: (endpoint, { head }) => (head.headers['x-sound'] === endpoint.id ? endpoint : undefined),
+  readRecall: ({ head }) => ({ isGood: true, instance: String(head.headers['x-sound']) }),
 }
 
 /** A statement of an endpoint; undefined where it has no slots to speak of. */
