fix(fleet-soak): each soak has loopback addresses of its own

The default goes by the process now, as in the fleet tests; the seed fixes callers and faults as before.

--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -2,12 +2,17 @@
 import { hideBin } from 'yargs/helpers'
 import { runFleetSoak } from './runFleetSoak'
 
+/** Loopback addresses of this process's own: machines of two soaks at one address would take each other's sheets. */
+function ownNetwork(): string {
+  return `127.${128 + ((process.pid >> 8) & 63)}.${process.pid & 255}`
+}
+
 async function main(): Promise<void> {
   const args = await yargs(hideBin(process.argv))
     .scriptName('npm run soak:fleet --')
     .option('minutes', { type: 'number', default: 2 })
     .option('seed', { type: 'number', default: 1 })
-    .option('network', { type: 'string', default: '127.0.7', describe: 'loopback addresses to use' })
+    .option('network', { type: 'string', default: ownNetwork(), describe: 'loopback addresses to use' })
     .option('keep', { type: 'boolean', default: false, describe: 'keep settings, data and logs' })
     .strict()
     .parse()
