fix(limits): a named rate holds for as long as its endpoint is registered

What an endpoint would have seen: after a quiet half minute the next burst as if it had named nothing; found by reading the mend once more, before anybody saw it.

Cause: a word that nobody had repeated for 30 s was forgotten, so that one that takes nothing could be tried; but an endpoint that nobody asks cannot repeat its word, and it still means it. Change: words are kept by the directory; only a rate of 0 that is old counts as one request in 30 s from all entries, through the leader's bucket. The log knows no 'forgotten' any more.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -27,12 +27,12 @@
   /** What is believed of the rate that an endpoint names, in requests a second from all machines together. */
   'endpoint.rate': {
     endpoint: string
-    outcome: 'named' | 'changed' | 'withdrawn' | 'forgotten'
+    outcome: 'named' | 'changed' | 'withdrawn'
     /** Absent where it names none. */
     perSecond?: number
     before?: number
-    /** Whether an answer said so here, or another machine; absent where nobody has said anything for long. */
-    by?: 'answer' | 'machine'
+    /** Whether an answer said so here, or another machine. */
+    by: 'answer' | 'machine'
     /** Of the word. */
     ageMs: number
   }
--- a/daemon/fleet/src/controlLimits.ts
+++ b/daemon/fleet/src/controlLimits.ts
@@ -8,6 +8,7 @@
   type LimitAnswer,
   type LimitReport,
 } from '@forkstage/limits'
+import type { InstanceId } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 
@@ -17,6 +18,7 @@
   logger: Logger
   /** Which term this machine leads in. */
   term: () => number
+  isRegistered: (id: InstanceId) => boolean
   /** Whether it leads with its lease: another may be permitting the same otherwise. */
   isLeader: () => boolean
 }
@@ -55,7 +57,9 @@
   }
 
   start(): void {
-    this.cancelLook = every(this.options.clock, LOOK_EVERY_MS, () => this.ledger.look())
+    this.cancelLook = every(this.options.clock, LOOK_EVERY_MS, () =>
+      this.ledger.keepOnly(this.options.isRegistered),
+    )
   }
 
   stop(): void {
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -121,6 +121,7 @@
     })
     const endpoints = () => this.directory.list()
     const isBarred = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
+    const isRegistered = (id: string) => this.directory.get(id) !== undefined
     const isLeader = () => this.host.replica?.holdsLease === true
     const folder = settings.machine.data_folder!
     const disk = { folder, files: createFileSystem(), clock, logger }
@@ -149,7 +150,7 @@
     this.evacuations = new EvacuationOffice({ ...replicated, belief: this.belief, clock })
     const term = () => this.host.replica?.term ?? 0
     const entries = () => this.hub.countEntries()
-    this.limits = new ControlLimits({ clock, logger, term, isLeader })
+    this.limits = new ControlLimits({ clock, logger, term, isLeader, isRegistered })
     this.allocator = new AllocatorService({
       cold: this.cold,
       limits: this.limits.policy,
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -294,7 +294,7 @@
 
   private look(): void {
     this.coldGate.look()
-    this.limits.gate.look()
+    this.limits.gate.look((id) => this.directory.get(id) !== undefined)
   }
 
   private wait(milliseconds: number): Promise<void> {
--- a/request/gateway/src/limitGate.ts
+++ b/request/gateway/src/limitGate.ts
@@ -90,8 +90,9 @@
     )
   }
 
-  /** Looks how many entries there are, and forgets endpoints that name no rate any more. Called again and again. */
-  look(): void {
+  /** Looks how many entries there are, and forgets endpoints that name no rate any more or are gone. Called again and again. */
+  look(isRegistered: (id: InstanceId) => boolean): void {
+    this.options.book.keepOnly(isRegistered)
     const { clock, keeper } = this.options
     const isLimited = (id: InstanceId) => this.isLimited(id)
     this.own.look(isLimited)
--- a/request/gateway/test/limitWorld.ts
+++ b/request/gateway/test/limitWorld.ts
@@ -12,6 +12,7 @@
 import { TEST_WIRE } from './gatewayWorld'
 
 const STEP_MS = 5
+const REST_STEP_MS = 100
 const WORK_MS = 60
 const REPORT_MS = 500
 /** The longest way between two machines. */
@@ -162,6 +163,14 @@
     await this.settle()
   }
 
+  /** Lets time pass in which nobody calls. */
+  async rest(forMs: number): Promise<void> {
+    for (let passed = 0; passed < forMs; passed += REST_STEP_MS) {
+      this.clock.advance(REST_STEP_MS)
+      await this.settle()
+    }
+  }
+
   /** Lets what is under way end. */
   async drain(): Promise<void> {
     while (this.running > 0) {
@@ -218,7 +227,7 @@
     keeper.start()
     const tolerance = { windowMs: WINDOW_MS, over: MOST_SHARE - 1, slack: MOST_SLACK }
     const gate = new LimitGate({ clock, random, book, keeper, tolerance, entries: () => this.entryCount })
-    every(clock, 1_000, () => gate.look())
+    every(clock, 1_000, () => gate.look(() => true))
     return { limits: gate }
   }
 
--- a/request/gateway/test/limitedEndpoints.test.ts
+++ b/request/gateway/test/limitedEndpoints.test.ts
@@ -79,6 +79,30 @@
     expect(world.workers[0]!.rateWithin(from, world.clock.now())).toBeGreaterThan(6)
   })
 
+  // An endpoint still names its rate while nobody asks: what was forgotten of it would let the next burst through whole.
+  it('get no more than that allows in a burst after a quiet minute', async () => {
+    const world = await start(8, 2)
+    await world.play(30, 1_000)
+    world.name(0, 3)
+    await world.play(30, 6_000)
+    await world.rest(60_000)
+    await world.play(2_000, 500)
+    await world.drain()
+    expect(world.workers[0]!.worstExcess()).toBeLessThanOrEqual(0)
+  })
+
+  it('are tried now and then where they take nothing, since they could not say otherwise that they are well', async () => {
+    const world = await start(8, 2)
+    await world.play(30, 1_000)
+    world.name(0, 0)
+    await world.play(30, 3_000)
+    const before = world.workers[0]!.arrivals.length
+    await world.play(10, 100_000)
+    const tries = world.workers[0]!.arrivals.length - before
+    expect(tries).toBeGreaterThanOrEqual(1)
+    expect(tries).toBeLessThanOrEqual(4)
+  })
+
   it('get nothing where they take nothing', async () => {
     const world = await start(8, 2)
     await world.play(30, 1_000)
--- a/request/limits/src/limitKeeper.ts
+++ b/request/limits/src/limitKeeper.ts
@@ -91,8 +91,7 @@
   }
 
   private reportIfDue(): void {
-    const { clock, book, reportEveryMs } = this.options
-    book.look()
+    const { clock, reportEveryMs } = this.options
     if (clock.now() - this.reportedAt >= reportEveryMs) void this.report()
     else if (this.isUnmet()) this.reportSoon()
   }
--- a/request/limits/src/limitLedger.ts
+++ b/request/limits/src/limitLedger.ts
@@ -54,17 +54,18 @@
     return true
   }
 
-  /** Forgets endpoints that name no rate any more. Called again and again. */
-  look(): void {
-    this.options.book.look()
+  /** Forgets endpoints that name no rate any more, or are not registered. Called again and again. */
+  keepOnly(isRegistered: (id: InstanceId) => boolean): void {
+    this.options.book.keepOnly(isRegistered)
     for (const id of this.buckets.keys()) if (!this.isLimited(id)) this.buckets.delete(id)
   }
 
   private grant(id: InstanceId, { wanted, returned }: EndpointReport, word: RateWord): LimitGrant {
-    if (word.perSecond === null) return { word, permits: 0 }
+    const perSecond = this.options.book.rateOf(id)
+    if (perSecond === undefined) return { word, permits: 0 }
     const bucket = this.bucketOf(id)
     bucket.take(-returned)
-    const permits = Math.max(0, Math.min(wanted, bucket.whole(word.perSecond, this.now())))
+    const permits = Math.max(0, Math.min(wanted, bucket.whole(perSecond, this.now())))
     bucket.take(permits)
     return { word, permits }
   }
--- a/request/limits/src/rateBook.ts
+++ b/request/limits/src/rateBook.ts
@@ -17,10 +17,13 @@
 }
 
 /**
- * An endpoint that nobody has heard for so long may be well again, and one that gets nothing cannot say so: it is tried.
- * Long beside the second within which words go round, so that entries do not try one after the other.
+ * One that takes nothing cannot say that it is well again. Where nobody has heard it for so long, it gets one request in the
+ * same time from all machines together; whoever hears the answer tells the others within a second.
  */
-const LASTS_MS: Millis = 30_000
+const TRIED_EVERY_MS: Millis = 30_000
+const SECOND_MS = 1_000
+/** For so long it is passed on that a rate was taken back. */
+const WITHDRAWN_LASTS_MS: Millis = 30_000
 /** Rates that move by less are no news in the log. */
 const NEWS_SHARE = 0.1
 
@@ -54,19 +57,21 @@
 
   /** Requests a second that an endpoint takes from all machines; undefined where it names no rate. */
   rateOf(id: InstanceId): number | undefined {
-    return this.wordOf(id)?.perSecond ?? undefined
+    const said = this.words.get(id)
+    if (said === undefined || said.perSecond === null) return undefined
+    const isOld = this.options.clock.now() - said.at >= TRIED_EVERY_MS
+    return isOld ? Math.max(said.perSecond, SECOND_MS / TRIED_EVERY_MS) : said.perSecond
   }
 
-  /** The newest word of an endpoint that has spoken of a rate lately, also of one that has taken it back. */
+  /** The newest word of an endpoint that has spoken of a rate, also of one that has taken it back lately. */
   wordOf(id: InstanceId): RateWord | undefined {
     const said = this.words.get(id)
-    if (said === undefined || this.isOld(said)) return undefined
-    return { perSecond: said.perSecond, ageMs: this.options.clock.now() - said.at }
+    return said && { perSecond: said.perSecond, ageMs: this.options.clock.now() - said.at }
   }
 
   /** The endpoints of which there is such a word. */
   get spoken(): InstanceId[] {
-    return [...this.words].filter(([, said]) => !this.isOld(said)).map(([id]) => id)
+    return [...this.words.keys()]
   }
 
   /** How many endpoints name a rate. */
@@ -74,13 +79,11 @@
     return [...this.words.keys()].filter((id) => this.rateOf(id) !== undefined).length
   }
 
-  /** Forgets what nobody has said for long. Called again and again. */
-  look(): void {
-    for (const [id, said] of this.words) {
-      if (!this.isOld(said)) continue
-      this.words.delete(id)
-      if (said.perSecond !== null) this.log(id, 'forgotten', said, said)
-    }
+  /** Forgets endpoints that are not registered any more, and what was taken back long ago. Called again and again. */
+  keepOnly(isRegistered: (id: InstanceId) => boolean): void {
+    const since = this.options.clock.now() - WITHDRAWN_LASTS_MS
+    for (const [id, { perSecond, at }] of this.words)
+      if (!isRegistered(id) || (perSecond === null && at <= since)) this.words.delete(id)
   }
 
   private put(id: InstanceId, said: Said, by: 'answer' | 'machine'): void {
@@ -90,16 +93,12 @@
     if (outcome !== undefined) this.log(id, outcome, said, before, by)
   }
 
-  private isOld({ at }: Said): boolean {
-    return this.options.clock.now() - at >= LASTS_MS
-  }
-
   private log(
     endpoint: InstanceId,
-    outcome: 'named' | 'changed' | 'withdrawn' | 'forgotten',
+    outcome: 'named' | 'changed' | 'withdrawn',
     { perSecond, at }: Said,
-    before?: Said,
-    by?: 'answer' | 'machine',
+    before: Said | undefined,
+    by: 'answer' | 'machine',
   ): void {
     this.options.logger.info('endpoint.rate', {
       endpoint,
--- a/request/limits/test/rateBook.test.ts
+++ b/request/limits/test/rateBook.test.ts
@@ -49,18 +49,33 @@
     expect(one.wordOf('a')).toEqual({ perSecond: null, ageMs: 200 })
   })
 
-  it('forgets what nobody has said for long: an endpoint that gets nothing cannot take it back', () => {
-    const { book: one, clock, outcomes } = book()
+  it('keeps what an endpoint named for as long as it is registered, and tries one that takes nothing now and then', () => {
+    const { book: one, clock } = book()
     one.note('a', 0)
+    one.note('b', 4)
     clock.advance(29_000)
     expect(one.rateOf('a')).toBe(0)
     one.take('a', { perSecond: 0, ageMs: 10 })
     clock.advance(29_000)
     expect(one.rateOf('a')).toBe(0)
     clock.advance(1_000)
-    expect(one.rateOf('a')).toBeUndefined()
-    one.look()
+    // One request in 30 s, and nothing more for one that takes some.
+    expect(one.rateOf('a')).toBeCloseTo(1 / 30)
+    expect(one.rateOf('b')).toBe(4)
+    clock.advance(3_600_000)
+    one.keepOnly((id) => id === 'b')
+    expect(one.spoken).toEqual(['b'])
+  })
+
+  it('passes on for a while that a rate was taken back, and then forgets it', () => {
+    const { book: one, clock } = book()
+    one.note('a', 4)
+    one.note('a', undefined)
+    clock.advance(29_999)
+    one.keepOnly(() => true)
+    expect(one.spoken).toEqual(['a'])
+    clock.advance(1)
+    one.keepOnly(() => true)
     expect(one.spoken).toEqual([])
-    expect(outcomes()).toEqual(['named', 'forgotten'])
   })
 })
