fix(limits): the leader hears of a new rate at once

What callers would have seen: for up to half a second after an engine first named a rate, requests placed there were turned away by their entry (not counted), asked again and placed there again, since the leader, which places model requests, had not been told; plain requests ask it themselves. Found by reading.

Change: an entry reports within 50 ms once its book has news (a rate named, moved by more than a tenth, or taken back), beside each 500 ms.

--- a/request/limits/src/limitKeeper.ts
+++ b/request/limits/src/limitKeeper.ts
@@ -34,6 +34,8 @@
   private stockedAt: Millis = -Infinity
   private reportedAt: Millis = -Infinity
   private heardAt: Millis = -Infinity
+  /** What the book had counted as news at the last report. */
+  private reportedNews = 0
   private isReporting = false
   /** Whether the leader had fewer permits than were wanted. */
   private isShort = false
@@ -91,8 +93,10 @@
   }
 
   private reportIfDue(): void {
-    const { clock, reportEveryMs } = this.options
-    if (clock.now() - this.reportedAt >= reportEveryMs) void this.report()
+    const { clock, book, reportEveryMs } = this.options
+    // Whoever places model requests counts none of them until it has heard.
+    const isDue = book.news !== this.reportedNews || clock.now() - this.reportedAt >= reportEveryMs
+    if (isDue) void this.report()
     else if (this.isUnmet()) this.reportSoon()
   }
 
@@ -105,6 +109,7 @@
     const askedAt = clock.now()
     this.isReporting = true
     this.reportedAt = askedAt
+    this.reportedNews = book.news
     const rows = ids.map((id) => [id, { word: book.wordOf(id)!, ...this.needOf(id, askedAt) }] as const)
     this.wanted = new Map()
     const answer = await report({ entry, endpoints: Object.fromEntries(rows) }).finally(
--- a/request/limits/src/rateBook.ts
+++ b/request/limits/src/rateBook.ts
@@ -36,6 +36,8 @@
 /** The rates that endpoints name, as this machine believes them: the newest word counts, whoever heard it. */
 export class RateBook {
   private readonly words = new Map<InstanceId, Said>()
+  /** Counts what is news: a rate that is named, moves by more than a little or is taken back. */
+  news = 0
 
   constructor(private readonly options: RateBookOptions) {}
 
@@ -90,7 +92,9 @@
     const before = this.words.get(id)
     this.words.set(id, said)
     const outcome = outcomeOf(before?.perSecond ?? null, said.perSecond)
-    if (outcome !== undefined) this.log(id, outcome, said, before, by)
+    if (outcome === undefined) return
+    this.news += 1
+    this.log(id, outcome, said, before, by)
   }
 
   private log(
--- a/request/limits/test/limitKeeper.test.ts
+++ b/request/limits/test/limitKeeper.test.ts
@@ -27,7 +27,7 @@
     waiting.shift()!(permits === undefined ? undefined : { grants: { a: { word, permits } } })
     for (let turn = 0; turn < 5; turn += 1) await Promise.resolve()
   }
-  return { clock, one, reports, answer }
+  return { clock, book, one, reports, answer }
 }
 
 describe('LimitKeeper', () => {
@@ -67,6 +67,25 @@
     expect(reports).toHaveLength(2)
   })
 
+  // The leader places model requests, and goes on counting none of them until it has heard of the rate.
+  it('tells the leader at once of a rate that is new, though nothing wants a permit, and of one that was taken back', async () => {
+    const { clock, book, reports, answer } = keeper()
+    clock.advance(50)
+    expect(reports).toHaveLength(1)
+    await answer(0)
+    book.note('a', 4.1)
+    clock.advance(50)
+    expect(reports).toHaveLength(1)
+    book.note('b', 9)
+    clock.advance(50)
+    expect(reports).toHaveLength(2)
+    await answer(0)
+    book.note('b', undefined)
+    clock.advance(50)
+    expect(reports).toHaveLength(3)
+    expect(reports[2]!.endpoints['b']!.word.perSecond).toBeNull()
+  })
+
   it('is alone once the leader has been silent for two reports', async () => {
     const { clock, one, answer } = keeper()
     one.want('a')
