feat(gateway): machines read what endpoints say of resting and leaving, and log what they believe

Cause: a log line said `full` of every sending that was turned away, so that an endpoint that had asked for rest could not be told from one without room for a moment; that an endpoint leaves was heard by its registrations only.

Change: readRest reads Retry-After of 429 and 503 (seconds, fractions, dates beside the answer's own Date, the longest of several, nothing for ever); StatementBook keeps it by life with the request that it was said to. Read from every answer of the endpoint's own connection, also one that proves nothing of the request. Nothing decides by it yet.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -36,6 +36,22 @@
     /** Of the word. */
     ageMs: number
   }
+  /** What this machine believes of an endpoint that wants nothing from it for a while. */
+  'endpoint.rest': {
+    endpoint: string
+    /** `unreadable`: its time to come back was none; one line an endpoint. */
+    outcome: 'asked' | 'longer' | 'over' | 'unreadable'
+    /** The request that it turned away so; absent for one that is over. */
+    request?: string
+    /** From the answer on. */
+    forMs?: number
+    /** What could not be read. */
+    value?: string
+    /** Since it was first asked for. */
+    ageMs?: number
+  }
+  /** An endpoint has said in its answer to a request that it leaves. */
+  'endpoint.leaving': { endpoint: string; request: string }
   /** Endpoints in another machine's list that say nothing of one to use. */
   'endpoints.refused': { peer: string; count: number }
   /** A statement that says nothing of an endpoint to use. `endpoint` is what its sender calls it; `count`: since the start. */
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -21,6 +21,7 @@
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
 import { QUOTA_REPORT, QuotaKeeper, type QuotaAnswer } from '@forkstage/quota'
 import { RouteBook, type RouteSheet } from '@forkstage/routes'
+import { StatementBook } from '@forkstage/statements'
 import { Topology } from '@forkstage/topology'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { ColdEndpoints } from './coldEndpoints'
@@ -62,6 +63,7 @@
   private readonly cold: ColdEndpoints
   private readonly coldGate: ColdGate
   private readonly limits: EntryLimits
+  private readonly statements: StatementBook
   private readonly belief: EvacuationBelief
   private readonly pool: EndpointPool
   private readonly crashes: EntryCrashes
@@ -97,6 +99,7 @@
       perSecond: (service) => this.cold.perSecond(service),
       entries: () => this.follower.entries(),
     })
+    this.statements = new StatementBook({ clock, logger })
     this.belief = new EvacuationBelief({ logger, onWithdrawn: (domain) => this.cold.doubt(domain) })
     const isEvacuated = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     const isKeptFree = ({ id }: RegisteredEndpoint) => this.follower.isKeptFree(id)
@@ -173,6 +176,7 @@
         cold: this.coldGate,
         limits: this.limits.gate,
         rates: this.limits.book,
+        statements: this.statements,
         crashes: this.crashes,
         sendRules: [
           (to) => (isEvacuated(to) ? EVACUATED : undefined),
@@ -200,6 +204,8 @@
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
       endpoints_limited: () => this.limits.book.count,
+      endpoints_resting: () => this.statements.resting.length,
+      endpoints_leaving: () => this.statements.leavingCount,
       evacuated_domains: () => this.belief.view.current.domains.length,
       contents_refused: () => crashBook.countRefused(),
       contents_suspected: () => crashBook.countSuspects(),
@@ -294,7 +300,9 @@
 
   private look(): void {
     this.coldGate.look()
-    this.limits.gate.look((id) => this.directory.get(id) !== undefined)
+    const isRegistered = (id: string) => this.directory.get(id) !== undefined
+    this.limits.gate.look(isRegistered)
+    this.statements.look(isRegistered)
   }
 
   private wait(milliseconds: number): Promise<void> {
--- a/daemon/fleet/test/fleetWorld.ts
+++ b/daemon/fleet/test/fleetWorld.ts
@@ -7,7 +7,7 @@
 import { parseFleetSettings } from '@forkstage/fleet-settings'
 import type { PeerClient } from '@forkstage/peer-rpc'
 import type { RouteSheet } from '@forkstage/routes'
-import { TEST_WIRE } from '../../../request/gateway/test/gatewayWorld'
+import { TEST_WIRE } from '../../../request/gateway/test/testWire'
 import { ControlMachine, createMachineBasics, EntryMachine, type ControlWire } from '../src'
 
 /** The formats of no deployment at all. */
--- a/request/gateway/src/gatewayWire.ts
+++ b/request/gateway/src/gatewayWire.ts
@@ -18,6 +18,8 @@
   instance: string
   /** Set by an endpoint in need: the requests a second that it takes from all machines together. */
   rateLimit: string
+  /** Set by an endpoint in each of its answers once it leaves. */
+  leaving: string
   /** Set by the system: the only instance that may run the request. */
   expectInstance: string
   /** Set by the system: which half of a model request is asked for. */
@@ -62,6 +64,8 @@
   readTokenCounts(value: string): TokenCounts | undefined
   /** Requests a second. @returns undefined where the value is no such rate. */
   readRateLimit(value: string): number | undefined
+  /** Whether the value says that its endpoint leaves. */
+  readLeaving(value: string): boolean
   /** @returns undefined where the value names no parts. */
   readPromptParts(value: string): PromptPart[] | undefined
   /** @returns undefined where the body is no such answer. */
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -4,6 +4,7 @@
 import type { RateBook } from '@forkstage/limits'
 import type { Logger } from '@forkstage/logger'
 import type { Route, RoutedService } from '@forkstage/routes'
+import type { StatementBook } from '@forkstage/statements'
 import type { Homes } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { CallerRequest } from './callerRequest'
@@ -31,6 +32,8 @@
   limits?: LimitGate
   /** The rates that endpoints name; what they say is not read where left out. */
   rates?: RateBook
+  /** What endpoints say in their answers of what they want from here; not read where left out. */
+  statements?: StatementBook
   /** Knows which requests end the endpoints that run them; nothing is known where left out. */
   crashes?: CrashKnowledge
   clock: Clock
--- a/request/gateway/test/limitWorld.ts
+++ b/request/gateway/test/limitWorld.ts
@@ -9,7 +9,7 @@
 import type { RelayJob } from '../src/relayParts'
 import { FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
 import { fullEndpoint, fullRoute } from './fullRows'
-import { TEST_WIRE } from './gatewayWorld'
+import { TEST_WIRE } from './testWire'
 
 const STEP_MS = 5
 const REST_STEP_MS = 100
--- a/request/gateway/test/parts.test.ts
+++ b/request/gateway/test/parts.test.ts
@@ -4,7 +4,7 @@
 import { Topology } from '@forkstage/topology'
 import { createSilentLogger } from '@forkstage/logger'
 import { EndpointPool, EventSplitter, judgeAnswer, RetryAllowance } from '../src'
-import { TEST_WIRE } from './gatewayWorld'
+import { TEST_WIRE } from './testWire'
 
 describe('EventSplitter', () => {
   it('gives the same events however the bytes are cut, and keeps what is not ended', () => {
--- a/request/gateway/test/promptParts.test.ts
+++ b/request/gateway/test/promptParts.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import type { CallerRequest } from '../src/callerRequest'
 import { promptPartsOf } from '../src/promptParts'
-import { TEST_WIRE } from './gatewayWorld'
+import { TEST_WIRE } from './testWire'
 
 function partsOf(value: string | undefined, prompt = 300) {
   const request = { headers: value === undefined ? {} : { 'x-parts': value } } as unknown as CallerRequest
--- a/request/gateway/test/reservedFields.test.ts
+++ b/request/gateway/test/reservedFields.test.ts
@@ -1,7 +1,8 @@
 import { connect } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
-import { GatewayWorld, TEST_WIRE } from './gatewayWorld'
+import { GatewayWorld } from './gatewayWorld'
+import { TEST_WIRE } from './testWire'
 
 const open: { stop(): unknown }[] = []
 afterEach(async () => void (await Promise.all(open.splice(0).map((each) => each.stop()))))
--- /dev/null
+++ b/request/statements/test/statementBook.test.ts
@@ -0,0 +1,86 @@
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { createSilentLogger } from '@forkstage/logger'
+import { StatementBook } from '../src'
+
+function start() {
+  const clock = new ManualClock(1_000)
+  const lines: object[] = []
+  const logger = {
+    ...createSilentLogger(),
+    info: (event: string, fields: object) => void lines.push({ event, ...fields }),
+  }
+  const book = new StatementBook({ clock, logger: logger as ReturnType<typeof createSilentLogger> })
+  const rest = (forMs: number, id = 'i-1') => book.noteRest(id, { type: 'rest', forMs }, 'r1')
+  return { clock, lines, book, rest }
+}
+
+describe('what endpoints want from a machine', () => {
+  it('is nothing until the rest that ends last is over, whatever was said since', () => {
+    const { clock, book, rest } = start()
+    rest(3_000)
+    clock.advance(1_000)
+    rest(500)
+    rest(0)
+    expect(book.restsUntil('i-1')).toBe(4_000)
+    rest(5_000)
+    expect(book.restsUntil('i-1')).toBe(7_000)
+    expect(book.resting).toEqual(['i-1'])
+    clock.advance(6_000)
+    expect(book.resting).toEqual([])
+    expect(book.restsUntil('i-2')).toBe(-Infinity)
+  })
+
+  it('is never refused for ever', () => {
+    const { clock, book, rest } = start()
+    rest(1e12)
+    clock.advance(600_000)
+    expect(book.resting).toEqual([])
+  })
+
+  it('stands in the log when it begins, becomes longer by more than a little, and is over', () => {
+    const { clock, lines, book, rest } = start()
+    rest(3_000)
+    clock.advance(200)
+    rest(3_000)
+    rest(9_000)
+    clock.advance(10_000)
+    book.look(() => true)
+    book.look(() => true)
+    expect(lines).toEqual([
+      { event: 'endpoint.rest', endpoint: 'i-1', outcome: 'asked', request: 'r1', forMs: 3_000 },
+      { event: 'endpoint.rest', endpoint: 'i-1', outcome: 'longer', request: 'r1', forMs: 9_000 },
+      { event: 'endpoint.rest', endpoint: 'i-1', outcome: 'over', ageMs: 10_200 },
+    ])
+  })
+
+  it('leaves one line an endpoint where it cannot be read', () => {
+    const { lines, book } = start()
+    const said = { type: 'unreadable', value: 'x'.repeat(100) } as const
+    book.noteRest('i-1', said, 'r1')
+    book.noteRest('i-1', said, 'r2')
+    expect(lines).toEqual([
+      {
+        event: 'endpoint.rest',
+        endpoint: 'i-1',
+        outcome: 'unreadable',
+        request: 'r1',
+        value: 'x'.repeat(40),
+      },
+    ])
+    expect(book.resting).toEqual([])
+  })
+
+  it('ends with the life that said it', () => {
+    const { book, rest, lines } = start()
+    rest(60_000)
+    rest(60_000, 'i-2')
+    book.noteLeaving('i-1', 'r1')
+    book.noteLeaving('i-1', 'r2')
+    expect(book.leavingSince('i-1')).toBe(1_000)
+    expect(lines.filter((line) => 'event' in line && line.event === 'endpoint.leaving')).toHaveLength(1)
+    book.look((id) => id === 'i-2')
+    expect(book.resting).toEqual(['i-2'])
+    expect(book.leavingCount).toBe(0)
+  })
+})
