--- /dev/null
+++ b/request/gateway/test/plainWorld.ts
@@ -0,0 +1,226 @@
+import { EventEmitter } from 'node:events'
+import type { ServerResponse } from 'node:http'
+import { createSeededRandom, ManualClock } from '@forkstage/clock'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import { createSilentLogger } from '@forkstage/logger'
+import { EndpointPool, RetryAllowance, type RelayParts } from '../src'
+import { relayPlain } from '../src/plainRelay'
+import type { RelayJob } from '../src/relayParts'
+import { FakeWorker, type SeenRequest } from './fakeWorker'
+import { fullEndpoint, fullRoute } from './fullRows'
+import { TEST_WIRE } from './testWire'
+
+const STEP_MS = 5
+const REST_STEP_MS = 100
+/** Past the first seconds of an entry, in which it takes the entries to be many. */
+const SETTLED_MS = 31_000
+const SLOTS = 6
+const DEADLINE_MS = 3_000
+const ROUTE = fullRoute({ kind: 'safe', targetMs: 300, timeoutMs: 1_500, attempts: 2 })
+/** How many turns of the event loop nothing must have moved in. */
+const QUIET_TURNS = 3
+
+/** What a caller got. */
+export interface Outcome {
+  sentAt: number
+  status: number
+  tookMs: number
+  /** Seconds; absent where it was told none. */
+  retryAfter?: number
+}
+
+/** What an endpoint makes of a request. */
+export interface Work {
+  inMs: number
+  /** The bytes of its answer, as it is when that leaves. */
+  answer: () => string
+}
+
+/** Entries on one clock before plain endpoints; sockets carry requests, no timer is real. */
+export abstract class PlainWorld {
+  readonly clock = new ManualClock(100_000)
+  readonly random = createSeededRandom(40)
+  readonly outcomes: Outcome[] = []
+  readonly entries: RelayParts[] = []
+  /** Connections that one endpoint takes from all entries. */
+  maxConnections = 100
+  protected readonly listeners: FakeWorker[] = []
+  private held = 0
+  private count = 0
+  private running = 0
+  /** The most requests that endpoints held at once. */
+  mostHeld = 0
+
+  constructor(protected readonly entryCount: number) {}
+
+  /** An endpoint has a request; says after how long it answers, and what it answers then. */
+  protected abstract work(index: number, request: SeenRequest, entry: number): Work
+
+  /** What an entry has beside its pool and its allowance. */
+  protected abstract partsOf(entry: number): Partial<RelayParts>
+
+  protected async open(endpointCount: number): Promise<void> {
+    for (let index = 0; index < endpointCount; index += 1)
+      this.listeners.push(await FakeWorker.start((request) => this.take(index, request)))
+    for (let index = 0; index < this.entryCount; index += 1) this.entries.push(this.createEntry(index))
+    this.clock.advance(SETTLED_MS)
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.listeners.map((listener) => listener.stop()))
+  }
+
+  /** Callers come for a time, so many a second, each at any entry, or at those given. */
+  async play(
+    perSecond: number,
+    forMs: number,
+    at: (draw: number) => number = (draw) => Math.floor(draw * this.entries.length),
+  ) {
+    const end = this.clock.now() + forMs
+    let due = this.clock.now()
+    while (this.clock.now() < end) {
+      for (; due <= this.clock.now(); due += 1_000 / perSecond) this.call(at(this.random()))
+      await this.settle()
+      this.clock.advance(STEP_MS)
+    }
+    await this.settle()
+  }
+
+  /** Lets time pass in which nobody calls. */
+  async rest(forMs: number): Promise<void> {
+    for (let passed = 0; passed < forMs; passed += REST_STEP_MS) {
+      this.clock.advance(REST_STEP_MS)
+      await this.settle()
+    }
+  }
+
+  /** Lets what is under way end. */
+  async drain(): Promise<void> {
+    while (this.running > 0) {
+      this.clock.advance(STEP_MS)
+      await this.settle()
+    }
+  }
+
+  /** The share of callers since a time that were served within the target. */
+  servedInTime(since = 0): number {
+    const all = this.outcomes.filter(({ sentAt }) => sentAt >= since)
+    return all.filter(({ status, tookMs }) => status === 200 && tookMs <= ROUTE.targetMs).length / all.length
+  }
+
+  private createEntry(index: number): RelayParts {
+    const { clock, random } = this
+    const logger = createSilentLogger()
+    const pool = new EndpointPool({ zone: 'z', clock, random, logger })
+    pool.update(this.endpoints())
+    const allowance = new RetryAllowance({
+      clock,
+      share: 0.2,
+      slack: 50,
+      windowMs: 10_000,
+      entries: () => this.entries.length,
+    })
+    const placer = { place: () => Promise.reject(new Error('no model requests here')) }
+    return {
+      wire: TEST_WIRE,
+      pool,
+      placer,
+      allowance,
+      entries: () => this.entryCount,
+      clock,
+      random,
+      logger,
+      ...this.partsOf(index),
+    }
+  }
+
+  private endpoints(): RegisteredEndpoint[] {
+    return this.listeners.map(({ address }, index) => fullEndpoint({ address, slots: SLOTS }, index))
+  }
+
+  private take(index: number, request: SeenRequest): void {
+    const entry = Number(request.headers['x-id']!.split('-')[0])
+    this.held += 1
+    this.mostHeld = Math.max(this.mostHeld, this.held)
+    const { answer, inMs } = this.work(index, request, entry)
+    this.clock.after(inMs, () => {
+      this.held -= 1
+      request.socket.end(answer())
+    })
+  }
+
+  private call(entry: number): void {
+    const { clock } = this
+    const sentAt = clock.now()
+    const parts = this.entries[entry]!
+    const response = new TakenAnswer()
+    parts.allowance.noteRequest('plain')
+    this.count += 1
+    this.running += 1
+    void relayPlain(parts, this.toJob(`${entry}-${this.count}`, sentAt, response)).then(({ status }) => {
+      this.running -= 1
+      const { retryAfter } = response
+      this.outcomes.push({ sentAt, status, tookMs: clock.now() - sentAt, retryAfter })
+    })
+  }
+
+  private toJob(id: string, arrivedAt: number, response: TakenAnswer): RelayJob {
+    const request = {
+      id,
+      method: 'GET',
+      path: '/p/',
+      host: 'h.example',
+      headers: {},
+      rawHeaders: ['x-id', id],
+      body: Buffer.alloc(0),
+      content: () => 'c' as never,
+      arrivedAt,
+      deadlineMs: DEADLINE_MS,
+      response: response as unknown as ServerResponse,
+      isGone: () => false,
+      onGone: () => undefined,
+    }
+    const service = { name: 'plain', maxConnections: this.maxConnections }
+    const endsAt = arrivedAt + ROUTE.timeoutMs
+    const targetAt = arrivedAt + ROUTE.targetMs
+    const rest = { isReturn: false, rank: 1, homes: () => undefined }
+    return { request, route: ROUTE, service, endsAt, targetAt, ...rest }
+  }
+
+  /** Lets the sockets carry on until all that was sent is held by endpoints, and nothing moves any more. */
+  private async settle(): Promise<void> {
+    for (let quiet = 0; quiet < QUIET_TURNS; quiet += 1) {
+      await new Promise<void>((resolve) => setImmediate(resolve))
+      if (this.inFlight() !== this.held) quiet = -1
+    }
+  }
+
+  private inFlight(): number {
+    const pooled = this.entries.flatMap(({ pool }) =>
+      this.listeners.map((_, index) => pool.get(`i-${index}`)?.inFlight ?? 0),
+    )
+    return pooled.reduce((sum, one) => sum + one, 0)
+  }
+}
+
+/** Takes an answer in place of a caller's connection. */
+class TakenAnswer extends EventEmitter {
+  headersSent = false
+  destroyed = false
+  statusCode = 0
+  shouldKeepAlive = true
+  useChunkedEncodingByDefault = true
+  retryAfter: number | undefined
+
+  setHeader(name: string, value: string | number): void {
+    if (name === 'Retry-After') this.retryAfter = Number(value)
+  }
+
+  writeHead(): void {
+    this.headersSent = true
+  }
+
+  end(): void {
+    this.headersSent = true
+  }
+}
