test(gateway): endpoints that ask for rest, and that say that they leave, go on being asked; known red

Cause (as far as it is shown): nothing decides by what an endpoint's answer says of itself.

Change: entries before plain endpoints that ask for rest, or leave, on one clock (RestWorld); engines over the relays' own world.

--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -7,6 +7,7 @@
 import { createSilentLogger } from '@forkstage/logger'
 import { QuotaKeeper, QuotaLedger, quotaLimit } from '@forkstage/quota'
 import { RouteBook, type CallerLimits, type Route, type Workspace } from '@forkstage/routes'
+import { StatementBook } from '@forkstage/statements'
 import { Topology } from '@forkstage/topology'
 import {
   ColdGate,
@@ -95,6 +96,8 @@
   readonly withheld = new Map<string, string>()
   /** The rates that endpoints name. */
   readonly rates = new RateBook({ clock: createSystemClock(), logger: createSilentLogger() })
+  /** What endpoints have said in their answers of what they want from the entry. */
+  readonly statements = new StatementBook({ clock: createSystemClock(), logger: createSilentLogger() })
   /** Instances that are cold: how much longer, by their id. */
   readonly cold = new Map<string, number>()
   private constructor(
@@ -211,6 +214,9 @@
         get rates() {
           return world.rates
         },
+        get statements() {
+          return world.statements
+        },
         crashes: {
           noteLost: (sending) => void world.lost.push(sending),
           noteServed: (content) => void world.served.push(content()),
--- /dev/null
+++ b/request/gateway/test/restWorld.ts
@@ -0,0 +1,108 @@
+import { every } from '@forkstage/clock'
+import { createSilentLogger } from '@forkstage/logger'
+import { StatementBook } from '@forkstage/statements'
+import type { RelayParts } from '../src'
+import { goodAnswer, type SeenRequest } from './fakeWorker'
+import { PlainWorld, type Work } from './plainWorld'
+
+const WORK_MS = 60
+/** An endpoint that turns away needs no place for that. */
+const TURN_AWAY_MS = 2
+const SECOND_MS = 1_000
+/** What was on its way when the word came may still arrive for so long. */
+const GRACE_MS = 500
+
+interface Arrival {
+  at: number
+  entry: number
+}
+
+/** An endpoint told an entry that it wants nothing from it for a while, or that it leaves. */
+interface Told extends Arrival {
+  untilMs: number
+}
+
+/** An endpoint that turns requests away, and says for how long it wants none; that leaves, and says so. */
+export class RestingWorker {
+  /** Turns requests away until then. */
+  awayUntilMs = -Infinity
+  /** The value of its time to come back, by the time it has left; none where left out. */
+  says: ((leftMs: number) => string | undefined) | undefined
+  leaves = false
+  readonly arrivals: Arrival[] = []
+  readonly rests: Told[] = []
+  /** When each entry first got an answer that says that it leaves. */
+  readonly toldLeaving = new Map<number, number>()
+
+  /** The most requests that reached it from one entry within one rest, once what was on its way had arrived. */
+  mostInRest(): number {
+    const counts = this.rests.map(
+      ({ at: from, untilMs, entry }) =>
+        this.arrivals.filter(
+          (one) => one.entry === entry && one.at > from + GRACE_MS && one.at < from + untilMs,
+        ).length,
+    )
+    return Math.max(0, ...counts)
+  }
+
+  /** Requests that reached it from entries that knew for a while that it leaves. */
+  afterLeaving(): number {
+    return this.arrivals.filter(({ at, entry }) => at > (this.toldLeaving.get(entry) ?? Infinity) + GRACE_MS)
+      .length
+  }
+
+  /** Arrivals a second within a span, from all entries. */
+  rateWithin(from: number, until: number): number {
+    return (this.arrivals.filter(({ at }) => at >= from && at < until).length * SECOND_MS) / (until - from)
+  }
+}
+
+/** Entries on one clock before plain endpoints that ask for rest, or leave. */
+export class RestWorld extends PlainWorld {
+  readonly workers: RestingWorker[] = []
+
+  static async start(entryCount: number, workerCount = 3): Promise<RestWorld> {
+    const world = new RestWorld(entryCount)
+    for (let index = 0; index < workerCount; index += 1) world.workers.push(new RestingWorker())
+    await world.open(workerCount)
+    return world
+  }
+
+  /** An endpoint turns all away for a time, and says each time that it wants nothing for `restMs`. */
+  turnAway(index: number, forMs: number, says: RestingWorker['says'] = () => undefined): void {
+    const one = this.workers[index]!
+    one.awayUntilMs = this.clock.now() + forMs
+    one.says = says
+  }
+
+  protected override partsOf(): Partial<RelayParts> {
+    const { clock } = this
+    const statements = new StatementBook({ clock, logger: createSilentLogger() })
+    every(clock, SECOND_MS, () => statements.look(() => true))
+    return { statements }
+  }
+
+  protected override work(index: number, request: SeenRequest, entry: number): Work {
+    const { clock } = this
+    const one = this.workers[index]!
+    one.arrivals.push({ at: clock.now(), entry })
+    const isAway = clock.now() < one.awayUntilMs
+    const answer = () => (isAway ? this.turnedAway(one, entry) : this.served(one, request, entry))
+    return { inMs: isAway ? TURN_AWAY_MS : WORK_MS, answer }
+  }
+
+  private turnedAway(one: RestingWorker, entry: number): string {
+    const at = this.clock.now()
+    const says = one.says?.(one.awayUntilMs - at)
+    const untilMs = says === undefined ? 0 : Number(says) * SECOND_MS
+    if (untilMs > 0) one.rests.push({ at, entry, untilMs })
+    const rows = says === undefined ? [] : [`Retry-After: ${says}`]
+    return ['HTTP/1.1 503 No', 'x-not-run: 1', ...rows, 'Content-Length: 0', '', ''].join('\r\n')
+  }
+
+  private served(one: RestingWorker, request: SeenRequest, entry: number): string {
+    if (!one.leaves) return goodAnswer(request, 'hello')
+    if (!one.toldLeaving.has(entry)) one.toldLeaving.set(entry, this.clock.now())
+    return goodAnswer(request, 'hello', ['x-leaves: yes'])
+  }
+}
--- /dev/null
+++ b/request/gateway/test/restingEngines.test.ts
@@ -0,0 +1,80 @@
+// Story: as in restingEndpoints.test.ts, for engines: the word may come with the refusal of a prompt, of a stream, of a run that goes on
+// from memory, or after its place was given.
+import { describe, expect, it } from 'vitest'
+import { chunk, event, goodAnswer, type SeenRequest } from './fakeWorker'
+import { reads, startRelay, streams } from './relayWorld'
+
+const MODEL = { headers: { 'x-tokens': '10,10' }, body: 'x' }
+
+/** Turns a request away and wants nothing for a while. */
+const rests = (request: SeenRequest) =>
+  void request.socket.end('HTTP/1.1 503 No\r\nx-not-run: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n')
+
+/** Answers with a stream whose head says that its engine leaves; its last event comes when it is let go. */
+const leaves = (waiting: (() => void)[]) => (request: SeenRequest) => {
+  const rows = ['x-leaves: yes', 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked']
+  request.socket.write(`${goodAnswer(request, '', rows)}${chunk(event(1))}`)
+  waiting.push(() => void request.socket.end(`${chunk(event(2))}0\r\n\r\n`))
+}
+
+describe('engines that ask for rest', () => {
+  it('get no stream while they rest', async () => {
+    const { world, seen } = await startRelay([
+      ['decode', rests],
+      ['decode', streams],
+    ])
+    for (let sent = 0; sent < 4; sent += 1) expect((await world.send('/p/', MODEL)).status).toBe(200)
+    expect(seen()).toEqual([1, 4])
+  })
+
+  it('get no prompt while they rest', async () => {
+    const { world, seen } = await startRelay([
+      ['decode', streams],
+      ['prefill', rests],
+      ['prefill', reads],
+    ])
+    for (let sent = 0; sent < 4; sent += 1) expect((await world.send('/p/', MODEL)).status).toBe(200)
+    expect(seen()).toEqual([4, 1, 4])
+  })
+
+  it('do not get what was placed there before they spoke', async () => {
+    const { world, seen } = await startRelay([
+      ['decode', streams],
+      ['decode', streams],
+    ])
+    world.onPlace = () => world.statements.noteRest('i-0', { type: 'rest', forMs: 30_000 }, 'another')
+    expect((await world.send('/p/', MODEL)).status).toBe(200)
+    expect(seen()).toEqual([0, 1])
+  })
+
+  it('are beyond reach where all rest: callers hear that nothing ran, and to come back when one is well', async () => {
+    const { world, seen } = await startRelay([
+      ['decode', rests],
+      ['decode', rests],
+    ])
+    await world.send('/p/', MODEL)
+    const before = seen()
+    const refused = await world.send('/p/', MODEL)
+    expect(seen()).toEqual(before)
+    expect(refused.status).toBe(503)
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(25)
+    expect(Number(refused.headers['retry-after'])).toBeLessThan(32)
+  })
+})
+
+describe('engines that say in their answers that they leave', () => {
+  it('end what they have begun, and get no more requests', async () => {
+    const waiting: (() => void)[] = []
+    const { world, seen } = await startRelay([
+      ['decode', leaves(waiting)],
+      ['decode', streams],
+    ])
+    const first = world.open('/p/', { ...MODEL, method: 'POST' })
+    first.request.end('x')
+    await new Promise((resolve) => first.request.once('response', resolve))
+    waiting.forEach((end) => end())
+    expect(await first.answer).toMatchObject({ status: 200, isWhole: true, body: event(1) + event(2) })
+    for (let sent = 0; sent < 3; sent += 1) expect((await world.send('/p/', MODEL)).status).toBe(200)
+    expect(seen()).toEqual([1, 3])
+  })
+})
