fix(gateway): what endpoints say of resting and leaving is asked before every choice and every sending

What callers saw: an endpoint that turned an entry away for 3 s got up to 17 requests from it in that time; one in ten of two kinds of request was not served, though two of three endpoints were free.

Cause: nothing that chooses heard the word, and an endpoint that turns away at once looks idle and quick, so that choices prefer it; each such sending took from the allowance of repeated ones, until callers were refused. The same for the word of leaving, which came by registrations only.

Ruled out: repeated sendings (114 of 115 were first ones); sendings chosen before the word (they went on for seconds).

Change: StatementBook answers one question, not before when, and why; the pool asks it for every choice, whyNotSend right before each sending (places that came before the word), the ask for a place names the engines that its entry must leave alone (PlaceAsk.avoid, kept out of later moves), refusals take their time to come back from it. Words are read from every answer on a connection to the endpoint: prompts, broken streams, copies, stops, releases. After a rest one request goes first. One that says that it leaves counts as draining here to the end of its life.

Why it holds: the last check is asked in the same turn of the event loop in which the request leaves, and the word binds from the head of the answer, before anything else of it is done.

Seconds with up to 20 decimals are read: a test's own word had 17.

--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -99,7 +99,7 @@
       perSecond: (service) => this.cold.perSecond(service),
       entries: () => this.follower.entries(),
     })
-    this.statements = new StatementBook({ clock, logger })
+    this.statements = new StatementBook({ clock, random, logger })
     this.belief = new EvacuationBelief({ logger, onWithdrawn: (domain) => this.cold.doubt(domain) })
     const isEvacuated = ({ zone }: RegisteredEndpoint) => this.belief.view.isEvacuated(zone)
     const isKeptFree = ({ id }: RegisteredEndpoint) => this.follower.isKeptFree(id)
@@ -108,6 +108,7 @@
       zone: settings.machine.zone,
       topology,
       isBarred: (one) => isEvacuated(one) || isKeptFree(one),
+      statements: this.statements,
       isCold: (id) => this.coldGate.isCold(id),
       clock,
       random,
@@ -204,7 +205,7 @@
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_cold: () => this.cold.count,
       endpoints_limited: () => this.limits.book.count,
-      endpoints_resting: () => this.statements.resting.length,
+      endpoints_resting: () => this.statements.restingCount,
       endpoints_leaving: () => this.statements.leavingCount,
       evacuated_domains: () => this.belief.view.current.domains.length,
       contents_refused: () => crashBook.countRefused(),
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -39,6 +39,8 @@
   /** The longest pause between events that still counts as in time; absent where none is set. */
   pauseMs?: Millis
   except: InstanceId[]
+  /** Engines that want nothing from its entry now, whatever is believed of them here; absent where there are none. */
+  avoid?: InstanceId[]
   isPrefilled: boolean
   /** Whether its caller has a part of its answer, which goes on where it gets a place. */
   isBegun?: boolean
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -68,7 +68,6 @@
   readonly fitness: EngineFitness
   /** What engines keep of prompts. */
   readonly kept: KeptChoice
-
   /** What ways between engines and entries count. */
   readonly distance: EngineDistance
 
@@ -166,7 +165,8 @@
   engines(ask: PlaceAsk, stage: Stage, now: Millis): AtHome<RegisteredEndpoint>[] {
     // A reader whose answer was lost keeps the prompt: it answers at once.
     const mayAgain = (one: RegisteredEndpoint) => stage === 'prefill' && this.kept.unread(ask, one) === 0
-    const mayUse = (one: RegisteredEndpoint) => !ask.except.includes(one.id) || mayAgain(one)
+    const mayUse = (one: RegisteredEndpoint) =>
+      ask.avoid?.includes(one.id) !== true && (!ask.except.includes(one.id) || mayAgain(one))
     const working = this.atHome(ask, this.working(ask.service, stage, now)).filter(mayUse)
     const sound = working.filter((one) => this.options.health.isSound(one.id, now))
     return sound.length > 0 || stage === 'prefill' ? sound : working
--- a/placement/allocator/src/movePlanner.ts
+++ b/placement/allocator/src/movePlanner.ts
@@ -51,7 +51,9 @@
     if (engine?.canMove !== true || hold.leaves !== undefined) return undefined
     const tokens = book.tokensToCome(hold, now)
     if (choice.decodingMs(tokens, hold.decode, now) < WORTHWHILE_MS) return undefined
-    const { ask, placedAt, decode } = hold
+    const { placedAt, decode } = hold
+    // What its entry had to leave alone when it asked says nothing of now.
+    const ask = { ...hold.ask, avoid: undefined }
     const answer = { tokens, endsWithinMs: ask.leftMs - (now - placedAt), pauseMs: ask.pauseMs }
     const isLeaving = known.get(decode)?.state !== 'ready' || isChanging(decode, now)
     if (!isLeaving && choice.fitness.of(answer, engine, decode, now) !== 'slow') return undefined
--- a/placement/allocator/src/readPlaceCalls.ts
+++ b/placement/allocator/src/readPlaceCalls.ts
@@ -37,6 +37,7 @@
   patienceMs: z.number().optional(),
   pauseMs: z.number().optional(),
   except: z.array(text).max(10_000),
+  avoid: z.array(text).max(10_000).optional(),
   isPrefilled: z.boolean(),
   isBegun: z.boolean().optional(),
   regions: z.array(text).optional(),
--- /dev/null
+++ b/placement/allocator/test/avoidedEngines.test.ts
@@ -0,0 +1,42 @@
+import { describe, expect, it } from 'vitest'
+import { ask, engine, world } from './fixtures'
+
+const POOL = [
+  engine('p1', 'prefill'),
+  engine('p2', 'prefill'),
+  engine('d1', 'decode'),
+  engine('d2', 'decode'),
+]
+
+describe('Allocator, where an entry has heard that engines want nothing from it', () => {
+  it('places its requests elsewhere, and those of other entries as before', () => {
+    const { place, decisions } = world(POOL)
+    for (let turn = 0; turn < 6; turn += 1)
+      place(ask(`told ${turn}`, { promptTokens: 100, mostTokens: 100, avoid: ['p1', 'd1'] }), turn * 300)
+    for (let turn = 0; turn < 6; turn += 1)
+      place(ask(`other ${turn}`, { entry: 'e2', promptTokens: 100, mostTokens: 100 }), 2_000 + turn * 300)
+    const of = (entry: string) => JSON.stringify([...decisions].filter(([id]) => id.startsWith(entry)))
+    expect(of('told')).toContain('"d2"')
+    expect(of('told')).not.toMatch(/"[pd]1"/)
+    expect(of('other')).toContain('"d1"')
+  })
+
+  it('does not go back to a reader that keeps the prompt', () => {
+    const one = world([engine('p1', 'prefill'), engine('d1', 'decode'), engine('d2', 'decode')])
+    const parts = [{ id: 'a', tokens: 3_000 }]
+    one.place(ask('first', { parts }), 0)
+    one.allocator.notePrefilled('first', 'failed', 155, 155)
+    one.allocator.release('first', 'cancelled', 0, 155)
+    one.place(ask('first', { parts, except: ['p1'], avoid: ['p1'] }), 156)
+    expect(one.decisions.get('first')).toMatchObject({ type: 'placed' })
+    expect(JSON.stringify(one.decisions.get('first'))).not.toContain('p1')
+  })
+
+  it('refuses its request in time where all of them want none', () => {
+    const { place, decisions, allocator } = world(POOL)
+    place(ask('told', { avoid: ['d1', 'd2'] }))
+    allocator.tick(150)
+    allocator.tick(600)
+    expect(decisions.get('told')).toMatchObject({ type: 'refused', retryAfterMs: expect.any(Number) })
+  })
+})
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -2,6 +2,7 @@
 import { callAwayMs } from '@forkstage/allocator'
 import { newestPerAddress, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
+import type { StatementBook } from '@forkstage/statements'
 import { Topology, withinHomes, type AtHome, type Homes } from '@forkstage/topology'
 import type { FailureDomain, Millis } from '@forkstage/types'
 import { ConcurrencyLimit } from './concurrencyLimit'
@@ -27,6 +28,8 @@
   isGone: boolean
   /** When this entry heard that it leaves; absent until then. */
   leavingSince?: Millis
+  /** Whether it has said so to this entry in an answer, which no list takes back. */
+  saysItLeaves: boolean
   /** What to call when its process turns out to have ended. */
   watchers: Set<(reason: string) => void>
 }
@@ -53,6 +56,15 @@
   regions?: Homes
 }
 
+/** All instances that a request could go to want nothing from here. */
+export interface Closed {
+  reason: string
+  /** Until the first of them may get a request. */
+  leftMs: Millis
+  /** When a caller should come back: callers return spread over a while. */
+  retryAfterMs: Millis
+}
+
 /** Options of {@link EndpointPool}. */
 export interface EndpointPoolOptions {
   zone: string
@@ -63,6 +75,8 @@
   clock: Clock
   random: Random
   logger: Logger
+  /** What instances have said to this entry that they want; nothing where left out. */
+  statements?: StatementBook
   /** Whether an instance is cold: slow for a while, and no less well for that. */
   isCold?: (id: string) => boolean
 }
@@ -102,9 +116,43 @@
     )[0]
   }
 
-  /** Instances of a service that take work now; those that are out only where there is no other. */
-  candidates(service: string, { stage, except, regions }: CandidateQuery = {}): AtHome<PooledEndpoint>[] {
+  /** Instances of a service that may get work now; those that are out only where there is no other. */
+  candidates(service: string, query: CandidateQuery = {}): AtHome<PooledEndpoint>[] {
     const now = this.options.clock.now()
+    const open = this.fitting(service, query).filter((one) => this.isOpen(one))
+    const sound = open.filter((one) => one.ejectedUntil <= now)
+    return sound.length > 0 ? sound : open
+  }
+
+  /** Whether a service has instances that take work, also such as want none just now. */
+  knows(service: string, query: CandidateQuery = {}): boolean {
+    return this.fitting(service, query).length > 0
+  }
+
+  /** Whether an instance has not said that it wants nothing from here now. */
+  isOpen({ endpoint }: PooledEndpoint): boolean {
+    return this.options.statements?.notBefore(endpoint.id) === undefined
+  }
+
+  /** Why a service's instances can get nothing where all want none from here, and for how long; else undefined. */
+  closed(service: string, query: CandidateQuery = {}): Closed | undefined {
+    const { statements, clock, random } = this.options
+    const bound = statements?.firstFree(this.fitting(service, query).map(({ endpoint }) => endpoint.id))
+    if (bound === undefined) return undefined
+    const leftMs = bound.untilMs - clock.now()
+    return { reason: bound.reason, leftMs, retryAfterMs: leftMs + random() * RETURN_SPREAD_MS }
+  }
+
+  /** Engines of a service that want nothing from here now. */
+  closedEngines(service: string): string[] {
+    const ids = this.options.statements?.closed ?? []
+    return ids.filter((id) => {
+      const endpoint = this.pooled.get(id)?.endpoint
+      return endpoint?.stage !== undefined && endpoint.service === service
+    })
+  }
+
+  private fitting(service: string, { stage, except, regions }: CandidateQuery): AtHome<PooledEndpoint>[] {
     const there = [...this.pooled.values()].filter((one) => one.endpoint.service === service && !one.isGone)
     const newest = new Set(newestPerAddress(there.map((one) => one.endpoint)))
     const fitting = there.filter(
@@ -115,9 +163,7 @@
         !this.isBarred(one) &&
         except?.has(one.endpoint.id) !== true,
     )
-    const atHome = withinHomes(this.topology, fitting, ({ endpoint }) => endpoint.zone, regions)
-    const sound = atHome.filter((one) => one.ejectedUntil <= now)
-    return sound.length > 0 ? sound : atHome
+    return withinHomes(this.topology, fitting, ({ endpoint }) => endpoint.zone, regions)
   }
 
   /** Whether a service has instances that take work and every one must get nothing now. */
@@ -184,6 +230,13 @@
     this.noteSent(to, tokens)
   }
 
+  /** An instance has said in an answer that it leaves: what lists say of it may be older, or come from who was not told. */
+  noteLeaving(one: PooledEndpoint): void {
+    one.saysItLeaves = true
+    one.leavingSince ??= this.options.clock.now()
+    one.endpoint = draining(one.endpoint)
+  }
+
   /** An instance has turned cold: it has started anew, and its pace is learned again. */
   noteCold(id: string): void {
     const one = this.pooled.get(id)
@@ -251,7 +304,7 @@
     if (endpoint.state === 'ended') return this.end(endpoint.id)
     if (known !== undefined) {
       if (endpoint.state === 'draining') known.leavingSince ??= this.options.clock.now()
-      known.endpoint = endpoint
+      known.endpoint = known.saysItLeaves ? draining(endpoint) : endpoint
       return
     }
     this.pooled.set(endpoint.id, {
@@ -264,17 +317,24 @@
       ejectedUntil: 0,
       limit: new ConcurrencyLimit(endpoint.slots),
       isGone: false,
+      saysItLeaves: false,
       watchers: new Set(),
     })
   }
 }
 
+/** Callers that came in vain return spread over so long. */
+const RETURN_SPREAD_MS: Millis = 1_000
 const AWAY_FACTOR = 1.2
 /** Means of answers of one endpoint differ by so much over a second or two: at 1.5 the busiest had 1.8 times the mean. */
 const ALIKE_FACTOR = 2
 const STARTED_ANEW = 'the endpoint has started anew'
 const DRAW = 0.2
 
+function draining(endpoint: RegisteredEndpoint): RegisteredEndpoint {
+  return endpoint.state === 'ready' ? { ...endpoint, state: 'draining' } : endpoint
+}
+
 function takesWork(one: PooledEndpoint): boolean {
   return one.endpoint.state === 'ready' && !one.isGone
 }
--- a/request/gateway/src/homeRule.ts
+++ b/request/gateway/src/homeRule.ts
@@ -37,6 +37,6 @@
 /** Whether endpoints of a request's service are known, and all of them lie outside its regions. */
 export function isAwayOnly(pool: EndpointPool, { service, homes }: RelayJob, stage?: Stage): boolean {
   const regions = homes()
-  if (regions === undefined || pool.candidates(service.name, { stage, regions }).length > 0) return false
-  return pool.candidates(service.name, { stage }).length > 0
+  if (regions === undefined || pool.knows(service.name, { stage, regions })) return false
+  return pool.knows(service.name, { stage })
 }
--- a/request/gateway/src/keptRun.ts
+++ b/request/gateway/src/keptRun.ts
@@ -1,3 +1,4 @@
+import { LEAVING_TAKES_MS } from '@forkstage/statements'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint } from './endpointPool'
@@ -18,8 +19,6 @@
 
 /** Engines keep the memory for a stated time and somewhat longer; a sending that comes too late is only turned away. */
 const LASTS_FACTOR = 2
-/** An engine that has just said that it leaves still takes what was copied there before. */
-const LEAVING_TAKES_MS: Millis = 500
 
 /** The memory of a run that was stopped from here: where the run may go on from it, and for how long. */
 export class KeptRun {
@@ -65,7 +64,7 @@
 
   /** Frees what no engine took. */
   release(): void {
-    releaseHandle(this.parts, this.run.source.endpoint.address, this.run.handle)
+    releaseHandle(this.parts, this.run.source, this.run.handle)
   }
 
   private usable(): AtHome<PooledEndpoint>[] {
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -2,7 +2,7 @@
 import { COLD_REASON, type ColdGate } from './coldGate'
 import type { EndpointPool, PooledEndpoint } from './endpointPool'
 import { LIMIT_REASON, type LimitGate } from './limitGate'
-import type { ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
+import { refusedAs, type ModelPlacer, type ModelWork, type PlaceAnswer } from './modelPlacer'
 import { poolPlace } from './poolPlace'
 import { EVACUATED } from './sendRules'
 
@@ -44,6 +44,8 @@
     const decoders = pool.candidates(service, { stage: 'decode', except, regions })
     if (pool.isEmptied(service, 'decode'))
       return { type: 'refused', reason: EVACUATED, retryAfterMs: NO_ROOM_RETRY_MS }
+    const closed = pool.closed(service, { stage: 'decode', regions })
+    if (closed !== undefined) return refusedAs(closed)
     if (limits?.isUsedUp(decoders) === true)
       return { type: 'refused', reason: LIMIT_REASON, retryAfterMs: NO_ROOM_RETRY_MS }
     const decode = pool.fewestTokens(this.usable(decoders), tokensOf(work))
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -1,7 +1,7 @@
 import type { PromptPart } from '@forkstage/allocator'
 import type { AtHome, Homes } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
-import type { PooledEndpoint, SendOutcome } from './endpointPool'
+import type { Closed, PooledEndpoint, SendOutcome } from './endpointPool'
 
 /** A model request as the placement sees it. */
 export interface ModelWork {
@@ -70,6 +70,11 @@
 export type PlaceAnswer =
   { type: 'place'; place: ModelPlace } | { type: 'refused'; reason: string; retryAfterMs: Millis }
 
+/** A refusal where every engine that could take a request wants nothing from here. */
+export function refusedAs({ reason, retryAfterMs }: Closed): PlaceAnswer {
+  return { type: 'refused', reason, retryAfterMs }
+}
+
 /** Decides where model requests go. */
 export interface ModelPlacer {
   place(work: ModelWork): Promise<PlaceAnswer>
--- a/request/gateway/src/noteStatements.ts
+++ b/request/gateway/src/noteStatements.ts
@@ -7,15 +7,21 @@
 /**
  * Takes what an endpoint says in an answer's head of what it wants from here. Each exchange has a connection of its own, so
  * that the head is the endpoint's also where it proves nothing of the request: a failure, an answer that names no request.
+ * Unheard, such an endpoint draws requests: one that turns them away at once looks idle and quick.
  */
 export function noteStatements(
-  { wire, statements }: Pick<RelayParts, 'wire' | 'statements'>,
-  { endpoint }: PooledEndpoint,
+  { wire, statements, pool }: Pick<RelayParts, 'wire' | 'statements' | 'pool'>,
+  at: PooledEndpoint,
   head: AnswerHead,
   request: string,
 ): void {
+  if (statements === undefined) return
+  const { id } = at.endpoint
   // A field that comes twice has both values in one.
   const words = single(head.headers[wire.headers.leaving])?.split(',') ?? []
-  if (words.some((word) => wire.readLeaving(word.trim()))) statements?.noteLeaving(endpoint.id, request)
-  statements?.noteRest(endpoint.id, readRest(head), request)
+  if (words.some((word) => wire.readLeaving(word.trim()))) {
+    statements.noteLeaving(id, request)
+    pool.noteLeaving(at)
+  }
+  statements.noteRest(id, readRest(head), request)
 }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -5,7 +5,7 @@
 import { cancelWhenEnded } from './cancelWhenEnded'
 import { connectionShare } from './connectionShare'
 import { dropHeaders } from './callerRequest'
-import type { PooledEndpoint, SendOutcome } from './endpointPool'
+import type { Closed, PooledEndpoint, SendOutcome } from './endpointPool'
 import { COLD_REASON } from './coldGate'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import { noteLost } from './noteLost'
@@ -114,6 +114,7 @@
     const isInVain =
       pool.isEmptied(this.job.service.name) ||
       (this.coldWait() ?? 0) > left ||
+      (this.closed()?.leftMs ?? 0) > left ||
       limits?.takesNone(all) === true
     const limit = isInVain ? 0 : Math.max(0, left)
     return waitFor(clock, limit, () => (this.isOver ? undefined : this.roomiest()))
@@ -126,12 +127,13 @@
     return pool.leastLoaded(cold?.usable(open) ?? open)
   }
 
-  /** Whether an endpoint has room for one more request of this entry. */
-  private hasRoom({ inFlight, limit }: PooledEndpoint): boolean {
-    const { entries } = this.parts
+  /** Whether an endpoint has room for one more request of this entry, and has not said that it wants none. */
+  private hasRoom(to: PooledEndpoint): boolean {
+    const { entries, pool } = this.parts
+    if (!pool.isOpen(to)) return false
     const share =
       entries === undefined ? Infinity : connectionShare(this.job.service.maxConnections, entries())
-    return inFlight < Math.min(limit.value, share)
+    return to.inFlight < Math.min(to.limit.value, share)
   }
 
   /** Endpoints that may get the request, but for those named, as far as the rates that they name allow it now. */
@@ -146,10 +148,17 @@
     const { service, homes } = this.job
     if (pool.isEmptied(service.name)) return EVACUATED
     if (this.coldWait() !== undefined) return COLD_REASON
+    const closed = this.closed()
+    if (closed !== undefined) return closed.reason
     const there = pool.candidates(service.name, { regions: homes() })
     if (this.parts.limits?.isUsedUp(there) === true) return LIMIT_REASON
     if (there.length > 0) return 'no room in time'
-    return pool.candidates(service.name).length > 0 ? NOT_AT_HOME : 'no endpoint'
+    return pool.knows(service.name) ? NOT_AT_HOME : 'no endpoint'
+  }
+
+  /** Why none may get the request where all want nothing from here, and for how long; else undefined. */
+  private closed(): Closed | undefined {
+    return this.parts.pool.closed(this.job.service.name, { regions: this.job.homes() })
   }
 
   /** Until this entry may use a cold endpoint again, where all are cold and none may get more; else undefined. */
@@ -201,7 +210,8 @@
     // What a cold endpoint takes says nothing of what it bears later.
     const isCold = parts.cold?.isCold(to.endpoint.id) === true
     if (note === 'ok' && !isCold) to.limit.noteAnswer(tookMs, job.route.targetMs)
-    if (note === 'full') to.limit.noteFull()
+    // One that asked for rest has said all there is to learn: what it bears while it is well has not changed.
+    if (note === 'full' && parts.pool.isOpen(to)) to.limit.noteFull()
     parts.pool.noteEnd(to, this.isOver ? 'cancelled' : note, tookMs)
     this.sends.push({ to: to.endpoint.id, step: 'plain', outcome: note, tookMs: Math.round(tookMs) })
     return sending
@@ -267,7 +277,7 @@
   private answerWithout(failed: Sending | undefined, reason: string, retryAfterMs?: Millis): OwnResult {
     if (failed?.type === 'answer') return this.pass(failed)
     if (this.mayHaveRun > 0) return answerFailure(this.job.request.response, 502, reason)
-    const comeBackMs = retryAfterMs ?? this.coldWait() ?? COME_BACK_MS
+    const comeBackMs = retryAfterMs ?? this.coldWait() ?? this.closed()?.retryAfterMs ?? COME_BACK_MS
     return answerRefusal(this.job.request.response, reason, comeBackMs)
   }
 
--- a/request/gateway/src/promptReading.ts
+++ b/request/gateway/src/promptReading.ts
@@ -1,3 +1,4 @@
+import { ASKED_FOR_REST } from '@forkstage/statements'
 import type { PooledEndpoint } from './endpointPool'
 import { COLD_REASON } from './coldGate'
 import { LIMIT_REASON } from './limitGate'
@@ -14,7 +15,7 @@
 const HANDLE_SHARE = 0.5
 
 /** Why an engine may get nothing at the moment, though it may in the next. */
-const FOR_A_MOMENT = new Set([COLD_REASON, LIMIT_REASON, SUSPENDED])
+const FOR_A_MOMENT = new Set([COLD_REASON, LIMIT_REASON, SUSPENDED, ASKED_FOR_REST])
 
 /** What the reading of a prompt needs of its request. */
 export interface PromptReader {
@@ -122,6 +123,6 @@
   release(): void {
     const { prefilled, parts } = this
     this.prefilled = undefined
-    if (prefilled !== undefined) releaseHandle(parts, prefilled.at.endpoint.address, prefilled.handle)
+    if (prefilled !== undefined) releaseHandle(parts, prefilled.at, prefilled.handle)
   }
 }
--- a/request/gateway/src/readVerdict.ts
+++ b/request/gateway/src/readVerdict.ts
@@ -17,5 +17,6 @@
   const verdict = judgeAnswer(head, asked, parts.wire.headers)
   if (verdict === 'answer' || verdict === 'not-run') noteRate(parts, at, head, verdict)
   if (verdict !== 'other-instance') noteStatements(parts, at, head, request.id)
+  if (verdict === 'answer') parts.statements?.noteWell(at.endpoint.id)
   return verdict
 }
--- a/request/gateway/src/releaseHandle.ts
+++ b/request/gateway/src/releaseHandle.ts
@@ -1,12 +1,14 @@
-import type { Address } from '@forkstage/types'
+import type { PooledEndpoint } from './endpointPool'
 import { exchangeWhole } from './exchangeWhole'
+import { noteStatements } from './noteStatements'
 import type { RelayParts } from './relayParts'
 
 const CONNECT_MS = 1_000
 const MAX_ANSWER_BYTES = 64 * 1024
 
 /** Frees the memory that a prefill step left at an engine. What is lost on the way lapses there by itself. */
-export function releaseHandle(parts: RelayParts, address: Address, handle: string): void {
+export function releaseHandle(parts: RelayParts, at: PooledEndpoint, handle: string): void {
+  const { address } = at.endpoint
   void exchangeWhole({
     address,
     ...parts.wire.releaseCall(handle),
@@ -15,5 +17,7 @@
     connectMs: CONNECT_MS,
     clock: parts.clock,
     maxBytes: MAX_ANSWER_BYTES,
+  }).then((outcome) => {
+    if (outcome.type === 'answer') noteStatements(parts, at, outcome.head, handle)
   })
 }
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -18,7 +18,7 @@
 import type { LimitGate } from './limitGate'
 import type { LeaderWay } from './leaderWay'
 import { waitFor } from './waitFor'
-import type { ModelPlace, ModelPlacer, ModelWork, PlaceAnswer } from './modelPlacer'
+import { refusedAs, type ModelPlace, type ModelPlacer, type ModelWork, type PlaceAnswer } from './modelPlacer'
 import { poolPlace } from './poolPlace'
 
 /** Options of {@link RemotePlacer}. */
@@ -81,7 +81,10 @@
   }
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
-    const { clock } = this.options
+    const { clock, pool } = this.options
+    // Whoever places has not heard what they said here.
+    const closed = pool.closed(work.service, { stage: 'decode', regions: work.regions })
+    if (closed !== undefined) return refusedAs(closed)
     const first = this.toAsk(work)
     const askedAt = clock.now()
     let ask = first
@@ -145,8 +148,10 @@
   }
 
   private toAsk(work: ModelWork): PlaceAsk {
-    const { entry, domain } = this.options
-    return { ...work, entry, entryDomain: domain, except: [...work.except] }
+    const { entry, domain, pool } = this.options
+    const closed = pool.closedEngines(work.service)
+    const avoid = closed.length > 0 ? { avoid: closed } : {}
+    return { ...work, entry, entryDomain: domain, except: [...work.except], ...avoid }
   }
 
   /** The place by its engines, or undefined where this entry does not know them yet, or not in the request's regions. */
@@ -195,7 +200,8 @@
     }
     const prefill = place.prefill?.endpoint.id
     const decode = place.decode.endpoint.id
-    const hold: Active = { ask, prefill, decode, placedAt: clock.now(), decodingAt, place: tracked }
+    const kept = { ...ask, avoid: undefined }
+    const hold: Active = { ask: kept, prefill, decode, placedAt: clock.now(), decodingAt, place: tracked }
     this.active.set(request, hold)
     return tracked
   }
--- a/request/gateway/src/runMove.ts
+++ b/request/gateway/src/runMove.ts
@@ -3,6 +3,7 @@
 import type { PooledEndpoint } from './endpointPool'
 import { exchangeWhole, type WholeOutcome } from './exchangeWhole'
 import type { StoppedRun } from './keptRun'
+import { noteStatements } from './noteStatements'
 import { releaseHandle } from './releaseHandle'
 import type { RelayParts } from './relayParts'
 
@@ -61,7 +62,7 @@
 
   /** Frees a copy that nobody takes. */
   release(): void {
-    if (this.handle !== undefined) releaseHandle(this.parts, this.source.endpoint.address, this.handle)
+    if (this.handle !== undefined) releaseHandle(this.parts, this.source, this.handle)
   }
 
   /** Writes how the move ended. */
@@ -91,6 +92,7 @@
       maxBytes: MAX_ANSWER_BYTES,
       withinMs: COPY_WITHIN_MS,
     })
+    if (outcome.type === 'answer') noteStatements(this.parts, this.source, outcome.head, this.request)
     const handle = outcome.type === 'answer' ? wire.readMoveAnswer(outcome.body)?.handle : undefined
     return { outcome, handle }
   }
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -1,4 +1,5 @@
-import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import { LEAVING_TAKES_MS, SAYS_IT_LEAVES } from '@forkstage/statements'
 import type { RelayJob, RelayParts } from './relayParts'
 import type { SendStep } from './sendCount'
 
@@ -27,7 +28,7 @@
   to: RegisteredEndpoint,
   step: SendStep,
 ): string | undefined {
-  // The last two count where it may go on.
+  // The last three count where it may go on.
   // Whoever placed may have given the place to another meanwhile.
   const suspended: SendRule = (_to, { placedAt }) =>
     placedAt !== undefined && placedAt < parts.clock.suspendedAt() ? SUSPENDED : undefined
@@ -35,7 +36,8 @@
     parts.crashes?.refusal(request.content) === undefined ? undefined : ENDS_ENDPOINTS
   const cold: SendRule = (endpoint, { request }, one) => parts.cold?.whyNot(endpoint, request.id, one)
   const limited: SendRule = (endpoint, { request }, one) => parts.limits?.whyNot(endpoint, request.id, one)
-  for (const rule of [suspended, ...(parts.sendRules ?? []), ends, cold, limited]) {
+  const told: SendRule = ({ id }) => whyNotByWord(parts, id)
+  for (const rule of [suspended, ...(parts.sendRules ?? []), ends, told, cold, limited]) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
     parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
@@ -43,3 +45,16 @@
   }
   return undefined
 }
+
+/**
+ * Why an endpoint's own word forbids it; where it does not, a sending leaves. A place that was given before the word is no
+ * excuse, but what was to go on at one that leaves is let there for a moment.
+ */
+function whyNotByWord({ statements, clock }: RelayParts, id: InstanceId): string | undefined {
+  const bound = statements?.notBefore(id)
+  const leavingSince = statements?.leavingSince(id) ?? -Infinity
+  const isJustLeaving = bound?.reason === SAYS_IT_LEAVES && clock.now() < leavingSince + LEAVING_TAKES_MS
+  if (bound !== undefined && !isJustLeaving) return bound.reason
+  statements?.noteSent(id)
+  return undefined
+}
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -96,8 +96,6 @@
   readonly withheld = new Map<string, string>()
   /** The rates that endpoints name. */
   readonly rates = new RateBook({ clock: createSystemClock(), logger: createSilentLogger() })
-  /** What endpoints have said in their answers of what they want from the entry. */
-  readonly statements = new StatementBook({ clock: createSystemClock(), logger: createSilentLogger() })
   /** Instances that are cold: how much longer, by their id. */
   readonly cold = new Map<string, number>()
   private constructor(
@@ -110,6 +108,8 @@
     readonly evacuated: Set<string>,
     /** The entry's part of second sendings. */
     readonly allowance: RetryAllowance,
+    /** What endpoints have said in their answers of what they want from the entry. */
+    readonly statements: StatementBook,
   ) {}
 
   static async start(
@@ -124,7 +124,16 @@
     const isEvacuated = ({ zone }: RegisteredEndpoint) => evacuated.has(zone)
     const isKeptFree = ({ id }: RegisteredEndpoint) => world.keptFree.has(id)
     const isBarred = (one: RegisteredEndpoint) => isEvacuated(one) || isKeptFree(one)
-    const pool = new EndpointPool({ zone: 'z', topology: TOPOLOGY, clock, random: () => 0, logger, isBarred })
+    const statements = new StatementBook({ clock, logger })
+    const pool = new EndpointPool({
+      zone: 'z',
+      topology: TOPOLOGY,
+      clock,
+      random: () => 0,
+      logger,
+      isBarred,
+      statements,
+    })
     pool.update(endpoints.map((endpoint, index) => fullEndpoint(endpoint, index)))
     const book = new RouteBook()
     const sheet = {
@@ -214,9 +223,7 @@
         get rates() {
           return world.rates
         },
-        get statements() {
-          return world.statements
-        },
+        statements,
         crashes: {
           noteLost: (sending) => void world.lost.push(sending),
           noteServed: (content) => void world.served.push(content()),
@@ -249,7 +256,15 @@
         routes: newRoutes.map(fullRoute),
         workspaces: newer,
       })
-    const world: GatewayWorld = new GatewayWorld(ingress, pool, port, install, evacuated, allowance)
+    const world: GatewayWorld = new GatewayWorld(
+      ingress,
+      pool,
+      port,
+      install,
+      evacuated,
+      allowance,
+      statements,
+    )
     return world
   }
 
--- a/request/gateway/test/plainWorld.ts
+++ b/request/gateway/test/plainWorld.ts
@@ -111,7 +111,8 @@
   private createEntry(index: number): RelayParts {
     const { clock, random } = this
     const logger = createSilentLogger()
-    const pool = new EndpointPool({ zone: 'z', clock, random, logger })
+    const parts = this.partsOf(index)
+    const pool = new EndpointPool({ zone: 'z', statements: parts.statements, clock, random, logger })
     pool.update(this.endpoints())
     const allowance = new RetryAllowance({
       clock,
@@ -130,7 +131,7 @@
       clock,
       random,
       logger,
-      ...this.partsOf(index),
+      ...parts,
     }
   }
 
--- a/request/gateway/test/remotePlacer.test.ts
+++ b/request/gateway/test/remotePlacer.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import { PLACE, UNKNOWN_SERVICE, type AnswerMove } from '@forkstage/allocator'
+import { PLACE, UNKNOWN_SERVICE, type AnswerMove, type PlaceAsk } from '@forkstage/allocator'
 import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
+import { StatementBook } from '@forkstage/statements'
 import { Topology } from '@forkstage/topology'
 import { EndpointPool, LeaderWay, LocalPlacer, RemotePlacer, type ModelWork } from '../src'
 
@@ -39,18 +40,21 @@
 function world(entries = 1, kvTokens = 10_000) {
   const clock = new ManualClock()
   const logger = createSilentLogger()
-  const pool = new EndpointPool({ zone: 'z', topology: TOPOLOGY, clock, random: () => 0, logger })
+  const statements = new StatementBook({ clock, logger })
+  const pool = new EndpointPool({ zone: 'z', topology: TOPOLOGY, clock, random: () => 0, logger, statements })
   pool.update([ENGINE_OF_TEST])
   const silent = new Set<string>()
   const asked: string[] = []
+  const asks: PlaceAsk[] = []
   const told = {
     leader: undefined as string | undefined,
     moves: [] as AnswerMove[],
     refusal: undefined as string | undefined,
   }
   const peers = {
-    call: async <Result>(address: string, method: string) => {
+    call: async <Result>(address: string, method: string, params: unknown) => {
       if (method !== PLACE.report) asked.push(address)
+      if (method === PLACE.ask) asks.push((params as { ask: PlaceAsk }).ask)
       if (silent.has(address)) await new Promise(() => undefined)
       if (method === PLACE.report) return { moves: told.moves.splice(0) } as Result
       const { refusal } = told
@@ -63,7 +67,17 @@
   const way = new LeaderWay({ leader: () => told.leader, ...options })
   const fallback = new LocalPlacer({ pool, kvTokens: () => kvTokens, entries: () => entries })
   const placer = new RemotePlacer({ entry: 'e', pool, fallback, way, clock, logger })
-  return { clock, placer, fallback, pool, told, asked, hang: (address: string) => silent.add(address) }
+  return {
+    clock,
+    placer,
+    fallback,
+    pool,
+    statements,
+    told,
+    asked,
+    asks,
+    hang: (address: string) => silent.add(address),
+  }
 }
 
 /** Moves time on in steps, so that what waits for one timer can set the next. */
@@ -75,6 +89,27 @@
 }
 
 describe('RemotePlacer', () => {
+  it('tells with its ask which engines want nothing from its entry, and asks nobody where all do', async () => {
+    const { placer, told, asks, asked, pool, statements, clock } = world()
+    pool.update([{ ...ENGINE_OF_TEST, id: 'd2', address: '10.0.0.2:1' }])
+    told.leader = '10.0.0.9:1'
+    await placer.place(WORK)
+    statements.noteRest('d2', { type: 'rest', forMs: 3_000 }, 'another')
+    await placer.place(WORK)
+    expect(asks.map(({ avoid }) => avoid)).toEqual([undefined, ['d2']])
+    statements.noteRest('d1', { type: 'rest', forMs: 2_000 }, 'another')
+    const before = asked.length
+    expect(await placer.place(WORK)).toEqual({
+      type: 'refused',
+      reason: 'the endpoint asked for rest',
+      retryAfterMs: 2_000,
+    })
+    expect(asked).toHaveLength(before)
+    clock.advance(2_000)
+    expect(await placer.place(WORK)).toMatchObject({ type: 'place' })
+    expect(asks.at(-1)?.avoid).toEqual(['d2'])
+  })
+
   it('lets an answer that has begun go on though a newer sheet has not its service any more', async () => {
     const { placer, told } = world(1, 0)
     told.leader = '10.0.0.9:1'
--- a/request/gateway/test/restWorld.ts
+++ b/request/gateway/test/restWorld.ts
@@ -76,8 +76,8 @@
   }
 
   protected override partsOf(): Partial<RelayParts> {
-    const { clock } = this
-    const statements = new StatementBook({ clock, logger: createSilentLogger() })
+    const { clock, random } = this
+    const statements = new StatementBook({ clock, random, logger: createSilentLogger() })
     every(clock, SECOND_MS, () => statements.look(() => true))
     return { statements }
   }
--- a/request/statements/src/readRest.ts
+++ b/request/statements/src/readRest.ts
@@ -16,7 +16,7 @@
 const DATE = 'date'
 const SECOND_MS = 1_000
 /** HTTP has whole seconds; fractions are taken as well. */
-const SECONDS = /^\d{1,12}(\.\d{1,9})?$/
+const SECONDS = /^\d{1,12}(\.\d{1,20})?$/
 /** A date of HTTP begins with the day of the week. */
 const HTTP_DATE = /^[A-Z][a-z]{2,8},? /
 
--- a/request/statements/test/statementBook.test.ts
+++ b/request/statements/test/statementBook.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
-import { StatementBook } from '../src'
+import { ASKED_FOR_REST, SAYS_IT_LEAVES, StatementBook } from '../src'
 
 function start() {
   const clock = new ManualClock(1_000)
@@ -22,20 +22,20 @@
     clock.advance(1_000)
     rest(500)
     rest(0)
-    expect(book.restsUntil('i-1')).toBe(4_000)
+    expect(book.notBefore('i-1')).toEqual({ untilMs: 4_000, reason: ASKED_FOR_REST })
     rest(5_000)
-    expect(book.restsUntil('i-1')).toBe(7_000)
-    expect(book.resting).toEqual(['i-1'])
+    expect(book.notBefore('i-1')?.untilMs).toBe(7_000)
+    expect(book.closed).toEqual(['i-1'])
     clock.advance(6_000)
-    expect(book.resting).toEqual([])
-    expect(book.restsUntil('i-2')).toBe(-Infinity)
+    expect(book.closed).toEqual([])
+    expect(book.notBefore('i-2')).toBeUndefined()
   })
 
   it('is never refused for ever', () => {
     const { clock, book, rest } = start()
     rest(1e12)
     clock.advance(600_000)
-    expect(book.resting).toEqual([])
+    expect(book.closed).toEqual([])
   })
 
   it('stands in the log when it begins, becomes longer by more than a little, and is over', () => {
@@ -68,7 +68,7 @@
         value: 'x'.repeat(40),
       },
     ])
-    expect(book.resting).toEqual([])
+    expect(book.closed).toEqual([])
   })
 
   it('ends with the life that said it', () => {
@@ -80,7 +80,42 @@
     expect(book.leavingSince('i-1')).toBe(1_000)
     expect(lines.filter((line) => 'event' in line && line.event === 'endpoint.leaving')).toHaveLength(1)
     book.look((id) => id === 'i-2')
-    expect(book.resting).toEqual(['i-2'])
+    expect(book.closed).toEqual(['i-2'])
     expect(book.leavingCount).toBe(0)
   })
+
+  it('is one request at a time after a rest, until one has brought an answer', () => {
+    const { clock, book, rest } = start()
+    rest(3_000)
+    clock.advance(3_000)
+    expect(book.notBefore('i-1')).toBeUndefined()
+    book.noteSent('i-1')
+    expect(book.notBefore('i-1')).toEqual({ untilMs: 5_000, reason: ASKED_FOR_REST })
+    clock.advance(1_000)
+    expect(book.notBefore('i-1')).toBeUndefined()
+    book.noteSent('i-1')
+    book.noteWell('i-1')
+    expect(book.notBefore('i-1')).toBeUndefined()
+    book.noteSent('i-1')
+    expect(book.notBefore('i-1')).toBeUndefined()
+  })
+
+  it('does not end by the answer to what was sent before', () => {
+    const { clock, book, rest } = start()
+    rest(3_000)
+    clock.advance(100)
+    book.noteWell('i-1')
+    expect(book.notBefore('i-1')?.untilMs).toBe(4_000)
+  })
+
+  it('is asked of several at once: the one that may get a request first', () => {
+    const { book, rest } = start()
+    rest(3_000)
+    rest(2_000, 'i-2')
+    book.noteLeaving('i-3', 'r1')
+    expect(book.firstFree(['i-1', 'i-2', 'i-3'])).toEqual({ untilMs: 3_000, reason: ASKED_FOR_REST })
+    expect(book.firstFree(['i-1', 'i-4'])).toBeUndefined()
+    expect(book.firstFree([])).toBeUndefined()
+    expect(book.firstFree(['i-3'])).toEqual({ untilMs: Infinity, reason: SAYS_IT_LEAVES })
+  })
 })
