fix(load): a box asks endpoints for nothing while they rest

What callers saw: calls went on to an endpoint that had asked for rest, it was put out as failing, and where it was the only one callers were told to come back in half a second.

Cause: the boxes' path read no Retry-After; each refusal counted as a failure.

Ruled out: a gate of its own for boxes; EndpointBook asks the same StatementBook, by names of the table.

Change: EndpointBook.noteRefused takes a refusal with its rest (plain calls, reservations, prompts, streams), closedReason is 'resting' until then, refusals of a call name the time that is left. EndpointError carries what an engine said.

Why it holds: closedReason is asked by every choice of a box, plain and model alike, in the turn in which it sends.

--- a/engine/client/src/engineClient.ts
+++ b/engine/client/src/engineClient.ts
@@ -1,5 +1,6 @@
 import { Agent, request as httpRequest, type Dispatcher } from 'undici'
 import type { Clock } from '@forkstage/clock'
+import { flatFields, readRest } from '@forkstage/statements'
 import type { EndpointName, Millis } from '@forkstage/types'
 import { EndpointError, NOT_RUN_HEADER, NOT_RUN_VALUE } from './engineErrors'
 import type {
@@ -202,7 +203,9 @@
   text: string,
 ): EndpointError {
   const notRun = response.headers[NOT_RUN_HEADER] === NOT_RUN_VALUE
-  return new EndpointError(engine.endpoint, step, reasonIn(text) ?? `status ${response.statusCode}`, notRun)
+  const { statusCode, headers } = response
+  const rest = readRest({ status: statusCode, rawHeaders: flatFields(headers) })
+  return new EndpointError(engine.endpoint, step, reasonIn(text) ?? `status ${statusCode}`, notRun, { rest })
 }
 
 function reasonIn(text: string): string | undefined {
@@ -216,5 +219,5 @@
 function toEndpointError(engine: EngineAddress, step: string, error: unknown): EndpointError {
   if (error instanceof EndpointError) return error
   const message = error instanceof Error ? error.message : String(error)
-  return new EndpointError(engine.endpoint, step, message, neverConnected(error), error)
+  return new EndpointError(engine.endpoint, step, message, neverConnected(error), { cause: error })
 }
--- a/engine/client/src/engineErrors.ts
+++ b/engine/client/src/engineErrors.ts
@@ -1,4 +1,5 @@
 import { ForkstageError } from '@forkstage/error'
+import type { Rest } from '@forkstage/statements'
 
 /** The header by which an endpoint proves that it did not run a request it refuses. */
 export const NOT_RUN_HEADER = 'x-endpoint-ran'
@@ -11,8 +12,16 @@
   readonly notRun: boolean
   /** The endpoint's own code, where it answered. */
   readonly reason: string
+  /** When it wants to be asked again, where it answered so. */
+  readonly rest: Rest
 
-  constructor(peer: string, step: string, reason: string, notRun: boolean, cause?: unknown) {
+  constructor(
+    peer: string,
+    step: string,
+    reason: string,
+    notRun: boolean,
+    { cause, rest = { type: 'none' } }: { cause?: unknown; rest?: Rest } = {},
+  ) {
     super(
       'FORKSTAGE_ENDPOINT',
       `${peer} failed at ${step}: ${reason}`,
@@ -25,5 +34,6 @@
     )
     this.reason = reason
     this.notRun = notRun
+    this.rest = rest
   }
 }
--- a/placement/load/src/endpointBook.ts
+++ b/placement/load/src/endpointBook.ts
@@ -2,6 +2,7 @@
 import type { CacheEvent, EngineReport } from '@forkstage/engine-client'
 import type { Logger } from '@forkstage/logger'
 import type { ClosedReason, EndpointView, LinkView, PlacementView } from '@forkstage/place'
+import { StatementBook, type Rest } from '@forkstage/statements'
 import type { EndpointName, EndpointRow, Millis, RequestId, Table } from '@forkstage/types'
 import { Ejection, type EjectionChange } from './ejection'
 import { PrefixIndex } from './prefixIndex'
@@ -68,18 +69,23 @@
   private readonly linkRates = new Map<string, number>()
   private readonly linkQueues = new Map<string, Map<RequestId, number>>()
   private leaving = new Set<string>()
+  private readonly statements: StatementBook
 
-  constructor(private readonly options: EndpointBookOptions) {}
+  constructor(private readonly options: EndpointBookOptions) {
+    this.statements = new StatementBook(options)
+  }
 
   /** Takes a new table. @returns whether it has endpoints that were not there before. */
   setTable(table: Table): boolean {
     let hasNew = false
     const names = new Set(table.endpoints.map((row) => row.endpoint))
     for (const name of this.entries.keys()) if (!names.has(name)) this.entries.delete(name)
+    this.statements.look((name) => names.has(name))
     for (const row of table.endpoints) {
       const known = this.entries.get(row.endpoint)
       if (known?.row.address === row.address) known.row = row
       else {
+        this.statements.look((name) => name !== row.endpoint)
         this.entries.set(row.endpoint, this.createEntry(row))
         hasNew = true
       }
@@ -160,6 +166,7 @@
     entry.sent.set(request, { ...work, at: now })
     entry.prefixes.noteSent(blocks)
     entry.ejection.noteSent(now)
+    this.statements.noteSent(endpoint)
     entry.promptBudget = this.promptBudget(entry, now) - work.promptTokens
     entry.promptBudgetAt = now
     this.shares.add(endpoint, 1, now)
@@ -186,11 +193,27 @@
     const entry = this.entries.get(endpoint)
     if (entry === undefined) return
     const { clock, random } = this.options
+    if (failed === undefined) this.statements.noteWell(endpoint)
     const change =
       failed === undefined ? entry.ejection.noteSuccess() : entry.ejection.noteFailure(clock.now(), random)
     this.logChange(endpoint, change, failed)
   }
 
+  /**
+   * Takes a refusal, or a failure that says when to come back. One that does has said what it can do, which is no failure:
+   * it gets nothing until then, and is not put out.
+   */
+  noteRefused(endpoint: EndpointName, rest: Rest, request: RequestId, reason: string): void {
+    if (rest.type === 'rest') this.statements.noteRest(endpoint, rest, request)
+    else this.noteResult(endpoint, reason)
+  }
+
+  /** Until some endpoints that all want nothing may be asked again, in milliseconds; undefined where one may be now. */
+  restLeft(endpoints: EndpointName[]): Millis | undefined {
+    const bound = this.statements.firstFree(endpoints)
+    return bound && bound.untilMs - this.options.clock.now()
+  }
+
   inFlight(endpoint: EndpointName): number {
     return this.entries.get(endpoint)?.sent.size ?? 0
   }
@@ -262,6 +285,7 @@
     if (row.weight <= 0) return 'weight'
     if (entry.report?.leaving || this.leaving.has(row.endpoint)) return 'leaving'
     if (!entry.ejection.isOpen(now)) return 'ejected'
+    if (this.statements.notBefore(row.endpoint) !== undefined) return 'resting'
     if (now >= entry.shareUntil || entry.sent.size >= entry.share) return 'no-credit'
     if (this.promptBudget(entry, now) <= 0) return 'rate-limit'
     return undefined
--- a/placement/place/src/placeTypes.ts
+++ b/placement/place/src/placeTypes.ts
@@ -37,7 +37,7 @@
 }
 
 export type ClosedReason =
-  'state' | 'weight' | 'leaving' | 'ejected' | 'no-credit' | 'rate-limit' | 'unknown-load'
+  'state' | 'weight' | 'leaving' | 'ejected' | 'resting' | 'no-credit' | 'rate-limit' | 'unknown-load'
 
 /** The link between two failure domains. */
 export interface LinkView {
--- a/request/runner/src/engineSteps.ts
+++ b/request/runner/src/engineSteps.ts
@@ -109,7 +109,7 @@
   }
 
   private listener(attempt: number): DecodeListener {
-    const { emit } = this.options
+    const { emit, id, parts, state } = this.options
     return {
       onLine: (line) => {
         if (line.type === 'token') this.noteToken()
@@ -117,6 +117,9 @@
       },
       onClose: (error) => {
         const reason = error?.reason ?? 'the stream ended early'
+        const at = state.placement?.decode
+        if (error?.rest.type === 'rest' && at !== undefined)
+          parts.book.noteRefused(at, error.rest, id, reason)
         emit({ type: 'streamClosed', attempt, reason, notRun: error?.notRun ?? false })
       },
     }
@@ -151,7 +154,7 @@
   ): void {
     const { id, parts, emit } = this.options
     const { reason, notRun } = error
-    parts.book.noteResult(endpoint, reason)
+    parts.book.noteRefused(endpoint, error.rest, id, reason)
     parts.stories.tell(id, 'failed', { step, endpoint, reason, notRun })
     parts.logger.warn('request.failed', { request: id, attempt, ...toErrorBody(error) })
     emit({ type: 'stepFailed', step, attempt, endpoint, reason, notRun })
--- a/request/runner/src/plainCall.ts
+++ b/request/runner/src/plainCall.ts
@@ -7,6 +7,7 @@
 import { neverConnected, NOT_RUN_HEADER, NOT_RUN_VALUE } from '@forkstage/engine-client'
 import type { EndpointBook } from '@forkstage/load'
 import type { Logger } from '@forkstage/logger'
+import { flatFields, readRest, type Rest } from '@forkstage/statements'
 import type { EndpointRow, Millis, RequestId, RequestKey } from '@forkstage/types'
 import { AnswerError, KeyReusedError, MayHaveRunError, OutcomeNotKeptError } from './answerErrors'
 import { createOutcome } from './outcome'
@@ -103,7 +104,8 @@
     const result = await this.parts.journal
       .claim(key, call.bodyDigest, call.request, call.repeatable)
       .catch((error: unknown) => {
-        throw notRun('FORKSTAGE_JOURNAL_UNAVAILABLE', 'The request could not be claimed.', 503, error)
+        const message = 'The request could not be claimed.'
+        throw notRun('FORKSTAGE_JOURNAL_UNAVAILABLE', message, 503, { cause: error })
       })
     this.parts.stories.tell(call.request, 'claim', { outcome: result.type })
     return this.takeClaim(result, call, response)
@@ -145,7 +147,7 @@
       const row = choosePlainEndpoint(call, this.parts, tried)
       if (row === undefined) {
         await this.forget(call, epoch)
-        throw notRun('FORKSTAGE_NO_ENDPOINT', `No endpoint of ${call.service} takes calls now.`, 503)
+        throw this.noEndpoint(call)
       }
       tried.push(row)
       const failure = await this.dispatch(call, row, response, epoch)
@@ -155,6 +157,15 @@
     }
   }
 
+  private noEndpoint({ service }: PlainRequest): AnswerError {
+    const { book } = this.parts
+    const names = book.rows
+      .filter((row) => row.service === service && row.pool === 'plain')
+      .map(({ endpoint }) => endpoint)
+    const message = `No endpoint of ${service} takes calls now.`
+    return notRun('FORKSTAGE_NO_ENDPOINT', message, 503, { retryAfterMs: book.restLeft(names) })
+  }
+
   /**
    * Waits where endpoints would take the call but this box has no share of any: a box that has just started, or has
    * been idle, may hold none of a small pool.
@@ -195,7 +206,7 @@
       const refused = answer.headers[NOT_RUN_HEADER] === NOT_RUN_VALUE && answer.statusCode >= 400
       if (refused) {
         await answer.body.dump()
-        book.noteResult(row.endpoint, 'refused')
+        book.noteRefused(row.endpoint, restOf(answer), call.request, 'refused')
         return { notRun: true, reason: `refused with status ${answer.statusCode}` }
       }
       await this.relay(call, answer, response, epoch)
@@ -296,16 +307,18 @@
   return body === undefined || Buffer.isBuffer(body)
 }
 
-function notRun(code: `FORKSTAGE_${string}`, message: string, status: number, cause?: unknown): AnswerError {
-  return new AnswerError(
-    code,
-    message,
-    'Nothing was run; send it again a little later.',
-    status,
-    'not-run',
-    500,
-    { step: 'dispatch', cause },
-  )
+function notRun(
+  code: `FORKSTAGE_${string}`,
+  message: string,
+  status: number,
+  { retryAfterMs = 500, cause }: { retryAfterMs?: Millis; cause?: unknown } = {},
+): AnswerError {
+  const hint = 'Nothing was run; send it again a little later.'
+  return new AnswerError(code, message, hint, status, 'not-run', retryAfterMs, { step: 'dispatch', cause })
+}
+
+function restOf({ statusCode, headers }: Dispatcher.ResponseData): Rest {
+  return readRest({ status: statusCode, rawHeaders: flatFields(headers) })
 }
 
 function writeHead(
