fix(limits): a rate is heard in every answer of its endpoint, also one that names no request

Cause: words were taken only from answers that judgeAnswer calls the request's own. Whose word a head is, is another question than which request it answers.

Ruled out: taking words from another process at the address (421 that names another instance) still says nothing.

Change: readVerdict takes words from every answer but that one; a readable answer to a prompt counts as success, so that it can take a rate back; copies, stops and releases are heard as well.

Why it holds: the three kinds of exchange (sendings, moves, releases) go through noteStatements.

Conclusion: stand-ins of tests always named the request, which hid it.

--- a/request/gateway/src/noteRate.ts
+++ b/request/gateway/src/noteRate.ts
@@ -1,22 +1,21 @@
 import { single } from './callerRequest'
 import type { PooledEndpoint } from './endpointPool'
 import type { AnswerHead } from './exchange'
-import type { Verdict } from './judgeAnswer'
 import type { RelayParts } from './relayParts'
 
 /**
- * Takes the rate that an endpoint names. Only a success without a word takes an earlier rate back: what answers a failure
- * may not be what knows the rate.
+ * Takes the rate that an endpoint names.
+ * @param isSuccess whether it has done what it was asked. Only such an answer without a word takes an earlier rate back: what
+ *   answers a failure may not be what knows the rate.
  */
 export function noteRate(
   { wire, rates }: RelayParts,
   { endpoint }: PooledEndpoint,
   head: AnswerHead,
-  verdict: Verdict,
+  isSuccess: boolean,
 ): void {
   const value = single(head.headers[wire.headers.rateLimit])
   const perSecond = value === undefined ? undefined : wire.readRateLimit(value)
   if (perSecond !== undefined) return rates?.note(endpoint.id, perSecond)
-  const isSuccess = verdict === 'answer' && head.status >= 200 && head.status < 300
   if (value === undefined && isSuccess) rates?.note(endpoint.id, undefined)
 }
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -64,9 +64,10 @@
   })
   unwatch()
   const tookMs = clock.now() - startedAt
-  const verdict = outcome.type === 'answer' ? readVerdict(parts, job, at, outcome.head) : undefined
   const isRead = outcome.type === 'answer' && outcome.head.status === 200
   const read = isRead ? wire.readPrefillAnswer(outcome.body) : undefined
+  const verdict =
+    outcome.type === 'answer' ? readVerdict(parts, job, at, outcome.head, read !== undefined) : undefined
   const arrival = arrivalOf(outcome)
   if (outcome.type === 'failed' && outcome.isGivenUp === true) return { note: 'silent', arrival, tookMs }
   if (read === undefined) return { note: noteOfFailure(outcome, verdict), arrival, tookMs }
--- a/request/gateway/src/releaseHandle.ts
+++ b/request/gateway/src/releaseHandle.ts
@@ -18,6 +18,6 @@
     clock: parts.clock,
     maxBytes: MAX_ANSWER_BYTES,
   }).then((outcome) => {
-    if (outcome.type === 'answer') noteStatements(parts, at, outcome.head, handle)
+    if (outcome.type === 'answer') noteStatements(parts, at, outcome.head, { request: handle })
   })
 }
--- a/request/gateway/src/runMove.ts
+++ b/request/gateway/src/runMove.ts
@@ -92,7 +92,8 @@
       maxBytes: MAX_ANSWER_BYTES,
       withinMs: COPY_WITHIN_MS,
     })
-    if (outcome.type === 'answer') noteStatements(this.parts, this.source, outcome.head, this.request)
+    if (outcome.type === 'answer')
+      noteStatements(this.parts, this.source, outcome.head, { request: this.request })
     const handle = outcome.type === 'answer' ? wire.readMoveAnswer(outcome.body)?.handle : undefined
     return { outcome, handle }
   }
--- a/request/gateway/test/namedRates.test.ts
+++ b/request/gateway/test/namedRates.test.ts
@@ -42,6 +42,34 @@
     expect(await believed([answering('x-takes: 3.5'), answering()])).toBeUndefined()
   })
 
+  // Users' engines name no request in their answers to a prefill step: one that named 3.3 a second there got up to 98 in 4 s.
+  it('is believed from answers that name no request: to prompts, and from what is no answer to a request', async () => {
+    const bare =
+      (status: number, body: string, ...rows: string[]) =>
+      ({ socket }: SeenRequest) =>
+        void socket.end(
+          [`HTTP/1.1 ${status} X`, ...rows, `Content-Length: ${body.length}`, '', body].join('\r\n'),
+        )
+    const told = async (...answers: ((request: SeenRequest) => void)[]) => {
+      let next = 0
+      const reader = (request: SeenRequest) =>
+        request.line.startsWith('DELETE') ? bare(200, '')(request) : answers[next++]!(request)
+      const { world } = await startRelay([
+        ['decode', streams],
+        ['prefill', reader],
+      ])
+      for (let sent = 0; sent < answers.length; sent += 1)
+        await world.send('/p/', { body: 'x', headers: { 'x-tokens': '10,10' } })
+      return world.rates.rateOf('i-1')
+    }
+    expect(await told(bare(200, 'handle1', 'x-takes: 3.3'))).toBe(3.3)
+    expect(await told(bare(200, 'handle1', 'x-takes: 3.3'), bare(200, 'handle2'))).toBeUndefined()
+    expect(await told(bare(200, 'handle1', 'x-takes: 3.3'), bare(200, ''))).toBe(3.3)
+    expect(await told(bare(500, '', 'x-takes: 4'))).toBe(4)
+    expect(await believed([bare(200, 'hello', 'x-takes: 5')])).toBe(5)
+    expect(await believed([bare(421, '', 'x-instance: other', 'x-takes: 5')])).toBeUndefined()
+  })
+
   it('goes on to the caller as it came', async () => {
     const { world } = await startRelay([[undefined, answering('x-takes: 3.5')]])
     expect((await world.send('/p/', { body: 'x' })).headers['x-takes']).toBe('3.5')
