fix(crashes): three ends are enough for what was to run alone, whoever else was there

Cause: one of several guilty contents can come to three ends within the 0.2 s in which the first becomes known, each beside another that is refused and at more ends; the blame explains its ends away, and it runs once more, alone, to prove what is known.

Ruled out: a shorter lag (two callers of one kind within 0.3 s are enough); blame by three ends everywhere (two tests of the book show an innocent refused, which at engines, where nothing runs alone, is a real case).

Change: refusalByEnds, asked where one endpoint of a plain service may be kept free (mayRunAlone: three or more). Others go by blame as before. content.refused says by which.

Why it holds: such a content ran alone from its second known end on, so that an innocent one hardly comes to a third.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -60,7 +60,9 @@
   'content.refused': {
     /** The digest of what such requests ask for. */
     content: string
-    /** Lives of endpoints that it is blamed for. */
+    /** `ends`: others may explain them; it is refused only where it was to run alone before. */
+    by: 'blame' | 'ends'
+    /** Lives of endpoints that it is blamed for, or that ended under it. */
     ends: number
     ended: string[]
     served: string[]
--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -5,6 +5,7 @@
   TRIAL_END,
   CrashReporter,
   CrashWatch,
+  mayRunAlone,
   tryAddress,
   type ContentDigest,
   type ContentRefusal,
@@ -69,9 +70,11 @@
     if (book.size > 0) this.noteOwn(book.noteServed(content()))
   }
 
-  refusal(content: () => ContentDigest): ContentRefusal | undefined {
+  refusal(content: () => ContentDigest, service: string): ContentRefusal | undefined {
     const { book } = this.options
-    return book.size > 0 ? book.refusal(content()) : undefined
+    if (book.size === 0) return undefined
+    const byEnds = book.refusalByEnds(content())
+    return byEnds !== undefined && this.hasRunAlone(service) ? byEnds : book.refusal(content())
   }
 
   isSuspect(content: () => ContentDigest): boolean {
@@ -113,6 +116,14 @@
     this.reporter.note(news)
   }
 
+  /** Whether what lacked one end there was sent only where nothing else is at work. */
+  private hasRunAlone(service: string): boolean {
+    const plain = this.options.directory
+      .list()
+      .filter((one) => one.service === service && one.stage === undefined)
+    return mayRunAlone(plain.length)
+  }
+
   private isReplaced({ id, address }: RegisteredEndpoint): boolean {
     if (this.options.directory.get(id)?.state === 'ended') return true
     const there = this.options.directory.list().filter((one) => one.address === address)
--- /dev/null
+++ b/daemon/fleet/test/entryCrashes.test.ts
@@ -0,0 +1,42 @@
+import { expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { CrashBook, type ContentDigest } from '@forkstage/crashes'
+import { Directory, type Stage } from '@forkstage/directory'
+import { LeaderWay } from '@forkstage/gateway'
+import { createSilentLogger } from '@forkstage/logger'
+import { EntryCrashes } from '../src/entryCrashes'
+import { fullEndpoint } from '../../../request/gateway/test/fullRows'
+
+/** What an entry knows of a content that was at three ends, each beside one that was at four. */
+function start(endpoints: number, stage?: Stage) {
+  const clock = new ManualClock()
+  const logger = createSilentLogger()
+  const book = new CrashBook({ now: () => clock.now(), ends: 3, keepMs: 60_000 })
+  const directory = new Directory(() => clock.now())
+  for (let index = 0; index < endpoints; index += 1)
+    directory.merge([fullEndpoint({ stage, address: `10.0.0.${index}:1` }, index)])
+  const peers = { call: () => new Promise<never>(() => undefined), notify: () => undefined }
+  const way = new LeaderWay({
+    leader: () => undefined,
+    neighbours: () => [],
+    peers,
+    clock,
+    logger,
+    forwarded: [],
+  })
+  const crashes = new EntryCrashes({ book, directory, way, clock, logger })
+  const early = (...contents: string[]) =>
+    contents.map((content) => ({ content: content as ContentDigest, isEarly: true }))
+  book.noteEnded('l0', early('bad'))
+  for (const life of ['l1', 'l2', 'l3']) book.noteEnded(life, early('bad', 'other'))
+  const isRefused = (content: string) =>
+    crashes.refusal(() => content as ContentDigest, 'plain') !== undefined
+  return { isRefused }
+}
+
+it('counts three ends whoever else was there only where one endpoint may be kept free for what has two', () => {
+  expect(start(3).isRefused('other')).toBe(true)
+  expect(start(2).isRefused('other')).toBe(false)
+  expect(start(6, 'decode').isRefused('other')).toBe(false)
+  for (const world of [start(3), start(2), start(6, 'decode')]) expect(world.isRefused('bad')).toBe(true)
+})
--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -106,6 +106,18 @@
     return { ends: this.blamedFor(entry), leftMs: this.leftMs(entry) }
   }
 
+  /**
+   * The same for a content that is sent only where nothing else is at work once it lacks one end: its ends count whoever else
+   * was there. One of several guilty ones can come to all of them before the first is known, each beside another, and would be
+   * sent once more to find out; an innocent one hardly can.
+   */
+  refusalByEnds(content: ContentDigest): ContentRefusal | undefined {
+    const entry = this.entries.get(content)
+    if (entry === undefined || this.leftMs(entry) <= 0) return undefined
+    const ends = openLives(entry).length
+    return ends >= this.options.ends ? { ends, leftMs: this.leftMs(entry) } : undefined
+  }
+
   /** Whether it is known of an endpoint's life that it has ended. */
   hasEnded(life: EndpointLife): boolean {
     return this.byLife.has(life)
--- a/request/crashes/src/trialBook.ts
+++ b/request/crashes/src/trialBook.ts
@@ -2,6 +2,7 @@
 import type { InstanceId } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
+import { LEAST_OTHERS, mayRunAlone } from './mayRunAlone'
 import type { TrialAnswer, TrialAsk, TrialEnd } from './trialTypes'
 
 /** Options of {@link TrialBook}. */
@@ -34,8 +35,6 @@
 const RUNS_MS: Millis = 2_000
 /** Where nobody has asked for so long, the endpoint serves all again. */
 const IDLE_MS: Millis = 1_500
-/** Others must have this many besides: with fewer, keeping one free would cost more callers than a trial saves. */
-const LEAST_OTHERS = 2
 /** While too few endpoints stand. */
 const TOO_FEW_RETRY_MS: Millis = 1_000
 
@@ -98,7 +97,7 @@
   }
 
   private keepOne(service: string, now: Millis): TrialAnswer {
-    if (this.options.registered(service).length <= LEAST_OTHERS) return { type: 'anywhere' }
+    if (!mayRunAlone(this.options.registered(service).length)) return { type: 'anywhere' }
     const standing = this.standing(service)
     if (standing.length <= LEAST_OTHERS) return later(TOO_FEW_RETRY_MS)
     const endpoint = standing[Math.floor(this.options.random() * standing.length)]!
--- a/request/crashes/test/crashBook.test.ts
+++ b/request/crashes/test/crashBook.test.ts
@@ -33,6 +33,22 @@
     expect(book.refusal('unlucky')).toBeUndefined()
   })
 
+  it('counts the ends of what was to run alone whoever else was there, until it is served or they lapse', () => {
+    const { book, time } = newBook()
+    book.noteEnded('l0', early('bad'))
+    for (const life of ['l1', 'l2']) book.noteEnded(life, early('bad', 'other'))
+    expect(book.refusalByEnds('other')).toBeUndefined()
+    book.noteEnded('l3', early('bad', 'other'))
+    expect(book.refusal('other')).toBeUndefined()
+    expect(book.refusalByEnds('other')).toEqual({ ends: 3, leftMs: KEEP_MS })
+    expect(book.refusalByEnds('never seen')).toBeUndefined()
+    time.now = KEEP_MS
+    expect(book.refusalByEnds('other')).toBeUndefined()
+    time.now = 0
+    book.noteServed('other')
+    expect(book.refusalByEnds('other')).toBeUndefined()
+  })
+
   it('puts an end down to what had just begun, among equals', () => {
     const { book } = newBook()
     for (const life of ['l1', 'l2', 'l3'])
--- a/request/crashes/test/deadlyWorld.ts
+++ b/request/crashes/test/deadlyWorld.ts
@@ -157,7 +157,7 @@
     done: (outcome: 'served' | 'refused' | 'lost' | 'no room') => void,
     waitedMs = 0,
   ): void {
-    if (this.books[entry]!.refusal(content) !== undefined) return done('refused')
+    if (this.isRefused(entry, content)) return done('refused')
     if (this.books[entry]!.isSuspect(content))
       return this.runAlone(entry, content, tried, attempts, done, waitedMs)
     const up = this.endpoints.filter((one) => one.isUp && !this.keptFree[entry]!.has(lifeOf(one)))
@@ -176,6 +176,12 @@
     this.work(to, { content, entry, lost }, () => done('served'))
   }
 
+  /** As entries decide it for plain endpoints of which one may be kept free. */
+  private isRefused(entry: number, content: string): boolean {
+    const book = this.books[entry]!
+    return (book.refusalByEnds(content) ?? book.refusal(content)) !== undefined
+  }
+
   private work(to: Endpoint, running: Running, served: () => void): void {
     const { content, entry } = running
     to.running.add(running)
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -79,7 +79,8 @@
       return answerRefusal(this.job.request.response, NOT_AT_HOME, AWAY_COME_BACK_MS)
     let failed: Sending | undefined
     for (let refusals = 0; ;) {
-      const refused = this.parts.crashes?.refusal(this.job.request.content)
+      const { request, service } = this.job
+      const refused = this.parts.crashes?.refusal(request.content, service.name)
       if (refused !== undefined) return this.answerWithout(failed, ENDS_ENDPOINTS, refused.leftMs)
       const isSuspect = this.parts.crashes?.isSuspect(this.job.request.content) === true
       const alone = isSuspect ? await alonePlace(this.parts, this.job, () => this.isOver) : undefined
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -52,8 +52,8 @@
   askAlone(content: ContentDigest, service: string): Promise<TrialAnswer>
   /** Its run there has ended, however. */
   noteAloneEnd(content: ContentDigest, service: string, endpoint: InstanceId): void
-  /** Why a request must reach no endpoint; undefined where it may. */
-  refusal(content: () => ContentDigest): ContentRefusal | undefined
+  /** Why a request must reach no endpoint of a service; undefined where it may. */
+  refusal(content: () => ContentDigest, service: string): ContentRefusal | undefined
 }
 
 /** One sending, for the log. */
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -32,8 +32,8 @@
   // Whoever placed may have given the place to another meanwhile.
   const suspended: SendRule = (_to, { placedAt }) =>
     placedAt !== undefined && placedAt < parts.clock.suspendedAt() ? SUSPENDED : undefined
-  const ends: SendRule = (_to, { request }) =>
-    parts.crashes?.refusal(request.content) === undefined ? undefined : ENDS_ENDPOINTS
+  const ends: SendRule = (_to, { request, service }) =>
+    parts.crashes?.refusal(request.content, service.name) === undefined ? undefined : ENDS_ENDPOINTS
   const cold: SendRule = (endpoint, { request }, one) => parts.cold?.whyNot(endpoint, request.id, one)
   const limited: SendRule = (endpoint, { request }, one) => parts.limits?.whyNot(endpoint, request.id, one)
   const told: SendRule = ({ id }) => whyNotByWord(parts, id)
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -95,7 +95,8 @@
 
   private async tryEngines(): Promise<OwnResult> {
     for (let refusals = 0; ;) {
-      const refused = this.parts.crashes?.refusal(this.job.request.content)
+      const { request, service } = this.job
+      const refused = this.parts.crashes?.refusal(request.content, service.name)
       if (refused !== undefined) return this.answerWithout(ENDS_ENDPOINTS, refused.leftMs)
       const attempt = await this.tryOnce()
       if (attempt.type === 'over' || this.isOver) return this.caller.overResult()
