fix(crashes): what gets good answers is not refused for ends that others were at

What callers saw: beside ten kinds of content that end their endpoints, a content that many callers ask for came to three ends within moments and was refused for an hour; with one such content half of all innocent calls were refused.

Cause: an answer clears only ends from before it; what is refused gets no more answers, so that nothing clears it. The model knew only innocent contents of their own.

Change: a content that was served since an end, or within a minute before one, at any entry, is counted only for ends at which it was alone (wasServed in records, ServedLately, 5,000 contents); it runs alone from its second open end on, and a good answer clears it. Entries and leader count the same endpoints for whether one may be kept free (evacuated ones do not count).

Why it holds: a guilty content ends each endpoint that begins to run it, and so is never served.

--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -29,6 +29,8 @@
 export interface EntryCrashesOptions {
   book: CrashBook
   directory: Directory
+  /** Whether an endpoint must get nothing now, though it is registered. */
+  isBarred: (endpoint: RegisteredEndpoint) => boolean
   way: LeaderWay
   clock: Clock
   logger: Logger
@@ -66,15 +68,15 @@
   }
 
   noteServed(content: () => ContentDigest): void {
-    const { book } = this.options
-    if (book.size > 0) this.noteOwn(book.noteServed(content()))
+    this.noteOwn(this.options.book.noteServed(content()))
   }
 
   refusal(content: () => ContentDigest, service: string): ContentRefusal | undefined {
     const { book } = this.options
     if (book.size === 0) return undefined
-    const byEnds = book.refusalByEnds(content())
-    return byEnds !== undefined && this.hasRunAlone(service) ? byEnds : book.refusal(content())
+    const digest = content()
+    if (book.refusalByEnds(digest) === undefined && book.refusal(digest) === undefined) return undefined
+    return this.runsAlone(service) ? book.refusalByEnds(digest) : book.refusal(digest)
   }
 
   isSuspect(content: () => ContentDigest): boolean {
@@ -116,12 +118,11 @@
     this.reporter.note(news)
   }
 
-  /** Whether what lacked one end there was sent only where nothing else is at work. */
-  private hasRunAlone(service: string): boolean {
-    const plain = this.options.directory
-      .list()
-      .filter((one) => one.service === service && one.stage === undefined)
-    return mayRunAlone(plain.length)
+  /** Whether a service has plain endpoints enough that what may end them runs where nothing else does, as the leader sees it. */
+  private runsAlone(service: string): boolean {
+    const { directory, isBarred } = this.options
+    const plain = directory.list().filter((one) => one.service === service && one.stage === undefined)
+    return mayRunAlone(plain.filter((one) => one.state === 'ready' && !isBarred(one)).length)
   }
 
   private isReplaced({ id, address }: RegisteredEndpoint): boolean {
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -147,7 +147,14 @@
     })
     const crashBook = createCrashBook(settings.crashes, clock)
     const { directory, way } = this
-    this.crashes = new EntryCrashes({ book: crashBook, directory, way, clock, logger })
+    this.crashes = new EntryCrashes({
+      book: crashBook,
+      directory,
+      isBarred: isEvacuated,
+      way,
+      clock,
+      logger,
+    })
     this.quotas = this.createQuotas(entries)
     this.limits = new EntryLimits(basics, way, () => this.follower.entries())
     this.placer = new RemotePlacer({
--- a/daemon/fleet/test/entryCrashes.test.ts
+++ b/daemon/fleet/test/entryCrashes.test.ts
@@ -8,7 +8,7 @@
 import { fullEndpoint } from '../../../request/gateway/test/fullRows'
 
 /** What an entry knows of a content that was at three ends, each beside one that was at four. */
-function start(endpoints: number, stage?: Stage) {
+function start(endpoints: number, stage?: Stage, barred?: string) {
   const clock = new ManualClock()
   const logger = createSilentLogger()
   const book = new CrashBook({ now: () => clock.now(), ends: 3, keepMs: 60_000 })
@@ -24,7 +24,14 @@
     logger,
     forwarded: [],
   })
-  const crashes = new EntryCrashes({ book, directory, way, clock, logger })
+  const crashes = new EntryCrashes({
+    book,
+    directory,
+    isBarred: ({ id }) => id === barred,
+    way,
+    clock,
+    logger,
+  })
   const early = (...contents: string[]) =>
     contents.map((content) => ({ content: content as ContentDigest, isEarly: true }))
   book.noteEnded('l0', early('bad'))
@@ -37,6 +44,7 @@
 it('counts three ends whoever else was there only where one endpoint may be kept free for what has two', () => {
   expect(start(3).isRefused('other')).toBe(true)
   expect(start(2).isRefused('other')).toBe(false)
+  expect(start(3, undefined, 'i-1').isRefused('other')).toBe(false)
   expect(start(6, 'decode').isRefused('other')).toBe(false)
   for (const world of [start(3), start(2), start(6, 'decode')]) expect(world.isRefused('bad')).toBe(true)
 })
--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
+import { ServedLately } from './servedLately'
 import type { ContentRefusal, CrashRecord, EndedUnder, EndpointLife } from './crashTypes'
 
 /** Options of {@link CrashBook}. */
@@ -17,6 +18,7 @@
   ended: Set<EndpointLife>
   early: Set<EndpointLife>
   served: Set<EndpointLife>
+  wasServed: boolean
   /** When the last life was noted, by this machine's clock. */
   at: Millis
   /** This book's own count when the entry last changed. */
@@ -43,10 +45,13 @@
 export class CrashBook {
   private readonly entries = new Map<ContentDigest, Entry>()
   private readonly byLife = new Map<EndpointLife, Set<ContentDigest>>()
+  private readonly served: ServedLately
   private changes = 0
   private worked: { at: number; counts: Map<ContentDigest, number> } = { at: -1, counts: new Map() }
 
-  constructor(private readonly options: CrashBookOptions) {}
+  constructor(private readonly options: CrashBookOptions) {
+    this.served = new ServedLately(options.now)
+  }
 
   /** Counts the changes of this book; rises with each. */
   get position(): number {
@@ -64,6 +69,7 @@
       ended: [life],
       early: isEarly ? [life] : [],
       served: [],
+      wasServed: this.served.has(content) || undefined,
       ageMs: 0,
     }))
     return this.merge(records)
@@ -71,9 +77,11 @@
 
   /** Notes that a content got a whole answer: what ended before did not end for it. */
   noteServed(content: ContentDigest): CrashRecord[] {
+    this.served.note(content)
     const entry = this.entries.get(content)
     if (entry === undefined || entry.served.size === entry.ended.size) return []
-    return this.merge([{ ...toRecord(entry, this.options.now()), served: [...entry.ended] }])
+    const record = toRecord(entry, this.options.now())
+    return this.merge([{ ...record, served: [...entry.ended], wasServed: true }])
   }
 
   /** Takes what another machine knows; gives what was new. */
@@ -109,15 +117,21 @@
   /**
    * The same for a content that is sent only where nothing else is at work once it lacks one end: its ends count whoever else
    * was there. One of several guilty ones can come to all of them before the first is known, each beside another, and would be
-   * sent once more to find out; an innocent one hardly can.
+   * sent once more to find out. One that many callers send can come to them as well, and has been served: what gets good
+   * answers does not end each endpoint that runs it, so that only ends count at which it was alone.
    */
   refusalByEnds(content: ContentDigest): ContentRefusal | undefined {
     const entry = this.entries.get(content)
     if (entry === undefined || this.leftMs(entry) <= 0) return undefined
-    const ends = openLives(entry).length
+    const ends = this.countEnds(entry)
     return ends >= this.options.ends ? { ends, leftMs: this.leftMs(entry) } : undefined
   }
 
+  private countEnds(entry: Entry): number {
+    const open = openLives(entry)
+    return (entry.wasServed ? open.filter((life) => this.wasAlone(entry, life)) : open).length
+  }
+
   /** Whether it is known of an endpoint's life that it has ended. */
   hasEnded(life: EndpointLife): boolean {
     return this.byLife.has(life)
@@ -127,7 +141,7 @@
   isSuspect(content: ContentDigest): boolean {
     const entry = this.entries.get(content)
     if (entry === undefined || this.leftMs(entry) <= 0) return false
-    return openLives(entry).length >= this.options.ends - 1 && !this.isRefused(entry)
+    return openLives(entry).length >= this.options.ends - 1 && this.countEnds(entry) < this.options.ends
   }
 
   /** How many contents are refused now. */
@@ -183,7 +197,7 @@
     return false
   }
 
-  private take({ content, ended, early, served, ageMs }: CrashRecord): boolean {
+  private take({ content, ended, early, served, wasServed = false, ageMs }: CrashRecord): boolean {
     const known = this.entries.get(content)
     const entry = known ?? emptyEntry(content)
     const grew = [
@@ -191,7 +205,9 @@
       addAll(entry.early, early),
       addAll(entry.served, served),
     ]
-    if (!grew.includes(true)) return false
+    const isServed = wasServed || this.served.has(content)
+    if (!grew.includes(true) && (entry.wasServed || !isServed)) return false
+    entry.wasServed ||= isServed
     this.changes += 1
     entry.changedAt = this.changes
     entry.at = Math.max(entry.at, this.options.now() - ageMs)
@@ -233,6 +249,7 @@
     ended: new Set(),
     early: new Set(),
     served: new Set(),
+    wasServed: false,
     at: -Infinity,
     changedAt: 0,
   }
@@ -250,12 +267,13 @@
   return set.size > before
 }
 
-function toRecord({ content, ended, early, served, at }: Entry, now: Millis): CrashRecord {
+function toRecord({ content, ended, early, served, wasServed, at }: Entry, now: Millis): CrashRecord {
   return {
     content,
     ended: [...ended],
     early: [...early],
     served: [...served],
+    ...(wasServed ? { wasServed } : {}),
     ageMs: Math.round(Math.max(0, now - at)),
   }
 }
--- a/request/crashes/src/crashTypes.ts
+++ b/request/crashes/src/crashTypes.ts
@@ -13,6 +13,8 @@
   early: EndpointLife[]
   /** Those of them before it last got a whole answer: they say nothing against it any more. */
   served: EndpointLife[]
+  /** Whether it got a whole answer since an end, or within a minute before one; absent where none is known. */
+  wasServed?: boolean
   /** Since the last of them was noted, by the clock of whoever says so: clocks need not agree. */
   ageMs: Millis
 }
--- a/request/crashes/src/readCrashRecords.ts
+++ b/request/crashes/src/readCrashRecords.ts
@@ -9,6 +9,7 @@
   ended: lives,
   early: lives,
   served: lives,
+  wasServed: z.boolean().optional(),
   ageMs: z.number().min(0),
 })
 
--- a/request/crashes/test/crashBook.test.ts
+++ b/request/crashes/test/crashBook.test.ts
@@ -49,6 +49,42 @@
     expect(book.refusalByEnds('other')).toBeUndefined()
   })
 
+  it('counts only ends at which it was alone of what gets good answers, before or after, here or elsewhere', () => {
+    const { book, time } = newBook()
+    book.noteServed('liked')
+    time.now = 60_000
+    for (const life of ['l1', 'l2', 'l3', 'l4']) book.noteEnded(life, early('bad', 'liked'))
+    expect(book.refusalByEnds('bad')).toBeDefined()
+    expect(book.refusalByEnds('liked')).toBeUndefined()
+    expect(book.isSuspect('liked')).toBe(true)
+    const told = newBook().book
+    told.merge(readCrashRecords(JSON.parse(JSON.stringify(book.since(0)))))
+    expect(told.refusalByEnds('liked')).toBeUndefined()
+    for (const life of ['l5', 'l6', 'l7']) book.noteEnded(life, early('liked'))
+    expect(book.refusalByEnds('liked')).toMatchObject({ ends: 3 })
+  })
+
+  it('does not go by answers of more than a minute ago', () => {
+    const { book, time } = newBook()
+    book.noteServed('liked')
+    time.now = 60_001
+    for (const life of ['l1', 'l2', 'l3']) book.noteEnded(life, early('bad', 'liked'))
+    expect(book.refusalByEnds('liked')).toMatchObject({ ends: 3 })
+    const elsewhere = newBook().book
+    elsewhere.noteServed('liked')
+    elsewhere.merge(book.since(0))
+    expect(elsewhere.refusalByEnds('liked')).toBeUndefined()
+  })
+
+  it('remembers a bounded number of what was served', () => {
+    const { book } = newBook()
+    book.noteServed('first')
+    for (let count = 0; count < 5_000; count += 1) book.noteServed(`other ${count}`)
+    for (const life of ['l1', 'l2', 'l3']) book.noteEnded(life, early('bad', 'first', 'other 4999'))
+    expect(book.refusalByEnds('first')).toBeDefined()
+    expect(book.refusalByEnds('other 4999')).toBeUndefined()
+  })
+
   it('puts an end down to what had just begun, among equals', () => {
     const { book } = newBook()
     for (const life of ['l1', 'l2', 'l3'])
--- a/request/crashes/test/deadlyWorld.ts
+++ b/request/crashes/test/deadlyWorld.ts
@@ -52,6 +52,10 @@
   innocentPerSecond?: number
   /** How often the leader is lost, with what it had not passed on. */
   leaderLostEveryMs?: number
+  /** When the first deadly contents are sent. */
+  deadlyFromMs?: number
+  /** How many contents the innocent callers share; each has its own where left out. */
+  popular?: number
   /** The share of callers that come again at once, and twice as often. */
   impatientShare?: number
 }
@@ -63,6 +67,8 @@
   readonly refusedInnocents = new Set<string>()
   served = 0
   innocents = 0
+  /** How often innocent callers were refused. */
+  refusedTimes = 0
   private readonly random
   private readonly endpoints: Endpoint[]
   private readonly books: CrashBook[]
@@ -94,16 +100,18 @@
   run(forMs: number): void {
     const { deadlyPerSecond = 5, innocentPerSecond = 25, leaderLostEveryMs = Infinity } = this.options
     const names = [...this.deadly.keys()]
-    const often = (perSecond: number, what: () => void) => {
+    const often = (perSecond: number, what: () => void, fromMs = 1) => {
       const next = () => {
         if (this.clock.now() >= forMs) return
         what()
         this.clock.after((-Math.log(1 - this.random()) * 1_000) / perSecond, next)
       }
-      this.clock.after(1, next)
+      this.clock.after(fromMs, next)
     }
-    often(deadlyPerSecond, () => this.call(names[Math.floor(this.random() * names.length)]!))
-    often(innocentPerSecond, () => this.call(`innocent${(this.count += 1)}`))
+    const { deadlyFromMs } = this.options
+    often(deadlyPerSecond, () => this.call(names[Math.floor(this.random() * names.length)]!), deadlyFromMs)
+    const { popular = Infinity } = this.options
+    often(innocentPerSecond, () => this.call(`innocent${(this.count += 1) % popular}`))
     if (leaderLostEveryMs < Infinity) often(1_000 / leaderLostEveryMs, () => this.loseLeader())
     this.clock.advance(forMs + 10_000)
   }
@@ -142,6 +150,7 @@
           return
         }
         if (outcome === 'refused' && isInnocent) this.refusedInnocents.add(content)
+        if (outcome === 'refused' && isInnocent) this.refusedTimes += 1
         if (triesOfCaller > 1)
           this.clock.after(isImpatient ? 1 : COME_BACK_MS, () => attempt(triesOfCaller - 1))
       })
@@ -179,7 +188,7 @@
   /** As entries decide it for plain endpoints of which one may be kept free. */
   private isRefused(entry: number, content: string): boolean {
     const book = this.books[entry]!
-    return (book.refusalByEnds(content) ?? book.refusal(content)) !== undefined
+    return book.refusalByEnds(content) !== undefined
   }
 
   private work(to: Endpoint, running: Running, served: () => void): void {
--- a/request/crashes/test/manyDeadly.test.ts
+++ b/request/crashes/test/manyDeadly.test.ts
@@ -29,6 +29,14 @@
     ['twenty kinds and a leader that is lost again and again', { kinds: 20, leaderLostEveryMs: 3_000 }],
     ['twenty kinds, four times as often', { kinds: 20, deadlyPerSecond: 20 }],
     ['ten kinds before three endpoints', { kinds: 10, endpoints: 3 }],
+    // Many callers ask for the same: with one such content half of all calls were refused for as long as the run lasted.
+    ['ten kinds, all others ask for one thing', { kinds: 10, popular: 1, deadlyFromMs: 5_000 }],
+    ['ten kinds, all others ask for three things', { kinds: 10, popular: 3, deadlyFromMs: 5_000 }],
+    ['twenty kinds, all others ask for ten things', { kinds: 20, popular: 10, deadlyFromMs: 5_000 }],
+    [
+      'twenty kinds, four times as often, all others ask for ten things',
+      { kinds: 20, deadlyPerSecond: 20, popular: 10, deadlyFromMs: 5_000 },
+    ],
   ])(
     'reach none later than a second after their third end, and nobody else is refused: %s',
     (_what, options) => {
