feat(fleet-soak): calls that nobody serves beside an evacuated domain are told with their answers

Change: the verdict names how many calls got which status and body at which entry. The check is the same.

--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -60,6 +60,7 @@
 const RECOVERY_MS = 12_000
 const OK = 200
 const UNAUTHORIZED = 401
+const SHOWN_CHARACTERS = 160
 /** At each entry, once all control machines are back. */
 const LAST_CALLS = 10
 const ENDPOINTS = [
@@ -206,13 +207,24 @@
   await injector.restartControl()
   await evacuations.checkKept()
   const calls = Array.from({ length: LAST_CALLS }, () => fleet.entries).flat()
-  const statuses = await Promise.all(calls.map((entry) => callers.statusWith(entry, 'key-steady')))
-  if (!statuses.includes(OK)) evacuations.broken.push('nothing was served beside the evacuated domain')
+  const answers = await Promise.all(calls.map((entry) => callers.callWith(entry, 'key-steady')))
+  if (!answers.some(({ status }) => status === OK))
+    evacuations.broken.push(`nothing was served beside the evacuated domain: ${countAnswers(answers)}`)
   await evacuations.withdrawKept()
   const arrivals = endpoints.flatMap((endpoint) => endpoint.arrivals)
   return [...evacuations.broken, ...checkEvacuations(evacuations.seen, arrivals, injector.outages)]
 }
 
+/** How many calls got which answer, each kind with its body, so that a log need not be searched for the reason. */
+function countAnswers(answers: CallRecord[]): string {
+  const kinds = new Map<string, number>()
+  for (const { entry, status, body } of answers) {
+    const kind = `${entry} ${status} ${body.slice(0, SHOWN_CHARACTERS)}`
+    kinds.set(kind, (kinds.get(kind) ?? 0) + 1)
+  }
+  return [...kinds].map(([kind, count]) => `${count} x ${kind}`).join('; ')
+}
+
 /** A key that versions took away long ago is refused by every entry. */
 async function checkOldKeys(fleet: SoakFleet, callers: SoakCallers): Promise<string[]> {
   const broken: string[] = []
--- a/tools/fleet-soak/src/soakCallers.ts
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -92,10 +92,15 @@
 
   /** One request with a given key at an entry; its status, or 0 where no answer began. */
   async statusWith(entry: SoakMachine, key: string): Promise<number> {
+    return (await this.callWith(entry, key)).status
+  }
+
+  /** One request with a given key at an entry. */
+  async callWith(entry: SoakMachine, key: string): Promise<CallRecord> {
     const record = this.newRecord('safe')
     this.keys.set(record.id, { key })
     await this.send(entry, record, { key })
-    return record.status
+    return record
   }
 
   private newRecord(kind: CallRecord['kind']): CallRecord {
