fix(deployment-tests): each deployment of a test has ports of its own

Cause: deployments of tests stood at fixed ports (22,000 to 24,700) and box addresses, so that boxes of one run answered the other.

Ruled out: addresses alone (callers, stand-ins and the platform's list listen at 127.0.0.1 in both).

Conclusion: no test shares an address with another run.

--- a/tools/deployment/src/index.ts
+++ b/tools/deployment/src/index.ts
@@ -1,4 +1,5 @@
 /** Whole deployments on loopback. */
+export { claimPorts } from './claimPorts'
 export { CALLER_TOKEN, Deployment, OPERATOR_TOKEN, SHARED_KEY } from './deployment'
 export type { BoxHandle, DeploymentOptions } from './deployment'
 export { sendChat, sendPlain } from './caller'
--- a/tools/deployment/test/binary.test.ts
+++ b/tools/deployment/test/binary.test.ts
@@ -17,7 +17,7 @@
   folder = mkdtempSync(join(tmpdir(), 'forkstage-binary-'))
   binary = join(folder, 'forkstage')
   copyFileSync('dist/forkstage', binary)
-  deployment = await startDeployment({ portBase: 24_100, command: [binary] })
+  deployment = await startDeployment({ command: [binary] })
 })
 afterAll(async () => {
   await stopDeployment(deployment)
--- a/tools/deployment/test/harness.ts
+++ b/tools/deployment/test/harness.ts
@@ -4,16 +4,22 @@
 import { request as httpRequest } from 'undici'
 import type { EngineHold } from '@forkstage/engine-client'
 import type { EngineRecord, PlainCall } from '@forkstage/fakes'
-import { ADDIS, Deployment, waitUntil, type DeploymentOptions } from '../src'
+import { ADDIS, claimPorts, Deployment, waitUntil, type DeploymentOptions } from '../src'
 
-/** Starts a deployment in a folder of its own; with the first table confirmed and every box ready. */
+/** Starts a deployment in a folder and at ports of its own; with the first table confirmed and every box ready. */
 export async function startDeployment(
-  options: Partial<DeploymentOptions> & { portBase: number },
+  options: Partial<Omit<DeploymentOptions, 'portBase'>> = {},
 ): Promise<Deployment> {
   const folder = mkdtempSync(join(tmpdir(), 'forkstage-test-'))
   // Latency targets belong to the bench: here a slow machine must not turn an answer into a refusal.
   const settings = { policy: { ttft_target_ms: 20_000, tbt_target_ms: 2_000 }, ...options.settings }
-  const deployment = new Deployment({ site: ADDIS, folder, ...options, settings })
+  const deployment = new Deployment({
+    site: ADDIS,
+    folder,
+    portBase: await claimPorts(),
+    ...options,
+    settings,
+  })
   await deployment.start()
   const accepted = await deployment.confirm(deployment.table, { confirmId: 'the-first-table' })
   await deployment.waitInForce(accepted.version)
--- a/tools/deployment/test/requests.test.ts
+++ b/tools/deployment/test/requests.test.ts
@@ -13,7 +13,7 @@
 } from './harness'
 
 let deployment: Deployment
-beforeAll(async () => void (deployment = await startDeployment({ portBase: 22_000 })))
+beforeAll(async () => void (deployment = await startDeployment()))
 afterAll(() => stopDeployment(deployment))
 beforeEach(async () => {
   await setFaults([...enginePorts(deployment), ...deployment.ports.plain], {})
--- a/tools/deployment/test/stop.test.ts
+++ b/tools/deployment/test/stop.test.ts
@@ -3,7 +3,7 @@
 import { startDeployment, stopDeployment, waitNothingHeld } from './harness'
 
 let deployment: Deployment
-beforeAll(async () => void (deployment = await startDeployment({ portBase: 23_400 })))
+beforeAll(async () => void (deployment = await startDeployment()))
 afterAll(() => stopDeployment(deployment))
 
 /** How many requests a box has taken in: those that run or wait, and those that have ended. */
--- a/tools/deployment/test/table.test.ts
+++ b/tools/deployment/test/table.test.ts
@@ -7,10 +7,7 @@
 import { readRecord, setFaults, startDeployment, stopDeployment } from './harness'
 
 let deployment: Deployment
-beforeAll(
-  async () =>
-    void (deployment = await startDeployment({ portBase: 22_700, cutProxies: true, platform: true })),
-)
+beforeAll(async () => void (deployment = await startDeployment({ cutProxies: true, platform: true })))
 afterAll(() => stopDeployment(deployment))
 
 const boxNamed = (name: string) => deployment.boxes.find((box) => box.name === name)!
