test(fleet-soak): stand-ins ask for rest, leave with a word before their heartbeats, and the soak checks what they get

Cause: no stand-in said these words, so that the soak could not find what users met.

Change: endpoints of plain services and engines that read rest in series (seconds, fractions, a date, broken words, none), also where they refuse as before; plain ones leave, and say so in their answers up to 2 s before their heartbeats. checkWords: at most two requests of an entry from half a second after its rest was asked for to its end; none sent half a second after an entry has passed on that an endpoint leaves; entries that were away are excused. Draws of their own, so that a seed's other faults stay as they were.

--- /dev/null
+++ b/tools/fleet-soak/src/brokenFields.ts
@@ -0,0 +1,8 @@
+/** What makes a statement one that says nothing of an endpoint to use, each by itself. */
+export const BROKEN_FIELDS = [
+  { slots: 'many' },
+  { state: 'resting' },
+  { call_seq: null },
+  { models: 7 },
+  { born: '5' },
+]
--- a/tools/fleet-soak/src/checkRates.ts
+++ b/tools/fleet-soak/src/checkRates.ts
@@ -1,15 +1,7 @@
 import type { Span } from './checkBegun'
+import type { EndpointArrival } from './checkWords'
 import type { CallRecord } from './soakCallers'
 
-/** A request that arrived at an endpoint which names a rate. */
-export interface LimitedArrival {
-  /** The endpoint's life. */
-  endpoint: string
-  request: string
-  /** Unix milliseconds. */
-  at: number
-}
-
 /** Requests a second that steady endpoints take from all entries together. */
 export const RATE = 3
 const WINDOW_MS = 4_000
@@ -24,7 +16,7 @@
 
 /** What does not hold: of entries that had been told, an endpoint gets no more in 4 s than 1.5 times what its rate allows, and 5. */
 export function checkRates(
-  arrivals: LimitedArrival[],
+  arrivals: EndpointArrival[],
   calls: CallRecord[],
   entriesAway: ReadonlyMap<string, Span[]>,
 ): string[] {
@@ -48,8 +40,8 @@
 
 /** Whether the entry of an arrival knew of the rate, and had not been away since. */
 function isCounted(
-  { request, at }: LimitedArrival,
-  its: LimitedArrival[],
+  { request, at }: EndpointArrival,
+  its: EndpointArrival[],
   byId: ReadonlyMap<string, CallRecord>,
   entriesAway: ReadonlyMap<string, Span[]>,
 ): boolean {
--- a/tools/fleet-soak/src/engineFaults.ts
+++ b/tools/fleet-soak/src/engineFaults.ts
@@ -1,5 +1,6 @@
 import type { Random } from '@forkstage/clock'
-import { pause, type StandInEndpoint } from './standInEndpoint'
+import { pause } from './pause'
+import type { StandInEndpoint } from './standInEndpoint'
 
 /** Something that all engines, or one that answers run at, do for a while. */
 export interface EngineFault {
--- a/tools/fleet-soak/src/fleetFaults.ts
+++ b/tools/fleet-soak/src/fleetFaults.ts
@@ -3,7 +3,8 @@
 import type { ControlOutage } from './checkEvacuations'
 import type { SoakFleet } from './soakFleet'
 import type { SoakMachine } from './machineSettings'
-import { pause, type EndpointFault, type StandInEndpoint } from './standInEndpoint'
+import { pause } from './pause'
+import type { EndpointFault, StandInEndpoint } from './standInEndpoint'
 
 const KINDS = [
   'kill-entry',
--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -1,12 +1,8 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { ownNetwork } from './ownNetwork'
 import { runFleetSoak } from './runFleetSoak'
 
-/** Loopback addresses of this process's own: machines of two soaks at one address would take each other's sheets. */
-function ownNetwork(): string {
-  return `127.${128 + ((process.pid >> 8) & 63)}.${process.pid & 255}`
-}
-
 async function main(): Promise<void> {
   const args = await yargs(hideBin(process.argv))
     .scriptName('npm run soak:fleet --')
--- /dev/null
+++ b/tools/fleet-soak/src/pause.ts
@@ -0,0 +1,4 @@
+/** Waits. */
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds))
+}
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -8,15 +8,18 @@
 import { checkFatal, type FatalArrivals } from './checkFatal'
 import { checkRates, RATE } from './checkRates'
 import { checkCalls } from './checkFleet'
+import { checkWords, type SaidWords } from './checkWords'
 import { planEngineFaults, runEngineFaults } from './engineFaults'
 import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
 import { DOMAINS } from './machineSettings'
+import { planRests, runRests } from './restFaults'
 import { SoakCallers, type CallRecord } from './soakCallers'
 import { planEvacuations, SoakEvacuations } from './soakEvacuations'
 import { SoakFleet } from './soakFleet'
 import { SoakOperator } from './soakOperator'
 import { checkWorkspaceRuns, turningKey, type SeenRun } from './soakWorkspaces'
-import { pause, StandInEndpoint } from './standInEndpoint'
+import { pause } from './pause'
+import { StandInEndpoint } from './standInEndpoint'
 import { newBegunAnswers, type BegunAnswers } from './standInRuns'
 
 /** Options of {@link runFleetSoak}. */
@@ -61,6 +64,8 @@
 const OK = 200
 const UNAUTHORIZED = 401
 const SHOWN_CHARACTERS = 160
+/** Apart from the other generators of a seed. */
+const WORDS = 50
 /** At each entry, once all control machines are back. */
 const LAST_CALLS = 10
 const ENDPOINTS = [
@@ -93,6 +98,7 @@
         zone: DOMAINS[index % DOMAINS.length],
         control: () => fleet.control.map((machine) => fleet.operators(machine)),
         random: createSeededRandom(options.seed * 100 + index),
+        words: createSeededRandom(options.seed * 100 + WORDS + index),
         begun,
         runs,
         seen,
@@ -150,6 +156,7 @@
     repeat(LARGE_EVERY_MS, () => callers.callLarge()),
     repeat(FATAL_EVERY_MS, () => callers.callFatal()),
     runEngineFaults(planEngineFaults(durationMs, createSeededRandom(seed + 5)), faulty.slice(-ENGINES)),
+    runRests(planRests(durationMs, createSeededRandom(seed + 6)), faulty.slice(0, -ENGINES)),
     repeat(CHANGE_EVERY_MS, () => operator.change()),
     repeat(READ_EVERY_MS, () => operator.read()),
     evacuations.run(planEvacuations(durationMs, createSeededRandom(seed + 4))),
@@ -173,6 +180,7 @@
       callers.calls,
       injector.entriesAway,
     ),
+    ...checkWords(wordsOf(endpoints), callers.calls, injector.entriesAway),
     ...checkWorkspaceRuns(seen, callers.keys),
     ...(await checkEnd(fleet, operator)),
     ...(await checkOldKeys(fleet, callers)),
@@ -194,6 +202,15 @@
   }
 }
 
+/** What all endpoints said of themselves, and what they got. */
+function wordsOf(endpoints: StandInEndpoint[]): SaidWords {
+  return {
+    arrivals: endpoints.flatMap(({ words }) => words.said.arrivals),
+    rests: endpoints.flatMap(({ words }) => words.said.rests),
+    leavings: endpoints.flatMap(({ words }) => words.said.leavings),
+  }
+}
+
 function isLong(kind: CallRecord['kind']): boolean {
   return kind === 'long' || kind === 'once'
 }
--- a/tools/fleet-soak/src/soakEvacuations.ts
+++ b/tools/fleet-soak/src/soakEvacuations.ts
@@ -5,7 +5,7 @@
 import type { SeenEvacuation } from './checkEvacuations'
 import { DOMAINS, type SoakMachine } from './machineSettings'
 import type { SoakFleet } from './soakFleet'
-import { pause } from './standInEndpoint'
+import { pause } from './pause'
 
 /** An evacuation to come. */
 export interface PlannedEvacuation {
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -3,11 +3,15 @@
 import type { Random } from '@forkstage/clock'
 import type { Arrival } from './checkEvacuations'
 import { FATAL, type FatalArrivals } from './checkFatal'
-import type { LimitedArrival } from './checkRates'
-import { COLD, DOMAINS } from './machineSettings'
+import type { EndpointArrival } from './checkWords'
+import { BROKEN_FIELDS } from './brokenFields'
+import { pause } from './pause'
+import { DOMAINS } from './machineSettings'
 import { PATHS } from './soakCallers'
 import { ENGINE_SLOTS } from './soakOperator'
 import type { SeenRun } from './soakWorkspaces'
+import { StandInCold } from './standInCold'
+import { StandInWords } from './standInWords'
 import { StandInRuns, type BegunAnswers } from './standInRuns'
 
 /** What a stand-in does wrong. */
@@ -23,6 +27,8 @@
   /** Control machines to register with. */
   control: () => string[]
   random: Random
+  /** Draws what it says of rest, apart from all else, so that a seed's faults stay as they were. */
+  words: Random
   /** What became of begun answers, and the memories of all engines, since they fetch from each other. */
   begun: BegunAnswers
   /** Runs by request id, over all stand-ins. */
@@ -40,13 +46,6 @@
 const SAME_ID_SHARE = 0.5
 /** Of heartbeats, this share is followed by one of another writer's that says nothing of an endpoint to use. */
 const BROKEN_SHARE = 0.1
-const BROKEN_FIELDS = [
-  { slots: 'many' },
-  { state: 'resting' },
-  { call_seq: null },
-  { models: 7 },
-  { born: '5' },
-]
 const NOT_TAKEN = 400
 const EVENTS = 12
 const EVENT_MS = 15
@@ -59,9 +58,6 @@
 const DRAIN_MS = 2_000
 /** Kept for a call that was on its way when the time was over. */
 const DRAIN_SLACK_MS = 300
-const SECOND_MS = 1_000
-/** What a cold stand-in may get in any second from all entries together. */
-const COLD_BOUND = COLD.perS * COLD.over + COLD.slack
 
 /** An endpoint that speaks what the platform's workers speak, as far as the soak needs. */
 export class StandInEndpoint {
@@ -74,23 +70,34 @@
   private address = ''
   private state: 'ready' | 'draining' = 'ready'
   private drainedAt = Infinity
-  private coldUntil = 0
-  /** When requests arrived while it was cold. */
-  private coldArrivals: number[] = []
+  private readonly cold = new StandInCold()
   private timer: NodeJS.Timeout | undefined
   fault: EndpointFault = 'none'
-  /** Whether it turns all work away, beside its fault. */
+  /** Whether it turns all work away, beside its fault; where it rests, it says for how long. */
   turnsAway = false
+  isResting = false
   private readonly runs: StandInRuns
   /** What must not have happened. */
   readonly broken: string[] = []
   /** When requests arrived that it did not send back as another endpoint's. */
   readonly arrivals: Arrival[] = []
-  /** The same by its lives, while it names a rate. */
-  readonly limitedArrivals: LimitedArrival[] = []
+  /** What it says of itself, and what its lives get. */
+  readonly words: StandInWords
+  private readonly zone: string
 
   constructor(private readonly options: StandInOptions) {
     this.runs = new StandInRuns(options.begun, options.random)
+    this.words = new StandInWords(options.words)
+    this.zone = options.zone ?? DOMAINS[0]
+  }
+
+  get isPlain(): boolean {
+    return this.options.stage === undefined
+  }
+
+  /** Requests that arrived while it names a rate. */
+  get limitedArrivals(): EndpointArrival[] {
+    return this.options.rate === undefined ? [] : this.words.said.arrivals
   }
 
   async start(): Promise<void> {
@@ -101,9 +108,10 @@
     this.born = Math.max(this.born + 1, Date.now())
     this.beats = 0
     this.state = 'ready'
+    this.words.isLeaving = false
     this.drainedAt = Infinity
     // At the first start there is no traffic yet.
-    this.coldUntil = this.lives === 1 ? 0 : Date.now() + COLD.startS * SECOND_MS
+    if (this.lives > 1) this.cold.begin()
     this.server = createServer((request, response) => this.serve(request, response))
     await new Promise<void>((resolve) => this.server!.listen(0, '127.0.0.1', resolve))
     this.address = `127.0.0.1:${(this.server.address() as { port: number }).port}`
@@ -119,8 +127,10 @@
 
   /** Says that it leaves, serves on for a while, leaves, and starts again under another id. */
   async drain(): Promise<void> {
-    if (this.state === 'draining') return
+    if (this.state === 'draining' || this.words.isLeaving) return
     const life = this.lives
+    if (this.isPlain) await this.words.leaveBeforehand()
+    if (life !== this.lives) return
     this.state = 'draining'
     while (!(await this.beat())) await pause(BEAT_MS)
     if (life !== this.lives) return
@@ -185,7 +195,7 @@
       version: 'v1',
       slots: stage === undefined ? PLAIN_SLOTS : ENGINE_SLOTS,
       state: this.state,
-      cold_remaining_ms: this.coldLeft(),
+      cold_remaining_ms: this.cold.left(),
       call_seq: this.beats,
       born: this.born,
       ...(stage === undefined ? {} : { stage, models: [{ name: 'm', version: 1, adapters: [] }] }),
@@ -212,15 +222,16 @@
     if (path === '/kv-move') return this.runs.move(body, this.address, response)
     if (path === '/order') return void response.writeHead(409).end()
     this.arrivals.push({ request: idOf(request), domain: this.zone, at: Date.now() })
-    if (this.options.rate !== undefined)
-      this.limitedArrivals.push({ endpoint: this.id, request: idOf(request), at: Date.now() })
+    this.words.noteArrival(this.arrivalOf(request))
     const last = path.slice(path.lastIndexOf('/') + 1)
     if (last.startsWith(FATAL)) return this.endUnder(last)
     this.checkDrained(request)
     this.checkCold()
-    if (this.fault === 'refuse' || this.turnsAway) return this.turnAway(request, response)
+    if (this.fault === 'refuse' || this.isResting) return this.refuseWithRest(request, response)
+    this.words.servesAgain()
+    if (this.turnsAway) return this.turnAway(request, response)
     if (request.headers['x-forkstage-stage'] === 'prefill') return this.prefill(response)
-    if (this.options.stage === undefined) return this.work(request, response)
+    if (this.isPlain) return this.work(request, response)
     this.stream(request, response)
   }
 
@@ -233,10 +244,6 @@
     void this.crash()
   }
 
-  private get zone(): string {
-    return this.options.zone ?? DOMAINS[0]
-  }
-
   private report(): object {
     return { stage: this.options.stage, models: [], busy: false, call_seq: 0, born: this.born }
   }
@@ -244,20 +251,14 @@
   /** Asked by control machines that knew this endpoint before they started; nothing runs for it. */
   private tellHealth(response: ServerResponse): void {
     const status = this.state === 'ready' ? 200 : 503
-    const headers = { 'X-Forkstage-Instance-Id': this.id, 'X-Forkstage-Cold-Ms': this.coldLeft() }
+    const headers = { 'X-Forkstage-Instance-Id': this.id, 'X-Forkstage-Cold-Ms': this.cold.left() }
     response.writeHead(status, headers).end()
   }
 
-  private coldLeft(): number {
-    return Math.max(0, this.coldUntil - Date.now())
-  }
-
   private checkCold(): void {
-    const now = Date.now()
-    if (this.coldLeft() === 0) return
-    this.coldArrivals = [...this.coldArrivals.filter((at) => at > now - SECOND_MS), now]
-    const count = this.coldArrivals.length
-    if (count > COLD_BOUND) this.broken.push(`${this.id} got ${count} requests in a second while it was cold`)
+    const count = this.cold.tooMany()
+    if (count === undefined) return
+    this.broken.push(`${this.id} got ${count} requests in a second while it was cold`)
   }
 
   private checkDrained(request: IncomingMessage): void {
@@ -272,8 +273,18 @@
     this.refuse(response)
   }
 
-  private refuse(response: ServerResponse): void {
-    response.writeHead(503, { 'X-Forkstage-Not-Executed': '1' }).end()
+  /** Turns a request away, with what it says of rest; not of a run that is to go on from its memory. */
+  private refuseWithRest(request: IncomingMessage, response: ServerResponse): void {
+    if (request.headers['x-forkstage-kv-source'] !== undefined) return this.turnAway(request, response)
+    this.refuse(response, this.words.refusalOf(this.arrivalOf(request)))
+  }
+
+  private refuse(response: ServerResponse, words: Record<string, string> = {}): void {
+    response.writeHead(503, { 'X-Forkstage-Not-Executed': '1', ...words }).end()
+  }
+
+  private arrivalOf(request: IncomingMessage): EndpointArrival {
+    return { endpoint: `${this.id}~${this.born}`, request: idOf(request), at: Date.now() }
   }
 
   private prefill(response: ServerResponse): void {
@@ -298,7 +309,9 @@
     const id = idOf(request)
     const rate: Record<string, string> =
       this.options.rate === undefined ? {} : { 'Server-Limit': String(this.options.rate) }
-    return { 'X-Forkstage-Request-Id': id, 'X-Forkstage-Response-Stamp': `stamp-${id}`, ...rate }
+    const isLeaving = this.state === 'draining' || this.words.isLeaving
+    const leaving = isLeaving ? this.words.leavingOf(this.arrivalOf(request)) : {}
+    return { 'X-Forkstage-Request-Id': id, 'X-Forkstage-Response-Stamp': `stamp-${id}`, ...rate, ...leaving }
   }
 
   private work(request: IncomingMessage, response: ServerResponse): void {
@@ -332,8 +345,3 @@
 function idOf(request: IncomingMessage): string {
   return String(request.headers['x-forkstage-request-id'])
 }
-
-/** Waits. */
-export function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds))
-}
--- /dev/null
+++ b/tools/fleet-soak/test/checkWords.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from 'vitest'
+import { checkWords, type EndpointArrival } from '../src/checkWords'
+import type { Span } from '../src/checkBegun'
+import type { CallRecord } from '../src/soakCallers'
+
+const NOBODY_AWAY = new Map<string, Span[]>()
+const call = (id: string, entry: string, startedAt: number, isWhole = true) =>
+  ({ id, entry, startedAt, endedAt: startedAt + 20, isWhole }) as CallRecord
+const arrival = (request: string, at: number, endpoint = 'i-1'): EndpointArrival => ({
+  endpoint,
+  request,
+  at,
+})
+
+/** Requests of an entry that reach an endpoint at these times. */
+function reach(entry: string, times: number[], endpoint?: string) {
+  const ids = times.map((at) => `${entry} ${at}`)
+  return {
+    calls: ids.map((id, index) => call(id, entry, times[index]! - 5)),
+    arrivals: ids.map((id, index) => arrival(id, times[index]!, endpoint)),
+  }
+}
+
+describe('checkWords', () => {
+  const rest = { ...arrival('r1', 0), forMs: 3_000 }
+  const told = call('r1', 'e1', -5)
+
+  it('lets two requests in while an endpoint rests, and not three', () => {
+    const check = (times: number[], entry = 'e1', endpoint?: string) => {
+      const { calls, arrivals } = reach(entry, times, endpoint)
+      return checkWords({ arrivals, rests: [rest], leavings: [] }, [told, ...calls], NOBODY_AWAY)
+    }
+    expect(check([600, 700])).toEqual([])
+    expect(check([600, 700, 2_900])).toEqual(['i-1 asked e1 for 3000 ms of rest and got 3 requests'])
+    expect(check([100, 200, 300, 400, 500, 3_000, 3_100, 3_200])).toEqual([])
+    expect(check([600, 700, 2_900], 'e2')).toEqual([])
+    expect(check([600, 700, 2_900], 'e1', 'i-1 of another life')).toEqual([])
+  })
+
+  it('lets no request in that was sent after its entry had passed on that the endpoint leaves', () => {
+    const leaving = call('r1', 'e1', 0)
+    const check = (startedAt: number, entry = 'e1', isWhole = true) =>
+      checkWords(
+        { arrivals: [arrival('r2', startedAt + 5)], rests: [], leavings: [arrival('r1', 5)] },
+        [{ ...leaving, isWhole }, call('r2', entry, startedAt)],
+        NOBODY_AWAY,
+      )
+    expect(check(500)).toEqual([])
+    expect(check(600)).toEqual(['r2 reached i-1, which had told e1 that it leaves'])
+    expect(check(600, 'e2')).toEqual([])
+    expect(check(600, 'e1', false)).toEqual([])
+  })
+
+  it('excuses an entry that was away since', () => {
+    const { calls, arrivals } = reach('e1', [1_000, 1_100, 1_200])
+    const words = { arrivals, rests: [rest], leavings: [arrival('r1', 0)] }
+    const check = (away: Span) => checkWords(words, [told, ...calls], new Map([['e1', [away]]]))
+    expect(check({ from: 100, to: 900 })).toEqual([])
+    expect(check({ from: 1_300, to: 1_400 })).not.toEqual([])
+  })
+})
--- a/tools/fleet-soak/test/evacuation.test.ts
+++ b/tools/fleet-soak/test/evacuation.test.ts
@@ -8,6 +8,7 @@
 import { createSeededRandom } from '@forkstage/clock'
 import { waitUntil } from '@forkstage/deployment'
 import { SoakCallers } from '../src/soakCallers'
+import { ownNetwork } from '../src/ownNetwork'
 import { SoakFleet } from '../src/soakFleet'
 import { sheetText } from '../src/soakOperator'
 import { turningKey, type SeenRun } from '../src/soakWorkspaces'
@@ -16,7 +17,7 @@
 
 const run = promisify(execFile)
 const folder = mkdtempSync(join(tmpdir(), 'forkstage-evacuation-'))
-const fleet = new SoakFleet(folder, '127.83.7')
+const fleet = new SoakFleet(folder, ownNetwork())
 const seen: Record<string, SeenRun[]> = { a: [], b: [] }
 const endpoints = Object.entries(seen).map(
   ([zone, runs], index) =>
@@ -26,6 +27,7 @@
       zone,
       control: () => fleet.control.map((machine) => fleet.operators(machine)),
       random: createSeededRandom(index + 1),
+      words: createSeededRandom(index + 51),
       begun: newBegunAnswers(createSeededRandom(9)),
       runs: new Map(),
       seen: runs,
