fix(crashes): what is not proved is held back for a minute, not for an hour

Traced now: the content that most callers of the soak ask for had been at three ends, each beside another, before anybody was served it, and counted as one that ends its endpoints: 40 x 503 'ends its endpoints' at all four entries.

Cause: a refused content gets no answers, so that nothing clears it; an hour is for what is proved.

Ruled out: named rates (the steady endpoints), evacuation in trials (registered leaves out evacuated endpoints), quotas and keys (key-steady has none), cold times: all by the answers' own reason.

Change: a content that was alone at none of its three ends is held back for a minute after the last, then it is a suspect again and runs alone: its next end proves it, a good answer clears it.

Why it holds: a trial alone is the one thing that tells a guilty content from one that was beside others each time.

Conclusion: the two aims of the many contents (no sending after the third end, no innocent refused) cannot both be met without a proof; this keeps the users' rule and gives callers a way back.

--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -30,6 +30,8 @@
  * oldest that are not refused are forgotten first.
  */
 const MOST_CONTENTS = 2_000
+/** For so long after its last end what is not proved is held back. */
+const UNPROVED_MS: Millis = 60_000
 /** More prove no more. */
 const MOST_LIVES = 16
 
@@ -118,13 +120,16 @@
    * The same for a content that is sent only where nothing else is at work once it lacks one end: its ends count whoever else
    * was there. One of several guilty ones can come to all of them before the first is known, each beside another, and would be
    * sent once more to find out. One that many callers send can come to them as well, and has been served: what gets good
-   * answers does not end each endpoint that runs it, so that only ends count at which it was alone.
+   * answers does not end each endpoint that runs it, so that only ends count at which it was alone. Where it was alone at none,
+   * it is held back for a minute only, and then runs alone: an innocent one that nobody was served before would have no way back.
    */
   refusalByEnds(content: ContentDigest): ContentRefusal | undefined {
     const entry = this.entries.get(content)
-    if (entry === undefined || this.leftMs(entry) <= 0) return undefined
+    if (entry === undefined) return undefined
     const ends = this.countEnds(entry)
-    return ends >= this.options.ends ? { ends, leftMs: this.leftMs(entry) } : undefined
+    const { keepMs, now } = this.options
+    const leftMs = entry.at + (this.isProved(entry) ? keepMs : Math.min(keepMs, UNPROVED_MS)) - now()
+    return ends >= this.options.ends && leftMs > 0 ? { ends, leftMs } : undefined
   }
 
   private countEnds(entry: Entry): number {
@@ -132,6 +137,10 @@
     return (entry.wasServed ? open.filter((life) => this.wasAlone(entry, life)) : open).length
   }
 
+  private isProved(entry: Entry): boolean {
+    return openLives(entry).some((life) => this.wasAlone(entry, life))
+  }
+
   /** Whether it is known of an endpoint's life that it has ended. */
   hasEnded(life: EndpointLife): boolean {
     return this.byLife.has(life)
@@ -141,7 +150,7 @@
   isSuspect(content: ContentDigest): boolean {
     const entry = this.entries.get(content)
     if (entry === undefined || this.leftMs(entry) <= 0) return false
-    return openLives(entry).length >= this.options.ends - 1 && this.countEnds(entry) < this.options.ends
+    return openLives(entry).length >= this.options.ends - 1 && this.refusalByEnds(content) === undefined
   }
 
   /** How many contents are refused now. */
--- a/request/crashes/test/crashBook.test.ts
+++ b/request/crashes/test/crashBook.test.ts
@@ -49,6 +49,22 @@
     expect(book.refusalByEnds('other')).toBeUndefined()
   })
 
+  it('holds back what was alone at no end for a minute, then has it run alone, which proves it or clears it', () => {
+    const time = { now: 0 }
+    const book = new CrashBook({ now: () => time.now, ends: 3, keepMs: 3_600_000 })
+    for (const life of ['l1', 'l2', 'l3']) book.noteEnded(life, early(`bad ${life}`, 'one', 'two'))
+    expect(book.refusalByEnds('one')).toEqual({ ends: 3, leftMs: 60_000 })
+    expect(book.isSuspect('one')).toBe(false)
+    time.now = 60_000
+    expect(book.refusalByEnds('one')).toBeUndefined()
+    expect(book.isSuspect('one')).toBe(true)
+    book.noteEnded('l4', early('one'))
+    expect(book.refusalByEnds('one')).toEqual({ ends: 4, leftMs: 3_600_000 })
+    book.noteServed('two')
+    expect(book.isSuspect('two')).toBe(false)
+    expect(book.refusalByEnds('two')).toBeUndefined()
+  })
+
   it('counts only ends at which it was alone of what gets good answers, before or after, here or elsewhere', () => {
     const { book, time } = newBook()
     book.noteServed('liked')
