--- a/tools/fleet-soak/src/checkFatal.ts
+++ b/tools/fleet-soak/src/checkFatal.ts
@@ -6,8 +6,6 @@
 
 /** How the last part of the path of such a request begins; its kind follows. */
 export const FATAL = 'fatal-'
-/** Several at once: two of them may be at work at one endpoint. */
-export const FATAL_KINDS = 4
 const ENDS_UNTIL_REFUSED = 3
 /** For what was on its way, and machines that have just come back. */
 const SETTLES_MS = 3_000
--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -10,6 +10,12 @@
     .option('seed', { type: 'number', default: 1 })
     .option('network', { type: 'string', default: ownNetwork(), describe: 'loopback addresses to use' })
     .option('keep', { type: 'boolean', default: false, describe: 'keep settings, data and logs' })
+    .option('fatalMs', {
+      type: 'number',
+      default: 300,
+      describe: 'between requests that end their endpoints',
+    })
+    .option('fatalKinds', { type: 'number', default: 4, describe: 'kinds of such requests' })
     .strict()
     .parse()
   const report = await runFleetSoak(args)
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -30,6 +30,9 @@
   network: string
   /** Keep settings, data and logs for reading. */
   keep: boolean
+  /** How often requests come that end each endpoint that runs them, and of how many kinds: two may be at work at one. */
+  fatalMs: number
+  fatalKinds: number
 }
 
 /** What a soak did and found. */
@@ -56,7 +59,6 @@
 /** An evacuation is in force at some entries before its acknowledgement, and a while after its withdrawal. */
 const EVACUATION_SLACK_MS = 2_500
 const LARGE_EVERY_MS = 1_500
-const FATAL_EVERY_MS = 300
 /** Engines that make answers stand last among the endpoints. */
 const ENGINES = 2
 const READ_EVERY_MS = 150
@@ -125,7 +127,7 @@
 }
 
 async function soak(
-  { minutes, seed }: FleetSoakOptions,
+  { minutes, seed, fatalMs, fatalKinds }: FleetSoakOptions,
   folder: string,
   fleet: SoakFleet,
   endpoints: StandInEndpoint[],
@@ -154,7 +156,7 @@
   await Promise.all([
     repeat(CALL_EVERY_MS, () => callers.call()),
     repeat(LARGE_EVERY_MS, () => callers.callLarge()),
-    repeat(FATAL_EVERY_MS, () => callers.callFatal()),
+    repeat(fatalMs, () => callers.callFatal(fatalKinds)),
     runEngineFaults(planEngineFaults(durationMs, createSeededRandom(seed + 5)), faulty.slice(-ENGINES)),
     runRests(planRests(durationMs, createSeededRandom(seed + 6)), faulty.slice(0, -ENGINES)),
     repeat(CHANGE_EVERY_MS, () => operator.change()),
--- a/tools/fleet-soak/src/soakCallers.ts
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -1,6 +1,6 @@
 import { request as httpRequest, type IncomingMessage } from 'node:http'
 import type { Random } from '@forkstage/clock'
-import { FATAL, FATAL_KINDS } from './checkFatal'
+import { FATAL } from './checkFatal'
 import type { SoakMachine } from './machineSettings'
 import type { SoakFleet } from './soakFleet'
 import { drawKey, type SoakKey } from './soakWorkspaces'
@@ -83,11 +83,11 @@
   }
 
   /** One of the requests that end each endpoint that runs them, under an id of its own, at a drawn entry. */
-  async callFatal(): Promise<void> {
+  async callFatal(kinds: number): Promise<void> {
     const entry = this.fleet.entries[Math.floor(this.random() * this.fleet.entries.length)]!
     const record = this.newRecord('safe')
     this.fatalCalls += 1
-    await this.send(entry, record, { key: STEADY_KEY }, `${FATAL}${this.fatalCalls % FATAL_KINDS}`)
+    await this.send(entry, record, { key: STEADY_KEY }, `${FATAL}${this.fatalCalls % kinds}`)
   }
 
   /** One request with a given key at an entry; its status, or 0 where no answer began. */
