--- a/request/runner/test/plainCall.test.ts
+++ b/request/runner/test/plainCall.test.ts
@@ -5,6 +5,7 @@
 import { EndpointBook, targetShares } from '@forkstage/load'
 import { createSilentLogger } from '@forkstage/logger'
 import { PlainCalls, StoryBook, type PlainRequest } from '../src'
+import { plainNews, plainRow } from './plainRow'
 
 const servers: Server[] = []
 afterEach(() => servers.splice(0).forEach((server) => server.close()))
@@ -22,24 +23,8 @@
   const logger = createSilentLogger()
   const book = new EndpointBook({ clock, random: () => 0.5, logger })
   const address = await listen((_request, response) => response.end('saved'))
-  const row = {
-    endpoint: 'p',
-    address,
-    domain: 'x',
-    service: 's',
-    pool: 'plain' as const,
-    models: [],
-    weight: 1,
-    maxInFlight: 6,
-    kvTokens: 0,
-    promptTokensPerSecond: 0,
-    state: 'serve' as const,
-    checksFences: false,
-    repeatable: false,
-  }
-  book.setTable({ endpoints: [row], links: [] })
-  const news = { leaseMs: 60_000, promptTokensPerSecond: Infinity, othersPrefillTokens: 0, cacheEvents: [] }
-  book.noteNews('p', { ...news, share: 0 })
+  book.setTable({ endpoints: [plainRow('p', address)], links: [] })
+  book.noteNews('p', plainNews(0))
   const seen = { wanted: 0, waiting: [] as number[] }
   const calls = new PlainCalls({
     journal: {} as JournalClient,
@@ -52,7 +37,7 @@
     wantCredits: () => {
       seen.wanted += 1
       seen.waiting.push(calls.waiting)
-      if (seen.wanted >= grantAfter) book.noteNews('p', { ...news, share: 1 })
+      if (seen.wanted >= grantAfter) book.noteNews('p', plainNews(1))
     },
   })
   return { clock, calls, seen }
--- /dev/null
+++ b/request/runner/test/plainRow.ts
@@ -0,0 +1,27 @@
+import type { EndpointNews } from '@forkstage/load'
+import type { EndpointRow } from '@forkstage/types'
+
+/** A row of a plain service's endpoint. */
+export function plainRow(endpoint: string, address: string): EndpointRow {
+  return {
+    endpoint,
+    address,
+    domain: 'x',
+    service: 's',
+    pool: 'plain',
+    models: [],
+    weight: 1,
+    maxInFlight: 6,
+    kvTokens: 0,
+    promptTokensPerSecond: 0,
+    state: 'serve',
+    checksFences: false,
+    repeatable: false,
+  }
+}
+
+/** What an owner says of it, with this box's share. */
+export function plainNews(share: number): EndpointNews {
+  const rest = { promptTokensPerSecond: Infinity, othersPrefillTokens: 0, cacheEvents: [] }
+  return { leaseMs: 60_000, share, ...rest }
+}
--- a/request/runner/test/restingPlain.test.ts
+++ b/request/runner/test/restingPlain.test.ts
@@ -9,6 +9,7 @@
 import { EndpointBook } from '@forkstage/load'
 import { createSilentLogger } from '@forkstage/logger'
 import { AnswerError, PlainCalls, StoryBook, type PlainRequest } from '../src'
+import { plainNews, plainRow } from './plainRow'
 
 const servers: Server[] = []
 afterEach(() => servers.splice(0).forEach((server) => server.close()))
@@ -45,26 +46,11 @@
       await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
       servers.push(server)
       const { port } = server.address() as { port: number }
-      return {
-        endpoint: `p${index}`,
-        address: `127.0.0.1:${port}`,
-        domain: 'x',
-        service: 's',
-        pool: 'plain' as const,
-        models: [],
-        weight: 1,
-        maxInFlight: 6,
-        kvTokens: 0,
-        promptTokensPerSecond: 0,
-        state: 'serve' as const,
-        checksFences: false,
-        repeatable: false,
-      }
+      return plainRow(`p${index}`, `127.0.0.1:${port}`)
     }),
   )
   book.setTable({ endpoints: rows, links: [] })
-  const news = { leaseMs: 600_000, promptTokensPerSecond: Infinity, othersPrefillTokens: 0, cacheEvents: [] }
-  rows.forEach(({ endpoint }) => book.noteNews(endpoint, { ...news, share: 6 }))
+  rows.forEach(({ endpoint }) => book.noteNews(endpoint, plainNews(6)))
   const calls = new PlainCalls({
     journal: {} as JournalClient,
     book,
