fix(gateway): a request is checked for isolation again after it has waited for an endpoint

Cause: PlainRelay asked whether a request must run isolated before it waited for an endpoint, and not again after it. Ruled out: reports lost with the control machines (all nine held the same three crashes); a forgotten good answer (there had been none). Change: asked again when the endpoint is there, in the same turn as the sending, so that nothing can come in between. The new test of runAlone.test.ts failed before (the request ran, status 200) and passes now. What else brings contents to three crashes that prove nothing (repeats before the loss is confirmed, runs side by side) is not touched here.

--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -82,8 +82,7 @@
       const { request, service } = this.job
       const refused = this.parts.crashes?.refusal(request.content, service.name)
       if (refused !== undefined) return this.answerWithout(failed, ENDS_ENDPOINTS, refused.leftMs)
-      const isSuspect = this.parts.crashes?.isSuspect(this.job.request.content) === true
-      const alone = isSuspect ? await alonePlace(this.parts, this.job, () => this.isOver) : undefined
+      const alone = this.isSuspect() ? await alonePlace(this.parts, this.job, () => this.isOver) : undefined
       if (alone?.type === 'later' && !this.isOver)
         return this.answerWithout(failed, MUST_RUN_ALONE, alone.retryAfterMs)
       const to = alone?.type === 'place' ? alone.at : await this.choose()
@@ -91,6 +90,8 @@
       if (to === undefined) return this.answerWithout(failed, this.whyNone())
       // Others that waited may have taken the room since it was seen.
       if (alone?.type !== 'place' && !this.hasRoom(to)) continue
+      // Endpoints may have crashed under the same request while this one waited.
+      if (alone === undefined && this.isSuspect()) continue
       const sending = await this.sendTo(to, alone)
       if (sending === undefined) return this.answerWithout(failed, 'no repeated sending is left')
       if (this.isOver) return this.overResult()
@@ -102,6 +103,10 @@
     }
   }
 
+  private isSuspect(): boolean {
+    return this.parts.crashes?.isSuspect(this.job.request.content) === true
+  }
+
   /** The endpoint to try next, once one has room; undefined where none has in time. */
   private choose(): Promise<AtHome<PooledEndpoint> | undefined> {
     const { clock } = this.parts
--- a/request/gateway/test/runAlone.test.ts
+++ b/request/gateway/test/runAlone.test.ts
@@ -1,20 +1,23 @@
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { contentDigest } from '@forkstage/crashes'
+import type { Route } from '@forkstage/routes'
 import { answers, startRelay } from './relayWorld'
 import type { SeenRequest } from './fakeWorker'
 
 const SUSPECT = 'may end its endpoint'
+/** How often a waiting request looks for an endpoint, at the most. */
+const WAIT_STEP_MS = 10
 const digest = () =>
   contentDigest({ method: 'POST', host: 'h.example', path: '/p/a', body: Buffer.from(SUSPECT) })
 
-async function start(answer: (request: SeenRequest) => void = answers) {
+async function start(answer: (request: SeenRequest) => void = answers, route: Partial<Route> = {}) {
   const relay = await startRelay(
     [
       [undefined, answer],
       [undefined, answer],
       [undefined, answer],
     ],
-    { kind: 'safe', attempts: 2 },
+    { kind: 'safe', attempts: 2, ...route },
   )
   relay.world.suspects.add(digest())
   return { ...relay, send: (body = SUSPECT) => relay.world.send('/p/a', { body, headers: { 'x-id': body } }) }
@@ -57,6 +60,21 @@
     expect(world.aloneEnds).toEqual(['i-2'])
   })
 
+  // Guards against requests that leave by what was known before they waited for an endpoint, and take one more down.
+  it('is asked about again after it has waited for an endpoint', async () => {
+    const { world, seen, send } = await start(answers, { targetMs: 60_000 })
+    world.suspects.clear()
+    world.alone = () => ({ type: 'later', retryAfterMs: 3_500 })
+    const endpoints = [0, 1, 2].map((index) => world.pool.get(`i-${index}`)!.endpoint)
+    world.pool.update(endpoints.map((endpoint) => ({ ...endpoint, state: 'draining', sequence: 2 })))
+    const answer = send()
+    await vi.waitFor(() => expect(world.timers.filter((ms) => ms <= WAIT_STEP_MS).length).toBeGreaterThan(1))
+    world.suspects.add(digest())
+    world.pool.update(endpoints.map((endpoint) => ({ ...endpoint, sequence: 3 })))
+    expect((await answer).body).toContain('must run alone')
+    expect(seen()).toEqual([0, 0, 0])
+  })
+
   it('goes anywhere where its service has too few to keep one free', async () => {
     const { world, send, seen } = await start()
     world.alone = () => ({ type: 'anywhere' })
