fix(crashes): a repeat waits until it is known whether its endpoint crashed, where that decides

Cause: a crash is confirmed some 60 ms after its connections broke; the relay repeats at once. The second caller's repeat left for a third endpoint with one crash known, beside others, so that the third proved nothing. Change: decideSending, called by PlainRelay and by the model alike; a request whose own unconfirmed losses would make it run isolated waits for the first try of CrashWatch (50 ms, 150 ms at the most). A first loss does not wait.

--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -1,10 +1,11 @@
-import type { Clock } from '@forkstage/clock'
+import { delay, type Clock } from '@forkstage/clock'
 import {
   CRASH_REPORT,
   TRIAL_ASK,
   TRIAL_END,
   CrashReporter,
   CrashWatch,
+  decideSending,
   mayRunAlone,
   tryAddress,
   type ContentDigest,
@@ -12,6 +13,7 @@
   type CrashBook,
   type CrashRecord,
   type LostSending,
+  type SendingDecision,
   type TrialAnswer,
 } from '@forkstage/crashes'
 import {
@@ -37,6 +39,8 @@
 }
 
 const REPORT_WITHIN_MS: Millis = 500
+/** A try takes 50 ms where the endpoint answers or refuses; one that is silent must not hold its requests up. */
+const CONFIRMED_WITHIN_MS: Millis = 150
 /** Without a leader nobody keeps an endpoint free; one is elected within a second or so. */
 const NO_LEADER_RETRY_MS: Millis = 800
 
@@ -76,12 +80,21 @@
     if (book.size === 0) return undefined
     const digest = content()
     if (book.refusalByEnds(digest) === undefined && book.refusal(digest) === undefined) return undefined
-    return this.runsAlone(service) ? book.refusalByEnds(digest) : book.refusal(digest)
+    return this.hasTrials(service) ? book.refusalByEnds(digest) : book.refusal(digest)
   }
 
-  isSuspect(content: () => ContentDigest): boolean {
+  decide(content: () => ContentDigest, service: string, lost: InstanceId[]): SendingDecision {
     const { book } = this.options
-    return book.size > 0 && book.isSuspect(content())
+    const unconfirmed = lost.filter((id) => this.watch.isUnconfirmed(id)).length
+    if (book.size === 0 && unconfirmed === 0) return { type: 'send' }
+    return decideSending({ book, content: content(), hasTrials: this.hasTrials(service), unconfirmed })
+  }
+
+  async confirmed(lost: InstanceId[]): Promise<void> {
+    const open = lost.filter((id) => this.watch.isUnconfirmed(id))
+    if (open.length === 0) return
+    const all = Promise.all(open.map((id) => this.watch.confirmed(id)))
+    await Promise.race([all, delay(this.options.clock, CONFIRMED_WITHIN_MS)])
   }
 
   async askAlone(content: ContentDigest, service: string): Promise<TrialAnswer> {
@@ -119,7 +132,7 @@
   }
 
   /** Whether a service has plain endpoints enough that what may end them runs where nothing else does, as the leader sees it. */
-  private runsAlone(service: string): boolean {
+  private hasTrials(service: string): boolean {
     const { directory, isBarred } = this.options
     const plain = directory.list().filter((one) => one.service === service && one.stage === undefined)
     return mayRunAlone(plain.filter((one) => one.state === 'ready' && !isBarred(one)).length)
--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -146,11 +146,16 @@
     return this.byLife.has(life)
   }
 
-  /** Whether a content may be sent only where nothing else is at work, so that one more end would prove it. */
-  isSuspect(content: ContentDigest): boolean {
+  /**
+   * Whether a content may be sent only where nothing else is at work, so that one more end would prove it.
+   * @param unconfirmed losses of a request that count as ends until they are confirmed or refuted.
+   */
+  isSuspect(content: ContentDigest, unconfirmed = 0): boolean {
     const entry = this.entries.get(content)
-    if (entry === undefined || this.leftMs(entry) <= 0) return false
-    return openLives(entry).length >= this.options.ends - 1 && this.refusalByEnds(content) === undefined
+    const isKnown = entry !== undefined && this.leftMs(entry) > 0
+    if (!isKnown && unconfirmed === 0) return false
+    const open = isKnown ? openLives(entry).length : 0
+    return open + unconfirmed >= this.options.ends - 1 && this.refusalByEnds(content) === undefined
   }
 
   /** How many contents are refused now. */
--- a/request/crashes/src/crashWatch.ts
+++ b/request/crashes/src/crashWatch.ts
@@ -40,6 +40,8 @@
   lastAt: Millis
   triesLeft: number
   isTrying: boolean
+  /** Called once a try after the last loss has shown whether anybody listens; absent when that is known. */
+  onTried?: (() => void)[]
 }
 
 /** Long enough for a dying process to have closed its listener. */
@@ -82,15 +84,32 @@
     const isEarly = isBroken && afterMs <= EARLY_MS
     if (one.lost.size < MOST_LOST) one.lost.set(request, { content, isEarly })
     one.lastAt = this.options.clock.now()
-    if (isBroken) this.tryLater(one)
+    if (isBroken) {
+      one.onTried ??= []
+      this.tryLater(one)
+    }
     this.lookLater()
   }
 
+  /** Whether it is not known yet if an endpoint that was lost has ended. */
+  isUnconfirmed(id: InstanceId): boolean {
+    return this.suspected.get(id)?.onTried !== undefined
+  }
+
+  /** Resolves once {@link isUnconfirmed} is false. */
+  confirmed(id: InstanceId): Promise<void> {
+    return new Promise((resolve) => {
+      const waiting = this.suspected.get(id)?.onTried
+      if (waiting === undefined) resolve()
+      else waiting.push(resolve)
+    })
+  }
+
   /** Looks whether others have taken the place of endpoints where something was lost. Called when endpoints register. */
   look(): void {
     const now = this.options.clock.now()
     for (const [id, one] of this.suspected) {
-      if (now - one.lastAt > LAPSES_AFTER_MS || !this.isAtWork(id)) this.suspected.delete(id)
+      if (now - one.lastAt > LAPSES_AFTER_MS || !this.isAtWork(id)) this.forget(one)
       else if (this.options.isReplaced(one.endpoint)) this.end(one, 'replaced')
     }
   }
@@ -115,13 +134,14 @@
     const found = await this.options.tryAddress(one.endpoint.address)
     const isOpen = this.suspected.get(one.endpoint.id) === one
     if (found === 'refused' && isOpen && this.isAtWork(one.endpoint.id)) return this.end(one, 'refuses')
+    settle(one)
     one.isTrying = isOpen && one.triesLeft > 0
     if (one.isTrying) this.options.clock.after(TRY_AGAIN_MS, () => void this.tryNow(one))
   }
 
   private end(one: Suspected, evidence: 'refuses' | 'replaced'): void {
     const { id, service } = one.endpoint
-    this.suspected.delete(id)
+    this.forget(one)
     const under = [...one.lost.values()]
     this.options.logger.warn('endpoint.ended', {
       endpoint: id,
@@ -134,6 +154,11 @@
     this.options.onEnded(id, under)
   }
 
+  private forget(one: Suspected): void {
+    this.suspected.delete(one.endpoint.id)
+    settle(one)
+  }
+
   /** What is never found out lapses also where nothing registers. */
   private lookLater(): void {
     if (this.isLooking) return
@@ -145,3 +170,10 @@
     })
   }
 }
+
+/** Those who wait go on in a later turn: an end is in the book by then. */
+function settle(one: Suspected): void {
+  const waiting = one.onTried ?? []
+  one.onTried = undefined
+  waiting.forEach((resolve) => resolve())
+}
--- /dev/null
+++ b/request/crashes/src/decideSending.ts
@@ -0,0 +1,31 @@
+import type { ContentDigest } from './contentDigest'
+import type { CrashBook } from './crashBook'
+import type { ContentRefusal } from './crashTypes'
+
+/** What {@link decideSending} goes by. */
+export interface SendingState {
+  book: CrashBook
+  content: ContentDigest
+  /** Whether the service has endpoints enough that one may be reserved for isolated trials. */
+  hasTrials: boolean
+  /** Endpoints that were lost under this very request and of which this machine has yet to learn whether they crashed. */
+  unconfirmed: number
+}
+
+/** What must happen before a request may leave for an endpoint. */
+export type SendingDecision =
+  | { type: 'send' }
+  | { type: 'refuse'; refusal: ContentRefusal }
+  /** Its own losses would decide, and are confirmed or refuted within some tens of milliseconds. */
+  | { type: 'await-confirmation' }
+  /** It may run where nothing else does, if the leader has an endpoint for that. */
+  | { type: 'isolate' }
+
+/** Decides right before each sending whether it may leave. Relays of entries and the model of them in tests call it. */
+export function decideSending({ book, content, hasTrials, unconfirmed }: SendingState): SendingDecision {
+  const refusal = hasTrials ? book.refusalByEnds(content) : book.refusal(content)
+  if (refusal !== undefined) return { type: 'refuse', refusal }
+  // A repeat that does not wait takes one more endpoint down, beside others, so that its crash proves nothing.
+  if (unconfirmed > 0 && book.isSuspect(content, unconfirmed)) return { type: 'await-confirmation' }
+  return book.isSuspect(content) ? { type: 'isolate' } : { type: 'send' }
+}
--- a/request/crashes/test/crashWatch.test.ts
+++ b/request/crashes/test/crashWatch.test.ts
@@ -122,4 +122,38 @@
       expect(world.ended).toEqual([])
     },
   )
+
+  // Guards against repeats that never leave, or leave before the first try.
+  it.each(['listens', 'refused', 'silent'] as const)(
+    'says that a loss is decided once a try has shown that it %s',
+    async (found) => {
+      const world = new WatchWorld()
+      world.listening = found
+      expect(world.watch.isUnconfirmed('i-1')).toBe(false)
+      world.lose('r1', 'a')
+      let isKnown = false
+      void world.watch.confirmed('i-1').then(() => (isKnown = true))
+      await world.pass(40)
+      expect([world.watch.isUnconfirmed('i-1'), isKnown]).toEqual([true, false])
+      await world.pass(20)
+      expect([world.watch.isUnconfirmed('i-1'), isKnown]).toEqual([false, true])
+      expect(world.ended.length).toBe(found === 'refused' ? 1 : 0)
+    },
+  )
+
+  it('lets those go on who wait for an endpoint that leaves or is replaced meanwhile', async () => {
+    for (const change of [(world: WatchWorld) => (world.known = undefined), replace]) {
+      const world = new WatchWorld()
+      world.lose('r1', 'a')
+      const known = world.watch.confirmed('i-1')
+      change(world)
+      world.watch.look()
+      await known
+      expect(world.watch.isUnconfirmed('i-1')).toBe(false)
+    }
+  })
 })
+
+function replace(world: WatchWorld): void {
+  world.isReplaced = true
+}
--- a/request/crashes/test/deadlyWorld.ts
+++ b/request/crashes/test/deadlyWorld.ts
@@ -1,5 +1,5 @@
 import { createSeededRandom, every, ManualClock } from '@forkstage/clock'
-import { CrashBook, TrialBook, type CrashRecord, type TrialAnswer } from '../src'
+import { CrashBook, decideSending, TrialBook, type CrashRecord, type TrialAnswer } from '../src'
 
 const ENDS = 3
 const KEEP_MS = 3_600_000
@@ -14,6 +14,8 @@
 const WAY_MS = [2, 12] as const
 /** How long an entry waits for a standing endpoint. */
 const WAIT_MS = 150
+/** How often what waits looks again. */
+const LOOK_MS = 10
 const COME_BACK_MS = 400
 const ATTEMPTS = 2
 /** The longest that an entry waits for an endpoint to be kept free. */
@@ -165,32 +167,35 @@
     attempts: number,
     done: (outcome: 'served' | 'refused' | 'lost' | 'no room') => void,
     waitedMs = 0,
+    lostLives: string[] = [],
   ): void {
-    if (this.isRefused(entry, content)) return done('refused')
-    if (this.books[entry]!.isSuspect(content))
-      return this.runAlone(entry, content, tried, attempts, done, waitedMs)
+    const book = this.books[entry]!
+    const unconfirmed = lostLives.filter((life) => !book.hasEnded(life)).length
+    const decision = decideSending({ book, content, hasTrials: true, unconfirmed })
+    const later = (ms: number) =>
+      void this.clock.after(ms, () =>
+        this.relay(entry, content, tried, attempts, done, waitedMs + ms, lostLives),
+      )
+    if (decision.type === 'refuse') return done('refused')
+    if (decision.type === 'await-confirmation') return later(LOOK_MS)
+    if (decision.type === 'isolate') return this.runAlone(entry, content, tried, attempts, done, waitedMs)
     const up = this.endpoints.filter((one) => one.isUp && !this.keptFree[entry]!.has(lifeOf(one)))
     const fresh = up.filter(({ name }) => !tried.has(name))
     const among = fresh.length > 0 ? fresh : up
     if (among.length === 0) {
       if (waitedMs >= WAIT_MS) return done('no room')
-      return void this.clock.after(10, () => this.relay(entry, content, tried, attempts, done, waitedMs + 10))
+      return later(LOOK_MS)
     }
     const to = among[Math.floor(this.random() * among.length)]!
     tried.add(to.name)
+    const life = lifeOf(to)
     const lost = () => {
-      if (attempts > 1) this.relay(entry, content, tried, attempts - 1, done)
+      if (attempts > 1) this.relay(entry, content, tried, attempts - 1, done, 0, [...lostLives, life])
       else done('lost')
     }
     this.work(to, { content, entry, lost }, () => done('served'))
   }
 
-  /** As entries decide it for plain endpoints of which one may be kept free. */
-  private isRefused(entry: number, content: string): boolean {
-    const book = this.books[entry]!
-    return book.refusalByEnds(content) !== undefined
-  }
-
   private work(to: Endpoint, running: Running, served: () => void): void {
     const { content, entry } = running
     to.running.add(running)
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,4 +1,6 @@
 import { alonePlace, MUST_RUN_ALONE, type AlonePlace } from './alonePlace'
+import type { SendingDecision } from '@forkstage/crashes'
+import type { InstanceId } from '@forkstage/directory'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
@@ -53,6 +55,8 @@
   private isOver = false
   /** Endpoints that may have run the request. */
   private mayHaveRun = 0
+  /** Endpoints whose connections broke under it, and that may have crashed. */
+  private lost: InstanceId[] = []
   private readonly count: SendCount
 
   constructor(
@@ -79,10 +83,11 @@
       return answerRefusal(this.job.request.response, NOT_AT_HOME, AWAY_COME_BACK_MS)
     let failed: Sending | undefined
     for (let refusals = 0; ;) {
-      const { request, service } = this.job
-      const refused = this.parts.crashes?.refusal(request.content, service.name)
-      if (refused !== undefined) return this.answerWithout(failed, ENDS_ENDPOINTS, refused.leftMs)
-      const alone = this.isSuspect() ? await alonePlace(this.parts, this.job, () => this.isOver) : undefined
+      const decision = await this.decideWhenConfirmed()
+      if (decision.type === 'refuse')
+        return this.answerWithout(failed, ENDS_ENDPOINTS, decision.refusal.leftMs)
+      const isIsolated = decision.type === 'isolate'
+      const alone = isIsolated ? await alonePlace(this.parts, this.job, () => this.isOver) : undefined
       if (alone?.type === 'later' && !this.isOver)
         return this.answerWithout(failed, MUST_RUN_ALONE, alone.retryAfterMs)
       const to = alone?.type === 'place' ? alone.at : await this.choose()
@@ -91,7 +96,7 @@
       // Others that waited may have taken the room since it was seen.
       if (alone?.type !== 'place' && !this.hasRoom(to)) continue
       // Endpoints may have crashed under the same request while this one waited.
-      if (alone === undefined && this.isSuspect()) continue
+      if (alone === undefined && this.decide().type !== 'send') continue
       const sending = await this.sendTo(to, alone)
       if (sending === undefined) return this.answerWithout(failed, 'no repeated sending is left')
       if (this.isOver) return this.overResult()
@@ -103,8 +108,18 @@
     }
   }
 
-  private isSuspect(): boolean {
-    return this.parts.crashes?.isSuspect(this.job.request.content) === true
+  private decide(): SendingDecision {
+    const { request, service } = this.job
+    return this.parts.crashes?.decide(request.content, service.name, this.lost) ?? { type: 'send' }
+  }
+
+  private async decideWhenConfirmed(): Promise<SendingDecision> {
+    const decision = this.decide()
+    if (decision.type !== 'await-confirmation') return decision
+    await this.parts.crashes?.confirmed(this.lost)
+    // What is not known by now is as good as refuted.
+    this.lost = []
+    return this.decide()
   }
 
   /** The endpoint to try next, once one has room; undefined where none has in time. */
@@ -211,8 +226,10 @@
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
     const { sending, note } = this.read(outcome, to)
     const tookMs = parts.clock.now() - startedAt
-    if (outcome.type === 'failed' && outcome.sent)
+    if (outcome.type === 'failed' && outcome.sent) {
       noteLost(parts, job, to, tookMs, this.isOver ? tookMs : undefined)
+      this.lost.push(to.endpoint.id)
+    }
     // What a cold endpoint takes says nothing of what it bears later.
     const isCold = parts.cold?.isCold(to.endpoint.id) === true
     if (note === 'ok' && !isCold) to.limit.noteAnswer(tookMs, job.route.targetMs)
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -1,5 +1,11 @@
 import type { Clock, Random } from '@forkstage/clock'
-import type { ContentDigest, ContentRefusal, LostSending, TrialAnswer } from '@forkstage/crashes'
+import type {
+  ContentDigest,
+  ContentRefusal,
+  LostSending,
+  SendingDecision,
+  TrialAnswer,
+} from '@forkstage/crashes'
 import { nameOf, type InstanceId } from '@forkstage/directory'
 import type { RateBook } from '@forkstage/limits'
 import type { Logger } from '@forkstage/logger'
@@ -46,8 +52,10 @@
   noteLost(sending: LostSending): void
   /** A request got a whole answer. `content` is asked for only where anything is known. */
   noteServed(content: () => ContentDigest): void
-  /** Whether a request may run only where nothing else does, so that one more end would prove what it does. */
-  isSuspect(content: () => ContentDigest): boolean
+  /** What must happen before a request may leave for an endpoint, after it was lost at these. */
+  decide(content: () => ContentDigest, service: string, lost: InstanceId[]): SendingDecision
+  /** Resolves once it is known which of these have crashed, or after a short while. */
+  confirmed(lost: InstanceId[]): Promise<void>
   /** Asks where it may run alone. */
   askAlone(content: ContentDigest, service: string): Promise<TrialAnswer>
   /** Its run there has ended, however. */
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -1,7 +1,7 @@
 import { createServer as createTcp, connect } from 'node:net'
 import { request as httpRequest } from 'node:http'
 import { createSeededRandom, createSystemClock } from '@forkstage/clock'
-import type { LostSending, TrialAnswer } from '@forkstage/crashes'
+import type { LostSending, SendingDecision, TrialAnswer } from '@forkstage/crashes'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { RateBook } from '@forkstage/limits'
 import { createSilentLogger } from '@forkstage/logger'
@@ -82,6 +82,13 @@
   /** Contents that may run only where nothing else does, and where that is. */
   readonly suspects = new Set<string>()
   alone: () => TrialAnswer = () => ({ type: 'later', retryAfterMs: 5_000 })
+  /** What must happen before a request leaves. */
+  decide: (content: string, lost: string[]) => SendingDecision = (content) => {
+    if (this.refused.has(content)) return { type: 'refuse', refusal: { ends: 3, leftMs: 60_000 } }
+    return this.suspects.has(content) ? { type: 'isolate' } : { type: 'send' }
+  }
+  /** Resolves once it is known whether lost endpoints have crashed. */
+  confirmed: (lost: string[]) => Promise<void> = () => Promise.resolve()
   /** Endpoints where such a run has ended. */
   readonly aloneEnds: string[] = []
   /** Endpoints that are kept free. */
@@ -227,7 +234,8 @@
         crashes: {
           noteLost: (sending) => void world.lost.push(sending),
           noteServed: (content) => void world.served.push(content()),
-          isSuspect: (content) => world.suspects.has(content()),
+          decide: (content, _service, lost) => world.decide(content(), lost),
+          confirmed: (lost) => world.confirmed(lost),
           askAlone: () => Promise.resolve(world.alone()),
           noteAloneEnd: (_content, _service, endpoint) => void world.aloneEnds.push(endpoint),
           refusal: (content) => (world.refused.has(content()) ? { ends: 3, leftMs: 60_000 } : undefined),
--- a/request/gateway/test/runAlone.test.ts
+++ b/request/gateway/test/runAlone.test.ts
@@ -94,4 +94,23 @@
     expect((await send()).status).toBe(502)
     expect(world.aloneEnds).toEqual(['i-0'])
   })
+
+  // Guards against repeats that leave before the loss of their endpoint is confirmed, and crash one more beside others.
+  it('is repeated only once it is known whether its endpoint crashed', async () => {
+    const { world, seen, send } = await start((request) => void request.socket.destroy(), { attempts: 3 })
+    world.suspects.clear()
+    world.decide = (content, lost) => {
+      if (lost.length > 0) return { type: 'await-confirmation' }
+      return world.suspects.has(content) ? { type: 'isolate' } : { type: 'send' }
+    }
+    const asked: string[][] = []
+    world.confirmed = async (lost) => {
+      asked.push([...lost])
+      world.suspects.add(digest())
+    }
+    world.alone = () => ({ type: 'later', retryAfterMs: 9_000 })
+    expect((await send()).status).toBe(502)
+    expect(asked).toEqual([['i-0']])
+    expect(seen()).toEqual([1, 0, 0])
+  })
 })
