fix(gateway): the end of an isolated trial is reported once its crash is confirmed

Cause: the leader heard that the trial was over when its connection broke, 50 ms before the crash was confirmed, and granted the same endpoint again. Evidence: five content.alone lines 'granted' within 15 ms, endpoint.ended 41 ms later. Change: the end is reported when the first try has shown whether the endpoint still listens. Ruled out: leaving it to the leader to wait after each end (it does not know whether the run was lost). The new test of runAlone.test.ts failed before (the end was reported at once).

--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -194,7 +194,8 @@
     this.job.aloneAt = to.endpoint.id
     const sending = await this.send(to)
     this.job.aloneAt = undefined
-    alone.end()
+    // Told before its crash is confirmed, the leader would give the same endpoint to the next trial.
+    void this.parts.crashes?.confirmed([to.endpoint.id]).then(alone.end)
     return sending
   }
 
--- a/request/gateway/test/runAlone.test.ts
+++ b/request/gateway/test/runAlone.test.ts
@@ -5,6 +5,7 @@
 import type { SeenRequest } from './fakeWorker'
 
 const SUSPECT = 'may end its endpoint'
+const REFUSAL = { ends: 3, leftMs: 60_000 }
 /** How often a waiting request looks for an endpoint, at the most. */
 const WAIT_STEP_MS = 10
 const digest = () =>
@@ -113,4 +114,18 @@
     expect(asked).toEqual([['i-0']])
     expect(seen()).toEqual([1, 0, 0])
   })
+
+  // Guards against trials that are sent to an endpoint which has just crashed under the trial before them.
+  it('keeps its endpoint reserved until it is known whether that crashed', async () => {
+    const { world, send } = await start((request) => void request.socket.destroy())
+    world.alone = () => ({ type: 'granted', endpoint: 'i-0', forMs: 2_000 })
+    let confirm = () => {}
+    world.confirmed = () => new Promise((resolve) => (confirm = resolve))
+    world.decide = (_content, lost) =>
+      lost.length > 0 ? { type: 'refuse', refusal: REFUSAL } : { type: 'isolate' }
+    expect((await send()).status).toBe(502)
+    expect(world.aloneEnds).toEqual([])
+    confirm()
+    await vi.waitFor(() => expect(world.aloneEnds).toEqual(['i-0']))
+  })
 })
