fix(crashes): a content that may be a poison request runs once at a time while endpoints crash

Cause: nothing kept requests of one content from running at several places at the same time. Evidence: runs at 114, 126 and 161 ms, each a first sending of another caller, crashes at 142, 169 and 224, none of them known to the entries. Change: decideSending answers 'serialize' where the content crashed an endpoint, or two endpoints of its service crashed within 10 s, and nobody was served it lately; the leader gives turns. A turn ends once its losses are confirmed and brings the entry's records, so that the next run is decided by them. No leader or a long wait: it runs all the same.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -1,5 +1,8 @@
 import type { ErrorBody } from '@forkstage/error'
 
+/** What the machine that leads said to who asked for an endpoint or a turn. */
+export type TrialOutcome = 'granted' | 'later' | 'anywhere' | 'isolate' | 'no leader answered'
+
 /** Every log event of the program by name, with the fields its line carries. */
 export interface LogEvents {
   'box.started': { box: string; addresses: Record<string, string>; version: string }
@@ -74,7 +77,17 @@
     content: string
     service: string
     /** `anywhere`: its service has too few endpoints to keep one free. */
-    outcome: 'granted' | 'later' | 'anywhere' | 'no leader answered'
+    outcome: TrialOutcome
+    endpoint?: string
+    retryAfterMs?: number
+  }
+  /** A content that may turn out to crash its endpoints asked to run once at a time. */
+  'content.turn': {
+    request: string
+    content: string
+    service: string
+    /** `later`: another run of it is under way; `isolate`: it must run where nothing else does, by what the leader knows. */
+    outcome: TrialOutcome
     endpoint?: string
     retryAfterMs?: number
   }
--- a/daemon/fleet/src/controlCrashes.ts
+++ b/daemon/fleet/src/controlCrashes.ts
@@ -66,6 +66,7 @@
       random: options.random,
       registered: (service) => this.registered(service),
       hasEnded: (endpoint) => book.hasEnded(endpoint),
+      isSuspect: (content) => book.isSuspect(content),
       onChange: () => this.noteKeptFree(),
     })
   }
@@ -90,7 +91,9 @@
       [TRIAL_ASK]: (raw: unknown) => this.askTrial(readTrialAsk(raw)),
       [TRIAL_END]: (raw: unknown) => {
         const end = readTrialEnd(raw)
-        if (end !== undefined) this.trials.end(end)
+        if (end === undefined) return
+        this.take(end.records)
+        this.trials.end(end)
       },
     }
   }
@@ -119,7 +122,9 @@
   }
 
   private askTrial(ask: TrialAsk | undefined): TrialAnswer | undefined {
-    return ask !== undefined && this.options.isLeader() ? this.trials.ask(ask) : undefined
+    if (ask === undefined || !this.options.isLeader()) return undefined
+    this.take(ask.records)
+    return this.trials.ask(ask)
   }
 
   /** Plain endpoints that are there to take work. Those that have ended may be listed until they register anew. */
--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -41,6 +41,8 @@
 const REPORT_WITHIN_MS: Millis = 500
 /** A try takes 50 ms where the endpoint answers or refuses; one that is silent must not hold its requests up. */
 const CONFIRMED_WITHIN_MS: Millis = 150
+/** A leader that is there answers within some milliseconds; callers wait for this. */
+const TURN_WITHIN_MS: Millis = 150
 /** Without a leader nobody keeps an endpoint free; one is elected within a second or so. */
 const NO_LEADER_RETRY_MS: Millis = 800
 
@@ -57,7 +59,7 @@
       tryAddress: (address) => tryAddress(address, clock),
       current: (id) => directory.get(id),
       isReplaced: (endpoint) => this.isReplaced(endpoint),
-      onEnded: (life, under) => this.noteOwn(book.noteEnded(life, under)),
+      onEnded: (life, under, service) => this.noteOwn(book.noteEnded(life, under, service)),
     })
     this.reporter = new CrashReporter({
       clock,
@@ -87,7 +89,8 @@
     const { book } = this.options
     const unconfirmed = lost.filter((id) => this.watch.isUnconfirmed(id)).length
     if (book.size === 0 && unconfirmed === 0) return { type: 'send' }
-    return decideSending({ book, content: content(), hasTrials: this.hasTrials(service), unconfirmed })
+    const hasTrials = this.hasTrials(service)
+    return decideSending({ book, content: content(), service, hasTrials, unconfirmed })
   }
 
   async confirmed(lost: InstanceId[]): Promise<void> {
@@ -100,13 +103,26 @@
   async askAlone(content: ContentDigest, service: string): Promise<TrialAnswer> {
     const answer = await this.options.way.askThrough<TrialAnswer>(
       TRIAL_ASK,
-      { service, content },
+      { service, content, records: this.options.book.recordsOf([content]) },
       REPORT_WITHIN_MS,
     )
     this.options.logger.info('content.alone', { content, service, ...answerLine(answer) })
     return answer ?? { type: 'later', retryAfterMs: NO_LEADER_RETRY_MS }
   }
 
+  async askTurn(content: ContentDigest, service: string, request: string): Promise<TrialAnswer> {
+    const ask = { service, content, turnOf: request, records: this.options.book.recordsOf([content]) }
+    const answer = await this.options.way.askThrough<TrialAnswer>(TRIAL_ASK, ask, TURN_WITHIN_MS)
+    this.options.logger.info('content.turn', { request, content, service, ...answerLine(answer) })
+    // Nobody is refused for want of a leader: a turn only spares endpoints.
+    return answer ?? { type: 'anywhere' }
+  }
+
+  noteTurnEnd(content: ContentDigest, service: string, request: string): void {
+    const records = this.options.book.recordsOf([content])
+    this.options.way.notify(TRIAL_END, { service, content, turnOf: request, records })
+  }
+
   noteAloneEnd(content: ContentDigest, service: string, endpoint: InstanceId): void {
     this.options.way.notify(TRIAL_END, { service, content, endpoint })
   }
@@ -150,6 +166,6 @@
 ): Pick<LogEvents['content.alone'], 'outcome' | 'endpoint' | 'retryAfterMs'> {
   if (answer === undefined) return { outcome: 'no leader answered' }
   if (answer.type === 'granted') return { outcome: 'granted', endpoint: answer.endpoint }
-  if (answer.type === 'anywhere') return { outcome: 'anywhere' }
-  return { outcome: 'later', retryAfterMs: answer.retryAfterMs }
+  if (answer.type === 'later') return { outcome: 'later', retryAfterMs: answer.retryAfterMs }
+  return { outcome: answer.type }
 }
--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -15,6 +15,7 @@
 
 interface Entry {
   content: ContentDigest
+  service?: string
   ended: Set<EndpointLife>
   early: Set<EndpointLife>
   served: Set<EndpointLife>
@@ -32,6 +33,10 @@
 const MOST_CONTENTS = 2_000
 /** For so long after its last end what is not proved is held back. */
 const UNPROVED_MS: Millis = 60_000
+/** So many crashes of a service within so long, each with requests at work, are hardly chance. */
+const STORM_CRASHES = 2
+const STORM_MS: Millis = 10_000
+const MOST_RECENT = 64
 /** More prove no more. */
 const MOST_LIVES = 16
 
@@ -48,6 +53,8 @@
   private readonly entries = new Map<ContentDigest, Entry>()
   private readonly byLife = new Map<EndpointLife, Set<ContentDigest>>()
   private readonly served: ServedLately
+  /** When each life ended, the newest last. */
+  private readonly recent = new Map<EndpointLife, { at: Millis; service?: string }>()
   private changes = 0
   private worked: { at: number; counts: Map<ContentDigest, number> } = { at: -1, counts: new Map() }
 
@@ -64,10 +71,11 @@
     return this.entries.size
   }
 
-  /** Notes what was at work when a life ended; gives the records that changed. */
-  noteEnded(life: EndpointLife, under: EndedUnder[]): CrashRecord[] {
+  /** Notes what was at work when a life of a service's endpoint ended; gives the records that changed. */
+  noteEnded(life: EndpointLife, under: EndedUnder[], service?: string): CrashRecord[] {
     const records = under.map(({ content, isEarly }) => ({
       content,
+      service,
       ended: [life],
       early: isEarly ? [life] : [],
       served: [],
@@ -158,6 +166,24 @@
     return open + unconfirmed >= this.options.ends - 1 && this.refusalByEnds(content) === undefined
   }
 
+  /** Lives that ended under a content, and that no good answer has cleared it of. */
+  openEnds(content: ContentDigest): number {
+    const entry = this.entries.get(content)
+    return entry === undefined || this.leftMs(entry) <= 0 ? 0 : openLives(entry).length
+  }
+
+  /** Whether a content got a good answer lately, as far as is known here. */
+  wasServed(content: ContentDigest): boolean {
+    return this.entries.get(content)?.wasServed === true || this.served.has(content)
+  }
+
+  /** Whether so many endpoints of a service crashed lately that contents nobody was served may be at work in several places. */
+  isStorm(service: string): boolean {
+    const since = this.options.now() - STORM_MS
+    const lately = [...this.recent.values()].filter((one) => one.at >= since)
+    return lately.filter((one) => (one.service ?? service) === service).length >= STORM_CRASHES
+  }
+
   /** How many contents are refused now. */
   countRefused(): number {
     return [...this.entries.values()].filter((entry) => this.isRefused(entry)).length
@@ -211,7 +237,8 @@
     return false
   }
 
-  private take({ content, ended, early, served, wasServed = false, ageMs }: CrashRecord): boolean {
+  private take(record: CrashRecord): boolean {
+    const { content, ended, early, served, wasServed = false, ageMs } = record
     const known = this.entries.get(content)
     const entry = known ?? emptyEntry(content)
     const grew = [
@@ -228,13 +255,21 @@
     // Set anew, so that the map stays in order of change.
     this.entries.delete(content)
     this.entries.set(content, entry)
+    entry.service ??= record.service
     for (const life of entry.ended) {
+      if (!this.byLife.has(life)) this.noteRecent(life, entry)
       const there = this.byLife.get(life) ?? new Set()
       this.byLife.set(life, there.add(content))
     }
     return true
   }
 
+  private noteRecent(life: EndpointLife, { at, service }: Entry): void {
+    this.recent.set(life, { at, service })
+    const [oldest] = this.recent.keys()
+    if (this.recent.size > MOST_RECENT) this.recent.delete(oldest!)
+  }
+
   private forgetOldest(): void {
     const { now, keepMs } = this.options
     for (const entry of this.entries.values()) if (entry.at + keepMs <= now()) this.forget(entry)
@@ -281,9 +316,11 @@
   return set.size > before
 }
 
-function toRecord({ content, ended, early, served, wasServed, at }: Entry, now: Millis): CrashRecord {
+function toRecord(entry: Entry, now: Millis): CrashRecord {
+  const { content, service, ended, early, served, wasServed, at } = entry
   return {
     content,
+    ...(service === undefined ? {} : { service }),
     ended: [...ended],
     early: [...early],
     served: [...served],
--- a/request/crashes/src/crashTypes.ts
+++ b/request/crashes/src/crashTypes.ts
@@ -7,6 +7,8 @@
 /** What is known of one content: what it was at work at when that ended. Merged in any order it gives the same. */
 export interface CrashRecord {
   content: ContentDigest
+  /** The service that its requests go to; absent where whoever says so does not name it. */
+  service?: string
   /** Lives that ended under it. */
   ended: EndpointLife[]
   /** Those of them where it had only just begun. */
--- a/request/crashes/src/decideSending.ts
+++ b/request/crashes/src/decideSending.ts
@@ -6,6 +6,7 @@
 export interface SendingState {
   book: CrashBook
   content: ContentDigest
+  service: string
   /** Whether the service has endpoints enough that one may be reserved for isolated trials. */
   hasTrials: boolean
   /** Endpoints that were lost under this very request and of which this machine has yet to learn whether they crashed. */
@@ -20,12 +21,18 @@
   | { type: 'await-confirmation' }
   /** It may run where nothing else does, if the leader has an endpoint for that. */
   | { type: 'isolate' }
+  /** It may run beside others, but not beside another run of the same content, as far as the leader knows. */
+  | { type: 'serialize' }
 
 /** Decides right before each sending whether it may leave. Relays of entries and the model of them in tests call it. */
-export function decideSending({ book, content, hasTrials, unconfirmed }: SendingState): SendingDecision {
+export function decideSending(state: SendingState): SendingDecision {
+  const { book, content, service, hasTrials, unconfirmed } = state
   const refusal = hasTrials ? book.refusalByEnds(content) : book.refusal(content)
   if (refusal !== undefined) return { type: 'refuse', refusal }
   // A repeat that does not wait takes one more endpoint down, beside others, so that its crash proves nothing.
   if (unconfirmed > 0 && book.isSuspect(content, unconfirmed)) return { type: 'await-confirmation' }
-  return book.isSuspect(content) ? { type: 'isolate' } : { type: 'send' }
+  if (book.isSuspect(content)) return { type: 'isolate' }
+  // Runs side by side would come to three crashes before the first is confirmed. What was served lately is no such content.
+  const isDoubtful = book.openEnds(content) + unconfirmed > 0 || book.isStorm(service)
+  return isDoubtful && !book.wasServed(content) ? { type: 'serialize' } : { type: 'send' }
 }
--- a/request/crashes/src/readCrashRecords.ts
+++ b/request/crashes/src/readCrashRecords.ts
@@ -6,6 +6,7 @@
 const lives = z.array(name).max(64)
 const recordSchema = z.object({
   content: name,
+  service: name.optional(),
   ended: lives,
   early: lives,
   served: lives,
--- a/request/crashes/src/trialTypes.ts
+++ b/request/crashes/src/trialTypes.ts
@@ -11,16 +11,26 @@
 export interface TrialAsk {
   service: string
   content: ContentDigest
+  /**
+   * The request that asks only for the next turn of its content, which then runs anywhere, and may run again in its turn;
+   * absent where it must run isolated.
+   */
+  turnOf?: string
+  /** What the entry knows of the content: a new leader may know less. */
+  records?: unknown
 }
 
 /** Where a content may run alone, or when to ask again. */
 export type TrialAnswer =
   | { type: 'granted'; endpoint: InstanceId; forMs: Millis }
   | { type: 'later'; retryAfterMs: Millis }
-  /** The service has too few endpoints to keep one free. */
+  /** It is its turn, or the service has too few endpoints to keep one free. */
   | { type: 'anywhere' }
+  /** It asked for a turn, and must run isolated by what the leader knows. */
+  | { type: 'isolate' }
 
 /** What an entry tells once its run has ended. */
 export interface TrialEnd extends TrialAsk {
-  endpoint: InstanceId
+  /** Where it ran isolated; absent at the end of a turn. */
+  endpoint?: InstanceId
 }
--- a/request/gateway/src/alonePlace.ts
+++ b/request/gateway/src/alonePlace.ts
@@ -1,4 +1,5 @@
 import { delay } from '@forkstage/clock'
+import type { InstanceId } from '@forkstage/directory'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint } from './endpointPool'
@@ -27,23 +28,53 @@
   job: RelayJob,
   isOver: () => boolean,
 ): Promise<AlonePlace> {
-  const { clock, pool } = parts
+  const { clock } = parts
   const crashes = parts.crashes!
-  const content = job.request.content()
-  const service = job.service.name
-  const until = clock.now() + Math.min(MOST_WAIT_MS, (job.endsAt - clock.now()) * WAIT_SHARE)
+  const until = waitsUntil(parts, job)
   for (;;) {
-    const answer = await crashes.askAlone(content, service)
-    if (answer.type === 'anywhere') return answer
-    if (answer.type === 'later') {
-      if (isOver() || clock.now() + answer.retryAfterMs > until) return answer
-      await delay(clock, answer.retryAfterMs)
-      continue
-    }
-    const end = () => crashes.noteAloneEnd(content, service, answer.endpoint)
-    const at = pool.atHome(answer.endpoint, job.homes())
-    if (at !== undefined && !isOver()) return { type: 'place', at, end }
-    end()
-    return { type: 'later', retryAfterMs: AWAY_RETRY_MS }
+    const answer = await crashes.askAlone(job.request.content(), job.service.name)
+    if (answer.type === 'granted') return reservedPlace(parts, job, answer.endpoint, isOver)
+    if (answer.type !== 'later') return { type: 'anywhere' }
+    if (isOver() || clock.now() + answer.retryAfterMs > until) return answer
+    await delay(clock, answer.retryAfterMs)
   }
 }
+
+/**
+ * Waits until no other run of a request's content is under way, as far as the leader knows, and then has it run anywhere. Where
+ * the wait gets long it runs all the same: by then a poison request would have crashed its endpoint, and be known.
+ */
+export async function awaitTurn(
+  parts: RelayParts,
+  job: RelayJob,
+  isNeeded: () => boolean,
+  isOver: () => boolean,
+): Promise<AlonePlace> {
+  const { clock } = parts
+  const crashes = parts.crashes!
+  const until = waitsUntil(parts, job)
+  for (;;) {
+    const answer = await crashes.askTurn(job.request.content(), job.service.name, job.request.id)
+    if (answer.type === 'isolate') return alonePlace(parts, job, isOver)
+    if (answer.type !== 'later' || clock.now() + answer.retryAfterMs > until) return { type: 'anywhere' }
+    await delay(clock, answer.retryAfterMs)
+    if (isOver() || !isNeeded()) return { type: 'anywhere' }
+  }
+}
+
+function waitsUntil({ clock }: RelayParts, { endsAt }: RelayJob): Millis {
+  return clock.now() + Math.min(MOST_WAIT_MS, (endsAt - clock.now()) * WAIT_SHARE)
+}
+
+function reservedPlace(
+  { crashes, pool }: RelayParts,
+  job: RelayJob,
+  endpoint: InstanceId,
+  isOver: () => boolean,
+): AlonePlace {
+  const end = () => crashes!.noteAloneEnd(job.request.content(), job.service.name, endpoint)
+  const at = pool.atHome(endpoint, job.homes())
+  if (at !== undefined && !isOver()) return { type: 'place', at, end }
+  end()
+  return { type: 'later', retryAfterMs: AWAY_RETRY_MS }
+}
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,6 +1,4 @@
-import { alonePlace, MUST_RUN_ALONE, type AlonePlace } from './alonePlace'
-import type { SendingDecision } from '@forkstage/crashes'
-import type { InstanceId } from '@forkstage/directory'
+import { MUST_RUN_ALONE, type AlonePlace } from './alonePlace'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
@@ -26,6 +24,7 @@
   type SendRecord,
 } from './relayParts'
 import { SendCount } from './sendCount'
+import { SendingPermits } from './sendingPermits'
 import { ENDS_ENDPOINTS, EVACUATED, whyNotSend } from './sendRules'
 import { AWAY_COME_BACK_MS, isAwayOnly, NOT_AT_HOME } from './homeRule'
 import { waitFor } from './waitFor'
@@ -55,15 +54,15 @@
   private isOver = false
   /** Endpoints that may have run the request. */
   private mayHaveRun = 0
-  /** Endpoints whose connections broke under it, and that may have crashed. */
-  private lost: InstanceId[] = []
   private readonly count: SendCount
+  private readonly permits: SendingPermits
 
   constructor(
     private readonly parts: RelayParts,
     private readonly job: RelayJob,
   ) {
     this.count = new SendCount(parts.allowance, job.service.name)
+    this.permits = new SendingPermits(parts, job, () => this.isOver)
   }
 
   async relay(): Promise<RelayResult> {
@@ -75,6 +74,7 @@
     })
     const result = await this.tryEndpoints()
     cancelLimit()
+    void this.permits.end()
     return { ...result, sends: this.sends }
   }
 
@@ -83,21 +83,18 @@
       return answerRefusal(this.job.request.response, NOT_AT_HOME, AWAY_COME_BACK_MS)
     let failed: Sending | undefined
     for (let refusals = 0; ;) {
-      const decision = await this.decideWhenConfirmed()
+      const decision = await this.permits.decide()
       if (decision.type === 'refuse')
         return this.answerWithout(failed, ENDS_ENDPOINTS, decision.refusal.leftMs)
-      const isIsolated = decision.type === 'isolate'
-      const alone = isIsolated ? await alonePlace(this.parts, this.job, () => this.isOver) : undefined
-      if (alone?.type === 'later' && !this.isOver)
-        return this.answerWithout(failed, MUST_RUN_ALONE, alone.retryAfterMs)
-      const to = alone?.type === 'place' ? alone.at : await this.choose()
+      const permit = await this.permits.get(decision)
+      if (permit.type === 'later' && !this.isOver)
+        return this.answerWithout(failed, MUST_RUN_ALONE, permit.retryAfterMs)
+      const to = permit.type === 'place' ? permit.at : await this.choose()
       if (this.isOver) return this.overResult()
       if (to === undefined) return this.answerWithout(failed, this.whyNone())
-      // Others that waited may have taken the room since it was seen.
-      if (alone?.type !== 'place' && !this.hasRoom(to)) continue
-      // Endpoints may have crashed under the same request while this one waited.
-      if (alone === undefined && this.decide().type !== 'send') continue
-      const sending = await this.sendTo(to, alone)
+      // Others that waited may have taken the room, and endpoints may have crashed under the same request meanwhile.
+      if (permit.type !== 'place' && (!this.hasRoom(to) || this.permits.isOutdated(decision))) continue
+      const sending = await this.sendTo(to, permit)
       if (sending === undefined) return this.answerWithout(failed, 'no repeated sending is left')
       if (this.isOver) return this.overResult()
       if (sending.type === 'answer' && !this.isWorthRepeating(sending)) return this.pass(sending)
@@ -108,20 +105,6 @@
     }
   }
 
-  private decide(): SendingDecision {
-    const { request, service } = this.job
-    return this.parts.crashes?.decide(request.content, service.name, this.lost) ?? { type: 'send' }
-  }
-
-  private async decideWhenConfirmed(): Promise<SendingDecision> {
-    const decision = this.decide()
-    if (decision.type !== 'await-confirmation') return decision
-    await this.parts.crashes?.confirmed(this.lost)
-    // What is not known by now is as good as refuted.
-    this.lost = []
-    return this.decide()
-  }
-
   /** The endpoint to try next, once one has room; undefined where none has in time. */
   private choose(): Promise<AtHome<PooledEndpoint> | undefined> {
     const { clock } = this.parts
@@ -189,13 +172,12 @@
     return waitMs !== undefined && waitMs > 0 ? waitMs : undefined
   }
 
-  private async sendTo(to: AtHome<PooledEndpoint>, alone?: AlonePlace): Promise<Sending | undefined> {
-    if (alone?.type !== 'place') return this.send(to)
+  private async sendTo(to: AtHome<PooledEndpoint>, permit: AlonePlace): Promise<Sending | undefined> {
+    if (permit.type !== 'place') return this.send(to)
     this.job.aloneAt = to.endpoint.id
     const sending = await this.send(to)
     this.job.aloneAt = undefined
-    // Told before its crash is confirmed, the leader would give the same endpoint to the next trial.
-    void this.parts.crashes?.confirmed([to.endpoint.id]).then(alone.end)
+    void this.permits.endTrial(permit, to.endpoint.id)
     return sending
   }
 
@@ -229,7 +211,7 @@
     const tookMs = parts.clock.now() - startedAt
     if (outcome.type === 'failed' && outcome.sent) {
       noteLost(parts, job, to, tookMs, this.isOver ? tookMs : undefined)
-      this.lost.push(to.endpoint.id)
+      this.permits.noteLost(to.endpoint.id)
     }
     // What a cold endpoint takes says nothing of what it bears later.
     const isCold = parts.cold?.isCold(to.endpoint.id) === true
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -58,6 +58,10 @@
   confirmed(lost: InstanceId[]): Promise<void>
   /** Asks where it may run alone. */
   askAlone(content: ContentDigest, service: string): Promise<TrialAnswer>
+  /** Asks for the turn of a request's content: while it lasts no other request of it begins to run. */
+  askTurn(content: ContentDigest, service: string, request: string): Promise<TrialAnswer>
+  /** The turn is over. */
+  noteTurnEnd(content: ContentDigest, service: string, request: string): void
   /** Its run there has ended, however. */
   noteAloneEnd(content: ContentDigest, service: string, endpoint: InstanceId): void
   /** Why a request must reach no endpoint of a service; undefined where it may. */
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -89,6 +89,9 @@
   }
   /** Resolves once it is known whether lost endpoints have crashed. */
   confirmed: (lost: string[]) => Promise<void> = () => Promise.resolve()
+  /** What the leader says to who asks for the turn of its content. */
+  turn: (request: string) => TrialAnswer = () => ({ type: 'anywhere' })
+  readonly turnEnds: string[] = []
   /** Endpoints where such a run has ended. */
   readonly aloneEnds: string[] = []
   /** Endpoints that are kept free. */
@@ -237,6 +240,8 @@
           decide: (content, _service, lost) => world.decide(content(), lost),
           confirmed: (lost) => world.confirmed(lost),
           askAlone: () => Promise.resolve(world.alone()),
+          askTurn: (_content, _service, request) => Promise.resolve(world.turn(request)),
+          noteTurnEnd: (_content, _service, request) => void world.turnEnds.push(request),
           noteAloneEnd: (_content, _service, endpoint) => void world.aloneEnds.push(endpoint),
           refusal: (content) => (world.refused.has(content()) ? { ends: 3, leftMs: 60_000 } : undefined),
         },
--- a/request/gateway/test/runAlone.test.ts
+++ b/request/gateway/test/runAlone.test.ts
@@ -128,4 +128,37 @@
     confirm()
     await vi.waitFor(() => expect(world.aloneEnds).toEqual(['i-0']))
   })
+
+  // Guards against runs of one content side by side that come to three crashes before the first is confirmed.
+  it('waits for the turn of its content, runs anywhere in it, and ends it once its losses are confirmed', async () => {
+    const { world, seen, send } = await start(undefined, {})
+    world.decide = () => ({ type: 'serialize' })
+    const asked: string[] = []
+    world.turn = (request) => {
+      asked.push(request)
+      return asked.length === 1 ? { type: 'later', retryAfterMs: 20 } : { type: 'anywhere' }
+    }
+    expect((await send()).status).toBe(200)
+    expect(asked).toEqual([SUSPECT, SUSPECT])
+    await vi.waitFor(() => expect(world.turnEnds).toEqual([SUSPECT]))
+    expect(seen().reduce((sum, one) => sum + one)).toBe(1)
+  })
+
+  it('runs without its turn where that does not come in time, and nobody is refused for it', async () => {
+    const { world, send } = await start()
+    world.decide = () => ({ type: 'serialize' })
+    world.turn = () => ({ type: 'later', retryAfterMs: 5_000 })
+    expect((await send()).status).toBe(200)
+  })
+
+  it('runs isolated where the leader knows of more crashes than its entry', async () => {
+    const { world, seen, send } = await start()
+    world.decide = () => ({ type: 'serialize' })
+    world.turn = () => ({ type: 'isolate' })
+    world.keptFree.add('i-2')
+    world.alone = () => ({ type: 'granted', endpoint: 'i-2', forMs: 2_000 })
+    expect((await send()).status).toBe(200)
+    expect(seen()).toEqual([0, 0, 1])
+    await vi.waitFor(() => expect(world.aloneEnds).toEqual(['i-2']))
+  })
 })
