fix(gateway): a stopped run goes back to the engine that keeps it for as long as that serves

Cause: the half second in which placed work may still reach a leaving endpoint was applied to its own stopped run too. Both new cases at 800 ms failed before (cut), pass now; both at 1,600 ms are cut still. Change: [leaving] serves_ms (the platform's drain_ms), of which three quarters are used, only for a run back to its source. Ruled out: half a second more for all (new work would reach leaving endpoints); waiting for another engine (it had refused until the memory lapsed).

--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -185,6 +185,7 @@
         limits: this.limits.gate,
         rates: this.limits.book,
         statements: this.statements,
+        leavingServesMs: settings.leaving.serves_ms,
         crashes: this.crashes,
         sendRules: [
           (to) => (isEvacuated(to) ? EVACUATED : undefined),
--- a/request/gateway/src/keptRun.ts
+++ b/request/gateway/src/keptRun.ts
@@ -1,10 +1,9 @@
-import { LEAVING_TAKES_MS } from '@forkstage/statements'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { PooledEndpoint } from './endpointPool'
 import { releaseHandle } from './releaseHandle'
 import type { RelayJob, RelayParts } from './relayParts'
-import { whyNotSend } from './sendRules'
+import { leavingTakesMs, whyNotSend } from './sendRules'
 
 /** Where a stopped run can go on. */
 export interface StoppedRun {
@@ -52,7 +51,9 @@
   next(): AtHome<PooledEndpoint> | undefined {
     const { parts, job } = this
     const untried = this.usable().filter((one) => !this.tried.includes(one))
+    job.keptAt = this.run.source.endpoint.id
     const at = untried.find((one) => whyNotSend(parts, job, one.endpoint, 'decode') === undefined)
+    job.keptAt = undefined
     if (at !== undefined) this.tried.push(at)
     return at
   }
@@ -79,6 +80,8 @@
   private takesWork(one: PooledEndpoint): boolean {
     const { pool, clock } = this.parts
     if (pool.get(one.endpoint.id) !== one) return false
-    return one.endpoint.state === 'ready' || clock.now() < (one.leavingSince ?? -Infinity) + LEAVING_TAKES_MS
+    if (one.endpoint.state === 'ready') return true
+    const takesMs = leavingTakesMs(this.parts, one === this.run.source)
+    return clock.now() < (one.leavingSince ?? -Infinity) + takesMs
   }
 }
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -40,6 +40,8 @@
   rates?: RateBook
   /** What endpoints say in their answers of what they want from here; not read where left out. */
   statements?: StatementBook
+  /** How long an endpoint goes on serving once it has said that it leaves; not counted on where left out. */
+  leavingServesMs?: Millis
   /** Knows which requests end the endpoints that run them; nothing is known where left out. */
   crashes?: CrashKnowledge
   clock: Clock
@@ -108,6 +110,8 @@
   tokens?: TokenCounts
   /** The endpoint that is kept free for it at the moment; absent where none is. */
   aloneAt?: InstanceId
+  /** The engine that keeps the memory of its stopped run; absent where none does. */
+  keptAt?: InstanceId
   /** When the place was asked for that a sending is about to use; absent where none is. */
   placedAt?: Millis
   /** The order in which requests get what is scarce; 0 is the most urgent. */
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -62,6 +62,9 @@
   canMove: true,
 }
 
+/** How long endpoints go on serving once they have said that they leave. */
+const LEAVING_SERVES_MS = 2_000
+
 /** An entry over endpoints at given addresses, with one route of each kind. */
 export class GatewayWorld {
   readonly reports: RequestReport[] = []
@@ -234,6 +237,7 @@
           return world.rates
         },
         statements,
+        leavingServesMs: LEAVING_SERVES_MS,
         crashes: {
           noteLost: (sending) => void world.lost.push(sending),
           noteServed: (content) => void world.served.push(content()),
--- a/request/gateway/test/runMoves.test.ts
+++ b/request/gateway/test/runMoves.test.ts
@@ -113,6 +113,52 @@
     expect(one.workers.map(({ seen }) => seen.filter(isStream).length)).toEqual([1, 0])
   })
 
+  // Guards against answers that may not be made twice and are cut though their own engine, which leaves, still serves.
+  it.each([
+    ['by the lists', 800, true],
+    ['by its own word', 800, true],
+    ['by the lists, too long ago', 1_600, false],
+    ['by its own word, too long ago', 1_600, false],
+  ])('goes back to its own engine that leaves, %s (%i ms ago)', async (by, agoMs, isWhole) => {
+    const refuses: Engine['stream'] = ({ socket }) =>
+      void socket.end('HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n')
+    let streams = 0
+    const one = await startMoving(
+      [
+        {
+          stream: (request, engine) => {
+            streams += 1
+            if (streams === 1) runsWith(1)(request, engine)
+            else endsWith(2, 3)(request, engine)
+          },
+          copy: answers(200, 'h1'),
+          last: (request, engine) => {
+            leave()
+            stopsWith(200, 'h2')(request, engine)
+          },
+        },
+        { stream: refuses },
+      ],
+      {},
+      { 'x-deadline': '1000' },
+    )
+    const { pool, statements } = one.world
+    const source = pool.get('i-0')!
+    const leave = () => {
+      if (by.startsWith('by the lists')) pool.update([{ ...source.endpoint, state: 'draining' }])
+      else {
+        statements.noteLeaving('i-0', 'r0')
+        pool.noteLeaving(source)
+      }
+      const since = source.leavingSince! - agoMs
+      source.leavingSince = since
+      if (by.startsWith('by its own word')) statements.leavingSince = () => since
+    }
+    one.move()
+    expect(await one.answer).toMatchObject({ body: isWhole ? events(1, 2, 3) : events(1), isWhole })
+    expect(one.workers[0]!.seen.filter(isStream)).toHaveLength(isWhole ? 2 : 1)
+  })
+
   it('is asked for where its memory is as long as that lasts, then cut, and never made anew, where nothing may run twice', async () => {
     const refuses: Engine['stream'] = ({ socket }) =>
       void socket.end('HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n')
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -59,6 +59,13 @@
   })
   .prefault({})
 
+const leavingSection = z
+  .strictObject({
+    /** How long an endpoint goes on serving once it has said that it leaves. */
+    serves_ms: duration(2_000),
+  })
+  .prefault({})
+
 const logSection = z
   .strictObject({
     level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
@@ -139,6 +146,7 @@
   retry: retrySection,
   quota: quotaSection,
   orders: ordersSection,
+  leaving: leavingSection,
   cold: coldSection,
   limits: limitsSection,
   crashes: crashesSection,
