perf(watch): news of new endpoints goes out together, and a wake composes nothing

Cause: each registration was an answer of its own to each machine that follows, and each of these wakes looked through the whole directory, sorted the ring of entries and composed an answer only to see whether there was news: registrations x watchers x entries. Evidence: read; the hub and the directory alone give 6,000 answers for 300 registrations and 20 entries. Change: what only adds endpoints goes out at once after a calm and else with what comes within 2 ms an entry, 0.5 s at the most; whatever changes an endpoint that is known (leaving, ends, cold again), evacuations, verdicts, reservations, the sheet and the leader go out at once, as before. Whether there is news is told by counts; since() walks back from the end; forgetting looks through the entries only where there are too many that are over. Ruled out: one fixed window (with 300 entries it must be long, with seven it would only be late). Before / after: 6,000 / 180 answers; the test failed before.

--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -4,9 +4,17 @@
 
 /** How many lives that are over are remembered. */
 const MAX_OVER = 5_000
+/** Changes that are kept in order though the same instance has changed again. */
+const MOST_STALE = 64
 /** Ends of a cold time that differ less are the same: heartbeats are some hundred milliseconds on their way at times. */
 const SAME_COLD_MS: Millis = 500
 
+/** One change of an instance, by the directory's own count. */
+interface Change {
+  id: InstanceId
+  at: number
+}
+
 interface Entry {
   endpoint: RegisteredEndpoint
   /** This directory's own count when the entry last changed. */
@@ -26,6 +34,10 @@
   /** The newest life of each name. */
   private readonly newest = new Map<string, RegisteredEndpoint>()
   private changes = 0
+  /** Ids in the order of their changes, with those that have changed again since. */
+  private order: Change[] = []
+  private over = 0
+  private lastOtherChange = 0
 
   /** @param now a steady clock, by which what endpoints said of their cold time falls. */
   constructor(private readonly now: () => Millis = () => performance.now()) {}
@@ -35,6 +47,11 @@
     return this.changes
   }
 
+  /** The position of the last change that was no new instance: what was known holds no more. */
+  get changedPosition(): number {
+    return this.lastOtherChange
+  }
+
   get(id: InstanceId): RegisteredEndpoint | undefined {
     const entry = this.entries.get(id)
     return entry && this.view(entry)
@@ -82,9 +99,14 @@
 
   /** What changed after a position, oldest first. */
   since(position: number): RegisteredEndpoint[] {
-    const changed = [...this.entries.values()].filter((entry) => entry.changedAt > position)
-    changed.sort((left, right) => left.changedAt - right.changedAt)
-    return changed.map((entry) => this.view(entry))
+    const changed: RegisteredEndpoint[] = []
+    // From the end: what is asked for are a few of thousands.
+    for (let index = this.order.length - 1; index >= 0 && this.order[index]!.at > position; index -= 1) {
+      const { id, at } = this.order[index]!
+      const entry = this.entries.get(id)
+      if (entry?.changedAt === at) changed.push(this.view(entry))
+    }
+    return changed.reverse()
   }
 
   /** Takes what another machine or the instance itself says; returns what was new. */
@@ -143,9 +165,12 @@
     const { id, coldMs } = endpoint
     const known = this.entries.get(id)
     const coldUntil = coldMs === undefined ? known?.coldUntil : now + coldMs
+    if (known !== undefined || endpoint.state !== 'ready') this.lastOtherChange = this.changes
+    this.over += Number(!isAlive(endpoint)) - Number(known !== undefined && !isAlive(known.endpoint))
     // Set anew, so that the map stays in order of change.
     this.entries.delete(id)
     this.entries.set(id, { endpoint, changedAt: this.changes, heardAt: known?.heardAt ?? now, coldUntil })
+    this.noteOrder(id)
   }
 
   /** A record as it holds now: what it said of its cold time has fallen since, so that it can be passed on. */
@@ -185,10 +210,18 @@
     known.coldUntil = this.now() + coldMs
   }
 
+  private noteOrder(id: InstanceId): void {
+    this.order.push({ id, at: this.changes })
+    if (this.order.length <= MOST_STALE + 2 * this.entries.size) return
+    this.order = this.order.filter((change) => this.entries.get(change.id)?.changedAt === change.at)
+  }
+
   private forgetOldest(): void {
+    if (this.over <= MAX_OVER) return
     const over = [...this.entries.values()].filter(({ endpoint }) => !isAlive(endpoint))
     for (const { endpoint } of over.slice(0, Math.max(0, over.length - MAX_OVER))) {
       this.entries.delete(endpoint.id)
+      this.over -= 1
       if (this.newest.get(nameOf(endpoint))?.id === endpoint.id) this.newest.delete(nameOf(endpoint))
     }
   }
--- a/membership/directory/test/directory.test.ts
+++ b/membership/directory/test/directory.test.ts
@@ -51,6 +51,38 @@
     )
   })
 
+  // Guards against news that is lost or told twice, now that changes are kept in order and not looked for in all entries.
+  it('tells each change after a position once, the newest of each instance, also after thousands', () => {
+    const directory = new Directory()
+    const asked = new Map<number, number>([[0, 0]])
+    for (let change = 1; change <= 1_000; change += 1) {
+      const id = `i-${(change * 7) % 40}`
+      directory.merge([endpoint({ id, sequence: change, slots: change })])
+      if (change % 97 === 0) asked.set(directory.position, change)
+    }
+    for (const [position, change] of asked) {
+      const newest = new Map<string, number>()
+      for (let later = change + 1; later <= 1_000; later += 1) {
+        newest.delete(`i-${(later * 7) % 40}`)
+        newest.set(`i-${(later * 7) % 40}`, later)
+      }
+      expect(directory.since(position).map(({ id, slots }) => [id, slots])).toEqual([...newest])
+    }
+    expect(directory.since(directory.position)).toEqual([])
+  })
+
+  it('says at which position anything last changed that was known, or left', () => {
+    const directory = new Directory()
+    directory.merge([endpoint({ id: 'i-1' }), endpoint({ id: 'i-2' })])
+    expect(directory.changedPosition).toBe(0)
+    directory.merge([endpoint({ id: 'i-1', sequence: 2, slots: 9 })])
+    expect(directory.changedPosition).toBe(3)
+    directory.merge([endpoint({ id: 'i-3' })])
+    expect([directory.position, directory.changedPosition]).toEqual([4, 3])
+    directory.leave('i-2')
+    expect(directory.changedPosition).toBe(5)
+  })
+
   it('does not bring back one that has left, however late its calls arrive', () => {
     const directory = new Directory()
     directory.merge([endpoint({ sequence: 3 })])
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@forkstage/clock'
+import type { CancelTimer, Clock } from '@forkstage/clock'
 import type { CrashBook } from '@forkstage/crashes'
 import type { Directory, InstanceId } from '@forkstage/directory'
 import { UNHEARD_INDEX, type EvacuationSet } from '@forkstage/evacuation'
@@ -27,11 +27,28 @@
 /** An entry that restarts or is cut off for a while still counts. */
 const ENTRY_COUNTS_MS = 15_000
 const NEIGHBOURS = 3
+/**
+ * New endpoints that come one by one go out together: a fleet that starts registers thousands, and each answer to each who waits
+ * costs about this much.
+ */
+const GATHER_MS_PER_WATCHER: Millis = 2
+const LONGEST_GATHER_MS: Millis = 500
+
+/** One who waits for news. */
+interface Waiting {
+  question: WatchQuestion
+  wake: () => void
+}
 
 /** Answers those who follow this control machine, at once when there is news. */
 export class WatchHub {
-  private waiting = new Set<() => void>()
+  private readonly waiting = new Set<Waiting>()
   private scheduled = false
+  /** When news of new endpoints last went out. */
+  private gatheredAt = -Infinity
+  private cancelGather: CancelTimer | undefined
+  /** The entries in order, until another comes or goes. */
+  private ring: Address[] | undefined
   private packed: PackedSheet | undefined
   private readonly entries = new Map<Address, Millis>()
 
@@ -44,16 +61,45 @@
     // What changes in one turn of the event loop goes out together.
     setImmediate(() => {
       this.scheduled = false
-      for (const wake of [...this.waiting]) wake()
+      this.wakeAll()
     })
   }
 
+  /** News that may wait goes out at once where there was none for a while, else with what comes meanwhile. */
+  private wakeAll(): void {
+    const isDue = this.gatherLeft() === 0
+    let isGathered = false
+    for (const { question, wake } of [...this.waiting]) {
+      const news = this.newsFor(question)
+      if (news === 'soon') isGathered = true
+      if (news === 'now' || (news === 'soon' && isDue)) wake()
+    }
+    if (!isGathered) return
+    if (isDue) this.gatheredAt = this.options.clock.now()
+    else this.gatherLater()
+  }
+
+  private gatherLater(): void {
+    this.cancelGather ??= this.options.clock.after(this.gatherLeft(), () => {
+      this.cancelGather = undefined
+      this.wakeAll()
+    })
+  }
+
+  /** How long news of new endpoints is still gathered. */
+  private gatherLeft(): Millis {
+    const forMs = Math.min(LONGEST_GATHER_MS, this.entries.size * GATHER_MS_PER_WATCHER)
+    return Math.max(0, this.gatheredAt + forMs - this.options.clock.now())
+  }
+
   /** Answers a question once there is news, or after the time it may be held. */
   async answer(question: WatchQuestion): Promise<WatchAnswer> {
-    if (question.entry !== undefined) this.entries.set(question.entry, this.options.clock.now())
-    const news = this.compose(question)
-    if (hasNews(question, news)) return news
-    await this.untilChangeOr(question)
+    if (question.entry !== undefined) this.noteEntry(question.entry)
+    const news = this.newsFor(question)
+    const isDue = news === 'soon' && this.gatherLeft() === 0
+    if (isDue) this.gatheredAt = this.options.clock.now()
+    if (news === 'soon' && !isDue) this.gatherLater()
+    if (news !== 'now' && !isDue) await this.untilChangeOr(question)
     return this.compose(question)
   }
 
@@ -67,19 +113,31 @@
 
   private untilChangeOr(question: WatchQuestion): Promise<void> {
     return new Promise((resolve) => {
-      const finish = () => {
-        this.waiting.delete(wake)
+      const wake = () => {
+        this.waiting.delete(one)
         cancel()
         resolve()
       }
-      const wake = () => {
-        if (hasNews(question, this.compose(question))) finish()
-      }
-      const cancel = this.options.clock.after(question.holdMs, finish)
-      this.waiting.add(wake)
+      const one = { question, wake }
+      const cancel = this.options.clock.after(question.holdMs, wake)
+      this.waiting.add(one)
     })
   }
 
+  /** Whether there is news for a question, and whether it may wait a moment. Asked for each who waits at each change. */
+  private newsFor(question: WatchQuestion): 'none' | 'soon' | 'now' {
+    const { epoch, directory, crashes, sheet, leader, members, keptFree } = this.options
+    if (question.epoch !== epoch || directory.changedPosition > question.position) return 'now'
+    if (crashes !== undefined && question.crashPosition !== undefined)
+      if (crashes.position !== question.crashPosition) return 'now'
+    if (question.keptFree !== undefined && (keptFree?.() ?? []).join() !== question.keptFree.join())
+      return 'now'
+    if (Object.keys(this.evacuationsFor(question)).length > 0) return 'now'
+    if ((sheet()?.version ?? -1) > question.sheetVersion || leader() !== question.leader) return 'now'
+    if (members().join() !== question.members.join()) return 'now'
+    return directory.position === question.position ? 'none' : 'soon'
+  }
+
   private compose(question: WatchQuestion): WatchAnswer {
     const { epoch, directory, sheet, members, leader } = this.options
     const known = question.epoch === epoch ? question.position : 0
@@ -117,7 +175,8 @@
   /** The entries that come after the asker in a ring, so that each is the neighbour of a few. */
   private neighboursOf(entry: Address | undefined): Address[] {
     if (entry === undefined) return []
-    const ring = [...this.entries.keys()].sort()
+    this.ring ??= [...this.entries.keys()].sort()
+    const { ring } = this
     const next = ring.findIndex((address) => address > entry)
     const turned = next < 0 ? ring : [...ring.slice(next), ...ring.slice(0, next)]
     return turned.filter((address) => address !== entry).slice(0, NEIGHBOURS)
@@ -126,16 +185,17 @@
   /** How many entries have asked lately. */
   countEntries(): number {
     const since = this.options.clock.now() - ENTRY_COUNTS_MS
-    for (const [entry, at] of this.entries) if (at < since) this.entries.delete(entry)
+    for (const [entry, at] of this.entries) {
+      // In the order in which they asked.
+      if (at >= since) break
+      this.entries.delete(entry)
+      this.ring = undefined
+    }
     return this.entries.size
   }
-}
 
-function hasNews(question: WatchQuestion, answer: WatchAnswer): boolean {
-  if (answer.epoch !== question.epoch || answer.position !== question.position) return true
-  if (answer.crashPosition !== undefined && answer.crashPosition !== question.crashPosition) return true
-  if (answer.keptFree !== undefined && answer.keptFree.join() !== question.keptFree?.join()) return true
-  if (answer.evacuations !== undefined || answer.supposedEvacuations !== undefined) return true
-  if (answer.sheetVersion > question.sheetVersion || answer.leader !== question.leader) return true
-  return answer.members.join() !== question.members.join()
+  private noteEntry(entry: Address): void {
+    if (!this.entries.delete(entry)) this.ring = undefined
+    this.entries.set(entry, this.options.clock.now())
+  }
 }
--- /dev/null
+++ b/membership/watch/test/gatheredNews.test.ts
@@ -0,0 +1,104 @@
+// Story. In a fleet of 300 machines 3,000 endpoints registered within seconds. Each registration was an answer of its own to each machine
+// that follows a control machine, and for each of these the whole directory was looked through: control machines were at 92% of a core
+// before the first request. Benchmark: 300 registrations, one a millisecond, 20 entries. Before: 6,000 answers; after: 180.
+import { describe, expect, it } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
+import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
+import { NO_EVACUATIONS } from '@forkstage/evacuation'
+import { WatchHub, type WatchAnswer } from '../src'
+import { CONTROL, endpoint, settle } from './followerWorld'
+
+const WATCHERS = 20
+const REGISTRATIONS = 300
+/** What an endpoint may wait to be known at entries while many register; the target is that it takes work within a second. */
+const KNOWN_WITHIN_MS = 1_000
+
+/** Entries that ask again after each answer. */
+function watchedWorld() {
+  const clock = new ManualClock()
+  const directory = new Directory(() => clock.now())
+  const hub = new WatchHub({
+    epoch: 'life-1',
+    directory,
+    sheet: () => undefined,
+    evacuations: () => NO_EVACUATIONS,
+    supposedEvacuations: () => [],
+    members: () => [CONTROL],
+    leader: () => undefined,
+    clock,
+  })
+  const answers: { entry: string; answer: WatchAnswer; at: number }[] = []
+  const follow = async (entry: string) => {
+    let [epoch, position] = ['', 0]
+    for (;;) {
+      const question = { epoch, position, entry, sheetVersion: -1, members: [CONTROL], holdMs: 1_000 }
+      const answer = await hub.answer(question)
+      if (answer.endpoints.length > 0) answers.push({ entry, answer, at: clock.now() })
+      ;({ epoch, position } = answer)
+    }
+  }
+  for (let watcher = 0; watcher < WATCHERS; watcher += 1) void follow(`e${watcher}`)
+  const register = (id: string, fields: Partial<RegisteredEndpoint> = {}) => {
+    directory.merge([{ ...endpoint(id), ...fields }])
+    hub.noteChange()
+  }
+  const pass = async (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 1) {
+      clock.advance(1)
+      await settle()
+    }
+  }
+  return { clock, answers, register, pass }
+}
+
+describe('news of new endpoints', () => {
+  it('goes out together where thousands register, and all of it within a second', async () => {
+    const { clock, answers, register, pass } = watchedWorld()
+    await settle()
+    const registeredAt = new Map<string, number>()
+    for (let count = 0; count < REGISTRATIONS; count += 1) {
+      registeredAt.set(`i-${count}`, clock.now())
+      register(`i-${count}`)
+      await pass(1)
+    }
+    await pass(KNOWN_WITHIN_MS)
+    expect(answers.length).toBeLessThanOrEqual(WATCHERS * 10)
+    for (let watcher = 0; watcher < WATCHERS; watcher += 1) {
+      const own = answers.filter(({ entry }) => entry === `e${watcher}`)
+      const told = own.flatMap(({ answer, at }) => answer.endpoints.map(({ id }) => [id, at] as const))
+      expect(new Set(told.map(([id]) => id)).size).toBe(REGISTRATIONS)
+      for (const [id, at] of told) expect(at - registeredAt.get(id)!).toBeLessThan(KNOWN_WITHIN_MS)
+    }
+  })
+
+  it('goes out at once where none came for a while', async () => {
+    const { answers, register, pass } = watchedWorld()
+    await settle()
+    for (const id of ['i-1', 'i-2', 'i-3']) {
+      register(id)
+      await settle()
+      expect(answers.length).toBe(WATCHERS)
+      answers.splice(0)
+      await pass(KNOWN_WITHIN_MS)
+    }
+  })
+
+  // Guards against endpoints that leave, or start anew, and go on being used while news of others is gathered.
+  it.each([
+    ['leaves', { state: 'draining', sequence: 2 } as const],
+    ['is gone', { state: 'left' } as const],
+    ['is cold again', { coldMs: 4_000, sequence: 2 } as const],
+  ])('does not hold up that one %s', async (_what, fields) => {
+    const { answers, register, pass } = watchedWorld()
+    await settle()
+    register('i-1')
+    await pass(KNOWN_WITHIN_MS)
+    register('i-2')
+    await settle()
+    answers.splice(0)
+    register('i-1', fields)
+    await settle()
+    expect(answers.length).toBe(WATCHERS)
+    expect(answers.every(({ answer }) => answer.endpoints.some(({ id }) => id === 'i-1'))).toBe(true)
+  })
+})
