refactor(crashes): reservations are called so

letGo, standingOne, keepOne and Kept become release, reservation, reserve and Reservation, the usual terms.

--- a/request/crashes/src/trialBook.ts
+++ b/request/crashes/src/trialBook.ts
@@ -15,12 +15,12 @@
   hasEnded: (endpoint: InstanceId) => boolean
   /** Whether a content must run isolated, by what this machine knows. */
   isSuspect: (content: ContentDigest) => boolean
-  /** Called when other endpoints are kept free than before. */
+  /** Called when other endpoints are reservations free than before. */
   onChange: () => void
 }
 
-/** An endpoint that is kept free of everything else. */
-interface Kept {
+/** An endpoint that is reservations free of everything else. */
+interface Reservation {
   endpoint: InstanceId
   /** From when nothing else should be at work there. */
   freeAt: Millis
@@ -54,14 +54,14 @@
  * run alone there, one after the other; and lets contents that may turn out to be such run once at a time.
  */
 export class TrialBook {
-  private readonly kept = new Map<string, Kept>()
+  private readonly reservations = new Map<string, Reservation>()
   private readonly turns = new Map<ContentDigest, Turn>()
 
   constructor(private readonly options: TrialBookOptions) {}
 
   /** Endpoints that must get nothing else. */
   get endpoints(): InstanceId[] {
-    return [...this.kept.values()].map(({ endpoint }) => endpoint).sort()
+    return [...this.reservations.values()].map(({ endpoint }) => endpoint).sort()
   }
 
   /** Where a content may run now, or when to ask again. */
@@ -74,8 +74,8 @@
       this.turns.set(content, { request: turnOf, untilMs: now + TURN_MS })
       return { type: 'anywhere' }
     }
-    const known = this.standingOne(service)
-    if (known === undefined) return this.keepOne(service, now)
+    const known = this.reservation(service)
+    if (known === undefined) return this.reserve(service, now)
     known.askedAt = now
     if (now < known.freeAt) return later(known.freeAt - now)
     if (known.running !== undefined && now < known.running.untilMs)
@@ -87,7 +87,7 @@
   /** A content's run has ended. */
   end({ service, content, endpoint, turnOf }: TrialEnd): void {
     if (turnOf !== undefined && this.turns.get(content)?.request === turnOf) this.turns.delete(content)
-    const known = this.kept.get(service)
+    const known = this.reservations.get(service)
     if (known === undefined || known.endpoint !== endpoint) return
     if (known.running?.content === content) known.running = undefined
   }
@@ -96,35 +96,35 @@
   look(): void {
     const now = this.options.now()
     for (const [content, { untilMs }] of this.turns) if (now >= untilMs) this.turns.delete(content)
-    for (const [service, { askedAt, running }] of [...this.kept]) {
+    for (const [service, { askedAt, running }] of [...this.reservations]) {
       const isIdle = now - askedAt >= IDLE_MS && (running === undefined || now >= running.untilMs)
-      if (isIdle || this.standingOne(service) === undefined) this.letGo(service)
+      if (isIdle || this.reservation(service) === undefined) this.release(service)
     }
   }
 
   /** Another machine leads. */
   clear(): void {
     this.turns.clear()
-    if (this.kept.size === 0) return
-    this.kept.clear()
+    if (this.reservations.size === 0) return
+    this.reservations.clear()
     this.options.onChange()
   }
 
-  /** The endpoint that is kept free for a service, if it still stands. */
-  private standingOne(service: string): Kept | undefined {
-    const known = this.kept.get(service)
+  /** The endpoint that is reservations free for a service, if it still stands. */
+  private reservation(service: string): Reservation | undefined {
+    const known = this.reservations.get(service)
     if (known === undefined) return undefined
     if (this.standing(service).includes(known.endpoint)) return known
-    this.letGo(service)
+    this.release(service)
     return undefined
   }
 
-  private keepOne(service: string, now: Millis): TrialAnswer {
+  private reserve(service: string, now: Millis): TrialAnswer {
     if (!mayRunAlone(this.options.registered(service).length)) return { type: 'anywhere' }
     const standing = this.standing(service)
     if (standing.length <= LEAST_OTHERS) return later(TOO_FEW_RETRY_MS)
     const endpoint = standing[Math.floor(this.options.random() * standing.length)]!
-    this.kept.set(service, { endpoint, freeAt: now + EMPTIES_MS, askedAt: now })
+    this.reservations.set(service, { endpoint, freeAt: now + EMPTIES_MS, askedAt: now })
     this.options.onChange()
     return later(EMPTIES_MS)
   }
@@ -134,8 +134,8 @@
     return registered(service).filter((id) => !hasEnded(id))
   }
 
-  private letGo(service: string): void {
-    this.kept.delete(service)
+  private release(service: string): void {
+    this.reservations.delete(service)
     this.options.onChange()
   }
 }
