refactor(crashes): crashes of processes are recorded, not ended

noteEnded and hasEnded of the book of crashes become recordCrash and hasCrashed, openEnds openCrashes, onEnded onCrash. Records on the wire and on disk keep their fields. No behaviour changes; types checked.

--- a/daemon/fleet/src/controlCrashes.ts
+++ b/daemon/fleet/src/controlCrashes.ts
@@ -65,7 +65,7 @@
       now: () => clock.now(),
       random: options.random,
       registered: (service) => this.registered(service),
-      hasEnded: (endpoint) => book.hasEnded(endpoint),
+      hasCrashed: (endpoint) => book.hasCrashed(endpoint),
       isSuspect: (content) => book.isSuspect(content),
       onChange: () => this.noteKeptFree(),
     })
--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -60,7 +60,7 @@
       tryAddress: (address) => tryAddress(address, clock),
       current: (id) => directory.get(id),
       isReplaced: (endpoint) => this.isReplaced(endpoint),
-      onEnded: (life, under, service) => this.noteOwn(book.noteEnded(life, under, service)),
+      onCrash: (life, under, service) => this.noteOwn(book.recordCrash(life, under, service)),
     })
     this.reporter = new CrashReporter({
       clock,
--- a/daemon/fleet/test/controlCrashes.test.ts
+++ b/daemon/fleet/test/controlCrashes.test.ts
@@ -139,7 +139,7 @@
     one.endpoints.push(...['p1', 'p2', 'p3', 'p4'].map((id) => plain(id)))
     const ask = asking(one)
     await ask(ASK)
-    one.book.noteEnded('p1', [{ content: 'maybe', isEarly: true }])
+    one.book.recordCrash('p1', [{ content: 'maybe', isEarly: true }])
     await ask(ASK)
     expect(one.crashes.keptFree).toEqual(['p2'])
     for (const raw of [undefined, {}, { service: 's' }, { service: 7, content: 'x' }]) {
--- a/daemon/fleet/test/entryCrashes.test.ts
+++ b/daemon/fleet/test/entryCrashes.test.ts
@@ -34,8 +34,8 @@
   })
   const early = (...contents: string[]) =>
     contents.map((content) => ({ content: content as ContentDigest, isEarly: true }))
-  book.noteEnded('l0', early('bad'))
-  for (const life of ['l1', 'l2', 'l3']) book.noteEnded(life, early('bad', 'other'))
+  book.recordCrash('l0', early('bad'))
+  for (const life of ['l1', 'l2', 'l3']) book.recordCrash(life, early('bad', 'other'))
   const isRefused = (content: string) =>
     crashes.refusal(() => content as ContentDigest, 'plain') !== undefined
   return { isRefused }
--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -72,7 +72,7 @@
   }
 
   /** Notes what was at work when a life of a service's endpoint ended; gives the records that changed. */
-  noteEnded(life: EndpointLife, under: EndedUnder[], service?: string): CrashRecord[] {
+  recordCrash(life: EndpointLife, under: EndedUnder[], service?: string): CrashRecord[] {
     const records = under.map(({ content, isEarly }) => ({
       content,
       service,
@@ -150,7 +150,7 @@
   }
 
   /** Whether it is known of an endpoint's life that it has ended. */
-  hasEnded(life: EndpointLife): boolean {
+  hasCrashed(life: EndpointLife): boolean {
     return this.byLife.has(life)
   }
 
@@ -167,7 +167,7 @@
   }
 
   /** Lives that ended under a content, and that no good answer has cleared it of. */
-  openEnds(content: ContentDigest): number {
+  openCrashes(content: ContentDigest): number {
     const entry = this.entries.get(content)
     return entry === undefined || this.leftMs(entry) <= 0 ? 0 : openLives(entry).length
   }
--- a/request/crashes/src/crashWatch.ts
+++ b/request/crashes/src/crashWatch.ts
@@ -30,7 +30,7 @@
   /** Whether a later life has its name, or another process has registered at its address. */
   isReplaced: (endpoint: RegisteredEndpoint) => boolean
   /** Called once for each instance that has ended, with what it had at work. */
-  onEnded: (life: EndpointLife, under: EndedUnder[], service: string) => void
+  onCrash: (life: EndpointLife, under: EndedUnder[], service: string) => void
 }
 
 interface Suspected {
@@ -151,7 +151,7 @@
       requests: [...one.lost.keys()],
       contents: [...new Set(under.map(({ content }) => content))],
     })
-    this.options.onEnded(id, under, service)
+    this.options.onCrash(id, under, service)
   }
 
   private forget(one: Suspected): void {
--- a/request/crashes/src/decideSending.ts
+++ b/request/crashes/src/decideSending.ts
@@ -33,7 +33,7 @@
   if (unconfirmed > 0 && book.isSuspect(content, unconfirmed)) return { type: 'await-confirmation' }
   if (book.isSuspect(content)) return { type: 'isolate' }
   // Runs side by side would come to three crashes before the first is confirmed. What was served lately is no such content.
-  const isDoubtful = book.openEnds(content) + unconfirmed > 0 || book.isStorm(service)
+  const isDoubtful = book.openCrashes(content) + unconfirmed > 0 || book.isStorm(service)
   return isDoubtful && !book.wasServed(content) ? { type: 'serialize' } : { type: 'send' }
 }
 
--- a/request/crashes/src/trialBook.ts
+++ b/request/crashes/src/trialBook.ts
@@ -12,7 +12,7 @@
   random: Random
   /** Plain endpoints of a service that are there to take work, and those of them that have not ended, as far as is known. */
   registered: (service: string) => InstanceId[]
-  hasEnded: (endpoint: InstanceId) => boolean
+  hasCrashed: (endpoint: InstanceId) => boolean
   /** Whether a content must run isolated, by what this machine knows. */
   isSuspect: (content: ContentDigest) => boolean
   /** Called when other endpoints are reservations free than before. */
@@ -130,8 +130,8 @@
   }
 
   private standing(service: string): InstanceId[] {
-    const { registered, hasEnded } = this.options
-    return registered(service).filter((id) => !hasEnded(id))
+    const { registered, hasCrashed } = this.options
+    return registered(service).filter((id) => !hasCrashed(id))
   }
 
   private release(service: string): void {
--- a/request/crashes/test/crashReporter.test.ts
+++ b/request/crashes/test/crashReporter.test.ts
@@ -23,7 +23,7 @@
   })
 
   end(life: string, content: string): void {
-    this.reporter.note(this.book.noteEnded(life, [{ content, isEarly: true }]))
+    this.reporter.note(this.book.recordCrash(life, [{ content, isEarly: true }]))
   }
 
   async pass(milliseconds: number): Promise<void> {
--- a/request/crashes/test/crashWatch.test.ts
+++ b/request/crashes/test/crashWatch.test.ts
@@ -32,7 +32,7 @@
     },
     current: () => this.known,
     isReplaced: () => this.isReplaced,
-    onEnded: (life, under) =>
+    onCrash: (life, under) =>
       this.ended.push([
         life,
         under.map(({ content, isEarly }) => `${content} ${isEarly ? 'early' : 'late'}`),
--- a/request/crashes/test/deadlyWorld.ts
+++ b/request/crashes/test/deadlyWorld.ts
@@ -181,7 +181,7 @@
 
   private decide({ entry, content, lost }: RelayedRequest): SendingDecision['type'] {
     const book = this.books[entry]!
-    const unconfirmed = lost.filter((life) => !book.hasEnded(life)).length
+    const unconfirmed = lost.filter((life) => !book.hasCrashed(life)).length
     return decideSending({ book, content, service: 's', hasTrials: () => true, unconfirmed }).type
   }
 
@@ -225,7 +225,7 @@
         const under = lost
           .filter((one) => one.entry === entry)
           .map(({ content }) => ({ content, isEarly: true }))
-        this.tell(entry, this.books[entry]!.noteEnded(life, under))
+        this.tell(entry, this.books[entry]!.recordCrash(life, under))
       }
     })
     lost.forEach((one) => one.lost())
@@ -306,7 +306,7 @@
   private endTurn({ entry, id, content, turn, lost }: RelayedRequest): void {
     if (turn === undefined) return
     const book = this.books[entry]!
-    const confirmedIn = lost.every((life) => book.hasEnded(life)) ? 0 : PROVED_AFTER_MS
+    const confirmedIn = lost.every((life) => book.hasCrashed(life)) ? 0 : PROVED_AFTER_MS
     this.clock.after(confirmedIn, () => {
       const records = book.recordsOf([content])
       this.clock.after(this.between(WAY_MS), () => {
@@ -321,7 +321,7 @@
       now: () => this.clock.now(),
       random: this.random,
       registered: () => this.endpoints.map(lifeOf),
-      hasEnded: (life) => this.leader.hasEnded(life),
+      hasCrashed: (life) => this.leader.hasCrashed(life),
       isSuspect: (content) => this.leader.isSuspect(content),
       onChange: () => this.passOnKeptFree(trials),
     })
--- a/request/crashes/test/decideSending.test.ts
+++ b/request/crashes/test/decideSending.test.ts
@@ -8,7 +8,7 @@
 /** Notes that a content was at work at so many endpoints that crashed, each beside another. */
 function crash(book: CrashBook, content: string, times: number): void {
   for (let time = 1; time <= times; time += 1)
-    book.noteEnded(
+    book.recordCrash(
       `${content}${time}`,
       [content, `beside ${time}`].map((one) => ({ content: one, isEarly: true })),
     )
@@ -55,7 +55,7 @@
     const time = { now: 0 }
     const book = new CrashBook({ now: () => time.now, ends: 3, keepMs: 60_000 })
     const crashOne = (life: string, service: string) =>
-      book.noteEnded(life, [{ content: `of ${life}`, isEarly: true }], service)
+      book.recordCrash(life, [{ content: `of ${life}`, isEarly: true }], service)
     crashOne('l1', 's')
     crashOne('l2', 'other')
     expect(decide(book)).toBe('send')
--- a/request/crashes/test/trialBook.test.ts
+++ b/request/crashes/test/trialBook.test.ts
@@ -13,7 +13,7 @@
     now: () => time.now,
     random: () => 0,
     registered: () => registered,
-    hasEnded: (id) => ended.has(id),
+    hasCrashed: (id) => ended.has(id),
     isSuspect: (content) => suspects.has(content),
     onChange: () => kept.push(book.endpoints),
   })
--- a/tools/bench/src/crashExperiment.ts
+++ b/tools/bench/src/crashExperiment.ts
@@ -38,7 +38,7 @@
       content: randomBytes(12).toString('hex'),
       isEarly: false,
     }))
-    const text = JSON.stringify(from.noteEnded(`i-${randomBytes(5).toString('hex')}~mv47tb9k`, under))
+    const text = JSON.stringify(from.recordCrash(`i-${randomBytes(5).toString('hex')}~mv47tb9k`, under))
     endBytes = text.length
     const started = performance.now()
     to.merge(readCrashRecords(JSON.parse(text)))
