--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -1,7 +1,7 @@
 import type { Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
 import { ServedLately } from './servedLately'
-import type { ContentRefusal, CrashRecord, EndedUnder, EndpointLife } from './crashTypes'
+import type { ContentRefusal, CrashRecord, EndedUnder, Incarnation } from './crashTypes'
 
 /** Options of {@link CrashBook}. */
 export interface CrashBookOptions {
@@ -16,9 +16,9 @@
 interface Entry {
   content: ContentDigest
   service?: string
-  ended: Set<EndpointLife>
-  early: Set<EndpointLife>
-  served: Set<EndpointLife>
+  ended: Set<Incarnation>
+  early: Set<Incarnation>
+  served: Set<Incarnation>
   wasServed: boolean
   /** When the last life was noted, by this machine's clock. */
   at: Millis
@@ -38,7 +38,7 @@
 const STORM_MS: Millis = 10_000
 const MOST_RECENT = 64
 /** More prove no more. */
-const MOST_LIVES = 16
+const MOST_INCARNATIONS = 16
 
 /**
  * Which contents were at work at endpoints that ended, from all that any machine has seen, and which of them is to
@@ -51,10 +51,10 @@
  */
 export class CrashBook {
   private readonly entries = new Map<ContentDigest, Entry>()
-  private readonly byLife = new Map<EndpointLife, Set<ContentDigest>>()
+  private readonly byIncarnation = new Map<Incarnation, Set<ContentDigest>>()
   private readonly served: ServedLately
   /** When each life ended, the newest last. */
-  private readonly recent = new Map<EndpointLife, { at: Millis; service?: string }>()
+  private readonly recent = new Map<Incarnation, { at: Millis; service?: string }>()
   private changes = 0
   private worked: { at: number; counts: Map<ContentDigest, number> } = { at: -1, counts: new Map() }
 
@@ -72,7 +72,7 @@
   }
 
   /** Notes what was at work when a life of a service's endpoint ended; gives the records that changed. */
-  recordCrash(life: EndpointLife, under: EndedUnder[], service?: string): CrashRecord[] {
+  recordCrash(life: Incarnation, under: EndedUnder[], service?: string): CrashRecord[] {
     const records = under.map(({ content, isEarly }) => ({
       content,
       service,
@@ -141,17 +141,17 @@
   }
 
   private countEnds(entry: Entry): number {
-    const open = openLives(entry)
+    const open = openIncarnations(entry)
     return (entry.wasServed ? open.filter((life) => this.wasAlone(entry, life)) : open).length
   }
 
   private isProved(entry: Entry): boolean {
-    return openLives(entry).some((life) => this.wasAlone(entry, life))
+    return openIncarnations(entry).some((life) => this.wasAlone(entry, life))
   }
 
   /** Whether it is known of an endpoint's life that it has ended. */
-  hasCrashed(life: EndpointLife): boolean {
-    return this.byLife.has(life)
+  hasCrashed(life: Incarnation): boolean {
+    return this.byIncarnation.has(life)
   }
 
   /**
@@ -162,14 +162,14 @@
     const entry = this.entries.get(content)
     const isKnown = entry !== undefined && this.leftMs(entry) > 0
     if (!isKnown && unconfirmed === 0) return false
-    const open = isKnown ? openLives(entry).length : 0
+    const open = isKnown ? openIncarnations(entry).length : 0
     return open + unconfirmed >= this.options.ends - 1 && this.refusalByEnds(content) === undefined
   }
 
   /** Lives that ended under a content, and that no good answer has cleared it of. */
   openCrashes(content: ContentDigest): number {
     const entry = this.entries.get(content)
-    return entry === undefined || this.leftMs(entry) <= 0 ? 0 : openLives(entry).length
+    return entry === undefined || this.leftMs(entry) <= 0 ? 0 : openIncarnations(entry).length
   }
 
   /** Whether a content got a good answer lately, as far as is known here. */
@@ -207,7 +207,7 @@
     if (this.worked.at !== this.changes) this.worked = { at: this.changes, counts: new Map() }
     const known = this.worked.counts.get(entry.content)
     if (known !== undefined) return known
-    const open = openLives(entry)
+    const open = openIncarnations(entry)
     const isProved = open.length > this.options.ends || open.some((life) => this.wasAlone(entry, life))
     const count = isProved ? open.length : open.filter((life) => !this.isExplained(entry, life)).length
     this.worked.counts.set(entry.content, count)
@@ -215,8 +215,8 @@
   }
 
   /** Whether nothing else was at work there that has not got a good answer since. */
-  private wasAlone(entry: Entry, life: EndpointLife): boolean {
-    const there = [...(this.byLife.get(life) ?? [])].map((content) => this.entries.get(content)!)
+  private wasAlone(entry: Entry, life: Incarnation): boolean {
+    const there = [...(this.byIncarnation.get(life) ?? [])].map((content) => this.entries.get(content)!)
     return there.every((one) => one === entry || one.served.has(life))
   }
 
@@ -224,13 +224,13 @@
    * A refused content that was at more ends is to blame for those that others were at too; among equals whatever had only
    * just begun. Asks of contents with more ends only, so that it comes to an end.
    */
-  private isExplained(entry: Entry, life: EndpointLife): boolean {
-    const own = openLives(entry).length
+  private isExplained(entry: Entry, life: Incarnation): boolean {
+    const own = openIncarnations(entry).length
     const isEarly = entry.early.has(life)
-    for (const content of this.byLife.get(life) ?? []) {
+    for (const content of this.byIncarnation.get(life) ?? []) {
       const other = this.entries.get(content)!
       if (other === entry || other.served.has(life)) continue
-      const others = openLives(other).length
+      const others = openIncarnations(other).length
       if (others > own && this.isRefused(other)) return true
       if (others === own && !isEarly && other.early.has(life)) return true
     }
@@ -257,14 +257,14 @@
     this.entries.set(content, entry)
     entry.service ??= record.service
     for (const life of entry.ended) {
-      if (!this.byLife.has(life)) this.noteRecent(life, entry)
-      const there = this.byLife.get(life) ?? new Set()
-      this.byLife.set(life, there.add(content))
+      if (!this.byIncarnation.has(life)) this.noteRecent(life, entry)
+      const there = this.byIncarnation.get(life) ?? new Set()
+      this.byIncarnation.set(life, there.add(content))
     }
     return true
   }
 
-  private noteRecent(life: EndpointLife, { at, service }: Entry): void {
+  private noteRecent(life: Incarnation, { at, service }: Entry): void {
     this.recent.set(life, { at, service })
     const [oldest] = this.recent.keys()
     if (this.recent.size > MOST_RECENT) this.recent.delete(oldest!)
@@ -285,9 +285,9 @@
     this.worked.at = -1
     this.entries.delete(entry.content)
     for (const life of entry.ended) {
-      const there = this.byLife.get(life)
+      const there = this.byIncarnation.get(life)
       there?.delete(entry.content)
-      if (there?.size === 0) this.byLife.delete(life)
+      if (there?.size === 0) this.byIncarnation.delete(life)
     }
   }
 }
@@ -305,14 +305,14 @@
 }
 
 /** Lives that still say something against a content. */
-function openLives({ ended, served }: Entry): EndpointLife[] {
+function openIncarnations({ ended, served }: Entry): Incarnation[] {
   return [...ended].filter((life) => !served.has(life))
 }
 
 /** Adds what is not there yet, as far as there is room; says whether anything was. */
-function addAll(set: Set<EndpointLife>, lives: EndpointLife[]): boolean {
+function addAll(set: Set<Incarnation>, lives: Incarnation[]): boolean {
   const before = set.size
-  for (const life of lives) if (set.size < MOST_LIVES) set.add(life)
+  for (const life of lives) if (set.size < MOST_INCARNATIONS) set.add(life)
   return set.size > before
 }
 
--- a/request/crashes/src/crashTypes.ts
+++ b/request/crashes/src/crashTypes.ts
@@ -2,7 +2,7 @@
 import type { ContentDigest } from './contentDigest'
 
 /** One start of an endpoint's process. */
-export type EndpointLife = string
+export type Incarnation = string
 
 /** What is known of one content: what it was at work at when that ended. Merged in any order it gives the same. */
 export interface CrashRecord {
@@ -10,11 +10,11 @@
   /** The service that its requests go to; absent where whoever says so does not name it. */
   service?: string
   /** Lives that ended under it. */
-  ended: EndpointLife[]
+  ended: Incarnation[]
   /** Those of them where it had only just begun. */
-  early: EndpointLife[]
+  early: Incarnation[]
   /** Those of them before it last got a whole answer: they say nothing against it any more. */
-  served: EndpointLife[]
+  served: Incarnation[]
   /** Whether it got a whole answer since an end, or within a minute before one; absent where none is known. */
   wasServed?: boolean
   /** Since the last of them was noted, by the clock of whoever says so: clocks need not agree. */
--- a/request/crashes/src/crashWatch.ts
+++ b/request/crashes/src/crashWatch.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '@forkstage/logger'
 import type { Address, Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
-import type { EndedUnder, EndpointLife } from './crashTypes'
+import type { EndedUnder, Incarnation } from './crashTypes'
 
 /** What a bare connection to an address shows. */
 export type Listening = 'listens' | 'refused' | 'silent'
@@ -30,7 +30,7 @@
   /** Whether a later life has its name, or another process has registered at its address. */
   isReplaced: (endpoint: RegisteredEndpoint) => boolean
   /** Called once for each instance that has ended, with what it had at work. */
-  onCrash: (life: EndpointLife, under: EndedUnder[], service: string) => void
+  onCrash: (life: Incarnation, under: EndedUnder[], service: string) => void
 }
 
 interface Suspected {
