refactor(gateway): isolated trials are called so

alonePlace, askAlone, aloneAt, mayRunAlone and their kin become isolatedPlace, askIsolated, isolatedAt and hasIsolatedTrials. What callers and log lines say stays.

--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -6,7 +6,7 @@
   CrashReporter,
   CrashWatch,
   decideSending,
-  mayRunAlone,
+  hasIsolatedTrials,
   refusalOf,
   tryAddress,
   type ContentDigest,
@@ -99,7 +99,7 @@
     await Promise.race([all, delay(this.options.clock, CONFIRMED_WITHIN_MS)])
   }
 
-  async askAlone(content: ContentDigest, service: string): Promise<TrialAnswer> {
+  async askIsolated(content: ContentDigest, service: string): Promise<TrialAnswer> {
     const answer = await this.options.way.askThrough<TrialAnswer>(
       TRIAL_ASK,
       { service, content, records: this.options.book.recordsOf([content]) },
@@ -122,7 +122,7 @@
     this.options.way.notify(TRIAL_END, { service, content, turnOf: request, records })
   }
 
-  noteAloneEnd(content: ContentDigest, service: string, endpoint: InstanceId): void {
+  noteIsolatedEnd(content: ContentDigest, service: string, endpoint: InstanceId): void {
     this.options.way.notify(TRIAL_END, { service, content, endpoint })
   }
 
@@ -150,7 +150,7 @@
   private hasTrials(service: string): boolean {
     const { directory, isBarred } = this.options
     const plain = directory.list().filter((one) => one.service === service && one.stage === undefined)
-    return mayRunAlone(plain.filter((one) => one.state === 'ready' && !isBarred(one)).length)
+    return hasIsolatedTrials(plain.filter((one) => one.state === 'ready' && !isBarred(one)).length)
   }
 
   private isReplaced({ id, address }: RegisteredEndpoint): boolean {
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -189,7 +189,7 @@
         crashes: this.crashes,
         sendRules: [
           (to) => (isEvacuated(to) ? EVACUATED : undefined),
-          (to, { aloneAt }) => (isKeptFree(to) && aloneAt !== to.id ? KEPT_FREE : undefined),
+          (to, { isolatedAt }) => (isKeptFree(to) && isolatedAt !== to.id ? KEPT_FREE : undefined),
           homeRule(topology),
         ],
         clock,
--- a/request/crashes/src/mayRunAlone.ts
+++ b/request/crashes/src/hasIsolatedTrials.ts
@@ -2,6 +2,6 @@
 export const LEAST_OTHERS = 2
 
 /** Whether one of so many plain endpoints of a service may be kept free for what must run alone. */
-export function mayRunAlone(endpoints: number): boolean {
+export function hasIsolatedTrials(endpoints: number): boolean {
   return endpoints > LEAST_OTHERS
 }
--- a/request/crashes/src/trialBook.ts
+++ b/request/crashes/src/trialBook.ts
@@ -2,7 +2,7 @@
 import type { InstanceId } from '@forkstage/directory'
 import type { Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
-import { LEAST_OTHERS, mayRunAlone } from './mayRunAlone'
+import { LEAST_OTHERS, hasIsolatedTrials } from './hasIsolatedTrials'
 import type { TrialAnswer, TrialAsk, TrialEnd } from './trialTypes'
 
 /** Options of {@link TrialBook}. */
@@ -120,7 +120,7 @@
   }
 
   private reserve(service: string, now: Millis): TrialAnswer {
-    if (!mayRunAlone(this.options.registered(service).length)) return { type: 'anywhere' }
+    if (!hasIsolatedTrials(this.options.registered(service).length)) return { type: 'anywhere' }
     const standing = this.standing(service)
     if (standing.length <= LEAST_OTHERS) return later(TOO_FEW_RETRY_MS)
     const endpoint = standing[Math.floor(this.options.random() * standing.length)]!
--- a/request/gateway/src/alonePlace.ts
+++ b/request/gateway/src/isolatedPlace.ts
@@ -6,13 +6,13 @@
 import type { RelayJob, RelayParts } from './relayParts'
 
 /** An endpoint that is kept free for a request, or when to come back for one. */
-export type AlonePlace =
+export type PermittedPlace =
   | { type: 'place'; at: AtHome<PooledEndpoint>; end: () => void }
   | { type: 'later'; retryAfterMs: Millis }
   | { type: 'anywhere' }
 
 /** Why a request is refused that must run alone. */
-export const MUST_RUN_ALONE = 'must run alone'
+export const MUST_BE_ISOLATED = 'must run alone'
 
 /** The part of the time left that a request waits for an endpoint to be kept free, and the longest it does. */
 const WAIT_SHARE = 0.5
@@ -23,16 +23,16 @@
  * Asks the leader for an endpoint where a request runs alone that may end those that run it. It waits for that a while:
  * its callers have lost it twice by then, and hardly come back once more.
  */
-export async function alonePlace(
+export async function isolatedPlace(
   parts: RelayParts,
   job: RelayJob,
   isOver: () => boolean,
-): Promise<AlonePlace> {
+): Promise<PermittedPlace> {
   const { clock } = parts
   const crashes = parts.crashes!
   const until = waitsUntil(parts, job)
   for (;;) {
-    const answer = await crashes.askAlone(job.request.content(), job.service.name)
+    const answer = await crashes.askIsolated(job.request.content(), job.service.name)
     if (answer.type === 'granted') return reservedPlace(parts, job, answer.endpoint, isOver)
     if (answer.type !== 'later') return { type: 'anywhere' }
     if (isOver() || clock.now() + answer.retryAfterMs > until) return answer
@@ -49,13 +49,13 @@
   job: RelayJob,
   isNeeded: () => boolean,
   isOver: () => boolean,
-): Promise<AlonePlace> {
+): Promise<PermittedPlace> {
   const { clock } = parts
   const crashes = parts.crashes!
   const until = waitsUntil(parts, job)
   for (;;) {
     const answer = await crashes.askTurn(job.request.content(), job.service.name, job.request.id)
-    if (answer.type === 'isolate') return alonePlace(parts, job, isOver)
+    if (answer.type === 'isolate') return isolatedPlace(parts, job, isOver)
     if (answer.type !== 'later' || clock.now() + answer.retryAfterMs > until) return { type: 'anywhere' }
     await delay(clock, answer.retryAfterMs)
     if (isOver() || !isNeeded()) return { type: 'anywhere' }
@@ -71,8 +71,8 @@
   job: RelayJob,
   endpoint: InstanceId,
   isOver: () => boolean,
-): AlonePlace {
-  const end = () => crashes!.noteAloneEnd(job.request.content(), job.service.name, endpoint)
+): PermittedPlace {
+  const end = () => crashes!.noteIsolatedEnd(job.request.content(), job.service.name, endpoint)
   const at = pool.atHome(endpoint, job.homes())
   if (at !== undefined && !isOver()) return { type: 'place', at, end }
   end()
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,4 +1,4 @@
-import { MUST_RUN_ALONE, type AlonePlace } from './alonePlace'
+import { MUST_BE_ISOLATED, type PermittedPlace } from './isolatedPlace'
 import type { AtHome } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
@@ -88,7 +88,7 @@
         return this.answerWithout(failed, ENDS_ENDPOINTS, decision.refusal.leftMs)
       const permit = await this.permits.get(decision)
       if (permit.type === 'later' && !this.isOver)
-        return this.answerWithout(failed, MUST_RUN_ALONE, permit.retryAfterMs)
+        return this.answerWithout(failed, MUST_BE_ISOLATED, permit.retryAfterMs)
       const to = permit.type === 'place' ? permit.at : await this.choose()
       if (this.isOver) return this.overResult()
       if (to === undefined) return this.answerWithout(failed, this.whyNone())
@@ -172,11 +172,11 @@
     return waitMs !== undefined && waitMs > 0 ? waitMs : undefined
   }
 
-  private async sendTo(to: AtHome<PooledEndpoint>, permit: AlonePlace): Promise<Sending | undefined> {
+  private async sendTo(to: AtHome<PooledEndpoint>, permit: PermittedPlace): Promise<Sending | undefined> {
     if (permit.type !== 'place') return this.send(to)
-    this.job.aloneAt = to.endpoint.id
+    this.job.isolatedAt = to.endpoint.id
     const sending = await this.send(to)
-    this.job.aloneAt = undefined
+    this.job.isolatedAt = undefined
     void this.permits.endTrial(permit, to.endpoint.id)
     return sending
   }
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -59,13 +59,13 @@
   /** Resolves once it is known which of these have crashed, or after a short while. */
   confirmed(lost: InstanceId[]): Promise<void>
   /** Asks where it may run alone. */
-  askAlone(content: ContentDigest, service: string): Promise<TrialAnswer>
+  askIsolated(content: ContentDigest, service: string): Promise<TrialAnswer>
   /** Asks for the turn of a request's content: while it lasts no other request of it begins to run. */
   askTurn(content: ContentDigest, service: string, request: string): Promise<TrialAnswer>
   /** The turn is over. */
   noteTurnEnd(content: ContentDigest, service: string, request: string): void
   /** Its run there has ended, however. */
-  noteAloneEnd(content: ContentDigest, service: string, endpoint: InstanceId): void
+  noteIsolatedEnd(content: ContentDigest, service: string, endpoint: InstanceId): void
   /** Why a request must reach no endpoint of a service; undefined where it may. */
   refusal(content: () => ContentDigest, service: string): ContentRefusal | undefined
 }
@@ -109,7 +109,7 @@
   /** Tokens that the request declares; absent where it names none. */
   tokens?: TokenCounts
   /** The endpoint that is kept free for it at the moment; absent where none is. */
-  aloneAt?: InstanceId
+  isolatedAt?: InstanceId
   /** The engine that keeps the memory of its stopped run; absent where none does. */
   keptAt?: InstanceId
   /** When the place was asked for that a sending is about to use; absent where none is. */
--- a/request/gateway/src/sendingPermits.ts
+++ b/request/gateway/src/sendingPermits.ts
@@ -1,6 +1,6 @@
 import type { SendingDecision } from '@forkstage/crashes'
 import type { InstanceId } from '@forkstage/directory'
-import { alonePlace, awaitTurn, type AlonePlace } from './alonePlace'
+import { isolatedPlace, awaitTurn, type PermittedPlace } from './isolatedPlace'
 import type { RelayJob, RelayParts } from './relayParts'
 
 const SEND: SendingDecision = { type: 'send' }
@@ -32,8 +32,8 @@
   }
 
   /** Gets what a decision asks for. */
-  async get({ type }: SendingDecision): Promise<AlonePlace> {
-    if (type === 'isolate') return alonePlace(this.parts, this.job, this.isOver)
+  async get({ type }: SendingDecision): Promise<PermittedPlace> {
+    if (type === 'isolate') return isolatedPlace(this.parts, this.job, this.isOver)
     if (type !== 'serialize') return { type: 'anywhere' }
     this.hasAskedTurn = true
     const isNeeded = () => this.decideNow().type === 'serialize'
@@ -47,7 +47,7 @@
   }
 
   /** Told before its crash is confirmed, the leader would give the same endpoint to the next trial. */
-  async endTrial({ end }: Extract<AlonePlace, { type: 'place' }>, endpoint: InstanceId): Promise<void> {
+  async endTrial({ end }: Extract<PermittedPlace, { type: 'place' }>, endpoint: InstanceId): Promise<void> {
     await this.parts.crashes?.confirmed([endpoint])
     end()
   }
--- a/request/gateway/test/gatewayWorld.ts
+++ b/request/gateway/test/gatewayWorld.ts
@@ -96,7 +96,7 @@
   turn: (request: string) => TrialAnswer = () => ({ type: 'anywhere' })
   readonly turnEnds: string[] = []
   /** Endpoints where such a run has ended. */
-  readonly aloneEnds: string[] = []
+  readonly isolatedEnds: string[] = []
   /** Endpoints that are kept free. */
   readonly keptFree = new Set<string>()
   /** Contents that are refused. */
@@ -228,7 +228,7 @@
         sendRules: [
           ({ id }) => world.withheld.get(id),
           (to) => (isEvacuated(to) ? 'evacuated' : undefined),
-          (to, { aloneAt }) => (isKeptFree(to) && aloneAt !== to.id ? KEPT_FREE : undefined),
+          (to, { isolatedAt }) => (isKeptFree(to) && isolatedAt !== to.id ? KEPT_FREE : undefined),
           homeRule(TOPOLOGY),
         ],
         cold,
@@ -243,10 +243,10 @@
           noteServed: (content) => void world.served.push(content()),
           decide: (content, _service, lost) => world.decide(content(), lost),
           confirmed: (lost) => world.confirmed(lost),
-          askAlone: () => Promise.resolve(world.alone()),
+          askIsolated: () => Promise.resolve(world.alone()),
           askTurn: (_content, _service, request) => Promise.resolve(world.turn(request)),
           noteTurnEnd: (_content, _service, request) => void world.turnEnds.push(request),
-          noteAloneEnd: (_content, _service, endpoint) => void world.aloneEnds.push(endpoint),
+          noteIsolatedEnd: (_content, _service, endpoint) => void world.isolatedEnds.push(endpoint),
           refusal: (content) => (world.refused.has(content()) ? { ends: 3, leftMs: 60_000 } : undefined),
         },
         clock: {
--- a/request/gateway/test/runAlone.test.ts
+++ b/request/gateway/test/runAlone.test.ts
@@ -33,7 +33,7 @@
     expect(seen()[1]).toBe(0)
     expect((await send()).status).toBe(200)
     expect(seen()[1]).toBe(1)
-    expect(world.aloneEnds).toEqual(['i-1'])
+    expect(world.isolatedEnds).toEqual(['i-1'])
   })
 
   it('hears that it has not run, and when to come, where none is free soon', async () => {
@@ -58,7 +58,7 @@
     }
     expect((await send()).status).toBe(200)
     expect(said).toHaveLength(2)
-    expect(world.aloneEnds).toEqual(['i-2'])
+    expect(world.isolatedEnds).toEqual(['i-2'])
   })
 
   // Guards against requests that leave by what was known before they waited for an endpoint, and take one more down.
@@ -93,7 +93,7 @@
         : { type: 'later', retryAfterMs: 9_000 }
     }
     expect((await send()).status).toBe(502)
-    expect(world.aloneEnds).toEqual(['i-0'])
+    expect(world.isolatedEnds).toEqual(['i-0'])
   })
 
   // Guards against repeats that leave before the loss of their endpoint is confirmed, and crash one more beside others.
@@ -124,9 +124,9 @@
     world.decide = (_content, lost) =>
       lost.length > 0 ? { type: 'refuse', refusal: REFUSAL } : { type: 'isolate' }
     expect((await send()).status).toBe(502)
-    expect(world.aloneEnds).toEqual([])
+    expect(world.isolatedEnds).toEqual([])
     confirm()
-    await vi.waitFor(() => expect(world.aloneEnds).toEqual(['i-0']))
+    await vi.waitFor(() => expect(world.isolatedEnds).toEqual(['i-0']))
   })
 
   // Guards against runs of one content side by side that come to three crashes before the first is confirmed.
@@ -159,6 +159,6 @@
     world.alone = () => ({ type: 'granted', endpoint: 'i-2', forMs: 2_000 })
     expect((await send()).status).toBe(200)
     expect(seen()).toEqual([0, 0, 1])
-    await vi.waitFor(() => expect(world.aloneEnds).toEqual(['i-2']))
+    await vi.waitFor(() => expect(world.isolatedEnds).toEqual(['i-2']))
   })
 })
