--- a/daemon/fleet/src/controlCrashes.ts
+++ b/daemon/fleet/src/controlCrashes.ts
@@ -83,7 +83,7 @@
   methods(): Record<string, PeerMethod> {
     return {
       [CRASH_REPORT]: async ({ records }: { records: unknown }) => {
-        this.take(records)
+        this.apply(records)
         // Entries tell again whoever has not answered: killed after the answer, this machine must still know it.
         if (await this.file.keep()) return true
         throw new NotKeptError()
@@ -92,14 +92,14 @@
       [TRIAL_END]: (raw: unknown) => {
         const end = readTrialEnd(raw)
         if (end === undefined) return
-        this.take(end.records)
+        this.apply(end.records)
         this.trials.end(end)
       },
     }
   }
 
   /** Takes what another machine sent. */
-  take(records: unknown): void {
+  apply(records: unknown): void {
     const { book, logger, onChange } = this.options
     const news = book.merge(readCrashRecords(records))
     if (news.length === 0) return
@@ -113,7 +113,7 @@
     const kept = (await this.file.recall()) as { savedAt?: unknown; records?: unknown } | null | undefined
     if (kept === undefined || kept === null) return
     const awayMs = Math.max(0, this.options.clock.wallNow() - Number(kept.savedAt)) || 0
-    this.take(readCrashRecords(kept.records).map((one) => later(one, awayMs)))
+    this.apply(readCrashRecords(kept.records).map((one) => later(one, awayMs)))
   }
 
   stop(): void {
@@ -123,7 +123,7 @@
 
   private askTrial(ask: TrialAsk | undefined): TrialAnswer | undefined {
     if (ask === undefined || !this.options.isLeader()) return undefined
-    this.take(ask.records)
+    this.apply(ask.records)
     return this.trials.ask(ask)
   }
 
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -91,7 +91,7 @@
       evacuations: () => this.belief.view.current,
       onEvacuations: (set) => this.evacuations.takeHeard(set),
       onSupposedEvacuations: (domains) => this.belief.suppose(domains),
-      onCrashes: (records) => this.crashes.take(records),
+      onCrashes: (records) => this.crashes.apply(records),
       onEndpoints: (records) => this.registrar.take(records),
     })
     const replicas = () => this.controlAddresses()
--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -127,7 +127,7 @@
   }
 
   /** Takes what the control machines have heard from others. */
-  take(records: CrashRecord[]): void {
+  apply(records: CrashRecord[]): void {
     const { book, logger } = this.options
     logCrashes(logger, book, book.merge(records))
   }
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -126,7 +126,7 @@
       evacuations: () => this.belief.view.current,
       onEvacuations: (set) => this.belief.take(set),
       onSupposedEvacuations: (domains) => this.belief.suppose(domains),
-      onCrashes: (records) => this.crashes.take(records),
+      onCrashes: (records) => this.crashes.apply(records),
       onEndpoints: (records) => this.takeEndpoints(records),
     })
     const entries = () => this.follower.entries() || ENTRIES_UNTIL_KNOWN
--- a/daemon/fleet/test/controlCrashes.test.ts
+++ b/daemon/fleet/test/controlCrashes.test.ts
@@ -56,7 +56,7 @@
 it('knows after a start what it knew before, as old as it is by then', async () => {
   const folder = newFolder()
   const first = machine(folder)
-  first.crashes.take([BAD])
+  first.crashes.apply([BAD])
   first.clock.advance(1_000)
   await until('the file to be written', async () => {
     const again = machine(folder)
--- a/request/crashes/src/crashBook.ts
+++ b/request/crashes/src/crashBook.ts
@@ -96,7 +96,7 @@
 
   /** Takes what another machine knows; gives what was new. */
   merge(records: CrashRecord[]): CrashRecord[] {
-    const news = records.filter((record) => this.take(record))
+    const news = records.filter((record) => this.apply(record))
     if (news.length > 0) this.forgetOldest()
     return news
   }
@@ -237,7 +237,7 @@
     return false
   }
 
-  private take(record: CrashRecord): boolean {
+  private apply(record: CrashRecord): boolean {
     const { content, ended, early, served, wasServed = false, ageMs } = record
     const known = this.entries.get(content)
     const entry = known ?? emptyEntry(content)
