refactor(crashes): what is called again and again says what it does

look() becomes sweepExpired (trials), checkSuspected (the watch of crashes) and tick (a control machine's part). No behaviour changes; types checked.

--- a/daemon/fleet/src/controlCrashes.ts
+++ b/daemon/fleet/src/controlCrashes.ts
@@ -39,7 +39,7 @@
 }
 
 const FILE = 'crashes.json'
-const LOOK_EVERY_MS = 100
+const TICK_EVERY_MS = 100
 
 /** Raised where what was reported is known here and not on disk: whoever reported it tells it again. */
 export class NotKeptError extends ForkstageError {
@@ -55,7 +55,7 @@
 export class ControlCrashes {
   private readonly file: KeptFile
   private readonly trials: TrialBook
-  private cancelLook: CancelTimer = () => undefined
+  private cancelTick: CancelTimer = () => undefined
 
   constructor(private readonly options: ControlCrashesOptions) {
     const { clock, book } = options
@@ -77,7 +77,7 @@
   }
 
   start(): void {
-    this.cancelLook = every(this.options.clock, LOOK_EVERY_MS, () => this.look())
+    this.cancelTick = every(this.options.clock, TICK_EVERY_MS, () => this.tick())
   }
 
   methods(): Record<string, PeerMethod> {
@@ -118,7 +118,7 @@
 
   stop(): void {
     this.file.stop()
-    this.cancelLook()
+    this.cancelTick()
   }
 
   private askTrial(ask: TrialAsk | undefined): TrialAnswer | undefined {
@@ -134,8 +134,8 @@
     return plain.filter((one) => one.state === 'ready' && !isBarred(one)).map(({ id }) => id)
   }
 
-  private look(): void {
-    if (this.options.isLeader()) this.trials.look()
+  private tick(): void {
+    if (this.options.isLeader()) this.trials.sweepExpired()
     else this.trials.clear()
   }
 
--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -133,8 +133,8 @@
   }
 
   /** Endpoints have registered. */
-  look(): void {
-    this.watch.look()
+  checkSuspected(): void {
+    this.watch.checkSuspected()
   }
 
   stop(): void {
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -333,7 +333,7 @@
     const news = this.directory.merge(records)
     this.pool.update(news)
     if (news.length > 0) this.cold.look(news)
-    if (news.length > 0) this.crashes.look()
+    if (news.length > 0) this.crashes.checkSuspected()
     logEndpoints(this.basics.logger, news)
   }
 }
--- a/request/crashes/src/crashWatch.ts
+++ b/request/crashes/src/crashWatch.ts
@@ -51,7 +51,7 @@
 const TRIES = 2
 /** A process that crashes is back within seconds; what registers later says nothing of an answer lost long ago. */
 const LAPSES_AFTER_MS: Millis = 15_000
-const LOOK_EVERY_MS: Millis = 1_000
+const CHECK_EVERY_MS: Millis = 1_000
 /**
  * A request that ends its endpoint when it begins to run has been there for no longer, with what waits before it: 24 ends
  * seen came within 16 to 605 ms.
@@ -66,7 +66,7 @@
  */
 export class CrashWatch {
   private readonly suspected = new Map<InstanceId, Suspected>()
-  private isLooking = false
+  private isChecking = false
 
   constructor(private readonly options: CrashWatchOptions) {}
 
@@ -88,7 +88,7 @@
       one.onTried ??= []
       this.tryLater(one)
     }
-    this.lookLater()
+    this.checkLater()
   }
 
   /** Whether it is not known yet if an endpoint that was lost has ended. */
@@ -106,7 +106,7 @@
   }
 
   /** Looks whether others have taken the place of endpoints where something was lost. Called when endpoints register. */
-  look(): void {
+  checkSuspected(): void {
     const now = this.options.clock.now()
     for (const [id, one] of this.suspected) {
       if (now - one.lastAt > LAPSES_AFTER_MS || !this.isAtWork(id)) this.forget(one)
@@ -160,13 +160,13 @@
   }
 
   /** What is never found out lapses also where nothing registers. */
-  private lookLater(): void {
-    if (this.isLooking) return
-    this.isLooking = true
-    this.options.clock.after(LOOK_EVERY_MS, () => {
-      this.isLooking = false
-      this.look()
-      if (this.suspected.size > 0) this.lookLater()
+  private checkLater(): void {
+    if (this.isChecking) return
+    this.isChecking = true
+    this.options.clock.after(CHECK_EVERY_MS, () => {
+      this.isChecking = false
+      this.checkSuspected()
+      if (this.suspected.size > 0) this.checkLater()
     })
   }
 }
--- a/request/crashes/src/trialBook.ts
+++ b/request/crashes/src/trialBook.ts
@@ -93,7 +93,7 @@
   }
 
   /** Lets go of endpoints that have ended or that nobody has asked for. Called again and again. */
-  look(): void {
+  sweepExpired(): void {
     const now = this.options.now()
     for (const [content, { untilMs }] of this.turns) if (now >= untilMs) this.turns.delete(content)
     for (const [service, { askedAt, running }] of [...this.reservations]) {
--- a/request/crashes/test/crashWatch.test.ts
+++ b/request/crashes/test/crashWatch.test.ts
@@ -89,7 +89,7 @@
     await world.pass(3_000)
     expect(world.ended).toEqual([])
     world.isReplaced = true
-    world.watch.look()
+    world.watch.checkSuspected()
     expect(world.ended).toEqual([['i-1', [isBroken ? 'a early' : 'a late']]])
   })
 
@@ -105,7 +105,7 @@
     world.lose('r1', 'a')
     await world.pass(17_000)
     world.isReplaced = true
-    world.watch.look()
+    world.watch.checkSuspected()
     expect(world.ended).toEqual([])
   })
 
@@ -147,7 +147,7 @@
       world.lose('r1', 'a')
       const known = world.watch.confirmed('i-1')
       change(world)
-      world.watch.look()
+      world.watch.checkSuspected()
       await known
       expect(world.watch.isUnconfirmed('i-1')).toBe(false)
     }
--- a/request/crashes/test/deadlyWorld.ts
+++ b/request/crashes/test/deadlyWorld.ts
@@ -65,7 +65,7 @@
     this.leader = this.newBook()
     this.trials = this.newTrials()
     this.keptFree = this.books.map(() => new Set())
-    every(this.clock, 100, () => this.trials.look())
+    every(this.clock, 100, () => this.trials.sweepExpired())
     for (let kind = 0; kind < kinds; kind += 1)
       this.deadly.set(`deadly${kind}`, { endedAt: [], arrivedAt: [] })
   }
--- a/request/crashes/test/trialBook.test.ts
+++ b/request/crashes/test/trialBook.test.ts
@@ -54,10 +54,10 @@
     expect(book.ask(ASK)).toMatchObject({ type: 'later' })
     expect(book.endpoints).toEqual(['p2'])
     time.now = 1_499
-    book.look()
+    book.sweepExpired()
     expect(book.endpoints).toEqual(['p2'])
     time.now = 1_500
-    book.look()
+    book.sweepExpired()
     expect(kept.at(-1)).toEqual([])
   })
 
