test(fleet): decisions before a sending at entries, and what a new leader takes from those who ask

Tests only: no leader refuses nobody a turn; unconfirmed losses count while they are unconfirmed; a leader that knew nothing isolates by the records that an ask or the end of a turn brings.

--- a/daemon/fleet/test/controlCrashes.test.ts
+++ b/daemon/fleet/test/controlCrashes.test.ts
@@ -147,4 +147,25 @@
       await one.crashes.methods()[TRIAL_END]!(raw as never, NOBODY)
     }
   })
+
+  // Guards against a new leader that lets a content run again because it has not heard of what the asking entry saw.
+  it('go by what the asking entry knows too, and by what it saw in its turn', async () => {
+    const one = machine(newFolder())
+    one.endpoints.push(plain('p1'), plain('p2'), plain('p3'))
+    const ask = asking(one)
+    const known = (...crashed: string[]) => [
+      { content: 'maybe', ended: crashed, early: [], served: [], ageMs: 1 },
+      { content: 7 },
+    ]
+    expect(await ask({ ...ASK, turnOf: 'r1', records: known('x1') })).toEqual({ type: 'anywhere' })
+    expect(await ask({ ...ASK, turnOf: 'r2' })).toMatchObject({ type: 'later' })
+    await one.crashes.methods()[TRIAL_END]!(
+      { ...ASK, turnOf: 'r1', records: known('x1', 'x2') } as never,
+      NOBODY,
+    )
+    expect(await ask({ ...ASK, turnOf: 'r2' })).toEqual({ type: 'isolate' })
+    expect(one.crashes.keptFree).toEqual([])
+    expect(await ask({ ...ASK, turnOf: 'r2', records: 'none' })).toEqual({ type: 'isolate' })
+    expect(await ask(ASK)).toMatchObject({ type: 'later', retryAfterMs: 500 })
+  })
 })
--- a/daemon/fleet/test/entryCrashes.test.ts
+++ b/daemon/fleet/test/entryCrashes.test.ts
@@ -38,7 +38,7 @@
   for (const life of ['l1', 'l2', 'l3']) book.recordCrash(life, early('bad', 'other'))
   const isRefused = (content: string) =>
     crashes.refusal(() => content as ContentDigest, 'plain') !== undefined
-  return { isRefused }
+  return { isRefused, crashes, book }
 }
 
 it('counts three ends whoever else was there only where one endpoint may be kept free for what has two', () => {
@@ -48,3 +48,31 @@
   expect(start(6, 'decode').isRefused('other')).toBe(false)
   for (const world of [start(3), start(2), start(6, 'decode')]) expect(world.isRefused('bad')).toBe(true)
 })
+
+// Guards against requests that are refused for want of a leader, who only spares endpoints by giving turns.
+it('lets a content run without its turn where no leader answers, and has one that must be isolated come back', async () => {
+  const { crashes } = start(3)
+  expect(await crashes.askTurn('other' as ContentDigest, 'plain', 'r1')).toEqual({ type: 'anywhere' })
+  expect(await crashes.askIsolated('other' as ContentDigest, 'plain')).toEqual({
+    type: 'later',
+    retryAfterMs: 800,
+  })
+})
+
+it('decides by its book, and by losses of the request only while these are unconfirmed', () => {
+  const { crashes, book } = start(3)
+  const decide = (content: string, lost: string[] = []) =>
+    crashes.decide(() => content as ContentDigest, 'plain', lost).type
+  expect(decide('bad')).toBe('refuse')
+  book.noteServed('other' as ContentDigest)
+  expect(decide('other')).toBe('send')
+  // Four endpoints have crashed within a moment: what nobody was served lately takes turns.
+  expect(decide('never seen')).toBe('serialize')
+  const endpoint = fullEndpoint({ address: '127.0.0.1:9' }, 0)
+  const lose = (request: string) =>
+    crashes.noteLost({ request, content: 'lost' as ContentDigest, endpoint, isBroken: true, afterMs: 5 })
+  expect(decide('lost', ['i-0', 'i-0'])).toBe('serialize')
+  lose('r1')
+  expect(decide('lost', ['i-0', 'i-0'])).toBe('await-confirmation')
+  expect(decide('lost', ['i-1', 'i-1'])).toBe('serialize')
+})
