feat(observability): count ejected endpoints at each entry, log why a connection was not opened

The refusals of an entry without links and those for a crashed endpoint looked the same in one machine's log and metrics: `unreachable`, with no reason. `forkstage_endpoints_ejected` at all entries tells one entry that avoids every endpoint from an endpoint that every entry avoids; `reason` in `sends` tells a refused connection from one that hangs. No behaviour changes.

--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -220,6 +220,7 @@
       sheet_version: () => this.routes.version,
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
+      endpoints_ejected: () => this.pool.ejectedCount,
       endpoints_cold: () => this.cold.count,
       endpoints_limited: () => this.limits.rates.count,
       endpoints_resting: () => this.availability.backoffCount,
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -98,6 +98,12 @@
     return [...this.pooled.values()].filter(acceptsWork).length
   }
 
+  /** Number of known instances that this entry avoids after failures. */
+  get ejectedCount(): number {
+    const now = this.options.clock.now()
+    return [...this.pooled.values()].filter((one) => one.ejectedUntil > now).length
+  }
+
   get(id: string): PooledEndpoint | undefined {
     return this.pooled.get(id)
   }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -230,7 +230,13 @@
     // An endpoint that asked for backoff keeps its limit: its normal capacity is unchanged.
     if (sendOutcome === 'full' && parts.pool.isAvailable(to)) to.limit.recordFull()
     parts.pool.recordEnd(to, this.isOver ? 'cancelled' : sendOutcome, tookMs)
-    this.sends.push({ to: to.endpoint.id, step: 'plain', outcome: sendOutcome, tookMs: Math.round(tookMs) })
+    this.sends.push({
+      to: to.endpoint.id,
+      step: 'plain',
+      outcome: sendOutcome,
+      reason: outcome.type === 'failed' && !outcome.sent ? outcome.reason : undefined,
+      tookMs: Math.round(tookMs),
+    })
     return sending
   }
 
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -76,6 +76,8 @@
   to: string
   step: 'plain' | 'prefill' | 'decode'
   outcome: string
+  /** Why no connection was opened; absent if the request was sent. */
+  reason?: string
   tookMs: number
 }
 
