fix(watch): name more neighbours to an entry, spread over the fleet, and as soon as they are known

Cause: a control machine named to an entry the three entries that follow it in the ring of addresses. Those of one failure domain are adjacent, so an entry that is cut off with its domain may know only entries that are cut off too; and an entry that started first learned of others only when its held request ended, up to a second later. Change: up to eight, evenly spread over the ring; a held request is answered (with the batch of new endpoints) once more can be named than its sender knows, which it says in `neighbourCount`. Older machines omit it and are answered as before. Calls to the leader through neighbours still ask three at most. Test: watch.test.ts; the check of five entries now expects all four others instead of three. Ruled out: all entries, whose number would grow each answer.

--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -231,6 +231,7 @@
       position,
       crashPosition: onCrashes === undefined ? undefined : machine.crashPosition,
       keptFree: entry === undefined ? undefined : machine.reserved,
+      neighbourCount: entry === undefined ? undefined : machine.neighbours.length,
       leader,
       members,
       sheetVersion: newestKnown,
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -28,7 +28,8 @@
  * Time since its last request for which an entry counts, long enough for a restart or a short disconnection.
  */
 const ENTRY_ACTIVE_MS = 15_000
-const MAX_NEIGHBOURS = 3
+/** Enough that some remain if a whole failure domain is cut off. */
+const MAX_NEIGHBOURS = 8
 /**
  * Registrations are sent in batches: a starting fleet registers thousands of endpoints one by one, and an
  * answer to one entry costs about this much.
@@ -143,7 +144,14 @@
     if (Object.keys(this.evacuationsFor(request)).length > 0) return 'now'
     if ((sheet()?.version ?? -1) > request.sheetVersion || leader() !== request.leader) return 'now'
     if (members().join() !== request.members.join()) return 'now'
-    return directory.position === request.position ? 'none' : 'soon'
+    const hasNews = directory.position !== request.position || this.hasMoreNeighbours(request)
+    return hasNews ? 'soon' : 'none'
+  }
+
+  /** Whether an entry, which may have asked before others had started, can be named more neighbours than it knows. */
+  private hasMoreNeighbours({ entry, neighbourCount }: WatchRequest): boolean {
+    if (entry === undefined || neighbourCount === undefined) return false
+    return Math.min(MAX_NEIGHBOURS, this.entries.size - 1) > neighbourCount
   }
 
   private compose(request: WatchRequest): WatchAnswer {
@@ -180,14 +188,19 @@
     return supposed.length > 0 ? { supposedEvacuations: supposed } : {}
   }
 
-  /** The entries that follow the sender in a ring, so that each entry is the neighbour of only a few. */
+  /**
+   * Other entries, evenly spread over a ring that starts at the sender: each entry is the neighbour of only a few, and
+   * those of one failure domain, whose addresses are adjacent, are not all neighbours of the same entry.
+   */
   private neighboursOf(entry: Address | undefined): Address[] {
     if (entry === undefined) return []
     this.ring ??= [...this.entries.keys()].sort()
     const { ring } = this
     const next = ring.findIndex((address) => address > entry)
     const rotated = next < 0 ? ring : [...ring.slice(next), ...ring.slice(0, next)]
-    return rotated.filter((address) => address !== entry).slice(0, MAX_NEIGHBOURS)
+    const others = rotated.filter((address) => address !== entry)
+    const count = Math.min(MAX_NEIGHBOURS, others.length)
+    return Array.from({ length: count }, (_, index) => others[Math.floor((index * others.length) / count)]!)
   }
 
   /** The number of entries with a recent request. */
@@ -203,7 +216,10 @@
   }
 
   private recordEntry(entry: Address): void {
-    if (!this.entries.delete(entry)) this.ring = undefined
+    const isNew = !this.entries.delete(entry)
     this.entries.set(entry, this.options.clock.now())
+    if (!isNew) return
+    this.ring = undefined
+    this.notifyChange()
   }
 }
--- a/membership/watch/src/watchTypes.ts
+++ b/membership/watch/src/watchTypes.ts
@@ -27,6 +27,8 @@
   crashPosition?: number
   /** The reserved endpoints of the receiver's last answer; absent if the sender relays no requests. */
   keptFree?: InstanceId[]
+  /** The number of neighbours in the receiver's last answer; absent if the sender is no entry. */
+  neighbourCount?: number
   /** The newest sheet version that the sender knows of; -1 without one. */
   sheetVersion: number
   /** The index of the sender's set of evacuated domains; absent if the sender wants none. */
@@ -71,7 +73,7 @@
   leader?: Address
   /** The number of entries with a recent request. */
   entries: number
-  /** A few other entries, for an entry that loses its connection to the control machines. */
+  /** Some other entries, for an entry that loses its connection to the control machines or to endpoints. */
   neighbours: Address[]
 }
 
--- a/membership/watch/test/watch.test.ts
+++ b/membership/watch/test/watch.test.ts
@@ -105,14 +105,42 @@
     expect(answer.endpoints.map(({ id }) => id)).toEqual(['i-1', 'i-2'])
   })
 
-  it('counts the entries with a recent request and names to each the next ones in the ring', async () => {
+  it('counts the entries with a recent request and names others to each, in the order of the ring', async () => {
     const { clock, hub, request } = createHubHarness()
     const ask = (entry: string) => hub.answer(request({ entry, epoch: 'other' }))
     for (const entry of ['e1', 'e2', 'e3', 'e4', 'e5']) await ask(entry)
-    expect(await ask('e4')).toMatchObject({ entries: 5, neighbours: ['e5', 'e1', 'e2'] })
+    expect(await ask('e4')).toMatchObject({ entries: 5, neighbours: ['e5', 'e1', 'e2', 'e3'] })
     clock.advance(16_000)
     expect(await ask('e1')).toMatchObject({ entries: 1, neighbours: [] })
   })
+
+  // Guards against an entry whose neighbours are all in the failure domain that is cut off with it.
+  it('names neighbours from all over the ring, and each entry to equally many others', async () => {
+    const { hub, request } = createHubHarness()
+    const entries = Array.from({ length: 24 }, (_, index) => `e${String(index).padStart(2, '0')}`)
+    const ask = (entry: string) => hub.answer(request({ entry, epoch: 'other' }))
+    for (const entry of entries) await ask(entry)
+    const named = await Promise.all(entries.map(async (entry) => (await ask(entry)).neighbours))
+    const thirdOf = (entry: string) => Math.floor(entries.indexOf(entry) / 8)
+    for (const neighbours of named) {
+      expect(new Set(neighbours).size).toBe(8)
+      expect(new Set(neighbours.map(thirdOf)).size).toBe(3)
+    }
+    const counts = entries.map((entry) => named.filter((neighbours) => neighbours.includes(entry)).length)
+    expect(Math.max(...counts)).toBe(8)
+  })
+
+  // Guards against an entry that started first and knows no neighbour until its held request ends.
+  it('answers a held request once another entry has started, until it has named enough', async () => {
+    const { hub, request } = createHubHarness()
+    let answer: string[] | undefined
+    const held = hub.answer(request({ entry: 'e1', neighbourCount: 0 }))
+    void held.then(({ neighbours }) => (answer = neighbours))
+    await settle()
+    expect(answer).toBeUndefined()
+    void hub.answer(request({ entry: 'e2', neighbourCount: 1 }))
+    expect((await held).neighbours).toEqual(['e2'])
+  })
 })
 
 describe('ControlFollower', () => {
--- a/request/gateway/src/leaderClient.ts
+++ b/request/gateway/src/leaderClient.ts
@@ -43,6 +43,8 @@
 
 /** A leader that did not answer is not called directly for this long. */
 const SKIP_DIRECT_MS = 400
+/** Bounds the calls of an entry while no neighbour reaches the leader either. */
+const MAX_ASKED_NEIGHBOURS = 3
 /** Reserved for the hop between two entries. */
 const HOP_MARGIN_MS = 50
 
@@ -138,7 +140,7 @@
 
   private async callThroughNeighbour<Answer>(call: ForwardedCall): Promise<Answer> {
     const { peers, neighbours } = this.options
-    const known = neighbours()
+    const known = neighbours().slice(0, MAX_ASKED_NEIGHBOURS)
     const first = this.neighbour !== undefined && known.includes(this.neighbour) ? [this.neighbour] : []
     for (const neighbour of [...first, ...known.filter((address) => address !== this.neighbour)]) {
       try {
