feat(tunnel,paths): connections to endpoints through another box

The parts of the fix for entries cut from all endpoints, not wired yet. `peer/tunnel`: a box asks another one over their authenticated connection for a connection to a registered endpoint and joins one of its own with a ticket that counts once; the carrier only moves bytes, with backpressure, and passes a reset on as a reset. `request/paths`: connects directly, asks another box beside a slow connect or after a failed one, hands out the first connection and closes the others, so that nothing of a request is sent twice; learns which endpoints only others reach, tries these directly a few at a time, and tells a failure of an endpoint from one of its own links. Lines of peers are split as bytes, so that raw bytes may follow a line. Weighed: to forward the whole request, which would need budget, quota, rates, trials and releases at exactly one of two entries each; forwarding the connection leaves them all where they are (docs/design/endpoint-paths.md).

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -30,6 +30,12 @@
   'owner.released': { endpoint: string; request: string; kind: string; ageMs: number }
   'endpoint.ejected': { endpoint: string; reason: string; forMs: number }
   'endpoint.restored': { endpoint: string }
+  /** A machine reaches an endpoint only through another machine, `via`. */
+  'path.indirect': { endpoint: string; via: string; reason: string }
+  /** A machine reaches an endpoint over its own links again; `left` endpoints it still does not. */
+  'path.direct': { endpoint: string; left: number }
+  /** A machine reaches no endpoint, also through others; logged once until it reaches one. */
+  'path.none': { reason: string }
   /** The known rate advertised by an endpoint has changed; requests per second from all machines together. */
   'endpoint.rate': {
     endpoint: string
--- a/peer/rpc/src/index.ts
+++ b/peer/rpc/src/index.ts
@@ -1,8 +1,9 @@
 /** JSON-RPC 2.0 between boxes. */
-export { startPeerServer } from './startPeerServer'
+export { JOIN, startPeerServer } from './startPeerServer'
 export type { PeerContext, PeerMethod, PeerServer, PeerServerOptions } from './startPeerServer'
 export { PeerClient } from './peerClient'
 export type { PeerCaller, PeerCallOptions, PeerClientOptions } from './peerClient'
+export { connectSocket } from './peerConnection'
 export type { PeerCredentials } from './peerConnection'
 export { PeerAnswerError, PeerProofError, PeerUnreachableError } from './peerErrors'
 export { parseAddress } from './parseAddress'
--- a/peer/rpc/src/lineChannel.ts
+++ b/peer/rpc/src/lineChannel.ts
@@ -4,6 +4,7 @@
 const MAX_LINE_BYTES = 256 * 1024 * 1024
 /** Maximum size of unsent data; above it the connection is closed because the peer does not read. */
 const MAX_QUEUED_BYTES = 64 * 1024 * 1024
+const LINE_FEED = 0x0a
 
 /** Options of {@link openLineChannel}. */
 export interface LineChannelOptions {
@@ -15,38 +16,46 @@
 export interface LineChannel {
   send(line: string): void
   close(reason: string): void
+  /** Ends the channel and returns its connection, which has the bytes after the current line to read. */
+  detach(): Socket
 }
 
 /** Splits the data of a socket into lines; limits the size of received lines and of unsent data. */
 export function openLineChannel(socket: Socket, options: LineChannelOptions): LineChannel {
-  let parts: string[] = []
-  let pendingChars = 0
+  let parts: Buffer[] = []
+  let pendingBytes = 0
   let closed = false
+  let isDetached = false
   const close = (reason: string) => {
     if (closed) return
     closed = true
     socket.destroy()
     options.onClose(reason)
   }
-  const emitLine = (line: string) => {
-    if (!closed && line !== '') options.onLine(line)
+  const takeLine = (end: Buffer): string => {
+    const line = parts.length === 0 ? end : Buffer.concat([...parts, end])
+    parts = []
+    pendingBytes = 0
+    return line.toString('utf8')
   }
-  const handleChunk = (chunk: string) => {
-    const lines = chunk.split('\n')
-    parts.push(lines[0]!)
-    pendingChars += lines[0]!.length
-    if (pendingChars > MAX_LINE_BYTES) return close('a line is too long')
-    if (lines.length === 1) return
-    emitLine(parts.join(''))
-    for (const line of lines.slice(1, -1)) emitLine(line)
-    parts = [lines.at(-1)!]
-    pendingChars = parts[0]!.length
+  const handleChunk = (chunk: Buffer) => {
+    let start = 0
+    for (let end = chunk.indexOf(LINE_FEED); end !== -1; end = chunk.indexOf(LINE_FEED, start)) {
+      const line = takeLine(chunk.subarray(start, end))
+      start = end + 1
+      if (!closed && line !== '') options.onLine(line)
+      if (isDetached) return unread(socket, chunk.subarray(start))
+    }
+    parts.push(chunk.subarray(start))
+    pendingBytes += chunk.length - start
+    if (pendingBytes > MAX_LINE_BYTES) close('a line is too long')
   }
+  const handleError = (error: Error) => close(error.message)
+  const handleClose = () => close('connection closed')
   socket.setNoDelay(true)
-  socket.setEncoding('utf8')
-  socket.on('data', handleChunk as (chunk: unknown) => void)
-  socket.on('error', (error) => close(error.message))
-  socket.on('close', () => close('connection closed'))
+  socket.on('data', handleChunk)
+  socket.on('error', handleError)
+  socket.on('close', handleClose)
   return {
     send(line) {
       if (closed) return
@@ -54,5 +63,18 @@
       if (socket.writableLength > MAX_QUEUED_BYTES) close('the peer does not read')
     },
     close,
+    detach() {
+      isDetached = true
+      closed = true
+      socket.pause()
+      socket.off('data', handleChunk)
+      socket.off('error', handleError)
+      socket.off('close', handleClose)
+      return socket
+    },
   }
 }
+
+function unread(socket: Socket, rest: Buffer): void {
+  if (rest.length > 0) socket.unshift(rest)
+}
--- a/peer/rpc/src/peerConnection.ts
+++ b/peer/rpc/src/peerConnection.ts
@@ -88,7 +88,12 @@
   return connection
 }
 
-async function connectSocket(address: Address, credentials: PeerCredentials, clock: Clock): Promise<Socket> {
+/** Opens a connection to a box, without authentication. @throws PeerUnreachableError if none can be opened in time. */
+export async function connectSocket(
+  address: Address,
+  credentials: PeerCredentials,
+  clock: Clock,
+): Promise<Socket> {
   const { host, port } = parseAddress(address)
   const target = { host, port, localAddress: credentials.localAddress }
   // Loaded on demand: loading TLS takes about 3 ms of processor time.
--- a/peer/rpc/src/startPeerServer.ts
+++ b/peer/rpc/src/startPeerServer.ts
@@ -23,6 +23,11 @@
   sharedKey: string
   tls?: TlsFiles
   methods: Record<string, PeerMethod>
+  /**
+   * Takes over a connection that a peer announced with {@link JOIN} and this ticket, which proves its identity. No
+   * connection can be taken over if absent.
+   */
+  onJoin?: (ticket: string, socket: Socket) => void
   logger: Logger
 }
 
@@ -31,6 +36,9 @@
   close(): Promise<void>
 }
 
+/** Notification that hands the rest of a connection to {@link PeerServerOptions.onJoin}. */
+export const JOIN = 'join'
+
 /** JSON-RPC error code of errors raised by a method; `data` holds the error body. */
 export const APPLICATION_ERROR_CODE = -32000
 
@@ -79,6 +87,9 @@
   const handleLine = async (line: string) => {
     const request = parseJson(line)
     if (request === undefined) return channel.close('not JSON')
+    const ticket = joinTicket(request)
+    // Before any other step, since the bytes that follow the line are no messages.
+    if (ticket !== undefined && options.onJoin !== undefined) return options.onJoin(ticket, channel.detach())
     const response = await rpc.receive(request as never, context as PeerContext)
     if (response !== null) channel.send(JSON.stringify(response))
   }
@@ -114,6 +125,13 @@
   })
 }
 
+/** Returns the ticket of a {@link JOIN} notification; undefined for any other message. */
+function joinTicket(request: unknown): string | undefined {
+  const { method, params } = request as { method?: string; params?: { ticket?: unknown } }
+  if (method !== JOIN || typeof params?.ticket !== 'string') return undefined
+  return params.ticket
+}
+
 function parseJson(line: string): unknown {
   try {
     return JSON.parse(line)
--- /dev/null
+++ b/peer/tunnel/src/tunnelErrors.ts
@@ -0,0 +1,26 @@
+import { ForkstageError } from '@forkstage/error'
+
+/**
+ * Why another box opened no connection to an endpoint. `refused`: the endpoint's machine refuses connections, while that box
+ * reaches others; `silent`: no connection in time; `unavailable`: that box opens none now, which says nothing about the endpoint.
+ */
+export type TunnelRefusal = 'refused' | 'silent' | 'unavailable'
+
+/** Error codes by refusal. */
+export const TUNNEL_REFUSALS: Record<TunnelRefusal, `FORKSTAGE_${string}`> = {
+  refused: 'FORKSTAGE_TUNNEL_REFUSED',
+  silent: 'FORKSTAGE_TUNNEL_SILENT',
+  unavailable: 'FORKSTAGE_TUNNEL_UNAVAILABLE',
+}
+
+/** Raised where a box opens no connection to an endpoint for another one. */
+export class TunnelRefusedError extends ForkstageError {
+  constructor(refusal: TunnelRefusal, endpoint: string, reason: string) {
+    super(
+      TUNNEL_REFUSALS[refusal],
+      `No connection to ${endpoint}: ${reason}`,
+      'The box that asked may ask another one.',
+      { step: 'tunnel', peer: endpoint },
+    )
+  }
+}
--- /dev/null
+++ b/peer/tunnel/test/tunnel.test.ts
@@ -0,0 +1,200 @@
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { afterEach, describe, expect, it } from 'vitest'
+import { createSystemClock, ManualClock } from '@forkstage/clock'
+import { createSilentLogger } from '@forkstage/logger'
+import { PeerClient, startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
+import { openTunnel, TUNNEL_OPEN, TunnelRefusedError, TunnelServer, type TunnelTicket } from '../src'
+
+const KEY = 'a key for the tests of tunnels'
+const CREDENTIALS = { box: 'entry-1', sharedKey: KEY }
+const TIMEOUT_MS = 2_000
+const WRITTEN_BLOCKS = 128
+/** Event loop turns without progress after which a connection counts as held back. */
+const QUIET_TURNS = 500
+
+let box: PeerServer
+let client: PeerClient
+let endpoint: Server
+let endpointAddress: string
+let boxAddress: string
+let server: TunnelServer
+let isClosed = false
+const accepted: Socket[] = []
+const expiry = new ManualClock()
+
+const sleepTurn = () => new Promise((resolve) => setImmediate(resolve))
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) await sleepTurn()
+}
+
+async function freeAddress(): Promise<string> {
+  const probe = createServer().listen(0, '127.0.0.1')
+  await once(probe, 'listening')
+  const { port } = probe.address() as AddressInfo
+  probe.close()
+  await once(probe, 'close')
+  return `127.0.0.1:${port}`
+}
+
+async function connectTo(address: string): Promise<Socket> {
+  const [host, port] = address.split(':')
+  const socket = connect({ host, port: Number(port), allowHalfOpen: true })
+  try {
+    await once(socket, 'connect')
+  } catch {
+    throw new TunnelRefusedError('refused', address, 'refused')
+  }
+  return socket
+}
+
+async function start(): Promise<void> {
+  isClosed = false
+  accepted.length = 0
+  endpoint = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on('error', () => undefined)
+    accepted.push(socket)
+  }).listen(0, '127.0.0.1')
+  await once(endpoint, 'listening')
+  endpointAddress = `127.0.0.1:${(endpoint.address() as AddressInfo).port}`
+  server = new TunnelServer({
+    isRegistered: (address) => address === endpointAddress || address === '127.0.0.1:1',
+    connect: connectTo,
+    isClosed: () => isClosed,
+    clock: expiry,
+  })
+  boxAddress = await freeAddress()
+  const logger = createSilentLogger()
+  box = await startPeerServer({
+    address: boxAddress,
+    sharedKey: KEY,
+    methods: server.methods(),
+    onJoin: (ticket, socket) => server.join(ticket, socket),
+    logger,
+  })
+  client = new PeerClient({ credentials: CREDENTIALS, clock: createSystemClock(), logger })
+}
+
+async function open(address = endpointAddress): Promise<Socket> {
+  const options = {
+    peers: client,
+    credentials: CREDENTIALS,
+    clock: createSystemClock(),
+    timeoutMs: TIMEOUT_MS,
+  }
+  const socket = await openTunnel(boxAddress, address, options)
+  socket.allowHalfOpen = true
+  return socket
+}
+
+afterEach(async () => {
+  client.close()
+  accepted.forEach((socket) => socket.destroy())
+  await box.close()
+  endpoint.close()
+})
+
+describe('a tunnel', () => {
+  it('carries bytes of any value in both directions and ends with the end of the endpoint', async () => {
+    await start()
+    const socket = await open()
+    const sent = Buffer.from(Array.from({ length: 4_096 }, (_, index) => index % 256))
+    socket.write(sent)
+    const received: Buffer[] = []
+    await until(() => accepted.length === 1)
+    accepted[0]!.on('data', (chunk: Buffer) => received.push(chunk))
+    await until(() => Buffer.concat(received).length === sent.length)
+    expect(Buffer.concat(received).equals(sent)).toBe(true)
+    const answer: Buffer[] = []
+    socket.on('data', (chunk: Buffer) => answer.push(chunk))
+    accepted[0]!.end(sent)
+    await once(socket, 'end')
+    expect(Buffer.concat(answer).equals(sent)).toBe(true)
+    socket.end()
+    await until(() => server.count === 0)
+  })
+
+  // Guards against an answer without a length that was cut and looks complete.
+  it('passes a reset of the endpoint on as a reset', async () => {
+    await start()
+    const socket = await open()
+    await until(() => accepted.length === 1)
+    accepted[0]!.resetAndDestroy()
+    const [error] = (await once(socket, 'error')) as [NodeJS.ErrnoException]
+    expect(error.code).toBe('ECONNRESET')
+    await until(() => server.count === 0)
+  })
+
+  it('ends at the endpoint when its caller closes it', async () => {
+    await start()
+    const socket = await open()
+    await until(() => accepted.length === 1)
+    const ended = once(accepted[0]!.resume(), 'end')
+    socket.destroy()
+    await ended
+    accepted[0]!.end()
+    await until(() => server.count === 0)
+  })
+
+  it('holds back an endpoint whose caller does not read', async () => {
+    await start()
+    const socket = await open()
+    socket.pause()
+    await until(() => accepted.length === 1)
+    const block = Buffer.alloc(1 << 20)
+    for (let count = 0; count < WRITTEN_BLOCKS; count += 1) accepted[0]!.write(block)
+    let last = -1
+    for (let quiet = 0; quiet < QUIET_TURNS; quiet += 1) {
+      if (accepted[0]!.writableLength !== last) quiet = 0
+      last = accepted[0]!.writableLength
+      await sleepTurn()
+    }
+    // Buffers of the operating system and of three sockets hold far less.
+    expect(last).toBeGreaterThan((WRITTEN_BLOCKS / 2) * block.length)
+    socket.destroy()
+  })
+})
+
+describe('a box that carries tunnels', () => {
+  it('connects only to registered endpoints, and not while it is stopping', async () => {
+    await start()
+    await expect(open('127.0.0.1:9')).rejects.toMatchObject({ code: 'FORKSTAGE_TUNNEL_UNAVAILABLE' })
+    await expect(open('127.0.0.1:1')).rejects.toMatchObject({ code: 'FORKSTAGE_TUNNEL_REFUSED' })
+    isClosed = true
+    await expect(open()).rejects.toMatchObject({ code: 'FORKSTAGE_TUNNEL_UNAVAILABLE' })
+    expect(accepted).toHaveLength(0)
+  })
+
+  // Guards against an open proxy: a connection without a ticket of an authenticated call reaches nothing.
+  it('carries nothing for a connection with an unknown or used ticket', async () => {
+    await start()
+    const options = { deadline: TIMEOUT_MS, step: 'tunnel' }
+    const request = { endpoint: endpointAddress }
+    const { ticket } = await client.call<TunnelTicket>(boxAddress, TUNNEL_OPEN, request, options)
+    const join = async (value: string) => {
+      const socket = await connectTo(boxAddress)
+      socket.write(`${JSON.stringify({ jsonrpc: '2.0', method: 'join', params: { ticket: value } })}\nhello`)
+      return socket
+    }
+    const stranger = await join('guessed')
+    await once(stranger, 'error')
+    const first = await join(ticket)
+    await until(() => accepted[0] !== undefined && accepted[0].bytesRead === 'hello'.length)
+    const second = await join(ticket)
+    await once(second, 'error')
+    expect(accepted).toHaveLength(1)
+    first.destroy()
+  })
+
+  it('closes a connection to an endpoint that nobody joins', async () => {
+    await start()
+    const options = { deadline: TIMEOUT_MS, step: 'tunnel' }
+    await client.call(boxAddress, TUNNEL_OPEN, { endpoint: endpointAddress }, options)
+    await until(() => accepted.length === 1)
+    const ended = once(accepted[0]!.resume(), 'end')
+    expect(server.count).toBe(1)
+    expiry.advance(1_000)
+    await ended
+    expect(server.count).toBe(0)
+  })
+})
--- /dev/null
+++ b/request/paths/src/endpointDialer.ts
@@ -0,0 +1,210 @@
+import type { CancelTimer, Clock, Random } from '@forkstage/clock'
+import type { Logger } from '@forkstage/logger'
+import type { Address, Millis } from '@forkstage/types'
+import { NeighbourSelector } from './neighbourSelector'
+import { PathTable } from './pathTable'
+import type { Connect, ConnectResult, Dial, PendingConnect, TunnelResult } from './pathTypes'
+import { DialAttempt } from './dialAttempt'
+import { openThroughNeighbours, type Tunnel } from './openThroughNeighbours'
+
+/** Options of {@link EndpointDialer}. */
+export interface EndpointDialerOptions {
+  connect: Connect
+  tunnel: Tunnel
+  /** Returns the other boxes that may carry connections. */
+  neighbours: () => Address[]
+  /** Returns the addresses of the registered endpoints. */
+  endpoints: () => Address[]
+  clock: Clock
+  random: Random
+  logger: Logger
+}
+
+/** How often endpoints that only others reach are tried directly, and how many at once. */
+const PROBE_EVERY_MS: Millis = 250
+const MAX_PROBES = 4
+const PROBE_TIMEOUT_MS: Millis = 200
+/** A third of the endpoints at a time, so that each is tried within a second. */
+const PROBE_SHARE = 1 / 3
+/** Other endpoints tried to tell whether this box's links work. */
+const CHECKED_ENDPOINTS = 2
+const CHECK_TIMEOUT_MS: Millis = 100
+
+/** Opens connections to endpoints, directly or through another box, and tells failures of endpoints from those of own links. */
+export class EndpointDialer {
+  readonly paths: PathTable
+  private readonly neighbours: NeighbourSelector
+  private cancelProbes: CancelTimer | undefined
+  private nextProbe = 0
+  private linkCheck: Promise<boolean> | undefined
+  /** Attempts through another box beside a slow direct one, by endpoint; one at a time for each. */
+  private readonly besides = new Map<Address, Promise<unknown>>()
+  private isStopped = false
+
+  constructor(private readonly options: EndpointDialerOptions) {
+    this.paths = new PathTable(options.clock)
+    this.neighbours = new NeighbourSelector(options)
+  }
+
+  /** Opens a connection to an endpoint. */
+  readonly dial = (endpoint: Address, timeoutMs: Millis): Dial => {
+    const attempt = new DialAttempt(this, endpoint, timeoutMs)
+    return { result: attempt.run(), cancel: () => attempt.cancel() }
+  }
+
+  /** Returns whether a process listens at an endpoint, as far as this box or another one can tell. */
+  async probe(endpoint: Address): Promise<'listens' | 'refused' | 'silent'> {
+    const result = await this.dial(endpoint, PROBE_TIMEOUT_MS).result
+    if (result.type !== 'connected') return result.type === 'refused' ? 'refused' : 'silent'
+    result.socket.on('error', () => undefined).destroy()
+    return 'listens'
+  }
+
+  /**
+   * Whether an exchange that broke off was lost on the way rather than by its endpoint. `via`: the box that carried it.
+   * Through another box only a refusing endpoint is blamed, since that box may have failed.
+   */
+  async isPathLoss(endpoint: Address, via?: Address): Promise<boolean> {
+    if (via === undefined && this.paths.isIndirect(endpoint)) return true
+    const result = await this.dial(endpoint, PROBE_TIMEOUT_MS).result
+    if (result.type !== 'connected') return result.type === 'no-path'
+    result.socket.on('error', () => undefined).destroy()
+    return via !== undefined || result.via !== undefined
+  }
+
+  /** Connects directly on behalf of another box; `refused` only if other endpoints can be reached. */
+  async dialForPeer(endpoint: Address, timeoutMs: Millis): Promise<ConnectResult | undefined> {
+    if (this.paths.prefersNeighbour(endpoint) || this.paths.isIsolated) return undefined
+    const startedAt = this.clock.now()
+    const result = await this.connectDirectly(endpoint, timeoutMs).result
+    if (result.type === 'connected') return result
+    return (await this.areLinksDown(endpoint, startedAt)) ? undefined : result
+  }
+
+  /** Forgets endpoints that are not registered any more. */
+  sweep(): void {
+    const registered = new Set(this.options.endpoints())
+    this.paths.retain((endpoint) => registered.has(endpoint))
+  }
+
+  stop(): void {
+    this.isStopped = true
+    this.cancelProbes?.()
+  }
+
+  /** Starts a direct attempt and records a connection. */
+  connectDirectly(endpoint: Address, timeoutMs: Millis): PendingConnect<ConnectResult> {
+    const { connect, clock, logger } = this.options
+    const startedAt = clock.now()
+    const attempt = connect(endpoint, timeoutMs)
+    const result = attempt.result.then((one) => {
+      if (one.type !== 'connected') return one
+      if (this.paths.recordDirect(endpoint, clock.now() - startedAt))
+        logger.info('path.direct', { endpoint, left: this.paths.indirectCount })
+      return one
+    })
+    return { result, cancel: attempt.cancel }
+  }
+
+  /** Returns the attempt that tells whether a slow endpoint is reached by others, if one is in progress. */
+  besideInProgress(endpoint: Address): Promise<unknown> | undefined {
+    return this.besides.get(endpoint)
+  }
+
+  /** Asks other boxes beside a direct attempt. */
+  connectBeside(endpoint: Address): PendingConnect<TunnelResult> {
+    const attempt = this.connectThroughNeighbour(endpoint)
+    this.besides.set(endpoint, attempt.result)
+    void attempt.result.then(() => this.besides.delete(endpoint))
+    return attempt
+  }
+
+  connectThroughNeighbour(endpoint: Address): PendingConnect<TunnelResult> {
+    const { tunnel, clock } = this.options
+    const attempt = openThroughNeighbours(endpoint, { tunnel, neighbours: this.neighbours, clock })
+    const result = attempt.result.then((one) => {
+      if (one.type !== 'connected' || one.via === undefined) return one
+      const { via } = one
+      this.neighbours.recordOpened(via)
+      one.socket.once('close', () => this.neighbours.recordClosed(via))
+      return one
+    })
+    return { result, cancel: attempt.cancel }
+  }
+
+  /** Records that neither this box nor another one reaches an endpoint. */
+  recordIsolated(reason: string): void {
+    if (this.paths.hasPath) this.options.logger.warn('path.none', { reason })
+    this.paths.recordIsolated()
+    this.startProbes()
+  }
+
+  /** Records that another box reaches an endpoint that this one does not, and tries it directly from now on. */
+  recordIndirect(endpoint: Address, via: Address, reason: string): void {
+    if (this.paths.recordIndirect(endpoint))
+      this.options.logger.warn('path.indirect', { endpoint, via, reason })
+    this.startProbes()
+  }
+
+  get hasNeighbours(): boolean {
+    return this.neighbours.hasNeighbours
+  }
+
+  get clock(): Clock {
+    return this.options.clock
+  }
+
+  /**
+   * Whether this box's own links are down, judged by other endpoints: false where one has been reached since an attempt
+   * that failed began or is reached now, or where there is no other endpoint.
+   */
+  async areLinksDown(endpoint: Address, since: Millis): Promise<boolean> {
+    if (this.paths.lastDirectAt > since) return false
+    this.linkCheck ??= this.checkLinks(endpoint).finally(() => (this.linkCheck = undefined))
+    return this.linkCheck
+  }
+
+  private async checkLinks(except: Address): Promise<boolean> {
+    const others = this.options.endpoints().filter((one) => one !== except)
+    const start = Math.floor(this.options.random() * others.length)
+    const checked = [...others.slice(start), ...others.slice(0, start)].slice(0, CHECKED_ENDPOINTS)
+    const results = await Promise.all(checked.map((one) => this.tryDirectly(one, CHECK_TIMEOUT_MS)))
+    return checked.length > 0 && !results.includes(true)
+  }
+
+  /** Returns whether a bare connection to an endpoint opens. */
+  private async tryDirectly(endpoint: Address, timeoutMs: Millis): Promise<boolean> {
+    const result = await this.connectDirectly(endpoint, timeoutMs).result
+    if (result.type !== 'connected') return false
+    result.socket.on('error', () => undefined).destroy()
+    return true
+  }
+
+  private startProbes(): void {
+    if (this.cancelProbes !== undefined || this.isStopped) return
+    this.cancelProbes = this.options.clock.after(PROBE_EVERY_MS, () => void this.probeIndirect())
+  }
+
+  /** Tries some endpoints that only others reach; after a connection the others follow at once, one after the other. */
+  private async probeIndirect(): Promise<void> {
+    const indirect = this.paths.indirectEndpoints()
+    const count = Math.min(MAX_PROBES, Math.ceil(indirect.length * PROBE_SHARE))
+    const start = this.nextProbe % Math.max(1, indirect.length)
+    this.nextProbe = start + count
+    const chosen = [...indirect.slice(start), ...indirect.slice(0, start)]
+    const results = await Promise.all(
+      chosen.slice(0, count).map((one) => this.tryDirectly(one, PROBE_TIMEOUT_MS)),
+    )
+    if (results.includes(true))
+      for (const one of chosen.slice(count)) if (!(await this.tryDirectly(one, PROBE_TIMEOUT_MS))) break
+    if (!this.paths.hasPath) await this.probeAny()
+    this.cancelProbes = undefined
+    if (this.paths.indirectCount > 0 || !this.paths.hasPath) this.startProbes()
+  }
+
+  private async probeAny(): Promise<void> {
+    const endpoints = this.options.endpoints()
+    const one = endpoints[Math.floor(this.options.random() * endpoints.length)]
+    if (one !== undefined) await this.probe(one)
+  }
+}
--- /dev/null
+++ b/request/paths/src/pathTypes.ts
@@ -0,0 +1,34 @@
+import type { Socket } from 'node:net'
+import type { Address, Millis } from '@forkstage/types'
+
+/** An open connection. `via`: the box that carries it; absent for a direct one. */
+export interface Connected {
+  type: 'connected'
+  socket: Socket
+  via?: Address
+}
+
+/** The result of a direct connection attempt. `refused`: nothing listens at the address, or a link refuses the connection. */
+export type ConnectResult = Connected | { type: 'refused' | 'silent'; reason: string }
+
+/** The result of a connection attempt through a box; `unavailable` says nothing about the endpoint. */
+export type TunnelResult = ConnectResult | { type: 'unavailable'; reason: string }
+
+/** A connection attempt; its result is never a rejection. */
+export interface PendingConnect<Result> {
+  result: Promise<Result>
+  /** Gives the attempt up; a connection that opens all the same is closed. */
+  cancel(): void
+}
+
+/** Starts a direct connection attempt. */
+export type Connect = (endpoint: Address, timeoutMs: Millis) => PendingConnect<ConnectResult>
+
+/**
+ * How a connection to an endpoint was opened, or why there is none. `refused` and `silent` describe the endpoint; `no-path`
+ * means that this box reaches no endpoint, also through others.
+ */
+export type DialResult = Connected | { type: 'refused' | 'silent' | 'no-path'; reason: string }
+
+/** A connection to an endpoint that is being opened. */
+export type Dial = PendingConnect<DialResult>
