fix(entry): reach endpoints through another entry while own links are down

Cause: an entry had one path to an endpoint, its own link, and took each failure on that link for a failure of the endpoint: it ejected all endpoints, told the leader so (which ejected five of six engines and ordered a stage change), and reported crashes of engines that were at work. Fix: every connection of a request (plain, prefill, stream, migration, release) is opened by EndpointDialer; probes of crash suspects as well. A failure on the way is recorded as `no-path`, which ejects nobody and is reported to the leader as cancelled. An entry that reaches no endpoint and finds no other entry that does refuses at once and is not ready. A stopping entry carries what it has begun to carry and takes no more. Why it works: nothing is sent before one connection is chosen, so the once-only rules hold; every decision and count stays at the entry that the caller chose. The fixture now also follows accepted connections, whose events Node.js emits outside of the server's async context: without that a cut entry carried connections for others, which hid failures. The learning requests wait for a second sheet, which reaches each entry with the others' addresses.

--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -8,12 +8,12 @@
   decideSending,
   hasIsolatedTrials,
   refusalOf,
-  probeAddress,
   type ContentDigest,
   type ContentRefusal,
   type CrashTracker,
   type CrashRecord,
   type LostAttempt,
+  type ProbeResult,
   type SendingDecision,
   type TrialAnswer,
 } from '@forkstage/crashes'
@@ -25,7 +25,7 @@
 } from '@forkstage/directory'
 import type { LeaderClient, RelayParts } from '@forkstage/gateway'
 import type { LogEvents, Logger } from '@forkstage/logger'
-import type { Millis } from '@forkstage/types'
+import type { Address, Millis } from '@forkstage/types'
 import { logCrashes } from './logCrashes'
 
 /** Options of {@link EntryCrashes}. */
@@ -35,6 +35,8 @@
   /** Whether a registered endpoint must get no requests now. */
   isBarred: (endpoint: RegisteredEndpoint) => boolean
   leaderClient: LeaderClient
+  /** Probes whether a process listens at an address. Never rejects. */
+  probeAddress: (address: Address) => Promise<ProbeResult>
   clock: Clock
   logger: Logger
 }
@@ -57,7 +59,7 @@
     this.detector = new CrashDetector({
       clock,
       logger,
-      probeAddress: (address) => probeAddress(address, clock),
+      probeAddress: options.probeAddress,
       current: (id) => directory.get(id),
       isReplaced: (endpoint) => this.isReplaced(endpoint),
       onCrash: (incarnation, started, service) =>
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,5 +1,5 @@
 import { PLACE } from '@forkstage/allocator'
-import { every, type CancelTimer } from '@forkstage/clock'
+import { delay, every, type CancelTimer } from '@forkstage/clock'
 import { CRASH_REPORT, TRIAL_REQUEST, TRIAL_END } from '@forkstage/crashes'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
@@ -19,7 +19,7 @@
 } from '@forkstage/gateway'
 import { LIMIT_REPORT } from '@forkstage/limits'
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
-import { QUOTA_REPORT, QuotaLimiter, type QuotaAnswer } from '@forkstage/quota'
+import { QUOTA_REPORT, type QuotaLimiter } from '@forkstage/quota'
 import { RouteStore, type RouteSheet } from '@forkstage/routes'
 import { AvailabilityTracker } from '@forkstage/statements'
 import { Topology } from '@forkstage/topology'
@@ -27,8 +27,10 @@
 import { ColdEndpointTracker } from './coldEndpointTracker'
 import { countBy } from './countBy'
 import { createCrashTracker } from './createCrashTracker'
+import { createQuotaLimiter } from './createQuotaLimiter'
 import { EntryCrashes } from './entryCrashes'
 import { EntryLimits } from './entryLimits'
+import { EntryPaths } from './entryPaths'
 import { EvacuationTracker } from './evacuationTracker'
 import { FleetMetrics } from './fleetMetrics'
 import { listenOn, type Listener } from './listenOn'
@@ -72,6 +74,7 @@
   private readonly placer: RemotePlacer
   private readonly leaderClient: LeaderClient
   private readonly quotas: QuotaLimiter
+  private readonly paths: EntryPaths
   private peerServer: PeerServer | undefined
   private readonly ingress: Ingress
   private readonly metrics: FleetMetrics
@@ -156,15 +159,22 @@
     })
     const crashTracker = createCrashTracker(settings.crashes, clock)
     const { directory, leaderClient } = this
+    this.paths = new EntryPaths({
+      context,
+      directory,
+      neighbours: () => this.follower.neighbours(),
+      isLeaving: () => this.leaving,
+    })
     this.crashes = new EntryCrashes({
       tracker: crashTracker,
       directory,
       isBarred: isEvacuated,
       leaderClient,
+      probeAddress: (address) => this.paths.dialer.probe(address),
       clock,
       logger,
     })
-    this.quotas = this.createQuotas(entries)
+    this.quotas = createQuotaLimiter(context, this.follower, leaderClient, entries)
     this.limits = new EntryLimits(context, leaderClient, () => this.follower.entries())
     this.placer = new RemotePlacer({
       entry: settings.machine.name,
@@ -196,6 +206,7 @@
         availability: this.availability,
         leavingServesMs: settings.leaving.serves_ms,
         crashes: this.crashes,
+        dialer: this.paths.dialer,
         sendRules: [
           (to) => (isEvacuated(to) ? EVACUATED : undefined),
           (to, { isolatedId }) => (isReserved(to) && isolatedId !== to.id ? RESERVED : undefined),
@@ -221,6 +232,8 @@
       endpoints: () =>
         countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
       endpoints_ejected: () => this.pool.ejectedCount,
+      endpoints_indirect: () => this.paths.dialer.paths.indirectCount,
+      tunnels_carried: () => this.paths.carried,
       endpoints_cold: () => this.cold.count,
       endpoints_limited: () => this.limits.rates.count,
       endpoints_resting: () => this.availability.backoffCount,
@@ -238,7 +251,8 @@
 
   /** Whether this entry can serve callers. */
   get isReady(): boolean {
-    return !this.leaving && this.routes.current !== undefined && this.pool.size > 0
+    const hasEndpoints = this.pool.size > 0 && this.paths.hasPath
+    return !this.leaving && this.routes.current !== undefined && hasEndpoints
   }
 
   async start(): Promise<void> {
@@ -249,7 +263,8 @@
     this.peerServer = await startPeerServer({
       address: listen.peers,
       sharedKey: settings.peers.shared_key,
-      methods: this.leaderClient.methods(),
+      methods: { ...this.leaderClient.methods(), ...this.paths.methods() },
+      onJoin: (ticket, socket) => this.paths.join(ticket, socket),
       logger,
     })
     const readiness = await listenOn((request, response) => {
@@ -281,14 +296,15 @@
     const endsAt = clock.now() + settings.stop.grace_s * SECOND_MS - GRACE_MARGIN_MS
     this.leaving = true
     this.ingress.leave()
-    await this.wait(settings.stop.unready_ms)
+    await delay(this.context.clock, settings.stop.unready_ms)
     this.ingress.close()
-    while (this.ingress.running > 0 && clock.now() < endsAt) await this.wait(IDLE_POLL_MS)
+    const isBusy = () => this.ingress.running > 0 || this.paths.carried > 0
+    while (isBusy() && clock.now() < endsAt) await delay(this.context.clock, IDLE_POLL_MS)
     const cut = this.ingress.running
     this.ingress.closeAll()
     // Each cut answer is logged under its id, for which the process has to wait.
     for (let waited = 0; this.ingress.running > 0 && waited < CUT_LOG_WAIT_MS; waited += CUT_LOG_POLL_MS)
-      await this.wait(CUT_LOG_POLL_MS)
+      await delay(this.context.clock, CUT_LOG_POLL_MS)
     this.follower.stop()
     this.placer.stop()
     this.cold.stop()
@@ -296,37 +312,19 @@
     this.quotas.stop()
     this.limits.stop()
     this.crashes.stop()
+    this.paths.stop()
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
     return cut
   }
 
-  private createQuotas(entries: () => number): QuotaLimiter {
-    const { settings, clock, random, epoch } = this.context
-    return new QuotaLimiter({
-      entry: settings.machine.name,
-      life: epoch,
-      clock,
-      random,
-      report: (report) =>
-        this.leaderClient.tryCall<QuotaAnswer>(QUOTA_REPORT, report, settings.quota.report_ms),
-      leader: () => this.follower.leader(),
-      entries,
-      windowMs: settings.quota.window_s * SECOND_MS,
-      reportEveryMs: settings.quota.report_ms,
-    })
-  }
-
   private sweep(): void {
     this.coldLimiter.sweep()
     const isRegistered = (id: string) => this.directory.get(id) !== undefined
     this.limits.limiter.sweep(isRegistered)
     this.availability.sweep(isRegistered)
-  }
-
-  private wait(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => this.context.clock.after(milliseconds, resolve))
+    this.paths.sweep()
   }
 
   private install(watched: WatchedSheet): void {
--- a/daemon/fleet/src/machineContext.ts
+++ b/daemon/fleet/src/machineContext.ts
@@ -2,7 +2,7 @@
 import { createSystemClock, createSystemRandom, type Clock, type Random } from '@forkstage/clock'
 import type { FleetSettings } from '@forkstage/fleet-settings'
 import { createLogger, LogLimiter, type Logger } from '@forkstage/logger'
-import { parseAddress, PeerClient } from '@forkstage/peer-rpc'
+import { parseAddress, PeerClient, type PeerCredentials } from '@forkstage/peer-rpc'
 
 /** What entries and control machines share: settings, clock, logging and connections to other machines. */
 export interface MachineContext {
@@ -12,6 +12,8 @@
   logger: Logger
   logLimiter: LogLimiter
   peers: PeerClient
+  /** What this machine proves its identity with to others. */
+  credentials: PeerCredentials
   /** A random identifier of this incarnation of the process. */
   epoch: string
 }
@@ -43,6 +45,7 @@
     logger,
     logLimiter,
     peers: new PeerClient({ credentials, clock, logger }),
+    credentials,
     epoch: randomBytes(5).toString('hex'),
   }
 }
--- a/daemon/fleet/test/endpointPartition.ts
+++ b/daemon/fleet/test/endpointPartition.ts
@@ -1,5 +1,5 @@
-import { AsyncLocalStorage } from 'node:async_hooks'
-import { Socket } from 'node:net'
+import { AsyncLocalStorage, AsyncResource } from 'node:async_hooks'
+import { Server, Socket } from 'node:net'
 
 /**
  * How a machine is cut from endpoints. `hang`: nothing arrives any more, also on open connections; `reset`: open
@@ -22,6 +22,7 @@
   private readonly open = new Set<OpenConnection>()
   private readonly counts = new Map<number, number>()
   private readonly original = Socket.prototype.connect
+  private readonly originalEmit = Server.prototype.emit
 
   /** @param isEndpoint whether an address belongs to an endpoint. */
   constructor(private readonly isEndpoint: (address: string) => boolean) {
@@ -29,6 +30,11 @@
     Socket.prototype.connect = function (this: Socket, ...args: unknown[]) {
       return connect(this, args)
     } as typeof Socket.prototype.connect
+    const emit = this.originalEmit
+    Server.prototype.emit = function (this: Server, event: string, ...args: unknown[]) {
+      if (event === 'connection') bindEvents(args[0] as Socket)
+      return (emit as (...all: unknown[]) => boolean).call(this, event, ...args)
+    } as typeof Server.prototype.emit
   }
 
   /** Starts a machine, whose connections are then told from those of others. */
@@ -57,6 +63,7 @@
 
   restore(): void {
     Socket.prototype.connect = this.original
+    Server.prototype.emit = this.originalEmit
   }
 
   private connect(socket: Socket, args: unknown[]): Socket {
@@ -93,3 +100,8 @@
   pending.connecting = true
   return socket
 }
+
+/** Emits the events of an accepted connection in the context of its server; Node.js emits them in none. */
+function bindEvents(socket: Socket): void {
+  socket.emit = AsyncResource.bind(socket.emit.bind(socket)) as typeof socket.emit
+}
--- a/daemon/fleet/test/entryCrashes.test.ts
+++ b/daemon/fleet/test/entryCrashes.test.ts
@@ -29,6 +29,7 @@
     directory,
     isBarred: ({ id }) => id === barred,
     leaderClient,
+    probeAddress: () => Promise.resolve('refused'),
     clock,
     logger,
   })
--- a/daemon/fleet/test/partitionedEntries.test.ts
+++ b/daemon/fleet/test/partitionedEntries.test.ts
@@ -5,6 +5,7 @@
 /* Guards against entries that refuse every caller because their own links to the endpoints are down. */
 
 const ENTRIES = [100, 101, 102, 103]
+const PATH = '/q/'
 const WORKERS = ['one', 'two', 'three']
 /** Requests to an entry in which it may learn that it is cut. */
 const LEARNING_REQUESTS = 12
@@ -27,9 +28,7 @@
   harness = new FleetHarness(port)
   partition = new EndpointPartition((address) => addresses.has(address))
   await Promise.all([1, 2, 3].map((number) => harness.startControl(number)))
-  const first = sheet(1)
-  const text = JSON.stringify({ ...first, routes: [{ ...first.routes[0]!, kind }] })
-  await until('a sheet is accepted', async () => (await harness.put(1, text)) === 200)
+  await until('a sheet is accepted', async () => (await harness.put(1, sheetText(1, '/p/', kind))) === 200)
   for (const name of WORKERS) {
     const worker = await harness.startWorker(name)
     addresses.add(worker.address)
@@ -39,15 +38,25 @@
     })
   }
   for (const entry of ENTRIES) await partition.start(entry, () => harness.startEntry(entry))
+  // A newer sheet reaches each entry with an answer of a control machine that knows all entries.
+  await until(
+    'a newer sheet is accepted',
+    async () => (await harness.put(1, sheetText(2, PATH, kind))) === 200,
+  )
   for (const entry of ENTRIES)
-    await until(`entry ${entry} serves`, async () => (await harness.call('/p/a', { entry })).status === 200)
+    await until(`entry ${entry} serves`, async () => (await harness.call(PATH, { entry })).status === 200)
+}
+
+function sheetText(version: number, prefix: string, kind: 'safe' | 'unsafe'): string {
+  const { routes, ...rest } = sheet(version, prefix)
+  return JSON.stringify({ ...rest, routes: [{ ...routes[0]!, kind }] })
 }
 
 /** Returns the share of `count` requests to an entry, one after the other, that are served at the first attempt. */
 async function servedShare(entry: number, count: number): Promise<number> {
   let served = 0
   for (let index = 0; index < count; index += 1)
-    if ((await harness.call('/p/a', { entry })).status === 200) served += 1
+    if ((await harness.call(PATH, { entry })).status === 200) served += 1
   return served / count
 }
 
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -6,6 +6,8 @@
 import { Topology, withinRegions, type InRegion, type AllowedRegions } from '@forkstage/topology'
 import type { FailureDomain, Millis } from '@forkstage/types'
 import { ConcurrencyLimit } from './concurrencyLimit'
+import type { CandidateQuery, PoolUnavailability } from './poolTypes'
+import type { SendOutcome } from './sendOutcome'
 
 /** An instance and what this entry has observed of it. */
 export interface PooledEndpoint {
@@ -34,9 +36,6 @@
   endListeners: Set<(reason: string) => void>
 }
 
-/** Outcome of a send, for rating the instance. `silent`: this entry gave up because no answer came in time. */
-export type SendOutcome = 'ok' | 'failed' | 'silent' | 'unreachable' | 'other-instance' | 'full' | 'cancelled'
-
 const FIRST_EJECTION_MS = 1_000
 const MAX_EJECTION_MS = 8_000
 const FAILURES_TO_EJECT = 2
@@ -44,24 +43,6 @@
 const INITIAL_MEAN_MS = 50
 const MEAN_VALID_MS = 2_000
 
-/** Criteria for the instances of a service. */
-export interface CandidateQuery {
-  stage?: Stage
-  /** Instances that are not to be chosen. */
-  except?: ReadonlySet<string>
-  /** The regions in which they may be; any where left out. */
-  regions?: AllowedRegions
-}
-
-/** Why no instance that a request could go to accepts requests from this entry, and for how long. */
-export interface PoolUnavailability {
-  reason: string
-  /** Milliseconds until the first of them may get a request. */
-  leftMs: Millis
-  /** Backoff for the caller, randomized so that retries are spread. */
-  retryAfterMs: Millis
-}
-
 /** Options of {@link EndpointPool}. */
 export interface EndpointPoolOptions {
   zone: string
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -1,7 +1,8 @@
 import { EventSplitter, type StreamEvent } from './eventSplitter'
 import type { AnswerHead, ExchangeEnd } from './exchange'
-import type { PooledEndpoint, SendOutcome } from './endpointPool'
+import type { PooledEndpoint } from './endpointPool'
 import type { Verdict } from './judgeAnswer'
+import { unsentOutcome, type SendOutcome } from './sendOutcome'
 
 /** How the stream of one engine ended, and the outcome that is recorded for the engine. */
 export interface StreamResult {
@@ -75,7 +76,7 @@
     if (!end.complete && !end.sent)
       return {
         attempt: { type: 'not-run', arrived: false, reason: end.reason, isInstanceGone: end.refused },
-        sendOutcome: end.refused ? 'unreachable' : 'failed',
+        sendOutcome: unsentOutcome(end),
       }
     if (this.head !== undefined && this.verdict === 'other-instance')
       return {
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -1,6 +1,7 @@
 import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
-import { connect, type Socket } from 'node:net'
 import type { Clock } from '@forkstage/clock'
+import { connectDirectly, type Dial, type DialResult } from '@forkstage/paths'
+import { endedWithFin } from '@forkstage/tunnel'
 import type { Address, Millis } from '@forkstage/types'
 
 /** The status line and headers of an endpoint's answer. */
@@ -20,8 +21,18 @@
   /**
    * `sent`: a byte may have reached the endpoint, so it may have run the request.
    * `refused`: the connection was refused; otherwise the endpoint may be slow, or packets were lost.
+   * `hasNoPath`: this box reached no endpoint, which says nothing about this one. `via`: the box that carried the exchange.
    */
-  | { complete: false; sent: boolean; refused: boolean; reason: string }
+  | {
+      complete: false
+      sent: boolean
+      refused: boolean
+      hasNoPath?: boolean
+      via?: Address
+      /** Whether {@link Exchange.cancel} ended it. */
+      isCancelled?: boolean
+      reason: string
+    }
 
 /** One request to one endpoint. */
 export interface ExchangeOptions {
@@ -33,6 +44,8 @@
   body: Buffer
   /** Connect timeout. */
   connectMs: Millis
+  /** Opens the connection; directly to the endpoint if absent. */
+  dial?: (address: Address, timeoutMs: Millis) => Dial
   clock: Clock
   onHead: (head: AnswerHead) => void
   onData: (chunk: Buffer) => void
@@ -53,28 +66,32 @@
   silentMs(): Millis
 }
 
-const REFUSED = 'ECONNREFUSED'
-
 /**
  * Sends one request over a new connection. Without reuse, no bytes of an earlier answer can arrive on it, the endpoint cannot
  * have closed it while idle, and bytes after the answer can be ignored.
  */
 export function openExchange(options: ExchangeOptions): Exchange {
-  const { address, method, path, rawHeaders, body, clock } = options
+  const { address, method, path, rawHeaders, body, connectMs, clock } = options
   const colon = address.lastIndexOf(':')
+  const dial = options.dial?.(address, connectMs) ?? connectDirectly(address, connectMs, clock)
   let answer: IncomingMessage | undefined
   let sent = false
+  let via: Address | undefined
   let ended = false
   let isPaused = false
   let lastReceivedAt = -Infinity
   const end = (result: ExchangeEnd) => {
     if (ended) return
     ended = true
-    cancelConnect()
     options.onEnd(result)
   }
-  const fail = (reason: string, code?: string) => {
-    end({ complete: false, sent, refused: !sent && code === REFUSED, reason })
+  const fail = (reason: string, isCancelled = false) => {
+    end({ complete: false, sent, refused: false, via, isCancelled, reason })
+    if (!sent) dial.cancel()
+    request.destroy()
+  }
+  const failUnsent = ({ type, reason }: Exclude<DialResult, { type: 'connected' }>) => {
+    end({ complete: false, sent, refused: type === 'refused', hasNoPath: type === 'no-path', reason })
     request.destroy()
   }
   const request: ClientRequest = httpRequest({
@@ -82,31 +99,32 @@
     port: Number(address.slice(colon + 1)),
     method,
     path,
-    // Keeps our side open after the endpoint has closed its side, see endedWithFin.
-    createConnection: (target) =>
-      connect({ host: target.host!, port: Number(target.port), allowHalfOpen: true, noDelay: true }),
+    createConnection: (_target, onConnected) => {
+      void dial.result.then((result) => {
+        if (result.type !== 'connected') return failUnsent(result)
+        if (ended) return void result.socket.destroy()
+        sent = true
+        via = result.via
+        onConnected(null, result.socket)
+      })
+      return undefined
+    },
     setHost: false,
     headers: rawHeaders,
   })
-  const cancelConnect = clock.after(options.connectMs, () => {
-    if (!sent) fail('no connection in time')
-  })
-  request.on('socket', (socket) => {
-    socket.once('connect', () => (sent = true))
-  })
-  request.on('error', (error) => fail(error.message, (error as NodeJS.ErrnoException).code))
+  request.on('error', (error) => fail(error.message))
   request.on('response', (incoming) => {
     answer = incoming
     lastReceivedAt = clock.now()
     incoming.on('data', () => (lastReceivedAt = clock.now()))
-    readAnswer(incoming, options, { end, fail, isOver: () => ended })
+    readAnswer(incoming, options, { end, fail: (reason) => fail(reason), isOver: () => ended })
   })
   request.on('close', () => {
     if (answer === undefined) fail('closed without an answer')
   })
   request.end(body)
   return {
-    cancel: (reason) => fail(reason),
+    cancel: (reason) => fail(reason, true),
     pause: () => {
       isPaused = true
       answer?.pause()
@@ -153,19 +171,3 @@
     isFramed,
   })
 }
-
-/** HTTP allows an empty line before a request; the endpoint has closed its side and ignores it. */
-const EMPTY_LINE = '\r\n'
-
-/**
- * Resolves to whether an answer without a length ended because its endpoint closed the connection in order. A reset right
- * after the last bytes is reported as an ordinary end; a write then tells them apart, since it fails after a reset.
- */
-function endedWithFin(socket: Socket): Promise<boolean> {
-  return new Promise((resolve) => {
-    socket.prependListener('end', () =>
-      socket.write(EMPTY_LINE, (error) => resolve(error === null || error === undefined)),
-    )
-    socket.on('close', () => resolve(false))
-  })
-}
--- a/request/gateway/src/fetchAnswer.ts
+++ b/request/gateway/src/fetchAnswer.ts
@@ -1,12 +1,21 @@
 import type { CancelTimer } from '@forkstage/clock'
-import type { Millis } from '@forkstage/types'
+import type { Address, Millis } from '@forkstage/types'
 import { openExchange, type AnswerHead, type Exchange, type ExchangeOptions } from './exchange'
 
 /** A complete answer, or why there is none. */
 export type FetchOutcome =
   | { type: 'answer'; head: AnswerHead; body: Buffer }
   /** `sent`: the endpoint may have run the request. `isTimedOut`: no complete answer arrived within `timeoutMs`. */
-  | { type: 'failed'; sent: boolean; refused: boolean; reason: string; isTimedOut?: boolean }
+  | {
+      type: 'failed'
+      sent: boolean
+      refused: boolean
+      hasNoPath?: boolean
+      via?: Address
+      isCancelled?: boolean
+      reason: string
+      isTimedOut?: boolean
+    }
 
 /** Options of {@link fetchAnswer}. */
 export interface FetchOptions extends Omit<ExchangeOptions, 'onHead' | 'onData' | 'onEnd'> {
@@ -43,6 +52,9 @@
           type: 'failed',
           sent: end.sent,
           refused: end.refused,
+          hasNoPath: end.hasNoPath,
+          via: end.via,
+          isCancelled: end.isCancelled,
           reason: end.reason,
           isTimedOut,
         })
--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -1,7 +1,9 @@
 import type { PromptPart } from '@forkstage/allocator'
 import type { InRegion, AllowedRegions } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
-import type { PoolUnavailability, PooledEndpoint, SendOutcome } from './endpointPool'
+import type { PooledEndpoint } from './endpointPool'
+import type { PoolUnavailability } from './poolTypes'
+import type { SendOutcome } from './sendOutcome'
 
 /** A model request, as far as its placement depends on it. */
 export interface ModelWork {
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -5,7 +5,8 @@
 import { cancelWhenEnded } from './cancelWhenEnded'
 import { connectionShare } from './connectionShare'
 import { dropHeaders } from './callerRequest'
-import type { PoolUnavailability, PooledEndpoint, SendOutcome } from './endpointPool'
+import type { PooledEndpoint } from './endpointPool'
+import type { PoolUnavailability } from './poolTypes'
 import { COLD_LIMIT_REASON } from './coldEndpointLimiter'
 import { fetchAnswer, type FetchOutcome } from './fetchAnswer'
 import { reportLostSending } from './reportLostSending'
@@ -24,6 +25,7 @@
   CONNECT_MS,
   EARLY_REFUSAL_SHARE,
   headersFor,
+  sendRecord,
   type RelayJob,
   type RelayParts,
   type RelayResult,
@@ -33,7 +35,9 @@
 import { CrashGuard } from './crashGuard'
 import { ENDS_ENDPOINTS, EVACUATED, whyNotSend } from './sendRules'
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
+import { unsentOutcome, type SendOutcome } from './sendOutcome'
 import { waitFor } from './waitFor'
+import { wasLostOnTheWay } from './wasLostOnTheWay'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 const MAX_REFUSALS = 3
@@ -209,6 +213,7 @@
       rawHeaders: headersFor(parts, job, to),
       body: job.request.body,
       connectMs: CONNECT_MS,
+      dial: parts.dialer?.dial,
       clock: parts.clock,
       maxBytes: MAX_ANSWER_BYTES,
       onOpen: (exchange) => {
@@ -218,9 +223,11 @@
     })
     unwatch()
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
-    const { sending, sendOutcome } = this.interpret(outcome, to)
     const tookMs = parts.clock.now() - startedAt
-    if (outcome.type === 'failed' && outcome.sent) {
+    const isPathLoss =
+      outcome.type === 'failed' && outcome.sent && (await wasLostOnTheWay(parts, to, outcome))
+    const { sending, sendOutcome } = this.interpret(outcome, to, isPathLoss)
+    if (outcome.type === 'failed' && outcome.sent && !isPathLoss) {
       reportLostSending(parts, job, to, tookMs, this.isOver ? tookMs : undefined)
       this.crashGuard.recordLost(to.endpoint.id)
     }
@@ -230,28 +237,22 @@
     // An endpoint that asked for backoff keeps its limit: its normal capacity is unchanged.
     if (sendOutcome === 'full' && parts.pool.isAvailable(to)) to.limit.recordFull()
     parts.pool.recordEnd(to, this.isOver ? 'cancelled' : sendOutcome, tookMs)
-    this.sends.push({
-      to: to.endpoint.id,
-      step: 'plain',
-      outcome: sendOutcome,
-      reason: outcome.type === 'failed' && !outcome.sent ? outcome.reason : undefined,
-      tookMs: Math.round(tookMs),
-    })
+    const reason = outcome.type === 'failed' && !outcome.sent ? outcome.reason : undefined
+    this.sends.push(sendRecord(to, 'plain', sendOutcome, tookMs, reason))
     return sending
   }
 
   private interpret(
     outcome: FetchOutcome,
     to: PooledEndpoint,
+    isPathLoss: boolean,
   ): { sending: SendingResult; sendOutcome: SendOutcome } {
     if (outcome.type === 'failed') {
       if (!outcome.sent)
-        return {
-          sending: { type: 'not-run', arrived: false },
-          sendOutcome: outcome.refused ? 'unreachable' : 'failed',
-        }
+        return { sending: { type: 'not-run', arrived: false }, sendOutcome: unsentOutcome(outcome) }
       this.possibleRuns += 1
-      return { sending: { type: 'unknown', reason: outcome.reason }, sendOutcome: 'failed' }
+      const sendOutcome = isPathLoss ? 'no-path' : 'failed'
+      return { sending: { type: 'unknown', reason: outcome.reason }, sendOutcome }
     }
     const verdict = readVerdict(this.parts, this.job, to, outcome.head)
     if (verdict === 'other-instance')
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '@forkstage/types'
 import { cancelWhenEnded } from './cancelWhenEnded'
-import type { PooledEndpoint, SendOutcome } from './endpointPool'
+import type { PooledEndpoint } from './endpointPool'
 import type { Exchange } from './exchange'
 import { fetchAnswer, type FetchOutcome } from './fetchAnswer'
 import type { Verdict } from './judgeAnswer'
@@ -8,6 +8,8 @@
 import { readVerdict } from './readVerdict'
 import { CONNECT_MS, headersFor, type RelayJob, type RelayParts } from './relayParts'
 import type { Arrival } from './sendCounter'
+import { unsentOutcome, type SendOutcome } from './sendOutcome'
+import { wasLostOnTheWay } from './wasLostOnTheWay'
 
 const MAX_ANSWER_BYTES = 64 * 1024
 /** A prefill step times out after {@link EXPECTED_FACTOR} times its expected duration plus this share of the target. */
@@ -53,6 +55,7 @@
     rawHeaders: headersFor(parts, job, at, [wire.headers.stage, wire.prefillStage]),
     body: job.request.body,
     connectMs: CONNECT_MS,
+    dial: parts.dialer?.dial,
     clock,
     maxBytes: MAX_ANSWER_BYTES,
     // If the engine accepts the prompt and hangs, the prompt is prefilled elsewhere.
@@ -69,6 +72,8 @@
   const verdict =
     outcome.type === 'answer' ? readVerdict(parts, job, at, outcome.head, read !== undefined) : undefined
   const arrival = arrivalOf(outcome)
+  if (outcome.type === 'failed' && outcome.sent && (await wasLostOnTheWay(parts, at, outcome)))
+    return { sendOutcome: 'no-path', arrival, tookMs }
   if (outcome.type === 'failed' && outcome.isTimedOut === true)
     return { sendOutcome: 'silent', arrival, tookMs }
   if (read === undefined) return { sendOutcome: failureOutcome(outcome, verdict), arrival, tookMs }
@@ -91,7 +96,7 @@
 }
 
 function failureOutcome(outcome: FetchOutcome, verdict: Verdict | undefined): SendOutcome {
-  if (outcome.type === 'failed') return outcome.refused ? 'unreachable' : 'failed'
+  if (outcome.type === 'failed') return outcome.sent ? 'failed' : unsentOutcome(outcome)
   if (verdict === 'other-instance') return verdict
   return verdict === 'not-run' ? 'full' : 'failed'
 }
--- a/request/gateway/src/promptPrefill.ts
+++ b/request/gateway/src/promptPrefill.ts
@@ -7,7 +7,7 @@
 import { reportLostSending } from './reportLostSending'
 import { prefillStep, type Prefilled } from './prefillStep'
 import { releaseHandle } from './releaseHandle'
-import type { RelayJob, RelayParts, SendRecord } from './relayParts'
+import { sendRecord, type RelayJob, type RelayParts, type SendRecord } from './relayParts'
 import type { SendCounter } from './sendCounter'
 import { SUSPENDED, whyNotSend } from './sendRules'
 
@@ -70,12 +70,7 @@
     // A request that never arrived took none of the engine's time, however long the connect took.
     const busyMs = sendOutcome === 'failed' && arrival === 'not-arrived' ? 0 : tookMs
     place.reportPrefilled(context.isOver ? 'cancelled' : sendOutcome, busyMs)
-    context.sends.push({
-      to: at.endpoint.id,
-      step: 'prefill',
-      outcome: sendOutcome,
-      tookMs: Math.round(tookMs),
-    })
+    context.sends.push(sendRecord(at, 'prefill', sendOutcome, tookMs))
     if (prefilled !== undefined) return 'read'
     if (!context.isOver) context.except.add(at.endpoint.id)
     return 'not-read'
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -9,6 +9,7 @@
 import { nameOf, type InstanceId } from '@forkstage/directory'
 import type { RateTable } from '@forkstage/limits'
 import type { Logger } from '@forkstage/logger'
+import type { EndpointDialer } from '@forkstage/paths'
 import type { Route, RoutedService } from '@forkstage/routes'
 import type { AvailabilityTracker } from '@forkstage/statements'
 import type { AllowedRegions } from '@forkstage/topology'
@@ -44,6 +45,8 @@
   leavingServesMs?: Millis
   /** Tracks requests that crash endpoints; not tracked if absent. */
   crashes?: CrashCoordinator
+  /** Opens connections to endpoints; they are opened directly if absent. */
+  dialer?: Pick<EndpointDialer, 'dial' | 'isPathLoss' | 'paths'>
   clock: Clock
   random: Random
   logger: Logger
@@ -81,6 +84,17 @@
   tookMs: number
 }
 
+/** Returns the record of a send to an endpoint. */
+export function sendRecord(
+  to: PooledEndpoint,
+  step: SendRecord['step'],
+  outcome: string,
+  tookMs: Millis,
+  reason?: string,
+): SendRecord {
+  return { to: to.endpoint.id, step, outcome, reason, tookMs: Math.round(tookMs) }
+}
+
 /** The result of a request, for the log and the metrics. */
 export interface RelayResult {
   status: number
--- a/request/gateway/src/releaseHandle.ts
+++ b/request/gateway/src/releaseHandle.ts
@@ -15,6 +15,7 @@
     rawHeaders: ['Host', address, 'Connection', 'close'],
     body: Buffer.alloc(0),
     connectMs: CONNECT_MS,
+    dial: parts.dialer?.dial,
     clock: parts.clock,
     maxBytes: MAX_ANSWER_BYTES,
   }).then((outcome) => {
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -15,6 +15,7 @@
 import type { Address, FailureDomain, Millis } from '@forkstage/types'
 import type { ColdEndpointLimiter } from './coldEndpointLimiter'
 import type { EndpointPool } from './endpointPool'
+import type { SendOutcome } from './sendOutcome'
 import type { EndpointRateLimiter } from './endpointRateLimiter'
 import type { LeaderClient } from './leaderClient'
 import { waitFor } from './waitFor'
@@ -202,7 +203,12 @@
       reportPrefilled: (outcome, tookMs) => {
         hold.decodingAt = clock.now()
         place.reportPrefilled(outcome, tookMs)
-        this.options.leaderClient.notify(PLACE.prefilled, { request, outcome, tookMs: Math.round(tookMs) })
+        const used = useOutcome(outcome)
+        this.options.leaderClient.notify(PLACE.prefilled, {
+          request,
+          outcome: used,
+          tookMs: Math.round(tookMs),
+        })
       },
       reportStalled: (forMs) => this.reportSilent(hold.decode, forMs),
       reportMoved: (to) => {
@@ -213,7 +219,12 @@
       release: (outcome, tookMs, madeTokens) => {
         this.active.delete(request)
         place.release(outcome, tookMs, madeTokens)
-        this.options.leaderClient.notify(PLACE.release, { request, decode: hold.decode, outcome, madeTokens })
+        this.options.leaderClient.notify(PLACE.release, {
+          request,
+          decode: hold.decode,
+          outcome: useOutcome(outcome),
+          madeTokens,
+        })
       },
     }
     const prefill = place.prefill?.endpoint.id
@@ -295,3 +306,8 @@
     madeTokens: madeTokens > 0 ? madeTokens : undefined,
   }
 }
+
+/** Returns the outcome that is reported for an engine; a loss on the way is none of its own. */
+function useOutcome(outcome: SendOutcome): UseOutcome {
+  return outcome === 'no-path' ? 'cancelled' : outcome
+}
--- a/request/gateway/src/runMigration.ts
+++ b/request/gateway/src/runMigration.ts
@@ -88,6 +88,7 @@
       rawHeaders: [...rawHeaders, 'Content-Length', String(body.length), 'Connection', 'close'],
       body,
       connectMs: CONNECT_MS,
+      dial: this.parts.dialer?.dial,
       clock,
       maxBytes: MAX_ANSWER_BYTES,
       timeoutMs: COPY_WITHIN_MS,
--- /dev/null
+++ b/request/gateway/src/sendOutcome.ts
@@ -0,0 +1,12 @@
+/**
+ * Outcome of a send, for rating the instance. `silent`: this entry gave up because no answer came in time. `no-path`: the
+ * send failed on the way, which says nothing about the instance.
+ */
+export type SendOutcome =
+  'ok' | 'failed' | 'silent' | 'unreachable' | 'no-path' | 'other-instance' | 'full' | 'cancelled'
+
+/** Returns the outcome of a send for which no connection was opened. */
+export function unsentOutcome(end: { refused: boolean; hasNoPath?: boolean }): SendOutcome {
+  if (end.hasNoPath === true) return 'no-path'
+  return end.refused ? 'unreachable' : 'failed'
+}
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -2,6 +2,7 @@
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { decideRetry, type RetryDecision } from './decideRetry'
+import { attributeLoss } from './attributeLoss'
 import { cancelWhenEnded } from './cancelWhenEnded'
 import { withoutFirstDuplicate } from './callerRequest'
 import { CallerStream } from './callerStream'
@@ -14,7 +15,8 @@
 } from './engineStream'
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
-import type { PooledEndpoint, SendOutcome } from './endpointPool'
+import type { PooledEndpoint } from './endpointPool'
+import type { SendOutcome } from './sendOutcome'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { modelWork } from './modelWork'
 import { reportLostSending } from './reportLostSending'
@@ -24,6 +26,7 @@
   ANSWER_MARGIN_MS,
   CONNECT_MS,
   headersFor,
+  sendRecord,
   type RelayJob,
   type RelayParts,
   type RelayResult,
@@ -184,12 +187,7 @@
     const tookMs = this.parts.clock.now() - startedAt
     const used: SendOutcome = stall.hasLeft() ? 'silent' : sendOutcome
     place.release(this.isOver && used !== 'ok' ? 'cancelled' : used, tookMs, this.madeTokens())
-    this.sends.push({
-      to: place.decode.endpoint.id,
-      step: 'decode',
-      outcome: sendOutcome,
-      tookMs: Math.round(tookMs),
-    })
+    this.sends.push(sendRecord(place.decode, 'decode', sendOutcome, tookMs))
     return attempt
   }
 
@@ -209,7 +207,7 @@
     if (next === undefined) return this.finishStream(place, ended)
     const from = place.decode
     const outcome = attempt.type === 'not-run' ? sendOutcome : 'moved'
-    this.sends.push({ to: from.endpoint.id, step: 'decode', outcome, tookMs: 0 })
+    this.sends.push(sendRecord(from, 'decode', outcome, 0))
     if (next.at !== from) place.reportMoved(next.at)
     const { at, sending, source, handle } = next
     return this.followMigrations(place, await this.streamAt(at, sending, { at: source, handle }))
@@ -228,7 +226,8 @@
   }
 
   /** Reports a stream that ended early without a requested stop: its engine may have crashed. */
-  private reportLoss(at: PooledEndpoint, { attempt }: StreamResult): void {
+  private reportLoss(at: PooledEndpoint, { attempt, sendOutcome }: StreamResult): void {
+    if (sendOutcome === 'no-path') return
     const now = this.parts.clock.now()
     const afterMs = now - this.sentAt
     if (attempt.type === 'lost') reportLostSending(this.parts, this.job, at, afterMs)
@@ -278,6 +277,7 @@
         rawHeaders: this.hasBegun ? withoutFirstDuplicate(rawHeaders, headers.lastEventId) : rawHeaders,
         body: job.request.body,
         connectMs: CONNECT_MS,
+        dial: parts.dialer?.dial,
         clock: parts.clock,
         onHead: (head) => stream.onHead(head),
         onData: (chunk) => stream.onData(chunk),
@@ -290,7 +290,7 @@
             : stream.end(end)
           if (result.attempt.type === 'not-run') this.except.add(to.endpoint.id)
           else this.prompt.markTaken()
-          resolve(result)
+          resolve(this.migrations.isStopped ? result : attributeLoss(parts, to, result, end))
         },
       })
       this.exchange = exchange
