fix(gateway): send a request again whose direct connection hangs when the path is lost

A safe request or a resumable stream that is silent for its target on a direct connection, to an endpoint that by then only others reach, is cancelled and sent again; before it waited for its deadline. Others wait: the endpoint may have run them, and an open connection may still work.

--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -64,6 +64,8 @@
    * since nothing is read then.
    */
   silentMs(): Millis
+  /** Whether no other box carries it. */
+  isDirect(): boolean
 }
 
 /**
@@ -134,6 +136,7 @@
       lastReceivedAt = clock.now()
       answer?.resume()
     },
+    isDirect: () => via === undefined,
     silentMs: () => (isPaused ? 0 : clock.now() - lastReceivedAt),
   }
 }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -2,7 +2,6 @@
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { AnswerHead, Exchange } from './exchange'
-import { cancelWhenEnded } from './cancelWhenEnded'
 import { connectionShare } from './connectionShare'
 import { dropHeaders } from './callerRequest'
 import type { PooledEndpoint } from './endpointPool'
@@ -38,6 +37,7 @@
 import { unsentOutcome, type SendOutcome } from './sendOutcome'
 import { waitFor } from './waitFor'
 import { wasLostOnTheWay } from './wasLostOnTheWay'
+import { watchExchange } from './watchExchange'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 const MAX_REFUSALS = 3
@@ -206,6 +206,7 @@
     const startedAt = parts.clock.now()
     parts.pool.recordSend(to)
     let unwatch = () => {}
+    const mayRepeat = () => job.route.kind === 'safe' && this.isRunLeft(1)
     const outcome = await fetchAnswer({
       address: to.endpoint.address,
       method: job.request.method,
@@ -218,7 +219,7 @@
       maxBytes: MAX_ANSWER_BYTES,
       onOpen: (exchange) => {
         this.exchange = exchange
-        unwatch = cancelWhenEnded(parts, to, exchange)
+        unwatch = watchExchange(parts, to, exchange, { patienceMs: job.route.targetMs, mayRepeat })
       },
     })
     unwatch()
@@ -276,10 +277,14 @@
     if (endsAt - this.parts.clock.now() < ANSWER_MARGIN_MS * 2) return false
     if (sending.type === 'not-run' && !sending.arrived) return true
     if (sending.type !== 'not-run' && route.kind !== 'safe') return false
-    if (this.possibleRuns >= route.attempts) return false
     // If no untried endpoint is left, one that has just rejected the request does not get it again.
     if (sending.type === 'not-run' && !this.hasUntried()) return false
-    return this.sendCounter.isLeft()
+    return this.isRunLeft()
+  }
+
+  /** Whether another endpoint may run the request, counting `inProgress` runs that are not over. */
+  private isRunLeft(inProgress = 0): boolean {
+    return this.possibleRuns + inProgress < this.job.route.attempts && this.sendCounter.isLeft()
   }
 
   private hasUntried(): boolean {
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -46,7 +46,7 @@
   /** Tracks requests that crash endpoints; not tracked if absent. */
   crashes?: CrashCoordinator
   /** Opens connections to endpoints; they are opened directly if absent. */
-  dialer?: Pick<EndpointDialer, 'dial' | 'isPathLoss' | 'paths'>
+  dialer?: Pick<EndpointDialer, 'dial' | 'isPathLoss' | 'onIndirect' | 'paths'>
   clock: Clock
   random: Random
   logger: Logger
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -3,7 +3,6 @@
 import type { Millis } from '@forkstage/types'
 import { decideRetry, type RetryDecision } from './decideRetry'
 import { attributeLoss } from './attributeLoss'
-import { cancelWhenEnded } from './cancelWhenEnded'
 import { withoutFirstDuplicate } from './callerRequest'
 import { CallerStream } from './callerStream'
 import {
@@ -39,6 +38,7 @@
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
 import { retryAfterOf, reasonOf, type AttemptResult, type FailedAttempt } from './streamAttempt'
 import { waitForDecodeEngine } from './waitForDecodeEngine'
+import { watchExchange } from './watchExchange'
 
 const OK = 200
 const PROMPT_NOT_READ = 'the prompt was not read'
@@ -294,7 +294,10 @@
         },
       })
       this.exchange = exchange
-      const unwatch = cancelWhenEnded(parts, to, exchange)
+      const unwatch = watchExchange(parts, to, exchange, {
+        patienceMs: job.route.targetMs,
+        mayRepeat: () => job.route.resumable && this.possibleRuns + 1 < job.route.attempts,
+      })
     })
   }
 
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -19,9 +19,10 @@
   GatewayRetryBudget,
   WorkspaceAdmission,
   type ModelPlace,
+  type RelayParts,
   type RequestReport,
 } from '../src'
-import { endpointWithDefaults, routeWithDefaults } from './rowsWithDefaults'
+import { ENGINE, endpointWithDefaults, routeWithDefaults } from './rowsWithDefaults'
 import { TEST_WIRE } from './testWire'
 
 /** An answer as a caller received it. */
@@ -51,17 +52,6 @@
 /** Requests per second that a cold endpoint may get from all entries. */
 export const COLD_PER_SECOND = 30
 
-const ENGINE = {
-  slots: 8,
-  kvTokens: 100_000,
-  kvBytesPerToken: 1,
-  linkMbps: 1,
-  tokensPerEvent: 1,
-  handleMs: 5_000,
-  stageChangeMs: 1,
-  canMove: true,
-}
-
 /** How long endpoints continue serving once they have announced that they are leaving. */
 const LEAVING_SERVES_MS = 2_000
 
@@ -70,6 +60,8 @@
   readonly reports: RequestReport[] = []
   /** Places that the placer returned, the newest last. */
   readonly places: ModelPlace[] = []
+  /** Opens connections to endpoints; they are opened directly if undefined. */
+  dialer: RelayParts['dialer']
   /** Number of next requests for a place that are refused. */
   placesRefused = 0
   /** When the machine was last suspended. */
@@ -232,7 +224,10 @@
           regionRule(TOPOLOGY),
         ],
         cold,
-        // Read when a request arrives, since the harness does not exist yet.
+        // Both are read when a request arrives, since the harness does not exist yet.
+        get dialer() {
+          return harness.dialer
+        },
         get rates() {
           return harness.rates
         },
--- a/request/gateway/test/remotePlacer.test.ts
+++ b/request/gateway/test/remotePlacer.test.ts
@@ -53,6 +53,7 @@
   const silent = new Set<string>()
   const asked: string[] = []
   const asks: PlaceAsk[] = []
+  const notes: { method: string; params: unknown }[] = []
   const script = {
     leader: undefined as string | undefined,
     moves: [] as AnswerMove[],
@@ -68,7 +69,7 @@
       if (refusal !== undefined) return { type: 'refused', reason: refusal, retryAfterMs: 700 } as Result
       return { type: 'placed', decode: 'd1' } as Result
     },
-    notify: () => undefined,
+    notify: (_address: string, method: string, params: unknown) => void notes.push({ method, params }),
   }
   const options = { neighbours: () => [], peers, clock, logger, forwardableMethods: [] }
   const leaderClient = new LeaderClient({ leader: () => script.leader, ...options })
@@ -83,6 +84,7 @@
     script,
     asked,
     asks,
+    notes,
     hang: (address: string) => silent.add(address),
   }
 }
@@ -96,6 +98,18 @@
 }
 
 describe('RemotePlacer', () => {
+  // Guards against engines that the leader ejects because an entry lost its own links.
+  it('reports a run that was lost on the way as cancelled', async () => {
+    const { placer, script, notes } = createPlacers()
+    script.leader = '10.0.0.9:1'
+    const answer = await placer.place(WORK)
+    if (answer.type !== 'place') throw new Error('no place')
+    answer.place.reportPrefilled('no-path', 5)
+    answer.place.release('no-path', 10, 0)
+    const outcomes = notes.map(({ params }) => (params as { outcome: string }).outcome)
+    expect(outcomes).toEqual(['cancelled', 'cancelled'])
+  })
+
   it('tells the leader which engines are resting, and does not ask it where all are', async () => {
     const { placer, script, asks, asked, pool, availability, clock } = createPlacers()
     pool.update([{ ...ENGINE_OF_TEST, id: 'd2', address: '10.0.0.2:1' }])
--- a/request/gateway/test/rowsWithDefaults.ts
+++ b/request/gateway/test/rowsWithDefaults.ts
@@ -1,6 +1,18 @@
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import type { Route } from '@forkstage/routes'
 
+/** The engines of a model service. */
+export const ENGINE = {
+  slots: 8,
+  kvTokens: 100_000,
+  kvBytesPerToken: 1,
+  linkMbps: 1,
+  tokensPerEvent: 1,
+  handleMs: 5_000,
+  stageChangeMs: 1,
+  canMove: true,
+}
+
 /** Returns an endpoint with defaults for the fields that are left out. */
 export function endpointWithDefaults(fields: Partial<RegisteredEndpoint>, index: number): RegisteredEndpoint {
   const base = {
--- a/request/paths/src/endpointDialer.ts
+++ b/request/paths/src/endpointDialer.ts
@@ -40,6 +40,7 @@
   /** Attempts through another box beside a slow direct one, by endpoint; one at a time for each. */
   private readonly besides = new Map<Address, Promise<unknown>>()
   private isStopped = false
+  private readonly indirectListeners = new Map<Address, Set<() => void>>()
 
   constructor(private readonly options: EndpointDialerOptions) {
     this.paths = new PathTable(options.clock)
@@ -72,6 +73,17 @@
     return via !== undefined || result.via !== undefined
   }
 
+  /** Calls back when an endpoint is found to be reached only through others. Returns a function that cancels this. */
+  onIndirect(endpoint: Address, callback: () => void): () => void {
+    const listeners = this.indirectListeners.get(endpoint) ?? new Set()
+    this.indirectListeners.set(endpoint, listeners.add(callback))
+    return () => {
+      listeners.delete(callback)
+      if (listeners.size === 0 && this.indirectListeners.get(endpoint) === listeners)
+        this.indirectListeners.delete(endpoint)
+    }
+  }
+
   /** Connects directly on behalf of another box; `refused` only if other endpoints can be reached. */
   async dialForPeer(endpoint: Address, timeoutMs: Millis): Promise<ConnectResult | undefined> {
     if (this.paths.prefersNeighbour(endpoint) || this.paths.isIsolated) return undefined
@@ -141,9 +153,11 @@
 
   /** Records that another box reaches an endpoint that this one does not, and tries it directly from now on. */
   recordIndirect(endpoint: Address, via: Address, reason: string): void {
-    if (this.paths.recordIndirect(endpoint))
-      this.options.logger.warn('path.indirect', { endpoint, via, reason })
+    const isNew = this.paths.recordIndirect(endpoint)
     this.startProbes()
+    if (!isNew) return
+    this.options.logger.warn('path.indirect', { endpoint, via, reason })
+    for (const listener of [...(this.indirectListeners.get(endpoint) ?? [])]) listener()
   }
 
   get hasNeighbours(): boolean {
