test(soak): entries are cut from all endpoints, in series and beside the other faults

An entry of the soak now runs under a small launcher that cuts its connections to the stand-ins from outside, as hanging, reset or live; partitions of one to three of four entries come in series, from a generator of their own, so that the other faults of a seed stay as they were. The check is the users' rule: from one second after the start, cut entries serve at least two thirds of the share that the others serve, or fail in no more than 10 calls and one in 50. Streams cut by a reset partition, or with the entry that carried them, have a known cause.

--- a/tools/fleet-soak/src/checkInterruptedAnswers.ts
+++ b/tools/fleet-soak/src/checkInterruptedAnswers.ts
@@ -1,3 +1,4 @@
+import type { ObservedPartition } from './partitionFaults'
 import type { CallRecord } from './soakCallers'
 import type { StreamInterruptions } from './standInRuns'
 
@@ -11,6 +12,8 @@
 export interface InterruptionCauses extends StreamInterruptions {
   /** Outages of each entry by its name: killed, frozen, or at the end of a stop. */
   entries: ReadonlyMap<string, TimeSpan[]>
+  /** When entries were cut from all endpoints. */
+  partitions?: ObservedPartition[]
   /** When a failure domain was evacuated. */
   evacuations: TimeSpan[]
 }
@@ -36,11 +39,25 @@
   const span = { from: call.startedAt, to: call.endedAt }
   if (call.endedAt - call.startedAt >= call.deadlineMs * DEADLINE_SHARE) return true
   if ((causes.entries.get(call.entry) ?? []).some((away) => overlap(away, span))) return true
-  const interruptedCount = causes.interrupted.get(call.id) ?? 0
+  const interruptedCount = (causes.interrupted.get(call.id) ?? 0) + countPathLosses(call, span, causes)
   if (call.kind === 'long') return interruptedCount >= MAX_ATTEMPTS
   return interruptedCount > 0 || causes.stoppedWithoutReply.has(call.id) || lostRun(call, span, causes)
 }
 
+/**
+ * Counts how often the connection of an answer may have been lost: when its entry was cut off, and when another entry, which
+ * may have carried it, had an outage meanwhile.
+ */
+function countPathLosses({ entry }: CallRecord, span: TimeSpan, causes: InterruptionCauses): number {
+  const cuts = (causes.partitions ?? []).filter((one) => one.entries.includes(entry) && overlap(one, span))
+  const begun = cuts.filter(({ from, kind }) => from >= span.from && kind !== 'live')
+  const carriers = [...causes.entries].filter(([name]) => name !== entry).flatMap(([, outages]) => outages)
+  const lostCarriers = carriers.filter(
+    (away) => cuts.some((cut) => overlap(cut, away)) && overlap(away, span),
+  )
+  return begun.length + lostCarriers.length
+}
+
 /** Whether a stopped run that must not run again was lost because its retained KV cache expired. */
 function lostRun({ id }: CallRecord, span: TimeSpan, causes: InterruptionCauses): boolean {
   if (!causes.kvStore.expiredRuns.has(id)) return false
--- /dev/null
+++ b/tools/fleet-soak/src/checkPartitions.ts
@@ -0,0 +1,54 @@
+import type { TimeSpan } from './checkInterruptedAnswers'
+import type { ObservedPartition } from './partitionFaults'
+import type { CallRecord } from './soakCallers'
+
+/** Time after the start of a partition in which an entry may learn of it, as the callers' pages allow. */
+const CONTACT_MS = 1_000
+/** Share of what the others serve that cut entries must serve, and failures that are allowed there in any case. */
+const MIN_SERVED_SHARE = 2 / 3
+const FREE_FAILURES = 10
+const FREE_FAILURE_SHARE = 1 / 50
+/** Calls at the other entries below which their share says nothing. */
+const MIN_OTHER_CALLS = 10
+/** Answers that follow from the key of a call. */
+const KEY_STATUSES = new Set([401, 403, 429])
+
+/** Checks that entries without links to endpoints serve their callers; returns one text for each partition that broke this. */
+export function checkPartitions(
+  partitions: ObservedPartition[],
+  calls: CallRecord[],
+  entryOutages: ReadonlyMap<string, TimeSpan[]>,
+): string[] {
+  return partitions.flatMap((partition) => {
+    const from = partition.from + CONTACT_MS
+    const during = calls.filter((call) => call.startedAt >= from && call.endedAt <= partition.to)
+    const counted = during.filter(
+      (call) => !KEY_STATUSES.has(call.status) && !isDisrupted(call, entryOutages, from),
+    )
+    const cut = counted.filter(({ entry }) => partition.entries.includes(entry))
+    const others = counted.filter(({ entry }) => !partition.entries.includes(entry))
+    const failures = cut.length - countServed(cut)
+    if (others.length < MIN_OTHER_CALLS || cut.length === 0) return []
+    if (failures <= FREE_FAILURES + cut.length * FREE_FAILURE_SHARE) return []
+    if (shareServed(cut) >= MIN_SERVED_SHARE * shareServed(others)) return []
+    return [
+      `${partition.entries.join(', ')} cut off (${partition.kind}) served ${countServed(cut)} of ${cut.length} calls, the others ${countServed(others)} of ${others.length}`,
+    ]
+  })
+}
+
+function isDisrupted(
+  { entry, endedAt }: CallRecord,
+  outages: ReadonlyMap<string, TimeSpan[]>,
+  from: number,
+): boolean {
+  return (outages.get(entry) ?? []).some((away) => away.from <= endedAt && away.to + CONTACT_MS >= from)
+}
+
+function countServed(calls: CallRecord[]): number {
+  return calls.filter(({ status, isWhole }) => status === 200 && isWhole).length
+}
+
+function shareServed(calls: CallRecord[]): number {
+  return countServed(calls) / calls.length
+}
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -8,11 +8,13 @@
 import { checkPoisonRequest, type PoisonArrivals } from './checkPoisonRequest'
 import { checkRates, RATE_PER_SECOND } from './checkRates'
 import { checkCalls } from './checkCalls'
+import { checkPartitions } from './checkPartitions'
 import { checkEndpointSignals, type EndpointSignals } from './checkEndpointSignals'
 import { planEngineFaults, runEngineFaults } from './engineFaults'
 import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
 import { DOMAINS } from './machineSettings'
 import { planBackoffFaults, runBackoffFaults } from './backoffFaults'
+import { planPartitions, runPartitions, type ObservedPartition } from './partitionFaults'
 import { SoakCallers, type CallRecord } from './soakCallers'
 import { planEvacuations, SoakEvacuations } from './soakEvacuations'
 import { SoakFleet } from './soakFleet'
@@ -150,6 +152,7 @@
     await pause(READ_EVERY_MS)
   }
   await fleet.waitReady()
+  let partitions: ObservedPartition[] = []
   const durationMs = minutes * 60_000
   const end = Date.now() + durationMs
   const work: Promise<unknown>[] = []
@@ -174,6 +177,9 @@
     ),
     repeat(CHANGE_EVERY_MS, () => operator.putNext()),
     repeat(READ_EVERY_MS, () => operator.read()),
+    runPartitions(planPartitions(durationMs, fleet.entries.length, createSeededRandom(seed + 7)), fleet).then(
+      (observed) => (partitions = observed),
+    ),
     evacuations.run(planEvacuations(durationMs, createSeededRandom(seed + 4))),
     ...faults,
   ])
@@ -183,6 +189,7 @@
     ...checkInterruptedAnswers(callers.calls, {
       ...interruptions,
       entries: injector.entryOutages,
+      partitions,
       evacuations: evacuations.observed.map(({ acknowledgedAt, withdrawnAt }) => ({
         from: acknowledgedAt - EVACUATION_SLACK_MS,
         to: (withdrawnAt ?? Infinity) + EVACUATION_SLACK_MS,
@@ -196,6 +203,7 @@
       injector.entryOutages,
     ),
     ...checkEndpointSignals(signalsOf(endpoints), callers.calls, injector.entryOutages),
+    ...checkPartitions(partitions, callers.calls, injector.entryOutages),
     ...checkWorkspaceRuns(observedRuns, callers.keys),
     ...(await checkRecovery(fleet, operator)),
     ...(await checkRevokedKeys(fleet, callers)),
@@ -205,7 +213,7 @@
   return {
     seed,
     folder,
-    faults: injector.done,
+    faults: [...injector.done, ...partitions.map(describePartition)],
     calls: callers.calls.length,
     answered: callers.calls.filter((call) => call.status === 200 && call.isWhole).length,
     acknowledged: new Set(operator.acknowledged.map((one) => one.version)).size,
@@ -218,6 +226,10 @@
   }
 }
 
+function describePartition({ from, to, kind, entries }: ObservedPartition): string {
+  return `${entries.join(', ')} cut off (${kind}) for ${to - from} ms`
+}
+
 /** Returns the signals and arrivals of all endpoints. */
 function signalsOf(endpoints: StandInEndpoint[]): EndpointSignals {
   return {
--- a/tools/fleet-soak/src/soakFleet.ts
+++ b/tools/fleet-soak/src/soakFleet.ts
@@ -2,12 +2,15 @@
 import { join } from 'node:path'
 import got from 'got'
 import { startProcess, waitUntil, type RunningProcess } from '@forkstage/deployment'
+import type { PartitionKind } from './partitionKinds'
 import { DOMAINS, machineSettings, PORTS, type SoakMachine } from './machineSettings'
 
 const CONTROL = 5
 const ENTRIES = 4
 const SEEDS = 3
 const PROGRAM = 'dist/serve.cjs'
+/** Runs the program of an entry so that it can be cut from the endpoints. */
+const PARTITIONABLE = 'dist/partitionable.cjs'
 
 /** The entries and control machines of a soak, each in a separate process. */
 export class SoakFleet {
@@ -48,14 +51,24 @@
     const settings = join(this.folder, `${machine.name}.toml`)
     writeFileSync(settings, machineSettings(machine, seeds, this.folder, found))
     const logFile = join(this.folder, `${machine.name}.log`)
-    const started = startProcess([process.execPath, PROGRAM], {
-      env: { FORKSTAGE_CONFIG: settings },
+    const program = machine.role === 'entry' ? [PARTITIONABLE, PROGRAM] : [PROGRAM]
+    const started = startProcess([process.execPath, ...program], {
+      env: { FORKSTAGE_CONFIG: settings, FORKSTAGE_PARTITION_FILE: this.partitionFile(machine) },
       logFile,
       keepLines: false,
     })
     this.running.set(machine.name, started)
   }
 
+  /** Cuts an entry from all endpoints; `undefined` ends that. */
+  partition(entry: SoakMachine, kind: PartitionKind | undefined): void {
+    writeFileSync(this.partitionFile(entry), kind ?? '')
+  }
+
+  private partitionFile({ name }: SoakMachine): string {
+    return join(this.folder, `${name}.partition`)
+  }
+
   signal(machine: SoakMachine, signal: NodeJS.Signals): void {
     this.running.get(machine.name)?.kill(signal)
   }
