fix(paths): a dead endpoint does not take the path to the others away

While its own links are down, an entry that dialled one dead endpoint excluded every other box that could not reach it either, and then counted itself as without any path: all its callers were refused for as long as the endpoint was dialled. What other boxes found silent is silent, and says nothing about them or about the path. A box now answers before the one that asked gives up (200 ms for the endpoint, 100 ms for its own links, 400 ms in all). Found by reading; the test fails on the code before (no-path for the other endpoints) and passes now.

--- a/daemon/fleet/src/entryPaths.ts
+++ b/daemon/fleet/src/entryPaths.ts
@@ -18,8 +18,8 @@
 
 /** States of endpoints that may run requests. */
 const STATES_AT_WORK = new Set<RegisteredEndpoint['state']>(['ready', 'draining'])
-/** Another entry asks the next one well before. */
-const PEER_CONNECT_MS = 250
+/** Leaves time to check this entry's links before the entry that asked gives up. */
+const PEER_CONNECT_MS = 200
 
 /** An entry's connections to endpoints: its own, those that other entries carry for it, and those it carries for others. */
 export class EntryPaths {
--- a/peer/tunnel/src/tunnelErrors.ts
+++ b/peer/tunnel/src/tunnelErrors.ts
@@ -2,7 +2,7 @@
 
 /**
  * Why another box opened no connection to an endpoint. `refused`: the endpoint's machine refuses connections, while that box
- * reaches others; `silent`: no connection in time; `unavailable`: that box opens none now, which says nothing about the endpoint.
+ * reaches others; `silent`: no connection in time, or no endpoint that the box knows; `unavailable`: that box opens none now, which says nothing about the endpoint.
  */
 export type TunnelRefusal = 'refused' | 'silent' | 'unavailable'
 
--- a/peer/tunnel/src/tunnelServer.ts
+++ b/peer/tunnel/src/tunnelServer.ts
@@ -79,7 +79,7 @@
     if (isClosed() || this.count >= MAX_TUNNELS)
       throw new TunnelRefusedError('unavailable', endpoint, 'this box takes no more')
     if (!isRegistered(endpoint))
-      throw new TunnelRefusedError('unavailable', endpoint, 'no endpoint is registered there')
+      throw new TunnelRefusedError('silent', endpoint, 'no endpoint is registered there')
     const socket = await connect(endpoint)
     const ticket = randomBytes(TICKET_BYTES).toString('base64')
     const one: OpenedConnection = { endpoint: socket, cancelExpiry: () => undefined }
--- a/request/paths/src/dialAttempt.ts
+++ b/request/paths/src/dialAttempt.ts
@@ -36,8 +36,8 @@
   private async neighbourFirst(): Promise<DialResult> {
     const { endpoint, dialer } = this
     const relayed = await this.track(dialer.connectThroughNeighbour(endpoint))
-    if (relayed.type === 'connected' || relayed.type === 'refused')
-      return this.accept(relayed, 'links are down')
+    // Where others found the endpoint silent, its path is not the reason.
+    if (relayed.type !== 'unavailable') return this.accept(relayed, 'links are down')
     if (this.isCancelled) return CANCELLED
     const direct = await this.track(dialer.connectDirectly(endpoint, LAST_ATTEMPT_MS))
     if (direct.type === 'connected') return direct
@@ -65,7 +65,7 @@
       direct.then((one) => (one.type === 'connected' ? one : undefined)),
       relayed.then((one) => (one.type === 'connected' || one.type === 'refused' ? one : undefined)),
     ])
-    if (decided === undefined) return this.judge(await direct, startedAt)
+    if (decided === undefined) return this.judge(await direct, await relayed, startedAt)
     if (decided.type === 'connected' && decided.via === undefined) beside.cancel()
     else attempt.cancel()
     return this.accept(decided, first?.type === 'refused' ? first.reason : 'no connection in time')
@@ -84,9 +84,9 @@
     return result
   }
 
-  /** Judges a failed direct attempt where no other box has told anything about the endpoint. */
-  private async judge(direct: ConnectResult, startedAt: Millis): Promise<DialResult> {
-    if (direct.type === 'connected') return direct
+  /** Judges a failed direct attempt to an endpoint that no other box has reached or found to refuse connections. */
+  private async judge(direct: ConnectResult, relayed: TunnelResult, startedAt: Millis): Promise<DialResult> {
+    if (direct.type === 'connected' || relayed.type === 'silent') return direct
     if (!(await this.dialer.areLinksDown(this.endpoint, startedAt))) return direct
     this.dialer.recordIsolated(direct.reason)
     return { type: 'no-path', reason: direct.reason }
--- a/request/paths/src/openThroughNeighbours.ts
+++ b/request/paths/src/openThroughNeighbours.ts
@@ -17,7 +17,8 @@
 const MAX_ASKED = 4
 /** A box that has not answered by then is joined by the next one; most answer within a few milliseconds. */
 const NEXT_BOX_DELAY_MS: Millis = 40
-const BOX_TIMEOUT_MS: Millis = 300
+/** Longer than a box takes to try the endpoint and to check its own links. */
+const BOX_TIMEOUT_MS: Millis = 400
 
 /**
  * Asks other boxes for a connection to an endpoint, the next one as soon as one has refused or takes long. Ends with the
@@ -48,7 +49,7 @@
     if (one.type === 'connected' || one.type === 'refused')
       return finish(one.type === 'connected' ? { ...one, via } : one)
     if (one.type === 'unavailable') neighbours.recordUnavailable(via)
-    last = one
+    if (last.type !== 'silent') last = one
     askNext()
   }
   const askNext = () => {
--- a/request/paths/test/endpointDialer.test.ts
+++ b/request/paths/test/endpointDialer.test.ts
@@ -127,6 +127,18 @@
     expect(harness.directAttempts).toEqual([])
   })
 
+  // Guards against one dead endpoint that takes the path to all others away.
+  it('still reaches the other endpoints while one of them is dead', async () => {
+    const harness = cutHarness('hangs')
+    harness.through = (_box, endpoint) => (endpoint === 'a:1' ? 'hangs' : 'connects')
+    for (let round = 0; round < 3; round += 1) {
+      expect(await harness.dial('a:1')).toMatchObject({ type: 'silent' })
+      for (const endpoint of ['b:1', 'c:1', 'd:1'])
+        expect(await harness.dial(endpoint)).toMatchObject({ type: 'connected' })
+    }
+    expect(harness.dialer.paths.hasPath).toBe(true)
+  })
+
   it('keeps other endpoints on its own links if it has lost only some', async () => {
     const harness = new DialerHarness()
     harness.direct = (endpoint) => (endpoint < 'c' ? 'refuses' : 'connects')
