fix(paths): dead endpoints and refused boxes do not leave an entry without a path

Causes: an entry judged its links by two endpoints that may be dead ones; one such judgement failed all its connections for 250 ms; a box that only lacked one endpoint was asked for none for a second; and links that come and go were trusted again at once, so that each partition of a series began with a wait. Tests: dead endpoints, a box asked again, links that come and go (endpointDialer.test.ts).

--- a/daemon/fleet/src/entryPaths.ts
+++ b/daemon/fleet/src/entryPaths.ts
@@ -86,7 +86,6 @@
 /** Connects to an endpoint for another entry. @throws TunnelRefusedError */
 async function connectForPeer(dialer: EndpointDialer, endpoint: Address): Promise<Socket> {
   const result = await dialer.dialForPeer(endpoint, PEER_CONNECT_MS)
-  if (result === undefined) throw new TunnelRefusedError('unavailable', endpoint, 'no path from this box')
   if (result.type !== 'connected') throw new TunnelRefusedError(result.type, endpoint, result.reason)
   return result.socket
 }
--- a/peer/tunnel/src/tunnelErrors.ts
+++ b/peer/tunnel/src/tunnelErrors.ts
@@ -2,14 +2,16 @@
 
 /**
  * Why another box opened no connection to an endpoint. `refused`: the endpoint's machine refuses connections, while that box
- * reaches others; `silent`: no connection in time, or no endpoint that the box knows; `unavailable`: that box opens none now, which says nothing about the endpoint.
+ * reaches others; `silent`: no connection in time, or no endpoint that the box knows; `indirect`: that box
+ * reaches this endpoint only through others; `unavailable`: it opens none now. The last two say nothing about the endpoint.
  */
-export type TunnelRefusal = 'refused' | 'silent' | 'unavailable'
+export type TunnelRefusal = 'refused' | 'silent' | 'indirect' | 'unavailable'
 
 /** Error codes by refusal. */
 export const TUNNEL_REFUSALS: Record<TunnelRefusal, `FORKSTAGE_${string}`> = {
   refused: 'FORKSTAGE_TUNNEL_REFUSED',
   silent: 'FORKSTAGE_TUNNEL_SILENT',
+  indirect: 'FORKSTAGE_TUNNEL_INDIRECT',
   unavailable: 'FORKSTAGE_TUNNEL_UNAVAILABLE',
 }
 
--- a/request/paths/src/dialAttempt.ts
+++ b/request/paths/src/dialAttempt.ts
@@ -36,13 +36,11 @@
   private async neighbourFirst(): Promise<DialResult> {
     const { endpoint, dialer } = this
     const relayed = await this.track(dialer.connectThroughNeighbour(endpoint))
-    // Where others found the endpoint silent, its path is not the reason.
-    if (relayed.type !== 'unavailable') return this.accept(relayed, 'links are down')
+    if (isDecisive(relayed) || relayed.type === 'silent') return this.accept(relayed, 'links are down')
     if (this.isCancelled) return CANCELLED
+    const startedAt = dialer.clock.now()
     const direct = await this.track(dialer.connectDirectly(endpoint, LAST_ATTEMPT_MS))
-    if (direct.type === 'connected') return direct
-    dialer.recordIsolated(relayed.reason)
-    return { type: 'no-path', reason: relayed.reason }
+    return this.judge(direct, relayed, startedAt)
   }
 
   private async directFirst(): Promise<DialResult> {
@@ -63,7 +61,7 @@
     const relayed = this.track(beside)
     const decided = await firstDefined<TunnelResult>([
       direct.then((one) => (one.type === 'connected' ? one : undefined)),
-      relayed.then((one) => (one.type === 'connected' || one.type === 'refused' ? one : undefined)),
+      relayed.then((one) => (isDecisive(one) ? one : undefined)),
     ])
     if (decided === undefined) return this.judge(await direct, await relayed, startedAt)
     if (decided.type === 'connected' && decided.via === undefined) beside.cancel()
@@ -78,7 +76,8 @@
   }
 
   private accept(result: TunnelResult, reason: string): DialResult {
-    if (result.type === 'unavailable') return { type: 'no-path', reason: result.reason }
+    if (result.type === 'unavailable' || result.type === 'indirect')
+      return { type: 'no-path', reason: result.reason }
     if (result.type === 'connected' && result.via !== undefined)
       this.dialer.recordIndirect(this.endpoint, result.via, reason)
     return result
@@ -97,3 +96,8 @@
     return attempt.result.finally(() => this.pending.delete(attempt))
   }
 }
+
+/** Whether a box has connected to an endpoint or found that it refuses connections. */
+function isDecisive({ type }: TunnelResult): boolean {
+  return type === 'connected' || type === 'refused'
+}
--- a/request/paths/src/endpointDialer.ts
+++ b/request/paths/src/endpointDialer.ts
@@ -26,9 +26,11 @@
 const PROBE_TIMEOUT_MS: Millis = 200
 /** A third of the endpoints at a time, so that each is tried within a second. */
 const PROBE_SHARE = 1 / 3
-/** Other endpoints tried to tell whether this box's links work. */
-const CHECKED_ENDPOINTS = 2
-const CHECK_TIMEOUT_MS: Millis = 100
+/** Other endpoints tried at a time, and in all, to tell whether this box's links work. */
+const CHECKED_AT_ONCE = 2
+const MAX_CHECKED = 4
+const CHECK_TIMEOUT_MS: Millis = 50
+const LINKS_DOWN: TunnelResult = { type: 'unavailable', reason: 'the links of this box are down' }
 
 /** Opens connections to endpoints, directly or through another box, and tells failures of endpoints from those of own links. */
 export class EndpointDialer {
@@ -84,13 +86,14 @@
     }
   }
 
-  /** Connects directly on behalf of another box; `refused` only if other endpoints can be reached. */
-  async dialForPeer(endpoint: Address, timeoutMs: Millis): Promise<ConnectResult | undefined> {
-    if (this.paths.prefersNeighbour(endpoint) || this.paths.isIsolated) return undefined
+  /** Connects directly on behalf of another box; `refused` and `silent` only if other endpoints can be reached. */
+  async dialForPeer(endpoint: Address, timeoutMs: Millis): Promise<TunnelResult> {
+    if (this.paths.isCut || this.paths.isIsolated) return LINKS_DOWN
+    if (this.paths.isIndirect(endpoint)) return { type: 'indirect', reason: 'reached through others only' }
     const startedAt = this.clock.now()
     const result = await this.connectDirectly(endpoint, timeoutMs).result
     if (result.type === 'connected') return result
-    return (await this.areLinksDown(endpoint, startedAt)) ? undefined : result
+    return (await this.areLinksDown(endpoint, startedAt)) ? LINKS_DOWN : result
   }
 
   /** Forgets endpoints that are not registered any more. */
@@ -106,13 +109,12 @@
 
   /** Starts a direct attempt and records a connection. */
   connectDirectly(endpoint: Address, timeoutMs: Millis): PendingConnect<ConnectResult> {
-    const { connect, clock, logger } = this.options
+    const { connect, clock } = this.options
     const startedAt = clock.now()
     const attempt = connect(endpoint, timeoutMs)
     const result = attempt.result.then((one) => {
       if (one.type !== 'connected') return one
-      if (this.paths.recordDirect(endpoint, clock.now() - startedAt))
-        logger.info('path.direct', { endpoint, left: this.paths.indirectCount })
+      if (this.paths.recordDirect(endpoint, clock.now() - startedAt)) this.logDirect(endpoint)
       return one
     })
     return { result, cancel: attempt.cancel }
@@ -178,22 +180,37 @@
     return this.linkCheck
   }
 
+  /** Endpoints reached lately are tried first, since others may be dead. */
   private async checkLinks(except: Address): Promise<boolean> {
-    const others = this.options.endpoints().filter((one) => one !== except)
-    const start = Math.floor(this.options.random() * others.length)
-    const checked = [...others.slice(start), ...others.slice(0, start)].slice(0, CHECKED_ENDPOINTS)
-    const results = await Promise.all(checked.map((one) => this.tryDirectly(one, CHECK_TIMEOUT_MS)))
-    return checked.length > 0 && !results.includes(true)
+    const reached = this.paths.directEndpoints()
+    const known = [...new Set([...reached, ...this.options.endpoints()])]
+    const others = known.filter((one) => one !== except).slice(0, MAX_CHECKED)
+    for (let start = 0; start < others.length; start += CHECKED_AT_ONCE) {
+      const tried = others.slice(start, start + CHECKED_AT_ONCE)
+      const results = await Promise.all(tried.map((one) => this.tryDirectly(one, CHECK_TIMEOUT_MS)))
+      if (results.includes(true)) return false
+    }
+    return others.length > 0
   }
 
   /** Returns whether a bare connection to an endpoint opens. */
   private async tryDirectly(endpoint: Address, timeoutMs: Millis): Promise<boolean> {
-    const result = await this.connectDirectly(endpoint, timeoutMs).result
-    if (result.type !== 'connected') return false
+    const { connect, clock } = this.options
+    const startedAt = clock.now()
+    const result = await connect(endpoint, timeoutMs).result
+    if (result.type !== 'connected') {
+      this.paths.recordProbeFailed(endpoint)
+      return false
+    }
     result.socket.on('error', () => undefined).destroy()
+    if (this.paths.recordProbed(endpoint, clock.now() - startedAt)) this.logDirect(endpoint)
     return true
   }
 
+  private logDirect(endpoint: Address): void {
+    this.options.logger.info('path.direct', { endpoint, left: this.paths.indirectCount })
+  }
+
   private startProbes(): void {
     if (this.cancelProbes !== undefined || this.isStopped) return
     this.cancelProbes = this.options.clock.after(PROBE_EVERY_MS, () => void this.probeIndirect())
--- a/request/paths/src/neighbourSelector.ts
+++ b/request/paths/src/neighbourSelector.ts
@@ -9,7 +9,7 @@
   random: Random
 }
 
-/** A box that opened no connection is asked again after this time. */
+/** A box that carries nothing is asked only after all others for this time. */
 const EXCLUDED_MS: Millis = 1_000
 
 interface NeighbourState {
@@ -18,7 +18,7 @@
   excludedUntil: Millis
 }
 
-/** Selects the boxes that may carry a connection: those with the fewest open ones, without those that recently refused. */
+/** Selects the boxes that may carry a connection: those with the fewest open ones first. */
 export class NeighbourSelector {
   private readonly states = new Map<Address, NeighbourState>()
 
@@ -29,14 +29,17 @@
     return this.options.neighbours().length > 0
   }
 
-  /** Returns the boxes to ask, in order. */
+  /** Returns the boxes to ask, in order; those that recently refused come last. */
   candidates(): Address[] {
     const { neighbours, clock, random } = this.options
     const known = neighbours()
     this.forgetUnknown(new Set(known))
-    const usable = known.filter((box) => (this.states.get(box)?.excludedUntil ?? 0) <= clock.now())
-    const scored = usable.map((box) => ({ box, score: (this.states.get(box)?.open ?? 0) + random() }))
-    return scored.sort((left, right) => left.score - right.score).map(({ box }) => box)
+    const scored = known.map((box) => {
+      const { open = 0, excludedUntil = 0 } = this.states.get(box) ?? {}
+      return { box, refusedMs: Math.max(0, excludedUntil - clock.now()), score: open + random() }
+    })
+    scored.sort((left, right) => left.refusedMs - right.refusedMs || left.score - right.score)
+    return scored.map(({ box }) => box)
   }
 
   recordOpened(box: Address): void {
@@ -48,7 +51,7 @@
     if (state !== undefined) state.open -= 1
   }
 
-  /** Excludes a box for a while. */
+  /** Has a box asked last for a while. */
   recordUnavailable(box: Address): void {
     this.stateOf(box).excludedUntil = this.options.clock.now() + EXCLUDED_MS
   }
--- a/request/paths/src/pathTypes.ts
+++ b/request/paths/src/pathTypes.ts
@@ -11,8 +11,12 @@
 /** The result of a direct connection attempt. `refused`: nothing listens at the address, or a link refuses the connection. */
 export type ConnectResult = Connected | { type: 'refused' | 'silent'; reason: string }
 
-/** The result of a connection attempt through a box; `unavailable` says nothing about the endpoint. */
-export type TunnelResult = ConnectResult | { type: 'unavailable'; reason: string }
+/**
+ * The result of a connection attempt through a box. Neither says anything about the endpoint: `indirect`, the box does not
+ * reach this endpoint itself; `unavailable`, the box carries nothing now.
+ */
+export type TunnelResult =
+  ConnectResult | { type: 'indirect'; reason: string } | { type: 'unavailable'; reason: string }
 
 /** A connection attempt; its result is never a rejection. */
 export interface PendingConnect<Result> {
--- a/request/paths/test/endpointDialer.test.ts
+++ b/request/paths/test/endpointDialer.test.ts
@@ -139,6 +139,50 @@
     expect(harness.dialer.paths.hasPath).toBe(true)
   })
 
+  // Guards against a box that gives up since a few endpoints that it tried are dead.
+  it('is not without a path while some endpoints are dead and other boxes say nothing', async () => {
+    const harness = new DialerHarness()
+    for (const endpoint of harness.endpoints) await harness.dial(endpoint)
+    harness.direct = (endpoint) => (endpoint === 'd:1' ? 'connects' : 'refuses')
+    harness.through = () => 'unavailable'
+    expect(await harness.dial('a:1')).toMatchObject({ type: 'refused' })
+    expect(await harness.dial('d:1')).toMatchObject({ type: 'connected' })
+    expect(harness.events).toEqual([])
+  })
+
+  it('asks a box again that refused, once no other one is left', async () => {
+    const harness = cutHarness('refuses')
+    harness.neighbours = ['n1:1']
+    let refusals = 1
+    harness.through = () => (refusals-- > 0 ? 'unavailable' : 'connects')
+    expect(await harness.dial('a:1')).toMatchObject({ type: 'no-path' })
+    await harness.advance(300)
+    expect(await harness.dial('b:1')).toMatchObject({ type: 'connected', via: 'n1:1' })
+  })
+
+  // Guards against a wait at the start of each partition of a series.
+  it('stays with other boxes while its links come and go, and is back within a second after that', async () => {
+    const harness = new DialerHarness()
+    for (const endpoint of harness.endpoints) await harness.dial(endpoint)
+    const times: number[] = []
+    for (let round = 0; round < 6; round += 1) {
+      for (const [response, forMs] of [
+        ['hangs', 700],
+        ['connects', 300],
+      ] as const) {
+        harness.direct = () => response
+        for (let passed = 0; passed < forMs; passed += 50) {
+          times.push((await harness.dial(harness.endpoints[passed % 4])).tookMs)
+          await harness.advance(50)
+        }
+      }
+    }
+    // Only the first partitions are noticed by waiting.
+    expect(times.filter((tookMs) => tookMs > 10).length).toBeLessThanOrEqual(8)
+    await harness.advance(1_000)
+    expect(harness.dialer.paths.indirectCount).toBe(0)
+  })
+
   it('keeps other endpoints on its own links if it has lost only some', async () => {
     const harness = new DialerHarness()
     harness.direct = (endpoint) => (endpoint < 'c' ? 'refuses' : 'connects')
@@ -168,7 +212,7 @@
     harness.direct = () => 'refuses'
     const answer = harness.dialer.dialForPeer('a:1', 250)
     await harness.advance(500)
-    expect(await answer).toBeUndefined()
+    expect(await answer).toMatchObject({ type: 'unavailable' })
   })
 
   it('tells another box that an endpoint refuses connections if it reaches others', async () => {
--- a/tools/fleet-soak/src/checkInterruptedAnswers.ts
+++ b/tools/fleet-soak/src/checkInterruptedAnswers.ts
@@ -44,18 +44,26 @@
   return interruptedCount > 0 || causes.stoppedWithoutReply.has(call.id) || lostRun(call, span, causes)
 }
 
+/** An entry is back on its own links within this time after a partition. */
+const RETURN_MS = 1_000
+
 /**
  * Counts how often the connection of an answer may have been lost: when its entry was cut off, and when another entry, which
- * may have carried it, had an outage meanwhile.
+ * may have carried it, was cut off or had an outage meanwhile.
  */
 function countPathLosses({ entry }: CallRecord, span: TimeSpan, causes: InterruptionCauses): number {
-  const cuts = (causes.partitions ?? []).filter((one) => one.entries.includes(entry) && overlap(one, span))
-  const begun = cuts.filter(({ from, kind }) => from >= span.from && kind !== 'live')
-  const carriers = [...causes.entries].filter(([name]) => name !== entry).flatMap(([, outages]) => outages)
-  const lostCarriers = carriers.filter(
-    (away) => cuts.some((cut) => overlap(cut, away)) && overlap(away, span),
-  )
-  return begun.length + lostCarriers.length
+  const { partitions = [], entries } = causes
+  const cuts = partitions
+    .filter((one) => one.entries.includes(entry))
+    .map(({ from, to }) => ({ from, to: to + RETURN_MS }))
+  const isCarried = (moment: TimeSpan) => overlap(moment, span) && cuts.some((cut) => overlap(cut, moment))
+  const starts = partitions
+    .filter(({ kind }) => kind !== 'live')
+    .map(({ from, entries: cut }) => ({ from, to: from, cut }))
+  const own = starts.filter(({ cut, ...start }) => cut.includes(entry) && overlap(start, span))
+  const others = starts.filter(({ cut, ...start }) => cut.some((one) => one !== entry) && isCarried(start))
+  const outages = [...entries].filter(([name]) => name !== entry).flatMap(([, all]) => all)
+  return own.length + others.length + outages.filter(isCarried).length
 }
 
 /** Whether a stopped run that must not run again was lost because its retained KV cache expired. */
--- a/tools/fleet-soak/src/checkPartitions.ts
+++ b/tools/fleet-soak/src/checkPartitions.ts
@@ -10,6 +10,7 @@
 const FREE_FAILURE_SHARE = 1 / 50
 /** Calls at the other entries below which their share says nothing. */
 const MIN_OTHER_CALLS = 10
+const SHOWN_CHARACTERS = 120
 /** Answers that follow from the key of a call. */
 const KEY_STATUSES = new Set([401, 403, 429])
 
@@ -32,7 +33,7 @@
     if (failures <= FREE_FAILURES + cut.length * FREE_FAILURE_SHARE) return []
     if (shareServed(cut) >= MIN_SERVED_SHARE * shareServed(others)) return []
     return [
-      `${partition.entries.join(', ')} cut off (${partition.kind}) served ${countServed(cut)} of ${cut.length} calls, the others ${countServed(others)} of ${others.length}`,
+      `${partition.entries.join(', ')} cut off (${partition.kind}) served ${countServed(cut)} of ${cut.length} calls, the others ${countServed(others)} of ${others.length}${describeFailures(cut)}`,
     ]
   })
 }
@@ -45,6 +46,17 @@
   return (outages.get(entry) ?? []).some((away) => away.from <= endedAt && away.to + CONTACT_MS >= from)
 }
 
+/** Returns the failures with the number of calls that ended so. */
+function describeFailures(calls: CallRecord[]): string {
+  const kinds = new Map<string, number>()
+  for (const { status, isWhole, body } of calls) {
+    if (status === 200 && isWhole) continue
+    const kind = `${status} ${body.slice(0, SHOWN_CHARACTERS)}`
+    kinds.set(kind, (kinds.get(kind) ?? 0) + 1)
+  }
+  return [...kinds].map(([kind, count]) => `; ${count} x ${kind}`).join('')
+}
+
 function countServed(calls: CallRecord[]): number {
   return calls.filter(({ status, isWhole }) => status === 200 && isWhole).length
 }
--- a/tools/fleet-soak/test/checkPartitions.test.ts
+++ b/tools/fleet-soak/test/checkPartitions.test.ts
@@ -29,7 +29,7 @@
       [...calls('entry-1', 40, 0), ...calls('entry-2', 40, 40)],
       new Map(),
     )
-    expect(broken).toEqual(['entry-1 cut off (hang) served 0 of 40 calls, the others 40 of 40'])
+    expect(broken).toEqual(['entry-1 cut off (hang) served 0 of 40 calls, the others 40 of 40; 40 x 503 '])
   })
 
   it('accepts entries that serve as many, few failures, and failures that all entries share', () => {
