perf(watch): send an entry its neighbours only when entries were added or removed

Eight addresses in each answer of five control machines would be about 0.8 KB a second for an entry (by calculation: 21 bytes an address, one answer a second), of the 3 KB that control may cost a daemon. An answer names the version of the ring instead, and the addresses only to a sender with another one, or of another incarnation; older entries send none and get them each time. Tests: watch.test.ts.

--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -59,6 +59,7 @@
   lost: boolean
   entries: number
   neighbours: Address[]
+  ringVersion?: number
   /** Endpoints that the machine reserves. */
   reserved: InstanceId[]
 }
@@ -232,6 +233,7 @@
       crashPosition: onCrashes === undefined ? undefined : machine.crashPosition,
       keptFree: entry === undefined ? undefined : machine.reserved,
       neighbourCount: entry === undefined ? undefined : machine.neighbours.length,
+      ringVersion: machine.ringVersion,
       leader,
       members,
       sheetVersion: newestKnown,
@@ -272,7 +274,8 @@
       lastContactAt: this.options.clock.now(),
       askedAt,
       entries: answer.entries,
-      neighbours: answer.neighbours,
+      neighbours: answer.neighbours ?? machine.neighbours,
+      ringVersion: answer.ringVersion,
       reserved: answer.keptFree ?? [],
     })
     this.updateReserved()
--- a/membership/watch/src/watchHub.ts
+++ b/membership/watch/src/watchHub.ts
@@ -52,6 +52,7 @@
   private cancelBatch: CancelTimer | undefined
   /** The entries sorted by address; undefined after an entry was added or removed. */
   private ring: Address[] | undefined
+  private ringVersion = 0
   private packed: PackedSheet | undefined
   private readonly entries = new Map<Address, Millis>()
 
@@ -168,7 +169,7 @@
       members: members(),
       leader: leader(),
       entries: this.countEntries(),
-      neighbours: this.neighboursOf(request.entry),
+      ...this.neighboursFor(request),
     }
   }
 
@@ -188,6 +189,12 @@
     return supposed.length > 0 ? { supposedEvacuations: supposed } : {}
   }
 
+  /** Neighbours are half of an answer without news, so an entry that has them is not sent them again. */
+  private neighboursFor({ entry, epoch, ringVersion }: WatchRequest): Partial<WatchAnswer> {
+    if (epoch === this.options.epoch && ringVersion === this.ringVersion) return { ringVersion }
+    return { neighbours: this.neighboursOf(entry), ringVersion: this.ringVersion }
+  }
+
   /**
    * Other entries, evenly spread over a ring that starts at the sender: each entry is the neighbour of only a few, and
    * those of one failure domain, whose addresses are adjacent, are not all neighbours of the same entry.
@@ -210,16 +217,21 @@
       // The map is sorted by the time of the last request.
       if (at >= since) break
       this.entries.delete(entry)
-      this.ring = undefined
+      this.resetRing()
     }
     return this.entries.size
   }
 
+  private resetRing(): void {
+    this.ring = undefined
+    this.ringVersion += 1
+  }
+
   private recordEntry(entry: Address): void {
     const isNew = !this.entries.delete(entry)
     this.entries.set(entry, this.options.clock.now())
     if (!isNew) return
-    this.ring = undefined
+    this.resetRing()
     this.notifyChange()
   }
 }
--- a/membership/watch/src/watchTypes.ts
+++ b/membership/watch/src/watchTypes.ts
@@ -29,6 +29,8 @@
   keptFree?: InstanceId[]
   /** The number of neighbours in the receiver's last answer; absent if the sender is no entry. */
   neighbourCount?: number
+  /** The `ringVersion` of the receiver's last answer; absent before one. */
+  ringVersion?: number
   /** The newest sheet version that the sender knows of; -1 without one. */
   sheetVersion: number
   /** The index of the sender's set of evacuated domains; absent if the sender wants none. */
@@ -74,7 +76,9 @@
   /** The number of entries with a recent request. */
   entries: number
   /** Some other entries, for an entry that loses its connection to the control machines or to endpoints. */
-  neighbours: Address[]
+  neighbours?: Address[]
+  /** Changes whenever entries were added or removed; the neighbours are omitted if the sender has those of this version. */
+  ringVersion?: number
 }
 
 /**
--- a/membership/watch/test/watch.test.ts
+++ b/membership/watch/test/watch.test.ts
@@ -120,7 +120,7 @@
     const entries = Array.from({ length: 24 }, (_, index) => `e${String(index).padStart(2, '0')}`)
     const ask = (entry: string) => hub.answer(request({ entry, epoch: 'other' }))
     for (const entry of entries) await ask(entry)
-    const named = await Promise.all(entries.map(async (entry) => (await ask(entry)).neighbours))
+    const named = await Promise.all(entries.map(async (entry) => (await ask(entry)).neighbours ?? []))
     const thirdOf = (entry: string) => Math.floor(entries.indexOf(entry) / 8)
     for (const neighbours of named) {
       expect(new Set(neighbours).size).toBe(8)
@@ -130,6 +130,20 @@
     expect(Math.max(...counts)).toBe(8)
   })
 
+  it('names neighbours again only once entries were added or removed, and to a follower of another incarnation', async () => {
+    const { clock, hub, request } = createHubHarness()
+    const first = await hub.answer(request({ entry: 'e1', epoch: 'other' }))
+    const { ringVersion } = first
+    const asked = request({ entry: 'e1', ringVersion, neighbourCount: 0, holdMs: 0 })
+    const again = hub.answer(asked)
+    clock.advance(1)
+    expect(await again).not.toHaveProperty('neighbours')
+    void hub.answer(request({ entry: 'e2', neighbourCount: 1 }))
+    expect((await hub.answer(asked)).neighbours).toEqual(['e2'])
+    const newest = (await hub.answer(request({ entry: 'e1', epoch: 'other', ringVersion }))).neighbours
+    expect(newest).toEqual(['e2'])
+  })
+
   // Guards against an entry that started first and knows no neighbour until its held request ends.
   it('answers a held request once another entry has started, until it has named enough', async () => {
     const { hub, request } = createHubHarness()
@@ -144,6 +158,16 @@
 })
 
 describe('ControlFollower', () => {
+  it('keeps the neighbours that an answer omits', async () => {
+    const { last, follower } = createFollowerHarness()
+    last().answer({ neighbours: ['e2', 'e3'], ringVersion: 4 })
+    await settle()
+    expect(last().request).toMatchObject({ ringVersion: 4 })
+    last().answer({ neighbours: undefined, ringVersion: 4 })
+    await settle()
+    expect(follower.neighbours()).toEqual(['e2', 'e3'])
+  })
+
   it('continues from the position of the last answer, and follows members that an answer names', async () => {
     const { last, sheets, received, follower } = createFollowerHarness()
     last().answer({
