fix(paths): an endpoint that the working boxes lack does not isolate an entry

Change: a box tries the endpoint whatever it believed of it, unless its links are down; `indirect` fails one connection and no more; what is known of the endpoint counts before what is known of boxes; an endpoint found to refuse connections is no longer indirect.

--- a/request/paths/src/dialAttempt.ts
+++ b/request/paths/src/dialAttempt.ts
@@ -76,6 +76,7 @@
   }
 
   private accept(result: TunnelResult, reason: string): DialResult {
+    if (result.type === 'refused') this.dialer.paths.recordRefused(this.endpoint)
     if (result.type === 'unavailable' || result.type === 'indirect')
       return { type: 'no-path', reason: result.reason }
     if (result.type === 'connected' && result.via !== undefined)
@@ -87,7 +88,8 @@
   private async judge(direct: ConnectResult, relayed: TunnelResult, startedAt: Millis): Promise<DialResult> {
     if (direct.type === 'connected' || relayed.type === 'silent') return direct
     if (!(await this.dialer.areLinksDown(this.endpoint, startedAt))) return direct
-    this.dialer.recordIsolated(direct.reason)
+    // A box that works but lacks this endpoint may still reach others.
+    if (relayed.type === 'unavailable') this.dialer.recordIsolated(direct.reason)
     return { type: 'no-path', reason: direct.reason }
   }
 
--- a/request/paths/src/endpointDialer.ts
+++ b/request/paths/src/endpointDialer.ts
@@ -89,11 +89,11 @@
   /** Connects directly on behalf of another box; `refused` and `silent` only if other endpoints can be reached. */
   async dialForPeer(endpoint: Address, timeoutMs: Millis): Promise<TunnelResult> {
     if (this.paths.isCut || this.paths.isIsolated) return LINKS_DOWN
-    if (this.paths.isIndirect(endpoint)) return { type: 'indirect', reason: 'reached through others only' }
     const startedAt = this.clock.now()
     const result = await this.connectDirectly(endpoint, timeoutMs).result
     if (result.type === 'connected') return result
-    return (await this.areLinksDown(endpoint, startedAt)) ? LINKS_DOWN : result
+    if (await this.areLinksDown(endpoint, startedAt)) return LINKS_DOWN
+    return this.paths.isIndirect(endpoint) ? { type: 'indirect', reason: result.reason } : result
   }
 
   /** Forgets endpoints that are not registered any more. */
--- a/request/paths/src/openThroughNeighbours.ts
+++ b/request/paths/src/openThroughNeighbours.ts
@@ -20,6 +20,15 @@
 /** Longer than a box takes to try the endpoint and to check its own links. */
 const BOX_TIMEOUT_MS: Millis = 400
 
+/** Which result counts of several that are not decisive: what is known of the endpoint before what is known of the boxes. */
+const PRECEDENCE: Record<TunnelResult['type'], number> = {
+  unavailable: 0,
+  indirect: 1,
+  silent: 2,
+  refused: 3,
+  connected: 3,
+}
+
 /**
  * Asks other boxes for a connection to an endpoint, the next one as soon as one has refused or takes long. Ends with the
  * first connection, or with the first box that knows the endpoint to refuse connections.
@@ -49,7 +58,7 @@
     if (one.type === 'connected' || one.type === 'refused')
       return finish(one.type === 'connected' ? { ...one, via } : one)
     if (one.type === 'unavailable') neighbours.recordUnavailable(via)
-    if (last.type !== 'silent') last = one
+    if (PRECEDENCE[one.type] >= PRECEDENCE[last.type]) last = one
     askNext()
   }
   const askNext = () => {
--- a/request/paths/src/pathTable.ts
+++ b/request/paths/src/pathTable.ts
@@ -132,6 +132,11 @@
     return true
   }
 
+  /** Records that a box with working links found that an endpoint refuses connections: no path leads to it. */
+  recordRefused(endpoint: Address): void {
+    this.indirect.delete(endpoint)
+  }
+
   /** Records that neither this box nor another one reached an endpoint. */
   recordIsolated(): void {
     this.isWithoutPath = true
--- a/request/paths/test/dialerHarness.ts
+++ b/request/paths/test/dialerHarness.ts
@@ -10,7 +10,7 @@
 } from '../src'
 
 /** How an endpoint or another box responds to a connection attempt. */
-export type Response = 'connects' | 'refuses' | 'hangs' | 'unavailable'
+export type Response = 'connects' | 'refuses' | 'hangs' | 'unavailable' | 'lacks'
 
 const CONNECT_MS = 1
 /** Event loop turns in which all promises of one step settle. */
@@ -81,6 +81,7 @@
     this.clock.after(timeoutMs, silent)
     this.clock.after(CONNECT_MS, () => {
       if (response === 'refuses') finish({ type: 'refused', reason: 'refused' })
+      if (response === 'lacks') finish({ type: 'indirect', reason: 'not reached from there' })
       if (response === 'unavailable') finish({ type: 'unavailable', reason: 'no path from there' })
       if (response !== 'connects' || isCancelled) return
       socket = new Socket()
--- a/request/paths/test/endpointDialer.test.ts
+++ b/request/paths/test/endpointDialer.test.ts
@@ -150,6 +150,35 @@
     expect(harness.events).toEqual([])
   })
 
+  // Guards against one endpoint that the only box with links lacks, and that takes the path to all others away.
+  it('still reaches the other endpoints if another box lacks one of them', async () => {
+    const harness = cutHarness('refuses')
+    harness.through = (box, endpoint) => {
+      if (box !== 'n3:1') return 'unavailable'
+      return endpoint === 'a:1' ? 'lacks' : 'connects'
+    }
+    for (let round = 0; round < 3; round += 1) {
+      expect(await harness.dial('a:1')).toMatchObject({ type: 'no-path' })
+      for (const endpoint of ['b:1', 'c:1', 'd:1'])
+        expect(await harness.dial(endpoint)).toMatchObject({ type: 'connected', via: 'n3:1' })
+    }
+    expect(harness.dialer.paths.hasPath).toBe(true)
+  })
+
+  it('tries an endpoint that it reached through others for another box, and forgets one that is dead', async () => {
+    const harness = cutHarness('refuses')
+    await harness.dial('a:1')
+    harness.direct = () => 'connects'
+    const answer = harness.dialer.dialForPeer('a:1', 200)
+    await harness.advance(20)
+    expect(await answer).toMatchObject({ type: 'connected' })
+    harness.direct = () => 'refuses'
+    await harness.dial('b:1')
+    harness.through = () => 'refuses'
+    expect(await harness.dial('b:1')).toMatchObject({ type: 'refused' })
+    expect(harness.dialer.paths.isIndirect('b:1')).toBe(false)
+  })
+
   it('asks a box again that refused, once no other one is left', async () => {
     const harness = cutHarness('refuses')
     harness.neighbours = ['n1:1']
