test(soak): refusals that hold at every entry do not count against cut entries; measure partitions over real processes

The check leaves out refusals for eight reasons that do not depend on links, at all entries alike; the bound stays.

--- a/scripts/bundleOptions.mjs
+++ b/scripts/bundleOptions.mjs
@@ -8,6 +8,7 @@
   bench: 'tools/bench/src/main.ts',
   soak: 'tools/soak/src/main.ts',
   fleetSoak: 'tools/fleet-soak/src/main.ts',
+  partitions: 'tools/fleet-soak/src/partitionExperiment.ts',
   partitionable: 'tools/fleet-soak/src/partitionable.ts',
   days: 'tools/days/src/main.ts',
   serve: 'cli/forkstage/src/serve.ts',
--- a/tools/fleet-soak/src/checkPartitions.ts
+++ b/tools/fleet-soak/src/checkPartitions.ts
@@ -11,6 +11,17 @@
 /** Calls at the other entries below which their share says nothing. */
 const MIN_OTHER_CALLS = 10
 const SHOWN_CHARACTERS = 120
+/** Reasons of refusals that hold at every entry, whatever links it has: its endpoints are gone, cold, limited or reserved. */
+const SHARED_REASONS = [
+  'no decode engine is known',
+  'cold endpoints get no more now',
+  'cold engines get no more now',
+  'endpoints take no more now',
+  'the endpoint asked for rest',
+  'evacuated',
+  'ends its endpoints',
+  'must run alone',
+]
 /** Answers that follow from the key of a call. */
 const KEY_STATUSES = new Set([401, 403, 429])
 
@@ -24,7 +35,8 @@
     const from = partition.from + CONTACT_MS
     const during = calls.filter((call) => call.startedAt >= from && call.endedAt <= partition.to)
     const counted = during.filter(
-      (call) => !KEY_STATUSES.has(call.status) && !isDisrupted(call, entryOutages, from),
+      (call) =>
+        !KEY_STATUSES.has(call.status) && !hasSharedReason(call) && !isDisrupted(call, entryOutages, from),
     )
     const cut = counted.filter(({ entry }) => partition.entries.includes(entry))
     const others = counted.filter(({ entry }) => !partition.entries.includes(entry))
@@ -38,6 +50,10 @@
   })
 }
 
+function hasSharedReason({ status, body }: CallRecord): boolean {
+  return status === 503 && SHARED_REASONS.some((reason) => body.includes(`: ${reason}.`))
+}
+
 function isDisrupted(
   { entry, endedAt }: CallRecord,
   outages: ReadonlyMap<string, TimeSpan[]>,
--- a/tools/fleet-soak/src/soakCallers.ts
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -60,6 +60,8 @@
     private readonly random: Random,
     /** Returns the newest sheet version that was acknowledged. */
     private readonly version: () => number,
+    /** Share of the callers that stop reading for a while. */
+    private readonly slowShare = SLOW_SHARE,
   ) {}
 
   /** Sends one request of a random kind to a random entry. */
@@ -96,8 +98,8 @@
   }
 
   /** Sends one request with a key to an entry and returns its record, which is not added to `calls`. */
-  async callWith(entry: SoakMachine, key: string): Promise<CallRecord> {
-    const record = this.newRecord('safe')
+  async callWith(entry: SoakMachine, key: string, kind: CallRecord['kind'] = 'safe'): Promise<CallRecord> {
+    const record = this.newRecord(kind)
     this.keys.set(record.id, { key })
     await this.send(entry, record, { key })
     return record
@@ -114,7 +116,7 @@
     const url = this.fleet.callers(entry)
     record.entry = entry.name
     record.startedAt = Date.now()
-    const isSlow = record.kind === 'large' || this.random() < SLOW_SHARE
+    const isSlow = record.kind === 'large' || this.random() < this.slowShare
     return new Promise((resolve) => {
       const request = httpRequest(`${url}${PATHS[record.kind]}${rest}`, {
         method: record.kind === 'safe' || record.kind === 'large' ? 'GET' : 'POST',
--- a/tools/fleet-soak/test/checkPartitions.test.ts
+++ b/tools/fleet-soak/test/checkPartitions.test.ts
@@ -41,6 +41,16 @@
       expect(checkPartitions([PARTITION], [...cut!, ...others!], new Map())).toEqual([])
   })
 
+  it('does not count refusals whose reason holds at every entry, but all others', () => {
+    const refused = (reason: string) =>
+      calls('entry-1', 40, 0).map((call) => ({ ...call, body: `"The request was not run: ${reason}."` }))
+    const others = calls('entry-2', 40, 40)
+    const check = (reason: string) => checkPartitions([PARTITION], [...refused(reason), ...others], new Map())
+    expect(check('no decode engine is known')).toEqual([])
+    for (const reason of ['the endpoint was not reached', 'no room in time', 'no endpoint'])
+      expect(check(reason)).toHaveLength(1)
+  })
+
   it('does not count calls while an entry learns of the partition or is down', () => {
     const others = calls('entry-2', 40, 40)
     expect(checkPartitions([PARTITION], [...calls('entry-1', 40, 0, 500), ...others], new Map())).toEqual([])
