--- a/tools/fleet-soak/src/checkPartitions.ts
+++ b/tools/fleet-soak/src/checkPartitions.ts
@@ -29,14 +29,14 @@
 export function checkPartitions(
   partitions: ObservedPartition[],
   calls: CallRecord[],
-  entryOutages: ReadonlyMap<string, TimeSpan[]>,
+  disruptions: ReadonlyMap<string, TimeSpan[]>,
 ): string[] {
   return partitions.flatMap((partition) => {
     const from = partition.from + CONTACT_MS
     const during = calls.filter((call) => call.startedAt >= from && call.endedAt <= partition.to)
     const counted = during.filter(
       (call) =>
-        !KEY_STATUSES.has(call.status) && !hasSharedReason(call) && !isDisrupted(call, entryOutages, from),
+        !KEY_STATUSES.has(call.status) && !hasSharedReason(call) && !isDisrupted(call, disruptions, from),
     )
     const cut = counted.filter(({ entry }) => partition.entries.includes(entry))
     const others = counted.filter(({ entry }) => !partition.entries.includes(entry))
--- a/tools/fleet-soak/src/fleetFaults.ts
+++ b/tools/fleet-soak/src/fleetFaults.ts
@@ -64,6 +64,8 @@
   readonly done: string[] = []
   /** Outages of machines by name: killed, frozen, or at the end of a stop. */
   readonly entryOutages = new Map<string, TimeSpan[]>()
+  /** Times in which machines by name were disrupted, with the whole of a stop. */
+  readonly disruptions = new Map<string, TimeSpan[]>()
   /** Spans in which all control machines were down or catching up. */
   readonly outages: ControlOutage[] = []
 
@@ -110,7 +112,10 @@
     // A stopping entry must not cut any request until its grace time is nearly over.
     const away: TimeSpan = { from: Date.now() + (action === 'stop' ? STOP_LASTS_MS : 0), to: Infinity }
     this.entryOutages.set(machine.name, [...(this.entryOutages.get(machine.name) ?? []), away])
+    const disrupted: TimeSpan = { from: Date.now(), to: Infinity }
+    this.disruptions.set(machine.name, [...(this.disruptions.get(machine.name) ?? []), disrupted])
     await this.disruptMachine(machine, action, fault.forMs)
+    disrupted.to = Date.now()
     away.to = Date.now()
     if (isControl) await pause(CATCH_UP_MS)
     this.busy.delete(machine.name)
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -203,7 +203,7 @@
       injector.entryOutages,
     ),
     ...checkEndpointSignals(signalsOf(endpoints), callers.calls, injector.entryOutages),
-    ...checkPartitions(partitions, callers.calls, injector.entryOutages),
+    ...checkPartitions(partitions, callers.calls, injector.disruptions),
     ...checkWorkspaceRuns(observedRuns, callers.keys),
     ...(await checkRecovery(fleet, operator)),
     ...(await checkRevokedKeys(fleet, callers)),
