--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -15,24 +15,23 @@
   isFramed: boolean
 }
 
+/** An exchange without a complete answer. */
+export interface BrokenExchange {
+  /** Whether a byte may have reached the endpoint, so that it may have run the request. */
+  sent: boolean
+  /** Whether the connection was refused; otherwise the endpoint may be slow, or packets were lost. */
+  refused: boolean
+  /** Whether this box reached no endpoint, which says nothing about this one. */
+  hasNoPath?: boolean
+  /** The box that carried the exchange; absent if it was direct. */
+  via?: Address
+  /** Whether {@link Exchange.cancel} ended it. */
+  isCancelled?: boolean
+  reason: string
+}
+
 /** How an exchange ended. */
-export type ExchangeEnd =
-  | { complete: true }
-  /**
-   * `sent`: a byte may have reached the endpoint, so it may have run the request.
-   * `refused`: the connection was refused; otherwise the endpoint may be slow, or packets were lost.
-   * `hasNoPath`: this box reached no endpoint, which says nothing about this one. `via`: the box that carried the exchange.
-   */
-  | {
-      complete: false
-      sent: boolean
-      refused: boolean
-      hasNoPath?: boolean
-      via?: Address
-      /** Whether {@link Exchange.cancel} ended it. */
-      isCancelled?: boolean
-      reason: string
-    }
+export type ExchangeEnd = { complete: true } | ({ complete: false } & BrokenExchange)
 
 /** One request to one endpoint. */
 export interface ExchangeOptions {
--- a/request/gateway/src/fetchAnswer.ts
+++ b/request/gateway/src/fetchAnswer.ts
@@ -1,21 +1,17 @@
 import type { CancelTimer } from '@forkstage/clock'
-import type { Address, Millis } from '@forkstage/types'
-import { openExchange, type AnswerHead, type Exchange, type ExchangeOptions } from './exchange'
+import type { Millis } from '@forkstage/types'
+import {
+  openExchange,
+  type AnswerHead,
+  type BrokenExchange,
+  type Exchange,
+  type ExchangeOptions,
+} from './exchange'
 
-/** A complete answer, or why there is none. */
+/** A complete answer, or why there is none. `isTimedOut`: no complete answer arrived within `timeoutMs`. */
 export type FetchOutcome =
   | { type: 'answer'; head: AnswerHead; body: Buffer }
-  /** `sent`: the endpoint may have run the request. `isTimedOut`: no complete answer arrived within `timeoutMs`. */
-  | {
-      type: 'failed'
-      sent: boolean
-      refused: boolean
-      hasNoPath?: boolean
-      via?: Address
-      isCancelled?: boolean
-      reason: string
-      isTimedOut?: boolean
-    }
+  | ({ type: 'failed'; isTimedOut?: boolean } & BrokenExchange)
 
 /** Options of {@link fetchAnswer}. */
 export interface FetchOptions extends Omit<ExchangeOptions, 'onHead' | 'onData' | 'onEnd'> {
@@ -48,16 +44,7 @@
           return resolve({ type: 'answer', head, body: Buffer.concat(chunks) })
         if (end.complete)
           return resolve({ type: 'failed', sent: true, refused: false, reason: 'the answer has no head' })
-        resolve({
-          type: 'failed',
-          sent: end.sent,
-          refused: end.refused,
-          hasNoPath: end.hasNoPath,
-          via: end.via,
-          isCancelled: end.isCancelled,
-          reason: end.reason,
-          isTimedOut,
-        })
+        resolve({ ...end, type: 'failed', isTimedOut })
       },
     })
     options.onOpen?.(exchange)
