feat(observability): log the software version of endpoints and the stream that a caller resumes

Callers got streams of two software versions, and no log line named the version of an endpoint or said that a request resumes an earlier stream, so that a splice within one answer could not be told from one over a caller's attempts.

The version that an endpoint registers is now part of its record (`softwareVersion`), of `endpoint.registered` and of each of the `sends` of `request.answered`, which also names `resumes`. A record that a machine of an earlier build forwards without its version keeps the known one.

No decision uses the version yet.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -155,6 +155,8 @@
     stage?: string
     service: string
     address: string
+    /** Version of its software; absent if not reported. */
+    softwareVersion?: string
     sequence: number
   }
   /** Several endpoints have changed together, for example after a start. */
@@ -278,6 +280,8 @@
     longestPauseMs?: number
     /** Remaining time of the request when the entry aborted a response that had begun. */
     cutWithLeftMs?: number
+    /** The request that began the stream, if the caller resumes one. */
+    resumes?: string
     sends: unknown[]
   }
   /** A response that has begun waits because its continuation was refused; one line until its next event. */
--- a/daemon/fleet/src/endpointFromProbe.ts
+++ b/daemon/fleet/src/endpointFromProbe.ts
@@ -43,7 +43,11 @@
   return { ...known, stage: report.stage, coldMs }
 }
 
-/** Drops the start time: an answer without one may come from another incarnation, which the next heartbeat identifies. */
+/**
+ * Drops the start time and with it the software version: an answer without a start may come from another incarnation,
+ * which the next heartbeat identifies.
+ */
 function withoutStart({ name: _name, born: _born, ...endpoint }: RegisteredEndpoint): RegisteredEndpoint {
-  return { ...endpoint, id: nameOf({ id: endpoint.id, name: _name }) }
+  const softwareVersion = _born === undefined ? endpoint.softwareVersion : undefined
+  return { ...endpoint, id: nameOf({ id: endpoint.id, name: _name }), softwareVersion }
 }
--- a/daemon/fleet/src/logEndpoints.ts
+++ b/daemon/fleet/src/logEndpoints.ts
@@ -10,8 +10,18 @@
 /** Logs each changed endpoint, or one summary if many have changed at once. */
 export function logEndpoints(logger: Logger, changed: RegisteredEndpoint[]): void {
   if (changed.length > MAX_LINES) return logSummary(logger, changed)
-  for (const { id, state, stage, service, address, sequence } of changed)
-    logger.info('endpoint.registered', { endpoint: id, state, stage, service, address, sequence })
+  for (const { id, ...rest } of changed) {
+    const { state, stage, service, address, softwareVersion, sequence } = rest
+    logger.info('endpoint.registered', {
+      endpoint: id,
+      state,
+      stage,
+      service,
+      address,
+      softwareVersion,
+      sequence,
+    })
+  }
 }
 
 function logSummary(logger: Logger, changed: RegisteredEndpoint[]): void {
--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -164,6 +164,7 @@
 
   /** Merges one record; returns the records that changed, also an earlier incarnation that ended. */
   private mergeOne(record: RegisteredEndpoint): RegisteredEndpoint[] {
+    record = this.withKnownVersion(record)
     const newest = this.newest.get(nameOf(record))
     // Compares only the starts: sequences restart with a new incarnation, and a late report of an earlier one
     // may come from any machine.
@@ -176,6 +177,12 @@
     return isChange ? [...ended, record] : ended
   }
 
+  /** A machine of an earlier build forwards records without their version, which an incarnation never loses. */
+  private withKnownVersion(record: RegisteredEndpoint): RegisteredEndpoint {
+    const softwareVersion = record.softwareVersion ?? this.entries.get(record.id)?.endpoint.softwareVersion
+    return softwareVersion === record.softwareVersion ? record : { ...record, softwareVersion }
+  }
+
   /**
    * Ends an incarnation whose name a later one has. Without a start it may be the same process, so it counts
    * as left, not as ended without a report.
--- a/membership/directory/src/directoryTypes.ts
+++ b/membership/directory/src/directoryTypes.ts
@@ -16,6 +16,10 @@
   service: string
   address: Address
   zone: string
+  /**
+   * Version of the software of its process; absent if not reported. Streams of two versions do not fit together.
+   */
+  softwareVersion?: string
   /** The number of requests that it processes concurrently. */
   slots: number
   /**
--- a/membership/directory/src/readEndpoints.ts
+++ b/membership/directory/src/readEndpoints.ts
@@ -10,6 +10,7 @@
   service: text,
   address: text,
   zone: text,
+  softwareVersion: text.min(1).optional(),
   slots: wholeNumber,
   state: z.enum(['ready', 'draining', 'left', 'ended']),
   stage: z.enum(['prefill', 'decode']).optional(),
--- a/membership/directory/test/directory.test.ts
+++ b/membership/directory/test/directory.test.ts
@@ -32,6 +32,14 @@
   })
 
 describe('Directory', () => {
+  it('keeps the software version of an incarnation when a machine of an earlier build forwards it without', () => {
+    const directory = new Directory()
+    directory.merge([endpoint({ softwareVersion: 'v1' })])
+    expect(directory.merge([endpoint({ sequence: 2 })])).toEqual([])
+    directory.merge([endpoint({ sequence: 3, state: 'draining' })])
+    expect(directory.get('i-1')).toMatchObject({ state: 'draining', softwareVersion: 'v1' })
+  })
+
   it('gives the same view for any order and number of arrivals', () => {
     const arrivals = reports.chain((all) =>
       fc.tuple(fc.constant(all), fc.shuffledSubarray([...all, ...all], { minLength: all.length * 2 })),
--- a/request/gateway/src/gatewayWire.ts
+++ b/request/gateway/src/gatewayWire.ts
@@ -6,6 +6,8 @@
   requestId: string
   deadlineMs: string
   lastEventId: string
+  /** Set by a caller that continues a stream: the id of the request that brought its first event. */
+  resumes: string
   tokenCounts: string
   lengthHint: string
   /** The parts of a prompt, so that engines know which of them they have cached. */
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -40,6 +40,8 @@
   route: string
   /** The workspace that admitted the request by its key; absent on public routes and where there are no workspaces. */
   workspace?: string
+  /** The id of the request that began the stream, if the caller resumes one. */
+  resumes?: string
   tookMs: Millis
 }
 
@@ -55,6 +57,8 @@
 const NO_SHEET_RETRY_MS = 500
 const ROUTES_WAIT_MS = 250
 const LEAVING_RETRY_MS = 50
+/** Bounds in the log the length of an id that a caller sends. */
+const MAX_ID_LOG_CHARS = 64
 /** A reachable control machine answers within some milliseconds. */
 const FRESH_VIEW_WAIT_MS = 250
 const ANSWERED = 'answered'
@@ -260,7 +264,8 @@
     const tookMs = Math.round(parts.clock.now() - request.arrivedAt)
     const isEndedHere = this.hasClosedAll && result.outcome === CALLER_DISCONNECTED
     const outcome = isEndedHere ? ENTRY_ENDED : result.outcome
-    const report = { request: request.id, tookMs, ...result, outcome }
+    const resumes = firstValue(request.headers[parts.wire.headers.resumes])?.slice(0, MAX_ID_LOG_CHARS)
+    const report = { request: request.id, tookMs, resumes, ...result, outcome }
     // Warnings are the last lines to be omitted from the log, so failures are logged as warnings.
     const isGood = result.status >= 200 && result.status < 500
     if (isGood) parts.logger.info('request.answered', report)
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -79,6 +79,8 @@
   to: string
   step: 'plain' | 'prefill' | 'decode'
   outcome: string
+  /** Version of the endpoint's software; absent if not reported. */
+  softwareVersion?: string
   /** Why no connection was opened; absent if the request was sent. */
   reason?: string
   tookMs: number
@@ -92,7 +94,8 @@
   tookMs: Millis,
   reason?: string,
 ): SendRecord {
-  return { to: to.endpoint.id, step, outcome, reason, tookMs: Math.round(tookMs) }
+  const { id, softwareVersion } = to.endpoint
+  return { to: id, step, outcome, softwareVersion, reason, tookMs: Math.round(tookMs) }
 }
 
 /** The result of a request, for the log and the metrics. */
--- a/request/gateway/test/testWire.ts
+++ b/request/gateway/test/testWire.ts
@@ -6,6 +6,7 @@
     requestId: 'x-id',
     deadlineMs: 'x-deadline',
     lastEventId: 'last-event-id',
+    resumes: 'x-resumes',
     tokenCounts: 'x-tokens',
     lengthHint: 'x-hint',
     promptParts: 'x-parts',
