--- /dev/null
+++ b/daemon/fleet/src/createEntryMetrics.ts
@@ -0,0 +1,54 @@
+import type { CrashTracker } from '@forkstage/crashes'
+import type { Directory } from '@forkstage/directory'
+import type { EndpointPool, GatewayRetryBudget } from '@forkstage/gateway'
+import type { AvailabilityTracker } from '@forkstage/statements'
+import type { ControlFollower } from '@forkstage/watch'
+import type { ColdEndpointTracker } from './coldEndpointTracker'
+import { countBy } from './countBy'
+import type { EntryLimits } from './entryLimits'
+import type { EntryPaths } from './entryPaths'
+import type { EvacuationTracker } from './evacuationTracker'
+import { FleetMetrics } from './fleetMetrics'
+import type { MachineContext } from './machineContext'
+
+/** The parts of an entry that its metrics show. */
+export interface EntryMetricsSource {
+  sheetVersion: () => number
+  /** Returns the number of requests in progress. */
+  running: () => number
+  directory: Directory
+  pool: EndpointPool
+  paths: EntryPaths
+  cold: ColdEndpointTracker
+  limits: EntryLimits
+  availability: AvailabilityTracker
+  evacuations: EvacuationTracker
+  crashes: CrashTracker
+  follower: ControlFollower
+  retryBudget: GatewayRetryBudget
+  logLimiter: MachineContext['logLimiter']
+}
+
+/** Creates the metrics of an entry. */
+export function createEntryMetrics(source: EntryMetricsSource): FleetMetrics {
+  const { directory, pool, paths, cold, limits, availability, evacuations, crashes, follower } = source
+  return new FleetMetrics({
+    sheet_version: source.sheetVersion,
+    endpoints: () => countBy(directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
+    endpoints_ejected: () => pool.ejectedCount,
+    endpoints_indirect: () => paths.dialer.paths.indirectCount,
+    tunnels_carried: () => paths.carried,
+    endpoints_cold: () => cold.count,
+    endpoints_limited: () => limits.rates.count,
+    endpoints_resting: () => availability.backoffCount,
+    endpoints_leaving: () => availability.leavingCount,
+    evacuated_domains: () => evacuations.view.current.domains.length,
+    contents_refused: () => crashes.countRefused(),
+    contents_suspected: () => crashes.countSuspects(),
+    requests_running: source.running,
+    entries_known: () => follower.entries(),
+    retries: () => ({ ...source.retryBudget.counts }),
+    leader_known: () => Number(follower.leader() !== undefined),
+    log_lines_omitted: () => source.logLimiter.omittedTotal,
+  })
+}
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -25,14 +25,14 @@
 import { Topology } from '@forkstage/topology'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { ColdEndpointTracker } from './coldEndpointTracker'
-import { countBy } from './countBy'
 import { createCrashTracker } from './createCrashTracker'
+import { createEntryMetrics } from './createEntryMetrics'
 import { createQuotaLimiter } from './createQuotaLimiter'
 import { EntryCrashes } from './entryCrashes'
 import { EntryLimits } from './entryLimits'
 import { EntryPaths } from './entryPaths'
 import { EvacuationTracker } from './evacuationTracker'
-import { FleetMetrics } from './fleetMetrics'
+import type { FleetMetrics } from './fleetMetrics'
 import { listenOn, type Listener } from './listenOn'
 import { logEndpoints } from './logEndpoints'
 import type { MachineContext } from './machineContext'
@@ -227,25 +227,20 @@
       isViewFresh: () => this.follower.hasAnswerSinceSuspension(),
       onResult: (report) => this.metrics.recordRequest(report),
     })
-    this.metrics = new FleetMetrics({
-      sheet_version: () => this.routes.version,
-      endpoints: () =>
-        countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
-      endpoints_ejected: () => this.pool.ejectedCount,
-      endpoints_indirect: () => this.paths.dialer.paths.indirectCount,
-      tunnels_carried: () => this.paths.carried,
-      endpoints_cold: () => this.cold.count,
-      endpoints_limited: () => this.limits.rates.count,
-      endpoints_resting: () => this.availability.backoffCount,
-      endpoints_leaving: () => this.availability.leavingCount,
-      evacuated_domains: () => this.evacuations.view.current.domains.length,
-      contents_refused: () => crashTracker.countRefused(),
-      contents_suspected: () => crashTracker.countSuspects(),
-      requests_running: () => this.ingress.running,
-      entries_known: () => this.follower.entries(),
-      retries: () => ({ ...retryBudget.counts }),
-      leader_known: () => Number(this.follower.leader() !== undefined),
-      log_lines_omitted: () => context.logLimiter.omittedTotal,
+    this.metrics = createEntryMetrics({
+      sheetVersion: () => this.routes.version,
+      running: () => this.ingress.running,
+      directory,
+      pool: this.pool,
+      paths: this.paths,
+      cold: this.cold,
+      limits: this.limits,
+      availability: this.availability,
+      evacuations: this.evacuations,
+      crashes: crashTracker,
+      follower: this.follower,
+      retryBudget,
+      logLimiter: context.logLimiter,
     })
   }
 
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -1,12 +1,12 @@
-import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
-import type { EnginePool } from '@forkstage/routes'
+import type { InstanceId, Stage } from '@forkstage/directory'
 import { Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import type { AnswerMove, PlaceAsk, PlaceDecision, Placed, ReportedHold, UseOutcome } from './allocatorTypes'
-import type { ColdPolicy } from './coldBudget'
-import { EngineBudgets, type LimitPolicy } from './engineBudgets'
+import type { AllocatorOptions, AllocatorTuning, LearnedModels } from './allocatorOptions'
+import { EngineBudgets } from './engineBudgets'
 import { BarredEngines } from './barredEngines'
-import { EngineChoice, STARTUP_MS, type EngineSummary, type EnginePick } from './engineChoice'
+import { EngineChoice, STARTUP_MS, type EnginePick } from './engineChoice'
+import type { EngineSummary } from './enginePick'
 import { EnginePace } from './enginePace'
 import { HoldRegistry } from './holdRegistry'
 import { InstanceHealth } from './instanceHealth'
@@ -17,45 +17,8 @@
 import { isQueueDelay } from './isQueueDelay'
 import type { StageChange, StageNeed } from './planStages'
 import { StagePlanner } from './stagePlanner'
-import { PlacementQueue, type WaitingRequest, type QueueOrder } from './placementQueue'
-
-/** Models learned from engines and callers. They outlive a term; the count of holds restarts in each term. */
-export interface LearnedModels {
-  pace: EnginePace
-  forecast: LengthForecast
-}
-
-/** Options of {@link Allocator}. */
-export interface AllocatorOptions {
-  endpoints: () => RegisteredEndpoint[]
-  /** Returns the capacity of a service's engines; undefined if the service is unknown. */
-  engine: (service: string) => EnginePool | undefined
-  /** Region of each failure domain; without it no region is known. */
-  topology?: Topology
-  /** Whether a registered instance must get no work now; by default none is barred. */
-  isBarred?: (endpoint: RegisteredEndpoint) => boolean
-  /** Called when an instance is ejected for some time. */
-  onEjected?: (id: InstanceId, outcome: UseOutcome, forMs: Millis) => void
-  tuning?: Partial<AllocatorTuning>
-  /** Models learned in earlier terms; empty by default. */
-  learned?: LearnedModels
-  /** Which engines are cold and how many requests they may get; by default none is cold. */
-  cold?: ColdPolicy
-  /** Which engines name a rate limit; by default none does. */
-  limits?: LimitPolicy
-}
-
-/** Parameters that experiments may override. */
-export interface AllocatorTuning {
-  /** Probability, from 0 to 1, with which an answer must stay within its forecast length. */
-  lengthCertainty: number
-  /** The share of an engine's memory that forecasts may fill. */
-  memoryShare: number
-  /** The share that late requests may fill, which leaves memory for requests that can still be in time. */
-  lateMemoryShare: number
-  /** Which waiting requests go first: retries, new ones, or the oldest. */
-  order: QueueOrder
-}
+import { PlacementQueue, type WaitingRequest } from './placementQueue'
+import { summarizeEngines } from './summarizeEngines'
 
 const DEFAULT_TUNING: AllocatorTuning = {
   lengthCertainty: 0.7,
@@ -261,7 +224,8 @@
 
   /** Summarizes the engines that a request could use, for the log. */
   summarize(ask: PlaceAsk, now: Millis): EngineSummary {
-    return this.choice.summarize(ask, now)
+    const { choice, holds, budgets } = this
+    return summarizeEngines(ask, now, { choice, holds, budgets })
   }
 
   /** Clears the prefix cache entries of an engine that has restarted. */
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -6,7 +6,8 @@
 import type { EnginePool } from '@forkstage/routes'
 import type { Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
-import { Allocator, type LearnedModels } from './allocator'
+import { Allocator } from './allocator'
+import type { LearnedModels } from './allocatorOptions'
 import { checkReport } from './checkReport'
 import type { ColdPolicy } from './coldBudget'
 import type { LimitPolicy } from './engineBudgets'
@@ -21,6 +22,7 @@
 } from './allocatorTypes'
 import { EnginePace } from './enginePace'
 import { LengthForecast } from './lengthForecast'
+import { logDecision } from './logDecision'
 import type { PaceView } from './peerPace'
 import type { StageChange } from './planStages'
 import { readPlaceAsk, readPlaceReport, type PlaceReport } from './readPlaceCalls'
@@ -282,6 +284,13 @@
     })
   }
 
+  private log(ask: PlaceAsk, decision: PlaceDecision, waitedMs: Millis): void {
+    const { logger, clock, engine } = this.options
+    const { allocator, term } = this
+    const memory = engine(ask.service)?.kvTokens ?? 0
+    logDecision(logger, { ask, decision, waitedMs, allocator, memory, term, now: clock.now() })
+  }
+
   private logPace(endpoint: InstanceId, stage: Stage, isSlow: boolean, view: PaceView): void {
     this.options.logger.info('engine.pace', {
       endpoint,
@@ -295,32 +304,6 @@
       term: this.term,
     })
   }
-
-  private log(ask: PlaceAsk, decision: PlaceDecision, waitedMs: Millis): void {
-    const { allocator } = this
-    this.options.logger.info('place.decided', {
-      request: ask.request,
-      entry: ask.entry,
-      outcome: decision.type,
-      reason:
-        decision.type === 'refused'
-          ? decision.reason
-          : `prefill ${decision.prefill ?? 'none'}, decode ${decision.decode}`,
-      promptTokens: ask.promptTokens,
-      regions: ask.regions,
-      entryDomain: ask.entryDomain,
-      keptTokens: decision.type === 'placed' ? decision.keptTokens : undefined,
-      targetMs: Math.round(ask.targetMs),
-      isReturn: ask.isReturn,
-      waitedMs: Math.round(waitedMs),
-      holds: allocator.holdCount,
-      waiting: allocator.waitingCount,
-      // State of the engines right after the decision.
-      engines: allocator.summarize(ask, this.options.clock.now()),
-      memory: this.options.engine(ask.service)?.kvTokens ?? 0,
-      term: this.term,
-    })
-  }
 }
 
 /** Adds the wait for reports to a grant, whose time entries count from their call. */
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -8,13 +8,13 @@
 import { EngineFitness } from './engineFitness'
 import type { BarredEngines } from './barredEngines'
 import type { EnginePace } from './enginePace'
-import type { EngineSummary, EnginePick, EngineQuery } from './enginePick'
+import type { EnginePick, EngineQuery } from './enginePick'
 import type { HoldRegistry } from './holdRegistry'
 import type { InstanceHealth } from './instanceHealth'
 import { PrefixCacheTracker } from './prefixCacheTracker'
 import { SLOW_FACTOR } from './peerPace'
 
-export type { EngineSummary, EnginePick, EngineQuery } from './enginePick'
+export type { EnginePick, EngineQuery } from './enginePick'
 
 /** Options of {@link EngineChoice}. */
 export interface EngineChoiceOptions {
@@ -117,30 +117,6 @@
     return local.readsInMs < separate.readsInMs ? local : separate
   }
 
-  /** Summarizes the engines that a request could use, for the log. */
-  summarize(ask: PlaceAsk, now: Millis): EngineSummary {
-    const { holds } = this.options
-    const decoders = this.candidates(ask, 'decode', now)
-    const prefillEngines = this.candidates(ask, 'prefill', now)
-    const peaks = decoders.map(({ id }) => ({
-      endpoint: id,
-      peak: Math.round(holds.peakWith(ask, id, Infinity, now)),
-      running: holds.countAt(id),
-    }))
-    const queues = prefillEngines.map(({ id }) => ({
-      endpoint: id,
-      queuedMs: Math.round(holds.prefillWaitMs(id, now)),
-    }))
-    return {
-      decoders: decoders.length,
-      readers: prefillEngines.length,
-      roomiest: peaks.sort((left, right) => left.peak - right.peak)[0],
-      soonest: queues.sort((left, right) => left.queuedMs - right.queuedMs)[0],
-      slow: this.fitness.slowEngines({ decode: decoders, prefill: prefillEngines }, now),
-      cold: this.options.budgets.summarize([...decoders, ...prefillEngines], now),
-    }
-  }
-
   /** Milliseconds until a decode engine may take a request; undefined unless all are cold and at their limit. */
   coldWaitMs(ask: PlaceAsk, now: Millis): Millis | undefined {
     return this.options.budgets.waitMs(this.candidates(ask, 'decode', now), ask, now)
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -3,7 +3,7 @@
 export { EnginePace } from './enginePace'
 export type { OnEnginePaceChange, PrefillSample } from './enginePace'
 export type { PaceView } from './peerPace'
-export type { AllocatorOptions, AllocatorTuning } from './allocator'
+export type { AllocatorOptions, AllocatorTuning } from './allocatorOptions'
 export { AllocatorService, NotPlacingError, PLACE } from './allocatorService'
 export type { AllocatorServiceOptions } from './allocatorService'
 export type {
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -11,7 +11,15 @@
 import { readCallerRequest, firstValue, type CallerRequest } from './callerRequest'
 import { ReturnDetector } from './returnDetector'
 import { allowedRegions } from './regionRule'
-import { sendOwnAnswer } from './ownAnswer'
+import {
+  answerLeaving,
+  answerMalformedCounts,
+  answerNoId,
+  answerNoRoute,
+  answerNoSheet,
+  refuseLongHeaders,
+  refuseTooLarge,
+} from './ingressAnswers'
 import { CALLER_DISCONNECTED } from './relayAnswers'
 import { relayPlain } from './plainRelay'
 import type { TokenCounts } from './gatewayWire'
@@ -54,9 +62,7 @@
 const HEADER_MARGIN_FACTOR = 2
 const IDLE_MARGIN_MS = 2_000
 const CONNECTIONS_CHECK_INTERVAL_MS = 1_000
-const NO_SHEET_RETRY_MS = 500
 const ROUTES_WAIT_MS = 250
-const LEAVING_RETRY_MS = 50
 /** Bounds in the log the length of an id that a caller sends. */
 const MAX_ID_LOG_CHARS = 64
 /** A reachable control machine answers within some milliseconds. */
@@ -282,69 +288,3 @@
 function headerBytes({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce((sum, text) => sum + text.length, 0)
 }
-
-function refuseLongHeaders(response: ServerResponse): void {
-  sendOwnAnswer(response, {
-    status: 431,
-    code: 'FORKSTAGE_HEADERS_TOO_LONG',
-    message: 'The headers are longer than the sheet allows.',
-    close: true,
-  })
-}
-
-function refuseTooLarge(response: ServerResponse): void {
-  sendOwnAnswer(response, {
-    status: 413,
-    code: 'FORKSTAGE_BODY_TOO_LARGE',
-    message: 'The body is longer than the sheet allows.',
-    close: true,
-  })
-}
-
-function answerNoSheet(request: CallerRequest): RelayResult {
-  sendOwnAnswer(request.response, {
-    status: 503,
-    code: 'FORKSTAGE_NO_SHEET',
-    message: 'This entry knows no routes yet.',
-    retryAfterMs: NO_SHEET_RETRY_MS,
-  })
-  return { status: 503, outcome: 'no sheet yet', sends: [] }
-}
-
-function answerLeaving(request: CallerRequest): RelayResult {
-  sendOwnAnswer(request.response, {
-    status: 503,
-    code: 'FORKSTAGE_LEAVING',
-    message: 'This entry is shutting down; another entry can take the request.',
-    retryAfterMs: LEAVING_RETRY_MS,
-    close: true,
-  })
-  return { status: 503, outcome: 'leaving', sends: [] }
-}
-
-function answerNoRoute(request: CallerRequest): RelayResult {
-  sendOwnAnswer(request.response, {
-    status: 404,
-    code: 'FORKSTAGE_NO_ROUTE',
-    message: 'No route matches this host and path.',
-  })
-  return { status: 404, outcome: 'no route', sends: [] }
-}
-
-function answerMalformedCounts(request: CallerRequest): RelayResult {
-  sendOwnAnswer(request.response, {
-    status: 400,
-    code: 'FORKSTAGE_TOKEN_COUNTS',
-    message: 'The token counts header does not contain a valid pair of counts.',
-  })
-  return { status: 400, outcome: 'malformed token counts', sends: [] }
-}
-
-function answerNoId(request: CallerRequest): RelayResult {
-  sendOwnAnswer(request.response, {
-    status: 400,
-    code: 'FORKSTAGE_NO_REQUEST_ID',
-    message: 'The request has no id.',
-  })
-  return { status: 400, outcome: 'no request id', sends: [] }
-}
--- /dev/null
+++ b/request/gateway/src/ingressAnswers.ts
@@ -0,0 +1,80 @@
+import type { ServerResponse } from 'node:http'
+import type { CallerRequest } from './callerRequest'
+import { sendOwnAnswer } from './ownAnswer'
+import type { RelayResult } from './relayParts'
+
+const NO_SHEET_RETRY_MS = 500
+const LEAVING_RETRY_MS = 50
+
+/** Refuses a request whose headers are longer than the sheet allows. */
+export function refuseLongHeaders(response: ServerResponse): void {
+  sendOwnAnswer(response, {
+    status: 431,
+    code: 'FORKSTAGE_HEADERS_TOO_LONG',
+    message: 'The headers are longer than the sheet allows.',
+    close: true,
+  })
+}
+
+/** Refuses a request whose body is larger than the sheet allows. */
+export function refuseTooLarge(response: ServerResponse): void {
+  sendOwnAnswer(response, {
+    status: 413,
+    code: 'FORKSTAGE_BODY_TOO_LARGE',
+    message: 'The body is longer than the sheet allows.',
+    close: true,
+  })
+}
+
+/** Refuses a request because no route sheet is known yet. */
+export function answerNoSheet(request: CallerRequest): RelayResult {
+  sendOwnAnswer(request.response, {
+    status: 503,
+    code: 'FORKSTAGE_NO_SHEET',
+    message: 'This entry knows no routes yet.',
+    retryAfterMs: NO_SHEET_RETRY_MS,
+  })
+  return { status: 503, outcome: 'no sheet yet', sends: [] }
+}
+
+/** Refuses a request because this entry is shutting down. */
+export function answerLeaving(request: CallerRequest): RelayResult {
+  sendOwnAnswer(request.response, {
+    status: 503,
+    code: 'FORKSTAGE_LEAVING',
+    message: 'This entry is shutting down; another entry can take the request.',
+    retryAfterMs: LEAVING_RETRY_MS,
+    close: true,
+  })
+  return { status: 503, outcome: 'leaving', sends: [] }
+}
+
+/** Answers a request that no route matches. */
+export function answerNoRoute(request: CallerRequest): RelayResult {
+  sendOwnAnswer(request.response, {
+    status: 404,
+    code: 'FORKSTAGE_NO_ROUTE',
+    message: 'No route matches this host and path.',
+  })
+  return { status: 404, outcome: 'no route', sends: [] }
+}
+
+/** Answers a request whose token counts are invalid. */
+export function answerMalformedCounts(request: CallerRequest): RelayResult {
+  sendOwnAnswer(request.response, {
+    status: 400,
+    code: 'FORKSTAGE_TOKEN_COUNTS',
+    message: 'The token counts header does not contain a valid pair of counts.',
+  })
+  return { status: 400, outcome: 'malformed token counts', sends: [] }
+}
+
+/** Answers a request without an id. */
+export function answerNoId(request: CallerRequest): RelayResult {
+  sendOwnAnswer(request.response, {
+    status: 400,
+    code: 'FORKSTAGE_NO_REQUEST_ID',
+    message: 'The request has no id.',
+  })
+  return { status: 400, outcome: 'no request id', sends: [] }
+}
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -39,6 +39,7 @@
 import { retryAfterOf, reasonOf, type AttemptResult, type FailedAttempt } from './streamAttempt'
 import { waitForDecodeEngine } from './waitForDecodeEngine'
 import { watchExchange } from './watchExchange'
+import { watchStall } from './watchStall'
 
 const OK = 200
 const PROMPT_NOT_READ = 'the prompt was not read'
@@ -178,7 +179,14 @@
     this.job.placedAt = undefined
     place.madeTokens = () => this.madeTokens()
     place.moveTo = (to) => void this.migrations.start(place, to)
-    const stall = this.watchStall(place)
+    const stall = watchStall(this.parts.clock, this.job.route, place, {
+      isSilent: () => this.eventCount === 0 && !this.isOver,
+      hasEngineLeft: () => this.possibleRuns + 1 < this.job.route.attempts,
+      abandon: () => {
+        this.except.add(place.decode.endpoint.id)
+        this.exchange?.cancel('no event in time')
+      },
+    })
     const { attempt, sendOutcome } = await this.followMigrations(
       place,
       await this.streamAt(place.decode, sending, this.prompt.held),
@@ -235,21 +243,6 @@
     reportLostSending(this.parts, this.job, at, afterMs, Math.min(afterMs, this.caller.pauses.silentMs(now)))
   }
 
-  /** Reports an engine that has sent no event within the target, and abandons it if the route allows another. */
-  private watchStall(place: ModelPlace): { cancel: () => void; hasLeft: () => boolean } {
-    const { route } = this.job
-    let hasLeft = false
-    const cancel = this.parts.clock.after(route.targetMs, () => {
-      if (this.eventCount > 0 || this.isOver) return
-      place.reportStalled(route.targetMs)
-      hasLeft = route.resumable && this.possibleRuns + 1 < route.attempts
-      if (!hasLeft) return
-      this.except.add(place.decode.endpoint.id)
-      this.exchange?.cancel('no event in time')
-    })
-    return { cancel, hasLeft: () => hasLeft }
-  }
-
   private madeTokens(): number {
     return this.eventCount * (this.job.service.engine?.tokensPerEvent ?? 1)
   }
