--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -284,6 +284,16 @@
     resumes?: string
     sends: unknown[]
   }
+  /** A caller resumes a stream: how the software version that began it is known, or why it is not. */
+  'stream.resumed': {
+    request: string
+    /** What knew it: `entry`, `leader`, or that the service had one version only; else `unknown`, `no-leader`. */
+    outcome: string
+    /** Where the stream began; both absent if that is unknown. */
+    service?: string
+    softwareVersion?: string
+    waitedMs: number
+  }
   /** A response that has begun waits because its continuation was refused; one line until its next event. */
   'answer.waits': { request: string; reason: string; leftMs: number }
   /** A connection was closed before the last bytes of a finished response were sent. */
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -15,15 +15,16 @@
 import { ColdEndpointTracker } from './coldEndpointTracker'
 import { ControlCrashes } from './controlCrashes'
 import { ControlLimits } from './controlLimits'
+import { ControlOrigins } from './controlOrigins'
 import { createControlApp } from './controlApp'
 import { createCrashTracker } from './createCrashTracker'
 import { createGroupHost } from './createGroupHost'
 import { createQuotaLedger } from './createQuotaLedger'
 import type { ControlWire } from './controlWire'
-import { countBy } from './countBy'
+import { createControlMetrics } from './createControlMetrics'
 import { EvacuationTracker } from './evacuationTracker'
 import { EvacuationService } from './evacuationService'
-import { FleetMetrics } from './fleetMetrics'
+import type { FleetMetrics } from './fleetMetrics'
 import { knownLeader } from './knownLeader'
 import { listenOn, type Listener } from './listenOn'
 import type { MachineContext } from './machineContext'
@@ -61,6 +62,7 @@
   private readonly stageOrders: StageOrderSender
   private readonly endpointStore: EndpointStore
   private readonly crashes: ControlCrashes
+  private readonly origins: ControlOrigins
   private peerServer: PeerServer | undefined
   private listeners: Listener[] = []
   private readonly metrics: FleetMetrics
@@ -127,6 +129,9 @@
     const folder = settings.machine.data_folder!
     const disk = { folder, files: createFileSystem(), clock, logger }
     this.endpointStore = new EndpointStore({ ...disk, endpoints })
+    const isFounding = settings.control.found
+    const others = () => this.memberAddresses().filter((address) => address !== self)
+    this.origins = new ControlOrigins({ ...disk, isFounding, others, peers })
     const onChange = () => this.hub.notifyChange()
     const crashes = { ...disk, tracker: crashTracker, endpoints, isBarred, isLeader, random: context.random }
     this.crashes = new ControlCrashes({ ...crashes, onChange })
@@ -164,6 +169,7 @@
       term,
       entries,
       topology: new Topology(settings.domains),
+      origins: this.origins,
     })
     this.quotas = createQuotaLedger(settings.quota, this.routes, { clock, term, entries })
     this.stageOrders = new StageOrderSender({
@@ -179,7 +185,20 @@
       clock,
       logger,
     })
-    this.metrics = this.createMetrics()
+    this.metrics = createControlMetrics({
+      sheetVersion: () => this.newestSheet?.version ?? -1,
+      isLeaderKnown: () => this.leader() !== undefined,
+      host: this.host,
+      directory: this.directory,
+      hub: this.hub,
+      registrar: this.registrar,
+      allocator: this.allocator,
+      cold: this.cold,
+      limits: this.limits,
+      evacuations: this.evacuations,
+      origins: this.origins,
+      logLimiter: context.logLimiter,
+    })
     this.sheetMachine.onNewerSheet = (document) => this.installNewer(document)
     this.sheetMachine.onEvacuations = () => this.evacuationService.mergeCommitted()
   }
@@ -207,6 +226,7 @@
     void this.host.start()
     void this.probeSaved()
     void this.crashes.load()
+    void this.origins.load()
     this.follower.start()
     this.membership.start()
     this.allocator.start()
@@ -240,6 +260,7 @@
     this.membership.stop()
     this.endpointStore.stop()
     this.crashes.stop()
+    this.origins.stop()
     this.allocator.stop()
     this.cold.stop()
     this.limits.stop()
@@ -267,30 +288,10 @@
 
   private handleChanged(changed: RegisteredEndpoint[]): void {
     this.endpointStore.markChanged()
+    this.origins.update(changed)
     this.cold.refresh(changed)
   }
 
-  private createMetrics(): FleetMetrics {
-    const { logLimiter } = this.context
-    return new FleetMetrics({
-      sheet_version: () => this.newestSheet?.version ?? -1,
-      endpoints: () =>
-        countBy(this.directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
-      endpoints_cold: () => this.cold.count,
-      endpoints_limited: () => this.limits.count,
-      registrations_refused: () => this.registrar.refused,
-      leads: () => Number(this.host.replica?.leads === true),
-      evacuated_domains: () => this.evacuations.view.current.domains.length,
-      leader_known: () => Number(this.leader() !== undefined),
-      term: () => this.host.replica?.term ?? -1,
-      voters: () => this.host.replica?.config.voters.length ?? 0,
-      entries: () => this.hub.countEntries(),
-      places_taken: () => this.allocator.holdCount,
-      places_waited_for: () => this.allocator.waitingCount,
-      log_lines_omitted: () => logLimiter.omittedTotal,
-    })
-  }
-
   private methods(): Record<string, PeerMethod> {
     return {
       ...this.host.methods(),
@@ -299,6 +300,7 @@
       ...this.evacuationService.methods(),
       ...this.allocator.methods(),
       ...this.crashes.methods(),
+      ...this.origins.methods(),
       ...this.limits.methods(),
       ...quotaMethods(this.quotas, () => this.host.replica?.holdsLease === true),
       [WATCH_METHOD]: (request: WatchRequest) => this.hub.answer(request),
--- /dev/null
+++ b/daemon/fleet/src/controlOrigins.ts
@@ -0,0 +1,111 @@
+import type { StreamOrigins } from '@forkstage/allocator'
+import type { CancelTimer, Clock } from '@forkstage/clock'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { Logger } from '@forkstage/logger'
+import {
+  OriginTable,
+  readOrigins,
+  readSavedVersions,
+  VersionHistory,
+  type OriginAnswer,
+  type OriginQuery,
+  type OriginRecord,
+} from '@forkstage/origins'
+import type { PeerMethod } from '@forkstage/peer-rpc'
+import type { FileSystem } from '@forkstage/storage'
+import type { Address, Millis } from '@forkstage/types'
+import { StateFile } from './stateFile'
+
+/** Options of {@link ControlOrigins}. */
+export interface ControlOriginsOptions {
+  clock: Clock
+  logger: Logger
+  /** The data folder of this machine. */
+  folder: string
+  files: FileSystem
+  /** Whether this machine founds its group: without a file of its own, no engine can have served before. */
+  isFounding: boolean
+  /** Returns the addresses of the other control machines. */
+  others: () => Address[]
+  peers: { notify: (address: Address, method: string, params: unknown) => void }
+}
+
+const FILE_NAME = 'versions.json'
+const REPLICATE = 'origins.replicate'
+/** Shorter than the time from a placement to the first event of its stream. */
+const REPLICATE_AFTER_MS: Millis = 20
+
+/**
+ * The origins of streams at a control machine. The leader sends those that it records to the other control machines, so
+ * that a new leader knows them even if the entries that began the streams are gone.
+ */
+export class ControlOrigins implements StreamOrigins {
+  private readonly history: VersionHistory
+  private readonly table: OriginTable
+  /** The versions of services, since those that served before a restart may have begun streams too. */
+  private readonly file: StateFile
+  private savedVersions = '[]'
+  private unsent: OriginRecord[] = []
+  private cancelSend: CancelTimer | undefined
+
+  constructor(private readonly options: ControlOriginsOptions) {
+    const { clock, logger, folder, files } = options
+    this.table = new OriginTable({ clock })
+    this.history = new VersionHistory(clock)
+    const content = () => this.history.save()
+    this.file = new StateFile({ folder, file: FILE_NAME, files, content, clock, logger })
+  }
+
+  /** Loads what was known before the start. */
+  async load(): Promise<void> {
+    const raw = await this.file.load()
+    const saved = readSavedVersions(raw)
+    if (saved !== undefined) this.history.restore(saved)
+    else if (raw === undefined && this.options.isFounding) this.history.markFounded()
+    this.file.markChanged()
+  }
+
+  /** The number of streams whose origin is known. */
+  get count(): number {
+    return this.table.size
+  }
+
+  /** Returns the methods that other control machines call here. */
+  methods(): Record<string, PeerMethod> {
+    return {
+      [REPLICATE]: (params: { origins?: unknown }) => this.table.merge(readOrigins(params.origins)),
+    }
+  }
+
+  /** Applies changed endpoints. */
+  update(changed: RegisteredEndpoint[]): void {
+    this.history.update(changed)
+    const versions = JSON.stringify(this.history.save().versions)
+    if (versions === this.savedVersions) return
+    this.savedVersions = versions
+    this.file.markChanged()
+  }
+
+  record(records: OriginRecord[]): void {
+    this.table.merge(records)
+    this.unsent.push(...records)
+    this.cancelSend ??= this.options.clock.after(REPLICATE_AFTER_MS, () => this.send())
+  }
+
+  find({ stream, service, withinMs }: OriginQuery): OriginAnswer {
+    const origin = this.table.find(stream)
+    return origin === undefined ? { soleVersion: this.history.soleVersion(service, withinMs) } : { origin }
+  }
+
+  stop(): void {
+    this.cancelSend?.()
+    this.file.stop()
+  }
+
+  private send(): void {
+    const origins = this.unsent
+    this.unsent = []
+    this.cancelSend = undefined
+    for (const address of this.options.others()) this.options.peers.notify(address, REPLICATE, { origins })
+  }
+}
--- /dev/null
+++ b/daemon/fleet/src/createOriginClient.ts
@@ -0,0 +1,10 @@
+import type { Clock } from '@forkstage/clock'
+import { OriginClient, type LeaderClient } from '@forkstage/gateway'
+import { OriginTable, VersionHistory } from '@forkstage/origins'
+
+/** Creates what finds out at an entry which software version began a stream. */
+export function createOriginClient(leaderClient: LeaderClient, clock: Clock): OriginClient {
+  const table = new OriginTable({ clock })
+  const history = new VersionHistory(clock)
+  return new OriginClient({ table, history, leaderClient, clock })
+}
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -16,6 +16,7 @@
   GatewayRetryBudget,
   WorkspaceAdmission,
   type GatewayWire,
+  type OriginClient,
 } from '@forkstage/gateway'
 import { LIMIT_REPORT } from '@forkstage/limits'
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
@@ -27,6 +28,7 @@
 import { ColdEndpointTracker } from './coldEndpointTracker'
 import { createCrashTracker } from './createCrashTracker'
 import { createEntryMetrics } from './createEntryMetrics'
+import { createOriginClient } from './createOriginClient'
 import { createQuotaLimiter } from './createQuotaLimiter'
 import { EntryCrashes } from './entryCrashes'
 import { EntryLimits } from './entryLimits'
@@ -75,6 +77,7 @@
   private readonly leaderClient: LeaderClient
   private readonly quotas: QuotaLimiter
   private readonly paths: EntryPaths
+  private readonly origins: OriginClient
   private peerServer: PeerServer | undefined
   private readonly ingress: Ingress
   private readonly metrics: FleetMetrics
@@ -159,6 +162,7 @@
     })
     const crashTracker = createCrashTracker(settings.crashes, clock)
     const { directory, leaderClient } = this
+    this.origins = createOriginClient(leaderClient, clock)
     this.paths = new EntryPaths({
       context,
       directory,
@@ -190,6 +194,7 @@
       leaderClient: this.leaderClient,
       cold: this.coldLimiter,
       limits: this.limits.limiter,
+      origins: this.origins,
       clock,
       logger,
     })
@@ -206,6 +211,7 @@
         availability: this.availability,
         leavingServesMs: settings.leaving.serves_ms,
         crashes: this.crashes,
+        origins: this.origins,
         dialer: this.paths.dialer,
         sendRules: [
           (to) => (isEvacuated(to) ? EVACUATED : undefined),
@@ -336,6 +342,7 @@
   private mergeEndpoints(records: RegisteredEndpoint[]): void {
     const changed = this.directory.merge(records)
     this.pool.update(changed)
+    this.origins.update(changed)
     if (changed.length > 0) this.cold.refresh(changed)
     if (changed.length > 0) this.crashes.checkSuspected()
     logEndpoints(this.context.logger, changed)
--- a/daemon/fleet/test/fleetHarness.ts
+++ b/daemon/fleet/test/fleetHarness.ts
@@ -88,7 +88,11 @@
   /** Whether calls of entries to control machines fail. */
   isEntryCut = false
 
-  constructor(private readonly port: number) {}
+  /** @param settings sections that are added to the settings of each machine, as TOML. */
+  constructor(
+    private readonly port: number,
+    private readonly settings = '',
+  ) {}
 
   folderOf(number: number): string {
     return join(this.folder, String(number))
@@ -263,6 +267,7 @@
 unready_ms = 1
 [log]
 level = "error"
+${this.settings}
 `
     const context = createMachineContext(parseFleetSettings(text, { source: 'test' }))
     const suspendedAt = () => this.suspendedAt.get(number) ?? -Infinity
--- a/daemon/fleet/test/streamVersions.test.ts
+++ b/daemon/fleet/test/streamVersions.test.ts
@@ -10,6 +10,8 @@
 const CONTROL = [1, 2, 3]
 const STREAMS = 12
 const EVENTS_BEFORE_BREAK = 5
+/** Allows each stream to be sent again. */
+const RETRIES = '[retry]\nslack = 100'
 
 let harness: FleetHarness
 let engines: VersionedEngine[] = []
@@ -19,7 +21,7 @@
 })
 
 async function startFleet(port: number, versions: (string | undefined)[]): Promise<void> {
-  harness = new FleetHarness(port)
+  harness = new FleetHarness(port, RETRIES)
   engines = versions.map((version, index) => new VersionedEngine(harness, `i-${index}`, version))
   await Promise.all(CONTROL.map((number) => harness.startControl(number)))
   await until('a sheet is accepted', async () => (await harness.put(1, modelSheet())) === 200)
@@ -88,6 +90,7 @@
   return attempts[0]!.filter((_, index) => versionsOf(index).size > 1).length
 }
 
+const leaderNumber = () => [...harness.control].find(([, machine]) => machine.status()?.role === 'leader')![0]
 const countWhole = (answers: StreamAnswer[]) => answers.filter(({ isWhole }) => isWhole).length
 const versionsIn = (answers: StreamAnswer[]) =>
   [...new Set(answers.flatMap(({ versions }) => [...versions.values()]))].sort()
@@ -119,8 +122,7 @@
   it('go on at the version that began them when the leader has changed', async () => {
     await startFleet(23_040, ['v1', 'v1', 'v2', 'v2'])
     const first = await beginStreams('s')
-    const leader = [...harness.control].find(([, machine]) => machine.status()?.role === 'leader')![0]
-    await harness.stopControl(leader)
+    await harness.stopControl(leaderNumber())
     await until('another machine leads', () =>
       [...harness.control.values()].some((machine) => machine.status()?.role === 'leader'),
     )
@@ -129,4 +131,55 @@
     expect(versionsIn(first)).toEqual(['v1', 'v2'])
     expect(countWhole(second)).toBe(STREAMS)
   })
+
+  it('go on at the version that began them when their entries and the leader have ended together', async () => {
+    await startFleet(23_060, ['v1', 'v1', 'v2', 'v2'])
+    const first = await beginStreams('s')
+    const leader = leaderNumber()
+    await Promise.all([
+      harness.stopControl(leader),
+      harness.stopEntry(ENTRIES[0]!),
+      harness.stopEntry(ENTRIES[1]!),
+    ])
+    const second = await resumeStreams('s', first, { attempt: 1, entry: harness.callers(ENTRIES[2]!) })
+    expect(countMixed(first, second)).toBe(0)
+    expect(versionsIn(first)).toEqual(['v1', 'v2'])
+    expect(countWhole(second)).toBe(STREAMS)
+  })
+})
+
+describe('a caller that resumes a stream', () => {
+  const resume = (id: string, lastEventId: number, entry = 0) =>
+    readStream({ id: `${id}-again`, url: entryOf(entry), resumes: { id, lastEventId } })
+
+  it('is refused at once, with a time to retry, where no engine of its version is left', async () => {
+    await startFleet(23_080, ['v1', 'v2'])
+    const first = await beginStreams('s')
+    const old = first.findIndex((answer) => versionsIn([answer])[0] === 'v1')
+    await until('the engine drains', () => engines[0]!.register(1, 'draining'))
+    const { runs } = engines[1]!
+    const second = await resume(`s${old}`, EVENTS_BEFORE_BREAK, 1)
+    expect(second).toMatchObject({ status: 503, headers: { 'retry-after': '5.000' } })
+    expect(engines[1]!.runs).toBe(runs)
+  })
+
+  it('is refused where no machine remembers the stream and two versions serve', async () => {
+    await startFleet(23_100, ['v1', 'v2'])
+    const runs = () => engines.reduce((sum, engine) => sum + engine.runs, 0)
+    const before = runs()
+    expect((await resume('never-seen', 3)).status).toBe(503)
+    expect(runs()).toBe(before)
+  })
+
+  it('is served where no machine remembers the stream and one version has ever served', async () => {
+    await startFleet(23_120, ['v1', 'v1'])
+    expect(await resume('never-seen', 3)).toMatchObject({ status: 200, isWhole: true })
+  })
+
+  it('is served by engines that report no version, as long as none reports one', async () => {
+    await startFleet(23_140, [undefined, undefined])
+    const first = await beginStreams('s')
+    const second = await resumeStreams('s', first, { attempt: 1 })
+    expect(countWhole(second)).toBe(STREAMS)
+  })
 })
--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -13,7 +13,17 @@
 import { LengthForecast } from './lengthForecast'
 import { MigrationPlanner } from './migrationPlanner'
 import { StageOrderTracker } from './stageOrderTracker'
-import { REGION_REASON, REGION_RETRY_MS, COLD_REASON, refused, Refusals, UNKNOWN_SERVICE } from './refusals'
+import {
+  REGION_REASON,
+  REGION_RETRY_MS,
+  COLD_REASON,
+  NO_VERSION_REASON,
+  NO_VERSION_RETRY_MS,
+  refused,
+  Refusals,
+  UNKNOWN_SERVICE,
+  VERSION_UNAVAILABLE_REASON,
+} from './refusals'
 import { isQueueDelay } from './isQueueDelay'
 import type { StageChange, StageNeed } from './planStages'
 import { StagePlanner } from './stagePlanner'
@@ -242,8 +252,10 @@
     const decoders = this.choice.usable(ask.service, 'decode').length
     if (this.choice.isFullyBarred(ask.service)) return this.refuse(EVACUATED_REASON, ask, now)
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
+    if (!this.choice.hasVersion(ask)) return refused(NO_VERSION_REASON, NO_VERSION_RETRY_MS)
     const decodersInRegions = this.choice.countInRegions(ask)
     if (decodersInRegions === 0) return refused(REGION_REASON, REGION_RETRY_MS)
+    if (this.choice.countOfVersion(ask) === 0) return refused(VERSION_UNAVAILABLE_REASON, NO_ENGINE_RETRY_MS)
     const patienceMs = ask.promptMs > 0 ? ask.promptMs : ask.holdMs
     if ((this.choice.coldWaitMs(ask, now) ?? 0) > patienceMs) return this.refuse(COLD_REASON, ask, now)
     const isFull =
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -1,16 +1,13 @@
-import { delay, every, type CancelTimer, type Clock } from '@forkstage/clock'
-import type { InstanceId, RegisteredEndpoint, Stage } from '@forkstage/directory'
+import { delay, every, type CancelTimer } from '@forkstage/clock'
+import { versionOf, type InstanceId, type Stage } from '@forkstage/directory'
 import { ForkstageError } from '@forkstage/error'
-import type { Logger } from '@forkstage/logger'
+import { readOriginQuery, readOrigins, type OriginAnswer } from '@forkstage/origins'
 import type { PeerMethod } from '@forkstage/peer-rpc'
-import type { EnginePool } from '@forkstage/routes'
-import type { Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { Allocator } from './allocator'
+import type { AllocatorServiceOptions } from './allocatorServiceOptions'
 import type { LearnedModels } from './allocatorOptions'
 import { checkReport } from './checkReport'
-import type { ColdPolicy } from './coldBudget'
-import type { LimitPolicy } from './engineBudgets'
 import type {
   PlaceAsk,
   PlaceDecision,
@@ -35,6 +32,10 @@
   note: 'place.note',
   release: 'place.release',
   report: 'place.report',
+  /** Returns the origin of a stream. */
+  origin: 'place.origin',
+  /** Reports streams that an entry placed by itself. */
+  origins: 'place.origins',
 } as const
 
 /** Thrown if this machine does not place requests at the moment. */
@@ -51,28 +52,6 @@
   }
 }
 
-/** Options of {@link AllocatorService}. */
-export interface AllocatorServiceOptions {
-  clock: Clock
-  logger: Logger
-  endpoints: () => RegisteredEndpoint[]
-  engine: (service: string) => EnginePool | undefined
-  /** Whether a registered instance must get no work now. */
-  isBarred?: (endpoint: RegisteredEndpoint) => boolean
-  /** Whether this machine is the leader; only the leader places requests. */
-  isLeader: () => boolean
-  /** The leader's term; a new term starts from what the entries report. */
-  term: () => number
-  /** Region of each failure domain; without it no region is known. */
-  topology?: Topology
-  /** Number of entries that place requests through this machine, as far as known. */
-  entries: () => number
-  /** Which engines are cold and how many requests they may get; by default none is cold. */
-  cold?: ColdPolicy
-  /** Which engines name a rate limit; by default none does. */
-  limits?: LimitPolicy
-}
-
 const TICK_MS = 25
 /** A new leader places once all entries have reported, or after this time, since an entry may be down. */
 const REPORT_WAIT_MS = 300
@@ -126,6 +105,9 @@
         madeTokens: number
       }) => this.allocator.release(params.request, params.outcome, params.madeTokens, now(), params.decode),
       [PLACE.report]: (params: unknown) => this.applyReport(readPlaceReport(params)),
+      [PLACE.origin]: (params: unknown) => this.findOrigin(params),
+      [PLACE.origins]: (params: { origins?: unknown }) =>
+        this.options.origins?.record(readOrigins(params.origins)),
     }
   }
 
@@ -175,10 +157,29 @@
     this.lastContactAt.set(ask.entry, this.options.clock.now())
     const askedAt = this.options.clock.now()
     const decision = await this.decide(ask)
+    this.recordOrigin(ask, decision)
     this.log(ask, decision, this.options.clock.now() - askedAt)
     return decision.type === 'placed' ? addWait(decision, askedAt - arrivedAt) : decision
   }
 
+  /** Returns the origin of a stream, once entries have reported the streams that they have begun. */
+  private async findOrigin(params: unknown): Promise<OriginAnswer> {
+    this.renewTerm()
+    await this.waitForReports()
+    if (!this.mayPlace()) throw new NotPlacingError()
+    const query = readOriginQuery(params)
+    return (query && this.options.origins?.find(query)) ?? {}
+  }
+
+  /** Records the origin of a stream before its entry learns the place, so that no event can precede the record. */
+  private recordOrigin({ stream, service, keepOriginMs }: PlaceAsk, decision: PlaceDecision): void {
+    const { origins, endpoints } = this.options
+    if (origins === undefined || stream === undefined || decision.type !== 'placed') return
+    const decode = endpoints().find(({ id }) => id === decision.decode)
+    if (decode === undefined) return
+    origins.record([{ stream, service, softwareVersion: versionOf(decode), keepMs: keepOriginMs ?? 0 }])
+  }
+
   /** Delays requests at a new leader until entries have reported what runs. */
   private async waitForReports(): Promise<void> {
     const { clock, isLeader } = this.options
@@ -215,13 +216,16 @@
     this.allocator.withdraw(request, this.options.clock.now())
   }
 
-  private applyReport({ entry, holds, malformed }: PlaceReport): ReportAnswer {
+  private applyReport({ entry, holds, origins, informedTerm, malformed }: PlaceReport): ReportAnswer {
     this.renewTerm()
+    if (origins !== undefined) this.options.origins?.record(origins)
     const reason = `${malformed} rows of the report are malformed`
     if (malformed > 0) this.options.logger.warn('place.report-refused', { entry, request: '', reason })
     const now = this.options.clock.now()
     this.lastContactAt.set(entry, now)
-    this.reportedEntries.add(entry)
+    // An entry that believes to report to an earlier term reports again, with the origins of its streams.
+    if (origins !== undefined || informedTerm === undefined || informedTerm === this.term)
+      this.reportedEntries.add(entry)
     this.allocator.applyReport(
       entry,
       holds.map((one) => this.sanitize(entry, one)),
@@ -230,7 +234,7 @@
     const moves = this.mayPlace() ? this.allocator.planMigrations(entry, now) : []
     for (const { request, to } of moves)
       this.options.logger.info('answer.moves', { request, entry, endpoint: to })
-    return { moves }
+    return { moves, term: this.term }
   }
 
   /** Reduces an implausible report to the hold itself: the hold is kept, but nothing is learned from the report. */
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -1,4 +1,5 @@
 import type { InstanceId } from '@forkstage/directory'
+import type { StreamKey } from '@forkstage/origins'
 import type { AllowedRegions } from '@forkstage/topology'
 import type { FailureDomain, Millis } from '@forkstage/types'
 
@@ -48,6 +49,12 @@
   regions?: AllowedRegions
   /** The parts of the prompt in order; absent if the caller named none. */
   parts?: PromptPart[]
+  /** The stream that the request begins or continues; absent if its caller cannot resume it. */
+  stream?: StreamKey
+  /** For how long its caller may resume the stream, in milliseconds; present if `stream` is. */
+  keepOriginMs?: Millis
+  /** The software version that began the stream, which alone may continue it; absent before its first event. */
+  boundVersion?: string
 }
 
 /** The engines on which a request was placed. */
@@ -122,6 +129,8 @@
 /** The leader's response to a report. */
 export interface ReportAnswer {
   moves: AnswerMove[]
+  /** The term that now has the origins of the entry's streams; absent at a leader of an earlier build. */
+  term?: number
 }
 
 /** A hold as an entry reports it. Times are sent as ages, since clocks may differ. */
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -1,4 +1,10 @@
-import { newestPerAddress, type InstanceId, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
+import {
+  newestPerAddress,
+  versionOf,
+  type InstanceId,
+  type RegisteredEndpoint,
+  type Stage,
+} from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import { withinRegions, type InRegion, type Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
@@ -142,7 +148,9 @@
     // A prefill engine whose response was lost has cached the prompt and responds at once.
     const mayRetry = (one: RegisteredEndpoint) => stage === 'prefill' && this.cache.uncached(ask, one) === 0
     const mayUse = (one: RegisteredEndpoint) =>
-      ask.avoid?.includes(one.id) !== true && (!ask.except.includes(one.id) || mayRetry(one))
+      (stage === 'prefill' || isOfVersion(ask, one)) &&
+      ask.avoid?.includes(one.id) !== true &&
+      (!ask.except.includes(one.id) || mayRetry(one))
     const available = this.inRegions(ask, this.availableEngines(ask.service, stage, now)).filter(mayUse)
     const healthy = available.filter((one) => this.options.health.isHealthy(one.id, now))
     return healthy.length > 0 || stage === 'prefill' ? healthy : available
@@ -153,6 +161,17 @@
     return this.inRegions(ask, this.usable(ask.service, 'decode')).length
   }
 
+  /** Returns how many of those are of the version that began the stream of a request. */
+  countOfVersion(ask: PlaceAsk): number {
+    return this.inRegions(ask, this.usable(ask.service, 'decode')).filter((one) => isOfVersion(ask, one))
+      .length
+  }
+
+  /** Whether a decode engine of the version that began the stream of a request is registered. */
+  hasVersion(ask: PlaceAsk): boolean {
+    return this.registered(ask.service, 'decode').some((one) => isOfVersion(ask, one))
+  }
+
   private inRegions(ask: PlaceAsk, engines: RegisteredEndpoint[]): InRegion<RegisteredEndpoint>[] {
     return withinRegions(this.options.topology, engines, ({ zone }) => zone, ask.regions)
   }
@@ -324,3 +343,8 @@
     return now - (this.localPrefillAt.get(id) ?? -Infinity) >= ownMs / LOCAL_PREFILL_SHARE
   }
 }
+
+/** Whether an engine may continue the stream of a request. */
+function isOfVersion({ boundVersion }: PlaceAsk, engine: RegisteredEndpoint): boolean {
+  return boundVersion === undefined || versionOf(engine) === boundVersion
+}
--- a/placement/allocator/src/index.ts
+++ b/placement/allocator/src/index.ts
@@ -5,7 +5,7 @@
 export type { PaceView } from './peerPace'
 export type { AllocatorOptions, AllocatorTuning } from './allocatorOptions'
 export { AllocatorService, NotPlacingError, PLACE } from './allocatorService'
-export type { AllocatorServiceOptions } from './allocatorService'
+export type { AllocatorServiceOptions, StreamOrigins } from './allocatorServiceOptions'
 export type {
   AnswerMove,
   Hold,
@@ -22,7 +22,13 @@
 export { EngineBudgets } from './engineBudgets'
 export type { LimitPolicy } from './engineBudgets'
 export type { ColdSummary, ColdPolicy } from './coldBudget'
-export { COLD_REASON, UNKNOWN_SERVICE } from './refusals'
+export {
+  COLD_REASON,
+  NO_VERSION_REASON,
+  NO_VERSION_RETRY_MS,
+  UNKNOWN_SERVICE,
+  VERSION_UNAVAILABLE_REASON,
+} from './refusals'
 export { PrefixCacheIndex } from './prefixCacheIndex'
 export { LengthForecast, lengthQuantile } from './lengthForecast'
 export type { LengthPrior } from './lengthForecast'
--- a/placement/allocator/src/migrationPlanner.ts
+++ b/placement/allocator/src/migrationPlanner.ts
@@ -1,4 +1,4 @@
-import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import { versionOf, type InstanceId, type RegisteredEndpoint } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import type { AnswerMove, Hold } from './allocatorTypes'
@@ -57,18 +57,15 @@
     const answer = { tokens, endsWithinMs: ask.leftMs - (now - placedAt), pauseMs: ask.pauseMs }
     const isLeaving = known.get(decode)?.state !== 'ready' || isChanging(decode, now)
     if (!isLeaving && choice.fitness.assess(answer, engine, decode, now) !== 'slow') return undefined
+    const from = known.get(decode)
     const targets = choice
       .migrationTargets(ask, engine, now)
+      .filter((target) => from !== undefined && versionOf(target) === versionOf(from))
       .filter(({ id }) => id !== decode && choice.fitness.assess(answer, engine, id, now) === 'good')
       .map((target) => ({
         id: target.id,
         peak: holds.peakWithMigrated(hold, target.id, now),
-        distanceTokens: choice.distance.migrationCostTokens(
-          ask,
-          engine,
-          known.get(decode)?.zone ?? target.zone,
-          target,
-        ),
+        distanceTokens: choice.distance.migrationCostTokens(ask, engine, from?.zone ?? target.zone, target),
       }))
       .filter(({ peak }) => peak <= engine.kvTokens * memoryShare)
     return targets.sort(
--- a/placement/allocator/src/readPlaceCalls.ts
+++ b/placement/allocator/src/readPlaceCalls.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod'
 import { ForkstageError } from '@forkstage/error'
+import { readOrigins, type OriginRecord } from '@forkstage/origins'
 import type { PlaceAsk, ReportedHold } from './allocatorTypes'
 
 /** Thrown for a malformed placement request or report; the sender then decides by itself. */
@@ -42,6 +43,9 @@
   isBegun: z.boolean().optional(),
   regions: z.array(text).optional(),
   parts: z.array(z.object({ id: text, tokens: count })).optional(),
+  stream: name.optional(),
+  keepOriginMs: count.optional(),
+  boundVersion: text.optional(),
 })
 const holdSchema = z.object({
   ask: askSchema,
@@ -51,12 +55,21 @@
   decodingForMs: z.number().optional(),
   madeTokens: z.number().optional(),
 })
-const reportSchema = z.object({ entry: name, holds: z.array(z.unknown()).max(100_000) })
+const reportSchema = z.object({
+  entry: name,
+  holds: z.array(z.unknown()).max(100_000),
+  origins: z.array(z.unknown()).max(200_000).optional(),
+  informedTerm: z.number().optional(),
+})
 
 /** The holds that an entry reports, and the number of malformed rows. */
 export interface PlaceReport {
   entry: string
   holds: ReportedHold[]
+  /** Origins of the streams that the entry has begun lately; present if it reports to this leader for the first time. */
+  origins?: OriginRecord[]
+  /** The term that already has them. */
+  informedTerm?: number
   malformed: number
 }
 
@@ -74,10 +87,16 @@
 export function readPlaceReport(raw: unknown): PlaceReport {
   const read = reportSchema.safeParse(raw)
   if (!read.success) throw new MalformedPlaceCallError('report')
-  const { entry, holds } = read.data
+  const { entry, holds, origins, informedTerm } = read.data
   const good = holds.flatMap((one) => {
     const hold = holdSchema.safeParse(one)
     return hold.success && hold.data.ask.entry === entry ? [hold.data] : []
   })
-  return { entry, holds: good, malformed: holds.length - good.length }
+  return {
+    entry,
+    holds: good,
+    ...(origins && { origins: readOrigins(origins) }),
+    ...(informedTerm !== undefined && { informedTerm }),
+    malformed: holds.length - good.length,
+  }
 }
--- a/placement/allocator/src/refusals.ts
+++ b/placement/allocator/src/refusals.ts
@@ -19,6 +19,13 @@
 /** Retry time for that reason: a region that was cut off takes at least seconds to return. */
 export const REGION_RETRY_MS: Millis = 2_000
 
+/** Refusal reason if no engine of the version that began the stream is registered. */
+export const NO_VERSION_REASON = 'no engine of the version that began the stream'
+/** Retry time for that reason: the version returns only with a rollback. */
+export const NO_VERSION_RETRY_MS: Millis = 5_000
+/** Refusal reason if the engines of the version that began the stream take nothing now. */
+export const VERSION_UNAVAILABLE_REASON = 'the engines of the version that began the stream take nothing now'
+
 /** Creates a refusal with the time after which the caller should retry. */
 export function refused(reason: string, retryAfterMs: Millis): PlaceDecision {
   return { type: 'refused', reason, retryAfterMs }
--- a/placement/allocator/test/allocatorService.test.ts
+++ b/placement/allocator/test/allocatorService.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
-import { AllocatorService, NotPlacingError, PLACE } from '../src'
+import { AllocatorService, NotPlacingError, PLACE, type StreamOrigins } from '../src'
 import { ask, engine, ENGINE } from './fixtures'
 
 /** Advances the clock in steps, so that the callback of one timer can set the next. */
@@ -13,14 +13,15 @@
 }
 
 /** Creates a service on a machine that leads until `lead` changes. */
-function createService(coldIds: string[] = []) {
+function createService(coldIds: string[] = [], origins?: StreamOrigins) {
   const clock = new ManualClock()
   const cold = new Set(coldIds)
   const lead = { leads: true, term: 1, entries: 0 }
   const service = new AllocatorService({
     clock,
     logger: createSilentLogger(),
-    endpoints: () => [engine('d1', 'decode')],
+    endpoints: () => [engine('d1', 'decode', { softwareVersion: 'v1' })],
+    origins,
     engine: () => ENGINE,
     isLeader: () => lead.leads,
     term: () => lead.term,
@@ -89,4 +90,38 @@
     await advance(clock, 50)
     expect(placedAt).toBeLessThanOrEqual(200)
   })
+
+  it('knows the origin of a stream before the entry learns the place', async () => {
+    const recorded: unknown[] = []
+    const origins = { record: (records: unknown[]) => void recorded.push(...records), find: () => ({}) }
+    const { clock, service } = createService([], origins)
+    await advance(clock, 400)
+    const asked = { ask: ask('r1', { stream: 'key', keepOriginMs: 5_000 }) }
+    const placed = service.methods()[PLACE.ask]!(asked as never, {} as never) as Promise<unknown>
+    const known = placed.then(() => [...recorded])
+    expect(await known).toEqual([{ stream: 'key', service: 's', softwareVersion: 'v1', keepMs: 5_000 }])
+  })
+
+  it('does not answer for the streams of an entry that believes to have told them to an earlier term', async () => {
+    const origin = { service: 's', softwareVersion: 'v1' }
+    const known = new Map<string, typeof origin>()
+    const origins: StreamOrigins = {
+      record: (records) => records.forEach(({ stream }) => known.set(stream, origin)),
+      find: ({ stream }) => ({ origin: known.get(stream) }),
+    }
+    const { clock, lead, service } = createService([], origins)
+    lead.entries = 1
+    await advance(clock, 20)
+    const call = (method: string, params: unknown) =>
+      service.methods()[method]!(params as never, {} as never) as Promise<unknown>
+    const report = { entry: 'e1', holds: [] }
+    expect(await call(PLACE.report, { ...report, informedTerm: 0 })).toMatchObject({ term: 1 })
+    let answer: unknown
+    void call(PLACE.origin, { stream: 'a', service: 's', withinMs: 1 }).then((found) => (answer = found))
+    await advance(clock, 100)
+    expect(answer).toBeUndefined()
+    await call(PLACE.report, { ...report, origins: [{ stream: 'a', ...origin, keepMs: 1 }] })
+    await advance(clock, 20)
+    expect(answer).toEqual({ origin })
+  })
 })
--- /dev/null
+++ b/placement/origins/src/index.ts
@@ -0,0 +1,8 @@
+/** Which service and software version began a stream. */
+export { OriginTable } from './originTable'
+export type { OriginTableOptions } from './originTable'
+export { readOriginQuery, readOrigins, readSavedVersions } from './readOrigins'
+export { streamKey } from './streamKey'
+export type { OriginAnswer, OriginQuery, OriginRecord, StreamKey, StreamOrigin } from './originTypes'
+export { VersionHistory } from './versionHistory'
+export type { SavedVersions } from './versionHistory'
--- a/request/gateway/src/attributeLoss.ts
+++ b/request/gateway/src/attributeLoss.ts
@@ -1,4 +1,4 @@
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { StreamResult } from './engineStream'
 import type { ExchangeEnd } from './exchange'
 import type { RelayParts } from './relayParts'
--- a/request/gateway/src/cancelWhenPathIsLost.ts
+++ b/request/gateway/src/cancelWhenPathIsLost.ts
@@ -1,6 +1,6 @@
 import type { CancelTimer } from '@forkstage/clock'
 import type { Millis } from '@forkstage/types'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { Exchange } from './exchange'
 import type { RelayParts } from './relayParts'
 
--- a/request/gateway/src/decideRetry.ts
+++ b/request/gateway/src/decideRetry.ts
@@ -2,10 +2,12 @@
 import { ANSWER_MARGIN_MS } from './relayParts'
 
 /**
- * How an attempt failed. `refused`: no placement or no usable engine, or the retry budget is used up. `not-run`: the request
+ * How an attempt failed. `refused`: no placement or no usable engine, or the retry budget is used up; `isFinal` if that will not
+ * change. `not-run`: the request
  * provably did not run at the engine; `arrived` if the engine itself said so. `lost`: the engine broke off and may have run it.
  */
-export type AttemptFailure = { type: 'refused' } | { type: 'not-run'; arrived: boolean } | { type: 'lost' }
+export type AttemptFailure =
+  { type: 'refused'; isFinal?: boolean } | { type: 'not-run'; arrived: boolean } | { type: 'lost' }
 
 /** State of a request after a failed attempt. */
 export interface RetryState {
@@ -54,6 +56,7 @@
 ): RetryDecision {
   if (!isResumable) return END
   if (failure.type === 'lost') return hasEngineLeft ? RETRY_NOW : END
+  if (failure.type === 'refused' && failure.isFinal === true) return END
   return { type: 'again', afterMs: retryDelayMs(waits) }
 }
 
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -1,41 +1,15 @@
 import type { Clock, Random } from '@forkstage/clock'
 import { extraCallMs } from '@forkstage/allocator'
-import { newestPerAddress, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
+import { newestPerAddress, versionOf, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
 import type { AvailabilityTracker } from '@forkstage/statements'
 import { Topology, withinRegions, type InRegion, type AllowedRegions } from '@forkstage/topology'
 import type { FailureDomain, Millis } from '@forkstage/types'
 import { ConcurrencyLimit } from './concurrencyLimit'
 import type { CandidateQuery, PoolUnavailability } from './poolTypes'
+import { acceptsWork, draining, type PooledEndpoint } from './pooledEndpoint'
 import type { SendOutcome } from './sendOutcome'
 
-/** An instance and what this entry has observed of it. */
-export interface PooledEndpoint {
-  endpoint: RegisteredEndpoint
-  /** Requests of this entry in progress there. */
-  inFlight: number
-  /** Tokens that those requests may come to hold. */
-  tokens: number
-  /** Moving average of the duration of answers, in milliseconds. */
-  meanMs: Millis
-  /** Time of the last successful answer; -Infinity before the first. */
-  answeredAt: Millis
-  /** Consecutive failures. */
-  failures: number
-  /** Gets no work before this time while other instances can. */
-  ejectedUntil: Millis
-  /** Limits this entry's concurrent plain requests there. */
-  limit: ConcurrencyLimit
-  /** Whether another process was found at its address. */
-  isReplaced: boolean
-  /** When this entry learned that the instance is leaving; absent until then. */
-  leavingSince?: Millis
-  /** Whether the instance itself announced in an answer that it is leaving, which no endpoint list revokes. */
-  hasAnnouncedLeaving: boolean
-  /** Called with a reason when its process is found to have ended. */
-  endListeners: Set<(reason: string) => void>
-}
-
 const FIRST_EJECTION_MS = 1_000
 const MAX_EJECTION_MS = 8_000
 const FAILURES_TO_EJECT = 2
@@ -141,7 +115,8 @@
     })
   }
 
-  private matching(service: string, { stage, except, regions }: CandidateQuery): InRegion<PooledEndpoint>[] {
+  private matching(service: string, query: CandidateQuery): InRegion<PooledEndpoint>[] {
+    const { stage, except, regions, softwareVersion } = query
     const there = [...this.pooled.values()].filter(
       (one) => one.endpoint.service === service && !one.isReplaced,
     )
@@ -150,6 +125,7 @@
       (one) =>
         newest.has(one.endpoint) &&
         (stage === undefined || one.endpoint.stage === stage) &&
+        (softwareVersion === undefined || versionOf(one.endpoint) === softwareVersion) &&
         acceptsWork(one) &&
         !this.isBarred(one) &&
         except?.has(one.endpoint.id) !== true,
@@ -157,6 +133,17 @@
     return withinRegions(this.topology, matching, ({ endpoint }) => endpoint.zone, regions)
   }
 
+  /** Whether a service has a decode engine of a software version that accepts work, also if it is barred. */
+  hasVersion(service: string, softwareVersion: string): boolean {
+    return [...this.pooled.values()].some(
+      (one) =>
+        one.endpoint.service === service &&
+        one.endpoint.stage === 'decode' &&
+        versionOf(one.endpoint) === softwareVersion &&
+        acceptsWork(one),
+    )
+  }
+
   /** Whether a service has instances that accept work, and all of them are barred. */
   isFullyBarred(service: string, stage?: Stage): boolean {
     const there = [...this.pooled.values()].filter(
@@ -298,6 +285,11 @@
     const known = this.pooled.get(endpoint.id)
     if (endpoint.state === 'left') return void this.pooled.delete(endpoint.id)
     if (endpoint.state === 'ended') return this.endInstance(endpoint.id)
+    // A process of another version runs under the id, so the one that was known has ended.
+    if (known !== undefined && hasOtherVersion(known.endpoint, endpoint)) {
+      this.endInstance(endpoint.id)
+      return this.updateOne(endpoint)
+    }
     if (known !== undefined) {
       if (endpoint.state === 'draining') known.leavingSince ??= this.options.clock.now()
       known.endpoint = known.hasAnnouncedLeaving ? draining(endpoint) : endpoint
@@ -327,10 +319,8 @@
 const RESTARTED = 'the endpoint has started anew'
 const SCORE_JITTER = 0.2
 
-function draining(endpoint: RegisteredEndpoint): RegisteredEndpoint {
-  return endpoint.state === 'ready' ? { ...endpoint, state: 'draining' } : endpoint
-}
-
-function acceptsWork(one: PooledEndpoint): boolean {
-  return one.endpoint.state === 'ready' && !one.isReplaced
+/** Whether an instance was registered again with another version; a record without one comes from an earlier build. */
+function hasOtherVersion(known: RegisteredEndpoint, { softwareVersion }: RegisteredEndpoint): boolean {
+  if (known.softwareVersion === undefined || softwareVersion === undefined) return false
+  return known.softwareVersion !== softwareVersion
 }
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -1,6 +1,6 @@
 import { EventSplitter, type StreamEvent } from './eventSplitter'
 import type { AnswerHead, ExchangeEnd } from './exchange'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { Verdict } from './judgeAnswer'
 import { unsentOutcome, type SendOutcome } from './sendOutcome'
 
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -20,10 +20,11 @@
   refuseLongHeaders,
   refuseTooLarge,
 } from './ingressAnswers'
-import { CALLER_DISCONNECTED } from './relayAnswers'
+import { answerRefusal, CALLER_DISCONNECTED } from './relayAnswers'
 import { relayPlain } from './plainRelay'
 import type { TokenCounts } from './gatewayWire'
 import type { RelayParts, RelayResult } from './relayParts'
+import { resumeStream } from './resumeStream'
 import { relayStream } from './streamRelay'
 import { rankOf } from './rankOf'
 import { tokenCountsOf } from './tokenCounts'
@@ -243,24 +244,33 @@
     return { route: route.name, workspace: admitted.workspace?.name, ...result }
   }
 
-  private relay(
+  private async relay(
     { request, workspace, owner }: AdmittedRequest,
     route: Route,
     index: RouteIndex,
     tokens: TokenCounts | undefined,
   ): Promise<RelayResult> {
     const { parts, routes } = this.options
-    const name = chooseService(route, parts.random())
-    const service = index.service(name)!
-    parts.retryBudget.recordRequest(name)
     const endsAt = request.arrivedAt + Math.min(request.deadlineMs, route.timeoutMs)
+    const resumed = await resumeStream(parts, request, {
+      route,
+      service: chooseService(route, parts.random()),
+      workspace: owner?.name ?? '',
+      endsAt,
+    })
+    if (resumed.type === 'refused')
+      return { ...answerRefusal(request.response, resumed.reason, resumed.retryAfterMs), sends: [] }
+    const { stream, boundVersion } = resumed
+    const service = index.service(resumed.service)!
+    parts.retryBudget.recordRequest(service.name)
     const { isReturn, elapsedMs } = this.returnDetector.judge(route.name, request.deadlineMs, route.targetMs)
     // A caller that returns after an early refusal gets the full target again.
     const targetAt = request.arrivedAt + route.targetMs - (isReturn ? 0 : elapsedMs)
     const rank = rankOf(route, workspace)
     // A newer sheet also applies to requests in progress.
     const regions = () => allowedRegions(routes() ?? index, { request, route, workspace: owner })
-    const job = { request, route, service, endsAt, targetAt, isReturn, tokens, rank, regions }
+    const times = { endsAt, targetAt, isReturn }
+    const job = { request, route, service, ...times, tokens, rank, regions, stream, boundVersion }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
     return isModel ? relayStream(parts, job) : relayPlain(parts, job)
   }
--- a/request/gateway/src/isolatedPlace.ts
+++ b/request/gateway/src/isolatedPlace.ts
@@ -2,7 +2,7 @@
 import type { InstanceId } from '@forkstage/directory'
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { RelayJob, RelayParts } from './relayParts'
 
 /** An endpoint that is reserved for a request, when to ask again for one, or that none is needed. */
--- a/request/gateway/src/localPlacer.ts
+++ b/request/gateway/src/localPlacer.ts
@@ -1,6 +1,8 @@
+import { NO_VERSION_REASON, NO_VERSION_RETRY_MS } from '@forkstage/allocator'
 import type { InRegion } from '@forkstage/topology'
 import { COLD_LIMIT_REASON, type ColdEndpointLimiter } from './coldEndpointLimiter'
-import type { EndpointPool, PooledEndpoint } from './endpointPool'
+import type { EndpointPool } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import { RATE_LIMIT_REASON, type EndpointRateLimiter } from './endpointRateLimiter'
 import { refusalFor, type ModelPlacer, type ModelWork, type PlaceAnswer } from './modelPlacer'
 import { poolPlace } from './poolPlace'
@@ -43,11 +45,14 @@
 
   async place(work: ModelWork): Promise<PlaceAnswer> {
     const { pool, limits, cold } = this.options
-    const { service, except, regions } = work
-    const decoders = pool.candidates(service, { stage: 'decode', except, regions })
+    const { service, except, regions, boundVersion } = work
+    const ofVersion = { stage: 'decode', regions, softwareVersion: boundVersion } as const
+    const decoders = pool.candidates(service, { ...ofVersion, except })
     if (pool.isFullyBarred(service, 'decode'))
       return { type: 'refused', reason: EVACUATED, retryAfterMs: NO_ROOM_RETRY_MS }
-    const unavailable = pool.unavailability(service, { stage: 'decode', regions })
+    if (boundVersion !== undefined && !pool.hasVersion(service, boundVersion))
+      return { type: 'refused', reason: NO_VERSION_REASON, retryAfterMs: NO_VERSION_RETRY_MS }
+    const unavailable = pool.unavailability(service, ofVersion)
     if (unavailable !== undefined) return refusalFor(unavailable)
     if (limits?.isExhausted(decoders) === true)
       return { type: 'refused', reason: RATE_LIMIT_REASON, retryAfterMs: NO_ROOM_RETRY_MS }
--- a/request/gateway/src/modelWork.ts
+++ b/request/gateway/src/modelWork.ts
@@ -2,6 +2,7 @@
 import type { EventPauses } from './eventPauses'
 import { waitTimes } from './holdTime'
 import type { ModelWork } from './modelPlacer'
+import { originKeepMs } from './originKeepMs'
 import { promptPartsOf } from './promptParts'
 import { EARLY_REFUSAL_SHARE, type RelayJob, type RelayParts } from './relayParts'
 
@@ -24,7 +25,11 @@
     priority: rank,
     targetMs: job.targetAt - now,
     isReturn: job.isReturn,
-    promptMs: job.isReturn ? 0 : request.arrivedAt + route.targetMs * EARLY_REFUSAL_SHARE - now,
+    // A stream that is refused here can go on nowhere else, so it waits as long as it may.
+    promptMs:
+      job.isReturn || job.boundVersion !== undefined
+        ? 0
+        : request.arrivedAt + route.targetMs * EARLY_REFUSAL_SHARE - now,
     ...waitTimes(route, leftMs, pauses.silentMs(now)),
     leftMs,
     pauseMs: route.pauseMs,
@@ -32,5 +37,8 @@
     kvTokens: service.engine?.kvTokens,
     regions: job.regions(),
     parts: promptPartsOf(request, wire, tokens),
+    stream: job.stream,
+    keepOriginMs: job.stream === undefined ? undefined : originKeepMs(route),
+    boundVersion: job.boundVersion,
   }
 }
--- a/request/gateway/src/poolPlace.ts
+++ b/request/gateway/src/poolPlace.ts
@@ -1,5 +1,6 @@
 import type { InRegion } from '@forkstage/topology'
-import type { EndpointPool, PooledEndpoint } from './endpointPool'
+import type { EndpointPool } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { ModelPlace } from './modelPlacer'
 
 /** The engines of a place and the tokens that the pool counts for it. */
--- a/request/gateway/src/poolTypes.ts
+++ b/request/gateway/src/poolTypes.ts
@@ -9,6 +9,8 @@
   except?: ReadonlySet<string>
   /** The regions in which they may be; any where left out. */
   regions?: AllowedRegions
+  /** The software version that they must have; any where left out. */
+  softwareVersion?: string
 }
 
 /** Why no instance that a request could go to accepts requests from this entry, and for how long. */
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '@forkstage/types'
 import { cancelWhenEnded } from './cancelWhenEnded'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { Exchange } from './exchange'
 import { fetchAnswer, type FetchOutcome } from './fetchAnswer'
 import type { Verdict } from './judgeAnswer'
--- a/request/gateway/src/promptPrefill.ts
+++ b/request/gateway/src/promptPrefill.ts
@@ -1,5 +1,5 @@
 import { RETRY_AFTER_REASON } from '@forkstage/statements'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import { COLD_LIMIT_REASON } from './coldEndpointLimiter'
 import { RATE_LIMIT_REASON } from './endpointRateLimiter'
 import type { Exchange } from './exchange'
--- a/request/gateway/src/readVerdict.ts
+++ b/request/gateway/src/readVerdict.ts
@@ -1,5 +1,5 @@
 import { nameOf } from '@forkstage/directory'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { AnswerHead } from './exchange'
 import { judgeAnswer, type Verdict } from './judgeAnswer'
 import { recordStatements } from './recordStatements'
--- a/request/gateway/src/recordRate.ts
+++ b/request/gateway/src/recordRate.ts
@@ -1,5 +1,5 @@
 import { firstValue } from './callerRequest'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { AnswerHead } from './exchange'
 import type { RelayParts } from './relayParts'
 
--- a/request/gateway/src/recordStatements.ts
+++ b/request/gateway/src/recordStatements.ts
@@ -1,6 +1,6 @@
 import { readRetryAfter } from '@forkstage/statements'
 import { firstValue } from './callerRequest'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { AnswerHead } from './exchange'
 import { recordRate } from './recordRate'
 import type { RelayParts } from './relayParts'
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -9,6 +9,7 @@
 import { nameOf, type InstanceId } from '@forkstage/directory'
 import type { RateTable } from '@forkstage/limits'
 import type { Logger } from '@forkstage/logger'
+import type { StreamKey } from '@forkstage/origins'
 import type { EndpointDialer } from '@forkstage/paths'
 import type { Route, RoutedService } from '@forkstage/routes'
 import type { AvailabilityTracker } from '@forkstage/statements'
@@ -16,10 +17,12 @@
 import type { Millis } from '@forkstage/types'
 import type { CallerRequest } from './callerRequest'
 import type { ColdEndpointLimiter } from './coldEndpointLimiter'
-import type { EndpointPool, PooledEndpoint } from './endpointPool'
+import type { EndpointPool } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { GatewayWire, TokenCounts } from './gatewayWire'
 import type { EndpointRateLimiter } from './endpointRateLimiter'
 import type { ModelPlacer } from './modelPlacer'
+import type { OriginClient } from './originClient'
 import type { GatewayRetryBudget } from './gatewayRetryBudget'
 import type { SendRule } from './sendRules'
 
@@ -45,6 +48,8 @@
   leavingServesMs?: Millis
   /** Tracks requests that crash endpoints; not tracked if absent. */
   crashes?: CrashCoordinator
+  /** Finds out which software version began a stream; a resumed stream may continue at any if absent. */
+  origins?: Pick<OriginClient, 'resolve' | 'begin'>
   /** Opens connections to endpoints; they are opened directly if absent. */
   dialer?: Pick<EndpointDialer, 'dial' | 'isPathLoss' | 'onIndirect' | 'paths'>
   clock: Clock
@@ -136,6 +141,10 @@
   placedAt?: Millis
   /** Scheduling rank; 0 is the most urgent. */
   rank: number
+  /** The stream that the request begins or continues; absent if its caller cannot resume it. */
+  stream?: StreamKey
+  /** The software version that began the stream, which alone may continue it; absent before its first event. */
+  boundVersion?: string
 }
 
 /** Connect timeout for an endpoint. */
--- a/request/gateway/src/releaseHandle.ts
+++ b/request/gateway/src/releaseHandle.ts
@@ -1,4 +1,4 @@
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import { fetchAnswer } from './fetchAnswer'
 import { recordStatements } from './recordStatements'
 import type { RelayParts } from './relayParts'
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -10,6 +10,7 @@
   type UseOutcome,
 } from '@forkstage/allocator'
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import { versionOf } from '@forkstage/directory'
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { Address, FailureDomain, Millis } from '@forkstage/types'
@@ -18,6 +19,7 @@
 import type { SendOutcome } from './sendOutcome'
 import type { EndpointRateLimiter } from './endpointRateLimiter'
 import type { LeaderClient } from './leaderClient'
+import type { OriginClient } from './originClient'
 import { waitFor } from './waitFor'
 import {
   refusalFor,
@@ -42,6 +44,8 @@
   cold?: ColdEndpointLimiter
   /** Receives the steps that the leader counted for engines that advertise rates. */
   limits?: EndpointRateLimiter
+  /** The origins of streams that the leader needs; none are reported where left out. */
+  origins?: Pick<OriginClient, 'report' | 'list'>
   clock: Clock
   logger: Logger
 }
@@ -78,6 +82,8 @@
   private readonly active = new Map<string, ActivePlace>()
   private reportedTo: Address | undefined
   private reportedAt = -Infinity
+  /** The leader, and its term, that has confirmed that it knows the streams that began here before it led. */
+  private informed: { leader?: Address; term: number } | undefined
   private cancelReports: CancelTimer = () => undefined
 
   constructor(private readonly options: RemotePlacerOptions) {}
@@ -93,7 +99,12 @@
   async place(work: ModelWork): Promise<PlaceAnswer> {
     const { clock, pool } = this.options
     // The leader may not know what engines have announced to this entry.
-    const unavailable = pool.unavailability(work.service, { stage: 'decode', regions: work.regions })
+    const { service, regions, boundVersion } = work
+    const unavailable = pool.unavailability(service, {
+      stage: 'decode',
+      regions,
+      softwareVersion: boundVersion,
+    })
     if (unavailable !== undefined) return refusalFor(unavailable)
     const first = this.toAsk(work)
     const askedAt = clock.now()
@@ -111,9 +122,17 @@
     }
     const answer = await this.options.fallback.place(work)
     if (answer.type === 'refused') return answer
+    this.reportOrigin(ask, answer.place)
     return { type: 'place', place: this.reportedPlace(ask, answer.place) }
   }
 
+  /** Tells the leader of a stream that it has not placed. */
+  private reportOrigin({ stream, service, keepOriginMs }: PlaceAsk, { decode }: ModelPlace): void {
+    if (stream === undefined) return
+    const softwareVersion = versionOf(decode.endpoint)
+    this.options.origins?.report({ stream, service, softwareVersion, keepMs: keepOriginMs ?? 0 })
+  }
+
   private async ask(ask: PlaceAsk): Promise<PlaceDecision | 'leader-changed' | undefined> {
     const { leaderClient, logger, clock } = this.options
     // During an election a new leader is usually known within moments.
@@ -229,7 +248,7 @@
     }
     const prefill = place.prefill?.endpoint.id
     const decode = place.decode.endpoint.id
-    const kept = { ...ask, avoid: undefined }
+    const kept = { ...ask, avoid: undefined, stream: undefined, keepOriginMs: undefined }
     const hold: ActivePlace = {
       ask: kept,
       prefill,
@@ -248,18 +267,35 @@
   }
 
   private reportIfDue(): void {
-    const { clock, entry, leaderClient } = this.options
+    const { clock, leaderClient } = this.options
     const leader = leaderClient.leader()
     const isNew = leader !== this.reportedTo
     const everyMs = this.active.size > 0 ? REPORT_ACTIVE_MS : REPORT_IDLE_MS
     if (!isNew && clock.now() - this.reportedAt < everyMs) return
     this.reportedTo = leader
     this.reportedAt = clock.now()
+    void this.report(leader)
+  }
+
+  private async report(leader: Address | undefined): Promise<void> {
+    const { clock, entry, leaderClient, origins } = this.options
     const holds = [...this.active.values()].map((one) => toReported(one, clock.now()))
-    if (holds.length === 0) return leaderClient.notify(PLACE.report, { entry, holds })
-    void leaderClient
-      .tryCallOrNotify<ReportAnswer | undefined>(PLACE.report, { entry, holds }, REPORT_ACTIVE_MS * 2)
-      .then((answer) => this.applyMoves(answer?.moves ?? []))
+    const { informed } = this
+    const isInformed = leader !== undefined && informed?.leader === leader
+    const news = isInformed ? { informedTerm: informed.term } : { origins: origins?.list() }
+    const report = { entry, holds, ...news }
+    const timeoutMs = REPORT_ACTIVE_MS * 2
+    const answer = await leaderClient.tryCallOrNotify<ReportAnswer | undefined>(
+      PLACE.report,
+      report,
+      timeoutMs,
+    )
+    if (answer === undefined) return
+    const term = answer.term ?? 0
+    this.informed = isInformed && informed.term !== term ? undefined : { leader, term }
+    // The leader has restarted under its address and lacks what was sent to its earlier term.
+    if (this.informed === undefined) this.reportedAt = -Infinity
+    this.applyMoves(answer.moves)
   }
 
   /** Migrates answers to other engines, as the leader decided. */
--- a/request/gateway/src/reportLostSending.ts
+++ b/request/gateway/src/reportLostSending.ts
@@ -1,5 +1,5 @@
 import type { Millis } from '@forkstage/types'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { RelayJob, RelayParts } from './relayParts'
 
 /** An endpoint that was silent for at least this time before its sending was cancelled may have crashed. */
--- a/request/gateway/src/retainedRun.ts
+++ b/request/gateway/src/retainedRun.ts
@@ -1,6 +1,6 @@
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import { releaseHandle } from './releaseHandle'
 import type { RelayJob, RelayParts } from './relayParts'
 import { leavingGraceMs, whyNotSend } from './sendRules'
--- a/request/gateway/src/runMigration.ts
+++ b/request/gateway/src/runMigration.ts
@@ -1,6 +1,6 @@
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import { fetchAnswer, type FetchOutcome } from './fetchAnswer'
 import type { StoppedRun } from './retainedRun'
 import { recordStatements } from './recordStatements'
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -1,4 +1,4 @@
-import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
+import { versionOf, type InstanceId, type RegisteredEndpoint } from '@forkstage/directory'
 import { LEAVING_GRACE_MS, LEAVING_REASON } from '@forkstage/statements'
 import type { Millis } from '@forkstage/types'
 import type { RelayJob, RelayParts } from './relayParts'
@@ -19,6 +19,9 @@
 /** The placement dates from before this box was suspended. */
 export const SUSPENDED = 'placed before a suspension'
 
+/** The endpoint has another software version than the one that began the stream. */
+export const OTHER_VERSION = 'another software version than the one that began the stream'
+
 /** The content of the request has crashed the endpoints that ran it. */
 export const ENDS_ENDPOINTS = 'ends its endpoints'
 
@@ -40,7 +43,11 @@
     parts.limits?.checkAndCount(endpoint, request.id, one)
   const stated: SendRule = ({ id }, { retainingEngine }) =>
     whyNotByStatement(parts, id, retainingEngine === id)
-  for (const rule of [suspended, ...(parts.sendRules ?? []), ends, stated, cold, limited]) {
+  const version: SendRule = (endpoint, { boundVersion }, one) =>
+    one === 'decode' && boundVersion !== undefined && versionOf(endpoint) !== boundVersion
+      ? OTHER_VERSION
+      : undefined
+  for (const rule of [suspended, version, ...(parts.sendRules ?? []), ends, stated, cold, limited]) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
     parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,6 +1,8 @@
 import { delay } from '@forkstage/clock'
+import { versionOf } from '@forkstage/directory'
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
+import { bindStream } from './bindStream'
 import { decideRetry, type RetryDecision } from './decideRetry'
 import { attributeLoss } from './attributeLoss'
 import { withoutFirstDuplicate } from './callerRequest'
@@ -14,11 +16,11 @@
 } from './engineStream'
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { SendOutcome } from './sendOutcome'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { modelWork } from './modelWork'
-import { reportLostSending } from './reportLostSending'
+import { reportStreamLoss } from './reportStreamLoss'
 import { PromptPrefill, type PrefillContext } from './promptPrefill'
 import { answerFailure, answerRefusal, forwardFailure, type OwnResult } from './relayAnswers'
 import {
@@ -38,6 +40,7 @@
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
 import { retryAfterOf, reasonOf, type AttemptResult, type FailedAttempt } from './streamAttempt'
 import { waitForDecodeEngine } from './waitForDecodeEngine'
+import { toFailure } from './toFailure'
 import { watchExchange } from './watchExchange'
 import { watchStall } from './watchStall'
 
@@ -65,6 +68,8 @@
   private waits = 0
   /** When the request was sent to the current engine. */
   private sentAt: Millis = 0
+  /** Software version of the current engine when the request was sent. */
+  private version = ''
   private readonly sendCounter: SendCounter
   private readonly prompt: PromptPrefill
   private readonly migrations: RunMigrations
@@ -130,7 +135,7 @@
 
   private decideRetry(attempt: FailedAttempt, refusals: number): RetryDecision {
     const { route, endsAt } = this.job
-    return decideRetry(attempt.type === 'denied' ? { type: 'refused' } : attempt, {
+    return decideRetry(toFailure(this.parts, this.job, attempt), {
       hasBegun: this.hasBegun,
       isResumable: route.resumable,
       leftMs: endsAt - this.parts.clock.now(),
@@ -224,7 +229,10 @@
   /** Ends a stream that does not resume from its KV cache. */
   private finishStream(place: ModelPlace, ended: StreamResult): StreamResult {
     if (!this.migrations.isStopped) {
-      this.reportLoss(place.decode, ended)
+      reportStreamLoss(this.parts, this.job, place.decode, ended, {
+        sentAt: this.sentAt,
+        silentMs: this.caller.pauses.silentMs(this.parts.clock.now()),
+      })
       return ended
     }
     this.migrations.abandon()
@@ -233,16 +241,6 @@
     return { attempt: { type: 'not-run', arrived: true, reason: NOT_RESUMED }, sendOutcome: 'cancelled' }
   }
 
-  /** Reports a stream that ended early without a requested stop: its engine may have crashed. */
-  private reportLoss(at: PooledEndpoint, { attempt, sendOutcome }: StreamResult): void {
-    if (sendOutcome === 'no-path') return
-    const now = this.parts.clock.now()
-    const afterMs = now - this.sentAt
-    if (attempt.type === 'lost') reportLostSending(this.parts, this.job, at, afterMs)
-    if (attempt.type !== 'over') return
-    reportLostSending(this.parts, this.job, at, afterMs, Math.min(afterMs, this.caller.pauses.silentMs(now)))
-  }
-
   private madeTokens(): number {
     return this.eventCount * (this.job.service.engine?.tokensPerEvent ?? 1)
   }
@@ -262,6 +260,7 @@
     const rawHeaders = headersFor(parts, job, to, extra)
     const stream = new EngineStream(this, to)
     this.sentAt = parts.clock.now()
+    this.version = versionOf(to.endpoint)
     return new Promise((resolve) => {
       const exchange = openExchange({
         address: to.endpoint.address,
@@ -313,6 +312,7 @@
   forwardEvents(head: AnswerHead, events: StreamEvent[]): void {
     this.eventCount += events.length
     this.waits = 0
+    if (!this.hasBegun) bindStream(this.parts, this.job, this.version)
     this.caller.forwardEvents(head, events)
   }
 
--- a/request/gateway/src/wasLostOnTheWay.ts
+++ b/request/gateway/src/wasLostOnTheWay.ts
@@ -1,4 +1,4 @@
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { BrokenExchange } from './exchange'
 import type { RelayParts } from './relayParts'
 
--- a/request/gateway/src/watchExchange.ts
+++ b/request/gateway/src/watchExchange.ts
@@ -1,6 +1,6 @@
 import { cancelWhenEnded } from './cancelWhenEnded'
 import { cancelWhenPathIsLost, type PathWatchOptions } from './cancelWhenPathIsLost'
-import type { PooledEndpoint } from './endpointPool'
+import type { PooledEndpoint } from './pooledEndpoint'
 import type { Exchange } from './exchange'
 import type { RelayParts } from './relayParts'
 
--- a/request/gateway/test/migrationHarness.ts
+++ b/request/gateway/test/migrationHarness.ts
@@ -13,6 +13,7 @@
   /** Answers the copy of a run (`copy`) and the copy that stops it (`last`). */
   copy?: (request: SeenRequest) => void
   last?: (request: SeenRequest, engine: Running) => void
+  softwareVersion?: string
 }
 
 /** The stream that an engine is running. */
@@ -74,8 +75,9 @@
       })
     }),
   )
-  const endpoints = workers.map(({ address }) => ({
+  const endpoints = workers.map(({ address }, index) => ({
     address,
+    softwareVersion: engines[index]!.softwareVersion,
     service: 'model',
     stage: 'decode' as const,
   }))
--- /dev/null
+++ b/request/gateway/test/streamVersions.test.ts
@@ -0,0 +1,80 @@
+import { describe, expect, it } from 'vitest'
+import {
+  answers,
+  endsWith,
+  events,
+  runsWith,
+  startMigration,
+  stopsWith,
+  type Running,
+} from './migrationHarness'
+
+/* Guards against an answer that goes on at an engine of another software version than its first event. */
+
+describe('an answer that has begun at one software version', () => {
+  it('is not migrated to an engine of another version', async () => {
+    const running: Running = {}
+    const { workers, answer, move } = await startMigration([
+      {
+        softwareVersion: 'v1',
+        stream: (request) => runsWith(1, 2)(request, running),
+        copy: answers(200, 'h1'),
+        last: stopsWith(200, 'h2'),
+      },
+      { softwareVersion: 'v2', stream: endsWith(3) },
+    ])
+    move()
+    running.socket!.end('0\r\n\r\n')
+    expect(await answer).toMatchObject({ body: events(1, 2), isWhole: true })
+    expect(workers[0]!.seen).toHaveLength(1)
+    expect(workers[1]!.seen).toHaveLength(0)
+  })
+
+  it('goes on at the engine of its version that is left, not at others', async () => {
+    const running: Running = {}
+    const { harness, workers, answer } = await startMigration(
+      [
+        { softwareVersion: 'v1', stream: (request) => runsWith(1)(request, running) },
+        { softwareVersion: 'v2', stream: endsWith(2) },
+        { softwareVersion: 'v1', stream: endsWith(2, 3) },
+        { stream: endsWith(2) },
+      ],
+      { resumable: true, attempts: 3 },
+    )
+    harness.pool.update([{ ...harness.pool.get('i-0')!.endpoint, state: 'draining' }])
+    running.socket!.destroy()
+    expect(await answer).toMatchObject({ status: 200, isWhole: true, body: events(1, 2, 3) })
+    expect(workers.map(({ seen }) => seen.length)).toEqual([1, 0, 1, 0])
+  })
+
+  it('ends where no engine of its version is left, instead of waiting until its time is up', async () => {
+    let socket: Running['socket']
+    const { harness, workers, answer } = await startMigration(
+      [
+        {
+          softwareVersion: 'v1',
+          stream: (request) => {
+            runsWith(1)(request, {})
+            socket = request.socket
+          },
+        },
+        { softwareVersion: 'v2', stream: endsWith(2) },
+      ],
+      { resumable: true, attempts: 3, timeoutMs: 60_000 },
+    )
+    harness.pool.update([{ ...harness.pool.get('i-0')!.endpoint, state: 'draining' }])
+    socket!.destroy()
+    expect(await answer).toMatchObject({ status: 200, isWhole: false, body: events(1) })
+    expect(workers[1]!.seen).toHaveLength(0)
+    expect(harness.reports[0]!.outcome).toBe('cut: no engine of the version that began the stream')
+  })
+
+  it('is cut where a process of another version runs under the id of its engine', async () => {
+    const { harness, answer } = await startMigration([
+      { softwareVersion: 'v1', stream: runsWith(1) },
+      { softwareVersion: 'v2', stream: endsWith(2) },
+    ])
+    harness.pool.update([{ ...harness.pool.get('i-0')!.endpoint, softwareVersion: 'v2', sequence: 2 }])
+    expect(await answer).toMatchObject({ isWhole: false, body: events(1) })
+  })
+})
