fix(gateway): a bound stream avoids an engine that may have restarted with another version

Callers could get events of two versions where an engine restarts under the name that it had: until its first registration is known, its record still names the version before, and the name in the request matches the new process.

An engine that reports when its process started may use a name again. After it broke off or refused a connection of this entry, it continues no bound stream of this entry for two seconds, within which a restarted process registers. Engines without a start time are not affected: their id is that of one process, and a restarted one rejects it.

--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -248,7 +248,9 @@
     // An instance that answered another request meanwhile was busy, not silent.
     if (outcome === 'silent' && !isCold && one.answeredAt < this.options.clock.now() - tookMs)
       this.recordFailure(one, outcome)
-    if (outcome === 'failed' || outcome === 'unreachable') this.recordFailure(one, outcome)
+    if (outcome !== 'failed' && outcome !== 'unreachable') return
+    one.lostAt = this.options.clock.now()
+    this.recordFailure(one, outcome)
   }
 
   private isBarred({ endpoint }: PooledEndpoint): boolean {
@@ -302,6 +304,7 @@
       meanMs: INITIAL_MEAN_MS,
       answeredAt: -Infinity,
       failures: 0,
+      lostAt: -Infinity,
       ejectedUntil: 0,
       limit: new ConcurrencyLimit(endpoint.slots),
       isReplaced: false,
--- a/request/gateway/src/pooledEndpoint.ts
+++ b/request/gateway/src/pooledEndpoint.ts
@@ -15,6 +15,8 @@
   answeredAt: Millis
   /** Consecutive failures. */
   failures: number
+  /** When it last broke off or refused a connection; -Infinity before. */
+  lostAt: Millis
   /** Gets no work before this time while other instances can. */
   ejectedUntil: Millis
   /** Limits this entry's concurrent plain requests there. */
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -22,6 +22,12 @@
 /** The endpoint has another software version than the one that began the stream. */
 export const OTHER_VERSION = 'another software version than the one that began the stream'
 
+/** The endpoint may have restarted under its name with another software version since it last registered. */
+export const VERSION_UNCONFIRMED = 'the software version may have changed since a connection was lost'
+
+/** An endpoint that has restarted registers within this time. */
+const REGISTERED_WITHIN_MS: Millis = 2_000
+
 /** The content of the request has crashed the endpoints that ran it. */
 export const ENDS_ENDPOINTS = 'ends its endpoints'
 
@@ -44,9 +50,7 @@
   const stated: SendRule = ({ id }, { retainingEngine }) =>
     whyNotByStatement(parts, id, retainingEngine === id)
   const version: SendRule = (endpoint, { boundVersion }, one) =>
-    one === 'decode' && boundVersion !== undefined && versionOf(endpoint) !== boundVersion
-      ? OTHER_VERSION
-      : undefined
+    one === 'decode' && boundVersion !== undefined ? whyNotVersion(parts, endpoint, boundVersion) : undefined
   for (const rule of [suspended, version, ...(parts.sendRules ?? []), ends, stated, cold, limited]) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
@@ -56,6 +60,19 @@
   return undefined
 }
 
+/** Returns why an endpoint must not continue a stream that a software version has begun; undefined if it may. */
+function whyNotVersion(
+  { pool, clock }: RelayParts,
+  endpoint: RegisteredEndpoint,
+  boundVersion: string,
+): string | undefined {
+  if (versionOf(endpoint) !== boundVersion) return OTHER_VERSION
+  // Without a start time the id is that of one process, which a restarted one does not answer to.
+  const lostAt = endpoint.born === undefined ? undefined : pool.get(endpoint.id)?.lostAt
+  const isUnconfirmed = lostAt !== undefined && clock.now() < lostAt + REGISTERED_WITHIN_MS
+  return isUnconfirmed ? VERSION_UNCONFIRMED : undefined
+}
+
 /** Share of the serving time of a leaving endpoint in which a stopped run may resume there; the rest covers transit. */
 const RESUME_SHARE = 0.75
 
--- a/request/gateway/test/migrationHarness.ts
+++ b/request/gateway/test/migrationHarness.ts
@@ -14,6 +14,8 @@
   copy?: (request: SeenRequest) => void
   last?: (request: SeenRequest, engine: Running) => void
   softwareVersion?: string
+  /** When its process started; absent if it does not report that. */
+  born?: number
 }
 
 /** The stream that an engine is running. */
@@ -78,6 +80,7 @@
   const endpoints = workers.map(({ address }, index) => ({
     address,
     softwareVersion: engines[index]!.softwareVersion,
+    born: engines[index]!.born,
     service: 'model',
     stage: 'decode' as const,
   }))
--- a/request/gateway/test/streamVersions.test.ts
+++ b/request/gateway/test/streamVersions.test.ts
@@ -77,4 +77,19 @@
     harness.pool.update([{ ...harness.pool.get('i-0')!.endpoint, softwareVersion: 'v2', sequence: 2 }])
     expect(await answer).toMatchObject({ isWhole: false, body: events(1) })
   })
+
+  it('does not go on at its engine right after a loss if a process of another version may have its name', async () => {
+    const running: Running = {}
+    const { harness, workers, answer } = await startMigration(
+      [
+        { softwareVersion: 'v1', born: 1, stream: (request) => runsWith(1)(request, running) },
+        { softwareVersion: 'v1', born: 1, stream: endsWith(2) },
+      ],
+      { resumable: true, attempts: 3 },
+    )
+    running.socket!.destroy()
+    expect(await answer).toMatchObject({ isWhole: true, body: events(1, 2) })
+    expect(workers.map(({ seen }) => seen.length)).toEqual([1, 1])
+    expect(harness.reports[0]!.sends.map(({ to }) => to)).toEqual(['i-0', 'i-1'])
+  })
 })
