test(soak): engines of two software versions, releases, and callers that resume their streams

The soak had one software version and no caller that resumes a stream, so it could not see a splice. Added beside all other faults: six engines of two versions in a service of their own, which are released to a version, crash (half of them keep their id and address), break streams off, refuse, or are away with their whole version; and callers that break off half of their attempts, up to twice a stream, and resume at any entry with the id of the attempt that brought the first event.

Checked: no stream holds events of two versions or lacks one, over all attempts (bound: none); and where two engines of the version serve in calm times, resumed streams go on at half of the share of new ones at least (the users' rule).

--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -28,6 +28,10 @@
   write(
     `seed ${report.seed}: ${report.answered} of ${report.calls} calls answered, ${report.acknowledged} sheets and ${report.evacuations} evacuations acknowledged, ${report.ended} endpoints crashed under poison requests, ${report.longCompleted} of ${report.longBegun} long answers that began were completed`,
   )
+  const { begun, resumed } = report.shares
+  write(
+    `streams of two versions in calm times: ${begun.served} of ${begun.attempts} new ones began, ${resumed.served} of ${resumed.attempts} resumed ones went on`,
+  )
   if (args.keep) write(`kept in ${report.folder}`)
   report.violations.forEach((fault) => write(`BROKEN: ${fault}`))
   write(
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -10,6 +10,7 @@
 import { checkCalls } from './checkCalls'
 import { checkPartitions } from './checkPartitions'
 import { checkEndpointSignals, type EndpointSignals } from './checkEndpointSignals'
+import { checkStreamVersions, countAttempts, type StreamShares } from './checkStreamVersions'
 import { planEngineFaults, runEngineFaults } from './engineFaults'
 import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
 import { DOMAINS } from './machineSettings'
@@ -19,10 +20,13 @@
 import { planEvacuations, SoakEvacuations } from './soakEvacuations'
 import { SoakFleet } from './soakFleet'
 import { SoakOperator } from './soakOperator'
+import { SoakStreams } from './soakStreams'
 import { checkWorkspaceRuns, rotatingKey, type ObservedRun } from './soakWorkspaces'
 import { pause } from './pause'
 import { StandInEndpoint } from './standInEndpoint'
 import { newStreamInterruptions, type StreamInterruptions } from './standInRuns'
+import { VersionedEngine, VERSIONS } from './versionedEngine'
+import { planVersionFaults, runVersionFaults } from './versionFaults'
 
 /** Options of {@link runFleetSoak}. */
 export interface FleetSoakOptions {
@@ -54,6 +58,8 @@
   longBegun: number
   /** Those of them that were completed. */
   longCompleted: number
+  /** How often streams of several software versions began and went on in calm times. */
+  shares: StreamShares
   /** Guarantees that did not hold; empty when the soak passed. */
   violations: string[]
 }
@@ -66,12 +72,16 @@
 /** Decode engines, which are the last ones of the endpoints. */
 const ENGINES = 2
 const READ_EVERY_MS = 150
+const STREAM_EVERY_MS = 120
+/** Engines of the service with several software versions. */
+const VERSIONED_ENGINES = 6
 const RECOVERY_MS = 12_000
 const OK = 200
 const UNAUTHORIZED = 401
 const SHOWN_CHARACTERS = 160
 /** Separates the generators of signals from the others of a seed. */
 const SIGNAL_SEED_OFFSET = 50
+const VERSIONED_SEED_OFFSET = 80
 /** Calls at each entry after all control machines were restarted. */
 const CALLS_PER_ENTRY = 10
 const ENDPOINTS = [
@@ -111,10 +121,21 @@
         poisonArrivals,
       }),
   )
+  const versioned = Array.from(
+    { length: VERSIONED_ENGINES },
+    (_, index) =>
+      new VersionedEngine({
+        name: `v-${index}`,
+        version: VERSIONS[index % VERSIONS.length]!,
+        control: () => fleet.control.map((machine) => fleet.operators(machine)),
+        random: createSeededRandom(options.seed * 100 + VERSIONED_SEED_OFFSET + index),
+      }),
+  )
   try {
     fleet.startAll()
-    await Promise.all(endpoints.map((endpoint) => endpoint.start()))
+    await Promise.all([...endpoints, ...versioned].map((endpoint) => endpoint.start()))
     return await soak(options, folder, fleet, endpoints, {
+      versioned,
       runs,
       observedRuns,
       poisonArrivals,
@@ -122,6 +143,7 @@
     })
   } finally {
     endpoints.forEach((endpoint) => endpoint.end())
+    versioned.forEach((engine) => engine.stop())
     await fleet.stopAll()
     if (!options.keep) rmSync(folder, { recursive: true, force: true })
   }
@@ -129,6 +151,7 @@
 
 /** Observations of all stand-ins. */
 interface Observations {
+  versioned: VersionedEngine[]
   runs: ReadonlyMap<string, number>
   observedRuns: ObservedRun[]
   poisonArrivals: Map<string, PoisonArrivals>
@@ -140,19 +163,21 @@
   folder: string,
   fleet: SoakFleet,
   endpoints: StandInEndpoint[],
-  { runs, observedRuns, poisonArrivals, interruptions }: Observations,
+  { versioned, runs, observedRuns, poisonArrivals, interruptions }: Observations,
 ): Promise<FleetSoakReport> {
   const operator = new SoakOperator(fleet, createSeededRandom(seed + 1))
   const callers = new SoakCallers(fleet, createSeededRandom(seed + 2), () => operator.newest)
   const faultyEndpoints = endpoints.slice(0, ENDPOINTS.length)
   const injector = new FleetFaultInjector(fleet, faultyEndpoints)
   const evacuations = new SoakEvacuations(fleet, createSeededRandom(seed + 3))
+  const streams = new SoakStreams(fleet, createSeededRandom(seed + 8))
   while (operator.newest === 0) {
     await operator.putNext()
     await pause(READ_EVERY_MS)
   }
   await fleet.waitReady()
   let partitions: ObservedPartition[] = []
+  let versionFaults: string[] = []
   const durationMs = minutes * 60_000
   const end = Date.now() + durationMs
   const work: Promise<unknown>[] = []
@@ -181,9 +206,15 @@
       (observed) => (partitions = observed),
     ),
     evacuations.run(planEvacuations(durationMs, createSeededRandom(seed + 4))),
+    repeat(STREAM_EVERY_MS, () => streams.call()),
+    runVersionFaults(planVersionFaults(durationMs, createSeededRandom(seed + 9)), versioned).then(
+      (done) => (versionFaults = done),
+    ),
     ...faults,
   ])
   await Promise.all(work)
+  const { disruptions, outages } = injector
+  const surroundings = { disruptions, outages, steady: versioned.flatMap(({ steady }) => steady) }
   const violations = [
     ...checkCalls(callers.calls, runs),
     ...checkInterruptedAnswers(callers.calls, {
@@ -205,6 +236,7 @@
     ...checkEndpointSignals(signalsOf(endpoints), callers.calls, injector.entryOutages),
     ...checkPartitions(partitions, callers.calls, injector.disruptions),
     ...checkWorkspaceRuns(observedRuns, callers.keys),
+    ...checkStreamVersions(streams.streams, surroundings),
     ...(await checkRecovery(fleet, operator)),
     ...(await checkRevokedKeys(fleet, callers)),
     ...(await checkLastEvacuation(evacuations, injector, { fleet, callers, endpoints })),
@@ -213,7 +245,7 @@
   return {
     seed,
     folder,
-    faults: [...injector.done, ...partitions.map(describePartition)],
+    faults: [...injector.done, ...partitions.map(describePartition), ...versionFaults],
     calls: callers.calls.length,
     answered: callers.calls.filter((call) => call.status === 200 && call.isWhole).length,
     acknowledged: new Set(operator.acknowledged.map((one) => one.version)).size,
@@ -222,6 +254,7 @@
     longBegun: callers.calls.filter(({ kind, status }) => isLong(kind) && status === OK).length,
     longCompleted: callers.calls.filter((call) => isLong(call.kind) && call.status === OK && call.isWhole)
       .length,
+    shares: countAttempts(streams.streams, surroundings),
     violations,
   }
 }
--- a/tools/fleet-soak/src/soakCallers.ts
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -16,6 +16,8 @@
   once: '/once/',
   /** Large answers that callers read slowly. */
   large: '/large/',
+  /** Streams of engines of two software versions, which callers resume. */
+  versions: '/versions/',
 } as const
 
 /** Kinds drawn for regular calls; large answers are called at a lower rate. */
--- a/tools/fleet-soak/src/soakOperator.ts
+++ b/tools/fleet-soak/src/soakOperator.ts
@@ -15,6 +15,8 @@
 const RACE_SHARE = 0.3
 /** Requests that an engine runs concurrently; a plain stand-in runs 8. */
 export const ENGINE_SLOTS = 64
+/** The service whose engines have several software versions. */
+export const VERSIONED_SERVICE = 'versioned'
 const INVALID_SHARE = 0.1
 
 /** Operators that send sheets to random control machines, some concurrently and some invalid, and read them back. */
@@ -110,6 +112,8 @@
     gap_aim_ms: 300,
   }
   const long = { timeout_ms: 8_000 }
+  const versions = { service: VERSIONED_SERVICE, resumable: true, max_attempts: 4 }
+  const warm = { cold_start_s: undefined, cold_per_s: undefined }
   const engine = {
     slots: ENGINE_SLOTS,
     kv_tokens: 20_000,
@@ -138,10 +142,12 @@
       { ...stream, name: 'stream', path_prefix: PATHS.stream, resumable: false },
       { ...stream, ...long, name: 'long', path_prefix: PATHS.long, resumable: true },
       { ...stream, ...long, name: 'once', path_prefix: PATHS.once, resumable: false },
+      { ...stream, ...long, ...versions, name: 'versions', path_prefix: PATHS.versions },
     ],
     services: [
       { ...service, name: 'plain' },
       { ...service, name: 'model', engine },
+      { ...service, ...warm, name: VERSIONED_SERVICE, engine },
     ],
     limits: {
       max_header_bytes: 16_384,
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -7,6 +7,7 @@
 import { INVALID_FIELDS } from './invalidFields'
 import { pause } from './pause'
 import { DOMAINS } from './machineSettings'
+import { callControl } from './callControl'
 import { PATHS } from './soakCallers'
 import { ENGINE_SLOTS } from './soakOperator'
 import type { ObservedRun } from './soakWorkspaces'
@@ -173,20 +174,10 @@
       this.violations.push(`an invalid heartbeat of ${this.id} got ${answer.statusCode}`)
   }
 
-  /** Sends a heartbeat or a deregistration to the control machines in random order; returns whether one accepted it. */
-  private async sendToControl(method: 'PUT' | 'DELETE'): Promise<boolean> {
-    const control = [...this.options.control()].sort(() => this.options.random() - 0.5)
-    for (const url of control) {
-      const answer = await got(`${url}/instances/${this.id}`, {
-        method,
-        json: method === 'PUT' ? this.registration() : { born: this.born },
-        throwHttpErrors: false,
-        retry: { limit: 0 },
-        timeout: { request: 1_000 },
-      }).catch(() => undefined)
-      if (answer?.statusCode === 200) return true
-    }
-    return false
+  /** Sends a heartbeat or a deregistration to the control machines; returns whether one accepted it. */
+  private sendToControl(method: 'PUT' | 'DELETE'): Promise<boolean> {
+    const json = method === 'PUT' ? this.registration() : { born: this.born }
+    return callControl({ control: this.options.control(), id: this.id, method, json }, this.options.random)
   }
 
   private registration(): object {
