test(soak): the end of a carrying entry cuts what it carries, also after the partition is over

The check counts the end of a carrier as a lost connection, but only until a second after the partition of the caller's entry. A connection that was opened during the partition stays with its carrier until its answer ends, so the check now counts it to the end of the answer. What began after the partition, or was not lost with a carrier, is found as before; both are tests.

--- a/tools/fleet-soak/src/checkInterruptedAnswers.ts
+++ b/tools/fleet-soak/src/checkInterruptedAnswers.ts
@@ -56,7 +56,10 @@
   const cuts = partitions
     .filter((one) => one.entries.includes(entry))
     .map(({ from, to }) => ({ from, to: to + RETURN_MS }))
-  const isCarried = (moment: TimeSpan) => overlap(moment, span) && cuts.some((cut) => overlap(cut, moment))
+  // A connection that was opened while the entry was cut stays with its carrier until the end of the answer.
+  const isOpenedBefore = (cut: TimeSpan, moment: TimeSpan) => cut.from <= moment.to && cut.to >= span.from
+  const isCarried = (moment: TimeSpan) =>
+    overlap(moment, span) && cuts.some((cut) => isOpenedBefore(cut, moment))
   const starts = partitions
     .filter(({ kind }) => kind !== 'live')
     .map(({ from, entries: cut }) => ({ from, to: from, cut }))
--- a/tools/fleet-soak/test/checkInterruptedAnswers.test.ts
+++ b/tools/fleet-soak/test/checkInterruptedAnswers.test.ts
@@ -95,4 +95,22 @@
     expect(plan(1)).not.toEqual(plan(2))
     expect(new Set(plan(1).map(({ kind }) => kind)).size).toBe(2)
   })
+
+  describe('of an answer whose connection another entry may have carried', () => {
+    const partition = { from: 9_000, to: 10_200, kind: 'reset' as const, entries: ['entry-1'] }
+    const stopOf = (name: string, from: number) =>
+      causes({ partitions: [partition], entries: new Map([[name, [{ from, to: from + 100 }]]]) })
+    const cut = call({ kind: 'once', endedAt: 13_500 })
+
+    it('counts the end of the carrier after the partition is over, since the connection stays with it', () => {
+      expect(checkInterruptedAnswers([cut], stopOf('entry-2', 13_400))).toEqual([])
+    })
+
+    it('does not count it for an answer that began after the partition, or the end of no carrier', () => {
+      const later = call({ kind: 'once', startedAt: 11_300, endedAt: 13_500 })
+      expect(checkInterruptedAnswers([later], stopOf('entry-2', 13_400))).toHaveLength(1)
+      expect(checkInterruptedAnswers([cut], stopOf('entry-2', 13_600))).toHaveLength(1)
+      expect(checkInterruptedAnswers([cut], causes({ partitions: [partition] }))).toHaveLength(1)
+    })
+  })
 })
