fix(origins): a stream that began while registrations did not arrive is bound once its version is certain

The engine answers to its name, and its record still has the version before. Cause: the version at the first event was taken from a record that could not have been renewed.

Change, for engines that report when they started, and unless their service has had one version lately: a stream that begins while no control machine is in contact, or has been for less than two seconds, is uncertain until then. It is continued nowhere meanwhile; a begun answer waits, and a request that resumes it is refused with a short time to retry. Once registrations arrive again the version is confirmed, unless a newer process of the engine has another one. With control in contact, what began in the half second before a newer process was known is uncertain for good. Bound streams are sent to no such engine before its record can be renewed.

--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -5,10 +5,7 @@
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   ColdEndpointLimiter,
-  EVACUATED,
   EndpointPool,
-  regionRule,
-  RESERVED,
   Ingress,
   LeaderClient,
   LocalPlacer,
@@ -33,6 +30,7 @@
 import { EntryCrashes } from './entryCrashes'
 import { EntryLimits } from './entryLimits'
 import { EntryPaths } from './entryPaths'
+import { entrySendRules } from './entrySendRules'
 import { EvacuationTracker } from './evacuationTracker'
 import type { FleetMetrics } from './fleetMetrics'
 import { listenOn, type Listener } from './listenOn'
@@ -162,7 +160,7 @@
     })
     const crashTracker = createCrashTracker(settings.crashes, clock)
     const { directory, leaderClient } = this
-    this.origins = createOriginClient(leaderClient, clock)
+    this.origins = createOriginClient(leaderClient, this.follower, clock)
     this.paths = new EntryPaths({
       context,
       directory,
@@ -213,11 +211,7 @@
         crashes: this.crashes,
         origins: this.origins,
         dialer: this.paths.dialer,
-        sendRules: [
-          (to) => (isEvacuated(to) ? EVACUATED : undefined),
-          (to, { isolatedId }) => (isReserved(to) && isolatedId !== to.id ? RESERVED : undefined),
-          regionRule(topology),
-        ],
+        sendRules: entrySendRules({ isEvacuated, isReserved, topology }),
         clock,
         random,
         logger,
@@ -326,6 +320,7 @@
     this.limits.limiter.sweep(isRegistered)
     this.availability.sweep(isRegistered)
     this.paths.sweep()
+    this.origins.sweep()
   }
 
   private install(watched: WatchedSheet): void {
@@ -341,10 +336,11 @@
 
   private mergeEndpoints(records: RegisteredEndpoint[]): void {
     const changed = this.directory.merge(records)
+    if (changed.length === 0) return
     this.pool.update(changed)
     this.origins.update(changed)
-    if (changed.length > 0) this.cold.refresh(changed)
-    if (changed.length > 0) this.crashes.checkSuspected()
+    this.cold.refresh(changed)
+    this.crashes.checkSuspected()
     logEndpoints(this.context.logger, changed)
   }
 }
--- a/membership/watch/src/controlFollower.ts
+++ b/membership/watch/src/controlFollower.ts
@@ -69,6 +69,7 @@
   private readonly followed = new Map<Address, FollowedMachine>()
   private readonly fetcher: SheetFetcher
   private stopped = false
+  private inContactSince: Millis = Infinity
   private reserved = new Set<InstanceId>()
   /** The time of the suspension after which requests were last repeated. */
   private handledSuspensionAt: Millis = -Infinity
@@ -132,6 +133,13 @@
     return first !== undefined && first[1] * 2 >= recent.length ? first[0] : undefined
   }
 
+  /**
+   * Since when a control machine has been in contact without a break, by the machine's clock; Infinity while none is.
+   */
+  get contactSince(): Millis {
+    return this.inContactSince
+  }
+
   /** Whether a control machine answered recently and none has named a newer sheet than the one in use. */
   isCurrent(): boolean {
     const { sheetVersion } = this.options
@@ -256,6 +264,7 @@
     const { logger } = this.options
     if (machine.lost) logger.info('control.regained', { peer: address })
     machine.lost = false
+    this.inContactSince = Math.min(this.inContactSince, this.options.clock.now())
     // A held answer may arrive after a newer one. The changes in it are applied all the same.
     if (askedAt >= machine.askedAt) this.recordAnswer(machine, answer, askedAt)
     this.forward(address, answer)
@@ -306,6 +315,8 @@
   private recordFailure(address: Address, machine: FollowedMachine, error: unknown): void {
     if (machine.lost) return
     machine.lost = true
+    const hasContact = [...this.followed.values()].some((one) => !one.lost && one.epoch !== '')
+    if (!hasContact) this.inContactSince = Infinity
     // A machine that reserves endpoints and does not answer may have lost the leadership.
     machine.reserved = []
     this.updateReserved()
--- a/placement/origins/src/originTypes.ts
+++ b/placement/origins/src/originTypes.ts
@@ -33,3 +33,9 @@
   /** The only software version that the service can have begun a stream with; absent if there are several, or none. */
   soleVersion?: string
 }
+
+/**
+ * Stands for the version of an engine that may have restarted with another one: no engine has it, so a stream that began
+ * there is continued nowhere.
+ */
+export const UNCERTAIN_VERSION = '\u0000'
--- a/request/gateway/src/originClient.ts
+++ b/request/gateway/src/originClient.ts
@@ -1,13 +1,14 @@
 import { PLACE } from '@forkstage/allocator'
 import { delay, type Clock } from '@forkstage/clock'
-import type { RegisteredEndpoint } from '@forkstage/directory'
-import type {
-  OriginAnswer,
-  OriginQuery,
-  OriginRecord,
-  OriginTable,
-  StreamOrigin,
-  VersionHistory,
+import { nameOf, versionOf, type RegisteredEndpoint } from '@forkstage/directory'
+import {
+  UNCERTAIN_VERSION,
+  type OriginAnswer,
+  type OriginQuery,
+  type OriginRecord,
+  type OriginTable,
+  type StreamOrigin,
+  type VersionHistory,
 } from '@forkstage/origins'
 import type { Millis } from '@forkstage/types'
 import type { LeaderClient } from './leaderClient'
@@ -19,14 +20,37 @@
   /** The software versions that this entry has known. */
   history: Pick<VersionHistory, 'soleVersion' | 'update'>
   leaderClient: Pick<LeaderClient, 'tryCall' | 'notify'>
+  /** Returns since when registrations have reached this entry without a break; Infinity while they do not. */
+  viewSince: () => Millis
   clock: Clock
 }
 
+/** The origin of a stream, which its caller may resume if it has a key. */
+export type BegunRecord = Omit<OriginRecord, 'stream'> & Partial<Pick<OriginRecord, 'stream'>>
+
+/** The engine that began a stream. */
+export interface BegunStream {
+  /** Its record when the request was sent. */
+  engine: RegisteredEndpoint
+  /** Called with the version that may continue the stream, if that changes. */
+  setVersion: (version: string) => void
+}
+
+interface ObservedStream extends BegunStream {
+  record: BegunRecord
+  /** The version that the engine had registered. */
+  version: string
+  /** When the stream began. */
+  at: Millis
+}
+
 /** The origin of a stream, and how it is known. */
 export type OriginResult =
   | { type: 'known'; by: 'entry' | 'leader' | 'sole version'; origin: StreamOrigin }
   /** No machine remembers the stream, and engines of several versions may have begun it. */
   | { type: 'unknown' }
+  /** Registrations do not reach the entry that began it, so its engine may have restarted with another version. */
+  | { type: 'uncertain' }
   /** No leader could be asked. */
   | { type: 'no-leader' }
 
@@ -34,20 +58,80 @@
 const ANSWER_WITHIN_MS: Millis = 600
 /** An election takes about a second. */
 const LEADER_WAIT_MS: Millis = 2_500
+/** Releases of a service take less time than this between two of its engines. */
+const ONE_VERSION_FOR_MS: Millis = 30_000
+/** An endpoint that has restarted registers, and is known to all entries, within this time. */
+export const REGISTERED_WITHIN_MS: Millis = 2_000
+/** An engine that restarts is known here by its new start within this time, while control machines are in contact. */
+const REGISTRATION_DELAY_MS: Millis = 500
 const RETRY_EVERY_MS: Millis = 50
 
 /** Finds out and reports at an entry which software version began a stream. */
 export class OriginClient {
+  /** Streams that engines which may restart under their name have begun lately. */
+  private recent: ObservedStream[] = []
+  /** Streams that such engines have begun while registrations did not reach this entry: uncertain until they do again. */
+  private provisional: ObservedStream[] = []
+
   constructor(private readonly options: OriginClientOptions) {}
 
+  /** Since when registrations have reached this entry without a break; Infinity while they do not. */
+  viewSince(): Millis {
+    return this.options.viewSince()
+  }
+
+  /** Whether all engines of a service have had one version lately. */
+  hasOneVersion(service: string): boolean {
+    return this.options.history.soleVersion(service, ONE_VERSION_FOR_MS) !== undefined
+  }
+
   /** Applies changed endpoints. */
   update(changed: RegisteredEndpoint[]): void {
     this.options.history.update(changed)
+    for (const endpoint of changed) if (endpoint.born !== undefined) this.checkBegun(endpoint)
+  }
+
+  /** Confirms the streams that began while registrations did not reach this entry, once they do again. */
+  sweep(): void {
+    if (this.options.clock.now() < this.viewSince() + REGISTERED_WITHIN_MS) return
+    for (const { record, setVersion, version } of this.provisional.splice(0)) {
+      setVersion(version)
+      this.record({ ...record, softwareVersion: version })
+    }
+  }
+
+  /** Marks streams as uncertain that may have begun at the newer process of an engine, before it was registered. */
+  private checkBegun(newer: RegisteredEndpoint): void {
+    const since = this.options.clock.now() - REGISTRATION_DELAY_MS
+    const isOfNewer = ({ engine, version }: ObservedStream) =>
+      nameOf(engine) === nameOf(newer) && engine.id !== newer.id && version !== versionOf(newer)
+    this.provisional = this.provisional.filter((one) => !isOfNewer(one))
+    this.recent = this.recent.filter(({ at }) => at >= since)
+    for (const { record, setVersion } of this.recent.filter(isOfNewer)) {
+      setVersion(UNCERTAIN_VERSION)
+      this.record({ ...record, softwareVersion: UNCERTAIN_VERSION })
+    }
   }
 
-  /** Records that the first event of a stream is about to be forwarded to its caller. */
-  begin(record: OriginRecord): void {
-    this.options.table.merge([record])
+  private record({ stream, ...origin }: BegunRecord): void {
+    if (stream === undefined) return
+    this.options.table.merge([{ stream, ...origin }])
+    // The leader has recorded the version that the engine had registered.
+    if (origin.softwareVersion === UNCERTAIN_VERSION) this.report({ stream, ...origin })
+  }
+
+  /**
+   * Records that the first event of a stream is about to be forwarded to its caller.
+   * @param record without `stream` if the caller cannot resume it.
+   * @param begun the engine that made the event, unless it continues a stream that began before.
+   */
+  begin(record: BegunRecord, begun?: BegunStream): void {
+    this.record(record)
+    if (begun?.engine.born === undefined) return
+    const observed = { ...begun, record, version: versionOf(begun.engine), at: this.options.clock.now() }
+    const isCertain = record.softwareVersion !== UNCERTAIN_VERSION
+    if (isCertain) this.recent.push(observed)
+    else this.provisional.push(observed)
   }
 
   /** Reports a stream whose engine this entry chose without the leader, before its first event. */
@@ -67,10 +151,10 @@
    */
   async resolve(query: OriginQuery, endsAt: Millis): Promise<OriginResult> {
     const own = this.options.table.find(query.stream)
-    if (own !== undefined) return { type: 'known', by: 'entry', origin: own }
+    if (own !== undefined) return resultOf(own, 'entry')
     const sole = this.options.history.soleVersion(query.service, query.withinMs)
     const answer = await this.ask(query, sole === undefined ? endsAt : -Infinity)
-    if (answer?.origin !== undefined) return { type: 'known', by: 'leader', origin: answer.origin }
+    if (answer?.origin !== undefined) return resultOf(answer.origin, 'leader')
     const softwareVersion = sole ?? answer?.soleVersion
     if (softwareVersion !== undefined)
       return { type: 'known', by: 'sole version', origin: { service: query.service, softwareVersion } }
@@ -88,3 +172,7 @@
     }
   }
 }
+
+function resultOf(origin: StreamOrigin, by: 'entry' | 'leader'): OriginResult {
+  return origin.softwareVersion === UNCERTAIN_VERSION ? { type: 'uncertain' } : { type: 'known', by, origin }
+}
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -49,7 +49,7 @@
   /** Tracks requests that crash endpoints; not tracked if absent. */
   crashes?: CrashCoordinator
   /** Finds out which software version began a stream; a resumed stream may continue at any if absent. */
-  origins?: Pick<OriginClient, 'resolve' | 'begin'>
+  origins?: Pick<OriginClient, 'resolve' | 'begin' | 'viewSince' | 'hasOneVersion'>
   /** Opens connections to endpoints; they are opened directly if absent. */
   dialer?: Pick<EndpointDialer, 'dial' | 'isPathLoss' | 'onIndirect' | 'paths'>
   clock: Clock
--- a/request/gateway/src/resumeStream.ts
+++ b/request/gateway/src/resumeStream.ts
@@ -34,9 +34,8 @@
 }
 
 const ORIGIN_UNKNOWN = 'it is not known which software version began the stream'
-/** What no machine remembers now is not remembered later. */
-const UNKNOWN_RETRY_MS: Millis = 5_000
-const NO_LEADER_RETRY_MS: Millis = 500
+/** What no machine remembers now is not remembered later; the others pass once control machines are back. */
+const RETRY_MS = { unknown: 5_000, uncertain: 1_500, 'no-leader': 500 } as const
 const OTHER_SERVICE = 'the route no longer leads to the service that began the stream'
 const OTHER_SERVICE_RETRY_MS: Millis = 5_000
 
@@ -65,11 +64,10 @@
     softwareVersion: origin?.softwareVersion,
     waitedMs: Math.round(clock.now() - askedAt),
   })
-  if (origin === undefined) {
-    const retryAfterMs = found.type === 'no-leader' ? NO_LEADER_RETRY_MS : UNKNOWN_RETRY_MS
-    return { type: 'refused', reason: ORIGIN_UNKNOWN, retryAfterMs }
-  }
-  if (!route.shares.some((share) => share.service === origin.service))
+  if (found.type !== 'known')
+    return { type: 'refused', reason: ORIGIN_UNKNOWN, retryAfterMs: RETRY_MS[found.type] }
+  if (!route.shares.some((share) => share.service === found.origin.service))
     return { type: 'refused', reason: OTHER_SERVICE, retryAfterMs: OTHER_SERVICE_RETRY_MS }
-  return { type: 'stream', service: origin.service, stream, boundVersion: origin.softwareVersion }
+  const { softwareVersion } = found.origin
+  return { type: 'stream', service: found.origin.service, stream, boundVersion: softwareVersion }
 }
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -1,6 +1,7 @@
 import { versionOf, type InstanceId, type RegisteredEndpoint } from '@forkstage/directory'
 import { LEAVING_GRACE_MS, LEAVING_REASON } from '@forkstage/statements'
 import type { Millis } from '@forkstage/types'
+import { isVersionConfirmed } from './isVersionConfirmed'
 import type { RelayJob, RelayParts } from './relayParts'
 import type { SendStep } from './sendCounter'
 
@@ -22,11 +23,8 @@
 /** The endpoint has another software version than the one that began the stream. */
 export const OTHER_VERSION = 'another software version than the one that began the stream'
 
-/** The endpoint may have restarted under its name with another software version since it last registered. */
-export const VERSION_UNCONFIRMED = 'the software version may have changed since a connection was lost'
-
-/** An endpoint that has restarted registers within this time. */
-const REGISTERED_WITHIN_MS: Millis = 2_000
+/** The endpoint may have restarted under its name with another software version. */
+export const VERSION_UNCONFIRMED = 'the software version may have changed since it was registered'
 
 /** The content of the request has crashed the endpoints that ran it. */
 export const ENDS_ENDPOINTS = 'ends its endpoints'
@@ -62,15 +60,12 @@
 
 /** Returns why an endpoint must not continue a stream that a software version has begun; undefined if it may. */
 function whyNotVersion(
-  { pool, clock }: RelayParts,
+  parts: RelayParts,
   endpoint: RegisteredEndpoint,
   boundVersion: string,
 ): string | undefined {
   if (versionOf(endpoint) !== boundVersion) return OTHER_VERSION
-  // Without a start time the id is that of one process, which a restarted one does not answer to.
-  const lostAt = endpoint.born === undefined ? undefined : pool.get(endpoint.id)?.lostAt
-  const isUnconfirmed = lostAt !== undefined && clock.now() < lostAt + REGISTERED_WITHIN_MS
-  return isUnconfirmed ? VERSION_UNCONFIRMED : undefined
+  return isVersionConfirmed(parts, endpoint) ? undefined : VERSION_UNCONFIRMED
 }
 
 /** Share of the serving time of a leaving endpoint in which a stopped run may resume there; the rest covers transit. */
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,5 +1,5 @@
 import { delay } from '@forkstage/clock'
-import { versionOf } from '@forkstage/directory'
+import type { RegisteredEndpoint } from '@forkstage/directory'
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { bindStream } from './bindStream'
@@ -68,8 +68,8 @@
   private waits = 0
   /** When the request was sent to the current engine. */
   private sentAt: Millis = 0
-  /** Software version of the current engine when the request was sent. */
-  private version = ''
+  /** The record of the current engine when the request was sent. */
+  private engine: RegisteredEndpoint | undefined
   private readonly sendCounter: SendCounter
   private readonly prompt: PromptPrefill
   private readonly migrations: RunMigrations
@@ -260,7 +260,7 @@
     const rawHeaders = headersFor(parts, job, to, extra)
     const stream = new EngineStream(this, to)
     this.sentAt = parts.clock.now()
-    this.version = versionOf(to.endpoint)
+    this.engine = to.endpoint
     return new Promise((resolve) => {
       const exchange = openExchange({
         address: to.endpoint.address,
@@ -312,7 +312,7 @@
   forwardEvents(head: AnswerHead, events: StreamEvent[]): void {
     this.eventCount += events.length
     this.waits = 0
-    if (!this.hasBegun) bindStream(this.parts, this.job, this.version)
+    if (!this.hasBegun) bindStream(this.parts, this.job, this.engine!)
     this.caller.forwardEvents(head, events)
   }
 
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -64,6 +64,8 @@
   dialer: RelayParts['dialer']
   /** Number of next requests for a place that are refused. */
   placesRefused = 0
+  /** What the entry knows of the origins of streams; nothing if undefined. */
+  origins: RelayParts['origins']
   /** When the machine was last suspended. */
   suspendedAt = -Infinity
   /** Called for each place that the placer returned, before it is used. */
@@ -228,6 +230,9 @@
         get dialer() {
           return harness.dialer
         },
+        get origins() {
+          return harness.origins
+        },
         get rates() {
           return harness.rates
         },
--- a/request/gateway/test/migrationHarness.ts
+++ b/request/gateway/test/migrationHarness.ts
@@ -1,5 +1,6 @@
 import { afterEach } from 'vitest'
 import type { Route } from '@forkstage/routes'
+import type { RelayParts } from '../src'
 import { chunk, event, FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
 import { GatewayHarness } from './gatewayHarness'
 
@@ -65,6 +66,7 @@
   engines: Engine[],
   route: Partial<Route> = {},
   headers: Record<string, string> = {},
+  origins?: RelayParts['origins'],
 ) {
   const workers = await Promise.all(
     engines.map((engine) => {
@@ -88,6 +90,7 @@
   const harness = await GatewayHarness.start(endpoints, [
     { kind: 'streaming', shares, attempts: 1, ...route },
   ])
+  harness.origins = origins
   open.push(harness, ...workers)
   const { request, answer } = harness.open('/p/', { headers })
   request.end()
--- a/request/gateway/test/originClient.test.ts
+++ b/request/gateway/test/originClient.test.ts
@@ -1,7 +1,8 @@
 import { createSystemClock } from '@forkstage/clock'
-import { OriginTable, type OriginAnswer } from '@forkstage/origins'
+import { OriginTable, UNCERTAIN_VERSION, type OriginAnswer } from '@forkstage/origins'
 import { describe, expect, it } from 'vitest'
 import { OriginClient } from '../src'
+import { endpointWithDefaults } from './rowsWithDefaults'
 
 const QUERY = { stream: 'a', service: 's', withinMs: 1_000 }
 const ORIGIN = { service: 's', softwareVersion: 'v1' }
@@ -10,6 +11,7 @@
 function client(answers: (OriginAnswer | undefined)[], soleVersion?: string) {
   const clock = createSystemClock()
   let asked = 0
+  const view = { since: 0 }
   const leaderClient = {
     notify: () => undefined,
     tryCall: <Answer>() => {
@@ -18,8 +20,14 @@
     },
   }
   const history = { soleVersion: () => soleVersion, update: () => undefined }
-  const one = new OriginClient({ table: new OriginTable({ clock }), history, leaderClient, clock })
-  return { one, clock, asked: () => asked }
+  const one = new OriginClient({
+    table: new OriginTable({ clock }),
+    history,
+    leaderClient,
+    viewSince: () => view.since,
+    clock,
+  })
+  return { one, clock, view, asked: () => asked }
 }
 
 describe('OriginClient', () => {
@@ -57,4 +65,54 @@
       origin: ORIGIN,
     })
   })
+
+  it('does not continue a stream of an engine that may have restarted with another version', async () => {
+    const { one } = client([], 'v1')
+    one.begin({ stream: 'a', service: 's', softwareVersion: UNCERTAIN_VERSION, keepMs: 1_000 })
+    expect(await one.resolve(QUERY, Infinity)).toEqual({ type: 'uncertain' })
+    const origin = { service: 's', softwareVersion: UNCERTAIN_VERSION }
+    expect(await client([{ origin }], 'v1').one.resolve(QUERY, Infinity)).toEqual({ type: 'uncertain' })
+  })
+
+  it('does not continue a stream that may have begun at the newer process of its engine', async () => {
+    const engine = endpointWithDefaults({ id: 'i~1', name: 'i', born: 1, softwareVersion: 'v1' }, 0)
+    const restarted = { ...engine, id: 'i~2', born: 2, softwareVersion: 'v2' }
+    for (const [newer, expected] of [
+      [restarted, 'uncertain'],
+      [{ ...restarted, softwareVersion: 'v1' }, 'known'],
+      [{ ...restarted, name: 'other' }, 'known'],
+    ] as const) {
+      const { one } = client([])
+      const versions: string[] = []
+      one.begin(
+        { stream: 'a', ...ORIGIN, keepMs: 1_000 },
+        { engine, setVersion: (version) => void versions.push(version) },
+      )
+      one.update([newer])
+      expect((await one.resolve(QUERY, Infinity)).type).toBe(expected)
+      expect(versions).toEqual(expected === 'uncertain' ? [UNCERTAIN_VERSION] : [])
+    }
+  })
+
+  it('continues a stream that began while registrations did not arrive, once they do and bring no other version', async () => {
+    const engine = endpointWithDefaults({ id: 'i~1', name: 'i', born: 1, softwareVersion: 'v1' }, 0)
+    const newer = { ...engine, id: 'i~2', born: 2 }
+    for (const [arriving, expected] of [
+      [newer, 'known'],
+      [{ ...newer, softwareVersion: 'v2' }, 'uncertain'],
+    ] as const) {
+      const { one, view } = client([])
+      view.since = Infinity
+      const record = { stream: 'a', service: 's', softwareVersion: UNCERTAIN_VERSION, keepMs: 1_000 }
+      const versions: string[] = []
+      one.begin(record, { engine, setVersion: (version) => void versions.push(version) })
+      one.sweep()
+      expect((await one.resolve(QUERY, Infinity)).type).toBe('uncertain')
+      one.update([arriving])
+      view.since = -Infinity
+      one.sweep()
+      expect((await one.resolve(QUERY, Infinity)).type).toBe(expected)
+      expect(versions).toEqual(expected === 'known' ? ['v1'] : [])
+    }
+  })
 })
--- a/request/gateway/test/streamVersions.test.ts
+++ b/request/gateway/test/streamVersions.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import type { RelayParts } from '../src'
 import {
   answers,
   endsWith,
@@ -6,6 +7,7 @@
   runsWith,
   startMigration,
   stopsWith,
+  type Engine,
   type Running,
 } from './migrationHarness'
 
@@ -92,4 +94,36 @@
     expect(workers.map(({ seen }) => seen.length)).toEqual([1, 1])
     expect(harness.reports[0]!.sends.map(({ to }) => to)).toEqual(['i-0', 'i-1'])
   })
+
+  describe('while registrations do not reach the entry, of an engine that may restart under its name', () => {
+    /** Origins at an entry that knows of one version, or of several. */
+    const outage = (hasOneVersion: boolean): NonNullable<RelayParts['origins']> => ({
+      resolve: () => Promise.resolve({ type: 'unknown' }),
+      begin: () => undefined,
+      viewSince: () => Infinity,
+      hasOneVersion: () => hasOneVersion,
+    })
+    const engines = (running: Running): Engine[] => [
+      { softwareVersion: 'v1', born: 1, stream: (request) => runsWith(1)(request, running) },
+      { softwareVersion: 'v1', born: 1, stream: endsWith(2) },
+    ]
+
+    it('goes on nowhere, since its first event may be of another version', async () => {
+      const running: Running = {}
+      const route = { resumable: true, attempts: 3 }
+      const { workers, answer } = await startMigration(engines(running), route, {}, outage(false))
+      running.socket!.destroy()
+      expect(await answer).toMatchObject({ isWhole: false, body: events(1) })
+      expect(workers[1]!.seen).toHaveLength(0)
+    })
+
+    it('goes on where the service has had one version', async () => {
+      const running: Running = {}
+      const route = { resumable: true, attempts: 3 }
+      const { harness, answer } = await startMigration(engines(running), route, {}, outage(true))
+      harness.pool.update([{ ...harness.pool.get('i-0')!.endpoint, state: 'draining' }])
+      running.socket!.destroy()
+      expect(await answer).toMatchObject({ isWhole: true, body: events(1, 2) })
+    })
+  })
 })
--- a/tools/fleet-soak/src/soakStreams.ts
+++ b/tools/fleet-soak/src/soakStreams.ts
@@ -28,6 +28,17 @@
   attempts: StreamAttempt[]
 }
 
+interface SendOptions {
+  /** The last segment of the path. */
+  streamName: string
+  /** The attempt that brought the first event. */
+  root?: string
+  /** When the caller's time is up, in Unix milliseconds. */
+  endsAt: number
+  /** The number of events after which the caller breaks off. */
+  leavesAfter?: number
+}
+
 const DEADLINE_MS = 8_000
 const MAX_ATTEMPTS = 5
 /** A caller breaks off so many attempts of one stream at most. */
@@ -78,16 +89,18 @@
     const blank = { status: 0, events: [], retryAfterMs: 0, isLeft: false }
     const attempt: StreamAttempt = { id, entry: entry.name, startedAt: Date.now(), after, ...blank }
     stream.attempts.push(attempt)
-    return this.send(entry, attempt, { root: root?.id, endsAt, leavesAfter })
+    // A content of its own: crashes of engines under one stream must not count against the others.
+    const streamName = stream.attempts[0]!.id
+    return this.send(entry, attempt, { streamName, root: root?.id, endsAt, leavesAfter })
   }
 
   private send(
     entry: SoakMachine,
     attempt: StreamAttempt,
-    { root, endsAt, leavesAfter }: { root?: string; endsAt: number; leavesAfter?: number },
+    { streamName, root, endsAt, leavesAfter }: SendOptions,
   ): Promise<StreamAttempt> {
     return new Promise((resolve) => {
-      const request = httpRequest(`${this.fleet.callers(entry)}${PATHS.versions}x`, {
+      const request = httpRequest(`${this.fleet.callers(entry)}${PATHS.versions}${streamName}`, {
         method: 'POST',
         agent: false,
         headers: {
