fix(gateway): a lost path does not confirm the version of an engine behind it

Cause: only losses that are held against the engine made an entry doubt which process answers there.

Only engines that report when they started are affected.

--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -248,9 +248,10 @@
     // An instance that answered another request meanwhile was busy, not silent.
     if (outcome === 'silent' && !isCold && one.answeredAt < this.options.clock.now() - tookMs)
       this.recordFailure(one, outcome)
-    if (outcome !== 'failed' && outcome !== 'unreachable') return
-    one.lostAt = this.options.clock.now()
-    this.recordFailure(one, outcome)
+    const isFailure = outcome === 'failed' || outcome === 'unreachable'
+    // A lost path says nothing about the endpoint, which may have crashed all the same.
+    if (isFailure || outcome === 'no-path') one.lostAt = this.options.clock.now()
+    if (isFailure) this.recordFailure(one, outcome)
   }
 
   private isBarred({ endpoint }: PooledEndpoint): boolean {
--- a/request/gateway/src/isVersionConfirmed.ts
+++ b/request/gateway/src/isVersionConfirmed.ts
@@ -1,7 +1,11 @@
 import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { Millis } from '@forkstage/types'
 import { REGISTERED_WITHIN_MS } from './originClient'
 import type { RelayParts } from './relayParts'
 
+/** An endpoint that restarts registers at once; the call may meet a control machine that does not answer. */
+const RESTART_REGISTERED_WITHIN_MS: Millis = 1_000
+
 /**
  * Whether an endpoint may have restarted under its name, with another software version, while no control machine could tell.
  * Without a start time the id is that of one process, which a restarted one does not answer to. Where the service has had one
@@ -24,5 +28,5 @@
   if (mayHaveRestarted(parts, endpoint)) return false
   if (born === undefined || parts.origins?.hasOneVersion(service) === true) return true
   const lostAt = parts.pool.get(id)?.lostAt ?? -Infinity
-  return parts.clock.now() >= lostAt + REGISTERED_WITHIN_MS
+  return parts.clock.now() >= lostAt + RESTART_REGISTERED_WITHIN_MS
 }
--- a/request/gateway/src/pooledEndpoint.ts
+++ b/request/gateway/src/pooledEndpoint.ts
@@ -15,7 +15,7 @@
   answeredAt: Millis
   /** Consecutive failures. */
   failures: number
-  /** When it last broke off or refused a connection; -Infinity before. */
+  /** When a connection to it was last lost or refused; -Infinity before. */
   lostAt: Millis
   /** Gets no work before this time while other instances can. */
   ejectedUntil: Millis
