test(soak): odd seeds have engines whose ids are never used again

The engines of two versions all reported when they started and kept their id in half of their restarts, so the soak had no run in the usual case, an id of one process. Odd seeds now have it; even ones stay as they are.

--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -129,6 +129,8 @@
         version: VERSIONS[index % VERSIONS.length]!,
         control: () => fleet.control.map((machine) => fleet.operators(machine)),
         random: createSeededRandom(options.seed * 100 + VERSIONED_SEED_OFFSET + index),
+        // Odd seeds have engines whose ids are never used again.
+        reportsStart: options.seed % 2 === 0,
       }),
   )
   try {
--- a/tools/fleet-soak/src/versionedEngine.ts
+++ b/tools/fleet-soak/src/versionedEngine.ts
@@ -15,6 +15,8 @@
   /** Returns the base URLs of the control machines. */
   control: () => string[]
   random: Random
+  /** Whether it reports when its process started, and may keep its id; otherwise each start has an id of its own. */
+  reportsStart: boolean
 }
 
 /** A time in which an engine served with one version and without a fault. */
@@ -56,7 +58,7 @@
   /** Starts a process; by default under a new id. */
   async start(keepsId = false): Promise<void> {
     this.starts += 1
-    if (!keepsId) this.id = `${this.options.name}-${this.starts}`
+    if (!keepsId || !this.options.reportsStart) this.id = `${this.options.name}-${this.starts}`
     this.born = Math.max(this.born + 1, Date.now())
     this.heartbeats = 0
     this.state = 'ready'
@@ -137,11 +139,11 @@
       state: this.state,
       cold_remaining_ms: 0,
       call_seq: this.heartbeats,
-      born: this.born,
+      ...this.startTime(),
       stage: 'decode',
       models: [{ name: 'm', version: 1, adapters: [] }],
     }
-    const json = method === 'PUT' ? registration : { born: this.born }
+    const json = method === 'PUT' ? registration : this.startTime()
     return { control: this.options.control(), id: this.id, method, json }
   }
 
@@ -158,8 +160,12 @@
   }
 
   private report(): string {
-    const busy = { busy: false, call_seq: 0, born: this.born }
-    return JSON.stringify({ stage: 'decode', models: [], state: this.state, ...busy })
+    const busy = { busy: false, call_seq: 0 }
+    return JSON.stringify({ stage: 'decode', models: [], state: this.state, ...busy, ...this.startTime() })
+  }
+
+  private startTime(): { born?: number } {
+    return this.options.reportsStart ? { born: this.born } : {}
   }
 
   private stream(request: IncomingMessage, response: ServerResponse): void {
