fix(origins): entries tell the leader where a stream began, in place of the leader recording its place

Cause: a place is not a beginning, and an entry that changes the place without a leader cannot take the record back. A wrong record is worse than none.

Now the entry that forwards the first event tells the leader, in a call that it sends before that event and repeats until a leader confirms; streams that begin meanwhile share the next call. The leader records nothing by itself, and waits up to 150 ms for the record of a stream that it does not know, since a caller may be back before it. Cost: one call a stream at most; placement requests are shorter by two fields.

--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -307,6 +307,7 @@
     this.quotas.stop()
     this.limits.stop()
     this.crashes.stop()
+    this.origins.stop()
     this.paths.stop()
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -1,5 +1,5 @@
 import { delay, every, type CancelTimer } from '@forkstage/clock'
-import { versionOf, type InstanceId, type Stage } from '@forkstage/directory'
+import type { InstanceId, Stage } from '@forkstage/directory'
 import { ForkstageError } from '@forkstage/error'
 import { readOriginQuery, readOrigins, type OriginAnswer } from '@forkstage/origins'
 import type { PeerMethod } from '@forkstage/peer-rpc'
@@ -34,7 +34,7 @@
   report: 'place.report',
   /** Returns the origin of a stream. */
   origin: 'place.origin',
-  /** Reports streams that an entry placed by itself. */
+  /** Reports streams that an entry has begun. */
   origins: 'place.origins',
 } as const
 
@@ -56,6 +56,9 @@
 /** A new leader places once all entries have reported, or after this time, since an entry may be down. */
 const REPORT_WAIT_MS = 300
 const REPORT_POLL_MS = 10
+/** A caller that breaks a stream off may be back before the entry's record of it has arrived. */
+const ORIGIN_WAIT_MS = 150
+const ORIGIN_POLL_MS = 10
 const ENTRY_GONE_MS = 4_000
 
 /** Places requests for all entries while this machine leads; rebuilds its state from their reports in each term. */
@@ -106,8 +109,7 @@
       }) => this.allocator.release(params.request, params.outcome, params.madeTokens, now(), params.decode),
       [PLACE.report]: (params: unknown) => this.applyReport(readPlaceReport(params)),
       [PLACE.origin]: (params: unknown) => this.findOrigin(params),
-      [PLACE.origins]: (params: { origins?: unknown }) =>
-        this.options.origins?.record(readOrigins(params.origins)),
+      [PLACE.origins]: (params: unknown) => this.recordOrigins(params),
     }
   }
 
@@ -157,27 +159,30 @@
     this.lastContactAt.set(ask.entry, this.options.clock.now())
     const askedAt = this.options.clock.now()
     const decision = await this.decide(ask)
-    this.recordOrigin(ask, decision)
     this.log(ask, decision, this.options.clock.now() - askedAt)
     return decision.type === 'placed' ? addWait(decision, askedAt - arrivedAt) : decision
   }
 
   /** Returns the origin of a stream, once entries have reported the streams that they have begun. */
   private async findOrigin(params: unknown): Promise<OriginAnswer> {
+    const { clock, origins } = this.options
     this.renewTerm()
     await this.waitForReports()
-    if (!this.mayPlace()) throw new NotPlacingError()
     const query = readOriginQuery(params)
-    return (query && this.options.origins?.find(query)) ?? {}
+    const until = clock.now() + ORIGIN_WAIT_MS
+    for (;;) {
+      if (!this.mayPlace()) throw new NotPlacingError()
+      const answer = (query && origins?.find(query)) ?? {}
+      if (answer.origin !== undefined || clock.now() >= until) return answer
+      await delay(clock, ORIGIN_POLL_MS)
+    }
   }
 
-  /** Records the origin of a stream before its entry learns the place, so that no event can precede the record. */
-  private recordOrigin({ stream, service, keepOriginMs }: PlaceAsk, decision: PlaceDecision): void {
-    const { origins, endpoints } = this.options
-    if (origins === undefined || stream === undefined || decision.type !== 'placed') return
-    const decode = endpoints().find(({ id }) => id === decision.decode)
-    if (decode === undefined) return
-    origins.record([{ stream, service, softwareVersion: versionOf(decode), keepMs: keepOriginMs ?? 0 }])
+  /** Records streams that an entry has begun. @throws NotPlacingError so that the entry tells the leader. */
+  private recordOrigins(params: unknown): true {
+    if (!this.options.isLeader()) throw new NotPlacingError()
+    this.options.origins?.record(readOrigins((params as { origins?: unknown }).origins))
+    return true
   }
 
   /** Delays requests at a new leader until entries have reported what runs. */
--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -1,5 +1,4 @@
 import type { InstanceId } from '@forkstage/directory'
-import type { StreamKey } from '@forkstage/origins'
 import type { AllowedRegions } from '@forkstage/topology'
 import type { FailureDomain, Millis } from '@forkstage/types'
 
@@ -49,10 +48,6 @@
   regions?: AllowedRegions
   /** The parts of the prompt in order; absent if the caller named none. */
   parts?: PromptPart[]
-  /** The stream that the request begins or continues; absent if its caller cannot resume it. */
-  stream?: StreamKey
-  /** For how long its caller may resume the stream, in milliseconds; present if `stream` is. */
-  keepOriginMs?: Millis
   /** The software version that began the stream, which alone may continue it; absent before its first event. */
   boundVersion?: string
 }
--- a/placement/allocator/src/readPlaceCalls.ts
+++ b/placement/allocator/src/readPlaceCalls.ts
@@ -43,8 +43,6 @@
   isBegun: z.boolean().optional(),
   regions: z.array(text).optional(),
   parts: z.array(z.object({ id: text, tokens: count })).optional(),
-  stream: name.optional(),
-  keepOriginMs: count.optional(),
   boundVersion: text.optional(),
 })
 const holdSchema = z.object({
--- a/request/gateway/src/originClient.ts
+++ b/request/gateway/src/originClient.ts
@@ -19,7 +19,7 @@
   table: OriginTable
   /** The software versions that this entry has known. */
   history: Pick<VersionHistory, 'soleVersion' | 'update'>
-  leaderClient: Pick<LeaderClient, 'tryCall' | 'notify'>
+  leaderClient: Pick<LeaderClient, 'tryCall'>
   /** Returns since when registrations have reached this entry without a break; Infinity while they do not. */
   viewSince: () => Millis
   clock: Clock
@@ -64,10 +64,16 @@
 export const REGISTERED_WITHIN_MS: Millis = 2_000
 /** An engine that restarts is known here by its new start within this time, while control machines are in contact. */
 const REGISTRATION_DELAY_MS: Millis = 500
+/** A leader of another term gets all streams that are kept, so that older ones need not be sent again. */
+const MAX_UNSENT = 10_000
 const RETRY_EVERY_MS: Millis = 50
 
 /** Finds out and reports at an entry which software version began a stream. */
 export class OriginClient {
+  /** Streams that the leader has not confirmed. */
+  private unsent: OriginRecord[] = []
+  private isSending = false
+  private isStopped = false
   /** Streams that engines which may restart under their name have begun lately. */
   private recent: ObservedStream[] = []
   /** Streams that such engines have begun while registrations did not reach this entry: uncertain until they do again. */
@@ -116,8 +122,22 @@
   private record({ stream, ...origin }: BegunRecord): void {
     if (stream === undefined) return
     this.options.table.merge([{ stream, ...origin }])
-    // The leader has recorded the version that the engine had registered.
-    if (origin.softwareVersion === UNCERTAIN_VERSION) this.report({ stream, ...origin })
+    this.unsent.push({ stream, ...origin })
+    void this.send()
+  }
+
+  /** Sends the leader what it has not confirmed, one message at a time. */
+  private async send(): Promise<void> {
+    if (this.isSending) return
+    this.isSending = true
+    const { leaderClient, clock } = this.options
+    while (this.unsent.length > 0 && !this.isStopped) {
+      const origins = this.unsent.splice(0)
+      if ((await leaderClient.tryCall<true>(PLACE.origins, { origins }, ANSWER_WITHIN_MS)) === true) continue
+      this.unsent = [...origins, ...this.unsent].slice(-MAX_UNSENT)
+      await delay(clock, RETRY_EVERY_MS)
+    }
+    this.isSending = false
   }
 
   /**
@@ -134,9 +154,8 @@
     else this.provisional.push(observed)
   }
 
-  /** Reports a stream whose engine this entry chose without the leader, before its first event. */
-  report(record: OriginRecord): void {
-    this.options.leaderClient.notify(PLACE.origins, { origins: [record] })
+  stop(): void {
+    this.isStopped = true
   }
 
   /** Returns the streams that a new leader must know of. */
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -10,7 +10,6 @@
   type UseOutcome,
 } from '@forkstage/allocator'
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
-import { versionOf } from '@forkstage/directory'
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { Address, FailureDomain, Millis } from '@forkstage/types'
@@ -45,7 +44,7 @@
   /** Receives the steps that the leader counted for engines that advertise rates. */
   limits?: EndpointRateLimiter
   /** The origins of streams that the leader needs; none are reported where left out. */
-  origins?: Pick<OriginClient, 'report' | 'list'>
+  origins?: Pick<OriginClient, 'list'>
   clock: Clock
   logger: Logger
 }
@@ -122,17 +121,9 @@
     }
     const answer = await this.options.fallback.place(work)
     if (answer.type === 'refused') return answer
-    this.reportOrigin(ask, answer.place)
     return { type: 'place', place: this.reportedPlace(ask, answer.place) }
   }
 
-  /** Tells the leader of a stream that it has not placed. */
-  private reportOrigin({ stream, service, keepOriginMs }: PlaceAsk, { decode }: ModelPlace): void {
-    if (stream === undefined) return
-    const softwareVersion = versionOf(decode.endpoint)
-    this.options.origins?.report({ stream, service, softwareVersion, keepMs: keepOriginMs ?? 0 })
-  }
-
   private async ask(ask: PlaceAsk): Promise<PlaceDecision | 'leader-changed' | undefined> {
     const { leaderClient, logger, clock } = this.options
     // During an election a new leader is usually known within moments.
@@ -248,7 +239,7 @@
     }
     const prefill = place.prefill?.endpoint.id
     const decode = place.decode.endpoint.id
-    const kept = { ...ask, avoid: undefined, stream: undefined, keepOriginMs: undefined }
+    const kept = { ...ask, avoid: undefined }
     const hold: ActivePlace = {
       ask: kept,
       prefill,
