fix(gateway): bound what an entry keeps of streams that began lately, and repeat its reports less often

Found on reading the code: at an entry whose endpoints report when they started, the list of streams that began in the last half second was cut only when an endpoint changed, so it grew with every stream until then. Without a leader the report of new streams was repeated every 50 ms through two neighbours; it is every 250 ms now. Public methods stand before private ones.

--- a/daemon/fleet/src/controlOrigins.ts
+++ b/daemon/fleet/src/controlOrigins.ts
@@ -32,7 +32,7 @@
 
 const FILE_NAME = 'versions.json'
 const REPLICATE = 'origins.replicate'
-/** Shorter than the time from a placement to the first event of its stream. */
+/** Records that arrive within this time share a message. */
 const REPLICATE_AFTER_MS: Millis = 20
 
 /**
--- a/request/gateway/src/originClient.ts
+++ b/request/gateway/src/originClient.ts
@@ -66,7 +66,9 @@
 const REGISTRATION_DELAY_MS: Millis = 500
 /** A leader of another term gets all streams that are kept, so that older ones need not be sent again. */
 const MAX_UNSENT = 10_000
-const RETRY_EVERY_MS: Millis = 50
+const ASK_AGAIN_AFTER_MS: Millis = 50
+/** Without a leader, neighbours are asked to forward the message, so it is not repeated often. */
+const REPORT_AGAIN_AFTER_MS: Millis = 250
 
 /** Finds out and reports at an entry which software version began a stream. */
 export class OriginClient {
@@ -99,47 +101,16 @@
 
   /** Confirms the streams that began while registrations did not reach this entry, once they do again. */
   sweep(): void {
-    if (this.options.clock.now() < this.viewSince() + REGISTERED_WITHIN_MS) return
+    const now = this.options.clock.now()
+    this.recent = this.recent.filter(({ at }) => at >= now - REGISTRATION_DELAY_MS)
+    this.provisional = this.provisional.filter(({ at, record }) => at + record.keepMs >= now)
+    if (now < this.viewSince() + REGISTERED_WITHIN_MS) return
     for (const { record, setVersion, version } of this.provisional.splice(0)) {
       setVersion(version)
       this.record({ ...record, softwareVersion: version })
     }
   }
 
-  /** Marks streams as uncertain that may have begun at the newer process of an engine, before it was registered. */
-  private checkBegun(newer: RegisteredEndpoint): void {
-    const since = this.options.clock.now() - REGISTRATION_DELAY_MS
-    const isOfNewer = ({ engine, version }: ObservedStream) =>
-      nameOf(engine) === nameOf(newer) && engine.id !== newer.id && version !== versionOf(newer)
-    this.provisional = this.provisional.filter((one) => !isOfNewer(one))
-    this.recent = this.recent.filter(({ at }) => at >= since)
-    for (const { record, setVersion } of this.recent.filter(isOfNewer)) {
-      setVersion(UNCERTAIN_VERSION)
-      this.record({ ...record, softwareVersion: UNCERTAIN_VERSION })
-    }
-  }
-
-  private record({ stream, ...origin }: BegunRecord): void {
-    if (stream === undefined) return
-    this.options.table.merge([{ stream, ...origin }])
-    this.unsent.push({ stream, ...origin })
-    void this.send()
-  }
-
-  /** Sends the leader what it has not confirmed, one message at a time. */
-  private async send(): Promise<void> {
-    if (this.isSending) return
-    this.isSending = true
-    const { leaderClient, clock } = this.options
-    while (this.unsent.length > 0 && !this.isStopped) {
-      const origins = this.unsent.splice(0)
-      if ((await leaderClient.tryCall<true>(PLACE.origins, { origins }, ANSWER_WITHIN_MS)) === true) continue
-      this.unsent = [...origins, ...this.unsent].slice(-MAX_UNSENT)
-      await delay(clock, RETRY_EVERY_MS)
-    }
-    this.isSending = false
-  }
-
   /**
    * Records that the first event of a stream is about to be forwarded to its caller.
    * @param record without `stream` if the caller cannot resume it.
@@ -187,9 +158,43 @@
     for (;;) {
       const answer = await leaderClient.tryCall<OriginAnswer>(PLACE.origin, query, ANSWER_WITHIN_MS)
       if (answer !== undefined || clock.now() >= until) return answer
-      await delay(clock, RETRY_EVERY_MS)
+      await delay(clock, ASK_AGAIN_AFTER_MS)
     }
   }
+
+  /** Marks streams as uncertain that may have begun at the newer process of an engine, before it was registered. */
+  private checkBegun(newer: RegisteredEndpoint): void {
+    const since = this.options.clock.now() - REGISTRATION_DELAY_MS
+    const isOfNewer = ({ engine, version }: ObservedStream) =>
+      nameOf(engine) === nameOf(newer) && engine.id !== newer.id && version !== versionOf(newer)
+    this.provisional = this.provisional.filter((one) => !isOfNewer(one))
+    this.recent = this.recent.filter(({ at }) => at >= since)
+    for (const { record, setVersion } of this.recent.filter(isOfNewer)) {
+      setVersion(UNCERTAIN_VERSION)
+      this.record({ ...record, softwareVersion: UNCERTAIN_VERSION })
+    }
+  }
+
+  private record({ stream, ...origin }: BegunRecord): void {
+    if (stream === undefined) return
+    this.options.table.merge([{ stream, ...origin }])
+    this.unsent.push({ stream, ...origin })
+    void this.send()
+  }
+
+  /** Sends the leader what it has not confirmed, one message at a time. */
+  private async send(): Promise<void> {
+    if (this.isSending) return
+    this.isSending = true
+    const { leaderClient, clock } = this.options
+    while (this.unsent.length > 0 && !this.isStopped) {
+      const origins = this.unsent.splice(0)
+      if ((await leaderClient.tryCall<true>(PLACE.origins, { origins }, ANSWER_WITHIN_MS)) === true) continue
+      this.unsent = [...origins, ...this.unsent].slice(-MAX_UNSENT)
+      await delay(clock, REPORT_AGAIN_AFTER_MS)
+    }
+    this.isSending = false
+  }
 }
 
 function resultOf(origin: StreamOrigin, by: 'entry' | 'leader'): OriginResult {
