--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -287,7 +287,7 @@
   /** A caller resumes a stream: how the software version that began it is known, or why it is not. */
   'stream.resumed': {
     request: string
-    /** What knew it: `entry`, `leader`, or that the service had one version only; else `unknown`, `no-leader`. */
+    /** `entry`, `leader` or `sole version` if it is known; else `unknown`, `uncertain` or `no-leader`. */
     outcome: string
     /** Where the stream began; both absent if that is unknown. */
     service?: string
