test(soak): a cut entry has no path while every other entry is down

The check leaves out calls at disrupted entries and counted those whose only carrier was disrupted. It now asks for one undisrupted entry that could have carried a call; where there is one, calls count as before.

--- a/tools/fleet-soak/src/checkPartitions.ts
+++ b/tools/fleet-soak/src/checkPartitions.ts
@@ -31,12 +31,17 @@
   calls: CallRecord[],
   disruptions: ReadonlyMap<string, TimeSpan[]>,
 ): string[] {
+  const entries = [...new Set(calls.map(({ entry }) => entry))]
   return partitions.flatMap((partition) => {
     const from = partition.from + CONTACT_MS
+    const carriers = entries.filter((entry) => !partition.entries.includes(entry))
     const during = calls.filter((call) => call.startedAt >= from && call.endedAt <= partition.to)
     const counted = during.filter(
       (call) =>
-        !KEY_STATUSES.has(call.status) && !hasSharedReason(call) && !isDisrupted(call, disruptions, from),
+        !KEY_STATUSES.has(call.status) &&
+        !hasSharedReason(call) &&
+        !isDisrupted(call, disruptions, from) &&
+        hasCarrier(call, carriers, disruptions),
     )
     const cut = counted.filter(({ entry }) => partition.entries.includes(entry))
     const others = counted.filter(({ entry }) => !partition.entries.includes(entry))
@@ -62,6 +67,16 @@
   return (outages.get(entry) ?? []).some((away) => away.from <= endedAt && away.to + CONTACT_MS >= from)
 }
 
+/** Whether an entry that could carry the connections of a call was undisrupted throughout the call. */
+function hasCarrier(
+  { startedAt, endedAt }: CallRecord,
+  carriers: string[],
+  outages: ReadonlyMap<string, TimeSpan[]>,
+): boolean {
+  const isAway = ({ from, to }: TimeSpan) => from <= endedAt && to + CONTACT_MS >= startedAt
+  return carriers.some((entry) => !(outages.get(entry) ?? []).some(isAway))
+}
+
 /** Returns the failures with the number of calls that ended so. */
 function describeFailures(calls: CallRecord[]): string {
   const kinds = new Map<string, number>()
--- a/tools/fleet-soak/test/checkPartitions.test.ts
+++ b/tools/fleet-soak/test/checkPartitions.test.ts
@@ -68,4 +68,12 @@
       expect(plan.every(({ count }) => count >= 1 && count <= 3)).toBe(true)
     }
   })
+
+  it('does not count calls while every other entry is down, which could carry them, but while one is not', () => {
+    const outages = new Map([['entry-2', [{ from: 1_500, to: 3_000 }]]])
+    const [cut, others] = [calls('entry-1', 40, 0), calls('entry-2', 40, 40, 4_500)]
+    expect(checkPartitions([PARTITION], [...cut, ...others], outages)).toEqual([])
+    const third = calls('entry-3', 40, 40)
+    expect(checkPartitions([PARTITION], [...cut, ...others, ...third], outages)).toHaveLength(1)
+  })
 })
