fix(allocator): resumed streams go first only where engines of several versions serve

Callers of services with one version lost places to resumed streams: those were queued before new requests, also late ones, and were never refused early, though every engine could serve them. The reason for that rank is that few engines may continue a stream, so it now holds where engines of other versions serve too; elsewhere a resumed request queues as before the incident.

--- a/placement/allocator/src/allocatorTypes.ts
+++ b/placement/allocator/src/allocatorTypes.ts
@@ -50,6 +50,8 @@
   parts?: PromptPart[]
   /** The software version that began the stream, which alone may continue it; absent before its first event. */
   boundVersion?: string
+  /** Whether engines of other versions serve too, so that only some may get the request. */
+  isConfined?: boolean
 }
 
 /** The engines on which a request was placed. */
--- a/placement/allocator/src/placementQueue.ts
+++ b/placement/allocator/src/placementQueue.ts
@@ -75,7 +75,7 @@
 
   /**
    * Returns the requests in the order in which they are placed. First come those whose answer has begun, which no
-   * other request can complete; then those whose prompt is prefilled, those that resume a stream, and those in time whose sending failed; then
+   * other request can complete; then those whose prompt is prefilled, those that few engines may get, and those in time whose sending failed; then
    * new requests and retries in time, in the configured order; then late ones, those whose sending failed first,
    * since an engine has most likely prefilled and cached their prompt. Within a group they are ordered by priority
    * and age.
@@ -119,8 +119,7 @@
 
   private groupOf(one: WaitingRequest, now: Millis): number {
     if (one.ask.isBegun === true) return -1
-    // A resumed stream cannot go elsewhere, and few engines may continue it.
-    if (one.ask.isPrefilled || one.ask.boundVersion !== undefined) return 0
+    if (one.ask.isPrefilled || one.ask.isConfined === true) return 0
     const hasFailedSend = one.ask.except.length > 0
     if (!this.isInTime(one, now)) return hasFailedSend ? 3 : 4
     if (hasFailedSend) return 0
--- a/placement/allocator/src/readPlaceCalls.ts
+++ b/placement/allocator/src/readPlaceCalls.ts
@@ -44,6 +44,7 @@
   regions: z.array(text).optional(),
   parts: z.array(z.object({ id: text, tokens: count })).optional(),
   boundVersion: text.optional(),
+  isConfined: z.boolean().optional(),
 })
 const holdSchema = z.object({
   ask: askSchema,
--- a/placement/allocator/test/boundVersion.test.ts
+++ b/placement/allocator/test/boundVersion.test.ts
@@ -27,13 +27,24 @@
     one.place(ask('first', { ...large, boundVersion: 'v1' }))
     one.place(ask('other', { ...large, except: ['d1'] }))
     one.place(ask('new', { ...large, isReturn: true, targetMs: 5_000 }), 1)
-    one.place(ask('resumed', { ...large, boundVersion: 'v1', targetMs: -100 }), 2)
+    one.place(ask('resumed', { ...large, boundVersion: 'v1', isConfined: true, targetMs: -100 }), 2)
     expect(one.decisions.has('resumed')).toBe(false)
     one.allocator.release('first', 'ok', 100, 100)
     expect(one.decodeOf('resumed')).toBe('d1')
     expect(one.decisions.has('new')).toBe(false)
   })
 
+  it('queues like any other where all engines have its version', () => {
+    const one = createAllocator([ofVersion('d1', 'v1')])
+    const large = { promptTokens: 7_000, holdMs: 5_000, promptMs: 0, targetMs: 5_000 }
+    one.place(ask('first', large))
+    one.place(ask('new', large), 1)
+    one.place(ask('resumed', { ...large, boundVersion: 'v1', targetMs: -100 }), 2)
+    one.allocator.release('first', 'ok', 100, 100)
+    expect(one.decodeOf('new')).toBe('d1')
+    expect(one.decisions.has('resumed')).toBe(false)
+  })
+
   it('is refused at once where no engine of its version is registered', () => {
     const one = createAllocator([ofVersion('d1', 'v1', { state: 'draining' }), ofVersion('d2', 'v2')])
     one.place(ask('bound', { boundVersion: 'v1' }))
--- a/request/gateway/src/endpointPool.ts
+++ b/request/gateway/src/endpointPool.ts
@@ -135,12 +135,17 @@
 
   /** Whether a service has a decode engine of a software version that accepts work, also if it is barred. */
   hasVersion(service: string, softwareVersion: string): boolean {
-    return [...this.pooled.values()].some(
-      (one) =>
-        one.endpoint.service === service &&
-        one.endpoint.stage === 'decode' &&
-        versionOf(one.endpoint) === softwareVersion &&
-        acceptsWork(one),
+    return this.decoders(service).some(({ endpoint }) => versionOf(endpoint) === softwareVersion)
+  }
+
+  /** Whether a service has one of another software version. */
+  hasOtherVersion(service: string, softwareVersion: string): boolean {
+    return this.decoders(service).some(({ endpoint }) => versionOf(endpoint) !== softwareVersion)
+  }
+
+  private decoders(service: string): PooledEndpoint[] {
+    return [...this.pooled.values()].filter(
+      (one) => one.endpoint.service === service && one.endpoint.stage === 'decode' && acceptsWork(one),
     )
   }
 
--- a/request/gateway/src/modelWork.ts
+++ b/request/gateway/src/modelWork.ts
@@ -7,7 +7,7 @@
 
 /** Builds the placement request with the times that are left now, except for what earlier attempts determine. */
 export function modelWork(
-  { wire, clock }: RelayParts,
+  { wire, clock, pool }: RelayParts,
   job: RelayJob,
   pauses: EventPauses,
 ): Omit<ModelWork, 'except' | 'isPrefilled'> {
@@ -15,6 +15,8 @@
   const now = clock.now()
   const leftMs = job.endsAt - now
   const hint = Number(firstValue(request.headers[wire.headers.lengthHint]))
+  const { boundVersion } = job
+  const isConfined = boundVersion !== undefined && pool.hasOtherVersion(service.name, boundVersion)
   return {
     request: request.id,
     service: service.name,
@@ -24,11 +26,8 @@
     priority: rank,
     targetMs: job.targetAt - now,
     isReturn: job.isReturn,
-    // A stream that is refused here can go on nowhere else, so it waits as long as it may.
-    promptMs:
-      job.isReturn || job.boundVersion !== undefined
-        ? 0
-        : request.arrivedAt + route.targetMs * EARLY_REFUSAL_SHARE - now,
+    // A stream that only some of the engines may continue is not refused early: no entry has more room for it.
+    promptMs: job.isReturn || isConfined ? 0 : request.arrivedAt + route.targetMs * EARLY_REFUSAL_SHARE - now,
     ...waitTimes(route, leftMs, pauses.silentMs(now)),
     leftMs,
     pauseMs: route.pauseMs,
@@ -36,6 +35,7 @@
     kvTokens: service.engine?.kvTokens,
     regions: job.regions(),
     parts: promptPartsOf(request, wire, tokens),
-    boundVersion: job.boundVersion,
+    boundVersion,
+    isConfined,
   }
 }
