--- a/placement/origins/src/originTable.ts
+++ b/placement/origins/src/originTable.ts
@@ -9,7 +9,7 @@
   maxStreams?: number
 }
 
-/** About 20 MB. */
+/** Bounds the memory of the table, at 126 bytes a stream. */
 const MAX_STREAMS = 100_000
 /** Expired streams that one call removes at most, so that no call takes long. */
 const MAX_REMOVED_AT_ONCE = 100
--- a/request/gateway/src/watchExchange.ts
+++ b/request/gateway/src/watchExchange.ts
@@ -14,10 +14,10 @@
   exchange: Exchange,
   options: PathWatchOptions,
 ): () => void {
-  const unwatchEnd = cancelWhenEnded(parts, to, exchange)
+  const cancelEndListener = cancelWhenEnded(parts, to, exchange)
   const unwatchPath = cancelWhenPathIsLost(parts, to, exchange, options)
   return () => {
-    unwatchEnd()
+    cancelEndListener()
     unwatchPath()
   }
 }
