feat(observability): name the prompt parts of requests that were lost in a crash

Cause: endpoint.ended names requests and digests of whole contents.

Change: each lost send carries digests of the parts of its prompt that it may share with others (all but the last) and whether its endpoint had begun to write. endpoint.ended names the parts of those that had not begun. No decision reads them yet.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -111,6 +111,8 @@
     ageMs: number
     requests: string[]
     contents: string[]
+    /** Digests of the prompt parts of those requests whose answers the endpoint had not begun to write. */
+    parts: string[]
   }
   'order.sent': { endpoint: string; action: string; fence: number; outcome: string }
   'placement.decided': {
--- a/request/crashes/src/crashDetector.ts
+++ b/request/crashes/src/crashDetector.ts
@@ -4,6 +4,7 @@
 import type { Address, Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
 import type { ContentAtCrash, Incarnation } from './crashTypes'
+import type { PartDigest } from './partDigest'
 
 /** The result of opening a bare TCP connection to an address. */
 export type ProbeResult = 'listens' | 'refused' | 'silent'
@@ -12,9 +13,13 @@
 export interface LostAttempt {
   request: string
   content: ContentDigest
+  /** The parts of its prompt that it may share with other requests; absent if it names none. */
+  parts?: PartDigest[]
   endpoint: RegisteredEndpoint
   /** Whether the connection broke; false where this machine gave up after a timeout. */
   isBroken: boolean
+  /** Whether the endpoint had begun to write its answer. */
+  hasBegun?: boolean
   /** Time from sending the request to the loss. */
   afterMs: Millis
 }
@@ -36,7 +41,7 @@
 interface SuspectedEndpoint {
   endpoint: RegisteredEndpoint
   /** Contents of the requests lost there, by request id; at most {@link MAX_LOST_REQUESTS}. */
-  lost: Map<string, ContentAtCrash>
+  lost: Map<string, ContentAtCrash & Pick<LostAttempt, 'parts' | 'hasBegun'>>
   lastLossAt: Millis
   probesLeft: number
   isProbing: boolean
@@ -72,18 +77,19 @@
   constructor(private readonly options: CrashDetectorOptions) {}
 
   /** Records that an endpoint left a request without a complete response. */
-  recordLoss({ request, content, endpoint, isBroken, afterMs }: LostAttempt): void {
+  recordLoss({ request, content, parts, endpoint, isBroken, hasBegun, afterMs }: LostAttempt): void {
     if (endpoint.state !== 'ready' || !this.isReadyOrEnded(endpoint.id)) return
-    const suspect = this.suspects.get(endpoint.id) ?? {
+    const suspect: SuspectedEndpoint = this.suspects.get(endpoint.id) ?? {
       endpoint,
-      lost: new Map<string, ContentAtCrash>(),
+      lost: new Map(),
       lastLossAt: 0,
       probesLeft: 0,
       isProbing: false,
     }
     this.suspects.set(endpoint.id, suspect)
     const isEarly = isBroken && afterMs <= EARLY_MS
-    if (suspect.lost.size < MAX_LOST_REQUESTS) suspect.lost.set(request, { content, isEarly })
+    if (suspect.lost.size < MAX_LOST_REQUESTS)
+      suspect.lost.set(request, { content, isEarly, parts, hasBegun })
     suspect.lastLossAt = this.options.clock.now()
     if (isBroken) {
       suspect.onProbed ??= []
@@ -154,6 +160,7 @@
       ageMs: Math.round(this.options.clock.now() - suspect.lastLossAt),
       requests: [...suspect.lost.keys()],
       contents: [...new Set(contentsAtCrash.map(({ content }) => content))],
+      parts: sharedParts(contentsAtCrash),
     })
     this.options.onCrash(id, contentsAtCrash, service)
   }
@@ -175,6 +182,11 @@
   }
 }
 
+/** Returns the prompt parts of the lost requests of which the endpoint had not begun to write the answer. */
+function sharedParts(lost: Pick<LostAttempt, 'parts' | 'hasBegun'>[]): PartDigest[] {
+  return [...new Set(lost.flatMap(({ parts, hasBegun }) => (hasBegun === true ? [] : (parts ?? []))))]
+}
+
 /** Promise callbacks run as later microtasks, so a crash is recorded before the waiting requests continue. */
 function resolveWaiters(suspect: SuspectedEndpoint): void {
   const waiting = suspect.onProbed ?? []
--- a/request/crashes/src/index.ts
+++ b/request/crashes/src/index.ts
@@ -1,4 +1,5 @@
 /** Detects requests that crash the endpoints that run them. */
+export { isPart, partDigest, type PartDigest } from './partDigest'
 export { contentDigest } from './contentDigest'
 export type { ContentDigest, RequestContent } from './contentDigest'
 export { CrashTracker } from './crashTracker'
--- a/request/crashes/test/crashDetector.test.ts
+++ b/request/crashes/test/crashDetector.test.ts
@@ -19,13 +19,14 @@
 class DetectorHarness {
   readonly clock = new ManualClock()
   readonly ended: [string, string[]][] = []
+  readonly lines: object[] = []
   probeResult: ProbeResult = 'listens'
   probes = 0
   isReplaced = false
   known: RegisteredEndpoint | undefined = ENDPOINT
   readonly detector = new CrashDetector({
     clock: this.clock,
-    logger: createSilentLogger(),
+    logger: { ...createSilentLogger(), warn: (_event, fields) => void this.lines.push(fields) },
     probeAddress: () => {
       this.probes += 1
       return Promise.resolve(this.probeResult)
@@ -65,6 +66,23 @@
     expect(harness.probes).toBe(1)
   })
 
+  it('logs the prompt parts of the lost requests whose answers had not begun', async () => {
+    const harness = new DetectorHarness()
+    harness.probeResult = 'refused'
+    const attempt = { endpoint: ENDPOINT, isBroken: true, afterMs: 50 }
+    harness.detector.recordLoss({ ...attempt, request: 'r1', content: 'a', parts: ['part-1', 'part-2'] })
+    harness.detector.recordLoss({ ...attempt, request: 'r2', content: 'b', parts: ['part-2', 'part-3'] })
+    harness.detector.recordLoss({
+      ...attempt,
+      request: 'r3',
+      content: 'c',
+      parts: ['part-4'],
+      hasBegun: true,
+    })
+    await harness.advance(1_000)
+    expect(harness.lines).toMatchObject([{ parts: ['part-1', 'part-2', 'part-3'] }])
+  })
+
   it('reports no crash if the endpoint still listens at both probes', async () => {
     const harness = new DetectorHarness()
     harness.loseAnswer('r1', 'a')
--- a/request/gateway/src/callerRequest.ts
+++ b/request/gateway/src/callerRequest.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from '@forkstage/clock'
-import { contentDigest, type ContentDigest } from '@forkstage/crashes'
+import { contentDigest, partDigest, type ContentDigest, type PartDigest } from '@forkstage/crashes'
 import type { Millis } from '@forkstage/types'
 import type { GatewayWire } from './gatewayWire'
+import { sharedPartIds } from './sharedPartIds'
 
 /** Hop-by-hop headers, which are not forwarded. */
 const HOP_BY_HOP = new Set([
@@ -35,6 +36,8 @@
   body: Buffer
   /** Returns the digest of the request's content, which is the same whatever its id; computed on the first call. */
   content: () => ContentDigest
+  /** Returns the digests of the prompt parts that it may share with other requests to a service. */
+  parts: (service: string) => PartDigest[]
   arrivedAt: Millis
   /** Milliseconds that the caller waits, from `arrivedAt`; Infinity where it sent no deadline. */
   deadlineMs: Millis
@@ -73,6 +76,7 @@
     path: incoming.url ?? '/',
     body,
   }
+  const promptParts = firstValue(incoming.headers[wire.headers.promptParts])
   const deadline = Number(firstValue(incoming.headers[wire.headers.deadlineMs]))
   return {
     id: firstValue(incoming.headers[wire.headers.requestId]) ?? '',
@@ -87,6 +91,7 @@
     ]),
     body,
     content: once(() => contentDigest(contentParts)),
+    parts: (service) => sharedPartIds(promptParts, wire).map((id) => partDigest(service, id)),
     arrivedAt,
     deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : Infinity,
     response,
--- a/request/gateway/src/reportLostSending.ts
+++ b/request/gateway/src/reportLostSending.ts
@@ -9,15 +9,25 @@
  * Reports a sending that ended without a complete answer, since its endpoint may have crashed.
  * @param afterMs time since the request was sent.
  * @param silentMs how long the endpoint had sent nothing when this entry cancelled; absent if the connection broke.
+ * @param hasBegun whether the endpoint had begun to write the answer.
  */
 export function reportLostSending(
   { crashes }: RelayParts,
-  { request }: RelayJob,
+  { request, service }: RelayJob,
   { endpoint }: PooledEndpoint,
   afterMs: Millis,
   silentMs?: Millis,
+  hasBegun = false,
 ): void {
   if (silentMs !== undefined && silentMs < MIN_SILENCE_MS) return
   const isBroken = silentMs === undefined
-  crashes?.recordLoss({ request: request.id, content: request.content(), endpoint, isBroken, afterMs })
+  crashes?.recordLoss({
+    request: request.id,
+    content: request.content(),
+    parts: request.parts(service.name),
+    endpoint,
+    isBroken,
+    hasBegun,
+    afterMs,
+  })
 }
--- a/request/gateway/src/reportStreamLoss.ts
+++ b/request/gateway/src/reportStreamLoss.ts
@@ -8,6 +8,8 @@
 export interface LostStreamTimes {
   sentAt: Millis
   silentMs: Millis
+  /** Whether the engine has sent an event. */
+  hasBegun: boolean
 }
 
 /** Reports a stream that ended early without a requested stop: its engine may have crashed. */
@@ -16,10 +18,11 @@
   job: RelayJob,
   at: PooledEndpoint,
   { attempt, sendOutcome }: StreamResult,
-  { sentAt, silentMs }: LostStreamTimes,
+  { sentAt, silentMs, hasBegun }: LostStreamTimes,
 ): void {
   if (sendOutcome === 'no-path') return
   const afterMs = parts.clock.now() - sentAt
-  if (attempt.type === 'lost') reportLostSending(parts, job, at, afterMs)
-  if (attempt.type === 'over') reportLostSending(parts, job, at, afterMs, Math.min(afterMs, silentMs))
+  if (attempt.type === 'lost') reportLostSending(parts, job, at, afterMs, undefined, hasBegun)
+  if (attempt.type === 'over')
+    reportLostSending(parts, job, at, afterMs, Math.min(afterMs, silentMs), hasBegun)
 }
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -68,6 +68,8 @@
   private waits = 0
   /** When the request was sent to the current engine. */
   private sentAt: Millis = 0
+  /** Whether the current engine has sent an event. */
+  private hasEngineBegun = false
   /** The record of the current engine when the request was sent. */
   private engine: RegisteredEndpoint | undefined
   private readonly sendCounter: SendCounter
@@ -232,6 +234,7 @@
       reportStreamLoss(this.parts, this.job, place.decode, ended, {
         sentAt: this.sentAt,
         silentMs: this.caller.pauses.silentMs(this.parts.clock.now()),
+        hasBegun: this.hasEngineBegun,
       })
       return ended
     }
@@ -260,6 +263,7 @@
     const rawHeaders = headersFor(parts, job, to, extra)
     const stream = new EngineStream(this, to)
     this.sentAt = parts.clock.now()
+    this.hasEngineBegun = false
     this.engine = to.endpoint
     return new Promise((resolve) => {
       const exchange = openExchange({
@@ -311,6 +315,7 @@
 
   forwardEvents(head: AnswerHead, events: StreamEvent[]): void {
     this.eventCount += events.length
+    this.hasEngineBegun = true
     this.waits = 0
     if (!this.hasBegun) bindStream(this.parts, this.job, this.engine!)
     this.caller.forwardEvents(head, events)
--- a/request/gateway/test/plainHarness.ts
+++ b/request/gateway/test/plainHarness.ts
@@ -175,6 +175,7 @@
       rawHeaders: ['x-id', id],
       body: Buffer.alloc(0),
       content: () => 'c' as never,
+      parts: () => [],
       arrivedAt,
       deadlineMs: DEADLINE_MS,
       response: response as unknown as ServerResponse,
