fix(crashes): attribute crashes to prompt parts as well as to whole contents

Callers saw: requests with one part in their prompts crashed every engine that began to write on it, 22 in all in the users' record; 17 more were sent after the fifth crash.

Cause: a crash was attributed to a digest of caller, method, host, path and body. Requests that share a part and differ in the rest are as many subjects as requests, each with one crash, so that no count reached three. Evidence: 60 contents under 14 crashes in the record, 59 of them at one crash; no content.refused. Ruled out: lost reports, records that good answers cleared, sends that go past the check (none of these was in the logs).

Change: what crashes are attributed to is a subject, a content or a part (by its id, at its service). A crash names the parts of requests that its engine had not begun to answer; an engine that writes 500 ms on a part, or a whole answer, clears it of its crashes so far. Records, reports, disk and verdicts are the ones that contents have. The parts of a request are judged together: a crash counts against them unless a part that the request lacks explains it as well, and a part that was served lately needs three more crashes than one that was not. Where other parts may explain every crash, the refusal lapses after 2 s, then 8, 32 and so on. An entry of the tracker that is full of crashes drops those that its subject is cleared of, so that a part that many requests share can still be found.

--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -13,7 +13,9 @@
   type CrashTracker,
   type CrashRecord,
   type LostAttempt,
+  type PartDigest,
   type ProbeResult,
+  type RequestSubjects,
   type SendingDecision,
   type TrialAnswer,
 } from '@forkstage/crashes'
@@ -81,18 +83,24 @@
     this.recordOwn(this.options.tracker.recordServed(content()))
   }
 
-  refusal(content: () => ContentDigest, service: string): ContentRefusal | undefined {
+  recordWritten(parts: PartDigest[]): void {
+    this.recordOwn(parts.flatMap((part) => this.options.tracker.recordServed(part)))
+  }
+
+  refusal(request: RequestSubjects, service: string): ContentRefusal | undefined {
     const { tracker } = this.options
     if (tracker.size === 0) return undefined
-    return refusalOf({ tracker, content: content(), hasTrials: () => this.hasTrials(service) })
+    const hasTrials = () => this.hasTrials(service)
+    return refusalOf({ tracker, content: request.content(), parts: request.parts(service), hasTrials })
   }
 
-  decide(content: () => ContentDigest, service: string, lost: InstanceId[]): SendingDecision {
+  decide(request: RequestSubjects, service: string, lost: InstanceId[]): SendingDecision {
     const { tracker } = this.options
     const unconfirmed = lost.filter((id) => this.detector.isUnconfirmed(id)).length
     if (tracker.size === 0 && unconfirmed === 0) return { type: 'send' }
     const hasTrials = () => this.hasTrials(service)
-    return decideSending({ tracker, content: content(), service, hasTrials, unconfirmed })
+    const subjects = { content: request.content(), parts: request.parts(service) }
+    return decideSending({ tracker, ...subjects, service, hasTrials, unconfirmed })
   }
 
   async confirmed(lost: InstanceId[]): Promise<void> {
--- a/daemon/fleet/test/entryCrashes.test.ts
+++ b/daemon/fleet/test/entryCrashes.test.ts
@@ -37,11 +37,12 @@
     contents.map((content) => ({ content: content as ContentDigest, isEarly: true }))
   tracker.recordCrash('l0', early('bad'))
   for (const incarnation of ['l1', 'l2', 'l3']) tracker.recordCrash(incarnation, early('bad', 'other'))
-  const isRefused = (content: string) =>
-    crashes.refusal(() => content as ContentDigest, 'plain') !== undefined
+  const isRefused = (content: string) => crashes.refusal(withContent(content), 'plain') !== undefined
   return { isRefused, crashes, tracker }
 }
 
+const withContent = (content: string) => ({ content: () => content as ContentDigest, parts: () => [] })
+
 it('refuses a content by its number of crashes alone only if the service can reserve an endpoint', () => {
   expect(start(3).isRefused('other')).toBe(true)
   expect(start(2).isRefused('other')).toBe(false)
@@ -63,7 +64,7 @@
 it('decides by the recorded crashes, and by the losses of the request only while these are unconfirmed', () => {
   const { crashes, tracker } = start(3)
   const decide = (content: string, lost: string[] = []) =>
-    crashes.decide(() => content as ContentDigest, 'plain', lost).type
+    crashes.decide(withContent(content), 'plain', lost).type
   expect(decide('bad')).toBe('refuse')
   tracker.recordServed('other' as ContentDigest)
   expect(decide('other')).toBe('send')
--- /dev/null
+++ b/request/crashes/src/crashAttribution.ts
@@ -0,0 +1,98 @@
+import type { CrashEntry } from './crashEntry'
+import { isUncleared, unclearedIncarnations } from './crashEntry'
+import type { Incarnation } from './crashTypes'
+import { isPart } from './partDigest'
+
+/** What {@link attributeCrashes} and {@link attributePartCrashes} read of a tracker. */
+export interface CrashEvidence {
+  /** The subjects that were at an incarnation when it crashed, cleared or not. */
+  entriesAt: (incarnation: Incarnation) => CrashEntry[]
+  /** The crashes from which on a subject is refused. */
+  ends: number
+  isRefused: (entry: CrashEntry) => boolean
+}
+
+/** The crashes that the parts of one prompt are to blame for. */
+export interface PartBlame {
+  crashes: number
+  /** Whether some crash has no other part that may explain it. */
+  isProved: boolean
+}
+
+/**
+ * A part that was served lately must have so many more crashes than another one to be blamed for them: what many
+ * requests share is at most crashes, whichever of them is the cause.
+ */
+const SERVED_BONUS = 3
+const NO_BLAME: PartBlame = { crashes: 0, isProved: false }
+
+/** Returns the number of crashes that a content is to blame for. */
+export function attributeCrashes(evidence: CrashEvidence, entry: CrashEntry): number {
+  const open = unclearedIncarnations(entry)
+  const isProved =
+    open.length > evidence.ends || open.some((incarnation) => wasAlone(evidence, entry, incarnation))
+  return isProved
+    ? open.length
+    : open.filter((incarnation) => !isExplained(evidence, entry, incarnation)).length
+}
+
+/**
+ * Returns the crashes that a request with these parts would be to blame for. The parts are judged together: of parts that
+ * came together at every crash a request with all of them is to blame, and one with some of them is not.
+ */
+export function attributePartCrashes(evidence: CrashEvidence, parts: CrashEntry[]): PartBlame {
+  if (!parts.some((entry) => unclearedIncarnations(entry).length >= evidence.ends)) return NO_BLAME
+  const own = new Set(parts)
+  const open = [...new Set(parts.flatMap(unclearedIncarnations))]
+  const blamed = open.filter((incarnation) => !isExplainedByOthers(evidence, own, incarnation))
+  const isProved = blamed.some((incarnation) =>
+    othersAt(evidence, own, incarnation).every((one) => !isPart(one.subject)),
+  )
+  return { crashes: blamed.length, isProved }
+}
+
+/** Whether every other content that was running there has got a complete response since. */
+export function wasAlone({ entriesAt }: CrashEvidence, entry: CrashEntry, incarnation: Incarnation): boolean {
+  return entriesAt(incarnation).every((one) => one === entry || !isUncleared(one, incarnation))
+}
+
+/**
+ * Whether another content explains a crash: a refused content with more crashes, or, with equally many, one that had
+ * only just begun to run. Recurses only into contents with more crashes, so that it terminates.
+ */
+function isExplained(evidence: CrashEvidence, entry: CrashEntry, incarnation: Incarnation): boolean {
+  const own = unclearedIncarnations(entry).length
+  const isEarly = entry.early.has(incarnation)
+  for (const other of othersAt(evidence, new Set([entry]), incarnation)) {
+    const others = unclearedIncarnations(other).length
+    if (others > own && evidence.isRefused(other)) return true
+    if (others === own && !isEarly && other.early.has(incarnation)) return true
+  }
+  return false
+}
+
+/** Whether something that a request does not have explains a crash at least as well as its own parts do. */
+function isExplainedByOthers(
+  evidence: CrashEvidence,
+  own: ReadonlySet<CrashEntry>,
+  incarnation: Incarnation,
+): boolean {
+  const ownWeights = [...own].filter((one) => isUncleared(one, incarnation)).map(weightOf)
+  const weight = Math.max(...ownWeights)
+  return othersAt(evidence, own, incarnation).some(
+    // A content with a single crash may be the request itself that had the parts.
+    (one) => (isPart(one.subject) || unclearedIncarnations(one).length > 1) && weightOf(one) >= weight,
+  )
+}
+
+function weightOf(entry: CrashEntry): number {
+  return unclearedIncarnations(entry).length - (entry.wasServed ? SERVED_BONUS : 0)
+}
+
+function othersAt(
+  { entriesAt }: CrashEvidence,
+  own: ReadonlySet<CrashEntry>,
+  incarnation: Incarnation,
+): CrashEntry[] {
+  return entriesAt(incarnation).filter((one) => !own.has(one) && isUncleared(one, incarnation))
+}
--- a/request/crashes/src/crashDetector.ts
+++ b/request/crashes/src/crashDetector.ts
@@ -18,7 +18,7 @@
   endpoint: RegisteredEndpoint
   /** Whether the connection broke; false where this machine gave up after a timeout. */
   isBroken: boolean
-  /** Whether the endpoint had begun to write its answer. */
+  /** Whether the endpoint had begun to write its answer; absent where that is unknown. */
   hasBegun?: boolean
   /** Time from sending the request to the loss. */
   afterMs: Millis
@@ -41,7 +41,7 @@
 interface SuspectedEndpoint {
   endpoint: RegisteredEndpoint
   /** Contents of the requests lost there, by request id; at most {@link MAX_LOST_REQUESTS}. */
-  lost: Map<string, ContentAtCrash & Pick<LostAttempt, 'parts' | 'hasBegun'>>
+  lost: Map<string, ContentAtCrash>
   lastLossAt: Millis
   probesLeft: number
   isProbing: boolean
@@ -87,9 +87,9 @@
       isProbing: false,
     }
     this.suspects.set(endpoint.id, suspect)
-    const isEarly = isBroken && afterMs <= EARLY_MS
+    const isEarly = isBroken && (hasBegun === false || afterMs <= EARLY_MS)
     if (suspect.lost.size < MAX_LOST_REQUESTS)
-      suspect.lost.set(request, { content, isEarly, parts, hasBegun })
+      suspect.lost.set(request, { content, isEarly, parts: hasBegun === true ? undefined : parts })
     suspect.lastLossAt = this.options.clock.now()
     if (isBroken) {
       suspect.onProbed ??= []
@@ -160,7 +160,7 @@
       ageMs: Math.round(this.options.clock.now() - suspect.lastLossAt),
       requests: [...suspect.lost.keys()],
       contents: [...new Set(contentsAtCrash.map(({ content }) => content))],
-      parts: sharedParts(contentsAtCrash),
+      parts: [...new Set(contentsAtCrash.flatMap(({ parts }) => parts ?? []))],
     })
     this.options.onCrash(id, contentsAtCrash, service)
   }
@@ -182,11 +182,6 @@
   }
 }
 
-/** Returns the prompt parts of the lost requests of which the endpoint had not begun to write the answer. */
-function sharedParts(lost: Pick<LostAttempt, 'parts' | 'hasBegun'>[]): PartDigest[] {
-  return [...new Set(lost.flatMap(({ parts, hasBegun }) => (hasBegun === true ? [] : (parts ?? []))))]
-}
-
 /** Promise callbacks run as later microtasks, so a crash is recorded before the waiting requests continue. */
 function resolveWaiters(suspect: SuspectedEndpoint): void {
   const waiting = suspect.onProbed ?? []
--- a/request/crashes/src/crashTracker.ts
+++ b/request/crashes/src/crashTracker.ts
@@ -1,7 +1,10 @@
 import type { Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
+import { attributeCrashes, attributePartCrashes, wasAlone, type CrashEvidence } from './crashAttribution'
+import { addIncarnations, emptyEntry, toRecord, unclearedIncarnations, type CrashEntry } from './crashEntry'
+import type { ContentAtCrash, ContentRefusal, CrashRecord, Incarnation, SubjectDigest } from './crashTypes'
+import { isPart, type PartDigest } from './partDigest'
 import { RecentlyServed } from './recentlyServed'
-import type { ContentRefusal, CrashRecord, ContentAtCrash, Incarnation } from './crashTypes'
 
 /** Options of {@link CrashTracker}. */
 export interface CrashTrackerOptions {
@@ -13,36 +16,27 @@
   keepMs: Millis
 }
 
-interface Entry {
-  content: ContentDigest
-  service?: string
-  ended: Set<Incarnation>
-  early: Set<Incarnation>
-  served: Set<Incarnation>
-  wasServed: boolean
-  /** When the last crash was recorded, by this machine's clock. */
-  at: Millis
-  /** The tracker's `position` when the entry last changed. */
-  changedAt: number
-}
-
 /**
  * Bounds memory. The crash of an engine may involve a hundred contents, so that this holds the last twenty crashes. The
  * oldest contents that are not refused are evicted first.
  */
-const MAX_CONTENTS = 2_000
+const MAX_SUBJECTS = 2_000
 /** How long after its last crash a content is refused by crash count if it never ran alone at a crash. */
 const UNPROVED_REFUSAL_MS: Millis = 60_000
+/**
+ * How long a request is refused whose parts are not proved to be to blame, after the crash that led to the refusal; longer
+ * by a factor after each further one.
+ */
+const UNPROVED_PART_REFUSAL_MS: Millis = 2_000
+const UNPROVED_PART_FACTOR = 4
 /** Two crashes of one service within the window, each with requests running, are unlikely to be chance. */
 const STORM_CRASHES = 2
 const STORM_WINDOW_MS: Millis = 10_000
 const MAX_RECENT_CRASHES = 64
-/** Further crashes add no evidence. */
-const MAX_INCARNATIONS = 16
 
 /**
- * Records which contents were running at endpoints when they crashed, as seen by any machine, and decides which of them
- * are to blame. Records are grow-only sets, so machines converge whatever the order in which they receive them.
+ * Records which contents were running at endpoints when they crashed, as seen by any machine, and which prompt parts those
+ * endpoints were to begin to answer, and decides which of these subjects are to blame. Records are grow-only sets, so machines converge whatever the order in which they receive them.
  *
  * A request that crashes its endpoint takes every other request there down with it, and those may be sent again to the
  * next endpoint that it crashes. So a content is refused only for crashes that no other refused content with more
@@ -51,16 +45,22 @@
  * explanation, and a complete response clears it.
  */
 export class CrashTracker {
-  private readonly entries = new Map<ContentDigest, Entry>()
-  private readonly byIncarnation = new Map<Incarnation, Set<ContentDigest>>()
+  private readonly entries = new Map<SubjectDigest, CrashEntry>()
+  private readonly byIncarnation = new Map<Incarnation, Set<SubjectDigest>>()
   private readonly served: RecentlyServed
   /** When each incarnation crashed, in the order in which the crashes became known. */
   private readonly recentCrashes = new Map<Incarnation, { at: Millis; service?: string }>()
+  private readonly evidence: CrashEvidence
   private changeCount = 0
-  private blameCache: { at: number; counts: Map<ContentDigest, number> } = { at: -1, counts: new Map() }
+  private blameCache: { at: number; counts: Map<SubjectDigest, number> } = { at: -1, counts: new Map() }
 
   constructor(private readonly options: CrashTrackerOptions) {
     this.served = new RecentlyServed(options.now)
+    this.evidence = {
+      ends: options.ends,
+      entriesAt: (incarnation) => this.entriesAt(incarnation),
+      isRefused: (entry) => this.isRefused(entry),
+    }
   }
 
   /** The number of changes so far; only rises. */
@@ -72,24 +72,34 @@
     return this.entries.size
   }
 
-  /** Records the contents that were running when an incarnation crashed. Returns the records that changed. */
+  /**
+   * Records what was running when an incarnation crashed, and the prompt parts that it had not begun to answer. Returns
+   * the records that changed.
+   */
   recordCrash(incarnation: Incarnation, contents: ContentAtCrash[], service?: string): CrashRecord[] {
-    const records = contents.map(({ content, isEarly }) => ({
-      content,
+    const record = (subject: SubjectDigest, isEarly: boolean): CrashRecord => ({
+      content: subject,
       service,
       ended: [incarnation],
       early: isEarly ? [incarnation] : [],
       served: [],
-      wasServed: this.served.has(content) || undefined,
+      wasServed: this.served.has(subject) || undefined,
       ageMs: 0,
-    }))
-    return this.merge(records)
+    })
+    const parts = new Set(contents.flatMap((one) => one.parts ?? []))
+    return this.merge([
+      ...contents.map(({ content, isEarly }) => record(content, isEarly)),
+      ...[...parts].map((part) => record(part, true)),
+    ])
   }
 
-  /** Records a complete response, which clears a content of its crashes so far. Returns the records that changed. */
-  recordServed(content: ContentDigest): CrashRecord[] {
-    this.served.record(content)
-    const entry = this.entries.get(content)
+  /**
+   * Records a complete response to a content, or an answer on a prompt part that its endpoint has outlived. Clears the
+   * subject of its crashes so far. Returns the records that changed.
+   */
+  recordServed(subject: SubjectDigest): CrashRecord[] {
+    this.served.record(subject)
+    const entry = this.entries.get(subject)
     if (entry === undefined || entry.served.size === entry.ended.size) return []
     const record = toRecord(entry, this.options.now())
     return this.merge([{ ...record, served: [...entry.ended], wasServed: true }])
@@ -112,7 +122,7 @@
   }
 
   /** Returns the records of those of the contents that are known here. */
-  recordsOf(contents: Iterable<ContentDigest>): CrashRecord[] {
+  recordsOf(contents: Iterable<SubjectDigest>): CrashRecord[] {
     const now = this.options.now()
     const known = [...contents].map((content) => this.entries.get(content))
     return known.filter((entry) => entry !== undefined).map((entry) => toRecord(entry, now))
@@ -125,6 +135,23 @@
     return { ends: this.countBlamedCrashes(entry), leftMs: this.leftMs(entry) }
   }
 
+  /**
+   * Returns why a request with these prompt parts is refused; undefined if it may be sent. While other parts may explain
+   * each crash as well, the refusal lapses soon, since only a request without those can tell.
+   */
+  refusalByParts(parts: PartDigest[]): ContentRefusal | undefined {
+    const entries = parts.map((part) => this.entries.get(part)).filter((entry) => entry !== undefined)
+    const known = entries.filter((entry) => this.leftMs(entry) > 0)
+    if (known.length === 0) return undefined
+    const { ends, keepMs, now } = this.options
+    const { crashes, isProved } = attributePartCrashes(this.evidence, known)
+    if (crashes < ends) return undefined
+    const lapseMs = UNPROVED_PART_REFUSAL_MS * UNPROVED_PART_FACTOR ** (crashes - ends)
+    const lastAt = Math.max(...known.map(({ at }) => at))
+    const leftMs = lastAt + (isProved ? keepMs : Math.min(keepMs, lapseMs)) - now()
+    return leftMs > 0 ? { ends: crashes, leftMs } : undefined
+  }
+
   /**
    * Returns why a content is refused by its number of crashes; undefined if it may be sent. Applies to services that
    * can run a content in isolation.
@@ -146,13 +173,14 @@
     return ends >= this.options.ends && leftMs > 0 ? { ends, leftMs } : undefined
   }
 
-  private countCrashes(entry: Entry): number {
+  private countCrashes(entry: CrashEntry): number {
     const open = unclearedIncarnations(entry)
-    return (entry.wasServed ? open.filter((incarnation) => this.wasAlone(entry, incarnation)) : open).length
+    if (!entry.wasServed) return open.length
+    return open.filter((incarnation) => wasAlone(this.evidence, entry, incarnation)).length
   }
 
-  private isProved(entry: Entry): boolean {
-    return unclearedIncarnations(entry).some((incarnation) => this.wasAlone(entry, incarnation))
+  private isProved(entry: CrashEntry): boolean {
+    return unclearedIncarnations(entry).some((incarnation) => wasAlone(this.evidence, entry, incarnation))
   }
 
   /** Whether an incarnation is known to have crashed. */
@@ -202,82 +230,54 @@
     return [...this.entries.keys()].filter((content) => this.isSuspect(content)).length
   }
 
-  private isRefused(entry: Entry): boolean {
+  private isRefused(entry: CrashEntry): boolean {
     return this.leftMs(entry) > 0 && this.countBlamedCrashes(entry) >= this.options.ends
   }
 
-  private leftMs({ at }: Entry): Millis {
+  private leftMs({ at }: CrashEntry): Millis {
     return at + this.options.keepMs - this.options.now()
   }
 
-  /** Returns the number of crashes that a content is to blame for. Cached until the next change: called per request. */
-  private countBlamedCrashes(entry: Entry): number {
+  /** Returns the number of crashes that a subject is to blame for. Cached until the next change: called per request. */
+  private countBlamedCrashes(entry: CrashEntry): number {
     if (this.blameCache.at !== this.changeCount) this.blameCache = { at: this.changeCount, counts: new Map() }
-    const known = this.blameCache.counts.get(entry.content)
+    const known = this.blameCache.counts.get(entry.subject)
     if (known !== undefined) return known
-    const open = unclearedIncarnations(entry)
-    const isProved =
-      open.length > this.options.ends || open.some((incarnation) => this.wasAlone(entry, incarnation))
-    const count = isProved
-      ? open.length
-      : open.filter((incarnation) => !this.isExplained(entry, incarnation)).length
-    this.blameCache.counts.set(entry.content, count)
+    const count = isPart(entry.subject)
+      ? attributePartCrashes(this.evidence, [entry]).crashes
+      : attributeCrashes(this.evidence, entry)
+    this.blameCache.counts.set(entry.subject, count)
     return count
   }
 
-  /** Whether every other content that was running there has got a complete response since. */
-  private wasAlone(entry: Entry, incarnation: Incarnation): boolean {
-    const contents = [...(this.byIncarnation.get(incarnation) ?? [])].map((content) =>
-      this.entries.get(content)!,
-    )
-    return contents.every((one) => one === entry || one.served.has(incarnation))
-  }
-
-  /**
-   * Whether another content explains a crash: a refused content with more crashes, or, with equally many, one that had
-   * only just begun to run. Recurses only into contents with more crashes, so that it terminates.
-   */
-  private isExplained(entry: Entry, incarnation: Incarnation): boolean {
-    const own = unclearedIncarnations(entry).length
-    const isEarly = entry.early.has(incarnation)
-    for (const content of this.byIncarnation.get(incarnation) ?? []) {
-      const other = this.entries.get(content)!
-      if (other === entry || other.served.has(incarnation)) continue
-      const others = unclearedIncarnations(other).length
-      if (others > own && this.isRefused(other)) return true
-      if (others === own && !isEarly && other.early.has(incarnation)) return true
-    }
-    return false
+  private entriesAt(incarnation: Incarnation): CrashEntry[] {
+    return [...(this.byIncarnation.get(incarnation) ?? [])].map((subject) => this.entries.get(subject)!)
   }
 
   private apply(record: CrashRecord): boolean {
-    const { content, ended, early, served, wasServed = false, ageMs } = record
-    const known = this.entries.get(content)
-    const entry = known ?? emptyEntry(content)
-    const grew = [
-      addAll(entry.ended, [...ended, ...served]),
-      addAll(entry.early, early),
-      addAll(entry.served, served),
-    ]
-    const isServed = wasServed || this.served.has(content)
-    if (!grew.includes(true) && (entry.wasServed || !isServed)) return false
+    const { content: subject, wasServed = false, ageMs } = record
+    const entry = this.entries.get(subject) ?? emptyEntry(subject)
+    const { hasChanged, dropped } = addIncarnations(entry, record)
+    const isServed = wasServed || this.served.has(subject)
+    if (!hasChanged && (entry.wasServed || !isServed)) return false
+    dropped.forEach((incarnation) => this.unlink(subject, incarnation))
     entry.wasServed ||= isServed
     this.changeCount += 1
     entry.changedAt = this.changeCount
     entry.at = Math.max(entry.at, this.options.now() - ageMs)
     // Deleted and inserted again, so that the map stays in order of change.
-    this.entries.delete(content)
-    this.entries.set(content, entry)
+    this.entries.delete(subject)
+    this.entries.set(subject, entry)
     entry.service ??= record.service
     for (const incarnation of entry.ended) {
       if (!this.byIncarnation.has(incarnation)) this.recordRecentCrash(incarnation, entry)
-      const contents = this.byIncarnation.get(incarnation) ?? new Set()
-      this.byIncarnation.set(incarnation, contents.add(content))
+      const subjects = this.byIncarnation.get(incarnation) ?? new Set()
+      this.byIncarnation.set(incarnation, subjects.add(subject))
     }
     return true
   }
 
-  private recordRecentCrash(incarnation: Incarnation, { at, service }: Entry): void {
+  private recordRecentCrash(incarnation: Incarnation, { at, service }: CrashEntry): void {
     this.recentCrashes.set(incarnation, { at, service })
     const [oldest] = this.recentCrashes.keys()
     if (this.recentCrashes.size > MAX_RECENT_CRASHES) this.recentCrashes.delete(oldest!)
@@ -286,58 +286,23 @@
   private evictOldest(): void {
     const { now, keepMs } = this.options
     for (const entry of this.entries.values()) if (entry.at + keepMs <= now()) this.evict(entry)
-    const tooMany = this.entries.size - MAX_CONTENTS
+    const tooMany = this.entries.size - MAX_SUBJECTS
     if (tooMany <= 0) return
     const open = [...this.entries.values()].filter((entry) => !this.isRefused(entry))
     open.slice(0, tooMany).forEach((entry) => this.evict(entry))
-    const rest = this.entries.size - MAX_CONTENTS
+    const rest = this.entries.size - MAX_SUBJECTS
     if (rest > 0) [...this.entries.values()].slice(0, rest).forEach((entry) => this.evict(entry))
   }
 
-  private evict(entry: Entry): void {
+  private evict(entry: CrashEntry): void {
     this.blameCache.at = -1
-    this.entries.delete(entry.content)
-    for (const incarnation of entry.ended) {
-      const contents = this.byIncarnation.get(incarnation)
-      contents?.delete(entry.content)
-      if (contents?.size === 0) this.byIncarnation.delete(incarnation)
-    }
+    this.entries.delete(entry.subject)
+    for (const incarnation of entry.ended) this.unlink(entry.subject, incarnation)
   }
-}
-
-function emptyEntry(content: ContentDigest): Entry {
-  return {
-    content,
-    ended: new Set(),
-    early: new Set(),
-    served: new Set(),
-    wasServed: false,
-    at: -Infinity,
-    changedAt: 0,
-  }
-}
-
-/** Returns the crashed incarnations that still count against a content. */
-function unclearedIncarnations({ ended, served }: Entry): Incarnation[] {
-  return [...ended].filter((incarnation) => !served.has(incarnation))
-}
-
-/** Adds values up to {@link MAX_INCARNATIONS}. Returns whether the set grew. */
-function addAll(set: Set<Incarnation>, incarnations: Incarnation[]): boolean {
-  const before = set.size
-  for (const incarnation of incarnations) if (set.size < MAX_INCARNATIONS) set.add(incarnation)
-  return set.size > before
-}
 
-function toRecord(entry: Entry, now: Millis): CrashRecord {
-  const { content, service, ended, early, served, wasServed, at } = entry
-  return {
-    content,
-    ...(service === undefined ? {} : { service }),
-    ended: [...ended],
-    early: [...early],
-    served: [...served],
-    ...(wasServed ? { wasServed } : {}),
-    ageMs: Math.round(Math.max(0, now - at)),
+  private unlink(subject: SubjectDigest, incarnation: Incarnation): void {
+    const subjects = this.byIncarnation.get(incarnation)
+    subjects?.delete(subject)
+    if (subjects?.size === 0) this.byIncarnation.delete(incarnation)
   }
 }
--- a/request/crashes/src/crashTypes.ts
+++ b/request/crashes/src/crashTypes.ts
@@ -1,12 +1,24 @@
 import type { Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
+import type { PartDigest } from './partDigest'
 
 /** Identifies one start of an endpoint's process. */
 export type Incarnation = string
 
-/** The crashes known of one content. Merging is commutative and idempotent. */
+/** What crashes are attributed to: the content of a request, or a part of prompts. */
+export type SubjectDigest = ContentDigest | PartDigest
+
+/** What one request may be refused for. */
+export interface RequestSubjects {
+  content: () => ContentDigest
+  /** The prompt parts that it may share with other requests to a service. */
+  parts: (service: string) => PartDigest[]
+}
+
+/** The crashes known of one subject. Merging is commutative and idempotent. */
 export interface CrashRecord {
-  content: ContentDigest
+  /** The subject, a content or a part. */
+  content: SubjectDigest
   /** The service that the requests go to; absent where the reporter does not name it. */
   service?: string
   /** Incarnations that crashed while the content was running there. */
@@ -37,6 +49,8 @@
   content: ContentDigest
   /** Whether the content had only just begun to run there. */
   isEarly: boolean
+  /** Parts of its prompt; absent if the endpoint had begun to write the answer, which clears them. */
+  parts?: PartDigest[]
 }
 
 /** RPC method by which an entry reports crashes to the leader. */
--- a/request/crashes/src/decideSending.ts
+++ b/request/crashes/src/decideSending.ts
@@ -1,11 +1,14 @@
 import type { ContentDigest } from './contentDigest'
 import type { CrashTracker } from './crashTracker'
 import type { ContentRefusal } from './crashTypes'
+import type { PartDigest } from './partDigest'
 
 /** The input of {@link decideSending}. */
 export interface SendingState {
   tracker: CrashTracker
   content: ContentDigest
+  /** Prompt parts that the request may share with others; absent if it names none. */
+  parts?: PartDigest[]
   service: string
   /**
    * Whether the service has enough endpoints to reserve one for isolated trials. Called only where the answer matters.
@@ -47,8 +50,11 @@
 export function refusalOf({
   tracker,
   content,
+  parts = [],
   hasTrials,
-}: Pick<SendingState, 'tracker' | 'content' | 'hasTrials'>): ContentRefusal | undefined {
+}: Pick<SendingState, 'tracker' | 'content' | 'parts' | 'hasTrials'>): ContentRefusal | undefined {
+  const byParts = tracker.refusalByParts(parts)
+  if (byParts !== undefined) return byParts
   const byCrashCount = tracker.refusalByCrashCount(content)
   const byBlame = tracker.refusalByBlame(content)
   if (byCrashCount === undefined && byBlame === undefined) return undefined
--- a/request/crashes/src/index.ts
+++ b/request/crashes/src/index.ts
@@ -7,7 +7,14 @@
 export { CrashReporter } from './crashReporter'
 export type { CrashReporterOptions } from './crashReporter'
 export { CRASH_REPORT } from './crashTypes'
-export type { ContentRefusal, CrashRecord, ContentAtCrash, Incarnation } from './crashTypes'
+export type {
+  ContentAtCrash,
+  ContentRefusal,
+  CrashRecord,
+  Incarnation,
+  RequestSubjects,
+  SubjectDigest,
+} from './crashTypes'
 export { decideSending, refusalOf } from './decideSending'
 export type { SendingDecision, SendingState } from './decideSending'
 export { readCrashRecords } from './readCrashRecords'
--- a/request/gateway/src/crashGuard.ts
+++ b/request/gateway/src/crashGuard.ts
@@ -74,6 +74,6 @@
 
   private decideNow(): SendingDecision {
     const { request, service } = this.job
-    return this.parts.crashes?.decide(request.content, service.name, this.lost) ?? SEND
+    return this.parts.crashes?.decide(request, service.name, this.lost) ?? SEND
   }
 }
--- /dev/null
+++ b/request/gateway/src/engineProgress.ts
@@ -0,0 +1,52 @@
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { Millis } from '@forkstage/types'
+import type { LostStreamTimes } from './reportStreamLoss'
+import type { RelayJob, RelayParts } from './relayParts'
+
+/** An engine that survives so long after the first event does not crash of beginning to write the answer. */
+const MIN_WRITING_MS: Millis = 500
+
+/** What the current engine of a stream has written of it. */
+export class EngineProgress {
+  /** The record of the engine when the request was sent; undefined before. */
+  engine: RegisteredEndpoint | undefined
+  private sentAt: Millis = 0
+  private firstEventAt: Millis | undefined
+  private isRecorded = false
+
+  constructor(
+    private readonly parts: RelayParts,
+    private readonly job: RelayJob,
+  ) {}
+
+  /** Starts anew for the engine that the request is sent to. */
+  begin(engine: RegisteredEndpoint): void {
+    this.engine = engine
+    this.sentAt = this.parts.clock.now()
+    this.firstEventAt = undefined
+    this.isRecorded = false
+  }
+
+  recordEvents(): void {
+    const now = this.parts.clock.now()
+    this.firstEventAt ??= now
+    if (now - this.firstEventAt >= MIN_WRITING_MS) this.recordWritten()
+  }
+
+  /** Records the end of a complete answer. */
+  recordEnd(): void {
+    if (this.firstEventAt !== undefined) this.recordWritten()
+  }
+
+  /** Returns what a loss of the stream is judged by. */
+  lossTimes(silentMs: Millis): LostStreamTimes {
+    return { sentAt: this.sentAt, silentMs, hasBegun: this.firstEventAt !== undefined }
+  }
+
+  private recordWritten(): void {
+    if (this.isRecorded) return
+    this.isRecorded = true
+    const { request, service } = this.job
+    this.parts.crashes?.recordWritten(request.parts(service.name))
+  }
+}
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -3,6 +3,8 @@
   ContentDigest,
   ContentRefusal,
   LostAttempt,
+  PartDigest,
+  RequestSubjects,
   SendingDecision,
   TrialAnswer,
 } from '@forkstage/crashes'
@@ -63,8 +65,10 @@
   recordLoss(sending: LostAttempt): void
   /** Records a complete answer. `content` is called only if any crash is known. */
   recordServed(content: () => ContentDigest): void
+  /** Records prompt parts on which an engine has written an answer for a while. */
+  recordWritten(parts: PartDigest[]): void
   /** Decides how a request may be sent after it was lost at the endpoints `lost`. */
-  decide(content: () => ContentDigest, service: string, lost: InstanceId[]): SendingDecision
+  decide(request: RequestSubjects, service: string, lost: InstanceId[]): SendingDecision
   /** Resolves once it is known which of the endpoints have crashed, or after a short timeout. */
   confirmed(lost: InstanceId[]): Promise<void>
   /** Asks the leader to reserve an endpoint for an isolated trial of a suspect content. */
@@ -76,7 +80,7 @@
   /** Ends the reservation of an endpoint after its isolated trial, whatever the result. */
   endIsolated(content: ContentDigest, service: string, endpoint: InstanceId): void
   /** Returns why a request must not reach any endpoint of a service; undefined if it may. */
-  refusal(content: () => ContentDigest, service: string): ContentRefusal | undefined
+  refusal(request: RequestSubjects, service: string): ContentRefusal | undefined
 }
 
 /** One sending, for the log. */
--- a/request/gateway/src/reportLostSending.ts
+++ b/request/gateway/src/reportLostSending.ts
@@ -9,7 +9,7 @@
  * Reports a sending that ended without a complete answer, since its endpoint may have crashed.
  * @param afterMs time since the request was sent.
  * @param silentMs how long the endpoint had sent nothing when this entry cancelled; absent if the connection broke.
- * @param hasBegun whether the endpoint had begun to write the answer.
+ * @param hasBegun whether the endpoint had begun to write the answer; absent where that is unknown.
  */
 export function reportLostSending(
   { crashes }: RelayParts,
@@ -17,7 +17,7 @@
   { endpoint }: PooledEndpoint,
   afterMs: Millis,
   silentMs?: Millis,
-  hasBegun = false,
+  hasBegun?: boolean,
 ): void {
   if (silentMs !== undefined && silentMs < MIN_SILENCE_MS) return
   const isBroken = silentMs === undefined
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -41,7 +41,7 @@
   const suspended: SendRule = (_to, { placedAt }) =>
     placedAt !== undefined && placedAt < parts.clock.suspendedAt() ? SUSPENDED : undefined
   const ends: SendRule = (_to, { request, service }) =>
-    parts.crashes?.refusal(request.content, service.name) === undefined ? undefined : ENDS_ENDPOINTS
+    parts.crashes?.refusal(request, service.name) === undefined ? undefined : ENDS_ENDPOINTS
   const cold: SendRule = (endpoint, { request }, one) => parts.cold?.checkAndCount(endpoint, request.id, one)
   const limited: SendRule = (endpoint, { request }, one) =>
     parts.limits?.checkAndCount(endpoint, request.id, one)
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,5 +1,4 @@
 import { delay } from '@forkstage/clock'
-import type { RegisteredEndpoint } from '@forkstage/directory'
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
 import { bindStream } from './bindStream'
@@ -7,6 +6,7 @@
 import { attributeLoss } from './attributeLoss'
 import { withoutFirstDuplicate } from './callerRequest'
 import { CallerStream } from './callerStream'
+import { EngineProgress } from './engineProgress'
 import {
   EngineStream,
   type Attempt,
@@ -66,12 +66,7 @@
   private eventCount = 0
   /** Consecutive waits before another attempt, without an event in between. */
   private waits = 0
-  /** When the request was sent to the current engine. */
-  private sentAt: Millis = 0
-  /** Whether the current engine has sent an event. */
-  private hasEngineBegun = false
-  /** The record of the current engine when the request was sent. */
-  private engine: RegisteredEndpoint | undefined
+  private readonly progress: EngineProgress
   private readonly sendCounter: SendCounter
   private readonly prompt: PromptPrefill
   private readonly migrations: RunMigrations
@@ -81,6 +76,7 @@
     private readonly job: RelayJob,
   ) {
     this.sendCounter = new SendCounter(parts.retryBudget, job.service.name)
+    this.progress = new EngineProgress(parts, job)
     this.prompt = new PromptPrefill(parts, job, this.sendCounter, this)
     this.migrations = new RunMigrations(parts, job, this.sendCounter, this)
     this.caller = new CallerStream(job, parts.clock, parts.wire, {
@@ -107,7 +103,7 @@
   private async tryEngines(): Promise<OwnResult> {
     for (let refusals = 0; ;) {
       const { request, service } = this.job
-      const refused = this.parts.crashes?.refusal(request.content, service.name)
+      const refused = this.parts.crashes?.refusal(request, service.name)
       if (refused !== undefined) return this.endWithoutAnswer(ENDS_ENDPOINTS, refused.leftMs)
       const attempt = await this.attemptOnce()
       if (attempt.type === 'over' || this.isOver) return this.caller.endedResult()
@@ -231,11 +227,8 @@
   /** Ends a stream that does not resume from its KV cache. */
   private finishStream(place: ModelPlace, ended: StreamResult): StreamResult {
     if (!this.migrations.isStopped) {
-      reportStreamLoss(this.parts, this.job, place.decode, ended, {
-        sentAt: this.sentAt,
-        silentMs: this.caller.pauses.silentMs(this.parts.clock.now()),
-        hasBegun: this.hasEngineBegun,
-      })
+      const silentMs = this.caller.pauses.silentMs(this.parts.clock.now())
+      reportStreamLoss(this.parts, this.job, place.decode, ended, this.progress.lossTimes(silentMs))
       return ended
     }
     this.migrations.abandon()
@@ -262,9 +255,7 @@
     if (this.hasBegun && lastEventId !== undefined) extra.push(headers.lastEventId, String(lastEventId))
     const rawHeaders = headersFor(parts, job, to, extra)
     const stream = new EngineStream(this, to)
-    this.sentAt = parts.clock.now()
-    this.hasEngineBegun = false
-    this.engine = to.endpoint
+    this.progress.begin(to.endpoint)
     return new Promise((resolve) => {
       const exchange = openExchange({
         address: to.endpoint.address,
@@ -315,13 +306,16 @@
 
   forwardEvents(head: AnswerHead, events: StreamEvent[]): void {
     this.eventCount += events.length
-    this.hasEngineBegun = true
+    this.progress.recordEvents()
     this.waits = 0
-    if (!this.hasBegun) bindStream(this.parts, this.job, this.engine!)
+    if (!this.hasBegun) bindStream(this.parts, this.job, this.progress.engine!)
     this.caller.forwardEvents(head, events)
   }
 
-  forwardEnd = (head: AnswerHead, rest: Buffer): void => this.caller.forwardEnd(head, rest)
+  forwardEnd(head: AnswerHead, rest: Buffer): void {
+    this.progress.recordEnd()
+    this.caller.forwardEnd(head, rest)
+  }
 
   forwardFailure = (head: AnswerHead, body: Buffer): number =>
     forwardFailure(this.job.request.response, head, body)
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -1,4 +1,4 @@
-import { createServer as createTcp, connect } from 'node:net'
+import { createServer as createTcp } from 'node:net'
 import { request as httpRequest } from 'node:http'
 import { createSeededRandom, createSystemClock } from '@forkstage/clock'
 import type { LostAttempt, SendingDecision, TrialAnswer } from '@forkstage/crashes'
@@ -74,6 +74,8 @@
   readonly warnings: object[] = []
   /** Sends without a complete answer. */
   readonly lost: LostAttempt[] = []
+  /** Prompt parts that endpoints have written on. */
+  readonly written: string[] = []
   /** Contents with a complete answer. */
   readonly served: string[] = []
   /** Suspect contents, which may run only as isolated trials, and the answer to the request for a trial. */
@@ -241,13 +243,15 @@
         crashes: {
           recordLoss: (sending) => void harness.lost.push(sending),
           recordServed: (content) => void harness.served.push(content()),
-          decide: (content, _service, lost) => harness.decide(content(), lost),
+          recordWritten: (parts) => void harness.written.push(...parts),
+          decide: ({ content }, _service, lost) => harness.decide(content(), lost),
           confirmed: (lost) => harness.confirmed(lost),
           askIsolated: () => Promise.resolve(harness.isolatedAnswer()),
           askTurn: (_content, _service, request) => Promise.resolve(harness.turnAnswer(request)),
           endTurn: (_content, _service, request) => void harness.turnEnds.push(request),
           endIsolated: (_content, _service, endpoint) => void harness.isolatedEnds.push(endpoint),
-          refusal: (content) => (harness.refused.has(content()) ? { ends: 3, leftMs: 60_000 } : undefined),
+          refusal: ({ content }) =>
+            harness.refused.has(content()) ? { ends: 3, leftMs: 60_000 } : undefined,
         },
         clock: {
           ...clock,
@@ -343,8 +347,3 @@
   await new Promise<void>((resolve) => server.close(() => resolve()))
   return `127.0.0.1:${port}`
 }
-
-/** Opens a TCP connection to the entry. */
-export function openSocket(port: number) {
-  return connect({ host: '127.0.0.1', port })
-}
