fix(gateway): a stream that ends with its connection inside an event has been broken off

Callers saw: an engine's stream with neither a length nor chunks that broke off inside an event reached them as a whole answer, the half event included, and was never resumed. A stream of that kind that this entry cut itself, or whose entry ended, closed in order, which for its caller is the end of a whole answer.

Cause: the end of the connection was taken for the end of the answer, and a cut did not regard how its caller learns where the answer ends.

Change: such an answer that ends with an incomplete event counts as lost, so that it is resumed elsewhere where its route allows it, and cut elsewhere. A cut of it resets the connection, once what was forwarded has left the process. Plain relays fail an event stream that ends inside an event.

Ruled out: forwarding such streams in chunks, which would call an answer complete that its engine broke off between two events.

The stand-in endpoint of the tests read the empty line that tells a reset from an end as another request; it no longer does.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -7,6 +7,8 @@
   pending: number
   /** Bytes received when the last response was completed; absent before the first one. */
   idleAtBytes?: number
+  /** The last response that was begun. */
+  current?: ServerResponse
 }
 
 /**
@@ -45,7 +47,10 @@
   /** Stops listening and closes every connection at once. */
   closeAll(): void {
     NetServer.prototype.close.call(this.server)
-    for (const socket of this.connections.keys()) socket.destroy()
+    for (const [socket, { current }] of this.connections) {
+      if (current !== undefined && endsWithConnection(current)) socket.resetAndDestroy()
+      else socket.destroy()
+    }
   }
 
   private track(response: ServerResponse): void {
@@ -54,6 +59,7 @@
     // The connection was closed before its request was read.
     if (connection === undefined) return
     connection.pending += 1
+    connection.current = response
     this.total += 1
     let isDone = false
     const markDone = () => {
@@ -74,6 +80,11 @@
   }
 }
 
+/** Whether a caller would take the response for complete if its connection were closed now. */
+function endsWithConnection(response: ServerResponse): boolean {
+  return response.headersSent && !response.writableFinished && !response.useChunkedEncodingByDefault
+}
+
 /** Returns whether a connection has sent all its responses, at least one, and received no byte of another request. */
 function isIdle(socket: Socket, { pending, idleAtBytes }: Connection): boolean {
   return pending === 0 && idleAtBytes === socket.bytesRead
--- a/request/gateway/src/callerStream.ts
+++ b/request/gateway/src/callerStream.ts
@@ -9,6 +9,8 @@
 import type { RelayJob } from './relayParts'
 
 const TIME_UP = 504
+/** How long a slow caller may take to receive the rest of an answer that is cut. */
+const MAX_FLUSH_MS = 1_000
 
 /** Backpressure on the engine while the caller reads slowly. */
 export interface FlowControl {
@@ -60,9 +62,11 @@
     this.job.request.response.end()
   }
 
-  /** Aborts an answer that has begun, by closing the connection, so that the caller cannot take it for complete. */
-  cut({ status }: AnswerHead, reason: string): OwnResult {
-    this.job.request.response.destroy()
+  /** Aborts an answer that has begun in such a way that the caller cannot take it for complete. */
+  cut({ status, isFramed }: AnswerHead, reason: string): OwnResult {
+    const { response } = this.job.request
+    if (isFramed) response.destroy()
+    else this.resetOnceSent()
     const cutWithLeftMs = Math.round(this.job.endsAt - this.clock.now())
     return { status, outcome: `cut: ${reason}`, cutWithLeftMs }
   }
@@ -77,6 +81,15 @@
     return { status: status ?? TIME_UP, outcome: 'the time is up' }
   }
 
+  /** An answer without a length is complete when its connection closes, unless that is reset. */
+  private resetOnceSent(): void {
+    const { socket } = this.job.request.response
+    const reset = () => void socket?.resetAndDestroy()
+    // A reset discards what has not left this process.
+    socket?.write('', reset)
+    this.clock.after(MAX_FLUSH_MS, reset)
+  }
+
   private begin(head: AnswerHead): void {
     this.head = head
     const { response } = this.job.request
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -1,3 +1,4 @@
+import { ENDED_INSIDE_EVENT, endsInsideEvent } from './endsInsideEvent'
 import { EventSplitter, type StreamEvent } from './eventSplitter'
 import type { AnswerHead, ExchangeEnd } from './exchange'
 import type { PooledEndpoint } from './pooledEndpoint'
@@ -90,6 +91,8 @@
       }
     this.context.countPossibleRun()
     if (!end.complete) return { attempt: { type: 'lost', reason: end.reason }, sendOutcome: 'failed' }
+    if (this.isSuccess && endsInsideEvent(this.head!, this.splitter))
+      return { attempt: { type: 'lost', reason: ENDED_INSIDE_EVENT }, sendOutcome: 'failed' }
     if (this.verdict === 'foreign')
       return { attempt: { type: 'lost', reason: 'not an answer to this request' }, sendOutcome: 'failed' }
     // A failure cannot be forwarded in the middle of an answer: the caller's stream would stay open without an end.
--- a/request/gateway/src/fetchAnswer.ts
+++ b/request/gateway/src/fetchAnswer.ts
@@ -1,5 +1,7 @@
 import type { CancelTimer } from '@forkstage/clock'
 import type { Millis } from '@forkstage/types'
+import { ENDED_INSIDE_EVENT, endsInsideEvent } from './endsInsideEvent'
+import { EventSplitter } from './eventSplitter'
 import {
   openExchange,
   type AnswerHead,
@@ -22,6 +24,8 @@
   onOpen?: (exchange: Exchange) => void
 }
 
+const EVENT_STREAM = 'text/event-stream'
+
 /** Sends one request and buffers its whole answer. Never rejects. */
 export function fetchAnswer(options: FetchOptions): Promise<FetchOutcome> {
   return new Promise((resolve) => {
@@ -40,8 +44,10 @@
       },
       onEnd: (end) => {
         cancelTimeout()
-        if (end.complete && head !== undefined)
-          return resolve({ type: 'answer', head, body: Buffer.concat(chunks) })
+        const body = Buffer.concat(chunks)
+        if (end.complete && head !== undefined && isBrokenOff(head, body))
+          return resolve({ type: 'failed', sent: true, refused: false, reason: ENDED_INSIDE_EVENT })
+        if (end.complete && head !== undefined) return resolve({ type: 'answer', head, body })
         if (end.complete)
           return resolve({ type: 'failed', sent: true, refused: false, reason: 'the answer has no head' })
         resolve({ ...end, type: 'failed', isTimedOut })
@@ -55,3 +61,10 @@
     })
   })
 }
+
+function isBrokenOff(head: AnswerHead, body: Buffer): boolean {
+  if (!String(head.headers['content-type']).startsWith(EVENT_STREAM)) return false
+  const splitter = new EventSplitter()
+  splitter.push(body)
+  return endsInsideEvent(head, splitter)
+}
--- a/request/gateway/test/fakeWorker.ts
+++ b/request/gateway/test/fakeWorker.ts
@@ -43,9 +43,12 @@
 
   private read(socket: Socket, answer: (request: SeenRequest, worker: FakeWorker) => void): void {
     let text = ''
+    let isAnswered = false
     const closed = new Promise<void>((resolve) => socket.on('close', () => resolve()))
     socket.on('error', () => undefined)
     socket.on('data', (chunk) => {
+      // Entries send an empty line on a connection that has ended, to learn whether it was reset.
+      if (isAnswered) return
       text += chunk.toString('latin1')
       const end = text.indexOf('\r\n\r\n')
       if (end < 0) return
@@ -59,6 +62,7 @@
       const body = text.slice(end + 4)
       if (body.length < Number(headers['content-length'] ?? 0)) return
       const request = { line, headers, body, socket, closed }
+      isAnswered = true
       this.seen.push(request)
       this.waiting.splice(0).forEach((wake) => wake())
       answer(request, this)
