fix(crashes): a part is cleared of the crashes before its answer began, and companions do not hide it

Cause: in a simulation of entries, leader and engines (new, seventeen mixes of poison and sound requests) the first form cleared a part, sound until a moment before, of crashes that came after the answer that cleared it had begun; took content that was lost twice for an explanation of three crashes; and let a refusal that other parts may explain lapse three times within a minute.

Change: a part is cleared of the crashes before the first event; an engine must outlive that by 250 ms, not 500, so that what all requests share is cleared sooner; contents explain crashes of parts from three crashes on; an unproved refusal lasts 2 s, then 60 s, then half an hour.

--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -83,8 +83,8 @@
     this.recordOwn(this.options.tracker.recordServed(content()))
   }
 
-  recordWritten(parts: PartDigest[]): void {
-    this.recordOwn(parts.flatMap((part) => this.options.tracker.recordServed(part)))
+  recordWritten(parts: PartDigest[], forMs: Millis): void {
+    this.recordOwn(parts.flatMap((part) => this.options.tracker.recordServed(part, forMs)))
   }
 
   refusal(request: RequestSubjects, service: string): ContentRefusal | undefined {
--- a/request/crashes/src/crashAttribution.ts
+++ b/request/crashes/src/crashAttribution.ts
@@ -80,8 +80,9 @@
   const ownWeights = [...own].filter((one) => isUncleared(one, incarnation)).map(weightOf)
   const weight = Math.max(...ownWeights)
   return othersAt(evidence, own, incarnation).some(
-    // A content with a single crash may be the request itself that had the parts.
-    (one) => (isPart(one.subject) || unclearedIncarnations(one).length > 1) && weightOf(one) >= weight,
+    // A content with few crashes is one of the requests that the part crashed.
+    (one) =>
+      (isPart(one.subject) || unclearedIncarnations(one).length >= evidence.ends) && weightOf(one) >= weight,
   )
 }
 
--- a/request/crashes/src/crashTracker.ts
+++ b/request/crashes/src/crashTracker.ts
@@ -28,7 +28,7 @@
  * by a factor after each further one.
  */
 const UNPROVED_PART_REFUSAL_MS: Millis = 2_000
-const UNPROVED_PART_FACTOR = 4
+const UNPROVED_PART_FACTOR = 30
 /** Two crashes of one service within the window, each with requests running, are unlikely to be chance. */
 const STORM_CRASHES = 2
 const STORM_WINDOW_MS: Millis = 10_000
@@ -95,14 +95,18 @@
 
   /**
    * Records a complete response to a content, or an answer on a prompt part that its endpoint has outlived. Clears the
-   * subject of its crashes so far. Returns the records that changed.
+   * subject of its crashes before the answer began. Returns the records that changed.
+   * @param writtenForMs time since the endpoint began to write an answer that is not complete.
    */
-  recordServed(subject: SubjectDigest): CrashRecord[] {
+  recordServed(subject: SubjectDigest, writtenForMs: Millis = 0): CrashRecord[] {
     this.served.record(subject)
     const entry = this.entries.get(subject)
     if (entry === undefined || entry.served.size === entry.ended.size) return []
-    const record = toRecord(entry, this.options.now())
-    return this.merge([{ ...record, served: [...entry.ended], wasServed: true }])
+    const now = this.options.now()
+    const isBefore = (incarnation: Incarnation) =>
+      (this.recentCrashes.get(incarnation)?.at ?? -Infinity) <= now - writtenForMs
+    const served = [...entry.ended].filter((one) => entry.served.has(one) || isBefore(one))
+    return this.merge([{ ...toRecord(entry, now), served, wasServed: true }])
   }
 
   /** Merges records of another machine. Returns those that were new here. */
--- a/request/gateway/src/engineProgress.ts
+++ b/request/gateway/src/engineProgress.ts
@@ -4,7 +4,7 @@
 import type { RelayJob, RelayParts } from './relayParts'
 
 /** An engine that survives so long after the first event does not crash of beginning to write the answer. */
-const MIN_WRITING_MS: Millis = 500
+const MIN_WRITING_MS: Millis = 250
 
 /** What the current engine of a stream has written of it. */
 export class EngineProgress {
@@ -30,12 +30,12 @@
   recordEvents(): void {
     const now = this.parts.clock.now()
     this.firstEventAt ??= now
-    if (now - this.firstEventAt >= MIN_WRITING_MS) this.recordWritten()
+    if (now - this.firstEventAt >= MIN_WRITING_MS) this.recordWritten(this.firstEventAt)
   }
 
   /** Records the end of a complete answer. */
   recordEnd(): void {
-    if (this.firstEventAt !== undefined) this.recordWritten()
+    if (this.firstEventAt !== undefined) this.recordWritten(this.firstEventAt)
   }
 
   /** Returns what a loss of the stream is judged by. */
@@ -43,10 +43,11 @@
     return { sentAt: this.sentAt, silentMs, hasBegun: this.firstEventAt !== undefined }
   }
 
-  private recordWritten(): void {
+  private recordWritten(sinceMs: Millis): void {
     if (this.isRecorded) return
     this.isRecorded = true
     const { request, service } = this.job
-    this.parts.crashes?.recordWritten(request.parts(service.name))
+    const forMs = this.parts.clock.now() - sinceMs
+    this.parts.crashes?.recordWritten(request.parts(service.name), forMs)
   }
 }
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -65,8 +65,8 @@
   recordLoss(sending: LostAttempt): void
   /** Records a complete answer. `content` is called only if any crash is known. */
   recordServed(content: () => ContentDigest): void
-  /** Records prompt parts on which an engine has written an answer for a while. */
-  recordWritten(parts: PartDigest[]): void
+  /** Records prompt parts on which an engine has been writing an answer for so long. */
+  recordWritten(parts: PartDigest[], forMs: Millis): void
   /** Decides how a request may be sent after it was lost at the endpoints `lost`. */
   decide(request: RequestSubjects, service: string, lost: InstanceId[]): SendingDecision
   /** Resolves once it is known which of the endpoints have crashed, or after a short timeout. */
