--- a/request/crashes/test/poisonParts.test.ts
+++ b/request/crashes/test/poisonParts.test.ts
@@ -104,11 +104,6 @@
     'reaches none later than a second after the fifth crash, and no sound request is refused: %s',
     (_what, options) => {
       const { late, most, refusedSound, sent, servedShare, refusedPoison } = simulate(options)
-      console.log(
-        'ROW',
-        _what,
-        JSON.stringify({ late, most, refusedSound, sent, servedShare, refusedPoison }),
-      )
       expect(late).toBe(0)
       expect(most).toBeLessThanOrEqual(MAX_CRASHES)
       expect(refusedSound).toBe(0)
