--- a/request/crashes/test/poisonParts.test.ts
+++ b/request/crashes/test/poisonParts.test.ts
@@ -103,7 +103,7 @@
   ])(
     'reaches none later than a second after the fifth crash, and no sound request is refused: %s',
     (_what, options) => {
-      const { late, most, refusedSound, sent, servedShare, refusedPoison } = simulate(options)
+      const { late, most, refusedSound, servedShare, refusedPoison } = simulate(options)
       expect(late).toBe(0)
       expect(most).toBeLessThanOrEqual(MAX_CRASHES)
       expect(refusedSound).toBe(0)
