feat(observability): name the prompt part that a request is refused for

Cause: request.answered said only that the content ends its endpoints, so that no line led from a refused request to the part and the crashes under it. content.refused also named parts by their number of crashes alone, which refuses no request.

Change: request.answered has the digest of the part; content.refused names a part where requests with it are refused; forkstage_contents_suspected counts contents only, since parts do not run in isolated trials.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -284,6 +284,8 @@
     cutWithLeftMs?: number
     /** The request that began the stream, if the caller resumes one. */
     resumes?: string
+    /** Digest of the prompt part that the request is refused for. */
+    part?: string
     sends: unknown[]
   }
   /** A caller resumes a stream: how the software version that began it is known, or why it is not. */
--- a/daemon/fleet/src/logCrashes.ts
+++ b/daemon/fleet/src/logCrashes.ts
@@ -1,11 +1,11 @@
-import type { CrashTracker, CrashRecord } from '@forkstage/crashes'
+import { isPart, type CrashRecord, type CrashTracker } from '@forkstage/crashes'
 import type { Logger } from '@forkstage/logger'
 
-/** Logs each content that is refused because of the changed records. */
+/** Logs each content or prompt part that is refused because of the changed records. */
 export function logCrashes(logger: Logger, tracker: CrashTracker, changed: CrashRecord[]): void {
   for (const { content, ended, served, ageMs } of changed) {
-    const blamed = tracker.refusalByBlame(content)
-    const refusal = blamed ?? tracker.refusalByCrashCount(content)
+    const blamed = isPart(content) ? tracker.refusalByParts([content]) : tracker.refusalByBlame(content)
+    const refusal = blamed ?? (isPart(content) ? undefined : tracker.refusalByCrashCount(content))
     if (refusal === undefined) continue
     const { ends, leftMs } = refusal
     const by = blamed === undefined ? 'ends' : 'blame'
--- a/request/crashes/src/crashAttribution.ts
+++ b/request/crashes/src/crashAttribution.ts
@@ -1,7 +1,7 @@
 import type { CrashEntry } from './crashEntry'
 import { isUncleared, unclearedIncarnations } from './crashEntry'
 import type { Incarnation } from './crashTypes'
-import { isPart } from './partDigest'
+import { isPart, type PartDigest } from './partDigest'
 
 /** What {@link attributeCrashes} and {@link attributePartCrashes} read of a tracker. */
 export interface CrashEvidence {
@@ -17,6 +17,8 @@
   crashes: number
   /** Whether some crash has no other part that may explain it. */
   isProved: boolean
+  /** The part with the most weight. */
+  part?: PartDigest
 }
 
 /**
@@ -48,7 +50,8 @@
   const isProved = blamed.some((incarnation) =>
     othersAt(evidence, own, incarnation).every((one) => !isPart(one.subject)),
   )
-  return { crashes: blamed.length, isProved }
+  const [heaviest] = parts.toSorted((left, right) => weightOf(right) - weightOf(left))
+  return { crashes: blamed.length, isProved, part: heaviest!.subject }
 }
 
 /** Whether every other content that was running there has got a complete response since. */
--- a/request/crashes/src/crashTracker.ts
+++ b/request/crashes/src/crashTracker.ts
@@ -148,12 +148,12 @@
     const known = entries.filter((entry) => this.leftMs(entry) > 0)
     if (known.length === 0) return undefined
     const { ends, keepMs, now } = this.options
-    const { crashes, isProved } = attributePartCrashes(this.evidence, known)
+    const { crashes, isProved, part } = attributePartCrashes(this.evidence, known)
     if (crashes < ends) return undefined
     const lapseMs = UNPROVED_PART_REFUSAL_MS * UNPROVED_PART_FACTOR ** (crashes - ends)
     const lastAt = Math.max(...known.map(({ at }) => at))
     const leftMs = lastAt + (isProved ? keepMs : Math.min(keepMs, lapseMs)) - now()
-    return leftMs > 0 ? { ends: crashes, leftMs } : undefined
+    return leftMs > 0 ? { ends: crashes, leftMs, part } : undefined
   }
 
   /**
@@ -231,7 +231,7 @@
 
   /** Returns the number of contents that may be sent only in isolation. */
   countSuspects(): number {
-    return [...this.entries.keys()].filter((content) => this.isSuspect(content)).length
+    return [...this.entries.keys()].filter((one) => !isPart(one) && this.isSuspect(one)).length
   }
 
   private isRefused(entry: CrashEntry): boolean {
--- a/request/crashes/src/crashTypes.ts
+++ b/request/crashes/src/crashTypes.ts
@@ -42,6 +42,8 @@
   ends: number
   /** How much longer it is refused. */
   leftMs: Millis
+  /** The prompt part that is most to blame; absent where the whole content is. */
+  part?: PartDigest
 }
 
 /** A content that was running at an endpoint when it crashed. */
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -118,6 +118,8 @@
   longestPauseMs?: Millis
   /** Time left until the deadline when this entry cut an answer that had begun. */
   cutWithLeftMs?: Millis
+  /** Digest of the prompt part that the request is refused for. */
+  part?: string
   /** Whether no endpoint has run or will run the request. */
   hasNotRun?: boolean
 }
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -104,7 +104,8 @@
     for (let refusals = 0; ;) {
       const { request, service } = this.job
       const refused = this.parts.crashes?.refusal(request, service.name)
-      if (refused !== undefined) return this.endWithoutAnswer(ENDS_ENDPOINTS, refused.leftMs)
+      if (refused !== undefined)
+        return { ...this.endWithoutAnswer(ENDS_ENDPOINTS, refused.leftMs), part: refused.part }
       const attempt = await this.attemptOnce()
       if (attempt.type === 'over' || this.isOver) return this.caller.endedResult()
       if (attempt.type === 'done' || attempt.type === 'passed')
