fix(crashes): whole answers of plain endpoints clear parts, and a part is proved guilty only beside something served

Change: a whole answer of a plain endpoint clears its parts as one of an engine does. A crash proves a part guilty only if something that was there has been served since; before, its refusal lapses after 2 s, 60 s and so on.

Test: the soak's callers name prompt parts, and one part crashes each engine; plain answers in the gateway; the tracker's rules.

--- a/request/crashes/src/crashAttribution.ts
+++ b/request/crashes/src/crashAttribution.ts
@@ -15,7 +15,7 @@
 /** The crashes that the parts of one prompt are to blame for. */
 export interface PartBlame {
   crashes: number
-  /** Whether some crash has no other part that may explain it. */
+  /** Whether no other part may explain some crash, and something that was there has been served since. */
   isProved: boolean
   /** The part with the most weight. */
   part?: PartDigest
@@ -47,9 +47,7 @@
   const own = new Set(parts)
   const open = [...new Set(parts.flatMap(unclearedIncarnations))]
   const blamed = open.filter((incarnation) => !isExplainedByOthers(evidence, own, incarnation))
-  const isProved = blamed.some((incarnation) =>
-    othersAt(evidence, own, incarnation).every((one) => !isPart(one.subject)),
-  )
+  const isProved = blamed.some((incarnation) => isProof(evidence, own, incarnation))
   const [heaviest] = parts.toSorted((left, right) => weightOf(right) - weightOf(left))
   return { crashes: blamed.length, isProved, part: heaviest!.subject }
 }
@@ -74,6 +72,15 @@
   return false
 }
 
+/**
+ * Whether a crash leaves only the own parts to blame. While nothing that was there has been served since, it may be that
+ * several contents crash their engines, and that the parts are what these have in common.
+ */
+function isProof(evidence: CrashEvidence, own: ReadonlySet<CrashEntry>, incarnation: Incarnation): boolean {
+  const hasOtherPart = othersAt(evidence, own, incarnation).some((one) => isPart(one.subject))
+  return !hasOtherPart && evidence.entriesAt(incarnation).some((one) => one.served.has(incarnation))
+}
+
 /** Whether something that a request does not have explains a crash at least as well as its own parts do. */
 function isExplainedByOthers(
   evidence: CrashEvidence,
--- a/request/crashes/test/crashTracker.test.ts
+++ b/request/crashes/test/crashTracker.test.ts
@@ -199,3 +199,67 @@
     )
   })
 })
+
+describe('CrashTracker with prompt parts', () => {
+  const lost = (content: string, ...parts: string[]) => [{ content, isEarly: true, parts: parts.map(toPart) }]
+  const toPart = (name: string) => `part-${name}`
+  const refusal = (tracker: CrashTracker, ...parts: string[]) => tracker.refusalByParts(parts.map(toPart))
+
+  it('refuses a part after three crashes under different contents, and nothing that was served beside it', () => {
+    const { tracker } = newTracker()
+    for (const number of [1, 2, 3]) {
+      expect(refusal(tracker, 'sys', 'bad')).toBeUndefined()
+      tracker.recordCrash(`l${number}`, lost(`c${number}`, 'sys', 'bad'))
+      tracker.recordServed(toPart('sys'))
+    }
+    expect(refusal(tracker, 'sys', 'bad')).toEqual({ ends: 3, leftMs: KEEP_MS, part: toPart('bad') })
+    expect(refusal(tracker, 'bad')).toMatchObject({ ends: 3 })
+    expect(refusal(tracker, 'sys')).toBeUndefined()
+    expect(refusal(tracker, 'sys', 'other')).toBeUndefined()
+  })
+
+  it('refuses only requests with all of the parts that came together at every crash', () => {
+    const { tracker } = newTracker()
+    for (const number of [1, 2, 3]) tracker.recordCrash(`l${number}`, lost(`c${number}`, 'sys', 'bad'))
+    expect(refusal(tracker, 'sys', 'bad')).toBeDefined()
+    expect(refusal(tracker, 'sys')).toBeUndefined()
+    expect(refusal(tracker, 'bad')).toBeUndefined()
+  })
+
+  // Guards against a system prompt that is refused since several poison contents have it in common.
+  it('refuses what nobody has been served with for two seconds only, and no more once it was served', () => {
+    const time = { now: 0 }
+    const tracker = new CrashTracker({ now: () => time.now, ends: 3, keepMs: 3_600_000 })
+    for (const number of [1, 2, 3]) tracker.recordCrash(`l${number}`, lost(`poison${number}`, 'sys'))
+    expect(refusal(tracker, 'sys')).toMatchObject({ leftMs: 2_000 })
+    time.now = 2_000
+    expect(refusal(tracker, 'sys')).toBeUndefined()
+    tracker.recordCrash('l4', lost('poison4', 'sys'))
+    expect(refusal(tracker, 'sys')).toMatchObject({ leftMs: 60_000 })
+    tracker.recordServed(toPart('sys'))
+    expect(refusal(tracker, 'sys')).toBeUndefined()
+  })
+
+  it('is not cleared by an answer that had begun before the crash', () => {
+    const { tracker, time } = newTracker()
+    time.now = 1_000
+    tracker.recordCrash('l1', lost('c1', 'sys'))
+    time.now = 1_100
+    tracker.recordServed(toPart('sys'), 250)
+    expect(tracker.countUnclearedCrashes(toPart('sys'))).toBe(1)
+    time.now = 1_300
+    tracker.recordServed(toPart('sys'), 250)
+    expect(tracker.countUnclearedCrashes(toPart('sys'))).toBe(0)
+  })
+
+  it('finds a part that many crashes were beside and that turns deadly later', () => {
+    const { tracker } = newTracker()
+    for (let number = 0; number < 40; number += 1) {
+      tracker.recordCrash(`l${number}`, lost(`c${number}`, 'sys', `bad${number % 10}`))
+      tracker.recordServed(toPart('sys'))
+    }
+    for (let number = 0; number < 5; number += 1)
+      tracker.recordCrash(`m${number}`, lost(`d${number}`, 'sys', `doc${number}`))
+    expect(refusal(tracker, 'sys', 'doc9')).toMatchObject({ part: toPart('sys') })
+  })
+})
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -272,7 +272,10 @@
     const times = { endsAt, targetAt, isReturn }
     const job = { request, route, service, ...times, tokens, rank, regions, stream, boundVersion }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
-    return isModel ? relayStream(parts, job) : relayPlain(parts, job)
+    if (isModel) return relayStream(parts, job)
+    const result = await relayPlain(parts, job)
+    if (wasRunInFull(result)) parts.crashes?.recordWritten(request.parts(service.name), 0)
+    return result
   }
 
   private report(request: CallerRequest, { hasNotRun: _, ...result }: RoutedResult): void {
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -5,6 +5,7 @@
 import { waitUntil } from '@forkstage/deployment'
 import { checkInterruptedAnswers } from './checkInterruptedAnswers'
 import { checkEvacuations } from './checkEvacuations'
+import { checkPoisonPart, POISON_PART } from './checkPoisonPart'
 import { checkPoisonRequest, type PoisonArrivals } from './checkPoisonRequest'
 import { checkRates, RATE_PER_SECOND } from './checkRates'
 import { checkCalls } from './checkCalls'
@@ -73,6 +74,7 @@
 const ENGINES = 2
 const READ_EVERY_MS = 150
 const STREAM_EVERY_MS = 120
+const POISON_PART_EVERY_MS = 250
 /** Engines of the service with several software versions. */
 const VERSIONED_ENGINES = 6
 const RECOVERY_MS = 12_000
@@ -194,6 +196,7 @@
     repeat(CALL_EVERY_MS, () => callers.call()),
     repeat(LARGE_EVERY_MS, () => callers.callLarge()),
     repeat(fatalMs, () => callers.callPoison(fatalKinds)),
+    repeat(POISON_PART_EVERY_MS, () => callers.callPoisonPart()),
     runEngineFaults(
       planEngineFaults(durationMs, createSeededRandom(seed + 5)),
       faultyEndpoints.slice(-ENGINES),
@@ -229,7 +232,9 @@
       })),
     }),
     ...endpoints.flatMap((endpoint) => endpoint.violations),
-    ...[...poisonArrivals.values()].flatMap(checkPoisonRequest),
+    ...[...poisonArrivals].flatMap(([kind, arrivals]) =>
+      kind === POISON_PART ? checkPoisonPart(arrivals) : checkPoisonRequest(arrivals),
+    ),
     ...checkRates(
       endpoints.flatMap((endpoint) => endpoint.rateLimitedArrivals),
       callers.calls,
--- a/tools/fleet-soak/src/soakCallers.ts
+++ b/tools/fleet-soak/src/soakCallers.ts
@@ -1,5 +1,6 @@
 import { request as httpRequest, type IncomingMessage } from 'node:http'
 import type { Random } from '@forkstage/clock'
+import { POISON_PART } from './checkPoisonPart'
 import { POISON_PREFIX } from './checkPoisonRequest'
 import type { SoakMachine } from './machineSettings'
 import type { SoakFleet } from './soakFleet'
@@ -48,6 +49,9 @@
 const SLOW_SHARE = 0.2
 const STEADY_KEY = 'key-steady'
 const HOST = 'soak.example'
+/** Prompt parts that all regular calls share. */
+const SYSTEM_PROMPT = '5a'
+const DOCUMENT = 'd0'
 
 /** Callers that send requests to random entries, each request under a new id. */
 export class SoakCallers {
@@ -94,6 +98,13 @@
     await this.send(entry, record, { key: STEADY_KEY }, `${POISON_PREFIX}${this.poisonCalls % kinds}`)
   }
 
+  /** Sends one stream whose prompt has the poison part, unlike any other in the rest, to a random entry. */
+  async callPoisonPart(): Promise<void> {
+    const entry = this.fleet.entries[Math.floor(this.random() * this.fleet.entries.length)]!
+    const record = this.newRecord('stream')
+    await this.send(entry, record, { key: STEADY_KEY }, record.id, POISON_PART)
+  }
+
   /** Sends one request with a key to an entry; returns its status, 0 when no answer began. */
   async statusWith(entry: SoakMachine, key: string): Promise<number> {
     return (await this.callWith(entry, key)).status
@@ -114,7 +125,13 @@
     return { id: `r${this.count}`, kind, deadlineMs, ...blank }
   }
 
-  private send(entry: SoakMachine, record: CallRecord, { key }: SoakKey, rest = 'x'): Promise<void> {
+  private send(
+    entry: SoakMachine,
+    record: CallRecord,
+    { key }: SoakKey,
+    rest = 'x',
+    document = DOCUMENT,
+  ): Promise<void> {
     const url = this.fleet.callers(entry)
     record.entry = entry.name
     record.startedAt = Date.now()
@@ -129,6 +146,7 @@
           'X-Forkstage-Deadline-Ms': String(record.deadlineMs),
           'X-Forkstage-Token-Counts': '100,100',
           'X-Forkstage-Model': 'm',
+          'X-Forkstage-Prompt-Prefix': `${SYSTEM_PROMPT}:20,${document}:30,own-${record.id}:50`,
           // A forged header: only the entry may set the workspace.
           'X-Forkstage-Tenant': 'forged',
           ...(key === undefined ? {} : { 'X-Api-Key': key }),
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -2,6 +2,7 @@
 import got from 'got'
 import type { Random } from '@forkstage/clock'
 import type { DomainArrival } from './checkEvacuations'
+import { POISON_PART } from './checkPoisonPart'
 import { POISON_PREFIX, type PoisonArrivals } from './checkPoisonRequest'
 import type { EndpointArrival } from './checkEndpointSignals'
 import { INVALID_FIELDS } from './invalidFields'
@@ -226,6 +227,7 @@
     if (this.refusesAll) return this.refuse(request, response)
     if (request.headers['x-forkstage-stage'] === 'prefill') return this.answerPrefill(response)
     if (this.isPlain) return this.answerPlain(request, response)
+    if (hasPoisonPart(request)) return this.crashUnder(POISON_PART)
     this.answerStream(request, response)
   }
 
@@ -339,3 +341,7 @@
 function idOf(request: IncomingMessage): string {
   return String(request.headers['x-forkstage-request-id'])
 }
+
+function hasPoisonPart({ headers }: IncomingMessage): boolean {
+  return String(headers['x-forkstage-prompt-prefix']).includes(`,${POISON_PART}:`)
+}
