fix(crashes): a stream that had events has not just begun at its engine's crash

Cause: a stream lost within a second of being sent counted as one that had only just begun to run, also where its engine had written to it. Contents that many callers send then tied with the part that crashed their engines, and ties are not explained.

Change: where it is known whether the engine had begun to write, that decides; the second decides only for answers that come whole.

Test: crashDetector.test.ts.

--- a/request/crashes/src/crashDetector.ts
+++ b/request/crashes/src/crashDetector.ts
@@ -87,7 +87,7 @@
       isProbing: false,
     }
     this.suspects.set(endpoint.id, suspect)
-    const isEarly = isBroken && (hasBegun === false || afterMs <= EARLY_MS)
+    const isEarly = isBroken && (hasBegun === undefined ? afterMs <= EARLY_MS : !hasBegun)
     if (suspect.lost.size < MAX_LOST_REQUESTS)
       suspect.lost.set(request, { content, isEarly, parts: hasBegun === true ? undefined : parts })
     suspect.lastLossAt = this.options.clock.now()
--- a/request/crashes/test/crashDetector.test.ts
+++ b/request/crashes/test/crashDetector.test.ts
@@ -81,6 +81,7 @@
     })
     await harness.advance(1_000)
     expect(harness.lines).toMatchObject([{ parts: ['part-1', 'part-2', 'part-3'] }])
+    expect(harness.ended).toEqual([['i-1', ['a early', 'b early', 'c late']]])
   })
 
   it('reports no crash if the endpoint still listens at both probes', async () => {
