fix(crashes): a part that was served lately is refused from five crashes on, not three

Evidence: the crash records on disk hold both parts with four crashes, served before, none cleared since; no content has more than two.

Change: two more crashes are needed for a part that was served lately. Where it turns deadly itself, that costs two engines more, which the users' rule allows (five).

--- a/request/crashes/src/crashAttribution.ts
+++ b/request/crashes/src/crashAttribution.ts
@@ -15,6 +15,8 @@
 /** The crashes that the parts of one prompt are to blame for. */
 export interface PartBlame {
   crashes: number
+  /** The crashes from which on a request with these parts is refused. */
+  required: number
   /** Whether no other part may explain some crash, and something that was there has been served since. */
   isProved: boolean
   /** The part with the most weight. */
@@ -26,7 +28,9 @@
  * requests share is at most crashes, whichever of them is the cause.
  */
 const SERVED_BONUS = 3
-const NO_BLAME: PartBlame = { crashes: 0, isProved: false }
+/** A part that was served lately is refused after so many more crashes, which as many contents may have caused. */
+const SERVED_EXTRA_CRASHES = 2
+const NO_BLAME: PartBlame = { crashes: 0, required: Infinity, isProved: false }
 
 /** Returns the number of crashes that a content is to blame for. */
 export function attributeCrashes(evidence: CrashEvidence, entry: CrashEntry): number {
@@ -49,7 +53,8 @@
   const blamed = open.filter((incarnation) => !isExplainedByOthers(evidence, own, incarnation))
   const isProved = blamed.some((incarnation) => isProof(evidence, own, incarnation))
   const [heaviest] = parts.toSorted((left, right) => weightOf(right) - weightOf(left))
-  return { crashes: blamed.length, isProved, part: heaviest!.subject }
+  const required = evidence.ends + (heaviest!.wasServed ? SERVED_EXTRA_CRASHES : 0)
+  return { crashes: blamed.length, required, isProved, part: heaviest!.subject }
 }
 
 /** Whether every other content that was running there has got a complete response since. */
--- a/request/crashes/src/crashTracker.ts
+++ b/request/crashes/src/crashTracker.ts
@@ -148,9 +148,10 @@
     const known = entries.filter((entry) => this.leftMs(entry) > 0)
     if (known.length === 0) return undefined
     const { ends, keepMs, now } = this.options
-    const { crashes, isProved, part } = attributePartCrashes(this.evidence, known)
-    if (crashes < ends) return undefined
-    const lapseMs = UNPROVED_PART_REFUSAL_MS * UNPROVED_PART_FACTOR ** (crashes - ends)
+    const { crashes, required, isProved, part } = attributePartCrashes(this.evidence, known)
+    if (crashes < required) return undefined
+    const excess = Math.min(crashes - ends, crashes - required + 1)
+    const lapseMs = UNPROVED_PART_REFUSAL_MS * UNPROVED_PART_FACTOR ** excess
     const lastAt = Math.max(...known.map(({ at }) => at))
     const leftMs = lastAt + (isProved ? keepMs : Math.min(keepMs, lapseMs)) - now()
     return leftMs > 0 ? { ends: crashes, leftMs, part } : undefined
--- a/request/crashes/test/crashTracker.test.ts
+++ b/request/crashes/test/crashTracker.test.ts
@@ -240,6 +240,16 @@
     expect(refusal(tracker, 'sys')).toBeUndefined()
   })
 
+  // Guards against refusals of what was served a moment before four contents crashed four endpoints.
+  it('refuses a part that was served lately from five crashes on', () => {
+    const { tracker } = newTracker()
+    tracker.recordServed(toPart('sys'))
+    for (const number of [1, 2, 3, 4]) tracker.recordCrash(`l${number}`, lost(`poison${number}`, 'sys'))
+    expect(refusal(tracker, 'sys')).toBeUndefined()
+    tracker.recordCrash('l5', lost('poison5', 'sys'))
+    expect(refusal(tracker, 'sys')).toMatchObject({ ends: 5 })
+  })
+
   it('is not cleared by an answer that had begun before the crash', () => {
     const { tracker, time } = newTracker()
     time.now = 1_000
