test(soak): the requests that a cold endpoint gets are counted by incarnation

Trace: of the sends to i-4-3 in that second, two or three went to the incarnation that crashed after 0.26 s and no more than five to the next; the leader logged both as cold, each with a bound of its own.

Change: the count starts anew with each incarnation. The bound is as it was.

--- a/tools/fleet-soak/src/standInColdStart.ts
+++ b/tools/fleet-soak/src/standInColdStart.ts
@@ -13,6 +13,8 @@
   /** Starts the cold time after a restart. */
   begin(): void {
     this.until = Date.now() + COLD.startS * SECOND_MS
+    // The bound is that of one incarnation, which knows nothing of the previous one.
+    this.arrivals = []
   }
 
   /** Returns the rest of the cold time in milliseconds; 0 when it is over. */
