fix(crashes): parts of one request explain no other crash; a lost stream waits for the crash to be confirmed

Cause: a part that came with a single content counted like one that several contents have, and one that recurs did not count for more than its number of crashes. A stream that was lost before its first event went to the next engine before its crash was known.

Change: a part that came with one content only explains nothing; beside one that recurs and that nobody was served with, a part that was served lately is not to blame. Only engines' losses name parts: plain endpoints write no answers on prompts, and their poison contents are found by isolated trials.

--- a/request/crashes/src/crashAttribution.ts
+++ b/request/crashes/src/crashAttribution.ts
@@ -82,7 +82,8 @@
  * several contents crash their engines, and that the parts are what these have in common.
  */
 function isProof(evidence: CrashEvidence, own: ReadonlySet<CrashEntry>, incarnation: Incarnation): boolean {
-  const hasOtherPart = othersAt(evidence, own, incarnation).some((one) => isPart(one.subject))
+  const others = othersAt(evidence, own, incarnation)
+  const hasOtherPart = others.some((one) => isPart(one.subject) && isSubjectOfItsOwn(evidence, one))
   return !hasOtherPart && evidence.entriesAt(incarnation).some((one) => one.served.has(incarnation))
 }
 
@@ -92,15 +93,26 @@
   own: ReadonlySet<CrashEntry>,
   incarnation: Incarnation,
 ): boolean {
-  const ownWeights = [...own].filter((one) => isUncleared(one, incarnation)).map(weightOf)
-  const weight = Math.max(...ownWeights)
+  const accused = [...own].filter((one) => isUncleared(one, incarnation))
+  const weight = Math.max(...accused.map(weightOf))
+  const wereServed = accused.every((one) => one.wasServed)
   return othersAt(evidence, own, incarnation).some(
-    // A content with few crashes is one of the requests that the part crashed.
-    (one) =>
-      (isPart(one.subject) || unclearedIncarnations(one).length >= evidence.ends) && weightOf(one) >= weight,
+    // Several parts may be at work at once, with what was served before at the crashes of all of them.
+    (one) => isSubjectOfItsOwn(evidence, one) && (weightOf(one) >= weight || (wereServed && !one.wasServed)),
   )
 }
 
+/**
+ * Whether a subject may explain crashes of others' parts. A content with few crashes, and a part that came with a single
+ * content, belong to one of the requests that crashed.
+ */
+function isSubjectOfItsOwn({ entriesAt, ends }: CrashEvidence, entry: CrashEntry): boolean {
+  const crashes = unclearedIncarnations(entry)
+  if (!isPart(entry.subject)) return crashes.length >= ends
+  const contents = entriesAt(crashes[0]!).filter(({ subject }) => !isPart(subject))
+  return !contents.some(({ ended }) => crashes.every((incarnation) => ended.has(incarnation)))
+}
+
 function weightOf(entry: CrashEntry): number {
   return unclearedIncarnations(entry).length - (entry.wasServed ? SERVED_BONUS : 0)
 }
--- a/request/crashes/test/partSimulation.ts
+++ b/request/crashes/test/partSimulation.ts
@@ -210,7 +210,8 @@
     })
     for (const stream of lost) {
       stream.attempts -= 1
-      if (stream.isSound && !stream.hasBegun && stream.attempts > 0) this.relay(stream)
+      if (!stream.hasBegun && stream.attempts > 0)
+        this.clock.after(CONFIRM_AFTER_MS, () => this.relay(stream))
     }
   }
 
--- a/request/gateway/src/engineProgress.ts
+++ b/request/gateway/src/engineProgress.ts
@@ -38,6 +38,15 @@
     if (this.firstEventAt !== undefined) this.recordWritten(this.firstEventAt)
   }
 
+  /**
+   * Resolves once it is known whether the engine has crashed, if it was lost before its first event: the crash may decide
+   * whether the request may be sent again.
+   */
+  async confirmLoss(): Promise<void> {
+    if (this.engine === undefined || this.firstEventAt !== undefined) return
+    await this.parts.crashes?.confirmed([this.engine.id])
+  }
+
   /** Returns what a loss of the stream is judged by. */
   lossTimes(silentMs: Millis): LostStreamTimes {
     return { sentAt: this.sentAt, silentMs, hasBegun: this.firstEventAt !== undefined }
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -272,10 +272,7 @@
     const times = { endsAt, targetAt, isReturn }
     const job = { request, route, service, ...times, tokens, rank, regions, stream, boundVersion }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
-    if (isModel) return relayStream(parts, job)
-    const result = await relayPlain(parts, job)
-    if (wasRunInFull(result)) parts.crashes?.recordWritten(request.parts(service.name), 0)
-    return result
+    return isModel ? relayStream(parts, job) : relayPlain(parts, job)
   }
 
   private report(request: CallerRequest, { hasNotRun: _, ...result }: RoutedResult): void {
--- a/request/gateway/src/reportLostSending.ts
+++ b/request/gateway/src/reportLostSending.ts
@@ -24,7 +24,8 @@
   crashes?.recordLoss({
     request: request.id,
     content: request.content(),
-    parts: request.parts(service.name),
+    // Only engines write answers on prompts.
+    parts: service.engine === undefined ? undefined : request.parts(service.name),
     endpoint,
     isBroken,
     hasBegun,
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -113,6 +113,7 @@
       if (attempt.type === 'not-run') refusals += 1
       const next = this.decideRetry(attempt, refusals)
       if (next.type === 'end') return this.endWithoutAnswer(reasonOf(attempt), retryAfterOf(attempt))
+      if (attempt.type === 'lost') await this.progress.confirmLoss()
       if (next.afterMs > 0) await this.waitBeforeRetry(attempt, next.afterMs)
       if (this.isOver) return this.caller.endedResult()
     }
