perf(crashes): keep the blame of parts until the next change

Change: the blame of a set of parts is kept until a record changes, as that of a content is. Decisions are the same. Not measured after.

--- a/request/crashes/src/crashTracker.ts
+++ b/request/crashes/src/crashTracker.ts
@@ -1,6 +1,12 @@
 import type { Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
-import { attributeCrashes, attributePartCrashes, wasAlone, type CrashEvidence } from './crashAttribution'
+import {
+  attributeCrashes,
+  attributePartCrashes,
+  wasAlone,
+  type CrashEvidence,
+  type PartBlame,
+} from './crashAttribution'
 import { addIncarnations, emptyEntry, toRecord, unclearedIncarnations, type CrashEntry } from './crashEntry'
 import type { ContentAtCrash, ContentRefusal, CrashRecord, Incarnation, SubjectDigest } from './crashTypes'
 import { isPart, type PartDigest } from './partDigest'
@@ -36,7 +42,8 @@
 
 /**
  * Records which contents were running at endpoints when they crashed, as seen by any machine, and which prompt parts those
- * endpoints were to begin to answer, and decides which of these subjects are to blame. Records are grow-only sets, so machines converge whatever the order in which they receive them.
+ * endpoints were to begin to answer, and decides which of these subjects are to blame. Records are sets, so that machines
+ * converge whatever the order in which they receive them.
  *
  * A request that crashes its endpoint takes every other request there down with it, and those may be sent again to the
  * next endpoint that it crashes. So a content is refused only for crashes that no other refused content with more
@@ -53,6 +60,7 @@
   private readonly evidence: CrashEvidence
   private changeCount = 0
   private blameCache: { at: number; counts: Map<SubjectDigest, number> } = { at: -1, counts: new Map() }
+  private partBlameCache: { at: number; blames: Map<string, PartBlame> } = { at: -1, blames: new Map() }
 
   constructor(private readonly options: CrashTrackerOptions) {
     this.served = new RecentlyServed(options.now)
@@ -148,7 +156,7 @@
     const known = entries.filter((entry) => this.leftMs(entry) > 0)
     if (known.length === 0) return undefined
     const { ends, keepMs, now } = this.options
-    const { crashes, required, isProved, part } = attributePartCrashes(this.evidence, known)
+    const { crashes, required, isProved, part } = this.partBlame(known)
     if (crashes < required) return undefined
     const excess = Math.min(crashes - ends, crashes - required + 1)
     const lapseMs = UNPROVED_PART_REFUSAL_MS * UNPROVED_PART_FACTOR ** excess
@@ -255,6 +263,16 @@
     return count
   }
 
+  /** Returns the blame of parts that came together. Cached until the next change: called per request. */
+  private partBlame(known: CrashEntry[]): PartBlame {
+    if (this.partBlameCache.at !== this.changeCount)
+      this.partBlameCache = { at: this.changeCount, blames: new Map() }
+    const key = known.map(({ subject }) => subject).join()
+    const blame = this.partBlameCache.blames.get(key) ?? attributePartCrashes(this.evidence, known)
+    this.partBlameCache.blames.set(key, blame)
+    return blame
+  }
+
   private entriesAt(incarnation: Incarnation): CrashEntry[] {
     return [...(this.byIncarnation.get(incarnation) ?? [])].map((subject) => this.entries.get(subject)!)
   }
@@ -301,6 +319,7 @@
 
   private evict(entry: CrashEntry): void {
     this.blameCache.at = -1
+    this.partBlameCache.at = -1
     this.entries.delete(entry.subject)
     for (const incarnation of entry.ended) this.unlink(entry.subject, incarnation)
   }
