fix(answers,crashes): an idle connection keeps no answered request, and the cache of verdicts is bounded

Cause, found on a last read of the diff: since a connection remembers its last response, and through its listeners the request with its body, also once it is idle; before, nothing was kept.

Change: the response is forgotten when it has ended; at most 1,000 verdicts are kept. Decisions are the same. Ruled out: a test of the memory itself, which would have to wait for the garbage collector.

Measured: 47 tests of answers, streams without a length and crashes pass (the known red skipped); bytes were not measured before or after.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -7,7 +7,7 @@
   pending: number
   /** Bytes received when the last response was completed; absent before the first one. */
   idleAtBytes?: number
-  /** The last response that was begun. */
+  /** The response in progress; the last one of several. */
   current?: ServerResponse
 }
 
@@ -66,6 +66,8 @@
       if (isDone) return
       isDone = true
       socket.off('close', markDone)
+      // An idle connection must not keep its last request in memory.
+      if (connection.current === response) connection.current = undefined
       this.total -= 1
       connection.pending -= 1
       connection.idleAtBytes = socket.bytesRead
--- a/request/crashes/src/crashTracker.ts
+++ b/request/crashes/src/crashTracker.ts
@@ -35,6 +35,8 @@
  */
 const UNPROVED_PART_REFUSAL_MS: Millis = 2_000
 const UNPROVED_PART_FACTOR = 30
+/** Callers may name known parts in any combination. */
+const MAX_CACHED_BLAMES = 1_000
 /** Two crashes of one service within the window, each with requests running, are unlikely to be chance. */
 const STORM_CRASHES = 2
 const STORM_WINDOW_MS: Millis = 10_000
@@ -43,7 +45,7 @@
 /**
  * Records which contents were running at endpoints when they crashed, as seen by any machine, and which prompt parts those
  * endpoints were to begin to answer, and decides which of these subjects are to blame. Records are sets, so that machines
- * converge whatever the order in which they receive them.
+ * converge whatever the order in which they receive them, as long as no subject has more crashes than a record holds.
  *
  * A request that crashes its endpoint takes every other request there down with it, and those may be sent again to the
  * next endpoint that it crashes. So a content is refused only for crashes that no other refused content with more
@@ -269,7 +271,7 @@
       this.partBlameCache = { at: this.changeCount, blames: new Map() }
     const key = known.map(({ subject }) => subject).join()
     const blame = this.partBlameCache.blames.get(key) ?? attributePartCrashes(this.evidence, known)
-    this.partBlameCache.blames.set(key, blame)
+    if (this.partBlameCache.blames.size < MAX_CACHED_BLAMES) this.partBlameCache.blames.set(key, blame)
     return blame
   }
 
