feat(observability): an entry measures the delay that it adds by itself

Nothing in logs or metrics told a full link from a busy event loop, or either from slow endpoints. @forkstage/overload measures both: the lateness of timers, and the time that connects to endpoints take beyond their shortest, each as the smallest of the recent samples, since a queue delays all of them and a pause only some. `entry.delayed` logs them at most once a second; three metrics show them.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -32,6 +32,18 @@
     return this.total
   }
 
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.connections.size
+  }
+
+  /** Number of bytes that wait in this process until their callers, or this machine's link, take them. */
+  get unsentBytes(): number {
+    let sum = 0
+    for (const socket of this.connections.keys()) sum += socket.writableLength
+    return sum
+  }
+
   /** Returns the number of such requests on a connection. */
   countOn(socket: Socket): number {
     return this.connections.get(socket)?.pending ?? 0
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -36,6 +36,18 @@
   'path.direct': { endpoint: string; left: number }
   /** A machine reaches no endpoint, also through others; logged once until it reaches one. */
   'path.none': { reason: string }
+  /**
+   * An entry delays its callers' requests by itself, by a busy event loop (`loopMs`) or a full link (`connectMs`, the time
+   * that each connect to an endpoint exceeds its shortest); at most once a second.
+   */
+  'entry.delayed': {
+    loopMs: number
+    connectMs: number
+    running: number
+    connections: number
+    /** Bytes of answers that wait in the process. */
+    unsentBytes: number
+  }
   /** The known rate advertised by an endpoint has changed; requests per second from all machines together. */
   'endpoint.rate': {
     endpoint: string
--- a/daemon/fleet/src/createEntryMetrics.ts
+++ b/daemon/fleet/src/createEntryMetrics.ts
@@ -1,6 +1,7 @@
 import type { CrashTracker } from '@forkstage/crashes'
 import type { Directory } from '@forkstage/directory'
-import type { EndpointPool, GatewayRetryBudget } from '@forkstage/gateway'
+import type { EndpointPool, GatewayRetryBudget, Ingress } from '@forkstage/gateway'
+import type { DelayMonitor } from '@forkstage/overload'
 import type { AvailabilityTracker } from '@forkstage/statements'
 import type { ControlFollower } from '@forkstage/watch'
 import type { ColdEndpointTracker } from './coldEndpointTracker'
@@ -14,8 +15,8 @@
 /** The parts of an entry that its metrics show. */
 export interface EntryMetricsSource {
   sheetVersion: () => number
-  /** Returns the number of requests in progress. */
-  running: () => number
+  ingress: Pick<Ingress, 'running' | 'connections' | 'unsentBytes'>
+  delays: Pick<DelayMonitor, 'loopMs' | 'connectMs'>
   directory: Directory
   pool: EndpointPool
   paths: EntryPaths
@@ -45,7 +46,10 @@
     evacuated_domains: () => evacuations.view.current.domains.length,
     contents_refused: () => crashes.countRefused(),
     contents_suspected: () => crashes.countSuspects(),
-    requests_running: source.running,
+    requests_running: () => source.ingress.running,
+    caller_connections: () => source.ingress.connections,
+    caller_unsent_bytes: () => source.ingress.unsentBytes,
+    own_delay_ms: () => ({ loop: source.delays.loopMs, connect: source.delays.connectMs }),
     entries_known: () => follower.entries(),
     retries: () => ({ ...source.retryBudget.counts }),
     leader_known: () => Number(follower.leader() !== undefined),
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -10,7 +10,6 @@
   LeaderClient,
   LocalPlacer,
   RemotePlacer,
-  GatewayRetryBudget,
   WorkspaceAdmission,
   type GatewayWire,
   type OriginClient,
@@ -27,8 +26,10 @@
 import { createEntryMetrics } from './createEntryMetrics'
 import { createOriginClient } from './createOriginClient'
 import { createQuotaLimiter } from './createQuotaLimiter'
+import { createRetryBudget } from './createRetryBudget'
 import { EntryCrashes } from './entryCrashes'
 import { EntryLimits } from './entryLimits'
+import { EntryLoad } from './entryLoad'
 import { EntryPaths } from './entryPaths'
 import { entrySendRules } from './entrySendRules'
 import { EvacuationTracker } from './evacuationTracker'
@@ -76,6 +77,7 @@
   private readonly quotas: QuotaLimiter
   private readonly paths: EntryPaths
   private readonly origins: OriginClient
+  private readonly load: EntryLoad
   private peerServer: PeerServer | undefined
   private readonly ingress: Ingress
   private readonly metrics: FleetMetrics
@@ -88,6 +90,7 @@
     private readonly wire: EntryWire,
   ) {
     const { settings, clock, random, logger, peers } = context
+    this.load = new EntryLoad({ ingress: () => this.ingress, clock, logger })
     this.cold = new ColdEndpointTracker({
       directory: this.directory,
       service: (name) => this.routes.current?.service(name),
@@ -136,13 +139,7 @@
       isKnown: (raw) => this.directory.isKnown(raw),
     })
     const entries = () => this.follower.entries() || ASSUMED_ENTRIES
-    const retryBudget = new GatewayRetryBudget({
-      clock,
-      share: settings.retry.share,
-      slack: settings.retry.slack,
-      windowMs: settings.retry.window_s * SECOND_MS,
-      entries,
-    })
+    const retryBudget = createRetryBudget(context, entries)
     this.leaderClient = new LeaderClient({
       leader: () => this.follower.leader(),
       neighbours: () => this.follower.neighbours(),
@@ -166,6 +163,7 @@
       directory,
       neighbours: () => this.follower.neighbours(),
       isLeaving: () => this.leaving,
+      onConnected: (endpoint, tookMs) => this.load.delays.recordConnect(endpoint, tookMs),
     })
     this.crashes = new EntryCrashes({
       tracker: crashTracker,
@@ -225,11 +223,13 @@
       }),
       routes: () => this.routes.current,
       isViewFresh: () => this.follower.hasAnswerSinceSuspension(),
+      onRequest: () => this.load.delays.watch(),
       onResult: (report) => this.metrics.recordRequest(report),
     })
     this.metrics = createEntryMetrics({
       sheetVersion: () => this.routes.version,
-      running: () => this.ingress.running,
+      ingress: this.ingress,
+      delays: this.load.delays,
       directory,
       pool: this.pool,
       paths: this.paths,
@@ -309,6 +309,7 @@
     this.crashes.stop()
     this.origins.stop()
     this.paths.stop()
+    this.load.stop()
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -39,6 +39,8 @@
   routes: () => RouteIndex | undefined
   /** Whether the known routes and endpoints were received since this machine was last suspended; assumed where left out. */
   isViewFresh?: () => boolean
+  /** Called at the arrival of each request. */
+  onRequest?: () => void
   /** Called once for each request that has ended. */
   onResult?: (result: RequestReport) => void
 }
@@ -104,6 +106,16 @@
     return Math.max(this.served, this.answers.count)
   }
 
+  /** Number of open connections of callers. */
+  get connections(): number {
+    return this.answers.connectionCount
+  }
+
+  /** Number of bytes of answers that wait in this process. */
+  get unsentBytes(): number {
+    return this.answers.unsentBytes
+  }
+
   /** Applies the connection limits of a newer sheet. */
   setLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs
@@ -129,6 +141,7 @@
 
   private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     this.served += 1
+    this.options.onRequest?.()
     response.sendDate = false
     if (this.leaving) response.setHeader('Connection', 'close')
     // An answer whose headers were sent before has no `Connection: close`, so its caller would keep the connection.
--- /dev/null
+++ b/request/overload/test/delayMonitor.test.ts
@@ -0,0 +1,67 @@
+import { ManualClock } from '@forkstage/clock'
+import { describe, expect, it } from 'vitest'
+import { DelayMonitor } from '../src'
+
+const ENDPOINT = '127.0.0.1:1'
+
+function newMonitor(running = 10) {
+  const clock = new ManualClock()
+  return { clock, monitor: new DelayMonitor({ clock, running: () => running }) }
+}
+
+describe('the delay that a machine adds by itself', () => {
+  it('is the smallest excess of the recent connects', () => {
+    const { clock, monitor } = newMonitor()
+    for (const tookMs of [2, 40, 2]) monitor.recordConnect(ENDPOINT, tookMs)
+    expect(monitor.connectMs).toBe(0)
+    clock.advance(1_000)
+    for (const tookMs of [42, 32, 52]) monitor.recordConnect(ENDPOINT, tookMs)
+    expect(monitor.connectMs).toBe(30)
+  })
+
+  it('is none with too few connects, or once they are long past', () => {
+    const { clock, monitor } = newMonitor()
+    monitor.recordConnect(ENDPOINT, 2)
+    clock.advance(1_000)
+    for (const tookMs of [42, 42]) monitor.recordConnect(ENDPOINT, tookMs)
+    expect(monitor.connectMs).toBe(0)
+    monitor.recordConnect(ENDPOINT, 42)
+    expect(monitor.connectMs).toBe(40)
+    clock.advance(1_000)
+    expect(monitor.connectMs).toBe(0)
+  })
+
+  it('compares each endpoint with its own shortest connect', () => {
+    const { clock, monitor } = newMonitor()
+    monitor.recordConnect('near', 1)
+    monitor.recordConnect('far', 30)
+    clock.advance(1_000)
+    for (const [endpoint, tookMs] of [
+      ['near', 1],
+      ['far', 30],
+      ['far', 31],
+    ] as const)
+      monitor.recordConnect(endpoint, tookMs)
+    expect(monitor.connectMs).toBe(0)
+  })
+
+  it('is no longer counted once a longer path has stayed for minutes', () => {
+    const { clock, monitor } = newMonitor()
+    monitor.recordConnect(ENDPOINT, 2)
+    for (let minute = 0; minute < 3; minute += 1) {
+      clock.advance(61_000)
+      for (let count = 0; count < 3; count += 1) monitor.recordConnect(ENDPOINT, 26)
+    }
+    expect(monitor.connectMs).toBe(0)
+  })
+
+  it('is no delay of the event loop while timers are on time, and needs no check while little is in progress', () => {
+    const { clock, monitor } = newMonitor()
+    monitor.watch()
+    clock.advance(1_000)
+    expect(monitor.loopMs).toBe(0)
+    const idle = newMonitor(1)
+    idle.monitor.watch()
+    expect(idle.monitor.delayMs).toBe(0)
+  })
+})
--- a/request/paths/src/endpointDialer.ts
+++ b/request/paths/src/endpointDialer.ts
@@ -15,6 +15,8 @@
   neighbours: () => Address[]
   /** Returns the addresses of the registered endpoints. */
   endpoints: () => Address[]
+  /** Called with the time that each direct connection took to open. */
+  onConnected?: (endpoint: Address, tookMs: Millis) => void
   clock: Clock
   random: Random
   logger: Logger
@@ -114,7 +116,9 @@
     const attempt = connect(endpoint, timeoutMs)
     const result = attempt.result.then((one) => {
       if (one.type !== 'connected') return one
-      if (this.paths.recordDirect(endpoint, clock.now() - startedAt)) this.logDirect(endpoint)
+      const tookMs = clock.now() - startedAt
+      this.options.onConnected?.(endpoint, tookMs)
+      if (this.paths.recordDirect(endpoint, tookMs)) this.logDirect(endpoint)
       return one
     })
     return { result, cancel: attempt.cancel }
