test(fleet): an entry that gets most new connections collapses, known red

`npm run hot-entry` gives one entry of real processes a modelled link (250 bytes/ms a direction, limitedLink.ts) and 40 ms of each 100 ms of the processor, and sends it 0.9 of all new connections at 0.5 to 8 times what it carries and down again. Callers retry elsewhere what was not read or was refused.

--- a/scripts/bundleOptions.mjs
+++ b/scripts/bundleOptions.mjs
@@ -10,6 +10,8 @@
   fleetSoak: 'tools/fleet-soak/src/main.ts',
   partitions: 'tools/fleet-soak/src/partitionExperiment.ts',
   partitionable: 'tools/fleet-soak/src/partitionable.ts',
+  hotEntry: 'tools/fleet-soak/src/hotEntryExperiment.ts',
+  limitedLink: 'tools/fleet-soak/src/limitedLink.ts',
   days: 'tools/days/src/main.ts',
   serve: 'cli/forkstage/src/serve.ts',
 }
--- a/tools/fleet-soak/src/soakFleet.ts
+++ b/tools/fleet-soak/src/soakFleet.ts
@@ -12,6 +12,12 @@
 /** Runs the program of an entry so that it can be cut from the endpoints. */
 const PARTITIONABLE = 'dist/partitionable.cjs'
 
+/** Options of {@link SoakFleet}. */
+export interface SoakFleetOptions {
+  /** A program that runs the program of an entry, with its environment; entries can be cut from endpoints if absent. */
+  entryRunner?: { program: string; env: Record<string, string> }
+}
+
 /** The entries and control machines of a soak, each in a separate process. */
 export class SoakFleet {
   readonly control: SoakMachine[]
@@ -22,6 +28,7 @@
   constructor(
     private readonly folder: string,
     network: string,
+    private readonly options: SoakFleetOptions = {},
   ) {
     const machines = (role: SoakMachine['role'], count: number, first: number) =>
       Array.from({ length: count }, (_, index) => ({
@@ -51,9 +58,11 @@
     const settings = join(this.folder, `${machine.name}.toml`)
     writeFileSync(settings, machineSettings(machine, seeds, this.folder, found))
     const logFile = join(this.folder, `${machine.name}.log`)
-    const program = machine.role === 'entry' ? [PARTITIONABLE, PROGRAM] : [PROGRAM]
-    const started = startProcess([process.execPath, ...program], {
-      env: { FORKSTAGE_CONFIG: settings, FORKSTAGE_PARTITION_FILE: this.partitionFile(machine) },
+    const partitionEnv = { FORKSTAGE_PARTITION_FILE: this.partitionFile(machine) }
+    const { program, env } = this.options.entryRunner ?? { program: PARTITIONABLE, env: partitionEnv }
+    const command = machine.role === 'entry' ? [program, PROGRAM] : [PROGRAM]
+    const started = startProcess([process.execPath, ...command], {
+      env: { FORKSTAGE_CONFIG: settings, ...env },
       logFile,
       keepLines: false,
     })
