fix(gateway): an entry closes connections that it cannot carry before it reads them

Cause: an entry read every request as soon as its connection was there; nothing observed its own state. Its link is full (connects to all endpoints up to 0.37 s over their shortest, event loop on time, nothing queued in the process), so all requests are late together and the work for callers who have left fills the link further.

Fix: AdmissionGate (@forkstage/overload). Once the own delay has lasted for 200 ms, a limit follows the requests in progress down until the delay is over, then rises by one in 100 ms. Connections beyond it are reset unread, which proves that nothing ran and costs a few packets; one each half second is taken. Answers then carry `Connection: close`; requests on open connections beyond twice the limit get 503.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -47,7 +47,16 @@
     connections: number
     /** Bytes of answers that wait in the process. */
     unsentBytes: number
+    /** Limit on the requests in progress; absent while there is none. */
+    limit?: number
+    /** Connections closed unread and requests refused for the limit, since the start. */
+    closed: number
+    refused: number
   }
+  /** An entry takes on fewer requests than come: it closes connections unread beyond `limit` requests in progress. */
+  'entry.overloaded': { loopMs: number; connectMs: number; running: number; limit: number }
+  /** An entry takes on all requests again. `closed` connections unread and `refused` requests since its start. */
+  'entry.keeps_up': { running: number; closed: number; refused: number }
   /** The known rate advertised by an endpoint has changed; requests per second from all machines together. */
   'endpoint.rate': {
     endpoint: string
--- a/daemon/fleet/src/createEntryMetrics.ts
+++ b/daemon/fleet/src/createEntryMetrics.ts
@@ -1,7 +1,7 @@
 import type { CrashTracker } from '@forkstage/crashes'
 import type { Directory } from '@forkstage/directory'
 import type { EndpointPool, GatewayRetryBudget, Ingress } from '@forkstage/gateway'
-import type { DelayMonitor } from '@forkstage/overload'
+import type { AdmissionGate, DelayMonitor } from '@forkstage/overload'
 import type { AvailabilityTracker } from '@forkstage/statements'
 import type { ControlFollower } from '@forkstage/watch'
 import type { ColdEndpointTracker } from './coldEndpointTracker'
@@ -17,6 +17,7 @@
   sheetVersion: () => number
   ingress: Pick<Ingress, 'running' | 'connections' | 'unsentBytes'>
   delays: Pick<DelayMonitor, 'loopMs' | 'connectMs'>
+  gate: Pick<AdmissionGate, 'limitValue' | 'closedCount'>
   directory: Directory
   pool: EndpointPool
   paths: EntryPaths
@@ -49,6 +50,8 @@
     requests_running: () => source.ingress.running,
     caller_connections: () => source.ingress.connections,
     caller_unsent_bytes: () => source.ingress.unsentBytes,
+    connections_closed_unread: () => source.gate.closedCount,
+    admission_limit: () => source.gate.limitValue,
     own_delay_ms: () => ({ loop: source.delays.loopMs, connect: source.delays.connectMs }),
     entries_known: () => follower.entries(),
     retries: () => ({ ...source.retryBudget.counts }),
--- a/daemon/fleet/src/entryLoad.ts
+++ b/daemon/fleet/src/entryLoad.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '@forkstage/clock'
 import type { Ingress } from '@forkstage/gateway'
 import type { Logger } from '@forkstage/logger'
-import { DelayLog, DelayMonitor } from '@forkstage/overload'
+import { AdmissionGate, DelayLog, DelayMonitor } from '@forkstage/overload'
+
+const NOTICEABLE_DELAY_MS = 10
 
 /** Options of {@link EntryLoad}. */
 export interface EntryLoadOptions {
@@ -11,16 +13,27 @@
   logger: Logger
 }
 
-/** How loaded an entry is: the delay that it adds to its callers' requests by itself. */
+/** How loaded an entry is: the delay that it adds to its callers' requests by itself, and how many it takes on. */
 export class EntryLoad {
   readonly delays: DelayMonitor
+  readonly gate: AdmissionGate
+  private readonly log: DelayLog
 
   constructor(options: EntryLoadOptions) {
     const { ingress, clock, logger } = options
     const running = () => ingress().running
-    this.delays = new DelayMonitor({ clock, running, onCheck: () => log.update() })
-    const log = new DelayLog({
-      monitor: this.delays,
+    const monitor = new DelayMonitor({
+      clock,
+      idleMs: () => performance.eventLoopUtilization().idle,
+      running,
+      isDelayed: () => this.gate.isLimiting,
+      onCheck: () => this.check(running()),
+    })
+    this.delays = monitor
+    this.gate = new AdmissionGate({ monitor, clock, logger })
+    this.log = new DelayLog({
+      monitor,
+      gate: this.gate,
       running,
       connections: () => ingress().connections,
       unsentBytes: () => ingress().unsentBytes,
@@ -29,6 +42,16 @@
     })
   }
 
+  /** Whether late answers and connects are most likely this entry's own doing. */
+  get isDelayed(): boolean {
+    return this.gate.isLimiting || this.delays.delayMs > NOTICEABLE_DELAY_MS
+  }
+
+  private check(running: number): void {
+    this.gate.update(running)
+    this.log.update()
+  }
+
   stop(): void {
     this.delays.stop()
   }
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,22 +1,19 @@
-import { PLACE } from '@forkstage/allocator'
 import { delay, every, type CancelTimer } from '@forkstage/clock'
-import { CRASH_REPORT, TRIAL_REQUEST, TRIAL_END } from '@forkstage/crashes'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   ColdEndpointLimiter,
   EndpointPool,
   Ingress,
-  LeaderClient,
   LocalPlacer,
   RemotePlacer,
   WorkspaceAdmission,
   type GatewayWire,
+  type LeaderClient,
   type OriginClient,
 } from '@forkstage/gateway'
-import { LIMIT_REPORT } from '@forkstage/limits'
 import { startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
-import { QUOTA_REPORT, type QuotaLimiter } from '@forkstage/quota'
+import type { QuotaLimiter } from '@forkstage/quota'
 import { RouteStore, type RouteSheet } from '@forkstage/routes'
 import { AvailabilityTracker } from '@forkstage/statements'
 import { Topology } from '@forkstage/topology'
@@ -24,6 +21,7 @@
 import { ColdEndpointTracker } from './coldEndpointTracker'
 import { createCrashTracker } from './createCrashTracker'
 import { createEntryMetrics } from './createEntryMetrics'
+import { createLeaderClient } from './createLeaderClient'
 import { createOriginClient } from './createOriginClient'
 import { createQuotaLimiter } from './createQuotaLimiter'
 import { createRetryBudget } from './createRetryBudget'
@@ -90,7 +88,11 @@
     private readonly wire: EntryWire,
   ) {
     const { settings, clock, random, logger, peers } = context
-    this.load = new EntryLoad({ ingress: () => this.ingress, clock, logger })
+    this.load = new EntryLoad({
+      ingress: () => this.ingress,
+      clock,
+      logger,
+    })
     this.cold = new ColdEndpointTracker({
       directory: this.directory,
       service: (name) => this.routes.current?.service(name),
@@ -140,21 +142,7 @@
     })
     const entries = () => this.follower.entries() || ASSUMED_ENTRIES
     const retryBudget = createRetryBudget(context, entries)
-    this.leaderClient = new LeaderClient({
-      leader: () => this.follower.leader(),
-      neighbours: () => this.follower.neighbours(),
-      peers,
-      clock,
-      logger,
-      forwardableMethods: [
-        ...Object.values(PLACE),
-        QUOTA_REPORT,
-        LIMIT_REPORT,
-        CRASH_REPORT,
-        TRIAL_REQUEST,
-        TRIAL_END,
-      ],
-    })
+    this.leaderClient = createLeaderClient(context, this.follower)
     const crashTracker = createCrashTracker(settings.crashes, clock)
     const { directory, leaderClient } = this
     this.origins = createOriginClient(leaderClient, this.follower, clock)
@@ -163,7 +151,7 @@
       directory,
       neighbours: () => this.follower.neighbours(),
       isLeaving: () => this.leaving,
-      onConnected: (endpoint, tookMs) => this.load.delays.recordConnect(endpoint, tookMs),
+      delays: this.load.delays,
     })
     this.crashes = new EntryCrashes({
       tracker: crashTracker,
@@ -209,6 +197,7 @@
         crashes: this.crashes,
         origins: this.origins,
         dialer: this.paths.dialer,
+        isDelayed: () => this.load.isDelayed,
         sendRules: entrySendRules({ isEvacuated, isReserved, topology }),
         clock,
         random,
@@ -223,6 +212,7 @@
       }),
       routes: () => this.routes.current,
       isViewFresh: () => this.follower.hasAnswerSinceSuspension(),
+      gate: this.load.gate,
       onRequest: () => this.load.delays.watch(),
       onResult: (report) => this.metrics.recordRequest(report),
     })
@@ -230,6 +220,7 @@
       sheetVersion: () => this.routes.version,
       ingress: this.ingress,
       delays: this.load.delays,
+      gate: this.load.gate,
       directory,
       pool: this.pool,
       paths: this.paths,
--- a/daemon/fleet/src/entryPaths.ts
+++ b/daemon/fleet/src/entryPaths.ts
@@ -1,9 +1,10 @@
 import type { Socket } from 'node:net'
 import type { Directory, RegisteredEndpoint } from '@forkstage/directory'
 import { connectDirectly, EndpointDialer, tunnelThrough } from '@forkstage/paths'
+import type { DelayMonitor } from '@forkstage/overload'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import { TunnelRefusedError, TunnelServer } from '@forkstage/tunnel'
-import type { Address, Millis } from '@forkstage/types'
+import type { Address } from '@forkstage/types'
 import type { MachineContext } from './machineContext'
 
 /** Options of {@link EntryPaths}. */
@@ -14,8 +15,7 @@
   neighbours: () => Address[]
   /** Whether this entry carries no more connections for others. */
   isLeaving: () => boolean
-  /** Called with the time that each direct connection took to open. */
-  onConnected: (endpoint: Address, tookMs: Millis) => void
+  delays: Pick<DelayMonitor, 'recordConnect' | 'recordUnanswered' | 'delayMs'>
 }
 
 /** States of endpoints that may run requests. */
@@ -29,7 +29,7 @@
   private readonly tunnels: TunnelServer
 
   constructor(private readonly options: EntryPathsOptions) {
-    const { context, neighbours, isLeaving, onConnected } = options
+    const { context, neighbours, isLeaving, delays } = options
     const { clock, random, logger, peers, credentials } = context
     this.dialer = new EndpointDialer({
       connect: (endpoint, timeoutMs) => connectDirectly(endpoint, timeoutMs, clock),
@@ -37,7 +37,9 @@
         tunnelThrough(box, endpoint, timeoutMs, { peers, credentials, clock }),
       neighbours,
       endpoints: () => this.addressesAtWork(),
-      onConnected,
+      onConnected: (endpoint, tookMs) => delays.recordConnect(endpoint, tookMs),
+      onUnanswered: (tookMs) => delays.recordUnanswered(tookMs),
+      ownDelayMs: () => delays.delayMs,
       clock,
       random,
       logger,
--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -95,6 +95,7 @@
     'cold engines get no more now',
     'evacuated',
     'ends its endpoints',
+    'entry overloaded',
     'no known key',
     'key of a newer sheet',
     'over quota',
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -9,6 +9,7 @@
 } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
 import { readCallerRequest, firstValue, type CallerRequest } from './callerRequest'
+import { CallerAdmission, type CallerAdmissionOptions } from './callerAdmission'
 import { ReturnDetector } from './returnDetector'
 import { allowedRegions } from './regionRule'
 import {
@@ -17,6 +18,7 @@
   answerNoId,
   answerNoRoute,
   answerNoSheet,
+  answerOverloaded,
   refuseLongHeaders,
   refuseTooLarge,
 } from './ingressAnswers'
@@ -39,6 +41,8 @@
   routes: () => RouteIndex | undefined
   /** Whether the known routes and endpoints were received since this machine was last suspended; assumed where left out. */
   isViewFresh?: () => boolean
+  /** Decides which connections and requests are taken on; all are if absent. */
+  gate?: CallerAdmissionOptions['gate']
   /** Called at the arrival of each request. */
   onRequest?: () => void
   /** Called once for each request that has ended. */
@@ -86,6 +90,7 @@
   private hasClosedAll = false
   private readonly returnDetector = new ReturnDetector()
   private served = 0
+  private readonly callerAdmission: CallerAdmission | undefined
 
   constructor(private readonly options: IngressOptions) {
     this.server = createServer(
@@ -97,6 +102,10 @@
       },
       (incoming, response) => void this.serve(incoming, response),
     )
+    const { gate, parts } = options
+    const running = () => this.running
+    if (gate !== undefined)
+      this.callerAdmission = new CallerAdmission(this.server, { gate, running, clock: parts.clock })
     this.answers = new PendingResponses(this.server)
     this.setLimits(DEFAULT_CALLER_LIMITS)
   }
@@ -143,7 +152,9 @@
     this.served += 1
     this.options.onRequest?.()
     response.sendDate = false
-    if (this.leaving) response.setHeader('Connection', 'close')
+    this.callerAdmission?.recordRequest(incoming.socket)
+    // A kept connection would bring further requests to an overloaded entry.
+    if (this.leaving || this.callerAdmission?.isLimiting === true) response.setHeader('Connection', 'close')
     // An answer whose headers were sent before has no `Connection: close`, so its caller would keep the connection.
     response.on('finish', () => {
       if (incoming.socket.destroyed) return this.logUnsent(incoming)
@@ -184,7 +195,10 @@
       return refuseLongHeaders(response)
     if (request === 'too-large') return refuseTooLarge(response)
     if (this.leaving && !response.headersSent) response.setHeader('Connection', 'close')
-    const result = await this.route(request)
+    const result =
+      this.callerAdmission?.refusesRequest() === true
+        ? { route: '', ...answerOverloaded(request, parts) }
+        : await this.route(request)
     this.report(request, result)
   }
 
--- a/request/gateway/src/ingressAnswers.ts
+++ b/request/gateway/src/ingressAnswers.ts
@@ -1,10 +1,11 @@
 import type { ServerResponse } from 'node:http'
 import type { CallerRequest } from './callerRequest'
 import { sendOwnAnswer } from './ownAnswer'
-import type { RelayResult } from './relayParts'
+import type { RelayParts, RelayResult } from './relayParts'
 
 const NO_SHEET_RETRY_MS = 500
 const LEAVING_RETRY_MS = 50
+const OVERLOADED_RETRY_MS = 500
 
 /** Refuses a request whose headers are longer than the sheet allows. */
 export function refuseLongHeaders(response: ServerResponse): void {
@@ -49,6 +50,21 @@
   return { status: 503, outcome: 'leaving', sends: [] }
 }
 
+/** Refuses a request on an open connection because this entry has more than it can handle. */
+export function answerOverloaded(
+  request: CallerRequest,
+  { random }: Pick<RelayParts, 'random'>,
+): RelayResult {
+  sendOwnAnswer(request.response, {
+    status: 503,
+    code: 'FORKSTAGE_OVERLOADED',
+    message: 'This entry has more requests in progress than it can handle.',
+    // Spread, so that refused callers do not return at the same moment.
+    retryAfterMs: OVERLOADED_RETRY_MS * (1 + random()),
+  })
+  return { status: 503, outcome: 'entry overloaded', sends: [] }
+}
+
 /** Answers a request that no route matches. */
 export function answerNoRoute(request: CallerRequest): RelayResult {
   sendOwnAnswer(request.response, {
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -8,7 +8,6 @@
 import { QuotaLimiter, QuotaLedger, quotaLimit } from '@forkstage/quota'
 import { RouteStore, type CallerLimits, type Route, type Workspace } from '@forkstage/routes'
 import { AvailabilityTracker } from '@forkstage/statements'
-import { Topology } from '@forkstage/topology'
 import {
   ColdEndpointLimiter,
   EndpointPool,
@@ -23,8 +22,12 @@
   type RequestReport,
 } from '../src'
 import { ENGINE, endpointWithDefaults, routeWithDefaults } from './rowsWithDefaults'
+import { HarnessGate } from './harnessGate'
+import { TOPOLOGY } from './testTopology'
 import { TEST_WIRE } from './testWire'
 
+export { TOPOLOGY }
+
 /** An answer as a caller received it. */
 export interface ReceivedAnswer {
   status: number
@@ -36,16 +39,6 @@
 
 const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
 
-/** Two failure domains in each of three regions; `z` is the entry's own. */
-export const TOPOLOGY = new Topology({
-  z: 'west',
-  z2: 'west',
-  e1: 'east',
-  e2: 'east',
-  s1: 'south',
-  s2: 'south',
-})
-
 const QUOTA_WINDOW_MS = 8_000
 const LEADING_FOR_MS = 2_000
 const RUN_FOR_MS = 60_000
@@ -60,6 +53,10 @@
   readonly reports: RequestReport[] = []
   /** Places that the placer returned, the newest last. */
   readonly places: ModelPlace[] = []
+  /** Decides which connections and requests are taken on. */
+  gate = new HarnessGate()
+  /** Whether the entry delays its requests by itself. */
+  isDelayed = false
   /** Opens connections to endpoints; they are opened directly if undefined. */
   dialer: RelayParts['dialer']
   /** Number of next requests for a place that are refused. */
@@ -204,6 +201,7 @@
       windowMs: 10_000,
       entries: () => 1,
     })
+    const gate = new HarnessGate()
     const ingress: Ingress = new Ingress({
       parts: {
         wire: TEST_WIRE,
@@ -238,6 +236,7 @@
         get rates() {
           return harness.rates
         },
+        isDelayed: () => harness.isDelayed,
         availability,
         leavingServesMs: LEAVING_SERVES_MS,
         crashes: {
@@ -272,6 +271,7 @@
         logger,
       }),
       routes: () => routeStore.current,
+      gate,
       onResult: (report) => harness.reports.push(report),
     })
     await new Promise<void>((resolve) => ingress.server.listen(0, '127.0.0.1', resolve))
@@ -292,6 +292,7 @@
       retryBudget,
       availability,
     )
+    harness.gate = gate
     return harness
   }
 
--- a/request/overload/src/delayLog.ts
+++ b/request/overload/src/delayLog.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@forkstage/clock'
 import type { Logger } from '@forkstage/logger'
 import type { Millis } from '@forkstage/types'
+import type { AdmissionGate } from './admissionGate'
 import type { DelayMonitor } from './delayMonitor'
 
 /** Options of {@link DelayLog}. */
@@ -12,6 +13,7 @@
   connections: () => number
   /** Returns the number of bytes that wait to be sent to callers. */
   unsentBytes: () => number
+  gate: Pick<AdmissionGate, 'limitValue' | 'closedCount' | 'refusedCount' | 'isLimiting'>
   clock: Clock
   logger: Logger
 }
@@ -20,7 +22,7 @@
 /** A smaller delay is not noticed by callers. */
 const MIN_DELAY_MS: Millis = 10
 
-/** Logs the load of an entry once a second while it delays its callers' requests. */
+/** Logs the load of an entry once a second while it delays its callers' requests or limits them. */
 export class DelayLog {
   private loggedAt: Millis = -Infinity
 
@@ -28,9 +30,10 @@
 
   /** Call it again and again while requests are in progress. */
   update(): void {
-    const { monitor, clock, logger } = this.options
+    const { monitor, gate, clock, logger } = this.options
     const now = clock.now()
-    if (monitor.delayMs < MIN_DELAY_MS || now - this.loggedAt < LOG_EVERY_MS) return
+    if (monitor.delayMs < MIN_DELAY_MS && !gate.isLimiting) return
+    if (now - this.loggedAt < LOG_EVERY_MS) return
     this.loggedAt = now
     logger.warn('entry.delayed', {
       loopMs: Math.round(monitor.loopMs),
@@ -38,6 +41,9 @@
       running: this.options.running(),
       connections: this.options.connections(),
       unsentBytes: this.options.unsentBytes(),
+      limit: gate.isLimiting ? Math.round(gate.limitValue) : undefined,
+      closed: gate.closedCount,
+      refused: gate.refusedCount,
     })
   }
 }
--- a/request/overload/src/delayMonitor.ts
+++ b/request/overload/src/delayMonitor.ts
@@ -6,15 +6,20 @@
 /** Options of {@link DelayMonitor}. */
 export interface DelayMonitorOptions {
   clock: Clock
+  /** Returns how long the event loop has waited for events since the start of the process. */
+  idleMs: () => Millis
   /** Returns the number of requests in progress. */
   running: () => number
+  /** Whether this machine is known to delay its requests; otherwise connects without an answer say nothing of it. */
+  isDelayed?: () => boolean
   /** Called after each check of the event loop. */
   onCheck?: () => void
 }
 
 const CHECK_EVERY_MS: Millis = 50
-const SPAN_MS: Millis = 200
-const MIN_CHECKS = 4
+const SPAN_MS: Millis = 100
+const MIN_CHECKS = 2
+const MIN_IDLE_MS: Millis = 1
 const MIN_CONNECTS = 3
 /** An entry with fewer requests is not checked, which costs processor time. */
 const MIN_RUNNING = 6
@@ -54,14 +59,22 @@
     this.connects.record(this.baseline.excessOf(endpoint, tookMs))
   }
 
+  /** Records a connect that got no answer for so long, while this machine is known to be delayed. */
+  recordUnanswered(tookMs: Millis): void {
+    if (this.options.isDelayed?.() === true) this.connects.record(tookMs)
+  }
+
   /** Checks the event loop for as long as enough requests are in progress. */
   watch(): void {
     if (this.cancelCheck !== undefined || this.isStopped || this.options.running() < MIN_RUNNING) return
     const { clock } = this.options
     const dueAt = clock.now() + CHECK_EVERY_MS
+    const idleBefore = this.options.idleMs()
     this.cancelCheck = clock.after(CHECK_EVERY_MS, () => {
       this.cancelCheck = undefined
-      this.loop.record(clock.now() - dueAt)
+      // A loop that has waited for events has nothing queued, however late a timer is under a quota of processor time.
+      const hasWaited = this.options.idleMs() - idleBefore > MIN_IDLE_MS
+      this.loop.record(hasWaited ? 0 : clock.now() - dueAt)
       this.options.onCheck?.()
       this.watch()
     })
--- a/request/overload/src/index.ts
+++ b/request/overload/src/index.ts
@@ -1,4 +1,9 @@
 /** How far an entry is behind its callers' requests, and how many of them it takes on. */
+export { AdmissionGate } from './admissionGate'
+export type { AdmissionGateOptions } from './admissionGate'
+export { AdmissionLimit } from './admissionLimit'
+export type { LoadState } from './admissionLimit'
+export { AwaitedRequests } from './awaitedRequests'
 export { DelayLog } from './delayLog'
 export type { DelayLogOptions } from './delayLog'
 export { DelayMonitor } from './delayMonitor'
--- a/request/overload/test/delayMonitor.test.ts
+++ b/request/overload/test/delayMonitor.test.ts
@@ -6,7 +6,7 @@
 
 function newMonitor(running = 10) {
   const clock = new ManualClock()
-  return { clock, monitor: new DelayMonitor({ clock, running: () => running }) }
+  return { clock, monitor: new DelayMonitor({ clock, idleMs: () => clock.now(), running: () => running }) }
 }
 
 describe('the delay that a machine adds by itself', () => {
