fix(fleet): an entry with too much of its own carries no connections for others

The same cause elsewhere: an entry whose link is full, or processor busy, accepted the connections that other entries asked it to carry, each of which passes its link twice.

--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -150,7 +150,7 @@
       context,
       directory,
       neighbours: () => this.follower.neighbours(),
-      isLeaving: () => this.leaving,
+      refusesTunnels: () => this.leaving || this.load.gate.isLimiting,
       delays: this.load.delays,
     })
     this.crashes = new EntryCrashes({
--- a/daemon/fleet/src/entryPaths.ts
+++ b/daemon/fleet/src/entryPaths.ts
@@ -13,8 +13,8 @@
   directory: Directory
   /** Returns other entries, which may carry connections. */
   neighbours: () => Address[]
-  /** Whether this entry carries no more connections for others. */
-  isLeaving: () => boolean
+  /** Whether this entry carries no more connections for others, since it stops or has too much of its own. */
+  refusesTunnels: () => boolean
   delays: Pick<DelayMonitor, 'recordConnect' | 'recordUnanswered' | 'delayMs'>
 }
 
@@ -29,7 +29,7 @@
   private readonly tunnels: TunnelServer
 
   constructor(private readonly options: EntryPathsOptions) {
-    const { context, neighbours, isLeaving, delays } = options
+    const { context, neighbours, refusesTunnels, delays } = options
     const { clock, random, logger, peers, credentials } = context
     this.dialer = new EndpointDialer({
       connect: (endpoint, timeoutMs) => connectDirectly(endpoint, timeoutMs, clock),
@@ -47,7 +47,7 @@
     this.tunnels = new TunnelServer({
       isRegistered: (address) => this.addressesAtWork().includes(address),
       connect: (address) => connectForPeer(this.dialer, address),
-      isClosed: isLeaving,
+      isClosed: refusesTunnels,
       clock,
     })
   }
