fix(overload): a limit is lifted also while little is in progress

Found by the last read of the diff: the checks of the event loop, which adjust the limit, ended below six requests in progress. An entry whose flood ended suddenly stayed limiting for as long as it had little to do: it closed nothing, since the limit is never below eight, but its answers closed their connections, it carried none for others, and late endpoints were not ejected.

The checks go on while the limit is in force. The new test of DelayMonitor fails before (0 checks, 5 expected) and passes now.

--- a/request/overload/src/delayMonitor.ts
+++ b/request/overload/src/delayMonitor.ts
@@ -64,10 +64,11 @@
     if (this.options.isDelayed?.() === true) this.connects.record(tookMs)
   }
 
-  /** Checks the event loop for as long as enough requests are in progress. */
+  /** Checks the event loop for as long as enough requests are in progress, or this machine is known to be delayed. */
   watch(): void {
-    if (this.cancelCheck !== undefined || this.isStopped || this.options.running() < MIN_RUNNING) return
-    const { clock } = this.options
+    const { clock, running, isDelayed } = this.options
+    const isWatched = running() >= MIN_RUNNING || isDelayed?.() === true
+    if (this.cancelCheck !== undefined || this.isStopped || !isWatched) return
     const dueAt = clock.now() + CHECK_EVERY_MS
     const idleBefore = this.options.idleMs()
     this.cancelCheck = clock.after(CHECK_EVERY_MS, () => {
--- a/request/overload/test/delayMonitor.test.ts
+++ b/request/overload/test/delayMonitor.test.ts
@@ -64,4 +64,20 @@
     idle.monitor.watch()
     expect(idle.monitor.delayMs).toBe(0)
   })
+
+  // Guards against a limit that stays in force at an entry that has become idle.
+  it('is checked for as long as it counts as delayed, however little is in progress', () => {
+    const clock = new ManualClock()
+    let checks = 0
+    const monitor = new DelayMonitor({
+      clock,
+      idleMs: () => clock.now(),
+      running: () => 0,
+      isDelayed: () => checks < 5,
+      onCheck: () => (checks += 1),
+    })
+    monitor.watch()
+    clock.advance(10_000)
+    expect(checks).toBe(5)
+  })
 })
--- a/request/overload/test/hotEntry.test.ts
+++ b/request/overload/test/hotEntry.test.ts
@@ -44,6 +44,14 @@
     expect(entry.play(CAPACITY / 2, SECONDS).closed).toBe(0)
   })
 
+  it('lifts its limit also if nothing comes any more', () => {
+    const entry = new SimulatedEntry(true)
+    entry.play(CAPACITY * 4, 5)
+    expect(entry.gate.isLimiting).toBe(true)
+    entry.play(0, 20)
+    expect(entry.gate.isLimiting).toBe(false)
+  })
+
   it('takes a new connection every half second, however overloaded it is', () => {
     const entry = new SimulatedEntry(true)
     entry.play(CAPACITY * 8, 3)
--- a/request/overload/test/simulatedEntry.ts
+++ b/request/overload/test/simulatedEntry.ts
@@ -44,10 +44,11 @@
   private readonly random = createSeededRandom(1)
   private running: Running[] = []
   private queuedBytes = 0
-  private readonly monitor = new DelayMonitor({
+  private readonly monitor: DelayMonitor = new DelayMonitor({
     clock: this.clock,
     idleMs: () => this.clock.now(),
     running: () => this.running.length,
+    isDelayed: (): boolean => this.gate.isLimiting,
     onCheck: () => this.gate.update(this.running.length),
   })
   readonly gate = new AdmissionGate({
