refactor(fleet-soak): both experiments start their fleet in one place

The experiment of an entry that gets most connections repeated how the one of partitions creates its stand-ins and waits for the entries. experimentFleet.ts has both steps now.

--- a/tools/fleet-soak/src/hotEntryExperiment.ts
+++ b/tools/fleet-soak/src/hotEntryExperiment.ts
@@ -6,16 +6,11 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createSeededRandom } from '@forkstage/clock'
-import { waitUntil } from '@forkstage/deployment'
+import { createEndpoints, waitServing } from './experimentFleet'
 import { HotEntryCallers, type HotCall } from './hotEntryCallers'
-import { DOMAINS } from './machineSettings'
 import { pause } from './pause'
 import { processNetwork } from './processNetwork'
-import { SoakCallers } from './soakCallers'
 import { SoakFleet } from './soakFleet'
-import { SoakOperator } from './soakOperator'
-import { StandInEndpoint } from './standInEndpoint'
-import { newStreamInterruptions } from './standInRuns'
 
 const ENDPOINTS = [
   ...Array.from({ length: 8 }, () => ({ service: 'plain' }) as const),
@@ -34,9 +29,6 @@
 /** Time in which the entry may find out about a new load. */
 const LEARN_MS = 1_000
 const AFTER_MS = 4_000
-const SHEET_EVERY_MS = 500
-const OK = 200
-const KEY = 'key-steady'
 /** The bound of the rule. */
 const MIN_SERVED_OF_BEFORE = 0.75
 
@@ -46,11 +38,11 @@
   const entryRunner = { program: 'dist/limitedLink.cjs', env }
   const fleet = new SoakFleet(folder, processNetwork(), { entryRunner })
   const runs = new Map<string, number>()
-  const endpoints = startEndpoints(fleet, runs)
+  const endpoints = createEndpoints(fleet, ENDPOINTS, { runs, seed: 0 })
   try {
     fleet.startAll()
     await Promise.all(endpoints.map((endpoint) => endpoint.start()))
-    await waitServing(fleet)
+    await waitServing(fleet, ['safe', 'stream'])
     return await measure(fleet, (id) => runs.has(id))
   } finally {
     endpoints.forEach((endpoint) => endpoint.end())
@@ -59,41 +51,6 @@
   }
 }
 
-function startEndpoints(fleet: SoakFleet, runs: Map<string, number>): StandInEndpoint[] {
-  const interruptions = newStreamInterruptions(createSeededRandom(0))
-  return ENDPOINTS.map(
-    (endpoint, number) =>
-      new StandInEndpoint({
-        ...endpoint,
-        name: `i-${number}`,
-        zone: DOMAINS[number % DOMAINS.length],
-        control: () => fleet.control.map((machine) => fleet.operators(machine)),
-        random: createSeededRandom(number),
-        signalRandom: createSeededRandom(number),
-        interruptions,
-        runs,
-        observedRuns: [],
-        poisonArrivals: new Map(),
-      }),
-  )
-}
-
-async function waitServing(fleet: SoakFleet): Promise<void> {
-  const operator = new SoakOperator(fleet, createSeededRandom(1))
-  const callers = new SoakCallers(fleet, createSeededRandom(2), () => operator.newest, 0)
-  while (operator.newest === 0) {
-    await operator.putNext()
-    await pause(SHEET_EVERY_MS)
-  }
-  await fleet.waitReady()
-  for (const entry of fleet.entries)
-    for (const kind of ['safe', 'stream'] as const)
-      await waitUntil(async () => (await callers.callWith(entry, KEY, kind)).status === OK, {
-        what: `${entry.name} to serve`,
-        timeoutMs: 30_000,
-      })
-}
-
 /** Runs all loads and prints a row for each. Returns whether the rule held in all. */
 async function measure(fleet: SoakFleet, hasArrived: (id: string) => boolean): Promise<boolean> {
   const write = (text: string) => process.stdout.write(`${text}\n`)
--- a/tools/fleet-soak/src/partitionExperiment.ts
+++ b/tools/fleet-soak/src/partitionExperiment.ts
@@ -2,17 +2,14 @@
 import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { createSeededRandom } from '@forkstage/clock'
-import { waitUntil } from '@forkstage/deployment'
-import { DOMAINS, type SoakMachine } from './machineSettings'
+import { createEndpoints, waitServing } from './experimentFleet'
+import type { SoakMachine } from './machineSettings'
 import { PARTITION_KINDS, type PartitionKind } from './partitionKinds'
 import { pause } from './pause'
 import { processNetwork } from './processNetwork'
-import { SoakCallers, type CallRecord } from './soakCallers'
+import type { CallRecord } from './soakCallers'
 import { SoakFleet } from './soakFleet'
-import { SoakOperator } from './soakOperator'
-import { StandInEndpoint } from './standInEndpoint'
-import { newStreamInterruptions } from './standInRuns'
+import type { SoakOperator } from './soakOperator'
 
 /** What happens to the fleet beside the partition. */
 type Disruption =
@@ -74,22 +71,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'forkstage-partitions-'))
   const fleet = new SoakFleet(folder, processNetwork())
   const runs = new Map<string, number>()
-  const interruptions = newStreamInterruptions(createSeededRandom(index))
-  const endpoints = ENDPOINTS.map(
-    (endpoint, number) =>
-      new StandInEndpoint({
-        ...endpoint,
-        name: `i-${number}`,
-        zone: DOMAINS[number % DOMAINS.length],
-        control: () => fleet.control.map((machine) => fleet.operators(machine)),
-        random: createSeededRandom(number),
-        signalRandom: createSeededRandom(number),
-        interruptions,
-        runs,
-        observedRuns: [],
-        poisonArrivals: new Map(),
-      }),
-  )
+  const endpoints = createEndpoints(fleet, ENDPOINTS, { runs, seed: index })
   try {
     fleet.startAll()
     await Promise.all(endpoints.map((endpoint) => endpoint.start()))
@@ -108,18 +90,7 @@
 }
 
 async function runCase(one: Case, { fleet, folder, runs }: CaseParts): Promise<string> {
-  const operator = new SoakOperator(fleet, createSeededRandom(1))
-  const callers = new SoakCallers(fleet, createSeededRandom(2), () => operator.newest, 0)
-  while (operator.newest === 0) {
-    await operator.putNext()
-    await pause(SHEET_EVERY_MS)
-  }
-  await fleet.waitReady()
-  for (const entry of fleet.entries)
-    await waitUntil(async () => (await callers.statusWith(entry, KEY)) === OK, {
-      what: `${entry.name} to serve`,
-      timeoutMs: 30_000,
-    })
+  const { operator, callers } = await waitServing(fleet, ['safe'])
   const cut = fleet.entries.slice(0, one.cut)
   const calls: Promise<CallRecord>[] = []
   const startedAt = Date.now()
