fix(tunnel): a refused joining connection is no unhandled rejection

What operators saw: `fault.unexpected` in the log of an entry that asked a box which had just stopped for a connection. The call waits on a connection that is still open, while the joining connection, opened beside it, is refused at once. Cause: nobody listens to the joining connection until the call has been answered. Change: the rejection has a listener from the start; the call's own error is what the caller of openTunnel gets, as before. Test: 'fails with the answer of a box that accepts no connection while it is asked' fails without the change (one unhandled rejection) and passes with it.

--- a/peer/tunnel/src/openTunnel.ts
+++ b/peer/tunnel/src/openTunnel.ts
@@ -25,6 +25,8 @@
   const { peers, credentials, clock, timeoutMs } = options
   // Both at once: the ticket usually arrives when the connection is open.
   const joining = connectSocket(box, { ...credentials, connectMs: timeoutMs }, clock)
+  // It may fail while the call is still pending.
+  joining.catch(() => undefined)
   try {
     const call = { deadline: timeoutMs, step: 'tunnel' }
     const { ticket } = await peers.call<TunnelTicket>(box, TUNNEL_OPEN, { endpoint }, call)
--- a/peer/tunnel/test/tunnel.test.ts
+++ b/peer/tunnel/test/tunnel.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { createSystemClock, ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
-import { PeerClient, startPeerServer, type PeerServer } from '@forkstage/peer-rpc'
+import { PeerClient, startPeerServer, type PeerCaller, type PeerServer } from '@forkstage/peer-rpc'
 import { openTunnel, TUNNEL_OPEN, TunnelRefusedError, TunnelServer, type TunnelTicket } from '../src'
 
 const KEY = 'a key for the tests of tunnels'
@@ -155,6 +155,27 @@
   })
 })
 
+// Guards against an unhandled rejection: the joining connection is refused before the call is answered.
+it('fails with the answer of a box that accepts no connection while it is asked', async () => {
+  await start()
+  const unhandled: unknown[] = []
+  const record = (reason: unknown) => void unhandled.push(reason)
+  process.on('unhandledRejection', record)
+  const refused = await freeAddress()
+  const peers: PeerCaller = {
+    call: async () => {
+      for (let turn = 0; turn < QUIET_TURNS; turn += 1) await sleepTurn()
+      throw new TunnelRefusedError('unavailable', endpointAddress, 'asked too late')
+    },
+    notify: () => undefined,
+  }
+  const options = { peers, credentials: CREDENTIALS, clock: createSystemClock(), timeoutMs: TIMEOUT_MS }
+  const opening = openTunnel(refused, endpointAddress, options)
+  await expect(opening).rejects.toMatchObject({ code: 'FORKSTAGE_TUNNEL_UNAVAILABLE' })
+  process.off('unhandledRejection', record)
+  expect(unhandled).toEqual([])
+})
+
 describe('a box that carries tunnels', () => {
   it('connects only to registered endpoints, and not while it is stopping', async () => {
     await start()
