fix(tunnel): the end of a carrying box is not the end of an answer

Cause: the tunnel passed bare bytes on, and the entry took the end of the connection for the endpoint's. The operating system closes the connections of a killed process in order, and a stop does the same, so every process on the way could make that statement. Evidence: with the endpoint's connection open throughout, destroying the carrier's sockets, or closing its listener, ended the answer as whole. Ruled out: a carrier that passes the end on before it knows of a reset (the endpoint's side did not end), and too short a wait for the reset (a stopped carrier sends none). Change: the answer travels in frames, the endpoint's end is a frame of its own, and a connection that ends without it fails. A stream that may be resumed goes on elsewhere, a plain answer fails, what has begun is cut. Builds without frames and with them carry nothing for each other, since neither could know the end; `tunnel.open` names the format both ways. Nothing is added where no box carries.

--- a/daemon/fleet/test/entryPaths.test.ts
+++ b/daemon/fleet/test/entryPaths.test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from '@forkstage/clock'
 import { Directory } from '@forkstage/directory'
 import { createSilentLogger } from '@forkstage/logger'
-import { TUNNEL_OPEN } from '@forkstage/tunnel'
+import { FRAMES, TUNNEL_OPEN } from '@forkstage/tunnel'
 import { expect, it } from 'vitest'
 import { EntryPaths } from '../src/entryPaths'
 import type { MachineContext } from '../src/machineContext'
@@ -19,7 +19,7 @@
     delays: { recordConnect: () => undefined, recordUnanswered: () => undefined, delayMs: 0 },
   })
   const open = paths.methods()[TUNNEL_OPEN]!
-  const ask = async () => open({ endpoint: '127.0.0.1:1' } as never, {} as never)
+  const ask = async () => open({ endpoint: '127.0.0.1:1', format: FRAMES } as never, {} as never)
   await expect(ask()).rejects.toThrow('no endpoint is registered there')
   refusesTunnels = true
   await expect(ask()).rejects.toThrow('this box takes no more')
--- a/peer/tunnel/src/tunnelErrors.ts
+++ b/peer/tunnel/src/tunnelErrors.ts
@@ -26,3 +26,15 @@
     )
   }
 }
+
+/** Raised where a connection that another box carries ends although that box has not said that the endpoint has ended. */
+export class TunnelLostError extends ForkstageError {
+  constructor() {
+    super(
+      'FORKSTAGE_TUNNEL_LOST',
+      'The box that carried the connection has closed it',
+      'What the endpoint has sent may be incomplete.',
+      { step: 'tunnel' },
+    )
+  }
+}
--- a/peer/tunnel/src/tunnelServer.ts
+++ b/peer/tunnel/src/tunnelServer.ts
@@ -9,14 +9,19 @@
 /** Method that asks for a connection to an endpoint. */
 export const TUNNEL_OPEN = 'tunnel.open'
 
+/** The endpoint's bytes are sent in frames. Earlier builds send them bare, and neither name nor ask for a format. */
+export const FRAMES = 'frames'
+
 /** Parameters of {@link TUNNEL_OPEN}. */
 export interface TunnelRequest {
   endpoint: Address
+  format?: string
 }
 
 /** Result of {@link TUNNEL_OPEN}: proves once that the joining connection belongs to the caller. */
 export interface TunnelTicket {
   ticket: string
+  format?: string
 }
 
 /** Options of {@link TunnelServer}. */
@@ -74,8 +79,10 @@
     for (const [ticket, one] of this.opened) this.expire(ticket, one)
   }
 
-  private async open({ endpoint }: TunnelRequest): Promise<TunnelTicket> {
+  private async open({ endpoint, format }: TunnelRequest): Promise<TunnelTicket> {
     const { isClosed, isRegistered, connect, clock } = this.options
+    // A box that reads bare bytes could not tell the end of this box from that of the endpoint.
+    if (format !== FRAMES) throw new TunnelRefusedError('unavailable', endpoint, 'this box sends frames')
     if (isClosed() || this.count >= MAX_TUNNELS)
       throw new TunnelRefusedError('unavailable', endpoint, 'this box takes no more')
     if (!isRegistered(endpoint))
@@ -86,7 +93,7 @@
     one.cancelExpiry = clock.after(JOIN_WITHIN_MS, () => this.expire(ticket, one))
     socket.on('error', () => this.expire(ticket, one))
     this.opened.set(ticket, one)
-    return { ticket }
+    return { ticket, format: FRAMES }
   }
 
   private expire(ticket: string, { endpoint, cancelExpiry }: OpenedConnection): void {
--- a/peer/tunnel/test/tunnel.test.ts
+++ b/peer/tunnel/test/tunnel.test.ts
@@ -1,10 +1,19 @@
 import { once } from 'node:events'
+import type { Duplex } from 'node:stream'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { createSystemClock, ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
 import { PeerClient, startPeerServer, type PeerCaller, type PeerServer } from '@forkstage/peer-rpc'
-import { openTunnel, TUNNEL_OPEN, TunnelRefusedError, TunnelServer, type TunnelTicket } from '../src'
+import {
+  FRAMES,
+  openTunnel,
+  TUNNEL_OPEN,
+  TunnelRefusedError,
+  TunnelServer,
+  type TunnelRequest,
+  type TunnelTicket,
+} from '../src'
 
 const KEY = 'a key for the tests of tunnels'
 const CREDENTIALS = { box: 'entry-1', sharedKey: KEY }
@@ -21,6 +30,8 @@
 let server: TunnelServer
 let isClosed = false
 const accepted: Socket[] = []
+/** The connections of the carrying box, to endpoints and from other boxes. */
+const carried: Socket[] = []
 const expiry = new ManualClock()
 
 const sleepTurn = () => new Promise((resolve) => setImmediate(resolve))
@@ -48,9 +59,11 @@
   return socket
 }
 
-async function start(): Promise<void> {
+/** Starts a box that carries connections, and an endpoint; `openTicket` answers in place of the box if given. */
+async function start(openTicket?: (request: TunnelRequest) => TunnelTicket): Promise<void> {
   isClosed = false
   accepted.length = 0
+  carried.length = 0
   endpoint = createServer({ allowHalfOpen: true }, (socket) => {
     socket.on('error', () => undefined)
     accepted.push(socket)
@@ -59,7 +72,11 @@
   endpointAddress = `127.0.0.1:${(endpoint.address() as AddressInfo).port}`
   server = new TunnelServer({
     isRegistered: (address) => address === endpointAddress || address === '127.0.0.1:1',
-    connect: connectTo,
+    connect: async (address) => {
+      const socket = await connectTo(address)
+      carried.push(socket)
+      return socket
+    },
     isClosed: () => isClosed,
     clock: expiry,
   })
@@ -68,23 +85,32 @@
   box = await startPeerServer({
     address: boxAddress,
     sharedKey: KEY,
-    methods: server.methods(),
-    onJoin: (ticket, socket) => server.join(ticket, socket),
+    methods: openTicket === undefined ? server.methods() : { [TUNNEL_OPEN]: openTicket },
+    onJoin: (ticket, socket) => {
+      carried.push(socket)
+      server.join(ticket, socket)
+    },
     logger,
   })
   client = new PeerClient({ credentials: CREDENTIALS, clock: createSystemClock(), logger })
 }
 
-async function open(address = endpointAddress): Promise<Socket> {
+async function open(address = endpointAddress) {
   const options = {
     peers: client,
     credentials: CREDENTIALS,
     clock: createSystemClock(),
     timeoutMs: TIMEOUT_MS,
   }
-  const socket = await openTunnel(boxAddress, address, options)
-  socket.allowHalfOpen = true
-  return socket
+  return openTunnel(boxAddress, address, options)
+}
+
+/** Resolves to how a connection ended for its reader. */
+function ending(socket: Duplex): Promise<'whole' | 'broken'> {
+  return new Promise((resolve) => {
+    socket.once('end', () => resolve('whole'))
+    socket.once('error', () => resolve('broken'))
+  })
 }
 
 afterEach(async () => {
@@ -125,6 +151,31 @@
     await until(() => server.count === 0)
   })
 
+  // Guards against a cut answer that looks whole: the operating system closes the sockets of a killed process in order.
+  it('does not end as whole when the box that carries it ends', async () => {
+    await start()
+    const socket = await open()
+    const ended = ending(socket)
+    await until(() => accepted.length === 1)
+    accepted[0]!.write('half of an answer')
+    const [bytes] = (await once(socket, 'data')) as [Buffer]
+    expect(bytes.toString()).toBe('half of an answer')
+    carried.forEach((one) => one.destroy())
+    expect(await ended).toBe('broken')
+  })
+
+  // Guards against a cut answer that looks whole: a planned stop closes what is still carried.
+  it('does not end as whole when the box that carries it closes its listener', async () => {
+    await start()
+    const socket = await open()
+    const ended = ending(socket)
+    await until(() => accepted.length === 1)
+    accepted[0]!.write('half of an answer')
+    await once(socket, 'data')
+    await box.close()
+    expect(await ended).toBe('broken')
+  })
+
   it('ends at the endpoint when its caller closes it', async () => {
     await start()
     const socket = await open()
@@ -190,7 +241,7 @@
   it('carries nothing for a connection with an unknown or used ticket', async () => {
     await start()
     const options = { deadline: TIMEOUT_MS, step: 'tunnel' }
-    const request = { endpoint: endpointAddress }
+    const request = { endpoint: endpointAddress, format: FRAMES }
     const { ticket } = await client.call<TunnelTicket>(boxAddress, TUNNEL_OPEN, request, options)
     const join = async (value: string) => {
       const socket = await connectTo(boxAddress)
@@ -207,10 +258,31 @@
     first.destroy()
   })
 
+  // Guards against a cut answer that looks whole to an entry of an earlier build, which reads bare bytes.
+  it('opens nothing for a box that asks for no frames', async () => {
+    await start()
+    const options = { deadline: TIMEOUT_MS, step: 'tunnel' }
+    const call = client.call(boxAddress, TUNNEL_OPEN, { endpoint: endpointAddress }, options)
+    await expect(call).rejects.toMatchObject({ code: 'FORKSTAGE_TUNNEL_UNAVAILABLE' })
+    expect(accepted).toHaveLength(0)
+  })
+
+  // Guards against a cut answer that looks whole through a box of an earlier build, which sends bare bytes.
+  it('is not used if it sends no frames', async () => {
+    const asked: TunnelRequest[] = []
+    await start((request) => {
+      asked.push(request)
+      return { ticket: 'a ticket' }
+    })
+    await expect(open()).rejects.toMatchObject({ code: 'FORKSTAGE_TUNNEL_UNAVAILABLE' })
+    expect(asked).toHaveLength(1)
+    expect(carried).toHaveLength(0)
+  })
+
   it('closes a connection to an endpoint that nobody joins', async () => {
     await start()
     const options = { deadline: TIMEOUT_MS, step: 'tunnel' }
-    await client.call(boxAddress, TUNNEL_OPEN, { endpoint: endpointAddress }, options)
+    await client.call(boxAddress, TUNNEL_OPEN, { endpoint: endpointAddress, format: FRAMES }, options)
     await until(() => accepted.length === 1)
     const ended = once(accepted[0]!.resume(), 'end')
     expect(server.count).toBe(1)
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -118,7 +118,8 @@
     answer = incoming
     lastReceivedAt = clock.now()
     incoming.on('data', () => (lastReceivedAt = clock.now()))
-    readAnswer(incoming, options, { end, fail: (reason) => fail(reason), isOver: () => ended })
+    const isEndStated = via !== undefined
+    readAnswer(incoming, options, { end, fail: (reason) => fail(reason), isOver: () => ended, isEndStated })
   })
   request.on('close', () => {
     if (answer === undefined) fail('closed without an answer')
@@ -144,6 +145,8 @@
   end: (result: ExchangeEnd) => void
   fail: (reason: string) => void
   isOver: () => boolean
+  /** Whether the connection ends only if the endpoint has ended it. */
+  isEndStated: boolean
 }
 
 function readAnswer(incoming: IncomingMessage, options: ExchangeOptions, reader: AnswerCallbacks): void {
@@ -154,7 +157,7 @@
   })
   const isFramed =
     incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
-  const isWhole = isFramed ? Promise.resolve(true) : endedWithFin(incoming.socket)
+  const isWhole = isFramed || reader.isEndStated ? Promise.resolve(true) : endedWithFin(incoming.socket)
   incoming.on('end', () => {
     if (!incoming.complete) return reader.fail('the answer broke off')
     if (isFramed) return reader.end({ complete: true })
--- a/request/paths/src/endpointDialer.ts
+++ b/request/paths/src/endpointDialer.ts
@@ -3,7 +3,14 @@
 import type { Address, Millis } from '@forkstage/types'
 import { NeighbourSelector } from './neighbourSelector'
 import { PathTable } from './pathTable'
-import type { Connect, ConnectResult, Dial, PendingConnect, TunnelResult } from './pathTypes'
+import type {
+  CarriedConnectResult,
+  Connect,
+  ConnectResult,
+  Dial,
+  PendingConnect,
+  TunnelResult,
+} from './pathTypes'
 import { DialAttempt } from './dialAttempt'
 import { openThroughNeighbours, type Tunnel } from './openThroughNeighbours'
 
@@ -39,7 +46,7 @@
 const MAX_OWN_DELAY_MS: Millis = 15
 /** A delay varies by about so much between connects. */
 const OWN_DELAY_FACTOR = 2
-const LINKS_DOWN: TunnelResult = { type: 'unavailable', reason: 'the links of this box are down' }
+const LINKS_DOWN: CarriedConnectResult = { type: 'unavailable', reason: 'the links of this box are down' }
 
 /** Opens connections to endpoints, directly or through another box, and tells failures of endpoints from those of own links. */
 export class EndpointDialer {
@@ -96,7 +103,7 @@
   }
 
   /** Connects directly on behalf of another box; `refused` and `silent` only if other endpoints can be reached. */
-  async dialForPeer(endpoint: Address, timeoutMs: Millis): Promise<TunnelResult> {
+  async dialForPeer(endpoint: Address, timeoutMs: Millis): Promise<CarriedConnectResult> {
     if (this.paths.isCut || this.paths.isIsolated) return LINKS_DOWN
     const startedAt = this.clock.now()
     const result = await this.connectDirectly(endpoint, timeoutMs).result
--- a/request/paths/src/pathTypes.ts
+++ b/request/paths/src/pathTypes.ts
@@ -1,23 +1,30 @@
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import type { Address, Millis } from '@forkstage/types'
 
-/** An open connection. `via`: the box that carries it; absent for a direct one. */
-export interface Connected {
+/** An open connection to an endpoint of this box's own. */
+export interface ConnectedDirectly {
   type: 'connected'
   socket: Socket
-  via?: Address
+  via?: undefined
 }
 
+/** An open connection to an endpoint. `via`: the box that carries it; absent for a direct one. */
+export type Connected = ConnectedDirectly | { type: 'connected'; socket: Duplex; via?: Address }
+
 /** The result of a direct connection attempt. `refused`: nothing listens at the address, or a link refuses the connection. */
-export type ConnectResult = Connected | { type: 'refused' | 'silent'; reason: string }
+export type ConnectResult = ConnectedDirectly | { type: 'refused' | 'silent'; reason: string }
 
 /**
- * The result of a connection attempt through a box. Neither says anything about the endpoint: `indirect`, the box does not
- * reach this endpoint itself; `unavailable`, the box carries nothing now.
+ * The result of a direct connection attempt for another box. Neither says anything about the endpoint: `indirect`, the box does
+ * not reach this endpoint itself; `unavailable`, the box carries nothing now.
  */
-export type TunnelResult =
+export type CarriedConnectResult =
   ConnectResult | { type: 'indirect'; reason: string } | { type: 'unavailable'; reason: string }
 
+/** The result of a connection attempt through a box. */
+export type TunnelResult = CarriedConnectResult | Connected
+
 /** A connection attempt; its result is never a rejection. */
 export interface PendingConnect<Result> {
   result: Promise<Result>
--- a/request/paths/src/tunnelThrough.ts
+++ b/request/paths/src/tunnelThrough.ts
@@ -1,4 +1,4 @@
-import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import type { Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import type { PeerCaller, PeerCredentials } from '@forkstage/peer-rpc'
@@ -21,7 +21,7 @@
   options: TunnelThroughOptions,
 ): PendingConnect<TunnelResult> {
   let isCancelled = false
-  let opened: Socket | undefined
+  let opened: Duplex | undefined
   const result = openTunnel(box, endpoint, { ...options, timeoutMs }).then(
     (socket): TunnelResult => {
       opened = socket
--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -13,6 +13,7 @@
 import { runSlopesExperiment, SLOPE_PARTS } from './slopesExperiment'
 import { runStartExperiment } from './startExperiment'
 import { runTableExperiment } from './tableExperiment'
+import { runTunnelExperiment } from './tunnelExperiment'
 
 const list = (text: string) => text.split(',').filter((part) => part !== '')
 
@@ -75,6 +76,7 @@
           slow: { share: Number(slow.split('x')[0]), times: Number(slow.split('x')[1]) },
         }),
     )
+    .command('tunnel', 'answers that another box carries', {}, () => runTunnelExperiment())
     .command('place', 'the placement decision alone', {}, () => runPlaceExperiment())
     .command('place-calls', "the leader's checks of the placements that entries report", {}, () =>
       runPlaceCallExperiment(),
