fix(gateway): bytes without end are bounded in memory and end at once

What callers saw: while endpoints sent bytes without end, streams got 504 at their deadline, interim answers (103 after 103) kept callers up to 29 s and made a sound answer beside them fail; the entry took 918 MB and answered readiness after 1.0 s. Cause: what an endpoint may send before it counts as an answer was bounded by the deadline only. An incomplete event had no limit and was copied and searched anew with each piece; a plain answer ends at 16 MB, but nothing bounded the sum over answers; interim answers were not counted; the body of a failed stream had no limit. Ruled out: the heads themselves, which Node.js limits (502 in 0.1 to 1.2 s); the calls of control machines (64 KB, a time-out). Change: `AnswerMemory` bounds what an entry holds of answers for all of them together; above it answers wait unread for the one that has been read for the longest. Events and failures above 16 MB, a length above 16 MB and more than 32 interim answers end the exchange. `EventSplitter` searches only new bytes. Bodies are forwarded in parts, without a copy.

--- a/daemon/fleet/src/controlWire.ts
+++ b/daemon/fleet/src/controlWire.ts
@@ -1,6 +1,6 @@
 import type { ProbeAnswer } from './endpointFromProbe'
 import type { RegisteredEndpoint, Stage } from '@forkstage/directory'
-import type { FetchOutcome } from '@forkstage/gateway'
+import type { FetchedAnswer } from '@forkstage/gateway'
 import type { RoutedService, RouteSheet } from '@forkstage/routes'
 import type { Address } from '@forkstage/types'
 
@@ -62,5 +62,5 @@
   /** Returns the call that asks an endpoint saved before this machine's start whether it takes requests. */
   probeCall(endpoint: RegisteredEndpoint, service: RoutedService): EndpointCall
   /** Parses the answer to {@link probeCall}. */
-  readProbe(answer: Extract<FetchOutcome, { type: 'answer' }>): ProbeAnswer
+  readProbe(answer: FetchedAnswer): ProbeAnswer
 }
--- a/daemon/fleet/src/createEntryMetrics.ts
+++ b/daemon/fleet/src/createEntryMetrics.ts
@@ -1,6 +1,6 @@
 import type { CrashTracker } from '@forkstage/crashes'
 import type { Directory } from '@forkstage/directory'
-import type { EndpointPool, GatewayRetryBudget, Ingress } from '@forkstage/gateway'
+import type { AnswerMemory, EndpointPool, GatewayRetryBudget, Ingress } from '@forkstage/gateway'
 import type { AdmissionGate, DelayMonitor } from '@forkstage/overload'
 import type { AvailabilityTracker } from '@forkstage/statements'
 import type { ControlFollower } from '@forkstage/watch'
@@ -28,6 +28,7 @@
   crashes: CrashTracker
   follower: ControlFollower
   retryBudget: GatewayRetryBudget
+  answerMemory: AnswerMemory
   logLimiter: MachineContext['logLimiter']
 }
 
@@ -50,6 +51,8 @@
     requests_running: () => source.ingress.running,
     caller_connections: () => source.ingress.connections,
     caller_unsent_bytes: () => source.ingress.unsentBytes,
+    answer_bytes_held: () => source.answerMemory.countedBytes,
+    answers_waiting: () => source.answerMemory.waitingCount,
     connections_closed_unread: () => source.gate.closedCount,
     admission_limit: () => source.gate.limitValue,
     own_delay_ms: () => ({ loop: source.delays.loopMs, connect: source.delays.connectMs }),
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -2,6 +2,7 @@
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
+  AnswerMemory,
   ColdEndpointLimiter,
   EndpointPool,
   Ingress,
@@ -76,6 +77,7 @@
   private readonly paths: EntryPaths
   private readonly origins: OriginClient
   private readonly load: EntryLoad
+  private readonly answerMemory = new AnswerMemory()
   private peerServer: PeerServer | undefined
   private readonly ingress: Ingress
   private readonly metrics: FleetMetrics
@@ -188,6 +190,7 @@
         pool: this.pool,
         placer: this.placer,
         retryBudget,
+        answerMemory: this.answerMemory,
         entries: () => this.follower.entries() || 1,
         cold: this.coldLimiter,
         limits: this.limits.limiter,
@@ -231,6 +234,7 @@
       crashes: crashTracker,
       follower: this.follower,
       retryBudget,
+      answerMemory: this.answerMemory,
       logLimiter: context.logLimiter,
     })
   }
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -3,6 +3,7 @@
 import type { AnswerHead, ExchangeEnd } from './exchange'
 import type { PooledEndpoint } from './pooledEndpoint'
 import type { Verdict } from './judgeAnswer'
+import { MAX_ANSWER_BYTES } from './relayParts'
 import { unsentOutcome, type SendOutcome } from './sendOutcome'
 
 /** How the stream of one engine ended, and the outcome that is recorded for the engine. */
@@ -35,12 +36,16 @@
   readonly hasBegun: boolean
   judge(head: AnswerHead, at: PooledEndpoint): Verdict
   countPossibleRun(): void
+  /** Records how many bytes of the engine's answer are held. */
+  hold(bytes: number): void
+  /** Stops an engine that sends what cannot become an answer. */
+  stopEngine(reason: string): void
   /** Forwards the events that the caller does not have yet. */
   forwardEvents(head: AnswerHead, events: StreamEvent[]): void
   /** Completes the caller's answer. */
   forwardEnd(head: AnswerHead, rest: Buffer): void
   /** Forwards a failure that the engine answered with; returns the status that the caller gets. */
-  forwardFailure(head: AnswerHead, body: Buffer): number
+  forwardFailure(head: AnswerHead, parts: Buffer[]): number
 }
 
 /** Parses the stream of one engine and forwards its events. */
@@ -49,6 +54,7 @@
   private verdict: Verdict = 'foreign'
   private readonly splitter = new EventSplitter()
   private readonly failureBody: Buffer[] = []
+  private failureBytes = 0
   private isSuccess = false
 
   constructor(
@@ -63,9 +69,22 @@
   }
 
   onData(chunk: Buffer): void {
-    if (!this.isSuccess) return void this.failureBody.push(chunk)
+    if (!this.isSuccess) return this.collectFailure(chunk)
     const events = this.splitter.push(chunk)
     if (events.length > 0) this.context.forwardEvents(this.head!, events)
+    this.hold(this.splitter.unfinishedBytes, 'an event is too long')
+  }
+
+  /** Only the body of a failure that the engine itself answered with is forwarded. */
+  private collectFailure(chunk: Buffer): void {
+    this.failureBytes += chunk.length
+    if (this.verdict === 'answer') this.failureBody.push(chunk)
+    this.hold(this.failureBytes, 'the answer is too long')
+  }
+
+  private hold(bytes: number, reasonIfTooLong: string): void {
+    if (bytes > MAX_ANSWER_BYTES) this.context.stopEngine(reasonIfTooLong)
+    else this.context.hold(bytes)
   }
 
   /** Returns the outcome to record for an engine whose stream this entry ended. */
@@ -102,7 +121,7 @@
         sendOutcome: 'failed',
       }
     if (!this.isSuccess) {
-      const status = this.context.forwardFailure(this.head!, Buffer.concat(this.failureBody))
+      const status = this.context.forwardFailure(this.head!, this.failureBody)
       return { attempt: { type: 'passed', status }, sendOutcome: 'failed' }
     }
     this.context.forwardEnd(this.head!, this.splitter.unfinished)
--- a/request/gateway/src/eventSplitter.ts
+++ b/request/gateway/src/eventSplitter.ts
@@ -7,37 +7,57 @@
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
 const MAX_ID_LINE_BYTES = 64
+/** Longest part of the end of an event that may lie before a piece: a line feed and a carriage return. */
+const MAX_TAIL_BYTES = 2
 
 /** Splits a byte stream into complete server-sent events and buffers an incomplete one. */
 export class EventSplitter {
-  private pending: Buffer = Buffer.alloc(0)
+  private parts: Buffer[] = []
+  private size = 0
+  /** The last bytes of the incomplete event. */
+  private tail: Buffer = Buffer.alloc(0)
 
   /** The buffered bytes of an incomplete event. */
   get unfinished(): Buffer {
-    return this.pending
+    return this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts)
   }
 
-  /** Appends bytes and returns the events that they complete. */
+  /** Number of buffered bytes. */
+  get unfinishedBytes(): number {
+    return this.size
+  }
+
+  /** Appends bytes and returns the events that they complete. Only the new bytes are searched. */
   push(chunk: Buffer): StreamEvent[] {
-    let bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk])
+    const { tail } = this
+    const searched = tail.length === 0 ? chunk : Buffer.concat([tail, chunk])
     const events: StreamEvent[] = []
-    for (let end = endOfEvent(bytes); end > 0; end = endOfEvent(bytes)) {
-      const event = bytes.subarray(0, end)
-      events.push({ bytes: event, id: readId(event) })
-      bytes = bytes.subarray(end)
+    let start = tail.length
+    for (let end = endOfEvent(searched, 0); end > 0; end = endOfEvent(searched, start)) {
+      this.append(searched.subarray(start, end))
+      const bytes = this.unfinished
+      events.push({ bytes, id: readId(bytes) })
+      this.parts = []
+      this.size = 0
+      start = end
     }
-    this.pending = bytes
+    this.append(searched.subarray(start))
+    this.tail = searched.subarray(Math.max(events.length > 0 ? start : 0, searched.length - MAX_TAIL_BYTES))
     return events
   }
+
+  private append(bytes: Buffer): void {
+    if (bytes.length === 0) return
+    this.parts.push(bytes)
+    this.size += bytes.length
+  }
 }
 
-/** Returns the length of the first complete event in bytes, or 0 if there is none. */
-function endOfEvent(bytes: Buffer): number {
-  let lineIsEmpty = false
-  for (let index = bytes.indexOf(LINE_FEED); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
+/** Returns the position behind the first complete event in bytes that begins at `start`, or 0 if there is none. */
+function endOfEvent(bytes: Buffer, start: number): number {
+  for (let index = bytes.indexOf(LINE_FEED, start); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
     const next = bytes[index + 1] === CARRIAGE_RETURN ? index + 2 : index + 1
-    lineIsEmpty = bytes[next] === LINE_FEED
-    if (lineIsEmpty) return next + 1
+    if (bytes[next] === LINE_FEED) return next + 1
   }
   return 0
 }
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -4,6 +4,9 @@
 import { endedWithFin } from '@forkstage/tunnel'
 import type { Address, Millis } from '@forkstage/types'
 
+/** Interim answers (1xx) before an answer that are accepted. */
+const MAX_INTERIM_ANSWERS = 32
+
 /** The status line and headers of an endpoint's answer. */
 export interface AnswerHead {
   status: number
@@ -52,12 +55,16 @@
   onEnd: (end: ExchangeEnd) => void
 }
 
+/** Why an exchange is paused: its caller reads slowly, or this box holds too much of other answers. */
+export type PauseReason = 'caller' | 'memory'
+
 /** An exchange in progress. */
 export interface Exchange {
   /** Closes the connection, so that the endpoint stops, and ends the exchange as incomplete. */
   cancel(reason: string): void
-  pause(): void
-  resume(): void
+  /** Reads no more until each reason for a pause has been resumed. */
+  pause(reason: PauseReason): void
+  resume(reason: PauseReason): void
   /**
    * Returns how long the endpoint has sent nothing: Infinity before its answer begins, 0 while the exchange is paused,
    * since nothing is read then.
@@ -79,7 +86,8 @@
   let sent = false
   let via: Address | undefined
   let ended = false
-  let isPaused = false
+  const pauses = new Set<PauseReason>()
+  let interimAnswers = 0
   let lastReceivedAt = -Infinity
   const end = (result: ExchangeEnd) => {
     if (ended) return
@@ -114,6 +122,10 @@
     headers: rawHeaders,
   })
   request.on('error', (error) => fail(error.message))
+  request.on('information', () => {
+    interimAnswers += 1
+    if (interimAnswers > MAX_INTERIM_ANSWERS) fail('too many interim answers')
+  })
   request.on('response', (incoming) => {
     answer = incoming
     lastReceivedAt = clock.now()
@@ -127,17 +139,18 @@
   request.end(body)
   return {
     cancel: (reason) => fail(reason, true),
-    pause: () => {
-      isPaused = true
+    pause: (reason) => {
+      pauses.add(reason)
       answer?.pause()
     },
-    resume: () => {
-      isPaused = false
+    resume: (reason) => {
+      pauses.delete(reason)
+      if (pauses.size > 0) return
       lastReceivedAt = clock.now()
       answer?.resume()
     },
     isDirect: () => via === undefined,
-    silentMs: () => (isPaused ? 0 : clock.now() - lastReceivedAt),
+    silentMs: () => (pauses.size > 0 ? 0 : clock.now() - lastReceivedAt),
   }
 }
 
--- a/request/gateway/src/fetchAnswer.ts
+++ b/request/gateway/src/fetchAnswer.ts
@@ -1,5 +1,6 @@
 import type { CancelTimer } from '@forkstage/clock'
 import type { Millis } from '@forkstage/types'
+import type { HeldAnswer } from './answerMemory'
 import { ENDED_INSIDE_EVENT, endsInsideEvent } from './endsInsideEvent'
 import { EventSplitter } from './eventSplitter'
 import {
@@ -10,49 +11,69 @@
   type ExchangeOptions,
 } from './exchange'
 
+/** A complete answer. */
+export interface FetchedAnswer {
+  type: 'answer'
+  head: AnswerHead
+  /** A copy of the body in one piece. */
+  readonly body: Buffer
+}
+
 /** A complete answer, or why there is none. `isTimedOut`: no complete answer arrived within `timeoutMs`. */
 export type FetchOutcome =
-  | { type: 'answer'; head: AnswerHead; body: Buffer }
+  | (FetchedAnswer & {
+      /** The body as it arrived. */
+      parts: Buffer[]
+    })
   | ({ type: 'failed'; isTimedOut?: boolean } & BrokenExchange)
 
 /** Options of {@link fetchAnswer}. */
 export interface FetchOptions extends Omit<ExchangeOptions, 'onHead' | 'onData' | 'onEnd'> {
   maxBytes: number
+  /** Returns where the bytes of the answer are counted; they are not if absent. */
+  held?: (exchange: Exchange) => HeldAnswer
   /** Limit for the whole exchange; none if absent. */
   timeoutMs?: Millis
   /** Called with the exchange once it is open, so that it can be cancelled. */
   onOpen?: (exchange: Exchange) => void
 }
 
+const TOO_LONG = 'the answer is too long'
 const EVENT_STREAM = 'text/event-stream'
 
 /** Sends one request and buffers its whole answer. Never rejects. */
 export function fetchAnswer(options: FetchOptions): Promise<FetchOutcome> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = []
+    let chunks: Buffer[] = []
     let cancelTimeout: CancelTimer = () => undefined
     let size = 0
     let head: AnswerHead | undefined
     let isTimedOut = false
     const exchange = openExchange({
       ...options,
-      onHead: (received) => (head = received),
+      onHead: (received) => {
+        head = received
+        if (Number(received.headers['content-length']) > options.maxBytes) exchange.cancel(TOO_LONG)
+      },
       onData: (chunk) => {
         chunks.push(chunk)
         size += chunk.length
-        if (size > options.maxBytes) exchange.cancel('the answer is too long')
+        if (size > options.maxBytes) return exchange.cancel(TOO_LONG)
+        held?.hold(size)
       },
       onEnd: (end) => {
         cancelTimeout()
-        const body = Buffer.concat(chunks)
-        if (end.complete && head !== undefined && isBrokenOff(head, body))
+        held?.complete()
+        if (!end.complete) chunks = []
+        if (end.complete && head !== undefined && isBrokenOff(head, chunks))
           return resolve({ type: 'failed', sent: true, refused: false, reason: ENDED_INSIDE_EVENT })
-        if (end.complete && head !== undefined) return resolve({ type: 'answer', head, body })
+        if (end.complete && head !== undefined) return resolve(wholeAnswer(head, chunks))
         if (end.complete)
           return resolve({ type: 'failed', sent: true, refused: false, reason: 'the answer has no head' })
         resolve({ ...end, type: 'failed', isTimedOut })
       },
     })
+    const held = options.held?.(exchange)
     options.onOpen?.(exchange)
     if (options.timeoutMs === undefined) return
     cancelTimeout = options.clock.after(options.timeoutMs, () => {
@@ -62,9 +83,20 @@
   })
 }
 
-function isBrokenOff(head: AnswerHead, body: Buffer): boolean {
+function wholeAnswer(head: AnswerHead, parts: Buffer[]): FetchOutcome {
+  return {
+    type: 'answer',
+    head,
+    parts,
+    get body() {
+      return Buffer.concat(parts)
+    },
+  }
+}
+
+function isBrokenOff(head: AnswerHead, parts: Buffer[]): boolean {
   if (!String(head.headers['content-type']).startsWith(EVENT_STREAM)) return false
   const splitter = new EventSplitter()
-  splitter.push(body)
+  parts.forEach((part) => splitter.push(part))
   return endsInsideEvent(head, splitter)
 }
--- a/request/gateway/src/index.ts
+++ b/request/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** The HTTP listener of an entry for callers, with admission, placement and relaying of their requests. */
 export { Ingress } from './ingress'
 export type { IngressOptions, RequestReport } from './ingress'
+export { AnswerMemory } from './answerMemory'
 export { ColdEndpointLimiter } from './coldEndpointLimiter'
 export { EndpointRateLimiter } from './endpointRateLimiter'
 export type { EndpointRateLimiterOptions } from './endpointRateLimiter'
@@ -35,4 +36,4 @@
 export { openExchange } from './exchange'
 export type { AnswerHead, Exchange, ExchangeEnd, ExchangeOptions } from './exchange'
 export { fetchAnswer } from './fetchAnswer'
-export type { FetchOptions, FetchOutcome } from './fetchAnswer'
+export type { FetchedAnswer, FetchOptions, FetchOutcome } from './fetchAnswer'
--- a/request/gateway/src/ownAnswer.ts
+++ b/request/gateway/src/ownAnswer.ts
@@ -28,13 +28,14 @@
 /** Forwards an endpoint's complete answer unchanged, unless the caller has got one already. */
 export function sendEndpointAnswer(
   response: ServerResponse,
-  answer: { status: number; rawHeaders: string[]; body: Buffer; isFramed: boolean },
+  answer: { status: number; rawHeaders: string[]; parts: Buffer[]; isFramed: boolean },
 ): void {
   if (response.headersSent || response.destroyed) return
   if (!answer.isFramed) return sendUnframed(response, answer)
-  const headers = [...answer.rawHeaders, 'Content-Length', String(answer.body.length)]
+  const length = answer.parts.reduce((sum, part) => sum + part.length, 0)
+  const headers = [...answer.rawHeaders, 'Content-Length', String(length)]
   response.writeHead(answer.status, headers)
-  response.end(answer.body)
+  endWithParts(response, answer.parts)
 }
 
 /**
@@ -43,11 +44,17 @@
  */
 function sendUnframed(
   response: ServerResponse,
-  answer: { status: number; rawHeaders: string[]; body: Buffer },
+  answer: { status: number; rawHeaders: string[]; parts: Buffer[] },
 ): void {
   endWithConnection(response)
   response.writeHead(answer.status, answer.rawHeaders)
-  response.end(answer.body)
+  endWithParts(response, answer.parts)
+}
+
+/** Ends a response with a body in parts, without a copy of it in one piece. */
+function endWithParts(response: ServerResponse, parts: Buffer[]): void {
+  parts.slice(0, -1).forEach((part) => response.write(part))
+  response.end(parts.at(-1))
 }
 
 /** Makes a response without a length end with its connection instead of using chunked encoding. */
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -1,13 +1,15 @@
 import { MUST_BE_ISOLATED, type TrialPlacement } from './isolatedPlace'
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
-import type { AnswerHead, Exchange } from './exchange'
+import type { HeldAnswer } from './answerMemory'
+import type { Exchange } from './exchange'
 import { connectionShare } from './connectionShare'
 import { dropHeaders } from './callerRequest'
 import type { PooledEndpoint } from './pooledEndpoint'
 import type { PoolUnavailability } from './poolTypes'
 import { COLD_LIMIT_REASON } from './coldEndpointLimiter'
 import { fetchAnswer, type FetchOutcome } from './fetchAnswer'
+import { releaseOnceRead } from './releaseOnceRead'
 import { reportLostSending } from './reportLostSending'
 import { RATE_LIMIT_REASON } from './endpointRateLimiter'
 import { readVerdict } from './readVerdict'
@@ -24,6 +26,7 @@
   CONNECT_MS,
   EARLY_REFUSAL_SHARE,
   headersFor,
+  MAX_ANSWER_BYTES,
   sendRecord,
   type RelayJob,
   type RelayParts,
@@ -34,23 +37,18 @@
 import { CrashGuard } from './crashGuard'
 import { ENDS_ENDPOINTS, EVACUATED, whyNotSend } from './sendRules'
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
+import { sourceOf } from './sourceOf'
 import { unsentOutcome, type SendOutcome } from './sendOutcome'
 import { waitFor } from './waitFor'
+import { reasonOf, type SendingResult } from './sendingResult'
 import { wasLostOnTheWay } from './wasLostOnTheWay'
 import { watchExchange } from './watchExchange'
 
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 const MAX_REFUSALS = 3
 const RETRY_AFTER_MS = 400
 /** Share of the target that a retry waits for an endpoint with room. */
 const RETURN_WAIT_SHARE = 0.5
 
-/** The result of one sending. */
-type SendingResult =
-  | { type: 'answer'; head: AnswerHead; body: Buffer }
-  | { type: 'not-run'; arrived: boolean }
-  | { type: 'unknown'; reason: string }
-
 /** Sends a plain request to one endpoint after another, as far as its route allows, and forwards the answer. */
 export async function relayPlain(parts: RelayParts, job: RelayJob): Promise<RelayResult> {
   const run = new PlainRun(parts, job)
@@ -206,6 +204,7 @@
     const startedAt = parts.clock.now()
     parts.pool.recordSend(to)
     let unwatch = () => {}
+    let held: HeldAnswer | undefined
     const mayRepeat = () => job.route.kind === 'safe' && this.isRunLeft(1)
     const outcome = await fetchAnswer({
       address: to.endpoint.address,
@@ -217,12 +216,15 @@
       dial: parts.dialer?.dial,
       clock: parts.clock,
       maxBytes: MAX_ANSWER_BYTES,
+      held: (exchange) => (held = parts.answerMemory.open(sourceOf(exchange))),
       onOpen: (exchange) => {
         this.exchange = exchange
         unwatch = watchExchange(parts, to, exchange, { patienceMs: job.route.targetMs, mayRepeat })
       },
     })
     unwatch()
+    if (outcome.type === 'answer') releaseOnceRead(held, job.request.response)
+    else held?.release()
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
     const tookMs = parts.clock.now() - startedAt
     const isPathLoss =
@@ -262,8 +264,8 @@
     this.possibleRuns += 1
     if (verdict === 'foreign')
       return { sending: { type: 'unknown', reason: 'not an answer to this request' }, sendOutcome: 'failed' }
-    const { head, body } = outcome
-    return { sending: { type: 'answer', head, body }, sendOutcome: head.status >= 500 ? 'failed' : 'ok' }
+    const { head, parts } = outcome
+    return { sending: { type: 'answer', head, parts }, sendOutcome: head.status >= 500 ? 'failed' : 'ok' }
   }
 
   /** Whether an answer is a server error and the request may run again. */
@@ -292,7 +294,7 @@
   }
 
   private forwardAnswer(sending: Extract<SendingResult, { type: 'answer' }>): OwnResult {
-    const { head, body } = sending
+    const { head, parts } = sending
     if (NOT_RUN_STATUSES.has(head.status))
       return answerFailure(
         this.job.request.response,
@@ -303,7 +305,7 @@
     sendEndpointAnswer(this.job.request.response, {
       status: head.status,
       rawHeaders,
-      body,
+      parts,
       isFramed: head.isFramed,
     })
     return { status: head.status, outcome: 'answered' }
@@ -340,10 +342,3 @@
     return { status: 504, outcome: 'the time is up' }
   }
 }
-
-/** Returns why a sending got no successful answer, for the log and the caller. */
-function reasonOf(sending: SendingResult): string {
-  if (sending.type === 'unknown') return sending.reason
-  if (sending.type === 'answer') return `the endpoint failed with ${sending.head.status}`
-  return sending.arrived ? 'the endpoint refused' : 'the endpoint was not reached'
-}
--- a/request/gateway/src/relayAnswers.ts
+++ b/request/gateway/src/relayAnswers.ts
@@ -29,12 +29,12 @@
 }
 
 /** Forwards a failure of an endpoint; 502 if its status would imply that nothing ran. Returns the status that was sent. */
-export function forwardFailure(response: ServerResponse, head: AnswerHead, body: Buffer): number {
+export function forwardFailure(response: ServerResponse, head: AnswerHead, parts: Buffer[]): number {
   if (NOT_RUN_STATUSES.has(head.status)) {
     answerFailure(response, 502, 'the engine answered with a retry status but may have run the request')
     return 502
   }
   const rawHeaders = dropHeaders(head.rawHeaders, ['content-length'])
-  sendEndpointAnswer(response, { status: head.status, rawHeaders, body, isFramed: head.isFramed })
+  sendEndpointAnswer(response, { status: head.status, rawHeaders, parts, isFramed: head.isFramed })
   return head.status
 }
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -17,6 +17,7 @@
 import type { AvailabilityTracker } from '@forkstage/statements'
 import type { AllowedRegions } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
+import type { AnswerMemory } from './answerMemory'
 import type { CallerRequest } from './callerRequest'
 import type { ColdEndpointLimiter } from './coldEndpointLimiter'
 import type { EndpointPool } from './endpointPool'
@@ -34,6 +35,8 @@
   pool: EndpointPool
   placer: ModelPlacer
   retryBudget: GatewayRetryBudget
+  /** Bounds the memory for answers that cannot be forwarded yet. */
+  answerMemory: AnswerMemory
   /** Returns how many entries share the connections of an endpoint; no share is enforced if absent. */
   entries?: () => number
   /** Rules that are checked right before each sending. */
@@ -155,6 +158,8 @@
   boundVersion?: string
 }
 
+/** Largest answer, or event of a stream, that is collected before it is forwarded. */
+export const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 /** Connect timeout for an endpoint. */
 export const CONNECT_MS = 400
 /** Margin before the deadline of a request for an answer of this entry itself. */
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -1,6 +1,7 @@
 import { delay } from '@forkstage/clock'
 import type { InRegion } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
+import type { HeldAnswer } from './answerMemory'
 import { bindStream } from './bindStream'
 import { decideRetry, type RetryDecision } from './decideRetry'
 import { attributeLoss } from './attributeLoss'
@@ -38,8 +39,10 @@
 import { SendCounter, type CountedSending } from './sendCounter'
 import { ENDS_ENDPOINTS } from './sendRules'
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
+import { sourceOf } from './sourceOf'
 import { retryAfterOf, reasonOf, type AttemptResult, type FailedAttempt } from './streamAttempt'
 import { waitForDecodeEngine } from './waitForDecodeEngine'
+import { streamHeaders } from './streamHeaders'
 import { toFailure } from './toFailure'
 import { watchExchange } from './watchExchange'
 import { watchStall } from './watchStall'
@@ -59,6 +62,7 @@
   readonly sends: SendRecord[] = []
   readonly except = new Set<string>()
   exchange: Exchange | undefined
+  private held: HeldAnswer | undefined
   isOver = false
   private possibleRuns = 0
   private readonly caller: CallerStream
@@ -80,8 +84,8 @@
     this.prompt = new PromptPrefill(parts, job, this.sendCounter, this)
     this.migrations = new RunMigrations(parts, job, this.sendCounter, this)
     this.caller = new CallerStream(job, parts.clock, parts.wire, {
-      pause: () => this.exchange?.pause(),
-      resume: () => this.exchange?.resume(),
+      pause: () => this.exchange?.pause('caller'),
+      resume: () => this.exchange?.resume('caller'),
     })
   }
 
@@ -160,10 +164,9 @@
   }
 
   private work(): ModelWork {
-    const work = modelWork(this.parts, this.job, this.caller.pauses)
-    const found = { except: this.except, isPrefilled: this.prompt.isUsable() }
-    // An answer that has begun is not refused early, since its caller cannot retry elsewhere.
-    return this.hasBegun ? { ...work, ...found, isBegun: true, promptMs: 0 } : { ...work, ...found }
+    const isPrefilled = this.prompt.isUsable()
+    const { except, hasBegun } = this
+    return modelWork(this.parts, this.job, this.caller.pauses, { except, isPrefilled, hasBegun })
   }
 
   private async runAtPlace(place: ModelPlace): Promise<Attempt> {
@@ -249,13 +252,8 @@
     source?: KvSource,
   ): Promise<StreamResult> {
     const { parts, job } = this
-    const { headers } = parts.wire
-    const extra: string[] = []
-    if (source !== undefined)
-      extra.push(headers.kvSource, parts.wire.kvSource(source.at.endpoint.address, source.handle))
-    const { lastEventId } = this.caller
-    if (this.hasBegun && lastEventId !== undefined) extra.push(headers.lastEventId, String(lastEventId))
-    const rawHeaders = headersFor(parts, job, to, extra)
+    const resumeAfter = this.hasBegun ? this.caller.lastEventId : undefined
+    const rawHeaders = headersFor(parts, job, to, streamHeaders(parts.wire, { source, resumeAfter }))
     const stream = new EngineStream(this, to)
     this.progress.begin(to.endpoint)
     return new Promise((resolve) => {
@@ -263,7 +261,9 @@
         address: to.endpoint.address,
         method: job.request.method,
         path: job.request.path,
-        rawHeaders: this.hasBegun ? withoutFirstDuplicate(rawHeaders, headers.lastEventId) : rawHeaders,
+        rawHeaders: this.hasBegun
+          ? withoutFirstDuplicate(rawHeaders, parts.wire.headers.lastEventId)
+          : rawHeaders,
         body: job.request.body,
         connectMs: CONNECT_MS,
         dial: parts.dialer?.dial,
@@ -272,6 +272,7 @@
         onData: (chunk) => stream.onData(chunk),
         onEnd: (end) => {
           this.exchange = undefined
+          this.held?.release()
           unwatch()
           sending.close(end.complete || end.sent ? 'taken' : 'not-arrived')
           const result = this.isOver
@@ -283,6 +284,7 @@
         },
       })
       this.exchange = exchange
+      this.held = parts.answerMemory.open(sourceOf(exchange))
       const unwatch = watchExchange(parts, to, exchange, {
         patienceMs: job.route.targetMs,
         mayRepeat: () => job.route.resumable && this.possibleRuns + 1 < job.route.attempts,
@@ -294,6 +296,9 @@
     return readVerdict(this.parts, this.job, at, head)
   }
 
+  hold = (bytes: number): void => this.held?.hold(bytes)
+  stopEngine = (reason: string): void => this.exchange?.cancel(reason)
+
   countPossibleRun(): void {
     this.possibleRuns += 1
   }
@@ -319,8 +324,8 @@
     this.caller.forwardEnd(head, rest)
   }
 
-  forwardFailure = (head: AnswerHead, body: Buffer): number =>
-    forwardFailure(this.job.request.response, head, body)
+  forwardFailure = (head: AnswerHead, parts: Buffer[]): number =>
+    forwardFailure(this.job.request.response, head, parts)
 
   private endWithoutAnswer(reason: string, retryAfterMs: Millis): OwnResult {
     const { response } = this.job.request
--- a/request/gateway/test/coldRelay.test.ts
+++ b/request/gateway/test/coldRelay.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest'
-import { COLD_PER_SECOND, type GatewayHarness, type ReceivedAnswer } from './gatewayHarness'
+import { COLD_PER_SECOND, type GatewayHarness } from './gatewayHarness'
+import type { ReceivedAnswer } from './receivedAnswer'
 import { answers, reads, startRelay, streams } from './relayHarness'
 
 /** Sends `count` requests at once, each with an id of its own. */
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -9,6 +9,7 @@
 import { RouteStore, type CallerLimits, type Route, type Workspace } from '@forkstage/routes'
 import { AvailabilityTracker } from '@forkstage/statements'
 import {
+  AnswerMemory,
   ColdEndpointLimiter,
   EndpointPool,
   regionRule,
@@ -22,21 +23,13 @@
   type RequestReport,
 } from '../src'
 import { ENGINE, endpointWithDefaults, routeWithDefaults } from './rowsWithDefaults'
+import type { ReceivedAnswer } from './receivedAnswer'
 import { HarnessGate } from './harnessGate'
 import { TOPOLOGY } from './testTopology'
 import { TEST_WIRE } from './testWire'
 
 export { TOPOLOGY }
 
-/** An answer as a caller received it. */
-export interface ReceivedAnswer {
-  status: number
-  headers: Record<string, string | string[] | undefined>
-  body: string
-  /** Whether the answer was complete. */
-  isWhole: boolean
-}
-
 const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
 
 const QUOTA_WINDOW_MS = 8_000
@@ -114,6 +107,7 @@
     readonly evacuated: Set<string>,
     /** The entry's retry budget. */
     readonly retryBudget: GatewayRetryBudget,
+    readonly answerMemory: AnswerMemory,
     /** What endpoints have announced to the entry about their availability. */
     readonly availability: AvailabilityTracker,
   ) {}
@@ -194,6 +188,7 @@
     })
     later = RUN_FOR_MS
     const local = new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1, cold })
+    const answerMemory = new AnswerMemory()
     const retryBudget = new GatewayRetryBudget({
       clock,
       share: 0.2,
@@ -219,6 +214,7 @@
           },
         },
         retryBudget,
+        answerMemory,
         sendRules: [
           ({ id }) => harness.withheld.get(id),
           (to) => (isEvacuated(to) ? 'evacuated' : undefined),
@@ -290,6 +286,7 @@
       install,
       evacuated,
       retryBudget,
+      answerMemory,
       availability,
     )
     harness.gate = gate
--- a/request/gateway/test/plainHarness.ts
+++ b/request/gateway/test/plainHarness.ts
@@ -3,7 +3,7 @@
 import { createSeededRandom, ManualClock } from '@forkstage/clock'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { createSilentLogger } from '@forkstage/logger'
-import { EndpointPool, GatewayRetryBudget, type RelayParts } from '../src'
+import { AnswerMemory, EndpointPool, GatewayRetryBudget, type RelayParts } from '../src'
 import { relayPlain } from '../src/plainRelay'
 import type { RelayJob } from '../src/relayParts'
 import { FakeWorker, type SeenRequest } from './fakeWorker'
@@ -127,6 +127,7 @@
       pool,
       placer,
       retryBudget,
+      answerMemory: new AnswerMemory(),
       entries: () => this.entryCount,
       clock,
       random,
--- a/scripts/bundleOptions.mjs
+++ b/scripts/bundleOptions.mjs
@@ -12,6 +12,8 @@
   partitionable: 'tools/fleet-soak/src/partitionable.ts',
   hotEntry: 'tools/fleet-soak/src/hotEntryExperiment.ts',
   limitedLink: 'tools/fleet-soak/src/limitedLink.ts',
+  endlessBytes: 'tools/fleet-soak/src/endlessBytesExperiment.ts',
+  endlessEndpoint: 'tools/fleet-soak/src/endlessEndpoint.ts',
   days: 'tools/days/src/main.ts',
   serve: 'cli/forkstage/src/serve.ts',
 }
--- a/tools/fleet-soak/src/soakFleet.ts
+++ b/tools/fleet-soak/src/soakFleet.ts
@@ -100,6 +100,11 @@
     return child.exitCode !== null || child.signalCode !== null
   }
 
+  /** Returns the process id of a machine. */
+  pidOf(machine: SoakMachine): number {
+    return this.running.get(machine.name)!.child.pid!
+  }
+
   /** Returns the base URL for operators. */
   operators(machine: SoakMachine): string {
     return `http://${machine.ip}:${PORTS.operators}`
