fix(fleet): an acknowledged departure is on the disks of a majority

Cause: the departure was in memory only, while the list of endpoints that control machines recall after a start is on disk, up to a second old, and a worker's report is older than its departure. The same held for `draining`. Ruled out: heartbeats after the DELETE (none), entries that keep it (killed as well). What control keeps of endpoints on disk is in SavedEndpoints now. Weighed: the replicated log (kept for ever, or a rule to forget), no recall before a leader is known (a second without endpoints, and the report would still be older).

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -28,6 +28,8 @@
   'lease.won': { version: number; untilMs: number }
   'owner.changed': { endpoint: string; owner: string; epoch: string }
   'owner.released': { endpoint: string; request: string; kind: string; ageMs: number }
+  /** A control machine has not confirmed that it has the departure of an endpoint on disk. */
+  'departure.not-persisted': { endpoint: string; peer: string; reason: string }
   'endpoint.ejected': { endpoint: string; reason: string; forMs: number }
   'endpoint.restored': { endpoint: string }
   /** A machine reaches an endpoint only through another machine, `via`. */
--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -85,7 +85,7 @@
   }
 }
 
-function register(options: ControlAppOptions, request: Request, response: Response): void {
+async function register(options: ControlAppOptions, request: Request, response: Response): Promise<void> {
   const { wire, registrar } = options
   const [name, text] = [String(request.params.id), bodyOf(request)]
   const endpoint = wire.readRegistration(name, text)
@@ -94,14 +94,14 @@
     const message = 'A required field is missing or has the wrong type.'
     return void response.status(400).json({ code: 'FORKSTAGE_REGISTRATION', message })
   }
-  answerRegistration(options, response, registrar.register(endpoint))
+  answerRegistration(options, response, await registrar.register(endpoint))
 }
 
-function leave(options: ControlAppOptions, request: Request, response: Response): void {
+async function leave(options: ControlAppOptions, request: Request, response: Response): Promise<void> {
   answerRegistration(
     options,
     response,
-    options.registrar.leave(String(request.params.id), options.wire.readStart(bodyOf(request))),
+    await options.registrar.leave(String(request.params.id), options.wire.readStart(bodyOf(request))),
   )
 }
 
--- a/daemon/fleet/src/controlCrashes.ts
+++ b/daemon/fleet/src/controlCrashes.ts
@@ -13,10 +13,10 @@
   type TrialRequest,
 } from '@forkstage/crashes'
 import type { InstanceId, RegisteredEndpoint } from '@forkstage/directory'
-import { ForkstageError } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { FileSystem } from '@forkstage/storage'
+import { NotPersistedError } from './notPersistedError'
 import { StateFile } from './stateFile'
 import { logCrashes } from './logCrashes'
 
@@ -41,15 +41,6 @@
 const FILE_NAME = 'crashes.json'
 const SWEEP_EVERY_MS = 100
 
-/** Raised when reported crashes are applied in memory but not written to disk, so that the entry reports them again. */
-export class NotPersistedError extends ForkstageError {
-  constructor() {
-    super('FORKSTAGE_NOT_KEPT', 'The report could not be written to disk.', 'Report it again.', {
-      step: 'keep',
-    })
-  }
-}
-
 /**
  * Collects at a control machine what entries and other control machines report of poison requests, sends it to followers
  * and schedules isolated trials. Records are written to disk, as a poison request can return after all machines lost power.
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -32,8 +32,7 @@
 import { quotaMethods } from './quotaMethods'
 import { Registrar } from './registrar'
 import { serveMetrics } from './serveMetrics'
-import { EndpointStore } from './endpointStore'
-import { probeSavedEndpoints } from './probeSavedEndpoints'
+import { SavedEndpoints } from './savedEndpoints'
 import { SheetService } from './sheetService'
 import { StageOrderSender } from './stageOrderSender'
 
@@ -60,7 +59,7 @@
   private readonly quotas: QuotaLedger
   private readonly limits: ControlLimits
   private readonly stageOrders: StageOrderSender
-  private readonly endpointStore: EndpointStore
+  private readonly saved: SavedEndpoints
   private readonly crashes: ControlCrashes
   private readonly origins: ControlOrigins
   private peerServer: PeerServer | undefined
@@ -128,15 +127,25 @@
     const isLeader = () => this.host.replica?.holdsLease === true
     const folder = settings.machine.data_folder!
     const disk = { folder, files: createFileSystem(), clock, logger }
-    this.endpointStore = new EndpointStore({ ...disk, endpoints })
     const isFounding = settings.control.found
     const others = () => this.memberAddresses().filter((address) => address !== self)
     this.origins = new ControlOrigins({ ...disk, isFounding, others, peers })
     const onChange = () => this.hub.notifyChange()
     const crashes = { ...disk, tracker: crashTracker, endpoints, isBarred, isLeader, random: context.random }
     this.crashes = new ControlCrashes({ ...crashes, onChange })
+    this.saved = new SavedEndpoints({
+      ...disk,
+      wire,
+      directory: this.directory,
+      self,
+      voters: () => this.host.replica?.config.voters.map(({ address }) => address) ?? [],
+      peers,
+      service: (name) => this.routes.current?.service(name),
+      merge: (records) => this.registrar.merge(records),
+    })
     this.registrar = new Registrar({
       directory: this.directory,
+      persist: (departed) => this.saved.persistDeparture(departed),
       hub: this.hub,
       logger,
       isConnected: () => this.leader() !== undefined,
@@ -224,7 +233,7 @@
       ...(await serveMetrics(this.metrics, settings.listen.metrics)),
     ]
     void this.host.start()
-    void this.probeSaved()
+    void this.saved.recall()
     void this.crashes.load()
     void this.origins.load()
     this.follower.start()
@@ -258,7 +267,7 @@
     await new Promise<void>((resolve) => clock.after(LINGER_MS, resolve))
     this.cancelLeaderCheck()
     this.membership.stop()
-    this.endpointStore.stop()
+    this.saved.stop()
     this.crashes.stop()
     this.origins.stop()
     this.allocator.stop()
@@ -273,21 +282,8 @@
     return 0
   }
 
-  /** Probes the endpoints that were saved before this start. */
-  private async probeSaved(): Promise<void> {
-    const { clock, logger } = this.context
-    await probeSavedEndpoints(await this.endpointStore.load(), {
-      wire: this.wire,
-      service: (name) => this.routes.current?.service(name),
-      isKnown: (id) => this.directory.get(id) !== undefined,
-      onReady: (endpoint) => this.registrar.merge([endpoint]),
-      clock,
-      logger,
-    })
-  }
-
   private handleChanged(changed: RegisteredEndpoint[]): void {
-    this.endpointStore.markChanged()
+    this.saved.update(changed)
     this.origins.update(changed)
     this.cold.refresh(changed)
   }
@@ -301,6 +297,7 @@
       ...this.allocator.methods(),
       ...this.crashes.methods(),
       ...this.origins.methods(),
+      ...this.saved.methods(),
       ...this.limits.methods(),
       ...quotaMethods(this.quotas, () => this.host.replica?.holdsLease === true),
       [WATCH_METHOD]: (request: WatchRequest) => this.hub.answer(request),
--- a/daemon/fleet/src/registrar.ts
+++ b/daemon/fleet/src/registrar.ts
@@ -8,6 +8,8 @@
   directory: Directory
   hub: WatchHub
   logger: Logger
+  /** Resolves to whether a departure is on the disks of a majority of the control machines. */
+  persist: (departed: RegisteredEndpoint) => Promise<boolean>
   /** Whether this machine is connected to a majority of the control machines. */
   isConnected: () => boolean
   /** Called with the endpoints that have changed. */
@@ -37,11 +39,11 @@
   /**
    * Applies the registration of an endpoint.
    * @returns whether it may be acknowledged: a state other than ready only while this machine reaches a majority, which must
-   * know of it.
+   * know of it, also after a restart.
    */
-  register(endpoint: RegisteredEndpoint): boolean {
+  async register(endpoint: RegisteredEndpoint): Promise<boolean> {
     this.merge([endpoint])
-    return endpoint.state === 'ready' || this.options.isConnected()
+    return endpoint.state === 'ready' || this.isDepartureKnown(endpoint)
   }
 
   /**
@@ -49,9 +51,10 @@
    * @param born when the leaving incarnation started, if the endpoint says so.
    * @returns whether it may be acknowledged, as for {@link register}.
    */
-  leave(name: string, born?: number): boolean {
-    this.publish(this.options.directory.markLeft(name, born))
-    return this.options.isConnected()
+  async leave(name: string, born?: number): Promise<boolean> {
+    const departed = this.options.directory.departureOf(name, born)
+    this.merge([departed])
+    return this.isDepartureKnown(departed)
   }
 
   /** Merges endpoints received from another control machine. */
@@ -59,6 +62,13 @@
     this.publish(this.options.directory.merge(records))
   }
 
+  private async isDepartureKnown(departed: RegisteredEndpoint): Promise<boolean> {
+    const { directory, isConnected, persist } = this.options
+    // Checked first as well, so that a machine that is cut off asks nobody.
+    if (!isConnected()) return false
+    return (await persist(directory.get(departed.id) ?? departed)) && isConnected()
+  }
+
   private publish(changed: RegisteredEndpoint[]): void {
     if (changed.length === 0) return
     logEndpoints(this.options.logger, changed)
--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -116,6 +116,12 @@
     return [...this.entries.values()].map((entry) => this.view(entry)).filter(isAlive)
   }
 
+  /** The incarnations that leave, have left or have ended: those that changed last, at most `most`. */
+  departed(most: number): RegisteredEndpoint[] {
+    const departed = [...this.entries.values()].filter(({ endpoint }) => endpoint.state !== 'ready')
+    return departed.slice(-most).map((entry) => this.view(entry))
+  }
+
   /** The records that changed after a position, the oldest change first. */
   since(position: number): RegisteredEndpoint[] {
     const changed: RegisteredEndpoint[] = []
@@ -141,11 +147,16 @@
     return changed
   }
 
+  /** Records that an incarnation has left for good; returns the records that changed. */
+  markLeft(name: string, born?: number): RegisteredEndpoint[] {
+    return this.merge([this.departureOf(name, born)])
+  }
+
   /**
-   * Records that an incarnation has left for good; returns the records that changed.
+   * Returns the record of an incarnation that has left for good.
    * @param born the start of its process; by default that of the newest known incarnation of the name.
    */
-  markLeft(name: string, born = this.newest.get(name)?.born): RegisteredEndpoint[] {
+  departureOf(name: string, born = this.newest.get(name)?.born): RegisteredEndpoint {
     const id = instanceIdOf(name, born)
     const known = this.get(id)
     const left: RegisteredEndpoint = known ?? {
@@ -159,7 +170,7 @@
       models: [],
       sequence: 0,
     }
-    return this.merge([{ ...left, state: 'left' }])
+    return { ...left, state: 'left' }
   }
 
   /** Merges one record; returns the records that changed, also an earlier incarnation that ended. */
