fix(tunnel): no bytes are added to a body that an endpoint reads after its answer

Cause: `endedWithFin` tells an end from a reset by writing an empty line, and a carrying box does not know where a body ends. Change: a write without bytes, which the operating system answers by the state of the connection. Ruled out: a probe once the body has been sent (the carrying box cannot know), and no probe (a reset right behind the last bytes would look whole; the tests for that fail without one). Test: 'adds nothing to a body that an endpoint reads after it has ended its answer' fails before with the empty line in the body. Tests of resets hold as they are. A comment of the fake worker on the empty line is gone with it; its check is unchanged.

--- a/peer/tunnel/src/endedWithFin.ts
+++ b/peer/tunnel/src/endedWithFin.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net'
 
-/** HTTP allows an empty line before a request; the endpoint has closed its side and ignores it. */
-const EMPTY_LINE = '\r\n'
+/** A write without bytes reaches nobody; the operating system answers it by the state of the connection. */
+const NO_BYTES = Buffer.alloc(0)
 
 /**
  * Resolves to whether the other side of a connection closed it in order. A reset right after the last bytes is reported as an
@@ -10,7 +10,7 @@
 export function endedWithFin(socket: Socket): Promise<boolean> {
   return new Promise((resolve) => {
     socket.prependListener('end', () =>
-      socket.write(EMPTY_LINE, (error) => resolve(error === null || error === undefined)),
+      socket.write(NO_BYTES, (error) => resolve(error === null || error === undefined)),
     )
     socket.on('close', () => resolve(false))
   })
--- a/peer/tunnel/test/tunnel.test.ts
+++ b/peer/tunnel/test/tunnel.test.ts
@@ -176,6 +176,24 @@
     expect(await ended).toBe('broken')
   })
 
+  // Guards against bytes inside a body that nobody has sent.
+  it('adds nothing to a body that an endpoint reads after it has ended its answer', async () => {
+    await start()
+    const socket = await open()
+    const ended = ending(socket)
+    const received: Buffer[] = []
+    await until(() => accepted.length === 1)
+    accepted[0]!.on('data', (chunk: Buffer) => received.push(chunk))
+    socket.write('first half, ')
+    await until(() => received.length === 1)
+    accepted[0]!.end('an early answer')
+    socket.resume()
+    expect(await ended).toBe('whole')
+    socket.write('second half')
+    await until(() => Buffer.concat(received).includes('second half'))
+    expect(Buffer.concat(received).toString()).toBe('first half, second half')
+  })
+
   it('ends at the endpoint when its caller closes it', async () => {
     await start()
     const socket = await open()
--- a/request/gateway/test/fakeWorker.ts
+++ b/request/gateway/test/fakeWorker.ts
@@ -47,7 +47,6 @@
     const closed = new Promise<void>((resolve) => socket.on('close', () => resolve()))
     socket.on('error', () => undefined)
     socket.on('data', (chunk) => {
-      // Entries send an empty line on a connection that has ended, to learn whether it was reset.
       if (isAnswered) return
       text += chunk.toString('latin1')
       const end = text.indexOf('\r\n\r\n')
