fix(gateway): streams without a length are sent in chunks

Cause: the entry sent such a stream without a length too, so that the end of its process was the end of the answer. Ruled out: a length (unknown), a reset by the killed process (not in its hands). Change: callers that take chunks get them, and the last chunk follows the engine's end. HTTP/1.0 callers get the end of the connection as before, and a reset where a stream is cut, now also one that the engine sends in chunks. Tests: 'is sent in chunks, whose last one follows the end of the endpoint' and the cuts for both versions fail before. Replaced: streamRelay's 'end with their connection if the engine named no length' asked for the opposite; the new one asks for chunks and a whole body. What remains: plain answers without a length, and engines that break off between two events (docs/callers.md).

--- a/request/gateway/src/callerStream.ts
+++ b/request/gateway/src/callerStream.ts
@@ -4,7 +4,7 @@
 import type { StreamEvent } from './eventSplitter'
 import type { AnswerHead } from './exchange'
 import type { GatewayWire } from './gatewayWire'
-import { endWithConnection } from './ownAnswer'
+import { takesChunks } from './ownAnswer'
 import { CALLER_DISCONNECTED, type OwnResult } from './relayAnswers'
 import type { RelayJob } from './relayParts'
 
@@ -65,7 +65,7 @@
   /** Aborts an answer that has begun in such a way that the caller cannot take it for complete. */
   cut({ status, isFramed }: AnswerHead, reason: string): OwnResult {
     const { response } = this.job.request
-    if (isFramed) response.destroy()
+    if (isFramed && takesChunks(response)) response.destroy()
     else this.resetOnceSent()
     const cutWithLeftMs = Math.round(this.job.endsAt - this.clock.now())
     return { status, outcome: `cut: ${reason}`, cutWithLeftMs }
@@ -81,7 +81,7 @@
     return { status: status ?? TIME_UP, outcome: 'the time is up' }
   }
 
-  /** An answer without a length is complete when its connection closes, unless that is reset. */
+  /** To a caller that takes no chunks, an answer without a length is complete when its connection closes, unless that is reset. */
   private resetOnceSent(): void {
     const { socket } = this.job.request.response
     const reset = () => void socket?.resetAndDestroy()
@@ -94,7 +94,6 @@
     this.head = head
     const { response } = this.job.request
     response.on('drain', () => this.flow.resume())
-    if (!head.isFramed) endWithConnection(response)
     response.writeHead(head.status, dropHeaders(head.rawHeaders, []))
   }
 
--- a/request/gateway/src/ownAnswer.ts
+++ b/request/gateway/src/ownAnswer.ts
@@ -57,8 +57,13 @@
   response.end(parts.at(-1))
 }
 
+/** Whether the caller takes an answer in chunks, whose end is a statement of this entry; HTTP/1.0 has none. */
+export function takesChunks(response: ServerResponse): boolean {
+  return response.useChunkedEncodingByDefault
+}
+
 /** Makes a response without a length end with its connection instead of using chunked encoding. */
-export function endWithConnection(response: ServerResponse): void {
+function endWithConnection(response: ServerResponse): void {
   response.useChunkedEncodingByDefault = false
   response.shouldKeepAlive = false
 }
