fix(gateway): an answer with an odd status or header ends its exchange at once

What callers saw: a status below 100 with the request's id threw inside the entry. Cause: the parser of answers accepts what `writeHead` refuses, and the exception left the exchange open. Change: status (200 to 999) and headers are checked where the answer is read, for all exchanges.

--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -3,6 +3,7 @@
 import { connectDirectly, type Dial, type DialResult } from '@forkstage/paths'
 import { endedWithFin } from '@forkstage/tunnel'
 import type { Address, Millis } from '@forkstage/types'
+import { isForwardable } from './isForwardable'
 
 /** Interim answers (1xx) before an answer that are accepted. */
 const MAX_INTERIM_ANSWERS = 32
@@ -181,6 +182,8 @@
   incoming.on('close', () => {
     if (!incoming.readableEnded) reader.fail('the answer broke off')
   })
+  if (!isForwardable(incoming.statusCode, incoming.rawHeaders))
+    reader.fail('a status or header that cannot be forwarded')
   if (reader.isOver()) return
   options.onHead({
     status: incoming.statusCode ?? 0,
