test(soak): streams and small plain answers without a length

The soak's endpoints named a length or sent chunks, so no kill, stop or partition of an entry could cut an answer that ends with its connection. Endpoints break such streams off by a reset, since their orderly end is the answer's. Not in the soak yet: large answers without a length, kills of all processes right after an acknowledgement, odd statuses, endpoints that answer early, bytes without end.

--- a/tools/fleet-soak/src/checkPoisonPart.ts
+++ b/tools/fleet-soak/src/checkPoisonPart.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from 'node:http'
 import type { PoisonArrivals } from './checkPoisonRequest'
 
 /** Id of the prompt part that crashes every engine which begins to write an answer on it. */
@@ -16,3 +17,8 @@
     ? [`requests with a prompt part that had crashed ${TOLERATED_CRASHES} engines reached ${later} more`]
     : []
 }
+
+/** Whether a request names the poison part. */
+export function hasPoisonPart({ headers }: IncomingMessage): boolean {
+  return String(headers['x-forkstage-prompt-prefix']).includes(`,${POISON_PART}:`)
+}
--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -20,6 +20,11 @@
       describe: 'milliseconds between poison requests',
     })
     .option('fatalKinds', { type: 'number', default: 4, describe: 'number of kinds of poison requests' })
+    .option('unframed', {
+      type: 'number',
+      default: 0,
+      describe: 'share of streams and small plain answers without a length',
+    })
     .strict()
     .parse()
   const report = await runFleetSoak(args)
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -41,6 +41,8 @@
   fatalMs: number
   /** Number of kinds of poison requests; two kinds may run at one endpoint at once. */
   fatalKinds: number
+  /** Share of streams and small plain answers that end with their connection. */
+  unframed: number
 }
 
 /** Counts and violations of one soak. */
@@ -121,6 +123,7 @@
         runs,
         observedRuns,
         poisonArrivals,
+        unframedShare: options.unframed,
       }),
   )
   const versioned = Array.from(
--- a/tools/fleet-soak/src/standInEndpoint.ts
+++ b/tools/fleet-soak/src/standInEndpoint.ts
@@ -2,13 +2,14 @@
 import got from 'got'
 import type { Random } from '@forkstage/clock'
 import type { DomainArrival } from './checkEvacuations'
-import { POISON_PART } from './checkPoisonPart'
+import { hasPoisonPart, POISON_PART } from './checkPoisonPart'
 import { POISON_PREFIX, type PoisonArrivals } from './checkPoisonRequest'
 import type { EndpointArrival } from './checkEndpointSignals'
 import { INVALID_FIELDS } from './invalidFields'
 import { pause } from './pause'
 import { DOMAINS } from './machineSettings'
 import { callControl } from './callControl'
+import { omitLength } from './omitLength'
 import { PATHS } from './soakCallers'
 import { ENGINE_SLOTS } from './soakOperator'
 import type { ObservedRun } from './soakWorkspaces'
@@ -41,6 +42,8 @@
   rate?: number
   /** Arrivals of poison requests by the last segment of their path, over all stand-ins. */
   poisonArrivals: Map<string, PoisonArrivals>
+  /** Share of streams and small plain answers that end with their connection; none if absent. */
+  unframedShare?: number
 }
 
 const PLAIN_SLOTS = 8
@@ -315,7 +318,9 @@
     setTimeout(() => {
       if (this.fault === 'lose-answers') return void response.destroy()
       const status = this.fault === 'fail' ? 500 : 200
-      const rest = request.url!.startsWith(PATHS.large) ? Buffer.alloc(LARGE_BYTES, ' ') : ''
+      const isLarge = request.url!.startsWith(PATHS.large)
+      const rest = isLarge ? Buffer.alloc(LARGE_BYTES, ' ') : ''
+      if (!isLarge) omitLength(idOf(request), response, this.options.unframedShare)
       response.writeHead(status, this.answerHeaders(request)).write(`answer to ${idOf(request)}`)
       response.end(rest)
     }, WORK_MS)
@@ -328,6 +333,7 @@
     if (source !== undefined && from === undefined) return this.refuse(request, response)
     // A run resumed from its retained KV cache is the same run.
     if (from !== 'run') this.recordRun(request)
+    omitLength(idOf(request), response, this.options.unframedShare)
     response.writeHead(200, { ...this.answerHeaders(request), 'Content-Type': 'text/event-stream' })
     const isLong = !request.url!.startsWith(PATHS.stream)
     const events = isLong ? LONG_EVENTS + (Number(idOf(request).slice(1)) % LONG_EVENTS_SPREAD) : EVENTS
@@ -341,7 +347,3 @@
 function idOf(request: IncomingMessage): string {
   return String(request.headers['x-forkstage-request-id'])
 }
-
-function hasPoisonPart({ headers }: IncomingMessage): boolean {
-  return String(headers['x-forkstage-prompt-prefix']).includes(`,${POISON_PART}:`)
-}
--- a/tools/fleet-soak/src/standInRuns.ts
+++ b/tools/fleet-soak/src/standInRuns.ts
@@ -134,7 +134,10 @@
 
   private stop(run: Run): void {
     this.end(run)
-    run.response.destroy()
+    const { response } = run
+    // The orderly end of a stream without a length would say that it is complete.
+    if (response.useChunkedEncodingByDefault) response.destroy()
+    else response.socket?.resetAndDestroy()
   }
 
   private end(run: Run): void {
