--- a/daemon/fleet/src/departureStore.ts
+++ b/daemon/fleet/src/departureStore.ts
@@ -18,8 +18,8 @@
   /** Returns the addresses of the voting control machines; empty while they are not known. */
   voters: () => Address[]
   peers: Pick<PeerCaller, 'call'>
-  /** Merges departures from other machines, or from before this start. */
-  merge: (departed: RegisteredEndpoint[]) => void
+  /** Merges endpoints that this machine or another one has saved. */
+  merge: (endpoints: RegisteredEndpoint[]) => void
   clock: Clock
   logger: Logger
 }
--- a/daemon/fleet/src/savedEndpoints.ts
+++ b/daemon/fleet/src/savedEndpoints.ts
@@ -1,32 +1,16 @@
-import type { Clock } from '@forkstage/clock'
-import type { Directory, RegisteredEndpoint } from '@forkstage/directory'
-import type { Logger } from '@forkstage/logger'
-import type { PeerCaller, PeerMethod } from '@forkstage/peer-rpc'
+import type { RegisteredEndpoint } from '@forkstage/directory'
+import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { RoutedService } from '@forkstage/routes'
-import type { FileSystem } from '@forkstage/storage'
-import type { Address } from '@forkstage/types'
 import type { ControlWire } from './controlWire'
-import { DepartureStore } from './departureStore'
+import { DepartureStore, type DepartureStoreOptions } from './departureStore'
 import { EndpointStore } from './endpointStore'
 import { probeSavedEndpoints } from './probeSavedEndpoints'
 
 /** Options of {@link SavedEndpoints}. */
-export interface SavedEndpointsOptions {
+export interface SavedEndpointsOptions extends DepartureStoreOptions {
   wire: ControlWire
-  directory: Directory
-  /** The data folder of this machine. */
-  folder: string
-  files: FileSystem
-  self: Address
-  /** Returns the addresses of the voting control machines; empty while they are not known. */
-  voters: () => Address[]
-  peers: Pick<PeerCaller, 'call'>
   /** Returns a service of the route sheet in force. */
   service: (name: string) => RoutedService | undefined
-  /** Merges endpoints that this machine or another one has saved. */
-  merge: (endpoints: RegisteredEndpoint[]) => void
-  clock: Clock
-  logger: Logger
 }
 
 /** What a control machine keeps of the directory on disk: ready endpoints, and departures. */
