feat(fleet): log each applied evacuation order, and the set that each sending was checked against

Observability for the incident of traffic into an evacuated domain: its hypotheses differ in whether a withdrawal was applied late, by which control machine it was received and what that machine knew, and in which set of evacuated domains an entry used. No line said any of these.

evacuation.applied at each control machine names the log index, knownIndex, the outcome and the machine that received the order. Each send of request.answered names the index of the set that allowed it; it is omitted before the first evacuation. No logic changes.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -172,6 +172,16 @@
   /** An order of which it is not known whether it was accepted. */
   'evacuation.unsure': { domain: string; action: 'begin' | 'withdraw'; reason: string }
   'evacuation.refused': { reason: string }
+  /** A replica has applied an order at `logIndex`; an order with an old `knownIndex` may have been delivered late. */
+  'evacuation.applied': {
+    domain: string
+    action: 'begin' | 'withdraw'
+    logIndex: number
+    knownIndex: number
+    outcome: 'changed' | 'held' | 'overtaken'
+    /** The control machine that received the order; absent in entries of earlier versions. */
+    receivedBy?: string
+  }
   /** The set of evacuated domains known to a machine has changed: it sends nothing more to their endpoints. */
   'evacuation.in-force': { index: number; count: number; domains: string[] }
   'endpoint.registered': {
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -162,7 +162,12 @@
     })
     const replicated = { group: GROUP, host: this.host, machine: this.sheetMachine, client, logger }
     this.sheetService = new SheetService(replicated)
-    this.evacuationService = new EvacuationService({ ...replicated, tracker: this.evacuations, clock })
+    this.evacuationService = new EvacuationService({
+      ...replicated,
+      box: settings.machine.name,
+      tracker: this.evacuations,
+      clock,
+    })
     const term = () => this.host.replica?.term ?? 0
     const entries = () => this.hub.countEntries()
     this.limits = new ControlLimits({ clock, logger, term, isLeader, isRegistered })
@@ -210,6 +215,7 @@
     })
     this.sheetMachine.onNewerSheet = (document) => this.installNewer(document)
     this.sheetMachine.onEvacuations = () => this.evacuationService.mergeCommitted()
+    this.sheetMachine.onEvacuationOrder = (...order) => this.evacuationService.logApplied(...order)
   }
 
   async start(): Promise<void> {
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,5 +1,6 @@
 import { delay, every, type CancelTimer } from '@forkstage/clock'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
+import { NO_EVACUATIONS } from '@forkstage/evacuation'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   AnswerMemory,
@@ -202,6 +203,7 @@
         dialer: this.paths.dialer,
         isDelayed: () => this.load.isDelayed,
         sendRules: entrySendRules({ isEvacuated, isReserved, topology }),
+        evacuationIndex: () => this.knownEvacuationIndex(),
         clock,
         random,
         logger,
@@ -311,6 +313,12 @@
     return cut
   }
 
+  /** The log index of the last known change; undefined before the first, so that it is omitted from the log. */
+  private knownEvacuationIndex(): number | undefined {
+    const { index } = this.evacuations.view.current
+    return index === NO_EVACUATIONS.index ? undefined : index
+  }
+
   private sweep(): void {
     this.coldLimiter.sweep()
     const isRegistered = (id: string) => this.directory.get(id) !== undefined
--- a/daemon/fleet/src/evacuationService.ts
+++ b/daemon/fleet/src/evacuationService.ts
@@ -10,12 +10,13 @@
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { SheetCommand, SheetStateMachine, SheetResult } from '@forkstage/sheet'
-import type { FailureDomain, Millis } from '@forkstage/types'
+import type { BoxId, FailureDomain, Millis } from '@forkstage/types'
 import type { EvacuationTracker } from './evacuationTracker'
 
 /** Options of {@link EvacuationService}. */
 export interface EvacuationServiceOptions {
   group: string
+  box: BoxId
   host: GroupHost<SheetCommand, SheetResult>
   machine: SheetStateMachine
   client: GroupClient<SheetCommand, SheetResult>
@@ -68,6 +69,23 @@
     }
   }
 
+  /** Logs an order that the local replica has applied at a log index. */
+  logApplied(
+    { domain, isEvacuated, knownIndex, receivedBy }: SetEvacuation,
+    logIndex: number,
+    { outcome }: EvacuationResult,
+  ): void {
+    const action = isEvacuated ? 'begin' : 'withdraw'
+    this.options.logger.info('evacuation.applied', {
+      domain,
+      action,
+      logIndex,
+      knownIndex,
+      outcome,
+      receivedBy,
+    })
+  }
+
   /**
    * Merges a set received from another control machine, then the local one: once a committed set is known, the state
    * restored from this machine's disk counts as committed too, and may be newer.
@@ -109,11 +127,17 @@
 
   /** Proposes a request until it is applied without being overtaken, while the caller waits. */
   private async propose({ domain, isEvacuated, isWaitedFor }: EvacuationRequest): Promise<EvacuationResult> {
-    const { client, clock, group, tracker } = this.options
+    const { box, client, clock, group, tracker } = this.options
     const end = clock.now() + REQUEST_DEADLINE_MS
     let knownIndex = Math.max(NO_EVACUATIONS.index, tracker.view.current.index)
     while (isWaitedFor() && clock.now() < end) {
-      const command: SetEvacuation = { type: 'setEvacuation', domain, isEvacuated, knownIndex }
+      const command: SetEvacuation = {
+        type: 'setEvacuation',
+        domain,
+        isEvacuated,
+        knownIndex,
+        receivedBy: box,
+      }
       const result = await client.callLeader<EvacuationResult>('evacuate', command, {
         deadline: end - clock.now(),
         callDeadline: LEADER_CALL_TIMEOUT_MS,
--- a/daemon/fleet/test/evacuationService.test.ts
+++ b/daemon/fleet/test/evacuationService.test.ts
@@ -36,7 +36,16 @@
   const host = { replica } as unknown as GroupHost<SheetCommand, SheetResult>
   const logger = createSilentLogger()
   const tracker = new EvacuationTracker({ logger })
-  const service = new EvacuationService({ group: 'sheet', host, machine, client, tracker, clock, logger })
+  const service = new EvacuationService({
+    group: 'sheet',
+    box: 'control-1',
+    host,
+    machine,
+    client,
+    tracker,
+    clock,
+    logger,
+  })
   return { group, machine, replica, tracker, service }
 }
 
--- a/membership/evacuation/src/evacuationTypes.ts
+++ b/membership/evacuation/src/evacuationTypes.ts
@@ -1,4 +1,4 @@
-import type { FailureDomain } from '@forkstage/types'
+import type { BoxId, FailureDomain } from '@forkstage/types'
 
 /** The set of evacuated failure domains. */
 export interface EvacuationSet {
@@ -24,6 +24,8 @@
    * later change is applied first.
    */
   knownIndex: number
+  /** The control machine that received the order, for the log; absent in entries of earlier versions. */
+  receivedBy?: BoxId
 }
 
 /** The result of a {@link SetEvacuation}. */
--- a/membership/sheet/src/sheetStateMachine.ts
+++ b/membership/sheet/src/sheetStateMachine.ts
@@ -3,6 +3,7 @@
   NO_EVACUATIONS,
   type EvacuationResult,
   type EvacuationSet,
+  type SetEvacuation,
 } from '@forkstage/evacuation'
 import type { StateMachine } from '@forkstage/group'
 import type { PutResult, PutSheet, SheetCommand, SheetDocument, SheetResult, SheetState } from './sheetTypes'
@@ -18,6 +19,8 @@
   onNewerSheet: (document: SheetDocument) => void = () => undefined
   /** Called with each changed set of evacuated domains once it is committed. */
   onEvacuations: (set: EvacuationSet) => void = () => undefined
+  /** Called with each committed order and its log index, also if it changes nothing. */
+  onEvacuationOrder: (order: SetEvacuation, index: number, result: EvacuationResult) => void = () => undefined
 
   /** The newest committed sheet that this replica knows; undefined without one. */
   get newest(): SheetDocument | undefined {
@@ -34,6 +37,7 @@
   apply(command: SheetCommand, index: number): SheetResult {
     if (command.type === 'putSheet') return this.put(command.document)
     const result: EvacuationResult = this.evacuation.apply(command, index)
+    this.onEvacuationOrder(command, index, result)
     if (result.outcome === 'changed') this.onEvacuations(this.evacuation.current)
     return result
   }
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -241,7 +241,7 @@
     if (sendOutcome === 'full' && parts.pool.isAvailable(to)) to.limit.recordFull()
     parts.pool.recordEnd(to, this.isOver ? 'cancelled' : sendOutcome, tookMs)
     const reason = outcome.type === 'failed' && !outcome.sent ? outcome.reason : undefined
-    this.sends.push(sendRecord(to, 'plain', sendOutcome, tookMs, reason))
+    this.sends.push(sendRecord(this.job, to, 'plain', sendOutcome, tookMs, reason))
     return sending
   }
 
--- a/request/gateway/src/promptPrefill.ts
+++ b/request/gateway/src/promptPrefill.ts
@@ -70,7 +70,7 @@
     // A request that never arrived took none of the engine's time, however long the connect took.
     const busyMs = sendOutcome === 'failed' && arrival === 'not-arrived' ? 0 : tookMs
     place.reportPrefilled(context.isOver ? 'cancelled' : sendOutcome, busyMs)
-    context.sends.push(sendRecord(at, 'prefill', sendOutcome, tookMs))
+    context.sends.push(sendRecord(job, at, 'prefill', sendOutcome, tookMs))
     if (prefilled !== undefined) return 'read'
     if (!context.isOver) context.except.add(at.endpoint.id)
     return 'not-read'
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -41,6 +41,8 @@
   entries?: () => number
   /** Rules that are checked right before each sending. */
   sendRules?: SendRule[]
+  /** Index of the known set of evacuated domains, for the log; not logged if absent. */
+  evacuationIndex?: () => number | undefined
   /** Limits requests to cold endpoints; no endpoint counts as cold if absent. */
   cold?: ColdEndpointLimiter
   /** Limits requests to endpoints that name a rate; unlimited if absent. */
@@ -97,11 +99,14 @@
   softwareVersion?: string
   /** Why no connection was opened; absent if the request was sent. */
   reason?: string
+  /** Index of the set of evacuated domains that allowed the sending; absent if the entry knows of none. */
+  evacuationIndex?: number
   tookMs: number
 }
 
-/** Returns the record of a send to an endpoint. */
+/** Returns the record of a send of a request to an endpoint. */
 export function sendRecord(
+  { evacuationIndex }: RelayJob,
   to: PooledEndpoint,
   step: SendRecord['step'],
   outcome: string,
@@ -109,7 +114,7 @@
   reason?: string,
 ): SendRecord {
   const { id, softwareVersion } = to.endpoint
-  return { to: id, step, outcome, softwareVersion, reason, tookMs: Math.round(tookMs) }
+  return { to: id, step, outcome, softwareVersion, reason, evacuationIndex, tookMs: Math.round(tookMs) }
 }
 
 /** The result of a request, for the log and the metrics. */
@@ -148,6 +153,8 @@
   isolatedId?: InstanceId
   /** Id of the engine that retains the KV cache of the stopped run; set while another sending is chosen. */
   retainingEngine?: InstanceId
+  /** Index of the set of evacuated domains that allowed the last sending, for the log. */
+  evacuationIndex?: number
   /** When the placement that the next sending uses was requested. */
   placedAt?: Millis
   /** Scheduling rank; 0 is the most urgent. */
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -55,6 +55,7 @@
     parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
     return reason
   }
+  job.evacuationIndex = parts.evacuationIndex?.()
   return undefined
 }
 
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -203,7 +203,7 @@
     const tookMs = this.parts.clock.now() - startedAt
     const used: SendOutcome = stall.hasLeft() ? 'silent' : sendOutcome
     place.release(this.isOver && used !== 'ok' ? 'cancelled' : used, tookMs, this.madeTokens())
-    this.sends.push(sendRecord(place.decode, 'decode', sendOutcome, tookMs))
+    this.sends.push(sendRecord(this.job, place.decode, 'decode', sendOutcome, tookMs))
     return attempt
   }
 
@@ -223,7 +223,7 @@
     if (next === undefined) return this.finishStream(place, ended)
     const from = place.decode
     const outcome = attempt.type === 'not-run' ? sendOutcome : 'moved'
-    this.sends.push(sendRecord(from, 'decode', outcome, 0))
+    this.sends.push(sendRecord(this.job, from, 'decode', outcome, 0))
     if (next.at !== from) place.reportMoved(next.at)
     const { at, sending, source, handle } = next
     return this.followMigrations(place, await this.streamAt(at, sending, { at: source, handle }))
