--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -5,6 +5,7 @@
 import { checkRouteSheet } from '@forkstage/routes'
 import type { ControlWire } from './controlWire'
 import type { EvacuationService } from './evacuationService'
+import { receiveEvacuationOrder } from './receiveEvacuationOrder'
 import type { Registrar } from './registrar'
 import type { SheetService } from './sheetService'
 
@@ -79,7 +80,8 @@
   }
   try {
     const isWaitedFor = () => !response.destroyed
-    response.status(200).json(await evacuations.set({ domain, isEvacuated, isWaitedFor }))
+    const order = { domain, isEvacuated, isWaitedFor }
+    response.status(200).json(await receiveEvacuationOrder(evacuations, order))
   } catch (error) {
     answerUnavailable(response, error)
   }
--- a/daemon/fleet/test/evacuation.test.ts
+++ b/daemon/fleet/test/evacuation.test.ts
@@ -82,6 +82,15 @@
     )
   })
 
+  it('ignore an order whose caller has left before it is read', async () => {
+    await startFleet(18_390)
+    await isTaken(1, 'a')
+    for (const number of [1, 2, 3]) await harness.evacuateAndLeave(number, 'a', false)
+    // An order that is sent later is applied later.
+    await isTaken(2, 'b')
+    expect(await domainsAt(2)).toBe('a,b')
+  })
+
   it('apply concurrent requests of two operators in one order at all machines', async () => {
     await startFleet(18_350)
     await isTaken(1, 'a')
--- a/daemon/fleet/test/evacuationService.test.ts
+++ b/daemon/fleet/test/evacuationService.test.ts
@@ -77,6 +77,17 @@
     expect(group.sent).toHaveLength(2)
   })
 
+  it('does not acknowledge a repeated evacuation before a withdrawal that is in the log', async () => {
+    const { group, machine, replica, service } = setUp()
+    group.order('a', true)
+    replica.holdsLease = true
+    // The withdrawal is in the leader's log and is applied before anything proposed later.
+    group.beforeApply = () => void group.order('a', false)
+    await service.set(order(true))
+    group.beforeApply?.()
+    expect(machine.evacuations.current.domains).toEqual(['a'])
+  })
+
   it('proposes again after another request was committed first, while the caller waits', async () => {
     const { group, machine, service } = setUp()
     group.beforeApply = () => void group.order('b', true)
--- a/daemon/fleet/test/fleetHarness.ts
+++ b/daemon/fleet/test/fleetHarness.ts
@@ -1,5 +1,6 @@
 import { mkdtempSync, rmSync } from 'node:fs'
 import { createServer, type Server } from 'node:http'
+import { connect } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import got from 'got'
@@ -193,6 +194,20 @@
     return (await got(url, options)).statusCode
   }
 
+  /** Sends an order and closes the connection without waiting; resolves once the machine has closed it too. */
+  evacuateAndLeave(number: number, domain: string, isEvacuated: boolean): Promise<void> {
+    const { host, hostname, port } = new URL(this.operators(number))
+    const method = isEvacuated ? 'POST' : 'DELETE'
+    return new Promise((resolve, reject) => {
+      const socket = connect(Number(port), hostname, () => {
+        socket.end(`${method} /evacuations/${domain} HTTP/1.1\r\nHost: ${host}\r\n\r\n`)
+      })
+      socket.resume()
+      socket.on('error', reject)
+      socket.on('close', () => resolve())
+    })
+  }
+
   /** Returns the evacuations known to a control machine. */
   evacuations(number: number): Promise<{ index: number; domains: string[] }> {
     return got(`${this.operators(number)}/evacuations`, { retry: { limit: 0 } }).json()
--- a/membership/evacuation/test/evacuation.test.ts
+++ b/membership/evacuation/test/evacuation.test.ts
@@ -37,6 +37,21 @@
     expect(state.apply(command('a', true, 6), 9)).toEqual({ index: 9, outcome: 'changed' })
   })
 
+  it('ignores a delayed withdrawal after an evacuation that changed nothing was acknowledged', () => {
+    const state = new EvacuationState()
+    state.apply(command('a', true, -1), 10)
+    expect(state.apply(command('a', true, 10), 11).outcome).toBe('held')
+    expect(state.apply(command('a', false, 10), 12).outcome).toBe('overtaken')
+    expect(state.current.domains).toEqual(['a'])
+  })
+
+  it('ignores a delayed evacuation after a withdrawal that changed nothing was acknowledged', () => {
+    const state = new EvacuationState()
+    expect(state.apply(command('a', false, -1), 10).outcome).toBe('held')
+    expect(state.apply(command('a', true, -1), 11).outcome).toBe('overtaken')
+    expect(state.current.domains).toEqual([])
+  })
+
   it('puts concurrent commands of two operators into one order, the same on each replica', () => {
     const replicas = [new EvacuationState(), new EvacuationState()]
     for (const replica of replicas) {
