--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -162,12 +162,8 @@
     })
     const replicated = { group: GROUP, host: this.host, machine: this.sheetMachine, client, logger }
     this.sheetService = new SheetService(replicated)
-    this.evacuationService = new EvacuationService({
-      ...replicated,
-      box: settings.machine.name,
-      tracker: this.evacuations,
-      clock,
-    })
+    const box = settings.machine.name
+    this.evacuationService = new EvacuationService({ ...replicated, box, tracker: this.evacuations, clock })
     const term = () => this.host.replica?.term ?? 0
     const entries = () => this.hub.countEntries()
     this.limits = new ControlLimits({ clock, logger, term, isLeader, isRegistered })
@@ -214,8 +210,6 @@
       logLimiter: context.logLimiter,
     })
     this.sheetMachine.onNewerSheet = (document) => this.installNewer(document)
-    this.sheetMachine.onEvacuations = () => this.evacuationService.mergeCommitted()
-    this.sheetMachine.onEvacuationOrder = (...order) => this.evacuationService.logApplied(...order)
   }
 
   async start(): Promise<void> {
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,6 +1,5 @@
 import { delay, every, type CancelTimer } from '@forkstage/clock'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
-import { NO_EVACUATIONS } from '@forkstage/evacuation'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
   AnswerMemory,
@@ -203,7 +202,7 @@
         dialer: this.paths.dialer,
         isDelayed: () => this.load.isDelayed,
         sendRules: entrySendRules({ isEvacuated, isReserved, topology }),
-        evacuationIndex: () => this.knownEvacuationIndex(),
+        evacuationIndex: () => this.evacuations.loggedIndex,
         clock,
         random,
         logger,
@@ -313,12 +312,6 @@
     return cut
   }
 
-  /** The log index of the last known change; undefined before the first, so that it is omitted from the log. */
-  private knownEvacuationIndex(): number | undefined {
-    const { index } = this.evacuations.view.current
-    return index === NO_EVACUATIONS.index ? undefined : index
-  }
-
   private sweep(): void {
     this.coldLimiter.sweep()
     const isRegistered = (id: string) => this.directory.get(id) !== undefined
--- a/daemon/fleet/src/evacuationService.ts
+++ b/daemon/fleet/src/evacuationService.ts
@@ -44,7 +44,10 @@
 
 /** Begins and withdraws evacuations of failure domains, at any control machine. */
 export class EvacuationService {
-  constructor(private readonly options: EvacuationServiceOptions) {}
+  constructor(private readonly options: EvacuationServiceOptions) {
+    options.machine.onEvacuations = () => this.mergeCommitted()
+    options.machine.onEvacuationOrder = (...order) => this.logApplied(...order)
+  }
 
   /** Returns the methods that other control machines call at the leader. */
   methods(): Record<string, PeerMethod> {
@@ -70,7 +73,7 @@
   }
 
   /** Logs an order that the local replica has applied at a log index. */
-  logApplied(
+  private logApplied(
     { domain, isEvacuated, knownIndex, receivedBy }: SetEvacuation,
     logIndex: number,
     { outcome }: EvacuationResult,
--- a/daemon/fleet/src/evacuationTracker.ts
+++ b/daemon/fleet/src/evacuationTracker.ts
@@ -1,4 +1,4 @@
-import { EvacuationView, type EvacuationSet } from '@forkstage/evacuation'
+import { EvacuationView, NO_EVACUATIONS, type EvacuationSet } from '@forkstage/evacuation'
 import type { Logger } from '@forkstage/logger'
 import type { FailureDomain } from '@forkstage/types'
 
@@ -20,6 +20,12 @@
 
   constructor(private readonly options: EvacuationTrackerOptions) {}
 
+  /** Log index of the last known change; undefined before the first, so that log lines omit it. */
+  get loggedIndex(): number | undefined {
+    const { index } = this.view.current
+    return index === NO_EVACUATIONS.index ? undefined : index
+  }
+
   /** Merges a committed set; a set that is not newer changes nothing. */
   merge(set: EvacuationSet): void {
     const before = this.view.current.domains
