fix(evacuation): an acknowledged order voids those still under way, also if it changes nothing

What callers saw: requests reach an evacuated domain at many entries at once, after its evacuation was acknowledged.

Cause: a command does nothing if a change after the one that its sender knew of was applied first. An evacuation of a domain that is evacuated already is acknowledged (held) but was no change, so a withdrawal from before it, which a cut or a paused machine had delayed, was still applied and opened the domain everywhere. The same held for a withdrawal that changed nothing.

Fix: the state keeps the log index of the last order, held or changed, and compares with that. The set and its index stay as they are, so entries get no news of an order that changes nothing.

Ruled out: moving the index of the set instead, which sends each repeated order to every entry; ids of orders, since operators send none. While control machines of two builds run together their replicas may differ in a delayed order.

--- a/daemon/fleet/src/evacuationService.ts
+++ b/daemon/fleet/src/evacuationService.ts
@@ -1,11 +1,6 @@
 import type { Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
-import {
-  NO_EVACUATIONS,
-  type EvacuationResult,
-  type EvacuationSet,
-  type SetEvacuation,
-} from '@forkstage/evacuation'
+import type { EvacuationResult, EvacuationSet, SetEvacuation } from '@forkstage/evacuation'
 import { GroupUnavailableError, NotLeaderError, type GroupClient, type GroupHost } from '@forkstage/group'
 import type { Logger } from '@forkstage/logger'
 import type { PeerMethod } from '@forkstage/peer-rpc'
@@ -130,9 +125,9 @@
 
   /** Proposes a request until it is applied without being overtaken, while the caller waits. */
   private async propose({ domain, isEvacuated, isWaitedFor }: EvacuationRequest): Promise<EvacuationResult> {
-    const { box, client, clock, group, tracker } = this.options
+    const { box, client, clock, group, machine, tracker } = this.options
     const end = clock.now() + REQUEST_DEADLINE_MS
-    let knownIndex = Math.max(NO_EVACUATIONS.index, tracker.view.current.index)
+    let knownIndex = Math.max(machine.evacuations.lastOrderIndex, tracker.view.current.index)
     while (isWaitedFor() && clock.now() < end) {
       const command: SetEvacuation = {
         type: 'setEvacuation',
--- a/membership/evacuation/src/evacuationState.ts
+++ b/membership/evacuation/src/evacuationState.ts
@@ -12,6 +12,15 @@
  */
 export class EvacuationState {
   private set: EvacuationSet = NO_EVACUATIONS
+  private fence = NO_EVACUATIONS.index
+
+  /**
+   * Log index of the last order that was acknowledged, also if it changed nothing. Every order whose sender knew only of
+   * earlier ones is void.
+   */
+  get lastOrderIndex(): number {
+    return this.fence
+  }
 
   /** The set after the commands applied so far. */
   get current(): EvacuationSet {
@@ -36,16 +45,20 @@
    * @param index the command's index in the log.
    */
   apply({ domain, isEvacuated, knownIndex }: SetEvacuation, index: number): EvacuationResult {
-    if (this.isNoOp(domain, isEvacuated)) return { index: this.set.index, outcome: 'held' }
-    // A delayed duplicate must not undo an order that has been acknowledged since.
-    if (this.set.index > knownIndex) return { index: this.set.index, outcome: 'overtaken' }
+    if (this.isNoOp(domain, isEvacuated)) {
+      this.fence = index
+      return { index: this.set.index, outcome: 'held' }
+    }
+    if (this.fence > knownIndex) return { index: this.fence, outcome: 'overtaken' }
+    this.fence = index
     const others = this.set.domains.filter((one) => one !== domain)
     this.set = { index, domains: isEvacuated ? [...others, domain].sort() : others }
     return { index, outcome: 'changed' }
   }
 
-  /** Replaces the set with that of a snapshot. */
-  restore(set: EvacuationSet): void {
+  /** Replaces the state with that of a snapshot. */
+  restore(set: EvacuationSet, lastOrderIndex: number): void {
     this.set = set
+    this.fence = lastOrderIndex
   }
 }
--- a/membership/evacuation/src/evacuationTypes.ts
+++ b/membership/evacuation/src/evacuationTypes.ts
@@ -20,8 +20,8 @@
   domain: FailureDomain
   isEvacuated: boolean
   /**
-   * Index of the last change known to the machine that received the order. The command does nothing if a
-   * later change is applied first.
+   * Index of the last order known to the machine that received this one. The command does nothing if a later order
+   * is applied first.
    */
   knownIndex: number
   /** The control machine that received the order, for the log; absent in entries of earlier versions. */
@@ -30,10 +30,10 @@
 
 /** The result of a {@link SetEvacuation}. */
 export interface EvacuationResult {
-  /** Log index of the last change of the set. */
+  /** Log index of the last change of the set; of the last order if the outcome is `overtaken`. */
   index: number
   /**
-   * `held`: the domain was already in the requested state. `overtaken`: a change after `knownIndex` was
+   * `held`: the domain was already in the requested state. `overtaken`: an order after `knownIndex` was
    * applied first, so the command did nothing.
    */
   outcome: 'changed' | 'held' | 'overtaken'
--- a/membership/sheet/src/sheetStateMachine.ts
+++ b/membership/sheet/src/sheetStateMachine.ts
@@ -43,14 +43,18 @@
   }
 
   snapshot(): Uint8Array {
-    const state: SheetState = { sheet: this.document ?? null, evacuations: this.evacuation.current }
+    const state: SheetState = {
+      sheet: this.document ?? null,
+      evacuations: this.evacuation.current,
+      lastEvacuationOrderIndex: this.evacuation.lastOrderIndex,
+    }
     return Buffer.from(JSON.stringify(state))
   }
 
   restore(data: Uint8Array): void {
-    const { sheet, evacuations } = readState(data)
+    const { sheet, evacuations, lastEvacuationOrderIndex } = readState(data)
     this.document = sheet ?? undefined
-    this.evacuation.restore(evacuations)
+    this.evacuation.restore(evacuations, lastEvacuationOrderIndex ?? evacuations.index)
     this.onEvacuations(evacuations)
     if (sheet !== null) this.onNewerSheet(sheet)
   }
--- a/membership/sheet/src/sheetTypes.ts
+++ b/membership/sheet/src/sheetTypes.ts
@@ -31,4 +31,6 @@
 export interface SheetState {
   sheet: SheetDocument | null
   evacuations: EvacuationSet
+  /** Log index of the last evacuation order; absent in snapshots of earlier versions. */
+  lastEvacuationOrderIndex?: number
 }
--- a/membership/sheet/test/sheetStateMachine.test.ts
+++ b/membership/sheet/test/sheetStateMachine.test.ts
@@ -50,6 +50,16 @@
     expect(other.newest).toEqual({ version: 5, text: 'newer' })
   })
 
+  it('ignores a delayed order also after its replica was restored from a snapshot', () => {
+    const machine = new SheetStateMachine()
+    machine.apply(evacuate('a', true), 2)
+    machine.apply(evacuate('a', true), 3)
+    const other = new SheetStateMachine()
+    other.restore(machine.snapshot())
+    expect(other.apply(evacuate('a', false, 2), 4)).toEqual({ index: 3, outcome: 'overtaken' })
+    expect(other.apply(evacuate('a', false, 3), 5)).toEqual({ index: 5, outcome: 'changed' })
+  })
+
   it('restores snapshots that contain no evacuations', () => {
     const machine = new SheetStateMachine()
     machine.apply(evacuate('a', true), 2)
@@ -58,5 +68,8 @@
     expect(machine.evacuations.current).toEqual({ index: -1, domains: [] })
     machine.restore(Buffer.from('null'))
     expect(machine.newest).toBeUndefined()
+    const evacuations = { index: 7, domains: ['a'] }
+    machine.restore(Buffer.from(JSON.stringify({ sheet: null, evacuations })))
+    expect(machine.apply(evacuate('a', false, 6), 9)).toEqual({ index: 7, outcome: 'overtaken' })
   })
 })
