fix(evacuation): a repeated order is acknowledged from the log, not from the leader's lease

Cause: the leader answered an order that matched its applied state at once. A withdrawal that was in its log and not yet applied, because a disk or a follower was slow, opened the domain a moment later; one under way elsewhere was not voided either, since the answer left no entry.

Fix: every order is an entry of the log. It costs a sync on a majority for an order that an operator repeats; availability is the same, as the lease needs that majority too.

Ruled out: to answer from the lease only while no order is in the log, which does not void what is still under way to the leader.

'does not acknowledge a repeated evacuation ...' failed before. A test expected that a repeated order sends two commands and writes nothing; that was the fault, so it now expects three and the index of the last one, and the test with processes still expects the same set and index.

--- a/daemon/fleet/src/evacuationService.ts
+++ b/daemon/fleet/src/evacuationService.ts
@@ -50,7 +50,8 @@
   }
 
   /**
-   * Begins or withdraws an evacuation. Resolves once the change is synced on a majority, now or before.
+   * Begins or withdraws an evacuation. Resolves once the order is synced on a majority, also if it changes nothing: an
+   * answer without an entry in the log would not void the orders that are still under way.
    * @throws GroupUnavailableError if the outcome is unknown.
    */
   async set(request: EvacuationRequest): Promise<EvacuationResult> {
@@ -58,7 +59,7 @@
     const { domain, isEvacuated } = request
     const action = isEvacuated ? 'begin' : 'withdraw'
     try {
-      const result = this.answerFromLease(domain, isEvacuated) ?? (await this.propose(request))
+      const result = await this.propose(request)
       logger.info('evacuation.taken', { domain, action, index: result.index, outcome: result.outcome })
       return result
     } catch (error) {
@@ -150,19 +151,10 @@
     )
   }
 
-  private setAsLeader(command: SetEvacuation): EvacuationResult | Promise<EvacuationResult> {
+  private setAsLeader(command: SetEvacuation): Promise<EvacuationResult> {
     const { host, group } = this.options
     const replica = host.require()
     if (!replica.leads) throw new NotLeaderError(group, replica.leaderAddress)
-    const known = this.answerFromLease(command.domain, command.isEvacuated)
-    return known ?? (replica.propose(command) as Promise<EvacuationResult>)
-  }
-
-  /** Returns the result of a request that changes nothing, without a write, if this machine holds the lease. */
-  private answerFromLease(domain: FailureDomain, isEvacuated: boolean): EvacuationResult | undefined {
-    const { host, machine } = this.options
-    if (host.replica?.holdsLease !== true || !machine.evacuations.isNoOp(domain, isEvacuated))
-      return undefined
-    return { index: machine.evacuations.current.index, outcome: 'held' }
+    return replica.propose(command) as Promise<EvacuationResult>
   }
 }
--- a/daemon/fleet/test/evacuation.test.ts
+++ b/daemon/fleet/test/evacuation.test.ts
@@ -23,7 +23,7 @@
     await until('all machines know the evacuations', async () =>
       (await Promise.all([1, 2, 3].map(domainsAt))).every((one) => one === 'a'),
     )
-    // Repeated requests have written nothing.
+    // Repeated requests have changed nothing.
     expect((await harness.evacuations(2)).index).toBe(index)
     expect(await harness.evacuate(3, 'no-endpoint-in-it', true)).toBe(200)
     expect(await harness.evacuate(2, 'a', false)).toBe(200)
--- a/daemon/fleet/test/evacuationService.test.ts
+++ b/daemon/fleet/test/evacuationService.test.ts
@@ -71,10 +71,11 @@
     expect(machine.evacuations.current).toEqual({ index: 11, domains: ['a'] })
     group.losesAnswers = false
     expect(await service.set(order(true))).toEqual({ index: 11, outcome: 'held' })
-    // The new leader answers without a write.
+    // Each repeated order is in the log, also where the leader could answer from its lease.
     replica.holdsLease = true
     expect(await service.set(order(true))).toEqual({ index: 11, outcome: 'held' })
-    expect(group.sent).toHaveLength(2)
+    expect(group.sent).toHaveLength(3)
+    expect(machine.evacuations.lastOrderIndex).toBe(13)
   })
 
   it('does not acknowledge a repeated evacuation before a withdrawal that is in the log', async () => {
