fix(evacuation): an order whose caller has left is not executed

What callers saw: as before; an order that its operator had given up on, and followed by a newer one, took effect after the newer one was acknowledged.

Cause: a control machine takes what it knows when it reads an order for what its caller knew. The network, or a machine that stood still, may deliver the bytes seconds later, right before the end of their connection; the order was proposed in the same turn of the event loop, on top of what had been acknowledged since.

The time for the leader is 0.8 s instead of 0.9, so that callers get their answer within a second as before.

Ruled out: reading the leader's index first, whose round trip may be shorter than the caller's; ids of orders.

--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -1,4 +1,5 @@
 import express, { type Express, type Request, type Response } from 'express'
+import type { Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import { isDomainName, type EvacuationView } from '@forkstage/evacuation'
 import type { Logger } from '@forkstage/logger'
@@ -17,6 +18,7 @@
   /** The evacuations known to this machine. */
   evacuationView: EvacuationView
   registrar: Registrar
+  clock: Clock
   logger: Logger
 }
 
@@ -68,7 +70,7 @@
 }
 
 async function evacuate(
-  { evacuations, logger }: ControlAppOptions,
+  { evacuations, clock, logger }: ControlAppOptions,
   request: Request,
   response: Response,
   isEvacuated: boolean,
@@ -81,7 +83,7 @@
   try {
     const isWaitedFor = () => !response.destroyed
     const order = { domain, isEvacuated, isWaitedFor }
-    response.status(200).json(await receiveEvacuationOrder(evacuations, order))
+    response.status(200).json(await receiveEvacuationOrder(evacuations, clock, order))
   } catch (error) {
     answerUnavailable(response, error)
   }
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -213,7 +213,7 @@
   }
 
   async start(): Promise<void> {
-    const { settings, logger } = this.context
+    const { settings, clock, logger } = this.context
     this.peerServer = await startPeerServer({
       address: settings.listen.peers,
       sharedKey: settings.peers.shared_key,
@@ -226,6 +226,7 @@
       evacuations: this.evacuationService,
       evacuationView: this.evacuations.view,
       registrar: this.registrar,
+      clock,
       logger,
     })
     this.listeners = [
--- a/daemon/fleet/src/evacuationService.ts
+++ b/daemon/fleet/src/evacuationService.ts
@@ -30,7 +30,7 @@
 }
 
 /** Callers try another machine after about a second and must have this machine's answer by then. */
-const REQUEST_DEADLINE_MS: Millis = 900
+const REQUEST_DEADLINE_MS: Millis = 800
 /**
  * A commit takes a round trip and a sync, tens of milliseconds. After a call to a leader that hangs, there is time to try
  * another one.
--- a/daemon/fleet/test/evacuationModel.ts
+++ b/daemon/fleet/test/evacuationModel.ts
@@ -241,7 +241,9 @@
   /** Handles an order of an operator; returns whether it was acknowledged. */
   async receive(request: EvacuationRequest): Promise<boolean> {
     const { incarnation } = this
-    const result = await receiveEvacuationOrder(this.service, request).catch(() => undefined)
+    const result = await receiveEvacuationOrder(this.service, this.model.clock, request).catch(
+      () => undefined,
+    )
     return result !== undefined && incarnation === this.incarnation
   }
 
