fix(origins): an entry does not trust a sole version that the leader contradicts or that may be outdated

A report of another operator: streams that were taken up again after all entries were killed were joined from two software versions.

Whether it happens here: where the origin of a stream is known, no. Where no machine remembers it (its entry was killed before its report had left), an entry continued it at the only version that it had known itself. It did so also where the leader had known several or another one, since registrations reach entries up to half a second apart, and while no control machine was in contact with it, when it hears of no new engine at all.

Fix: the leader's answer says that it has known several versions; the entry's history counts only once control machines have been in contact for two seconds, and not against the leader's.

Ruled out: the leader's history alone, which a restart of all control machines makes too short; refusing every stream of unknown origin.

--- a/daemon/fleet/src/controlOrigins.ts
+++ b/daemon/fleet/src/controlOrigins.ts
@@ -94,7 +94,9 @@
 
   find({ stream, service, withinMs }: OriginQuery): OriginAnswer {
     const origin = this.table.find(stream)
-    return origin === undefined ? { soleVersion: this.history.soleVersion(service, withinMs) } : { origin }
+    if (origin !== undefined) return { origin }
+    if (this.history.hasSeveral(service, withinMs)) return { hasSeveralVersions: true }
+    return { soleVersion: this.history.soleVersion(service, withinMs) }
   }
 
   stop(): void {
--- a/placement/origins/src/originTypes.ts
+++ b/placement/origins/src/originTypes.ts
@@ -32,6 +32,8 @@
   origin?: StreamOrigin
   /** The only software version that the service can have begun a stream with; absent if there are several, or none. */
   soleVersion?: string
+  /** Whether the service may have begun the stream with several versions; absent if it is not known to. */
+  hasSeveralVersions?: true
 }
 
 /**
--- a/placement/origins/src/versionHistory.ts
+++ b/placement/origins/src/versionHistory.ts
@@ -42,12 +42,14 @@
    * several or none, or not enough is known.
    */
   soleVersion(service: string, withinMs: Millis): string | undefined {
-    const since = this.clock.now() - withinMs
-    if (this.knownSince > since) return undefined
-    const versions = [...(this.services.get(service) ?? [])].filter(
-      ([, { running, endedAt }]) => running.size > 0 || endedAt >= since,
-    )
-    return versions.length === 1 ? versions[0]![0] : undefined
+    if (this.knownSince > this.clock.now() - withinMs) return undefined
+    const versions = this.versionsWithin(service, withinMs)
+    return versions.length === 1 ? versions[0] : undefined
+  }
+
+  /** Whether a service is known to have had several versions in the last `withinMs`. */
+  hasSeveral(service: string, withinMs: Millis): boolean {
+    return this.versionsWithin(service, withinMs).length > 1
   }
 
   /** Returns what a restart of this machine needs. */
@@ -73,6 +75,14 @@
     this.knownSince = Math.min(this.knownSince, now - knownForMs)
   }
 
+  private versionsWithin(service: string, withinMs: Millis): string[] {
+    const since = this.clock.now() - withinMs
+    const known = [...(this.services.get(service) ?? [])]
+    return known
+      .filter(([, { running, endedAt }]) => running.size > 0 || endedAt >= since)
+      .map(([softwareVersion]) => softwareVersion)
+  }
+
   private updateOne(endpoint: RegisteredEndpoint): void {
     const { id, service, address, state } = endpoint
     const isRunning = state === 'ready' || state === 'draining'
--- a/placement/origins/test/versionHistory.test.ts
+++ b/placement/origins/test/versionHistory.test.ts
@@ -35,8 +35,10 @@
     history.update([engine('2', 'v2', { state: 'left' })])
     time.now = 5_000 + WITHIN_MS
     expect(history.soleVersion('s', WITHIN_MS)).toBeUndefined()
+    expect(history.hasSeveral('s', WITHIN_MS)).toBe(true)
     time.now += 1
     expect(history.soleVersion('s', WITHIN_MS)).toBe('v1')
+    expect(history.hasSeveral('s', WITHIN_MS)).toBe(false)
   })
 
   it('counts an engine as ended once another version is registered at its address or under its id', () => {
--- a/request/gateway/src/originClient.ts
+++ b/request/gateway/src/originClient.ts
@@ -142,15 +142,22 @@
   async resolve(query: OriginQuery, endsAt: Millis): Promise<OriginResult> {
     const own = this.options.table.find(query.stream)
     if (own !== undefined) return resultOf(own, 'entry')
-    const sole = this.options.history.soleVersion(query.service, query.withinMs)
+    const sole = this.ownSoleVersion(query)
     const answer = await this.ask(query, sole === undefined ? endsAt : -Infinity)
     if (answer?.origin !== undefined) return resultOf(answer.origin, 'leader')
-    const softwareVersion = sole ?? answer?.soleVersion
+    const softwareVersion = soleVersionOf(sole, answer)
     if (softwareVersion !== undefined)
       return { type: 'known', by: 'sole version', origin: { service: query.service, softwareVersion } }
     return { type: answer === undefined ? 'no-leader' : 'unknown' }
   }
 
+  /** The only version that this entry knows; undefined also while it may not know a version that others use. */
+  private ownSoleVersion({ service, withinMs }: OriginQuery): string | undefined {
+    const { clock, history, viewSince } = this.options
+    if (clock.now() < viewSince() + REGISTERED_WITHIN_MS) return undefined
+    return history.soleVersion(service, withinMs)
+  }
+
   /** Asks the leader, again and again until one answers or `endsAt`, within a limit; undefined where none answers. */
   private async ask(query: OriginQuery, endsAt: Millis): Promise<OriginAnswer | undefined> {
     const { leaderClient, clock } = this.options
@@ -197,6 +204,13 @@
   }
 }
 
+/** The only version that neither this entry nor the leader contradicts; either may not know one. */
+function soleVersionOf(own: string | undefined, answer: OriginAnswer | undefined): string | undefined {
+  if (answer?.hasSeveralVersions === true) return undefined
+  const theirs = answer?.soleVersion
+  return own === undefined || theirs === undefined || own === theirs ? (own ?? theirs) : undefined
+}
+
 function resultOf(origin: StreamOrigin, by: 'entry' | 'leader'): OriginResult {
   return origin.softwareVersion === UNCERTAIN_VERSION ? { type: 'uncertain' } : { type: 'known', by, origin }
 }
--- a/request/gateway/test/originClient.test.ts
+++ b/request/gateway/test/originClient.test.ts
@@ -12,7 +12,7 @@
 function client(answers: (OriginAnswer | undefined)[], soleVersion?: string) {
   const clock = createSystemClock()
   let asked = 0
-  const view = { since: 0 }
+  const view = { since: -10_000 }
   /** The leader's answers to reports of streams; those that are left show how often it was told. */
   const reports: (true | undefined)[] = [undefined, undefined, true, true]
   const leaderClient = {
@@ -53,6 +53,24 @@
     expect(asked()).toBe(1)
   })
 
+  it('does not join two versions where the leader has known several', async () => {
+    const { one } = client([{ hasSeveralVersions: true }], 'v1')
+    expect(await one.resolve(QUERY, Infinity)).toEqual({ type: 'unknown' })
+  })
+
+  it('does not join two versions where the leader has known another one', async () => {
+    const { one } = client([{ soleVersion: 'v2' }], 'v1')
+    expect(await one.resolve(QUERY, Infinity)).toEqual({ type: 'unknown' })
+  })
+
+  it('does not join two versions while registrations do not reach this entry', async () => {
+    const { one, view, clock } = client([], 'v1')
+    view.since = Infinity
+    expect(await one.resolve(QUERY, clock.now())).toEqual({ type: 'no-leader' })
+    view.since = clock.now()
+    expect(await one.resolve(QUERY, clock.now())).toEqual({ type: 'no-leader' })
+  })
+
   it('believes the leader about a stream that began at a version unknown here', async () => {
     const origin = { service: 's', softwareVersion: 'v2' }
     const { one } = client([{ origin }], 'v1')
