--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -25,6 +25,11 @@
       default: 0,
       describe: 'share of streams and small plain answers without a length',
     })
+    .option('abandoned', {
+      type: 'number',
+      default: 0,
+      describe: 'share of evacuations in which a withdrawal is abandoned and the evacuation sent again',
+    })
     .strict()
     .parse()
   const report = await runFleetSoak(args)
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -43,6 +43,8 @@
   fatalKinds: number
   /** Share of streams and small plain answers that end with their connection. */
   unframed: number
+  /** Share of evacuations in which a withdrawal is abandoned and the evacuation sent again. */
+  abandoned: number
 }
 
 /** Counts and violations of one soak. */
@@ -86,6 +88,7 @@
 /** Separates the generators of signals from the others of a seed. */
 const SIGNAL_SEED_OFFSET = 50
 const VERSIONED_SEED_OFFSET = 80
+const ABANDONED_SEED_OFFSET = 30
 /** Calls at each entry after all control machines were restarted. */
 const CALLS_PER_ENTRY = 10
 const ENDPOINTS = [
@@ -166,7 +169,7 @@
 }
 
 async function soak(
-  { minutes, seed, fatalMs, fatalKinds }: FleetSoakOptions,
+  { minutes, seed, fatalMs, fatalKinds, abandoned }: FleetSoakOptions,
   folder: string,
   fleet: SoakFleet,
   endpoints: StandInEndpoint[],
@@ -176,7 +179,10 @@
   const callers = new SoakCallers(fleet, createSeededRandom(seed + 2), () => operator.newest)
   const faultyEndpoints = endpoints.slice(0, ENDPOINTS.length)
   const injector = new FleetFaultInjector(fleet, faultyEndpoints)
-  const evacuations = new SoakEvacuations(fleet, createSeededRandom(seed + 3))
+  const evacuations = new SoakEvacuations(fleet, createSeededRandom(seed + 3), {
+    share: abandoned,
+    random: createSeededRandom(seed + ABANDONED_SEED_OFFSET),
+  })
   const streams = new SoakStreams(fleet, createSeededRandom(seed + 8))
   while (operator.newest === 0) {
     await operator.putNext()
--- a/tools/fleet-soak/src/soakEvacuations.ts
+++ b/tools/fleet-soak/src/soakEvacuations.ts
@@ -23,6 +23,8 @@
 }
 
 const REQUEST_TIMEOUT_MS = 1_500
+/** Short enough that a caller often leaves before a machine has read its order. */
+const MAX_ABANDONED_AFTER_MS = 20
 const RETRY_DELAY_MS = 100
 /** Longer than any fault lasts, so that a missing acknowledgement is a violation. */
 const ACKNOWLEDGED_WITHIN_MS = 20_000
@@ -53,9 +55,14 @@
   readonly violations: string[] = []
   private lastEvacuationIndex = 0
 
+  /**
+   * @param abandoned the share of evacuations in which a withdrawal is sent and abandoned, and the evacuation is then sent
+   * again; drawn from a generator of its own.
+   */
   constructor(
     private readonly fleet: SoakFleet,
     private readonly random: Random,
+    private readonly abandoned: { share: number; random: Random },
   ) {}
 
   /** Executes a plan in order; an evacuation begins only after the previous withdrawal was acknowledged. */
@@ -63,14 +70,14 @@
     const start = Date.now()
     for (const { at, forMs, domain } of plan) {
       await pause(Math.max(0, start + at - Date.now()))
-      const index = await this.submit('POST', domain)
-      if (index === undefined) return
-      this.lastEvacuationIndex = index
-      const evacuation: ObservedEvacuation = { domain, acknowledgedAt: Date.now() }
-      this.observed.push(evacuation)
+      if (!(await this.begin(domain))) return
+      if (this.abandoned.random() < this.abandoned.share) {
+        await this.abandonWithdrawal(domain)
+        if (!(await this.begin(domain))) return
+      }
       if (forMs === undefined) return
       await pause(forMs)
-      evacuation.withdrawnAt = Date.now()
+      this.observed.at(-1)!.withdrawnAt = Date.now()
       if ((await this.submit('DELETE', domain)) === undefined) return
     }
   }
@@ -91,6 +98,23 @@
     if (index !== undefined) await this.expectAll([], index)
   }
 
+  /** Evacuates a domain; returns whether that was acknowledged. */
+  private async begin(domain: string): Promise<boolean> {
+    const index = await this.submit('POST', domain)
+    if (index === undefined) return false
+    this.lastEvacuationIndex = index
+    this.observed.push({ domain, acknowledgedAt: Date.now() })
+    return true
+  }
+
+  /** Sends a withdrawal to each control machine and leaves before its answer. */
+  private async abandonWithdrawal(domain: string): Promise<void> {
+    this.observed.at(-1)!.withdrawnAt = Date.now()
+    const path = platformControl.evacuationPath.replace(':domain', domain)
+    const abandonAfterMs = 1 + this.abandoned.random() * MAX_ABANDONED_AFTER_MS
+    await Promise.all(this.fleet.control.map((machine) => this.send(machine, 'DELETE', path, abandonAfterMs)))
+  }
+
   private async expectAll(domains: string[], index: number): Promise<void> {
     for (const machine of this.fleet.control) {
       const what = `${machine.name} to show ${domains.join() || 'nothing'} as evacuated`
@@ -122,12 +146,17 @@
   }
 
   /** Returns the body of an answer with status 200; undefined for any other outcome. */
-  private async send(machine: SoakMachine, method: 'GET' | 'POST' | 'DELETE', path: string) {
+  private async send(
+    machine: SoakMachine,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    timeoutMs = REQUEST_TIMEOUT_MS,
+  ) {
     const answer = await got(`${this.fleet.operators(machine)}${path}`, {
       method,
       throwHttpErrors: false,
       retry: { limit: 0 },
-      timeout: { request: REQUEST_TIMEOUT_MS },
+      timeout: { request: timeoutMs },
     }).catch(() => undefined)
     return answer?.statusCode === 200 ? answer.body : undefined
   }
