fix(origins): no bound stream is sent to an incarnation that has crashed

Cause, by its logs: an engine that restarts under its name crashed (the entry logged endpoint.ended, refuses, at +0.06 s), came back with another version and got its registration through 2.0 s after the crash. The entry withheld bound streams for one second after the loss and then took the old registration for confirmed: s57-2 was sent 1.6 s after the crash.

Fix: an incarnation that is known to have crashed confirms no version, until the next process at its address has registered under a new incarnation.

Ruled out: a longer wait than one second (a registration may take any number of calls to machines that do not answer).

Left: an entry that has neither lost a connection there nor heard of the crash, and streams that begin in that time (docs/design/stream-origins.md). An incarnation that is taken for crashed and is not gets no bound streams while several versions serve.

'does not go on at an engine whose registered process has crashed ...' failed before.

--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -87,6 +87,10 @@
     this.recordOwn(parts.flatMap((part) => this.options.tracker.recordServed(part, forMs)))
   }
 
+  hasCrashed(id: InstanceId): boolean {
+    return this.options.tracker.hasCrashed(id)
+  }
+
   refusal(request: RequestSubjects, service: string): ContentRefusal | undefined {
     const { tracker } = this.options
     if (tracker.size === 0) return undefined
--- a/request/gateway/src/isVersionConfirmed.ts
+++ b/request/gateway/src/isVersionConfirmed.ts
@@ -27,6 +27,8 @@
   const { id, born, service } = endpoint
   if (mayHaveRestarted(parts, endpoint)) return false
   if (born === undefined || parts.origins?.hasOneVersion(service) === true) return true
+  // Whatever answers at its address now is a process that has not registered yet.
+  if (parts.crashes?.hasCrashed(id) === true) return false
   const lostAt = parts.pool.get(id)?.lostAt ?? -Infinity
   return parts.clock.now() >= lostAt + RESTART_REGISTERED_WITHIN_MS
 }
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -86,6 +86,8 @@
   endTurn(content: ContentDigest, service: string, request: string): void
   /** Ends the reservation of an endpoint after its isolated trial, whatever the result. */
   endIsolated(content: ContentDigest, service: string, endpoint: InstanceId): void
+  /** Whether an incarnation of an endpoint is known to have crashed. */
+  hasCrashed(id: InstanceId): boolean
   /** Returns why a request must not reach any endpoint of a service; undefined if it may. */
   refusal(request: RequestSubjects, service: string): ContentRefusal | undefined
 }
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -87,6 +87,8 @@
   readonly reserved = new Set<string>()
   /** Contents that are refused. */
   readonly refused = new Set<string>()
+  /** Ids of endpoints whose registered process is known to have crashed. */
+  readonly crashed = new Set<string>()
   /** Whether the sheet in force here is taken for the newest. */
   isCurrent = true
   /** Durations of all timers that relays have started, in milliseconds. */
@@ -245,6 +247,7 @@
           askTurn: (_content, _service, request) => Promise.resolve(harness.turnAnswer(request)),
           endTurn: (_content, _service, request) => void harness.turnEnds.push(request),
           endIsolated: (_content, _service, endpoint) => void harness.isolatedEnds.push(endpoint),
+          hasCrashed: (id) => harness.crashed.has(id),
           refusal: ({ content }) =>
             harness.refused.has(content()) ? { ends: 3, leftMs: 60_000 } : undefined,
         },
--- a/request/gateway/test/streamVersions.test.ts
+++ b/request/gateway/test/streamVersions.test.ts
@@ -95,6 +95,21 @@
     expect(harness.reports[0]!.sends.map(({ to }) => to)).toEqual(['i-0', 'i-1'])
   })
 
+  it('does not go on at an engine whose registered process has crashed, until the next one has registered', async () => {
+    const running: Running = {}
+    const { harness, workers, answer } = await startMigration(
+      [
+        { softwareVersion: 'v1', born: 1, stream: (request) => runsWith(1)(request, running) },
+        { softwareVersion: 'v1', born: 1, stream: endsWith(2) },
+      ],
+      { resumable: true, attempts: 3 },
+    )
+    harness.crashed.add('i-1')
+    running.socket!.destroy()
+    expect(await answer).toMatchObject({ isWhole: false, body: events(1) })
+    expect(workers[1]!.seen).toHaveLength(0)
+  })
+
   describe('while registrations do not reach the entry, of an engine that may restart under its name', () => {
     /** Origins at an entry that knows of one version, or of several. */
     const outage = (hasOneVersion: boolean): NonNullable<RelayParts['origins']> => ({
