fix(gateway): what is known of an endpoint is checked right before the first byte

Cause: the check before a sending did not look at the registered state of the endpoint, and nothing was checked while a request waited for its connection.

What is withheld there has not been sent, is not held against the endpoint and goes elsewhere; a prompt that was read is kept.

--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -1,4 +1,5 @@
 import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Duplex } from 'node:stream'
 import type { Clock } from '@forkstage/clock'
 import { connectDirectly, type Dial, type DialResult } from '@forkstage/paths'
 import { endedWithFin } from '@forkstage/tunnel'
@@ -31,6 +32,8 @@
   via?: Address
   /** Whether {@link Exchange.cancel} ended it. */
   isCancelled?: boolean
+  /** Whether {@link ExchangeOptions.whyNoLongerSend} withheld the request. */
+  isWithheld?: boolean
   reason: string
 }
 
@@ -49,6 +52,8 @@
   connectMs: Millis
   /** Opens the connection; directly to the endpoint if absent. */
   dial?: (address: Address, timeoutMs: Millis) => Dial
+  /** Returns why the request must not be sent any more; checked once the connection is open, right before the first byte. */
+  whyNoLongerSend?: () => string | undefined
   clock: Clock
   onHead: (head: AnswerHead) => void
   onData: (chunk: Buffer) => void
@@ -104,6 +109,11 @@
     end({ complete: false, sent, refused: type === 'refused', hasNoPath: type === 'no-path', reason })
     request.destroy()
   }
+  const withhold = (reason: string, socket: Duplex) => {
+    socket.destroy()
+    end({ complete: false, sent, refused: false, isWithheld: true, reason })
+    request.destroy()
+  }
   const request: ClientRequest = httpRequest({
     host: address.slice(0, colon),
     port: Number(address.slice(colon + 1)),
@@ -113,6 +123,8 @@
       void dial.result.then((result) => {
         if (result.type !== 'connected') return failUnsent(result)
         if (ended) return void result.socket.destroy()
+        const withheld = options.whyNoLongerSend?.()
+        if (withheld !== undefined) return withhold(withheld, result.socket)
         sent = true
         via = result.via
         onConnected(null, result.socket)
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -35,7 +35,7 @@
 } from './relayParts'
 import { SendCounter } from './sendCounter'
 import { CrashGuard } from './crashGuard'
-import { ENDS_ENDPOINTS, EVACUATED, whyNotSend } from './sendRules'
+import { ENDS_ENDPOINTS, EVACUATED, whyNoLongerSend, whyNotSend } from './sendRules'
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
 import { sourceOf } from './sourceOf'
 import { unsentOutcome, type SendOutcome } from './sendOutcome'
@@ -214,6 +214,7 @@
       body: job.request.body,
       connectMs: CONNECT_MS,
       dial: parts.dialer?.dial,
+      whyNoLongerSend: () => whyNoLongerSend(parts, job, to.endpoint, 'plain'),
       clock: parts.clock,
       maxBytes: MAX_ANSWER_BYTES,
       held: (exchange) => (held = parts.answerMemory.open(sourceOf(exchange))),
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -8,6 +8,7 @@
 import { readVerdict } from './readVerdict'
 import { CONNECT_MS, headersFor, type RelayJob, type RelayParts } from './relayParts'
 import type { Arrival } from './sendCounter'
+import { whyNoLongerSend } from './sendRules'
 import { unsentOutcome, type SendOutcome } from './sendOutcome'
 import { wasLostOnTheWay } from './wasLostOnTheWay'
 
@@ -56,6 +57,7 @@
     body: job.request.body,
     connectMs: CONNECT_MS,
     dial: parts.dialer?.dial,
+    whyNoLongerSend: () => whyNoLongerSend(parts, job, at.endpoint, 'prefill'),
     clock,
     maxBytes: MAX_ANSWER_BYTES,
     // If the engine accepts the prompt and hangs, the prompt is prefilled elsewhere.
--- a/request/gateway/src/sendOutcome.ts
+++ b/request/gateway/src/sendOutcome.ts
@@ -1,3 +1,5 @@
+import type { BrokenExchange } from './exchange'
+
 /**
  * Outcome of a send, for rating the instance. `silent`: this entry gave up because no answer came in time. `no-path`: the
  * send failed on the way, which says nothing about the instance.
@@ -6,7 +8,8 @@
   'ok' | 'failed' | 'silent' | 'unreachable' | 'no-path' | 'other-instance' | 'full' | 'cancelled'
 
 /** Returns the outcome of a send for which no connection was opened. */
-export function unsentOutcome(end: { refused: boolean; hasNoPath?: boolean }): SendOutcome {
+export function unsentOutcome(end: Omit<BrokenExchange, 'sent'>): SendOutcome {
+  if (end.isWithheld === true) return 'cancelled'
   if (end.hasNoPath === true) return 'no-path'
   return end.refused ? 'unreachable' : 'failed'
 }
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -1,5 +1,5 @@
 import { versionOf, type InstanceId, type RegisteredEndpoint } from '@forkstage/directory'
-import { LEAVING_GRACE_MS, LEAVING_REASON } from '@forkstage/statements'
+import { LEAVING_GRACE_MS, LEAVING_REASON, RETRY_AFTER_REASON } from '@forkstage/statements'
 import type { Millis } from '@forkstage/types'
 import { isVersionConfirmed } from './isVersionConfirmed'
 import type { RelayJob, RelayParts } from './relayParts'
@@ -29,36 +29,80 @@
 /** The content of the request has crashed the endpoints that ran it. */
 export const ENDS_ENDPOINTS = 'ends its endpoints'
 
-/** Returns and logs the first reason why a request must not be sent to an endpoint now; undefined if it may. */
+/** The endpoint has left, has crashed, or another process has taken its place. */
+export const GONE = 'the endpoint is gone'
+
+/**
+ * Returns and logs the first reason why a request must not be sent to an endpoint now. If there is none, counts the sending
+ * against the limits of the endpoint and returns undefined. Called once for each sending, before its connection is opened.
+ */
 export function whyNotSend(
   parts: RelayParts,
   job: RelayJob,
   to: RegisteredEndpoint,
   step: SendStep,
 ): string | undefined {
-  // The last three rules count the sending when they allow it, so they run after all others.
-  // During a suspension the leader may have given the capacity of the placement to another request.
-  const suspended: SendRule = (_to, { placedAt }) =>
-    placedAt !== undefined && placedAt < parts.clock.suspendedAt() ? SUSPENDED : undefined
-  const ends: SendRule = (_to, { request, service }) =>
-    parts.crashes?.refusal(request, service.name) === undefined ? undefined : ENDS_ENDPOINTS
-  const cold: SendRule = (endpoint, { request }, one) => parts.cold?.checkAndCount(endpoint, request.id, one)
-  const limited: SendRule = (endpoint, { request }, one) =>
-    parts.limits?.checkAndCount(endpoint, request.id, one)
-  const stated: SendRule = ({ id }, { retainingEngine }) =>
-    whyNotByStatement(parts, id, retainingEngine === id)
-  const version: SendRule = (endpoint, { boundVersion }, one) =>
-    one === 'decode' && boundVersion !== undefined ? whyNotVersion(parts, endpoint, boundVersion) : undefined
-  for (const rule of [suspended, version, ...(parts.sendRules ?? []), ends, stated, cold, limited]) {
+  const { availability, cold, limits } = parts
+  const backoff: SendRule = ({ id }) =>
+    availability?.unavailability(id)?.reason === RETRY_AFTER_REASON ? RETRY_AFTER_REASON : undefined
+  // These two count the sending when they allow it, so they run after all others.
+  const isCold: SendRule = (endpoint, { request }, one) => cold?.checkAndCount(endpoint, request.id, one)
+  const isLimited: SendRule = (endpoint, { request }, one) => limits?.checkAndCount(endpoint, request.id, one)
+  const rules = [...standingRules(parts), backoff, isCold, isLimited]
+  const reason = firstReason(parts, rules, { job, to, step })
+  if (reason !== undefined) return reason
+  availability?.recordSent(to.id)
+  job.evacuationIndex = parts.evacuationIndex?.()
+  return undefined
+}
+
+/**
+ * Returns and logs the first reason why a request that {@link whyNotSend} has allowed must not be sent any more. Checked once
+ * its connection is open, right before its first byte. Leaves out what the sending itself has changed: the backoff and the
+ * limits of the endpoint.
+ */
+export function whyNoLongerSend(
+  parts: RelayParts,
+  job: RelayJob,
+  to: RegisteredEndpoint,
+  step: SendStep,
+): string | undefined {
+  return firstReason(parts, standingRules(parts), { job, to, step })
+}
+
+interface PlannedSending {
+  job: RelayJob
+  to: RegisteredEndpoint
+  step: SendStep
+}
+
+function firstReason(
+  { logger }: RelayParts,
+  rules: SendRule[],
+  { job, to, step }: PlannedSending,
+): string | undefined {
+  for (const rule of rules) {
     const reason = rule(to, job, step)
     if (reason === undefined) continue
-    parts.logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
+    logger.info('send.withheld', { request: job.request.id, endpoint: to.id, step, reason })
     return reason
   }
-  job.evacuationIndex = parts.evacuationIndex?.()
   return undefined
 }
 
+/** The rules that hold at any time, whatever this entry has sent. */
+function standingRules(parts: RelayParts): SendRule[] {
+  // During a suspension the leader may have given the capacity of the placement to another request.
+  const suspended: SendRule = (_to, { placedAt }) =>
+    placedAt !== undefined && placedAt < parts.clock.suspendedAt() ? SUSPENDED : undefined
+  const version: SendRule = (endpoint, { boundVersion }, step) =>
+    step === 'decode' && boundVersion !== undefined ? whyNotVersion(parts, endpoint, boundVersion) : undefined
+  const ends: SendRule = (_to, { request, service }) =>
+    parts.crashes?.refusal(request, service.name) === undefined ? undefined : ENDS_ENDPOINTS
+  const state: SendRule = ({ id }, { retainingEngine }) => whyNotByState(parts, id, retainingEngine === id)
+  return [suspended, version, ...(parts.sendRules ?? []), ends, state]
+}
+
 /** Returns why an endpoint must not continue a stream that a software version has begun; undefined if it may. */
 function whyNotVersion(
   parts: RelayParts,
@@ -78,16 +122,15 @@
 }
 
 /**
- * Returns why the endpoint's own statement forbids a sending; otherwise records the sending and returns undefined. An earlier
- * placement does not override the statement, but an endpoint that leaves still gets placed requests for a grace period.
+ * Returns why the state of an endpoint, by registrations or by its own answers, forbids a sending. An endpoint that leaves
+ * still gets placed requests for a grace period.
  */
-function whyNotByStatement(parts: RelayParts, id: InstanceId, retainsRun: boolean): string | undefined {
-  const { availability, clock } = parts
-  const bound = availability?.unavailability(id)
-  const leavingSince = availability?.leavingSince(id) ?? -Infinity
-  const isJustLeaving =
-    bound?.reason === LEAVING_REASON && clock.now() < leavingSince + leavingGraceMs(parts, retainsRun)
-  if (bound !== undefined && !isJustLeaving) return bound.reason
-  availability?.recordSent(id)
-  return undefined
+function whyNotByState(parts: RelayParts, id: InstanceId, retainsRun: boolean): string | undefined {
+  const { availability, clock, pool } = parts
+  const known = pool.get(id)
+  if (known === undefined || known.isReplaced) return GONE
+  const stated = availability?.leavingSince(id)
+  const registered = known.endpoint.state === 'draining' ? (known.leavingSince ?? -Infinity) : undefined
+  const leavingSince = Math.min(stated ?? Infinity, registered ?? Infinity)
+  return clock.now() < leavingSince + leavingGraceMs(parts, retainsRun) ? undefined : LEAVING_REASON
 }
--- a/request/gateway/src/streamAttempt.ts
+++ b/request/gateway/src/streamAttempt.ts
@@ -12,6 +12,8 @@
 export type FailedAttempt = Exclude<AttemptResult, FinalAttempt>
 
 const RETRY_AFTER_MS = 600
+/** Why an answer ends after its run was stopped for a migration. */
+export const NOT_RESUMED = 'nothing goes on from the memory of the stopped run'
 
 /** Returns why an attempt failed, for the log and the caller. */
 export function reasonOf(attempt: FailedAttempt): string {
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -37,10 +37,10 @@
 import { RunMigrations, type MigrationContext } from './runMigrations'
 import { readVerdict } from './readVerdict'
 import { SendCounter, type CountedSending } from './sendCounter'
-import { ENDS_ENDPOINTS } from './sendRules'
+import { ENDS_ENDPOINTS, whyNoLongerSend } from './sendRules'
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
 import { sourceOf } from './sourceOf'
-import { retryAfterOf, reasonOf, type AttemptResult, type FailedAttempt } from './streamAttempt'
+import { NOT_RESUMED, retryAfterOf, reasonOf, type AttemptResult, type FailedAttempt } from './streamAttempt'
 import { waitForDecodeEngine } from './waitForDecodeEngine'
 import { streamHeaders } from './streamHeaders'
 import { toFailure } from './toFailure'
@@ -55,9 +55,6 @@
   return new StreamRun(parts, job).relay()
 }
 
-/** Why an answer ends after its run was stopped for a migration. */
-const NOT_RESUMED = 'nothing goes on from the memory of the stopped run'
-
 class StreamRun implements StreamContext, PrefillContext, MigrationContext {
   readonly sends: SendRecord[] = []
   readonly except = new Set<string>()
@@ -267,6 +264,8 @@
         body: job.request.body,
         connectMs: CONNECT_MS,
         dial: parts.dialer?.dial,
+        whyNoLongerSend: () =>
+          whyNoLongerSend(parts, { ...job, retainingEngine: source?.at.endpoint.id }, to.endpoint, 'decode'),
         clock: parts.clock,
         onHead: (head) => stream.onHead(head),
         onData: (chunk) => stream.onData(chunk),
--- a/request/gateway/test/lostPaths.test.ts
+++ b/request/gateway/test/lostPaths.test.ts
@@ -1,42 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import { createSystemClock } from '@forkstage/clock'
-import { connectDirectly, PathTable, type DialResult } from '@forkstage/paths'
-import type { RelayParts } from '../src'
+import { FakeDialer } from './fakeDialer'
 import { chunk, event, goodAnswer, type SeenRequest } from './fakeWorker'
 import { answers, startRelay, streams } from './relayHarness'
 
-const clock = createSystemClock()
-
-/** A dialer that connects directly, and whose listeners and results are set by the test. */
-class FakeDialer implements NonNullable<RelayParts['dialer']> {
-  readonly paths = new PathTable(clock)
-  /** The result of the next dials; a direct connection if undefined. */
-  failure: Exclude<DialResult, { type: 'connected' }> | undefined
-  lostOnTheWay = false
-  private listeners: (() => void)[] = []
-
-  dial: NonNullable<RelayParts['dialer']>['dial'] = (endpoint, timeoutMs) =>
-    this.failure === undefined
-      ? connectDirectly(endpoint, timeoutMs, clock)
-      : { result: Promise.resolve(this.failure), cancel: () => undefined }
-
-  isPathLoss = () => Promise.resolve(this.lostOnTheWay)
-
-  onIndirect(_endpoint: string, callback: () => void): () => void {
-    this.listeners.push(callback)
-    return () => void (this.listeners = this.listeners.filter((one) => one !== callback))
-  }
-
-  get listenerCount(): number {
-    return this.listeners.length
-  }
-
-  loseEndpoint(endpoint: string): void {
-    this.paths.recordIndirect(endpoint)
-    this.listeners.forEach((listener) => listener())
-  }
-}
-
 const TOKENS = { 'x-tokens': '5,5' }
 const closesConnection = (request: SeenRequest) => void request.socket.destroy()
 const breaksOff = (request: SeenRequest) => {
