fix(group): a first start ends although machines are killed during it

Cause: that machine alone could found the group, and after its restart its settings no longer allowed it.

Fix: the disk remembers that a replica may found, and the first by name of those that may does it, after two rounds of the same answers; a founding that a replica has heard of is reported at once.

Ruled out: a vote before there is a group; founding by whoever comes first.

A test of the identity on disk expects its new field.

--- a/replication/group/src/groupHost.ts
+++ b/replication/group/src/groupHost.ts
@@ -11,7 +11,7 @@
   type StoredReplica,
 } from '@forkstage/storage'
 import type { Address, BoxId, FailureDomain, Millis } from '@forkstage/types'
-import { decideFounding, type FoundingDecision, type IdentityAnswer } from './founding'
+import { FoundingRounds, type IdentityAnswer } from './founding'
 import { NotLeaderError } from './groupErrors'
 import { GroupReplica } from './groupReplica'
 import { decodeMessage, encodeMessage } from './messageCodec'
@@ -27,7 +27,10 @@
   folder: string
   /** The addresses of the first replicas; used only to found the group or to find it. */
   firstReplicas: { address: Address }[]
-  /** Whether this replica may found the group; if false, it waits until others have founded the group. */
+  /**
+   * Whether this replica may found the group; if false, it waits until others have founded the group. The disk remembers
+   * it, so that a replica that is restarted before the group is founded may still found it.
+   */
   mayFound?: boolean
   /** Delay before the disk is opened again after a failure; if absent, the replica stays stopped until a restart. */
   reopenAfter?: Millis
@@ -63,6 +66,8 @@
 export class GroupHost<Command, Result> {
   private runningReplica: GroupReplica<Command, Result> | undefined
   private opened: { storage: ReplicaStorage; stored: StoredReplica } | undefined
+  /** The founding that this replica has heard of and will start from. */
+  private heardFounding: GroupConfig | undefined
   private stopped = false
   /** The error that stopped the replica; undefined unless the replica has failed. */
   failure: unknown
@@ -107,9 +112,9 @@
 
   /** Opens the disk, founds or joins the group, and starts the replica. Errors are logged and kept in `failure`. */
   async start(): Promise<void> {
-    const { group, folder, fileSystem, logger } = this.options
+    const { group, folder, fileSystem, mayFound, logger } = this.options
     try {
-      this.opened = await openReplicaStorage(folder, { fileSystem })
+      this.opened = await openReplicaStorage(folder, { fileSystem, mayFound })
       if (this.opened.stored.snapshot === undefined) await this.foundOrJoin(this.opened.stored)
       if (!this.stopped) this.startReplica()
       this.failure = undefined
@@ -138,8 +143,13 @@
   private identity(): IdentityAnswer {
     if (this.opened === undefined) throw new ReplicaNotRunningError(this.options.group)
     const self = this.self()
-    const started = this.opened.stored.snapshot
-    return { ...self, founding: started?.meta.config, config: this.runningReplica?.config }
+    const { identity, snapshot: started } = this.opened.stored
+    return {
+      ...self,
+      mayFound: identity.mayFound,
+      founding: started?.meta.config ?? this.heardFounding,
+      config: this.runningReplica?.config,
+    }
   }
 
   private self(): Member {
@@ -149,20 +159,15 @@
 
   /** Waits until the group has been founded with this replica, or exists without it, and saves the start state. */
   private async foundOrJoin(stored: StoredReplica): Promise<void> {
+    const rounds = new FoundingRounds()
     while (!this.stopped) {
-      const decision = this.decide(await this.fetchIdentities())
+      const decision = rounds.decide(this.self(), await this.fetchIdentities())
       if (decision.type === 'found') return this.saveFounding(stored, decision.config)
       if (decision.type === 'join') return this.saveFounding(stored, { voters: [], learners: [] })
-      await delay(this.options.clock, IDENTITY_RETRY_MS)
+      if (decision.type === 'wait') await delay(this.options.clock, IDENTITY_RETRY_MS)
     }
   }
 
-  private decide(answers: (IdentityAnswer | undefined)[]): FoundingDecision {
-    const decision = decideFounding(this.self(), answers)
-    const isFounder = decision.type === 'found' && answers.every((answer) => answer?.founding === undefined)
-    return isFounder && this.options.mayFound === false ? { type: 'wait' } : decision
-  }
-
   private fetchIdentities(): Promise<(IdentityAnswer | undefined)[]> {
     const { group, firstReplicas, address, peers } = this.options
     const asked = firstReplicas.map((first) => {
@@ -175,7 +180,18 @@
       )
       return answer.catch(() => undefined)
     })
-    return Promise.all(asked)
+    return Promise.all(asked.map(async (one) => this.recordFounding(await one)))
+  }
+
+  /**
+   * Records a founding that includes this replica as soon as it is heard of, since others ask meanwhile: the replica that
+   * named it may be gone when this one starts from it.
+   */
+  private recordFounding(answer: IdentityAnswer | undefined): IdentityAnswer | undefined {
+    const { replica } = this.self()
+    const isIncluded = answer?.founding?.voters.some((voter) => voter.replica === replica) === true
+    if (isIncluded) this.heardFounding ??= answer.founding
+    return answer
   }
 
   private async saveFounding(stored: StoredReplica, config: GroupConfig): Promise<void> {
--- a/replication/storage/src/replicaStorage.ts
+++ b/replication/storage/src/replicaStorage.ts
@@ -9,6 +9,8 @@
   replica: ReplicaId
   /** Number of times that the folder has been opened. */
   boots: number
+  /** Whether the replica may found its group, at this start or at an earlier one with this disk. */
+  mayFound: boolean
 }
 
 /** The contents of the disk when it was opened. */
@@ -25,6 +27,8 @@
   fileSystem?: FileSystem
   /** Generates the identity of a new disk. */
   createId?: () => ReplicaId
+  /** Whether the replica may found its group at this start; true if absent. */
+  mayFound?: boolean
 }
 
 const IDENTITY_FILE = 'replica.json'
@@ -40,7 +44,10 @@
   const createId = options.createId ?? (() => randomUUID())
   await files.makeFolder(folder)
   const names = await files.list(folder)
-  const identity = await openIdentity(files, folder, names, createId)
+  const identity = await openIdentity(files, folder, names, {
+    createId,
+    mayFound: options.mayFound !== false,
+  })
   const snapshot = names.includes(SNAPSHOT_FILE)
     ? decodeSingleRecord<Snapshot>(
         await files.read(`${folder}/${SNAPSHOT_FILE}`),
@@ -60,12 +67,16 @@
   files: FileSystem,
   folder: string,
   names: string[],
-  createId: () => ReplicaId,
+  { createId, mayFound }: { createId: () => ReplicaId; mayFound: boolean },
 ): Promise<ReplicaIdentity> {
   const path = `${folder}/${IDENTITY_FILE}`
   const exists = names.includes(IDENTITY_FILE)
   const stored = exists ? (JSON.parse((await files.read(path)).toString()) as ReplicaIdentity) : undefined
-  const identity = { replica: stored?.replica ?? createId(), boots: (stored?.boots ?? 0) + 1 }
+  const identity = {
+    replica: stored?.replica ?? createId(),
+    boots: (stored?.boots ?? 0) + 1,
+    mayFound: mayFound || stored?.mayFound === true,
+  }
   await files.replace(path, Buffer.from(JSON.stringify(identity)))
   return identity
 }
--- a/replication/storage/test/replicaStorage.test.ts
+++ b/replication/storage/test/replicaStorage.test.ts
@@ -51,6 +51,7 @@
     expect((await reopen()).identity).toEqual({
       replica: first.identity.replica,
       boots: first.identity.boots + 1,
+      mayFound: true,
     })
   })
 
