fix(directory): a late report does not hide the endpoint that came after it

Cause: of the incarnations at one address the one that changed last counted as the newest. A late report is a change.

Fix: the one that was first received last counts.

Left: a late report of an incarnation that a machine has never heard of is taken for a new one, as before.

'keeps an endpoint when a late report ...' failed before.

--- a/membership/directory/src/directory.ts
+++ b/membership/directory/src/directory.ts
@@ -34,6 +34,8 @@
  */
 export class Directory {
   private readonly entries = new Map<InstanceId, Entry>()
+  /** The same entries in the order in which their incarnations were first received. */
+  private readonly byArrival = new Map<InstanceId, Entry>()
   /** The newest incarnation of each name. */
   private readonly newest = new Map<string, RegisteredEndpoint>()
   private changeCount = 0
@@ -111,9 +113,9 @@
     return Math.max(0, this.coldUntil(id, unknownMs) - this.now())
   }
 
-  /** Every incarnation that has neither left nor ended. */
+  /** Every incarnation that has neither left nor ended, in the order in which they were first received. */
   list(): RegisteredEndpoint[] {
-    return [...this.entries.values()].map((entry) => this.view(entry)).filter(isAlive)
+    return [...this.byArrival.values()].map((entry) => this.view(entry)).filter(isAlive)
   }
 
   /** The incarnations that leave, have left or have ended: those that changed last, at most `most`. */
@@ -216,12 +218,10 @@
     this.tombstones += Number(!isAlive(endpoint)) - Number(known !== undefined && !isAlive(known.endpoint))
     // Deleted and inserted again, so that the map stays in the order of changes.
     this.entries.delete(id)
-    this.entries.set(id, {
-      endpoint,
-      changedAt: this.changeCount,
-      firstSeenAt: known?.firstSeenAt ?? now,
-      coldUntil,
-    })
+    const firstSeenAt = known?.firstSeenAt ?? now
+    const entry: Entry = { endpoint, changedAt: this.changeCount, firstSeenAt, coldUntil }
+    this.entries.set(id, entry)
+    this.byArrival.set(id, entry)
     this.recordChange(id)
   }
 
@@ -277,6 +277,7 @@
     const over = [...this.entries.values()].filter(({ endpoint }) => !isAlive(endpoint))
     for (const { endpoint } of over.slice(0, Math.max(0, over.length - MAX_TOMBSTONES))) {
       this.entries.delete(endpoint.id)
+      this.byArrival.delete(endpoint.id)
       this.tombstones -= 1
       if (this.newest.get(nameOf(endpoint))?.id === endpoint.id) this.newest.delete(nameOf(endpoint))
     }
--- a/membership/directory/test/directory.test.ts
+++ b/membership/directory/test/directory.test.ts
@@ -153,6 +153,14 @@
     directory.merge([endpoint({ id: 'new' })])
     expect(newestPerAddress(directory.list()).map(({ id }) => id)).toEqual(['other', 'new'])
   })
+
+  it('keeps an endpoint when a late report of the one before it at its address arrives', () => {
+    const directory = new Directory()
+    directory.merge([endpoint({ id: 'old' })])
+    directory.merge([endpoint({ id: 'new' })])
+    directory.merge([endpoint({ id: 'old', state: 'draining', sequence: 9 })])
+    expect(newestPerAddress(directory.list()).map(({ id }) => id)).toEqual(['new'])
+  })
 })
 
 describe('cold endpoints', () => {
