--- a/daemon/fleet/test/evacuationModel.ts
+++ b/daemon/fleet/test/evacuationModel.ts
@@ -1,4 +1,4 @@
-import { ManualClock, type Random } from '@forkstage/clock'
+import { delay, ManualClock, type Random } from '@forkstage/clock'
 import type { SetEvacuation } from '@forkstage/evacuation'
 import { GroupClient, OutcomeUnknownError, type GroupHost } from '@forkstage/group'
 import { createSilentLogger } from '@forkstage/logger'
@@ -93,7 +93,7 @@
         order.ackedAt = clock.now()
         break
       }
-      await this.sleep(20 + this.random() * 200)
+      await delay(this.clock, 20 + this.random() * 200)
     }
     order.endedAt = clock.now()
     this.check()
@@ -129,15 +129,11 @@
   /** Resolves once a message between two machines, or of an operator (undefined), is delivered. */
   async transit(from: number | undefined, to: number | undefined): Promise<void> {
     const ends = [from, to].filter((end) => end !== undefined)
-    await this.sleep(1 + this.random() * 2)
+    await delay(this.clock, 1 + this.random() * 2)
     const isCut = () =>
       ends.length === 2 && from !== to && ends.some((end) => this.cutUntil[end]! > this.clock.now())
     const isPaused = () => ends.some((end) => this.pausedUntil[end]! > this.clock.now())
-    while (isCut() || isPaused()) await this.sleep(STEP_MS)
-  }
-
-  sleep(ms: Millis): Promise<void> {
-    return new Promise((resolve) => void this.clock.after(ms, resolve))
+    while (isCut() || isPaused()) await delay(this.clock, STEP_MS)
   }
 
   get hasLease(): boolean {
@@ -158,7 +154,7 @@
   }
 
   private async commitLater(number: number, entry: LogEntry): Promise<void> {
-    await this.sleep(this.syncMs * (0.5 + this.random()))
+    await delay(this.clock, this.syncMs * (0.5 + this.random()))
     if (entry.term !== this.term || this.cutUntil[number]! > this.clock.now()) return
     this.commitThrough(this.log.indexOf(entry) + 1)
   }
@@ -173,7 +169,7 @@
   /** Elects another leader after a while; it has an unpredictable part of what was not committed. */
   private elect(lost: number): void {
     const term = (this.term += 1)
-    void this.sleep(ELECTION_MS * (1 + this.random())).then(() => {
+    void delay(this.clock, ELECTION_MS * (1 + this.random())).then(() => {
       if (term !== this.term) return
       const alive = MACHINES.filter(
         (one) => one !== lost && Math.max(this.cutUntil[one]!, this.pausedUntil[one]!) <= this.clock.now(),
@@ -194,7 +190,7 @@
     const answer = this.transit(undefined, number).then(async () => {
       // The end of an abandoned connection arrives right behind its bytes.
       const closeWhenLeft = async () => {
-        while (!hasLeft) await this.sleep(STEP_MS)
+        while (!hasLeft) await delay(this.clock, STEP_MS)
         await this.transit(undefined, number)
         isClosed = true
       }
@@ -208,7 +204,7 @@
       // The answer may be lost.
       return isAcked && this.random() > 0.2
     })
-    const timeout = this.sleep(OPERATOR_PATIENCE_MS).then(() => false)
+    const timeout = delay(this.clock, OPERATOR_PATIENCE_MS).then(() => false)
     const isAcked = await Promise.race([answer, timeout])
     hasLeft = true
     return isAcked
@@ -330,6 +326,6 @@
       return result
     })
     answer.catch(() => undefined)
-    return Promise.race([answer, model.sleep(deadline).then(() => Promise.reject(unreachable))])
+    return Promise.race([answer, delay(model.clock, deadline).then(() => Promise.reject(unreachable))])
   }
 }
--- a/daemon/fleet/test/evacuationSchedules.test.ts
+++ b/daemon/fleet/test/evacuationSchedules.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { createSeededRandom } from '@forkstage/clock'
+import { createSeededRandom, delay } from '@forkstage/clock'
 import { EvacuationModel } from './evacuationModel'
 
 const RUNS = Number(process.env.RUNS ?? 60)
@@ -15,7 +15,7 @@
   while (clock.now() < FAULTS_FOR_MS) {
     const domain = domains[Math.floor(random() * domains.length)]!
     await model.send(domain, random() < 0.5, 300 + random() * 5_000)
-    await model.sleep(random() * 1_500)
+    await delay(clock, random() * 1_500)
   }
 }
 
@@ -28,7 +28,7 @@
     () => void (model.syncMs = random() < 0.5 ? 5 : 300 * random()),
   ]
   while (clock.now() < FAULTS_FOR_MS) {
-    await model.sleep(random() * 2_000)
+    await delay(clock, random() * 2_000)
     faults[Math.floor(random() * faults.length)]!(Math.floor(random() * MACHINES))
   }
   model.syncMs = 5
