test(crashes): sound requests after the loss of failure domains (known red)

The simulation of prompt parts gets the loss of one, two and all of three failure domains, without and beside a part that crashes engines.

Existing series draw the same random numbers as before.

--- a/request/crashes/test/partSimulation.ts
+++ b/request/crashes/test/partSimulation.ts
@@ -20,6 +20,8 @@
   deadlyFromMs?: number
   /** Mean time between losses of the leader, which lose what it has not forwarded. */
   leaderLostEveryMs?: number
+  /** When the engines of so many of three failure domains crash, each at another moment within a while. */
+  domainLoss?: { atMs: number; domains: number; withinMs: number }
 }
 
 interface Stream {
@@ -42,6 +44,7 @@
 const KEEP_MS = 3_600_000
 const ENTRIES = 4
 const ENGINES = 10
+const DOMAINS = 3
 const PREFILL_MS = [20, 90] as const
 const FIRST_EVENT_MS = [20, 60] as const
 const STREAM_MS = 650
@@ -101,6 +104,7 @@
     repeat(soundPerSecond, soundFromMs, () => this.call(soundParts(this.random), true))
     if (leaderLostEveryMs !== undefined)
       repeat(1_000 / leaderLostEveryMs, 1, () => void (this.leader = this.newTracker()))
+    this.planDomainLoss()
     this.clock.advance(forMs + 10_000)
   }
 
@@ -118,6 +122,18 @@
     return each.reduce((sum, one) => sum + one, 0)
   }
 
+  private planDomainLoss(): void {
+    const { domainLoss } = this.options
+    if (domainLoss === undefined) return
+    const { atMs, domains, withinMs } = domainLoss
+    this.engines.forEach((engine, index) => {
+      if (index % DOMAINS >= domains) return
+      this.clock.after(atMs + this.random() * withinMs, () => {
+        if (engine.isUp) this.crash(engine, [])
+      })
+    })
+  }
+
   private newTracker(): CrashTracker {
     return new CrashTracker({ now: () => this.clock.now(), ends: ENDS, keepMs: KEEP_MS })
   }
--- a/request/crashes/test/poisonParts.test.ts
+++ b/request/crashes/test/poisonParts.test.ts
@@ -112,3 +112,31 @@
     },
   )
 })
+
+/* Guards against a verdict on what all requests share after engines have gone down together. */
+describe('engines that go down together', () => {
+  const shared = { soundParts: (random: () => number) => ['sys', `doc${Math.floor(random() * 6)}`] }
+  const sound = { poison: [], poisonParts: sharedParts, poisonPerSecond: 0.001 }
+  const beside = { poison: ['bad'], poisonParts: (random: () => number) => withBad(random, 1) }
+  const losses: [string, Partial<PartSimulationOptions>][] = [
+    ['one of three domains', { domainLoss: { atMs: 12_000, domains: 1, withinMs: 300 } }],
+    ['two of three domains', { domainLoss: { atMs: 12_000, domains: 2, withinMs: 300 } }],
+    ['all domains', { domainLoss: { atMs: 12_000, domains: 3, withinMs: 300 } }],
+    [
+      'all domains before a request was served',
+      { domainLoss: { atMs: 150, domains: 3, withinMs: 60 }, soundPerSecond: 100 },
+    ],
+  ]
+
+  it.each(losses)('have no sound request refused after the loss of %s', (_what, options) => {
+    expect(simulate({ ...sound, ...shared, ...options }).refusedSound).toBe(0)
+  })
+
+  it.each(losses)('hide no part that crashes engines beside the loss of %s', (_what, options) => {
+    const { late, most, refusedSound, refusedPoison } = simulate({ ...beside, ...shared, ...options })
+    expect(late).toBe(0)
+    expect(most).toBeLessThanOrEqual(MAX_CRASHES)
+    expect(refusedSound).toBe(0)
+    expect(refusedPoison).toBeGreaterThan(0)
+  })
+})
