fix: no answer carries a page of the web framework

What callers saw: PUT of a configuration whose route has an object as its name is answered 500 with an HTML page of express, not a refusal that names the field; a path that cannot be decoded gets an HTML page with a stack as well. Cause: a text that is JSON with lists of routes and services counted as a readable configuration whatever its fields are, and the check of the route sheet threw on them; and none of the three express applications had an error handler. Callers of boxes learn that such a request has not run. Fields that are not read may be anything, as before.

--- a/api/caller/src/createCallerApp.ts
+++ b/api/caller/src/createCallerApp.ts
@@ -61,6 +61,11 @@
       ),
     )
   })
+  // Express recognizes an error handler by its four parameters.
+  app.use((_error: unknown, _request: Request, response: Response, _next: NextFunction) => {
+    const hint = 'Correct the request and send it again.'
+    sendError(response, new BadRequestError('FORKSTAGE_BAD_REQUEST', 'The request cannot be read.', hint))
+  })
   return app
 }
 
--- a/api/operator/src/createOperatorApp.ts
+++ b/api/operator/src/createOperatorApp.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { equalInConstantTime } from '@forkstage/caller-api'
 import { ForkstageError, toErrorBody } from '@forkstage/error'
+import { answerErrorsAsJson } from '@forkstage/json-errors'
 import type { Settings } from '@forkstage/settings'
 import type { OperatorService } from './operatorService'
 
@@ -101,6 +102,7 @@
   app.use((error: unknown, _request: Request, response: Response, _next: NextFunction) =>
     sendFailure(response, error, 400),
   )
+  answerErrorsAsJson(app, { toBody: (error) => ({ error }) })
   return app
 }
 
--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import { isDomainName, type EvacuationView } from '@forkstage/evacuation'
+import { answerErrorsAsJson } from '@forkstage/json-errors'
 import type { Logger } from '@forkstage/logger'
 import { checkRouteSheet } from '@forkstage/routes'
 import type { ControlWire } from './controlWire'
@@ -26,7 +27,7 @@
 
 /** Creates the HTTP application that operators and endpoints call at a control machine. */
 export function createControlApp(options: ControlAppOptions): Express {
-  const { wire } = options
+  const { wire, logger } = options
   const app = express()
   app.disable('x-powered-by')
   app.disable('etag')
@@ -38,14 +39,16 @@
   app.post(wire.evacuationPath, (request, response) => evacuate(options, request, response, true))
   app.delete(wire.evacuationPath, (request, response) => evacuate(options, request, response, false))
   app.get(wire.evacuationsPath, (_request, response) => void response.json(options.evacuationView.current))
+  answerErrorsAsJson(app, { onUnexpected: (error) => logger.error('fault.unexpected', error) })
   return app
 }
 
 async function putSheet(options: ControlAppOptions, request: Request, response: Response): Promise<void> {
   const { wire, sheetService, logger } = options
   const text = bodyOf(request)
-  const sheet = wire.readSheet(text)
-  const faults = sheet === undefined ? ['the body is not a complete route sheet'] : checkRouteSheet(sheet)
+  const shapeFaults = wire.sheetFaults(text)
+  const sheet = shapeFaults.length === 0 ? wire.readSheet(text) : undefined
+  const faults = sheet === undefined ? shapeFaults : checkRouteSheet(sheet)
   if (sheet === undefined || faults.length > 0) {
     logger.warn('sheet.refused', { reason: faults.join('; ') })
     response.status(400).json({ code: 'FORKSTAGE_ROUTE_SHEET', faults })
--- a/daemon/fleet/src/controlWire.ts
+++ b/daemon/fleet/src/controlWire.ts
@@ -49,6 +49,8 @@
   evacuationsPath: string
   /** Parses a route sheet. Returns undefined if the text is not a complete sheet. */
   readSheet(text: string): RouteSheet | undefined
+  /** Returns why a text is not a complete route sheet, one message per fault, each with its field. */
+  sheetFaults(text: string): string[]
   /** Parses a registration. Returns undefined if the text does not describe an endpoint. */
   readRegistration(id: string, text: string): RegisteredEndpoint | undefined
   /** Returns when the process started that announces it is leaving, or undefined if the text does not say. */
--- /dev/null
+++ b/daemon/fleet/test/controlApp.test.ts
@@ -0,0 +1,47 @@
+import got from 'got'
+import { once } from 'node:events'
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, describe, expect, it, vi } from 'vitest'
+import { createSilentLogger } from '@forkstage/logger'
+import { createControlApp, type ControlAppOptions } from '../src/controlApp'
+import { CONTROL_WIRE } from './fleetHarness'
+
+let server: Server | undefined
+
+/** Starts a control machine's application with formats of its own; returns the base URL and the errors logged. */
+async function startApp(wire: Partial<ControlAppOptions['wire']>) {
+  const error = vi.fn()
+  const options = { wire: { ...CONTROL_WIRE, ...wire }, logger: { ...createSilentLogger(), error } }
+  server = createServer(createControlApp(options as unknown as ControlAppOptions)).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, error }
+}
+
+const options = { throwHttpErrors: false, retry: { limit: 0 } } as const
+
+describe('a control machine’s HTTP application', () => {
+  afterEach(() => server?.close())
+
+  it('refuses a sheet of the wrong shape with the names of its fields', async () => {
+    const sheetFaults = () => ['routes.0.name: expected string']
+    const { url } = await startApp({ sheetFaults })
+    const { statusCode, body } = await got.put(`${url}/sheet`, { ...options, body: '{}' })
+    expect(statusCode).toBe(400)
+    expect(JSON.parse(body)).toEqual({ code: 'FORKSTAGE_ROUTE_SHEET', faults: sheetFaults() })
+  })
+
+  it('answers an unexpected error without a page of the web framework, and logs it', async () => {
+    const readRegistration = () => {
+      throw new TypeError('host.toLowerCase is not a function')
+    }
+    const { url, error } = await startApp({ readRegistration })
+    const { statusCode, body } = await got.put(`${url}/endpoints/i-1`, { ...options, body: '{}' })
+    expect(statusCode).toBe(500)
+    expect(JSON.parse(body)).toMatchObject({ code: 'FORKSTAGE_UNEXPECTED' })
+    expect(error).toHaveBeenCalledWith(
+      'fault.unexpected',
+      expect.objectContaining({ code: 'FORKSTAGE_UNEXPECTED' }),
+    )
+  })
+})
--- a/daemon/fleet/test/fleetHarness.ts
+++ b/daemon/fleet/test/fleetHarness.ts
@@ -24,6 +24,7 @@
       return undefined
     }
   },
+  sheetFaults: (text) => (text.endsWith('}') ? [] : ['the body is not complete']),
   readRegistration: (name, text) => readEndpoint(name, text),
   readStart: (text) => (text === '' ? undefined : (JSON.parse(text) as { born?: number }).born),
   registrationAnswer: () => ({}),
