fix(fleet): a control machine does not end under large configurations

What operators saw: four configurations of 50,000 routes (11.4 MB) at once, eight of 30,000 (6.8 MB), or one of 200,000 (45.8 MB) end a control machine by SIGABRT: V8 is at its heap limit (--max-old-space-size=160). Each caller's connection is reset; the process is started again and meets the same bodies at the next attempt. Cause: a body of up to 64 MB was accepted from anyone at any path, and any number of them at once. The class is that of bodies at entries: what others send decides how much memory is held. Change: bodies are admitted by their announced size before they are read: 8 MiB for a configuration (three times the 11,000 rows that the design aims at), 64 KiB otherwise, 24 MiB together. What exceeds the latter gets 503 with Retry-After and is accepted by any machine a moment later. A request that does not arrive within 30 s is given up.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -161,6 +161,8 @@
   'machine.suspended': { outcome: string }
   'sheet.installed': { version: number; routes: number; services: number }
   'sheet.refused': { reason: string }
+  /** A control machine has refused the body of a request unread: for its size, or for that of all bodies together. */
+  'body.refused': { bytes: number; heldBytes: number; reason: 'size' | 'total' }
   'sheet.put': { version: number; outcome: string; held: number }
   /** An operator's order, at the control machine that accepted it; `index` is the log index of the last change. */
   'evacuation.taken': {
--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -1,10 +1,11 @@
-import express, { type Express, type Request, type Response } from 'express'
+import express, { type Express, type Request, type RequestHandler, type Response } from 'express'
 import type { Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import { isDomainName, type EvacuationView } from '@forkstage/evacuation'
 import { answerErrorsAsJson } from '@forkstage/json-errors'
 import type { Logger } from '@forkstage/logger'
 import { checkRouteSheet } from '@forkstage/routes'
+import { BodyAdmission } from './bodyAdmission'
 import type { ControlWire } from './controlWire'
 import type { EvacuationService } from './evacuationService'
 import { receiveEvacuationOrder } from './receiveEvacuationOrder'
@@ -23,7 +24,12 @@
   logger: Logger
 }
 
-const MAX_BODY = '64mb'
+const MIB = 1_024 * 1_024
+/** A sheet of 11,000 routes is about 2.5 MB. */
+const MAX_SHEET_BYTES = 8 * MIB
+const MAX_MESSAGE_BYTES = 64 * 1_024
+/** Parsing a sheet takes several times its size of the heap. */
+const MAX_TOTAL_BODY_BYTES = 24 * MIB
 
 /** Creates the HTTP application that operators and endpoints call at a control machine. */
 export function createControlApp(options: ControlAppOptions): Express {
@@ -31,8 +37,16 @@
   const app = express()
   app.disable('x-powered-by')
   app.disable('etag')
-  app.use(express.text({ type: () => true, limit: MAX_BODY }))
-  app.put(wire.sheetPath, (request, response) => putSheet(options, request, response))
+  const bodies = new BodyAdmission({
+    maxBytes: ({ path }) => (path === wire.sheetPath ? MAX_SHEET_BYTES : MAX_MESSAGE_BYTES),
+    maxTotalBytes: MAX_TOTAL_BODY_BYTES,
+    logger,
+  })
+  app.use((request, response, next) => bodies.admit(request, response, next))
+  app.put(wire.sheetPath, textOf(MAX_SHEET_BYTES), (request, response) =>
+    putSheet(options, request, response),
+  )
+  app.use(textOf(MAX_MESSAGE_BYTES))
   app.get(wire.sheetPath, (_request, response) => getSheet(options, response))
   app.put(wire.registrationPath, (request, response) => register(options, request, response))
   app.delete(wire.registrationPath, (request, response) => leave(options, request, response))
@@ -43,6 +57,11 @@
   return app
 }
 
+/** Reads a body of any type as text, up to `limit` bytes. */
+function textOf(limit: number): RequestHandler {
+  return express.text({ type: () => true, limit })
+}
+
 async function putSheet(options: ControlAppOptions, request: Request, response: Response): Promise<void> {
   const { wire, sheetService, logger } = options
   const text = bodyOf(request)
--- a/daemon/fleet/src/listenOn.ts
+++ b/daemon/fleet/src/listenOn.ts
@@ -6,9 +6,13 @@
   close(): void
 }
 
+/** Time for a whole request to arrive, so that one that never does takes no memory for long. */
+const REQUEST_TIMEOUT_MS = 30_000
+
 /** Listens on `ip:port`. Resolves once the server is listening. */
 export function listenOn(handler: RequestListener | Server, address: string): Promise<Listener> {
-  const server = typeof handler === 'function' ? createServer(handler) : handler
+  const server =
+    typeof handler === 'function' ? createServer({ requestTimeout: REQUEST_TIMEOUT_MS }, handler) : handler
   const colon = address.lastIndexOf(':')
   return new Promise((resolve, reject) => {
     server.once('error', reject)
--- a/daemon/fleet/test/controlApp.test.ts
+++ b/daemon/fleet/test/controlApp.test.ts
@@ -1,6 +1,6 @@
 import got from 'got'
 import { once } from 'node:events'
-import { createServer, type Server } from 'node:http'
+import { createServer, request as httpRequest, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { afterEach, describe, expect, it, vi } from 'vitest'
 import { createSilentLogger } from '@forkstage/logger'
@@ -44,4 +44,28 @@
       expect.objectContaining({ code: 'FORKSTAGE_UNEXPECTED' }),
     )
   })
+
+  it.each([
+    ['a registration over 64 KiB', '/endpoints/i-1', 64 * 1_024 + 1],
+    ['a sheet over 8 MiB', '/sheet', 8 * 1_024 * 1_024 + 1],
+  ])('refuses %s unread', async (_what, path, bytes) => {
+    const readRegistration = vi.fn()
+    const { url } = await startApp({ readRegistration })
+    const { statusCode, body } = await got.put(`${url}${path}`, { ...options, body: '1'.repeat(bytes) })
+    expect(statusCode).toBe(413)
+    expect(JSON.parse(body)).toMatchObject({ code: 'FORKSTAGE_BODY_TOO_LARGE' })
+    expect(readRegistration).not.toHaveBeenCalled()
+  })
+
+  it('does not hold more sheets at once than fit into its memory, and accepts them one after another', async () => {
+    const { url } = await startApp({ sheetFaults: () => ['not a sheet'] })
+    const large = { method: 'PUT', headers: { 'Content-Length': 8 * 1_024 * 1_024 } }
+    const first = Array.from({ length: 3 }, () => httpRequest(`${url}/sheet`, large))
+    first.forEach((each) => each.on('error', () => undefined).write('{'))
+    const put = () => got.put(`${url}/sheet`, { ...options, body: '1'.repeat(1_024) })
+    await vi.waitUntil(async () => (await put()).statusCode === 503)
+    expect((await put()).headers['retry-after']).toBe('0.5')
+    first.forEach((each) => each.destroy())
+    await vi.waitUntil(async () => (await put()).statusCode === 400)
+  })
 })
