fix(gateway): a 421 that names no instance does not set an endpoint aside for good

Cause: the gateway took every 421 whose instance header was not that of the intended endpoint for the answer of another process at the address, which is final. Change: a 421 without the header proves that the request did not run, and nothing of who sent it. It counts as a failure of the endpoint, which is ejected and comes back like any other; an address that has passed to another service costs one request that is sent elsewhere per ejection. 'reach a worker again that has refused one without naming itself': 503 before, 200 now.

--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -103,6 +103,11 @@
         attempt: { type: 'not-run', arrived: true, reason: 'another instance', isInstanceGone: true },
         sendOutcome: 'other-instance',
       }
+    if (this.head !== undefined && this.verdict === 'misdirected')
+      return {
+        attempt: { type: 'not-run', arrived: true, reason: 'the engine does not accept the request' },
+        sendOutcome: 'failed',
+      }
     if (this.head !== undefined && this.verdict === 'not-run')
       return {
         attempt: { type: 'not-run', arrived: true, reason: 'the engine is full' },
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -261,6 +261,8 @@
     const verdict = readVerdict(this.parts, this.job, to, outcome.head)
     if (verdict === 'other-instance')
       return { sending: { type: 'not-run', arrived: true }, sendOutcome: 'other-instance' }
+    if (verdict === 'misdirected')
+      return { sending: { type: 'not-run', arrived: true }, sendOutcome: 'failed' }
     if (verdict === 'not-run') return { sending: { type: 'not-run', arrived: true }, sendOutcome: 'full' }
     this.possibleRuns += 1
     if (verdict === 'foreign')
--- a/request/gateway/src/readVerdict.ts
+++ b/request/gateway/src/readVerdict.ts
@@ -19,7 +19,7 @@
 ): Verdict {
   const asked = { id: request.id, instance: nameOf(at.endpoint) }
   const verdict = judgeAnswer(head, asked, parts.wire.headers)
-  if (verdict === 'other-instance') return verdict
+  if (verdict === 'other-instance' || verdict === 'misdirected') return verdict
   const isOwn = verdict === 'answer' || isPrefilled
   const isSuccess = isOwn && head.status >= 200 && head.status < 300
   recordStatements(parts, at, head, { request: request.id, isSuccess })
--- a/request/gateway/test/plainRelay.test.ts
+++ b/request/gateway/test/plainRelay.test.ts
@@ -165,6 +165,16 @@
     expect(workers[0]!.seen.length).toBeLessThanOrEqual(1)
   })
 
+  it('reach a worker again that has refused one without naming itself', async () => {
+    const unnamed = answerWith('HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n')
+    let count = 0
+    const { harness } = await start([(...call) => (++count === 1 ? unnamed : good)(...call)], {
+      kind: 'unsafe',
+    })
+    expect((await harness.send('/p/', { headers: { 'x-id': 'r0' } })).status).toBe(503)
+    expect((await harness.send('/p/', { headers: { 'x-id': 'r1' } })).status).toBe(200)
+  })
+
   it('are answered 504 when the time of the route is up, and stop the worker', async () => {
     const { harness, workers } = await start([() => undefined], { timeoutMs: 150 })
     expect((await harness.send('/p/')).status).toBe(504)
