fix(build): a process that starts during a build does not read half of a program

Cause: esbuild and the build script write bundles and loaders in place; an empty bundle is a program that does nothing. Change: each file is written beside its place and renamed.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,11 @@
 // Bundles each program into one CommonJS file under dist/, to be run directly or embedded in the binary. A program of
 // one role also gets V8's code cache next to its bundle, and a small loader that starts it.
 import { execFileSync } from 'node:child_process'
-import { copyFileSync, readFileSync, rmSync } from 'node:fs'
+import { mkdirSync, readFileSync } from 'node:fs'
 import { build } from 'esbuild'
 import { parse } from 'smol-toml'
 import { programOptions, programs, roleOptions, rolePrograms } from './bundleOptions.mjs'
+import { writeAtomically } from './writeAtomically.mjs'
 
 const DEPLOY_FILE = 'deploy/system.toml'
 
@@ -15,7 +16,10 @@
 function bundle(entries, options) {
   const chosen = Object.entries(entries).filter(([name]) => wanted.length === 0 || wanted.includes(name))
   const entryPoints = Object.fromEntries(chosen)
-  return build({ ...options, entryPoints, outdir }).then(() => Object.keys(entryPoints))
+  return build({ ...options, entryPoints, outdir, write: false }).then(({ outputFiles = [] }) => {
+    outputFiles.forEach(({ path, contents }) => writeAtomically(path, contents))
+    return Object.keys(entryPoints)
+  })
 }
 
 /** Returns the node flags of a role's process; V8 accepts a code cache only if it was made with the same flags. */
@@ -27,8 +31,7 @@
 /** Makes a role's code cache. A failure only prints a message: without the cache the program starts more slowly. */
 function makeCodeCache(role) {
   const base = `${outdir}/${role}`
-  rmSync(`${base}.cache`, { force: true })
-  copyFileSync('scripts/startWithCodeCache.cjs', `${base}.cjs`)
+  writeAtomically(`${base}.cjs`, readFileSync('scripts/startWithCodeCache.cjs'))
   const maker = ['scripts/makeCodeCache.cjs', `${base}.bundle.cjs`, `${base}.cache`, role]
   try {
     execFileSync(process.execPath, [...flagsOf(role), ...maker], { stdio: ['ignore', 'ignore', 'inherit'] })
@@ -37,6 +40,7 @@
   }
 }
 
+mkdirSync(outdir, { recursive: true })
 await bundle(programs, programOptions)
 const roles = await bundle(rolePrograms, roleOptions)
 roles.forEach(makeCodeCache)
