feat(fleet): log that a process begins to start, and why its start failed

Operators who saw a process end by itself had no line to tell when it had begun, and the error of a failed start went to standard error as text, without time or machine.

`start.begun` is the first line of a process (pid, version, age); `start.failed` its last one, with the error, beside the text on standard error. The machine's name is not in these lines, as they come before its settings.

--- a/daemon/fleet/src/machineContext.ts
+++ b/daemon/fleet/src/machineContext.ts
@@ -21,8 +21,10 @@
 const MAX_QUEUED_LOG_BYTES = 512 * 1_024
 
 /** Creates the context of a machine from its settings. */
-export function createMachineContext(settings: FleetSettings): MachineContext {
-  const clock = createSystemClock()
+export function createMachineContext(
+  settings: FleetSettings,
+  clock: Clock = createSystemClock(),
+): MachineContext {
   const logLimiter = new LogLimiter({
     perSecond: settings.log.lines_per_second,
     now: () => clock.now(),
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -1,8 +1,9 @@
 import { readFile as readFileWithCallback } from 'node:fs'
 import { promisify } from 'node:util'
-import { every } from '@forkstage/clock'
+import { createSystemClock, every, type Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import { parseFleetSettings, type FleetSettings } from '@forkstage/fleet-settings'
+import { createLogger } from '@forkstage/logger'
 import { logCodeCache } from './logCodeCache'
 import { createMachineContext, type MachineContext } from './machineContext'
 import { runUntilStopped, type StoppableMachine } from './runUntilStopped'
@@ -27,13 +28,26 @@
 const SECOND_MS = 1_000
 const SETTINGS_CHECK_EVERY_MS = 2_000
 
-/** Runs one machine of a self-registering deployment until a signal stops it. */
+/** Runs one machine of a self-registering deployment until a signal stops it. Logs a start that fails, and rejects. */
 export async function runMachine(options: RunMachineOptions): Promise<void> {
+  const clock = createSystemClock()
+  // The settings, which name the box and the level, are not known yet.
+  const logger = createLogger({ context: {}, level: 'info' })
+  logger.info('start.begun', { pid: process.pid, version: options.version, ageMs: processAge(clock) })
+  try {
+    await startAndRun(options, clock)
+  } catch (error) {
+    logger.error('start.failed', { ageMs: processAge(clock), ...toErrorBody(error) })
+    throw error
+  }
+}
+
+async function startAndRun(options: RunMachineOptions, clock: Clock): Promise<void> {
   const { settingsPath, version } = options
   let text = await readFile(settingsPath, 'utf8')
   const settings = parseFleetSettings(text, { source: settingsPath })
-  const context = createMachineContext(settings)
-  const { logger, clock } = context
+  const context = createMachineContext(settings, clock)
+  const { logger } = context
   const machine = await options.create(context)
   const reload = async () => {
     try {
@@ -64,6 +78,11 @@
   })
 }
 
+/** Returns the age of this process; its clock begins with it. */
+function processAge(clock: Clock): number {
+  return Math.round(clock.now())
+}
+
 function changedSections(before: FleetSettings, after: FleetSettings): string[] {
   const names = Object.keys(after) as (keyof FleetSettings)[]
   return names.filter((name) => JSON.stringify(before[name]) !== JSON.stringify(after[name]))
