--- /dev/null
+++ b/cli/forkstage/test/addressInUse.test.ts
@@ -0,0 +1,61 @@
+import { once } from 'node:events'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { connect, createServer, type AddressInfo, type Server } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { buildPrograms, freePort, MachineProcess, settingsText, type Role } from './machineProcess'
+
+let folder: string
+let machine: MachineProcess
+/** Holds the address of the machine's metrics. */
+let holder: Server
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'forkstage-address-test-'))
+  await buildPrograms(folder)
+  holder = createServer().listen(0, '127.0.0.1')
+  await once(holder, 'listening')
+})
+afterEach(async () => {
+  machine.kill('SIGKILL')
+  holder.close()
+  await rm(folder, { recursive: true, force: true })
+})
+
+async function start(role: Role, callers?: string): Promise<void> {
+  const metrics = `127.0.0.1:${(holder.address() as AddressInfo).port}`
+  await writeFile(join(folder, 'settings.toml'), settingsText({ role, folder, callers, metrics }))
+  machine = new MachineProcess(join(folder, `${role}.cjs`), join(folder, 'settings.toml'))
+}
+
+/** Resolves to whether somebody listens on a port of the loopback address. */
+function isOpen(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => {
+      socket.destroy()
+      resolve(true)
+    })
+    socket.once('error', () => resolve(false))
+  })
+}
+
+describe('an address that is still in use at the start', () => {
+  it.each(['entry', 'control'] as const)('is opened once it is free: %s', async (role) => {
+    await start(role)
+    expect(await machine.waitFor('start.waiting')).toMatchObject({ step: 'listen' })
+    holder.close()
+    await machine.waitFor('box.started')
+  })
+
+  it('ends a start that no caller has reached', async () => {
+    const port = await freePort()
+    await start('entry', `127.0.0.1:${port}`)
+    await machine.waitFor('start.waiting')
+    let wasOpen = false
+    while (machine.isRunning) wasOpen ||= await isOpen(port)
+    expect(await machine.end).toEqual({ code: 1, signal: null })
+    expect(machine.lines.at(-1)).toMatchObject({ event: 'start.failed' })
+    expect(wasOpen).toBe(false)
+  })
+})
--- a/cli/forkstage/test/machineProcess.ts
+++ b/cli/forkstage/test/machineProcess.ts
@@ -1,6 +1,6 @@
 import { execFile, spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
-import { copyFile } from 'node:fs/promises'
+import { copyFile, open, rename, writeFile, type FileHandle } from 'node:fs/promises'
 import { createServer, type AddressInfo } from 'node:net'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
@@ -69,11 +69,6 @@
 ${more ?? ''}`
 }
 
-/** Creates a named pipe: whoever opens it waits for the other side, and then knows that it has come that far. */
-export async function makePipe(path: string): Promise<void> {
-  await run('mkfifo', [path])
-}
-
 /** Returns a port of the loopback address that is free. */
 export async function freePort(): Promise<number> {
   const server = createServer().listen(0, '127.0.0.1')
@@ -84,6 +79,34 @@
   return port
 }
 
+/** A settings file that is a named pipe: its reader waits for the text, and the test knows that the file is being read. */
+export class SettingsPipe {
+  private pipe: FileHandle | undefined
+
+  constructor(private readonly path: string) {}
+
+  async create(): Promise<void> {
+    await run('mkfifo', [this.path])
+  }
+
+  /** Resolves once a process has opened the file to read it. */
+  async waitForReader(): Promise<void> {
+    this.pipe = await open(this.path, 'w')
+  }
+
+  /** Puts another file in the place of the pipe; a reader that has opened the pipe still reads from it. */
+  async replaceBy(text: string): Promise<void> {
+    await writeFile(`${this.path}.new`, text)
+    await rename(`${this.path}.new`, this.path)
+  }
+
+  /** Gives the waiting reader its text. A reader that has ended gets none. */
+  async answer(text: string): Promise<void> {
+    await this.pipe!.writeFile(text).catch(() => undefined)
+    await this.pipe!.close()
+  }
+}
+
 /** A program that runs as a process and writes log lines. */
 export class MachineProcess {
   readonly lines: LogLine[] = []
