fix(fleet): signals that come during a start no longer end the process

Callers saw machines end by themselves (FAULT): a SIGHUP, or a SIGTERM, that came before the machine was created ended the process by its default action, without a line in the log.

Cause: the listeners were set only after the settings were read and the machine was created, which is nearly the whole start. Ruled out: anything later; signals sent after the listeners are set end nothing, also while a machine stops (a new test sends all three until the process is gone).

The loader listens in its first lines, before it reads and compiles the bundle; the programs do the same in their first import, for bundles that are run without the loader. The machine's listeners are set before the event loop first turns, so they get what came before. SIGHUP is kept and the settings are read again, before the machine is created if there is time. SIGTERM and SIGINT end a start that has created no machine in order: box.stopping, box.stopped, exit code 0. The listeners for errors that nobody catches are set at the same place.

--- a/cli/forkstage/src/control.ts
+++ b/cli/forkstage/src/control.ts
@@ -1,3 +1,4 @@
+import './takeSignals'
 import { createControl } from './createControl'
 import { requireRole } from './requireRole'
 import { serveMachine, settingsPathOfProcess } from './serveMachine'
--- a/cli/forkstage/src/entry.ts
+++ b/cli/forkstage/src/entry.ts
@@ -1,3 +1,4 @@
+import './takeSignals'
 import { createEntry } from './createEntry'
 import { requireRole } from './requireRole'
 import { serveMachine, settingsPathOfProcess } from './serveMachine'
--- a/cli/forkstage/src/serve.ts
+++ b/cli/forkstage/src/serve.ts
@@ -1,3 +1,4 @@
+import './takeSignals'
 import { createMachine } from './createMachine'
 import { serveMachine, settingsPathOfProcess } from './serveMachine'
 
--- a/cli/forkstage/test/earlySignals.test.ts
+++ b/cli/forkstage/test/earlySignals.test.ts
@@ -55,6 +55,21 @@
   })
 })
 
+describe('signals during a stop', () => {
+  it.each(ROLES)('do not end the process: %s', async (role) => {
+    await buildPrograms(folder)
+    await writeFile(at('settings.toml'), settingsText({ role, folder }))
+    machine = new MachineProcess(at(`${role}.cjs`), at('settings.toml'))
+    await machine.waitFor('box.started')
+    while (machine.isRunning) {
+      for (const signal of ['SIGTERM', 'SIGHUP', 'SIGINT'] as const) machine.kill(signal)
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    expect(await machine.end).toEqual({ code: 0, signal: null })
+    expect(machine.lines.at(-1)).toMatchObject({ event: 'box.stopped' })
+  })
+})
+
 describe('signals while the settings are read', () => {
   it.each(ROLES)('do not end the process, which uses the changed settings, at SIGHUP: %s', async (role) => {
     await startUnderSignal(role, 'SIGHUP')
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -8,6 +8,8 @@
   'box.started': { box: string; addresses: Record<string, string>; version: string }
   /** The first line of a process, before its settings are read. `ageMs` is the time since the process was created. */
   'start.begun': { pid: number; version: string; ageMs: number }
+  /** A signal that came before the machine was created; it is acted on as soon as that is possible. */
+  'start.signal': { signal: string; ageMs: number }
   /** The process ends, since its machine could not be started. */
   'start.failed': { ageMs: number } & ErrorBody
   'start.code_cache_unused': { reason: string }
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -7,6 +7,7 @@
 import { logCodeCache } from './logCodeCache'
 import { createMachineContext, type MachineContext } from './machineContext'
 import { runUntilStopped, type StoppableMachine } from './runUntilStopped'
+import { SignalKeeper } from './signalKeeper'
 
 /** An entry or control machine, as run by its process. */
 export interface Machine extends StoppableMachine {
@@ -28,27 +29,68 @@
 const SECOND_MS = 1_000
 const SETTINGS_CHECK_EVERY_MS = 2_000
 
+/** A machine that is created, and the text of its settings. */
+interface CreatedMachine {
+  machine: Machine
+  context: MachineContext
+  text: string
+}
+
 /** Runs one machine of a self-registering deployment until a signal stops it. Logs a start that fails, and rejects. */
 export async function runMachine(options: RunMachineOptions): Promise<void> {
   const clock = createSystemClock()
-  // The settings, which name the box and the level, are not known yet.
-  const logger = createLogger({ context: {}, level: 'info' })
-  logger.info('start.begun', { pid: process.pid, version: options.version, ageMs: processAge(clock) })
+  // Replaced once the settings, which name the box and the level, are known.
+  let logger = createLogger({ context: {}, level: 'info' })
+  const ageMs = () => Math.round(clock.now())
+  const signals = new SignalKeeper(process, (signal) =>
+    logger.info('start.signal', { signal, ageMs: ageMs() }),
+  )
+  process.on('unhandledRejection', (error) => logger.error('fault.unexpected', toErrorBody(error)))
+  process.on('uncaughtException', (error) => logger.error('fault.unexpected', toErrorBody(error)))
+  logger.info('start.begun', { pid: process.pid, version: options.version, ageMs: ageMs() })
   try {
-    await startAndRun(options, clock)
+    const stopSignal = waitForStopSignal(signals)
+    const created = await Promise.race([createMachine(options, clock, signals), stopSignal])
+    if (typeof created === 'string') {
+      logger.info('box.stopping', { reason: created, streams: 0 })
+      logger.info('box.stopped', { cut: 0 })
+      return
+    }
+    logger = created.context.logger
+    await runCreated(created, options, signals)
   } catch (error) {
-    logger.error('start.failed', { ageMs: processAge(clock), ...toErrorBody(error) })
+    logger.error('start.failed', { ageMs: ageMs(), ...toErrorBody(error) })
     throw error
   }
 }
 
-async function startAndRun(options: RunMachineOptions, clock: Clock): Promise<void> {
-  const { settingsPath, version } = options
-  let text = await readFile(settingsPath, 'utf8')
-  const settings = parseFleetSettings(text, { source: settingsPath })
-  const context = createMachineContext(settings, clock)
-  const { logger } = context
-  const machine = await options.create(context)
+/** Resolves to the signal that stops the process, if it comes before another listener for it is set. */
+function waitForStopSignal(signals: SignalKeeper): Promise<string> {
+  return new Promise((resolve) => {
+    signals.on('SIGTERM', resolve)
+    signals.on('SIGINT', resolve)
+  })
+}
+
+async function createMachine(
+  { settingsPath, create }: RunMachineOptions,
+  clock: Clock,
+  signals: SignalKeeper,
+): Promise<CreatedMachine> {
+  let text: string
+  do text = await readFile(settingsPath, 'utf8')
+  while (signals.take('SIGHUP'))
+  const context = createMachineContext(parseFleetSettings(text, { source: settingsPath }), clock)
+  return { machine: await create(context), context, text }
+}
+
+async function runCreated(
+  { machine, context, text: firstText }: CreatedMachine,
+  { settingsPath, version }: RunMachineOptions,
+  signals: SignalKeeper,
+): Promise<void> {
+  const { settings, clock, logger } = context
+  let text = firstText
   const reload = async () => {
     try {
       const newText = await readFile(settingsPath, 'utf8')
@@ -61,11 +103,9 @@
       logger.warn('fault.unexpected', toErrorBody(error))
     }
   }
-  process.on('SIGHUP', () => void reload())
-  process.on('unhandledRejection', (error) => logger.error('fault.unexpected', toErrorBody(error)))
-  process.on('uncaughtException', (error) => logger.error('fault.unexpected', toErrorBody(error)))
+  signals.on('SIGHUP', () => void reload())
   await runUntilStopped(machine, {
-    signals: process,
+    signals,
     graceMs: () => context.settings.stop.grace_s * SECOND_MS,
     onStarted: () => {
       every(clock, SETTINGS_CHECK_EVERY_MS, () => void reload())
@@ -78,11 +118,6 @@
   })
 }
 
-/** Returns the age of this process; its clock begins with it. */
-function processAge(clock: Clock): number {
-  return Math.round(clock.now())
-}
-
 function changedSections(before: FleetSettings, after: FleetSettings): string[] {
   const names = Object.keys(after) as (keyof FleetSettings)[]
   return names.filter((name) => JSON.stringify(before[name]) !== JSON.stringify(after[name]))
--- a/scripts/startWithCodeCache.cjs
+++ b/scripts/startWithCodeCache.cjs
@@ -2,6 +2,9 @@
 // missing, damaged, of another bundle, or made by another node version or with other flags is ignored; the start is
 // then only slower.
 'use strict'
+// Loading takes most of a start. The event loop turns only after it, so that the program's listeners get what came before.
+if (require.main === module)
+  for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) process.on(signal, () => undefined)
 const { createHash } = require('node:crypto')
 const { readFileSync } = require('node:fs')
 const { createRequire, wrap } = require('node:module')
