fix(fleet): half-written settings neither end a start nor come into force

Callers saw machines that did not start (FAULT): a settings file that was read while it was written (absent, empty, cut) ended the process with exit code 1 at the first attempt, also if it was whole a moment later. A part that reads well, as defaults fill what is missing, came into force: for 2 s at a reload, for the life of the process at a start.

Ruled out: telling a part from a whole file by its content, since nearly every section has defaults; its time of change, since the time of day may jump.

A text counts once two reads at least 50 ms apart agree. The loader does the first read at the start of the process, and the program's own read comes 50 ms and more later on this machine, so that the start does not wait; a program that is run without the loader waits for these 50 ms. Settings that cannot be read or have faults are read again for up to 5 s, with a line start.waiting each time the reason changes. Reloads run one at a time.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -10,6 +10,8 @@
   'start.begun': { pid: number; version: string; ageMs: number }
   /** A signal that came before the machine was created; it is acted on as soon as that is possible. */
   'start.signal': { signal: string; ageMs: number }
+  /** A step of the start cannot be done yet and is tried again for a while; one line each time that the reason changes. */
+  'start.waiting': { step: string; reason: string; ageMs: number }
   /** The process ends, since its machine could not be started. */
   'start.failed': { ageMs: number } & ErrorBody
   'start.code_cache_unused': { reason: string }
--- /dev/null
+++ b/daemon/fleet/src/readStartSettings.ts
@@ -0,0 +1,37 @@
+import { delay } from '@forkstage/clock'
+import { toErrorBody } from '@forkstage/error'
+import type { Millis } from '@forkstage/types'
+import { readSettled, type ReadSettledOptions } from './readSettled'
+
+/** Options of {@link readStartSettings}. */
+export interface ReadStartSettingsOptions<Settings> extends Omit<ReadSettledOptions, 'known'> {
+  /** @throws if the text has faults. */
+  parse: (text: string) => Settings
+  /** Called with the reason for which the start waits, whenever it changes. */
+  onWaiting: (reason: string) => void
+}
+
+/** How long a start waits for settings without faults: a file that is still being written cannot be told from a wrong one. */
+export const START_SETTINGS_WAIT_MS: Millis = 5_000
+const RETRY_EVERY_MS: Millis = 100
+
+/** Reads the settings of a start, again while they cannot be read or have faults. @throws the last fault after the wait. */
+export async function readStartSettings<Settings>(
+  options: ReadStartSettingsOptions<Settings>,
+): Promise<{ text: string; settings: Settings }> {
+  const { clock, parse, onWaiting } = options
+  const endsAt = clock.now() + START_SETTINGS_WAIT_MS
+  let reported: string | undefined
+  for (let { earlier } = options; ; earlier = undefined) {
+    try {
+      const text = await readSettled({ ...options, earlier })
+      return { text, settings: parse(text) }
+    } catch (error) {
+      if (clock.now() >= endsAt) throw error
+      const reason = toErrorBody(error).message
+      if (reason !== reported) onWaiting(reason)
+      reported = reason
+    }
+    await delay(clock, RETRY_EVERY_MS)
+  }
+}
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -4,8 +4,12 @@
 import { toErrorBody } from '@forkstage/error'
 import { parseFleetSettings, type FleetSettings } from '@forkstage/fleet-settings'
 import { createLogger } from '@forkstage/logger'
+import { earlySettings } from './earlySettings'
 import { logCodeCache } from './logCodeCache'
 import { createMachineContext, type MachineContext } from './machineContext'
+import { oneAtATime } from './oneAtATime'
+import { readSettled } from './readSettled'
+import { readStartSettings } from './readStartSettings'
 import { runUntilStopped, type StoppableMachine } from './runUntilStopped'
 import { SignalKeeper } from './signalKeeper'
 
@@ -42,6 +46,8 @@
   // Replaced once the settings, which name the box and the level, are known.
   let logger = createLogger({ context: {}, level: 'info' })
   const ageMs = () => Math.round(clock.now())
+  const onWaiting = (reason: string) =>
+    logger.warn('start.waiting', { step: 'settings', reason, ageMs: ageMs() })
   const signals = new SignalKeeper(process, (signal) =>
     logger.info('start.signal', { signal, ageMs: ageMs() }),
   )
@@ -50,7 +56,7 @@
   logger.info('start.begun', { pid: process.pid, version: options.version, ageMs: ageMs() })
   try {
     const stopSignal = waitForStopSignal(signals)
-    const created = await Promise.race([createMachine(options, clock, signals), stopSignal])
+    const created = await Promise.race([createMachine(options, { clock, signals, onWaiting }), stopSignal])
     if (typeof created === 'string') {
       logger.info('box.stopping', { reason: created, streams: 0 })
       logger.info('box.stopped', { cut: 0 })
@@ -72,16 +78,22 @@
   })
 }
 
+interface StartParts {
+  clock: Clock
+  signals: SignalKeeper
+  onWaiting: (reason: string) => void
+}
+
 async function createMachine(
   { settingsPath, create }: RunMachineOptions,
-  clock: Clock,
-  signals: SignalKeeper,
+  { clock, signals, onWaiting }: StartParts,
 ): Promise<CreatedMachine> {
-  let text: string
-  do text = await readFile(settingsPath, 'utf8')
-  while (signals.take('SIGHUP'))
-  const context = createMachineContext(parseFleetSettings(text, { source: settingsPath }), clock)
-  return { machine: await create(context), context, text }
+  const read = () => readFile(settingsPath, 'utf8')
+  const parse = (text: string) => parseFleetSettings(text, { source: settingsPath })
+  let found = await readStartSettings({ read, parse, clock, onWaiting, earlier: earlySettings(settingsPath) })
+  while (signals.take('SIGHUP')) found = await readStartSettings({ read, parse, clock, onWaiting })
+  const context = createMachineContext(found.settings, clock)
+  return { machine: await create(context), context, text: found.text }
 }
 
 async function runCreated(
@@ -91,9 +103,10 @@
 ): Promise<void> {
   const { settings, clock, logger } = context
   let text = firstText
-  const reload = async () => {
+  const read = () => readFile(settingsPath, 'utf8')
+  const reload = oneAtATime(async () => {
     try {
-      const newText = await readFile(settingsPath, 'utf8')
+      const newText = await readSettled({ read, clock, known: text })
       if (newText === text) return
       const newSettings = parseFleetSettings(newText, { source: settingsPath })
       logger.info('settings.reloaded', { changed: changedSections(context.settings, newSettings) })
@@ -102,13 +115,13 @@
     } catch (error) {
       logger.warn('fault.unexpected', toErrorBody(error))
     }
-  }
-  signals.on('SIGHUP', () => void reload())
+  })
+  signals.on('SIGHUP', reload)
   await runUntilStopped(machine, {
     signals,
     graceMs: () => context.settings.stop.grace_s * SECOND_MS,
     onStarted: () => {
-      every(clock, SETTINGS_CHECK_EVERY_MS, () => void reload())
+      every(clock, SETTINGS_CHECK_EVERY_MS, reload)
       logCodeCache(logger)
       const addresses = settings.listen as Record<string, string>
       logger.info('box.started', { box: settings.machine.name, addresses, version })
--- a/scripts/startWithCodeCache.cjs
+++ b/scripts/startWithCodeCache.cjs
@@ -58,7 +58,18 @@
   run(script, path)
 }
 
+/** Reads the settings for the program, which uses a text only if a later read agrees with an earlier one. */
+function readSettingsEarly() {
+  const path = process.env.FORKSTAGE_CONFIG ?? process.argv[2]
+  try {
+    globalThis.forkstageEarlySettings = { path, text: readFileSync(path, 'utf8'), readAt: performance.now() }
+  } catch {
+    // The program reads the file again and tells the reason.
+  }
+}
+
 if (require.main === module) {
+  readSettingsEarly()
   const name = __filename.slice(0, -'.cjs'.length)
   start(`${name}.bundle.cjs`, `${name}.cache`)
 }
