fix(fleet): a start waits for addresses, and opens the callers' listener last

Callers saw machines that did not start (FAULT), and requests that an entry had read ended without an answer (LOST): an address that is in use for a moment ended the process with exit code 1 at the first attempt. The entry's listener for callers was open by then if the address was that of the metrics.

An entry opens its listener for callers last and is not ready before; a control machine opens the one for operators and endpoints after those that may fail. A start that fails while the machine stops no longer ends the process before its stop.

Ruled out as causes, each tried with a control machine as a process for 3 s (a trial): a data folder that is a file, a full disk at each file that is replaced and at the log, state files and a replica.json of eight and five odd contents. None ended the process or left an error that nobody caught.

--- a/cli/forkstage/test/addressInUse.test.ts
+++ b/cli/forkstage/test/addressInUse.test.ts
@@ -8,7 +8,7 @@
 
 let folder: string
 let machine: MachineProcess
-/** Holds the address of the machine's metrics. */
+/** Holds an address that the machine is to listen at. */
 let holder: Server
 
 beforeEach(async () => {
@@ -23,8 +23,13 @@
   await rm(folder, { recursive: true, force: true })
 })
 
-async function start(role: Role, callers?: string): Promise<void> {
-  const metrics = `127.0.0.1:${(holder.address() as AddressInfo).port}`
+const addressOf = (port: number) => `127.0.0.1:${port}`
+const heldPort = () => (holder.address() as AddressInfo).port
+
+async function start(
+  role: Role,
+  { callers, metrics = addressOf(heldPort()) }: { callers?: string; metrics?: string } = {},
+): Promise<void> {
   await writeFile(join(folder, 'settings.toml'), settingsText({ role, folder, callers, metrics }))
   machine = new MachineProcess(join(folder, `${role}.cjs`), join(folder, 'settings.toml'))
 }
@@ -48,9 +53,26 @@
     await machine.waitFor('box.started')
   })
 
+  it('is opened for callers once it is free', async () => {
+    const port = heldPort()
+    await start('entry', { callers: addressOf(port), metrics: addressOf(0) })
+    await machine.waitFor('start.waiting')
+    holder.close()
+    await machine.waitFor('box.started')
+    expect(await isOpen(port)).toBe(true)
+  })
+
+  it.each(['entry', 'control'] as const)('does not keep a machine from stopping: %s', async (role) => {
+    await start(role)
+    await machine.waitFor('start.waiting')
+    machine.kill('SIGTERM')
+    expect(await machine.end).toEqual({ code: 0, signal: null })
+    expect(machine.lines.at(-1)).toMatchObject({ event: 'box.stopped', cut: 0 })
+  })
+
   it('ends a start that no caller has reached', async () => {
     const port = await freePort()
-    await start('entry', `127.0.0.1:${port}`)
+    await start('entry', { callers: addressOf(port) })
     await machine.waitFor('start.waiting')
     let wasOpen = false
     while (machine.isRunning) wasOpen ||= await isOpen(port)
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -19,6 +19,7 @@
 import { createControlApp } from './controlApp'
 import { createCrashTracker } from './createCrashTracker'
 import { createGroupHost } from './createGroupHost'
+import { createOpener } from './createOpener'
 import { createQuotaLedger } from './createQuotaLedger'
 import type { ControlWire } from './controlWire'
 import { createControlMetrics } from './createControlMetrics'
@@ -64,6 +65,7 @@
   private readonly origins: ControlOrigins
   private peerServer: PeerServer | undefined
   private listeners: Listener[] = []
+  private isStopping = false
   private readonly metrics: FleetMetrics
   private newestSheet: SheetDocument | undefined
   private readonly routes = new RouteStore()
@@ -214,12 +216,10 @@
 
   async start(): Promise<void> {
     const { settings, clock, logger } = this.context
-    this.peerServer = await startPeerServer({
-      address: settings.listen.peers,
-      sharedKey: settings.peers.shared_key,
-      methods: this.methods(),
-      logger,
-    })
+    const { listen, peers } = settings
+    const open = createOpener({ clock, logger, isStopping: () => this.isStopping })
+    const served = { sharedKey: peers.shared_key, methods: this.methods(), logger }
+    this.peerServer = await open(() => startPeerServer({ address: listen.peers, ...served }))
     const app = createControlApp({
       wire: this.wire,
       sheetService: this.sheetService,
@@ -229,10 +229,9 @@
       clock,
       logger,
     })
-    this.listeners = [
-      await listenOn(app, settings.listen.operators!),
-      ...(await serveMetrics(this.metrics, settings.listen.metrics)),
-    ]
+    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics))))
+    // Last, so that no start fails after it has accepted a request.
+    this.listeners.push(await open(() => listenOn(app, listen.operators!)))
     void this.host.start()
     void this.saved.recall()
     void this.crashes.load()
@@ -264,6 +263,7 @@
    */
   async stop(): Promise<number> {
     const { clock, peers } = this.context
+    this.isStopping = true
     this.host.replica?.transferLeadership()
     await new Promise<void>((resolve) => clock.after(LINGER_MS, resolve))
     this.cancelLeaderCheck()
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import { delay, every, type CancelTimer } from '@forkstage/clock'
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
@@ -23,6 +24,7 @@
 import { createCrashTracker } from './createCrashTracker'
 import { createEntryMetrics } from './createEntryMetrics'
 import { createLeaderClient } from './createLeaderClient'
+import { createOpener } from './createOpener'
 import { createOriginClient } from './createOriginClient'
 import { createQuotaLimiter } from './createQuotaLimiter'
 import { createRetryBudget } from './createRetryBudget'
@@ -37,12 +39,11 @@
 import { logEndpoints } from './logEndpoints'
 import type { MachineContext } from './machineContext'
 import { serveMetrics } from './serveMetrics'
+import { serveReadiness } from './serveReadiness'
 
 const SECOND_MS = 1_000
 /** How often limiters are updated; the shares of cold endpoints depend on the number of entries. */
 const SWEEP_EVERY_MS = 1_000
-const READY = 200
-const NOT_READY = 503
 const IDLE_POLL_MS = 50
 /** Margin between the last answer and the forced end of the process. */
 const GRACE_MARGIN_MS = 400
@@ -82,6 +83,8 @@
   private readonly ingress: Ingress
   private readonly metrics: FleetMetrics
   private listeners: Listener[] = []
+  /** Whether callers can connect. */
+  private isOpen = false
   private leaving = false
   private cancelSweep: CancelTimer = () => undefined
 
@@ -243,33 +246,35 @@
   /** Whether this entry can serve callers. */
   get isReady(): boolean {
     const hasEndpoints = this.pool.size > 0 && this.paths.hasPath
-    return !this.leaving && this.routes.current !== undefined && hasEndpoints
+    return this.isOpen && !this.leaving && this.routes.current !== undefined && hasEndpoints
   }
 
   async start(): Promise<void> {
-    const { settings, logger } = this.context
+    const { settings, clock, logger } = this.context
     const { listen } = settings
+    const open = createOpener({ clock, logger, isStopping: () => this.leaving })
     // Connects and fetches routes while the listeners are set up.
     this.follower.start()
-    this.peerServer = await startPeerServer({
+    const peerOptions = {
       address: listen.peers,
       sharedKey: settings.peers.shared_key,
       methods: { ...this.leaderClient.methods(), ...this.paths.methods() },
-      onJoin: (ticket, socket) => this.paths.join(ticket, socket),
+      onJoin: (ticket: string, socket: Socket) => this.paths.join(ticket, socket),
       logger,
-    })
-    const readiness = await listenOn((request, response) => {
-      const isKnown = request.url === this.wire.gateway.readinessPath
-      response.statusCode = isKnown && this.isReady ? READY : NOT_READY
-      response.end()
-    }, listen.readiness!)
-    this.listeners = [readiness, await listenOn(this.ingress.server, listen.callers!)]
-    this.listeners.push(...(await serveMetrics(this.metrics, listen.metrics)))
+    }
+    this.peerServer = await open(() => startPeerServer(peerOptions))
+    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics))))
     this.placer.start()
     this.cold.start()
-    this.cancelSweep = every(this.context.clock, SWEEP_EVERY_MS, () => this.sweep())
+    this.cancelSweep = every(clock, SWEEP_EVERY_MS, () => this.sweep())
     this.quotas.start()
     this.limits.start()
+    const { readinessPath } = this.wire.gateway
+    const isReady = () => this.isReady
+    this.listeners.push(await open(() => serveReadiness(readinessPath, isReady, listen.readiness!)))
+    // Last, so that no start fails after it has accepted a request.
+    this.listeners.push(await open(() => listenOn(this.ingress.server, listen.callers!)))
+    this.isOpen = true
   }
 
   /** Applies changed settings and connects to control machines from the new seeds. */
--- a/daemon/fleet/src/listenOn.ts
+++ b/daemon/fleet/src/listenOn.ts
@@ -11,8 +11,7 @@
   const server = typeof handler === 'function' ? createServer(handler) : handler
   const colon = address.lastIndexOf(':')
   return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () => {
+    const onListening = () =>
       resolve({
         server,
         close: () => {
@@ -20,6 +19,11 @@
           server.closeAllConnections()
         },
       })
+    server.once('error', (error) => {
+      // A server may be told to listen again after a failure.
+      server.off('listening', onListening)
+      reject(error)
     })
+    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), onListening)
   })
 }
--- a/daemon/fleet/src/runUntilStopped.ts
+++ b/daemon/fleet/src/runUntilStopped.ts
@@ -51,10 +51,17 @@
     signals.on('SIGTERM', stop)
     signals.on('SIGINT', stop)
   })
-  const started = machine.start().then(() => {
-    if (!isStopping) onStarted()
-    return stopped
-  })
+  const started = machine.start().then(
+    () => {
+      if (!isStopping) onStarted()
+      return stopped
+    },
+    (error: unknown) => {
+      // A machine that is stopping opens nothing more, and must not end before its stop.
+      if (isStopping) return stopped
+      throw error
+    },
+  )
   // A start that hangs must not block the stop.
   await Promise.race([started, stopped])
 }
--- /dev/null
+++ b/daemon/fleet/test/createOpener.test.ts
@@ -0,0 +1,78 @@
+import { ManualClock } from '@forkstage/clock'
+import { createLogger } from '@forkstage/logger'
+import { describe, expect, it } from 'vitest'
+import { ADDRESS_WAIT_MS, createOpener } from '../src/createOpener'
+
+const STEP_MS = 50
+
+/** Opens a listener that fails with the code that the test sets; undefined lets it succeed. */
+function run(code: string | undefined) {
+  const clock = new ManualClock()
+  const events: string[] = []
+  const logger = createLogger({
+    context: {},
+    level: 'info',
+    write: (line) => void events.push(JSON.parse(line).context.event),
+  })
+  const observed = {
+    code,
+    clock,
+    events,
+    attempts: 0,
+    isStopping: false,
+    opened: false,
+    error: undefined as unknown,
+  }
+  const open = async () => {
+    observed.attempts += 1
+    if (observed.code !== undefined) throw Object.assign(new Error(observed.code), { code: observed.code })
+  }
+  createOpener({ clock, logger, isStopping: () => observed.isStopping })(open).then(
+    () => (observed.opened = true),
+    (error: unknown) => (observed.error = error),
+  )
+  return observed
+}
+
+async function pass(clock: ManualClock, milliseconds: number): Promise<void> {
+  for (let passed = 0; passed <= milliseconds; passed += STEP_MS) {
+    await new Promise((resolve) => setImmediate(resolve))
+    if (passed < milliseconds) clock.advance(STEP_MS)
+  }
+}
+
+describe('createOpener', () => {
+  it('opens once the address is free, and logs the wait once', async () => {
+    const observed = run('EADDRINUSE')
+    await pass(observed.clock, 1_000)
+    expect(observed.opened).toBe(false)
+    observed.code = undefined
+    await pass(observed.clock, STEP_MS)
+    expect(observed.opened).toBe(true)
+    expect(observed.events).toEqual(['start.waiting'])
+  })
+
+  it('gives up after a while', async () => {
+    const observed = run('EADDRINUSE')
+    await pass(observed.clock, ADDRESS_WAIT_MS - STEP_MS)
+    expect(observed.error).toBeUndefined()
+    await pass(observed.clock, STEP_MS)
+    expect(observed.error).toMatchObject({ code: 'EADDRINUSE' })
+  })
+
+  it('does not retry other errors', async () => {
+    const observed = run('EACCES')
+    await pass(observed.clock, 0)
+    expect(observed).toMatchObject({ attempts: 1, error: { code: 'EACCES' } })
+  })
+
+  it('opens nothing more once the machine stops', async () => {
+    const observed = run('EADDRINUSE')
+    await pass(observed.clock, 1_000)
+    const { attempts } = observed
+    observed.isStopping = true
+    observed.code = undefined
+    await pass(observed.clock, STEP_MS)
+    expect(observed).toMatchObject({ attempts, opened: false, error: { code: 'EADDRINUSE' } })
+  })
+})
--- a/daemon/fleet/test/runUntilStopped.test.ts
+++ b/daemon/fleet/test/runUntilStopped.test.ts
@@ -105,6 +105,22 @@
     expect(named(observed.events, 'box.stopping')).toHaveLength(1)
   })
 
+  it('finishes the stop if the start fails meanwhile', async () => {
+    let fail = (_error: Error) => {}
+    let finish = (_cut: number) => {}
+    const observed = run({
+      start: () => new Promise((_, reject) => (fail = reject)),
+      stop: () => new Promise((resolve) => (finish = resolve)),
+    })
+    observed.signals.emit('SIGTERM', 'SIGTERM')
+    fail(new Error('the port is taken'))
+    await flushTasks()
+    expect(observed).toMatchObject({ hasEnded: false, error: undefined })
+    finish(0)
+    await flushTasks()
+    expect(observed).toMatchObject({ hasEnded: true, error: undefined })
+  })
+
   it('rejects with the error of the start', async () => {
     const observed = run({ start: () => Promise.reject(new Error('the port is taken')) })
     await flushTasks()
