fix(cli): SIGHUP does not end forkstage run, nor its start

A box of the operators' table ended by SIGHUP at any time, and by SIGTERM while it started, without a stop: it had no listener for the one and set the other after its start. Found beside the ends of machines that find each other.

The listeners are set before the settings are read. SIGHUP changes nothing, as a box reads its settings at its start only; SIGTERM during the start stops the box once it has started. SIGHUP is borne while the command's modules are loaded, for `run` and `serve`; SIGTERM and SIGINT still end the process in that time, since the command line is parsed before the machine listens, and a lost stop would be worse.

Not changed: a box whose settings are half-written, or whose addresses are in use, still ends at the first attempt.

--- a/cli/forkstage/src/control.ts
+++ b/cli/forkstage/src/control.ts
@@ -1,4 +1,4 @@
-import './takeSignals'
+import './takeSignalsAtOnce'
 import { createControl } from './createControl'
 import { requireRole } from './requireRole'
 import { serveMachine, settingsPathOfProcess } from './serveMachine'
--- a/cli/forkstage/src/entry.ts
+++ b/cli/forkstage/src/entry.ts
@@ -1,4 +1,4 @@
-import './takeSignals'
+import './takeSignalsAtOnce'
 import { createEntry } from './createEntry'
 import { requireRole } from './requireRole'
 import { serveMachine, settingsPathOfProcess } from './serveMachine'
--- a/cli/forkstage/src/main.ts
+++ b/cli/forkstage/src/main.ts
@@ -1,3 +1,4 @@
+import './takeSignalsOfMachines'
 import yargs, { type Argv } from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { SettingsError } from '@forkstage/settings'
--- a/cli/forkstage/src/serve.ts
+++ b/cli/forkstage/src/serve.ts
@@ -1,4 +1,4 @@
-import './takeSignals'
+import './takeSignalsAtOnce'
 import { createMachine } from './createMachine'
 import { serveMachine, settingsPathOfProcess } from './serveMachine'
 
--- a/cli/forkstage/src/takeSignals.ts
+++ b/cli/forkstage/src/takeSignals.ts
@@ -1,5 +1,4 @@
-/**
- * Imported first by the programs of machines: while the other modules are loaded, a signal without a listener would end the
- * process. The machine's own listeners are set before the event loop first turns, and get what came before.
- */
-for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) process.on(signal, () => undefined)
+/** Keeps signals from ending the process by their default action, while its modules are loaded. */
+export function takeSignals(signals: NodeJS.Signals[]): void {
+  for (const signal of signals) process.on(signal, () => undefined)
+}
--- a/cli/forkstage/test/machineProcess.ts
+++ b/cli/forkstage/test/machineProcess.ts
@@ -116,8 +116,8 @@
   private hasEnded = false
   private wake: () => void = () => undefined
 
-  constructor(program: string, settingsPath: string) {
-    this.child = spawn(process.execPath, [program], {
+  constructor(program: string, settingsPath: string, args: string[] = []) {
+    this.child = spawn(process.execPath, [program, ...args], {
       env: { ...process.env, FORKSTAGE_CONFIG: settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
     })
