--- a/daemon/fleet/src/readStartSettings.ts
+++ b/daemon/fleet/src/readStartSettings.ts
@@ -4,7 +4,7 @@
 import { readSettled, type ReadSettledOptions } from './readSettled'
 
 /** Options of {@link readStartSettings}. */
-export interface ReadStartSettingsOptions<Settings> extends Omit<ReadSettledOptions, 'known'> {
+export interface ReadStartSettingsOptions<Settings> extends Omit<ReadSettledOptions, 'apartMs'> {
   /** @throws if the text has faults. */
   parse: (text: string) => Settings
   /** Called with the reason for which the start waits, whenever it changes. */
@@ -13,6 +13,8 @@
 
 /** How long a start waits for settings without faults: a file that is still being written cannot be told from a wrong one. */
 export const START_SETTINGS_WAIT_MS: Millis = 5_000
+/** Less than the time from the loader's read to the first one here, so that a start does not wait for its settings. */
+const READS_APART_MS: Millis = 25
 const RETRY_EVERY_MS: Millis = 100
 
 /** Reads the settings of a start, again while they cannot be read or have faults. @throws the last fault after the wait. */
@@ -24,7 +26,7 @@
   let reported: string | undefined
   for (let { earlier } = options; ; earlier = undefined) {
     try {
-      const text = await readSettled({ ...options, earlier })
+      const text = await readSettled({ ...options, apartMs: READS_APART_MS, earlier })
       return { text, settings: parse(text) }
     } catch (error) {
       if (clock.now() >= endsAt) throw error
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -32,6 +32,8 @@
 
 const SECOND_MS = 1_000
 const SETTINGS_CHECK_EVERY_MS = 2_000
+/** Changed settings come into force once two reads this far apart agree. */
+const READS_APART_MS = 50
 
 /** A machine that is created, and the text of its settings. */
 interface CreatedMachine {
@@ -91,7 +93,8 @@
   const read = () => readFile(settingsPath, 'utf8')
   const parse = (text: string) => parseFleetSettings(text, { source: settingsPath })
   let found = await readStartSettings({ read, parse, clock, onWaiting, earlier: earlySettings(settingsPath) })
-  while (signals.take('SIGHUP')) found = await readStartSettings({ read, parse, clock, onWaiting })
+  while (signals.take('SIGHUP'))
+    found = await readStartSettings({ read, parse, clock, onWaiting, known: found.text })
   const context = createMachineContext(found.settings, clock)
   return { machine: await create(context), context, text: found.text }
 }
@@ -106,7 +109,7 @@
   const read = () => readFile(settingsPath, 'utf8')
   const reload = oneAtATime(async () => {
     try {
-      const newText = await readSettled({ read, clock, known: text })
+      const newText = await readSettled({ read, apartMs: READS_APART_MS, clock, known: text })
       if (newText === text) return
       const newSettings = parseFleetSettings(newText, { source: settingsPath })
       logger.info('settings.reloaded', { changed: changedSections(context.settings, newSettings) })
--- a/daemon/fleet/test/readSettled.test.ts
+++ b/daemon/fleet/test/readSettled.test.ts
@@ -1,6 +1,8 @@
 import { ManualClock } from '@forkstage/clock'
 import { describe, expect, it } from 'vitest'
-import { readSettled, SETTLED_MS, type ReadSettledOptions } from '../src/readSettled'
+import { readSettled, type ReadSettledOptions } from '../src/readSettled'
+
+const APART_MS = 50
 
 /** Reads a file whose content the test sets. */
 function run(content: string, options: Partial<ReadSettledOptions> = {}, clock = new ManualClock(1_000)) {
@@ -9,7 +11,7 @@
     observed.reads += 1
     return observed.content
   }
-  void readSettled({ read, clock, ...options }).then((text) => (observed.result = text))
+  void readSettled({ read, apartMs: APART_MS, clock, ...options }).then((text) => (observed.result = text))
   return observed
 }
 
@@ -25,7 +27,7 @@
 describe('readSettled', () => {
   it('resolves to a text once two reads agree', async () => {
     const observed = run('whole')
-    await pass(observed.clock, SETTLED_MS - 1)
+    await pass(observed.clock, APART_MS - 1)
     expect(observed.result).toBeUndefined()
     await pass(observed.clock, 1)
     expect(observed).toMatchObject({ result: 'whole', reads: 2 })
@@ -35,9 +37,9 @@
     const observed = run('who')
     await flushTasks()
     observed.content = 'whole'
-    await pass(observed.clock, SETTLED_MS)
+    await pass(observed.clock, APART_MS)
     expect(observed.result).toBeUndefined()
-    await pass(observed.clock, SETTLED_MS)
+    await pass(observed.clock, APART_MS)
     expect(observed).toMatchObject({ result: 'whole', reads: 3 })
   })
 
@@ -48,14 +50,14 @@
   })
 
   it('resolves at once if an earlier read agrees', async () => {
-    const observed = run('whole', { earlier: { text: 'whole', readAt: 1_000 - SETTLED_MS } })
+    const observed = run('whole', { earlier: { text: 'whole', readAt: 1_000 - APART_MS } })
     await flushTasks()
     expect(observed).toMatchObject({ result: 'whole', reads: 1 })
   })
 
   it('waits for the rest of the time if the earlier read was just before', async () => {
     const observed = run('whole', { earlier: { text: 'whole', readAt: 990 } })
-    await pass(observed.clock, SETTLED_MS - 11)
+    await pass(observed.clock, APART_MS - 11)
     expect(observed.result).toBeUndefined()
     await pass(observed.clock, 1)
     expect(observed.result).toBe('whole')
@@ -65,7 +67,7 @@
     const observed = run('whole', { earlier: { text: 'who', readAt: 0 } })
     await flushTasks()
     expect(observed.result).toBeUndefined()
-    await pass(observed.clock, SETTLED_MS)
+    await pass(observed.clock, APART_MS)
     expect(observed.result).toBe('whole')
   })
 })
