--- a/cli/forkstage/src/serve.ts
+++ b/cli/forkstage/src/serve.ts
@@ -1,3 +1,4 @@
+import './takeSignalsAtOnce'
 import { createMachine } from './createMachine'
 import { serveMachine, settingsPathOfProcess } from './serveMachine'
 
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -1,11 +1,17 @@
 import { readFile as readFileWithCallback } from 'node:fs'
 import { promisify } from 'node:util'
-import { every } from '@forkstage/clock'
+import { createSystemClock, every, type Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import { parseFleetSettings, type FleetSettings } from '@forkstage/fleet-settings'
+import { createLogger } from '@forkstage/logger'
+import { earlySettings } from './earlySettings'
 import { logCodeCache } from './logCodeCache'
 import { createMachineContext, type MachineContext } from './machineContext'
+import { oneAtATime } from './oneAtATime'
+import { readSettled } from './readSettled'
+import { readStartSettings } from './readStartSettings'
 import { runUntilStopped, type StoppableMachine } from './runUntilStopped'
+import { SignalKeeper } from './signalKeeper'
 
 /** An entry or control machine, as run by its process. */
 export interface Machine extends StoppableMachine {
@@ -26,18 +32,84 @@
 
 const SECOND_MS = 1_000
 const SETTINGS_CHECK_EVERY_MS = 2_000
+/** Changed settings come into force once two reads this far apart agree. */
+const READS_APART_MS = 50
 
-/** Runs one machine of a self-registering deployment until a signal stops it. */
+/** A machine that is created, and the text of its settings. */
+interface CreatedMachine {
+  machine: Machine
+  context: MachineContext
+  text: string
+}
+
+/** Runs one machine of a self-registering deployment until a signal stops it. Logs a start that fails, and rejects. */
 export async function runMachine(options: RunMachineOptions): Promise<void> {
-  const { settingsPath, version } = options
-  let text = await readFile(settingsPath, 'utf8')
-  const settings = parseFleetSettings(text, { source: settingsPath })
-  const context = createMachineContext(settings)
-  const { logger, clock } = context
-  const machine = await options.create(context)
-  const reload = async () => {
+  const clock = createSystemClock()
+  // Replaced once the settings, which name the box and the level, are known.
+  let logger = createLogger({ context: {}, level: 'info' })
+  const ageMs = () => Math.round(clock.now())
+  const onWaiting = (reason: string) =>
+    logger.warn('start.waiting', { step: 'settings', reason, ageMs: ageMs() })
+  const signals = new SignalKeeper(process, (signal) =>
+    logger.info('start.signal', { signal, ageMs: ageMs() }),
+  )
+  process.on('unhandledRejection', (error) => logger.error('fault.unexpected', toErrorBody(error)))
+  process.on('uncaughtException', (error) => logger.error('fault.unexpected', toErrorBody(error)))
+  logger.info('start.begun', { pid: process.pid, version: options.version, ageMs: ageMs() })
+  try {
+    const stopSignal = waitForStopSignal(signals)
+    const created = await Promise.race([createMachine(options, { clock, signals, onWaiting }), stopSignal])
+    if (typeof created === 'string') {
+      logger.info('box.stopping', { reason: created, streams: 0 })
+      logger.info('box.stopped', { cut: 0 })
+      return
+    }
+    logger = created.context.logger
+    await runCreated(created, options, signals)
+  } catch (error) {
+    logger.error('start.failed', { ageMs: ageMs(), ...toErrorBody(error) })
+    throw error
+  }
+}
+
+/** Resolves to the signal that stops the process, if it comes before another listener for it is set. */
+function waitForStopSignal(signals: SignalKeeper): Promise<string> {
+  return new Promise((resolve) => {
+    signals.on('SIGTERM', resolve)
+    signals.on('SIGINT', resolve)
+  })
+}
+
+interface StartParts {
+  clock: Clock
+  signals: SignalKeeper
+  onWaiting: (reason: string) => void
+}
+
+async function createMachine(
+  { settingsPath, create }: RunMachineOptions,
+  { clock, signals, onWaiting }: StartParts,
+): Promise<CreatedMachine> {
+  const read = () => readFile(settingsPath, 'utf8')
+  const parse = (text: string) => parseFleetSettings(text, { source: settingsPath })
+  let found = await readStartSettings({ read, parse, clock, onWaiting, earlier: earlySettings(settingsPath) })
+  while (signals.take('SIGHUP'))
+    found = await readStartSettings({ read, parse, clock, onWaiting, known: found.text })
+  const context = createMachineContext(found.settings, clock)
+  return { machine: await create(context), context, text: found.text }
+}
+
+async function runCreated(
+  { machine, context, text: firstText }: CreatedMachine,
+  { settingsPath, version }: RunMachineOptions,
+  signals: SignalKeeper,
+): Promise<void> {
+  const { settings, clock, logger } = context
+  let text = firstText
+  const read = () => readFile(settingsPath, 'utf8')
+  const reload = oneAtATime(async () => {
     try {
-      const newText = await readFile(settingsPath, 'utf8')
+      const newText = await readSettled({ read, apartMs: READS_APART_MS, clock, known: text })
       if (newText === text) return
       const newSettings = parseFleetSettings(newText, { source: settingsPath })
       logger.info('settings.reloaded', { changed: changedSections(context.settings, newSettings) })
@@ -46,15 +118,13 @@
     } catch (error) {
       logger.warn('fault.unexpected', toErrorBody(error))
     }
-  }
-  process.on('SIGHUP', () => void reload())
-  process.on('unhandledRejection', (error) => logger.error('fault.unexpected', toErrorBody(error)))
-  process.on('uncaughtException', (error) => logger.error('fault.unexpected', toErrorBody(error)))
+  })
+  signals.on('SIGHUP', reload)
   await runUntilStopped(machine, {
-    signals: process,
+    signals,
     graceMs: () => context.settings.stop.grace_s * SECOND_MS,
     onStarted: () => {
-      every(clock, SETTINGS_CHECK_EVERY_MS, () => void reload())
+      every(clock, SETTINGS_CHECK_EVERY_MS, reload)
       logCodeCache(logger)
       const addresses = settings.listen as Record<string, string>
       logger.info('box.started', { box: settings.machine.name, addresses, version })
--- a/scripts/startWithCodeCache.cjs
+++ b/scripts/startWithCodeCache.cjs
@@ -2,6 +2,9 @@
 // missing, damaged, of another bundle, or made by another node version or with other flags is ignored; the start is
 // then only slower.
 'use strict'
+// Loading takes most of a start. The event loop turns only after it, so that the program's listeners get what came before.
+if (require.main === module)
+  for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) process.on(signal, () => undefined)
 const { createHash } = require('node:crypto')
 const { readFileSync } = require('node:fs')
 const { createRequire, wrap } = require('node:module')
@@ -55,7 +58,18 @@
   run(script, path)
 }
 
+/** Reads the settings for the program, which uses a text only if a later read agrees with an earlier one. */
+function readSettingsEarly() {
+  const path = process.env.FORKSTAGE_CONFIG ?? process.argv[2]
+  try {
+    globalThis.forkstageEarlySettings = { path, text: readFileSync(path, 'utf8'), readAt: performance.now() }
+  } catch {
+    // The program reads the file again and tells the reason.
+  }
+}
+
 if (require.main === module) {
+  readSettingsEarly()
   const name = __filename.slice(0, -'.cjs'.length)
   start(`${name}.bundle.cjs`, `${name}.cache`)
 }
