--- a/tools/fleet-soak/src/versionedEngine.ts
+++ b/tools/fleet-soak/src/versionedEngine.ts
@@ -181,7 +181,9 @@
     const timer = setInterval(() => {
       made += 1
       response.write(`id: ${made}\ndata: ${version}\n\n`)
-      if (made >= STREAM_EVENTS) response.end()
+      if (made < STREAM_EVENTS) return
+      clearInterval(timer)
+      response.end()
     }, EVENT_MS)
     response.on('close', () => {
       clearInterval(timer)
