test(fleet-soak): callers on kept connections beside planned work, and a check of each process end

Each end of a process is compared with what the soak asked for; a request that planned work ended without an answer more than 200 ms after its last byte is reported by how far it had come.

--- a/tools/fleet-soak/src/fleetFaults.ts
+++ b/tools/fleet-soak/src/fleetFaults.ts
@@ -83,6 +83,11 @@
     return this.injectAtEndpoint(fault)
   }
 
+  /** Whether a fault at a machine is in progress. */
+  isBusy(machine: SoakMachine): boolean {
+    return this.busy.has(machine.name)
+  }
+
   private async killAllControl(fault: FleetFault): Promise<void> {
     if (this.busyControlCount() > 0) return
     const { control } = this.fleet
--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -30,6 +30,12 @@
       default: 0,
       describe: 'share of evacuations in which a withdrawal is abandoned and the evacuation sent again',
     })
+    .option('kept', { type: 'number', default: 0, describe: 'callers that keep their connections' })
+    .option('signals', {
+      type: 'number',
+      default: 0,
+      describe: 'how much planned work there is (SIGHUP, new settings, stops in turn), 0 to 1',
+    })
     .strict()
     .parse()
   const report = await runFleetSoak(args)
@@ -42,6 +48,7 @@
   write(
     `streams of two versions in calm times: ${begun.served} of ${begun.attempts} new ones began, ${resumed.served} of ${resumed.attempts} resumed ones went on`,
   )
+  if (args.kept > 0) write(report.keptSummary)
   if (args.keep) write(`kept in ${report.folder}`)
   report.violations.forEach((fault) => write(`BROKEN: ${fault}`))
   write(
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -9,9 +9,11 @@
 import { checkPoisonRequest, type PoisonArrivals } from './checkPoisonRequest'
 import { checkRates, RATE_PER_SECOND } from './checkRates'
 import { checkCalls } from './checkCalls'
+import { countAnswers } from './countAnswers'
 import { checkPartitions } from './checkPartitions'
 import { checkEndpointSignals, type EndpointSignals } from './checkEndpointSignals'
 import { checkStreamVersions, countAttempts, type StreamShares } from './checkStreamVersions'
+import { describePartition } from './describePartition'
 import { planEngineFaults, runEngineFaults } from './engineFaults'
 import { FleetFaultInjector, planFleetFaults } from './fleetFaults'
 import { DOMAINS } from './machineSettings'
@@ -24,6 +26,7 @@
 import { SoakStreams } from './soakStreams'
 import { checkWorkspaceRuns, rotatingKey, type ObservedRun } from './soakWorkspaces'
 import { pause } from './pause'
+import { PlannedWork } from './plannedWork'
 import { StandInEndpoint } from './standInEndpoint'
 import { newStreamInterruptions, type StreamInterruptions } from './standInRuns'
 import { VersionedEngine, VERSIONS } from './versionedEngine'
@@ -45,6 +48,10 @@
   unframed: number
   /** Share of evacuations in which a withdrawal is abandoned and the evacuation sent again. */
   abandoned: number
+  /** Number of callers that keep their connections open and in use. */
+  kept: number
+  /** How much planned work there is (SIGHUP, new settings, stops in turn), 0 to 1. */
+  signals: number
 }
 
 /** Counts and violations of one soak. */
@@ -65,6 +72,8 @@
   longCompleted: number
   /** How often streams of several software versions began and went on in calm times. */
   shares: StreamShares
+  /** Counts of callers that keep their connections. */
+  keptSummary: string
   /** Guarantees that did not hold; empty when the soak passed. */
   violations: string[]
 }
@@ -84,7 +93,6 @@
 const RECOVERY_MS = 12_000
 const OK = 200
 const UNAUTHORIZED = 401
-const SHOWN_CHARACTERS = 160
 /** Separates the generators of signals from the others of a seed. */
 const SIGNAL_SEED_OFFSET = 50
 const VERSIONED_SEED_OFFSET = 80
@@ -169,7 +177,7 @@
 }
 
 async function soak(
-  { minutes, seed, fatalMs, fatalKinds, abandoned }: FleetSoakOptions,
+  { minutes, seed, fatalMs, fatalKinds, abandoned, kept, signals }: FleetSoakOptions,
   folder: string,
   fleet: SoakFleet,
   endpoints: StandInEndpoint[],
@@ -184,6 +192,7 @@
     random: createSeededRandom(seed + ABANDONED_SEED_OFFSET),
   })
   const streams = new SoakStreams(fleet, createSeededRandom(seed + 8))
+  const planned = new PlannedWork(fleet, injector, { seed, kept, signals, keys: callers.keys })
   while (operator.newest === 0) {
     await operator.putNext()
     await pause(READ_EVERY_MS)
@@ -224,6 +233,7 @@
     runVersionFaults(planVersionFaults(durationMs, createSeededRandom(seed + 9)), versioned).then(
       (done) => (versionFaults = done),
     ),
+    planned.run(durationMs),
     ...faults,
   ])
   await Promise.all(work)
@@ -258,10 +268,11 @@
     ...(await checkLastEvacuation(evacuations, injector, { fleet, callers, endpoints })),
     ...operator.violations,
   ]
+  const keptResult = planned.check({ runs, partitions })
   return {
     seed,
     folder,
-    faults: [...injector.done, ...partitions.map(describePartition), ...versionFaults],
+    faults: [...injector.done, ...partitions.map(describePartition), ...versionFaults, ...planned.done],
     calls: callers.calls.length,
     answered: callers.calls.filter((call) => call.status === 200 && call.isWhole).length,
     acknowledged: new Set(operator.acknowledged.map((one) => one.version)).size,
@@ -271,14 +282,11 @@
     longCompleted: callers.calls.filter((call) => isLong(call.kind) && call.status === OK && call.isWhole)
       .length,
     shares: countAttempts(streams.streams, surroundings),
-    violations,
+    keptSummary: keptResult.summary,
+    violations: [...violations, ...keptResult.violations],
   }
 }
 
-function describePartition({ from, to, kind, entries }: ObservedPartition): string {
-  return `${entries.join(', ')} cut off (${kind}) for ${to - from} ms`
-}
-
 /** Returns the signals and arrivals of all endpoints. */
 function signalsOf(endpoints: StandInEndpoint[]): EndpointSignals {
   return {
@@ -309,16 +317,6 @@
   return [...evacuations.violations, ...checkEvacuations(evacuations.observed, arrivals, injector.outages)]
 }
 
-/** Returns how many calls got which answer, with its body, so that the reason is visible without the logs. */
-function countAnswers(answers: CallRecord[]): string {
-  const kinds = new Map<string, number>()
-  for (const { entry, status, body } of answers) {
-    const kind = `${entry} ${status} ${body.slice(0, SHOWN_CHARACTERS)}`
-    kinds.set(kind, (kinds.get(kind) ?? 0) + 1)
-  }
-  return [...kinds].map(([kind, count]) => `${count} x ${kind}`).join('; ')
-}
-
 /** Checks that every entry refuses a key that an old version revoked. */
 async function checkRevokedKeys(fleet: SoakFleet, callers: SoakCallers): Promise<string[]> {
   const violations: string[] = []
--- a/tools/fleet-soak/src/soakFleet.ts
+++ b/tools/fleet-soak/src/soakFleet.ts
@@ -4,10 +4,14 @@
 import { startProcess, waitUntil, type RunningProcess } from '@forkstage/deployment'
 import type { PartitionKind } from './partitionKinds'
 import { DOMAINS, machineSettings, PORTS, type SoakMachine } from './machineSettings'
+import { ProcessLedger } from './processLedger'
 
 const CONTROL = 5
 const ENTRIES = 4
 const SEEDS = 3
+/** The line of the settings that is changed when they are written anew. */
+const RETRY_SLACK = 'slack = 50'
+const BASE_RETRY_SLACK = 50
 const PROGRAM = 'dist/serve.cjs'
 /** Runs the program of an entry so that it can be cut from the endpoints. */
 const PARTITIONABLE = 'dist/partitionable.cjs'
@@ -22,6 +26,10 @@
 export class SoakFleet {
   readonly control: SoakMachine[]
   readonly entries: SoakMachine[]
+  readonly processes = new ProcessLedger()
+  /** Called after each start of a machine. */
+  onStart: (machine: SoakMachine) => void = () => undefined
+  private rewrites = 0
   private readonly running = new Map<string, RunningProcess>()
 
   /** @param network the first three numbers of the loopback addresses, so that soaks can run concurrently. */
@@ -53,11 +61,9 @@
 
   /** Starts a machine; `found` only at the first start of the fleet. */
   start(machine: SoakMachine, found = false): void {
-    const seeds = this.control.slice(0, SEEDS).map((seed) => seed.ip)
     mkdirSync(join(this.folder, machine.name), { recursive: true })
-    const settings = join(this.folder, `${machine.name}.toml`)
-    writeFileSync(settings, machineSettings(machine, seeds, this.folder, found))
-    const logFile = join(this.folder, `${machine.name}.log`)
+    const settings = this.writeSettings(machine, found)
+    const logFile = this.logFile(machine)
     const partitionEnv = { FORKSTAGE_PARTITION_FILE: this.partitionFile(machine) }
     const { program, env } = this.options.entryRunner ?? { program: PARTITIONABLE, env: partitionEnv }
     const command = machine.role === 'entry' ? [program, PROGRAM] : [PROGRAM]
@@ -67,6 +73,27 @@
       keepLines: false,
     })
     this.running.set(machine.name, started)
+    this.processes.recordStart(machine.name, started.child)
+    this.onStart(machine)
+  }
+
+  /** Writes the settings file of a machine anew with a changed value. */
+  rewriteSettings(machine: SoakMachine): void {
+    this.rewrites += 1
+    this.writeSettings(machine, false)
+  }
+
+  /** Returns the path of the log of a machine. */
+  logFile({ name }: SoakMachine): string {
+    return join(this.folder, `${name}.log`)
+  }
+
+  private writeSettings(machine: SoakMachine, found: boolean): string {
+    const seeds = this.control.slice(0, SEEDS).map((seed) => seed.ip)
+    const file = join(this.folder, `${machine.name}.toml`)
+    const text = machineSettings(machine, seeds, this.folder, found)
+    writeFileSync(file, text.replace(RETRY_SLACK, `slack = ${BASE_RETRY_SLACK + (this.rewrites % 2)}`))
+    return file
   }
 
   /** Cuts an entry from all endpoints; `undefined` ends that. */
@@ -79,12 +106,14 @@
   }
 
   signal(machine: SoakMachine, signal: NodeJS.Signals): void {
+    this.processes.recordSignal(machine.name, signal)
     this.running.get(machine.name)?.kill(signal)
   }
 
   /** Sends a signal that ends a machine; returns its exit code once it has ended, null after a signal. */
   async end(machine: SoakMachine, signal: 'SIGKILL' | 'SIGTERM'): Promise<number | null> {
     const running = this.running.get(machine.name)!
+    this.processes.recordSignal(machine.name, signal)
     running.kill(signal)
     return running.exited
   }
