fix(gateway): an answer before the end of a request reaches a caller that is still sending

Callers that sent a large body, a head without end or bytes that form no request saw EPIPE or a reset, and read no answer: a 413, 431 or 400 was written and the connection closed with unread bytes, for which the kernel sends a reset that discards the answer. Ruled out: that the answer was not written (it is, when the caller reads while it sends).

lingeringClose sends the answer and the end of the stream, then reads and discards for at most 2 s and 16 MiB. PendingResponses puts it in the place where Node's server ends connections, for all answers whose request was not read in full; answerUnreadable answers what Node's server answered by itself, with the same status.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -1,5 +1,13 @@
 import type { Server, ServerResponse } from 'node:http'
-import { Server as NetServer, type Socket } from 'node:net'
+import { Server as NetServer, Socket } from 'node:net'
+import { createSystemClock, type Clock } from '@forkstage/clock'
+import { lingeringClose } from './lingeringClose'
+
+/** Options of {@link PendingResponses}. */
+export interface PendingResponsesOptions {
+  /** Default: the clock of the system. */
+  clock?: Clock
+}
 
 /** One connection of a caller. */
 interface Connection {
@@ -18,12 +26,14 @@
 export class PendingResponses {
   private readonly connections = new Map<Socket, Connection>()
   private total = 0
+  private readonly clock: Clock
 
-  constructor(private readonly server: Server) {
-    server.on('connection', (socket) => {
-      this.connections.set(socket, { pending: 0 })
-      socket.on('close', () => this.forget(socket))
-    })
+  constructor(
+    private readonly server: Server,
+    { clock = createSystemClock() }: PendingResponsesOptions = {},
+  ) {
+    this.clock = clock
+    server.on('connection', (socket) => this.add(socket))
     server.on('request', (_request, response) => this.track(response))
   }
 
@@ -49,6 +59,11 @@
     return this.connections.get(socket)?.pending ?? 0
   }
 
+  /** Returns the response in progress on a connection; the last one of several. */
+  currentOn(socket: Socket): ServerResponse | undefined {
+    return this.connections.get(socket)?.current
+  }
+
   /** Stops listening and closes connections that are idle between two requests. */
   close(): void {
     // The close method of an HTTP server would cut off responses that are not yet sent completely, see above.
@@ -65,6 +80,19 @@
     }
   }
 
+  private add(socket: Socket): void {
+    this.connections.set(socket, { pending: 0 })
+    socket.on('close', () => this.forget(socket))
+    // The server calls this after the last response on a connection.
+    socket.destroySoon = () => this.endAfterResponse(socket)
+  }
+
+  private endAfterResponse(socket: Socket): void {
+    const isReadInFull = this.connections.get(socket)?.current?.req.complete !== false
+    if (isReadInFull) Socket.prototype.destroySoon.call(socket)
+    else lingeringClose(socket, { clock: this.clock })
+  }
+
   private track(response: ServerResponse): void {
     const { socket } = response.req
     const connection = this.connections.get(socket)
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { PendingResponses } from '@forkstage/answers'
 import {
   chooseService,
@@ -8,6 +9,7 @@
   type RouteIndex,
 } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
+import { answerUnreadable } from './answerUnreadable'
 import { readCallerRequest, firstValue, type CallerRequest } from './callerRequest'
 import { CallerAdmission, type CallerAdmissionOptions } from './callerAdmission'
 import { ReturnDetector } from './returnDetector'
@@ -106,7 +108,10 @@
     const running = () => this.running
     if (gate !== undefined)
       this.callerAdmission = new CallerAdmission(this.server, { gate, running, clock: parts.clock })
-    this.answers = new PendingResponses(this.server)
+    this.answers = new PendingResponses(this.server, { clock: parts.clock })
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+      answerUnreadable(error, socket, { clock: parts.clock, current: this.answers.currentOn(socket) })
+    })
     this.setLimits(DEFAULT_CALLER_LIMITS)
   }
 
