fix(fleet): a planned stop reads what lies unread before it closes connections

Callers on kept or new connections saw a reset at the end of a stop though the grace time was far from over: the stop closed connections and the listener from a timer, which runs before the event loop reads what has arrived meanwhile (on a busy machine for hundreds of ms), and Node 20 accepts one connection a turn, so that a queue of new ones was reset with the listener. Ruled out: a listener opened after SIGTERM during a start (it opens within the turn of the start).

The listener closes once a turn has accepted nothing (0.5 s at most); a connection closes once a turn has read from it and 0.25 s have passed without a byte or an answer; what comes meanwhile gets 503 with Retry-After. Running answers whose head has not gone out announce the close at once; an answer that began before keeps its connection for the next request instead of resetting it. callers.closed says what a stop did with the connections.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -1,7 +1,9 @@
 import type { Server, ServerResponse } from 'node:http'
 import { Server as NetServer, Socket } from 'node:net'
-import { createSystemClock, type Clock } from '@forkstage/clock'
+import { createSystemClock, delay, type Clock } from '@forkstage/clock'
+import type { Millis } from '@forkstage/types'
 import { lingeringClose } from './lingeringClose'
+import { nextTurn } from './nextTurn'
 
 /** Options of {@link PendingResponses}. */
 export interface PendingResponsesOptions {
@@ -9,16 +11,36 @@
   clock?: Clock
 }
 
+/** What became of the connections of callers since the server began to close. */
+export interface ClosedConnections {
+  /** Connections that this process ended because they carried no request. */
+  quiet: number
+  /** Connections that it closed at once, whatever they carried. */
+  forced: number
+  /** Of both, those that had brought bytes of a request that was not answered in full. */
+  unanswered: number
+}
+
 /** One connection of a caller. */
 interface Connection {
   /** Number of requests whose responses are not yet sent completely. */
   pending: number
-  /** Bytes received when the last response was completed; absent before the first one. */
-  idleAtBytes?: number
   /** The response in progress; the last one of several. */
   current?: ServerResponse
+  /** Bytes received when the last response was completed. */
+  answeredBytes: number
+  /** Bytes received at the last look. */
+  seenBytes: number
+  /** When the connection was accepted, completed a response, or was last seen to have brought bytes. */
+  activeAt: Millis
 }
 
+/** The request of a caller that uses a connection arrives within this time. */
+const QUIET_MS: Millis = 250
+const LOOK_EVERY_MS: Millis = 25
+/** Bounds the time in which further connections are accepted from the queue of the listener. */
+const MAX_QUEUE_MS: Millis = 500
+
 /**
  * Tracks the responses of a server until their last bytes have left this process. The server itself considers a
  * connection idle as soon as its response was ended, and would close it with data that a slow caller has not yet read.
@@ -26,7 +48,11 @@
 export class PendingResponses {
   private readonly connections = new Map<Socket, Connection>()
   private total = 0
+  private acceptedCount = 0
   private readonly clock: Clock
+  private closing: Promise<void> | undefined
+  private isForced = false
+  private readonly counts: ClosedConnections = { quiet: 0, forced: 0, unanswered: 0 }
 
   constructor(
     private readonly server: Server,
@@ -54,9 +80,9 @@
     return sum
   }
 
-  /** Returns the number of such requests on a connection. */
-  countOn(socket: Socket): number {
-    return this.connections.get(socket)?.pending ?? 0
+  /** What became of the connections since {@link close}. */
+  get closed(): Readonly<ClosedConnections> {
+    return this.counts
   }
 
   /** Returns the response in progress on a connection; the last one of several. */
@@ -64,25 +90,83 @@
     return this.connections.get(socket)?.current
   }
 
-  /** Stops listening and closes connections that are idle between two requests. */
-  close(): void {
-    // The close method of an HTTP server would cut off responses that are not yet sent completely, see above.
-    NetServer.prototype.close.call(this.server)
-    for (const [socket, connection] of this.connections) if (isIdle(socket, connection)) socket.destroy()
+  /** Has every response whose head has not been sent yet announce that its connection will be closed. */
+  announceClose(): void {
+    for (const { current } of this.connections.values())
+      if (current?.headersSent === false) current.setHeader('Connection', 'close')
+  }
+
+  /**
+   * Accepts what waits in the queue of the listener, stops listening, and ends each connection once it is quiet: with all
+   * responses sent and no byte for {@link QUIET_MS}. Resolves when no connection is left.
+   */
+  close(): Promise<void> {
+    this.closing ??= this.closeInOrder()
+    return this.closing
   }
 
-  /** Stops listening and closes every connection at once. */
-  closeAll(): void {
+  /** Stops listening and closes every connection, after a last look at what has arrived. */
+  async closeAll(): Promise<void> {
+    this.isForced = true
+    await nextTurn()
+    // The close method of an HTTP server would cut off responses that are not yet sent completely, see above.
     NetServer.prototype.close.call(this.server)
-    for (const [socket, { current }] of this.connections) {
+    for (const [socket, connection] of this.connections) {
+      this.recordClosed('forced', socket, connection)
+      const { current } = connection
       if (current !== undefined && endsWithConnection(current)) socket.resetAndDestroy()
       else socket.destroy()
     }
   }
 
+  private async closeInOrder(): Promise<void> {
+    await this.emptyQueue()
+    NetServer.prototype.close.call(this.server)
+    for (;;) {
+      await nextTurn()
+      this.endQuiet()
+      await nextTurn()
+      if (this.connections.size === 0 || this.isForced) return
+      await delay(this.clock, LOOK_EVERY_MS)
+    }
+  }
+
+  /** Accepts connections until none waits; each turn of the event loop accepts at least one of them. */
+  private async emptyQueue(): Promise<void> {
+    const endsAt = this.clock.now() + MAX_QUEUE_MS
+    let before: number
+    do {
+      before = this.acceptedCount
+      await nextTurn()
+    } while (this.acceptedCount !== before && this.clock.now() < endsAt)
+  }
+
+  /** Ends quiet connections. Call it right after the event loop has read from all of them. */
+  private endQuiet(): void {
+    const now = this.clock.now()
+    for (const [socket, connection] of this.connections) {
+      if (socket.bytesRead !== connection.seenBytes) {
+        connection.seenBytes = socket.bytesRead
+        connection.activeAt = now
+      }
+      // A connection that lingers ends by itself.
+      if (connection.pending > 0 || socket.writableEnded || now - connection.activeAt < QUIET_MS) continue
+      this.recordClosed('quiet', socket, connection)
+      socket.destroy()
+    }
+  }
+
+  private recordClosed(how: 'quiet' | 'forced', socket: Socket, connection: Connection): void {
+    if (socket.destroyed) return
+    this.counts[how] += 1
+    if (socket.bytesRead > connection.answeredBytes) this.counts.unanswered += 1
+  }
+
   private add(socket: Socket): void {
-    this.connections.set(socket, { pending: 0 })
-    socket.on('close', () => this.forget(socket))
+    this.acceptedCount += 1
+    const connection = { pending: 0, answeredBytes: 0, seenBytes: 0, activeAt: this.clock.now() }
+    this.connections.set(socket, connection)
+    socket.on('close', () => this.connections.delete(socket))
     // The server calls this after the last response on a connection.
     socket.destroySoon = () => this.endAfterResponse(socket)
   }
@@ -110,24 +194,17 @@
       if (connection.current === response) connection.current = undefined
       this.total -= 1
       connection.pending -= 1
-      connection.idleAtBytes = socket.bytesRead
+      connection.activeAt = this.clock.now()
+      if (response.writableFinished) connection.answeredBytes = socket.bytesRead
+      connection.seenBytes = socket.bytesRead
     }
     response.on('finish', markDone)
     response.on('close', markDone)
     socket.on('close', markDone)
   }
-
-  private forget(socket: Socket): void {
-    this.connections.delete(socket)
-  }
 }
 
 /** Whether a caller would take the response for complete if its connection were closed now. */
 function endsWithConnection(response: ServerResponse): boolean {
   return response.headersSent && !response.writableFinished && !response.useChunkedEncodingByDefault
 }
-
-/** Returns whether a connection has sent all its responses, at least one, and received no byte of another request. */
-function isIdle(socket: Socket, { pending, idleAtBytes }: Connection): boolean {
-  return pending === 0 && idleAtBytes === socket.bytesRead
-}
--- a/core/answers/test/orderlyClose.test.ts
+++ b/core/answers/test/orderlyClose.test.ts
@@ -92,6 +92,18 @@
     expect(caller.text()).toContain('503')
   })
 
+  it('ends connections that bring no request, and resolves', async () => {
+    const { pending, call } = await start((_request, response) => void response.end('ok'))
+    const callers = [call(), call()]
+    for (const { socket } of callers) await once(socket, 'connect')
+    callers[0]!.socket.write(REQUEST)
+    callers[1]!.socket.write(REQUEST.slice(0, 9))
+    await waitUntil(() => callers[0]!.text().endsWith('ok'))
+    await pending.close()
+    expect(pending.connectionCount).toBe(0)
+    for (const { ended } of callers) expect(await ended).toBe('end')
+  })
+
   it('accepts no connection afterwards', async () => {
     const { pending, call } = await start((_request, response) => void response.end('ok'))
     await pending.close()
--- a/core/answers/test/pendingResponses.test.ts
+++ b/core/answers/test/pendingResponses.test.ts
@@ -18,7 +18,7 @@
   const pending = new PendingResponses(server)
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const { port } = server.address() as { port: number }
-  open.push(() => pending.closeAll())
+  open.push(() => void pending.closeAll())
   const caller = async (): Promise<Socket> => {
     const socket = connect({ host: '127.0.0.1', port })
     socket.on('error', () => undefined)
@@ -58,7 +58,7 @@
     await waitUntil(() => responses.length === 2)
     responses[1]!.end(LARGE)
     await waitUntil(() => pending.count === 1)
-    pending.close()
+    void pending.close()
     await once(resting, 'close')
     let bytes = 0
     slow.on('data', (data: Buffer) => (bytes += data.length))
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -10,6 +10,11 @@
   'box.ready': { ready: boolean; reason: string }
   'box.stopping': { reason: string; streams: number }
   'box.stopped': { cut: number }
+  /**
+   * Connections of callers that a stop ended `quiet` (without a request) and `forced` (at the end of the grace time), those of
+   * both that had brought bytes of a request without an answer, and how long this took.
+   */
+  'callers.closed': { quiet: number; forced: number; unanswered: number; tookMs: number }
   'box.stop_cut_off': { reason: string }
   'replica.founded': { group: string; replica: string; voters: string[] }
   'replica.role': { group: string; replica: string; role: string; term: number }
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -26,6 +26,7 @@
 import { createOriginClient } from './createOriginClient'
 import { createQuotaLimiter } from './createQuotaLimiter'
 import { createRetryBudget } from './createRetryBudget'
+import { endCallers } from './endCallers'
 import { EntryCrashes } from './entryCrashes'
 import { EntryLimits } from './entryLimits'
 import { EntryLoad } from './entryLoad'
@@ -43,12 +44,8 @@
 const SWEEP_EVERY_MS = 1_000
 const READY = 200
 const NOT_READY = 503
-const IDLE_POLL_MS = 50
 /** Margin between the last answer and the forced end of the process. */
 const GRACE_MARGIN_MS = 400
-/** Ended connections are reported closed within a few turns of the event loop. */
-const CUT_LOG_WAIT_MS = 100
-const CUT_LOG_POLL_MS = 5
 /** Number of entries assumed to share the retry budget until a control machine has counted them. */
 const ASSUMED_ENTRIES = 64
 
@@ -283,19 +280,13 @@
    * @returns the number of requests cut off.
    */
   async stop(): Promise<number> {
-    const { clock, settings, peers } = this.context
+    const { clock, settings, peers, logger } = this.context
     const endsAt = clock.now() + settings.stop.grace_s * SECOND_MS - GRACE_MARGIN_MS
     this.leaving = true
     this.ingress.leave()
-    await delay(this.context.clock, settings.stop.unready_ms)
-    this.ingress.close()
-    const isBusy = () => this.ingress.running > 0 || this.paths.carried > 0
-    while (isBusy() && clock.now() < endsAt) await delay(this.context.clock, IDLE_POLL_MS)
-    const cut = this.ingress.running
-    this.ingress.closeAll()
-    // Each cut answer is logged under its id, for which the process has to wait.
-    for (let waited = 0; this.ingress.running > 0 && waited < CUT_LOG_WAIT_MS; waited += CUT_LOG_POLL_MS)
-      await delay(this.context.clock, CUT_LOG_POLL_MS)
+    await delay(clock, settings.stop.unready_ms)
+    const isCarrying = () => this.paths.carried > 0
+    const cut = await endCallers({ ingress: this.ingress, isCarrying, endsAt, clock, logger })
     this.follower.stop()
     this.placer.stop()
     this.cold.stop()
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { PendingResponses } from '@forkstage/answers'
+import { PendingResponses, type ClosedConnections } from '@forkstage/answers'
 import {
   chooseService,
   DEFAULT_CALLER_LIMITS,
@@ -130,6 +130,11 @@
     return this.answers.unsentBytes
   }
 
+  /** What became of the connections of callers since {@link close}. */
+  get closedConnections(): Readonly<ClosedConnections> {
+    return this.answers.closed
+  }
+
   /** Applies the connection limits of a newer sheet. */
   setLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs
@@ -139,18 +144,22 @@
   /** Makes every answer from now on close its connection, so that callers reconnect elsewhere. */
   leave(): void {
     this.leaving = true
+    this.answers.announceClose()
   }
 
-  /** Stops listening and closes connections that carry no request. */
-  close(): void {
+  /**
+   * Stops listening and ends connections that carry no request; requests that still arrive are refused. Resolves when no
+   * connection is left.
+   */
+  close(): Promise<void> {
     this.isClosed = true
-    this.answers.close()
+    return this.answers.close()
   }
 
-  /** Closes every connection at once. */
-  closeAll(): void {
+  /** Closes every connection, after a last look at what has arrived. */
+  async closeAll(): Promise<void> {
     this.hasClosedAll = true
-    this.answers.closeAll()
+    await this.answers.closeAll()
   }
 
   private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -160,11 +169,8 @@
     this.callerAdmission?.recordRequest(incoming.socket)
     // A kept connection would bring further requests to an overloaded entry.
     if (this.leaving || this.callerAdmission?.isLimiting === true) response.setHeader('Connection', 'close')
-    // An answer whose headers were sent before has no `Connection: close`, so its caller would keep the connection.
     response.on('finish', () => {
-      if (incoming.socket.destroyed) return this.logUnsent(incoming)
-      const isLast = this.answers.countOn(incoming.socket) <= 1
-      if (this.leaving && isLast) incoming.socket.destroySoon()
+      if (incoming.socket.destroyed) this.logUnsent(incoming)
     })
     try {
       await this.serveOne(incoming, response)
--- a/request/gateway/test/begunAnswers.test.ts
+++ b/request/gateway/test/begunAnswers.test.ts
@@ -191,7 +191,7 @@
     response.pause()
     await eventually(() => harness.reports.length === 1)
     harness.ingress.leave()
-    harness.ingress.close()
+    void harness.ingress.close()
     // As during shutdown: connections are closed once no request is running.
     const stopped = eventually(() => harness.ingress.running === 0).then(() => harness.ingress.closeAll())
     setImmediate(() => response.resume())
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -297,7 +297,7 @@
   }
 
   stop(): void {
-    this.ingress.closeAll()
+    void this.ingress.closeAll()
   }
 
   /** Sends a request and collects its answer, even if it is cut off. */
--- a/request/gateway/test/leaving.test.ts
+++ b/request/gateway/test/leaving.test.ts
@@ -1,4 +1,6 @@
+import { once } from 'node:events'
 import { Agent, request as httpRequest } from 'node:http'
+import { connect } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { FakeWorker, goodAnswer, type SeenRequest } from './fakeWorker'
 import { GatewayHarness } from './gatewayHarness'
@@ -37,6 +39,23 @@
   return { harness, worker, send, answerAll, agent }
 }
 
+const eventually = async (condition: () => boolean) => {
+  while (!condition()) await new Promise((resolve) => setImmediate(resolve))
+}
+
+/** Opens a connection of a caller that records what it reads and how it ends. */
+function openSocket(port: number) {
+  const socket = connect({ host: '127.0.0.1', port })
+  open.push({ stop: () => socket.destroy() })
+  let text = ''
+  socket.on('data', (bytes: Buffer) => (text += bytes.toString()))
+  const ended = new Promise<string>((resolve) => {
+    socket.on('end', () => resolve('end'))
+    socket.on('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message))
+  })
+  return { socket, text: () => text, ended, connected: once(socket, 'connect') }
+}
+
 describe('an entry that shuts down', () => {
   it('keeps connections open for further requests before that', async () => {
     const { worker, send, answerAll } = await start()
@@ -55,13 +74,56 @@
     const running = send('r1')
     await worker.waitForSeen(1)
     harness.ingress.leave()
-    harness.ingress.close()
+    void harness.ingress.close()
     const closed = new Promise((resolve) => Object.values(agent.sockets)[0]![0]!.on('close', resolve))
     answerAll()
     expect(await running).toMatchObject({ status: 200 })
     await closed
   })
 
+  it('announces in the answers to running requests that it will close their connections', async () => {
+    const { harness, worker, send, answerAll } = await start()
+    const running = send('r1')
+    await worker.waitForSeen(1)
+    harness.ingress.leave()
+    answerAll()
+    expect(await running).toMatchObject({ status: 200, connection: 'close' })
+  })
+
+  it('serves a further request on a connection whose answer had begun before', async () => {
+    const { harness, worker, send, answerAll } = await start()
+    const first = send('r1')
+    await worker.waitForSeen(1)
+    answerAll()
+    await first
+    harness.ingress.leave()
+    const second = send('r2')
+    await worker.waitForSeen(2)
+    answerAll()
+    expect(await second).toMatchObject({ status: 200, reused: true, connection: 'close' })
+  })
+
+  // Guards against requests that a stop resets although it could have read them.
+  it('refuses a request that lies unread when it closes, with a backoff, on a kept connection and on a new one', async () => {
+    const { harness, worker } = await start()
+    const [kept, fresh] = [openSocket(harness.port), openSocket(harness.port)]
+    await Promise.all([kept.connected, fresh.connected])
+    kept.socket.write('GET /none/ HTTP/1.1\r\nHost: h.example\r\nX-Id: r1\r\n\r\n')
+    await eventually(() => kept.text().includes('404'))
+    harness.ingress.leave()
+    // Both requests are in the kernel's buffers when the entry closes.
+    kept.socket.write('GET /p/ HTTP/1.1\r\nHost: h.example\r\nX-Id: r2\r\n\r\n')
+    fresh.socket.write('GET /p/ HTTP/1.1\r\nHost: h.example\r\nX-Id: r3\r\n\r\n')
+    await harness.ingress.close()
+    for (const { text, ended } of [kept, fresh]) {
+      expect(await ended).toBe('end')
+      const answer = text().slice(text().indexOf('HTTP/1.1 503'))
+      expect(answer).toContain('Retry-After: 0.050')
+      expect(answer).toContain('Connection: close')
+    }
+    expect(worker.seen).toHaveLength(0)
+  })
+
   it('refuses requests that arrive after it has closed, with a backoff', async () => {
     const { harness, worker } = await start()
     const early = harness.open('/p/')
@@ -72,7 +134,7 @@
     harness.ingress.leave()
     early.request.end()
     await taken
-    harness.ingress.close()
+    void harness.ingress.close()
     const late = await early.answer
     expect(late.status).toBe(503)
     expect(Number(late.headers['retry-after'])).toBeGreaterThan(0)
--- a/request/gateway/test/unframedStreams.test.ts
+++ b/request/gateway/test/unframedStreams.test.ts
@@ -130,7 +130,7 @@
   ])('does not look whole to its caller if the entry ends first (HTTP/%s)', async (version, expected) => {
     const stays = (request: SeenRequest) => void request.socket.write(goodAnswer(request, event(1), UNFRAMED))
     const { harness } = await startRelay([['decode', stays]])
-    const answer = sendOverSocket(harness, { version, onData: () => harness.ingress.closeAll() })
+    const answer = sendOverSocket(harness, { version, onData: () => void harness.ingress.closeAll() })
     expect(await answer).toMatchObject(expected)
   })
 })
