feat(overload): entry.keeps_up says how long connections may have waited that were reset unread

QueueWait bounds it by the time since the event loop last accepted none, as it accepts one connection a turn; it asks for turns only while the limit is in force.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -62,8 +62,11 @@
   }
   /** An entry takes on fewer requests than come: it closes connections unread beyond `limit` requests in progress. */
   'entry.overloaded': { loopMs: number; connectMs: number; running: number; limit: number }
-  /** An entry takes on all requests again. `closed` connections unread and `refused` requests since its start. */
-  'entry.keeps_up': { running: number; closed: number; refused: number }
+  /**
+   * An entry takes on all requests again. `closed` connections unread and `refused` requests since its start; `waitedMs`: the
+   * longest that one of those closed since `entry.overloaded` may have waited in the queue of the listener.
+   */
+  'entry.keeps_up': { running: number; closed: number; waitedMs: number; refused: number }
   /** The known rate advertised by an endpoint has changed; requests per second from all machines together. */
   'endpoint.rate': {
     endpoint: string
--- a/request/gateway/src/callerAdmission.ts
+++ b/request/gateway/src/callerAdmission.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '@forkstage/clock'
-import { AwaitedRequests, type AdmissionGate } from '@forkstage/overload'
+import { AwaitedRequests, QueueWait, type AdmissionGate } from '@forkstage/overload'
 import { filterConnections } from './filterConnections'
 
 /** Options of {@link CallerAdmission}. */
@@ -15,12 +15,16 @@
 /** Applies the limit of an entry to its listener for callers: to new connections, and to requests on open ones. */
 export class CallerAdmission {
   private readonly awaited: AwaitedRequests<Socket>
+  private readonly queueWait: QueueWait
 
   constructor(
     server: Server,
     private readonly options: CallerAdmissionOptions,
   ) {
     this.awaited = new AwaitedRequests(options.clock)
+    // The first callback runs in the turn that has accepted the connection.
+    const nextTurn = (callback: () => void) => void setImmediate(() => setImmediate(callback))
+    this.queueWait = new QueueWait({ clock: options.clock, nextTurn })
     filterConnections(server, (socket) => this.isAdmitted(socket))
   }
 
@@ -42,7 +46,8 @@
 
   private isAdmitted(socket: Socket): boolean {
     const { gate, running } = this.options
-    if (!gate.allowsConnection(running() + this.awaited.count)) return false
+    const waitedMs = gate.isLimiting ? this.queueWait.recordAccepted() : 0
+    if (!gate.allowsConnection(running() + this.awaited.count, waitedMs)) return false
     this.awaited.add(socket)
     socket.once('close', () => this.awaited.delete(socket))
     return true
--- a/request/overload/src/admissionGate.ts
+++ b/request/overload/src/admissionGate.ts
@@ -25,6 +25,8 @@
   private admittedAt: Millis = -Infinity
   /** Connections that were closed before their requests were read. */
   closedCount = 0
+  /** The longest that one of them may have waited to be accepted, since the limit was last imposed. */
+  private closedWaitMs: Millis = 0
   /** Requests that were refused because of the limit. */
   refusedCount = 0
 
@@ -48,24 +50,35 @@
     this.limit.update({ now: clock.now(), delayMs, running })
     if (this.isLimiting === wasLimiting) return
     if (wasLimiting)
-      logger.info('entry.keeps_up', { running, closed: this.closedCount, refused: this.refusedCount })
-    else
+      logger.info('entry.keeps_up', {
+        running,
+        closed: this.closedCount,
+        waitedMs: Math.round(this.closedWaitMs),
+        refused: this.refusedCount,
+      })
+    else {
+      this.closedWaitMs = 0
       logger.warn('entry.overloaded', {
         loopMs: Math.round(monitor.loopMs),
         connectMs: Math.round(monitor.connectMs),
         running,
         limit: Math.round(this.limit.value),
       })
+    }
   }
 
-  /** Whether a new connection is read, while so many requests are in progress; it is to be closed otherwise. */
-  allowsConnection(running: number): boolean {
+  /**
+   * Whether a new connection is read, while so many requests are in progress; it is to be closed otherwise.
+   * @param waitedMs how long it may have waited to be accepted.
+   */
+  allowsConnection(running: number, waitedMs: Millis = 0): boolean {
     const now = this.options.clock.now()
     if (this.limit.allows(running, now) || now - this.admittedAt >= ADMIT_ONE_EVERY_MS) {
       this.admittedAt = now
       return true
     }
     this.closedCount += 1
+    this.closedWaitMs = Math.max(this.closedWaitMs, waitedMs)
     return false
   }
 
