--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -1,20 +1,16 @@
 import type { ErrorBody } from '@forkstage/error'
+import type { EntryLoadEvents } from './entryLoadEvents'
 
 /** The leader's answer to a request for an isolated or an exclusive trial, or that no leader answered. */
 export type TrialOutcome = 'granted' | 'later' | 'anywhere' | 'isolate' | 'no leader answered'
 
 /** The fields of every log event, by event name. */
-export interface LogEvents {
+export interface LogEvents extends EntryLoadEvents {
   'box.started': { box: string; addresses: Record<string, string>; version: string }
   'start.code_cache_unused': { reason: string }
   'box.ready': { ready: boolean; reason: string }
   'box.stopping': { reason: string; streams: number }
   'box.stopped': { cut: number }
-  /**
-   * Connections of callers that a stop ended `quiet` (without a request) and `forced` (at the end of the grace time), those of
-   * both that had brought bytes of a request without an answer, and how long this took.
-   */
-  'callers.closed': { quiet: number; forced: number; unanswered: number; tookMs: number }
   'box.stop_cut_off': { reason: string }
   'replica.founded': { group: string; replica: string; voters: string[] }
   'replica.role': { group: string; replica: string; role: string; term: number }
@@ -43,30 +39,6 @@
   'path.direct': { endpoint: string; left: number }
   /** A machine reaches no endpoint, also through others; logged once until it reaches one. */
   'path.none': { reason: string }
-  /**
-   * An entry delays its callers' requests by itself, by a busy event loop (`loopMs`) or a full link (`connectMs`, the time
-   * that each connect to an endpoint exceeds its shortest); at most once a second.
-   */
-  'entry.delayed': {
-    loopMs: number
-    connectMs: number
-    running: number
-    connections: number
-    /** Bytes of answers that wait in the process. */
-    unsentBytes: number
-    /** Limit on the requests in progress; absent while there is none. */
-    limit?: number
-    /** Connections closed unread and requests refused for the limit, since the start. */
-    closed: number
-    refused: number
-  }
-  /** An entry takes on fewer requests than come: it closes connections unread beyond `limit` requests in progress. */
-  'entry.overloaded': { loopMs: number; connectMs: number; running: number; limit: number }
-  /**
-   * An entry takes on all requests again. `closed` connections unread and `refused` requests since its start; `waitedMs`: the
-   * longest that one of those closed since `entry.overloaded` may have waited in the queue of the listener.
-   */
-  'entry.keeps_up': { running: number; closed: number; waitedMs: number; refused: number }
   /** The known rate advertised by an endpoint has changed; requests per second from all machines together. */
   'endpoint.rate': {
     endpoint: string
