fix(overload): a late event loop closes no new connections until it takes a tenth of the smallest target

Callers saw their first request on a connection end by a reset 0.2 to 1.3 s after its last byte, for some seconds at a time, on machines whose processor others take: the admission gate imposed its limit at 15 ms of delay, whatever the callers' time (soak: targets of 800 ms). While it does, answers carry Connection: close, so that all callers come back through the queue of the listener, of which Node 20 takes one connection a turn. Ruled out: stops (the losses are seconds away from them), the link (the logs of entry.overloaded say loopMs 20 to 60, connectMs 0 to 21).

The bound for the event loop is a tenth of the smallest target of the sheet, 15 to 100 ms. That for the link stays at 15 ms, now of what connects exceed beyond a turn of the event loop, which DelayMonitor measures with each check.

--- a/core/logger/src/entryLoadEvents.ts
+++ b/core/logger/src/entryLoadEvents.ts
@@ -26,6 +26,10 @@
   'entry.overloaded': {
     loopMs: number
     connectMs: number
+    /** The part of `connectMs` that is not the event loop's. */
+    linkMs: number
+    /** The standing delay that the targets of the routes allow; that of the link is bounded by itself. */
+    maxDelayMs: number
     running: number
     limit: number
   }
--- a/daemon/fleet/src/entryLoad.ts
+++ b/daemon/fleet/src/entryLoad.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@forkstage/clock'
 import type { Ingress } from '@forkstage/gateway'
 import type { Logger } from '@forkstage/logger'
+import type { Millis } from '@forkstage/types'
 import { AdmissionGate, DelayLog, DelayMonitor } from '@forkstage/overload'
 
 const NOTICEABLE_DELAY_MS = 10
@@ -9,6 +10,8 @@
 export interface EntryLoadOptions {
   /** Returns the listener for callers, which is created after this. */
   ingress: () => Pick<Ingress, 'running' | 'connections' | 'unsentBytes'>
+  /** Returns the smallest target latency of the routes in force; undefined where there are none. */
+  targetMs: () => Millis | undefined
   clock: Clock
   logger: Logger
 }
@@ -20,7 +23,7 @@
   private readonly log: DelayLog
 
   constructor(options: EntryLoadOptions) {
-    const { ingress, clock, logger } = options
+    const { ingress, targetMs, clock, logger } = options
     const running = () => ingress().running
     const monitor = new DelayMonitor({
       clock,
@@ -30,7 +33,7 @@
       onCheck: () => this.check(running()),
     })
     this.delays = monitor
-    this.gate = new AdmissionGate({ monitor, clock, logger })
+    this.gate = new AdmissionGate({ monitor, targetMs, clock, logger })
     this.log = new DelayLog({
       monitor,
       gate: this.gate,
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -89,6 +89,7 @@
     const { settings, clock, random, logger, peers } = context
     this.load = new EntryLoad({
       ingress: () => this.ingress,
+      targetMs: () => this.routes.current?.smallestTargetMs,
       clock,
       logger,
     })
--- a/request/overload/src/admissionGate.ts
+++ b/request/overload/src/admissionGate.ts
@@ -3,16 +3,21 @@
 import type { Millis } from '@forkstage/types'
 import { AdmissionLimit } from './admissionLimit'
 import type { DelayMonitor } from './delayMonitor'
+import { maxOwnDelay } from './maxOwnDelay'
 
 /** Options of {@link AdmissionGate}. */
 export interface AdmissionGateOptions {
-  monitor: Pick<DelayMonitor, 'delayMs' | 'loopMs' | 'connectMs'>
+  monitor: Pick<DelayMonitor, 'loopMs' | 'connectMs' | 'linkMs'>
+  /** Returns the smallest target latency of the routes in force; undefined where there are none. */
+  targetMs?: () => Millis | undefined
   clock: Clock
   logger: Logger
 }
 
 /** An entry that takes clients must not go without a new connection for long. */
 const ADMIT_ONE_EVERY_MS: Millis = 500
+/** A standing queue of the link delays everything that passes it, several times for each request. */
+const MAX_LINK_DELAY_MS: Millis = 15
 /** Requests on open connections, which cannot be sent elsewhere unread, are refused beyond this multiple of the limit. */
 const KEPT_FACTOR = 2
 
@@ -45,9 +50,11 @@
   /** Adjusts the limit to the current delay. */
   update(running: number): void {
     const { monitor, clock, logger } = this.options
-    const { delayMs } = monitor
+    const { loopMs, connectMs, linkMs } = monitor
     const wasLimiting = this.isLimiting
-    this.limit.update({ now: clock.now(), delayMs, running })
+    const maxDelayMs = maxOwnDelay(this.options.targetMs?.())
+    const isDelayed = linkMs > MAX_LINK_DELAY_MS || Math.max(loopMs, connectMs) > maxDelayMs
+    this.limit.update({ now: clock.now(), isDelayed, running })
     if (this.isLimiting === wasLimiting) return
     if (wasLimiting)
       logger.info('entry.keeps_up', {
@@ -61,6 +68,8 @@
       logger.warn('entry.overloaded', {
         loopMs: Math.round(monitor.loopMs),
         connectMs: Math.round(monitor.connectMs),
+        linkMs: Math.round(linkMs),
+        maxDelayMs: Math.round(maxDelayMs),
         running,
         limit: Math.round(this.limit.value),
       })
--- a/request/overload/src/admissionLimit.ts
+++ b/request/overload/src/admissionLimit.ts
@@ -3,14 +3,12 @@
 /** What a check has found. */
 export interface LoadState {
   now: Millis
-  /** The delay that the machine adds by itself. */
-  delayMs: Millis
+  /** Whether the machine adds more delay by itself than it may. */
+  isDelayed: boolean
   /** Requests in progress. */
   running: number
 }
 
-/** A standing delay beyond this lowers the limit. */
-const TARGET_DELAY_MS: Millis = 15
 /** A shorter delay is a pause of the process, such as a collection of garbage or a thaw. */
 const ONSET_MS: Millis = 200
 /** The limit is never lower: an entry with so few requests in progress is not overloaded, only slow. */
@@ -54,7 +52,7 @@
 
   /** Adjusts the limit; call it several times per {@link DECREASE_SPAN_MS} while requests are in progress. */
   update(state: LoadState): void {
-    if (state.delayMs > TARGET_DELAY_MS) return this.decrease(state)
+    if (state.isDelayed) return this.decrease(state)
     this.delayedSince = undefined
     this.falling = undefined
     this.increase(state.now)
--- a/request/overload/src/delayMonitor.ts
+++ b/request/overload/src/delayMonitor.ts
@@ -12,6 +12,8 @@
   running: () => number
   /** Whether this machine is known to delay its requests; otherwise connects without an answer say nothing of it. */
   isDelayed?: () => boolean
+  /** Calls back in the next turn of the event loop, after it has read; default: `setImmediate`. */
+  nextTurn?: (callback: () => void) => void
   /** Called after each check of the event loop. */
   onCheck?: () => void
 }
@@ -20,6 +22,7 @@
 const SPAN_MS: Millis = 100
 const MIN_CHECKS = 2
 const MIN_IDLE_MS: Millis = 1
+const MIN_TURNS = 1
 const MIN_CONNECTS = 3
 /** An entry with fewer requests is not checked, which costs processor time. */
 const MIN_RUNNING = 6
@@ -27,6 +30,7 @@
 /** Measures the delay that this machine adds by itself, whatever the endpoints do. */
 export class DelayMonitor {
   private readonly loop: MinimumWindow
+  private readonly turns: MinimumWindow
   private readonly connects: MinimumWindow
   private readonly baseline: ConnectBaseline
   private cancelCheck: CancelTimer | undefined
@@ -35,6 +39,7 @@
   constructor(private readonly options: DelayMonitorOptions) {
     const { clock } = options
     this.loop = new MinimumWindow(clock, SPAN_MS, MIN_CHECKS)
+    this.turns = new MinimumWindow(clock, SPAN_MS, MIN_TURNS)
     this.connects = new MinimumWindow(clock, SPAN_MS, MIN_CONNECTS)
     this.baseline = new ConnectBaseline(clock)
   }
@@ -49,7 +54,12 @@
     return this.connects.delayMs
   }
 
-  /** The larger of the two. */
+  /** The part of {@link connectMs} that is the link's: the end of a connect waits for a turn of the event loop, too. */
+  get linkMs(): Millis {
+    return Math.max(0, this.connectMs - this.turns.delayMs)
+  }
+
+  /** The larger of the delays of the event loop and of connects. */
   get delayMs(): Millis {
     return Math.max(this.loopMs, this.connectMs)
   }
@@ -76,11 +86,21 @@
       // A loop that has waited for events has nothing queued, however late a timer is under a quota of processor time.
       const hasWaited = this.options.idleMs() - idleBefore > MIN_IDLE_MS
       this.loop.record(hasWaited ? 0 : clock.now() - dueAt)
+      this.measureTurn()
       this.options.onCheck?.()
       this.watch()
     })
   }
 
+  /** Measures one whole turn of the event loop, which does not wait for events meanwhile. */
+  private measureTurn(): void {
+    const { clock, nextTurn = setImmediate } = this.options
+    nextTurn(() => {
+      const startedAt = clock.now()
+      nextTurn(() => this.turns.record(clock.now() - startedAt))
+    })
+  }
+
   stop(): void {
     this.isStopped = true
     this.cancelCheck?.()
--- a/request/overload/test/delayMonitor.test.ts
+++ b/request/overload/test/delayMonitor.test.ts
@@ -31,6 +31,26 @@
     expect(monitor.connectMs).toBe(0)
   })
 
+  it('is the link’s as far as connects exceed a turn of the event loop', () => {
+    const clock = new ManualClock()
+    const callbacks: (() => void)[] = []
+    const nextTurn = (callback: () => void) => void callbacks.push(callback)
+    const monitor = new DelayMonitor({ clock, idleMs: () => 0, running: () => 10, nextTurn })
+    monitor.recordConnect(ENDPOINT, 2)
+    clock.advance(1_000)
+    monitor.watch()
+    // One check, which measures the turn that follows.
+    clock.advance(50)
+    callbacks.shift()!()
+    clock.advance(25)
+    callbacks.shift()!()
+    for (const tookMs of [42, 32, 52]) monitor.recordConnect(ENDPOINT, tookMs)
+    expect(monitor.connectMs).toBe(30)
+    expect(monitor.linkMs).toBe(5)
+    clock.advance(1_000)
+    expect(monitor.linkMs).toBe(0)
+  })
+
   it('compares each endpoint with its own shortest connect', () => {
     const { clock, monitor } = newMonitor()
     monitor.recordConnect('near', 1)
--- a/table/routes/src/routeIndex.ts
+++ b/table/routes/src/routeIndex.ts
@@ -9,6 +9,8 @@
   private readonly workspaces: Map<string, WorkspaceInfo>
   /** Keys that callers may present; undefined if the sheet requires none. */
   readonly keys: KeyIndex | undefined
+  /** The smallest target latency of all routes; undefined if there are none. */
+  readonly smallestTargetMs: number | undefined
   /** The sheet without its workspaces, which hold keys in the clear. */
   readonly sheet: Omit<RouteSheet, 'workspaces'>
 
@@ -17,6 +19,8 @@
     this.keys = workspaces && new KeyIndex(workspaces)
     this.workspaces = new Map((workspaces ?? []).map(({ keys: _, ...known }) => [known.name, known]))
     this.services = new Map(sheet.services.map((service) => [service.name, service]))
+    const targets = sheet.routes.map(({ targetMs }) => targetMs)
+    this.smallestTargetMs = targets.length === 0 ? undefined : Math.min(...targets)
     for (const route of sheet.routes) {
       const host = route.host.toLowerCase()
       const known = this.byHost.get(host)
