--- a/tools/fleet-soak/src/signalFaults.ts
+++ b/tools/fleet-soak/src/signalFaults.ts
@@ -134,7 +134,7 @@
     await pause(RESTART_MS)
     const machine = this.fleet.machines.find(({ name }) => name === record.machine)!
     // A fault in progress starts its machine again by itself, unless the process ended after that.
-    while (this.injector.isBusy(machine) && !this.isOver) await pause(RESTART_MS)
+    while (this.injector.isBusy(machine)) await pause(RESTART_MS)
     if (this.fleet.processes.processOf(machine.name) === record) this.fleet.start(machine)
   }
 
