fix(fleet): a stop accepts from the queue of its listener as long as the grace time lasts

A longer queue is emptied until 0.5 s before the end of the grace time; a stop with an empty queue is as short as before.

orderlyClose.test.ts, 40 connections, 50 ms a turn: reset before, 40 of 40 answered after.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -11,6 +11,12 @@
   clock?: Clock
 }
 
+/** Options of {@link PendingResponses.close}. */
+export interface CloseOptions {
+  /** Until when connections are accepted from the queue of the listener, by the clock; default: for half a second. */
+  acceptUntil?: Millis
+}
+
 /** What became of the connections of callers since the server began to close. */
 export interface ClosedConnections {
   /** Connections that this process ended because they carried no request. */
@@ -38,8 +44,7 @@
 /** The request of a caller that uses a connection arrives within this time. */
 const QUIET_MS: Millis = 250
 const LOOK_EVERY_MS: Millis = 25
-/** Bounds the time in which further connections are accepted from the queue of the listener. */
-const MAX_QUEUE_MS: Millis = 500
+const DEFAULT_QUEUE_MS: Millis = 500
 
 /**
  * Tracks the responses of a server until their last bytes have left this process. The server itself considers a
@@ -100,8 +105,8 @@
    * Accepts what waits in the queue of the listener, stops listening, and ends each connection once it is quiet: with all
    * responses sent and no byte for {@link QUIET_MS}. Resolves when no connection is left.
    */
-  close(): Promise<void> {
-    this.closing ??= this.closeInOrder()
+  close({ acceptUntil = this.clock.now() + DEFAULT_QUEUE_MS }: CloseOptions = {}): Promise<void> {
+    this.closing ??= this.closeInOrder(acceptUntil)
     return this.closing
   }
 
@@ -119,8 +124,8 @@
     }
   }
 
-  private async closeInOrder(): Promise<void> {
-    await this.emptyQueue()
+  private async closeInOrder(acceptUntil: Millis): Promise<void> {
+    await this.emptyQueue(acceptUntil)
     NetServer.prototype.close.call(this.server)
     for (;;) {
       await nextTurn()
@@ -132,13 +137,12 @@
   }
 
   /** Accepts connections until none waits; each turn of the event loop accepts at least one of them. */
-  private async emptyQueue(): Promise<void> {
-    const endsAt = this.clock.now() + MAX_QUEUE_MS
+  private async emptyQueue(acceptUntil: Millis): Promise<void> {
     let before: number
     do {
       before = this.acceptedCount
       await nextTurn()
-    } while (this.acceptedCount !== before && this.clock.now() < endsAt)
+    } while (this.acceptedCount !== before && this.clock.now() < acceptUntil)
   }
 
   /** Ends quiet connections. Call it right after the event loop has read from all of them. */
--- a/core/answers/test/orderlyClose.test.ts
+++ b/core/answers/test/orderlyClose.test.ts
@@ -3,8 +3,9 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { connect, type Socket } from 'node:net'
+import { ManualClock } from '@forkstage/clock'
 import { afterEach, describe, expect, it } from 'vitest'
-import { PendingResponses } from '../src'
+import { PendingResponses, type PendingResponsesOptions } from '../src'
 
 const open: (() => void)[] = []
 afterEach(() => open.splice(0).forEach((close) => close()))
@@ -23,9 +24,12 @@
   ended: Promise<string>
 }
 
-async function start(serve: (request: IncomingMessage, response: ServerResponse) => void) {
+async function start(
+  serve: (request: IncomingMessage, response: ServerResponse) => void,
+  options: PendingResponsesOptions = {},
+) {
   const server = createServer(serve)
-  const pending = new PendingResponses(server)
+  const pending = new PendingResponses(server, options)
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const { port } = server.address() as { port: number }
   open.push(() => void pending.closeAll())
@@ -78,6 +82,24 @@
     }
   })
 
+  // Guards against a stop that resets the rest of a long queue: on a busy machine 46 requests, up to 1.3 s after their last byte.
+  it('empties a long queue of the listener until its time is over, however slow its turns are', async () => {
+    const clock = new ManualClock()
+    const { server, pending, call } = await start((_request, response) => answerAndClose(response, 503), {
+      clock,
+    })
+    // Each turn accepts one connection and takes long.
+    server.on('connection', () => clock.advance(50))
+    const callers = Array.from({ length: 40 }, call)
+    callers.forEach(({ socket }) => socket.on('connect', () => socket.write(REQUEST)))
+    await new Promise<void>((resolve) => process.nextTick(resolve))
+    void pending.close({ acceptUntil: clock.now() + 3_000 })
+    for (const caller of callers) {
+      expect(await caller.ended).toBe('end')
+      expect(caller.text()).toContain('503')
+    }
+  })
+
   it('waits for the first request of a connection that was just opened', async () => {
     const { pending, call } = await start((_request, response) => answerAndClose(response, 503))
     const caller = call()
--- a/daemon/fleet/src/endCallers.ts
+++ b/daemon/fleet/src/endCallers.ts
@@ -14,6 +14,8 @@
   logger: Logger
 }
 
+/** Time left for connections that were accepted last to bring their requests and be answered. */
+const LAST_ANSWERS_MS: Millis = 500
 const IDLE_POLL_MS: Millis = 50
 /** Ended connections are reported closed within a few turns of the event loop. */
 const CUT_LOG_WAIT_MS: Millis = 100
@@ -27,7 +29,8 @@
   const { ingress, isCarrying, endsAt, clock, logger } = options
   const startedAt = clock.now()
   let isClosed = false
-  void ingress.close().then(() => (isClosed = true))
+  const acceptUntil = Math.max(startedAt, endsAt - LAST_ANSWERS_MS)
+  void ingress.close({ acceptUntil }).then(() => (isClosed = true))
   const isBusy = () => !isClosed || ingress.running > 0 || isCarrying()
   while (isBusy() && clock.now() < endsAt) await delay(clock, IDLE_POLL_MS)
   const cut = ingress.running
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { PendingResponses, type ClosedConnections } from '@forkstage/answers'
+import { PendingResponses, type ClosedConnections, type CloseOptions } from '@forkstage/answers'
 import {
   chooseService,
   DEFAULT_CALLER_LIMITS,
@@ -151,9 +151,9 @@
    * Stops listening and ends connections that carry no request; requests that still arrive are refused. Resolves when no
    * connection is left.
    */
-  close(): Promise<void> {
+  close(options?: CloseOptions): Promise<void> {
     this.isClosed = true
-    return this.answers.close()
+    return this.answers.close(options)
   }
 
   /** Closes every connection, after a last look at what has arrived. */
