--- a/request/gateway/test/originClient.test.ts
+++ b/request/gateway/test/originClient.test.ts
@@ -9,7 +9,7 @@
 const ORIGIN = { service: 's', softwareVersion: 'v1' }
 
 /** A client whose leader gives each answer once, in order; undefined where it does not answer. */
-function client(answers: (OriginAnswer | undefined)[], soleVersion?: string) {
+function client(answers: (OriginAnswer | undefined)[], soleVersion?: string, versions?: string[]) {
   const clock = createSystemClock()
   let asked = 0
   const view = { since: -10_000 }
@@ -22,7 +22,12 @@
       return Promise.resolve(answers.shift() as Answer | undefined)
     },
   }
-  const history = { soleVersion: () => soleVersion, update: () => undefined }
+  const known = versions ?? (soleVersion === undefined ? [] : [soleVersion])
+  const history = {
+    soleVersion: () => (known.length > 1 ? undefined : soleVersion),
+    versionsWithin: () => known,
+    update: () => undefined,
+  }
   const one = new OriginClient({
     table: new OriginTable({ clock }),
     history,
@@ -47,10 +52,20 @@
     expect(asked()).toBe(3)
   })
 
-  it('does not wait for a leader where the service has had one version', async () => {
-    const { one, asked } = client([undefined], 'v1')
+  it('does not join two versions where no leader answers and this entry has known one', async () => {
+    const { one, clock } = client([undefined], 'v1')
+    expect(await one.resolve(QUERY, clock.now())).toEqual({ type: 'no-leader' })
+  })
+
+  it('goes on where the service has had one version as soon as a leader answers', async () => {
+    const { one, asked } = client([undefined, { soleVersion: 'v1' }], 'v1')
     expect(await one.resolve(QUERY, Infinity)).toMatchObject({ by: 'sole version', origin: ORIGIN })
-    expect(asked()).toBe(1)
+    expect(asked()).toBe(2)
+  })
+
+  it('does not join two versions where this entry has known one that the leader has not', async () => {
+    const { one } = client([{ soleVersion: 'v1' }], 'v1', ['v1', 'v2'])
+    expect(await one.resolve(QUERY, Infinity)).toEqual({ type: 'unknown' })
   })
 
   it('does not join two versions where the leader has known several', async () => {
