fix(gateway): have the leader alone tell that a service has had one version

Callers that took a stream up at an entry which had missed a release got it continued at the old version (ORDER).

Cause: an entry used the only version of its own history where no leader answered, once control machines had been "in contact" for two seconds. Contact is with any control machine, also one that is cut off from the others and has old news; its loss is noticed only when a held watch call times out, up to 1.6 s late; and a thawed entry has noticed nothing at its first event. Where the entry knew two versions and the leader one, the leader's was used.

Ruled out: that the leader's answer is wrong in these schedules (it places streams by the same directory, under its lease); shorter calls or more frequent contact checks, which narrow the window and keep it.

The leader must answer, and what the entry knows must not contradict it. Price: where a service has had one version and no leader answers, a stream that the entry does not know waits for the election (2.5 s at most).

--- a/placement/origins/src/versionHistory.ts
+++ b/placement/origins/src/versionHistory.ts
@@ -52,6 +52,15 @@
     return this.versionsWithin(service, withinMs).length > 1
   }
 
+  /** Returns the versions with which a service may have begun a stream in the last `withinMs`, as far as known. */
+  versionsWithin(service: string, withinMs: Millis): string[] {
+    const since = this.clock.now() - withinMs
+    const known = [...(this.services.get(service) ?? [])]
+    return known
+      .filter(([, { running, endedAt }]) => running.size > 0 || endedAt >= since)
+      .map(([softwareVersion]) => softwareVersion)
+  }
+
   /** Returns what a restart of this machine needs. */
   save(): SavedVersions {
     const now = this.clock.now()
@@ -75,14 +84,6 @@
     this.knownSince = Math.min(this.knownSince, now - knownForMs)
   }
 
-  private versionsWithin(service: string, withinMs: Millis): string[] {
-    const since = this.clock.now() - withinMs
-    const known = [...(this.services.get(service) ?? [])]
-    return known
-      .filter(([, { running, endedAt }]) => running.size > 0 || endedAt >= since)
-      .map(([softwareVersion]) => softwareVersion)
-  }
-
   private updateOne(endpoint: RegisteredEndpoint): void {
     const { id, service, address, state } = endpoint
     const isRunning = state === 'ready' || state === 'draining'
--- a/request/gateway/src/originClient.ts
+++ b/request/gateway/src/originClient.ts
@@ -18,7 +18,7 @@
   /** Streams that this entry has begun or resumed. */
   table: OriginTable
   /** The software versions that this entry has known. */
-  history: Pick<VersionHistory, 'soleVersion' | 'update'>
+  history: Pick<VersionHistory, 'soleVersion' | 'versionsWithin' | 'update'>
   leaderClient: Pick<LeaderClient, 'tryCall'>
   /** Returns since when registrations have reached this entry without a break; Infinity while they do not. */
   viewSince: () => Millis
@@ -135,27 +135,24 @@
   }
 
   /**
-   * Returns which engines may continue a stream. Asks the leader unless this entry has begun it, and waits for one where
-   * the answer depends on it.
+   * Returns which engines may continue a stream. Asks the leader unless this entry has begun it, and waits for one. What this
+   * entry alone knows proves nothing about versions that others have used, since it may be out of step without noticing.
    * @param endsAt when the caller's time is up.
    */
   async resolve(query: OriginQuery, endsAt: Millis): Promise<OriginResult> {
     const own = this.options.table.find(query.stream)
     if (own !== undefined) return resultOf(own, 'entry')
-    const sole = this.ownSoleVersion(query)
-    const answer = await this.ask(query, sole === undefined ? endsAt : -Infinity)
-    if (answer?.origin !== undefined) return resultOf(answer.origin, 'leader')
-    const softwareVersion = soleVersionOf(sole, answer)
-    if (softwareVersion !== undefined)
-      return { type: 'known', by: 'sole version', origin: { service: query.service, softwareVersion } }
-    return { type: answer === undefined ? 'no-leader' : 'unknown' }
+    const answer = await this.ask(query, endsAt)
+    if (answer === undefined) return { type: 'no-leader' }
+    if (answer.origin !== undefined) return resultOf(answer.origin, 'leader')
+    const { soleVersion: softwareVersion } = answer
+    if (softwareVersion === undefined || this.hasOther(query, softwareVersion)) return { type: 'unknown' }
+    return { type: 'known', by: 'sole version', origin: { service: query.service, softwareVersion } }
   }
 
-  /** The only version that this entry knows; undefined also while it may not know a version that others use. */
-  private ownSoleVersion({ service, withinMs }: OriginQuery): string | undefined {
-    const { clock, history, viewSince } = this.options
-    if (clock.now() < viewSince() + REGISTERED_WITHIN_MS) return undefined
-    return history.soleVersion(service, withinMs)
+  /** Whether this entry has lately known another version, of which the leader may not have heard yet. */
+  private hasOther({ service, withinMs }: OriginQuery, softwareVersion: string): boolean {
+    return this.options.history.versionsWithin(service, withinMs).some((known) => known !== softwareVersion)
   }
 
   /** Asks the leader, again and again until one answers or `endsAt`, within a limit; undefined where none answers. */
@@ -204,13 +201,6 @@
   }
 }
 
-/** The only version that neither this entry nor the leader contradicts; either may not know one. */
-function soleVersionOf(own: string | undefined, answer: OriginAnswer | undefined): string | undefined {
-  if (answer?.hasSeveralVersions === true) return undefined
-  const theirs = answer?.soleVersion
-  return own === undefined || theirs === undefined || own === theirs ? (own ?? theirs) : undefined
-}
-
 function resultOf(origin: StreamOrigin, by: 'entry' | 'leader'): OriginResult {
   return origin.softwareVersion === UNCERTAIN_VERSION ? { type: 'uncertain' } : { type: 'known', by, origin }
 }
