fix(allocator): refuse a resumed stream at once where none of its engines can get it

Cause: a resumed request of which engines of other versions serve too is not refused early, for it waits for room at few engines.

Such requests are refused when they ask, and by the next tick while they wait. Requests whose answer has begun, and services of one version, wait as before.

boundVersion.test.ts: five cases failed before.

--- a/placement/allocator/src/allocator.ts
+++ b/placement/allocator/src/allocator.ts
@@ -204,6 +204,7 @@
     this.placeWaiting(now)
     const evacuated = this.queue.removeServices((service) => this.choice.isFullyBarred(service))
     for (const { ask, resolve } of evacuated) resolve(this.refuse(EVACUATED_REASON, ask, now))
+    this.refuseUnservableStreams(now)
     const hopeless = this.queue.removeHopeless(now)
     const overdue = this.queue.removeWhere((one) => now - one.since >= one.ask.holdMs)
     for (const { ask, resolve } of hopeless) resolve(this.refuse('no room in sight', ask, now))
@@ -252,17 +253,35 @@
     const decoders = this.choice.usable(ask.service, 'decode').length
     if (this.choice.isFullyBarred(ask.service)) return this.refuse(EVACUATED_REASON, ask, now)
     if (decoders === 0) return refused('no decode engine is known', NO_ENGINE_RETRY_MS)
-    if (!this.choice.hasVersion(ask)) return refused(NO_VERSION_REASON, NO_VERSION_RETRY_MS)
-    const decodersInRegions = this.choice.countInRegions(ask)
-    if (decodersInRegions === 0) return refused(REGION_REASON, REGION_RETRY_MS)
-    if (this.choice.countOfVersion(ask) === 0) return refused(VERSION_UNAVAILABLE_REASON, NO_ENGINE_RETRY_MS)
+    const unservable = this.refuseUnservable(ask)
+    if (unservable !== undefined) return unservable
     const patienceMs = ask.promptMs > 0 ? ask.promptMs : ask.holdMs
     if ((this.choice.coldWaitMs(ask, now) ?? 0) > patienceMs) return this.refuse(COLD_REASON, ask, now)
     const isFull =
-      ask.promptMs > 0 && this.queue.countNew(ask, now) >= decodersInRegions * MAX_WAITING_PER_ENGINE
+      ask.promptMs > 0 &&
+      this.queue.countNew(ask, now) >= this.choice.countInRegions(ask) * MAX_WAITING_PER_ENGINE
     return isFull ? this.refuse('too many wait already', ask, now) : undefined
   }
 
+  /** Refuses a request that no registered engine may get; undefined if one may. */
+  private refuseUnservable(ask: PlaceAsk): PlaceDecision | undefined {
+    if (!this.choice.hasVersion(ask)) return refused(NO_VERSION_REASON, NO_VERSION_RETRY_MS)
+    if (this.choice.countInRegions(ask) === 0) return refused(REGION_REASON, REGION_RETRY_MS)
+    if (this.choice.countOfVersion(ask) > 0) return undefined
+    return refused(VERSION_UNAVAILABLE_REASON, NO_ENGINE_RETRY_MS)
+  }
+
+  /** Refuses waiting requests whose stream no registered engine may continue any more. */
+  private refuseUnservableStreams(now: Millis): void {
+    const isBound = ({ ask }: WaitingRequest) => ask.boundVersion !== undefined
+    const mayWait = ({ ask }: WaitingRequest) => this.choice.candidates(ask, 'decode', now).length > 0
+    const refusalOf = (one: WaitingRequest) =>
+      isBound(one) && !mayWait(one) ? this.refuseUnservable(one.ask) : undefined
+    this.queue
+      .removeWhere((one) => refusalOf(one) !== undefined)
+      .forEach((one) => one.resolve(refusalOf(one)!))
+  }
+
   private refuse(reason: string, ask: PlaceAsk, now: Millis): PlaceDecision {
     return this.refusals.forCapacity(reason, ask, this.choice.coldWaitMs(ask, now))
   }
--- a/placement/allocator/src/engineChoice.ts
+++ b/placement/allocator/src/engineChoice.ts
@@ -1,10 +1,4 @@
-import {
-  newestPerAddress,
-  versionOf,
-  type InstanceId,
-  type RegisteredEndpoint,
-  type Stage,
-} from '@forkstage/directory'
+import { newestPerAddress, type InstanceId, type RegisteredEndpoint, type Stage } from '@forkstage/directory'
 import type { EnginePool } from '@forkstage/routes'
 import { withinRegions, type InRegion, type Topology } from '@forkstage/topology'
 import type { Millis } from '@forkstage/types'
@@ -17,6 +11,7 @@
 import type { EnginePick, EngineQuery } from './enginePick'
 import type { HoldRegistry } from './holdRegistry'
 import type { InstanceHealth } from './instanceHealth'
+import { isOfVersion } from './isOfVersion'
 import { PrefixCacheTracker } from './prefixCacheTracker'
 import { SLOW_FACTOR } from './peerPace'
 
@@ -161,10 +156,15 @@
     return this.inRegions(ask, this.usable(ask.service, 'decode')).length
   }
 
-  /** Returns how many of those are of the version that began the stream of a request. */
+  /**
+   * Returns how many of those are of the version that began the stream of a request; without those that the request has
+   * excluded for good, if other versions serve too and the answer has not begun.
+   */
   countOfVersion(ask: PlaceAsk): number {
-    return this.inRegions(ask, this.usable(ask.service, 'decode')).filter((one) => isOfVersion(ask, one))
-      .length
+    const excluded =
+      ask.isConfined === true && ask.isBegun !== true ? [...ask.except, ...(ask.avoid ?? [])] : []
+    const mayContinue = (one: RegisteredEndpoint) => isOfVersion(ask, one) && !excluded.includes(one.id)
+    return this.inRegions(ask, this.usable(ask.service, 'decode')).filter(mayContinue).length
   }
 
   /** Whether a decode engine of the version that began the stream of a request is registered. */
@@ -343,8 +343,3 @@
     return now - (this.localPrefillAt.get(id) ?? -Infinity) >= ownMs / LOCAL_PREFILL_SHARE
   }
 }
-
-/** Whether an engine may continue the stream of a request. */
-function isOfVersion({ boundVersion }: PlaceAsk, engine: RegisteredEndpoint): boolean {
-  return boundVersion === undefined || versionOf(engine) === boundVersion
-}
--- a/placement/allocator/test/boundVersion.test.ts
+++ b/placement/allocator/test/boundVersion.test.ts
@@ -51,6 +51,43 @@
     expect(one.decisions.get('bound')).toMatchObject({ type: 'refused', reason: NO_VERSION_REASON })
   })
 
+  // Guards against callers that wait for seconds where nobody is left who could serve them.
+  it.each([{ except: ['d1'] }, { avoid: ['d1'] }, { except: ['d1'], avoid: ['d3'] }])(
+    'is refused at once where the engines of its version cannot get it and others serve (%o)',
+    (fields) => {
+      const endpoints = [ofVersion('d1', 'v1'), ofVersion('d2', 'v2')]
+      if (fields.avoid?.includes('d3')) endpoints.push(ofVersion('d3', 'v1'))
+      const one = createAllocator(endpoints)
+      one.place(ask('bound', { boundVersion: 'v1', isConfined: true, promptMs: 0, holdMs: 3_000, ...fields }))
+      expect(one.decisions.get('bound')).toMatchObject({
+        reason: VERSION_UNAVAILABLE_REASON,
+        retryAfterMs: 700,
+      })
+    },
+  )
+
+  it.each([
+    { leaves: 'the last engine of its version', except: [], reason: NO_VERSION_REASON, retryAfterMs: 5_000 },
+    {
+      leaves: 'the last that may get it',
+      except: ['d3'],
+      reason: VERSION_UNAVAILABLE_REASON,
+      retryAfterMs: 700,
+    },
+  ])('is refused while it waits as soon as $leaves leaves', ({ except, reason, retryAfterMs }) => {
+    const endpoints = [ofVersion('d1', 'v1'), ofVersion('d2', 'v2')]
+    if (except.length > 0) endpoints.push(ofVersion('d3', 'v1'))
+    const one = createAllocator(endpoints)
+    const large = { promptTokens: 7_000, holdMs: 3_000, promptMs: 0, boundVersion: 'v1', isConfined: true }
+    one.place(ask('first', { ...large, except: ['d3'] }))
+    one.place(ask('resumed', { ...large, except }), 1)
+    one.allocator.tick(25)
+    expect(one.decisions.has('resumed')).toBe(false)
+    endpoints[0] = ofVersion('d1', 'v1', { state: 'draining' })
+    one.allocator.tick(50)
+    expect(one.decisions.get('resumed')).toMatchObject({ reason, retryAfterMs })
+  })
+
   it('is refused for a shorter time where the engines of its version are only barred', () => {
     const isBarred = ({ id }: RegisteredEndpoint) => id === 'd1'
     const one = createAllocator([ofVersion('d1', 'v1'), ofVersion('d2', 'v2')], { isBarred })
