fix(gateway): refuse a bound stream without asking where no engine of its version is known

Callers whose version had nobody left waited for a leader that did not answer: for the hold time and 0.2 s, up to three leaders in a row.

Cause: the entry asked the leader first, though it could not have used an engine that it does not know. Where registrations have reached the entry for two seconds it refuses by itself; before that it asks as it did.

remotePlacer.test.ts: the first test failed before (no answer while the leader is silent), the second guards the start of an entry and held before.

--- a/request/gateway/src/modelPlacer.ts
+++ b/request/gateway/src/modelPlacer.ts
@@ -80,7 +80,10 @@
   { type: 'place'; place: ModelPlace } | { type: 'refused'; reason: string; retryAfterMs: Millis }
 
 /** Returns the refusal of a request for which no engine accepts requests from this entry. */
-export function refusalFor({ reason, retryAfterMs }: PoolUnavailability): PlaceAnswer {
+export function refusalFor({
+  reason,
+  retryAfterMs,
+}: Pick<PoolUnavailability, 'reason' | 'retryAfterMs'>): PlaceAnswer {
   return { type: 'refused', reason, retryAfterMs }
 }
 
--- a/request/gateway/src/remotePlacer.ts
+++ b/request/gateway/src/remotePlacer.ts
@@ -19,6 +19,7 @@
 import type { EndpointRateLimiter } from './endpointRateLimiter'
 import type { LeaderClient } from './leaderClient'
 import type { OriginClient } from './originClient'
+import { isVersionGone, NO_VERSION_LEFT } from './isVersionGone'
 import { waitFor } from './waitFor'
 import {
   refusalFor,
@@ -44,7 +45,7 @@
   /** Receives the steps that the leader counted for engines that advertise rates. */
   limits?: EndpointRateLimiter
   /** The origins of streams that the leader needs; none are reported where left out. */
-  origins?: Pick<OriginClient, 'list'>
+  origins?: Pick<OriginClient, 'list' | 'viewSince'>
   clock: Clock
   logger: Logger
 }
@@ -105,6 +106,7 @@
       softwareVersion: boundVersion,
     })
     if (unavailable !== undefined) return refusalFor(unavailable)
+    if (isVersionGone(this.options, work)) return refusalFor(NO_VERSION_LEFT)
     const first = this.toAsk(work)
     const askedAt = clock.now()
     let ask = first
--- a/request/gateway/test/remotePlacer.test.ts
+++ b/request/gateway/test/remotePlacer.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest'
-import { PLACE, UNKNOWN_SERVICE, type AnswerMove, type PlaceAsk } from '@forkstage/allocator'
+import {
+  NO_VERSION_REASON,
+  PLACE,
+  UNKNOWN_SERVICE,
+  type AnswerMove,
+  type PlaceAsk,
+} from '@forkstage/allocator'
 import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
 import { AvailabilityTracker } from '@forkstage/statements'
@@ -74,7 +80,9 @@
   const options = { neighbours: () => [], peers, clock, logger, forwardableMethods: [] }
   const leaderClient = new LeaderClient({ leader: () => script.leader, ...options })
   const fallback = new LocalPlacer({ pool, kvTokens: () => kvTokens, entries: () => entries })
-  const placer = new RemotePlacer({ entry: 'e', pool, fallback, leaderClient, clock, logger })
+  const view = { since: -Infinity }
+  const origins = { list: () => [], viewSince: () => view.since }
+  const placer = new RemotePlacer({ entry: 'e', pool, fallback, leaderClient, origins, clock, logger })
   return {
     clock,
     placer,
@@ -85,6 +93,7 @@
     asked,
     asks,
     notes,
+    view,
     hang: (address: string) => silent.add(address),
   }
 }
@@ -98,6 +107,26 @@
 }
 
 describe('RemotePlacer', () => {
+  // Guards against callers that wait for a silent leader where nobody is left who could serve them.
+  it('refuses a bound stream at once where registrations arrive and none shows an engine of its version', async () => {
+    const { placer, script, asked, hang } = createPlacers()
+    script.leader = '10.0.0.9:1'
+    hang(script.leader)
+    const answer = await placer.place({ ...WORK, boundVersion: 'v1', promptMs: 0 })
+    expect(answer).toMatchObject({ type: 'refused', reason: NO_VERSION_REASON, retryAfterMs: 5_000 })
+    expect(asked).toEqual([])
+  })
+
+  it('asks the leader about a bound stream while registrations have not arrived for long', async () => {
+    const { placer, script, asked, view, clock } = createPlacers()
+    script.leader = '10.0.0.9:1'
+    script.refusal = NO_VERSION_REASON
+    view.since = clock.now()
+    const answer = await placer.place({ ...WORK, boundVersion: 'v1', promptMs: 0 })
+    expect(answer).toMatchObject({ type: 'refused', reason: NO_VERSION_REASON })
+    expect(asked).toEqual([script.leader])
+  })
+
   // Guards against engines that the leader ejects because an entry lost its own links.
   it('reports a run that was lost on the way as cancelled', async () => {
     const { placer, script, notes } = createPlacers()
