fix(gateway): wait 2.5 s at most for the origin of a stream

Callers waited up to 3.1 s to hear that no leader could be asked: the last call began within the limit and took its own 0.6 s. The last call gets what is left. originClient.test.ts failed before (2,550 ms on its schedule).

--- a/request/gateway/src/originClient.ts
+++ b/request/gateway/src/originClient.ts
@@ -67,6 +67,8 @@
 /** A leader of another term gets all streams that are kept, so that older ones need not be sent again. */
 const MAX_UNSENT = 10_000
 const ASK_AGAIN_AFTER_MS: Millis = 50
+/** A leader that waits for the record of a stream needs this long to answer. */
+const MIN_ANSWER_MS: Millis = 200
 /** Without a leader, neighbours are asked to forward the message, so it is not repeated often. */
 const REPORT_AGAIN_AFTER_MS: Millis = 250
 
@@ -160,8 +162,9 @@
     const { leaderClient, clock } = this.options
     const until = Math.min(endsAt, clock.now() + LEADER_WAIT_MS)
     for (;;) {
-      const answer = await leaderClient.tryCall<OriginAnswer>(PLACE.origin, query, ANSWER_WITHIN_MS)
-      if (answer !== undefined || clock.now() >= until) return answer
+      const withinMs = Math.min(ANSWER_WITHIN_MS, Math.max(MIN_ANSWER_MS, until - clock.now()))
+      const answer = await leaderClient.tryCall<OriginAnswer>(PLACE.origin, query, withinMs)
+      if (answer !== undefined || clock.now() >= until - ASK_AGAIN_AFTER_MS - MIN_ANSWER_MS) return answer
       await delay(clock, ASK_AGAIN_AFTER_MS)
     }
   }
--- a/request/gateway/test/originClient.test.ts
+++ b/request/gateway/test/originClient.test.ts
@@ -1,6 +1,6 @@
 import { PLACE } from '@forkstage/allocator'
-import { createSystemClock } from '@forkstage/clock'
-import { OriginTable, UNCERTAIN_VERSION, type OriginAnswer } from '@forkstage/origins'
+import { createSystemClock, delay, ManualClock } from '@forkstage/clock'
+import { OriginTable, UNCERTAIN_VERSION, VersionHistory, type OriginAnswer } from '@forkstage/origins'
 import { describe, expect, it, vi } from 'vitest'
 import { OriginClient } from '../src'
 import { endpointWithDefaults } from './rowsWithDefaults'
@@ -152,6 +152,28 @@
     }
   })
 
+  it('waits no longer than 2.5 s for leaders that do not answer', async () => {
+    const clock = new ManualClock()
+    const tryCall = async (_method: string, _params: unknown, deadline: number) => {
+      await delay(clock, deadline)
+      return undefined
+    }
+    const one = new OriginClient({
+      table: new OriginTable({ clock }),
+      history: new VersionHistory(clock),
+      leaderClient: { tryCall },
+      viewSince: () => 0,
+      clock,
+    })
+    let endedAt = Infinity
+    void one.resolve(QUERY, Infinity).then(() => (endedAt = clock.now()))
+    while (clock.now() < 4_000) {
+      clock.advance(10)
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    expect(endedAt).toBeLessThanOrEqual(2_500)
+  })
+
   it('tells the leader of a stream until it is confirmed', async () => {
     const { one, reports } = client([])
     one.begin({ stream: 'a', ...ORIGIN, keepMs: 1_000 })
