fix(fleet): have the leader confirm a software version before anyone hears of it

A stream that an entry and a control machine, cut off together, began at a version which had registered at that control machine alone went on at another version elsewhere: the leader said rightly that it knew one version only.

Cause: a control machine passed on what registered there at once, also while it reached no leader, and an entry that reaches no leader places by itself.

Ruled out: entries that ask for the confirmation (an entry that starts while it reaches no leader could begin no stream at all); a control machine that holds back only while it knows of no leader (it believes in one for 450 ms after a cut).

The control machine where the first engine of a version registers holds it back until the leader has recorded the version (one call, carried by an existing method, so that a leader of the build before confirms too). An engine that shows the end of a known process is passed on at once. Price: engines of a new version wait while there is no leader.

--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -149,6 +149,7 @@
       hub: this.hub,
       logger,
       isConnected: () => this.leader() !== undefined,
+      versions: { self, leader: () => this.leader(), origins: this.origins, peers, clock },
       onChange: (changed) => this.handleChanged(changed),
     })
     const client = new GroupClient<SheetCommand, SheetResult>({ group: GROUP, replicas, peers, clock })
@@ -271,6 +272,7 @@
     this.saved.stop()
     this.crashes.stop()
     this.origins.stop()
+    this.registrar.stop()
     this.allocator.stop()
     this.cold.stop()
     this.limits.stop()
--- a/daemon/fleet/src/controlOrigins.ts
+++ b/daemon/fleet/src/controlOrigins.ts
@@ -6,10 +6,12 @@
   OriginTable,
   readOrigins,
   readSavedVersions,
+  readVersions,
   VersionHistory,
   type OriginAnswer,
   type OriginQuery,
   type OriginRecord,
+  type StreamOrigin,
 } from '@forkstage/origins'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { FileSystem } from '@forkstage/storage'
@@ -46,6 +48,7 @@
   private readonly file: StateFile
   private savedVersions = '[]'
   private unsent: OriginRecord[] = []
+  private unsentVersions: StreamOrigin[] = []
   private cancelSend: CancelTimer | undefined
 
   constructor(private readonly options: ControlOriginsOptions) {
@@ -73,13 +76,37 @@
   /** Returns the methods that other control machines call here. */
   methods(): Record<string, PeerMethod> {
     return {
-      [REPLICATE]: (params: { origins?: unknown }) => this.table.merge(readOrigins(params.origins)),
+      [REPLICATE]: (params: { origins?: unknown; versions?: unknown }) => {
+        this.table.merge(readOrigins(params.origins))
+        this.addVersions(readVersions(params.versions))
+      },
     }
   }
 
   /** Applies changed endpoints. */
   update(changed: RegisteredEndpoint[]): void {
     this.history.update(changed)
+    this.saveIfChanged()
+  }
+
+  /** Whether engines of a version are known to run. */
+  isRunning(version: StreamOrigin): boolean {
+    return this.history.isRunning(version)
+  }
+
+  recordVersions(versions: StreamOrigin[]): void {
+    if (versions.length === 0) return
+    this.addVersions(versions)
+    this.unsentVersions.push(...versions)
+    this.scheduleSend()
+  }
+
+  private addVersions(versions: StreamOrigin[]): void {
+    for (const version of versions) this.history.add(version)
+    this.saveIfChanged()
+  }
+
+  private saveIfChanged(): void {
     const versions = JSON.stringify(this.history.save().versions)
     if (versions === this.savedVersions) return
     this.savedVersions = versions
@@ -89,7 +116,7 @@
   record(records: OriginRecord[]): void {
     this.table.merge(records)
     this.unsent.push(...records)
-    this.cancelSend ??= this.options.clock.after(REPLICATE_AFTER_MS, () => this.send())
+    this.scheduleSend()
   }
 
   find({ stream, service, withinMs }: OriginQuery): OriginAnswer {
@@ -104,10 +131,15 @@
     this.file.stop()
   }
 
+  private scheduleSend(): void {
+    this.cancelSend ??= this.options.clock.after(REPLICATE_AFTER_MS, () => this.send())
+  }
+
   private send(): void {
-    const origins = this.unsent
+    const news = { origins: this.unsent, versions: this.unsentVersions }
     this.unsent = []
+    this.unsentVersions = []
     this.cancelSend = undefined
-    for (const address of this.options.others()) this.options.peers.notify(address, REPLICATE, { origins })
+    for (const address of this.options.others()) this.options.peers.notify(address, REPLICATE, news)
   }
 }
--- a/daemon/fleet/src/registrar.ts
+++ b/daemon/fleet/src/registrar.ts
@@ -1,7 +1,8 @@
-import type { Directory, RegisteredEndpoint } from '@forkstage/directory'
+import { nameOf, type Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
 import type { WatchHub } from '@forkstage/watch'
 import { logEndpoints } from './logEndpoints'
+import { VersionAnnouncer, type VersionAnnouncerOptions } from './versionAnnouncer'
 
 /** Options of {@link Registrar}. */
 export interface RegistrarOptions {
@@ -12,6 +13,8 @@
   persist: (departed: RegisteredEndpoint) => Promise<boolean>
   /** Whether this machine is connected to a majority of the control machines. */
   isConnected: () => boolean
+  /** How the leader confirms new versions; needs no confirmation if absent. */
+  versions?: Omit<VersionAnnouncerOptions, 'onConfirmed'>
   /** Called with the endpoints that have changed. */
   onChange?: (changed: RegisteredEndpoint[]) => void
 }
@@ -24,7 +27,17 @@
   /** Number of invalid registrations since the start. */
   refused = 0
 
-  constructor(private readonly options: RegistrarOptions) {}
+  private readonly versions: VersionAnnouncer | undefined
+
+  constructor(private readonly options: RegistrarOptions) {
+    const { versions } = options
+    const onConfirmed = (endpoints: RegisteredEndpoint[]) => this.merge(endpoints)
+    this.versions = versions && new VersionAnnouncer({ ...versions, onConfirmed })
+  }
+
+  stop(): void {
+    this.versions?.stop()
+  }
 
   /** Counts and logs an invalid registration. What is known of the endpoint stays unchanged. */
   recordRefused(name: string, bytes: number): void {
@@ -42,6 +55,9 @@
    * know of it, also after a restart.
    */
   async register(endpoint: RegisteredEndpoint): Promise<boolean> {
+    if (endpoint.state === 'ready' && !this.isReplacement(endpoint) && this.versions?.hold(endpoint) === true)
+      return true
+    this.versions?.forget(endpoint.id)
     this.merge([endpoint])
     return endpoint.state === 'ready' || this.isDepartureKnown(endpoint)
   }
@@ -53,6 +69,7 @@
    */
   async leave(name: string, born?: number): Promise<boolean> {
     const departed = this.options.directory.departureOf(name, born)
+    this.versions?.forget(departed.id)
     this.merge([departed])
     return this.isDepartureKnown(departed)
   }
@@ -62,6 +79,15 @@
     this.publish(this.options.directory.merge(records))
   }
 
+  /** Whether an endpoint shows that another known process has ended, which others must hear of at once. */
+  private isReplacement(endpoint: RegisteredEndpoint): boolean {
+    const { directory } = this.options
+    if (directory.get(endpoint.id) !== undefined) return true
+    return directory
+      .list()
+      .some((one) => one.address === endpoint.address || nameOf(one) === nameOf(endpoint))
+  }
+
   private async isDepartureKnown(departed: RegisteredEndpoint): Promise<boolean> {
     const { directory, isConnected, persist } = this.options
     // Checked first as well, so that a machine that is cut off asks nobody.
--- a/placement/allocator/src/allocatorService.ts
+++ b/placement/allocator/src/allocatorService.ts
@@ -1,7 +1,7 @@
 import { delay, every, type CancelTimer } from '@forkstage/clock'
 import type { InstanceId, Stage } from '@forkstage/directory'
 import { ForkstageError } from '@forkstage/error'
-import { readOriginQuery, readOrigins, type OriginAnswer } from '@forkstage/origins'
+import { readOriginQuery, readOrigins, readVersions, type OriginAnswer } from '@forkstage/origins'
 import type { PeerMethod } from '@forkstage/peer-rpc'
 import type { Millis } from '@forkstage/types'
 import { Allocator } from './allocator'
@@ -34,7 +34,7 @@
   report: 'place.report',
   /** Returns the origin of a stream. */
   origin: 'place.origin',
-  /** Reports streams that an entry has begun. */
+  /** Reports streams that an entry has begun, or new versions. */
   origins: 'place.origins',
 } as const
 
@@ -178,10 +178,12 @@
     }
   }
 
-  /** Records streams that an entry has begun. @throws NotPlacingError so that the entry tells the leader. */
+  /** Records streams that an entry has begun, or versions that are new at another control machine. @throws NotPlacingError so that the entry tells the leader. */
   private recordOrigins(params: unknown): true {
     if (!this.options.isLeader()) throw new NotPlacingError()
-    this.options.origins?.record(readOrigins((params as { origins?: unknown }).origins))
+    const { origins, versions } = params as { origins?: unknown; versions?: unknown }
+    this.options.origins?.record(readOrigins(origins))
+    this.options.origins?.recordVersions(readVersions(versions))
     return true
   }
 
--- a/placement/allocator/src/allocatorServiceOptions.ts
+++ b/placement/allocator/src/allocatorServiceOptions.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@forkstage/clock'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import type { Logger } from '@forkstage/logger'
-import type { OriginAnswer, OriginQuery, OriginRecord } from '@forkstage/origins'
+import type { OriginAnswer, OriginQuery, OriginRecord, StreamOrigin } from '@forkstage/origins'
 import type { EnginePool } from '@forkstage/routes'
 import type { Topology } from '@forkstage/topology'
 import type { ColdPolicy } from './coldBudget'
@@ -34,5 +34,7 @@
 /** Stores the origins of streams for the leader. */
 export interface StreamOrigins {
   record(records: OriginRecord[]): void
+  /** Records versions of which engines have registered at other machines. */
+  recordVersions(versions: StreamOrigin[]): void
   find(query: OriginQuery): OriginAnswer
 }
--- a/placement/origins/src/readOrigins.ts
+++ b/placement/origins/src/readOrigins.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod'
-import type { OriginQuery, OriginRecord } from './originTypes'
+import type { OriginQuery, OriginRecord, StreamOrigin } from './originTypes'
 import type { SavedVersions } from './versionHistory'
 
 const text = z.string().max(400)
@@ -9,6 +9,7 @@
   softwareVersion: text,
   keepMs: z.number().min(0),
 })
+const versionSchema = z.object({ service: text.min(1), softwareVersion: text })
 const savedSchema = z.object({
   knownForMs: z.number(),
   versions: z.array(z.object({ service: text, softwareVersion: text })),
@@ -24,6 +25,15 @@
   })
 }
 
+/** Parses versions that another machine sent. Omits invalid ones and returns the others. */
+export function readVersions(raw: unknown): StreamOrigin[] {
+  if (!Array.isArray(raw)) return []
+  return raw.flatMap((one) => {
+    const read = versionSchema.safeParse(one)
+    return read.success ? [read.data] : []
+  })
+}
+
 /** Parses what a machine has saved; undefined unless it is valid. */
 export function readSavedVersions(raw: unknown): SavedVersions | undefined {
   const read = savedSchema.safeParse(raw)
--- a/placement/origins/src/versionHistory.ts
+++ b/placement/origins/src/versionHistory.ts
@@ -61,6 +61,16 @@
       .map(([softwareVersion]) => softwareVersion)
   }
 
+  /** Whether engines of a version are known to run. */
+  isRunning({ service, softwareVersion }: StreamOrigin): boolean {
+    return (this.services.get(service)?.get(softwareVersion)?.running.size ?? 0) > 0
+  }
+
+  /** Records that a service has a version, of which no engine may be known here yet. */
+  add({ service, softwareVersion }: StreamOrigin): void {
+    this.versionsOf(service, softwareVersion).endedAt = this.clock.now()
+  }
+
   /** Returns what a restart of this machine needs. */
   save(): SavedVersions {
     const now = this.clock.now()
--- a/placement/origins/test/versionHistory.test.ts
+++ b/placement/origins/test/versionHistory.test.ts
@@ -60,6 +60,19 @@
     expect(history.soleVersion('s', WITHIN_MS)).toBe('')
   })
 
+  it('counts a version that another machine has announced, without taking engines of it to run', () => {
+    const { time, history } = historyAt(0)
+    const version = { service: 's', softwareVersion: 'v2' }
+    history.update([engine('1', 'v1')])
+    time.now = 5_000
+    history.add(version)
+    expect([history.isRunning(version), history.hasSeveral('s', WITHIN_MS)]).toEqual([false, true])
+    time.now += WITHIN_MS + 1
+    expect(history.soleVersion('s', WITHIN_MS)).toBe('v1')
+    history.update([engine('2', 'v2')])
+    expect(history.isRunning(version)).toBe(true)
+  })
+
   it('knows after a restart which versions may have begun streams before', () => {
     const { time, history } = historyAt(0)
     history.markFounded()
