test(cli): a start that callers reach fails the test instead of hanging it

The loop that looks for an open listener stopped awaiting once it had found one, so that the test would have hung the runner where it should fail. The assertion is the same.

--- a/cli/forkstage/test/addressInUse.test.ts
+++ b/cli/forkstage/test/addressInUse.test.ts
@@ -75,7 +75,7 @@
     await start('entry', { callers: addressOf(port) })
     await machine.waitFor('start.waiting')
     let wasOpen = false
-    while (machine.isRunning) wasOpen ||= await isOpen(port)
+    while (machine.isRunning) if (await isOpen(port)) wasOpen = true
     expect(await machine.end).toEqual({ code: 1, signal: null })
     expect(machine.lines.at(-1)).toMatchObject({ event: 'start.failed' })
     expect(wasOpen).toBe(false)
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -6,13 +6,10 @@
 /** The fields of every log event, by event name. */
 export interface LogEvents {
   'box.started': { box: string; addresses: Record<string, string>; version: string }
-  /** The first line of a process, before its settings are read. `ageMs` is the time since the process was created. */
   'start.begun': { pid: number; version: string; ageMs: number }
-  /** A signal that came before the machine was created; it is acted on as soon as that is possible. */
   'start.signal': { signal: string; ageMs: number }
   /** A step of the start cannot be done yet and is tried again for a while; one line each time that the reason changes. */
   'start.waiting': { step: string; reason: string; ageMs: number }
-  /** The process ends, since its machine could not be started. */
   'start.failed': { ageMs: number } & ErrorBody
   'start.code_cache_unused': { reason: string }
   'box.ready': { ready: boolean; reason: string }
