fix(gateway): an empty answer of a control machine that has lost the lead ends no request unanswered

A request whose content may be suspect asks the leader for a turn. A control machine that no longer leads returns nothing, which is null in JSON; the entry took that for an answer, threw (Cannot read properties of null), and its caller got no answer until it gave up, while a stop of the entry would wait for the response to the end of its grace time. Ruled out: the orderly close (the stack is entryCrashes and leaderClient).

tryCall and tryCallOrNotify return undefined for it, as where no leader answers. leaderClient.test.ts: two tests red before.

--- a/request/gateway/src/leaderClient.ts
+++ b/request/gateway/src/leaderClient.ts
@@ -120,7 +120,8 @@
     try {
       const answer = await call
       this.wasLastUnanswered = false
-      return answer
+      // A machine that no longer leads answers nothing, which is `null` in JSON.
+      return answer ?? undefined
     } catch (error) {
       if (!this.wasLastUnanswered)
         this.options.logger.warn('leader.unanswered', { peer, step, reason: toErrorBody(error).message })
--- a/request/gateway/test/leaderClient.test.ts
+++ b/request/gateway/test/leaderClient.test.ts
@@ -68,6 +68,18 @@
     expect(calls).toEqual([`${LEADER} place.ask`, 'n1 entry.forward', `${LEADER} place.ask`])
   })
 
+  // Guards against requests that end without an answer because a control machine that no longer leads answers `null`.
+  it.each([
+    ['the leader', () => LEADER],
+    ['a neighbour', () => undefined],
+  ])('returns undefined for an empty answer of %s', async (_what, leader) => {
+    const { client } = createClient(new Set(), leader)
+    // A method that returns nothing is answered with null, as JSON has no undefined.
+    const empty: PeerCaller['call'] = async () => null as never
+    Object.assign((client as unknown as { options: { peers: PeerCaller } }).options.peers, { call: empty })
+    expect(await client.tryCall('trial.request', {}, 100)).toBeUndefined()
+  })
+
   it('forwards only the configured methods, and only to the leader', async () => {
     const { client, calls } = createClient(new Set())
     const forward = client.methods()['entry.forward'] as unknown as (call: object) => Promise<unknown>
