feat(gateway): a metric of the bytes of bodies that an entry holds

Nothing showed what the bodies of running requests take of an entry's memory. forkstage_body_bytes_held counts them from the end of the body to the end of the request. Behaviour is unchanged.

--- a/daemon/fleet/src/createEntryMetrics.ts
+++ b/daemon/fleet/src/createEntryMetrics.ts
@@ -15,7 +15,7 @@
 /** The parts of an entry that its metrics show. */
 export interface EntryMetricsSource {
   sheetVersion: () => number
-  ingress: Pick<Ingress, 'running' | 'connections' | 'unsentBytes'>
+  ingress: Pick<Ingress, 'running' | 'connections' | 'unsentBytes' | 'bodyBytesHeld'>
   delays: Pick<DelayMonitor, 'loopMs' | 'connectMs'>
   gate: Pick<AdmissionGate, 'limitValue' | 'closedCount'>
   directory: Directory
@@ -51,6 +51,7 @@
     requests_running: () => source.ingress.running,
     caller_connections: () => source.ingress.connections,
     caller_unsent_bytes: () => source.ingress.unsentBytes,
+    body_bytes_held: () => source.ingress.bodyBytesHeld,
     answer_bytes_held: () => source.answerMemory.countedBytes,
     answers_waiting: () => source.answerMemory.waitingCount,
     connections_closed_unread: () => source.gate.closedCount,
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -90,6 +90,7 @@
   private hasClosedAll = false
   private readonly returnDetector = new ReturnDetector()
   private served = 0
+  private bodyBytes = 0
   private readonly callerAdmission: CallerAdmission | undefined
 
   constructor(private readonly options: IngressOptions) {
@@ -125,6 +126,11 @@
     return this.answers.unsentBytes
   }
 
+  /** Number of bytes of request bodies that this process holds. */
+  get bodyBytesHeld(): number {
+    return this.bodyBytes
+  }
+
   /** Applies the connection limits of a newer sheet. */
   setLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs
@@ -195,9 +201,18 @@
       return refuseLongHeaders(response)
     if (request === 'too-large') return refuseTooLarge(response)
     if (this.leaving && !response.headersSent) response.setHeader('Connection', 'close')
+    this.bodyBytes += request.body.length
+    try {
+      await this.serveRequest(request)
+    } finally {
+      this.bodyBytes -= request.body.length
+    }
+  }
+
+  private async serveRequest(request: CallerRequest): Promise<void> {
     const result =
       this.callerAdmission?.refusesRequest() === true
-        ? { route: '', ...answerOverloaded(request, parts) }
+        ? { route: '', ...answerOverloaded(request, this.options.parts) }
         : await this.route(request)
     this.report(request, result)
   }
