fix(gateway): bodies of requests are held within a budget

Cause: nothing bounded the bodies that an entry holds. Each was joined into a second copy and held to the end of its request, and what was dropped counted until the garbage collector had run. Ruled out: a leak; one at a time the entry stayed below 60 MB.

An entry now has one budget for bodies and answers ([memory] process_mb and held_share; the platform's memory_mb). Room for the whole of a body is reserved before it is read, so that a body that has begun never waits for others; a body without a length reserves the largest one allowed. Large bodies lie in blocks that are used again, copied once, and are sent from there. Where room is short, those that no repeat after a run can need are let go; others wait unread, small ones pass large ones; then the request gets 503 as not run with Retry-After before its body is read. The rest of such a body is dropped before the connection is closed, since closing with bytes unread resets it and may discard the answer; 413 had that fault too. Expect: 100-continue is answered once there is room. A body that is not whole when its caller's or route's time is up gets 408; nothing ended such a request before.

In gatewayHarness and plainHarness the new option is filled in; no check was changed.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -1,10 +1,11 @@
 import type { ErrorBody } from '@forkstage/error'
+import type { MemoryEvents } from './memoryEvents'
 
 /** The leader's answer to a request for an isolated or an exclusive trial, or that no leader answered. */
 export type TrialOutcome = 'granted' | 'later' | 'anywhere' | 'isolate' | 'no leader answered'
 
 /** The fields of every log event, by event name. */
-export interface LogEvents {
+export interface LogEvents extends MemoryEvents {
   'box.started': { box: string; addresses: Record<string, string>; version: string }
   'start.code_cache_unused': { reason: string }
   'box.ready': { ready: boolean; reason: string }
--- a/daemon/fleet/src/createEntryMetrics.ts
+++ b/daemon/fleet/src/createEntryMetrics.ts
@@ -1,6 +1,6 @@
 import type { CrashTracker } from '@forkstage/crashes'
 import type { Directory } from '@forkstage/directory'
-import type { AnswerMemory, EndpointPool, GatewayRetryBudget, Ingress } from '@forkstage/gateway'
+import type { AnswerMemory, BodyMemory, EndpointPool, GatewayRetryBudget, Ingress } from '@forkstage/gateway'
 import type { AdmissionGate, DelayMonitor } from '@forkstage/overload'
 import type { AvailabilityTracker } from '@forkstage/statements'
 import type { ControlFollower } from '@forkstage/watch'
@@ -15,7 +15,7 @@
 /** The parts of an entry that its metrics show. */
 export interface EntryMetricsSource {
   sheetVersion: () => number
-  ingress: Pick<Ingress, 'running' | 'connections' | 'unsentBytes' | 'bodyBytesHeld'>
+  ingress: Pick<Ingress, 'running' | 'connections' | 'unsentBytes'>
   delays: Pick<DelayMonitor, 'loopMs' | 'connectMs'>
   gate: Pick<AdmissionGate, 'limitValue' | 'closedCount'>
   directory: Directory
@@ -29,6 +29,7 @@
   follower: ControlFollower
   retryBudget: GatewayRetryBudget
   answerMemory: AnswerMemory
+  bodyMemory: BodyMemory
   logLimiter: MachineContext['logLimiter']
 }
 
@@ -51,7 +52,10 @@
     requests_running: () => source.ingress.running,
     caller_connections: () => source.ingress.connections,
     caller_unsent_bytes: () => source.ingress.unsentBytes,
-    body_bytes_held: () => source.ingress.bodyBytesHeld,
+    body_bytes_held: () => source.bodyMemory.heldBytes,
+    body_bytes_limit: () => source.bodyMemory.limitBytes,
+    bodies_waiting: () => source.bodyMemory.waitingCount,
+    bodies_refused: () => source.bodyMemory.refusedCount,
     answer_bytes_held: () => source.answerMemory.countedBytes,
     answers_waiting: () => source.answerMemory.waitingCount,
     connections_closed_unread: () => source.gate.closedCount,
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -2,7 +2,6 @@
 import { Directory, type RegisteredEndpoint } from '@forkstage/directory'
 import { seedAddresses, type FleetSettings } from '@forkstage/fleet-settings'
 import {
-  AnswerMemory,
   ColdEndpointLimiter,
   EndpointPool,
   Ingress,
@@ -21,6 +20,7 @@
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { ColdEndpointTracker } from './coldEndpointTracker'
 import { createCrashTracker } from './createCrashTracker'
+import { createEntryMemory, type EntryMemory } from './createEntryMemory'
 import { createEntryMetrics } from './createEntryMetrics'
 import { createLeaderClient } from './createLeaderClient'
 import { createOriginClient } from './createOriginClient'
@@ -77,7 +77,7 @@
   private readonly paths: EntryPaths
   private readonly origins: OriginClient
   private readonly load: EntryLoad
-  private readonly answerMemory = new AnswerMemory()
+  private readonly memory: EntryMemory
   private peerServer: PeerServer | undefined
   private readonly ingress: Ingress
   private readonly metrics: FleetMetrics
@@ -90,6 +90,7 @@
     private readonly wire: EntryWire,
   ) {
     const { settings, clock, random, logger, peers } = context
+    this.memory = createEntryMemory(context)
     this.load = new EntryLoad({
       ingress: () => this.ingress,
       clock,
@@ -152,7 +153,7 @@
       context,
       directory,
       neighbours: () => this.follower.neighbours(),
-      refusesTunnels: () => this.leaving || this.load.gate.isLimiting,
+      refusesTunnels: () => this.leaving || this.load.gate.isLimiting || this.memory.bodyMemory.isSpent,
       delays: this.load.delays,
     })
     this.crashes = new EntryCrashes({
@@ -190,7 +191,7 @@
         pool: this.pool,
         placer: this.placer,
         retryBudget,
-        answerMemory: this.answerMemory,
+        answerMemory: this.memory.answerMemory,
         entries: () => this.follower.entries() || 1,
         cold: this.coldLimiter,
         limits: this.limits.limiter,
@@ -214,6 +215,7 @@
         clock,
         logger,
       }),
+      bodyMemory: this.memory.bodyMemory,
       routes: () => this.routes.current,
       isViewFresh: () => this.follower.hasAnswerSinceSuspension(),
       gate: this.load.gate,
@@ -235,7 +237,7 @@
       crashes: crashTracker,
       follower: this.follower,
       retryBudget,
-      answerMemory: this.answerMemory,
+      ...this.memory,
       logLimiter: context.logLimiter,
     })
   }
--- a/request/crashes/src/contentDigest.ts
+++ b/request/crashes/src/contentDigest.ts
@@ -13,7 +13,8 @@
   host: string
   /** Includes the query. */
   path: string
-  body: Buffer
+  /** In one piece, or in parts of any size. */
+  body: Buffer | readonly Buffer[]
 }
 
 /** 96 bits: among millions of different requests no two share a digest. */
@@ -27,5 +28,6 @@
 export function contentDigest({ key = '', method, host, path, body }: RequestContent): ContentDigest {
   const hash = createHash('sha256')
   for (const part of [key, method, host, path]) hash.update(`${Buffer.byteLength(part)}:${part}`)
-  return hash.update(body).digest('hex').slice(0, DIGEST_CHARS)
+  for (const part of Buffer.isBuffer(body) ? [body] : body) hash.update(part)
+  return hash.digest('hex').slice(0, DIGEST_CHARS)
 }
--- a/request/gateway/src/answerMemory.ts
+++ b/request/gateway/src/answerMemory.ts
@@ -3,7 +3,7 @@
 /** Counted bytes of all answers above which all but one wait. */
 const MAX_COUNTED_BYTES = 4 * 1024 * 1024
 /** Counted bytes of complete answers above which that one waits as well, until callers have read some. */
-const MAX_COMPLETE_BYTES = 32 * 1024 * 1024
+const DEFAULT_MAX_COMPLETE_BYTES = 32 * 1024 * 1024
 
 /** Stops and continues reading an answer from its endpoint. */
 export interface AnswerSource {
@@ -21,6 +21,8 @@
   private counted = 0
   private complete = 0
 
+  constructor(private readonly maxCompleteBytes = DEFAULT_MAX_COMPLETE_BYTES) {}
+
   /** Bytes counted over all answers. */
   get countedBytes(): number {
     return this.counted
@@ -49,7 +51,7 @@
   private mayRead(answer: HeldAnswer): boolean {
     if (this.counted <= MAX_COUNTED_BYTES) return true
     const [first] = this.reading
-    return answer === first && this.complete <= MAX_COMPLETE_BYTES
+    return answer === first && this.complete <= this.maxCompleteBytes
   }
 }
 
--- a/request/gateway/src/callerRequest.ts
+++ b/request/gateway/src/callerRequest.ts
@@ -2,7 +2,10 @@
 import type { Clock } from '@forkstage/clock'
 import { contentDigest, partDigest, type ContentDigest, type PartDigest } from '@forkstage/crashes'
 import type { Millis } from '@forkstage/types'
+import type { BodyMemory } from './bodyMemory'
 import type { GatewayWire } from './gatewayWire'
+import type { HeldBody } from './heldBody'
+import { readBody, type BodyFailure } from './readBody'
 import { sharedPartIds } from './sharedPartIds'
 
 /** Hop-by-hop headers, which are not forwarded. */
@@ -33,7 +36,7 @@
    * sets.
    */
   rawHeaders: string[]
-  body: Buffer
+  body: HeldBody
   /** Returns the digest of the request's content, which is the same whatever its id; computed on the first call. */
   content: () => ContentDigest
   /** Returns the digests of the prompt parts that it may share with other requests to a service. */
@@ -52,34 +55,45 @@
 export interface ReadCallerRequestOptions {
   wire: GatewayWire
   clock: Clock
+  memory: BodyMemory
   maxBodyBytes: number
+  /** How long the body waits for room before it is read. */
+  waitMs: Millis
+  /** How long the caller may take to send the body; it may not take longer than its deadline. */
+  limitMs: Millis
+  /** Called right before the body is read. */
+  onRead?: () => void
 }
 
-/**
- * Reads a request with its whole body. Returns 'gone' where the caller disconnected before the end of the body, and
- * 'too-large' where the body exceeds `maxBodyBytes`.
- */
+/** Reads a request with its whole body; returns why there is none otherwise. */
 export async function readCallerRequest(
   incoming: IncomingMessage,
   response: ServerResponse,
   options: ReadCallerRequestOptions,
-): Promise<CallerRequest | 'gone' | 'too-large'> {
-  const { wire, clock, maxBodyBytes } = options
+): Promise<CallerRequest | BodyFailure> {
+  const { wire, clock, memory, maxBodyBytes, waitMs, onRead } = options
   const arrivedAt = clock.now()
   const disconnection = watchDisconnect(response)
-  const body = await readBody(incoming, maxBodyBytes)
+  const { onDisconnect } = disconnection
+  const deadlineMs = deadlineOf(incoming, wire)
+  const limitMs = Math.min(options.limitMs, deadlineMs)
+  const bounds = { maxBytes: maxBodyBytes, waitMs: Math.min(waitMs, limitMs), limitMs }
+  const body = await readBody(incoming, { memory, clock, ...bounds, onRead, onDisconnect })
   if (typeof body === 'string') return body
   const contentParts = {
     key: firstValue(incoming.headers[wire.headers.key]),
     method: incoming.method ?? 'GET',
     host: incoming.headers.host ?? '',
     path: incoming.url ?? '/',
-    body,
   }
   const promptParts = firstValue(incoming.headers[wire.headers.promptParts])
-  const deadline = Number(firstValue(incoming.headers[wire.headers.deadlineMs]))
+  const id = firstValue(incoming.headers[wire.headers.requestId]) ?? ''
+  // The digest of a body that has been released without one equals no other, so that it says nothing about any content.
+  const bodyParts = () => (body.isReleased ? [Buffer.from(id)] : body.read())
+  const content = once(() => contentDigest({ ...contentParts, body: bodyParts() }))
+  body.onLetGo = content
   return {
-    id: firstValue(incoming.headers[wire.headers.requestId]) ?? '',
+    id,
     method: contentParts.method,
     path: contentParts.path,
     host: contentParts.host,
@@ -90,15 +104,20 @@
       wire.headers.deadlineMs,
     ]),
     body,
-    content: once(() => contentDigest(contentParts)),
-    parts: (service) => sharedPartIds(promptParts, wire).map((id) => partDigest(service, id)),
+    content,
+    parts: (service) => sharedPartIds(promptParts, wire).map((part) => partDigest(service, part)),
     arrivedAt,
-    deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : Infinity,
+    deadlineMs,
     response,
     ...disconnection,
   }
 }
 
+function deadlineOf({ headers }: IncomingMessage, wire: GatewayWire): Millis {
+  const deadline = Number(firstValue(headers[wire.headers.deadlineMs]))
+  return Number.isFinite(deadline) && deadline > 0 ? deadline : Infinity
+}
+
 /**
  * Returns alternating header names and values without hop-by-hop headers and without those in `names`, which are in
  * lower case.
@@ -147,18 +166,3 @@
     },
   }
 }
-
-function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer | 'gone' | 'too-large'> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let size = 0
-    incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size > maxBytes) resolve('too-large')
-      else chunks.push(chunk)
-    })
-    incoming.on('end', () => resolve(Buffer.concat(chunks)))
-    incoming.on('close', () => resolve('gone'))
-    incoming.on('error', () => resolve('gone'))
-  })
-}
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -4,8 +4,11 @@
 import { connectDirectly, type Dial, type DialResult } from '@forkstage/paths'
 import { endedWithFin } from '@forkstage/tunnel'
 import type { Address, Millis } from '@forkstage/types'
+import type { HeldBody } from './heldBody'
 import { isForwardable } from './isForwardable'
 
+/** How long an endpoint that has answered may take to read the rest of the body. */
+const READ_ON_MS: Millis = 2_000
 /** Interim answers (1xx) before an answer that are accepted. */
 const MAX_INTERIM_ANSWERS = 32
 
@@ -47,7 +50,9 @@
   path: string
   /** Alternating names and values. */
   rawHeaders: string[]
-  body: Buffer
+  body: Buffer | HeldBody
+  /** Called once the last byte of a held body has left this process. */
+  onSent?: () => void
   /** Connect timeout. */
   connectMs: Millis
   /** Opens the connection; directly to the endpoint if absent. */
@@ -95,10 +100,17 @@
   const pauses = new Set<PauseReason>()
   let interimAnswers = 0
   let lastReceivedAt = -Infinity
+  let isBodySent = false
   const end = (result: ExchangeEnd) => {
     if (ended) return
     ended = true
     options.onEnd(result)
+    // What the endpoint does not read takes memory.
+    if (result.complete && !isBodySent)
+      request.once(
+        'close',
+        clock.after(READ_ON_MS, () => request.destroy()),
+      )
   }
   const fail = (reason: string, isCancelled = false) => {
     end({ complete: false, sent, refused: false, via, isCancelled, reason })
@@ -149,7 +161,13 @@
   request.on('close', () => {
     if (answer === undefined) fail('closed without an answer')
   })
-  request.end(body)
+  // Not before there is a connection: what a message keeps for later is never called back if it ends before.
+  const onSent = () => {
+    isBodySent = true
+    options.onSent?.()
+  }
+  if (Buffer.isBuffer(body)) request.end(body, onSent)
+  else request.once('socket', () => body.endWith(request, onSent))
   return {
     cancel: (reason) => fail(reason, true),
     pause: (reason) => {
--- a/request/gateway/src/index.ts
+++ b/request/gateway/src/index.ts
@@ -2,6 +2,8 @@
 export { Ingress } from './ingress'
 export type { IngressOptions, RequestReport } from './ingress'
 export { AnswerMemory } from './answerMemory'
+export { BodyMemory } from './bodyMemory'
+export { HeldBody } from './heldBody'
 export { ColdEndpointLimiter } from './coldEndpointLimiter'
 export { EndpointRateLimiter } from './endpointRateLimiter'
 export type { EndpointRateLimiterOptions } from './endpointRateLimiter'
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -8,7 +8,8 @@
   type RouteIndex,
 } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
-import { readCallerRequest, firstValue, type CallerRequest } from './callerRequest'
+import { firstValue, type CallerRequest } from './callerRequest'
+import type { BodyMemory } from './bodyMemory'
 import { CallerAdmission, type CallerAdmissionOptions } from './callerAdmission'
 import { ReturnDetector } from './returnDetector'
 import { allowedRegions } from './regionRule'
@@ -19,12 +20,11 @@
   answerNoRoute,
   answerNoSheet,
   answerOverloaded,
-  refuseLongHeaders,
-  refuseTooLarge,
 } from './ingressAnswers'
 import { answerRefusal, CALLER_DISCONNECTED } from './relayAnswers'
 import { relayPlain } from './plainRelay'
 import type { TokenCounts } from './gatewayWire'
+import { receiveRequest } from './receiveRequest'
 import type { RelayParts, RelayResult } from './relayParts'
 import { resumeStream } from './resumeStream'
 import { relayStream } from './streamRelay'
@@ -37,6 +37,8 @@
 export interface IngressOptions {
   parts: RelayParts
   admission: WorkspaceAdmission
+  /** Bounds the memory for the bodies of requests. */
+  bodyMemory: BodyMemory
   /** Returns the route sheet in force; undefined until one is known. */
   routes: () => RouteIndex | undefined
   /** Whether the known routes and endpoints were received since this machine was last suspended; assumed where left out. */
@@ -65,8 +67,6 @@
 
 /** Node cannot change this while the server runs, so it lies above what any sheet is likely to allow. */
 const MAX_HEADER_BYTES = 262_144
-/** Margin above the sheet's limit, so that headers just inside it are never refused. */
-const HEADER_MARGIN_FACTOR = 2
 const IDLE_MARGIN_MS = 2_000
 const CONNECTIONS_CHECK_INTERVAL_MS = 1_000
 const ROUTES_WAIT_MS = 250
@@ -90,7 +90,8 @@
   private hasClosedAll = false
   private readonly returnDetector = new ReturnDetector()
   private served = 0
-  private bodyBytes = 0
+  /** Requests whose callers send the body only once they are told to continue. */
+  private readonly awaitContinue = new WeakSet<IncomingMessage>()
   private readonly callerAdmission: CallerAdmission | undefined
 
   constructor(private readonly options: IngressOptions) {
@@ -103,6 +104,10 @@
       },
       (incoming, response) => void this.serve(incoming, response),
     )
+    this.server.on('checkContinue', (incoming: IncomingMessage, response: ServerResponse) => {
+      this.awaitContinue.add(incoming)
+      this.server.emit('request', incoming, response)
+    })
     const { gate, parts } = options
     const running = () => this.running
     if (gate !== undefined)
@@ -126,11 +131,6 @@
     return this.answers.unsentBytes
   }
 
-  /** Number of bytes of request bodies that this process holds. */
-  get bodyBytesHeld(): number {
-    return this.bodyBytes
-  }
-
   /** Applies the connection limits of a newer sheet. */
   setLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs
@@ -188,24 +188,23 @@
   }
 
   private async serveOne(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { parts, routes } = this.options
-    const limits = routes()?.sheet.limits ?? DEFAULT_CALLER_LIMITS
-    const { wire, clock } = parts
-    const request = await readCallerRequest(incoming, response, {
-      wire,
-      clock,
-      maxBodyBytes: limits.maxBodyBytes,
+    const { parts, routes, bodyMemory } = this.options
+    const index = routes()
+    const request = await receiveRequest(incoming, response, {
+      ...parts,
+      memory: bodyMemory,
+      limits: index?.sheet.limits ?? DEFAULT_CALLER_LIMITS,
+      route: index?.find(incoming.headers.host ?? '', incoming.url ?? '/'),
+      onRead: () => {
+        if (this.awaitContinue.delete(incoming)) response.writeContinue()
+      },
     })
-    if (request === 'gone') return
-    if (headerBytes(incoming) > limits.maxHeaderBytes * HEADER_MARGIN_FACTOR)
-      return refuseLongHeaders(response)
-    if (request === 'too-large') return refuseTooLarge(response)
+    if (request === undefined) return
     if (this.leaving && !response.headersSent) response.setHeader('Connection', 'close')
-    this.bodyBytes += request.body.length
     try {
       await this.serveRequest(request)
     } finally {
-      this.bodyBytes -= request.body.length
+      request.body.release()
     }
   }
 
@@ -336,7 +335,3 @@
 function wasRunInFull({ status, outcome, sends }: RelayResult): boolean {
   return status >= 200 && status < 300 && outcome === ANSWERED && sends.length > 0
 }
-
-function headerBytes({ rawHeaders }: IncomingMessage): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length, 0)
-}
--- a/request/gateway/src/ingressAnswers.ts
+++ b/request/gateway/src/ingressAnswers.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http'
+import type { Millis } from '@forkstage/types'
 import type { CallerRequest } from './callerRequest'
-import { sendOwnAnswer } from './ownAnswer'
+import { sendOwnAnswer, type OwnAnswer } from './ownAnswer'
 import type { RelayParts, RelayResult } from './relayParts'
 
 const NO_SHEET_RETRY_MS = 500
@@ -17,14 +18,28 @@
   })
 }
 
-/** Refuses a request whose body is larger than the sheet allows. */
-export function refuseTooLarge(response: ServerResponse): void {
-  sendOwnAnswer(response, {
-    status: 413,
-    code: 'FORKSTAGE_BODY_TOO_LARGE',
-    message: 'The body is longer than the sheet allows.',
-    close: true,
-  })
+/** The answer to a request whose body is larger than the sheet allows. */
+export const BODY_TOO_LARGE: OwnAnswer = {
+  status: 413,
+  code: 'FORKSTAGE_BODY_TOO_LARGE',
+  message: 'The body is longer than the sheet allows.',
+}
+
+/** The answer to a request whose body was not there when its time was up. */
+export const BODY_TOO_SLOW: OwnAnswer = {
+  status: 408,
+  code: 'FORKSTAGE_BODY_TOO_SLOW',
+  message: 'The body was not there when the time was up; the request was not run.',
+}
+
+/** Returns the answer to a request for whose body this entry has no memory. */
+export function noRoomForBody(random: () => number): OwnAnswer {
+  return {
+    status: 503,
+    code: 'FORKSTAGE_NO_MEMORY',
+    message: 'This entry has no memory left for the body; the request was not run.',
+    retryAfterMs: spreadRetryMs(random),
+  }
 }
 
 /** Refuses a request because no route sheet is known yet. */
@@ -59,8 +74,7 @@
     status: 503,
     code: 'FORKSTAGE_OVERLOADED',
     message: 'This entry has more requests in progress than it can handle.',
-    // Spread, so that refused callers do not return at the same moment.
-    retryAfterMs: OVERLOADED_RETRY_MS * (1 + random()),
+    retryAfterMs: spreadRetryMs(random),
   })
   return { status: 503, outcome: 'entry overloaded', sends: [] }
 }
@@ -94,3 +108,8 @@
   })
   return { status: 400, outcome: 'no request id', sends: [] }
 }
+
+/** Spread, so that refused callers do not return at the same moment. */
+function spreadRetryMs(random: () => number): Millis {
+  return OVERLOADED_RETRY_MS * (1 + random())
+}
--- a/request/gateway/src/ownAnswer.ts
+++ b/request/gateway/src/ownAnswer.ts
@@ -15,6 +15,11 @@
 /** Sends an answer that this entry generates, unless the caller has got one already. */
 export function sendOwnAnswer(response: ServerResponse, answer: OwnAnswer): void {
   if (response.headersSent || response.destroyed) return
+  response.end(beginOwnAnswer(response, answer))
+}
+
+/** Sets the head of an answer that this entry generates, and returns its body. */
+export function beginOwnAnswer(response: ServerResponse, answer: OwnAnswer): Buffer {
   const body = Buffer.from(JSON.stringify({ code: answer.code, message: answer.message }))
   response.statusCode = answer.status
   response.setHeader('Content-Type', 'application/json')
@@ -22,7 +27,7 @@
   if (answer.retryAfterMs !== undefined)
     response.setHeader('Retry-After', (answer.retryAfterMs / 1_000).toFixed(3))
   if (answer.close === true) response.setHeader('Connection', 'close')
-  response.end(body)
+  return body
 }
 
 /** Forwards an endpoint's complete answer unchanged, unless the caller has got one already. */
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -212,6 +212,9 @@
       path: job.request.path,
       rawHeaders: headersFor(parts, job, to),
       body: job.request.body,
+      onSent: () => {
+        if (!mayRepeat()) job.request.body.makeSpare()
+      },
       connectMs: CONNECT_MS,
       dial: parts.dialer?.dial,
       whyNoLongerSend: () => whyNoLongerSend(parts, job, to.endpoint, 'plain'),
@@ -224,6 +227,7 @@
       },
     })
     unwatch()
+    job.request.body.keep()
     if (outcome.type === 'answer') releaseOnceRead(held, job.request.response)
     else held?.release()
     counted.close(outcome.type === 'answer' || outcome.sent ? 'taken' : 'not-arrived')
@@ -276,7 +280,8 @@
   }
 
   private mayRepeat(sending: SendingResult): boolean {
-    const { route, endsAt } = this.job
+    const { request, route, endsAt } = this.job
+    if (request.body.isReleased) return false
     if (endsAt - this.parts.clock.now() < ANSWER_MARGIN_MS * 2) return false
     if (sending.type === 'not-run' && !sending.arrived) return true
     if (sending.type !== 'not-run' && route.kind !== 'safe') return false
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -1,4 +1,3 @@
-import { createServer as createTcp } from 'node:net'
 import { request as httpRequest } from 'node:http'
 import { createSeededRandom, createSystemClock } from '@forkstage/clock'
 import type { LostAttempt, SendingDecision, TrialAnswer } from '@forkstage/crashes'
@@ -10,6 +9,7 @@
 import { AvailabilityTracker } from '@forkstage/statements'
 import {
   AnswerMemory,
+  BodyMemory,
   ColdEndpointLimiter,
   EndpointPool,
   regionRule,
@@ -28,6 +28,7 @@
 import { TOPOLOGY } from './testTopology'
 import { TEST_WIRE } from './testWire'
 
+export { deadAddress } from './deadAddress'
 export { TOPOLOGY }
 
 const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
@@ -38,6 +39,9 @@
 /** Requests per second that a cold endpoint may get from all entries. */
 export const COLD_PER_SECOND = 30
 
+/** Budget for the bodies of requests. */
+export const BODY_MEMORY_BYTES = 10 * 1024 * 1024
+
 /** How long endpoints continue serving once they have announced that they are leaving. */
 const LEAVING_SERVES_MS = 2_000
 
@@ -110,6 +114,7 @@
     /** The entry's retry budget. */
     readonly retryBudget: GatewayRetryBudget,
     readonly answerMemory: AnswerMemory,
+    readonly bodyMemory: BodyMemory,
     /** What endpoints have announced to the entry about their availability. */
     readonly availability: AvailabilityTracker,
   ) {}
@@ -191,6 +196,7 @@
     later = RUN_FOR_MS
     const local = new LocalPlacer({ pool, kvTokens: () => 100_000, entries: () => 1, cold })
     const answerMemory = new AnswerMemory()
+    const bodyMemory = new BodyMemory({ limitBytes: BODY_MEMORY_BYTES, clock, logger })
     const retryBudget = new GatewayRetryBudget({
       clock,
       share: 0.2,
@@ -269,6 +275,7 @@
         clock,
         logger,
       }),
+      bodyMemory,
       routes: () => routeStore.current,
       gate,
       onResult: (report) => harness.reports.push(report),
@@ -290,6 +297,7 @@
       evacuated,
       retryBudget,
       answerMemory,
+      bodyMemory,
       availability,
     )
     harness.gate = gate
@@ -339,12 +347,3 @@
     return { request, answer }
   }
 }
-
-/** Returns an address where no server listens. */
-export async function deadAddress(): Promise<string> {
-  const server = createTcp()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as { port: number }
-  await new Promise<void>((resolve) => server.close(() => resolve()))
-  return `127.0.0.1:${port}`
-}
--- a/request/gateway/test/plainHarness.ts
+++ b/request/gateway/test/plainHarness.ts
@@ -3,7 +3,7 @@
 import { createSeededRandom, ManualClock } from '@forkstage/clock'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { createSilentLogger } from '@forkstage/logger'
-import { AnswerMemory, EndpointPool, GatewayRetryBudget, type RelayParts } from '../src'
+import { AnswerMemory, EndpointPool, GatewayRetryBudget, HeldBody, type RelayParts } from '../src'
 import { relayPlain } from '../src/plainRelay'
 import type { RelayJob } from '../src/relayParts'
 import { FakeWorker, type SeenRequest } from './fakeWorker'
@@ -174,7 +174,7 @@
       host: 'h.example',
       headers: {},
       rawHeaders: ['x-id', id],
-      body: Buffer.alloc(0),
+      body: new HeldBody([]),
       content: () => 'c' as never,
       parts: () => [],
       arrivedAt,
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -119,6 +119,15 @@
   })
   .prefault({})
 
+const memorySection = z
+  .strictObject({
+    /** Memory that the process may use before it is ended, in megabytes. */
+    process_mb: z.number().int().min(64).max(1_048_576).default(200),
+    /** Share of it that an entry may use for bodies and answers that it holds. */
+    held_share: z.number().min(0.05).max(0.9).default(0.3),
+  })
+  .prefault({})
+
 const crashesSection = z
   .strictObject({
     /** Number of crashes of endpoints under requests of one content after which such requests are refused. */
@@ -149,6 +158,7 @@
   leaving: leavingSection,
   cold: coldSection,
   limits: limitsSection,
+  memory: memorySection,
   crashes: crashesSection,
   domains: domainsSection,
   log: logSection,
