--- a/scripts/bundleOptions.mjs
+++ b/scripts/bundleOptions.mjs
@@ -12,6 +12,7 @@
   partitionable: 'tools/fleet-soak/src/partitionable.ts',
   hotEntry: 'tools/fleet-soak/src/hotEntryExperiment.ts',
   limitedLink: 'tools/fleet-soak/src/limitedLink.ts',
+  largeBodies: 'tools/fleet-soak/src/largeBodiesExperiment.ts',
   endlessBytes: 'tools/fleet-soak/src/endlessBytesExperiment.ts',
   endlessEndpoint: 'tools/fleet-soak/src/endlessEndpoint.ts',
   days: 'tools/days/src/main.ts',
--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -30,6 +30,11 @@
       default: 0,
       describe: 'share of evacuations in which a withdrawal is abandoned and the evacuation sent again',
     })
+    .option('bodies', {
+      type: 'number',
+      default: 0,
+      describe: 'requests a second with bodies of sizes up to the limit',
+    })
     .strict()
     .parse()
   const report = await runFleetSoak(args)
--- a/tools/fleet-soak/src/runFleetSoak.ts
+++ b/tools/fleet-soak/src/runFleetSoak.ts
@@ -17,6 +17,7 @@
 import { DOMAINS } from './machineSettings'
 import { planBackoffFaults, runBackoffFaults } from './backoffFaults'
 import { planPartitions, runPartitions, type ObservedPartition } from './partitionFaults'
+import { SoakBodies, type SoakBodiesOptions } from './soakBodies'
 import { SoakCallers, type CallRecord } from './soakCallers'
 import { planEvacuations, SoakEvacuations } from './soakEvacuations'
 import { SoakFleet } from './soakFleet'
@@ -30,7 +31,7 @@
 import { planVersionFaults, runVersionFaults } from './versionFaults'
 
 /** Options of {@link runFleetSoak}. */
-export interface FleetSoakOptions {
+export interface FleetSoakOptions extends SoakBodiesOptions {
   minutes: number
   seed: number
   /** The first three numbers of the loopback addresses. */
@@ -144,13 +145,8 @@
   try {
     fleet.startAll()
     await Promise.all([...endpoints, ...versioned].map((endpoint) => endpoint.start()))
-    return await soak(options, folder, fleet, endpoints, {
-      versioned,
-      runs,
-      observedRuns,
-      poisonArrivals,
-      interruptions,
-    })
+    const observations = { versioned, runs, observedRuns, poisonArrivals, interruptions }
+    return await soak(options, folder, fleet, endpoints, observations)
   } finally {
     endpoints.forEach((endpoint) => endpoint.end())
     versioned.forEach((engine) => engine.stop())
@@ -169,7 +165,7 @@
 }
 
 async function soak(
-  { minutes, seed, fatalMs, fatalKinds, abandoned }: FleetSoakOptions,
+  { minutes, seed, fatalMs, fatalKinds, abandoned, bodies }: FleetSoakOptions,
   folder: string,
   fleet: SoakFleet,
   endpoints: StandInEndpoint[],
@@ -178,6 +174,7 @@
   const operator = new SoakOperator(fleet, createSeededRandom(seed + 1))
   const callers = new SoakCallers(fleet, createSeededRandom(seed + 2), () => operator.newest)
   const faultyEndpoints = endpoints.slice(0, ENDPOINTS.length)
+  const bodyCallers = new SoakBodies(fleet, createSeededRandom(seed + 12), callers, bodies)
   const injector = new FleetFaultInjector(fleet, faultyEndpoints)
   const evacuations = new SoakEvacuations(fleet, createSeededRandom(seed + 3), {
     share: abandoned,
@@ -204,6 +201,7 @@
   await Promise.all([
     repeat(CALL_EVERY_MS, () => callers.call()),
     repeat(LARGE_EVERY_MS, () => callers.callLarge()),
+    bodyCallers.run(repeat),
     repeat(fatalMs, () => callers.callPoison(fatalKinds)),
     repeat(POISON_PART_EVERY_MS, () => callers.callPoisonPart()),
     runEngineFaults(
@@ -251,6 +249,7 @@
     ),
     ...checkEndpointSignals(signalsOf(endpoints), callers.calls, injector.entryOutages),
     ...checkPartitions(partitions, callers.calls, injector.disruptions),
+    ...bodyCallers.violations(),
     ...checkWorkspaceRuns(observedRuns, callers.keys),
     ...checkStreamVersions(streams.streams, surroundings),
     ...(await checkRecovery(fleet, operator)),
--- a/tools/fleet-soak/src/soakOperator.ts
+++ b/tools/fleet-soak/src/soakOperator.ts
@@ -151,7 +151,7 @@
     ],
     limits: {
       max_header_bytes: 16_384,
-      max_body_bytes: 65_536,
+      max_body_bytes: 4_194_304,
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
     },
