--- a/request/gateway/src/answerUnread.ts
+++ b/request/gateway/src/answerUnread.ts
@@ -36,6 +36,7 @@
     if (dropped > maxBytes) end()
   })
   incoming.once('end', end)
-  incoming.once('close', end)
+  // The caller has closed the connection, after the whole answer or before it.
+  incoming.once('close', cancelTimer)
   incoming.resume()
 }
--- a/request/gateway/test/largeBodies.test.ts
+++ b/request/gateway/test/largeBodies.test.ts
@@ -85,6 +85,10 @@
     expect(refused.status).toBe(503)
     expect(refused.received).toMatch(/retry-after: (0\.\d+|1\.000)/i)
     expect(refused.received).toMatch(/connection: close/i)
+    refused.socket.destroy()
+    while (harness.ingress.connections > 2) await new Promise((resolve) => setImmediate(resolve))
+    // Its caller had the whole answer.
+    expect(harness.warnings).not.toContainEqual(expect.objectContaining({ event: 'answer.unsent' }))
     const small = harness.send('/p/x', { body: 'small', headers: { 'x-id': 'small' } })
     await endpoint!.waitFor(() => endpoint!.bodies.has('small'))
     answers.forEach((answer) => answer())
