--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -1,11 +1,12 @@
 import type { ErrorBody } from '@forkstage/error'
 import type { EntryLoadEvents } from './entryLoadEvents'
+import type { MemoryEvents } from './memoryEvents'
 
 /** The leader's answer to a request for an isolated or an exclusive trial, or that no leader answered. */
 export type TrialOutcome = 'granted' | 'later' | 'anywhere' | 'isolate' | 'no leader answered'
 
 /** The fields of every log event, by event name. */
-export interface LogEvents extends EntryLoadEvents {
+export interface LogEvents extends EntryLoadEvents, MemoryEvents {
   'box.started': { box: string; addresses: Record<string, string>; version: string }
   'start.begun': { pid: number; version: string; ageMs: number }
   'start.signal': { signal: string; ageMs: number }
--- a/tools/fleet-soak/src/main.ts
+++ b/tools/fleet-soak/src/main.ts
@@ -36,6 +36,11 @@
       default: 0,
       describe: 'how much planned work there is (SIGHUP, new settings, stops in turn), 0 to 1',
     })
+    .option('bodies', {
+      type: 'number',
+      default: 0,
+      describe: 'requests a second with bodies of sizes up to the limit',
+    })
     .strict()
     .parse()
   const report = await runFleetSoak(args)
