fix(crashes): endpoints that go down together are one piece of evidence

Cause: each crash counted by itself, for contents and for parts. What most requests share is at all crashes of one cause, and only an answer could clear it, which no request could get any more.

Change: one model for contents and parts. Crashes of a quarter of a service's endpoints, or of its endpoints in one domain, three at least, within 600 ms are an incident; what had a quarter of the answers is excused of most of its crashes there, kept in records and on disk, and tried by one request at a time until the first answer clears it. Verdicts younger than that are open: streams wait (PartGuard). Crashes are timed by the loss, not by the report.

Tests: partSimulation knows domains, waits and turns as the relay does; no aim was changed.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -104,6 +104,11 @@
     ageMs: number
     leftMs: number
   }
+  /** One cause took endpoints together; most of these crashes do not count against a content or part that ran there. */
+  'content.excused': {
+    content: string
+    excused: string[]
+  }
   /** An isolated trial was requested for a suspect content. */
   'content.alone': {
     content: string
--- a/daemon/fleet/src/controlCrashes.ts
+++ b/daemon/fleet/src/controlCrashes.ts
@@ -1,6 +1,7 @@
 import { every, type CancelTimer, type Clock, type Random } from '@forkstage/clock'
 import {
   CRASH_REPORT,
+  isPart,
   readCrashRecords,
   readTrialRequest,
   readTrialEnd,
@@ -59,7 +60,7 @@
       random: options.random,
       registered: (service) => this.readyPlainEndpoints(service),
       hasCrashed: (endpoint) => tracker.hasCrashed(endpoint),
-      isSuspect: (content) => tracker.isSuspect(content),
+      isSuspect: (content) => !isPart(content) && tracker.isSuspect(content),
       onChange: () => this.publishReserved(),
     })
   }
--- a/daemon/fleet/src/entryCrashes.ts
+++ b/daemon/fleet/src/entryCrashes.ts
@@ -6,6 +6,7 @@
   CrashReporter,
   CrashDetector,
   decideSending,
+  isPart,
   hasIsolatedTrials,
   refusalOf,
   type ContentDigest,
@@ -17,6 +18,7 @@
   type ProbeResult,
   type RequestSubjects,
   type SendingDecision,
+  type SubjectDigest,
   type TrialAnswer,
 } from '@forkstage/crashes'
 import {
@@ -48,6 +50,11 @@
 const CONFIRMATION_TIMEOUT_MS: Millis = 150
 /** A reachable leader answers within a few milliseconds; the caller waits meanwhile. */
 const TURN_TIMEOUT_MS: Millis = 150
+/** More than ever run at once; without the record of a turn its part asks the leader more often. */
+const MAX_PART_TURNS = 1_000
+const PART_TURN_RETRY_MS: Millis = 50
+/** Within this time an engine has written enough to clear a part, or has crashed. */
+const PART_TURN_MS: Millis = 1_000
 /** Without a leader no endpoint is reserved; an election takes about a second. */
 const NO_LEADER_RETRY_MS: Millis = 800
 
@@ -55,6 +62,8 @@
 export class EntryCrashes implements NonNullable<RelayParts['crashes']> {
   private readonly detector: CrashDetector
   private readonly reporter: CrashReporter
+  /** The request of this entry that has the turn of a part, or asks for it. */
+  private readonly partTurns = new Map<PartDigest, { request: string; until: Millis }>()
 
   constructor(private readonly options: EntryCrashesOptions) {
     const { tracker, directory, leaderClient, clock, logger } = options
@@ -64,8 +73,8 @@
       probeAddress: options.probeAddress,
       current: (id) => directory.get(id),
       isReplaced: (endpoint) => this.isReplaced(endpoint),
-      onCrash: (incarnation, started, service) =>
-        this.recordOwn(tracker.recordCrash(incarnation, started, service)),
+      onCrash: (incarnation, started, service, ageMs) =>
+        this.recordOwn(tracker.recordCrash(incarnation, started, service, ageMs)),
     })
     this.reporter = new CrashReporter({
       clock,
@@ -79,12 +88,17 @@
     this.detector.recordLoss(attempt)
   }
 
-  recordServed(content: () => ContentDigest): void {
-    this.recordOwn(this.options.tracker.recordServed(content()))
+  recordServed(content: () => ContentDigest, service: string): void {
+    this.recordOwn(this.options.tracker.recordServed(content(), 0, service))
   }
 
-  recordWritten(parts: PartDigest[], forMs: Millis): void {
-    this.recordOwn(parts.flatMap((part) => this.options.tracker.recordServed(part, forMs)))
+  recordWritten(parts: PartDigest[], forMs: Millis, service: string): void {
+    this.recordOwn(this.options.tracker.recordWritten(parts, forMs, service))
+  }
+
+  partOnTrial(request: RequestSubjects, service: string): PartDigest | undefined {
+    const { tracker } = this.options
+    return tracker.size === 0 ? undefined : tracker.partOnTrial(request.parts(service))
   }
 
   hasCrashed(id: InstanceId): boolean {
@@ -124,7 +138,26 @@
     return answer ?? { type: 'later', retryAfterMs: NO_LEADER_RETRY_MS }
   }
 
-  async askTurn(content: ContentDigest, service: string, request: string): Promise<TrialAnswer> {
+  async askTurn(content: SubjectDigest, service: string, request: string): Promise<TrialAnswer> {
+    if (!isPart(content)) return this.askLeaderForTurn(content, service, request)
+    // Many requests share a part; one of them at a time asks the leader.
+    const now = this.options.clock.now()
+    const asking = this.partTurns.get(content)
+    if (asking !== undefined && asking.request !== request && now < asking.until)
+      return { type: 'later', retryAfterMs: PART_TURN_RETRY_MS }
+    if (this.partTurns.size >= MAX_PART_TURNS) this.partTurns.clear()
+    this.partTurns.set(content, { request, until: now + TURN_TIMEOUT_MS })
+    const answer = await this.askLeaderForTurn(content, service, request)
+    const forMs = answer.type === 'later' ? answer.retryAfterMs : PART_TURN_MS
+    this.partTurns.set(content, { request, until: this.options.clock.now() + forMs })
+    return answer
+  }
+
+  private async askLeaderForTurn(
+    content: SubjectDigest,
+    service: string,
+    request: string,
+  ): Promise<TrialAnswer> {
     const trialRequest = {
       service,
       content,
@@ -141,7 +174,8 @@
     return answer ?? { type: 'anywhere' }
   }
 
-  endTurn(content: ContentDigest, service: string, request: string): void {
+  endTurn(content: SubjectDigest, service: string, request: string): void {
+    if (this.partTurns.get(content)?.request === request) this.partTurns.delete(content)
     const records = this.options.tracker.recordsOf([content])
     this.options.leaderClient.notify(TRIAL_END, { service, content, turnOf: request, records })
   }
@@ -153,7 +187,10 @@
   /** Merges crash records sent by a control machine. */
   apply(records: CrashRecord[]): void {
     const { tracker, logger } = this.options
-    logCrashes(logger, tracker, tracker.merge(records))
+    const changed = tracker.merge(records)
+    logCrashes(logger, tracker, changed)
+    // What follows from them is known here only.
+    this.reporter.enqueue(changed.filter((one) => !records.includes(one)))
   }
 
   /** Checks again which suspected crashes are confirmed, after endpoints have registered. */
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -145,8 +145,8 @@
     const entries = () => this.follower.entries() || ASSUMED_ENTRIES
     const retryBudget = createRetryBudget(context, entries)
     this.leaderClient = createLeaderClient(context, this.follower)
-    const crashTracker = createCrashTracker(settings.crashes, clock)
     const { directory, leaderClient } = this
+    const crashTracker = createCrashTracker(settings.crashes, clock, directory)
     this.origins = createOriginClient(leaderClient, this.follower, clock)
     this.paths = new EntryPaths({
       context,
--- a/daemon/fleet/test/entryCrashes.test.ts
+++ b/daemon/fleet/test/entryCrashes.test.ts
@@ -78,3 +78,14 @@
   expect(decide('lost', ['i-0', 'i-0'])).toBe('await-confirmation')
   expect(decide('lost', ['i-1', 'i-1'])).toBe('serialize')
 })
+
+// Guards against a leader asked for its turn by every request that shares a part.
+it('asks for the turn of a part with one request at a time', async () => {
+  const { crashes } = start(3, 'decode')
+  const first = crashes.askTurn('part-sys', 'plain', 'r1')
+  expect(await crashes.askTurn('part-sys', 'plain', 'r2')).toEqual({ type: 'later', retryAfterMs: 50 })
+  expect(await first).toEqual({ type: 'anywhere' })
+  expect(await crashes.askTurn('part-sys', 'plain', 'r2')).toMatchObject({ type: 'later' })
+  crashes.endTurn('part-sys', 'plain', 'r1')
+  expect(await crashes.askTurn('part-sys', 'plain', 'r2')).toEqual({ type: 'anywhere' })
+})
--- a/request/crashes/src/crashAttribution.ts
+++ b/request/crashes/src/crashAttribution.ts
@@ -1,5 +1,5 @@
 import type { CrashEntry } from './crashEntry'
-import { isUncleared, unclearedIncarnations } from './crashEntry'
+import { isOnTrial, isUncleared, unclearedIncarnations } from './crashEntry'
 import type { Incarnation } from './crashTypes'
 import { isPart, type PartDigest } from './partDigest'
 
@@ -30,6 +30,8 @@
 const SERVED_BONUS = 3
 /** A part that was served lately is refused after so many more crashes, which as many contents may have caused. */
 const SERVED_EXTRA_CRASHES = 2
+/** The same for a part that runs in one request at a time. */
+const TRIED_EXTRA_CRASHES = 1
 const NO_BLAME: PartBlame = { crashes: 0, required: Infinity, isProved: false }
 
 /** Returns the number of crashes that a content is to blame for. */
@@ -53,7 +55,13 @@
   const blamed = open.filter((incarnation) => !isExplainedByOthers(evidence, own, incarnation))
   const isProved = blamed.some((incarnation) => isProof(evidence, own, incarnation))
   const [heaviest] = parts.toSorted((left, right) => weightOf(right) - weightOf(left))
-  const required = evidence.ends + (heaviest!.wasServed ? SERVED_EXTRA_CRASHES : 0)
+  const isTried = parts.some(
+    (entry) =>
+      isOnTrial(entry) &&
+      blamed.filter((one) => isUncleared(entry, one)).length >= evidence.ends + TRIED_EXTRA_CRASHES,
+  )
+  const extra = isTried ? TRIED_EXTRA_CRASHES : SERVED_EXTRA_CRASHES
+  const required = evidence.ends + (heaviest!.wasServed ? extra : 0)
   return { crashes: blamed.length, required, isProved, part: heaviest!.subject }
 }
 
--- a/request/crashes/src/crashDetector.ts
+++ b/request/crashes/src/crashDetector.ts
@@ -35,7 +35,12 @@
   /** Whether a later incarnation has the endpoint's name, or another process has registered at its address. */
   isReplaced: (endpoint: RegisteredEndpoint) => boolean
   /** Called once for each incarnation that has crashed, with the contents that were running there. */
-  onCrash: (incarnation: Incarnation, contentsAtCrash: ContentAtCrash[], service: string) => void
+  onCrash: (
+    incarnation: Incarnation,
+    contentsAtCrash: ContentAtCrash[],
+    service: string,
+    ageMs: Millis,
+  ) => void
 }
 
 interface SuspectedEndpoint {
@@ -162,7 +167,7 @@
       contents: [...new Set(contentsAtCrash.map(({ content }) => content))],
       parts: [...new Set(contentsAtCrash.flatMap(({ parts }) => parts ?? []))],
     })
-    this.options.onCrash(id, contentsAtCrash, service)
+    this.options.onCrash(id, contentsAtCrash, service, this.options.clock.now() - suspect.lastLossAt)
   }
 
   private forget(suspect: SuspectedEndpoint): void {
--- a/request/crashes/src/crashTracker.ts
+++ b/request/crashes/src/crashTracker.ts
@@ -1,15 +1,27 @@
 import type { Millis } from '@forkstage/types'
 import type { ContentDigest } from './contentDigest'
+import { BlameCache } from './blameCache'
+import { wasAlone, type CrashEvidence } from './crashAttribution'
 import {
-  attributeCrashes,
-  attributePartCrashes,
-  wasAlone,
-  type CrashEvidence,
-  type PartBlame,
-} from './crashAttribution'
-import { addIncarnations, emptyEntry, toRecord, unclearedIncarnations, type CrashEntry } from './crashEntry'
-import type { ContentAtCrash, ContentRefusal, CrashRecord, Incarnation, SubjectDigest } from './crashTypes'
+  addIncarnations,
+  emptyEntry,
+  isOnTrial,
+  toRecord,
+  unclearedIncarnations,
+  type CrashEntry,
+} from './crashEntry'
+import type {
+  ContentAtCrash,
+  ContentRefusal,
+  CrashRecord,
+  CrashTopology,
+  Incarnation,
+  SubjectDigest,
+} from './crashTypes'
+import { excuse } from './excuse'
 import { isPart, type PartDigest } from './partDigest'
+import { partRefusal } from './partRefusal'
+import { RecentCrashes } from './recentCrashes'
 import { RecentlyServed } from './recentlyServed'
 
 /** Options of {@link CrashTracker}. */
@@ -20,6 +32,8 @@
   ends: number
   /** How long a content stays refused after its last crash. */
   keepMs: Millis
+  /** Where endpoints stand; without it every crash counts by itself. */
+  topology?: CrashTopology
 }
 
 /**
@@ -29,18 +43,8 @@
 const MAX_SUBJECTS = 2_000
 /** How long after its last crash a content is refused by crash count if it never ran alone at a crash. */
 const UNPROVED_REFUSAL_MS: Millis = 60_000
-/**
- * How long a request is refused whose parts are not proved to be to blame, after the crash that led to the refusal; longer
- * by a factor after each further one.
- */
-const UNPROVED_PART_REFUSAL_MS: Millis = 2_000
-const UNPROVED_PART_FACTOR = 30
-/** Callers may name known parts in any combination. */
-const MAX_CACHED_BLAMES = 1_000
-/** Two crashes of one service within the window, each with requests running, are unlikely to be chance. */
-const STORM_CRASHES = 2
-const STORM_WINDOW_MS: Millis = 10_000
-const MAX_RECENT_CRASHES = 64
+/** Crashes that became known earlier have been judged. */
+const JUDGED_AFTER_MS: Millis = 3_000
 
 /**
  * Records which contents were running at endpoints when they crashed, as seen by any machine, and which prompt parts those
@@ -57,20 +61,20 @@
   private readonly entries = new Map<SubjectDigest, CrashEntry>()
   private readonly byIncarnation = new Map<Incarnation, Set<SubjectDigest>>()
   private readonly served: RecentlyServed
-  /** When each incarnation crashed, in the order in which the crashes became known. */
-  private readonly recentCrashes = new Map<Incarnation, { at: Millis; service?: string }>()
+  private readonly recentCrashes: RecentCrashes
   private readonly evidence: CrashEvidence
   private changeCount = 0
-  private blameCache: { at: number; counts: Map<SubjectDigest, number> } = { at: -1, counts: new Map() }
-  private partBlameCache: { at: number; blames: Map<string, PartBlame> } = { at: -1, blames: new Map() }
+  private readonly blame: BlameCache
 
   constructor(private readonly options: CrashTrackerOptions) {
     this.served = new RecentlyServed(options.now)
+    this.recentCrashes = new RecentCrashes(options.topology)
     this.evidence = {
       ends: options.ends,
       entriesAt: (incarnation) => this.entriesAt(incarnation),
       isRefused: (entry) => this.isRefused(entry),
     }
+    this.blame = new BlameCache(this.evidence, () => this.changeCount)
   }
 
   /** The number of changes so far; only rises. */
@@ -86,7 +90,12 @@
    * Records what was running when an incarnation crashed, and the prompt parts that it had not begun to answer. Returns
    * the records that changed.
    */
-  recordCrash(incarnation: Incarnation, contents: ContentAtCrash[], service?: string): CrashRecord[] {
+  recordCrash(
+    incarnation: Incarnation,
+    contents: ContentAtCrash[],
+    service?: string,
+    ageMs: Millis = 0,
+  ): CrashRecord[] {
     const record = (subject: SubjectDigest, isEarly: boolean): CrashRecord => ({
       content: subject,
       service,
@@ -94,8 +103,9 @@
       early: isEarly ? [incarnation] : [],
       served: [],
       wasServed: this.served.has(subject) || undefined,
-      ageMs: 0,
+      ageMs,
     })
+    this.recentCrashes.record(incarnation, this.options.now() - ageMs, service, true)
     const parts = new Set(contents.flatMap((one) => one.parts ?? []))
     return this.merge([
       ...contents.map(({ content, isEarly }) => record(content, isEarly)),
@@ -107,23 +117,33 @@
    * Records a complete response to a content, or an answer on a prompt part that its endpoint has outlived. Clears the
    * subject of its crashes before the answer began. Returns the records that changed.
    * @param writtenForMs time since the endpoint began to write an answer that is not complete.
+   * @param service the service that answered a content.
    */
-  recordServed(subject: SubjectDigest, writtenForMs: Millis = 0): CrashRecord[] {
+  recordServed(subject: SubjectDigest, writtenForMs: Millis = 0, service?: string): CrashRecord[] {
     this.served.record(subject)
+    if (service !== undefined) this.served.recordAnswer(service, [subject], false)
     const entry = this.entries.get(subject)
     if (entry === undefined || entry.served.size === entry.ended.size) return []
     const now = this.options.now()
     const isBefore = (incarnation: Incarnation) =>
-      (this.recentCrashes.get(incarnation)?.at ?? -Infinity) <= now - writtenForMs
+      (this.recentCrashes.timeOf(incarnation) ?? -Infinity) <= now - writtenForMs
     const served = [...entry.ended].filter((one) => entry.served.has(one) || isBefore(one))
     return this.merge([{ ...toRecord(entry, now), served, wasServed: true }])
   }
 
-  /** Merges records of another machine. Returns those that were new here. */
+  /** Records that an engine has written an answer on these prompt parts for so long. Returns the records that changed. */
+  recordWritten(parts: PartDigest[], writtenForMs: Millis, service: string): CrashRecord[] {
+    this.served.recordAnswer(service, parts, true)
+    return parts.flatMap((part) => this.recordServed(part, writtenForMs))
+  }
+
+  /** Merges records of another machine. Returns those that were new here, and what follows from them. */
   merge(records: CrashRecord[]): CrashRecord[] {
     const changed = records.filter((record) => this.apply(record))
-    if (changed.length > 0) this.evictOldest()
-    return changed
+    if (changed.length === 0) return changed
+    const excused = this.excuseIncidents()
+    this.evictOldest()
+    return [...changed, ...excused]
   }
 
   /** Returns the records that changed after a position, oldest change first. */
@@ -146,7 +166,7 @@
   refusalByBlame(content: ContentDigest): ContentRefusal | undefined {
     const entry = this.entries.get(content)
     if (entry === undefined || !this.isRefused(entry)) return undefined
-    return { ends: this.countBlamedCrashes(entry), leftMs: this.leftMs(entry) }
+    return { ends: this.blame.countCrashes(entry), leftMs: this.leftMs(entry) }
   }
 
   /**
@@ -157,14 +177,21 @@
     const entries = parts.map((part) => this.entries.get(part)).filter((entry) => entry !== undefined)
     const known = entries.filter((entry) => this.leftMs(entry) > 0)
     if (known.length === 0) return undefined
-    const { ends, keepMs, now } = this.options
-    const { crashes, required, isProved, part } = this.partBlame(known)
-    if (crashes < required) return undefined
-    const excess = Math.min(crashes - ends, crashes - required + 1)
-    const lapseMs = UNPROVED_PART_REFUSAL_MS * UNPROVED_PART_FACTOR ** excess
-    const lastAt = Math.max(...known.map(({ at }) => at))
-    const leftMs = lastAt + (isProved ? keepMs : Math.min(keepMs, lapseMs)) - now()
-    return leftMs > 0 ? { ends: crashes, leftMs, part } : undefined
+    const { ends, keepMs, now, topology } = this.options
+    const { recentCrashes } = this
+    const options = { now: now(), ends, keepMs, recentCrashes, hasIncidents: topology !== undefined }
+    return partRefusal(known, this.blame.ofParts(known), options)
+  }
+
+  /**
+   * Returns the prompt part, if any, that was at an incident and has not been served since: one request with it may run
+   * at a time, whose answer clears the part, or whose crash tells against it.
+   */
+  partOnTrial(parts: PartDigest[]): PartDigest | undefined {
+    return parts.find((part) => {
+      const entry = this.entries.get(part)
+      return entry !== undefined && isOnTrial(entry) && this.leftMs(entry) > 0
+    })
   }
 
   /**
@@ -230,9 +257,7 @@
    * Whether enough endpoints of a service crashed recently that unserved contents may be running at several of them.
    */
   isCrashStorm(service: string): boolean {
-    const since = this.options.now() - STORM_WINDOW_MS
-    const recent = [...this.recentCrashes.values()].filter((one) => one.at >= since)
-    return recent.filter((one) => (one.service ?? service) === service).length >= STORM_CRASHES
+    return this.recentCrashes.isStorm(service, this.options.now())
   }
 
   /** Returns the number of contents that are refused now. */
@@ -246,33 +271,29 @@
   }
 
   private isRefused(entry: CrashEntry): boolean {
-    return this.leftMs(entry) > 0 && this.countBlamedCrashes(entry) >= this.options.ends
+    return this.leftMs(entry) > 0 && this.blame.countCrashes(entry) >= this.options.ends
   }
 
-  private leftMs({ at }: CrashEntry): Millis {
-    return at + this.options.keepMs - this.options.now()
-  }
-
-  /** Returns the number of crashes that a subject is to blame for. Cached until the next change: called per request. */
-  private countBlamedCrashes(entry: CrashEntry): number {
-    if (this.blameCache.at !== this.changeCount) this.blameCache = { at: this.changeCount, counts: new Map() }
-    const known = this.blameCache.counts.get(entry.subject)
-    if (known !== undefined) return known
-    const count = isPart(entry.subject)
-      ? attributePartCrashes(this.evidence, [entry]).crashes
-      : attributeCrashes(this.evidence, entry)
-    this.blameCache.counts.set(entry.subject, count)
-    return count
+  /** Excuses subjects of crashes that came together, by what this machine knows. Returns the records that changed. */
+  private excuseIncidents(): CrashRecord[] {
+    const { topology, now, ends } = this.options
+    if (topology === undefined) return []
+    const incidents = this.recentCrashes.incidentsSince(now() - JUDGED_AFTER_MS)
+    const shareOf = (subject: SubjectDigest, service: string) => this.served.shareOf(subject, service)
+    const records = incidents.flatMap((incident) =>
+      excuse(incident, {
+        entriesAt: this.evidence.entriesAt,
+        shareOf,
+        counted: (subject) => ends - (isPart(subject) ? 2 : 1),
+      }),
+    )
+    return records
+      .map(({ entry, excused }) => ({ ...toRecord(entry, now()), excused }))
+      .filter((one) => this.apply(one))
   }
 
-  /** Returns the blame of parts that came together. Cached until the next change: called per request. */
-  private partBlame(known: CrashEntry[]): PartBlame {
-    if (this.partBlameCache.at !== this.changeCount)
-      this.partBlameCache = { at: this.changeCount, blames: new Map() }
-    const key = known.map(({ subject }) => subject).join()
-    const blame = this.partBlameCache.blames.get(key) ?? attributePartCrashes(this.evidence, known)
-    if (this.partBlameCache.blames.size < MAX_CACHED_BLAMES) this.partBlameCache.blames.set(key, blame)
-    return blame
+  private leftMs({ at }: CrashEntry): Millis {
+    return at + this.options.keepMs - this.options.now()
   }
 
   private entriesAt(incarnation: Incarnation): CrashEntry[] {
@@ -294,20 +315,16 @@
     this.entries.delete(subject)
     this.entries.set(subject, entry)
     entry.service ??= record.service
+    const crashedAt = this.options.now() - ageMs
     for (const incarnation of entry.ended) {
-      if (!this.byIncarnation.has(incarnation)) this.recordRecentCrash(incarnation, entry)
+      if (record.ended.includes(incarnation))
+        this.recentCrashes.record(incarnation, crashedAt, entry.service, false)
       const subjects = this.byIncarnation.get(incarnation) ?? new Set()
       this.byIncarnation.set(incarnation, subjects.add(subject))
     }
     return true
   }
 
-  private recordRecentCrash(incarnation: Incarnation, { at, service }: CrashEntry): void {
-    this.recentCrashes.set(incarnation, { at, service })
-    const [oldest] = this.recentCrashes.keys()
-    if (this.recentCrashes.size > MAX_RECENT_CRASHES) this.recentCrashes.delete(oldest!)
-  }
-
   private evictOldest(): void {
     const { now, keepMs } = this.options
     for (const entry of this.entries.values()) if (entry.at + keepMs <= now()) this.evict(entry)
@@ -320,8 +337,7 @@
   }
 
   private evict(entry: CrashEntry): void {
-    this.blameCache.at = -1
-    this.partBlameCache.at = -1
+    this.blame.clear()
     this.entries.delete(entry.subject)
     for (const incarnation of entry.ended) this.unlink(entry.subject, incarnation)
   }
--- a/request/crashes/src/crashTypes.ts
+++ b/request/crashes/src/crashTypes.ts
@@ -27,6 +27,8 @@
   early: Incarnation[]
   /** Those of `ended` that crashed before the content last got a complete response; they no longer count against it. */
   served: Incarnation[]
+  /** Those of `ended` that one cause took together with others, and that do not count; absent where there are none. */
+  excused?: Incarnation[]
   /**
    * Whether the content got a complete response after a crash, or within a minute before one; absent where none is
    * known.
@@ -36,6 +38,14 @@
   ageMs: Millis
 }
 
+/** Where endpoints stand, by the directory of this machine. */
+export interface CrashTopology {
+  /** The failure domain of an incarnation; undefined if it is not known. */
+  domainOf: (incarnation: Incarnation) => string | undefined
+  /** The number of endpoints of a service, in one failure domain or in all. */
+  countEndpoints: (service: string, domain?: string) => number
+}
+
 /** Why a content is refused. */
 export interface ContentRefusal {
   /** The number of crashes that the content is blamed for. */
@@ -44,6 +54,11 @@
   leftMs: Millis
   /** The prompt part that is most to blame; absent where the whole content is. */
   part?: PartDigest
+  /**
+   * How long to wait before the refusal is certain; absent if it is. Until then it may turn out that the crashes had
+   * another cause.
+   */
+  openMs?: Millis
 }
 
 /** A content that was running at an endpoint when it crashed. */
--- a/request/crashes/src/index.ts
+++ b/request/crashes/src/index.ts
@@ -11,6 +11,7 @@
   ContentAtCrash,
   ContentRefusal,
   CrashRecord,
+  CrashTopology,
   Incarnation,
   RequestSubjects,
   SubjectDigest,
--- a/request/crashes/src/readCrashRecords.ts
+++ b/request/crashes/src/readCrashRecords.ts
@@ -10,6 +10,7 @@
   ended: incarnations,
   early: incarnations,
   served: incarnations,
+  excused: incarnations.optional(),
   wasServed: z.boolean().optional(),
   ageMs: z.number().min(0),
 })
--- a/request/crashes/test/partSimulation.ts
+++ b/request/crashes/test/partSimulation.ts
@@ -1,5 +1,5 @@
 import { createSeededRandom, ManualClock } from '@forkstage/clock'
-import { CrashTracker, type CrashRecord } from '../src'
+import { CrashTracker, TrialScheduler, type CrashRecord } from '../src'
 
 /** Options of {@link PartSimulation}. */
 export interface PartSimulationOptions {
@@ -31,6 +31,9 @@
   isSound: boolean
   hasBegun: boolean
   attempts: number
+  waitedMs: number
+  /** Ends the turn that it has; absent if it has none. */
+  endTurn?: () => void
 }
 
 interface Engine {
@@ -45,6 +48,10 @@
 const ENTRIES = 4
 const ENGINES = 10
 const DOMAINS = 3
+/** The longest that a stream waits for a turn. */
+const MAX_WAIT_MS = 1_000
+/** Poll interval of requests that wait until a refusal is certain. */
+const POLL_MS = 20
 const PREFILL_MS = [20, 90] as const
 const FIRST_EVENT_MS = [20, 60] as const
 const STREAM_MS = 650
@@ -73,6 +80,7 @@
   private readonly engines: Engine[]
   private readonly trackers: CrashTracker[]
   private leader: CrashTracker
+  private scheduler: TrialScheduler
   private readonly crashedAt = new Map<string, number[]>()
   private readonly arrivedAt = new Map<string, number[]>()
   private count = 0
@@ -87,6 +95,7 @@
     }))
     this.trackers = Array.from({ length: ENTRIES }, () => this.newTracker())
     this.leader = this.newTracker()
+    this.scheduler = this.newScheduler()
   }
 
   run(forMs: number): void {
@@ -103,7 +112,10 @@
     repeat(poisonPerSecond, poisonFromMs, () => this.call(poisonParts(this.random), false))
     repeat(soundPerSecond, soundFromMs, () => this.call(soundParts(this.random), true))
     if (leaderLostEveryMs !== undefined)
-      repeat(1_000 / leaderLostEveryMs, 1, () => void (this.leader = this.newTracker()))
+      repeat(1_000 / leaderLostEveryMs, 1, () => {
+        this.leader = this.newTracker()
+        this.scheduler = this.newScheduler()
+      })
     this.planDomainLoss()
     this.clock.advance(forMs + 10_000)
   }
@@ -135,7 +147,26 @@
   }
 
   private newTracker(): CrashTracker {
-    return new CrashTracker({ now: () => this.clock.now(), ends: ENDS, keepMs: KEEP_MS })
+    const domainOf = (incarnation: string) => domainOfEngine(Number(/\d+/.exec(incarnation)![0]))
+    const countEndpoints = (_service: string, domain?: string) =>
+      this.engines.filter((_, index) => domain === undefined || domainOfEngine(index) === domain).length
+    return new CrashTracker({
+      now: () => this.clock.now(),
+      ends: ENDS,
+      keepMs: KEEP_MS,
+      topology: { domainOf, countEndpoints },
+    })
+  }
+
+  private newScheduler(): TrialScheduler {
+    return new TrialScheduler({
+      now: () => this.clock.now(),
+      random: this.random,
+      registered: () => [],
+      hasCrashed: () => false,
+      isSuspect: () => false,
+      onChange: () => undefined,
+    })
   }
 
   private between([from, to]: readonly [number, number]): number {
@@ -147,15 +178,51 @@
     this.count += 1
     const entry = Math.floor(this.random() * ENTRIES)
     const content = `c${this.count}`
-    this.relay({ content, parts: digests(parts), entry, isSound, hasBegun: false, attempts: 2 })
+    this.relay({ content, parts: digests(parts), entry, isSound, hasBegun: false, attempts: 2, waitedMs: 0 })
   }
 
   private relay(stream: Stream): void {
-    if (this.isRefused(stream)) return
+    if (this.mustWait(stream)) return
     this.clock.after(this.between(PREFILL_MS), () => {
-      if (this.isRefused(stream)) return
+      if (this.mustWait(stream)) return
       const up = this.engines.filter(({ isUp }) => isUp)
       if (up.length > 0) this.start(up[Math.floor(this.random() * up.length)]!, stream)
+      else stream.endTurn?.()
+    })
+  }
+
+  /** Whether a stream is refused, or waits before it may be sent. */
+  private mustWait(stream: Stream): boolean {
+    const tracker = this.trackers[stream.entry]!
+    const { openMs } = tracker.refusalByParts(stream.parts) ?? {}
+    if (openMs !== undefined) {
+      this.clock.after(Math.min(openMs, POLL_MS), () => this.relay(stream))
+      return true
+    }
+    if (this.isRefused(stream)) {
+      stream.endTurn?.()
+      return true
+    }
+    const part = tracker.partOnTrial(stream.parts)
+    if (part === undefined || stream.endTurn !== undefined || stream.waitedMs >= MAX_WAIT_MS) return false
+    this.awaitTurn(stream, part)
+    return true
+  }
+
+  /** Asks the leader for the turn of a part, until the stream has it or has waited for long. */
+  private awaitTurn(stream: Stream, part: string): void {
+    const { scheduler } = this
+    const turn = { service: 's', content: part, turnOf: stream.content }
+    this.clock.after(this.between(DELAY_MS), () => {
+      const answer = scheduler.ask(turn)
+      const retryAfterMs = answer.type === 'later' ? answer.retryAfterMs : 0
+      stream.waitedMs += retryAfterMs
+      if (answer.type !== 'later')
+        stream.endTurn = () => {
+          stream.endTurn = undefined
+          this.clock.after(this.between(DELAY_MS), () => scheduler.end(turn))
+        }
+      this.clock.after(this.between(DELAY_MS) + retryAfterMs, () => this.relay(stream))
     })
   }
 
@@ -193,11 +260,9 @@
     })
   }
 
-  private recordWritten({ entry, parts }: Stream): void {
-    this.report(
-      entry,
-      parts.flatMap((part) => this.trackers[entry]!.recordServed(part, MIN_WRITING_MS)),
-    )
+  private recordWritten({ entry, parts, endTurn }: Stream): void {
+    endTurn?.()
+    this.report(entry, this.trackers[entry]!.recordWritten(parts, MIN_WRITING_MS, 's'))
   }
 
   private crash(engine: Engine, guilty: string[]): void {
@@ -226,6 +291,7 @@
     })
     for (const stream of lost) {
       stream.attempts -= 1
+      this.clock.after(CONFIRM_AFTER_MS, () => stream.endTurn?.())
       if (!stream.hasBegun && stream.attempts > 0)
         this.clock.after(CONFIRM_AFTER_MS, () => this.relay(stream))
     }
@@ -248,6 +314,10 @@
   return [`sys${Math.floor(random() * 2)}`, `doc${Math.floor(random() * 6)}`]
 }
 
+function domainOfEngine(index: number): string {
+  return `d${index % DOMAINS}`
+}
+
 function digests(parts: string[]): string[] {
   return parts.map((part) => `part-${part}`)
 }
--- a/request/gateway/src/engineProgress.ts
+++ b/request/gateway/src/engineProgress.ts
@@ -57,6 +57,6 @@
     this.isRecorded = true
     const { request, service } = this.job
     const forMs = this.parts.clock.now() - sinceMs
-    this.parts.crashes?.recordWritten(request.parts(service.name), forMs)
+    this.parts.crashes?.recordWritten(request.parts(service.name), forMs, service.name)
   }
 }
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -266,7 +266,6 @@
     const admitted = await admission.admit(request, route, index, tokens)
     if (admitted.type === 'answered') return { route: route.name, ...admitted.result }
     const result = await this.relay(admitted, route, index, tokens)
-    if (wasRunInFull(result)) parts.crashes?.recordServed(request.content)
     if (result.hasNotRun === true) admitted.spent?.refund()
     return { route: route.name, workspace: admitted.workspace?.name, ...result }
   }
@@ -299,7 +298,9 @@
     const times = { endsAt, targetAt, isReturn }
     const job = { request, route, service, ...times, tokens, rank, regions, stream, boundVersion }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
-    return isModel ? relayStream(parts, job) : relayPlain(parts, job)
+    const result = await (isModel ? relayStream(parts, job) : relayPlain(parts, job))
+    if (wasRunInFull(result)) parts.crashes?.recordServed(request.content, service.name)
+    return result
   }
 
   private report(request: CallerRequest, { hasNotRun: _, ...result }: RoutedResult): void {
--- a/request/gateway/src/isolatedPlace.ts
+++ b/request/gateway/src/isolatedPlace.ts
@@ -62,7 +62,8 @@
   }
 }
 
-function waitDeadline({ clock }: RelayParts, { endsAt }: RelayJob): Millis {
+/** Returns until when a request waits for what may crash its endpoint to be tried. */
+export function waitDeadline({ clock }: RelayParts, { endsAt }: RelayJob): Millis {
   return clock.now() + Math.min(MAX_WAIT_MS, (endsAt - clock.now()) * WAIT_SHARE)
 }
 
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -6,6 +6,7 @@
   PartDigest,
   RequestSubjects,
   SendingDecision,
+  SubjectDigest,
   TrialAnswer,
 } from '@forkstage/crashes'
 import { nameOf, type InstanceId } from '@forkstage/directory'
@@ -70,22 +71,27 @@
 export interface CrashCoordinator {
   /** Records a sending that ended without a complete answer. */
   recordLoss(sending: LostAttempt): void
-  /** Records a complete answer. `content` is called only if any crash is known. */
-  recordServed(content: () => ContentDigest): void
+  /** Records a complete answer of a service. */
+  recordServed(content: () => ContentDigest, service: string): void
   /** Records prompt parts on which an engine has been writing an answer for so long. */
-  recordWritten(parts: PartDigest[], forMs: Millis): void
+  recordWritten(parts: PartDigest[], forMs: Millis, service: string): void
   /** Decides how a request may be sent after it was lost at the endpoints `lost`. */
   decide(request: RequestSubjects, service: string, lost: InstanceId[]): SendingDecision
   /** Resolves once it is known which of the endpoints have crashed, or after a short timeout. */
   confirmed(lost: InstanceId[]): Promise<void>
   /** Asks the leader to reserve an endpoint for an isolated trial of a suspect content. */
   askIsolated(content: ContentDigest, service: string): Promise<TrialAnswer>
-  /** Asks for the turn of a content: no other request with this content starts until the turn ends. */
-  askTurn(content: ContentDigest, service: string, request: string): Promise<TrialAnswer>
-  /** Ends the turn of a content. */
-  endTurn(content: ContentDigest, service: string, request: string): void
+  /** Asks for the turn of a content or a prompt part: no other request with it starts until the turn ends. */
+  askTurn(content: SubjectDigest, service: string, request: string): Promise<TrialAnswer>
+  /** Ends the turn of a content or a prompt part. */
+  endTurn(content: SubjectDigest, service: string, request: string): void
   /** Ends the reservation of an endpoint after its isolated trial, whatever the result. */
   endIsolated(content: ContentDigest, service: string, endpoint: InstanceId): void
+  /**
+   * Returns the prompt part of a request that one request at a time may try; undefined if there is none. Absent where
+   * parts are not tried.
+   */
+  partOnTrial?(request: RequestSubjects, service: string): PartDigest | undefined
   /** Whether an incarnation of an endpoint is known to have crashed. */
   hasCrashed(id: InstanceId): boolean
   /** Returns why a request must not reach any endpoint of a service; undefined if it may. */
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -17,6 +17,7 @@
 } from './engineStream'
 import type { StreamEvent } from './eventSplitter'
 import { openExchange, type AnswerHead, type Exchange } from './exchange'
+import { PartGuard } from './partGuard'
 import type { PooledEndpoint } from './pooledEndpoint'
 import type { SendOutcome } from './sendOutcome'
 import type { ModelPlace, ModelWork } from './modelPlacer'
@@ -71,6 +72,7 @@
   private readonly sendCounter: SendCounter
   private readonly prompt: PromptPrefill
   private readonly migrations: RunMigrations
+  private readonly partGuard: PartGuard
 
   constructor(
     private readonly parts: RelayParts,
@@ -78,6 +80,7 @@
   ) {
     this.sendCounter = new SendCounter(parts.retryBudget, job.service.name)
     this.progress = new EngineProgress(parts, job)
+    this.partGuard = new PartGuard(parts, job, () => this.isOver)
     this.prompt = new PromptPrefill(parts, job, this.sendCounter, this)
     this.migrations = new RunMigrations(parts, job, this.sendCounter, this)
     this.caller = new CallerStream(job, parts.clock, parts.wire, {
@@ -90,12 +93,12 @@
     const { clock } = this.parts
     const { request, endsAt } = this.job
     request.onDisconnect(() => this.finish('the caller has gone'))
-    const cancelLimit = clock.after(Math.max(0, endsAt - clock.now() - ANSWER_MARGIN_MS), () =>
-      this.answerLate(),
-    )
+    const limitMs = Math.max(0, endsAt - clock.now() - ANSWER_MARGIN_MS)
+    const cancelLimit = clock.after(limitMs, () => this.answerLate())
     const result = await this.tryEngines()
     cancelLimit()
     this.isOver = true
+    this.partGuard.end()
     this.prompt.release()
     const { firstMs: firstEventMs, longestMs: longestPauseMs } = this.caller.pauses
     return { ...result, sends: this.sends, firstEventMs, longestPauseMs }
@@ -103,8 +106,7 @@
 
   private async tryEngines(): Promise<OwnResult> {
     for (let refusals = 0; ;) {
-      const { request, service } = this.job
-      const refused = this.parts.crashes?.refusal(request, service.name)
+      const refused = await this.partGuard.acquire()
       if (refused !== undefined)
         return { ...this.endWithoutAnswer(ENDS_ENDPOINTS, refused.leftMs), part: refused.part }
       const attempt = await this.attemptOnce()
