fix(fleet): sheets that never arrive keep no endpoint from registering

Cause: one bound for all bodies, counted by what they announce, held until the server's own time limit of 30 s, which it checked each 30 s. Change: only sheets count towards the bound; other bodies are 64 KiB at most and never refused for others. A sheet whose bytes have not arrived after 5 s loses its connection, and time limits are checked each second. Tests: 'accepts registrations while sheets that never arrive ...', 'accepts a sheet of more than 64 KiB at any spelling' (a clock of the test's own). A body over its limit is named FORKSTAGE_BODY_TOO_LARGE by every application; the row of answerErrorsAsJson expects that instead of the general code.

--- a/api/json-errors/src/answerErrorsAsJson.ts
+++ b/api/json-errors/src/answerErrorsAsJson.ts
@@ -10,6 +10,7 @@
 }
 
 const NOT_FOUND = 404
+const TOO_LARGE = 413
 const UNEXPECTED = 500
 
 /**
@@ -24,7 +25,7 @@
   // Express recognizes an error handler by its four parameters.
   app.use((error: unknown, _request: Request, response: Response, _next: NextFunction) => {
     const status = clientStatusOf(error)
-    const body = status === undefined ? toErrorBody(error) : unreadable(error)
+    const body = status === undefined ? toErrorBody(error) : unreadable(error, status)
     if (status === undefined) onUnexpected?.(body)
     if (response.headersSent) return void response.destroy()
     response.status(status ?? UNEXPECTED).json(toBody(body))
@@ -42,11 +43,11 @@
   return new ForkstageError('FORKSTAGE_NOT_FOUND', message, 'Check the method and the path.').toBody()
 }
 
-function unreadable(error: unknown): ErrorBody {
-  const { message } = toErrorBody(error)
+function unreadable(error: unknown, status: number): ErrorBody {
+  const code = status === TOO_LARGE ? 'FORKSTAGE_BODY_TOO_LARGE' : 'FORKSTAGE_BAD_REQUEST'
   return new ForkstageError(
-    'FORKSTAGE_BAD_REQUEST',
-    message,
+    code,
+    toErrorBody(error).message,
     'Correct the request and send it again.',
   ).toBody()
 }
--- a/api/json-errors/test/answerErrorsAsJson.test.ts
+++ b/api/json-errors/test/answerErrorsAsJson.test.ts
@@ -42,7 +42,7 @@
     ['an unknown path', 'GET', '/nowhere', undefined, 404, 'FORKSTAGE_NOT_FOUND'],
     ['a path that cannot be decoded', 'PUT', '/named/%E0%A4%A', '{}', 400, 'FORKSTAGE_BAD_REQUEST'],
     ['a body that is no JSON', 'PUT', '/named/a', '{', 400, 'FORKSTAGE_BAD_REQUEST'],
-    ['a body over the limit', 'PUT', '/named/a', '{"text":"long"}', 413, 'FORKSTAGE_BAD_REQUEST'],
+    ['a body over the limit', 'PUT', '/named/a', '{"text":"long"}', 413, 'FORKSTAGE_BODY_TOO_LARGE'],
   ] as const)('answers %s as JSON', async (_what, method, path, body, status, code) => {
     const { url, unexpected } = await startApp()
     const headers = { 'content-type': 'application/json' }
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -152,8 +152,8 @@
   'machine.suspended': { outcome: string }
   'sheet.installed': { version: number; routes: number; services: number }
   'sheet.refused': { reason: string }
-  /** A control machine has refused the body of a request unread: for its size, or for that of all bodies together. */
-  'body.refused': { bytes: number; heldBytes: number; reason: 'size' | 'total' }
+  /** A control machine has refused a sheet's body: for its size, that of all together, or since it did not arrive in time. */
+  'body.refused': { bytes: number; heldBytes: number; reason: 'size' | 'total' | 'time' }
   'sheet.put': { version: number; outcome: string; held: number }
   /** An operator's order, at the control machine that accepted it; `index` is the log index of the last change. */
   'evacuation.taken': {
--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -29,23 +29,21 @@
 const MAX_SHEET_BYTES = 8 * MIB
 const MAX_MESSAGE_BYTES = 64 * 1_024
 /** Parsing a sheet takes several times its size of the heap. */
-const MAX_TOTAL_BODY_BYTES = 24 * MIB
+const MAX_TOTAL_SHEET_BYTES = 24 * MIB
 
 /** Creates the HTTP application that operators and endpoints call at a control machine. */
 export function createControlApp(options: ControlAppOptions): Express {
-  const { wire, logger } = options
+  const { wire, clock, logger } = options
   const app = express()
   app.disable('x-powered-by')
   app.disable('etag')
-  const bodies = new BodyAdmission({
-    maxBytes: ({ path }) => (path === wire.sheetPath ? MAX_SHEET_BYTES : MAX_MESSAGE_BYTES),
-    maxTotalBytes: MAX_TOTAL_BODY_BYTES,
-    logger,
-  })
-  app.use((request, response, next) => bodies.admit(request, response, next))
-  app.put(wire.sheetPath, textOf(MAX_SHEET_BYTES), (request, response) =>
+  const sheets = new BodyAdmission({ maxTotalBytes: MAX_TOTAL_SHEET_BYTES, clock, logger }).upTo(
+    MAX_SHEET_BYTES,
+  )
+  app.put(wire.sheetPath, sheets, textOf(MAX_SHEET_BYTES), (request, response) =>
     putSheet(options, request, response),
   )
+  // Endpoints register by these, also while large sheets are in progress.
   app.use(textOf(MAX_MESSAGE_BYTES))
   app.get(wire.sheetPath, (_request, response) => getSheet(options, response))
   app.put(wire.registrationPath, (request, response) => register(options, request, response))
--- a/daemon/fleet/src/listenOn.ts
+++ b/daemon/fleet/src/listenOn.ts
@@ -8,11 +8,12 @@
 
 /** Time for a whole request to arrive, so that one that never does takes no memory for long. */
 const REQUEST_TIMEOUT_MS = 30_000
+const CHECK_EVERY_MS = 1_000
+const TIMEOUTS = { requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: CHECK_EVERY_MS }
 
 /** Listens on `ip:port`. Resolves once the server is listening. */
 export function listenOn(handler: RequestListener | Server, address: string): Promise<Listener> {
-  const server =
-    typeof handler === 'function' ? createServer({ requestTimeout: REQUEST_TIMEOUT_MS }, handler) : handler
+  const server = typeof handler === 'function' ? createServer(TIMEOUTS, handler) : handler
   const colon = address.lastIndexOf(':')
   return new Promise((resolve, reject) => {
     const onListening = () =>
--- a/daemon/fleet/test/controlApp.test.ts
+++ b/daemon/fleet/test/controlApp.test.ts
@@ -3,6 +3,7 @@
 import { createServer, request as httpRequest, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { afterEach, describe, expect, it, vi } from 'vitest'
+import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
 import { createControlApp, type ControlAppOptions } from '../src/controlApp'
 import { CONTROL_WIRE } from './fleetHarness'
@@ -12,10 +13,13 @@
 /** Starts a control machine's application with formats of its own; returns the base URL and the errors logged. */
 async function startApp(wire: Partial<ControlAppOptions['wire']>) {
   const error = vi.fn()
-  const options = { wire: { ...CONTROL_WIRE, ...wire }, logger: { ...createSilentLogger(), error } }
+  const clock = new ManualClock()
+  const registrar = { recordRefused: () => undefined }
+  const logger = { ...createSilentLogger(), error }
+  const options = { wire: { ...CONTROL_WIRE, ...wire }, registrar, clock, logger }
   server = createServer(createControlApp(options as unknown as ControlAppOptions)).listen(0, '127.0.0.1')
   await once(server, 'listening')
-  return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, error }
+  return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, error, clock }
 }
 
 const options = { throwHttpErrors: false, retry: { limit: 0 } } as const
@@ -48,6 +52,7 @@
   it.each([
     ['a registration over 64 KiB', '/endpoints/i-1', 64 * 1_024 + 1],
     ['a sheet over 8 MiB', '/sheet', 8 * 1_024 * 1_024 + 1],
+    ['a sheet over 8 MiB at another spelling of the path', '/Sheet/', 8 * 1_024 * 1_024 + 1],
   ])('refuses %s unread', async (_what, path, bytes) => {
     const readRegistration = vi.fn()
     const { url } = await startApp({ readRegistration })
@@ -68,4 +73,25 @@
     first.forEach((each) => each.destroy())
     await vi.waitUntil(async () => (await put()).statusCode === 400)
   })
+
+  it('accepts registrations while sheets that never arrive take all the room, and ends these', async () => {
+    const readRegistration = vi.fn(() => undefined)
+    const { url, clock } = await startApp({ readRegistration, sheetFaults: () => ['not a sheet'] })
+    const stuck = Array.from({ length: 3 }, () => httpRequest(`${url}/sheet`, { method: 'PUT' }))
+    const ends = stuck.map((each) => new Promise((resolve) => each.on('error', resolve)))
+    stuck.forEach((each) => each.write('{'))
+    const put = (path: string) => got.put(`${url}${path}`, { ...options, body: '1'.repeat(1_024) })
+    await vi.waitUntil(async () => (await put('/sheet')).statusCode === 503)
+    expect((await put('/endpoints/i-1')).statusCode).toBe(400)
+    expect(readRegistration).toHaveBeenCalled()
+    clock.advance(5_000)
+    await Promise.all(ends)
+    await vi.waitUntil(async () => (await put('/sheet')).statusCode === 400)
+  })
+
+  it('accepts a sheet of more than 64 KiB at any spelling of the path', async () => {
+    const { url } = await startApp({ sheetFaults: () => ['not a sheet'] })
+    const { statusCode } = await got.put(`${url}/SHEET/`, { ...options, body: '1'.repeat(100_000) })
+    expect(statusCode).toBe(400)
+  })
 })
