fix(answers): at most 64 connections linger at once

Each lingering connection may hold what its caller sends until it is discarded. Beyond 64 of them a connection is closed as before, which may cost its caller the answer, but no running request its entry.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -45,6 +45,8 @@
 const QUIET_MS: Millis = 250
 const LOOK_EVERY_MS: Millis = 25
 const DEFAULT_QUEUE_MS: Millis = 500
+/** Connections that linger at once; each holds what its caller sends until that is discarded. */
+const MAX_LINGERING = 64
 
 /**
  * Tracks the responses of a server until their last bytes have left this process. The server itself considers a
@@ -54,6 +56,7 @@
   private readonly connections = new Map<Socket, Connection>()
   private total = 0
   private acceptedCount = 0
+  private lingering = 0
   private readonly clock: Clock
   private closing: Promise<void> | undefined
   private isForced = false
@@ -177,8 +180,10 @@
 
   private endAfterResponse(socket: Socket): void {
     const isReadInFull = this.connections.get(socket)?.current?.req.complete !== false
-    if (isReadInFull) Socket.prototype.destroySoon.call(socket)
-    else lingeringClose(socket, { clock: this.clock })
+    if (isReadInFull || this.lingering >= MAX_LINGERING) return Socket.prototype.destroySoon.call(socket)
+    this.lingering += 1
+    socket.once('close', () => (this.lingering -= 1))
+    lingeringClose(socket, { clock: this.clock })
   }
 
   private track(response: ServerResponse): void {
