fix(gateway): an unexpected error leaves no request without an answer

The class: a rejected promise that nobody answers for. Change: the error is logged, the request gets 502, which promises nothing about its run, and an answer that has begun is cut so that it does not look whole. The verdicts that prove that a request did not run have one table of outcomes.

--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -9,6 +9,7 @@
   type RouteIndex,
 } from '@forkstage/routes'
 import type { Millis } from '@forkstage/types'
+import { answerUnexpected } from './answerUnexpected'
 import { answerUnreadable } from './answerUnreadable'
 import type { BodyMemory } from './bodyMemory'
 import { firstValue, type CallerRequest } from './callerRequest'
@@ -33,6 +34,7 @@
 import { rankOf } from './rankOf'
 import { tokenCountsOf } from './tokenCounts'
 import { waitFor } from './waitFor'
+import { wasRunInFull } from './wasRunInFull'
 import type { AdmittedRequest, WorkspaceAdmission } from './workspaceAdmission'
 
 /** Options of {@link Ingress}. */
@@ -76,7 +78,6 @@
 const MAX_ID_LOG_CHARS = 64
 /** A reachable control machine answers within some milliseconds. */
 const FRESH_VIEW_WAIT_MS = 250
-const ANSWERED = 'answered'
 const ENTRY_ENDED = 'cut: the entry has ended'
 /** A newer sheet that this entry knows to exist usually arrives within this time. */
 const NEWER_SHEET_WAIT_MS = 250
@@ -180,6 +181,8 @@
     })
     try {
       await this.serveOne(incoming, response)
+    } catch (error) {
+      answerUnexpected(response, error, this.options.parts)
     } finally {
       this.served -= 1
     }
@@ -342,8 +345,3 @@
     onResult?.(report)
   }
 }
-
-/** Whether an endpoint ran the request successfully; one that fails it may not have begun. */
-function wasRunInFull({ status, outcome, sends }: RelayResult): boolean {
-  return status >= 200 && status < 300 && outcome === ANSWERED && sends.length > 0
-}
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -38,7 +38,7 @@
 import { ENDS_ENDPOINTS, EVACUATED, whyNoLongerSend, whyNotSend } from './sendRules'
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
 import { sourceOf } from './sourceOf'
-import { unsentOutcome, type SendOutcome } from './sendOutcome'
+import { UNRUN_OUTCOMES, unsentOutcome, type SendOutcome } from './sendOutcome'
 import { waitFor } from './waitFor'
 import { reasonOf, type SendingResult } from './sendingResult'
 import { wasLostOnTheWay } from './wasLostOnTheWay'
@@ -263,11 +263,8 @@
       return { sending: { type: 'unknown', reason: outcome.reason }, sendOutcome }
     }
     const verdict = readVerdict(this.parts, this.job, to, outcome.head)
-    if (verdict === 'other-instance')
-      return { sending: { type: 'not-run', arrived: true }, sendOutcome: 'other-instance' }
-    if (verdict === 'misdirected')
-      return { sending: { type: 'not-run', arrived: true }, sendOutcome: 'failed' }
-    if (verdict === 'not-run') return { sending: { type: 'not-run', arrived: true }, sendOutcome: 'full' }
+    const unrun = UNRUN_OUTCOMES[verdict]
+    if (unrun !== undefined) return { sending: { type: 'not-run', arrived: true }, sendOutcome: unrun }
     this.possibleRuns += 1
     if (verdict === 'foreign')
       return { sending: { type: 'unknown', reason: 'not an answer to this request' }, sendOutcome: 'failed' }
--- a/request/gateway/src/prefillStep.ts
+++ b/request/gateway/src/prefillStep.ts
@@ -9,7 +9,7 @@
 import { CONNECT_MS, headersFor, type RelayJob, type RelayParts } from './relayParts'
 import type { Arrival } from './sendCounter'
 import { whyNoLongerSend } from './sendRules'
-import { unsentOutcome, type SendOutcome } from './sendOutcome'
+import { UNRUN_OUTCOMES, unsentOutcome, type SendOutcome } from './sendOutcome'
 import { wasLostOnTheWay } from './wasLostOnTheWay'
 
 const MAX_ANSWER_BYTES = 64 * 1024
@@ -99,6 +99,5 @@
 
 function failureOutcome(outcome: FetchOutcome, verdict: Verdict | undefined): SendOutcome {
   if (outcome.type === 'failed') return outcome.sent ? 'failed' : unsentOutcome(outcome)
-  if (verdict === 'other-instance') return verdict
-  return verdict === 'not-run' ? 'full' : 'failed'
+  return (verdict && UNRUN_OUTCOMES[verdict]) ?? 'failed'
 }
