--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -93,7 +93,7 @@
   const read = () => readFile(settingsPath, 'utf8')
   const parse = (text: string) => parseFleetSettings(text, { source: settingsPath })
   let found = await readStartSettings({ read, parse, clock, onWaiting, earlier: earlySettings(settingsPath) })
-  while (signals.take('SIGHUP'))
+  while (signals.consume('SIGHUP'))
     found = await readStartSettings({ read, parse, clock, onWaiting, known: found.text })
   const context = createMachineContext(found.settings, clock)
   return { machine: await create(context), context, text: found.text }
--- a/daemon/fleet/src/signalKeeper.ts
+++ b/daemon/fleet/src/signalKeeper.ts
@@ -29,11 +29,11 @@
   /** Sets the listener of a signal in place of the one before, and calls it at once if the signal is kept. */
   on(signal: SupervisorSignal, listener: (signal: string) => void): void {
     this.listeners.set(signal, listener)
-    if (this.take(signal)) listener(signal)
+    if (this.consume(signal)) listener(signal)
   }
 
   /** Returns whether a signal is kept, and forgets it. */
-  take(signal: SupervisorSignal): boolean {
+  consume(signal: SupervisorSignal): boolean {
     return this.kept.delete(signal)
   }
 
--- a/daemon/fleet/test/signalKeeper.test.ts
+++ b/daemon/fleet/test/signalKeeper.test.ts
@@ -41,8 +41,8 @@
   it('forgets a signal that is taken', () => {
     const { process, heard, keeper, listen } = create()
     process.emit('SIGHUP')
-    expect(keeper.take('SIGHUP')).toBe(true)
-    expect(keeper.take('SIGHUP')).toBe(false)
+    expect(keeper.consume('SIGHUP')).toBe(true)
+    expect(keeper.consume('SIGHUP')).toBe(false)
     keeper.on('SIGHUP', listen)
     expect(heard).toEqual([])
   })
--- a/request/gateway/src/blockPool.ts
+++ b/request/gateway/src/blockPool.ts
@@ -8,7 +8,7 @@
 export class BlockPool {
   private readonly free: Buffer[] = []
 
-  take(): Buffer {
+  acquire(): Buffer {
     return this.free.pop() ?? Buffer.allocUnsafeSlow(BLOCK_BYTES)
   }
 
--- a/request/gateway/src/bodyCollector.ts
+++ b/request/gateway/src/bodyCollector.ts
@@ -46,7 +46,7 @@
   private blockWithRoom(blocks: BlockPool): Buffer {
     const last = this.parts.at(-1)
     if (last !== undefined && this.used < last.length) return last
-    const block = blocks.take()
+    const block = blocks.acquire()
     this.parts.push(block)
     this.used = 0
     return block
--- a/request/gateway/src/bodyMemory.ts
+++ b/request/gateway/src/bodyMemory.ts
@@ -144,7 +144,7 @@
     this.isGranting = true
     for (const one of this.spare) {
       if (this.fits(bytes, isForLarge)) break
-      one.letGo()
+      one.discard()
     }
     this.isGranting = wasGranting
     return true
@@ -203,7 +203,7 @@
     this.onChange({ bytes: 0 })
   }
 
-  letGo(): void {
+  discard(): void {
     this.onLetGo?.()
   }
 
--- a/request/gateway/test/bodyMemory.test.ts
+++ b/request/gateway/test/bodyMemory.test.ts
@@ -91,26 +91,26 @@
 
   it('is taken from spare bodies, the first of them first, only where that is enough', async () => {
     const { granted, rooms, reserve } = create()
-    const letGo: string[] = []
+    const discarded: string[] = []
     const makeSpare = (name: string) =>
       rooms.get(name)!.makeSpare(() => {
-        letGo.push(name)
+        discarded.push(name)
         rooms.get(name)!.release()
       })
     await Promise.all([reserve('a', 3 * MB), reserve('b', 2 * MB), reserve('c', 3 * MB)])
     makeSpare('b')
     void reserve('d', 4 * MB)
     await settle()
-    expect(letGo).toEqual([])
+    expect(discarded).toEqual([])
     makeSpare('a')
     await settle()
-    expect(letGo).toEqual(['b', 'a'])
+    expect(discarded).toEqual(['b', 'a'])
     expect(granted).toEqual(['a', 'b', 'c', 'd'])
     makeSpare('c')
     rooms.get('c')!.keep()
     void reserve('e', 2 * MB)
     await settle()
-    expect(letGo).toEqual(['b', 'a'])
+    expect(discarded).toEqual(['b', 'a'])
   })
 
   it('never exceeds its limit, and gives or refuses all that was asked for, in any order of events', async () => {
@@ -156,7 +156,7 @@
       end: () => undefined,
       destroy: () => undefined,
     }
-    const blocks = [memory.blocks.take(), memory.blocks.take()]
+    const blocks = [memory.blocks.acquire(), memory.blocks.acquire()]
     const body = new HeldBody(blocks, { reservation: rooms.get('a')!, blocks: memory.blocks })
     let isSent = false
     body.endWith(connection as never, () => (isSent = true))
@@ -167,11 +167,11 @@
     expect({ isSent, isReleased: body.isReleased }).toEqual({ isSent: false, isReleased: false })
     body.release()
     // A connection may still send from them.
-    const next = [memory.blocks.take(), memory.blocks.take()]
+    const next = [memory.blocks.acquire(), memory.blocks.acquire()]
     expect(next.some((one) => blocks.some((block) => block.buffer === one.buffer))).toBe(false)
     expect(memory.heldBytes).toBe(2 * BLOCK_BYTES)
     callbacks[1]!()
-    expect([memory.blocks.take().buffer, memory.blocks.take().buffer]).toEqual([
+    expect([memory.blocks.acquire().buffer, memory.blocks.acquire().buffer]).toEqual([
       blocks[1]!.buffer,
       blocks[0]!.buffer,
     ])
