test(cli): the listener for callers is looked for at an address of the test's own

Trace: the port came from the range from which all tests on 127.0.0.1 get theirs, and is free for five seconds. As strict: the machine's callers' listener is at that address.

--- a/cli/forkstage/test/addressInUse.test.ts
+++ b/cli/forkstage/test/addressInUse.test.ts
@@ -34,10 +34,13 @@
   machine = new MachineProcess(join(folder, `${role}.cjs`), join(folder, 'settings.toml'))
 }
 
-/** Resolves to whether somebody listens on a port of the loopback address. */
-function isOpen(port: number): Promise<boolean> {
+/** A loopback address that nobody else listens at, so that an open port is the machine's. */
+const OWN_HOST = '127.0.81.7'
+
+/** Resolves to whether somebody listens on a port of an address. */
+function isOpen(port: number, host = '127.0.0.1'): Promise<boolean> {
   return new Promise((resolve) => {
-    const socket = connect(port, '127.0.0.1', () => {
+    const socket = connect(port, host, () => {
       socket.destroy()
       resolve(true)
     })
@@ -72,10 +75,10 @@
 
   it('ends a start that no caller has reached', async () => {
     const port = await freePort()
-    await start('entry', { callers: addressOf(port) })
+    await start('entry', { callers: `${OWN_HOST}:${port}` })
     await machine.waitFor('start.waiting')
     let wasOpen = false
-    while (machine.isRunning) if (await isOpen(port)) wasOpen = true
+    while (machine.isRunning) if (await isOpen(port, OWN_HOST)) wasOpen = true
     expect(await machine.end).toEqual({ code: 1, signal: null })
     expect(machine.lines.at(-1)).toMatchObject({ event: 'start.failed' })
     expect(wasOpen).toBe(false)
