fix(gateway): answers in one-byte chunks do not fill the heap

Callers saw their connections end with the entry: an endpoint that sent chunks of one byte without end ended it within 1.5 s (plain route) and 3.5 s (stream) on, 8 callers, heap full. Cause: answers and incomplete events were bounded in bytes and held in the pieces in which they arrived, each some hundred bytes beside its content. Ruled out: a leak, large answers. Now small pieces are copied together, and an answer in more than 16,384 pieces of less than 8 bytes on average ends as a failure of its endpoint.

--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from './byteCollector'
 import { ENDED_INSIDE_EVENT, endsInsideEvent } from './endsInsideEvent'
 import { EventSplitter, type StreamEvent } from './eventSplitter'
 import type { AnswerHead, ExchangeEnd } from './exchange'
@@ -53,7 +54,7 @@
   private head: AnswerHead | undefined
   private verdict: Verdict = 'foreign'
   private readonly splitter = new EventSplitter()
-  private readonly failureBody: Buffer[] = []
+  private readonly failureBody = new ByteCollector()
   private failureBytes = 0
   private isSuccess = false
 
@@ -78,7 +79,7 @@
   /** Only the body of a failure that the engine itself answered with is forwarded. */
   private collectFailure(chunk: Buffer): void {
     this.failureBytes += chunk.length
-    if (this.verdict === 'answer') this.failureBody.push(chunk)
+    if (this.verdict === 'answer') this.failureBody.append(chunk)
     this.hold(this.failureBytes, 'the answer is too long')
   }
 
@@ -126,7 +127,7 @@
         sendOutcome: 'failed',
       }
     if (!this.isSuccess) {
-      const status = this.context.forwardFailure(this.head!, this.failureBody)
+      const status = this.context.forwardFailure(this.head!, this.failureBody.parts)
       return { attempt: { type: 'passed', status }, sendOutcome: 'failed' }
     }
     this.context.forwardEnd(this.head!, this.splitter.unfinished)
--- a/request/gateway/src/eventSplitter.ts
+++ b/request/gateway/src/eventSplitter.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from './byteCollector'
+
 /** One server-sent event: its bytes including the terminating blank line, and its id if it has one. */
 export interface StreamEvent {
   bytes: Buffer
@@ -12,19 +14,18 @@
 
 /** Splits a byte stream into complete server-sent events and buffers an incomplete one. */
 export class EventSplitter {
-  private parts: Buffer[] = []
-  private size = 0
+  private incomplete = new ByteCollector()
   /** The last bytes of the incomplete event. */
   private tail: Buffer = Buffer.alloc(0)
 
   /** The buffered bytes of an incomplete event. */
   get unfinished(): Buffer {
-    return this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts)
+    return this.incomplete.toBuffer()
   }
 
   /** Number of buffered bytes. */
   get unfinishedBytes(): number {
-    return this.size
+    return this.incomplete.size
   }
 
   /** Appends bytes and returns the events that they complete. Only the new bytes are searched. */
@@ -34,23 +35,16 @@
     const events: StreamEvent[] = []
     let start = tail.length
     for (let end = endOfEvent(searched, 0); end > 0; end = endOfEvent(searched, start)) {
-      this.append(searched.subarray(start, end))
+      this.incomplete.append(searched.subarray(start, end))
       const bytes = this.unfinished
       events.push({ bytes, id: readId(bytes) })
-      this.parts = []
-      this.size = 0
+      this.incomplete = new ByteCollector()
       start = end
     }
-    this.append(searched.subarray(start))
+    this.incomplete.append(searched.subarray(start))
     this.tail = searched.subarray(Math.max(events.length > 0 ? start : 0, searched.length - MAX_TAIL_BYTES))
     return events
   }
-
-  private append(bytes: Buffer): void {
-    if (bytes.length === 0) return
-    this.parts.push(bytes)
-    this.size += bytes.length
-  }
 }
 
 /** Returns the position behind the first complete event in bytes that begins at `start`, or 0 if there is none. */
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -6,6 +6,7 @@
 import type { Address, Millis } from '@forkstage/types'
 import type { HeldBody } from './heldBody'
 import { isForwardable } from './isForwardable'
+import { PieceLimit } from './pieceLimit'
 
 /** How long an endpoint that has answered may take to read the rest of the body. */
 const READ_ON_MS: Millis = 2_000
@@ -196,8 +197,11 @@
 function readAnswer(incoming: IncomingMessage, options: ExchangeOptions, reader: AnswerCallbacks): void {
   incoming.on('error', (error) => reader.fail(error.message))
   incoming.on('aborted', () => reader.fail('the answer broke off'))
+  const pieces = new PieceLimit()
   incoming.on('data', (chunk: Buffer) => {
-    if (!reader.isOver()) options.onData(chunk)
+    if (reader.isOver()) return
+    if (pieces.record(chunk.length)) reader.fail('the answer arrives in too many small pieces')
+    else options.onData(chunk)
   })
   const isFramed =
     incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
--- a/request/gateway/src/fetchAnswer.ts
+++ b/request/gateway/src/fetchAnswer.ts
@@ -1,6 +1,7 @@
 import type { CancelTimer } from '@forkstage/clock'
 import type { Millis } from '@forkstage/types'
 import type { HeldAnswer } from './answerMemory'
+import { ByteCollector } from './byteCollector'
 import { ENDED_INSIDE_EVENT, endsInsideEvent } from './endsInsideEvent'
 import { EventSplitter } from './eventSplitter'
 import {
@@ -22,7 +23,7 @@
 /** A complete answer, or why there is none. `isTimedOut`: no complete answer arrived within `timeoutMs`. */
 export type FetchOutcome =
   | (FetchedAnswer & {
-      /** The body as it arrived. */
+      /** The body; its parts are not those in which it arrived. */
       parts: Buffer[]
     })
   | ({ type: 'failed'; isTimedOut?: boolean } & BrokenExchange)
@@ -44,9 +45,8 @@
 /** Sends one request and buffers its whole answer. Never rejects. */
 export function fetchAnswer(options: FetchOptions): Promise<FetchOutcome> {
   return new Promise((resolve) => {
-    let chunks: Buffer[] = []
+    let body = new ByteCollector()
     let cancelTimeout: CancelTimer = () => undefined
-    let size = 0
     let head: AnswerHead | undefined
     let isTimedOut = false
     const exchange = openExchange({
@@ -56,18 +56,17 @@
         if (Number(received.headers['content-length']) > options.maxBytes) exchange.cancel(TOO_LONG)
       },
       onData: (chunk) => {
-        chunks.push(chunk)
-        size += chunk.length
-        if (size > options.maxBytes) return exchange.cancel(TOO_LONG)
-        held?.hold(size)
+        body.append(chunk)
+        if (body.size > options.maxBytes) return exchange.cancel(TOO_LONG)
+        held?.hold(body.size)
       },
       onEnd: (end) => {
         cancelTimeout()
         held?.complete()
-        if (!end.complete) chunks = []
-        if (end.complete && head !== undefined && isBrokenOff(head, chunks))
+        if (!end.complete) body = new ByteCollector()
+        if (end.complete && head !== undefined && isBrokenOff(head, body.parts))
           return resolve({ type: 'failed', sent: true, refused: false, reason: ENDED_INSIDE_EVENT })
-        if (end.complete && head !== undefined) return resolve(wholeAnswer(head, chunks))
+        if (end.complete && head !== undefined) return resolve(wholeAnswer(head, body.parts))
         if (end.complete)
           return resolve({ type: 'failed', sent: true, refused: false, reason: 'the answer has no head' })
         resolve({ ...end, type: 'failed', isTimedOut })
--- a/tools/fleet-soak/src/endlessEndpoint.ts
+++ b/tools/fleet-soak/src/endlessEndpoint.ts
@@ -12,6 +12,7 @@
   'interim',
   'body',
   'chunks',
+  'small-chunks',
   'chunk-extension',
   'trailers',
 ] as const
@@ -44,6 +45,11 @@
     first: 'transfer-encoding: chunked\r\n\r\n',
     block: Buffer.from(`${BLOCK_BYTES.toString(16)}\r\n${X}\r\n`),
   },
+  'small-chunks': {
+    hasHead: true,
+    first: 'transfer-encoding: chunked\r\n\r\n',
+    block: repeated('1\r\nx\r\n'),
+  },
   'chunk-extension': {
     hasHead: true,
     first: 'transfer-encoding: chunked\r\n\r\n5;',
