feat(fleet): log what a machine holds when its memory approaches the limit

No line said that a process was close to its memory limit, nor what held the memory, so that a process killed for it could not be told from one that ended for another reason. memory.high is logged at 0.75 and 0.9 of process_mb with the resident memory, its parts and the holdings by the names of their metrics; gauges for heap, external memory, the limit and open descriptors. Sampled twice a second.

--- a/core/logger/src/memoryEvents.ts
+++ b/core/logger/src/memoryEvents.ts
@@ -1,7 +1,17 @@
-/** The fields of the log events about an entry's memory, by event name. */
+/** The fields of the log events about memory, by event name. */
 export interface MemoryEvents {
   /** The budget for bodies, and what it is derived from: the setting and what the machine has. */
   'memory.budget': { processMb: number; machineMb: number; bodies: number; answers: number }
+  /** A process approaches its memory limit: its resident memory, parts of it, and what the machine holds by name. */
+  'memory.high': {
+    resident: number
+    heapUsed: number
+    /** Outside the V8 heap, with the array buffers. */
+    external: number
+    arrayBuffers: number
+    limit: number
+    held: Record<string, number>
+  }
   /** Bodies begin to wait for room. `spare` of those held may be let go. */
   'memory.spent': { held: number; limit: number; spare: number; refused: number }
   /** No body waits for room any more. `refused` requests since the start. */
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -210,7 +210,7 @@
       limits: this.limits,
       evacuations: this.evacuations,
       origins: this.origins,
-      logLimiter: context.logLimiter,
+      context,
     })
     this.sheetMachine.onNewerSheet = (document) => this.installNewer(document)
   }
--- a/daemon/fleet/src/createControlMetrics.ts
+++ b/daemon/fleet/src/createControlMetrics.ts
@@ -8,8 +8,9 @@
 import type { ControlOrigins } from './controlOrigins'
 import { countBy } from './countBy'
 import type { EvacuationTracker } from './evacuationTracker'
-import { FleetMetrics } from './fleetMetrics'
+import { FleetMetrics, type GaugeReader } from './fleetMetrics'
 import type { MachineContext } from './machineContext'
+import { readHoldings } from './readHoldings'
 import type { Registrar } from './registrar'
 
 /** The parts of a control machine that its metrics show. */
@@ -25,13 +26,16 @@
   limits: ControlLimits
   evacuations: EvacuationTracker
   origins: ControlOrigins
-  logLimiter: MachineContext['logLimiter']
+  context: Pick<MachineContext, 'logLimiter' | 'memoryMonitor'>
 }
 
+/** Gauges of what a control machine holds in memory. */
+const HOLDINGS = ['entries', 'endpoints', 'places_taken', 'places_waited_for', 'stream_origins'] as const
+
 /** Creates the metrics of a control machine. */
 export function createControlMetrics(source: ControlMetricsSource): FleetMetrics {
-  const { host, directory, hub, registrar, allocator, cold, limits, evacuations, origins } = source
-  return new FleetMetrics({
+  const { host, directory, hub, registrar, allocator, cold, limits, evacuations, origins, context } = source
+  const readers: Record<string, GaugeReader> = {
     sheet_version: source.sheetVersion,
     endpoints: () => countBy(directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
     endpoints_cold: () => cold.count,
@@ -46,6 +50,8 @@
     places_taken: () => allocator.holdCount,
     places_waited_for: () => allocator.waitingCount,
     stream_origins: () => origins.count,
-    log_lines_omitted: () => source.logLimiter.omittedTotal,
-  })
+    log_lines_omitted: () => context.logLimiter.omittedTotal,
+  }
+  context.memoryMonitor.observe(() => readHoldings(readers, HOLDINGS))
+  return new FleetMetrics(readers, () => context.memoryMonitor.limitBytes)
 }
--- a/daemon/fleet/src/createEntryMemory.ts
+++ b/daemon/fleet/src/createEntryMemory.ts
@@ -1,6 +1,7 @@
 import { totalmem } from 'node:os'
 import { AnswerMemory, BodyMemory } from '@forkstage/gateway'
 import type { MachineContext } from './machineContext'
+import { processLimitBytes } from './processMemory'
 
 const MB = 1024 * 1024
 /** Share of the budget that bodies of requests may take; answers get the rest. */
@@ -18,7 +19,7 @@
   machineBytes = totalmem(),
 ): EntryMemory {
   const { process_mb: processMb, held_share: share } = settings.memory
-  const budget = Math.min(processMb * MB, machineBytes) * share
+  const budget = processLimitBytes(settings, machineBytes) * share
   const bodies = Math.floor(budget * BODIES_SHARE)
   const answers = Math.floor(budget - bodies)
   logger.info('memory.budget', { processMb, machineMb: Math.floor(machineBytes / MB), bodies, answers })
--- a/daemon/fleet/src/createEntryMetrics.ts
+++ b/daemon/fleet/src/createEntryMetrics.ts
@@ -9,8 +9,9 @@
 import type { EntryLimits } from './entryLimits'
 import type { EntryPaths } from './entryPaths'
 import type { EvacuationTracker } from './evacuationTracker'
-import { FleetMetrics } from './fleetMetrics'
+import { FleetMetrics, type GaugeReader } from './fleetMetrics'
 import type { MachineContext } from './machineContext'
+import { readHoldings } from './readHoldings'
 
 /** The parts of an entry that its metrics show. */
 export interface EntryMetricsSource {
@@ -30,13 +31,24 @@
   retryBudget: GatewayRetryBudget
   answerMemory: AnswerMemory
   bodyMemory: BodyMemory
-  logLimiter: MachineContext['logLimiter']
+  context: Pick<MachineContext, 'logLimiter' | 'memoryMonitor'>
 }
 
+/** Gauges of what an entry holds in memory. */
+const HOLDINGS = [
+  'caller_connections',
+  'requests_running',
+  'caller_unsent_bytes',
+  'body_bytes_held',
+  'answer_bytes_held',
+  'tunnels_carried',
+] as const
+
 /** Creates the metrics of an entry. */
 export function createEntryMetrics(source: EntryMetricsSource): FleetMetrics {
-  const { directory, pool, paths, cold, limits, availability, evacuations, crashes, follower } = source
-  return new FleetMetrics({
+  const { directory, pool, paths, cold, limits, availability, evacuations, crashes, follower, context } =
+    source
+  const readers: Record<string, GaugeReader> = {
     sheet_version: source.sheetVersion,
     endpoints: () => countBy(directory.list().map(({ state, stage }) => `${state} ${stage ?? 'plain'}`)),
     endpoints_ejected: () => pool.ejectedCount,
@@ -64,6 +76,8 @@
     entries_known: () => follower.entries(),
     retries: () => ({ ...source.retryBudget.counts }),
     leader_known: () => Number(follower.leader() !== undefined),
-    log_lines_omitted: () => source.logLimiter.omittedTotal,
-  })
+    log_lines_omitted: () => context.logLimiter.omittedTotal,
+  }
+  context.memoryMonitor.observe(() => readHoldings(readers, HOLDINGS))
+  return new FleetMetrics(readers, () => context.memoryMonitor.limitBytes)
 }
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -239,7 +239,7 @@
       follower: this.follower,
       retryBudget,
       ...this.memory,
-      logLimiter: context.logLimiter,
+      context,
     })
   }
 
--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { RequestReport } from '@forkstage/gateway'
+import { countOpenDescriptors, readProcessMemory } from './processMemory'
 
 const SECOND_MS = 1_000
 const LATENCY_BUCKETS = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.9, 1.5, 3, 5, 10]
@@ -35,9 +36,14 @@
     registers: [this.registry],
   })
 
-  constructor(readers: Record<string, GaugeReader>) {
+  /** @param limitBytes returns how much memory the process may use. */
+  constructor(readers: Record<string, GaugeReader>, limitBytes: () => number) {
     for (const [name, read] of Object.entries(readers)) this.gauge(name, read)
     this.gauge('process_resident_bytes', () => process.memoryUsage.rss())
+    this.gauge('process_heap_used_bytes', () => readProcessMemory().heapUsed)
+    this.gauge('process_external_bytes', () => readProcessMemory().external)
+    this.gauge('process_memory_limit_bytes', limitBytes)
+    this.gauge('process_open_descriptors', countOpenDescriptors)
     this.gauge('process_cpu_seconds', () => {
       const { user, system } = process.cpuUsage()
       return (user + system) / 1e6
--- a/daemon/fleet/src/machineContext.ts
+++ b/daemon/fleet/src/machineContext.ts
@@ -3,6 +3,8 @@
 import type { FleetSettings } from '@forkstage/fleet-settings'
 import { createLogger, LogLimiter, type Logger } from '@forkstage/logger'
 import { parseAddress, PeerClient, type PeerCredentials } from '@forkstage/peer-rpc'
+import { MemoryMonitor } from './memoryMonitor'
+import { processLimitBytes } from './processMemory'
 
 /** What entries and control machines share: settings, clock, logging and connections to other machines. */
 export interface MachineContext {
@@ -11,6 +13,7 @@
   random: Random
   logger: Logger
   logLimiter: LogLimiter
+  memoryMonitor: MemoryMonitor
   peers: PeerClient
   /** What this machine proves its identity with to others. */
   credentials: PeerCredentials
@@ -40,14 +43,20 @@
     connectMs: settings.peers.connect_ms,
     silentMs: settings.peers.silent_ms,
   }
-  return {
+  const machine: MachineContext = {
     settings,
     clock,
     random: createSystemRandom(),
     logger,
     logLimiter,
+    memoryMonitor: new MemoryMonitor({
+      limitBytes: () => processLimitBytes(machine.settings),
+      clock,
+      logger,
+    }),
     peers: new PeerClient({ credentials, clock, logger }),
     credentials,
     epoch: randomBytes(5).toString('hex'),
   }
+  return machine
 }
--- /dev/null
+++ b/daemon/fleet/src/memoryMonitor.ts
@@ -0,0 +1,65 @@
+import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import type { Logger } from '@forkstage/logger'
+import type { Millis } from '@forkstage/types'
+import { readProcessMemory, type ProcessMemory } from './processMemory'
+
+/** Options of {@link MemoryMonitor}. */
+export interface MemoryMonitorOptions {
+  /** Returns how much memory the process may use, in bytes. */
+  limitBytes: () => number
+  /** Default: the memory of this process. */
+  read?: () => ProcessMemory
+  clock: Clock
+  logger: Logger
+}
+
+const SAMPLE_EVERY_MS: Millis = 500
+/** Shares of the limit at which a line is logged, in ascending order. */
+const LOGGED_SHARES = [0.75, 0.9]
+/** While the memory stays above a share, its line is repeated this often. */
+const LOG_EVERY_MS: Millis = 10_000
+
+/** Samples the memory of a process and logs what holds it when it approaches the limit. */
+export class MemoryMonitor {
+  private level = 0
+  private loggedAt: Millis = -Infinity
+  private holdings: () => Record<string, number> = () => ({})
+  private cancelTimer: CancelTimer = () => undefined
+
+  constructor(private readonly options: MemoryMonitorOptions) {}
+
+  /** How much memory the process may use. */
+  get limitBytes(): number {
+    return this.options.limitBytes()
+  }
+
+  /** Takes what the machine holds, numbers and bytes by name, into the log. */
+  observe(holdings: () => Record<string, number>): void {
+    this.holdings = holdings
+  }
+
+  start(): void {
+    this.cancelTimer = every(this.options.clock, SAMPLE_EVERY_MS, () => this.sample())
+  }
+
+  stop(): void {
+    this.cancelTimer()
+  }
+
+  private sample(): void {
+    const { clock, read = readProcessMemory } = this.options
+    const memory = read()
+    const level = LOGGED_SHARES.filter((share) => memory.resident >= share * this.limitBytes).length
+    const isHigher = level > this.level
+    const isDue = clock.now() - this.loggedAt >= LOG_EVERY_MS
+    if (level > 0 && (isHigher || isDue)) this.log(memory, level)
+    else if (isDue) this.level = level
+  }
+
+  private log(memory: ProcessMemory, level: number): void {
+    const { logger, clock } = this.options
+    this.level = level
+    this.loggedAt = clock.now()
+    logger.warn('memory.high', { ...memory, limit: this.limitBytes, held: this.holdings() })
+  }
+}
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -120,6 +120,7 @@
     }
   })
   signals.on('SIGHUP', reload)
+  context.memoryMonitor.start()
   await runUntilStopped(machine, {
     signals,
     graceMs: () => context.settings.stop.grace_s * SECOND_MS,
