test(start): a start that gives up ends its process (known red)

A supervisor reads the end of a start that waited 5 s for an address or for settings as a process that ended by itself.

Replaced: 'gives up after a while' (addresses, settings) and 'ends a start that no caller has reached' asked for the exit after 5 s. The new ones still ask that no caller reaches such a machine, now until its stop, and that it stops with exit code 0 and nothing cut.

--- a/cli/forkstage/test/addressInUse.test.ts
+++ b/cli/forkstage/test/addressInUse.test.ts
@@ -73,14 +73,24 @@
     expect(machine.lines.at(-1)).toMatchObject({ event: 'box.stopped', cut: 0 })
   })
 
-  it('ends a start that no caller has reached', async () => {
+  it('keeps a machine waiting that no caller reaches, until it is stopped', async () => {
     const port = await freePort()
     await start('entry', { callers: `${OWN_HOST}:${port}` })
-    await machine.waitFor('start.waiting')
     let wasOpen = false
+    while (machine.isRunning && machine.count('start.waiting') < 2)
+      if (await isOpen(port, OWN_HOST)) wasOpen = true
+    machine.kill('SIGTERM')
     while (machine.isRunning) if (await isOpen(port, OWN_HOST)) wasOpen = true
-    expect(await machine.end).toEqual({ code: 1, signal: null })
-    expect(machine.lines.at(-1)).toMatchObject({ event: 'start.failed' })
+    expect(await machine.end).toEqual({ code: 0, signal: null })
+    expect(machine.lines.at(-1)).toMatchObject({ event: 'box.stopped', cut: 0 })
     expect(wasOpen).toBe(false)
   })
+
+  it.each(['entry', 'control'] as const)('is given up for one in changed settings: %s', async (role) => {
+    await start(role)
+    await machine.waitFor('start.waiting')
+    await writeFile(join(folder, 'settings.toml'), settingsText({ role, folder, metrics: addressOf(0) }))
+    machine.kill('SIGHUP')
+    expect(await machine.waitFor('box.started')).toMatchObject({ addresses: { metrics: addressOf(0) } })
+  })
 })
--- a/cli/forkstage/test/machineProcess.ts
+++ b/cli/forkstage/test/machineProcess.ts
@@ -151,6 +151,11 @@
     this.child.kill(signal)
   }
 
+  /** Returns the number of lines of an event so far. */
+  count(event: string): number {
+    return this.lines.filter((line) => line.event === event).length
+  }
+
   /** Resolves to the first line of an event. Rejects if the process ends without it. */
   async waitFor(event: string): Promise<LogLine> {
     for (;;) {
--- a/cli/forkstage/test/startEvents.test.ts
+++ b/cli/forkstage/test/startEvents.test.ts
@@ -33,4 +33,11 @@
     expect(await machine.end).toEqual({ code: 1, signal: null })
     expect(machine.lines.at(-1)).toMatchObject({ event: 'start.failed', code: 'FORKSTAGE_WRONG_ROLE' })
   })
+
+  it('end with the reason, without a wait, if no settings file is named', async () => {
+    machine = new MachineProcess(join(folder, 'entry.cjs'), '')
+    expect(await machine.end).toEqual({ code: 1, signal: null })
+    expect(machine.lines.map(({ event }) => event)).toEqual(['start.begun', 'start.failed'])
+    expect(machine.lines.at(-1)).toMatchObject({ code: 'FORKSTAGE_NO_SETTINGS_FILE' })
+  })
 })
--- a/daemon/fleet/test/createOpener.test.ts
+++ b/daemon/fleet/test/createOpener.test.ts
@@ -1,9 +1,10 @@
 import { ManualClock } from '@forkstage/clock'
 import { createLogger } from '@forkstage/logger'
 import { describe, expect, it } from 'vitest'
-import { ADDRESS_WAIT_MS, createOpener } from '../src/createOpener'
+import { createOpener } from '../src/createOpener'
 
 const STEP_MS = 50
+const MINUTE_MS = 60_000
 
 /** Opens a listener that fails with the code that the test sets; undefined lets it succeed. */
 function run(code: string | undefined) {
@@ -52,12 +53,22 @@
     expect(observed.events).toEqual(['start.waiting'])
   })
 
-  it('gives up after a while', async () => {
+  it('never gives up, and opens an address that is free after minutes', async () => {
+    const observed = run('EADDRNOTAVAIL')
+    await pass(observed.clock, 5 * MINUTE_MS)
+    expect(observed).toMatchObject({ opened: false, error: undefined })
+    expect(observed.events.length).toBeGreaterThan(1)
+    observed.code = undefined
+    await pass(observed.clock, STEP_MS)
+    expect(observed.opened).toBe(true)
+  })
+
+  it('opens nothing more if the machine stops after minutes', async () => {
     const observed = run('EADDRINUSE')
-    await pass(observed.clock, ADDRESS_WAIT_MS - STEP_MS)
-    expect(observed.error).toBeUndefined()
+    await pass(observed.clock, 5 * MINUTE_MS)
+    observed.isStopping = true
     await pass(observed.clock, STEP_MS)
-    expect(observed.error).toMatchObject({ code: 'EADDRINUSE' })
+    expect(observed).toMatchObject({ opened: false, error: { code: 'EADDRINUSE' } })
   })
 
   it('does not retry other errors', async () => {
--- a/daemon/fleet/test/readStartSettings.test.ts
+++ b/daemon/fleet/test/readStartSettings.test.ts
@@ -1,8 +1,9 @@
 import { ManualClock } from '@forkstage/clock'
 import { describe, expect, it } from 'vitest'
-import { readStartSettings, START_SETTINGS_WAIT_MS } from '../src/readStartSettings'
+import { readStartSettings } from '../src/readStartSettings'
 
 const STEP_MS = 10
+const MINUTE_MS = 60_000
 
 /** Reads settings from a file whose content the test sets; an error is thrown by the read. */
 function run(content: string | Error) {
@@ -42,12 +43,14 @@
     expect(observed.result).toEqual({ a: 1 })
   })
 
-  it('gives up after a while', async () => {
+  it('never gives up, and repeats its reason', async () => {
     const observed = run('{"a":')
-    await pass(observed.clock, START_SETTINGS_WAIT_MS - 100)
+    await pass(observed.clock, MINUTE_MS)
     expect(observed.error).toBeUndefined()
-    await pass(observed.clock, 500)
-    expect(observed.error).toBeInstanceOf(SyntaxError)
-    expect(observed.reasons).toHaveLength(1)
+    expect(observed.reasons.length).toBeGreaterThan(1)
+    expect(new Set(observed.reasons).size).toBe(1)
+    observed.content = '{"a":1}'
+    await pass(observed.clock, 300)
+    expect(observed.result).toEqual({ a: 1 })
   })
 })
