fix(start): a start without a settings file ends at once, with a message that says so

Operators saw the error of a read of '' after 5 s of waiting. The test of startEvents failed before (5.3 s and start.waiting).

--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -7,6 +7,7 @@
 import { earlySettings } from './earlySettings'
 import { logCodeCache } from './logCodeCache'
 import { createMachineContext, type MachineContext } from './machineContext'
+import { NoSettingsFileError } from './noSettingsFileError'
 import { oneAtATime } from './oneAtATime'
 import { readSettled } from './readSettled'
 import { readStartSettings } from './readStartSettings'
@@ -90,6 +91,7 @@
   { settingsPath, create }: RunMachineOptions,
   { clock, signals, onWaiting }: StartParts,
 ): Promise<CreatedMachine> {
+  if (settingsPath === '') throw new NoSettingsFileError()
   const read = () => readFile(settingsPath, 'utf8')
   const parse = (text: string) => parseFleetSettings(text, { source: settingsPath })
   let found = await readStartSettings({ read, parse, clock, onWaiting, earlier: earlySettings(settingsPath) })
