fix(start): a start waits for its address and its settings instead of giving up

Supervisors saw a process end by itself (exit code 1) when an address was in use, or settings were absent or had faults, for longer than 5 s; each further start ended alike. Such a cause passes without the process, and an exit only starts the next one into it. The start now goes on, repeats start.waiting at growing intervals, and stops in order at SIGTERM. Changed settings with faults that SIGHUP announces during a start are given 1 s and then left aside, as on a running machine; before, they ended it after 5 s.

Ruled out: a longer limit, which moves the exit only. Definite faults (wrong role, no settings file, a port that may not be opened) end at once as before.

--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -10,7 +10,7 @@
   'box.started': { box: string; addresses: Record<string, string>; version: string }
   'start.begun': { pid: number; version: string; ageMs: number }
   'start.signal': { signal: string; ageMs: number }
-  /** A step of the start cannot be done yet and is tried again for a while; one line each time that the reason changes. */
+  /** A step of the start cannot be done yet and is tried again; logged when the reason changes and at growing intervals. */
   'start.waiting': { step: string; reason: string; ageMs: number }
   'start.failed': { ageMs: number } & ErrorBody
   'start.code_cache_unused': { reason: string }
--- a/daemon/fleet/src/createOpener.ts
+++ b/daemon/fleet/src/createOpener.ts
@@ -2,6 +2,7 @@
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { Millis } from '@forkstage/types'
+import { createWaitReporter } from './createWaitReporter'
 
 /** Options of {@link createOpener}. */
 export interface OpenerOptions {
@@ -11,29 +12,28 @@
   isStopping: () => boolean
 }
 
-/** How long a start waits for an address that an ending process or connection may still use. */
-export const ADDRESS_WAIT_MS: Millis = 5_000
 const RETRY_EVERY_MS: Millis = 50
 /** Errors that may pass: the address is in use, or the network has not set it up yet. */
 const PASSING_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL']
 
-/** Opens a listener, again for a while if its address is not free. Rejects with the error of the last attempt. */
+/**
+ * Opens a listener, again and again while its address is not free. Rejects with any other error, and with the last one once
+ * the machine stops.
+ */
 export type Opener = <Opened>(open: () => Promise<Opened>) => Promise<Opened>
 
 /** Returns a function that opens the listeners of a machine. */
 export function createOpener({ clock, logger, isStopping }: OpenerOptions): Opener {
   return async (open) => {
-    const endsAt = clock.now() + ADDRESS_WAIT_MS
-    let isReported = false
+    const reportWait = createWaitReporter(clock, (reason) =>
+      logger.warn('start.waiting', { step: 'listen', reason, ageMs: Math.round(clock.now()) }),
+    )
     for (;;) {
       try {
         return await open()
       } catch (error) {
-        if (!isPassing(error) || clock.now() >= endsAt || isStopping()) throw error
-        const { message: reason } = toErrorBody(error)
-        const ageMs = Math.round(clock.now())
-        if (!isReported) logger.warn('start.waiting', { step: 'listen', reason, ageMs })
-        isReported = true
+        if (!isPassing(error) || isStopping()) throw error
+        reportWait(toErrorBody(error).message)
         await delay(clock, RETRY_EVERY_MS)
         if (isStopping()) throw error
       }
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -36,6 +36,9 @@
 /** Changed settings come into force once two reads this far apart agree. */
 const READS_APART_MS = 50
 
+/** How long a start waits for changed settings that have faults. */
+const CHANGED_SETTINGS_WAIT_MS = 1_000
+
 /** A machine that is created, and the text of its settings. */
 interface CreatedMachine {
   machine: Machine
@@ -51,6 +54,7 @@
   const ageMs = () => Math.round(clock.now())
   const onWaiting = (reason: string) =>
     logger.warn('start.waiting', { step: 'settings', reason, ageMs: ageMs() })
+  const onFault = (error: unknown) => logger.warn('fault.unexpected', toErrorBody(error))
   const signals = new SignalKeeper(process, (signal) =>
     logger.info('start.signal', { signal, ageMs: ageMs() }),
   )
@@ -59,7 +63,8 @@
   logger.info('start.begun', { pid: process.pid, version: options.version, ageMs: ageMs() })
   try {
     const stopSignal = waitForStopSignal(signals)
-    const created = await Promise.race([createMachine(options, { clock, signals, onWaiting }), stopSignal])
+    const parts = { clock, signals, onWaiting, onFault }
+    const created = await Promise.race([createMachine(options, parts), stopSignal])
     if (typeof created === 'string') {
       logger.info('box.stopping', { reason: created, streams: 0 })
       logger.info('box.stopped', { cut: 0 })
@@ -85,18 +90,27 @@
   clock: Clock
   signals: SignalKeeper
   onWaiting: (reason: string) => void
+  /** Called with the faults of changed settings, which are not used. */
+  onFault: (error: unknown) => void
 }
 
 async function createMachine(
   { settingsPath, create }: RunMachineOptions,
-  { clock, signals, onWaiting }: StartParts,
+  { clock, signals, onWaiting, onFault }: StartParts,
 ): Promise<CreatedMachine> {
   if (settingsPath === '') throw new NoSettingsFileError()
   const read = () => readFile(settingsPath, 'utf8')
   const parse = (text: string) => parseFleetSettings(text, { source: settingsPath })
   let found = await readStartSettings({ read, parse, clock, onWaiting, earlier: earlySettings(settingsPath) })
-  while (signals.consume('SIGHUP'))
-    found = await readStartSettings({ read, parse, clock, onWaiting, known: found.text })
+  while (signals.consume('SIGHUP')) {
+    const { text: known } = found
+    const changed = { read, parse, clock, onWaiting, known, waitMs: CHANGED_SETTINGS_WAIT_MS }
+    // Settings without faults are at hand, so the machine starts with these unless the changed ones come soon.
+    found = await readStartSettings(changed).catch((error: unknown) => {
+      onFault(error)
+      return found
+    })
+  }
   const context = createMachineContext(found.settings, clock)
   return { machine: await create(context), context, text: found.text }
 }
