--- a/daemon/fleet/test/fleetHarness.ts
+++ b/daemon/fleet/test/fleetHarness.ts
@@ -94,6 +94,7 @@
   constructor(
     private readonly port: number,
     private readonly settings = '',
+    private readonly stopTimes = { graceS: 1, unreadyMs: 1 },
   ) {}
 
   folderOf(number: number): string {
@@ -279,8 +280,8 @@
 found = ${found}
 losses = 1
 [stop]
-grace_s = 1
-unready_ms = 1
+grace_s = ${this.stopTimes.graceS}
+unready_ms = ${this.stopTimes.unreadyMs}
 [log]
 level = "error"
 ${this.settings}
--- a/request/gateway/test/leaving.test.ts
+++ b/request/gateway/test/leaving.test.ts
@@ -43,6 +43,12 @@
   while (!condition()) await new Promise((resolve) => setImmediate(resolve))
 }
 
+const requestText = (id: string) =>
+  `GET /p/ HTTP/1.1\r\nHost: h.example\r\nX-Id: ${id}\r\nX-Deadline: 4000\r\n\r\n`
+
+/** Larger than the buffers of both sockets of a loopback connection. */
+const LARGE_BODY = 'x'.repeat(15 * 1024 * 1024)
+
 /** Opens a connection of a caller that records what it reads and how it ends. */
 function openSocket(port: number) {
   const socket = connect({ host: '127.0.0.1', port })
@@ -140,4 +146,38 @@
     expect(Number(late.headers['retry-after'])).toBeGreaterThan(0)
     expect(worker.seen).toHaveLength(0)
   })
+
+  it('answers both of two requests that a caller sent without waiting, although the first answer was to close', async () => {
+    const { harness, worker, answerAll } = await start()
+    const { socket, text, ended, connected } = openSocket(harness.port)
+    await connected
+    harness.ingress.leave()
+    socket.write(requestText('r1') + requestText('r2'))
+    let isEnded = false
+    void ended.then(() => (isEnded = true))
+    await eventually(() => {
+      answerAll()
+      return isEnded
+    })
+    const statuses = [...text().matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status)
+    expect(statuses).toHaveLength(2)
+    expect(worker.seen).toHaveLength(statuses.filter((status) => status === '200').length)
+    expect(text().match(/Connection: close/g)).toHaveLength(1)
+  })
+
+  it('sends no request on that comes behind an answer that closes its connection', async () => {
+    const { harness, worker } = await start()
+    const { socket, connected } = openSocket(harness.port)
+    await connected
+    harness.ingress.leave()
+    socket.write(requestText('r1'))
+    await worker.waitForSeen(1)
+    socket.pause()
+    worker.seen[0]!.socket.end(goodAnswer(worker.seen[0]!, LARGE_BODY))
+    await eventually(() => harness.ingress.unsentBytes > 0)
+    socket.write(requestText('r2'))
+    const isLogged = () => JSON.stringify(harness.warnings).includes('request.unanswerable')
+    await eventually(() => isLogged() || worker.seen.length > 1)
+    expect(worker.seen).toHaveLength(1)
+  })
 })
