fix(gateway,answers): a request behind an answer that closes its connection is not sent on unanswered

Callers who sent a second request before they had the first answer lost it in every stop, at any moment and with any time left, also on routes whose requests may run once: the first answer got 'Connection: close', node ends the connection with it, and the second request had been sent to an endpoint meanwhile. Ruled out: the end of the grace time, since those sent in the first 20 ms were cut as well. Only the last of several responses on a connection announces its close now; a request that comes behind an answer that has announced it is not served, and logged.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -29,10 +29,8 @@
 
 /** One connection of a caller. */
 interface Connection {
-  /** Number of requests whose responses are not yet sent completely. */
-  pending: number
-  /** The response in progress; the last one of several. */
-  current?: ServerResponse
+  /** Responses that are not yet sent completely, in the order of their requests. */
+  pending: ServerResponse[]
   /** Bytes received when the last response was completed. */
   answeredBytes: number
   /** Bytes received at the last look. */
@@ -60,6 +58,7 @@
   private readonly clock: Clock
   private closing: Promise<void> | undefined
   private isForced = false
+  private readonly unsendable = new WeakSet<ServerResponse>()
   private readonly counts: ClosedConnections = { quiet: 0, forced: 0, unanswered: 0 }
 
   constructor(
@@ -95,13 +94,27 @@
 
   /** Returns the response in progress on a connection; the last one of several. */
   currentOn(socket: Socket): ServerResponse | undefined {
-    return this.connections.get(socket)?.current
+    return this.connections.get(socket)?.pending.at(-1)
+  }
+
+  /**
+   * Whether a response can never be sent: the answer to an earlier request on its connection has already announced that
+   * it closes it.
+   */
+  isUnsendable(response: ServerResponse): boolean {
+    return this.unsendable.has(response)
+  }
+
+  /** Has a response announce that its connection will be closed, unless a later request on the connection waits for its own. */
+  announceCloseBy(response: ServerResponse): void {
+    if (response.headersSent || this.currentOn(response.req.socket) !== response) return
+    response.setHeader('Connection', 'close')
   }
 
   /** Has every response whose head has not been sent yet announce that its connection will be closed. */
   announceClose(): void {
-    for (const { current } of this.connections.values())
-      if (current?.headersSent === false) current.setHeader('Connection', 'close')
+    for (const { pending } of this.connections.values())
+      pending.slice(-1).forEach((last) => this.announceCloseBy(last))
   }
 
   /**
@@ -121,8 +134,8 @@
     NetServer.prototype.close.call(this.server)
     for (const [socket, connection] of this.connections) {
       this.recordClosed('forced', socket, connection)
-      const { current } = connection
-      if (current !== undefined && endsWithConnection(current)) socket.resetAndDestroy()
+      const last = connection.pending.at(-1)
+      if (last !== undefined && endsWithConnection(last)) socket.resetAndDestroy()
       else socket.destroy()
     }
   }
@@ -157,7 +170,8 @@
         connection.activeAt = now
       }
       // A connection that lingers ends by itself.
-      if (connection.pending > 0 || socket.writableEnded || now - connection.activeAt < QUIET_MS) continue
+      if (connection.pending.length > 0 || socket.writableEnded || now - connection.activeAt < QUIET_MS)
+        continue
       this.recordClosed('quiet', socket, connection)
       socket.destroy()
     }
@@ -171,7 +185,7 @@
 
   private add(socket: Socket): void {
     this.acceptedCount += 1
-    const connection = { pending: 0, answeredBytes: 0, seenBytes: 0, activeAt: this.clock.now() }
+    const connection = { pending: [], answeredBytes: 0, seenBytes: 0, activeAt: this.clock.now() }
     this.connections.set(socket, connection)
     socket.on('close', () => this.connections.delete(socket))
     // The server calls this after the last response on a connection.
@@ -179,7 +193,7 @@
   }
 
   private endAfterResponse(socket: Socket): void {
-    const isReadInFull = this.connections.get(socket)?.current?.req.complete !== false
+    const isReadInFull = this.currentOn(socket)?.req.complete !== false
     if (isReadInFull || this.lingering >= MAX_LINGERING) return Socket.prototype.destroySoon.call(socket)
     this.lingering += 1
     socket.once('close', () => (this.lingering -= 1))
@@ -191,8 +205,8 @@
     const connection = this.connections.get(socket)
     // The connection was closed before its request was read.
     if (connection === undefined) return
-    connection.pending += 1
-    connection.current = response
+    this.moveCloseTo(response, connection.pending.at(-1))
+    connection.pending.push(response)
     this.total += 1
     let isDone = false
     const markDone = () => {
@@ -200,9 +214,8 @@
       isDone = true
       socket.off('close', markDone)
       // An idle connection must not keep its last request in memory.
-      if (connection.current === response) connection.current = undefined
+      connection.pending = connection.pending.filter((other) => other !== response)
       this.total -= 1
-      connection.pending -= 1
       connection.activeAt = this.clock.now()
       if (response.writableFinished) connection.answeredBytes = socket.bytesRead
       connection.seenBytes = socket.bytesRead
@@ -211,6 +224,14 @@
     response.on('close', markDone)
     socket.on('close', markDone)
   }
+
+  /** Has the last response on a connection announce its close instead of the one before, which would end it too early. */
+  private moveCloseTo(response: ServerResponse, earlier: ServerResponse | undefined): void {
+    if (earlier?.getHeader('Connection') !== 'close') return
+    if (earlier.headersSent) return void this.unsendable.add(response)
+    earlier.removeHeader('Connection')
+    response.setHeader('Connection', 'close')
+  }
 }
 
 /** Whether a caller would take the response for complete if its connection were closed now. */
--- a/core/answers/test/pendingResponses.test.ts
+++ b/core/answers/test/pendingResponses.test.ts
@@ -90,4 +90,36 @@
     }
     expect(responses[0]!.req.socket.listenerCount('close')).toBeLessThan(10)
   })
+
+  it('lets only the last of several responses on a connection announce its close', async () => {
+    const { pending, responses, caller } = await start()
+    const socket = await caller()
+    let text = ''
+    socket.on('data', (bytes: Buffer) => (text += bytes.toString()))
+    socket.write(REQUEST)
+    await waitUntil(() => responses.length === 1)
+    pending.announceClose()
+    socket.write(REQUEST)
+    await waitUntil(() => responses.length === 2)
+    for (const response of responses) {
+      pending.announceCloseBy(response)
+      response.end('ok')
+    }
+    await once(socket, 'close')
+    const [first, second] = text.split('HTTP/1.1 200').slice(1)
+    expect(first).not.toContain('Connection: close')
+    expect(second).toContain('Connection: close')
+  })
+
+  it('knows a response that cannot be sent since an earlier one closes the connection', async () => {
+    const { pending, responses, caller } = await start()
+    const socket = await caller()
+    socket.write(REQUEST)
+    await waitUntil(() => responses.length === 1)
+    pending.announceClose()
+    responses[0]!.end(LARGE)
+    socket.write(REQUEST)
+    await waitUntil(() => responses.length === 2)
+    expect(responses.map((response) => pending.isUnsendable(response))).toEqual([false, true])
+  })
 })
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -328,6 +328,8 @@
   'answer.waits': { request: string; reason: string; leftMs: number }
   /** A connection was closed before the last bytes of a finished response were sent. */
   'answer.unsent': { request: string; bytes: number; by: 'entry' | 'caller' }
+  /** A request was not served: an earlier answer on its connection had already announced that it closes it. */
+  'request.unanswerable': { request: string }
   'peer.connected': { peer: string; box: string }
   'peer.lost': { peer: string; reason: string }
   'peer.refused': { peer: string; reason: string }
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -25,6 +25,8 @@
   answerOverloaded,
 } from './ingressAnswers'
 import { answerRefusal, CALLER_DISCONNECTED } from './relayAnswers'
+import { logUnanswerable } from './logUnanswerable'
+import { logUnsent } from './logUnsent'
 import { relayPlain } from './plainRelay'
 import type { TokenCounts } from './gatewayWire'
 import { receiveRequest } from './receiveRequest'
@@ -98,15 +100,12 @@
   private readonly callerAdmission: CallerAdmission | undefined
 
   constructor(private readonly options: IngressOptions) {
-    this.server = createServer(
-      {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS,
-        requestTimeout: 0,
-        noDelay: true,
-      },
-      (incoming, response) => void this.serve(incoming, response),
-    )
+    this.server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS,
+      requestTimeout: 0,
+      noDelay: true,
+    })
     this.server.on('checkContinue', (incoming: IncomingMessage, response: ServerResponse) => {
       this.awaitContinue.add(incoming)
       this.server.emit('request', incoming, response)
@@ -116,6 +115,7 @@
     if (gate !== undefined)
       this.callerAdmission = new CallerAdmission(this.server, { gate, running, clock: parts.clock })
     this.answers = new PendingResponses(this.server, { clock: parts.clock })
+    this.server.on('request', (incoming, response) => void this.serve(incoming, response))
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       answerUnreadable(error, socket, { clock: parts.clock, current: this.answers.currentOn(socket) })
     })
@@ -170,14 +170,16 @@
   }
 
   private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.answers.isUnsendable(response)) return logUnanswerable(this.options.parts, incoming)
     this.served += 1
     this.options.onRequest?.()
     response.sendDate = false
     this.callerAdmission?.recordRequest(incoming.socket)
     // A kept connection would bring further requests to an overloaded entry.
-    if (this.leaving || this.callerAdmission?.isLimiting === true) response.setHeader('Connection', 'close')
+    if (this.leaving || this.callerAdmission?.isLimiting === true) this.answers.announceCloseBy(response)
     response.on('finish', () => {
-      if (incoming.socket.destroyed) this.logUnsent(incoming)
+      if (incoming.socket.destroyed)
+        logUnsent(this.options.parts, incoming, this.hasClosedAll ? 'entry' : 'caller')
     })
     try {
       await this.serveOne(incoming, response)
@@ -188,19 +190,6 @@
     }
   }
 
-  /**
-   * Logs an answer whose last bytes were never sent, although its result is `answered`: Node emits `finish` for a
-   * response also when its connection is destroyed under it.
-   */
-  private logUnsent(incoming: IncomingMessage): void {
-    const { wire, logger } = this.options.parts
-    logger.warn('answer.unsent', {
-      request: firstValue(incoming.headers[wire.headers.requestId]) ?? '',
-      bytes: incoming.socket.writableLength,
-      by: this.hasClosedAll ? 'entry' : 'caller',
-    })
-  }
-
   private async serveOne(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const { parts, routes, bodyMemory } = this.options
     const index = routes()
@@ -214,7 +203,7 @@
       },
     })
     if (request === undefined) return
-    if (this.leaving && !response.headersSent) response.setHeader('Connection', 'close')
+    if (this.leaving) this.answers.announceCloseBy(response)
     try {
       await this.serveRequest(request)
     } finally {
--- a/request/gateway/src/ingressAnswers.ts
+++ b/request/gateway/src/ingressAnswers.ts
@@ -60,7 +60,6 @@
     code: 'FORKSTAGE_LEAVING',
     message: 'This entry is shutting down; another entry can take the request.',
     retryAfterMs: LEAVING_RETRY_MS,
-    close: true,
   })
   return { status: 503, outcome: 'leaving', sends: [] }
 }
