fix(start): a waiting start follows changed settings to another address

A start that waits for its address kept to the one that it had read first, whatever its settings said meanwhile; before, its end hid this. Addresses (but for listen.peers, by which others know the machine) are now read at each attempt, and settings are checked from the creation of the machine on, not only once it has started.

--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -217,10 +217,11 @@
 
   async start(): Promise<void> {
     const { settings, clock, logger } = this.context
-    const { listen, peers } = settings
     const open = createOpener({ clock, logger, isStopping: () => this.isStopping })
-    const served = { sharedKey: peers.shared_key, methods: this.methods(), logger }
-    this.peerServer = await open(() => startPeerServer({ address: listen.peers, ...served }))
+    // Read at each attempt, since changed settings may name an address that is free.
+    const listen = () => this.context.settings.listen
+    const served = { sharedKey: settings.peers.shared_key, methods: this.methods(), logger }
+    this.peerServer = await open(() => startPeerServer({ address: settings.listen.peers, ...served }))
     const app = createControlApp({
       wire: this.wire,
       sheetService: this.sheetService,
@@ -230,9 +231,9 @@
       clock,
       logger,
     })
-    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics))))
+    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen().metrics))))
     // Last, so that no start fails after it has accepted a request.
-    this.listeners.push(await open(() => listenOn(app, listen.operators!)))
+    this.listeners.push(await open(() => listenOn(app, listen().operators!)))
     void this.host.start()
     void this.saved.recall()
     void this.crashes.load()
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -251,19 +251,20 @@
 
   async start(): Promise<void> {
     const { settings, clock, logger } = this.context
-    const { listen } = settings
     const open = createOpener({ clock, logger, isStopping: () => this.leaving })
+    // Read at each attempt, since changed settings may name an address that is free.
+    const listen = () => this.context.settings.listen
     // Connects and fetches routes while the listeners are set up.
     this.follower.start()
     const peerOptions = {
-      address: listen.peers,
+      address: settings.listen.peers,
       sharedKey: settings.peers.shared_key,
       methods: { ...this.leaderClient.methods(), ...this.paths.methods() },
       onJoin: (ticket: string, socket: Socket) => this.paths.join(ticket, socket),
       logger,
     }
     this.peerServer = await open(() => startPeerServer(peerOptions))
-    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics))))
+    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen().metrics))))
     this.placer.start()
     this.cold.start()
     this.cancelSweep = every(clock, SWEEP_EVERY_MS, () => this.sweep())
@@ -271,9 +272,9 @@
     this.limits.start()
     const { readinessPath } = this.wire.gateway
     const isReady = () => this.isReady
-    this.listeners.push(await open(() => serveReadiness(readinessPath, isReady, listen.readiness!)))
+    this.listeners.push(await open(() => serveReadiness(readinessPath, isReady, listen().readiness!)))
     // Last, so that no start fails after it has accepted a request.
-    this.listeners.push(await open(() => listenOn(this.ingress.server, listen.callers!)))
+    this.listeners.push(await open(() => listenOn(this.ingress.server, listen().callers!)))
     this.isOpen = true
   }
 
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -120,7 +120,7 @@
   { settingsPath, version }: RunMachineOptions,
   signals: SignalKeeper,
 ): Promise<void> {
-  const { settings, clock, logger } = context
+  const { clock, logger } = context
   let text = firstText
   const read = () => readFile(settingsPath, 'utf8')
   const reload = oneAtATime(async () => {
@@ -136,14 +136,14 @@
     }
   })
   signals.on('SIGHUP', reload)
+  every(clock, SETTINGS_CHECK_EVERY_MS, reload)
   await runUntilStopped(machine, {
     signals,
     graceMs: () => context.settings.stop.grace_s * SECOND_MS,
     onStarted: () => {
-      every(clock, SETTINGS_CHECK_EVERY_MS, reload)
       logCodeCache(logger)
-      const addresses = settings.listen as Record<string, string>
-      logger.info('box.started', { box: settings.machine.name, addresses, version })
+      const addresses = context.settings.listen as Record<string, string>
+      logger.info('box.started', { box: context.settings.machine.name, addresses, version })
     },
     clock,
     logger,
