--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -218,7 +218,6 @@
   async start(): Promise<void> {
     const { settings, clock, logger } = this.context
     const open = createOpener({ clock, logger, isStopping: () => this.isStopping })
-    // Read at each attempt, since changed settings may name an address that is free.
     const listen = () => this.context.settings.listen
     const served = { sharedKey: settings.peers.shared_key, methods: this.methods(), logger }
     this.peerServer = await open(() => startPeerServer({ address: settings.listen.peers, ...served }))
