test(fleet-soak): the soak runs machines as the deploy file does

It ran dist/serve.cjs, which is not deployed and has no loader that listens early, so that it saw ends by SIGHUP that no deployed machine has, and none of those that remain. Node's certificate variable is left out, since machines of a deployment do not have it. checkProcessEnds is unchanged, and so are the runs of experiments with a runner of their own.

--- a/tools/fleet-soak/src/partitionable.ts
+++ b/tools/fleet-soak/src/partitionable.ts
@@ -2,10 +2,10 @@
  * Runs a program whose connections to the loopback host of the stand-in endpoints can be cut from outside, by the kind of
  * partition that the file named in `FORKSTAGE_PARTITION_FILE` contains. Usage: `partitionable.cjs PROGRAM`.
  */
+import './takeSignals'
 import { readFileSync, watchFile } from 'node:fs'
-import { createRequire } from 'node:module'
+import Module from 'node:module'
 import { Socket } from 'node:net'
-import { resolve } from 'node:path'
 import { ENDPOINT_HOST, isPartitionKind, type PartitionKind } from './partitionKinds'
 
 const POLL_EVERY_MS = 20
@@ -13,7 +13,6 @@
 const CLOSED_PORT = 1
 
 const file = process.env.FORKSTAGE_PARTITION_FILE!
-const program = process.argv[2]!
 const open = new Set<Socket>()
 const originalConnect = Socket.prototype.connect
 let kind = readKind()
@@ -34,7 +33,9 @@
   for (const socket of open) disrupt(socket)
 })
 
-createRequire(resolve(program))(resolve(program))
+// The program becomes the main module, as loaders check, with its own arguments.
+process.argv.splice(1, 1)
+Module.runMain()
 
 function readKind(): PartitionKind | undefined {
   try {
--- a/tools/fleet-soak/src/soakFleet.ts
+++ b/tools/fleet-soak/src/soakFleet.ts
@@ -1,7 +1,7 @@
 import { mkdirSync, rmSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import got from 'got'
-import { startProcess, waitUntil, type RunningProcess } from '@forkstage/deployment'
+import { deployedFlags, startProcess, waitUntil, type RunningProcess } from '@forkstage/deployment'
 import type { PartitionKind } from './partitionKinds'
 import { DOMAINS, machineSettings, PORTS, type SoakMachine } from './machineSettings'
 import { ProcessLedger } from './processLedger'
@@ -12,9 +12,12 @@
 /** The line of the settings that is changed when they are written anew. */
 const RETRY_SLACK = 'slack = 50'
 const BASE_RETRY_SLACK = 50
+/** Program of an {@link SoakFleetOptions.entryRunner}. */
 const PROGRAM = 'dist/serve.cjs'
 /** Runs the program of an entry so that it can be cut from the endpoints. */
 const PARTITIONABLE = 'dist/partitionable.cjs'
+/** Node reads the certificates that this names before a program's first line; deployed machines do not have it. */
+const WITHOUT_CERTIFICATES = { NODE_EXTRA_CA_CERTS: '' }
 
 /** Options of {@link SoakFleet}. */
 export interface SoakFleetOptions {
@@ -63,13 +66,10 @@
   start(machine: SoakMachine, found = false): void {
     mkdirSync(join(this.folder, machine.name), { recursive: true })
     const settings = this.writeSettings(machine, found)
-    const logFile = this.logFile(machine)
-    const partitionEnv = { FORKSTAGE_PARTITION_FILE: this.partitionFile(machine) }
-    const { program, env } = this.options.entryRunner ?? { program: PARTITIONABLE, env: partitionEnv }
-    const command = machine.role === 'entry' ? [program, PROGRAM] : [PROGRAM]
+    const { command, env } = this.commandOf(machine)
     const started = startProcess([process.execPath, ...command], {
-      env: { FORKSTAGE_CONFIG: settings, ...env },
-      logFile,
+      env: { ...WITHOUT_CERTIFICATES, FORKSTAGE_CONFIG: settings, ...env },
+      logFile: this.logFile(machine),
       keepLines: false,
     })
     this.running.set(machine.name, started)
@@ -77,6 +77,17 @@
     this.onStart(machine)
   }
 
+  /** Returns node's arguments as the deploy file has them, but for an entry's runner, and what these need. */
+  private commandOf(machine: SoakMachine): { command: string[]; env: Record<string, string> } {
+    const { entryRunner } = this.options
+    const deployed = `dist/${machine.role}.cjs`
+    const flags = deployedFlags(machine.role)
+    if (machine.role === 'control') return { command: [...flags, deployed], env: {} }
+    if (entryRunner !== undefined) return { command: [entryRunner.program, PROGRAM], env: entryRunner.env }
+    const env = { FORKSTAGE_PARTITION_FILE: this.partitionFile(machine) }
+    return { command: [...flags, PARTITIONABLE, deployed], env }
+  }
+
   /** Writes the settings file of a machine anew with a changed value. */
   rewriteSettings(machine: SoakMachine): void {
     this.rewrites += 1
