--- a/cli/forkstage/test/earlySignals.test.ts
+++ b/cli/forkstage/test/earlySignals.test.ts
@@ -1,4 +1,4 @@
-import { copyFile, mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { copyFile, mkdtemp, rename, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
@@ -85,3 +85,40 @@
     expect(machine.lines.at(-1)).toMatchObject({ event: 'box.stopped', cut: 0 })
   })
 })
+
+describe('settings in a pipe that nobody ends', () => {
+  it.each(ROLES)('do not keep a start from stopping if nobody opens it: %s', async (role) => {
+    await buildPrograms(folder)
+    await new SettingsPipe(at('settings.toml')).create()
+    machine = new MachineProcess(at(`${role}.cjs`), at('settings.toml'))
+    await machine.waitFor('start.begun')
+    machine.kill('SIGTERM')
+    expect(await machine.end).toEqual({ code: 0, signal: null })
+  })
+
+  it.each(ROLES)('do not keep a start from stopping if its writer stays: %s', async (role) => {
+    await buildPrograms(folder)
+    const settings = new SettingsPipe(at('settings.toml'))
+    await settings.create()
+    machine = new MachineProcess(at(`${role}.cjs`), at('settings.toml'))
+    await settings.waitForReader()
+    machine.kill('SIGTERM')
+    expect(await machine.end).toEqual({ code: 0, signal: null })
+    await settings.answer('')
+  })
+
+  it.each(ROLES)('do not keep a machine that reloads them from stopping: %s', async (role) => {
+    await buildPrograms(folder)
+    await writeFile(at('settings.toml'), settingsText({ role, folder }))
+    machine = new MachineProcess(at(`${role}.cjs`), at('settings.toml'))
+    await machine.waitFor('box.started')
+    await new SettingsPipe(at('pipe')).create()
+    await rename(at('pipe'), at('settings.toml'))
+    const reader = new SettingsPipe(at('settings.toml'))
+    machine.kill('SIGHUP')
+    await reader.waitForReader()
+    machine.kill('SIGTERM')
+    expect(await machine.end).toEqual({ code: 0, signal: null })
+    await reader.answer('')
+  })
+})
