fix(start): settings in a pipe that nobody ends no longer keep a process from stopping

SIGTERM had no effect: the loader's read blocked the only thread that runs listeners, and a later read blocked a thread of the pool, for which node waits when it exits (a trial: process.exit with such a read pending does not end).

--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -1,5 +1,3 @@
-import { readFile as readFileWithCallback } from 'node:fs'
-import { promisify } from 'node:util'
 import { createSystemClock, every, type Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import { parseFleetSettings, type FleetSettings } from '@forkstage/fleet-settings'
@@ -9,6 +7,7 @@
 import { createMachineContext, type MachineContext } from './machineContext'
 import { NoSettingsFileError } from './noSettingsFileError'
 import { oneAtATime } from './oneAtATime'
+import { readSettingsFile } from './readSettingsFile'
 import { readSettled } from './readSettled'
 import { readStartSettings } from './readStartSettings'
 import { runUntilStopped, type StoppableMachine } from './runUntilStopped'
@@ -28,9 +27,6 @@
   create: (context: MachineContext) => Machine | Promise<Machine>
 }
 
-// Loading node:fs/promises would cost each start about 5 ms of processor time.
-const readFile = promisify(readFileWithCallback)
-
 const SECOND_MS = 1_000
 const SETTINGS_CHECK_EVERY_MS = 2_000
 /** Changed settings come into force once two reads this far apart agree. */
@@ -99,7 +95,7 @@
   { clock, signals, onWaiting, onFault }: StartParts,
 ): Promise<CreatedMachine> {
   if (settingsPath === '') throw new NoSettingsFileError()
-  const read = () => readFile(settingsPath, 'utf8')
+  const read = () => readSettingsFile(settingsPath, clock)
   const parse = (text: string) => parseFleetSettings(text, { source: settingsPath })
   let found = await readStartSettings({ read, parse, clock, onWaiting, earlier: earlySettings(settingsPath) })
   while (signals.consume('SIGHUP')) {
@@ -122,7 +118,7 @@
 ): Promise<void> {
   const { clock, logger } = context
   let text = firstText
-  const read = () => readFile(settingsPath, 'utf8')
+  const read = () => readSettingsFile(settingsPath, clock)
   const reload = oneAtATime(async () => {
     try {
       const newText = await readSettled({ read, apartMs: READS_APART_MS, clock, known: text })
--- a/scripts/startWithCodeCache.cjs
+++ b/scripts/startWithCodeCache.cjs
@@ -6,7 +6,7 @@
 if (require.main === module)
   for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) process.on(signal, () => undefined)
 const { createHash } = require('node:crypto')
-const { readFileSync } = require('node:fs')
+const { readFileSync, statSync } = require('node:fs')
 const { createRequire, wrap } = require('node:module')
 const { dirname } = require('node:path')
 const { Script } = require('node:vm')
@@ -62,6 +62,8 @@
 function readSettingsEarly() {
   const path = process.env.FORKSTAGE_CONFIG ?? process.argv[2]
   try {
+    // A pipe could block here for good, and with it the signals.
+    if (!statSync(path).isFile()) return
     globalThis.forkstageEarlySettings = { path, text: readFileSync(path, 'utf8'), readAt: performance.now() }
   } catch {
     // The program reads the file again and tells the reason.
