--- a/tools/fleet-soak/src/partitionable.ts
+++ b/tools/fleet-soak/src/partitionable.ts
@@ -6,6 +6,7 @@
 import { readFileSync, watchFile } from 'node:fs'
 import Module from 'node:module'
 import { Socket } from 'node:net'
+import { resolve } from 'node:path'
 import { ENDPOINT_HOST, isPartitionKind, type PartitionKind } from './partitionKinds'
 
 const POLL_EVERY_MS = 20
@@ -34,7 +35,7 @@
 })
 
 // The program becomes the main module, as loaders check, with its own arguments.
-process.argv.splice(1, 1)
+process.argv.splice(1, 2, resolve(process.argv[2]!))
 Module.runMain()
 
 function readKind(): PartitionKind | undefined {
--- a/tools/fleet-soak/test/partitionable.test.ts
+++ b/tools/fleet-soak/test/partitionable.test.ts
@@ -30,7 +30,8 @@
   const entryPoints = { partitionable: programs.partitionable }
   await build({ ...programOptions, entryPoints, outdir: folder })
   await writeFile(at('program.cjs'), PROGRAM)
-  child = spawn(process.execPath, [at('partitionable.cjs'), at('program.cjs')], {
+  child = spawn(process.execPath, [at('partitionable.cjs'), 'program.cjs'], {
+    cwd: folder,
     env: { ...process.env, FORKSTAGE_PARTITION_FILE: at('partition') },
     stdio: ['ignore', 'pipe', 'inherit'],
   })
