test(gateway): answers that nobody reads stay within the budget

Fails: 64 KB of each answer are not counted, so 1,500 of them hold 108,830,720 bytes where 28,164,096 are allowed by the budget of a process of 200 MB and a piece each.

--- a/request/gateway/test/answerMemory.test.ts
+++ b/request/gateway/test/answerMemory.test.ts
@@ -5,6 +5,9 @@
 
 const PIECE = 64 * 1024
 const MIB = 1024 * 1024
+const SMALL_PIECE = 4 * 1024
+/** The answers' part of the budget of a process that may use 200 MB. */
+const BUDGET = 200 * MIB * 0.3 * 0.35
 /** What the answers that wait may hold together, with a piece of each that was read before it was paused. */
 const MAX_WAITING = 4 * MIB
 
@@ -34,6 +37,13 @@
   answer.bytes = 0
 }
 
+/** Reads a small piece of an answer that is not paused. */
+function readSmall(answer: Answer): void {
+  if (answer.isPaused) return
+  answer.bytes += SMALL_PIECE
+  answer.held.hold(answer.bytes)
+}
+
 describe('the memory for answers', () => {
   // Guards against memory that grows with the number of endpoints that send bytes without end.
   it.each([8, 48, 300])('is bounded whatever %i endpoints send', (count) => {
@@ -53,6 +63,15 @@
     expect(failed).toBeGreaterThan(5)
   })
 
+  // Guards against memory that grows by 64 KB with each caller.
+  it.each([200, 1_500])('is bounded by the budget for %i answers that nobody reads', (count) => {
+    const memory = new AnswerMemory(BUDGET)
+    const answers = openAnswers(memory, count)
+    for (let turn = 0; turn < 64; turn += 1) answers.forEach(readSmall)
+    const held = answers.reduce((sum, { bytes }) => sum + bytes, 0)
+    expect(held).toBeLessThanOrEqual(BUDGET + count * SMALL_PIECE)
+  })
+
   it('never holds up an answer that is small', () => {
     const memory = new AnswerMemory()
     const [small, ...large] = openAnswers(memory, 9)
