--- /dev/null
+++ b/core/bytes/src/index.ts
@@ -0,0 +1,2 @@
+/** Bytes that arrive in pieces. */
+export { ByteCollector } from './byteCollector'
--- a/request/gateway/test/byteCollector.test.ts
+++ b/core/bytes/test/byteCollector.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { ByteCollector } from '../src/byteCollector'
+import { ByteCollector } from '../src'
 
 const SMALL_PIECE_BYTES = 1_024
 const pieceSizes = fc.array(fc.oneof(fc.integer({ min: 0, max: 40 }), fc.integer({ min: 0, max: 5_000 })), {
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -1,4 +1,4 @@
-import { ByteCollector } from './byteCollector'
+import { ByteCollector } from '@forkstage/bytes'
 import { ENDED_INSIDE_EVENT, endsInsideEvent } from './endsInsideEvent'
 import { EventSplitter, type StreamEvent } from './eventSplitter'
 import type { AnswerHead, ExchangeEnd } from './exchange'
--- a/request/gateway/src/eventSplitter.ts
+++ b/request/gateway/src/eventSplitter.ts
@@ -1,4 +1,4 @@
-import { ByteCollector } from './byteCollector'
+import { ByteCollector } from '@forkstage/bytes'
 
 /** One server-sent event: its bytes including the terminating blank line, and its id if it has one. */
 export interface StreamEvent {
--- a/request/gateway/src/fetchAnswer.ts
+++ b/request/gateway/src/fetchAnswer.ts
@@ -1,7 +1,7 @@
+import { ByteCollector } from '@forkstage/bytes'
 import type { CancelTimer } from '@forkstage/clock'
 import type { Millis } from '@forkstage/types'
 import type { HeldAnswer } from './answerMemory'
-import { ByteCollector } from './byteCollector'
 import { ENDED_INSIDE_EVENT, endsInsideEvent } from './endsInsideEvent'
 import { EventSplitter } from './eventSplitter'
 import {
