fix(peer-rpc): a connection without proof of the shared key holds little memory

Clients outside the limits that reach the port for other boxes: one line without end was held up to 256 MB, above the memory of an entry, answers to probes that nobody reads up to 64 MB a connection, and a connection that proved nothing stayed open for ever, without a limit to their number. Cause: the limits of proven peers held before the proof.

--- a/peer/rpc/src/lineChannel.ts
+++ b/peer/rpc/src/lineChannel.ts
@@ -1,20 +1,35 @@
 import type { Socket } from 'node:net'
+import { ByteCollector } from '@forkstage/bytes'
 
-/** Maximum length of a line from a peer; a snapshot is sent as one line. */
-const MAX_LINE_BYTES = 256 * 1024 * 1024
-/** Maximum size of unsent data; above it the connection is closed because the peer does not read. */
-const MAX_QUEUED_BYTES = 64 * 1024 * 1024
+/** What a channel accepts before it closes its connection. */
+export interface ChannelLimits {
+  /** Bytes of one line. */
+  lineBytes: number
+  /** Bytes that wait because the peer does not read. */
+  unsentBytes: number
+  /** Number of lines. */
+  lines: number
+}
+
+/** Limits for a peer that has proved its identity; a snapshot is sent as one line. */
+export const PEER_LIMITS: ChannelLimits = {
+  lineBytes: 256 * 1024 * 1024,
+  unsentBytes: 64 * 1024 * 1024,
+  lines: Infinity,
+}
 const LINE_FEED = 0x0a
 
 /** Options of {@link openLineChannel}. */
 export interface LineChannelOptions {
   onLine: (line: string) => void
   onClose: (reason: string) => void
+  /** Returns the limits in force; those of a peer that has proved its identity if absent. */
+  limits?: () => ChannelLimits
 }
 
 /** A connection that carries one JSON text per line. */
 export interface LineChannel {
-  send(line: string): void
+  send(text: string): void
   close(reason: string): void
   /** Ends the channel and returns its connection, which has the bytes after the current line to read. */
   detach(): Socket
@@ -22,8 +37,9 @@
 
 /** Splits the data of a socket into lines; limits the size of received lines and of unsent data. */
 export function openLineChannel(socket: Socket, options: LineChannelOptions): LineChannel {
-  let parts: Buffer[] = []
-  let pendingBytes = 0
+  const limits = options.limits ?? (() => PEER_LIMITS)
+  let line = new ByteCollector()
+  let lineCount = 0
   let closed = false
   let isDetached = false
   const close = (reason: string) => {
@@ -32,23 +48,24 @@
     socket.destroy()
     options.onClose(reason)
   }
-  const takeLine = (end: Buffer): string => {
-    const line = parts.length === 0 ? end : Buffer.concat([...parts, end])
-    parts = []
-    pendingBytes = 0
-    return line.toString('utf8')
+  const completeLine = (end: Buffer): string => {
+    line.append(end)
+    const text = line.toBuffer().toString('utf8')
+    line = new ByteCollector()
+    lineCount += 1
+    return text
   }
   const handleChunk = (chunk: Buffer) => {
     let start = 0
     for (let end = chunk.indexOf(LINE_FEED); end !== -1; end = chunk.indexOf(LINE_FEED, start)) {
-      const line = takeLine(chunk.subarray(start, end))
+      const text = completeLine(chunk.subarray(start, end))
       start = end + 1
-      if (!closed && line !== '') options.onLine(line)
+      if (lineCount > limits().lines) return close('too many lines')
+      if (!closed && text !== '') options.onLine(text)
       if (isDetached) return unread(socket, chunk.subarray(start))
     }
-    parts.push(chunk.subarray(start))
-    pendingBytes += chunk.length - start
-    if (pendingBytes > MAX_LINE_BYTES) close('a line is too long')
+    line.append(chunk.subarray(start))
+    if (line.size > limits().lineBytes) close('a line is too long')
   }
   const handleError = (error: Error) => close(error.message)
   const handleClose = () => close('connection closed')
@@ -57,10 +74,10 @@
   socket.on('error', handleError)
   socket.on('close', handleClose)
   return {
-    send(line) {
+    send(text) {
       if (closed) return
-      socket.write(`${line}\n`)
-      if (socket.writableLength > MAX_QUEUED_BYTES) close('the peer does not read')
+      socket.write(`${text}\n`)
+      if (socket.writableLength > limits().unsentBytes) close('the peer does not read')
     },
     close,
     detach() {
--- a/peer/rpc/src/startPeerServer.ts
+++ b/peer/rpc/src/startPeerServer.ts
@@ -1,12 +1,14 @@
 import { createServer as createTcpServer, type Server, type Socket } from 'node:net'
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0'
+import { createSystemClock, type Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { Address, BoxId } from '@forkstage/types'
 import { parseAddress } from './parseAddress'
-import { openLineChannel, type LineChannel } from './lineChannel'
+import { openLineChannel, PEER_LIMITS, type LineChannel } from './lineChannel'
 import { createNonce, createProof, proofsMatch } from './proof'
 import { readTlsFiles, type TlsFiles } from './tlsFiles'
+import { UNPROVEN_LIMITS, UnprovenConnections } from './unprovenConnections'
 import { PROBE } from './watchSilence'
 
 /** The caller of a method: the box at the other end, authenticated by the shared key. */
@@ -29,6 +31,10 @@
    */
   onJoin?: (ticket: string, socket: Socket) => void
   logger: Logger
+  /** Default: the clock of the system. */
+  clock?: Clock
+  /** Connections at once that have not proved the shared key. */
+  maxUnproven?: number
 }
 
 /** A server for calls of other boxes. */
@@ -45,10 +51,12 @@
 /** Listens for other boxes and serves those that authenticate with the shared key. */
 export async function startPeerServer(options: PeerServerOptions): Promise<PeerServer> {
   const sockets = new Set<Socket>()
+  const unproven = new UnprovenConnections(options.clock ?? createSystemClock(), options.maxUnproven)
   const accept = (socket: Socket) => {
+    if (!unproven.admit(socket)) return
     sockets.add(socket)
     socket.on('close', () => sockets.delete(socket))
-    serveConnection(socket, options)
+    serveConnection(socket, options, () => unproven.release(socket))
   }
   const server =
     options.tls === undefined ? createTcpServer(accept) : await createTlsServer(options.tls, accept)
@@ -75,7 +83,8 @@
   })
 }
 
-function serveConnection(socket: Socket, options: PeerServerOptions): void {
+/** @param onProven called once the connection has proved the shared key, or claims to by a ticket. */
+function serveConnection(socket: Socket, options: PeerServerOptions, onProven: () => void): void {
   const rpc = new JSONRPCServer<PeerContext>({ errorListener: () => undefined })
   const peer = `${socket.remoteAddress}:${socket.remotePort}`
   let context: PeerContext | undefined
@@ -83,13 +92,17 @@
   const channel = openLineChannel(socket, {
     onLine: (line) => void handleLine(line),
     onClose: () => undefined,
+    limits: () => (context === undefined ? UNPROVEN_LIMITS : PEER_LIMITS),
   })
   const handleLine = async (line: string) => {
     const request = parseJson(line)
     if (request === undefined) return channel.close('not JSON')
     const ticket = joinTicket(request)
     // Before any other step, since the bytes that follow the line are no messages.
-    if (ticket !== undefined && options.onJoin !== undefined) return options.onJoin(ticket, channel.detach())
+    if (ticket !== undefined && options.onJoin !== undefined) {
+      onProven()
+      return options.onJoin(ticket, channel.detach())
+    }
     const response = await rpc.receive(request as never, context as PeerContext)
     if (response !== null) channel.send(JSON.stringify(response))
   }
@@ -103,6 +116,7 @@
     const expected = createProof(options.sharedKey, 'client', [clientNonce, serverNonce])
     if (!proofsMatch(expected, params.proof)) return rejectPeer(channel, peer, options.logger)
     context = { box: params.box }
+    onProven()
     for (const [name, method] of Object.entries(options.methods)) addMethod(rpc, name, method)
     return {}
   })
