fix(gateway,fleet): an entry that stops sends on only what it can answer before it ends

Callers whose requests came late in a stop, or whose answers take long, got no answer: everything was sent on for stop.unready_ms, and what an endpoint still ran at the end of the grace time was cut, also on routes whose requests may run once. Ruled out: connections (kept and new ones alike) and a bound that is let go near the end: what was refused meanwhile in runs of the old code was refused for room at engines or, after stop.unready_ms, as 'leaving'. StopAdmission lets a request be sent where the longest recent run of its route and size, with a margin, ends before the connections are closed; without recent answers the time that the request has counts. It is asked at admission, before each attempt and before the first byte of each sending. The others get 503 as not run. Requests sent before the signal go on as before.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -97,6 +97,12 @@
     return this.connections.get(socket)?.pending.at(-1)
   }
 
+  /** Whether earlier responses on its connection have to be sent before a response. */
+  isBehindAnother(response: ServerResponse): boolean {
+    const first = this.connections.get(response.req.socket)?.pending[0]
+    return first !== undefined && first !== response
+  }
+
   /**
    * Whether a response can never be sent: the answer to an earlier request on its connection has already announced that
    * it closes it.
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -291,7 +291,7 @@
     const { clock, settings, peers, logger } = this.context
     const endsAt = clock.now() + settings.stop.grace_s * SECOND_MS - GRACE_MARGIN_MS
     this.leaving = true
-    this.ingress.leave()
+    this.ingress.leave(endsAt)
     await delay(clock, settings.stop.unready_ms)
     const isCarrying = () => this.paths.carried > 0
     const cut = await endCallers({ ingress: this.ingress, isCarrying, endsAt, clock, logger })
--- a/request/gateway/src/index.ts
+++ b/request/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** The HTTP listener of an entry for callers, with admission, placement and relaying of their requests. */
 export { Ingress } from './ingress'
-export type { IngressOptions, RequestReport } from './ingress'
+export type { IngressOptions } from './ingress'
+export type { RequestReport } from './requestReport'
 export { AnswerMemory } from './answerMemory'
 export { BodyMemory } from './bodyMemory'
 export { HeldBody } from './heldBody'
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -22,6 +22,7 @@
   answerNoId,
   answerNoRoute,
   answerNoSheet,
+  answerOutlasting,
   answerOverloaded,
 } from './ingressAnswers'
 import { answerRefusal, CALLER_DISCONNECTED } from './relayAnswers'
@@ -31,10 +32,12 @@
 import type { TokenCounts } from './gatewayWire'
 import { receiveRequest } from './receiveRequest'
 import type { RelayParts, RelayResult } from './relayParts'
+import type { RequestReport } from './requestReport'
 import { resumeStream } from './resumeStream'
 import { relayStream } from './streamRelay'
 import { rankOf } from './rankOf'
 import { tokenCountsOf } from './tokenCounts'
+import { StopAdmission } from './stopAdmission'
 import { waitFor } from './waitFor'
 import { wasRunInFull } from './wasRunInFull'
 import type { AdmittedRequest, WorkspaceAdmission } from './workspaceAdmission'
@@ -57,17 +60,6 @@
   onResult?: (result: RequestReport) => void
 }
 
-/** The result of a request, for the log and the metrics. */
-export interface RequestReport extends RelayResult {
-  request: string
-  route: string
-  /** The workspace that admitted the request by its key; absent on public routes and where there are no workspaces. */
-  workspace?: string
-  /** The id of the request that began the stream, if the caller resumes one. */
-  resumes?: string
-  tookMs: Millis
-}
-
 /** The result of a request, without its duration. */
 type RoutedResult = RelayResult & Pick<RequestReport, 'route' | 'workspace'>
 
@@ -98,6 +90,7 @@
   /** Requests whose callers send the body only once they are told to continue. */
   private readonly awaitContinue = new WeakSet<IncomingMessage>()
   private readonly callerAdmission: CallerAdmission | undefined
+  private readonly stopAdmission: StopAdmission
 
   constructor(private readonly options: IngressOptions) {
     this.server = createServer({
@@ -115,6 +108,8 @@
     if (gate !== undefined)
       this.callerAdmission = new CallerAdmission(this.server, { gate, running, clock: parts.clock })
     this.answers = new PendingResponses(this.server, { clock: parts.clock })
+    const isBehindAnother = (response: ServerResponse) => this.answers.isBehindAnother(response)
+    this.stopAdmission = new StopAdmission({ clock: parts.clock, isBehindAnother })
     this.server.on('request', (incoming, response) => void this.serve(incoming, response))
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       answerUnreadable(error, socket, { clock: parts.clock, current: this.answers.currentOn(socket) })
@@ -148,9 +143,13 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
   }
 
-  /** Makes every answer from now on close its connection, so that callers reconnect elsewhere. */
-  leave(): void {
+  /**
+   * Makes every answer from now on close its connection, so that callers reconnect elsewhere, and refuses requests whose
+   * answers may not be complete at `endsAt`, when all connections are closed.
+   */
+  leave(endsAt: Millis = Infinity): void {
     this.leaving = true
+    this.stopAdmission.begin(endsAt)
     this.answers.announceClose()
   }
 
@@ -295,6 +294,8 @@
   ): Promise<RelayResult> {
     const { parts, routes } = this.options
     const endsAt = request.arrivedAt + Math.min(request.deadlineMs, route.timeoutMs)
+    const stop = this.stopAdmission.follow({ route, tokens, endsAt, response: request.response })
+    if (stop.isTooLate()) return answerOutlasting(request)
     const resumed = await resumeStream(parts, request, {
       route,
       service: chooseService(route, parts.random()),
@@ -313,9 +314,10 @@
     // A newer sheet also applies to requests in progress.
     const regions = () => allowedRegions(routes() ?? index, { request, route, workspace: owner })
     const times = { endsAt, targetAt, isReturn }
-    const job = { request, route, service, ...times, tokens, rank, regions, stream, boundVersion }
+    const job = { request, route, service, ...times, tokens, rank, regions, stream, boundVersion, stop }
     const isModel = route.kind === 'streaming' && service.engine !== undefined
-    const result = await (isModel ? relayStream(parts, job) : relayPlain(parts, job))
+    const run = isModel ? relayStream(parts, job) : relayPlain(parts, job)
+    const result = await run.finally(() => stop.end())
     if (wasRunInFull(result)) parts.crashes?.recordServed(request.content, service.name)
     return result
   }
--- a/request/gateway/src/ingressAnswers.ts
+++ b/request/gateway/src/ingressAnswers.ts
@@ -2,10 +2,11 @@
 import type { Millis } from '@forkstage/types'
 import type { CallerRequest } from './callerRequest'
 import { sendOwnAnswer, type OwnAnswer } from './ownAnswer'
+import { answerRefusal } from './relayAnswers'
 import type { RelayParts, RelayResult } from './relayParts'
+import { LEAVING_RETRY_MS, OUTLASTS_STOP } from './stopAdmission'
 
 const NO_SHEET_RETRY_MS = 500
-const LEAVING_RETRY_MS = 50
 const OVERLOADED_RETRY_MS = 500
 
 /** Refuses a request whose headers are longer than the sheet allows. */
@@ -64,6 +65,11 @@
   return { status: 503, outcome: 'leaving', sends: [] }
 }
 
+/** Refuses a request whose answer may not be complete before this entry ends. */
+export function answerOutlasting({ response }: CallerRequest): RelayResult {
+  return { ...answerRefusal(response, OUTLASTS_STOP, LEAVING_RETRY_MS), sends: [] }
+}
+
 /** Refuses a request on an open connection because this entry has more than it can handle. */
 export function answerOverloaded(
   request: CallerRequest,
--- a/request/gateway/src/plainRelay.ts
+++ b/request/gateway/src/plainRelay.ts
@@ -3,7 +3,7 @@
 import type { Millis } from '@forkstage/types'
 import type { HeldAnswer } from './answerMemory'
 import type { Exchange } from './exchange'
-import { connectionShare } from './connectionShare'
+import { hasRoom } from './hasRoom'
 import { dropHeaders } from './callerRequest'
 import type { PooledEndpoint } from './pooledEndpoint'
 import type { PoolUnavailability } from './poolTypes'
@@ -38,6 +38,7 @@
 import { ENDS_ENDPOINTS, EVACUATED, whyNoLongerSend, whyNotSend } from './sendRules'
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
 import { sourceOf } from './sourceOf'
+import { LEAVING_RETRY_MS, OUTLASTS_STOP } from './stopAdmission'
 import { UNRUN_OUTCOMES, unsentOutcome, type SendOutcome } from './sendOutcome'
 import { waitFor } from './waitFor'
 import { reasonOf, type SendingResult } from './sendingResult'
@@ -91,6 +92,8 @@
       return answerRefusal(this.job.request.response, OUTSIDE_REGIONS, OUTSIDE_REGIONS_RETRY_MS)
     let failed: SendingResult | undefined
     for (let refusals = 0; ;) {
+      if (this.job.stop?.isTooLateToBegin() === true)
+        return this.endWithoutAnswer(failed, OUTLASTS_STOP, LEAVING_RETRY_MS)
       const decision = await this.crashGuard.decide()
       if (decision.type === 'refuse')
         return this.endWithoutAnswer(failed, ENDS_ENDPOINTS, decision.refusal.leftMs)
@@ -101,7 +104,11 @@
       if (this.isOver) return this.overResult()
       if (to === undefined) return this.endWithoutAnswer(failed, this.whyNoEndpoint())
       // While it waited, other requests may have taken the room, and the same content may have crashed endpoints.
-      if (permit.type !== 'place' && (!this.hasRoom(to) || this.crashGuard.isOutdated(decision))) continue
+      if (
+        permit.type !== 'place' &&
+        (!hasRoom(this.parts, this.job.service, to) || this.crashGuard.isOutdated(decision))
+      )
+        continue
       const sending = await this.sendTo(to, permit)
       if (sending === undefined) return this.endWithoutAnswer(failed, 'no repeated sending is left')
       if (this.isOver) return this.overResult()
@@ -135,19 +142,12 @@
   private leastLoadedWithRoom(): InRegion<PooledEndpoint> | undefined {
     const { pool, cold } = this.parts
     const fresh = this.usable(this.tried)
-    const open = (fresh.length > 0 ? fresh : this.usable()).filter((one) => this.hasRoom(one))
+    const open = (fresh.length > 0 ? fresh : this.usable()).filter((one) =>
+      hasRoom(this.parts, this.job.service, one),
+    )
     return pool.leastLoaded(cold?.eligible(open) ?? open)
   }
 
-  /** Whether an endpoint accepts requests and has room for one more from this entry. */
-  private hasRoom(to: PooledEndpoint): boolean {
-    const { entries, pool } = this.parts
-    if (!pool.isAvailable(to)) return false
-    const share =
-      entries === undefined ? Infinity : connectionShare(this.job.service.maxConnections, entries())
-    return to.inFlight < Math.min(to.limit.value, share)
-  }
-
   /** Returns the endpoints that may get the request and whose rate limits allow it now, without those in `except`. */
   private usable(except?: ReadonlySet<string>): InRegion<PooledEndpoint>[] {
     const { pool, limits } = this.parts
--- a/request/gateway/src/recentMaximum.ts
+++ b/request/gateway/src/recentMaximum.ts
@@ -17,6 +17,13 @@
     this.current = Math.max(this.current, value)
   }
 
+  /** Returns the maximum of the values that are recent at a time; undefined if none is. */
+  valueAt(now: Millis): number | undefined {
+    const age = now - this.spanStartedAt
+    if (age >= this.spanMs * 2) return undefined
+    return age < this.spanMs ? this.value : this.current
+  }
+
   get value(): number {
     return Math.max(this.before, this.current)
   }
--- a/request/gateway/src/relayParts.ts
+++ b/request/gateway/src/relayParts.ts
@@ -29,6 +29,7 @@
 import type { OriginClient } from './originClient'
 import type { GatewayRetryBudget } from './gatewayRetryBudget'
 import type { SendRule } from './sendRules'
+import type { StopCheck } from './stopAdmission'
 
 /** Dependencies of the relays. */
 export interface RelayParts {
@@ -171,6 +172,8 @@
   stream?: StreamKey
   /** The software version that began the stream, which alone may continue it; absent before its first event. */
   boundVersion?: string
+  /** Whether the request may still be sent where this entry stops; it may if absent. */
+  stop?: StopCheck
 }
 
 /** Largest answer, or event of a stream, that is collected before it is forwarded. */
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -4,6 +4,7 @@
 import { isVersionConfirmed } from './isVersionConfirmed'
 import type { RelayJob, RelayParts } from './relayParts'
 import type { SendStep } from './sendCounter'
+import { OUTLASTS_STOP } from './stopAdmission'
 
 /**
  * Returns why a request must not be sent to an endpoint now; undefined if it may. Checked right before each sending, after
@@ -58,7 +59,7 @@
 
 /**
  * Returns and logs the first reason why a request that {@link whyNotSend} has allowed must not be sent any more. Checked once
- * its connection is open, right before its first byte. Leaves out what the sending itself has changed: the backoff and the
+ * its connection is open, right before its first byte, and records the sending where it may. Leaves out what the sending itself has changed: the backoff and the
  * limits of the endpoint.
  */
 export function whyNoLongerSend(
@@ -67,7 +68,9 @@
   to: RegisteredEndpoint,
   step: SendStep,
 ): string | undefined {
-  return firstReason(parts, standingRules(parts), { job, to, step })
+  const reason = firstReason(parts, standingRules(parts), { job, to, step })
+  if (reason === undefined) job.stop?.recordSent()
+  return reason
 }
 
 interface PlannedSending {
@@ -99,8 +102,9 @@
     step === 'decode' && boundVersion !== undefined ? whyNotVersion(parts, endpoint, boundVersion) : undefined
   const ends: SendRule = (_to, { request, service }) =>
     parts.crashes?.refusal(request, service.name) === undefined ? undefined : ENDS_ENDPOINTS
+  const outlasts: SendRule = (_to, { stop }) => (stop?.isTooLate() === true ? OUTLASTS_STOP : undefined)
   const state: SendRule = ({ id }, { retainingEngine }) => whyNotByState(parts, id, retainingEngine === id)
-  return [suspended, version, ...(parts.sendRules ?? []), ends, state]
+  return [suspended, version, ...(parts.sendRules ?? []), ends, outlasts, state]
 }
 
 /** Returns why an endpoint must not continue a stream that a software version has begun; undefined if it may. */
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -22,6 +22,7 @@
 import type { SendOutcome } from './sendOutcome'
 import type { ModelPlace, ModelWork } from './modelPlacer'
 import { modelWork } from './modelWork'
+import { releaseUnused } from './releaseUnused'
 import { reportStreamLoss } from './reportStreamLoss'
 import { PromptPrefill, type PrefillContext } from './promptPrefill'
 import { answerFailure, answerRefusal, forwardFailure, type OwnResult } from './relayAnswers'
@@ -42,6 +43,7 @@
 import { OUTSIDE_REGIONS_RETRY_MS, isOnlyOutsideRegions, OUTSIDE_REGIONS } from './regionRule'
 import { sourceOf } from './sourceOf'
 import { NOT_RESUMED, retryAfterOf, reasonOf, type AttemptResult, type FailedAttempt } from './streamAttempt'
+import { LEAVING_RETRY_MS, OUTLASTS_STOP } from './stopAdmission'
 import { waitForDecodeEngine } from './waitForDecodeEngine'
 import { streamHeaders } from './streamHeaders'
 import { toFailure } from './toFailure'
@@ -125,6 +127,8 @@
   /** Requests a placement and runs the request there. */
   private async attemptOnce(): Promise<AttemptResult> {
     const { pool, placer, clock } = this.parts
+    if (this.job.stop?.isTooLateToBegin() === true)
+      return { type: 'refused', reason: OUTLASTS_STOP, retryAfterMs: LEAVING_RETRY_MS }
     await waitForDecodeEngine(this.parts, this.job)
     if (isOnlyOutsideRegions(pool, this.job, 'decode'))
       return { type: 'refused', reason: OUTSIDE_REGIONS, retryAfterMs: OUTSIDE_REGIONS_RETRY_MS }
@@ -172,16 +176,16 @@
     const startedAt = this.parts.clock.now()
     // Opened before the prefill step, which would be wasted without a sending to the decode engine.
     const drawn = this.sendCounter.isRepeat ? this.sendCounter.open('decode') : undefined
-    if (this.sendCounter.isRepeat && drawn === undefined) return this.releaseUnused(place, { type: 'denied' })
+    if (this.sendCounter.isRepeat && drawn === undefined) return releaseUnused(place, { type: 'denied' })
     const step = await this.prompt.prefillAt(place)
-    if (this.isOver) return this.releaseUnused(place, { type: 'over' }, drawn)
+    if (this.isOver) return releaseUnused(place, { type: 'over' }, drawn)
     // After a failed prefill the leader decides again which engine prefills the prompt.
     const withheld = step === 'not-read' ? PROMPT_NOT_READ : this.prompt.whyNotDecode(place.decode)
     if (withheld !== undefined)
-      return this.releaseUnused(place, { type: 'not-run', arrived: false, reason: withheld }, drawn)
+      return releaseUnused(place, { type: 'not-run', arrived: false, reason: withheld }, drawn)
     this.eventCount = 0
     const sending = drawn ?? this.sendCounter.open('decode')
-    if (sending === undefined) return this.releaseUnused(place, { type: 'denied' })
+    if (sending === undefined) return releaseUnused(place, { type: 'denied' })
     // The placement is used up; a later suspension does not affect the run.
     this.job.placedAt = undefined
     place.madeTokens = () => this.madeTokens()
@@ -206,13 +210,6 @@
     return attempt
   }
 
-  /** Releases a placement whose decode engine was not used. */
-  private releaseUnused(place: ModelPlace, attempt: Attempt, drawn?: CountedSending): Attempt {
-    place.release('cancelled', 0, 0)
-    drawn?.close('not-arrived')
-    return attempt
-  }
-
   /** Resumes the run at other engines for as long as it is migrated. */
   private async followMigrations(place: ModelPlace, ended: StreamResult): Promise<StreamResult> {
     const { attempt, sendOutcome } = ended
--- a/request/gateway/test/gatewayHarness.ts
+++ b/request/gateway/test/gatewayHarness.ts
@@ -32,7 +32,6 @@
 export { TOPOLOGY }
 
 const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
-
 const QUOTA_WINDOW_MS = 8_000
 const LEADING_FOR_MS = 2_000
 const RUN_FOR_MS = 60_000
@@ -41,7 +40,6 @@
 
 /** Budget for the bodies of requests. */
 export const BODY_MEMORY_BYTES = 10 * 1024 * 1024
-
 /** How long endpoints continue serving once they have announced that they are leaving. */
 const LEAVING_SERVES_MS = 2_000
 
@@ -60,6 +58,8 @@
   placesRefused = 0
   /** What the entry knows of the origins of streams; nothing if undefined. */
   origins: RelayParts['origins']
+  /** How far the entry's clock is ahead of that of the system, in milliseconds. */
+  aheadMs = 0
   /** When the machine was last suspended. */
   suspendedAt = -Infinity
   /** Called for each place that the placer returned, before it is used. */
@@ -259,6 +259,7 @@
         },
         clock: {
           ...clock,
+          now: () => clock.now() + harness.aheadMs,
           suspendedAt: () => harness.suspendedAt,
           after: (ms, callback) => {
             harness.timers.push(ms)
