--- a/request/gateway/test/leaving.test.ts
+++ b/request/gateway/test/leaving.test.ts
@@ -147,23 +147,27 @@
     expect(worker.seen).toHaveLength(0)
   })
 
-  it('answers both of two requests that a caller sent without waiting, although the first answer was to close', async () => {
-    const { harness, worker, answerAll } = await start()
-    const { socket, text, ended, connected } = openSocket(harness.port)
-    await connected
-    harness.ingress.leave()
-    socket.write(requestText('r1') + requestText('r2'))
-    let isEnded = false
-    void ended.then(() => (isEnded = true))
-    await eventually(() => {
-      answerAll()
-      return isEnded
-    })
-    const statuses = [...text().matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status)
-    expect(statuses).toHaveLength(2)
-    expect(worker.seen).toHaveLength(statuses.filter((status) => status === '200').length)
-    expect(text().match(/Connection: close/g)).toHaveLength(1)
-  })
+  it.each(['leaves', 'is overloaded'])(
+    'answers both of two requests that a caller sent without waiting, although the first answer was to close: it %s',
+    async (state) => {
+      const { harness, worker, answerAll } = await start()
+      const { socket, text, ended, connected } = openSocket(harness.port)
+      await connected
+      if (state === 'leaves') harness.ingress.leave()
+      else harness.gate.isLimiting = true
+      socket.write(requestText('r1') + requestText('r2'))
+      let isEnded = false
+      void ended.then(() => (isEnded = true))
+      await eventually(() => {
+        answerAll()
+        return isEnded
+      })
+      const statuses = [...text().matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status)
+      expect(statuses).toHaveLength(2)
+      expect(worker.seen).toHaveLength(statuses.filter((status) => status === '200').length)
+      expect(text().match(/Connection: close/g)).toHaveLength(1)
+    },
+  )
 
   it('sends no request on that comes behind an answer that closes its connection', async () => {
     const { harness, worker } = await start()
