--- a/settings/fleet/test/fleetSettings.test.ts
+++ b/settings/fleet/test/fleetSettings.test.ts
@@ -55,6 +55,22 @@
     expect(faultsOf(bad)).toEqual(['machine.zone', 'listen.peers', 'peers.speed'])
   })
 
+  it.each([
+    ['at the grace time', 'grace_s = 2\nunready_ms = 2_000'],
+    ['above the grace time', 'grace_s = 0.5\nunready_ms = 3_000'],
+    ['that leaves nothing for requests under way', 'grace_s = 2\nunready_ms = 1_500'],
+  ])('rejects a time without readiness %s, which would cut requests off', (_name, stop) => {
+    expect(faultsOf(`${ENTRY}[stop]\n${stop}\n`)).toEqual(['stop.unready_ms'])
+  })
+
+  it('shortens the default time without readiness to half of a short grace time', () => {
+    expect(parse(`${ENTRY}[stop]\ngrace_s = 2\n`)).toMatchObject({ stop: { grace_s: 2, unready_ms: 1_000 } })
+  })
+
+  it('accepts a time without readiness that leaves the rest of the grace time', () => {
+    expect(faultsOf(`${ENTRY}[stop]\ngrace_s = 2\nunready_ms = 1_000\n`)).toEqual([])
+  })
+
   it('rejects a heartbeat interval above a third of the election timeout', () => {
     expect(faultsOf(`${ENTRY}heartbeat_ms = 400\n`)).toEqual(['control.heartbeat_ms'])
   })
