fix(settings): a time without readiness leaves half of the grace time for requests

stop.unready_ms at or above stop.grace_s was accepted, and so was its default of 2,600 ms beside a shorter grace time: a planned stop then cut what ran. An explicit value above half of the grace time is refused with its reason; the default is shortened, so that no settings without the key are refused.

--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -1,10 +1,14 @@
 // A namespace import lets the bundler drop unused parts of zod, such as its messages in other languages.
 import * as z from 'zod'
+import { maxUnreadyMs } from './maxUnreadyMs'
 
 const ADDRESS = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
 const address = z.string().regex(ADDRESS, 'an IP number and a port, as 127.0.0.1:7000')
 const duration = (fallback: number) => z.number().int().min(1).max(3_600_000).default(fallback)
 
+/** Default of `stop.unready_ms`, unless the grace time is too short for it. */
+const UNREADY_MS = 2_600
+
 const machineSection = z.strictObject({
   name: z.string().min(1),
   role: z.enum(['entry', 'control']),
@@ -48,8 +52,12 @@
     /** Time from the stop signal until the process is killed, in seconds. */
     grace_s: z.number().min(0.5).max(3_600).default(8),
     /** How long new requests may still arrive after the readiness check has failed, in milliseconds. */
-    unready_ms: duration(2_600),
+    unready_ms: z.number().int().min(1).max(3_600_000).optional(),
   })
+  .transform(({ grace_s, unready_ms = Math.min(UNREADY_MS, maxUnreadyMs(grace_s)) }) => ({
+    grace_s,
+    unready_ms,
+  }))
   .prefault({})
 
 const ordersSection = z
--- a/settings/fleet/src/parseFleetSettings.ts
+++ b/settings/fleet/src/parseFleetSettings.ts
@@ -1,5 +1,6 @@
 import { readToml, toSettingsFaults, SettingsError, type SettingsFault } from '@forkstage/settings'
 import { fleetSchema, type FleetSettings } from './fleetSchema'
+import { maxUnreadyMs } from './maxUnreadyMs'
 
 /** Options of {@link parseFleetSettings}. */
 export interface ParseFleetSettingsOptions {
@@ -23,7 +24,7 @@
 
 /** Returns faults that concern more than one key: values that the role requires, and conflicting timeouts. */
 function findMissing(settings: FleetSettings): SettingsFault[] {
-  const { machine, listen, control } = settings
+  const { machine, listen, control, stop } = settings
   const needed: [string, unknown][] =
     machine.role === 'entry'
       ? [
@@ -41,5 +42,9 @@
     const allowed = 'at most a third of control.election_timeout_ms'
     faults.push({ key: 'control.heartbeat_ms', found: String(control.heartbeat_ms), allowed })
   }
+  if (stop.unready_ms > maxUnreadyMs(stop.grace_s)) {
+    const allowed = 'at most half of stop.grace_s, so that requests under way can end'
+    faults.push({ key: 'stop.unready_ms', found: String(stop.unready_ms), allowed })
+  }
   return faults
 }
