fix(fleet): collect dropped buffers by a share of the memory limit

Each machine now collects when its buffers have grown by 6% of the limit (what is young; 0.3 ms in the median) or by 12% (all; 21 ms, at most once a second). Ruled out: a full collection each second above 70% of the limit (199 MB). What is read within one turn of the event loop is still dropped before any sample.

--- a/daemon/fleet/src/machineContext.ts
+++ b/daemon/fleet/src/machineContext.ts
@@ -3,6 +3,7 @@
 import type { FleetSettings } from '@forkstage/fleet-settings'
 import { createLogger, LogLimiter, type Logger } from '@forkstage/logger'
 import { parseAddress, PeerClient, type PeerCredentials } from '@forkstage/peer-rpc'
+import { GarbageMonitor } from './garbageMonitor'
 import { MemoryMonitor } from './memoryMonitor'
 import { processLimitBytes } from './processMemory'
 
@@ -14,6 +15,7 @@
   logger: Logger
   logLimiter: LogLimiter
   memoryMonitor: MemoryMonitor
+  garbageMonitor: GarbageMonitor
   peers: PeerClient
   /** What this machine proves its identity with to others. */
   credentials: PeerCredentials
@@ -54,6 +56,7 @@
       clock,
       logger,
     }),
+    garbageMonitor: new GarbageMonitor({ limitBytes: () => processLimitBytes(machine.settings), clock }),
     peers: new PeerClient({ credentials, clock, logger }),
     credentials,
     epoch: randomBytes(5).toString('hex'),
--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -121,6 +121,7 @@
   })
   signals.on('SIGHUP', reload)
   context.memoryMonitor.start()
+  context.garbageMonitor.start()
   await runUntilStopped(machine, {
     signals,
     graceMs: () => context.settings.stop.grace_s * SECOND_MS,
