feat(fleet-soak): measure an entry's memory under slow readers and large loads

The stand-ins of endless-bytes also send whole events without end and answers of a size that the path names, and may be several.

--- a/scripts/bundleOptions.mjs
+++ b/scripts/bundleOptions.mjs
@@ -14,6 +14,7 @@
   limitedLink: 'tools/fleet-soak/src/limitedLink.ts',
   largeBodies: 'tools/fleet-soak/src/largeBodiesExperiment.ts',
   endlessBytes: 'tools/fleet-soak/src/endlessBytesExperiment.ts',
+  entryMemory: 'tools/fleet-soak/src/entryMemoryExperiment.ts',
   endlessEndpoint: 'tools/fleet-soak/src/endlessEndpoint.ts',
   days: 'tools/days/src/main.ts',
   serve: 'cli/forkstage/src/serve.ts',
--- a/tools/fleet-soak/src/endlessEndpoint.ts
+++ b/tools/fleet-soak/src/endlessEndpoint.ts
@@ -1,4 +1,4 @@
-/** Stand-in endpoints, in a process of their own, that send bytes without end until their connection is closed. */
+/** Stand-in endpoints, in a process of their own, that send bytes or events without end, or answers of a size that the path names. */
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { createSeededRandom } from '@forkstage/clock'
 import { callControl } from './callControl'
@@ -20,6 +20,12 @@
 
 /** Tells these endpoints where to register: base URLs of the control machines, separated by spaces. */
 export const CONTROL_URLS = 'FORKSTAGE_CONTROL_URLS'
+/** Number of endpoints of each service and stage; default 1. */
+export const ENDPOINT_COUNT = 'FORKSTAGE_ENDPOINT_COUNT'
+/** Path segment of requests that are answered with whole events without end. */
+export const EVENTS = 'events'
+/** Start of the path segment of requests that are answered with as many bytes as the rest of it says. */
+export const SIZED = 'sized-'
 /** Path segment of requests that are answered soundly with {@link SOUND_BYTES}. */
 export const SOUND = 'sound'
 /** Size of a sound answer. */
@@ -31,6 +37,7 @@
 
 const repeated = (text: string) => Buffer.from(text.repeat(Math.ceil(BLOCK_BYTES / text.length)))
 const X = 'x'.repeat(BLOCK_BYTES)
+const EVENT = Buffer.from(`data: ${'x'.repeat(8_000)}\n\n`.repeat(8))
 
 /** What is sent first, and what is sent again and again, after the head of a successful answer where `hasHead`. */
 const BYTES: Record<EndlessKind, { hasHead: boolean; first: string; block: Buffer }> = {
@@ -54,10 +61,12 @@
 
 async function main(): Promise<void> {
   const control = (process.env[CONTROL_URLS] ?? '').split(' ')
-  await register(control, 'plain', { service: 'plain', slots: ENGINE_SLOTS })
   const models = [{ name: 'm', version: 1, adapters: [] }]
-  for (const stage of ['prefill', 'decode'])
-    await register(control, stage, { service: 'model', slots: ENGINE_SLOTS, stage, models })
+  for (let number = 0; number < Number(process.env[ENDPOINT_COUNT] ?? 1); number += 1) {
+    await register(control, `plain-${number}`, { service: 'plain', slots: ENGINE_SLOTS })
+    for (const stage of ['prefill', 'decode'])
+      await register(control, `${stage}-${number}`, { service: 'model', slots: ENGINE_SLOTS, stage, models })
+  }
 }
 
 async function register(control: string[], id: string, fields: object): Promise<void> {
@@ -100,12 +109,18 @@
     return void socket.end(`${head}content-length: ${body.length}\r\n\r\n${body}`)
   }
   const name = /^\S+ \S*\/([^/ ]+) /.exec(request)?.[1]
-  if (name === SOUND) {
-    socket.write(`${head}content-length: ${SOUND_BYTES}\r\n\r\n`)
-    return void socket.end(Buffer.alloc(SOUND_BYTES, 'x'))
+  const sizeBytes = name === SOUND ? SOUND_BYTES : Number(name?.startsWith(SIZED) && name.slice(SIZED.length))
+  if (sizeBytes > 0) {
+    socket.write(`${head}content-length: ${sizeBytes}\r\n\r\n`)
+    return void socket.end(Buffer.alloc(sizeBytes, 'x'))
   }
+  if (name === EVENTS) return sendAgain(socket, `${head}${EVENT_STREAM}\r\n`, EVENT)
   const { hasHead, first, block } = BYTES[name as EndlessKind] ?? BYTES.body
-  socket.write(hasHead ? `${head}${EVENT_STREAM}${first}` : first)
+  sendAgain(socket, hasHead ? `${head}${EVENT_STREAM}${first}` : first, block)
+}
+
+function sendAgain(socket: Socket, first: string, block: Buffer): void {
+  socket.write(first)
   const send = () => {
     while (!socket.destroyed && socket.write(block));
   }
