fix(gateway): refuse requests while unread answers fill the memory for answers

Callers that never read made an entry hold one whole answer each, of up to 64 KB, without a bound: an answer that arrives in one piece cannot wait at its endpoint, and only those that can were bounded. The running ones go on, and it ends when callers read or leave.

--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -102,6 +102,7 @@
     'evacuated',
     'ends its endpoints',
     'entry overloaded',
+    'answers fill the memory',
     'no known key',
     'key of a newer sheet',
     'over quota',
--- a/request/gateway/src/answerMemory.ts
+++ b/request/gateway/src/answerMemory.ts
@@ -1,3 +1,5 @@
+import { MAX_ANSWER_BYTES } from './relayParts'
+
 /** Bytes of an answer that are not counted, so that small answers never wait; fewer each where there are many answers. */
 const UNCOUNTED_BYTES = 64 * 1024
 /** Bytes that are not counted, over all answers. */
@@ -36,6 +38,14 @@
     return [...this.reading].filter(({ isPaused }) => isPaused).length
   }
 
+  /**
+   * Whether more is held than answers that wait for others can hold: whole ones that are not read, which cannot wait. Requests
+   * are refused then.
+   */
+  get isSpent(): boolean {
+    return this.counted > this.maxCompleteBytes + MAX_ANSWER_BYTES + MAX_COUNTED_BYTES
+  }
+
   /** Starts to count an answer. */
   open(source: AnswerSource): HeldAnswer {
     const answer = new HeldAnswer(source, {
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -20,6 +20,7 @@
   answerLeaving,
   answerMalformedCounts,
   answerNoId,
+  answerNoMemory,
   answerNoRoute,
   answerNoSheet,
   answerOverloaded,
@@ -233,6 +234,7 @@
   private async route(request: CallerRequest): Promise<RoutedResult> {
     if (this.isClosed) return { route: '', ...answerLeaving(request) }
     const { routes, parts } = this.options
+    if (parts.answerMemory.isSpent) return { route: '', ...answerNoMemory(request, parts) }
     // A machine that has just started receives its routes within moments.
     await this.waitForFreshView()
     const index = await waitFor(parts.clock, ROUTES_WAIT_MS, routes)
--- a/request/gateway/src/ingressAnswers.ts
+++ b/request/gateway/src/ingressAnswers.ts
@@ -79,6 +79,17 @@
   return { status: 503, outcome: 'entry overloaded', sends: [] }
 }
 
+/** Refuses a request because answers that callers do not read fill the memory for them. */
+export function answerNoMemory(request: CallerRequest, { random }: Pick<RelayParts, 'random'>): RelayResult {
+  sendOwnAnswer(request.response, {
+    status: 503,
+    code: 'FORKSTAGE_NO_MEMORY',
+    message: 'This entry has no memory left for answers.',
+    retryAfterMs: spreadRetryMs(random),
+  })
+  return { status: 503, outcome: 'answers fill the memory', sends: [] }
+}
+
 /** Answers a request that no route matches. */
 export function answerNoRoute(request: CallerRequest): RelayResult {
   sendOwnAnswer(request.response, {
