--- a/daemon/fleet/src/runMachine.ts
+++ b/daemon/fleet/src/runMachine.ts
@@ -134,6 +134,7 @@
   signals.on('SIGHUP', reload)
   context.memoryMonitor.start()
   every(clock, SETTINGS_CHECK_EVERY_MS, reload)
+  context.garbageMonitor.start()
   await runUntilStopped(machine, {
     signals,
     graceMs: () => context.settings.stop.grace_s * SECOND_MS,
