fix(fleet): a stopping control machine answers every request that it has received

The machine now ends like an entry does, by core/answers: it hands leadership over, carries requests out for 0.4 s more with answers that end their connections, then refuses what still arrives with 503 and Retry-After, empties the queue of its listener, and closes connections once they are quiet. What is being replicated keeps its time and gets its outcome; at the end of the grace time what is left gets 503, as not run only if its body had not arrived in full. The parts that carry requests out stop afterwards.

Ruled out: a shorter way without the last look (server.close alone), which leaves the queue of the listener unread.

--- a/daemon/fleet/src/controlApp.ts
+++ b/daemon/fleet/src/controlApp.ts
@@ -130,11 +130,15 @@
 }
 
 function answerRegistration({ wire }: ControlAppOptions, response: Response, isAcknowledged: boolean): void {
+  // A stop has answered the request already.
+  if (response.headersSent) return
   if (isAcknowledged) response.status(200).json(wire.registrationAnswer(undefined))
   else response.status(503).json({ code: 'FORKSTAGE_CUT_OFF' })
 }
 
 function answerUnavailable(response: Response, error: unknown): void {
+  // A stop has answered the request already.
+  if (response.headersSent) return
   response.status(503).json(toErrorBody(error))
 }
 
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -17,17 +17,19 @@
 import { ControlLimits } from './controlLimits'
 import { ControlOrigins } from './controlOrigins'
 import { createControlApp } from './controlApp'
+import { ControlIngress } from './controlIngress'
 import { createCrashTracker } from './createCrashTracker'
 import { createGroupHost } from './createGroupHost'
 import { createOpener } from './createOpener'
 import { createQuotaLedger } from './createQuotaLedger'
 import type { ControlWire } from './controlWire'
 import { createControlMetrics } from './createControlMetrics'
+import { endRequests } from './endRequests'
 import { EvacuationTracker } from './evacuationTracker'
 import { EvacuationService } from './evacuationService'
 import type { FleetMetrics } from './fleetMetrics'
 import { knownLeader } from './knownLeader'
-import { listenOn, type Listener } from './listenOn'
+import type { Listener } from './listenOn'
 import type { MachineContext } from './machineContext'
 import { membershipRules } from './membershipRules'
 import { quotaMethods } from './quotaMethods'
@@ -38,8 +40,7 @@
 import { StageOrderSender } from './stageOrderSender'
 
 const GROUP = 'sheet'
-/** How long a stopping machine keeps answering after it has handed leadership over. */
-const LINGER_MS = 400
+const SECOND_MS = 1_000
 /** How often the leader is checked: short compared with an election, which takes a few hundred milliseconds. */
 const LEADER_CHECK_EVERY_MS = 20
 
@@ -63,6 +64,7 @@
   private readonly saved: SavedEndpoints
   private readonly crashes: ControlCrashes
   private readonly origins: ControlOrigins
+  private readonly ingress: ControlIngress
   private peerServer: PeerServer | undefined
   private listeners: Listener[] = []
   private isStopping = false
@@ -212,6 +214,10 @@
       origins: this.origins,
       logLimiter: context.logLimiter,
     })
+    const { sheetService, registrar } = this
+    const evacuations = { evacuations: this.evacuationService, evacuationView: this.evacuations.view }
+    const app = createControlApp({ wire, sheetService, ...evacuations, registrar, clock, logger })
+    this.ingress = new ControlIngress({ app, clock })
     this.sheetMachine.onNewerSheet = (document) => this.installNewer(document)
   }
 
@@ -221,18 +227,9 @@
     const open = createOpener({ clock, logger, isStopping: () => this.isStopping })
     const served = { sharedKey: peers.shared_key, methods: this.methods(), logger }
     this.peerServer = await open(() => startPeerServer({ address: listen.peers, ...served }))
-    const app = createControlApp({
-      wire: this.wire,
-      sheetService: this.sheetService,
-      evacuations: this.evacuationService,
-      evacuationView: this.evacuations.view,
-      registrar: this.registrar,
-      clock,
-      logger,
-    })
     this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics))))
     // Last, so that no start fails after it has accepted a request.
-    this.listeners.push(await open(() => listenOn(app, listen.operators!)))
+    await open(() => this.ingress.listen(listen.operators!))
     void this.host.start()
     void this.saved.recall()
     void this.crashes.load()
@@ -259,14 +256,15 @@
   }
 
   /**
-   * Hands leadership over and stops.
-   * @returns the number of requests cut off, always 0: a control machine serves none.
+   * Hands leadership over, ends the requests in progress and stops.
+   * @returns the number of requests cut off.
    */
   async stop(): Promise<number> {
-    const { clock, peers } = this.context
+    const { clock, settings, logger, peers } = this.context
     this.isStopping = true
     this.host.replica?.transferLeadership()
-    await new Promise<void>((resolve) => clock.after(LINGER_MS, resolve))
+    const graceMs = settings.stop.grace_s * SECOND_MS
+    const cut = await endRequests({ ingress: this.ingress, graceMs, clock, logger })
     this.cancelLeaderCheck()
     this.membership.stop()
     this.saved.stop()
@@ -282,7 +280,7 @@
     this.listeners.forEach((listener) => listener.close())
     await this.peerServer?.close()
     peers.close()
-    return 0
+    return cut
   }
 
   private handleChanged(changed: RegisteredEndpoint[]): void {
--- a/daemon/fleet/test/fleetHarness.ts
+++ b/daemon/fleet/test/fleetHarness.ts
@@ -90,10 +90,14 @@
   /** Whether calls of entries to control machines fail. */
   isEntryCut = false
 
-  /** @param settings sections that are added to the settings of each machine, as TOML. */
+  /**
+   * @param settings sections that are added to the settings of each machine, as TOML.
+   * @param graceS seconds that a stop may take.
+   */
   constructor(
     private readonly port: number,
     private readonly settings = '',
+    private readonly graceS = 1,
   ) {}
 
   folderOf(number: number): string {
@@ -132,9 +136,11 @@
     this.entries.delete(number)
   }
 
-  async stopControl(number: number): Promise<void> {
-    await this.control.get(number)?.stop()
+  /** Stops a control machine; returns the number of requests cut off. */
+  async stopControl(number: number): Promise<number> {
+    const cut = await this.control.get(number)?.stop()
     this.control.delete(number)
+    return cut ?? 0
   }
 
   loseDisk(number: number): void {
@@ -279,7 +285,7 @@
 found = ${found}
 losses = 1
 [stop]
-grace_s = 1
+grace_s = ${this.graceS}
 unready_ms = 1
 [log]
 level = "error"
