fix(raft): a planned stop hands leadership over under a steady load

Operators saw 503 for the length of an election after a leader had been stopped as planned while configurations came without a pause. The transfer was tried once, at the signal, and only to a voter that had the whole log then; with commands under way to every voter it did nothing, and the leader led on until it closed.

A transfer now waits for a voter that has the whole log, at most an election timeout, and refuses proposals meanwhile, since under a steady load no voter would ever have it. Nothing that was proposed is lost; callers of the group client try again. Where nobody takes over in time the leader goes on (a test of its own).

--- a/daemon/fleet/test/controlStops.test.ts
+++ b/daemon/fleet/test/controlStops.test.ts
@@ -6,6 +6,7 @@
 const CONTROL = [1, 2, 3]
 const GRACE_S = 8
 const CALLERS_OF_EACH_KIND = 6
+const WRITERS = 24
 const OK = 200
 const UNAVAILABLE = 503
 
@@ -105,6 +106,22 @@
   })
 })
 
+it('a stopping leader hands leadership over although commands are proposed without a pause', async () => {
+  await startFleet(24_240)
+  const leader = CONTROL.find(leads)!
+  const { hostname: host, port } = new URL(harness.operators(leader))
+  const { configuration } = kinds()
+  const callers = Array.from(
+    { length: WRITERS },
+    () => new StopCaller({ host, port: Number(port) }, configuration!, 'keep'),
+  )
+  const runs = callers.map((caller) => caller.run())
+  await until('each caller has been answered', () => callers.every(({ seen }) => seen.length > 0))
+  await harness.stopControl(leader)
+  expect(CONTROL.some((number) => number !== leader && leads(number))).toBe(true)
+  await Promise.all(runs)
+})
+
 /** Expects that what was acknowledged is in force at another machine, and that what was refused is not. */
 async function expectTrueAnswers(number: number, seen: Seen[]): Promise<void> {
   const acknowledged = seen.filter(isAcknowledged)
--- a/replication/raft/src/elections.ts
+++ b/replication/raft/src/elections.ts
@@ -3,6 +3,7 @@
 import { appendAsLeader, broadcastAppend } from './replicate'
 import {
   becomeFollower,
+  cancelTransfer,
   isVoter,
   majority,
   otherMembers,
@@ -115,7 +116,7 @@
   state.role = 'leader'
   state.leader = state.replica
   state.leaderSince = now
-  state.transferTo = null
+  cancelTransfer(state)
   state.progress.clear()
   state.effects.push({ type: 'role', role: 'leader', term: state.term })
   // A leader commits entries of earlier terms only through an entry of its own term.
--- a/replication/raft/src/raftState.ts
+++ b/replication/raft/src/raftState.ts
@@ -39,6 +39,9 @@
   progress: Map<ReplicaId, Progress>
   /** The voter that leadership is being transferred to. Meanwhile there are no proposals and no lease. */
   transferTo: ReplicaId | null
+  /** Whether a transfer waits for a voter that has the whole log. Meanwhile there are no proposals. */
+  isTransferPending: boolean
+  /** When a transfer is given up. */
   transferDeadline: Millis
   /** Effects collected during the current step. */
   effects: Effect[]
@@ -79,6 +82,7 @@
     votes: new Map(),
     progress: new Map(),
     transferTo: null,
+    isTransferPending: false,
     transferDeadline: 0,
     effects: [],
   }
@@ -125,6 +129,12 @@
   state.electionDeadline = now + electionTimeout * (1 + state.random())
 }
 
+/** Gives up a transfer of leadership, if there is one. */
+export function cancelTransfer(state: RaftState): void {
+  state.transferTo = null
+  state.isTransferPending = false
+}
+
 /** Makes the replica a follower in the given term, which must not be lower than the current one. */
 export function becomeFollower(state: RaftState, term: number, leader: ReplicaId | null, now: Millis): void {
   const changed = state.role !== 'follower'
@@ -135,7 +145,7 @@
   }
   state.role = 'follower'
   state.leader = leader
-  state.transferTo = null
+  cancelTransfer(state)
   state.progress.clear()
   if (changed) resetElectionDeadline(state, now)
   if (changed) state.effects.push({ type: 'role', role: 'follower', term: state.term })
--- a/replication/raft/src/reconfigure.ts
+++ b/replication/raft/src/reconfigure.ts
@@ -1,6 +1,6 @@
 import { ForkstageError } from '@forkstage/error'
 import type { Millis } from '@forkstage/types'
-import { findMember, isVoter, send, type RaftState } from './raftState'
+import { findMember, send, type RaftState } from './raftState'
 import { appendAsLeader, broadcastAppend, progressOf } from './replicate'
 import type { GroupConfig, LogEntry, Member, ReplicaId } from './types'
 
@@ -81,17 +81,25 @@
 }
 
 /**
- * Transfers leadership to a voter that has the whole log; used by a planned stop.
- * Returns whether a transfer has begun.
+ * Transfers leadership to another voter as soon as one has the whole log; used by a planned stop. Proposals are refused
+ * meanwhile: under a steady load, no voter would ever have the whole log.
  */
-export function transferLeadership(state: RaftState, now: Millis): boolean {
-  if (state.role !== 'leader' || state.transferTo !== null) return false
+export function transferLeadership(state: RaftState, now: Millis): void {
+  const hasOthers = state.log.config.voters.some((voter) => voter.replica !== state.replica)
+  if (state.role !== 'leader' || state.transferTo !== null || !hasOthers) return
+  state.isTransferPending = true
+  state.transferDeadline = now + state.options.electionTimeout
+  continueTransfer(state)
+}
+
+/** Tells a voter that has the whole log to take over, if a transfer waits for one. */
+export function continueTransfer(state: RaftState): void {
+  if (!state.isTransferPending) return
   const successor = state.log.config.voters.find(
     (voter) => voter.replica !== state.replica && progressOf(state, voter).match === state.log.lastIndex,
   )
-  if (successor === undefined || !isVoter(state, successor.replica)) return false
+  if (successor === undefined) return
+  state.isTransferPending = false
   state.transferTo = successor.replica
-  state.transferDeadline = now + state.options.electionTimeout
   send(state, successor, { type: 'timeoutNow', term: state.term }, false)
-  return true
 }
--- a/replication/raft/src/stepRaft.ts
+++ b/replication/raft/src/stepRaft.ts
@@ -1,8 +1,8 @@
 import type { Millis } from '@forkstage/types'
 import { campaign, handleVoteReply, handleVoteRequest } from './elections'
 import { handleAppend, handleSnapshot } from './follow'
-import { isVoter, drainEffects, type RaftState } from './raftState'
-import { proposeConfig, transferLeadership, type ConfigChange } from './reconfigure'
+import { cancelTransfer, drainEffects, isVoter, type RaftState } from './raftState'
+import { continueTransfer, proposeConfig, transferLeadership, type ConfigChange } from './reconfigure'
 import {
   advanceCommit,
   appendAsLeader,
@@ -69,7 +69,7 @@
 }
 
 function tickLeader(state: RaftState, now: Millis): void {
-  if (state.transferTo !== null && now >= state.transferDeadline) state.transferTo = null
+  if (now >= state.transferDeadline) cancelTransfer(state)
   checkQuorum(state, now)
   if (state.role === 'leader' && now >= state.heartbeatDue) broadcastAppend(state, now)
 }
@@ -85,7 +85,8 @@
     case 'append':
       return handleAppend(state, from, message, now)
     case 'appendReply':
-      return handleAppendReply(state, from, message, now)
+      handleAppendReply(state, from, message, now)
+      return continueTransfer(state)
     case 'snapshot':
       return handleSnapshot(state, from, message, now)
     case 'timeoutNow':
@@ -97,7 +98,7 @@
 }
 
 function propose(state: RaftState, commands: unknown[], now: Millis): LogEntry[] {
-  if (state.role !== 'leader' || state.transferTo !== null) return []
+  if (state.role !== 'leader' || state.transferTo !== null || state.isTransferPending) return []
   const entries = commands.map((command) => appendAsLeader(state, 'command', command))
   flushAppends(state, now)
   return entries
--- a/replication/raft/test/stepRaft.test.ts
+++ b/replication/raft/test/stepRaft.test.ts
@@ -147,4 +147,30 @@
     cluster.settle(ELECTION_TIMEOUT / 2)
     expect(cluster.leader()).not.toBe(old)
   })
+
+  it('transfers leadership although commands are under way to every voter', () => {
+    const cluster = new Cluster(3, 5)
+    cluster.settle(5 * ELECTION_TIMEOUT)
+    const old = cluster.leader()!
+    cluster.step(old, { type: 'propose', commands: ['before'] })
+    cluster.step(old, { type: 'transfer' })
+    expect(cluster.step(old, { type: 'propose', commands: ['after'] })).toEqual([])
+    cluster.settle(ELECTION_TIMEOUT / 2)
+    expect(cluster.leader()).not.toBe(old)
+    expect(cluster.nodes.get(old)!.applied).toContain('before')
+  })
+
+  it('goes on as leader where no other voter can take over in time', () => {
+    const cluster = new Cluster(3, 5)
+    cluster.settle(5 * ELECTION_TIMEOUT)
+    const old = cluster.leader()!
+    cluster.step(old, { type: 'propose', commands: ['before'] })
+    const others = [...cluster.nodes.keys()].filter((name) => name !== old)
+    others.forEach((name) => cluster.crash(name))
+    cluster.step(old, { type: 'transfer' })
+    others.forEach((name) => cluster.start(name))
+    cluster.settle(5 * ELECTION_TIMEOUT)
+    const leader = cluster.leader()!
+    expect(cluster.step(leader, { type: 'propose', commands: ['after'] })).toHaveLength(1)
+  })
 })
