fix(daemon): a planned stop of a box answers the requests of operators first

Operators saw connections end without an answer when a box was stopped: once no request of a caller was running, both listeners closed with all connections, whatever operators waited for. The cause is that of control machines; the same package now ends both listeners: queue emptied, each answer ends its connection, connections closed once they are quiet, at the end of the drain time at the latest (half a second at least). A second signal still cuts this short.

--- a/daemon/daemon/src/boxDaemon.ts
+++ b/daemon/daemon/src/boxDaemon.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Container } from 'inversify'
 import { PendingResponses } from '@forkstage/answers'
 import { createCallerApp } from '@forkstage/caller-api'
@@ -8,6 +8,7 @@
 import { startPeerServer, type PeerMethod, type PeerServer } from '@forkstage/peer-rpc'
 import { startPlatformWatcher } from '@forkstage/platform'
 import type { Settings } from '@forkstage/settings'
+import type { Millis } from '@forkstage/types'
 import { TABLE_CHANGED } from './boxGroups'
 import { buildContainer } from './buildContainer'
 import { listenHttp } from './listenHttp'
@@ -21,13 +22,15 @@
 const DRAIN_CHECK_MS = 50
 /** Time for the outcome of the last stream to reach the journal. */
 const SETTLE_MS = 300
+/** Time for requests that arrive last to be answered, also where the time for draining is over. */
+const LAST_ANSWERS_MS: Millis = 500
 
 /** One box: everything that `forkstage run` starts and stops. */
 export class BoxDaemon {
   private readonly container: Container
   private readonly timers: CancelTimer[] = []
-  private servers: Server[] = []
-  /** Answers that have not been sent completely yet. */
+  /** Answers to operators and callers that have not been sent completely yet. */
+  private operatorAnswers: PendingResponses | undefined
   private answers: PendingResponses | undefined
   private peerServer: PeerServer | undefined
   private stopping: Promise<number> | undefined
@@ -54,8 +57,8 @@
     const callers = this.createCallerHandler()
     const forOperators = await listenHttp(operators, settings.listen.operators)
     const forCallers = await listenHttp(callers, settings.listen.callers)
-    this.answers = new PendingResponses(forCallers)
-    this.servers = [forOperators, forCallers]
+    this.operatorAnswers = this.trackAnswers(forOperators)
+    this.answers = this.trackAnswers(forCallers)
     container.get(TOKENS.groups).start()
     container.get(TOKENS.follower).start()
     container.get(TOKENS.ownerService).start()
@@ -172,6 +175,7 @@
     await this.waitWhile(() => container.get(TOKENS.releases).pending > 0, SETTLE_MS * 4)
     await delay(clock, SETTLE_MS)
     state.phase = 'stopped'
+    await this.closeListeners(endsAt)
     await this.close()
     logger.info('box.stopped', { cut })
     return cut
@@ -188,16 +192,32 @@
     while (condition() && !this.cutShort && clock.now() < end) await delay(clock, DRAIN_CHECK_MS)
   }
 
+  /** Tracks the answers of a server; once the box has stopped, each ends its connection. */
+  private trackAnswers(server: Server): PendingResponses {
+    const state = this.container.get(TOKENS.state)
+    server.prependListener('request', (_request: IncomingMessage, response: ServerResponse) => {
+      if (state.phase === 'stopped') response.setHeader('Connection', 'close')
+    })
+    return new PendingResponses(server)
+  }
+
+  /** Closes the listeners once every request is answered and all connections are quiet, or the time is over. */
+  private async closeListeners(endsAt: Millis): Promise<void> {
+    const clock = this.container.get(TOKENS.clock)
+    const all = [this.operatorAnswers, this.answers].filter((answers) => answers !== undefined)
+    let areClosed = false
+    all.forEach((answers) => answers.announceClose())
+    void Promise.all(all.map((answers) => answers.close())).then(() => (areClosed = true))
+    await this.waitWhile(() => !areClosed, Math.max(LAST_ANSWERS_MS, endsAt - clock.now()))
+    await Promise.all(all.map((answers) => answers.closeAll()))
+  }
+
   private async close(): Promise<void> {
     const { container } = this
     this.timers.forEach((cancel) => cancel())
     container.get(TOKENS.follower).stop()
     container.get(TOKENS.ownerService).stop()
     container.get(TOKENS.credits).stop()
-    for (const server of this.servers) {
-      server.close()
-      server.closeAllConnections()
-    }
     await container.get(TOKENS.groups).stop()
     await this.peerServer?.close()
     container.get(TOKENS.peers).close()
