fix(gateway): a sending that is withheld at its open connection is not counted

Callers of cold endpoints and of endpoints that advertise a rate were refused although these had got nothing: a sending is counted before its connection is opened, and is withheld there if something has become known meanwhile (a reservation, an evacuation, a suspension). The count stayed: a place in the share or the window, a permit or a grant of the leader, and the probe after a backoff, which kept the endpoint closed for a second more.

What was counted is now kept with the request until the sending leaves, and taken back when it is withheld, or when a later rule refuses it. Counts from before a suspension stay, since permits and grants are void by then. Weighed: counting at the open connection instead; a burst would then open connections that are refused only there, so it was not built.

--- a/request/gateway/src/coldEndpointLimiter.ts
+++ b/request/gateway/src/coldEndpointLimiter.ts
@@ -5,7 +5,8 @@
 import type { PooledEndpoint } from './pooledEndpoint'
 import { StaticShares } from './staticShares'
 import type { SendStep } from './sendCounter'
-import { StepGrants } from './stepGrants'
+import { StepGrants, type RecordedGrant } from './stepGrants'
+import type { Refund } from './unsentCounts'
 
 /** Options of {@link ColdEndpointLimiter}. */
 export interface ColdEndpointLimiterOptions {
@@ -75,12 +76,22 @@
   /**
    * Returns why a step of a request must not be sent now. Returns undefined where it may, and counts it. To be called
    * last, right before the send.
+   * @param onCounted called with a function that takes the count back.
    */
-  checkAndCount(to: RegisteredEndpoint, request: string, step: SendStep): string | undefined {
+  checkAndCount(
+    to: RegisteredEndpoint,
+    request: string,
+    step: SendStep,
+    onCounted: (refund: Refund) => void = () => undefined,
+  ): string | undefined {
     if (!this.isCold(to.id)) return undefined
-    if (this.useGrant(to, request, step)) return undefined
+    const grant = this.useGrant(to, request, step)
+    if (grant !== undefined) {
+      onCounted(() => this.grants.add(request, step, grant))
+      return undefined
+    }
     if (!this.canSendWithoutLeader(to)) return COLD_LIMIT_REASON
-    this.staticShares.recordSend(to.id)
+    onCounted(this.staticShares.recordSend(to.id))
     return undefined
   }
 
@@ -105,9 +116,9 @@
     this.staticShares.sweep((id) => this.isCold(id))
   }
 
-  private useGrant({ id }: RegisteredEndpoint, request: string, step: SendStep): boolean {
+  private useGrant({ id }: RegisteredEndpoint, request: string, step: SendStep): RecordedGrant | undefined {
     const counted = this.grants.use(request, step, id)
-    return counted !== undefined && !(counted.isUnrestricted && this.options.hasReportedCold(id))
+    return counted?.isUnrestricted === true && this.options.hasReportedCold(id) ? undefined : counted
   }
 
   /** Whether this entry's static share allows a request now. */
--- a/request/gateway/src/endpointRateLimiter.ts
+++ b/request/gateway/src/endpointRateLimiter.ts
@@ -8,6 +8,7 @@
 import { StaticShares } from './staticShares'
 import type { SendStep } from './sendCounter'
 import { StepGrants } from './stepGrants'
+import type { Refund } from './unsentCounts'
 
 /** Options of {@link EndpointRateLimiter}. */
 export interface EndpointRateLimiterOptions {
@@ -77,14 +78,21 @@
   /**
    * Returns why a step of a request must not be sent now. Returns undefined where it may, and counts it. To be called
    * right before the send.
+   * @param onCounted called with functions that take the count back.
    */
-  checkAndCount({ id }: RegisteredEndpoint, request: string, step: SendStep): string | undefined {
+  checkAndCount(
+    { id }: RegisteredEndpoint,
+    request: string,
+    step: SendStep,
+    onCounted: (refund: Refund) => void = () => undefined,
+  ): string | undefined {
     const perSecond = this.options.rates.rateOf(id)
     if (perSecond === undefined) return undefined
-    const isCounted = this.grants.use(request, step, id) !== undefined || this.options.permits.usePermit(id)
+    const refund = this.useGrant(id, request, step) ?? this.options.permits.usePermit(id)
+    const isCounted = refund !== undefined
     if (!isCounted && !this.canSendWithoutLeader(id)) return RATE_LIMIT_REASON
-    this.permittedSends.record(id, this.options.clock.now(), isCounted ? perSecond : undefined)
-    if (!isCounted) this.staticShares.recordSend(id)
+    onCounted(this.permittedSends.record(id, this.options.clock.now(), isCounted ? perSecond : undefined))
+    onCounted(refund ?? this.staticShares.recordSend(id))
     return undefined
   }
 
@@ -118,6 +126,12 @@
     this.permittedSends.sweep(permits.leaderContactAt, clock.now(), isLimited)
   }
 
+  /** Consumes the grant of a step. Returns a function that gives it back; undefined if there is none. */
+  private useGrant(id: InstanceId, request: string, step: SendStep): Refund | undefined {
+    const grant = this.grants.use(request, step, id)
+    return grant && (() => this.grants.add(request, step, grant))
+  }
+
   private canSend(id: InstanceId): boolean {
     return this.options.permits.hasPermit(id) || this.canSendWithoutLeader(id)
   }
--- a/request/gateway/src/permittedSends.ts
+++ b/request/gateway/src/permittedSends.ts
@@ -20,11 +20,19 @@
 
   constructor(private readonly windowMs: Millis) {}
 
-  /** @param permittedPerSecond the rate that the endpoint advertises, where the leader has counted the request. */
-  record(id: InstanceId, now: Millis, permittedPerSecond?: number): void {
+  /**
+   * Records a request. Returns a function that takes it back.
+   * @param permittedPerSecond the rate that the endpoint advertises, where the leader has counted the request.
+   */
+  record(id: InstanceId, now: Millis, permittedPerSecond?: number): () => void {
+    const one: SentRequest = { at: now, permittedPerSecond }
     const all = this.sent.get(id) ?? []
-    all.push({ at: now, permittedPerSecond })
+    all.push(one)
     this.sent.set(id, all)
+    return () => {
+      const others = this.sent.get(id)?.filter((sent) => sent !== one)
+      if (others !== undefined) this.sent.set(id, others)
+    }
   }
 
   /**
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -4,6 +4,7 @@
 import { isVersionConfirmed } from './isVersionConfirmed'
 import type { RelayJob, RelayParts } from './relayParts'
 import type { SendStep } from './sendCounter'
+import { UnsentCounts, type Refund } from './unsentCounts'
 
 /**
  * Returns why a request must not be sent to an endpoint now; undefined if it may. Checked right before each sending, after
@@ -11,6 +12,9 @@
  */
 export type SendRule = (to: RegisteredEndpoint, job: RelayJob, step: SendStep) => string | undefined
 
+/** Counted by {@link whyNotSend}, for sendings that {@link whyNoLongerSend} withholds. */
+const UNSENT = new UnsentCounts()
+
 /** The endpoint is in an evacuated failure domain. */
 export const EVACUATED = 'evacuated'
 
@@ -46,20 +50,28 @@
   const backoff: SendRule = ({ id }) =>
     availability?.unavailability(id)?.reason === RETRY_AFTER_REASON ? RETRY_AFTER_REASON : undefined
   // These two count the sending when they allow it, so they run after all others.
-  const isCold: SendRule = (endpoint, { request }, one) => cold?.checkAndCount(endpoint, request.id, one)
-  const isLimited: SendRule = (endpoint, { request }, one) => limits?.checkAndCount(endpoint, request.id, one)
+  const refunds: Refund[] = []
+  const onCounted = (refund: Refund) => void refunds.push(refund)
+  const { request } = job
+  const isCold: SendRule = (endpoint) => cold?.checkAndCount(endpoint, request.id, step, onCounted)
+  const isLimited: SendRule = (endpoint) => limits?.checkAndCount(endpoint, request.id, step, onCounted)
   const rules = [...standingRules(parts), backoff, isCold, isLimited]
   const reason = firstReason(parts, rules, { job, to, step })
-  if (reason !== undefined) return reason
-  availability?.recordSent(to.id)
+  if (reason !== undefined) {
+    refunds.forEach((refund) => refund())
+    return reason
+  }
+  const closed = availability?.recordSent(to.id)
+  if (closed !== undefined) onCounted(closed)
+  UNSENT.record({ request, to: to.id, step }, refunds, parts.clock.now())
   job.evacuationIndex = parts.evacuationIndex?.()
   return undefined
 }
 
 /**
  * Returns and logs the first reason why a request that {@link whyNotSend} has allowed must not be sent any more. Checked once
- * its connection is open, right before its first byte. Leaves out what the sending itself has changed: the backoff and the
- * limits of the endpoint.
+ * its connection is open, right before its first byte. Leaves out what the sending itself has changed, the backoff and the
+ * limits of the endpoint, and takes this back if there is a reason.
  */
 export function whyNoLongerSend(
   parts: RelayParts,
@@ -67,7 +79,10 @@
   to: RegisteredEndpoint,
   step: SendStep,
 ): string | undefined {
-  return firstReason(parts, standingRules(parts), { job, to, step })
+  const reason = firstReason(parts, standingRules(parts), { job, to, step })
+  if (reason !== undefined)
+    UNSENT.refund({ request: job.request, to: to.id, step }, parts.clock.suspendedAt())
+  return reason
 }
 
 interface PlannedSending {
--- a/request/gateway/src/staticShares.ts
+++ b/request/gateway/src/staticShares.ts
@@ -55,9 +55,15 @@
     return this.recentSends(id).length < this.allowance(id, total)
   }
 
-  /** Counts a request that is sent. */
-  recordSend(id: InstanceId): void {
-    this.shareOf(id).sentAt.push(this.options.clock.now())
+  /** Counts a request that is sent. Returns a function that takes it back. */
+  recordSend(id: InstanceId): () => void {
+    const at = this.options.clock.now()
+    this.shareOf(id).sentAt.push(at)
+    return () => {
+      const { sentAt } = this.shareOf(id)
+      const index = sentAt.lastIndexOf(at)
+      if (index >= 0) sentAt.splice(index, 1)
+    }
   }
 
   /** Returns the milliseconds until this entry's share allows a request; undefined where it has no share at all. */
--- a/request/gateway/test/endpointRateLimiter.test.ts
+++ b/request/gateway/test/endpointRateLimiter.test.ts
@@ -77,6 +77,28 @@
     expect(send('r3')).toBe('endpoints take no more now')
   })
 
+  it.each(['a permit', 'the grant of a place', 'the pace without the leader'])(
+    'does not count a sending that is taken back against %s',
+    async (what) => {
+      const { limiter: one, clock, send, sendMany, permit } = createLimiter({ draw: 0.99 })
+      await permit(what === 'the grant of a place' ? 0 : 2)
+      const counted = { limited: { waitedMs: 0, decodeMs: 250 } }
+      if (what === 'the grant of a place') one.addGrants('r', placed(counted), clock.now())
+      if (what === 'the pace without the leader') {
+        expect(sendMany(2)).toBe(2)
+        clock.advance(SECONDS_UNTIL_SETTLED * 1_000)
+      }
+      const refunds: (() => void)[] = []
+      const sendAndTakeBack = () =>
+        one.checkAndCount(AT.endpoint, 'r', 'decode', (refund) => refunds.push(refund))
+      for (let count = 0; count < 20; count += 1) {
+        expect(sendAndTakeBack()).toBeUndefined()
+        refunds.splice(0).forEach((refund) => refund())
+      }
+      expect(send()).toBeUndefined()
+    },
+  )
+
   it('limits the time of a place from its earliest possible decision, not from its arrival', async () => {
     const { limiter: one, clock, send, permit } = createLimiter()
     await permit(0)
--- a/request/limits/src/permitClient.ts
+++ b/request/limits/src/permitClient.ts
@@ -75,9 +75,10 @@
     return this.currentPool().count(id, this.options.clock.now()) > 0
   }
 
-  /** Uses a permit. Returns whether there was one. */
-  usePermit(id: InstanceId): boolean {
-    return this.currentPool().use(id, this.options.clock.now())
+  /** Uses a permit. Returns a function that gives it back; undefined if there was none. */
+  usePermit(id: InstanceId): (() => void) | undefined {
+    const untilMs = this.currentPool().use(id, this.options.clock.now())
+    return untilMs === undefined ? undefined : () => this.currentPool().giveBack(id, untilMs)
   }
 
   private currentPool(): PermitPool {
--- a/request/limits/src/permitPool.ts
+++ b/request/limits/src/permitPool.ts
@@ -28,11 +28,15 @@
     return entry.untilMs.length
   }
 
-  /** Uses one permit. Returns whether there was one. */
-  use(id: InstanceId, now: Millis): boolean {
-    if (this.count(id, now) === 0) return false
-    this.permits.get(id)!.untilMs.shift()
-    return true
+  /** Uses the permit that expires first. Returns when it expires; undefined if there was none. */
+  use(id: InstanceId, now: Millis): Millis | undefined {
+    return this.count(id, now) === 0 ? undefined : this.permits.get(id)!.untilMs.shift()
+  }
+
+  /** Adds a permit that was not used after all. */
+  giveBack(id: InstanceId, untilMs: Millis): void {
+    this.add(id, 1, untilMs)
+    this.permits.get(id)!.untilMs.sort((left, right) => left - right)
   }
 
   /** Returns how many permits have expired unused since the last call. */
--- a/request/statements/src/availabilityTracker.ts
+++ b/request/statements/src/availabilityTracker.ts
@@ -91,10 +91,20 @@
     this.backoffs.delete(id)
   }
 
-  /** Records that a request is sent to an endpoint. After a backoff the next request waits for its response. */
-  recordSent(id: InstanceId): void {
+  /**
+   * Records that a request is sent to an endpoint. After a backoff the next request waits for its response. Returns a
+   * function that takes this back for a request that has not left; undefined if there was no backoff.
+   */
+  recordSent(id: InstanceId): (() => void) | undefined {
     const known = this.backoffs.get(id)
-    if (known !== undefined) known.closedUntilMs = this.options.clock.now() + PROBE_INTERVAL_MS
+    if (known === undefined) return undefined
+    const before = known.closedUntilMs
+    const closedUntilMs = this.options.clock.now() + PROBE_INTERVAL_MS
+    known.closedUntilMs = closedUntilMs
+    return () => {
+      // A refusal since then may have extended the backoff.
+      if (known.closedUntilMs === closedUntilMs) known.closedUntilMs = before
+    }
   }
 
   /** Returns until when an endpoint must get no requests, and why; undefined if it may get one now. */
