fix(answers): a stop resets no request of callers that come back at once

Callers of an entry, a control machine or a box that come back at once after each 503 of a stop were reset unread at its end: the queue of the listener is emptied one connection a turn, and such callers fill it as fast, until the time is over.

If the queue has not emptied in time, its length is set to 0 before the last look. The system then drops the opening packets of further connections, so that their callers have sent nothing; they are refused at their next attempt, a second later. A queue that empties by itself is closed as before. The length is set through the handle of the server, since its public interface sets it only once. Weighed: accepting until the end of the grace time only moves the moment.

--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -3,6 +3,7 @@
 import { createSystemClock, delay, type Clock } from '@forkstage/clock'
 import type { Millis } from '@forkstage/types'
 import { lingeringClose } from './lingeringClose'
+import { narrowQueue } from './narrowQueue'
 import { nextTurn } from './nextTurn'
 
 /** Options of {@link PendingResponses}. */
@@ -45,6 +46,8 @@
 const QUIET_MS: Millis = 250
 const LOOK_EVERY_MS: Millis = 25
 const DEFAULT_QUEUE_MS: Millis = 500
+/** Time for a queue that callers fill again as fast as it is emptied. */
+const LAST_QUEUE_MS: Millis = 250
 /** Connections that linger at once; each holds what its caller sends until that is discarded. */
 const MAX_LINGERING = 64
 
@@ -105,7 +108,7 @@
   }
 
   /**
-   * Accepts what waits in the queue of the listener, stops listening, and ends each connection once it is quiet: with all
+   * Accepts what waits in the queue of the listener, lets nothing more in if that takes too long, stops listening, and ends each connection once it is quiet: with all
    * responses sent and no byte for {@link QUIET_MS}. Resolves when no connection is left.
    */
   close({ acceptUntil = this.clock.now() + DEFAULT_QUEUE_MS }: CloseOptions = {}): Promise<void> {
@@ -128,7 +131,10 @@
   }
 
   private async closeInOrder(acceptUntil: Millis): Promise<void> {
-    await this.emptyQueue(acceptUntil)
+    if (!(await this.emptyQueue(acceptUntil))) {
+      narrowQueue(this.server)
+      await this.emptyQueue(this.clock.now() + LAST_QUEUE_MS)
+    }
     NetServer.prototype.close.call(this.server)
     for (;;) {
       await nextTurn()
@@ -139,13 +145,17 @@
     }
   }
 
-  /** Accepts connections until none waits; each turn of the event loop accepts at least one of them. */
-  private async emptyQueue(acceptUntil: Millis): Promise<void> {
-    let before: number
-    do {
-      before = this.acceptedCount
+  /**
+   * Accepts connections until none waits; each turn of the event loop accepts at least one of them. Returns false if the
+   * time was over before.
+   */
+  private async emptyQueue(acceptUntil: Millis): Promise<boolean> {
+    for (;;) {
+      const before = this.acceptedCount
       await nextTurn()
-    } while (this.acceptedCount !== before && this.clock.now() < acceptUntil)
+      if (this.acceptedCount === before) return true
+      if (this.clock.now() >= acceptUntil) return false
+    }
   }
 
   /** Ends quiet connections. Call it right after the event loop has read from all of them. */
--- a/core/answers/test/orderlyClose.test.ts
+++ b/core/answers/test/orderlyClose.test.ts
@@ -100,6 +100,24 @@
     }
   })
 
+  it('resets no request of callers that come back at once after each answer', async () => {
+    const { pending, call } = await start((_request, response) => answerAndClose(response, 503))
+    let unanswered = 0
+    const comeBack = async (): Promise<void> => {
+      const { socket, text, ended } = call()
+      let isSent = false
+      socket.on('connect', () => (isSent = socket.write(REQUEST)))
+      await ended
+      if (isSent && !text().includes('503')) unanswered += 1
+      if (text().includes('503')) await comeBack()
+    }
+    const callers = Array.from({ length: 40 }, comeBack)
+    await waitUntil(() => pending.connectionCount > 0)
+    await pending.close()
+    await Promise.all(callers)
+    expect(unanswered).toBe(0)
+  })
+
   it('waits for the first request of a connection that was just opened', async () => {
     const { pending, call } = await start((_request, response) => answerAndClose(response, 503))
     const caller = call()
