--- a/daemon/fleet/test/fleetHarness.ts
+++ b/daemon/fleet/test/fleetHarness.ts
@@ -90,7 +90,10 @@
   /** Whether calls of entries to control machines fail. */
   isEntryCut = false
 
-  /** @param settings sections that are added to the settings of each machine, as TOML. */
+  /**
+   * @param settings sections that are added to the settings of each machine, as TOML.
+   * @param stopTimes how long a stop may take, in seconds, and how long an entry still accepts requests, in milliseconds.
+   */
   constructor(
     private readonly port: number,
     private readonly settings = '',
@@ -133,9 +136,11 @@
     this.entries.delete(number)
   }
 
-  async stopControl(number: number): Promise<void> {
-    await this.control.get(number)?.stop()
+  /** Stops a control machine; returns the number of requests cut off. */
+  async stopControl(number: number): Promise<number> {
+    const cut = await this.control.get(number)?.stop()
     this.control.delete(number)
+    return cut ?? 0
   }
 
   loseDisk(number: number): void {
--- a/daemon/fleet/test/lateInStop.test.ts
+++ b/daemon/fleet/test/lateInStop.test.ts
@@ -3,7 +3,7 @@
 
 const PORT = 23_480
 const ENTRY = 100
-const STOP = { graceS: 2, unreadyMs: 1_500 }
+const STOP = { graceS: 2, unreadyMs: 1_000 }
 
 let harness: FleetHarness
 afterEach(() => harness.stop())
