fix(gateway): tiny events without end do not fill the heap, and flushed lines of a sound stream are allowed

Events now count as pieces of the answer, a whole event in one chunk is not copied, and events that arrive together are written together.

--- a/request/gateway/src/callerStream.ts
+++ b/request/gateway/src/callerStream.ts
@@ -46,13 +46,14 @@
     this.pauses.recordEvents(this.clock.now())
     const isFirst = this.head === undefined
     if (isFirst) this.begin(head)
-    for (const event of events) {
-      if (event.id !== undefined && this.lastEventId !== undefined && !isFirst) {
-        if (event.id <= this.lastEventId) continue
-      }
-      if (event.id !== undefined) this.lastEventId = event.id
-      this.write(event.bytes)
+    const missing: Buffer[] = []
+    for (const { id, bytes } of events) {
+      if (id !== undefined && this.lastEventId !== undefined && !isFirst && id <= this.lastEventId) continue
+      if (id !== undefined) this.lastEventId = id
+      missing.push(bytes)
     }
+    // A write takes more memory than a small event.
+    if (missing.length > 0) this.write(missing.length === 1 ? missing[0]! : Buffer.concat(missing))
   }
 
   /** Sends the rest of a complete answer and ends the response. */
--- a/request/gateway/src/engineStream.ts
+++ b/request/gateway/src/engineStream.ts
@@ -1,9 +1,11 @@
 import { ByteCollector } from '@forkstage/bytes'
+import type { Clock } from '@forkstage/clock'
 import { ENDED_INSIDE_EVENT, endsInsideEvent } from './endsInsideEvent'
 import { EventSplitter, type StreamEvent } from './eventSplitter'
 import type { AnswerHead, ExchangeEnd } from './exchange'
 import type { PooledEndpoint } from './pooledEndpoint'
 import type { Verdict } from './judgeAnswer'
+import { PieceLimit } from './pieceLimit'
 import { MAX_ANSWER_BYTES } from './relayParts'
 import { unsentOutcome, type SendOutcome } from './sendOutcome'
 
@@ -54,6 +56,7 @@
   private head: AnswerHead | undefined
   private verdict: Verdict = 'foreign'
   private readonly splitter = new EventSplitter()
+  private readonly eventLimit: PieceLimit
   private readonly failureBody = new ByteCollector()
   private failureBytes = 0
   private isSuccess = false
@@ -61,7 +64,10 @@
   constructor(
     private readonly context: StreamContext,
     private readonly at: PooledEndpoint,
-  ) {}
+    clock: Clock,
+  ) {
+    this.eventLimit = new PieceLimit(clock)
+  }
 
   onHead(head: AnswerHead): void {
     this.head = head
@@ -72,6 +78,8 @@
   onData(chunk: Buffer): void {
     if (!this.isSuccess) return this.collectFailure(chunk)
     const events = this.splitter.push(chunk)
+    if (this.eventLimit.record(chunk.length, events.length))
+      return this.context.stopEngine('the answer has too many small events')
     if (events.length > 0) this.context.forwardEvents(this.head!, events)
     this.hold(this.splitter.unfinishedBytes, 'an event is too long')
   }
--- a/request/gateway/src/eventSplitter.ts
+++ b/request/gateway/src/eventSplitter.ts
@@ -35,16 +35,23 @@
     const events: StreamEvent[] = []
     let start = tail.length
     for (let end = endOfEvent(searched, 0); end > 0; end = endOfEvent(searched, start)) {
-      this.incomplete.append(searched.subarray(start, end))
-      const bytes = this.unfinished
+      const bytes = this.complete(searched.subarray(start, end))
       events.push({ bytes, id: readId(bytes) })
-      this.incomplete = new ByteCollector()
       start = end
     }
     this.incomplete.append(searched.subarray(start))
     this.tail = searched.subarray(Math.max(events.length > 0 ? start : 0, searched.length - MAX_TAIL_BYTES))
     return events
   }
+
+  /** Returns the event that these bytes complete. */
+  private complete(bytes: Buffer): Buffer {
+    if (this.incomplete.size === 0) return bytes
+    this.incomplete.append(bytes)
+    const event = this.unfinished
+    this.incomplete = new ByteCollector()
+    return event
+  }
 }
 
 /** Returns the position behind the first complete event in bytes that begins at `start`, or 0 if there is none. */
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -197,7 +197,7 @@
 function readAnswer(incoming: IncomingMessage, options: ExchangeOptions, reader: AnswerCallbacks): void {
   incoming.on('error', (error) => reader.fail(error.message))
   incoming.on('aborted', () => reader.fail('the answer broke off'))
-  const pieces = new PieceLimit()
+  const pieces = new PieceLimit(options.clock)
   incoming.on('data', (chunk: Buffer) => {
     if (reader.isOver()) return
     if (pieces.record(chunk.length)) reader.fail('the answer arrives in too many small pieces')
--- a/request/gateway/src/streamRelay.ts
+++ b/request/gateway/src/streamRelay.ts
@@ -250,7 +250,7 @@
     const { parts, job } = this
     const resumeAfter = this.hasBegun ? this.caller.lastEventId : undefined
     const rawHeaders = headersFor(parts, job, to, streamHeaders(parts.wire, { source, resumeAfter }))
-    const stream = new EngineStream(this, to)
+    const stream = new EngineStream(this, to, this.parts.clock)
     this.progress.begin(to.endpoint)
     return new Promise((resolve) => {
       const exchange = openExchange({
--- a/request/gateway/test/endlessBytes.test.ts
+++ b/request/gateway/test/endlessBytes.test.ts
@@ -33,12 +33,14 @@
 const ofSelf = (request: SeenRequest) =>
   `HTTP/1.1 500 Bad\r\nx-id: ${request.headers['x-id']}\r\nx-stamp: s\r\n${CLOSE}\r\n\r\n`
 const blockChunk = Buffer.from(chunk(BLOCK.toString()))
+const emptyEvents = Buffer.from('\n'.repeat(64 * 1024))
 const smallChunks = Buffer.from(chunk('x').repeat(10_000))
 const nothing = () => ''
 
 const TOO_LONG = 'the answer is too long'
 const EVENT_TOO_LONG = 'an event is too long'
 const TOO_MANY = 'too many interim answers'
+const TOO_MANY_EVENTS = 'the answer has too many small events'
 const TOO_SMALL = 'the answer arrives in too many small pieces'
 
 const CASES = [
@@ -49,6 +51,7 @@
   ['stream body without an event', 'decode', good(STREAM, CLOSE), BLOCK, EVENT_TOO_LONG],
   ['stream chunks without an event', 'decode', good(STREAM, CHUNKED), blockChunk, EVENT_TOO_LONG],
   ['stream chunks of one byte', 'decode', good(STREAM, CHUNKED), smallChunks, TOO_SMALL],
+  ['stream events without content', 'decode', good(STREAM, CLOSE), emptyEvents, TOO_MANY_EVENTS],
   ['stream answer of somebody else', 'decode', foreign, BLOCK, TOO_LONG],
   ['stream failure', 'decode', ofSelf, BLOCK, TOO_LONG],
   ['stream interim answers', 'decode', nothing, INTERIM, TOO_MANY],
--- a/tools/fleet-soak/src/endlessEndpoint.ts
+++ b/tools/fleet-soak/src/endlessEndpoint.ts
@@ -13,6 +13,7 @@
   'body',
   'chunks',
   'small-chunks',
+  'empty-events',
   'chunk-extension',
   'trailers',
 ] as const
@@ -57,6 +58,7 @@
     first: 'transfer-encoding: chunked\r\n\r\n',
     block: repeated('1\r\nx\r\n'),
   },
+  'empty-events': { hasHead: true, first: '\r\n', block: repeated('\n') },
   'chunk-extension': {
     hasHead: true,
     first: 'transfer-encoding: chunked\r\n\r\n5;',
