--- a/cli/forkstage/test/boxSignals.test.ts
+++ b/cli/forkstage/test/boxSignals.test.ts
@@ -91,4 +91,15 @@
     expect(await box.end).toEqual({ code: 0, signal: null })
     expect(box.lines.at(-1)).toMatchObject({ event: 'box.stopped', cut: 0 })
   })
+
+  it('stop a box whose settings are a pipe without an end, at SIGTERM', async () => {
+    const settingsPath = join(folder, 'box.toml')
+    const settings = new SettingsPipe(settingsPath)
+    await settings.create()
+    box = new MachineProcess(join(folder, 'forkstage.cjs'), settingsPath, ['run', '--settings', settingsPath])
+    await settings.waitForReader()
+    box.kill('SIGTERM')
+    expect(await box.end).toEqual({ code: 0, signal: null })
+    await settings.answer('')
+  })
 })
