test(cli): claim the ports of machines outside the limits

A control machine of the test did not start in the first full run: its peers' port, chosen by the system, was in use (EADDRINUSE, 1 of 77 cases). Ports now come from a claimed range that no other run uses. Crowd and bounds are unchanged.

--- a/cli/forkstage/test/outsideLimits/limitedMachines.ts
+++ b/cli/forkstage/test/outsideLimits/limitedMachines.ts
@@ -2,7 +2,8 @@
 import { mkdtemp, writeFile } from 'node:fs/promises'
 import type { AddressInfo } from 'node:net'
 import { join } from 'node:path'
-import { freePort, type Role } from '../machineProcess'
+import { claimPorts } from '@forkstage/deployment'
+import type { Role } from '../machineProcess'
 import { LIMITS, WAITS } from './bounds'
 import { LimitedProcess } from './limitedProcess'
 
@@ -54,6 +55,16 @@
   },
 })
 
+let firstPort: number | undefined
+let usedPorts = 0
+
+/** Returns a port that no other listener of this run has. */
+export async function nextPort(): Promise<number> {
+  firstPort ??= await claimPorts()
+  usedPorts += 1
+  return firstPort + usedPorts - 1
+}
+
 /** A machine that runs as a process with low limits. */
 export interface LimitedMachine {
   process: LimitedProcess
@@ -69,7 +80,7 @@
   const ip = IP[role]
   const ports: Record<string, number> = {}
   for (const listener of LISTENERS[role])
-    ports[listener] = listener === 'peers' ? peersPort : await freePort()
+    ports[listener] = listener === 'peers' ? peersPort : await nextPort()
   const data = await mkdtemp(join(folder, 'data-'))
   const settingsPath = `${data}.toml`
   await writeFile(
--- a/cli/forkstage/test/outsideLimits/outsideLimits.alone.test.ts
+++ b/cli/forkstage/test/outsideLimits/outsideLimits.alone.test.ts
@@ -2,12 +2,13 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest'
-import { buildPrograms, freePort, type Role } from '../machineProcess'
+import { buildPrograms, type Role } from '../machineProcess'
 import { CROWD, WAITS } from './bounds'
 import { HostileCrowd } from './hostileCrowd'
 import { HTTP_KINDS, ordinaryBytes, PEER_KINDS, UNREAD_ANSWERS, type HostileBytes } from './hostileKinds'
 import {
   LISTENERS,
+  nextPort,
   StandIn,
   startMachine,
   TARGETS,
@@ -71,7 +72,7 @@
   let peersPort: number
 
   beforeAll(async () => {
-    peersPort = await freePort()
+    peersPort = await nextPort()
     control = await startMachine('control', { folder, peersPort })
     await waitConfigured(control)
     endpoint = new StandIn(control)
@@ -95,7 +96,7 @@
 
 describe('a control machine whose clients are outside the limits', () => {
   beforeEach(async () => {
-    machine = await startMachine('control', { folder, peersPort: await freePort() })
+    machine = await startMachine('control', { folder, peersPort: await nextPort() })
     await waitConfigured(machine)
   }, WAITS.testMs)
   afterEach(async () => {
