fix(gateway): bound what one connection of callers takes of an entry

Callers saw: an entry ended, its heap full, under 32 bodies in chunks of one byte, and under 8 connections of pipelined requests whose answers are not read. Cause: each chunk became a buffer object of its own while the body was collected or waited unread, and all that was read of a connection, up to 64 KB, was parsed in one turn. Ruled out: large chunks, announced bodies and long heads, which held. Now bytes are parsed in slices with a budget of time and of requests in progress for each connection, and small pieces are merged.

--- a/cli/forkstage/test/outsideLimits/limitedMachines.ts
+++ b/cli/forkstage/test/outsideLimits/limitedMachines.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path'
 import { claimPorts } from '@forkstage/deployment'
 import type { Role } from '../machineProcess'
-import { LIMITS, WAITS } from './bounds'
+import { CROWD, LIMITS, WAITS } from './bounds'
 import { LimitedProcess } from './limitedProcess'
 
 const IP = { control: '127.0.83.1', entry: '127.0.83.2' } as const
@@ -186,6 +186,26 @@
 
 let requests = 0
 
+/** Returns the status that a caller gets whose body comes in chunks of one byte, within all limits. */
+export function statusOfSmallChunks({ ip, ports }: LimitedMachine): Promise<number | undefined> {
+  const headers = {
+    Host: 'a.example',
+    'X-Forkstage-Request-Id': 'small-chunks',
+    'X-Forkstage-Deadline-Ms': String(WAITS.answerMs),
+  }
+  const target = { host: ip, port: ports.callers!, method: 'POST', path: `${ROUTE}x` }
+  return new Promise((resolve) => {
+    const outgoing = request({ ...target, headers, agent: false })
+    outgoing.on('response', (response) => {
+      response.resume()
+      resolve(response.statusCode)
+    })
+    outgoing.on('error', () => resolve(undefined))
+    for (let sent = 0; sent < CROWD.smallBodyChunks; sent += 1) outgoing.write('a')
+    outgoing.end()
+  })
+}
+
 /** Resolves once an ordinary caller of an entry has got its answer from the endpoint, and the entry is ready. */
 export async function waitServed({ process, ip, ports }: LimitedMachine): Promise<void> {
   await waitFor(
--- a/cli/forkstage/test/outsideLimits/outsideLimits.alone.test.ts
+++ b/cli/forkstage/test/outsideLimits/outsideLimits.alone.test.ts
@@ -11,6 +11,7 @@
   nextPort,
   StandIn,
   startMachine,
+  statusOfSmallChunks,
   TARGETS,
   waitConfigured,
   waitServed,
@@ -20,7 +21,7 @@
 
 let folder: string
 let machine: LimitedMachine
-let crowd: HostileCrowd
+let crowd: HostileCrowd | undefined
 
 /** Returns what each client of the crowd sends to a listener; the clients take its targets in turn. */
 function crowdOf(listener: ListenerName, kind: string): HostileBytes[] {
@@ -33,7 +34,11 @@
 
 function describeListeners(role: Role, waitAnswered: () => Promise<void>): void {
   describe.each([...LISTENERS[role]])('%s', (listener: ListenerName) => {
-    const open = () => (crowd = new HostileCrowd(machine.ip, machine.ports[listener]!))
+    const open = () => {
+      const opened = new HostileCrowd(machine.ip, machine.ports[listener]!)
+      crowd = opened
+      return opened
+    }
     const check = async () => {
       expect(machine.process.faults()).toEqual([])
       await waitAnswered()
@@ -87,10 +92,15 @@
     await waitServed(machine)
   }, WAITS.testMs)
   afterEach(async () => {
-    crowd.end()
+    crowd?.end()
     await machine.process.kill()
   })
 
+  it('serves a single request in chunks of one byte', async () => {
+    expect(await statusOfSmallChunks(machine)).toBe(200)
+    expect(machine.process.faults()).toEqual([])
+  })
+
   describeListeners('entry', () => waitServed(machine))
 })
 
@@ -100,7 +110,7 @@
     await waitConfigured(machine)
   }, WAITS.testMs)
   afterEach(async () => {
-    crowd.end()
+    crowd?.end()
     await machine.process.kill()
   })
 
--- a/core/answers/src/index.ts
+++ b/core/answers/src/index.ts
@@ -1,4 +1,6 @@
-/** Responses of an HTTP server that are not yet sent completely, and the end of connections in order. */
+/** Responses of an HTTP server that are not yet sent completely, the end of connections in order, and how they are read. */
 export { lingeringClose } from './lingeringClose'
+export { paceReading } from './paceReading'
+export { PartCollector } from './partCollector'
 export { PendingResponses } from './pendingResponses'
 export type { ClosedConnections, CloseOptions, PendingResponsesOptions } from './pendingResponses'
--- a/request/gateway/src/bodyCollector.ts
+++ b/request/gateway/src/bodyCollector.ts
@@ -1,7 +1,9 @@
+import { PartCollector } from '@forkstage/answers'
 import type { BlockPool } from './blockPool'
 
-/** Collects the parts of a body: as they come, or copied into blocks where it is large. */
+/** Collects the parts of a body: small ones copied together, and all copied into blocks where it is large. */
 export class BodyCollector {
+  private readonly small = new PartCollector()
   private parts: Buffer[] = []
   private blocks: BlockPool | undefined
   /** Bytes of the last block that are in use. */
@@ -14,14 +16,12 @@
 
   /** Copies what came and what comes into blocks. */
   useBlocks(blocks: BlockPool): void {
-    const before = this.parts
-    this.parts = []
     this.blocks = blocks
-    before.forEach((part) => this.append(part))
+    this.small.take().forEach((part) => this.append(part))
   }
 
   append(chunk: Buffer): void {
-    if (this.blocks === undefined) return void this.parts.push(chunk)
+    if (this.blocks === undefined) return this.small.append(chunk)
     for (let at = 0; at < chunk.length;) {
       const block = this.blockWithRoom(this.blocks)
       const copied = chunk.copy(block, this.used, at)
@@ -32,13 +32,14 @@
 
   /** Returns the body in parts: one where it is small. */
   finish(): readonly Buffer[] {
-    if (this.blocks === undefined) return this.parts.length > 1 ? [Buffer.concat(this.parts)] : this.parts
+    if (this.blocks === undefined) return joined(this.small.take())
     const last = this.parts.pop()
     return last === undefined ? [] : [...this.parts, last.subarray(0, this.used)]
   }
 
   /** Returns the blocks of a body that is not used. */
   discard(): void {
+    this.small.take()
     this.blocks?.put(this.parts)
     this.parts = []
   }
@@ -52,3 +53,7 @@
     return block
   }
 }
+
+function joined(parts: Buffer[]): readonly Buffer[] {
+  return parts.length > 1 ? [Buffer.concat(parts)] : parts
+}
--- a/request/gateway/src/ingress.ts
+++ b/request/gateway/src/ingress.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { PendingResponses, type ClosedConnections, type CloseOptions } from '@forkstage/answers'
+import { paceReading, PendingResponses, type ClosedConnections, type CloseOptions } from '@forkstage/answers'
 import {
   chooseService,
   DEFAULT_CALLER_LIMITS,
@@ -107,6 +107,7 @@
       },
       (incoming, response) => void this.serve(incoming, response),
     )
+    paceReading(this.server)
     this.server.on('checkContinue', (incoming: IncomingMessage, response: ServerResponse) => {
       this.awaitContinue.add(incoming)
       this.server.emit('request', incoming, response)
