fix(fleet): bound what one connection takes at readiness, metrics and operators

Clients saw: an entry ended under pipelined reads of metrics, a control machine ended under bodies in chunks of one byte, and it acknowledged no configuration for 45 s under pipelined requests. Cause: as for callers, one connection's bytes were parsed without a bound, also those of bodies that nobody reads. The servers of these listeners now pace their reading as that of callers does.

--- a/daemon/fleet/src/listenOn.ts
+++ b/daemon/fleet/src/listenOn.ts
@@ -1,4 +1,5 @@
 import { createServer, type RequestListener, type Server } from 'node:http'
+import { paceReading } from '@forkstage/answers'
 
 /** A listening server that closes together with its connections. */
 export interface Listener {
@@ -13,7 +14,7 @@
 
 /** Listens on `ip:port`. Resolves once the server is listening. */
 export function listenOn(handler: RequestListener | Server, address: string): Promise<Listener> {
-  const server = typeof handler === 'function' ? createServer(TIMEOUTS, handler) : handler
+  const server = typeof handler === 'function' ? createPacedServer(handler) : handler
   const colon = address.lastIndexOf(':')
   return new Promise((resolve, reject) => {
     const onListening = () =>
@@ -32,3 +33,9 @@
     server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), onListening)
   })
 }
+
+function createPacedServer(handler: RequestListener): Server {
+  const server = createServer(TIMEOUTS, handler)
+  paceReading(server)
+  return server
+}
