fix(peer-rpc): bound connections that have not proved the shared key

Until the other side has proved the shared key, a line may now have 16 KB and 64 KB of answers may wait, and the proof has to come within 10 s; small parts of a line are copied together.

--- a/peer/rpc/src/lineChannel.ts
+++ b/peer/rpc/src/lineChannel.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net'
+import { PartCollector } from '@forkstage/answers'
 
 /** Maximum length of a line from a peer; a snapshot is sent as one line. */
 const MAX_LINE_BYTES = 256 * 1024 * 1024
@@ -6,8 +7,19 @@
 const MAX_QUEUED_BYTES = 64 * 1024 * 1024
 const LINE_FEED = 0x0a
 
+/** Limits of a channel, in bytes. */
+export interface LineLimits {
+  lineBytes: number
+  queuedBytes: number
+}
+
+/** For a channel whose other side has proved what it is. */
+export const PEER_LIMITS: LineLimits = { lineBytes: MAX_LINE_BYTES, queuedBytes: MAX_QUEUED_BYTES }
+
 /** Options of {@link openLineChannel}. */
 export interface LineChannelOptions {
+  /** Returns the limits in force; default: {@link PEER_LIMITS}. */
+  limits?: () => LineLimits
   onLine: (line: string) => void
   onClose: (reason: string) => void
 }
@@ -22,7 +34,8 @@
 
 /** Splits the data of a socket into lines; limits the size of received lines and of unsent data. */
 export function openLineChannel(socket: Socket, options: LineChannelOptions): LineChannel {
-  let parts: Buffer[] = []
+  const { limits = () => PEER_LIMITS } = options
+  const parts = new PartCollector()
   let pendingBytes = 0
   let closed = false
   let isDetached = false
@@ -33,8 +46,7 @@
     options.onClose(reason)
   }
   const takeLine = (end: Buffer): string => {
-    const line = parts.length === 0 ? end : Buffer.concat([...parts, end])
-    parts = []
+    const line = pendingBytes === 0 ? end : Buffer.concat([...parts.take(), end])
     pendingBytes = 0
     return line.toString('utf8')
   }
@@ -46,9 +58,9 @@
       if (!closed && line !== '') options.onLine(line)
       if (isDetached) return unread(socket, chunk.subarray(start))
     }
-    parts.push(chunk.subarray(start))
+    parts.append(chunk.subarray(start))
     pendingBytes += chunk.length - start
-    if (pendingBytes > MAX_LINE_BYTES) close('a line is too long')
+    if (pendingBytes > limits().lineBytes) close('a line is too long')
   }
   const handleError = (error: Error) => close(error.message)
   const handleClose = () => close('connection closed')
@@ -60,7 +72,7 @@
     send(line) {
       if (closed) return
       socket.write(`${line}\n`)
-      if (socket.writableLength > MAX_QUEUED_BYTES) close('the peer does not read')
+      if (socket.writableLength > limits().queuedBytes) close('the peer does not read')
     },
     close,
     detach() {
--- a/peer/rpc/src/startPeerServer.ts
+++ b/peer/rpc/src/startPeerServer.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '@forkstage/logger'
 import type { Address, BoxId } from '@forkstage/types'
 import { parseAddress } from './parseAddress'
-import { openLineChannel, type LineChannel } from './lineChannel'
+import { openLineChannel, PEER_LIMITS, type LineChannel, type LineLimits } from './lineChannel'
 import { createNonce, createProof, proofsMatch } from './proof'
 import { readTlsFiles, type TlsFiles } from './tlsFiles'
 import { PROBE } from './watchSilence'
@@ -39,6 +39,12 @@
 /** Notification that hands the rest of a connection to {@link PeerServerOptions.onJoin}. */
 export const JOIN = 'join'
 
+/** Enough for the messages by which a peer proves that it knows the shared key. */
+const UNPROVED_LIMITS: LineLimits = { lineBytes: 16 * 1024, queuedBytes: 64 * 1024 }
+
+/** How long a peer may take to prove that it knows the shared key, or to hand the connection over. */
+const PROVE_WITHIN_MS = 10_000
+
 /** JSON-RPC error code of errors raised by a method; `data` holds the error body. */
 export const APPLICATION_ERROR_CODE = -32000
 
@@ -81,15 +87,24 @@
   let context: PeerContext | undefined
   const serverNonce = createNonce()
   const channel = openLineChannel(socket, {
+    limits: () => (context === undefined ? UNPROVED_LIMITS : PEER_LIMITS),
     onLine: (line) => void handleLine(line),
     onClose: () => undefined,
   })
+  const timer = setTimeout(() => {
+    options.logger.warn('peer.refused', { peer, reason: 'it has not proved the shared key in time' })
+    channel.close('not proved in time')
+  }, PROVE_WITHIN_MS)
+  socket.once('close', () => clearTimeout(timer))
   const handleLine = async (line: string) => {
     const request = parseJson(line)
     if (request === undefined) return channel.close('not JSON')
     const ticket = joinTicket(request)
     // Before any other step, since the bytes that follow the line are no messages.
-    if (ticket !== undefined && options.onJoin !== undefined) return options.onJoin(ticket, channel.detach())
+    if (ticket !== undefined && options.onJoin !== undefined) {
+      clearTimeout(timer)
+      return options.onJoin(ticket, channel.detach())
+    }
     const response = await rpc.receive(request as never, context as PeerContext)
     if (response !== null) channel.send(JSON.stringify(response))
   }
@@ -102,6 +117,7 @@
   rpc.addMethod('prove', (params: { box: BoxId; proof: string }) => {
     const expected = createProof(options.sharedKey, 'client', [clientNonce, serverNonce])
     if (!proofsMatch(expected, params.proof)) return rejectPeer(channel, peer, options.logger)
+    clearTimeout(timer)
     context = { box: params.box }
     for (const [name, method] of Object.entries(options.methods)) addMethod(rpc, name, method)
     return {}
