fix(fleet): bound the connections of each listener by the descriptors of the process

Clients saw: 320 connections that rest at one listener took all 256 descriptors of a process, so that it could accept nobody else and open no connection to an endpoint. Cause: no listener had a limit.

--- a/core/answers/src/index.ts
+++ b/core/answers/src/index.ts
@@ -1,5 +1,6 @@
 /** Responses of an HTTP server that are not yet sent completely, the end of connections in order, and how they are read. */
 export { lingeringClose } from './lingeringClose'
+export { limitConnections, type LimitConnectionsOptions } from './limitConnections'
 export { paceReading } from './paceReading'
 export { PartCollector } from './partCollector'
 export { PendingResponses } from './pendingResponses'
--- a/core/logger/src/logEvents.ts
+++ b/core/logger/src/logEvents.ts
@@ -1,12 +1,13 @@
 import type { ErrorBody } from '@forkstage/error'
 import type { EntryLoadEvents } from './entryLoadEvents'
+import type { ConnectionEvents } from './connectionEvents'
 import type { MemoryEvents } from './memoryEvents'
 
 /** The leader's answer to a request for an isolated or an exclusive trial, or that no leader answered. */
 export type TrialOutcome = 'granted' | 'later' | 'anywhere' | 'isolate' | 'no leader answered'
 
 /** The fields of every log event, by event name. */
-export interface LogEvents extends EntryLoadEvents, MemoryEvents {
+export interface LogEvents extends ConnectionEvents, EntryLoadEvents, MemoryEvents {
   'box.started': { box: string; addresses: Record<string, string>; version: string }
   'start.begun': { pid: number; version: string; ageMs: number }
   'start.signal': { signal: string; ageMs: number }
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -13,6 +13,7 @@
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET_METHOD, WATCH_METHOD, WatchHub, type WatchRequest } from '@forkstage/watch'
 import { ColdEndpointTracker } from './coldEndpointTracker'
+import { connectionLimits } from './connectionLimits'
 import { ControlCrashes } from './controlCrashes'
 import { ControlLimits } from './controlLimits'
 import { ControlOrigins } from './controlOrigins'
@@ -127,11 +128,9 @@
     const isBarred = ({ zone }: RegisteredEndpoint) => this.evacuations.view.isEvacuated(zone)
     const isRegistered = (id: string) => this.directory.get(id) !== undefined
     const isLeader = () => this.host.replica?.holdsLease === true
-    const folder = settings.machine.data_folder!
-    const disk = { folder, files: createFileSystem(), clock, logger }
-    const isFounding = settings.control.found
+    const disk = { folder: settings.machine.data_folder!, files: createFileSystem(), clock, logger }
     const others = () => this.memberAddresses().filter((address) => address !== self)
-    this.origins = new ControlOrigins({ ...disk, isFounding, others, peers })
+    this.origins = new ControlOrigins({ ...disk, isFounding: settings.control.found, others, peers })
     const onChange = () => this.hub.notifyChange()
     const crashes = { ...disk, tracker: crashTracker, endpoints, isBarred, isLeader, random: context.random }
     this.crashes = new ControlCrashes({ ...crashes, onChange })
@@ -219,7 +218,8 @@
     const { settings, clock, logger } = this.context
     const { listen, peers } = settings
     const open = createOpener({ clock, logger, isStopping: () => this.isStopping })
-    const served = { sharedKey: peers.shared_key, methods: this.methods(), logger }
+    const limits = connectionLimits(settings.connections.descriptors, logger)
+    const served = { sharedKey: peers.shared_key, methods: this.methods(), connections: limits.peers, logger }
     this.peerServer = await open(() => startPeerServer({ address: listen.peers, ...served }))
     const app = createControlApp({
       wire: this.wire,
@@ -230,9 +230,9 @@
       clock,
       logger,
     })
-    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics))))
+    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics, limits.metrics))))
     // Last, so that no start fails after it has accepted a request.
-    this.listeners.push(await open(() => listenOn(app, listen.operators!)))
+    this.listeners.push(await open(() => listenOn(app, listen.operators!, limits.operators)))
     void this.host.start()
     void this.saved.recall()
     void this.crashes.load()
--- a/daemon/fleet/src/entryMachine.ts
+++ b/daemon/fleet/src/entryMachine.ts
@@ -20,6 +20,7 @@
 import { Topology } from '@forkstage/topology'
 import { ControlFollower, type WatchedSheet } from '@forkstage/watch'
 import { ColdEndpointTracker } from './coldEndpointTracker'
+import { connectionLimits } from './connectionLimits'
 import { createCrashTracker } from './createCrashTracker'
 import { createEntryMemory, type EntryMemory } from './createEntryMemory'
 import { createEntryMetrics } from './createEntryMetrics'
@@ -255,15 +256,17 @@
     const open = createOpener({ clock, logger, isStopping: () => this.leaving })
     // Connects and fetches routes while the listeners are set up.
     this.follower.start()
+    const limits = connectionLimits(settings.connections.descriptors, logger)
     const peerOptions = {
       address: listen.peers,
+      connections: limits.peers,
       sharedKey: settings.peers.shared_key,
       methods: { ...this.leaderClient.methods(), ...this.paths.methods() },
       onJoin: (ticket: string, socket: Socket) => this.paths.join(ticket, socket),
       logger,
     }
     this.peerServer = await open(() => startPeerServer(peerOptions))
-    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics))))
+    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen.metrics, limits.metrics))))
     this.placer.start()
     this.cold.start()
     this.cancelSweep = every(clock, SWEEP_EVERY_MS, () => this.sweep())
@@ -271,9 +274,10 @@
     this.limits.start()
     const { readinessPath } = this.wire.gateway
     const isReady = () => this.isReady
-    this.listeners.push(await open(() => serveReadiness(readinessPath, isReady, listen.readiness!)))
+    const readiness = () => serveReadiness(readinessPath, isReady, listen.readiness!, limits.readiness)
+    this.listeners.push(await open(readiness))
     // Last, so that no start fails after it has accepted a request.
-    this.listeners.push(await open(() => listenOn(this.ingress.server, listen.callers!)))
+    this.listeners.push(await open(() => listenOn(this.ingress.server, listen.callers!, limits.callers)))
     this.isOpen = true
   }
 
--- a/daemon/fleet/src/listenOn.ts
+++ b/daemon/fleet/src/listenOn.ts
@@ -1,5 +1,5 @@
 import { createServer, type RequestListener, type Server } from 'node:http'
-import { paceReading } from '@forkstage/answers'
+import { limitConnections, paceReading, type LimitConnectionsOptions } from '@forkstage/answers'
 
 /** A listening server that closes together with its connections. */
 export interface Listener {
@@ -13,8 +13,13 @@
 const TIMEOUTS = { requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: CHECK_EVERY_MS }
 
 /** Listens on `ip:port`. Resolves once the server is listening. */
-export function listenOn(handler: RequestListener | Server, address: string): Promise<Listener> {
+export function listenOn(
+  handler: RequestListener | Server,
+  address: string,
+  connections: LimitConnectionsOptions,
+): Promise<Listener> {
   const server = typeof handler === 'function' ? createPacedServer(handler) : handler
+  limitConnections(server, connections)
   const colon = address.lastIndexOf(':')
   return new Promise((resolve, reject) => {
     const onListening = () =>
--- a/daemon/fleet/src/serveReadiness.ts
+++ b/daemon/fleet/src/serveReadiness.ts
@@ -1,3 +1,4 @@
+import type { LimitConnectionsOptions } from '@forkstage/answers'
 import type { Address } from '@forkstage/types'
 import { listenOn, type Listener } from './listenOn'
 
@@ -5,9 +6,18 @@
 const NOT_READY = 503
 
 /** Serves the readiness check of a load balancer at one path. */
-export function serveReadiness(path: string, isReady: () => boolean, address: Address): Promise<Listener> {
-  return listenOn((request, response) => {
-    response.statusCode = request.url === path && isReady() ? READY : NOT_READY
-    response.end()
-  }, address)
+export function serveReadiness(
+  path: string,
+  isReady: () => boolean,
+  address: Address,
+  connections: LimitConnectionsOptions,
+): Promise<Listener> {
+  return listenOn(
+    (request, response) => {
+      response.statusCode = request.url === path && isReady() ? READY : NOT_READY
+      response.end()
+    },
+    address,
+    connections,
+  )
 }
--- a/peer/rpc/src/startPeerServer.ts
+++ b/peer/rpc/src/startPeerServer.ts
@@ -1,5 +1,6 @@
 import { createServer as createTcpServer, type Server, type Socket } from 'node:net'
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0'
+import { limitConnections, type LimitConnectionsOptions } from '@forkstage/answers'
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { Address, BoxId } from '@forkstage/types'
@@ -23,6 +24,8 @@
   sharedKey: string
   tls?: TlsFiles
   methods: Record<string, PeerMethod>
+  /** Default: no limit. */
+  connections?: LimitConnectionsOptions
   /**
    * Takes over a connection that a peer announced with {@link JOIN} and this ticket, which proves its identity. No
    * connection can be taken over if absent.
@@ -58,6 +61,7 @@
   }
   const server =
     options.tls === undefined ? createTcpServer(accept) : await createTlsServer(options.tls, accept)
+  if (options.connections !== undefined) limitConnections(server, options.connections)
   await listen(server, options.address)
   const close = () =>
     new Promise<void>((resolve) => {
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -128,6 +128,13 @@
   })
   .prefault({})
 
+const connectionsSection = z
+  .strictObject({
+    /** Descriptors that the process may open; connections of callers and peers take a share of them. */
+    descriptors: z.number().int().min(64).max(1_048_576).default(4_096),
+  })
+  .prefault({})
+
 const crashesSection = z
   .strictObject({
     /** Number of crashes of endpoints under requests of one content after which such requests are refused. */
@@ -159,6 +166,7 @@
   cold: coldSection,
   limits: limitsSection,
   memory: memorySection,
+  connections: connectionsSection,
   crashes: crashesSection,
   domains: domainsSection,
   log: logSection,
