--- a/cli/forkstage/test/outsideLimits/limitedMachines.ts
+++ b/cli/forkstage/test/outsideLimits/limitedMachines.ts
@@ -2,8 +2,9 @@
 import { mkdtemp, writeFile } from 'node:fs/promises'
 import type { AddressInfo } from 'node:net'
 import { join } from 'node:path'
-import { freePort, type Role } from '../machineProcess'
-import { LIMITS, WAITS } from './bounds'
+import { claimPorts } from '@forkstage/deployment'
+import type { Role } from '../machineProcess'
+import { CROWD, LIMITS, WAITS } from './bounds'
 import { LimitedProcess } from './limitedProcess'
 
 const IP = { control: '127.0.83.1', entry: '127.0.83.2' } as const
@@ -54,6 +55,16 @@
   },
 })
 
+let firstPort: number | undefined
+let usedPorts = 0
+
+/** Returns a port that no other listener of this run has. */
+export async function nextPort(): Promise<number> {
+  firstPort ??= await claimPorts()
+  usedPorts += 1
+  return firstPort + usedPorts - 1
+}
+
 /** A machine that runs as a process with low limits. */
 export interface LimitedMachine {
   process: LimitedProcess
@@ -69,7 +80,7 @@
   const ip = IP[role]
   const ports: Record<string, number> = {}
   for (const listener of LISTENERS[role])
-    ports[listener] = listener === 'peers' ? peersPort : await freePort()
+    ports[listener] = listener === 'peers' ? peersPort : await nextPort()
   const data = await mkdtemp(join(folder, 'data-'))
   const settingsPath = `${data}.toml`
   await writeFile(
@@ -175,6 +186,26 @@
 
 let requests = 0
 
+/** Returns the status that a caller gets whose body comes in chunks of one byte, within all limits. */
+export function statusOfSmallChunks({ ip, ports }: LimitedMachine): Promise<number | undefined> {
+  const headers = {
+    Host: 'a.example',
+    'X-Forkstage-Request-Id': 'small-chunks',
+    'X-Forkstage-Deadline-Ms': String(WAITS.answerMs),
+  }
+  const target = { host: ip, port: ports.callers!, method: 'POST', path: `${ROUTE}x` }
+  return new Promise((resolve) => {
+    const outgoing = request({ ...target, headers, agent: false })
+    outgoing.on('response', (response) => {
+      response.resume()
+      resolve(response.statusCode)
+    })
+    outgoing.on('error', () => resolve(undefined))
+    for (let sent = 0; sent < CROWD.smallBodyChunks; sent += 1) outgoing.write('a')
+    outgoing.end()
+  })
+}
+
 /** Resolves once an ordinary caller of an entry has got its answer from the endpoint, and the entry is ready. */
 export async function waitServed({ process, ip, ports }: LimitedMachine): Promise<void> {
   await waitFor(
--- a/cli/forkstage/test/outsideLimits/outsideLimits.alone.test.ts
+++ b/cli/forkstage/test/outsideLimits/outsideLimits.alone.test.ts
@@ -2,14 +2,16 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest'
-import { buildPrograms, freePort, type Role } from '../machineProcess'
+import { buildPrograms, type Role } from '../machineProcess'
 import { CROWD, WAITS } from './bounds'
 import { HostileCrowd } from './hostileCrowd'
 import { HTTP_KINDS, ordinaryBytes, PEER_KINDS, UNREAD_ANSWERS, type HostileBytes } from './hostileKinds'
 import {
   LISTENERS,
+  nextPort,
   StandIn,
   startMachine,
+  statusOfSmallChunks,
   TARGETS,
   waitConfigured,
   waitServed,
@@ -19,7 +21,7 @@
 
 let folder: string
 let machine: LimitedMachine
-let crowd: HostileCrowd
+let crowd: HostileCrowd | undefined
 
 /** Returns what each client of the crowd sends to a listener; the clients take its targets in turn. */
 function crowdOf(listener: ListenerName, kind: string): HostileBytes[] {
@@ -32,7 +34,11 @@
 
 function describeListeners(role: Role, waitAnswered: () => Promise<void>): void {
   describe.each([...LISTENERS[role]])('%s', (listener: ListenerName) => {
-    const open = () => (crowd = new HostileCrowd(machine.ip, machine.ports[listener]!))
+    const open = () => {
+      const opened = new HostileCrowd(machine.ip, machine.ports[listener]!)
+      crowd = opened
+      return opened
+    }
     const check = async () => {
       expect(machine.process.faults()).toEqual([])
       await waitAnswered()
@@ -71,7 +77,7 @@
   let peersPort: number
 
   beforeAll(async () => {
-    peersPort = await freePort()
+    peersPort = await nextPort()
     control = await startMachine('control', { folder, peersPort })
     await waitConfigured(control)
     endpoint = new StandIn(control)
@@ -86,20 +92,25 @@
     await waitServed(machine)
   }, WAITS.testMs)
   afterEach(async () => {
-    crowd.end()
+    crowd?.end()
     await machine.process.kill()
   })
 
+  it('serves a single request in chunks of one byte', async () => {
+    expect(await statusOfSmallChunks(machine)).toBe(200)
+    expect(machine.process.faults()).toEqual([])
+  })
+
   describeListeners('entry', () => waitServed(machine))
 })
 
 describe('a control machine whose clients are outside the limits', () => {
   beforeEach(async () => {
-    machine = await startMachine('control', { folder, peersPort: await freePort() })
+    machine = await startMachine('control', { folder, peersPort: await nextPort() })
     await waitConfigured(machine)
   }, WAITS.testMs)
   afterEach(async () => {
-    crowd.end()
+    crowd?.end()
     await machine.process.kill()
   })
 
--- a/daemon/fleet/src/controlIngress.ts
+++ b/daemon/fleet/src/controlIngress.ts
@@ -1,5 +1,10 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
-import { PendingResponses, type ClosedConnections, type CloseOptions } from '@forkstage/answers'
+import {
+  PendingResponses,
+  type ClosedConnections,
+  type CloseOptions,
+  type LimitConnectionsOptions,
+} from '@forkstage/answers'
 import type { Clock } from '@forkstage/clock'
 import type { Address } from '@forkstage/types'
 import { listenOn } from './listenOn'
@@ -44,8 +49,9 @@
   }
 
   /** Listens on `ip:port`. Resolves to the server once it is listening. */
-  async listen(address: Address): Promise<Server> {
-    const { server } = await listenOn((request, response) => this.serve(request, response), address)
+  async listen(address: Address, connections: LimitConnectionsOptions): Promise<Server> {
+    const handler: RequestListener = (request, response) => this.serve(request, response)
+    const { server } = await listenOn(handler, address, connections)
     this.answers = new PendingResponses(server, { clock: this.options.clock })
     return server
   }
--- a/daemon/fleet/src/controlMachine.ts
+++ b/daemon/fleet/src/controlMachine.ts
@@ -13,6 +13,7 @@
 import type { Address } from '@forkstage/types'
 import { ControlFollower, SHEET_METHOD, WATCH_METHOD, WatchHub, type WatchRequest } from '@forkstage/watch'
 import { ColdEndpointTracker } from './coldEndpointTracker'
+import { connectionLimits } from './connectionLimits'
 import { ControlCrashes } from './controlCrashes'
 import { ControlLimits } from './controlLimits'
 import { ControlOrigins } from './controlOrigins'
@@ -129,11 +130,9 @@
     const isBarred = ({ zone }: RegisteredEndpoint) => this.evacuations.view.isEvacuated(zone)
     const isRegistered = (id: string) => this.directory.get(id) !== undefined
     const isLeader = () => this.host.replica?.holdsLease === true
-    const folder = settings.machine.data_folder!
-    const disk = { folder, files: createFileSystem(), clock, logger }
-    const isFounding = settings.control.found
+    const disk = { folder: settings.machine.data_folder!, files: createFileSystem(), clock, logger }
     const others = () => this.memberAddresses().filter((address) => address !== self)
-    this.origins = new ControlOrigins({ ...disk, isFounding, others, peers })
+    this.origins = new ControlOrigins({ ...disk, isFounding: settings.control.found, others, peers })
     const onChange = () => this.hub.notifyChange()
     const crashes = { ...disk, tracker: crashTracker, endpoints, isBarred, isLeader, random: context.random }
     this.crashes = new ControlCrashes({ ...crashes, onChange })
@@ -225,11 +224,14 @@
     const { settings, clock, logger } = this.context
     const open = createOpener({ clock, logger, isStopping: () => this.isStopping })
     const listen = () => this.context.settings.listen
-    const served = { sharedKey: settings.peers.shared_key, methods: this.methods(), logger }
-    this.peerServer = await open(() => startPeerServer({ address: settings.listen.peers, ...served }))
-    this.listeners.push(...(await open(() => serveMetrics(this.metrics, listen().metrics))))
+    const limits = connectionLimits(settings.connections.descriptors, logger)
+    const [address, sharedKey] = [settings.listen.peers, settings.peers.shared_key]
+    const served = { address, sharedKey, methods: this.methods(), connections: limits.peers, logger }
+    this.peerServer = await open(() => startPeerServer(served))
+    const metrics = () => serveMetrics(this.metrics, listen().metrics, limits.metrics)
+    this.listeners.push(...(await open(metrics)))
     // Last, so that no start fails after it has accepted a request.
-    await open(() => this.ingress.listen(listen().operators!))
+    await open(() => this.ingress.listen(listen().operators!, limits.operators))
     void this.host.start()
     void this.saved.recall()
     void this.crashes.load()
--- a/daemon/fleet/src/listenOn.ts
+++ b/daemon/fleet/src/listenOn.ts
@@ -1,4 +1,5 @@
 import { createServer, type RequestListener, type Server } from 'node:http'
+import { limitConnections, paceReading, type LimitConnectionsOptions } from '@forkstage/answers'
 
 /** A listening server that closes together with its connections. */
 export interface Listener {
@@ -12,8 +13,13 @@
 const TIMEOUTS = { requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: CHECK_EVERY_MS }
 
 /** Listens on `ip:port`. Resolves once the server is listening. */
-export function listenOn(handler: RequestListener | Server, address: string): Promise<Listener> {
-  const server = typeof handler === 'function' ? createServer(TIMEOUTS, handler) : handler
+export function listenOn(
+  handler: RequestListener | Server,
+  address: string,
+  connections: LimitConnectionsOptions,
+): Promise<Listener> {
+  const server = typeof handler === 'function' ? createPacedServer(handler) : handler
+  limitConnections(server, connections)
   const colon = address.lastIndexOf(':')
   return new Promise((resolve, reject) => {
     const onListening = () =>
@@ -32,3 +38,9 @@
     server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), onListening)
   })
 }
+
+function createPacedServer(handler: RequestListener): Server {
+  const server = createServer(TIMEOUTS, handler)
+  paceReading(server)
+  return server
+}
--- a/daemon/fleet/test/controlIngress.test.ts
+++ b/daemon/fleet/test/controlIngress.test.ts
@@ -14,7 +14,7 @@
 
 async function start(app: RequestListener) {
   const ingress = new ControlIngress({ app, clock: createSystemClock() })
-  const server = await ingress.listen('127.0.0.1:0')
+  const server = await ingress.listen('127.0.0.1:0', { most: 100, onRefused: () => undefined })
   open.push(() => ingress.closeAll())
   const { port } = server.address() as AddressInfo
   /** Opens a connection and sends some bytes; returns what has arrived, and a promise of all that does. */
--- a/peer/rpc/src/startPeerServer.ts
+++ b/peer/rpc/src/startPeerServer.ts
@@ -1,5 +1,6 @@
 import { createServer as createTcpServer, type Server, type Socket } from 'node:net'
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0'
+import { limitConnections, type LimitConnectionsOptions } from '@forkstage/answers'
 import { createSystemClock, type Clock } from '@forkstage/clock'
 import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
@@ -31,6 +32,8 @@
    */
   onJoin?: (ticket: string, socket: Socket) => void
   logger: Logger
+  /** Limits the connections that are open at once; unlimited if absent. */
+  connections?: LimitConnectionsOptions
   /** Default: the clock of the system. */
   clock?: Clock
   /** Connections at once that have not proved the shared key. */
@@ -51,7 +54,12 @@
 /** Listens for other boxes and serves those that authenticate with the shared key. */
 export async function startPeerServer(options: PeerServerOptions): Promise<PeerServer> {
   const sockets = new Set<Socket>()
-  const unproven = new UnprovenConnections(options.clock ?? createSystemClock(), options.maxUnproven)
+  const unproven = new UnprovenConnections({
+    clock: options.clock ?? createSystemClock(),
+    maxCount: options.maxUnproven,
+    onLate: (peer) =>
+      options.logger.warn('peer.refused', { peer, reason: 'it has not proved the shared key in time' }),
+  })
   const accept = (socket: Socket) => {
     if (!unproven.admit(socket)) return
     sockets.add(socket)
@@ -60,6 +68,7 @@
   }
   const server =
     options.tls === undefined ? createTcpServer(accept) : await createTlsServer(options.tls, accept)
+  if (options.connections !== undefined) limitConnections(server, options.connections)
   await listen(server, options.address)
   const close = () =>
     new Promise<void>((resolve) => {
--- a/peer/rpc/src/unprovenConnections.ts
+++ b/peer/rpc/src/unprovenConnections.ts
@@ -10,25 +10,33 @@
 /** Connections without proof at once; many times more than boxes that connect after a restart of all. */
 const MAX_UNPROVEN = 1_024
 
+/** Options of {@link UnprovenConnections}. */
+export interface UnprovenConnectionsOptions {
+  clock: Clock
+  maxCount?: number
+  /** Called with the address of each connection that is closed because it has proved nothing in time. */
+  onLate: (peer: string) => void
+}
+
 /** Bounds the number and the time of connections that have not proved the shared key. */
 export class UnprovenConnections {
   private readonly cancels = new Map<Socket, () => void>()
 
-  constructor(
-    private readonly clock: Clock,
-    private readonly maxCount = MAX_UNPROVEN,
-  ) {}
+  constructor(private readonly options: UnprovenConnectionsOptions) {}
 
   /** Admits a connection, or closes it where there are too many. Returns whether it is admitted. */
   admit(socket: Socket): boolean {
-    if (this.cancels.size >= this.maxCount) {
+    const { clock, maxCount = MAX_UNPROVEN, onLate } = this.options
+    if (this.cancels.size >= maxCount) {
       socket.destroy()
       return false
     }
-    this.cancels.set(
-      socket,
-      this.clock.after(PROOF_MS, () => socket.destroy()),
-    )
+    const peer = `${socket.remoteAddress}:${socket.remotePort}`
+    const end = () => {
+      onLate(peer)
+      socket.destroy()
+    }
+    this.cancels.set(socket, clock.after(PROOF_MS, end))
     socket.once('close', () => this.release(socket))
     return true
   }
--- a/request/gateway/src/bodyCollector.ts
+++ b/request/gateway/src/bodyCollector.ts
@@ -1,7 +1,9 @@
+import { ByteCollector } from '@forkstage/bytes'
 import type { BlockPool } from './blockPool'
 
-/** Collects the parts of a body: as they come, or copied into blocks where it is large. */
+/** Collects the parts of a body: small ones copied together, and all copied into blocks where it is large. */
 export class BodyCollector {
+  private small = new ByteCollector()
   private parts: Buffer[] = []
   private blocks: BlockPool | undefined
   /** Bytes of the last block that are in use. */
@@ -14,14 +16,14 @@
 
   /** Copies what came and what comes into blocks. */
   useBlocks(blocks: BlockPool): void {
-    const before = this.parts
-    this.parts = []
     this.blocks = blocks
+    const before = this.small.parts
+    this.small = new ByteCollector()
     before.forEach((part) => this.append(part))
   }
 
   append(chunk: Buffer): void {
-    if (this.blocks === undefined) return void this.parts.push(chunk)
+    if (this.blocks === undefined) return this.small.append(chunk)
     for (let at = 0; at < chunk.length;) {
       const block = this.blockWithRoom(this.blocks)
       const copied = chunk.copy(block, this.used, at)
@@ -32,13 +34,14 @@
 
   /** Returns the body in parts: one where it is small. */
   finish(): readonly Buffer[] {
-    if (this.blocks === undefined) return this.parts.length > 1 ? [Buffer.concat(this.parts)] : this.parts
+    if (this.blocks === undefined) return joined(this.small.parts)
     const last = this.parts.pop()
     return last === undefined ? [] : [...this.parts, last.subarray(0, this.used)]
   }
 
   /** Returns the blocks of a body that is not used. */
   discard(): void {
+    this.small = new ByteCollector()
     this.blocks?.put(this.parts)
     this.parts = []
   }
@@ -52,3 +55,7 @@
     return block
   }
 }
+
+function joined(parts: Buffer[]): readonly Buffer[] {
+  return parts.length > 1 ? [Buffer.concat(parts)] : parts
+}
