fix(clock): a periodic task goes on after an unexpected error

One error ended a periodic task of a machine for good: where descriptors ran out, the memory monitor threw EMFILE once and logged nothing more after they were free again. Cause: the timer was armed after the callback had returned, so not where it threw. Now it is armed in either case, and the error is thrown on to the clock, so that the process logs it as fault.unexpected as before. A manual clock fires the other timers that are due, as a real one does, before it throws what they threw.

--- a/core/clock/src/clock.ts
+++ b/core/clock/src/clock.ts
@@ -39,14 +39,20 @@
   }
 }
 
-/** Calls back repeatedly until cancelled; the next delay starts when the callback returns. */
+/**
+ * Calls back repeatedly until cancelled; the next delay starts when the callback returns or throws. What it throws is
+ * thrown on to the clock.
+ */
 export function every(clock: Clock, interval: Millis, callback: () => void): CancelTimer {
   let cancel: CancelTimer = () => undefined
   let stopped = false
   const arm = () => {
     cancel = clock.after(interval, () => {
-      callback()
-      if (!stopped) arm()
+      try {
+        callback()
+      } finally {
+        if (!stopped) arm()
+      }
     })
   }
   arm()
--- a/core/clock/src/manualClock.ts
+++ b/core/clock/src/manualClock.ts
@@ -44,15 +44,25 @@
     }
   }
 
-  /** Advances the time and fires each timer that becomes due. */
+  /**
+   * Advances the time and fires each timer that becomes due.
+   * @throws what a timer has thrown, after all have fired; an AggregateError where several have.
+   */
   advance(milliseconds: Millis): void {
     const end = this.time + milliseconds
+    const errors: unknown[] = []
     for (let next = this.nextDue(end); next !== undefined; next = this.nextDue(end)) {
       this.pending = this.pending.filter((other) => other !== next)
       this.time = Math.max(this.time, next.due)
-      next.callback()
+      try {
+        next.callback()
+      } catch (error) {
+        errors.push(error)
+      }
     }
     this.time = end
+    if (errors.length > 1) throw new AggregateError(errors, `${errors.length} timers failed`)
+    if (errors.length === 1) throw errors[0]
   }
 
   private nextDue(end: Millis): PendingTimer | undefined {
