fix(fleet): memory is read, and garbage collected, where descriptors have run out

process.memoryUsage() opens a file for the resident memory and throws EMFILE without a free descriptor, although the heap and the buffers are known without one. So the metrics failed as a whole, memory was not logged, and dropped buffers were not collected, while callers held all descriptors. Now the heap is read from V8; what the system does not tell is absent (-1 as a gauge), and memory.unreadable says why, once in 10 s. The collection of garbage goes by all memory outside the heap then. Three of the four new tests failed before (the fourth reads the memory in calm).

--- a/core/logger/src/memoryEvents.ts
+++ b/core/logger/src/memoryEvents.ts
@@ -4,14 +4,16 @@
   'memory.budget': { processMb: number; machineMb: number; bodies: number; answers: number }
   /** A process approaches its memory limit: its resident memory, parts of it, and what the machine holds by name. */
   'memory.high': {
-    resident: number
+    resident?: number
     heapUsed: number
     /** Outside the V8 heap, with the array buffers. */
     external: number
-    arrayBuffers: number
+    arrayBuffers?: number
     limit: number
     held: Record<string, number>
   }
+  /** The operating system does not tell the memory of the process. */
+  'memory.unreadable': { reason: string }
   /** Bodies begin to wait for room. `spare` of those held may be let go. */
   'memory.spent': { held: number; limit: number; spare: number; refused: number }
   /** No body waits for room any more. `refused` requests since the start. */
--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -39,7 +39,7 @@
   /** @param limitBytes returns how much memory the process may use. */
   constructor(readers: Record<string, GaugeReader>, limitBytes: () => number) {
     for (const [name, read] of Object.entries(readers)) this.gauge(name, read)
-    this.gauge('process_resident_bytes', () => process.memoryUsage.rss())
+    this.gauge('process_resident_bytes', () => readProcessMemory().resident ?? -1)
     this.gauge('process_heap_used_bytes', () => readProcessMemory().heapUsed)
     this.gauge('process_external_bytes', () => readProcessMemory().external)
     this.gauge('process_memory_limit_bytes', limitBytes)
--- a/daemon/fleet/src/garbageMonitor.ts
+++ b/daemon/fleet/src/garbageMonitor.ts
@@ -1,6 +1,7 @@
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
 import type { Millis } from '@forkstage/types'
 import { collectGarbage, type CollectionKind } from './collectGarbage'
+import { readProcessMemory } from './processMemory'
 
 /** Options of {@link GarbageMonitor}. */
 export interface GarbageMonitorOptions {
@@ -65,5 +66,6 @@
 }
 
 function ownBufferBytes(): number {
-  return process.memoryUsage().arrayBuffers
+  const { arrayBuffers, external } = readProcessMemory()
+  return arrayBuffers ?? external
 }
--- a/daemon/fleet/src/memoryMonitor.ts
+++ b/daemon/fleet/src/memoryMonitor.ts
@@ -1,4 +1,5 @@
 import { every, type CancelTimer, type Clock } from '@forkstage/clock'
+import { toErrorBody } from '@forkstage/error'
 import type { Logger } from '@forkstage/logger'
 import type { Millis } from '@forkstage/types'
 import { readProcessMemory, type ProcessMemory } from './processMemory'
@@ -23,6 +24,7 @@
 export class MemoryMonitor {
   private level = 0
   private loggedAt: Millis = -Infinity
+  private failureLoggedAt: Millis = -Infinity
   private holdings: () => Record<string, number> = () => ({})
   private cancelTimer: CancelTimer = () => undefined
 
@@ -48,8 +50,10 @@
 
   private sample(): void {
     const { clock, read = readProcessMemory } = this.options
-    const memory = read()
-    const level = LOGGED_SHARES.filter((share) => memory.resident >= share * this.limitBytes).length
+    const { failure, ...memory } = read()
+    if (failure !== undefined) this.logFailure(failure)
+    const { resident = 0 } = memory
+    const level = LOGGED_SHARES.filter((share) => resident >= share * this.limitBytes).length
     const isHigher = level > this.level
     const isDue = clock.now() - this.loggedAt >= LOG_EVERY_MS
     if (level > 0 && (isHigher || isDue)) this.log(memory, level)
@@ -62,4 +66,11 @@
     this.loggedAt = clock.now()
     logger.warn('memory.high', { ...memory, limit: this.limitBytes, held: this.holdings() })
   }
+
+  private logFailure(failure: unknown): void {
+    const { logger, clock } = this.options
+    if (clock.now() - this.failureLoggedAt < LOG_EVERY_MS) return
+    this.failureLoggedAt = clock.now()
+    logger.warn('memory.unreadable', { reason: toErrorBody(failure).message })
+  }
 }
--- a/daemon/fleet/src/processMemory.ts
+++ b/daemon/fleet/src/processMemory.ts
@@ -1,23 +1,38 @@
 import { readdirSync } from 'node:fs'
 import { totalmem } from 'node:os'
+import { getHeapStatistics } from 'node:v8'
 import type { FleetSettings } from '@forkstage/fleet-settings'
 
 /** What a process holds in memory, in bytes. */
 export interface ProcessMemory {
-  resident: number
+  /** Absent where the operating system does not tell it. */
+  resident?: number
   heapUsed: number
   /** Outside the V8 heap, with the array buffers. */
   external: number
-  arrayBuffers: number
+  /** Absent where {@link resident} is. */
+  arrayBuffers?: number
+  /** Why the operating system does not tell the memory. */
+  failure?: unknown
 }
 
 const MB = 1024 * 1024
 const DESCRIPTORS = '/proc/self/fd'
 
-/** Reads the memory of this process. */
+/** Reads the memory of this process; does not throw where the operating system does not tell all of it. */
 export function readProcessMemory(): ProcessMemory {
-  const { rss, heapUsed, external, arrayBuffers } = process.memoryUsage()
-  return { resident: rss, heapUsed, external, arrayBuffers }
+  const { used_heap_size: heapUsed, external_memory: external } = getHeapStatistics()
+  return { heapUsed, external, ...readSystemMemory() }
+}
+
+/** The resident memory is read from a file, which fails while no descriptor is free. */
+function readSystemMemory(): Pick<ProcessMemory, 'resident' | 'arrayBuffers' | 'failure'> {
+  try {
+    const { rss: resident, arrayBuffers } = process.memoryUsage()
+    return { resident, arrayBuffers }
+  } catch (failure) {
+    return { failure }
+  }
 }
 
 /** Returns how much memory this process may use: the setting, or what the machine has if that is less. */
--- a/daemon/fleet/test/memoryMonitor.test.ts
+++ b/daemon/fleet/test/memoryMonitor.test.ts
@@ -1,7 +1,10 @@
-import { describe, expect, it } from 'vitest'
+import { afterEach, describe, expect, it, vi } from 'vitest'
 import { ManualClock } from '@forkstage/clock'
 import { createLogger } from '@forkstage/logger'
+import { FleetMetrics } from '../src/fleetMetrics'
+import { GarbageMonitor } from '../src/garbageMonitor'
 import { MemoryMonitor } from '../src/memoryMonitor'
+import { readProcessMemory, type ProcessMemory } from '../src/processMemory'
 
 const MB = 1024 * 1024
 const LIMIT = 200 * MB
@@ -9,7 +12,12 @@
 function watchMemory() {
   const lines: object[] = []
   const clock = new ManualClock()
-  const memory = { resident: 60 * MB, heapUsed: 20 * MB, external: 9 * MB, arrayBuffers: 8 * MB }
+  const memory: ProcessMemory = {
+    resident: 60 * MB,
+    heapUsed: 20 * MB,
+    external: 9 * MB,
+    arrayBuffers: 8 * MB,
+  }
   const monitor = new MemoryMonitor({
     limitBytes: () => LIMIT,
     read: () => memory,
@@ -26,7 +34,7 @@
     memory.resident = residentMb * MB
     clock.advance(forMs)
   }
-  return { lines, stay, monitor }
+  return { lines, stay, monitor, memory, clock }
 }
 
 describe('the memory of a process', () => {
@@ -69,4 +77,56 @@
     stay(199, 60_000)
     expect(lines).toEqual([])
   })
+
+  it('is logged as unreadable, once in ten seconds, where the system does not tell it', () => {
+    const { lines, clock, memory } = watchMemory()
+    const reason = 'EMFILE: too many open files, uv_resident_set_memory'
+    Object.assign(memory, { resident: undefined, arrayBuffers: undefined, failure: new Error(reason) })
+    clock.advance(10_000)
+    expect(lines).toMatchObject([{ event: 'memory.unreadable', reason }])
+    clock.advance(1_000)
+    expect(lines).toHaveLength(2)
+  })
+})
+
+describe('readProcessMemory', () => {
+  afterEach(() => {
+    vi.restoreAllMocks()
+  })
+
+  it('reads the memory of this process', () => {
+    const memory = readProcessMemory()
+    expect(memory.failure).toBeUndefined()
+    expect(memory.heapUsed).toBeGreaterThan(0)
+    expect(memory.resident).toBeGreaterThan(memory.heapUsed)
+    expect(memory.arrayBuffers).toBeLessThanOrEqual(memory.external)
+  })
+
+  // Guards against a process without descriptors, for which the system opens a file, that reads and collects nothing.
+  it('reads what it can where descriptors have run out', () => {
+    const failure = new Error('EMFILE: too many open files, uv_resident_set_memory')
+    vi.spyOn(process, 'memoryUsage').mockImplementation(() => {
+      throw failure
+    })
+    const memory = readProcessMemory()
+    expect(memory).toMatchObject({ failure })
+    expect(memory.resident).toBeUndefined()
+    expect(memory.heapUsed).toBeGreaterThan(0)
+    expect(memory.external).toBeGreaterThan(0)
+  })
+
+  it('lets metrics and the collection of garbage go on where descriptors have run out', async () => {
+    vi.spyOn(process, 'memoryUsage').mockImplementation(() => {
+      throw new Error('EMFILE: too many open files, uv_resident_set_memory')
+    })
+    vi.spyOn(process.memoryUsage, 'rss').mockImplementation(() => {
+      throw new Error('EMFILE: too many open files, uv_resident_set_memory')
+    })
+    const text = await new FleetMetrics({}, () => LIMIT).text()
+    expect(text).toMatch(/^forkstage_process_resident_bytes -1$/m)
+    expect(text).toMatch(/^forkstage_process_heap_used_bytes [1-9]/m)
+    const clock = new ManualClock()
+    new GarbageMonitor({ limitBytes: () => LIMIT, collect: () => undefined, clock }).start()
+    clock.advance(1_000)
+  })
 })
