feat(fleet): memory.high is logged where V8's heap approaches its own limit

A process whose heap is full is ended by V8 far from its memory limit, and nothing in the log said that it came close: 0 lines before such ends. The monitor compared the resident memory with the limit of the process only; the deploy file limits the heap to 90 and 160 MB by flags. Now the heap in use is compared with V8's limit as well, at the same shares and pace; closest says which limit is nearer, and process_heap_limit_bytes is a gauge beside the others.

--- a/core/logger/src/memoryEvents.ts
+++ b/core/logger/src/memoryEvents.ts
@@ -2,14 +2,17 @@
 export interface MemoryEvents {
   /** The budget for bodies, and what it is derived from: the setting and what the machine has. */
   'memory.budget': { processMb: number; machineMb: number; bodies: number; answers: number }
-  /** A process approaches its memory limit: its resident memory, parts of it, and what the machine holds by name. */
+  /** A process approaches its memory limit or V8's for its heap: its memory, and what the machine holds by name. */
   'memory.high': {
     resident?: number
     heapUsed: number
+    heapLimit: number
     /** Outside the V8 heap, with the array buffers. */
     external: number
     arrayBuffers?: number
     limit: number
+    /** Which limit is closest: `limit` for the resident memory, or `heapLimit`. */
+    closest: 'resident' | 'heap'
     held: Record<string, number>
   }
   /** The operating system does not tell the memory of the process. */
--- a/daemon/fleet/src/fleetMetrics.ts
+++ b/daemon/fleet/src/fleetMetrics.ts
@@ -41,6 +41,7 @@
     for (const [name, read] of Object.entries(readers)) this.gauge(name, read)
     this.gauge('process_resident_bytes', () => readProcessMemory().resident ?? -1)
     this.gauge('process_heap_used_bytes', () => readProcessMemory().heapUsed)
+    this.gauge('process_heap_limit_bytes', () => readProcessMemory().heapLimit)
     this.gauge('process_external_bytes', () => readProcessMemory().external)
     this.gauge('process_memory_limit_bytes', limitBytes)
     this.gauge('process_open_descriptors', countOpenDescriptors)
--- a/daemon/fleet/src/memoryMonitor.ts
+++ b/daemon/fleet/src/memoryMonitor.ts
@@ -15,12 +15,18 @@
 }
 
 const SAMPLE_EVERY_MS: Millis = 500
-/** Shares of the limit at which a line is logged, in ascending order. */
+/** Shares of a limit at which a line is logged, in ascending order. */
 const LOGGED_SHARES = [0.75, 0.9]
 /** While the memory stays above a share, its line is repeated this often. */
 const LOG_EVERY_MS: Millis = 10_000
 
-/** Samples the memory of a process and logs what holds it when it approaches the limit. */
+interface MemoryUsage {
+  /** The limit of the process, for its resident memory, or that of V8 for its heap. */
+  closest: 'resident' | 'heap'
+  share: number
+}
+
+/** Samples the memory of a process and logs what holds it when it approaches a limit: its own, or that of V8's heap. */
 export class MemoryMonitor {
   private level = 0
   private loggedAt: Millis = -Infinity
@@ -52,19 +58,28 @@
     const { clock, read = readProcessMemory } = this.options
     const { failure, ...memory } = read()
     if (failure !== undefined) this.logFailure(failure)
-    const { resident = 0 } = memory
-    const level = LOGGED_SHARES.filter((share) => resident >= share * this.limitBytes).length
+    const { closest, share } = this.usageOf(memory)
+    const level = LOGGED_SHARES.filter((logged) => share >= logged).length
     const isHigher = level > this.level
     const isDue = clock.now() - this.loggedAt >= LOG_EVERY_MS
-    if (level > 0 && (isHigher || isDue)) this.log(memory, level)
+    if (level > 0 && (isHigher || isDue)) this.log(memory, closest, level)
     else if (isDue) this.level = level
   }
 
-  private log(memory: ProcessMemory, level: number): void {
+  /** Returns the limit that is closest, and the share of it that is used. */
+  private usageOf({ resident = 0, heapUsed, heapLimit }: ProcessMemory): MemoryUsage {
+    const residentShare = resident / this.limitBytes
+    const heapShare = heapUsed / heapLimit
+    return heapShare > residentShare
+      ? { closest: 'heap', share: heapShare }
+      : { closest: 'resident', share: residentShare }
+  }
+
+  private log(memory: ProcessMemory, closest: MemoryUsage['closest'], level: number): void {
     const { logger, clock } = this.options
     this.level = level
     this.loggedAt = clock.now()
-    logger.warn('memory.high', { ...memory, limit: this.limitBytes, held: this.holdings() })
+    logger.warn('memory.high', { ...memory, limit: this.limitBytes, closest, held: this.holdings() })
   }
 
   private logFailure(failure: unknown): void {
--- a/daemon/fleet/src/processMemory.ts
+++ b/daemon/fleet/src/processMemory.ts
@@ -8,6 +8,8 @@
   /** Absent where the operating system does not tell it. */
   resident?: number
   heapUsed: number
+  /** A process whose heap cannot stay below it is ended by V8. */
+  heapLimit: number
   /** Outside the V8 heap, with the array buffers. */
   external: number
   /** Absent where {@link resident} is. */
@@ -21,8 +23,13 @@
 
 /** Reads the memory of this process; does not throw where the operating system does not tell all of it. */
 export function readProcessMemory(): ProcessMemory {
-  const { used_heap_size: heapUsed, external_memory: external } = getHeapStatistics()
-  return { heapUsed, external, ...readSystemMemory() }
+  const heap = getHeapStatistics()
+  return {
+    heapUsed: heap.used_heap_size,
+    heapLimit: heap.heap_size_limit,
+    external: heap.external_memory,
+    ...readSystemMemory(),
+  }
 }
 
 /** The resident memory is read from a file, which fails while no descriptor is free. */
--- a/daemon/fleet/test/memoryMonitor.test.ts
+++ b/daemon/fleet/test/memoryMonitor.test.ts
@@ -8,6 +8,7 @@
 
 const MB = 1024 * 1024
 const LIMIT = 200 * MB
+const HEAP_LIMIT = 100 * MB
 
 function watchMemory() {
   const lines: object[] = []
@@ -15,6 +16,7 @@
   const memory: ProcessMemory = {
     resident: 60 * MB,
     heapUsed: 20 * MB,
+    heapLimit: HEAP_LIMIT,
     external: 9 * MB,
     arrayBuffers: 8 * MB,
   }
@@ -78,6 +80,35 @@
     expect(lines).toEqual([])
   })
 
+  // Guards against processes that end with a full heap, far from their memory limit, without a line before.
+  it('is logged where the heap approaches its limit', () => {
+    const { lines, stay, memory } = watchMemory()
+    memory.heapUsed = 74 * MB
+    stay(120, 1_000)
+    expect(lines).toEqual([])
+    memory.heapUsed = 76 * MB
+    stay(120, 1_000)
+    memory.heapUsed = 91 * MB
+    stay(140, 1_000)
+    const common = { event: 'memory.high', closest: 'heap', heapLimit: HEAP_LIMIT, limit: LIMIT }
+    expect(lines).toMatchObject([
+      { ...common, heapUsed: 76 * MB, resident: 120 * MB, held: { connections: 7 } },
+      { ...common, heapUsed: 91 * MB, resident: 140 * MB },
+    ])
+    stay(140, 20_000)
+    expect(lines).toHaveLength(4)
+  })
+
+  it('is logged with the limit that is closest', () => {
+    const { lines, stay, memory } = watchMemory()
+    memory.heapUsed = 80 * MB
+    stay(170, 1_000)
+    expect(lines).toMatchObject([{ event: 'memory.high', closest: 'resident' }])
+    memory.heapUsed = 95 * MB
+    stay(170, 1_000)
+    expect(lines[1]).toMatchObject({ event: 'memory.high', closest: 'heap' })
+  })
+
   it('is logged as unreadable, once in ten seconds, where the system does not tell it', () => {
     const { lines, clock, memory } = watchMemory()
     const reason = 'EMFILE: too many open files, uv_resident_set_memory'
@@ -87,6 +118,24 @@
     clock.advance(1_000)
     expect(lines).toHaveLength(2)
   })
+
+  it('is logged by the heap alone where the system does not tell the rest', () => {
+    const { lines, clock, memory } = watchMemory()
+    const reason = 'EMFILE: too many open files, uv_resident_set_memory'
+    Object.assign(memory, { resident: undefined, arrayBuffers: undefined, failure: new Error(reason) })
+    clock.advance(1_000)
+    expect(lines).toMatchObject([{ event: 'memory.unreadable', reason }])
+    memory.heapUsed = 91 * MB
+    clock.advance(1_000)
+    const { event, closest, ...rest } = lines[1] as Record<string, unknown>
+    expect([event, closest]).toEqual(['memory.high', 'heap'])
+    expect(rest).not.toHaveProperty('resident')
+    expect(rest).not.toHaveProperty('failure')
+    clock.advance(8_000)
+    expect(lines).toHaveLength(2)
+    clock.advance(1_000)
+    expect(lines[2]).toMatchObject({ event: 'memory.unreadable' })
+  })
 })
 
 describe('readProcessMemory', () => {
@@ -94,10 +143,10 @@
     vi.restoreAllMocks()
   })
 
-  it('reads the memory of this process', () => {
+  it('reads the memory of this process and the limit of its heap', () => {
     const memory = readProcessMemory()
     expect(memory.failure).toBeUndefined()
-    expect(memory.heapUsed).toBeGreaterThan(0)
+    expect(memory.heapUsed).toBeLessThan(memory.heapLimit)
     expect(memory.resident).toBeGreaterThan(memory.heapUsed)
     expect(memory.arrayBuffers).toBeLessThanOrEqual(memory.external)
   })
@@ -112,6 +161,7 @@
     expect(memory).toMatchObject({ failure })
     expect(memory.resident).toBeUndefined()
     expect(memory.heapUsed).toBeGreaterThan(0)
+    expect(memory.heapLimit).toBeGreaterThan(memory.heapUsed)
     expect(memory.external).toBeGreaterThan(0)
   })
 
@@ -125,6 +175,7 @@
     const text = await new FleetMetrics({}, () => LIMIT).text()
     expect(text).toMatch(/^forkstage_process_resident_bytes -1$/m)
     expect(text).toMatch(/^forkstage_process_heap_used_bytes [1-9]/m)
+    expect(text).toMatch(/^forkstage_process_heap_limit_bytes [1-9]/m)
     const clock = new ManualClock()
     new GarbageMonitor({ limitBytes: () => LIMIT, collect: () => undefined, clock }).start()
     clock.advance(1_000)
