fix(crashes): reports of crashes go on after an unexpected error

One error while an entry looked for a new leader, or reported to one, ended all its reports: the check was armed after the look only, and a report counted as running for good, with its records lost. Now the check is armed first, and a report that fails in any way is made again like one that was not answered. The error is still thrown on, to the handlers for unexpected errors. Both new tests failed before (nothing was reported again).

--- a/request/crashes/src/crashReporter.ts
+++ b/request/crashes/src/crashReporter.ts
@@ -65,26 +65,39 @@
 
   private scheduleLeaderCheck(): CancelTimer {
     return this.options.clock.after(LEADER_CHECK_MS, () => {
-      this.checkLeader()
       this.cancelLeaderCheck = this.ownContents.size > 0 ? this.scheduleLeaderCheck() : undefined
+      this.checkLeader()
     })
   }
 
   private async flush(): Promise<void> {
     if (this.isFlushing || this.unreported.size === 0) return
     this.isFlushing = true
-    const { tracker, report, leader, clock } = this.options
     const batch = [...this.unreported]
-    const reportedTo = leader()
     this.unreported.clear()
-    const answer = await report(tracker.recordsOf(batch))
-    this.isFlushing = false
-    if (answer === true) {
-      this.reportedLeader = reportedTo
-      return void this.flush()
+    let isReported = false
+    try {
+      isReported = await this.report(batch)
+    } finally {
+      this.isFlushing = false
+      if (!isReported) this.retryLater(batch)
     }
+    if (isReported) void this.flush()
+  }
+
+  /** Returns whether the leader has acknowledged the records. */
+  private async report(batch: ContentDigest[]): Promise<boolean> {
+    const { tracker, report, leader } = this.options
+    const reportedTo = leader()
+    const answer = await report(tracker.recordsOf(batch))
+    if (answer !== true) return false
+    this.reportedLeader = reportedTo
+    return true
+  }
+
+  private retryLater(batch: ContentDigest[]): void {
     batch.forEach((content) => this.unreported.add(content))
     this.cancelRetry?.()
-    this.cancelRetry = clock.after(REPORT_RETRY_MS, () => void this.flush())
+    this.cancelRetry = this.options.clock.after(REPORT_RETRY_MS, () => void this.flush())
   }
 }
--- a/request/crashes/test/crashReporter.test.ts
+++ b/request/crashes/test/crashReporter.test.ts
@@ -1,7 +1,10 @@
 import { describe, expect, it } from 'vitest'
 import { ManualClock } from '@forkstage/clock'
+import { recordRejections } from '../../../core/clock/test/recordRejections'
 import { CrashTracker, CrashReporter, type CrashRecord } from '../src'
 
+const FAILURE = new Error('unexpected')
+
 /** A reporter with a leader that can be made not to answer. */
 class ReporterHarness {
   readonly clock = new ManualClock()
@@ -9,11 +12,15 @@
   readonly received: CrashRecord[] = []
   leader: string | undefined = 'c1'
   answers = true
+  failsNow = false
   calls = 0
   readonly reporter = new CrashReporter({
     clock: this.clock,
     tracker: this.tracker,
-    leader: () => this.leader,
+    leader: () => {
+      if (this.failsNow) throw FAILURE
+      return this.leader
+    },
     report: (records) => {
       this.calls += 1
       if (!this.answers) return Promise.resolve(undefined)
@@ -82,4 +89,30 @@
     await harness.advance(3_000)
     expect(harness.calls - calls).toBeLessThanOrEqual(1)
   })
+
+  // Guards against a reporter that an unexpected error stops for good.
+  it('reports to each new leader after a check that failed', async () => {
+    const harness = new ReporterHarness()
+    harness.crash('l1', 'a')
+    await harness.advance(200)
+    harness.leader = 'c2'
+    harness.failsNow = true
+    await expect(harness.advance(1_000)).rejects.toThrow(FAILURE)
+    harness.failsNow = false
+    await harness.advance(2_000)
+    expect(harness.received.map(({ content }) => content)).toEqual(['a', 'a'])
+  })
+
+  it('reports again what it could not report for an unexpected error', async () => {
+    const harness = new ReporterHarness()
+    const rejections = await recordRejections(async () => {
+      harness.failsNow = true
+      harness.crash('l1', 'a')
+      await harness.advance(50)
+    })
+    expect(rejections).toEqual([FAILURE])
+    harness.failsNow = false
+    await harness.advance(1_000)
+    expect(harness.received).toMatchObject([{ content: 'a', ended: ['l1'] }])
+  })
 })
