fix(crashes): suspected endpoints are checked on after an unexpected error

One error in a check of suspected endpoints ended the checks until another request was lost: losses did not expire, and a replaced endpoint was not found to have crashed before others registered. Cause: the next check was armed after this one had returned, so not where it threw. Now it is armed in either case; the error is thrown on. The new test failed before (no crash reported).

--- a/request/crashes/src/crashDetector.ts
+++ b/request/crashes/src/crashDetector.ts
@@ -181,8 +181,11 @@
     this.isChecking = true
     this.options.clock.after(CHECK_EVERY_MS, () => {
       this.isChecking = false
-      this.checkSuspected()
-      if (this.suspects.size > 0) this.scheduleCheck()
+      try {
+        this.checkSuspected()
+      } finally {
+        if (this.suspects.size > 0) this.scheduleCheck()
+      }
     })
   }
 }
--- a/request/crashes/test/crashDetector.test.ts
+++ b/request/crashes/test/crashDetector.test.ts
@@ -15,6 +15,8 @@
   sequence: 1,
 }
 
+const FAILURE = new Error('unexpected')
+
 /** A detector that watches one endpoint. */
 class DetectorHarness {
   readonly clock = new ManualClock()
@@ -23,6 +25,7 @@
   probeResult: ProbeResult = 'listens'
   probes = 0
   isReplaced = false
+  failsNow = false
   known: RegisteredEndpoint | undefined = ENDPOINT
   readonly detector = new CrashDetector({
     clock: this.clock,
@@ -32,7 +35,10 @@
       return Promise.resolve(this.probeResult)
     },
     current: () => this.known,
-    isReplaced: () => this.isReplaced,
+    isReplaced: () => {
+      if (this.failsNow) throw FAILURE
+      return this.isReplaced
+    },
     onCrash: (incarnation, contents) =>
       this.ended.push([
         incarnation,
@@ -174,6 +180,18 @@
       expect(harness.detector.isUnconfirmed('i-1')).toBe(false)
     }
   })
+
+  // Guards against checks that an unexpected error stops for good, so that losses never expire.
+  it('goes on checking after an unexpected error', async () => {
+    const harness = new DetectorHarness()
+    harness.loseAnswer('r1', 'a', false)
+    harness.failsNow = true
+    await expect(harness.advance(1_000)).rejects.toThrow(FAILURE)
+    harness.failsNow = false
+    harness.isReplaced = true
+    await harness.advance(1_000)
+    expect(harness.ended).toEqual([['i-1', ['a late']]])
+  })
 })
 
 function replace(harness: DetectorHarness): void {
