fix(paths): endpoints that only others reach are tried on after an unexpected error

One error while a box tried such endpoints directly ended the tries for good: they counted as running, so that all requests to them went through other boxes from then on. Now the next tries are armed in either case; the error still reaches the handler of unhandled rejections. The new test failed before (two endpoints still indirect after 2 s in which they connect).

--- a/request/paths/src/endpointDialer.ts
+++ b/request/paths/src/endpointDialer.ts
@@ -243,7 +243,16 @@
 
   private startProbes(): void {
     if (this.cancelProbes !== undefined || this.isStopped) return
-    this.cancelProbes = this.options.clock.after(PROBE_EVERY_MS, () => void this.probeIndirect())
+    this.cancelProbes = this.options.clock.after(PROBE_EVERY_MS, () => void this.runProbes())
+  }
+
+  private async runProbes(): Promise<void> {
+    try {
+      await this.probeIndirect()
+    } finally {
+      this.cancelProbes = undefined
+      if (this.paths.indirectCount > 0 || !this.paths.hasPath) this.startProbes()
+    }
   }
 
   /** Tries some endpoints that only others reach; after a connection the others follow at once, one after the other. */
@@ -259,8 +268,6 @@
     if (results.includes(true))
       for (const one of chosen.slice(count)) if (!(await this.tryDirectly(one, PROBE_TIMEOUT_MS))) break
     if (!this.paths.hasPath) await this.probeAny()
-    this.cancelProbes = undefined
-    if (this.paths.indirectCount > 0 || !this.paths.hasPath) this.startProbes()
   }
 
   private async probeAny(): Promise<void> {
--- a/request/paths/test/endpointDialer.test.ts
+++ b/request/paths/test/endpointDialer.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { recordRejections } from '../../../core/clock/test/recordRejections'
 import { DialerHarness, type Response } from './dialerHarness'
 
 /** Returns a harness whose own links are down in one way. */
@@ -297,3 +298,20 @@
     expect(harness.unanswered).toEqual([400])
   })
 })
+
+// Guards against endpoints that are reached through other boxes for good, after one unexpected error.
+it('goes on trying endpoints that only others reach after an unexpected error', async () => {
+  const failure = new Error('unexpected')
+  const harness = cutHarness('refuses')
+  await harness.dial('a:1')
+  await harness.dial('b:1')
+  expect(harness.dialer.paths.indirectCount).toBeGreaterThan(0)
+  harness.direct = () => {
+    throw failure
+  }
+  const rejections = await recordRejections(() => harness.advance(300))
+  expect(rejections).toEqual([failure])
+  harness.direct = () => 'connects'
+  await harness.advance(2_000)
+  expect(harness.dialer.paths.indirectCount).toBe(0)
+})
