fix(fleet): new software versions are announced on after an unexpected error

One error while a control machine asked the leader to confirm a new version ended its asking for good: it counted as running, and engines of versions that were new there waited until the restart of the machine. Now it asks again after the usual pause; the error still reaches the handler of unhandled rejections. The new test failed before (no engine confirmed).

--- a/daemon/fleet/src/versionAnnouncer.ts
+++ b/daemon/fleet/src/versionAnnouncer.ts
@@ -53,12 +53,21 @@
   private async announce(): Promise<void> {
     if (this.isAsking) return
     this.isAsking = true
+    try {
+      await this.askUntilConfirmed()
+    } finally {
+      this.isAsking = false
+      if (this.held.size > 0 && !this.isStopped)
+        this.options.clock.after(ASK_AGAIN_AFTER_MS, () => void this.announce())
+    }
+  }
+
+  private async askUntilConfirmed(): Promise<void> {
     while (this.held.size > 0 && !this.isStopped) {
       const versions = [...this.held.values()].map(toVersion)
       if (await this.isConfirmed(versions)) this.release(versions)
       else await delay(this.options.clock, ASK_AGAIN_AFTER_MS)
     }
-    this.isAsking = false
   }
 
   private async isConfirmed(versions: StreamOrigin[]): Promise<boolean> {
--- a/daemon/fleet/test/versionAnnouncer.test.ts
+++ b/daemon/fleet/test/versionAnnouncer.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { PLACE } from '@forkstage/allocator'
 import { ManualClock } from '@forkstage/clock'
+import { recordRejections } from '../../../core/clock/test/recordRejections'
 import type { RegisteredEndpoint } from '@forkstage/directory'
 import { VersionHistory } from '@forkstage/origins'
 import { endpointWithDefaults } from '../../../request/gateway/test/rowsWithDefaults'
@@ -20,12 +21,15 @@
   const clock = new ManualClock()
   const history = new VersionHistory(clock)
   history.update([engine('i-1', 'v1')])
-  const state: { leader?: string; answers: boolean } = { leader, answers: true }
+  const state: { leader?: string; answers: boolean; failure?: Error } = { leader, answers: true }
   const calls: unknown[] = []
   const confirmed: string[] = []
   const one = new VersionAnnouncer({
     self: SELF,
-    leader: () => state.leader,
+    leader: () => {
+      if (state.failure !== undefined) throw state.failure
+      return state.leader
+    },
     origins: {
       isRunning: (version) => history.isRunning(version),
       recordVersions: (versions) => versions.forEach((version) => history.add(version)),
@@ -93,4 +97,19 @@
     await advance(50)
     expect(confirmed).toEqual([])
   })
+
+  // Guards against engines that wait for good after one unexpected error.
+  it('goes on asking after an unexpected error', async () => {
+    const { one, state, confirmed, advance } = announcer()
+    const failure = new Error('unexpected')
+    const rejections = await recordRejections(async () => {
+      state.failure = failure
+      one.hold(engine('i-2', 'v2'))
+      await advance(0)
+    })
+    expect(rejections).toEqual([failure])
+    state.failure = undefined
+    await advance(50)
+    expect(confirmed).toEqual(['i-2'])
+  })
 })
