feat(fleet): a control machine counts the registrations that wait for a new version

memory.high named no endpoints at a control machine whose memory was full of registrations that waited until the leader had confirmed their version: they are not in the directory yet. Now registrations_waiting counts them, as a gauge and among what the machine holds.

--- a/daemon/fleet/src/createControlMetrics.ts
+++ b/daemon/fleet/src/createControlMetrics.ts
@@ -30,7 +30,14 @@
 }
 
 /** Gauges of what a control machine holds in memory. */
-const HOLDINGS = ['entries', 'endpoints', 'places_taken', 'places_waited_for', 'stream_origins'] as const
+const HOLDINGS = [
+  'entries',
+  'endpoints',
+  'registrations_waiting',
+  'places_taken',
+  'places_waited_for',
+  'stream_origins',
+] as const
 
 /** Creates the metrics of a control machine. */
 export function createControlMetrics(source: ControlMetricsSource): FleetMetrics {
@@ -41,6 +48,7 @@
     endpoints_cold: () => cold.count,
     endpoints_limited: () => limits.count,
     registrations_refused: () => registrar.refused,
+    registrations_waiting: () => registrar.waitingCount,
     leads: () => Number(host.replica?.leads === true),
     evacuated_domains: () => evacuations.view.current.domains.length,
     leader_known: () => Number(source.isLeaderKnown()),
--- a/daemon/fleet/src/registrar.ts
+++ b/daemon/fleet/src/registrar.ts
@@ -35,6 +35,11 @@
     this.versions = versions && new VersionAnnouncer({ ...versions, onConfirmed })
   }
 
+  /** Number of registrations that wait until the leader has confirmed their version. */
+  get waitingCount(): number {
+    return this.versions?.heldCount ?? 0
+  }
+
   stop(): void {
     this.versions?.stop()
   }
--- a/daemon/fleet/src/versionAnnouncer.ts
+++ b/daemon/fleet/src/versionAnnouncer.ts
@@ -33,6 +33,11 @@
 
   constructor(private readonly options: VersionAnnouncerOptions) {}
 
+  /** The number of engines that are held back. */
+  get heldCount(): number {
+    return this.held.size
+  }
+
   /** Holds an engine back if none of its version runs; returns whether it does. */
   hold(endpoint: RegisteredEndpoint): boolean {
     if (endpoint.stage === undefined || this.options.origins.isRunning(toVersion(endpoint))) return false
