--- a/daemon/fleet/src/versionAnnouncer.ts
+++ b/daemon/fleet/src/versionAnnouncer.ts
@@ -33,6 +33,11 @@
 
   constructor(private readonly options: VersionAnnouncerOptions) {}
 
+  /** The number of engines that are held back. */
+  get heldCount(): number {
+    return this.held.size
+  }
+
   /** Holds an engine back if none of its version runs; returns whether it does. */
   hold(endpoint: RegisteredEndpoint): boolean {
     if (endpoint.stage === undefined || this.options.origins.isRunning(toVersion(endpoint))) return false
@@ -53,12 +58,21 @@
   private async announce(): Promise<void> {
     if (this.isAsking) return
     this.isAsking = true
+    try {
+      await this.askUntilConfirmed()
+    } finally {
+      this.isAsking = false
+      if (this.held.size > 0 && !this.isStopped)
+        this.options.clock.after(ASK_AGAIN_AFTER_MS, () => void this.announce())
+    }
+  }
+
+  private async askUntilConfirmed(): Promise<void> {
     while (this.held.size > 0 && !this.isStopped) {
       const versions = [...this.held.values()].map(toVersion)
       if (await this.isConfirmed(versions)) this.release(versions)
       else await delay(this.options.clock, ASK_AGAIN_AFTER_MS)
     }
-    this.isAsking = false
   }
 
   private async isConfirmed(versions: StreamOrigin[]): Promise<boolean> {
