fix(gateway): a dial that throws is a connection that failed

Callers waited until 504, or got 502, when an endpoint was registered at an address that no connection can have, such as a port above 65535: connect throws there, so the dial's result rejected and its exchange never ended.

connectDirectly reports such an address as refused, with the reason, and an exchange whose dial rejects fails as not sent. Probes of saved endpoints and report calls during a stage change use the same call and are mended with it.

--- a/daemon/fleet/test/probeSavedEndpoints.test.ts
+++ b/daemon/fleet/test/probeSavedEndpoints.test.ts
@@ -71,6 +71,21 @@
     })
     expect(ready).toEqual(['i-1'])
   })
+
+  it('restores the other endpoints if the address of one cannot be connected to', async () => {
+    const wrong = endpoint('i-1', '127.0.0.1:99999')
+    const healthy = endpoint('i-2', await startProcess('i-2'))
+    const ready: string[] = []
+    await probeSavedEndpoints([wrong, healthy], {
+      wire: CONTROL_WIRE,
+      service: () => ({ name: 's', maxConnections: 1 }),
+      isKnown: () => false,
+      onReady: ({ id }) => void ready.push(id),
+      clock: createSystemClock(),
+      logger: createSilentLogger(),
+    })
+    expect(ready).toEqual(['i-2'])
+  })
 })
 
 describe('callEndpoint', () => {
--- a/request/gateway/src/exchange.ts
+++ b/request/gateway/src/exchange.ts
@@ -1,6 +1,7 @@
 import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Duplex } from 'node:stream'
 import type { Clock } from '@forkstage/clock'
+import { toErrorBody } from '@forkstage/error'
 import { connectDirectly, type Dial, type DialResult } from '@forkstage/paths'
 import { endedWithFin } from '@forkstage/tunnel'
 import type { Address, Millis } from '@forkstage/types'
@@ -133,7 +134,7 @@
     method,
     path,
     createConnection: (_target, onConnected) => {
-      void dial.result.then((result) => {
+      const handleResult = (result: DialResult) => {
         if (result.type !== 'connected') return failUnsent(result)
         if (ended) return void result.socket.destroy()
         const withheld = options.whyNoLongerSend?.()
@@ -141,7 +142,10 @@
         sent = true
         via = result.via
         onConnected(null, result.socket)
-      })
+      }
+      void dial.result.then(handleResult, (error: unknown) =>
+        failUnsent({ type: 'silent', reason: toErrorBody(error).message }),
+      )
       return undefined
     },
     setHost: false,
--- a/request/gateway/test/plainRelay.test.ts
+++ b/request/gateway/test/plainRelay.test.ts
@@ -50,6 +50,17 @@
     expect(Number(seen.headers['x-deadline'])).toBeLessThanOrEqual(4_000)
   })
 
+  it('are all answered by a sound endpoint beside one whose address cannot be connected to', async () => {
+    const worker = await FakeWorker.start(good)
+    const harness = await GatewayHarness.start(
+      [{ address: '127.0.0.1:99999' }, { address: worker.address }],
+      [{}],
+    )
+    open.push(harness, worker)
+    const answers = await Promise.all(Array.from({ length: 20 }, () => harness.send('/p/')))
+    expect(answers.map(({ status }) => status)).toEqual(Array.from({ length: 20 }, () => 200))
+  })
+
   it('are answered 404 without a route, 400 without an id, 413 above the limit', async () => {
     const { harness, runs } = await start([good])
     expect((await harness.send('/none/')).status).toBe(404)
--- a/request/paths/src/connectDirectly.ts
+++ b/request/paths/src/connectDirectly.ts
@@ -1,5 +1,6 @@
-import { connect } from 'node:net'
+import { connect, type Socket } from 'node:net'
 import type { Clock } from '@forkstage/clock'
+import { toErrorBody } from '@forkstage/error'
 import { parseAddress } from '@forkstage/peer-rpc'
 import type { Address, Millis } from '@forkstage/types'
 import type { ConnectResult, PendingConnect } from './pathTypes'
@@ -12,7 +13,14 @@
   timeoutMs: Millis,
   clock: Clock,
 ): PendingConnect<ConnectResult> {
-  const socket = connect({ ...parseAddress(endpoint), allowHalfOpen: true, noDelay: true })
+  let socket: Socket
+  try {
+    socket = connect({ ...parseAddress(endpoint), allowHalfOpen: true, noDelay: true })
+  } catch (error) {
+    // Nothing can listen at an address that is not valid.
+    const { message } = toErrorBody(error)
+    return { result: Promise.resolve({ type: 'refused', reason: message }), cancel: () => undefined }
+  }
   let finish: (result: ConnectResult) => void = () => undefined
   const result = new Promise<ConnectResult>((resolve) => (finish = resolve))
   const fail = (type: 'refused' | 'silent', reason: string) => {
