fix(directory): refuse endpoint addresses that no connection can have

An endpoint that registered at 127.0.0.1:99999, at port 0 or at 300.0.0.1:80 was accepted, passed on to all machines, and chosen for requests, each of which then failed there. The check counted digits only, and a record in another machine's list or in a restart's file was not checked at all.

isIpv4Address is the one check: an IPv4 number and a port from 1 to 65535. A departure is kept whatever its address, since it may be known by its name only and gets no requests.

The follower's harness, the probes' test and the model of origins named their endpoints "a:1" or "engine-v1-0:1"; they have addresses now, still one for each engine of the model.

--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -1,3 +1,4 @@
-/** Types shared by more than one package. */
+/** Types shared by more than one package, and the check of an address from outside. */
+export { isIpv4Address } from './isIpv4Address'
 export type * from './names'
 export type * from './table'
--- a/daemon/fleet/test/originModel.ts
+++ b/daemon/fleet/test/originModel.ts
@@ -37,6 +37,7 @@
   readonly violations: string[] = []
   /** Resumed streams by outcome. */
   readonly outcomes: Record<string, number> = {}
+  private readonly engineAddresses = new Map<string, Address>()
   private readonly stopped = new Set<string>()
   private streamCount = 0
 
@@ -80,7 +81,7 @@
       sequence += 1
       const running = this.controls.filter((one) => !one.clock.isFrozen)
       const control = at ?? running[Math.floor(this.random() * running.length)]
-      control?.register({ ...engineRecord(id, softwareVersion), sequence })
+      control?.register({ ...this.engineRecord(id, softwareVersion), sequence })
     }
     register()
     every(this.clock, HEARTBEAT_MS, register)
@@ -92,7 +93,7 @@
     this.controls
       .filter((one) => !one.clock.isFrozen)
       .forEach((control) =>
-        control.register({ ...engineRecord(id, softwareVersion), state: 'left', sequence: 1_000_000 }),
+        control.register({ ...this.engineRecord(id, softwareVersion), state: 'left', sequence: 1_000_000 }),
       )
   }
 
@@ -139,10 +140,11 @@
   delay(ms: Millis): Promise<void> {
     return delay(this.clock, ms)
   }
-}
 
-function engineRecord(id: string, softwareVersion: string): RegisteredEndpoint {
-  const address: Address = `engine-${id}:1`
-  const base = { service: SERVICE, address, zone: 'z', slots: 8, models: [], sequence: 1 }
-  return { id, ...base, state: 'ready', stage: 'decode', softwareVersion }
+  private engineRecord(id: string, softwareVersion: string): RegisteredEndpoint {
+    const address = this.engineAddresses.get(id) ?? `10.1.0.1:${this.engineAddresses.size + 1}`
+    this.engineAddresses.set(id, address)
+    const base = { service: SERVICE, address, zone: 'z', slots: 8, models: [], sequence: 1 }
+    return { id, ...base, state: 'ready', stage: 'decode', softwareVersion }
+  }
 }
--- a/daemon/fleet/test/probeSavedEndpoints.test.ts
+++ b/daemon/fleet/test/probeSavedEndpoints.test.ts
@@ -21,7 +21,7 @@
 
 function endpoint(
   id: string,
-  address = 'a:1',
+  address = '10.0.0.1:1',
   state: RegisteredEndpoint['state'] = 'ready',
 ): RegisteredEndpoint {
   return { id, service: 's', address, zone: 'z', slots: 1, state, models: [], sequence: 3 }
--- a/membership/directory/src/readEndpoints.ts
+++ b/membership/directory/src/readEndpoints.ts
@@ -1,9 +1,10 @@
+import { isIpv4Address } from '@forkstage/types'
 import * as z from 'zod'
 import type { RegisteredEndpoint } from './directoryTypes'
 
 const text = z.string().max(400)
 const wholeNumber = z.number().int().min(0)
-const endpointSchema = z.object({
+const recordSchema = z.object({
   id: text.min(1),
   name: text.min(1).optional(),
   born: wholeNumber.optional(),
@@ -18,6 +19,11 @@
   coldMs: z.number().min(0).optional(),
   sequence: wholeNumber,
 })
+/** A departure needs no address; it may be known by its name only. */
+const endpointSchema = recordSchema.refine(
+  ({ state, address }) => state === 'left' || state === 'ended' || isIpv4Address(address),
+  { path: ['address'] },
+)
 
 /**
  * Parses endpoints that another machine sent or a file contains. Omits invalid records and returns the
--- a/membership/directory/test/readEndpoints.test.ts
+++ b/membership/directory/test/readEndpoints.test.ts
@@ -17,6 +17,15 @@
   sequence: 1,
 }
 
+it.each(['', 'somewhere', '127.0.0.1:0', '127.0.0.1:65536', '300.0.0.1:80'])(
+  'omits an endpoint that may get requests at the address %j, and keeps its departure',
+  (address) => {
+    const states = ['ready', 'draining', 'left', 'ended'] as const
+    const read = readEndpoints(states.map((state) => ({ ...GOOD, address, state })))
+    expect(read.map(({ state }) => state)).toEqual(['left', 'ended'])
+  },
+)
+
 it('omits at most the invalid one of forty records, whichever field is invalid, and never throws', () => {
   const many = Array.from({ length: 40 }, (_, index) => ({ ...GOOD, id: `i-${index}` }))
   fc.assert(
--- a/membership/watch/test/followerHarness.ts
+++ b/membership/watch/test/followerHarness.ts
@@ -17,7 +17,16 @@
 export const OTHER = '10.0.0.2:1'
 
 export function endpoint(id: string, sequence = 1): RegisteredEndpoint {
-  return { id, service: 's', address: 'a:1', zone: 'z', slots: 1, state: 'ready', models: [], sequence }
+  return {
+    id,
+    service: 's',
+    address: '10.0.0.1:1',
+    zone: 'z',
+    slots: 1,
+    state: 'ready',
+    models: [],
+    sequence,
+  }
 }
 
 /** Waits until the pending work of the event loop is done. */
