fix(settings): an address that no machine can listen on is a fault of its key

Supervisors saw a start end with exit code 1, and a corrected file did not help: settings with port 99999 or the IP number 300.1.1.1 passed the check, which counted digits only, and the listener then failed for good.

The schema uses isIpv4Address, with port 0 allowed, which stands for any free port. The start now waits for the corrected file, as for other faults.

--- a/cli/forkstage/test/tornSettings.test.ts
+++ b/cli/forkstage/test/tornSettings.test.ts
@@ -36,6 +36,8 @@
     ['empty', () => ''],
     ['cut in half', (role) => whole(role).slice(0, whole(role).length / 2)],
     ['without the last bytes', (role) => whole(role).slice(0, -20)],
+    ['with a port above 65535', (role) => settingsText({ role, folder, metrics: '127.0.0.1:99999' })],
+    ['with an IP number above 255', (role) => settingsText({ role, folder, metrics: '300.1.1.1:80' })],
   ]
   const cases = ROLES.flatMap((role) => texts.map(([name, text]) => [role, name, text] as const))
 
--- a/core/types/test/isIpv4Address.test.ts
+++ b/core/types/test/isIpv4Address.test.ts
@@ -5,6 +5,12 @@
   expect(isIpv4Address(text)).toBe(true)
 })
 
+it('accepts port 0 only to listen on', () => {
+  expect(isIpv4Address('127.0.0.1:0')).toBe(false)
+  expect(isIpv4Address('127.0.0.1:0', 0)).toBe(true)
+  expect(isIpv4Address('127.0.0.1:00', 0)).toBe(false)
+})
+
 it.each([
   '',
   'somewhere',
--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -1,9 +1,13 @@
+import { isIpv4Address } from '@forkstage/types'
 // A namespace import lets the bundler drop unused parts of zod, such as its messages in other languages.
 import * as z from 'zod'
 import { maxUnreadyMs } from './maxUnreadyMs'
 
-const ADDRESS = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
-const address = z.string().regex(ADDRESS, 'an IP number and a port, as 127.0.0.1:7000')
+/** Port 0 stands for any free port to listen on. */
+const MIN_PORT = 0
+const address = z
+  .string()
+  .refine((text) => isIpv4Address(text, MIN_PORT), 'an IP number and a port up to 65535, as 127.0.0.1:7000')
 const duration = (fallback: number) => z.number().int().min(1).max(3_600_000).default(fallback)
 
 /** Default of `stop.unready_ms`, unless the grace time is too short for it. */
--- a/settings/fleet/test/fleetSettings.test.ts
+++ b/settings/fleet/test/fleetSettings.test.ts
@@ -55,6 +55,20 @@
     expect(faultsOf(bad)).toEqual(['machine.zone', 'listen.peers', 'peers.speed'])
   })
 
+  it.each(['10.0.0.1:65536', '10.0.0.1:99999', '300.1.1.1:80', '10.0.0.1', '10.0.0.1:'])(
+    'reports %s as a fault of each address that has it',
+    (wrong) => {
+      expect(faultsOf(ENTRY.replace('"10.0.0.1:80"', `"${wrong}"`))).toEqual(['listen.callers'])
+      expect(faultsOf(ENTRY.replace('"10.0.0.1:81"', `"${wrong}"`))).toEqual(['listen.readiness'])
+      expect(faultsOf(ENTRY.replace('"10.0.0.1:7000"', `"${wrong}"`))).toEqual(['listen.peers'])
+      expect(faultsOf(ENTRY.replace('"10.0.0.9:90"', `"${wrong}"`))).toEqual(['control.seeds.1'])
+    },
+  )
+
+  it('accepts port 0, any free port, to listen on', () => {
+    expect(faultsOf(ENTRY.replace('"10.0.0.1:80"', '"10.0.0.1:0"'))).toEqual([])
+  })
+
   it.each([
     ['at the grace time', 'grace_s = 2\nunready_ms = 2_000'],
     ['above the grace time', 'grace_s = 0.5\nunready_ms = 3_000'],
