fix(start): a listener waits while descriptors or memory are short

Supervisors saw a start end with exit code 1 when listen failed with EMFILE, ENFILE, ENOBUFS or ENOMEM, which may pass without the process, as an address in use does. The opener now tries again on them too and logs start.waiting.

No process was run out of descriptors or memory for this.

--- a/daemon/fleet/src/createOpener.ts
+++ b/daemon/fleet/src/createOpener.ts
@@ -13,11 +13,11 @@
 }
 
 const RETRY_EVERY_MS: Millis = 50
-/** Errors that may pass: the address is in use, or the network has not set it up yet. */
-const PASSING_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL']
+/** Errors that may pass: the address is in use or not set up yet, or descriptors or memory are short. */
+const PASSING_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']
 
 /**
- * Opens a listener, again and again while its address is not free. Rejects with any other error, and with the last one once
+ * Opens a listener, again and again while its address is not free or the machine lacks resources for it. Rejects with any other error, and with the last one once
  * the machine stops.
  */
 export type Opener = <Opened>(open: () => Promise<Opened>) => Promise<Opened>
--- a/daemon/fleet/test/createOpener.test.ts
+++ b/daemon/fleet/test/createOpener.test.ts
@@ -53,6 +53,18 @@
     expect(observed.events).toEqual(['start.waiting'])
   })
 
+  it.each(['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM'])(
+    'waits for a resource that is short for a while: %s',
+    async (code) => {
+      const observed = run(code)
+      await pass(observed.clock, 1_000)
+      expect(observed).toMatchObject({ opened: false, error: undefined, events: ['start.waiting'] })
+      observed.code = undefined
+      await pass(observed.clock, STEP_MS)
+      expect(observed.opened).toBe(true)
+    },
+  )
+
   it('never gives up, and opens an address that is free after minutes', async () => {
     const observed = run('EADDRNOTAVAIL')
     await pass(observed.clock, 5 * MINUTE_MS)
