test(cli): check a process again once it has dealt with what the crowd sent

An ordinary request may be answered while bytes of the crowd still wait in the kernel, so that memory that they take later was not seen. The check now waits until the process is at rest, at most 4 s, asks once more and reads the memory after that.

--- a/cli/forkstage/test/outsideLimits/bounds.ts
+++ b/cli/forkstage/test/outsideLimits/bounds.ts
@@ -49,5 +49,10 @@
   attemptMs: 5_000,
   pauseMs: 50,
   sampleMs: 50,
+  /** A process that used no more processor time than this in that time has dealt with what was sent. */
+  restMs: 200,
+  restTicks: 4,
+  /** After so long it need not be at rest: some bytes are read slowly on purpose. */
+  workMs: 4_000,
   testMs: 120_000,
 } as const
--- a/cli/forkstage/test/outsideLimits/limitedProcess.ts
+++ b/cli/forkstage/test/outsideLimits/limitedProcess.ts
@@ -52,6 +52,18 @@
     return faults
   }
 
+  /** Resolves once the process has dealt with what the crowd has sent, or has had long enough to. */
+  async rest(): Promise<void> {
+    const endsAt = performance.now() + WAITS.workMs
+    let before = this.processorTicks()
+    while (this.end === undefined && performance.now() < endsAt) {
+      await new Promise((resolve) => setTimeout(resolve, WAITS.restMs))
+      const now = this.processorTicks()
+      if (now - before <= WAITS.restTicks) return
+      before = now
+    }
+  }
+
   async kill(): Promise<void> {
     clearInterval(this.sampler)
     if (this.end !== undefined) return
@@ -66,6 +78,19 @@
     return peakKb === undefined ? undefined : Math.ceil(Number(peakKb) / 1_024)
   }
 
+  /** Processor time that the process has used, in hundredths of a second. */
+  private processorTicks(): number {
+    try {
+      const [, , , , , , , , , , , user, system] = readFileSync(`/proc/${this.child.pid}/stat`, 'utf8')
+        .replace(/^.*\) /, '')
+        .split(' ')
+      return Number(user) + Number(system)
+    } catch {
+      // The process has ended since.
+      return 0
+    }
+  }
+
   private sampleDescriptors(): void {
     if (this.end !== undefined) return
     try {
--- a/cli/forkstage/test/outsideLimits/outsideLimits.alone.test.ts
+++ b/cli/forkstage/test/outsideLimits/outsideLimits.alone.test.ts
@@ -42,6 +42,8 @@
     const check = async () => {
       expect(machine.process.faults()).toEqual([])
       await waitAnswered()
+      await machine.process.rest()
+      await waitAnswered()
       expect(machine.process.faults()).toEqual([])
     }
 
