fix(peer-rpc): what is no message, or has no proof, ends a connection between boxes

Now both sides close it at once, with the reason, and a client holds its server to the limits of unproven connections until the proof.

--- a/peer/rpc/src/peerConnection.ts
+++ b/peer/rpc/src/peerConnection.ts
@@ -1,13 +1,15 @@
 import { connect as connectTcp, type Socket } from 'node:net'
-import { JSONRPCClient, JSONRPCErrorException } from 'json-rpc-2.0'
+import { JSONRPCClient, JSONRPCErrorException, type JSONRPCResponse } from 'json-rpc-2.0'
 import type { Clock } from '@forkstage/clock'
 import type { ErrorBody } from '@forkstage/error'
 import type { Address, BoxId, Millis } from '@forkstage/types'
-import { openLineChannel } from './lineChannel'
+import { openLineChannel, PEER_LIMITS } from './lineChannel'
 import { openSocket } from './openSocket'
 import { parseAddress } from './parseAddress'
+import { parseMessage } from './parseMessage'
 import { PeerAnswerError, PeerProofError, PeerUnreachableError } from './peerErrors'
 import { createNonce, createProof, proofsMatch } from './proof'
+import { UNPROVEN_LIMITS } from './unprovenConnections'
 import { PROBE, watchSilence } from './watchSilence'
 import { readTlsFiles, type TlsFiles } from './tlsFiles'
 
@@ -51,11 +53,16 @@
   const { credentials } = options
   const socket = await connectSocket(address, credentials, options.clock)
   let rejectAll: (reason: string) => void = () => undefined
+  let isProven = false
   const channel = openLineChannel(socket, {
     onLine: (line) => {
       watch.recordReceived()
-      client.receive(JSON.parse(line))
+      const message = parseMessage(line)
+      if (message === undefined) channel.close('not a message')
+      else client.receive(message as JSONRPCResponse)
     },
+    // Another service may have the address of a box by now.
+    limits: () => (isProven ? PEER_LIMITS : UNPROVEN_LIMITS),
     onClose: (reason) => {
       watch.stop()
       rejectAll(reason)
@@ -81,6 +88,7 @@
   }
   try {
     await performHandshake(connection, address, credentials)
+    isProven = true
   } catch (error) {
     connection.close()
     throw error
--- a/peer/rpc/src/startPeerServer.ts
+++ b/peer/rpc/src/startPeerServer.ts
@@ -7,6 +7,7 @@
 import type { Address, BoxId } from '@forkstage/types'
 import { parseAddress } from './parseAddress'
 import { openLineChannel, PEER_LIMITS, type LineChannel } from './lineChannel'
+import { parseMessage } from './parseMessage'
 import { createNonce, createProof, proofsMatch } from './proof'
 import { readTlsFiles, type TlsFiles } from './tlsFiles'
 import { UNPROVEN_LIMITS, UnprovenConnections } from './unprovenConnections'
@@ -104,8 +105,8 @@
     limits: () => (context === undefined ? UNPROVEN_LIMITS : PEER_LIMITS),
   })
   const handleLine = async (line: string) => {
-    const request = parseJson(line)
-    if (request === undefined) return channel.close('not JSON')
+    const request = parseMessage(line)
+    if (request === undefined) return channel.close('not a message')
     const ticket = joinTicket(request)
     // Before any other step, since the bytes that follow the line are no messages.
     if (ticket !== undefined && options.onJoin !== undefined) {
@@ -149,16 +150,8 @@
 }
 
 /** Returns the ticket of a {@link JOIN} notification; undefined for any other message. */
-function joinTicket(request: unknown): string | undefined {
+function joinTicket(request: object): string | undefined {
   const { method, params } = request as { method?: string; params?: { ticket?: unknown } }
   if (method !== JOIN || typeof params?.ticket !== 'string') return undefined
   return params.ticket
 }
-
-function parseJson(line: string): unknown {
-  try {
-    return JSON.parse(line)
-  } catch {
-    return undefined
-  }
-}
--- a/peer/rpc/test/unprovenConnections.test.ts
+++ b/peer/rpc/test/unprovenConnections.test.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events'
-import { connect, type Socket } from 'node:net'
+import { connect, createServer, type Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { createSystemClock, ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
@@ -57,6 +57,17 @@
     expect(socket.bytesWritten).toBeLessThan(MAX_SENT_BYTES)
   })
 
+  it.each(['null\n', '7\n', 'GET / HTTP/1.1\n'])(
+    'is closed at a line that is no message: %j',
+    async (text) => {
+      await serve()
+      const socket = await connectUnproven()
+      socket.resume()
+      socket.write(text)
+      await closeOf(socket)
+    },
+  )
+
   it('is closed at calls without end', async () => {
     await serve()
     const socket = await connectUnproven()
@@ -99,6 +110,43 @@
   })
 })
 
+describe('a service of another kind at the address of a box', () => {
+  const connectTo = async (answer: (socket: Socket) => unknown) => {
+    const service = createServer((socket) => {
+      socket.on('error', () => undefined)
+      answer(socket)
+    })
+    await new Promise<void>((resolve) => service.listen(PORT, HOST, resolve))
+    open.push(service)
+    const peers = new PeerClient({
+      credentials: { box: 'a', sharedKey: SHARED_KEY },
+      clock: createSystemClock(),
+      logger,
+    })
+    open.push(peers)
+    const options = { deadline: 60_000, step: 'test' }
+    return peers.call(ADDRESS, 'measure', { text: 'ab' }, options).catch((error: Error) => error.message)
+  }
+
+  it.each(['null\n', 'HTTP/1.1 400 Bad Request\r\n'])('ends the call at once: %j', async (text) => {
+    expect(await connectTo((socket) => socket.write(text))).toContain('not a message')
+  })
+
+  it('is left at a line without end', async () => {
+    let service: Socket | undefined
+    const result = await connectTo((socket) => {
+      service = socket
+      const send = () => {
+        while (!socket.destroyed && socket.write('x'.repeat(64 * 1024)));
+      }
+      socket.on('drain', send)
+      send()
+    })
+    expect(result).toContain('a line is too long')
+    expect(service?.bytesWritten).toBeLessThan(MAX_SENT_BYTES)
+  })
+})
+
 describe('a connection that has proved the shared key', () => {
   it('sends lines of any size, also after the time for the proof', async () => {
     const clock = new ManualClock()
