fix(limits): reports of advertised rates go on after an unexpected error

One error while an entry put together its report of advertised rates ended the reports for good: one counted as running from then on, and the entry got no permits. Now it counts as running only while it is sent. The error still reaches the handler of unhandled rejections. The new test failed before (no report).

--- a/request/limits/src/permitClient.ts
+++ b/request/limits/src/permitClient.ts
@@ -112,13 +112,13 @@
     const ids = rates.knownEndpoints
     if (ids.length === 0) return
     const askedAt = clock.now()
-    this.isReporting = true
     this.reportedAt = askedAt
     this.reportedChangeCount = rates.changeCount
     const rows = ids.map(
       (id) => [id, { word: rates.advertisedRateOf(id)!, ...this.demandOf(id, askedAt) }] as const,
     )
     this.wanted = new Map()
+    this.isReporting = true
     const answer = await report({ entry, endpoints: Object.fromEntries(rows) }).finally(
       () => (this.isReporting = false),
     )
--- a/request/limits/test/permitClient.test.ts
+++ b/request/limits/test/permitClient.test.ts
@@ -1,6 +1,7 @@
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { ManualClock } from '@forkstage/clock'
 import { createSilentLogger } from '@forkstage/logger'
+import { recordRejections } from '../../../core/clock/test/recordRejections'
 import { PermitClient, RateTable, type LimitAnswer, type LimitReport } from '../src'
 
 /** A client that knows a rate of `a`, and the reports that it sent; the leader answers when `answer` is called. */
@@ -31,6 +32,20 @@
 }
 
 describe('PermitClient', () => {
+  // Guards against reports that one unexpected error stops for good.
+  it('goes on reporting after an unexpected error', async () => {
+    const { clock, rates, client, reports } = newClient()
+    const failure = new Error('unexpected')
+    vi.spyOn(rates, 'advertisedRateOf').mockImplementationOnce(() => {
+      throw failure
+    })
+    const rejections = await recordRejections(() => Promise.resolve(client.recordDemand('a')))
+    expect(rejections).toEqual([failure])
+    expect(reports).toEqual([])
+    clock.advance(600)
+    expect(reports).toHaveLength(1)
+  })
+
   it('reports at once for a request without a permit, and uses each permit once', async () => {
     const { client, reports, answer } = newClient()
     client.recordDemand('a')
