fix(gateway): the leader is told of begun streams after an unexpected error

One error while an entry told the leader of streams that it had begun ended that for good, with those streams lost: sending counted as running from then on. Now what is not confirmed is kept and sent again after the usual pause; the error still reaches the handler of unhandled rejections. The new test failed before (the leader heard of nothing).

--- a/request/gateway/src/originClient.ts
+++ b/request/gateway/src/originClient.ts
@@ -193,14 +193,30 @@
   private async send(): Promise<void> {
     if (this.isSending) return
     this.isSending = true
-    const { leaderClient, clock } = this.options
-    while (this.unsent.length > 0 && !this.isStopped) {
-      const origins = this.unsent.splice(0)
-      if ((await leaderClient.tryCall<true>(PLACE.origins, { origins }, ANSWER_WITHIN_MS)) === true) continue
-      this.unsent = [...origins, ...this.unsent].slice(-MAX_UNSENT)
-      await delay(clock, REPORT_AGAIN_AFTER_MS)
+    try {
+      await this.sendAll()
+    } finally {
+      this.isSending = false
+      if (this.unsent.length > 0 && !this.isStopped)
+        this.options.clock.after(REPORT_AGAIN_AFTER_MS, () => void this.send())
+    }
+  }
+
+  private async sendAll(): Promise<void> {
+    while (this.unsent.length > 0 && !this.isStopped)
+      if (!(await this.sendUnsent())) await delay(this.options.clock, REPORT_AGAIN_AFTER_MS)
+  }
+
+  /** Returns whether the leader has confirmed them; otherwise they are sent again. */
+  private async sendUnsent(): Promise<boolean> {
+    const origins = this.unsent.splice(0)
+    let answer: true | undefined
+    try {
+      answer = await this.options.leaderClient.tryCall<true>(PLACE.origins, { origins }, ANSWER_WITHIN_MS)
+    } finally {
+      if (answer !== true) this.unsent = [...origins, ...this.unsent].slice(-MAX_UNSENT)
     }
-    this.isSending = false
+    return answer === true
   }
 }
 
--- a/request/gateway/test/originClient.test.ts
+++ b/request/gateway/test/originClient.test.ts
@@ -2,6 +2,7 @@
 import { createSystemClock, delay, ManualClock } from '@forkstage/clock'
 import { OriginTable, UNCERTAIN_VERSION, VersionHistory, type OriginAnswer } from '@forkstage/origins'
 import { describe, expect, it, vi } from 'vitest'
+import { recordRejections } from '../../../core/clock/test/recordRejections'
 import { OriginClient } from '../src'
 import { endpointWithDefaults } from './rowsWithDefaults'
 
@@ -181,4 +182,29 @@
     await new Promise((resolve) => setImmediate(resolve))
     expect(reports).toEqual([true])
   })
+
+  // Guards against streams of which the leader never hears after one unexpected error.
+  it('tells the leader after an unexpected error', async () => {
+    const clock = new ManualClock()
+    const failure = new Error('unexpected')
+    const told: unknown[] = []
+    const tryCall = vi.fn((_method: string, params: unknown) => {
+      told.push(params)
+      return Promise.resolve(true as never)
+    })
+    tryCall.mockImplementationOnce(() => Promise.reject(failure))
+    const one = new OriginClient({
+      table: new OriginTable({ clock }),
+      history: new VersionHistory(clock),
+      leaderClient: { tryCall },
+      viewSince: () => 0,
+      clock,
+    })
+    const rejections = await recordRejections(() =>
+      Promise.resolve(one.begin({ stream: 'a', ...ORIGIN, keepMs: 1_000 })).then(() => undefined),
+    )
+    expect(rejections).toEqual([failure])
+    clock.advance(1_000)
+    await vi.waitFor(() => expect(told).toMatchObject([{ origins: [{ stream: 'a' }] }]))
+  })
 })
