fix(daemon): the listeners of a box bound what one connection takes, as those of machines do

Its listeners now read in slices, and bodies are collected as everywhere else. The tests of bodies pass before and after; those of request/runner, api and tools/deployment pass (56).

--- a/daemon/daemon/src/listenHttp.ts
+++ b/daemon/daemon/src/listenHttp.ts
@@ -1,4 +1,5 @@
 import { createServer, type RequestListener, type Server } from 'node:http'
+import { paceReading } from '@forkstage/answers'
 import { ForkstageError } from '@forkstage/error'
 import { parseAddress } from '@forkstage/peer-rpc'
 import type { Address } from '@forkstage/types'
@@ -19,6 +20,7 @@
 export function listenHttp(handler: RequestListener, address: Address): Promise<Server> {
   const { host, port } = parseAddress(address)
   const server = createServer(handler)
+  paceReading(server)
   return new Promise((resolve, reject) => {
     server.once('error', (error) => reject(new ListenError(address, error)))
     server.listen(port, host, () => resolve(server))
--- a/request/runner/src/requestBody.ts
+++ b/request/runner/src/requestBody.ts
@@ -1,16 +1,15 @@
 import type { IncomingMessage } from 'node:http'
 import { PassThrough, type Readable } from 'node:stream'
+import { ByteCollector } from '@forkstage/bytes'
 
 /** Reads a body whole, up to a limit; undefined if it is larger. */
 export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const body = new ByteCollector()
   for await (const chunk of request) {
-    bytes += (chunk as Buffer).length
-    if (bytes > maxBytes) return undefined
-    chunks.push(chunk as Buffer)
+    body.append(chunk as Buffer)
+    if (body.size > maxBytes) return undefined
   }
-  return Buffer.concat(chunks)
+  return body.toBuffer()
 }
 
 /** A body that fails as soon as it grows beyond a limit. */
