fix(table): report endpoint addresses that no connection can have

Operators could put a table with port 99999 or the IP number 300.1.1.1 in force: the check counted digits only, as that of registrations did.

Tests that failed before: 5 of checkTable. Passing afterwards: 264 of core/types, table, settings, platform/system and membership/directory. tools/deployment/test/table.test.ts did not run (12 skipped): it waits for the line "ready" of a bundled program, and there is no bundle here.

--- a/table/table/src/checkTable.ts
+++ b/table/table/src/checkTable.ts
@@ -1,4 +1,4 @@
-import type { EndpointRow, Table } from '@forkstage/types'
+import { isIpAddress, type EndpointRow, type Table } from '@forkstage/types'
 import { ForkstageError } from '@forkstage/error'
 
 /** A fault in a table, by sheet, row and column. */
@@ -34,7 +34,6 @@
   services: Map<string, string>
 }
 
-const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/
 const LIMIT_COLUMNS = ['weight', 'maxInFlight', 'kvTokens', 'promptTokensPerSecond'] as const
 
 /** Returns all faults of a table; empty if the table is valid. */
@@ -50,7 +49,7 @@
   if (row.endpoint === '') fault('endpoint', 'is empty')
   if (row.service === '') fault('service', 'is empty')
   if (row.domain === '') fault('domain', 'is empty')
-  if (!ADDRESS.test(row.address)) fault('address', `"${row.address}" is not an IP number and a port`)
+  if (!isIpAddress(row.address)) fault('address', `"${row.address}" is not an IP number and a port`)
   for (const column of LIMIT_COLUMNS) {
     if (!Number.isFinite(row[column]) || row[column] < 0)
       fault(column, `${row[column]} is not a number of 0 or more`)
--- a/table/table/test/checkTable.test.ts
+++ b/table/table/test/checkTable.test.ts
@@ -43,6 +43,19 @@
 describe('checkTable', () => {
   it('accepts a valid table', () => expect(faultCells(table)).toEqual([]))
 
+  it.each(['127.0.0.1:99999', '127.0.0.1:0', '300.1.1.1:80', '[:::1]:80', '[::1]:65536'])(
+    'reports the address %s, to which no connection can be opened',
+    (address) => {
+      const broken = { ...table, endpoints: [...table.endpoints, row('p-2', { address })] }
+      expect(faultCells(broken)).toEqual(['p-2/address'])
+    },
+  )
+
+  it('accepts an IPv6 address in brackets', () => {
+    const endpoints = [...table.endpoints, row('p-2', { address: '[::1]:80' })]
+    expect(faultCells({ ...table, endpoints })).toEqual([])
+  })
+
   it('reports all faults by row and column', () => {
     const broken = applyDelta(table, {
       upsertEndpoints: [
