--- a/core/answers/src/pendingResponses.ts
+++ b/core/answers/src/pendingResponses.ts
@@ -127,8 +127,9 @@
   }
 
   /**
-   * Accepts what waits in the queue of the listener, lets nothing more in if that takes too long, stops listening, and ends each connection once it is quiet: with all
-   * responses sent and no byte for {@link QUIET_MS}. Resolves when no connection is left.
+   * Accepts what waits in the queue of the listener, lets nothing more in if that takes too long, stops listening, and ends
+   * each connection once it is quiet: with all responses sent and no byte for {@link QUIET_MS}. Resolves when no connection
+   * is left.
    */
   close({ acceptUntil = this.clock.now() + DEFAULT_QUEUE_MS }: CloseOptions = {}): Promise<void> {
     this.closing ??= this.closeInOrder(acceptUntil)
--- a/daemon/fleet/src/createOpener.ts
+++ b/daemon/fleet/src/createOpener.ts
@@ -17,8 +17,8 @@
 const PASSING_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']
 
 /**
- * Opens a listener, again and again while its address is not free or the machine lacks resources for it. Rejects with any other error, and with the last one once
- * the machine stops.
+ * Opens a listener, again and again while its address is not free or the machine lacks resources for it. Rejects with any
+ * other error, and with the last one once the machine stops.
  */
 export type Opener = <Opened>(open: () => Promise<Opened>) => Promise<Opened>
 
--- a/request/gateway/src/sendRules.ts
+++ b/request/gateway/src/sendRules.ts
@@ -71,8 +71,8 @@
 
 /**
  * Returns and logs the first reason why a request that {@link whyNotSend} has allowed must not be sent any more. Checked once
- * its connection is open, right before its first byte, and records the sending where it may. Leaves out what the sending itself has changed, the backoff and the
- * limits of the endpoint, and takes this back if there is a reason.
+ * its connection is open, right before its first byte. Leaves out what the sending itself has changed, the backoff and the
+ * limits of the endpoint, and takes this back if there is a reason; if there is none, records the sending.
  */
 export function whyNoLongerSend(
   parts: RelayParts,
--- a/tools/fleet-soak/src/endlessEndpoint.ts
+++ b/tools/fleet-soak/src/endlessEndpoint.ts
@@ -1,4 +1,7 @@
-/** Stand-in endpoints, in a process of their own, that send bytes or events without end, or answers of a size that the path names. */
+/**
+ * Stand-in endpoints, in a process of their own, that send bytes or events without end, or answers of a size that the path
+ * names.
+ */
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { createSeededRandom } from '@forkstage/clock'
 import { callControl } from './callControl'
