fix(fleet): the settings say how many descriptors there are, not the system's limit of files

Cause: the limit of connections took the smaller of connections.descriptors and /proc/self/limits. Where the latter counts files alone (200 there), a control machine let 30 other machines connect, and an entry 100 callers. Now the system is asked only if the settings name no number.

--- a/settings/fleet/src/fleetSchema.ts
+++ b/settings/fleet/src/fleetSchema.ts
@@ -143,7 +143,7 @@
 const connectionsSection = z
   .strictObject({
     /** Descriptors that the process may open; connections of callers and peers take a share of them. */
-    descriptors: z.number().int().min(64).max(1_048_576).default(4_096),
+    descriptors: z.number().int().min(64).max(1_048_576).optional(),
   })
   .prefault({})
 
